--- a/lib/endpoint/fg_endpoint.h
+++ b/lib/endpoint/fg_endpoint.h
@@ -23,6 +23,7 @@
 /* One attempt at one endpoint. Strings are borrowed for the call. */
 struct fg_run_req {
 	char id[FG_REQ_ID_BYTES]; /* unique to the attempt */
+	const char *tag; /* the caller's own id, passed through; or NULL */
 	enum fg_class cls;
 	const char *adapter; /* names; NULL for plain services */
 	const char *version;
@@ -32,6 +33,7 @@
 	uint32_t priority;   /* 0 is most urgent */
 	uint32_t timeout_ms; /* hard deadline of the attempt */
 	uint64_t fence;
+	bool stream; /* on_text wants pieces as they come */
 };
 
 enum fg_run_status {
@@ -51,7 +53,8 @@
 	char *text; /* the whole answer, g_malloc'ed; NULL unless DONE */
 	uint32_t tokens;
 	uint32_t service_ms;
-	bool ran_none; /* with a failure: provably never ran */
+	uint32_t pieces; /* passed to on_text */
+	bool ran_none;	 /* with a failure: provably never ran */
 };
 
 /* What an engine says of itself, read by its owner. */
@@ -131,6 +134,9 @@
 /* True when the end mark came and all of it holds. */
 bool fg_answer_whole(const struct fg_answer *a);
 
+/* True when the engine reported that the request ran and failed. */
+bool fg_answer_error(const struct fg_answer *a);
+
 /* The text so far; owned by the answer. */
 const char *fg_answer_text(const struct fg_answer *a);
 uint32_t fg_answer_tokens(const struct fg_answer *a);
--- /dev/null
+++ b/lib/http/fg_http.c
@@ -0,0 +1,163 @@
+#include "http/fg_http.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+
+#define ANSWER_MAX_BYTES ((size_t)16 << 20)
+#define CONNECT_TIMEOUT_MS 1000
+#define URL_BYTES 512
+
+static pthread_key_t handle_key;
+
+static void free_handle(void *handle)
+{
+	curl_easy_cleanup(handle);
+}
+
+void fg_http_init(void)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	pthread_key_create(&handle_key, free_handle);
+}
+
+/* One handle per thread, so that its connections are used again. */
+static CURL *thread_handle(void)
+{
+	CURL *handle = pthread_getspecific(handle_key);
+
+	if (handle == NULL) {
+		handle = curl_easy_init();
+		pthread_setspecific(handle_key, handle);
+	} else {
+		curl_easy_reset(handle);
+	}
+	return handle;
+}
+
+struct transfer {
+	const struct fg_http_call *call;
+	GString *text;
+	size_t received_bytes;
+	size_t max_bytes;
+	bool too_large;
+};
+
+static size_t on_write(char *data, size_t size, size_t n, void *arg)
+{
+	struct transfer *t = arg;
+	size_t len_bytes = size * n;
+
+	t->received_bytes += len_bytes;
+	if (t->received_bytes > t->max_bytes) {
+		t->too_large = true;
+		return 0;
+	}
+	if (t->call->on_data == NULL) {
+		g_string_append_len(t->text, data, (gssize)len_bytes);
+		return len_bytes;
+	}
+	return t->call->on_data(t->call->arg, data, len_bytes) ? len_bytes : 0;
+}
+
+static int on_progress(void *arg, curl_off_t dltotal, curl_off_t dlnow,
+		       curl_off_t ultotal, curl_off_t ulnow)
+{
+	const struct transfer *t = arg;
+
+	(void)dltotal;
+	(void)dlnow;
+	(void)ultotal;
+	(void)ulnow;
+	return t->call->cancel != NULL && *t->call->cancel;
+}
+
+static struct curl_slist *set_headers(CURL *h, const struct fg_http_call *call)
+{
+	struct curl_slist *list = NULL;
+
+	/* Without this, libcurl waits a second before it sends a large body. */
+	list = curl_slist_append(list, "Expect:");
+	list = curl_slist_append(list, "Content-Type: application/json");
+	if (call->header != NULL)
+		list = curl_slist_append(list, call->header);
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, list);
+	return list;
+}
+
+static void set_options(CURL *h, struct transfer *t)
+{
+	const struct fg_http_call *call = t->call;
+	char url[URL_BYTES];
+
+	g_snprintf(url, sizeof(url), "http://%s%s", call->addr, call->path);
+	curl_easy_setopt(h, CURLOPT_URL, url);
+	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h, CURLOPT_PROXY, "");
+	curl_easy_setopt(h, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)MIN(CONNECT_TIMEOUT_MS, call->timeout_ms));
+	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, t);
+	if (call->cancel != NULL) {
+		curl_easy_setopt(h, CURLOPT_NOPROGRESS, 0L);
+		curl_easy_setopt(h, CURLOPT_XFERINFOFUNCTION, on_progress);
+		curl_easy_setopt(h, CURLOPT_XFERINFODATA, t);
+	}
+	if (call->fresh) {
+		curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
+	}
+	if (call->body != NULL) {
+		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE,
+				 (long)strlen(call->body));
+		curl_easy_setopt(h, CURLOPT_POSTFIELDS, call->body);
+	}
+	curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, call->method);
+}
+
+static enum fg_http_error classify(CURL *h, CURLcode code,
+				   const struct transfer *t)
+{
+	long sent_bytes = 0;
+
+	if (code == CURLE_OK)
+		return FG_HTTP_OK;
+	if (t->too_large)
+		return FG_HTTP_TOO_LARGE;
+	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	if (sent_bytes == 0)
+		return FG_HTTP_NOT_SENT;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return FG_HTTP_TIMEOUT;
+	if (code == CURLE_ABORTED_BY_CALLBACK)
+		return FG_HTTP_CANCELLED;
+	return FG_HTTP_LOST;
+}
+
+void fg_http_do(const struct fg_http_call *call, struct fg_http_answer *answer)
+{
+	struct transfer t = { .call = call };
+	CURL *h = thread_handle();
+	struct curl_slist *headers;
+	CURLcode code;
+	long status = 0;
+
+	memset(answer, 0, sizeof(*answer));
+	t.max_bytes = call->answer_max_bytes > 0 ? call->answer_max_bytes
+						 : ANSWER_MAX_BYTES;
+	if (call->on_data == NULL)
+		t.text = g_string_new(NULL);
+	set_options(h, &t);
+	headers = set_headers(h, call);
+	code = curl_easy_perform(h);
+	answer->error = classify(h, code, &t);
+	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
+	answer->status = (uint32_t)status;
+	answer->len_bytes = t.received_bytes;
+	if (t.text != NULL)
+		answer->text = g_string_free(t.text, FALSE);
+	curl_slist_free_all(headers);
+}
--- /dev/null
+++ b/lib/node/fg_node.c
@@ -0,0 +1,385 @@
+/* Life of a node, its clockwork and the events that concern all of it. */
+#include "node/fg_node_internal.h"
+
+#include <string.h>
+
+#define LIMITS_CALLERS_MAX 4096
+#define ANNOUNCE_MS 1000
+#define PEERS_MAX 1024
+
+void fg_node_conf_defaults(struct fg_node_conf *conf)
+{
+	fg_member_conf_defaults(&conf->member);
+	conf->config_poll_ms = 2000;
+	conf->state_ms = 2000;
+	conf->resident_ms = 10000;
+	conf->heat_ms = 1000;
+	conf->grant_repeat_ms = 400;
+	conf->need_repeat_ms = 1000;
+	conf->order_timeout_ms = 5000;
+	conf->address_ttl_ms = 5000;
+	conf->requests_max = 4096;
+	conf->drain_max_ms = 120000;
+	g_strlcpy(conf->place_policy, "gauge", sizeof(conf->place_policy));
+}
+
+static void make_parts(struct fg_node *n, uint64_t seed)
+{
+	struct fg_confsync_conf sync = {
+		.poll_ms = n->conf.config_poll_ms,
+		.confirm_ms = n->conf.member.confirm_ms,
+		.snapshot_every = 256,
+	};
+	struct fg_owner_conf own = {
+		.self = n->self,
+		.scan_ms = n->conf.member.scan_ms,
+		.retry_ms = 500,
+	};
+	struct fg_ledger_conf ledger = {
+		.self = n->self,
+		.group_ms = 5,
+		.start_ms = 5000,
+		.record_retry_ms = 500,
+		.keep_s = 7 * 24 * 3600,
+	};
+	struct fg_retry_conf retry = {
+		.percent = 10,
+		.min_per_10s = 20,
+		.attempts_max = 4,
+		.backoff_ms = 50,
+	};
+	struct fg_suspects_conf suspects = {
+		.keep_ms = 600000,
+		.refuse_crashes = 2,
+		.sick_window_ms = 60000,
+		.sick_fingerprints = 4,
+		.max = 4096,
+	};
+
+	n->config = fg_config_new();
+	n->confsync = fg_confsync_new(n->config, &sync, n->self, seed + 1);
+	n->member = fg_member_new(&n->conf.member, seed + 2);
+	n->owner = fg_owner_new(&own, n->member, seed + 3);
+	n->ledger = fg_ledger_new(&ledger, seed + 4);
+	n->limits = fg_limits_new(LIMITS_CALLERS_MAX);
+	n->estimate = fg_estimate_new();
+	n->retry = fg_retry_new(&retry, seed + 5);
+	n->suspects = fg_suspects_new(&suspects);
+	n->dir = fg_dir_new(seed + 6);
+}
+
+static bool inst_is_dead(void *arg, uint64_t inst)
+{
+	struct fg_node *n = arg;
+	const struct fg_peer_view *peer = fg_member_find(n->member, inst);
+
+	return peer == NULL || peer->state == FG_PEER_DEAD;
+}
+
+struct fg_node *fg_node_new(const struct fg_node_conf *conf,
+			    const struct fg_node_io *io, uint64_t seed)
+{
+	struct fg_node *n = g_new0(struct fg_node, 1);
+
+	n->conf = *conf;
+	n->io = *io;
+	n->self = conf->member.self.id;
+	fg_rand_seed(&n->rand, seed);
+	make_parts(n, seed);
+	fg_ledger_set_dead(n->ledger, inst_is_dead, n);
+	n->eps = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+				       fg_ep_free);
+	n->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					fg_req_free);
+	n->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 fg_wait_free);
+	n->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  fg_model_free);
+	n->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+				       g_free);
+	n->next_order = 1;
+	return n;
+}
+
+void fg_node_free(struct fg_node *n)
+{
+	if (n == NULL)
+		return;
+	g_queue_clear_full(&n->loopback, (GDestroyNotify)fg_msg_free);
+	g_hash_table_destroy(n->waits);
+	g_hash_table_destroy(n->reqs);
+	g_hash_table_destroy(n->eps);
+	g_hash_table_destroy(n->models);
+	g_hash_table_destroy(n->ops);
+	fg_dir_free(n->dir);
+	fg_suspects_free(n->suspects);
+	fg_retry_free(n->retry);
+	fg_estimate_free(n->estimate);
+	fg_limits_free(n->limits);
+	fg_ledger_free(n->ledger);
+	fg_owner_free(n->owner);
+	fg_member_free(n->member);
+	fg_confsync_free(n->confsync);
+	fg_config_free(n->config);
+	g_free(n);
+}
+
+/* ---- Counters, events and messages ---- */
+
+void fg_node_count(struct fg_node *n, enum fg_node_counter c, uint64_t by)
+{
+	n->counters[c] += by;
+}
+
+uint64_t fg_node_counter(const struct fg_node *n, enum fg_node_counter c)
+{
+	return n->counters[c];
+}
+
+static const char *const counter_names[FG_NC_COUNT] = {
+	[FG_NC_REQUESTS] = "requests",
+	[FG_NC_DONE] = "done",
+	[FG_NC_FAILED] = "failed",
+	[FG_NC_NOT_RUN] = "not_run",
+	[FG_NC_UNKNOWN] = "unknown",
+	[FG_NC_RETRIES] = "retries",
+	[FG_NC_GRANTS_LOCAL] = "grants_local",
+	[FG_NC_GRANTS_REMOTE] = "grants_remote",
+	[FG_NC_GRANTS_GIVEN] = "grants_given",
+	[FG_NC_NEEDS] = "needs",
+	[FG_NC_LOADS] = "loads",
+	[FG_NC_LOADS_FAILED] = "loads_failed",
+	[FG_NC_HELD_DRAFTS] = "held_drafts",
+	[FG_NC_STALLED] = "stalled",
+	[FG_NC_STALL_MS] = "stall_ms",
+	[FG_NC_MSGS_OUT] = "msgs_out",
+	[FG_NC_MSG_BYTES_OUT] = "msg_bytes_out",
+};
+
+const char *fg_node_counter_name(enum fg_node_counter c)
+{
+	return counter_names[c];
+}
+
+void fg_node_event(struct fg_node *n, const char *name, json_t *fields)
+{
+	n->io.event(n->io.arg, name, fields);
+}
+
+void fg_node_send(struct fg_node *n, uint64_t to, const fg_msg *msg)
+{
+	const struct fg_peer_view *peer;
+
+	if (to == n->self) {
+		g_queue_push_tail(&n->loopback, fg_msg_dup(msg));
+		return;
+	}
+	peer = fg_member_find(n->member, to);
+	if (peer == NULL || peer->info.rpc[0] == '\0')
+		return;
+	fg_node_count(n, FG_NC_MSGS_OUT, 1);
+	fg_node_count(n, FG_NC_MSG_BYTES_OUT, fg_msg_wire_bytes(msg));
+	n->io.send(n->io.arg, &peer->info, msg);
+}
+
+void fg_node_send_free(struct fg_node *n, uint64_t to, fg_msg *msg)
+{
+	fg_node_send(n, to, msg);
+	fg_msg_free(msg);
+}
+
+size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max)
+{
+	size_t total =
+		fg_member_live(n->member, n->conf.member.self.region, ids, max);
+	size_t kept = 0;
+
+	total = MIN(total, max);
+	for (size_t i = 0; i < total; i++)
+		if (ids[i] != n->self)
+			ids[kept++] = ids[i];
+	return kept;
+}
+
+void fg_node_broadcast(struct fg_node *n, const fg_msg *msg)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t total = fg_node_region_peers(n, ids, PEERS_MAX);
+
+	for (size_t i = 0; i < total; i++)
+		fg_node_send(n, ids[i], msg);
+}
+
+bool fg_node_may_serve(struct fg_node *n)
+{
+	enum fg_standing standing = fg_member_standing(n->member, n->now);
+
+	return standing == FG_STANDING_CONFIRMED ||
+	       standing == FG_STANDING_OUTAGE;
+}
+
+/* ---- Clockwork ---- */
+
+static void tell_live(struct fg_node *n)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t total = fg_member_live(n->member, NULL, ids, PEERS_MAX);
+	size_t kept = 0;
+
+	for (size_t i = 0; i < MIN(total, PEERS_MAX); i++)
+		if (ids[i] != n->self)
+			ids[kept++] = ids[i];
+	fg_confsync_set_live(n->confsync, ids, kept);
+}
+
+static void tick_config(struct fg_node *n)
+{
+	tell_live(n);
+	fg_confsync_tick(n->confsync, n->now, fg_wire_confsync, n);
+	fg_member_set_revision(n->member, fg_config_revision(n->config),
+			       fg_confsync_confirm_age(n->confsync, n->now));
+}
+
+static void tick_owned(struct fg_node *n)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->eps);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_ep *ep = value;
+
+		if (ep->own != NULL)
+			fg_own_tick(n, ep->own);
+	}
+}
+
+static void tick_announce(struct fg_node *n)
+{
+	if (n->now < n->announce_next)
+		return;
+	n->announce_next = n->now + ANNOUNCE_MS;
+	n->io.announce(n->io.arg, n->stop_begun != 0);
+}
+
+static bool drained(const struct fg_node *n)
+{
+	if (n->conf.switches.no_drain)
+		return true;
+	return g_hash_table_size(n->reqs) == 0 &&
+	       fg_ledger_pending(n->ledger) == 0;
+}
+
+/* Ownership is handed over first: requests in progress keep their grants,
+ * which the next owner learns from this instance's answer to GRANTS_ASK. */
+static void tick_stop(struct fg_node *n)
+{
+	if (n->stop_begun == 0 || n->released)
+		return;
+	n->released = true;
+	fg_owner_release_all(n->owner, n->now, fg_wire_owner, n);
+}
+
+void fg_node_tick(struct fg_node *n, fg_ms now)
+{
+	n->now = now;
+	fg_member_tick(n->member, now, fg_wire_member, n);
+	tick_announce(n);
+	tick_config(n);
+	fg_eps_expire(n);
+	fg_owner_tick(n->owner, now, fg_wire_owner, n);
+	tick_owned(n);
+	fg_models_tick(n);
+	fg_waits_tick(n);
+	fg_reqs_tick(n);
+	fg_ledger_tick(n->ledger, now, fg_wire_ledger, n);
+	tick_stop(n);
+	fg_node_drain(n);
+}
+
+/* ---- Events that several parts hear of ---- */
+
+void fg_node_table_done(struct fg_node *n, fg_ms now,
+			const struct fg_table_result *res)
+{
+	n->now = now;
+	fg_wire_table_done(n, res);
+	fg_node_drain(n);
+}
+
+void fg_node_list_done(struct fg_node *n, fg_ms now, enum fg_pf_result result,
+		       const struct fg_listed *list, size_t n_list)
+{
+	n->now = now;
+	fg_member_on_list(n->member, now, result, list, n_list, fg_wire_member,
+			  n);
+	if (result != FG_PF_OK)
+		return;
+	for (size_t i = 0; i < n_list; i++)
+		if (list[i].kind != FG_LISTED_ENTRY)
+			fg_ep_listed(n, &list[i]);
+	fg_node_drain(n);
+}
+
+void fg_node_change(struct fg_node *n, fg_ms now, uint64_t change_id,
+		    const char *change, uint64_t expect_revision,
+		    uint32_t wait_ms)
+{
+	n->now = now;
+	tell_live(n);
+	fg_confsync_change(n->confsync, now, change_id, change, expect_revision,
+			   wait_ms, fg_wire_confsync, n);
+	fg_node_drain(n);
+}
+
+void fg_node_stop(struct fg_node *n, fg_ms now)
+{
+	n->now = now;
+	if (n->stop_begun != 0)
+		return;
+	n->stop_begun = now > 0 ? now : 1;
+	n->announce_next = now;
+	fg_node_event(n, "stop_begin",
+		      json_pack("{s:i}", "in_progress",
+				(int)g_hash_table_size(n->reqs)));
+	fg_member_leave(n->member, now, fg_wire_member, n);
+}
+
+static void count_mine(void *arg, uint64_t key, uint64_t fence)
+{
+	size_t *mine = arg;
+
+	(void)key;
+	(void)fence;
+	(*mine)++;
+}
+
+bool fg_node_stopped(const struct fg_node *n, fg_ms now)
+{
+	size_t mine = 0;
+
+	if (n->stop_begun == 0 || !n->released)
+		return false;
+	if (now - n->stop_begun >= n->conf.drain_max_ms)
+		return true;
+	if (!drained(n))
+		return false;
+	/* Rows that the platform does not take now are left to lapse. */
+	fg_owner_each_mine(n->owner, count_mine, &mine);
+	return mine == 0 || now - n->stop_begun >= n->conf.member.lease_ms;
+}
+
+char *fg_node_catalogue(const struct fg_node *n)
+{
+	return fg_config_snapshot(n->config);
+}
+
+bool fg_node_suspect_clear(struct fg_node *n, uint64_t fingerprint)
+{
+	return fg_suspects_clear(n->suspects, fingerprint);
+}
+
+uint32_t fg_node_address_ttl_ms(const struct fg_node *n)
+{
+	return n->conf.address_ttl_ms;
+}
--- /dev/null
+++ b/lib/node/fg_node_broker.c
@@ -0,0 +1,395 @@
+/* The broker role, and what a router tells the broker of its region. */
+#include <string.h>
+
+#include "node/fg_node_internal.h"
+
+void fg_model_free(void *arg)
+{
+	struct fg_model *m = arg;
+
+	fg_broker_free(m->broker);
+	fg_broker_free(m->fallback);
+	g_hash_table_destroy(m->heat);
+	g_free(m->service);
+	g_free(m);
+}
+
+/* ---- Making brokers ---- */
+
+static struct fg_broker *make_broker(struct fg_node *n,
+				     const struct fg_model *m, uint64_t fence,
+				     uint32_t share)
+{
+	const struct fg_service *facts =
+		fg_config_service(n->config, m->service);
+	struct fg_broker_conf conf = {
+		.fence = fence,
+		.loads_per_s = MAX(facts->loads_per_s / share, 1),
+		.in_flight_max = MAX(facts->loads_in_flight / share, 1),
+		.load_ms = facts->load_ms,
+		.order_timeout_ms = n->conf.order_timeout_ms,
+		.stall_weight = fg_config_preset(n->config)->stall_weight,
+	};
+
+	g_strlcpy(conf.service, m->service, sizeof(conf.service));
+	g_strlcpy(conf.region, m->region, sizeof(conf.region));
+	return fg_broker_new(&conf, n->dir, n->conf.place_policy,
+			     fg_rand_next(&n->rand));
+}
+
+/* Instances that share the weight store's budget while there is no broker. */
+static uint32_t budget_share(struct fg_node *n)
+{
+	uint64_t ids[1024];
+	size_t total = fg_node_region_peers(n, ids, G_N_ELEMENTS(ids));
+
+	return (uint32_t)total + 1;
+}
+
+/* The own region if it has engines for the service, else the first by name
+ * that has. */
+static void choose_region(struct fg_node *n, struct fg_model *m)
+{
+	const char *own = n->conf.member.self.region;
+	const char *best = NULL;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->eps);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct fg_ep *ep = value;
+
+		if (ep->info.kind != FG_LISTED_ENGINE || ep->leaving ||
+		    strcmp(ep->info.service, m->service) != 0)
+			continue;
+		if (best == NULL || strcmp(ep->info.region, own) == 0 ||
+		    (strcmp(best, own) != 0 &&
+		     strcmp(ep->info.region, best) < 0))
+			best = ep->info.region;
+	}
+	g_strlcpy(m->region, best != NULL ? best : own, sizeof(m->region));
+}
+
+static uint64_t broker_key(const struct fg_model *m)
+{
+	char name[2 * FG_NAME_BYTES + 16];
+
+	g_snprintf(name, sizeof(name), "broker/%s/%s", m->region, m->service);
+	return fg_hash_str(name);
+}
+
+static void follow_region(struct fg_node *n, struct fg_model *m)
+{
+	uint64_t key;
+
+	choose_region(n, m);
+	key = broker_key(m);
+	if (key == m->broker_key)
+		return;
+	g_clear_pointer(&m->broker, fg_broker_free);
+	g_clear_pointer(&m->fallback, fg_broker_free);
+	m->broker_key = key;
+	if (strcmp(m->region, n->conf.member.self.region) == 0)
+		fg_owner_want(n->owner, key, m->region, "", false);
+}
+
+struct fg_model *fg_model_get(struct fg_node *n, const char *service)
+{
+	struct fg_model *m = g_hash_table_lookup(n->models, service);
+
+	if (m != NULL)
+		return m;
+	m = g_new0(struct fg_model, 1);
+	m->service = g_strdup(service);
+	m->heat = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					g_free);
+	g_hash_table_insert(n->models, m->service, m);
+	follow_region(n, m);
+	return m;
+}
+
+static struct fg_model *model_of_key(struct fg_node *n, uint64_t key)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->models);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_model *m = value;
+
+		if (m->broker_key == key)
+			return m;
+	}
+	return NULL;
+}
+
+bool fg_model_gained(struct fg_node *n, uint64_t key, uint64_t fence)
+{
+	struct fg_model *m = model_of_key(n, key);
+
+	if (m == NULL)
+		return false;
+	fg_broker_free(m->broker);
+	m->broker = make_broker(n, m, fence, 1);
+	fg_node_event(n, "broker",
+		      json_pack("{s:s,s:s,s:I}", "service", m->service,
+				"region", m->region, "fence",
+				(json_int_t)fence));
+	return true;
+}
+
+bool fg_model_lost(struct fg_node *n, uint64_t key)
+{
+	struct fg_model *m = model_of_key(n, key);
+
+	if (m == NULL)
+		return false;
+	g_clear_pointer(&m->broker, fg_broker_free);
+	return true;
+}
+
+void fg_models_config(struct fg_node *n)
+{
+	uint32_t weight = fg_config_preset(n->config)->stall_weight;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->models);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_model *m = value;
+		const struct fg_service *facts =
+			fg_config_service(n->config, m->service);
+
+		if (m->broker != NULL)
+			fg_broker_set(m->broker, facts->loads_per_s,
+				      facts->loads_in_flight, facts->load_ms,
+				      weight);
+		g_clear_pointer(&m->fallback, fg_broker_free);
+	}
+}
+
+void fg_models_peer_gone(struct fg_node *n, uint64_t id)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->models);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_model *m = value;
+
+		if (m->broker != NULL)
+			fg_broker_router_gone(m->broker, id);
+	}
+}
+
+/* ---- Needs ---- */
+
+static uint64_t broker_of(struct fg_node *n, const struct fg_model *m)
+{
+	const struct fg_peer_view *peer;
+	uint64_t owner = 0;
+
+	fg_owner_find(n->owner, m->broker_key, &owner, NULL);
+	if (owner == n->self)
+		return m->broker != NULL ? owner : 0;
+	peer = fg_member_find(n->member, owner);
+	if (peer == NULL || peer->state == FG_PEER_DEAD)
+		return 0;
+	return owner;
+}
+
+void fg_model_need(struct fg_node *n, uint64_t from, const fg_need *need,
+		   const char *service)
+{
+	struct fg_model *m = fg_model_get(n, service);
+	uint64_t broker = broker_of(n, m);
+	fg_msg *msg;
+
+	if (broker != 0) {
+		msg = fg_msg_new(FG_MSG_NEED);
+		msg->body.fg_body_u.need = *need;
+		fg_node_send_free(n, broker, msg);
+		return;
+	}
+	/* No broker is known: load within this instance's share. */
+	if (m->fallback == NULL)
+		m->fallback = make_broker(n, m, 0, budget_share(n));
+	fg_broker_need(m->fallback, n->now, from, need);
+}
+
+static struct fg_model *model_of_av(struct fg_node *n, fg_av av)
+{
+	const char *base = fg_config_adapter_base(n->config, av);
+
+	return base != NULL ? fg_model_get(n, base) : NULL;
+}
+
+void fg_model_msg_need(struct fg_node *n, uint64_t from, const fg_need *need)
+{
+	struct fg_model *m = model_of_av(n, need->av);
+	fg_need_rep *rep;
+	fg_msg *msg;
+
+	if (m == NULL || m->broker == NULL)
+		return;
+	fg_broker_need(m->broker, n->now, from, need);
+	if (need->waiting == 0)
+		return;
+	msg = fg_msg_new(FG_MSG_NEED_REP);
+	rep = &msg->body.fg_body_u.need_rep;
+	rep->av = need->av;
+	rep->estimate_ms = fg_broker_estimate_ms(m->broker, n->now, need->av);
+	rep->backlog_ms =
+		fg_broker_estimate_ms(m->broker, n->now, (fg_av){ 0, 0 });
+	fg_node_send_free(n, from, msg);
+}
+
+/* ---- Heat ---- */
+
+void fg_model_heat(struct fg_node *n, const char *service, fg_av av)
+{
+	struct fg_model *m = fg_model_get(n, service);
+	uint64_t key = fg_av_key(av);
+	uint32_t *count = g_hash_table_lookup(m->heat, &key);
+
+	if (count == NULL) {
+		uint64_t *own_key = g_new(uint64_t, 1);
+
+		*own_key = key;
+		count = g_new0(uint32_t, 1);
+		g_hash_table_insert(m->heat, own_key, count);
+	}
+	(*count)++;
+}
+
+/* Moves up to FG_LIST_MAX counts into a message; the rest go next time. */
+static fg_msg *take_heat(struct fg_model *m)
+{
+	fg_msg *msg = fg_msg_new(FG_MSG_HEAT);
+	fg_heat *heat = &msg->body.fg_body_u.heat;
+	GHashTableIter it;
+	gpointer key;
+	gpointer count;
+
+	heat->seq = ++m->heat_seq;
+	heat->items.items_val = calloc(FG_LIST_MAX, sizeof(fg_heat_item));
+	g_hash_table_iter_init(&it, m->heat);
+	while (heat->items.items_len < FG_LIST_MAX &&
+	       g_hash_table_iter_next(&it, &key, &count)) {
+		fg_heat_item *item =
+			&heat->items.items_val[heat->items.items_len++];
+
+		item->av.adapter = (u_int)(*(uint64_t *)key >> 32);
+		item->av.ver = (u_int) * (uint64_t *)key;
+		item->count = *(uint32_t *)count;
+		g_hash_table_iter_remove(&it);
+	}
+	return msg;
+}
+
+static void send_heat(struct fg_node *n, struct fg_model *m)
+{
+	uint64_t broker = broker_of(n, m);
+	fg_msg *msg;
+
+	if (g_hash_table_size(m->heat) == 0)
+		return;
+	msg = take_heat(m);
+	if (broker != 0)
+		fg_node_send(n, broker, msg);
+	else if (m->fallback != NULL)
+		fg_broker_heat(m->fallback, n->now, &msg->body.fg_body_u.heat);
+	fg_msg_free(msg);
+}
+
+void fg_model_msg_heat(struct fg_node *n, const fg_heat *heat)
+{
+	struct fg_model *m;
+
+	if (heat->items.items_len == 0)
+		return;
+	m = model_of_av(n, heat->items.items_val[0].av);
+	if (m != NULL && m->broker != NULL)
+		fg_broker_heat(m->broker, n->now, heat);
+}
+
+/* ---- Orders ---- */
+
+struct emit_arg {
+	struct fg_node *n;
+	struct fg_broker *broker;
+};
+
+static void refuse_place(struct fg_broker *broker, fg_ms now,
+			 const fg_place *place)
+{
+	fg_place_rep rep = {
+		.order = place->order,
+		.ep = place->ep,
+		.av = place->av,
+		.status = FG_PLACE_REFUSED,
+	};
+
+	fg_broker_reply(broker, now, &rep);
+}
+
+static void emit_place(void *arg, const fg_place *place)
+{
+	struct emit_arg *e = arg;
+	uint64_t owner = 0;
+	fg_msg *msg;
+
+	fg_owner_find(e->n->owner, place->ep, &owner, NULL);
+	if (owner == 0) {
+		refuse_place(e->broker, e->n->now, place);
+		return;
+	}
+	msg = fg_msg_new(FG_MSG_PLACE);
+	msg->body.fg_body_u.place = *place;
+	fg_node_send_free(e->n, owner, msg);
+}
+
+/* Replies name the order alone; each broker ignores ids not its own. */
+void fg_model_place_rep(struct fg_node *n, const fg_place_rep *rep)
+{
+	struct fg_model *m = model_of_av(n, rep->av);
+
+	if (m == NULL)
+		return;
+	if (m->broker != NULL)
+		fg_broker_reply(m->broker, n->now, rep);
+	if (m->fallback != NULL)
+		fg_broker_reply(m->fallback, n->now, rep);
+}
+
+static void tick_broker(struct fg_node *n, struct fg_broker *broker)
+{
+	struct emit_arg e = { n, broker };
+
+	if (broker != NULL && fg_node_may_serve(n))
+		fg_broker_tick(broker, n->now, emit_place, &e);
+}
+
+static void tick_model(struct fg_node *n, struct fg_model *m, bool heat_due)
+{
+	follow_region(n, m);
+	if (heat_due)
+		send_heat(n, m);
+	tick_broker(n, m->broker);
+	if (m->fallback != NULL && broker_of(n, m) != 0)
+		g_clear_pointer(&m->fallback, fg_broker_free);
+	tick_broker(n, m->fallback);
+}
+
+void fg_models_tick(struct fg_node *n)
+{
+	bool heat_due = n->now >= n->heat_next;
+	GHashTableIter it;
+	gpointer value;
+
+	if (heat_due)
+		n->heat_next = n->now + n->conf.heat_ms;
+	g_hash_table_iter_init(&it, n->models);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		tick_model(n, value, heat_due);
+}
--- /dev/null
+++ b/lib/node/fg_node_own.c
@@ -0,0 +1,525 @@
+/* Endpoints that this instance owns: grants, loads, state, recovery. */
+#include <string.h>
+
+#include "node/fg_node_internal.h"
+
+#define REFRESH_PER_PEER_MS                                                    \
+	300 /* bounds repeats of RESIDENT over all peers                       \
+	     */
+#define STATE_SOON_MS 100
+#define STATE_RETRY_MS 500
+#define RECOVER_MAX_MS 600000 /* longest deadline of any request */
+#define HELD_MAX 1024
+#define PEERS_MAX 1024
+#define REMOTE_PEERS_MAX 16 /* small sites: other regions are told as well */
+
+void fg_own_free(struct fg_own *own)
+{
+	if (own == NULL)
+		return;
+	fg_grants_free(own->grants);
+	g_ptr_array_free(own->loads, TRUE);
+	g_free(own);
+}
+
+static struct fg_own *own_of(struct fg_node *n, uint64_t ep_id)
+{
+	struct fg_ep *ep = fg_ep_find(n, ep_id);
+
+	return ep != NULL ? ep->own : NULL;
+}
+
+static bool may_act(struct fg_node *n, const struct fg_own *own)
+{
+	return fg_owner_may_act(n->owner, own->ep->id, n->now);
+}
+
+/* ---- Telling what is resident ---- */
+
+void fg_own_resident(struct fg_node *n, struct fg_own *own, uint64_t to)
+{
+	fg_msg *msg;
+
+	if (own->grants == NULL)
+		return;
+	msg = fg_msg_new(FG_MSG_RESIDENT);
+	fg_grants_resident(own->grants, &msg->body.fg_body_u.resident);
+	if (to != 0) {
+		fg_node_send(n, to, msg);
+	} else {
+		fg_node_send(n, n->self, msg);
+		fg_node_broadcast(n, msg);
+	}
+	fg_msg_free(msg);
+}
+
+static void tell_other_regions(struct fg_node *n, struct fg_own *own)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t total = fg_member_live(n->member, NULL, ids, PEERS_MAX);
+
+	if (total > REMOTE_PEERS_MAX)
+		return;
+	for (size_t i = 0; i < total; i++) {
+		const struct fg_peer_view *peer =
+			fg_member_find(n->member, ids[i]);
+
+		if (peer != NULL && ids[i] != n->self &&
+		    strcmp(peer->info.region, n->conf.member.self.region) != 0)
+			fg_own_resident(n, own, ids[i]);
+	}
+}
+
+static void repeat_resident(struct fg_node *n, struct fg_own *own)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t peers = fg_node_region_peers(n, ids, PEERS_MAX);
+	uint32_t spread_ms = (uint32_t)peers * REFRESH_PER_PEER_MS;
+
+	own->resident_next = n->now + MAX(n->conf.resident_ms, spread_ms);
+	fg_own_resident(n, own, 0);
+	tell_other_regions(n, own);
+}
+
+/* ---- Gaining and losing ---- */
+
+static void ask_grants(struct fg_node *n, struct fg_own *own)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t peers = fg_node_region_peers(n, ids, PEERS_MAX);
+	fg_msg *msg = fg_msg_new(FG_MSG_GRANTS_ASK);
+
+	msg->body.fg_body_u.grants_ask.ep = own->ep->id;
+	msg->body.fg_body_u.grants_ask.fence = own->fence;
+	/* This instance's own grants count like those of any other. */
+	ids[peers++] = n->self;
+	fg_grants_expect(own->grants, ids, peers);
+	for (size_t i = 0; i < peers; i++)
+		fg_node_send(n, ids[i], msg);
+	fg_msg_free(msg);
+}
+
+void fg_own_gained(struct fg_node *n, const struct fg_owner_act *act)
+{
+	struct fg_ep *ep = fg_ep_find(n, act->key);
+	struct fg_own *own;
+	fg_msg *msg;
+
+	if (ep == NULL)
+		return;
+	fg_own_free(ep->own);
+	own = g_new0(struct fg_own, 1);
+	own->ep = ep;
+	own->fence = act->fence;
+	own->loads = g_ptr_array_new_with_free_func(g_free);
+	own->n_intents = act->n_intents;
+	memcpy(own->intents, act->intents,
+	       act->n_intents * sizeof(act->intents[0]));
+	own->state_next = n->now;
+	ep->own = own;
+	msg = fg_msg_new(FG_MSG_OWNED);
+	msg->body.fg_body_u.owned.ep = ep->id;
+	msg->body.fg_body_u.owned.fence = own->fence;
+	msg->body.fg_body_u.owned.owner = n->self;
+	fg_node_broadcast(n, msg);
+	fg_msg_free(msg);
+	fg_node_event(n, "owned",
+		      json_pack("{s:s,s:I}", "ep", ep->info.name, "fence",
+				(json_int_t)own->fence));
+}
+
+void fg_own_lost(struct fg_node *n, uint64_t key)
+{
+	struct fg_ep *ep = fg_ep_find(n, key);
+
+	if (ep == NULL || ep->own == NULL)
+		return;
+	fg_own_free(ep->own);
+	ep->own = NULL;
+	fg_node_event(n, "own_lost", json_pack("{s:s}", "ep", ep->info.name));
+}
+
+void fg_own_leave(struct fg_node *n, struct fg_own *own)
+{
+	(void)n;
+	if (own->grants != NULL)
+		fg_grants_leave(own->grants);
+}
+
+/* ---- The engine's state ---- */
+
+static fg_av find_av(void *arg, const char *adapter, const char *version)
+{
+	return fg_config_find(arg, adapter, version);
+}
+
+static void first_state(struct fg_node *n, struct fg_own *own,
+			const struct fg_engine_state *st)
+{
+	struct fg_grants_conf conf = {
+		.ep = own->ep->id,
+		.fence = own->fence,
+		.slots = CLAMP(st->slots, 1, FG_SLOTS_MAX),
+		.batch = MAX(st->batch, 1),
+		.grant_max_ms = RECOVER_MAX_MS,
+		.queue_max = HELD_MAX,
+	};
+
+	own->checks_fence = st->checks_fence;
+	own->grants = fg_grants_new(&conf, n->now, true);
+	if (!st->checks_fence)
+		fg_grants_taint(own->grants, n->now, own->intents,
+				own->n_intents);
+	ask_grants(n, own);
+	if (own->ep->leaving)
+		fg_grants_leave(own->grants);
+}
+
+void fg_node_engine_state(struct fg_node *n, fg_ms now, uint64_t ep,
+			  fg_ms asked_at, const struct fg_engine_state *st)
+{
+	struct fg_own *own = own_of(n, ep);
+
+	n->now = now;
+	if (own == NULL)
+		return;
+	own->state_asked = 0;
+	own->state_next =
+		now + (st != NULL ? n->conf.state_ms : STATE_RETRY_MS);
+	if (st == NULL)
+		return;
+	if (st->leaving)
+		fg_ep_leaving(n, own->ep, true);
+	if (own->grants == NULL)
+		first_state(n, own, st);
+	if (fg_grants_engine(own->grants, now, asked_at, st, find_av,
+			     n->config))
+		fg_node_event(n, "engine_restarted",
+			      json_pack("{s:s}", "ep", own->ep->info.name));
+	fg_node_drain(n);
+}
+
+/* ---- Loads ---- */
+
+static void reply_place(struct fg_node *n, uint64_t broker, uint64_t order,
+			uint64_t ep, fg_av av, fg_place_status status)
+{
+	fg_msg *msg = fg_msg_new(FG_MSG_PLACE_REP);
+	fg_place_rep *rep = &msg->body.fg_body_u.place_rep;
+
+	rep->order = order;
+	rep->ep = ep;
+	rep->av = av;
+	rep->status = status;
+	fg_node_send_free(n, broker, msg);
+}
+
+/* The last look at the lease before the order leaves. */
+static void send_load(struct fg_node *n, struct fg_own *own,
+		      struct fg_pending_load *load)
+{
+	struct fg_order_cmd cmd = {
+		.ep = own->ep->info,
+		.order = {
+			.id = load->order_id,
+			.kind = FG_ORDER_LOAD,
+			.slot = load->slot,
+			.adapter = fg_config_adapter_name(n->config, load->av),
+			.version = fg_config_version_name(n->config, load->av),
+			.fence = own->fence,
+			.timeout_ms = n->conf.order_timeout_ms,
+		},
+	};
+
+	if (!may_act(n, own) || cmd.order.adapter == NULL ||
+	    cmd.order.version == NULL) {
+		fg_node_order_done(n, n->now, own->ep->id, load->order_id,
+				   FG_ORDER_NOT_SENT);
+		return;
+	}
+	load->sent = true;
+	fg_node_count(n, FG_NC_LOADS, 1);
+	n->io.order(n->io.arg, &cmd);
+}
+
+static void write_intent(struct fg_node *n, struct fg_own *own,
+			 const struct fg_pending_load *load)
+{
+	struct fg_intent intent = {
+		.id = load->order_id,
+		.slot = load->slot,
+		.victim = load->victim,
+		.av = load->av,
+		.fence = own->fence,
+		.life_ms = n->conf.order_timeout_ms,
+	};
+
+	fg_owner_intent(n->owner, n->now, own->ep->id, &intent, fg_wire_owner,
+			n);
+}
+
+static void start_load(struct fg_node *n, struct fg_own *own, uint64_t from,
+		       const fg_place *place, uint32_t slot, fg_av victim)
+{
+	struct fg_pending_load *load = g_new0(struct fg_pending_load, 1);
+
+	/* Unique over all owners: the engine and the intents see it. */
+	load->order_id = fg_hash_mix(own->fence, own->ep->id) >> 16 << 14;
+	load->order_id =
+		(load->order_id & INT64_MAX) | (n->next_order++ & 0x3fff);
+	load->place_order = place->order;
+	load->broker = from;
+	load->slot = slot;
+	load->av = place->av;
+	load->victim = victim;
+	g_ptr_array_add(own->loads, load);
+	if (own->checks_fence)
+		send_load(n, own, load);
+	else
+		write_intent(n, own, load);
+}
+
+void fg_own_place(struct fg_node *n, uint64_t from, const fg_place *place)
+{
+	struct fg_own *own = own_of(n, place->ep);
+	enum fg_load_start start = FG_LOAD_START_RECOVERING;
+	fg_av victim = { 0, 0 };
+	uint32_t slot = 0;
+
+	if (own != NULL && own->grants != NULL && may_act(n, own))
+		start = fg_grants_load_start(own->grants, n->now, place->av,
+					     place->victim, NULL, NULL, &slot,
+					     &victim);
+	if (start == FG_LOAD_START_OK) {
+		reply_place(n, from, place->order, place->ep, place->av,
+			    FG_PLACE_STARTED);
+		start_load(n, own, from, place, slot, victim);
+	} else if (start == FG_LOAD_START_PRESENT) {
+		fg_own_resident(n, own, from);
+		reply_place(n, from, place->order, place->ep, place->av,
+			    FG_PLACE_DONE);
+	} else {
+		reply_place(n, from, place->order, place->ep, place->av,
+			    FG_PLACE_REFUSED);
+	}
+}
+
+static struct fg_pending_load *find_load(struct fg_own *own, uint64_t order_id)
+{
+	for (guint i = 0; i < own->loads->len; i++) {
+		struct fg_pending_load *load = g_ptr_array_index(own->loads, i);
+
+		if (load->order_id == order_id)
+			return load;
+	}
+	return NULL;
+}
+
+void fg_own_intent(struct fg_node *n, uint64_t intent_id, bool stored)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->eps);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_ep *ep = value;
+		struct fg_pending_load *load;
+
+		if (ep->own == NULL)
+			continue;
+		load = find_load(ep->own, intent_id);
+		if (load == NULL || load->sent)
+			continue;
+		if (stored)
+			send_load(n, ep->own, load);
+		else
+			fg_node_order_done(n, n->now, ep->id, intent_id,
+					   FG_ORDER_NOT_SENT);
+		return;
+	}
+}
+
+static void load_ended(struct fg_node *n, struct fg_own *own,
+		       struct fg_pending_load *load,
+		       enum fg_order_status status)
+{
+	bool done = status == FG_ORDER_DONE;
+
+	fg_grants_load_done(own->grants, n->now, load->slot, status,
+			    n->conf.order_timeout_ms);
+	if (!own->checks_fence && status != FG_ORDER_LOST)
+		fg_owner_intent_done(n->owner, own->ep->id, load->order_id);
+	if (!done) {
+		fg_node_count(n, FG_NC_LOADS_FAILED, 1);
+		own->state_next = n->now + STATE_SOON_MS;
+	}
+	fg_node_event(n, "load",
+		      json_pack("{s:s,s:i,s:b}", "ep", own->ep->info.name,
+				"slot", (int)load->slot, "ok", done));
+	if (done)
+		fg_own_resident(n, own, 0);
+	reply_place(n, load->broker, load->place_order, own->ep->id, load->av,
+		    done ? FG_PLACE_DONE : FG_PLACE_FAILED);
+}
+
+void fg_node_order_done(struct fg_node *n, fg_ms now, uint64_t ep,
+			uint64_t order_id, enum fg_order_status status)
+{
+	struct fg_own *own = own_of(n, ep);
+	struct fg_pending_load *load;
+
+	n->now = now;
+	if (own == NULL)
+		return;
+	load = find_load(own, order_id);
+	if (load == NULL)
+		return;
+	load_ended(n, own, load, status);
+	g_ptr_array_remove(own->loads, load);
+	fg_node_drain(n);
+}
+
+/* ---- Grants ---- */
+
+static void reply_grant(struct fg_node *n, const struct fg_own *own,
+			const struct fg_grant_ask *ask, uint64_t ep,
+			fg_grant_status status, uint64_t grant)
+{
+	fg_msg *msg = fg_msg_new(FG_MSG_GRANT_REP);
+	fg_grant_rep *rep = &msg->body.fg_body_u.grant_rep;
+
+	rep->req = ask->req;
+	rep->ep = ep;
+	rep->status = status;
+	rep->grant = grant;
+	rep->fence = own != NULL ? own->fence : 0;
+	if (own == NULL)
+		fg_owner_find(n->owner, ep, &rep->owner, &rep->fence);
+	if (status == FG_GRANT_OK) {
+		fg_node_count(n, FG_NC_GRANTS_GIVEN, 1);
+		fg_node_event(n, "grant",
+			      json_pack("{s:I,s:s,s:i,s:i,s:I}", "grant",
+					(json_int_t)grant, "ep",
+					own->ep->info.name, "adapter",
+					(int)ask->av.adapter, "version",
+					(int)ask->av.ver, "holder",
+					(json_int_t)ask->holder));
+	}
+	fg_node_send_free(n, ask->holder, msg);
+}
+
+void fg_own_grant_req(struct fg_node *n, uint64_t from, const fg_grant_req *req)
+{
+	struct fg_own *own = own_of(n, req->ep);
+	struct fg_grant_ask ask = {
+		.holder = from,
+		.req = req->req,
+		.av = req->av,
+		.cls = (enum fg_class)req->cls,
+		.budget_ms = req->budget_ms,
+	};
+	fg_grant_status status;
+	uint64_t grant = 0;
+
+	if (own == NULL) {
+		reply_grant(n, NULL, &ask, req->ep, FG_GRANT_NOT_OWNER, 0);
+		return;
+	}
+	if (own->grants == NULL || !may_act(n, own)) {
+		reply_grant(n, own, &ask, req->ep, FG_GRANT_RECOVERING, 0);
+		return;
+	}
+	status = fg_grants_request(own->grants, n->now, &ask, &grant);
+	if (status == FG_GRANT_NOT_RESIDENT)
+		fg_own_resident(n, own, from);
+	reply_grant(n, own, &ask, req->ep, status, grant);
+}
+
+void fg_own_release(struct fg_node *n, uint64_t from, const fg_release *rel)
+{
+	struct fg_own *own = own_of(n, rel->ep);
+
+	if (own == NULL || own->grants == NULL)
+		return;
+	if (rel->grant != 0)
+		fg_grants_release(own->grants, n->now, rel->grant);
+	else
+		fg_grants_cancel(own->grants, n->now, from, rel->req);
+	if (rel->crashed)
+		own->state_next = n->now;
+}
+
+void fg_own_tell(struct fg_node *n, uint64_t from, const fg_grants_tell *tell)
+{
+	struct fg_own *own = own_of(n, tell->ep);
+
+	if (own == NULL || own->grants == NULL || tell->fence != own->fence)
+		return;
+	fg_grants_told(own->grants, n->now, from, tell->grants.grants_val,
+		       tell->grants.grants_len);
+}
+
+static void each_own(struct fg_node *n,
+		     void (*fn)(struct fg_node *n, struct fg_own *own,
+				uint64_t id),
+		     uint64_t id)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->eps);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_ep *ep = value;
+
+		if (ep->own != NULL && ep->own->grants != NULL)
+			fn(n, ep->own, id);
+	}
+}
+
+static void peer_dead(struct fg_node *n, struct fg_own *own, uint64_t id)
+{
+	fg_grants_holder_dead(own->grants, n->now, id);
+	fg_grants_peer_gone(own->grants, n->now, id);
+}
+
+void fg_own_peer_dead(struct fg_node *n, uint64_t id)
+{
+	each_own(n, peer_dead, id);
+}
+
+void fg_own_peer_up(struct fg_node *n, uint64_t id)
+{
+	each_own(n, fg_own_resident, id);
+}
+
+/* ---- Time ---- */
+
+struct pump_arg {
+	struct fg_node *n;
+	struct fg_own *own;
+};
+
+static void on_pumped(void *arg, const struct fg_grant_ask *ask,
+		      fg_grant_status status, uint64_t grant)
+{
+	struct pump_arg *p = arg;
+
+	reply_grant(p->n, p->own, ask, p->own->ep->id, status, grant);
+}
+
+void fg_own_tick(struct fg_node *n, struct fg_own *own)
+{
+	struct pump_arg p = { n, own };
+
+	if (own->state_asked == 0 && n->now >= own->state_next) {
+		own->state_asked = n->now;
+		n->io.state(n->io.arg, &own->ep->info);
+	}
+	if (own->grants == NULL || !may_act(n, own))
+		return;
+	fg_grants_pump(own->grants, n->now, on_pumped, &p);
+	if (fg_grants_changed(own->grants))
+		fg_own_resident(n, own, 0);
+	if (n->now >= own->resident_next)
+		repeat_resident(n, own);
+}
--- /dev/null
+++ b/lib/node/fg_node_route.c
@@ -0,0 +1,494 @@
+/* The way of a request to an endpoint: grant, dispatch, result, retry. */
+#include <string.h>
+
+#include "node/fg_node_internal.h"
+
+#define RETRY_AFTER_MS 1000
+#define RECOVERING_WAIT_MS 200
+#define ASKS_MAX 20 /* grant requests of one request */
+#define PRIORITY_DRAFT 10
+#define PRIORITY_INTERACTIVE 1
+#define RUN_SLACK_MS 50 /* less time than this left: not worth sending */
+
+/* ---- Ids: a grant request is named by request and ask ---- */
+
+static uint64_t ask_id(const struct fg_req *r)
+{
+	return r->id << 8 | (r->asks & 0xff);
+}
+
+static struct fg_req *req_of_ask(struct fg_node *n, uint64_t ask)
+{
+	struct fg_req *r = fg_req_find(n, ask >> 8);
+
+	return r != NULL && ask_id(r) == ask ? r : NULL;
+}
+
+void fg_route_avoid(struct fg_req *r, uint64_t ep)
+{
+	for (uint32_t i = 0; i < r->n_avoid; i++)
+		if (r->avoid[i] == ep)
+			return;
+	if (r->n_avoid == FG_AVOID_MAX) {
+		memmove(r->avoid, r->avoid + 1,
+			(FG_AVOID_MAX - 1) * sizeof(r->avoid[0]));
+		r->n_avoid--;
+	}
+	r->avoid[r->n_avoid++] = ep;
+}
+
+static void back_off(struct fg_node *n, struct fg_req *r, uint32_t wait_ms)
+{
+	r->state = FG_REQ_BACKOFF;
+	r->next_at = n->now + wait_ms;
+}
+
+/* ---- Release ---- */
+
+void fg_route_release(struct fg_node *n, struct fg_req *r, uint32_t service_ms,
+		      bool crashed)
+{
+	fg_msg *msg;
+
+	if (r->state == FG_REQ_GRANT && r->grant == 0 && r->ep != 0) {
+		/* Asked but not yet answered: the owner must not keep a
+		 * grant for it. The release names the ask instead. */
+		msg = fg_msg_new(FG_MSG_RELEASE);
+		msg->body.fg_body_u.release.ep = r->ep;
+		msg->body.fg_body_u.release.req = ask_id(r);
+		fg_node_send_free(n, r->owner, msg);
+		r->ep = 0;
+		return;
+	}
+	if (r->grant == 0)
+		return;
+	fg_dir_sent(n->dir, r->ep, -1);
+	msg = fg_msg_new(FG_MSG_RELEASE);
+	msg->body.fg_body_u.release.ep = r->ep;
+	msg->body.fg_body_u.release.grant = r->grant;
+	msg->body.fg_body_u.release.req = ask_id(r);
+	msg->body.fg_body_u.release.service_ms = service_ms;
+	msg->body.fg_body_u.release.crashed = crashed;
+	r->grant = 0;
+	fg_owner_find(n->owner, r->ep, &r->owner, NULL);
+	if (r->owner != 0)
+		fg_node_send_free(n, r->owner, msg);
+	else
+		fg_msg_free(msg);
+}
+
+/* ---- Dispatch ---- */
+
+static void name_attempt(const struct fg_node *n, const struct fg_req *r,
+			 char out[FG_REQ_ID_BYTES])
+{
+	uint64_t run = fg_hash_mix(n->self, n->conf.member.boot);
+
+	g_snprintf(out, FG_REQ_ID_BYTES, "%016" PRIx64 "-%" PRIx64 "-%u", run,
+		   r->id, r->attempts);
+}
+
+static void dispatch(struct fg_node *n, struct fg_req *r, struct fg_ep *ep)
+{
+	struct fg_run_cmd cmd = {
+		.req = r->id,
+		.ep = ep->info,
+		.run = {
+			.tag = r->tag,
+			.cls = r->cls,
+			.adapter = r->adapter,
+			.version = r->version,
+			.body = r->body,
+			.key = r->key,
+			.max_tokens = r->max_tokens,
+			.priority = r->cls == FG_CLASS_DRAFT ?
+					    PRIORITY_DRAFT :
+					    PRIORITY_INTERACTIVE,
+			.timeout_ms = fg_req_left_ms(n, r),
+			.fence = r->fence,
+			.stream = r->stream,
+		},
+	};
+
+	r->attempts++;
+	r->state = FG_REQ_RUNNING;
+	r->ep = ep->id;
+	cmd.attempt = r->attempts;
+	name_attempt(n, r, cmd.run.id);
+	ep->sent++;
+	fg_suspect_start(n, r);
+	fg_node_event(n, "dispatch",
+		      json_pack("{s:s,s:s,s:s,s:i}", "id", cmd.run.id, "tag",
+				r->tag, "ep", ep->info.name, "attempt",
+				(int)r->attempts));
+	n->io.run(n->io.arg, &cmd);
+}
+
+/* True if there is still time to run it; else it is answered. */
+static bool has_time(struct fg_node *n, struct fg_req *r)
+{
+	if (fg_req_left_ms(n, r) > RUN_SLACK_MS)
+		return true;
+	fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN, FG_R_PAST_DEADLINE,
+		    RETRY_AFTER_MS);
+	return false;
+}
+
+static void dispatch_granted(struct fg_node *n, struct fg_req *r)
+{
+	struct fg_ep *ep = fg_ep_find(n, r->ep);
+
+	if (!has_time(n, r))
+		return;
+	if (ep == NULL || ep->leaving) {
+		fg_route_release(n, r, 0, false);
+		back_off(n, r, 0);
+		return;
+	}
+	if (r->waits_since != 0) {
+		fg_node_count(n, FG_NC_STALL_MS,
+			      (uint64_t)(n->now - r->waits_since));
+		r->waits_since = 0;
+	}
+	dispatch(n, r, ep);
+}
+
+/* ---- Grants ---- */
+
+static void send_ask(struct fg_node *n, struct fg_req *r)
+{
+	fg_msg *msg = fg_msg_new(FG_MSG_GRANT_REQ);
+	fg_grant_req *req = &msg->body.fg_body_u.grant_req;
+
+	req->req = ask_id(r);
+	req->ep = r->ep;
+	req->av = r->av;
+	req->cls = r->cls;
+	req->budget_ms = fg_req_left_ms(n, r);
+	r->asked_at = n->now;
+	fg_node_send_free(n, r->owner, msg);
+}
+
+static void ask_grant(struct fg_node *n, struct fg_req *r, uint64_t ep)
+{
+	uint64_t owner = 0;
+
+	if (r->asks >= ASKS_MAX) {
+		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
+			    FG_R_OVERLOAD, RETRY_AFTER_MS);
+		return;
+	}
+	fg_owner_find(n->owner, ep, &owner, NULL);
+	if (owner == 0) {
+		back_off(n, r, RECOVERING_WAIT_MS);
+		return;
+	}
+	r->asks++;
+	r->state = FG_REQ_GRANT;
+	r->ep = ep;
+	r->owner = owner;
+	r->grant = 0;
+	fg_node_count(
+		n, owner == n->self ? FG_NC_GRANTS_LOCAL : FG_NC_GRANTS_REMOTE,
+		1);
+	send_ask(n, r);
+}
+
+/* The owner has not answered: asked again under the same id, since a repeat
+ * is answered with the same grant. A new owner is asked anew. */
+void fg_route_repeat_ask(struct fg_node *n, struct fg_req *r)
+{
+	uint64_t owner = 0;
+
+	if (n->now - r->asked_at < n->conf.grant_repeat_ms)
+		return;
+	fg_owner_find(n->owner, r->ep, &owner, NULL);
+	if (owner == r->owner) {
+		send_ask(n, r);
+		return;
+	}
+	fg_route_release(n, r, 0, false);
+	fg_route(n, r);
+}
+
+static void take_grant(struct fg_node *n, struct fg_req *r,
+		       const fg_grant_rep *rep)
+{
+	r->grant = rep->grant;
+	r->fence = rep->fence;
+	fg_dir_sent(n->dir, r->ep, 1);
+	dispatch_granted(n, r);
+}
+
+static void take_refusal(struct fg_node *n, struct fg_req *r,
+			 const fg_grant_rep *rep)
+{
+	uint64_t ep = r->ep;
+	struct fg_ep *at = fg_ep_find(n, ep);
+
+	r->ep = 0;
+	switch (rep->status) {
+	case FG_GRANT_NOT_OWNER:
+		fg_owner_hint(n->owner, n->now, ep, rep->owner, rep->fence,
+			      fg_wire_owner, n);
+		back_off(n, r, RECOVERING_WAIT_MS);
+		break;
+	case FG_GRANT_NOT_RESIDENT:
+		fg_route_avoid(r, ep);
+		fg_route(n, r);
+		break;
+	case FG_GRANT_LEAVING:
+		if (at != NULL)
+			fg_ep_leaving(n, at, false);
+		fg_route_avoid(r, ep);
+		fg_route(n, r);
+		break;
+	case FG_GRANT_NO_TIME:
+		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
+			    FG_R_NO_TIME, rep->retry_after_ms);
+		break;
+	case FG_GRANT_OVERLOAD:
+		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
+			    FG_R_OVERLOAD, rep->retry_after_ms);
+		break;
+	default:
+		back_off(n, r, RECOVERING_WAIT_MS);
+		break;
+	}
+}
+
+/* A grant that came too late for its request is given back at once. */
+static void return_stray(struct fg_node *n, uint64_t from,
+			 const fg_grant_rep *rep)
+{
+	fg_msg *msg;
+
+	if (rep->status != FG_GRANT_OK)
+		return;
+	msg = fg_msg_new(FG_MSG_RELEASE);
+	msg->body.fg_body_u.release.ep = rep->ep;
+	msg->body.fg_body_u.release.grant = rep->grant;
+	msg->body.fg_body_u.release.req = rep->req;
+	fg_node_send_free(n, from, msg);
+}
+
+void fg_route_grant_reply(struct fg_node *n, uint64_t from,
+			  const fg_grant_rep *rep)
+{
+	struct fg_req *r = req_of_ask(n, rep->req);
+
+	if (r != NULL && r->grant == rep->grant && rep->grant != 0)
+		return; /* a repeat of the grant that is in use */
+	if (r == NULL || r->state != FG_REQ_GRANT || r->ep != rep->ep) {
+		return_stray(n, from, rep);
+		return;
+	}
+	if (rep->status == FG_GRANT_OK)
+		take_grant(n, r, rep);
+	else if (rep->status != FG_GRANT_HELD)
+		take_refusal(n, r, rep);
+}
+
+/* ---- Routing ---- */
+
+static void route_model(struct fg_node *n, struct fg_req *r)
+{
+	const char *region = n->conf.member.self.region;
+	const struct fg_model *m = fg_model_get(n, r->service);
+	bool remote = strcmp(m->region, region) != 0;
+	struct fg_pick pick;
+
+	if (!fg_suspect_gate(n, r))
+		return;
+	pick = fg_dir_pick(n->dir, n->now, r->service, r->av, region, remote,
+			   r->avoid, r->n_avoid, r->prefix_hash);
+	if (pick.ep != 0 && pick.resident) {
+		fg_wait_remove(n, r);
+		ask_grant(n, r, pick.ep);
+		return;
+	}
+	fg_wait_add(n, r);
+}
+
+static void route_plain(struct fg_node *n, struct fg_req *r)
+{
+	struct fg_ep *ep = fg_ep_pick_plain(n, r);
+
+	if (ep != NULL) {
+		dispatch(n, r, ep);
+		return;
+	}
+	fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN, FG_R_NO_ENDPOINT,
+		    RETRY_AFTER_MS);
+}
+
+void fg_route(struct fg_node *n, struct fg_req *r)
+{
+	if (!has_time(n, r))
+		return;
+	if (r->adapter != NULL)
+		route_model(n, r);
+	else
+		route_plain(n, r);
+}
+
+/* ---- Results ---- */
+
+struct verdict {
+	enum fg_outcome outcome;
+	enum fg_reason reason;
+	bool crashed; /* the endpoint may have died under it */
+	bool may_retry;
+};
+
+static const struct verdict verdicts[] = {
+	[FG_RUN_DONE] = { FG_DONE, FG_R_NONE, false, false },
+	[FG_RUN_NOT_SENT] = { FG_NOT_RUN, FG_R_NO_ENDPOINT, false, true },
+	[FG_RUN_REFUSED] = { FG_NOT_RUN, FG_R_OVERLOAD, false, true },
+	[FG_RUN_NOT_LOADED] = { FG_NOT_RUN, FG_R_OVERLOAD, false, true },
+	[FG_RUN_ERROR] = { FG_FAILED, FG_R_ENDPOINT_ERROR, false, false },
+	[FG_RUN_LOST] = { FG_UNKNOWN, FG_R_ENDPOINT_LOST, true, true },
+	[FG_RUN_BAD] = { FG_UNKNOWN, FG_R_BAD_ANSWER, false, true },
+	[FG_RUN_TIMEOUT] = { FG_UNKNOWN, FG_R_PAST_DEADLINE, false, false },
+	[FG_RUN_CANCELLED] = { FG_UNKNOWN, FG_R_CANCELLED, false, false },
+};
+
+/* An endpoint that refuses connections rests for a while. */
+static void note_endpoint(struct fg_node *n, struct fg_ep *ep,
+			  enum fg_run_status status)
+{
+	if (ep == NULL)
+		return;
+	ep->sent--;
+	if (status == FG_RUN_NOT_SENT)
+		ep->down_until = n->now + FG_EP_DOWN_MS;
+	if (status == FG_RUN_NOT_LOADED && ep->own != NULL)
+		ep->own->state_next = n->now;
+}
+
+static bool try_again(struct fg_node *n, struct fg_req *r,
+		      const struct fg_run_result *res, const struct verdict *v)
+{
+	uint32_t backoff_ms = 0;
+	bool ran = !res->ran_none;
+
+	if (!v->may_retry || r->caller_gone)
+		return false;
+	/* Pieces of a stream are with the caller: attempts are not spliced. */
+	if (r->stream && res->pieces > 0)
+		return false;
+	if (!n->conf.switches.blind_retry &&
+	    !fg_retry_again(n->retry, n->now, r->cls, r->attempts,
+			    fg_req_left_ms(n, r), ran, &backoff_ms))
+		return false;
+	fg_route_avoid(r, r->ep);
+	fg_node_count(n, FG_NC_RETRIES, 1);
+	back_off(n, r, backoff_ms);
+	return true;
+}
+
+static void answer_done(struct fg_node *n, struct fg_req *r,
+			const struct fg_run_result *res)
+{
+	struct fg_reply reply = {
+		.outcome = FG_DONE,
+		.text = res->text,
+		.tokens = res->tokens,
+	};
+
+	fg_estimate_add(n->estimate, n->now, r->cls, res->service_ms);
+	if (r->cls != FG_CLASS_FILING || n->conf.switches.no_ledger) {
+		fg_req_reply_full(n, r, &reply);
+		return;
+	}
+	r->state = FG_REQ_FINISHING;
+	fg_ledger_outcome(n->ledger, n->now, r->id, FG_DONE, FG_R_NONE,
+			  res->text, fg_wire_ledger, n);
+}
+
+static enum fg_outcome final_outcome(const struct fg_req *r,
+				     const struct verdict *v)
+{
+	/* Not run this time, but an earlier attempt may have. */
+	return v->outcome == FG_NOT_RUN && r->ran ? FG_UNKNOWN : v->outcome;
+}
+
+void fg_node_run_done(struct fg_node *n, fg_ms now, uint64_t id,
+		      uint32_t attempt, const struct fg_run_result *res)
+{
+	struct fg_req *r = fg_req_find(n, id);
+	const struct verdict *v = &verdicts[res->status];
+
+	n->now = now;
+	if (r == NULL || r->state != FG_REQ_RUNNING || r->attempts != attempt)
+		return;
+	note_endpoint(n, fg_ep_find(n, r->ep), res->status);
+	fg_suspect_end(n, r, v->crashed);
+	fg_route_release(n, r, res->service_ms, v->crashed);
+	if (!res->ran_none)
+		r->ran = true;
+	if (res->status == FG_RUN_DONE)
+		answer_done(n, r, res);
+	else if (!try_again(n, r, res, v))
+		fg_req_fail(n, r, final_outcome(r, v), v->reason,
+			    v->outcome == FG_NOT_RUN ? RETRY_AFTER_MS : 0);
+	fg_node_drain(n);
+}
+
+/* ---- Ownership changes ---- */
+
+static bool uses_ep(const struct fg_req *r, uint64_t ep)
+{
+	return r->ep == ep && r->grant != 0;
+}
+
+void fg_route_grants_ask(struct fg_node *n, uint64_t from,
+			 const fg_grants_ask *ask)
+{
+	fg_msg *msg = fg_msg_new(FG_MSG_GRANTS_TELL);
+	fg_grants_tell *tell = &msg->body.fg_body_u.grants_tell;
+	fg_grant_info infos[FG_LIST_MAX];
+	GHashTableIter it;
+	gpointer value;
+
+	tell->ep = ask->ep;
+	tell->fence = ask->fence;
+	fg_owner_hint(n->owner, n->now, ask->ep, from, ask->fence,
+		      fg_wire_owner, n);
+	g_hash_table_iter_init(&it, n->reqs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct fg_req *r = value;
+		fg_grant_info *info = &infos[tell->grants.grants_len];
+
+		if (!uses_ep(r, ask->ep) ||
+		    tell->grants.grants_len == FG_LIST_MAX)
+			continue;
+		info->grant = r->grant;
+		info->req = ask_id(r);
+		info->av = r->av;
+		info->left_ms = fg_req_left_ms(n, r);
+		tell->grants.grants_len++;
+	}
+	tell->grants.grants_val = infos;
+	fg_node_send(n, from, msg);
+	tell->grants.grants_len = 0;
+	tell->grants.grants_val = NULL;
+	fg_msg_free(msg);
+}
+
+/* Asks to a dead owner go to the next one; grants in use go on. */
+void fg_route_owner_lost(struct fg_node *n, uint64_t owner)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->reqs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_req *r = value;
+
+		if (r->state != FG_REQ_GRANT || r->owner != owner)
+			continue;
+		r->ep = 0;
+		back_off(n, r, RECOVERING_WAIT_MS);
+	}
+}
--- /dev/null
+++ b/lib/node/fg_node_suspect.c
@@ -0,0 +1,70 @@
+/* Requests that crash endpoints: the gate before, the report after. */
+#include "node/fg_node_internal.h"
+
+static void tell(struct fg_node *n, const struct fg_req *r,
+		 enum fg_suspect_event event)
+{
+	fg_msg *msg = fg_msg_new(FG_MSG_SUSPECT);
+	fg_suspect *ev = &msg->body.fg_body_u.suspect;
+
+	ev->fingerprint = r->fingerprint;
+	ev->av = r->av;
+	ev->ep = r->ep;
+	ev->event = event;
+	ev->req = r->id << 8 | (r->attempts & 0xff);
+	if (fg_suspects_event(n->suspects, n->now, n->self, ev)) {
+		fg_node_broadcast(n, msg);
+		fg_node_event(n, "suspect",
+			      json_pack("{s:I,s:i}", "fingerprint",
+					(json_int_t)(ev->fingerprint >> 1),
+					"event", (int)event));
+	}
+	fg_msg_free(msg);
+}
+
+/* True if the request may run now; else it was answered or waits. */
+bool fg_suspect_gate(struct fg_node *n, struct fg_req *r)
+{
+	uint32_t retry_after_ms = 0;
+
+	switch (fg_suspects_check(n->suspects, n->now, r->fingerprint,
+				  &retry_after_ms)) {
+	case FG_SUSPECT_CLEAR:
+		r->suspect = false;
+		return true;
+	case FG_SUSPECT_RUN_ALONE:
+		r->suspect = true;
+		return true;
+	case FG_SUSPECT_WAIT:
+		r->state = FG_REQ_BACKOFF;
+		r->next_at = n->now + MAX(retry_after_ms, 50);
+		return false;
+	case FG_SUSPECT_REFUSE:
+		break;
+	}
+	fg_req_fail(n, r, r->ran ? FG_FAILED : FG_NOT_RUN, FG_R_SUSPECT,
+		    retry_after_ms);
+	return false;
+}
+
+void fg_suspect_start(struct fg_node *n, struct fg_req *r)
+{
+	if (r->suspect)
+		tell(n, r, FG_SUSPECT_STARTED);
+}
+
+void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed)
+{
+	if (r->adapter == NULL)
+		return;
+	if (crashed)
+		tell(n, r, FG_SUSPECT_CRASH);
+	else if (r->suspect)
+		tell(n, r, FG_SUSPECT_FINISHED);
+	r->suspect = false;
+}
+
+void fg_suspect_msg(struct fg_node *n, uint64_t from, const fg_suspect *ev)
+{
+	fg_suspects_event(n->suspects, n->now, from, ev);
+}
--- /dev/null
+++ b/lib/node/fg_node_wait.c
@@ -0,0 +1,175 @@
+/* Requests whose adapter is resident nowhere: coalesced per adapter. */
+#include "node/fg_node_internal.h"
+
+#define RETRY_AFTER_MS 1000
+
+void fg_wait_free(void *arg)
+{
+	struct fg_wait *w = arg;
+
+	g_ptr_array_free(w->reqs, TRUE);
+	g_free(w->service);
+	g_free(w);
+}
+
+static struct fg_wait *find_wait(struct fg_node *n, fg_av av)
+{
+	uint64_t key = fg_av_key(av);
+
+	return g_hash_table_lookup(n->waits, &key);
+}
+
+uint32_t fg_wait_count(struct fg_node *n, fg_av av)
+{
+	const struct fg_wait *w = find_wait(n, av);
+
+	return w != NULL ? w->reqs->len : 0;
+}
+
+static struct fg_wait *get_wait(struct fg_node *n, const struct fg_req *r)
+{
+	struct fg_wait *w = find_wait(n, r->av);
+
+	if (w != NULL)
+		return w;
+	w = g_new0(struct fg_wait, 1);
+	w->key = fg_av_key(r->av);
+	w->av = r->av;
+	w->service = g_strdup(r->service);
+	w->reqs = g_ptr_array_new();
+	g_hash_table_insert(n->waits, &w->key, w);
+	return w;
+}
+
+/* Sends the need of all that wait for one adapter; 0 waiting withdraws it. */
+static void send_need(struct fg_node *n, struct fg_wait *w)
+{
+	fg_need need = { .av = w->av, .waiting = w->reqs->len };
+
+	need.slack_ms = UINT32_MAX;
+	need.cls = FG_CLASS_DRAFT;
+	for (guint i = 0; i < w->reqs->len; i++) {
+		const struct fg_req *r = g_ptr_array_index(w->reqs, i);
+
+		need.slack_ms = MIN(need.slack_ms, fg_req_left_ms(n, r));
+		need.cls = MIN(need.cls, r->cls);
+	}
+	w->need_sent = n->now;
+	fg_node_count(n, FG_NC_NEEDS, 1);
+	fg_model_need(n, n->self, &need, w->service);
+}
+
+void fg_wait_add(struct fg_node *n, struct fg_req *r)
+{
+	struct fg_wait *w = get_wait(n, r);
+
+	if (r->state == FG_REQ_ADAPTER)
+		return;
+	r->state = FG_REQ_ADAPTER;
+	if (r->waits_since == 0) {
+		r->waits_since = n->now;
+		fg_node_count(n, FG_NC_STALLED, 1);
+	}
+	g_ptr_array_add(w->reqs, r);
+	if (w->reqs->len == 1)
+		send_need(n, w);
+}
+
+void fg_wait_remove(struct fg_node *n, struct fg_req *r)
+{
+	struct fg_wait *w;
+
+	if (r->state != FG_REQ_ADAPTER)
+		return;
+	w = find_wait(n, r->av);
+	if (w == NULL || !g_ptr_array_remove(w->reqs, r))
+		return;
+	if (w->reqs->len > 0)
+		return;
+	send_need(n, w);
+	g_hash_table_remove(n->waits, &w->key);
+}
+
+/* Held drafts join in: the load that they waited for company for is done. */
+static void release_held(struct fg_node *n, fg_av av)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->reqs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_req *r = value;
+
+		if (r->state == FG_REQ_HELD && fg_av_equal(r->av, av))
+			r->next_at = n->now;
+	}
+}
+
+void fg_wait_resident(struct fg_node *n, fg_av av)
+{
+	struct fg_wait *w = find_wait(n, av);
+
+	release_held(n, av);
+	if (w == NULL)
+		return;
+	/* Routed by the next step of the clock, each on its own. The list
+	 * of endpoints to avoid is old news by now. */
+	for (guint i = 0; i < w->reqs->len; i++) {
+		struct fg_req *r = g_ptr_array_index(w->reqs, i);
+
+		r->state = FG_REQ_BACKOFF;
+		r->next_at = n->now;
+		r->n_avoid = 0;
+	}
+	g_ptr_array_set_size(w->reqs, 0);
+	send_need(n, w);
+	g_hash_table_remove(n->waits, &w->key);
+}
+
+/* Refuses those that the broker cannot serve in time: at once, not after
+ * their wait. */
+static void refuse_hopeless(struct fg_node *n, struct fg_wait *w)
+{
+	g_autoptr(GPtrArray) hopeless = g_ptr_array_new();
+	uint32_t retry_after_ms = 0;
+
+	for (guint i = 0; i < w->reqs->len; i++) {
+		struct fg_req *r = g_ptr_array_index(w->reqs, i);
+
+		if (!fg_estimate_fits(n->estimate, r->cls, fg_req_left_ms(n, r),
+				      w->estimate_ms, &retry_after_ms))
+			g_ptr_array_add(hopeless, r);
+	}
+	for (guint i = 0; i < hopeless->len; i++)
+		fg_req_reply(n, g_ptr_array_index(hopeless, i), FG_NOT_RUN,
+			     FG_R_NO_TIME, MAX(retry_after_ms, RETRY_AFTER_MS));
+}
+
+void fg_wait_need_rep(struct fg_node *n, const fg_need_rep *rep)
+{
+	struct fg_wait *w = find_wait(n, rep->av);
+	struct fg_model *m;
+
+	if (w == NULL)
+		return;
+	m = fg_model_get(n, w->service);
+	m->backlog_ms = rep->backlog_ms;
+	m->backlog_at = n->now;
+	w->estimate_ms = rep->estimate_ms;
+	w->estimate_at = n->now;
+	refuse_hopeless(n, w);
+}
+
+void fg_waits_tick(struct fg_node *n)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->waits);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_wait *w = value;
+
+		if (n->now - w->need_sent >= n->conf.need_repeat_ms)
+			send_need(n, w);
+	}
+}
--- a/lib/peer/fg_proto.h
+++ b/lib/peer/fg_proto.h
@@ -45,6 +45,7 @@
 	FG_MSG_SUSPECT = 15,
 	FG_MSG_LEAVING = 16,
 	FG_MSG_OWNED = 17,
+	FG_MSG_NEED_REP = 18,
 };
 typedef enum fg_msg_type fg_msg_type;
 
@@ -93,6 +94,7 @@
 struct fg_release {
 	u_quad_t ep;
 	u_quad_t grant;
+	u_quad_t req;
 	u_int service_ms;
 	bool_t crashed;
 };
@@ -106,6 +108,13 @@
 };
 typedef struct fg_need fg_need;
 
+struct fg_need_rep {
+	fg_av av;
+	u_int estimate_ms;
+	u_int backlog_ms;
+};
+typedef struct fg_need_rep fg_need_rep;
+
 struct fg_place {
 	u_quad_t order;
 	u_quad_t ep;
@@ -239,6 +248,7 @@
 		fg_suspect suspect;
 		fg_leaving leaving;
 		fg_owned owned;
+		fg_need_rep need_rep;
 	} fg_body_u;
 };
 typedef struct fg_body fg_body;
@@ -286,6 +296,7 @@
 extern  bool_t xdr_fg_grant_rep (XDR *, fg_grant_rep*);
 extern  bool_t xdr_fg_release (XDR *, fg_release*);
 extern  bool_t xdr_fg_need (XDR *, fg_need*);
+extern  bool_t xdr_fg_need_rep (XDR *, fg_need_rep*);
 extern  bool_t xdr_fg_place (XDR *, fg_place*);
 extern  bool_t xdr_fg_place_status (XDR *, fg_place_status*);
 extern  bool_t xdr_fg_place_rep (XDR *, fg_place_rep*);
@@ -313,6 +324,7 @@
 extern bool_t xdr_fg_grant_rep ();
 extern bool_t xdr_fg_release ();
 extern bool_t xdr_fg_need ();
+extern bool_t xdr_fg_need_rep ();
 extern bool_t xdr_fg_place ();
 extern bool_t xdr_fg_place_status ();
 extern bool_t xdr_fg_place_rep ();
--- a/lib/peer/fg_proto.x
+++ b/lib/peer/fg_proto.x
@@ -35,7 +35,8 @@
 	FG_MSG_CONFIG_TELL = 14,
 	FG_MSG_SUSPECT = 15,
 	FG_MSG_LEAVING = 16,
-	FG_MSG_OWNED = 17
+	FG_MSG_OWNED = 17,
+	FG_MSG_NEED_REP = 18
 };
 
 /* Liveness, and what a peer must know at once. */
@@ -80,7 +81,8 @@
 
 struct fg_release {
 	unsigned hyper ep;
-	unsigned hyper grant;
+	unsigned hyper grant;         /* 0 takes back an ask not yet answered */
+	unsigned hyper req;
 	unsigned int service_ms;      /* 0 when it never ran */
 	bool crashed;                 /* endpoint died under this request */
 };
@@ -93,6 +95,13 @@
 	unsigned int cls;             /* most urgent class among them */
 };
 
+/* The broker's answer to a need: when the adapter can be expected. */
+struct fg_need_rep {
+	fg_av av;
+	unsigned int estimate_ms;     /* until it is resident */
+	unsigned int backlog_ms;      /* until a new need would be served */
+};
+
 /* The broker tells an owner to load an adapter on an endpoint. */
 struct fg_place {
 	unsigned hyper order;         /* broker's id, echoed in the reply */
@@ -222,6 +231,8 @@
 	fg_leaving leaving;
 case FG_MSG_OWNED:
 	fg_owned owned;
+case FG_MSG_NEED_REP:
+	fg_need_rep need_rep;
 };
 
 struct fg_msg {
--- a/lib/peer/fg_proto_xdr.c
+++ b/lib/peer/fg_proto_xdr.c
@@ -106,6 +106,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->grant))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->req))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->service_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->crashed))
@@ -129,6 +131,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_need_rep (XDR *xdrs, fg_need_rep *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->backlog_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_place (XDR *xdrs, fg_place *objp)
 {
@@ -469,6 +485,10 @@
 		 if (!xdr_fg_owned (xdrs, &objp->fg_body_u.owned))
 			 return FALSE;
 		break;
+	case FG_MSG_NEED_REP:
+		 if (!xdr_fg_need_rep (xdrs, &objp->fg_body_u.need_rep))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
