--- a/lib/admit/fg_admit.h
+++ b/lib/admit/fg_admit.h
@@ -33,13 +33,18 @@
  * Service times seen per class, as a decayed histogram. fg_estimate_fits()
  * says whether a request with budget_ms left can be finished when it must
  * first wait wait_ms; a class without samples always fits. On false,
- * *retry_after_ms says when the queue in front of it will be gone.
+ * *retry_after_ms says when the queue in front of it will be gone. A class
+ * that has had no sample for a while fits too, lest refusals keep an outdated
+ * estimate alive; for this, fg_estimate_tick() is called about each second.
  */
 struct fg_estimate;
 struct fg_estimate *fg_estimate_new(void);
 void fg_estimate_free(struct fg_estimate *e);
 void fg_estimate_add(struct fg_estimate *e, fg_ms now, enum fg_class cls,
 		     uint32_t service_ms);
+void fg_estimate_tick(struct fg_estimate *e, fg_ms now);
+
+/* Service time that `percentile` of 100 stay below; 0 without samples. */
 uint32_t fg_estimate_ms(const struct fg_estimate *e, enum fg_class cls,
 			uint32_t percentile);
 bool fg_estimate_fits(const struct fg_estimate *e, enum fg_class cls,
@@ -81,12 +86,20 @@
  * suspicion; a suspect runs on at most one endpoint at a time over the whole
  * system, alone among suspects on that endpoint, and is refused after two
  * crashes of two different endpoints under it. An endpoint that dies under
- * many different fingerprints is sick: its crashes blame no request.
+ * many different fingerprints is sick: its crashes blame no request. One death
+ * under a batch of many is not such a sign, several without a fingerprint in
+ * common are. A request that kills one endpoint again and again is refused
+ * after twice as many deaths. A suspect that ran well is cleared.
+ *
+ * Verdicts are computed from sets of events, so repeats and the order of
+ * arrival do not matter. Two instances that start a suspect at the same moment
+ * do not see each other's STARTED in time; both runs are counted.
  */
 enum fg_suspect_event {
 	FG_SUSPECT_CRASH = 1,	 /* endpoint died while it ran */
 	FG_SUSPECT_STARTED = 2,	 /* a suspect starts to run */
 	FG_SUSPECT_FINISHED = 3, /* it ended and the endpoint lives */
+	FG_SUSPECT_CLEARED = 4,	 /* an operator cleared it */
 };
 
 enum fg_suspect_verdict {
@@ -100,7 +113,7 @@
 	uint32_t keep_ms;	 /* forgotten after this long without a crash */
 	uint32_t refuse_crashes; /* refused from this many crashes on */
 	uint32_t sick_window_ms; /* window for telling sick endpoints */
-	uint32_t sick_fingerprints; /* different ones in it: sick */
+	uint32_t sick_fingerprints; /* deaths with no other sign of blame */
 	uint32_t max;		    /* bounds memory */
 };
 
@@ -118,6 +131,10 @@
 					  fg_ms now, uint64_t fingerprint,
 					  uint32_t *retry_after_ms);
 
+/* Does any suspect run on the endpoint? Then no other may be sent there. */
+bool fg_suspects_on_endpoint(const struct fg_suspects *s, fg_ms now,
+			     uint64_t ep);
+
 /* An instance died: what it ran is no longer running. */
 void fg_suspects_instance_dead(struct fg_suspects *s, uint64_t by);
 
@@ -134,7 +151,8 @@
 size_t fg_suspects_list(const struct fg_suspects *s, fg_ms now,
 			struct fg_suspect_view *out, size_t max);
 
-/* An operator clears one; returns false if it is not listed. */
+/* An operator clears one here; returns false if it has no crash to clear.
+ * Peers are told by an event CLEARED with an id of its own in `req`. */
 bool fg_suspects_clear(struct fg_suspects *s, uint64_t fingerprint);
 
 #endif
--- /dev/null
+++ b/lib/admit/fg_suspect.c
@@ -0,0 +1,494 @@
+/*
+ * Suspects: requests that crash endpoints.
+ *
+ * What is kept are sets, keyed by the id of the attempt: the crashes of a
+ * fingerprint, and its attempts that started and that ended. Verdicts are
+ * computed from the sets, so the order of the events does not matter and a
+ * repeated event changes nothing. Sets are small rings; the oldest goes.
+ *
+ * Crashes of one endpoint within DEATH_SPAN_MS are one death: all requests of
+ * its batch are reported, and a batch must not make the endpoint look sick. A
+ * death is unexplained if none of its fingerprints is in any other death. An
+ * endpoint with sick_fingerprints unexplained deaths around a crash was sick
+ * then, and the crash is nobody's.
+ */
+#include "admit/fg_admit.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+#include "base/fg_rand.h"
+
+#define CRASHES_MAX 8  /* kept of one fingerprint */
+#define ATTEMPTS_MAX 8 /* kept of one fingerprint */
+#define DEATH_SPAN_MS 2000
+#define ASK_AGAIN_MS 500
+
+/* A start whose end was never told stops counting after the longest deadline
+ * that a request can have. */
+#define RUNNING_MAX_MS 600000
+
+/* Deaths of one single endpoint that count like refuse_crashes different
+ * ones, per crash needed: a site may have no second endpoint to crash. */
+#define SAME_EP_FACTOR 2
+
+struct crash {
+	uint64_t req; /* 0: empty */
+	uint64_t ep;
+	fg_ms at;
+};
+
+struct attempt {
+	uint64_t req; /* 0: empty */
+	uint64_t by;
+	uint64_t ep;
+	fg_ms at;
+	bool started;
+	bool ended;
+	bool crashed;
+};
+
+struct entry {
+	uint64_t fingerprint;
+	fg_av av;
+	struct crash crashes[CRASHES_MAX];
+	struct attempt attempts[ATTEMPTS_MAX];
+	uint32_t next_crash;
+	uint32_t next_attempt;
+	fg_ms last;	  /* event of any kind */
+	fg_ms last_crash; /* 0: none */
+	fg_ms cleared_at; /* crashes up to then do not count */
+};
+
+struct fg_suspects {
+	struct fg_suspects_conf conf;
+	GHashTable *entries; /* uint64_t fingerprint -> entry */
+};
+
+struct fg_suspects *fg_suspects_new(const struct fg_suspects_conf *conf)
+{
+	struct fg_suspects *s = g_new0(struct fg_suspects, 1);
+
+	s->conf = *conf;
+	s->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   g_free);
+	return s;
+}
+
+void fg_suspects_free(struct fg_suspects *s)
+{
+	if (s == NULL)
+		return;
+	g_hash_table_destroy(s->entries);
+	g_free(s);
+}
+
+uint64_t fg_fingerprint(fg_av av, uint64_t body_hash)
+{
+	return fg_hash_mix(fg_av_key(av), body_hash);
+}
+
+/* ---- Deaths and sick endpoints ---- */
+
+static bool same_death(const struct crash *a, const struct crash *b)
+{
+	return a->ep == b->ep && llabs(a->at - b->at) <= DEATH_SPAN_MS;
+}
+
+/* Is crash i the first one kept of its death? */
+static bool begins_death(const struct entry *e, int i)
+{
+	for (int j = 0; j < i; j++)
+		if (e->crashes[j].req != 0 &&
+		    same_death(&e->crashes[j], &e->crashes[i]))
+			return false;
+	return e->crashes[i].req != 0;
+}
+
+static uint32_t count_deaths(const struct entry *e)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < CRASHES_MAX; i++)
+		n += begins_death(e, i);
+	return n;
+}
+
+struct member {
+	fg_ms at;
+	bool elsewhere; /* its fingerprint is in another death too */
+};
+
+static int by_time(gconstpointer a, gconstpointer b)
+{
+	const struct member *x = a;
+	const struct member *y = b;
+
+	return x->at < y->at ? -1 : x->at > y->at;
+}
+
+/* Everybody in a death of the endpoint within the window around a crash. */
+static GArray *members_near(const struct fg_suspects *s,
+			    const struct crash *around)
+{
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(struct member));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry *e = value;
+		bool elsewhere = count_deaths(e) > 1;
+
+		for (int i = 0; i < CRASHES_MAX; i++) {
+			const struct crash *c = &e->crashes[i];
+			struct member m = { c->at, elsewhere };
+
+			if (c->req == 0 || c->ep != around->ep ||
+			    llabs(c->at - around->at) > s->conf.sick_window_ms)
+				continue;
+			g_array_append_val(members, m);
+		}
+	}
+	g_array_sort(members, by_time);
+	return members;
+}
+
+static uint32_t count_unexplained(const GArray *members)
+{
+	uint32_t n = 0;
+	guint i = 0;
+
+	while (i < members->len) {
+		fg_ms begin = g_array_index(members, struct member, i).at;
+		bool explained = false;
+
+		for (; i < members->len; i++) {
+			struct member m =
+				g_array_index(members, struct member, i);
+
+			if (m.at - begin > DEATH_SPAN_MS)
+				break;
+			explained = explained || m.elsewhere;
+		}
+		n += !explained;
+	}
+	return n;
+}
+
+static bool was_sick(const struct fg_suspects *s, const struct crash *c)
+{
+	GArray *members = members_near(s, c);
+	uint32_t unexplained = count_unexplained(members);
+
+	g_array_free(members, TRUE);
+	return unexplained >= s->conf.sick_fingerprints;
+}
+
+/* ---- Verdicts ---- */
+
+struct blame {
+	uint32_t deaths;
+	uint32_t endpoints;
+};
+
+static bool counts(const struct fg_suspects *s, const struct entry *e, int i)
+{
+	const struct crash *c = &e->crashes[i];
+
+	return c->req != 0 && c->at > e->cleared_at && begins_death(e, i) &&
+	       !was_sick(s, c);
+}
+
+static struct blame blame_of(const struct fg_suspects *s, const struct entry *e)
+{
+	struct blame blame = { 0 };
+	bool counted[CRASHES_MAX] = { false };
+
+	for (int i = 0; i < CRASHES_MAX; i++) {
+		bool new_ep = true;
+
+		counted[i] = counts(s, e, i);
+		if (!counted[i])
+			continue;
+		for (int j = 0; j < i; j++)
+			if (counted[j] && e->crashes[j].ep == e->crashes[i].ep)
+				new_ep = false;
+		blame.deaths++;
+		blame.endpoints += new_ep;
+	}
+	return blame;
+}
+
+static bool is_refused(const struct fg_suspects *s, const struct blame *blame)
+{
+	uint32_t needed = s->conf.refuse_crashes;
+
+	return blame->endpoints >= needed ||
+	       blame->deaths >= needed * SAME_EP_FACTOR;
+}
+
+static bool is_forgotten(const struct fg_suspects *s, const struct entry *e,
+			 fg_ms now)
+{
+	return now - MAX(e->last_crash, e->cleared_at) >=
+	       (fg_ms)s->conf.keep_ms;
+}
+
+static bool is_running(const struct attempt *a, fg_ms now)
+{
+	return a->started && !a->ended && now - a->at < RUNNING_MAX_MS;
+}
+
+static bool entry_running(const struct entry *e, fg_ms now)
+{
+	for (int i = 0; i < ATTEMPTS_MAX; i++)
+		if (is_running(&e->attempts[i], now))
+			return true;
+	return false;
+}
+
+/* It ran as a suspect, and the endpoint lives. */
+static bool ran_well(const struct entry *e)
+{
+	for (int i = 0; i < ATTEMPTS_MAX; i++) {
+		const struct attempt *a = &e->attempts[i];
+
+		if (a->req != 0 && a->ended && !a->crashed)
+			return true;
+	}
+	return false;
+}
+
+enum fg_suspect_verdict fg_suspects_check(const struct fg_suspects *s,
+					  fg_ms now, uint64_t fingerprint,
+					  uint32_t *retry_after_ms)
+{
+	const struct entry *e = g_hash_table_lookup(s->entries, &fingerprint);
+	struct blame blame;
+
+	*retry_after_ms = 0;
+	if (e == NULL || is_forgotten(s, e, now))
+		return FG_SUSPECT_CLEAR;
+	blame = blame_of(s, e);
+	if (is_refused(s, &blame))
+		return FG_SUSPECT_REFUSE;
+	if (blame.deaths == 0 || ran_well(e))
+		return FG_SUSPECT_CLEAR;
+	if (entry_running(e, now)) {
+		*retry_after_ms = ASK_AGAIN_MS;
+		return FG_SUSPECT_WAIT;
+	}
+	return FG_SUSPECT_RUN_ALONE;
+}
+
+bool fg_suspects_on_endpoint(const struct fg_suspects *s, fg_ms now,
+			     uint64_t ep)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry *e = value;
+
+		for (int i = 0; i < ATTEMPTS_MAX; i++)
+			if (e->attempts[i].ep == ep &&
+			    is_running(&e->attempts[i], now))
+				return true;
+	}
+	return false;
+}
+
+/* ---- Events ---- */
+
+/* The one to forget first: not refused before refused, then the oldest. */
+static bool forget_before(const struct entry *a, const struct entry *b)
+{
+	bool many_a = count_deaths(a) > 1;
+	bool many_b = count_deaths(b) > 1;
+
+	return many_a != many_b ? many_b : a->last < b->last;
+}
+
+static void make_room(struct fg_suspects *s, fg_ms now)
+{
+	const struct entry *victim = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry *e = value;
+
+		if (now - e->last >= (fg_ms)s->conf.keep_ms)
+			g_hash_table_iter_remove(&iter);
+		else if (victim == NULL || forget_before(e, victim))
+			victim = e;
+	}
+	if (victim != NULL &&
+	    g_hash_table_size(s->entries) >= MAX(s->conf.max, 1))
+		g_hash_table_remove(s->entries, &victim->fingerprint);
+}
+
+static struct entry *entry_for(struct fg_suspects *s, fg_ms now,
+			       const fg_suspect *ev)
+{
+	struct entry *e = g_hash_table_lookup(s->entries, &ev->fingerprint);
+
+	if (e != NULL)
+		return e;
+	make_room(s, now);
+	e = g_new0(struct entry, 1);
+	e->fingerprint = ev->fingerprint;
+	e->av = ev->av;
+	e->cleared_at = INT64_MIN / 2;
+	e->last_crash = INT64_MIN / 2;
+	g_hash_table_insert(s->entries, &e->fingerprint, e);
+	return e;
+}
+
+static struct attempt *attempt_for(struct entry *e, fg_ms now, uint64_t by,
+				   const fg_suspect *ev)
+{
+	struct attempt *a;
+
+	for (int i = 0; i < ATTEMPTS_MAX; i++)
+		if (e->attempts[i].req == ev->req)
+			return &e->attempts[i];
+	a = &e->attempts[e->next_attempt];
+	e->next_attempt = (e->next_attempt + 1) % ATTEMPTS_MAX;
+	*a = (struct attempt){ .req = ev->req, .by = by, .ep = ev->ep };
+	a->at = now;
+	return a;
+}
+
+static bool add_crash(struct entry *e, fg_ms now, uint64_t by,
+		      const fg_suspect *ev)
+{
+	struct attempt *a = attempt_for(e, now, by, ev);
+	struct crash *c = &e->crashes[e->next_crash];
+
+	if (a->crashed)
+		return false;
+	a->ended = true;
+	a->crashed = true;
+	e->next_crash = (e->next_crash + 1) % CRASHES_MAX;
+	*c = (struct crash){ .req = ev->req, .ep = ev->ep, .at = now };
+	e->last_crash = now;
+	return true;
+}
+
+static bool add_attempt(struct entry *e, fg_ms now, uint64_t by,
+			const fg_suspect *ev)
+{
+	struct attempt *a = attempt_for(e, now, by, ev);
+	bool *what = ev->event == FG_SUSPECT_STARTED ? &a->started : &a->ended;
+	bool is_new = !*what;
+
+	*what = true;
+	return is_new;
+}
+
+static bool add_cleared(struct entry *e, fg_ms now, uint64_t by,
+			const fg_suspect *ev)
+{
+	struct attempt *a = attempt_for(e, now, by, ev);
+
+	/* The id of the clearing takes a place among the attempts, so that a
+	 * repeat of it does not clear later crashes. */
+	if (a->started)
+		return false;
+	a->started = true;
+	a->ended = true;
+	a->crashed = true;
+	e->cleared_at = now;
+	return true;
+}
+
+bool fg_suspects_event(struct fg_suspects *s, fg_ms now, uint64_t by,
+		       const fg_suspect *ev)
+{
+	struct entry *e;
+
+	if (ev->req == 0 || ev->event < FG_SUSPECT_CRASH ||
+	    ev->event > FG_SUSPECT_CLEARED)
+		return false;
+	e = entry_for(s, now, ev);
+	e->last = now;
+	if (ev->event == FG_SUSPECT_CRASH)
+		return add_crash(e, now, by, ev);
+	if (ev->event == FG_SUSPECT_CLEARED)
+		return add_cleared(e, now, by, ev);
+	return add_attempt(e, now, by, ev);
+}
+
+void fg_suspects_instance_dead(struct fg_suspects *s, uint64_t by)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry *e = value;
+
+		/* Neither running nor ran well: how it ended is not known. */
+		for (int i = 0; i < ATTEMPTS_MAX; i++)
+			if (e->attempts[i].by == by && !e->attempts[i].ended)
+				e->attempts[i].started = false;
+	}
+}
+
+/* ---- For operators ---- */
+
+static int newest_first(gconstpointer a, gconstpointer b)
+{
+	const struct fg_suspect_view *x = a;
+	const struct fg_suspect_view *y = b;
+
+	if (x->last != y->last)
+		return x->last > y->last ? -1 : 1;
+	return x->fingerprint < y->fingerprint ? -1 : 1;
+}
+
+size_t fg_suspects_list(const struct fg_suspects *s, fg_ms now,
+			struct fg_suspect_view *out, size_t max)
+{
+	GArray *all = g_array_new(FALSE, TRUE, sizeof(*out));
+	GHashTableIter iter;
+	gpointer value;
+	size_t n;
+
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry *e = value;
+		struct blame blame = blame_of(s, e);
+		struct fg_suspect_view v = {
+			.fingerprint = e->fingerprint,
+			.av = e->av,
+			.crashes = blame.deaths,
+			.refused = is_refused(s, &blame),
+			.running = entry_running(e, now),
+			.last = e->last_crash,
+		};
+
+		if (blame.deaths > 0 && !is_forgotten(s, e, now))
+			g_array_append_val(all, v);
+	}
+	g_array_sort(all, newest_first);
+	n = all->len;
+	for (size_t i = 0; i < n && i < max; i++)
+		out[i] = g_array_index(all, struct fg_suspect_view, i);
+	g_array_free(all, TRUE);
+	return n;
+}
+
+bool fg_suspects_clear(struct fg_suspects *s, uint64_t fingerprint)
+{
+	struct entry *e = g_hash_table_lookup(s->entries, &fingerprint);
+
+	if (e == NULL || e->last_crash <= e->cleared_at)
+		return false;
+	e->cleared_at = e->last_crash;
+	return true;
+}
