grant: slots, grants, held asks and recovery of one engine

Why: the owner of an endpoint alone may say who uses what is loaded, and a pinned slot must never be evicted, also when holders or owners die.

Ended asks are remembered, so that a late repeat of an ask is not granted after its cancel.

Interface: fg_grants_keep() and an infinite score restrict a load to the preferred victim; fg_grants_fence_wanted() says that the engine does not know our fence yet, and asks are answered RECOVERING until then.

Ruled out: trusting fence-checking engines at once. Until the engine has seen the new fence, an order of the last owner still passes and would evict what the new owner granted.

--- a/lib/grant/fg_grant.h
+++ b/lib/grant/fg_grant.h
@@ -75,7 +75,9 @@
 				  const struct fg_grant_ask *ask,
 				  uint64_t *grant);
 
-/* Ends a grant; unknown ids are ignored, so a release may be repeated. */
+/* Ends a grant; unknown ids are ignored, so a release may be repeated. An ask
+ * that ended or was cancelled is refused with FG_GRANT_NO_TIME when a late
+ * repeat of it arrives. */
 void fg_grants_release(struct fg_grants *g, fg_ms now, uint64_t grant);
 
 /* Takes back a held or granted ask of a caller that went away. */
@@ -104,13 +106,18 @@
 
 /* Chooses a slot for av: empty first, then `prefer` (if unpinned), then the
  * unpinned slot with the lowest score; score may be NULL (least recently
- * used). The slot turns LOADING and gives no grants from then on. */
+ * used), and keeps a slot by returning INFINITY. Slots that held asks wait
+ * for are kept as well. The slot turns LOADING and gives no grants from then
+ * on. */
 enum fg_load_start fg_grants_load_start(struct fg_grants *g, fg_ms now,
 					fg_av av, fg_av prefer,
 					double (*score)(void *arg, fg_av av),
 					void *arg, uint32_t *slot,
 					fg_av *victim);
 
+/* A score that keeps every slot: then `prefer` alone may be evicted. */
+double fg_grants_keep(void *arg, fg_av av);
+
 /* The order's outcome. DONE makes the slot READY; FENCED, FAILED, NOT_SENT
  * and BUSY give back what the engine then holds at the next state; LOST keeps
  * the slot TAINTED until the engine's state or life_ms decide. */
@@ -129,7 +136,8 @@
 		      void *arg);
 
 /* Recovery: open intents of the last owner, then the peers that must tell
- * their grants, then what each tells. */
+ * their grants (call it with n == 0 when there are none), then what each
+ * tells. Of two intents for one slot the one with the higher id is newer. */
 void fg_grants_taint(struct fg_grants *g, fg_ms now,
 		     const struct fg_intent *intents, size_t n);
 void fg_grants_expect(struct fg_grants *g, const uint64_t *peers, size_t n);
@@ -138,6 +146,12 @@
 void fg_grants_peer_gone(struct fg_grants *g, fg_ms now, uint64_t peer);
 bool fg_grants_recovering(const struct fg_grants *g, fg_ms now);
 
+/* True while the engine checks fencing numbers and has not seen ours. Orders
+ * of the last owner still pass then, so asks are answered RECOVERING until
+ * an order of ours (a load, or the eviction of an empty slot) has raised it,
+ * or until the recovery has run its full time. */
+bool fg_grants_fence_wanted(const struct fg_grants *g);
+
 /* No new grants; held asks are refused with FG_GRANT_LEAVING. */
 void fg_grants_leave(struct fg_grants *g);
 
--- /dev/null
+++ b/lib/grant/fg_grant_recover.c
@@ -0,0 +1,322 @@
+/* The engine's own state, tainted slots, and the recovery of a new owner. */
+#include "grant/fg_grant_priv.h"
+
+#include <assert.h>
+
+/* ---- Recovery ---- */
+
+bool fg_grants_recovering(const struct fg_grants *g, fg_ms now)
+{
+	if (!g->recovering)
+		return false;
+	if (!g->have_state)
+		return true;
+	if (now >= g->recover_end)
+		return false;
+	return !g->expected || g_hash_table_size(g->peers) > 0;
+}
+
+void fg_grants_check_recovery(struct fg_grants *g, fg_ms now)
+{
+	if (g->recovering && !fg_grants_recovering(g, now))
+		g->recovering = false;
+}
+
+bool fg_grants_fence_wanted(const struct fg_grants *g)
+{
+	return g->checks_fence && g->seen_fence < g->conf.fence;
+}
+
+bool fg_grants_safe(const struct fg_grants *g, fg_ms now)
+{
+	if (!g->have_state)
+		return false;
+	/* An order of the last owner passes until the engine knows our fence,
+	 * or until the order is too old to arrive. */
+	return !fg_grants_fence_wanted(g) || now >= g->recover_end;
+}
+
+void fg_grants_expect(struct fg_grants *g, const uint64_t *peers, size_t n)
+{
+	g->expected = true;
+	for (size_t i = 0; i < n; i++)
+		g_hash_table_add(g->peers,
+				 g_memdup2(&peers[i], sizeof(*peers)));
+}
+
+void fg_grants_peer_gone(struct fg_grants *g, fg_ms now, uint64_t peer)
+{
+	g_hash_table_remove(g->peers, &peer);
+	fg_grants_check_recovery(g, now);
+}
+
+/* The slot whose content a grant for av uses. */
+static int32_t slot_of(const struct fg_grants *g, fg_av av)
+{
+	for (uint32_t i = 0; i < g->conf.slots; i++) {
+		const struct fg_slot *s = &g->slot[i];
+
+		if (s->state == FG_SLOT_READY && fg_av_equal(s->av, av))
+			return (int32_t)i;
+		if (s->state == FG_SLOT_TAINTED && fg_av_equal(s->victim, av))
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+static void add_told(struct fg_grants *g, fg_ms now, uint64_t peer,
+		     const fg_grant_info *info)
+{
+	struct fg_req_key id = { 0, info->grant };
+	struct fg_req_key key = { peer, info->req };
+	struct fg_grant_rec *rec;
+	uint64_t grant = info->grant;
+	int32_t slot;
+
+	if (g_hash_table_contains(g->grants, &grant))
+		return;
+	if (g_hash_table_contains(g->by_key, &key))
+		return;
+	if (fg_grants_ended(g, id) || fg_grants_ended(g, key))
+		return;
+	rec = g_new0(struct fg_grant_rec, 1);
+	rec->id = info->grant;
+	rec->key = key;
+	rec->av = info->av;
+	rec->deadline = now + info->left_ms + FG_EXPIRE_GRACE_MS;
+	rec->slot = FG_SLOT_NOT_KNOWN;
+	fg_grants_insert(g, rec);
+	slot = slot_of(g, info->av);
+	if (slot >= 0)
+		fg_grants_pin(g, rec, slot);
+	else if (g->have_state)
+		rec->slot = FG_SLOT_GONE;
+}
+
+void fg_grants_told(struct fg_grants *g, fg_ms now, uint64_t peer,
+		    const fg_grant_info *infos, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		add_told(g, now, peer, &infos[i]);
+	fg_grants_peer_gone(g, now, peer);
+}
+
+void fg_grants_taint(struct fg_grants *g, fg_ms now,
+		     const struct fg_intent *intents, size_t n)
+{
+	uint64_t newest[FG_SLOTS_MAX] = { 0 };
+
+	for (size_t i = 0; i < n; i++) {
+		const struct fg_intent *in = &intents[i];
+		struct fg_slot *s;
+
+		if (in->slot >= g->conf.slots)
+			continue;
+		s = &g->slot[in->slot];
+		if (now + in->life_ms > s->taint_until)
+			s->taint_until = now + in->life_ms;
+		/* Orders for one slot are given one after the other: once the
+		 * newest is seen done, the older ones are over. */
+		if (s->state == FG_SLOT_TAINTED && in->id < newest[in->slot])
+			continue;
+		newest[in->slot] = in->id;
+		if (s->state == FG_SLOT_READY)
+			fg_grants_note_change(g);
+		s->state = FG_SLOT_TAINTED;
+		s->av = (fg_av){ 0, 0 };
+		s->victim = in->victim;
+		s->want = in->av;
+		s->expects_empty = fg_av_none(in->av);
+		s->since = now - 1;
+	}
+}
+
+/* ---- The engine's state ---- */
+
+/* Grants of another adapter lose their pin on the slot. */
+static void unpin_others(struct fg_grants *g, fg_ms now, int32_t slot, fg_av av)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->grants);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_grant_rec *rec = value;
+
+		if (rec->slot == slot && !fg_av_equal(rec->av, av))
+			fg_grants_unpin(g, now, rec);
+	}
+}
+
+static void set_content(struct fg_grants *g, fg_ms now, int32_t slot, fg_av av)
+{
+	struct fg_slot *s = &g->slot[slot];
+	enum fg_slot_state state =
+		fg_av_none(av) ? FG_SLOT_EMPTY : FG_SLOT_READY;
+
+	if (s->state == state && fg_av_equal(s->av, av))
+		return;
+	unpin_others(g, now, slot, av);
+	s->state = state;
+	s->av = av;
+	s->victim = (fg_av){ 0, 0 };
+	s->want = (fg_av){ 0, 0 };
+	s->since = now;
+	s->last_use = now;
+	fg_grants_note_change(g);
+}
+
+/* Has the open order on a tainted slot been seen done, or died? */
+static bool taint_over(const struct fg_slot *s, fg_ms asked_at, bool loading,
+		       fg_av shown)
+{
+	if (loading)
+		return false;
+	if (asked_at >= s->taint_until)
+		return true;
+	if (s->expects_empty)
+		return fg_av_none(shown);
+	return !fg_av_none(s->want) && fg_av_equal(shown, s->want);
+}
+
+static void hide_while_loading(struct fg_grants *g, fg_ms now, int32_t slot,
+			       fg_av coming)
+{
+	struct fg_slot *s = &g->slot[slot];
+
+	if (s->state == FG_SLOT_READY) {
+		unpin_others(g, now, slot, coming);
+		fg_grants_note_change(g);
+	}
+	s->state = FG_SLOT_TAINTED;
+	s->av = (fg_av){ 0, 0 };
+	s->victim = (fg_av){ 0, 0 };
+	s->want = coming;
+	s->expects_empty = false;
+	s->taint_until = now;
+	s->since = now;
+}
+
+static void reconcile(struct fg_grants *g, fg_ms now, fg_ms asked_at,
+		      int32_t slot, const struct fg_engine_slot *es,
+		      fg_av shown)
+{
+	struct fg_slot *s = &g->slot[slot];
+
+	if (asked_at <= s->since)
+		return;
+	s->running = es->running;
+	s->running_at = asked_at;
+	switch (s->state) {
+	case FG_SLOT_LOADING:
+		break;
+	case FG_SLOT_TAINTED:
+		if (taint_over(s, asked_at, es->loading, shown)) {
+			set_content(g, now, slot, shown);
+		} else if (!es->loading) {
+			unpin_others(g, now, slot, shown);
+			s->victim = shown;
+		}
+		break;
+	default:
+		if (es->loading)
+			hide_while_loading(g, now, slot, shown);
+		else
+			set_content(g, now, slot, shown);
+		break;
+	}
+}
+
+/* Pins grants that were told before the content of the slots was known. */
+static void place_told(struct fg_grants *g)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->grants);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_grant_rec *rec = value;
+		int32_t slot;
+
+		if (rec->slot != FG_SLOT_NOT_KNOWN)
+			continue;
+		slot = slot_of(g, rec->av);
+		if (slot >= 0)
+			fg_grants_pin(g, rec, slot);
+		else
+			rec->slot = FG_SLOT_GONE;
+	}
+}
+
+/* Ends the grants of dead holders whose slot runs nothing any more. */
+static void end_dead(struct fg_grants *g, fg_ms now, fg_ms asked_at)
+{
+	GHashTableIter it;
+	gpointer value;
+	GPtrArray *over = g_ptr_array_new();
+
+	g_hash_table_iter_init(&it, g->grants);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct fg_grant_rec *rec = value;
+		const struct fg_slot *s;
+
+		if (!rec->dead || asked_at < rec->dead_at + FG_DEAD_GRACE_MS)
+			continue;
+		s = rec->slot >= 0 ? &g->slot[rec->slot] : NULL;
+		if (s == NULL || (s->running_at == asked_at && s->running == 0))
+			g_ptr_array_add(over, value);
+	}
+	for (guint i = 0; i < over->len; i++)
+		fg_grants_end(g, now, over->pdata[i]);
+	g_ptr_array_free(over, TRUE);
+}
+
+static void note_engine(struct fg_grants *g, const struct fg_engine_state *st,
+			bool restarted)
+{
+	g->checks_fence = st->checks_fence;
+	if (restarted || st->fence > g->seen_fence)
+		g->seen_fence = st->fence;
+	if (st->checks_fence && st->fence > g->conf.fence)
+		g->fenced = true;
+	if (g->engine_leaving != st->leaving) {
+		g->engine_leaving = st->leaving;
+		fg_grants_note_change(g);
+	}
+	if (st->batch > 0 && st->batch != g->conf.batch) {
+		g->conf.batch = st->batch;
+		fg_grants_note_change(g);
+	}
+}
+
+bool fg_grants_engine(struct fg_grants *g, fg_ms now, fg_ms asked_at,
+		      const struct fg_engine_state *st,
+		      fg_av (*find)(void *arg, const char *adapter,
+				    const char *version),
+		      void *arg)
+{
+	bool restarted = g->epoch != 0 && st->epoch != g->epoch;
+
+	if (asked_at < g->last_asked)
+		return false;
+	g->last_asked = asked_at;
+	g->epoch = st->epoch;
+	note_engine(g, st, restarted);
+	for (uint32_t i = 0; i < g->conf.slots; i++) {
+		const struct fg_engine_slot *es = &st->slot[i];
+		fg_av shown = { 0, 0 };
+
+		if (restarted && g->slot[i].state == FG_SLOT_LOADING)
+			g->slot[i].epoch_changed = true;
+		if (i < st->slots && es->adapter[0] != '\0')
+			shown = find(arg, es->adapter, es->version);
+		reconcile(g, now, asked_at, (int32_t)i, es, shown);
+	}
+	if (!g->have_state) {
+		g->have_state = true;
+		place_told(g);
+	}
+	end_dead(g, now, asked_at);
+	fg_grants_check_recovery(g, now);
+	return restarted;
+}
