Inner transport over ONC RPC

Instances need a way to pass batches of small messages that never blocks the caller and that neither a slow nor a hostile peer can stall.

libtirpc carries the calls; the listening socket is the module's own, so no rpcbind is needed. Server transports live in process-wide tables of the library, hence one service thread for all listeners of a process. One sender thread per peer drains a ck_ring; it ends after 30 s without messages. Calls are sent with a zero time limit, which libtirpc defines as message passing, and one call per 250 ms or 32 calls waits for its reply: waiting for each would hold back messages by a round trip on slow links.

Found while testing: a non-blocking libtirpc server accepts only records of a single fragment, and a receive buffer as large as the record, so the client's send buffer holds the largest record; large messages were lost before (/peer/large_texts failed). A write to a closed connection raised SIGPIPE (/peer/reconnect died); the threads block it. Ruled out: blocking server connections, whose library read waits 35 s on half a record for everybody (/peer/hostile).

--- /dev/null
+++ b/lib/peer/fg_peer_client.c
@@ -0,0 +1,464 @@
+/*
+ * Senders of the inner transport: one thread per peer with queued messages.
+ *
+ * A batch leaves as soon as the thread is free. Most calls are sent without
+ * waiting for the reply, so that a message never waits for a round trip of
+ * the one before; a call that does wait follows at least each SYNC_MS or
+ * SYNC_CALLS and finds out whether the peer still answers. The replies not
+ * waited for are skipped by their transaction id.
+ *
+ * The send buffer holds the largest record, so that each record is a single
+ * fragment: libtirpc's servers accept no others on non-blocking connections.
+ */
+#include <assert.h>
+#include <ck_pr.h>
+#include <ck_ring.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/fg_clock.h"
+#include "peer/fg_peer_internal.h"
+
+#define STACK_BYTES (128 * 1024)
+#define RPC_RECEIVE_BYTES 8192
+#define SYNC_MS 250
+#define SYNC_CALLS 32
+#define BACKOFF_MIN_MS 50
+#define BACKOFF_MAX_MS 2000
+#define IDLE_MS 30000 /* a sender unused this long ends its thread */
+
+struct fg_sender {
+	struct fg_peer *p;
+	uint64_t id;
+	struct fg_peer_addr addr;
+	ck_ring_t ring; /* produced under fg_peer.lock, consumed by the thread
+			 */
+	ck_ring_buffer_t *slots;
+	pthread_cond_t wake;
+	bool running;  /* the thread exists */
+	bool sleeping; /* the thread waits for wake */
+	bool gone;     /* removed from the table; the thread frees it */
+
+	/* Used by the thread alone. */
+	CLIENT *client;
+	fg_msg *held; /* taken from the ring, did not fit the last batch */
+	fg_ms synced;
+	uint32_t unread; /* calls whose reply was not waited for */
+	uint32_t backoff_ms;
+};
+
+/* ---- Connection ---- */
+
+static bool wait_connected(int fd, uint32_t timeout_ms)
+{
+	struct pollfd pfd = { .fd = fd, .events = POLLOUT };
+	int err = 0;
+	socklen_t len = sizeof(err);
+
+	if (poll(&pfd, 1, (int)timeout_ms) != 1)
+		return false;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len) != 0)
+		return false;
+	return err == 0;
+}
+
+static void set_options(int fd, uint32_t timeout_ms)
+{
+	struct timeval tv = { .tv_sec = timeout_ms / FG_MS_PER_S,
+			      .tv_usec = timeout_ms % FG_MS_PER_S * 1000 };
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		   sizeof(timeout_ms));
+	/* Bounds the write of a batch to a peer that reads nothing. */
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof(tv));
+}
+
+static int connect_socket(const struct fg_peer_addr *addr, uint32_t timeout_ms)
+{
+	int fd = socket(addr->sa.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int flags;
+
+	if (fd < 0)
+		return -1;
+	flags = fcntl(fd, F_GETFL);
+	fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	if (connect(fd, (const struct sockaddr *)&addr->sa, addr->len_bytes) !=
+		    0 &&
+	    (errno != EINPROGRESS || !wait_connected(fd, timeout_ms))) {
+		close(fd);
+		return -1;
+	}
+	fcntl(fd, F_SETFL, flags);
+	set_options(fd, timeout_ms);
+	return fd;
+}
+
+static bool sender_connect(struct fg_sender *s)
+{
+	struct netbuf raddr = { .buf = &s->addr.sa,
+				.len = s->addr.len_bytes,
+				.maxlen = sizeof(s->addr.sa) };
+	int fd;
+
+	if (s->client != NULL)
+		return true;
+	fd = connect_socket(&s->addr, s->p->timeout_ms);
+	if (fd < 0)
+		return false;
+	s->client = clnt_vc_create(fd, &raddr, FG_PEER_PROG, FG_PEER_V1,
+				   FG_PEER_RECORD_BYTES, RPC_RECEIVE_BYTES);
+	if (s->client == NULL) {
+		close(fd);
+		return false;
+	}
+	clnt_control(s->client, CLSET_FD_CLOSE, NULL);
+	s->synced = 0;
+	s->unread = 0;
+	return true;
+}
+
+static void sender_disconnect(struct fg_sender *s)
+{
+	if (s->client == NULL)
+		return;
+	auth_destroy(s->client->cl_auth);
+	clnt_destroy(s->client);
+	s->client = NULL;
+}
+
+/* ---- One exchange ---- */
+
+/* Takes the next message; ownership passes to the caller. */
+static fg_msg *sender_take(struct fg_sender *s)
+{
+	void *msg = s->held;
+
+	s->held = NULL;
+	if (msg == NULL && !ck_ring_dequeue_spsc(&s->ring, s->slots, &msg))
+		return NULL;
+	return msg;
+}
+
+/* Moves messages into batch up to its limits; returns their bytes. The
+ * messages are moved by value, their shells are freed. */
+static size_t fill_batch(struct fg_sender *s, fg_batch *batch)
+{
+	size_t total_bytes = 0;
+	fg_msg *msg;
+
+	while (batch->msgs.msgs_len < FG_BATCH_MAX &&
+	       (msg = sender_take(s)) != NULL) {
+		size_t len_bytes = fg_msg_wire_bytes(msg);
+
+		if (batch->msgs.msgs_len > 0 &&
+		    total_bytes + len_bytes > FG_PEER_BATCH_BYTES) {
+			s->held = msg;
+			break;
+		}
+		total_bytes += len_bytes;
+		batch->msgs.msgs_val[batch->msgs.msgs_len++] = *msg;
+		free(msg);
+	}
+	return total_bytes;
+}
+
+static enum clnt_stat call_and_wait(struct fg_sender *s, fg_batch *batch)
+{
+	struct timeval tv = { .tv_sec = s->p->timeout_ms / FG_MS_PER_S,
+			      .tv_usec =
+				      s->p->timeout_ms % FG_MS_PER_S * 1000 };
+	fg_batch rep;
+	enum clnt_stat st;
+
+	memset(&rep, 0, sizeof(rep));
+	st = clnt_call(s->client, FG_EXCHANGE, (xdrproc_t)xdr_fg_batch,
+		       (char *)batch, (xdrproc_t)xdr_fg_batch, (char *)&rep,
+		       tv);
+	if (st == RPC_SUCCESS) {
+		s->synced = fg_clock_now();
+		s->unread = 0;
+		fg_peer_deliver(s->p, &rep, FG_RPC_REPLY_BYTES);
+	}
+	xdr_free((xdrproc_t)xdr_fg_batch, (char *)&rep);
+	return st;
+}
+
+/* Sends without waiting: a zero time limit makes the call return at once. */
+static enum clnt_stat call_one_way(struct fg_sender *s, fg_batch *batch)
+{
+	struct timeval none = { 0, 0 };
+	enum clnt_stat st;
+
+	/* A NULL decoder would hold the record until the buffer is full. */
+	st = clnt_call(s->client, FG_EXCHANGE, (xdrproc_t)xdr_fg_batch,
+		       (char *)batch, (xdrproc_t)xdr_fg_batch, NULL, none);
+	s->unread++;
+	return st == RPC_TIMEDOUT ? RPC_SUCCESS : st;
+}
+
+static bool send_batch(struct fg_sender *s, fg_batch *batch)
+{
+	enum clnt_stat st;
+
+	if (!sender_connect(s))
+		return false;
+	if (s->unread >= SYNC_CALLS || fg_clock_now() - s->synced >= SYNC_MS)
+		st = call_and_wait(s, batch);
+	else
+		st = call_one_way(s, batch);
+	if (st != RPC_SUCCESS)
+		sender_disconnect(s);
+	return st == RPC_SUCCESS;
+}
+
+/* Sends one batch; false after a failure that asks for a pause. */
+static bool sender_exchange(struct fg_sender *s)
+{
+	struct fg_peer_counters *c = &s->p->counters;
+	fg_batch batch = { .format = FG_FORMAT,
+			   .from = s->p->self,
+			   .to = s->id };
+	uint32_t n;
+	size_t len_bytes;
+	bool ok = true;
+
+	batch.msgs.msgs_val = calloc(FG_BATCH_MAX, sizeof(fg_msg));
+	if (batch.msgs.msgs_val == NULL)
+		abort();
+	len_bytes = fill_batch(s, &batch);
+	n = batch.msgs.msgs_len;
+	if (n > 0 && fg_peer_is_cut(s->p, s->id)) {
+		ck_pr_add_64(&c->dropped_msgs, n);
+	} else if (n > 0) {
+		ok = send_batch(s, &batch);
+		ck_pr_add_64(&c->exchanges, 1);
+		ck_pr_add_64(ok ? &c->sent_msgs : &c->dropped_msgs, n);
+		ck_pr_add_64(&c->failed_exchanges, ok ? 0 : 1);
+		ck_pr_add_64(&c->sent_bytes,
+			     ok ? len_bytes + FG_RPC_CALL_BYTES : 0);
+	}
+	xdr_free((xdrproc_t)xdr_fg_batch, (char *)&batch);
+	return ok;
+}
+
+/* ---- Thread ---- */
+
+static struct timespec time_after(uint32_t ms)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += ms / FG_MS_PER_S;
+	ts.tv_nsec += (long)(ms % FG_MS_PER_S) * 1000000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	return ts;
+}
+
+static bool sender_empty(struct fg_sender *s)
+{
+	return s->held == NULL && ck_ring_size(&s->ring) == 0;
+}
+
+/* Waits for a message; false when the thread must end. */
+static bool sender_wait(struct fg_sender *s)
+{
+	struct timespec until = time_after(IDLE_MS);
+	int err = 0;
+
+	while (!s->gone && !s->p->stopping && sender_empty(s) && err == 0) {
+		s->sleeping = true;
+		err = pthread_cond_timedwait(&s->wake, &s->p->lock, &until);
+		s->sleeping = false;
+	}
+	return !s->gone && !s->p->stopping && !sender_empty(s);
+}
+
+/* Pauses after a failure, twice as long each time. */
+static void sender_back_off(struct fg_sender *s)
+{
+	struct timespec until;
+	int err = 0;
+
+	s->backoff_ms = s->backoff_ms == 0 ? BACKOFF_MIN_MS : s->backoff_ms * 2;
+	if (s->backoff_ms > BACKOFF_MAX_MS)
+		s->backoff_ms = BACKOFF_MAX_MS;
+	until = time_after(s->backoff_ms);
+	pthread_mutex_lock(&s->p->lock);
+	while (!s->gone && !s->p->stopping && err == 0)
+		err = pthread_cond_timedwait(&s->wake, &s->p->lock, &until);
+	pthread_mutex_unlock(&s->p->lock);
+}
+
+static void sender_free(struct fg_sender *s)
+{
+	fg_msg *msg;
+
+	assert(!s->running);
+	while ((msg = sender_take(s)) != NULL) {
+		ck_pr_add_64(&s->p->counters.dropped_msgs, 1);
+		fg_msg_free(msg);
+	}
+	pthread_cond_destroy(&s->wake);
+	g_free(s->slots);
+	g_free(s);
+}
+
+static void *sender_run(void *arg)
+{
+	struct fg_sender *s = arg;
+	struct fg_peer *p = s->p;
+
+	fg_peer_block_sigpipe();
+	pthread_mutex_lock(&p->lock);
+	while (sender_wait(s)) {
+		pthread_mutex_unlock(&p->lock);
+		if (sender_exchange(s))
+			s->backoff_ms = 0;
+		else
+			sender_back_off(s);
+		pthread_mutex_lock(&p->lock);
+	}
+	pthread_mutex_unlock(&p->lock);
+	sender_disconnect(s);
+
+	pthread_mutex_lock(&p->lock);
+	s->running = false;
+	if (s->gone)
+		sender_free(s);
+	p->threads--;
+	pthread_cond_broadcast(&p->ended);
+	pthread_mutex_unlock(&p->lock);
+	return NULL;
+}
+
+static bool sender_start_thread(struct fg_sender *s)
+{
+	pthread_attr_t attr;
+	pthread_t tid;
+	int err;
+
+	pthread_attr_init(&attr);
+	pthread_attr_setstacksize(&attr, STACK_BYTES);
+	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+	s->running = true;
+	s->p->threads++;
+	err = pthread_create(&tid, &attr, sender_run, s);
+	pthread_attr_destroy(&attr);
+	if (err != 0) {
+		s->running = false;
+		s->p->threads--;
+	}
+	return err == 0;
+}
+
+static struct fg_sender *sender_new(struct fg_peer *p, uint64_t id,
+				    const struct fg_peer_addr *addr)
+{
+	struct fg_sender *s = g_new0(struct fg_sender, 1);
+	pthread_condattr_t attr;
+
+	s->p = p;
+	s->id = id;
+	s->addr = *addr;
+	s->slots = g_new0(ck_ring_buffer_t, p->queue_max);
+	ck_ring_init(&s->ring, p->queue_max);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&s->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	g_hash_table_insert(p->senders, &s->id, s);
+	return s;
+}
+
+/* ---- Public ---- */
+
+/* Queues msg with the lock held; false when it must be dropped. */
+static bool enqueue(struct fg_peer *p, uint64_t id,
+		    const struct fg_peer_addr *addr, fg_msg *msg)
+{
+	struct fg_sender *s;
+
+	if (p->stopping || g_hash_table_contains(p->cuts, &id))
+		return false;
+	s = g_hash_table_lookup(p->senders, &id);
+	if (s == NULL)
+		s = sender_new(p, id, addr);
+	if (!s->running) {
+		s->addr = *addr;
+		if (!sender_start_thread(s))
+			return false;
+	}
+	if (!ck_ring_enqueue_spsc(&s->ring, s->slots, msg))
+		return false;
+	if (s->sleeping)
+		pthread_cond_signal(&s->wake);
+	return true;
+}
+
+void fg_peer_send(struct fg_peer *p, uint64_t id, const char *addr,
+		  const fg_msg *msg)
+{
+	struct fg_peer_addr parsed;
+	fg_msg *copy;
+	bool queued;
+
+	if (!fg_peer_addr_parse(addr, &parsed)) {
+		ck_pr_add_64(&p->counters.dropped_msgs, 1);
+		return;
+	}
+	copy = fg_msg_dup(msg);
+	pthread_mutex_lock(&p->lock);
+	queued = enqueue(p, id, &parsed, copy);
+	pthread_mutex_unlock(&p->lock);
+	if (!queued) {
+		ck_pr_add_64(&p->counters.dropped_msgs, 1);
+		fg_msg_free(copy);
+	}
+}
+
+/* Takes a sender out of the table, which the caller has locked. */
+static void sender_forget(struct fg_sender *s)
+{
+	g_hash_table_remove(s->p->senders, &s->id);
+	s->gone = true;
+	if (s->running)
+		pthread_cond_signal(&s->wake);
+	else
+		sender_free(s);
+}
+
+void fg_peer_forget(struct fg_peer *p, uint64_t id)
+{
+	struct fg_sender *s;
+
+	pthread_mutex_lock(&p->lock);
+	s = g_hash_table_lookup(p->senders, &id);
+	if (s != NULL)
+		sender_forget(s);
+	pthread_mutex_unlock(&p->lock);
+}
+
+void fg_senders_stop(struct fg_peer *p)
+{
+	GList *all;
+
+	pthread_mutex_lock(&p->lock);
+	p->stopping = true;
+	all = g_hash_table_get_values(p->senders);
+	for (GList *it = all; it != NULL; it = it->next)
+		sender_forget(it->data);
+	g_list_free(all);
+	while (p->threads > 0)
+		pthread_cond_wait(&p->ended, &p->lock);
+	pthread_mutex_unlock(&p->lock);
+}
--- /dev/null
+++ b/lib/peer/fg_peer_server.c
@@ -0,0 +1,337 @@
+/*
+ * Server of the inner transport: one thread serves the listeners of the
+ * process, of which a daemon has one.
+ *
+ * libtirpc keeps its server transports in process-wide tables, so this thread
+ * alone creates, serves and destroys them. Connections are not blocking and
+ * their records are bounded: a peer that stops in the middle of a record
+ * delays nobody, and a hostile length is refused. Nothing is registered with
+ * rpcbind.
+ */
+#include <assert.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <rpc/rpc.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "peer/fg_peer_internal.h"
+
+#define BACKLOG 512
+#define RPC_SEND_BYTES 8192
+#define KEEPALIVE_S 10	     /* idle time before a connection is probed */
+#define KEEPALIVE_PROBES 3   /* a dead connection is closed after these */
+#define USER_TIMEOUT_MS 5000 /* unacknowledged replies end a connection */
+#define POLL_PAUSE_MS 20     /* after poll() failed */
+
+struct fg_listener {
+	struct fg_peer *p;
+	struct sockaddr_storage local;
+	int fd;
+	SVCXPRT *xprt; /* set by the service thread */
+	bool closing;
+	bool closed;
+};
+
+static struct {
+	pthread_mutex_t lock; /* guards all below */
+	pthread_cond_t changed;
+	GPtrArray *listeners; /* NULL while no thread runs */
+	int wake_fd;
+} service = { .lock = PTHREAD_MUTEX_INITIALIZER,
+	      .changed = PTHREAD_COND_INITIALIZER,
+	      .wake_fd = -1 };
+
+/* ---- Dispatch ---- */
+
+static bool same_endpoint(const struct sockaddr_storage *listening,
+			  const struct sockaddr_storage *local)
+{
+	if (listening->ss_family != local->ss_family)
+		return false;
+	if (local->ss_family == AF_INET) {
+		const struct sockaddr_in *a = (const void *)listening;
+		const struct sockaddr_in *b = (const void *)local;
+
+		return a->sin_port == b->sin_port &&
+		       (a->sin_addr.s_addr == INADDR_ANY ||
+			a->sin_addr.s_addr == b->sin_addr.s_addr);
+	}
+	const struct sockaddr_in6 *a = (const void *)listening;
+	const struct sockaddr_in6 *b = (const void *)local;
+
+	return a->sin6_port == b->sin6_port &&
+	       (IN6_IS_ADDR_UNSPECIFIED(&a->sin6_addr) ||
+		IN6_ARE_ADDR_EQUAL(&a->sin6_addr, &b->sin6_addr));
+}
+
+/* The listener that a connection came in by; NULL when it is closing. */
+static struct fg_listener *listener_of(int fd)
+{
+	struct sockaddr_storage local;
+	socklen_t len = sizeof(local);
+	struct fg_listener *found = NULL;
+
+	memset(&local, 0, sizeof(local));
+	if (getsockname(fd, (struct sockaddr *)&local, &len) != 0)
+		return NULL;
+	pthread_mutex_lock(&service.lock);
+	for (guint i = 0; i < service.listeners->len && found == NULL; i++) {
+		struct fg_listener *l = service.listeners->pdata[i];
+
+		if (!l->closing && same_endpoint(&l->local, &local))
+			found = l;
+	}
+	pthread_mutex_unlock(&service.lock);
+	return found;
+}
+
+static void exchange(struct fg_listener *l, SVCXPRT *xprt)
+{
+	fg_batch req;
+	fg_batch rep;
+
+	memset(&req, 0, sizeof(req));
+	if (!svc_getargs(xprt, (xdrproc_t)xdr_fg_batch, (char *)&req)) {
+		svcerr_decode(xprt);
+		svc_freeargs(xprt, (xdrproc_t)xdr_fg_batch, (char *)&req);
+		return;
+	}
+	fg_peer_deliver(l->p, &req, FG_RPC_CALL_BYTES);
+	/* A cut drops the reply too, so that the sender sees a timeout. */
+	if (!fg_peer_is_cut(l->p, req.from)) {
+		memset(&rep, 0, sizeof(rep));
+		rep.format = FG_FORMAT;
+		rep.from = l->p->self;
+		rep.to = req.from;
+		svc_sendreply(xprt, (xdrproc_t)xdr_fg_batch, (char *)&rep);
+	}
+	svc_freeargs(xprt, (xdrproc_t)xdr_fg_batch, (char *)&req);
+}
+
+static bool_t xdr_nothing(XDR *xdrs, void *obj)
+{
+	(void)xdrs;
+	(void)obj;
+	return TRUE;
+}
+
+static void dispatch(struct svc_req *req, SVCXPRT *xprt)
+{
+	struct fg_listener *l = listener_of(xprt->xp_fd);
+
+	if (req->rq_proc == NULLPROC)
+		svc_sendreply(xprt, (xdrproc_t)xdr_nothing, NULL);
+	else if (req->rq_proc != FG_EXCHANGE || l == NULL)
+		svcerr_noproc(xprt);
+	else
+		exchange(l, xprt);
+}
+
+/* ---- The service thread ---- */
+
+static void listener_open(struct fg_listener *l)
+{
+	int record_bytes = FG_PEER_RECORD_BYTES;
+
+	l->xprt = svc_vc_create(l->fd, RPC_SEND_BYTES, FG_PEER_RECORD_BYTES);
+	assert(l->xprt != NULL);
+	SVC_CONTROL(l->xprt, SVCSET_CONNMAXREC, &record_bytes);
+	svc_reg(l->xprt, FG_PEER_PROG, FG_PEER_V1, dispatch, NULL);
+}
+
+/* Ends the connections that came in by l, then l itself. */
+static void listener_close(struct fg_listener *l)
+{
+	for (int i = 0; i < svc_max_pollfd; i++) {
+		int fd = svc_pollfd[i].fd;
+		struct sockaddr_storage local;
+		socklen_t len = sizeof(local);
+
+		if (fd < 0 || fd == l->fd ||
+		    getsockname(fd, (struct sockaddr *)&local, &len) != 0 ||
+		    !same_endpoint(&l->local, &local))
+			continue;
+		shutdown(fd, SHUT_RDWR);
+		svc_getreq_common(fd); /* reads the end and destroys it */
+	}
+	if (l->xprt != NULL)
+		svc_destroy(l->xprt);
+	else
+		close(l->fd);
+}
+
+/* Opens and closes listeners as asked. When none is left, it gives up the
+ * service and returns false: the thread must then touch nothing shared. */
+static bool service_update(void)
+{
+	bool any;
+
+	pthread_mutex_lock(&service.lock);
+	for (guint i = 0; i < service.listeners->len;) {
+		struct fg_listener *l = service.listeners->pdata[i];
+
+		if (l->closing) {
+			listener_close(l);
+			l->closed = true;
+			g_ptr_array_remove_index(service.listeners, i);
+			continue;
+		}
+		if (l->xprt == NULL)
+			listener_open(l);
+		i++;
+	}
+	any = service.listeners->len > 0;
+	if (!any) {
+		close(service.wake_fd);
+		g_ptr_array_free(service.listeners, TRUE);
+		service.listeners = NULL;
+	}
+	pthread_cond_broadcast(&service.changed);
+	pthread_mutex_unlock(&service.lock);
+	return any;
+}
+
+static void drain_wake(void)
+{
+	uint64_t count;
+	ssize_t n = read(service.wake_fd, &count, sizeof(count));
+
+	(void)n;
+}
+
+static void serve_ready(GArray *fds, int n_ready)
+{
+	for (guint i = 1; i < fds->len && n_ready > 0; i++) {
+		struct pollfd *pfd = &g_array_index(fds, struct pollfd, i);
+
+		if (pfd->revents == 0)
+			continue;
+		n_ready--;
+		svc_getreq_common(pfd->fd);
+	}
+}
+
+static void *service_run(void *arg)
+{
+	GArray *fds = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
+
+	(void)arg;
+	fg_peer_block_sigpipe();
+	while (service_update()) {
+		struct pollfd wake = { .fd = service.wake_fd,
+				       .events = POLLIN };
+		int n;
+
+		g_array_set_size(fds, 0);
+		g_array_append_val(fds, wake);
+		g_array_append_vals(fds, svc_pollfd, (guint)svc_max_pollfd);
+		n = poll((struct pollfd *)fds->data, fds->len, -1);
+		if (n < 0) {
+			if (errno != EINTR)
+				g_usleep(POLL_PAUSE_MS * 1000);
+			continue;
+		}
+		drain_wake();
+		serve_ready(fds, n);
+	}
+	g_array_free(fds, TRUE);
+	return NULL;
+}
+
+static void service_wake(void)
+{
+	uint64_t one = 1;
+	ssize_t n = write(service.wake_fd, &one, sizeof(one));
+
+	(void)n;
+}
+
+/* ---- Listeners ---- */
+
+static void set_options(int fd)
+{
+	int one = 1;
+	int idle_s = KEEPALIVE_S;
+	int probes = KEEPALIVE_PROBES;
+	unsigned int user_ms = USER_TIMEOUT_MS;
+
+	/* Accepted connections inherit all of these. */
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms,
+		   sizeof(user_ms));
+}
+
+static int listen_socket(const struct fg_peer_addr *addr, GError **error)
+{
+	int fd = socket(addr->sa.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd >= 0) {
+		set_options(fd);
+		if (bind(fd, (const struct sockaddr *)&addr->sa,
+			 addr->len_bytes) == 0 &&
+		    listen(fd, BACKLOG) == 0)
+			return fd;
+	}
+	g_set_error(error, FG_PEER_ERROR, FG_PEER_ERR_BIND, "cannot listen: %s",
+		    g_strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+/* Starts the thread for the first listener, with the service locked. */
+static void service_start(void)
+{
+	pthread_t tid;
+	int err;
+
+	service.listeners = g_ptr_array_new();
+	service.wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	err = pthread_create(&tid, NULL, service_run, NULL);
+	if (service.wake_fd < 0 || err != 0)
+		g_error("cannot start the server thread");
+	pthread_detach(tid);
+}
+
+struct fg_listener *fg_listener_start(struct fg_peer *p,
+				      const struct fg_peer_addr *addr,
+				      GError **error)
+{
+	int fd = listen_socket(addr, error);
+	struct fg_listener *l;
+
+	if (fd < 0)
+		return NULL;
+	l = g_new0(struct fg_listener, 1);
+	l->p = p;
+	l->fd = fd;
+	l->local = addr->sa;
+	pthread_mutex_lock(&service.lock);
+	if (service.listeners == NULL)
+		service_start();
+	g_ptr_array_add(service.listeners, l);
+	service_wake();
+	while (l->xprt == NULL)
+		pthread_cond_wait(&service.changed, &service.lock);
+	pthread_mutex_unlock(&service.lock);
+	return l;
+}
+
+void fg_listener_stop(struct fg_listener *l)
+{
+	pthread_mutex_lock(&service.lock);
+	l->closing = true;
+	service_wake();
+	while (!l->closed)
+		pthread_cond_wait(&service.changed, &service.lock);
+	pthread_mutex_unlock(&service.lock);
+	g_free(l);
+}
