--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -214,6 +214,8 @@
 {
 	enum fg_standing standing = fg_member_standing(n->member, n->now);
 
+	if (n->conf.switches.no_isolation)
+		return true;
 	return standing == FG_STANDING_CONFIRMED ||
 	       standing == FG_STANDING_OUTAGE;
 }
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -273,7 +273,7 @@
 	load->av = place->av;
 	load->victim = victim;
 	g_ptr_array_add(own->loads, load);
-	if (own->checks_fence)
+	if (own->checks_fence || n->conf.switches.no_intent)
 		send_load(n, own, load);
 	else
 		write_intent(n, own, load);
--- a/lib/node/fg_node_suspect.c
+++ b/lib/node/fg_node_suspect.c
@@ -27,6 +27,8 @@
 {
 	uint32_t retry_after_ms = 0;
 
+	if (n->conf.switches.no_suspects)
+		return true;
 	switch (fg_suspects_check(n->suspects, n->now, r->fingerprint,
 				  &retry_after_ms)) {
 	case FG_SUSPECT_CLEAR:
--- /dev/null
+++ b/lib/run/fg_run_io.c
@@ -0,0 +1,307 @@
+/* The node's actions, carried out by pools of threads. */
+#include <string.h>
+
+#include "log/fg_log.h"
+#include "run/fg_run_internal.h"
+
+#define STATE_TIMEOUT_MS 1000
+
+/* ---- Requests ---- */
+
+struct run_job {
+	struct fg_run *run;
+	struct fg_run_cmd cmd;
+	struct fg_exchange *exchange; /* NULL once the caller is gone */
+};
+
+static void on_text(void *arg, const char *piece)
+{
+	struct run_job *job = arg;
+	json_t *o = json_pack("{s:s}", "t", piece);
+	char *text = json_dumps(o, JSON_COMPACT);
+	char *line = g_strconcat(text, "\n", NULL);
+
+	fg_exchange_piece(job->exchange, line);
+	g_free(line);
+	free(text);
+	json_decref(o);
+}
+
+static void do_run(void *arg)
+{
+	struct run_job *job = arg;
+	struct fg_run *run = job->run;
+	struct fg_exchange *x = job->exchange;
+	bool stream = x != NULL && job->cmd.run.stream;
+	struct fg_run_result res;
+
+	run->endpoints->run(&job->cmd.ep, &job->cmd.run,
+			    stream ? on_text : NULL, job,
+			    x != NULL ? &x->cancel : NULL, &res);
+	fg_run_lock(run);
+	fg_node_run_done(run->node, fg_clock_now(), job->cmd.req,
+			 job->cmd.attempt, &res);
+	fg_run_unlock(run);
+	g_free(res.text);
+	fg_exchange_unref(x);
+	g_free(job);
+}
+
+static void io_run(void *arg, const struct fg_run_cmd *cmd)
+{
+	struct fg_run *run = arg;
+	struct run_job *job = g_new0(struct run_job, 1);
+
+	job->run = run;
+	job->cmd = *cmd;
+	job->exchange = fg_run_find(run, cmd->req);
+	fg_pool_submit(run->run_pool, do_run, job);
+}
+
+static void io_reply(void *arg, uint64_t id, const struct fg_reply *reply)
+{
+	struct fg_run *run = arg;
+	struct fg_exchange *x = fg_run_find(run, id);
+	char *text;
+
+	if (reply->outcome != FG_DONE)
+		fg_log(FG_LOG_INFO, "request", "ended", "outcome",
+		       fg_outcome_name(reply->outcome), "reason",
+		       fg_reason_code(reply->reason), NULL);
+	if (x == NULL)
+		return;
+	text = fg_web_reply_json(x->tag, x->plain, reply);
+	fg_exchange_finish(x, fg_http_status(reply->outcome, reply->reason),
+			   reply->retry_after_ms, text);
+	g_free(text);
+	fg_run_closed(run, id);
+	fg_exchange_unref(x);
+}
+
+/* ---- Orders to engines and their state ---- */
+
+struct order_job {
+	struct fg_run *run;
+	struct fg_listed ep;
+	struct fg_order order;
+	char *adapter;
+	char *version;
+};
+
+static void do_order(void *arg)
+{
+	struct order_job *job = arg;
+	enum fg_order_status status;
+
+	status = job->run->endpoints->order(&job->ep, &job->order);
+	fg_run_lock(job->run);
+	fg_node_order_done(job->run->node, fg_clock_now(), job->ep.id,
+			   job->order.id, status);
+	fg_run_unlock(job->run);
+	g_free(job->adapter);
+	g_free(job->version);
+	g_free(job);
+}
+
+static void io_order(void *arg, const struct fg_order_cmd *cmd)
+{
+	struct fg_run *run = arg;
+	struct order_job *job = g_new0(struct order_job, 1);
+
+	job->run = run;
+	job->ep = cmd->ep;
+	job->order = cmd->order;
+	job->adapter = g_strdup(cmd->order.adapter);
+	job->version = g_strdup(cmd->order.version);
+	job->order.adapter = job->adapter;
+	job->order.version = job->version;
+	if (run->settings->switches.no_fence)
+		job->order.fence = 0;
+	fg_pool_submit(run->order_pool, do_order, job);
+}
+
+struct state_job {
+	struct fg_run *run;
+	struct fg_listed ep;
+};
+
+static void do_state(void *arg)
+{
+	struct state_job *job = arg;
+	struct fg_engine_state *st = g_new0(struct fg_engine_state, 1);
+	fg_ms asked_at = fg_clock_now();
+	enum fg_pf_result result;
+
+	result = job->run->endpoints->state(&job->ep, STATE_TIMEOUT_MS, st);
+	fg_run_lock(job->run);
+	fg_node_engine_state(job->run->node, fg_clock_now(), job->ep.id,
+			     asked_at, result == FG_PF_OK ? st : NULL);
+	fg_run_unlock(job->run);
+	g_free(st);
+	g_free(job);
+}
+
+static void io_state(void *arg, const struct fg_listed *ep)
+{
+	struct fg_run *run = arg;
+	struct state_job *job = g_new0(struct state_job, 1);
+
+	job->run = run;
+	job->ep = *ep;
+	fg_pool_submit(run->order_pool, do_state, job);
+}
+
+/* ---- Platform ---- */
+
+struct table_job {
+	struct fg_run *run;
+	struct fg_table_op *op;
+};
+
+static void do_table(void *arg)
+{
+	struct table_job *job = arg;
+	struct fg_platform *p = job->run->platform;
+	struct fg_table_result *res = p->ops->table(p, job->op);
+
+	fg_run_lock(job->run);
+	fg_node_table_done(job->run->node, fg_clock_now(), res);
+	fg_run_unlock(job->run);
+	fg_table_result_free(res);
+	fg_table_op_free(job->op);
+	g_free(job);
+}
+
+static void io_table(void *arg, struct fg_table_op *op)
+{
+	struct fg_run *run = arg;
+	struct table_job *job = g_new0(struct table_job, 1);
+
+	job->run = run;
+	job->op = op;
+	fg_pool_submit(run->table_pool, do_table, job);
+}
+
+static void do_list(void *arg)
+{
+	struct fg_run *run = arg;
+	struct fg_listed *list;
+	size_t n;
+	enum fg_pf_result result;
+
+	result = run->platform->ops->list(run->platform, &list, &n);
+	fg_run_lock(run);
+	fg_node_list_done(run->node, fg_clock_now(), result, list, n);
+	fg_run_unlock(run);
+	g_free(list);
+}
+
+static void io_list(void *arg)
+{
+	struct fg_run *run = arg;
+
+	fg_pool_submit(run->table_pool, do_list, run);
+}
+
+struct announce_job {
+	struct fg_run *run;
+	bool leaving;
+};
+
+static void do_announce(void *arg)
+{
+	struct announce_job *job = arg;
+	struct fg_listed self = job->run->self;
+
+	self.leaving = job->leaving;
+	job->run->platform->ops->announce(job->run->platform, &self);
+	g_free(job);
+}
+
+static void io_announce(void *arg, bool leaving)
+{
+	struct fg_run *run = arg;
+	struct announce_job *job = g_new0(struct announce_job, 1);
+
+	job->run = run;
+	job->leaving = leaving;
+	fg_pool_submit(run->table_pool, do_announce, job);
+}
+
+/* ---- Peers, operators, events ---- */
+
+static void io_send(void *arg, const struct fg_listed *to, const fg_msg *msg)
+{
+	struct fg_run *run = arg;
+
+	fg_peer_send(run->peer, to->id, to->rpc, msg);
+}
+
+static void io_change_answer(void *arg, uint64_t id,
+			     enum fg_change_status status, uint64_t revision,
+			     const char *text)
+{
+	static const struct {
+		const char *name;
+		uint32_t http;
+	} answers[] = {
+		[FG_CHANGE_ACCEPTED] = { "accepted", 200 },
+		[FG_CHANGE_PENDING] = { "pending", 202 },
+		[FG_CHANGE_CONFLICT] = { "conflict", 409 },
+		[FG_CHANGE_INVALID] = { "invalid", 400 },
+		[FG_CHANGE_DOWN] = { "down", 503 },
+		[FG_CHANGE_UNKNOWN] = { "unknown", 504 },
+	};
+	struct fg_run *run = arg;
+	struct fg_exchange *x = fg_run_find(run, id);
+	json_t *o;
+	char *out;
+
+	if (x == NULL)
+		return;
+	o = json_pack("{s:s,s:I,s:s}", "status", answers[status].name,
+		      "revision", (json_int_t)revision, "detail",
+		      text != NULL ? text : "");
+	out = json_dumps(o, JSON_COMPACT);
+	fg_exchange_finish(x, answers[status].http, 0, out);
+	free(out);
+	json_decref(o);
+	fg_run_closed(run, id);
+	fg_exchange_unref(x);
+}
+
+/* Events that happen with each healthy request go to the history alone. */
+static bool is_routine(const char *name)
+{
+	return strcmp(name, "dispatch") == 0 || strcmp(name, "grant") == 0 ||
+	       strcmp(name, "load") == 0;
+}
+
+static void io_event(void *arg, const char *name, json_t *fields)
+{
+	struct fg_run *run = arg;
+	enum fg_log_level level = is_routine(name) ? FG_LOG_DEBUG : FG_LOG_INFO;
+	char *text;
+
+	if (fg_log_enabled(level)) {
+		text = json_dumps(fields, JSON_COMPACT);
+		fg_log(level, "node", name, "fields", text, NULL);
+		free(text);
+	}
+	fg_history_add(run->history, name, fields);
+}
+
+void fg_run_fill_io(struct fg_run *run, struct fg_node_io *io)
+{
+	io->reply = io_reply;
+	io->run = io_run;
+	io->order = io_order;
+	io->state = io_state;
+	io->table = io_table;
+	io->list = io_list;
+	io->announce = io_announce;
+	io->send = io_send;
+	io->change_answer = io_change_answer;
+	io->event = io_event;
+	io->arg = run;
+}
--- /dev/null
+++ b/lib/run/fg_web.c
@@ -0,0 +1,216 @@
+/* The callers' and operators' interface over HTTP, through libmicrohttpd. */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "run/fg_run_internal.h"
+
+#define HTTP_MEMORY_BYTES (32 * 1024) /* of one connection: headers */
+#define HTTP_STACK_BYTES (256 * 1024)
+
+static enum MHD_Result respond(struct MHD_Connection *c, uint32_t status,
+			       char *text)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(text), text, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result rc;
+
+	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+				text[0] == '{' ? "application/json"
+					       : "text/plain");
+	rc = MHD_queue_response(c, status, response);
+	MHD_destroy_response(response);
+	g_free(text);
+	return rc;
+}
+
+static enum MHD_Result respond_exchange(struct fg_exchange *x)
+{
+	uint32_t status = MHD_HTTP_OK;
+	struct MHD_Response *response = fg_exchange_response(x, &status);
+	enum MHD_Result rc;
+
+	x->answered = true;
+	rc = MHD_queue_response(x->connection, status, response);
+	MHD_destroy_response(response);
+	return rc;
+}
+
+/* The whole request is here: hand it to the node and wait for its answer. */
+static enum MHD_Result submit(struct fg_run *run, struct fg_exchange *x,
+			      const char *path)
+{
+	uint32_t status = MHD_HTTP_BAD_REQUEST;
+	char *text = NULL;
+
+	x->submitted = true;
+	/* Suspended first: the answer may come before submit returns. */
+	fg_exchange_suspend(x);
+	if (!fg_web_submit(run, x, path, &status, &text))
+		fg_exchange_finish(x, status, 0, text);
+	g_free(text);
+	return MHD_YES;
+}
+
+static enum MHD_Result too_large(struct fg_run *run, struct fg_exchange *x)
+{
+	char *message = g_strdup_printf("the body is over %u bytes",
+					run->settings->limits.body_max_bytes);
+	char *text = fg_web_error_json(x->tag, FG_R_BAD_REQUEST, message);
+
+	g_free(message);
+	x->answered = true;
+	return respond(x->connection, 413, text);
+}
+
+static void take_body(struct fg_run *run, struct fg_exchange *x,
+		      const char *data, size_t len_bytes)
+{
+	if (x->body->len + len_bytes > run->settings->limits.body_max_bytes)
+		x->too_large = true;
+	else
+		g_string_append_len(x->body, data, (gssize)len_bytes);
+}
+
+static enum MHD_Result on_post(struct fg_run *run, struct MHD_Connection *c,
+			       const char *path, const char *data,
+			       size_t *len_bytes, void **state)
+{
+	struct fg_exchange *x = *state;
+
+	if (x == NULL) {
+		x = fg_exchange_new(
+			__atomic_add_fetch(&run->next_id, 1, __ATOMIC_RELAXED),
+			c);
+		*state = x;
+		return MHD_YES;
+	}
+	if (*len_bytes > 0) {
+		take_body(run, x, data, *len_bytes);
+		*len_bytes = 0;
+		return MHD_YES;
+	}
+	if (x->answered)
+		return MHD_YES;
+	if (x->submitted)
+		return respond_exchange(x);
+	if (x->too_large)
+		return too_large(run, x);
+	return submit(run, x, path);
+}
+
+static enum MHD_Result on_request(void *arg, struct MHD_Connection *c,
+				  const char *path, const char *method,
+				  const char *version, const char *data,
+				  size_t *len_bytes, void **state)
+{
+	struct fg_run *run = arg;
+	uint32_t status = MHD_HTTP_OK;
+	char *text;
+
+	(void)version;
+	if (strcmp(method, MHD_HTTP_METHOD_POST) == 0)
+		return on_post(run, c, path, data, len_bytes, state);
+	if (strcmp(method, MHD_HTTP_METHOD_GET) != 0) {
+		text = fg_web_error_json(NULL, FG_R_BAD_REQUEST,
+					 "only GET and POST are served");
+		return respond(c, MHD_HTTP_METHOD_NOT_ALLOWED, text);
+	}
+	text = fg_web_read(run, c, path, &status);
+	if (text == NULL) {
+		text = fg_web_error_json(NULL, FG_R_BAD_REQUEST,
+					 "no such path");
+		status = MHD_HTTP_NOT_FOUND;
+	}
+	return respond(c, status, text);
+}
+
+static void on_completed(void *arg, struct MHD_Connection *c, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct fg_run *run = arg;
+	struct fg_exchange *x = *state;
+
+	(void)c;
+	if (x == NULL)
+		return;
+	fg_exchange_close(x);
+	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && x->submitted) {
+		x->cancel = 1;
+		fg_run_closed(run, x->id);
+		fg_run_lock(run);
+		fg_node_caller_gone(run->node, fg_clock_now(), x->id);
+		fg_run_unlock(run);
+	}
+	fg_exchange_unref(x);
+	*state = NULL;
+}
+
+/* Parses "IPv4:port"; the settings have checked the form. */
+static bool parse_addr(const char *text, struct sockaddr_in *out)
+{
+	char host[FG_ADDR_BYTES];
+	char *colon;
+
+	g_strlcpy(host, text, sizeof(host));
+	colon = strrchr(host, ':');
+	if (colon == NULL)
+		return false;
+	*colon = '\0';
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	return inet_pton(AF_INET, host, &out->sin_addr) == 1;
+}
+
+bool fg_web_start(struct fg_run *run, GError **error)
+{
+	const struct fg_settings *s = run->settings;
+	struct sockaddr_in addr;
+
+	if (parse_addr(s->http, &addr))
+		run->daemon = MHD_start_daemon(
+			MHD_USE_EPOLL_INTERNAL_THREAD |
+				MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
+			0, NULL, NULL, on_request, run, MHD_OPTION_SOCK_ADDR,
+			&addr, MHD_OPTION_NOTIFY_COMPLETED, on_completed, run,
+			MHD_OPTION_CONNECTION_LIMIT, s->limits.connections_max,
+			MHD_OPTION_CONNECTION_TIMEOUT,
+			MAX(s->limits.header_timeout_ms / 1000, 1),
+			MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+			(size_t)HTTP_MEMORY_BYTES, MHD_OPTION_THREAD_POOL_SIZE,
+			MAX(s->workers, 2), MHD_OPTION_THREAD_STACK_SIZE,
+			(size_t)HTTP_STACK_BYTES, MHD_OPTION_END);
+	if (run->daemon == NULL)
+		g_set_error(error, FG_RUN_ERROR, FG_RUN_ERR_LISTEN,
+			    "http %s: cannot listen", s->http);
+	return run->daemon != NULL;
+}
+
+static void finish_open(gpointer key, gpointer value, gpointer arg)
+{
+	struct fg_exchange *x = value;
+	struct fg_reply reply = {
+		.outcome = FG_UNKNOWN,
+		.reason = FG_R_STOPPING,
+	};
+	char *text = fg_web_reply_json(x->tag, x->plain, &reply);
+
+	(void)key;
+	(void)arg;
+	fg_exchange_finish(x, 504, 0, text);
+	g_free(text);
+}
+
+/* What a stop that ran out of time leaves open is answered UNKNOWN. */
+void fg_web_stop(struct fg_run *run)
+{
+	if (run->daemon == NULL)
+		return;
+	pthread_mutex_lock(&run->open_lock);
+	g_hash_table_foreach(run->open, finish_open, NULL);
+	pthread_mutex_unlock(&run->open_lock);
+	MHD_stop_daemon(run->daemon);
+	run->daemon = NULL;
+}
