--- /dev/null
+++ b/lib/place/fg_hold.c
@@ -0,0 +1,24 @@
+/* How long a draft is held to fill a batch. */
+#include "place/fg_place.h"
+
+#include <glib.h>
+
+/* Kept free before the deadline for messages and for a refused grant. */
+#define MARGIN_MS 500
+#define MARGIN_PERCENT 10 /* of the budget, for a service time that grew */
+
+uint32_t fg_hold_ms(const struct fg_preset *preset, uint32_t budget_ms,
+		    uint32_t service_ms, uint32_t load_ms, uint32_t waiting,
+		    uint32_t batch, bool room_now)
+{
+	uint64_t batch_weight = 100 - preset->stall_weight;
+	uint64_t hold = preset->hold_max_ms * batch_weight / 100;
+	uint64_t needed = (uint64_t)service_ms + load_ms + MARGIN_MS +
+			  (uint64_t)budget_ms * MARGIN_PERCENT / 100;
+
+	if (room_now || waiting >= batch || preset->stall_weight > 100)
+		return 0;
+	if (needed >= budget_ms)
+		return 0;
+	return (uint32_t)MIN(hold, budget_ms - needed);
+}
--- a/lib/place/fg_place.h
+++ b/lib/place/fg_place.h
@@ -27,6 +27,8 @@
 
 struct fg_heat_table;
 
+#define FG_HEAT_NEVER (INT64_MIN / 4)
+
 /* Counts halve every half_life_ms; adapters below a small floor are dropped,
  * so that idle ones cost nothing. */
 struct fg_heat_table *fg_heat_new(uint32_t half_life_ms);
@@ -35,6 +37,9 @@
 double fg_heat_get(const struct fg_heat_table *h, fg_ms now, fg_av av);
 size_t fg_heat_size(const struct fg_heat_table *h);
 
+/* Time of the last count; FG_HEAT_NEVER, long past, when there is none. */
+fg_ms fg_heat_last(const struct fg_heat_table *h, fg_av av);
+
 /* ---- Directory ---- */
 
 struct fg_dir;
@@ -98,7 +103,8 @@
 		   uint32_t stall_weight);
 
 /* A NEED from router `from`; replaces its last one for the same adapter.
- * waiting == 0 withdraws it. */
+ * waiting == 0 withdraws it. slack_ms is the time until the load must be
+ * done, that is the time left less the service time. */
 void fg_broker_need(struct fg_broker *b, fg_ms now, uint64_t from,
 		    const fg_need *need);
 void fg_broker_heat(struct fg_broker *b, fg_ms now, const fg_heat *heat);
@@ -111,6 +117,18 @@
 void fg_broker_tick(struct fg_broker *b, fg_ms now, fg_broker_emit emit,
 		    void *arg);
 
+/*
+ * Emits, for each router with a need that cannot be met within its slack, a
+ * reply with order 0, endpoint 0 and FG_PLACE_REFUSED: its requests for the
+ * adapter are answered NOT_RUN at once. A need is refused when it is new; once
+ * admitted it is refused only when failures have made it hopeless. Call after
+ * needs came in, and with each tick.
+ */
+typedef void (*fg_broker_refuse)(void *arg, uint64_t to,
+				 const fg_place_rep *rep);
+void fg_broker_refusals(struct fg_broker *b, fg_ms now, fg_broker_refuse refuse,
+			void *arg);
+
 /* Time until a load for av would finish if it were asked for now. */
 uint32_t fg_broker_estimate_ms(const struct fg_broker *b, fg_ms now, fg_av av);
 
--- /dev/null
+++ b/lib/place/fg_policy_gauge.c
@@ -0,0 +1,151 @@
+/*
+ * The system's own policy. The slots of all endpoints are one cache: the
+ * victim is the least popular adapter anywhere, and needs are loaded by worth
+ * as long as every deadline can still be met.
+ */
+#include "place/fg_place_priv.h"
+
+#include <math.h>
+
+#define SCHEDULE_MARGIN_MS 300 /* with less to spare, deadlines decide */
+#define INTERACTIVE_WORTH 4.0  /* of a waiting person, in drafts */
+#define AGE_WORTH_MS 2000      /* waiting this long is worth one request */
+#define BUSY_MS 4000	       /* asked for so lately: likely still in use */
+#define BUSY_COST 1000.0
+#define COPY_COST 0.25 /* of an adapter that another endpoint holds as well */
+#define FILL_COST 0.05 /* of a full batch, to spread new adapters */
+
+/* ---- Order of loads ---- */
+
+/* Time to spare until some deadline is missed if loads are made in order of
+ * deadline; wants are sorted so. */
+static fg_ms schedule_slack(const struct fg_broker *b, fg_ms now,
+			    struct fg_want **wants, size_t n)
+{
+	fg_ms least = FG_MS_NEVER;
+
+	for (size_t i = 0; i < n; i++) {
+		fg_ms done = now + fg_broker_start_in(b, now, (uint32_t)i + 1) +
+			     b->conf.load_ms;
+
+		least = MIN(least, wants[i]->deadline - done);
+	}
+	return least;
+}
+
+static double worth(const struct fg_broker *b, fg_ms now,
+		    const struct fg_want *w)
+{
+	double each = w->cls < FG_CLASS_DRAFT ? INTERACTIVE_WORTH : 1;
+
+	return each * (w->waiting +
+		       (double)(now - w->first_at) / AGE_WORTH_MS) +
+	       fg_heat_get(b->heat, now, w->av) / 100;
+}
+
+static struct fg_want *next_by_worth(const struct fg_broker *b, fg_ms now,
+				     struct fg_want **wants, size_t n)
+{
+	struct fg_want *best = wants[0];
+	double best_worth = worth(b, now, best);
+	fg_ms margin = SCHEDULE_MARGIN_MS;
+
+	if (b->conf.loads_per_s > 0)
+		margin += FG_MS_PER_S / b->conf.loads_per_s;
+	if (schedule_slack(b, now, wants, n) < margin)
+		return best;
+	for (size_t i = 1; i < n; i++) {
+		double value = worth(b, now, wants[i]);
+
+		if (value > best_worth) {
+			best = wants[i];
+			best_worth = value;
+		}
+	}
+	return best;
+}
+
+/* ---- Place and victim ---- */
+
+static bool held_elsewhere(const struct fg_broker *b, const struct fg_dir_ep *e,
+			   fg_av av)
+{
+	const GPtrArray *eps = fg_dir_holders(b->dir, av);
+
+	for (guint i = 0; eps != NULL && i < eps->len; i++) {
+		const struct fg_dir_ep *other = eps->pdata[i];
+
+		if (other != e && other->region == e->region &&
+		    fg_dir_ep_usable(other, b->service))
+			return true;
+	}
+	return false;
+}
+
+/* What it costs to lose av on e: the loads it saves, as far as its popularity
+ * tells, and the requests that wait for it. */
+static double victim_cost(const struct fg_broker *b, fg_ms now,
+			  const struct fg_dir_ep *e, fg_av av)
+{
+	const struct fg_want *pending = fg_broker_want(b, av);
+	double cost = fg_heat_get(b->heat, now, av);
+
+	if (held_elsewhere(b, e, av))
+		cost *= COPY_COST;
+	if (pending != NULL)
+		cost += pending->waiting;
+	if (now - fg_heat_last(b->heat, av) < BUSY_MS)
+		cost += BUSY_COST;
+	return cost;
+}
+
+static double best_victim(const struct fg_broker *b, fg_ms now,
+			  const struct fg_dir_ep *e, fg_av *victim)
+{
+	double least = INFINITY;
+
+	for (uint32_t i = 0; i < e->n_av; i++) {
+		double cost;
+
+		if (fg_broker_keeps(b, now, e, e->av[i]))
+			continue;
+		cost = victim_cost(b, now, e, e->av[i]);
+		if (cost >= least)
+			continue;
+		least = cost;
+		*victim = e->av[i];
+	}
+	return least;
+}
+
+static bool choose_least_cost(const struct fg_broker *b, fg_ms now,
+			      const struct fg_want *w, fg_place *place)
+{
+	double least = INFINITY;
+
+	for (guint i = 0; i < b->dir->list->len; i++) {
+		const struct fg_dir_ep *e = b->dir->list->pdata[i];
+		fg_av victim = { 0, 0 };
+		double cost = 0;
+
+		if (!fg_broker_ep_open(b, now, w, e))
+			continue;
+		if (fg_broker_free_slots(b, e) == 0)
+			cost = best_victim(b, now, e, &victim);
+		cost += FILL_COST * fg_dir_ep_fill(e);
+		if (cost >= least)
+			continue;
+		least = cost;
+		place->ep = e->id;
+		place->victim = victim;
+	}
+	return least < INFINITY;
+}
+
+const struct fg_policy fg_policy_gauge = {
+	.name = "gauge",
+	.next = next_by_worth,
+	.choose = choose_least_cost,
+	.refuses = true,
+	.copies = true,
+};
