--- a/lib/config/fg_config.h
+++ b/lib/config/fg_config.h
@@ -29,8 +29,9 @@
 	FG_CONFIG_ERR_SYNTAX,  /* not JSON, or not an object of this shape */
 	FG_CONFIG_ERR_UNKNOWN, /* names an adapter, preset, ... not there */
 	FG_CONFIG_ERR_EXISTS,
-	FG_CONFIG_ERR_RANGE, /* a value out of its allowed range */
-	FG_CONFIG_ERR_GAP,   /* the change is not for the next revision */
+	FG_CONFIG_ERR_RANGE,  /* a value out of its allowed range */
+	FG_CONFIG_ERR_GAP,    /* the change is not for the next revision */
+	FG_CONFIG_ERR_FORMAT, /* written in a format that is not ours */
 };
 
 /* The weights that a preset sets. */
@@ -71,12 +72,49 @@
  *   preset_set   {preset}                 preset_put {preset, ...weights}
  *   service_put  {service, ...facts}
  *   batch        {changes: [...]}  all or none, one revision
+ * The weights and facts are the fields of the two structs above; those left
+ * out keep their value. The caller "*" stands for every caller. "format" and
+ * "nonce" may be there too. An unknown field is an error.
  */
 bool fg_config_apply(struct fg_config *c, const char *change, GError **error);
 
-/* The whole catalogue as JSON; g_malloc'ed. */
+/* Tells whether a change without "revision" could be applied now; changes
+ * nothing. */
+bool fg_config_check(struct fg_config *c, const char *change, GError **error);
+
+/* Number of adapters. */
+size_t fg_config_adapters(const struct fg_config *c);
+
+/*
+ * The whole catalogue as JSON; g_malloc'ed. Equal catalogues give equal texts:
+ *   {"format":1,"revision":N,"part":0,
+ *    "head":{"preset","next_adapter","presets":[...],"services":[...]},
+ *    "adapters":[[number,name,base,next_ver,[[ver,name]...],[caller...]]...],
+ *    "last":true}
+ */
 char *fg_config_snapshot(const struct fg_config *c);
 
+/* The same in parts of at most max_bytes each (at least 60000), so that no
+ * part needs much memory to read; texts are g_malloc'ed and freed with the
+ * array. Only part 0 has a head, only the last one "last":true. */
+GPtrArray *fg_config_snapshot_parts(const struct fg_config *c,
+				    size_t max_bytes);
+
+/*
+ * Reads the parts of one snapshot, in order, into a catalogue of its own.
+ * fg_config_load_finish() then makes c that catalogue if its revision is
+ * higher than c's, and frees the load; it must only be called when
+ * fg_config_load_complete().
+ */
+struct fg_config_load;
+struct fg_config_load *fg_config_load_new(void);
+void fg_config_load_free(struct fg_config_load *l);
+bool fg_config_load_part(struct fg_config_load *l, const char *part,
+			 GError **error);
+bool fg_config_load_complete(const struct fg_config_load *l);
+uint32_t fg_config_load_next(const struct fg_config_load *l);
+void fg_config_load_finish(struct fg_config_load *l, struct fg_config *c);
+
 /* Replaces all of c if the snapshot's revision is higher, else leaves c as it
  * is and returns true as well. */
 bool fg_config_restore(struct fg_config *c, const char *snapshot,
--- a/lib/settings/fg_settings.c
+++ b/lib/settings/fg_settings.c
@@ -16,7 +16,10 @@
 #define SEEDS_MAX 64
 #define FILE_MAX_BYTES (1024 * 1024)
 
-G_DEFINE_QUARK(fg - settings - error - quark, fg_settings_error)
+GQuark fg_settings_error_quark(void)
+{
+	return g_quark_from_static_string("fg-settings-error");
+}
 
 /* The file as libcyaml fills it: one text per key, NULL when absent. */
 struct raw {
--- /dev/null
+++ b/tests/unit/test_config.c
@@ -0,0 +1,492 @@
+/* Unit tests of the catalogue: changes, lookups, snapshots, size. */
+#include <glib.h>
+#include <malloc.h>
+#include <string.h>
+
+#include "base/fg_rand.h"
+#include "config/fg_config.h"
+
+#define PART_BYTES 60000
+
+/* Applies a change given without its outer braces and revision. */
+static bool apply(struct fg_config *c, GError **error, const char *fmt, ...)
+	G_GNUC_PRINTF(3, 4);
+static bool apply(struct fg_config *c, GError **error, const char *fmt, ...)
+{
+	g_autofree char *body = NULL;
+	g_autofree char *text = NULL;
+	va_list ap;
+
+	va_start(ap, fmt);
+	body = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	text = g_strdup_printf("{\"revision\":%" G_GUINT64_FORMAT ",%s}",
+			       fg_config_revision(c) + 1, body);
+	return fg_config_apply(c, text, error);
+}
+
+static void must(struct fg_config *c, const char *body)
+{
+	g_autoptr(GError) error = NULL;
+
+	g_assert_true(apply(c, &error, "%s", body));
+	g_assert_no_error(error);
+}
+
+/* Refused with this code, and nothing has changed. */
+static void refuse(struct fg_config *c, int code, const char *body)
+{
+	g_autofree char *before = fg_config_snapshot(c);
+	g_autofree char *after = NULL;
+	g_autoptr(GError) error = NULL;
+
+	g_assert_false(apply(c, &error, "%s", body));
+	g_assert_error(error, FG_CONFIG_ERROR, code);
+	after = fg_config_snapshot(c);
+	g_assert_cmpstr(before, ==, after);
+}
+
+static struct fg_config *small(void)
+{
+	struct fg_config *c = fg_config_new();
+
+	must(c, "\"kind\":\"adapter_add\",\"base\":\"b\",\"adapter\":\"a1\"");
+	must(c,
+	     "\"kind\":\"version_add\",\"adapter\":\"a1\",\"version\":\"1\"");
+	must(c,
+	     "\"kind\":\"version_add\",\"adapter\":\"a1\",\"version\":\"2\"");
+	must(c, "\"kind\":\"right_grant\",\"adapter\":\"a1\",\"caller\":\"x\"");
+	return c;
+}
+
+static void test_resolve(void)
+{
+	struct fg_config *c = small();
+	fg_av av;
+
+	g_assert_cmpint(fg_config_resolve(c, "x", "a1", NULL, &av), ==,
+			FG_R_NONE);
+	g_assert_cmpuint(av.adapter, ==, 1);
+	g_assert_cmpuint(av.ver, ==, 2);
+	g_assert_cmpstr(fg_config_adapter_name(c, av), ==, "a1");
+	g_assert_cmpstr(fg_config_version_name(c, av), ==, "2");
+	g_assert_cmpstr(fg_config_adapter_base(c, av), ==, "b");
+	g_assert_cmpint(fg_config_resolve(c, "x", "a1", "1", &av), ==,
+			FG_R_NONE);
+	g_assert_cmpuint(av.ver, ==, 1);
+	g_assert_cmpint(fg_config_resolve(c, "x", "a1", "9", &av), ==,
+			FG_R_UNKNOWN_VERSION);
+	g_assert_cmpint(fg_config_resolve(c, "x", "zz", "1", &av), ==,
+			FG_R_UNKNOWN_ADAPTER);
+	g_assert_cmpint(fg_config_resolve(c, "y", "a1", "9", &av), ==,
+			FG_R_NO_RIGHT);
+	g_assert_cmpint(fg_config_resolve(c, NULL, NULL, NULL, &av), ==,
+			FG_R_UNKNOWN_ADAPTER);
+	must(c, "\"kind\":\"right_grant\",\"adapter\":\"a1\",\"caller\":\"*\"");
+	g_assert_cmpint(fg_config_resolve(c, "y", "a1", "1", &av), ==,
+			FG_R_NONE);
+	g_assert_cmpuint(fg_config_find(c, "a1", "2").ver, ==, 2);
+	g_assert_cmpuint(fg_config_find(c, "a1", "9").adapter, ==, 0);
+	g_assert_null(fg_config_adapter_name(c, (fg_av){ 99, 1 }));
+	g_assert_null(fg_config_version_name(c, (fg_av){ 1, 99 }));
+	fg_config_free(c);
+}
+
+static void test_numbers_never_reused(void)
+{
+	struct fg_config *c = small();
+
+	must(c, "\"kind\":\"version_remove\",\"adapter\":\"a1\","
+		"\"version\":\"2\"");
+	must(c,
+	     "\"kind\":\"version_add\",\"adapter\":\"a1\",\"version\":\"2\"");
+	g_assert_cmpuint(fg_config_find(c, "a1", "2").ver, ==, 3);
+	must(c, "\"kind\":\"adapter_remove\",\"adapter\":\"a1\"");
+	must(c, "\"kind\":\"adapter_add\",\"base\":\"b\",\"adapter\":\"a1\"");
+	must(c,
+	     "\"kind\":\"version_add\",\"adapter\":\"a1\",\"version\":\"2\"");
+	g_assert_cmpuint(fg_config_find(c, "a1", "2").adapter, ==, 2);
+	fg_config_free(c);
+}
+
+static void test_presets_services(void)
+{
+	struct fg_config *c = small();
+
+	g_assert_cmpstr(fg_config_preset(c)->name, ==, "ordinary");
+	must(c, "\"kind\":\"preset_set\",\"preset\":\"maintenance\"");
+	g_assert_false(fg_config_preset(c)->accept_drafts);
+	must(c, "\"kind\":\"preset_put\",\"preset\":\"maintenance\","
+		"\"accept_drafts\":true,\"stall_weight\":7");
+	g_assert_true(fg_config_preset(c)->accept_drafts);
+	g_assert_cmpuint(fg_config_preset(c)->stall_weight, ==, 7);
+	must(c, "\"kind\":\"service_put\",\"service\":\"s\",\"plain\":true");
+	g_assert_true(fg_config_service(c, "s")->plain);
+	g_assert_cmpuint(fg_config_service(c, "s")->loads_in_flight, ==, 8);
+	g_assert_false(fg_config_service(c, "other")->plain);
+	refuse(c, FG_CONFIG_ERR_UNKNOWN,
+	       "\"kind\":\"preset_set\",\"preset\":\"none\"");
+	refuse(c, FG_CONFIG_ERR_RANGE,
+	       "\"kind\":\"preset_put\",\"preset\":\"p\",\"stall_weight\":101");
+	refuse(c, FG_CONFIG_ERR_RANGE,
+	       "\"kind\":\"preset_put\",\"preset\":\"p\",\"accept_drafts\":1");
+	refuse(c, FG_CONFIG_ERR_RANGE,
+	       "\"kind\":\"service_put\",\"service\":\"s\",\"load_ms\":-1");
+	fg_config_free(c);
+}
+
+static void test_refused(void)
+{
+	struct fg_config *c = small();
+	g_autoptr(GError) error = NULL;
+
+	refuse(c, FG_CONFIG_ERR_SYNTAX, "\"kind\":\"nonsense\"");
+	refuse(c, FG_CONFIG_ERR_SYNTAX, "\"kind\":1");
+	refuse(c, FG_CONFIG_ERR_SYNTAX,
+	       "\"kind\":\"preset_set\",\"preset\":\"peak\",\"x\":1");
+	refuse(c, FG_CONFIG_ERR_SYNTAX, "\"kind\":\"adapter_add\"");
+	refuse(c, FG_CONFIG_ERR_EXISTS,
+	       "\"kind\":\"adapter_add\",\"base\":\"b\",\"adapter\":\"a1\"");
+	refuse(c, FG_CONFIG_ERR_EXISTS,
+	       "\"kind\":\"version_add\",\"adapter\":\"a1\",\"version\":\"1\"");
+	refuse(c, FG_CONFIG_ERR_UNKNOWN,
+	       "\"kind\":\"adapter_remove\",\"adapter\":\"a2\"");
+	refuse(c, FG_CONFIG_ERR_UNKNOWN,
+	       "\"kind\":\"right_revoke\",\"adapter\":\"a1\","
+	       "\"caller\":\"y\"");
+	g_assert_false(
+		fg_config_apply(c, "{\"revision\":99,\"kind\":\"x\"}", &error));
+	g_assert_error(error, FG_CONFIG_ERROR, FG_CONFIG_ERR_GAP);
+	g_clear_error(&error);
+	g_assert_false(fg_config_apply(c, "[]", &error));
+	g_assert_error(error, FG_CONFIG_ERROR, FG_CONFIG_ERR_SYNTAX);
+	fg_config_free(c);
+}
+
+static void test_names(void)
+{
+	struct fg_config *c = fg_config_new();
+	g_autofree char *longest = g_strnfill(63, 'n');
+	g_autofree char *over = g_strnfill(64, 'n');
+	const char *bad[] = { "", "a@b", "a|b", "a\\nb", "a\\u007f", over };
+	g_autoptr(GError) error = NULL;
+	g_autofree char *ok = g_strdup_printf(
+		"\"kind\":\"adapter_add\",\"base\":\"b\",\"adapter\":\"%s\"",
+		longest);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_autofree char *text =
+			g_strdup_printf("\"kind\":\"adapter_add\",\"base\":"
+					"\"b\",\"adapter\":\"%s\"",
+					bad[i]);
+
+		refuse(c, FG_CONFIG_ERR_RANGE, text);
+	}
+	must(c, ok);
+	must(c, "\"kind\":\"adapter_add\",\"base\":\"b\","
+		"\"adapter\":\"men\xc3\xba \\\"x\\\\\"");
+	fg_config_free(c);
+}
+
+static void test_format(void)
+{
+	struct fg_config *c = small();
+	g_autoptr(GError) error = NULL;
+
+	must(c, "\"format\":1,\"nonce\":\"n\",\"kind\":\"preset_set\","
+		"\"preset\":\"peak\"");
+	refuse(c, FG_CONFIG_ERR_FORMAT,
+	       "\"format\":2,\"kind\":\"preset_set\",\"preset\":\"peak\"");
+	refuse(c, FG_CONFIG_ERR_FORMAT,
+	       "\"format\":0,\"kind\":\"preset_set\",\"preset\":\"peak\"");
+	g_assert_false(fg_config_restore(
+		c, "{\"format\":2,\"revision\":900,\"part\":0}", &error));
+	g_assert_error(error, FG_CONFIG_ERROR, FG_CONFIG_ERR_FORMAT);
+	g_assert_nonnull(strstr(error->message, "format 2 cannot be read"));
+	fg_config_free(c);
+}
+
+static void test_batch(void)
+{
+	struct fg_config *c = small();
+
+	refuse(c, FG_CONFIG_ERR_RANGE, "\"kind\":\"batch\",\"changes\":[]");
+	refuse(c, FG_CONFIG_ERR_SYNTAX,
+	       "\"kind\":\"batch\",\"changes\":[{\"kind\":\"batch\","
+	       "\"changes\":[]}]");
+	/* Every kind of step is undone when the last one fails. */
+	refuse(c, FG_CONFIG_ERR_UNKNOWN,
+	       "\"kind\":\"batch\",\"changes\":["
+	       "{\"kind\":\"version_remove\",\"adapter\":\"a1\","
+	       "\"version\":\"1\"},"
+	       "{\"kind\":\"right_revoke\",\"adapter\":\"a1\","
+	       "\"caller\":\"x\"},"
+	       "{\"kind\":\"right_grant\",\"adapter\":\"a1\","
+	       "\"caller\":\"w\"},"
+	       "{\"kind\":\"version_add\",\"adapter\":\"a1\","
+	       "\"version\":\"3\"},"
+	       "{\"kind\":\"adapter_remove\",\"adapter\":\"a1\"},"
+	       "{\"kind\":\"adapter_add\",\"base\":\"b\","
+	       "\"adapter\":\"a1\"},"
+	       "{\"kind\":\"preset_put\",\"preset\":\"new\"},"
+	       "{\"kind\":\"preset_put\",\"preset\":\"peak\","
+	       "\"hold_max_ms\":1},"
+	       "{\"kind\":\"preset_set\",\"preset\":\"new\"},"
+	       "{\"kind\":\"service_put\",\"service\":\"s\"},"
+	       "{\"kind\":\"service_put\",\"service\":\"s\","
+	       "\"load_ms\":9},"
+	       "{\"kind\":\"adapter_remove\",\"adapter\":\"a2\"}]");
+	must(c, "\"kind\":\"batch\",\"changes\":["
+		"{\"kind\":\"adapter_remove\",\"adapter\":\"a1\"},"
+		"{\"kind\":\"adapter_add\",\"base\":\"b\","
+		"\"adapter\":\"a1\"},"
+		"{\"kind\":\"preset_set\",\"preset\":\"peak\"}]");
+	g_assert_cmpuint(fg_config_revision(c), ==, 5);
+	g_assert_cmpstr(fg_config_preset(c)->name, ==, "peak");
+	fg_config_free(c);
+}
+
+/* A random change over few names, so that many are refused. */
+static char *random_change(struct fg_rand *r)
+{
+	static const char *const kinds[] = { "adapter_add", "adapter_remove",
+					     "version_add", "version_remove",
+					     "right_grant", "right_revoke",
+					     "preset_set",  "preset_put",
+					     "service_put" };
+	uint64_t k = fg_rand_below(r, G_N_ELEMENTS(kinds));
+	GString *out = g_string_new(NULL);
+
+	g_string_printf(out, "{\"kind\":\"%s\"", kinds[k]);
+	if (k <= 5)
+		g_string_append_printf(out, ",\"adapter\":\"a%u\"",
+				       (unsigned int)fg_rand_below(r, 12));
+	if (k == 0)
+		g_string_append(out, ",\"base\":\"b\"");
+	if (k == 2 || k == 3)
+		g_string_append_printf(out, ",\"version\":\"%u\"",
+				       (unsigned int)fg_rand_below(r, 4));
+	if (k == 4 || k == 5)
+		g_string_append_printf(out, ",\"caller\":\"c%u\"",
+				       (unsigned int)fg_rand_below(r, 4));
+	if (k == 6 || k == 7)
+		g_string_append_printf(out, ",\"preset\":\"p%u\"",
+				       (unsigned int)fg_rand_below(r, 4));
+	if (k == 8)
+		g_string_append_printf(out, ",\"service\":\"s%u\"",
+				       (unsigned int)fg_rand_below(r, 4));
+	g_string_append_c(out, '}');
+	return g_string_free(out, FALSE);
+}
+
+static char *random_batch(struct fg_rand *r)
+{
+	GString *out = g_string_new("\"kind\":\"batch\",\"changes\":[");
+	uint64_t n = 1 + fg_rand_below(r, 4);
+
+	for (uint64_t i = 0; i < n; i++) {
+		g_autofree char *one = random_change(r);
+
+		g_string_append_printf(out, "%s%s", i > 0 ? "," : "", one);
+	}
+	g_string_append_c(out, ']');
+	return g_string_free(out, FALSE);
+}
+
+/* A copy restored from a snapshot stays equal under the same changes. */
+static void test_random_equal(void)
+{
+	struct fg_rand r;
+	unsigned int applied = 0;
+	unsigned int refused = 0;
+
+	fg_rand_seed(&r, 11);
+	for (int run = 0; run < 100; run++) {
+		struct fg_config *a = fg_config_new();
+
+		for (int i = 0; i < 60; i++) {
+			g_autofree char *before = fg_config_snapshot(a);
+			struct fg_config *b = fg_config_new();
+			g_autofree char *body = random_batch(&r);
+			g_autofree char *left = NULL;
+			g_autofree char *right = NULL;
+			bool ok;
+
+			g_assert_true(fg_config_restore(b, before, NULL));
+			ok = apply(a, NULL, "%s", body);
+			g_assert_true(apply(b, NULL, "%s", body) == ok);
+			left = fg_config_snapshot(a);
+			right = fg_config_snapshot(b);
+			g_assert_cmpstr(left, ==, right);
+			g_assert_true(ok || strcmp(before, left) == 0);
+			applied += ok;
+			refused += !ok;
+			fg_config_free(b);
+		}
+		fg_config_free(a);
+	}
+	g_assert_cmpuint(applied, >, 500);
+	g_assert_cmpuint(refused, >, 500);
+}
+
+/* Damaged texts are refused or taken whole, without a crash. */
+static void test_damaged(void)
+{
+	struct fg_config *c = small();
+	g_autofree char *good = fg_config_snapshot(c);
+	size_t len = strlen(good);
+	struct fg_rand r;
+
+	fg_rand_seed(&r, 12);
+	for (int i = 0; i < 20000; i++) {
+		g_autofree char *bad = g_strdup(good);
+		struct fg_config *d = fg_config_new();
+		struct fg_config *e = fg_config_new();
+		g_autofree char *one = NULL;
+		g_autofree char *two = NULL;
+
+		bad[fg_rand_below(&r, len)] =
+			(char)(' ' + fg_rand_below(&r, 95));
+		if (fg_config_restore(d, bad, NULL)) {
+			one = fg_config_snapshot(d);
+			g_assert_true(fg_config_restore(e, one, NULL));
+			two = fg_config_snapshot(e);
+			g_assert_cmpstr(one, ==, two);
+		}
+		fg_config_free(d);
+		fg_config_free(e);
+	}
+	fg_config_free(c);
+}
+
+static void test_restore_only_upwards(void)
+{
+	struct fg_config *c = small();
+	g_autofree char *old = fg_config_snapshot(c);
+
+	must(c, "\"kind\":\"preset_set\",\"preset\":\"peak\"");
+	g_assert_true(fg_config_restore(c, old, NULL));
+	g_assert_cmpuint(fg_config_revision(c), ==, 5);
+	g_assert_cmpstr(fg_config_preset(c)->name, ==, "peak");
+	fg_config_free(c);
+}
+
+/* ---- Size ---- */
+
+#define MANY 65000
+
+static struct fg_config *grown(unsigned int n)
+{
+	struct fg_config *c = fg_config_new();
+
+	for (unsigned int i = 0; i < n; i++) {
+		GString *s = g_string_new(NULL);
+
+		g_string_printf(
+			s,
+			"\"kind\":\"batch\",\"changes\":[{\"kind\":"
+			"\"adapter_add\",\"base\":\"base-%u\",\"adapter\":"
+			"\"school-menu-%05u\"},{\"kind\":\"version_add\","
+			"\"adapter\":\"school-menu-%05u\",\"version\":\"1\"},"
+			"{\"kind\":\"right_grant\",\"adapter\":"
+			"\"school-menu-%05u\",\"caller\":\"grower-%u\"}]",
+			i % 7, i, i, i, i % 300);
+		g_assert_true(apply(c, NULL, "%s", s->str));
+		g_string_free(s, TRUE);
+	}
+	return c;
+}
+
+static double change_us(struct fg_config *c)
+{
+	gint64 start = g_get_monotonic_time();
+	const int rounds = 2000;
+
+	for (int i = 0; i < rounds; i++) {
+		g_assert_true(apply(c, NULL,
+				    "\"kind\":\"version_add\",\"adapter\":"
+				    "\"school-menu-00001\",\"version\":\"t\""));
+		g_assert_true(apply(c, NULL,
+				    "\"kind\":\"version_remove\",\"adapter\":"
+				    "\"school-menu-00001\",\"version\":\"t\""));
+	}
+	return (double)(g_get_monotonic_time() - start) / (2.0 * rounds);
+}
+
+/* Heap in use; the sanitizers replace malloc(), and it is 0 then. */
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static void test_size(void)
+{
+	size_t before = heap_bytes();
+	struct fg_config *c = grown(MANY);
+	size_t after = heap_bytes();
+	struct fg_config *few = grown(100);
+	size_t bytes = (after - before) / MANY;
+	double large_us = change_us(c);
+	double small_us = change_us(few);
+	g_autoptr(GPtrArray) parts = fg_config_snapshot_parts(c, PART_BYTES);
+	g_autofree char *whole = fg_config_snapshot(c);
+	g_autofree char *copied = NULL;
+	struct fg_config_load *l = fg_config_load_new();
+	struct fg_config *copy = fg_config_new();
+
+	g_test_message("%zu bytes an adapter, %u parts, a change takes "
+		       "%.1f us at %d adapters and %.1f us at 100",
+		       bytes, parts->len, large_us, MANY, small_us);
+	g_assert_cmpuint(bytes, <, 320);
+	g_assert_cmpfloat(large_us, <, 20 * small_us);
+	for (guint i = 0; i < parts->len; i++) {
+		const char *part = g_ptr_array_index(parts, i);
+
+		g_assert_cmpuint(strlen(part), <=, PART_BYTES);
+		g_assert_false(fg_config_load_complete(l));
+		g_assert_true(fg_config_load_part(l, part, NULL));
+	}
+	g_assert_true(fg_config_load_complete(l));
+	fg_config_load_finish(l, copy);
+	copied = fg_config_snapshot(copy);
+	g_assert_cmpstr(whole, ==, copied);
+	fg_config_free(c);
+	fg_config_free(few);
+	fg_config_free(copy);
+}
+
+static void test_parts_in_order(void)
+{
+	struct fg_config *c = grown(2000);
+	g_autoptr(GPtrArray) parts = fg_config_snapshot_parts(c, PART_BYTES);
+	struct fg_config_load *l = fg_config_load_new();
+
+	g_assert_cmpuint(parts->len, >, 2);
+	g_assert_false(fg_config_load_part(l, parts->pdata[1], NULL));
+	g_assert_true(fg_config_load_part(l, parts->pdata[0], NULL));
+	g_assert_false(fg_config_load_part(l, parts->pdata[0], NULL));
+	g_assert_false(fg_config_load_part(l, parts->pdata[2], NULL));
+	g_assert_true(fg_config_load_part(l, parts->pdata[1], NULL));
+	fg_config_load_free(l);
+	fg_config_free(c);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config/resolve", test_resolve);
+	g_test_add_func("/config/numbers", test_numbers_never_reused);
+	g_test_add_func("/config/presets_services", test_presets_services);
+	g_test_add_func("/config/refused", test_refused);
+	g_test_add_func("/config/names", test_names);
+	g_test_add_func("/config/format", test_format);
+	g_test_add_func("/config/batch", test_batch);
+	g_test_add_func("/config/random_equal", test_random_equal);
+	g_test_add_func("/config/damaged", test_damaged);
+	g_test_add_func("/config/only_upwards", test_restore_only_upwards);
+	g_test_add_func("/config/size", test_size);
+	g_test_add_func("/config/parts_in_order", test_parts_in_order);
+	return g_test_run();
+}
