Stand-ins for the platform, model engines and plain services

The parts of the system need something to talk to that follows docs/PROTOCOL.md and fails on request.

Each stand-in has one thread per connection with a small stack, so that handlers may block; the engine has one batch thread more, which sleeps when nothing runs. A suspend/resume design was ruled out: handlers would have to be split at every wait, for processes that see some hundred connections.

A leaving endpoint goes on taking work for a time, so that work which comes too late is run and recorded, not hidden.

Tried by hand with curl on loopback: transactions and conflicts, scans, objects, load, fencing, run, truncated and crossed answers, a dropped filing answer, clean exit on SIGTERM.

--- /dev/null
+++ b/standin/common/si_announce.c
@@ -0,0 +1,122 @@
+#include "common/si_announce.h"
+
+#include "common/si_client.h"
+#include "common/si_fault.h"
+#include "common/si_log.h"
+
+#define ANNOUNCE_EVERY_MS 500
+#define ANNOUNCE_TIMEOUT_MS 2000
+
+struct si_announce {
+	struct si_proc *proc;
+	GThread *thread;
+	GMutex lock;
+	GCond changed;
+	bool stop;
+	fg_ms leaving_since; /* 0: not leaving */
+	bool news;	     /* announce at once */
+};
+
+static json_t *describe(struct si_announce *announce, bool leaving)
+{
+	const struct si_conf *conf = &announce->proc->conf;
+	bool engine = announce->proc->program->kind == SI_ENGINE;
+
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "name",
+			 conf->name, "kind", engine ? "engine" : "plain",
+			 "addr", conf->listen, "rpc", "", "region",
+			 conf->region, "dc", conf->dc, "service", conf->service,
+			 "state", leaving ? "leaving" : "live");
+}
+
+static void announce_once(struct si_announce *announce, CURL *curl,
+			  bool leaving)
+{
+	json_t *body = describe(announce, leaving);
+
+	si_client_post(announce->proc, curl, announce->proc->conf.platform,
+		       "/instances/announce", body, ANNOUNCE_TIMEOUT_MS);
+	json_decref(body);
+}
+
+/* Waits for the next announcement; returns false when the process stops. */
+static bool wait_for_next(struct si_announce *announce, bool *leaving)
+{
+	gint64 end = si_wait_until(ANNOUNCE_EVERY_MS);
+	bool stop;
+
+	g_mutex_lock(&announce->lock);
+	while (!announce->stop && !announce->news)
+		if (!g_cond_wait_until(&announce->changed, &announce->lock,
+				       end))
+			break;
+	announce->news = false;
+	*leaving = announce->leaving_since != 0;
+	stop = announce->stop;
+	g_mutex_unlock(&announce->lock);
+	return !stop;
+}
+
+static void *announce_loop(void *arg)
+{
+	struct si_announce *announce = arg;
+	CURL *curl = curl_easy_init();
+	bool leaving = false;
+
+	do {
+		if (!si_fault_thawed(announce->proc->fault))
+			break;
+		announce_once(announce, curl, leaving);
+	} while (wait_for_next(announce, &leaving));
+	curl_easy_cleanup(curl);
+	return NULL;
+}
+
+struct si_announce *si_announce_start(struct si_proc *proc)
+{
+	struct si_announce *announce = g_new0(struct si_announce, 1);
+
+	announce->proc = proc;
+	g_mutex_init(&announce->lock);
+	g_cond_init(&announce->changed);
+	announce->thread = g_thread_new("announce", announce_loop, announce);
+	return announce;
+}
+
+void si_announce_leave(struct si_announce *announce)
+{
+	g_mutex_lock(&announce->lock);
+	if (announce->leaving_since == 0) {
+		announce->leaving_since = fg_clock_now();
+		announce->news = true;
+		g_cond_broadcast(&announce->changed);
+		si_log_event(announce->proc->log, "leaving", json_object());
+	}
+	g_mutex_unlock(&announce->lock);
+}
+
+fg_ms si_announce_leaving_ms(struct si_announce *announce)
+{
+	fg_ms since;
+
+	if (!announce)
+		return -1;
+	g_mutex_lock(&announce->lock);
+	since = announce->leaving_since;
+	g_mutex_unlock(&announce->lock);
+	return since == 0 ? -1 : fg_clock_now() - since;
+}
+
+void si_announce_stop(struct si_announce *announce)
+{
+	if (!announce)
+		return;
+	g_mutex_lock(&announce->lock);
+	announce->stop = true;
+	g_cond_broadcast(&announce->changed);
+	g_mutex_unlock(&announce->lock);
+	g_thread_join(announce->thread);
+	g_mutex_clear(&announce->lock);
+	g_cond_clear(&announce->changed);
+	g_free(announce);
+}
--- /dev/null
+++ b/standin/common/si_fault.c
@@ -0,0 +1,224 @@
+#include "common/si_fault.h"
+
+#include <string.h>
+
+#include "common/si_http.h"
+
+#define COUNT_UNLIMITED (-1)
+
+struct si_fault {
+	struct si_proc *proc;
+	GMutex lock;
+	fg_ms outage_until;
+	fg_ms frozen_until;
+	int64_t slow_ms;
+	int64_t slow_count; /* COUNT_UNLIMITED until it is set anew */
+	int64_t drop_count;
+	char *drop_path;     /* "" for any */
+	GHashTable *cut_off; /* set of instance names */
+	int64_t counted[SI_COUNTED_COUNT];
+};
+
+struct si_fault *si_fault_new(struct si_proc *proc)
+{
+	struct si_fault *fault = g_new0(struct si_fault, 1);
+
+	fault->proc = proc;
+	g_mutex_init(&fault->lock);
+	fault->drop_path = g_strdup("");
+	fault->cut_off =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return fault;
+}
+
+void si_fault_free(struct si_fault *fault)
+{
+	if (!fault)
+		return;
+	g_hash_table_destroy(fault->cut_off);
+	g_free(fault->drop_path);
+	g_mutex_clear(&fault->lock);
+	g_free(fault);
+}
+
+static void op_outage(struct si_fault *fault, json_t *body)
+{
+	fault->outage_until = fg_clock_now() + si_field_int(body, "ms", 0);
+}
+
+static void op_slow(struct si_fault *fault, json_t *body)
+{
+	fault->slow_ms = si_field_int(body, "ms", 0);
+	fault->slow_count = si_field_int(body, "count", COUNT_UNLIMITED);
+}
+
+static void op_drop_answer(struct si_fault *fault, json_t *body)
+{
+	fault->drop_count = si_field_int(body, "count", 1);
+	g_free(fault->drop_path);
+	fault->drop_path = g_strdup(si_field_str(body, "path"));
+}
+
+static void op_cut(struct si_fault *fault, json_t *body)
+{
+	g_hash_table_add(fault->cut_off, g_strdup(si_field_str(body, "name")));
+}
+
+static void op_heal(struct si_fault *fault, json_t *body)
+{
+	g_hash_table_remove(fault->cut_off, si_field_str(body, "name"));
+}
+
+static void op_crash(struct si_fault *fault, json_t *body)
+{
+	(void)fault;
+	(void)body;
+	si_proc_crash();
+}
+
+static void op_freeze(struct si_fault *fault, json_t *body)
+{
+	fault->frozen_until = fg_clock_now() + si_field_int(body, "ms", 0);
+}
+
+static void op_truncate(struct si_fault *fault, json_t *body)
+{
+	fault->counted[SI_TRUNCATE] = si_field_int(body, "count", 1);
+}
+
+static void op_garble(struct si_fault *fault, json_t *body)
+{
+	fault->counted[SI_GARBLE] = si_field_int(body, "count", 1);
+}
+
+static void op_refuse(struct si_fault *fault, json_t *body)
+{
+	fault->counted[SI_REFUSE] = si_field_int(body, "count", 1);
+}
+
+static void op_fail_load(struct si_fault *fault, json_t *body)
+{
+	fault->counted[SI_FAIL_LOAD] = si_field_int(body, "count", 1);
+}
+
+#define ANY_KIND (SI_PLATFORM | SI_ENGINE | SI_PLAIN)
+
+static const struct {
+	const char *name;
+	uint32_t kinds; /* enum si_kind */
+	void (*fn)(struct si_fault *fault, json_t *body);
+} ops[] = {
+	{ "outage", SI_PLATFORM, op_outage },
+	{ "slow", ANY_KIND, op_slow },
+	{ "drop_answer", ANY_KIND, op_drop_answer },
+	{ "cut", SI_PLATFORM, op_cut },
+	{ "heal", SI_PLATFORM, op_heal },
+	{ "crash", SI_ENGINE | SI_PLAIN, op_crash },
+	{ "freeze", SI_ENGINE | SI_PLAIN, op_freeze },
+	{ "truncate", SI_ENGINE | SI_PLAIN, op_truncate },
+	{ "garble", SI_ENGINE | SI_PLAIN, op_garble },
+	{ "refuse", SI_ENGINE | SI_PLAIN, op_refuse },
+	{ "fail_load", SI_ENGINE, op_fail_load },
+};
+
+bool si_fault_op(struct si_fault *fault, const char *op, json_t *body)
+{
+	uint32_t kind = fault->proc->program->kind;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ops); i++) {
+		if (strcmp(ops[i].name, op) != 0 || !(ops[i].kinds & kind))
+			continue;
+		g_mutex_lock(&fault->lock);
+		ops[i].fn(fault, body);
+		g_mutex_unlock(&fault->lock);
+		return true;
+	}
+	return false;
+}
+
+static fg_ms frozen_left_ms(struct si_fault *fault)
+{
+	fg_ms left;
+
+	g_mutex_lock(&fault->lock);
+	left = fault->frozen_until - fg_clock_now();
+	g_mutex_unlock(&fault->lock);
+	return left;
+}
+
+bool si_fault_thawed(struct si_fault *fault)
+{
+	fg_ms left;
+
+	while ((left = frozen_left_ms(fault)) > 0)
+		if (!si_proc_sleep(fault->proc, left))
+			return false;
+	return true;
+}
+
+bool si_fault_before_run(struct si_fault *fault, const char *instance)
+{
+	bool cut_off;
+
+	if (!si_fault_thawed(fault))
+		return false;
+	g_mutex_lock(&fault->lock);
+	cut_off = g_hash_table_contains(fault->cut_off, instance);
+	g_mutex_unlock(&fault->lock);
+	return !cut_off;
+}
+
+static int64_t take_delay_ms(struct si_fault *fault)
+{
+	if (fault->slow_ms <= 0 || fault->slow_count == 0)
+		return 0;
+	if (fault->slow_count > 0)
+		fault->slow_count--;
+	return fault->slow_ms;
+}
+
+static bool take_drop(struct si_fault *fault, const char *path)
+{
+	if (fault->drop_count <= 0)
+		return false;
+	if (*fault->drop_path && strcmp(fault->drop_path, path) != 0)
+		return false;
+	fault->drop_count--;
+	return true;
+}
+
+bool si_fault_before_answer(struct si_fault *fault, const char *path)
+{
+	int64_t delay_ms;
+	bool drop;
+
+	g_mutex_lock(&fault->lock);
+	delay_ms = take_delay_ms(fault);
+	drop = take_drop(fault, path);
+	g_mutex_unlock(&fault->lock);
+	if (delay_ms > 0 && !si_proc_sleep(fault->proc, delay_ms))
+		return false;
+	return si_fault_thawed(fault) && !drop;
+}
+
+bool si_fault_outage(struct si_fault *fault)
+{
+	bool outage;
+
+	g_mutex_lock(&fault->lock);
+	outage = fg_clock_now() < fault->outage_until;
+	g_mutex_unlock(&fault->lock);
+	return outage;
+}
+
+bool si_fault_take(struct si_fault *fault, enum si_counted which)
+{
+	bool taken;
+
+	g_mutex_lock(&fault->lock);
+	taken = fault->counted[which] > 0;
+	if (taken)
+		fault->counted[which]--;
+	g_mutex_unlock(&fault->lock);
+	return taken;
+}
--- /dev/null
+++ b/standin/common/si_log.c
@@ -0,0 +1,93 @@
+#include "common/si_log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/fg_clock.h"
+
+#define LOG_MEMORY_MAX_BYTES ((size_t)64 << 20)
+
+struct si_log {
+	GMutex lock;
+	char *who;
+	GString *text;
+	int fd; /* -1: no file */
+};
+
+struct si_log *si_log_new(const char *who, const char *path)
+{
+	struct si_log *log;
+	int fd = -1;
+
+	if (*path) {
+		fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+			  0644);
+		if (fd < 0) {
+			fprintf(stderr, "%s: %s\n", path, strerror(errno));
+			return NULL;
+		}
+	}
+	log = g_new0(struct si_log, 1);
+	g_mutex_init(&log->lock);
+	log->who = g_strdup(who);
+	log->text = g_string_new(NULL);
+	log->fd = fd;
+	return log;
+}
+
+void si_log_free(struct si_log *log)
+{
+	if (!log)
+		return;
+	if (log->fd >= 0)
+		close(log->fd);
+	g_string_free(log->text, TRUE);
+	g_free(log->who);
+	g_mutex_clear(&log->lock);
+	g_free(log);
+}
+
+static void write_line(struct si_log *log, const char *line)
+{
+	size_t len_bytes = strlen(line);
+
+	if (log->text->len + len_bytes <= LOG_MEMORY_MAX_BYTES)
+		g_string_append_len(log->text, line, (gssize)len_bytes);
+	if (log->fd >= 0 && write(log->fd, line, len_bytes) < 0)
+		fprintf(stderr, "history: %s\n", strerror(errno));
+}
+
+void si_log_event(struct si_log *log, const char *ev, json_t *fields)
+{
+	json_t *event;
+	char *text;
+	char *line;
+
+	g_mutex_lock(&log->lock);
+	event = json_pack("{s:I, s:s, s:s}", "t", (json_int_t)fg_clock_now(),
+			  "who", log->who, "ev", ev);
+	json_object_update(event, fields);
+	text = json_dumps(event, JSON_COMPACT);
+	line = g_strconcat(text, "\n", NULL);
+	write_line(log, line);
+	g_mutex_unlock(&log->lock);
+	g_free(line);
+	free(text);
+	json_decref(event);
+	json_decref(fields);
+}
+
+char *si_log_text(struct si_log *log)
+{
+	char *copy;
+
+	g_mutex_lock(&log->lock);
+	copy = g_strdup(log->text->str);
+	g_mutex_unlock(&log->lock);
+	return copy;
+}
--- /dev/null
+++ b/standin/engine/si_stream.c
@@ -0,0 +1,285 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/si_announce.h"
+#include "common/si_fault.h"
+#include "engine/si_engine.h"
+
+#define STREAM_BLOCK_BYTES 8192
+#define PARTNER_WAIT_MS 2000
+
+/* An answer on its way out. */
+struct stream {
+	struct si_engine *e;
+	struct si_run *own;   /* of this connection */
+	struct si_run *shown; /* whose answer goes out; own but for crossing */
+	uint32_t next;	      /* token to write */
+	GString *pending;     /* bytes not yet handed over */
+	bool last;	      /* nothing comes after pending */
+	bool broken;	      /* then the connection breaks off */
+};
+
+static void append_json(GString *out, json_t *line)
+{
+	char *text = json_dumps(line, JSON_COMPACT);
+
+	g_string_append(out, text);
+	g_string_append_c(out, '\n');
+	free(text);
+	json_decref(line);
+}
+
+static void append_token(struct stream *s)
+{
+	const char *text = g_ptr_array_index(s->shown->tokens, s->next);
+
+	if (s->own->garble && s->next == s->own->max_tokens / 2)
+		g_string_append(s->pending, SI_GARBLE_TEXT "\n");
+	else
+		append_json(s->pending, json_pack("{s:i, s:s}", "i",
+						  (int)s->next, "t", text));
+	s->next++;
+}
+
+static void append_end(struct stream *s)
+{
+	const struct si_run *run = s->shown;
+
+	s->last = true;
+	if (run->cut) {
+		s->broken = true;
+		return;
+	}
+	if (run->error) {
+		append_json(s->pending,
+			    json_pack("{s:s}", "error", run->error));
+		return;
+	}
+	append_json(s->pending,
+		    json_pack("{s:b, s:s, s:s, s:s, s:i}", "end", 1, "id",
+			      run->id, "adapter", run->adapter, "version",
+			      run->version, "n", (int)run->tokens->len));
+}
+
+static bool is_over(const struct si_run *run)
+{
+	return run->state == SI_ENDED || run->state == SI_REFUSED;
+}
+
+/* Appends what is ready. Locked. */
+static void collect(struct stream *s)
+{
+	uint32_t stop_at =
+		s->own->truncate ? s->own->max_tokens / 2 : UINT32_MAX;
+
+	while (s->next < s->shown->tokens->len && s->next < stop_at)
+		append_token(s);
+	if (s->next >= stop_at) {
+		s->last = true;
+		s->broken = !s->own->truncate_clean;
+	} else if (is_over(s->shown)) {
+		append_end(s);
+	}
+}
+
+static ssize_t read_stream(void *arg, uint64_t pos, char *buf, size_t max)
+{
+	struct stream *s = arg;
+	size_t n;
+
+	(void)pos;
+	if (!si_fault_thawed(s->e->proc->fault))
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	g_mutex_lock(&s->e->lock);
+	while (s->pending->len == 0 && !s->last) {
+		collect(s);
+		if (s->pending->len == 0 && !s->last)
+			g_cond_wait(&s->shown->changed, &s->e->lock);
+	}
+	g_mutex_unlock(&s->e->lock);
+	n = s->pending->len < max ? s->pending->len : max;
+	if (n == 0)
+		return s->broken ? MHD_CONTENT_READER_END_WITH_ERROR
+				 : MHD_CONTENT_READER_END_OF_STREAM;
+	memcpy(buf, s->pending->str, n);
+	g_string_erase(s->pending, 0, (gssize)n);
+	return (ssize_t)n;
+}
+
+static void free_stream(void *arg)
+{
+	struct stream *s = arg;
+
+	g_mutex_lock(&s->e->lock);
+	si_run_unref(s->own);
+	si_run_unref(s->shown);
+	g_mutex_unlock(&s->e->lock);
+	g_string_free(s->pending, TRUE);
+	g_free(s);
+}
+
+/* Crossed runs refer to each other; this breaks the cycle. Locked. */
+static void drop_partner(struct si_run *run)
+{
+	struct si_run *shown = run->shown;
+
+	run->shown = NULL;
+	if (shown)
+		si_run_unref(shown);
+}
+
+/* The request is through; a caller that went away cancels it. */
+static void on_done(void *arg)
+{
+	struct si_run *run = arg;
+	struct si_engine *e = run->engine;
+
+	g_mutex_lock(&e->lock);
+	if (!run->shown)
+		si_batch_end(e, run, "caller_gone");
+	drop_partner(run);
+	si_run_unref(run);
+	g_mutex_unlock(&e->lock);
+}
+
+/* Pairs two answers, each of which goes to the other's caller. Locked. */
+static void cross(struct si_engine *e, struct si_run *run)
+{
+	struct si_run *first = e->cross_first;
+
+	if (!e->cross_armed)
+		return;
+	run->wants_partner = true;
+	if (!first) {
+		e->cross_first = run;
+		si_run_ref(run);
+		return;
+	}
+	run->shown = first; /* takes over the reference */
+	first->shown = run;
+	si_run_ref(run);
+	e->cross_first = NULL;
+	e->cross_armed = false;
+	g_cond_broadcast(&first->changed);
+}
+
+static void take_faults(struct si_engine *e, struct si_run *run)
+{
+	struct si_fault *fault = e->proc->fault;
+
+	run->garble = si_fault_take(fault, SI_GARBLE);
+	run->truncate = si_fault_take(fault, SI_TRUNCATE);
+	if (run->truncate)
+		run->truncate_clean = e->truncated++ % 2 == 0;
+}
+
+/* Waits until the run has started, or has been refused. Locked. */
+static void wait_for_start(struct si_engine *e, struct si_run *run)
+{
+	while (run->state == SI_QUEUED)
+		g_cond_wait(&run->changed, &e->lock);
+}
+
+static void wait_for_partner(struct si_engine *e, struct si_run *run)
+{
+	gint64 end = si_wait_until(PARTNER_WAIT_MS);
+
+	while (run->wants_partner && !run->shown && !e->stop)
+		if (!g_cond_wait_until(&run->changed, &e->lock, end))
+			break;
+}
+
+static bool refuses_new(struct si_engine *e)
+{
+	fg_ms leaving_ms = si_announce_leaving_ms(e->proc->announce);
+
+	return leaving_ms >= 0 && leaving_ms >= e->refuse_after_ms;
+}
+
+/* Queues the run and waits for its start; returns the reason why it is
+ * refused, or NULL. */
+static const char *admit(struct si_engine *e, struct si_run *run)
+{
+	const char *refused;
+
+	g_mutex_lock(&e->lock);
+	if (e->stop)
+		refused = "restarted";
+	else if (refuses_new(e))
+		refused = "leaving";
+	else
+		refused = si_batch_add(e, run);
+	if (!refused) {
+		take_faults(e, run);
+		cross(e, run);
+		wait_for_start(e, run);
+		if (run->state == SI_REFUSED)
+			refused = run->error;
+		else
+			wait_for_partner(e, run);
+	}
+	g_mutex_unlock(&e->lock);
+	return refused;
+}
+
+static enum MHD_Result answer_refused(struct si_req *req, const char *refused)
+{
+	if (strcmp(refused, "not_loaded") == 0)
+		return si_answer_error(req, 404, refused);
+	if (strcmp(refused, "full") == 0)
+		return si_answer_error(req, 429, refused);
+	if (strcmp(refused, "leaving") == 0)
+		return si_answer_error(req, 503, refused);
+	if (strcmp(refused, "restarted") == 0)
+		return si_close(req);
+	return si_answer_error(req, 200, refused);
+}
+
+static enum MHD_Result start_stream(struct si_req *req, struct si_engine *e,
+				    struct si_run *run)
+{
+	struct stream *s = g_new0(struct stream, 1);
+
+	s->e = e;
+	s->own = run;
+	s->pending = g_string_new(NULL);
+	g_mutex_lock(&e->lock);
+	s->shown = run->shown ? run->shown : run;
+	si_run_ref(run);
+	si_run_ref(s->shown);
+	g_mutex_unlock(&e->lock);
+	return si_answer_response(req, 200,
+				  MHD_create_response_from_callback(
+					  MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
+					  read_stream, s, free_stream));
+}
+
+/* An answer that is to be dropped takes its effect first. */
+static void wait_for_end(struct si_engine *e, struct si_run *run)
+{
+	g_mutex_lock(&e->lock);
+	while (!is_over(run))
+		g_cond_wait(&run->changed, &e->lock);
+	g_mutex_unlock(&e->lock);
+}
+
+enum MHD_Result si_stream_run(struct si_req *req)
+{
+	struct si_engine *e = si_engine_of(req);
+	struct si_run *run = si_run_new(req->body);
+	const char *refused;
+
+	if (!run)
+		return si_answer_error(req, 400, "bad_request");
+	run->engine = e;
+	req->on_done = on_done;
+	req->done_arg = run;
+	refused = admit(e, run);
+	if (refused)
+		return answer_refused(req, refused);
+	if (!si_fault_before_answer(req->proc->fault, req->path)) {
+		wait_for_end(e, run);
+		return si_close(req);
+	}
+	return start_stream(req, e, run);
+}
