Senders queue under the peer lock

The ring of Concurrency Kit was filled and drained with its own barriers, which the thread sanitizer cannot see, and its slots were allocated for each peer up front. Finding the sender takes the peer lock anyway, so the queue is now a list under that lock and costs an idle peer nothing. The counters stay with ck_pr. Creating clients is serialized: libtirpc makes its shared credentials without a lock and leaked one when two senders started at once. test_peer is clean under the address and thread sanitizers.

--- a/lib/peer/fg_peer.c
+++ b/lib/peer/fg_peer.c
@@ -8,9 +8,6 @@
 
 #include "peer/fg_peer_internal.h"
 
-#define QUEUE_MIN 16
-#define QUEUE_MAX 65536
-
 G_DEFINE_QUARK(fg - peer - error - quark, fg_peer_error)
 
 bool fg_peer_addr_parse(const char *text, struct fg_peer_addr *out)
@@ -79,15 +76,6 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
-static uint32_t round_up_queue(uint32_t n)
-{
-	uint32_t size = QUEUE_MIN;
-
-	while (size < n && size < QUEUE_MAX)
-		size *= 2;
-	return size;
-}
-
 static void peer_free(struct fg_peer *p)
 {
 	g_hash_table_destroy(p->senders);
@@ -113,7 +101,7 @@
 	p = g_new0(struct fg_peer, 1);
 	p->self = conf->self;
 	p->timeout_ms = conf->timeout_ms > 0 ? conf->timeout_ms : 1;
-	p->queue_max = round_up_queue(conf->queue_max);
+	p->queue_max = conf->queue_max > 0 ? conf->queue_max : 1;
 	p->receive = receive;
 	p->arg = arg;
 	pthread_mutex_init(&p->lock, NULL);
--- a/lib/peer/fg_peer_client.c
+++ b/lib/peer/fg_peer_client.c
@@ -12,7 +12,6 @@
  */
 #include <assert.h>
 #include <ck_pr.h>
-#include <ck_ring.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
@@ -36,9 +35,7 @@
 	struct fg_peer *p;
 	uint64_t id;
 	struct fg_peer_addr addr;
-	ck_ring_t ring; /* produced under fg_peer.lock, consumed by the thread
-			 */
-	ck_ring_buffer_t *slots;
+	GQueue queue; /* fg_msg, guarded by fg_peer.lock as the flags are */
 	pthread_cond_t wake;
 	bool running;  /* the thread exists */
 	bool sleeping; /* the thread waits for wake */
@@ -46,7 +43,6 @@
 
 	/* Used by the thread alone. */
 	CLIENT *client;
-	fg_msg *held; /* taken from the ring, did not fit the last batch */
 	fg_ms synced;
 	uint32_t unread; /* calls whose reply was not waited for */
 	uint32_t backoff_ms;
@@ -100,6 +96,19 @@
 	return fd;
 }
 
+/* libtirpc makes its shared credentials at the first client, without a lock. */
+static CLIENT *create_client(int fd, struct netbuf *raddr)
+{
+	static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+	CLIENT *client;
+
+	pthread_mutex_lock(&lock);
+	client = clnt_vc_create(fd, raddr, FG_PEER_PROG, FG_PEER_V1,
+				FG_PEER_RECORD_BYTES, RPC_RECEIVE_BYTES);
+	pthread_mutex_unlock(&lock);
+	return client;
+}
+
 static bool sender_connect(struct fg_sender *s)
 {
 	struct netbuf raddr = { .buf = &s->addr.sa,
@@ -112,8 +121,7 @@
 	fd = connect_socket(&s->addr, s->p->timeout_ms);
 	if (fd < 0)
 		return false;
-	s->client = clnt_vc_create(fd, &raddr, FG_PEER_PROG, FG_PEER_V1,
-				   FG_PEER_RECORD_BYTES, RPC_RECEIVE_BYTES);
+	s->client = create_client(fd, &raddr);
 	if (s->client == NULL) {
 		close(fd);
 		return false;
@@ -135,37 +143,26 @@
 
 /* ---- One exchange ---- */
 
-/* Takes the next message; ownership passes to the caller. */
-static fg_msg *sender_take(struct fg_sender *s)
-{
-	void *msg = s->held;
-
-	s->held = NULL;
-	if (msg == NULL && !ck_ring_dequeue_spsc(&s->ring, s->slots, &msg))
-		return NULL;
-	return msg;
-}
-
 /* Moves messages into batch up to its limits; returns their bytes. The
  * messages are moved by value, their shells are freed. */
 static size_t fill_batch(struct fg_sender *s, fg_batch *batch)
 {
 	size_t total_bytes = 0;
-	fg_msg *msg;
 
-	while (batch->msgs.msgs_len < FG_BATCH_MAX &&
-	       (msg = sender_take(s)) != NULL) {
-		size_t len_bytes = fg_msg_wire_bytes(msg);
+	pthread_mutex_lock(&s->p->lock);
+	while (batch->msgs.msgs_len < FG_BATCH_MAX) {
+		fg_msg *msg = g_queue_peek_head(&s->queue);
+		size_t len_bytes = msg != NULL ? fg_msg_wire_bytes(msg) : 0;
 
-		if (batch->msgs.msgs_len > 0 &&
-		    total_bytes + len_bytes > FG_PEER_BATCH_BYTES) {
-			s->held = msg;
+		if (msg == NULL ||
+		    (batch->msgs.msgs_len > 0 &&
+		     total_bytes + len_bytes > FG_PEER_BATCH_BYTES))
 			break;
-		}
 		total_bytes += len_bytes;
 		batch->msgs.msgs_val[batch->msgs.msgs_len++] = *msg;
-		free(msg);
+		free(g_queue_pop_head(&s->queue));
 	}
+	pthread_mutex_unlock(&s->p->lock);
 	return total_bytes;
 }
 
@@ -264,23 +261,19 @@
 	return ts;
 }
 
-static bool sender_empty(struct fg_sender *s)
-{
-	return s->held == NULL && ck_ring_size(&s->ring) == 0;
-}
-
 /* Waits for a message; false when the thread must end. */
 static bool sender_wait(struct fg_sender *s)
 {
 	struct timespec until = time_after(IDLE_MS);
 	int err = 0;
 
-	while (!s->gone && !s->p->stopping && sender_empty(s) && err == 0) {
+	while (!s->gone && !s->p->stopping && g_queue_is_empty(&s->queue) &&
+	       err == 0) {
 		s->sleeping = true;
 		err = pthread_cond_timedwait(&s->wake, &s->p->lock, &until);
 		s->sleeping = false;
 	}
-	return !s->gone && !s->p->stopping && !sender_empty(s);
+	return !s->gone && !s->p->stopping && !g_queue_is_empty(&s->queue);
 }
 
 /* Pauses after a failure, twice as long each time. */
@@ -304,12 +297,11 @@
 	fg_msg *msg;
 
 	assert(!s->running);
-	while ((msg = sender_take(s)) != NULL) {
+	while ((msg = g_queue_pop_head(&s->queue)) != NULL) {
 		ck_pr_add_64(&s->p->counters.dropped_msgs, 1);
 		fg_msg_free(msg);
 	}
 	pthread_cond_destroy(&s->wake);
-	g_free(s->slots);
 	g_free(s);
 }
 
@@ -370,8 +362,7 @@
 	s->p = p;
 	s->id = id;
 	s->addr = *addr;
-	s->slots = g_new0(ck_ring_buffer_t, p->queue_max);
-	ck_ring_init(&s->ring, p->queue_max);
+	g_queue_init(&s->queue);
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&s->wake, &attr);
@@ -398,8 +389,9 @@
 		if (!sender_start_thread(s))
 			return false;
 	}
-	if (!ck_ring_enqueue_spsc(&s->ring, s->slots, msg))
+	if (g_queue_get_length(&s->queue) >= p->queue_max)
 		return false;
+	g_queue_push_tail(&s->queue, msg);
 	if (s->sleeping)
 		pthread_cond_signal(&s->wake);
 	return true;
--- a/lib/peer/fg_peer_internal.h
+++ b/lib/peer/fg_peer_internal.h
@@ -29,7 +29,7 @@
 struct fg_peer {
 	uint64_t self;
 	uint32_t timeout_ms;
-	uint32_t queue_max; /* a power of two */
+	uint32_t queue_max;
 	fg_peer_receive receive;
 	void *arg;
 	struct fg_listener *listener;
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -1,6 +1,7 @@
 /* Unit tests of lib/peer: the transport, with several peers in one process. */
 #include <arpa/inet.h>
 #include <glib.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,7 +15,7 @@
 #define WAIT_MS 5000
 
 struct inbox {
-	GMutex lock;
+	pthread_mutex_t lock;
 	uint64_t n;
 	uint64_t last_seq;
 	uint64_t last_from;
@@ -27,7 +28,7 @@
 {
 	struct inbox *in = arg;
 
-	g_mutex_lock(&in->lock);
+	pthread_mutex_lock(&in->lock);
 	in->n++;
 	in->last_from = from;
 	in->last_at = fg_clock_now();
@@ -39,19 +40,26 @@
 	} else if (msg->body.type == FG_MSG_CONFIG_TELL) {
 		in->text_bytes += strlen(msg->body.fg_body_u.config_tell.text);
 	}
-	g_mutex_unlock(&in->lock);
+	pthread_mutex_unlock(&in->lock);
 }
 
 static uint64_t inbox_count(struct inbox *in)
 {
 	uint64_t n;
 
-	g_mutex_lock(&in->lock);
+	pthread_mutex_lock(&in->lock);
 	n = in->n;
-	g_mutex_unlock(&in->lock);
+	pthread_mutex_unlock(&in->lock);
 	return n;
 }
 
+static void inbox_reset(struct inbox *in)
+{
+	pthread_mutex_lock(&in->lock);
+	in->n = 0;
+	pthread_mutex_unlock(&in->lock);
+}
+
 static bool wait_count(struct inbox *in, uint64_t n)
 {
 	fg_ms until = fg_clock_now() + WAIT_MS;
@@ -173,7 +181,7 @@
 	g_assert_true(wait_count(&c, 1));
 	for (int round = 0; round < 2; round++) {
 		pb = start(2, 300, &b);
-		b.n = 0;
+		inbox_reset(&b);
 		while (inbox_count(&b) == 0 && fg_clock_now() < until) {
 			send_ping(pa, 2, ++seq);
 			g_usleep(20000);
