Raise an engine's fencing number at takeover by an order of its own

A new owner of an engine that checks fencing numbers must make its number known before it may trust the loaded set: until then an order of the last owner still passes. With all slots full there is no slot whose eviction is free, so an order that changes the role and nothing else carries the number.

--- a/lib/endpoint/fg_endpoint_http.c
+++ b/lib/endpoint/fg_endpoint_http.c
@@ -259,6 +259,19 @@
 	}
 }
 
+static const char *order_path(enum fg_order_kind kind)
+{
+	switch (kind) {
+	case FG_ORDER_LOAD:
+		return "/v1/load";
+	case FG_ORDER_EVICT:
+		return "/v1/evict";
+	case FG_ORDER_ROLE:
+		return "/v1/role";
+	}
+	return NULL;
+}
+
 static enum fg_order_status http_order(const struct fg_listed *ep,
 				       const struct fg_order *order)
 {
@@ -268,7 +281,7 @@
 	struct fg_http_call call = {
 		.method = "POST",
 		.addr = ep->addr,
-		.path = order->kind == FG_ORDER_LOAD ? "/v1/load" : "/v1/evict",
+		.path = order_path(order->kind),
 		.timeout_ms = order->timeout_ms,
 		.fresh = true,
 	};
@@ -279,6 +292,8 @@
 		json_object_set_new(o, "adapter", json_string(order->adapter));
 		json_object_set_new(o, "version", json_string(order->version));
 	}
+	if (order->kind == FG_ORDER_ROLE)
+		json_object_set_new(o, "role", json_string("serve"));
 	body = json_dumps(o, JSON_COMPACT);
 	call.body = body;
 	fg_http_do(&call, &answer);
--- a/lib/node/fg_node.h
+++ b/lib/node/fg_node.h
@@ -36,6 +36,9 @@
 	bool no_check;	     /* pass on answers unchecked */
 	bool no_config_push; /* learn revisions by nothing but polls */
 	bool blind_retry;    /* try again whatever may have run */
+	bool no_intent;	     /* order without an intent */
+	bool no_suspects;    /* never keep a request out */
+	bool no_isolation;   /* serve in any standing */
 };
 
 struct fg_node_conf {
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -47,7 +47,8 @@
 	struct fg_intent intents[FG_INTENTS_MAX]; /* of the last owner */
 	size_t n_intents;
 	bool checks_fence;
-	fg_ms state_asked; /* 0: none on its way */
+	uint64_t role_order; /* raises the engine's fence; 0: none sent */
+	fg_ms state_asked;   /* 0: none on its way */
 	fg_ms state_next;
 	fg_ms resident_next;
 	GPtrArray *loads; /* struct fg_pending_load */
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -175,6 +175,34 @@
 		fg_grants_leave(own->grants);
 }
 
+static uint64_t new_order_id(struct fg_node *n, const struct fg_own *own)
+{
+	/* Unique over all owners: the engine and the intents see it. */
+	uint64_t id = fg_hash_mix(own->fence, own->ep->id) >> 16 << 14;
+
+	return (id & INT64_MAX) | (n->next_order++ & 0x3fff);
+}
+
+/* Orders of the last owner pass until the engine has seen our fence. */
+static void raise_fence(struct fg_node *n, struct fg_own *own)
+{
+	struct fg_order_cmd cmd = {
+		.ep = own->ep->info,
+		.order = {
+			.kind = FG_ORDER_ROLE,
+			.fence = own->fence,
+			.timeout_ms = n->conf.order_timeout_ms,
+		},
+	};
+
+	if (own->role_order != 0 || !fg_grants_fence_wanted(own->grants) ||
+	    !may_act(n, own))
+		return;
+	own->role_order = new_order_id(n, own);
+	cmd.order.id = own->role_order;
+	n->io.order(n->io.arg, &cmd);
+}
+
 void fg_node_engine_state(struct fg_node *n, fg_ms now, uint64_t ep,
 			  fg_ms asked_at, const struct fg_engine_state *st)
 {
@@ -196,6 +224,7 @@
 			     n->config))
 		fg_node_event(n, "engine_restarted",
 			      json_pack("{s:s}", "ep", own->ep->info.name));
+	raise_fence(n, own);
 	fg_node_drain(n);
 }
 
@@ -371,6 +400,10 @@
 	n->now = now;
 	if (own == NULL)
 		return;
+	if (order_id == own->role_order) {
+		own->role_order = 0;
+		own->state_next = now;
+	}
 	load = find_load(own, order_id);
 	if (load == NULL)
 		return;
--- a/standin/engine/si_engine.h
+++ b/standin/engine/si_engine.h
@@ -124,6 +124,7 @@
 
 enum MHD_Result si_slots_load(struct si_req *req);
 enum MHD_Result si_slots_evict(struct si_req *req);
+enum MHD_Result si_slots_role(struct si_req *req);
 
 /* ---- si_batch ---- */
 
--- a/standin/engine/si_engine_main.c
+++ b/standin/engine/si_engine_main.c
@@ -132,6 +132,7 @@
 	{ "POST", "/v1/cancel", SI_JSON, cancel_run },
 	{ "POST", "/v1/load", SI_JSON, si_slots_load },
 	{ "POST", "/v1/evict", SI_JSON, si_slots_evict },
+	{ "POST", "/v1/role", SI_JSON, si_slots_role },
 	{ "GET", "/v1/state", 0, get_state },
 	{ "GET", "/v1/report", 0, get_report },
 	{ "GET", "/v1/events", 0, get_events },
--- a/standin/engine/si_slots.c
+++ b/standin/engine/si_slots.c
@@ -219,3 +219,20 @@
 		return answer_fenced(req, fence);
 	return si_answer(req, 200, json_pack("{s:b}", "ok", 1));
 }
+
+/* Changes no slot: an order that carries a fencing number and nothing else. */
+enum MHD_Result si_slots_role(struct si_req *req)
+{
+	struct si_engine *e = si_engine_of(req);
+	uint64_t asked = (uint64_t)si_field_int(req->body, "fence", 0);
+	uint64_t fence;
+	bool holds;
+
+	g_mutex_lock(&e->lock);
+	holds = fence_holds(e, asked);
+	fence = e->fence;
+	g_mutex_unlock(&e->lock);
+	if (!holds)
+		return answer_fenced(req, fence);
+	return si_answer(req, 200, json_pack("{s:b}", "ok", 1));
+}
