--- a/lib/endpoint/fg_endpoint.h
+++ b/lib/endpoint/fg_endpoint.h
@@ -75,7 +75,8 @@
 
 enum fg_order_kind {
 	FG_ORDER_LOAD = 1,
-	FG_ORDER_EVICT = 2
+	FG_ORDER_EVICT = 2,
+	FG_ORDER_ROLE = 3, /* changes no slot, raises the fencing number */
 };
 
 /* An order to an engine, given by its owner alone. */
