fg-load: sends requests to entry instances and checks every answer

Callers need a reference of what docs/PROTOCOL.md asks of them, and the demo and the experiments need load whose answers are checked token by token.

The plan of requests follows from one seed, whatever the answers are. Each attempt has a request id of its own, so that a history can tell a first attempt that was answered NOT_RUN from the second one that ran; one id for all attempts was ruled out for that reason. A filing goes out again only after NOT_RUN or when no byte reached an instance; repeatable work also when its connection broke.

--- /dev/null
+++ b/programs/fg-load/fl_check.c
@@ -0,0 +1,156 @@
+#include "fl_check.h"
+
+#include <string.h>
+
+#include "base/fg_rand.h"
+
+static const char *text_of(json_t *obj, const char *name)
+{
+	const char *s = json_string_value(json_object_get(obj, name));
+
+	return s ? s : "";
+}
+
+static uint32_t number_of(json_t *obj, const char *name)
+{
+	return (uint32_t)json_integer_value(json_object_get(obj, name));
+}
+
+static char *expected_text(const struct fl_req *req, const char *version,
+			   uint32_t tokens)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < tokens; i++) {
+		char *seed = g_strdup_printf("%s@%s|%s|%u", req->adapter,
+					     version, req->prompt, i);
+
+		g_string_append_printf(text, "%s@%s:%u:%08x ", req->adapter,
+				       version, i, (uint32_t)fg_hash_str(seed));
+		g_free(seed);
+	}
+	return g_string_free(text, FALSE);
+}
+
+static bool generation_is_whole(const struct fl_conf *conf,
+				const struct fl_req *req, json_t *last,
+				const char *streamed)
+{
+	const char *version = text_of(last, "version");
+	json_t *text = json_object_get(last, "text");
+	char *expected;
+	bool ok;
+
+	if (strcmp(text_of(last, "adapter"), req->adapter) != 0 ||
+	    (*req->version && strcmp(version, req->version) != 0) ||
+	    number_of(last, "tokens") != conf->max_tokens)
+		return false;
+	expected = expected_text(req, version, conf->max_tokens);
+	ok = text || *streamed;
+	if (text)
+		ok = ok && g_strcmp0(json_string_value(text), expected) == 0;
+	if (conf->streamed[req->cls])
+		ok = ok && strcmp(streamed, expected) == 0;
+	g_free(expected);
+	return ok;
+}
+
+static bool filing_is_whole(const struct fl_req *req, json_t *last)
+{
+	json_t *body = json_object_get(last, "body");
+	char receipt[9];
+
+	g_snprintf(receipt, sizeof(receipt), "%08x",
+		   (uint32_t)fg_hash_str(req->key));
+	return strcmp(text_of(body, "filed"), req->key) == 0 &&
+	       strcmp(text_of(body, "receipt"), receipt) == 0;
+}
+
+static bool status_is_whole(const struct fl_req *req, json_t *last)
+{
+	json_t *body = json_object_get(last, "body");
+
+	return strcmp(text_of(body, "key"), req->key) == 0 &&
+	       json_is_boolean(json_object_get(body, "filed"));
+}
+
+static bool is_whole(const struct fl_conf *conf, const struct fl_req *req,
+		     json_t *last, const char *streamed)
+{
+	switch (req->cls) {
+	case FG_CLASS_FILING:
+		return filing_is_whole(req, last);
+	case FG_CLASS_STATUS:
+		return status_is_whole(req, last);
+	default:
+		return generation_is_whole(conf, req, last, streamed);
+	}
+}
+
+static bool parse_outcome(const char *name, enum fg_outcome *out)
+{
+	for (int o = FG_DONE; o <= FG_UNKNOWN; o++)
+		if (strcmp(name, fg_outcome_name((enum fg_outcome)o)) == 0) {
+			*out = (enum fg_outcome)o;
+			return true;
+		}
+	return false;
+}
+
+/* Takes the pieces of a stream; returns its last line, or NULL. */
+static json_t *read_lines(const char *body, GString *streamed)
+{
+	char **lines = g_strsplit(body, "\n", 0);
+	json_t *last = NULL;
+
+	for (char **line = lines; *line && !last; line++) {
+		json_t *obj = json_loads(*line, 0, NULL);
+
+		if (json_object_get(obj, "outcome"))
+			last = json_incref(obj);
+		else
+			g_string_append(streamed, text_of(obj, "t"));
+		json_decref(obj);
+	}
+	g_strfreev(lines);
+	return last;
+}
+
+void fl_check_answer(const struct fl_conf *conf, const struct fl_req *req,
+		     const char *body, struct fl_answer *out)
+{
+	GString *streamed = g_string_new(NULL);
+	json_t *last = read_lines(body, streamed);
+	json_t *text = json_object_get(last, "text");
+
+	memset(out, 0, sizeof(*out));
+	out->outcome = FG_UNKNOWN;
+	out->readable = parse_outcome(text_of(last, "outcome"), &out->outcome);
+	out->reason = g_strdup(text_of(last, "reason"));
+	out->version = g_strdup(text_of(last, "version"));
+	out->address = g_strdup(text_of(last, "address"));
+	out->text = g_strdup(text ? text_of(last, "text") : streamed->str);
+	out->tokens = number_of(last, "tokens");
+	out->retry_after_ms = number_of(last, "retry_after_ms");
+	out->replayed = json_is_true(json_object_get(last, "replayed"));
+	out->whole = out->readable && out->outcome == FG_DONE &&
+		     is_whole(conf, req, last, streamed->str);
+	if (!fl_is_generation(req->cls) && json_object_get(last, "body")) {
+		char *dump =
+			json_dumps(json_object_get(last, "body"), JSON_COMPACT);
+
+		g_free(out->text);
+		out->text = g_strdup(dump);
+		free(dump);
+	}
+	json_decref(last);
+	g_string_free(streamed, TRUE);
+}
+
+void fl_answer_clear(struct fl_answer *answer)
+{
+	g_free(answer->reason);
+	g_free(answer->version);
+	g_free(answer->text);
+	g_free(answer->address);
+}
--- /dev/null
+++ b/programs/fg-load/fl_http.h
@@ -0,0 +1,31 @@
+/*
+ * fl_http - requests to an entry instance through libcurl.
+ */
+#ifndef FL_HTTP_H
+#define FL_HTTP_H
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct fl_http_result {
+	uint32_t status; /* 0: no whole answer */
+	bool not_sent;	 /* with status 0: nothing reached the other side */
+	GString *body;
+};
+
+struct fl_http_headers {
+	const char *caller;
+	const char *request_id;
+	const char *key; /* NULL for none */
+};
+
+void fl_http_get(CURL *curl, const char *addr, const char *path,
+		 uint32_t timeout_ms, struct fl_http_result *res);
+void fl_http_post(CURL *curl, const char *addr, const char *path,
+		  const struct fl_http_headers *headers, const char *body,
+		  uint32_t timeout_ms, struct fl_http_result *res);
+void fl_http_result_clear(struct fl_http_result *res);
+
+#endif
--- /dev/null
+++ b/programs/fg-load/fl_main.c
@@ -0,0 +1,109 @@
+/*
+ * fg-load - sends requests to entry instances and checks every answer.
+ *
+ * One thread plans the requests and gives them out when they are due, workers
+ * send them. Exits with 0 when no answer that was DONE lacked anything.
+ */
+#include <stdio.h>
+
+#include "fl_send.h"
+
+struct worker {
+	struct fl_sender *sender;
+	GAsyncQueue *queue;
+	GThread *thread;
+};
+
+/* Ends a worker when it comes out of the queue. */
+static struct fl_req end_mark;
+
+static void *work(void *arg)
+{
+	struct worker *worker = arg;
+	CURL *curl = curl_easy_init();
+	struct fl_req *req;
+
+	while ((req = g_async_queue_pop(worker->queue)) != &end_mark) {
+		if (req->due == 0)
+			req->due = fg_clock_now();
+		fl_send(worker->sender, curl, req);
+		fl_req_free(req);
+	}
+	curl_easy_cleanup(curl);
+	return NULL;
+}
+
+static void sleep_until(fg_ms t)
+{
+	fg_ms left = t - fg_clock_now();
+
+	if (left > 0)
+		g_usleep((gulong)left * 1000);
+}
+
+/* Without a rate `due` stays 0 and counts from when a worker is free. */
+static void give_out(const struct fl_conf *conf, GAsyncQueue *queue)
+{
+	struct fl_plan *plan = fl_plan_new(conf);
+	fg_ms begin = fg_clock_now();
+
+	for (uint32_t i = 0; i < conf->requests; i++) {
+		struct fl_req *req = fl_plan_next(plan);
+
+		if (conf->rate_per_s > 0) {
+			req->due = begin +
+				   (fg_ms)(i * FG_MS_PER_S / conf->rate_per_s);
+			sleep_until(req->due);
+		}
+		g_async_queue_push(queue, req);
+	}
+	fl_plan_free(plan);
+}
+
+static void run(struct fl_sender *sender)
+{
+	const struct fl_conf *conf = sender->conf;
+	struct worker *workers = g_new0(struct worker, conf->workers);
+	GAsyncQueue *queue = g_async_queue_new();
+
+	for (uint32_t i = 0; i < conf->workers; i++) {
+		workers[i].sender = sender;
+		workers[i].queue = queue;
+		workers[i].thread = g_thread_new("worker", work, &workers[i]);
+	}
+	give_out(conf, queue);
+	for (uint32_t i = 0; i < conf->workers; i++)
+		g_async_queue_push(queue, &end_mark);
+	for (uint32_t i = 0; i < conf->workers; i++)
+		g_thread_join(workers[i].thread);
+	g_async_queue_unref(queue);
+	g_free(workers);
+}
+
+int main(int argc, char **argv)
+{
+	struct fl_conf conf;
+	struct fl_sender sender = { .conf = &conf };
+	uint32_t broken = 0;
+	fg_ms begin;
+	bool ok;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	ok = fl_conf_parse(&conf, argc, argv);
+	if (ok) {
+		sender.record = fl_record_new(&conf);
+		ok = sender.record != NULL;
+	}
+	if (ok) {
+		sender.addr = fl_addr_new(&conf);
+		begin = fg_clock_now();
+		run(&sender);
+		broken = fl_record_summary(sender.record,
+					   fg_clock_now() - begin);
+		fl_addr_free(sender.addr);
+		fl_record_free(sender.record);
+	}
+	fl_conf_clear(&conf);
+	curl_global_cleanup();
+	return ok && broken == 0 ? 0 : 1;
+}
