Membership: leases, pings, standing

Which instances live, and whether this one may act, decides ownership and configuration. Lease rows in the table are the authority; pings and hints only bring forward the next read of one row.

The first plan let an instance take over once a lease had lapsed and a majority was in sight. Ruled out: a holder that keeps acting through a store outage with a majority of its own can then overlap with a taker that regained the store a moment ago, since the news reaches the holder late. So the lease row itself is deleted first, by compare-and-set, and only after more than a third of the region has acknowledged that the store answers and reach_ms have passed; holding on needs two thirds. More than half for both was ruled out because a region whose instances were all replaced could then not recover. Pings carry when others were heard to reach the platform, one hop only: ages that are passed on further creep upwards by each hop's delay.

--- /dev/null
+++ b/lib/member/fg_member.c
@@ -0,0 +1,353 @@
+/* Life cycle, tick, the platform's list, and questions to the membership. */
+#include "member/fg_member.h"
+
+#include <string.h>
+
+#include "member/fg_member_internal.h"
+
+#define LIST_BYTES 220 /* of one entry of the list in an answer, about */
+
+void fg_member_conf_defaults(struct fg_member_conf *conf)
+{
+	conf->boot = 0;
+	conf->renew_ms = 4000;
+	conf->lease_ms = 12000;
+	conf->scan_ms = 3000;
+	conf->list_ms = 5000;
+	conf->ping_ms = 1000;
+	conf->suspect_ms = 3000;
+	conf->confirm_ms = 6000;
+	conf->fanout = 4;
+	conf->own_lease_ms = 0;
+	conf->reach_ms = 0;
+	conf->survey_ms = 0;
+	conf->pause_ms = 0;
+}
+
+static void derive(struct fg_member_conf *c)
+{
+	if (c->own_lease_ms == 0)
+		c->own_lease_ms = c->lease_ms - c->lease_ms / 6;
+	if (c->reach_ms == 0)
+		c->reach_ms = c->lease_ms * 2 / 3;
+	if (c->survey_ms == 0)
+		c->survey_ms = c->reach_ms * 2 / 5;
+	if (c->pause_ms == 0)
+		c->pause_ms = 1000;
+	g_assert(c->own_lease_ms < c->lease_ms);
+	g_assert(c->survey_ms > 0 && 2 * c->survey_ms <= c->reach_ms);
+	g_assert(c->renew_ms > 0 && c->renew_ms < c->own_lease_ms);
+}
+
+struct fg_member *fg_member_new(const struct fg_member_conf *conf,
+				uint64_t seed)
+{
+	struct fg_member *m = g_new0(struct fg_member, 1);
+
+	m->conf = *conf;
+	m->conf.self.id = fg_hash_str(conf->self.name);
+	derive(&m->conf);
+	g_snprintf(m->key, sizeof(m->key), FG_MEMBER_PREFIX "%s",
+		   conf->self.name);
+	fg_rand_seed(&m->rand, seed);
+	m->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 g_free);
+	m->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				       g_free);
+	m->ring = g_ptr_array_new();
+	m->standing = FG_STANDING_JOINING;
+	return m;
+}
+
+void fg_member_free(struct fg_member *m)
+{
+	if (m == NULL)
+		return;
+	g_ptr_array_free(m->ring, TRUE);
+	g_hash_table_destroy(m->ops);
+	g_hash_table_destroy(m->peers);
+	g_free(m);
+}
+
+struct fg_peer_entry *fg_member_entry(struct fg_member *m, uint64_t id)
+{
+	return g_hash_table_lookup(m->peers, &id);
+}
+
+void fg_member_emit_act(struct fg_member *m, enum fg_member_act_type type,
+			uint64_t to)
+{
+	struct fg_member_act act = { .type = type, .to = to };
+
+	m->emit(m->arg, &act);
+}
+
+bool fg_member_same_region(const struct fg_member *m,
+			   const struct fg_peer_entry *e)
+{
+	return strcmp(e->view.info.region, m->conf.self.region) == 0;
+}
+
+/* ---- Tick ---- */
+
+static int by_order(gconstpointer a, gconstpointer b)
+{
+	const struct fg_peer_entry *x = *(const struct fg_peer_entry *const *)a;
+	const struct fg_peer_entry *y = *(const struct fg_peer_entry *const *)b;
+
+	return (x->order > y->order) - (x->order < y->order);
+}
+
+static void rebuild_ring(struct fg_member *m)
+{
+	GHashTableIter it;
+	void *value;
+
+	if (!m->ring_stale)
+		return;
+	m->ring_stale = false;
+	g_ptr_array_set_size(m->ring, 0);
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_peer_entry *e = value;
+
+		if (e->has_row && fg_member_same_region(m, e))
+			g_ptr_array_add(m->ring, e);
+	}
+	g_ptr_array_sort(m->ring, by_order);
+}
+
+/* Spreads the first rounds of instances that start together. */
+static void start(struct fg_member *m, fg_ms now)
+{
+	m->started = true;
+	m->resumed_at = now;
+	m->ping_at = now + (fg_ms)fg_rand_below(&m->rand, m->conf.ping_ms);
+	m->list_at = now;
+	m->scan_at = now;
+	m->lease.next_at = now;
+}
+
+static void detect_pause(struct fg_member *m, fg_ms now)
+{
+	if (now - m->last_tick <= (fg_ms)m->conf.pause_ms)
+		return;
+	m->resumed_at = now;
+	m->lease.next_at = now;
+	m->survey_at = now;
+	m->survey_round = 0;
+	/* What we watched went unwatched meanwhile. */
+	m->table_ok_at = 0;
+}
+
+static void list_tick(struct fg_member *m, fg_ms now)
+{
+	if (now < m->list_at)
+		return;
+	m->list_at = now + MAX((fg_ms)m->conf.list_ms,
+			       (fg_ms)m->listed * LIST_BYTES * FG_MS_PER_S /
+				       FG_MEMBER_LIST_BYTES_PER_S);
+	m->list_sent_at = now;
+	fg_member_emit_act(m, FG_MA_LIST, 0);
+}
+
+void fg_member_tick(struct fg_member *m, fg_ms now, fg_member_emit emit,
+		    void *arg)
+{
+	m->emit = emit;
+	m->arg = arg;
+	if (!m->started)
+		start(m, now);
+	else
+		detect_pause(m, now);
+	m->last_tick = now;
+	m->gets = 0;
+	/* Before anything else is emitted. */
+	fg_member_standing_tick(m, now);
+	rebuild_ring(m);
+	fg_member_lease_tick(m, now);
+	if (m->quitting)
+		return;
+	fg_member_scan_tick(m, now);
+	list_tick(m, now);
+	fg_member_ping_tick(m, now);
+	fg_member_peers_tick(m, now);
+	rebuild_ring(m);
+	fg_member_standing_tick(m, now);
+}
+
+/* ---- The platform's list ---- */
+
+static void on_listed(struct fg_member *m, fg_ms now, const struct fg_listed *l)
+{
+	struct fg_peer_entry *e;
+
+	if (l->kind != FG_LISTED_ENTRY || l->id == m->conf.self.id)
+		return;
+	e = fg_member_entry(m, l->id);
+	if (e == NULL) {
+		fg_member_scan_soon(m, now);
+	} else if (l->leaving && !e->leaving) {
+		e->leaving = true;
+		fg_member_refresh_state(m, e);
+	}
+}
+
+void fg_member_on_list(struct fg_member *m, fg_ms now, enum fg_pf_result result,
+		       const struct fg_listed *list, size_t n,
+		       fg_member_emit emit, void *arg)
+{
+	m->emit = emit;
+	m->arg = arg;
+	if (result != FG_PF_OK)
+		return;
+	m->own_contact = MAX(m->own_contact, m->list_sent_at);
+	m->listed = n;
+	for (size_t i = 0; i < n; i++)
+		on_listed(m, now, &list[i]);
+	fg_member_standing_tick(m, now);
+}
+
+/* ---- Our own state ---- */
+
+void fg_member_set_revision(struct fg_member *m, uint64_t revision,
+			    uint32_t confirm_age_ms)
+{
+	m->revision = revision;
+	m->confirm_age_ms = confirm_age_ms;
+	m->confirm_set_at = m->last_tick;
+}
+
+void fg_member_leave(struct fg_member *m, fg_ms now, fg_member_emit emit,
+		     void *arg)
+{
+	m->emit = emit;
+	m->arg = arg;
+	if (m->leaving)
+		return;
+	m->leaving = true;
+	m->lease.next_at = now;
+	for (guint i = 0; i < m->ring->len; i++) {
+		const struct fg_peer_entry *e = m->ring->pdata[i];
+		struct fg_member_act act = {
+			.type = FG_MA_SEND,
+			.to = e->view.info.id,
+			.msg = fg_msg_new(FG_MSG_LEAVING),
+		};
+
+		m->emit(m->arg, &act);
+	}
+	fg_member_lease_tick(m, now);
+}
+
+void fg_member_quit(struct fg_member *m, fg_ms now, fg_member_emit emit,
+		    void *arg)
+{
+	m->emit = emit;
+	m->arg = arg;
+	m->leaving = true;
+	m->quitting = true;
+	m->lease.next_at = now;
+	fg_member_lease_tick(m, now);
+	fg_member_standing_tick(m, now);
+}
+
+uint64_t fg_member_epoch(const struct fg_member *m)
+{
+	return m->lease.epoch;
+}
+
+uint64_t fg_member_generation(const struct fg_member *m)
+{
+	return m->generation;
+}
+
+uint64_t fg_member_self(const struct fg_member *m)
+{
+	return m->conf.self.id;
+}
+
+const char *fg_member_region(const struct fg_member *m)
+{
+	return m->conf.self.region;
+}
+
+/* ---- Questions ---- */
+
+const struct fg_peer_view *fg_member_find(const struct fg_member *m,
+					  uint64_t id)
+{
+	const struct fg_peer_entry *e = g_hash_table_lookup(m->peers, &id);
+
+	return e != NULL ? &e->view : NULL;
+}
+
+size_t fg_member_live(const struct fg_member *m, const char *region,
+		      uint64_t *ids, size_t max)
+{
+	GHashTableIter it;
+	void *value;
+	size_t n = 0;
+
+	if (region == NULL || strcmp(region, m->conf.self.region) == 0) {
+		if (n < max)
+			ids[n] = m->conf.self.id;
+		n++;
+	}
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct fg_peer_entry *e = value;
+
+		if (e->view.state != FG_PEER_LIVE &&
+		    e->view.state != FG_PEER_SUSPECT)
+			continue;
+		if (region != NULL && strcmp(region, e->view.info.region) != 0)
+			continue;
+		if (n < max)
+			ids[n] = e->view.info.id;
+		n++;
+	}
+	return n;
+}
+
+struct best {
+	uint64_t id;
+	uint64_t score;
+	bool in_dc;
+};
+
+static void consider(struct best *b, uint64_t key, const char *region,
+		     const char *dc, const struct fg_listed *info)
+{
+	uint64_t score = fg_hash_mix(info->id, key);
+	bool in_dc;
+
+	if (strcmp(info->region, region) != 0)
+		return;
+	in_dc = strcmp(info->dc, dc) == 0;
+	if (b->id != 0 &&
+	    (b->in_dc > in_dc || (b->in_dc == in_dc && b->score >= score)))
+		return;
+	b->id = info->id;
+	b->score = score;
+	b->in_dc = in_dc;
+}
+
+uint64_t fg_member_candidate(const struct fg_member *m, uint64_t key,
+			     const char *region, const char *dc)
+{
+	struct best b = { 0 };
+	GHashTableIter it;
+	void *value;
+
+	if (m->lease.held && !m->leaving)
+		consider(&b, key, region, dc, &m->conf.self);
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct fg_peer_entry *e = value;
+
+		if (e->view.state == FG_PEER_LIVE)
+			consider(&b, key, region, dc, &e->view.info);
+	}
+	return b.id;
+}
--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -4,24 +4,35 @@
  * Pure: events and the time go in, actions come out.
  *
  * Each instance keeps one lease row, session/<name>, in the platform's table.
- * Nobody compares clocks: a lease counts as fresh while others see its row
- * version change within lease_ms of their own clock.
+ * Nobody compares clocks: a lease has lapsed for a reader that saw its row
+ * unchanged in two reads lease_ms apart on its own clock. The holder counts
+ * its lease as fresh for own_lease_ms only, from when it sent the renewal.
  *
  * Liveness comes from three sources: lease rows, the platform's lagging list,
  * and pings. Each instance pings `fanout` neighbours on a hash ring of its
  * region and a few at random, never all, so that traffic per instance does
- * not grow with their number. A suspicion is passed on with no further
- * messages: it only speeds up the next read of the lease rows.
+ * not grow with their number. A suspicion is passed on by LEAVING messages
+ * that name the suspect; it decides nothing, it only brings forward the next
+ * read of that one lease row.
+ *
+ * An instance is DEAD when its lease row is gone. A lapsed row is deleted by
+ * one of the region's live instances, and only after that one
+ *  - saw the lease lapse,
+ *  - had pings answered by more than a third of the region's instances, sent
+ *    after that, which tell them that the platform is reachable, and
+ *  - waited reach_ms more.
  *
  * Standing, the one notion behind ownership and configuration:
- *   CONFIRMED  this instance, or a peer it reaches, reached the platform
- *              within confirm_ms, and our own lease is fresh.
- *   OUTAGE     nobody we reach has reached the platform, and we reach more
- *              than half of the region's instances: hold on to what we own.
+ *   CONFIRMED  our own lease is fresh, and this instance, or a peer it
+ *              reaches, reached the platform within confirm_ms.
+ *   OUTAGE     we hold a lease, nobody is known to have reached the platform
+ *              since it ceased to be fresh, and two thirds of the region's
+ *              instances answered a ping within reach_ms: hold on to what we
+ *              own.
  *   ISOLATED   neither: no orders, no grants, no new work.
- * Taking over from a dead owner needs a write to the platform and the sight
- * of more than half of the region's instances; holding over an outage needs
- * more than half as well, so the two exclude each other.
+ * One of the two thirds is always among the one third, so it has heard from
+ * the deleter of our lease and told us before the row goes. What remains is
+ * in docs/design/membership.md.
  */
 #ifndef FG_MEMBER_H
 #define FG_MEMBER_H
@@ -46,22 +57,35 @@
 	uint64_t boot;	       /* nonce of this run; a name never lives twice */
 	uint32_t renew_ms;     /* between renewals of the own lease */
 	uint32_t lease_ms;     /* a lease row unchanged this long has lapsed */
-	uint32_t scan_ms;      /* between reads of all lease rows */
-	uint32_t list_ms;      /* between reads of the platform's list */
-	uint32_t ping_ms;      /* between pings of one neighbour */
-	uint32_t suspect_ms;   /* no pong this long: suspect */
+	uint32_t scan_ms; /* between reads of all lease rows; longer when there
+			   * are many, see FG_MEMBER_SCAN_BYTES_PER_S */
+	uint32_t list_ms; /* between reads of the platform's list; longer when
+			   * it is long, see FG_MEMBER_LIST_BYTES_PER_S */
+	uint32_t ping_ms; /* between pings of one neighbour */
+	uint32_t suspect_ms; /* no pong this long: suspect */
 	uint32_t confirm_ms; /* a contact with the platform counts this long */
 	uint32_t fanout;     /* neighbours pinged */
+
+	/* Derived from lease_ms when 0. */
+	uint32_t own_lease_ms; /* our lease is fresh this long; < lease_ms */
+	uint32_t reach_ms;     /* an answered ping counts this long */
+	uint32_t survey_ms;    /* between pings of one instance while many are
+				* pinged to find a quorum; < reach_ms / 2 */
+	uint32_t pause_ms;     /* a longer gap between ticks is a pause */
 };
 
+/* Bounds on what reading the lease rows and the list cost one instance. */
+#define FG_MEMBER_SCAN_BYTES_PER_S 1500
+#define FG_MEMBER_LIST_BYTES_PER_S 3000
+
 /* Fills the defaults that hold for the aim's size; self is left alone. */
 void fg_member_conf_defaults(struct fg_member_conf *conf);
 
 enum fg_peer_state {
 	FG_PEER_LIVE = 1,
-	FG_PEER_SUSPECT = 2, /* no pong, lease still fresh */
+	FG_PEER_SUSPECT = 2, /* no pong, or its lease seems to lapse */
 	FG_PEER_LEAVING = 3, /* draining; gets no new ownership */
-	FG_PEER_DEAD = 4,    /* lease lapsed, or gone from list and lease */
+	FG_PEER_DEAD = 4,    /* its lease row is gone */
 };
 
 struct fg_peer_view {
@@ -125,6 +149,11 @@
 void fg_member_leave(struct fg_member *m, fg_ms now, fg_member_emit emit,
 		     void *arg);
 
+/* Ends our membership after draining: deletes the lease row, so that nobody
+ * has to wait for it to lapse. */
+void fg_member_quit(struct fg_member *m, fg_ms now, fg_member_emit emit,
+		    void *arg);
+
 enum fg_standing fg_member_standing(const struct fg_member *m, fg_ms now);
 const char *fg_standing_name(enum fg_standing s);
 
@@ -132,6 +161,21 @@
  * that are not dead (itself included). */
 bool fg_member_sees_majority(const struct fg_member *m, fg_ms now);
 
+/* Grows whenever our lease was lost or won. What was owned under another
+ * epoch is lost and must be claimed anew. 0 while we never had a lease. */
+uint64_t fg_member_epoch(const struct fg_member *m);
+
+/* True when a read sent after `since` showed that instance id has no lease
+ * row: what it owned at `since` may be taken over. */
+bool fg_member_gone(const struct fg_member *m, uint64_t id, fg_ms since);
+
+/* Grows whenever an instance is added, changes its state or is forgotten. */
+uint64_t fg_member_generation(const struct fg_member *m);
+
+/* Our id and region. */
+uint64_t fg_member_self(const struct fg_member *m);
+const char *fg_member_region(const struct fg_member *m);
+
 /* The view of one instance; NULL when unknown. Valid until the next event. */
 const struct fg_peer_view *fg_member_find(const struct fg_member *m,
 					  uint64_t id);
--- /dev/null
+++ b/lib/member/fg_member_standing.c
@@ -0,0 +1,87 @@
+/* Quorums and the standing. */
+#include "member/fg_member_internal.h"
+
+size_t fg_member_region_size(const struct fg_member *m)
+{
+	return m->ring->len + 1;
+}
+
+size_t fg_member_reached(const struct fg_member *m, fg_ms since)
+{
+	size_t n = 1;
+
+	for (guint i = 0; i < m->ring->len; i++) {
+		const struct fg_peer_entry *e = m->ring->pdata[i];
+
+		if (e->reach_at > since)
+			n++;
+	}
+	return n;
+}
+
+/* Pings answered before the last pause say nothing of the time since. */
+static fg_ms reach_since(const struct fg_member *m, fg_ms now)
+{
+	return MAX(now - (fg_ms)m->conf.reach_ms, m->resumed_at - 1);
+}
+
+bool fg_member_sees_majority(const struct fg_member *m, fg_ms now)
+{
+	return 2 * fg_member_reached(m, reach_since(m, now)) >
+	       fg_member_region_size(m);
+}
+
+/* Two thirds; a lease is deleted by more than a third, so they meet. */
+static bool sees_hold_quorum(const struct fg_member *m, fg_ms now)
+{
+	return 3 * fg_member_reached(m, reach_since(m, now)) >=
+	       2 * fg_member_region_size(m);
+}
+
+fg_ms fg_member_contact(const struct fg_member *m)
+{
+	return MAX(m->own_contact, MAX(m->heard_contact, m->relay_contact));
+}
+
+enum fg_standing fg_member_standing(const struct fg_member *m, fg_ms now)
+{
+	fg_ms contact = fg_member_contact(m);
+
+	if (!m->lease.ever_held)
+		return FG_STANDING_JOINING;
+	if (!m->lease.held || m->lease.superseded || m->quitting ||
+	    now - m->last_tick > (fg_ms)m->conf.pause_ms)
+		return FG_STANDING_ISOLATED;
+	if (fg_member_lease_fresh(m, now) &&
+	    now - contact <= (fg_ms)m->conf.confirm_ms)
+		return FG_STANDING_CONFIRMED;
+	if (contact < fg_member_lease_end(m) && sees_hold_quorum(m, now))
+		return FG_STANDING_OUTAGE;
+	return FG_STANDING_ISOLATED;
+}
+
+void fg_member_standing_tick(struct fg_member *m, fg_ms now)
+{
+	enum fg_standing s = fg_member_standing(m, now);
+	struct fg_member_act act = { .type = FG_MA_STANDING, .standing = s };
+
+	if (s == m->standing)
+		return;
+	m->standing = s;
+	m->emit(m->arg, &act);
+}
+
+const char *fg_standing_name(enum fg_standing s)
+{
+	switch (s) {
+	case FG_STANDING_CONFIRMED:
+		return "confirmed";
+	case FG_STANDING_OUTAGE:
+		return "outage";
+	case FG_STANDING_ISOLATED:
+		return "isolated";
+	case FG_STANDING_JOINING:
+		return "joining";
+	}
+	return "invalid";
+}
--- a/lib/peer/fg_proto.h
+++ b/lib/peer/fg_proto.h
@@ -53,6 +53,7 @@
 	u_quad_t revision;
 	u_int confirm_age_ms;
 	u_int platform_age_ms;
+	u_int heard_age_ms;
 	bool_t stopping;
 };
 typedef struct fg_ping fg_ping;
--- a/lib/peer/fg_proto.x
+++ b/lib/peer/fg_proto.x
@@ -38,12 +38,14 @@
 	FG_MSG_OWNED = 17
 };
 
-/* Liveness, and what a peer must know at once. */
+/* Liveness, and what a peer must know at once. A pong echoes seq, which is
+ * the sender's clock. Ages of UINT_MAX mean never. */
 struct fg_ping {
 	unsigned hyper seq;
 	unsigned hyper revision;      /* configuration in force at the sender */
 	unsigned int confirm_age_ms;  /* since that revision was confirmed */
 	unsigned int platform_age_ms; /* since the sender reached the platform */
+	unsigned int heard_age_ms;    /* since another told the sender that it did */
 	bool stopping;                /* sender is draining */
 };
 
--- a/lib/peer/fg_proto_xdr.c
+++ b/lib/peer/fg_proto_xdr.c
@@ -32,6 +32,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->confirm_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->platform_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->heard_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->stopping))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->confirm_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->platform_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->heard_age_ms);
+			IXDR_PUT_BOOL(buf, objp->stopping);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->confirm_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->platform_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->heard_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->stopping))
+				 return FALSE;
+		} else {
+			objp->confirm_age_ms = IXDR_GET_U_LONG(buf);
+			objp->platform_age_ms = IXDR_GET_U_LONG(buf);
+			objp->heard_age_ms = IXDR_GET_U_LONG(buf);
+			objp->stopping = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->seq))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
@@ -40,6 +87,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->platform_age_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->heard_age_ms))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stopping))
 		 return FALSE;
 	return TRUE;
--- a/lib/platform/fg_platform.h
+++ b/lib/platform/fg_platform.h
@@ -68,8 +68,10 @@
 	uint64_t id;
 	enum fg_op_kind kind;
 	enum fg_pf_result result;
-	struct fg_row *rows; /* GET: one; SCAN: all; TXN conflict: the row in
-			      * the way; owned */
+	struct fg_row *rows; /* GET: one; SCAN: all; TXN: one per write, in
+			      * order, with its new version and no value; TXN
+			      * conflict: the row in the way, with version 0
+			      * and no value when it is absent; owned */
 	size_t n_rows;
 };
 
