--- a/programs/fg-load/fl_record.c
+++ b/programs/fg-load/fl_record.c
@@ -90,10 +90,11 @@
 {
 	(void)req;
 	write_event(r, "return",
-		    json_pack("{s:s, s:s, s:s, s:b, s:b}", "tag", tag,
+		    json_pack("{s:s, s:s, s:s, s:b, s:b, s:s}", "tag", tag,
 			      "outcome", fg_outcome_name(answer->outcome),
 			      "reason", answer->reason, "whole", answer->whole,
-			      "replayed", answer->replayed));
+			      "replayed", answer->replayed, "version",
+			      answer->version));
 }
 
 static void show(const struct fl_req *req, const struct fl_answer *answer,
--- a/tests/demo_verdict.py
+++ b/tests/demo_verdict.py
@@ -74,7 +74,8 @@
             self.fail(f"{tag}: told DONE, no endpoint ran it")
 
     def check_runs(self, tag, invoke):
-        version = invoke["version"] or self.newest.get(invoke["adapter"])
+        version = (invoke["version"] or self.newest.get(invoke["adapter"]) or
+                   self.returns[tag].get("version"))
         ok = False
         for run in self.runs[tag]:
             end = self.ends.get(run["id"], {})
--- /dev/null
+++ b/tests/fgsystem.py
@@ -0,0 +1,201 @@
+"""The processes of a scenario: ports, start, signals, histories."""
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+import fghttp
+
+READY_S = 15
+STOP_S = 30
+POLL_S = 0.02
+PORTS = 900
+
+
+class Process:
+    def __init__(self, name, kind, addr, control, popen, history):
+        self.name = name
+        self.kind = kind  # platform, engine, plain or entry
+        self.addr = addr
+        self.control = control
+        self.popen = popen
+        self.history = history
+        self.frozen = False
+        self.killed = False
+
+    def running(self):
+        return self.popen.poll() is None
+
+
+class System:
+    """Starts processes below one directory and ends them all."""
+
+    def __init__(self, build, port_base, on_life):
+        self.bin = os.path.join(build, "bin")
+        self.dir = tempfile.mkdtemp(prefix="fgs-")
+        self.next_port = port_base
+        self.last_port = port_base + PORTS
+        self.processes = {}
+        self.on_life = on_life  # called with "live" or "dead" and a name
+
+    def port(self):
+        """A port that nobody listens on."""
+        while self.next_port < self.last_port:
+            port = self.next_port
+            self.next_port += 1
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    sock.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
+        raise RuntimeError("no free port")
+
+    def address(self):
+        return f"127.0.0.1:{self.port()}"
+
+    def path(self, name):
+        return os.path.join(self.dir, name)
+
+    def spawn(self, name, args):
+        with open(self.path(name + ".log"), "ab") as log:
+            return subprocess.Popen(args, stdin=subprocess.DEVNULL,
+                                    stdout=log, stderr=log)
+
+    def add(self, process):
+        self.processes[process.name] = process
+        self.wait_ready(process)
+        self.on_life("live", process.name)
+
+    def wait_ready(self, process):
+        path = {"platform": "/instances", "entry": "/v1/state",
+                "engine": "/v1/state", "plain": "/"}[process.kind]
+        end = time.monotonic() + READY_S
+        while time.monotonic() < end and process.running():
+            if fghttp.request("GET", process.addr, path, timeout_s=1)[0]:
+                return
+            time.sleep(POLL_S)
+        raise RuntimeError(f"{process.name} does not answer")
+
+    def platform_addr(self):
+        return self.processes["platform"].addr
+
+    def start_standin(self, kind, name, options):
+        addr, control = self.address(), self.address()
+        history = self.path(name + ".jsonl")
+        args = [os.path.join(self.bin, "standin-" + kind), "--listen", addr,
+                "--control", control, "--name", name]
+        if kind != "platform":
+            service = "menus" if kind == "engine" else "orders"
+            args += ["--platform", self.platform_addr(), "--region", "coast",
+                     "--dc", "north", "--service", service,
+                     "--history", history]
+        popen = self.spawn(name, args + options)
+        self.add(Process(name, kind, addr, control, popen, history))
+
+    def start_entry(self, name, settings):
+        addr, history = self.address(), self.path(name + ".jsonl")
+        values = {"name": name, "region": "coast", "dc": "north",
+                  "http": addr, "rpc": self.address(),
+                  "platform": self.platform_addr(), "history": history}
+        values.update(settings)
+        config = self.path(name + ".yaml")
+        with open(config, "w", encoding="utf-8") as out:
+            out.writelines(f"{k}: {v}\n" for k, v in values.items())
+        popen = self.spawn(name, [os.path.join(self.bin, "fg-entry"),
+                                  "--config", config])
+        self.add(Process(name, "entry", addr, None, popen, history))
+
+    def entries(self):
+        return [p for p in self.processes.values()
+                if p.kind == "entry" and p.running() and not p.frozen]
+
+    def state(self, name):
+        """What a process says of itself; {} when it does not answer."""
+        process = self.processes[name]
+        path = "/instances" if process.kind == "platform" else "/v1/state"
+        return fghttp.request_json("GET", process.addr, path, timeout_s=2)[1]
+
+    def events(self, name):
+        """History of one process, or of all with the name "all"."""
+        names = list(self.processes) if name == "all" else [name]
+        events = []
+        for each in names:
+            path = self.processes[each].history
+            if not os.path.exists(path):
+                continue
+            with open(path, encoding="utf-8") as lines:
+                # The last line may be half written.
+                events += [json.loads(l) for l in lines if l.endswith("\n")]
+        return events
+
+    def kill(self, name):
+        process = self.processes[name]
+        process.killed = True
+        process.popen.kill()
+        process.popen.wait()
+        self.on_life("dead", name)
+
+    def terminate(self, name):
+        self.processes[name].popen.terminate()
+
+    def wait_exit(self, name):
+        """Exit status, or None when it does not end."""
+        process = self.processes[name]
+        try:
+            status = process.popen.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            return None
+        if not process.killed:
+            process.killed = True
+            self.on_life("dead", name)
+        return status
+
+    def freeze(self, name, frozen):
+        process = self.processes[name]
+        process.frozen = frozen
+        process.popen.send_signal(signal.SIGSTOP if frozen
+                                  else signal.SIGCONT)
+
+    def stop_all(self):
+        """Ends everything; returns complaints about exits."""
+        complaints = []
+        running = [p for p in self.processes.values() if p.running()]
+        for process in running:
+            if process.frozen:
+                self.freeze(process.name, False)
+            process.popen.terminate()
+        for process in running:
+            try:
+                status = process.popen.wait(STOP_S)
+                if status != 0:
+                    complaints.append(f"{process.name}: exit status {status}")
+            except subprocess.TimeoutExpired:
+                process.popen.kill()
+                process.popen.wait()
+                complaints.append(f"{process.name}: did not end")
+        for process in self.processes.values():
+            if (process.kind == "entry" and process not in running and
+                    not process.killed):
+                complaints.append(f"{process.name}: ended by itself, status "
+                                  f"{process.popen.returncode}")
+        return complaints
+
+    def logs(self):
+        """Ends of the processes' own messages, for a failed run."""
+        text = ""
+        for name in sorted(os.listdir(self.dir)):
+            if name.endswith(".log") and os.path.getsize(self.path(name)):
+                with open(self.path(name), encoding="utf-8",
+                          errors="replace") as log:
+                    text += f"--- {name}\n" + "".join(log.readlines()[-8:])
+        return text
+
+    def remove_files(self):
+        shutil.rmtree(self.dir, ignore_errors=True)
