--- a/lib/config/fg_config.h
+++ b/lib/config/fg_config.h
@@ -151,10 +151,12 @@
 /* ---- Keeping up with the revision: pure, drives reads and messages ---- */
 
 /*
- * Rows: config/head = {"format":1,"revision":N,"snapshot":S} and
- * config/rev/<N, 12 digits> = the change that makes N; objects or rows
- * config/snap/<S, 12 digits>/<part> hold snapshots. A change is one
- * transaction: head checked by its row version, head and config/rev written.
+ * Rows, all with a format number:
+ *   config/head                    revision, newest snapshot, what is kept
+ *   config/rev/<N, 12 digits>      the change that makes revision N
+ *   config/snap/<S, 12 digits>/<part, 4 digits>   a snapshot of revision S
+ * A change is one transaction: head checked by its row version, head and
+ * config/rev written. See docs/design/configuration.md.
  */
 struct fg_confsync;
 
@@ -162,6 +164,7 @@
 	uint32_t poll_ms;	 /* between reads of config/head */
 	uint32_t confirm_ms;	 /* revision counts as confirmed this long */
 	uint32_t snapshot_every; /* revisions between snapshots */
+	bool no_push;		 /* tests alone: do not push to peers */
 };
 
 /* Borrows c, which only confsync changes from now on. */
@@ -186,6 +189,9 @@
 	FG_CHANGE_UNKNOWN = 6,	/* answer lost and not yet read back */
 };
 
+/* "accepted", "pending", ... as in docs/PROTOCOL.md; never NULL. */
+const char *fg_change_status_name(enum fg_change_status status);
+
 struct fg_confsync_act {
 	enum fg_confsync_act_type type;
 	struct fg_table_op *op;	      /* TABLE; owned by the receiver */
@@ -197,13 +203,24 @@
 	char *text; /* ANSWER: error or the instances missing; g_malloc'ed */
 };
 
-/* Calls `emit` for each action that is due. Call at least each 100 ms. */
+/*
+ * Takes one action; the receiver owns op, msg and text. It must not call
+ * back into the same confsync.
+ */
 typedef void (*fg_confsync_emit)(void *arg, struct fg_confsync_act *act);
+
+/* Emits the actions that are due. Call at least each 100 ms; a gap of a
+ * second counts as a pause of the process. */
 void fg_confsync_tick(struct fg_confsync *s, fg_ms now, fg_confsync_emit emit,
 		      void *arg);
-void fg_confsync_on_table(struct fg_confsync *s, fg_ms now,
+
+/* The result of a TABLE action. Results with other ids are ignored; returns
+ * whether the id was in use. */
+bool fg_confsync_on_table(struct fg_confsync *s, fg_ms now,
 			  const struct fg_table_result *res,
 			  fg_confsync_emit emit, void *arg);
+
+/* CONFIG_ASK and CONFIG_TELL; others are ignored. */
 void fg_confsync_on_msg(struct fg_confsync *s, fg_ms now, uint64_t from,
 			const fg_msg *msg, fg_confsync_emit emit, void *arg);
 
@@ -212,9 +229,23 @@
 			 uint64_t revision, uint32_t confirm_age_ms,
 			 fg_confsync_emit emit, void *arg);
 
-/* The live instances that must acknowledge a change (self not among them). */
+/* The live instances that must acknowledge a change (self is skipped). */
 void fg_confsync_set_live(struct fg_confsync *s, const uint64_t *ids, size_t n);
 
+/*
+ * The same, from lease rows whose read was begun at `asked`. Once it has been
+ * called, a change is accepted only by a list asked for after the change was
+ * stored, so that an instance that joined in between is not overlooked.
+ */
+void fg_confsync_set_live_at(struct fg_confsync *s, fg_ms asked,
+			     const uint64_t *ids, size_t n);
+
+/* Gives names of instances for the text of a pending answer; NULL when
+ * unknown. Without it ids are printed. */
+typedef const char *(*fg_confsync_name)(void *arg, uint64_t id);
+void fg_confsync_set_names(struct fg_confsync *s, fg_confsync_name name,
+			   void *arg);
+
 /*
  * An operator's change. `change` is a JSON object without "revision";
  * expect_revision 0 takes whatever is newest, else a mismatch is a conflict.
@@ -227,4 +258,11 @@
 /* Age in ms of the last confirmation that our revision is the newest. */
 uint32_t fg_confsync_confirm_age(const struct fg_confsync *s, fg_ms now);
 
+/* Live instances not known to have `revision`: up to max ids; how many. */
+size_t fg_confsync_missing(const struct fg_confsync *s, uint64_t revision,
+			   uint64_t *ids, size_t max);
+
+/* Why the last row or message could not be applied; NULL when all could. */
+const char *fg_confsync_fault(const struct fg_confsync *s);
+
 #endif
