Ledger: free the ids of settled operations

Each settled operation left 8 bytes behind: its id was the key of a table from which entries are taken without freeing keys. The id now lives in the operation's own record.

--- a/lib/ledger/fg_ledger.c
+++ b/lib/ledger/fg_ledger.c
@@ -20,7 +20,7 @@
 	g_queue_init(&l->filings);
 	l->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	l->by_row = g_hash_table_new(g_str_hash, g_str_equal);
-	l->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+	l->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 				       g_free);
 	l->next = FG_MS_NEVER;
 	return l;
--- a/lib/ledger/fg_ledger_internal.h
+++ b/lib/ledger/fg_ledger_internal.h
@@ -101,6 +101,7 @@
 
 /* An operation in flight and the filings whose rows it touches. */
 struct batch {
+	uint64_t op_id;
 	enum fg_op_kind kind;
 	size_t n;
 	struct filing *filings[FG_TXN_MAX];
@@ -114,7 +115,7 @@
 	GQueue filings;
 	GHashTable *by_id;  /* uint64_t id -> filing */
 	GHashTable *by_row; /* row key -> filing */
-	GHashTable *ops;    /* uint64_t op id -> batch */
+	GHashTable *ops;    /* batch.op_id -> batch */
 	size_t held_bytes;  /* texts waiting to be recorded */
 	fg_ms down_until;   /* starts are refused at once until then */
 	uint32_t lost_streak;
--- a/lib/ledger/fg_ledger_io.c
+++ b/lib/ledger/fg_ledger_io.c
@@ -16,11 +16,9 @@
 
 static void track(struct fg_ledger *l, struct fg_table_op *op, struct batch *b)
 {
-	uint64_t *id = g_new(uint64_t, 1);
-
-	*id = ledger_id(l);
-	op->id = *id;
-	g_hash_table_insert(l->ops, id, b);
+	b->op_id = ledger_id(l);
+	op->id = b->op_id;
+	g_hash_table_insert(l->ops, &b->op_id, b);
 	ledger_emit_op(l, op);
 }
 
