--- /dev/null
+++ b/tests/unit/test_admit.c
@@ -0,0 +1,370 @@
+/* Unit tests of lib/admit: limits, estimates, retry budgets, suspects. */
+#include <glib.h>
+
+#include "admit/fg_admit.h"
+#include "base/fg_rand.h"
+
+#define SEED 20240602
+#define ORDERS 2000
+
+/* ---- Limits ---- */
+
+static void test_limits_rate(void)
+{
+	struct fg_limits *l = fg_limits_new(4);
+	uint32_t retry_ms;
+	int taken = 0;
+
+	for (fg_ms now = 0; now < 10000; now += 10)
+		taken += fg_limits_take(l, now, "a", 5, &retry_ms);
+	g_assert_cmpint(taken, >=, 10 + 5 * 10 - 1);
+	g_assert_cmpint(taken, <=, 10 + 5 * 10);
+	g_assert_false(fg_limits_take(l, 9999, "a", 5, &retry_ms));
+	g_assert_cmpuint(retry_ms, >, 0);
+	g_assert_cmpuint(retry_ms, <=, 200);
+	g_assert_true(fg_limits_take(l, 9999 + retry_ms, "a", 5, &retry_ms));
+	g_assert_true(fg_limits_take(l, 9999, "b", 5, &retry_ms));
+	g_assert_true(fg_limits_take(l, 9999, "a", 0, &retry_ms));
+	/* Idle for long: the burst and no more. */
+	g_assert_true(fg_limits_take(l, 90000, "b", 5, &retry_ms));
+	for (taken = 1; fg_limits_take(l, 90000, "b", 5, &retry_ms); taken++)
+		;
+	g_assert_cmpint(taken, ==, 10);
+	fg_limits_free(l);
+}
+
+static void test_limits_forget(void)
+{
+	struct fg_limits *l = fg_limits_new(2);
+	uint32_t retry_ms;
+
+	while (fg_limits_take(l, 0, "busy", 1, &retry_ms))
+		;
+	g_assert_true(fg_limits_take(l, 1, "b", 1, &retry_ms));
+	g_assert_false(fg_limits_take(l, 2, "busy", 1, &retry_ms));
+	g_assert_true(fg_limits_take(l, 3, "c", 1, &retry_ms));
+	/* "b" was the longest idle and went, not "busy". */
+	g_assert_false(fg_limits_take(l, 4, "busy", 1, &retry_ms));
+	fg_limits_free(l);
+}
+
+/* ---- Estimates ---- */
+
+static void test_estimate_percentiles(void)
+{
+	struct fg_estimate *e = fg_estimate_new();
+	uint32_t retry_ms;
+
+	g_assert_true(fg_estimate_fits(e, FG_CLASS_DRAFT, 1, 0, &retry_ms));
+	for (int i = 1; i <= 100; i++)
+		fg_estimate_add(e, 1000, FG_CLASS_DRAFT, i * 10);
+	g_assert_cmpuint(fg_estimate_ms(e, FG_CLASS_DRAFT, 50), >=, 500);
+	g_assert_cmpuint(fg_estimate_ms(e, FG_CLASS_DRAFT, 50), <=, 650);
+	g_assert_cmpuint(fg_estimate_ms(e, FG_CLASS_DRAFT, 99), >=, 980);
+	g_assert_cmpuint(fg_estimate_ms(e, FG_CLASS_FILING, 50), ==, 0);
+	g_assert_true(fg_estimate_fits(e, FG_CLASS_DRAFT, 700, 0, &retry_ms));
+	g_assert_false(
+		fg_estimate_fits(e, FG_CLASS_DRAFT, 700, 5000, &retry_ms));
+	g_assert_cmpuint(retry_ms, ==, 5000);
+	fg_estimate_free(e);
+}
+
+/* Refusals bring no samples; the estimate must not stay up for that. */
+static void test_estimate_recovers(void)
+{
+	struct fg_estimate *e = fg_estimate_new();
+	uint32_t retry_ms;
+	fg_ms now = 0;
+
+	for (; now < 60000; now += 100)
+		fg_estimate_add(e, now, FG_CLASS_DRAFT, 20000);
+	g_assert_false(fg_estimate_fits(e, FG_CLASS_DRAFT, 2000, 0, &retry_ms));
+	fg_estimate_tick(e, now + 15000);
+	g_assert_true(fg_estimate_fits(e, FG_CLASS_DRAFT, 2000, 0, &retry_ms));
+	/* New samples outweigh the old ones within a few half-lives. */
+	for (now += 15000; now < 115000; now += 100)
+		fg_estimate_add(e, now, FG_CLASS_DRAFT, 100);
+	g_assert_cmpuint(fg_estimate_ms(e, FG_CLASS_DRAFT, 50), <, 200);
+	fg_estimate_free(e);
+}
+
+/* ---- Retries ---- */
+
+static const struct fg_retry_conf retry_conf = {
+	.percent = 10,
+	.min_per_10s = 3,
+	.attempts_max = 4,
+	.backoff_ms = 50,
+};
+
+static void test_retry_budget(void)
+{
+	struct fg_retry *r = fg_retry_new(&retry_conf, SEED);
+	enum fg_class cls = FG_CLASS_INTERACTIVE;
+	uint32_t backoff_ms;
+	int again = 0;
+
+	for (int i = 0; i < 1000; i++) {
+		fg_retry_first(r, i * 5, cls);
+		again += fg_retry_again(r, i * 5, cls, 1, 9999, true,
+					&backoff_ms);
+	}
+	g_assert_cmpint(again, ==, 100 + 3);
+	g_assert_true(fg_retry_again(r, 5000, FG_CLASS_DRAFT, 1, 9999, true,
+				     &backoff_ms));
+	/* All of it is out of the window 20 s later. */
+	again = 0;
+	while (fg_retry_again(r, 25000, cls, 1, 9999, true, &backoff_ms))
+		again++;
+	g_assert_cmpint(again, ==, 3);
+	fg_retry_free(r);
+}
+
+static void test_retry_refusals(void)
+{
+	struct fg_retry *r = fg_retry_new(&retry_conf, SEED);
+	enum fg_class draft = FG_CLASS_DRAFT;
+	uint32_t wait_ms;
+
+	g_assert_false(
+		fg_retry_again(r, 0, FG_CLASS_FILING, 1, 9999, true, &wait_ms));
+	g_assert_true(fg_retry_again(r, 0, FG_CLASS_FILING, 1, 9999, false,
+				     &wait_ms));
+	g_assert_false(fg_retry_again(r, 0, draft, 4, 9999, true, &wait_ms));
+	g_assert_false(fg_retry_again(r, 0, draft, 3, 99, true, &wait_ms));
+	g_assert_true(fg_retry_again(r, 0, draft, 3, 9999, true, &wait_ms));
+	g_assert_cmpuint(wait_ms, >=, 100);
+	g_assert_cmpuint(wait_ms, <=, 300);
+	fg_retry_free(r);
+}
+
+/* ---- Suspects ---- */
+
+static const struct fg_suspects_conf suspects_conf = {
+	.keep_ms = 600000,
+	.refuse_crashes = 2,
+	.sick_window_ms = 120000,
+	.sick_fingerprints = 3,
+	.max = 64,
+};
+
+static bool event(struct fg_suspects *s, fg_ms now, enum fg_suspect_event what,
+		  uint64_t fingerprint, uint64_t ep, uint64_t req)
+{
+	fg_suspect ev = {
+		.fingerprint = fingerprint, .ep = ep, .event = what, .req = req
+	};
+
+	return fg_suspects_event(s, now, req % 3 + 1, &ev);
+}
+
+static bool crash(struct fg_suspects *s, fg_ms now, uint64_t fingerprint,
+		  uint64_t ep, uint64_t req)
+{
+	return event(s, now, FG_SUSPECT_CRASH, fingerprint, ep, req);
+}
+
+static enum fg_suspect_verdict verdict(struct fg_suspects *s, fg_ms now,
+				       uint64_t fingerprint)
+{
+	uint32_t retry_ms;
+
+	return fg_suspects_check(s, now, fingerprint, &retry_ms);
+}
+
+static void test_suspect_refused(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+	struct fg_suspect_view view[4];
+
+	g_assert_cmpint(verdict(s, 0, 7), ==, FG_SUSPECT_CLEAR);
+	g_assert_true(crash(s, 10, 7, 1, 100));
+	g_assert_false(crash(s, 5000, 7, 1, 100)); /* told again */
+	g_assert_cmpint(verdict(s, 20, 7), ==, FG_SUSPECT_RUN_ALONE);
+	g_assert_true(event(s, 30, FG_SUSPECT_STARTED, 7, 2, 101));
+	g_assert_cmpint(verdict(s, 40, 7), ==, FG_SUSPECT_WAIT);
+	g_assert_true(fg_suspects_on_endpoint(s, 40, 2));
+	g_assert_false(fg_suspects_on_endpoint(s, 40, 1));
+	g_assert_true(crash(s, 9000, 7, 2, 101));
+	g_assert_cmpint(verdict(s, 9001, 7), ==, FG_SUSPECT_REFUSE);
+	g_assert_cmpuint(fg_suspects_list(s, 9001, view, 4), ==, 1);
+	g_assert_true(view[0].refused);
+	g_assert_cmpuint(view[0].crashes, ==, 2);
+	g_assert_cmpint(verdict(s, 609000, 7), ==, FG_SUSPECT_CLEAR);
+	fg_suspects_free(s);
+}
+
+static void test_suspect_ran_well(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	crash(s, 10, 7, 1, 100);
+	event(s, 20, FG_SUSPECT_STARTED, 7, 2, 101);
+	event(s, 900, FG_SUSPECT_FINISHED, 7, 2, 101);
+	g_assert_cmpint(verdict(s, 1000, 7), ==, FG_SUSPECT_CLEAR);
+	fg_suspects_free(s);
+}
+
+static void test_suspect_crash_ends_run(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	crash(s, 10, 7, 1, 100);
+	event(s, 20, FG_SUSPECT_STARTED, 7, 1, 101);
+	crash(s, 9000, 7, 1, 101);
+	g_assert_cmpint(verdict(s, 9010, 7), ==, FG_SUSPECT_RUN_ALONE);
+	fg_suspects_free(s);
+}
+
+/* The holder of a started suspect died; whether it ran well is not known. */
+static void test_suspect_holder_dead(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	crash(s, 10, 7, 1, 100);
+	event(s, 20, FG_SUSPECT_STARTED, 7, 2, 101);
+	fg_suspects_instance_dead(s, 101 % 3 + 1);
+	g_assert_cmpint(verdict(s, 30, 7), ==, FG_SUSPECT_RUN_ALONE);
+	fg_suspects_free(s);
+}
+
+/* A poisoned request kills two endpoints along with full batches. */
+static void test_suspect_in_batch(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	for (uint64_t i = 0; i < 8; i++) {
+		crash(s, 10 + i, 20 + i, 1, 100 + i);
+		crash(s, 60010 + i, 40 + i, 2, 200 + i);
+	}
+	crash(s, 12, 7, 1, 300);
+	crash(s, 60012, 7, 2, 301);
+	g_assert_cmpint(verdict(s, 60020, 7), ==, FG_SUSPECT_REFUSE);
+	g_assert_cmpint(verdict(s, 60020, 20), ==, FG_SUSPECT_RUN_ALONE);
+	fg_suspects_free(s);
+}
+
+/* An endpoint that dies by itself: under others each time, and twice under a
+ * request that another sick endpoint had killed before. */
+static void test_suspect_sick_endpoint(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	crash(s, 10, 7, 1, 100);
+	crash(s, 20000, 7, 2, 101);
+	g_assert_cmpint(verdict(s, 20001, 7), ==, FG_SUSPECT_REFUSE);
+	for (uint64_t i = 0; i < 3; i++)
+		crash(s, 30000 + 10000 * i, 20 + i, 1, 200 + i);
+	g_assert_cmpint(verdict(s, 60000, 7), ==, FG_SUSPECT_RUN_ALONE);
+	for (uint64_t i = 0; i < 3; i++) {
+		g_assert_cmpint(verdict(s, 60000, 20 + i), ==,
+				FG_SUSPECT_CLEAR);
+		crash(s, 61000 + 10000 * i, 30 + i, 2, 300 + i);
+	}
+	g_assert_cmpint(verdict(s, 90000, 7), ==, FG_SUSPECT_CLEAR);
+	/* Long after its sick time it still blames nobody. */
+	g_assert_cmpint(verdict(s, 500000, 7), ==, FG_SUSPECT_CLEAR);
+	fg_suspects_free(s);
+}
+
+static void test_suspect_one_endpoint(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	for (uint64_t i = 0; i < 4; i++) {
+		g_assert_cmpint(verdict(s, 1 + i * 10000, 7), !=,
+				FG_SUSPECT_REFUSE);
+		crash(s, 10 + i * 10000, 7, 1, 100 + i);
+	}
+	g_assert_cmpint(verdict(s, 50000, 7), ==, FG_SUSPECT_REFUSE);
+	fg_suspects_free(s);
+}
+
+static void test_suspect_clear(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	g_assert_false(fg_suspects_clear(s, 7));
+	crash(s, 10, 7, 1, 100);
+	crash(s, 10000, 7, 2, 101);
+	g_assert_true(fg_suspects_clear(s, 7));
+	g_assert_false(fg_suspects_clear(s, 7));
+	crash(s, 11000, 7, 2, 101); /* a repeat that arrives late */
+	g_assert_cmpint(verdict(s, 11001, 7), ==, FG_SUSPECT_CLEAR);
+	crash(s, 20000, 7, 1, 102);
+	g_assert_true(event(s, 21000, FG_SUSPECT_CLEARED, 7, 0, 500));
+	g_assert_cmpint(verdict(s, 21001, 7), ==, FG_SUSPECT_CLEAR);
+	crash(s, 30000, 7, 1, 103);
+	g_assert_false(event(s, 31000, FG_SUSPECT_CLEARED, 7, 0, 500));
+	g_assert_cmpint(verdict(s, 31001, 7), ==, FG_SUSPECT_RUN_ALONE);
+	fg_suspects_free(s);
+}
+
+static void test_suspect_bound(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	crash(s, 1, 7, 1, 1);
+	crash(s, 5000, 7, 2, 2);
+	for (uint64_t i = 0; i < 1000; i++)
+		crash(s, 6000 + i, 100 + i, 50 + i, 1000 + i);
+	g_assert_cmpuint(fg_suspects_list(s, 7000, NULL, 0), ==, 64);
+	g_assert_cmpint(verdict(s, 7000, 7), ==, FG_SUSPECT_REFUSE);
+	fg_suspects_free(s);
+}
+
+/* The same events, repeated and in any order, give the same verdicts. */
+static void test_suspect_orders(void)
+{
+	static const fg_suspect events[] = {
+		{ 7, { 1, 1 }, 1, FG_SUSPECT_CRASH, 100 },
+		{ 7, { 1, 1 }, 2, FG_SUSPECT_STARTED, 101 },
+		{ 7, { 1, 1 }, 2, FG_SUSPECT_CRASH, 101 },
+		{ 8, { 1, 1 }, 1, FG_SUSPECT_CRASH, 102 },
+		{ 8, { 1, 1 }, 3, FG_SUSPECT_STARTED, 103 },
+		{ 8, { 1, 1 }, 3, FG_SUSPECT_FINISHED, 103 },
+		{ 9, { 1, 1 }, 2, FG_SUSPECT_CRASH, 104 },
+		{ 9, { 1, 1 }, 4, FG_SUSPECT_STARTED, 105 },
+	};
+	struct fg_rand rand;
+
+	fg_rand_seed(&rand, SEED);
+	for (int run = 0; run < ORDERS; run++) {
+		struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+		uint32_t seen = 0;
+
+		while (seen != (1u << G_N_ELEMENTS(events)) - 1) {
+			uint32_t i = fg_rand_below(&rand, G_N_ELEMENTS(events));
+
+			fg_suspects_event(s, 10, 1, &events[i]);
+			seen |= 1u << i;
+		}
+		g_assert_cmpint(verdict(s, 20, 7), ==, FG_SUSPECT_REFUSE);
+		g_assert_cmpint(verdict(s, 20, 8), ==, FG_SUSPECT_CLEAR);
+		g_assert_cmpint(verdict(s, 20, 9), ==, FG_SUSPECT_WAIT);
+		fg_suspects_free(s);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/admit/limits_rate", test_limits_rate);
+	g_test_add_func("/admit/limits_forget", test_limits_forget);
+	g_test_add_func("/admit/estimate", test_estimate_percentiles);
+	g_test_add_func("/admit/estimate_recovers", test_estimate_recovers);
+	g_test_add_func("/admit/retry_budget", test_retry_budget);
+	g_test_add_func("/admit/retry_refusals", test_retry_refusals);
+	g_test_add_func("/admit/suspect_refused", test_suspect_refused);
+	g_test_add_func("/admit/suspect_ran_well", test_suspect_ran_well);
+	g_test_add_func("/admit/suspect_crash_ends",
+			test_suspect_crash_ends_run);
+	g_test_add_func("/admit/suspect_holder_dead", test_suspect_holder_dead);
+	g_test_add_func("/admit/suspect_in_batch", test_suspect_in_batch);
+	g_test_add_func("/admit/suspect_sick", test_suspect_sick_endpoint);
+	g_test_add_func("/admit/suspect_one_ep", test_suspect_one_endpoint);
+	g_test_add_func("/admit/suspect_clear", test_suspect_clear);
+	g_test_add_func("/admit/suspect_bound", test_suspect_bound);
+	g_test_add_func("/admit/suspect_orders", test_suspect_orders);
+	return g_test_run();
+}
