--- a/lib/grant/fg_grant.c
+++ b/lib/grant/fg_grant.c
@@ -6,6 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+void fg_grants_expect_strays(struct fg_grants *g, fg_ms now)
+{
+	for (uint32_t i = 0; i < g->conf.slots; i++)
+		g->slot[i].strays_since = now + FG_DEAD_GRACE_MS;
+}
+
 struct fg_grants *fg_grants_new(const struct fg_grants_conf *conf, fg_ms now,
 				bool recovering)
 {
@@ -33,7 +39,10 @@
 	for (uint32_t i = 0; i < conf->slots; i++) {
 		g->slot[i].since = now - 1;
 		g->slot[i].last_unpinned = now - 1;
+		g->slot[i].strays_since = FG_MS_NEVER;
 	}
+	if (recovering)
+		fg_grants_expect_strays(g, now);
 	fg_grants_note_change(g);
 	return g;
 }
@@ -84,26 +93,61 @@
 }
 
 /*
- * Nothing that this owner knows of uses the slot. Requests that the engine
- * reports although no grant explains them keep the slot as well: their holder
- * may have died together with the last owner.
+ * An engine told an adapter's name may use any slot that holds it, and may be
+ * told late: also of a grant whose slot was lost to a restart.
+ */
+static bool is_granted(const struct fg_grants *g, fg_av av)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->grants);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (fg_av_equal(((const struct fg_grant_rec *)value)->av, av))
+			return true;
+	return false;
+}
+
+/*
+ * Nothing that this owner knows of uses the slot, and nothing that it cannot
+ * know of: a holder that died together with the last owner told nobody of its
+ * grants, so only the engine can say that its requests are gone.
  */
-static bool is_unused(const struct fg_slot *s)
+static bool is_unused(const struct fg_grants *g, const struct fg_slot *s)
 {
 	if (s->pins > 0)
 		return false;
+	if (!fg_av_none(s->av) && is_granted(g, s->av))
+		return false;
+	if (s->strays_since != FG_MS_NEVER)
+		return false;
 	return s->running == 0 || s->running_at <= s->last_unpinned;
 }
 
+bool fg_grants_replaced(const struct fg_grants *g, fg_av av)
+{
+	for (uint32_t i = 0; i < g->conf.slots; i++) {
+		const struct fg_slot *s = &g->slot[i];
+
+		if ((s->state == FG_SLOT_LOADING ||
+		     s->state == FG_SLOT_TAINTED) &&
+		    fg_av_equal(s->victim, av))
+			return true;
+	}
+	return false;
+}
+
 static bool may_evict(const struct fg_grants *g, const struct fg_slot *s)
 {
-	return s->state == FG_SLOT_READY && is_unused(s) && !has_held(g, s->av);
+	return s->state == FG_SLOT_READY && is_unused(g, s) &&
+	       !has_held(g, s->av);
 }
 
 static int32_t pick_empty(const struct fg_grants *g)
 {
 	for (uint32_t i = 0; i < g->conf.slots; i++)
-		if (g->slot[i].state == FG_SLOT_EMPTY && is_unused(&g->slot[i]))
+		if (g->slot[i].state == FG_SLOT_EMPTY &&
+		    g->slot[i].running == 0)
 			return (int32_t)i;
 	return -1;
 }
@@ -212,6 +256,7 @@
 	s->last_use = now;
 	s->running = 0;
 	s->running_at = now;
+	s->strays_since = FG_MS_NEVER;
 	fg_grants_note_change(g);
 }
 
--- a/lib/grant/fg_grant_ask.c
+++ b/lib/grant/fg_grant_ask.c
@@ -211,7 +211,8 @@
 	slot = fg_grants_find(g, ask->av, FG_SLOT_READY);
 	if (slot < 0 && fg_grants_find(g, ask->av, FG_SLOT_LOADING) < 0)
 		return FG_GRANT_NOT_RESIDENT;
-	if (slot < 0 || g->in_use >= g->conf.batch || held_before(g, ask->cls))
+	if (slot < 0 || g->in_use >= g->conf.batch ||
+	    held_before(g, ask->cls) || fg_grants_replaced(g, ask->av))
 		return hold(g, now, ask);
 	*grant = give(g, now, ask, now + ask->budget_ms, slot);
 	return FG_GRANT_OK;
@@ -270,7 +271,7 @@
 		return fg_grants_find(g, held->ask.av, FG_SLOT_LOADING) < 0
 			       ? FG_GRANT_NOT_RESIDENT
 			       : FG_GRANT_HELD;
-	if (g->in_use >= g->conf.batch)
+	if (g->in_use >= g->conf.batch || fg_grants_replaced(g, held->ask.av))
 		return FG_GRANT_HELD;
 	*grant = give(g, now, &held->ask, held->deadline, slot);
 	return FG_GRANT_OK;
@@ -312,8 +313,13 @@
 	}
 	if (due == NULL)
 		return;
-	for (guint i = 0; i < due->len; i++)
-		fg_grants_end(g, now, due->pdata[i]);
+	for (guint i = 0; i < due->len; i++) {
+		struct fg_grant_rec *rec = due->pdata[i];
+
+		if (rec->slot >= 0)
+			g->slot[rec->slot].strays_since = now;
+		fg_grants_end(g, now, rec);
+	}
 	g_ptr_array_free(due, TRUE);
 }
 
--- a/lib/grant/fg_grant_priv.h
+++ b/lib/grant/fg_grant_priv.h
@@ -35,6 +35,10 @@
 	uint32_t running;    /* as the engine said ... */
 	fg_ms running_at;    /* ... when asked at this time */
 	fg_ms last_unpinned; /* when pins last went down */
+	/* Requests without a grant may run here: those of a last owner's
+	 * grants, or of grants that expired unreleased. Ends once the engine,
+	 * asked at this time or later, runs nothing here; FG_MS_NEVER: none. */
+	fg_ms strays_since;
 };
 
 struct fg_req_key {
@@ -111,6 +115,10 @@
 void fg_grants_remember(struct fg_grants *g, fg_ms now, struct fg_req_key key);
 bool fg_grants_ended(const struct fg_grants *g, struct fg_req_key key);
 
+/* Holders whose grants are not known died: their requests may be running, or
+ * reach the engine shortly. */
+void fg_grants_expect_strays(struct fg_grants *g, fg_ms now);
+
 /* Ends recovery when it is complete. */
 void fg_grants_check_recovery(struct fg_grants *g, fg_ms now);
 
@@ -122,6 +130,10 @@
 int32_t fg_grants_find(const struct fg_grants *g, fg_av av,
 		       enum fg_slot_state state);
 
+/* True while an open order may replace a copy of av: the engine could run a
+ * request on that copy, so no grant is given for any other copy either. */
+bool fg_grants_replaced(const struct fg_grants *g, fg_av av);
+
 guint fg_req_key_hash(gconstpointer p);
 gboolean fg_req_key_equal(gconstpointer a, gconstpointer b);
 
--- a/lib/grant/fg_grant_recover.c
+++ b/lib/grant/fg_grant_recover.c
@@ -46,7 +46,8 @@
 
 void fg_grants_peer_gone(struct fg_grants *g, fg_ms now, uint64_t peer)
 {
-	g_hash_table_remove(g->peers, &peer);
+	if (g_hash_table_remove(g->peers, &peer))
+		fg_grants_expect_strays(g, now);
 	fg_grants_check_recovery(g, now);
 }
 
@@ -98,7 +99,8 @@
 {
 	for (size_t i = 0; i < n; i++)
 		add_told(g, now, peer, &infos[i]);
-	fg_grants_peer_gone(g, now, peer);
+	g_hash_table_remove(g->peers, &peer);
+	fg_grants_check_recovery(g, now);
 }
 
 void fg_grants_taint(struct fg_grants *g, fg_ms now,
@@ -207,6 +209,8 @@
 		return;
 	s->running = es->running;
 	s->running_at = asked_at;
+	if (es->running == 0 && s->strays_since <= asked_at)
+		s->strays_since = FG_MS_NEVER;
 	switch (s->state) {
 	case FG_SLOT_LOADING:
 		break;
