--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -21,6 +21,8 @@
  *  - had pings answered by more than a third of the region's instances, sent
  *    after that, which tell them that the platform is reachable, and
  *  - waited reach_ms more.
+ * A lapsed row whose inner address another instance uses by now needs no more
+ * than the lapse: the process that held the address has ended.
  *
  * Standing, the one notion behind ownership and configuration:
  *   CONFIRMED  our own lease is fresh, and this instance, or a peer it
@@ -126,7 +128,8 @@
 void fg_member_tick(struct fg_member *m, fg_ms now, fg_member_emit emit,
 		    void *arg);
 
-/* Results of TABLE actions; op ids not ours are ignored (returns false). */
+/* Results of TABLE actions, exactly one for each; op ids not ours are ignored
+ * (returns false). */
 bool fg_member_on_table(struct fg_member *m, fg_ms now,
 			const struct fg_table_result *res, fg_member_emit emit,
 			void *arg);
--- a/lib/member/fg_member_internal.h
+++ b/lib/member/fg_member_internal.h
@@ -40,6 +40,7 @@
 	fg_ms absent_at; /* a read sent then found no row; 0 never */
 	fg_ms lapsed_at; /* the lease was seen lapsed; 0 no */
 	fg_ms proven_at; /* a quorum has answered since; 0 no */
+	bool replaced;	 /* another runs at its address by now */
 	uint64_t scan;	 /* number of the last scan that showed the row */
 	bool op_busy;	 /* a GET or DELETE of the row is under way */
 
@@ -106,6 +107,7 @@
 	uint64_t next_op;
 	fg_ms scan_at; /* next scan */
 	bool scan_busy;
+	bool replaced;	  /* another runs at its address by now */
 	uint64_t scan;	  /* number of the scan under way */
 	fg_ms scanned_at; /* last whole scan was sent then; 0 never */
 	size_t scan_rows; /* it showed so many */
--- a/lib/member/fg_member_peers.c
+++ b/lib/member/fg_member_peers.c
@@ -140,6 +140,27 @@
 
 /* ---- Deleting lapsed rows ---- */
 
+/*
+ * A process that listens at the address of e, and wrote its own lease later,
+ * proves that the process behind e has ended: it held the address until then.
+ */
+static bool is_replaced(const struct fg_member *m,
+			const struct fg_peer_entry *e)
+{
+	if (e->lapsed_at == 0 || e->view.info.rpc[0] == '\0')
+		return false;
+	if (strcmp(e->view.info.rpc, m->conf.self.rpc) == 0)
+		return m->lease.version > e->row_version;
+	for (guint i = 0; i < m->ring->len; i++) {
+		const struct fg_peer_entry *p = m->ring->pdata[i];
+
+		if (p->row_version > e->row_version &&
+		    strcmp(p->view.info.rpc, e->view.info.rpc) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* How many live instances of the region come before this one in deleting
  * the row of e; one of them suffices. */
 static uint32_t reap_rank(const struct fg_member *m,
@@ -196,6 +217,11 @@
 	/* Strictly after the read that showed the lapse. */
 	size_t answered = fg_member_reached(m, e->lapsed_at);
 
+	if (e->replaced) {
+		if (!e->op_busy)
+			send_delete(m, now, e);
+		return;
+	}
 	if (e->proven_at == 0) {
 		if (3 * answered > fg_member_region_size(m))
 			e->proven_at = now;
@@ -258,6 +284,7 @@
 		struct fg_peer_entry *e = m->ring->pdata[i];
 
 		watch(m, now, e);
+		e->replaced = is_replaced(m, e);
 		if (reap_turn(m, now, e))
 			reap(m, now, e);
 	}
--- a/lib/member/fg_member_standing.c
+++ b/lib/member/fg_member_standing.c
@@ -3,7 +3,15 @@
 
 size_t fg_member_region_size(const struct fg_member *m)
 {
-	return m->ring->len + 1;
+	size_t n = 1;
+
+	for (guint i = 0; i < m->ring->len; i++) {
+		const struct fg_peer_entry *e = m->ring->pdata[i];
+
+		if (!e->replaced)
+			n++;
+	}
+	return n;
 }
 
 size_t fg_member_reached(const struct fg_member *m, fg_ms since)
--- /dev/null
+++ b/lib/owner/fg_owner.c
@@ -0,0 +1,219 @@
+/* Keys, tick and questions of the ownership. */
+#include "owner/fg_owner.h"
+
+#include "owner/fg_owner_internal.h"
+
+static void key_free(gpointer data)
+{
+	struct fg_own_key *k = data;
+
+	g_free(k->intents);
+	g_free(k);
+}
+
+struct fg_owner *fg_owner_new(const struct fg_owner_conf *conf,
+			      const struct fg_member *member, uint64_t seed)
+{
+	struct fg_owner *o = g_new0(struct fg_owner, 1);
+
+	o->conf = *conf;
+	o->member = member;
+	fg_rand_seed(&o->rand, seed);
+	o->keys = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					key_free);
+	o->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				       g_free);
+	return o;
+}
+
+void fg_owner_free(struct fg_owner *o)
+{
+	if (o == NULL)
+		return;
+	g_hash_table_destroy(o->ops);
+	g_hash_table_destroy(o->keys);
+	g_free(o);
+}
+
+struct fg_own_key *fg_owner_key(const struct fg_owner *o, uint64_t key)
+{
+	return g_hash_table_lookup(o->keys, &key);
+}
+
+/* ---- Actions ---- */
+
+void fg_owner_emit_act(struct fg_owner *o, enum fg_owner_act_type type,
+		       const struct fg_own_key *k)
+{
+	struct fg_owner_act act = { .type = type,
+				    .key = k->key,
+				    .owner = k->owner,
+				    .fence = k->fence };
+
+	if (type == FG_OA_GAINED) {
+		act.n_intents = k->n_intents;
+		for (size_t i = 0; i < k->n_intents; i++)
+			act.intents[i] = k->intents[i].in;
+	}
+	o->emit(o->arg, &act);
+}
+
+void fg_owner_emit_intent(struct fg_owner *o, enum fg_owner_act_type type,
+			  const struct fg_own_key *k, uint64_t intent_id)
+{
+	struct fg_owner_act act = { .type = type,
+				    .key = k->key,
+				    .owner = k->owner,
+				    .fence = k->fence,
+				    .intent_id = intent_id };
+
+	o->emit(o->arg, &act);
+}
+
+void fg_owner_lose(struct fg_owner *o, struct fg_own_key *k)
+{
+	k->state = FG_OWN_OTHER;
+	fg_owner_intents_fail(o, k);
+	fg_owner_emit_act(o, FG_OA_LOST, k);
+}
+
+/* ---- Keys ---- */
+
+void fg_owner_want(struct fg_owner *o, uint64_t key, const char *region,
+		   const char *dc, bool leaving)
+{
+	struct fg_own_key *k = fg_owner_key(o, key);
+
+	if (k == NULL) {
+		k = g_new0(struct fg_own_key, 1);
+		k->key = key;
+		k->state = FG_OWN_FREE;
+		g_hash_table_insert(o->keys, &k->key, k);
+		o->pass_at = 0;
+	}
+	k->region = g_intern_string(region);
+	k->dc = g_intern_string(dc);
+	k->leaving = leaving;
+}
+
+void fg_owner_drop(struct fg_owner *o, fg_ms now, uint64_t key,
+		   fg_owner_emit emit, void *arg)
+{
+	struct fg_own_key *k = fg_owner_key(o, key);
+	struct fg_oop oop = { .kind = FG_OOP_DROP };
+	struct fg_table_op *op;
+	char name[FG_ROW_KEY_MAX];
+
+	if (k == NULL)
+		return;
+	o->emit = emit;
+	o->arg = arg;
+	if (k->state == FG_OWN_MINE && k->row_version != 0) {
+		fg_owner_key_name(key, name, sizeof(name));
+		op = fg_owner_op(o, FG_OP_TXN, NULL);
+		fg_table_op_write(op, name, k->row_version, NULL);
+		fg_owner_submit(o, now, op, &oop);
+	}
+	g_hash_table_remove(o->keys, &key);
+}
+
+void fg_owner_hint(struct fg_owner *o, fg_ms now, uint64_t key, uint64_t owner,
+		   uint64_t fence, fg_owner_emit emit, void *arg)
+{
+	struct fg_own_key *k = fg_owner_key(o, key);
+
+	o->emit = emit;
+	o->arg = arg;
+	if (k == NULL || fence <= k->fence || owner == o->conf.self)
+		return;
+	if (k->state == FG_OWN_MINE || k->state == FG_OWN_RELEASING)
+		fg_owner_lose(o, k);
+	else if (k->state == FG_OWN_CLAIMING)
+		return; /* the claim's result will tell */
+	k->owner = owner;
+	k->fence = fence;
+	k->learnt_at = now;
+	k->hinted = true;
+	k->state = owner == 0 ? FG_OWN_FREE : FG_OWN_OTHER;
+	fg_owner_emit_act(o, FG_OA_CHANGED, k);
+}
+
+/* ---- Tick ---- */
+
+/* Our lease was lost, or won anew: what we owned is to be claimed anew. */
+static void follow_epoch(struct fg_owner *o, fg_ms now)
+{
+	uint64_t epoch = fg_member_epoch(o->member);
+	GHashTableIter it;
+	void *value;
+
+	if (epoch == o->epoch)
+		return;
+	o->epoch = epoch;
+	o->pass_at = now;
+	g_hash_table_iter_init(&it, o->keys);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_own_key *k = value;
+
+		if (k->state == FG_OWN_MINE || k->state == FG_OWN_RELEASING)
+			fg_owner_lose(o, k);
+	}
+}
+
+void fg_owner_tick(struct fg_owner *o, fg_ms now, fg_owner_emit emit, void *arg)
+{
+	o->emit = emit;
+	o->arg = arg;
+	follow_epoch(o, now);
+	if (fg_member_standing(o->member, now) == FG_STANDING_JOINING)
+		return;
+	fg_owner_scan_tick(o, now);
+	fg_owner_claim_tick(o, now);
+	if (!o->work_due && !o->releasing)
+		return;
+	o->work_due = false;
+	fg_owner_read_tick(o, now);
+	fg_owner_write_tick(o, now);
+}
+
+/* ---- Questions ---- */
+
+enum fg_own_state fg_owner_find(const struct fg_owner *o, uint64_t key,
+				uint64_t *owner, uint64_t *fence)
+{
+	const struct fg_own_key *k = fg_owner_key(o, key);
+
+	if (owner != NULL)
+		*owner = k != NULL ? k->owner : 0;
+	if (fence != NULL)
+		*fence = k != NULL ? k->fence : 0;
+	return k != NULL ? k->state : FG_OWN_FREE;
+}
+
+bool fg_owner_may_act(const struct fg_owner *o, uint64_t key, fg_ms now)
+{
+	const struct fg_own_key *k = fg_owner_key(o, key);
+	enum fg_standing s;
+
+	if (k == NULL || k->state != FG_OWN_MINE ||
+	    k->epoch != fg_member_epoch(o->member))
+		return false;
+	s = fg_member_standing(o->member, now);
+	return s == FG_STANDING_CONFIRMED || s == FG_STANDING_OUTAGE;
+}
+
+void fg_owner_each_mine(const struct fg_owner *o,
+			void (*fn)(void *arg, uint64_t key, uint64_t fence),
+			void *arg)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, o->keys);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct fg_own_key *k = value;
+
+		if (k->state == FG_OWN_MINE)
+			fn(arg, k->key, k->fence);
+	}
+}
--- a/lib/owner/fg_owner.h
+++ b/lib/owner/fg_owner.h
@@ -2,18 +2,25 @@
  * fg_owner - one owner per endpoint, with a fencing number that only grows.
  *
  * Pure. Row owner/<endpoint id, 16 hex digits> =
- *   {"format":1,"owner":ID,"fence":N,"intents":[...]}
+ *   {"format":1,"owner":"<16 hex digits>","fence":N,"intents":[...]}
  * is changed by compare-and-set on its row version alone. An instance claims
  * an endpoint of its own region when it is the candidate and the row is
- * absent, handed over (owner 0), or held by an instance that is dead while
- * this one sees a majority (fg_member.h). The load broker of a region and
- * base model is owned the same way, under a key of its own.
+ * absent, handed over (owner 0), or held by an instance whose lease row is
+ * gone (fg_member_gone()). An instance that lost its own lease claims anew
+ * what it had. When the candidate does not claim for FG_OWNER_FALLBACK_MS,
+ * any instance of the region may. The load broker of a region and base model
+ * is owned the same way, under a key of its own.
  *
  * Order intents: for an engine that ignores fencing numbers, each load or
  * eviction is written to the row before the order and removed after the
  * outcome is known. A new owner finds the open intents of its predecessor and
  * treats their slots as tainted (fg_grant.h) until the engine shows the old
  * order done or its life has passed.
+ *
+ * Each TABLE action must get exactly one result.
+ *
+ * What remains possible, for engines that ignore fencing numbers alone: see
+ * docs/design/ownership.md.
  */
 #ifndef FG_OWNER_H
 #define FG_OWNER_H
@@ -72,10 +79,18 @@
 
 struct fg_owner_conf {
 	uint64_t self;
-	uint32_t scan_ms;  /* between reads of all owner rows */
+	uint32_t scan_ms;  /* between reads of all owner rows; longer when there
+			    * are many, see FG_OWNER_SCAN_BYTES_PER_S */
 	uint32_t retry_ms; /* after a conflict or an unreachable platform */
 };
 
+/* Bound on what reading the owner rows costs one instance. */
+#define FG_OWNER_SCAN_BYTES_PER_S 3000
+
+/* A key that nobody claims is claimed by others than its candidate after this
+ * long; each waits up to as long again at random. */
+#define FG_OWNER_FALLBACK_MS 10000
+
 struct fg_owner;
 
 /* Borrows the membership, which must outlive it. */
@@ -88,7 +103,8 @@
 void fg_owner_want(struct fg_owner *o, uint64_t key, const char *region,
 		   const char *dc, bool leaving);
 
-/* Forgets a key that is gone for good; deletes its row if it is ours. */
+/* Forgets a key that is gone for good; deletes its row if it is ours. The id
+ * must not come back, since its fencing numbers would start again. */
 void fg_owner_drop(struct fg_owner *o, fg_ms now, uint64_t key,
 		   fg_owner_emit emit, void *arg);
 
@@ -113,7 +129,8 @@
 /* Removes an intent; done lazily with the next write. */
 void fg_owner_intent_done(struct fg_owner *o, uint64_t key, uint64_t intent_id);
 
-/* Hands over everything that is ours: rows get owner 0, fences stay. */
+/* Hands over everything that is ours: rows get owner 0, fences stay. Nothing
+ * is claimed from then on. Each key ends in RELEASED or LOST. */
 void fg_owner_release_all(struct fg_owner *o, fg_ms now, fg_owner_emit emit,
 			  void *arg);
 
--- /dev/null
+++ b/tests/unit/cluster.c
@@ -0,0 +1,616 @@
+/* Several instances over an in-memory table and network, in virtual time. */
+#include "cluster.h"
+
+#include <string.h>
+
+#define TICK_MS 100
+#define TIMEOUT_MS 1000 /* of an operation on the table */
+#define DRIFT 0.01	/* clocks run up to this share fast or slow */
+
+enum event_type {
+	EV_TICK = 1,
+	EV_OP = 2,     /* an operation reaches the table */
+	EV_RESULT = 3, /* its result reaches the node */
+	EV_MSG = 4,
+	EV_LIST = 5,
+};
+
+struct event {
+	fg_ms at;
+	uint64_t number;
+	enum event_type type;
+	struct node *node; /* where it happens */
+	uint64_t node_id;  /* the node may have been replaced since */
+	struct fg_table_op *op;
+	struct fg_table_result *res;
+	fg_msg *msg;
+	uint64_t from;
+	int from_side;
+};
+
+/* ---- Events ---- */
+
+static gint by_time(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct event *x = a, *y = b;
+
+	(void)data;
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	return (x->number > y->number) - (x->number < y->number);
+}
+
+static gint by_name(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+static struct event *post(struct cluster *c, fg_ms at, enum event_type type,
+			  struct node *n)
+{
+	struct event *ev = g_new0(struct event, 1);
+
+	ev->at = at;
+	ev->number = c->next_event++;
+	ev->type = type;
+	ev->node = n;
+	ev->node_id = n->self.id;
+	g_tree_insert(c->events, ev, ev);
+	return ev;
+}
+
+static void event_free(struct event *ev)
+{
+	fg_table_op_free(ev->op);
+	fg_table_result_free(ev->res);
+	fg_msg_free(ev->msg);
+	g_free(ev);
+}
+
+static bool chance(struct cluster *c, double share)
+{
+	return fg_rand_unit(&c->rand) < share;
+}
+
+static fg_ms latency(struct cluster *c)
+{
+	if (chance(c, c->slow_share))
+		return 20 + (fg_ms)fg_rand_below(&c->rand, 1500);
+	return 1 + (fg_ms)fg_rand_below(&c->rand, 20);
+}
+
+fg_ms node_clock(const struct cluster *c, const struct node *n)
+{
+	return n->clock_offset + (fg_ms)((double)c->now * n->clock_rate);
+}
+
+/* ---- Table ---- */
+
+static void row_free(gpointer data)
+{
+	struct fg_row *row = data;
+
+	g_free(row->value);
+	g_free(row);
+}
+
+static uint64_t version_of(struct cluster *c, const char *key)
+{
+	struct fg_row *row = g_tree_lookup(c->table, key);
+
+	return row != NULL ? row->row_version : 0;
+}
+
+static void table_put(struct cluster *c, const struct fg_write *w)
+{
+	struct fg_row *row;
+
+	c->row_version++;
+	if (w->value == NULL) {
+		g_tree_remove(c->table, w->key);
+		return;
+	}
+	row = g_new0(struct fg_row, 1);
+	g_strlcpy(row->key, w->key, sizeof(row->key));
+	row->row_version = c->row_version;
+	row->value = g_strdup(w->value);
+	g_tree_replace(c->table, row->key, row);
+}
+
+static void table_txn(struct cluster *c, const struct fg_table_op *op,
+		      struct fg_table_result *res)
+{
+	for (size_t i = 0; i < op->n_writes; i++) {
+		const struct fg_write *w = &op->writes[i];
+		struct fg_row *row = g_tree_lookup(c->table, w->key);
+
+		if (w->expect_version == FG_ANY_VERSION ||
+		    w->expect_version == version_of(c, w->key))
+			continue;
+		res->result = FG_PF_CONFLICT;
+		fg_table_result_row(res, w->key,
+				    row != NULL ? row->row_version : 0,
+				    row != NULL ? row->value : NULL);
+		return;
+	}
+	for (size_t i = 0; i < op->n_writes; i++) {
+		table_put(c, &op->writes[i]);
+		if (!c->no_versions)
+			fg_table_result_row(res, op->writes[i].key,
+					    c->row_version, NULL);
+	}
+	c->table_writes++;
+}
+
+struct scan {
+	const char *prefix;
+	struct fg_table_result *res;
+};
+
+static gboolean scan_row(gpointer key, gpointer value, gpointer data)
+{
+	struct fg_row *row = value;
+	struct scan *s = data;
+
+	if (g_str_has_prefix(key, s->prefix))
+		fg_table_result_row(s->res, row->key, row->row_version,
+				    row->value);
+	return FALSE;
+}
+
+static struct fg_table_result *table_run(struct cluster *c,
+					 const struct fg_table_op *op)
+{
+	struct fg_table_result *res =
+		fg_table_result_new(op->id, op->kind, FG_PF_OK);
+	struct scan s = { .prefix = op->key, .res = res };
+	struct fg_row *row;
+
+	if (op->kind == FG_OP_TXN) {
+		table_txn(c, op, res);
+		return res;
+	}
+	c->table_reads++;
+	if (op->kind == FG_OP_SCAN) {
+		g_tree_foreach(c->table, scan_row, &s);
+		return res;
+	}
+	row = g_tree_lookup(c->table, op->key);
+	if (row == NULL)
+		res->result = FG_PF_ABSENT;
+	else
+		fg_table_result_row(res, row->key, row->row_version,
+				    row->value);
+	return res;
+}
+
+static void answer(struct cluster *c, struct node *n, uint64_t node_id,
+		   struct fg_table_result *res, fg_ms after)
+{
+	struct event *ev = post(c, c->now + after, EV_RESULT, n);
+
+	ev->node_id = node_id;
+	ev->res = res;
+}
+
+static struct fg_table_result *no_answer(const struct fg_table_op *op,
+					 enum fg_pf_result result)
+{
+	return fg_table_result_new(op->id, op->kind, result);
+}
+
+static void run_op(struct cluster *c, const struct event *ev)
+{
+	struct node *n = ev->node;
+	bool reaches = c->now >= c->outage_until && !n->platform_cut;
+	struct fg_table_result *res;
+
+	if (!reaches) {
+		answer(c, n, ev->node_id,
+		       no_answer(ev->op,
+				 chance(c, 0.5) ? FG_PF_DOWN : FG_PF_LOST),
+		       latency(c));
+		return;
+	}
+	res = table_run(c, ev->op);
+	if (chance(c, c->lost_share)) {
+		fg_table_result_free(res);
+		answer(c, n, ev->node_id, no_answer(ev->op, FG_PF_LOST),
+		       TIMEOUT_MS);
+		return;
+	}
+	answer(c, n, ev->node_id, res, latency(c));
+}
+
+/* ---- Nodes ---- */
+
+static struct node *node_by_id(struct cluster *c, uint64_t id)
+{
+	for (int i = 0; i < c->n_nodes; i++)
+		if (c->nodes[i].alive && c->nodes[i].self.id == id)
+			return &c->nodes[i];
+	return NULL;
+}
+
+struct call {
+	struct cluster *c;
+	struct node *n;
+};
+
+static void submit(struct cluster *c, struct node *n, struct fg_table_op *op)
+{
+	struct event *ev = post(c, c->now + latency(c), EV_OP, n);
+
+	ev->op = op;
+}
+
+static void send_msg(struct cluster *c, struct node *n, uint64_t to,
+		     fg_msg *msg)
+{
+	struct node *dest = node_by_id(c, to);
+	struct event *ev;
+
+	n->sent_msgs++;
+	if (dest == NULL || chance(c, c->msg_loss)) {
+		fg_msg_free(msg);
+		return;
+	}
+	ev = post(c, c->now + latency(c), EV_MSG, dest);
+	ev->msg = msg;
+	ev->from = n->self.id;
+	ev->from_side = n->side;
+}
+
+static void on_member_act(void *arg, struct fg_member_act *act)
+{
+	struct call *call = arg;
+
+	switch (act->type) {
+	case FG_MA_TABLE:
+		submit(call->c, call->n, act->op);
+		break;
+	case FG_MA_SEND:
+		send_msg(call->c, call->n, act->to, act->msg);
+		break;
+	case FG_MA_LIST:
+		post(call->c, call->c->now + latency(call->c), EV_LIST,
+		     call->n);
+		break;
+	case FG_MA_STANDING:
+		call->n->standing = act->standing;
+		break;
+	default:
+		break;
+	}
+}
+
+static int key_number(const struct cluster *c, uint64_t key)
+{
+	for (int i = 0; i < c->n_keys; i++)
+		if (c->keys[i] == key)
+			return i;
+	g_assert_not_reached();
+}
+
+static void on_owner_act(void *arg, struct fg_owner_act *act)
+{
+	struct call *call = arg;
+	int k;
+
+	switch (act->type) {
+	case FG_OA_TABLE:
+		submit(call->c, call->n, act->op);
+		break;
+	case FG_OA_GAINED:
+		k = key_number(call->c, act->key);
+		call->n->gained++;
+		g_assert_cmpuint(act->fence, >, call->c->last_fence[k]);
+		call->c->last_fence[k] = act->fence;
+		break;
+	case FG_OA_LOST:
+		call->n->lost++;
+		break;
+	case FG_OA_INTENT_OK:
+		call->n->intents_ok++;
+		break;
+	case FG_OA_INTENT_FAILED:
+		call->n->intents_failed++;
+		break;
+	case FG_OA_RELEASED:
+		call->n->released++;
+		break;
+	case FG_OA_CHANGED:
+		break;
+	}
+}
+
+static void tick(struct cluster *c, struct node *n)
+{
+	struct call call = { .c = c, .n = n };
+	fg_ms now = node_clock(c, n);
+
+	fg_member_tick(n->m, now, on_member_act, &call);
+	fg_owner_tick(n->o, now, on_owner_act, &call);
+	post(c, c->now + TICK_MS, EV_TICK, n);
+}
+
+static void list(struct cluster *c, struct node *n)
+{
+	struct call call = { .c = c, .n = n };
+	struct fg_listed listed[NODES_MAX];
+	size_t count = 0;
+	bool down = c->now < c->outage_until || n->platform_cut;
+
+	for (int i = 0; i < c->n_nodes && !down; i++)
+		if (c->nodes[i].alive)
+			listed[count++] = c->nodes[i].self;
+	fg_member_on_list(n->m, node_clock(c, n), down ? FG_PF_DOWN : FG_PF_OK,
+			  listed, count, on_member_act, &call);
+}
+
+static void deliver(struct cluster *c, struct event *ev)
+{
+	struct call call = { .c = c, .n = ev->node };
+	fg_ms now = node_clock(c, ev->node);
+
+	switch (ev->type) {
+	case EV_TICK:
+		tick(c, ev->node);
+		break;
+	case EV_RESULT:
+		if (!fg_member_on_table(ev->node->m, now, ev->res,
+					on_member_act, &call))
+			fg_owner_on_table(ev->node->o, now, ev->res,
+					  on_owner_act, &call);
+		break;
+	case EV_MSG:
+		if (ev->from_side == ev->node->side)
+			fg_member_on_msg(ev->node->m, now, ev->from, ev->msg,
+					 on_member_act, &call);
+		break;
+	case EV_LIST:
+		list(c, ev->node);
+		break;
+	case EV_OP:
+		break;
+	}
+}
+
+struct node *cluster_join(struct cluster *c, const char *region)
+{
+	struct node *n = NULL;
+	struct fg_member_conf mc = c->conf;
+	struct fg_owner_conf oc = { .scan_ms = 2000, .retry_ms = 300 };
+
+	for (int i = 0; i < NODES_MAX && n == NULL; i++)
+		if (!c->nodes[i].alive)
+			n = &c->nodes[i];
+	if (n == NULL)
+		return NULL;
+	c->n_nodes = MAX(c->n_nodes, (int)(n - c->nodes) + 1);
+	memset(n, 0, sizeof(*n));
+	n->index = (int)(n - c->nodes);
+	n->alive = true;
+	g_snprintf(n->self.name, sizeof(n->self.name), "entry-%d", c->names++);
+	n->self.id = fg_hash_str(n->self.name);
+	n->self.kind = FG_LISTED_ENTRY;
+	g_strlcpy(n->self.region, region, sizeof(n->self.region));
+	g_strlcpy(n->self.dc, "dc-1", sizeof(n->self.dc));
+	g_snprintf(n->self.rpc, sizeof(n->self.rpc), "10.0.0.1:%d",
+		   chance(c, c->new_address_share) ? NODES_MAX + c->names
+						   : n->index);
+	n->clock_offset = (fg_ms)fg_rand_below(&c->rand, 100000000);
+	n->clock_rate = 1 + DRIFT * (2 * fg_rand_unit(&c->rand) - 1);
+	mc.self = n->self;
+	mc.boot = fg_rand_next(&c->rand);
+	oc.self = n->self.id;
+	n->m = fg_member_new(&mc, fg_rand_next(&c->rand));
+	n->o = fg_owner_new(&oc, n->m, fg_rand_next(&c->rand));
+	for (int i = 0; i < c->n_keys; i++)
+		fg_owner_want(n->o, c->keys[i], c->key_region[i], "dc-1",
+			      false);
+	post(c, c->now + (fg_ms)fg_rand_below(&c->rand, TICK_MS), EV_TICK, n);
+	return n;
+}
+
+void cluster_kill(struct cluster *c, struct node *n)
+{
+	(void)c;
+	n->alive = false;
+	fg_owner_free(n->o);
+	fg_member_free(n->m);
+	n->o = NULL;
+	n->m = NULL;
+}
+
+void cluster_leave(struct cluster *c, struct node *n)
+{
+	struct call call = { .c = c, .n = n };
+
+	fg_member_leave(n->m, node_clock(c, n), on_member_act, &call);
+	fg_owner_release_all(n->o, node_clock(c, n), on_owner_act, &call);
+}
+
+void cluster_quit(struct cluster *c, struct node *n)
+{
+	struct call call = { .c = c, .n = n };
+
+	fg_member_quit(n->m, node_clock(c, n), on_member_act, &call);
+}
+
+void cluster_intent(struct cluster *c, struct node *n, int k, uint64_t id)
+{
+	struct call call = { .c = c, .n = n };
+	struct fg_intent in = { .id = id, .slot = 1, .av = { 7, 1 } };
+
+	in.life_ms = 1000;
+	fg_owner_intent(n->o, node_clock(c, n), c->keys[k], &in, on_owner_act,
+			&call);
+}
+
+/* ---- Cluster ---- */
+
+struct cluster *cluster_new(uint64_t seed, int n_keys, int n_regions)
+{
+	static const char *const regions[] = { "coast", "highlands", "south" };
+	struct cluster *c = g_new0(struct cluster, 1);
+
+	fg_rand_seed(&c->rand, seed);
+	c->now = 1;
+	c->events = g_tree_new_full(by_time, NULL, NULL, NULL);
+	c->table = g_tree_new_full(by_name, NULL, NULL, row_free);
+	c->n_keys = n_keys;
+	for (int i = 0; i < n_keys; i++) {
+		c->keys[i] = fg_hash_mix(77, (uint64_t)i);
+		c->key_region[i] = regions[i % n_regions];
+	}
+	fg_member_conf_defaults(&c->conf);
+	c->conf.renew_ms = 700;
+	c->conf.lease_ms = 3000;
+	c->conf.scan_ms = 1000;
+	c->conf.list_ms = 1500;
+	c->conf.ping_ms = 300;
+	c->conf.suspect_ms = 800;
+	c->conf.confirm_ms = 1500;
+	c->conf.fanout = 3;
+	c->conf.pause_ms = 400;
+	c->check = true;
+	return c;
+}
+
+static gboolean free_event(gpointer key, gpointer value, gpointer data)
+{
+	(void)key;
+	(void)data;
+	event_free(value);
+	return FALSE;
+}
+
+void cluster_free(struct cluster *c)
+{
+	for (int i = 0; i < c->n_nodes; i++)
+		if (c->nodes[i].alive)
+			cluster_kill(c, &c->nodes[i]);
+	g_tree_foreach(c->events, free_event, NULL);
+	g_tree_destroy(c->events);
+	g_tree_destroy(c->table);
+	g_free(c);
+}
+
+struct node *cluster_actor(struct cluster *c, int k)
+{
+	struct node *actor = NULL;
+
+	for (int i = 0; i < c->n_nodes; i++) {
+		struct node *n = &c->nodes[i];
+
+		if (!n->alive ||
+		    !fg_owner_may_act(n->o, c->keys[k], node_clock(c, n)))
+			continue;
+		if (actor != NULL)
+			c->overlaps++;
+		g_assert(actor == NULL || !c->check);
+		actor = n;
+	}
+	return actor;
+}
+
+int cluster_live(struct cluster *c, const char *region)
+{
+	int live = 0;
+
+	for (int i = 0; i < c->n_nodes; i++)
+		if (c->nodes[i].alive &&
+		    strcmp(c->nodes[i].self.region, region) == 0)
+			live++;
+	return live;
+}
+
+struct row_count {
+	const char *region;
+	int rows;
+};
+
+static gboolean count_row(gpointer key, gpointer value, gpointer data)
+{
+	const struct fg_row *row = value;
+	struct row_count *count = data;
+
+	if (g_str_has_prefix(key, "session/") &&
+	    strstr(row->value, count->region) != NULL)
+		count->rows++;
+	return FALSE;
+}
+
+int cluster_dead_rows(struct cluster *c, const char *region)
+{
+	struct row_count count = { .region = region };
+
+	g_tree_foreach(c->table, count_row, &count);
+	return count.rows - cluster_live(c, region);
+}
+
+bool cluster_all_owned(struct cluster *c)
+{
+	for (int k = 0; k < c->n_keys; k++)
+		if (cluster_actor(c, k) == NULL)
+			return false;
+	return true;
+}
+
+static void step(struct cluster *c, struct event *ev)
+{
+	struct node *n = ev->node;
+	bool gone = !n->alive || n->self.id != ev->node_id;
+
+	if (ev->type == EV_OP) {
+		run_op(c, ev);
+	} else if (!gone && n->paused_until > c->now) {
+		/* Kept, in order, until the node goes on. */
+		g_tree_remove(c->events, ev);
+		ev->at = n->paused_until;
+		g_tree_insert(c->events, ev, ev);
+		return;
+	} else if (!gone) {
+		deliver(c, ev);
+	}
+	g_tree_remove(c->events, ev);
+	event_free(ev);
+}
+
+void cluster_run(struct cluster *c, fg_ms until)
+{
+	fg_ms checked = 0;
+
+	for (;;) {
+		GTreeNode *first = g_tree_node_first(c->events);
+		struct event *ev;
+
+		if (first == NULL)
+			break;
+		ev = g_tree_node_value(first);
+		if (ev->at > until)
+			break;
+		c->now = MAX(c->now, ev->at);
+		step(c, ev);
+		if (c->now - checked >= 5) {
+			checked = c->now;
+			cluster_all_owned(c);
+		}
+	}
+	c->now = until;
+}
+
+void cluster_heal(struct cluster *c)
+{
+	c->outage_until = 0;
+	c->lost_share = 0;
+	c->slow_share = 0;
+	c->msg_loss = 0;
+	for (int i = 0; i < c->n_nodes; i++) {
+		c->nodes[i].paused_until = 0;
+		c->nodes[i].platform_cut = false;
+		c->nodes[i].side = 0;
+	}
+}
--- /dev/null
+++ b/tests/unit/test_member.c
@@ -0,0 +1,259 @@
+/* Unit tests of lib/member. */
+#include <string.h>
+
+#include "cluster.h"
+#include "member/fg_member_internal.h"
+
+static struct cluster *start(uint64_t seed, int n)
+{
+	struct cluster *c = cluster_new(seed, 0, 1);
+
+	for (int i = 0; i < n; i++)
+		cluster_join(c, "coast");
+	cluster_run(c, 8000);
+	return c;
+}
+
+static enum fg_standing standing(const struct cluster *c, int i)
+{
+	const struct node *n = &c->nodes[i];
+
+	return fg_member_standing(n->m, node_clock(c, n));
+}
+
+static enum fg_peer_state state(const struct cluster *c, int of, uint64_t id)
+{
+	const struct fg_peer_view *v = fg_member_find(c->nodes[of].m, id);
+
+	return v != NULL ? v->state : 0;
+}
+
+static void test_all_see_all(void)
+{
+	struct cluster *c = start(1, 9);
+	uint64_t ids[16];
+
+	for (int i = 0; i < 9; i++) {
+		g_assert_cmpint(standing(c, i), ==, FG_STANDING_CONFIRMED);
+		g_assert_cmpuint(
+			fg_member_live(c->nodes[i].m, "coast", ids, 16), ==, 9);
+		g_assert_cmpuint(
+			fg_member_candidate(c->nodes[i].m, 42, "coast", "dc-1"),
+			==,
+			fg_member_candidate(c->nodes[0].m, 42, "coast",
+					    "dc-1"));
+	}
+	cluster_free(c);
+}
+
+/* A killed instance is given up by all, and its row is deleted. */
+static void test_death(void)
+{
+	struct cluster *c = start(2, 9);
+	uint64_t id = c->nodes[4].self.id;
+
+	cluster_kill(c, &c->nodes[4]);
+	cluster_run(c, c->now + 12000);
+	g_assert_cmpint(g_tree_nnodes(c->table), ==, 8);
+	for (int i = 0; i < 9; i++)
+		if (i != 4)
+			g_assert_cmpint(state(c, i, id), ==, FG_PEER_DEAD);
+	cluster_free(c);
+}
+
+/* A planned stop is known at once, and nothing waits for a lease to lapse. */
+static void test_leave_and_quit(void)
+{
+	struct cluster *c = start(3, 5);
+	uint64_t id = c->nodes[0].self.id;
+
+	cluster_leave(c, &c->nodes[0]);
+	cluster_run(c, c->now + 100);
+	for (int i = 1; i < 5; i++)
+		g_assert_cmpint(state(c, i, id), ==, FG_PEER_LEAVING);
+	cluster_quit(c, &c->nodes[0]);
+	cluster_run(c, c->now + 1500);
+	g_assert_cmpint(standing(c, 0), ==, FG_STANDING_ISOLATED);
+	for (int i = 1; i < 5; i++)
+		g_assert_cmpint(state(c, i, id), ==, FG_PEER_DEAD);
+	cluster_free(c);
+}
+
+static void test_outage_holds(void)
+{
+	struct cluster *c = start(4, 6);
+
+	c->outage_until = c->now + 60000;
+	cluster_run(c, c->now + 50000);
+	for (int i = 0; i < 6; i++)
+		g_assert_cmpint(standing(c, i), ==, FG_STANDING_OUTAGE);
+	cluster_run(c, c->now + 15000);
+	for (int i = 0; i < 6; i++)
+		g_assert_cmpint(standing(c, i), ==, FG_STANDING_CONFIRMED);
+	cluster_free(c);
+}
+
+/* Cut from the platform alone: isolated, since its peers reach it. */
+static void test_cut_from_platform(void)
+{
+	struct cluster *c = start(5, 6);
+
+	c->nodes[0].platform_cut = true;
+	cluster_run(c, c->now + 3500);
+	g_assert_cmpint(standing(c, 0), ==, FG_STANDING_ISOLATED);
+	g_assert_cmpint(standing(c, 1), ==, FG_STANDING_CONFIRMED);
+	cluster_heal(c);
+	cluster_run(c, c->now + 8000);
+	g_assert_cmpint(standing(c, 0), ==, FG_STANDING_CONFIRMED);
+	cluster_free(c);
+}
+
+/* An outage and a cut: the larger part holds, the smaller part does not. */
+static void test_minority_in_outage(void)
+{
+	struct cluster *c = start(6, 6);
+
+	c->outage_until = c->now + 60000;
+	c->nodes[0].side = 1;
+	c->nodes[1].side = 1;
+	cluster_run(c, c->now + 20000);
+	g_assert_cmpint(standing(c, 0), ==, FG_STANDING_ISOLATED);
+	g_assert_cmpint(standing(c, 1), ==, FG_STANDING_ISOLATED);
+	for (int i = 2; i < 6; i++)
+		g_assert_cmpint(standing(c, i), ==, FG_STANDING_OUTAGE);
+	cluster_free(c);
+}
+
+static void test_pause(void)
+{
+	struct cluster *c = start(7, 4);
+	struct node *n = &c->nodes[2];
+
+	n->paused_until = c->now + 1200;
+	cluster_run(c, c->now + 600);
+	/* Seen from within, before its first tick after the pause. */
+	g_assert_cmpint(standing(c, 2), ==, FG_STANDING_ISOLATED);
+	cluster_run(c, c->now + 3000);
+	g_assert_cmpint(standing(c, 2), ==, FG_STANDING_CONFIRMED);
+	cluster_free(c);
+}
+
+/* All die; those who come instead get going, though most rows are dead. */
+static void test_total_restart(void)
+{
+	struct cluster *c = start(8, 3);
+
+	c->new_address_share = 1;
+	for (int i = 0; i < 3; i++)
+		cluster_kill(c, &c->nodes[i]);
+	for (int i = 0; i < 3; i++)
+		cluster_join(c, "coast");
+	cluster_run(c, c->now + 20000);
+	g_assert_cmpint(g_tree_nnodes(c->table), ==, 3);
+	for (int i = 0; i < 3; i++)
+		g_assert_cmpint(standing(c, i), ==, FG_STANDING_CONFIRMED);
+	cluster_free(c);
+}
+
+/* An instance that crashes again and again at one address leaves many lapsed
+ * rows, which must not cost the region its quorum. */
+static void test_crash_loop(void)
+{
+	struct cluster *c = start(12, 2);
+
+	for (int i = 0; i < 8; i++) {
+		cluster_kill(c, &c->nodes[0]);
+		cluster_join(c, "coast");
+		cluster_run(c, c->now + 500);
+	}
+	cluster_run(c, c->now + 10000);
+	g_assert_cmpint(g_tree_nnodes(c->table), ==, 2);
+	cluster_free(c);
+}
+
+static void test_start_in_outage(void)
+{
+	struct cluster *c = cluster_new(9, 0, 1);
+
+	c->outage_until = 10000;
+	for (int i = 0; i < 3; i++)
+		cluster_join(c, "coast");
+	cluster_run(c, 9000);
+	g_assert_cmpint(standing(c, 0), ==, FG_STANDING_JOINING);
+	cluster_run(c, 20000);
+	g_assert_cmpint(standing(c, 0), ==, FG_STANDING_CONFIRMED);
+	cluster_free(c);
+}
+
+/* Another process under the same name: the first one found out stops. */
+static void test_same_name(void)
+{
+	struct cluster *c = start(10, 3);
+	struct fg_row *row;
+
+	row = g_tree_lookup(c->table, "session/entry-0");
+	g_assert_nonnull(row);
+	row->row_version = ++c->row_version;
+	char *at = strstr(row->value, "\"boot\":");
+	g_assert_nonnull(at);
+	at[7] = at[7] == '1' ? '2' : '1';
+	cluster_run(c, c->now + 5000);
+	g_assert_cmpint(standing(c, 0), ==, FG_STANDING_ISOLATED);
+	cluster_free(c);
+}
+
+/* The adapter may answer writes without the new versions. */
+static void test_no_versions(void)
+{
+	struct cluster *c = cluster_new(11, 0, 1);
+
+	c->no_versions = true;
+	for (int i = 0; i < 3; i++)
+		cluster_join(c, "coast");
+	cluster_run(c, 20000);
+	for (int i = 0; i < 3; i++)
+		g_assert_cmpint(standing(c, i), ==, FG_STANDING_CONFIRMED);
+	cluster_free(c);
+}
+
+static void test_row_codec(void)
+{
+	struct fg_lease_row row = { .boot = UINT64_MAX - 5, .leaving = true };
+	struct fg_lease_row back;
+	g_autofree char *text = NULL;
+
+	g_strlcpy(row.info.addr, "127.0.0.1:23001", sizeof(row.info.addr));
+	g_strlcpy(row.info.rpc, "127.0.0.1:23002", sizeof(row.info.rpc));
+	g_strlcpy(row.info.region, "coast \"1\"", sizeof(row.info.region));
+	g_strlcpy(row.info.dc, "dc-1", sizeof(row.info.dc));
+	text = fg_lease_row_encode(&row);
+	g_assert_true(fg_lease_row_decode("session/entry-1", text, &back));
+	g_assert_cmpuint(back.boot, ==, row.boot);
+	g_assert_true(back.leaving);
+	g_assert_cmpstr(back.info.name, ==, "entry-1");
+	g_assert_cmpstr(back.info.region, ==, row.info.region);
+	g_assert_cmpuint(back.info.id, ==, fg_hash_str("entry-1"));
+	g_assert_false(
+		fg_lease_row_decode("session/x", "{\"format\":1}", &back));
+	g_assert_false(fg_lease_row_decode("session/x", "no json", &back));
+	g_assert_false(fg_lease_row_decode("session/x", NULL, &back));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/member/all_see_all", test_all_see_all);
+	g_test_add_func("/member/death", test_death);
+	g_test_add_func("/member/leave_and_quit", test_leave_and_quit);
+	g_test_add_func("/member/outage_holds", test_outage_holds);
+	g_test_add_func("/member/cut_from_platform", test_cut_from_platform);
+	g_test_add_func("/member/minority_in_outage", test_minority_in_outage);
+	g_test_add_func("/member/pause", test_pause);
+	g_test_add_func("/member/total_restart", test_total_restart);
+	g_test_add_func("/member/crash_loop", test_crash_loop);
+	g_test_add_func("/member/start_in_outage", test_start_in_outage);
+	g_test_add_func("/member/same_name", test_same_name);
+	g_test_add_func("/member/no_versions", test_no_versions);
+	g_test_add_func("/member/row_codec", test_row_codec);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_owner.c
@@ -0,0 +1,373 @@
+/* Unit tests of lib/owner, alone and over seeded runs with faults. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster.h"
+#include "owner/fg_owner_internal.h"
+
+#define SEEDS 400 /* FG_TEST_SEEDS takes its place */
+
+static struct cluster *start(uint64_t seed, int n_nodes, int n_keys)
+{
+	struct cluster *c = cluster_new(seed, n_keys, 1);
+
+	for (int i = 0; i < n_nodes; i++)
+		cluster_join(c, "coast");
+	cluster_run(c, 10000);
+	g_assert_true(cluster_all_owned(c));
+	return c;
+}
+
+static void test_claims_are_batched(void)
+{
+	struct cluster *c = cluster_new(1, KEYS_MAX, 1);
+	uint64_t before;
+
+	cluster_join(c, "coast");
+	cluster_run(c, 500);
+	before = c->table_writes;
+	cluster_run(c, 2500);
+	g_assert_true(cluster_all_owned(c));
+	/* One for all keys; the others renew the lease. */
+	g_assert_cmpuint(c->table_writes - before, <=, 1 + 2000 / 700 + 1);
+	cluster_free(c);
+}
+
+static void test_takeover(void)
+{
+	struct cluster *c = start(2, 5, 6);
+	struct node *n = cluster_actor(c, 0);
+	uint64_t fence = c->last_fence[0];
+	fg_ms killed = c->now;
+
+	cluster_kill(c, n);
+	while (cluster_actor(c, 0) == NULL && c->now < killed + 20000)
+		cluster_run(c, c->now + 100);
+	g_test_message("owned again after %d ms", (int)(c->now - killed));
+	g_assert_nonnull(cluster_actor(c, 0));
+	g_assert_cmpuint(c->last_fence[0], >, fence);
+	cluster_free(c);
+}
+
+static void test_hand_over(void)
+{
+	struct cluster *c = start(3, 4, 6);
+	struct node *n = cluster_actor(c, 0);
+	fg_ms asked = c->now;
+	uint64_t fence = c->last_fence[0];
+
+	cluster_leave(c, n);
+	g_assert_false(fg_owner_may_act(n->o, c->keys[0], node_clock(c, n)));
+	while (cluster_actor(c, 0) == NULL && c->now < asked + 20000)
+		cluster_run(c, c->now + 50);
+	g_assert_cmpint(c->now - asked, <, 5000);
+	g_assert_cmpuint(n->released, >, 0);
+	g_assert_cmpuint(c->last_fence[0], ==, fence + 1);
+	g_assert_true(cluster_actor(c, 0) != n);
+	cluster_free(c);
+}
+
+/* The new owner is told of its predecessor's open intents, not of others. */
+struct seen {
+	uint64_t ids[FG_INTENTS_MAX];
+	size_t n;
+};
+
+static void test_intents(void)
+{
+	struct cluster *c = start(4, 3, 2);
+	struct node *n = cluster_actor(c, 0);
+	g_autofree char *key = g_strdup_printf("owner/%016" PRIx64, c->keys[0]);
+	struct fg_owner_row row;
+	struct fg_row *stored;
+
+	cluster_intent(c, n, 0, 11);
+	cluster_intent(c, n, 0, 12);
+	cluster_run(c, c->now + 500);
+	g_assert_cmpuint(n->intents_ok, ==, 2);
+	fg_owner_intent_done(n->o, c->keys[0], 11);
+	cluster_intent(c, n, 0, 13);
+	cluster_run(c, c->now + 500);
+	stored = g_tree_lookup(c->table, key);
+	g_assert_true(fg_owner_row_decode(stored->value, &row));
+	g_assert_cmpuint(row.n_intents, ==, 2);
+	g_assert_cmpuint(row.intents[0].id, ==, 12);
+	g_assert_cmpuint(row.intents[1].id, ==, 13);
+	cluster_kill(c, n);
+	cluster_run(c, c->now + 15000);
+	/* Kept in the row until the new owner says that they are done. */
+	stored = g_tree_lookup(c->table, key);
+	g_assert_true(fg_owner_row_decode(stored->value, &row));
+	g_assert_cmpuint(row.n_intents, ==, 2);
+	g_assert_cmpuint(row.fence, ==, c->last_fence[0]);
+	cluster_free(c);
+}
+
+/* Stored or not: an intent ends in one answer, whatever the table does. */
+static void test_intents_with_faults(void)
+{
+	struct cluster *c = start(5, 3, 1);
+	struct node *n = cluster_actor(c, 0);
+
+	c->lost_share = 0.25;
+	for (uint64_t id = 1; id <= 40; id++) {
+		cluster_intent(c, n, 0, id);
+		cluster_run(c, c->now + 400);
+		fg_owner_intent_done(n->o, c->keys[0], id);
+	}
+	cluster_run(c, c->now + 8000);
+	g_assert_cmpuint(n->intents_ok + n->intents_failed, ==, 40);
+	g_assert_cmpuint(n->intents_ok, >, 10);
+	cluster_free(c);
+}
+
+static void test_intent_refused(void)
+{
+	struct cluster *c = start(6, 3, 1);
+	struct node *n = cluster_actor(c, 0);
+	struct node *other = n == &c->nodes[0] ? &c->nodes[1] : &c->nodes[0];
+
+	cluster_intent(c, other, 0, 1);
+	g_assert_cmpuint(other->intents_failed, ==, 1);
+	for (uint64_t id = 1; id <= FG_INTENTS_MAX; id++)
+		cluster_intent(c, n, 0, id);
+	cluster_intent(c, n, 0, 99);
+	g_assert_cmpuint(n->intents_failed, ==, 1);
+	cluster_run(c, c->now + 500);
+	g_assert_cmpuint(n->intents_ok, ==, FG_INTENTS_MAX);
+	cluster_free(c);
+}
+
+static void ignore_act(void *arg, struct fg_owner_act *act)
+{
+	(void)arg;
+	fg_table_op_free(act->op);
+}
+
+/* A hint of a higher fence ends ownership; a lower one is ignored. */
+static void test_hint(void)
+{
+	struct cluster *c = start(7, 2, 1);
+	struct node *n = cluster_actor(c, 0);
+	fg_ms now = node_clock(c, n);
+	uint64_t owner;
+
+	fg_owner_hint(n->o, now, c->keys[0], 5, c->last_fence[0], ignore_act,
+		      NULL);
+	g_assert_true(fg_owner_may_act(n->o, c->keys[0], now));
+	fg_owner_hint(n->o, now, c->keys[0], 5, c->last_fence[0] + 1,
+		      ignore_act, NULL);
+	g_assert_false(fg_owner_may_act(n->o, c->keys[0], now));
+	g_assert_cmpint(fg_owner_find(n->o, c->keys[0], &owner, NULL), ==,
+			FG_OWN_OTHER);
+	g_assert_cmpuint(owner, ==, 5);
+	cluster_free(c);
+}
+
+/*
+ * The residual case: the order of an owner that is paused between the check
+ * and the send can arrive after the next owner has been established. Its
+ * fence is lower, so an engine that checks fences refuses it.
+ */
+static void test_paused_between_check_and_send(void)
+{
+	struct cluster *c = start(8, 4, 1);
+	struct node *n = cluster_actor(c, 0);
+	uint64_t order_fence;
+
+	g_assert_true(fg_owner_may_act(n->o, c->keys[0], node_clock(c, n)));
+	fg_owner_find(n->o, c->keys[0], NULL, &order_fence);
+	n->paused_until = c->now + 30000;
+	cluster_run(c, c->now + 29000);
+	g_assert_nonnull(cluster_actor(c, 0));
+	g_assert_true(cluster_actor(c, 0) != n);
+	g_assert_cmpuint(order_fence, <, c->last_fence[0]);
+	cluster_free(c);
+}
+
+static void test_row_codec(void)
+{
+	struct fg_owner_row row = { .owner = UINT64_MAX - 1, .fence = 9 };
+	struct fg_owner_row back;
+	g_autofree char *text = NULL;
+
+	row.n_intents = 1;
+	row.intents[0] = (struct fg_intent){ .id = UINT64_MAX,
+					     .slot = 3,
+					     .victim = { 4000000000u, 2 },
+					     .av = { 1, 4000000000u },
+					     .fence = 8,
+					     .life_ms = 500 };
+	text = fg_owner_row_encode(&row);
+	g_assert_true(fg_owner_row_decode(text, &back));
+	g_assert_cmpmem(&row, sizeof(row), &back, sizeof(back));
+	g_assert_false(fg_owner_row_decode("{}", &back));
+	g_assert_false(fg_owner_row_decode("[", &back));
+	g_assert_false(fg_owner_row_decode(
+		"{\"format\":1,\"owner\":\"x\",\"fence\":1,\"intents\":[]}",
+		&back));
+}
+
+/* ---- Seeded runs ---- */
+
+static struct node *any_node(struct cluster *c)
+{
+	struct node *n =
+		&c->nodes[fg_rand_below(&c->rand, (uint64_t)c->n_nodes)];
+
+	return n->alive ? n : NULL;
+}
+
+static void cut_sides(struct cluster *c, bool platform_too)
+{
+	uint64_t share = 1 + fg_rand_below(&c->rand, 9);
+	uint64_t cut_side = fg_rand_below(&c->rand, 2);
+
+	for (int i = 0; i < c->n_nodes; i++) {
+		struct node *n = &c->nodes[i];
+
+		n->side = fg_rand_below(&c->rand, 10) < share;
+		n->platform_cut = platform_too && n->side == (int)cut_side;
+	}
+}
+
+/* Replaces an instance by a new one, by a planned stop or by a crash. */
+static void replace(struct cluster *c, struct node *n)
+{
+	const char *region = g_intern_string(n->self.region);
+
+	if (fg_rand_below(&c->rand, 2) == 0) {
+		cluster_leave(c, n);
+		cluster_run(c, c->now + 1500);
+	}
+	cluster_kill(c, n);
+	cluster_join(c, region);
+}
+
+static void fault(struct cluster *c)
+{
+	struct node *n = any_node(c);
+	fg_ms length_ms = (fg_ms)fg_rand_below(&c->rand, 9000);
+
+	switch (fg_rand_below(&c->rand, 10)) {
+	case 0:
+		c->outage_until = c->now + length_ms * 2;
+		break;
+	case 1:
+		c->lost_share = fg_rand_unit(&c->rand) / 2;
+		break;
+	case 2:
+		c->slow_share = fg_rand_unit(&c->rand) / 2;
+		break;
+	case 3:
+		c->msg_loss = fg_rand_unit(&c->rand) / 2;
+		break;
+	case 4:
+		if (n != NULL)
+			n->paused_until = c->now + length_ms;
+		break;
+	case 5:
+		if (n != NULL)
+			n->platform_cut = !n->platform_cut;
+		break;
+	case 6:
+		cut_sides(c, false);
+		break;
+	case 7:
+		cut_sides(c, true);
+		break;
+	case 8:
+		if (n != NULL)
+			replace(c, n);
+		break;
+	default:
+		cluster_heal(c);
+		break;
+	}
+}
+
+static void order_something(struct cluster *c)
+{
+	int k = (int)fg_rand_below(&c->rand, (uint64_t)c->n_keys);
+	struct node *n = cluster_actor(c, k);
+
+	if (n != NULL && n->paused_until <= c->now)
+		cluster_intent(c, n, k, ++n->next_intent);
+}
+
+/* More than two thirds of a region's rows are dead ones: by design this waits
+ * for more instances (docs/design/membership.md). */
+static void restore_quorum(struct cluster *c)
+{
+	for (int k = 0; k < c->n_keys; k++) {
+		const char *region = c->key_region[k];
+
+		while (cluster_dead_rows(c, region) >=
+		       2 * cluster_live(c, region))
+			g_assert_nonnull(cluster_join(c, region));
+	}
+}
+
+static void run_seed(uint64_t seed)
+{
+	struct fg_rand rand;
+	struct cluster *c;
+	int n_regions;
+
+	fg_rand_seed(&rand, seed * 7919 + 1);
+	n_regions = 1 + (int)fg_rand_below(&rand, 2);
+	c = cluster_new(seed, 4, n_regions);
+	c->new_address_share = fg_rand_unit(&rand) / 2;
+	for (int i = 0, n = 3 + (int)fg_rand_below(&rand, 7); i < n; i++)
+		cluster_join(c, c->key_region[i % n_regions]);
+	cluster_run(c, 4000);
+	for (int i = 0; i < 25; i++) {
+		fault(c);
+		for (int j = 0; j < 4; j++) {
+			cluster_run(c,
+				    c->now + (fg_ms)fg_rand_below(&rand, 500));
+			order_something(c);
+		}
+	}
+	cluster_heal(c);
+	cluster_run(c, c->now + 5000);
+	restore_quorum(c);
+	cluster_run(c, c->now + 40000);
+	if (!cluster_all_owned(c))
+		g_error("seed %" PRIu64 ": a key has no owner", seed);
+	cluster_free(c);
+}
+
+static void test_seeds(void)
+{
+	const char *env = g_getenv("FG_TEST_SEEDS");
+	uint64_t n = env != NULL ? (uint64_t)atoll(env) : SEEDS;
+	const char *only = g_getenv("FG_TEST_SEED");
+
+	if (only != NULL) {
+		run_seed((uint64_t)atoll(only));
+		return;
+	}
+	for (uint64_t seed = 1; seed <= n; seed++) {
+		if (g_test_verbose())
+			g_printerr("seed %" PRIu64 "\n", seed);
+		run_seed(seed);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/owner/claims_are_batched", test_claims_are_batched);
+	g_test_add_func("/owner/takeover", test_takeover);
+	g_test_add_func("/owner/hand_over", test_hand_over);
+	g_test_add_func("/owner/intents", test_intents);
+	g_test_add_func("/owner/intents_with_faults", test_intents_with_faults);
+	g_test_add_func("/owner/intent_refused", test_intent_refused);
+	g_test_add_func("/owner/hint", test_hint);
+	g_test_add_func("/owner/paused_between_check_and_send",
+			test_paused_between_check_and_send);
+	g_test_add_func("/owner/row_codec", test_row_codec);
+	g_test_add_func("/owner/seeds", test_seeds);
+	return g_test_run();
+}
