Node: refusals of the broker, serving only with a confirmed revision

Requests answered unknown_adapter at an instance that had just joined: a change had been accepted before the instance was counted as live. It now takes no work until its revision was confirmed after it joined. A need that the broker cannot meet is answered at the router at once.

--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -211,16 +211,42 @@
 		fg_node_send(n, ids[i], msg);
 }
 
-bool fg_node_may_serve(struct fg_node *n)
+static bool standing_is_good(const struct fg_node *n)
 {
 	enum fg_standing standing = fg_member_standing(n->member, n->now);
 
-	if (n->conf.switches.no_isolation)
-		return true;
 	return standing == FG_STANDING_CONFIRMED ||
 	       standing == FG_STANDING_OUTAGE;
 }
 
+/*
+ * An operator is told "accepted" when all live instances have the revision.
+ * One that was not counted as live must therefore confirm its revision after
+ * it became so, before it takes work.
+ */
+static void follow_standing(struct fg_node *n)
+{
+	uint32_t age_ms;
+
+	if (!standing_is_good(n)) {
+		n->joined = 0;
+		n->in_force = false;
+		return;
+	}
+	if (n->joined == 0)
+		n->joined = n->now;
+	age_ms = fg_confsync_confirm_age(n->confsync, n->now);
+	if (n->now - (fg_ms)age_ms >= n->joined)
+		n->in_force = true;
+}
+
+bool fg_node_may_serve(struct fg_node *n)
+{
+	if (n->conf.switches.no_isolation)
+		return true;
+	return standing_is_good(n) && n->in_force;
+}
+
 /* ---- Clockwork ---- */
 
 static void tell_live(struct fg_node *n)
@@ -311,6 +337,7 @@
 	fg_member_tick(n->member, now, fg_wire_member, n);
 	tick_announce(n);
 	tick_config(n);
+	follow_standing(n);
 	fg_eps_expire(n);
 	fg_owner_tick(n->owner, now, fg_wire_owner, n);
 	tick_owned(n);
--- a/lib/node/fg_node_broker.c
+++ b/lib/node/fg_node_broker.c
@@ -349,11 +349,25 @@
 	fg_node_send_free(e->n, owner, msg);
 }
 
+/* The broker cannot meet a need in time: its router refuses what waits. */
+static void emit_refusal(void *arg, uint64_t to, const fg_place_rep *rep)
+{
+	struct emit_arg *e = arg;
+	fg_msg *msg = fg_msg_new(FG_MSG_PLACE_REP);
+
+	msg->body.fg_body_u.place_rep = *rep;
+	fg_node_send_free(e->n, to, msg);
+}
+
 /* Replies name the order alone; each broker ignores ids not its own. */
 void fg_model_place_rep(struct fg_node *n, const fg_place_rep *rep)
 {
 	struct fg_model *m = model_of_av(n, rep->av);
 
+	if (rep->order == 0) {
+		fg_wait_refused(n, rep->av);
+		return;
+	}
 	if (m == NULL)
 		return;
 	if (m->broker != NULL)
@@ -366,8 +380,10 @@
 {
 	struct emit_arg e = { n, broker };
 
-	if (broker != NULL && fg_node_may_serve(n))
-		fg_broker_tick(broker, n->now, emit_place, &e);
+	if (broker == NULL || !fg_node_may_serve(n))
+		return;
+	fg_broker_refusals(broker, n->now, emit_refusal, &e);
+	fg_broker_tick(broker, n->now, emit_place, &e);
 }
 
 static void tick_model(struct fg_node *n, struct fg_model *m, bool heat_due)
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -160,7 +160,9 @@
 	GQueue loopback; /* fg_msg from this instance to itself */
 	bool draining;
 	uint64_t next_order;
-	fg_ms now; /* of the event being handled */
+	fg_ms now;     /* of the event being handled */
+	fg_ms joined;  /* standing good since; 0 while it is not */
+	bool in_force; /* revision confirmed since then */
 	fg_ms heat_next;
 	fg_ms second_next; /* next once-a-second work */
 	fg_ms sweep_next;
@@ -236,6 +238,9 @@
 void fg_wait_remove(struct fg_node *n, struct fg_req *r);
 void fg_wait_resident(struct fg_node *n, fg_av av);
 void fg_wait_need_rep(struct fg_node *n, const fg_need_rep *rep);
+/* The broker refused the need: the most urgent request is answered, the rest
+ * ask again. */
+void fg_wait_refused(struct fg_node *n, fg_av av);
 void fg_waits_tick(struct fg_node *n);
 void fg_wait_free(void *wait);
 uint32_t fg_wait_count(struct fg_node *n, fg_av av);
--- a/lib/node/fg_node_route.c
+++ b/lib/node/fg_node_route.c
@@ -292,17 +292,29 @@
 
 /* ---- Routing ---- */
 
-static void route_model(struct fg_node *n, struct fg_req *r)
+/* Another endpoint than those tried before, if there is one. */
+static struct fg_pick pick_endpoint(struct fg_node *n, const struct fg_req *r)
 {
 	const char *region = n->conf.member.self.region;
 	const struct fg_model *m = fg_model_get(n, r->service);
 	bool remote = strcmp(m->region, region) != 0;
 	struct fg_pick pick;
 
-	if (!fg_suspect_gate(n, r))
-		return;
 	pick = fg_dir_pick(n->dir, n->now, r->service, r->av, region, remote,
 			   r->avoid, r->n_avoid, r->prefix_hash);
+	if (pick.resident || r->n_avoid == 0)
+		return pick;
+	return fg_dir_pick(n->dir, n->now, r->service, r->av, region, remote,
+			   NULL, 0, r->prefix_hash);
+}
+
+static void route_model(struct fg_node *n, struct fg_req *r)
+{
+	struct fg_pick pick;
+
+	if (!fg_suspect_gate(n, r))
+		return;
+	pick = pick_endpoint(n, r);
 	if (pick.ep != 0 && fg_suspect_crowded(n, r, pick.ep)) {
 		fg_wait_remove(n, r);
 		back_off(n, r, RECOVERING_WAIT_MS);
--- a/lib/node/fg_node_wait.c
+++ b/lib/node/fg_node_wait.c
@@ -160,6 +160,32 @@
 	refuse_hopeless(n, w);
 }
 
+static struct fg_req *most_urgent(const struct fg_wait *w)
+{
+	struct fg_req *best = NULL;
+
+	for (guint i = 0; i < w->reqs->len; i++) {
+		struct fg_req *r = g_ptr_array_index(w->reqs, i);
+
+		if (best == NULL || r->deadline < best->deadline)
+			best = r;
+	}
+	return best;
+}
+
+void fg_wait_refused(struct fg_node *n, fg_av av)
+{
+	struct fg_wait *w = find_wait(n, av);
+	struct fg_req *r = w != NULL ? most_urgent(w) : NULL;
+
+	if (r == NULL)
+		return;
+	fg_req_reply(n, r, FG_NOT_RUN, FG_R_NO_TIME, RETRY_AFTER_MS);
+	w = find_wait(n, av);
+	if (w != NULL)
+		send_need(n, w);
+}
+
 void fg_waits_tick(struct fg_node *n)
 {
 	GHashTableIter it;
