Address lookup without a version

fg_config_find() compared a NULL version: every address lookup for a known adapter ended the process. NULL now means the newest version, as in fg_config_resolve().

--- a/lib/config/fg_config.c
+++ b/lib/config/fg_config.c
@@ -264,6 +264,14 @@
 	return found;
 }
 
+/* Index of the version, the newest for NULL or ""; n_versions if none. */
+static size_t find_version(const struct fg_adapter_ent *a, const char *version)
+{
+	if (version != NULL && version[0] != '\0')
+		return fg_adapter_ent_version(a, version);
+	return a->n_versions > 0 ? a->n_versions - 1u : 0;
+}
+
 enum fg_reason fg_config_resolve(const struct fg_config *c, const char *caller,
 				 const char *adapter, const char *version,
 				 fg_av *av)
@@ -280,9 +288,7 @@
 		return FG_R_NO_RIGHT;
 	if (a->n_versions == 0)
 		return FG_R_UNKNOWN_VERSION;
-	index = a->n_versions - 1;
-	if (version != NULL && version[0] != '\0')
-		index = fg_adapter_ent_version(a, version);
+	index = find_version(a, version);
 	if (index == a->n_versions)
 		return FG_R_UNKNOWN_VERSION;
 	*av = (fg_av){ a->number, a->versions[index].ver };
@@ -321,7 +327,7 @@
 
 	if (a == NULL)
 		return (fg_av){ 0, 0 };
-	index = fg_adapter_ent_version(a, version);
+	index = find_version(a, version);
 	if (index == a->n_versions)
 		return (fg_av){ 0, 0 };
 	return (fg_av){ a->number, a->versions[index].ver };
--- a/lib/config/fg_config.h
+++ b/lib/config/fg_config.h
@@ -137,7 +137,8 @@
 /* Base model that an adapter belongs to; NULL when there is none. */
 const char *fg_config_adapter_base(const struct fg_config *c, fg_av av);
 
-/* Number of (adapter, version) by names; {0, 0} when unknown. */
+/* Number of (adapter, version) by names, the newest version for NULL or "";
+ * {0, 0} when unknown. */
 fg_av fg_config_find(const struct fg_config *c, const char *adapter,
 		     const char *version);
 
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -240,6 +240,18 @@
 	bed_free(b);
 }
 
+/* The address lookup names no version. */
+static void test_address(void)
+{
+	struct bed *b = bed_new();
+	char out[2][FG_ADDR_BYTES];
+
+	g_assert_cmpuint(fg_node_address(b->node, b->now, "a1", NULL, out, 2),
+			 ==, 1);
+	g_assert_cmpstr(out[0], ==, "127.0.0.1:3");
+	bed_free(b);
+}
+
 /* A caller that goes away frees what waits for it. */
 static void test_caller_gone(void)
 {
@@ -268,6 +280,7 @@
 	g_test_add_func("/node/leaving_engine", test_leaving_engine);
 	g_test_add_func("/node/stop", test_stop);
 	g_test_add_func("/node/stray_grant", test_stray_grant);
+	g_test_add_func("/node/address", test_address);
 	g_test_add_func("/node/caller_gone", test_caller_gone);
 	return g_test_run();
 }
