bench: placement in virtual time against two baselines

Why: the policies are judged by load stalls, loads and batch efficiency, which need long runs on the same arrivals.

Grants are asserted: no load replaces what a request runs on.

--- /dev/null
+++ b/tests/bench/place_engine.c
@@ -0,0 +1,320 @@
+/* Engines with a continuous batch, and their owners. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "place_sim.h"
+
+/* ---- The engine ---- */
+
+static int32_t find_slot(const struct engine *e, fg_av av)
+{
+	for (int32_t i = 0; i < SLOTS; i++)
+		if (fg_av_equal(e->content[i], av))
+			return i;
+	return -1;
+}
+
+static void end_run(struct sim *s, uint32_t req, bool done)
+{
+	s->reqs[req].at_engine = false;
+	sim_push(s, (struct ev){ .at = s->now + NET_MS,
+				 .type = EV_RUN_END,
+				 .req = req,
+				 .attempt = s->reqs[req].attempt,
+				 .status = done });
+}
+
+static void start_step(struct sim *s, uint32_t ep)
+{
+	struct engine *e = &s->engines[ep];
+	uint32_t n = e->running->len;
+
+	e->active = n > 0;
+	e->stepping = n;
+	if (n == 0)
+		return;
+	s->steps++;
+	s->filled += n;
+	sim_push(s,
+		 (struct ev){ .at = s->now + STEP_MS + STEP_FILL_MS * n / BATCH,
+			      .type = EV_STEP,
+			      .ep = ep,
+			      .id = e->epoch });
+}
+
+void engine_run(struct sim *s, const struct ev *ev)
+{
+	struct engine *e = &s->engines[ev->ep];
+	struct req *r = &s->reqs[ev->req];
+
+	if (r->cancelled || find_slot(e, s->t->a[ev->req].av) < 0) {
+		end_run(s, ev->req, false);
+		return;
+	}
+	g_assert_cmpuint(e->running->len, <, BATCH);
+	r->at_engine = true;
+	g_array_append_val(e->running, ev->req);
+	if (!e->active)
+		start_step(s, ev->ep);
+}
+
+void engine_step(struct sim *s, uint32_t ep)
+{
+	struct engine *e = &s->engines[ep];
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < e->running->len; i++) {
+		uint32_t req = g_array_index(e->running, uint32_t, i);
+		struct req *r = &s->reqs[req];
+
+		if (i < e->stepping)
+			r->tokens_left--;
+		if (r->cancelled || r->tokens_left == 0)
+			end_run(s, req, r->tokens_left == 0);
+		else
+			g_array_index(e->running, uint32_t, kept++) = req;
+	}
+	g_array_set_size(e->running, kept);
+	start_step(s, ep);
+}
+
+void engine_restart(struct sim *s, uint32_t ep)
+{
+	struct engine *e = &s->engines[ep];
+
+	e->epoch++;
+	e->active = false;
+	for (uint32_t i = 0; i < SLOTS; i++)
+		e->content[i] = (fg_av){ 0, 0 };
+	for (uint32_t i = 0; i < e->running->len; i++)
+		end_run(s, g_array_index(e->running, uint32_t, i), false);
+	g_array_set_size(e->running, 0);
+}
+
+/* Time until the store hands out the weights, by its rate limit. */
+static fg_ms store_wait(struct sim *s)
+{
+	double rate = s->d->loads_per_s;
+
+	s->store_tokens += (double)(s->now - s->store_at) * rate / FG_MS_PER_S;
+	s->store_tokens = MIN(s->store_tokens, rate);
+	s->store_at = s->now;
+	s->store_tokens -= 1;
+	if (s->store_tokens >= 0)
+		return 0;
+	return (fg_ms)(-s->store_tokens * FG_MS_PER_S / rate);
+}
+
+static bool store_is_down(const struct sim *s)
+{
+	return s->now >= OUTAGE_AT_MS && s->now < OUTAGE_AT_MS + OUTAGE_MS;
+}
+
+/* Obeys a load: what the slot held is gone at once. */
+static void engine_load(struct sim *s, uint32_t ep, uint32_t slot,
+			const fg_place *place)
+{
+	struct engine *e = &s->engines[ep];
+	struct ev ev = { .type = EV_LOADED,
+			 .ep = ep,
+			 .slot = slot,
+			 .id = e->epoch,
+			 .place = *place };
+	fg_ms load_ms = LOAD_MS;
+
+	for (uint32_t i = 0; i < e->running->len; i++) {
+		uint32_t req = g_array_index(e->running, uint32_t, i);
+
+		/* The invariant that grants are for. */
+		g_assert_false(fg_av_equal(s->t->a[req].av, e->content[slot]));
+	}
+	e->content[slot] = (fg_av){ 0, 0 };
+	if (store_is_down(s)) {
+		ev.at = s->now + NET_MS * 2;
+		ev.status = FG_ORDER_FAILED;
+		sim_push(s, ev);
+		return;
+	}
+	s->loads++;
+	s->loading++;
+	if (s->loading > LOADS_AT_ONCE)
+		load_ms = load_ms * s->loading / LOADS_AT_ONCE;
+	ev.at = s->now + store_wait(s) + load_ms;
+	ev.status = FG_ORDER_DONE;
+	sim_push(s, ev);
+}
+
+/* ---- The owner ---- */
+
+static void grant_rep(struct sim *s, uint32_t ep, uint32_t router, uint32_t req,
+		      uint32_t attempt, fg_grant_status status, uint64_t grant)
+{
+	fg_msg m = { .body = { .type = FG_MSG_GRANT_REP } };
+
+	sim_count(s, &m, sim_owner(ep), router);
+	sim_push(s,
+		 (struct ev){ .at = s->now + sim_net_ms(sim_owner(ep), router),
+			      .type = EV_GRANT_REP,
+			      .ep = ep,
+			      .router = router,
+			      .req = req,
+			      .attempt = attempt,
+			      .status = status,
+			      .id = grant });
+}
+
+struct pump_arg {
+	struct sim *s;
+	uint32_t ep;
+};
+
+static void on_held(void *arg, const struct fg_grant_ask *ask,
+		    fg_grant_status status, uint64_t grant)
+{
+	struct pump_arg *p = arg;
+
+	grant_rep(p->s, p->ep, (uint32_t)ask->holder - 1,
+		  (uint32_t)(ask->req >> 8), (uint32_t)(ask->req & 0xff),
+		  status, grant);
+}
+
+/* Tells all other instances what is resident, after a change. */
+static void broadcast(struct sim *s, uint32_t ep)
+{
+	fg_msg m = { .body = { .type = FG_MSG_RESIDENT } };
+	fg_resident *r;
+
+	if (!fg_grants_changed(s->engines[ep].grants))
+		return;
+	r = g_new0(fg_resident, 1);
+	fg_grants_resident(s->engines[ep].grants, r);
+	g_ptr_array_add(s->residents, r);
+	m.body.fg_body_u.resident = *r;
+	for (uint32_t to = 0; to < ROUTERS; to++) {
+		sim_count(s, &m, sim_owner(ep), to);
+		sim_push(s, (struct ev){ .at = s->now +
+					       sim_net_ms(sim_owner(ep), to),
+					 .type = EV_RESIDENT,
+					 .router = to,
+					 .resident = r });
+	}
+}
+
+void owner_pump(struct sim *s, uint32_t ep)
+{
+	struct pump_arg arg = { s, ep };
+
+	fg_grants_pump(s->engines[ep].grants, s->now, on_held, &arg);
+	broadcast(s, ep);
+}
+
+void owner_grant_req(struct sim *s, const struct ev *ev)
+{
+	const struct arrival *a = &s->t->a[ev->req];
+	struct engine *e = &s->engines[ev->ep];
+	struct fg_grant_ask ask = {
+		.holder = ev->router + 1,
+		.req = ((uint64_t)ev->req << 8) | ev->attempt,
+		.av = a->av,
+		.cls = a->cls,
+		.budget_ms = (uint32_t)MAX(a->at + a->deadline_ms - s->now, 0),
+	};
+	uint64_t grant;
+	fg_grant_status status;
+
+	status = fg_grants_request(e->grants, s->now, &ask, &grant);
+	if (status != FG_GRANT_HELD)
+		grant_rep(s, ev->ep, ev->router, ev->req, ev->attempt, status,
+			  grant);
+}
+
+void owner_release(struct sim *s, const struct ev *ev)
+{
+	fg_grants_release(s->engines[ev->ep].grants, s->now, ev->id);
+	if (fg_grants_held(s->engines[ev->ep].grants) > 0)
+		owner_pump(s, ev->ep);
+}
+
+static void place_rep(struct sim *s, const fg_place *place, uint32_t ep,
+		      fg_place_status status)
+{
+	fg_msg m = { .body = { .type = FG_MSG_PLACE_REP } };
+
+	sim_count(s, &m, sim_owner(ep), 0);
+	sim_push(s, (struct ev){ .at = s->now + sim_net_ms(sim_owner(ep), 0),
+				 .type = EV_PLACE_REP,
+				 .ep = ep,
+				 .status = status,
+				 .place = *place });
+}
+
+void owner_place(struct sim *s, const struct ev *ev)
+{
+	struct engine *e = &s->engines[ev->ep];
+	enum fg_load_start start;
+	uint32_t slot;
+	fg_av victim;
+
+	start = fg_grants_load_start(
+		e->grants, s->now, ev->place.av, ev->place.victim,
+		s->own ? fg_grants_keep : NULL, NULL, &slot, &victim);
+	if (start != FG_LOAD_START_OK) {
+		s->in_use_orders += start == FG_LOAD_START_PINNED;
+		place_rep(s, &ev->place, ev->ep,
+			  start == FG_LOAD_START_PRESENT ? FG_PLACE_DONE
+							 : FG_PLACE_REFUSED);
+		return;
+	}
+	broadcast(s, ev->ep);
+	engine_load(s, ev->ep, slot, &ev->place);
+}
+
+void engine_loaded(struct sim *s, const struct ev *ev)
+{
+	struct engine *e = &s->engines[ev->ep];
+	enum fg_order_status status = ev->status;
+
+	if (status == FG_ORDER_DONE)
+		s->loading--;
+	if (ev->id != e->epoch)
+		status = FG_ORDER_LOST;
+	if (status == FG_ORDER_DONE)
+		e->content[ev->slot] = ev->place.av;
+	fg_grants_load_done(e->grants, s->now, ev->slot, status, LOAD_MS * 4);
+	owner_pump(s, ev->ep);
+	place_rep(s, &ev->place, ev->ep,
+		  status == FG_ORDER_DONE ? FG_PLACE_DONE : FG_PLACE_FAILED);
+}
+
+static fg_av find(void *arg, const char *adapter, const char *version)
+{
+	(void)arg;
+	(void)version;
+	return (fg_av){ (u_int)strtoul(adapter, NULL, 10), 1 };
+}
+
+void owner_poll(struct sim *s, uint32_t ep)
+{
+	static struct fg_engine_state st;
+	struct engine *e = &s->engines[ep];
+
+	st.epoch = e->epoch;
+	st.slots = SLOTS;
+	st.batch = BATCH;
+	for (uint32_t i = 0; i < SLOTS; i++) {
+		st.slot[i].adapter[0] = '\0';
+		st.slot[i].running = 0;
+		if (fg_av_none(e->content[i]))
+			continue;
+		snprintf(st.slot[i].adapter, FG_NAME_BYTES, "%u",
+			 e->content[i].adapter);
+		for (uint32_t k = 0; k < e->running->len; k++) {
+			uint32_t req = g_array_index(e->running, uint32_t, k);
+
+			if (fg_av_equal(s->t->a[req].av, e->content[i]))
+				st.slot[i].running++;
+		}
+	}
+	fg_grants_engine(e->grants, s->now, s->now, &st, find, NULL);
+	owner_pump(s, ep);
+}
--- /dev/null
+++ b/tests/bench/place_sim.c
@@ -0,0 +1,348 @@
+/* The event loop in virtual time. */
+#include "place_sim.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "peer/fg_msg.h"
+
+#define TICK_MS 50
+#define POLL_MS 1000 /* owners read their engine's state */
+#define HEAT_MS 2000
+#define GRANT_MAX_MS 60000
+#define ORDER_TIMEOUT_MS 5000
+#define DRAIN_MS 300000 /* after the last arrival */
+
+/* ---- Events ---- */
+
+static bool is_earlier(const struct ev *a, const struct ev *b)
+{
+	return a->at != b->at ? a->at < b->at : a->seq < b->seq;
+}
+
+#define EV(s, i) (&g_array_index((s)->heap, struct ev, i))
+
+static void swap(struct sim *s, guint i, guint j)
+{
+	struct ev tmp = *EV(s, i);
+
+	*EV(s, i) = *EV(s, j);
+	*EV(s, j) = tmp;
+}
+
+void sim_push(struct sim *s, struct ev ev)
+{
+	guint i = s->heap->len;
+
+	ev.seq = s->seq++;
+	g_array_append_val(s->heap, ev);
+	while (i > 0 && is_earlier(EV(s, i), EV(s, (i - 1) / 2))) {
+		swap(s, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static struct ev pop(struct sim *s)
+{
+	struct ev first = *EV(s, 0);
+	guint i = 0;
+
+	swap(s, 0, s->heap->len - 1);
+	g_array_set_size(s->heap, s->heap->len - 1);
+	for (;;) {
+		guint least = i;
+
+		for (guint c = 2 * i + 1; c <= 2 * i + 2; c++)
+			if (c < s->heap->len &&
+			    is_earlier(EV(s, c), EV(s, least)))
+				least = c;
+		if (least == i)
+			return first;
+		swap(s, i, least);
+		i = least;
+	}
+}
+
+fg_ms sim_net_ms(uint32_t from, uint32_t to)
+{
+	return from == to ? 0 : NET_MS;
+}
+
+void sim_count(struct sim *s, const fg_msg *m, uint32_t from, uint32_t to)
+{
+	if (from != to)
+		s->bytes += fg_msg_wire_bytes(m);
+}
+
+/* ---- The broker ---- */
+
+static void on_place(void *arg, const fg_place *place)
+{
+	struct sim *s = arg;
+	uint32_t ep = (uint32_t)place->ep - 1;
+	fg_msg m = { .body = { .type = FG_MSG_PLACE } };
+
+	sim_count(s, &m, 0, sim_owner(ep));
+	sim_push(s, (struct ev){ .at = s->now + sim_net_ms(0, sim_owner(ep)),
+				 .type = EV_PLACE,
+				 .ep = ep,
+				 .place = *place });
+}
+
+static void on_refusal(void *arg, uint64_t to, const fg_place_rep *rep)
+{
+	struct sim *s = arg;
+	fg_msg m = { .body = { .type = FG_MSG_PLACE_REP } };
+
+	sim_count(s, &m, 0, (uint32_t)to);
+	sim_push(s, (struct ev){ .at = s->now + sim_net_ms(0, (uint32_t)to),
+				 .type = EV_REFUSAL,
+				 .router = (uint32_t)to,
+				 .place = { .av = rep->av } });
+}
+
+static void broker_run(struct sim *s)
+{
+	fg_broker_refusals(s->broker, s->now, on_refusal, s);
+	fg_broker_tick(s->broker, s->now, on_place, s);
+}
+
+static void broker_reply(struct sim *s, const struct ev *ev)
+{
+	fg_place_rep rep = { ev->place.order, ev->place.ep, ev->place.av,
+			     ev->status };
+
+	fg_broker_reply(s->broker, s->now, &rep);
+	broker_run(s);
+}
+
+static void tick(struct sim *s)
+{
+	uint32_t n = (uint32_t)(s->now / TICK_MS);
+
+	for (uint32_t ep = 0; ep < s->d->eps; ep++) {
+		/* Polls are spread over the interval. */
+		if ((n + ep) % (POLL_MS / TICK_MS) == 0)
+			owner_poll(s, ep);
+		else if (fg_grants_held(s->engines[ep].grants) > 0)
+			owner_pump(s, ep);
+	}
+	for (uint32_t r = 0; r < ROUTERS; r++)
+		if ((n + r * 5) % (HEAT_MS / TICK_MS) == 0)
+			router_heat(s, r);
+	broker_run(s);
+	if (s->now < s->t->end + DRAIN_MS)
+		sim_push(s, (struct ev){ .at = s->now + TICK_MS,
+					 .type = EV_TICK });
+}
+
+/* ---- Start and end ---- */
+
+static void announce(struct sim *s, struct fg_dir *dir)
+{
+	for (uint32_t ep = 0; ep < s->d->eps; ep++) {
+		fg_resident r;
+
+		fg_dir_endpoint(dir, sim_ep_id(ep), "model", "region", "dc",
+				false);
+		fg_grants_resident(s->engines[ep].grants, &r);
+		fg_dir_resident(dir, 0, &r);
+		free(r.av.av_val);
+	}
+}
+
+static void setup_broker(struct sim *s, const char *policy)
+{
+	struct fg_broker_conf conf = {
+		.fence = 1,
+		.service = "model",
+		.region = "region",
+		.loads_per_s = s->d->loads_per_s,
+		.in_flight_max = LOADS_AT_ONCE,
+		.load_ms = LOAD_MS,
+		.order_timeout_ms = ORDER_TIMEOUT_MS,
+		.stall_weight = s->d->preset.stall_weight,
+	};
+
+	s->broker_dir = fg_dir_new(1);
+	announce(s, s->broker_dir);
+	s->broker = fg_broker_new(&conf, s->broker_dir, policy, 1);
+}
+
+static void setup(struct sim *s, const char *policy)
+{
+	s->own = strcmp(policy, "gauge") == 0;
+	s->heap = g_array_new(FALSE, FALSE, sizeof(struct ev));
+	s->reqs = g_new0(struct req, s->t->n);
+	s->engines = g_new0(struct engine, s->d->eps);
+	s->residents = g_ptr_array_new();
+	s->store_tokens = s->d->loads_per_s;
+	for (uint32_t ep = 0; ep < s->d->eps; ep++) {
+		struct fg_grants_conf conf = { sim_ep_id(ep), 1,  SLOTS, BATCH,
+					       GRANT_MAX_MS,  256 };
+
+		s->engines[ep].running =
+			g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		s->engines[ep].epoch = 1;
+		s->engines[ep].grants = fg_grants_new(&conf, 0, false);
+	}
+	for (uint32_t r = 0; r < ROUTERS; r++) {
+		s->routers[r].dir = fg_dir_new(r + 2);
+		announce(s, s->routers[r].dir);
+		s->routers[r].queues =
+			g_hash_table_new(g_int64_hash, g_int64_equal);
+		s->routers[r].counts = g_hash_table_new_full(
+			g_int64_hash, g_int64_equal, NULL, g_free);
+	}
+	setup_broker(s, policy);
+}
+
+static void teardown(struct sim *s)
+{
+	for (uint32_t ep = 0; ep < s->d->eps; ep++) {
+		g_array_free(s->engines[ep].running, TRUE);
+		fg_grants_free(s->engines[ep].grants);
+	}
+	for (uint32_t r = 0; r < ROUTERS; r++)
+		router_free(&s->routers[r]);
+	fg_broker_free(s->broker);
+	fg_dir_free(s->broker_dir);
+	for (guint i = 0; i < s->residents->len; i++) {
+		fg_resident *r = s->residents->pdata[i];
+
+		free(r->av.av_val);
+		g_free(r);
+	}
+	g_ptr_array_free(s->residents, TRUE);
+	g_array_free(s->heap, TRUE);
+	g_free(s->engines);
+	g_free(s->reqs);
+}
+
+static void handle(struct sim *s, const struct ev *ev)
+{
+	switch (ev->type) {
+	case EV_ARRIVE:
+		if (ev->req + 1 < s->t->n)
+			sim_push(s, (struct ev){ .at = s->t->a[ev->req + 1].at,
+						 .type = EV_ARRIVE,
+						 .req = ev->req + 1 });
+		router_arrive(s, ev->req);
+		break;
+	case EV_GRANT_REQ:
+		owner_grant_req(s, ev);
+		break;
+	case EV_GRANT_REP:
+		router_grant_rep(s, ev);
+		break;
+	case EV_RUN:
+		engine_run(s, ev);
+		break;
+	case EV_RUN_END:
+		router_run_end(s, ev);
+		break;
+	case EV_RELEASE:
+		owner_release(s, ev);
+		break;
+	case EV_NEED:
+		fg_broker_need(s->broker, s->now, ev->router, &ev->need);
+		broker_run(s);
+		break;
+	case EV_REFUSAL:
+		router_refusal(s, ev);
+		break;
+	case EV_PLACE:
+		owner_place(s, ev);
+		break;
+	case EV_PLACE_REP:
+		broker_reply(s, ev);
+		break;
+	case EV_RESIDENT:
+		router_resident(s, ev);
+		break;
+	case EV_LOADED:
+		engine_loaded(s, ev);
+		break;
+	case EV_STEP:
+		if (ev->id == s->engines[ev->ep].epoch)
+			engine_step(s, ev->ep);
+		break;
+	case EV_HOLD_END:
+		router_hold_end(s, ev);
+		break;
+	case EV_DEADLINE:
+		router_deadline(s, ev->req);
+		break;
+	case EV_TICK:
+		tick(s);
+		break;
+	case EV_RESTART:
+		engine_restart(s, ev->ep);
+		break;
+	}
+}
+
+/* ---- Figures ---- */
+
+static int by_value(const void *a, const void *b)
+{
+	fg_ms x = *(const fg_ms *)a;
+	fg_ms y = *(const fg_ms *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void sum_up(struct sim *s)
+{
+	struct result *res = s->result;
+	fg_ms *stall = g_new(fg_ms, s->t->n);
+	uint64_t drafts = 0;
+	double hold = 0;
+	size_t n = 0;
+
+	for (size_t i = 0; i < s->t->n; i++) {
+		const struct req *r = &s->reqs[i];
+
+		g_assert_cmpint(r->state, ==, REQ_OVER);
+		if (s->t->a[i].cls == FG_CLASS_DRAFT) {
+			drafts++;
+			hold += (double)r->hold_ms;
+		}
+		if (r->stall_ms < 0)
+			continue;
+		stall[n++] = r->stall_ms;
+		res->waited += r->stall_ms > 0;
+	}
+	qsort(stall, n, sizeof(*stall), by_value);
+	res->n = s->t->n;
+	res->stall_p50_ms = (double)stall[n / 2];
+	res->stall_p95_ms = (double)stall[n * 95 / 100];
+	res->stall_p99_ms = (double)stall[n * 99 / 100];
+	res->hold_mean_ms = drafts > 0 ? hold / (double)drafts : 0;
+	res->loads = s->loads;
+	res->fill = (double)s->filled / (double)s->steps;
+	res->bytes = (double)s->bytes / (double)s->t->n;
+	res->in_use_orders = s->in_use_orders;
+	g_free(stall);
+}
+
+void sim_run(const struct deployment *d, const struct trace *t,
+	     const char *policy, struct result *result)
+{
+	struct sim s = { .d = d, .t = t, .result = result };
+
+	memset(result, 0, sizeof(*result));
+	result->met = g_new0(bool, t->n);
+	setup(&s, policy);
+	sim_push(&s, (struct ev){ .at = t->a[0].at, .type = EV_ARRIVE });
+	sim_push(&s, (struct ev){ .type = EV_TICK });
+	sim_push(&s, (struct ev){ .at = RESTART_AT_MS, .type = EV_RESTART });
+	while (s.heap->len > 0) {
+		struct ev ev = pop(&s);
+
+		s.now = ev.at;
+		handle(&s, &ev);
+	}
+	sum_up(&s);
+	teardown(&s);
+}
