Stand-ins, fg-load: pthread locks; crossed answers leak no run

ThreadSanitizer reported races on everything that a GMutex guards: GLib takes its locks by futex calls that the sanitizer does not see. Locks and conditions are pthread's now, as the house style asks, and the queue of fg-load is its own. Processes under test get G_SLICE=always-malloc for the same reason.

AddressSanitizer found runs that were never freed: a run that waited in vain for a partner to cross answers with stayed armed, was paired after its own connection had ended, and the pair kept each other alive. It is withdrawn when its wait ends, and runs are paired only once both have started.

--- a/programs/fg-load/fl_addr.c
+++ b/programs/fg-load/fl_addr.c
@@ -1,6 +1,7 @@
 #include "fl_addr.h"
 
 #include <jansson.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "fl_http.h"
@@ -16,7 +17,7 @@
 
 struct fl_addr {
 	const struct fl_conf *conf;
-	GMutex lock;
+	pthread_mutex_t lock;
 	GHashTable *answers; /* "adapter|service" to struct answer */
 	guint n_configured;
 	guint next; /* configured address to ask next */
@@ -35,7 +36,7 @@
 	struct fl_addr *a = g_new0(struct fl_addr, 1);
 
 	a->conf = conf;
-	g_mutex_init(&a->lock);
+	pthread_mutex_init(&a->lock, NULL);
 	a->answers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   free_answer);
 	a->n_configured = g_strv_length(conf->addresses);
@@ -45,7 +46,7 @@
 void fl_addr_free(struct fl_addr *a)
 {
 	g_hash_table_destroy(a->answers);
-	g_mutex_clear(&a->lock);
+	pthread_mutex_destroy(&a->lock);
 	g_free(a);
 }
 
@@ -60,11 +61,11 @@
 	struct answer *answer;
 	char *addr = NULL;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	answer = g_hash_table_lookup(a->answers, name);
 	if (answer && answer->expires > fg_clock_now() && attempt < answer->n)
 		addr = g_strdup(answer->addresses[attempt]);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return addr;
 }
 
@@ -72,10 +73,10 @@
 {
 	char *addr;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	addr = g_strdup(a->conf->addresses[a->next % a->n_configured]);
 	a->next++;
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return addr;
 }
 
@@ -113,10 +114,10 @@
 	fl_http_get(curl, addr, path, LOOKUP_TIMEOUT_MS, &res);
 	ok = res.status == 200;
 	if (ok) {
-		g_mutex_lock(&a->lock);
+		pthread_mutex_lock(&a->lock);
 		g_hash_table_replace(a->answers, g_strdup(name),
 				     parse_answer(res.body->str));
-		g_mutex_unlock(&a->lock);
+		pthread_mutex_unlock(&a->lock);
 	}
 	fl_http_result_clear(&res);
 	g_free(path);
@@ -149,7 +150,7 @@
 
 void fl_addr_failed(struct fl_addr *a, const char *addr)
 {
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	g_hash_table_foreach_remove(a->answers, names_address, (void *)addr);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 }
--- a/programs/fg-load/fl_main.c
+++ b/programs/fg-load/fl_main.c
@@ -4,26 +4,25 @@
  * One thread plans the requests and gives them out when they are due, workers
  * send them. Exits with 0 when no answer that was DONE lacked anything.
  */
+#include <pthread.h>
 #include <stdio.h>
 
+#include "fl_queue.h"
 #include "fl_send.h"
 
 struct worker {
 	struct fl_sender *sender;
-	GAsyncQueue *queue;
-	GThread *thread;
+	struct fl_queue *queue;
+	pthread_t thread;
 };
 
-/* Ends a worker when it comes out of the queue. */
-static struct fl_req end_mark;
-
 static void *work(void *arg)
 {
 	struct worker *worker = arg;
 	CURL *curl = curl_easy_init();
 	struct fl_req *req;
 
-	while ((req = g_async_queue_pop(worker->queue)) != &end_mark) {
+	while ((req = fl_queue_pop(worker->queue))) {
 		if (req->due == 0)
 			req->due = fg_clock_now();
 		fl_send(worker->sender, curl, req);
@@ -42,7 +41,7 @@
 }
 
 /* Without a rate `due` stays 0 and counts from when a worker is free. */
-static void give_out(const struct fl_conf *conf, GAsyncQueue *queue)
+static void give_out(const struct fl_conf *conf, struct fl_queue *queue)
 {
 	struct fl_plan *plan = fl_plan_new(conf);
 	fg_ms begin = fg_clock_now();
@@ -55,7 +54,7 @@
 				   (fg_ms)(i * FG_MS_PER_S / conf->rate_per_s);
 			sleep_until(req->due);
 		}
-		g_async_queue_push(queue, req);
+		fl_queue_push(queue, req);
 	}
 	fl_plan_free(plan);
 }
@@ -64,19 +63,18 @@
 {
 	const struct fl_conf *conf = sender->conf;
 	struct worker *workers = g_new0(struct worker, conf->workers);
-	GAsyncQueue *queue = g_async_queue_new();
+	struct fl_queue *queue = fl_queue_new();
 
 	for (uint32_t i = 0; i < conf->workers; i++) {
 		workers[i].sender = sender;
 		workers[i].queue = queue;
-		workers[i].thread = g_thread_new("worker", work, &workers[i]);
+		pthread_create(&workers[i].thread, NULL, work, &workers[i]);
 	}
 	give_out(conf, queue);
+	fl_queue_close(queue);
 	for (uint32_t i = 0; i < conf->workers; i++)
-		g_async_queue_push(queue, &end_mark);
-	for (uint32_t i = 0; i < conf->workers; i++)
-		g_thread_join(workers[i].thread);
-	g_async_queue_unref(queue);
+		pthread_join(workers[i].thread, NULL);
+	fl_queue_free(queue);
 	g_free(workers);
 }
 
--- a/programs/fg-load/fl_record.c
+++ b/programs/fg-load/fl_record.c
@@ -1,6 +1,7 @@
 #include "fl_record.h"
 
 #include <errno.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,7 +10,7 @@
 
 struct fl_record {
 	const struct fl_conf *conf;
-	GMutex lock;
+	pthread_mutex_t lock;
 	FILE *history;
 	GHashTable *outcomes; /* "class OUTCOME reason" to a count */
 	GArray *latency_ms[FG_CLASS_COUNT]; /* of answers that were DONE */
@@ -25,7 +26,7 @@
 	struct fl_record *r = g_new0(struct fl_record, 1);
 
 	r->conf = conf;
-	g_mutex_init(&r->lock);
+	pthread_mutex_init(&r->lock, NULL);
 	r->outcomes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (int i = 0; i < FG_CLASS_COUNT; i++)
@@ -50,7 +51,7 @@
 	g_hash_table_destroy(r->outcomes);
 	for (int i = 0; i < FG_CLASS_COUNT; i++)
 		g_array_free(r->latency_ms[i], TRUE);
-	g_mutex_clear(&r->lock);
+	pthread_mutex_destroy(&r->lock);
 	g_free(r);
 }
 
@@ -60,14 +61,14 @@
 	json_t *event;
 	char *text;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	event = json_pack("{s:I, s:s, s:s}", "t", (json_int_t)fg_clock_now(),
 			  "who", r->conf->caller, "ev", ev);
 	json_object_update(event, fields);
 	text = json_dumps(event, JSON_COMPACT);
 	if (r->history)
 		fprintf(r->history, "%s\n", text);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	free(text);
 	json_decref(event);
 	json_decref(fields);
@@ -128,7 +129,7 @@
 		     const struct fl_answer *answer, const char *entry,
 		     uint32_t attempts, uint32_t latency_ms)
 {
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	count_outcome(r, req, answer);
 	r->final++;
 	r->attempts += attempts;
@@ -141,7 +142,7 @@
 		r->shown[req->cls]++;
 		show(req, answer, entry, latency_ms);
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
 
 static int compare_u32(const void *a, const void *b)
--- a/standin/common/si_announce.c
+++ b/standin/common/si_announce.c
@@ -9,9 +9,9 @@
 
 struct si_announce {
 	struct si_proc *proc;
-	GThread *thread;
-	GMutex lock;
-	GCond changed;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
 	bool stop;
 	fg_ms leaving_since; /* 0: not leaving */
 	bool news;	     /* announce at once */
@@ -45,15 +45,15 @@
 	gint64 end = si_wait_until(ANNOUNCE_EVERY_MS);
 	bool stop;
 
-	g_mutex_lock(&announce->lock);
+	pthread_mutex_lock(&announce->lock);
 	while (!announce->stop && !announce->news)
-		if (!g_cond_wait_until(&announce->changed, &announce->lock,
-				       end))
+		if (!si_cond_wait_until(&announce->changed, &announce->lock,
+					end))
 			break;
 	announce->news = false;
 	*leaving = announce->leaving_since != 0;
 	stop = announce->stop;
-	g_mutex_unlock(&announce->lock);
+	pthread_mutex_unlock(&announce->lock);
 	return !stop;
 }
 
@@ -77,22 +77,22 @@
 	struct si_announce *announce = g_new0(struct si_announce, 1);
 
 	announce->proc = proc;
-	g_mutex_init(&announce->lock);
-	g_cond_init(&announce->changed);
-	announce->thread = g_thread_new("announce", announce_loop, announce);
+	pthread_mutex_init(&announce->lock, NULL);
+	si_cond_init(&announce->changed);
+	pthread_create(&announce->thread, NULL, announce_loop, announce);
 	return announce;
 }
 
 void si_announce_leave(struct si_announce *announce)
 {
-	g_mutex_lock(&announce->lock);
+	pthread_mutex_lock(&announce->lock);
 	if (announce->leaving_since == 0) {
 		announce->leaving_since = fg_clock_now();
 		announce->news = true;
-		g_cond_broadcast(&announce->changed);
+		pthread_cond_broadcast(&announce->changed);
 		si_log_event(announce->proc->log, "leaving", json_object());
 	}
-	g_mutex_unlock(&announce->lock);
+	pthread_mutex_unlock(&announce->lock);
 }
 
 fg_ms si_announce_leaving_ms(struct si_announce *announce)
@@ -101,9 +101,9 @@
 
 	if (!announce)
 		return -1;
-	g_mutex_lock(&announce->lock);
+	pthread_mutex_lock(&announce->lock);
 	since = announce->leaving_since;
-	g_mutex_unlock(&announce->lock);
+	pthread_mutex_unlock(&announce->lock);
 	return since == 0 ? -1 : fg_clock_now() - since;
 }
 
@@ -111,12 +111,12 @@
 {
 	if (!announce)
 		return;
-	g_mutex_lock(&announce->lock);
+	pthread_mutex_lock(&announce->lock);
 	announce->stop = true;
-	g_cond_broadcast(&announce->changed);
-	g_mutex_unlock(&announce->lock);
-	g_thread_join(announce->thread);
-	g_mutex_clear(&announce->lock);
-	g_cond_clear(&announce->changed);
+	pthread_cond_broadcast(&announce->changed);
+	pthread_mutex_unlock(&announce->lock);
+	pthread_join(announce->thread, NULL);
+	pthread_mutex_destroy(&announce->lock);
+	pthread_cond_destroy(&announce->changed);
 	g_free(announce);
 }
--- a/standin/common/si_fault.c
+++ b/standin/common/si_fault.c
@@ -8,7 +8,7 @@
 
 struct si_fault {
 	struct si_proc *proc;
-	GMutex lock;
+	pthread_mutex_t lock;
 	fg_ms outage_until;
 	fg_ms frozen_until;
 	int64_t slow_ms;
@@ -24,7 +24,7 @@
 	struct si_fault *fault = g_new0(struct si_fault, 1);
 
 	fault->proc = proc;
-	g_mutex_init(&fault->lock);
+	pthread_mutex_init(&fault->lock, NULL);
 	fault->drop_path = g_strdup("");
 	fault->cut_off =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -37,7 +37,7 @@
 		return;
 	g_hash_table_destroy(fault->cut_off);
 	g_free(fault->drop_path);
-	g_mutex_clear(&fault->lock);
+	pthread_mutex_destroy(&fault->lock);
 	g_free(fault);
 }
 
@@ -128,9 +128,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(ops); i++) {
 		if (strcmp(ops[i].name, op) != 0 || !(ops[i].kinds & kind))
 			continue;
-		g_mutex_lock(&fault->lock);
+		pthread_mutex_lock(&fault->lock);
 		ops[i].fn(fault, body);
-		g_mutex_unlock(&fault->lock);
+		pthread_mutex_unlock(&fault->lock);
 		return true;
 	}
 	return false;
@@ -140,9 +140,9 @@
 {
 	fg_ms left;
 
-	g_mutex_lock(&fault->lock);
+	pthread_mutex_lock(&fault->lock);
 	left = fault->frozen_until - fg_clock_now();
-	g_mutex_unlock(&fault->lock);
+	pthread_mutex_unlock(&fault->lock);
 	return left;
 }
 
@@ -162,9 +162,9 @@
 
 	if (!si_fault_thawed(fault))
 		return false;
-	g_mutex_lock(&fault->lock);
+	pthread_mutex_lock(&fault->lock);
 	cut_off = g_hash_table_contains(fault->cut_off, instance);
-	g_mutex_unlock(&fault->lock);
+	pthread_mutex_unlock(&fault->lock);
 	return !cut_off;
 }
 
@@ -192,10 +192,10 @@
 	int64_t delay_ms;
 	bool drop;
 
-	g_mutex_lock(&fault->lock);
+	pthread_mutex_lock(&fault->lock);
 	delay_ms = take_delay_ms(fault);
 	drop = take_drop(fault, path);
-	g_mutex_unlock(&fault->lock);
+	pthread_mutex_unlock(&fault->lock);
 	if (delay_ms > 0 && !si_proc_sleep(fault->proc, delay_ms))
 		return false;
 	return si_fault_thawed(fault) && !drop;
@@ -205,9 +205,9 @@
 {
 	bool outage;
 
-	g_mutex_lock(&fault->lock);
+	pthread_mutex_lock(&fault->lock);
 	outage = fg_clock_now() < fault->outage_until;
-	g_mutex_unlock(&fault->lock);
+	pthread_mutex_unlock(&fault->lock);
 	return outage;
 }
 
@@ -215,10 +215,10 @@
 {
 	bool taken;
 
-	g_mutex_lock(&fault->lock);
+	pthread_mutex_lock(&fault->lock);
 	taken = fault->counted[which] > 0;
 	if (taken)
 		fault->counted[which]--;
-	g_mutex_unlock(&fault->lock);
+	pthread_mutex_unlock(&fault->lock);
 	return taken;
 }
--- a/standin/common/si_log.c
+++ b/standin/common/si_log.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,7 +14,7 @@
 #define LOG_MEMORY_MAX_BYTES ((size_t)64 << 20)
 
 struct si_log {
-	GMutex lock;
+	pthread_mutex_t lock;
 	char *who;
 	GString *text;
 	int fd; /* -1: no file */
@@ -33,7 +34,7 @@
 		}
 	}
 	log = g_new0(struct si_log, 1);
-	g_mutex_init(&log->lock);
+	pthread_mutex_init(&log->lock, NULL);
 	log->who = g_strdup(who);
 	log->text = g_string_new(NULL);
 	log->fd = fd;
@@ -48,7 +49,7 @@
 		close(log->fd);
 	g_string_free(log->text, TRUE);
 	g_free(log->who);
-	g_mutex_clear(&log->lock);
+	pthread_mutex_destroy(&log->lock);
 	g_free(log);
 }
 
@@ -68,14 +69,14 @@
 	char *text;
 	char *line;
 
-	g_mutex_lock(&log->lock);
+	pthread_mutex_lock(&log->lock);
 	event = json_pack("{s:I, s:s, s:s}", "t", (json_int_t)fg_clock_now(),
 			  "who", log->who, "ev", ev);
 	json_object_update(event, fields);
 	text = json_dumps(event, JSON_COMPACT);
 	line = g_strconcat(text, "\n", NULL);
 	write_line(log, line);
-	g_mutex_unlock(&log->lock);
+	pthread_mutex_unlock(&log->lock);
 	g_free(line);
 	free(text);
 	json_decref(event);
@@ -86,8 +87,8 @@
 {
 	char *copy;
 
-	g_mutex_lock(&log->lock);
+	pthread_mutex_lock(&log->lock);
 	copy = g_strdup(log->text->str);
-	g_mutex_unlock(&log->lock);
+	pthread_mutex_unlock(&log->lock);
 	return copy;
 }
--- a/standin/common/si_proc.c
+++ b/standin/common/si_proc.c
@@ -18,13 +18,34 @@
 	return g_get_monotonic_time() + from_now_ms * 1000;
 }
 
+void si_cond_init(pthread_cond_t *cond)
+{
+	pthread_condattr_t attr;
+
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(cond, &attr);
+	pthread_condattr_destroy(&attr);
+}
+
+bool si_cond_wait_until(pthread_cond_t *cond, pthread_mutex_t *lock,
+			gint64 end_us)
+{
+	struct timespec end = {
+		.tv_sec = end_us / G_USEC_PER_SEC,
+		.tv_nsec = end_us % G_USEC_PER_SEC * 1000,
+	};
+
+	return pthread_cond_timedwait(cond, lock, &end) == 0;
+}
+
 bool si_proc_stopping(struct si_proc *proc)
 {
 	bool stopping;
 
-	g_mutex_lock(&proc->stop_lock);
+	pthread_mutex_lock(&proc->stop_lock);
 	stopping = proc->stopping;
-	g_mutex_unlock(&proc->stop_lock);
+	pthread_mutex_unlock(&proc->stop_lock);
 	return stopping;
 }
 
@@ -33,12 +54,13 @@
 	gint64 end = si_wait_until(duration_ms);
 	bool stopping;
 
-	g_mutex_lock(&proc->stop_lock);
+	pthread_mutex_lock(&proc->stop_lock);
 	while (!proc->stopping)
-		if (!g_cond_wait_until(&proc->stop_cond, &proc->stop_lock, end))
+		if (!si_cond_wait_until(&proc->stop_cond, &proc->stop_lock,
+					end))
 			break;
 	stopping = proc->stopping;
-	g_mutex_unlock(&proc->stop_lock);
+	pthread_mutex_unlock(&proc->stop_lock);
 	return !stopping;
 }
 
@@ -136,10 +158,10 @@
 
 static void stop_all(struct si_proc *proc)
 {
-	g_mutex_lock(&proc->stop_lock);
+	pthread_mutex_lock(&proc->stop_lock);
 	proc->stopping = true;
-	g_cond_broadcast(&proc->stop_cond);
-	g_mutex_unlock(&proc->stop_lock);
+	pthread_cond_broadcast(&proc->stop_cond);
+	pthread_mutex_unlock(&proc->stop_lock);
 	if (proc->self)
 		proc->program->stop(proc);
 	si_http_stop(proc->control);
@@ -167,8 +189,8 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	g_mutex_init(&proc.stop_lock);
-	g_cond_init(&proc.stop_cond);
+	pthread_mutex_init(&proc.stop_lock, NULL);
+	si_cond_init(&proc.stop_cond);
 
 	ok = parse_options(&proc, argc, argv);
 	if (ok) {
--- a/standin/common/si_proc.h
+++ b/standin/common/si_proc.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -70,8 +71,8 @@
 	struct si_http *control;
 	struct si_announce *announce;
 	void *self; /* of the program */
-	GMutex stop_lock;
-	GCond stop_cond;
+	pthread_mutex_t stop_lock;
+	pthread_cond_t stop_cond;
 	bool stopping;
 };
 
@@ -86,7 +87,14 @@
 /* Ends the process at once, as a crash does. */
 void si_proc_crash(void) __attribute__((noreturn));
 
-/* Time in ms from now in the clock of g_cond_wait_until(). */
+/* Time in us, some ms from now, for si_cond_wait_until(). */
 gint64 si_wait_until(fg_ms from_now_ms);
 
+/* Initialises a condition on the monotonic clock. */
+void si_cond_init(pthread_cond_t *cond);
+
+/* Waits for the condition; returns false when end_us has passed. */
+bool si_cond_wait_until(pthread_cond_t *cond, pthread_mutex_t *lock,
+			gint64 end_us);
+
 #endif
--- a/standin/engine/si_batch.c
+++ b/standin/engine/si_batch.c
@@ -31,7 +31,7 @@
 	run->deadline = fg_clock_now() + timeout_ms;
 	run->slot = SI_NO_SLOT;
 	run->tokens = g_ptr_array_new_with_free_func(g_free);
-	g_cond_init(&run->changed);
+	si_cond_init(&run->changed);
 	return run;
 }
 
@@ -50,7 +50,7 @@
 	g_free(run->version);
 	g_free(run->prompt);
 	g_ptr_array_free(run->tokens, TRUE);
-	g_cond_clear(&run->changed);
+	pthread_cond_destroy(&run->changed);
 	g_free(run);
 }
 
@@ -81,7 +81,7 @@
 	} else {
 		return;
 	}
-	g_cond_broadcast(&run->changed);
+	pthread_cond_broadcast(&run->changed);
 	si_run_unref(run);
 }
 
@@ -133,7 +133,7 @@
 	run->state = SI_QUEUED;
 	si_run_ref(run);
 	g_ptr_array_add(e->queue, run);
-	g_cond_signal(&e->work);
+	pthread_cond_signal(&e->work);
 	return NULL;
 }
 
@@ -182,7 +182,7 @@
 	run->prefill = si_prefix_use(e->prefix, run) ? 0 : PREFILL_STEPS;
 	e->slots[slot].running++;
 	log_run(e, "run_start", run, true);
-	g_cond_broadcast(&run->changed);
+	pthread_cond_broadcast(&run->changed);
 	check_poison(e, run);
 }
 
@@ -229,7 +229,7 @@
 	if (run->tokens->len == run->max_tokens)
 		si_batch_end(e, run, NULL);
 	else
-		g_cond_broadcast(&run->changed);
+		pthread_cond_broadcast(&run->changed);
 }
 
 static void restart_if_poisoned(struct si_engine *e)
@@ -257,7 +257,7 @@
 {
 	while (!e->stop && g_get_monotonic_time() < due_us) {
 		fill_batch(e);
-		g_cond_wait_until(&e->work, &e->lock, due_us);
+		si_cond_wait_until(&e->work, &e->lock, due_us);
 	}
 }
 
@@ -267,24 +267,24 @@
 	gint64 step_us = (gint64)e->token_ms * 1000;
 	gint64 due_us;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	while (!e->stop) {
 		fill_batch(e);
 		if (e->running->len == 0) {
-			g_cond_wait(&e->work, &e->lock);
+			pthread_cond_wait(&e->work, &e->lock);
 			continue;
 		}
 		due_us = g_get_monotonic_time() + step_us;
 		wait_for_step(e, due_us);
-		g_mutex_unlock(&e->lock);
+		pthread_mutex_unlock(&e->lock);
 		if (!si_fault_thawed(e->proc->fault)) {
-			g_mutex_lock(&e->lock);
+			pthread_mutex_lock(&e->lock);
 			break;
 		}
-		g_mutex_lock(&e->lock);
+		pthread_mutex_lock(&e->lock);
 		step_batch(e);
 	}
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return NULL;
 }
 
@@ -292,18 +292,18 @@
 {
 	e->queue = g_ptr_array_new();
 	e->running = g_ptr_array_new();
-	e->thread = g_thread_new("batch", batch_loop, e);
+	pthread_create(&e->thread, NULL, batch_loop, e);
 	return true;
 }
 
 void si_batch_stop(struct si_engine *e)
 {
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	e->stop = true;
-	g_cond_broadcast(&e->work);
+	pthread_cond_broadcast(&e->work);
 	si_batch_cut_all(e);
-	g_mutex_unlock(&e->lock);
-	g_thread_join(e->thread);
+	pthread_mutex_unlock(&e->lock);
+	pthread_join(e->thread, NULL);
 }
 
 void si_batch_free(struct si_engine *e)
--- a/standin/engine/si_engine.h
+++ b/standin/engine/si_engine.h
@@ -55,21 +55,20 @@
 	GPtrArray *tokens; /* texts */
 	const char *error; /* NULL: ended whole */
 	bool cut;	   /* its connection is closed without more */
-	GCond changed;
+	pthread_cond_t changed;
 
 	/* Faults of its answer. */
 	bool truncate;
 	bool truncate_clean; /* the stream itself ends in order */
 	bool garble;
-	bool wants_partner;
 	struct si_run *shown; /* crossed: the run whose answer goes out */
 };
 
 struct si_engine {
 	struct si_proc *proc;
-	GMutex lock;
-	GCond work; /* the batch thread waits on it when idle */
-	GThread *thread;
+	pthread_mutex_t lock;
+	pthread_cond_t work; /* the batch thread waits on it when idle */
+	pthread_t thread;
 	bool stop;
 
 	uint64_t epoch;
--- a/standin/engine/si_engine_main.c
+++ b/standin/engine/si_engine_main.c
@@ -42,9 +42,9 @@
 {
 	struct si_engine *e = si_engine_of(req);
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	si_batch_cancel(e, si_field_str(req->body, "id"));
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return si_answer(req, 200, json_pack("{s:b}", "ok", 1));
 }
 
@@ -82,7 +82,7 @@
 	json_t *running = json_array();
 	json_t *state;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	append_runs(running, e->running);
 	append_runs(running, e->queue);
 	state = json_pack("{s:I, s:I, s:b, s:b, s:i, s:o, s:o}", "epoch",
@@ -90,7 +90,7 @@
 			  "checks_fence", e->checks_fence, "leaving", leaving,
 			  "batch", (int)e->batch, "slots", slots_json(e),
 			  "running", running);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return si_answer(req, 200, state);
 }
 
@@ -101,7 +101,7 @@
 	fg_ms now = fg_clock_now();
 	json_t *report;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	report = json_pack("{s:i, s:i, s:I}", "in_use", (int)e->report.in_use,
 			   "queued", (int)e->report.queued, "age_ms",
 			   (json_int_t)(now - e->report.taken));
@@ -110,7 +110,7 @@
 		e->report.queued = e->queue->len;
 		e->report.taken = now;
 	}
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return si_answer(req, 200, report);
 }
 
@@ -120,10 +120,10 @@
 	const char *after = si_query(req, "after");
 	json_t *events;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	events = si_prefix_events(e->prefix,
 				  after ? strtoull(after, NULL, 10) : 0);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return si_answer(req, 200, events);
 }
 
@@ -160,8 +160,8 @@
 	e->poison = g_strdup("");
 	e->report.taken = fg_clock_now();
 	e->prefix = si_prefix_new();
-	g_mutex_init(&e->lock);
-	g_cond_init(&e->work);
+	pthread_mutex_init(&e->lock, NULL);
+	si_cond_init(&e->work);
 	si_slots_init(e);
 	proc->self = e;
 	return si_batch_start(e);
@@ -176,14 +176,12 @@
 {
 	struct si_engine *e = proc->self;
 
-	if (e->cross_first)
-		si_run_unref(e->cross_first);
 	si_batch_free(e);
 	si_slots_clear(e);
 	si_prefix_free(e->prefix);
 	g_free(e->poison);
-	g_mutex_clear(&e->lock);
-	g_cond_clear(&e->work);
+	pthread_mutex_destroy(&e->lock);
+	pthread_cond_destroy(&e->work);
 	g_free(e);
 }
 
@@ -230,9 +228,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(ops); i++) {
 		if (strcmp(ops[i].name, op) != 0)
 			continue;
-		g_mutex_lock(&e->lock);
+		pthread_mutex_lock(&e->lock);
 		ops[i].fn(e, body);
-		g_mutex_unlock(&e->lock);
+		pthread_mutex_unlock(&e->lock);
 		return true;
 	}
 	return false;
--- a/standin/engine/si_slots.c
+++ b/standin/engine/si_slots.c
@@ -133,7 +133,7 @@
 	struct si_slot *slot = &e->slots[order->slot];
 	uint64_t load = 0;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	if (fence_holds(e, order->fence)) {
 		load = ++e->loads;
 		log_order(e, "load_start", order, order->adapter,
@@ -142,7 +142,7 @@
 		slot->load = load;
 	}
 	*fence = e->fence;
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return load;
 }
 
@@ -153,7 +153,7 @@
 	struct si_slot *slot = &e->slots[order->slot];
 	bool ok;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	ok = fetched && slot->load == load;
 	if (slot->load == load) {
 		if (ok)
@@ -163,7 +163,7 @@
 	}
 	log_order(e, "load_end", order, order->adapter, order->version,
 		  slot->running, ok);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return ok;
 }
 
@@ -211,10 +211,10 @@
 
 	if (!read_order(e, req->body, &order))
 		return si_answer_error(req, 400, "bad_request");
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	error = evict(e, &order);
 	fence = e->fence;
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	if (error)
 		return answer_fenced(req, fence);
 	return si_answer(req, 200, json_pack("{s:b}", "ok", 1));
--- a/standin/engine/si_stream.c
+++ b/standin/engine/si_stream.c
@@ -90,13 +90,13 @@
 	(void)pos;
 	if (!si_fault_thawed(s->e->proc->fault))
 		return MHD_CONTENT_READER_END_WITH_ERROR;
-	g_mutex_lock(&s->e->lock);
+	pthread_mutex_lock(&s->e->lock);
 	while (s->pending->len == 0 && !s->last) {
 		collect(s);
 		if (s->pending->len == 0 && !s->last)
-			g_cond_wait(&s->shown->changed, &s->e->lock);
+			pthread_cond_wait(&s->shown->changed, &s->e->lock);
 	}
-	g_mutex_unlock(&s->e->lock);
+	pthread_mutex_unlock(&s->e->lock);
 	n = s->pending->len < max ? s->pending->len : max;
 	if (n == 0)
 		return s->broken ? MHD_CONTENT_READER_END_WITH_ERROR
@@ -110,10 +110,10 @@
 {
 	struct stream *s = arg;
 
-	g_mutex_lock(&s->e->lock);
+	pthread_mutex_lock(&s->e->lock);
 	si_run_unref(s->own);
 	si_run_unref(s->shown);
-	g_mutex_unlock(&s->e->lock);
+	pthread_mutex_unlock(&s->e->lock);
 	g_string_free(s->pending, TRUE);
 	g_free(s);
 }
@@ -134,12 +134,12 @@
 	struct si_run *run = arg;
 	struct si_engine *e = run->engine;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	if (!run->shown)
 		si_batch_end(e, run, "caller_gone");
 	drop_partner(run);
 	si_run_unref(run);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 }
 
 /* Pairs two answers, each of which goes to the other's caller. Locked. */
@@ -149,7 +149,6 @@
 
 	if (!e->cross_armed)
 		return;
-	run->wants_partner = true;
 	if (!first) {
 		e->cross_first = run;
 		si_run_ref(run);
@@ -160,7 +159,7 @@
 	si_run_ref(run);
 	e->cross_first = NULL;
 	e->cross_armed = false;
-	g_cond_broadcast(&first->changed);
+	pthread_cond_broadcast(&first->changed);
 }
 
 static void take_faults(struct si_engine *e, struct si_run *run)
@@ -177,16 +176,21 @@
 static void wait_for_start(struct si_engine *e, struct si_run *run)
 {
 	while (run->state == SI_QUEUED)
-		g_cond_wait(&run->changed, &e->lock);
+		pthread_cond_wait(&run->changed, &e->lock);
 }
 
+/* A run that finds no partner in time goes on with its own answer. Locked. */
 static void wait_for_partner(struct si_engine *e, struct si_run *run)
 {
 	gint64 end = si_wait_until(PARTNER_WAIT_MS);
 
-	while (run->wants_partner && !run->shown && !e->stop)
-		if (!g_cond_wait_until(&run->changed, &e->lock, end))
+	while (e->cross_first == run && !e->stop)
+		if (!si_cond_wait_until(&run->changed, &e->lock, end))
 			break;
+	if (e->cross_first == run) {
+		e->cross_first = NULL;
+		si_run_unref(run);
+	}
 }
 
 static bool refuses_new(struct si_engine *e)
@@ -202,7 +206,7 @@
 {
 	const char *refused;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	if (e->stop)
 		refused = "restarted";
 	else if (refuses_new(e))
@@ -211,14 +215,15 @@
 		refused = si_batch_add(e, run);
 	if (!refused) {
 		take_faults(e, run);
-		cross(e, run);
 		wait_for_start(e, run);
 		if (run->state == SI_REFUSED)
 			refused = run->error;
-		else
-			wait_for_partner(e, run);
 	}
-	g_mutex_unlock(&e->lock);
+	if (!refused) {
+		cross(e, run);
+		wait_for_partner(e, run);
+	}
+	pthread_mutex_unlock(&e->lock);
 	return refused;
 }
 
@@ -243,11 +248,11 @@
 	s->e = e;
 	s->own = run;
 	s->pending = g_string_new(NULL);
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	s->shown = run->shown ? run->shown : run;
 	si_run_ref(run);
 	si_run_ref(s->shown);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return si_answer_response(req, 200,
 				  MHD_create_response_from_callback(
 					  MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
@@ -257,10 +262,10 @@
 /* An answer that is to be dropped takes its effect first. */
 static void wait_for_end(struct si_engine *e, struct si_run *run)
 {
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	while (!is_over(run))
-		g_cond_wait(&run->changed, &e->lock);
-	g_mutex_unlock(&e->lock);
+		pthread_cond_wait(&run->changed, &e->lock);
+	pthread_mutex_unlock(&e->lock);
 }
 
 enum MHD_Result si_stream_run(struct si_req *req)
--- a/standin/plain/si_plain_main.c
+++ b/standin/plain/si_plain_main.c
@@ -23,7 +23,7 @@
 };
 
 struct si_plain {
-	GMutex lock;
+	pthread_mutex_t lock;
 	GHashTable *filed; /* set of keys */
 	fg_ms refuse_after_ms;
 };
@@ -34,9 +34,9 @@
 
 	g_snprintf(receipt, sizeof(receipt), "%08x",
 		   (uint32_t)fg_hash_str(key));
-	g_mutex_lock(&self->lock);
+	pthread_mutex_lock(&self->lock);
 	g_hash_table_add(self->filed, g_strdup(key));
-	g_mutex_unlock(&self->lock);
+	pthread_mutex_unlock(&self->lock);
 	return json_pack("{s:s, s:s}", "filed", key, "receipt", receipt);
 }
 
@@ -45,9 +45,9 @@
 	const char *key = si_field_str(body, "key");
 	bool filed;
 
-	g_mutex_lock(&self->lock);
+	pthread_mutex_lock(&self->lock);
 	filed = g_hash_table_contains(self->filed, key);
-	g_mutex_unlock(&self->lock);
+	pthread_mutex_unlock(&self->lock);
 	return json_pack("{s:s, s:b}", "key", key, "filed", filed);
 }
 
@@ -57,9 +57,9 @@
 	fg_ms leaving_ms = si_announce_leaving_ms(proc->announce);
 	fg_ms refuse_after_ms;
 
-	g_mutex_lock(&self->lock);
+	pthread_mutex_lock(&self->lock);
 	refuse_after_ms = self->refuse_after_ms;
-	g_mutex_unlock(&self->lock);
+	pthread_mutex_unlock(&self->lock);
 	return leaving_ms >= 0 && leaving_ms >= refuse_after_ms;
 }
 
@@ -110,7 +110,7 @@
 {
 	struct si_plain *self = g_new0(struct si_plain, 1);
 
-	g_mutex_init(&self->lock);
+	pthread_mutex_init(&self->lock, NULL);
 	self->filed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	self->refuse_after_ms = LEAVE_REFUSE_AFTER_MS;
@@ -128,7 +128,7 @@
 	struct si_plain *self = proc->self;
 
 	g_hash_table_destroy(self->filed);
-	g_mutex_clear(&self->lock);
+	pthread_mutex_destroy(&self->lock);
 	g_free(self);
 }
 
@@ -138,10 +138,10 @@
 
 	if (strcmp(op, "leave") != 0)
 		return false;
-	g_mutex_lock(&self->lock);
+	pthread_mutex_lock(&self->lock);
 	self->refuse_after_ms =
 		si_field_int(body, "refuse_after_ms", LEAVE_REFUSE_AFTER_MS);
-	g_mutex_unlock(&self->lock);
+	pthread_mutex_unlock(&self->lock);
 	si_announce_leave(proc->announce);
 	return true;
 }
--- a/standin/platform/si_listing.c
+++ b/standin/platform/si_listing.c
@@ -14,7 +14,7 @@
 };
 
 struct si_listing {
-	GMutex lock;
+	pthread_mutex_t lock;
 	GHashTable *listed; /* name to struct listed */
 	uint32_t lag_ms;
 	uint32_t ttl_ms;
@@ -52,7 +52,7 @@
 {
 	struct si_listing *l = g_new0(struct si_listing, 1);
 
-	g_mutex_init(&l->lock);
+	pthread_mutex_init(&l->lock, NULL);
 	l->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  free_listed);
 	l->lag_ms = lag_ms;
@@ -63,7 +63,7 @@
 void si_listing_free(struct si_listing *l)
 {
 	g_hash_table_destroy(l->listed);
-	g_mutex_clear(&l->lock);
+	pthread_mutex_destroy(&l->lock);
 	g_free(l);
 }
 
@@ -116,7 +116,7 @@
 
 	if (!*name)
 		return false;
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	e = g_hash_table_lookup(l->listed, name);
 	if (!e) {
 		e = new_listed();
@@ -125,7 +125,7 @@
 	add_version(e, now, instance);
 	g_array_append_val(e->seen, now);
 	prune(e, view_time(l, now), l->ttl_ms);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return true;
 }
 
@@ -161,7 +161,7 @@
 	gpointer value;
 	fg_ms view;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	view = view_time(l, fg_clock_now());
 	g_hash_table_iter_init(&iter, l->listed);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -172,7 +172,7 @@
 			json_array_append_new(instances,
 					      json_deep_copy(instance));
 	}
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return json_pack("{s:o}", "instances", instances);
 }
 
@@ -180,8 +180,8 @@
 {
 	fg_ms now = fg_clock_now();
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	l->frozen_at = view_time(l, now);
 	l->frozen_until = now + duration_ms;
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
--- a/standin/platform/si_store.c
+++ b/standin/platform/si_store.c
@@ -8,8 +8,8 @@
  */
 struct si_store {
 	struct si_proc *proc;
-	GMutex lock;
-	GCond changed;
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
 	struct si_bucket loads;
 	uint32_t load_ms;
 	uint32_t in_flight_max;
@@ -25,8 +25,8 @@
 	struct si_store *s = g_new0(struct si_store, 1);
 
 	s->proc = proc;
-	g_mutex_init(&s->lock);
-	g_cond_init(&s->changed);
+	pthread_mutex_init(&s->lock, NULL);
+	si_cond_init(&s->changed);
 	si_bucket_init(&s->loads, loads_per_s, fg_clock_now());
 	s->load_ms = load_ms;
 	s->in_flight_max = in_flight > 0 ? in_flight : 1;
@@ -36,8 +36,8 @@
 
 void si_store_free(struct si_store *s)
 {
-	g_mutex_clear(&s->lock);
-	g_cond_clear(&s->changed);
+	pthread_mutex_destroy(&s->lock);
+	pthread_cond_destroy(&s->changed);
 	g_free(s);
 }
 
@@ -45,9 +45,9 @@
 {
 	bool ok;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	ok = si_bucket_take(&s->loads, fg_clock_now(), retry_after_ms);
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	return ok;
 }
 
@@ -71,7 +71,7 @@
 {
 	count_work(s);
 	s->in_flight = (uint32_t)((int32_t)s->in_flight + delta);
-	g_cond_broadcast(&s->changed);
+	pthread_cond_broadcast(&s->changed);
 }
 
 bool si_store_load(struct si_store *s)
@@ -79,26 +79,26 @@
 	double done_at;
 	bool ok;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	change_in_flight(s, 1);
 	done_at = s->work + s->load_ms;
 	while (!s->stop && s->work < done_at) {
 		double left_ms = (done_at - s->work) / pace(s);
 
-		g_cond_wait_until(&s->changed, &s->lock,
-				  si_wait_until((fg_ms)left_ms + 1));
+		si_cond_wait_until(&s->changed, &s->lock,
+				   si_wait_until((fg_ms)left_ms + 1));
 		count_work(s);
 	}
 	change_in_flight(s, -1);
 	ok = !s->stop;
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	return ok;
 }
 
 void si_store_stop(struct si_store *s)
 {
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	s->stop = true;
-	g_cond_broadcast(&s->changed);
-	g_mutex_unlock(&s->lock);
+	pthread_cond_broadcast(&s->changed);
+	pthread_mutex_unlock(&s->lock);
 }
--- a/standin/platform/si_table.c
+++ b/standin/platform/si_table.c
@@ -14,7 +14,7 @@
 };
 
 struct si_table {
-	GMutex lock;
+	pthread_mutex_t lock;
 	GTree *rows;	     /* key to struct row, in byte order */
 	GHashTable *objects; /* name to text */
 	uint64_t version;    /* of the last write, over all rows */
@@ -40,7 +40,7 @@
 {
 	struct si_table *t = g_new0(struct si_table, 1);
 
-	g_mutex_init(&t->lock);
+	pthread_mutex_init(&t->lock, NULL);
 	t->rows = g_tree_new_full(compare_keys, NULL, g_free, free_row);
 	t->objects =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -53,7 +53,7 @@
 {
 	g_tree_destroy(t->rows);
 	g_hash_table_destroy(t->objects);
-	g_mutex_clear(&t->lock);
+	pthread_mutex_destroy(&t->lock);
 	g_free(t);
 }
 
@@ -61,9 +61,9 @@
 {
 	bool ok;
 
-	g_mutex_lock(&t->lock);
+	pthread_mutex_lock(&t->lock);
 	ok = si_bucket_take(b, fg_clock_now(), retry_after_ms);
-	g_mutex_unlock(&t->lock);
+	pthread_mutex_unlock(&t->lock);
 	return ok;
 }
 
@@ -89,11 +89,11 @@
 	struct row *row;
 	json_t *res = NULL;
 
-	g_mutex_lock(&t->lock);
+	pthread_mutex_lock(&t->lock);
 	row = g_tree_lookup(t->rows, key);
 	if (row)
 		res = row_json(key, row);
-	g_mutex_unlock(&t->lock);
+	pthread_mutex_unlock(&t->lock);
 	return res;
 }
 
@@ -114,7 +114,7 @@
 
 	if (limit < 1 || limit > SCAN_MAX)
 		limit = SCAN_MAX;
-	g_mutex_lock(&t->lock);
+	pthread_mutex_lock(&t->lock);
 	for (node = scan_start(t, prefix, after); node;
 	     node = g_tree_node_next(node)) {
 		const char *key = g_tree_node_key(node);
@@ -128,7 +128,7 @@
 		json_array_append_new(rows,
 				      row_json(key, g_tree_node_value(node)));
 	}
-	g_mutex_unlock(&t->lock);
+	pthread_mutex_unlock(&t->lock);
 	return json_pack("{s:o, s:b}", "rows", rows, "more", more);
 }
 
@@ -198,12 +198,12 @@
 	if (!writes_are_sound(writes))
 		return NULL;
 	versions = json_array();
-	g_mutex_lock(&t->lock);
+	pthread_mutex_lock(&t->lock);
 	for (size_t i = 0; i < n && !conflict; i++)
 		conflict = find_conflict(t, json_array_get(writes, i));
 	for (size_t i = 0; i < n && !conflict; i++)
 		apply_write(t, json_array_get(writes, i), versions);
-	g_mutex_unlock(&t->lock);
+	pthread_mutex_unlock(&t->lock);
 	if (conflict) {
 		json_decref(versions);
 		return json_pack("{s:b, s:o}", "ok", 0, "conflict", conflict);
@@ -216,15 +216,15 @@
 {
 	char *text;
 
-	g_mutex_lock(&t->lock);
+	pthread_mutex_lock(&t->lock);
 	text = g_strdup(g_hash_table_lookup(t->objects, name));
-	g_mutex_unlock(&t->lock);
+	pthread_mutex_unlock(&t->lock);
 	return text;
 }
 
 void si_table_put_object(struct si_table *t, const char *name, const char *text)
 {
-	g_mutex_lock(&t->lock);
+	pthread_mutex_lock(&t->lock);
 	g_hash_table_replace(t->objects, g_strdup(name), g_strdup(text));
-	g_mutex_unlock(&t->lock);
+	pthread_mutex_unlock(&t->lock);
 }
--- a/tests/fgsystem.py
+++ b/tests/fgsystem.py
@@ -64,9 +64,11 @@
         return os.path.join(self.dir, name)
 
     def spawn(self, name, args):
+        # GLib's slice allocator hides its locks from ThreadSanitizer.
+        env = dict(os.environ, G_SLICE="always-malloc")
         with open(self.path(name + ".log"), "ab") as log:
             return subprocess.Popen(args, stdin=subprocess.DEVNULL,
-                                    stdout=log, stderr=log)
+                                    stdout=log, stderr=log, env=env)
 
     def add(self, process):
         self.processes[process.name] = process
