--- a/lib/peer/fg_peer.c
+++ b/lib/peer/fg_peer.c
@@ -8,7 +8,7 @@
 
 #include "peer/fg_peer_internal.h"
 
-G_DEFINE_QUARK(fg - peer - error - quark, fg_peer_error)
+G_DEFINE_QUARK(fg_peer_error_quark, fg_peer_error)
 
 bool fg_peer_addr_parse(const char *text, struct fg_peer_addr *out)
 {
--- a/lib/run/fg_run.c
+++ b/lib/run/fg_run.c
@@ -11,7 +11,7 @@
 #define ORDER_THREADS_MAX 32
 #define FG_TEST_ON "1"
 
-G_DEFINE_QUARK(fg - run - error - quark, fg_run_error)
+G_DEFINE_QUARK(fg_run_error_quark, fg_run_error)
 
 void fg_run_lock(struct fg_run *run)
 {
@@ -246,7 +246,7 @@
 	fg_pool_free(run->table_pool);
 	if (run->peer != NULL)
 		fg_peer_stop(run->peer);
-	fg_history_log(run->history, "stop_end", NULL);
+	fg_history_add(run->history, "stop_end", NULL);
 	fg_node_free(run->node);
 	run->platform->ops->free(run->platform);
 	g_hash_table_destroy(run->open);
--- a/standin/common/si_log.c
+++ b/standin/common/si_log.c
@@ -38,6 +38,7 @@
 	log->who = g_strdup(who);
 	log->text = g_string_new(NULL);
 	log->fd = fd;
+	si_log_event(log, "open", NULL);
 	return log;
 }
 
--- a/standin/engine/si_slots.c
+++ b/standin/engine/si_slots.c
@@ -228,10 +228,10 @@
 	uint64_t fence;
 	bool holds;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	holds = fence_holds(e, asked);
 	fence = e->fence;
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	if (!holds)
 		return answer_fenced(req, fence);
 	return si_answer(req, 200, json_pack("{s:b}", "ok", 1));
