Ledger bench: transactions and time for each filing

What a filing costs the table decides which share of requests may be filings at the size of the aim.

Also a test that lines of several threads are whole and in order of time.

--- /dev/null
+++ b/tests/bench/bench_ledger.c
@@ -0,0 +1,155 @@
+/*
+ * What a filing costs: transactions of the table and processor time, by rate
+ * of filings at one instance and by group window. Every operation succeeds
+ * after a fixed time, and names the row versions.
+ */
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "base/fg_rand.h"
+#include "ledger/fg_ledger.h"
+
+#define SEED 1
+#define RUN_MS 60000
+#define TABLE_MS 5    /* answer time of the table */
+#define SERVICE_MS 40 /* of the plain service */
+#define PENDING_MAX 4096
+
+struct pending {
+	fg_ms at;
+	struct fg_table_op *op; /* NULL: outcome of id */
+	uint64_t id;
+};
+
+struct bench {
+	struct fg_ledger *ledger;
+	fg_ms now;
+	struct pending queue[PENDING_MAX];
+	size_t n;
+	uint64_t ops;
+	uint64_t recorded;
+	uint64_t wait_ms; /* from start to dispatch, summed */
+	fg_ms begun[PENDING_MAX];
+	uint64_t row_version;
+};
+
+static void push(struct bench *b, struct pending p)
+{
+	g_assert(b->n < PENDING_MAX);
+	b->queue[b->n++] = p;
+}
+
+static void emit(void *arg, struct fg_ledger_act *act)
+{
+	struct bench *b = arg;
+
+	switch (act->type) {
+	case FG_LA_TABLE:
+		b->ops++;
+		push(b, (struct pending){ b->now + TABLE_MS, act->op, 0 });
+		break;
+	case FG_LA_DISPATCH:
+		b->wait_ms += b->now - b->begun[act->id % PENDING_MAX];
+		push(b, (struct pending){ b->now + SERVICE_MS, NULL, act->id });
+		break;
+	case FG_LA_RECORDED:
+		b->recorded++;
+		break;
+	case FG_LA_ANSWER:
+		break;
+	}
+}
+
+static void finish(struct bench *b, struct pending *p)
+{
+	struct fg_table_result *res;
+
+	if (p->op == NULL) {
+		fg_ledger_outcome(b->ledger, b->now, p->id, FG_DONE, FG_R_NONE,
+				  "{\"filed\":1}", emit, b);
+		return;
+	}
+	res = fg_table_result_new(p->op->id, p->op->kind, FG_PF_OK);
+	for (size_t i = 0; i < p->op->n_writes; i++)
+		fg_table_result_row(res, p->op->writes[i].key, ++b->row_version,
+				    NULL);
+	fg_ledger_on_table(b->ledger, b->now, res, emit, b);
+	fg_table_result_free(res);
+	fg_table_op_free(p->op);
+}
+
+static void finish_due(struct bench *b)
+{
+	for (size_t i = 0; i < b->n;) {
+		struct pending p = b->queue[i];
+
+		if (p.at > b->now) {
+			i++;
+			continue;
+		}
+		b->queue[i] = b->queue[--b->n];
+		finish(b, &p);
+	}
+}
+
+static void start_one(struct bench *b, uint64_t id)
+{
+	char key[24];
+
+	b->begun[id % PENDING_MAX] = b->now;
+	g_snprintf(key, sizeof(key), "key-%u", (unsigned int)id);
+	fg_ledger_start(b->ledger, b->now, id, "caller", key, 7, b->now + 30000,
+			emit, b);
+}
+
+static void run(uint32_t rate_per_s, uint32_t group_ms)
+{
+	struct fg_ledger_conf conf = { .self = 1,
+				       .group_ms = group_ms,
+				       .start_ms = 2000,
+				       .record_retry_ms = 200,
+				       .keep_s = 86400 };
+	struct bench *b = g_new0(struct bench, 1);
+	struct fg_rand rand;
+	uint64_t started = 0;
+	double next_ms = 0;
+	clock_t begin = clock();
+
+	fg_rand_seed(&rand, SEED);
+	b->ledger = fg_ledger_new(&conf, SEED);
+	for (b->now = 1; b->now < RUN_MS; b->now++) {
+		while (next_ms <= (double)b->now) {
+			start_one(b, ++started);
+			next_ms -= log(1 - fg_rand_unit(&rand)) * FG_MS_PER_S /
+				   rate_per_s;
+		}
+		finish_due(b);
+		fg_ledger_tick(b->ledger, b->now, emit, b);
+	}
+	printf("%6u %6u %12.2f %12.1f %10.1f %8.1f\n", rate_per_s, group_ms,
+	       (double)b->ops / b->recorded,
+	       b->ops * (double)FG_MS_PER_S / RUN_MS,
+	       (double)b->wait_ms / started,
+	       (double)(clock() - begin) / CLOCKS_PER_SEC * 1e6 / started);
+	for (size_t i = 0; i < b->n; i++)
+		fg_table_op_free(b->queue[i].op);
+	fg_ledger_free(b->ledger);
+	g_free(b);
+}
+
+int main(void)
+{
+	static const uint32_t rates[] = { 1, 10, 50, 150, 500 };
+	static const uint32_t windows_ms[] = { 0, 5, 20, 50 };
+
+	printf("bench_ledger: one instance, table answers in %d ms\n",
+	       TABLE_MS);
+	printf("%6s %6s %12s %12s %10s %8s\n", "rate/s", "group", "txn/filing",
+	       "txn/s", "wait ms", "us each");
+	for (size_t w = 0; w < G_N_ELEMENTS(windows_ms); w++)
+		for (size_t r = 0; r < G_N_ELEMENTS(rates); r++)
+			run(rates[r], windows_ms[w]);
+	return 0;
+}
--- a/tests/unit/test_check.c
+++ b/tests/unit/test_check.c
@@ -393,6 +393,52 @@
 	fg_check_free(c);
 }
 
+#define WRITERS 4
+#define LINES 500
+
+static void *write_many(void *arg)
+{
+	for (int i = 0; i < LINES; i++)
+		fg_history_log(arg, "revision", "{s:i}", "revision", i);
+	return NULL;
+}
+
+/* Lines of several threads are whole, and in the order of their times. */
+static void test_history_threads(void)
+{
+	char *dir = g_dir_make_tmp("fg-history-XXXXXX", NULL);
+	char *path = g_build_filename(dir, "h", NULL);
+	struct fg_history *h = fg_history_open(path, "E1", NULL);
+	GThread *threads[WRITERS];
+	gint64 last = 0;
+	char **lines;
+	char *text;
+
+	for (int i = 0; i < WRITERS; i++)
+		threads[i] = g_thread_new("writer", write_many, h);
+	for (int i = 0; i < WRITERS; i++)
+		g_thread_join(threads[i]);
+	fg_history_close(h);
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	g_assert_cmpuint(g_strv_length(lines), ==, 1 + WRITERS * LINES + 1);
+	for (int i = 0; *lines[i] != '\0'; i++) {
+		gint64 t;
+
+		g_assert_true(g_str_has_prefix(lines[i], "{\"t\":"));
+		g_assert_true(g_str_has_suffix(lines[i], "}"));
+		t = g_ascii_strtoll(lines[i] + strlen("{\"t\":"), NULL, 10);
+		g_assert_cmpint(t, >=, last);
+		last = t;
+	}
+	g_strfreev(lines);
+	g_free(text);
+	g_unlink(path);
+	g_rmdir(dir);
+	g_free(path);
+	g_free(dir);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -405,5 +451,6 @@
 	g_test_add_func("/check/missing", test_missing);
 	g_test_add_func("/check/lines", test_lines);
 	g_test_add_func("/check/history", test_history);
+	g_test_add_func("/check/history_threads", test_history_threads);
 	return g_test_run();
 }
