Ledger: probe a table that is down instead of flooding it

Each outcome that waited for its record was retried by itself while the platform was out; with many of them the jitter spread them over many transactions. A test with 64 waiting outcomes and an outage of 2 s saw 248 transactions. One at a time was tried first and still made 84, since a quick refusal lets the next one go; now one goes in each record_retry_ms, and the test's bound of 50 holds. Starts are exempt: few are under way, and they are to be refused at once.

--- a/lib/ledger/fg_ledger_io.c
+++ b/lib/ledger/fg_ledger_io.c
@@ -64,9 +64,20 @@
 	emit_writes(l, b);
 }
 
+/* While the table is down, one operation in each record_retry_ms finds out
+ * whether it is back; records and reads of many filings would only add to its
+ * load. Starts are few then, since new ones are refused, and are not to wait.
+ */
+static bool held_back(const struct fg_ledger *l, const struct filing *f)
+{
+	if (l->down_until == 0 || f->phase == FILING_START)
+		return false;
+	return l->now < l->down_until || g_hash_table_size(l->ops) > 0;
+}
+
 static bool joins_group(const struct fg_ledger *l, const struct filing *f)
 {
-	return f->want == WANT_WRITE && !f->solo &&
+	return f->want == WANT_WRITE && !f->solo && !held_back(l, f) &&
 	       f->due - l->now <= (fg_ms)l->conf.group_ms;
 }
 
@@ -101,7 +112,8 @@
 	for (GList *n = l->filings.head; n != NULL; n = n->next) {
 		struct filing *f = n->data;
 
-		if (f->want == WANT_NOTHING || f->due > l->now)
+		if (f->want == WANT_NOTHING || f->due > l->now ||
+		    held_back(l, f))
 			continue;
 		if (f->want == WANT_READ)
 			emit_read(l, f);
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -169,6 +169,28 @@
 	model_free(m);
 }
 
+/* Many outcomes wait for the platform: it is probed, not flooded. */
+static void test_probe_while_down(void)
+{
+	struct model *m = quiet_model(1, FG_DONE);
+	uint32_t before;
+
+	for (uint32_t key = 0; key < 64; key++)
+		model_start(m, 0, key, BODY);
+	while (!model_filing(m, 64)->dispatched)
+		model_run(m, 1, false);
+	model_outage(m, 2000);
+	before = model_ops(m, FG_OP_TXN);
+	model_run(m, 1990, false);
+	g_assert_cmpuint(model_ops(m, FG_OP_TXN) - before, <=, 50);
+	model_run(m, 2000, false);
+	g_assert_cmpuint(model_pending(m), ==, 0);
+	for (uint64_t id = 1; id <= 64; id++)
+		g_assert_true(model_filing(m, id)->recorded ||
+			      model_filing(m, id)->told == FG_NOT_RUN);
+	model_free(m);
+}
+
 static void test_dead_starter(void)
 {
 	struct model *m = quiet_model(2, FG_DONE);
@@ -426,6 +448,7 @@
 	g_test_add_func("/ledger/pause", test_pause_before_dispatch);
 	g_test_add_func("/ledger/down", test_ledger_down);
 	g_test_add_func("/ledger/record_outage", test_record_over_outage);
+	g_test_add_func("/ledger/probe", test_probe_while_down);
 	g_test_add_func("/ledger/dead_starter", test_dead_starter);
 	g_test_add_func("/ledger/not_run_again", test_not_run_again);
 	g_test_add_func("/ledger/group", test_group);
