Filings are dispatched after the ledger has returned

The ledger must not be called back from its emit; a filing without an endpoint called fg_ledger_outcome() from within the DISPATCH action. The node now keeps the ids and dispatches them at the end of the event. A successful transaction's result names the new row versions and no values, which saves the ledger a read for each filing.

--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -98,6 +98,7 @@
 					  fg_model_free);
 	n->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 				       g_free);
+	n->ready = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	n->next_order = 1;
 	return n;
 }
@@ -106,6 +107,7 @@
 {
 	if (n == NULL)
 		return;
+	g_array_free(n->ready, TRUE);
 	g_queue_clear_full(&n->loopback, (GDestroyNotify)fg_msg_free);
 	g_hash_table_destroy(n->waits);
 	g_hash_table_destroy(n->reqs);
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -158,6 +158,7 @@
 	GHashTable *ops;    /* id given out -> struct fg_op_origin */
 	uint64_t next_op;
 	GQueue loopback; /* fg_msg from this instance to itself */
+	GArray *ready;	 /* uint64_t, filings that may be dispatched */
 	bool draining;
 	uint64_t next_order;
 	fg_ms now;     /* of the event being handled */
@@ -185,8 +186,9 @@
 bool fg_node_may_serve(struct fg_node *n);
 
 /* ---- fg_node_msg.c ---- */
-/* Handles the messages of this instance to itself. Called last by each event,
- * so that no part is called back while it is at work. */
+/* Handles the messages of this instance to itself, and filings that the ledger
+ * has let go, since the ledger must not be called back. Called last by each
+ * event, so that no part is called back while it is at work. */
 void fg_node_drain(struct fg_node *n);
 
 /* ---- fg_node_wire.c: actions of the parts, turned into ours ---- */
--- a/lib/node/fg_node_msg.c
+++ b/lib/node/fg_node_msg.c
@@ -90,6 +90,23 @@
 	}
 }
 
+static void dispatch_ready(struct fg_node *n)
+{
+	while (n->ready->len > 0) {
+		uint64_t id = g_array_index(n->ready, uint64_t, 0);
+		struct fg_req *r = fg_req_find(n, id);
+
+		g_array_remove_index(n->ready, 0);
+		if (r != NULL)
+			fg_route(n, r);
+		else
+			/* Answered meanwhile; the row must not stay open. */
+			fg_ledger_outcome(n->ledger, n->now, id, FG_NOT_RUN,
+					  FG_R_CANCELLED, NULL, fg_wire_ledger,
+					  n);
+	}
+}
+
 void fg_node_drain(struct fg_node *n)
 {
 	fg_msg *msg;
@@ -97,10 +114,13 @@
 	if (n->draining)
 		return;
 	n->draining = true;
-	while ((msg = g_queue_pop_head(&n->loopback)) != NULL) {
-		dispatch_msg(n, n->self, msg);
+	do {
+		dispatch_ready(n);
+		msg = g_queue_pop_head(&n->loopback);
+		if (msg != NULL)
+			dispatch_msg(n, n->self, msg);
 		fg_msg_free(msg);
-	}
+	} while (msg != NULL || n->ready->len > 0);
 	n->draining = false;
 }
 
--- a/lib/node/fg_node_req.c
+++ b/lib/node/fg_node_req.c
@@ -332,7 +332,7 @@
 
 	/* A step may end other requests: each is looked up anew. The keys
 	 * live in the requests, so they are copied first. */
-	g_autofree uint64_t *copy = g_new(uint64_t, g_list_length(ids) + 1);
+	uint64_t *copy = g_new(uint64_t, g_list_length(ids) + 1);
 	size_t total = 0;
 
 	for (GList *l = ids; l != NULL; l = l->next)
@@ -344,4 +344,5 @@
 		if (r != NULL)
 			tick_req(n, r);
 	}
+	g_free(copy);
 }
--- a/lib/node/fg_node_wire.c
+++ b/lib/node/fg_node_wire.c
@@ -185,14 +185,7 @@
 		send_op(n, FG_PART_LEDGER, act->op);
 		break;
 	case FG_LA_DISPATCH:
-		r = fg_req_find(n, act->id);
-		if (r != NULL)
-			fg_route(n, r);
-		else
-			/* Answered meanwhile; the row must not stay open. */
-			fg_ledger_outcome(n->ledger, n->now, act->id,
-					  FG_NOT_RUN, FG_R_CANCELLED, NULL,
-					  fg_wire_ledger, n);
+		g_array_append_val(n->ready, act->id);
 		break;
 	case FG_LA_ANSWER:
 		r = fg_req_find(n, act->id);
--- a/lib/peer/fg_peer_server.c
+++ b/lib/peer/fg_peer_server.c
@@ -150,6 +150,7 @@
 		struct sockaddr_storage local;
 		socklen_t len = sizeof(local);
 
+		memset(&local, 0, sizeof(local));
 		if (fd < 0 || fd == l->fd ||
 		    getsockname(fd, (struct sockaddr *)&local, &len) != 0 ||
 		    !same_endpoint(&l->local, &local))
--- a/lib/platform/fg_platform_http.c
+++ b/lib/platform/fg_platform_http.c
@@ -179,7 +179,7 @@
 				json_integer_value(json_array_get(versions, i));
 
 			fg_table_result_row(res, op->writes[i].key, (uint64_t)v,
-					    op->writes[i].value);
+					    NULL);
 		}
 	}
 	json_decref(root);
