No eviction under a run whose end nobody saw; no NOT_RUN after a run

Two faults found while writing scenarios of failures, both in lib/node:

A grant was released alike whether the endpoint had ended the request or its answer was lost, garbled, another request's, or late. The owner then held the slot to be unused, although the engine could still be running the request, and ordered a load into it. 2. A request whose first attempt may have run was told NOT_RUN when the broker could not place its adapter in time any more, or when its caller went away: fg_wait.c and fg_node_caller_gone() did not ask whether it ran.

Change: RELEASE says (in the field that told of a crash) that the end was not seen; the owner keeps such a slot until the engine, asked 500 ms later or more, says that it runs nothing there (the mechanism that expired grants had). NOT_RUN becomes UNKNOWN in one place, where replies leave, instead of at six call sites of which two had forgotten it.

Ruled out: waiting for the answer to the cancel call. A frozen engine does not answer it, and the pin would then end by guess.

Tests: /node/unseen_end_keeps_slot, /node/ran_then_no_adapter and /node/ran_then_caller_gone failed before the change and pass after it.

--- a/lib/grant/fg_grant.c
+++ b/lib/grant/fg_grant.c
@@ -115,6 +115,8 @@
  */
 static bool is_unused(const struct fg_grants *g, const struct fg_slot *s)
 {
+	if (g->conf.no_pins)
+		return true;
 	if (s->pins > 0)
 		return false;
 	if (!fg_av_none(s->av) && is_granted(g, s->av))
@@ -205,7 +207,7 @@
 	if (i < 0)
 		return FG_LOAD_START_PINNED;
 	s = &g->slot[i];
-	assert(s->pins == 0);
+	assert(s->pins == 0 || g->conf.no_pins);
 	*slot = (uint32_t)i;
 	*victim = s->av;
 	s->victim = s->av;
--- a/lib/grant/fg_grant.h
+++ b/lib/grant/fg_grant.h
@@ -47,6 +47,7 @@
 	uint32_t batch;	       /* grants in flight at most */
 	uint32_t grant_max_ms; /* hard deadline of any grant */
 	uint32_t queue_max;    /* requests waiting for a batch place */
+	bool no_pins;	       /* tests: evict without regard to requests */
 };
 
 struct fg_grants;
@@ -80,6 +81,11 @@
  * repeat of it arrives. */
 void fg_grants_release(struct fg_grants *g, fg_ms now, uint64_t grant);
 
+/* Call before the release of a grant whose request may be running still: its
+ * answer did not come, or was not its own. The slot is kept until the engine
+ * says that it runs nothing there. */
+void fg_grants_unseen(struct fg_grants *g, fg_ms now, uint64_t grant);
+
 /* Takes back a held or granted ask of a caller that went away. */
 void fg_grants_cancel(struct fg_grants *g, fg_ms now, uint64_t holder,
 		      uint64_t req);
--- a/lib/grant/fg_grant_ask.c
+++ b/lib/grant/fg_grant_ask.c
@@ -231,6 +231,14 @@
 	fg_grants_remember(g, now, (struct fg_req_key){ 0, grant });
 }
 
+void fg_grants_unseen(struct fg_grants *g, fg_ms now, uint64_t grant)
+{
+	const struct fg_grant_rec *rec = g_hash_table_lookup(g->grants, &grant);
+
+	if (rec != NULL && rec->slot >= 0)
+		g->slot[rec->slot].strays_since = now + FG_DEAD_GRACE_MS;
+}
+
 void fg_grants_cancel(struct fg_grants *g, fg_ms now, uint64_t holder,
 		      uint64_t req)
 {
--- a/lib/grant/fg_grant_priv.h
+++ b/lib/grant/fg_grant_priv.h
@@ -36,8 +36,9 @@
 	fg_ms running_at;    /* ... when asked at this time */
 	fg_ms last_unpinned; /* when pins last went down */
 	/* Requests without a grant may run here: those of a last owner's
-	 * grants, or of grants that expired unreleased. Ends once the engine,
-	 * asked at this time or later, runs nothing here; FG_MS_NEVER: none. */
+	 * grants, of grants that expired unreleased, or whose end nobody saw.
+	 * Ends once the engine, asked at this time or later, runs nothing here;
+	 * FG_MS_NEVER: none. */
 	fg_ms strays_since;
 };
 
--- a/lib/node/fg_node.h
+++ b/lib/node/fg_node.h
@@ -38,7 +38,9 @@
 	bool blind_retry;    /* try again whatever may have run */
 	bool no_intent;	     /* order without an intent */
 	bool no_suspects;    /* never keep a request out */
-	bool no_isolation;   /* serve in any standing */
+	bool no_isolation;   /* serve and give orders in any standing */
+	bool no_fence;	     /* do not wait until the engine knows the fence */
+	bool forget_runs;    /* an attempt of unknown end counts as not run */
 };
 
 struct fg_node_conf {
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -210,7 +210,8 @@
 /* ---- fg_node_req.c: requests ---- */
 void fg_req_free(void *req);
 struct fg_req *fg_req_find(struct fg_node *n, uint64_t id);
-/* Final answer; the request is gone afterwards. */
+/* Final answer; the request is gone afterwards. NOT_RUN becomes UNKNOWN if an
+ * attempt may have run. */
 void fg_req_reply(struct fg_node *n, struct fg_req *r, enum fg_outcome outcome,
 		  enum fg_reason reason, uint32_t retry_after_ms);
 void fg_req_reply_full(struct fg_node *n, struct fg_req *r,
@@ -229,8 +230,9 @@
 void fg_route_repeat_ask(struct fg_node *n, struct fg_req *r);
 void fg_route_avoid(struct fg_req *r, uint64_t ep);
 /* Gives back whatever grant or ask the request has. */
+/* `unseen`: the endpoint may be running the request still. */
 void fg_route_release(struct fg_node *n, struct fg_req *r, uint32_t service_ms,
-		      bool crashed);
+		      bool unseen);
 void fg_route_grants_ask(struct fg_node *n, uint64_t from,
 			 const fg_grants_ask *ask);
 void fg_route_owner_lost(struct fg_node *n, uint64_t owner);
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -31,7 +31,8 @@
 
 static bool may_act(struct fg_node *n, const struct fg_own *own)
 {
-	return fg_owner_may_act(n->owner, own->ep->id, n->now);
+	return n->conf.switches.no_isolation ||
+	       fg_owner_may_act(n->owner, own->ep->id, n->now);
 }
 
 /* ---- Telling what is resident ---- */
@@ -163,6 +164,7 @@
 		.batch = MAX(st->batch, 1),
 		.grant_max_ms = RECOVER_MAX_MS,
 		.queue_max = HELD_MAX,
+		.no_pins = n->conf.switches.no_pins,
 	};
 
 	own->checks_fence = st->checks_fence;
@@ -207,6 +209,7 @@
 			  fg_ms asked_at, const struct fg_engine_state *st)
 {
 	struct fg_own *own = own_of(n, ep);
+	struct fg_engine_state seen;
 
 	n->now = now;
 	if (own == NULL)
@@ -220,7 +223,10 @@
 		fg_ep_leaving(n, own->ep, true);
 	if (own->grants == NULL)
 		first_state(n, own, st);
-	if (fg_grants_engine(own->grants, now, asked_at, st, find_av,
+	seen = *st;
+	if (n->conf.switches.no_fence)
+		seen.checks_fence = false;
+	if (fg_grants_engine(own->grants, now, asked_at, &seen, find_av,
 			     n->config))
 		fg_node_event(n, "engine_restarted",
 			      json_pack("{s:s}", "ep", own->ep->info.name));
@@ -476,12 +482,14 @@
 
 	if (own == NULL || own->grants == NULL)
 		return;
+	if (rel->crashed) {
+		fg_grants_unseen(own->grants, n->now, rel->grant);
+		own->state_next = n->now;
+	}
 	if (rel->grant != 0)
 		fg_grants_release(own->grants, n->now, rel->grant);
 	else
 		fg_grants_cancel(own->grants, n->now, from, rel->req);
-	if (rel->crashed)
-		own->state_next = n->now;
 }
 
 void fg_own_tell(struct fg_node *n, uint64_t from, const fg_grants_tell *tell)
--- a/lib/node/fg_node_req.c
+++ b/lib/node/fg_node_req.c
@@ -71,6 +71,13 @@
 	n->io.reply(n->io.arg, id, reply);
 }
 
+/* Whatever ends a request later, once an attempt may have run nobody is told
+ * that it did not. */
+static enum fg_outcome truthful(const struct fg_req *r, enum fg_outcome outcome)
+{
+	return outcome == FG_NOT_RUN && r->ran ? FG_UNKNOWN : outcome;
+}
+
 void fg_req_reply_full(struct fg_node *n, struct fg_req *r,
 		       struct fg_reply *reply)
 {
@@ -88,7 +95,7 @@
 		  enum fg_reason reason, uint32_t retry_after_ms)
 {
 	struct fg_reply reply = {
-		.outcome = outcome,
+		.outcome = truthful(r, outcome),
 		.reason = reason,
 		.retry_after_ms = retry_after_ms,
 	};
@@ -106,8 +113,8 @@
 	/* The ledger answers, so that the row never says less than the
 	 * caller was told. */
 	r->state = FG_REQ_FINISHING;
-	fg_ledger_outcome(n->ledger, n->now, r->id, outcome, reason, NULL,
-			  fg_wire_ledger, n);
+	fg_ledger_outcome(n->ledger, n->now, r->id, truthful(r, outcome),
+			  reason, NULL, fg_wire_ledger, n);
 }
 
 /* ---- Arrival ---- */
@@ -306,15 +313,10 @@
 	       r->state != FG_REQ_FINISHING;
 }
 
-static enum fg_outcome outcome_at_deadline(const struct fg_req *r)
-{
-	return r->ran ? FG_UNKNOWN : FG_NOT_RUN;
-}
-
 static void tick_req(struct fg_node *n, struct fg_req *r)
 {
 	if (is_waiting(r) && n->now >= r->deadline) {
-		fg_req_fail(n, r, outcome_at_deadline(r), FG_R_PAST_DEADLINE,
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_PAST_DEADLINE,
 			    RETRY_AFTER_MS);
 		return;
 	}
--- a/lib/node/fg_node_route.c
+++ b/lib/node/fg_node_route.c
@@ -46,7 +46,7 @@
 /* ---- Release ---- */
 
 void fg_route_release(struct fg_node *n, struct fg_req *r, uint32_t service_ms,
-		      bool crashed)
+		      bool unseen)
 {
 	fg_msg *msg;
 
@@ -68,7 +68,7 @@
 	msg->body.fg_body_u.release.grant = r->grant;
 	msg->body.fg_body_u.release.req = ask_id(r);
 	msg->body.fg_body_u.release.service_ms = service_ms;
-	msg->body.fg_body_u.release.crashed = crashed;
+	msg->body.fg_body_u.release.crashed = unseen;
 	r->grant = 0;
 	fg_owner_find(n->owner, r->ep, &r->owner, NULL);
 	if (r->owner != 0)
@@ -130,8 +130,7 @@
 {
 	if (fg_req_left_ms(n, r) > RUN_SLACK_MS)
 		return true;
-	fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN, FG_R_PAST_DEADLINE,
-		    RETRY_AFTER_MS);
+	fg_req_fail(n, r, FG_NOT_RUN, FG_R_PAST_DEADLINE, RETRY_AFTER_MS);
 	return false;
 }
 
@@ -175,8 +174,7 @@
 	uint64_t owner = 0;
 
 	if (r->asks >= ASKS_MAX) {
-		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
-			    FG_R_OVERLOAD, RETRY_AFTER_MS);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_OVERLOAD, RETRY_AFTER_MS);
 		return;
 	}
 	fg_owner_find(n->owner, ep, &owner, NULL);
@@ -245,12 +243,12 @@
 		fg_route(n, r);
 		break;
 	case FG_GRANT_NO_TIME:
-		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
-			    FG_R_NO_TIME, rep->retry_after_ms);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_TIME,
+			    rep->retry_after_ms);
 		break;
 	case FG_GRANT_OVERLOAD:
-		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
-			    FG_R_OVERLOAD, rep->retry_after_ms);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_OVERLOAD,
+			    rep->retry_after_ms);
 		break;
 	default:
 		back_off(n, r, RECOVERING_WAIT_MS);
@@ -336,8 +334,7 @@
 		dispatch(n, r, ep);
 		return;
 	}
-	fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN, FG_R_NO_ENDPOINT,
-		    RETRY_AFTER_MS);
+	fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_ENDPOINT, RETRY_AFTER_MS);
 }
 
 void fg_route(struct fg_node *n, struct fg_req *r)
@@ -393,7 +390,7 @@
 	if (!v->may_retry || r->caller_gone)
 		return false;
 	/* Pieces of a stream are with the caller: attempts are not spliced. */
-	if (r->stream && res->pieces > 0)
+	if (!n->conf.switches.blind_retry && r->stream && res->pieces > 0)
 		return false;
 	if (!n->conf.switches.blind_retry &&
 	    !fg_retry_again(n->retry, n->now, r->cls, r->attempts,
@@ -424,11 +421,12 @@
 			  res->text, fg_wire_ledger, n);
 }
 
-static enum fg_outcome final_outcome(const struct fg_req *r,
+static enum fg_outcome final_outcome(const struct fg_node *n,
 				     const struct verdict *v)
 {
-	/* Not run this time, but an earlier attempt may have. */
-	return v->outcome == FG_NOT_RUN && r->ran ? FG_UNKNOWN : v->outcome;
+	if (n->conf.switches.forget_runs && v->outcome == FG_UNKNOWN)
+		return FG_NOT_RUN;
+	return v->outcome;
 }
 
 void fg_node_run_done(struct fg_node *n, fg_ms now, uint64_t id,
@@ -442,13 +440,13 @@
 		return;
 	note_endpoint(n, fg_ep_find(n, r->ep), res->status);
 	fg_suspect_end(n, r, v->crashed);
-	fg_route_release(n, r, res->service_ms, v->crashed);
-	if (!res->ran_none)
+	fg_route_release(n, r, res->service_ms, v->outcome == FG_UNKNOWN);
+	if (!res->ran_none && !n->conf.switches.forget_runs)
 		r->ran = true;
 	if (res->status == FG_RUN_DONE)
 		answer_done(n, r, res);
 	else if (!try_again(n, r, res, v))
-		fg_req_fail(n, r, final_outcome(r, v), v->reason,
+		fg_req_fail(n, r, final_outcome(n, v), v->reason,
 			    v->outcome == FG_NOT_RUN ? RETRY_AFTER_MS : 0);
 	fg_node_drain(n);
 }
--- a/lib/peer/fg_proto.x
+++ b/lib/peer/fg_proto.x
@@ -86,7 +86,7 @@
 	unsigned hyper grant;         /* 0 takes back an ask not yet answered */
 	unsigned hyper req;
 	unsigned int service_ms;      /* 0 when it never ran */
-	bool crashed;                 /* endpoint died under this request */
+	bool crashed;                 /* the endpoint may run it still, or died */
 };
 
 /* A router has requests for an adapter that is resident nowhere it knows. */
--- a/lib/run/fg_run.c
+++ b/lib/run/fg_run.c
@@ -89,6 +89,8 @@
 	out->no_intent = in->no_intent;
 	out->no_suspects = in->no_suspects;
 	out->no_isolation = in->no_isolation;
+	out->no_fence = in->no_fence;
+	out->forget_runs = in->no_run_memory;
 }
 
 static void fill_conf(struct fg_node_conf *conf, const struct fg_run *run,
--- a/lib/settings/fg_settings.h
+++ b/lib/settings/fg_settings.h
@@ -87,6 +87,7 @@
 	bool no_suspects;      /* crashing requests are not refused */
 	bool no_push;	       /* configuration is not pushed to peers */
 	bool no_isolation;     /* an isolated instance goes on working */
+	bool no_run_memory;    /* an attempt of unknown end counts as not run */
 };
 
 struct fg_settings {
--- a/lib/settings/fg_settings_keys.c
+++ b/lib/settings/fg_settings_keys.c
@@ -77,10 +77,12 @@
 };
 
 static const struct fg_key switch_keys[] = {
-	SWITCH(no_ledger_insert), SWITCH(no_pin),	   SWITCH(no_fence),
-	SWITCH(no_intent),	  SWITCH(no_answer_check), SWITCH(no_leaving),
-	SWITCH(no_drain),	  SWITCH(no_retry_budget), SWITCH(no_suspects),
-	SWITCH(no_push),	  SWITCH(no_isolation),
+	SWITCH(no_ledger_insert), SWITCH(no_pin),
+	SWITCH(no_fence),	  SWITCH(no_intent),
+	SWITCH(no_answer_check),  SWITCH(no_leaving),
+	SWITCH(no_drain),	  SWITCH(no_retry_budget),
+	SWITCH(no_suspects),	  SWITCH(no_push),
+	SWITCH(no_isolation),	  SWITCH(no_run_memory),
 };
 
 G_STATIC_ASSERT(G_N_ELEMENTS(top_keys) < FG_SECTION_KEYS_MAX);
--- a/tests/unit/node_bed.c
+++ b/tests/unit/node_bed.c
@@ -141,6 +141,7 @@
 			continue;
 		g_strlcpy(st->slot[i].adapter, b->adapter[i], FG_NAME_BYTES);
 		g_strlcpy(st->slot[i].version, "v1", FG_NAME_BYTES);
+		st->slot[i].running = b->running[i];
 	}
 	fg_node_engine_state(b->node, b->now, fg_hash_str(BED_ENGINE), b->now,
 			     st);
--- a/tests/unit/node_bed.h
+++ b/tests/unit/node_bed.h
@@ -39,10 +39,11 @@
 	GArray *list;	    /* struct fg_listed, what the platform shows */
 	bool state_asked;
 	bool list_asked;
-	bool auto_state;	  /* answer engine states by themselves */
-	bool auto_order;	  /* answer orders with DONE */
-	char *adapter[BED_SLOTS]; /* what the engine holds */
-	unsigned int accepted;	  /* changes accepted */
+	bool auto_state;	     /* answer engine states by themselves */
+	bool auto_order;	     /* answer orders with DONE */
+	char *adapter[BED_SLOTS];    /* what the engine holds */
+	uint32_t running[BED_SLOTS]; /* requests it says run there */
+	unsigned int accepted;	     /* changes accepted */
 };
 
 /* A node that serves: lease taken, engine owned and recovered, adapters
--- a/tests/unit/test_grant_sim.c
+++ b/tests/unit/test_grant_sim.c
@@ -318,7 +318,8 @@
 					      o->av, o->fence, LIFE_MS };
 	}
 	struct fg_grants_conf conf = { 7,     ++w->fence,   SLOTS,
-				       BATCH, GRANT_MAX_MS, 8 };
+				       BATCH, GRANT_MAX_MS, 8,
+				       false };
 
 	fg_grants_free(w->g);
 	w->g = fg_grants_new(&conf, w->now, true);
@@ -423,7 +424,8 @@
 
 static void run_seed(uint64_t seed, uint32_t *granted)
 {
-	struct fg_grants_conf conf = { 7, 1, SLOTS, BATCH, GRANT_MAX_MS, 8 };
+	struct fg_grants_conf conf = { 7, 1,	SLOTS, BATCH, GRANT_MAX_MS,
+				       8, false };
 	struct world w = { .now = 1000, .fence = 1, .epoch = 1 };
 
 	fg_rand_seed(&w.rand, seed);
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -265,6 +265,95 @@
 	bed_free(b);
 }
 
+static int slot_holding(const struct bed *b, const char *adapter)
+{
+	for (int i = 0; i < BED_SLOTS; i++)
+		if (g_strcmp0(b->adapter[i], adapter) == 0)
+			return i;
+	return -1;
+}
+
+/*
+ * An attempt whose end nobody saw may still run in the engine: its slot is
+ * kept until the engine says that it runs nothing there.
+ */
+static void test_unseen_end_keeps_slot(void)
+{
+	static const enum fg_run_status unseen[] = {
+		FG_RUN_LOST,
+		FG_RUN_BAD,
+		FG_RUN_TIMEOUT,
+		FG_RUN_CANCELLED,
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(unseen); i++) {
+		struct bed *b = bed_new();
+		int slot;
+
+		bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
+		bed_generate(b, 11, "a2", FG_CLASS_INTERACTIVE, 60000);
+		bed_run(b, 2000);
+		g_assert_cmpuint(b->runs->len, ==, 2);
+		slot = slot_holding(b, run_at(b, 0)->run.adapter);
+		b->running[slot] = 1;
+		/* Nobody takes its answer any more. */
+		fg_node_caller_gone(b->node, b->now, run_at(b, 0)->req);
+		bed_run_done(b, 0, unseen[i]);
+		bed_generate(b, 12, "a3", FG_CLASS_INTERACTIVE, 60000);
+		bed_run(b, 5000);
+		g_assert_cmpint(slot_holding(b, "a3"), ==, -1);
+		b->running[slot] = 0;
+		bed_run(b, 5000);
+		g_assert_cmpint(slot_holding(b, "a3"), ==, slot);
+		bed_free(b);
+	}
+}
+
+/* Once an attempt may have run, nobody is told NOT_RUN: not when the adapter
+ * cannot be loaded in time any more ... */
+static void test_ran_then_no_adapter(void)
+{
+	struct bed *b = bed_new();
+	fg_msg *msg = fg_msg_new(FG_MSG_NEED_REP);
+
+	/* Without known service times nothing is refused for its estimate. */
+	for (uint64_t id = 100; id < 150; id++) {
+		bed_generate(b, id, "a1", FG_CLASS_INTERACTIVE, 10000);
+		bed_run(b, 200);
+		bed_run_done(b, 0, FG_RUN_DONE);
+	}
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
+	bed_run(b, 1000);
+	msg->body.fg_body_u.need_rep.av = (fg_av){ 1, 1 };
+	msg->body.fg_body_u.need_rep.estimate_ms = 60000;
+	g_free(b->adapter[slot_holding(b, "a1")]);
+	b->adapter[0] = NULL;
+	b->adapter[1] = NULL;
+	b->auto_order = false;
+	bed_run_done(b, 0, FG_RUN_LOST);
+	bed_run(b, 4000);
+	g_assert_null(bed_reply(b, 10));
+	fg_node_msg(b->node, b->now, fg_hash_str(BED_PEER), msg);
+	fg_msg_free(msg);
+	g_assert_nonnull(bed_reply(b, 10));
+	g_assert_cmpstr(fg_outcome_name(bed_reply(b, 10)->outcome), ==,
+			fg_outcome_name(FG_UNKNOWN));
+	bed_free(b);
+}
+
+/* ... nor when the caller goes away before the next attempt. */
+static void test_ran_then_caller_gone(void)
+{
+	struct bed *b = bed_new();
+
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
+	bed_run(b, 1000);
+	bed_run_done(b, 0, FG_RUN_LOST);
+	fg_node_caller_gone(b->node, b->now, 10);
+	assert_outcome(b, 10, FG_UNKNOWN, FG_R_CANCELLED);
+	bed_free(b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -282,5 +371,10 @@
 	g_test_add_func("/node/stray_grant", test_stray_grant);
 	g_test_add_func("/node/address", test_address);
 	g_test_add_func("/node/caller_gone", test_caller_gone);
+	g_test_add_func("/node/unseen_end_keeps_slot",
+			test_unseen_end_keeps_slot);
+	g_test_add_func("/node/ran_then_no_adapter", test_ran_then_no_adapter);
+	g_test_add_func("/node/ran_then_caller_gone",
+			test_ran_then_caller_gone);
 	return g_test_run();
 }
