Suspects: crashes of two instances are not repeats of one another

A scenario of a request that crashes its engine, which comes back at once, saw seven crashes where four were allowed.

- The id of a crash was the process's own number of the request, so that the crash of another instance's request with the same number was taken for a repeat of it and not counted.
- Deaths of one endpoint within 2 s count as one, to judge a batch as a whole.
The attempts of one request follow one another, so their deaths differ.

Change: the id mixes instance and boot into the request's number; attempts of one request (low 8 bits) are never one death. Ruled out: a shorter span, which would count one death of a batch twice when its members are told late.

Tests: /admit/suspect_quick_restarts and /node/suspect_ids_differ failed before the change and pass after it.

The switch no_isolation also keeps what was owned, as a system without the check would.

--- a/lib/admit/fg_admit.h
+++ b/lib/admit/fg_admit.h
@@ -124,7 +124,9 @@
 uint64_t fg_fingerprint(fg_av av, uint64_t body_hash);
 
 /* Takes an event, local or told by a peer (`by` is the instance, `req` makes
- * repeats harmless). Returns true if peers must be told. */
+ * repeats harmless: its low 8 bits number the attempts of one request, the
+ * rest names the request over all instances). Returns true if peers must be
+ * told. */
 bool fg_suspects_event(struct fg_suspects *s, fg_ms now, uint64_t by,
 		       const fg_suspect *ev);
 enum fg_suspect_verdict fg_suspects_check(const struct fg_suspects *s,
--- a/lib/admit/fg_suspect.c
+++ b/lib/admit/fg_suspect.c
@@ -90,8 +90,12 @@
 
 /* ---- Deaths and sick endpoints ---- */
 
+/* Attempts of one request follow one another, so they are in different deaths
+ * even if the endpoint comes back at once. */
 static bool same_death(const struct crash *a, const struct crash *b)
 {
+	if (a->req != b->req && a->req >> 8 == b->req >> 8)
+		return false;
 	return a->ep == b->ep && llabs(a->at - b->at) <= DEATH_SPAN_MS;
 }
 
--- a/lib/node/fg_node_suspect.c
+++ b/lib/node/fg_node_suspect.c
@@ -11,7 +11,9 @@
 	ev->av = r->av;
 	ev->ep = r->ep;
 	ev->event = event;
-	ev->req = r->id << 8 | (r->attempts & 0xff);
+	ev->req = fg_hash_mix(fg_hash_mix(n->self, n->conf.member.boot), r->id)
+			  << 8 |
+		  (r->attempts & 0xff);
 	if (fg_suspects_event(n->suspects, n->now, n->self, ev)) {
 		fg_node_broadcast(n, msg);
 		fg_node_event(n, "suspect",
--- a/lib/node/fg_node_wire.c
+++ b/lib/node/fg_node_wire.c
@@ -105,6 +105,9 @@
 			fg_own_gained(n, act);
 		break;
 	case FG_OA_LOST:
+		if (n->conf.switches.no_isolation)
+			break;
+		/* fall through */
 	case FG_OA_RELEASED:
 		if (!fg_model_lost(n, act->key))
 			fg_own_lost(n, act->key);
--- a/tests/unit/test_admit.c
+++ b/tests/unit/test_admit.c
@@ -280,6 +280,21 @@
 	fg_suspects_free(s);
 }
 
+/* Attempts of one request follow one another: each that dies is a death of its
+ * own, however soon it comes after the last. */
+static void test_suspect_quick_restarts(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+	uint64_t req = 5 << 8;
+
+	for (uint64_t attempt = 1; attempt <= 3; attempt++)
+		crash(s, 400 * (fg_ms)attempt, 7, 1, req | attempt);
+	g_assert_cmpint(verdict(s, 1300, 7), ==, FG_SUSPECT_RUN_ALONE);
+	crash(s, 1600, 7, 1, req | 4);
+	g_assert_cmpint(verdict(s, 1700, 7), ==, FG_SUSPECT_REFUSE);
+	fg_suspects_free(s);
+}
+
 static void test_suspect_clear(void)
 {
 	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
@@ -364,6 +379,8 @@
 	g_test_add_func("/admit/suspect_sick", test_suspect_sick_endpoint);
 	g_test_add_func("/admit/suspect_one_ep", test_suspect_one_endpoint);
 	g_test_add_func("/admit/suspect_clear", test_suspect_clear);
+	g_test_add_func("/admit/suspect_quick_restarts",
+			test_suspect_quick_restarts);
 	g_test_add_func("/admit/suspect_bound", test_suspect_bound);
 	g_test_add_func("/admit/suspect_orders", test_suspect_orders);
 	return g_test_run();
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "admit/fg_admit.h"
 #include "base/fg_rand.h"
 
 static void assert_outcome(const struct bed *b, uint64_t id,
@@ -354,6 +355,48 @@
 	bed_free(b);
 }
 
+static const fg_msg *first_sent(const struct bed *b, fg_msg_type type)
+{
+	for (guint i = 0; i < b->sent->len; i++) {
+		const fg_msg *m = g_ptr_array_index(b->sent, i);
+
+		if (m->body.type == type)
+			return m;
+	}
+	return NULL;
+}
+
+/* Two instances number their requests alike; a crash told by one must not be
+ * taken for a repeat of one told by the other. */
+static void test_suspect_ids_differ(void)
+{
+	struct bed *b = bed_new();
+	fg_msg *msg;
+
+	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
+	fake_table_put(b->table, "session/" BED_PEER,
+		       "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
+		       "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
+		       "\"dc\":\"north\",\"state\":\"live\"}");
+	bed_run(b, 6000);
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 1000);
+	bed_forget(b);
+	bed_run_done(b, 0, FG_RUN_LOST);
+	g_assert_nonnull(first_sent(b, FG_MSG_SUSPECT));
+	/* The peer tells of a crash of its request 10, elsewhere. */
+	msg = fg_msg_dup(first_sent(b, FG_MSG_SUSPECT));
+	g_assert_cmpint(msg->body.fg_body_u.suspect.event, ==,
+			FG_SUSPECT_CRASH);
+	msg->body.fg_body_u.suspect.req = 10 << 8 | 1;
+	msg->body.fg_body_u.suspect.ep = 1234;
+	fg_node_msg(b->node, b->now, fg_hash_str(BED_PEER), msg);
+	fg_msg_free(msg);
+	bed_run(b, 3000);
+	assert_outcome(b, 10, FG_FAILED, FG_R_SUSPECT);
+	bed_free(b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -376,5 +419,6 @@
 	g_test_add_func("/node/ran_then_no_adapter", test_ran_then_no_adapter);
 	g_test_add_func("/node/ran_then_caller_gone",
 			test_ran_then_caller_gone);
+	g_test_add_func("/node/suspect_ids_differ", test_suspect_ids_differ);
 	return g_test_run();
 }
