A new owner takes no slot for empty before it has seen the engine

The first state of the engine that counted was the one asked for 1 ms before the grants were made, but the slots themselves were dated to that very millisecond, and a state that is not newer than a slot does not change it. So the owner had a state, and slots empty by default.

Change: the slots are dated 1 ms before the oldest state that counts.

Ruled out: counting only states asked after the grants were made, which delays each recovery by one poll.

Test: /grant/first_state failed before (asked 1 ms earlier), passes after.

--- a/lib/grant/fg_grant.c
+++ b/lib/grant/fg_grant.c
@@ -35,9 +35,10 @@
 	g->last_asked = now - 1;
 	if (recovering)
 		g->recover_end = now + conf->grant_max_ms;
-	/* A state asked for right now is already newer than these slots. */
+	/* Each state that counts, asked at last_asked or later, is newer than
+	 * these slots: none is taken for empty before the engine said so. */
 	for (uint32_t i = 0; i < conf->slots; i++) {
-		g->slot[i].since = now - 1;
+		g->slot[i].since = g->last_asked - 1;
 		g->slot[i].last_unpinned = now - 1;
 		g->slot[i].strays_since = FG_MS_NEVER;
 	}
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -504,6 +504,21 @@
 	fg_grants_free(g);
 }
 
+/* A new owner knows the slots from the first state that it counts, whatever
+ * the time between asking and answer: it takes none for empty before that. */
+static void test_first_state(void)
+{
+	for (fg_ms asked_at = 990; asked_at <= 1000; asked_at++) {
+		struct fg_grants *g = fg_grants_new(&conf, 1000, true);
+		struct fg_engine_state st = engine(1, 2, 1);
+
+		fg_grants_expect(g, NULL, 0);
+		fg_grants_engine(g, 1000, asked_at, &st, find, NULL);
+		g_assert_cmpint(load_only(g, 1000, 3), !=, FG_LOAD_START_OK);
+		fg_grants_free(g);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -528,6 +543,7 @@
 	g_test_add_func("/grant/tainted_by_intent", test_tainted_by_intent);
 	g_test_add_func("/grant/fence_wanted", test_fence_wanted);
 	g_test_add_func("/grant/resident_message", test_resident_message);
+	g_test_add_func("/grant/first_state", test_first_state);
 	g_test_add_func("/grant/preferred_victim", test_preferred_victim);
 	return g_test_run();
 }
