Engines that do not answer: adapters go elsewhere, attempts are kept

A scenario of a request that kills its engine for good saw three things:

- All attempts were spent on the dead engine within 400 ms, since its owner told of its adapters as resident for as long as it was listed.
Now an engine whose state could not be read for 1 s is told of as one without slots, also by an owner that took over after its death, and again at each refresh.
- An endpoint that refused a connection rests for 1 s, but model requests were sent there all the same.
They wait until it has rested, unless another endpoint holds the adapter.
- An attempt that no endpoint took ended as 'finished', which cleared its suspect.
The new event UNRUN ends it without that; instances that do not know it ignore it, and forget the attempt after its time.

Ruled out: marking such an engine as leaving, which is for good.

Tests: /node/silent_engine, /node/refused_connection and /admit/suspect_unrun failed before the change and pass after it.

--- a/lib/admit/fg_admit.h
+++ b/lib/admit/fg_admit.h
@@ -100,6 +100,7 @@
 	FG_SUSPECT_STARTED = 2,	 /* a suspect starts to run */
 	FG_SUSPECT_FINISHED = 3, /* it ended and the endpoint lives */
 	FG_SUSPECT_CLEARED = 4,	 /* an operator cleared it */
+	FG_SUSPECT_UNRUN = 5,	 /* it ended without having run */
 };
 
 enum fg_suspect_verdict {
--- a/lib/admit/fg_suspect.c
+++ b/lib/admit/fg_suspect.c
@@ -394,6 +394,19 @@
 	return is_new;
 }
 
+/* Not a crash, but not a sign either that the endpoint bore it. */
+static bool add_unrun(struct entry *e, fg_ms now, uint64_t by,
+		      const fg_suspect *ev)
+{
+	struct attempt *a = attempt_for(e, now, by, ev);
+
+	if (a->ended)
+		return false;
+	a->ended = true;
+	a->crashed = true;
+	return true;
+}
+
 static bool add_cleared(struct entry *e, fg_ms now, uint64_t by,
 			const fg_suspect *ev)
 {
@@ -416,7 +429,7 @@
 	struct entry *e;
 
 	if (ev->req == 0 || ev->event < FG_SUSPECT_CRASH ||
-	    ev->event > FG_SUSPECT_CLEARED)
+	    ev->event > FG_SUSPECT_UNRUN)
 		return false;
 	e = entry_for(s, now, ev);
 	e->last = now;
@@ -424,6 +437,8 @@
 		return add_crash(e, now, by, ev);
 	if (ev->event == FG_SUSPECT_CLEARED)
 		return add_cleared(e, now, by, ev);
+	if (ev->event == FG_SUSPECT_UNRUN)
+		return add_unrun(e, now, by, ev);
 	return add_attempt(e, now, by, ev);
 }
 
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -50,6 +50,8 @@
 	uint64_t role_order; /* raises the engine's fence; 0: none sent */
 	fg_ms state_asked;   /* 0: none on its way */
 	fg_ms state_next;
+	fg_ms silent_since; /* its state could not be read; 0: it answers */
+	bool told_silent;
 	fg_ms resident_next;
 	GPtrArray *loads; /* struct fg_pending_load */
 };
@@ -278,12 +280,19 @@
 void fg_own_tell(struct fg_node *n, uint64_t from, const fg_grants_tell *tell);
 void fg_own_peer_dead(struct fg_node *n, uint64_t id);
 void fg_own_peer_up(struct fg_node *n, uint64_t id);
+
+/* ---- fg_node_resident.c: what owned engines hold ---- */
+/* Tells instance `to`; 0: the whole region. */
 void fg_own_resident(struct fg_node *n, struct fg_own *own, uint64_t to);
+void fg_own_repeat_resident(struct fg_node *n, struct fg_own *own);
+/* The engine's state could not be read, or was. */
+void fg_own_note_silence(struct fg_node *n, struct fg_own *own, bool silent);
 
 /* ---- fg_node_suspect.c ---- */
 bool fg_suspect_gate(struct fg_node *n, struct fg_req *r);
 void fg_suspect_start(struct fg_node *n, struct fg_req *r);
-void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed);
+void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed,
+		    bool ran_none);
 bool fg_suspect_crowded(struct fg_node *n, const struct fg_req *r, uint64_t ep);
 void fg_suspect_msg(struct fg_node *n, uint64_t from, const fg_suspect *ev);
 
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -3,15 +3,11 @@
 
 #include "node/fg_node_internal.h"
 
-#define REFRESH_PER_PEER_MS                                                    \
-	300 /* bounds repeats of RESIDENT over all peers                       \
-	     */
 #define STATE_SOON_MS 100
 #define STATE_RETRY_MS 500
 #define RECOVER_MAX_MS 600000 /* longest deadline of any request */
 #define HELD_MAX 1024
 #define PEERS_MAX 1024
-#define REMOTE_PEERS_MAX 16 /* small sites: other regions are told as well */
 
 void fg_own_free(struct fg_own *own)
 {
@@ -35,53 +31,6 @@
 	       fg_owner_may_act(n->owner, own->ep->id, n->now);
 }
 
-/* ---- Telling what is resident ---- */
-
-void fg_own_resident(struct fg_node *n, struct fg_own *own, uint64_t to)
-{
-	fg_msg *msg;
-
-	if (own->grants == NULL)
-		return;
-	msg = fg_msg_new(FG_MSG_RESIDENT);
-	fg_grants_resident(own->grants, &msg->body.fg_body_u.resident);
-	if (to != 0) {
-		fg_node_send(n, to, msg);
-	} else {
-		fg_node_send(n, n->self, msg);
-		fg_node_broadcast(n, msg);
-	}
-	fg_msg_free(msg);
-}
-
-static void tell_other_regions(struct fg_node *n, struct fg_own *own)
-{
-	uint64_t ids[PEERS_MAX];
-	size_t total = fg_member_live(n->member, NULL, ids, PEERS_MAX);
-
-	if (total > REMOTE_PEERS_MAX)
-		return;
-	for (size_t i = 0; i < total; i++) {
-		const struct fg_peer_view *peer =
-			fg_member_find(n->member, ids[i]);
-
-		if (peer != NULL && ids[i] != n->self &&
-		    strcmp(peer->info.region, n->conf.member.self.region) != 0)
-			fg_own_resident(n, own, ids[i]);
-	}
-}
-
-static void repeat_resident(struct fg_node *n, struct fg_own *own)
-{
-	uint64_t ids[PEERS_MAX];
-	size_t peers = fg_node_region_peers(n, ids, PEERS_MAX);
-	uint32_t spread_ms = (uint32_t)peers * REFRESH_PER_PEER_MS;
-
-	own->resident_next = n->now + MAX(n->conf.resident_ms, spread_ms);
-	fg_own_resident(n, own, 0);
-	tell_other_regions(n, own);
-}
-
 /* ---- Gaining and losing ---- */
 
 static void ask_grants(struct fg_node *n, struct fg_own *own)
@@ -217,6 +166,7 @@
 	own->state_asked = 0;
 	own->state_next =
 		now + (st != NULL ? n->conf.state_ms : STATE_RETRY_MS);
+	fg_own_note_silence(n, own, st == NULL);
 	if (st == NULL)
 		return;
 	if (st->leaving)
@@ -564,5 +514,5 @@
 	if (fg_grants_changed(own->grants))
 		fg_own_resident(n, own, 0);
 	if (n->now >= own->resident_next)
-		repeat_resident(n, own);
+		fg_own_repeat_resident(n, own);
 }
--- a/lib/node/fg_node_route.c
+++ b/lib/node/fg_node_route.c
@@ -306,16 +306,30 @@
 			   NULL, 0, r->prefix_hash);
 }
 
+/* Time until an endpoint that refused a connection is tried again. */
+static uint32_t rest_ms(struct fg_node *n, uint64_t id)
+{
+	const struct fg_ep *ep = fg_ep_find(n, id);
+
+	return ep != NULL && n->now < ep->down_until
+		       ? (uint32_t)(ep->down_until - n->now)
+		       : 0;
+}
+
 static void route_model(struct fg_node *n, struct fg_req *r)
 {
 	struct fg_pick pick;
+	uint32_t wait_ms;
 
 	if (!fg_suspect_gate(n, r))
 		return;
 	pick = pick_endpoint(n, r);
-	if (pick.ep != 0 && fg_suspect_crowded(n, r, pick.ep)) {
+	wait_ms = rest_ms(n, pick.ep);
+	if (pick.ep != 0 && fg_suspect_crowded(n, r, pick.ep))
+		wait_ms = MAX(wait_ms, RECOVERING_WAIT_MS);
+	if (wait_ms > 0) {
 		fg_wait_remove(n, r);
-		back_off(n, r, RECOVERING_WAIT_MS);
+		back_off(n, r, wait_ms);
 		return;
 	}
 	if (pick.ep != 0 && pick.resident) {
@@ -439,7 +453,7 @@
 	if (r == NULL || r->state != FG_REQ_RUNNING || r->attempts != attempt)
 		return;
 	note_endpoint(n, fg_ep_find(n, r->ep), res->status);
-	fg_suspect_end(n, r, v->crashed);
+	fg_suspect_end(n, r, v->crashed, res->ran_none);
 	fg_route_release(n, r, res->service_ms, v->outcome == FG_UNKNOWN);
 	if (!res->ran_none && !n->conf.switches.forget_runs)
 		r->ran = true;
--- a/lib/node/fg_node_suspect.c
+++ b/lib/node/fg_node_suspect.c
@@ -57,14 +57,15 @@
 		tell(n, r, FG_SUSPECT_STARTED);
 }
 
-void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed)
+void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed,
+		    bool ran_none)
 {
 	if (r->adapter == NULL)
 		return;
 	if (crashed)
 		tell(n, r, FG_SUSPECT_CRASH);
 	else if (r->suspect)
-		tell(n, r, FG_SUSPECT_FINISHED);
+		tell(n, r, ran_none ? FG_SUSPECT_UNRUN : FG_SUSPECT_FINISHED);
 	r->suspect = false;
 }
 
--- a/tests/unit/node_bed.c
+++ b/tests/unit/node_bed.c
@@ -132,6 +132,11 @@
 	if (!b->state_asked || !b->auto_state)
 		return;
 	b->state_asked = false;
+	if (b->state_fails) {
+		fg_node_engine_state(b->node, b->now, fg_hash_str(BED_ENGINE),
+				     b->now, NULL);
+		return;
+	}
 	st = g_new0(struct fg_engine_state, 1);
 	st->epoch = 1;
 	st->slots = BED_SLOTS;
--- a/tests/unit/node_bed.h
+++ b/tests/unit/node_bed.h
@@ -39,6 +39,7 @@
 	GArray *list;	    /* struct fg_listed, what the platform shows */
 	bool state_asked;
 	bool list_asked;
+	bool state_fails;	     /* the engine cannot be asked */
 	bool auto_state;	     /* answer engine states by themselves */
 	bool auto_order;	     /* answer orders with DONE */
 	char *adapter[BED_SLOTS];    /* what the engine holds */
--- a/tests/unit/test_admit.c
+++ b/tests/unit/test_admit.c
@@ -295,6 +295,19 @@
 	fg_suspects_free(s);
 }
 
+/* An attempt that an endpoint never took says nothing good of a suspect. */
+static void test_suspect_unrun(void)
+{
+	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
+
+	crash(s, 10, 7, 1, 100);
+	event(s, 20, FG_SUSPECT_STARTED, 7, 2, 301);
+	g_assert_cmpint(verdict(s, 25, 7), ==, FG_SUSPECT_WAIT);
+	event(s, 30, FG_SUSPECT_UNRUN, 7, 2, 301);
+	g_assert_cmpint(verdict(s, 40, 7), ==, FG_SUSPECT_RUN_ALONE);
+	fg_suspects_free(s);
+}
+
 static void test_suspect_clear(void)
 {
 	struct fg_suspects *s = fg_suspects_new(&suspects_conf);
@@ -381,6 +394,7 @@
 	g_test_add_func("/admit/suspect_clear", test_suspect_clear);
 	g_test_add_func("/admit/suspect_quick_restarts",
 			test_suspect_quick_restarts);
+	g_test_add_func("/admit/suspect_unrun", test_suspect_unrun);
 	g_test_add_func("/admit/suspect_bound", test_suspect_bound);
 	g_test_add_func("/admit/suspect_orders", test_suspect_orders);
 	return g_test_run();
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -397,6 +397,42 @@
 	bed_free(b);
 }
 
+/* What an engine holds counts for nothing while it does not answer, so that
+ * its adapters are loaded elsewhere. */
+static void test_silent_engine(void)
+{
+	struct bed *b = bed_new();
+
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 1000);
+	bed_run_done(b, 0, FG_RUN_DONE);
+	b->state_fails = true;
+	bed_run(b, 5000);
+	bed_generate(b, 11, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 3000);
+	g_assert_cmpuint(b->runs->len, ==, 0);
+	g_assert_null(bed_reply(b, 11));
+	b->state_fails = false;
+	bed_run(b, 3000);
+	g_assert_cmpuint(b->runs->len, ==, 1);
+	bed_free(b);
+}
+
+/* While an endpoint refuses connections, nothing is spent on trying it. */
+static void test_refused_connection(void)
+{
+	struct bed *b = bed_new();
+
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 1000);
+	bed_run_done(b, 0, FG_RUN_NOT_SENT);
+	bed_run(b, 800);
+	g_assert_cmpuint(b->runs->len, ==, 0);
+	bed_run(b, 1000);
+	g_assert_cmpuint(b->runs->len, ==, 1);
+	bed_free(b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -420,5 +456,7 @@
 	g_test_add_func("/node/ran_then_caller_gone",
 			test_ran_then_caller_gone);
 	g_test_add_func("/node/suspect_ids_differ", test_suspect_ids_differ);
+	g_test_add_func("/node/refused_connection", test_refused_connection);
+	g_test_add_func("/node/silent_engine", test_silent_engine);
 	return g_test_run();
 }
