Engine stand-in: load orders that arrive late

Fault late_order: an order is held up on its way and takes effect whatever became of its sender, which is what intents and fencing numbers are for.

--- a/standin/engine/si_engine.h
+++ b/standin/engine/si_engine.h
@@ -94,6 +94,8 @@
 	fg_ms refuse_after_ms; /* of leaving */
 	char *poison;	       /* "" for none */
 	bool poison_restarts;
+	fg_ms late_ms; /* the next late_orders loads arrive this late */
+	uint32_t late_orders;
 	bool cross_armed;
 	struct si_run *cross_first;
 	uint32_t truncated;
--- a/standin/engine/si_engine_main.c
+++ b/standin/engine/si_engine_main.c
@@ -206,6 +206,12 @@
 	si_engine_restart(e);
 }
 
+static void op_late_order(struct si_engine *e, json_t *body)
+{
+	e->late_ms = si_field_int(body, "ms", 0);
+	e->late_orders = (uint32_t)si_field_int(body, "count", 1);
+}
+
 static void op_cross(struct si_engine *e, json_t *body)
 {
 	(void)body;
@@ -216,9 +222,8 @@
 	const char *name;
 	void (*fn)(struct si_engine *e, json_t *body);
 } ops[] = {
-	{ "leave", op_leave },
-	{ "poison", op_poison },
-	{ "restart_empty", op_restart },
+	{ "leave", op_leave },		 { "poison", op_poison },
+	{ "restart_empty", op_restart }, { "late_order", op_late_order },
 	{ "cross", op_cross },
 };
 
--- a/standin/engine/si_slots.c
+++ b/standin/engine/si_slots.c
@@ -167,6 +167,22 @@
 	return ok;
 }
 
+/* An order that was held up on its way, and arrives whatever became of its
+ * sender. */
+static void wait_if_late(struct si_engine *e)
+{
+	fg_ms late_ms = 0;
+
+	pthread_mutex_lock(&e->lock);
+	if (e->late_orders > 0) {
+		e->late_orders--;
+		late_ms = e->late_ms;
+	}
+	pthread_mutex_unlock(&e->lock);
+	if (late_ms > 0)
+		si_proc_sleep(e->proc, late_ms);
+}
+
 enum MHD_Result si_slots_load(struct si_req *req)
 {
 	struct si_engine *e = si_engine_of(req);
@@ -178,6 +194,7 @@
 	if (!read_order(e, req->body, &order) || !*order.adapter ||
 	    !*order.version)
 		return si_answer_error(req, 400, "bad_request");
+	wait_if_late(e);
 	load = begin_load(e, &order, &fence);
 	if (load == 0)
 		return answer_fenced(req, fence);
