Fresh list after an isolation; orders and attempts age in their queue

An instance that was away may have missed that an endpoint is leaving: it reads the list anew before it serves. An order or attempt that waited for a thread, or whose process was paused since it was issued, is not sent once it is stale: the lease was checked when it was issued.

--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -224,10 +224,14 @@
 /*
  * An operator is told "accepted" when all live instances have the revision.
  * One that was not counted as live must therefore confirm its revision after
- * it became so, before it takes work.
+ * it became so, before it takes work. For the same reason it reads the list
+ * anew: endpoints may have left while it was away. In an outage there is no
+ * list to read.
  */
 static void follow_standing(struct fg_node *n)
 {
+	bool outage =
+		fg_member_standing(n->member, n->now) == FG_STANDING_OUTAGE;
 	uint32_t age_ms;
 
 	if (!standing_is_good(n)) {
@@ -237,11 +241,23 @@
 	}
 	if (n->joined == 0)
 		n->joined = n->now;
+	if (n->list_at < n->joined)
+		fg_node_ask_list(n);
 	age_ms = fg_confsync_confirm_age(n->confsync, n->now);
-	if (n->now - (fg_ms)age_ms >= n->joined)
+	if (n->now - (fg_ms)age_ms >= n->joined &&
+	    (outage || n->list_at >= n->joined))
 		n->in_force = true;
 }
 
+void fg_node_ask_list(struct fg_node *n)
+{
+	if (n->list_pending)
+		return;
+	n->list_pending = true;
+	n->list_asked = n->now;
+	n->io.list(n->io.arg);
+}
+
 bool fg_node_may_serve(struct fg_node *n)
 {
 	if (n->conf.switches.no_isolation)
@@ -367,10 +383,12 @@
 		       const struct fg_listed *list, size_t n_list)
 {
 	n->now = now;
+	n->list_pending = false;
 	fg_member_on_list(n->member, now, result, list, n_list, fg_wire_member,
 			  n);
 	if (result != FG_PF_OK)
 		return;
+	n->list_at = n->list_asked;
 	for (size_t i = 0; i < n_list; i++)
 		if (list[i].kind != FG_LISTED_ENTRY)
 			fg_ep_listed(n, &list[i]);
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -163,7 +163,10 @@
 	uint64_t next_order;
 	fg_ms now;     /* of the event being handled */
 	fg_ms joined;  /* standing good since; 0 while it is not */
-	bool in_force; /* revision confirmed since then */
+	bool in_force; /* revision confirmed and list read since then */
+	fg_ms list_asked;
+	bool list_pending;
+	fg_ms list_at; /* the list read last was asked for then */
 	fg_ms heat_next;
 	fg_ms second_next; /* next once-a-second work */
 	fg_ms sweep_next;
@@ -184,6 +187,7 @@
 size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max);
 /* True while new work may be taken. */
 bool fg_node_may_serve(struct fg_node *n);
+void fg_node_ask_list(struct fg_node *n);
 
 /* ---- fg_node_msg.c ---- */
 /* Handles the messages of this instance to itself, and filings that the ledger
--- a/lib/node/fg_node_wire.c
+++ b/lib/node/fg_node_wire.c
@@ -53,7 +53,7 @@
 		send_op(n, FG_PART_MEMBER, act->op);
 		break;
 	case FG_MA_LIST:
-		n->io.list(n->io.arg);
+		fg_node_ask_list(n);
 		break;
 	case FG_MA_SEND:
 		fg_node_send_free(n, act->to, act->msg);
--- a/lib/run/fg_run_io.c
+++ b/lib/run/fg_run_io.c
@@ -5,12 +5,14 @@
 #include "run/fg_run_internal.h"
 
 #define STATE_TIMEOUT_MS 1000
+#define ORDER_FRESH_MS 1000 /* an order older than this is not sent */
 
 /* ---- Requests ---- */
 
 struct run_job {
 	struct fg_run *run;
 	struct fg_run_cmd cmd;
+	fg_ms issued_at;
 	struct fg_exchange *exchange; /* NULL once the caller is gone */
 };
 
@@ -27,17 +29,30 @@
 	json_decref(o);
 }
 
+/* Takes the time that the job waited for a thread off its deadline. */
+static bool still_in_time(struct run_job *job)
+{
+	fg_ms waited = fg_clock_now() - job->issued_at;
+
+	if (waited >= job->cmd.run.timeout_ms)
+		return false;
+	job->cmd.run.timeout_ms -= (uint32_t)waited;
+	return true;
+}
+
 static void do_run(void *arg)
 {
 	struct run_job *job = arg;
 	struct fg_run *run = job->run;
 	struct fg_exchange *x = job->exchange;
 	bool stream = x != NULL && job->cmd.run.stream;
-	struct fg_run_result res;
+	struct fg_run_result res = { .status = FG_RUN_NOT_SENT,
+				     .ran_none = true };
 
-	run->endpoints->run(&job->cmd.ep, &job->cmd.run,
-			    stream ? on_text : NULL, job,
-			    x != NULL ? &x->cancel : NULL, &res);
+	if (still_in_time(job))
+		run->endpoints->run(&job->cmd.ep, &job->cmd.run,
+				    stream ? on_text : NULL, job,
+				    x != NULL ? &x->cancel : NULL, &res);
 	fg_run_lock(run);
 	fg_node_run_done(run->node, fg_clock_now(), job->cmd.req,
 			 job->cmd.attempt, &res);
@@ -54,6 +69,7 @@
 
 	job->run = run;
 	job->cmd = *cmd;
+	job->issued_at = fg_clock_now();
 	job->exchange = fg_run_find(run, cmd->req);
 	fg_pool_submit(run->run_pool, do_run, job);
 }
@@ -84,6 +100,7 @@
 	struct fg_run *run;
 	struct fg_listed ep;
 	struct fg_order order;
+	fg_ms issued_at;
 	char *adapter;
 	char *version;
 };
@@ -93,7 +110,12 @@
 	struct order_job *job = arg;
 	enum fg_order_status status;
 
-	status = job->run->endpoints->order(&job->ep, &job->order);
+	/* The lease was checked when the order was issued; a process that
+	 * was paused since then may have lost it. */
+	if (fg_clock_now() - job->issued_at <= ORDER_FRESH_MS)
+		status = job->run->endpoints->order(&job->ep, &job->order);
+	else
+		status = FG_ORDER_NOT_SENT;
 	fg_run_lock(job->run);
 	fg_node_order_done(job->run->node, fg_clock_now(), job->ep.id,
 			   job->order.id, status);
@@ -111,6 +133,7 @@
 	job->run = run;
 	job->ep = cmd->ep;
 	job->order = cmd->order;
+	job->issued_at = fg_clock_now();
 	job->adapter = g_strdup(cmd->order.adapter);
 	job->version = g_strdup(cmd->order.version);
 	job->order.adapter = job->adapter;
