place: needs have a due time that follows the weight of stalls

What: a need is admitted, and loads are ordered, by a due time: the slack times (100 - stall_weight)/100, and at most 8 s at a weight of 80. What does not fit is refused at once. Half-life of popularity 5 min instead of 10.

--- a/lib/place/fg_broker.c
+++ b/lib/place/fg_broker.c
@@ -5,13 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HEAT_HALF_LIFE_MS 600000
+#define HEAT_HALF_LIFE_MS 300000
 #define PROTECT_MS 1000 /* a new adapter is kept for those who waited */
 #define PINNED_MS 1000	/* a victim found in use is not tried again before */
 #define AVOID_MS 1000	/* an endpoint that refused is not tried again before */
 #define BACKOFF_MS 250	/* after a failure; doubles */
 #define BACKOFF_MAX_MS 4000
-#define FAILS_PAUSE 3 /* failures in a row that pause all loads */
+#define WAIT_MAX_MS 40000 /* for a load, with a low weight of stalls */
+#define LOADS_WAITED 8	  /* a wait of so many loads is no reason to refuse */
+#define FAILS_PAUSE 3	  /* failures in a row that pause all loads */
 
 struct fg_broker *fg_broker_new(const struct fg_broker_conf *conf,
 				const struct fg_dir *dir, const char *policy,
@@ -27,13 +29,13 @@
 	b->heat = fg_heat_new(HEAT_HALF_LIFE_MS);
 	b->service = fg_hash_str(conf->service);
 	b->region = fg_hash_str(conf->region);
-	b->wants = g_hash_table_new(g_int64_hash, g_int64_equal);
-	b->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 g_free);
-	b->marks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 g_free);
-	b->replicated = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					      g_free);
+	b->wants = g_hash_table_new(fg_key_hash, g_int64_equal);
+	b->loads =
+		g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL, g_free);
+	b->marks =
+		g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL, g_free);
+	b->replicated =
+		g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL, g_free);
 	b->tokens = 1;
 	b->refilled = FG_MS_NEVER;
 	return b;
@@ -97,6 +99,7 @@
 	}
 	w->waiting = 0;
 	w->deadline = FG_MS_NEVER;
+	w->due = FG_MS_NEVER;
 	w->cls = FG_CLASS_COUNT;
 	for (guint i = 0; i < w->asks->len; i++) {
 		const struct fg_want_ask *a =
@@ -104,6 +107,7 @@
 
 		w->waiting += a->waiting;
 		w->deadline = MIN(w->deadline, a->deadline);
+		w->due = MIN(w->due, a->due);
 		w->cls = MIN(w->cls, a->cls);
 	}
 }
@@ -135,6 +139,18 @@
 	return w;
 }
 
+/* The more stalls weigh, the less of the slack is used up by waiting. */
+static fg_ms due_in(const struct fg_broker *b, uint32_t slack_ms)
+{
+	uint32_t patience = 100 - MIN(b->conf.stall_weight, 100);
+	fg_ms wait = (fg_ms)slack_ms * patience / 100;
+	fg_ms least = (fg_ms)b->conf.load_ms * LOADS_WAITED;
+
+	if (patience < 50)
+		wait = MIN(wait, (fg_ms)WAIT_MAX_MS * patience / 100);
+	return MIN(MAX(wait, least), (fg_ms)slack_ms);
+}
+
 void fg_broker_need(struct fg_broker *b, fg_ms now, uint64_t from,
 		    const fg_need *need)
 {
@@ -142,6 +158,7 @@
 		.from = from,
 		.waiting = need->waiting,
 		.deadline = now + need->slack_ms,
+		.due = now + due_in(b, need->slack_ms),
 		.cls = need->cls,
 	};
 	struct fg_want *w;
--- a/lib/place/fg_broker_tick.c
+++ b/lib/place/fg_broker_tick.c
@@ -97,17 +97,17 @@
 	return !fg_broker_resident(b, w->av, !b->policy->copies);
 }
 
-static int by_deadline(const void *a, const void *b)
+static int by_due(const void *a, const void *b)
 {
 	const struct fg_want *x = *(struct fg_want *const *)a;
 	const struct fg_want *y = *(struct fg_want *const *)b;
 
-	if (x->deadline != y->deadline)
-		return x->deadline < y->deadline ? -1 : 1;
+	if (x->due != y->due)
+		return x->due < y->due ? -1 : 1;
 	return x->key < y->key ? -1 : x->key > y->key;
 }
 
-/* Wants for which keep() holds, earliest deadline first. */
+/* Wants for which keep() holds, earliest due first. */
 static GPtrArray *collect(const struct fg_broker *b, fg_ms now,
 			  bool (*keep)(const struct fg_broker *b, fg_ms now,
 				       const struct fg_want *w))
@@ -121,7 +121,7 @@
 		if (keep(b, now, value))
 			g_ptr_array_add(list, value);
 	if (list->len > 1)
-		qsort(list->pdata, list->len, sizeof(gpointer), by_deadline);
+		qsort(list->pdata, list->len, sizeof(gpointer), by_due);
 	return list;
 }
 
@@ -143,12 +143,14 @@
 }
 
 /*
- * Would every admitted need still be met, earliest deadline first, with w
+ * Would every admitted need still be met, earliest due first, with w
  * among them? `admitted` is sorted by deadline.
  */
 static bool fits(const struct fg_broker *b, fg_ms now,
 		 const GPtrArray *admitted, const struct fg_want *w)
 {
+	/* How long the store stays down is not known: time enough is left. */
+	fg_ms due = b->fails >= FAILS_PROBE ? w->deadline : w->due;
 	uint32_t place = 1;
 	bool counted = false;
 
@@ -156,14 +158,14 @@
 		const struct fg_want *other = admitted->pdata[i];
 		fg_ms done;
 
-		if (other->deadline <= w->deadline) {
+		if (other->due <= due) {
 			place++;
 			continue;
 		}
 		if (!counted) {
 			done = now + fg_broker_start_in(b, now, place) +
 			       b->conf.load_ms;
-			if (done > w->deadline)
+			if (done > due)
 				return false;
 			counted = true;
 			place++;
@@ -171,15 +173,13 @@
 		done = now + fg_broker_start_in(b, now, place) +
 		       b->conf.load_ms;
 		/* One that is late already is not made so by w. */
-		if (done > other->deadline &&
-		    done <= other->deadline + FG_MS_PER_S)
+		if (done > other->due && done <= other->due + FG_MS_PER_S)
 			return false;
 		place++;
 	}
 	if (counted)
 		return true;
-	return now + fg_broker_start_in(b, now, place) + b->conf.load_ms <=
-	       w->deadline;
+	return now + fg_broker_start_in(b, now, place) + b->conf.load_ms <= due;
 }
 
 static void refuse_want(struct fg_broker *b, struct fg_want *w,
@@ -197,7 +197,7 @@
 {
 	guint i = list->len;
 
-	while (i > 0 && by_deadline(&list->pdata[i - 1], &w) > 0)
+	while (i > 0 && by_due(&list->pdata[i - 1], &w) > 0)
 		i--;
 	g_ptr_array_insert(list, (gint)i, w);
 }
--- a/lib/place/fg_dir.c
+++ b/lib/place/fg_dir.c
@@ -20,10 +20,10 @@
 	struct fg_dir *d = g_new0(struct fg_dir, 1);
 
 	fg_rand_seed(&d->rand, seed);
-	d->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	d->by_id = g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL,
 					 ep_free);
 	d->list = g_ptr_array_new();
-	d->by_av = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+	d->by_av = g_hash_table_new_full(fg_key_hash, g_int64_equal, g_free,
 					 (GDestroyNotify)g_ptr_array_unref);
 	return d;
 }
--- a/lib/place/fg_heat.c
+++ b/lib/place/fg_heat.c
@@ -1,8 +1,7 @@
 /* Popularity with exponential decay, decayed when read. */
-#include "place/fg_place.h"
+#include "place/fg_place_priv.h"
 
 #include <assert.h>
-#include <glib.h>
 #include <math.h>
 
 #define FLOOR 0.02 /* counts below are dropped */
@@ -25,8 +24,8 @@
 
 	assert(half_life_ms > 0);
 	h->half_life_ms = half_life_ms;
-	h->items = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 g_free);
+	h->items =
+		g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL, g_free);
 	return h;
 }
 
--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -9,6 +9,15 @@
 
 #include "place/fg_place.h"
 
+/* Hash of a 64-bit key. g_int64_hash() takes the low half alone, which is the
+ * same for the first version of every adapter. */
+static inline guint fg_key_hash(gconstpointer p)
+{
+	uint64_t key = *(const uint64_t *)p * 0x9e3779b97f4a7c15ULL;
+
+	return (guint)(key >> 32);
+}
+
 /* ---- Directory ---- */
 
 struct fg_dir_ep {
@@ -52,7 +61,8 @@
 struct fg_want_ask {
 	uint64_t from;
 	uint32_t waiting;
-	fg_ms deadline; /* the load must be done by then */
+	fg_ms deadline; /* the load must be done by then ... */
+	fg_ms due;	/* ... and should be by then */
 	uint32_t cls;
 };
 
@@ -65,6 +75,7 @@
 	GArray *asks; /* struct fg_want_ask */
 	uint32_t waiting;
 	fg_ms deadline; /* the earliest */
+	fg_ms due;	/* the earliest; needs are admitted and ordered by it */
 	uint32_t cls;	/* the most urgent */
 	fg_ms first_at;
 	fg_ms not_before; /* backoff */
--- a/lib/place/fg_policy_gauge.c
+++ b/lib/place/fg_policy_gauge.c
@@ -7,7 +7,7 @@
 
 #include <math.h>
 
-#define SCHEDULE_MARGIN_MS 300 /* with less to spare, deadlines decide */
+#define SCHEDULE_MARGIN_MS 300 /* with less to spare, due times decide */
 #define INTERACTIVE_WORTH 4.0  /* of a waiting person, in drafts */
 #define AGE_WORTH_MS 2000      /* waiting this long is worth one request */
 #define BUSY_MS 4000	       /* asked for so lately: likely still in use */
@@ -17,8 +17,8 @@
 
 /* ---- Order of loads ---- */
 
-/* Time to spare until some deadline is missed if loads are made in order of
- * deadline; wants are sorted so. */
+/* Time to spare until some want is overdue if loads are made in order of due
+ * time; wants are sorted so. */
 static fg_ms schedule_slack(const struct fg_broker *b, fg_ms now,
 			    struct fg_want **wants, size_t n)
 {
@@ -28,7 +28,7 @@
 		fg_ms done = now + fg_broker_start_in(b, now, (uint32_t)i + 1) +
 			     b->conf.load_ms;
 
-		least = MIN(least, wants[i]->deadline - done);
+		least = MIN(least, wants[i]->due - done);
 	}
 	return least;
 }
--- a/tests/bench/bench_place.c
+++ b/tests/bench/bench_place.c
@@ -1,7 +1,7 @@
 /*
  * Policies of placement against baselines, in virtual time.
  *
- * usage: bench_place [deployment [zipf [share of the budget]]]
+ * usage: bench_place [deployment [zipf [share of the budget [policy]]]]
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -50,11 +50,11 @@
 
 static void print_head(void)
 {
-	printf("%-11s %4s %4s %-6s %6s %6s %6s %6s %5s %5s %6s %6s %5s %5s "
-	       "%5s %5s %6s %5s\n",
+	printf("%-11s %4s %4s %-6s %6s %6s %6s %6s %6s %5s %5s %6s %6s %5s "
+	       "%5s %5s %5s %6s %5s\n",
 	       "deployment", "zipf", "load", "policy", "p50", "p95", "p99",
-	       "wait%", "loads", "l/ans", "fill", "ans%", "ref%", "miss%",
-	       "lost%", "hold", "byte/r", "inuse");
+	       "p95i", "wait%", "loads", "l/ans", "fill", "ans%", "ref%",
+	       "miss%", "lost%", "hold", "byte/r", "inuse");
 }
 
 /* Share of the requests that strong answered in time and this one did not. */
@@ -76,11 +76,13 @@
 	double n = (double)res->n;
 	double min = (double)min_loads;
 
-	printf("%-11s %4.1f %4.1f %-6s %6.2f %6.2f %6.2f %6.1f %5.2f %5.2f "
+	printf("%-11s %4.1f %4.1f %-6s %6.2f %6.2f %6.2f %6.2f %6.1f %5.2f "
+	       "%5.2f "
 	       "%6.2f %6.2f %5.1f %5.2f %5.2f %5.1f %6.0f %5lu\n",
 	       d->name, zipf, share, policy, res->stall_p50_ms / 1000,
 	       res->stall_p95_ms / 1000, res->stall_p99_ms / 1000,
-	       100.0 * (double)res->waited / n, (double)res->loads / min,
+	       res->urgent_p95_ms / 1000, 100.0 * (double)res->waited / n,
+	       (double)res->loads / min,
 	       (double)res->loads / (double)res->answered / (min / n),
 	       res->fill, 100.0 * (double)res->answered / n,
 	       100.0 * (double)res->refused / n,
@@ -89,18 +91,20 @@
 }
 
 static void run_cell(const struct deployment *d, double zipf, double share,
-		     double full_rate)
+		     double full_rate, const char *only)
 {
-	struct result res[G_N_ELEMENTS(policies)];
+	struct result res[G_N_ELEMENTS(policies)] = { 0 };
 	struct trace t;
 	uint64_t min_loads;
 
 	trace_make(&t, d, zipf, full_rate * share, SEED);
 	min_loads = trace_min_loads(&t, d->eps * SLOTS);
 	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+		if (only != NULL && strcmp(only, policies[i]) != 0)
+			continue;
 		sim_run(d, &t, policies[i], &res[i]);
 		print_row(d, zipf, share, policies[i], &res[i],
-			  i == 2 ? &res[1] : NULL, min_loads);
+			  i == 2 && only == NULL ? &res[1] : NULL, min_loads);
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++)
 		g_free(res[i].met);
@@ -134,7 +138,8 @@
 			print_head();
 			for (size_t k = 0; k < G_N_ELEMENTS(shares); k++)
 				if (argc <= 3 || atof(argv[3]) == shares[k])
-					run_cell(d, zipfs[z], shares[k], rate);
+					run_cell(d, zipfs[z], shares[k], rate,
+						 argc > 4 ? argv[4] : NULL);
 		}
 	}
 	return 0;
--- a/tests/bench/place_sim.c
+++ b/tests/bench/place_sim.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "peer/fg_msg.h"
+#include "place/fg_place_priv.h"
 
 #define TICK_MS 50
 #define POLL_MS 1000 /* owners read their engine's state */
@@ -190,9 +191,9 @@
 		s->routers[r].dir = fg_dir_new(r + 2);
 		announce(s, s->routers[r].dir);
 		s->routers[r].queues =
-			g_hash_table_new(g_int64_hash, g_int64_equal);
+			g_hash_table_new(fg_key_hash, g_int64_equal);
 		s->routers[r].counts = g_hash_table_new_full(
-			g_int64_hash, g_int64_equal, NULL, g_free);
+			fg_key_hash, g_int64_equal, NULL, g_free);
 	}
 	setup_broker(s, policy);
 }
@@ -292,13 +293,21 @@
 	return x < y ? -1 : x > y;
 }
 
+static double percentile(fg_ms *values, size_t n, size_t percent)
+{
+	qsort(values, n, sizeof(*values), by_value);
+	return n > 0 ? (double)values[n * percent / 100] : 0;
+}
+
 static void sum_up(struct sim *s)
 {
 	struct result *res = s->result;
 	fg_ms *stall = g_new(fg_ms, s->t->n);
+	fg_ms *urgent = g_new(fg_ms, s->t->n);
 	uint64_t drafts = 0;
 	double hold = 0;
 	size_t n = 0;
+	size_t n_urgent = 0;
 
 	for (size_t i = 0; i < s->t->n; i++) {
 		const struct req *r = &s->reqs[i];
@@ -311,19 +320,22 @@
 		if (r->stall_ms < 0)
 			continue;
 		stall[n++] = r->stall_ms;
+		if (s->t->a[i].cls != FG_CLASS_DRAFT)
+			urgent[n_urgent++] = r->stall_ms;
 		res->waited += r->stall_ms > 0;
 	}
-	qsort(stall, n, sizeof(*stall), by_value);
 	res->n = s->t->n;
-	res->stall_p50_ms = (double)stall[n / 2];
-	res->stall_p95_ms = (double)stall[n * 95 / 100];
-	res->stall_p99_ms = (double)stall[n * 99 / 100];
+	res->stall_p50_ms = percentile(stall, n, 50);
+	res->stall_p95_ms = percentile(stall, n, 95);
+	res->stall_p99_ms = percentile(stall, n, 99);
+	res->urgent_p95_ms = percentile(urgent, n_urgent, 95);
 	res->hold_mean_ms = drafts > 0 ? hold / (double)drafts : 0;
 	res->loads = s->loads;
 	res->fill = (double)s->filled / (double)s->steps;
 	res->bytes = (double)s->bytes / (double)s->t->n;
 	res->in_use_orders = s->in_use_orders;
 	g_free(stall);
+	g_free(urgent);
 }
 
 void sim_run(const struct deployment *d, const struct trace *t,
--- a/tests/bench/place_sim.h
+++ b/tests/bench/place_sim.h
@@ -25,7 +25,8 @@
 	uint64_t missed;   /* answered late, or refused after waiting */
 	uint64_t waited;   /* for a load */
 	double stall_p50_ms, stall_p95_ms, stall_p99_ms;
-	double hold_mean_ms; /* of drafts */
+	double urgent_p95_ms; /* of interactive requests alone */
+	double hold_mean_ms;  /* of drafts */
 	uint64_t loads;
 	double fill;		/* requests in the batch per active step */
 	double bytes;		/* of inner messages per request */
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -437,6 +437,7 @@
 	struct bench t;
 
 	setup(&t, "gauge");
+	fg_broker_set(t.b, 5, 8, 250, 0);
 	for (uint32_t i = 1; i <= 40; i++)
 		need(&t, 0, 1, i, 1, 3000);
 	g_assert_cmpuint(t.refusals, >=, 40 - 3 * 5 - 1);
@@ -453,6 +454,27 @@
 	teardown(&t);
 }
 
+/* Where stalls weigh more, less of the slack is spent waiting for a load. */
+static void test_refused_by_weight(void)
+{
+	struct bench t;
+	uint32_t refusals;
+
+	setup(&t, "gauge");
+	fg_broker_set(t.b, 5, 8, 250, 0);
+	for (uint32_t i = 1; i <= 40; i++)
+		need(&t, 0, 1, i, 1, 20000);
+	g_assert_cmpuint(t.refusals, ==, 0);
+	teardown(&t);
+	setup(&t, "gauge");
+	for (uint32_t i = 1; i <= 40; i++)
+		need(&t, 0, 1, i, 1, 20000);
+	refusals = t.refusals;
+	g_assert_cmpuint(refusals, >, 40 - 5 * 5);
+	g_assert_cmpuint(refusals, <, 40 - 3 * 5);
+	teardown(&t);
+}
+
 static void test_resident_not_loaded(void)
 {
 	struct bench t;
@@ -595,6 +617,7 @@
 	g_test_add_func("/place/timeout", test_timeout);
 	g_test_add_func("/place/store_down", test_store_down);
 	g_test_add_func("/place/refused_at_once", test_refused_at_once);
+	g_test_add_func("/place/refused_by_weight", test_refused_by_weight);
 	g_test_add_func("/place/resident", test_resident_not_loaded);
 	g_test_add_func("/place/copies", test_copies);
 	g_test_add_func("/place/interleavings", test_interleavings);
