Standing: only instances that may act count towards holding on

The two quorums were drawn from different memberships and did not meet.

By the time its lease is deleted an instance does not act any more. Pongs now say whether their sender may act, and two thirds of such answers are needed to hold on; or answers of all instances, so that a region that lost itself for a moment during an outage comes back. Ruled out: counting deleted instances for some time, which needs a bound on how long one may hold on, and outages are long. Pauses do not change what an instance attests, else many short pauses at once would stop the region until the platform is back.

--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -28,9 +28,10 @@
  *   CONFIRMED  our own lease is fresh, and this instance, or a peer it
  *              reaches, reached the platform within confirm_ms.
  *   OUTAGE     we hold a lease, nobody is known to have reached the platform
- *              since it ceased to be fresh, and two thirds of the region's
- *              instances answered a ping within reach_ms: hold on to what we
- *              own.
+ *              since it ceased to be fresh, and within reach_ms two thirds
+ *              of the region's instances, themselves CONFIRMED or in OUTAGE,
+ *              answered a ping, or all of them whatever their standing: hold
+ *              on to what we own.
  *   ISOLATED   neither: no orders, no grants, no new work.
  * One of the two thirds is always among the one third, so it has heard from
  * the deleter of our lease and told us before the row goes. What remains is
@@ -160,6 +161,12 @@
 enum fg_standing fg_member_standing(const struct fg_member *m, fg_ms now);
 const char *fg_standing_name(enum fg_standing s);
 
+/* True for the standings in which an instance acts on what it owns. */
+static inline bool fg_may_act(enum fg_standing s)
+{
+	return s == FG_STANDING_CONFIRMED || s == FG_STANDING_OUTAGE;
+}
+
 /* True when this instance reaches more than half of the region's instances
  * that are not dead (itself included). */
 bool fg_member_sees_majority(const struct fg_member *m, fg_ms now);
--- a/lib/member/fg_member_internal.h
+++ b/lib/member/fg_member_internal.h
@@ -46,6 +46,7 @@
 
 	/* Pings. */
 	fg_ms reach_at;	     /* the newest answered ping was sent then */
+	fg_ms attest_at;     /* likewise, by an instance that may act */
 	fg_ms pinged_at;     /* last ping */
 	fg_ms asked_at;	     /* first ping without answer since; 0 none */
 	fg_ms hinted_at;     /* last suspicion passed on */
@@ -184,6 +185,8 @@
 size_t fg_member_region_size(const struct fg_member *m);
 /* Those that answered a ping sent after `since`, this one included. */
 size_t fg_member_reached(const struct fg_member *m, fg_ms since);
+/* What the standing would be without the caution after a pause. */
+enum fg_standing fg_member_base_standing(const struct fg_member *m, fg_ms now);
 void fg_member_standing_tick(struct fg_member *m, fg_ms now);
 fg_ms fg_member_contact(const struct fg_member *m);
 
--- a/lib/member/fg_member_ping.c
+++ b/lib/member/fg_member_ping.c
@@ -29,6 +29,7 @@
 	p->platform_age_ms = age_ms(m->own_contact, now);
 	p->heard_age_ms = age_ms(m->heard_contact, now);
 	p->stopping = m->leaving;
+	p->attests = fg_may_act(fg_member_base_standing(m, now));
 }
 
 static void send_msg(struct fg_member *m, uint64_t to, fg_msg *msg)
@@ -232,6 +233,8 @@
 		return;
 	learn_contact(m, sent_at, p);
 	e->reach_at = MAX(e->reach_at, sent_at);
+	if (p->attests)
+		e->attest_at = MAX(e->attest_at, sent_at);
 	e->asked_at = 0;
 	e->unanswered = 0;
 	learn_peer(m, e, p);
--- a/lib/owner/fg_owner.c
+++ b/lib/owner/fg_owner.c
@@ -193,13 +193,11 @@
 bool fg_owner_may_act(const struct fg_owner *o, uint64_t key, fg_ms now)
 {
 	const struct fg_own_key *k = fg_owner_key(o, key);
-	enum fg_standing s;
 
 	if (k == NULL || k->state != FG_OWN_MINE ||
 	    k->epoch != fg_member_epoch(o->member))
 		return false;
-	s = fg_member_standing(o->member, now);
-	return s == FG_STANDING_CONFIRMED || s == FG_STANDING_OUTAGE;
+	return fg_may_act(fg_member_standing(o->member, now));
 }
 
 void fg_owner_each_mine(const struct fg_owner *o,
--- a/lib/owner/fg_owner_claim.c
+++ b/lib/owner/fg_owner_claim.c
@@ -131,6 +131,14 @@
 
 /* ---- Results ---- */
 
+/* A result that comes after our lease was lost, or while we may not act, is
+ * too late: another may have taken the key since. It is claimed anew. */
+static bool claim_counts(const struct fg_owner *o, fg_ms now, uint64_t epoch)
+{
+	return epoch == fg_member_epoch(o->member) &&
+	       fg_may_act(fg_member_standing(o->member, now));
+}
+
 void fg_owner_claim_won(struct fg_owner *o, fg_ms now, struct fg_own_key *k,
 			uint64_t row_version, uint64_t epoch)
 {
@@ -142,8 +150,7 @@
 	k->fence = k->claim_fence;
 	k->free_since = 0;
 	k->hinted = false;
-	if (epoch != fg_member_epoch(o->member)) {
-		/* Our lease was lost meanwhile: the claim counts no more. */
+	if (!claim_counts(o, now, epoch)) {
 		k->state = FG_OWN_OTHER;
 		return;
 	}
--- a/lib/peer/fg_peer.c
+++ b/lib/peer/fg_peer.c
@@ -8,7 +8,10 @@
 
 #include "peer/fg_peer_internal.h"
 
-G_DEFINE_QUARK(fg - peer - error - quark, fg_peer_error)
+GQuark fg_peer_error_quark(void)
+{
+	return g_quark_from_static_string("fg-peer-error-quark");
+}
 
 bool fg_peer_addr_parse(const char *text, struct fg_peer_addr *out)
 {
--- a/lib/peer/fg_proto.h
+++ b/lib/peer/fg_proto.h
@@ -55,6 +55,7 @@
 	u_int platform_age_ms;
 	u_int heard_age_ms;
 	bool_t stopping;
+	bool_t attests;
 };
 typedef struct fg_ping fg_ping;
 
--- a/lib/peer/fg_proto.x
+++ b/lib/peer/fg_proto.x
@@ -47,6 +47,7 @@
 	unsigned int platform_age_ms; /* since the sender reached the platform */
 	unsigned int heard_age_ms;    /* since another told the sender that it did */
 	bool stopping;                /* sender is draining */
+	bool attests;                 /* sender may act, pauses aside */
 };
 
 enum fg_grant_status {
--- a/lib/peer/fg_proto_xdr.c
+++ b/lib/peer/fg_proto_xdr.c
@@ -38,7 +38,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->confirm_age_ms))
 				 return FALSE;
@@ -48,11 +48,14 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->stopping))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->attests))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->confirm_age_ms);
 			IXDR_PUT_U_LONG(buf, objp->platform_age_ms);
 			IXDR_PUT_U_LONG(buf, objp->heard_age_ms);
 			IXDR_PUT_BOOL(buf, objp->stopping);
+			IXDR_PUT_BOOL(buf, objp->attests);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -60,7 +63,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->confirm_age_ms))
 				 return FALSE;
@@ -70,11 +73,14 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->stopping))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->attests))
+				 return FALSE;
 		} else {
 			objp->confirm_age_ms = IXDR_GET_U_LONG(buf);
 			objp->platform_age_ms = IXDR_GET_U_LONG(buf);
 			objp->heard_age_ms = IXDR_GET_U_LONG(buf);
 			objp->stopping = IXDR_GET_BOOL(buf);
+			objp->attests = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -91,6 +97,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stopping))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->attests))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "owner/fg_owner_internal.h"
+
 #define TICK_MS 100
 #define TIMEOUT_MS 1000 /* of an operation on the table */
 #define DRIFT 0.01	/* clocks run up to this share fast or slow */
@@ -25,6 +27,7 @@
 	struct fg_table_result *res;
 	fg_msg *msg;
 	uint64_t from;
+	struct node *from_node;
 	int from_side;
 };
 
@@ -259,6 +262,7 @@
 	ev = post(c, c->now + latency(c), EV_MSG, dest);
 	ev->msg = msg;
 	ev->from = n->self.id;
+	ev->from_node = n;
 	ev->from_side = n->side;
 }
 
@@ -293,6 +297,22 @@
 	g_assert_not_reached();
 }
 
+/* An order may only go out while every later owner will find its intent. */
+static void check_intent_stored(struct cluster *c,
+				const struct fg_owner_act *act)
+{
+	g_autofree char *key = g_strdup_printf("owner/%016" PRIx64, act->key);
+	struct fg_row *row = g_tree_lookup(c->table, key);
+	struct fg_owner_row parsed;
+	bool found = false;
+
+	g_assert_nonnull(row);
+	g_assert_true(fg_owner_row_decode(row->value, &parsed));
+	for (size_t i = 0; i < parsed.n_intents; i++)
+		found |= parsed.intents[i].id == act->intent_id;
+	g_assert_true(found);
+}
+
 static void on_owner_act(void *arg, struct fg_owner_act *act)
 {
 	struct call *call = arg;
@@ -312,6 +332,7 @@
 		call->n->lost++;
 		break;
 	case FG_OA_INTENT_OK:
+		check_intent_stored(call->c, act);
 		call->n->intents_ok++;
 		break;
 	case FG_OA_INTENT_FAILED:
@@ -365,7 +386,8 @@
 					  on_owner_act, &call);
 		break;
 	case EV_MSG:
-		if (ev->from_side == ev->node->side)
+		if (ev->from_side == ev->node->side &&
+		    !c->pair_cut[ev->from_node->index][ev->node->index])
 			fg_member_on_msg(ev->node->m, now, ev->from, ev->msg,
 					 on_member_act, &call);
 		break;
@@ -608,6 +630,7 @@
 	c->lost_share = 0;
 	c->slow_share = 0;
 	c->msg_loss = 0;
+	memset(c->pair_cut, 0, sizeof(c->pair_cut));
 	for (int i = 0; i < c->n_nodes; i++) {
 		c->nodes[i].paused_until = 0;
 		c->nodes[i].platform_cut = false;
--- a/tests/unit/cluster.h
+++ b/tests/unit/cluster.h
@@ -47,6 +47,7 @@
 	double new_address_share; /* of joining instances */
 	bool no_versions;	  /* writes are answered without versions */
 	struct node nodes[NODES_MAX];
+	bool pair_cut[NODES_MAX][NODES_MAX]; /* [from][to], by index */
 	int n_nodes;
 	int names; /* given so far */
 	uint64_t keys[KEYS_MAX];
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -1,11 +1,15 @@
 /* Unit tests of lib/owner, alone and over seeded runs with faults. */
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "cluster.h"
 #include "owner/fg_owner_internal.h"
 
-#define SEEDS 400 /* FG_TEST_SEEDS takes its place */
+#define SEEDS 400
+
+static uint64_t current_seed;
 
 static struct cluster *start(uint64_t seed, int n_nodes, int n_keys)
 {
@@ -185,6 +189,28 @@
 	cluster_free(c);
 }
 
+/*
+ * Node 0 holds on through what looks like an outage; node 5 alone reaches the
+ * platform and does not reach 0 and 1. What 2 to 4 pass on must stop node 0
+ * before node 5 deletes its lease.
+ */
+static void test_news_is_passed_on(void)
+{
+	struct cluster *c = start(9, 6, 6);
+
+	for (int i = 0; i < 5; i++)
+		c->nodes[i].platform_cut = true;
+	for (int i = 0; i < 2; i++) {
+		c->pair_cut[i][5] = true;
+		c->pair_cut[5][i] = true;
+	}
+	cluster_run(c, c->now + 30000);
+	g_assert_cmpint(c->nodes[0].standing, ==, FG_STANDING_ISOLATED);
+	for (int k = 0; k < c->n_keys; k++)
+		g_assert_true(cluster_actor(c, k) == &c->nodes[5]);
+	cluster_free(c);
+}
+
 static void test_row_codec(void)
 {
 	struct fg_owner_row row = { .owner = UINT64_MAX - 1, .fence = 9 };
@@ -231,6 +257,24 @@
 	}
 }
 
+/* Cuts that are not transitive, both ways each; the platform for some. */
+static void cut_pairs(struct cluster *c)
+{
+	uint64_t share = 1 + fg_rand_below(&c->rand, 8);
+	uint64_t platform = fg_rand_below(&c->rand, 10);
+
+	for (int i = 0; i < c->n_nodes; i++) {
+		c->nodes[i].platform_cut =
+			fg_rand_below(&c->rand, 10) < platform;
+		for (int j = 0; j < i; j++) {
+			bool cut = fg_rand_below(&c->rand, 10) < share;
+
+			c->pair_cut[i][j] = cut;
+			c->pair_cut[j][i] = cut;
+		}
+	}
+}
+
 /* Replaces an instance by a new one, by a planned stop or by a crash. */
 static void replace(struct cluster *c, struct node *n)
 {
@@ -249,7 +293,7 @@
 	struct node *n = any_node(c);
 	fg_ms length_ms = (fg_ms)fg_rand_below(&c->rand, 9000);
 
-	switch (fg_rand_below(&c->rand, 10)) {
+	switch (fg_rand_below(&c->rand, 12)) {
 	case 0:
 		c->outage_until = c->now + length_ms * 2;
 		break;
@@ -280,6 +324,10 @@
 		if (n != NULL)
 			replace(c, n);
 		break;
+	case 9:
+	case 10:
+		cut_pairs(c);
+		break;
 	default:
 		cluster_heal(c);
 		break;
@@ -292,7 +340,8 @@
 	struct node *n = cluster_actor(c, k);
 
 	if (n != NULL && n->paused_until <= c->now)
-		cluster_intent(c, n, k, ++n->next_intent);
+		cluster_intent(c, n, k,
+			       fg_hash_mix(n->self.id, ++n->next_intent));
 }
 
 /* More than two thirds of a region's rows are dead ones: by design this waits
@@ -338,25 +387,40 @@
 	cluster_free(c);
 }
 
+static uint64_t number_from(const char *name, uint64_t otherwise)
+{
+	const char *text = g_getenv(name);
+
+	return text != NULL ? (uint64_t)atoll(text) : otherwise;
+}
+
+/* FG_TEST_FIRST and FG_TEST_SEEDS choose other seeds, for longer runs. */
 static void test_seeds(void)
 {
-	const char *env = g_getenv("FG_TEST_SEEDS");
-	uint64_t n = env != NULL ? (uint64_t)atoll(env) : SEEDS;
-	const char *only = g_getenv("FG_TEST_SEED");
+	uint64_t first = number_from("FG_TEST_FIRST", 1);
+	uint64_t n = number_from("FG_TEST_SEEDS", SEEDS);
 
-	if (only != NULL) {
-		run_seed((uint64_t)atoll(only));
-		return;
-	}
-	for (uint64_t seed = 1; seed <= n; seed++) {
-		if (g_test_verbose())
-			g_printerr("seed %" PRIu64 "\n", seed);
+	for (uint64_t seed = first; seed < first + n; seed++) {
+		current_seed = seed;
 		run_seed(seed);
 	}
 }
 
+/* A failed assertion ends the process: names the seed to run alone. */
+static void print_seed(int sig)
+{
+	char text[64];
+	int n = g_snprintf(text, sizeof(text), "# seed %" PRIu64 "\n",
+			   current_seed);
+	ssize_t written = write(STDERR_FILENO, text, (size_t)n);
+
+	(void)written;
+	signal(sig, SIG_DFL);
+}
+
 int main(int argc, char **argv)
 {
+	signal(SIGABRT, print_seed);
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/owner/claims_are_batched", test_claims_are_batched);
 	g_test_add_func("/owner/takeover", test_takeover);
@@ -367,6 +431,7 @@
 	g_test_add_func("/owner/hint", test_hint);
 	g_test_add_func("/owner/paused_between_check_and_send",
 			test_paused_between_check_and_send);
+	g_test_add_func("/owner/news_is_passed_on", test_news_is_passed_on);
 	g_test_add_func("/owner/row_codec", test_row_codec);
 	g_test_add_func("/owner/seeds", test_seeds);
 	return g_test_run();
