--- a/lib/owner/fg_owner_write.c
+++ b/lib/owner/fg_owner_write.c
@@ -12,8 +12,10 @@
 	k->n_intents--;
 	memmove(&k->intents[i], &k->intents[i + 1],
 		(k->n_intents - i) * sizeof(k->intents[0]));
-	if (k->n_intents == 0)
-		g_clear_pointer(&k->intents, g_free);
+	if (k->n_intents == 0) {
+		g_free(k->intents);
+		k->intents = NULL;
+	}
 }
 
 void fg_owner_intents_fail(struct fg_owner *o, struct fg_own_key *k)
--- a/lib/peer/fg_peer_server.c
+++ b/lib/peer/fg_peer_server.c
@@ -67,15 +67,21 @@
 		IN6_ARE_ADDR_EQUAL(&a->sin6_addr, &b->sin6_addr));
 }
 
+static bool local_address(int fd, struct sockaddr_storage *local)
+{
+	socklen_t len = sizeof(*local);
+
+	memset(local, 0, sizeof(*local));
+	return getsockname(fd, (struct sockaddr *)local, &len) == 0;
+}
+
 /* The listener that a connection came in by; NULL when it is closing. */
 static struct fg_listener *listener_of(int fd)
 {
 	struct sockaddr_storage local;
-	socklen_t len = sizeof(local);
 	struct fg_listener *found = NULL;
 
-	memset(&local, 0, sizeof(local));
-	if (getsockname(fd, (struct sockaddr *)&local, &len) != 0)
+	if (!local_address(fd, &local))
 		return NULL;
 	pthread_mutex_lock(&service.lock);
 	for (guint i = 0; i < service.listeners->len && found == NULL; i++) {
@@ -148,10 +154,8 @@
 	for (int i = 0; i < svc_max_pollfd; i++) {
 		int fd = svc_pollfd[i].fd;
 		struct sockaddr_storage local;
-		socklen_t len = sizeof(local);
 
-		if (fd < 0 || fd == l->fd ||
-		    getsockname(fd, (struct sockaddr *)&local, &len) != 0 ||
+		if (fd < 0 || fd == l->fd || !local_address(fd, &local) ||
 		    !same_endpoint(&l->local, &local))
 			continue;
 		shutdown(fd, SHUT_RDWR);
