--- a/lib/member/fg_member.c
+++ b/lib/member/fg_member.c
@@ -31,7 +31,7 @@
 	if (c->reach_ms == 0)
 		c->reach_ms = c->lease_ms * 2 / 3;
 	if (c->survey_ms == 0)
-		c->survey_ms = c->reach_ms * 2 / 5;
+		c->survey_ms = c->reach_ms / 2;
 	if (c->pause_ms == 0)
 		c->pause_ms = 1000;
 	g_assert(c->own_lease_ms < c->lease_ms);
--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -73,13 +73,13 @@
 	uint32_t own_lease_ms; /* our lease is fresh this long; < lease_ms */
 	uint32_t reach_ms;     /* an answered ping counts this long */
 	uint32_t survey_ms;    /* between pings of one instance while many are
-				* pinged to find a quorum; < reach_ms / 2 */
+				* pinged to find a quorum; <= reach_ms / 2 */
 	uint32_t pause_ms;     /* a longer gap between ticks is a pause */
 };
 
 /* Bounds on what reading the lease rows and the list cost one instance. */
 #define FG_MEMBER_SCAN_BYTES_PER_S 1500
-#define FG_MEMBER_LIST_BYTES_PER_S 3000
+#define FG_MEMBER_LIST_BYTES_PER_S 2000
 
 /* Fills the defaults that hold for the aim's size; self is left alone. */
 void fg_member_conf_defaults(struct fg_member_conf *conf);
--- a/lib/member/fg_member_ping.c
+++ b/lib/member/fg_member_ping.c
@@ -152,7 +152,7 @@
 static size_t survey_size(const struct fg_member *m, fg_ms now)
 {
 	size_t n = fg_member_region_size(m);
-	size_t spare = n / 16 + 2;
+	size_t spare = n / 32 + 2;
 	fg_ms renewal_due = m->lease.sent_at + (fg_ms)m->conf.renew_ms * 3 / 2;
 
 	if (m->lease.held &&
--- a/lib/owner/fg_owner.h
+++ b/lib/owner/fg_owner.h
@@ -85,7 +85,7 @@
 };
 
 /* Bound on what reading the owner rows costs one instance. */
-#define FG_OWNER_SCAN_BYTES_PER_S 3000
+#define FG_OWNER_SCAN_BYTES_PER_S 2000
 
 /* A key that nobody claims is claimed by others than its candidate after this
  * long; each waits up to as long again at random. */
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -53,6 +53,34 @@
 	cluster_free(c);
 }
 
+/* With the defaults for the aim's size; the time is on docs/CAPACITY.md. */
+static void test_takeover_defaults(void)
+{
+	struct cluster *c = cluster_new(20, 8, 1);
+	fg_ms worst_ms = 0;
+
+	fg_member_conf_defaults(&c->conf);
+	c->new_address_share = 1;
+	for (int i = 0; i < 9; i++)
+		cluster_join(c, "coast");
+	cluster_run(c, 60000);
+	for (int i = 0; i < 10; i++) {
+		struct node *n = cluster_actor(c, i % c->n_keys);
+		fg_ms killed = c->now;
+
+		g_assert_nonnull(n);
+		cluster_kill(c, n);
+		while (!cluster_all_owned(c) && c->now < killed + 60000)
+			cluster_run(c, c->now + 100);
+		worst_ms = MAX(worst_ms, c->now - killed);
+		cluster_join(c, "coast");
+		cluster_run(c, c->now + 60000);
+	}
+	g_test_message("all owned again after at most %d ms", (int)worst_ms);
+	g_assert_cmpint(worst_ms, <, 40000);
+	cluster_free(c);
+}
+
 static void test_hand_over(void)
 {
 	struct cluster *c = start(3, 4, 6);
@@ -424,6 +452,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/owner/claims_are_batched", test_claims_are_batched);
 	g_test_add_func("/owner/takeover", test_takeover);
+	g_test_add_func("/owner/takeover_defaults", test_takeover_defaults);
 	g_test_add_func("/owner/hand_over", test_hand_over);
 	g_test_add_func("/owner/intents", test_intents);
 	g_test_add_func("/owner/intents_with_faults", test_intents_with_faults);
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -268,6 +268,27 @@
 	fg_peer_stop(pb);
 }
 
+/* More connections than FD_SETSIZE: a large region's worth of peers. */
+static void test_many_connections(void)
+{
+	enum {
+		CONNECTIONS = 1100
+	};
+	struct inbox a = { 0 }, b = { 0 };
+	struct fg_peer *pa = start(1, 1000, &a);
+	struct fg_peer *pb = start(2, 1000, &b);
+	g_autofree int *fds = g_new(int, CONNECTIONS);
+
+	for (int i = 0; i < CONNECTIONS; i++)
+		fds[i] = raw_connect(2);
+	send_ping(pa, 2, 1);
+	g_assert_true(wait_count(&b, 1));
+	for (int i = 0; i < CONNECTIONS; i++)
+		close(fds[i]);
+	fg_peer_stop(pa);
+	fg_peer_stop(pb);
+}
+
 static void test_errors(void)
 {
 	struct inbox a = { 0 };
@@ -309,6 +330,7 @@
 	g_test_add_func("/peer/reconnect", test_reconnect);
 	g_test_add_func("/peer/cut", test_cut);
 	g_test_add_func("/peer/hostile", test_hostile);
+	g_test_add_func("/peer/many_connections", test_many_connections);
 	g_test_add_func("/peer/errors", test_errors);
 	g_test_add_func("/peer/bounded_queue", test_bounded_queue);
 	return g_test_run();
