--- a/lib/member/fg_member_peers.c
+++ b/lib/member/fg_member_peers.c
@@ -274,7 +274,8 @@
 	const fg_ms *now = user_data;
 
 	(void)key;
-	return !e->has_row && !e->op_busy && *now - e->absent_at > FORGET_MS;
+	return !e->has_row && !e->op_busy &&
+	       *now - MAX(e->absent_at, e->view.heard) > FORGET_MS;
 }
 
 void fg_member_peers_tick(struct fg_member *m, fg_ms now)
--- a/lib/member/fg_member_ping.c
+++ b/lib/member/fg_member_ping.c
@@ -8,6 +8,7 @@
 #define RANDOM_PEERS 2	     /* pinged besides the neighbours */
 #define HINT_MS 8000	     /* one suspicion is passed on once in this time */
 #define HINT_FANOUT 4	     /* instances that it is passed on to */
+#define STRANGER_MS 5000     /* between reads of the row of one that had none */
 #define SUSPECT_UNANSWERED 2 /* pings without answer before a suspicion */
 #define SILENT_ROUNDS 4	     /* a survey asks silent ones in one of these */
 
@@ -242,6 +243,16 @@
 		fg_member_set_suspect(m, now, e, false);
 }
 
+/* Somebody without a lease row, as far as we know: new, or back again. */
+static void note_stranger(struct fg_member *m, fg_ms now,
+			  struct fg_peer_entry *e)
+{
+	if (e == NULL)
+		fg_member_scan_soon(m, now);
+	else if (!e->has_row && now - e->read_at > STRANGER_MS)
+		fg_member_get_row(m, now, e);
+}
+
 void fg_member_on_msg(struct fg_member *m, fg_ms now, uint64_t from,
 		      const fg_msg *msg, fg_member_emit emit, void *arg)
 {
@@ -269,7 +280,6 @@
 			on_hint(m, now, id);
 		}
 	}
-	if (e == NULL || !e->has_row)
-		fg_member_scan_soon(m, now);
+	note_stranger(m, now, e);
 	fg_member_standing_tick(m, now);
 }
--- a/lib/peer/fg_peer.h
+++ b/lib/peer/fg_peer.h
@@ -4,7 +4,12 @@
  * One server thread takes calls; one sender thread per peer drains a bounded
  * queue, so that a slow peer delays nobody else. Sending never blocks. Lost
  * and refused messages are dropped and counted: the decision modules repeat
- * what matters.
+ * what matters. A message leaves as soon as its sender thread is free; what
+ * gathers meanwhile goes as one batch. A sender without messages for 30 s ends
+ * its thread and connection until the next message.
+ *
+ * "Sent" in the counters means handed to the connection: most exchanges do
+ * not wait for their reply. Bytes are those of the RPC records, without TCP.
  */
 #ifndef FG_PEER_H
 #define FG_PEER_H
@@ -25,7 +30,8 @@
 struct fg_peer;
 
 /* Called for each message received, by the server or a sender thread. The
- * message is borrowed. */
+ * message is borrowed. It must not block, since it delays all that is received,
+ * and must not stop the peer. */
 typedef void (*fg_peer_receive)(void *arg, uint64_t from, const fg_msg *msg);
 
 struct fg_peer_conf {
--- /dev/null
+++ b/tests/bench/slopes_world.c
@@ -0,0 +1,216 @@
+/* One instance in virtual time, among others that answer at once. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "member/fg_member_internal.h"
+#include "owner/fg_owner_internal.h"
+#include "peer/fg_peer_internal.h"
+#include "slopes.h"
+
+#define TICK_MS 100
+#define BATCH_HEADER_BYTES 24 /* XDR of a batch without messages */
+#define ROW_JSON_BYTES 36     /* {"key":"","version":N,"value":""}, in a scan */
+
+struct answer {
+	uint64_t from;
+	fg_msg *msg;
+};
+
+static uint64_t table_row(struct fg_table_result *res, const char *key,
+			  uint64_t version, const char *value)
+{
+	fg_table_result_row(res, key, version, value);
+	return strlen(key) + strlen(value) + ROW_JSON_BYTES;
+}
+
+static void scan_sessions(struct world *w, struct fg_table_result *res)
+{
+	for (int i = 0; i < w->n; i++) {
+		struct fg_lease_row row = { .boot = (uint64_t)i + 1,
+					    .info = w->nodes[i] };
+		g_autofree char *value = fg_lease_row_encode(&row);
+		g_autofree char *key =
+			g_strconcat(FG_MEMBER_PREFIX, w->nodes[i].name, NULL);
+
+		w->read_bytes += table_row(
+			res, key, i == 0 ? w->own_version : ++w->version,
+			value);
+	}
+}
+
+static void scan_owners(struct world *w, struct fg_table_result *res)
+{
+	for (int i = 0; i < w->n_keys; i++) {
+		struct fg_owner_row row = { .owner = w->nodes[i % w->n].id,
+					    .fence = 3 };
+		g_autofree char *value = fg_owner_row_encode(&row);
+		g_autofree char *key =
+			g_strdup_printf(FG_OWNER_PREFIX "%016" PRIx64,
+					fg_hash_mix(9, (uint64_t)i));
+
+		w->read_bytes += table_row(res, key, 5, value);
+	}
+}
+
+static void answer_op(struct world *w, struct fg_table_op *op)
+{
+	struct fg_table_result *res =
+		fg_table_result_new(op->id, op->kind, FG_PF_OK);
+
+	if (w->outage) {
+		res->result = FG_PF_DOWN;
+	} else if (op->kind == FG_OP_TXN) {
+		w->writes++;
+		for (size_t i = 0; i < op->n_writes; i++)
+			fg_table_result_row(res, op->writes[i].key,
+					    ++w->version, NULL);
+		if (g_str_has_prefix(op->writes[0].key, FG_MEMBER_PREFIX))
+			w->own_version = w->version;
+	} else if (op->kind == FG_OP_SCAN) {
+		w->reads++;
+		if (strcmp(op->key, FG_MEMBER_PREFIX) == 0)
+			scan_sessions(w, res);
+		else
+			scan_owners(w, res);
+	} else {
+		w->reads++;
+		res->result = FG_PF_ABSENT;
+	}
+	fg_table_op_free(op);
+	g_queue_push_tail(&w->results, res);
+}
+
+/* Counts a message as a batch of its own, with the reply that is due. */
+static void count_msg(struct world *w, const fg_msg *msg)
+{
+	w->sent_msgs++;
+	w->sent_bytes +=
+		fg_msg_wire_bytes(msg) + BATCH_HEADER_BYTES + FG_RPC_CALL_BYTES;
+	/* The reply that this side sends for the message that answers. */
+	w->sent_bytes += BATCH_HEADER_BYTES + FG_RPC_REPLY_BYTES;
+}
+
+static void answer_ping(struct world *w, uint64_t to, fg_msg *msg)
+{
+	struct answer *pong = g_new0(struct answer, 1);
+	struct answer *ping = g_new0(struct answer, 1);
+
+	/* The peer answers, and pings us as often as we ping it. */
+	pong->from = to;
+	pong->msg = msg;
+	msg->body.type = FG_MSG_PONG;
+	msg->body.fg_body_u.pong.attests = TRUE;
+	ping->from = to;
+	ping->msg = fg_msg_new(FG_MSG_PING);
+	ping->msg->body.fg_body_u.ping = msg->body.fg_body_u.pong;
+	g_queue_push_tail(&w->answers, pong);
+	g_queue_push_tail(&w->answers, ping);
+}
+
+static void on_member_act(void *arg, struct fg_member_act *act)
+{
+	struct world *w = arg;
+	double start = slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID);
+
+	if (act->type == FG_MA_TABLE) {
+		answer_op(w, act->op);
+	} else if (act->type == FG_MA_SEND) {
+		count_msg(w, act->msg);
+		if (act->msg->body.type == FG_MSG_PING)
+			answer_ping(w, act->to, act->msg);
+		else
+			fg_msg_free(act->msg);
+	}
+	/* What the world does is not the module's. */
+	w->cpu_us -= slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID) - start;
+}
+
+static void on_owner_act(void *arg, struct fg_owner_act *act)
+{
+	struct world *w = arg;
+	double start = slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID);
+
+	if (act->type == FG_OA_TABLE)
+		answer_op(w, act->op);
+	w->cpu_us -= slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID) - start;
+}
+
+static void deliver_all(struct world *w)
+{
+	struct fg_table_result *res;
+	struct answer *a;
+
+	while ((res = g_queue_pop_head(&w->results)) != NULL) {
+		double start = slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID);
+
+		if (!fg_member_on_table(w->m, w->now, res, on_member_act, w) &&
+		    w->o != NULL)
+			fg_owner_on_table(w->o, w->now, res, on_owner_act, w);
+		w->cpu_us += slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID) - start;
+		fg_table_result_free(res);
+	}
+	while ((a = g_queue_pop_head(&w->answers)) != NULL) {
+		double start = slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID);
+
+		fg_member_on_msg(w->m, w->now, a->from, a->msg, on_member_act,
+				 w);
+		w->cpu_us += slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID) - start;
+		fg_msg_free(a->msg);
+		g_free(a);
+	}
+}
+
+void world_run(struct world *w, uint32_t s)
+{
+	for (uint32_t i = 0; i < s * FG_MS_PER_S / TICK_MS; i++) {
+		double start = slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID);
+
+		w->now += TICK_MS;
+		fg_member_tick(w->m, w->now, on_member_act, w);
+		if (w->o != NULL)
+			fg_owner_tick(w->o, w->now, on_owner_act, w);
+		w->cpu_us += slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID) - start;
+		deliver_all(w);
+	}
+}
+
+void world_reset_counters(struct world *w)
+{
+	w->sent_msgs = w->sent_bytes = 0;
+	w->reads = w->writes = w->read_bytes = 0;
+	w->cpu_us = 0;
+}
+
+void world_start(struct world *w, int n, int n_regions)
+{
+	struct fg_member_conf conf;
+
+	memset(w, 0, sizeof(*w));
+	w->now = 1000000;
+	w->n = n;
+	w->n_regions = n_regions;
+	w->nodes = g_new0(struct fg_listed, (gsize)n);
+	for (int i = 0; i < n; i++) {
+		struct fg_listed *l = &w->nodes[i];
+
+		g_snprintf(l->name, sizeof(l->name), "entry-%04d-7f3a", i);
+		l->id = fg_hash_str(l->name);
+		l->kind = FG_LISTED_ENTRY;
+		g_snprintf(l->addr, sizeof(l->addr), "10.20.30.%d:8080", i);
+		g_snprintf(l->rpc, sizeof(l->rpc), "10.20.30.%d:7080", i);
+		g_snprintf(l->region, sizeof(l->region), "region-%d",
+			   i % n_regions);
+		g_snprintf(l->dc, sizeof(l->dc), "dc-%d", i % 11);
+	}
+	fg_member_conf_defaults(&conf);
+	conf.self = w->nodes[0];
+	conf.boot = 1;
+	w->m = fg_member_new(&conf, 3);
+}
+
+void world_end(struct world *w)
+{
+	fg_owner_free(w->o);
+	fg_member_free(w->m);
+	g_free(w->nodes);
+}
--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -90,104 +90,6 @@
 
 /* ---- Table ---- */
 
-static void row_free(gpointer data)
-{
-	struct fg_row *row = data;
-
-	g_free(row->value);
-	g_free(row);
-}
-
-static uint64_t version_of(struct cluster *c, const char *key)
-{
-	struct fg_row *row = g_tree_lookup(c->table, key);
-
-	return row != NULL ? row->row_version : 0;
-}
-
-static void table_put(struct cluster *c, const struct fg_write *w)
-{
-	struct fg_row *row;
-
-	c->row_version++;
-	if (w->value == NULL) {
-		g_tree_remove(c->table, w->key);
-		return;
-	}
-	row = g_new0(struct fg_row, 1);
-	g_strlcpy(row->key, w->key, sizeof(row->key));
-	row->row_version = c->row_version;
-	row->value = g_strdup(w->value);
-	g_tree_replace(c->table, row->key, row);
-}
-
-static void table_txn(struct cluster *c, const struct fg_table_op *op,
-		      struct fg_table_result *res)
-{
-	for (size_t i = 0; i < op->n_writes; i++) {
-		const struct fg_write *w = &op->writes[i];
-		struct fg_row *row = g_tree_lookup(c->table, w->key);
-
-		if (w->expect_version == FG_ANY_VERSION ||
-		    w->expect_version == version_of(c, w->key))
-			continue;
-		res->result = FG_PF_CONFLICT;
-		fg_table_result_row(res, w->key,
-				    row != NULL ? row->row_version : 0,
-				    row != NULL ? row->value : NULL);
-		return;
-	}
-	for (size_t i = 0; i < op->n_writes; i++) {
-		table_put(c, &op->writes[i]);
-		if (!c->no_versions)
-			fg_table_result_row(res, op->writes[i].key,
-					    c->row_version, NULL);
-	}
-	c->table_writes++;
-}
-
-struct scan {
-	const char *prefix;
-	struct fg_table_result *res;
-};
-
-static gboolean scan_row(gpointer key, gpointer value, gpointer data)
-{
-	struct fg_row *row = value;
-	struct scan *s = data;
-
-	if (g_str_has_prefix(key, s->prefix))
-		fg_table_result_row(s->res, row->key, row->row_version,
-				    row->value);
-	return FALSE;
-}
-
-static struct fg_table_result *table_run(struct cluster *c,
-					 const struct fg_table_op *op)
-{
-	struct fg_table_result *res =
-		fg_table_result_new(op->id, op->kind, FG_PF_OK);
-	struct scan s = { .prefix = op->key, .res = res };
-	struct fg_row *row;
-
-	if (op->kind == FG_OP_TXN) {
-		table_txn(c, op, res);
-		return res;
-	}
-	c->table_reads++;
-	if (op->kind == FG_OP_SCAN) {
-		g_tree_foreach(c->table, scan_row, &s);
-		return res;
-	}
-	row = g_tree_lookup(c->table, op->key);
-	if (row == NULL)
-		res->result = FG_PF_ABSENT;
-	else
-		fg_table_result_row(res, row->key, row->row_version,
-				    row->value);
-	return res;
-}
-
 static void answer(struct cluster *c, struct node *n, uint64_t node_id,
 		   struct fg_table_result *res, fg_ms after)
 {
@@ -216,7 +118,7 @@
 		       latency(c));
 		return;
 	}
-	res = table_run(c, ev->op);
+	res = cluster_table_run(c, ev->op);
 	if (chance(c, c->lost_share)) {
 		fg_table_result_free(res);
 		answer(c, n, ev->node_id, no_answer(ev->op, FG_PF_LOST),
@@ -481,7 +383,7 @@
 	fg_rand_seed(&c->rand, seed);
 	c->now = 1;
 	c->events = g_tree_new_full(by_time, NULL, NULL, NULL);
-	c->table = g_tree_new_full(by_name, NULL, NULL, row_free);
+	c->table = g_tree_new_full(by_name, NULL, NULL, cluster_row_free);
 	c->n_keys = n_keys;
 	for (int i = 0; i < n_keys; i++) {
 		c->keys[i] = fg_hash_mix(77, (uint64_t)i);
@@ -549,30 +451,6 @@
 	return live;
 }
 
-struct row_count {
-	const char *region;
-	int rows;
-};
-
-static gboolean count_row(gpointer key, gpointer value, gpointer data)
-{
-	const struct fg_row *row = value;
-	struct row_count *count = data;
-
-	if (g_str_has_prefix(key, "session/") &&
-	    strstr(row->value, count->region) != NULL)
-		count->rows++;
-	return FALSE;
-}
-
-int cluster_dead_rows(struct cluster *c, const char *region)
-{
-	struct row_count count = { .region = region };
-
-	g_tree_foreach(c->table, count_row, &count);
-	return count.rows - cluster_live(c, region);
-}
-
 bool cluster_all_owned(struct cluster *c)
 {
 	for (int k = 0; k < c->n_keys; k++)
--- a/tests/unit/cluster.h
+++ b/tests/unit/cluster.h
@@ -87,4 +87,9 @@
 /* True when each key has an instance that may act. */
 bool cluster_all_owned(struct cluster *c);
 
+/* Runs op on the table, without any fault. */
+struct fg_table_result *cluster_table_run(struct cluster *c,
+					  const struct fg_table_op *op);
+void cluster_row_free(gpointer row);
+
 #endif
