--- a/lib/member/fg_member_ping.c
+++ b/lib/member/fg_member_ping.c
@@ -8,6 +8,7 @@
 #define RANDOM_PEERS 2	     /* pinged besides the neighbours */
 #define HINT_MS 8000	     /* one suspicion is passed on once in this time */
 #define HINT_FANOUT 4	     /* instances that it is passed on to */
+#define STRANGER_MS 5000     /* between reads of the row of one that had none */
 #define SUSPECT_UNANSWERED 2 /* pings without answer before a suspicion */
 #define SILENT_ROUNDS 4	     /* a survey asks silent ones in one of these */
 
@@ -29,6 +30,7 @@
 	p->platform_age_ms = age_ms(m->own_contact, now);
 	p->heard_age_ms = age_ms(m->heard_contact, now);
 	p->stopping = m->leaving;
+	p->attests = fg_may_act(fg_member_base_standing(m, now));
 }
 
 static void send_msg(struct fg_member *m, uint64_t to, fg_msg *msg)
@@ -151,7 +153,7 @@
 static size_t survey_size(const struct fg_member *m, fg_ms now)
 {
 	size_t n = fg_member_region_size(m);
-	size_t spare = n / 16 + 2;
+	size_t spare = n / 32 + 2;
 	fg_ms renewal_due = m->lease.sent_at + (fg_ms)m->conf.renew_ms * 3 / 2;
 
 	if (m->lease.held &&
@@ -232,6 +234,8 @@
 		return;
 	learn_contact(m, sent_at, p);
 	e->reach_at = MAX(e->reach_at, sent_at);
+	if (p->attests)
+		e->attest_at = MAX(e->attest_at, sent_at);
 	e->asked_at = 0;
 	e->unanswered = 0;
 	learn_peer(m, e, p);
@@ -239,6 +243,16 @@
 		fg_member_set_suspect(m, now, e, false);
 }
 
+/* Somebody without a lease row, as far as we know: new, or back again. */
+static void note_stranger(struct fg_member *m, fg_ms now,
+			  struct fg_peer_entry *e)
+{
+	if (e == NULL)
+		fg_member_scan_soon(m, now);
+	else if (!e->has_row && now - e->read_at > STRANGER_MS)
+		fg_member_get_row(m, now, e);
+}
+
 void fg_member_on_msg(struct fg_member *m, fg_ms now, uint64_t from,
 		      const fg_msg *msg, fg_member_emit emit, void *arg)
 {
@@ -266,7 +280,6 @@
 			on_hint(m, now, id);
 		}
 	}
-	if (e == NULL || !e->has_row)
-		fg_member_scan_soon(m, now);
+	note_stranger(m, now, e);
 	fg_member_standing_tick(m, now);
 }
--- a/tests/unit/cluster.c
+++ b/tests/unit/cluster.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "owner/fg_owner_internal.h"
+
 #define TICK_MS 100
 #define TIMEOUT_MS 1000 /* of an operation on the table */
 #define DRIFT 0.01	/* clocks run up to this share fast or slow */
@@ -25,6 +27,7 @@
 	struct fg_table_result *res;
 	fg_msg *msg;
 	uint64_t from;
+	struct node *from_node;
 	int from_side;
 };
 
@@ -87,104 +90,6 @@
 
 /* ---- Table ---- */
 
-static void row_free(gpointer data)
-{
-	struct fg_row *row = data;
-
-	g_free(row->value);
-	g_free(row);
-}
-
-static uint64_t version_of(struct cluster *c, const char *key)
-{
-	struct fg_row *row = g_tree_lookup(c->table, key);
-
-	return row != NULL ? row->row_version : 0;
-}
-
-static void table_put(struct cluster *c, const struct fg_write *w)
-{
-	struct fg_row *row;
-
-	c->row_version++;
-	if (w->value == NULL) {
-		g_tree_remove(c->table, w->key);
-		return;
-	}
-	row = g_new0(struct fg_row, 1);
-	g_strlcpy(row->key, w->key, sizeof(row->key));
-	row->row_version = c->row_version;
-	row->value = g_strdup(w->value);
-	g_tree_replace(c->table, row->key, row);
-}
-
-static void table_txn(struct cluster *c, const struct fg_table_op *op,
-		      struct fg_table_result *res)
-{
-	for (size_t i = 0; i < op->n_writes; i++) {
-		const struct fg_write *w = &op->writes[i];
-		struct fg_row *row = g_tree_lookup(c->table, w->key);
-
-		if (w->expect_version == FG_ANY_VERSION ||
-		    w->expect_version == version_of(c, w->key))
-			continue;
-		res->result = FG_PF_CONFLICT;
-		fg_table_result_row(res, w->key,
-				    row != NULL ? row->row_version : 0,
-				    row != NULL ? row->value : NULL);
-		return;
-	}
-	for (size_t i = 0; i < op->n_writes; i++) {
-		table_put(c, &op->writes[i]);
-		if (!c->no_versions)
-			fg_table_result_row(res, op->writes[i].key,
-					    c->row_version, NULL);
-	}
-	c->table_writes++;
-}
-
-struct scan {
-	const char *prefix;
-	struct fg_table_result *res;
-};
-
-static gboolean scan_row(gpointer key, gpointer value, gpointer data)
-{
-	struct fg_row *row = value;
-	struct scan *s = data;
-
-	if (g_str_has_prefix(key, s->prefix))
-		fg_table_result_row(s->res, row->key, row->row_version,
-				    row->value);
-	return FALSE;
-}
-
-static struct fg_table_result *table_run(struct cluster *c,
-					 const struct fg_table_op *op)
-{
-	struct fg_table_result *res =
-		fg_table_result_new(op->id, op->kind, FG_PF_OK);
-	struct scan s = { .prefix = op->key, .res = res };
-	struct fg_row *row;
-
-	if (op->kind == FG_OP_TXN) {
-		table_txn(c, op, res);
-		return res;
-	}
-	c->table_reads++;
-	if (op->kind == FG_OP_SCAN) {
-		g_tree_foreach(c->table, scan_row, &s);
-		return res;
-	}
-	row = g_tree_lookup(c->table, op->key);
-	if (row == NULL)
-		res->result = FG_PF_ABSENT;
-	else
-		fg_table_result_row(res, row->key, row->row_version,
-				    row->value);
-	return res;
-}
-
 static void answer(struct cluster *c, struct node *n, uint64_t node_id,
 		   struct fg_table_result *res, fg_ms after)
 {
@@ -213,7 +118,7 @@
 		       latency(c));
 		return;
 	}
-	res = table_run(c, ev->op);
+	res = cluster_table_run(c, ev->op);
 	if (chance(c, c->lost_share)) {
 		fg_table_result_free(res);
 		answer(c, n, ev->node_id, no_answer(ev->op, FG_PF_LOST),
@@ -259,6 +164,7 @@
 	ev = post(c, c->now + latency(c), EV_MSG, dest);
 	ev->msg = msg;
 	ev->from = n->self.id;
+	ev->from_node = n;
 	ev->from_side = n->side;
 }
 
@@ -293,6 +199,22 @@
 	g_assert_not_reached();
 }
 
+/* An order may only go out while every later owner will find its intent. */
+static void check_intent_stored(struct cluster *c,
+				const struct fg_owner_act *act)
+{
+	g_autofree char *key = g_strdup_printf("owner/%016" PRIx64, act->key);
+	struct fg_row *row = g_tree_lookup(c->table, key);
+	struct fg_owner_row parsed;
+	bool found = false;
+
+	g_assert_nonnull(row);
+	g_assert_true(fg_owner_row_decode(row->value, &parsed));
+	for (size_t i = 0; i < parsed.n_intents; i++)
+		found |= parsed.intents[i].id == act->intent_id;
+	g_assert_true(found);
+}
+
 static void on_owner_act(void *arg, struct fg_owner_act *act)
 {
 	struct call *call = arg;
@@ -312,6 +234,7 @@
 		call->n->lost++;
 		break;
 	case FG_OA_INTENT_OK:
+		check_intent_stored(call->c, act);
 		call->n->intents_ok++;
 		break;
 	case FG_OA_INTENT_FAILED:
@@ -365,7 +288,8 @@
 					  on_owner_act, &call);
 		break;
 	case EV_MSG:
-		if (ev->from_side == ev->node->side)
+		if (ev->from_side == ev->node->side &&
+		    !c->pair_cut[ev->from_node->index][ev->node->index])
 			fg_member_on_msg(ev->node->m, now, ev->from, ev->msg,
 					 on_member_act, &call);
 		break;
@@ -459,7 +383,7 @@
 	fg_rand_seed(&c->rand, seed);
 	c->now = 1;
 	c->events = g_tree_new_full(by_time, NULL, NULL, NULL);
-	c->table = g_tree_new_full(by_name, NULL, NULL, row_free);
+	c->table = g_tree_new_full(by_name, NULL, NULL, cluster_row_free);
 	c->n_keys = n_keys;
 	for (int i = 0; i < n_keys; i++) {
 		c->keys[i] = fg_hash_mix(77, (uint64_t)i);
@@ -527,30 +451,6 @@
 	return live;
 }
 
-struct row_count {
-	const char *region;
-	int rows;
-};
-
-static gboolean count_row(gpointer key, gpointer value, gpointer data)
-{
-	const struct fg_row *row = value;
-	struct row_count *count = data;
-
-	if (g_str_has_prefix(key, "session/") &&
-	    strstr(row->value, count->region) != NULL)
-		count->rows++;
-	return FALSE;
-}
-
-int cluster_dead_rows(struct cluster *c, const char *region)
-{
-	struct row_count count = { .region = region };
-
-	g_tree_foreach(c->table, count_row, &count);
-	return count.rows - cluster_live(c, region);
-}
-
 bool cluster_all_owned(struct cluster *c)
 {
 	for (int k = 0; k < c->n_keys; k++)
@@ -608,6 +508,7 @@
 	c->lost_share = 0;
 	c->slow_share = 0;
 	c->msg_loss = 0;
+	memset(c->pair_cut, 0, sizeof(c->pair_cut));
 	for (int i = 0; i < c->n_nodes; i++) {
 		c->nodes[i].paused_until = 0;
 		c->nodes[i].platform_cut = false;
--- a/tests/unit/cluster.h
+++ b/tests/unit/cluster.h
@@ -47,6 +47,7 @@
 	double new_address_share; /* of joining instances */
 	bool no_versions;	  /* writes are answered without versions */
 	struct node nodes[NODES_MAX];
+	bool pair_cut[NODES_MAX][NODES_MAX]; /* [from][to], by index */
 	int n_nodes;
 	int names; /* given so far */
 	uint64_t keys[KEYS_MAX];
@@ -86,4 +87,9 @@
 /* True when each key has an instance that may act. */
 bool cluster_all_owned(struct cluster *c);
 
+/* Runs op on the table, without any fault. */
+struct fg_table_result *cluster_table_run(struct cluster *c,
+					  const struct fg_table_op *op);
+void cluster_row_free(gpointer row);
+
 #endif
