--- a/lib/config/fg_config.h
+++ b/lib/config/fg_config.h
@@ -224,11 +224,23 @@
 void fg_confsync_on_msg(struct fg_confsync *s, fg_ms now, uint64_t from,
 			const fg_msg *msg, fg_confsync_emit emit, void *arg);
 
-/* A peer's ping or pong: its revision, and when that was confirmed. */
+/*
+ * A peer's ping: its revision, and how long ago that was confirmed. How long
+ * the message was under way is not known, so that it confirms our revision
+ * only as of FG_CONFSYNC_DOUBT_MS earlier, and not at all after a pause.
+ */
+#define FG_CONFSYNC_DOUBT_MS 1500
 void fg_confsync_on_peer(struct fg_confsync *s, fg_ms now, uint64_t peer,
 			 uint64_t revision, uint32_t confirm_age_ms,
 			 fg_confsync_emit emit, void *arg);
 
+/* A peer's pong to a ping that we sent at `asked`: the age counts from then,
+ * which needs no assumption about delays. */
+void fg_confsync_on_pong(struct fg_confsync *s, fg_ms now, fg_ms asked,
+			 uint64_t peer, uint64_t revision,
+			 uint32_t confirm_age_ms, fg_confsync_emit emit,
+			 void *arg);
+
 /* The live instances that must acknowledge a change (self is skipped). */
 void fg_confsync_set_live(struct fg_confsync *s, const uint64_t *ids, size_t n);
 
--- a/lib/config/fg_confsync.c
+++ b/lib/config/fg_confsync.c
@@ -148,6 +148,12 @@
 				   error != NULL ? error->message : "broken");
 }
 
+static void clear_fault(struct fg_confsync *s)
+{
+	g_free(s->fault);
+	s->fault = NULL;
+}
+
 static void ring_add(struct fg_confsync *s, const char *text)
 {
 	struct cs_delta *d = g_new0(struct cs_delta, 1);
@@ -183,7 +189,7 @@
 		cs_set_fault(s, what, error);
 		return false;
 	}
-	g_clear_pointer(&s->fault, g_free);
+	clear_fault(s);
 	ring_add(s, text);
 	note_own(s, obj);
 	return true;
@@ -204,15 +210,22 @@
 	return ok;
 }
 
-void cs_finish_load(struct fg_confsync *s, struct fg_config_load *l)
+void cs_drop_load(struct fg_config_load **l)
+{
+	fg_config_load_free(*l);
+	*l = NULL;
+}
+
+void cs_finish_load(struct fg_confsync *s, struct fg_config_load **l)
 {
 	uint64_t before = fg_config_revision(s->c);
 
-	fg_config_load_finish(l, s->c);
+	fg_config_load_finish(*l, s->c);
+	*l = NULL;
 	if (fg_config_revision(s->c) == before)
 		return;
 	ring_clear(s);
-	g_clear_pointer(&s->fault, g_free);
+	clear_fault(s);
 }
 
 /* ---- Entry points ---- */
@@ -285,18 +298,40 @@
 	settle(s);
 }
 
+/* What a peer said at `said` or later of its revision. */
+static void heard(struct fg_confsync *s, fg_ms said, uint64_t peer,
+		  uint64_t revision, uint32_t confirm_age_ms)
+{
+	if (revision == fg_config_revision(s->c) &&
+	    confirm_age_ms != UINT32_MAX && said != CS_NEVER)
+		cs_confirm(s, said - confirm_age_ms);
+	cs_peer_heard(s, peer, revision);
+	settle(s);
+}
+
 void fg_confsync_on_peer(struct fg_confsync *s, fg_ms now, uint64_t peer,
 			 uint64_t revision, uint32_t confirm_age_ms,
 			 fg_confsync_emit emit, void *arg)
 {
+	fg_ms said = now - FG_CONFSYNC_DOUBT_MS;
+
 	if (peer == s->self)
 		return;
 	enter(s, now, emit, arg);
-	/* After a pause the message may have waited in a buffer, and its age
-	 * would be understated by the length of the pause. */
-	if (revision == fg_config_revision(s->c) &&
-	    confirm_age_ms != UINT32_MAX && now >= s->distrust_until)
-		cs_confirm(s, now - confirm_age_ms);
-	cs_peer_heard(s, peer, revision);
-	settle(s);
+	/* During a pause the message may have waited in a buffer for longer
+	 * than the doubt allows. */
+	if (now < s->distrust_until)
+		said = CS_NEVER;
+	heard(s, said, peer, revision, confirm_age_ms);
+}
+
+void fg_confsync_on_pong(struct fg_confsync *s, fg_ms now, fg_ms asked,
+			 uint64_t peer, uint64_t revision,
+			 uint32_t confirm_age_ms, fg_confsync_emit emit,
+			 void *arg)
+{
+	if (peer == s->self)
+		return;
+	enter(s, now, emit, arg);
+	heard(s, MIN(asked, now), peer, revision, confirm_age_ms);
 }
--- a/lib/config/fg_confsync_fetch.c
+++ b/lib/config/fg_confsync_fetch.c
@@ -84,18 +84,12 @@
 	ask(s, CS_FETCH_DELTA, FG_OP_GET, key);
 }
 
-/*
- * The head is due poll_ms after the last time that it was known to be ours,
- * whether by reading it or from a peer that did: instances that ping one
- * another share their reads.
- */
 static bool head_due(const struct fg_confsync *s)
 {
 	const struct cs_fetch *f = &s->fetch;
 
-	if (f->want_head || f->polled == CS_NEVER)
-		return true;
-	return s->now - MAX(f->polled, s->confirmed) >= f->poll_gap_ms;
+	return f->want_head || f->polled == CS_NEVER ||
+	       s->now - f->polled >= f->poll_gap_ms;
 }
 
 void cs_fetch_step(struct fg_confsync *s)
@@ -107,7 +101,7 @@
 	if (s->now < f->retry_at)
 		return;
 	if (s->head_known && s->head.revision <= revision(s)) {
-		g_clear_pointer(&f->load, fg_config_load_free);
+		cs_drop_load(&f->load);
 		f->delta_absent = false;
 	}
 	if (!s->head_known || s->head.revision <= revision(s)) {
@@ -204,19 +198,19 @@
 	g_autoptr(GError) error = NULL;
 
 	if (res->n_rows != 1 || res->rows[0].value == NULL) {
-		g_clear_pointer(&f->load, fg_config_load_free);
+		cs_drop_load(&f->load);
 		read_head_again(s);
 		return;
 	}
 	if (!fg_config_load_part(f->load, res->rows[0].value, &error)) {
 		cs_set_fault(s, res->rows[0].key, error);
-		g_clear_pointer(&f->load, fg_config_load_free);
+		cs_drop_load(&f->load);
 		fetch_failed(s, CS_FAULT_RETRY_MS);
 		return;
 	}
 	if (!fg_config_load_complete(f->load))
 		return;
-	cs_finish_load(s, g_steal_pointer(&f->load));
+	cs_finish_load(s, &f->load);
 	f->delta_absent = false;
 	caught_up(s);
 }
--- a/lib/config/fg_confsync_peer.c
+++ b/lib/config/fg_confsync_peer.c
@@ -201,6 +201,13 @@
 
 /* ---- Telling snapshots ---- */
 
+static void drop_cache(struct fg_confsync *s)
+{
+	if (s->cache != NULL)
+		g_ptr_array_free(s->cache, TRUE);
+	s->cache = NULL;
+}
+
 /* A cached snapshot serves as long as deltas lead on from it. */
 static void fill_cache(struct fg_confsync *s)
 {
@@ -213,8 +220,7 @@
 	s->cache_used = s->now;
 	if (usable)
 		return;
-	if (s->cache != NULL)
-		g_ptr_array_free(s->cache, TRUE);
+	drop_cache(s);
 	s->cache = fg_config_snapshot_parts(s->c, CS_PART_BYTES);
 	s->cache_revision = revision(s);
 }
@@ -262,7 +268,7 @@
 				send_part(s, p);
 		}
 	} else if (s->cache != NULL && s->now - s->cache_used > CACHE_KEEP_MS) {
-		g_clear_pointer(&s->cache, g_ptr_array_unref);
+		drop_cache(s);
 	}
 }
 
@@ -365,7 +371,7 @@
 		return true;
 	if (error->code == FG_CONFIG_ERR_FORMAT)
 		cs_set_fault(s, "snapshot of a peer", error);
-	g_clear_pointer(&s->load, fg_config_load_free);
+	cs_drop_load(&s->load);
 	return false;
 }
 
@@ -377,7 +383,7 @@
 	s->ask_at = s->now + ASK_RETRY_MS;
 	if (!fg_config_load_complete(s->load))
 		return;
-	cs_finish_load(s, g_steal_pointer(&s->load));
+	cs_finish_load(s, &s->load);
 	send_ask(s, from);
 }
 
@@ -395,10 +401,10 @@
 		told_snapshot(s, from, tell);
 		return;
 	}
+	/* A gap is closed by ask_step() or from the table. */
 	if (tell->base <= before)
 		apply_list(s, tell->text);
-	/* Acknowledges, or says where the gap begins. */
-	if (revision(s) > before || tell->base > before)
+	if (revision(s) > before)
 		send_ask(s, from);
 }
 
--- a/lib/config/fg_confsync_priv.h
+++ b/lib/config/fg_confsync_priv.h
@@ -196,7 +196,8 @@
 bool cs_apply(struct fg_confsync *s, const char *what, const char *text);
 bool cs_apply_json(struct fg_confsync *s, const char *what, const json_t *obj,
 		   const char *text);
-void cs_finish_load(struct fg_confsync *s, struct fg_config_load *l);
+void cs_finish_load(struct fg_confsync *s, struct fg_config_load **l);
+void cs_drop_load(struct fg_config_load **l);
 
 /* fg_confsync_rows.c */
 void cs_rev_key(char *key, uint64_t revision);
