fgctl: the operators' command

"accepted" is printed only for an answer whose status says so; any other answer to a change, also an unreadable 200, is told as unknown. A change is sent on to the next address only while it has provably not been sent or was refused as NOT_RUN: sending it on after a lost answer was ruled out, since it could be stored twice. A lost race names the revision that won and prints the command to run.

test_fgctl runs the program against canned answers.

--- /dev/null
+++ b/lib/base/fg_version.h
@@ -0,0 +1,7 @@
+/* fg_version - version of the release, printed by --version. */
+#ifndef FG_VERSION_H
+#define FG_VERSION_H
+
+#define FG_VERSION "0.1.0"
+
+#endif
--- /dev/null
+++ b/tests/unit/test_fgctl.c
@@ -0,0 +1,301 @@
+/* Tests of the program fgctl against canned answers of an entry. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <string.h>
+
+#include "base/fg_version.h"
+#include "config/fg_config.h"
+
+#define PORT_FIRST 24500
+#define PORT_LAST 24599
+
+static struct {
+	struct MHD_Daemon *daemon;
+	char address[32];
+	unsigned int status; /* of the next answers; 0 cuts the connection */
+	char *body;
+	char *path; /* of the last request */
+	GString *got;
+	unsigned int requests;
+} server;
+
+static enum MHD_Result answer(void *arg, struct MHD_Connection *conn,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *len, void **ctx)
+{
+	struct MHD_Response *res;
+	enum MHD_Result result;
+
+	(void)arg;
+	(void)method;
+	(void)version;
+	if (*ctx == NULL) {
+		*ctx = &server;
+		g_string_truncate(server.got, 0);
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		g_string_append_len(server.got, data, (gssize)*len);
+		*len = 0;
+		return MHD_YES;
+	}
+	g_free(server.path);
+	server.path = g_strdup(url);
+	server.requests++;
+	if (server.status == 0)
+		return MHD_NO;
+	res = MHD_create_response_from_buffer(strlen(server.body), server.body,
+					      MHD_RESPMEM_MUST_COPY);
+	result = MHD_queue_response(conn, server.status, res);
+	MHD_destroy_response(res);
+	return result;
+}
+
+static void server_start(void)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+
+	server.got = g_string_new(NULL);
+	inet_pton(AF_INET, "127.0.0.1", &sa.sin_addr);
+	for (uint16_t port = PORT_FIRST; port <= PORT_LAST; port++) {
+		sa.sin_port = htons(port);
+		server.daemon = MHD_start_daemon(
+			MHD_USE_INTERNAL_POLLING_THREAD, port, NULL, NULL,
+			answer, NULL, MHD_OPTION_SOCK_ADDR, &sa,
+			MHD_OPTION_END);
+		if (server.daemon == NULL)
+			continue;
+		g_snprintf(server.address, sizeof(server.address),
+			   "127.0.0.1:%u", port);
+		return;
+	}
+	g_error("no free port");
+}
+
+static void answers(unsigned int status, const char *body)
+{
+	server.status = status;
+	g_free(server.body);
+	server.body = g_strdup(body);
+	server.requests = 0;
+}
+
+struct run {
+	int exit;
+	char *out;
+	char *err;
+};
+
+static void run_clear(struct run *r)
+{
+	g_free(r->out);
+	g_free(r->err);
+}
+
+/* Runs fgctl with a command line as a shell would split it. */
+static struct run ctl(const char *line)
+{
+	const char *build = g_getenv("BUILD");
+	g_autofree char *command = g_strdup_printf(
+		"%s/bin/fgctl %s", build ? build : "build", line);
+	g_auto(GStrv) argv = NULL;
+	g_autoptr(GError) error = NULL;
+	struct run r = { 0 };
+	int status;
+
+	g_assert_true(g_shell_parse_argv(command, NULL, &argv, &error));
+	g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &r.out,
+		     &r.err, &status, &error);
+	g_assert_no_error(error);
+	if (!g_spawn_check_wait_status(status, &error))
+		r.exit = error->code;
+	return r;
+}
+
+static void expect(const char *line, int status, const char *out,
+		   const char *err)
+{
+	struct run r = ctl(line);
+
+	if (r.exit != status || (out && !strstr(r.out, out)) ||
+	    (err && !strstr(r.err, err)))
+		g_error("fgctl %s: exit %d\n%s\n%s", line, r.exit, r.out,
+			r.err);
+	run_clear(&r);
+}
+
+static void test_usage(void)
+{
+	expect("--help", 0, "right grant ADAPTER CALLER", NULL);
+	expect("--help", 0, "3  conflict", NULL);
+	expect("--version", 0, "fgctl " FG_VERSION, NULL);
+	expect("", 2, NULL, "no command");
+	expect("nonsense", 2, NULL, "unknown command");
+	expect("adapter add x", 2, NULL, "arguments");
+	expect("adapter list", 2, NULL, "FGCTL_ADDRESS");
+	expect("-a entry.example:1 revision", 2, NULL, "IP number");
+	expect("--no-such", 2, NULL, "no-such");
+	expect("-a 127.0.0.1:1 --wait-ms 1 revision", 2, NULL, "--wait-ms");
+	expect("dump nonsense", 2, NULL, "IP number");
+}
+
+static void test_answers(void)
+{
+	g_autofree char *line = g_strdup_printf(
+		"-a %s adapter add base-1 'a b'", server.address);
+
+	answers(200, "{\"status\":\"accepted\",\"revision\":7}");
+	expect(line, 0, "accepted: revision 7", NULL);
+	g_assert_cmpstr(server.path, ==, "/v1/admin/change");
+	g_assert_nonnull(strstr(server.got->str, "\"base\":\"base-1\""));
+	g_assert_nonnull(strstr(server.got->str, "\"adapter\":\"a b\""));
+	answers(200, "{\"status\":\"pending\",\"revision\":7,"
+		     "\"detail\":\"salto-2\"}");
+	expect(line, 4, "salto-2", NULL);
+	answers(409, "{\"status\":\"conflict\",\"revision\":9}");
+	expect(line, 3, NULL, "revision 9 won");
+	expect(line, 3, NULL,
+	       "fgctl --expect-revision 9 adapter add base-1 'a b'");
+	answers(422, "{\"status\":\"invalid\",\"detail\":\"adapter exists\"}");
+	expect(line, 1, NULL, "adapter exists");
+	answers(503, "{\"status\":\"down\",\"detail\":\"no platform\"}");
+	expect(line, 5, NULL, "no platform");
+	answers(504, "{\"status\":\"unknown\",\"revision\":7}");
+	expect(line, 6, NULL, "may or may not");
+	answers(400, "{\"outcome\":\"NOT_RUN\",\"message\":\"bad field\"}");
+	expect(line, 1, NULL, "bad field");
+	/* Only the word of the answer makes a change accepted. */
+	answers(200, "{\"revision\":7}");
+	expect(line, 6, NULL, "answered 200");
+	answers(200, "{\"status\":\"Accepted\",\"revision\":7}");
+	expect(line, 6, NULL, "answered 200");
+	answers(200, "accepted");
+	expect(line, 6, NULL, "answered 200");
+}
+
+/* A change is sent on to the next address only while it was not sent. */
+static void test_addresses(void)
+{
+	g_autofree char *dead_first = g_strdup_printf(
+		"-a 127.0.0.1:24998,%s preset set peak", server.address);
+	g_autofree char *twice = g_strdup_printf(
+		"-a %s -a %s preset set peak", server.address, server.address);
+
+	answers(200, "{\"status\":\"accepted\",\"revision\":1}");
+	expect(dead_first, 0, "accepted", "24998 does not answer");
+	expect("-a 127.0.0.1:24998 preset set peak", 5, NULL,
+	       "nothing was stored");
+	answers(0, "");
+	expect(twice, 6, NULL, "may or may not");
+	g_assert_cmpuint(server.requests, ==, 1);
+	answers(503, "{\"outcome\":\"NOT_RUN\",\"message\":\"stopping\"}");
+	expect(twice, 5, NULL, "stopping");
+	g_assert_cmpuint(server.requests, ==, 2);
+}
+
+static void test_put(void)
+{
+	g_autofree char *put = g_strdup_printf(
+		"-a %s -r 5 -w 900 preset put peak stall_weight=80 "
+		"accept_drafts=false",
+		server.address);
+	g_autofree char *bad = g_strdup_printf(
+		"-a %s preset put peak stall_weight=high", server.address);
+	json_t *got;
+	json_t *want;
+
+	answers(200, "{\"status\":\"accepted\",\"revision\":6}");
+	expect(put, 0, "accepted", NULL);
+	got = json_loads(server.got->str, 0, NULL);
+	want = json_pack("{s:{s:s,s:s,s:i,s:b},s:i,s:i}", "change", "kind",
+			 "preset_put", "preset", "peak", "stall_weight", 80,
+			 "accept_drafts", 0, "expect_revision", 5, "wait_ms",
+			 900);
+	g_assert_true(json_equal(got, want));
+	json_decref(got);
+	json_decref(want);
+	expect(bad, 2, NULL, "stall_weight=high");
+}
+
+static void test_lists(void)
+{
+	struct fg_config *c = fg_config_new();
+	g_autofree char *list =
+		g_strdup_printf("-a %s adapter list menu", server.address);
+	g_autofree char *json =
+		g_strdup_printf("-a %s -j adapter list", server.address);
+	g_autofree char *presets =
+		g_strdup_printf("-a %s preset show", server.address);
+	g_autofree char *revision =
+		g_strdup_printf("-a %s revision", server.address);
+	g_autofree char *dump = g_strdup_printf("dump %s", server.address);
+	g_autofree char *clear =
+		g_strdup_printf("-a %s suspects clear 0a", server.address);
+	g_autofree char *snapshot = NULL;
+
+	g_assert_true(fg_config_apply(
+		c,
+		"{\"revision\":1,\"kind\":\"batch\",\"changes\":["
+		"{\"kind\":\"adapter_add\",\"base\":\"b\",\"adapter\":"
+		"\"menu-1\"},{\"kind\":\"version_add\",\"adapter\":"
+		"\"menu-1\",\"version\":\"v1\"},{\"kind\":\"right_grant\","
+		"\"adapter\":\"menu-1\",\"caller\":\"*\"}]}",
+		NULL));
+	snapshot = fg_config_snapshot(c);
+	answers(200, snapshot);
+	expect(list, 0, "adapter  base  versions  callers\nmenu-1   b     v1",
+	       NULL);
+	expect(json, 0, "\"versions\": \"v1\"", NULL);
+	expect(presets, 0, "ordinary", NULL);
+	answers(200, "{\"name\":\"mvd-1\",\"revision\":3,\"preset\":\"peak\","
+		     "\"confirm_age_ms\":12}");
+	expect(revision, 0, "mvd-1  3         12              peak", NULL);
+	expect(dump, 0, "\"revision\": 3", NULL);
+	answers(200, "{\"cleared\":true}");
+	expect(clear, 0, "cleared", NULL);
+	answers(200, "{\"cleared\":false}");
+	expect(clear, 1, "not found", NULL);
+	expect("-a 127.0.0.1:24998 revision", 5, "none", NULL);
+	fg_config_free(c);
+}
+
+static void test_change_file(void)
+{
+	g_autofree char *path = NULL;
+	g_autofree char *line = NULL;
+	int fd = g_file_open_tmp("fgctl-XXXXXX", &path, NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	g_close(fd, NULL);
+	line = g_strdup_printf("-a %s change %s", server.address, path);
+	g_file_set_contents(path, "{\n  \"kind\": x }", -1, NULL);
+	expect(line, 1, NULL, "line 2");
+	g_file_set_contents(path, "{\"kind\":\"batch\"}", -1, NULL);
+	answers(200, "{\"status\":\"accepted\",\"revision\":1}");
+	expect(line, 0, "accepted", NULL);
+	g_assert_nonnull(strstr(server.got->str, "\"kind\":\"batch\""));
+	g_unlink(path);
+	expect(line, 2, NULL, "cannot read");
+}
+
+int main(int argc, char **argv)
+{
+	int status;
+
+	g_test_init(&argc, &argv, NULL);
+	g_unsetenv("FGCTL_ADDRESS");
+	server_start();
+	g_test_add_func("/fgctl/usage", test_usage);
+	g_test_add_func("/fgctl/answers", test_answers);
+	g_test_add_func("/fgctl/addresses", test_addresses);
+	g_test_add_func("/fgctl/put", test_put);
+	g_test_add_func("/fgctl/lists", test_lists);
+	g_test_add_func("/fgctl/change_file", test_change_file);
+	status = g_test_run();
+	MHD_stop_daemon(server.daemon);
+	return status;
+}
