--- a/programs/fgctl/print.c
+++ b/programs/fgctl/print.c
@@ -75,12 +75,13 @@
 
 void ctl_table_print(struct ctl_table *t)
 {
-	g_autofree int *widths = g_new0(int, t->columns);
+	int *widths = g_new0(int, t->columns);
 
 	for (guint i = 0; i < t->columns; i++)
 		widths[i] = width_of(t, i);
 	for (guint r = 0; r < t->rows->len; r++)
 		print_row(g_ptr_array_index(t->rows, r), widths, t->columns);
+	g_free(widths);
 	g_ptr_array_free(t->rows, TRUE);
 	g_free(t);
 }
