Log lines of key=value fields and metrics without locks

Operators follow one request or endpoint over many processes, so every line has the same layout and a value can never look like another field: values with spaces, quotes, '=' or control characters are quoted and escaped, and long ones are cut.

log4c_init() is not called, since it reads rc files from the working and home directories; a log4crc in the working directory was seen to change nothing. log4c's own tables are not safe for several threads, so one mutex is held for a line; each line is one write. The stock layouts were ruled out: they print text, not fields, and truncate.

Counters and gauges are Concurrency Kit's atomics. The histogram is log-linear with 16 buckets for each power of two: a quantile is within 1/32 of the true value, 4.7 kB each. Rendered with a bound at each power of two only, since 592 lines a histogram would be read at each scrape.

Seen failing on a scratch copy: quoting of spaces, the level check, atomic counting, the middle of a bucket, order of labels under one name.

--- /dev/null
+++ b/tests/unit/test_log_metrics.c
@@ -0,0 +1,241 @@
+/* Unit tests of lib/log and lib/metrics. */
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/fg_rand.h"
+#include "log/fg_log.h"
+#include "metrics/fg_metrics.h"
+
+/* ---- Log ---- */
+
+static void formatted(const char *value, const char *want)
+{
+	g_autofree char *line =
+		fg_log_format(FG_LOG_WARN, "owner", "gained", "ep", value,
+			      "none", NULL, "last", "x", NULL);
+	g_autofree char *full = g_strdup_printf(
+		"level=warn module=owner event=gained ep=%s last=x", want);
+
+	g_assert_cmpstr(line, ==, full);
+}
+
+static void test_fields(void)
+{
+	g_autofree char *large = g_strnfill(3000, 'l');
+	g_autofree char *cut = g_strdup_printf("\"%.1024s...\"", large);
+
+	formatted("engine-1", "engine-1");
+	formatted("127.0.0.1:80", "127.0.0.1:80");
+	formatted("", "\"\"");
+	formatted("a b", "\"a b\"");
+	formatted("a=b", "\"a=b\"");
+	formatted("a\"b\\c", "\"a\\\"b\\\\c\"");
+	formatted("a\nlevel=error", "\"a\\nlevel=error\"");
+	formatted("a\x01\x7f", "\"a\\x01\\x7f\"");
+	formatted("men\xc3\xba", "\"men\xc3\xba\"");
+	formatted("bad\xff", "\"bad\\xff\"");
+	formatted(large, cut);
+}
+
+static void test_levels(void)
+{
+	enum fg_log_level level;
+
+	for (int i = FG_LOG_ERROR; i <= FG_LOG_DEBUG; i++) {
+		g_assert_true(fg_log_level_parse(
+			fg_log_level_name((enum fg_log_level)i), &level));
+		g_assert_cmpint(level, ==, i);
+	}
+	g_assert_false(fg_log_level_parse("loud", &level));
+}
+
+static void *log_lines(void *arg)
+{
+	for (int i = 0; i < 200; i++)
+		fg_log(FG_LOG_INFO, "test", "line", "from", arg, NULL);
+	return NULL;
+}
+
+/* Runs in a child process, whose standard error is read by the parent. */
+static void test_written(void)
+{
+	g_autofree char *large = g_strnfill(1000, 'z');
+	pthread_t threads[4];
+
+	if (g_test_subprocess()) {
+		fg_log(FG_LOG_ERROR, "test", "before_open", NULL);
+		fg_log_open("mvd-1", FG_LOG_INFO);
+		fg_log(FG_LOG_DEBUG, "test", "not_written", NULL);
+		fg_log(FG_LOG_INFO, "test", "first", "a", large, NULL);
+		for (int i = 0; i < 4; i++)
+			pthread_create(&threads[i], NULL, log_lines, "t");
+		for (int i = 0; i < 4; i++)
+			pthread_join(threads[i], NULL);
+		fg_log_open("mvd-1", FG_LOG_DEBUG);
+		fg_log(FG_LOG_DEBUG, "test", "last", NULL);
+		fg_log_close();
+		fg_log(FG_LOG_ERROR, "test", "after_close", NULL);
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+	g_test_trap_assert_passed();
+	g_test_trap_assert_stderr("time=20*-*-*T*:*:*.*Z level=info "
+				  "module=test event=first who=mvd-1 a=zzz*");
+	g_test_trap_assert_stderr("*zzz\ntime=*event=line who=mvd-1 from=t\n"
+				  "time=*event=last who=mvd-1\n");
+	g_test_trap_assert_stderr_unmatched("*before_open*");
+	g_test_trap_assert_stderr_unmatched("*not_written*");
+	g_test_trap_assert_stderr_unmatched("*after_close*");
+	g_test_trap_assert_stderr_unmatched("*from=ttime*");
+}
+
+/* ---- Metrics ---- */
+
+static void test_render(void)
+{
+	struct fg_metrics *m = fg_metrics_new();
+	struct fg_counter *a = fg_metrics_counter(
+		m, "fg_requests_total", "class=\"draft\"", "Requests.");
+	struct fg_gauge *g =
+		fg_metrics_gauge(m, "fg_in_progress", NULL, "In progress.");
+	struct fg_counter *b = fg_metrics_counter(
+		m, "fg_requests_total", "class=\"filing\"", "Requests.");
+	struct fg_hist *h =
+		fg_metrics_hist(m, "fg_wait_ms", NULL, "Waiting time.");
+	g_autofree char *text = NULL;
+
+	g_assert_true(fg_metrics_counter(m, "fg_requests_total",
+					 "class=\"draft\"", "x") == a);
+	fg_counter_add(a, 2);
+	fg_counter_add(b, 3);
+	fg_gauge_set(g, 5);
+	fg_gauge_add(g, -7);
+	g_assert_cmpint(fg_gauge_get(g), ==, -2);
+	fg_hist_add(h, 0);
+	fg_hist_add(h, 3);
+	fg_hist_add(h, 20);
+	text = fg_metrics_render(m);
+	g_assert_cmpstr(text, ==,
+			"# HELP fg_requests_total Requests.\n"
+			"# TYPE fg_requests_total counter\n"
+			"fg_requests_total{class=\"draft\"} 2\n"
+			"fg_requests_total{class=\"filing\"} 3\n"
+			"# HELP fg_in_progress In progress.\n"
+			"# TYPE fg_in_progress gauge\n"
+			"fg_in_progress -2\n"
+			"# HELP fg_wait_ms Waiting time.\n"
+			"# TYPE fg_wait_ms histogram\n"
+			"fg_wait_ms_bucket{le=\"0\"} 1\n"
+			"fg_wait_ms_bucket{le=\"1\"} 1\n"
+			"fg_wait_ms_bucket{le=\"3\"} 2\n"
+			"fg_wait_ms_bucket{le=\"7\"} 2\n"
+			"fg_wait_ms_bucket{le=\"15\"} 2\n"
+			"fg_wait_ms_bucket{le=\"+Inf\"} 3\n"
+			"fg_wait_ms_sum 23\n"
+			"fg_wait_ms_count 3\n");
+	fg_metrics_free(m);
+}
+
+static int by_value(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void test_quantiles(void)
+{
+	static uint64_t values[20000];
+	const double shares[] = { 0.01, 0.25, 0.5, 0.95, 0.99, 1.0 };
+	struct fg_rand r;
+
+	fg_rand_seed(&r, 3);
+	for (int run = 0; run < 20; run++) {
+		struct fg_metrics *m = fg_metrics_new();
+		struct fg_hist *h = fg_metrics_hist(m, "h", NULL, "");
+
+		for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+			values[i] = fg_rand_next(&r) >>
+				    (25 + fg_rand_below(&r, 38));
+			fg_hist_add(h, values[i]);
+		}
+		qsort(values, G_N_ELEMENTS(values), sizeof(values[0]),
+		      by_value);
+		for (size_t k = 0; k < G_N_ELEMENTS(shares); k++) {
+			size_t rank =
+				(size_t)(shares[k] * G_N_ELEMENTS(values));
+			double want = (double)values[rank - 1];
+			double got = (double)fg_hist_quantile(h, shares[k]);
+
+			g_assert_cmpfloat(ABS(got - want), <=, want / 32 + 1);
+		}
+		fg_metrics_free(m);
+	}
+}
+
+static void test_bounds(void)
+{
+	struct fg_metrics *m = fg_metrics_new();
+	struct fg_hist *h = fg_metrics_hist(m, "h", NULL, "");
+	g_autofree char *text = NULL;
+
+	g_assert_cmpuint(fg_hist_quantile(h, 0.5), ==, 0);
+	fg_hist_add(h, UINT64_MAX);
+	fg_hist_add(h, FG_HIST_MAX);
+	g_assert_cmpuint(fg_hist_count(h), ==, 2);
+	g_assert_cmpuint(fg_hist_sum(h), ==, 2 * FG_HIST_MAX);
+	text = fg_metrics_render(m);
+	g_assert_nonnull(strstr(text, "h_bucket{le=\"1099511627775\"} 2\n"));
+	fg_metrics_free(m);
+}
+
+struct shared {
+	struct fg_counter *c;
+	struct fg_hist *h;
+};
+
+static void *count_up(void *arg)
+{
+	struct shared *s = arg;
+
+	for (uint64_t i = 0; i < 50000; i++) {
+		fg_counter_add(s->c, 1);
+		fg_hist_add(s->h, i);
+	}
+	return NULL;
+}
+
+static void test_threads(void)
+{
+	struct fg_metrics *m = fg_metrics_new();
+	struct shared s = { fg_metrics_counter(m, "c", NULL, ""),
+			    fg_metrics_hist(m, "h", NULL, "") };
+	pthread_t threads[4];
+
+	for (int i = 0; i < 4; i++)
+		pthread_create(&threads[i], NULL, count_up, &s);
+	for (int i = 0; i < 100; i++)
+		g_free(fg_metrics_render(m));
+	for (int i = 0; i < 4; i++)
+		pthread_join(threads[i], NULL);
+	g_assert_cmpuint(fg_counter_get(s.c), ==, 200000);
+	g_assert_cmpuint(fg_hist_count(s.h), ==, 200000);
+	fg_metrics_free(m);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/log/fields", test_fields);
+	g_test_add_func("/log/levels", test_levels);
+	g_test_add_func("/log/written", test_written);
+	g_test_add_func("/metrics/render", test_render);
+	g_test_add_func("/metrics/quantiles", test_quantiles);
+	g_test_add_func("/metrics/bounds", test_bounds);
+	g_test_add_func("/metrics/threads", test_threads);
+	return g_test_run();
+}
