NOT_RUN only for what never ran; accepted only after a fresh look at leases

Leases are now read anew after a change was stored, and acceptance counts only a read begun after that.

--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -149,6 +149,14 @@
 void fg_member_set_revision(struct fg_member *m, uint64_t revision,
 			    uint32_t confirm_age_ms);
 
+/* Reads all lease rows at the next tick, however lately that was done: after
+ * a change of configuration nobody who joined before it may be overlooked. */
+void fg_member_look(struct fg_member *m, fg_ms now);
+
+/* When the read of all lease rows that the view stands on was begun; 0 before
+ * the first. */
+fg_ms fg_member_looked_at(const struct fg_member *m);
+
 /* Starts draining: the lease row and pings say so. */
 void fg_member_leave(struct fg_member *m, fg_ms now, fg_member_emit emit,
 		     void *arg);
--- a/lib/member/fg_member_table.c
+++ b/lib/member/fg_member_table.c
@@ -34,6 +34,16 @@
 	return (uint32_t)MAX(ms, m->conf.scan_ms);
 }
 
+void fg_member_look(struct fg_member *m, fg_ms now)
+{
+	m->scan_at = MIN(m->scan_at, now);
+}
+
+fg_ms fg_member_looked_at(const struct fg_member *m)
+{
+	return m->scanned_at;
+}
+
 void fg_member_scan_soon(struct fg_member *m, fg_ms now)
 {
 	fg_ms earliest = m->scanned_at +
--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -276,7 +276,8 @@
 	for (size_t i = 0; i < MIN(total, PEERS_MAX); i++)
 		if (ids[i] != n->self)
 			ids[kept++] = ids[i];
-	fg_confsync_set_live(n->confsync, ids, kept);
+	fg_confsync_set_live_at(n->confsync, fg_member_looked_at(n->member),
+				ids, kept);
 }
 
 static void tick_config(struct fg_node *n)
@@ -401,6 +402,7 @@
 {
 	n->now = now;
 	tell_live(n);
+	n->open_changes++;
 	fg_confsync_change(n->confsync, now, change_id, change, expect_revision,
 			   wait_ms, fg_wire_confsync, n);
 	fg_node_drain(n);
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -161,9 +161,10 @@
 	GArray *ready;	 /* uint64_t, filings that may be dispatched */
 	bool draining;
 	uint64_t next_order;
-	fg_ms now;     /* of the event being handled */
-	fg_ms joined;  /* standing good since; 0 while it is not */
-	bool in_force; /* revision confirmed and list read since then */
+	fg_ms now;	       /* of the event being handled */
+	uint32_t open_changes; /* operators' changes not yet answered */
+	fg_ms joined;	       /* standing good since; 0 while it is not */
+	bool in_force;	       /* revision confirmed and list read since then */
 	fg_ms list_asked;
 	bool list_pending;
 	fg_ms list_at; /* the list read last was asked for then */
@@ -220,7 +221,8 @@
 void fg_req_reply_full(struct fg_node *n, struct fg_req *r,
 		       struct fg_reply *reply);
 /* Ends a request without an answer from an endpoint: by the ledger if it is
- * a filing, else at once. */
+ * a filing, else at once. NOT_RUN is turned into UNKNOWN if an attempt may
+ * have run. */
 void fg_req_fail(struct fg_node *n, struct fg_req *r, enum fg_outcome outcome,
 		 enum fg_reason reason, uint32_t retry_after_ms);
 uint32_t fg_req_left_ms(const struct fg_node *n, const struct fg_req *r);
--- a/lib/node/fg_node_msg.c
+++ b/lib/node/fg_node_msg.c
@@ -21,6 +21,14 @@
 		fg_ep_leaving(n, ep, false);
 }
 
+/* The seq of a pong is the time at which we sent the ping. */
+static void take_pong(struct fg_node *n, uint64_t from, const fg_ping *pong)
+{
+	fg_confsync_on_pong(n->confsync, n->now, (fg_ms)pong->seq, from,
+			    pong->revision, pong->confirm_age_ms,
+			    fg_wire_confsync, n);
+}
+
 static void take_ping(struct fg_node *n, uint64_t from, const fg_ping *ping)
 {
 	fg_confsync_on_peer(n->confsync, n->now, from, ping->revision,
@@ -36,7 +44,7 @@
 		take_ping(n, from, &b->fg_body_u.ping);
 		break;
 	case FG_MSG_PONG:
-		take_ping(n, from, &b->fg_body_u.pong);
+		take_pong(n, from, &b->fg_body_u.pong);
 		break;
 	case FG_MSG_GRANT_REQ:
 		fg_own_grant_req(n, from, &b->fg_body_u.grant_req);
--- a/lib/node/fg_node_req.c
+++ b/lib/node/fg_node_req.c
@@ -96,9 +96,17 @@
 	fg_req_reply_full(n, r, &reply);
 }
 
+/* Not run this time, but an earlier attempt may have. */
+static enum fg_outcome true_outcome(const struct fg_req *r,
+				    enum fg_outcome outcome)
+{
+	return outcome == FG_NOT_RUN && r->ran ? FG_UNKNOWN : outcome;
+}
+
 void fg_req_fail(struct fg_node *n, struct fg_req *r, enum fg_outcome outcome,
 		 enum fg_reason reason, uint32_t retry_after_ms)
 {
+	outcome = true_outcome(r, outcome);
 	if (r->cls != FG_CLASS_FILING || n->conf.switches.no_ledger) {
 		fg_req_reply(n, r, outcome, reason, retry_after_ms);
 		return;
@@ -232,7 +240,7 @@
 	wait_ms = pick.resident ? 0 : backlog_ms(n, r);
 	if (!fg_estimate_fits(n->estimate, r->cls, fg_req_left_ms(n, r),
 			      wait_ms, &retry_after_ms)) {
-		fg_req_reply(n, r, FG_NOT_RUN, FG_R_NO_TIME, retry_after_ms);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_TIME, retry_after_ms);
 		return;
 	}
 	if (!hold_draft(n, r, &pick))
@@ -293,7 +301,7 @@
 		return;
 	r->caller_gone = true;
 	if (r->state != FG_REQ_RUNNING)
-		fg_req_reply(n, r, FG_NOT_RUN, FG_R_CANCELLED, 0);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_CANCELLED, 0);
 	fg_node_drain(n);
 }
 
@@ -306,15 +314,10 @@
 	       r->state != FG_REQ_FINISHING;
 }
 
-static enum fg_outcome outcome_at_deadline(const struct fg_req *r)
-{
-	return r->ran ? FG_UNKNOWN : FG_NOT_RUN;
-}
-
 static void tick_req(struct fg_node *n, struct fg_req *r)
 {
 	if (is_waiting(r) && n->now >= r->deadline) {
-		fg_req_fail(n, r, outcome_at_deadline(r), FG_R_PAST_DEADLINE,
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_PAST_DEADLINE,
 			    RETRY_AFTER_MS);
 		return;
 	}
--- a/lib/node/fg_node_route.c
+++ b/lib/node/fg_node_route.c
@@ -130,8 +130,7 @@
 {
 	if (fg_req_left_ms(n, r) > RUN_SLACK_MS)
 		return true;
-	fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN, FG_R_PAST_DEADLINE,
-		    RETRY_AFTER_MS);
+	fg_req_fail(n, r, FG_NOT_RUN, FG_R_PAST_DEADLINE, RETRY_AFTER_MS);
 	return false;
 }
 
@@ -175,8 +174,7 @@
 	uint64_t owner = 0;
 
 	if (r->asks >= ASKS_MAX) {
-		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
-			    FG_R_OVERLOAD, RETRY_AFTER_MS);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_OVERLOAD, RETRY_AFTER_MS);
 		return;
 	}
 	fg_owner_find(n->owner, ep, &owner, NULL);
@@ -245,12 +243,12 @@
 		fg_route(n, r);
 		break;
 	case FG_GRANT_NO_TIME:
-		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
-			    FG_R_NO_TIME, rep->retry_after_ms);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_TIME,
+			    rep->retry_after_ms);
 		break;
 	case FG_GRANT_OVERLOAD:
-		fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN,
-			    FG_R_OVERLOAD, rep->retry_after_ms);
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_OVERLOAD,
+			    rep->retry_after_ms);
 		break;
 	default:
 		back_off(n, r, RECOVERING_WAIT_MS);
@@ -336,8 +334,7 @@
 		dispatch(n, r, ep);
 		return;
 	}
-	fg_req_fail(n, r, r->ran ? FG_UNKNOWN : FG_NOT_RUN, FG_R_NO_ENDPOINT,
-		    RETRY_AFTER_MS);
+	fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_ENDPOINT, RETRY_AFTER_MS);
 }
 
 void fg_route(struct fg_node *n, struct fg_req *r)
@@ -424,13 +421,6 @@
 			  res->text, fg_wire_ledger, n);
 }
 
-static enum fg_outcome final_outcome(const struct fg_req *r,
-				     const struct verdict *v)
-{
-	/* Not run this time, but an earlier attempt may have. */
-	return v->outcome == FG_NOT_RUN && r->ran ? FG_UNKNOWN : v->outcome;
-}
-
 void fg_node_run_done(struct fg_node *n, fg_ms now, uint64_t id,
 		      uint32_t attempt, const struct fg_run_result *res)
 {
@@ -448,7 +438,7 @@
 	if (res->status == FG_RUN_DONE)
 		answer_done(n, r, res);
 	else if (!try_again(n, r, res, v))
-		fg_req_fail(n, r, final_outcome(r, v), v->reason,
+		fg_req_fail(n, r, v->outcome, v->reason,
 			    v->outcome == FG_NOT_RUN ? RETRY_AFTER_MS : 0);
 	fg_node_drain(n);
 }
--- a/lib/node/fg_node_suspect.c
+++ b/lib/node/fg_node_suspect.c
@@ -44,8 +44,7 @@
 	case FG_SUSPECT_REFUSE:
 		break;
 	}
-	fg_req_fail(n, r, r->ran ? FG_FAILED : FG_NOT_RUN, FG_R_SUSPECT,
-		    retry_after_ms);
+	fg_req_fail(n, r, FG_NOT_RUN, FG_R_SUSPECT, retry_after_ms);
 	return false;
 }
 
--- a/lib/node/fg_node_wait.c
+++ b/lib/node/fg_node_wait.c
@@ -141,8 +141,8 @@
 			g_ptr_array_add(hopeless, r);
 	}
 	for (guint i = 0; i < hopeless->len; i++)
-		fg_req_reply(n, g_ptr_array_index(hopeless, i), FG_NOT_RUN,
-			     FG_R_NO_TIME, MAX(retry_after_ms, RETRY_AFTER_MS));
+		fg_req_fail(n, g_ptr_array_index(hopeless, i), FG_NOT_RUN,
+			    FG_R_NO_TIME, MAX(retry_after_ms, RETRY_AFTER_MS));
 }
 
 void fg_wait_need_rep(struct fg_node *n, const fg_need_rep *rep)
@@ -180,7 +180,7 @@
 
 	if (r == NULL)
 		return;
-	fg_req_reply(n, r, FG_NOT_RUN, FG_R_NO_TIME, RETRY_AFTER_MS);
+	fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_TIME, RETRY_AFTER_MS);
 	w = find_wait(n, av);
 	if (w != NULL)
 		send_need(n, w);
--- a/lib/node/fg_node_wire.c
+++ b/lib/node/fg_node_wire.c
@@ -140,6 +140,7 @@
 		fg_node_event(n, "accepted",
 			      json_pack("{s:I}", "revision",
 					(json_int_t)act->revision));
+	n->open_changes--;
 	n->io.change_answer(n->io.arg, act->change_id, act->status,
 			    act->revision, act->text);
 	g_free(act->text);
@@ -160,6 +161,8 @@
 			fg_node_send_free(n, act->to, act->msg);
 		break;
 	case FG_CS_CHANGED:
+		if (n->open_changes > 0)
+			fg_member_look(n->member, n->now);
 		config_changed(n, act->revision);
 		break;
 	case FG_CS_ANSWER:
--- a/tests/fgsystem.py
+++ b/tests/fgsystem.py
@@ -115,7 +115,7 @@
         self.add(Process(name, "entry", addr, None, popen, history))
 
     def entries(self):
-        return [p for p in self.processes.values()
+        return [p for p in list(self.processes.values())
                 if p.kind == "entry" and p.running() and not p.frozen]
 
     def state(self, name):
--- a/tests/seeded.py
+++ b/tests/seeded.py
@@ -229,6 +229,7 @@
         self.later(seconds, lambda: self.replace_entry(target))
 
     def do_stop(self, target, name, seconds):
+        self.system.processes[name].killed = True  # its end is planned
         self.system.terminate(name)
         self.replace_entry(target)
 
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -99,6 +99,29 @@
 	bed_free(b);
 }
 
+/* A request that ran once is not said to be NOT_RUN when the broker can no
+ * longer serve its next attempt. */
+static void test_ran_then_refused(void)
+{
+	struct bed *b = bed_new();
+	fg_msg *msg = fg_msg_new(FG_MSG_PLACE_REP);
+
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
+	bed_run(b, 1000);
+	bed_run_done(b, 0, FG_RUN_LOST);
+	/* Its adapter is gone from the engine, and is not loaded again. */
+	b->auto_order = false;
+	g_clear_pointer(&b->adapter[0], g_free);
+	g_clear_pointer(&b->adapter[1], g_free);
+	bed_run(b, 3000);
+	msg->body.fg_body_u.place_rep.av = (fg_av){ 1, 1 };
+	msg->body.fg_body_u.place_rep.status = FG_PLACE_REFUSED;
+	fg_node_msg(b->node, b->now, fg_hash_str("entry-1"), msg);
+	assert_outcome(b, 10, FG_UNKNOWN, FG_R_NO_TIME);
+	fg_msg_free(msg);
+	bed_free(b);
+}
+
 /* A filing runs once: a repeat gets the recorded answer, a lost one is
  * UNKNOWN and stays so. */
 static void test_filing(void)
@@ -272,6 +295,7 @@
 	g_test_add_func("/node/refusals", test_refusals);
 	g_test_add_func("/node/pinned_slots", test_pinned_slots);
 	g_test_add_func("/node/retry", test_retry);
+	g_test_add_func("/node/ran_then_refused", test_ran_then_refused);
 	g_test_add_func("/node/filing", test_filing);
 	g_test_add_func("/node/filing_lost", test_filing_lost);
 	g_test_add_func("/node/filing_outage", test_filing_outage);
