--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -244,9 +244,11 @@
 	if (n->list_at < n->joined)
 		fg_node_ask_list(n);
 	age_ms = fg_confsync_confirm_age(n->confsync, n->now);
-	if (n->now - (fg_ms)age_ms >= n->joined &&
-	    (outage || n->list_at >= n->joined))
-		n->in_force = true;
+	if (n->in_force || n->now - (fg_ms)age_ms < n->joined ||
+	    (!outage && n->list_at < n->joined))
+		return;
+	n->in_force = true;
+	fg_wire_revision_event(n);
 }
 
 void fg_node_ask_list(struct fg_node *n)
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -203,6 +203,8 @@
 void fg_wire_owner(void *arg, struct fg_owner_act *act);
 void fg_wire_confsync(void *arg, struct fg_confsync_act *act);
 void fg_wire_ledger(void *arg, struct fg_ledger_act *act);
+/* Event: the revision is in force here from now on. */
+void fg_wire_revision_event(struct fg_node *n);
 
 /* ---- fg_node_eps.c: endpoints ---- */
 struct fg_ep *fg_ep_find(struct fg_node *n, uint64_t id);
--- a/lib/node/fg_node_wire.c
+++ b/lib/node/fg_node_wire.c
@@ -121,7 +121,17 @@
 	}
 }
 
-static void config_changed(struct fg_node *n, uint64_t revision)
+/* An instance that only catches up takes no work: for it no revision is in
+ * force yet. */
+void fg_wire_revision_event(struct fg_node *n)
+{
+	fg_node_event(n, "revision",
+		      json_pack("{s:I,s:s}", "revision",
+				(json_int_t)fg_config_revision(n->config),
+				"preset", fg_config_preset(n->config)->name));
+}
+
+static void config_changed(struct fg_node *n)
 {
 	const struct fg_preset *preset = fg_config_preset(n->config);
 
@@ -129,9 +139,8 @@
 	fg_models_config(n);
 	fg_member_set_revision(n->member, fg_config_revision(n->config),
 			       fg_confsync_confirm_age(n->confsync, n->now));
-	fg_node_event(n, "revision",
-		      json_pack("{s:I,s:s}", "revision", (json_int_t)revision,
-				"preset", preset->name));
+	if (n->in_force)
+		fg_wire_revision_event(n);
 }
 
 static void change_answered(struct fg_node *n, struct fg_confsync_act *act)
@@ -163,7 +172,7 @@
 	case FG_CS_CHANGED:
 		if (n->open_changes > 0)
 			fg_member_look(n->member, n->now);
-		config_changed(n, act->revision);
+		config_changed(n);
 		break;
 	case FG_CS_ANSWER:
 		change_answered(n, act);
