grant: drafts are held by the owner until half a batch is full

Why: an engine takes as many steps for one request as for a full batch.

What: fg_grant_ask.hold_ms; held asks start together once they fill half a batch with what runs, or when the first one's time is over, and keep their slot meanwhile. Needs gather where batches run when stalls weigh little (fg_dir_set_weight(), fill_cost). A pinned victim is tried again after 300 ms instead of 1 s.

--- a/lib/grant/fg_grant.h
+++ b/lib/grant/fg_grant.h
@@ -63,13 +63,16 @@
 	fg_av av;
 	enum fg_class cls;
 	uint32_t budget_ms;
+	uint32_t hold_ms; /* may wait so long for a batch to join */
 };
 
 /*
- * Asks for a grant. FG_GRANT_OK sets *grant; FG_GRANT_HELD queues the ask: it
- * ends in a callback of fg_grants_pump(). Held asks are served by class, then
- * in order of arrival, and refused with FG_GRANT_NO_TIME once their budget is
- * spent.
+ * Asks for a grant. An ask with hold_ms is held until what runs and what is
+ * held fill half a batch, or its time is over; its slot is kept meanwhile.
+ * FG_GRANT_OK sets *grant; FG_GRANT_HELD queues the
+ * ask: it ends in a callback of fg_grants_pump(). Held asks are served by
+ * class, then in order of arrival, and refused with FG_GRANT_NO_TIME once their
+ * budget is spent.
  */
 fg_grant_status fg_grants_request(struct fg_grants *g, fg_ms now,
 				  const struct fg_grant_ask *ask,
--- a/lib/grant/fg_grant_ask.c
+++ b/lib/grant/fg_grant_ask.c
@@ -155,11 +155,24 @@
 	held->key = (struct fg_req_key){ ask->holder, ask->req };
 	held->ask = *ask;
 	held->deadline = now + ask->budget_ms;
+	held->hold_until = now + ask->hold_ms;
 	g_queue_push_tail(queue, held);
 	g_hash_table_insert(g->held_by_key, &held->key, queue->tail);
 	return FG_GRANT_HELD;
 }
 
+/*
+ * Requests that a batch lacks to be worth running for held asks. One running
+ * request is not enough to join: each that joins makes the batch last longer,
+ * at hardly more than one.
+ */
+static uint32_t missing_to_fill(const struct fg_grants *g)
+{
+	uint32_t target = (g->conf.batch + 1) / 2;
+
+	return g->in_use < target ? target - g->in_use : 0;
+}
+
 /* True when a held ask that could run now goes before one of class cls. */
 static bool held_before(const struct fg_grants *g, enum fg_class cls)
 {
@@ -211,6 +224,8 @@
 	slot = fg_grants_find(g, ask->av, FG_SLOT_READY);
 	if (slot < 0 && fg_grants_find(g, ask->av, FG_SLOT_LOADING) < 0)
 		return FG_GRANT_NOT_RESIDENT;
+	if (ask->hold_ms > 0 && fg_grants_held(g) + 1 < missing_to_fill(g))
+		return hold(g, now, ask);
 	if (slot < 0 || g->in_use >= g->conf.batch ||
 	    held_before(g, ask->cls) || fg_grants_replaced(g, ask->av))
 		return hold(g, now, ask);
@@ -254,7 +269,8 @@
 
 /* What becomes of a held ask now; FG_GRANT_HELD if it stays. */
 static fg_grant_status serve(struct fg_grants *g, fg_ms now,
-			     const struct fg_held *held, uint64_t *grant)
+			     const struct fg_held *held, bool start,
+			     uint64_t *grant)
 {
 	fg_grant_status status = refusal(g, now);
 	int32_t slot;
@@ -271,14 +287,15 @@
 		return fg_grants_find(g, held->ask.av, FG_SLOT_LOADING) < 0
 			       ? FG_GRANT_NOT_RESIDENT
 			       : FG_GRANT_HELD;
-	if (g->in_use >= g->conf.batch || fg_grants_replaced(g, held->ask.av))
+	if (!start || g->in_use >= g->conf.batch ||
+	    fg_grants_replaced(g, held->ask.av))
 		return FG_GRANT_HELD;
 	*grant = give(g, now, &held->ask, held->deadline, slot);
 	return FG_GRANT_OK;
 }
 
 static void serve_class(struct fg_grants *g, fg_ms now, GQueue *queue,
-			GArray *answers)
+			bool start, GArray *answers)
 {
 	GList *next;
 
@@ -287,7 +304,7 @@
 		struct answer a = { .ask = held->ask };
 
 		next = l->next;
-		a.status = serve(g, now, held, &a.grant);
+		a.status = serve(g, now, held, start, &a.grant);
 		if (a.status == FG_GRANT_HELD)
 			continue;
 		drop_held(g, l);
@@ -295,6 +312,23 @@
 	}
 }
 
+/* Is it time to run what is held for a batch to fill? */
+static bool batch_is_due(const struct fg_grants *g, fg_ms now)
+{
+	if (fg_grants_held(g) >= missing_to_fill(g))
+		return true;
+	for (int c = 0; c < FG_CLASS_COUNT; c++) {
+		for (GList *l = g->held[c].head; l != NULL; l = l->next) {
+			const struct fg_held *held = l->data;
+
+			if (held->hold_until <= now &&
+			    fg_grants_has(g, held->ask.av))
+				return true;
+		}
+	}
+	return false;
+}
+
 static void expire_grants(struct fg_grants *g, fg_ms now)
 {
 	GHashTableIter it;
@@ -327,6 +361,7 @@
 		    void *arg)
 {
 	GArray *answers;
+	bool start;
 
 	fg_grants_check_recovery(g, now);
 	forget_due(g, now);
@@ -334,9 +369,10 @@
 	if (fg_grants_held(g) == 0)
 		return;
 	/* The callback may come back to g: answers are given at the end. */
+	start = batch_is_due(g, now);
 	answers = g_array_new(FALSE, FALSE, sizeof(struct answer));
 	for (int c = 0; c < FG_CLASS_COUNT; c++)
-		serve_class(g, now, &g->held[c], answers);
+		serve_class(g, now, &g->held[c], start, answers);
 	for (guint i = 0; i < answers->len; i++) {
 		const struct answer *a =
 			&g_array_index(answers, struct answer, i);
--- a/lib/grant/fg_grant_priv.h
+++ b/lib/grant/fg_grant_priv.h
@@ -60,6 +60,7 @@
 	struct fg_req_key key;
 	struct fg_grant_ask ask;
 	fg_ms deadline;
+	fg_ms hold_until; /* for a batch to join */
 };
 
 struct fg_ended {
--- a/lib/place/fg_broker.c
+++ b/lib/place/fg_broker.c
@@ -7,7 +7,7 @@
 
 #define HEAT_HALF_LIFE_MS 300000
 #define PROTECT_MS 1000 /* a new adapter is kept for those who waited */
-#define PINNED_MS 1000	/* a victim found in use is not tried again before */
+#define PINNED_MS 300	/* a victim found in use is not tried again before */
 #define AVOID_MS 1000	/* an endpoint that refused is not tried again before */
 #define BACKOFF_MS 250	/* after a failure; doubles */
 #define BACKOFF_MAX_MS 4000
@@ -376,7 +376,7 @@
 	if (!fg_av_none(l->victim))
 		mark(b, l->ep, l->victim, now + PINNED_MS);
 	if (w != NULL)
-		avoid(w, l->ep, now + AVOID_MS);
+		avoid(w, l->ep, now + PINNED_MS);
 }
 
 void fg_broker_reply(struct fg_broker *b, fg_ms now, const fg_place_rep *rep)
--- a/lib/place/fg_dir.c
+++ b/lib/place/fg_dir.c
@@ -7,6 +7,11 @@
 /* With a prefix, loads this close (1/n of a batch) count as equal. */
 #define PREFIX_LEVELS 8
 
+void fg_dir_set_weight(struct fg_dir *d, uint32_t stall_weight)
+{
+	d->packs = stall_weight < FG_PACK_BELOW;
+}
+
 static void ep_free(gpointer p)
 {
 	struct fg_dir_ep *e = p;
@@ -213,6 +218,17 @@
 	return a->tie > b->tie;
 }
 
+/* Lower is better. */
+static double level_of(const struct fg_dir *d, const struct fg_dir_ep *e,
+		       uint64_t prefix_hash)
+{
+	double fill = fg_dir_ep_fill(e);
+
+	if (d->packs && fill < FG_PACK_FILL_MAX)
+		return -fill;
+	return prefix_hash != 0 ? (int)(fill * PREFIX_LEVELS) : fill;
+}
+
 struct fg_pick fg_dir_pick(struct fg_dir *d, fg_ms now, const char *service,
 			   fg_av av, const char *region, bool allow_remote,
 			   const uint64_t *avoid, size_t n_avoid,
@@ -233,9 +249,7 @@
 		    (!c.near && !allow_remote) ||
 		    is_avoided(c.e->id, avoid, n_avoid))
 			continue;
-		c.level = fg_dir_ep_fill(c.e);
-		if (prefix_hash != 0)
-			c.level = (int)(c.level * PREFIX_LEVELS);
+		c.level = level_of(d, c.e, prefix_hash);
 		c.tie = prefix_hash != 0 ? fg_hash_mix(prefix_hash, c.e->id)
 					 : fg_rand_next(&d->rand);
 		if (is_better(&c, &best))
--- a/lib/place/fg_place.h
+++ b/lib/place/fg_place.h
@@ -46,6 +46,11 @@
 struct fg_dir *fg_dir_new(uint64_t seed);
 void fg_dir_free(struct fg_dir *d);
 
+/* The preset's weight of stalls: of endpoints that hold an adapter the least
+ * loaded is picked when it is high, and the fullest with room when it is low,
+ * so that batches fill. */
+void fg_dir_set_weight(struct fg_dir *d, uint32_t stall_weight);
+
 /* An engine that may serve `service`; updates if known. */
 void fg_dir_endpoint(struct fg_dir *d, uint64_t ep, const char *service,
 		     const char *region, const char *dc, bool leaving);
--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -39,6 +39,7 @@
 
 struct fg_dir {
 	struct fg_rand rand;
+	bool packs;	   /* prefers the fuller of two endpoints with room */
 	GHashTable *by_id; /* id -> fg_dir_ep, owns */
 	GPtrArray *list;   /* fg_dir_ep in order of arrival, borrows */
 	GHashTable *by_av; /* fg_av_key -> GPtrArray of fg_dir_ep */
@@ -145,6 +146,11 @@
 /* NULL when there is no policy of this name. */
 const struct fg_policy *fg_policy_find(const char *name);
 
+/* Below this weight of stalls requests are gathered on few endpoints, from it
+ * on they are spread over all. */
+#define FG_PACK_BELOW 50
+#define FG_PACK_FILL_MAX 0.75 /* fuller endpoints get no more of them */
+
 extern const struct fg_policy fg_policy_gauge;
 extern const struct fg_policy fg_policy_strong;
 extern const struct fg_policy fg_policy_naive;
--- a/lib/place/fg_policy_gauge.c
+++ b/lib/place/fg_policy_gauge.c
@@ -10,10 +10,12 @@
 #define SCHEDULE_MARGIN_MS 300 /* with less to spare, due times decide */
 #define INTERACTIVE_WORTH 4.0  /* of a waiting person, in drafts */
 #define AGE_WORTH_MS 2000      /* waiting this long is worth one request */
-#define BUSY_MS 4000	       /* asked for so lately: likely still in use */
+#define BUSY_MS 1000	       /* asked for so lately: likely still in use */
 #define BUSY_COST 1000.0
 #define COPY_COST 0.25 /* of an adapter that another endpoint holds as well */
-#define FILL_COST 0.05 /* of a full batch, to spread new adapters */
+#define PACKED_COPY_COST 0.01 /* when requests go to the fuller endpoint */
+#define FILL_COST 0.05	      /* of a full batch, to spread new adapters */
+#define PACK_GAIN 2.0 /* of joining a full batch, when they are gathered */
 
 /* ---- Order of loads ---- */
 
@@ -67,19 +69,25 @@
 
 /* ---- Place and victim ---- */
 
-static bool held_elsewhere(const struct fg_broker *b, const struct fg_dir_ep *e,
-			   fg_av av)
+/* What is left of the cost of av on e when another endpoint holds it too. */
+static double copy_share(const struct fg_broker *b, const struct fg_dir_ep *e,
+			 fg_av av)
 {
+	bool packs = b->conf.stall_weight < FG_PACK_BELOW;
 	const GPtrArray *eps = fg_dir_holders(b->dir, av);
 
 	for (guint i = 0; eps != NULL && i < eps->len; i++) {
 		const struct fg_dir_ep *other = eps->pdata[i];
 
-		if (other != e && other->region == e->region &&
-		    fg_dir_ep_usable(other, b->service))
-			return true;
+		if (other == e || other->region != e->region ||
+		    !fg_dir_ep_usable(other, b->service))
+			continue;
+		if (packs && fg_dir_ep_fill(other) < FG_PACK_FILL_MAX &&
+		    fg_dir_ep_fill(other) >= fg_dir_ep_fill(e))
+			return PACKED_COPY_COST;
+		return COPY_COST;
 	}
-	return false;
+	return 1;
 }
 
 /* What it costs to lose av on e: the loads it saves, as far as its popularity
@@ -88,13 +96,12 @@
 			  const struct fg_dir_ep *e, fg_av av)
 {
 	const struct fg_want *pending = fg_broker_want(b, av);
-	double cost = fg_heat_get(b->heat, now, av);
+	double share = copy_share(b, e, av);
+	double cost = fg_heat_get(b->heat, now, av) * share;
 
-	if (held_elsewhere(b, e, av))
-		cost *= COPY_COST;
 	if (pending != NULL)
 		cost += pending->waiting;
-	if (now - fg_heat_last(b->heat, av) < BUSY_MS)
+	if (share == 1 && now - fg_heat_last(b->heat, av) < BUSY_MS)
 		cost += BUSY_COST;
 	return cost;
 }
@@ -118,6 +125,16 @@
 	return least;
 }
 
+/* Spreads new adapters, or gathers them where batches run. */
+static double fill_cost(const struct fg_broker *b, const struct fg_dir_ep *e)
+{
+	double fill = fg_dir_ep_fill(e);
+
+	if (b->conf.stall_weight >= FG_PACK_BELOW)
+		return FILL_COST * fill;
+	return fill < FG_PACK_FILL_MAX ? -PACK_GAIN * fill : 0;
+}
+
 static bool choose_least_cost(const struct fg_broker *b, fg_ms now,
 			      const struct fg_want *w, fg_place *place)
 {
@@ -132,7 +149,7 @@
 			continue;
 		if (fg_broker_free_slots(b, e) == 0)
 			cost = best_victim(b, now, e, &victim);
-		cost += FILL_COST * fg_dir_ep_fill(e);
+		cost += fill_cost(b, e);
 		if (cost >= least)
 			continue;
 		least = cost;
--- a/tests/bench/place_engine.c
+++ b/tests/bench/place_engine.c
@@ -222,10 +222,17 @@
 	uint64_t grant;
 	fg_grant_status status;
 
+	if (s->own && a->cls == FG_CLASS_DRAFT)
+		ask.hold_ms =
+			fg_hold_ms(&s->d->preset, ask.budget_ms,
+				   s->d->service_p95_ms, 0, 1, BATCH, false);
 	status = fg_grants_request(e->grants, s->now, &ask, &grant);
 	if (status != FG_GRANT_HELD)
 		grant_rep(s, ev->ep, ev->router, ev->req, ev->attempt, status,
 			  grant);
+	/* A batch was started: drafts that are held may join it. */
+	if (status == FG_GRANT_OK && fg_grants_held(e->grants) > 0)
+		owner_pump(s, ev->ep);
 }
 
 void owner_release(struct sim *s, const struct ev *ev)
--- a/tests/bench/place_router.c
+++ b/tests/bench/place_router.c
@@ -177,13 +177,12 @@
 	const struct arrival *a = &s->t->a[req];
 	struct fg_pick p = pick(s, req, 0);
 	struct queue *q = get_queue(s, req);
-	bool room = p.resident && p.in_use > 0 && p.in_use < p.batch;
 
-	if (!s->own || a->cls != FG_CLASS_DRAFT || q->waiting->len > 0)
+	if (!s->own || a->cls != FG_CLASS_DRAFT || q->waiting->len > 0 ||
+	    p.resident)
 		return 0;
 	return fg_hold_ms(&s->d->preset, a->deadline_ms, s->d->service_p95_ms,
-			  p.resident ? 0 : LOAD_MS, q->held->len + 1, BATCH,
-			  room);
+			  LOAD_MS, q->held->len + 1, BATCH, false);
 }
 
 void router_arrive(struct sim *s, uint32_t req)
--- a/tests/bench/place_sim.c
+++ b/tests/bench/place_sim.c
@@ -189,6 +189,9 @@
 	}
 	for (uint32_t r = 0; r < ROUTERS; r++) {
 		s->routers[r].dir = fg_dir_new(r + 2);
+		if (s->own)
+			fg_dir_set_weight(s->routers[r].dir,
+					  s->d->preset.stall_weight);
 		announce(s, s->routers[r].dir);
 		s->routers[r].queues =
 			g_hash_table_new(fg_key_hash, g_int64_equal);
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -158,7 +158,7 @@
 {
 	struct fg_grants *g = loaded();
 	uint32_t counts[8] = { 0 };
-	struct fg_grant_ask draft = { 9, 9, av(1), FG_CLASS_DRAFT, 100 };
+	struct fg_grant_ask draft = { 9, 9, av(1), FG_CLASS_DRAFT, 100, 0 };
 	uint64_t a, b, id;
 
 	ask_as(g, 10, 1, 1, 1, &a);
@@ -183,6 +183,36 @@
 	fg_grants_free(g);
 }
 
+/* Drafts wait until half a batch is full, or their time is over. */
+static void test_held_for_batch(void)
+{
+	struct fg_grants_conf wide = conf;
+	struct fg_grant_ask draft = { 9, 1, av(1), FG_CLASS_DRAFT, 9000, 1000 };
+	uint32_t counts[8] = { 0 };
+	struct fg_grants *g;
+	uint64_t id;
+
+	wide.batch = 6;
+	g = fg_grants_new(&wide, 0, false);
+	load(g, 1, 1);
+	g_assert_cmpint(fg_grants_request(g, 10, &draft, &id), ==,
+			FG_GRANT_HELD);
+	fg_grants_pump(g, 1009, count_reply, counts);
+	g_assert_cmpuint(fg_grants_held(g), ==, 1);
+	fg_grants_pump(g, 1010, count_reply, counts);
+	g_assert_cmpuint(counts[FG_GRANT_OK], ==, 1);
+	draft.req = 2;
+	g_assert_cmpint(fg_grants_request(g, 1020, &draft, &id), ==,
+			FG_GRANT_HELD);
+	g_assert_cmpint(ask_as(g, 1030, 1, 1, 1, &id), ==, FG_GRANT_OK);
+	fg_grants_pump(g, 1030, count_reply, counts);
+	g_assert_cmpuint(counts[FG_GRANT_OK], ==, 2);
+	draft.req = 3;
+	g_assert_cmpint(fg_grants_request(g, 1040, &draft, &id), ==,
+			FG_GRANT_OK);
+	fg_grants_free(g);
+}
+
 /* A slot that held asks wait for stays, though nobody pins it. */
 static void test_held_keeps_slot(void)
 {
@@ -511,6 +541,7 @@
 	g_test_add_func("/grant/late_repeat", test_late_repeat);
 	g_test_add_func("/grant/ids_of_owners", test_ids_of_owners);
 	g_test_add_func("/grant/held", test_held);
+	g_test_add_func("/grant/held_for_batch", test_held_for_batch);
 	g_test_add_func("/grant/held_keeps_slot", test_held_keeps_slot);
 	g_test_add_func("/grant/leave", test_leave);
 	g_test_add_func("/grant/dead_holder", test_dead_holder);
--- a/tests/unit/test_grant_sim.c
+++ b/tests/unit/test_grant_sim.c
@@ -174,9 +174,11 @@
 			 .req = ++w->next_req,
 			 .av = { 1 + (u_int)roll(w, ADAPTERS), 1 },
 			 .starts = -1 };
-	struct fg_grant_ask ask = { j.holder, j.req, j.av,
-				    FG_CLASS_INTERACTIVE + roll(w, 2),
-				    BUDGET_MS };
+	struct fg_grant_ask ask = {
+		j.holder,  j.req,
+		j.av,	   FG_CLASS_INTERACTIVE + roll(w, 2),
+		BUDGET_MS, roll(w, 3) == 0 ? 500 : 0
+	};
 	fg_grant_status status;
 	uint64_t grant;
 
