place: needs of drafts are held by the broker, copies one at a time

Drafts gain worth only after their hold. An owner tells when its batch is almost full and has room again, and an endpoint gets one copy in 10 s.

--- a/lib/grant/fg_grant.h
+++ b/lib/grant/fg_grant.h
@@ -169,7 +169,8 @@
 /* Fills a RESIDENT body (its list is malloc'ed); seq grows on each change. */
 void fg_grants_resident(const struct fg_grants *g, fg_resident *out);
 
-/* True once after each change of what is resident. */
+/* True once after each change of what is resident, and when the batch became
+ * almost full or has room again. */
 bool fg_grants_changed(struct fg_grants *g);
 
 #endif
--- a/lib/grant/fg_grant_ask.c
+++ b/lib/grant/fg_grant_ask.c
@@ -60,12 +60,26 @@
 
 /* ---- Grants ---- */
 
+/* Full and not full again are news for those who choose endpoints; what lies
+ * between is not worth a message to all. */
+static void note_load(struct fg_grants *g)
+{
+	uint32_t full_from = (g->conf.batch * 7 + 7) / 8;
+	uint32_t room_to = g->conf.batch * 5 / 8;
+
+	if (g->full ? g->in_use > room_to : g->in_use < full_from)
+		return;
+	g->full = !g->full;
+	fg_grants_note_change(g);
+}
+
 void fg_grants_pin(struct fg_grants *g, struct fg_grant_rec *rec, int32_t slot)
 {
 	assert(rec->slot < 0 && slot >= 0);
 	rec->slot = slot;
 	g->slot[slot].pins++;
 	g->in_use++;
+	note_load(g);
 }
 
 void fg_grants_unpin(struct fg_grants *g, fg_ms now, struct fg_grant_rec *rec)
@@ -80,6 +94,7 @@
 	s->last_unpinned = now;
 	g->in_use--;
 	rec->slot = FG_SLOT_GONE;
+	note_load(g);
 }
 
 void fg_grants_insert(struct fg_grants *g, struct fg_grant_rec *rec)
--- a/lib/grant/fg_grant_priv.h
+++ b/lib/grant/fg_grant_priv.h
@@ -97,6 +97,7 @@
 
 	uint64_t seq;
 	bool changed;
+	bool full; /* as last told: hardly room for more */
 };
 
 /* Records a change of what is resident. */
--- a/lib/place/fg_broker.c
+++ b/lib/place/fg_broker.c
@@ -12,6 +12,7 @@
 #define BACKOFF_MS 250	/* after a failure; doubles */
 #define BACKOFF_MAX_MS 4000
 #define WAIT_MAX_MS 40000 /* for a load, with a low weight of stalls */
+#define HOLD_WAITING 8	  /* drafts of one router that are held no longer */
 #define LOADS_WAITED 8	  /* a wait of so many loads is no reason to refuse */
 #define FAILS_PAUSE 3	  /* failures in a row that pause all loads */
 
@@ -75,6 +76,11 @@
 	b->conf.stall_weight = stall_weight;
 }
 
+void fg_broker_set_hold(struct fg_broker *b, uint32_t hold_max_ms)
+{
+	b->hold_max_ms = hold_max_ms;
+}
+
 /* ---- Needs ---- */
 
 const struct fg_want *fg_broker_want(const struct fg_broker *b, fg_av av)
@@ -100,6 +106,7 @@
 	w->waiting = 0;
 	w->deadline = FG_MS_NEVER;
 	w->due = FG_MS_NEVER;
+	w->hold_until = FG_MS_NEVER;
 	w->cls = FG_CLASS_COUNT;
 	for (guint i = 0; i < w->asks->len; i++) {
 		const struct fg_want_ask *a =
@@ -108,19 +115,27 @@
 		w->waiting += a->waiting;
 		w->deadline = MIN(w->deadline, a->deadline);
 		w->due = MIN(w->due, a->due);
+		w->hold_until = MIN(w->hold_until, a->hold_until);
 		w->cls = MIN(w->cls, a->cls);
 	}
 }
 
-static void remove_ask(struct fg_want *w, uint64_t from)
+/* Copies the ask to *old when that is not NULL. */
+static bool remove_ask(struct fg_want *w, uint64_t from,
+		       struct fg_want_ask *old)
 {
 	for (guint i = 0; i < w->asks->len; i++) {
-		if (g_array_index(w->asks, struct fg_want_ask, i).from ==
-		    from) {
-			g_array_remove_index_fast(w->asks, i);
-			return;
-		}
+		const struct fg_want_ask *a =
+			&g_array_index(w->asks, struct fg_want_ask, i);
+
+		if (a->from != from)
+			continue;
+		if (old != NULL)
+			*old = *a;
+		g_array_remove_index_fast(w->asks, i);
+		return true;
 	}
+	return false;
 }
 
 static struct fg_want *find_or_add(struct fg_broker *b, fg_ms now, fg_av av)
@@ -151,6 +166,17 @@
 	return MIN(MAX(wait, least), (fg_ms)slack_ms);
 }
 
+static fg_ms hold_for(const struct fg_broker *b, const fg_need *need)
+{
+	struct fg_preset preset = { .stall_weight = b->conf.stall_weight,
+				    .hold_max_ms = b->hold_max_ms };
+
+	if (need->cls != FG_CLASS_DRAFT)
+		return 0;
+	return fg_hold_ms(&preset, need->slack_ms, 0, b->conf.load_ms,
+			  need->waiting, HOLD_WAITING, false);
+}
+
 void fg_broker_need(struct fg_broker *b, fg_ms now, uint64_t from,
 		    const fg_need *need)
 {
@@ -159,8 +185,10 @@
 		.waiting = need->waiting,
 		.deadline = now + need->slack_ms,
 		.due = now + due_in(b, need->slack_ms),
+		.hold_until = now + hold_for(b, need),
 		.cls = need->cls,
 	};
+	struct fg_want_ask old;
 	struct fg_want *w;
 
 	if (fg_av_none(need->av))
@@ -168,7 +196,11 @@
 	if (need->waiting == 0 && fg_broker_want(b, need->av) == NULL)
 		return;
 	w = find_or_add(b, now, need->av);
-	remove_ask(w, from);
+	/* Those who waited before keep their place. */
+	if (remove_ask(w, from, &old)) {
+		ask.due = MIN(ask.due, old.due);
+		ask.hold_until = MIN(ask.hold_until, old.hold_until);
+	}
 	if (need->waiting > 0)
 		g_array_append_val(w->asks, ask);
 	settle(b, w);
@@ -181,7 +213,7 @@
 	for (GList *l = wants; l != NULL; l = l->next) {
 		struct fg_want *w = l->data;
 
-		remove_ask(w, from);
+		remove_ask(w, from, NULL);
 		settle(b, w);
 	}
 	g_list_free(wants);
--- a/lib/place/fg_broker_tick.c
+++ b/lib/place/fg_broker_tick.c
@@ -9,8 +9,8 @@
 #define RETRY_PLACE_MS 50 /* no place found: tried again after this */
 #define NEWS_MS 1000	  /* by then a router has heard what is resident */
 #define COPY_CHECK_MS 500
-#define COPY_GAP_MS 5000 /* between copies of one adapter */
-#define SATURATED 0.85	 /* load relative to the batch */
+#define COPY_GAP_MS 10000 /* between copies of an adapter or endpoint */
+#define SATURATED 0.85	  /* load relative to the batch */
 
 /* ---- Budget ---- */
 
@@ -90,7 +90,7 @@
 {
 	if (w->not_before > now || fg_broker_loading(b, w->av))
 		return false;
-	if (b->policy->refuses && !w->judged)
+	if (b->policy->refuses && (!w->judged || w->hold_until > now))
 		return false;
 	if (now - w->first_at >= NEWS_MS)
 		return true;
@@ -288,14 +288,22 @@
 
 /* ---- Copies of hot adapters ---- */
 
-static bool copied_lately(const struct fg_broker *b, fg_ms now, fg_av av)
+static bool copied_lately(const struct fg_broker *b, fg_ms now, uint64_t key)
 {
-	uint64_t key = fg_av_key(av);
 	const struct fg_mark *m = g_hash_table_lookup(b->replicated, &key);
 
 	return m != NULL && m->until > now;
 }
 
+static void note_copy(struct fg_broker *b, fg_ms now, uint64_t key)
+{
+	struct fg_mark *m = g_new0(struct fg_mark, 1);
+
+	m->key = key;
+	m->until = now + COPY_GAP_MS;
+	g_hash_table_replace(b->replicated, &m->key, m);
+}
+
 /* The most popular adapter of a saturated endpoint that has no room
  * anywhere; none if all have. */
 static fg_av hottest(const struct fg_broker *b, fg_ms now,
@@ -307,7 +315,8 @@
 	for (uint32_t i = 0; i < e->n_av; i++) {
 		double heat = fg_heat_get(b->heat, now, e->av[i]);
 
-		if (heat <= most || copied_lately(b, now, e->av[i]) ||
+		if (heat <= most ||
+		    copied_lately(b, now, fg_av_key(e->av[i])) ||
 		    fg_broker_loading(b, e->av[i]) ||
 		    fg_broker_resident(b, e->av[i], false))
 			continue;
@@ -317,19 +326,17 @@
 	return best;
 }
 
+/* One copy at a time: its effect on the endpoint is awaited. */
 static bool copy_from(struct fg_broker *b, fg_ms now, const struct fg_dir_ep *e,
 		      fg_broker_emit emit, void *arg)
 {
 	struct fg_want w = { .av = hottest(b, now, e) };
 	fg_place place = { .av = w.av };
-	struct fg_mark *m;
 
 	if (fg_av_none(w.av) || !b->policy->choose(b, now, &w, &place))
 		return false;
-	m = g_new0(struct fg_mark, 1);
-	m->key = fg_av_key(w.av);
-	m->until = now + COPY_GAP_MS;
-	g_hash_table_replace(b->replicated, &m->key, m);
+	note_copy(b, now, fg_av_key(w.av));
+	note_copy(b, now, e->id);
 	order(b, now, &place, emit, arg);
 	return true;
 }
@@ -346,7 +353,8 @@
 		const struct fg_dir_ep *e = b->dir->list->pdata[i];
 
 		if (!fg_dir_ep_usable(e, b->service) ||
-		    e->region != b->region || fg_dir_ep_fill(e) < SATURATED)
+		    e->region != b->region || fg_dir_ep_fill(e) < SATURATED ||
+		    copied_lately(b, now, e->id))
 			continue;
 		if (copy_from(b, now, e, emit, arg))
 			return;
--- a/lib/place/fg_place.h
+++ b/lib/place/fg_place.h
@@ -107,6 +107,10 @@
 		   uint32_t in_flight_max, uint32_t load_ms,
 		   uint32_t stall_weight);
 
+/* The preset's longest hold: needs of drafts alone wait so long, by
+ * fg_hold_ms(), for more requests to share their load. 0 at the start. */
+void fg_broker_set_hold(struct fg_broker *b, uint32_t hold_max_ms);
+
 /* A NEED from router `from`; replaces its last one for the same adapter.
  * waiting == 0 withdraws it. slack_ms is the time until the load must be
  * done, that is the time left less the service time. */
--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -62,8 +62,9 @@
 struct fg_want_ask {
 	uint64_t from;
 	uint32_t waiting;
-	fg_ms deadline; /* the load must be done by then ... */
-	fg_ms due;	/* ... and should be by then */
+	fg_ms deadline;	  /* the load must be done by then ... */
+	fg_ms due;	  /* ... and should be by then */
+	fg_ms hold_until; /* by choice, for more to share the load */
 	uint32_t cls;
 };
 
@@ -75,9 +76,10 @@
 	fg_av av;
 	GArray *asks; /* struct fg_want_ask */
 	uint32_t waiting;
-	fg_ms deadline; /* the earliest */
-	fg_ms due;	/* the earliest; needs are admitted and ordered by it */
-	uint32_t cls;	/* the most urgent */
+	fg_ms deadline;	  /* the earliest */
+	fg_ms hold_until; /* the earliest */
+	fg_ms due;    /* the earliest; needs are admitted and ordered by it */
+	uint32_t cls; /* the most urgent */
 	fg_ms first_at;
 	fg_ms not_before; /* backoff */
 	uint32_t fails;
@@ -109,6 +111,7 @@
 
 struct fg_broker {
 	struct fg_broker_conf conf;
+	uint32_t hold_max_ms; /* of the preset */
 	const struct fg_dir *dir;
 	const struct fg_policy *policy;
 	struct fg_rand rand;
@@ -118,7 +121,8 @@
 	GHashTable *wants; /* fg_av_key -> fg_want, owns */
 	GHashTable *loads; /* order -> fg_load, owns */
 	GHashTable *marks; /* hash of endpoint and adapter -> fg_mark, owns */
-	GHashTable *replicated; /* fg_av_key -> time of the last copy, owns */
+	GHashTable
+		*replicated; /* key of adapter or endpoint -> fg_mark, owns */
 	uint64_t next_order;
 	double tokens; /* loads that may start now */
 	fg_ms refilled;
--- a/lib/place/fg_policy_gauge.c
+++ b/lib/place/fg_policy_gauge.c
@@ -35,13 +35,15 @@
 	return least;
 }
 
+/* Requests that wait, the urgent ones above all, and for how long; a time for
+ * which drafts are held by choice does not count. */
 static double worth(const struct fg_broker *b, fg_ms now,
 		    const struct fg_want *w)
 {
 	double each = w->cls < FG_CLASS_DRAFT ? INTERACTIVE_WORTH : 1;
+	fg_ms since = MAX(w->first_at, MIN(w->hold_until, now));
 
-	return each * (w->waiting +
-		       (double)(now - w->first_at) / AGE_WORTH_MS) +
+	return each * (w->waiting + (double)(now - since) / AGE_WORTH_MS) +
 	       fg_heat_get(b->heat, now, w->av) / 100;
 }
 
