--- a/lib/grant/fg_grant_priv.h
+++ b/lib/grant/fg_grant_priv.h
@@ -60,6 +60,7 @@
 	struct fg_req_key key;
 	struct fg_grant_ask ask;
 	fg_ms deadline;
+	fg_ms hold_until; /* for a batch to join */
 };
 
 struct fg_ended {
@@ -96,6 +97,7 @@
 
 	uint64_t seq;
 	bool changed;
+	bool full; /* as last told: hardly room for more */
 };
 
 /* Records a change of what is resident. */
--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -39,6 +39,7 @@
 
 struct fg_dir {
 	struct fg_rand rand;
+	bool packs;	   /* prefers the fuller of two endpoints with room */
 	GHashTable *by_id; /* id -> fg_dir_ep, owns */
 	GPtrArray *list;   /* fg_dir_ep in order of arrival, borrows */
 	GHashTable *by_av; /* fg_av_key -> GPtrArray of fg_dir_ep */
@@ -61,8 +62,9 @@
 struct fg_want_ask {
 	uint64_t from;
 	uint32_t waiting;
-	fg_ms deadline; /* the load must be done by then ... */
-	fg_ms due;	/* ... and should be by then */
+	fg_ms deadline;	  /* the load must be done by then ... */
+	fg_ms due;	  /* ... and should be by then */
+	fg_ms hold_until; /* by choice, for more to share the load */
 	uint32_t cls;
 };
 
@@ -74,9 +76,10 @@
 	fg_av av;
 	GArray *asks; /* struct fg_want_ask */
 	uint32_t waiting;
-	fg_ms deadline; /* the earliest */
-	fg_ms due;	/* the earliest; needs are admitted and ordered by it */
-	uint32_t cls;	/* the most urgent */
+	fg_ms deadline;	  /* the earliest */
+	fg_ms hold_until; /* the earliest */
+	fg_ms due;    /* the earliest; needs are admitted and ordered by it */
+	uint32_t cls; /* the most urgent */
 	fg_ms first_at;
 	fg_ms not_before; /* backoff */
 	uint32_t fails;
@@ -108,6 +111,7 @@
 
 struct fg_broker {
 	struct fg_broker_conf conf;
+	uint32_t hold_max_ms; /* of the preset */
 	const struct fg_dir *dir;
 	const struct fg_policy *policy;
 	struct fg_rand rand;
@@ -117,7 +121,8 @@
 	GHashTable *wants; /* fg_av_key -> fg_want, owns */
 	GHashTable *loads; /* order -> fg_load, owns */
 	GHashTable *marks; /* hash of endpoint and adapter -> fg_mark, owns */
-	GHashTable *replicated; /* fg_av_key -> time of the last copy, owns */
+	GHashTable
+		*replicated; /* key of adapter or endpoint -> fg_mark, owns */
 	uint64_t next_order;
 	double tokens; /* loads that may start now */
 	fg_ms refilled;
@@ -145,6 +150,11 @@
 /* NULL when there is no policy of this name. */
 const struct fg_policy *fg_policy_find(const char *name);
 
+/* Below this weight of stalls requests are gathered on few endpoints, from it
+ * on they are spread over all. */
+#define FG_PACK_BELOW 50
+#define FG_PACK_FILL_MAX 0.75 /* fuller endpoints get no more of them */
+
 extern const struct fg_policy fg_policy_gauge;
 extern const struct fg_policy fg_policy_strong;
 extern const struct fg_policy fg_policy_naive;
