--- a/lib/config/fg_confsync.c
+++ b/lib/config/fg_confsync.c
@@ -241,8 +241,9 @@
 }
 
 /* Runs what the event made possible; CHANGED comes before any answer that
- * relies on the revision being in force. */
-static void settle(struct fg_confsync *s)
+ * relies on the revision being in force. What looks at every peer waits for
+ * the next tick, so that hundreds of acknowledgements cost one look. */
+static void settle(struct fg_confsync *s, bool tick)
 {
 	uint64_t revision;
 
@@ -257,8 +258,9 @@
 		s->told = revision;
 		s->emit(s->arg, &act);
 	}
-	cs_peer_step(s);
-	cs_ack_step(s);
+	cs_peer_step(s, tick);
+	if (tick)
+		cs_ack_step(s);
 	cs_snap_step(s);
 }
 
@@ -267,7 +269,7 @@
 {
 	enter(s, now, emit, arg);
 	s->last_tick = now;
-	settle(s);
+	settle(s, true);
 }
 
 bool fg_confsync_on_table(struct fg_confsync *s, fg_ms now,
@@ -279,7 +281,7 @@
 	enter(s, now, emit, arg);
 	ours = cs_fetch_result(s, res) || cs_change_result(s, res) ||
 	       cs_snap_result(s, res);
-	settle(s);
+	settle(s, false);
 	return ours;
 }
 
@@ -295,7 +297,7 @@
 		cs_on_tell(s, from, &msg->body.fg_body_u.config_tell);
 	else
 		return;
-	settle(s);
+	settle(s, false);
 }
 
 /* What a peer said at `said` or later of its revision. */
@@ -306,7 +308,7 @@
 	    confirm_age_ms != UINT32_MAX && said != CS_NEVER)
 		cs_confirm(s, said - confirm_age_ms);
 	cs_peer_heard(s, peer, revision);
-	settle(s);
+	settle(s, false);
 }
 
 void fg_confsync_on_peer(struct fg_confsync *s, fg_ms now, uint64_t peer,
--- a/lib/config/fg_confsync_change.c
+++ b/lib/config/fg_confsync_change.c
@@ -79,8 +79,10 @@
 	if (s->fetch.op != 0 && s->fetch.what == CS_FETCH_HEAD &&
 	    s->fetch.asked >= ch->started)
 		return false;
-	if (!s->head_known || s->head_asked < ch->started ||
-	    s->head.revision < revision) {
+	if (!s->head_known || s->head_asked < ch->started) {
+		s->fetch.want_head = true;
+	} else if (s->head.revision < revision) {
+		/* A peer told us more than the table did when it was read. */
 		s->fetch.want_head = true;
 		s->write.retry_at = s->now + CS_HEAD_WAIT_MS;
 	}
--- a/lib/config/fg_confsync_peer.c
+++ b/lib/config/fg_confsync_peer.c
@@ -132,7 +132,7 @@
 {
 	const struct cs_peer *p;
 
-	if (s->now < s->ask_at)
+	if (s->highest <= revision(s) || s->now < s->ask_at)
 		return;
 	p = best_peer(s);
 	if (p == NULL)
@@ -149,6 +149,7 @@
 	struct cs_peer *p = cs_peer(s, id);
 
 	p->heard = s->now;
+	s->highest = MAX(s->highest, heard);
 	if (heard > p->revision)
 		p->revision = heard;
 }
@@ -303,6 +304,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	s->push_now = true;
 	g_hash_table_iter_init(&it, s->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cs_peer *p = value;
@@ -317,6 +319,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	s->push_now = false;
 	if (s->push_revision == 0 || s->conf.no_push)
 		return;
 	g_hash_table_iter_init(&it, s->peers);
@@ -408,9 +411,10 @@
 		send_ask(s, from);
 }
 
-void cs_peer_step(struct fg_confsync *s)
+void cs_peer_step(struct fg_confsync *s, bool tick)
 {
-	push_step(s);
+	if (tick || s->push_now)
+		push_step(s);
 	ask_step(s);
 	send_step(s);
 }
--- a/lib/config/fg_confsync_priv.h
+++ b/lib/config/fg_confsync_priv.h
@@ -117,6 +117,7 @@
 	CS_SNAP_PARTS,	 /* parts are written */
 	CS_SNAP_DELETE,	 /* rows that nobody needs are deleted */
 	CS_SNAP_PUBLISH, /* head: snapshot is ours */
+	CS_SNAP_UNDO,	 /* superseded: our parts are deleted */
 };
 
 struct cs_snap {
@@ -163,6 +164,8 @@
 	bool live_timed;
 	fg_ms live_asked;
 	uint64_t push_revision; /* newest revision stored by us; 0: none */
+	bool push_now;		/* it has not been pushed at all yet */
+	uint64_t highest;	/* revision heard of from any peer */
 	fg_ms ask_at;		/* no peer is asked before */
 	uint32_t ask_count;
 	uint32_t n_sending;
@@ -216,7 +219,7 @@
 
 /* fg_confsync_peer.c */
 struct cs_peer *cs_peer(struct fg_confsync *s, uint64_t id);
-void cs_peer_step(struct fg_confsync *s);
+void cs_peer_step(struct fg_confsync *s, bool tick);
 void cs_peer_heard(struct fg_confsync *s, uint64_t id, uint64_t revision);
 void cs_push(struct fg_confsync *s);
 void cs_on_ask(struct fg_confsync *s, uint64_t from, const fg_config_ask *ask);
--- a/lib/config/fg_confsync_snap.c
+++ b/lib/config/fg_confsync_snap.c
@@ -129,7 +129,7 @@
 		op = fg_table_op_new(cs_op_id(s), FG_OP_GET, CS_HEAD_KEY);
 	else if (sn->phase == CS_SNAP_PARTS)
 		op = part_op(s);
-	else if (sn->phase == CS_SNAP_DELETE)
+	else if (sn->phase == CS_SNAP_DELETE || sn->phase == CS_SNAP_UNDO)
 		op = delete_op(s);
 	else
 		op = head_op(s);
@@ -149,6 +149,16 @@
 		cs_snap_drop(s);
 }
 
+/* Another instance claimed meanwhile. It has deleted our parts, but perhaps
+ * before the last of them was written. */
+static void undo_parts(struct cs_snap *sn)
+{
+	sn->phase = CS_SNAP_UNDO;
+	sn->next_doomed = 0;
+	g_ptr_array_set_size(sn->doomed, 0);
+	doom_parts(sn->doomed, sn->revision, sn->parts->len);
+}
+
 /* Another instance may have claimed or published meanwhile. A draft of just
  * this revision is our own: one instance alone stored it. */
 static void snap_head_read(struct fg_confsync *s,
@@ -161,37 +171,48 @@
 		return;
 	}
 	sn->reading = false;
-	if (sn->head.snapshot >= sn->revision)
+	if (sn->head.snapshot == sn->revision ||
+	    sn->head.old_snapshot == sn->revision)
 		cs_snap_drop(s);
-	else if (sn->phase == CS_SNAP_CLAIM && sn->head.draft > sn->revision)
+	else if (sn->phase == CS_SNAP_CLAIM &&
+		 (sn->head.snapshot > sn->revision ||
+		  sn->head.draft > sn->revision))
 		cs_snap_drop(s);
 	else if (sn->phase == CS_SNAP_PUBLISH && sn->head.draft != sn->revision)
-		cs_snap_drop(s);
+		undo_parts(sn);
 }
 
 static void snap_next_phase(struct fg_confsync *s)
 {
 	struct cs_snap *sn = &s->snap;
 
-	if (sn->phase == CS_SNAP_CLAIM) {
+	switch (sn->phase) {
+	case CS_SNAP_CLAIM:
 		sn->phase = CS_SNAP_PARTS;
 		return;
-	}
-	if (sn->phase == CS_SNAP_PARTS) {
+	case CS_SNAP_PARTS:
 		sn->next_part++;
 		if (sn->next_part < sn->parts->len)
 			return;
 		sn->phase = CS_SNAP_DELETE;
-	} else if (sn->phase == CS_SNAP_DELETE) {
+		break;
+	case CS_SNAP_DELETE:
+	case CS_SNAP_UNDO:
 		sn->next_doomed += FG_TXN_MAX;
-	} else {
+		break;
+	case CS_SNAP_IDLE:
+	case CS_SNAP_PUBLISH:
 		cs_snap_drop(s);
 		return;
 	}
-	if (sn->next_doomed >= sn->doomed->len) {
-		sn->phase = CS_SNAP_PUBLISH;
-		sn->reading = true;
+	if (sn->next_doomed < sn->doomed->len)
+		return;
+	if (sn->phase == CS_SNAP_UNDO) {
+		cs_snap_drop(s);
+		return;
 	}
+	sn->phase = CS_SNAP_PUBLISH;
+	sn->reading = true;
 }
 
 bool cs_snap_result(struct fg_confsync *s, const struct fg_table_result *res)
--- a/lib/settings/fg_settings.c
+++ b/lib/settings/fg_settings.c
@@ -313,6 +313,10 @@
 
 	at_least(c, "timing", "lease_ms", t->lease_ms, 3 * t->renew_ms,
 		 "three times renew_ms");
+	/* An instance that nothing confirms must have stopped before others
+	 * count it as gone. */
+	at_least(c, "timing", "lease_ms", t->lease_ms, t->confirm_ms,
+		 "as confirm_ms");
 	at_least(c, "timing", "suspect_ms", t->suspect_ms, 2 * t->ping_ms,
 		 "twice ping_ms");
 	at_least(c, "timing", "confirm_ms", t->confirm_ms, 2 * t->poll_ms,
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -77,6 +77,8 @@
 	refuse(BASE "seeds:\n  - peer.example:1\n", "seeds", "peer.example:1");
 	refuse(BASE "timing:\n  lease_ms: 2000\n", "lease_ms",
 	       "three times renew_ms");
+	refuse(BASE "timing:\n  confirm_ms: 9000\n", "lease_ms",
+	       "at least 9000, as confirm_ms");
 	refuse(BASE "limits: &a\n  requests_max: 1\ntiming: *a\n", "x.yaml",
 	       "");
 }
