--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -153,7 +153,7 @@
 /* Below this weight of stalls requests are gathered on few endpoints, from it
  * on they are spread over all. */
 #define FG_PACK_BELOW 50
-#define FG_PACK_FILL_MAX 0.75 /* fuller endpoints get no more of them */
+#define FG_PACK_FILL_MAX 0.9 /* fuller endpoints get no more of them */
 
 extern const struct fg_policy fg_policy_gauge;
 extern const struct fg_policy fg_policy_strong;
--- a/lib/place/fg_policy_gauge.c
+++ b/lib/place/fg_policy_gauge.c
@@ -15,7 +15,7 @@
 #define COPY_COST 0.25 /* of an adapter that another endpoint holds as well */
 #define PACKED_COPY_COST 0.01 /* when requests go to the fuller endpoint */
 #define FILL_COST 0.05	      /* of a full batch, to spread new adapters */
-#define PACK_GAIN 2.0 /* of joining a full batch, when they are gathered */
+#define PACK_GAIN 4.0 /* of joining a full batch, when they are gathered */
 
 /* ---- Order of loads ---- */
 
