Node follows the placement parts: needs at once, drafts held by broker and owner

The estimate that the broker sent to routers is gone from the inner protocol: its refusals say the same, once. A router's own load on an endpoint counts from the ask. A planned stop ends by deleting the lease row, so that nobody waits for it to lapse. Hash tables over adapters use all 64 bits of the key.

--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -5,6 +5,7 @@
 
 #define LIMITS_CALLERS_MAX 4096
 #define ANNOUNCE_MS 1000
+#define QUIT_MS 500   /* for the lease row to be deleted */
 #define SWEEP_MS 5000 /* between parts of the ledger swept in a region */
 #define PEERS_MAX 1024
 
@@ -69,6 +70,14 @@
 	n->dir = fg_dir_new(seed + 6);
 }
 
+static const char *inst_name(void *arg, uint64_t inst)
+{
+	struct fg_node *n = arg;
+	const struct fg_peer_view *peer = fg_member_find(n->member, inst);
+
+	return peer != NULL ? peer->info.name : NULL;
+}
+
 static bool inst_is_dead(void *arg, uint64_t inst)
 {
 	struct fg_node *n = arg;
@@ -88,11 +97,12 @@
 	fg_rand_seed(&n->rand, seed);
 	make_parts(n, seed);
 	fg_ledger_set_dead(n->ledger, inst_is_dead, n);
+	fg_confsync_set_names(n->confsync, inst_name, n);
 	n->eps = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 				       fg_ep_free);
 	n->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					fg_req_free);
-	n->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	n->waits = g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL,
 					 fg_wait_free);
 	n->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  fg_model_free);
@@ -342,14 +352,38 @@
 	       fg_ledger_pending(n->ledger) == 0;
 }
 
+static void count_mine(void *arg, uint64_t key, uint64_t fence)
+{
+	size_t *mine = arg;
+
+	(void)key;
+	(void)fence;
+	(*mine)++;
+}
+
+/* Rows that the platform does not take now are left to lapse. */
+static bool handed_over(const struct fg_node *n)
+{
+	size_t mine = 0;
+
+	fg_owner_each_mine(n->owner, count_mine, &mine);
+	return mine == 0 || n->now - n->stop_begun >= n->conf.member.lease_ms;
+}
+
 /* Ownership is handed over first: requests in progress keep their grants,
  * which the next owner learns from this instance's answer to GRANTS_ASK. */
 static void tick_stop(struct fg_node *n)
 {
-	if (n->stop_begun == 0 || n->released)
+	if (n->stop_begun == 0)
 		return;
-	n->released = true;
-	fg_owner_release_all(n->owner, n->now, fg_wire_owner, n);
+	if (!n->released) {
+		n->released = true;
+		fg_owner_release_all(n->owner, n->now, fg_wire_owner, n);
+	}
+	if (n->quit_at == 0 && drained(n) && handed_over(n)) {
+		n->quit_at = n->now;
+		fg_member_quit(n->member, n->now, fg_wire_member, n);
+	}
 }
 
 void fg_node_tick(struct fg_node *n, fg_ms now)
@@ -423,28 +457,17 @@
 	fg_member_leave(n->member, now, fg_wire_member, n);
 }
 
-static void count_mine(void *arg, uint64_t key, uint64_t fence)
-{
-	size_t *mine = arg;
-
-	(void)key;
-	(void)fence;
-	(*mine)++;
-}
-
 bool fg_node_stopped(const struct fg_node *n, fg_ms now)
 {
-	size_t mine = 0;
-
-	if (n->stop_begun == 0 || !n->released)
+	if (n->stop_begun == 0)
 		return false;
 	if (now - n->stop_begun >= n->conf.drain_max_ms)
 		return true;
-	if (!drained(n))
+	if (n->quit_at == 0)
 		return false;
-	/* Rows that the platform does not take now are left to lapse. */
-	fg_owner_each_mine(n->owner, count_mine, &mine);
-	return mine == 0 || now - n->stop_begun >= n->conf.member.lease_ms;
+	/* The lease row is gone, or the platform does not take its deletion
+	 * now and it is left to lapse. */
+	return now - n->quit_at >= QUIT_MS;
 }
 
 char *fg_node_catalogue(const struct fg_node *n)
--- a/lib/node/fg_node_broker.c
+++ b/lib/node/fg_node_broker.c
@@ -30,11 +30,14 @@
 		.order_timeout_ms = n->conf.order_timeout_ms,
 		.stall_weight = fg_config_preset(n->config)->stall_weight,
 	};
+	struct fg_broker *broker;
 
 	g_strlcpy(conf.service, m->service, sizeof(conf.service));
 	g_strlcpy(conf.region, m->region, sizeof(conf.region));
-	return fg_broker_new(&conf, n->dir, n->conf.place_policy,
-			     fg_rand_next(&n->rand));
+	broker = fg_broker_new(&conf, n->dir, n->conf.place_policy,
+			       fg_rand_next(&n->rand));
+	fg_broker_set_hold(broker, fg_config_preset(n->config)->hold_max_ms);
+	return broker;
 }
 
 /* Instances that share the weight store's budget while there is no broker. */
@@ -101,7 +104,7 @@
 		return m;
 	m = g_new0(struct fg_model, 1);
 	m->service = g_strdup(service);
-	m->heat = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+	m->heat = g_hash_table_new_full(fg_key_hash, g_int64_equal, g_free,
 					g_free);
 	g_hash_table_insert(n->models, m->service, m);
 	follow_region(n, m);
@@ -148,9 +151,17 @@
 	return true;
 }
 
+static void set_facts(struct fg_broker *b, const struct fg_service *facts,
+		      const struct fg_preset *preset)
+{
+	fg_broker_set(b, facts->loads_per_s, facts->loads_in_flight,
+		      facts->load_ms, preset->stall_weight);
+	fg_broker_set_hold(b, preset->hold_max_ms);
+}
+
 void fg_models_config(struct fg_node *n)
 {
-	uint32_t weight = fg_config_preset(n->config)->stall_weight;
+	const struct fg_preset *preset = fg_config_preset(n->config);
 	GHashTableIter it;
 	gpointer value;
 
@@ -161,9 +172,7 @@
 			fg_config_service(n->config, m->service);
 
 		if (m->broker != NULL)
-			fg_broker_set(m->broker, facts->loads_per_s,
-				      facts->loads_in_flight, facts->load_ms,
-				      weight);
+			set_facts(m->broker, facts, preset);
 		g_clear_pointer(&m->fallback, fg_broker_free);
 	}
 }
@@ -227,21 +236,10 @@
 void fg_model_msg_need(struct fg_node *n, uint64_t from, const fg_need *need)
 {
 	struct fg_model *m = model_of_av(n, need->av);
-	fg_need_rep *rep;
-	fg_msg *msg;
 
 	if (m == NULL || m->broker == NULL)
 		return;
 	fg_broker_need(m->broker, n->now, from, need);
-	if (need->waiting == 0)
-		return;
-	msg = fg_msg_new(FG_MSG_NEED_REP);
-	rep = &msg->body.fg_body_u.need_rep;
-	rep->av = need->av;
-	rep->estimate_ms = fg_broker_estimate_ms(m->broker, n->now, need->av);
-	rep->backlog_ms =
-		fg_broker_estimate_ms(m->broker, n->now, (fg_av){ 0, 0 });
-	fg_node_send_free(n, from, msg);
 }
 
 /* ---- Heat ---- */
--- a/lib/node/fg_node_dump.c
+++ b/lib/node/fg_node_dump.c
@@ -81,7 +81,7 @@
 
 static void dump_eps(struct fg_node *n, json_t *out)
 {
-	json_t *all = json_object();
+	json_t *all = json_array();
 	json_t *owned = json_object();
 	GHashTableIter it;
 	gpointer value;
@@ -93,12 +93,13 @@
 		uint64_t fence = 0;
 
 		fg_owner_find(n->owner, ep->id, &owner, &fence);
-		json_object_set_new(
-			all, ep->info.name,
-			json_pack("{s:s,s:s,s:s,s:b,s:i,s:s,s:I}", "addr",
-				  ep->info.addr, "service", ep->info.service,
-				  "region", ep->info.region, "leaving",
-				  ep->leaving, "sent", (int)ep->sent, "owner",
+		json_array_append_new(
+			all,
+			json_pack("{s:s,s:s,s:s,s:s,s:b,s:i,s:s,s:I}", "name",
+				  ep->info.name, "addr", ep->info.addr,
+				  "service", ep->info.service, "region",
+				  ep->info.region, "leaving", ep->leaving,
+				  "sent", (int)ep->sent, "owner",
 				  owner_name(n, owner), "fence",
 				  (json_int_t)fence));
 		if (ep->own != NULL)
@@ -112,10 +113,9 @@
 static json_t *dump_requests(struct fg_node *n)
 {
 	static const char *const states[] = {
-		[FG_REQ_LEDGER] = "ledger",	  [FG_REQ_HELD] = "held",
-		[FG_REQ_ADAPTER] = "adapter",	  [FG_REQ_GRANT] = "grant",
-		[FG_REQ_RUNNING] = "running",	  [FG_REQ_BACKOFF] = "backoff",
-		[FG_REQ_FINISHING] = "finishing",
+		[FG_REQ_LEDGER] = "ledger",   [FG_REQ_ADAPTER] = "adapter",
+		[FG_REQ_GRANT] = "grant",     [FG_REQ_RUNNING] = "running",
+		[FG_REQ_BACKOFF] = "backoff", [FG_REQ_FINISHING] = "finishing",
 	};
 	json_t *out = json_object();
 	GHashTableIter it;
@@ -218,6 +218,10 @@
 		"preset", fg_config_preset(n->config)->name, "ledger_pending",
 		(int)fg_ledger_pending(n->ledger));
 	json_object_set_new(out, "members", dump_members(n));
+	if (fg_confsync_fault(n->confsync) != NULL)
+		json_object_set_new(
+			out, "fault",
+			json_string(fg_confsync_fault(n->confsync)));
 	dump_eps(n, out);
 	json_object_set_new(out, "requests", dump_requests(n));
 	json_object_set_new(out, "models", dump_models(n));
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 
 #include "admit/fg_admit.h"
+#include "base/fg_key.h"
 #include "base/fg_rand.h"
 #include "grant/fg_grant.h"
 #include "ledger/fg_ledger.h"
@@ -56,7 +57,6 @@
 
 enum fg_req_state {
 	FG_REQ_LEDGER = 1,  /* filing: start row being written */
-	FG_REQ_HELD = 2,    /* draft waiting for company */
 	FG_REQ_ADAPTER = 3, /* waiting until its adapter is resident */
 	FG_REQ_GRANT = 4,   /* asked the owner */
 	FG_REQ_RUNNING = 5,
@@ -82,7 +82,7 @@
 	uint64_t prefix_hash;
 	fg_ms arrived;
 	fg_ms deadline;
-	fg_ms next_at;	   /* HELD and BACKOFF */
+	fg_ms next_at;	   /* BACKOFF */
 	fg_ms asked_at;	   /* GRANT */
 	fg_ms waits_since; /* 0 unless it waits for its adapter */
 	uint32_t attempts; /* dispatches so far */
@@ -96,6 +96,7 @@
 	bool ran;     /* some attempt may have run */
 	bool suspect; /* STARTED was told for the running attempt */
 	bool caller_gone;
+	bool counted; /* as sent to ep, in the directory */
 };
 
 /* Requests waiting for one adapter. */
@@ -105,8 +106,6 @@
 	char *service;
 	GPtrArray *reqs; /* struct fg_req, borrowed */
 	fg_ms need_sent;
-	uint32_t estimate_ms;
-	fg_ms estimate_at;
 };
 
 /* A base model in this region, and its broker. */
@@ -118,8 +117,6 @@
 	struct fg_broker *fallback; /* used while no broker is known */
 	GHashTable *heat;	    /* av key -> count since the last report */
 	uint64_t heat_seq;
-	uint32_t backlog_ms; /* as the broker last said */
-	fg_ms backlog_at;
 };
 
 /* Parts that use the table; each numbers its operations on its own. */
@@ -175,6 +172,7 @@
 	fg_ms announce_next;
 	fg_ms stop_begun; /* 0: not stopping */
 	bool released;
+	fg_ms quit_at; /* lease given up; 0: not yet */
 	uint64_t counters[FG_NC_COUNT];
 };
 
@@ -249,13 +247,11 @@
 void fg_wait_add(struct fg_node *n, struct fg_req *r);
 void fg_wait_remove(struct fg_node *n, struct fg_req *r);
 void fg_wait_resident(struct fg_node *n, fg_av av);
-void fg_wait_need_rep(struct fg_node *n, const fg_need_rep *rep);
 /* The broker refused the need: the most urgent request is answered, the rest
  * ask again. */
 void fg_wait_refused(struct fg_node *n, fg_av av);
 void fg_waits_tick(struct fg_node *n);
 void fg_wait_free(void *wait);
-uint32_t fg_wait_count(struct fg_node *n, fg_av av);
 
 /* ---- fg_node_broker.c: broker role ---- */
 struct fg_model *fg_model_get(struct fg_node *n, const char *service);
--- a/lib/node/fg_node_msg.c
+++ b/lib/node/fg_node_msg.c
@@ -58,9 +58,6 @@
 	case FG_MSG_NEED:
 		fg_model_msg_need(n, from, &b->fg_body_u.need);
 		break;
-	case FG_MSG_NEED_REP:
-		fg_wait_need_rep(n, &b->fg_body_u.need_rep);
-		break;
 	case FG_MSG_PLACE:
 		fg_own_place(n, from, &b->fg_body_u.place);
 		break;
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -458,6 +458,7 @@
 		.av = req->av,
 		.cls = (enum fg_class)req->cls,
 		.budget_ms = req->budget_ms,
+		.hold_ms = req->hold_ms,
 	};
 	fg_grant_status status;
 	uint64_t grant = 0;
--- a/lib/node/fg_node_req.c
+++ b/lib/node/fg_node_req.c
@@ -193,57 +193,16 @@
 	r->fingerprint = fg_fingerprint(av, fg_hash_str(r->body));
 }
 
-/* Time until a new need could be served, as the broker last said. */
-static uint32_t backlog_ms(struct fg_node *n, const struct fg_req *r)
-{
-	const struct fg_model *m = g_hash_table_lookup(n->models, r->service);
-
-	if (m == NULL || n->now - m->backlog_at > 2 * n->conf.need_repeat_ms)
-		return 0;
-	return m->backlog_ms;
-}
-
-/* Draft: waits for company as long as its deadline allows. */
-static bool hold_draft(struct fg_node *n, struct fg_req *r,
-		       const struct fg_pick *pick)
-{
-	const struct fg_service *facts =
-		fg_config_service(n->config, r->service);
-	uint32_t service_ms = fg_estimate_ms(n->estimate, r->cls, 95);
-	bool room = pick->resident && pick->in_use < pick->batch;
-	uint32_t hold_ms;
-
-	if (r->cls != FG_CLASS_DRAFT)
-		return false;
-	hold_ms = fg_hold_ms(fg_config_preset(n->config), fg_req_left_ms(n, r),
-			     service_ms, facts->load_ms,
-			     fg_wait_count(n, r->av), pick->batch, room);
-	if (hold_ms == 0)
-		return false;
-	r->state = FG_REQ_HELD;
-	r->next_at = n->now + hold_ms;
-	fg_node_count(n, FG_NC_HELD_DRAFTS, 1);
-	return true;
-}
-
 static void start_model(struct fg_node *n, struct fg_req *r)
 {
-	struct fg_pick pick;
 	uint32_t retry_after_ms = 0;
-	uint32_t wait_ms;
 
 	fg_model_heat(n, r->service, r->av);
-	pick = fg_dir_pick(n->dir, n->now, r->service, r->av,
-			   n->conf.member.self.region, false, NULL, 0,
-			   r->prefix_hash);
-	wait_ms = pick.resident ? 0 : backlog_ms(n, r);
-	if (!fg_estimate_fits(n->estimate, r->cls, fg_req_left_ms(n, r),
-			      wait_ms, &retry_after_ms)) {
-		fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_TIME, retry_after_ms);
-		return;
-	}
-	if (!hold_draft(n, r, &pick))
+	if (fg_estimate_fits(n->estimate, r->cls, fg_req_left_ms(n, r), 0,
+			     &retry_after_ms))
 		fg_route(n, r);
+	else
+		fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_TIME, retry_after_ms);
 }
 
 static void start_filing(struct fg_node *n, struct fg_req *r)
@@ -320,7 +279,7 @@
 			    RETRY_AFTER_MS);
 		return;
 	}
-	if (r->state == FG_REQ_HELD || r->state == FG_REQ_BACKOFF) {
+	if (r->state == FG_REQ_BACKOFF) {
 		if (n->now >= r->next_at)
 			fg_route(n, r);
 	} else if (r->state == FG_REQ_GRANT) {
--- a/lib/node/fg_node_route.c
+++ b/lib/node/fg_node_route.c
@@ -4,6 +4,8 @@
 #include "node/fg_node_internal.h"
 
 #define RETRY_AFTER_MS 1000
+#define BATCH_UNKNOWN UINT32_MAX /* the owner knows its batch */
+#define HELD_REPEAT_MS 3000	 /* between asks that the owner holds */
 #define RECOVERING_WAIT_MS 200
 #define ASKS_MAX 20 /* grant requests of one request */
 #define PRIORITY_DRAFT 10
@@ -43,6 +45,14 @@
 	r->next_at = n->now + wait_ms;
 }
 
+/* Own load on an endpoint, from the ask to the release. */
+static void count_sent(struct fg_node *n, struct fg_req *r, bool sent)
+{
+	if (r->counted != sent)
+		fg_dir_sent(n->dir, r->ep, sent ? 1 : -1);
+	r->counted = sent;
+}
+
 /* ---- Release ---- */
 
 void fg_route_release(struct fg_node *n, struct fg_req *r, uint32_t service_ms,
@@ -50,6 +60,7 @@
 {
 	fg_msg *msg;
 
+	count_sent(n, r, false);
 	if (r->state == FG_REQ_GRANT && r->grant == 0 && r->ep != 0) {
 		/* Asked but not yet answered: the owner must not keep a
 		 * grant for it. The release names the ask instead. */
@@ -62,7 +73,6 @@
 	}
 	if (r->grant == 0)
 		return;
-	fg_dir_sent(n->dir, r->ep, -1);
 	msg = fg_msg_new(FG_MSG_RELEASE);
 	msg->body.fg_body_u.release.ep = r->ep;
 	msg->body.fg_body_u.release.grant = r->grant;
@@ -155,6 +165,16 @@
 
 /* ---- Grants ---- */
 
+/* A draft may wait at the owner for a batch to join. */
+static uint32_t hold_ms(struct fg_node *n, const struct fg_req *r)
+{
+	if (r->cls != FG_CLASS_DRAFT)
+		return 0;
+	return fg_hold_ms(fg_config_preset(n->config), fg_req_left_ms(n, r),
+			  fg_estimate_ms(n->estimate, r->cls, 95), 0, 1,
+			  BATCH_UNKNOWN, false);
+}
+
 static void send_ask(struct fg_node *n, struct fg_req *r)
 {
 	fg_msg *msg = fg_msg_new(FG_MSG_GRANT_REQ);
@@ -165,6 +185,7 @@
 	req->av = r->av;
 	req->cls = r->cls;
 	req->budget_ms = fg_req_left_ms(n, r);
+	req->hold_ms = hold_ms(n, r);
 	r->asked_at = n->now;
 	fg_node_send_free(n, r->owner, msg);
 }
@@ -187,6 +208,7 @@
 	r->ep = ep;
 	r->owner = owner;
 	r->grant = 0;
+	count_sent(n, r, true);
 	fg_node_count(
 		n, owner == n->self ? FG_NC_GRANTS_LOCAL : FG_NC_GRANTS_REMOTE,
 		1);
@@ -215,7 +237,6 @@
 {
 	r->grant = rep->grant;
 	r->fence = rep->fence;
-	fg_dir_sent(n->dir, r->ep, 1);
 	dispatch_granted(n, r);
 }
 
@@ -225,6 +246,7 @@
 	uint64_t ep = r->ep;
 	struct fg_ep *at = fg_ep_find(n, ep);
 
+	count_sent(n, r, false);
 	r->ep = 0;
 	switch (rep->status) {
 	case FG_GRANT_NOT_OWNER:
@@ -284,7 +306,9 @@
 	}
 	if (rep->status == FG_GRANT_OK)
 		take_grant(n, r, rep);
-	else if (rep->status != FG_GRANT_HELD)
+	else if (rep->status == FG_GRANT_HELD)
+		r->asked_at = n->now + HELD_REPEAT_MS;
+	else
 		take_refusal(n, r, rep);
 }
 
@@ -504,6 +528,7 @@
 
 		if (r->state != FG_REQ_GRANT || r->owner != owner)
 			continue;
+		count_sent(n, r, false);
 		r->ep = 0;
 		back_off(n, r, RECOVERING_WAIT_MS);
 	}
--- a/lib/node/fg_node_wait.c
+++ b/lib/node/fg_node_wait.c
@@ -19,13 +19,6 @@
 	return g_hash_table_lookup(n->waits, &key);
 }
 
-uint32_t fg_wait_count(struct fg_node *n, fg_av av)
-{
-	const struct fg_wait *w = find_wait(n, av);
-
-	return w != NULL ? w->reqs->len : 0;
-}
-
 static struct fg_wait *get_wait(struct fg_node *n, const struct fg_req *r)
 {
 	struct fg_wait *w = find_wait(n, r->av);
@@ -41,6 +34,15 @@
 	return w;
 }
 
+/* Time until its adapter must be there, for it to be done in time. */
+static uint32_t slack_ms(struct fg_node *n, const struct fg_req *r)
+{
+	uint32_t service_ms = fg_estimate_ms(n->estimate, r->cls, 95);
+	uint32_t left_ms = fg_req_left_ms(n, r);
+
+	return left_ms > service_ms ? left_ms - service_ms : 0;
+}
+
 /* Sends the need of all that wait for one adapter; 0 waiting withdraws it. */
 static void send_need(struct fg_node *n, struct fg_wait *w)
 {
@@ -51,7 +53,7 @@
 	for (guint i = 0; i < w->reqs->len; i++) {
 		const struct fg_req *r = g_ptr_array_index(w->reqs, i);
 
-		need.slack_ms = MIN(need.slack_ms, fg_req_left_ms(n, r));
+		need.slack_ms = MIN(need.slack_ms, slack_ms(n, r));
 		need.cls = MIN(need.cls, r->cls);
 	}
 	w->need_sent = n->now;
@@ -90,26 +92,10 @@
 	g_hash_table_remove(n->waits, &w->key);
 }
 
-/* Held drafts join in: the load that they waited for company for is done. */
-static void release_held(struct fg_node *n, fg_av av)
-{
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, n->reqs);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct fg_req *r = value;
-
-		if (r->state == FG_REQ_HELD && fg_av_equal(r->av, av))
-			r->next_at = n->now;
-	}
-}
-
 void fg_wait_resident(struct fg_node *n, fg_av av)
 {
 	struct fg_wait *w = find_wait(n, av);
 
-	release_held(n, av);
 	if (w == NULL)
 		return;
 	/* Routed by the next step of the clock, each on its own. The list
@@ -126,40 +112,6 @@
 	g_hash_table_remove(n->waits, &w->key);
 }
 
-/* Refuses those that the broker cannot serve in time: at once, not after
- * their wait. */
-static void refuse_hopeless(struct fg_node *n, struct fg_wait *w)
-{
-	g_autoptr(GPtrArray) hopeless = g_ptr_array_new();
-	uint32_t retry_after_ms = 0;
-
-	for (guint i = 0; i < w->reqs->len; i++) {
-		struct fg_req *r = g_ptr_array_index(w->reqs, i);
-
-		if (!fg_estimate_fits(n->estimate, r->cls, fg_req_left_ms(n, r),
-				      w->estimate_ms, &retry_after_ms))
-			g_ptr_array_add(hopeless, r);
-	}
-	for (guint i = 0; i < hopeless->len; i++)
-		fg_req_fail(n, g_ptr_array_index(hopeless, i), FG_NOT_RUN,
-			    FG_R_NO_TIME, MAX(retry_after_ms, RETRY_AFTER_MS));
-}
-
-void fg_wait_need_rep(struct fg_node *n, const fg_need_rep *rep)
-{
-	struct fg_wait *w = find_wait(n, rep->av);
-	struct fg_model *m;
-
-	if (w == NULL)
-		return;
-	m = fg_model_get(n, w->service);
-	m->backlog_ms = rep->backlog_ms;
-	m->backlog_at = n->now;
-	w->estimate_ms = rep->estimate_ms;
-	w->estimate_at = n->now;
-	refuse_hopeless(n, w);
-}
-
 static struct fg_req *most_urgent(const struct fg_wait *w)
 {
 	struct fg_req *best = NULL;
--- a/lib/peer/fg_msg.c
+++ b/lib/peer/fg_msg.c
@@ -70,7 +70,6 @@
 	[FG_MSG_SUSPECT] = "suspect",
 	[FG_MSG_LEAVING] = "leaving",
 	[FG_MSG_OWNED] = "owned",
-	[FG_MSG_NEED_REP] = "need_rep",
 };
 
 const char *fg_msg_name(fg_msg_type type)
--- a/lib/peer/fg_proto.h
+++ b/lib/peer/fg_proto.h
@@ -45,7 +45,6 @@
 	FG_MSG_SUSPECT = 15,
 	FG_MSG_LEAVING = 16,
 	FG_MSG_OWNED = 17,
-	FG_MSG_NEED_REP = 18,
 };
 typedef enum fg_msg_type fg_msg_type;
 
@@ -78,6 +77,7 @@
 	fg_av av;
 	u_int cls;
 	u_int budget_ms;
+	u_int hold_ms;
 	u_int hop;
 };
 typedef struct fg_grant_req fg_grant_req;
@@ -110,13 +110,6 @@
 };
 typedef struct fg_need fg_need;
 
-struct fg_need_rep {
-	fg_av av;
-	u_int estimate_ms;
-	u_int backlog_ms;
-};
-typedef struct fg_need_rep fg_need_rep;
-
 struct fg_place {
 	u_quad_t order;
 	u_quad_t ep;
@@ -250,7 +243,6 @@
 		fg_suspect suspect;
 		fg_leaving leaving;
 		fg_owned owned;
-		fg_need_rep need_rep;
 	} fg_body_u;
 };
 typedef struct fg_body fg_body;
@@ -298,7 +290,6 @@
 extern  bool_t xdr_fg_grant_rep (XDR *, fg_grant_rep*);
 extern  bool_t xdr_fg_release (XDR *, fg_release*);
 extern  bool_t xdr_fg_need (XDR *, fg_need*);
-extern  bool_t xdr_fg_need_rep (XDR *, fg_need_rep*);
 extern  bool_t xdr_fg_place (XDR *, fg_place*);
 extern  bool_t xdr_fg_place_status (XDR *, fg_place_status*);
 extern  bool_t xdr_fg_place_rep (XDR *, fg_place_rep*);
@@ -326,7 +317,6 @@
 extern bool_t xdr_fg_grant_rep ();
 extern bool_t xdr_fg_release ();
 extern bool_t xdr_fg_need ();
-extern bool_t xdr_fg_need_rep ();
 extern bool_t xdr_fg_place ();
 extern bool_t xdr_fg_place_status ();
 extern bool_t xdr_fg_place_rep ();
--- a/lib/peer/fg_proto.x
+++ b/lib/peer/fg_proto.x
@@ -35,8 +35,7 @@
 	FG_MSG_CONFIG_TELL = 14,
 	FG_MSG_SUSPECT = 15,
 	FG_MSG_LEAVING = 16,
-	FG_MSG_OWNED = 17,
-	FG_MSG_NEED_REP = 18
+	FG_MSG_OWNED = 17
 };
 
 /* Liveness, and what a peer must know at once. A pong echoes seq, which is
@@ -69,6 +68,7 @@
 	fg_av av;
 	unsigned int cls;             /* enum fg_class */
 	unsigned int budget_ms;       /* time left before the deadline */
+	unsigned int hold_ms;         /* may wait so long for a batch to join */
 	unsigned int hop;
 };
 
@@ -98,13 +98,6 @@
 	unsigned int cls;             /* most urgent class among them */
 };
 
-/* The broker's answer to a need: when the adapter can be expected. */
-struct fg_need_rep {
-	fg_av av;
-	unsigned int estimate_ms;     /* until it is resident */
-	unsigned int backlog_ms;      /* until a new need would be served */
-};
-
 /* The broker tells an owner to load an adapter on an endpoint. */
 struct fg_place {
 	unsigned hyper order;         /* broker's id, echoed in the reply */
@@ -234,8 +227,6 @@
 	fg_leaving leaving;
 case FG_MSG_OWNED:
 	fg_owned owned;
-case FG_MSG_NEED_REP:
-	fg_need_rep need_rep;
 };
 
 struct fg_msg {
--- a/lib/peer/fg_proto_xdr.c
+++ b/lib/peer/fg_proto_xdr.c
@@ -117,6 +117,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->req))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		 if (!xdr_fg_av (xdrs, &objp->av))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cls))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->budget_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hop))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->cls);
+			IXDR_PUT_U_LONG(buf, objp->budget_ms);
+			IXDR_PUT_U_LONG(buf, objp->hold_ms);
+			IXDR_PUT_U_LONG(buf, objp->hop);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->req))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		 if (!xdr_fg_av (xdrs, &objp->av))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->cls))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->budget_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hop))
+				 return FALSE;
+		} else {
+			objp->cls = IXDR_GET_U_LONG(buf);
+			objp->budget_ms = IXDR_GET_U_LONG(buf);
+			objp->hold_ms = IXDR_GET_U_LONG(buf);
+			objp->hop = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->req))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->ep))
@@ -127,6 +178,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->budget_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->hop))
 		 return FALSE;
 	return TRUE;
@@ -188,20 +241,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_fg_need_rep (XDR *xdrs, fg_need_rep *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_fg_av (xdrs, &objp->av))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->backlog_ms))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_fg_place (XDR *xdrs, fg_place *objp)
 {
@@ -542,10 +581,6 @@
 		 if (!xdr_fg_owned (xdrs, &objp->fg_body_u.owned))
 			 return FALSE;
 		break;
-	case FG_MSG_NEED_REP:
-		 if (!xdr_fg_need_rep (xdrs, &objp->fg_body_u.need_rep))
-			 return FALSE;
-		break;
 	default:
 		return FALSE;
 	}
--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -7,17 +7,9 @@
 
 #include <glib.h>
 
+#include "base/fg_key.h"
 #include "place/fg_place.h"
 
-/* Hash of a 64-bit key. g_int64_hash() takes the low half alone, which is the
- * same for the first version of every adapter. */
-static inline guint fg_key_hash(gconstpointer p)
-{
-	uint64_t key = *(const uint64_t *)p * 0x9e3779b97f4a7c15ULL;
-
-	return (guint)(key >> 32);
-}
-
 /* ---- Directory ---- */
 
 struct fg_dir_ep {
--- a/tests/bench/place_sim.c
+++ b/tests/bench/place_sim.c
@@ -180,8 +180,14 @@
 	s->residents = g_ptr_array_new();
 	s->store_tokens = s->d->loads_per_s;
 	for (uint32_t ep = 0; ep < s->d->eps; ep++) {
-		struct fg_grants_conf conf = { sim_ep_id(ep), 1,  SLOTS, BATCH,
-					       GRANT_MAX_MS,  256 };
+		struct fg_grants_conf conf = {
+			.ep = sim_ep_id(ep),
+			.fence = 1,
+			.slots = SLOTS,
+			.batch = BATCH,
+			.grant_max_ms = GRANT_MAX_MS,
+			.queue_max = 256,
+		};
 
 		s->engines[ep].running =
 			g_array_new(FALSE, FALSE, sizeof(uint32_t));
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs the tests and closes with "N passed, N failed".
 # Usage: tests/run.sh [all|unit|sanitized]
-#   all        unit tests, scripted scenarios, history checks
+#   all        unit tests, scripted scenarios, seeded runs under faults
 #   unit       unit tests alone
 #   sanitized  unit tests and one scenario, for the sanitizer builds
 # Entries of KNOWN-RED.txt are run and printed but do not fail the run.
@@ -67,6 +67,20 @@
 	done
 fi
 
+# run_seeded DEPLOYMENT SEED: a concurrent run under faults from the seed.
+run_seeded() {
+	tests/seeded.py --deployment "$1" --seed "$2" --seconds 15 \
+		>"$log" 2>&1
+	status=$?
+	[ $status -eq 0 ] || tail -n 60 "$log"
+	record "seeded-$1-$2" $status
+}
+
+if [ "$what" = all ]; then
+	run_seeded huerta 4
+	run_seeded association 5
+fi
+
 [ "$known" -eq 0 ] || echo "known red: $known (see KNOWN-RED.txt)"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -337,7 +337,7 @@
 static void test_ran_then_no_adapter(void)
 {
 	struct bed *b = bed_new();
-	fg_msg *msg = fg_msg_new(FG_MSG_NEED_REP);
+	fg_msg *msg = fg_msg_new(FG_MSG_PLACE_REP);
 
 	/* Without known service times nothing is refused for its estimate. */
 	for (uint64_t id = 100; id < 150; id++) {
@@ -347,8 +347,8 @@
 	}
 	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
 	bed_run(b, 1000);
-	msg->body.fg_body_u.need_rep.av = (fg_av){ 1, 1 };
-	msg->body.fg_body_u.need_rep.estimate_ms = 60000;
+	msg->body.fg_body_u.place_rep.av = (fg_av){ 1, 1 };
+	msg->body.fg_body_u.place_rep.status = FG_PLACE_REFUSED;
 	g_free(b->adapter[slot_holding(b, "a1")]);
 	b->adapter[0] = NULL;
 	b->adapter[1] = NULL;
