--- a/lib/place/fg_broker.c
+++ b/lib/place/fg_broker.c
@@ -14,7 +14,6 @@
 #define WAIT_MAX_MS 40000 /* for a load, with a low weight of stalls */
 #define HOLD_WAITING 8	  /* drafts of one router that are held no longer */
 #define LOADS_WAITED 8	  /* a wait of so many loads is no reason to refuse */
-#define FAILS_PAUSE 3	  /* failures in a row that pause all loads */
 
 struct fg_broker *fg_broker_new(const struct fg_broker_conf *conf,
 				const struct fg_dir *dir, const char *policy,
@@ -90,33 +89,40 @@
 	return g_hash_table_lookup(b->wants, &key);
 }
 
-void fg_broker_drop_want(struct fg_broker *b, struct fg_want *w)
+static void drop_want(struct fg_broker *b, struct fg_want *w)
 {
 	g_hash_table_remove(b->wants, &w->key);
 	want_free(w);
 }
 
-/* Sums up the asks; drops the want when none is left. */
-static void settle(struct fg_broker *b, struct fg_want *w)
+static void tighten(struct fg_want_terms *sum, const struct fg_want_terms *t)
+{
+	sum->waiting += t->waiting;
+	sum->cls = MIN(sum->cls, t->cls);
+	sum->deadline = MIN(sum->deadline, t->deadline);
+	sum->due = MIN(sum->due, t->due);
+	sum->hold_until = MIN(sum->hold_until, t->hold_until);
+}
+
+void fg_broker_settle(struct fg_broker *b, struct fg_want *w)
 {
 	if (w->asks->len == 0) {
-		fg_broker_drop_want(b, w);
+		drop_want(b, w);
 		return;
 	}
-	w->waiting = 0;
-	w->deadline = FG_MS_NEVER;
-	w->due = FG_MS_NEVER;
-	w->hold_until = FG_MS_NEVER;
-	w->cls = FG_CLASS_COUNT;
+	w->admitted = false;
+	w->terms = (struct fg_want_terms){ 0, FG_CLASS_COUNT, FG_MS_NEVER,
+					   FG_MS_NEVER, FG_MS_NEVER };
 	for (guint i = 0; i < w->asks->len; i++) {
 		const struct fg_want_ask *a =
 			&g_array_index(w->asks, struct fg_want_ask, i);
 
-		w->waiting += a->waiting;
-		w->deadline = MIN(w->deadline, a->deadline);
-		w->due = MIN(w->due, a->due);
-		w->hold_until = MIN(w->hold_until, a->hold_until);
-		w->cls = MIN(w->cls, a->cls);
+		if (a->admitted)
+			tighten(&w->terms, &a->terms);
+		else if (a->before.waiting > 0)
+			tighten(&w->terms, &a->before);
+		w->admitted =
+			w->admitted || a->admitted || a->before.waiting > 0;
 	}
 }
 
@@ -177,17 +183,36 @@
 			  need->waiting, HOLD_WAITING, false);
 }
 
+/*
+ * A router's new terms take the place of its old ones. Those who waited before
+ * keep their due time. Terms that are not tighter than what was admitted are
+ * admitted with it; tighter ones are judged anew, and when they are refused
+ * the old ones hold again.
+ */
+static void take_over(struct fg_want_ask *ask, const struct fg_want_ask *old)
+{
+	const struct fg_want_terms *was =
+		old->admitted ? &old->terms : &old->before;
+
+	if (was->waiting == 0)
+		return;
+	if (ask->terms.due < was->due) {
+		ask->before = *was;
+		return;
+	}
+	ask->admitted = true;
+	/* With the first of them gone the others have their own time. */
+	if (ask->terms.deadline > was->deadline + FG_MS_PER_S)
+		return;
+	ask->terms.due = was->due;
+	ask->terms.hold_until = MIN(ask->terms.hold_until, was->hold_until);
+}
+
 void fg_broker_need(struct fg_broker *b, fg_ms now, uint64_t from,
 		    const fg_need *need)
 {
-	struct fg_want_ask ask = {
-		.from = from,
-		.waiting = need->waiting,
-		.deadline = now + need->slack_ms,
-		.due = now + due_in(b, need->slack_ms),
-		.hold_until = now + hold_for(b, need),
-		.cls = need->cls,
-	};
+	struct fg_want_ask ask = { .from = from,
+				   .admitted = !b->policy->refuses };
 	struct fg_want_ask old;
 	struct fg_want *w;
 
@@ -195,15 +220,17 @@
 		return;
 	if (need->waiting == 0 && fg_broker_want(b, need->av) == NULL)
 		return;
+	ask.terms.waiting = need->waiting;
+	ask.terms.cls = need->cls;
+	ask.terms.deadline = now + need->slack_ms;
+	ask.terms.due = now + due_in(b, need->slack_ms);
+	ask.terms.hold_until = now + hold_for(b, need);
 	w = find_or_add(b, now, need->av);
-	/* Those who waited before keep their place. */
-	if (remove_ask(w, from, &old)) {
-		ask.due = MIN(ask.due, old.due);
-		ask.hold_until = MIN(ask.hold_until, old.hold_until);
-	}
+	if (remove_ask(w, from, &old))
+		take_over(&ask, &old);
 	if (need->waiting > 0)
 		g_array_append_val(w->asks, ask);
-	settle(b, w);
+	fg_broker_settle(b, w);
 }
 
 void fg_broker_router_gone(struct fg_broker *b, uint64_t from)
@@ -214,7 +241,7 @@
 		struct fg_want *w = l->data;
 
 		remove_ask(w, from, NULL);
-		settle(b, w);
+		fg_broker_settle(b, w);
 	}
 	g_list_free(wants);
 }
@@ -366,8 +393,9 @@
 static void note_failure(struct fg_broker *b, fg_ms now)
 {
 	b->fails++;
-	if (b->fails >= FAILS_PAUSE)
-		b->paused_until = now + backoff_ms(b->fails - FAILS_PAUSE + 1);
+	if (b->fails >= FG_FAILS_DOWN)
+		b->paused_until =
+			now + backoff_ms(b->fails - FG_FAILS_DOWN + 1);
 }
 
 void fg_broker_load_failed(struct fg_broker *b, fg_ms now, uint64_t ep,
@@ -394,7 +422,7 @@
 	b->paused_until = 0;
 	mark(b, l->ep, l->av, now + PROTECT_MS);
 	if (w != NULL)
-		fg_broker_drop_want(b, w);
+		drop_want(b, w);
 }
 
 /* No load was spent: another place is tried at once. */
--- a/lib/place/fg_broker_tick.c
+++ b/lib/place/fg_broker_tick.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 
 #define BURST_MS 1000	  /* unused budget that may be saved up */
-#define FAILS_PROBE 3	  /* from so many failures on one load at a time */
 #define RETRY_PLACE_MS 50 /* no place found: tried again after this */
 #define NEWS_MS 1000	  /* by then a router has heard what is resident */
 #define COPY_CHECK_MS 500
@@ -14,7 +13,7 @@
 
 /* ---- Budget ---- */
 
-static void refill(struct fg_broker *b, fg_ms now)
+void fg_broker_refill(struct fg_broker *b, fg_ms now)
 {
 	double most = (double)b->conf.loads_per_s * BURST_MS / FG_MS_PER_S;
 
@@ -32,7 +31,7 @@
 
 	if (b->paused_until > now)
 		return false;
-	if (b->fails >= FAILS_PROBE && in_flight > 0)
+	if (b->fails >= FG_FAILS_DOWN && in_flight > 0)
 		return false;
 	if (b->conf.in_flight_max > 0 && in_flight >= b->conf.in_flight_max)
 		return false;
@@ -90,159 +89,15 @@
 {
 	if (w->not_before > now || fg_broker_loading(b, w->av))
 		return false;
-	if (b->policy->refuses && (!w->judged || w->hold_until > now))
+	if (!w->admitted)
+		return false;
+	if (b->policy->refuses && w->terms.hold_until > now)
 		return false;
 	if (now - w->first_at >= NEWS_MS)
 		return true;
 	return !fg_broker_resident(b, w->av, !b->policy->copies);
 }
 
-static int by_due(const void *a, const void *b)
-{
-	const struct fg_want *x = *(struct fg_want *const *)a;
-	const struct fg_want *y = *(struct fg_want *const *)b;
-
-	if (x->due != y->due)
-		return x->due < y->due ? -1 : 1;
-	return x->key < y->key ? -1 : x->key > y->key;
-}
-
-/* Wants for which keep() holds, earliest due first. */
-static GPtrArray *collect(const struct fg_broker *b, fg_ms now,
-			  bool (*keep)(const struct fg_broker *b, fg_ms now,
-				       const struct fg_want *w))
-{
-	GPtrArray *list = g_ptr_array_new();
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, b->wants);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		if (keep(b, now, value))
-			g_ptr_array_add(list, value);
-	if (list->len > 1)
-		qsort(list->pdata, list->len, sizeof(gpointer), by_due);
-	return list;
-}
-
-/* ---- Admission of needs ---- */
-
-static bool is_admitted(const struct fg_broker *b, fg_ms now,
-			const struct fg_want *w)
-{
-	(void)now;
-	return w->judged && !fg_broker_loading(b, w->av);
-}
-
-static bool is_new(const struct fg_broker *b, fg_ms now,
-		   const struct fg_want *w)
-{
-	(void)b;
-	(void)now;
-	return !w->judged;
-}
-
-/*
- * Would every admitted need still be met, earliest due first, with w
- * among them? `admitted` is sorted by deadline.
- */
-static bool fits(const struct fg_broker *b, fg_ms now,
-		 const GPtrArray *admitted, const struct fg_want *w)
-{
-	/* How long the store stays down is not known: time enough is left. */
-	fg_ms due = b->fails >= FAILS_PROBE ? w->deadline : w->due;
-	uint32_t place = 1;
-	bool counted = false;
-
-	for (guint i = 0; i < admitted->len; i++) {
-		const struct fg_want *other = admitted->pdata[i];
-		fg_ms done;
-
-		if (other->due <= due) {
-			place++;
-			continue;
-		}
-		if (!counted) {
-			done = now + fg_broker_start_in(b, now, place) +
-			       b->conf.load_ms;
-			if (done > due)
-				return false;
-			counted = true;
-			place++;
-		}
-		done = now + fg_broker_start_in(b, now, place) +
-		       b->conf.load_ms;
-		/* One that is late already is not made so by w. */
-		if (done > other->due && done <= other->due + FG_MS_PER_S)
-			return false;
-		place++;
-	}
-	if (counted)
-		return true;
-	return now + fg_broker_start_in(b, now, place) + b->conf.load_ms <= due;
-}
-
-static void refuse_want(struct fg_broker *b, struct fg_want *w,
-			fg_broker_refuse refuse, void *arg)
-{
-	fg_place_rep rep = { .av = w->av, .status = FG_PLACE_REFUSED };
-
-	for (guint i = 0; i < w->asks->len; i++)
-		refuse(arg, g_array_index(w->asks, struct fg_want_ask, i).from,
-		       &rep);
-	fg_broker_drop_want(b, w);
-}
-
-static void insert_sorted(GPtrArray *list, struct fg_want *w)
-{
-	guint i = list->len;
-
-	while (i > 0 && by_due(&list->pdata[i - 1], &w) > 0)
-		i--;
-	g_ptr_array_insert(list, (gint)i, w);
-}
-
-static bool is_hopeless(const struct fg_broker *b, fg_ms now,
-			const struct fg_want *w)
-{
-	if (fg_broker_loading(b, w->av) || fg_broker_resident(b, w->av, true))
-		return false;
-	return now + b->conf.load_ms > w->deadline;
-}
-
-void fg_broker_refusals(struct fg_broker *b, fg_ms now, fg_broker_refuse refuse,
-			void *arg)
-{
-	GPtrArray *list;
-	GPtrArray *admitted;
-
-	if (!b->policy->refuses)
-		return;
-	refill(b, now);
-	list = collect(b, now, is_hopeless);
-	for (guint i = 0; i < list->len; i++)
-		refuse_want(b, list->pdata[i], refuse, arg);
-	g_ptr_array_free(list, TRUE);
-	list = collect(b, now, is_new);
-	if (list->len == 0) {
-		g_ptr_array_free(list, TRUE);
-		return;
-	}
-	admitted = collect(b, now, is_admitted);
-	for (guint i = 0; i < list->len; i++) {
-		struct fg_want *w = list->pdata[i];
-
-		w->judged = fg_broker_loading(b, w->av) ||
-			    fits(b, now, admitted, w);
-		if (w->judged)
-			insert_sorted(admitted, w);
-		else
-			refuse_want(b, w, refuse, arg);
-	}
-	g_ptr_array_free(admitted, TRUE);
-	g_ptr_array_free(list, TRUE);
-}
-
 /* ---- Orders ---- */
 
 static void order(struct fg_broker *b, fg_ms now, fg_place *place,
@@ -271,7 +126,7 @@
 
 	if (!may_start(b, now))
 		return;
-	list = collect(b, now, is_eligible);
+	list = fg_broker_collect(b, now, is_eligible);
 	while (list->len > 0 && may_start(b, now)) {
 		struct fg_want *w = b->policy->next(
 			b, now, (struct fg_want **)list->pdata, list->len);
@@ -364,7 +219,7 @@
 void fg_broker_tick(struct fg_broker *b, fg_ms now, fg_broker_emit emit,
 		    void *arg)
 {
-	refill(b, now);
+	fg_broker_refill(b, now);
 	expire_loads(b, now);
 	g_hash_table_foreach_remove(b->marks, mark_is_over, &now);
 	g_hash_table_foreach_remove(b->replicated, mark_is_over, &now);
--- a/lib/place/fg_place.h
+++ b/lib/place/fg_place.h
@@ -128,10 +128,12 @@
 
 /*
  * Emits, for each router with a need that cannot be met within its slack, a
- * reply with order 0, endpoint 0 and FG_PLACE_REFUSED: its requests for the
- * adapter are answered NOT_RUN at once. A need is refused when it is new; once
- * admitted it is refused only when failures have made it hopeless. Call after
- * needs came in, and with each tick.
+ * reply with order 0, endpoint 0 and FG_PLACE_REFUSED. The router answers
+ * NOT_RUN to those of its requests for the adapter that have no more slack
+ * than its last need told, and announces the others again; they keep the
+ * place that they were admitted to. A need is refused when it is new or
+ * tighter; later only if failures made it hopeless. Call after needs came in,
+ * and before each tick.
  */
 typedef void (*fg_broker_refuse)(void *arg, uint64_t to,
 				 const fg_place_rep *rep);
--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -58,32 +58,39 @@
 
 /* ---- Broker ---- */
 
-/* One router's need. */
-struct fg_want_ask {
-	uint64_t from;
+/* What a need asks for. */
+struct fg_want_terms {
 	uint32_t waiting;
+	uint32_t cls;
 	fg_ms deadline;	  /* the load must be done by then ... */
 	fg_ms due;	  /* ... and should be by then */
 	fg_ms hold_until; /* by choice, for more to share the load */
-	uint32_t cls;
 };
 
+/* One router's need. */
+struct fg_want_ask {
+	uint64_t from;
+	struct fg_want_terms terms;
+	bool admitted;
+	struct fg_want_terms before; /* admitted earlier; waiting 0: none */
+};
+
+/* From so many failures in a row on the store counts as down: one load at a
+ * time is tried. */
+#define FG_FAILS_DOWN 3
+
 #define FG_WANT_AVOID 4 /* endpoints avoided for one adapter */
 
 /* All needs for one adapter; one load serves them. */
 struct fg_want {
 	uint64_t key; /* fg_av_key(av) */
 	fg_av av;
-	GArray *asks; /* struct fg_want_ask */
-	uint32_t waiting;
-	fg_ms deadline;	  /* the earliest */
-	fg_ms hold_until; /* the earliest */
-	fg_ms due;    /* the earliest; needs are admitted and ordered by it */
-	uint32_t cls; /* the most urgent */
+	GArray *asks;		    /* struct fg_want_ask */
+	bool admitted;		    /* any of its asks is */
+	struct fg_want_terms terms; /* the tightest that are admitted */
 	fg_ms first_at;
 	fg_ms not_before; /* backoff */
 	uint32_t fails;
-	bool judged; /* admitted; never refused from then on */
 	struct {
 		uint64_t ep;
 		fg_ms until;
@@ -159,7 +166,18 @@
 extern const struct fg_policy fg_policy_strong;
 extern const struct fg_policy fg_policy_naive;
 
-void fg_broker_drop_want(struct fg_broker *b, struct fg_want *w);
+/* Sums up the asks of a want; frees it when none is left. */
+void fg_broker_settle(struct fg_broker *b, struct fg_want *w);
+
+/* Fills the bucket of loads up to now. */
+void fg_broker_refill(struct fg_broker *b, fg_ms now);
+
+/* Wants for which keep() holds, earliest due first; free with
+ * g_ptr_array_free(). */
+typedef bool (*fg_want_filter)(const struct fg_broker *b, fg_ms now,
+			       const struct fg_want *w);
+GPtrArray *fg_broker_collect(const struct fg_broker *b, fg_ms now,
+			     fg_want_filter keep);
 
 /* Books a failed or lost load of av on ep. */
 void fg_broker_load_failed(struct fg_broker *b, fg_ms now, uint64_t ep,
--- a/lib/place/fg_policy_gauge.c
+++ b/lib/place/fg_policy_gauge.c
@@ -30,7 +30,7 @@
 		fg_ms done = now + fg_broker_start_in(b, now, (uint32_t)i + 1) +
 			     b->conf.load_ms;
 
-		least = MIN(least, wants[i]->due - done);
+		least = MIN(least, wants[i]->terms.due - done);
 	}
 	return least;
 }
@@ -40,10 +40,11 @@
 static double worth(const struct fg_broker *b, fg_ms now,
 		    const struct fg_want *w)
 {
-	double each = w->cls < FG_CLASS_DRAFT ? INTERACTIVE_WORTH : 1;
-	fg_ms since = MAX(w->first_at, MIN(w->hold_until, now));
+	double each = w->terms.cls < FG_CLASS_DRAFT ? INTERACTIVE_WORTH : 1;
+	fg_ms since = MAX(w->first_at, MIN(w->terms.hold_until, now));
 
-	return each * (w->waiting + (double)(now - since) / AGE_WORTH_MS) +
+	return each * (w->terms.waiting +
+		       (double)(now - since) / AGE_WORTH_MS) +
 	       fg_heat_get(b->heat, now, w->av) / 100;
 }
 
@@ -102,7 +103,7 @@
 	double cost = fg_heat_get(b->heat, now, av) * share;
 
 	if (pending != NULL)
-		cost += pending->waiting;
+		cost += pending->terms.waiting;
 	if (share == 1 && now - fg_heat_last(b->heat, av) < BUSY_MS)
 		cost += BUSY_COST;
 	return cost;
--- a/tests/bench/place_router.c
+++ b/tests/bench/place_router.c
@@ -258,22 +258,29 @@
 	}
 }
 
+/* Answers those with the least slack; the others are announced again. */
 void router_refusal(struct sim *s, const struct ev *ev)
 {
 	struct router *r = &s->routers[ev->router];
 	uint64_t key = fg_av_key(ev->place.av);
 	struct queue *q = g_hash_table_lookup(r->queues, &key);
+	guint kept = 0;
 
 	if (q == NULL)
 		return;
 	for (guint i = 0; i < q->waiting->len; i++) {
 		uint32_t req = g_array_index(q->waiting, uint32_t, i);
 
+		if (deadline_of(s, req) > q->told_deadline) {
+			g_array_index(q->waiting, uint32_t, kept++) = req;
+			continue;
+		}
 		end_wait(s, req);
 		finish(s, req, false);
 	}
-	g_array_set_size(q->waiting, 0);
+	g_array_set_size(q->waiting, kept);
 	q->announced = 0;
+	tell_need(s, ev->router, q);
 }
 
 void router_deadline(struct sim *s, uint32_t req)
