place: drafts leave a part of the load budget to later requests

What: needs of drafts are admitted as if the budget were 80 % of what it is. The bench shows answers of interactive requests by themselves.

--- a/lib/place/fg_broker_admit.c
+++ b/lib/place/fg_broker_admit.c
@@ -7,6 +7,8 @@
 
 #include <stdlib.h>
 
+#define DRAFT_PERCENT 80 /* of the budget that drafts are admitted to */
+
 static int by_due(const void *a, const void *b)
 {
 	const struct fg_want *x = *(struct fg_want *const *)a;
@@ -40,19 +42,26 @@
 	return w->admitted && !fg_broker_loading(b, w->av);
 }
 
-/* When the load at this place of the queue would be done. */
-static fg_ms done_at(const struct fg_broker *b, fg_ms now, uint32_t place)
+/* When the load at this place of the queue would be done, with a share of the
+ * budget. */
+static fg_ms done_at(const struct fg_broker *b, fg_ms now, uint32_t place,
+		     uint32_t percent)
 {
-	return now + fg_broker_start_in(b, now, place) + b->conf.load_ms;
+	uint32_t scaled = (place * 100 + percent - 1) / percent;
+
+	return now + fg_broker_start_in(b, now, scaled) + b->conf.load_ms;
 }
 
 /*
  * Would every admitted need still be met, earliest due first, with w due by
- * `due`? `queue` is sorted by due time.
+ * `due`? `queue` is sorted by due time. The queue of drafts reaches minutes
+ * ahead; they leave a part of the budget to those who come later with less
+ * time.
  */
 static bool fits(const struct fg_broker *b, fg_ms now, const GPtrArray *queue,
-		 const struct fg_want *w, fg_ms due)
+		 const struct fg_want *w, fg_ms due, enum fg_class cls)
 {
+	uint32_t percent = cls == FG_CLASS_DRAFT ? DRAFT_PERCENT : 100;
 	uint32_t place = 1;
 	bool placed = false;
 
@@ -63,19 +72,19 @@
 		if (other == w)
 			continue;
 		if (!placed && other->terms.due > due) {
-			if (done_at(b, now, place) > due)
+			if (done_at(b, now, place, percent) > due)
 				return false;
 			placed = true;
 			place++;
 		}
-		done = done_at(b, now, place);
+		done = done_at(b, now, place, percent);
 		place++;
 		/* One that is late already is not made so by w. */
 		if (placed && done > other->terms.due &&
 		    done <= other->terms.due + FG_MS_PER_S)
 			return false;
 	}
-	return placed || done_at(b, now, place) <= due;
+	return placed || done_at(b, now, place, percent) <= due;
 }
 
 /* Does the ask cost nobody anything, or can it be met? */
@@ -93,7 +102,7 @@
 	if (w->admitted && a->terms.due >= w->terms.due)
 		return true;
 	queue = fg_broker_collect(b, now, is_queued);
-	ok = fits(b, now, queue, w, due);
+	ok = fits(b, now, queue, w, due, a->terms.cls);
 	g_ptr_array_free(queue, TRUE);
 	return ok;
 }
--- a/tests/bench/bench_place.c
+++ b/tests/bench/bench_place.c
@@ -50,11 +50,11 @@
 
 static void print_head(void)
 {
-	printf("%-11s %4s %4s %-6s %6s %6s %6s %6s %6s %5s %5s %6s %6s %5s "
-	       "%5s %5s %5s %6s %5s\n",
+	printf("%-11s %4s %4s %-6s %6s %6s %6s %6s %6s %5s %5s %6s %6s %6s "
+	       "%5s %5s %5s %5s %6s %5s\n",
 	       "deployment", "zipf", "load", "policy", "p50", "p95", "p99",
-	       "p95i", "wait%", "loads", "l/ans", "fill", "ans%", "ref%",
-	       "miss%", "lost%", "hold", "byte/r", "inuse");
+	       "p95i", "wait%", "loads", "l/ans", "fill", "ans%", "ansi%",
+	       "ref%", "miss%", "lost%", "hold", "byte/r", "inuse");
 }
 
 /* Share of the requests that strong answered in time and this one did not. */
@@ -76,15 +76,16 @@
 	double n = (double)res->n;
 	double min = (double)min_loads;
 
-	printf("%-11s %4.1f %4.1f %-6s %6.2f %6.2f %6.2f %6.2f %6.1f %5.2f "
-	       "%5.2f "
-	       "%6.2f %6.2f %5.1f %5.2f %5.2f %5.1f %6.0f %5lu\n",
+	printf("%-11s %4.1f %4.1f %-6s %6.2f %6.2f %6.2f %6.2f %6.1f "
+	       "%5.3f %5.2f %6.2f %6.2f %6.2f %5.1f %5.2f %5.2f %5.1f %6.0f "
+	       "%5lu\n",
 	       d->name, zipf, share, policy, res->stall_p50_ms / 1000,
 	       res->stall_p95_ms / 1000, res->stall_p99_ms / 1000,
 	       res->urgent_p95_ms / 1000, 100.0 * (double)res->waited / n,
 	       (double)res->loads / min,
 	       (double)res->loads / (double)res->answered / (min / n),
 	       res->fill, 100.0 * (double)res->answered / n,
+	       100.0 * (double)res->urgent_answered / (double)res->urgent,
 	       100.0 * (double)res->refused / n,
 	       100.0 * (double)res->missed / n, lost(res, strong),
 	       res->hold_mean_ms / 1000, res->bytes, res->in_use_orders);
@@ -116,7 +117,8 @@
 {
 	printf("stall times in s; loads: of the clairvoyant minimum; l/ans: "
 	       "loads per answer over minimum per request;\nfill: requests in "
-	       "the batch (of %d) per active step; ans: within the deadline; "
+	       "the batch (of %d) per active step; ans: within the deadline, "
+	       "ansi: of the interactive; "
 	       "ref: refused at once;\nmiss: neither; lost: met by strong and "
 	       "not here; hold: mean of drafts in s; byte/r: inner messages "
 	       "per request;\ninuse: orders refused as the victim was in use\n",
--- a/tests/bench/place_sim.c
+++ b/tests/bench/place_sim.c
@@ -318,6 +318,10 @@
 			drafts++;
 			hold += (double)r->hold_ms;
 		}
+		if (s->t->a[i].cls != FG_CLASS_DRAFT) {
+			res->urgent++;
+			res->urgent_answered += res->met[i];
+		}
 		if (r->stall_ms < 0)
 			continue;
 		stall[n++] = r->stall_ms;
--- a/tests/bench/place_sim.h
+++ b/tests/bench/place_sim.h
@@ -20,10 +20,12 @@
 
 struct result {
 	uint64_t n;
-	uint64_t answered; /* within the deadline */
-	uint64_t refused;  /* at once */
-	uint64_t missed;   /* answered late, or refused after waiting */
-	uint64_t waited;   /* for a load */
+	uint64_t answered;	  /* within the deadline */
+	uint64_t urgent;	  /* interactive requests ... */
+	uint64_t urgent_answered; /* ... within the deadline */
+	uint64_t refused;	  /* at once */
+	uint64_t missed;	  /* answered late, or refused after waiting */
+	uint64_t waited;	  /* for a load */
 	double stall_p50_ms, stall_p95_ms, stall_p99_ms;
 	double urgent_p95_ms; /* of interactive requests alone */
 	double hold_mean_ms;  /* of drafts */
