--- a/tests/bench/bench_slopes.c
+++ b/tests/bench/bench_slopes.c
@@ -15,7 +15,7 @@
 #include "slopes.h"
 
 #define WARM_S 30
-#define RUN_S 300
+#define RUN_S 1800
 
 /* ---- Membership ---- */
 
