Standing: small regions need the instances of all regions too

An instance writes into its lease row how many it counts in its region. Up to two, holding on needs two thirds of all regions' instances as well, and deleting such a row needs more than a third of them. Ruled out: counting only those that the holder knew, which stops a region for good when it was replaced as a whole; and a bound on holding on, since outages are long.

--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -33,6 +33,8 @@
  *              answered a ping, or all of them whatever their standing: hold
  *              on to what we own.
  *   ISOLATED   neither: no orders, no grants, no new work.
+ * Where the region has no more than two instances, both the deletion and
+ * holding on need their share of the instances of all regions as well.
  * One of the two thirds is always among the one third, so it has heard from
  * the deleter of our lease and told us before the row goes. What remains is
  * in docs/design/membership.md.
--- a/lib/member/fg_member_internal.h
+++ b/lib/member/fg_member_internal.h
@@ -24,6 +24,7 @@
 struct fg_lease_row {
 	uint64_t boot;
 	bool leaving;
+	uint32_t region_size;  /* instances of its region that it counted */
 	struct fg_listed info; /* id and name come from the key */
 };
 
@@ -35,14 +36,15 @@
 	/* Lease row. */
 	bool has_row;
 	uint64_t row_version;
-	fg_ms seen_at;	 /* when its version was first seen */
-	fg_ms read_at;	 /* last read that covered it was sent then */
-	fg_ms absent_at; /* a read sent then found no row; 0 never */
-	fg_ms lapsed_at; /* the lease was seen lapsed; 0 no */
-	fg_ms proven_at; /* a quorum has answered since; 0 no */
-	bool replaced;	 /* another runs at its address by now */
-	uint64_t scan;	 /* number of the last scan that showed the row */
-	bool op_busy;	 /* a GET or DELETE of the row is under way */
+	uint32_t region_size; /* as its row says */
+	fg_ms seen_at;	      /* when its version was first seen */
+	fg_ms read_at;	      /* last read that covered it was sent then */
+	fg_ms absent_at;      /* a read sent then found no row; 0 never */
+	fg_ms lapsed_at;      /* the lease was seen lapsed; 0 no */
+	fg_ms proven_at;      /* a quorum has answered since; 0 no */
+	bool replaced;	      /* another runs at its address by now */
+	uint64_t scan;	      /* number of the last scan that showed the row */
+	bool op_busy;	      /* a GET or DELETE of the row is under way */
 
 	/* Pings. */
 	fg_ms reach_at;	     /* the newest answered ping was sent then */
@@ -70,7 +72,7 @@
 	enum fg_mop_kind kind;
 	uint64_t peer; /* GET, DELETE */
 	fg_ms sent_at;
-	bool insert; /* RENEW: the row was expected to be absent */
+	uint32_t region_size; /* RENEW: as written */
 };
 
 struct fg_own_lease {
@@ -86,6 +88,9 @@
 	fg_ms lost_sent_at; /* when a write without answer was sent; 0 none */
 	fg_ms next_at;	    /* next renewal or read */
 	uint64_t epoch;
+	/* What our row says of the region's size; the smaller one while a write
+	 * has no answer yet. */
+	uint32_t region_size;
 };
 
 struct fg_member {
@@ -173,6 +178,7 @@
 			     const struct fg_mop *mop,
 			     const struct fg_table_result *res);
 bool fg_member_reaping(const struct fg_member *m, fg_ms now);
+bool fg_member_reaping_small(const struct fg_member *m, fg_ms now);
 
 /* ---- fg_member_ping.c ---- */
 void fg_member_ping_tick(struct fg_member *m, fg_ms now);
@@ -183,8 +189,14 @@
 /* ---- fg_member_standing.c ---- */
 /* Instances of the region with a lease row, this one included. */
 size_t fg_member_region_size(const struct fg_member *m);
+/* Likewise of all regions. */
+size_t fg_member_total_size(const struct fg_member *m);
 /* Those that answered a ping sent after `since`, this one included. */
 size_t fg_member_reached(const struct fg_member *m, fg_ms since);
+size_t fg_member_total_reached(const struct fg_member *m, fg_ms since);
+/* In a region this small, an instance that is cut off alone cannot tell, so
+ * the instances of all regions are asked too. */
+bool fg_member_is_small(uint32_t region_size);
 /* What the standing would be without the caution after a pause. */
 enum fg_standing fg_member_base_standing(const struct fg_member *m, fg_ms now);
 void fg_member_standing_tick(struct fg_member *m, fg_ms now);
--- a/lib/member/fg_member_lease.c
+++ b/lib/member/fg_member_lease.c
@@ -42,14 +42,17 @@
 {
 	struct fg_table_op *op = fg_member_op(m, FG_OP_TXN, NULL);
 	struct fg_mop mop = { .kind = FG_MOP_RENEW,
-			      .insert = m->lease.version == 0 };
+			      .region_size =
+				      (uint32_t)fg_member_region_size(m) };
 	struct fg_lease_row row = { .boot = m->conf.boot,
+				    .region_size = mop.region_size,
 				    .leaving = m->leaving,
 				    .info = m->conf.self };
 	char *value = fg_lease_row_encode(&row);
 
 	fg_table_op_write(op, m->key, m->lease.version, value);
 	g_free(value);
+	m->lease.region_size = MIN(m->lease.region_size, mop.region_size);
 	submit_own(m, now, op, &mop);
 }
 
@@ -146,6 +149,7 @@
 
 	switch (res->result) {
 	case FG_PF_OK:
+		l->region_size = mop->region_size;
 		lease_won(m, now,
 			  res->n_rows > 0 ? res->rows[0].row_version : 0,
 			  mop->sent_at);
--- a/lib/member/fg_member_peers.c
+++ b/lib/member/fg_member_peers.c
@@ -68,6 +68,7 @@
 {
 	e->view.info = lease->info;
 	e->row_version = row->row_version;
+	e->region_size = lease->region_size;
 	e->has_row = true;
 	e->seen_at = now;
 	e->lapsed_at = 0;
@@ -199,6 +200,30 @@
 	return false;
 }
 
+bool fg_member_reaping_small(const struct fg_member *m, fg_ms now)
+{
+	for (guint i = 0; i < m->ring->len; i++) {
+		const struct fg_peer_entry *e = m->ring->pdata[i];
+
+		if (fg_member_is_small(e->region_size) && !e->replaced &&
+		    reap_turn(m, now, e))
+			return true;
+	}
+	return false;
+}
+
+/* A third of the region, and of all where the region was small, answered a
+ * ping sent strictly after the read that showed the lapse. */
+static bool is_proven(const struct fg_member *m, const struct fg_peer_entry *e)
+{
+	if (3 * fg_member_reached(m, e->lapsed_at) <= fg_member_region_size(m))
+		return false;
+	if (!fg_member_is_small(e->region_size))
+		return true;
+	return 3 * fg_member_total_reached(m, e->lapsed_at) >
+	       fg_member_total_size(m);
+}
+
 static void send_delete(struct fg_member *m, fg_ms now, struct fg_peer_entry *e)
 {
 	struct fg_mop mop = { .kind = FG_MOP_DELETE, .peer = e->view.info.id };
@@ -214,16 +239,13 @@
 /* Takes the steps stated in fg_member.h, in their order. */
 static void reap(struct fg_member *m, fg_ms now, struct fg_peer_entry *e)
 {
-	/* Strictly after the read that showed the lapse. */
-	size_t answered = fg_member_reached(m, e->lapsed_at);
-
 	if (e->replaced) {
 		if (!e->op_busy)
 			send_delete(m, now, e);
 		return;
 	}
 	if (e->proven_at == 0) {
-		if (3 * answered > fg_member_region_size(m))
+		if (is_proven(m, e))
 			e->proven_at = now;
 		return;
 	}
--- a/lib/member/fg_member_ping.c
+++ b/lib/member/fg_member_ping.c
@@ -149,21 +149,58 @@
 	}
 }
 
+static bool lease_in_doubt(const struct fg_member *m, fg_ms now)
+{
+	fg_ms renewal_due = m->lease.sent_at + (fg_ms)m->conf.renew_ms * 3 / 2;
+
+	return m->lease.held &&
+	       (now > renewal_due || m->lease.sent_at < m->resumed_at);
+}
+
 /* How many instances a survey asks; 0 when none is needed. */
 static size_t survey_size(const struct fg_member *m, fg_ms now)
 {
 	size_t n = fg_member_region_size(m);
 	size_t spare = n / 32 + 2;
-	fg_ms renewal_due = m->lease.sent_at + (fg_ms)m->conf.renew_ms * 3 / 2;
 
-	if (m->lease.held &&
-	    (now > renewal_due || m->lease.sent_at < m->resumed_at))
+	if (lease_in_doubt(m, now))
 		return (2 * n + 2) / 3 + spare;
 	if (fg_member_reaping(m, now))
 		return n / 3 + 1 + spare;
 	return 0;
 }
 
+/* Asks one unless it is silent and silent ones have no turn; true when an
+ * answer is to be expected. */
+static bool ask(struct fg_member *m, fg_ms now, struct fg_peer_entry *e,
+		bool ask_silent)
+{
+	bool silent = e->suspect || e->unanswered >= SUSPECT_UNANSWERED;
+
+	if ((!silent || ask_silent) && e->pinged_at != now)
+		fg_member_ping_one(m, now, e);
+	return !silent;
+}
+
+/* A small region needs the others too. */
+static void survey_others(struct fg_member *m, fg_ms now, bool ask_silent)
+{
+	GHashTableIter it;
+	void *value;
+
+	if (!(lease_in_doubt(m, now) &&
+	      fg_member_is_small(m->lease.region_size)) &&
+	    !fg_member_reaping_small(m, now))
+		return;
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_peer_entry *e = value;
+
+		if (e->has_row && !fg_member_same_region(m, e))
+			ask(m, now, e, ask_silent);
+	}
+}
+
 static void survey(struct fg_member *m, fg_ms now)
 {
 	size_t left = survey_size(m, now);
@@ -173,15 +210,11 @@
 	for (guint i = 0; i < m->ring->len && left > 0; i++) {
 		struct fg_peer_entry *e =
 			m->ring->pdata[(place + i) % m->ring->len];
-		bool silent = e->suspect || e->unanswered >= SUSPECT_UNANSWERED;
 
-		if (silent && !ask_silent)
-			continue;
-		if (e->pinged_at != now)
-			fg_member_ping_one(m, now, e);
-		if (!silent)
+		if (ask(m, now, e, ask_silent))
 			left--;
 	}
+	survey_others(m, now, ask_silent);
 }
 
 void fg_member_ping_tick(struct fg_member *m, fg_ms now)
--- a/lib/member/fg_member_standing.c
+++ b/lib/member/fg_member_standing.c
@@ -1,49 +1,75 @@
 /* Quorums and the standing. */
 #include "member/fg_member_internal.h"
 
-size_t fg_member_region_size(const struct fg_member *m)
-{
-	size_t n = 1;
+#define SMALL_REGION 2 /* instances */
 
-	for (guint i = 0; i < m->ring->len; i++) {
-		const struct fg_peer_entry *e = m->ring->pdata[i];
+/* Counts over the region or all regions, this one included. */
+struct tally {
+	size_t size;
+	size_t reached;
+	size_t attesting;
+};
 
-		if (!e->replaced)
-			n++;
-	}
-	return n;
+static void tally_add(struct tally *t, const struct fg_peer_entry *e,
+		      fg_ms since)
+{
+	if (!e->has_row)
+		return;
+	t->size += e->replaced ? 0 : 1;
+	t->reached += e->reach_at > since ? 1 : 0;
+	t->attesting += e->attest_at > since ? 1 : 0;
 }
 
-size_t fg_member_reached(const struct fg_member *m, fg_ms since)
+static struct tally total_tally(const struct fg_member *m, fg_ms since)
 {
-	size_t n = 1;
+	struct tally t = { 1, 1, 1 };
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		tally_add(&t, value, since);
+	return t;
+}
 
-	for (guint i = 0; i < m->ring->len; i++) {
-		const struct fg_peer_entry *e = m->ring->pdata[i];
+static struct tally region_tally(const struct fg_member *m, fg_ms since)
+{
+	struct tally t = { 1, 1, 1 };
 
-		if (e->reach_at > since)
-			n++;
-	}
-	return n;
+	for (guint i = 0; i < m->ring->len; i++)
+		tally_add(&t, m->ring->pdata[i], since);
+	return t;
 }
 
-bool fg_member_sees_majority(const struct fg_member *m, fg_ms now)
+size_t fg_member_total_size(const struct fg_member *m)
 {
-	return 2 * fg_member_reached(m, now - (fg_ms)m->conf.reach_ms) >
-	       fg_member_region_size(m);
+	return total_tally(m, FG_MS_NEVER).size;
 }
 
-static size_t attesting(const struct fg_member *m, fg_ms since)
+size_t fg_member_total_reached(const struct fg_member *m, fg_ms since)
 {
-	size_t n = 1;
+	return total_tally(m, since).reached;
+}
 
-	for (guint i = 0; i < m->ring->len; i++) {
-		const struct fg_peer_entry *e = m->ring->pdata[i];
+bool fg_member_is_small(uint32_t region_size)
+{
+	return region_size <= SMALL_REGION;
+}
 
-		if (e->attest_at > since)
-			n++;
-	}
-	return n;
+size_t fg_member_region_size(const struct fg_member *m)
+{
+	return region_tally(m, FG_MS_NEVER).size;
+}
+
+size_t fg_member_reached(const struct fg_member *m, fg_ms since)
+{
+	return region_tally(m, since).reached;
+}
+
+bool fg_member_sees_majority(const struct fg_member *m, fg_ms now)
+{
+	return 2 * fg_member_reached(m, now - (fg_ms)m->conf.reach_ms) >
+	       fg_member_region_size(m);
 }
 
 /*
@@ -52,12 +78,17 @@
  * those that act are counted: the region may have shrunk without our knowing.
  * Without them all are needed, whoever deleted a lease being among them.
  */
-static bool sees_hold_quorum(const struct fg_member *m, fg_ms since)
+static bool holds(struct tally t)
 {
-	size_t n = fg_member_region_size(m);
+	return 3 * t.attesting >= 2 * t.size || t.reached >= t.size;
+}
 
-	return 3 * attesting(m, since) >= 2 * n ||
-	       fg_member_reached(m, since) >= n;
+static bool sees_hold_quorum(const struct fg_member *m, fg_ms since)
+{
+	if (!holds(region_tally(m, since)))
+		return false;
+	return !fg_member_is_small(m->lease.region_size) ||
+	       holds(total_tally(m, since));
 }
 
 fg_ms fg_member_contact(const struct fg_member *m)
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -239,6 +239,33 @@
 	cluster_free(c);
 }
 
+/*
+ * The only instance of its region holds on through an outage, but not when it
+ * is cut off alone: one that it never heard of may be taking its place.
+ */
+static void test_lone_instance(void)
+{
+	struct cluster *c = cluster_new(11, 2, 2);
+	struct node *lone = cluster_join(c, c->key_region[1]);
+
+	c->new_address_share = 1;
+	for (int i = 0; i < 3; i++)
+		cluster_join(c, c->key_region[0]);
+	cluster_run(c, 10000);
+	g_assert_true(cluster_actor(c, 1) == lone);
+	c->outage_until = c->now + 20000;
+	cluster_run(c, c->now + 15000);
+	g_assert_true(cluster_actor(c, 1) == lone);
+	cluster_run(c, c->now + 15000);
+	lone->side = 1;
+	lone->platform_cut = true;
+	cluster_join(c, c->key_region[1]);
+	cluster_run(c, c->now + 20000);
+	g_assert_nonnull(cluster_actor(c, 1));
+	g_assert_true(cluster_actor(c, 1) != lone);
+	cluster_free(c);
+}
+
 static void test_row_codec(void)
 {
 	struct fg_owner_row row = { .owner = UINT64_MAX - 1, .fence = 9 };
@@ -461,6 +488,7 @@
 	g_test_add_func("/owner/paused_between_check_and_send",
 			test_paused_between_check_and_send);
 	g_test_add_func("/owner/news_is_passed_on", test_news_is_passed_on);
+	g_test_add_func("/owner/lone_instance", test_lone_instance);
 	g_test_add_func("/owner/row_codec", test_row_codec);
 	g_test_add_func("/owner/seeds", test_seeds);
 	return g_test_run();
