--- a/tests/unit/confsync_sim.c
+++ b/tests/unit/confsync_sim.c
@@ -11,11 +11,6 @@
 #define LIVE_MS 300
 #define TIMEOUT_MS 1500 /* a lost answer is reported after it */
 
-struct sim_row {
-	uint64_t version;
-	char *value; /* NULL: deleted */
-};
-
 enum ev_type {
 	EV_TICK,
 	EV_PING,
@@ -99,108 +94,6 @@
 	return fg_rand_below(&m->r, 100) < percent;
 }
 
-/* ---- The table ---- */
-
-static struct sim_row *row_at(struct sim *m, const char *key)
-{
-	struct sim_row *row = g_hash_table_lookup(m->rows, key);
-
-	if (row == NULL) {
-		row = g_new0(struct sim_row, 1);
-		g_hash_table_insert(m->rows, g_strdup(key), row);
-	}
-	return row;
-}
-
-static void row_free(gpointer p)
-{
-	g_free(((struct sim_row *)p)->value);
-	g_free(p);
-}
-
-const char *sim_row(struct sim *m, const char *key)
-{
-	const struct sim_row *row = g_hash_table_lookup(m->rows, key);
-
-	return row != NULL ? row->value : NULL;
-}
-
-void sim_put(struct sim *m, const char *key, const char *value)
-{
-	struct sim_row *row = row_at(m, key);
-
-	g_free(row->value);
-	row->value = g_strdup(value);
-	row->version = ++m->row_version;
-}
-
-static struct fg_table_result *run_get(struct sim *m,
-				       const struct fg_table_op *op)
-{
-	const struct sim_row *row = g_hash_table_lookup(m->rows, op->key);
-	bool there = row != NULL && row->value != NULL;
-	struct fg_table_result *res = fg_table_result_new(
-		op->id, op->kind, there ? FG_PF_OK : FG_PF_ABSENT);
-
-	m->reads++;
-	if (there)
-		fg_table_result_row(res, op->key, row->version, row->value);
-	return res;
-}
-
-static struct fg_table_result *run_scan(struct sim *m,
-					const struct fg_table_op *op)
-{
-	struct fg_table_result *res =
-		fg_table_result_new(op->id, op->kind, FG_PF_OK);
-	GHashTableIter it;
-	gpointer key;
-	gpointer value;
-
-	m->reads++;
-	g_hash_table_iter_init(&it, m->rows);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct sim_row *row = value;
-
-		if (row->value != NULL && g_str_has_prefix(key, op->key))
-			fg_table_result_row(res, key, row->version, row->value);
-	}
-	return res;
-}
-
-static bool holds(struct sim *m, const struct fg_write *w)
-{
-	const struct sim_row *row = g_hash_table_lookup(m->rows, w->key);
-	uint64_t version = row != NULL && row->value != NULL ? row->version : 0;
-
-	return w->expect_version == FG_ANY_VERSION ||
-	       w->expect_version == version;
-}
-
-static struct fg_table_result *run_txn(struct sim *m,
-				       const struct fg_table_op *op)
-{
-	g_assert_cmpuint(op->n_writes, <=, FG_TXN_MAX);
-	m->writes += op->n_writes;
-	for (size_t i = 0; i < op->n_writes; i++)
-		if (!holds(m, &op->writes[i]))
-			return fg_table_result_new(op->id, op->kind,
-						   FG_PF_CONFLICT);
-	for (size_t i = 0; i < op->n_writes; i++)
-		sim_put(m, op->writes[i].key, op->writes[i].value);
-	return fg_table_result_new(op->id, op->kind, FG_PF_OK);
-}
-
-static struct fg_table_result *run_op(struct sim *m,
-				      const struct fg_table_op *op)
-{
-	if (op->kind == FG_OP_GET)
-		return run_get(m, op);
-	if (op->kind == FG_OP_SCAN)
-		return run_scan(m, op);
-	return run_txn(m, op);
-}
-
 /* ---- Actions of an instance ---- */
 
 static size_t index_of(const struct sim *m, uint64_t id)
@@ -423,7 +316,7 @@
 
 static void run_effect(struct sim *m, struct ev *e)
 {
-	struct fg_table_result *res = run_op(m, e->op);
+	struct fg_table_result *res = sim_run_op(m, e->op);
 
 	if (e->lose)
 		fg_table_result_free(res);
@@ -548,7 +441,7 @@
 	fg_rand_seed(&m->r, seed);
 	g_queue_init(&m->events);
 	m->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					row_free);
+					sim_row_free);
 	m->history = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
 	m->changes = g_ptr_array_new();
@@ -607,69 +500,17 @@
 	}
 }
 
-static uint64_t head_field(struct sim *m, const char *name)
-{
-	const char *text = sim_row(m, "config/head");
-	g_autofree char *quoted = g_strdup_printf("\"%s\":", name);
-	const char *at = text != NULL ? strstr(text, quoted) : NULL;
-
-	return at != NULL ? g_ascii_strtoull(at + strlen(quoted), NULL, 10) : 0;
-}
-
-uint64_t sim_head(struct sim *m)
-{
-	return head_field(m, "revision");
-}
-
-/* Every change adds an adapter named after itself: "c<id>". */
-static bool in_force(struct sim *m, uint64_t id)
+struct sim_change *sim_add(struct sim *m, size_t node, uint64_t expect)
 {
-	g_autofree char *name = g_strdup_printf("c%" G_GUINT64_FORMAT, id);
-	g_autofree char *quoted = g_strdup_printf("\"%s\"", name);
-	g_autofree char *text = fg_config_snapshot(m->node[0].c);
-
-	return strstr(text, quoted) != NULL;
-}
+	g_autofree char *body =
+		g_strdup_printf("{\"kind\":\"adapter_add\",\"base\":\"b\","
+				"\"adapter\":\"c%u\"}",
+				m->changes->len + 1);
 
-static void check_answer(struct sim *m, const struct sim_change *ch)
-{
-	g_assert_true(ch->answered);
-	if (ch->status == FG_CHANGE_UNKNOWN)
-		return;
-	if (ch->status == FG_CHANGE_ACCEPTED || ch->status == FG_CHANGE_PENDING)
-		g_assert_true(in_force(m, ch->id));
-	else
-		g_assert_false(in_force(m, ch->id));
+	return sim_change(m, node, body, expect, SIM_WAIT_MS);
 }
 
-/* All that the head names is there for a new instance to read. */
-static void check_rows(struct sim *m)
+uint64_t sim_revision(const struct sim *m, size_t i)
 {
-	uint64_t snapshot = head_field(m, "snapshot");
-	char key[FG_ROW_KEY_MAX];
-
-	for (uint64_t i = 0; i < head_field(m, "parts"); i++) {
-		g_snprintf(key, sizeof(key), "config/snap/%012" PRIu64 "/%04u",
-			   snapshot, (unsigned int)i);
-		g_assert_nonnull(sim_row(m, key));
-	}
-	for (uint64_t r = snapshot + 1; r <= sim_head(m); r++) {
-		g_snprintf(key, sizeof(key), "config/rev/%012" PRIu64, r);
-		g_assert_nonnull(sim_row(m, key));
-	}
-}
-
-void sim_check_end(struct sim *m)
-{
-	check_rows(m);
-	for (size_t i = 0; i < m->n; i++) {
-		const struct sim_node *nd = &m->node[i];
-
-		g_assert_cmpuint(fg_config_revision(nd->c), ==, sim_head(m));
-		g_assert_cmpuint(fg_confsync_confirm_age(nd->s, m->now), <,
-				 3000);
-		g_assert_null(fg_confsync_fault(nd->s));
-	}
-	for (guint i = 0; i < m->changes->len; i++)
-		check_answer(m, m->changes->pdata[i]);
+	return fg_config_revision(m->node[i].c);
 }
--- a/tests/unit/confsync_sim.h
+++ b/tests/unit/confsync_sim.h
@@ -87,12 +87,31 @@
 struct sim_change *sim_change(struct sim *m, size_t i, const char *body,
 			      uint64_t expect, uint32_t wait_ms);
 
+/* A calm system: nothing is lost, cut or slow. */
+#define SIM_CALM                                                               \
+	{                                                                      \
+		.nodes = 4, .snapshot_every = 1000, .table_max_ms = 20         \
+	}
+#define SIM_WAIT_MS 4000
+
+/* A change that adds adapter "c<id of the change>". */
+struct sim_change *sim_add(struct sim *m, size_t node, uint64_t expect);
+
+uint64_t sim_revision(const struct sim *m, size_t i);
+
 /* Ends all faults. */
 void sim_heal(struct sim *m);
 
 /* Head revision in the table; 0 when there is none. */
 uint64_t sim_head(struct sim *m);
 
+/* Runs a call on the table; confsync_sim_table.c. */
+struct fg_table_result *sim_run_op(struct sim *m, const struct fg_table_op *op);
+void sim_row_free(gpointer row);
+
+/* Field of the row config/head; 0 when there is none. */
+uint64_t sim_head_field(struct sim *m, const char *name);
+
 /* Reads and sets rows directly. */
 const char *sim_row(struct sim *m, const char *key);
 void sim_put(struct sim *m, const char *key, const char *value);
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -1,14 +1,11 @@
 /* Unit tests of the catalogue: changes, lookups, snapshots, size. */
 #include <glib.h>
-#include <malloc.h>
 #include <string.h>
 
 #include "base/fg_rand.h"
 #include "config/fg_ackset.h"
 #include "config/fg_config.h"
 
-#define PART_BYTES 60000
-
 /* Applies a change given without its outer braces and revision. */
 static bool apply(struct fg_config *c, GError **error, const char *fmt, ...)
 	G_GNUC_PRINTF(3, 4);
@@ -372,108 +369,6 @@
 	fg_config_free(c);
 }
 
-/* ---- Size ---- */
-
-#define MANY 65000
-
-static struct fg_config *grown(unsigned int n)
-{
-	struct fg_config *c = fg_config_new();
-
-	for (unsigned int i = 0; i < n; i++) {
-		GString *s = g_string_new(NULL);
-
-		g_string_printf(
-			s,
-			"\"kind\":\"batch\",\"changes\":[{\"kind\":"
-			"\"adapter_add\",\"base\":\"base-%u\",\"adapter\":"
-			"\"school-menu-%05u\"},{\"kind\":\"version_add\","
-			"\"adapter\":\"school-menu-%05u\",\"version\":\"1\"},"
-			"{\"kind\":\"right_grant\",\"adapter\":"
-			"\"school-menu-%05u\",\"caller\":\"grower-%u\"}]",
-			i % 7, i, i, i, i % 300);
-		g_assert_true(apply(c, NULL, "%s", s->str));
-		g_string_free(s, TRUE);
-	}
-	return c;
-}
-
-static double change_us(struct fg_config *c)
-{
-	gint64 start = g_get_monotonic_time();
-	const int rounds = 2000;
-
-	for (int i = 0; i < rounds; i++) {
-		g_assert_true(apply(c, NULL,
-				    "\"kind\":\"version_add\",\"adapter\":"
-				    "\"school-menu-00001\",\"version\":\"t\""));
-		g_assert_true(apply(c, NULL,
-				    "\"kind\":\"version_remove\",\"adapter\":"
-				    "\"school-menu-00001\",\"version\":\"t\""));
-	}
-	return (double)(g_get_monotonic_time() - start) / (2.0 * rounds);
-}
-
-/* Heap in use; the sanitizers replace malloc(), and it is 0 then. */
-static size_t heap_bytes(void)
-{
-	struct mallinfo2 info = mallinfo2();
-
-	return info.uordblks + info.hblkhd;
-}
-
-static void test_size(void)
-{
-	size_t before = heap_bytes();
-	struct fg_config *c = grown(MANY);
-	size_t after = heap_bytes();
-	struct fg_config *few = grown(100);
-	size_t bytes = (after - before) / MANY;
-	double large_us = change_us(c);
-	double small_us = change_us(few);
-	g_autoptr(GPtrArray) parts = fg_config_snapshot_parts(c, PART_BYTES);
-	g_autofree char *whole = fg_config_snapshot(c);
-	g_autofree char *copied = NULL;
-	struct fg_config_load *l = fg_config_load_new();
-	struct fg_config *copy = fg_config_new();
-
-	g_test_message("%zu bytes an adapter, %u parts, a change takes "
-		       "%.1f us at %d adapters and %.1f us at 100",
-		       bytes, parts->len, large_us, MANY, small_us);
-	g_assert_cmpuint(bytes, <, 320);
-	g_assert_cmpfloat(large_us, <, 20 * small_us);
-	for (guint i = 0; i < parts->len; i++) {
-		const char *part = g_ptr_array_index(parts, i);
-
-		g_assert_cmpuint(strlen(part), <=, PART_BYTES);
-		g_assert_false(fg_config_load_complete(l));
-		g_assert_true(fg_config_load_part(l, part, NULL));
-	}
-	g_assert_true(fg_config_load_complete(l));
-	fg_config_load_finish(l, copy);
-	copied = fg_config_snapshot(copy);
-	g_assert_cmpstr(whole, ==, copied);
-	fg_config_free(c);
-	fg_config_free(few);
-	fg_config_free(copy);
-}
-
-static void test_parts_in_order(void)
-{
-	struct fg_config *c = grown(2000);
-	g_autoptr(GPtrArray) parts = fg_config_snapshot_parts(c, PART_BYTES);
-	struct fg_config_load *l = fg_config_load_new();
-
-	g_assert_cmpuint(parts->len, >, 2);
-	g_assert_false(fg_config_load_part(l, parts->pdata[1], NULL));
-	g_assert_true(fg_config_load_part(l, parts->pdata[0], NULL));
-	g_assert_false(fg_config_load_part(l, parts->pdata[0], NULL));
-	g_assert_false(fg_config_load_part(l, parts->pdata[2], NULL));
-	g_assert_true(fg_config_load_part(l, parts->pdata[1], NULL));
-	fg_config_load_free(l);
-	fg_config_free(c);
-}
-
 /* ---- Who must acknowledge ---- */
 
 static void required(const char *regions, const char *live, const char *want)
@@ -523,8 +418,6 @@
 	g_test_add_func("/config/random_equal", test_random_equal);
 	g_test_add_func("/config/damaged", test_damaged);
 	g_test_add_func("/config/only_upwards", test_restore_only_upwards);
-	g_test_add_func("/config/size", test_size);
-	g_test_add_func("/config/parts_in_order", test_parts_in_order);
 	g_test_add_func("/config/ackset", test_ackset);
 	return g_test_run();
 }
