fg-load: experiments with faults and plots; no silent repetition

An experiment is a YAML file: options of the load (with a shift of popularity), faults at given times, engines to read the logs of. fg-load prints and plots the wait until requests begin to run and the batch fill over time, both from the engines' own logs. Sampling the entries' counters was ruled out: it would show what the system thinks, not what happened.

The tests of fg-load found that libcurl by itself sends a POST once more when a kept connection closes before any byte of the answer: a filing that may have run went out twice under one request id (2 calls in 1 attempt). All POSTs now use a fresh connection, for which libcurl does not do so; the price is a connection per request. Turning off reuse only for filings was ruled out, as one request id would still run twice and spoil the history.

AddressSanitizer reported the words of the experiment's options as lost: parsing takes entries out of the array. The array is copied now; the test failed before.

--- a/programs/fg-load/fl_conf.c
+++ b/programs/fg-load/fl_conf.c
@@ -31,6 +31,7 @@
 	char *history;
 	char *summary;
 	gint show;
+	char *experiment;
 };
 
 static const struct raw defaults = {
@@ -100,9 +101,13 @@
 		  "Write the summary as JSON", "FILE" },
 		{ "show", 0, 0, G_OPTION_ARG_INT, &raw->show,
 		  "Print the first N answers of each class", "N" },
+		{ "experiment", 0, 0, G_OPTION_ARG_FILENAME, &raw->experiment,
+		  "Options, faults and plot from a YAML file", "FILE" },
 		{ 0 },
 	};
 	GOptionContext *ctx = g_option_context_new(NULL);
+	/* Parsing takes entries out of the array that the caller may own. */
+	char **left = g_memdup2(argv, ((size_t)argc + 1) * sizeof(*argv));
 	GError *error = NULL;
 	bool ok;
 
@@ -110,10 +115,11 @@
 		ctx, "Sends requests to entry instances and checks every "
 		     "answer.");
 	g_option_context_add_main_entries(ctx, entries, NULL);
-	ok = g_option_context_parse(ctx, &argc, &argv, &error);
+	ok = g_option_context_parse(ctx, &argc, &left, &error);
 	if (!ok)
 		fail("options", error->message);
 	g_clear_error(&error);
+	g_free(left);
 	g_option_context_free(ctx);
 	return ok;
 }
@@ -281,15 +287,56 @@
 	g_free(raw->caller);
 	g_free(raw->history);
 	g_free(raw->summary);
+	g_free(raw->experiment);
+}
+
+/* Name of the experiment's file on the command line, or NULL. */
+static const char *find_experiment(int argc, char **argv)
+{
+	for (int i = 1; i < argc; i++) {
+		if (strcmp(argv[i], "--experiment") == 0 && i + 1 < argc)
+			return argv[i + 1];
+		if (g_str_has_prefix(argv[i], "--experiment="))
+			return strchr(argv[i], '=') + 1;
+	}
+	return NULL;
+}
+
+/* Parses the options of the experiment's file. */
+static bool parse_experiment(struct fl_conf *conf, struct raw *raw,
+			     const char *path)
+{
+	char *line;
+	char **argv = NULL;
+	gint argc = 0;
+	GError *error = NULL;
+	bool ok;
+
+	conf->experiment = fl_experiment_load(path);
+	if (!conf->experiment)
+		return false;
+	line = g_strconcat("fg-load ", conf->experiment->options, NULL);
+	ok = g_shell_parse_argv(line, &argc, &argv, &error);
+	if (ok)
+		ok = parse_command_line(raw, argc, argv);
+	else
+		fail(path, error->message);
+	g_clear_error(&error);
+	g_strfreev(argv);
+	g_free(line);
+	return ok;
 }
 
 bool fl_conf_parse(struct fl_conf *conf, int argc, char **argv)
 {
+	const char *experiment = find_experiment(argc, argv);
 	struct raw raw = defaults;
-	bool ok;
+	bool ok = true;
 
 	memset(conf, 0, sizeof(*conf));
-	ok = parse_command_line(&raw, argc, argv) && check_ranges(&raw) &&
+	if (experiment)
+		ok = parse_experiment(conf, &raw, experiment);
+	ok = ok && parse_command_line(&raw, argc, argv) && check_ranges(&raw) &&
 	     fill(conf, &raw);
 	clear_raw(&raw);
 	return ok;
@@ -297,6 +344,8 @@
 
 void fl_conf_clear(struct fl_conf *conf)
 {
+	if (conf->experiment)
+		fl_experiment_free(conf->experiment);
 	g_strfreev(conf->addresses);
 	g_strfreev(conf->adapters);
 	g_strfreev(conf->versions);
--- a/programs/fg-load/fl_conf.h
+++ b/programs/fg-load/fl_conf.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/fg_outcome.h"
+#include "fl_experiment.h"
 
 struct fl_conf {
 	char **addresses; /* "IP:port" of entry instances */
@@ -32,6 +33,7 @@
 	char *history; /* "" for none */
 	char *summary; /* "" for none */
 	uint32_t show;
+	struct fl_experiment *experiment; /* NULL for none */
 };
 
 /* Parses the command line; false with a message on stderr on error. */
--- a/programs/fg-load/fl_http.c
+++ b/programs/fg-load/fl_http.c
@@ -63,6 +63,13 @@
 	curl_easy_reset(curl);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+	/*
+	 * On a kept connection that closes without an answer libcurl sends
+	 * the request once more by itself, whatever its method; on a fresh
+	 * one it does not.
+	 */
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
 	perform(curl, addr, path, timeout_ms, res);
 	curl_slist_free_all(list);
 }
--- a/programs/fg-load/fl_main.c
+++ b/programs/fg-load/fl_main.c
@@ -7,6 +7,7 @@
 #include <pthread.h>
 #include <stdio.h>
 
+#include "fl_plot.h"
 #include "fl_queue.h"
 #include "fl_send.h"
 
@@ -78,6 +79,44 @@
 	g_free(workers);
 }
 
+/* Draws and prints what the engines' logs say; returns false on error. */
+static bool report_engines(const struct fl_conf *conf, struct fl_stalls *stalls,
+			   fg_ms begin, fg_ms end)
+{
+	struct fl_bucket *buckets;
+	bool ok = true;
+	uint32_t n;
+
+	fl_stalls_collect(stalls);
+	buckets = fl_stalls_buckets(stalls, begin, end, &n);
+	printf("  %8s %8s %12s %12s %6s\n", "at s", "requests", "wait p50 ms",
+	       "wait p95 ms", "fill");
+	for (uint32_t i = 0; i < n; i++)
+		printf("  %8.1f %8u %12u %12u %5.0f%%\n",
+		       (double)i * conf->experiment->bucket_ms / FG_MS_PER_S,
+		       buckets[i].requests, buckets[i].wait_p50_ms,
+		       buckets[i].wait_p95_ms, buckets[i].fill * 100);
+	if (conf->experiment->plot)
+		ok = fl_plot_write(conf->experiment, buckets, n);
+	g_free(buckets);
+	return ok;
+}
+
+/* Runs with the faults of the experiment; returns false on error. */
+static bool run_experiment(struct fl_sender *sender, fg_ms begin)
+{
+	const struct fl_conf *conf = sender->conf;
+	struct fl_faults *faults = fl_faults_start(conf->experiment, begin);
+	bool ok;
+
+	sender->stalls = fl_stalls_new(conf->experiment);
+	run(sender);
+	fl_faults_stop(faults);
+	ok = report_engines(conf, sender->stalls, begin, fg_clock_now());
+	fl_stalls_free(sender->stalls);
+	return ok;
+}
+
 int main(int argc, char **argv)
 {
 	struct fl_conf conf;
@@ -95,7 +134,10 @@
 	if (ok) {
 		sender.addr = fl_addr_new(&conf);
 		begin = fg_clock_now();
-		run(&sender);
+		if (conf.experiment)
+			ok = run_experiment(&sender, begin);
+		else
+			run(&sender);
 		broken = fl_record_summary(sender.record,
 					   fg_clock_now() - begin);
 		fl_addr_free(sender.addr);
--- a/programs/fg-load/fl_send.c
+++ b/programs/fg-load/fl_send.c
@@ -96,12 +96,18 @@
 	fl_addr_failed(s->sender->addr, s->addr);
 }
 
-static void run_attempt(struct sending *s, uint32_t left_ms)
+/* Tag of a request without the attempt. */
+static char *make_name(const struct sending *s)
+{
+	return g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%u",
+			       s->sender->conf->caller, s->sender->conf->seed,
+			       s->req->index);
+}
+
+static void run_attempt(struct sending *s, const char *name, uint32_t left_ms)
 {
 	struct fl_sender *sender = s->sender;
-	char *tag = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%u.%u",
-				    sender->conf->caller, sender->conf->seed,
-				    s->req->index, s->attempt);
+	char *tag = g_strdup_printf("%s.%u", name, s->attempt);
 
 	g_free(s->addr);
 	s->addr = s->hint;
@@ -164,16 +170,20 @@
 		.req = req,
 		.deadline = req->due + sender->conf->deadline_ms[req->cls],
 	};
+	char *name = make_name(&s);
 	fg_ms left_ms;
 
+	if (sender->stalls && fl_is_generation(req->cls))
+		fl_stalls_request(sender->stalls, name, req->due);
 	do {
 		left_ms = left_of(&s);
-		run_attempt(&s, left_ms > 1 ? (uint32_t)left_ms : 1);
+		run_attempt(&s, name, left_ms > 1 ? (uint32_t)left_ms : 1);
 		s.attempt++;
 	} while (prepare_next(&s));
 	fl_record_final(sender->record, req, &s.answer, s.addr, s.attempt,
 			(uint32_t)(fg_clock_now() - req->due));
 	fl_answer_clear(&s.answer);
+	g_free(name);
 	g_free(s.addr);
 	g_free(s.hint);
 }
--- a/programs/fg-load/fl_send.h
+++ b/programs/fg-load/fl_send.h
@@ -10,11 +10,13 @@
 
 #include "fl_addr.h"
 #include "fl_record.h"
+#include "fl_stalls.h"
 
 struct fl_sender {
 	const struct fl_conf *conf;
 	struct fl_addr *addr;
 	struct fl_record *record;
+	struct fl_stalls *stalls; /* NULL without an experiment */
 };
 
 /* Blocks until the request has its last answer, which goes to the record. */
--- a/standin/common/si_client.c
+++ b/standin/common/si_client.c
@@ -42,6 +42,9 @@
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text);
+	/* libcurl would repeat it when a kept connection breaks. */
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, ignore_answer);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
--- a/standin/common/si_client.h
+++ b/standin/common/si_client.h
@@ -12,8 +12,7 @@
 /*
  * Posts body to http://addr/path in the name of the process. Returns the
  * status, or 0 when there was no whole answer. `curl` may be kept between
- * calls of one thread, so that its connection is used again. Ends early when
- * the process stops.
+ * calls of one thread. Ends early when the process stops.
  */
 uint32_t si_client_post(struct si_proc *proc, CURL *curl, const char *addr,
 			const char *path, json_t *body, uint32_t timeout_ms);
