--- a/programs/fg-load/fl_conf.c
+++ b/programs/fg-load/fl_conf.c
@@ -31,6 +31,7 @@
 	char *history;
 	char *summary;
 	gint show;
+	gboolean all_done;
 	char *experiment;
 };
 
@@ -101,6 +102,8 @@
 		  "Write the summary as JSON", "FILE" },
 		{ "show", 0, 0, G_OPTION_ARG_INT, &raw->show,
 		  "Print the first N answers of each class", "N" },
+		{ "all-done", 0, 0, G_OPTION_ARG_NONE, &raw->all_done,
+		  "Succeed only if every request was DONE and whole", NULL },
 		{ "experiment", 0, 0, G_OPTION_ARG_FILENAME, &raw->experiment,
 		  "Options, faults and plot from a YAML file", "FILE" },
 		{ 0 },
@@ -259,6 +262,7 @@
 	conf->seed = (uint64_t)raw->seed;
 	conf->shift_at = (uint32_t)raw->shift_at;
 	conf->show = (uint32_t)raw->show;
+	conf->all_done = raw->all_done;
 	for (int i = 0; i < FG_CLASS_COUNT; i++)
 		conf->deadline_ms[i] = (uint32_t)raw->deadline_ms;
 	conf->deadline_ms[FG_CLASS_DRAFT] = (uint32_t)raw->draft_deadline_ms;
--- a/programs/fg-load/fl_conf.h
+++ b/programs/fg-load/fl_conf.h
@@ -33,6 +33,7 @@
 	char *history; /* "" for none */
 	char *summary; /* "" for none */
 	uint32_t show;
+	bool all_done; /* succeed only if every request was DONE and whole */
 	struct fl_experiment *experiment; /* NULL for none */
 };
 
--- a/programs/fg-load/fl_main.c
+++ b/programs/fg-load/fl_main.c
@@ -2,7 +2,8 @@
  * fg-load - sends requests to entry instances and checks every answer.
  *
  * One thread plans the requests and gives them out when they are due, workers
- * send them. Exits with 0 when no answer that was DONE lacked anything.
+ * send them. Exits with 0 when no answer that was DONE lacked anything, with
+ * --all-done only when every request was answered so.
  */
 #include <pthread.h>
 #include <stdio.h>
--- a/programs/fg-load/fl_record.c
+++ b/programs/fg-load/fl_record.c
@@ -244,5 +244,5 @@
 	    json_dump_file(summary, r->conf->summary, JSON_INDENT(2)) != 0)
 		fprintf(stderr, "%s: cannot write\n", r->conf->summary);
 	json_decref(summary);
-	return r->done - r->whole;
+	return (r->conf->all_done ? r->final : r->done) - r->whole;
 }
--- a/programs/fg-load/fl_record.h
+++ b/programs/fg-load/fl_record.h
@@ -24,7 +24,8 @@
 		     uint32_t attempts, uint32_t latency_ms);
 
 /* Prints the summary and writes it to conf->summary. Returns the number of
- * answers that were DONE and not whole. */
+ * answers that were DONE and not whole, with conf->all_done of all that were
+ * not DONE and whole. */
 uint32_t fl_record_summary(struct fl_record *r, fg_ms duration_ms);
 
 #endif
--- a/tests/demo_verdict.py
+++ b/tests/demo_verdict.py
@@ -12,6 +12,8 @@
 import json
 import sys
 
+LEAVING_MAX_MS = 4000  # work may still reach a leaving endpoint this long
+
 
 def read_events(path):
     with open(path, encoding="utf-8") as lines:
@@ -35,11 +37,15 @@
         self.ends = {}
         self.execs = collections.defaultdict(list)
         self.filed = collections.Counter()
+        self.left = {e["who"]: e["t"] for e in endpoints
+                     if e["ev"] == "leaving"}
         for event in endpoints:
             self.take(event)
 
     def take(self, event):
         kind = event["ev"]
+        if kind in ("run_start", "exec"):
+            self.check_leaving(event)
         if kind == "run_start":
             self.runs[event["tag"]].append(event)
         elif kind == "run_end":
@@ -52,6 +58,12 @@
             self.fail(f"{event['who']} slot {event['slot']}: replaced with "
                       f"{event['running']} requests in progress")
 
+    def check_leaving(self, event):
+        late_ms = event["t"] - self.left.get(event["who"], event["t"])
+        if late_ms > LEAVING_MAX_MS:
+            self.fail(f"{event['who']}: new work {late_ms} ms after it began "
+                      "to leave")
+
     def fail(self, text):
         self.wrong.append(text)
 
--- a/tests/fgcaller.py
+++ b/tests/fgcaller.py
@@ -6,6 +6,7 @@
 
 from fghttp import request_json
 import fghttp
+from fgsystem import now_ms
 from xxh64 import hash8
 
 PATHS = {"filing": "/v1/filings", "status": "/v1/status",
@@ -14,10 +15,6 @@
 EXTRA_WAIT_S = 5
 
 
-def now_ms():
-    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
-
-
 class History:
     """Appends events of docs/PROTOCOL.md, section 6, to a file."""
 
--- a/tests/fgsystem.py
+++ b/tests/fgsystem.py
@@ -17,6 +17,10 @@
 PORTS = 900
 
 
+def now_ms():
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
+
+
 class Process:
     def __init__(self, name, kind, addr, control, popen, history):
         self.name = name
@@ -27,6 +31,7 @@
         self.history = history
         self.frozen = False
         self.killed = False
+        self.stopped_ms = None  # when a planned stop began
 
     def running(self):
         return self.popen.poll() is None
@@ -124,6 +129,10 @@
         path = "/instances" if process.kind == "platform" else "/v1/state"
         return fghttp.request_json("GET", process.addr, path, timeout_s=2)[1]
 
+    def catalogue(self, name):
+        return fghttp.request_json("GET", self.processes[name].addr,
+                                   "/v1/admin/catalogue", timeout_s=2)[1]
+
     def events(self, name):
         """History of one process, or of all with the name "all"."""
         names = list(self.processes) if name == "all" else [name]
@@ -145,7 +154,9 @@
         self.on_life("dead", name)
 
     def terminate(self, name):
-        self.processes[name].popen.terminate()
+        process = self.processes[name]
+        process.stopped_ms = now_ms()
+        process.popen.terminate()
 
     def wait_exit(self, name):
         """Exit status, or None when it does not end."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -31,6 +31,11 @@
 FLAGS = ("stream", "retry", "async")
 
 
+def read_lines(path):
+    with open(path, encoding="utf-8") as script:
+        return script.read().splitlines()
+
+
 class Failure(Exception):
     """The scenario cannot go on."""
 
@@ -93,7 +98,8 @@
 class Scenario:
     """Interprets one script."""
 
-    def __init__(self, build, port_base):
+    def __init__(self, build, port_base, directory):
+        self.directory = directory  # of the script
         self.system = System(build, port_base, self.on_life)
         self.test_history = History(self.system.path("test.jsonl"), "test")
         self.callers = History(self.system.path("caller.jsonl"), "caller")
@@ -122,6 +128,9 @@
                 self.statement(line)
             pos += 1
 
+    def do_include(self, rest):
+        self.run(read_lines(os.path.join(self.directory, rest)))
+
     @staticmethod
     def find_end(lines, pos):
         depth = 0
@@ -221,13 +230,19 @@
         if "change" not in body:
             body = {"change": body}
         body.setdefault("wait_ms", CHANGE_WAIT_MS)
-        change = Change(words[1] if words else "", body)
-        change.start(self.system.processes[name].addr)
-        if words:
+        change = Change(words[1] if words[:1] == ["async"] else "", body)
+        addr = self.system.processes[name].addr
+        change.start(addr)
+        if change.tag:
             self.tagged[change.tag] = change
-        else:
-            change.finish()
-            self.say(f"change {name}: {change.status}")
+            return
+        change.finish()
+        end = time.monotonic() + WAIT_DEFAULT_MS / 1000
+        while (words == ["retry"] and change.status == "down" and
+               time.monotonic() < end):
+            time.sleep(POLL_S)
+            change.run(addr)
+        self.say(f"change {name}: {change.status}")
 
     def pick_addr(self, request, via):
         """The named entry, or the first that a lookup answers with."""
@@ -322,7 +337,11 @@
         if words[1] == "exited":
             running = self.system.processes[words[0]].running()
             return not running, "running"
-        value = look_up(self.system.state(words[0]), words[1])
+        if words[1] == "catalogue":
+            state, words = self.system.catalogue(words[0]), words[1:]
+        else:
+            state = self.system.state(words[0])
+        value = look_up(state, words[1])
         return compare(value, words[2], words[3]), value
 
     def count_events(self, name, words):
@@ -368,9 +387,22 @@
         verdict = Verdict({}, caller, endpoints)
         for tag in verdict.invokes:
             verdict.check_return(tag)
+            self.check_cut_off(verdict, tag)
         verdict.check_filings()
         return verdict.wrong
 
+    def check_cut_off(self, verdict, tag):
+        """A stopped entry answers what reached it before its stop."""
+        invoke = verdict.invokes[tag]
+        ret = verdict.returns.get(tag)
+        if ret is None or ret["reason"] != "connection_lost":
+            return
+        for process in self.system.processes.values():
+            if process.addr != invoke["entry"] or process.stopped_ms is None:
+                continue
+            if invoke["t"] < process.stopped_ms:
+                verdict.fail(f"{tag}: cut off by the stop of {process.name}")
+
     def check_all(self):
         """The history checker, when it is built."""
         checker = os.path.join(self.build, "bin", "fg-check")
@@ -398,11 +430,10 @@
 def run_script(path):
     build = os.environ.get("BUILD", "build")
     port_base = int(os.environ.get("FG_PORT_BASE", "21000"))
-    with open(path, encoding="utf-8") as script:
-        lines = script.read().splitlines()
+    lines = read_lines(path)
     if not re.fullmatch(r"# promise: [1-8](, [1-8])*", lines[0]):
         raise SystemExit(f"{path}: the first line must name the promise")
-    scenario = Scenario(build, port_base)
+    scenario = Scenario(build, port_base, os.path.dirname(path))
     try:
         scenario.run(lines)
     except Failure as failure:
@@ -428,8 +459,7 @@
         ok = not any(line.startswith("failed:") for line in out)
     else:
         expected_path = os.path.splitext(paths[0])[0] + ".out"
-        with open(expected_path, encoding="utf-8") as expected:
-            wanted = expected.read().splitlines()
+        wanted = read_lines(expected_path)
         diff = list(difflib.unified_diff(wanted, out, "expected", "got",
                                          lineterm=""))
         print("\n".join(diff))
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -232,10 +232,11 @@
 static void check_run(enum mode with, const char *options, int done, int whole,
 		      int attempts)
 {
+	bool all_done = strstr(options, "--all-done") != NULL;
 	json_t *summary;
 
 	set_mode(with);
-	summary = run_load(options, done == whole);
+	summary = run_load(options, done == whole && !(all_done && !done));
 	check_number(summary, "done", done);
 	check_number(summary, "whole", whole);
 	check_number(summary, "attempts", attempts);
@@ -266,6 +267,8 @@
 	check_run(MODE_NOT_RUN_FIRST, filing, 1, 1, 2);
 	check_run(MODE_NOT_RUN_FIRST, draft, 1, 1, 2);
 	check_run(MODE_NOT_RUN_FOR_GOOD, filing, 0, 0, 1);
+	check_run(MODE_NOT_RUN_FOR_GOOD, "-n 1 --mix draft=1 --all-done", 0, 0,
+		  1);
 	/* A filing that may have run is not sent again, a draft is. */
 	check_run(MODE_CLOSED, filing, 0, 0, 1);
 	check_run(MODE_CLOSED, draft, 0, 0, 3);
