--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -16,7 +16,8 @@
 
 #include "base/fg_rand.h"
 
-#define PORT_DEFAULT 22100
+#define PORT_BASE_DEFAULT 21000
+#define PORT_OFFSET 940
 
 /* How the server answers generations and filings. */
 enum mode {
@@ -331,7 +332,8 @@
 	g_setenv("G_SLICE", "always-malloc", TRUE);
 	bin_dir = g_path_get_dirname(argv[0]);
 	dir = g_dir_make_tmp("fg-load-XXXXXX", NULL);
-	port = base ? (uint16_t)(atoi(base) + 949) : PORT_DEFAULT;
+	port = (uint16_t)((base ? atoi(base) : PORT_BASE_DEFAULT) +
+			  PORT_OFFSET);
 	addr.sin_port = htons(port);
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	daemon = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
