--- a/lib/endpoint/fg_endpoint.h
+++ b/lib/endpoint/fg_endpoint.h
@@ -56,6 +56,7 @@
 	uint32_t service_ms;
 	uint32_t pieces; /* passed to on_text */
 	bool ran_none;	 /* with a failure: provably never ran */
+	bool leaving;	 /* with REFUSED: because the endpoint is leaving */
 };
 
 /* What an engine says of itself, read by its owner. */
--- a/lib/endpoint/fg_endpoint_http.c
+++ b/lib/endpoint/fg_endpoint_http.c
@@ -68,7 +68,8 @@
 }
 
 /* What a status other than 200 says about whether the request ran. */
-static enum fg_run_status status_of_refusal(uint32_t status, const char *text)
+static enum fg_run_status status_of_refusal(uint32_t status, const char *text,
+					    bool *leaving)
 {
 	json_t *o = json_loads(text != NULL ? text : "", 0, NULL);
 	const char *error = json_string_value(json_object_get(o, "error"));
@@ -81,6 +82,7 @@
 		st = FG_RUN_REFUSED;
 	else if (status == 500)
 		st = FG_RUN_ERROR;
+	*leaving = status == 503 && g_strcmp0(error, "leaving") == 0;
 	json_decref(o);
 	return st;
 }
@@ -125,10 +127,12 @@
 }
 
 static enum fg_run_status judge_engine(const struct run *run,
-				       const struct fg_http_answer *answer)
+				       const struct fg_http_answer *answer,
+				       bool *leaving)
 {
 	if (answer->status != 0 && answer->status != 200)
-		return status_of_refusal(answer->status, run->raw->str);
+		return status_of_refusal(answer->status, run->raw->str,
+					 leaving);
 	if (run->req->unchecked && answer->status == 200)
 		return FG_RUN_DONE;
 	if (fg_answer_error(run->answer))
@@ -165,7 +169,7 @@
 	struct fg_http_answer answer;
 
 	fg_http_do(&call, &answer);
-	out->status = judge_engine(&run, &answer);
+	out->status = judge_engine(&run, &answer, &out->leaving);
 	if (out->status == FG_RUN_DONE) {
 		out->text = g_strdup(fg_answer_text(run.answer));
 		out->tokens = fg_answer_tokens(run.answer);
@@ -217,7 +221,8 @@
 
 	fg_http_do(&call, &answer);
 	if (answer.status != 0 && answer.status != 200) {
-		out->status = status_of_refusal(answer.status, answer.text);
+		out->status = status_of_refusal(answer.status, answer.text,
+						&out->leaving);
 	} else if (answer.error == FG_HTTP_OK) {
 		out->text = plain_result(req, answer.text);
 		out->status = out->text != NULL ? FG_RUN_DONE : FG_RUN_BAD;
--- a/lib/node/fg_node_dump.c
+++ b/lib/node/fg_node_dump.c
@@ -208,12 +208,13 @@
 
 	n->now = now;
 	out = json_pack(
-		"{s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:i,s:s,s:i}", "name", self->name,
-		"region", self->region, "dc", self->dc, "addr", self->addr,
-		"standing",
-		fg_standing_name(fg_member_standing(n->member, now)),
-		"stopping", n->stop_begun != 0, "revision",
-		(json_int_t)fg_config_revision(n->config), "confirm_age_ms",
+		"{s:s,s:s,s:s,s:s,s:s,s:b,s:b,s:I,s:i,s:s,s:i}", "name",
+		self->name, "region", self->region, "dc", self->dc, "addr",
+		self->addr, "standing",
+		fg_standing_name(fg_member_standing(n->member, now)), "serving",
+		fg_node_may_serve(n), "stopping", n->stop_begun != 0,
+		"revision", (json_int_t)fg_config_revision(n->config),
+		"confirm_age_ms",
 		(int)MIN(fg_confsync_confirm_age(n->confsync, now), INT32_MAX),
 		"preset", fg_config_preset(n->config)->name, "ledger_pending",
 		(int)fg_ledger_pending(n->ledger));
--- a/lib/node/fg_node_route.c
+++ b/lib/node/fg_node_route.c
@@ -373,15 +373,17 @@
 
 /* An endpoint that refuses connections rests for a while. */
 static void note_endpoint(struct fg_node *n, struct fg_ep *ep,
-			  enum fg_run_status status)
+			  const struct fg_run_result *res)
 {
 	if (ep == NULL)
 		return;
 	ep->sent--;
-	if (status == FG_RUN_NOT_SENT)
+	if (res->status == FG_RUN_NOT_SENT)
 		ep->down_until = n->now + FG_EP_DOWN_MS;
-	if (status == FG_RUN_NOT_LOADED && ep->own != NULL)
+	if (res->status == FG_RUN_NOT_LOADED && ep->own != NULL)
 		ep->own->state_next = n->now;
+	if (res->leaving)
+		fg_ep_leaving(n, ep, true);
 }
 
 static bool try_again(struct fg_node *n, struct fg_req *r,
@@ -440,7 +442,7 @@
 	n->now = now;
 	if (r == NULL || r->state != FG_REQ_RUNNING || r->attempts != attempt)
 		return;
-	note_endpoint(n, fg_ep_find(n, r->ep), res->status);
+	note_endpoint(n, fg_ep_find(n, r->ep), res);
 	fg_suspect_end(n, r, v->crashed);
 	fg_route_release(n, r, res->service_ms, v->crashed);
 	if (!res->ran_none)
--- a/standin/common/si_fault.c
+++ b/standin/common/si_fault.c
@@ -13,8 +13,10 @@
 	fg_ms frozen_until;
 	int64_t slow_ms;
 	int64_t slow_count; /* COUNT_UNLIMITED until it is set anew */
+	char *slow_match;   /* text in the request's body, "" for any */
 	int64_t drop_count;
 	char *drop_path;     /* "" for any */
+	char *drop_match;    /* as slow_match */
 	GHashTable *cut_off; /* set of instance names */
 	int64_t counted[SI_COUNTED_COUNT];
 };
@@ -26,6 +28,8 @@
 	fault->proc = proc;
 	pthread_mutex_init(&fault->lock, NULL);
 	fault->drop_path = g_strdup("");
+	fault->drop_match = g_strdup("");
+	fault->slow_match = g_strdup("");
 	fault->cut_off =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return fault;
@@ -37,6 +41,8 @@
 		return;
 	g_hash_table_destroy(fault->cut_off);
 	g_free(fault->drop_path);
+	g_free(fault->drop_match);
+	g_free(fault->slow_match);
 	pthread_mutex_destroy(&fault->lock);
 	g_free(fault);
 }
@@ -46,17 +52,24 @@
 	fault->outage_until = fg_clock_now() + si_field_int(body, "ms", 0);
 }
 
+static void set_text(char **text, json_t *body, const char *field)
+{
+	g_free(*text);
+	*text = g_strdup(si_field_str(body, field));
+}
+
 static void op_slow(struct si_fault *fault, json_t *body)
 {
 	fault->slow_ms = si_field_int(body, "ms", 0);
 	fault->slow_count = si_field_int(body, "count", COUNT_UNLIMITED);
+	set_text(&fault->slow_match, body, "match");
 }
 
 static void op_drop_answer(struct si_fault *fault, json_t *body)
 {
 	fault->drop_count = si_field_int(body, "count", 1);
-	g_free(fault->drop_path);
-	fault->drop_path = g_strdup(si_field_str(body, "path"));
+	set_text(&fault->drop_path, body, "path");
+	set_text(&fault->drop_match, body, "match");
 }
 
 static void op_cut(struct si_fault *fault, json_t *body)
@@ -168,33 +181,44 @@
 	return !cut_off;
 }
 
-static int64_t take_delay_ms(struct si_fault *fault)
+static bool holds(const char *body, const char *match)
+{
+	return *match == '\0' || strstr(body, match) != NULL;
+}
+
+static int64_t take_delay_ms(struct si_fault *fault, const char *body)
 {
 	if (fault->slow_ms <= 0 || fault->slow_count == 0)
 		return 0;
+	if (!holds(body, fault->slow_match))
+		return 0;
 	if (fault->slow_count > 0)
 		fault->slow_count--;
 	return fault->slow_ms;
 }
 
-static bool take_drop(struct si_fault *fault, const char *path)
+static bool take_drop(struct si_fault *fault, const char *path,
+		      const char *body)
 {
 	if (fault->drop_count <= 0)
 		return false;
 	if (*fault->drop_path && strcmp(fault->drop_path, path) != 0)
 		return false;
+	if (!holds(body, fault->drop_match))
+		return false;
 	fault->drop_count--;
 	return true;
 }
 
-bool si_fault_before_answer(struct si_fault *fault, const char *path)
+bool si_fault_before_answer(struct si_fault *fault, const char *path,
+			    const char *body)
 {
 	int64_t delay_ms;
 	bool drop;
 
 	pthread_mutex_lock(&fault->lock);
-	delay_ms = take_delay_ms(fault);
-	drop = take_drop(fault, path);
+	delay_ms = take_delay_ms(fault, body);
+	drop = take_drop(fault, path, body);
 	pthread_mutex_unlock(&fault->lock);
 	if (delay_ms > 0 && !si_proc_sleep(fault->proc, delay_ms))
 		return false;
--- a/standin/common/si_fault.h
+++ b/standin/common/si_fault.h
@@ -36,8 +36,9 @@
 bool si_fault_before_run(struct si_fault *fault, const char *instance);
 
 /* Waits out a freeze and the delay of slow answers. Returns false when this
- * answer must be dropped and the connection closed. */
-bool si_fault_before_answer(struct si_fault *fault, const char *path);
+ * answer must be dropped and the connection closed. body is the request's. */
+bool si_fault_before_answer(struct si_fault *fault, const char *path,
+			    const char *body);
 
 /* Waits out a freeze; returns false when the process stops. */
 bool si_fault_thawed(struct si_fault *fault);
--- a/standin/common/si_http.c
+++ b/standin/common/si_http.c
@@ -110,7 +110,8 @@
 	struct si_fault *fault = req->proc->fault;
 	bool work = req->faulty && (req->route->flags & SI_WORK);
 
-	if (req->faulty && !si_fault_before_answer(fault, req->path)) {
+	if (req->faulty &&
+	    !si_fault_before_answer(fault, req->path, req->raw->str)) {
 		g_free(text);
 		return si_close(req);
 	}
--- a/standin/engine/si_stream.c
+++ b/standin/engine/si_stream.c
@@ -282,7 +282,8 @@
 	refused = admit(e, run);
 	if (refused)
 		return answer_refused(req, refused);
-	if (!si_fault_before_answer(req->proc->fault, req->path)) {
+	if (!si_fault_before_answer(req->proc->fault, req->path,
+				    req->raw->str)) {
 		wait_for_end(e, run);
 		return si_close(req);
 	}
--- a/tests/fgcaller.py
+++ b/tests/fgcaller.py
@@ -12,6 +12,7 @@
          "draft": "/v1/generate", "interactive": "/v1/generate"}
 RETRY_WAIT_MAX_S = 1.0
 EXTRA_WAIT_S = 5
+EARLY_PART = 10  # answered within this part of the deadline: early
 
 
 def now_ms():
@@ -50,6 +51,8 @@
         self.tokens = int(options.get("tokens", 8))
         self.deadline_ms = int(options.get("deadline", 30000))
         self.caller = options.get("caller", "kitchen")
+        self.note = options.get("note", "")
+        self.read_after_s = int(options.get("read_after", 0)) / 1000
         self.stream = "stream" in options
         self.retry = "retry" in options
         self.outcome = "UNKNOWN"
@@ -57,6 +60,8 @@
         self.whole = False
         self.replayed = False
         self.answered_version = ""
+        self.early = False
+        self.retry_after = False
         self.thread = None
 
     def is_generation(self):
@@ -64,7 +69,10 @@
 
     def body(self):
         if not self.is_generation():
-            return {"service": self.target, "body": {"key": self.key},
+            content = {"key": self.key}
+            if self.note:
+                content["note"] = self.note
+            return {"service": self.target, "body": content,
                     "deadline_ms": self.deadline_ms}
         body = {"adapter": self.target, "prompt": self.prompt,
                 "max_tokens": self.tokens, "class": self.cls,
@@ -129,10 +137,14 @@
                     version=self.version,
                     key=self.key if self.cls == "filing" else "",
                     service="" if generation else self.target, entry=addr)
+        begin = time.monotonic()
         status, text = fghttp.request(
             "POST", addr, PATHS[self.cls], self.body(), self.headers(tag),
-            self.deadline_ms / 1000 + EXTRA_WAIT_S)
+            self.deadline_ms / 1000 + EXTRA_WAIT_S, self.read_after_s)
+        took_ms = (time.monotonic() - begin) * 1000
         last = self.take_answer(status, text)
+        self.early = took_ms * EARLY_PART <= self.deadline_ms
+        self.retry_after = last.get("retry_after_ms", 0) > 0
         history.add("return", tag=tag, outcome=self.outcome,
                     reason=self.reason, whole=self.whole,
                     replayed=self.replayed, version=self.answered_version)
@@ -168,6 +180,10 @@
             words.add("whole")
         if self.replayed:
             words.add("replayed")
+        if self.early:
+            words.add("early")
+        if self.retry_after:
+            words.add("retry_after")
         if self.answered_version:
             words.add("version=" + self.answered_version)
         return words - {""}
@@ -180,6 +196,7 @@
         self.tag = tag
         self.body = body
         self.status = "unknown"
+        self.revision = 0
         self.thread = None
 
     def run(self, addr):
@@ -187,6 +204,7 @@
         _, answer = request_json("POST", addr, "/v1/admin/change", self.body,
                                  timeout_s=timeout_s)
         self.status = answer.get("status", "unknown")
+        self.revision = answer.get("revision", 0)
 
     def start(self, addr):
         self.thread = threading.Thread(target=self.run, args=(addr,),
@@ -198,7 +216,7 @@
         return not self.thread.is_alive()
 
     def words(self):
-        return {self.status}
+        return {self.status, f"revision={self.revision}"}
 
 
 def read_lines(text):
--- a/tests/fghttp.py
+++ b/tests/fghttp.py
@@ -7,18 +7,35 @@
 
 import http.client
 import json
+import socket
 import sys
+import time
 
 TIMEOUT_S = 10
+SMALL_WINDOW_BYTES = 4096
 
 
-def request(method, addr, path, body=None, headers=None, timeout_s=TIMEOUT_S):
-    """Returns (status, text); status 0 when there was no whole answer."""
+def slow_reader(host, port, timeout_s):
+    """A connected socket whose receive window is as small as it can be."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
+    sock.settimeout(timeout_s)
+    sock.connect((host, port))
+    return sock
+
+
+def request(method, addr, path, body=None, headers=None, timeout_s=TIMEOUT_S,
+            read_after_s=0):
+    """Returns (status, text); status 0 when there was no whole answer. The
+    answer is read read_after_s after the request was sent."""
     host, port = addr.rsplit(":", 1)
     conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
     try:
         data = None if body is None else json.dumps(body)
+        if read_after_s > 0:
+            conn.sock = slow_reader(host, int(port), timeout_s)
         conn.request(method, path, data, headers or {})
+        time.sleep(read_after_s)
         res = conn.getresponse()
         return res.status, res.read().decode("utf-8", "replace")
     except (OSError, http.client.HTTPException):
--- a/tests/fgsystem.py
+++ b/tests/fgsystem.py
@@ -65,7 +65,8 @@
 
     def spawn(self, name, args):
         # GLib's slice allocator hides its locks from ThreadSanitizer.
-        env = dict(os.environ, G_SLICE="always-malloc")
+        # FG_TEST admits cuts between entries and the mapping `switches`.
+        env = dict(os.environ, G_SLICE="always-malloc", FG_TEST="1")
         with open(self.path(name + ".log"), "ab") as log:
             return subprocess.Popen(args, stdin=subprocess.DEVNULL,
                                     stdout=log, stderr=log, env=env)
@@ -124,6 +125,12 @@
         path = "/instances" if process.kind == "platform" else "/v1/state"
         return fghttp.request_json("GET", process.addr, path, timeout_s=2)[1]
 
+    def rows(self, prefix):
+        """Number of the platform's rows below a prefix."""
+        path = f"/table/scan?prefix={prefix}&limit=1000"
+        _, answer = fghttp.request_json("GET", self.platform_addr(), path)
+        return len(answer.get("rows", []))
+
     def events(self, name):
         """History of one process, or of all with the name "all"."""
         names = list(self.processes) if name == "all" else [name]
@@ -169,6 +176,18 @@
         """Ends everything; returns complaints about exits."""
         complaints = []
         running = [p for p in self.processes.values() if p.running()]
+        # Entries first: a planned stop hands over through the platform.
+        entries = [p for p in running if p.kind == "entry"]
+        self.stop_each(entries, complaints)
+        self.stop_each([p for p in running if p not in entries], complaints)
+        for process in self.processes.values():
+            if (process.kind == "entry" and process not in running and
+                    not process.killed):
+                complaints.append(f"{process.name}: ended by itself, status "
+                                  f"{process.popen.returncode}")
+        return complaints
+
+    def stop_each(self, running, complaints):
         for process in running:
             if process.frozen:
                 self.freeze(process.name, False)
@@ -182,12 +201,6 @@
                 process.popen.kill()
                 process.popen.wait()
                 complaints.append(f"{process.name}: did not end")
-        for process in self.processes.values():
-            if (process.kind == "entry" and process not in running and
-                    not process.killed):
-                complaints.append(f"{process.name}: ended by itself, status "
-                                  f"{process.popen.returncode}")
-        return complaints
 
     def logs(self):
         """Ends of the processes' own messages, for a failed run."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,9 +1,10 @@
 #!/usr/bin/env python3
 """Runs a scenario (docs/TESTING.md) and compares its output.
 
-Usage: scenario.py [--print] [--keep] FILE.fgs
-  --print  print the output, compare nothing
-  --keep   keep the directory of histories and logs, and name it
+Usage: scenario.py [--print] [--keep] [--switch=NAME[,NAME]] FILE.fgs
+  --print   print the output, compare nothing
+  --keep    keep the directory of histories and logs, and name it
+  --switch  turn mechanisms off in every entry (docs/TESTING.md)
 Environment: BUILD (build), FG_PORT_BASE (21000).
 Exits with 0 when the output equals FILE.out.
 """
@@ -98,6 +99,7 @@
         self.test_history = History(self.system.path("test.jsonl"), "test")
         self.callers = History(self.system.path("caller.jsonl"), "caller")
         self.build = build
+        self.settings = {}  # of every entry
         self.tagged = {}
         self.loads = {}
         self.out = []
@@ -158,11 +160,15 @@
         elif kind in ("engine", "plain"):
             self.system.start_standin(kind, words[1], words[2:])
         elif kind == "entry":
-            self.system.start_entry(words[1], dict(
-                word.split("=", 1) for word in words[2:]))
+            settings = dict(self.settings)
+            settings.update(word.split("=", 1) for word in words[2:])
+            self.system.start_entry(words[1], settings)
         else:
             raise Failure(f"cannot start {kind}")
 
+    def do_timing(self, rest):
+        self.settings["timing"] = rest
+
     def do_kill(self, rest):
         self.system.kill(rest)
 
@@ -319,6 +325,9 @@
         if words[0] == "log":
             count = self.count_events(words[1], words[2:])
             return count > 0, count
+        if words[0] == "row":
+            found = self.system.rows(words[1])
+            return found > 0, found
         if words[1] == "exited":
             running = self.system.processes[words[0]].running()
             return not running, "running"
@@ -395,7 +404,7 @@
         self.callers.close()
 
 
-def run_script(path):
+def run_script(path, switches):
     build = os.environ.get("BUILD", "build")
     port_base = int(os.environ.get("FG_PORT_BASE", "21000"))
     with open(path, encoding="utf-8") as script:
@@ -403,6 +412,9 @@
     if not re.fullmatch(r"# promise: [1-8](, [1-8])*", lines[0]):
         raise SystemExit(f"{path}: the first line must name the promise")
     scenario = Scenario(build, port_base)
+    if switches:
+        scenario.settings["switches"] = "{%s}" % ", ".join(
+            f"{name}: true" for name in switches)
     try:
         scenario.run(lines)
     except Failure as failure:
@@ -421,7 +433,9 @@
     signal.signal(signal.SIGALRM, on_alarm)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     signal.alarm(SCENARIO_MAX_S)
-    scenario = run_script(paths[0])
+    switches = [name for a in args if a.startswith("--switch=")
+                for name in a.partition("=")[2].split(",")]
+    scenario = run_script(paths[0], switches)
     out = scenario.out
     if "--print" in args:
         print("\n".join(out))
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -181,6 +181,38 @@
 	bed_free(b);
 }
 
+/* A refusal because it is leaving is a sign like any other, whatever the list
+ * shows: the request goes elsewhere, peers are told, and it gets no more. */
+static void test_leaving_refused(void)
+{
+	struct bed *b = bed_new();
+	struct fg_run_result res = {
+		.status = FG_RUN_REFUSED,
+		.ran_none = true,
+		.leaving = true,
+	};
+	struct fg_run_cmd cmd;
+
+	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
+	fake_table_put(b->table, "session/" BED_PEER,
+		       "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
+		       "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
+		       "\"dc\":\"north\",\"state\":\"live\"}");
+	bed_run(b, 6000);
+	bed_forget(b);
+	bed_status(b, 10);
+	cmd = *run_at(b, 0);
+	g_array_set_size(b->runs, 0);
+	fg_node_run_done(b->node, b->now, 10, cmd.attempt, &res);
+	g_assert_cmpuint(bed_sent(b, FG_MSG_LEAVING), ==, 1);
+	bed_run(b, 2000);
+	assert_outcome(b, 10, FG_NOT_RUN, FG_R_NO_ENDPOINT);
+	bed_status(b, 11);
+	assert_outcome(b, 11, FG_NOT_RUN, FG_R_NO_ENDPOINT);
+	g_assert_cmpuint(b->runs->len, ==, 0);
+	bed_free(b);
+}
+
 /* A request that is waiting when its endpoint leaves is not sent there. */
 static void test_leaving_engine(void)
 {
@@ -277,6 +309,7 @@
 	g_test_add_func("/node/filing_outage", test_filing_outage);
 	g_test_add_func("/node/outage", test_outage);
 	g_test_add_func("/node/leaving_plain", test_leaving_plain);
+	g_test_add_func("/node/leaving_refused", test_leaving_refused);
 	g_test_add_func("/node/leaving_engine", test_leaving_engine);
 	g_test_add_func("/node/stop", test_stop);
 	g_test_add_func("/node/stray_grant", test_stray_grant);
