--- a/lib/grant/fg_grant.h
+++ b/lib/grant/fg_grant.h
@@ -47,6 +47,7 @@
 	uint32_t batch;	       /* grants in flight at most */
 	uint32_t grant_max_ms; /* hard deadline of any grant */
 	uint32_t queue_max;    /* requests waiting for a batch place */
+	bool no_pins;	       /* tests: evict without regard to requests */
 };
 
 struct fg_grants;
@@ -63,13 +64,16 @@
 	fg_av av;
 	enum fg_class cls;
 	uint32_t budget_ms;
+	uint32_t hold_ms; /* may wait so long for a batch to join */
 };
 
 /*
- * Asks for a grant. FG_GRANT_OK sets *grant; FG_GRANT_HELD queues the ask: it
- * ends in a callback of fg_grants_pump(). Held asks are served by class, then
- * in order of arrival, and refused with FG_GRANT_NO_TIME once their budget is
- * spent.
+ * Asks for a grant. An ask with hold_ms is held until what runs and what is
+ * held fill half a batch, or its time is over; its slot is kept meanwhile.
+ * FG_GRANT_OK sets *grant; FG_GRANT_HELD queues the
+ * ask: it ends in a callback of fg_grants_pump(). Held asks are served by
+ * class, then in order of arrival, and refused with FG_GRANT_NO_TIME once their
+ * budget is spent.
  */
 fg_grant_status fg_grants_request(struct fg_grants *g, fg_ms now,
 				  const struct fg_grant_ask *ask,
@@ -80,6 +84,11 @@
  * repeat of it arrives. */
 void fg_grants_release(struct fg_grants *g, fg_ms now, uint64_t grant);
 
+/* Call before the release of a grant whose request may be running still: its
+ * answer did not come, or was not its own. The slot is kept until the engine
+ * says that it runs nothing there. */
+void fg_grants_unseen(struct fg_grants *g, fg_ms now, uint64_t grant);
+
 /* Takes back a held or granted ask of a caller that went away. */
 void fg_grants_cancel(struct fg_grants *g, fg_ms now, uint64_t holder,
 		      uint64_t req);
@@ -166,7 +175,8 @@
 /* Fills a RESIDENT body (its list is malloc'ed); seq grows on each change. */
 void fg_grants_resident(const struct fg_grants *g, fg_resident *out);
 
-/* True once after each change of what is resident. */
+/* True once after each change of what is resident, and when the batch became
+ * almost full or has room again. */
 bool fg_grants_changed(struct fg_grants *g);
 
 #endif
--- a/lib/grant/fg_grant_ask.c
+++ b/lib/grant/fg_grant_ask.c
@@ -60,12 +60,26 @@
 
 /* ---- Grants ---- */
 
+/* Full and not full again are news for those who choose endpoints; what lies
+ * between is not worth a message to all. */
+static void note_load(struct fg_grants *g)
+{
+	uint32_t full_from = (g->conf.batch * 7 + 7) / 8;
+	uint32_t room_to = g->conf.batch * 5 / 8;
+
+	if (g->full ? g->in_use > room_to : g->in_use < full_from)
+		return;
+	g->full = !g->full;
+	fg_grants_note_change(g);
+}
+
 void fg_grants_pin(struct fg_grants *g, struct fg_grant_rec *rec, int32_t slot)
 {
 	assert(rec->slot < 0 && slot >= 0);
 	rec->slot = slot;
 	g->slot[slot].pins++;
 	g->in_use++;
+	note_load(g);
 }
 
 void fg_grants_unpin(struct fg_grants *g, fg_ms now, struct fg_grant_rec *rec)
@@ -80,6 +94,7 @@
 	s->last_unpinned = now;
 	g->in_use--;
 	rec->slot = FG_SLOT_GONE;
+	note_load(g);
 }
 
 void fg_grants_insert(struct fg_grants *g, struct fg_grant_rec *rec)
@@ -155,11 +170,24 @@
 	held->key = (struct fg_req_key){ ask->holder, ask->req };
 	held->ask = *ask;
 	held->deadline = now + ask->budget_ms;
+	held->hold_until = now + ask->hold_ms;
 	g_queue_push_tail(queue, held);
 	g_hash_table_insert(g->held_by_key, &held->key, queue->tail);
 	return FG_GRANT_HELD;
 }
 
+/*
+ * Requests that a batch lacks to be worth running for held asks. One running
+ * request is not enough to join: each that joins makes the batch last longer,
+ * at hardly more than one.
+ */
+static uint32_t missing_to_fill(const struct fg_grants *g)
+{
+	uint32_t target = (g->conf.batch + 1) / 2;
+
+	return g->in_use < target ? target - g->in_use : 0;
+}
+
 /* True when a held ask that could run now goes before one of class cls. */
 static bool held_before(const struct fg_grants *g, enum fg_class cls)
 {
@@ -211,6 +239,8 @@
 	slot = fg_grants_find(g, ask->av, FG_SLOT_READY);
 	if (slot < 0 && fg_grants_find(g, ask->av, FG_SLOT_LOADING) < 0)
 		return FG_GRANT_NOT_RESIDENT;
+	if (ask->hold_ms > 0 && fg_grants_held(g) + 1 < missing_to_fill(g))
+		return hold(g, now, ask);
 	if (slot < 0 || g->in_use >= g->conf.batch ||
 	    held_before(g, ask->cls) || fg_grants_replaced(g, ask->av))
 		return hold(g, now, ask);
@@ -231,6 +261,14 @@
 	fg_grants_remember(g, now, (struct fg_req_key){ 0, grant });
 }
 
+void fg_grants_unseen(struct fg_grants *g, fg_ms now, uint64_t grant)
+{
+	const struct fg_grant_rec *rec = g_hash_table_lookup(g->grants, &grant);
+
+	if (rec != NULL && rec->slot >= 0)
+		g->slot[rec->slot].strays_since = now + FG_DEAD_GRACE_MS;
+}
+
 void fg_grants_cancel(struct fg_grants *g, fg_ms now, uint64_t holder,
 		      uint64_t req)
 {
@@ -254,7 +292,8 @@
 
 /* What becomes of a held ask now; FG_GRANT_HELD if it stays. */
 static fg_grant_status serve(struct fg_grants *g, fg_ms now,
-			     const struct fg_held *held, uint64_t *grant)
+			     const struct fg_held *held, bool start,
+			     uint64_t *grant)
 {
 	fg_grant_status status = refusal(g, now);
 	int32_t slot;
@@ -271,14 +310,15 @@
 		return fg_grants_find(g, held->ask.av, FG_SLOT_LOADING) < 0
 			       ? FG_GRANT_NOT_RESIDENT
 			       : FG_GRANT_HELD;
-	if (g->in_use >= g->conf.batch || fg_grants_replaced(g, held->ask.av))
+	if (!start || g->in_use >= g->conf.batch ||
+	    fg_grants_replaced(g, held->ask.av))
 		return FG_GRANT_HELD;
 	*grant = give(g, now, &held->ask, held->deadline, slot);
 	return FG_GRANT_OK;
 }
 
 static void serve_class(struct fg_grants *g, fg_ms now, GQueue *queue,
-			GArray *answers)
+			bool start, GArray *answers)
 {
 	GList *next;
 
@@ -287,7 +327,7 @@
 		struct answer a = { .ask = held->ask };
 
 		next = l->next;
-		a.status = serve(g, now, held, &a.grant);
+		a.status = serve(g, now, held, start, &a.grant);
 		if (a.status == FG_GRANT_HELD)
 			continue;
 		drop_held(g, l);
@@ -295,6 +335,23 @@
 	}
 }
 
+/* Is it time to run what is held for a batch to fill? */
+static bool batch_is_due(const struct fg_grants *g, fg_ms now)
+{
+	if (fg_grants_held(g) >= missing_to_fill(g))
+		return true;
+	for (int c = 0; c < FG_CLASS_COUNT; c++) {
+		for (GList *l = g->held[c].head; l != NULL; l = l->next) {
+			const struct fg_held *held = l->data;
+
+			if (held->hold_until <= now &&
+			    fg_grants_has(g, held->ask.av))
+				return true;
+		}
+	}
+	return false;
+}
+
 static void expire_grants(struct fg_grants *g, fg_ms now)
 {
 	GHashTableIter it;
@@ -327,6 +384,7 @@
 		    void *arg)
 {
 	GArray *answers;
+	bool start;
 
 	fg_grants_check_recovery(g, now);
 	forget_due(g, now);
@@ -334,9 +392,10 @@
 	if (fg_grants_held(g) == 0)
 		return;
 	/* The callback may come back to g: answers are given at the end. */
+	start = batch_is_due(g, now);
 	answers = g_array_new(FALSE, FALSE, sizeof(struct answer));
 	for (int c = 0; c < FG_CLASS_COUNT; c++)
-		serve_class(g, now, &g->held[c], answers);
+		serve_class(g, now, &g->held[c], start, answers);
 	for (guint i = 0; i < answers->len; i++) {
 		const struct answer *a =
 			&g_array_index(answers, struct answer, i);
--- a/lib/grant/fg_grant_priv.h
+++ b/lib/grant/fg_grant_priv.h
@@ -36,8 +36,9 @@
 	fg_ms running_at;    /* ... when asked at this time */
 	fg_ms last_unpinned; /* when pins last went down */
 	/* Requests without a grant may run here: those of a last owner's
-	 * grants, or of grants that expired unreleased. Ends once the engine,
-	 * asked at this time or later, runs nothing here; FG_MS_NEVER: none. */
+	 * grants, of grants that expired unreleased, or whose end nobody saw.
+	 * Ends once the engine, asked at this time or later, runs nothing here;
+	 * FG_MS_NEVER: none. */
 	fg_ms strays_since;
 };
 
@@ -60,6 +61,7 @@
 	struct fg_req_key key;
 	struct fg_grant_ask ask;
 	fg_ms deadline;
+	fg_ms hold_until; /* for a batch to join */
 };
 
 struct fg_ended {
@@ -96,6 +98,7 @@
 
 	uint64_t seq;
 	bool changed;
+	bool full; /* as last told: hardly room for more */
 };
 
 /* Records a change of what is resident. */
--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -224,10 +224,14 @@
 /*
  * An operator is told "accepted" when all live instances have the revision.
  * One that was not counted as live must therefore confirm its revision after
- * it became so, before it takes work.
+ * it became so, before it takes work. For the same reason it reads the list
+ * anew: endpoints may have left while it was away. In an outage there is no
+ * list to read.
  */
 static void follow_standing(struct fg_node *n)
 {
+	bool outage =
+		fg_member_standing(n->member, n->now) == FG_STANDING_OUTAGE;
 	uint32_t age_ms;
 
 	if (!standing_is_good(n)) {
@@ -237,9 +241,23 @@
 	}
 	if (n->joined == 0)
 		n->joined = n->now;
+	if (n->list_at < n->joined)
+		fg_node_ask_list(n);
 	age_ms = fg_confsync_confirm_age(n->confsync, n->now);
-	if (n->now - (fg_ms)age_ms >= n->joined)
-		n->in_force = true;
+	if (n->in_force || n->now - (fg_ms)age_ms < n->joined ||
+	    (!outage && n->list_at < n->joined))
+		return;
+	n->in_force = true;
+	fg_wire_revision_event(n);
+}
+
+void fg_node_ask_list(struct fg_node *n)
+{
+	if (n->list_pending)
+		return;
+	n->list_pending = true;
+	n->list_asked = n->now;
+	n->io.list(n->io.arg);
 }
 
 bool fg_node_may_serve(struct fg_node *n)
@@ -260,7 +278,8 @@
 	for (size_t i = 0; i < MIN(total, PEERS_MAX); i++)
 		if (ids[i] != n->self)
 			ids[kept++] = ids[i];
-	fg_confsync_set_live(n->confsync, ids, kept);
+	fg_confsync_set_live_at(n->confsync, fg_member_looked_at(n->member),
+				ids, kept);
 }
 
 static void tick_config(struct fg_node *n)
@@ -367,10 +386,12 @@
 		       const struct fg_listed *list, size_t n_list)
 {
 	n->now = now;
+	n->list_pending = false;
 	fg_member_on_list(n->member, now, result, list, n_list, fg_wire_member,
 			  n);
 	if (result != FG_PF_OK)
 		return;
+	n->list_at = n->list_asked;
 	for (size_t i = 0; i < n_list; i++)
 		if (list[i].kind != FG_LISTED_ENTRY)
 			fg_ep_listed(n, &list[i]);
@@ -383,6 +404,7 @@
 {
 	n->now = now;
 	tell_live(n);
+	n->open_changes++;
 	fg_confsync_change(n->confsync, now, change_id, change, expect_revision,
 			   wait_ms, fg_wire_confsync, n);
 	fg_node_drain(n);
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -161,9 +161,13 @@
 	GArray *ready;	 /* uint64_t, filings that may be dispatched */
 	bool draining;
 	uint64_t next_order;
-	fg_ms now;     /* of the event being handled */
-	fg_ms joined;  /* standing good since; 0 while it is not */
-	bool in_force; /* revision confirmed since then */
+	fg_ms now;	       /* of the event being handled */
+	uint32_t open_changes; /* operators' changes not yet answered */
+	fg_ms joined;	       /* standing good since; 0 while it is not */
+	bool in_force;	       /* revision confirmed and list read since then */
+	fg_ms list_asked;
+	bool list_pending;
+	fg_ms list_at; /* the list read last was asked for then */
 	fg_ms heat_next;
 	fg_ms second_next; /* next once-a-second work */
 	fg_ms sweep_next;
@@ -184,6 +188,7 @@
 size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max);
 /* True while new work may be taken. */
 bool fg_node_may_serve(struct fg_node *n);
+void fg_node_ask_list(struct fg_node *n);
 
 /* ---- fg_node_msg.c ---- */
 /* Handles the messages of this instance to itself, and filings that the ledger
@@ -198,6 +203,8 @@
 void fg_wire_owner(void *arg, struct fg_owner_act *act);
 void fg_wire_confsync(void *arg, struct fg_confsync_act *act);
 void fg_wire_ledger(void *arg, struct fg_ledger_act *act);
+/* Event: the revision is in force here from now on. */
+void fg_wire_revision_event(struct fg_node *n);
 
 /* ---- fg_node_eps.c: endpoints ---- */
 struct fg_ep *fg_ep_find(struct fg_node *n, uint64_t id);
@@ -210,13 +217,15 @@
 /* ---- fg_node_req.c: requests ---- */
 void fg_req_free(void *req);
 struct fg_req *fg_req_find(struct fg_node *n, uint64_t id);
-/* Final answer; the request is gone afterwards. */
+/* Final answer; the request is gone afterwards. NOT_RUN becomes UNKNOWN if an
+ * attempt may have run. */
 void fg_req_reply(struct fg_node *n, struct fg_req *r, enum fg_outcome outcome,
 		  enum fg_reason reason, uint32_t retry_after_ms);
 void fg_req_reply_full(struct fg_node *n, struct fg_req *r,
 		       struct fg_reply *reply);
 /* Ends a request without an answer from an endpoint: by the ledger if it is
- * a filing, else at once. */
+ * a filing, else at once. NOT_RUN is turned into UNKNOWN if an attempt may
+ * have run. */
 void fg_req_fail(struct fg_node *n, struct fg_req *r, enum fg_outcome outcome,
 		 enum fg_reason reason, uint32_t retry_after_ms);
 uint32_t fg_req_left_ms(const struct fg_node *n, const struct fg_req *r);
@@ -229,8 +238,9 @@
 void fg_route_repeat_ask(struct fg_node *n, struct fg_req *r);
 void fg_route_avoid(struct fg_req *r, uint64_t ep);
 /* Gives back whatever grant or ask the request has. */
+/* `unseen`: the endpoint may be running the request still. */
 void fg_route_release(struct fg_node *n, struct fg_req *r, uint32_t service_ms,
-		      bool crashed);
+		      bool unseen);
 void fg_route_grants_ask(struct fg_node *n, uint64_t from,
 			 const fg_grants_ask *ask);
 void fg_route_owner_lost(struct fg_node *n, uint64_t owner);
--- a/lib/node/fg_node_wire.c
+++ b/lib/node/fg_node_wire.c
@@ -53,7 +53,7 @@
 		send_op(n, FG_PART_MEMBER, act->op);
 		break;
 	case FG_MA_LIST:
-		n->io.list(n->io.arg);
+		fg_node_ask_list(n);
 		break;
 	case FG_MA_SEND:
 		fg_node_send_free(n, act->to, act->msg);
@@ -121,7 +121,17 @@
 	}
 }
 
-static void config_changed(struct fg_node *n, uint64_t revision)
+/* An instance that only catches up takes no work: for it no revision is in
+ * force yet. */
+void fg_wire_revision_event(struct fg_node *n)
+{
+	fg_node_event(n, "revision",
+		      json_pack("{s:I,s:s}", "revision",
+				(json_int_t)fg_config_revision(n->config),
+				"preset", fg_config_preset(n->config)->name));
+}
+
+static void config_changed(struct fg_node *n)
 {
 	const struct fg_preset *preset = fg_config_preset(n->config);
 
@@ -129,9 +139,8 @@
 	fg_models_config(n);
 	fg_member_set_revision(n->member, fg_config_revision(n->config),
 			       fg_confsync_confirm_age(n->confsync, n->now));
-	fg_node_event(n, "revision",
-		      json_pack("{s:I,s:s}", "revision", (json_int_t)revision,
-				"preset", preset->name));
+	if (n->in_force)
+		fg_wire_revision_event(n);
 }
 
 static void change_answered(struct fg_node *n, struct fg_confsync_act *act)
@@ -140,6 +149,7 @@
 		fg_node_event(n, "accepted",
 			      json_pack("{s:I}", "revision",
 					(json_int_t)act->revision));
+	n->open_changes--;
 	n->io.change_answer(n->io.arg, act->change_id, act->status,
 			    act->revision, act->text);
 	g_free(act->text);
@@ -160,7 +170,9 @@
 			fg_node_send_free(n, act->to, act->msg);
 		break;
 	case FG_CS_CHANGED:
-		config_changed(n, act->revision);
+		if (n->open_changes > 0)
+			fg_member_look(n->member, n->now);
+		config_changed(n);
 		break;
 	case FG_CS_ANSWER:
 		change_answered(n, act);
--- a/lib/place/fg_broker_tick.c
+++ b/lib/place/fg_broker_tick.c
@@ -9,8 +9,8 @@
 #define RETRY_PLACE_MS 50 /* no place found: tried again after this */
 #define NEWS_MS 1000	  /* by then a router has heard what is resident */
 #define COPY_CHECK_MS 500
-#define COPY_GAP_MS 5000 /* between copies of one adapter */
-#define SATURATED 0.85	 /* load relative to the batch */
+#define COPY_GAP_MS 10000 /* between copies of an adapter or endpoint */
+#define SATURATED 0.85	  /* load relative to the batch */
 
 /* ---- Budget ---- */
 
@@ -90,24 +90,24 @@
 {
 	if (w->not_before > now || fg_broker_loading(b, w->av))
 		return false;
-	if (b->policy->refuses && !w->judged)
+	if (b->policy->refuses && (!w->judged || w->hold_until > now))
 		return false;
 	if (now - w->first_at >= NEWS_MS)
 		return true;
 	return !fg_broker_resident(b, w->av, !b->policy->copies);
 }
 
-static int by_deadline(const void *a, const void *b)
+static int by_due(const void *a, const void *b)
 {
 	const struct fg_want *x = *(struct fg_want *const *)a;
 	const struct fg_want *y = *(struct fg_want *const *)b;
 
-	if (x->deadline != y->deadline)
-		return x->deadline < y->deadline ? -1 : 1;
+	if (x->due != y->due)
+		return x->due < y->due ? -1 : 1;
 	return x->key < y->key ? -1 : x->key > y->key;
 }
 
-/* Wants for which keep() holds, earliest deadline first. */
+/* Wants for which keep() holds, earliest due first. */
 static GPtrArray *collect(const struct fg_broker *b, fg_ms now,
 			  bool (*keep)(const struct fg_broker *b, fg_ms now,
 				       const struct fg_want *w))
@@ -121,7 +121,7 @@
 		if (keep(b, now, value))
 			g_ptr_array_add(list, value);
 	if (list->len > 1)
-		qsort(list->pdata, list->len, sizeof(gpointer), by_deadline);
+		qsort(list->pdata, list->len, sizeof(gpointer), by_due);
 	return list;
 }
 
@@ -143,12 +143,14 @@
 }
 
 /*
- * Would every admitted need still be met, earliest deadline first, with w
+ * Would every admitted need still be met, earliest due first, with w
  * among them? `admitted` is sorted by deadline.
  */
 static bool fits(const struct fg_broker *b, fg_ms now,
 		 const GPtrArray *admitted, const struct fg_want *w)
 {
+	/* How long the store stays down is not known: time enough is left. */
+	fg_ms due = b->fails >= FAILS_PROBE ? w->deadline : w->due;
 	uint32_t place = 1;
 	bool counted = false;
 
@@ -156,14 +158,14 @@
 		const struct fg_want *other = admitted->pdata[i];
 		fg_ms done;
 
-		if (other->deadline <= w->deadline) {
+		if (other->due <= due) {
 			place++;
 			continue;
 		}
 		if (!counted) {
 			done = now + fg_broker_start_in(b, now, place) +
 			       b->conf.load_ms;
-			if (done > w->deadline)
+			if (done > due)
 				return false;
 			counted = true;
 			place++;
@@ -171,15 +173,13 @@
 		done = now + fg_broker_start_in(b, now, place) +
 		       b->conf.load_ms;
 		/* One that is late already is not made so by w. */
-		if (done > other->deadline &&
-		    done <= other->deadline + FG_MS_PER_S)
+		if (done > other->due && done <= other->due + FG_MS_PER_S)
 			return false;
 		place++;
 	}
 	if (counted)
 		return true;
-	return now + fg_broker_start_in(b, now, place) + b->conf.load_ms <=
-	       w->deadline;
+	return now + fg_broker_start_in(b, now, place) + b->conf.load_ms <= due;
 }
 
 static void refuse_want(struct fg_broker *b, struct fg_want *w,
@@ -197,7 +197,7 @@
 {
 	guint i = list->len;
 
-	while (i > 0 && by_deadline(&list->pdata[i - 1], &w) > 0)
+	while (i > 0 && by_due(&list->pdata[i - 1], &w) > 0)
 		i--;
 	g_ptr_array_insert(list, (gint)i, w);
 }
@@ -288,14 +288,22 @@
 
 /* ---- Copies of hot adapters ---- */
 
-static bool copied_lately(const struct fg_broker *b, fg_ms now, fg_av av)
+static bool copied_lately(const struct fg_broker *b, fg_ms now, uint64_t key)
 {
-	uint64_t key = fg_av_key(av);
 	const struct fg_mark *m = g_hash_table_lookup(b->replicated, &key);
 
 	return m != NULL && m->until > now;
 }
 
+static void note_copy(struct fg_broker *b, fg_ms now, uint64_t key)
+{
+	struct fg_mark *m = g_new0(struct fg_mark, 1);
+
+	m->key = key;
+	m->until = now + COPY_GAP_MS;
+	g_hash_table_replace(b->replicated, &m->key, m);
+}
+
 /* The most popular adapter of a saturated endpoint that has no room
  * anywhere; none if all have. */
 static fg_av hottest(const struct fg_broker *b, fg_ms now,
@@ -307,7 +315,8 @@
 	for (uint32_t i = 0; i < e->n_av; i++) {
 		double heat = fg_heat_get(b->heat, now, e->av[i]);
 
-		if (heat <= most || copied_lately(b, now, e->av[i]) ||
+		if (heat <= most ||
+		    copied_lately(b, now, fg_av_key(e->av[i])) ||
 		    fg_broker_loading(b, e->av[i]) ||
 		    fg_broker_resident(b, e->av[i], false))
 			continue;
@@ -317,19 +326,17 @@
 	return best;
 }
 
+/* One copy at a time: its effect on the endpoint is awaited. */
 static bool copy_from(struct fg_broker *b, fg_ms now, const struct fg_dir_ep *e,
 		      fg_broker_emit emit, void *arg)
 {
 	struct fg_want w = { .av = hottest(b, now, e) };
 	fg_place place = { .av = w.av };
-	struct fg_mark *m;
 
 	if (fg_av_none(w.av) || !b->policy->choose(b, now, &w, &place))
 		return false;
-	m = g_new0(struct fg_mark, 1);
-	m->key = fg_av_key(w.av);
-	m->until = now + COPY_GAP_MS;
-	g_hash_table_replace(b->replicated, &m->key, m);
+	note_copy(b, now, fg_av_key(w.av));
+	note_copy(b, now, e->id);
 	order(b, now, &place, emit, arg);
 	return true;
 }
@@ -346,7 +353,8 @@
 		const struct fg_dir_ep *e = b->dir->list->pdata[i];
 
 		if (!fg_dir_ep_usable(e, b->service) ||
-		    e->region != b->region || fg_dir_ep_fill(e) < SATURATED)
+		    e->region != b->region || fg_dir_ep_fill(e) < SATURATED ||
+		    copied_lately(b, now, e->id))
 			continue;
 		if (copy_from(b, now, e, emit, arg))
 			return;
--- a/lib/place/fg_place.h
+++ b/lib/place/fg_place.h
@@ -46,6 +46,11 @@
 struct fg_dir *fg_dir_new(uint64_t seed);
 void fg_dir_free(struct fg_dir *d);
 
+/* The preset's weight of stalls: of endpoints that hold an adapter the least
+ * loaded is picked when it is high, and the fullest with room when it is low,
+ * so that batches fill. */
+void fg_dir_set_weight(struct fg_dir *d, uint32_t stall_weight);
+
 /* An engine that may serve `service`; updates if known. */
 void fg_dir_endpoint(struct fg_dir *d, uint64_t ep, const char *service,
 		     const char *region, const char *dc, bool leaving);
@@ -102,6 +107,10 @@
 		   uint32_t in_flight_max, uint32_t load_ms,
 		   uint32_t stall_weight);
 
+/* The preset's longest hold: needs of drafts alone wait so long, by
+ * fg_hold_ms(), for more requests to share their load. 0 at the start. */
+void fg_broker_set_hold(struct fg_broker *b, uint32_t hold_max_ms);
+
 /* A NEED from router `from`; replaces its last one for the same adapter.
  * waiting == 0 withdraws it. slack_ms is the time until the load must be
  * done, that is the time left less the service time. */
--- a/lib/place/fg_policy_gauge.c
+++ b/lib/place/fg_policy_gauge.c
@@ -7,18 +7,20 @@
 
 #include <math.h>
 
-#define SCHEDULE_MARGIN_MS 300 /* with less to spare, deadlines decide */
+#define SCHEDULE_MARGIN_MS 300 /* with less to spare, due times decide */
 #define INTERACTIVE_WORTH 4.0  /* of a waiting person, in drafts */
 #define AGE_WORTH_MS 2000      /* waiting this long is worth one request */
-#define BUSY_MS 4000	       /* asked for so lately: likely still in use */
+#define BUSY_MS 1000	       /* asked for so lately: likely still in use */
 #define BUSY_COST 1000.0
 #define COPY_COST 0.25 /* of an adapter that another endpoint holds as well */
-#define FILL_COST 0.05 /* of a full batch, to spread new adapters */
+#define PACKED_COPY_COST 0.01 /* when requests go to the fuller endpoint */
+#define FILL_COST 0.05	      /* of a full batch, to spread new adapters */
+#define PACK_GAIN 4.0 /* of joining a full batch, when they are gathered */
 
 /* ---- Order of loads ---- */
 
-/* Time to spare until some deadline is missed if loads are made in order of
- * deadline; wants are sorted so. */
+/* Time to spare until some want is overdue if loads are made in order of due
+ * time; wants are sorted so. */
 static fg_ms schedule_slack(const struct fg_broker *b, fg_ms now,
 			    struct fg_want **wants, size_t n)
 {
@@ -28,18 +30,20 @@
 		fg_ms done = now + fg_broker_start_in(b, now, (uint32_t)i + 1) +
 			     b->conf.load_ms;
 
-		least = MIN(least, wants[i]->deadline - done);
+		least = MIN(least, wants[i]->due - done);
 	}
 	return least;
 }
 
+/* Requests that wait, the urgent ones above all, and for how long; a time for
+ * which drafts are held by choice does not count. */
 static double worth(const struct fg_broker *b, fg_ms now,
 		    const struct fg_want *w)
 {
 	double each = w->cls < FG_CLASS_DRAFT ? INTERACTIVE_WORTH : 1;
+	fg_ms since = MAX(w->first_at, MIN(w->hold_until, now));
 
-	return each * (w->waiting +
-		       (double)(now - w->first_at) / AGE_WORTH_MS) +
+	return each * (w->waiting + (double)(now - since) / AGE_WORTH_MS) +
 	       fg_heat_get(b->heat, now, w->av) / 100;
 }
 
@@ -67,19 +71,25 @@
 
 /* ---- Place and victim ---- */
 
-static bool held_elsewhere(const struct fg_broker *b, const struct fg_dir_ep *e,
-			   fg_av av)
+/* What is left of the cost of av on e when another endpoint holds it too. */
+static double copy_share(const struct fg_broker *b, const struct fg_dir_ep *e,
+			 fg_av av)
 {
+	bool packs = b->conf.stall_weight < FG_PACK_BELOW;
 	const GPtrArray *eps = fg_dir_holders(b->dir, av);
 
 	for (guint i = 0; eps != NULL && i < eps->len; i++) {
 		const struct fg_dir_ep *other = eps->pdata[i];
 
-		if (other != e && other->region == e->region &&
-		    fg_dir_ep_usable(other, b->service))
-			return true;
+		if (other == e || other->region != e->region ||
+		    !fg_dir_ep_usable(other, b->service))
+			continue;
+		if (packs && fg_dir_ep_fill(other) < FG_PACK_FILL_MAX &&
+		    fg_dir_ep_fill(other) >= fg_dir_ep_fill(e))
+			return PACKED_COPY_COST;
+		return COPY_COST;
 	}
-	return false;
+	return 1;
 }
 
 /* What it costs to lose av on e: the loads it saves, as far as its popularity
@@ -88,13 +98,12 @@
 			  const struct fg_dir_ep *e, fg_av av)
 {
 	const struct fg_want *pending = fg_broker_want(b, av);
-	double cost = fg_heat_get(b->heat, now, av);
+	double share = copy_share(b, e, av);
+	double cost = fg_heat_get(b->heat, now, av) * share;
 
-	if (held_elsewhere(b, e, av))
-		cost *= COPY_COST;
 	if (pending != NULL)
 		cost += pending->waiting;
-	if (now - fg_heat_last(b->heat, av) < BUSY_MS)
+	if (share == 1 && now - fg_heat_last(b->heat, av) < BUSY_MS)
 		cost += BUSY_COST;
 	return cost;
 }
@@ -118,6 +127,16 @@
 	return least;
 }
 
+/* Spreads new adapters, or gathers them where batches run. */
+static double fill_cost(const struct fg_broker *b, const struct fg_dir_ep *e)
+{
+	double fill = fg_dir_ep_fill(e);
+
+	if (b->conf.stall_weight >= FG_PACK_BELOW)
+		return FILL_COST * fill;
+	return fill < FG_PACK_FILL_MAX ? -PACK_GAIN * fill : 0;
+}
+
 static bool choose_least_cost(const struct fg_broker *b, fg_ms now,
 			      const struct fg_want *w, fg_place *place)
 {
@@ -132,7 +151,7 @@
 			continue;
 		if (fg_broker_free_slots(b, e) == 0)
 			cost = best_victim(b, now, e, &victim);
-		cost += FILL_COST * fg_dir_ep_fill(e);
+		cost += fill_cost(b, e);
 		if (cost >= least)
 			continue;
 		least = cost;
