--- a/lib/base/fg_version.h
+++ b/lib/base/fg_version.h
@@ -1,4 +1,4 @@
-/* fg_version - version of the release, and of what it stores and sends. */
+/* fg_version - version of the release, printed by --version. */
 #ifndef FG_VERSION_H
 #define FG_VERSION_H
 
--- a/lib/config/fg_confsync_peer.c
+++ b/lib/config/fg_confsync_peer.c
@@ -132,7 +132,7 @@
 {
 	const struct cs_peer *p;
 
-	if (s->now < s->ask_at)
+	if (s->highest <= revision(s) || s->now < s->ask_at)
 		return;
 	p = best_peer(s);
 	if (p == NULL)
@@ -149,6 +149,7 @@
 	struct cs_peer *p = cs_peer(s, id);
 
 	p->heard = s->now;
+	s->highest = MAX(s->highest, heard);
 	if (heard > p->revision)
 		p->revision = heard;
 }
@@ -201,6 +202,13 @@
 
 /* ---- Telling snapshots ---- */
 
+static void drop_cache(struct fg_confsync *s)
+{
+	if (s->cache != NULL)
+		g_ptr_array_free(s->cache, TRUE);
+	s->cache = NULL;
+}
+
 /* A cached snapshot serves as long as deltas lead on from it. */
 static void fill_cache(struct fg_confsync *s)
 {
@@ -213,8 +221,7 @@
 	s->cache_used = s->now;
 	if (usable)
 		return;
-	if (s->cache != NULL)
-		g_ptr_array_free(s->cache, TRUE);
+	drop_cache(s);
 	s->cache = fg_config_snapshot_parts(s->c, CS_PART_BYTES);
 	s->cache_revision = revision(s);
 }
@@ -262,7 +269,7 @@
 				send_part(s, p);
 		}
 	} else if (s->cache != NULL && s->now - s->cache_used > CACHE_KEEP_MS) {
-		g_clear_pointer(&s->cache, g_ptr_array_unref);
+		drop_cache(s);
 	}
 }
 
@@ -291,36 +298,37 @@
 		start_sending(s, p);
 }
 
-/* Starts anew with every change of ours, whatever was pushed before. */
-void cs_push(struct fg_confsync *s)
+static void push_step(struct fg_confsync *s)
 {
 	GHashTableIter it;
 	gpointer value;
 
+	if (s->push_revision == 0 || s->conf.no_push)
+		return;
 	g_hash_table_iter_init(&it, s->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cs_peer *p = value;
 
-		p->push_gap_ms = 0;
-		p->push_at = CS_NEVER;
+		if (p->live && p->revision < s->push_revision &&
+		    s->now >= p->push_at)
+			push_to(s, p);
 	}
 }
 
-static void push_step(struct fg_confsync *s)
+/* Starts anew with every change of ours, whatever was pushed before. */
+void cs_push(struct fg_confsync *s)
 {
 	GHashTableIter it;
 	gpointer value;
 
-	if (s->push_revision == 0 || s->conf.no_push)
-		return;
 	g_hash_table_iter_init(&it, s->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct cs_peer *p = value;
 
-		if (p->live && p->revision < s->push_revision &&
-		    s->now >= p->push_at)
-			push_to(s, p);
+		p->push_gap_ms = 0;
+		p->push_at = CS_NEVER;
 	}
+	push_step(s);
 }
 
 /* ---- Being told ---- */
@@ -365,7 +373,7 @@
 		return true;
 	if (error->code == FG_CONFIG_ERR_FORMAT)
 		cs_set_fault(s, "snapshot of a peer", error);
-	g_clear_pointer(&s->load, fg_config_load_free);
+	cs_drop_load(&s->load);
 	return false;
 }
 
@@ -377,7 +385,7 @@
 	s->ask_at = s->now + ASK_RETRY_MS;
 	if (!fg_config_load_complete(s->load))
 		return;
-	cs_finish_load(s, g_steal_pointer(&s->load));
+	cs_finish_load(s, &s->load);
 	send_ask(s, from);
 }
 
@@ -395,16 +403,17 @@
 		told_snapshot(s, from, tell);
 		return;
 	}
+	/* A gap is closed by ask_step() or from the table. */
 	if (tell->base <= before)
 		apply_list(s, tell->text);
-	/* Acknowledges, or says where the gap begins. */
-	if (revision(s) > before || tell->base > before)
+	if (revision(s) > before)
 		send_ask(s, from);
 }
 
-void cs_peer_step(struct fg_confsync *s)
+void cs_peer_step(struct fg_confsync *s, bool tick)
 {
-	push_step(s);
+	if (tick)
+		push_step(s);
 	ask_step(s);
 	send_step(s);
 }
--- a/lib/config/fg_confsync_priv.h
+++ b/lib/config/fg_confsync_priv.h
@@ -117,6 +117,7 @@
 	CS_SNAP_PARTS,	 /* parts are written */
 	CS_SNAP_DELETE,	 /* rows that nobody needs are deleted */
 	CS_SNAP_PUBLISH, /* head: snapshot is ours */
+	CS_SNAP_UNDO,	 /* superseded: our parts are deleted */
 };
 
 struct cs_snap {
@@ -163,6 +164,7 @@
 	bool live_timed;
 	fg_ms live_asked;
 	uint64_t push_revision; /* newest revision stored by us; 0: none */
+	uint64_t highest;	/* revision heard of from any peer */
 	fg_ms ask_at;		/* no peer is asked before */
 	uint32_t ask_count;
 	uint32_t n_sending;
@@ -196,7 +198,8 @@
 bool cs_apply(struct fg_confsync *s, const char *what, const char *text);
 bool cs_apply_json(struct fg_confsync *s, const char *what, const json_t *obj,
 		   const char *text);
-void cs_finish_load(struct fg_confsync *s, struct fg_config_load *l);
+void cs_finish_load(struct fg_confsync *s, struct fg_config_load **l);
+void cs_drop_load(struct fg_config_load **l);
 
 /* fg_confsync_rows.c */
 void cs_rev_key(char *key, uint64_t revision);
@@ -215,7 +218,7 @@
 
 /* fg_confsync_peer.c */
 struct cs_peer *cs_peer(struct fg_confsync *s, uint64_t id);
-void cs_peer_step(struct fg_confsync *s);
+void cs_peer_step(struct fg_confsync *s, bool tick);
 void cs_peer_heard(struct fg_confsync *s, uint64_t id, uint64_t revision);
 void cs_push(struct fg_confsync *s);
 void cs_on_ask(struct fg_confsync *s, uint64_t from, const fg_config_ask *ask);
--- a/lib/grant/fg_grant_priv.h
+++ b/lib/grant/fg_grant_priv.h
@@ -61,6 +61,7 @@
 	struct fg_req_key key;
 	struct fg_grant_ask ask;
 	fg_ms deadline;
+	fg_ms hold_until; /* for a batch to join */
 };
 
 struct fg_ended {
@@ -97,6 +98,7 @@
 
 	uint64_t seq;
 	bool changed;
+	bool full; /* as last told: hardly room for more */
 };
 
 /* Records a change of what is resident. */
--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -28,10 +28,13 @@
  *   CONFIRMED  our own lease is fresh, and this instance, or a peer it
  *              reaches, reached the platform within confirm_ms.
  *   OUTAGE     we hold a lease, nobody is known to have reached the platform
- *              since it ceased to be fresh, and two thirds of the region's
- *              instances answered a ping within reach_ms: hold on to what we
- *              own.
+ *              since it ceased to be fresh, and within reach_ms two thirds
+ *              of the region's instances, themselves CONFIRMED or in OUTAGE,
+ *              answered a ping, or all of them whatever their standing: hold
+ *              on to what we own.
  *   ISOLATED   neither: no orders, no grants, no new work.
+ * Where the region has no more than two instances, both the deletion and
+ * holding on need their share of the instances of all regions as well.
  * One of the two thirds is always among the one third, so it has heard from
  * the deleter of our lease and told us before the row goes. What remains is
  * in docs/design/membership.md.
@@ -72,13 +75,13 @@
 	uint32_t own_lease_ms; /* our lease is fresh this long; < lease_ms */
 	uint32_t reach_ms;     /* an answered ping counts this long */
 	uint32_t survey_ms;    /* between pings of one instance while many are
-				* pinged to find a quorum; < reach_ms / 2 */
+				* pinged to find a quorum; <= reach_ms / 2 */
 	uint32_t pause_ms;     /* a longer gap between ticks is a pause */
 };
 
 /* Bounds on what reading the lease rows and the list cost one instance. */
 #define FG_MEMBER_SCAN_BYTES_PER_S 1500
-#define FG_MEMBER_LIST_BYTES_PER_S 3000
+#define FG_MEMBER_LIST_BYTES_PER_S 2000
 
 /* Fills the defaults that hold for the aim's size; self is left alone. */
 void fg_member_conf_defaults(struct fg_member_conf *conf);
@@ -148,6 +151,14 @@
 void fg_member_set_revision(struct fg_member *m, uint64_t revision,
 			    uint32_t confirm_age_ms);
 
+/* Reads all lease rows at the next tick, however lately that was done: after
+ * a change of configuration nobody who joined before it may be overlooked. */
+void fg_member_look(struct fg_member *m, fg_ms now);
+
+/* When the read of all lease rows that the view stands on was begun; 0 before
+ * the first. */
+fg_ms fg_member_looked_at(const struct fg_member *m);
+
 /* Starts draining: the lease row and pings say so. */
 void fg_member_leave(struct fg_member *m, fg_ms now, fg_member_emit emit,
 		     void *arg);
@@ -160,6 +171,12 @@
 enum fg_standing fg_member_standing(const struct fg_member *m, fg_ms now);
 const char *fg_standing_name(enum fg_standing s);
 
+/* True for the standings in which an instance acts on what it owns. */
+static inline bool fg_may_act(enum fg_standing s)
+{
+	return s == FG_STANDING_CONFIRMED || s == FG_STANDING_OUTAGE;
+}
+
 /* True when this instance reaches more than half of the region's instances
  * that are not dead (itself included). */
 bool fg_member_sees_majority(const struct fg_member *m, fg_ms now);
--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -5,6 +5,7 @@
 
 #define LIMITS_CALLERS_MAX 4096
 #define ANNOUNCE_MS 1000
+#define QUIT_MS 500   /* for the lease row to be deleted */
 #define SWEEP_MS 5000 /* between parts of the ledger swept in a region */
 #define PEERS_MAX 1024
 
@@ -69,6 +70,14 @@
 	n->dir = fg_dir_new(seed + 6);
 }
 
+static const char *inst_name(void *arg, uint64_t inst)
+{
+	struct fg_node *n = arg;
+	const struct fg_peer_view *peer = fg_member_find(n->member, inst);
+
+	return peer != NULL ? peer->info.name : NULL;
+}
+
 static bool inst_is_dead(void *arg, uint64_t inst)
 {
 	struct fg_node *n = arg;
@@ -88,11 +97,12 @@
 	fg_rand_seed(&n->rand, seed);
 	make_parts(n, seed);
 	fg_ledger_set_dead(n->ledger, inst_is_dead, n);
+	fg_confsync_set_names(n->confsync, inst_name, n);
 	n->eps = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 				       fg_ep_free);
 	n->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					fg_req_free);
-	n->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	n->waits = g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL,
 					 fg_wait_free);
 	n->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  fg_model_free);
@@ -224,10 +234,14 @@
 /*
  * An operator is told "accepted" when all live instances have the revision.
  * One that was not counted as live must therefore confirm its revision after
- * it became so, before it takes work.
+ * it became so, before it takes work. For the same reason it reads the list
+ * anew: endpoints may have left while it was away. In an outage there is no
+ * list to read.
  */
 static void follow_standing(struct fg_node *n)
 {
+	bool outage =
+		fg_member_standing(n->member, n->now) == FG_STANDING_OUTAGE;
 	uint32_t age_ms;
 
 	if (!standing_is_good(n)) {
@@ -237,9 +251,23 @@
 	}
 	if (n->joined == 0)
 		n->joined = n->now;
+	if (n->list_at < n->joined)
+		fg_node_ask_list(n);
 	age_ms = fg_confsync_confirm_age(n->confsync, n->now);
-	if (n->now - (fg_ms)age_ms >= n->joined)
-		n->in_force = true;
+	if (n->in_force || n->now - (fg_ms)age_ms < n->joined ||
+	    (!outage && n->list_at < n->joined))
+		return;
+	n->in_force = true;
+	fg_wire_revision_event(n);
+}
+
+void fg_node_ask_list(struct fg_node *n)
+{
+	if (n->list_pending)
+		return;
+	n->list_pending = true;
+	n->list_asked = n->now;
+	n->io.list(n->io.arg);
 }
 
 bool fg_node_may_serve(struct fg_node *n)
@@ -260,7 +288,8 @@
 	for (size_t i = 0; i < MIN(total, PEERS_MAX); i++)
 		if (ids[i] != n->self)
 			ids[kept++] = ids[i];
-	fg_confsync_set_live(n->confsync, ids, kept);
+	fg_confsync_set_live_at(n->confsync, fg_member_looked_at(n->member),
+				ids, kept);
 }
 
 static void tick_config(struct fg_node *n)
@@ -323,14 +352,38 @@
 	       fg_ledger_pending(n->ledger) == 0;
 }
 
+static void count_mine(void *arg, uint64_t key, uint64_t fence)
+{
+	size_t *mine = arg;
+
+	(void)key;
+	(void)fence;
+	(*mine)++;
+}
+
+/* Rows that the platform does not take now are left to lapse. */
+static bool handed_over(const struct fg_node *n)
+{
+	size_t mine = 0;
+
+	fg_owner_each_mine(n->owner, count_mine, &mine);
+	return mine == 0 || n->now - n->stop_begun >= n->conf.member.lease_ms;
+}
+
 /* Ownership is handed over first: requests in progress keep their grants,
  * which the next owner learns from this instance's answer to GRANTS_ASK. */
 static void tick_stop(struct fg_node *n)
 {
-	if (n->stop_begun == 0 || n->released)
+	if (n->stop_begun == 0)
 		return;
-	n->released = true;
-	fg_owner_release_all(n->owner, n->now, fg_wire_owner, n);
+	if (!n->released) {
+		n->released = true;
+		fg_owner_release_all(n->owner, n->now, fg_wire_owner, n);
+	}
+	if (n->quit_at == 0 && drained(n) && handed_over(n)) {
+		n->quit_at = n->now;
+		fg_member_quit(n->member, n->now, fg_wire_member, n);
+	}
 }
 
 void fg_node_tick(struct fg_node *n, fg_ms now)
@@ -367,10 +420,12 @@
 		       const struct fg_listed *list, size_t n_list)
 {
 	n->now = now;
+	n->list_pending = false;
 	fg_member_on_list(n->member, now, result, list, n_list, fg_wire_member,
 			  n);
 	if (result != FG_PF_OK)
 		return;
+	n->list_at = n->list_asked;
 	for (size_t i = 0; i < n_list; i++)
 		if (list[i].kind != FG_LISTED_ENTRY)
 			fg_ep_listed(n, &list[i]);
@@ -383,6 +438,7 @@
 {
 	n->now = now;
 	tell_live(n);
+	n->open_changes++;
 	fg_confsync_change(n->confsync, now, change_id, change, expect_revision,
 			   wait_ms, fg_wire_confsync, n);
 	fg_node_drain(n);
@@ -401,28 +457,17 @@
 	fg_member_leave(n->member, now, fg_wire_member, n);
 }
 
-static void count_mine(void *arg, uint64_t key, uint64_t fence)
-{
-	size_t *mine = arg;
-
-	(void)key;
-	(void)fence;
-	(*mine)++;
-}
-
 bool fg_node_stopped(const struct fg_node *n, fg_ms now)
 {
-	size_t mine = 0;
-
-	if (n->stop_begun == 0 || !n->released)
+	if (n->stop_begun == 0)
 		return false;
 	if (now - n->stop_begun >= n->conf.drain_max_ms)
 		return true;
-	if (!drained(n))
+	if (n->quit_at == 0)
 		return false;
-	/* Rows that the platform does not take now are left to lapse. */
-	fg_owner_each_mine(n->owner, count_mine, &mine);
-	return mine == 0 || now - n->stop_begun >= n->conf.member.lease_ms;
+	/* The lease row is gone, or the platform does not take its deletion
+	 * now and it is left to lapse. */
+	return now - n->quit_at >= QUIT_MS;
 }
 
 char *fg_node_catalogue(const struct fg_node *n)
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 
 #include "admit/fg_admit.h"
+#include "base/fg_key.h"
 #include "base/fg_rand.h"
 #include "grant/fg_grant.h"
 #include "ledger/fg_ledger.h"
@@ -58,7 +59,6 @@
 
 enum fg_req_state {
 	FG_REQ_LEDGER = 1,  /* filing: start row being written */
-	FG_REQ_HELD = 2,    /* draft waiting for company */
 	FG_REQ_ADAPTER = 3, /* waiting until its adapter is resident */
 	FG_REQ_GRANT = 4,   /* asked the owner */
 	FG_REQ_RUNNING = 5,
@@ -84,7 +84,7 @@
 	uint64_t prefix_hash;
 	fg_ms arrived;
 	fg_ms deadline;
-	fg_ms next_at;	   /* HELD and BACKOFF */
+	fg_ms next_at;	   /* BACKOFF */
 	fg_ms asked_at;	   /* GRANT */
 	fg_ms waits_since; /* 0 unless it waits for its adapter */
 	uint32_t attempts; /* dispatches so far */
@@ -98,6 +98,7 @@
 	bool ran;     /* some attempt may have run */
 	bool suspect; /* STARTED was told for the running attempt */
 	bool caller_gone;
+	bool counted; /* as sent to ep, in the directory */
 };
 
 /* Requests waiting for one adapter. */
@@ -107,8 +108,6 @@
 	char *service;
 	GPtrArray *reqs; /* struct fg_req, borrowed */
 	fg_ms need_sent;
-	uint32_t estimate_ms;
-	fg_ms estimate_at;
 };
 
 /* A base model in this region, and its broker. */
@@ -120,8 +119,6 @@
 	struct fg_broker *fallback; /* used while no broker is known */
 	GHashTable *heat;	    /* av key -> count since the last report */
 	uint64_t heat_seq;
-	uint32_t backlog_ms; /* as the broker last said */
-	fg_ms backlog_at;
 };
 
 /* Parts that use the table; each numbers its operations on its own. */
@@ -163,9 +160,13 @@
 	GArray *ready;	 /* uint64_t, filings that may be dispatched */
 	bool draining;
 	uint64_t next_order;
-	fg_ms now;     /* of the event being handled */
-	fg_ms joined;  /* standing good since; 0 while it is not */
-	bool in_force; /* revision confirmed since then */
+	fg_ms now;	       /* of the event being handled */
+	uint32_t open_changes; /* operators' changes not yet answered */
+	fg_ms joined;	       /* standing good since; 0 while it is not */
+	bool in_force;	       /* revision confirmed and list read since then */
+	fg_ms list_asked;
+	bool list_pending;
+	fg_ms list_at; /* the list read last was asked for then */
 	fg_ms heat_next;
 	fg_ms second_next; /* next once-a-second work */
 	fg_ms sweep_next;
@@ -173,6 +174,7 @@
 	fg_ms announce_next;
 	fg_ms stop_begun; /* 0: not stopping */
 	bool released;
+	fg_ms quit_at; /* lease given up; 0: not yet */
 	uint64_t counters[FG_NC_COUNT];
 };
 
@@ -186,6 +188,7 @@
 size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max);
 /* True while new work may be taken. */
 bool fg_node_may_serve(struct fg_node *n);
+void fg_node_ask_list(struct fg_node *n);
 
 /* ---- fg_node_msg.c ---- */
 /* Handles the messages of this instance to itself, and filings that the ledger
@@ -200,6 +203,8 @@
 void fg_wire_owner(void *arg, struct fg_owner_act *act);
 void fg_wire_confsync(void *arg, struct fg_confsync_act *act);
 void fg_wire_ledger(void *arg, struct fg_ledger_act *act);
+/* Event: the revision is in force here from now on. */
+void fg_wire_revision_event(struct fg_node *n);
 
 /* ---- fg_node_eps.c: endpoints ---- */
 struct fg_ep *fg_ep_find(struct fg_node *n, uint64_t id);
@@ -219,7 +224,8 @@
 void fg_req_reply_full(struct fg_node *n, struct fg_req *r,
 		       struct fg_reply *reply);
 /* Ends a request without an answer from an endpoint: by the ledger if it is
- * a filing, else at once. */
+ * a filing, else at once. NOT_RUN is turned into UNKNOWN if an attempt may
+ * have run. */
 void fg_req_fail(struct fg_node *n, struct fg_req *r, enum fg_outcome outcome,
 		 enum fg_reason reason, uint32_t retry_after_ms);
 uint32_t fg_req_left_ms(const struct fg_node *n, const struct fg_req *r);
@@ -243,13 +249,11 @@
 void fg_wait_add(struct fg_node *n, struct fg_req *r);
 void fg_wait_remove(struct fg_node *n, struct fg_req *r);
 void fg_wait_resident(struct fg_node *n, fg_av av);
-void fg_wait_need_rep(struct fg_node *n, const fg_need_rep *rep);
 /* The broker refused the need: the most urgent request is answered, the rest
  * ask again. */
 void fg_wait_refused(struct fg_node *n, fg_av av);
 void fg_waits_tick(struct fg_node *n);
 void fg_wait_free(void *wait);
-uint32_t fg_wait_count(struct fg_node *n, fg_av av);
 
 /* ---- fg_node_broker.c: broker role ---- */
 struct fg_model *fg_model_get(struct fg_node *n, const char *service);
--- a/lib/place/fg_broker.c
+++ b/lib/place/fg_broker.c
@@ -5,13 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HEAT_HALF_LIFE_MS 600000
+#define HEAT_HALF_LIFE_MS 300000
 #define PROTECT_MS 1000 /* a new adapter is kept for those who waited */
-#define PINNED_MS 1000	/* a victim found in use is not tried again before */
+#define PINNED_MS 300	/* a victim found in use is not tried again before */
 #define AVOID_MS 1000	/* an endpoint that refused is not tried again before */
 #define BACKOFF_MS 250	/* after a failure; doubles */
 #define BACKOFF_MAX_MS 4000
-#define FAILS_PAUSE 3 /* failures in a row that pause all loads */
+#define WAIT_MAX_MS 40000 /* for a load, with a low weight of stalls */
+#define HOLD_WAITING 8	  /* drafts of one router that are held no longer */
+#define LOADS_WAITED 8	  /* a wait of so many loads is no reason to refuse */
 
 struct fg_broker *fg_broker_new(const struct fg_broker_conf *conf,
 				const struct fg_dir *dir, const char *policy,
@@ -27,13 +29,13 @@
 	b->heat = fg_heat_new(HEAT_HALF_LIFE_MS);
 	b->service = fg_hash_str(conf->service);
 	b->region = fg_hash_str(conf->region);
-	b->wants = g_hash_table_new(g_int64_hash, g_int64_equal);
-	b->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 g_free);
-	b->marks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					 g_free);
-	b->replicated = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					      g_free);
+	b->wants = g_hash_table_new(fg_key_hash, g_int64_equal);
+	b->loads =
+		g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL, g_free);
+	b->marks =
+		g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL, g_free);
+	b->replicated =
+		g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL, g_free);
 	b->tokens = 1;
 	b->refilled = FG_MS_NEVER;
 	return b;
@@ -73,6 +75,11 @@
 	b->conf.stall_weight = stall_weight;
 }
 
+void fg_broker_set_hold(struct fg_broker *b, uint32_t hold_max_ms)
+{
+	b->hold_max_ms = hold_max_ms;
+}
+
 /* ---- Needs ---- */
 
 const struct fg_want *fg_broker_want(const struct fg_broker *b, fg_av av)
@@ -82,41 +89,59 @@
 	return g_hash_table_lookup(b->wants, &key);
 }
 
-void fg_broker_drop_want(struct fg_broker *b, struct fg_want *w)
+static void drop_want(struct fg_broker *b, struct fg_want *w)
 {
 	g_hash_table_remove(b->wants, &w->key);
 	want_free(w);
 }
 
-/* Sums up the asks; drops the want when none is left. */
-static void settle(struct fg_broker *b, struct fg_want *w)
+static void tighten(struct fg_want_terms *sum, const struct fg_want_terms *t)
+{
+	sum->waiting += t->waiting;
+	sum->cls = MIN(sum->cls, t->cls);
+	sum->deadline = MIN(sum->deadline, t->deadline);
+	sum->due = MIN(sum->due, t->due);
+	sum->hold_until = MIN(sum->hold_until, t->hold_until);
+}
+
+void fg_broker_settle(struct fg_broker *b, struct fg_want *w)
 {
 	if (w->asks->len == 0) {
-		fg_broker_drop_want(b, w);
+		drop_want(b, w);
 		return;
 	}
-	w->waiting = 0;
-	w->deadline = FG_MS_NEVER;
-	w->cls = FG_CLASS_COUNT;
+	w->admitted = false;
+	w->terms = (struct fg_want_terms){ 0, FG_CLASS_COUNT, FG_MS_NEVER,
+					   FG_MS_NEVER, FG_MS_NEVER };
 	for (guint i = 0; i < w->asks->len; i++) {
 		const struct fg_want_ask *a =
 			&g_array_index(w->asks, struct fg_want_ask, i);
 
-		w->waiting += a->waiting;
-		w->deadline = MIN(w->deadline, a->deadline);
-		w->cls = MIN(w->cls, a->cls);
+		if (a->admitted)
+			tighten(&w->terms, &a->terms);
+		else if (a->before.waiting > 0)
+			tighten(&w->terms, &a->before);
+		w->admitted =
+			w->admitted || a->admitted || a->before.waiting > 0;
 	}
 }
 
-static void remove_ask(struct fg_want *w, uint64_t from)
+/* Copies the ask to *old when that is not NULL. */
+static bool remove_ask(struct fg_want *w, uint64_t from,
+		       struct fg_want_ask *old)
 {
 	for (guint i = 0; i < w->asks->len; i++) {
-		if (g_array_index(w->asks, struct fg_want_ask, i).from ==
-		    from) {
-			g_array_remove_index_fast(w->asks, i);
-			return;
-		}
+		const struct fg_want_ask *a =
+			&g_array_index(w->asks, struct fg_want_ask, i);
+
+		if (a->from != from)
+			continue;
+		if (old != NULL)
+			*old = *a;
+		g_array_remove_index_fast(w->asks, i);
+		return true;
 	}
+	return false;
 }
 
 static struct fg_want *find_or_add(struct fg_broker *b, fg_ms now, fg_av av)
@@ -135,26 +160,77 @@
 	return w;
 }
 
+/* The more stalls weigh, the less of the slack is used up by waiting. */
+static fg_ms due_in(const struct fg_broker *b, uint32_t slack_ms)
+{
+	uint32_t patience = 100 - MIN(b->conf.stall_weight, 100);
+	fg_ms wait = (fg_ms)slack_ms * patience / 100;
+	fg_ms least = (fg_ms)b->conf.load_ms * LOADS_WAITED;
+
+	if (patience < 50)
+		wait = MIN(wait, (fg_ms)WAIT_MAX_MS * patience / 100);
+	return MIN(MAX(wait, least), (fg_ms)slack_ms);
+}
+
+static fg_ms hold_for(const struct fg_broker *b, const fg_need *need)
+{
+	struct fg_preset preset = { .stall_weight = b->conf.stall_weight,
+				    .hold_max_ms = b->hold_max_ms };
+
+	if (need->cls != FG_CLASS_DRAFT)
+		return 0;
+	return fg_hold_ms(&preset, need->slack_ms, 0, b->conf.load_ms,
+			  need->waiting, HOLD_WAITING, false);
+}
+
+/*
+ * A router's new terms take the place of its old ones. Those who waited before
+ * keep their due time. Terms that are not tighter than what was admitted are
+ * admitted with it; tighter ones are judged anew, and when they are refused
+ * the old ones hold again.
+ */
+static void take_over(struct fg_want_ask *ask, const struct fg_want_ask *old)
+{
+	const struct fg_want_terms *was =
+		old->admitted ? &old->terms : &old->before;
+
+	if (was->waiting == 0)
+		return;
+	if (ask->terms.due < was->due) {
+		ask->before = *was;
+		return;
+	}
+	ask->admitted = true;
+	/* With the first of them gone the others have their own time. */
+	if (ask->terms.deadline > was->deadline + FG_MS_PER_S)
+		return;
+	ask->terms.due = was->due;
+	ask->terms.hold_until = MIN(ask->terms.hold_until, was->hold_until);
+}
+
 void fg_broker_need(struct fg_broker *b, fg_ms now, uint64_t from,
 		    const fg_need *need)
 {
-	struct fg_want_ask ask = {
-		.from = from,
-		.waiting = need->waiting,
-		.deadline = now + need->slack_ms,
-		.cls = need->cls,
-	};
+	struct fg_want_ask ask = { .from = from,
+				   .admitted = !b->policy->refuses };
+	struct fg_want_ask old;
 	struct fg_want *w;
 
 	if (fg_av_none(need->av))
 		return;
 	if (need->waiting == 0 && fg_broker_want(b, need->av) == NULL)
 		return;
+	ask.terms.waiting = need->waiting;
+	ask.terms.cls = need->cls;
+	ask.terms.deadline = now + need->slack_ms;
+	ask.terms.due = now + due_in(b, need->slack_ms);
+	ask.terms.hold_until = now + hold_for(b, need);
 	w = find_or_add(b, now, need->av);
-	remove_ask(w, from);
+	if (remove_ask(w, from, &old))
+		take_over(&ask, &old);
 	if (need->waiting > 0)
 		g_array_append_val(w->asks, ask);
-	settle(b, w);
+	fg_broker_settle(b, w);
 }
 
 void fg_broker_router_gone(struct fg_broker *b, uint64_t from)
@@ -164,8 +240,8 @@
 	for (GList *l = wants; l != NULL; l = l->next) {
 		struct fg_want *w = l->data;
 
-		remove_ask(w, from);
-		settle(b, w);
+		remove_ask(w, from, NULL);
+		fg_broker_settle(b, w);
 	}
 	g_list_free(wants);
 }
@@ -317,8 +393,9 @@
 static void note_failure(struct fg_broker *b, fg_ms now)
 {
 	b->fails++;
-	if (b->fails >= FAILS_PAUSE)
-		b->paused_until = now + backoff_ms(b->fails - FAILS_PAUSE + 1);
+	if (b->fails >= FG_FAILS_DOWN)
+		b->paused_until =
+			now + backoff_ms(b->fails - FG_FAILS_DOWN + 1);
 }
 
 void fg_broker_load_failed(struct fg_broker *b, fg_ms now, uint64_t ep,
@@ -345,7 +422,7 @@
 	b->paused_until = 0;
 	mark(b, l->ep, l->av, now + PROTECT_MS);
 	if (w != NULL)
-		fg_broker_drop_want(b, w);
+		drop_want(b, w);
 }
 
 /* No load was spent: another place is tried at once. */
@@ -359,7 +436,7 @@
 	if (!fg_av_none(l->victim))
 		mark(b, l->ep, l->victim, now + PINNED_MS);
 	if (w != NULL)
-		avoid(w, l->ep, now + AVOID_MS);
+		avoid(w, l->ep, now + PINNED_MS);
 }
 
 void fg_broker_reply(struct fg_broker *b, fg_ms now, const fg_place_rep *rep)
--- a/lib/place/fg_place_priv.h
+++ b/lib/place/fg_place_priv.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "base/fg_key.h"
 #include "place/fg_place.h"
 
 /* ---- Directory ---- */
@@ -30,6 +31,7 @@
 
 struct fg_dir {
 	struct fg_rand rand;
+	bool packs;	   /* prefers the fuller of two endpoints with room */
 	GHashTable *by_id; /* id -> fg_dir_ep, owns */
 	GPtrArray *list;   /* fg_dir_ep in order of arrival, borrows */
 	GHashTable *by_av; /* fg_av_key -> GPtrArray of fg_dir_ep */
@@ -48,28 +50,39 @@
 
 /* ---- Broker ---- */
 
+/* What a need asks for. */
+struct fg_want_terms {
+	uint32_t waiting;
+	uint32_t cls;
+	fg_ms deadline;	  /* the load must be done by then ... */
+	fg_ms due;	  /* ... and should be by then */
+	fg_ms hold_until; /* by choice, for more to share the load */
+};
+
 /* One router's need. */
 struct fg_want_ask {
 	uint64_t from;
-	uint32_t waiting;
-	fg_ms deadline; /* the load must be done by then */
-	uint32_t cls;
+	struct fg_want_terms terms;
+	bool admitted;
+	struct fg_want_terms before; /* admitted earlier; waiting 0: none */
 };
 
+/* From so many failures in a row on the store counts as down: one load at a
+ * time is tried. */
+#define FG_FAILS_DOWN 3
+
 #define FG_WANT_AVOID 4 /* endpoints avoided for one adapter */
 
 /* All needs for one adapter; one load serves them. */
 struct fg_want {
 	uint64_t key; /* fg_av_key(av) */
 	fg_av av;
-	GArray *asks; /* struct fg_want_ask */
-	uint32_t waiting;
-	fg_ms deadline; /* the earliest */
-	uint32_t cls;	/* the most urgent */
+	GArray *asks;		    /* struct fg_want_ask */
+	bool admitted;		    /* any of its asks is */
+	struct fg_want_terms terms; /* the tightest that are admitted */
 	fg_ms first_at;
 	fg_ms not_before; /* backoff */
 	uint32_t fails;
-	bool judged; /* admitted; never refused from then on */
 	struct {
 		uint64_t ep;
 		fg_ms until;
@@ -97,6 +110,7 @@
 
 struct fg_broker {
 	struct fg_broker_conf conf;
+	uint32_t hold_max_ms; /* of the preset */
 	const struct fg_dir *dir;
 	const struct fg_policy *policy;
 	struct fg_rand rand;
@@ -106,7 +120,8 @@
 	GHashTable *wants; /* fg_av_key -> fg_want, owns */
 	GHashTable *loads; /* order -> fg_load, owns */
 	GHashTable *marks; /* hash of endpoint and adapter -> fg_mark, owns */
-	GHashTable *replicated; /* fg_av_key -> time of the last copy, owns */
+	GHashTable
+		*replicated; /* key of adapter or endpoint -> fg_mark, owns */
 	uint64_t next_order;
 	double tokens; /* loads that may start now */
 	fg_ms refilled;
@@ -134,11 +149,27 @@
 /* NULL when there is no policy of this name. */
 const struct fg_policy *fg_policy_find(const char *name);
 
+/* Below this weight of stalls requests are gathered on few endpoints, from it
+ * on they are spread over all. */
+#define FG_PACK_BELOW 50
+#define FG_PACK_FILL_MAX 0.9 /* fuller endpoints get no more of them */
+
 extern const struct fg_policy fg_policy_gauge;
 extern const struct fg_policy fg_policy_strong;
 extern const struct fg_policy fg_policy_naive;
 
-void fg_broker_drop_want(struct fg_broker *b, struct fg_want *w);
+/* Sums up the asks of a want; frees it when none is left. */
+void fg_broker_settle(struct fg_broker *b, struct fg_want *w);
+
+/* Fills the bucket of loads up to now. */
+void fg_broker_refill(struct fg_broker *b, fg_ms now);
+
+/* Wants for which keep() holds, earliest due first; free with
+ * g_ptr_array_free(). */
+typedef bool (*fg_want_filter)(const struct fg_broker *b, fg_ms now,
+			       const struct fg_want *w);
+GPtrArray *fg_broker_collect(const struct fg_broker *b, fg_ms now,
+			     fg_want_filter keep);
 
 /* Books a failed or lost load of av on ep. */
 void fg_broker_load_failed(struct fg_broker *b, fg_ms now, uint64_t ep,
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,9 +1,10 @@
 #!/usr/bin/env python3
 """Runs a scenario (docs/TESTING.md) and compares its output.
 
-Usage: scenario.py [--print] [--keep] FILE.fgs
-  --print  print the output, compare nothing
-  --keep   keep the directory of histories and logs, and name it
+Usage: scenario.py [--print] [--keep] [--switch=NAME[,NAME]] FILE.fgs
+  --print   print the output, compare nothing
+  --keep    keep the directory of histories and logs, and name it
+  --switch  turn mechanisms off in every entry (docs/TESTING.md)
 Environment: BUILD (build), FG_PORT_BASE (21000).
 Exits with 0 when the output equals FILE.out.
 """
@@ -31,6 +32,11 @@
 FLAGS = ("stream", "retry", "async")
 
 
+def read_lines(path):
+    with open(path, encoding="utf-8") as script:
+        return script.read().splitlines()
+
+
 class Failure(Exception):
     """The scenario cannot go on."""
 
@@ -93,11 +99,13 @@
 class Scenario:
     """Interprets one script."""
 
-    def __init__(self, build, port_base):
+    def __init__(self, build, port_base, directory):
+        self.directory = directory  # of the script
         self.system = System(build, port_base, self.on_life)
         self.test_history = History(self.system.path("test.jsonl"), "test")
         self.callers = History(self.system.path("caller.jsonl"), "caller")
         self.build = build
+        self.settings = {}  # of every entry
         self.tagged = {}
         self.loads = {}
         self.out = []
@@ -122,6 +130,9 @@
                 self.statement(line)
             pos += 1
 
+    def do_include(self, rest):
+        self.run(read_lines(os.path.join(self.directory, rest)))
+
     @staticmethod
     def find_end(lines, pos):
         depth = 0
@@ -158,11 +169,15 @@
         elif kind in ("engine", "plain"):
             self.system.start_standin(kind, words[1], words[2:])
         elif kind == "entry":
-            self.system.start_entry(words[1], dict(
-                word.split("=", 1) for word in words[2:]))
+            settings = dict(self.settings)
+            settings.update(word.split("=", 1) for word in words[2:])
+            self.system.start_entry(words[1], settings)
         else:
             raise Failure(f"cannot start {kind}")
 
+    def do_timing(self, rest):
+        self.settings["timing"] = rest
+
     def do_kill(self, rest):
         self.system.kill(rest)
 
@@ -221,13 +236,19 @@
         if "change" not in body:
             body = {"change": body}
         body.setdefault("wait_ms", CHANGE_WAIT_MS)
-        change = Change(words[1] if words else "", body)
-        change.start(self.system.processes[name].addr)
-        if words:
+        change = Change(words[1] if words[:1] == ["async"] else "", body)
+        addr = self.system.processes[name].addr
+        change.start(addr)
+        if change.tag:
             self.tagged[change.tag] = change
-        else:
-            change.finish()
-            self.say(f"change {name}: {change.status}")
+            return
+        change.finish()
+        end = time.monotonic() + WAIT_DEFAULT_MS / 1000
+        while (words == ["retry"] and change.status == "down" and
+               time.monotonic() < end):
+            time.sleep(POLL_S)
+            change.run(addr)
+        self.say(f"change {name}: {change.status}")
 
     def pick_addr(self, request, via):
         """The named entry, or the first that a lookup answers with."""
@@ -319,10 +340,17 @@
         if words[0] == "log":
             count = self.count_events(words[1], words[2:])
             return count > 0, count
+        if words[0] == "row":
+            found = self.system.rows(words[1])
+            return found > 0, found
         if words[1] == "exited":
             running = self.system.processes[words[0]].running()
             return not running, "running"
-        value = look_up(self.system.state(words[0]), words[1])
+        if words[1] == "catalogue":
+            state, words = self.system.catalogue(words[0]), words[1:]
+        else:
+            state = self.system.state(words[0])
+        value = look_up(state, words[1])
         return compare(value, words[2], words[3]), value
 
     def count_events(self, name, words):
@@ -368,9 +396,22 @@
         verdict = Verdict({}, caller, endpoints)
         for tag in verdict.invokes:
             verdict.check_return(tag)
+            self.check_cut_off(verdict, tag)
         verdict.check_filings()
         return verdict.wrong
 
+    def check_cut_off(self, verdict, tag):
+        """A stopped entry answers what reached it before its stop."""
+        invoke = verdict.invokes[tag]
+        ret = verdict.returns.get(tag)
+        if ret is None or ret["reason"] != "connection_lost":
+            return
+        for process in self.system.processes.values():
+            if process.addr != invoke["entry"] or process.stopped_ms is None:
+                continue
+            if invoke["t"] < process.stopped_ms:
+                verdict.fail(f"{tag}: cut off by the stop of {process.name}")
+
     def check_all(self):
         """The history checker, when it is built."""
         checker = os.path.join(self.build, "bin", "fg-check")
@@ -395,14 +436,16 @@
         self.callers.close()
 
 
-def run_script(path):
+def run_script(path, switches):
     build = os.environ.get("BUILD", "build")
     port_base = int(os.environ.get("FG_PORT_BASE", "21000"))
-    with open(path, encoding="utf-8") as script:
-        lines = script.read().splitlines()
+    lines = read_lines(path)
     if not re.fullmatch(r"# promise: [1-8](, [1-8])*", lines[0]):
         raise SystemExit(f"{path}: the first line must name the promise")
-    scenario = Scenario(build, port_base)
+    scenario = Scenario(build, port_base, os.path.dirname(path))
+    if switches:
+        scenario.settings["switches"] = "{%s}" % ", ".join(
+            f"{name}: true" for name in switches)
     try:
         scenario.run(lines)
     except Failure as failure:
@@ -421,15 +464,16 @@
     signal.signal(signal.SIGALRM, on_alarm)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     signal.alarm(SCENARIO_MAX_S)
-    scenario = run_script(paths[0])
+    switches = [name for a in args if a.startswith("--switch=")
+                for name in a.partition("=")[2].split(",")]
+    scenario = run_script(paths[0], switches)
     out = scenario.out
     if "--print" in args:
         print("\n".join(out))
         ok = not any(line.startswith("failed:") for line in out)
     else:
         expected_path = os.path.splitext(paths[0])[0] + ".out"
-        with open(expected_path, encoding="utf-8") as expected:
-            wanted = expected.read().splitlines()
+        wanted = read_lines(expected_path)
         diff = list(difflib.unified_diff(wanted, out, "expected", "got",
                                          lineterm=""))
         print("\n".join(diff))
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -100,6 +100,29 @@
 	bed_free(b);
 }
 
+/* A request that ran once is not said to be NOT_RUN when the broker can no
+ * longer serve its next attempt. */
+static void test_ran_then_refused(void)
+{
+	struct bed *b = bed_new();
+	fg_msg *msg = fg_msg_new(FG_MSG_PLACE_REP);
+
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
+	bed_run(b, 1000);
+	bed_run_done(b, 0, FG_RUN_LOST);
+	/* Its adapter is gone from the engine, and is not loaded again. */
+	b->auto_order = false;
+	g_clear_pointer(&b->adapter[0], g_free);
+	g_clear_pointer(&b->adapter[1], g_free);
+	bed_run(b, 3000);
+	msg->body.fg_body_u.place_rep.av = (fg_av){ 1, 1 };
+	msg->body.fg_body_u.place_rep.status = FG_PLACE_REFUSED;
+	fg_node_msg(b->node, b->now, fg_hash_str("entry-1"), msg);
+	assert_outcome(b, 10, FG_UNKNOWN, FG_R_NO_TIME);
+	fg_msg_free(msg);
+	bed_free(b);
+}
+
 /* A filing runs once: a repeat gets the recorded answer, a lost one is
  * UNKNOWN and stays so. */
 static void test_filing(void)
@@ -182,6 +205,38 @@
 	bed_free(b);
 }
 
+/* A refusal because it is leaving is a sign like any other, whatever the list
+ * shows: the request goes elsewhere, peers are told, and it gets no more. */
+static void test_leaving_refused(void)
+{
+	struct bed *b = bed_new();
+	struct fg_run_result res = {
+		.status = FG_RUN_REFUSED,
+		.ran_none = true,
+		.leaving = true,
+	};
+	struct fg_run_cmd cmd;
+
+	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
+	fake_table_put(b->table, "session/" BED_PEER,
+		       "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
+		       "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
+		       "\"dc\":\"north\",\"state\":\"live\"}");
+	bed_run(b, 6000);
+	bed_forget(b);
+	bed_status(b, 10);
+	cmd = *run_at(b, 0);
+	g_array_set_size(b->runs, 0);
+	fg_node_run_done(b->node, b->now, 10, cmd.attempt, &res);
+	g_assert_cmpuint(bed_sent(b, FG_MSG_LEAVING), ==, 1);
+	bed_run(b, 2000);
+	assert_outcome(b, 10, FG_NOT_RUN, FG_R_NO_ENDPOINT);
+	bed_status(b, 11);
+	assert_outcome(b, 11, FG_NOT_RUN, FG_R_NO_ENDPOINT);
+	g_assert_cmpuint(b->runs->len, ==, 0);
+	bed_free(b);
+}
+
 /* A request that is waiting when its endpoint leaves is not sent there. */
 static void test_leaving_engine(void)
 {
@@ -315,7 +370,7 @@
 static void test_ran_then_no_adapter(void)
 {
 	struct bed *b = bed_new();
-	fg_msg *msg = fg_msg_new(FG_MSG_NEED_REP);
+	fg_msg *msg = fg_msg_new(FG_MSG_PLACE_REP);
 
 	/* Without known service times nothing is refused for its estimate. */
 	for (uint64_t id = 100; id < 150; id++) {
@@ -325,8 +380,8 @@
 	}
 	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
 	bed_run(b, 1000);
-	msg->body.fg_body_u.need_rep.av = (fg_av){ 1, 1 };
-	msg->body.fg_body_u.need_rep.estimate_ms = 60000;
+	msg->body.fg_body_u.place_rep.av = (fg_av){ 1, 1 };
+	msg->body.fg_body_u.place_rep.status = FG_PLACE_REFUSED;
 	g_free(b->adapter[slot_holding(b, "a1")]);
 	b->adapter[0] = NULL;
 	b->adapter[1] = NULL;
@@ -440,11 +495,13 @@
 	g_test_add_func("/node/refusals", test_refusals);
 	g_test_add_func("/node/pinned_slots", test_pinned_slots);
 	g_test_add_func("/node/retry", test_retry);
+	g_test_add_func("/node/ran_then_refused", test_ran_then_refused);
 	g_test_add_func("/node/filing", test_filing);
 	g_test_add_func("/node/filing_lost", test_filing_lost);
 	g_test_add_func("/node/filing_outage", test_filing_outage);
 	g_test_add_func("/node/outage", test_outage);
 	g_test_add_func("/node/leaving_plain", test_leaving_plain);
+	g_test_add_func("/node/leaving_refused", test_leaving_refused);
 	g_test_add_func("/node/leaving_engine", test_leaving_engine);
 	g_test_add_func("/node/stop", test_stop);
 	g_test_add_func("/node/stray_grant", test_stray_grant);
