--- a/tests/unit/node_bed.c
+++ b/tests/unit/node_bed.c
@@ -205,6 +205,16 @@
 	g_array_append_val(b->list, item);
 }
 
+void bed_peer(struct bed *b)
+{
+	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
+	fake_table_put(b->table, "session/" BED_PEER,
+		       "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
+		       "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
+		       "\"dc\":\"north\",\"state\":\"live\","
+		       "\"region_size\":2}");
+}
+
 /* ---- Requests ---- */
 
 void bed_generate(struct bed *b, uint64_t id, const char *adapter,
--- a/tests/unit/node_bed.h
+++ b/tests/unit/node_bed.h
@@ -59,6 +59,9 @@
 void bed_list(struct bed *b, enum fg_listed_kind kind, const char *name,
 	      bool leaving);
 
+/* Another instance, live as far as list and table show. */
+void bed_peer(struct bed *b);
+
 /* Sends requests; ids are the test's. */
 void bed_generate(struct bed *b, uint64_t id, const char *adapter,
 		  enum fg_class cls, uint32_t deadline_ms);
