Scenarios: an interrupted run removes its files and is not cut short

SIGTERM left the directory of histories behind, and the bound on the whole run could strike while processes were being ended and leave them running. Seen by ending a run with timeout(1); after the change no directory and no process of it was left.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -438,8 +438,13 @@
         scenario.run(lines)
     except Failure as failure:
         scenario.say(f"failed: {failure}")
-    finally:
+    except BaseException:
+        signal.alarm(0)
         scenario.finish()
+        scenario.system.remove_files()
+        raise
+    signal.alarm(0)
+    scenario.finish()
     return scenario
 
 
