A planned stop ends what waits, delivers what is answered, quits its lease

Messages now go to all that are present; /node/leaving_peer_told failed first. - An owner asked its peers for their grants once. Asked again each 500 ms; /node/grants_ask_repeat failed first (1 ask). - The lease row stayed after a stop and lapsed 8 s later; until then it counted in the quorums of the others. The runtime stops listening and waits until every answer is sent; stop_end tells how many were not.

Ruled out: a longer wait before the exit, which a slower link defeats.

--- a/lib/grant/fg_grant.h
+++ b/lib/grant/fg_grant.h
@@ -152,6 +152,8 @@
 void fg_grants_expect(struct fg_grants *g, const uint64_t *peers, size_t n);
 void fg_grants_told(struct fg_grants *g, fg_ms now, uint64_t peer,
 		    const fg_grant_info *infos, size_t n);
+/* Peers that have not told yet: copies up to max ids; returns how many. */
+size_t fg_grants_awaited(const struct fg_grants *g, uint64_t *ids, size_t max);
 void fg_grants_peer_gone(struct fg_grants *g, fg_ms now, uint64_t peer);
 bool fg_grants_recovering(const struct fg_grants *g, fg_ms now);
 
--- a/lib/grant/fg_grant_recover.c
+++ b/lib/grant/fg_grant_recover.c
@@ -44,6 +44,18 @@
 				 g_memdup2(&peers[i], sizeof(*peers)));
 }
 
+size_t fg_grants_awaited(const struct fg_grants *g, uint64_t *ids, size_t max)
+{
+	GHashTableIter it;
+	gpointer id;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, g->peers);
+	while (n < max && g_hash_table_iter_next(&it, &id, NULL))
+		ids[n++] = *(const uint64_t *)id;
+	return n;
+}
+
 void fg_grants_peer_gone(struct fg_grants *g, fg_ms now, uint64_t peer)
 {
 	if (g_hash_table_remove(g->peers, &peer))
--- a/lib/member/fg_member.c
+++ b/lib/member/fg_member.c
@@ -282,8 +282,13 @@
 	return e != NULL ? &e->view : NULL;
 }
 
-size_t fg_member_live(const struct fg_member *m, const char *region,
-		      uint64_t *ids, size_t max)
+static bool is_live(const struct fg_peer_view *view)
+{
+	return view->state == FG_PEER_LIVE || view->state == FG_PEER_SUSPECT;
+}
+
+static size_t list_peers(const struct fg_member *m, const char *region,
+			 bool leaving, uint64_t *ids, size_t max)
 {
 	GHashTableIter it;
 	void *value;
@@ -296,20 +301,32 @@
 	}
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct fg_peer_entry *e = value;
+		const struct fg_peer_view *v =
+			&((const struct fg_peer_entry *)value)->view;
 
-		if (e->view.state != FG_PEER_LIVE &&
-		    e->view.state != FG_PEER_SUSPECT)
+		if (!is_live(v) && !(leaving && v->state == FG_PEER_LEAVING))
 			continue;
-		if (region != NULL && strcmp(region, e->view.info.region) != 0)
+		if (region != NULL && strcmp(region, v->info.region) != 0)
 			continue;
 		if (n < max)
-			ids[n] = e->view.info.id;
+			ids[n] = v->info.id;
 		n++;
 	}
 	return n;
 }
 
+size_t fg_member_live(const struct fg_member *m, const char *region,
+		      uint64_t *ids, size_t max)
+{
+	return list_peers(m, region, false, ids, max);
+}
+
+size_t fg_member_present(const struct fg_member *m, const char *region,
+			 uint64_t *ids, size_t max)
+{
+	return list_peers(m, region, true, ids, max);
+}
+
 struct best {
 	uint64_t id;
 	uint64_t score;
--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -203,6 +203,11 @@
 size_t fg_member_live(const struct fg_member *m, const char *region,
 		      uint64_t *ids, size_t max);
 
+/* The same, and those that are leaving: they still have requests in progress
+ * and grants in use. */
+size_t fg_member_present(const struct fg_member *m, const char *region,
+			 uint64_t *ids, size_t max);
+
 /*
  * The instance that should own `key` (an endpoint id): rendezvous hashing
  * over LIVE instances of the data centre, else of the region; 0 when none.
--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -191,23 +191,37 @@
 	fg_msg_free(msg);
 }
 
-size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max)
+/* Takes this instance out of a list of ids. */
+static size_t without_self(const struct fg_node *n, uint64_t *ids, size_t total)
 {
-	size_t total =
-		fg_member_live(n->member, n->conf.member.self.region, ids, max);
 	size_t kept = 0;
 
-	total = MIN(total, max);
 	for (size_t i = 0; i < total; i++)
 		if (ids[i] != n->self)
 			ids[kept++] = ids[i];
 	return kept;
 }
 
+size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max)
+{
+	const char *region = n->conf.member.self.region;
+	size_t total = fg_member_live(n->member, region, ids, max);
+
+	return without_self(n, ids, MIN(total, max));
+}
+
+size_t fg_node_region_present(struct fg_node *n, uint64_t *ids, size_t max)
+{
+	const char *region = n->conf.member.self.region;
+	size_t total = fg_member_present(n->member, region, ids, max);
+
+	return without_self(n, ids, MIN(total, max));
+}
+
 void fg_node_broadcast(struct fg_node *n, const fg_msg *msg)
 {
 	uint64_t ids[PEERS_MAX];
-	size_t total = fg_node_region_peers(n, ids, PEERS_MAX);
+	size_t total = fg_node_region_present(n, ids, PEERS_MAX);
 
 	for (size_t i = 0; i < total; i++)
 		fg_node_send(n, ids[i], msg);
@@ -334,24 +348,6 @@
 	fg_estimate_tick(n->estimate, n->now);
 }
 
-static bool drained(const struct fg_node *n)
-{
-	if (n->conf.switches.no_drain)
-		return true;
-	return g_hash_table_size(n->reqs) == 0 &&
-	       fg_ledger_pending(n->ledger) == 0;
-}
-
-/* Ownership is handed over first: requests in progress keep their grants,
- * which the next owner learns from this instance's answer to GRANTS_ASK. */
-static void tick_stop(struct fg_node *n)
-{
-	if (n->stop_begun == 0 || n->released)
-		return;
-	n->released = true;
-	fg_owner_release_all(n->owner, n->now, fg_wire_owner, n);
-}
-
 void fg_node_tick(struct fg_node *n, fg_ms now)
 {
 	n->now = now;
@@ -368,7 +364,7 @@
 	fg_ledger_tick(n->ledger, now, fg_wire_ledger, n);
 	tick_sweep(n);
 	tick_second(n);
-	tick_stop(n);
+	fg_node_tick_stop(n);
 	fg_node_drain(n);
 }
 
@@ -410,43 +406,6 @@
 	fg_node_drain(n);
 }
 
-void fg_node_stop(struct fg_node *n, fg_ms now)
-{
-	n->now = now;
-	if (n->stop_begun != 0)
-		return;
-	n->stop_begun = now > 0 ? now : 1;
-	n->announce_next = now;
-	fg_node_event(n, "stop_begin",
-		      json_pack("{s:i}", "in_progress",
-				(int)g_hash_table_size(n->reqs)));
-	fg_member_leave(n->member, now, fg_wire_member, n);
-}
-
-static void count_mine(void *arg, uint64_t key, uint64_t fence)
-{
-	size_t *mine = arg;
-
-	(void)key;
-	(void)fence;
-	(*mine)++;
-}
-
-bool fg_node_stopped(const struct fg_node *n, fg_ms now)
-{
-	size_t mine = 0;
-
-	if (n->stop_begun == 0 || !n->released)
-		return false;
-	if (now - n->stop_begun >= n->conf.drain_max_ms)
-		return true;
-	if (!drained(n))
-		return false;
-	/* Rows that the platform does not take now are left to lapse. */
-	fg_owner_each_mine(n->owner, count_mine, &mine);
-	return mine == 0 || now - n->stop_begun >= n->conf.member.lease_ms;
-}
-
 char *fg_node_catalogue(const struct fg_node *n)
 {
 	return fg_config_snapshot(n->config);
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -51,6 +51,7 @@
 	fg_ms state_asked;   /* 0: none on its way */
 	fg_ms state_next;
 	fg_ms resident_next;
+	fg_ms ask_next;	  /* GRANTS_ASK to those that have not told */
 	GPtrArray *loads; /* struct fg_pending_load */
 };
 
@@ -175,6 +176,8 @@
 	fg_ms announce_next;
 	fg_ms stop_begun; /* 0: not stopping */
 	bool released;
+	fg_ms quit_begun; /* the lease is being given up since; 0: not yet */
+	uint64_t quit_epoch;
 	uint64_t counters[FG_NC_COUNT];
 };
 
@@ -183,13 +186,19 @@
 void fg_node_event(struct fg_node *n, const char *name, json_t *fields);
 void fg_node_send(struct fg_node *n, uint64_t to, const fg_msg *msg);
 void fg_node_send_free(struct fg_node *n, uint64_t to, fg_msg *msg);
-/* To all live instances of the own region, self not included. */
+/* To all instances of the own region, self not included. */
 void fg_node_broadcast(struct fg_node *n, const fg_msg *msg);
+/* The live ones of the own region; all that are present, also leaving ones,
+ * which may still use grants. */
 size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max);
+size_t fg_node_region_present(struct fg_node *n, uint64_t *ids, size_t max);
 /* True while new work may be taken. */
 bool fg_node_may_serve(struct fg_node *n);
 void fg_node_ask_list(struct fg_node *n);
 
+/* ---- fg_node_stop.c ---- */
+void fg_node_tick_stop(struct fg_node *n);
+
 /* ---- fg_node_msg.c ---- */
 /* Handles the messages of this instance to itself, and filings that the ledger
  * has let go, since the ledger must not be called back. Called last by each
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -7,6 +7,7 @@
 	300 /* bounds repeats of RESIDENT over all peers                       \
 	     */
 #define STATE_SOON_MS 100
+#define ASK_REPEAT_MS 500 /* between asks of one peer for its grants */
 #define STATE_RETRY_MS 500
 #define RECOVER_MAX_MS 600000 /* longest deadline of any request */
 #define HELD_MAX 1024
@@ -84,22 +85,36 @@
 
 /* ---- Gaining and losing ---- */
 
+/* Asks whoever has not told its grants yet, until all have: the first ask is
+ * lost on a peer that does not know this instance yet. */
 static void ask_grants(struct fg_node *n, struct fg_own *own)
 {
 	uint64_t ids[PEERS_MAX];
-	size_t peers = fg_node_region_peers(n, ids, PEERS_MAX);
-	fg_msg *msg = fg_msg_new(FG_MSG_GRANTS_ASK);
+	size_t peers = fg_grants_awaited(own->grants, ids, PEERS_MAX);
+	fg_msg *msg;
 
+	own->ask_next = n->now + ASK_REPEAT_MS;
+	if (peers == 0)
+		return;
+	msg = fg_msg_new(FG_MSG_GRANTS_ASK);
 	msg->body.fg_body_u.grants_ask.ep = own->ep->id;
 	msg->body.fg_body_u.grants_ask.fence = own->fence;
-	/* This instance's own grants count like those of any other. */
-	ids[peers++] = n->self;
-	fg_grants_expect(own->grants, ids, peers);
 	for (size_t i = 0; i < peers; i++)
 		fg_node_send(n, ids[i], msg);
 	fg_msg_free(msg);
 }
 
+static void expect_grants(struct fg_node *n, struct fg_own *own)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t peers = fg_node_region_present(n, ids, PEERS_MAX - 1);
+
+	/* This instance's own grants count like those of any other. */
+	ids[peers++] = n->self;
+	fg_grants_expect(own->grants, ids, peers);
+	ask_grants(n, own);
+}
+
 void fg_own_gained(struct fg_node *n, const struct fg_owner_act *act)
 {
 	struct fg_ep *ep = fg_ep_find(n, act->key);
@@ -172,7 +187,7 @@
 	if (!st->checks_fence)
 		fg_grants_taint(own->grants, n->now, own->intents,
 				own->n_intents);
-	ask_grants(n, own);
+	expect_grants(n, own);
 	if (own->ep->leaving)
 		fg_grants_leave(own->grants);
 }
@@ -558,6 +573,8 @@
 		own->state_asked = n->now;
 		n->io.state(n->io.arg, &own->ep->info);
 	}
+	if (own->grants != NULL && n->now >= own->ask_next)
+		ask_grants(n, own);
 	if (own->grants == NULL || !may_act(n, own))
 		return;
 	fg_grants_pump(own->grants, n->now, on_pumped, &p);
--- a/lib/run/fg_run.c
+++ b/lib/run/fg_run.c
@@ -223,10 +223,23 @@
 void fg_run_stop(struct fg_run *run)
 {
 	fg_run_lock(run);
-	fg_node_stop(run->node, fg_clock_now());
+	run->stop_begun = fg_clock_now();
+	fg_node_stop(run->node, run->stop_begun);
 	fg_run_unlock(run);
 }
 
+/* An answer that the node has given may still be on its way to a caller with
+ * a slow link. */
+static bool web_drained(const struct fg_run *run)
+{
+	const struct fg_settings *s = run->settings;
+
+	if (s->switches.no_drain ||
+	    fg_clock_now() - run->stop_begun >= s->timing.stop_max_ms)
+		return true;
+	return __atomic_load_n(&run->in_web, __ATOMIC_ACQUIRE) == 0;
+}
+
 bool fg_run_stopped(struct fg_run *run)
 {
 	bool stopped;
@@ -234,21 +247,30 @@
 	fg_run_lock(run);
 	stopped = fg_node_stopped(run->node, fg_clock_now());
 	fg_run_unlock(run);
-	return stopped;
+	if (!stopped)
+		return false;
+	if (!run->quiesced)
+		fg_web_quiesce(run);
+	run->quiesced = true;
+	return web_drained(run);
 }
 
 /* The node is freed last: work in the pools still reports to it. */
 void fg_run_free(struct fg_run *run)
 {
+	uint32_t in_progress;
+
 	if (run == NULL)
 		return;
+	in_progress = __atomic_load_n(&run->in_web, __ATOMIC_ACQUIRE);
 	fg_web_stop(run);
 	fg_pool_free(run->run_pool);
 	fg_pool_free(run->order_pool);
 	fg_pool_free(run->table_pool);
 	if (run->peer != NULL)
 		fg_peer_stop(run->peer);
-	fg_history_add(run->history, "stop_end", NULL);
+	fg_history_add(run->history, "stop_end",
+		       json_pack("{s:i}", "in_progress", (int)in_progress));
 	fg_node_free(run->node);
 	run->platform->ops->free(run->platform);
 	g_hash_table_destroy(run->open);
--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -26,7 +26,10 @@
 	pthread_mutex_t open_lock; /* guards open; taken after core */
 	GHashTable *open;	   /* id -> struct fg_exchange */
 	uint64_t next_id;	   /* atomic */
-	bool test_hooks;	   /* FG_TEST=1 */
+	uint32_t in_web;  /* atomic: requests whose answer is not sent yet */
+	fg_ms stop_begun; /* 0: not stopping */
+	bool quiesced;	  /* no more connections are accepted */
+	bool test_hooks;  /* FG_TEST=1 */
 };
 
 /* ---- fg_run.c ---- */
@@ -44,6 +47,8 @@
 
 /* ---- fg_web.c ---- */
 bool fg_web_start(struct fg_run *run, GError **error);
+/* Accepts no more connections; those that are open go on. */
+void fg_web_quiesce(struct fg_run *run);
 void fg_web_stop(struct fg_run *run);
 
 /* ---- fg_web_calls.c ---- */
--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "run/fg_run_internal.h"
 
@@ -83,6 +84,7 @@
 		x = fg_exchange_new(
 			__atomic_add_fetch(&run->next_id, 1, __ATOMIC_RELAXED),
 			c);
+		__atomic_add_fetch(&run->in_web, 1, __ATOMIC_RELAXED);
 		*state = x;
 		return MHD_YES;
 	}
@@ -145,6 +147,7 @@
 	}
 	fg_exchange_unref(x);
 	*state = NULL;
+	__atomic_sub_fetch(&run->in_web, 1, __ATOMIC_RELEASE);
 }
 
 /* Parses "IPv4:port"; the settings have checked the form. */
@@ -203,6 +206,14 @@
 	g_free(text);
 }
 
+void fg_web_quiesce(struct fg_run *run)
+{
+	MHD_socket fd = MHD_quiesce_daemon(run->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
 /* What a stop that ran out of time leaves open is answered UNKNOWN. */
 void fg_web_stop(struct fg_run *run)
 {
--- a/tests/fghttp.py
+++ b/tests/fghttp.py
@@ -13,12 +13,15 @@
 
 TIMEOUT_S = 10
 SMALL_WINDOW_BYTES = 4096
+SMALL_SEGMENT_BYTES = 536  # keeps the sender's buffer small as well
 
 
 def slow_reader(host, port, timeout_s):
     """A connected socket whose receive window is as small as it can be."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG,
+                    SMALL_SEGMENT_BYTES)
     sock.settimeout(timeout_s)
     sock.connect((host, port))
     return sock
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -330,6 +330,8 @@
             return found > 0, found
         if words[1] == "exited":
             running = self.system.processes[words[0]].running()
+            if not running:
+                self.system.wait_exit(words[0])
             return not running, "running"
         value = look_up(self.system.state(words[0]), words[1])
         return compare(value, words[2], words[3]), value
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -204,6 +204,19 @@
 	bed_free(b);
 }
 
+/* Gives the peer a lease row; state is "live" or "leaving". */
+static void put_peer(struct bed *b, const char *state)
+{
+	char row[256];
+
+	g_snprintf(row, sizeof(row),
+		   "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
+		   "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
+		   "\"dc\":\"north\",\"state\":\"%s\"}",
+		   state);
+	fake_table_put(b->table, "session/" BED_PEER, row);
+}
+
 /* A refusal because it is leaving is a sign like any other, whatever the list
  * shows: the request goes elsewhere, peers are told, and it gets no more. */
 static void test_leaving_refused(void)
@@ -217,10 +230,7 @@
 	struct fg_run_cmd cmd;
 
 	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
-	fake_table_put(b->table, "session/" BED_PEER,
-		       "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
-		       "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
-		       "\"dc\":\"north\",\"state\":\"live\"}");
+	put_peer(b, "live");
 	bed_run(b, 6000);
 	bed_forget(b);
 	bed_status(b, 10);
@@ -272,6 +282,61 @@
 	bed_free(b);
 }
 
+/* A stop that ends leaves no lease row, which the others would have to wait
+ * for, and would count in their quorums. */
+static void test_stop_quits(void)
+{
+	struct bed *b = bed_new();
+
+	fg_node_stop(b->node, b->now);
+	bed_run(b, 2000);
+	g_assert_true(fg_node_stopped(b->node, b->now));
+	g_assert_null(fake_table_get(b->table, "session/entry-1"));
+	bed_free(b);
+}
+
+/* An instance that is leaving still has requests, which wait for adapters: it
+ * must hear what becomes resident. */
+static void test_leaving_peer_told(void)
+{
+	struct bed *b = bed_new();
+
+	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
+	put_peer(b, "leaving");
+	bed_run(b, 6000);
+	bed_forget(b);
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
+	bed_run(b, 1000);
+	g_assert_cmpuint(b->runs->len, ==, 1);
+	g_assert_cmpuint(bed_sent(b, FG_MSG_RESIDENT), >=, 1);
+	bed_free(b);
+}
+
+/* A new owner asks again whoever has not told its grants: the peer may not
+ * have known it yet, and it may evict nothing before. */
+static void test_grants_ask_repeat(void)
+{
+	struct bed *b = bed_new();
+	struct fg_engine_state st = {
+		.epoch = 1,
+		.checks_fence = true,
+		.slots = BED_SLOTS,
+		.batch = BED_BATCH,
+	};
+
+	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
+	put_peer(b, "leaving");
+	bed_run(b, 6000);
+	bed_forget(b);
+	bed_list(b, FG_LISTED_ENGINE, "engine-2", false);
+	bed_run(b, 8000);
+	fg_node_engine_state(b->node, b->now, fg_hash_str("engine-2"), b->now,
+			     &st);
+	bed_run(b, 2000);
+	g_assert_cmpuint(bed_sent(b, FG_MSG_GRANTS_ASK), >, 1);
+	bed_free(b);
+}
+
 /* A grant that comes after its request ended is given back at once. */
 static void test_stray_grant(void)
 {
@@ -279,10 +344,7 @@
 	fg_msg *msg = fg_msg_new(FG_MSG_GRANT_REP);
 
 	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
-	fake_table_put(b->table, "session/" BED_PEER,
-		       "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
-		       "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
-		       "\"dc\":\"north\",\"state\":\"live\"}");
+	put_peer(b, "live");
 	bed_run(b, 6000);
 	bed_forget(b);
 	msg->body.fg_body_u.grant_rep.req = 77 << 8;
@@ -425,6 +487,9 @@
 	g_test_add_func("/node/leaving_refused", test_leaving_refused);
 	g_test_add_func("/node/leaving_engine", test_leaving_engine);
 	g_test_add_func("/node/stop", test_stop);
+	g_test_add_func("/node/stop_quits", test_stop_quits);
+	g_test_add_func("/node/leaving_peer_told", test_leaving_peer_told);
+	g_test_add_func("/node/grants_ask_repeat", test_grants_ask_repeat);
 	g_test_add_func("/node/stray_grant", test_stray_grant);
 	g_test_add_func("/node/address", test_address);
 	g_test_add_func("/node/caller_gone", test_caller_gone);
