--- a/lib/member/fg_member_row.c
+++ b/lib/member/fg_member_row.c
@@ -31,13 +31,13 @@
 {
 	const char *http, *rpc, *region, *dc, *state;
 	json_t *obj = value != NULL ? json_loads(value, 0, NULL) : NULL;
-	json_int_t boot, region_size;
+	json_int_t boot, region_size = 0; /* not there: not known */
 	int format;
 	bool ok;
 
 	memset(row, 0, sizeof(*row));
 	ok = obj != NULL && g_str_has_prefix(key, FG_MEMBER_PREFIX) &&
-	     json_unpack(obj, "{s:i, s:I, s:s, s:s, s:s, s:s, s:s, s:I}",
+	     json_unpack(obj, "{s:i, s:I, s:s, s:s, s:s, s:s, s:s, s?I}",
 			 "format", &format, "boot", &boot, "http", &http, "rpc",
 			 &rpc, "region", &region, "dc", &dc, "state", &state,
 			 "region_size", &region_size) == 0 &&
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -345,6 +345,8 @@
             return found > 0, found
         if words[1] == "exited":
             running = self.system.processes[words[0]].running()
+            if not running:
+                self.system.wait_exit(words[0])
             return not running, "running"
         if words[1] == "catalogue":
             state, words = self.system.catalogue(words[0]), words[1:]
