--- a/tests/bench/bench_place.c
+++ b/tests/bench/bench_place.c
@@ -10,6 +10,7 @@
 #include "place_sim.h"
 
 #define SEED 20260101
+#define THREADS 4
 
 static const struct deployment deployments[] = {
 	{
@@ -69,80 +70,146 @@
 	return 100.0 * (double)n / (double)res->n;
 }
 
-static void print_row(const struct deployment *d, double zipf, double share,
-		      const char *policy, const struct result *res,
-		      const struct result *strong, uint64_t min_loads)
+static void print_row(GString *out, const struct deployment *d, double zipf,
+		      double share, const char *policy,
+		      const struct result *res, const struct result *strong,
+		      uint64_t min_loads)
 {
 	double n = (double)res->n;
 	double min = (double)min_loads;
 
-	printf("%-11s %4.1f %4.1f %-6s %6.2f %6.2f %6.2f %6.2f %6.1f "
-	       "%5.3f %5.2f %6.2f %6.2f %6.2f %5.1f %5.2f %5.2f %5.1f %6.0f "
-	       "%5lu\n",
-	       d->name, zipf, share, policy, res->stall_p50_ms / 1000,
-	       res->stall_p95_ms / 1000, res->stall_p99_ms / 1000,
-	       res->urgent_p95_ms / 1000, 100.0 * (double)res->waited / n,
-	       (double)res->loads / min,
-	       (double)res->loads / (double)res->answered / (min / n),
-	       res->fill, 100.0 * (double)res->answered / n,
-	       100.0 * (double)res->urgent_answered / (double)res->urgent,
-	       100.0 * (double)res->refused / n,
-	       100.0 * (double)res->missed / n, lost(res, strong),
-	       res->hold_mean_ms / 1000, res->bytes, res->in_use_orders);
+	g_string_append_printf(
+		out,
+		"%-11s %4.1f %4.1f %-6s %6.2f %6.2f %6.2f %6.2f %6.1f "
+		"%5.3f %5.2f %6.2f %6.2f %6.2f %5.1f %5.2f %5.2f %5.1f %6.0f "
+		"%5lu\n",
+		d->name, zipf, share, policy, res->stall_p50_ms / 1000,
+		res->stall_p95_ms / 1000, res->stall_p99_ms / 1000,
+		res->urgent_p95_ms / 1000, 100.0 * (double)res->waited / n,
+		(double)res->loads / min,
+		(double)res->loads / (double)res->answered / (min / n),
+		res->fill, 100.0 * (double)res->answered / n,
+		100.0 * (double)res->urgent_answered / (double)res->urgent,
+		100.0 * (double)res->refused / n,
+		100.0 * (double)res->missed / n, lost(res, strong),
+		res->hold_mean_ms / 1000, res->bytes, res->in_use_orders);
 }
 
-static void run_cell(const struct deployment *d, double zipf, double share,
-		     double full_rate, const char *only)
+/* One cell of the table: a deployment, a popularity and a load. */
+struct cell {
+	const struct deployment *d;
+	double zipf;
+	double share;
+	double full_rate;
+	const char *only; /* one policy alone; NULL: all */
+	GString *out;
+};
+
+static void run_cell(gpointer data, gpointer unused)
 {
+	struct cell *c = data;
 	struct result res[G_N_ELEMENTS(policies)] = { 0 };
 	struct trace t;
 	uint64_t min_loads;
 
-	trace_make(&t, d, zipf, full_rate * share, SEED);
-	min_loads = trace_min_loads(&t, d->eps * SLOTS);
+	(void)unused;
+	trace_make(&t, c->d, c->zipf, c->full_rate * c->share, SEED);
+	min_loads = trace_min_loads(&t, c->d->eps * SLOTS);
 	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
-		if (only != NULL && strcmp(only, policies[i]) != 0)
+		if (c->only != NULL && strcmp(c->only, policies[i]) != 0)
 			continue;
-		sim_run(d, &t, policies[i], &res[i]);
-		print_row(d, zipf, share, policies[i], &res[i],
-			  i == 2 && only == NULL ? &res[1] : NULL, min_loads);
+		sim_run(c->d, &t, policies[i], &res[i]);
+		print_row(c->out, c->d, c->zipf, c->share, policies[i], &res[i],
+			  i == 2 && c->only == NULL ? &res[1] : NULL,
+			  min_loads);
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++)
 		g_free(res[i].met);
 	trace_free(&t);
-	fflush(stdout);
+}
+
+static void calibrate(gpointer data, gpointer unused)
+{
+	struct cell *c = data;
+
+	(void)unused;
+	c->full_rate = trace_full_rate(c->d, c->zipf, SEED);
+}
+
+/* Each cell has a state of its own, so that threads change no figure. */
+static void run_all(GFunc fn, struct cell *cells, size_t n, size_t stride)
+{
+	GThreadPool *pool = g_thread_pool_new(fn, NULL, THREADS, FALSE, NULL);
+
+	for (size_t i = 0; i < n; i += stride)
+		g_thread_pool_push(pool, &cells[i], NULL);
+	g_thread_pool_free(pool, FALSE, TRUE);
+}
+
+#define SHARES G_N_ELEMENTS(shares)
+#define CELLS (G_N_ELEMENTS(deployments) * G_N_ELEMENTS(zipfs) * SHARES)
+
+static void print_group(const struct cell *cells, const char *share)
+{
+	printf("\n%s, zipf %.1f: the minimum of loads takes the whole budget "
+	       "at "
+	       "%.1f requests/s\n",
+	       cells->d->name, cells->zipf, cells->full_rate);
+	print_head();
+	for (size_t k = 0; k < SHARES; k++)
+		if (share == NULL || atof(share) == shares[k])
+			fputs(cells[k].out->str, stdout);
+}
+
+/* Fills in the cells that the arguments ask for; returns how many. */
+static size_t fill_cells(struct cell *cells, int argc, char **argv)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < CELLS; i++) {
+		struct cell c = {
+			.d = &deployments[i / SHARES / G_N_ELEMENTS(zipfs)],
+			.zipf = zipfs[i / SHARES % G_N_ELEMENTS(zipfs)],
+			.share = shares[i % SHARES],
+			.only = argc > 4 ? argv[4] : NULL,
+		};
+
+		if (argc > 1 && strcmp(argv[1], c.d->name) != 0)
+			continue;
+		if (argc > 2 && atof(argv[2]) != c.zipf)
+			continue;
+		c.out = g_string_new("");
+		cells[n++] = c;
+	}
+	return n;
 }
 
 int main(int argc, char **argv)
 {
+	struct cell cells[CELLS];
+	size_t n = fill_cells(cells, argc, argv);
+
 	printf("stall times in s; loads: of the clairvoyant minimum; l/ans: "
 	       "loads per answer over minimum per request;\nfill: requests in "
 	       "the batch (of %d) per active step; ans: within the deadline, "
-	       "ansi: of the interactive; "
-	       "ref: refused at once;\nmiss: neither; lost: met by strong and "
-	       "not here; hold: mean of drafts in s; byte/r: inner messages "
-	       "per request;\ninuse: orders refused as the victim was in use\n",
+	       "ansi: of the interactive;\nref: refused at once; miss: "
+	       "neither; lost: met by strong and not here; hold: mean of "
+	       "drafts in s;\nbyte/r: inner messages per request; inuse: "
+	       "orders refused as the victim was in use\n",
 	       BATCH);
-	for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
-		const struct deployment *d = &deployments[i];
-
-		if (argc > 1 && strcmp(argv[1], d->name) != 0)
-			continue;
-		for (size_t z = 0; z < G_N_ELEMENTS(zipfs); z++) {
-			double rate;
-
-			if (argc > 2 && atof(argv[2]) != zipfs[z])
-				continue;
-			rate = trace_full_rate(d, zipfs[z], SEED);
-			printf("\n%s, zipf %.1f: the minimum of loads takes "
-			       "the whole budget at %.1f requests/s\n",
-			       d->name, zipfs[z], rate);
-			print_head();
-			for (size_t k = 0; k < G_N_ELEMENTS(shares); k++)
-				if (argc <= 3 || atof(argv[3]) == shares[k])
-					run_cell(d, zipfs[z], shares[k], rate,
-						 argc > 4 ? argv[4] : NULL);
-		}
+	run_all(calibrate, cells, n, SHARES);
+	for (size_t i = 0; i < n; i++)
+		cells[i].full_rate = cells[i - i % SHARES].full_rate;
+	if (argc <= 3) {
+		run_all(run_cell, cells, n, 1);
+	} else {
+		for (size_t i = 0; i < n; i++)
+			if (atof(argv[3]) == cells[i].share)
+				run_cell(&cells[i], NULL);
 	}
+	for (size_t i = 0; i < n; i += SHARES)
+		print_group(&cells[i], argc > 3 ? argv[3] : NULL);
+	for (size_t i = 0; i < n; i++)
+		g_string_free(cells[i].out, TRUE);
 	return 0;
 }
--- a/tests/bench/place_engine.c
+++ b/tests/bench/place_engine.c
@@ -301,7 +301,7 @@
 
 void owner_poll(struct sim *s, uint32_t ep)
 {
-	static struct fg_engine_state st;
+	struct fg_engine_state st = { 0 };
 	struct engine *e = &s->engines[ep];
 
 	st.epoch = e->epoch;
