--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -216,12 +216,13 @@
 static void test_first_state(void)
 {
 	for (fg_ms asked_at = 990; asked_at <= 1000; asked_at++) {
-		struct fg_grants *g = fg_grants_new(&conf, 1000, true);
-		struct fg_engine_state st = engine(1, 2, 1);
+		struct fg_grants *g = fg_grants_new(&grant_conf, 1000, true);
+		struct fg_engine_state st = gfx_engine(1, 2, 1);
 
 		fg_grants_expect(g, NULL, 0);
-		fg_grants_engine(g, 1000, asked_at, &st, find, NULL);
-		g_assert_cmpint(load_only(g, 1000, 3), !=, FG_LOAD_START_OK);
+		fg_grants_engine(g, 1000, asked_at, &st, gfx_find, NULL);
+		g_assert_cmpint(gfx_load_start(g, 1000, 3), !=,
+				FG_LOAD_START_OK);
 		fg_grants_free(g);
 	}
 }
