--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -345,6 +345,8 @@
             return found > 0, found
         if words[1] == "exited":
             running = self.system.processes[words[0]].running()
+            if not running:
+                self.system.wait_exit(words[0])
             return not running, "running"
         if words[1] == "catalogue":
             state, words = self.system.catalogue(words[0]), words[1:]
@@ -450,8 +452,13 @@
         scenario.run(lines)
     except Failure as failure:
         scenario.say(f"failed: {failure}")
-    finally:
+    except BaseException:
+        signal.alarm(0)
         scenario.finish()
+        scenario.system.remove_files()
+        raise
+    signal.alarm(0)
+    scenario.finish()
     return scenario
 
 
