History check: the slot must hold the right adapter at the end of a run too

fg-check looked at the slot when a run started. An adapter replaced under a run that the engine then ended well was seen as an eviction in use alone, so that no scenario could show promise 1 itself violated.

Test: /check/answers 'replaced while it ran' failed before, passes after.

--- a/lib/check/fg_check_answers.c
+++ b/lib/check/fg_check_answers.c
@@ -25,15 +25,21 @@
 	return invoke;
 }
 
-/* An invocation without version takes any. */
-static void check_adapter(struct fg_check *c, struct event *run)
+/* The slot holds what the engine was asked to run. */
+static void check_slot(struct fg_check *c, struct event *run)
 {
-	struct event *invoke = invoke_of(c, run);
-
 	check_count(c, FG_PROMISE_RIGHT_ADAPTER);
 	if (!same(run->adapter, run->slot_adapter) ||
 	    !same(run->version, run->slot_version))
 		check_offends(c, FG_PROMISE_RIGHT_ADAPTER, run);
+}
+
+/* An invocation without version takes any. */
+static void check_adapter(struct fg_check *c, struct event *run)
+{
+	struct event *invoke = invoke_of(c, run);
+
+	check_slot(c, run);
 	if (invoke == NULL)
 		return;
 	if (same(run->adapter, invoke->adapter) &&
@@ -169,6 +175,10 @@
 			check_own(c, ev);
 		if (ev->type == EV_RUN_START)
 			check_adapter(c, ev);
+		/* Still so when it ended well; older logs do not say. */
+		if (ev->type == EV_RUN_END && ev->ok == 1 &&
+		    *ev->slot_adapter != '\0')
+			check_slot(c, ev);
 		if (ev->type == EV_EXEC && same(ev->op, "file"))
 			check_filed(c, by_key, ev);
 	}
--- a/tests/unit/test_check.c
+++ b/tests/unit/test_check.c
@@ -33,7 +33,8 @@
 	"{'t':12,'who':'M','ev':'run_start','id':'a1','tag':'a',"
 	"'adapter':'A','version':'1','slot':0,'slot_adapter':'A',"
 	"'slot_version':'1'}\n"
-	"{'t':20,'who':'M','ev':'run_end','id':'a1','tag':'a','ok':true}\n"
+	"{'t':20,'who':'M','ev':'run_end','id':'a1','tag':'a','ok':true,"
+	"'adapter':'A','version':'1','slot_adapter':'A','slot_version':'1'}\n"
 	"{'t':21,'who':'C','ev':'return','tag':'a','outcome':'DONE',"
 	"'whole':true}\n"
 	"{'t':21,'who':'M','ev':'load_start','slot':0,'running':0}\n"
@@ -146,6 +147,10 @@
 		  "'slot_adapter':'B'", "X       " },
 		{ "other version in the slot", "'slot_version':'1'",
 		  "'slot_version':'0'", "X       " },
+		{ "replaced while it ran",
+		  "'ok':true,'adapter':'A','version':'1','slot_adapter':'A'",
+		  "'ok':true,'adapter':'A','version':'1','slot_adapter':'B'",
+		  "X       " },
 		{ "not what the caller asked for", "'version':'1','class'",
 		  "'version':'9','class'", "X       " },
 		{ "not whole", "'DONE','whole':true", "'DONE','whole':false",
