--- a/programs/fg-load/fl_addr.c
+++ b/programs/fg-load/fl_addr.c
@@ -131,7 +131,8 @@
 	char *name = make_name(req);
 	char *addr = kept(a, name, attempt);
 
-	for (guint i = 0; !addr && attempt == 0 && i < a->n_configured; i++)
+	/* The lookup passes over instances that are gone. */
+	for (guint i = 0; !addr && i < a->n_configured; i++)
 		if (look_up(a, curl, req, name)) {
 			addr = kept(a, name, 0);
 			break;
