--- a/lib/config/fg_config.h
+++ b/lib/config/fg_config.h
@@ -29,8 +29,9 @@
 	FG_CONFIG_ERR_SYNTAX,  /* not JSON, or not an object of this shape */
 	FG_CONFIG_ERR_UNKNOWN, /* names an adapter, preset, ... not there */
 	FG_CONFIG_ERR_EXISTS,
-	FG_CONFIG_ERR_RANGE, /* a value out of its allowed range */
-	FG_CONFIG_ERR_GAP,   /* the change is not for the next revision */
+	FG_CONFIG_ERR_RANGE,  /* a value out of its allowed range */
+	FG_CONFIG_ERR_GAP,    /* the change is not for the next revision */
+	FG_CONFIG_ERR_FORMAT, /* written in a format that is not ours */
 };
 
 /* The weights that a preset sets. */
@@ -71,12 +72,49 @@
  *   preset_set   {preset}                 preset_put {preset, ...weights}
  *   service_put  {service, ...facts}
  *   batch        {changes: [...]}  all or none, one revision
+ * The weights and facts are the fields of the two structs above; those left
+ * out keep their value. The caller "*" stands for every caller. "format" and
+ * "nonce" may be there too. An unknown field is an error.
  */
 bool fg_config_apply(struct fg_config *c, const char *change, GError **error);
 
-/* The whole catalogue as JSON; g_malloc'ed. */
+/* Tells whether a change without "revision" could be applied now; changes
+ * nothing. */
+bool fg_config_check(struct fg_config *c, const char *change, GError **error);
+
+/* Number of adapters. */
+size_t fg_config_adapters(const struct fg_config *c);
+
+/*
+ * The whole catalogue as JSON; g_malloc'ed. Equal catalogues give equal texts:
+ *   {"format":1,"revision":N,"part":0,
+ *    "head":{"preset","next_adapter","presets":[...],"services":[...]},
+ *    "adapters":[[number,name,base,next_ver,[[ver,name]...],[caller...]]...],
+ *    "last":true}
+ */
 char *fg_config_snapshot(const struct fg_config *c);
 
+/* The same in parts of at most max_bytes each (at least 60000), so that no
+ * part needs much memory to read; texts are g_malloc'ed and freed with the
+ * array. Only part 0 has a head, only the last one "last":true. */
+GPtrArray *fg_config_snapshot_parts(const struct fg_config *c,
+				    size_t max_bytes);
+
+/*
+ * Reads the parts of one snapshot, in order, into a catalogue of its own.
+ * fg_config_load_finish() then makes c that catalogue if its revision is
+ * higher than c's, and frees the load; it must only be called when
+ * fg_config_load_complete().
+ */
+struct fg_config_load;
+struct fg_config_load *fg_config_load_new(void);
+void fg_config_load_free(struct fg_config_load *l);
+bool fg_config_load_part(struct fg_config_load *l, const char *part,
+			 GError **error);
+bool fg_config_load_complete(const struct fg_config_load *l);
+uint32_t fg_config_load_next(const struct fg_config_load *l);
+void fg_config_load_finish(struct fg_config_load *l, struct fg_config *c);
+
 /* Replaces all of c if the snapshot's revision is higher, else leaves c as it
  * is and returns true as well. */
 bool fg_config_restore(struct fg_config *c, const char *snapshot,
@@ -99,7 +137,8 @@
 /* Base model that an adapter belongs to; NULL when there is none. */
 const char *fg_config_adapter_base(const struct fg_config *c, fg_av av);
 
-/* Number of (adapter, version) by names; {0, 0} when unknown. */
+/* Number of (adapter, version) by names, the newest version for NULL or "";
+ * {0, 0} when unknown. */
 fg_av fg_config_find(const struct fg_config *c, const char *adapter,
 		     const char *version);
 
@@ -113,10 +152,12 @@
 /* ---- Keeping up with the revision: pure, drives reads and messages ---- */
 
 /*
- * Rows: config/head = {"format":1,"revision":N,"snapshot":S} and
- * config/rev/<N, 12 digits> = the change that makes N; objects or rows
- * config/snap/<S, 12 digits>/<part> hold snapshots. A change is one
- * transaction: head checked by its row version, head and config/rev written.
+ * Rows, all with a format number:
+ *   config/head                    revision, newest snapshot, what is kept
+ *   config/rev/<N, 12 digits>      the change that makes revision N
+ *   config/snap/<S, 12 digits>/<part, 4 digits>   a snapshot of revision S
+ * A change is one transaction: head checked by its row version, head and
+ * config/rev written. See docs/design/configuration.md.
  */
 struct fg_confsync;
 
@@ -124,6 +165,7 @@
 	uint32_t poll_ms;	 /* between reads of config/head */
 	uint32_t confirm_ms;	 /* revision counts as confirmed this long */
 	uint32_t snapshot_every; /* revisions between snapshots */
+	bool no_push;		 /* tests alone: do not push to peers */
 };
 
 /* Borrows c, which only confsync changes from now on. */
@@ -148,6 +190,9 @@
 	FG_CHANGE_UNKNOWN = 6,	/* answer lost and not yet read back */
 };
 
+/* "accepted", "pending", ... as in docs/PROTOCOL.md; never NULL. */
+const char *fg_change_status_name(enum fg_change_status status);
+
 struct fg_confsync_act {
 	enum fg_confsync_act_type type;
 	struct fg_table_op *op;	      /* TABLE; owned by the receiver */
@@ -159,24 +204,61 @@
 	char *text; /* ANSWER: error or the instances missing; g_malloc'ed */
 };
 
-/* Calls `emit` for each action that is due. Call at least each 100 ms. */
+/*
+ * Takes one action; the receiver owns op, msg and text. It must not call
+ * back into the same confsync.
+ */
 typedef void (*fg_confsync_emit)(void *arg, struct fg_confsync_act *act);
+
+/* Emits the actions that are due. Call at least each 100 ms; a gap of a
+ * second counts as a pause of the process. */
 void fg_confsync_tick(struct fg_confsync *s, fg_ms now, fg_confsync_emit emit,
 		      void *arg);
-void fg_confsync_on_table(struct fg_confsync *s, fg_ms now,
+
+/* The result of a TABLE action. Results with other ids are ignored; returns
+ * whether the id was in use. */
+bool fg_confsync_on_table(struct fg_confsync *s, fg_ms now,
 			  const struct fg_table_result *res,
 			  fg_confsync_emit emit, void *arg);
+
+/* CONFIG_ASK and CONFIG_TELL; others are ignored. */
 void fg_confsync_on_msg(struct fg_confsync *s, fg_ms now, uint64_t from,
 			const fg_msg *msg, fg_confsync_emit emit, void *arg);
 
-/* A peer's ping or pong: its revision, and when that was confirmed. */
+/*
+ * A peer's ping: its revision, and how long ago that was confirmed. How long
+ * the message was under way is not known, so that it confirms our revision
+ * only as of FG_CONFSYNC_DOUBT_MS earlier, and not at all after a pause.
+ */
+#define FG_CONFSYNC_DOUBT_MS 1500
 void fg_confsync_on_peer(struct fg_confsync *s, fg_ms now, uint64_t peer,
 			 uint64_t revision, uint32_t confirm_age_ms,
 			 fg_confsync_emit emit, void *arg);
 
-/* The live instances that must acknowledge a change (self not among them). */
+/* A peer's pong to a ping that we sent at `asked`: the age counts from then,
+ * which needs no assumption about delays. */
+void fg_confsync_on_pong(struct fg_confsync *s, fg_ms now, fg_ms asked,
+			 uint64_t peer, uint64_t revision,
+			 uint32_t confirm_age_ms, fg_confsync_emit emit,
+			 void *arg);
+
+/* The live instances that must acknowledge a change (self is skipped). */
 void fg_confsync_set_live(struct fg_confsync *s, const uint64_t *ids, size_t n);
 
+/*
+ * The same, from lease rows whose read was begun at `asked`. Once it has been
+ * called, a change is accepted only by a list asked for after the change was
+ * stored, so that an instance that joined in between is not overlooked.
+ */
+void fg_confsync_set_live_at(struct fg_confsync *s, fg_ms asked,
+			     const uint64_t *ids, size_t n);
+
+/* Gives names of instances for the text of a pending answer; NULL when
+ * unknown. Without it ids are printed. */
+typedef const char *(*fg_confsync_name)(void *arg, uint64_t id);
+void fg_confsync_set_names(struct fg_confsync *s, fg_confsync_name name,
+			   void *arg);
+
 /*
  * An operator's change. `change` is a JSON object without "revision";
  * expect_revision 0 takes whatever is newest, else a mismatch is a conflict.
@@ -189,4 +271,11 @@
 /* Age in ms of the last confirmation that our revision is the newest. */
 uint32_t fg_confsync_confirm_age(const struct fg_confsync *s, fg_ms now);
 
+/* Live instances not known to have `revision`: up to max ids; how many. */
+size_t fg_confsync_missing(const struct fg_confsync *s, uint64_t revision,
+			   uint64_t *ids, size_t max);
+
+/* Why the last row or message could not be applied; NULL when all could. */
+const char *fg_confsync_fault(const struct fg_confsync *s);
+
 #endif
--- /dev/null
+++ b/lib/node/fg_node.c
@@ -0,0 +1,448 @@
+/* Life of a node, its clockwork and the events that concern all of it. */
+#include "node/fg_node_internal.h"
+
+#include <string.h>
+
+#define LIMITS_CALLERS_MAX 4096
+#define ANNOUNCE_MS 1000
+#define SWEEP_MS 5000 /* between parts of the ledger swept in a region */
+#define PEERS_MAX 1024
+
+void fg_node_conf_defaults(struct fg_node_conf *conf)
+{
+	fg_member_conf_defaults(&conf->member);
+	conf->config_poll_ms = 2000;
+	conf->state_ms = 2000;
+	conf->resident_ms = 10000;
+	conf->heat_ms = 1000;
+	conf->grant_repeat_ms = 400;
+	conf->need_repeat_ms = 1000;
+	conf->order_timeout_ms = 5000;
+	conf->address_ttl_ms = 5000;
+	conf->requests_max = 4096;
+	conf->drain_max_ms = 120000;
+	g_strlcpy(conf->place_policy, "gauge", sizeof(conf->place_policy));
+}
+
+static void make_parts(struct fg_node *n, uint64_t seed)
+{
+	struct fg_confsync_conf sync = {
+		.poll_ms = n->conf.config_poll_ms,
+		.confirm_ms = n->conf.member.confirm_ms,
+		.snapshot_every = 256,
+	};
+	struct fg_owner_conf own = {
+		.self = n->self,
+		.scan_ms = n->conf.member.scan_ms,
+		.retry_ms = 500,
+	};
+	struct fg_ledger_conf ledger = {
+		.self = n->self,
+		.group_ms = 5,
+		.start_ms = 5000,
+		.record_retry_ms = 500,
+		.keep_s = 7 * 24 * 3600,
+	};
+	struct fg_retry_conf retry = {
+		.percent = 10,
+		.min_per_10s = 20,
+		.attempts_max = 4,
+		.backoff_ms = 50,
+	};
+	struct fg_suspects_conf suspects = {
+		.keep_ms = 600000,
+		.refuse_crashes = 2,
+		.sick_window_ms = 60000,
+		.sick_fingerprints = 4,
+		.max = 4096,
+	};
+
+	n->config = fg_config_new();
+	n->confsync = fg_confsync_new(n->config, &sync, n->self, seed + 1);
+	n->member = fg_member_new(&n->conf.member, seed + 2);
+	n->owner = fg_owner_new(&own, n->member, seed + 3);
+	n->ledger = fg_ledger_new(&ledger, seed + 4);
+	n->limits = fg_limits_new(LIMITS_CALLERS_MAX);
+	n->estimate = fg_estimate_new();
+	n->retry = fg_retry_new(&retry, seed + 5);
+	n->suspects = fg_suspects_new(&suspects);
+	n->dir = fg_dir_new(seed + 6);
+}
+
+static const char *inst_name(void *arg, uint64_t inst)
+{
+	struct fg_node *n = arg;
+	const struct fg_peer_view *peer = fg_member_find(n->member, inst);
+
+	return peer != NULL ? peer->info.name : NULL;
+}
+
+static bool inst_is_dead(void *arg, uint64_t inst)
+{
+	struct fg_node *n = arg;
+	const struct fg_peer_view *peer = fg_member_find(n->member, inst);
+
+	return peer == NULL || peer->state == FG_PEER_DEAD;
+}
+
+struct fg_node *fg_node_new(const struct fg_node_conf *conf,
+			    const struct fg_node_io *io, uint64_t seed)
+{
+	struct fg_node *n = g_new0(struct fg_node, 1);
+
+	n->conf = *conf;
+	n->io = *io;
+	n->self = conf->member.self.id;
+	fg_rand_seed(&n->rand, seed);
+	make_parts(n, seed);
+	fg_ledger_set_dead(n->ledger, inst_is_dead, n);
+	fg_confsync_set_names(n->confsync, inst_name, n);
+	n->eps = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+				       fg_ep_free);
+	n->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					fg_req_free);
+	n->waits = g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL,
+					 fg_wait_free);
+	n->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  fg_model_free);
+	n->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+				       g_free);
+	n->ready = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	n->next_order = 1;
+	return n;
+}
+
+void fg_node_free(struct fg_node *n)
+{
+	if (n == NULL)
+		return;
+	g_array_free(n->ready, TRUE);
+	g_queue_clear_full(&n->loopback, (GDestroyNotify)fg_msg_free);
+	g_hash_table_destroy(n->waits);
+	g_hash_table_destroy(n->reqs);
+	g_hash_table_destroy(n->eps);
+	g_hash_table_destroy(n->models);
+	g_hash_table_destroy(n->ops);
+	fg_dir_free(n->dir);
+	fg_suspects_free(n->suspects);
+	fg_retry_free(n->retry);
+	fg_estimate_free(n->estimate);
+	fg_limits_free(n->limits);
+	fg_ledger_free(n->ledger);
+	fg_owner_free(n->owner);
+	fg_member_free(n->member);
+	fg_confsync_free(n->confsync);
+	fg_config_free(n->config);
+	g_free(n);
+}
+
+/* ---- Counters, events and messages ---- */
+
+void fg_node_count(struct fg_node *n, enum fg_node_counter c, uint64_t by)
+{
+	n->counters[c] += by;
+}
+
+uint64_t fg_node_counter(const struct fg_node *n, enum fg_node_counter c)
+{
+	return n->counters[c];
+}
+
+static const char *const counter_names[FG_NC_COUNT] = {
+	[FG_NC_REQUESTS] = "requests",
+	[FG_NC_DONE] = "done",
+	[FG_NC_FAILED] = "failed",
+	[FG_NC_NOT_RUN] = "not_run",
+	[FG_NC_UNKNOWN] = "unknown",
+	[FG_NC_RETRIES] = "retries",
+	[FG_NC_GRANTS_LOCAL] = "grants_local",
+	[FG_NC_GRANTS_REMOTE] = "grants_remote",
+	[FG_NC_GRANTS_GIVEN] = "grants_given",
+	[FG_NC_NEEDS] = "needs",
+	[FG_NC_LOADS] = "loads",
+	[FG_NC_LOADS_FAILED] = "loads_failed",
+	[FG_NC_HELD_DRAFTS] = "held_drafts",
+	[FG_NC_STALLED] = "stalled",
+	[FG_NC_STALL_MS] = "stall_ms",
+	[FG_NC_MSGS_OUT] = "msgs_out",
+	[FG_NC_MSG_BYTES_OUT] = "msg_bytes_out",
+};
+
+const char *fg_node_counter_name(enum fg_node_counter c)
+{
+	return counter_names[c];
+}
+
+void fg_node_event(struct fg_node *n, const char *name, json_t *fields)
+{
+	n->io.event(n->io.arg, name, fields);
+}
+
+void fg_node_send(struct fg_node *n, uint64_t to, const fg_msg *msg)
+{
+	const struct fg_peer_view *peer;
+
+	if (to == n->self) {
+		g_queue_push_tail(&n->loopback, fg_msg_dup(msg));
+		return;
+	}
+	peer = fg_member_find(n->member, to);
+	if (peer == NULL || peer->info.rpc[0] == '\0')
+		return;
+	fg_node_count(n, FG_NC_MSGS_OUT, 1);
+	fg_node_count(n, FG_NC_MSG_BYTES_OUT, fg_msg_wire_bytes(msg));
+	n->io.send(n->io.arg, &peer->info, msg);
+}
+
+void fg_node_send_free(struct fg_node *n, uint64_t to, fg_msg *msg)
+{
+	fg_node_send(n, to, msg);
+	fg_msg_free(msg);
+}
+
+/* Takes this instance out of a list of ids. */
+static size_t without_self(const struct fg_node *n, uint64_t *ids, size_t total)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < total; i++)
+		if (ids[i] != n->self)
+			ids[kept++] = ids[i];
+	return kept;
+}
+
+size_t fg_node_region_peers(struct fg_node *n, uint64_t *ids, size_t max)
+{
+	const char *region = n->conf.member.self.region;
+	size_t total = fg_member_live(n->member, region, ids, max);
+
+	return without_self(n, ids, MIN(total, max));
+}
+
+size_t fg_node_region_present(struct fg_node *n, uint64_t *ids, size_t max)
+{
+	const char *region = n->conf.member.self.region;
+	size_t total = fg_member_present(n->member, region, ids, max);
+
+	return without_self(n, ids, MIN(total, max));
+}
+
+void fg_node_broadcast(struct fg_node *n, const fg_msg *msg)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t total = fg_node_region_present(n, ids, PEERS_MAX);
+
+	for (size_t i = 0; i < total; i++)
+		fg_node_send(n, ids[i], msg);
+}
+
+static bool standing_is_good(const struct fg_node *n)
+{
+	enum fg_standing standing = fg_member_standing(n->member, n->now);
+
+	return standing == FG_STANDING_CONFIRMED ||
+	       standing == FG_STANDING_OUTAGE;
+}
+
+/*
+ * An operator is told "accepted" when all live instances have the revision.
+ * One that was not counted as live must therefore confirm its revision after
+ * it became so, before it takes work. For the same reason it reads the list
+ * anew: endpoints may have left while it was away. In an outage there is no
+ * list to read.
+ */
+static void follow_standing(struct fg_node *n)
+{
+	bool outage =
+		fg_member_standing(n->member, n->now) == FG_STANDING_OUTAGE;
+	uint32_t age_ms;
+
+	if (!standing_is_good(n)) {
+		n->joined = 0;
+		n->in_force = false;
+		return;
+	}
+	if (n->joined == 0)
+		n->joined = n->now;
+	if (n->list_at < n->joined)
+		fg_node_ask_list(n);
+	age_ms = fg_confsync_confirm_age(n->confsync, n->now);
+	if (n->in_force || n->now - (fg_ms)age_ms < n->joined ||
+	    (!outage && n->list_at < n->joined))
+		return;
+	n->in_force = true;
+	fg_wire_revision_event(n);
+}
+
+void fg_node_ask_list(struct fg_node *n)
+{
+	if (n->list_pending)
+		return;
+	n->list_pending = true;
+	n->list_asked = n->now;
+	n->io.list(n->io.arg);
+}
+
+bool fg_node_may_serve(struct fg_node *n)
+{
+	if (n->conf.switches.no_isolation)
+		return true;
+	return standing_is_good(n) && n->in_force;
+}
+
+/* ---- Clockwork ---- */
+
+static void tell_live(struct fg_node *n)
+{
+	uint64_t ids[PEERS_MAX];
+	size_t total = fg_member_live(n->member, NULL, ids, PEERS_MAX);
+	size_t kept = 0;
+
+	for (size_t i = 0; i < MIN(total, PEERS_MAX); i++)
+		if (ids[i] != n->self)
+			ids[kept++] = ids[i];
+	fg_confsync_set_live_at(n->confsync, fg_member_looked_at(n->member),
+				ids, kept);
+}
+
+static void tick_config(struct fg_node *n)
+{
+	tell_live(n);
+	fg_confsync_tick(n->confsync, n->now, fg_wire_confsync, n);
+	fg_member_set_revision(n->member, fg_config_revision(n->config),
+			       fg_confsync_confirm_age(n->confsync, n->now));
+}
+
+static void tick_owned(struct fg_node *n)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, n->eps);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct fg_ep *ep = value;
+
+		if (ep->own != NULL)
+			fg_own_tick(n, ep->own);
+	}
+}
+
+static void tick_announce(struct fg_node *n)
+{
+	if (n->now < n->announce_next)
+		return;
+	n->announce_next = n->now + ANNOUNCE_MS;
+	n->io.announce(n->io.arg, n->stop_begun != 0);
+}
+
+/* One instance of each region deletes ledger rows that are past their time. */
+static void tick_sweep(struct fg_node *n)
+{
+	const struct fg_listed *self = &n->conf.member.self;
+	uint64_t key = fg_hash_str("ledger sweep");
+
+	if (n->now < n->sweep_next)
+		return;
+	n->sweep_next = n->now + SWEEP_MS;
+	if (fg_member_standing(n->member, n->now) == FG_STANDING_CONFIRMED &&
+	    fg_member_candidate(n->member, key, self->region, "") == n->self)
+		fg_ledger_sweep(n->ledger, n->now, fg_wire_ledger, n);
+}
+
+static void tick_second(struct fg_node *n)
+{
+	if (n->now < n->second_next)
+		return;
+	n->second_next = n->now + FG_MS_PER_S;
+	fg_estimate_tick(n->estimate, n->now);
+}
+
+void fg_node_tick(struct fg_node *n, fg_ms now)
+{
+	n->now = now;
+	fg_member_tick(n->member, now, fg_wire_member, n);
+	tick_announce(n);
+	tick_config(n);
+	follow_standing(n);
+	fg_eps_expire(n);
+	fg_owner_tick(n->owner, now, fg_wire_owner, n);
+	tick_owned(n);
+	fg_models_tick(n);
+	fg_waits_tick(n);
+	fg_reqs_tick(n);
+	fg_ledger_tick(n->ledger, now, fg_wire_ledger, n);
+	tick_sweep(n);
+	tick_second(n);
+	fg_node_tick_stop(n);
+	fg_node_drain(n);
+}
+
+/* ---- Events that several parts hear of ---- */
+
+void fg_node_table_done(struct fg_node *n, fg_ms now,
+			const struct fg_table_result *res)
+{
+	n->now = now;
+	fg_wire_table_done(n, res);
+	fg_node_drain(n);
+}
+
+void fg_node_list_done(struct fg_node *n, fg_ms now, enum fg_pf_result result,
+		       const struct fg_listed *list, size_t n_list)
+{
+	n->now = now;
+	n->list_pending = false;
+	fg_member_on_list(n->member, now, result, list, n_list, fg_wire_member,
+			  n);
+	if (result != FG_PF_OK)
+		return;
+	n->list_at = n->list_asked;
+	for (size_t i = 0; i < n_list; i++)
+		if (list[i].kind != FG_LISTED_ENTRY)
+			fg_ep_listed(n, &list[i]);
+	fg_node_drain(n);
+}
+
+void fg_node_change(struct fg_node *n, fg_ms now, uint64_t change_id,
+		    const char *change, uint64_t expect_revision,
+		    uint32_t wait_ms)
+{
+	n->now = now;
+	tell_live(n);
+	n->open_changes++;
+	fg_confsync_change(n->confsync, now, change_id, change, expect_revision,
+			   wait_ms, fg_wire_confsync, n);
+	fg_node_drain(n);
+}
+
+char *fg_node_catalogue(const struct fg_node *n)
+{
+	return fg_config_snapshot(n->config);
+}
+
+bool fg_node_suspect_clear(struct fg_node *n, uint64_t fingerprint)
+{
+	fg_msg *msg;
+	fg_suspect *ev;
+
+	if (!fg_suspects_clear(n->suspects, fingerprint))
+		return false;
+	msg = fg_msg_new(FG_MSG_SUSPECT);
+	ev = &msg->body.fg_body_u.suspect;
+	ev->fingerprint = fingerprint;
+	ev->event = FG_SUSPECT_CLEARED;
+	ev->req = fg_hash_mix(n->conf.member.boot, ++n->cleared);
+	fg_node_broadcast(n, msg);
+	fg_msg_free(msg);
+	return true;
+}
+
+void fg_node_set_wall(struct fg_node *n, int64_t wall_minus_now_ms)
+{
+	fg_ledger_set_wall(n->ledger, wall_minus_now_ms);
+}
+
+uint32_t fg_node_address_ttl_ms(const struct fg_node *n)
+{
+	return n->conf.address_ttl_ms;
+}
--- a/lib/peer/fg_proto.h
+++ b/lib/peer/fg_proto.h
@@ -53,7 +53,9 @@
 	u_quad_t revision;
 	u_int confirm_age_ms;
 	u_int platform_age_ms;
+	u_int heard_age_ms;
 	bool_t stopping;
+	bool_t attests;
 };
 typedef struct fg_ping fg_ping;
 
@@ -75,6 +77,7 @@
 	fg_av av;
 	u_int cls;
 	u_int budget_ms;
+	u_int hold_ms;
 	u_int hop;
 };
 typedef struct fg_grant_req fg_grant_req;
@@ -93,6 +96,7 @@
 struct fg_release {
 	u_quad_t ep;
 	u_quad_t grant;
+	u_quad_t req;
 	u_int service_ms;
 	bool_t crashed;
 };
--- a/lib/peer/fg_proto.x
+++ b/lib/peer/fg_proto.x
@@ -38,13 +38,16 @@
 	FG_MSG_OWNED = 17
 };
 
-/* Liveness, and what a peer must know at once. */
+/* Liveness, and what a peer must know at once. A pong echoes seq, which is
+ * the sender's clock. Ages of UINT_MAX mean never. */
 struct fg_ping {
 	unsigned hyper seq;
 	unsigned hyper revision;      /* configuration in force at the sender */
 	unsigned int confirm_age_ms;  /* since that revision was confirmed */
 	unsigned int platform_age_ms; /* since the sender reached the platform */
+	unsigned int heard_age_ms;    /* since another told the sender that it did */
 	bool stopping;                /* sender is draining */
+	bool attests;                 /* sender may act, pauses aside */
 };
 
 enum fg_grant_status {
@@ -65,6 +68,7 @@
 	fg_av av;
 	unsigned int cls;             /* enum fg_class */
 	unsigned int budget_ms;       /* time left before the deadline */
+	unsigned int hold_ms;         /* may wait so long for a batch to join */
 	unsigned int hop;
 };
 
@@ -80,9 +84,10 @@
 
 struct fg_release {
 	unsigned hyper ep;
-	unsigned hyper grant;
+	unsigned hyper grant;         /* 0 takes back an ask not yet answered */
+	unsigned hyper req;
 	unsigned int service_ms;      /* 0 when it never ran */
-	bool crashed;                 /* endpoint died under this request */
+	bool crashed;                 /* the endpoint may run it still, or died */
 };
 
 /* A router has requests for an adapter that is resident nowhere it knows. */
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -211,6 +211,22 @@
 	fg_grants_free(g);
 }
 
+/* A new owner knows the slots from the first state that it counts, whatever
+ * the time between asking and answer: it takes none for empty before that. */
+static void test_first_state(void)
+{
+	for (fg_ms asked_at = 990; asked_at <= 1000; asked_at++) {
+		struct fg_grants *g = fg_grants_new(&grant_conf, 1000, true);
+		struct fg_engine_state st = gfx_engine(1, 2, 1);
+
+		fg_grants_expect(g, NULL, 0);
+		fg_grants_engine(g, 1000, asked_at, &st, gfx_find, NULL);
+		g_assert_cmpint(gfx_load_start(g, 1000, 3), !=,
+				FG_LOAD_START_OK);
+		fg_grants_free(g);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -222,6 +238,7 @@
 	g_test_add_func("/grant/held_keeps_slot", test_held_keeps_slot);
 	g_test_add_func("/grant/leave", test_leave);
 	g_test_add_func("/grant/resident_message", test_resident_message);
+	g_test_add_func("/grant/first_state", test_first_state);
 	g_test_add_func("/grant/full_is_news", test_full_is_news);
 	g_test_add_func("/grant/preferred_victim", test_preferred_victim);
 	return g_test_run();
