Leases are deleted by as many as meet the holder's quorum exactly

A third and two thirds meet only where both sides count the same instances.

The lease row now says how many its writer counts, in its region and in all, and the deleter needs so many answers that they and two thirds of that number cannot be apart, counted over a scan made after the lapse. A region that was replaced as a whole can never reach this and falls back to a third after ten leases; at the same addresses it need not, since a renewed lease at a lapsed one's address proves the end of the old process. That proof compared row versions of different keys, which the platform does not promise to mean anything; it now goes by the order in which this instance saw them.

--- a/lib/member/fg_member_internal.h
+++ b/lib/member/fg_member_internal.h
@@ -25,6 +25,7 @@
 	uint64_t boot;
 	bool leaving;
 	uint32_t region_size;  /* instances of its region that it counted */
+	uint32_t total_size;   /* likewise of all regions */
 	struct fg_listed info; /* id and name come from the key */
 };
 
@@ -37,14 +38,15 @@
 	bool has_row;
 	uint64_t row_version;
 	uint32_t region_size; /* as its row says */
-	fg_ms seen_at;	      /* when its version was first seen */
-	fg_ms read_at;	      /* last read that covered it was sent then */
-	fg_ms absent_at;      /* a read sent then found no row; 0 never */
-	fg_ms lapsed_at;      /* the lease was seen lapsed; 0 no */
-	fg_ms proven_at;      /* a quorum has answered since; 0 no */
-	bool replaced;	      /* another runs at its address by now */
-	uint64_t scan;	      /* number of the last scan that showed the row */
-	bool op_busy;	      /* a GET or DELETE of the row is under way */
+	uint32_t total_size;
+	fg_ms seen_at;	 /* when its version was first seen */
+	fg_ms read_at;	 /* last read that covered it was sent then */
+	fg_ms absent_at; /* a read sent then found no row; 0 never */
+	fg_ms lapsed_at; /* the lease was seen lapsed; 0 no */
+	fg_ms proven_at; /* a quorum has answered since; 0 no */
+	bool replaced;	 /* another runs at its address by now */
+	uint64_t scan;	 /* number of the last scan that showed the row */
+	bool op_busy;	 /* a GET or DELETE of the row is under way */
 
 	/* Pings. */
 	fg_ms reach_at;	     /* the newest answered ping was sent then */
@@ -73,6 +75,7 @@
 	uint64_t peer; /* GET, DELETE */
 	fg_ms sent_at;
 	uint32_t region_size; /* RENEW: as written */
+	uint32_t total_size;
 };
 
 struct fg_own_lease {
@@ -88,9 +91,11 @@
 	fg_ms lost_sent_at; /* when a write without answer was sent; 0 none */
 	fg_ms next_at;	    /* next renewal or read */
 	uint64_t epoch;
-	/* What our row says of the region's size; the smaller one while a write
-	 * has no answer yet. */
-	uint32_t region_size;
+	/* What our row says of the sizes of the region and of all; a range
+	 * while a write has no answer yet. */
+	uint32_t region_least;
+	uint32_t region_most;
+	uint32_t total_most;
 };
 
 struct fg_member {
@@ -115,6 +120,7 @@
 	bool scan_busy;
 	bool replaced;	  /* another runs at its address by now */
 	uint64_t scan;	  /* number of the scan under way */
+	bool scan_due;	  /* at the next chance */
 	fg_ms scanned_at; /* last whole scan was sent then; 0 never */
 	size_t scan_rows; /* it showed so many */
 	fg_ms list_at;	  /* next read of the list */
@@ -187,13 +193,17 @@
 			struct fg_peer_entry *e);
 
 /* ---- fg_member_standing.c ---- */
-/* Instances of the region with a lease row, this one included. */
-size_t fg_member_region_size(const struct fg_member *m);
-/* Likewise of all regions. */
-size_t fg_member_total_size(const struct fg_member *m);
-/* Those that answered a ping sent after `since`, this one included. */
-size_t fg_member_reached(const struct fg_member *m, fg_ms since);
-size_t fg_member_total_reached(const struct fg_member *m, fg_ms since);
+/* Counts over instances with a lease row, this one included. */
+struct fg_tally {
+	uint32_t size;
+	uint32_t reached;   /* answered a ping sent after a given time */
+	uint32_t attesting; /* likewise, and may act themselves */
+};
+
+struct fg_tally fg_member_region_tally(const struct fg_member *m, fg_ms since);
+struct fg_tally fg_member_total_tally(const struct fg_member *m, fg_ms since);
+/* How many of n hold on together. */
+uint32_t fg_member_hold_quorum(uint32_t n);
 /* In a region this small, an instance that is cut off alone cannot tell, so
  * the instances of all regions are asked too. */
 bool fg_member_is_small(uint32_t region_size);
--- a/lib/member/fg_member_lease.c
+++ b/lib/member/fg_member_lease.c
@@ -41,18 +41,23 @@
 static void send_renewal(struct fg_member *m, fg_ms now)
 {
 	struct fg_table_op *op = fg_member_op(m, FG_OP_TXN, NULL);
+	uint32_t region = fg_member_region_tally(m, now).size;
+	uint32_t total = fg_member_total_tally(m, now).size;
 	struct fg_mop mop = { .kind = FG_MOP_RENEW,
-			      .region_size =
-				      (uint32_t)fg_member_region_size(m) };
+			      .region_size = region,
+			      .total_size = total };
 	struct fg_lease_row row = { .boot = m->conf.boot,
-				    .region_size = mop.region_size,
+				    .region_size = region,
+				    .total_size = total,
 				    .leaving = m->leaving,
 				    .info = m->conf.self };
 	char *value = fg_lease_row_encode(&row);
 
 	fg_table_op_write(op, m->key, m->lease.version, value);
 	g_free(value);
-	m->lease.region_size = MIN(m->lease.region_size, mop.region_size);
+	m->lease.region_least = MIN(m->lease.region_least, region);
+	m->lease.region_most = MAX(m->lease.region_most, region);
+	m->lease.total_most = MAX(m->lease.total_most, total);
 	submit_own(m, now, op, &mop);
 }
 
@@ -149,7 +154,9 @@
 
 	switch (res->result) {
 	case FG_PF_OK:
-		l->region_size = mop->region_size;
+		l->region_least = mop->region_size;
+		l->region_most = mop->region_size;
+		l->total_most = mop->total_size;
 		lease_won(m, now,
 			  res->n_rows > 0 ? res->rows[0].row_version : 0,
 			  mop->sent_at);
--- a/lib/member/fg_member_peers.c
+++ b/lib/member/fg_member_peers.c
@@ -6,7 +6,8 @@
 
 #include "member/fg_member_internal.h"
 
-#define REAP_RANK_MAX 6	       /* later candidates all wait this many turns */
+#define REAP_RANK_MAX 6 /* later candidates all wait this many turns */
+#define FORGET_LEASES 10
 #define FORGET_MS (600 * 1000) /* a dead instance is remembered so long */
 
 /* ---- States ---- */
@@ -69,6 +70,7 @@
 	e->view.info = lease->info;
 	e->row_version = row->row_version;
 	e->region_size = lease->region_size;
+	e->total_size = lease->total_size;
 	e->has_row = true;
 	e->seen_at = now;
 	e->lapsed_at = 0;
@@ -142,8 +144,9 @@
 /* ---- Deleting lapsed rows ---- */
 
 /*
- * A process that listens at the address of e, and wrote its own lease later,
- * proves that the process behind e has ended: it held the address until then.
+ * A process that listens at the address of e, and renewed its own lease after
+ * that of e was seen lapsed, proves that the process behind e has ended: it
+ * held the address until then.
  */
 static bool is_replaced(const struct fg_member *m,
 			const struct fg_peer_entry *e)
@@ -151,11 +154,11 @@
 	if (e->lapsed_at == 0 || e->view.info.rpc[0] == '\0')
 		return false;
 	if (strcmp(e->view.info.rpc, m->conf.self.rpc) == 0)
-		return m->lease.version > e->row_version;
+		return m->lease.held && m->lease.sent_at >= e->lapsed_at;
 	for (guint i = 0; i < m->ring->len; i++) {
 		const struct fg_peer_entry *p = m->ring->pdata[i];
 
-		if (p->row_version > e->row_version &&
+		if (p != e && p->seen_at >= e->lapsed_at &&
 		    strcmp(p->view.info.rpc, e->view.info.rpc) == 0)
 			return true;
 	}
@@ -212,16 +215,35 @@
 	return false;
 }
 
-/* A third of the region, and of all where the region was small, answered a
- * ping sent strictly after the read that showed the lapse. */
-static bool is_proven(const struct fg_member *m, const struct fg_peer_entry *e)
+/* One of those that answered is among the ones that the holder needs: two
+ * thirds of the `said` instances that it knew, all of which a scan shows. */
+static bool meets_holders(struct fg_tally t, uint32_t said)
 {
-	if (3 * fg_member_reached(m, e->lapsed_at) <= fg_member_region_size(m))
+	return t.reached + fg_member_hold_quorum(said) > t.size;
+}
+
+/*
+ * Counts answers to pings sent strictly after the read that showed the lapse.
+ * The holder in a small region needs both quorums, so that meeting one is
+ * enough. After FORGET_LEASES leases a third is, since a region that was
+ * replaced as a whole has nobody else to answer.
+ */
+static bool is_proven(const struct fg_member *m, fg_ms now,
+		      const struct fg_peer_entry *e)
+{
+	fg_ms forget_ms = FORGET_LEASES * (fg_ms)m->conf.lease_ms;
+	struct fg_tally region = fg_member_region_tally(m, e->lapsed_at);
+	struct fg_tally total = fg_member_total_tally(m, e->lapsed_at);
+	bool small = fg_member_is_small(e->region_size);
+
+	if (m->scanned_at < e->lapsed_at)
 		return false;
-	if (!fg_member_is_small(e->region_size))
+	if (meets_holders(region, e->region_size) ||
+	    (small && meets_holders(total, e->total_size)))
 		return true;
-	return 3 * fg_member_total_reached(m, e->lapsed_at) >
-	       fg_member_total_size(m);
+	return now - e->lapsed_at > forget_ms &&
+	       3 * region.reached > region.size &&
+	       (!small || 3 * total.reached > total.size);
 }
 
 static void send_delete(struct fg_member *m, fg_ms now, struct fg_peer_entry *e)
@@ -245,7 +267,8 @@
 		return;
 	}
 	if (e->proven_at == 0) {
-		if (is_proven(m, e))
+		m->scan_due |= m->scanned_at < e->lapsed_at;
+		if (is_proven(m, now, e))
 			e->proven_at = now;
 		return;
 	}
--- a/lib/member/fg_member_ping.c
+++ b/lib/member/fg_member_ping.c
@@ -160,11 +160,12 @@
 /* How many instances a survey asks; 0 when none is needed. */
 static size_t survey_size(const struct fg_member *m, fg_ms now)
 {
-	size_t n = fg_member_region_size(m);
+	uint32_t n = fg_member_region_tally(m, now).size;
 	size_t spare = n / 32 + 2;
 
 	if (lease_in_doubt(m, now))
-		return (2 * n + 2) / 3 + spare;
+		return fg_member_hold_quorum(MAX(n, m->lease.region_most)) +
+		       spare;
 	if (fg_member_reaping(m, now))
 		return n / 3 + 1 + spare;
 	return 0;
@@ -189,7 +190,7 @@
 	void *value;
 
 	if (!(lease_in_doubt(m, now) &&
-	      fg_member_is_small(m->lease.region_size)) &&
+	      fg_member_is_small(m->lease.region_least)) &&
 	    !fg_member_reaping_small(m, now))
 		return;
 	g_hash_table_iter_init(&it, m->peers);
--- a/lib/member/fg_member_table.c
+++ b/lib/member/fg_member_table.c
@@ -46,8 +46,11 @@
 {
 	struct fg_mop mop = { .kind = FG_MOP_SCAN };
 
+	if (m->scan_due && now >= m->scanned_at + SCAN_MIN_MS)
+		m->scan_at = now;
 	if (m->scan_busy || now < m->scan_at)
 		return;
+	m->scan_due = false;
 	m->scan_busy = true;
 	m->scan++;
 	m->scan_at = now + scan_interval_ms(m);
