--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -491,10 +491,7 @@
 	fg_msg *msg;
 
 	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
-	fake_table_put(b->table, "session/" BED_PEER,
-		       "{\"format\":1,\"boot\":9,\"http\":\"127.0.0.1:1\","
-		       "\"rpc\":\"127.0.0.1:2\",\"region\":\"coast\","
-		       "\"dc\":\"north\",\"state\":\"live\"}");
+	put_peer(b, "live");
 	bed_run(b, 6000);
 	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
 	bed_run(b, 1000);
