--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -109,6 +109,9 @@
 	char *service;
 	GPtrArray *reqs; /* struct fg_req, borrowed */
 	fg_ms need_sent;
+	uint32_t told_waiting; /* by the last NEED */
+	enum fg_class told_cls;
+	fg_ms told_due; /* its slack ends then */
 };
 
 /* A base model in this region, and its broker. */
@@ -257,8 +260,8 @@
 void fg_wait_add(struct fg_node *n, struct fg_req *r);
 void fg_wait_remove(struct fg_node *n, struct fg_req *r);
 void fg_wait_resident(struct fg_node *n, fg_av av);
-/* The broker refused the need: the most urgent request is answered, the rest
- * ask again. */
+/* The broker refused the need: requests due no later than it was told are
+ * answered, the rest ask again. */
 void fg_wait_refused(struct fg_node *n, fg_av av);
 void fg_waits_tick(struct fg_node *n);
 void fg_wait_free(void *wait);
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -288,8 +288,8 @@
 
 	if (own != NULL && own->grants != NULL && may_act(n, own))
 		start = fg_grants_load_start(own->grants, n->now, place->av,
-					     place->victim, NULL, NULL, &slot,
-					     &victim);
+					     place->victim, fg_grants_keep,
+					     NULL, &slot, &victim);
 	if (start == FG_LOAD_START_OK) {
 		reply_place(n, from, place->order, place->ep, place->av,
 			    FG_PLACE_STARTED);
--- a/lib/node/fg_node_wait.c
+++ b/lib/node/fg_node_wait.c
@@ -43,24 +43,49 @@
 	return left_ms > service_ms ? left_ms - service_ms : 0;
 }
 
-/* Sends the need of all that wait for one adapter; 0 waiting withdraws it. */
-static void send_need(struct fg_node *n, struct fg_wait *w)
+/* What all that wait for one adapter need; 0 waiting withdraws it. */
+static fg_need sum_up(struct fg_node *n, const struct fg_wait *w)
 {
-	fg_need need = { .av = w->av, .waiting = w->reqs->len };
+	fg_need need = {
+		.av = w->av,
+		.waiting = w->reqs->len,
+		.slack_ms = UINT32_MAX,
+		.cls = FG_CLASS_DRAFT,
+	};
 
-	need.slack_ms = UINT32_MAX;
-	need.cls = FG_CLASS_DRAFT;
 	for (guint i = 0; i < w->reqs->len; i++) {
 		const struct fg_req *r = g_ptr_array_index(w->reqs, i);
 
 		need.slack_ms = MIN(need.slack_ms, slack_ms(n, r));
 		need.cls = MIN(need.cls, r->cls);
 	}
+	return need;
+}
+
+static void send_need(struct fg_node *n, struct fg_wait *w)
+{
+	fg_need need = sum_up(n, w);
+
 	w->need_sent = n->now;
+	w->told_waiting = need.waiting;
+	w->told_cls = (enum fg_class)need.cls;
+	w->told_due = n->now + need.slack_ms;
 	fg_node_count(n, FG_NC_NEEDS, 1);
 	fg_model_need(n, n->self, &need, w->service);
 }
 
+/* The broker is told again when it would decide otherwise: the queue has
+ * doubled, something is due sooner, or a more urgent class has joined. */
+static void update_need(struct fg_node *n, struct fg_wait *w)
+{
+	fg_need need = sum_up(n, w);
+
+	if (need.waiting >= 2 * w->told_waiting ||
+	    need.cls < (u_int)w->told_cls ||
+	    n->now + need.slack_ms < w->told_due)
+		send_need(n, w);
+}
+
 void fg_wait_add(struct fg_node *n, struct fg_req *r)
 {
 	struct fg_wait *w = get_wait(n, r);
@@ -73,8 +98,7 @@
 		fg_node_count(n, FG_NC_STALLED, 1);
 	}
 	g_ptr_array_add(w->reqs, r);
-	if (w->reqs->len == 1)
-		send_need(n, w);
+	update_need(n, w);
 }
 
 void fg_wait_remove(struct fg_node *n, struct fg_req *r)
@@ -112,27 +136,32 @@
 	g_hash_table_remove(n->waits, &w->key);
 }
 
-static struct fg_req *most_urgent(const struct fg_wait *w)
+/* Those that are due no later than what the broker was told of. */
+static GPtrArray *due_as_told(struct fg_node *n, const struct fg_wait *w)
 {
-	struct fg_req *best = NULL;
+	GPtrArray *due = g_ptr_array_new();
 
 	for (guint i = 0; i < w->reqs->len; i++) {
 		struct fg_req *r = g_ptr_array_index(w->reqs, i);
 
-		if (best == NULL || r->deadline < best->deadline)
-			best = r;
+		if (n->now + slack_ms(n, r) <= w->told_due)
+			g_ptr_array_add(due, r);
 	}
-	return best;
+	return due;
 }
 
 void fg_wait_refused(struct fg_node *n, fg_av av)
 {
 	struct fg_wait *w = find_wait(n, av);
-	struct fg_req *r = w != NULL ? most_urgent(w) : NULL;
+	GPtrArray *due;
 
-	if (r == NULL)
+	if (w == NULL)
 		return;
-	fg_req_fail(n, r, FG_NOT_RUN, FG_R_NO_TIME, RETRY_AFTER_MS);
+	due = due_as_told(n, w);
+	for (guint i = 0; i < due->len; i++)
+		fg_req_fail(n, g_ptr_array_index(due, i), FG_NOT_RUN,
+			    FG_R_NO_TIME, RETRY_AFTER_MS);
+	g_ptr_array_free(due, TRUE);
 	w = find_wait(n, av);
 	if (w != NULL)
 		send_need(n, w);
