--- a/lib/member/fg_member_internal.h
+++ b/lib/member/fg_member_internal.h
@@ -24,6 +24,8 @@
 struct fg_lease_row {
 	uint64_t boot;
 	bool leaving;
+	uint32_t region_size;  /* instances of its region that it counted */
+	uint32_t total_size;   /* likewise of all regions */
 	struct fg_listed info; /* id and name come from the key */
 };
 
@@ -35,6 +37,8 @@
 	/* Lease row. */
 	bool has_row;
 	uint64_t row_version;
+	uint32_t region_size; /* as its row says */
+	uint32_t total_size;
 	fg_ms seen_at;	 /* when its version was first seen */
 	fg_ms read_at;	 /* last read that covered it was sent then */
 	fg_ms absent_at; /* a read sent then found no row; 0 never */
@@ -70,7 +74,8 @@
 	enum fg_mop_kind kind;
 	uint64_t peer; /* GET, DELETE */
 	fg_ms sent_at;
-	bool insert; /* RENEW: the row was expected to be absent */
+	uint32_t region_size; /* RENEW: as written */
+	uint32_t total_size;
 };
 
 struct fg_own_lease {
@@ -86,6 +91,11 @@
 	fg_ms lost_sent_at; /* when a write without answer was sent; 0 none */
 	fg_ms next_at;	    /* next renewal or read */
 	uint64_t epoch;
+	/* What our row says of the sizes of the region and of all; a range
+	 * while a write has no answer yet. */
+	uint32_t region_least;
+	uint32_t region_most;
+	uint32_t total_most;
 };
 
 struct fg_member {
@@ -110,6 +120,7 @@
 	bool scan_busy;
 	bool replaced;	  /* another runs at its address by now */
 	uint64_t scan;	  /* number of the scan under way */
+	bool scan_due;	  /* at the next chance */
 	fg_ms scanned_at; /* last whole scan was sent then; 0 never */
 	size_t scan_rows; /* it showed so many */
 	fg_ms list_at;	  /* next read of the list */
@@ -173,6 +184,7 @@
 			     const struct fg_mop *mop,
 			     const struct fg_table_result *res);
 bool fg_member_reaping(const struct fg_member *m, fg_ms now);
+bool fg_member_reaping_small(const struct fg_member *m, fg_ms now);
 
 /* ---- fg_member_ping.c ---- */
 void fg_member_ping_tick(struct fg_member *m, fg_ms now);
@@ -181,10 +193,20 @@
 			struct fg_peer_entry *e);
 
 /* ---- fg_member_standing.c ---- */
-/* Instances of the region with a lease row, this one included. */
-size_t fg_member_region_size(const struct fg_member *m);
-/* Those that answered a ping sent after `since`, this one included. */
-size_t fg_member_reached(const struct fg_member *m, fg_ms since);
+/* Counts over instances with a lease row, this one included. */
+struct fg_tally {
+	uint32_t size;
+	uint32_t reached;   /* answered a ping sent after a given time */
+	uint32_t attesting; /* likewise, and may act themselves */
+};
+
+struct fg_tally fg_member_region_tally(const struct fg_member *m, fg_ms since);
+struct fg_tally fg_member_total_tally(const struct fg_member *m, fg_ms since);
+/* How many of n hold on together. */
+uint32_t fg_member_hold_quorum(uint32_t n);
+/* In a region this small, an instance that is cut off alone cannot tell, so
+ * the instances of all regions are asked too. */
+bool fg_member_is_small(uint32_t region_size);
 /* What the standing would be without the caution after a pause. */
 enum fg_standing fg_member_base_standing(const struct fg_member *m, fg_ms now);
 void fg_member_standing_tick(struct fg_member *m, fg_ms now);
--- a/lib/member/fg_member_standing.c
+++ b/lib/member/fg_member_standing.c
@@ -1,63 +1,79 @@
 /* Quorums and the standing. */
 #include "member/fg_member_internal.h"
 
-size_t fg_member_region_size(const struct fg_member *m)
-{
-	size_t n = 1;
-
-	for (guint i = 0; i < m->ring->len; i++) {
-		const struct fg_peer_entry *e = m->ring->pdata[i];
+#define SMALL_REGION 2 /* instances */
 
-		if (!e->replaced)
-			n++;
-	}
-	return n;
+static void tally_add(struct fg_tally *t, const struct fg_peer_entry *e,
+		      fg_ms since)
+{
+	if (!e->has_row)
+		return;
+	t->size += e->replaced ? 0 : 1;
+	t->reached += e->reach_at > since ? 1 : 0;
+	t->attesting += e->attest_at > since ? 1 : 0;
 }
 
-size_t fg_member_reached(const struct fg_member *m, fg_ms since)
+struct fg_tally fg_member_total_tally(const struct fg_member *m, fg_ms since)
 {
-	size_t n = 1;
+	struct fg_tally t = { 1, 1, 1 };
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		tally_add(&t, value, since);
+	return t;
+}
 
-	for (guint i = 0; i < m->ring->len; i++) {
-		const struct fg_peer_entry *e = m->ring->pdata[i];
+struct fg_tally fg_member_region_tally(const struct fg_member *m, fg_ms since)
+{
+	struct fg_tally t = { 1, 1, 1 };
 
-		if (e->reach_at > since)
-			n++;
-	}
-	return n;
+	for (guint i = 0; i < m->ring->len; i++)
+		tally_add(&t, m->ring->pdata[i], since);
+	return t;
 }
 
-bool fg_member_sees_majority(const struct fg_member *m, fg_ms now)
+uint32_t fg_member_hold_quorum(uint32_t n)
 {
-	return 2 * fg_member_reached(m, now - (fg_ms)m->conf.reach_ms) >
-	       fg_member_region_size(m);
+	return (2 * n + 2) / 3;
 }
 
-static size_t attesting(const struct fg_member *m, fg_ms since)
+bool fg_member_is_small(uint32_t region_size)
 {
-	size_t n = 1;
+	return region_size <= SMALL_REGION;
+}
 
-	for (guint i = 0; i < m->ring->len; i++) {
-		const struct fg_peer_entry *e = m->ring->pdata[i];
+bool fg_member_sees_majority(const struct fg_member *m, fg_ms now)
+{
+	struct fg_tally t =
+		fg_member_region_tally(m, now - (fg_ms)m->conf.reach_ms);
 
-		if (e->attest_at > since)
-			n++;
-	}
-	return n;
+	return 2 * t.reached > t.size;
 }
 
 /*
- * Two thirds; a lease is deleted by more than a third, so they meet. An
- * instance whose own lease was deleted does not act any more by then, so only
- * those that act are counted: the region may have shrunk without our knowing.
- * Without them all are needed, whoever deleted a lease being among them.
+ * Two thirds of what our lease row says, so that whoever deletes it can tell
+ * how many are left to meet one of them. An instance whose own lease was
+ * deleted does not act any more by then, so only those that act are counted:
+ * the region may have shrunk without our knowing. Without them all are needed,
+ * whoever deleted a lease being among them.
  */
+static bool holds(struct fg_tally t, uint32_t said)
+{
+	uint32_t n = MAX(t.size, said);
+
+	return t.attesting >= fg_member_hold_quorum(n) || t.reached >= n;
+}
+
 static bool sees_hold_quorum(const struct fg_member *m, fg_ms since)
 {
-	size_t n = fg_member_region_size(m);
+	const struct fg_own_lease *l = &m->lease;
 
-	return 3 * attesting(m, since) >= 2 * n ||
-	       fg_member_reached(m, since) >= n;
+	if (!holds(fg_member_region_tally(m, since), l->region_most))
+		return false;
+	return !fg_member_is_small(l->region_least) ||
+	       holds(fg_member_total_tally(m, since), l->total_most);
 }
 
 fg_ms fg_member_contact(const struct fg_member *m)
--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -69,6 +69,14 @@
 	n->dir = fg_dir_new(seed + 6);
 }
 
+static const char *inst_name(void *arg, uint64_t inst)
+{
+	struct fg_node *n = arg;
+	const struct fg_peer_view *peer = fg_member_find(n->member, inst);
+
+	return peer != NULL ? peer->info.name : NULL;
+}
+
 static bool inst_is_dead(void *arg, uint64_t inst)
 {
 	struct fg_node *n = arg;
@@ -88,11 +96,12 @@
 	fg_rand_seed(&n->rand, seed);
 	make_parts(n, seed);
 	fg_ledger_set_dead(n->ledger, inst_is_dead, n);
+	fg_confsync_set_names(n->confsync, inst_name, n);
 	n->eps = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 				       fg_ep_free);
 	n->reqs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					fg_req_free);
-	n->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	n->waits = g_hash_table_new_full(fg_key_hash, g_int64_equal, NULL,
 					 fg_wait_free);
 	n->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  fg_model_free);
--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 
 #include "admit/fg_admit.h"
+#include "base/fg_key.h"
 #include "base/fg_rand.h"
 #include "grant/fg_grant.h"
 #include "ledger/fg_ledger.h"
@@ -50,6 +51,8 @@
 	uint64_t role_order; /* raises the engine's fence; 0: none sent */
 	fg_ms state_asked;   /* 0: none on its way */
 	fg_ms state_next;
+	fg_ms silent_since; /* its state could not be read; 0: it answers */
+	bool told_silent;
 	fg_ms resident_next;
 	fg_ms ask_next;	  /* GRANTS_ASK to those that have not told */
 	GPtrArray *loads; /* struct fg_pending_load */
@@ -57,7 +60,6 @@
 
 enum fg_req_state {
 	FG_REQ_LEDGER = 1,  /* filing: start row being written */
-	FG_REQ_HELD = 2,    /* draft waiting for company */
 	FG_REQ_ADAPTER = 3, /* waiting until its adapter is resident */
 	FG_REQ_GRANT = 4,   /* asked the owner */
 	FG_REQ_RUNNING = 5,
@@ -83,7 +85,7 @@
 	uint64_t prefix_hash;
 	fg_ms arrived;
 	fg_ms deadline;
-	fg_ms next_at;	   /* HELD and BACKOFF */
+	fg_ms next_at;	   /* BACKOFF */
 	fg_ms asked_at;	   /* GRANT */
 	fg_ms waits_since; /* 0 unless it waits for its adapter */
 	uint32_t attempts; /* dispatches so far */
@@ -97,6 +99,7 @@
 	bool ran;     /* some attempt may have run */
 	bool suspect; /* STARTED was told for the running attempt */
 	bool caller_gone;
+	bool counted; /* as sent to ep, in the directory */
 };
 
 /* Requests waiting for one adapter. */
@@ -106,8 +109,9 @@
 	char *service;
 	GPtrArray *reqs; /* struct fg_req, borrowed */
 	fg_ms need_sent;
-	uint32_t estimate_ms;
-	fg_ms estimate_at;
+	uint32_t told_waiting; /* by the last NEED */
+	enum fg_class told_cls;
+	fg_ms told_due; /* its slack ends then */
 };
 
 /* A base model in this region, and its broker. */
@@ -119,8 +123,6 @@
 	struct fg_broker *fallback; /* used while no broker is known */
 	GHashTable *heat;	    /* av key -> count since the last report */
 	uint64_t heat_seq;
-	uint32_t backlog_ms; /* as the broker last said */
-	fg_ms backlog_at;
 };
 
 /* Parts that use the table; each numbers its operations on its own. */
@@ -259,13 +261,11 @@
 void fg_wait_add(struct fg_node *n, struct fg_req *r);
 void fg_wait_remove(struct fg_node *n, struct fg_req *r);
 void fg_wait_resident(struct fg_node *n, fg_av av);
-void fg_wait_need_rep(struct fg_node *n, const fg_need_rep *rep);
-/* The broker refused the need: the most urgent request is answered, the rest
- * ask again. */
+/* The broker refused the need: requests due no later than it was told are
+ * answered, the rest ask again. */
 void fg_wait_refused(struct fg_node *n, fg_av av);
 void fg_waits_tick(struct fg_node *n);
 void fg_wait_free(void *wait);
-uint32_t fg_wait_count(struct fg_node *n, fg_av av);
 
 /* ---- fg_node_broker.c: broker role ---- */
 struct fg_model *fg_model_get(struct fg_node *n, const char *service);
@@ -296,12 +296,19 @@
 void fg_own_tell(struct fg_node *n, uint64_t from, const fg_grants_tell *tell);
 void fg_own_peer_dead(struct fg_node *n, uint64_t id);
 void fg_own_peer_up(struct fg_node *n, uint64_t id);
+
+/* ---- fg_node_resident.c: what owned engines hold ---- */
+/* Tells instance `to`; 0: the whole region. */
 void fg_own_resident(struct fg_node *n, struct fg_own *own, uint64_t to);
+void fg_own_repeat_resident(struct fg_node *n, struct fg_own *own);
+/* The engine's state could not be read, or was. */
+void fg_own_note_silence(struct fg_node *n, struct fg_own *own, bool silent);
 
 /* ---- fg_node_suspect.c ---- */
 bool fg_suspect_gate(struct fg_node *n, struct fg_req *r);
 void fg_suspect_start(struct fg_node *n, struct fg_req *r);
-void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed);
+void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed,
+		    bool ran_none);
 bool fg_suspect_crowded(struct fg_node *n, const struct fg_req *r, uint64_t ep);
 void fg_suspect_msg(struct fg_node *n, uint64_t from, const fg_suspect *ev);
 
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -3,16 +3,12 @@
 
 #include "node/fg_node_internal.h"
 
-#define REFRESH_PER_PEER_MS                                                    \
-	300 /* bounds repeats of RESIDENT over all peers                       \
-	     */
 #define STATE_SOON_MS 100
 #define ASK_REPEAT_MS 500 /* between asks of one peer for its grants */
 #define STATE_RETRY_MS 500
 #define RECOVER_MAX_MS 600000 /* longest deadline of any request */
 #define HELD_MAX 1024
 #define PEERS_MAX 1024
-#define REMOTE_PEERS_MAX 16 /* small sites: other regions are told as well */
 
 void fg_own_free(struct fg_own *own)
 {
@@ -36,53 +32,6 @@
 	       fg_owner_may_act(n->owner, own->ep->id, n->now);
 }
 
-/* ---- Telling what is resident ---- */
-
-void fg_own_resident(struct fg_node *n, struct fg_own *own, uint64_t to)
-{
-	fg_msg *msg;
-
-	if (own->grants == NULL)
-		return;
-	msg = fg_msg_new(FG_MSG_RESIDENT);
-	fg_grants_resident(own->grants, &msg->body.fg_body_u.resident);
-	if (to != 0) {
-		fg_node_send(n, to, msg);
-	} else {
-		fg_node_send(n, n->self, msg);
-		fg_node_broadcast(n, msg);
-	}
-	fg_msg_free(msg);
-}
-
-static void tell_other_regions(struct fg_node *n, struct fg_own *own)
-{
-	uint64_t ids[PEERS_MAX];
-	size_t total = fg_member_live(n->member, NULL, ids, PEERS_MAX);
-
-	if (total > REMOTE_PEERS_MAX)
-		return;
-	for (size_t i = 0; i < total; i++) {
-		const struct fg_peer_view *peer =
-			fg_member_find(n->member, ids[i]);
-
-		if (peer != NULL && ids[i] != n->self &&
-		    strcmp(peer->info.region, n->conf.member.self.region) != 0)
-			fg_own_resident(n, own, ids[i]);
-	}
-}
-
-static void repeat_resident(struct fg_node *n, struct fg_own *own)
-{
-	uint64_t ids[PEERS_MAX];
-	size_t peers = fg_node_region_peers(n, ids, PEERS_MAX);
-	uint32_t spread_ms = (uint32_t)peers * REFRESH_PER_PEER_MS;
-
-	own->resident_next = n->now + MAX(n->conf.resident_ms, spread_ms);
-	fg_own_resident(n, own, 0);
-	tell_other_regions(n, own);
-}
-
 /* ---- Gaining and losing ---- */
 
 /* Asks whoever has not told its grants yet, until all have: the first ask is
@@ -232,6 +181,7 @@
 	own->state_asked = 0;
 	own->state_next =
 		now + (st != NULL ? n->conf.state_ms : STATE_RETRY_MS);
+	fg_own_note_silence(n, own, st == NULL);
 	if (st == NULL)
 		return;
 	seen = *st;
@@ -340,8 +290,8 @@
 
 	if (own != NULL && own->grants != NULL && may_act(n, own))
 		start = fg_grants_load_start(own->grants, n->now, place->av,
-					     place->victim, NULL, NULL, &slot,
-					     &victim);
+					     place->victim, fg_grants_keep,
+					     NULL, &slot, &victim);
 	if (start == FG_LOAD_START_OK) {
 		reply_place(n, from, place->order, place->ep, place->av,
 			    FG_PLACE_STARTED);
@@ -475,6 +425,7 @@
 		.av = req->av,
 		.cls = (enum fg_class)req->cls,
 		.budget_ms = req->budget_ms,
+		.hold_ms = req->hold_ms,
 	};
 	fg_grant_status status;
 	uint64_t grant = 0;
@@ -583,5 +534,5 @@
 	if (fg_grants_changed(own->grants))
 		fg_own_resident(n, own, 0);
 	if (n->now >= own->resident_next)
-		repeat_resident(n, own);
+		fg_own_repeat_resident(n, own);
 }
--- a/lib/node/fg_node_suspect.c
+++ b/lib/node/fg_node_suspect.c
@@ -11,7 +11,9 @@
 	ev->av = r->av;
 	ev->ep = r->ep;
 	ev->event = event;
-	ev->req = r->id << 8 | (r->attempts & 0xff);
+	ev->req = fg_hash_mix(fg_hash_mix(n->self, n->conf.member.boot), r->id)
+			  << 8 |
+		  (r->attempts & 0xff);
 	if (fg_suspects_event(n->suspects, n->now, n->self, ev)) {
 		fg_node_broadcast(n, msg);
 		fg_node_event(n, "suspect",
@@ -44,7 +46,8 @@
 	case FG_SUSPECT_REFUSE:
 		break;
 	}
-	fg_req_fail(n, r, FG_NOT_RUN, FG_R_SUSPECT, retry_after_ms);
+	fg_req_fail(n, r, r->ran ? FG_FAILED : FG_NOT_RUN, FG_R_SUSPECT,
+		    retry_after_ms);
 	return false;
 }
 
@@ -54,14 +57,15 @@
 		tell(n, r, FG_SUSPECT_STARTED);
 }
 
-void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed)
+void fg_suspect_end(struct fg_node *n, struct fg_req *r, bool crashed,
+		    bool ran_none)
 {
 	if (r->adapter == NULL)
 		return;
 	if (crashed)
 		tell(n, r, FG_SUSPECT_CRASH);
 	else if (r->suspect)
-		tell(n, r, FG_SUSPECT_FINISHED);
+		tell(n, r, ran_none ? FG_SUSPECT_UNRUN : FG_SUSPECT_FINISHED);
 	r->suspect = false;
 }
 
--- a/lib/node/fg_node_wire.c
+++ b/lib/node/fg_node_wire.c
@@ -105,6 +105,9 @@
 			fg_own_gained(n, act);
 		break;
 	case FG_OA_LOST:
+		if (n->conf.switches.no_isolation)
+			break;
+		/* fall through */
 	case FG_OA_RELEASED:
 		if (!fg_model_lost(n, act->key))
 			fg_own_lost(n, act->key);
@@ -136,6 +139,7 @@
 	const struct fg_preset *preset = fg_config_preset(n->config);
 
 	fg_retry_set_percent(n->retry, preset->retry_percent);
+	fg_dir_set_weight(n->dir, preset->stall_weight);
 	fg_models_config(n);
 	fg_member_set_revision(n->member, fg_config_revision(n->config),
 			       fg_confsync_confirm_age(n->confsync, n->now));
--- a/programs/fg-load/fl_conf.h
+++ b/programs/fg-load/fl_conf.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/fg_outcome.h"
+#include "fl_experiment.h"
 
 struct fl_conf {
 	char **addresses; /* "IP:port" of entry instances */
@@ -32,6 +33,8 @@
 	char *history; /* "" for none */
 	char *summary; /* "" for none */
 	uint32_t show;
+	bool all_done; /* succeed only if every request was DONE and whole */
+	struct fl_experiment *experiment; /* NULL for none */
 };
 
 /* Parses the command line; false with a message on stderr on error. */
--- a/tests/fgcaller.py
+++ b/tests/fgcaller.py
@@ -6,6 +6,7 @@
 
 from fghttp import request_json
 import fghttp
+from fgsystem import now_ms
 from xxh64 import hash8
 
 PATHS = {"filing": "/v1/filings", "status": "/v1/status",
@@ -15,10 +16,6 @@
 EARLY_PART = 10  # answered within this part of the deadline: early
 
 
-def now_ms():
-    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
-
-
 class History:
     """Appends events of docs/PROTOCOL.md, section 6, to a file."""
 
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "admit/fg_admit.h"
 #include "base/fg_rand.h"
 
 static void assert_outcome(const struct bed *b, uint64_t id,
@@ -431,7 +432,7 @@
 static void test_ran_then_no_adapter(void)
 {
 	struct bed *b = bed_new();
-	fg_msg *msg = fg_msg_new(FG_MSG_NEED_REP);
+	fg_msg *msg = fg_msg_new(FG_MSG_PLACE_REP);
 
 	/* Without known service times nothing is refused for its estimate. */
 	for (uint64_t id = 100; id < 150; id++) {
@@ -441,8 +442,8 @@
 	}
 	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 10000);
 	bed_run(b, 1000);
-	msg->body.fg_body_u.need_rep.av = (fg_av){ 1, 1 };
-	msg->body.fg_body_u.need_rep.estimate_ms = 60000;
+	msg->body.fg_body_u.place_rep.av = (fg_av){ 1, 1 };
+	msg->body.fg_body_u.place_rep.status = FG_PLACE_REFUSED;
 	g_free(b->adapter[slot_holding(b, "a1")]);
 	b->adapter[0] = NULL;
 	b->adapter[1] = NULL;
@@ -471,6 +472,81 @@
 	bed_free(b);
 }
 
+static const fg_msg *first_sent(const struct bed *b, fg_msg_type type)
+{
+	for (guint i = 0; i < b->sent->len; i++) {
+		const fg_msg *m = g_ptr_array_index(b->sent, i);
+
+		if (m->body.type == type)
+			return m;
+	}
+	return NULL;
+}
+
+/* Two instances number their requests alike; a crash told by one must not be
+ * taken for a repeat of one told by the other. */
+static void test_suspect_ids_differ(void)
+{
+	struct bed *b = bed_new();
+	fg_msg *msg;
+
+	bed_list(b, FG_LISTED_ENTRY, BED_PEER, false);
+	put_peer(b, "live");
+	bed_run(b, 6000);
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 1000);
+	bed_forget(b);
+	bed_run_done(b, 0, FG_RUN_LOST);
+	g_assert_nonnull(first_sent(b, FG_MSG_SUSPECT));
+	/* The peer tells of a crash of its request 10, elsewhere. */
+	msg = fg_msg_dup(first_sent(b, FG_MSG_SUSPECT));
+	g_assert_cmpint(msg->body.fg_body_u.suspect.event, ==,
+			FG_SUSPECT_CRASH);
+	msg->body.fg_body_u.suspect.req = 10 << 8 | 1;
+	msg->body.fg_body_u.suspect.ep = 1234;
+	fg_node_msg(b->node, b->now, fg_hash_str(BED_PEER), msg);
+	fg_msg_free(msg);
+	bed_run(b, 3000);
+	assert_outcome(b, 10, FG_FAILED, FG_R_SUSPECT);
+	bed_free(b);
+}
+
+/* What an engine holds counts for nothing while it does not answer, so that
+ * its adapters are loaded elsewhere. */
+static void test_silent_engine(void)
+{
+	struct bed *b = bed_new();
+
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 1000);
+	bed_run_done(b, 0, FG_RUN_DONE);
+	b->state_fails = true;
+	bed_run(b, 5000);
+	bed_generate(b, 11, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 3000);
+	g_assert_cmpuint(b->runs->len, ==, 0);
+	g_assert_null(bed_reply(b, 11));
+	b->state_fails = false;
+	bed_run(b, 3000);
+	g_assert_cmpuint(b->runs->len, ==, 1);
+	bed_free(b);
+}
+
+/* While an endpoint refuses connections, nothing is spent on trying it. */
+static void test_refused_connection(void)
+{
+	struct bed *b = bed_new();
+
+	bed_generate(b, 10, "a1", FG_CLASS_INTERACTIVE, 60000);
+	bed_run(b, 1000);
+	bed_run_done(b, 0, FG_RUN_NOT_SENT);
+	bed_run(b, 800);
+	g_assert_cmpuint(b->runs->len, ==, 0);
+	bed_run(b, 1000);
+	g_assert_cmpuint(b->runs->len, ==, 1);
+	bed_free(b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -498,5 +574,8 @@
 	g_test_add_func("/node/ran_then_no_adapter", test_ran_then_no_adapter);
 	g_test_add_func("/node/ran_then_caller_gone",
 			test_ran_then_caller_gone);
+	g_test_add_func("/node/suspect_ids_differ", test_suspect_ids_differ);
+	g_test_add_func("/node/refused_connection", test_refused_connection);
+	g_test_add_func("/node/silent_engine", test_silent_engine);
 	return g_test_run();
 }
