Tests of the wait before a deletion and of news passed on; docs

Each now has a test of its own, /member/deletion_waits and /member/contact_is_passed_on, seen failing in a scratch copy without it. Without the count that the holder wrote /member/total_restart fails, without the rule for small regions /owner/lone_instance, with pongs that always attest /owner/seeds or /owner/shrunken_region.

--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -17,9 +17,10 @@
  *
  * An instance is DEAD when its lease row is gone. A lapsed row is deleted by
  * one of the region's live instances, and only after that one
- *  - saw the lease lapse,
- *  - had pings answered by more than a third of the region's instances, sent
- *    after that, which tell them that the platform is reachable, and
+ *  - saw the lease lapse, and scanned all rows since,
+ *  - had pings answered, sent after that, which tell that the platform is
+ *    reachable, by so many of the region's instances that they and two thirds
+ *    of those whom the holder counted cannot be apart, and
  *  - waited reach_ms more.
  * A lapsed row whose inner address another instance uses by now needs no more
  * than the lapse: the process that held the address has ended.
@@ -33,10 +34,10 @@
  *              answered a ping, or all of them whatever their standing: hold
  *              on to what we own.
  *   ISOLATED   neither: no orders, no grants, no new work.
- * Where the region has no more than two instances, both the deletion and
- * holding on need their share of the instances of all regions as well.
- * One of the two thirds is always among the one third, so it has heard from
- * the deleter of our lease and told us before the row goes. What remains is
+ * Where the region has no more than two instances, holding on needs two thirds
+ * of the instances of all regions as well, and the deleter may meet either.
+ * So one of the two thirds has heard from the deleter of our lease, and told us
+ * before the row goes. What remains is
  * in docs/design/membership.md.
  */
 #ifndef FG_MEMBER_H
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -61,6 +61,51 @@
 	cluster_free(c);
 }
 
+/* A lapsed row goes only reach_ms after its deleter had its quorum. */
+static void test_deletion_waits(void)
+{
+	struct cluster *c = start(13, 6);
+	uint64_t id = c->nodes[5].self.id;
+	fg_ms proven[5] = { 0 };
+	fg_ms longest_ms = 0;
+
+	cluster_kill(c, &c->nodes[5]);
+	while (g_tree_nnodes(c->table) == 6 && c->now < 60000) {
+		cluster_run(c, c->now + 10);
+		for (int i = 0; i < 5; i++) {
+			struct fg_peer_entry *e =
+				fg_member_entry(c->nodes[i].m, id);
+
+			if (e->proven_at != 0)
+				proven[i] = e->proven_at;
+		}
+	}
+	for (int i = 0; i < 5; i++)
+		if (proven[i] != 0)
+			longest_ms =
+				MAX(longest_ms,
+				    node_clock(c, &c->nodes[i]) - proven[i]);
+	g_assert_cmpint(g_tree_nnodes(c->table), ==, 5);
+	g_assert_cmpint(longest_ms, >=, c->conf.lease_ms * 2 / 3);
+	cluster_free(c);
+}
+
+/* Node 1 passes on to node 0 that node 2 reaches the platform. */
+static void test_contact_is_passed_on(void)
+{
+	struct cluster *c = start(14, 3);
+	fg_ms contact;
+
+	c->nodes[0].platform_cut = true;
+	c->nodes[1].platform_cut = true;
+	c->pair_cut[0][2] = true;
+	c->pair_cut[2][0] = true;
+	cluster_run(c, c->now + 10000);
+	contact = fg_member_contact(c->nodes[0].m);
+	g_assert_cmpint(node_clock(c, &c->nodes[0]) - contact, <, 3000);
+	cluster_free(c);
+}
+
 /* A planned stop is known at once, and nothing waits for a lease to lapse. */
 static void test_leave_and_quit(void)
 {
@@ -247,6 +292,9 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/member/all_see_all", test_all_see_all);
 	g_test_add_func("/member/death", test_death);
+	g_test_add_func("/member/deletion_waits", test_deletion_waits);
+	g_test_add_func("/member/contact_is_passed_on",
+			test_contact_is_passed_on);
 	g_test_add_func("/member/leave_and_quit", test_leave_and_quit);
 	g_test_add_func("/member/outage_holds", test_outage_holds);
 	g_test_add_func("/member/cut_from_platform", test_cut_from_platform);
