Peer tests side by side take ports of their own

Two runs at once on one machine used the same ports: one run under the address sanitizer aborted, and 1 of 48 with ports chosen by process id did with "Address already in use". Each run now holds a free block of ten ports. 48 runs, four at a time, under the address sanitizer pass.

--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -11,9 +11,34 @@
 #include "base/fg_clock.h"
 #include "peer/fg_peer.h"
 
-#define BASE_PORT 23100
+#define FIRST_PORT 23100
+#define LAST_PORT 23900
+#define PORTS 10 /* used by one run */
 #define WAIT_MS 5000
 
+/* Runs side by side take ports of their own: each holds the first of its ten
+ * as long as it runs. */
+static int base_port;
+
+static void take_ports(void)
+{
+	for (int port = FIRST_PORT; port < LAST_PORT; port += PORTS) {
+		struct sockaddr_in sa = {
+			.sin_family = AF_INET,
+			.sin_port = htons((uint16_t)port),
+			.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0) {
+			base_port = port;
+			return;
+		}
+		close(fd);
+	}
+	g_error("no free ports");
+}
+
 struct inbox {
 	pthread_mutex_t lock;
 	uint64_t n;
@@ -71,7 +96,7 @@
 
 static char *address(int i)
 {
-	return g_strdup_printf("127.0.0.1:%d", BASE_PORT + i);
+	return g_strdup_printf("127.0.0.1:%d", base_port + i);
 }
 
 static struct fg_peer *start(int i, uint32_t timeout_ms, struct inbox *in)
@@ -228,7 +253,7 @@
 static int raw_connect(int i)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET,
-				  .sin_port = htons((uint16_t)(BASE_PORT + i)),
+				  .sin_port = htons((uint16_t)(base_port + i)),
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
@@ -293,13 +318,14 @@
 {
 	struct inbox a = { 0 };
 	struct fg_peer *pa = start(1, 100, &a);
+	g_autofree char *taken = address(1);
 	struct fg_peer_conf conf = { .listen = "localhost:23101", .self = 9 };
 	GError *error = NULL;
 
 	g_assert_null(fg_peer_start(&conf, receive, &a, &error));
 	g_assert_error(error, FG_PEER_ERROR, FG_PEER_ERR_ADDRESS);
 	g_clear_error(&error);
-	conf.listen = "127.0.0.1:23101";
+	conf.listen = taken;
 	g_assert_null(fg_peer_start(&conf, receive, &a, &error));
 	g_assert_error(error, FG_PEER_ERROR, FG_PEER_ERR_BIND);
 	g_clear_error(&error);
@@ -324,6 +350,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	take_ports();
 	g_test_add_func("/peer/both_ways", test_both_ways);
 	g_test_add_func("/peer/no_delay", test_no_delay);
 	g_test_add_func("/peer/large_texts", test_large_texts);
