--- a/lib/member/fg_member_internal.h
+++ b/lib/member/fg_member_internal.h
@@ -93,6 +93,7 @@
 	uint64_t epoch;
 	/* What our row says of the sizes of the region and of all; a range
 	 * while a write has no answer yet. */
+	fg_ms early_at; /* no renewal before its time until then */
 	uint32_t region_least;
 	uint32_t region_most;
 	uint32_t total_most;
--- a/lib/member/fg_member_lease.c
+++ b/lib/member/fg_member_lease.c
@@ -70,6 +70,19 @@
 	submit_own(m, now, op, &mop);
 }
 
+/*
+ * The row says that we know far fewer than there are, as it does just after
+ * the start. If we died now, those that are left could not tell whether they
+ * meet the quorum that we would have held on with.
+ */
+static bool row_understates(const struct fg_member *m, fg_ms now)
+{
+	const struct fg_own_lease *l = &m->lease;
+	uint32_t size = fg_member_region_tally(m, now).size;
+
+	return l->held && now >= l->early_at && 3 * l->region_most < 2 * size;
+}
+
 void fg_member_lease_tick(struct fg_member *m, fg_ms now)
 {
 	struct fg_own_lease *l = &m->lease;
@@ -79,8 +92,11 @@
 		l->busy = false;
 		l->unsure = true;
 	}
-	if (l->busy || l->superseded || now < l->next_at)
+	if (l->busy || l->superseded)
+		return;
+	if (now < l->next_at && !row_understates(m, now))
 		return;
+	l->early_at = now + LOST_RETRY_MS;
 	l->next_at = now + (fg_ms)m->conf.renew_ms;
 	if (l->unsure)
 		send_read(m, now);
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -81,6 +81,28 @@
 	cluster_free(c);
 }
 
+/* An instance that dies before its second renewal: its row says how many it
+ * knows by then, so that those left need not wait for ten leases. */
+static void test_killed_early(void)
+{
+	struct cluster *c = cluster_new(22, 4, 1);
+	struct node *n;
+	fg_ms killed;
+
+	fg_member_conf_defaults(&c->conf);
+	cluster_join(c, "coast");
+	cluster_join(c, "coast");
+	n = cluster_join(c, "coast");
+	cluster_run(c, c->now + c->conf.renew_ms * 3 / 4);
+	cluster_kill(c, n);
+	killed = c->now;
+	while (cluster_dead_rows(c, "coast") > 0 && c->now < killed + 200000)
+		cluster_run(c, c->now + 100);
+	g_test_message("row gone after %d ms", (int)(c->now - killed));
+	g_assert_cmpint(c->now - killed, <, 4 * (fg_ms)c->conf.lease_ms);
+	cluster_free(c);
+}
+
 static void test_hand_over(void)
 {
 	struct cluster *c = start(3, 4, 6);
@@ -557,6 +579,7 @@
 	g_test_add_func("/owner/claims_are_batched", test_claims_are_batched);
 	g_test_add_func("/owner/takeover", test_takeover);
 	g_test_add_func("/owner/takeover_defaults", test_takeover_defaults);
+	g_test_add_func("/owner/killed_early", test_killed_early);
 	g_test_add_func("/owner/hand_over", test_hand_over);
 	g_test_add_func("/owner/intents", test_intents);
 	g_test_add_func("/owner/intents_with_faults", test_intents_with_faults);
