Bench: slopes of config, router, grants, broker and ledger

docs/CAPACITY.md had "not measured yet" for five roles, so nobody could tell which of them breaks first at 600 nodes.

make slopes now measures their memory and processor time at four sizes each, and prints the bytes of NEED, PLACE, PLACE_REP, RESIDENT and HEAT. With PART=roles it runs these alone, in 14 s and without ports.

The full make slopes was not run with this change, its older parts are as they were.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	@echo "make check      install, build and run every test"
 	@echo "make lint       formatter and linters"
 	@echo "make bench      policies against the baselines"
-	@echo "make slopes     state, CPU and bytes per unit, for docs/CAPACITY.md"
+	@echo "make slopes     state, CPU and bytes per unit (PART=roles: the roles alone)"
 	@echo "make check-asan make check-tsan   tests under the sanitizers"
 	@echo "make fuzz       a short fixed run of each fuzzer"
 	@echo "make format     rewrite the sources in the house format"
@@ -118,7 +118,7 @@
 
 .PHONY: slopes
 slopes: $(BUILD)/bin/bench_slopes
-	@$(BUILD)/bin/bench_slopes
+	@$(BUILD)/bin/bench_slopes $(PART)
 
 .PHONY: check-asan
 check-asan:
--- a/tests/bench/bench_slopes.c
+++ b/tests/bench/bench_slopes.c
@@ -337,8 +337,13 @@
 		slopes_series("peers", x, &s[i]);
 }
 
-int main(void)
+/* With the argument "roles" only the roles, which need no ports. */
+int main(int argc, char **argv)
 {
+	if (argc > 1 && strcmp(argv[1], "roles") == 0) {
+		slopes_roles();
+		return 0;
+	}
 	/* Before the heap of this process has grown. */
 	bench_transport();
 	bench_member(4);
@@ -348,5 +353,6 @@
 	bench_codec(FG_MSG_GRANT_REQ);
 	bench_codec(FG_MSG_GRANT_REP);
 	bench_codec(FG_MSG_RELEASE);
+	slopes_roles();
 	return 0;
 }
--- a/tests/bench/slopes.h
+++ b/tests/bench/slopes.h
@@ -27,6 +27,9 @@
 double slopes_heap_bytes(void); /* handed out by malloc */
 double slopes_resident_bytes(void);
 
+/* Prints the slopes of the roles of a node. */
+void slopes_roles(void);
+
 /* An instance and what it sees. */
 struct world {
 	fg_ms now;
