Node: loads and results in files of their own

No change of behaviour: fg_node_load.c takes what an owner orders, fg_node_result.c what becomes of an attempt.

--- a/lib/node/fg_node_internal.h
+++ b/lib/node/fg_node_internal.h
@@ -249,6 +249,8 @@
 			  const fg_grant_rep *rep);
 void fg_route_repeat_ask(struct fg_node *n, struct fg_req *r);
 void fg_route_avoid(struct fg_req *r, uint64_t ep);
+/* Routes the request again after wait_ms. */
+void fg_route_back_off(struct fg_node *n, struct fg_req *r, uint32_t wait_ms);
 /* Gives back whatever grant or ask the request has. */
 /* `unseen`: the endpoint may be running the request still. */
 void fg_route_release(struct fg_node *n, struct fg_req *r, uint32_t service_ms,
@@ -286,10 +288,12 @@
 void fg_own_gained(struct fg_node *n, const struct fg_owner_act *act);
 void fg_own_lost(struct fg_node *n, uint64_t key);
 void fg_own_free(struct fg_own *own);
+/* The endpoint as we own it; NULL when we do not. */
+struct fg_own *fg_own_of(struct fg_node *n, uint64_t ep_id);
+/* True while the lease allows orders to it and grants on it. */
+bool fg_own_may_act(struct fg_node *n, const struct fg_own *own);
 void fg_own_leave(struct fg_node *n, struct fg_own *own);
 void fg_own_tick(struct fg_node *n, struct fg_own *own);
-void fg_own_intent(struct fg_node *n, uint64_t intent_id, bool stored);
-void fg_own_place(struct fg_node *n, uint64_t from, const fg_place *place);
 void fg_own_grant_req(struct fg_node *n, uint64_t from,
 		      const fg_grant_req *req);
 void fg_own_release(struct fg_node *n, uint64_t from, const fg_release *rel);
@@ -304,6 +308,12 @@
 /* The engine's state could not be read, or was. */
 void fg_own_note_silence(struct fg_node *n, struct fg_own *own, bool silent);
 
+/* ---- fg_node_load.c: loads that an owner orders ---- */
+/* Unique over all owners: the engine and the intents see it. */
+uint64_t fg_own_order_id(struct fg_node *n, const struct fg_own *own);
+void fg_own_intent(struct fg_node *n, uint64_t intent_id, bool stored);
+void fg_own_place(struct fg_node *n, uint64_t from, const fg_place *place);
+
 /* ---- fg_node_suspect.c ---- */
 bool fg_suspect_gate(struct fg_node *n, struct fg_req *r);
 void fg_suspect_start(struct fg_node *n, struct fg_req *r);
