--- a/lib/run/fg_exchange.c
+++ b/lib/run/fg_exchange.c
@@ -11,6 +11,7 @@
 
 	x->refs = 1;
 	x->id = id;
+	x->cls = -1;
 	x->connection = connection;
 	x->body = g_string_new(NULL);
 	x->out = g_string_new(NULL);
--- a/lib/run/fg_exchange.h
+++ b/lib/run/fg_exchange.h
@@ -19,6 +19,8 @@
 	struct MHD_Connection *connection;
 	char *tag;  /* the caller's own id */
 	bool plain; /* answer of a plain service: JSON */
+	int cls;    /* enum fg_class; -1: an operator's call */
+	int64_t began_ms;
 	bool stream;
 	bool answered;	     /* a response was queued; HTTP thread alone */
 	volatile int cancel; /* set when the caller went away */
--- a/lib/run/fg_run.c
+++ b/lib/run/fg_run.c
@@ -186,6 +186,7 @@
 	run->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  free_exchange);
 	run->endpoints = &fg_endpoint_http_ops;
+	fg_run_make_metrics(run);
 	run->platform = fg_platform_http_new(s->platform, s->name,
 					     s->timing.platform_timeout_ms);
 	run->table_pool =
@@ -272,6 +273,7 @@
 	fg_history_add(run->history, "stop_end",
 		       json_pack("{s:i}", "in_progress", (int)in_progress));
 	fg_node_free(run->node);
+	fg_metrics_free(run->metrics);
 	run->platform->ops->free(run->platform);
 	g_hash_table_destroy(run->open);
 	fg_history_close(run->history);
--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include "history/fg_history.h"
+#include "metrics/fg_metrics.h"
 #include "peer/fg_peer.h"
 #include "run/fg_exchange.h"
 #include "run/fg_pool.h"
@@ -19,7 +20,9 @@
 	const struct fg_endpoint_ops *endpoints;
 	struct fg_peer *peer;
 	struct fg_history *history;
-	struct fg_pool *table_pool; /* platform calls */
+	struct fg_metrics *metrics;
+	struct fg_hist *latency[FG_CLASS_COUNT]; /* ms, by class */
+	struct fg_pool *table_pool;		 /* platform calls */
 	struct fg_pool *order_pool; /* orders to and states of engines */
 	struct fg_pool *run_pool;   /* attempts of requests */
 	struct MHD_Daemon *daemon;
@@ -67,6 +70,7 @@
 			const char *message);
 
 /* ---- fg_metrics_text.c ---- */
+void fg_run_make_metrics(struct fg_run *run);
 char *fg_run_metrics(struct fg_run *run);
 
 #endif
--- a/lib/run/fg_run_io.c
+++ b/lib/run/fg_run_io.c
@@ -86,6 +86,9 @@
 		       fg_reason_code(reply->reason), NULL);
 	if (x == NULL)
 		return;
+	if (x->cls >= 0 && reply->outcome == FG_DONE)
+		fg_hist_add(run->latency[x->cls],
+			    (uint64_t)(fg_clock_now() - x->began_ms));
 	text = fg_web_reply_json(x->tag, x->plain, reply);
 	fg_exchange_finish(x, fg_http_status(reply->outcome, reply->reason),
 			   reply->retry_after_ms, text);
--- a/lib/run/fg_web_calls.c
+++ b/lib/run/fg_web_calls.c
@@ -208,6 +208,8 @@
 	call->req.id = call->x->id;
 	call->x->stream = call->req.stream;
 	call->x->plain = call->req.adapter == NULL;
+	call->x->cls = (int)call->req.cls;
+	call->x->began_ms = fg_clock_now();
 	fg_run_open(run, call->x);
 	fg_run_lock(run);
 	fg_node_request(run->node, fg_clock_now(), &call->req);
--- /dev/null
+++ b/tests/fuzz/fuzz_answer.c
@@ -0,0 +1,25 @@
+/*
+ * Fuzzes the reading of an engine's answer. Whatever comes, in whatever pieces,
+ * an answer counts as whole only with its end mark, and never after a piece
+ * that was refused.
+ */
+#include <stdlib.h>
+
+#include "endpoint/fg_endpoint.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct fg_run_req req = { .id = "r", .adapter = "a", .version = "v" };
+	struct fg_answer *a = fg_answer_new(&req);
+	size_t half = size / 2;
+	bool ok;
+
+	ok = fg_answer_feed(a, (const char *)data, half);
+	ok = fg_answer_feed(a, (const char *)data + half, size - half) && ok;
+	if (fg_answer_whole(a) && (!ok || fg_answer_error(a)))
+		abort();
+	fg_answer_free(a);
+	return 0;
+}
