--- a/tests/run.sh
+++ b/tests/run.sh
@@ -77,6 +77,10 @@
 }
 
 if [ "$what" = all ]; then
+	tests/bad_input.py >"$log" 2>&1
+	status=$?
+	[ $status -eq 0 ] || cat "$log"
+	record bad_input $status
 	run_seeded huerta 4
 	run_seeded association 5
 fi
