--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -3,7 +3,6 @@
 
 #include <string.h>
 
-#define LIMITS_CALLERS_MAX 4096
 #define ANNOUNCE_MS 1000
 #define SWEEP_MS 5000 /* between parts of the ledger swept in a region */
 #define PEERS_MAX 1024
@@ -20,6 +19,10 @@
 	conf->order_timeout_ms = 5000;
 	conf->address_ttl_ms = 5000;
 	conf->requests_max = 4096;
+	conf->callers_max = 4096;
+	conf->grant_queue_max = 1024;
+	conf->group_ms = 5;
+	conf->snapshot_every = 256;
 	conf->drain_max_ms = 120000;
 	g_strlcpy(conf->place_policy, "gauge", sizeof(conf->place_policy));
 }
@@ -29,7 +32,7 @@
 	struct fg_confsync_conf sync = {
 		.poll_ms = n->conf.config_poll_ms,
 		.confirm_ms = n->conf.member.confirm_ms,
-		.snapshot_every = 256,
+		.snapshot_every = n->conf.snapshot_every,
 	};
 	struct fg_owner_conf own = {
 		.self = n->self,
@@ -38,7 +41,7 @@
 	};
 	struct fg_ledger_conf ledger = {
 		.self = n->self,
-		.group_ms = 5,
+		.group_ms = n->conf.group_ms,
 		.start_ms = 5000,
 		.record_retry_ms = 500,
 		.keep_s = 7 * 24 * 3600,
@@ -62,7 +65,7 @@
 	n->member = fg_member_new(&n->conf.member, seed + 2);
 	n->owner = fg_owner_new(&own, n->member, seed + 3);
 	n->ledger = fg_ledger_new(&ledger, seed + 4);
-	n->limits = fg_limits_new(LIMITS_CALLERS_MAX);
+	n->limits = fg_limits_new(n->conf.callers_max);
 	n->estimate = fg_estimate_new();
 	n->retry = fg_retry_new(&retry, seed + 5);
 	n->suspects = fg_suspects_new(&suspects);
--- a/lib/node/fg_node.h
+++ b/lib/node/fg_node.h
@@ -53,8 +53,13 @@
 	uint32_t need_repeat_ms;
 	uint32_t order_timeout_ms;
 	uint32_t address_ttl_ms;
-	uint32_t requests_max; /* in progress here at most */
-	uint32_t drain_max_ms; /* a planned stop takes at most this long */
+	uint32_t requests_max;	  /* in progress here at most */
+	uint32_t callers_max;	  /* whose rate is tracked */
+	uint32_t caller_rate;	  /* requests a second; 0: by preset */
+	uint32_t grant_queue_max; /* asks held per endpoint */
+	uint32_t group_ms;	  /* filings share one write so long */
+	uint32_t snapshot_every;  /* revisions between snapshots */
+	uint32_t drain_max_ms;	  /* a planned stop takes at most this long */
 	char place_policy[FG_NAME_BYTES]; /* "gauge", "strong" or "naive" */
 	struct fg_node_switches switches;
 };
--- a/lib/node/fg_node_own.c
+++ b/lib/node/fg_node_own.c
@@ -6,7 +6,6 @@
 #define ASK_REPEAT_MS 500 /* between asks of one peer for its grants */
 #define STATE_RETRY_MS 500
 #define RECOVER_MAX_MS 600000 /* longest deadline of any request */
-#define HELD_MAX 1024
 #define PEERS_MAX 1024
 
 void fg_own_free(struct fg_own *own)
@@ -126,7 +125,7 @@
 		.slots = CLAMP(st->slots, 1, FG_SLOTS_MAX),
 		.batch = MAX(st->batch, 1),
 		.grant_max_ms = RECOVER_MAX_MS,
-		.queue_max = HELD_MAX,
+		.queue_max = n->conf.grant_queue_max,
 		.no_pins = n->conf.switches.no_pins,
 	};
 
--- a/lib/node/fg_node_req.c
+++ b/lib/node/fg_node_req.c
@@ -156,7 +156,9 @@
 		return FG_R_OVERLOAD;
 	if (in->cls == FG_CLASS_DRAFT && !preset->accept_drafts)
 		return FG_R_OVERLOAD;
-	if (!fg_limits_take(n->limits, n->now, in->caller, preset->caller_rate,
+	if (!fg_limits_take(n->limits, n->now, in->caller,
+			    n->conf.caller_rate != 0 ? n->conf.caller_rate
+						     : preset->caller_rate,
 			    retry_after_ms))
 		return FG_R_OVERLOAD;
 	return FG_R_NONE;
--- a/lib/run/fg_run.c
+++ b/lib/run/fg_run.c
@@ -107,6 +107,11 @@
 	conf->order_timeout_ms = s->timing.order_timeout_ms;
 	conf->address_ttl_ms = s->timing.address_ttl_ms;
 	conf->requests_max = s->limits.requests_max;
+	conf->callers_max = s->limits.callers_max;
+	conf->caller_rate = s->limits.caller_rate_per_s;
+	conf->grant_queue_max = s->limits.grant_queue_max;
+	conf->snapshot_every = s->limits.config_snapshot_every;
+	conf->group_ms = s->timing.group_ms;
 	conf->drain_max_ms = s->timing.stop_max_ms;
 	fill_switches(&conf->switches, &s->switches);
 }
--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -26,9 +26,10 @@
 	struct fg_pool *order_pool; /* orders to and states of engines */
 	struct fg_pool *run_pool;   /* attempts of requests */
 	struct MHD_Daemon *daemon;
-	pthread_mutex_t open_lock; /* guards open; taken after core */
-	GHashTable *open;	   /* id -> struct fg_exchange */
-	uint64_t next_id;	   /* atomic */
+	struct MHD_Daemon *control_daemon; /* NULL without an address */
+	pthread_mutex_t open_lock;	   /* guards open; taken after core */
+	GHashTable *open;		   /* id -> struct fg_exchange */
+	uint64_t next_id;		   /* atomic */
 	uint32_t in_web;  /* atomic: requests whose answer is not sent yet */
 	fg_ms stop_begun; /* 0: not stopping */
 	bool quiesced;	  /* no more connections are accepted */
--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -167,28 +167,47 @@
 	return inet_pton(AF_INET, host, &out->sin_addr) == 1;
 }
 
-bool fg_web_start(struct fg_run *run, GError **error)
+static struct MHD_Daemon *listen_at(struct fg_run *run, const char *text,
+				    uint32_t threads)
 {
 	const struct fg_settings *s = run->settings;
 	struct sockaddr_in addr;
 
-	if (parse_addr(s->http, &addr))
-		run->daemon = MHD_start_daemon(
-			MHD_USE_EPOLL_INTERNAL_THREAD |
-				MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
-			0, NULL, NULL, on_request, run, MHD_OPTION_SOCK_ADDR,
-			&addr, MHD_OPTION_NOTIFY_COMPLETED, on_completed, run,
-			MHD_OPTION_CONNECTION_LIMIT, s->limits.connections_max,
-			MHD_OPTION_CONNECTION_TIMEOUT,
-			MAX(s->limits.header_timeout_ms / 1000, 1),
-			MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-			(size_t)HTTP_MEMORY_BYTES, MHD_OPTION_THREAD_POOL_SIZE,
-			MAX(s->workers, 2), MHD_OPTION_THREAD_STACK_SIZE,
-			(size_t)HTTP_STACK_BYTES, MHD_OPTION_END);
+	if (!parse_addr(text, &addr))
+		return NULL;
+	return MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+			MHD_USE_ITC,
+		0, NULL, NULL, on_request, run, MHD_OPTION_SOCK_ADDR, &addr,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, run,
+		MHD_OPTION_CONNECTION_LIMIT, s->limits.connections_max,
+		MHD_OPTION_CONNECTION_TIMEOUT,
+		MAX(s->limits.header_timeout_ms / 1000, 1),
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_MEMORY_BYTES,
+		MHD_OPTION_THREAD_POOL_SIZE, threads,
+		MHD_OPTION_THREAD_STACK_SIZE, (size_t)HTTP_STACK_BYTES,
+		MHD_OPTION_END);
+}
+
+/* The second address is for operators: it answers while callers use up all
+ * connections of the first. */
+bool fg_web_start(struct fg_run *run, GError **error)
+{
+	const struct fg_settings *s = run->settings;
+	const char *failed = NULL;
+
+	run->daemon = listen_at(run, s->http, MAX(s->workers, 2));
 	if (run->daemon == NULL)
+		failed = s->http;
+	if (s->control[0] != '\0' && failed == NULL) {
+		run->control_daemon = listen_at(run, s->control, 2);
+		if (run->control_daemon == NULL)
+			failed = s->control;
+	}
+	if (failed != NULL)
 		g_set_error(error, FG_RUN_ERROR, FG_RUN_ERR_LISTEN,
-			    "http %s: cannot listen", s->http);
-	return run->daemon != NULL;
+			    "%s: cannot listen", failed);
+	return failed == NULL;
 }
 
 static void finish_open(gpointer key, gpointer value, gpointer arg)
@@ -224,4 +243,7 @@
 	pthread_mutex_unlock(&run->open_lock);
 	MHD_stop_daemon(run->daemon);
 	run->daemon = NULL;
+	if (run->control_daemon != NULL)
+		MHD_stop_daemon(run->control_daemon);
+	run->control_daemon = NULL;
 }
--- a/lib/settings/fg_settings.h
+++ b/lib/settings/fg_settings.h
@@ -34,20 +34,16 @@
 /* Mapping `limits`. */
 struct fg_limits_settings {
 	uint32_t body_max_bytes;	/* of a request */
-	uint32_t answer_max_bytes;	/* of an answer from an endpoint */
 	uint32_t deadline_max_ms;	/* longest deadline a caller may ask */
 	uint32_t deadline_default_ms;	/* when the caller names none */
 	uint32_t connections_max;	/* open connections from callers */
 	uint32_t requests_max;		/* requests in progress */
 	uint32_t caller_rate_per_s;	/* requests a caller; 0: by preset */
-	uint32_t caller_burst;		/* requests at once above the rate */
 	uint32_t callers_max;		/* callers whose rate is tracked */
 	uint32_t header_timeout_ms;	/* for the whole request to arrive */
-	uint32_t idle_timeout_ms;	/* idle connection of a caller */
 	uint32_t table_in_flight_max;	/* calls to the platform at once */
 	uint32_t peer_queue_max;	/* messages waiting per peer */
 	uint32_t grant_queue_max;	/* requests waiting per endpoint */
-	uint32_t endpoint_connections;	/* kept open per endpoint */
 	uint32_t ping_fanout;		/* neighbours pinged */
 	uint32_t config_snapshot_every; /* revisions between snapshots */
 };
--- a/lib/settings/fg_settings_keys.c
+++ b/lib/settings/fg_settings_keys.c
@@ -38,20 +38,16 @@
 
 static const struct fg_key limit_keys[] = {
 	LIMIT(body_max_bytes, KIB, 16 * MIB, 256 * KIB),
-	LIMIT(answer_max_bytes, KIB, 64 * MIB, 4 * MIB),
 	LIMIT(deadline_max_ms, SECOND_MS, 10 * MINUTE_MS, 10 * MINUTE_MS),
 	LIMIT(deadline_default_ms, SECOND_MS, 10 * MINUTE_MS, 30 * SECOND_MS),
 	LIMIT(connections_max, 8, 65536, 1024),
 	LIMIT(requests_max, 1, 65536, 1024),
 	LIMIT(caller_rate_per_s, 0, 1000000, 0),
-	LIMIT(caller_burst, 1, 1000000, 50),
 	LIMIT(callers_max, 16, 1000000, 4096),
 	LIMIT(header_timeout_ms, 100, MINUTE_MS, 5 * SECOND_MS),
-	LIMIT(idle_timeout_ms, SECOND_MS, HOUR_MS, MINUTE_MS),
 	LIMIT(table_in_flight_max, 1, 1024, 16),
 	LIMIT(peer_queue_max, 16, 1048576, 4096),
 	LIMIT(grant_queue_max, 1, 65536, 256),
-	LIMIT(endpoint_connections, 1, 1024, 32),
 	LIMIT(ping_fanout, 1, 64, 4),
 	LIMIT(config_snapshot_every, 10, 100000, 500),
 };
