--- a/Makefile
+++ b/Makefile
@@ -128,7 +128,7 @@
 .PHONY: check-tsan
 check-tsan:
 	@$(MAKE) --no-print-directory BUILD=build/tsan OPT=-O1 SAN=-fsanitize=thread HARDEN=-fstack-protector-strong tests
-	@BUILD=build/tsan tests/run.sh sanitized
+	@G_SLICE=always-malloc BUILD=build/tsan tests/run.sh sanitized
 
 .PHONY: fuzz
 fuzz:
