--- a/tests/unit/test_fgctl.c
+++ b/tests/unit/test_fgctl.c
@@ -4,6 +4,7 @@
 #include <glib/gstdio.h>
 #include <jansson.h>
 #include <microhttpd.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "base/fg_version.h"
@@ -22,17 +23,17 @@
 	unsigned int requests;
 } server;
 
-static enum MHD_Result answer(void *arg, struct MHD_Connection *conn,
-			      const char *url, const char *method,
-			      const char *version, const char *data,
-			      size_t *len, void **ctx)
+/* The test and the server's thread take turns through the process that the
+ * test starts; the lock lets the thread sanitizer see it. */
+static pthread_mutex_t turn = PTHREAD_MUTEX_INITIALIZER;
+
+static enum MHD_Result answer_locked(struct MHD_Connection *conn,
+				     const char *url, const char *data,
+				     size_t *len, void **ctx)
 {
 	struct MHD_Response *res;
 	enum MHD_Result result;
 
-	(void)arg;
-	(void)method;
-	(void)version;
 	if (*ctx == NULL) {
 		*ctx = &server;
 		g_string_truncate(server.got, 0);
@@ -55,6 +56,22 @@
 	return result;
 }
 
+static enum MHD_Result answer(void *arg, struct MHD_Connection *conn,
+			      const char *url, const char *method,
+			      const char *version, const char *data,
+			      size_t *len, void **ctx)
+{
+	enum MHD_Result result;
+
+	(void)arg;
+	(void)method;
+	(void)version;
+	pthread_mutex_lock(&turn);
+	result = answer_locked(conn, url, data, len, ctx);
+	pthread_mutex_unlock(&turn);
+	return result;
+}
+
 static void server_start(void)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
@@ -78,10 +95,12 @@
 
 static void answers(unsigned int status, const char *body)
 {
+	pthread_mutex_lock(&turn);
 	server.status = status;
 	g_free(server.body);
 	server.body = g_strdup(body);
 	server.requests = 0;
+	pthread_mutex_unlock(&turn);
 }
 
 struct run {
@@ -111,6 +130,9 @@
 	g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &r.out,
 		     &r.err, &status, &error);
 	g_assert_no_error(error);
+	/* What the server's thread wrote is read after this. */
+	pthread_mutex_lock(&turn);
+	pthread_mutex_unlock(&turn);
 	if (!g_spawn_check_wait_status(status, &error))
 		r.exit = error->code;
 	return r;
