Node: one test of the standing, one way to leave out oneself, no dead counter

Where an instance may act was written out beside fg_may_act(), which membership and ownership call; the loop that takes this instance out of a list stood beside without_self(). The counter held_drafts has counted nothing since the broker and the owners hold drafts, so /metrics and the dump showed a 0 that said nothing; it is gone.

Ruled out: folding the stand-ins' program tables, which name their own functions and share nothing but the shape; and the pairs of lookups in the catalogue, which differ in what they look up.

--- a/lib/node/fg_node.c
+++ b/lib/node/fg_node.c
@@ -164,7 +164,6 @@
 	[FG_NC_NEEDS] = "needs",
 	[FG_NC_LOADS] = "loads",
 	[FG_NC_LOADS_FAILED] = "loads_failed",
-	[FG_NC_HELD_DRAFTS] = "held_drafts",
 	[FG_NC_STALLED] = "stalled",
 	[FG_NC_STALL_MS] = "stall_ms",
 	[FG_NC_MSGS_OUT] = "msgs_out",
@@ -241,10 +240,7 @@
 
 static bool standing_is_good(const struct fg_node *n)
 {
-	enum fg_standing standing = fg_member_standing(n->member, n->now);
-
-	return standing == FG_STANDING_CONFIRMED ||
-	       standing == FG_STANDING_OUTAGE;
+	return fg_may_act(fg_member_standing(n->member, n->now));
 }
 
 /*
@@ -299,11 +295,8 @@
 {
 	uint64_t ids[PEERS_MAX];
 	size_t total = fg_member_live(n->member, NULL, ids, PEERS_MAX);
-	size_t kept = 0;
+	size_t kept = without_self(n, ids, MIN(total, PEERS_MAX));
 
-	for (size_t i = 0; i < MIN(total, PEERS_MAX); i++)
-		if (ids[i] != n->self)
-			ids[kept++] = ids[i];
 	fg_confsync_set_live_at(n->confsync, fg_member_looked_at(n->member),
 				ids, kept);
 }
--- a/lib/node/fg_node.h
+++ b/lib/node/fg_node.h
@@ -219,7 +219,6 @@
 	FG_NC_NEEDS,
 	FG_NC_LOADS,
 	FG_NC_LOADS_FAILED,
-	FG_NC_HELD_DRAFTS,
 	FG_NC_STALLED,	/* requests that waited for their adapter */
 	FG_NC_STALL_MS, /* sum of those waits */
 	FG_NC_MSGS_OUT,
--- a/lib/node/fg_node_resident.c
+++ b/lib/node/fg_node_resident.c
@@ -5,9 +5,7 @@
 
 /* Bounds repeats of RESIDENT over all peers. */
 #define REFRESH_PER_PEER_MS 300
-#define SILENT_MS                                                              \
-	1000 /* no answer this long: its adapters count for nothing            \
-	      */
+#define SILENT_MS 1000 /* without an answer: its adapters count for nothing */
 #define REMOTE_PEERS_MAX 16 /* small sites: other regions are told as well */
 #define PEERS_MAX 1024
 
