--- a/Makefile
+++ b/Makefile
@@ -3,18 +3,19 @@
 CC       ?= gcc
 BUILD    ?= build
 PKGS     := glib-2.0 gio-2.0 jansson libcurl libmicrohttpd libtirpc libxxhash \
-            log4c libcyaml ck
+            log4c libcyaml ck libuv
 WARN     := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes
 HARDEN   := -fstack-protector-strong -D_FORTIFY_SOURCE=2
 OPT      ?= -O2
 SAN      ?=
-CPPFLAGS += -D_GNU_SOURCE -Ilib -Istandin $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS += -D_GNU_SOURCE -Ilib -Iplatform -Istandin $(shell pkg-config --cflags $(PKGS))
 CFLAGS   += -std=gnu11 -g $(OPT) $(WARN) $(HARDEN) $(SAN)
-LDLIBS   += $(shell pkg-config --libs $(PKGS)) -lpthread -lm
+LDLIBS   += $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lpthread -lm
 LDFLAGS  += $(SAN)
 
-GEN      := lib/peer/fg_proto.h lib/peer/fg_proto_xdr.c
-LIB_SRC  := $(wildcard lib/*/*.c)
+GEN      := lib/peer/fg_proto.h lib/peer/fg_proto_xdr.c \
+            lib/mesh/fg_mesh_proto.h lib/mesh/fg_mesh_proto_xdr.c
+LIB_SRC  := $(wildcard lib/*/*.c platform/*.c)
 LIB_OBJ  := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB      := $(BUILD)/libfulmargauge.a
 
@@ -67,7 +68,7 @@
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 # Generated code is compiled without the house warnings.
-$(BUILD)/lib/peer/fg_proto_xdr.o: CFLAGS += -Wno-unused-variable -Wno-cast-function-type
+$(BUILD)/lib/peer/fg_proto_xdr.o $(BUILD)/lib/mesh/fg_mesh_proto_xdr.o: CFLAGS += -Wno-unused-variable -Wno-cast-function-type
 
 define prog_rule
 $(BUILD)/bin/$(3): $(patsubst %.c,$(BUILD)/%.o,$(wildcard $(1)/$(2).c $(1)/$(2)/*.c)) $(4) $(LIB)
@@ -134,7 +135,7 @@
 fuzz:
 	@scripts/fuzz.sh
 
-SOURCES := $(filter-out $(GEN),$(wildcard lib/*/*.[ch] programs/*.[ch] programs/*/*.[ch] standin/*/*.[ch] tests/*/*.[ch]))
+SOURCES := $(filter-out $(GEN),$(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] programs/*/*.[ch] standin/*/*.[ch] tests/*/*.[ch]))
 
 .PHONY: lint
 lint:
--- /dev/null
+++ b/lib/balance/fg_balance.c
@@ -0,0 +1,225 @@
+#include "balance/fg_balance.h"
+
+#include <string.h>
+
+#include "fleet/fg_health.h"
+
+/* What other instances told of their requests counts for this long by default
+ * at the caller; here costs only add. */
+#define EJECTED_COST_MS 3000
+#define AVOIDED_COST_MS 6000
+/* An endpoint that fails as many as half of its requests costs this much. */
+#define ERROR_COST_MS 1200
+/* A running request slows each step of its batch a little. */
+#define RUNNING_COST_MS 1.0
+/* A slot whose adapter was used this recently is likely to be in use. */
+#define SPARE_MIN_MS 400
+#define NO_SPARE_COST_MS 300
+/* No instance is known that could have it loaded there. */
+#define NO_OWNER_COST_MS 5000
+/* Costs closer than this are drawn by lot, lest all choose the same one. */
+#define TIE_MS 2.0
+
+static uint32_t running(const struct fg_ep *ep)
+{
+	return ep->running + ep->peers_running;
+}
+
+static uint32_t pending(const struct fg_ep *ep)
+{
+	return ep->pending_tokens + ep->peers_pending_tokens;
+}
+
+/* Mean error rate of the service's usable endpoints: what they share is the
+ * requests' own. */
+static double mean_errors(struct fg_fleet *f, fg_ms now, const char *service)
+{
+	const GPtrArray *all = fg_fleet_all(f);
+	double sum = 0;
+	uint32_t n = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+
+		if (strcmp(ep->facts.service, service) != 0 ||
+		    !fg_ep_usable(ep, now))
+			continue;
+		sum += ep->error_rate;
+		n++;
+	}
+	return n == 0 ? 0 : sum / n;
+}
+
+static bool avoided(const struct fg_balance_ask *ask, const struct fg_ep *ep)
+{
+	for (uint32_t i = 0; i < ask->n_avoid; i++) {
+		if (ask->avoid[i] == ep)
+			return true;
+	}
+	return false;
+}
+
+/* The two homes of an adapter, by rendezvous hashing. */
+struct homes {
+	uint64_t first; /* hashes of the endpoints' ids */
+	uint64_t second;
+};
+
+static struct homes homes_of(struct fg_fleet *f, fg_ms now,
+			     const struct fg_balance_ask *ask)
+{
+	const GPtrArray *all = fg_fleet_all(f);
+	struct homes h = { 0 };
+	uint64_t first = 0;
+	uint64_t second = 0;
+
+	for (guint i = 0; ask->adapter != 0 && i < all->len; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+		uint64_t rank = fg_hash_mix(ep->hash, ask->adapter);
+
+		if (strcmp(ep->facts.service, ask->service) != 0 ||
+		    !fg_ep_usable(ep, now) || rank <= second)
+			continue;
+		if (rank > first) {
+			second = first;
+			h.second = h.first;
+			first = rank;
+			h.first = ep->hash;
+		} else {
+			second = rank;
+			h.second = ep->hash;
+		}
+	}
+	return h;
+}
+
+/* What it costs to have the adapter there: the load itself in *load_ms. */
+static double adapter_cost(const struct fg_balance_conf *conf,
+			   const struct fg_balance_ask *ask, struct fg_ep *ep,
+			   const struct homes *homes, bool *resident,
+			   double *load_ms)
+{
+	const struct fg_ep_adapter *a = fg_ep_adapter(ep, ask->adapter);
+	double cost = 0;
+
+	*load_ms = 0;
+	*resident = ask->adapter == 0 || (a != NULL && a->version != 0);
+	if (*resident)
+		return 0;
+	if (ep->owner == 0)
+		cost += NO_OWNER_COST_MS;
+	if (ep->spare_age_ms < SPARE_MIN_MS)
+		cost += NO_SPARE_COST_MS;
+	if (a != NULL && a->seen > 0) {
+		*load_ms = conf->reload_ms;
+		return cost + *load_ms + conf->reload_penalty_ms;
+	}
+	*load_ms = conf->load_ms;
+	cost += *load_ms + conf->load_penalty_ms;
+	if (ep->hash == homes->second)
+		cost += conf->stray_penalty_ms / 2.0;
+	else if (ep->hash != homes->first)
+		cost += conf->stray_penalty_ms;
+	return cost;
+}
+
+static double plain_wait(const struct fg_balance_conf *conf,
+			 const struct fg_ep *ep)
+{
+	uint32_t slots = MAX(ep->facts.slots, 1);
+
+	return (double)running(ep) * conf->work_ms / slots;
+}
+
+/* Expected wait and cost of one endpoint. */
+struct cost {
+	double wait_ms;
+	double total_ms;
+	bool resident;
+};
+
+static struct cost cost_of(const struct fg_balance_conf *conf,
+			   const struct fg_balance_ask *ask, struct fg_ep *ep,
+			   const struct homes *homes, fg_ms now, double errors)
+{
+	struct cost c = { 0, 0, true };
+	double load_ms = 0;
+	double excess = MAX(ep->error_rate - errors, 0.0);
+
+	if (ask->terms->engine) {
+		c.wait_ms = (pending(ep) + ask->tokens) /
+			    conf->prefill_tokens_per_ms * ep->slowness;
+		c.total_ms = adapter_cost(conf, ask, ep, homes, &c.resident,
+					  &load_ms);
+		c.wait_ms += load_ms;
+		c.total_ms += c.wait_ms - load_ms +
+			      RUNNING_COST_MS * running(ep) * ep->slowness;
+	} else {
+		c.wait_ms = plain_wait(conf, ep) * ep->slowness;
+		c.total_ms = c.wait_ms;
+	}
+	if (strcmp(ep->region, ask->region) != 0) {
+		c.wait_ms += conf->region_ms;
+		c.total_ms += conf->region_ms + conf->region_penalty_ms;
+	}
+	c.total_ms += ERROR_COST_MS * 2 * excess;
+	if (fg_health_ejected(ep, now))
+		c.total_ms += EJECTED_COST_MS;
+	if (avoided(ask, ep))
+		c.total_ms += AVOIDED_COST_MS;
+	return c;
+}
+
+struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
+				       struct fg_fleet *f, fg_ms now,
+				       const struct fg_balance_ask *ask,
+				       struct fg_rand *rand)
+{
+	struct fg_balance_pick best = { 0 };
+	const GPtrArray *all = fg_fleet_all(f);
+	double errors = mean_errors(f, now, ask->service);
+	struct homes homes = homes_of(f, now, ask);
+	double best_ms = 0;
+	uint64_t best_rank = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		struct fg_ep *ep = all->pdata[i];
+		struct cost c;
+		uint64_t rank;
+
+		if (strcmp(ep->facts.service, ask->service) != 0 ||
+		    !fg_ep_usable(ep, now))
+			continue;
+		c = cost_of(conf, ask, ep, &homes, now, errors);
+		if (ask->resident_only && !c.resident)
+			continue;
+		rank = fg_rand_next(rand);
+		if (best.ep != NULL && c.total_ms > best_ms - TIE_MS &&
+		    (c.total_ms > best_ms + TIE_MS || rank <= best_rank))
+			continue;
+		best.ep = ep;
+		best.wait_ms = (uint32_t)c.wait_ms;
+		best.resident = c.resident;
+		best_ms = c.total_ms;
+		best_rank = rank;
+	}
+	return best;
+}
+
+double fg_balance_fill(struct fg_fleet *f, fg_ms now, const char *service)
+{
+	const GPtrArray *all = fg_fleet_all(f);
+	uint64_t used = 0;
+	uint64_t slots = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+
+		if (strcmp(ep->facts.service, service) != 0 ||
+		    !fg_ep_usable(ep, now))
+			continue;
+		used += running(ep);
+		slots += MAX(ep->facts.slots, 1);
+	}
+	return slots == 0 ? 1.0 : (double)used / (double)slots;
+}
--- /dev/null
+++ b/lib/balance/fg_balance.h
@@ -0,0 +1,67 @@
+/*
+ * fg_balance - which endpoint runs a request.
+ *
+ * Every usable endpoint of the service gets a cost in ms: the time until it
+ * would begin to answer, as far as this instance can tell. The cheapest is
+ * taken. For a model request that is the prompt tokens that wait there, over
+ * its speed, plus what it takes to have the adapter there (nothing, a load
+ * from its own memory, a load from the weight store). For a plain request it
+ * is the work waiting for a slot. Other regions, errors and ejections add to
+ * the cost. Own requests in flight are known at once; those of other instances
+ * as they last told.
+ *
+ * Loads from the weight store are scarce, and an endpoint reloads what it held
+ * before in a tenth of the time. So each adapter has two homes among all
+ * endpoints of its service, the first ones of rendezvous hashing; a load goes
+ * elsewhere only when both are far busier.
+ *
+ * Pure.
+ */
+#ifndef FG_BALANCE_H
+#define FG_BALANCE_H
+
+#include "base/fg_rand.h"
+#include "fleet/fg_fleet.h"
+#include "route/fg_route.h"
+
+/* Figures of one deployment's engines and network. */
+struct fg_balance_conf {
+	double prefill_tokens_per_ms; /* an engine reads */
+	uint32_t load_ms;	      /* adapter from the weight store */
+	uint32_t reload_ms;	      /* adapter held before */
+	uint32_t load_penalty_ms;     /* wait accepted to avoid a load */
+	uint32_t reload_penalty_ms;   /* ... one of an adapter held before */
+	uint32_t stray_penalty_ms;    /* ... a load at another than its homes */
+	uint32_t region_ms;	      /* round trip to another region */
+	uint32_t region_penalty_ms;   /* wait accepted to stay in the region */
+	uint32_t work_ms;	      /* of a plain request */
+};
+
+struct fg_balance_ask {
+	const char *service;
+	const struct fg_service *terms;
+	const char *region; /* of this instance */
+	uint64_t adapter;   /* 0: none (a plain request, or the bare model) */
+	uint32_t tokens;    /* of the prompt; 0 for plain requests */
+	struct fg_ep *avoid[4]; /* tried before */
+	uint32_t n_avoid;
+	bool resident_only; /* no load may be asked for */
+};
+
+struct fg_balance_pick {
+	struct fg_ep *ep; /* NULL: none is usable */
+	uint32_t wait_ms; /* until it begins to answer */
+	bool resident;	  /* it holds the adapter */
+};
+
+struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
+				       struct fg_fleet *f, fg_ms now,
+				       const struct fg_balance_ask *ask,
+				       struct fg_rand *rand);
+
+/* Share of the service's slots that are in use, 0..1 and more, and whether
+ * requests wait, over all usable endpoints: an instance refuses only when
+ * little is free. */
+double fg_balance_fill(struct fg_fleet *f, fg_ms now, const char *service);
+
+#endif
--- /dev/null
+++ b/lib/fleet/fg_fleet.c
@@ -0,0 +1,287 @@
+#include "fleet/fg_fleet.h"
+
+#include <string.h>
+
+#include "base/fg_rand.h"
+
+struct fg_fleet {
+	fg_region_of region_of;
+	fg_ep_dropped dropped;
+	void *ctx;
+	GPtrArray *eps;	   /* struct fg_ep *, one reference each */
+	GHashTable *by_id; /* id -> struct fg_ep * */
+	GHashTable *fresh; /* ids put since read_begin; NULL outside */
+	bool up;
+	fg_ms up_since; /* end of the last outage; FG_MS_NEVER: none yet */
+	fg_ms down_since;
+};
+
+/* An outage shorter than this cannot have made entries lapse: it is less than
+ * the three missed heartbeats after which they do. */
+#define OUTAGE_MIN_MS 500
+
+struct fg_fleet *fg_fleet_new(fg_region_of region_of, fg_ep_dropped dropped,
+			      void *ctx)
+{
+	struct fg_fleet *f = g_new0(struct fg_fleet, 1);
+
+	f->region_of = region_of;
+	f->dropped = dropped;
+	f->ctx = ctx;
+	f->eps = g_ptr_array_new();
+	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	f->up = true;
+	f->up_since = FG_MS_NEVER;
+	return f;
+}
+
+static void drop(struct fg_fleet *f, struct fg_ep *ep)
+{
+	g_hash_table_remove(f->by_id, ep->facts.id);
+	g_ptr_array_remove_fast(f->eps, ep);
+	if (f->dropped != NULL)
+		f->dropped(f->ctx, ep);
+	fg_ep_unref(ep);
+}
+
+void fg_fleet_free(struct fg_fleet *f)
+{
+	while (f->eps->len > 0)
+		drop(f, f->eps->pdata[0]);
+	g_ptr_array_unref(f->eps);
+	g_hash_table_unref(f->by_id);
+	if (f->fresh != NULL)
+		g_hash_table_unref(f->fresh);
+	g_free(f);
+}
+
+struct fg_ep *fg_ep_ref(struct fg_ep *ep)
+{
+	ep->refs++;
+	return ep;
+}
+
+void fg_ep_unref(struct fg_ep *ep)
+{
+	g_assert(ep->refs > 0);
+	if (--ep->refs == 0)
+		g_free(ep);
+}
+
+/* ---- The registry's own state ---- */
+
+void fg_fleet_registry_up(struct fg_fleet *f, fg_ms now)
+{
+	if (f->up)
+		return;
+	f->up = true;
+	if (now - f->down_since >= OUTAGE_MIN_MS)
+		f->up_since = now;
+}
+
+void fg_fleet_registry_down(struct fg_fleet *f, fg_ms now)
+{
+	if (!f->up)
+		return;
+	f->up = false;
+	f->down_since = now;
+}
+
+/* May a removal seen now be a lapse of an outage that just ended? */
+static bool lapses_expected(const struct fg_fleet *f, fg_ms now)
+{
+	return f->up_since != FG_MS_NEVER &&
+	       now - f->up_since < FG_FLEET_RETURN_MS;
+}
+
+/* ---- Entries ---- */
+
+static struct fg_ep *ep_new(struct fg_fleet *f, fg_ms now, const char *id)
+{
+	struct fg_ep *ep = g_new0(struct fg_ep, 1);
+
+	g_strlcpy(ep->facts.id, id, sizeof(ep->facts.id));
+	ep->hash = fg_hash_str(id);
+	ep->refs = 1;
+	ep->slowness = 1.0;
+	ep->known_since = now;
+	g_ptr_array_add(f->eps, ep);
+	g_hash_table_insert(f->by_id, ep->facts.id, ep);
+	return ep;
+}
+
+/* A new start under the same id knows nothing of the one before. */
+static void forget_start(struct fg_ep *ep)
+{
+	ep->n_adapters = 0;
+	ep->told = 0;
+	ep->failures_in_row = 0;
+	ep->ejected_until = 0;
+	ep->error_rate = 0;
+	ep->slowness = 1.0;
+	ep->addr_taken = false;
+}
+
+struct fg_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
+			   const struct fg_ep_facts *facts)
+{
+	struct fg_ep *ep = g_hash_table_lookup(f->by_id, facts->id);
+
+	if (ep == NULL) {
+		ep = ep_new(f, now, facts->id);
+	} else if (ep->facts.born != facts->born ||
+		   strcmp(ep->facts.address, facts->address) != 0) {
+		forget_start(ep);
+	}
+	ep->facts = *facts;
+	ep->listed = true;
+	ep->lapsed_until = 0;
+	g_strlcpy(ep->region, f->region_of(f->ctx, facts->dc),
+		  sizeof(ep->region));
+	if (f->fresh != NULL)
+		g_hash_table_add(f->fresh, g_strdup(facts->id));
+	return ep;
+}
+
+static void unlist(struct fg_fleet *f, struct fg_ep *ep, fg_ms now)
+{
+	if (!ep->listed)
+		return;
+	ep->listed = false;
+	if (lapses_expected(f, now) && !ep->facts.draining)
+		ep->lapsed_until = f->up_since + FG_FLEET_RETURN_MS;
+}
+
+void fg_fleet_remove(struct fg_fleet *f, fg_ms now, const char *id)
+{
+	struct fg_ep *ep = g_hash_table_lookup(f->by_id, id);
+
+	if (ep != NULL)
+		unlist(f, ep, now);
+}
+
+void fg_fleet_read_begin(struct fg_fleet *f)
+{
+	if (f->fresh != NULL)
+		g_hash_table_unref(f->fresh);
+	f->fresh =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void fg_fleet_read_end(struct fg_fleet *f, fg_ms now)
+{
+	g_assert(f->fresh != NULL);
+	for (guint i = 0; i < f->eps->len; i++) {
+		struct fg_ep *ep = f->eps->pdata[i];
+
+		if (!g_hash_table_contains(f->fresh, ep->facts.id))
+			unlist(f, ep, now);
+	}
+	g_hash_table_unref(f->fresh);
+	f->fresh = NULL;
+}
+
+void fg_fleet_tick(struct fg_fleet *f, fg_ms now)
+{
+	for (guint i = f->eps->len; i > 0; i--) {
+		struct fg_ep *ep = f->eps->pdata[i - 1];
+
+		if (!ep->listed && now >= ep->lapsed_until && ep->running == 0)
+			drop(f, ep);
+	}
+}
+
+struct fg_ep *fg_fleet_find(struct fg_fleet *f, const char *id)
+{
+	return g_hash_table_lookup(f->by_id, id);
+}
+
+struct fg_ep *fg_fleet_find_hash(struct fg_fleet *f, uint64_t hash)
+{
+	for (guint i = 0; i < f->eps->len; i++) {
+		struct fg_ep *ep = f->eps->pdata[i];
+
+		if (ep->hash == hash)
+			return ep;
+	}
+	return NULL;
+}
+
+const GPtrArray *fg_fleet_all(const struct fg_fleet *f)
+{
+	return f->eps;
+}
+
+bool fg_ep_usable(const struct fg_ep *ep, fg_ms now)
+{
+	if (ep->facts.draining || ep->addr_taken)
+		return false;
+	return ep->listed || now < ep->lapsed_until;
+}
+
+/* ---- Adapters ---- */
+
+uint64_t fg_adapter_key(const char *model, const char *adapter)
+{
+	return fg_hash_mix(fg_hash_str(model), fg_hash_str(adapter));
+}
+
+struct fg_ep_adapter *fg_ep_adapter(struct fg_ep *ep, uint64_t key)
+{
+	for (uint32_t i = 0; i < ep->n_adapters; i++) {
+		if (ep->adapters[i].key == key)
+			return &ep->adapters[i];
+	}
+	return NULL;
+}
+
+/* The entry to give up: not resident, not in use, unused for longest. */
+static struct fg_ep_adapter *oldest(struct fg_ep *ep)
+{
+	struct fg_ep_adapter *best = NULL;
+
+	for (uint32_t i = 0; i < ep->n_adapters; i++) {
+		struct fg_ep_adapter *a = &ep->adapters[i];
+
+		if (a->version != 0 || a->running > 0)
+			continue;
+		if (best == NULL || a->used < best->used)
+			best = a;
+	}
+	return best;
+}
+
+struct fg_ep_adapter *fg_ep_adapter_get(struct fg_ep *ep, fg_ms now,
+					uint64_t key)
+{
+	struct fg_ep_adapter *a = fg_ep_adapter(ep, key);
+
+	if (a != NULL)
+		return a;
+	if (ep->n_adapters < FG_EP_ADAPTERS_MAX)
+		a = &ep->adapters[ep->n_adapters++];
+	else
+		a = oldest(ep);
+	if (a == NULL)
+		return NULL;
+	memset(a, 0, sizeof(*a));
+	a->key = key;
+	a->used = now;
+	return a;
+}
+
+void fg_ep_set_resident(struct fg_ep *ep, fg_ms now, const struct fg_held *held,
+			uint32_t n)
+{
+	for (uint32_t i = 0; i < ep->n_adapters; i++)
+		ep->adapters[i].version = 0;
+	for (uint32_t i = 0; i < n; i++) {
+		struct fg_ep_adapter *a =
+			fg_ep_adapter_get(ep, now, held[i].key);
+
+		if (a == NULL)
+			continue;
+		a->version = held[i].version;
+		a->seen = now;
+	}
+}
--- /dev/null
+++ b/lib/gateway/fg_events.c
@@ -0,0 +1,94 @@
+#include "gateway/fg_events.h"
+
+#include <string.h>
+
+void fg_events_init(struct fg_events *e)
+{
+	memset(e, 0, sizeof(*e));
+	e->rest = g_string_new(NULL);
+}
+
+void fg_events_clear(struct fg_events *e)
+{
+	if (e->rest != NULL)
+		g_string_free(e->rest, TRUE);
+	e->rest = NULL;
+}
+
+void fg_events_restart(struct fg_events *e)
+{
+	g_string_truncate(e->rest, 0);
+}
+
+/* Reads "id: N" at the start of a line. */
+static void read_id(struct fg_events *e, const char *line, size_t len)
+{
+	char text[24];
+
+	if (len < 4 || strncmp(line, "id:", 3) != 0 || len >= sizeof(text))
+		return;
+	line += 3;
+	len -= 3;
+	memcpy(text, line, len);
+	text[len] = '\0';
+	g_strstrip(text);
+	if (!g_ascii_isdigit(text[0]))
+		return;
+	e->has_id = true;
+	e->last_id = g_ascii_strtoull(text, NULL, 10);
+}
+
+/* Length of the event at the start of `text`, its empty line included; 0 when
+ * it is not whole. */
+static size_t event_length(const char *text, size_t len)
+{
+	size_t at = 0;
+
+	while (at < len) {
+		const char *lf = memchr(text + at, '\n', len - at);
+		size_t line;
+
+		if (lf == NULL)
+			return 0;
+		line = (size_t)(lf - text) - at;
+		if (line == 0 || (line == 1 && text[at] == '\r'))
+			return (size_t)(lf - text) + 1;
+		at = (size_t)(lf - text) + 1;
+	}
+	return 0;
+}
+
+static void read_lines(struct fg_events *e, const char *text, size_t len)
+{
+	size_t at = 0;
+
+	while (at < len) {
+		const char *lf = memchr(text + at, '\n', len - at);
+		size_t line = (size_t)(lf - text) - at;
+
+		read_id(e, text + at, line);
+		at += line + 1;
+	}
+}
+
+gssize fg_events_feed(struct fg_events *e, const char *data, size_t len_bytes)
+{
+	size_t whole = 0;
+	size_t n;
+
+	g_string_append_len(e->rest, data, (gssize)len_bytes);
+	while ((n = event_length(e->rest->str + whole,
+				 e->rest->len - whole)) > 0) {
+		read_lines(e, e->rest->str + whole, n);
+		e->whole++;
+		whole += n;
+	}
+	if (e->rest->len - whole > FG_EVENT_MAX_BYTES)
+		return -1;
+	return (gssize)whole;
+}
+
+void fg_events_took(struct fg_events *e, size_t len_bytes)
+{
+	g_string_erase(e->rest, 0, (gssize)len_bytes);
+}
--- /dev/null
+++ b/lib/gateway/fg_gateway_internal.h
@@ -0,0 +1,358 @@
+/*
+ * What the files of lib/gateway share.
+ *
+ *   fg_gateway.c     start, clock tick, planned stop, settings
+ *   fg_gw_caller.c   connections of callers
+ *   fg_gw_request.c  a request from its head to its final answer
+ *   fg_gw_send.c     one sending of a request to an endpoint
+ *   fg_gw_answer.c   an endpoint's answer on its way to the caller
+ *   fg_gw_sync.c     what is read from the store, and the own rows
+ *   fg_gw_orders.c   adapter loads of the engines that this instance orders
+ *   fg_gw_mesh.c     beats and asks between instances
+ *   fg_gw_pages.c    address lookup, readiness, metrics, state
+ */
+#ifndef FG_GATEWAY_INTERNAL_H
+#define FG_GATEWAY_INTERNAL_H
+
+#include <uv.h>
+
+#include "admit/fg_admit.h"
+#include "balance/fg_balance.h"
+#include "base/fg_clock.h"
+#include "base/fg_rand.h"
+#include "claim/fg_claim.h"
+#include "fleet/fg_fleet.h"
+#include "fleet/fg_health.h"
+#include "gateway/fg_events.h"
+#include "gateway/fg_gateway.h"
+#include "link/fg_channel.h"
+#include "link/fg_link.h"
+#include "mesh/fg_mesh.h"
+#include "mesh/fg_peers.h"
+#include "metrics/fg_metrics.h"
+#include "route/fg_route.h"
+#include "slots/fg_slots.h"
+
+struct fg_gateway;
+struct fg_caller;
+struct fg_req;
+struct fg_up;
+
+/* What a listening socket serves. */
+enum fg_port_kind {
+	FG_PORT_FRONT = 0,
+	FG_PORT_READY = 1,
+	FG_PORT_DIRECTORY = 2,
+	FG_PORT_METRICS = 3,
+	FG_PORT_COUNT = 4,
+};
+
+struct fg_port {
+	struct fg_gateway *gw;
+	enum fg_port_kind kind;
+	uv_tcp_t listener;
+	bool open;
+};
+
+/* ---- Callers ---- */
+
+struct fg_caller {
+	struct fg_gateway *gw;
+	enum fg_port_kind kind;
+	struct fg_link *link;
+	struct fg_h1 h1;
+	GByteArray *unread; /* bytes behind the current request */
+	GByteArray *body;
+	struct fg_req *req; /* in progress */
+	fg_ms since;	    /* begin of the current wait: head or idle */
+	guint index;	    /* in gw->callers */
+	bool bad;	    /* its last message was refused as malformed */
+	bool last;	    /* no further request on this connection */
+};
+
+void fg_caller_accept(uv_stream_t *listener, int status);
+void fg_caller_sweep(struct fg_gateway *gw, fg_ms now);
+
+/* A final answer of the gateway's own. `retry_ms` 0: no Retry-After. */
+void fg_caller_answer(struct fg_caller *c, unsigned int status,
+		      const char *request_id, uint32_t retry_ms,
+		      const char *type, const char *body, size_t len_bytes);
+
+/* The answer is complete: the connection goes on or closes. */
+void fg_caller_done(struct fg_caller *c);
+
+/* Closes with or without sending what is queued. */
+void fg_caller_close(struct fg_caller *c, bool flush);
+void fg_caller_abort(struct fg_caller *c);
+
+/* ---- Requests ---- */
+
+enum fg_req_state {
+	FG_REQ_WAIT_LOAD = 1, /* for an adapter at `ep` */
+	FG_REQ_WAIT_RETRY = 2,
+	FG_REQ_SENT = 3,
+};
+
+#define FG_REQ_TRIED_MAX 4
+
+struct fg_req {
+	struct fg_gateway *gw;
+	struct fg_caller *caller;
+	const struct fg_h1_head *head; /* of the caller's parser */
+	struct fg_call call;
+	struct fg_routes *routes; /* reference */
+	const struct fg_route *route;
+	const struct fg_service *service;
+	uint64_t adapter; /* key; 0: none */
+	uint64_t fingerprint;
+	uint64_t number; /* of this process */
+	fg_ms arrived;
+	fg_ms end_at; /* final answer at the latest */
+	fg_ms step_at; /* of the state; FG_MS_NEVER */
+	fg_ms asked_at; /* last ask for the load */
+	uv_timer_t *timer;
+	enum fg_req_state state;
+	struct fg_ep *ep; /* reference; of the load or the send */
+	struct fg_ep_adapter *use; /* counted as running there */
+	struct fg_up *up;	   /* of the send */
+	struct fg_ep *tried[FG_REQ_TRIED_MAX];
+	uint32_t n_tried;
+	uint32_t sends; /* to endpoints */
+	uint32_t runs;	/* sends that may have run */
+	uint32_t expected_ms; /* until the first token, at the send */
+	uint32_t pending_tokens; /* counted at ep while nothing came */
+	fg_ms sent_at;
+	bool unsure; /* a send may have run, or may run still */
+	bool head_sent; /* the answer's head went to the caller */
+	bool no_length; /* ... in chunks */
+	bool first_seen; /* the first event or the head of a plain answer came */
+	struct fg_events events;
+	GString *answer; /* body of a plain answer */
+	guint index;	 /* in gw->reqs */
+};
+
+/* The caller's request is whole. */
+void fg_req_start(struct fg_caller *c);
+
+/* The caller left. */
+void fg_req_cancel(struct fg_req *r);
+
+/* Ends the request; with `give_back` the caller's connection goes on. */
+void fg_req_end(struct fg_req *r);
+
+/* A final answer that the request was not run, or failed. */
+void fg_req_refuse(struct fg_req *r, const char *reason, uint32_t retry_ms);
+void fg_req_fail(struct fg_req *r, unsigned int status, const char *reason);
+
+/* Chooses an endpoint and goes on: sends, or waits for a load. */
+void fg_req_place(struct fg_req *r);
+
+/* The adapters at `ep` changed: requests that wait for them go on. */
+void fg_req_resident(struct fg_gateway *gw, struct fg_ep *ep);
+
+/* The instance that orders `ep` cannot load the adapter now. */
+void fg_req_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter);
+
+uint32_t fg_req_left_ms(const struct fg_req *r, fg_ms now);
+
+/* The version that the request's adapter must have by now; 0: any. */
+uint64_t fg_req_version(const struct fg_req *r, fg_ms now);
+
+/* Urgency of the request at an engine. */
+uint32_t fg_req_urgency(const struct fg_req *r);
+
+/* ---- Sends ---- */
+
+enum fg_send_end {
+	FG_SEND_NOT_SENT = 1, /* no byte reached the endpoint */
+	FG_SEND_NOT_RUN = 2,  /* the endpoint says that it did not run it */
+	FG_SEND_ABSENT = 3,   /* ... since model, adapter or version is absent */
+	FG_SEND_ERROR = 4,    /* the endpoint failed it */
+	FG_SEND_BROKEN = 5,   /* no whole answer: it may have run */
+};
+
+struct fg_up {
+	struct fg_gateway *gw;
+	struct fg_ep *ep; /* reference */
+	struct fg_link *link;
+	struct fg_h1 h1;
+	struct fg_req *req; /* NULL while idle */
+	fg_ms idle_until;
+	fg_ms opened;
+	uint64_t unread_body; /* of the request, when the answer began */
+	bool connected;
+	bool reused;
+	bool head_seen;
+	bool skip; /* this answer belongs to no request */
+	struct fg_reply reply;
+	unsigned int status;
+};
+
+/* What this instance keeps of an endpoint beside its record in the fleet. */
+struct fg_ep_user {
+	GPtrArray *idle; /* struct fg_up *, latest last */
+	fg_ms heard;	 /* last byte from it */
+	/* As the one that orders its loads; NULL otherwise. */
+	struct fg_slots *slots;
+	struct fg_channel *channel;
+	uv_timer_t *timer;
+	uint64_t fence;
+	bool reporting;
+	struct fg_gateway *gw;
+	struct fg_ep *ep;
+	struct fg_ep_facts told; /* as of the last reset */
+};
+
+struct fg_ep_user *fg_ep_user_of(struct fg_gateway *gw, struct fg_ep *ep);
+void fg_ep_user_drop(struct fg_gateway *gw, struct fg_ep *ep);
+
+/* Sends the request to r->ep. */
+void fg_send_start(struct fg_req *r);
+
+/* Takes the request off its connection; the endpoint sees it closed. */
+void fg_send_cancel(struct fg_req *r);
+
+/* The request's sending ended without an answer for the caller. */
+void fg_req_send_ended(struct fg_req *r, enum fg_send_end end,
+		       const char *why);
+
+/* The answer's parts, from the connection; false: it is no proper answer. */
+bool fg_answer_head(struct fg_req *r, const struct fg_h1_head *head);
+void fg_answer_body(struct fg_req *r, const char *data, size_t len_bytes);
+void fg_answer_end(struct fg_req *r, const struct fg_h1_head *head);
+
+/* ---- Store ---- */
+
+enum fg_feed_id {
+	FG_FEED_CONFIG = 0,
+	FG_FEED_REGISTRY = 1,
+	FG_FEED_OWN = 2,
+	FG_FEED_COUNT = 3,
+};
+
+struct fg_feed {
+	struct fg_gateway *gw;
+	enum fg_feed_id id;
+	const char *table;
+	struct fg_channel *channel;
+	uv_timer_t *timer;
+	uint64_t after;	 /* version read so far */
+	uint64_t read_version; /* of the first page of a full read */
+	char *from;	 /* next key of a full read */
+	bool reading;	 /* full read, else feed */
+	bool complete;	 /* one full read is done */
+	fg_ms sent_at;
+	fg_ms confirmed; /* last answer */
+	uint32_t failures;
+};
+
+void fg_sync_start(struct fg_gateway *gw);
+void fg_sync_stop(struct fg_gateway *gw);
+void fg_sync_tick(struct fg_gateway *gw, fg_ms now);
+
+/* ---- Orders ---- */
+
+void fg_orders_check(struct fg_gateway *gw, fg_ms now);
+void fg_orders_kick(struct fg_gateway *gw, struct fg_ep *ep);
+
+/* Have the adapter loaded at the endpoint, here or by its owner. */
+enum fg_slot_state fg_orders_want(struct fg_gateway *gw, struct fg_ep *ep,
+				  const char *model, const char *adapter,
+				  uint64_t version);
+void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep, uint64_t key);
+void fg_orders_announced(struct fg_gateway *gw, uint64_t key,
+			 uint64_t version);
+void fg_orders_drop(struct fg_ep_user *u);
+
+/* ---- Mesh ---- */
+
+int fg_mesh_open(struct fg_gateway *gw);
+void fg_mesh_tell_crash(struct fg_gateway *gw, const fg_mesh_crash *crash);
+void fg_mesh_tick(struct fg_gateway *gw, fg_ms now);
+void fg_mesh_beat_now(struct fg_gateway *gw);
+void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner, struct fg_ep *ep,
+		      const char *model, const char *adapter,
+		      uint64_t version);
+
+/* ---- Pages ---- */
+
+void fg_pages_answer(struct fg_caller *c);
+bool fg_gateway_ready(const struct fg_gateway *gw);
+
+/* ---- The instance ---- */
+
+/* A version of an adapter that operators announced. */
+struct fg_wanted_version {
+	uint64_t key;
+	uint64_t version;
+	fg_ms since;
+};
+
+struct fg_gateway {
+	uv_loop_t loop;
+	struct fg_gwconf *conf;
+	char *conf_path;
+	char *conf_text;
+	const struct fg_wire_ops *wire;
+	struct fg_rand rand;
+	uint64_t incarnation;
+	fg_ms started;
+
+	struct fg_port ports[FG_PORT_COUNT];
+	GPtrArray *callers;
+	GPtrArray *reqs;
+	uint64_t requests;
+
+	struct fg_feed feeds[FG_FEED_COUNT];
+	struct fg_channel *tx;
+	bool announced_self;
+	struct fg_claim_write claiming[FG_CLAIM_BATCH_MAX];
+	uint32_t n_claiming;
+	fg_ms own_since; /* first time that the own table was known; 0: never */
+	bool claims_checked; /* ... and since the last pause of the process */
+	fg_ms tx_at;	 /* no transaction before */
+
+	struct fg_routes *routes; /* NULL before the first configuration */
+	GHashTable *versions;	  /* key -> struct fg_wanted_version * */
+	struct fg_fleet *fleet;
+	struct fg_balance_conf balance;
+	struct fg_claims *claims;
+	struct fg_peers *peers;
+	struct fg_suspects *suspects;
+	GHashTable *budgets; /* service name -> struct fg_retry * */
+
+	uv_udp_t mesh;
+	uint32_t beat_seq;
+	fg_ms near_beat_at;
+	fg_ms far_beat_at;
+	bool beat_dirty;
+	GArray *uses;	 /* fg_mesh_use since the last beat */
+	GArray *crashes; /* struct fg_told_crash */
+
+	uv_timer_t tick;
+	uv_signal_t signals[3];
+	fg_ms ticked;
+	bool stopping;
+	fg_ms stop_at; /* exits at the latest */
+	fg_ms quiet_since; /* no request since, while stopping */
+
+	struct fg_metrics *metrics;
+	struct fg_hist *hist_first;
+	struct fg_hist *hist_whole;
+};
+
+/* Counts one event: fg_gw_NAME_total{LABELS}. */
+void fg_gw_count(struct fg_gateway *gw, const char *name, const char *labels);
+
+/* Newest announced version of an adapter; 0 when none was. *age_ms tells how
+ * long ago it was read. */
+uint64_t fg_gw_version(const struct fg_gateway *gw, uint64_t key, fg_ms now,
+		       fg_ms *age_ms);
+
+struct fg_retry *fg_gw_budget(struct fg_gateway *gw, const char *service);
+
+/* Closes and frees a timer made by fg_gw_timer_new(). */
+uv_timer_t *fg_gw_timer_new(struct fg_gateway *gw, void *data);
+void fg_gw_timer_free(uv_timer_t *timer);
+
+#endif
--- /dev/null
+++ b/lib/gateway/fg_gw_caller.c
@@ -0,0 +1,322 @@
+/* Connections of callers: reading requests, answering, time limits. */
+#include "gateway/fg_gateway_internal.h"
+
+#include <string.h>
+
+/* Limits before the first configuration is known. */
+#define HEAD_MAX_BYTES 16384
+#define BODY_MAX_BYTES (4 * 1024 * 1024)
+#define HEAD_TIMEOUT_MS 3000
+#define IDLE_TIMEOUT_MS 15000
+/* Bytes kept of requests that a caller sends before the one in progress is
+ * answered; reading stops beyond. */
+#define UNREAD_MAX_BYTES 65536
+
+static const char *status_text(unsigned int status)
+{
+	return http_status_str((enum http_status)status);
+}
+
+static void caller_free(gpointer p)
+{
+	struct fg_caller *c = p;
+
+	fg_h1_clear(&c->h1);
+	g_byte_array_unref(c->unread);
+	g_byte_array_unref(c->body);
+	g_free(c);
+}
+
+/* The record is freed by the next sweep: callbacks further up the stack may
+ * still look at it. */
+static void let_go(struct fg_caller *c)
+{
+	struct fg_req *r = c->req;
+
+	c->link = NULL;
+	c->req = NULL;
+	if (r != NULL)
+		fg_req_cancel(r);
+}
+
+void fg_caller_close(struct fg_caller *c, bool flush)
+{
+	if (c->link == NULL)
+		return;
+	fg_link_close(c->link, flush);
+	let_go(c);
+}
+
+void fg_caller_abort(struct fg_caller *c)
+{
+	if (c->link == NULL)
+		return;
+	fg_link_abort(c->link);
+	let_go(c);
+}
+
+void fg_caller_answer(struct fg_caller *c, unsigned int status,
+		      const char *request_id, uint32_t retry_ms,
+		      const char *type, const char *body, size_t len_bytes)
+{
+	GString *out;
+
+	if (c->link == NULL)
+		return;
+	if (c->gw->stopping || c->bad || !c->h1.head.keep_alive)
+		c->last = true;
+	out = g_string_sized_new(256 + len_bytes);
+	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
+			       status_text(status));
+	c->gw->wire->refusal_write(out, request_id);
+	if (retry_ms > 0)
+		g_string_append_printf(out, "Retry-After: %u.%03u\r\n",
+				       retry_ms / FG_MS_PER_S,
+				       retry_ms % FG_MS_PER_S);
+	if (type != NULL)
+		g_string_append_printf(out, "Content-Type: %s\r\n", type);
+	if (c->last)
+		g_string_append(out, "Connection: close\r\n");
+	g_string_append_printf(out, "Content-Length: %zu\r\n\r\n", len_bytes);
+	if (c->h1.head.method != HTTP_HEAD)
+		g_string_append_len(out, body, (gssize)len_bytes);
+	fg_link_write(c->link, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+/* ---- Reading ---- */
+
+static void read_unread(struct fg_caller *c);
+
+static const struct fg_caller_limits *limits_of(const struct fg_gateway *gw)
+{
+	static const struct fg_caller_limits fallback = {
+		.head_max_bytes = HEAD_MAX_BYTES,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.head_timeout_ms = HEAD_TIMEOUT_MS,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+	};
+
+	return gw->routes == NULL ? &fallback : &gw->routes->limits;
+}
+
+static void apply_limits(struct fg_caller *c)
+{
+	const struct fg_caller_limits *l = limits_of(c->gw);
+
+	c->h1.head_max_bytes =
+		l->head_max_bytes == 0 ? HEAD_MAX_BYTES : l->head_max_bytes;
+	c->h1.body_max_bytes =
+		l->body_max_bytes == 0 ? BODY_MAX_BYTES : l->body_max_bytes;
+}
+
+static bool on_head(void *ctx, const struct fg_h1_head *head)
+{
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	struct fg_caller *c = ctx;
+	const char *expect = fg_h1_get(head, "Expect");
+
+	if (expect != NULL &&
+	    g_ascii_strcasecmp(expect, "100-continue") == 0)
+		fg_link_write(c->link, go_on, sizeof(go_on) - 1);
+	return true;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct fg_caller *c = ctx;
+
+	g_byte_array_append(c->body, (const guint8 *)data, (guint)len);
+}
+
+static void on_request(void *ctx)
+{
+	struct fg_caller *c = ctx;
+
+	if (c->kind == FG_PORT_FRONT)
+		fg_req_start(c);
+	else
+		fg_pages_answer(c);
+}
+
+static const struct fg_h1_ops h1_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_request,
+};
+
+static void refuse_fault(struct fg_caller *c)
+{
+	unsigned int status = HTTP_STATUS_BAD_REQUEST;
+	const char *reason = "malformed";
+
+	if (c->h1.fault == FG_H1_HEAD_TOO_LARGE) {
+		status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+		reason = "head_too_large";
+	} else if (c->h1.fault == FG_H1_BODY_TOO_LARGE) {
+		status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+		reason = "body_too_large";
+	}
+	c->bad = true;
+	fg_log(FG_LOG_WARN, "caller", "bad_request", "reason", reason, NULL);
+	fg_gw_count(c->gw, "bad_requests", NULL);
+	fg_caller_answer(c, status, NULL, 0, NULL, "", 0);
+	fg_caller_close(c, true);
+}
+
+/* Feeds the parser; keeps what lies behind a whole request. */
+static void feed(struct fg_caller *c, const char *data, size_t len)
+{
+	size_t used;
+
+	if (!c->h1.begun) {
+		c->since = fg_clock_now();
+		apply_limits(c);
+	} else if (c->body->len > 0) {
+		c->since = fg_clock_now(); /* the body makes progress */
+	}
+	used = fg_h1_feed(&c->h1, data, len);
+	if (c->link == NULL)
+		return;
+	if (c->h1.fault != FG_H1_OK) {
+		refuse_fault(c);
+		return;
+	}
+	if (used < len)
+		g_byte_array_append(c->unread, (const guint8 *)data + used,
+				    (guint)(len - used));
+}
+
+static void on_data(void *ctx, const char *data, size_t len)
+{
+	struct fg_caller *c = ctx;
+
+	if (c->last && c->req == NULL)
+		return; /* the last answer is being sent */
+	if (c->req == NULL && c->unread->len == 0) {
+		feed(c, data, len);
+		if (c->link != NULL && c->req == NULL)
+			read_unread(c);
+		return;
+	}
+	g_byte_array_append(c->unread, (const guint8 *)data, (guint)len);
+	if (c->unread->len > UNREAD_MAX_BYTES)
+		fg_link_pause(c->link);
+}
+
+/* Goes on with requests that arrived behind the one just answered. */
+static void read_unread(struct fg_caller *c)
+{
+	while (c->link != NULL && c->req == NULL && c->unread->len > 0 &&
+	       !c->h1.ended && !c->last) {
+		GByteArray *bytes = c->unread;
+
+		c->unread = g_byte_array_new();
+		feed(c, (const char *)bytes->data, bytes->len);
+		g_byte_array_unref(bytes);
+	}
+}
+
+static void on_end(void *ctx, enum fg_link_end end)
+{
+	(void)end;
+	fg_caller_close(ctx, false);
+}
+
+static void on_drained(void *ctx)
+{
+	struct fg_caller *c = ctx;
+
+	if (c->req != NULL && c->req->up != NULL && c->req->up->link != NULL)
+		fg_link_resume(c->req->up->link);
+}
+
+static const struct fg_link_ops link_ops = {
+	.on_data = on_data,
+	.on_end = on_end,
+	.on_drained = on_drained,
+};
+
+void fg_caller_done(struct fg_caller *c)
+{
+	c->req = NULL;
+	if (c->link == NULL)
+		return;
+	if (c->last) {
+		fg_caller_close(c, true);
+		return;
+	}
+	fg_h1_next(&c->h1);
+	g_byte_array_set_size(c->body, 0);
+	c->since = fg_clock_now();
+	fg_link_resume(c->link);
+	read_unread(c);
+}
+
+void fg_caller_accept(uv_stream_t *listener, int status)
+{
+	struct fg_port *port = listener->data;
+	struct fg_gateway *gw = port->gw;
+	struct fg_caller *c;
+	struct fg_link *link;
+
+	if (status != 0) {
+		fg_log(FG_LOG_WARN, "caller", "accept_failed", "reason",
+		       uv_strerror(status), NULL);
+		return;
+	}
+	link = fg_link_accept(listener, &link_ops, NULL);
+	if (link == NULL)
+		return;
+	if (gw->callers->len >= gw->conf->connections_max) {
+		fg_log(FG_LOG_WARN, "caller", "too_many_connections", NULL);
+		fg_link_abort(link);
+		return;
+	}
+	c = g_new0(struct fg_caller, 1);
+	c->gw = gw;
+	c->kind = port->kind;
+	c->link = link;
+	c->unread = g_byte_array_new();
+	c->body = g_byte_array_new();
+	c->since = fg_clock_now();
+	fg_link_set_ctx(link, c);
+	fg_h1_init(&c->h1, true, &h1_ops, c, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	g_ptr_array_add(gw->callers, c);
+}
+
+/* ---- Time limits ---- */
+
+static void check_limits(struct fg_caller *c, fg_ms now)
+{
+	const struct fg_caller_limits *l = limits_of(c->gw);
+	fg_ms waited_ms = now - c->since;
+
+	if (c->req != NULL || c->h1.ended)
+		return;
+	if (c->h1.begun && l->head_timeout_ms > 0 &&
+	    waited_ms > (fg_ms)l->head_timeout_ms) {
+		c->bad = true;
+		fg_log(FG_LOG_INFO, "caller", "request_timed_out", NULL);
+		fg_caller_answer(c, HTTP_STATUS_REQUEST_TIMEOUT, NULL, 0, NULL,
+				 "", 0);
+		fg_caller_close(c, true);
+	} else if (!c->h1.begun && l->idle_timeout_ms > 0 &&
+		   waited_ms > (fg_ms)l->idle_timeout_ms) {
+		fg_caller_close(c, true);
+	}
+}
+
+void fg_caller_sweep(struct fg_gateway *gw, fg_ms now)
+{
+	for (guint i = gw->callers->len; i > 0; i--) {
+		struct fg_caller *c = gw->callers->pdata[i - 1];
+
+		if (c->link != NULL)
+			check_limits(c, now);
+		if (c->link == NULL) {
+			g_ptr_array_remove_index_fast(gw->callers, i - 1);
+			caller_free(c);
+		}
+	}
+}
--- /dev/null
+++ b/lib/gateway/fg_gw_mesh.c
@@ -0,0 +1,486 @@
+/* Beats and asks between instances. */
+#include "gateway/fg_gateway_internal.h"
+
+#include <string.h>
+
+/* Beats inside a region: soon after something changed, at the latest each
+ * NEAR_MAX_MS. With many neighbours the least interval grows, so that beats
+ * stay a small part of an instance's processor time. */
+#define NEAR_MIN_MS 100
+#define NEAR_MS_PER_PEER 8
+#define NEAR_MAX_MS 250
+#define FAR_MS 400
+/* Entries of one datagram, so that it fits FG_MESH_PACKET_BYTES. */
+#define LOADS_MAX 40
+#define USES_MAX 20
+#define OWNS_MAX 3
+/* A crash is told in this many beats, since each may be lost. */
+#define CRASH_REPEATS 3
+
+struct told_crash {
+	fg_mesh_crash crash;
+	uint32_t left;
+};
+
+/* ---- Sending ---- */
+
+static void send_packet(struct fg_gateway *gw, const char *address,
+			const fg_mesh_packet *packet)
+{
+	char buf[FG_MESH_PACKET_BYTES];
+	struct sockaddr_in to;
+	uv_buf_t out;
+	size_t len;
+
+	if (!fg_link_parse(address, &to))
+		return;
+	if (!fg_mesh_encode(packet, buf, sizeof(buf), &len)) {
+		fg_log(FG_LOG_ERROR, "mesh", "packet_too_large", NULL);
+		return;
+	}
+	out = uv_buf_init(buf, (unsigned int)len);
+	/* A datagram that cannot be sent now counts as lost. */
+	(void)uv_udp_try_send(&gw->mesh, &out, 1, (struct sockaddr *)&to);
+}
+
+static fg_mesh_state state_of(const struct fg_gateway *gw)
+{
+	if (gw->stopping)
+		return FG_MESH_LEAVING;
+	return fg_gateway_ready(gw) ? FG_MESH_READY : FG_MESH_STARTING;
+}
+
+struct beat {
+	fg_mesh_load loads[LOADS_MAX];
+	fg_mesh_use uses[USES_MAX];
+	fg_mesh_own owns[OWNS_MAX];
+	fg_mesh_held held[OWNS_MAX][FG_MESH_HELD_MAX];
+	fg_mesh_crash crashes[USES_MAX];
+};
+
+static uint32_t put_loads(const struct fg_gateway *gw, struct beat *b)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	uint32_t n = 0;
+
+	for (guint i = 0; i < all->len && n < LOADS_MAX; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+
+		if (ep->running == 0)
+			continue;
+		b->loads[n].ep = ep->hash;
+		b->loads[n].running = ep->running;
+		b->loads[n++].pending_tokens = ep->pending_tokens;
+	}
+	return n;
+}
+
+/* Adapters with requests in flight at engines that others order. */
+static void collect_running(struct fg_gateway *gw)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_ep_user *u = ep->user;
+
+		if (ep->running == 0 || (u != NULL && u->slots != NULL))
+			continue;
+		for (uint32_t k = 0; k < ep->n_adapters; k++) {
+			fg_mesh_use use = { .ep = ep->hash,
+					    .adapter = ep->adapters[k].key };
+
+			if (ep->adapters[k].running > 0)
+				g_array_append_val(gw->uses, use);
+		}
+	}
+}
+
+static uint32_t put_uses(struct fg_gateway *gw, struct beat *b)
+{
+	uint32_t n = MIN(gw->uses->len, USES_MAX);
+
+	memcpy(b->uses, gw->uses->data, n * sizeof(b->uses[0]));
+	return n;
+}
+
+static uint32_t put_crashes(struct fg_gateway *gw, struct beat *b)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < gw->crashes->len && n < USES_MAX; i++)
+		b->crashes[n++] = g_array_index(gw->crashes, struct told_crash,
+						i)
+					  .crash;
+	return n;
+}
+
+static void put_own(const struct fg_ep *ep, fg_mesh_own *own,
+		    fg_mesh_held *held)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0;
+	     i < ep->n_adapters && n < FG_MESH_HELD_MAX; i++) {
+		if (ep->adapters[i].version == 0)
+			continue;
+		held[n].adapter = ep->adapters[i].key;
+		held[n++].ver = ep->adapters[i].version;
+	}
+	own->ep = ep->hash;
+	own->spare_age_ms = ep->spare_age_ms;
+	own->held.held_len = n;
+	own->held.held_val = held;
+}
+
+/* Engines ordered here from *at on; returns how many were put. */
+static uint32_t put_owns(const struct fg_gateway *gw, struct beat *b, guint *at)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	uint32_t n = 0;
+
+	for (; *at < all->len && n < OWNS_MAX; (*at)++) {
+		const struct fg_ep *ep = all->pdata[*at];
+		const struct fg_ep_user *u = ep->user;
+
+		if (u == NULL || u->slots == NULL)
+			continue;
+		put_own(ep, &b->owns[n], b->held[n]);
+		n++;
+	}
+	return n;
+}
+
+static void beat_peers(struct fg_gateway *gw, const fg_mesh_packet *packet,
+		       bool near)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct fg_peer *p = peers->pdata[i];
+
+		if (p->near == near)
+			send_packet(gw, p->row.mesh, packet);
+	}
+}
+
+static void init_packet(struct fg_gateway *gw, fg_mesh_packet *packet,
+			fg_mesh_kind kind)
+{
+	memset(packet, 0, sizeof(*packet));
+	packet->format = FG_MESH_FORMAT;
+	packet->incarnation = gw->incarnation;
+	packet->body.kind = kind;
+}
+
+/* Sends one beat, in several datagrams when it has many parts. */
+static void send_beat(struct fg_gateway *gw, bool near)
+{
+	struct beat b;
+	fg_mesh_packet packet;
+	fg_mesh_beat *beat = &packet.body.fg_mesh_body_u.beat;
+	guint at = 0;
+
+	init_packet(gw, &packet, FG_MESH_BEAT);
+	beat->state = state_of(gw);
+	beat->crashes.crashes_len = put_crashes(gw, &b);
+	beat->crashes.crashes_val = b.crashes;
+	{
+		beat->loads.loads_len = put_loads(gw, &b);
+		beat->loads.loads_val = b.loads;
+		beat->uses.uses_len = put_uses(gw, &b);
+		beat->uses.uses_val = b.uses;
+	}
+	do {
+		packet.seq = ++gw->beat_seq;
+		beat->owns.owns_len = put_owns(gw, &b, &at);
+		beat->owns.owns_val = b.owns;
+		beat_peers(gw, &packet, near);
+		beat->uses.uses_len = 0;
+	} while (beat->owns.owns_len == OWNS_MAX);
+}
+
+static void age_crashes(struct fg_gateway *gw)
+{
+	for (guint i = gw->crashes->len; i > 0; i--) {
+		struct told_crash *t = &g_array_index(gw->crashes,
+						      struct told_crash, i - 1);
+
+		if (--t->left == 0)
+			g_array_remove_index_fast(gw->crashes, i - 1);
+	}
+}
+
+static void near_beat(struct fg_gateway *gw, fg_ms now)
+{
+	uint32_t sent_uses;
+
+	collect_running(gw);
+	sent_uses = MIN(gw->uses->len, USES_MAX);
+	send_beat(gw, true);
+	g_array_remove_range(gw->uses, 0, sent_uses);
+	gw->near_beat_at = now;
+	gw->beat_dirty = gw->uses->len > 0;
+	g_array_set_size(gw->uses, MIN(gw->uses->len, USES_MAX));
+}
+
+void fg_mesh_beat_now(struct fg_gateway *gw)
+{
+	near_beat(gw, fg_clock_now());
+}
+
+void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner, struct fg_ep *ep,
+		      const char *model, const char *adapter, uint64_t version)
+{
+	const struct fg_peer *peer = fg_peers_find(gw->peers, owner);
+	fg_mesh_packet packet;
+	fg_mesh_ask *ask = &packet.body.fg_mesh_body_u.ask;
+
+	if (peer == NULL)
+		return;
+	init_packet(gw, &packet, FG_MESH_ASK);
+	ask->ep = ep->hash;
+	ask->model = (char *)model;
+	ask->adapter = (char *)adapter;
+	ask->ver = version;
+	send_packet(gw, peer->row.mesh, &packet);
+}
+
+/* ---- Receiving ---- */
+
+static void shift_loads(struct fg_gateway *gw, const struct fg_peer *peer,
+			int sign)
+{
+	for (uint32_t i = 0; i < peer->n_loads; i++) {
+		const struct fg_peer_load *l = &peer->loads[i];
+		struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, l->ep);
+
+		if (ep == NULL)
+			continue;
+		if (sign > 0) {
+			ep->peers_running += l->running;
+			ep->peers_pending_tokens += l->pending_tokens;
+		} else {
+			ep->peers_running -= MIN(l->running, ep->peers_running);
+			ep->peers_pending_tokens -= MIN(
+				l->pending_tokens, ep->peers_pending_tokens);
+		}
+	}
+}
+
+static void take_use(struct fg_gateway *gw, const fg_mesh_use *use, fg_ms now)
+{
+	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, use->ep);
+	struct fg_ep_user *u = ep == NULL ? NULL : ep->user;
+	struct fg_ep_adapter *a =
+		ep == NULL ? NULL : fg_ep_adapter(ep, use->adapter);
+
+	if (a != NULL)
+		a->used = now;
+	if (u != NULL && u->slots != NULL)
+		fg_slots_used(u->slots, now, use->adapter);
+}
+
+static void take_own(struct fg_gateway *gw, uint64_t sender,
+		     const fg_mesh_own *own, fg_ms now)
+{
+	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, own->ep);
+	struct fg_held held[FG_MESH_HELD_MAX];
+	uint32_t n = own->held.held_len;
+
+	if (ep == NULL ||
+	    fg_claims_holder(gw->claims, ep->facts.id) != sender)
+		return;
+	for (uint32_t i = 0; i < n; i++) {
+		held[i].key = own->held.held_val[i].adapter;
+		held[i].version = own->held.held_val[i].ver;
+	}
+	fg_ep_set_resident(ep, now, held, n);
+	ep->told = now;
+	ep->owner = sender;
+	ep->spare_age_ms = own->spare_age_ms;
+	fg_req_resident(gw, ep);
+}
+
+static void take_crash(struct fg_gateway *gw, uint64_t by,
+		       const fg_mesh_crash *crash, fg_ms now)
+{
+	fg_suspect ev = {
+		.fingerprint = crash->fingerprint,
+		.ep = crash->ep,
+		.event = FG_SUSPECT_CRASH,
+		.req = crash->req,
+	};
+
+	fg_suspects_event(gw->suspects, now, by, &ev);
+}
+
+static void take_beat(struct fg_gateway *gw, const fg_mesh_packet *packet,
+		      fg_ms now)
+{
+	const fg_mesh_beat *beat = &packet->body.fg_mesh_body_u.beat;
+	struct fg_peer *peer = fg_peers_find(gw->peers, packet->incarnation);
+
+	if (peer == NULL)
+		return;
+	shift_loads(gw, peer, -1);
+	fg_peers_beat(gw->peers, now, packet->incarnation, packet->seq, beat);
+	shift_loads(gw, peer, 1);
+	for (u_int i = 0; i < beat->uses.uses_len; i++)
+		take_use(gw, &beat->uses.uses_val[i], now);
+	for (u_int i = 0; i < beat->owns.owns_len; i++)
+		take_own(gw, packet->incarnation, &beat->owns.owns_val[i], now);
+	for (u_int i = 0; i < beat->crashes.crashes_len; i++)
+		take_crash(gw, packet->incarnation,
+			   &beat->crashes.crashes_val[i], now);
+}
+
+static void take_ask(struct fg_gateway *gw, const fg_mesh_packet *packet,
+		     const char *from)
+{
+	const fg_mesh_ask *ask = &packet->body.fg_mesh_body_u.ask;
+	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, ask->ep);
+	struct fg_ep_user *u = ep == NULL ? NULL : ep->user;
+	fg_mesh_packet reply;
+	fg_mesh_told *told = &reply.body.fg_mesh_body_u.told;
+
+	init_packet(gw, &reply, FG_MESH_TOLD);
+	told->ep = ask->ep;
+	told->adapter = fg_adapter_key(ask->model, ask->adapter);
+	told->answer = FG_MESH_NOT_OWNER;
+	if (u != NULL && u->slots != NULL) {
+		switch (fg_orders_want(gw, ep, ask->model, ask->adapter,
+				       ask->ver)) {
+		case FG_SLOT_RESIDENT:
+			told->answer = FG_MESH_RESIDENT;
+			break;
+		case FG_SLOT_COMING:
+			told->answer = FG_MESH_COMING;
+			break;
+		default:
+			told->answer = FG_MESH_FULL;
+		}
+	}
+	send_packet(gw, from, &reply);
+}
+
+static void take_told(struct fg_gateway *gw, const fg_mesh_packet *packet,
+		      fg_ms now)
+{
+	const fg_mesh_told *told = &packet->body.fg_mesh_body_u.told;
+	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, told->ep);
+	struct fg_ep_adapter *a;
+
+	if (ep == NULL)
+		return;
+	if (told->answer == FG_MESH_RESIDENT) {
+		a = fg_ep_adapter_get(ep, now, told->adapter);
+		if (a == NULL)
+			return;
+		a->version = MAX(a->version, 1);
+		a->seen = now;
+		fg_req_resident(gw, ep);
+	} else if (told->answer != FG_MESH_COMING) {
+		fg_req_no_load(gw, ep, told->adapter);
+	}
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char bytes[4096];
+
+	(void)handle;
+	(void)suggested;
+	buf->base = bytes;
+	buf->len = sizeof(bytes);
+}
+
+static void on_packet(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+		      const struct sockaddr *from, unsigned int flags)
+{
+	struct fg_gateway *gw = udp->data;
+	fg_mesh_packet packet;
+	char ip[INET_ADDRSTRLEN];
+	char address[FG_PEER_TEXT_BYTES];
+
+	if (n <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
+		return;
+	if (!fg_mesh_decode(buf->base, (size_t)n, &packet)) {
+		fg_gw_count(gw, "mesh_refused", NULL);
+		return;
+	}
+	uv_ip4_name((const struct sockaddr_in *)from, ip, sizeof(ip));
+	g_snprintf(address, sizeof(address), "%s:%u", ip,
+		   ntohs(((const struct sockaddr_in *)from)->sin_port));
+	switch (packet.body.kind) {
+	case FG_MESH_BEAT:
+		take_beat(gw, &packet, fg_clock_now());
+		break;
+	case FG_MESH_ASK:
+		take_ask(gw, &packet, address);
+		break;
+	case FG_MESH_TOLD:
+		take_told(gw, &packet, fg_clock_now());
+		break;
+	}
+	fg_mesh_clear(&packet);
+}
+
+/* ---- Clock ---- */
+
+static void drop_silent(struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+
+	for (guint i = 0; i < peers->len; i++) {
+		struct fg_peer *p = peers->pdata[i];
+
+		if (p->n_loads == 0 || fg_peer_alive(p, now))
+			continue;
+		shift_loads(gw, p, -1);
+		p->n_loads = 0;
+	}
+}
+
+void fg_mesh_tick(struct fg_gateway *gw, fg_ms now)
+{
+	fg_ms least_ms = MAX(NEAR_MIN_MS,
+			     NEAR_MS_PER_PEER *
+				     (fg_ms)fg_peers_all(gw->peers)->len);
+
+	drop_silent(gw, now);
+	if (now - gw->near_beat_at >= NEAR_MAX_MS ||
+	    (gw->beat_dirty && now - gw->near_beat_at >= least_ms))
+		near_beat(gw, now);
+	if (now - gw->far_beat_at >= FAR_MS) {
+		send_beat(gw, false);
+		gw->far_beat_at = now;
+		age_crashes(gw);
+	}
+}
+
+void fg_mesh_tell_crash(struct fg_gateway *gw, const fg_mesh_crash *crash)
+{
+	struct told_crash t = { .crash = *crash, .left = CRASH_REPEATS };
+
+	take_crash(gw, gw->incarnation, crash, fg_clock_now());
+	g_array_append_val(gw->crashes, t);
+	gw->beat_dirty = true;
+}
+
+int fg_mesh_open(struct fg_gateway *gw)
+{
+	struct sockaddr_in at;
+	int rc;
+
+	gw->uses = g_array_new(FALSE, FALSE, sizeof(fg_mesh_use));
+	gw->crashes = g_array_new(FALSE, FALSE, sizeof(struct told_crash));
+	if (!fg_link_parse(gw->conf->mesh, &at))
+		return UV_EINVAL;
+	uv_udp_init(&gw->loop, &gw->mesh);
+	gw->mesh.data = gw;
+	rc = uv_udp_bind(&gw->mesh, (struct sockaddr *)&at, 0);
+	if (rc == 0)
+		rc = uv_udp_recv_start(&gw->mesh, on_alloc, on_packet);
+	return rc;
+}
--- /dev/null
+++ b/lib/gateway/fg_gw_pages.c
@@ -0,0 +1,213 @@
+/* Address lookup, readiness, metrics and state. */
+#include "gateway/fg_gateway_internal.h"
+
+#include <string.h>
+
+#define JSON "application/json"
+#define TEXT "text/plain; version=0.0.4"
+/* Addresses of one answer: what callers read at most. */
+#define ADDRESSES_MAX 64
+
+bool fg_gateway_ready(const struct fg_gateway *gw)
+{
+	return gw->routes != NULL && gw->feeds[FG_FEED_REGISTRY].complete &&
+	       !gw->stopping;
+}
+
+static void answer(struct fg_caller *c, unsigned int status, const char *type,
+		   const char *body)
+{
+	fg_caller_answer(c, status, NULL, 0, type, body, strlen(body));
+	fg_caller_done(c);
+}
+
+/* ---- Address lookup ---- */
+
+/* Instances that serve callers; of the region, or of all when NULL. */
+static GPtrArray *serving(struct fg_gateway *gw, const char *region, fg_ms now)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+	GPtrArray *out = g_ptr_array_new();
+
+	if (fg_gateway_ready(gw) &&
+	    (region == NULL || strcmp(region, gw->conf->region) == 0))
+		g_ptr_array_add(out, gw->conf->front);
+	for (guint i = 0; i < peers->len; i++) {
+		struct fg_peer *p = peers->pdata[i];
+
+		if (fg_peer_serves(p, now) &&
+		    (region == NULL || strcmp(region, p->row.region) == 0))
+			g_ptr_array_add(out, p->row.front);
+	}
+	return out;
+}
+
+/* Moves a random choice of at most `max` entries to the front. */
+static void choose(GPtrArray *all, guint max, struct fg_rand *rand)
+{
+	for (guint i = 0; i < all->len && i < max; i++) {
+		guint k = i + (guint)fg_rand_below(rand, all->len - i);
+		gpointer chosen = all->pdata[k];
+
+		all->pdata[k] = all->pdata[i];
+		all->pdata[i] = chosen;
+	}
+	if (all->len > max)
+		g_ptr_array_set_size(all, (gint)max);
+}
+
+static void answer_lookup(struct fg_caller *c, const struct fg_lookup *lookup)
+{
+	struct fg_gateway *gw = c->gw;
+	fg_ms now = fg_clock_now();
+	const char *region =
+		lookup->region == NULL ? gw->conf->region : lookup->region;
+	GPtrArray *found = serving(gw, region, now);
+	GString *body = g_string_new(NULL);
+
+	if (found->len == 0) {
+		g_ptr_array_unref(found);
+		found = serving(gw, NULL, now);
+	}
+	choose(found, ADDRESSES_MAX, &gw->rand);
+	gw->wire->lookup_write(body, (const char *const *)found->pdata,
+			       found->len, gw->conf->lookup_ttl_s);
+	if (found->len == 0)
+		answer(c, HTTP_STATUS_SERVICE_UNAVAILABLE, NULL, "");
+	else
+		answer(c, HTTP_STATUS_OK, JSON, body->str);
+	g_string_free(body, TRUE);
+	g_ptr_array_unref(found);
+}
+
+/* ---- State ---- */
+
+static void put_endpoints(GString *out, const struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_ep_user *u = ep->user;
+
+		g_string_append_printf(
+			out,
+			"endpoint %s service=%s address=%s usable=%d "
+			"running=%u+%u pending_tokens=%u+%u errors=%.2f "
+			"slowness=%.2f fence=%llu spare_age_ms=%u adapters=",
+			ep->facts.id, ep->facts.service, ep->facts.address,
+			fg_ep_usable(ep, now), ep->running, ep->peers_running,
+			ep->pending_tokens, ep->peers_pending_tokens,
+			ep->error_rate, ep->slowness,
+			(unsigned long long)(u == NULL ? 0 : u->fence),
+			ep->spare_age_ms);
+		for (uint32_t k = 0; k < ep->n_adapters; k++) {
+			if (ep->adapters[k].version != 0)
+				g_string_append_printf(
+					out, "%016llx,",
+					(unsigned long long)ep->adapters[k].key);
+		}
+		g_string_append_c(out, '\n');
+	}
+}
+
+static void put_peers(GString *out, const struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct fg_peer *p = peers->pdata[i];
+
+		g_string_append_printf(out, "peer %s region=%s alive=%d state=%d\n",
+				       p->row.name, p->row.region,
+				       fg_peer_alive(p, now), (int)p->state);
+	}
+}
+
+static char *state_text(struct fg_gateway *gw)
+{
+	fg_ms now = fg_clock_now();
+	GString *out = g_string_new(NULL);
+
+	g_string_append_printf(
+		out,
+		"instance %s region=%s ready=%d stopping=%d "
+		"configuration=%llu requests=%u callers=%u\n",
+		gw->conf->name, gw->conf->region, fg_gateway_ready(gw),
+		gw->stopping,
+		(unsigned long long)(gw->routes == NULL ? 0 :
+							  gw->routes->version),
+		gw->reqs->len, gw->callers->len);
+	for (int i = 0; i < FG_FEED_COUNT; i++)
+		g_string_append_printf(
+			out, "feed %s version=%llu failures=%u age_ms=%lld\n",
+			gw->feeds[i].table,
+			(unsigned long long)gw->feeds[i].after,
+			gw->feeds[i].failures,
+			(long long)(now - gw->feeds[i].confirmed));
+	put_endpoints(out, gw, now);
+	put_peers(out, gw, now);
+	return g_string_free(out, FALSE);
+}
+
+/* ---- Dispatch ---- */
+
+static void set_gauges(struct fg_gateway *gw)
+{
+	fg_ms now = fg_clock_now();
+	struct fg_metrics *m = gw->metrics;
+
+	fg_gauge_set(fg_metrics_gauge(m, "fg_gw_requests_in_progress", NULL,
+				      "requests not yet answered"),
+		     gw->reqs->len);
+	fg_gauge_set(fg_metrics_gauge(m, "fg_gw_configuration_version", NULL,
+				      "version of the configuration in force"),
+		     gw->routes == NULL ? 0 : (int64_t)gw->routes->version);
+	for (int i = 0; i < FG_FEED_COUNT; i++) {
+		char *labels = g_strdup_printf("table=\"%s\"",
+					       gw->feeds[i].table);
+
+		fg_gauge_set(fg_metrics_gauge(m, "fg_gw_feed_age_ms", labels,
+					      "time since the last answer"),
+			     now - gw->feeds[i].confirmed);
+		fg_gauge_set(fg_metrics_gauge(m, "fg_gw_feed_version", labels,
+					      "version read so far"),
+			     (int64_t)gw->feeds[i].after);
+		g_free(labels);
+	}
+}
+
+static void answer_metrics(struct fg_caller *c)
+{
+	char *text;
+
+	if (strcmp(fg_h1_target(&c->h1.head), "/state") == 0) {
+		text = state_text(c->gw);
+	} else {
+		set_gauges(c->gw);
+		text = fg_metrics_render(c->gw->metrics);
+	}
+	answer(c, HTTP_STATUS_OK, TEXT, text);
+	g_free(text);
+}
+
+void fg_pages_answer(struct fg_caller *c)
+{
+	const struct fg_wire_ops *wire = c->gw->wire;
+	struct fg_lookup lookup;
+
+	if (c->kind == FG_PORT_METRICS) {
+		answer_metrics(c);
+	} else if (wire->is_ready_check(&c->h1.head)) {
+		answer(c,
+		       fg_gateway_ready(c->gw) ?
+			       HTTP_STATUS_OK :
+			       HTTP_STATUS_SERVICE_UNAVAILABLE,
+		       NULL, "");
+	} else if (wire->is_lookup(&c->h1.head, &lookup)) {
+		answer_lookup(c, &lookup);
+		fg_lookup_clear(&lookup);
+	} else {
+		answer(c, HTTP_STATUS_NOT_FOUND, NULL, "");
+	}
+}
--- /dev/null
+++ b/lib/gateway/fg_gw_request.c
@@ -0,0 +1,544 @@
+/* A request from its head to its final answer. */
+#include "gateway/fg_gateway_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* When a route or a caller gives no limit. */
+#define DEFAULT_TIMEOUT_MS 30000
+/* A caller that is refused comes back after this; loads and short queues
+ * change within it. */
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 2000
+/* Sends of one request, those that never ran included. */
+#define SENDS_MAX 6
+/* A request whose load is not told within this goes elsewhere. */
+#define LOAD_WAIT_MS 700
+#define ASK_AGAIN_MS 80
+#define PLACE_AGAIN_MS 40
+/* Endpoints looked at before waiting for one that can load. */
+#define PLACE_TRIES 3
+/* Without this much time left no endpoint can answer. */
+#define LEFT_MIN_MS 10
+/* Urgency 5 is the engines' default; routes rank around it. */
+#define URGENCY_BASE 4
+#define URGENCY_MAX 9
+/* From this long after an announcement on, only the new version is used; the
+ * rest of the time allowed covers what waits in an engine's queue. */
+#define VERSION_MARGIN_MS 1500
+/* The configuration counts as confirmed for this long after the last answer
+ * of the store when calls to it fail. */
+#define CONFIG_STALE_MS 3000
+
+uint32_t fg_req_left_ms(const struct fg_req *r, fg_ms now)
+{
+	return now >= r->end_at ? 0 : (uint32_t)(r->end_at - now);
+}
+
+uint32_t fg_req_urgency(const struct fg_req *r)
+{
+	return MIN(URGENCY_BASE + r->route->priority, URGENCY_MAX);
+}
+
+/* ---- Log ---- */
+
+static void log_end(const struct fg_req *r, enum fg_log_level level,
+		    const char *outcome, const char *reason)
+{
+	fg_ms now = fg_clock_now();
+	char took[24];
+	char sends[32];
+
+	if (!fg_log_enabled(level))
+		return;
+	snprintf(took, sizeof(took), "%lld", (long long)(now - r->arrived));
+	snprintf(sends, sizeof(sends), "%u", r->sends);
+	fg_log(level, "request", outcome, "id", r->call.id, "route",
+	       r->route == NULL ? NULL : r->route->name, "reason", reason,
+	       "took_ms", took, "sends", sends, "endpoint",
+	       r->ep == NULL ? NULL : r->ep->facts.id, "adapter",
+	       r->call.adapter, NULL);
+}
+
+/* ---- Where it runs ---- */
+
+static void detach(struct fg_req *r)
+{
+	if (r->ep == NULL)
+		return;
+	g_assert(r->ep->running > 0);
+	g_assert(r->ep->pending_tokens >= r->pending_tokens);
+	r->ep->running--;
+	r->ep->pending_tokens -= r->pending_tokens;
+	r->pending_tokens = 0;
+	if (r->use != NULL && r->use->running > 0)
+		r->use->running--;
+	r->use = NULL;
+	fg_ep_unref(r->ep);
+	r->ep = NULL;
+}
+
+static void attach(struct fg_req *r, struct fg_ep *ep)
+{
+	detach(r);
+	r->ep = fg_ep_ref(ep);
+	ep->running++;
+	r->pending_tokens = r->service->engine ? r->call.prompt_tokens : 0;
+	ep->pending_tokens += r->pending_tokens;
+	if (r->adapter == 0)
+		return;
+	r->use = fg_ep_adapter_get(ep, fg_clock_now(), r->adapter);
+	if (r->use != NULL)
+		r->use->running++;
+}
+
+static void note_tried(struct fg_req *r)
+{
+	if (r->ep == NULL)
+		return;
+	for (uint32_t i = 0; i < r->n_tried; i++) {
+		if (r->tried[i] == r->ep)
+			return;
+	}
+	if (r->n_tried < FG_REQ_TRIED_MAX)
+		r->tried[r->n_tried++] = r->ep;
+}
+
+/* ---- Timer ---- */
+
+static void on_timer(uv_timer_t *timer);
+
+static void arm(struct fg_req *r)
+{
+	fg_ms now = fg_clock_now();
+	fg_ms at = MIN(r->end_at, r->step_at);
+
+	uv_update_time(&r->gw->loop);
+	uv_timer_start(r->timer, on_timer,
+		       at <= now ? 0 : (uint64_t)(at - now), 0);
+}
+
+static void wait_state(struct fg_req *r, enum fg_req_state state, fg_ms step_at)
+{
+	r->state = state;
+	r->step_at = step_at;
+	arm(r);
+}
+
+/* ---- Ends ---- */
+
+static void req_free(struct fg_req *r)
+{
+	fg_gw_timer_free(r->timer);
+	fg_call_clear(&r->call);
+	fg_events_clear(&r->events);
+	if (r->answer != NULL)
+		g_string_free(r->answer, TRUE);
+	fg_routes_unref(r->routes);
+	g_free(r);
+}
+
+static void req_remove(struct fg_req *r)
+{
+	struct fg_gateway *gw = r->gw;
+	struct fg_req *moved;
+
+	fg_send_cancel(r);
+	detach(r);
+	moved = gw->reqs->pdata[gw->reqs->len - 1];
+	gw->reqs->pdata[r->index] = moved;
+	moved->index = r->index;
+	g_ptr_array_set_size(gw->reqs, (gint)gw->reqs->len - 1);
+	req_free(r);
+}
+
+void fg_req_end(struct fg_req *r)
+{
+	struct fg_caller *c = r->caller;
+
+	fg_hist_add(r->gw->hist_whole, (uint64_t)(fg_clock_now() - r->arrived));
+	req_remove(r);
+	if (c != NULL)
+		fg_caller_done(c);
+}
+
+void fg_req_cancel(struct fg_req *r)
+{
+	log_end(r, FG_LOG_INFO, "caller_left", NULL);
+	fg_gw_count(r->gw, "requests", "outcome=\"caller_left\"");
+	r->caller = NULL;
+	req_remove(r);
+}
+
+void fg_req_fail(struct fg_req *r, unsigned int status, const char *reason)
+{
+	log_end(r, FG_LOG_WARN, "failed", reason);
+	fg_gw_count(r->gw, "requests", "outcome=\"failed\"");
+	if (r->head_sent) {
+		struct fg_caller *c = r->caller;
+
+		/* The caller must not take the part for the whole. */
+		r->caller = NULL;
+		c->req = NULL;
+		req_remove(r);
+		fg_caller_abort(c);
+		return;
+	}
+	fg_caller_answer(r->caller, status, r->call.id, 0, NULL, "", 0);
+	fg_req_end(r);
+}
+
+void fg_req_refuse(struct fg_req *r, const char *reason, uint32_t retry_ms)
+{
+	if (r->unsure || r->head_sent) {
+		fg_req_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
+		return;
+	}
+	log_end(r, FG_LOG_WARN, "refused", reason);
+	fg_gw_count(r->gw, "requests", "outcome=\"refused\"");
+	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
+			 r->call.id, CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS),
+			 NULL, "", 0);
+	fg_req_end(r);
+}
+
+static void time_out(struct fg_req *r)
+{
+	if (r->state == FG_REQ_SENT || r->unsure || r->head_sent)
+		fg_req_fail(r, HTTP_STATUS_GATEWAY_TIMEOUT, "time_limit");
+	else
+		fg_req_refuse(r, "time_limit", RETRY_MIN_MS);
+}
+
+/* ---- Placing ---- */
+
+uint64_t fg_req_version(const struct fg_req *r, fg_ms now)
+{
+	fg_ms age_ms = 0;
+	uint64_t version;
+
+	if (r->adapter == 0)
+		return 0;
+	version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
+	if (age_ms + VERSION_MARGIN_MS < (fg_ms)r->gw->conf->version_ms)
+		return 0;
+	return version;
+}
+
+static void send_now(struct fg_req *r)
+{
+	r->step_at = FG_MS_NEVER;
+	r->state = FG_REQ_SENT;
+	arm(r);
+	fg_send_start(r);
+}
+
+/* Asks for the load; true when it is resident already. */
+static enum fg_slot_state ask_load(struct fg_req *r, fg_ms now)
+{
+	fg_ms age_ms;
+	uint64_t version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
+
+	r->asked_at = now;
+	return fg_orders_want(r->gw, r->ep, r->call.model, r->call.adapter,
+			      version);
+}
+
+static struct fg_balance_pick pick(struct fg_req *r, fg_ms now,
+				   bool resident_only)
+{
+	struct fg_balance_ask ask = {
+		.service = r->service->name,
+		.terms = r->service,
+		.region = r->gw->conf->region,
+		.adapter = r->adapter,
+		.tokens = r->call.prompt_tokens,
+		.n_avoid = r->n_tried,
+		.resident_only = resident_only,
+	};
+
+	memcpy(ask.avoid, r->tried, sizeof(ask.avoid));
+	return fg_balance_pick(&r->gw->balance, r->gw->fleet, now, &ask,
+			       &r->gw->rand);
+}
+
+void fg_req_place(struct fg_req *r)
+{
+	fg_ms now = fg_clock_now();
+	uint32_t left_ms = fg_req_left_ms(r, now);
+	struct fg_balance_pick p;
+
+	if (left_ms < LEFT_MIN_MS) {
+		time_out(r);
+		return;
+	}
+	for (int i = 0; i < PLACE_TRIES; i++) {
+		p = pick(r, now, false);
+		if (p.ep == NULL) {
+			fg_req_refuse(r, "no_endpoint", RETRY_MAX_MS / 2);
+			return;
+		}
+		if (p.wait_ms >= left_ms && !r->head_sent) {
+			fg_req_refuse(r, "no_time", p.wait_ms - left_ms);
+			return;
+		}
+		attach(r, p.ep);
+		r->expected_ms = p.wait_ms;
+		if (p.resident) {
+			send_now(r);
+			return;
+		}
+		switch (ask_load(r, now)) {
+		case FG_SLOT_RESIDENT:
+			send_now(r);
+			return;
+		case FG_SLOT_COMING:
+			wait_state(r, FG_REQ_WAIT_LOAD, now + ASK_AGAIN_MS);
+			return;
+		default:
+			note_tried(r);
+		}
+	}
+	wait_state(r, FG_REQ_WAIT_RETRY, now + PLACE_AGAIN_MS);
+}
+
+/* Waiting for a load: resident now, ask again, or give it up there. */
+static void step_load(struct fg_req *r)
+{
+	fg_ms now = fg_clock_now();
+	const struct fg_ep_adapter *a = fg_ep_adapter(r->ep, r->adapter);
+
+	if (!fg_ep_usable(r->ep, now) ||
+	    now - r->asked_at > LOAD_WAIT_MS) {
+		note_tried(r);
+		fg_req_place(r);
+		return;
+	}
+	if (a != NULL && a->version != 0) {
+		send_now(r);
+		return;
+	}
+	switch (ask_load(r, now)) {
+	case FG_SLOT_RESIDENT:
+		send_now(r);
+		break;
+	case FG_SLOT_COMING:
+		wait_state(r, FG_REQ_WAIT_LOAD, now + ASK_AGAIN_MS);
+		break;
+	default:
+		note_tried(r);
+		fg_req_place(r);
+	}
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct fg_req *r = timer->data;
+	fg_ms now = fg_clock_now();
+
+	if (now >= r->end_at) {
+		time_out(r);
+	} else if (now < r->step_at) {
+		arm(r);
+	} else if (r->state == FG_REQ_WAIT_LOAD) {
+		step_load(r);
+	} else if (r->state == FG_REQ_WAIT_RETRY) {
+		r->n_tried = 0;
+		fg_req_place(r);
+	} else {
+		/* The connection to the endpoint was not established. */
+		fg_health_failed(r->ep, now);
+		fg_send_cancel(r);
+		fg_req_send_ended(r, FG_SEND_NOT_SENT, "connect_timeout");
+	}
+}
+
+void fg_req_resident(struct fg_gateway *gw, struct fg_ep *ep)
+{
+	for (guint i = gw->reqs->len; i > 0; i--) {
+		struct fg_req *r;
+		const struct fg_ep_adapter *a;
+
+		if (i > gw->reqs->len)
+			continue;
+		r = gw->reqs->pdata[i - 1];
+		if (r->state != FG_REQ_WAIT_LOAD || r->ep != ep)
+			continue;
+		a = fg_ep_adapter(ep, r->adapter);
+		if (a != NULL && a->version != 0)
+			send_now(r);
+	}
+}
+
+void fg_req_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter)
+{
+	for (guint i = gw->reqs->len; i > 0; i--) {
+		struct fg_req *r;
+
+		if (i > gw->reqs->len)
+			continue;
+		r = gw->reqs->pdata[i - 1];
+		if (r->state != FG_REQ_WAIT_LOAD || r->ep != ep ||
+		    r->adapter != adapter)
+			continue;
+		note_tried(r);
+		fg_req_place(r);
+	}
+}
+
+/* ---- After a send ---- */
+
+static bool may_repeat(const struct fg_req *r)
+{
+	return r->route->repeatable || r->route->resumable;
+}
+
+/* Takes one repeat from the service's budget. */
+static bool take_budget(struct fg_req *r, fg_ms now)
+{
+	uint32_t backoff_ms;
+	bool ok = fg_retry_again(fg_gw_budget(r->gw, r->service->name), now,
+				 FG_CLASS_STATUS, 1, UINT32_MAX, false,
+				 &backoff_ms);
+
+	fg_gw_count(r->gw, "repeats",
+		    ok ? "outcome=\"taken\"" : "outcome=\"no_budget\"");
+	return ok;
+}
+
+static bool may_send_again(struct fg_req *r, enum fg_send_end end, fg_ms now)
+{
+	if (r->sends >= SENDS_MAX || fg_req_left_ms(r, now) < LEFT_MIN_MS)
+		return false;
+	if (end == FG_SEND_NOT_SENT)
+		return true;
+	if (end == FG_SEND_ERROR || end == FG_SEND_BROKEN) {
+		if (!may_repeat(r) || r->runs >= r->route->attempts_max)
+			return false;
+	}
+	return take_budget(r, now);
+}
+
+void fg_req_send_ended(struct fg_req *r, enum fg_send_end end, const char *why)
+{
+	fg_ms now = fg_clock_now();
+
+	if (end == FG_SEND_BROKEN || end == FG_SEND_ERROR) {
+		r->runs++;
+		r->unsure = true;
+	}
+	if (end == FG_SEND_ABSENT && r->use != NULL)
+		r->use->version = 0;
+	log_end(r, FG_LOG_INFO, "send_ended", why);
+	note_tried(r);
+	if (end == FG_SEND_ABSENT)
+		r->n_tried = 0; /* a load there is as good as elsewhere */
+	if (may_send_again(r, end, now)) {
+		fg_events_restart(&r->events);
+		fg_req_place(r);
+		return;
+	}
+	if (end == FG_SEND_BROKEN || end == FG_SEND_ERROR)
+		fg_req_fail(r, HTTP_STATUS_BAD_GATEWAY, why);
+	else
+		fg_req_refuse(r, why, RETRY_MIN_MS);
+}
+
+/* ---- Start ---- */
+
+static bool config_is_stale(const struct fg_gateway *gw, fg_ms now)
+{
+	const struct fg_feed *f = &gw->feeds[FG_FEED_CONFIG];
+
+	return f->failures > 0 && now - f->confirmed > CONFIG_STALE_MS;
+}
+
+static struct fg_req *req_new(struct fg_caller *c)
+{
+	struct fg_gateway *gw = c->gw;
+	struct fg_req *r = g_new0(struct fg_req, 1);
+
+	r->gw = gw;
+	r->caller = c;
+	r->head = &c->h1.head;
+	r->arrived = fg_clock_now();
+	r->end_at = r->arrived + DEFAULT_TIMEOUT_MS;
+	r->step_at = FG_MS_NEVER;
+	r->number = ++gw->requests;
+	r->timer = fg_gw_timer_new(gw, r);
+	fg_events_init(&r->events);
+	r->index = gw->reqs->len;
+	g_ptr_array_add(gw->reqs, r);
+	c->req = r;
+	return r;
+}
+
+static uint64_t fingerprint_of(const struct fg_req *r)
+{
+	const struct fg_caller *c = r->caller;
+	uint64_t body = fg_hash_bytes(c->body->data, c->body->len);
+
+	return fg_hash_mix(fg_hash_str(fg_h1_target(r->head)), body);
+}
+
+/* Finds the route; false when the request was answered. */
+static bool find_route(struct fg_req *r)
+{
+	struct fg_gateway *gw = r->gw;
+
+	if (gw->routes == NULL) {
+		fg_req_refuse(r, "no_configuration", RETRY_MAX_MS / 2);
+		return false;
+	}
+	r->routes = fg_routes_ref(gw->routes);
+	r->route = fg_routes_find(r->routes, r->call.host,
+				  fg_h1_target(r->head));
+	if (r->route != NULL)
+		return true;
+	if (config_is_stale(gw, r->arrived)) {
+		fg_req_refuse(r, "configuration_stale", RETRY_MAX_MS / 2);
+		return false;
+	}
+	fg_req_fail(r, HTTP_STATUS_NOT_FOUND, "no_route");
+	return false;
+}
+
+static void set_terms(struct fg_req *r)
+{
+	uint32_t limit_ms = r->route->timeout_ms;
+	uint32_t service = fg_route_service(r->route, fg_rand_next(&r->gw->rand));
+
+	r->service = r->routes->services->pdata[service];
+	if (limit_ms == 0)
+		limit_ms = DEFAULT_TIMEOUT_MS;
+	if (r->call.deadline_ms > 0)
+		limit_ms = MIN(limit_ms, r->call.deadline_ms);
+	r->end_at = r->arrived + limit_ms;
+	if (r->service->engine && r->call.model != NULL &&
+	    r->call.adapter != NULL)
+		r->adapter = fg_adapter_key(r->call.model, r->call.adapter);
+}
+
+void fg_req_start(struct fg_caller *c)
+{
+	struct fg_req *r = req_new(c);
+	struct fg_gateway *gw = c->gw;
+	uint32_t retry_ms = 0;
+
+	if (!gw->wire->call_read(r->head, &r->call)) {
+		fg_req_fail(r, HTTP_STATUS_BAD_REQUEST, "no_host");
+		return;
+	}
+	if (!find_route(r))
+		return;
+	set_terms(r);
+	r->fingerprint = fingerprint_of(r);
+	if (fg_suspects_check(gw->suspects, r->arrived, r->fingerprint,
+			      &retry_ms) == FG_SUSPECT_REFUSE) {
+		fg_req_refuse(r, "crashes_endpoints", RETRY_MAX_MS);
+		return;
+	}
+	fg_retry_first(fg_gw_budget(gw, r->service->name), r->arrived,
+		       FG_CLASS_STATUS);
+	fg_req_place(r);
+}
--- /dev/null
+++ b/lib/h1/fg_h1.c
@@ -0,0 +1,256 @@
+#include "h1/fg_h1.h"
+
+#include <string.h>
+
+/* ---- Heads ---- */
+
+const char *fg_h1_target(const struct fg_h1_head *head)
+{
+	return head->text->str + head->target_at;
+}
+
+const char *fg_h1_name(const struct fg_h1_head *head, uint32_t i)
+{
+	return head->text->str + head->name_at[i];
+}
+
+const char *fg_h1_value(const struct fg_h1_head *head, uint32_t i)
+{
+	return head->text->str + head->value_at[i];
+}
+
+const char *fg_h1_get(const struct fg_h1_head *head, const char *name)
+{
+	for (uint32_t i = 0; i < head->n_fields; i++) {
+		if (g_ascii_strcasecmp(fg_h1_name(head, i), name) == 0)
+			return fg_h1_value(head, i);
+	}
+	return NULL;
+}
+
+static const char *const hop_fields[] = {
+	"Connection", "Keep-Alive", "Proxy-Connection",	 "Transfer-Encoding",
+	"TE",	      "Trailer",    "Upgrade",		 "Proxy-Authenticate",
+	"Expect",     "HTTP2-Settings", "Content-Length", "Proxy-Authorization",
+};
+
+/* Is `name` an element of the comma-separated list? */
+static bool list_has(const char *list, const char *name)
+{
+	size_t len = strlen(name);
+
+	while (*list != '\0') {
+		list += strspn(list, " \t,");
+		if (g_ascii_strncasecmp(list, name, len) == 0 &&
+		    strchr(" \t,", list[len]) != NULL)
+			return true;
+		list += strcspn(list, ",");
+	}
+	return false;
+}
+
+bool fg_h1_is_hop_field(const struct fg_h1_head *head, uint32_t i)
+{
+	const char *name = fg_h1_name(head, i);
+
+	for (size_t k = 0; k < G_N_ELEMENTS(hop_fields); k++) {
+		if (g_ascii_strcasecmp(name, hop_fields[k]) == 0)
+			return true;
+	}
+	for (uint32_t k = 0; k < head->n_fields; k++) {
+		if (g_ascii_strcasecmp(fg_h1_name(head, k), "Connection") == 0 &&
+		    list_has(fg_h1_value(head, k), name))
+			return true;
+	}
+	return false;
+}
+
+/* ---- http-parser's callbacks ---- */
+
+static struct fg_h1 *self(http_parser *p)
+{
+	return p->data;
+}
+
+static int stop(struct fg_h1 *h, enum fg_h1_fault fault)
+{
+	h->fault = fault;
+	return -1;
+}
+
+static int put(struct fg_h1 *h, const char *data, size_t len)
+{
+	if (h->head.text->len + len > h->head_max_bytes)
+		return stop(h, FG_H1_HEAD_TOO_LARGE);
+	g_string_append_len(h->head.text, data, (gssize)len);
+	return 0;
+}
+
+static int on_url(http_parser *p, const char *data, size_t len)
+{
+	return put(self(p), data, len);
+}
+
+static int on_field(http_parser *p, const char *data, size_t len)
+{
+	struct fg_h1 *h = self(p);
+	struct fg_h1_head *head = &h->head;
+
+	if (h->in_value || head->n_fields == 0) {
+		if (head->n_fields == FG_H1_FIELDS_MAX)
+			return stop(h, FG_H1_HEAD_TOO_LARGE);
+		g_string_append_c(head->text, '\0');
+		head->name_at[head->n_fields] = (uint32_t)head->text->len;
+		head->value_at[head->n_fields] = (uint32_t)head->text->len;
+		head->n_fields++;
+		h->in_value = false;
+	}
+	return put(h, data, len);
+}
+
+static int on_value(http_parser *p, const char *data, size_t len)
+{
+	struct fg_h1 *h = self(p);
+	struct fg_h1_head *head = &h->head;
+
+	if (!h->in_value) {
+		g_string_append_c(head->text, '\0');
+		head->value_at[head->n_fields - 1] = (uint32_t)head->text->len;
+		h->in_value = true;
+	}
+	return put(h, data, len);
+}
+
+/* http-parser's codes for "the answer has no body" and "stop". */
+enum { GO_ON = 0, NO_BODY = 1 };
+
+static int on_headers(http_parser *p)
+{
+	struct fg_h1 *h = self(p);
+	struct fg_h1_head *head = &h->head;
+
+	/* A name without a value keeps value_at on its own name. */
+	if (head->n_fields > 0 && !h->in_value) {
+		g_string_append_c(head->text, '\0');
+		head->value_at[head->n_fields - 1] = (uint32_t)head->text->len;
+	}
+	g_string_append_c(head->text, '\0');
+	head->method = p->method;
+	head->status = p->status_code;
+	head->chunked = (p->flags & F_CHUNKED) != 0;
+	head->length_bytes = (p->flags & F_CONTENTLENGTH) != 0 ?
+				     (int64_t)p->content_length :
+				     -1;
+	head->keep_alive = http_should_keep_alive(p) != 0;
+	if (head->length_bytes > 0 &&
+	    (uint64_t)head->length_bytes > h->body_max_bytes)
+		return stop(h, FG_H1_BODY_TOO_LARGE);
+	if (!h->ops->on_head(h->ctx, head))
+		return NO_BODY;
+	return GO_ON;
+}
+
+static int on_body(http_parser *p, const char *data, size_t len)
+{
+	struct fg_h1 *h = self(p);
+
+	h->body_bytes += len;
+	if (h->body_bytes > h->body_max_bytes)
+		return stop(h, FG_H1_BODY_TOO_LARGE);
+	h->ops->on_body(h->ctx, data, len);
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct fg_h1 *h = self(p);
+
+	h->ended = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* ---- Parser ---- */
+
+static void reset_head(struct fg_h1 *h)
+{
+	g_string_truncate(h->head.text, 0);
+	h->head.n_fields = 0;
+	h->head.target_at = 0;
+	h->body_bytes = 0;
+	h->head_bytes = 0;
+	h->in_value = false;
+	h->ended = false;
+	h->begun = false;
+	h->fault = FG_H1_OK;
+}
+
+void fg_h1_init(struct fg_h1 *h, bool requests, const struct fg_h1_ops *ops,
+		void *ctx, uint32_t head_max_bytes, uint64_t body_max_bytes)
+{
+	memset(h, 0, sizeof(*h));
+	http_parser_init(&h->parser, requests ? HTTP_REQUEST : HTTP_RESPONSE);
+	h->parser.data = h;
+	h->ops = ops;
+	h->ctx = ctx;
+	h->head_max_bytes = head_max_bytes;
+	h->body_max_bytes = body_max_bytes;
+	h->head.text = g_string_new(NULL);
+	reset_head(h);
+}
+
+void fg_h1_clear(struct fg_h1 *h)
+{
+	if (h->head.text != NULL)
+		g_string_free(h->head.text, TRUE);
+	h->head.text = NULL;
+}
+
+size_t fg_h1_feed(struct fg_h1 *h, const char *data, size_t len_bytes)
+{
+	size_t used;
+
+	if (h->ended || h->fault != FG_H1_OK || len_bytes == 0)
+		return 0;
+	h->begun = true;
+	used = http_parser_execute(&h->parser, &callbacks, data, len_bytes);
+	if (h->ended) {
+		h->ops->on_end(h->ctx);
+		return used;
+	}
+	if (HTTP_PARSER_ERRNO(&h->parser) != HPE_OK && h->fault == FG_H1_OK) {
+		h->fault = HTTP_PARSER_ERRNO(&h->parser) == HPE_HEADER_OVERFLOW ?
+				   FG_H1_HEAD_TOO_LARGE :
+				   FG_H1_MALFORMED;
+	}
+	if (h->parser.upgrade && h->fault == FG_H1_OK)
+		h->fault = FG_H1_MALFORMED;
+	return used;
+}
+
+bool fg_h1_eof(struct fg_h1 *h)
+{
+	if (h->ended || h->fault != FG_H1_OK || !h->begun)
+		return false;
+	http_parser_execute(&h->parser, &callbacks, NULL, 0);
+	if (!h->ended)
+		return false;
+	h->ops->on_end(h->ctx);
+	return true;
+}
+
+void fg_h1_next(struct fg_h1 *h)
+{
+	http_parser_init(&h->parser, (enum http_parser_type)h->parser.type);
+	h->parser.data = h;
+	reset_head(h);
+}
--- /dev/null
+++ b/lib/link/fg_channel.c
@@ -0,0 +1,200 @@
+#include "link/fg_channel.h"
+
+#include "link/fg_link.h"
+
+#define HEAD_MAX_BYTES 16384
+/* 500 rows of 64 KiB in base64 do not occur: the store cuts at 1 MB. */
+#define BODY_MAX_BYTES (4 * 1024 * 1024)
+
+struct fg_channel {
+	uv_loop_t *loop;
+	const char *address;
+	struct fg_link *link; /* NULL: none open */
+	struct fg_h1 h1;
+	GString *body;
+	uv_timer_t *timer;
+	fg_channel_done done; /* NULL: idle */
+	void *ctx;
+	struct fg_http_call call;
+	bool open;
+};
+
+static void drop_link(struct fg_channel *c)
+{
+	if (c->link == NULL)
+		return;
+	fg_link_close(c->link, false);
+	c->link = NULL;
+	c->open = false;
+	fg_h1_next(&c->h1);
+}
+
+static void finish(struct fg_channel *c, unsigned int status)
+{
+	fg_channel_done done = c->done;
+
+	if (done == NULL)
+		return;
+	uv_timer_stop(c->timer);
+	c->done = NULL;
+	g_free(c->call.head_and_body);
+	c->call.head_and_body = NULL;
+	done(c->ctx, status, status == 0 ? NULL : c->body->str,
+	     status == 0 ? 0 : c->body->len);
+}
+
+static void fail(struct fg_channel *c)
+{
+	drop_link(c);
+	finish(c, 0);
+}
+
+static bool on_head(void *ctx, const struct fg_h1_head *head)
+{
+	struct fg_channel *c = ctx;
+
+	(void)head;
+	g_string_truncate(c->body, 0);
+	return true;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct fg_channel *c = ctx;
+
+	g_string_append_len(c->body, data, (gssize)len);
+}
+
+static void on_message_end(void *ctx)
+{
+	(void)ctx;
+}
+
+static const struct fg_h1_ops h1_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_message_end,
+};
+
+static void on_open(void *ctx)
+{
+	struct fg_channel *c = ctx;
+
+	c->open = true;
+	fg_link_write(c->link, c->call.head_and_body, c->call.len_bytes);
+}
+
+/* Takes a whole answer; bytes behind it belong to no call. */
+static void message_done(struct fg_channel *c, bool reusable)
+{
+	unsigned int status = c->h1.head.status;
+
+	if (!reusable || !c->h1.head.keep_alive)
+		drop_link(c);
+	else
+		fg_h1_next(&c->h1);
+	finish(c, status);
+}
+
+static void on_data(void *ctx, const char *data, size_t len)
+{
+	struct fg_channel *c = ctx;
+	size_t used;
+
+	if (c->done == NULL) {
+		drop_link(c);
+		return;
+	}
+	used = fg_h1_feed(&c->h1, data, len);
+	if (c->h1.fault != FG_H1_OK)
+		fail(c);
+	else if (c->h1.ended)
+		message_done(c, used == len);
+}
+
+static void on_end(void *ctx, enum fg_link_end end)
+{
+	struct fg_channel *c = ctx;
+
+	if (end == FG_LINK_EOF && c->done != NULL && fg_h1_eof(&c->h1)) {
+		message_done(c, false);
+		return;
+	}
+	fail(c);
+}
+
+static const struct fg_link_ops link_ops = {
+	.on_open = on_open,
+	.on_data = on_data,
+	.on_end = on_end,
+};
+
+static void on_timeout(uv_timer_t *timer)
+{
+	fail(timer->data);
+}
+
+struct fg_channel *fg_channel_new(uv_loop_t *loop,
+					      const char *address)
+{
+	struct fg_channel *c = g_new0(struct fg_channel, 1);
+
+	c->loop = loop;
+	c->address = address;
+	c->body = g_string_new(NULL);
+	c->timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(loop, c->timer);
+	c->timer->data = c;
+	fg_h1_init(&c->h1, false, &h1_ops, c, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	return c;
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+void fg_channel_free(struct fg_channel *c)
+{
+	if (c == NULL)
+		return;
+	drop_link(c);
+	uv_close((uv_handle_t *)c->timer, on_timer_closed);
+	fg_h1_clear(&c->h1);
+	g_string_free(c->body, TRUE);
+	g_free(c->call.head_and_body);
+	g_free(c);
+}
+
+void fg_channel_break(struct fg_channel *c)
+{
+	fail(c);
+}
+
+bool fg_channel_busy(const struct fg_channel *c)
+{
+	return c->done != NULL;
+}
+
+/* Reports the failure from the loop, never from within fg_channel_send(). */
+static void fail_soon(struct fg_channel *c)
+{
+	uv_timer_start(c->timer, on_timeout, 0, 0);
+}
+
+void fg_channel_send(struct fg_channel *c, struct fg_http_call call,
+		   uint32_t timeout_ms, fg_channel_done done, void *ctx)
+{
+	g_assert(c->done == NULL);
+	c->done = done;
+	c->ctx = ctx;
+	c->call = call;
+	uv_timer_start(c->timer, on_timeout, timeout_ms, 0);
+	if (c->link != NULL) {
+		fg_link_write(c->link, call.head_and_body, call.len_bytes);
+		return;
+	}
+	c->link = fg_link_connect(c->loop, c->address, &link_ops, c);
+	if (c->link == NULL)
+		fail_soon(c);
+}
--- /dev/null
+++ b/lib/link/fg_link.c
@@ -0,0 +1,315 @@
+#include "link/fg_link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Dead peers are found within about three seconds, below the four seconds
+ * after which the platform counts an instance as reachable again. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+#define USER_TIMEOUT_MS 3000
+#define BACKLOG 512
+#define READ_BYTES 16384
+/* A closing link is given this long to send what is queued. */
+#define FLUSH_MAX_MS 5000
+
+struct fg_link {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_shutdown_t shutdown;
+	uv_timer_t timer; /* bounds a flushing close */
+	const struct fg_link_ops *ops;
+	void *ctx; /* NULL after fg_link_close() */
+	size_t pending_bytes;
+	int handles; /* tcp and timer, while open */
+	bool closed; /* the user let go of it */
+	bool closing;
+	bool connected;
+};
+
+struct write {
+	uv_write_t req;
+	size_t len_bytes;
+	char data[];
+};
+
+/* One buffer serves all links of the thread: libuv reads one at a time. */
+static char read_buffer[READ_BYTES];
+
+bool fg_link_parse(const char *address, struct sockaddr_in *out)
+{
+	const char *colon = strrchr(address, ':');
+	char ip[INET_ADDRSTRLEN];
+	char *end;
+	long port;
+
+	if (colon == NULL || (size_t)(colon - address) >= sizeof(ip))
+		return false;
+	memcpy(ip, address, (size_t)(colon - address));
+	ip[colon - address] = '\0';
+	port = strtol(colon + 1, &end, 10);
+	if (end == colon + 1 || *end != '\0' || port < 1 || port > 65535)
+		return false;
+	return uv_ip4_addr(ip, (int)port, out) == 0;
+}
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	struct fg_link *l = handle->data;
+
+	if (--l->handles == 0)
+		g_free(l);
+}
+
+static void close_handles(struct fg_link *l)
+{
+	if (l->closing)
+		return;
+	l->closing = true;
+	uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
+}
+
+static void set_options(struct fg_link *l)
+{
+	uv_os_fd_t fd;
+	int on = 1;
+	int idle = KEEPALIVE_IDLE_S;
+	int interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+	unsigned int timeout = USER_TIMEOUT_MS;
+
+	if (uv_fileno((uv_handle_t *)&l->tcp, &fd) != 0)
+		return;
+	/* A failure leaves the defaults, under which the link still works. */
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval,
+			 sizeof(interval));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+			 sizeof(timeout));
+}
+
+static void tell_end(struct fg_link *l, enum fg_link_end end)
+{
+	if (!l->closed)
+		l->ops->on_end(l->ctx, end);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)suggested;
+	buf->base = read_buffer;
+	buf->len = sizeof(read_buffer);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct fg_link *l = stream->data;
+
+	if (l->closed)
+		return;
+	if (n > 0) {
+		l->ops->on_data(l->ctx, buf->base, (size_t)n);
+	} else if (n < 0) {
+		uv_read_stop(stream);
+		tell_end(l, n == UV_EOF ? FG_LINK_EOF : FG_LINK_RESET);
+	}
+}
+
+static struct fg_link *link_new(uv_loop_t *loop, const struct fg_link_ops *ops,
+				void *ctx)
+{
+	struct fg_link *l = g_new0(struct fg_link, 1);
+
+	l->ops = ops;
+	l->ctx = ctx;
+	uv_tcp_init(loop, &l->tcp);
+	uv_timer_init(loop, &l->timer);
+	l->tcp.data = l;
+	l->timer.data = l;
+	l->handles = 2;
+	return l;
+}
+
+static void on_connect(uv_connect_t *req, int status)
+{
+	struct fg_link *l = req->data;
+
+	if (l->closed)
+		return;
+	if (status != 0) {
+		tell_end(l, FG_LINK_REFUSED);
+		return;
+	}
+	l->connected = true;
+	set_options(l);
+	uv_read_start((uv_stream_t *)&l->tcp, on_alloc, on_read);
+	l->ops->on_open(l->ctx);
+}
+
+struct fg_link *fg_link_connect(uv_loop_t *loop, const char *address,
+				const struct fg_link_ops *ops, void *ctx)
+{
+	struct sockaddr_in to;
+	struct fg_link *l;
+
+	if (!fg_link_parse(address, &to))
+		return NULL;
+	l = link_new(loop, ops, ctx);
+	l->connect.data = l;
+	if (uv_tcp_connect(&l->connect, &l->tcp, (struct sockaddr *)&to,
+			   on_connect) != 0) {
+		l->closed = true;
+		close_handles(l);
+		return NULL;
+	}
+	return l;
+}
+
+struct fg_link *fg_link_accept(uv_stream_t *listener,
+			       const struct fg_link_ops *ops, void *ctx)
+{
+	struct fg_link *l = link_new(listener->loop, ops, ctx);
+
+	if (uv_accept(listener, (uv_stream_t *)&l->tcp) != 0) {
+		l->closed = true;
+		close_handles(l);
+		return NULL;
+	}
+	l->connected = true;
+	set_options(l);
+	uv_read_start((uv_stream_t *)&l->tcp, on_alloc, on_read);
+	return l;
+}
+
+void fg_link_set_ctx(struct fg_link *l, void *ctx)
+{
+	l->ctx = ctx;
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct write *w = (struct write *)req;
+	struct fg_link *l = req->data;
+
+	l->pending_bytes -= w->len_bytes;
+	g_free(w);
+	if (l->closed)
+		return;
+	if (status != 0 && status != UV_ECANCELED) {
+		tell_end(l, FG_LINK_RESET);
+		return;
+	}
+	if (l->pending_bytes == 0 && l->ops->on_drained != NULL)
+		l->ops->on_drained(l->ctx);
+}
+
+/* Sends at once what the kernel takes; only the rest is copied. */
+void fg_link_write(struct fg_link *l, const char *data, size_t len_bytes)
+{
+	uv_buf_t buf = uv_buf_init((char *)data, (unsigned int)len_bytes);
+	struct write *w;
+	int sent = 0;
+
+	if (l->closed || l->closing || len_bytes == 0)
+		return;
+	if (l->pending_bytes == 0 && l->connected)
+		sent = uv_try_write((uv_stream_t *)&l->tcp, &buf, 1);
+	if (sent < 0)
+		sent = 0; /* uv_write() meets and reports the same error */
+	if ((size_t)sent == len_bytes)
+		return;
+	len_bytes -= (size_t)sent;
+	w = g_malloc(sizeof(*w) + len_bytes);
+	w->len_bytes = len_bytes;
+	memcpy(w->data, data + sent, len_bytes);
+	w->req.data = l;
+	buf = uv_buf_init(w->data, (unsigned int)len_bytes);
+	l->pending_bytes += len_bytes;
+	if (uv_write(&w->req, (uv_stream_t *)&l->tcp, &buf, 1, on_written) !=
+	    0) {
+		l->pending_bytes -= len_bytes;
+		g_free(w);
+	}
+}
+
+size_t fg_link_pending(const struct fg_link *l)
+{
+	return l->pending_bytes;
+}
+
+void fg_link_pause(struct fg_link *l)
+{
+	uv_read_stop((uv_stream_t *)&l->tcp);
+}
+
+void fg_link_resume(struct fg_link *l)
+{
+	if (!l->closed && l->connected)
+		uv_read_start((uv_stream_t *)&l->tcp, on_alloc, on_read);
+}
+
+static void on_shutdown(uv_shutdown_t *req, int status)
+{
+	(void)status;
+	close_handles(req->data);
+}
+
+static void on_flush_timeout(uv_timer_t *timer)
+{
+	close_handles(timer->data);
+}
+
+void fg_link_close(struct fg_link *l, bool flush)
+{
+	if (l->closed)
+		return;
+	l->closed = true;
+	l->ctx = NULL;
+	l->shutdown.data = l;
+	if (!flush || !l->connected ||
+	    uv_shutdown(&l->shutdown, (uv_stream_t *)&l->tcp, on_shutdown) !=
+		    0) {
+		close_handles(l);
+		return;
+	}
+	uv_timer_start(&l->timer, on_flush_timeout, FLUSH_MAX_MS, 0);
+}
+
+void fg_link_abort(struct fg_link *l)
+{
+	if (l->closed)
+		return;
+	l->closed = true;
+	l->ctx = NULL;
+	if (l->closing)
+		return;
+	l->closing = true;
+	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
+	if (!l->connected ||
+	    uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0)
+		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+}
+
+int fg_link_listen(uv_loop_t *loop, uv_tcp_t *listener, const char *address,
+		   uv_connection_cb on_connection)
+{
+	struct sockaddr_in at;
+	int rc;
+
+	if (!fg_link_parse(address, &at))
+		return UV_EINVAL;
+	uv_tcp_init(loop, listener);
+	rc = uv_tcp_bind(listener, (struct sockaddr *)&at, 0);
+	if (rc == 0)
+		rc = uv_listen((uv_stream_t *)listener, BACKLOG, on_connection);
+	return rc;
+}
--- /dev/null
+++ b/lib/mesh/fg_mesh.x
@@ -0,0 +1,97 @@
+/*
+ * fg_mesh - datagrams between the instances of a gateway.
+ *
+ * One datagram is one fg_mesh_packet in XDR. Every datagram may be lost,
+ * doubled or overtaken: beats carry state, not changes, and asks are repeated
+ * until they are answered.
+ */
+
+const FG_MESH_FORMAT = 1;       /* first field of every packet */
+const FG_MESH_NAME_MAX = 95;
+const FG_MESH_LIST_MAX = 64;
+const FG_MESH_HELD_MAX = 32;
+
+enum fg_mesh_state {
+	FG_MESH_STARTING = 0,   /* not yet ready for callers */
+	FG_MESH_READY = 1,
+	FG_MESH_LEAVING = 2     /* planned stop */
+};
+
+struct fg_mesh_load {           /* what the sender has in flight */
+	unsigned hyper ep;
+	unsigned int running;
+	unsigned int pending_tokens;
+};
+
+struct fg_mesh_use {            /* adapters that the sender uses */
+	unsigned hyper ep;
+	unsigned hyper adapter;
+};
+
+struct fg_mesh_held {
+	unsigned hyper adapter;
+	unsigned hyper ver;
+};
+
+struct fg_mesh_own {            /* engines that the sender orders */
+	unsigned hyper ep;
+	unsigned int spare_age_ms;
+	fg_mesh_held held<FG_MESH_HELD_MAX>;
+};
+
+struct fg_mesh_crash {          /* an endpoint died under a request */
+	unsigned hyper fingerprint;
+	unsigned hyper ep;
+	unsigned hyper req;
+};
+
+struct fg_mesh_beat {
+	fg_mesh_state state;
+	fg_mesh_load loads<FG_MESH_LIST_MAX>;
+	fg_mesh_use uses<FG_MESH_LIST_MAX>;
+	fg_mesh_own owns<FG_MESH_LIST_MAX>;
+	fg_mesh_crash crashes<FG_MESH_LIST_MAX>;
+};
+
+struct fg_mesh_ask {            /* have the adapter loaded there */
+	unsigned hyper ep;
+	string model<FG_MESH_NAME_MAX>;
+	string adapter<FG_MESH_NAME_MAX>;
+	unsigned hyper ver;     /* this one or a newer one; 0: any */
+};
+
+enum fg_mesh_answer {
+	FG_MESH_NOT_OWNER = 0,
+	FG_MESH_COMING = 1,
+	FG_MESH_RESIDENT = 2,
+	FG_MESH_FULL = 3
+};
+
+struct fg_mesh_told {
+	unsigned hyper ep;
+	unsigned hyper adapter;
+	unsigned hyper ver;
+	fg_mesh_answer answer;
+};
+
+enum fg_mesh_kind {
+	FG_MESH_BEAT = 1,
+	FG_MESH_ASK = 2,
+	FG_MESH_TOLD = 3
+};
+
+union fg_mesh_body switch (fg_mesh_kind kind) {
+case FG_MESH_BEAT:
+	fg_mesh_beat beat;
+case FG_MESH_ASK:
+	fg_mesh_ask ask;
+case FG_MESH_TOLD:
+	fg_mesh_told told;
+};
+
+struct fg_mesh_packet {
+	unsigned int format;
+	unsigned hyper incarnation; /* of the sender */
+	unsigned int seq;           /* grows with each beat */
+	fg_mesh_body body;
+};
--- /dev/null
+++ b/lib/mesh/fg_peers.c
@@ -0,0 +1,170 @@
+#include "mesh/fg_peers.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/fg_rand.h"
+
+struct fg_peers {
+	struct fg_peer_row self;
+	GPtrArray *all;
+};
+
+static void peer_free(gpointer p)
+{
+	struct fg_peer *peer = p;
+
+	g_free(peer->loads);
+	g_free(peer);
+}
+
+struct fg_peers *fg_peers_new(const struct fg_peer_row *self)
+{
+	struct fg_peers *p = g_new0(struct fg_peers, 1);
+
+	p->self = *self;
+	p->all = g_ptr_array_new_with_free_func(peer_free);
+	return p;
+}
+
+void fg_peers_free(struct fg_peers *p)
+{
+	if (p == NULL)
+		return;
+	g_ptr_array_unref(p->all);
+	g_free(p);
+}
+
+/* ---- Rows: "INCARNATION REGION DC MESH FRONT" ---- */
+
+char *fg_peer_row_write(const struct fg_peer_row *row)
+{
+	return g_strdup_printf("%016" G_GINT64_MODIFIER "x %s %s %s %s",
+			       (guint64)row->incarnation, row->region, row->dc,
+			       row->mesh, row->front);
+}
+
+bool fg_peer_row_read(const char *name, const char *text,
+		      struct fg_peer_row *out)
+{
+	g_auto(GStrv) words = g_strsplit(text, " ", -1);
+
+	memset(out, 0, sizeof(*out));
+	if (g_strv_length(words) != 5)
+		return false;
+	out->incarnation = g_ascii_strtoull(words[0], NULL, 16);
+	g_strlcpy(out->name, name, sizeof(out->name));
+	g_strlcpy(out->region, words[1], sizeof(out->region));
+	g_strlcpy(out->dc, words[2], sizeof(out->dc));
+	g_strlcpy(out->mesh, words[3], sizeof(out->mesh));
+	g_strlcpy(out->front, words[4], sizeof(out->front));
+	return out->incarnation != 0;
+}
+
+static struct fg_peer *find_name(struct fg_peers *p, const char *name)
+{
+	for (guint i = 0; i < p->all->len; i++) {
+		struct fg_peer *peer = p->all->pdata[i];
+
+		if (strcmp(peer->row.name, name) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+static void forget_incarnation(struct fg_peer *peer)
+{
+	peer->heard = 0;
+	peer->seq = 0;
+	peer->state = FG_MESH_STARTING;
+	g_free(peer->loads);
+	peer->loads = NULL;
+	peer->n_loads = 0;
+}
+
+void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row)
+{
+	struct fg_peer *peer;
+
+	if (strcmp(row->name, p->self.name) == 0)
+		return;
+	peer = find_name(p, row->name);
+	if (peer == NULL) {
+		peer = g_new0(struct fg_peer, 1);
+		peer->hash = fg_hash_str(row->name);
+		g_ptr_array_add(p->all, peer);
+	}
+	if (peer->row.incarnation != row->incarnation) {
+		forget_incarnation(peer);
+		peer->since = now;
+	}
+	peer->row = *row;
+	peer->near = strcmp(row->region, p->self.region) == 0;
+}
+
+void fg_peers_remove(struct fg_peers *p, const char *name)
+{
+	struct fg_peer *peer = find_name(p, name);
+
+	if (peer != NULL)
+		g_ptr_array_remove_fast(p->all, peer);
+}
+
+struct fg_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation)
+{
+	for (guint i = 0; i < p->all->len; i++) {
+		struct fg_peer *peer = p->all->pdata[i];
+
+		if (peer->row.incarnation == incarnation)
+			return peer;
+	}
+	return NULL;
+}
+
+static void take_loads(struct fg_peer *peer, const fg_mesh_beat *beat)
+{
+	peer->n_loads = beat->loads.loads_len;
+	peer->loads = g_renew(struct fg_peer_load, peer->loads, peer->n_loads);
+	for (uint32_t i = 0; i < peer->n_loads; i++) {
+		const fg_mesh_load *l = &beat->loads.loads_val[i];
+
+		peer->loads[i].ep = l->ep;
+		peer->loads[i].running = l->running;
+		peer->loads[i].pending_tokens = l->pending_tokens;
+	}
+}
+
+struct fg_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
+			      uint64_t incarnation, uint32_t seq,
+			      const fg_mesh_beat *beat)
+{
+	struct fg_peer *peer = fg_peers_find(p, incarnation);
+
+	if (peer == NULL)
+		return NULL;
+	peer->heard = now;
+	if ((int32_t)(seq - peer->seq) <= 0)
+		return peer; /* overtaken by a newer one */
+	peer->seq = seq;
+	peer->state = beat->state;
+	take_loads(peer, beat);
+	return peer;
+}
+
+const GPtrArray *fg_peers_all(const struct fg_peers *p)
+{
+	return p->all;
+}
+
+bool fg_peer_alive(const struct fg_peer *peer, fg_ms now)
+{
+	fg_ms silent_ms = peer->near ? FG_PEER_SILENT_MS :
+				       FG_PEER_SILENT_FAR_MS;
+
+	return peer->heard != 0 && now - peer->heard < silent_ms;
+}
+
+bool fg_peer_serves(const struct fg_peer *peer, fg_ms now)
+{
+	return fg_peer_alive(peer, now) && peer->state == FG_MESH_READY;
+}
--- /dev/null
+++ b/lib/mesh/fg_peers.h
@@ -0,0 +1,87 @@
+/*
+ * fg_peers - the other instances: where they are and whether they live.
+ *
+ * Each instance writes one row when it starts; from these rows the others
+ * learn its addresses. Whether it lives is learnt from its beats: nobody
+ * writes to the platform for that. An instance that was heard once and falls
+ * silent is down; one that was never heard since its row appeared is unknown
+ * and gets no callers.
+ *
+ * Pure.
+ */
+#ifndef FG_PEERS_H
+#define FG_PEERS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/fg_clock.h"
+#include "mesh/fg_mesh.h"
+
+#define FG_PEER_TEXT_BYTES 96
+
+/* Beats come at least each 250 ms inside a region and each second between
+ * regions; these allow a few to be lost. */
+#define FG_PEER_SILENT_MS 1500
+#define FG_PEER_SILENT_FAR_MS 3500
+
+struct fg_peer_row {
+	char name[FG_PEER_TEXT_BYTES];
+	char region[FG_PEER_TEXT_BYTES];
+	char dc[FG_PEER_TEXT_BYTES];
+	char mesh[FG_PEER_TEXT_BYTES];	/* address of its datagrams */
+	char front[FG_PEER_TEXT_BYTES]; /* address for callers */
+	uint64_t incarnation;
+};
+
+/* Loads of one endpoint as a peer last told them. */
+struct fg_peer_load {
+	uint64_t ep;
+	uint32_t running;
+	uint32_t pending_tokens;
+};
+
+struct fg_peer {
+	struct fg_peer_row row;
+	uint64_t hash; /* of the name */
+	bool near;     /* same region */
+	fg_ms heard;   /* last beat of this incarnation; 0: none */
+	fg_ms since;   /* when the row appeared */
+	uint32_t seq;
+	fg_mesh_state state;
+	struct fg_peer_load *loads;
+	uint32_t n_loads;
+};
+
+struct fg_peers;
+
+struct fg_peers *fg_peers_new(const struct fg_peer_row *self);
+void fg_peers_free(struct fg_peers *p);
+
+/* Row of this instance as text, and back. False when it cannot be read. */
+char *fg_peer_row_write(const struct fg_peer_row *row);
+bool fg_peer_row_read(const char *name, const char *text,
+		      struct fg_peer_row *out);
+
+/* A row was read, or removed. The own row is ignored. */
+void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row);
+void fg_peers_remove(struct fg_peers *p, const char *name);
+
+/* A beat came; NULL when its sender has no row here yet. */
+struct fg_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
+			      uint64_t incarnation, uint32_t seq,
+			      const fg_mesh_beat *beat);
+
+struct fg_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation);
+
+/* All others (struct fg_peer *). */
+const GPtrArray *fg_peers_all(const struct fg_peers *p);
+
+/* Heard of lately; a leaving one lives until it falls silent. */
+bool fg_peer_alive(const struct fg_peer *peer, fg_ms now);
+
+/* May callers be sent to it? */
+bool fg_peer_serves(const struct fg_peer *peer, fg_ms now);
+
+#endif
--- /dev/null
+++ b/lib/slots/fg_slots.h
@@ -0,0 +1,107 @@
+/*
+ * fg_slots - the adapter slots of one engine, as the instance that orders its
+ * loads keeps them.
+ *
+ * Requests for adapters come in with fg_slots_want(); fg_slots_next() gives
+ * the next message to the engine, one at a time, each with the number of
+ * orders that the engine must have accepted before (its sequence). An order
+ * whose answer is lost may still act later: the sequence and the adapters are
+ * then read anew before anything else is ordered, and an order that acts late
+ * meets a sequence that has moved on and is refused by the engine.
+ *
+ * At no time do the adapters that are resident or on their way exceed the
+ * slots: room is made by an unload that the engine has confirmed. The victim
+ * is the adapter unused for longest, and none that was used in the last
+ * FG_SLOTS_IDLE_MS.
+ *
+ * Pure: events and the time in, the next message out.
+ */
+#ifndef FG_SLOTS_H
+#define FG_SLOTS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/fg_clock.h"
+#include "wire/fg_wire.h"
+
+/* An adapter used within this time is taken to be in use: other instances
+ * tell of their uses every 100 ms. */
+#define FG_SLOTS_IDLE_MS 300
+#define FG_SLOTS_MAX FG_FLEET_RESIDENT_MAX
+
+struct fg_slots_conf {
+	uint32_t slots;	     /* adapters at once */
+	uint32_t load_ms;    /* of an adapter from the weight store */
+	uint32_t coming_max; /* loads on their way at once */
+	uint32_t want_max_ms; /* a want that old is dropped */
+};
+
+struct fg_slots;
+
+struct fg_slots *fg_slots_new(const struct fg_slots_conf *conf);
+void fg_slots_free(struct fg_slots *s);
+
+/* Everything known of the engine is void: it restarted, or another instance
+ * gave orders. Wants are kept. */
+void fg_slots_reset(struct fg_slots *s);
+
+enum fg_slot_state {
+	FG_SLOT_ABSENT = 0,
+	FG_SLOT_COMING = 1,
+	FG_SLOT_RESIDENT = 2,
+	FG_SLOT_FULL = 3, /* absent, and no slot can be freed now */
+};
+
+/*
+ * An adapter is wanted, in this version or a newer one (0: any). Returns its
+ * state; COMING when it has been taken on.
+ */
+enum fg_slot_state fg_slots_want(struct fg_slots *s, fg_ms now,
+				 const char *model, const char *adapter,
+				 uint64_t version);
+
+/* A request used it. */
+void fg_slots_used(struct fg_slots *s, fg_ms now, uint64_t key);
+
+/* A new version was announced: older ones are replaced. */
+void fg_slots_announced(struct fg_slots *s, uint64_t key, uint64_t version);
+
+enum fg_slots_act {
+	FG_SLOTS_NOTHING = 0,
+	FG_SLOTS_REPORT = 1, /* ask the engine for a report */
+	FG_SLOTS_LOAD = 2,
+	FG_SLOTS_UNLOAD = 3,
+};
+
+struct fg_slots_step {
+	enum fg_slots_act act;
+	const char *model; /* valid until the next call */
+	const char *adapter;
+	uint64_t version;
+	uint64_t expected_sequence;
+	fg_ms wake; /* with NOTHING: when to ask again; FG_MS_NEVER */
+};
+
+/* The next message; the state counts it as sent until its result is told. */
+struct fg_slots_step fg_slots_next(struct fg_slots *s, fg_ms now);
+
+/* Result of the LOAD or UNLOAD that fg_slots_next() gave. */
+void fg_slots_ordered(struct fg_slots *s, fg_ms now,
+		      enum fg_order_result result);
+
+/* Answer to REPORT; NULL when there was none. */
+void fg_slots_reported(struct fg_slots *s, fg_ms now,
+		       const struct fg_report *report);
+
+/* Resident adapters whose version is the newest announced; returns how many.
+ * `out` has room for FG_SLOTS_MAX. */
+uint32_t fg_slots_held(const struct fg_slots *s, struct fg_held *out);
+
+/* How long the adapter that would make way has been unused; UINT32_MAX when a
+ * slot is free, 0 when none can be freed. */
+uint32_t fg_slots_spare_age(const struct fg_slots *s, fg_ms now);
+
+enum fg_slot_state fg_slots_state(const struct fg_slots *s, uint64_t key);
+
+#endif
--- /dev/null
+++ b/lib/wire/fg_wire.c
@@ -0,0 +1,51 @@
+#include "wire/fg_wire.h"
+
+#include <string.h>
+
+GQuark fg_wire_error_quark(void)
+{
+	return g_quark_from_static_string("fg-wire-error");
+}
+
+void fg_call_clear(struct fg_call *c)
+{
+	g_free(c->id);
+	g_free(c->host);
+	g_free(c->model);
+	g_free(c->adapter);
+	memset(c, 0, sizeof(*c));
+}
+
+void fg_row_free(gpointer p)
+{
+	struct fg_row *row = p;
+
+	if (row == NULL)
+		return;
+	g_free(row->table);
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+void fg_rows_clear(struct fg_rows *rows)
+{
+	if (rows->rows != NULL)
+		g_ptr_array_unref(rows->rows);
+	memset(rows, 0, sizeof(*rows));
+}
+
+void fg_announcement_clear(struct fg_announcement *a)
+{
+	g_free(a->model);
+	g_free(a->adapter);
+	memset(a, 0, sizeof(*a));
+}
+
+void fg_lookup_clear(struct fg_lookup *l)
+{
+	g_free(l->name);
+	g_free(l->region);
+	g_free(l->dc);
+	memset(l, 0, sizeof(*l));
+}
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,7 @@
 PACKAGES="gcc make pkg-config clang clang-format clang-tidy cppcheck python3
 libck-dev libmicrohttpd-dev libcurl4-openssl-dev libglib2.0-dev liblog4c-dev
 libcyaml-dev libtirpc-dev rpcsvc-proto libxxhash-dev libjansson-dev
-libclang-rt-14-dev"
+libclang-rt-14-dev libuv1-dev libhttp-parser-dev"
 
 missing=
 for package in $PACKAGES; do
