Loads from the weight store: a window per instance, most wanted first

Change: an instance keeps a window of loads that follows the time they take; the most wanted adapter goes first; adapters on their way are told to the other instances, so that they do not load a second copy.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -17,6 +17,8 @@
 #define NO_SPARE_COST_MS 300
 /* No instance is known that could have it loaded there. */
 #define NO_OWNER_COST_MS 5000
+/* What was on its way this long ago still is, or has arrived. */
+#define COMING_FRESH_MS 1500
 /* Costs closer than this are drawn by lot, lest all choose the same one. */
 #define TIE_MS 2.0
 
@@ -96,8 +98,8 @@
 /* What it costs to have the adapter there: the load itself in *load_ms. */
 static double adapter_cost(const struct fg_balance_conf *conf,
 			   const struct fg_balance_ask *ask, struct fg_ep *ep,
-			   const struct homes *homes, bool *resident,
-			   double *load_ms)
+			   const struct homes *homes, fg_ms now,
+			   bool *resident, double *load_ms)
 {
 	const struct fg_ep_adapter *a = fg_ep_adapter(ep, ask->adapter);
 	double cost = 0;
@@ -115,6 +117,8 @@
 		return cost + *load_ms + conf->reload_penalty_ms;
 	}
 	*load_ms = conf->load_ms;
+	if (a != NULL && a->coming > 0 && now - a->coming < COMING_FRESH_MS)
+		return cost + *load_ms;
 	cost += *load_ms + conf->load_penalty_ms;
 	if (ep->hash == homes->second)
 		cost += conf->stray_penalty_ms / 2.0;
@@ -149,7 +153,7 @@
 	if (ask->terms->engine) {
 		c.wait_ms = (pending(ep) + ask->tokens) /
 			    conf->prefill_tokens_per_ms * ep->slowness;
-		c.total_ms = adapter_cost(conf, ask, ep, homes, &c.resident,
+		c.total_ms = adapter_cost(conf, ask, ep, homes, now, &c.resident,
 					  &load_ms);
 		c.wait_ms += load_ms;
 		c.total_ms += c.wait_ms - load_ms +
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -291,6 +291,7 @@
 	g_strlcpy(self.name, gw->conf->name, sizeof(self.name));
 	g_strlcpy(self.region, gw->conf->region, sizeof(self.region));
 	gw->balance = balance_defaults;
+	fg_loadgate_init(&gw->loadgate, gw->balance.load_ms);
 	gw->callers = g_ptr_array_new();
 	gw->reqs = g_ptr_array_new();
 	gw->versions = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -307,6 +308,8 @@
 				"time until the first part of an answer");
 	gw->hist_whole = fg_metrics_hist(gw->metrics, "fg_gw_whole_ms", NULL,
 					 "time until the end of a request");
+	gw->hist_load = fg_metrics_hist(gw->metrics, "fg_gw_load_ms", NULL,
+					"time of a load from the weight store");
 }
 
 struct fg_gateway *fg_gateway_new(struct fg_gwconf *conf, const char *path,
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -31,6 +31,7 @@
 #include "mesh/fg_peers.h"
 #include "metrics/fg_metrics.h"
 #include "route/fg_route.h"
+#include "slots/fg_loadgate.h"
 #include "slots/fg_slots.h"
 
 struct fg_gateway;
@@ -109,7 +110,7 @@
 	fg_ms arrived;
 	fg_ms end_at; /* final answer at the latest */
 	fg_ms step_at; /* of the state; FG_MS_NEVER */
-	fg_ms asked_at; /* last ask for the load */
+	fg_ms load_since; /* begin of the wait for a load */
 	uv_timer_t *timer;
 	enum fg_req_state state;
 	struct fg_ep *ep; /* reference; of the load or the send */
@@ -316,6 +317,7 @@
 	GHashTable *versions;	  /* key -> struct fg_wanted_version * */
 	struct fg_fleet *fleet;
 	struct fg_balance_conf balance;
+	struct fg_loadgate loadgate;
 	struct fg_claims *claims;
 	struct fg_peers *peers;
 	struct fg_suspects *suspects;
@@ -339,6 +341,7 @@
 	struct fg_metrics *metrics;
 	struct fg_hist *hist_first;
 	struct fg_hist *hist_whole;
+	struct fg_hist *hist_load;
 };
 
 /* Counts one event: fg_gw_NAME_total{LABELS}. */
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -122,7 +122,9 @@
 
 	for (uint32_t i = 0;
 	     i < ep->n_adapters && n < FG_MESH_HELD_MAX; i++) {
-		if (ep->adapters[i].version == 0)
+		if (ep->adapters[i].version == 0 &&
+		    (ep->adapters[i].coming == 0 ||
+		     ep->adapters[i].coming != ep->told))
 			continue;
 		held[n].adapter = ep->adapters[i].key;
 		held[n++].ver = ep->adapters[i].version;
@@ -286,14 +288,23 @@
 {
 	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, own->ep);
 	struct fg_held held[FG_MESH_HELD_MAX];
-	uint32_t n = own->held.held_len;
+	uint32_t n = 0;
 
 	if (ep == NULL ||
 	    fg_claims_holder(gw->claims, ep->facts.id) != sender)
 		return;
-	for (uint32_t i = 0; i < n; i++) {
-		held[i].key = own->held.held_val[i].adapter;
-		held[i].version = own->held.held_val[i].ver;
+	for (u_int i = 0; i < own->held.held_len; i++) {
+		const fg_mesh_held *h = &own->held.held_val[i];
+		struct fg_ep_adapter *a;
+
+		if (h->ver != 0) {
+			held[n].key = h->adapter;
+			held[n++].version = h->ver;
+			continue;
+		}
+		a = fg_ep_adapter_get(ep, now, h->adapter);
+		if (a != NULL)
+			a->coming = now;
 	}
 	fg_ep_set_resident(ep, now, held, n);
 	ep->told = now;
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -15,6 +15,20 @@
 
 /* ---- What is resident ---- */
 
+static void mark_coming(struct fg_ep_user *u, fg_ms now)
+{
+	uint64_t keys[FG_SLOTS_MAX];
+	uint32_t n = fg_slots_coming(u->slots, keys);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct fg_ep_adapter *a =
+			fg_ep_adapter_get(u->ep, now, keys[i]);
+
+		if (a != NULL)
+			a->coming = now;
+	}
+}
+
 /* Takes over what the slots say; true when it changed. */
 static bool publish(struct fg_ep_user *u, fg_ms now)
 {
@@ -31,6 +45,7 @@
 	}
 	for (uint32_t i = 0; i < ep->n_adapters; i++)
 		before += ep->adapters[i].version != 0 ? 1 : 0;
+	mark_coming(u, now);
 	ep->told = now;
 	ep->spare_age_ms = fg_slots_spare_age(u->slots, now);
 	if (same == n && before == n)
@@ -64,12 +79,29 @@
 	       "status", code, "fence", fence, NULL);
 }
 
+/* Loads from the weight store that this instance has ordered. */
+static uint32_t fetching(const struct fg_gateway *gw)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	uint32_t n = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_ep_user *u = ep->user;
+
+		if (u != NULL && u->slots != NULL)
+			n += fg_slots_fetching(u->slots);
+	}
+	return n;
+}
+
 static void on_order(void *ctx, unsigned int status, const char *body,
 		     size_t len)
 {
 	struct fg_ep_user *u = ctx;
 	fg_ms now = fg_clock_now();
 	enum fg_order_result result = FG_ORDER_UNKNOWN;
+	uint32_t took_ms;
 
 	(void)body;
 	(void)len;
@@ -83,6 +115,11 @@
 		return;
 	}
 	fg_slots_ordered(u->slots, now, result);
+	took_ms = fg_slots_take_fetched_ms(u->slots);
+	if (took_ms > 0) {
+		fg_loadgate_ended(&u->gw->loadgate, took_ms, fetching(u->gw));
+		fg_hist_add(u->gw->hist_load, took_ms);
+	}
 	changed(u);
 	kick(u);
 }
@@ -148,7 +185,9 @@
 	if (u->slots == NULL || fg_channel_busy(u->channel) ||
 	    !u->gw->claims_checked)
 		return;
-	step = fg_slots_next(u->slots, now);
+	step = fg_slots_next(u->slots, now,
+			     fg_loadgate_open(&u->gw->loadgate,
+					      fetching(u->gw)));
 	switch (step.act) {
 	case FG_SLOTS_REPORT:
 		fg_gw_count(u->gw, "reports", NULL);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -13,8 +13,8 @@
 /* Sends of one request, those that never ran included. */
 #define SENDS_MAX 6
 /* A request whose load is not told within this goes elsewhere. */
-#define LOAD_WAIT_MS 700
-#define ASK_AGAIN_MS 80
+#define LOAD_WAIT_MS 3000
+#define ASK_AGAIN_MS 120
 #define PLACE_AGAIN_MS 40
 /* Endpoints looked at before waiting for one that can load. */
 #define PLACE_TRIES 3
@@ -239,7 +239,6 @@
 	fg_ms age_ms;
 	uint64_t version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
 
-	r->asked_at = now;
 	return fg_orders_want(r->gw, r->ep, r->call.model, r->call.adapter,
 			      version);
 }
@@ -293,6 +292,7 @@
 			send_now(r);
 			return;
 		case FG_SLOT_COMING:
+			r->load_since = now;
 			wait_state(r, FG_REQ_WAIT_LOAD, now + ASK_AGAIN_MS);
 			return;
 		default:
@@ -309,7 +309,7 @@
 	const struct fg_ep_adapter *a = fg_ep_adapter(r->ep, r->adapter);
 
 	if (!fg_ep_usable(r->ep, now) ||
-	    now - r->asked_at > LOAD_WAIT_MS) {
+	    now - r->load_since > LOAD_WAIT_MS) {
 		note_tried(r);
 		fg_req_place(r);
 		return;
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -30,7 +30,7 @@
 
 struct fg_mesh_held {
 	unsigned hyper adapter;
-	unsigned hyper ver;
+	unsigned hyper ver;     /* 0: on its way */
 };
 
 struct fg_mesh_own {            /* engines that the sender orders */
--- /dev/null
+++ b/lib/slots/fg_loadgate.c
@@ -0,0 +1,33 @@
+#include "slots/fg_loadgate.h"
+
+#include <glib.h>
+
+#define WINDOW_START 2.0
+#define WINDOW_MIN 1.0
+#define WINDOW_MAX 64.0
+/* Growth for each window of loads that took the usual time. */
+#define WINDOW_STEP 0.5
+#define WINDOW_CUT 0.75
+/* Loads are seen to end some tens of ms late; more than this is a queue. */
+#define SLOW_FACTOR 1.35
+
+void fg_loadgate_init(struct fg_loadgate *g, uint32_t usual_ms)
+{
+	g->window = WINDOW_START;
+	g->base_ms = usual_ms;
+}
+
+bool fg_loadgate_open(const struct fg_loadgate *g, uint32_t running)
+{
+	return running < (uint32_t)g->window;
+}
+
+void fg_loadgate_ended(struct fg_loadgate *g, uint32_t took_ms,
+		       uint32_t running)
+{
+	if (took_ms > g->base_ms * SLOW_FACTOR)
+		g->window *= WINDOW_CUT;
+	else if (running + 1 >= (uint32_t)g->window)
+		g->window += WINDOW_STEP / g->window;
+	g->window = CLAMP(g->window, WINDOW_MIN, WINDOW_MAX);
+}
--- /dev/null
+++ b/lib/slots/fg_loadgate.h
@@ -0,0 +1,33 @@
+/*
+ * fg_loadgate - how many loads from the weight store run at once.
+ *
+ * The weight store serves a number of loads at full speed and all of them
+ * slower beyond. Nobody knows that number, and each instance sees its own
+ * loads alone; so each keeps a window that grows while its loads take the
+ * usual time and shrinks when they take longer. Loads beyond the window wait
+ * at the instance, where the most wanted goes first.
+ *
+ * Pure.
+ */
+#ifndef FG_LOADGATE_H
+#define FG_LOADGATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct fg_loadgate {
+	double window;	  /* loads at once, at least 1 */
+	uint32_t base_ms; /* what a load takes at full speed */
+};
+
+/* `usual_ms`: the time of a load as far as it is known before the first. */
+void fg_loadgate_init(struct fg_loadgate *g, uint32_t usual_ms);
+
+/* May another load begin beside `running` ones? */
+bool fg_loadgate_open(const struct fg_loadgate *g, uint32_t running);
+
+/* A load ended after took_ms, with `running` others still on their way. */
+void fg_loadgate_ended(struct fg_loadgate *g, uint32_t took_ms,
+		       uint32_t running);
+
+#endif
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -28,6 +28,8 @@
 	uint64_t newest;  /* announced; 0: none heard of */
 	fg_ms used;
 	fg_ms check_at; /* COMING, LEAVING: look again */
+	fg_ms begun;	/* COMING: when it was ordered */
+	bool fetch;	/* COMING: from the weight store */
 	bool accepted;	/* COMING: the engine took the order, and takes a repeat
 			 * of it without counting it in its sequence */
 };
@@ -38,6 +40,8 @@
 	char adapter[FG_FLEET_NAME_BYTES];
 	uint64_t version;
 	fg_ms since;
+	fg_ms asked;	/* last */
+	uint32_t asks;
 };
 
 struct fg_slots {
@@ -55,6 +59,7 @@
 	bool stale;
 	enum fg_slots_act sent; /* in flight */
 	uint64_t sent_key;
+	uint32_t fetched_ms; /* of the last load from the weight store */
 };
 
 struct fg_slots *fg_slots_new(const struct fg_slots_conf *conf)
@@ -177,13 +182,15 @@
 
 /* ---- Wants ---- */
 
-static bool has_want(const struct fg_slots *s, uint64_t key)
+static struct want *want_of(const struct fg_slots *s, uint64_t key)
 {
 	for (guint i = 0; i < s->wants->len; i++) {
-		if (g_array_index(s->wants, struct want, i).key == key)
-			return true;
+		struct want *w = &g_array_index(s->wants, struct want, i);
+
+		if (w->key == key)
+			return w;
 	}
-	return false;
+	return NULL;
 }
 
 enum fg_slot_state fg_slots_state(const struct fg_slots *s, uint64_t key)
@@ -194,19 +201,25 @@
 		return FG_SLOT_RESIDENT;
 	if (slot != NULL && slot->state != LEAVING)
 		return FG_SLOT_COMING;
-	return has_want(s, key) ? FG_SLOT_COMING : FG_SLOT_ABSENT;
+	return want_of(s, key) != NULL ? FG_SLOT_COMING : FG_SLOT_ABSENT;
 }
 
 enum fg_slot_state fg_slots_want(struct fg_slots *s, fg_ms now,
 				 const char *model, const char *adapter,
 				 uint64_t version)
 {
-	struct want w = { .since = now, .version = version };
+	struct want w = { .since = now, .asked = now, .version = version };
+	struct want *before;
 	enum fg_slot_state state;
 
 	w.key = fg_adapter_key(model, adapter);
 	if (version > newest_of(s, w.key))
 		fg_slots_announced(s, w.key, version);
+	before = want_of(s, w.key);
+	if (before != NULL) {
+		before->asks++;
+		before->asked = now;
+	}
 	state = fg_slots_state(s, w.key);
 	if (state != FG_SLOT_ABSENT) {
 		fg_slots_used(s, now, w.key);
@@ -280,28 +293,61 @@
 		const struct want *w =
 			&g_array_index(s->wants, struct want, i - 1);
 
-		if (now - w->since > (fg_ms)s->conf.want_max_ms ||
+		if (now - w->asked > (fg_ms)s->conf.want_max_ms ||
 		    (s->synced && slot_of(s, w->key) != NULL))
 			g_array_remove_index(s->wants, i - 1);
 	}
 }
 
-/* Begins the oldest want: loads it, or unloads what is in its way. */
-static bool begin_want(struct fg_slots *s, fg_ms now,
+static bool is_fetch(const struct fg_slots *s, uint64_t key)
+{
+	return !g_hash_table_contains(s->held_once, &key);
+}
+
+/* The most wanted adapter: asks come from each waiting request and grow with
+ * its wait. */
+static guint next_want(const struct fg_slots *s, bool store_open)
+{
+	guint best = s->wants->len;
+
+	for (guint i = 0; i < s->wants->len; i++) {
+		const struct want *w = &g_array_index(s->wants, struct want, i);
+
+		if (!store_open && is_fetch(s, w->key))
+			continue;
+		if (best == s->wants->len ||
+		    w->asks > g_array_index(s->wants, struct want, best).asks)
+			best = i;
+	}
+	return best;
+}
+
+static void begin_load(struct fg_slots *s, fg_ms now, guint want,
+		       struct fg_slots_step *step)
+{
+	const struct want *w = &g_array_index(s->wants, struct want, want);
+	struct slot *slot = add_slot(s, now, w->model, w->adapter);
+
+	g_assert(slot != NULL);
+	slot->state = COMING;
+	slot->check_at = now;
+	slot->begun = now;
+	slot->fetch = is_fetch(s, slot->key);
+	g_array_remove_index(s->wants, want);
+	remember_sent(s, FG_SLOTS_LOAD, slot, step);
+}
+
+/* Begins a want: loads it, or unloads what is in its way. */
+static bool begin_want(struct fg_slots *s, fg_ms now, bool store_open,
 		       struct fg_slots_step *step)
 {
-	struct want *w = &g_array_index(s->wants, struct want, 0);
+	guint want = next_want(s, store_open);
 	struct slot *slot;
 
-	if (count(s, COMING) >= s->conf.coming_max)
+	if (want == s->wants->len || count(s, COMING) >= s->conf.coming_max)
 		return false;
 	if (s->n < s->conf.slots) {
-		slot = add_slot(s, now, w->model, w->adapter);
-		g_assert(slot != NULL);
-		slot->state = COMING;
-		slot->check_at = now;
-		g_array_remove_index(s->wants, 0);
-		remember_sent(s, FG_SLOTS_LOAD, slot, step);
+		begin_load(s, now, want, step);
 		return true;
 	}
 	if (count(s, LEAVING) > 0)
@@ -316,7 +362,8 @@
 	return true;
 }
 
-struct fg_slots_step fg_slots_next(struct fg_slots *s, fg_ms now)
+struct fg_slots_step fg_slots_next(struct fg_slots *s, fg_ms now,
+				   bool store_open)
 {
 	struct fg_slots_step step = { .wake = FG_MS_NEVER };
 	struct slot *slot;
@@ -339,7 +386,7 @@
 			      slot, &step);
 		return step;
 	}
-	if (s->wants->len > 0 && !begin_want(s, now, &step))
+	if (s->wants->len > 0 && !begin_want(s, now, store_open, &step))
 		step.wake = MIN(step.wake, now + CHECK_MS);
 	return step;
 }
@@ -375,6 +422,9 @@
 		s->sequence++;
 		return;
 	}
+	if (slot->fetch)
+		s->fetched_ms = (uint32_t)MAX(now - slot->begun, 1);
+	slot->fetch = false;
 	slot->accepted = false;
 	slot->state = RESIDENT;
 	slot->version = MAX(slot->newest, 1);
@@ -442,8 +492,11 @@
 		slot->check_at = now + CHECK_MS;
 	slot->accepted = state == COMING;
 	for (uint32_t i = 0; i < n_old; i++) {
-		if (old[i].key == key)
-			slot->used = old[i].used;
+		if (old[i].key != key)
+			continue;
+		slot->used = old[i].used;
+		slot->begun = old[i].begun;
+		slot->fetch = state == COMING && old[i].fetch;
 	}
 	g_hash_table_add(s->held_once, g_memdup2(&key, sizeof(key)));
 }
@@ -489,3 +542,33 @@
 	}
 	return n;
 }
+
+uint32_t fg_slots_fetching(const struct fg_slots *s)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->n; i++)
+		n += s->slots[i].state == COMING && s->slots[i].fetch ? 1 : 0;
+	return n;
+}
+
+uint32_t fg_slots_take_fetched_ms(struct fg_slots *s)
+{
+	uint32_t ms = s->fetched_ms;
+
+	s->fetched_ms = 0;
+	return ms;
+}
+
+uint32_t fg_slots_coming(const struct fg_slots *s, uint64_t *out)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->n; i++) {
+		if (s->slots[i].state == COMING)
+			out[n++] = s->slots[i].key;
+	}
+	for (guint i = 0; i < s->wants->len && n < FG_SLOTS_MAX; i++)
+		out[n++] = g_array_index(s->wants, struct want, i).key;
+	return n;
+}
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -83,8 +83,19 @@
 	fg_ms wake; /* with NOTHING: when to ask again; FG_MS_NEVER */
 };
 
-/* The next message; the state counts it as sent until its result is told. */
-struct fg_slots_step fg_slots_next(struct fg_slots *s, fg_ms now);
+/* The next message; the state counts it as sent until its result is told.
+ * Loads from the weight store begin only with `store_open`. */
+struct fg_slots_step fg_slots_next(struct fg_slots *s, fg_ms now,
+				   bool store_open);
+
+/* Loads from the weight store that are on their way. */
+uint32_t fg_slots_fetching(const struct fg_slots *s);
+
+/* Time that the last such load took, once: 0 when none ended since. */
+uint32_t fg_slots_take_fetched_ms(struct fg_slots *s);
+
+/* Adapters on their way; `out` has room for FG_SLOTS_MAX. */
+uint32_t fg_slots_coming(const struct fg_slots *s, uint64_t *out);
 
 /* Result of the LOAD or UNLOAD that fg_slots_next() gave. */
 void fg_slots_ordered(struct fg_slots *s, fg_ms now,
