Adapters in use are told while their requests run

Cause: an unload of an adapter in use waits for its runs, and every load at that engine waits for the unload: 517 of 900 waiting states seen after second 12. Uses were told once, at the send, and not to other regions.

Change: beats name the adapters with requests in flight, to all regions; a victim must be unused for 900 ms, twice the interval of far beats.

--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -56,6 +56,7 @@
 	uint64_t key; /* fg_adapter_key() */
 	uint64_t version; /* 0 when not resident */
 	fg_ms used;	  /* last use by any instance heard of */
+	fg_ms sent;	  /* last request from this instance; 0: none */
 	fg_ms seen;	  /* last time it was resident; 0: never */
 	fg_ms coming;	  /* last time it was on its way; 0: never */
 	uint32_t running; /* own requests in flight */
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -382,8 +382,6 @@
 	g_hash_table_unref(gw->budgets);
 	g_ptr_array_unref(gw->callers);
 	g_ptr_array_unref(gw->reqs);
-	if (gw->uses != NULL)
-		g_array_unref(gw->uses);
 	if (gw->crashes != NULL)
 		g_array_unref(gw->crashes);
 	uv_walk(&gw->loop, close_left, NULL);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -123,6 +123,7 @@
 	uint32_t expected_ms; /* until the first token, at the send */
 	uint32_t pending_tokens; /* counted at ep while nothing came */
 	fg_ms sent_at;
+	fg_ms first_at; /* first part of the answer; 0: none came */
 	bool unsure; /* a send may have run, or may run still */
 	bool head_sent; /* the answer's head went to the caller */
 	bool no_length; /* ... in chunks */
@@ -138,6 +139,10 @@
 /* The caller left. */
 void fg_req_cancel(struct fg_req *r);
 
+/* One log line about the request: what decided it and how long it took. */
+void fg_req_log(const struct fg_req *r, enum fg_log_level level,
+		const char *event, const char *reason);
+
 /* Ends the request; with `give_back` the caller's connection goes on. */
 void fg_req_end(struct fg_req *r);
 
@@ -328,7 +333,6 @@
 	fg_ms near_beat_at;
 	fg_ms far_beat_at;
 	bool beat_dirty;
-	GArray *uses;	 /* fg_mesh_use since the last beat */
 	GArray *crashes; /* struct fg_told_crash */
 
 	uv_timer_t tick;
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -20,6 +20,8 @@
 	if (r->first_seen)
 		return;
 	r->first_seen = true;
+	if (r->first_at == 0)
+		r->first_at = now;
 	r->ep->pending_tokens -= r->pending_tokens;
 	r->pending_tokens = 0;
 	fg_hist_add(r->gw->hist_first, (uint64_t)(now - r->arrived));
@@ -160,22 +162,13 @@
 	}
 }
 
-static void log_done(const struct fg_req *r, unsigned int status)
+static void note_answered(const struct fg_req *r, unsigned int status)
 {
-	char code[8];
-	char took[24];
-	char sends[12];
+	char code[12];
 
-	fg_gw_count(r->gw, "requests", "outcome=\"answered\"");
-	if (!fg_log_enabled(FG_LOG_INFO))
-		return;
 	g_snprintf(code, sizeof(code), "%u", status);
-	g_snprintf(took, sizeof(took), "%lld",
-		   (long long)(fg_clock_now() - r->arrived));
-	g_snprintf(sends, sizeof(sends), "%u", r->sends);
-	fg_log(FG_LOG_INFO, "request", "answered", "id", r->call.id, "route",
-	       r->route->name, "status", code, "took_ms", took, "sends", sends,
-	       "endpoint", r->ep->facts.id, "adapter", r->call.adapter, NULL);
+	fg_gw_count(r->gw, "requests", "outcome=\"answered\"");
+	fg_req_log(r, FG_LOG_INFO, "answered", code);
 }
 
 static void end_stream(struct fg_req *r)
@@ -187,7 +180,7 @@
 		return;
 	}
 	fg_link_write(r->caller->link, last_chunk, sizeof(last_chunk) - 1);
-	log_done(r, HTTP_STATUS_OK);
+	note_answered(r, HTTP_STATUS_OK);
 	fg_req_end(r);
 }
 
@@ -208,7 +201,7 @@
 	g_string_append_len(out, r->answer->str, (gssize)r->answer->len);
 	fg_link_write(r->caller->link, out->str, out->len);
 	g_string_free(out, TRUE);
-	log_done(r, head->status);
+	note_answered(r, head->status);
 	fg_req_end(r);
 }
 
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -12,8 +12,9 @@
 #define FAR_MS 400
 /* Entries of one datagram, so that it fits FG_MESH_PACKET_BYTES. */
 #define LOADS_MAX 40
-#define USES_MAX 20
+#define USES_MAX 40
 #define OWNS_MAX 3
+#define HELD_MAX 12
 /* A crash is told in this many beats, since each may be lost. */
 #define CRASH_REPEATS 3
 
@@ -54,7 +55,7 @@
 	fg_mesh_load loads[LOADS_MAX];
 	fg_mesh_use uses[USES_MAX];
 	fg_mesh_own owns[OWNS_MAX];
-	fg_mesh_held held[OWNS_MAX][FG_MESH_HELD_MAX];
+	fg_mesh_held held[OWNS_MAX][HELD_MAX];
 	fg_mesh_crash crashes[USES_MAX];
 };
 
@@ -75,32 +76,29 @@
 	return n;
 }
 
-/* Adapters with requests in flight at engines that others order. */
-static void collect_running(struct fg_gateway *gw)
+/* Adapters used at engines that others order: with requests in flight from
+ * here, or sent to since the last beat of this kind. */
+static uint32_t put_uses(const struct fg_gateway *gw, fg_ms since,
+			 struct beat *b)
 {
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	uint32_t n = 0;
 
 	for (guint i = 0; i < all->len; i++) {
 		const struct fg_ep *ep = all->pdata[i];
 		const struct fg_ep_user *u = ep->user;
 
-		if (ep->running == 0 || (u != NULL && u->slots != NULL))
+		if (u != NULL && u->slots != NULL)
 			continue;
-		for (uint32_t k = 0; k < ep->n_adapters; k++) {
-			fg_mesh_use use = { .ep = ep->hash,
-					    .adapter = ep->adapters[k].key };
+		for (uint32_t k = 0; k < ep->n_adapters && n < USES_MAX; k++) {
+			const struct fg_ep_adapter *a = &ep->adapters[k];
 
-			if (ep->adapters[k].running > 0)
-				g_array_append_val(gw->uses, use);
+			if (a->running == 0 && a->sent < since)
+				continue;
+			b->uses[n].ep = ep->hash;
+			b->uses[n++].adapter = a->key;
 		}
 	}
-}
-
-static uint32_t put_uses(struct fg_gateway *gw, struct beat *b)
-{
-	uint32_t n = MIN(gw->uses->len, USES_MAX);
-
-	memcpy(b->uses, gw->uses->data, n * sizeof(b->uses[0]));
 	return n;
 }
 
@@ -121,7 +119,7 @@
 	uint32_t n = 0;
 
 	for (uint32_t i = 0;
-	     i < ep->n_adapters && n < FG_MESH_HELD_MAX; i++) {
+	     i < ep->n_adapters && n < HELD_MAX; i++) {
 		if (ep->adapters[i].version == 0 &&
 		    (ep->adapters[i].coming == 0 ||
 		     ep->adapters[i].coming != ep->told))
@@ -175,8 +173,9 @@
 	packet->body.kind = kind;
 }
 
-/* Sends one beat, in several datagrams when it has many parts. */
-static void send_beat(struct fg_gateway *gw, bool near)
+/* Sends one beat, in several datagrams when it has many parts: each has the
+ * state and the loads, the first one the uses, the others the engines. */
+static void send_beat(struct fg_gateway *gw, bool near, fg_ms since)
 {
 	struct beat b;
 	fg_mesh_packet packet;
@@ -185,20 +184,22 @@
 
 	init_packet(gw, &packet, FG_MESH_BEAT);
 	beat->state = state_of(gw);
-	beat->crashes.crashes_len = put_crashes(gw, &b);
+	beat->loads.loads_len = put_loads(gw, &b);
+	beat->loads.loads_val = b.loads;
+	beat->uses.uses_len = put_uses(gw, since, &b);
+	beat->uses.uses_val = b.uses;
+	beat->owns.owns_val = b.owns;
 	beat->crashes.crashes_val = b.crashes;
-	{
-		beat->loads.loads_len = put_loads(gw, &b);
-		beat->loads.loads_val = b.loads;
-		beat->uses.uses_len = put_uses(gw, &b);
-		beat->uses.uses_val = b.uses;
-	}
+	packet.seq = ++gw->beat_seq;
+	beat_peers(gw, &packet, near);
+	beat->uses.uses_len = 0;
+	beat->crashes.crashes_len = put_crashes(gw, &b);
 	do {
 		packet.seq = ++gw->beat_seq;
 		beat->owns.owns_len = put_owns(gw, &b, &at);
-		beat->owns.owns_val = b.owns;
-		beat_peers(gw, &packet, near);
-		beat->uses.uses_len = 0;
+		if (beat->owns.owns_len > 0 || beat->crashes.crashes_len > 0)
+			beat_peers(gw, &packet, near);
+		beat->crashes.crashes_len = 0;
 	} while (beat->owns.owns_len == OWNS_MAX);
 }
 
@@ -215,15 +216,9 @@
 
 static void near_beat(struct fg_gateway *gw, fg_ms now)
 {
-	uint32_t sent_uses;
-
-	collect_running(gw);
-	sent_uses = MIN(gw->uses->len, USES_MAX);
-	send_beat(gw, true);
-	g_array_remove_range(gw->uses, 0, sent_uses);
+	send_beat(gw, true, gw->near_beat_at);
 	gw->near_beat_at = now;
-	gw->beat_dirty = gw->uses->len > 0;
-	g_array_set_size(gw->uses, MIN(gw->uses->len, USES_MAX));
+	gw->beat_dirty = false;
 }
 
 void fg_mesh_beat_now(struct fg_gateway *gw)
@@ -464,7 +459,7 @@
 	    (gw->beat_dirty && now - gw->near_beat_at >= least_ms))
 		near_beat(gw, now);
 	if (now - gw->far_beat_at >= FAR_MS) {
-		send_beat(gw, false);
+		send_beat(gw, false, gw->far_beat_at);
 		gw->far_beat_at = now;
 		age_crashes(gw);
 	}
@@ -484,7 +479,6 @@
 	struct sockaddr_in at;
 	int rc;
 
-	gw->uses = g_array_new(FALSE, FALSE, sizeof(fg_mesh_use));
 	gw->crashes = g_array_new(FALSE, FALSE, sizeof(struct told_crash));
 	if (!fg_link_parse(gw->conf->mesh, &at))
 		return UV_EINVAL;
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -357,17 +357,15 @@
 void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep, uint64_t key)
 {
 	struct fg_ep_user *u = ep->user;
-	fg_mesh_use use = { .ep = ep->hash, .adapter = key };
 	struct fg_ep_adapter *a = fg_ep_adapter(ep, key);
+	fg_ms now = fg_clock_now();
 
-	if (key == 0)
+	if (a == NULL)
 		return;
-	if (a != NULL)
-		a->used = fg_clock_now();
+	a->used = now;
+	a->sent = now;
 	if (u != NULL && u->slots != NULL)
-		fg_slots_used(u->slots, fg_clock_now(), key);
-	else
-		g_array_append_val(gw->uses, use);
+		fg_slots_used(u->slots, now, key);
 	gw->beat_dirty = true;
 }
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -1,7 +1,6 @@
 /* A request from its head to its final answer. */
 #include "gateway/fg_gateway_internal.h"
 
-#include <stdio.h>
 #include <string.h>
 
 /* When a route or a caller gives no limit. */
@@ -42,20 +41,36 @@
 
 /* ---- Log ---- */
 
-static void log_end(const struct fg_req *r, enum fg_log_level level,
-		    const char *outcome, const char *reason)
+static const char *ms_text(char *buf, size_t size, fg_ms ms)
+{
+	g_snprintf(buf, size, "%lld", (long long)ms);
+	return buf;
+}
+
+void fg_req_log(const struct fg_req *r, enum fg_log_level level,
+		const char *event, const char *reason)
 {
-	fg_ms now = fg_clock_now();
 	char took[24];
-	char sends[32];
+	char sent[24];
+	char first[24];
+	char sends[12];
 
 	if (!fg_log_enabled(level))
 		return;
-	snprintf(took, sizeof(took), "%lld", (long long)(now - r->arrived));
-	snprintf(sends, sizeof(sends), "%u", r->sends);
-	fg_log(level, "request", outcome, "id", r->call.id, "route",
+	g_snprintf(sends, sizeof(sends), "%u", r->sends);
+	fg_log(level, "request", event, "id", r->call.id, "route",
 	       r->route == NULL ? NULL : r->route->name, "reason", reason,
-	       "took_ms", took, "sends", sends, "endpoint",
+	       "took_ms",
+	       ms_text(took, sizeof(took), fg_clock_now() - r->arrived),
+	       "sent_ms",
+	       r->sent_at == 0 ?
+		       NULL :
+		       ms_text(sent, sizeof(sent), r->sent_at - r->arrived),
+	       "first_ms",
+	       r->first_at == 0 ?
+		       NULL :
+		       ms_text(first, sizeof(first), r->first_at - r->arrived),
+	       "sends", sends, "endpoint",
 	       r->ep == NULL ? NULL : r->ep->facts.id, "adapter",
 	       r->call.adapter, NULL);
 }
@@ -164,7 +179,7 @@
 
 void fg_req_cancel(struct fg_req *r)
 {
-	log_end(r, FG_LOG_INFO, "caller_left", NULL);
+	fg_req_log(r, FG_LOG_INFO, "caller_left", NULL);
 	fg_gw_count(r->gw, "requests", "outcome=\"caller_left\"");
 	r->caller = NULL;
 	req_remove(r);
@@ -172,7 +187,7 @@
 
 void fg_req_fail(struct fg_req *r, unsigned int status, const char *reason)
 {
-	log_end(r, FG_LOG_WARN, "failed", reason);
+	fg_req_log(r, FG_LOG_WARN, "failed", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"failed\"");
 	if (r->head_sent) {
 		struct fg_caller *c = r->caller;
@@ -194,7 +209,7 @@
 		fg_req_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
 		return;
 	}
-	log_end(r, FG_LOG_WARN, "refused", reason);
+	fg_req_log(r, FG_LOG_WARN, "refused", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"refused\"");
 	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
 			 r->call.id, CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS),
@@ -429,7 +444,7 @@
 	}
 	if (end == FG_SEND_ABSENT && r->use != NULL)
 		r->use->version = 0;
-	log_end(r, FG_LOG_INFO, "send_ended", why);
+	fg_req_log(r, FG_LOG_INFO, "send_ended", why);
 	note_tried(r);
 	if (end == FG_SEND_ABSENT)
 		r->n_tried = 0; /* a load there is as good as elsewhere */
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -26,8 +26,9 @@
 #include "wire/fg_wire.h"
 
 /* An adapter used within this time is taken to be in use: other instances
- * tell of their uses every 100 ms. */
-#define FG_SLOTS_IDLE_MS 300
+ * tell of their uses every 400 ms, and a beat may be lost. An unload of one in
+ * use waits for its runs, and everything else waits for the unload. */
+#define FG_SLOTS_IDLE_MS 900
 #define FG_SLOTS_MAX FG_FLEET_RESIDENT_MAX
 
 struct fg_slots_conf {
