Owners gather what is in flight at their engines and tell totals

Cause: each instance told all others its own loads every 100 to 400 ms; the word was old across regions, and victims had to be unused for 900 ms.

Change: an instance tells the owner alone, at once, when its use of an adapter begins or ends, and repeats it every 400 ms; the owner's beats carry totals.

--- a/Makefile
+++ b/Makefile
@@ -89,12 +89,16 @@
 	@echo "  LD      $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-# rpcgen output is committed; run this only after editing fg_proto.x.
+# rpcgen output is committed; run this only after editing a .x file.
 .PHONY: proto
 proto:
 	cd lib/peer && rm -f fg_proto.h fg_proto_xdr.c && \
 	rpcgen -N -M -h -o fg_proto.h fg_proto.x && \
 	rpcgen -N -M -c -o fg_proto_xdr.c fg_proto.x
+	cd lib/mesh && rm -f fg_mesh_proto.h fg_mesh_proto_xdr.c && \
+	rpcgen -N -M -h -o fg_mesh_proto.h fg_mesh.x && \
+	rpcgen -N -M -c -o fg_mesh_proto_xdr.c fg_mesh.x && \
+	sed -i 's/"fg_mesh.h"/"fg_mesh_proto.h"/' fg_mesh_proto_xdr.c
 
 .PHONY: tests
 tests: $(BINS) $(TESTS)
--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -13,7 +13,7 @@
 /* A running request slows each step of its batch a little. */
 #define RUNNING_COST_MS 1.0
 /* A slot whose adapter was used this recently is likely to be in use. */
-#define SPARE_MIN_MS 400
+#define SPARE_MIN_MS 200
 #define NO_SPARE_COST_MS 300
 /* No instance is known that could have it loaded there. */
 #define NO_OWNER_COST_MS 5000
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -56,10 +56,11 @@
 	uint64_t key; /* fg_adapter_key() */
 	uint64_t version; /* 0 when not resident */
 	fg_ms used;	  /* last use by any instance heard of */
-	fg_ms sent;	  /* last request from this instance; 0: none */
 	fg_ms seen;	  /* last time it was resident; 0: never */
 	fg_ms coming;	  /* last time it was on its way; 0: never */
 	uint32_t running; /* own requests in flight */
+	uint32_t pending_tokens; /* of these, to be read before a first token */
+	fg_ms told;	  /* last time the owner was told of them */
 };
 
 #define FG_EP_ADAPTERS_MAX 48
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -23,6 +23,7 @@
 #include "claim/fg_claim.h"
 #include "fleet/fg_fleet.h"
 #include "fleet/fg_health.h"
+#include "fleet/fg_uses.h"
 #include "gateway/fg_events.h"
 #include "gateway/fg_gateway.h"
 #include "link/fg_channel.h"
@@ -139,6 +140,9 @@
 /* The caller left. */
 void fg_req_cancel(struct fg_req *r);
 
+/* Its first token came: its prompt waits no longer at the endpoint. */
+void fg_req_no_longer_pending(struct fg_req *r);
+
 /* One log line about the request: what decided it and how long it took. */
 void fg_req_log(const struct fg_req *r, enum fg_log_level level,
 		const char *event, const char *reason);
@@ -200,6 +204,7 @@
 	fg_ms heard;	 /* last byte from it */
 	/* As the one that orders its loads; NULL otherwise. */
 	struct fg_slots *slots;
+	struct fg_uses uses; /* of all instances but this one */
 	struct fg_channel *channel;
 	uv_timer_t *timer;
 	uint64_t fence;
@@ -265,7 +270,14 @@
 enum fg_slot_state fg_orders_want(struct fg_gateway *gw, struct fg_ep *ep,
 				  const char *model, const char *adapter,
 				  uint64_t version);
-void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep, uint64_t key);
+
+/* What this instance has in flight there, of one adapter, changed. */
+void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep,
+		    struct fg_ep_adapter *a);
+
+/* Another instance told what it has in flight at an engine ordered here. */
+void fg_orders_take_use(struct fg_gateway *gw, struct fg_ep *ep,
+			const struct fg_use *use);
 void fg_orders_announced(struct fg_gateway *gw, uint64_t key,
 			 uint64_t version);
 void fg_orders_drop(struct fg_ep_user *u);
@@ -276,6 +288,8 @@
 void fg_mesh_tell_crash(struct fg_gateway *gw, const fg_mesh_crash *crash);
 void fg_mesh_tick(struct fg_gateway *gw, fg_ms now);
 void fg_mesh_beat_now(struct fg_gateway *gw);
+void fg_mesh_send_use(struct fg_gateway *gw, struct fg_ep *ep,
+		      struct fg_ep_adapter *a);
 void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner, struct fg_ep *ep,
 		      const char *model, const char *adapter,
 		      uint64_t version);
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -22,8 +22,7 @@
 	r->first_seen = true;
 	if (r->first_at == 0)
 		r->first_at = now;
-	r->ep->pending_tokens -= r->pending_tokens;
-	r->pending_tokens = 0;
+	fg_req_no_longer_pending(r);
 	fg_hist_add(r->gw->hist_first, (uint64_t)(now - r->arrived));
 	if (r->service->engine)
 		fg_health_timed(r->ep, (uint32_t)(now - r->sent_at),
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -11,10 +11,10 @@
 #define NEAR_MAX_MS 250
 #define FAR_MS 400
 /* Entries of one datagram, so that it fits FG_MESH_PACKET_BYTES. */
-#define LOADS_MAX 40
-#define USES_MAX 40
-#define OWNS_MAX 3
+#define OWNS_MAX 4
 #define HELD_MAX 12
+#define CRASHES_MAX 16
+#define USES_MAX 40
 /* A crash is told in this many beats, since each may be lost. */
 #define CRASH_REPEATS 3
 
@@ -52,61 +52,16 @@
 }
 
 struct beat {
-	fg_mesh_load loads[LOADS_MAX];
-	fg_mesh_use uses[USES_MAX];
 	fg_mesh_own owns[OWNS_MAX];
 	fg_mesh_held held[OWNS_MAX][HELD_MAX];
-	fg_mesh_crash crashes[USES_MAX];
+	fg_mesh_crash crashes[CRASHES_MAX];
 };
 
-static uint32_t put_loads(const struct fg_gateway *gw, struct beat *b)
-{
-	const GPtrArray *all = fg_fleet_all(gw->fleet);
-	uint32_t n = 0;
-
-	for (guint i = 0; i < all->len && n < LOADS_MAX; i++) {
-		const struct fg_ep *ep = all->pdata[i];
-
-		if (ep->running == 0)
-			continue;
-		b->loads[n].ep = ep->hash;
-		b->loads[n].running = ep->running;
-		b->loads[n++].pending_tokens = ep->pending_tokens;
-	}
-	return n;
-}
-
-/* Adapters used at engines that others order: with requests in flight from
- * here, or sent to since the last beat of this kind. */
-static uint32_t put_uses(const struct fg_gateway *gw, fg_ms since,
-			 struct beat *b)
-{
-	const GPtrArray *all = fg_fleet_all(gw->fleet);
-	uint32_t n = 0;
-
-	for (guint i = 0; i < all->len; i++) {
-		const struct fg_ep *ep = all->pdata[i];
-		const struct fg_ep_user *u = ep->user;
-
-		if (u != NULL && u->slots != NULL)
-			continue;
-		for (uint32_t k = 0; k < ep->n_adapters && n < USES_MAX; k++) {
-			const struct fg_ep_adapter *a = &ep->adapters[k];
-
-			if (a->running == 0 && a->sent < since)
-				continue;
-			b->uses[n].ep = ep->hash;
-			b->uses[n++].adapter = a->key;
-		}
-	}
-	return n;
-}
-
 static uint32_t put_crashes(struct fg_gateway *gw, struct beat *b)
 {
 	uint32_t n = 0;
 
-	for (guint i = 0; i < gw->crashes->len && n < USES_MAX; i++)
+	for (guint i = 0; i < gw->crashes->len && n < CRASHES_MAX; i++)
 		b->crashes[n++] = g_array_index(gw->crashes, struct told_crash,
 						i)
 					  .crash;
@@ -128,6 +83,8 @@
 		held[n++].ver = ep->adapters[i].version;
 	}
 	own->ep = ep->hash;
+	own->running = ep->running + ep->peers_running;
+	own->pending_tokens = ep->pending_tokens + ep->peers_pending_tokens;
 	own->spare_age_ms = ep->spare_age_ms;
 	own->held.held_len = n;
 	own->held.held_val = held;
@@ -173,9 +130,8 @@
 	packet->body.kind = kind;
 }
 
-/* Sends one beat, in several datagrams when it has many parts: each has the
- * state and the loads, the first one the uses, the others the engines. */
-static void send_beat(struct fg_gateway *gw, bool near, fg_ms since)
+/* Sends one beat, in several datagrams when it has many parts. */
+static void send_beat(struct fg_gateway *gw, bool near)
 {
 	struct beat b;
 	fg_mesh_packet packet;
@@ -184,25 +140,82 @@
 
 	init_packet(gw, &packet, FG_MESH_BEAT);
 	beat->state = state_of(gw);
-	beat->loads.loads_len = put_loads(gw, &b);
-	beat->loads.loads_val = b.loads;
-	beat->uses.uses_len = put_uses(gw, since, &b);
-	beat->uses.uses_val = b.uses;
 	beat->owns.owns_val = b.owns;
 	beat->crashes.crashes_val = b.crashes;
-	packet.seq = ++gw->beat_seq;
-	beat_peers(gw, &packet, near);
-	beat->uses.uses_len = 0;
 	beat->crashes.crashes_len = put_crashes(gw, &b);
 	do {
 		packet.seq = ++gw->beat_seq;
 		beat->owns.owns_len = put_owns(gw, &b, &at);
-		if (beat->owns.owns_len > 0 || beat->crashes.crashes_len > 0)
-			beat_peers(gw, &packet, near);
+		beat_peers(gw, &packet, near);
 		beat->crashes.crashes_len = 0;
 	} while (beat->owns.owns_len == OWNS_MAX);
 }
 
+static void put_use(fg_mesh_use *use, const struct fg_ep *ep,
+		    const struct fg_ep_adapter *a)
+{
+	use->ep = ep->hash;
+	use->adapter = a->key;
+	use->running = a->running;
+	use->pending_tokens = a->pending_tokens;
+}
+
+void fg_mesh_send_use(struct fg_gateway *gw, struct fg_ep *ep,
+		      struct fg_ep_adapter *a)
+{
+	const struct fg_peer *peer = fg_peers_find(gw->peers, ep->owner);
+	fg_mesh_packet packet;
+	fg_mesh_use use;
+
+	if (peer == NULL)
+		return;
+	a->told = fg_clock_now();
+	put_use(&use, ep, a);
+	init_packet(gw, &packet, FG_MESH_USES);
+	packet.body.fg_mesh_body_u.uses.list.list_len = 1;
+	packet.body.fg_mesh_body_u.uses.list.list_val = &use;
+	send_packet(gw, peer->row.mesh, &packet);
+}
+
+/* Repeats to one owner what is in flight at its engines. */
+static void repeat_uses(struct fg_gateway *gw, const struct fg_peer *peer,
+			fg_ms now)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	fg_mesh_use list[USES_MAX];
+	fg_mesh_packet packet;
+	uint32_t n = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		struct fg_ep *ep = all->pdata[i];
+
+		if (ep->owner != peer->row.incarnation)
+			continue;
+		for (uint32_t k = 0; k < ep->n_adapters && n < USES_MAX; k++) {
+			struct fg_ep_adapter *a = &ep->adapters[k];
+
+			if (a->running == 0 || now - a->told < FG_USES_REPEAT_MS)
+				continue;
+			a->told = now;
+			put_use(&list[n++], ep, a);
+		}
+	}
+	if (n == 0)
+		return;
+	init_packet(gw, &packet, FG_MESH_USES);
+	packet.body.fg_mesh_body_u.uses.list.list_len = n;
+	packet.body.fg_mesh_body_u.uses.list.list_val = list;
+	send_packet(gw, peer->row.mesh, &packet);
+}
+
+static void repeat_all_uses(struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+
+	for (guint i = 0; i < peers->len; i++)
+		repeat_uses(gw, peers->pdata[i], now);
+}
+
 static void age_crashes(struct fg_gateway *gw)
 {
 	for (guint i = gw->crashes->len; i > 0; i--) {
@@ -216,7 +229,7 @@
 
 static void near_beat(struct fg_gateway *gw, fg_ms now)
 {
-	send_beat(gw, true, gw->near_beat_at);
+	send_beat(gw, true);
 	gw->near_beat_at = now;
 	gw->beat_dirty = false;
 }
@@ -245,39 +258,27 @@
 
 /* ---- Receiving ---- */
 
-static void shift_loads(struct fg_gateway *gw, const struct fg_peer *peer,
-			int sign)
+static void take_uses(struct fg_gateway *gw, const fg_mesh_packet *packet,
+		      fg_ms now)
 {
-	for (uint32_t i = 0; i < peer->n_loads; i++) {
-		const struct fg_peer_load *l = &peer->loads[i];
-		struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, l->ep);
-
-		if (ep == NULL)
-			continue;
-		if (sign > 0) {
-			ep->peers_running += l->running;
-			ep->peers_pending_tokens += l->pending_tokens;
-		} else {
-			ep->peers_running -= MIN(l->running, ep->peers_running);
-			ep->peers_pending_tokens -= MIN(
-				l->pending_tokens, ep->peers_pending_tokens);
-		}
+	const fg_mesh_uses *uses = &packet->body.fg_mesh_body_u.uses;
+
+	for (u_int i = 0; i < uses->list.list_len; i++) {
+		const fg_mesh_use *m = &uses->list.list_val[i];
+		struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, m->ep);
+		struct fg_use use = {
+			.instance = packet->incarnation,
+			.adapter = m->adapter,
+			.running = m->running,
+			.pending_tokens = m->pending_tokens,
+			.told = now,
+		};
+
+		if (ep != NULL)
+			fg_orders_take_use(gw, ep, &use);
 	}
 }
 
-static void take_use(struct fg_gateway *gw, const fg_mesh_use *use, fg_ms now)
-{
-	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, use->ep);
-	struct fg_ep_user *u = ep == NULL ? NULL : ep->user;
-	struct fg_ep_adapter *a =
-		ep == NULL ? NULL : fg_ep_adapter(ep, use->adapter);
-
-	if (a != NULL)
-		a->used = now;
-	if (u != NULL && u->slots != NULL)
-		fg_slots_used(u->slots, now, use->adapter);
-}
-
 static void take_own(struct fg_gateway *gw, uint64_t sender,
 		     const fg_mesh_own *own, fg_ms now)
 {
@@ -305,6 +306,11 @@
 	ep->told = now;
 	ep->owner = sender;
 	ep->spare_age_ms = own->spare_age_ms;
+	/* The totals hold what this instance told the owner. */
+	ep->peers_running = own->running - MIN(own->running, ep->running);
+	ep->peers_pending_tokens =
+		own->pending_tokens -
+		MIN(own->pending_tokens, ep->pending_tokens);
 	fg_req_resident(gw, ep);
 }
 
@@ -329,11 +335,7 @@
 
 	if (peer == NULL)
 		return;
-	shift_loads(gw, peer, -1);
 	fg_peers_beat(gw->peers, now, packet->incarnation, packet->seq, beat);
-	shift_loads(gw, peer, 1);
-	for (u_int i = 0; i < beat->uses.uses_len; i++)
-		take_use(gw, &beat->uses.uses_val[i], now);
 	for (u_int i = 0; i < beat->owns.owns_len; i++)
 		take_own(gw, packet->incarnation, &beat->owns.owns_val[i], now);
 	for (u_int i = 0; i < beat->crashes.crashes_len; i++)
@@ -428,38 +430,27 @@
 	case FG_MESH_TOLD:
 		take_told(gw, &packet, fg_clock_now());
 		break;
+	case FG_MESH_USES:
+		take_uses(gw, &packet, fg_clock_now());
+		break;
 	}
 	fg_mesh_clear(&packet);
 }
 
 /* ---- Clock ---- */
 
-static void drop_silent(struct fg_gateway *gw, fg_ms now)
-{
-	const GPtrArray *peers = fg_peers_all(gw->peers);
-
-	for (guint i = 0; i < peers->len; i++) {
-		struct fg_peer *p = peers->pdata[i];
-
-		if (p->n_loads == 0 || fg_peer_alive(p, now))
-			continue;
-		shift_loads(gw, p, -1);
-		p->n_loads = 0;
-	}
-}
-
 void fg_mesh_tick(struct fg_gateway *gw, fg_ms now)
 {
 	fg_ms least_ms = MAX(NEAR_MIN_MS,
 			     NEAR_MS_PER_PEER *
 				     (fg_ms)fg_peers_all(gw->peers)->len);
 
-	drop_silent(gw, now);
+	repeat_all_uses(gw, now);
 	if (now - gw->near_beat_at >= NEAR_MAX_MS ||
 	    (gw->beat_dirty && now - gw->near_beat_at >= least_ms))
 		near_beat(gw, now);
 	if (now - gw->far_beat_at >= FAR_MS) {
-		send_beat(gw, false, gw->far_beat_at);
+		send_beat(gw, false);
 		gw->far_beat_at = now;
 		age_crashes(gw);
 	}
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -218,13 +218,20 @@
 
 /* ---- Which engines ---- */
 
-/* Adapters with requests in flight from here count as used. */
+/* Adapters with requests in flight count as used. */
 static void note_running(struct fg_ep_user *u, fg_ms now)
 {
+	fg_uses_expire(&u->uses, now);
 	for (uint32_t i = 0; i < u->ep->n_adapters; i++) {
 		if (u->ep->adapters[i].running > 0)
 			fg_slots_used(u->slots, now, u->ep->adapters[i].key);
 	}
+	for (guint i = 0; i < u->uses.list->len; i++)
+		fg_slots_used(u->slots, now,
+			      g_array_index(u->uses.list, struct fg_use, i)
+				      .adapter);
+	u->ep->peers_running = fg_uses_running(&u->uses);
+	u->ep->peers_pending_tokens = fg_uses_pending_tokens(&u->uses);
 }
 
 void fg_orders_drop(struct fg_ep_user *u)
@@ -232,6 +239,7 @@
 	if (u->slots == NULL)
 		return;
 	fg_slots_free(u->slots);
+	fg_uses_clear(&u->uses);
 	u->slots = NULL;
 	fg_channel_free(u->channel);
 	u->channel = NULL;
@@ -265,6 +273,7 @@
 	};
 
 	u->slots = fg_slots_new(&conf);
+	fg_uses_init(&u->uses);
 	u->channel = fg_channel_new(&gw->loop, u->ep->facts.address);
 	u->timer = fg_gw_timer_new(gw, u);
 	u->fence = fence;
@@ -354,19 +363,31 @@
 	return FG_SLOT_COMING;
 }
 
-void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep, uint64_t key)
+void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep,
+		    struct fg_ep_adapter *a)
 {
-	struct fg_ep_user *u = ep->user;
-	struct fg_ep_adapter *a = fg_ep_adapter(ep, key);
+	const struct fg_ep_user *u = ep->user;
 	fg_ms now = fg_clock_now();
 
-	if (a == NULL)
-		return;
 	a->used = now;
-	a->sent = now;
 	if (u != NULL && u->slots != NULL)
-		fg_slots_used(u->slots, now, key);
-	gw->beat_dirty = true;
+		fg_slots_used(u->slots, now, a->key);
+	else if (ep->owner != 0)
+		fg_mesh_send_use(gw, ep, a);
+}
+
+void fg_orders_take_use(struct fg_gateway *gw, struct fg_ep *ep,
+			const struct fg_use *use)
+{
+	struct fg_ep_user *u = ep->user;
+
+	(void)gw;
+	if (u == NULL || u->slots == NULL)
+		return;
+	fg_uses_put(&u->uses, use);
+	fg_slots_used(u->slots, use->told, use->adapter);
+	ep->peers_running = fg_uses_running(&u->uses);
+	ep->peers_pending_tokens = fg_uses_pending_tokens(&u->uses);
 }
 
 void fg_orders_announced(struct fg_gateway *gw, uint64_t key, uint64_t version)
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -77,17 +77,38 @@
 
 /* ---- Where it runs ---- */
 
+static void count_pending(struct fg_req *r, int sign)
+{
+	if (sign > 0) {
+		r->ep->pending_tokens += r->pending_tokens;
+		if (r->use != NULL)
+			r->use->pending_tokens += r->pending_tokens;
+		return;
+	}
+	g_assert(r->ep->pending_tokens >= r->pending_tokens);
+	r->ep->pending_tokens -= r->pending_tokens;
+	if (r->use != NULL)
+		r->use->pending_tokens -= MIN(r->pending_tokens,
+					      r->use->pending_tokens);
+	r->pending_tokens = 0;
+}
+
+void fg_req_no_longer_pending(struct fg_req *r)
+{
+	count_pending(r, -1);
+}
+
 static void detach(struct fg_req *r)
 {
 	if (r->ep == NULL)
 		return;
 	g_assert(r->ep->running > 0);
-	g_assert(r->ep->pending_tokens >= r->pending_tokens);
 	r->ep->running--;
-	r->ep->pending_tokens -= r->pending_tokens;
-	r->pending_tokens = 0;
-	if (r->use != NULL && r->use->running > 0)
+	count_pending(r, -1);
+	if (r->use != NULL && r->use->running > 0) {
 		r->use->running--;
+		fg_orders_used(r->gw, r->ep, r->use);
+	}
 	r->use = NULL;
 	fg_ep_unref(r->ep);
 	r->ep = NULL;
@@ -98,13 +119,14 @@
 	detach(r);
 	r->ep = fg_ep_ref(ep);
 	ep->running++;
+	if (r->adapter != 0)
+		r->use = fg_ep_adapter_get(ep, fg_clock_now(), r->adapter);
 	r->pending_tokens = r->service->engine ? r->call.prompt_tokens : 0;
-	ep->pending_tokens += r->pending_tokens;
-	if (r->adapter == 0)
+	count_pending(r, 1);
+	if (r->use == NULL)
 		return;
-	r->use = fg_ep_adapter_get(ep, fg_clock_now(), r->adapter);
-	if (r->use != NULL)
-		r->use->running++;
+	r->use->running++;
+	fg_orders_used(r->gw, ep, r->use);
 }
 
 static void note_tried(struct fg_req *r)
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -311,7 +311,6 @@
 	r->sends++;
 	r->first_seen = false;
 	r->sent_at = now;
-	fg_orders_used(gw, r->ep, r->adapter);
 	if (r->answer != NULL)
 		g_string_truncate(r->answer, 0);
 	if (u != NULL) {
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -2,8 +2,8 @@
  * fg_mesh - datagrams between the instances of a gateway.
  *
  * One datagram is one fg_mesh_packet in XDR. Every datagram may be lost,
- * doubled or overtaken: beats carry state, not changes, and asks are repeated
- * until they are answered.
+ * doubled or overtaken: beats and uses carry state, not changes, and asks are
+ * repeated until they are answered.
  */
 
 const FG_MESH_FORMAT = 1;       /* first field of every packet */
@@ -17,15 +17,11 @@
 	FG_MESH_LEAVING = 2     /* planned stop */
 };
 
-struct fg_mesh_load {           /* what the sender has in flight */
+struct fg_mesh_use {            /* what the sender has in flight there */
 	unsigned hyper ep;
+	unsigned hyper adapter;         /* 0: requests without one */
 	unsigned int running;
-	unsigned int pending_tokens;
-};
-
-struct fg_mesh_use {            /* adapters that the sender uses */
-	unsigned hyper ep;
-	unsigned hyper adapter;
+	unsigned int pending_tokens;    /* to be read before a first token */
 };
 
 struct fg_mesh_held {
@@ -33,8 +29,10 @@
 	unsigned hyper ver;     /* 0: on its way */
 };
 
-struct fg_mesh_own {            /* engines that the sender orders */
+struct fg_mesh_own {            /* an engine that the sender orders */
 	unsigned hyper ep;
+	unsigned int running;           /* from all instances */
+	unsigned int pending_tokens;
 	unsigned int spare_age_ms;
 	fg_mesh_held held<FG_MESH_HELD_MAX>;
 };
@@ -47,8 +45,6 @@
 
 struct fg_mesh_beat {
 	fg_mesh_state state;
-	fg_mesh_load loads<FG_MESH_LIST_MAX>;
-	fg_mesh_use uses<FG_MESH_LIST_MAX>;
 	fg_mesh_own owns<FG_MESH_LIST_MAX>;
 	fg_mesh_crash crashes<FG_MESH_LIST_MAX>;
 };
@@ -74,10 +70,15 @@
 	fg_mesh_answer answer;
 };
 
+struct fg_mesh_uses {           /* to the instance that orders the engines */
+	fg_mesh_use list<FG_MESH_LIST_MAX>;
+};
+
 enum fg_mesh_kind {
 	FG_MESH_BEAT = 1,
 	FG_MESH_ASK = 2,
-	FG_MESH_TOLD = 3
+	FG_MESH_TOLD = 3,
+	FG_MESH_USES = 4
 };
 
 union fg_mesh_body switch (fg_mesh_kind kind) {
@@ -87,6 +88,8 @@
 	fg_mesh_ask ask;
 case FG_MESH_TOLD:
 	fg_mesh_told told;
+case FG_MESH_USES:
+	fg_mesh_uses uses;
 };
 
 struct fg_mesh_packet {
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -26,16 +26,11 @@
 };
 typedef enum fg_mesh_state fg_mesh_state;
 
-struct fg_mesh_load {
-	u_quad_t ep;
-	u_int running;
-	u_int pending_tokens;
-};
-typedef struct fg_mesh_load fg_mesh_load;
-
 struct fg_mesh_use {
 	u_quad_t ep;
 	u_quad_t adapter;
+	u_int running;
+	u_int pending_tokens;
 };
 typedef struct fg_mesh_use fg_mesh_use;
 
@@ -47,6 +42,8 @@
 
 struct fg_mesh_own {
 	u_quad_t ep;
+	u_int running;
+	u_int pending_tokens;
 	u_int spare_age_ms;
 	struct {
 		u_int held_len;
@@ -64,14 +61,6 @@
 
 struct fg_mesh_beat {
 	fg_mesh_state state;
-	struct {
-		u_int loads_len;
-		fg_mesh_load *loads_val;
-	} loads;
-	struct {
-		u_int uses_len;
-		fg_mesh_use *uses_val;
-	} uses;
 	struct {
 		u_int owns_len;
 		fg_mesh_own *owns_val;
@@ -107,10 +96,19 @@
 };
 typedef struct fg_mesh_told fg_mesh_told;
 
+struct fg_mesh_uses {
+	struct {
+		u_int list_len;
+		fg_mesh_use *list_val;
+	} list;
+};
+typedef struct fg_mesh_uses fg_mesh_uses;
+
 enum fg_mesh_kind {
 	FG_MESH_BEAT = 1,
 	FG_MESH_ASK = 2,
 	FG_MESH_TOLD = 3,
+	FG_MESH_USES = 4,
 };
 typedef enum fg_mesh_kind fg_mesh_kind;
 
@@ -120,6 +118,7 @@
 		fg_mesh_beat beat;
 		fg_mesh_ask ask;
 		fg_mesh_told told;
+		fg_mesh_uses uses;
 	} fg_mesh_body_u;
 };
 typedef struct fg_mesh_body fg_mesh_body;
@@ -136,7 +135,6 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_fg_mesh_state (XDR *, fg_mesh_state*);
-extern  bool_t xdr_fg_mesh_load (XDR *, fg_mesh_load*);
 extern  bool_t xdr_fg_mesh_use (XDR *, fg_mesh_use*);
 extern  bool_t xdr_fg_mesh_held (XDR *, fg_mesh_held*);
 extern  bool_t xdr_fg_mesh_own (XDR *, fg_mesh_own*);
@@ -145,13 +143,13 @@
 extern  bool_t xdr_fg_mesh_ask (XDR *, fg_mesh_ask*);
 extern  bool_t xdr_fg_mesh_answer (XDR *, fg_mesh_answer*);
 extern  bool_t xdr_fg_mesh_told (XDR *, fg_mesh_told*);
+extern  bool_t xdr_fg_mesh_uses (XDR *, fg_mesh_uses*);
 extern  bool_t xdr_fg_mesh_kind (XDR *, fg_mesh_kind*);
 extern  bool_t xdr_fg_mesh_body (XDR *, fg_mesh_body*);
 extern  bool_t xdr_fg_mesh_packet (XDR *, fg_mesh_packet*);
 
 #else /* K&R C */
 extern bool_t xdr_fg_mesh_state ();
-extern bool_t xdr_fg_mesh_load ();
 extern bool_t xdr_fg_mesh_use ();
 extern bool_t xdr_fg_mesh_held ();
 extern bool_t xdr_fg_mesh_own ();
@@ -160,6 +158,7 @@
 extern bool_t xdr_fg_mesh_ask ();
 extern bool_t xdr_fg_mesh_answer ();
 extern bool_t xdr_fg_mesh_told ();
+extern bool_t xdr_fg_mesh_uses ();
 extern bool_t xdr_fg_mesh_kind ();
 extern bool_t xdr_fg_mesh_body ();
 extern bool_t xdr_fg_mesh_packet ();
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -16,12 +16,14 @@
 }
 
 bool_t
-xdr_fg_mesh_load (XDR *xdrs, fg_mesh_load *objp)
+xdr_fg_mesh_use (XDR *xdrs, fg_mesh_use *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_u_quad_t (xdrs, &objp->ep))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->adapter))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->pending_tokens))
@@ -29,18 +31,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_fg_mesh_use (XDR *xdrs, fg_mesh_use *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->ep))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->adapter))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_fg_mesh_held (XDR *xdrs, fg_mesh_held *objp)
 {
@@ -58,8 +48,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->running);
+		IXDR_PUT_U_LONG(buf, objp->pending_tokens);
+		IXDR_PUT_U_LONG(buf, objp->spare_age_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, FG_MESH_HELD_MAX,
+			sizeof (fg_mesh_held), (xdrproc_t) xdr_fg_mesh_held))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
+				 return FALSE;
+
+		} else {
+		objp->running = IXDR_GET_U_LONG(buf);
+		objp->pending_tokens = IXDR_GET_U_LONG(buf);
+		objp->spare_age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, FG_MESH_HELD_MAX,
+			sizeof (fg_mesh_held), (xdrproc_t) xdr_fg_mesh_held))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->ep))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, FG_MESH_HELD_MAX,
@@ -89,12 +128,6 @@
 
 	 if (!xdr_fg_mesh_state (xdrs, &objp->state))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, FG_MESH_LIST_MAX,
-		sizeof (fg_mesh_load), (xdrproc_t) xdr_fg_mesh_load))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, FG_MESH_LIST_MAX,
-		sizeof (fg_mesh_use), (xdrproc_t) xdr_fg_mesh_use))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->owns.owns_val, (u_int *) &objp->owns.owns_len, FG_MESH_LIST_MAX,
 		sizeof (fg_mesh_own), (xdrproc_t) xdr_fg_mesh_own))
 		 return FALSE;
@@ -146,6 +179,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_mesh_uses (XDR *xdrs, fg_mesh_uses *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FG_MESH_LIST_MAX,
+		sizeof (fg_mesh_use), (xdrproc_t) xdr_fg_mesh_use))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_mesh_kind (XDR *xdrs, fg_mesh_kind *objp)
 {
@@ -176,6 +220,10 @@
 		 if (!xdr_fg_mesh_told (xdrs, &objp->fg_mesh_body_u.told))
 			 return FALSE;
 		break;
+	case FG_MESH_USES:
+		 if (!xdr_fg_mesh_uses (xdrs, &objp->fg_mesh_body_u.uses))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -10,20 +10,12 @@
 	GPtrArray *all;
 };
 
-static void peer_free(gpointer p)
-{
-	struct fg_peer *peer = p;
-
-	g_free(peer->loads);
-	g_free(peer);
-}
-
 struct fg_peers *fg_peers_new(const struct fg_peer_row *self)
 {
 	struct fg_peers *p = g_new0(struct fg_peers, 1);
 
 	p->self = *self;
-	p->all = g_ptr_array_new_with_free_func(peer_free);
+	p->all = g_ptr_array_new_with_free_func(g_free);
 	return p;
 }
 
@@ -77,9 +69,6 @@
 	peer->heard = 0;
 	peer->seq = 0;
 	peer->state = FG_MESH_STARTING;
-	g_free(peer->loads);
-	peer->loads = NULL;
-	peer->n_loads = 0;
 }
 
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row)
@@ -121,19 +110,6 @@
 	return NULL;
 }
 
-static void take_loads(struct fg_peer *peer, const fg_mesh_beat *beat)
-{
-	peer->n_loads = beat->loads.loads_len;
-	peer->loads = g_renew(struct fg_peer_load, peer->loads, peer->n_loads);
-	for (uint32_t i = 0; i < peer->n_loads; i++) {
-		const fg_mesh_load *l = &beat->loads.loads_val[i];
-
-		peer->loads[i].ep = l->ep;
-		peer->loads[i].running = l->running;
-		peer->loads[i].pending_tokens = l->pending_tokens;
-	}
-}
-
 struct fg_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
 			      uint64_t incarnation, uint32_t seq,
 			      const fg_mesh_beat *beat)
@@ -147,7 +123,6 @@
 		return peer; /* overtaken by a newer one */
 	peer->seq = seq;
 	peer->state = beat->state;
-	take_loads(peer, beat);
 	return peer;
 }
 
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -35,13 +35,6 @@
 	uint64_t incarnation;
 };
 
-/* Loads of one endpoint as a peer last told them. */
-struct fg_peer_load {
-	uint64_t ep;
-	uint32_t running;
-	uint32_t pending_tokens;
-};
-
 struct fg_peer {
 	struct fg_peer_row row;
 	uint64_t hash; /* of the name */
@@ -50,8 +43,6 @@
 	fg_ms since;   /* when the row appeared */
 	uint32_t seq;
 	fg_mesh_state state;
-	struct fg_peer_load *loads;
-	uint32_t n_loads;
 };
 
 struct fg_peers;
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -25,10 +25,10 @@
 #include "base/fg_clock.h"
 #include "wire/fg_wire.h"
 
-/* An adapter used within this time is taken to be in use: other instances
- * tell of their uses every 400 ms, and a beat may be lost. An unload of one in
- * use waits for its runs, and everything else waits for the unload. */
-#define FG_SLOTS_IDLE_MS 900
+/* An adapter used within this time is taken to be in use: the owner looks at
+ * what is in flight every 100 ms, and word from another region takes 12 ms. An
+ * unload of one in use waits for its runs, and all else waits for it. */
+#define FG_SLOTS_IDLE_MS 200
 #define FG_SLOTS_MAX FG_FLEET_RESIDENT_MAX
 
 struct fg_slots_conf {
