Engines that start empty get their base model first

Change: the slots of an engine know its base model and order it first; requests go only where it is resident. An order that another endpoint answers marks the address as reused.

Ruled out: late orders (applied_late); the 409s went on after they ended.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -15,8 +15,9 @@
 /* A slot whose adapter was used this recently is likely to be in use. */
 #define SPARE_MIN_MS 200
 #define NO_SPARE_COST_MS 300
-/* No instance is known that could have it loaded there. */
-#define NO_OWNER_COST_MS 5000
+/* No instance is known that could have it loaded there, or its base model is
+ * not there. */
+#define NO_LOAD_COST_MS 5000
 /* What was on its way this long ago still is, or has arrived. */
 #define COMING_FRESH_MS 1500
 /* Costs closer than this are drawn by lot, lest all choose the same one. */
@@ -95,6 +96,13 @@
 	return h;
 }
 
+static bool holds(struct fg_ep *ep, uint64_t key)
+{
+	const struct fg_ep_adapter *a = fg_ep_adapter(ep, key);
+
+	return a != NULL && a->version != 0;
+}
+
 /* What it costs to have the adapter there: the load itself in *load_ms. */
 static double adapter_cost(const struct fg_balance_conf *conf,
 			   const struct fg_balance_ask *ask, struct fg_ep *ep,
@@ -108,8 +116,8 @@
 	*resident = ask->adapter == 0 || (a != NULL && a->version != 0);
 	if (*resident)
 		return 0;
-	if (ep->owner == 0)
-		cost += NO_OWNER_COST_MS;
+	if (ep->owner == 0 || !holds(ep, ask->model))
+		cost += NO_LOAD_COST_MS;
 	if (ep->spare_age_ms < SPARE_MIN_MS)
 		cost += NO_SPARE_COST_MS;
 	if (a != NULL && a->seen > 0) {
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -41,7 +41,8 @@
 	const char *service;
 	const struct fg_service *terms;
 	const char *region; /* of this instance */
-	uint64_t adapter;   /* 0: none (a plain request, or the bare model) */
+	uint64_t adapter;   /* the bare model counts as one; 0: plain request */
+	uint64_t model;	    /* its base model, which must be there */
 	uint32_t tokens;    /* of the prompt; 0 for plain requests */
 	struct fg_ep *avoid[4]; /* tried before */
 	uint32_t n_avoid;
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -32,7 +32,7 @@
 /* Takes over what the slots say; true when it changed. */
 static bool publish(struct fg_ep_user *u, fg_ms now)
 {
-	struct fg_held held[FG_SLOTS_MAX];
+	struct fg_held held[FG_SLOTS_MAX + 1];
 	uint32_t n = fg_slots_held(u->slots, held);
 	uint32_t same = 0;
 	uint32_t before = 0;
@@ -109,6 +109,11 @@
 		result = u->gw->wire->order_result(status);
 	if (result != FG_ORDER_ACCEPTED && result != FG_ORDER_HOLDS)
 		log_order(u, "order_failed", status);
+	if (result == FG_ORDER_MISDIRECTED) {
+		u->ep->addr_taken = true;
+		fg_orders_drop(u);
+		return;
+	}
 	if (result == FG_ORDER_FENCED) {
 		fg_claims_fenced(u->gw->claims, now, u->ep->facts.id);
 		fg_orders_drop(u);
@@ -272,6 +277,9 @@
 		.want_max_ms = WANT_MAX_MS,
 	};
 
+	if (service->n_models > 0)
+		g_strlcpy(conf.model, service->models[0].name,
+			  sizeof(conf.model));
 	u->slots = fg_slots_new(&conf);
 	fg_uses_init(&u->uses);
 	u->channel = fg_channel_new(&gw->loop, u->ep->facts.address);
@@ -331,8 +339,11 @@
 		if (u != NULL && u->slots != NULL &&
 		    (fence != u->fence || restarted(u)))
 			fg_orders_drop(u);
-		if (fence == 0 || !fg_ep_usable(ep, now))
+		if (fence == 0 || !fg_ep_usable(ep, now)) {
+			if (u != NULL)
+				fg_orders_drop(u);
 			continue;
+		}
 		u = fg_ep_user_of(gw, ep);
 		if (u->slots == NULL)
 			take_up(u, service, fence);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -254,7 +254,7 @@
 	fg_ms age_ms = 0;
 	uint64_t version;
 
-	if (r->adapter == 0)
+	if (r->adapter == 0 || r->call.adapter == NULL)
 		return 0;
 	version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
 	if (age_ms + VERSION_MARGIN_MS < (fg_ms)r->gw->conf->version_ms)
@@ -270,13 +270,19 @@
 	fg_send_start(r);
 }
 
+/* The bare model is an adapter without a name. */
+static const char *adapter_name(const struct fg_req *r)
+{
+	return r->call.adapter == NULL ? "" : r->call.adapter;
+}
+
 /* Asks for the load; true when it is resident already. */
 static enum fg_slot_state ask_load(struct fg_req *r, fg_ms now)
 {
 	fg_ms age_ms;
 	uint64_t version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
 
-	return fg_orders_want(r->gw, r->ep, r->call.model, r->call.adapter,
+	return fg_orders_want(r->gw, r->ep, r->call.model, adapter_name(r),
 			      version);
 }
 
@@ -288,6 +294,7 @@
 		.terms = r->service,
 		.region = r->gw->conf->region,
 		.adapter = r->adapter,
+		.model = r->adapter == 0 ? 0 : fg_adapter_key(r->call.model, ""),
 		.tokens = r->call.prompt_tokens,
 		.n_avoid = r->n_tried,
 		.resident_only = resident_only,
@@ -551,9 +558,8 @@
 	if (r->call.deadline_ms > 0)
 		limit_ms = MIN(limit_ms, r->call.deadline_ms);
 	r->end_at = r->arrived + limit_ms;
-	if (r->service->engine && r->call.model != NULL &&
-	    r->call.adapter != NULL)
-		r->adapter = fg_adapter_key(r->call.model, r->call.adapter);
+	if (r->service->engine && r->call.model != NULL)
+		r->adapter = fg_adapter_key(r->call.model, adapter_name(r));
 }
 
 void fg_req_start(struct fg_caller *c)
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -125,8 +125,6 @@
 	for (uint32_t i = 0; i < ep->facts.n_resident; i++) {
 		const struct fg_listed *r = &ep->facts.resident[i];
 
-		if (r->adapter[0] == '\0')
-			continue;
 		held[n].key = fg_adapter_key(r->model, r->adapter);
 		held[n++].version = MAX(r->version, 1);
 	}
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -8,8 +8,12 @@
 #define CHECK_MS 30
 /* The same for an unload that waits for its runs. */
 #define UNLOAD_CHECK_MS 60
+/* The same for a base model, whose load takes seconds. */
+#define BASE_CHECK_MS 200
 /* The engine's report lags by some hundred ms. */
 #define REPORT_RETRY_MS 150
+/* After an order that the engine does not know. */
+#define REFUSED_WAIT_MS 1000
 /* Reloads of an adapter that the engine held before take a tenth of a load. */
 #define RELOAD_SHARE 10
 
@@ -57,17 +61,29 @@
 	fg_ms report_at;   /* earliest time of the next report */
 	uint64_t stale_sequence; /* refused as expected: reports of it are old */
 	bool stale;
+	/* The base model, kept apart from the slots of adapters. */
+	struct slot base;
 	enum fg_slots_act sent; /* in flight */
 	uint64_t sent_key;
 	uint32_t fetched_ms; /* of the last load from the weight store */
 };
 
+/* No model is known to be there. */
+static void clear_base(struct fg_slots *s)
+{
+	memset(&s->base, 0, sizeof(s->base));
+	g_strlcpy(s->base.model, s->conf.model, sizeof(s->base.model));
+	s->base.key = fg_adapter_key(s->base.model, "");
+	s->base.state = COMING;
+}
+
 struct fg_slots *fg_slots_new(const struct fg_slots_conf *conf)
 {
 	struct fg_slots *s = g_new0(struct fg_slots, 1);
 
 	s->conf = *conf;
 	s->conf.slots = MIN(conf->slots, FG_SLOTS_MAX);
+	clear_base(s);
 	s->wants = g_array_new(FALSE, TRUE, sizeof(struct want));
 	s->newest = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
@@ -89,6 +105,7 @@
 void fg_slots_reset(struct fg_slots *s)
 {
 	s->n = 0;
+	clear_base(s);
 	s->synced = false;
 	s->known = false;
 	s->stale = false;
@@ -99,6 +116,8 @@
 
 static struct slot *slot_of(const struct fg_slots *s, uint64_t key)
 {
+	if (s->base.key == key)
+		return (struct slot *)&s->base;
 	for (uint32_t i = 0; i < s->n; i++) {
 		if (s->slots[i].key == key)
 			return (struct slot *)&s->slots[i];
@@ -163,7 +182,7 @@
 {
 	const struct slot *v;
 
-	if (!s->synced)
+	if (!s->synced || s->base.state != RESIDENT)
 		return 0;
 	if (s->n + s->wants->len < s->conf.slots)
 		return UINT32_MAX;
@@ -225,6 +244,8 @@
 		fg_slots_used(s, now, w.key);
 		return state;
 	}
+	if (adapter[0] == '\0' || strcmp(model, s->base.model) != 0)
+		return FG_SLOT_FULL; /* holds another model */
 	if (s->synced && fg_slots_spare_age(s, now) == 0)
 		return FG_SLOT_FULL;
 	g_strlcpy(w.model, model, sizeof(w.model));
@@ -378,6 +399,13 @@
 			step.wake = s->report_at;
 		return step;
 	}
+	if (s->base.state != RESIDENT) {
+		if (now >= s->base.check_at)
+			remember_sent(s, FG_SLOTS_LOAD, &s->base, &step);
+		else
+			step.wake = s->base.check_at;
+		return step;
+	}
 	slot = due_check(s, now, &step.wake);
 	if (slot != NULL) {
 		remember_sent(s,
@@ -412,7 +440,8 @@
 			enum fg_order_result result)
 {
 	if (result == FG_ORDER_ACCEPTED && slot->accepted) {
-		slot->check_at = now + CHECK_MS;
+		slot->check_at =
+			now + (slot == &s->base ? BASE_CHECK_MS : CHECK_MS);
 		return;
 	}
 	if (result == FG_ORDER_ACCEPTED) {
@@ -465,11 +494,23 @@
 		s->stale = true;
 		s->stale_sequence = s->sequence;
 	}
-	resync(s, now);
+	resync(s, result == FG_ORDER_REFUSED ? now + REFUSED_WAIT_MS : now);
 }
 
 /* ---- Reports ---- */
 
+static void take_base(struct fg_slots *s, const struct fg_listed *r,
+		      enum state state)
+{
+	if (s->base.state == RESIDENT)
+		return;
+	g_strlcpy(s->base.model, r->model, sizeof(s->base.model));
+	s->base.key = fg_adapter_key(r->model, "");
+	s->base.state = state;
+	s->base.version = MAX(r->version, 1);
+	s->base.accepted = state == COMING;
+}
+
 static void take_resident(struct fg_slots *s, fg_ms now,
 			  const struct fg_listed *r, enum state state,
 			  const struct slot *old, uint32_t n_old)
@@ -477,8 +518,10 @@
 	struct slot *slot;
 	uint64_t key;
 
-	if (r->adapter[0] == '\0')
+	if (r->adapter[0] == '\0') {
+		take_base(s, r, state);
 		return;
+	}
 	key = fg_adapter_key(r->model, r->adapter);
 	slot = slot_of(s, key);
 	if (slot == NULL)
@@ -518,6 +561,7 @@
 	}
 	memcpy(old, s->slots, sizeof(old));
 	s->n = 0;
+	clear_base(s);
 	for (uint32_t i = 0; i < report->n_resident; i++)
 		take_resident(s, now, &report->resident[i], RESIDENT, old,
 			      n_old);
@@ -533,6 +577,10 @@
 {
 	uint32_t n = 0;
 
+	if (s->known && s->base.state == RESIDENT) {
+		out[n].key = s->base.key;
+		out[n++].version = MAX(s->base.version, 1);
+	}
 	for (uint32_t i = 0; s->known && i < s->n; i++) {
 		if (!is_current(&s->slots[i]))
 			continue;
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -9,6 +9,10 @@
  * then read anew before anything else is ordered, and an order that acts late
  * meets a sequence that has moved on and is refused by the engine.
  *
+ * An engine that started empty gets its base model first; nothing else is
+ * ordered until it holds that. A base model is written as an adapter with an
+ * empty name, and takes no slot.
+ *
  * At no time do the adapters that are resident or on their way exceed the
  * slots: room is made by an unload that the engine has confirmed. The victim
  * is the adapter unused for longest, and none that was used in the last
@@ -32,6 +36,7 @@
 #define FG_SLOTS_MAX FG_FLEET_RESIDENT_MAX
 
 struct fg_slots_conf {
+	char model[FG_FLEET_NAME_BYTES]; /* for an engine that holds none */
 	uint32_t slots;	     /* adapters at once */
 	uint32_t load_ms;    /* of an adapter from the weight store */
 	uint32_t coming_max; /* loads on their way at once */
@@ -56,7 +61,7 @@
 
 /*
  * An adapter is wanted, in this version or a newer one (0: any). Returns its
- * state; COMING when it has been taken on.
+ * state; COMING when it has been taken on. An empty name stands for the model.
  */
 enum fg_slot_state fg_slots_want(struct fg_slots *s, fg_ms now,
 				 const char *model, const char *adapter,
@@ -107,7 +112,7 @@
 		       const struct fg_report *report);
 
 /* Resident adapters whose version is the newest announced; returns how many.
- * `out` has room for FG_SLOTS_MAX. */
+ * `out` has room for FG_SLOTS_MAX + 1; the base model comes first. */
 uint32_t fg_slots_held(const struct fg_slots *s, struct fg_held *out);
 
 /* How long the adapter that would make way has been unused; UINT32_MAX when a
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -107,7 +107,7 @@
 	bool load; /* otherwise unload */
 	const char *endpoint_id;
 	const char *model;
-	const char *adapter;
+	const char *adapter; /* "": the model itself */
 	uint64_t version; /* to load; 0: the newest */
 	uint64_t expected_sequence;
 	const char *holder;
