--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -14,7 +14,8 @@
 #define RUNNING_COST_MS 1.0
 /* A slot whose adapter was used this recently is likely to be in use. */
 #define SPARE_MIN_MS 200
-#define NO_SPARE_COST_MS 300
+/* At a busy engine a stream ends, and may free its slot, about this often. */
+#define SLOT_WAIT_MS 150.0
 /* No instance is known that could have it loaded there, or its base model is
  * not there. */
 #define NO_LOAD_COST_MS 5000
@@ -62,38 +63,47 @@
 	return false;
 }
 
-/* The two homes of an adapter, by rendezvous hashing. */
-struct homes {
-	uint64_t first; /* hashes of the endpoints' ids */
-	uint64_t second;
-};
-
-static struct homes homes_of(struct fg_fleet *f, fg_ms now,
+/* How many endpoints the adapter's requests are spread over. */
+static uint32_t homes_wanted(const struct fg_balance_conf *conf,
 			     const struct fg_balance_ask *ask)
+{
+	double busy = ask->tokens_per_s / FG_MS_PER_S /
+		      conf->prefill_tokens_per_ms;
+
+	return 1 + (uint32_t)(busy / conf->home_share);
+}
+
+/* Place of the endpoint in the adapter's order of rendezvous hashing, from 0;
+ * places from `enough` on are not told apart. */
+static uint32_t rank_of(struct fg_fleet *f, fg_ms now,
+			const struct fg_balance_ask *ask,
+			const struct fg_ep *ep, uint32_t enough)
 {
 	const GPtrArray *all = fg_fleet_all(f);
-	struct homes h = { 0 };
-	uint64_t first = 0;
-	uint64_t second = 0;
+	uint64_t own = fg_hash_mix(ep->hash, ask->adapter);
+	uint32_t before = 0;
 
-	for (guint i = 0; ask->adapter != 0 && i < all->len; i++) {
-		const struct fg_ep *ep = all->pdata[i];
-		uint64_t rank = fg_hash_mix(ep->hash, ask->adapter);
+	for (guint i = 0; i < all->len && before < enough; i++) {
+		const struct fg_ep *other = all->pdata[i];
 
-		if (strcmp(ep->facts.service, ask->service) != 0 ||
-		    !fg_ep_usable(ep, now) || rank <= second)
-			continue;
-		if (rank > first) {
-			second = first;
-			h.second = h.first;
-			first = rank;
-			h.first = ep->hash;
-		} else {
-			second = rank;
-			h.second = ep->hash;
-		}
+		if (fg_hash_mix(other->hash, ask->adapter) > own &&
+		    strcmp(other->facts.service, ask->service) == 0 &&
+		    fg_ep_usable(other, now))
+			before++;
 	}
-	return h;
+	return before;
+}
+
+/* Part of the stray penalty: none at a home, half at the next one. */
+static double stray_share(struct fg_fleet *f, fg_ms now,
+			  const struct fg_balance_ask *ask,
+			  const struct fg_ep *ep, uint32_t homes)
+{
+	uint32_t rank = rank_of(f, now, ask, ep, homes + 1);
+
+	if (rank < homes)
+		return 0;
+	return rank == homes ? 0.5 : 1;
 }
 
 static bool holds(struct fg_ep *ep, uint64_t key)
@@ -106,7 +116,7 @@
 /* What it costs to have the adapter there: the load itself in *load_ms. */
 static double adapter_cost(const struct fg_balance_conf *conf,
 			   const struct fg_balance_ask *ask, struct fg_ep *ep,
-			   const struct homes *homes, fg_ms now,
+			   double stray, uint32_t homes, fg_ms now,
 			   bool *resident, double *load_ms)
 {
 	const struct fg_ep_adapter *a = fg_ep_adapter(ep, ask->adapter);
@@ -119,20 +129,19 @@
 	if (ep->owner == 0 || !holds(ep, ask->model))
 		cost += NO_LOAD_COST_MS;
 	if (ep->spare_age_ms < SPARE_MIN_MS)
-		cost += NO_SPARE_COST_MS;
+		*load_ms += (ep->queue + 1) * SLOT_WAIT_MS;
 	if (a != NULL && a->seen > 0) {
-		*load_ms = conf->reload_ms;
-		return cost + *load_ms + conf->reload_penalty_ms;
+		*load_ms += conf->reload_ms;
+		return cost + *load_ms;
 	}
-	*load_ms = conf->load_ms;
+	*load_ms += conf->load_ms + ep->fetch_wait_ms;
 	if (a != NULL && a->coming > 0 && now - a->coming < COMING_FRESH_MS)
 		return cost + *load_ms;
-	cost += *load_ms + conf->load_penalty_ms;
-	if (ep->hash == homes->second)
-		cost += conf->stray_penalty_ms / 2.0;
-	else if (ep->hash != homes->first)
-		cost += conf->stray_penalty_ms;
-	return cost;
+	/* A copy for an adapter with several homes is used often. */
+	if (homes > 1 && stray == 0)
+		return cost + *load_ms;
+	return cost + *load_ms + conf->load_penalty_ms +
+	       stray * conf->stray_penalty_ms;
 }
 
 static double plain_wait(const struct fg_balance_conf *conf,
@@ -152,7 +161,8 @@
 
 static struct cost cost_of(const struct fg_balance_conf *conf,
 			   const struct fg_balance_ask *ask, struct fg_ep *ep,
-			   const struct homes *homes, fg_ms now, double errors)
+			   double stray, uint32_t homes, fg_ms now,
+			   double errors)
 {
 	struct cost c = { 0, 0, true };
 	double load_ms = 0;
@@ -161,8 +171,8 @@
 	if (ask->terms->engine) {
 		c.wait_ms = (pending(ep) + ask->tokens) /
 			    conf->prefill_tokens_per_ms * ep->slowness;
-		c.total_ms = adapter_cost(conf, ask, ep, homes, now, &c.resident,
-					  &load_ms);
+		c.total_ms = adapter_cost(conf, ask, ep, stray, homes, now,
+					  &c.resident, &load_ms);
 		c.wait_ms += load_ms;
 		c.total_ms += c.wait_ms - load_ms +
 			      RUNNING_COST_MS * running(ep) * ep->slowness;
@@ -190,7 +200,7 @@
 	struct fg_balance_pick best = { 0 };
 	const GPtrArray *all = fg_fleet_all(f);
 	double errors = mean_errors(f, now, ask->service);
-	struct homes homes = homes_of(f, now, ask);
+	uint32_t homes = homes_wanted(conf, ask);
 	double best_ms = 0;
 	uint64_t best_rank = 0;
 
@@ -202,7 +212,11 @@
 		if (strcmp(ep->facts.service, ask->service) != 0 ||
 		    !fg_ep_usable(ep, now))
 			continue;
-		c = cost_of(conf, ask, ep, &homes, now, errors);
+		c = cost_of(conf, ask, ep,
+			    ask->adapter == 0 ?
+				    0 :
+				    stray_share(f, now, ask, ep, homes),
+			    homes, now, errors);
 		if (ask->resident_only && !c.resident)
 			continue;
 		rank = fg_rand_next(rand);
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -11,9 +11,10 @@
  * as they last told.
  *
  * Loads from the weight store are scarce, and an endpoint reloads what it held
- * before in a tenth of the time. So each adapter has two homes among all
- * endpoints of its service, the first ones of rendezvous hashing; a load goes
- * elsewhere only when both are far busier.
+ * before in a tenth of the time. So each adapter has homes among all endpoints
+ * of its service, the first ones of rendezvous hashing: two, and another for
+ * each part of an endpoint's time that its requests take. A load goes elsewhere
+ * only when the homes are far busier.
  *
  * Pure.
  */
@@ -30,8 +31,8 @@
 	uint32_t load_ms;	      /* adapter from the weight store */
 	uint32_t reload_ms;	      /* adapter held before */
 	uint32_t load_penalty_ms;     /* wait accepted to avoid a load */
-	uint32_t reload_penalty_ms;   /* ... one of an adapter held before */
 	uint32_t stray_penalty_ms;    /* ... a load at another than its homes */
+	double home_share; /* of an endpoint's time that one adapter may take */
 	uint32_t region_ms;	      /* round trip to another region */
 	uint32_t region_penalty_ms;   /* wait accepted to stay in the region */
 	uint32_t work_ms;	      /* of a plain request */
@@ -39,11 +40,12 @@
 
 struct fg_balance_ask {
 	const char *service;
-	const struct fg_service *terms;
+	const struct fg_svc *terms;
 	const char *region; /* of this instance */
 	uint64_t adapter;   /* the bare model counts as one; 0: plain request */
 	uint64_t model;	    /* its base model, which must be there */
 	uint32_t tokens;    /* of the prompt; 0 for plain requests */
+	double tokens_per_s; /* prompts of this adapter, all instances */
 	struct fg_ep *avoid[4]; /* tried before */
 	uint32_t n_avoid;
 	bool resident_only; /* no load may be asked for */
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -32,7 +32,7 @@
 #define FG_FLEET_RETURN_MS 2200
 
 /* An adapter of a model, or the model itself when `adapter` is empty. */
-struct fg_listed {
+struct fg_ep_resident {
 	char model[FG_FLEET_NAME_BYTES];
 	char adapter[FG_FLEET_NAME_BYTES];
 	uint64_t version; /* 0: unknown */
@@ -47,7 +47,7 @@
 	uint32_t slots;
 	bool draining;
 	uint64_t born; /* when it started, in its own time; 0: unknown */
-	struct fg_listed resident[FG_FLEET_RESIDENT_MAX];
+	struct fg_ep_resident resident[FG_FLEET_RESIDENT_MAX];
 	uint32_t n_resident;
 };
 
@@ -93,6 +93,8 @@
 	uint64_t owner; /* 0: none known */
 	fg_ms told;	/* when its resident adapters were last told */
 	uint32_t spare_age_ms; /* idle time of the slot that would be freed */
+	uint32_t queue;	       /* adapters that wait for a slot or a load */
+	uint32_t fetch_wait_ms; /* until a load from the weight store begins */
 
 	void *user; /* of the runtime: connections */
 	int refs;
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -1,6 +1,7 @@
 /* Start, clock tick, planned stop and settings of an instance. */
 #include "gateway/fg_gateway_internal.h"
 
+#include <math.h>
 #include <signal.h>
 #include <string.h>
 
@@ -24,8 +25,8 @@
 	.load_ms = 250,
 	.reload_ms = 30,
 	.load_penalty_ms = 300,
-	.reload_penalty_ms = 20,
 	.stray_penalty_ms = 200,
+	.home_share = 0.3,
 	.region_ms = 26,
 	.region_penalty_ms = 30,
 	.work_ms = 30,
@@ -41,6 +42,10 @@
 	.max = 4096,
 };
 
+/* Popularity follows demand within seconds; shorter, and the few requests that
+ * one instance sees of an adapter would tell little. */
+#define HEAT_HALF_LIFE_MS 5000
+
 /* Part of the shared budget of repeats that is used: instances do not know
  * each other's counts, and windows slide. */
 #define BUDGET_SHARE_PERCENT 70
@@ -66,6 +71,26 @@
 	return w == NULL ? 0 : w->version;
 }
 
+static fg_av heat_key(uint64_t adapter)
+{
+	fg_av av = { .adapter = (uint32_t)(adapter >> 32),
+		     .ver = (uint32_t)adapter };
+
+	return av;
+}
+
+/* Tokens a second over all instances: callers spread over them at random. */
+double fg_gw_heat(struct fg_gateway *gw, fg_ms now, uint64_t adapter,
+		  uint32_t tokens)
+{
+	uint32_t instances = fg_peers_alive(gw->peers, now) + 1;
+
+	if (tokens > 0)
+		fg_heat_add(gw->heat, now, heat_key(adapter), tokens);
+	return fg_heat_get(gw->heat, now, heat_key(adapter)) * M_LN2 *
+	       FG_MS_PER_S / HEAT_HALF_LIFE_MS * instances;
+}
+
 /* The budget is one for all instances; each takes an equal part of the slack
  * and its own part of the ratio, which follows its own requests. */
 struct fg_retry *fg_gw_budget(struct fg_gateway *gw, const char *service)
@@ -299,6 +324,7 @@
 	gw->fleet = fg_fleet_new(region_of, on_dropped, gw);
 	gw->claims = fg_claims_new(gw->incarnation);
 	gw->peers = fg_peers_new(&self);
+	gw->heat = fg_heat_new(HEAT_HALF_LIFE_MS);
 	gw->suspects = fg_suspects_new(&suspects_conf);
 	gw->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)fg_retry_free);
@@ -376,6 +402,7 @@
 	fg_fleet_free(gw->fleet);
 	fg_claims_free(gw->claims);
 	fg_peers_free(gw->peers);
+	fg_heat_free(gw->heat);
 	fg_suspects_free(gw->suspects);
 	fg_routes_unref(gw->routes);
 	g_hash_table_unref(gw->versions);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -31,13 +31,14 @@
 #include "mesh/fg_mesh.h"
 #include "mesh/fg_peers.h"
 #include "metrics/fg_metrics.h"
+#include "place/fg_heat.h"
 #include "route/fg_route.h"
 #include "slots/fg_loadgate.h"
 #include "slots/fg_slots.h"
 
 struct fg_gateway;
 struct fg_caller;
-struct fg_req;
+struct fg_gwreq;
 struct fg_up;
 
 /* What a listening socket serves. */
@@ -65,7 +66,7 @@
 	struct fg_h1 h1;
 	GByteArray *unread; /* bytes behind the current request */
 	GByteArray *body;
-	struct fg_req *req; /* in progress */
+	struct fg_gwreq *req; /* in progress */
 	fg_ms since;	    /* begin of the current wait: head or idle */
 	guint index;	    /* in gw->callers */
 	bool bad;	    /* its last message was refused as malformed */
@@ -89,22 +90,22 @@
 
 /* ---- Requests ---- */
 
-enum fg_req_state {
-	FG_REQ_WAIT_LOAD = 1, /* for an adapter at `ep` */
-	FG_REQ_WAIT_RETRY = 2,
-	FG_REQ_SENT = 3,
+enum fg_gwreq_state {
+	FG_GWREQ_WAIT_LOAD = 1, /* for an adapter at `ep` */
+	FG_GWREQ_WAIT_RETRY = 2,
+	FG_GWREQ_SENT = 3,
 };
 
-#define FG_REQ_TRIED_MAX 4
+#define FG_GWREQ_TRIED_MAX 4
 
-struct fg_req {
+struct fg_gwreq {
 	struct fg_gateway *gw;
 	struct fg_caller *caller;
 	const struct fg_h1_head *head; /* of the caller's parser */
 	struct fg_call call;
 	struct fg_routes *routes; /* reference */
 	const struct fg_route *route;
-	const struct fg_service *service;
+	const struct fg_svc *service;
 	uint64_t adapter; /* key; 0: none */
 	uint64_t fingerprint;
 	uint64_t number; /* of this process */
@@ -113,11 +114,11 @@
 	fg_ms step_at; /* of the state; FG_MS_NEVER */
 	fg_ms load_since; /* begin of the wait for a load */
 	uv_timer_t *timer;
-	enum fg_req_state state;
+	enum fg_gwreq_state state;
 	struct fg_ep *ep; /* reference; of the load or the send */
 	struct fg_ep_adapter *use; /* counted as running there */
 	struct fg_up *up;	   /* of the send */
-	struct fg_ep *tried[FG_REQ_TRIED_MAX];
+	struct fg_ep *tried[FG_GWREQ_TRIED_MAX];
 	uint32_t n_tried;
 	uint32_t sends; /* to endpoints */
 	uint32_t runs;	/* sends that may have run */
@@ -135,41 +136,41 @@
 };
 
 /* The caller's request is whole. */
-void fg_req_start(struct fg_caller *c);
+void fg_gwreq_start(struct fg_caller *c);
 
 /* The caller left. */
-void fg_req_cancel(struct fg_req *r);
+void fg_gwreq_cancel(struct fg_gwreq *r);
 
 /* Its first token came: its prompt waits no longer at the endpoint. */
-void fg_req_no_longer_pending(struct fg_req *r);
+void fg_gwreq_no_longer_pending(struct fg_gwreq *r);
 
 /* One log line about the request: what decided it and how long it took. */
-void fg_req_log(const struct fg_req *r, enum fg_log_level level,
+void fg_gwreq_log(const struct fg_gwreq *r, enum fg_log_level level,
 		const char *event, const char *reason);
 
 /* Ends the request; with `give_back` the caller's connection goes on. */
-void fg_req_end(struct fg_req *r);
+void fg_gwreq_end(struct fg_gwreq *r);
 
 /* A final answer that the request was not run, or failed. */
-void fg_req_refuse(struct fg_req *r, const char *reason, uint32_t retry_ms);
-void fg_req_fail(struct fg_req *r, unsigned int status, const char *reason);
+void fg_gwreq_refuse(struct fg_gwreq *r, const char *reason, uint32_t retry_ms);
+void fg_gwreq_fail(struct fg_gwreq *r, unsigned int status, const char *reason);
 
 /* Chooses an endpoint and goes on: sends, or waits for a load. */
-void fg_req_place(struct fg_req *r);
+void fg_gwreq_place(struct fg_gwreq *r);
 
 /* The adapters at `ep` changed: requests that wait for them go on. */
-void fg_req_resident(struct fg_gateway *gw, struct fg_ep *ep);
+void fg_gwreq_resident(struct fg_gateway *gw, struct fg_ep *ep);
 
 /* The instance that orders `ep` cannot load the adapter now. */
-void fg_req_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter);
+void fg_gwreq_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter);
 
-uint32_t fg_req_left_ms(const struct fg_req *r, fg_ms now);
+uint32_t fg_gwreq_left_ms(const struct fg_gwreq *r, fg_ms now);
 
 /* The version that the request's adapter must have by now; 0: any. */
-uint64_t fg_req_version(const struct fg_req *r, fg_ms now);
+uint64_t fg_gwreq_version(const struct fg_gwreq *r, fg_ms now);
 
 /* Urgency of the request at an engine. */
-uint32_t fg_req_urgency(const struct fg_req *r);
+uint32_t fg_gwreq_urgency(const struct fg_gwreq *r);
 
 /* ---- Sends ---- */
 
@@ -186,7 +187,7 @@
 	struct fg_ep *ep; /* reference */
 	struct fg_link *link;
 	struct fg_h1 h1;
-	struct fg_req *req; /* NULL while idle */
+	struct fg_gwreq *req; /* NULL while idle */
 	fg_ms idle_until;
 	fg_ms opened;
 	uint64_t unread_body; /* of the request, when the answer began */
@@ -218,19 +219,19 @@
 void fg_ep_user_drop(struct fg_gateway *gw, struct fg_ep *ep);
 
 /* Sends the request to r->ep. */
-void fg_send_start(struct fg_req *r);
+void fg_send_start(struct fg_gwreq *r);
 
 /* Takes the request off its connection; the endpoint sees it closed. */
-void fg_send_cancel(struct fg_req *r);
+void fg_send_cancel(struct fg_gwreq *r);
 
 /* The request's sending ended without an answer for the caller. */
-void fg_req_send_ended(struct fg_req *r, enum fg_send_end end,
+void fg_gwreq_send_ended(struct fg_gwreq *r, enum fg_send_end end,
 		       const char *why);
 
 /* The answer's parts, from the connection; false: it is no proper answer. */
-bool fg_answer_head(struct fg_req *r, const struct fg_h1_head *head);
-void fg_answer_body(struct fg_req *r, const char *data, size_t len_bytes);
-void fg_answer_end(struct fg_req *r, const struct fg_h1_head *head);
+bool fg_answer_head(struct fg_gwreq *r, const struct fg_h1_head *head);
+void fg_answer_body(struct fg_gwreq *r, const char *data, size_t len_bytes);
+void fg_answer_end(struct fg_gwreq *r, const struct fg_h1_head *head);
 
 /* ---- Store ---- */
 
@@ -339,6 +340,7 @@
 	struct fg_loadgate loadgate;
 	struct fg_claims *claims;
 	struct fg_peers *peers;
+	struct fg_heat_table *heat;
 	struct fg_suspects *suspects;
 	GHashTable *budgets; /* service name -> struct fg_retry * */
 
@@ -370,6 +372,11 @@
 uint64_t fg_gw_version(const struct fg_gateway *gw, uint64_t key, fg_ms now,
 		       fg_ms *age_ms);
 
+/* Counts `tokens` of a request for the adapter; returns the tokens a second
+ * that all instances get for it. */
+double fg_gw_heat(struct fg_gateway *gw, fg_ms now, uint64_t adapter,
+		  uint32_t tokens);
+
 struct fg_retry *fg_gw_budget(struct fg_gateway *gw, const char *service);
 
 /* Closes and frees a timer made by fg_gw_timer_new(). */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -7,13 +7,13 @@
 #define PENDING_MAX_BYTES (256 * 1024)
 
 /* What a broken or unusable answer leads to; the connection is given up. */
-static void give_up(struct fg_req *r, enum fg_send_end end, const char *why)
+static void give_up(struct fg_gwreq *r, enum fg_send_end end, const char *why)
 {
 	fg_send_cancel(r);
-	fg_req_send_ended(r, end, why);
+	fg_gwreq_send_ended(r, end, why);
 }
 
-static void note_first(struct fg_req *r)
+static void note_first(struct fg_gwreq *r)
 {
 	fg_ms now = fg_clock_now();
 
@@ -22,14 +22,14 @@
 	r->first_seen = true;
 	if (r->first_at == 0)
 		r->first_at = now;
-	fg_req_no_longer_pending(r);
+	fg_gwreq_no_longer_pending(r);
 	fg_hist_add(r->gw->hist_first, (uint64_t)(now - r->arrived));
 	if (r->service->engine)
 		fg_health_timed(r->ep, (uint32_t)(now - r->sent_at),
 				r->expected_ms);
 }
 
-static void write_head(struct fg_req *r, const struct fg_h1_head *head,
+static void write_head(struct fg_gwreq *r, const struct fg_h1_head *head,
 		       GString *out)
 {
 	struct fg_caller *c = r->caller;
@@ -62,14 +62,14 @@
 	return status >= 200 && status < 300;
 }
 
-static bool streams(const struct fg_req *r, const struct fg_h1_head *head)
+static bool streams(const struct fg_gwreq *r, const struct fg_h1_head *head)
 {
 	return r->route->streaming && is_success(head->status) &&
 	       is_event_stream(head);
 }
 
 /* The endpoint refused, and says that it did not run the request. */
-static void refused(struct fg_req *r, const struct fg_reply *reply, fg_ms now)
+static void refused(struct fg_gwreq *r, const struct fg_reply *reply, fg_ms now)
 {
 	struct fg_ep *ep = r->ep;
 
@@ -89,7 +89,7 @@
 	give_up(r, FG_SEND_ABSENT, "adapter_absent");
 }
 
-bool fg_answer_head(struct fg_req *r, const struct fg_h1_head *head)
+bool fg_answer_head(struct fg_gwreq *r, const struct fg_h1_head *head)
 {
 	const struct fg_reply *reply = &r->up->reply;
 	fg_ms now = fg_clock_now();
@@ -124,7 +124,7 @@
 }
 
 /* Hands whole events on, the answer's head before the first ones. */
-static void pass_events(struct fg_req *r, size_t len)
+static void pass_events(struct fg_gwreq *r, size_t len)
 {
 	GString *out = g_string_sized_new(len + 512);
 	struct fg_caller *c = r->caller;
@@ -144,7 +144,7 @@
 		fg_link_pause(r->up->link);
 }
 
-void fg_answer_body(struct fg_req *r, const char *data, size_t len_bytes)
+void fg_answer_body(struct fg_gwreq *r, const char *data, size_t len_bytes)
 {
 	gssize whole;
 
@@ -161,29 +161,29 @@
 	}
 }
 
-static void note_answered(const struct fg_req *r, unsigned int status)
+static void note_answered(const struct fg_gwreq *r, unsigned int status)
 {
 	char code[12];
 
 	g_snprintf(code, sizeof(code), "%u", status);
 	fg_gw_count(r->gw, "requests", "outcome=\"answered\"");
-	fg_req_log(r, FG_LOG_INFO, "answered", code);
+	fg_gwreq_log(r, FG_LOG_INFO, "answered", code);
 }
 
-static void end_stream(struct fg_req *r)
+static void end_stream(struct fg_gwreq *r)
 {
 	static const char last_chunk[] = "0\r\n\r\n";
 
 	if (r->events.rest->len > 0 || !r->head_sent) {
-		fg_req_send_ended(r, FG_SEND_BROKEN, "stream_cut");
+		fg_gwreq_send_ended(r, FG_SEND_BROKEN, "stream_cut");
 		return;
 	}
 	fg_link_write(r->caller->link, last_chunk, sizeof(last_chunk) - 1);
 	note_answered(r, HTTP_STATUS_OK);
-	fg_req_end(r);
+	fg_gwreq_end(r);
 }
 
-static void end_plain(struct fg_req *r, const struct fg_h1_head *head)
+static void end_plain(struct fg_gwreq *r, const struct fg_h1_head *head)
 {
 	GString *out = g_string_sized_new(r->answer->len + 512);
 
@@ -201,10 +201,10 @@
 	fg_link_write(r->caller->link, out->str, out->len);
 	g_string_free(out, TRUE);
 	note_answered(r, head->status);
-	fg_req_end(r);
+	fg_gwreq_end(r);
 }
 
-void fg_answer_end(struct fg_req *r, const struct fg_h1_head *head)
+void fg_answer_end(struct fg_gwreq *r, const struct fg_h1_head *head)
 {
 	if (streams(r, head))
 		end_stream(r);
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -31,12 +31,12 @@
  * still look at it. */
 static void let_go(struct fg_caller *c)
 {
-	struct fg_req *r = c->req;
+	struct fg_gwreq *r = c->req;
 
 	c->link = NULL;
 	c->req = NULL;
 	if (r != NULL)
-		fg_req_cancel(r);
+		fg_gwreq_cancel(r);
 }
 
 void fg_caller_close(struct fg_caller *c, bool flush)
@@ -134,7 +134,7 @@
 	struct fg_caller *c = ctx;
 
 	if (c->kind == FG_PORT_FRONT)
-		fg_req_start(c);
+		fg_gwreq_start(c);
 	else
 		fg_pages_answer(c);
 }
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -86,6 +86,8 @@
 	own->running = ep->running + ep->peers_running;
 	own->pending_tokens = ep->pending_tokens + ep->peers_pending_tokens;
 	own->spare_age_ms = ep->spare_age_ms;
+	own->queue = ep->queue;
+	own->fetch_wait_ms = ep->fetch_wait_ms;
 	own->held.held_len = n;
 	own->held.held_val = held;
 }
@@ -306,12 +308,14 @@
 	ep->told = now;
 	ep->owner = sender;
 	ep->spare_age_ms = own->spare_age_ms;
+	ep->queue = own->queue;
+	ep->fetch_wait_ms = own->fetch_wait_ms;
 	/* The totals hold what this instance told the owner. */
 	ep->peers_running = own->running - MIN(own->running, ep->running);
 	ep->peers_pending_tokens =
 		own->pending_tokens -
 		MIN(own->pending_tokens, ep->pending_tokens);
-	fg_req_resident(gw, ep);
+	fg_gwreq_resident(gw, ep);
 }
 
 static void take_crash(struct fg_gateway *gw, uint64_t by,
@@ -387,9 +391,9 @@
 			return;
 		a->version = MAX(a->version, 1);
 		a->seen = now;
-		fg_req_resident(gw, ep);
+		fg_gwreq_resident(gw, ep);
 	} else if (told->answer != FG_MESH_COMING) {
-		fg_req_no_load(gw, ep, told->adapter);
+		fg_gwreq_no_load(gw, ep, told->adapter);
 	}
 }
 
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -8,6 +8,9 @@
 #define REPORT_TIMEOUT_MS 800
 /* Loads on their way to one engine at once: the engines' own bound. */
 #define COMING_MAX 4
+/* A slot frees about each 150 ms at a busy engine, so that the last of these
+ * still comes within the aim of its request. */
+#define QUEUE_MAX 6
 /* A load that nobody waits for any more. */
 #define WANT_MAX_MS 1500
 
@@ -29,6 +32,26 @@
 	}
 }
 
+/* Loads from the weight store that this instance has ordered, and those that
+ * wait here. */
+static uint32_t fetching(const struct fg_gateway *gw, uint32_t *waiting)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	uint32_t n = 0;
+
+	*waiting = 0;
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_ep_user *u = ep->user;
+
+		if (u == NULL || u->slots == NULL)
+			continue;
+		n += fg_slots_fetching(u->slots);
+		*waiting += fg_slots_to_fetch(u->slots);
+	}
+	return n;
+}
+
 /* Takes over what the slots say; true when it changed. */
 static bool publish(struct fg_ep_user *u, fg_ms now)
 {
@@ -36,6 +59,8 @@
 	uint32_t n = fg_slots_held(u->slots, held);
 	uint32_t same = 0;
 	uint32_t before = 0;
+	uint32_t running;
+	uint32_t waiting;
 	struct fg_ep *ep = u->ep;
 
 	for (uint32_t i = 0; i < n; i++) {
@@ -48,6 +73,10 @@
 	mark_coming(u, now);
 	ep->told = now;
 	ep->spare_age_ms = fg_slots_spare_age(u->slots, now);
+	ep->queue = fg_slots_queue(u->slots);
+	running = fetching(u->gw, &waiting);
+	ep->fetch_wait_ms =
+		fg_loadgate_wait_ms(&u->gw->loadgate, running, waiting);
 	if (same == n && before == n)
 		return false;
 	fg_ep_set_resident(ep, now, held, n);
@@ -62,7 +91,7 @@
 	if (!publish(u, fg_clock_now()))
 		return;
 	fg_mesh_beat_now(gw);
-	fg_req_resident(gw, ep);
+	fg_gwreq_resident(gw, ep);
 }
 
 /* ---- Messages to the engine ---- */
@@ -79,20 +108,15 @@
 	       "status", code, "fence", fence, NULL);
 }
 
-/* Loads from the weight store that this instance has ordered. */
-static uint32_t fetching(const struct fg_gateway *gw)
+static void log_fetched(const struct fg_ep_user *u, uint32_t took_ms)
 {
-	const GPtrArray *all = fg_fleet_all(gw->fleet);
-	uint32_t n = 0;
-
-	for (guint i = 0; i < all->len; i++) {
-		const struct fg_ep *ep = all->pdata[i];
-		const struct fg_ep_user *u = ep->user;
+	char took[12];
+	char window[12];
 
-		if (u != NULL && u->slots != NULL)
-			n += fg_slots_fetching(u->slots);
-	}
-	return n;
+	g_snprintf(took, sizeof(took), "%u", took_ms);
+	g_snprintf(window, sizeof(window), "%.1f", u->gw->loadgate.window);
+	fg_log(FG_LOG_INFO, "orders", "fetched", "endpoint", u->ep->facts.id,
+	       "took_ms", took, "window", window, NULL);
 }
 
 static void on_order(void *ctx, unsigned int status, const char *body,
@@ -102,6 +126,7 @@
 	fg_ms now = fg_clock_now();
 	enum fg_order_result result = FG_ORDER_UNKNOWN;
 	uint32_t took_ms;
+	uint32_t waiting;
 
 	(void)body;
 	(void)len;
@@ -122,8 +147,10 @@
 	fg_slots_ordered(u->slots, now, result);
 	took_ms = fg_slots_take_fetched_ms(u->slots);
 	if (took_ms > 0) {
-		fg_loadgate_ended(&u->gw->loadgate, took_ms, fetching(u->gw));
+		fg_loadgate_ended(&u->gw->loadgate, took_ms,
+				  fetching(u->gw, &waiting));
 		fg_hist_add(u->gw->hist_load, took_ms);
+		log_fetched(u, took_ms);
 	}
 	changed(u);
 	kick(u);
@@ -186,13 +213,14 @@
 {
 	fg_ms now = fg_clock_now();
 	struct fg_slots_step step;
+	uint32_t waiting;
 
 	if (u->slots == NULL || fg_channel_busy(u->channel) ||
 	    !u->gw->claims_checked)
 		return;
 	step = fg_slots_next(u->slots, now,
 			     fg_loadgate_open(&u->gw->loadgate,
-					      fetching(u->gw)));
+					      fetching(u->gw, &waiting)));
 	switch (step.act) {
 	case FG_SLOTS_REPORT:
 		fg_gw_count(u->gw, "reports", NULL);
@@ -266,7 +294,7 @@
 	}
 }
 
-static void take_up(struct fg_ep_user *u, const struct fg_service *service,
+static void take_up(struct fg_ep_user *u, const struct fg_svc *service,
 		    uint64_t fence)
 {
 	struct fg_gateway *gw = u->gw;
@@ -274,6 +302,7 @@
 		.slots = service->adapter_slots,
 		.load_ms = gw->balance.load_ms,
 		.coming_max = COMING_MAX,
+		.queue_max = QUEUE_MAX,
 		.want_max_ms = WANT_MAX_MS,
 	};
 
@@ -296,10 +325,10 @@
 	       strcmp(u->told.address, u->ep->facts.address) != 0;
 }
 
-static const struct fg_service *engine_of(const struct fg_gateway *gw,
+static const struct fg_svc *engine_of(const struct fg_gateway *gw,
 					  const struct fg_ep *ep)
 {
-	const struct fg_service *s;
+	const struct fg_svc *s;
 	int i;
 
 	if (gw->routes == NULL)
@@ -329,7 +358,7 @@
 
 	for (guint i = 0; i < all->len; i++) {
 		struct fg_ep *ep = all->pdata[i];
-		const struct fg_service *service = engine_of(gw, ep);
+		const struct fg_svc *service = engine_of(gw, ep);
 		uint64_t fence = fg_claims_fence(gw->claims, ep->facts.id);
 		struct fg_ep_user *u = ep->user;
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -29,12 +29,12 @@
  * of the store when calls to it fail. */
 #define CONFIG_STALE_MS 3000
 
-uint32_t fg_req_left_ms(const struct fg_req *r, fg_ms now)
+uint32_t fg_gwreq_left_ms(const struct fg_gwreq *r, fg_ms now)
 {
 	return now >= r->end_at ? 0 : (uint32_t)(r->end_at - now);
 }
 
-uint32_t fg_req_urgency(const struct fg_req *r)
+uint32_t fg_gwreq_urgency(const struct fg_gwreq *r)
 {
 	return MIN(URGENCY_BASE + r->route->priority, URGENCY_MAX);
 }
@@ -47,7 +47,7 @@
 	return buf;
 }
 
-void fg_req_log(const struct fg_req *r, enum fg_log_level level,
+void fg_gwreq_log(const struct fg_gwreq *r, enum fg_log_level level,
 		const char *event, const char *reason)
 {
 	char took[24];
@@ -77,7 +77,7 @@
 
 /* ---- Where it runs ---- */
 
-static void count_pending(struct fg_req *r, int sign)
+static void count_pending(struct fg_gwreq *r, int sign)
 {
 	if (sign > 0) {
 		r->ep->pending_tokens += r->pending_tokens;
@@ -93,12 +93,12 @@
 	r->pending_tokens = 0;
 }
 
-void fg_req_no_longer_pending(struct fg_req *r)
+void fg_gwreq_no_longer_pending(struct fg_gwreq *r)
 {
 	count_pending(r, -1);
 }
 
-static void detach(struct fg_req *r)
+static void detach(struct fg_gwreq *r)
 {
 	if (r->ep == NULL)
 		return;
@@ -114,7 +114,7 @@
 	r->ep = NULL;
 }
 
-static void attach(struct fg_req *r, struct fg_ep *ep)
+static void attach(struct fg_gwreq *r, struct fg_ep *ep)
 {
 	detach(r);
 	r->ep = fg_ep_ref(ep);
@@ -129,7 +129,7 @@
 	fg_orders_used(r->gw, ep, r->use);
 }
 
-static void note_tried(struct fg_req *r)
+static void note_tried(struct fg_gwreq *r)
 {
 	if (r->ep == NULL)
 		return;
@@ -137,7 +137,7 @@
 		if (r->tried[i] == r->ep)
 			return;
 	}
-	if (r->n_tried < FG_REQ_TRIED_MAX)
+	if (r->n_tried < FG_GWREQ_TRIED_MAX)
 		r->tried[r->n_tried++] = r->ep;
 }
 
@@ -145,7 +145,7 @@
 
 static void on_timer(uv_timer_t *timer);
 
-static void arm(struct fg_req *r)
+static void arm(struct fg_gwreq *r)
 {
 	fg_ms now = fg_clock_now();
 	fg_ms at = MIN(r->end_at, r->step_at);
@@ -155,7 +155,7 @@
 		       at <= now ? 0 : (uint64_t)(at - now), 0);
 }
 
-static void wait_state(struct fg_req *r, enum fg_req_state state, fg_ms step_at)
+static void wait_state(struct fg_gwreq *r, enum fg_gwreq_state state, fg_ms step_at)
 {
 	r->state = state;
 	r->step_at = step_at;
@@ -164,7 +164,7 @@
 
 /* ---- Ends ---- */
 
-static void req_free(struct fg_req *r)
+static void req_free(struct fg_gwreq *r)
 {
 	fg_gw_timer_free(r->timer);
 	fg_call_clear(&r->call);
@@ -175,10 +175,10 @@
 	g_free(r);
 }
 
-static void req_remove(struct fg_req *r)
+static void req_remove(struct fg_gwreq *r)
 {
 	struct fg_gateway *gw = r->gw;
-	struct fg_req *moved;
+	struct fg_gwreq *moved;
 
 	fg_send_cancel(r);
 	detach(r);
@@ -189,7 +189,7 @@
 	req_free(r);
 }
 
-void fg_req_end(struct fg_req *r)
+void fg_gwreq_end(struct fg_gwreq *r)
 {
 	struct fg_caller *c = r->caller;
 
@@ -199,17 +199,17 @@
 		fg_caller_done(c);
 }
 
-void fg_req_cancel(struct fg_req *r)
+void fg_gwreq_cancel(struct fg_gwreq *r)
 {
-	fg_req_log(r, FG_LOG_INFO, "caller_left", NULL);
+	fg_gwreq_log(r, FG_LOG_INFO, "caller_left", NULL);
 	fg_gw_count(r->gw, "requests", "outcome=\"caller_left\"");
 	r->caller = NULL;
 	req_remove(r);
 }
 
-void fg_req_fail(struct fg_req *r, unsigned int status, const char *reason)
+void fg_gwreq_fail(struct fg_gwreq *r, unsigned int status, const char *reason)
 {
-	fg_req_log(r, FG_LOG_WARN, "failed", reason);
+	fg_gwreq_log(r, FG_LOG_WARN, "failed", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"failed\"");
 	if (r->head_sent) {
 		struct fg_caller *c = r->caller;
@@ -222,34 +222,34 @@
 		return;
 	}
 	fg_caller_answer(r->caller, status, r->call.id, 0, NULL, "", 0);
-	fg_req_end(r);
+	fg_gwreq_end(r);
 }
 
-void fg_req_refuse(struct fg_req *r, const char *reason, uint32_t retry_ms)
+void fg_gwreq_refuse(struct fg_gwreq *r, const char *reason, uint32_t retry_ms)
 {
 	if (r->unsure || r->head_sent) {
-		fg_req_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
+		fg_gwreq_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
 		return;
 	}
-	fg_req_log(r, FG_LOG_WARN, "refused", reason);
+	fg_gwreq_log(r, FG_LOG_WARN, "refused", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"refused\"");
 	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
 			 r->call.id, CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS),
 			 NULL, "", 0);
-	fg_req_end(r);
+	fg_gwreq_end(r);
 }
 
-static void time_out(struct fg_req *r)
+static void time_out(struct fg_gwreq *r)
 {
-	if (r->state == FG_REQ_SENT || r->unsure || r->head_sent)
-		fg_req_fail(r, HTTP_STATUS_GATEWAY_TIMEOUT, "time_limit");
+	if (r->state == FG_GWREQ_SENT || r->unsure || r->head_sent)
+		fg_gwreq_fail(r, HTTP_STATUS_GATEWAY_TIMEOUT, "time_limit");
 	else
-		fg_req_refuse(r, "time_limit", RETRY_MIN_MS);
+		fg_gwreq_refuse(r, "time_limit", RETRY_MIN_MS);
 }
 
 /* ---- Placing ---- */
 
-uint64_t fg_req_version(const struct fg_req *r, fg_ms now)
+uint64_t fg_gwreq_version(const struct fg_gwreq *r, fg_ms now)
 {
 	fg_ms age_ms = 0;
 	uint64_t version;
@@ -262,22 +262,22 @@
 	return version;
 }
 
-static void send_now(struct fg_req *r)
+static void send_now(struct fg_gwreq *r)
 {
 	r->step_at = FG_MS_NEVER;
-	r->state = FG_REQ_SENT;
+	r->state = FG_GWREQ_SENT;
 	arm(r);
 	fg_send_start(r);
 }
 
 /* The bare model is an adapter without a name. */
-static const char *adapter_name(const struct fg_req *r)
+static const char *adapter_name(const struct fg_gwreq *r)
 {
 	return r->call.adapter == NULL ? "" : r->call.adapter;
 }
 
 /* Asks for the load; true when it is resident already. */
-static enum fg_slot_state ask_load(struct fg_req *r, fg_ms now)
+static enum fg_slot_state ask_load(struct fg_gwreq *r, fg_ms now)
 {
 	fg_ms age_ms;
 	uint64_t version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
@@ -286,7 +286,7 @@
 			      version);
 }
 
-static struct fg_balance_pick pick(struct fg_req *r, fg_ms now,
+static struct fg_balance_pick pick(struct fg_gwreq *r, fg_ms now,
 				   bool resident_only)
 {
 	struct fg_balance_ask ask = {
@@ -296,6 +296,9 @@
 		.adapter = r->adapter,
 		.model = r->adapter == 0 ? 0 : fg_adapter_key(r->call.model, ""),
 		.tokens = r->call.prompt_tokens,
+		.tokens_per_s = r->adapter == 0 ?
+					0 :
+					fg_gw_heat(r->gw, now, r->adapter, 0),
 		.n_avoid = r->n_tried,
 		.resident_only = resident_only,
 	};
@@ -305,10 +308,10 @@
 			       &r->gw->rand);
 }
 
-void fg_req_place(struct fg_req *r)
+void fg_gwreq_place(struct fg_gwreq *r)
 {
 	fg_ms now = fg_clock_now();
-	uint32_t left_ms = fg_req_left_ms(r, now);
+	uint32_t left_ms = fg_gwreq_left_ms(r, now);
 	struct fg_balance_pick p;
 
 	if (left_ms < LEFT_MIN_MS) {
@@ -318,11 +321,11 @@
 	for (int i = 0; i < PLACE_TRIES; i++) {
 		p = pick(r, now, false);
 		if (p.ep == NULL) {
-			fg_req_refuse(r, "no_endpoint", RETRY_MAX_MS / 2);
+			fg_gwreq_refuse(r, "no_endpoint", RETRY_MAX_MS / 2);
 			return;
 		}
 		if (p.wait_ms >= left_ms && !r->head_sent) {
-			fg_req_refuse(r, "no_time", p.wait_ms - left_ms);
+			fg_gwreq_refuse(r, "no_time", p.wait_ms - left_ms);
 			return;
 		}
 		attach(r, p.ep);
@@ -337,17 +340,17 @@
 			return;
 		case FG_SLOT_COMING:
 			r->load_since = now;
-			wait_state(r, FG_REQ_WAIT_LOAD, now + ASK_AGAIN_MS);
+			wait_state(r, FG_GWREQ_WAIT_LOAD, now + ASK_AGAIN_MS);
 			return;
 		default:
 			note_tried(r);
 		}
 	}
-	wait_state(r, FG_REQ_WAIT_RETRY, now + PLACE_AGAIN_MS);
+	wait_state(r, FG_GWREQ_WAIT_RETRY, now + PLACE_AGAIN_MS);
 }
 
 /* Waiting for a load: resident now, ask again, or give it up there. */
-static void step_load(struct fg_req *r)
+static void step_load(struct fg_gwreq *r)
 {
 	fg_ms now = fg_clock_now();
 	const struct fg_ep_adapter *a = fg_ep_adapter(r->ep, r->adapter);
@@ -355,7 +358,7 @@
 	if (!fg_ep_usable(r->ep, now) ||
 	    now - r->load_since > LOAD_WAIT_MS) {
 		note_tried(r);
-		fg_req_place(r);
+		fg_gwreq_place(r);
 		return;
 	}
 	if (a != NULL && a->version != 0) {
@@ -367,46 +370,46 @@
 		send_now(r);
 		break;
 	case FG_SLOT_COMING:
-		wait_state(r, FG_REQ_WAIT_LOAD, now + ASK_AGAIN_MS);
+		wait_state(r, FG_GWREQ_WAIT_LOAD, now + ASK_AGAIN_MS);
 		break;
 	default:
 		note_tried(r);
-		fg_req_place(r);
+		fg_gwreq_place(r);
 	}
 }
 
 static void on_timer(uv_timer_t *timer)
 {
-	struct fg_req *r = timer->data;
+	struct fg_gwreq *r = timer->data;
 	fg_ms now = fg_clock_now();
 
 	if (now >= r->end_at) {
 		time_out(r);
 	} else if (now < r->step_at) {
 		arm(r);
-	} else if (r->state == FG_REQ_WAIT_LOAD) {
+	} else if (r->state == FG_GWREQ_WAIT_LOAD) {
 		step_load(r);
-	} else if (r->state == FG_REQ_WAIT_RETRY) {
+	} else if (r->state == FG_GWREQ_WAIT_RETRY) {
 		r->n_tried = 0;
-		fg_req_place(r);
+		fg_gwreq_place(r);
 	} else {
 		/* The connection to the endpoint was not established. */
 		fg_health_failed(r->ep, now);
 		fg_send_cancel(r);
-		fg_req_send_ended(r, FG_SEND_NOT_SENT, "connect_timeout");
+		fg_gwreq_send_ended(r, FG_SEND_NOT_SENT, "connect_timeout");
 	}
 }
 
-void fg_req_resident(struct fg_gateway *gw, struct fg_ep *ep)
+void fg_gwreq_resident(struct fg_gateway *gw, struct fg_ep *ep)
 {
 	for (guint i = gw->reqs->len; i > 0; i--) {
-		struct fg_req *r;
+		struct fg_gwreq *r;
 		const struct fg_ep_adapter *a;
 
 		if (i > gw->reqs->len)
 			continue;
 		r = gw->reqs->pdata[i - 1];
-		if (r->state != FG_REQ_WAIT_LOAD || r->ep != ep)
+		if (r->state != FG_GWREQ_WAIT_LOAD || r->ep != ep)
 			continue;
 		a = fg_ep_adapter(ep, r->adapter);
 		if (a != NULL && a->version != 0)
@@ -414,31 +417,31 @@
 	}
 }
 
-void fg_req_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter)
+void fg_gwreq_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter)
 {
 	for (guint i = gw->reqs->len; i > 0; i--) {
-		struct fg_req *r;
+		struct fg_gwreq *r;
 
 		if (i > gw->reqs->len)
 			continue;
 		r = gw->reqs->pdata[i - 1];
-		if (r->state != FG_REQ_WAIT_LOAD || r->ep != ep ||
+		if (r->state != FG_GWREQ_WAIT_LOAD || r->ep != ep ||
 		    r->adapter != adapter)
 			continue;
 		note_tried(r);
-		fg_req_place(r);
+		fg_gwreq_place(r);
 	}
 }
 
 /* ---- After a send ---- */
 
-static bool may_repeat(const struct fg_req *r)
+static bool may_repeat(const struct fg_gwreq *r)
 {
 	return r->route->repeatable || r->route->resumable;
 }
 
 /* Takes one repeat from the service's budget. */
-static bool take_budget(struct fg_req *r, fg_ms now)
+static bool take_budget(struct fg_gwreq *r, fg_ms now)
 {
 	uint32_t backoff_ms;
 	bool ok = fg_retry_again(fg_gw_budget(r->gw, r->service->name), now,
@@ -450,9 +453,9 @@
 	return ok;
 }
 
-static bool may_send_again(struct fg_req *r, enum fg_send_end end, fg_ms now)
+static bool may_send_again(struct fg_gwreq *r, enum fg_send_end end, fg_ms now)
 {
-	if (r->sends >= SENDS_MAX || fg_req_left_ms(r, now) < LEFT_MIN_MS)
+	if (r->sends >= SENDS_MAX || fg_gwreq_left_ms(r, now) < LEFT_MIN_MS)
 		return false;
 	if (end == FG_SEND_NOT_SENT)
 		return true;
@@ -463,7 +466,7 @@
 	return take_budget(r, now);
 }
 
-void fg_req_send_ended(struct fg_req *r, enum fg_send_end end, const char *why)
+void fg_gwreq_send_ended(struct fg_gwreq *r, enum fg_send_end end, const char *why)
 {
 	fg_ms now = fg_clock_now();
 
@@ -473,19 +476,19 @@
 	}
 	if (end == FG_SEND_ABSENT && r->use != NULL)
 		r->use->version = 0;
-	fg_req_log(r, FG_LOG_INFO, "send_ended", why);
+	fg_gwreq_log(r, FG_LOG_INFO, "send_ended", why);
 	note_tried(r);
 	if (end == FG_SEND_ABSENT)
 		r->n_tried = 0; /* a load there is as good as elsewhere */
 	if (may_send_again(r, end, now)) {
 		fg_events_restart(&r->events);
-		fg_req_place(r);
+		fg_gwreq_place(r);
 		return;
 	}
 	if (end == FG_SEND_BROKEN || end == FG_SEND_ERROR)
-		fg_req_fail(r, HTTP_STATUS_BAD_GATEWAY, why);
+		fg_gwreq_fail(r, HTTP_STATUS_BAD_GATEWAY, why);
 	else
-		fg_req_refuse(r, why, RETRY_MIN_MS);
+		fg_gwreq_refuse(r, why, RETRY_MIN_MS);
 }
 
 /* ---- Start ---- */
@@ -497,10 +500,10 @@
 	return f->failures > 0 && now - f->confirmed > CONFIG_STALE_MS;
 }
 
-static struct fg_req *req_new(struct fg_caller *c)
+static struct fg_gwreq *req_new(struct fg_caller *c)
 {
 	struct fg_gateway *gw = c->gw;
-	struct fg_req *r = g_new0(struct fg_req, 1);
+	struct fg_gwreq *r = g_new0(struct fg_gwreq, 1);
 
 	r->gw = gw;
 	r->caller = c;
@@ -517,7 +520,7 @@
 	return r;
 }
 
-static uint64_t fingerprint_of(const struct fg_req *r)
+static uint64_t fingerprint_of(const struct fg_gwreq *r)
 {
 	const struct fg_caller *c = r->caller;
 	uint64_t body = fg_hash_bytes(c->body->data, c->body->len);
@@ -526,12 +529,12 @@
 }
 
 /* Finds the route; false when the request was answered. */
-static bool find_route(struct fg_req *r)
+static bool find_route(struct fg_gwreq *r)
 {
 	struct fg_gateway *gw = r->gw;
 
 	if (gw->routes == NULL) {
-		fg_req_refuse(r, "no_configuration", RETRY_MAX_MS / 2);
+		fg_gwreq_refuse(r, "no_configuration", RETRY_MAX_MS / 2);
 		return false;
 	}
 	r->routes = fg_routes_ref(gw->routes);
@@ -540,14 +543,14 @@
 	if (r->route != NULL)
 		return true;
 	if (config_is_stale(gw, r->arrived)) {
-		fg_req_refuse(r, "configuration_stale", RETRY_MAX_MS / 2);
+		fg_gwreq_refuse(r, "configuration_stale", RETRY_MAX_MS / 2);
 		return false;
 	}
-	fg_req_fail(r, HTTP_STATUS_NOT_FOUND, "no_route");
+	fg_gwreq_fail(r, HTTP_STATUS_NOT_FOUND, "no_route");
 	return false;
 }
 
-static void set_terms(struct fg_req *r)
+static void set_terms(struct fg_gwreq *r)
 {
 	uint32_t limit_ms = r->route->timeout_ms;
 	uint32_t service = fg_route_service(r->route, fg_rand_next(&r->gw->rand));
@@ -562,14 +565,14 @@
 		r->adapter = fg_adapter_key(r->call.model, adapter_name(r));
 }
 
-void fg_req_start(struct fg_caller *c)
+void fg_gwreq_start(struct fg_caller *c)
 {
-	struct fg_req *r = req_new(c);
+	struct fg_gwreq *r = req_new(c);
 	struct fg_gateway *gw = c->gw;
 	uint32_t retry_ms = 0;
 
 	if (!gw->wire->call_read(r->head, &r->call)) {
-		fg_req_fail(r, HTTP_STATUS_BAD_REQUEST, "no_host");
+		fg_gwreq_fail(r, HTTP_STATUS_BAD_REQUEST, "no_host");
 		return;
 	}
 	if (!find_route(r))
@@ -578,10 +581,12 @@
 	r->fingerprint = fingerprint_of(r);
 	if (fg_suspects_check(gw->suspects, r->arrived, r->fingerprint,
 			      &retry_ms) == FG_SUSPECT_REFUSE) {
-		fg_req_refuse(r, "crashes_endpoints", RETRY_MAX_MS);
+		fg_gwreq_refuse(r, "crashes_endpoints", RETRY_MAX_MS);
 		return;
 	}
+	if (r->adapter != 0)
+		fg_gw_heat(gw, r->arrived, r->adapter, r->call.prompt_tokens);
 	fg_retry_first(fg_gw_budget(gw, r->service->name), r->arrived,
 		       FG_CLASS_STATUS);
-	fg_req_place(r);
+	fg_gwreq_place(r);
 }
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -86,14 +86,14 @@
 /* The request that the connection served so far goes on elsewhere or fails. */
 static void lose(struct fg_up *u, enum fg_send_end end, const char *why)
 {
-	struct fg_req *r = u->req;
+	struct fg_gwreq *r = u->req;
 
 	u->req = NULL;
 	up_close(u);
 	if (r == NULL)
 		return;
 	r->up = NULL;
-	fg_req_send_ended(r, end, why);
+	fg_gwreq_send_ended(r, end, why);
 }
 
 static bool is_informational(unsigned int status)
@@ -104,7 +104,7 @@
 static bool on_head(void *ctx, const struct fg_h1_head *head)
 {
 	struct fg_up *u = ctx;
-	struct fg_req *r = u->req;
+	struct fg_gwreq *r = u->req;
 	bool has_body = r == NULL || r->head->method != HTTP_HEAD;
 
 	if (r == NULL)
@@ -154,7 +154,7 @@
 /* A whole answer was read. */
 static void message_done(struct fg_up *u, bool clean)
 {
-	struct fg_req *r = u->req;
+	struct fg_gwreq *r = u->req;
 	bool reusable = clean && u->h1.head.keep_alive &&
 			fg_link_pending(u->link) == 0 && u->unread_body == 0;
 
@@ -230,15 +230,15 @@
 
 static void write_request(struct fg_up *u)
 {
-	struct fg_req *r = u->req;
+	struct fg_gwreq *r = u->req;
 	fg_ms now = fg_clock_now();
 	const GByteArray *body = r->caller->body;
 	GString *out = g_string_sized_new(1024 + body->len);
 	struct fg_send send = {
 		.endpoint_id = u->ep->facts.id,
-		.deadline_ms = MAX(fg_req_left_ms(r, now), 1),
-		.urgency = r->service->engine ? fg_req_urgency(r) : UINT32_MAX,
-		.version = fg_req_version(r, now),
+		.deadline_ms = MAX(fg_gwreq_left_ms(r, now), 1),
+		.urgency = r->service->engine ? fg_gwreq_urgency(r) : UINT32_MAX,
+		.version = fg_gwreq_version(r, now),
 		.resumes = r->call.resumes || r->events.has_id,
 		.resume_after = r->events.has_id ? r->events.last_id :
 						   r->call.resume_after,
@@ -301,7 +301,7 @@
 	return u;
 }
 
-void fg_send_start(struct fg_req *r)
+void fg_send_start(struct fg_gwreq *r)
 {
 	struct fg_gateway *gw = r->gw;
 	fg_ms now = fg_clock_now();
@@ -324,7 +324,7 @@
 	}
 	u = up_new(gw, r->ep);
 	if (u == NULL) {
-		fg_req_send_ended(r, FG_SEND_NOT_SENT, "no_connection");
+		fg_gwreq_send_ended(r, FG_SEND_NOT_SENT, "no_connection");
 		return;
 	}
 	u->req = r;
@@ -334,7 +334,7 @@
 		       (uint64_t)(MIN(r->step_at, r->end_at) - now), 0);
 }
 
-void fg_send_cancel(struct fg_req *r)
+void fg_send_cancel(struct fg_gwreq *r)
 {
 	struct fg_up *u = r->up;
 
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -32,14 +32,14 @@
 
 /* ---- Rows ---- */
 
-static void log_row(const char *event, const struct fg_row *row,
+static void log_row(const char *event, const struct fg_store_row *row,
 		    const GError *why)
 {
 	fg_log(FG_LOG_WARN, "sync", event, "table", row->table, "key", row->key,
 	       "reason", why == NULL ? NULL : why->message, NULL);
 }
 
-static void take_config(struct fg_gateway *gw, const struct fg_row *row)
+static void take_config(struct fg_gateway *gw, const struct fg_store_row *row)
 {
 	GError *why = NULL;
 	struct fg_routes *t =
@@ -63,7 +63,7 @@
 	fg_gw_count(gw, "configurations", NULL);
 }
 
-static void take_announcement(struct fg_gateway *gw, const struct fg_row *row,
+static void take_announcement(struct fg_gateway *gw, const struct fg_store_row *row,
 			      fg_ms now)
 {
 	struct fg_announcement a;
@@ -101,7 +101,7 @@
 	fg_announcement_clear(&a);
 }
 
-static void take_config_row(struct fg_gateway *gw, const struct fg_row *row,
+static void take_config_row(struct fg_gateway *gw, const struct fg_store_row *row,
 			    fg_ms now)
 {
 	if (row->removed || row->value == NULL)
@@ -123,7 +123,7 @@
 	if (ep->told != 0 && now - ep->told < TOLD_FRESH_MS)
 		return;
 	for (uint32_t i = 0; i < ep->facts.n_resident; i++) {
-		const struct fg_listed *r = &ep->facts.resident[i];
+		const struct fg_ep_resident *r = &ep->facts.resident[i];
 
 		held[n].key = fg_adapter_key(r->model, r->adapter);
 		held[n++].version = MAX(r->version, 1);
@@ -131,7 +131,7 @@
 	fg_ep_set_resident(ep, now, held, n);
 }
 
-static void take_entry_row(struct fg_gateway *gw, const struct fg_row *row,
+static void take_entry_row(struct fg_gateway *gw, const struct fg_store_row *row,
 			   fg_ms now)
 {
 	struct fg_ep_facts facts;
@@ -157,7 +157,7 @@
 	       ep->facts.service, NULL);
 }
 
-static void take_own_row(struct fg_gateway *gw, const struct fg_row *row,
+static void take_own_row(struct fg_gateway *gw, const struct fg_store_row *row,
 			 fg_ms now)
 {
 	struct fg_peer_row peer;
@@ -178,7 +178,7 @@
 		log_row("instance_row_refused", row, NULL);
 }
 
-static void take_row(struct fg_feed *f, const struct fg_row *row, fg_ms now)
+static void take_row(struct fg_feed *f, const struct fg_store_row *row, fg_ms now)
 {
 	switch (f->id) {
 	case FG_FEED_CONFIG:
@@ -213,9 +213,9 @@
 		fg_claims_read_end(f->gw->claims);
 }
 
-static void take_page(struct fg_feed *f, const struct fg_rows *rows, fg_ms now)
+static void take_page(struct fg_feed *f, const struct fg_store_rows *rows, fg_ms now)
 {
-	const struct fg_row *last;
+	const struct fg_store_row *last;
 
 	if (f->from == NULL) {
 		f->read_version = rows->version;
@@ -235,7 +235,7 @@
 	f->from = g_strconcat(last->key, "\x01", NULL);
 }
 
-static void take_changes(struct fg_feed *f, const struct fg_rows *rows,
+static void take_changes(struct fg_feed *f, const struct fg_store_rows *rows,
 			 fg_ms now)
 {
 	for (guint i = 0; i < rows->rows->len; i++)
@@ -325,7 +325,7 @@
 {
 	struct fg_feed *f = ctx;
 	fg_ms now = fg_clock_now();
-	struct fg_rows rows;
+	struct fg_store_rows rows;
 	GError *why = NULL;
 
 	if (status == HTTP_STATUS_GONE) {
@@ -351,7 +351,7 @@
 		take_page(f, &rows, now);
 	else
 		take_changes(f, &rows, now);
-	fg_rows_clear(&rows);
+	fg_store_rows_clear(&rows);
 	after_rows(f, now);
 }
 
@@ -423,7 +423,7 @@
 {
 	struct fg_gateway *gw = ctx;
 	fg_ms now = fg_clock_now();
-	struct fg_rows rows = { 0 };
+	struct fg_store_rows rows = { 0 };
 	char count[12];
 	char code[12];
 
@@ -432,7 +432,7 @@
 	    gw->wire->rows_read(body, len, &rows, NULL))
 		fg_claims_written(gw->claims, now, gw->claiming,
 				  gw->n_claiming, rows.version);
-	fg_rows_clear(&rows);
+	fg_store_rows_clear(&rows);
 	g_snprintf(count, sizeof(count), "%u", gw->n_claiming);
 	g_snprintf(code, sizeof(code), "%u", status);
 	fg_log(FG_LOG_INFO, "orders", "claimed", "engines", count, "status",
@@ -482,7 +482,7 @@
 				      -1 :
 				      fg_routes_service(gw->routes,
 							ep->facts.service);
-		const struct fg_service *s =
+		const struct fg_svc *s =
 			service < 0 ? NULL :
 				      gw->routes->services->pdata[service];
 
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -34,6 +34,8 @@
 	unsigned int running;           /* from all instances */
 	unsigned int pending_tokens;
 	unsigned int spare_age_ms;
+	unsigned int queue;             /* adapters waiting for a slot */
+	unsigned int fetch_wait_ms;     /* of a load from the weight store */
 	fg_mesh_held held<FG_MESH_HELD_MAX>;
 };
 
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -45,6 +45,8 @@
 	u_int running;
 	u_int pending_tokens;
 	u_int spare_age_ms;
+	u_int queue;
+	u_int fetch_wait_ms;
 	struct {
 		u_int held_len;
 		fg_mesh_held *held_val;
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -52,7 +52,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->ep))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -60,11 +60,17 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queue))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fetch_wait_ms))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->running);
 		IXDR_PUT_U_LONG(buf, objp->pending_tokens);
 		IXDR_PUT_U_LONG(buf, objp->spare_age_ms);
+		IXDR_PUT_U_LONG(buf, objp->queue);
+		IXDR_PUT_U_LONG(buf, objp->fetch_wait_ms);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, FG_MESH_HELD_MAX,
 			sizeof (fg_mesh_held), (xdrproc_t) xdr_fg_mesh_held))
@@ -73,7 +79,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->ep))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -81,11 +87,17 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queue))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fetch_wait_ms))
+				 return FALSE;
 
 		} else {
 		objp->running = IXDR_GET_U_LONG(buf);
 		objp->pending_tokens = IXDR_GET_U_LONG(buf);
 		objp->spare_age_ms = IXDR_GET_U_LONG(buf);
+		objp->queue = IXDR_GET_U_LONG(buf);
+		objp->fetch_wait_ms = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, FG_MESH_HELD_MAX,
 			sizeof (fg_mesh_held), (xdrproc_t) xdr_fg_mesh_held))
@@ -101,6 +113,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->fetch_wait_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, FG_MESH_HELD_MAX,
 		sizeof (fg_mesh_held), (xdrproc_t) xdr_fg_mesh_held))
 		 return FALSE;
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -143,3 +143,12 @@
 {
 	return fg_peer_alive(peer, now) && peer->state == FG_MESH_READY;
 }
+
+uint32_t fg_peers_alive(const struct fg_peers *p, fg_ms now)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < p->all->len; i++)
+		n += fg_peer_alive(p->all->pdata[i], now) ? 1 : 0;
+	return n;
+}
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -69,6 +69,9 @@
 /* All others (struct fg_peer *). */
 const GPtrArray *fg_peers_all(const struct fg_peers *p);
 
+/* How many others live. */
+uint32_t fg_peers_alive(const struct fg_peers *p, fg_ms now);
+
 /* Heard of lately; a leaving one lives until it falls silent. */
 bool fg_peer_alive(const struct fg_peer *peer, fg_ms now);
 
--- a/lib/route/fg_route.c
+++ b/lib/route/fg_route.c
@@ -4,7 +4,7 @@
 
 static void service_free(gpointer p)
 {
-	struct fg_service *s = p;
+	struct fg_svc *s = p;
 
 	for (uint32_t i = 0; i < s->n_models; i++)
 		g_free(s->models[i].name);
@@ -54,9 +54,9 @@
 	g_free(t);
 }
 
-struct fg_service *fg_routes_add_service(struct fg_routes *t)
+struct fg_svc *fg_routes_add_service(struct fg_routes *t)
 {
-	struct fg_service *s = g_new0(struct fg_service, 1);
+	struct fg_svc *s = g_new0(struct fg_svc, 1);
 
 	g_ptr_array_add(t->services, s);
 	return s;
@@ -73,7 +73,7 @@
 int fg_routes_service(const struct fg_routes *t, const char *name)
 {
 	for (guint i = 0; i < t->services->len; i++) {
-		const struct fg_service *s = t->services->pdata[i];
+		const struct fg_svc *s = t->services->pdata[i];
 
 		if (g_strcmp0(s->name, name) == 0)
 			return (int)i;
--- a/lib/route/fg_route.h
+++ b/lib/route/fg_route.h
@@ -20,7 +20,7 @@
 	uint32_t adapters;
 };
 
-struct fg_service {
+struct fg_svc {
 	char *name;
 	char *health_path;
 	uint32_t connections_max; /* an endpoint accepts, from all callers */
@@ -64,7 +64,7 @@
 struct fg_routes {
 	uint64_t version; /* of the configuration */
 	struct fg_caller_limits limits;
-	GPtrArray *services; /* struct fg_service * */
+	GPtrArray *services; /* struct fg_svc * */
 	GPtrArray *routes;   /* struct fg_route * */
 	GHashTable *by_host; /* lower-case host -> GPtrArray of routes */
 	int refs;
@@ -75,7 +75,7 @@
 void fg_routes_unref(struct fg_routes *t);
 
 /* Return a zeroed entry that belongs to the table. */
-struct fg_service *fg_routes_add_service(struct fg_routes *t);
+struct fg_svc *fg_routes_add_service(struct fg_routes *t);
 struct fg_route *fg_routes_add_route(struct fg_routes *t);
 
 /* Index of a service by name; -1 when unknown. */
--- a/lib/slots/fg_loadgate.c
+++ b/lib/slots/fg_loadgate.c
@@ -10,11 +10,14 @@
 #define WINDOW_CUT 0.75
 /* Loads are seen to end some tens of ms late; more than this is a queue. */
 #define SLOW_FACTOR 1.35
+/* Share of the newest load in the moving average. */
+#define RECENT_GAIN 0.2
 
 void fg_loadgate_init(struct fg_loadgate *g, uint32_t usual_ms)
 {
 	g->window = WINDOW_START;
 	g->base_ms = usual_ms;
+	g->recent_ms = usual_ms;
 }
 
 bool fg_loadgate_open(const struct fg_loadgate *g, uint32_t running)
@@ -25,9 +28,20 @@
 void fg_loadgate_ended(struct fg_loadgate *g, uint32_t took_ms,
 		       uint32_t running)
 {
+	g->recent_ms += RECENT_GAIN * (took_ms - g->recent_ms);
 	if (took_ms > g->base_ms * SLOW_FACTOR)
 		g->window *= WINDOW_CUT;
 	else if (running + 1 >= (uint32_t)g->window)
 		g->window += WINDOW_STEP / g->window;
 	g->window = CLAMP(g->window, WINDOW_MIN, WINDOW_MAX);
 }
+
+uint32_t fg_loadgate_wait_ms(const struct fg_loadgate *g, uint32_t running,
+			     uint32_t waiting)
+{
+	double ahead = (double)running + waiting + 1 - g->window;
+
+	if (ahead <= 0)
+		return 0;
+	return (uint32_t)(ahead / g->window * g->recent_ms);
+}
--- a/lib/slots/fg_loadgate.h
+++ b/lib/slots/fg_loadgate.h
@@ -18,6 +18,7 @@
 struct fg_loadgate {
 	double window;	  /* loads at once, at least 1 */
 	uint32_t base_ms; /* what a load takes at full speed */
+	double recent_ms; /* what loads took lately, moving average */
 };
 
 /* `usual_ms`: the time of a load as far as it is known before the first. */
@@ -30,4 +31,9 @@
 void fg_loadgate_ended(struct fg_loadgate *g, uint32_t took_ms,
 		       uint32_t running);
 
+/* Expected time until one more load begins, behind `running` and `waiting`
+ * ones. */
+uint32_t fg_loadgate_wait_ms(const struct fg_loadgate *g, uint32_t running,
+			     uint32_t waiting);
+
 #endif
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -246,7 +246,7 @@
 	}
 	if (adapter[0] == '\0' || strcmp(model, s->base.model) != 0)
 		return FG_SLOT_FULL; /* holds another model */
-	if (s->synced && fg_slots_spare_age(s, now) == 0)
+	if (s->wants->len >= s->conf.queue_max)
 		return FG_SLOT_FULL;
 	g_strlcpy(w.model, model, sizeof(w.model));
 	g_strlcpy(w.adapter, adapter, sizeof(w.adapter));
@@ -499,7 +499,7 @@
 
 /* ---- Reports ---- */
 
-static void take_base(struct fg_slots *s, const struct fg_listed *r,
+static void take_base(struct fg_slots *s, const struct fg_ep_resident *r,
 		      enum state state)
 {
 	if (s->base.state == RESIDENT)
@@ -512,7 +512,7 @@
 }
 
 static void take_resident(struct fg_slots *s, fg_ms now,
-			  const struct fg_listed *r, enum state state,
+			  const struct fg_ep_resident *r, enum state state,
 			  const struct slot *old, uint32_t n_old)
 {
 	struct slot *slot;
@@ -620,3 +620,19 @@
 		out[n++] = g_array_index(s->wants, struct want, i).key;
 	return n;
 }
+
+uint32_t fg_slots_queue(const struct fg_slots *s)
+{
+	return s->wants->len;
+}
+
+uint32_t fg_slots_to_fetch(const struct fg_slots *s)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->wants->len; i++)
+		n += is_fetch(s, g_array_index(s->wants, struct want, i).key) ?
+			     1 :
+			     0;
+	return n;
+}
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -40,6 +40,7 @@
 	uint32_t slots;	     /* adapters at once */
 	uint32_t load_ms;    /* of an adapter from the weight store */
 	uint32_t coming_max; /* loads on their way at once */
+	uint32_t queue_max;   /* adapters waiting at once */
 	uint32_t want_max_ms; /* a want that old is dropped */
 };
 
@@ -56,7 +57,7 @@
 	FG_SLOT_ABSENT = 0,
 	FG_SLOT_COMING = 1,
 	FG_SLOT_RESIDENT = 2,
-	FG_SLOT_FULL = 3, /* absent, and no slot can be freed now */
+	FG_SLOT_FULL = 3, /* absent, and too many wait for a slot */
 };
 
 /*
@@ -97,6 +98,9 @@
 /* Loads from the weight store that are on their way. */
 uint32_t fg_slots_fetching(const struct fg_slots *s);
 
+/* Loads from the weight store that wait to begin. */
+uint32_t fg_slots_to_fetch(const struct fg_slots *s);
+
 /* Time that the last such load took, once: 0 when none ended since. */
 uint32_t fg_slots_take_fetched_ms(struct fg_slots *s);
 
@@ -115,6 +119,9 @@
  * `out` has room for FG_SLOTS_MAX + 1; the base model comes first. */
 uint32_t fg_slots_held(const struct fg_slots *s, struct fg_held *out);
 
+/* Adapters that wait for a slot or for the weight store. */
+uint32_t fg_slots_queue(const struct fg_slots *s);
+
 /* How long the adapter that would make way has been unused; UINT32_MAX when a
  * slot is free, 0 when none can be freed. */
 uint32_t fg_slots_spare_age(const struct fg_slots *s, fg_ms now);
--- a/lib/wire/fg_wire.c
+++ b/lib/wire/fg_wire.c
@@ -16,9 +16,9 @@
 	memset(c, 0, sizeof(*c));
 }
 
-void fg_row_free(gpointer p)
+void fg_store_row_free(gpointer p)
 {
-	struct fg_row *row = p;
+	struct fg_store_row *row = p;
 
 	if (row == NULL)
 		return;
@@ -28,7 +28,7 @@
 	g_free(row);
 }
 
-void fg_rows_clear(struct fg_rows *rows)
+void fg_store_rows_clear(struct fg_store_rows *rows)
 {
 	if (rows->rows != NULL)
 		g_ptr_array_unref(rows->rows);
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -69,7 +69,7 @@
 
 /* ---- Rows of the platform's store ---- */
 
-struct fg_row {
+struct fg_store_row {
 	char *table;
 	char *key;
 	char *value; /* NUL-terminated behind value_bytes; NULL when removed */
@@ -78,14 +78,14 @@
 	bool removed;
 };
 
-struct fg_rows {
-	GPtrArray *rows; /* struct fg_row * */
+struct fg_store_rows {
+	GPtrArray *rows; /* struct fg_store_row * */
 	uint64_t version; /* newest version that the answer reflects */
 	bool more;	  /* further rows follow after the last key */
 };
 
-void fg_row_free(gpointer row);
-void fg_rows_clear(struct fg_rows *rows);
+void fg_store_row_free(gpointer row);
+void fg_store_rows_clear(struct fg_store_rows *rows);
 
 struct fg_tx_row {
 	const char *table;
@@ -129,9 +129,9 @@
 	uint64_t sequence; /* orders accepted since it started */
 	uint64_t born;
 	bool busy;
-	struct fg_listed resident[FG_FLEET_RESIDENT_MAX];
+	struct fg_ep_resident resident[FG_FLEET_RESIDENT_MAX];
 	uint32_t n_resident;
-	struct fg_listed coming[FG_FLEET_RESIDENT_MAX];
+	struct fg_ep_resident coming[FG_FLEET_RESIDENT_MAX];
 	uint32_t n_coming;
 	uint32_t running;
 	uint32_t waiting;
@@ -183,7 +183,7 @@
 	struct fg_http_call (*rows_tx)(const char *host,
 					const struct fg_tx_row *rows,
 					uint32_t n);
-	bool (*rows_read)(const char *body, size_t len, struct fg_rows *out,
+	bool (*rows_read)(const char *body, size_t len, struct fg_store_rows *out,
 			  GError **error);
 
 	/* Rows of the tables. */
