Resets behind data are seen; no streams begin late in a planned stop

Change: the end of a stream is checked on the socket; streams that arrive over 2 s after the stop signal are refused as not run; the stop ends 0.3 s before the kill.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -12,7 +12,7 @@
  * addresses they were told for a few seconds. */
 #define STOP_QUIET_MS 1500
 /* The end of a stop leaves this much of the time until the kill. */
-#define STOP_MARGIN_MS 700
+#define STOP_MARGIN_MS 300
 /* The settings file may change without a signal. */
 #define SETTINGS_MS 2000
 
@@ -181,6 +181,7 @@
 	if (gw->stopping)
 		return;
 	gw->stopping = true;
+	gw->stopping_since = now;
 	gw->stop_at = now + gw->conf->stop_grace_ms - STOP_MARGIN_MS;
 	gw->quiet_since = now;
 	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -355,6 +355,7 @@
 	uv_signal_t signals[3];
 	fg_ms ticked;
 	bool stopping;
+	fg_ms stopping_since;
 	fg_ms stop_at; /* exits at the latest */
 	fg_ms quiet_since; /* no request since, while stopping */
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -7,7 +7,7 @@
 #define DEFAULT_TIMEOUT_MS 30000
 /* A caller that is refused comes back after this; loads and short queues
  * change within it. */
-#define RETRY_MIN_MS 100
+#define RETRY_MIN_MS 50
 #define RETRY_MAX_MS 2000
 /* Sends of one request, those that never ran included. */
 #define SENDS_MAX 6
@@ -493,6 +493,18 @@
 
 /* ---- Start ---- */
 
+/* Streams that begin this long after a planned stop may not end before it. */
+#define STOP_ACCEPT_MS 2000
+/* Another instance serves the caller at once. */
+#define STOP_RETRY_MS 50
+
+static bool too_late_to_start(const struct fg_gwreq *r)
+{
+	return r->gw->stopping && r->route->streaming &&
+	       r->arrived - r->gw->stopping_since > STOP_ACCEPT_MS;
+}
+
+
 static bool config_is_stale(const struct fg_gateway *gw, fg_ms now)
 {
 	const struct fg_feed *f = &gw->feeds[FG_FEED_CONFIG];
@@ -578,6 +590,10 @@
 	if (!find_route(r))
 		return;
 	set_terms(r);
+	if (too_late_to_start(r)) {
+		fg_gwreq_refuse(r, "stopping", STOP_RETRY_MS);
+		return;
+	}
 	r->fingerprint = fingerprint_of(r);
 	if (fg_suspects_check(gw->suspects, r->arrived, r->fingerprint,
 			      &retry_ms) == FG_SUSPECT_REFUSE) {
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -110,6 +110,20 @@
 	buf->len = sizeof(read_buffer);
 }
 
+/*
+ * libuv reports the end of a stream also when a reset arrived right behind
+ * data, without reading again. The socket knows.
+ */
+static bool was_reset(const struct fg_link *l)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0)
+		return true;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct fg_link *l = stream->data;
@@ -120,7 +134,8 @@
 		l->ops->on_data(l->ctx, buf->base, (size_t)n);
 	} else if (n < 0) {
 		uv_read_stop(stream);
-		tell_end(l, n == UV_EOF ? FG_LINK_EOF : FG_LINK_RESET);
+		tell_end(l, n == UV_EOF && !was_reset(l) ? FG_LINK_EOF :
+							   FG_LINK_RESET);
 	}
 }
 
