Loads that can still be in time go first; a load too slow is refused

Change: wants younger than 400 ms go before older ones, most wanted first among each; a request whose load has not come after 2.2 s is told that it was not run and when to come back, instead of starting anew elsewhere. The registry's feed is read each 0.9 s.

--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -12,7 +12,8 @@
 /* Sends of one request, those that never ran included. */
 #define SENDS_MAX 6
 /* A request whose load is not told within this goes elsewhere. */
-#define LOAD_WAIT_MS 3000
+#define LOAD_WAIT_MS 2200
+#define RETRY_LOAD_MS 400
 #define ASK_AGAIN_MS 120
 #define PLACE_AGAIN_MS 40
 /* Endpoints looked at before waiting for one that can load. */
@@ -355,8 +356,11 @@
 	fg_ms now = fg_clock_now();
 	const struct fg_ep_adapter *a = fg_ep_adapter(r->ep, r->adapter);
 
-	if (!fg_ep_usable(r->ep, now) ||
-	    now - r->load_since > LOAD_WAIT_MS) {
+	if (now - r->load_since > LOAD_WAIT_MS) {
+		fg_gwreq_refuse(r, "load_too_slow", RETRY_LOAD_MS);
+		return;
+	}
+	if (!fg_ep_usable(r->ep, now)) {
 		note_tried(r);
 		fg_gwreq_place(r);
 		return;
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -19,7 +19,7 @@
 /* Least time between two answers of a feed: each call has its price, and
  * changes come in bursts. */
 #define CONFIG_GAP_MS 250
-#define REGISTRY_GAP_MS 500
+#define REGISTRY_GAP_MS 900
 #define OWN_GAP_MS 200
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 800
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -14,6 +14,9 @@
 #define REPORT_RETRY_MS 150
 /* After an order that the engine does not know. */
 #define REFUSED_WAIT_MS 1000
+/* A want of this age can still be loaded, and its prompt read, within the
+ * aims of 800 ms and more that model requests have. */
+#define YOUNG_MS 400
 /* Reloads of an adapter that the engine held before take a tenth of a load. */
 #define RELOAD_SHARE 10
 
@@ -325,9 +328,18 @@
 	return !g_hash_table_contains(s->held_once, &key);
 }
 
-/* The most wanted adapter: asks come from each waiting request and grow with
- * its wait. */
-static guint next_want(const struct fg_slots *s, bool store_open)
+/* Does `a` go before `b`? First those whose requests can still be answered
+ * within their aim, then the most wanted: asks come from each waiting request
+ * and grow with its wait. */
+static bool goes_first(const struct want *a, const struct want *b, fg_ms now)
+{
+	bool young_a = now - a->since < YOUNG_MS;
+	bool young_b = now - b->since < YOUNG_MS;
+
+	return young_a != young_b ? young_a : a->asks > b->asks;
+}
+
+static guint next_want(const struct fg_slots *s, fg_ms now, bool store_open)
 {
 	guint best = s->wants->len;
 
@@ -337,7 +349,8 @@
 		if (!store_open && is_fetch(s, w->key))
 			continue;
 		if (best == s->wants->len ||
-		    w->asks > g_array_index(s->wants, struct want, best).asks)
+		    goes_first(w, &g_array_index(s->wants, struct want, best),
+			       now))
 			best = i;
 	}
 	return best;
@@ -362,7 +375,7 @@
 static bool begin_want(struct fg_slots *s, fg_ms now, bool store_open,
 		       struct fg_slots_step *step)
 {
-	guint want = next_want(s, store_open);
+	guint want = next_want(s, now, store_open);
 	struct slot *slot;
 
 	if (want == s->wants->len || count(s, COMING) >= s->conf.coming_max)
