--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -24,12 +24,12 @@
 /* Costs closer than this are drawn by lot, lest all choose the same one. */
 #define TIE_MS 2.0
 
-static uint32_t running(const struct fg_ep *ep)
+static uint32_t running(const struct fg_fleet_ep *ep)
 {
 	return ep->running + ep->peers_running;
 }
 
-static uint32_t pending(const struct fg_ep *ep)
+static uint32_t pending(const struct fg_fleet_ep *ep)
 {
 	return ep->pending_tokens + ep->peers_pending_tokens;
 }
@@ -43,7 +43,7 @@
 	uint32_t n = 0;
 
 	for (guint i = 0; i < all->len; i++) {
-		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_fleet_ep *ep = all->pdata[i];
 
 		if (strcmp(ep->facts.service, service) != 0 ||
 		    !fg_ep_usable(ep, now))
@@ -54,7 +54,8 @@
 	return n == 0 ? 0 : sum / n;
 }
 
-static bool avoided(const struct fg_balance_ask *ask, const struct fg_ep *ep)
+static bool avoided(const struct fg_balance_ask *ask,
+		    const struct fg_fleet_ep *ep)
 {
 	for (uint32_t i = 0; i < ask->n_avoid; i++) {
 		if (ask->avoid[i] == ep)
@@ -67,8 +68,8 @@
 static uint32_t homes_wanted(const struct fg_balance_conf *conf,
 			     const struct fg_balance_ask *ask)
 {
-	double busy = ask->tokens_per_s / FG_MS_PER_S /
-		      conf->prefill_tokens_per_ms;
+	double busy =
+		ask->tokens_per_s / FG_MS_PER_S / conf->prefill_tokens_per_ms;
 
 	return 1 + (uint32_t)(busy / conf->home_share);
 }
@@ -77,14 +78,14 @@
  * places from `enough` on are not told apart. */
 static uint32_t rank_of(struct fg_fleet *f, fg_ms now,
 			const struct fg_balance_ask *ask,
-			const struct fg_ep *ep, uint32_t enough)
+			const struct fg_fleet_ep *ep, uint32_t enough)
 {
 	const GPtrArray *all = fg_fleet_all(f);
 	uint64_t own = fg_hash_mix(ep->hash, ask->adapter);
 	uint32_t before = 0;
 
 	for (guint i = 0; i < all->len && before < enough; i++) {
-		const struct fg_ep *other = all->pdata[i];
+		const struct fg_fleet_ep *other = all->pdata[i];
 
 		if (fg_hash_mix(other->hash, ask->adapter) > own &&
 		    strcmp(other->facts.service, ask->service) == 0 &&
@@ -97,7 +98,7 @@
 /* Part of the stray penalty: none at a home, half at the next one. */
 static double stray_share(struct fg_fleet *f, fg_ms now,
 			  const struct fg_balance_ask *ask,
-			  const struct fg_ep *ep, uint32_t homes)
+			  const struct fg_fleet_ep *ep, uint32_t homes)
 {
 	uint32_t rank = rank_of(f, now, ask, ep, homes + 1);
 
@@ -106,7 +107,7 @@
 	return rank == homes ? 0.5 : 1;
 }
 
-static bool holds(struct fg_ep *ep, uint64_t key)
+static bool holds(struct fg_fleet_ep *ep, uint64_t key)
 {
 	const struct fg_ep_adapter *a = fg_ep_adapter(ep, key);
 
@@ -115,9 +116,9 @@
 
 /* What it costs to have the adapter there: the load itself in *load_ms. */
 static double adapter_cost(const struct fg_balance_conf *conf,
-			   const struct fg_balance_ask *ask, struct fg_ep *ep,
-			   double stray, uint32_t homes, fg_ms now,
-			   bool *resident, double *load_ms)
+			   const struct fg_balance_ask *ask,
+			   struct fg_fleet_ep *ep, double stray, uint32_t homes,
+			   fg_ms now, bool *resident, double *load_ms)
 {
 	const struct fg_ep_adapter *a = fg_ep_adapter(ep, ask->adapter);
 	double cost = 0;
@@ -145,7 +146,7 @@
 }
 
 static double plain_wait(const struct fg_balance_conf *conf,
-			 const struct fg_ep *ep)
+			 const struct fg_fleet_ep *ep)
 {
 	uint32_t slots = MAX(ep->facts.slots, 1);
 
@@ -160,9 +161,9 @@
 };
 
 static struct cost cost_of(const struct fg_balance_conf *conf,
-			   const struct fg_balance_ask *ask, struct fg_ep *ep,
-			   double stray, uint32_t homes, fg_ms now,
-			   double errors)
+			   const struct fg_balance_ask *ask,
+			   struct fg_fleet_ep *ep, double stray, uint32_t homes,
+			   fg_ms now, double errors)
 {
 	struct cost c = { 0, 0, true };
 	double load_ms = 0;
@@ -205,7 +206,7 @@
 	uint64_t best_rank = 0;
 
 	for (guint i = 0; i < all->len; i++) {
-		struct fg_ep *ep = all->pdata[i];
+		struct fg_fleet_ep *ep = all->pdata[i];
 		struct cost c;
 		uint64_t rank;
 
@@ -213,9 +214,9 @@
 		    !fg_ep_usable(ep, now))
 			continue;
 		c = cost_of(conf, ask, ep,
-			    ask->adapter == 0 ?
-				    0 :
-				    stray_share(f, now, ask, ep, homes),
+			    ask->adapter == 0
+				    ? 0
+				    : stray_share(f, now, ask, ep, homes),
 			    homes, now, errors);
 		if (ask->resident_only && !c.resident)
 			continue;
@@ -239,7 +240,7 @@
 	uint64_t slots = 0;
 
 	for (guint i = 0; i < all->len; i++) {
-		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_fleet_ep *ep = all->pdata[i];
 
 		if (strcmp(ep->facts.service, service) != 0 ||
 		    !fg_ep_usable(ep, now))
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -33,9 +33,9 @@
 	uint32_t load_penalty_ms;     /* wait accepted to avoid a load */
 	uint32_t stray_penalty_ms;    /* ... a load at another than its homes */
 	double home_share; /* of an endpoint's time that one adapter may take */
-	uint32_t region_ms;	      /* round trip to another region */
-	uint32_t region_penalty_ms;   /* wait accepted to stay in the region */
-	uint32_t work_ms;	      /* of a plain request */
+	uint32_t region_ms;	    /* round trip to another region */
+	uint32_t region_penalty_ms; /* wait accepted to stay in the region */
+	uint32_t work_ms;	    /* of a plain request */
 };
 
 struct fg_balance_ask {
@@ -46,15 +46,15 @@
 	uint64_t model;	    /* its base model, which must be there */
 	uint32_t tokens;    /* of the prompt; 0 for plain requests */
 	double tokens_per_s; /* prompts of this adapter, all instances */
-	struct fg_ep *avoid[4]; /* tried before */
+	struct fg_fleet_ep *avoid[4]; /* tried before */
 	uint32_t n_avoid;
 	bool resident_only; /* no load may be asked for */
 };
 
 struct fg_balance_pick {
-	struct fg_ep *ep; /* NULL: none is usable */
-	uint32_t wait_ms; /* until it begins to answer */
-	bool resident;	  /* it holds the adapter */
+	struct fg_fleet_ep *ep; /* NULL: none is usable */
+	uint32_t wait_ms;	/* until it begins to answer */
+	bool resident;		/* it holds the adapter */
 };
 
 struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
--- a/lib/claim/fg_claim.c
+++ b/lib/claim/fg_claim.c
@@ -7,14 +7,18 @@
 #include "base/fg_rand.h"
 
 /* Rank added per level of nearness; above every hash. */
-enum near { ANYWHERE = 0, SAME_REGION = 1, SAME_DC = 2 };
+enum near {
+	ANYWHERE = 0,
+	SAME_REGION = 1,
+	SAME_DC = 2
+};
 
 struct claim {
-	uint64_t incarnation; /* of the holder; 0: no row */
-	uint64_t version;     /* of the row */
+	uint64_t incarnation;	 /* of the holder; 0: no row */
+	uint64_t version;	 /* of the row */
 	uint64_t fenced_version; /* refused by the engine */
-	fg_ms lost_at;	      /* this instance lost it; 0: never */
-	bool fresh;	      /* seen in the running full read */
+	fg_ms lost_at;		 /* this instance lost it; 0: never */
+	bool fresh;		 /* seen in the running full read */
 };
 
 struct fg_claims {
@@ -28,8 +32,8 @@
 
 	g_assert(self_incarnation != 0);
 	c->self = self_incarnation;
-	c->by_ep = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 g_free);
+	c->by_ep =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return c;
 }
 
@@ -109,7 +113,8 @@
 
 /* ---- Candidates ---- */
 
-static enum near nearness(const struct fg_claimant *m, const struct fg_ep *ep)
+static enum near nearness(const struct fg_claimant *m,
+			  const struct fg_fleet_ep *ep)
 {
 	if (strcmp(m->dc, ep->facts.dc) == 0)
 		return SAME_DC;
@@ -118,7 +123,7 @@
 	return ANYWHERE;
 }
 
-static const struct fg_claimant *first_candidate(const struct fg_ep *ep,
+static const struct fg_claimant *first_candidate(const struct fg_fleet_ep *ep,
 						 const struct fg_claimant *live,
 						 uint32_t n_live)
 {
@@ -141,9 +146,8 @@
 	return best;
 }
 
-static const struct fg_claimant *find_live(const struct fg_claimant *live,
-					   uint32_t n_live,
-					   uint64_t incarnation)
+static const struct fg_claimant *
+find_live(const struct fg_claimant *live, uint32_t n_live, uint64_t incarnation)
 {
 	for (uint32_t i = 0; i < n_live; i++) {
 		if (live[i].incarnation == incarnation)
@@ -153,8 +157,9 @@
 }
 
 /* Should this engine get another holder, and is that this instance? */
-static bool wants(const struct claim *cl, fg_ms now, const struct fg_ep *ep,
-		  const struct fg_claimant *live, uint32_t n_live)
+static bool wants(const struct claim *cl, fg_ms now,
+		  const struct fg_fleet_ep *ep, const struct fg_claimant *live,
+		  uint32_t n_live)
 {
 	const struct fg_claimant *holder =
 		find_live(live, n_live, cl->incarnation);
@@ -173,7 +178,7 @@
 }
 
 uint32_t fg_claims_wanted(struct fg_claims *c, fg_ms now,
-			  struct fg_ep *const *eps, uint32_t n_eps,
+			  struct fg_fleet_ep *const *eps, uint32_t n_eps,
 			  const struct fg_claimant *live, uint32_t n_live,
 			  struct fg_claim_write *out, uint32_t max)
 {
--- a/lib/claim/fg_claim.h
+++ b/lib/claim/fg_claim.h
@@ -56,7 +56,7 @@
 /* The engines that this instance should claim now; `eps` are the engines in
  * use. Returns how many were written to `out`. */
 uint32_t fg_claims_wanted(struct fg_claims *c, fg_ms now,
-			  struct fg_ep *const *eps, uint32_t n_eps,
+			  struct fg_fleet_ep *const *eps, uint32_t n_eps,
 			  const struct fg_claimant *live, uint32_t n_live,
 			  struct fg_claim_write *out, uint32_t max);
 
--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -8,8 +8,8 @@
 	fg_region_of region_of;
 	fg_ep_dropped dropped;
 	void *ctx;
-	GPtrArray *eps;	   /* struct fg_ep *, one reference each */
-	GHashTable *by_id; /* id -> struct fg_ep * */
+	GPtrArray *eps;	   /* struct fg_fleet_ep *, one reference each */
+	GHashTable *by_id; /* id -> struct fg_fleet_ep * */
 	GHashTable *fresh; /* ids put since read_begin; NULL outside */
 	bool up;
 	fg_ms up_since; /* end of the last outage; FG_MS_NEVER: none yet */
@@ -35,7 +35,7 @@
 	return f;
 }
 
-static void drop(struct fg_fleet *f, struct fg_ep *ep)
+static void drop(struct fg_fleet *f, struct fg_fleet_ep *ep)
 {
 	g_hash_table_remove(f->by_id, ep->facts.id);
 	g_ptr_array_remove_fast(f->eps, ep);
@@ -55,13 +55,13 @@
 	g_free(f);
 }
 
-struct fg_ep *fg_ep_ref(struct fg_ep *ep)
+struct fg_fleet_ep *fg_ep_ref(struct fg_fleet_ep *ep)
 {
 	ep->refs++;
 	return ep;
 }
 
-void fg_ep_unref(struct fg_ep *ep)
+void fg_ep_unref(struct fg_fleet_ep *ep)
 {
 	g_assert(ep->refs > 0);
 	if (--ep->refs == 0)
@@ -96,9 +96,9 @@
 
 /* ---- Entries ---- */
 
-static struct fg_ep *ep_new(struct fg_fleet *f, fg_ms now, const char *id)
+static struct fg_fleet_ep *ep_new(struct fg_fleet *f, fg_ms now, const char *id)
 {
-	struct fg_ep *ep = g_new0(struct fg_ep, 1);
+	struct fg_fleet_ep *ep = g_new0(struct fg_fleet_ep, 1);
 
 	g_strlcpy(ep->facts.id, id, sizeof(ep->facts.id));
 	ep->hash = fg_hash_str(id);
@@ -111,7 +111,7 @@
 }
 
 /* A new start under the same id knows nothing of the one before. */
-static void forget_start(struct fg_ep *ep)
+static void forget_start(struct fg_fleet_ep *ep)
 {
 	ep->n_adapters = 0;
 	ep->told = 0;
@@ -122,10 +122,10 @@
 	ep->addr_taken = false;
 }
 
-struct fg_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
-			   const struct fg_ep_facts *facts)
+struct fg_fleet_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
+				 const struct fg_ep_facts *facts)
 {
-	struct fg_ep *ep = g_hash_table_lookup(f->by_id, facts->id);
+	struct fg_fleet_ep *ep = g_hash_table_lookup(f->by_id, facts->id);
 
 	if (ep == NULL) {
 		ep = ep_new(f, now, facts->id);
@@ -143,7 +143,7 @@
 	return ep;
 }
 
-static void unlist(struct fg_fleet *f, struct fg_ep *ep, fg_ms now)
+static void unlist(struct fg_fleet *f, struct fg_fleet_ep *ep, fg_ms now)
 {
 	if (!ep->listed)
 		return;
@@ -154,7 +154,7 @@
 
 void fg_fleet_remove(struct fg_fleet *f, fg_ms now, const char *id)
 {
-	struct fg_ep *ep = g_hash_table_lookup(f->by_id, id);
+	struct fg_fleet_ep *ep = g_hash_table_lookup(f->by_id, id);
 
 	if (ep != NULL)
 		unlist(f, ep, now);
@@ -164,15 +164,14 @@
 {
 	if (f->fresh != NULL)
 		g_hash_table_unref(f->fresh);
-	f->fresh =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->fresh = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void fg_fleet_read_end(struct fg_fleet *f, fg_ms now)
 {
 	g_assert(f->fresh != NULL);
 	for (guint i = 0; i < f->eps->len; i++) {
-		struct fg_ep *ep = f->eps->pdata[i];
+		struct fg_fleet_ep *ep = f->eps->pdata[i];
 
 		if (!g_hash_table_contains(f->fresh, ep->facts.id))
 			unlist(f, ep, now);
@@ -184,22 +183,22 @@
 void fg_fleet_tick(struct fg_fleet *f, fg_ms now)
 {
 	for (guint i = f->eps->len; i > 0; i--) {
-		struct fg_ep *ep = f->eps->pdata[i - 1];
+		struct fg_fleet_ep *ep = f->eps->pdata[i - 1];
 
 		if (!ep->listed && now >= ep->lapsed_until && ep->running == 0)
 			drop(f, ep);
 	}
 }
 
-struct fg_ep *fg_fleet_find(struct fg_fleet *f, const char *id)
+struct fg_fleet_ep *fg_fleet_find(struct fg_fleet *f, const char *id)
 {
 	return g_hash_table_lookup(f->by_id, id);
 }
 
-struct fg_ep *fg_fleet_find_hash(struct fg_fleet *f, uint64_t hash)
+struct fg_fleet_ep *fg_fleet_find_hash(struct fg_fleet *f, uint64_t hash)
 {
 	for (guint i = 0; i < f->eps->len; i++) {
-		struct fg_ep *ep = f->eps->pdata[i];
+		struct fg_fleet_ep *ep = f->eps->pdata[i];
 
 		if (ep->hash == hash)
 			return ep;
@@ -212,7 +211,7 @@
 	return f->eps;
 }
 
-bool fg_ep_usable(const struct fg_ep *ep, fg_ms now)
+bool fg_ep_usable(const struct fg_fleet_ep *ep, fg_ms now)
 {
 	if (ep->facts.draining || ep->addr_taken)
 		return false;
@@ -226,7 +225,7 @@
 	return fg_hash_mix(fg_hash_str(model), fg_hash_str(adapter));
 }
 
-struct fg_ep_adapter *fg_ep_adapter(struct fg_ep *ep, uint64_t key)
+struct fg_ep_adapter *fg_ep_adapter(struct fg_fleet_ep *ep, uint64_t key)
 {
 	for (uint32_t i = 0; i < ep->n_adapters; i++) {
 		if (ep->adapters[i].key == key)
@@ -236,7 +235,7 @@
 }
 
 /* The entry to give up: not resident, not in use, unused for longest. */
-static struct fg_ep_adapter *oldest(struct fg_ep *ep)
+static struct fg_ep_adapter *oldest(struct fg_fleet_ep *ep)
 {
 	struct fg_ep_adapter *best = NULL;
 
@@ -251,7 +250,7 @@
 	return best;
 }
 
-struct fg_ep_adapter *fg_ep_adapter_get(struct fg_ep *ep, fg_ms now,
+struct fg_ep_adapter *fg_ep_adapter_get(struct fg_fleet_ep *ep, fg_ms now,
 					uint64_t key)
 {
 	struct fg_ep_adapter *a = fg_ep_adapter(ep, key);
@@ -270,8 +269,8 @@
 	return a;
 }
 
-void fg_ep_set_resident(struct fg_ep *ep, fg_ms now, const struct fg_held *held,
-			uint32_t n)
+void fg_ep_set_resident(struct fg_fleet_ep *ep, fg_ms now,
+			const struct fg_fleet_held *held, uint32_t n)
 {
 	for (uint32_t i = 0; i < ep->n_adapters; i++)
 		ep->adapters[i].version = 0;
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -53,25 +53,25 @@
 
 /* An adapter that the endpoint holds or held, as seen from this instance. */
 struct fg_ep_adapter {
-	uint64_t key; /* fg_adapter_key() */
-	uint64_t version; /* 0 when not resident */
-	fg_ms used;	  /* last use by any instance heard of */
-	fg_ms seen;	  /* last time it was resident; 0: never */
-	fg_ms coming;	  /* last time it was on its way; 0: never */
-	uint32_t running; /* own requests in flight */
+	uint64_t key;		 /* fg_adapter_key() */
+	uint64_t version;	 /* 0 when not resident */
+	fg_ms used;		 /* last use by any instance heard of */
+	fg_ms seen;		 /* last time it was resident; 0: never */
+	fg_ms coming;		 /* last time it was on its way; 0: never */
+	uint32_t running;	 /* own requests in flight */
 	uint32_t pending_tokens; /* of these, to be read before a first token */
-	fg_ms told;	  /* last time the owner was told of them */
+	fg_ms told;		 /* last time the owner was told of them */
 };
 
 #define FG_EP_ADAPTERS_MAX 48
 
-struct fg_ep {
+struct fg_fleet_ep {
 	struct fg_ep_facts facts;
 	uint64_t hash; /* of the id; names it between instances */
 	char region[FG_FLEET_NAME_BYTES];
-	bool listed;	      /* its entry exists */
-	fg_ms lapsed_until;   /* entry removed in an outage: usable until */
-	bool addr_taken;      /* another endpoint answers at its address */
+	bool listed;	    /* its entry exists */
+	fg_ms lapsed_until; /* entry removed in an outage: usable until */
+	bool addr_taken;    /* another endpoint answers at its address */
 	fg_ms known_since;
 
 	/* In flight from this instance. */
@@ -90,10 +90,10 @@
 	struct fg_ep_adapter adapters[FG_EP_ADAPTERS_MAX];
 	uint32_t n_adapters;
 	/* Told by the instance that orders its loads. */
-	uint64_t owner; /* 0: none known */
-	fg_ms told;	/* when its resident adapters were last told */
-	uint32_t spare_age_ms; /* idle time of the slot that would be freed */
-	uint32_t queue;	       /* adapters that wait for a slot or a load */
+	uint64_t owner;		/* 0: none known */
+	fg_ms told;		/* when its resident adapters were last told */
+	uint32_t spare_age_ms;	/* idle time of the slot that would be freed */
+	uint32_t queue;		/* adapters that wait for a slot or a load */
 	uint32_t fetch_wait_ms; /* until a load from the weight store begins */
 
 	void *user; /* of the runtime: connections */
@@ -103,7 +103,7 @@
 struct fg_fleet;
 
 typedef const char *(*fg_region_of)(void *ctx, const char *dc);
-typedef void (*fg_ep_dropped)(void *ctx, struct fg_ep *ep);
+typedef void (*fg_ep_dropped)(void *ctx, struct fg_fleet_ep *ep);
 
 /* `region_of` maps a data centre to its region (never NULL); `dropped` is
  * told when an endpoint leaves the fleet for good. */
@@ -116,8 +116,8 @@
 void fg_fleet_registry_down(struct fg_fleet *f, fg_ms now);
 
 /* An entry was written or removed. */
-struct fg_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
-			   const struct fg_ep_facts *facts);
+struct fg_fleet_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
+				 const struct fg_ep_facts *facts);
 void fg_fleet_remove(struct fg_fleet *f, fg_ms now, const char *id);
 
 /* A full read: every endpoint that is not put between begin and end counts
@@ -128,34 +128,34 @@
 /* Forgets endpoints that are gone; call it a few times a second. */
 void fg_fleet_tick(struct fg_fleet *f, fg_ms now);
 
-struct fg_ep *fg_fleet_find(struct fg_fleet *f, const char *id);
-struct fg_ep *fg_fleet_find_hash(struct fg_fleet *f, uint64_t hash);
+struct fg_fleet_ep *fg_fleet_find(struct fg_fleet *f, const char *id);
+struct fg_fleet_ep *fg_fleet_find_hash(struct fg_fleet *f, uint64_t hash);
 
-/* All endpoints, in no order (struct fg_ep *). */
+/* All endpoints, in no order (struct fg_fleet_ep *). */
 const GPtrArray *fg_fleet_all(const struct fg_fleet *f);
 
 /* May a new request be sent to it? */
-bool fg_ep_usable(const struct fg_ep *ep, fg_ms now);
+bool fg_ep_usable(const struct fg_fleet_ep *ep, fg_ms now);
 
 /* References keep a record that was dropped alive. */
-struct fg_ep *fg_ep_ref(struct fg_ep *ep);
-void fg_ep_unref(struct fg_ep *ep);
+struct fg_fleet_ep *fg_ep_ref(struct fg_fleet_ep *ep);
+void fg_ep_unref(struct fg_fleet_ep *ep);
 
 uint64_t fg_adapter_key(const char *model, const char *adapter);
 
 /* The record of an adapter at the endpoint; NULL when it never was there. */
-struct fg_ep_adapter *fg_ep_adapter(struct fg_ep *ep, uint64_t key);
+struct fg_ep_adapter *fg_ep_adapter(struct fg_fleet_ep *ep, uint64_t key);
 
 /* The same, made when missing: the one unused for longest makes way. */
-struct fg_ep_adapter *fg_ep_adapter_get(struct fg_ep *ep, fg_ms now,
+struct fg_ep_adapter *fg_ep_adapter_get(struct fg_fleet_ep *ep, fg_ms now,
 					uint64_t key);
 
 /* Replaces what is resident. */
-struct fg_held {
+struct fg_fleet_held {
 	uint64_t key;
 	uint64_t version;
 };
-void fg_ep_set_resident(struct fg_ep *ep, fg_ms now, const struct fg_held *held,
-			uint32_t n);
+void fg_ep_set_resident(struct fg_fleet_ep *ep, fg_ms now,
+			const struct fg_fleet_held *held, uint32_t n);
 
 #endif
--- a/lib/gateway/fg_events.c
+++ b/lib/gateway/fg_events.c
@@ -77,8 +77,8 @@
 	size_t n;
 
 	g_string_append_len(e->rest, data, (gssize)len_bytes);
-	while ((n = event_length(e->rest->str + whole,
-				 e->rest->len - whole)) > 0) {
+	while ((n = event_length(e->rest->str + whole, e->rest->len - whole)) >
+	       0) {
 		read_lines(e, e->rest->str + whole, n);
 		e->whole++;
 		whole += n;
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -253,7 +253,7 @@
 	return fg_gwconf_region(gw->conf, dc);
 }
 
-static void on_dropped(void *ctx, struct fg_ep *ep)
+static void on_dropped(void *ctx, struct fg_fleet_ep *ep)
 {
 	fg_log(FG_LOG_INFO, "endpoint", "gone", "endpoint", ep->facts.id, NULL);
 	fg_ep_user_drop(ctx, ep);
@@ -392,8 +392,7 @@
 void fg_gateway_free(struct fg_gateway *gw)
 {
 	while (gw->callers->len > 0) {
-		struct fg_caller *c =
-			gw->callers->pdata[gw->callers->len - 1];
+		struct fg_caller *c = gw->callers->pdata[gw->callers->len - 1];
 
 		fg_caller_close(c, false);
 		fg_caller_sweep(gw, fg_clock_now());
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -17,6 +17,7 @@
 #include <uv.h>
 
 #include "admit/fg_admit.h"
+#include "admit/fg_loss.h"
 #include "balance/fg_balance.h"
 #include "base/fg_clock.h"
 #include "base/fg_rand.h"
@@ -67,10 +68,10 @@
 	GByteArray *unread; /* bytes behind the current request */
 	GByteArray *body;
 	struct fg_gwreq *req; /* in progress */
-	fg_ms since;	    /* begin of the current wait: head or idle */
-	guint index;	    /* in gw->callers */
-	bool bad;	    /* its last message was refused as malformed */
-	bool last;	    /* no further request on this connection */
+	fg_ms since;	      /* begin of the current wait: head or idle */
+	guint index;	      /* in gw->callers */
+	bool bad;	      /* its last message was refused as malformed */
+	bool last;	      /* no further request on this connection */
 };
 
 void fg_caller_accept(uv_stream_t *listener, int status);
@@ -110,26 +111,27 @@
 	uint64_t fingerprint;
 	uint64_t number; /* of this process */
 	fg_ms arrived;
-	fg_ms end_at; /* final answer at the latest */
-	fg_ms step_at; /* of the state; FG_MS_NEVER */
+	fg_ms end_at;	  /* final answer at the latest */
+	fg_ms step_at;	  /* of the state; FG_MS_NEVER */
 	fg_ms load_since; /* begin of the wait for a load */
 	uv_timer_t *timer;
 	enum fg_gwreq_state state;
-	struct fg_ep *ep; /* reference; of the load or the send */
+	struct fg_fleet_ep *ep;	   /* reference; of the load or the send */
 	struct fg_ep_adapter *use; /* counted as running there */
 	struct fg_up *up;	   /* of the send */
-	struct fg_ep *tried[FG_GWREQ_TRIED_MAX];
+	struct fg_fleet_ep *tried[FG_GWREQ_TRIED_MAX];
 	uint32_t n_tried;
-	uint32_t sends; /* to endpoints */
-	uint32_t runs;	/* sends that may have run */
-	uint32_t expected_ms; /* until the first token, at the send */
+	uint32_t sends;		 /* to endpoints */
+	uint32_t runs;		 /* sends that may have run */
+	uint32_t expected_ms;	 /* until the first token, at the send */
 	uint32_t pending_tokens; /* counted at ep while nothing came */
 	fg_ms sent_at;
-	fg_ms first_at; /* first part of the answer; 0: none came */
-	bool unsure; /* a send may have run, or may run still */
-	bool head_sent; /* the answer's head went to the caller */
-	bool no_length; /* ... in chunks */
-	bool first_seen; /* the first event or the head of a plain answer came */
+	fg_ms first_at;	 /* first part of the answer; 0: none came */
+	bool unsure;	 /* a send may have run, or may run still */
+	bool head_sent;	 /* the answer's head went to the caller */
+	bool no_length;	 /* ... in chunks */
+	bool first_seen; /* the first event or the head of a plain answer came
+			  */
 	struct fg_events events;
 	GString *answer; /* body of a plain answer */
 	guint index;	 /* in gw->reqs */
@@ -141,12 +143,15 @@
 /* The caller left. */
 void fg_gwreq_cancel(struct fg_gwreq *r);
 
+/* Sets the timer to the next of r->step_at and r->end_at. */
+void fg_gwreq_arm(struct fg_gwreq *r);
+
 /* Its first token came: its prompt waits no longer at the endpoint. */
 void fg_gwreq_no_longer_pending(struct fg_gwreq *r);
 
 /* One log line about the request: what decided it and how long it took. */
 void fg_gwreq_log(const struct fg_gwreq *r, enum fg_log_level level,
-		const char *event, const char *reason);
+		  const char *event, const char *reason);
 
 /* Ends the request; with `give_back` the caller's connection goes on. */
 void fg_gwreq_end(struct fg_gwreq *r);
@@ -159,10 +164,11 @@
 void fg_gwreq_place(struct fg_gwreq *r);
 
 /* The adapters at `ep` changed: requests that wait for them go on. */
-void fg_gwreq_resident(struct fg_gateway *gw, struct fg_ep *ep);
+void fg_gwreq_resident(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
 /* The instance that orders `ep` cannot load the adapter now. */
-void fg_gwreq_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter);
+void fg_gwreq_no_load(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+		      uint64_t adapter);
 
 uint32_t fg_gwreq_left_ms(const struct fg_gwreq *r, fg_ms now);
 
@@ -177,14 +183,14 @@
 enum fg_send_end {
 	FG_SEND_NOT_SENT = 1, /* no byte reached the endpoint */
 	FG_SEND_NOT_RUN = 2,  /* the endpoint says that it did not run it */
-	FG_SEND_ABSENT = 3,   /* ... since model, adapter or version is absent */
-	FG_SEND_ERROR = 4,    /* the endpoint failed it */
-	FG_SEND_BROKEN = 5,   /* no whole answer: it may have run */
+	FG_SEND_ABSENT = 3, /* ... since model, adapter or version is absent */
+	FG_SEND_ERROR = 4,  /* the endpoint failed it */
+	FG_SEND_BROKEN = 5, /* no whole answer: it may have run */
 };
 
 struct fg_up {
 	struct fg_gateway *gw;
-	struct fg_ep *ep; /* reference */
+	struct fg_fleet_ep *ep; /* reference */
 	struct fg_link *link;
 	struct fg_h1 h1;
 	struct fg_gwreq *req; /* NULL while idle */
@@ -195,7 +201,7 @@
 	bool reused;
 	bool head_seen;
 	bool skip; /* this answer belongs to no request */
-	struct fg_reply reply;
+	struct fg_wire_reply reply;
 	unsigned int status;
 };
 
@@ -203,6 +209,7 @@
 struct fg_ep_user {
 	GPtrArray *idle; /* struct fg_up *, latest last */
 	fg_ms heard;	 /* last byte from it */
+	struct fg_losses losses;
 	/* As the one that orders its loads; NULL otherwise. */
 	struct fg_slots *slots;
 	struct fg_uses uses; /* of all instances but this one */
@@ -211,22 +218,29 @@
 	uint64_t fence;
 	bool reporting;
 	struct fg_gateway *gw;
-	struct fg_ep *ep;
+	struct fg_fleet_ep *ep;
 	struct fg_ep_facts told; /* as of the last reset */
 };
 
-struct fg_ep_user *fg_ep_user_of(struct fg_gateway *gw, struct fg_ep *ep);
-void fg_ep_user_drop(struct fg_gateway *gw, struct fg_ep *ep);
+struct fg_ep_user *fg_ep_user_of(struct fg_gateway *gw, struct fg_fleet_ep *ep);
+/* The endpoint proved to have ended: requests lost there may be why. */
+void fg_ep_user_died(struct fg_ep_user *u);
+
+void fg_ep_user_drop(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
 /* Sends the request to r->ep. */
 void fg_send_start(struct fg_gwreq *r);
 
+/* The time r->step_at passed while the request is sent: no connection, or no
+ * first part of an answer. */
+void fg_send_overdue(struct fg_gwreq *r, fg_ms now);
+
 /* Takes the request off its connection; the endpoint sees it closed. */
 void fg_send_cancel(struct fg_gwreq *r);
 
 /* The request's sending ended without an answer for the caller. */
 void fg_gwreq_send_ended(struct fg_gwreq *r, enum fg_send_end end,
-		       const char *why);
+			 const char *why);
 
 /* The answer's parts, from the connection; false: it is no proper answer. */
 bool fg_answer_head(struct fg_gwreq *r, const struct fg_h1_head *head);
@@ -248,11 +262,11 @@
 	const char *table;
 	struct fg_channel *channel;
 	uv_timer_t *timer;
-	uint64_t after;	 /* version read so far */
+	uint64_t after;	       /* version read so far */
 	uint64_t read_version; /* of the first page of a full read */
-	char *from;	 /* next key of a full read */
-	bool reading;	 /* full read, else feed */
-	bool complete;	 /* one full read is done */
+	char *from;	       /* next key of a full read */
+	bool reading;	       /* full read, else feed */
+	bool complete;	       /* one full read is done */
 	fg_ms sent_at;
 	fg_ms confirmed; /* last answer */
 	uint32_t failures;
@@ -265,22 +279,21 @@
 /* ---- Orders ---- */
 
 void fg_orders_check(struct fg_gateway *gw, fg_ms now);
-void fg_orders_kick(struct fg_gateway *gw, struct fg_ep *ep);
+void fg_orders_kick(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
 /* Have the adapter loaded at the endpoint, here or by its owner. */
-enum fg_slot_state fg_orders_want(struct fg_gateway *gw, struct fg_ep *ep,
+enum fg_slot_state fg_orders_want(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 				  const char *model, const char *adapter,
 				  uint64_t version);
 
 /* What this instance has in flight there, of one adapter, changed. */
-void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep,
+void fg_orders_used(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		    struct fg_ep_adapter *a);
 
 /* Another instance told what it has in flight at an engine ordered here. */
-void fg_orders_take_use(struct fg_gateway *gw, struct fg_ep *ep,
+void fg_orders_take_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 			const struct fg_use *use);
-void fg_orders_announced(struct fg_gateway *gw, uint64_t key,
-			 uint64_t version);
+void fg_orders_announced(struct fg_gateway *gw, uint64_t key, uint64_t version);
 void fg_orders_drop(struct fg_ep_user *u);
 
 /* ---- Mesh ---- */
@@ -289,11 +302,11 @@
 void fg_mesh_tell_crash(struct fg_gateway *gw, const fg_mesh_crash *crash);
 void fg_mesh_tick(struct fg_gateway *gw, fg_ms now);
 void fg_mesh_beat_now(struct fg_gateway *gw);
-void fg_mesh_send_use(struct fg_gateway *gw, struct fg_ep *ep,
+void fg_mesh_send_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		      struct fg_ep_adapter *a);
-void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner, struct fg_ep *ep,
-		      const char *model, const char *adapter,
-		      uint64_t version);
+void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner,
+		      struct fg_fleet_ep *ep, const char *model,
+		      const char *adapter, uint64_t version);
 
 /* ---- Pages ---- */
 
@@ -331,7 +344,7 @@
 	uint32_t n_claiming;
 	fg_ms own_since; /* first time that the own table was known; 0: never */
 	bool claims_checked; /* ... and since the last pause of the process */
-	fg_ms tx_at;	 /* no transaction before */
+	fg_ms tx_at;	     /* no transaction before */
 
 	struct fg_routes *routes; /* NULL before the first configuration */
 	GHashTable *versions;	  /* key -> struct fg_wanted_version * */
@@ -356,7 +369,7 @@
 	fg_ms ticked;
 	bool stopping;
 	fg_ms stopping_since;
-	fg_ms stop_at; /* exits at the latest */
+	fg_ms stop_at;	   /* exits at the latest */
 	fg_ms quiet_since; /* no request since, while stopping */
 
 	struct fg_metrics *metrics;
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -69,9 +69,10 @@
 }
 
 /* The endpoint refused, and says that it did not run the request. */
-static void refused(struct fg_gwreq *r, const struct fg_reply *reply, fg_ms now)
+static void refused(struct fg_gwreq *r, const struct fg_wire_reply *reply,
+		    fg_ms now)
 {
-	struct fg_ep *ep = r->ep;
+	struct fg_fleet_ep *ep = r->ep;
 
 	if (!reply->misdirected) {
 		fg_health_answered(ep, now, true);
@@ -91,7 +92,7 @@
 
 bool fg_answer_head(struct fg_gwreq *r, const struct fg_h1_head *head)
 {
-	const struct fg_reply *reply = &r->up->reply;
+	const struct fg_wire_reply *reply = &r->up->reply;
 	fg_ms now = fg_clock_now();
 
 	if (reply->not_run || reply->misdirected) {
@@ -189,9 +190,9 @@
 
 	write_head(r, head, out);
 	if (r->head->method == HTTP_HEAD && head->length_bytes >= 0)
-		g_string_append_printf(out,
-				       "Content-Length: %" G_GINT64_FORMAT "\r\n",
-				       (gint64)head->length_bytes);
+		g_string_append_printf(
+			out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
+			(gint64)head->length_bytes);
 	else if (head->status != HTTP_STATUS_NO_CONTENT &&
 		 head->status != HTTP_STATUS_NOT_MODIFIED)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -116,8 +116,7 @@
 	struct fg_caller *c = ctx;
 	const char *expect = fg_h1_get(head, "Expect");
 
-	if (expect != NULL &&
-	    g_ascii_strcasecmp(expect, "100-continue") == 0)
+	if (expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0)
 		fg_link_write(c->link, go_on, sizeof(go_on) - 1);
 	return true;
 }
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -62,19 +62,17 @@
 	uint32_t n = 0;
 
 	for (guint i = 0; i < gw->crashes->len && n < CRASHES_MAX; i++)
-		b->crashes[n++] = g_array_index(gw->crashes, struct told_crash,
-						i)
-					  .crash;
+		b->crashes[n++] =
+			g_array_index(gw->crashes, struct told_crash, i).crash;
 	return n;
 }
 
-static void put_own(const struct fg_ep *ep, fg_mesh_own *own,
+static void put_own(const struct fg_fleet_ep *ep, fg_mesh_own *own,
 		    fg_mesh_held *held)
 {
 	uint32_t n = 0;
 
-	for (uint32_t i = 0;
-	     i < ep->n_adapters && n < HELD_MAX; i++) {
+	for (uint32_t i = 0; i < ep->n_adapters && n < HELD_MAX; i++) {
 		if (ep->adapters[i].version == 0 &&
 		    (ep->adapters[i].coming == 0 ||
 		     ep->adapters[i].coming != ep->told))
@@ -99,7 +97,7 @@
 	uint32_t n = 0;
 
 	for (; *at < all->len && n < OWNS_MAX; (*at)++) {
-		const struct fg_ep *ep = all->pdata[*at];
+		const struct fg_fleet_ep *ep = all->pdata[*at];
 		const struct fg_ep_user *u = ep->user;
 
 		if (u == NULL || u->slots == NULL)
@@ -116,7 +114,7 @@
 	const GPtrArray *peers = fg_peers_all(gw->peers);
 
 	for (guint i = 0; i < peers->len; i++) {
-		const struct fg_peer *p = peers->pdata[i];
+		const struct fg_mesh_peer *p = peers->pdata[i];
 
 		if (p->near == near)
 			send_packet(gw, p->row.mesh, packet);
@@ -153,7 +151,7 @@
 	} while (beat->owns.owns_len == OWNS_MAX);
 }
 
-static void put_use(fg_mesh_use *use, const struct fg_ep *ep,
+static void put_use(fg_mesh_use *use, const struct fg_fleet_ep *ep,
 		    const struct fg_ep_adapter *a)
 {
 	use->ep = ep->hash;
@@ -162,10 +160,10 @@
 	use->pending_tokens = a->pending_tokens;
 }
 
-void fg_mesh_send_use(struct fg_gateway *gw, struct fg_ep *ep,
+void fg_mesh_send_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		      struct fg_ep_adapter *a)
 {
-	const struct fg_peer *peer = fg_peers_find(gw->peers, ep->owner);
+	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, ep->owner);
 	fg_mesh_packet packet;
 	fg_mesh_use use;
 
@@ -180,7 +178,7 @@
 }
 
 /* Repeats to one owner what is in flight at its engines. */
-static void repeat_uses(struct fg_gateway *gw, const struct fg_peer *peer,
+static void repeat_uses(struct fg_gateway *gw, const struct fg_mesh_peer *peer,
 			fg_ms now)
 {
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
@@ -189,14 +187,15 @@
 	uint32_t n = 0;
 
 	for (guint i = 0; i < all->len; i++) {
-		struct fg_ep *ep = all->pdata[i];
+		struct fg_fleet_ep *ep = all->pdata[i];
 
 		if (ep->owner != peer->row.incarnation)
 			continue;
 		for (uint32_t k = 0; k < ep->n_adapters && n < USES_MAX; k++) {
 			struct fg_ep_adapter *a = &ep->adapters[k];
 
-			if (a->running == 0 || now - a->told < FG_USES_REPEAT_MS)
+			if (a->running == 0 ||
+			    now - a->told < FG_USES_REPEAT_MS)
 				continue;
 			a->told = now;
 			put_use(&list[n++], ep, a);
@@ -221,8 +220,8 @@
 static void age_crashes(struct fg_gateway *gw)
 {
 	for (guint i = gw->crashes->len; i > 0; i--) {
-		struct told_crash *t = &g_array_index(gw->crashes,
-						      struct told_crash, i - 1);
+		struct told_crash *t =
+			&g_array_index(gw->crashes, struct told_crash, i - 1);
 
 		if (--t->left == 0)
 			g_array_remove_index_fast(gw->crashes, i - 1);
@@ -241,10 +240,11 @@
 	near_beat(gw, fg_clock_now());
 }
 
-void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner, struct fg_ep *ep,
-		      const char *model, const char *adapter, uint64_t version)
+void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner,
+		      struct fg_fleet_ep *ep, const char *model,
+		      const char *adapter, uint64_t version)
 {
-	const struct fg_peer *peer = fg_peers_find(gw->peers, owner);
+	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, owner);
 	fg_mesh_packet packet;
 	fg_mesh_ask *ask = &packet.body.fg_mesh_body_u.ask;
 
@@ -267,7 +267,7 @@
 
 	for (u_int i = 0; i < uses->list.list_len; i++) {
 		const fg_mesh_use *m = &uses->list.list_val[i];
-		struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, m->ep);
+		struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, m->ep);
 		struct fg_use use = {
 			.instance = packet->incarnation,
 			.adapter = m->adapter,
@@ -284,12 +284,11 @@
 static void take_own(struct fg_gateway *gw, uint64_t sender,
 		     const fg_mesh_own *own, fg_ms now)
 {
-	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, own->ep);
-	struct fg_held held[FG_MESH_HELD_MAX];
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, own->ep);
+	struct fg_fleet_held held[FG_MESH_HELD_MAX];
 	uint32_t n = 0;
 
-	if (ep == NULL ||
-	    fg_claims_holder(gw->claims, ep->facts.id) != sender)
+	if (ep == NULL || fg_claims_holder(gw->claims, ep->facts.id) != sender)
 		return;
 	for (u_int i = 0; i < own->held.held_len; i++) {
 		const fg_mesh_held *h = &own->held.held_val[i];
@@ -312,9 +311,8 @@
 	ep->fetch_wait_ms = own->fetch_wait_ms;
 	/* The totals hold what this instance told the owner. */
 	ep->peers_running = own->running - MIN(own->running, ep->running);
-	ep->peers_pending_tokens =
-		own->pending_tokens -
-		MIN(own->pending_tokens, ep->pending_tokens);
+	ep->peers_pending_tokens = own->pending_tokens -
+				   MIN(own->pending_tokens, ep->pending_tokens);
 	fg_gwreq_resident(gw, ep);
 }
 
@@ -335,7 +333,8 @@
 		      fg_ms now)
 {
 	const fg_mesh_beat *beat = &packet->body.fg_mesh_body_u.beat;
-	struct fg_peer *peer = fg_peers_find(gw->peers, packet->incarnation);
+	struct fg_mesh_peer *peer =
+		fg_peers_find(gw->peers, packet->incarnation);
 
 	if (peer == NULL)
 		return;
@@ -351,7 +350,7 @@
 		     const char *from)
 {
 	const fg_mesh_ask *ask = &packet->body.fg_mesh_body_u.ask;
-	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, ask->ep);
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, ask->ep);
 	struct fg_ep_user *u = ep == NULL ? NULL : ep->user;
 	fg_mesh_packet reply;
 	fg_mesh_told *told = &reply.body.fg_mesh_body_u.told;
@@ -380,7 +379,7 @@
 		      fg_ms now)
 {
 	const fg_mesh_told *told = &packet->body.fg_mesh_body_u.told;
-	struct fg_ep *ep = fg_fleet_find_hash(gw->fleet, told->ep);
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, told->ep);
 	struct fg_ep_adapter *a;
 
 	if (ep == NULL)
@@ -445,9 +444,9 @@
 
 void fg_mesh_tick(struct fg_gateway *gw, fg_ms now)
 {
-	fg_ms least_ms = MAX(NEAR_MIN_MS,
-			     NEAR_MS_PER_PEER *
-				     (fg_ms)fg_peers_all(gw->peers)->len);
+	fg_ms least_ms =
+		MAX(NEAR_MIN_MS,
+		    NEAR_MS_PER_PEER * (fg_ms)fg_peers_all(gw->peers)->len);
 
 	repeat_all_uses(gw, now);
 	if (now - gw->near_beat_at >= NEAR_MAX_MS ||
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -41,7 +41,7 @@
 
 	*waiting = 0;
 	for (guint i = 0; i < all->len; i++) {
-		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_fleet_ep *ep = all->pdata[i];
 		const struct fg_ep_user *u = ep->user;
 
 		if (u == NULL || u->slots == NULL)
@@ -55,13 +55,13 @@
 /* Takes over what the slots say; true when it changed. */
 static bool publish(struct fg_ep_user *u, fg_ms now)
 {
-	struct fg_held held[FG_SLOTS_MAX + 1];
+	struct fg_fleet_held held[FG_SLOTS_MAX + 1];
 	uint32_t n = fg_slots_held(u->slots, held);
 	uint32_t same = 0;
 	uint32_t before = 0;
 	uint32_t running;
 	uint32_t waiting;
-	struct fg_ep *ep = u->ep;
+	struct fg_fleet_ep *ep = u->ep;
 
 	for (uint32_t i = 0; i < n; i++) {
 		const struct fg_ep_adapter *a = fg_ep_adapter(ep, held[i].key);
@@ -86,7 +86,7 @@
 static void changed(struct fg_ep_user *u)
 {
 	struct fg_gateway *gw = u->gw;
-	struct fg_ep *ep = u->ep;
+	struct fg_fleet_ep *ep = u->ep;
 
 	if (!publish(u, fg_clock_now()))
 		return;
@@ -184,7 +184,7 @@
 static void send_order(struct fg_ep_user *u, const struct fg_slots_step *step)
 {
 	const struct fg_gateway *gw = u->gw;
-	struct fg_order order = {
+	struct fg_wire_order order = {
 		.load = step->act == FG_SLOTS_LOAD,
 		.endpoint_id = u->ep->facts.id,
 		.model = step->model,
@@ -218,9 +218,9 @@
 	if (u->slots == NULL || fg_channel_busy(u->channel) ||
 	    !u->gw->claims_checked)
 		return;
-	step = fg_slots_next(u->slots, now,
-			     fg_loadgate_open(&u->gw->loadgate,
-					      fetching(u->gw, &waiting)));
+	step = fg_slots_next(
+		u->slots, now,
+		fg_loadgate_open(&u->gw->loadgate, fetching(u->gw, &waiting)));
 	switch (step.act) {
 	case FG_SLOTS_REPORT:
 		fg_gw_count(u->gw, "reports", NULL);
@@ -241,7 +241,7 @@
 	}
 }
 
-void fg_orders_kick(struct fg_gateway *gw, struct fg_ep *ep)
+void fg_orders_kick(struct fg_gateway *gw, struct fg_fleet_ep *ep)
 {
 	struct fg_ep_user *u = fg_ep_user_of(gw, ep);
 
@@ -260,9 +260,9 @@
 			fg_slots_used(u->slots, now, u->ep->adapters[i].key);
 	}
 	for (guint i = 0; i < u->uses.list->len; i++)
-		fg_slots_used(u->slots, now,
-			      g_array_index(u->uses.list, struct fg_use, i)
-				      .adapter);
+		fg_slots_used(
+			u->slots, now,
+			g_array_index(u->uses.list, struct fg_use, i).adapter);
 	u->ep->peers_running = fg_uses_running(&u->uses);
 	u->ep->peers_pending_tokens = fg_uses_pending_tokens(&u->uses);
 }
@@ -326,7 +326,7 @@
 }
 
 static const struct fg_svc *engine_of(const struct fg_gateway *gw,
-					  const struct fg_ep *ep)
+				      const struct fg_fleet_ep *ep)
 {
 	const struct fg_svc *s;
 	int i;
@@ -340,10 +340,10 @@
 	return s->engine ? s : NULL;
 }
 
-static void note_owner(struct fg_gateway *gw, struct fg_ep *ep, fg_ms now)
+static void note_owner(struct fg_gateway *gw, struct fg_fleet_ep *ep, fg_ms now)
 {
 	uint64_t holder = fg_claims_holder(gw->claims, ep->facts.id);
-	const struct fg_peer *peer = fg_peers_find(gw->peers, holder);
+	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, holder);
 
 	if (holder == gw->incarnation ||
 	    (peer != NULL && fg_peer_alive(peer, now)))
@@ -357,7 +357,7 @@
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
 
 	for (guint i = 0; i < all->len; i++) {
-		struct fg_ep *ep = all->pdata[i];
+		struct fg_fleet_ep *ep = all->pdata[i];
 		const struct fg_svc *service = engine_of(gw, ep);
 		uint64_t fence = fg_claims_fence(gw->claims, ep->facts.id);
 		struct fg_ep_user *u = ep->user;
@@ -384,7 +384,7 @@
 
 /* ---- For the other parts ---- */
 
-enum fg_slot_state fg_orders_want(struct fg_gateway *gw, struct fg_ep *ep,
+enum fg_slot_state fg_orders_want(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 				  const char *model, const char *adapter,
 				  uint64_t version)
 {
@@ -403,7 +403,7 @@
 	return FG_SLOT_COMING;
 }
 
-void fg_orders_used(struct fg_gateway *gw, struct fg_ep *ep,
+void fg_orders_used(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		    struct fg_ep_adapter *a)
 {
 	const struct fg_ep_user *u = ep->user;
@@ -416,7 +416,7 @@
 		fg_mesh_send_use(gw, ep, a);
 }
 
-void fg_orders_take_use(struct fg_gateway *gw, struct fg_ep *ep,
+void fg_orders_take_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 			const struct fg_use *use)
 {
 	struct fg_ep_user *u = ep->user;
@@ -435,7 +435,7 @@
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
 
 	for (guint i = 0; i < all->len; i++) {
-		struct fg_ep *ep = all->pdata[i];
+		struct fg_fleet_ep *ep = all->pdata[i];
 		struct fg_ep_user *u = ep->user;
 		struct fg_ep_adapter *a = fg_ep_adapter(ep, key);
 
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -33,7 +33,7 @@
 	    (region == NULL || strcmp(region, gw->conf->region) == 0))
 		g_ptr_array_add(out, gw->conf->front);
 	for (guint i = 0; i < peers->len; i++) {
-		struct fg_peer *p = peers->pdata[i];
+		struct fg_mesh_peer *p = peers->pdata[i];
 
 		if (fg_peer_serves(p, now) &&
 		    (region == NULL || strcmp(region, p->row.region) == 0))
@@ -87,7 +87,7 @@
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
 
 	for (guint i = 0; i < all->len; i++) {
-		const struct fg_ep *ep = all->pdata[i];
+		const struct fg_fleet_ep *ep = all->pdata[i];
 		const struct fg_ep_user *u = ep->user;
 
 		g_string_append_printf(
@@ -105,7 +105,8 @@
 			if (ep->adapters[k].version != 0)
 				g_string_append_printf(
 					out, "%016llx,",
-					(unsigned long long)ep->adapters[k].key);
+					(unsigned long long)ep->adapters[k]
+						.key);
 		}
 		g_string_append_c(out, '\n');
 	}
@@ -116,9 +117,10 @@
 	const GPtrArray *peers = fg_peers_all(gw->peers);
 
 	for (guint i = 0; i < peers->len; i++) {
-		const struct fg_peer *p = peers->pdata[i];
+		const struct fg_mesh_peer *p = peers->pdata[i];
 
-		g_string_append_printf(out, "peer %s region=%s alive=%d state=%d\n",
+		g_string_append_printf(out,
+				       "peer %s region=%s alive=%d state=%d\n",
 				       p->row.name, p->row.region,
 				       fg_peer_alive(p, now), (int)p->state);
 	}
@@ -135,8 +137,8 @@
 		"configuration=%llu requests=%u callers=%u\n",
 		gw->conf->name, gw->conf->region, fg_gateway_ready(gw),
 		gw->stopping,
-		(unsigned long long)(gw->routes == NULL ? 0 :
-							  gw->routes->version),
+		(unsigned long long)(gw->routes == NULL ? 0
+							: gw->routes->version),
 		gw->reqs->len, gw->callers->len);
 	for (int i = 0; i < FG_FEED_COUNT; i++)
 		g_string_append_printf(
@@ -164,8 +166,8 @@
 				      "version of the configuration in force"),
 		     gw->routes == NULL ? 0 : (int64_t)gw->routes->version);
 	for (int i = 0; i < FG_FEED_COUNT; i++) {
-		char *labels = g_strdup_printf("table=\"%s\"",
-					       gw->feeds[i].table);
+		char *labels =
+			g_strdup_printf("table=\"%s\"", gw->feeds[i].table);
 
 		fg_gauge_set(fg_metrics_gauge(m, "fg_gw_feed_age_ms", labels,
 					      "time since the last answer"),
@@ -200,9 +202,9 @@
 		answer_metrics(c);
 	} else if (wire->is_ready_check(&c->h1.head)) {
 		answer(c,
-		       fg_gateway_ready(c->gw) ?
-			       HTTP_STATUS_OK :
-			       HTTP_STATUS_SERVICE_UNAVAILABLE,
+		       fg_gateway_ready(c->gw)
+			       ? HTTP_STATUS_OK
+			       : HTTP_STATUS_SERVICE_UNAVAILABLE,
 		       NULL, "");
 	} else if (wire->is_lookup(&c->h1.head, &lookup)) {
 		answer_lookup(c, &lookup);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -49,7 +49,7 @@
 }
 
 void fg_gwreq_log(const struct fg_gwreq *r, enum fg_log_level level,
-		const char *event, const char *reason)
+		  const char *event, const char *reason)
 {
 	char took[24];
 	char sent[24];
@@ -64,13 +64,13 @@
 	       "took_ms",
 	       ms_text(took, sizeof(took), fg_clock_now() - r->arrived),
 	       "sent_ms",
-	       r->sent_at == 0 ?
-		       NULL :
-		       ms_text(sent, sizeof(sent), r->sent_at - r->arrived),
+	       r->sent_at == 0
+		       ? NULL
+		       : ms_text(sent, sizeof(sent), r->sent_at - r->arrived),
 	       "first_ms",
-	       r->first_at == 0 ?
-		       NULL :
-		       ms_text(first, sizeof(first), r->first_at - r->arrived),
+	       r->first_at == 0 ? NULL
+				: ms_text(first, sizeof(first),
+					  r->first_at - r->arrived),
 	       "sends", sends, "endpoint",
 	       r->ep == NULL ? NULL : r->ep->facts.id, "adapter",
 	       r->call.adapter, NULL);
@@ -89,8 +89,8 @@
 	g_assert(r->ep->pending_tokens >= r->pending_tokens);
 	r->ep->pending_tokens -= r->pending_tokens;
 	if (r->use != NULL)
-		r->use->pending_tokens -= MIN(r->pending_tokens,
-					      r->use->pending_tokens);
+		r->use->pending_tokens -=
+			MIN(r->pending_tokens, r->use->pending_tokens);
 	r->pending_tokens = 0;
 }
 
@@ -115,7 +115,7 @@
 	r->ep = NULL;
 }
 
-static void attach(struct fg_gwreq *r, struct fg_ep *ep)
+static void attach(struct fg_gwreq *r, struct fg_fleet_ep *ep)
 {
 	detach(r);
 	r->ep = fg_ep_ref(ep);
@@ -146,21 +146,22 @@
 
 static void on_timer(uv_timer_t *timer);
 
-static void arm(struct fg_gwreq *r)
+void fg_gwreq_arm(struct fg_gwreq *r)
 {
 	fg_ms now = fg_clock_now();
 	fg_ms at = MIN(r->end_at, r->step_at);
 
 	uv_update_time(&r->gw->loop);
-	uv_timer_start(r->timer, on_timer,
-		       at <= now ? 0 : (uint64_t)(at - now), 0);
+	uv_timer_start(r->timer, on_timer, at <= now ? 0 : (uint64_t)(at - now),
+		       0);
 }
 
-static void wait_state(struct fg_gwreq *r, enum fg_gwreq_state state, fg_ms step_at)
+static void wait_state(struct fg_gwreq *r, enum fg_gwreq_state state,
+		       fg_ms step_at)
 {
 	r->state = state;
 	r->step_at = step_at;
-	arm(r);
+	fg_gwreq_arm(r);
 }
 
 /* ---- Ends ---- */
@@ -234,9 +235,9 @@
 	}
 	fg_gwreq_log(r, FG_LOG_WARN, "refused", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"refused\"");
-	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE,
-			 r->call.id, CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS),
-			 NULL, "", 0);
+	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE, r->call.id,
+			 CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS), NULL, "",
+			 0);
 	fg_gwreq_end(r);
 }
 
@@ -267,7 +268,7 @@
 {
 	r->step_at = FG_MS_NEVER;
 	r->state = FG_GWREQ_SENT;
-	arm(r);
+	fg_gwreq_arm(r);
 	fg_send_start(r);
 }
 
@@ -295,11 +296,12 @@
 		.terms = r->service,
 		.region = r->gw->conf->region,
 		.adapter = r->adapter,
-		.model = r->adapter == 0 ? 0 : fg_adapter_key(r->call.model, ""),
+		.model =
+			r->adapter == 0 ? 0 : fg_adapter_key(r->call.model, ""),
 		.tokens = r->call.prompt_tokens,
-		.tokens_per_s = r->adapter == 0 ?
-					0 :
-					fg_gw_heat(r->gw, now, r->adapter, 0),
+		.tokens_per_s = r->adapter == 0
+					? 0
+					: fg_gw_heat(r->gw, now, r->adapter, 0),
 		.n_avoid = r->n_tried,
 		.resident_only = resident_only,
 	};
@@ -390,21 +392,18 @@
 	if (now >= r->end_at) {
 		time_out(r);
 	} else if (now < r->step_at) {
-		arm(r);
+		fg_gwreq_arm(r);
 	} else if (r->state == FG_GWREQ_WAIT_LOAD) {
 		step_load(r);
 	} else if (r->state == FG_GWREQ_WAIT_RETRY) {
 		r->n_tried = 0;
 		fg_gwreq_place(r);
 	} else {
-		/* The connection to the endpoint was not established. */
-		fg_health_failed(r->ep, now);
-		fg_send_cancel(r);
-		fg_gwreq_send_ended(r, FG_SEND_NOT_SENT, "connect_timeout");
+		fg_send_overdue(r, now);
 	}
 }
 
-void fg_gwreq_resident(struct fg_gateway *gw, struct fg_ep *ep)
+void fg_gwreq_resident(struct fg_gateway *gw, struct fg_fleet_ep *ep)
 {
 	for (guint i = gw->reqs->len; i > 0; i--) {
 		struct fg_gwreq *r;
@@ -421,7 +420,8 @@
 	}
 }
 
-void fg_gwreq_no_load(struct fg_gateway *gw, struct fg_ep *ep, uint64_t adapter)
+void fg_gwreq_no_load(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+		      uint64_t adapter)
 {
 	for (guint i = gw->reqs->len; i > 0; i--) {
 		struct fg_gwreq *r;
@@ -470,7 +470,8 @@
 	return take_budget(r, now);
 }
 
-void fg_gwreq_send_ended(struct fg_gwreq *r, enum fg_send_end end, const char *why)
+void fg_gwreq_send_ended(struct fg_gwreq *r, enum fg_send_end end,
+			 const char *why)
 {
 	fg_ms now = fg_clock_now();
 
@@ -478,6 +479,10 @@
 		r->runs++;
 		r->unsure = true;
 	}
+	if (end == FG_SEND_BROKEN && !r->first_seen && r->ep != NULL)
+		fg_losses_add(&fg_ep_user_of(r->gw, r->ep)->losses, now,
+			      r->fingerprint,
+			      (r->gw->incarnation ^ r->number) << 8 | r->sends);
 	if (end == FG_SEND_ABSENT && r->use != NULL)
 		r->use->version = 0;
 	fg_gwreq_log(r, FG_LOG_INFO, "send_ended", why);
@@ -508,7 +513,6 @@
 	       r->arrived - r->gw->stopping_since > STOP_ACCEPT_MS;
 }
 
-
 static bool config_is_stale(const struct fg_gateway *gw, fg_ms now)
 {
 	const struct fg_feed *f = &gw->feeds[FG_FEED_CONFIG];
@@ -554,8 +558,8 @@
 		return false;
 	}
 	r->routes = fg_routes_ref(gw->routes);
-	r->route = fg_routes_find(r->routes, r->call.host,
-				  fg_h1_target(r->head));
+	r->route =
+		fg_routes_find(r->routes, r->call.host, fg_h1_target(r->head));
 	if (r->route != NULL)
 		return true;
 	if (config_is_stale(gw, r->arrived)) {
@@ -569,7 +573,8 @@
 static void set_terms(struct fg_gwreq *r)
 {
 	uint32_t limit_ms = r->route->timeout_ms;
-	uint32_t service = fg_route_service(r->route, fg_rand_next(&r->gw->rand));
+	uint32_t service =
+		fg_route_service(r->route, fg_rand_next(&r->gw->rand));
 
 	r->service = r->routes->services->pdata[service];
 	if (limit_ms == 0)
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -13,10 +13,15 @@
 #define IDLE_MAX_MS 30000
 /* Time to establish a connection, beside a round trip. */
 #define CONNECT_MS 400
+/* Silence of an endpoint, over all connections to it, that shows that it does
+ * not work: many steps of an engine's batch, and many times the work of a
+ * plain request. */
+#define SILENT_ENGINE_MS 1000
+#define SILENT_PLAIN_MS 300
 
 /* ---- Endpoints ---- */
 
-struct fg_ep_user *fg_ep_user_of(struct fg_gateway *gw, struct fg_ep *ep)
+struct fg_ep_user *fg_ep_user_of(struct fg_gateway *gw, struct fg_fleet_ep *ep)
 {
 	struct fg_ep_user *u = ep->user;
 
@@ -62,7 +67,23 @@
 		g_ptr_array_remove(user->idle, u);
 }
 
-void fg_ep_user_drop(struct fg_gateway *gw, struct fg_ep *ep)
+void fg_ep_user_died(struct fg_ep_user *u)
+{
+	struct fg_loss lost[FG_LOSS_MAX];
+	uint32_t n = fg_losses_take(&u->losses, fg_clock_now(), lost);
+
+	for (uint32_t i = 0; i < n; i++) {
+		fg_mesh_crash crash = {
+			.fingerprint = lost[i].fingerprint,
+			.ep = u->ep->hash,
+			.req = lost[i].request,
+		};
+
+		fg_mesh_tell_crash(u->gw, &crash);
+	}
+}
+
+void fg_ep_user_drop(struct fg_gateway *gw, struct fg_fleet_ep *ep)
 {
 	struct fg_ep_user *user = ep->user;
 
@@ -70,11 +91,11 @@
 	if (user == NULL)
 		return;
 	while (user->idle->len > 0) {
-		struct fg_up *u =
-			g_ptr_array_steal_index_fast(user->idle, 0);
+		struct fg_up *u = g_ptr_array_steal_index_fast(user->idle, 0);
 
 		up_close(u);
 	}
+	fg_ep_user_died(user);
 	fg_orders_drop(user);
 	g_ptr_array_unref(user->idle);
 	g_free(user);
@@ -221,9 +242,11 @@
 	}
 	if (!u->reused)
 		fg_health_failed(u->ep, fg_clock_now());
+	if (end == FG_LINK_REFUSED)
+		fg_ep_user_died(fg_ep_user_of(u->gw, u->ep));
 	lose(u, connected ? FG_SEND_BROKEN : FG_SEND_NOT_SENT,
-	     connected ? (u->head_seen ? "answer_cut" : "connection_lost") :
-			 "connect_failed");
+	     connected ? (u->head_seen ? "answer_cut" : "connection_lost")
+		       : "connect_failed");
 }
 
 /* ---- Sending ---- */
@@ -237,11 +260,12 @@
 	struct fg_send send = {
 		.endpoint_id = u->ep->facts.id,
 		.deadline_ms = MAX(fg_gwreq_left_ms(r, now), 1),
-		.urgency = r->service->engine ? fg_gwreq_urgency(r) : UINT32_MAX,
+		.urgency =
+			r->service->engine ? fg_gwreq_urgency(r) : UINT32_MAX,
 		.version = fg_gwreq_version(r, now),
 		.resumes = r->call.resumes || r->events.has_id,
-		.resume_after = r->events.has_id ? r->events.last_id :
-						   r->call.resume_after,
+		.resume_after = r->events.has_id ? r->events.last_id
+						 : r->call.resume_after,
 		.body_bytes = body->len,
 		.has_body = body->len > 0 || r->head->length_bytes >= 0 ||
 			    r->head->chunked,
@@ -254,6 +278,24 @@
 	g_string_free(out, TRUE);
 }
 
+/* When a request that may run elsewhere is taken from a silent endpoint; an
+ * endpoint that works sends something to one of its callers long before. */
+static fg_ms silence_limit(const struct fg_gwreq *r)
+{
+	if (r->service->engine)
+		return MAX(SILENT_ENGINE_MS, 2 * (fg_ms)r->expected_ms);
+	return MAX(SILENT_PLAIN_MS, 4 * (fg_ms)r->expected_ms);
+}
+
+static void watch_silence(struct fg_gwreq *r, fg_ms now)
+{
+	if (r->first_seen || !(r->route->repeatable || r->route->resumable))
+		r->step_at = FG_MS_NEVER;
+	else
+		r->step_at = now + silence_limit(r);
+	fg_gwreq_arm(r);
+}
+
 static void on_open(void *ctx)
 {
 	struct fg_up *u = ctx;
@@ -261,8 +303,8 @@
 	u->connected = true;
 	if (u->req == NULL)
 		return;
-	u->req->step_at = FG_MS_NEVER;
 	write_request(u);
+	watch_silence(u->req, fg_clock_now());
 }
 
 static const struct fg_link_ops link_ops = {
@@ -284,7 +326,7 @@
 	return NULL;
 }
 
-static struct fg_up *up_new(struct fg_gateway *gw, struct fg_ep *ep)
+static struct fg_up *up_new(struct fg_gateway *gw, struct fg_fleet_ep *ep)
 {
 	struct fg_up *u = g_new0(struct fg_up, 1);
 
@@ -320,6 +362,7 @@
 		u->req = r;
 		r->up = u;
 		write_request(u);
+		watch_silence(r, now);
 		return;
 	}
 	u = up_new(gw, r->ep);
@@ -330,8 +373,26 @@
 	u->req = r;
 	r->up = u;
 	r->step_at = now + CONNECT_MS + 2 * gw->balance.region_ms;
-	uv_timer_start(r->timer, r->timer->timer_cb,
-		       (uint64_t)(MIN(r->step_at, r->end_at) - now), 0);
+	fg_gwreq_arm(r);
+}
+
+void fg_send_overdue(struct fg_gwreq *r, fg_ms now)
+{
+	const struct fg_ep_user *user = fg_ep_user_of(r->gw, r->ep);
+
+	if (!r->up->connected) {
+		fg_health_failed(r->ep, now);
+		fg_send_cancel(r);
+		fg_gwreq_send_ended(r, FG_SEND_NOT_SENT, "connect_timeout");
+		return;
+	}
+	if (r->first_seen || user->heard > r->sent_at) {
+		watch_silence(r, now);
+		return;
+	}
+	fg_health_failed(r->ep, now);
+	fg_send_cancel(r);
+	fg_gwreq_send_ended(r, FG_SEND_BROKEN, "endpoint_silent");
 }
 
 void fg_send_cancel(struct fg_gwreq *r)
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -63,8 +63,8 @@
 	fg_gw_count(gw, "configurations", NULL);
 }
 
-static void take_announcement(struct fg_gateway *gw, const struct fg_store_row *row,
-			      fg_ms now)
+static void take_announcement(struct fg_gateway *gw,
+			      const struct fg_store_row *row, fg_ms now)
 {
 	struct fg_announcement a;
 	struct fg_wanted_version *w;
@@ -101,8 +101,8 @@
 	fg_announcement_clear(&a);
 }
 
-static void take_config_row(struct fg_gateway *gw, const struct fg_store_row *row,
-			    fg_ms now)
+static void take_config_row(struct fg_gateway *gw,
+			    const struct fg_store_row *row, fg_ms now)
 {
 	if (row->removed || row->value == NULL)
 		return;
@@ -115,9 +115,9 @@
 /* What the endpoint itself lists counts while no owner tells. */
 #define TOLD_FRESH_MS 3000
 
-static void take_listed(struct fg_ep *ep, fg_ms now)
+static void take_listed(struct fg_fleet_ep *ep, fg_ms now)
 {
-	struct fg_held held[FG_FLEET_RESIDENT_MAX];
+	struct fg_fleet_held held[FG_FLEET_RESIDENT_MAX];
 	uint32_t n = 0;
 
 	if (ep->told != 0 && now - ep->told < TOLD_FRESH_MS)
@@ -131,12 +131,12 @@
 	fg_ep_set_resident(ep, now, held, n);
 }
 
-static void take_entry_row(struct fg_gateway *gw, const struct fg_store_row *row,
-			   fg_ms now)
+static void take_entry_row(struct fg_gateway *gw,
+			   const struct fg_store_row *row, fg_ms now)
 {
 	struct fg_ep_facts facts;
 	GError *why = NULL;
-	struct fg_ep *ep = fg_fleet_find(gw->fleet, row->key);
+	struct fg_fleet_ep *ep = fg_fleet_find(gw->fleet, row->key);
 	bool was_usable = ep != NULL && fg_ep_usable(ep, now);
 
 	if (row->removed || row->value == NULL) {
@@ -178,7 +178,8 @@
 		log_row("instance_row_refused", row, NULL);
 }
 
-static void take_row(struct fg_feed *f, const struct fg_store_row *row, fg_ms now)
+static void take_row(struct fg_feed *f, const struct fg_store_row *row,
+		     fg_ms now)
 {
 	switch (f->id) {
 	case FG_FEED_CONFIG:
@@ -213,7 +214,8 @@
 		fg_claims_read_end(f->gw->claims);
 }
 
-static void take_page(struct fg_feed *f, const struct fg_store_rows *rows, fg_ms now)
+static void take_page(struct fg_feed *f, const struct fg_store_rows *rows,
+		      fg_ms now)
 {
 	const struct fg_store_row *last;
 
@@ -277,9 +279,8 @@
 	if (f->id == FG_FEED_REGISTRY)
 		fg_fleet_registry_down(f->gw->fleet, now);
 	delay_ms = MIN(delay_ms, BACKOFF_MAX_MS);
-	again_after(f, delay_ms / 2 +
-			       (fg_ms)fg_rand_below(&f->gw->rand,
-						    (uint64_t)delay_ms));
+	again_after(f, delay_ms / 2 + (fg_ms)fg_rand_below(&f->gw->rand,
+							   (uint64_t)delay_ms));
 }
 
 static void answered(struct fg_feed *f, fg_ms now)
@@ -430,8 +431,8 @@
 	gw->tx_at = now + TX_GAP_MS;
 	if (status == HTTP_STATUS_OK &&
 	    gw->wire->rows_read(body, len, &rows, NULL))
-		fg_claims_written(gw->claims, now, gw->claiming,
-				  gw->n_claiming, rows.version);
+		fg_claims_written(gw->claims, now, gw->claiming, gw->n_claiming,
+				  rows.version);
 	fg_store_rows_clear(&rows);
 	g_snprintf(count, sizeof(count), "%u", gw->n_claiming);
 	g_snprintf(code, sizeof(code), "%u", status);
@@ -456,7 +457,7 @@
 		};
 	}
 	for (guint i = 0; i < peers->len && n < max; i++) {
-		const struct fg_peer *p = peers->pdata[i];
+		const struct fg_mesh_peer *p = peers->pdata[i];
 
 		if (!fg_peer_alive(p, now) || p->state == FG_MESH_LEAVING)
 			continue;
@@ -477,14 +478,14 @@
 	GPtrArray *out = g_ptr_array_new();
 
 	for (guint i = 0; i < all->len; i++) {
-		struct fg_ep *ep = all->pdata[i];
-		int service = gw->routes == NULL ?
-				      -1 :
-				      fg_routes_service(gw->routes,
-							ep->facts.service);
+		struct fg_fleet_ep *ep = all->pdata[i];
+		int service = gw->routes == NULL
+				      ? -1
+				      : fg_routes_service(gw->routes,
+							  ep->facts.service);
 		const struct fg_svc *s =
-			service < 0 ? NULL :
-				      gw->routes->services->pdata[service];
+			service < 0 ? NULL
+				    : gw->routes->services->pdata[service];
 
 		if (s != NULL && s->engine && fg_ep_usable(ep, now))
 			g_ptr_array_add(out, ep);
@@ -502,11 +503,9 @@
 	struct fg_tx_row rows[FG_CLAIM_BATCH_MAX];
 	char *value = fg_claims_value(gw->claims, gw->conf->name);
 
-	gw->n_claiming =
-		fg_claims_wanted(gw->claims, now,
-				 (struct fg_ep *const *)eps->pdata, eps->len,
-				 live, n_live, gw->claiming,
-				 FG_CLAIM_BATCH_MAX);
+	gw->n_claiming = fg_claims_wanted(
+		gw->claims, now, (struct fg_fleet_ep *const *)eps->pdata,
+		eps->len, live, n_live, gw->claiming, FG_CLAIM_BATCH_MAX);
 	for (uint32_t i = 0; i < gw->n_claiming; i++) {
 		rows[i] = (struct fg_tx_row){
 			.table = TABLE_OWN,
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -128,8 +128,8 @@
 	return g_strdup(text);
 }
 
-static void check_log_level(GString *faults, const char *path,
-			    const char *text, enum fg_log_level *out)
+static void check_log_level(GString *faults, const char *path, const char *text,
+			    enum fg_log_level *out)
 {
 	*out = FG_LOG_INFO;
 	if (text != NULL && !fg_log_level_parse(text, out))
@@ -207,9 +207,9 @@
 	};
 	struct raw *raw = NULL;
 	struct fg_gwconf *c = NULL;
-	cyaml_err_t rc = cyaml_load_data((const uint8_t *)text, strlen(text),
-					 &config, &raw_schema,
-					 (cyaml_data_t **)&raw, NULL);
+	cyaml_err_t rc =
+		cyaml_load_data((const uint8_t *)text, strlen(text), &config,
+				&raw_schema, (cyaml_data_t **)&raw, NULL);
 
 	if (rc != CYAML_OK || raw == NULL)
 		g_set_error(error, FG_GWCONF_ERROR, FG_GWCONF_ERR_SYNTAX,
--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -29,9 +29,18 @@
 }
 
 static const char *const hop_fields[] = {
-	"Connection", "Keep-Alive", "Proxy-Connection",	 "Transfer-Encoding",
-	"TE",	      "Trailer",    "Upgrade",		 "Proxy-Authenticate",
-	"Expect",     "HTTP2-Settings", "Content-Length", "Proxy-Authorization",
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Connection",
+	"Transfer-Encoding",
+	"TE",
+	"Trailer",
+	"Upgrade",
+	"Proxy-Authenticate",
+	"Expect",
+	"HTTP2-Settings",
+	"Content-Length",
+	"Proxy-Authorization",
 };
 
 /* Is `name` an element of the comma-separated list? */
@@ -58,7 +67,8 @@
 			return true;
 	}
 	for (uint32_t k = 0; k < head->n_fields; k++) {
-		if (g_ascii_strcasecmp(fg_h1_name(head, k), "Connection") == 0 &&
+		if (g_ascii_strcasecmp(fg_h1_name(head, k), "Connection") ==
+			    0 &&
 		    list_has(fg_h1_value(head, k), name))
 			return true;
 	}
@@ -122,7 +132,10 @@
 }
 
 /* http-parser's codes for "the answer has no body" and "stop". */
-enum { GO_ON = 0, NO_BODY = 1 };
+enum {
+	GO_ON = 0,
+	NO_BODY = 1
+};
 
 static int on_headers(http_parser *p)
 {
@@ -138,9 +151,9 @@
 	head->method = p->method;
 	head->status = p->status_code;
 	head->chunked = (p->flags & F_CHUNKED) != 0;
-	head->length_bytes = (p->flags & F_CONTENTLENGTH) != 0 ?
-				     (int64_t)p->content_length :
-				     -1;
+	head->length_bytes = (p->flags & F_CONTENTLENGTH) != 0
+				     ? (int64_t)p->content_length
+				     : -1;
 	head->keep_alive = http_should_keep_alive(p) != 0;
 	if (head->length_bytes > 0 &&
 	    (uint64_t)head->length_bytes > h->body_max_bytes)
@@ -228,9 +241,9 @@
 		return used;
 	}
 	if (HTTP_PARSER_ERRNO(&h->parser) != HPE_OK && h->fault == FG_H1_OK) {
-		h->fault = HTTP_PARSER_ERRNO(&h->parser) == HPE_HEADER_OVERFLOW ?
-				   FG_H1_HEAD_TOO_LARGE :
-				   FG_H1_MALFORMED;
+		h->fault = HTTP_PARSER_ERRNO(&h->parser) == HPE_HEADER_OVERFLOW
+				   ? FG_H1_HEAD_TOO_LARGE
+				   : FG_H1_MALFORMED;
 	}
 	if (h->parser.upgrade && h->fault == FG_H1_OK)
 		h->fault = FG_H1_MALFORMED;
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -134,8 +134,7 @@
 	fail(timer->data);
 }
 
-struct fg_channel *fg_channel_new(uv_loop_t *loop,
-					      const char *address)
+struct fg_channel *fg_channel_new(uv_loop_t *loop, const char *address)
 {
 	struct fg_channel *c = g_new0(struct fg_channel, 1);
 
@@ -183,7 +182,7 @@
 }
 
 void fg_channel_send(struct fg_channel *c, struct fg_http_call call,
-		   uint32_t timeout_ms, fg_channel_done done, void *ctx)
+		     uint32_t timeout_ms, fg_channel_done done, void *ctx)
 {
 	g_assert(c->done == NULL);
 	c->done = done;
--- a/lib/link/fg_channel.h
+++ b/lib/link/fg_channel.h
@@ -16,12 +16,11 @@
 struct fg_channel;
 
 /* `body` is NUL-terminated behind len_bytes; NULL when status is 0. */
-typedef void (*fg_channel_done)(void *ctx, unsigned int status, const char *body,
-			      size_t len_bytes);
+typedef void (*fg_channel_done)(void *ctx, unsigned int status,
+				const char *body, size_t len_bytes);
 
 /* `address` must stay valid. */
-struct fg_channel *fg_channel_new(uv_loop_t *loop,
-					      const char *address);
+struct fg_channel *fg_channel_new(uv_loop_t *loop, const char *address);
 
 /* Gives up a call in flight without a callback. */
 void fg_channel_free(struct fg_channel *c);
@@ -33,6 +32,6 @@
 
 /* Sends a call (its memory is taken over). The channel must be idle. */
 void fg_channel_send(struct fg_channel *c, struct fg_http_call call,
-		   uint32_t timeout_ms, fg_channel_done done, void *ctx);
+		     uint32_t timeout_ms, fg_channel_done done, void *ctx);
 
 #endif
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -134,8 +134,8 @@
 		l->ops->on_data(l->ctx, buf->base, (size_t)n);
 	} else if (n < 0) {
 		uv_read_stop(stream);
-		tell_end(l, n == UV_EOF && !was_reset(l) ? FG_LINK_EOF :
-							   FG_LINK_RESET);
+		tell_end(l, n == UV_EOF && !was_reset(l) ? FG_LINK_EOF
+							 : FG_LINK_RESET);
 	}
 }
 
@@ -309,8 +309,7 @@
 		return;
 	l->closing = true;
 	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
-	if (!l->connected ||
-	    uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0)
+	if (!l->connected || uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0)
 		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
 }
 
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -53,10 +53,10 @@
 	return out->incarnation != 0;
 }
 
-static struct fg_peer *find_name(struct fg_peers *p, const char *name)
+static struct fg_mesh_peer *find_name(struct fg_peers *p, const char *name)
 {
 	for (guint i = 0; i < p->all->len; i++) {
-		struct fg_peer *peer = p->all->pdata[i];
+		struct fg_mesh_peer *peer = p->all->pdata[i];
 
 		if (strcmp(peer->row.name, name) == 0)
 			return peer;
@@ -64,7 +64,7 @@
 	return NULL;
 }
 
-static void forget_incarnation(struct fg_peer *peer)
+static void forget_incarnation(struct fg_mesh_peer *peer)
 {
 	peer->heard = 0;
 	peer->seq = 0;
@@ -73,13 +73,13 @@
 
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row)
 {
-	struct fg_peer *peer;
+	struct fg_mesh_peer *peer;
 
 	if (strcmp(row->name, p->self.name) == 0)
 		return;
 	peer = find_name(p, row->name);
 	if (peer == NULL) {
-		peer = g_new0(struct fg_peer, 1);
+		peer = g_new0(struct fg_mesh_peer, 1);
 		peer->hash = fg_hash_str(row->name);
 		g_ptr_array_add(p->all, peer);
 	}
@@ -93,16 +93,16 @@
 
 void fg_peers_remove(struct fg_peers *p, const char *name)
 {
-	struct fg_peer *peer = find_name(p, name);
+	struct fg_mesh_peer *peer = find_name(p, name);
 
 	if (peer != NULL)
 		g_ptr_array_remove_fast(p->all, peer);
 }
 
-struct fg_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation)
+struct fg_mesh_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation)
 {
 	for (guint i = 0; i < p->all->len; i++) {
-		struct fg_peer *peer = p->all->pdata[i];
+		struct fg_mesh_peer *peer = p->all->pdata[i];
 
 		if (peer->row.incarnation == incarnation)
 			return peer;
@@ -110,11 +110,11 @@
 	return NULL;
 }
 
-struct fg_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
-			      uint64_t incarnation, uint32_t seq,
-			      const fg_mesh_beat *beat)
+struct fg_mesh_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
+				   uint64_t incarnation, uint32_t seq,
+				   const fg_mesh_beat *beat)
 {
-	struct fg_peer *peer = fg_peers_find(p, incarnation);
+	struct fg_mesh_peer *peer = fg_peers_find(p, incarnation);
 
 	if (peer == NULL)
 		return NULL;
@@ -131,15 +131,15 @@
 	return p->all;
 }
 
-bool fg_peer_alive(const struct fg_peer *peer, fg_ms now)
+bool fg_peer_alive(const struct fg_mesh_peer *peer, fg_ms now)
 {
-	fg_ms silent_ms = peer->near ? FG_PEER_SILENT_MS :
-				       FG_PEER_SILENT_FAR_MS;
+	fg_ms silent_ms =
+		peer->near ? FG_PEER_SILENT_MS : FG_PEER_SILENT_FAR_MS;
 
 	return peer->heard != 0 && now - peer->heard < silent_ms;
 }
 
-bool fg_peer_serves(const struct fg_peer *peer, fg_ms now)
+bool fg_peer_serves(const struct fg_mesh_peer *peer, fg_ms now)
 {
 	return fg_peer_alive(peer, now) && peer->state == FG_MESH_READY;
 }
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -35,7 +35,7 @@
 	uint64_t incarnation;
 };
 
-struct fg_peer {
+struct fg_mesh_peer {
 	struct fg_peer_row row;
 	uint64_t hash; /* of the name */
 	bool near;     /* same region */
@@ -60,22 +60,22 @@
 void fg_peers_remove(struct fg_peers *p, const char *name);
 
 /* A beat came; NULL when its sender has no row here yet. */
-struct fg_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
-			      uint64_t incarnation, uint32_t seq,
-			      const fg_mesh_beat *beat);
+struct fg_mesh_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
+				   uint64_t incarnation, uint32_t seq,
+				   const fg_mesh_beat *beat);
 
-struct fg_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation);
+struct fg_mesh_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation);
 
-/* All others (struct fg_peer *). */
+/* All others (struct fg_mesh_peer *). */
 const GPtrArray *fg_peers_all(const struct fg_peers *p);
 
 /* How many others live. */
 uint32_t fg_peers_alive(const struct fg_peers *p, fg_ms now);
 
 /* Heard of lately; a leaving one lives until it falls silent. */
-bool fg_peer_alive(const struct fg_peer *peer, fg_ms now);
+bool fg_peer_alive(const struct fg_mesh_peer *peer, fg_ms now);
 
 /* May callers be sent to it? */
-bool fg_peer_serves(const struct fg_peer *peer, fg_ms now);
+bool fg_peer_serves(const struct fg_mesh_peer *peer, fg_ms now);
 
 #endif
--- a/lib/route/fg_route.c
+++ b/lib/route/fg_route.c
@@ -175,15 +175,14 @@
 uint32_t fg_route_service(const struct fg_route *r, uint64_t draw)
 {
 	uint64_t total = 0;
+	uint32_t i = 0;
 
-	for (uint32_t i = 0; i < r->n_shares; i++)
-		total += r->shares[i].weight;
-	g_assert(total > 0);
-	draw %= total;
-	for (uint32_t i = 0; i < r->n_shares; i++) {
-		if (draw < r->shares[i].weight)
-			return r->shares[i].service;
+	for (uint32_t k = 0; k < r->n_shares; k++)
+		total += r->shares[k].weight;
+	if (total == 0)
+		return r->shares[0].service; /* not sealed */
+	for (draw %= total; draw >= r->shares[i].weight; i++)
 		draw -= r->shares[i].weight;
-	}
-	g_assert_not_reached();
+	g_assert(i < r->n_shares);
+	return r->shares[i].service;
 }
--- a/lib/route/fg_route.h
+++ b/lib/route/fg_route.h
@@ -15,7 +15,7 @@
 #include <stdint.h>
 
 /* A model and how many adapters it has at most. */
-struct fg_model {
+struct fg_svc_model {
 	char *name;
 	uint32_t adapters;
 };
@@ -28,7 +28,7 @@
 	uint32_t slots;		  /* requests an endpoint runs at once */
 	uint32_t memory_tokens;	  /* of an endpoint, for running requests */
 	uint32_t adapter_slots;
-	struct fg_model *models;
+	struct fg_svc_model *models;
 	uint32_t n_models;
 };
 
@@ -46,7 +46,7 @@
 	bool streaming;
 	bool resumable; /* a stream may go on at another endpoint */
 	uint32_t timeout_ms;
-	uint32_t aim_ms; /* answered within this, it has its full worth */
+	uint32_t aim_ms;   /* answered within this, it has its full worth */
 	uint32_t priority; /* 0 is the most urgent */
 	uint32_t attempts_max;
 	struct fg_share *shares;
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -47,7 +47,7 @@
 	char adapter[FG_FLEET_NAME_BYTES];
 	uint64_t version;
 	fg_ms since;
-	fg_ms asked;	/* last */
+	fg_ms asked; /* last */
 	uint32_t asks;
 };
 
@@ -55,14 +55,15 @@
 	struct fg_slots_conf conf;
 	struct slot slots[FG_SLOTS_MAX];
 	uint32_t n;
-	GArray *wants;	      /* struct want, oldest first */
-	GHashTable *newest;   /* key -> announced version */
+	GArray *wants;	       /* struct want, oldest first */
+	GHashTable *newest;    /* key -> announced version */
 	GHashTable *held_once; /* keys that the engine loaded before */
 	uint64_t sequence;
-	bool synced;	   /* sequence and slots are known */
-	bool known;	   /* slots were known at some time since the reset */
-	fg_ms report_at;   /* earliest time of the next report */
-	uint64_t stale_sequence; /* refused as expected: reports of it are old */
+	bool synced;	 /* sequence and slots are known */
+	bool known;	 /* slots were known at some time since the reset */
+	fg_ms report_at; /* earliest time of the next report */
+	uint64_t
+		stale_sequence; /* refused as expected: reports of it are old */
 	bool stale;
 	/* The base model, kept apart from the slots of adapters. */
 	struct slot base;
@@ -90,8 +91,8 @@
 	s->wants = g_array_new(FALSE, TRUE, sizeof(struct want));
 	s->newest = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
-	s->held_once =
-		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	s->held_once = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, NULL);
 	return s;
 }
 
@@ -422,8 +423,8 @@
 	slot = due_check(s, now, &step.wake);
 	if (slot != NULL) {
 		remember_sent(s,
-			      slot->state == LEAVING ? FG_SLOTS_UNLOAD :
-						       FG_SLOTS_LOAD,
+			      slot->state == LEAVING ? FG_SLOTS_UNLOAD
+						     : FG_SLOTS_LOAD,
 			      slot, &step);
 		return step;
 	}
@@ -470,7 +471,8 @@
 	slot->accepted = false;
 	slot->state = RESIDENT;
 	slot->version = MAX(slot->newest, 1);
-	g_hash_table_add(s->held_once, g_memdup2(&slot->key, sizeof(slot->key)));
+	g_hash_table_add(s->held_once,
+			 g_memdup2(&slot->key, sizeof(slot->key)));
 }
 
 static void unload_result(struct fg_slots *s, fg_ms now, struct slot *slot,
@@ -586,7 +588,7 @@
 	s->known = true;
 }
 
-uint32_t fg_slots_held(const struct fg_slots *s, struct fg_held *out)
+uint32_t fg_slots_held(const struct fg_slots *s, struct fg_fleet_held *out)
 {
 	uint32_t n = 0;
 
@@ -644,8 +646,8 @@
 	uint32_t n = 0;
 
 	for (guint i = 0; i < s->wants->len; i++)
-		n += is_fetch(s, g_array_index(s->wants, struct want, i).key) ?
-			     1 :
-			     0;
+		n += is_fetch(s, g_array_index(s->wants, struct want, i).key)
+			     ? 1
+			     : 0;
 	return n;
 }
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -37,9 +37,9 @@
 
 struct fg_slots_conf {
 	char model[FG_FLEET_NAME_BYTES]; /* for an engine that holds none */
-	uint32_t slots;	     /* adapters at once */
-	uint32_t load_ms;    /* of an adapter from the weight store */
-	uint32_t coming_max; /* loads on their way at once */
+	uint32_t slots;			 /* adapters at once */
+	uint32_t load_ms;     /* of an adapter from the weight store */
+	uint32_t coming_max;  /* loads on their way at once */
 	uint32_t queue_max;   /* adapters waiting at once */
 	uint32_t want_max_ms; /* a want that old is dropped */
 };
@@ -117,7 +117,7 @@
 
 /* Resident adapters whose version is the newest announced; returns how many.
  * `out` has room for FG_SLOTS_MAX + 1; the base model comes first. */
-uint32_t fg_slots_held(const struct fg_slots *s, struct fg_held *out);
+uint32_t fg_slots_held(const struct fg_slots *s, struct fg_fleet_held *out);
 
 /* Adapters that wait for a slot or for the weight store. */
 uint32_t fg_slots_queue(const struct fg_slots *s);
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -36,8 +36,9 @@
 	char *adapter;	      /* of that model; NULL: the bare model */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* at most */
-	uint64_t prompt_head; /* hash of the first shared prompt part; 0: none */
-	bool resumes;	      /* the caller goes on with a stream */
+	uint64_t
+		prompt_head; /* hash of the first shared prompt part; 0: none */
+	bool resumes;	     /* the caller goes on with a stream */
 	uint64_t resume_after; /* ... after the event of this id */
 };
 
@@ -48,7 +49,7 @@
 	const char *endpoint_id; /* no other endpoint may run it */
 	uint32_t deadline_ms;	 /* left for it; 0: not said */
 	uint32_t urgency;	 /* 0 first .. 9 last */
-	uint64_t version; /* the adapter must have it; 0: any */
+	uint64_t version;	 /* the adapter must have it; 0: any */
 	bool resumes;
 	uint64_t resume_after;
 	uint64_t body_bytes;
@@ -56,7 +57,7 @@
 };
 
 /* What the head of an endpoint's answer says beside its status. */
-struct fg_reply {
+struct fg_wire_reply {
 	bool not_run;	      /* the endpoint never ran the request */
 	bool misdirected;     /* it has not the endpoint, model or version */
 	const char *endpoint; /* id of the endpoint; NULL: not said */
@@ -64,7 +65,7 @@
 	bool encoded;	      /* a content coding that nobody asked for */
 	const char *id;	      /* of the request it answers; NULL: not said */
 	uint64_t version;     /* of the weights; 0: not said */
-	uint32_t idle_s;      /* idle connections are kept so long; 0: not said */
+	uint32_t idle_s; /* idle connections are kept so long; 0: not said */
 };
 
 /* ---- Rows of the platform's store ---- */
@@ -79,7 +80,7 @@
 };
 
 struct fg_store_rows {
-	GPtrArray *rows; /* struct fg_store_row * */
+	GPtrArray *rows;  /* struct fg_store_row * */
 	uint64_t version; /* newest version that the answer reflects */
 	bool more;	  /* further rows follow after the last key */
 };
@@ -103,25 +104,25 @@
 
 /* ---- Orders to engines ---- */
 
-struct fg_order {
+struct fg_wire_order {
 	bool load; /* otherwise unload */
 	const char *endpoint_id;
 	const char *model;
 	const char *adapter; /* "": the model itself */
-	uint64_t version; /* to load; 0: the newest */
+	uint64_t version;    /* to load; 0: the newest */
 	uint64_t expected_sequence;
 	const char *holder;
 	uint64_t fence;
 };
 
 enum fg_order_result {
-	FG_ORDER_ACCEPTED = 1,	/* is being carried out */
-	FG_ORDER_HOLDS = 2,	/* holds already, or was done at once */
-	FG_ORDER_CONFLICT = 3,	/* busy, or the sequence differs */
-	FG_ORDER_FENCED = 4,	/* a higher fencing number was seen */
-	FG_ORDER_REFUSED = 5,	/* no such order here */
+	FG_ORDER_ACCEPTED = 1,	  /* is being carried out */
+	FG_ORDER_HOLDS = 2,	  /* holds already, or was done at once */
+	FG_ORDER_CONFLICT = 3,	  /* busy, or the sequence differs */
+	FG_ORDER_FENCED = 4,	  /* a higher fencing number was seen */
+	FG_ORDER_REFUSED = 5,	  /* no such order here */
 	FG_ORDER_MISDIRECTED = 6, /* another endpoint answers there */
-	FG_ORDER_UNKNOWN = 7,	/* no answer: it may act now or later */
+	FG_ORDER_UNKNOWN = 7,	  /* no answer: it may act now or later */
 };
 
 /* An engine's report on itself; some hundred ms old. */
@@ -161,7 +162,8 @@
 	bool (*call_read)(const struct fg_h1_head *head, struct fg_call *out);
 	void (*call_write)(GString *out, const struct fg_h1_head *head,
 			   const struct fg_send *send);
-	void (*reply_read)(const struct fg_h1_head *head, struct fg_reply *out);
+	void (*reply_read)(const struct fg_h1_head *head,
+			   struct fg_wire_reply *out);
 	/* Head fields of a refusal that the gateway itself gives. */
 	void (*refusal_write)(GString *out, const char *request_id);
 
@@ -177,14 +179,14 @@
 
 	/* The store. `host` goes into the head. */
 	struct fg_http_call (*rows_get)(const char *host, const char *table,
-					 const char *from, uint32_t limit);
+					const char *from, uint32_t limit);
 	struct fg_http_call (*rows_feed)(const char *host, const char *table,
-					  uint64_t after, uint32_t wait_ms);
+					 uint64_t after, uint32_t wait_ms);
 	struct fg_http_call (*rows_tx)(const char *host,
-					const struct fg_tx_row *rows,
-					uint32_t n);
-	bool (*rows_read)(const char *body, size_t len, struct fg_store_rows *out,
-			  GError **error);
+				       const struct fg_tx_row *rows,
+				       uint32_t n);
+	bool (*rows_read)(const char *body, size_t len,
+			  struct fg_store_rows *out, GError **error);
 
 	/* Rows of the tables. */
 	bool (*is_config)(const char *key);
@@ -198,7 +200,7 @@
 
 	/* Engines. */
 	struct fg_http_call (*order_write)(const char *host,
-					   const struct fg_order *order);
+					   const struct fg_wire_order *order);
 	enum fg_order_result (*order_result)(unsigned int status);
 	struct fg_http_call (*report_ask)(const char *host,
 					  const char *endpoint_id);
