--- /dev/null
+++ b/tests/unit/test_fleet.c
@@ -0,0 +1,373 @@
+/* Endpoints as an instance knows them, their health, and what is in flight. */
+#include <glib.h>
+#include <string.h>
+
+#include "admit/fg_loss.h"
+#include "balance/fg_balance.h"
+#include "fleet/fg_fleet.h"
+#include "fleet/fg_health.h"
+#include "fleet/fg_uses.h"
+
+static uint32_t n_dropped;
+
+static const char *region_of(void *ctx, const char *dc)
+{
+	(void)ctx;
+	return strcmp(dc, "east") == 0 ? "r1" : "r2";
+}
+
+static void dropped(void *ctx, struct fg_fleet_ep *ep)
+{
+	(void)ctx;
+	(void)ep;
+	n_dropped++;
+}
+
+static struct fg_fleet *make(void)
+{
+	n_dropped = 0;
+	return fg_fleet_new(region_of, dropped, NULL);
+}
+
+static struct fg_fleet_ep *put(struct fg_fleet *f, fg_ms now, const char *id,
+			       bool draining)
+{
+	struct fg_ep_facts facts = { .draining = draining, .slots = 6 };
+
+	g_strlcpy(facts.id, id, sizeof(facts.id));
+	g_strlcpy(facts.service, "s", sizeof(facts.service));
+	g_strlcpy(facts.address, "10.0.0.1:80", sizeof(facts.address));
+	g_strlcpy(facts.dc, id[0] == 'e' ? "east" : "west", sizeof(facts.dc));
+	return fg_fleet_put(f, now, &facts);
+}
+
+static void test_leaving(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *ep = put(f, 1000, "e1", false);
+
+	g_assert_true(fg_ep_usable(ep, 1000));
+	put(f, 1100, "e1", true);
+	g_assert_false(fg_ep_usable(ep, 1100));
+	put(f, 1100, "e2", false);
+	fg_fleet_remove(f, 1200, "e2");
+	g_assert_false(fg_ep_usable(fg_fleet_find(f, "e2"), 1200));
+	fg_fleet_tick(f, 1200);
+	g_assert_null(fg_fleet_find(f, "e2"));
+	g_assert_cmpuint(n_dropped, ==, 1);
+	fg_fleet_free(f);
+}
+
+/* Entries that lapse while the registry is away are back in about two seconds
+ * or gone. */
+static void test_lapse(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *ep = put(f, 1000, "e1", false);
+
+	put(f, 1000, "e2", false);
+	fg_fleet_registry_down(f, 2000);
+	fg_fleet_registry_up(f, 8000);
+	fg_fleet_remove(f, 8100, "e1");
+	fg_fleet_remove(f, 8100, "e2");
+	g_assert_true(fg_ep_usable(ep, 8200));
+	put(f, 9000, "e2", false);
+	fg_fleet_tick(f, 8000 + FG_FLEET_RETURN_MS);
+	g_assert_null(fg_fleet_find(f, "e1"));
+	g_assert_nonnull(fg_fleet_find(f, "e2"));
+	/* Later removals are taken at their word. */
+	fg_fleet_remove(f, 11000, "e2");
+	g_assert_false(fg_ep_usable(fg_fleet_find(f, "e2"), 11000));
+	fg_fleet_free(f);
+}
+
+static void test_lapse_of_draining(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *ep = put(f, 1000, "e1", true);
+
+	fg_fleet_registry_down(f, 2000);
+	fg_fleet_registry_up(f, 8000);
+	fg_fleet_remove(f, 8100, "e1");
+	g_assert_false(fg_ep_usable(ep, 8200));
+	fg_fleet_free(f);
+}
+
+static void test_full_read(void)
+{
+	struct fg_fleet *f = make();
+
+	put(f, 1000, "e1", false);
+	put(f, 1000, "e2", false);
+	fg_fleet_read_begin(f);
+	put(f, 2000, "e2", false);
+	fg_fleet_read_end(f, 2000);
+	g_assert_false(fg_ep_usable(fg_fleet_find(f, "e1"), 2000));
+	g_assert_true(fg_ep_usable(fg_fleet_find(f, "e2"), 2000));
+	fg_fleet_free(f);
+}
+
+/* The same id may start again and then knows nothing of before. */
+static void test_restart(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *ep = put(f, 1000, "e1", false);
+	struct fg_fleet_held held = { .key = 5, .version = 1 };
+	struct fg_ep_facts facts;
+
+	fg_ep_set_resident(ep, 1000, &held, 1);
+	ep->addr_taken = true;
+	facts = ep->facts;
+	facts.born = 77;
+	fg_fleet_put(f, 2000, &facts);
+	g_assert_null(fg_ep_adapter(ep, 5));
+	g_assert_true(fg_ep_usable(ep, 2000));
+	fg_fleet_free(f);
+}
+
+static void test_adapter_table(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *ep = put(f, 1000, "e1", false);
+	struct fg_ep_adapter *a = fg_ep_adapter_get(ep, 1000, 1);
+
+	a->running = 1;
+	for (uint64_t key = 2; key < 200; key++)
+		g_assert_nonnull(fg_ep_adapter_get(ep, 1000 + (fg_ms)key, key));
+	g_assert_cmpuint(ep->n_adapters, ==, FG_EP_ADAPTERS_MAX);
+	/* One in use never makes way. */
+	g_assert_nonnull(fg_ep_adapter(ep, 1));
+	g_assert_nonnull(fg_ep_adapter(ep, 199));
+	g_assert_null(fg_ep_adapter(ep, 2));
+	fg_fleet_free(f);
+}
+
+static void test_health(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *ep = put(f, 1000, "e1", false);
+
+	fg_health_failed(ep, 1000);
+	g_assert_false(fg_health_ejected(ep, 1000));
+	fg_health_failed(ep, 1000);
+	g_assert_true(fg_health_ejected(ep, 1400));
+	g_assert_false(fg_health_ejected(ep, 1500));
+	fg_health_failed(ep, 1500);
+	g_assert_true(fg_health_ejected(ep, 2400));
+	fg_health_answered(ep, 2400, false);
+	g_assert_false(fg_health_ejected(ep, 2400));
+	g_assert_cmpfloat(ep->error_rate, >, 0.1);
+	for (int i = 0; i < 50; i++)
+		fg_health_timed(ep, 800, 100);
+	g_assert_cmpfloat(ep->slowness, >, 5);
+	fg_fleet_free(f);
+}
+
+static void test_uses(void)
+{
+	struct fg_uses u;
+	struct fg_use use = { .instance = 1,
+			      .adapter = 5,
+			      .running = 2,
+			      .pending_tokens = 300,
+			      .told = 1000 };
+
+	fg_uses_init(&u);
+	fg_uses_put(&u, &use);
+	use.instance = 2;
+	use.told = 1500;
+	fg_uses_put(&u, &use);
+	g_assert_cmpuint(fg_uses_running(&u), ==, 4);
+	use.running = 1;
+	use.pending_tokens = 0;
+	fg_uses_put(&u, &use);
+	g_assert_cmpuint(fg_uses_running(&u), ==, 3);
+	g_assert_cmpuint(fg_uses_pending_tokens(&u), ==, 300);
+	/* The word of an instance that is gone is forgotten. */
+	fg_uses_expire(&u, 1000 + FG_USES_KEEP_MS + 1);
+	g_assert_cmpuint(fg_uses_running(&u), ==, 1);
+	use.running = 0;
+	fg_uses_put(&u, &use);
+	g_assert_cmpuint(u.list->len, ==, 0);
+	fg_uses_clear(&u);
+}
+
+static void test_losses(void)
+{
+	struct fg_losses l = { 0 };
+	struct fg_loss out[FG_LOSS_MAX];
+
+	for (uint64_t i = 1; i <= 40; i++)
+		fg_losses_add(&l, 1000, i, i);
+	g_assert_cmpuint(fg_losses_take(&l, 2000, out), ==, FG_LOSS_MAX);
+	g_assert_cmpuint(fg_losses_take(&l, 2000, out), ==, 0);
+	fg_losses_add(&l, 1000, 1, 1);
+	g_assert_cmpuint(fg_losses_take(&l, 1001 + FG_LOSS_KEEP_MS, out), ==,
+			 0);
+}
+
+/* ---- Balance ---- */
+
+static const struct fg_balance_conf conf = {
+	.prefill_tokens_per_ms = 25,
+	.load_ms = 250,
+	.reload_ms = 30,
+	.load_penalty_ms = 300,
+	.stray_penalty_ms = 200,
+	.home_share = 0.3,
+	.region_ms = 26,
+	.region_penalty_ms = 30,
+	.work_ms = 30,
+};
+
+#define MODEL_KEY 1
+#define ADAPTER_KEY 2
+
+static const struct fg_svc engine = { .engine = true, .slots = 64 };
+static const struct fg_svc plain = { .engine = false };
+
+static struct fg_fleet_ep *put_engine(struct fg_fleet *f, const char *id)
+{
+	struct fg_fleet_ep *ep = put(f, 1000, id, false);
+	struct fg_fleet_held held = { .key = MODEL_KEY, .version = 1 };
+
+	ep->owner = 1;
+	ep->spare_age_ms = 5000;
+	fg_ep_set_resident(ep, 1000, &held, 1);
+	return ep;
+}
+
+static void hold(struct fg_fleet_ep *ep)
+{
+	struct fg_fleet_held held[] = { { MODEL_KEY, 1 }, { ADAPTER_KEY, 1 } };
+
+	fg_ep_set_resident(ep, 1000, held, 2);
+}
+
+static struct fg_balance_pick pick(struct fg_fleet *f, double tokens_per_s)
+{
+	struct fg_rand rand;
+	struct fg_balance_ask ask = {
+		.service = "s",
+		.terms = &engine,
+		.region = "r1",
+		.adapter = ADAPTER_KEY,
+		.model = MODEL_KEY,
+		.tokens = 100,
+		.tokens_per_s = tokens_per_s,
+	};
+
+	fg_rand_seed(&rand, 1);
+	return fg_balance_pick(&conf, f, 2000, &ask, &rand);
+}
+
+static void test_pick_resident(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *a = put_engine(f, "e1");
+	struct fg_fleet_ep *b = put_engine(f, "e2");
+	struct fg_fleet_ep *far = put_engine(f, "w1");
+
+	hold(b);
+	g_assert_true(pick(f, 0).ep == b);
+	g_assert_true(pick(f, 0).resident);
+	/* A short queue is waited out, a long one is worth a load. */
+	b->peers_pending_tokens = 25 * 200;
+	g_assert_true(pick(f, 0).ep == b);
+	b->peers_pending_tokens = 25 * 2000;
+	g_assert_true(pick(f, 0).ep != b);
+	/* Resident in another region goes before a load in one's own. */
+	hold(far);
+	g_assert_true(pick(f, 0).ep == far);
+	a->owner = 0;
+	fg_fleet_free(f);
+}
+
+static void test_pick_home(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *first;
+	char id[8];
+
+	for (int i = 0; i < 8; i++) {
+		g_snprintf(id, sizeof(id), "e%d", i);
+		put_engine(f, id);
+	}
+	first = pick(f, 0).ep;
+	for (int i = 0; i < 20; i++)
+		g_assert_true(pick(f, 0).ep == first);
+	/* Without an owner, or without the base model, nothing is loaded. */
+	first->owner = 0;
+	g_assert_true(pick(f, 0).ep != first);
+	first->owner = 1;
+	fg_ep_set_resident(first, 1000, NULL, 0);
+	g_assert_true(pick(f, 0).ep != first);
+	fg_fleet_free(f);
+}
+
+static void test_popular_spreads(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *first;
+	char id[8];
+
+	for (int i = 0; i < 8; i++) {
+		g_snprintf(id, sizeof(id), "e%d", i);
+		put_engine(f, id);
+	}
+	first = pick(f, 0).ep;
+	hold(first);
+	first->pending_tokens = 25 * 400;
+	g_assert_true(pick(f, 0).ep == first);
+	/* One that takes a whole endpoint's time gets a second home sooner. */
+	first->pending_tokens = 25 * 650;
+	g_assert_true(pick(f, 25000).ep != first);
+	fg_fleet_free(f);
+}
+
+static void test_pick_plain(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_fleet_ep *near = put(f, 1000, "e1", false);
+	struct fg_fleet_ep *far = put(f, 1000, "w1", false);
+	struct fg_rand rand;
+	struct fg_balance_ask ask = { .service = "s",
+				      .terms = &plain,
+				      .region = "r1" };
+
+	fg_rand_seed(&rand, 1);
+	g_assert_true(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep == near);
+	near->running = 30;
+	g_assert_true(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep == far);
+	near->running = 0;
+	ask.avoid[0] = near;
+	ask.n_avoid = 1;
+	g_assert_true(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep == far);
+	ask.n_avoid = 0;
+	fg_health_failed(near, 2000);
+	fg_health_failed(near, 2000);
+	g_assert_true(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep == far);
+	put(f, 2000, "e1", true);
+	put(f, 2000, "w1", true);
+	g_assert_null(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep);
+	fg_fleet_free(f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fleet/leaving", test_leaving);
+	g_test_add_func("/fleet/lapse", test_lapse);
+	g_test_add_func("/fleet/lapse_of_draining", test_lapse_of_draining);
+	g_test_add_func("/fleet/full_read", test_full_read);
+	g_test_add_func("/fleet/restart", test_restart);
+	g_test_add_func("/fleet/adapter_table", test_adapter_table);
+	g_test_add_func("/fleet/health", test_health);
+	g_test_add_func("/fleet/uses", test_uses);
+	g_test_add_func("/fleet/losses", test_losses);
+	g_test_add_func("/balance/resident", test_pick_resident);
+	g_test_add_func("/balance/home", test_pick_home);
+	g_test_add_func("/balance/popular", test_popular_spreads);
+	g_test_add_func("/balance/plain", test_pick_plain);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_slots.c
@@ -0,0 +1,458 @@
+/*
+ * Adapter slots of one engine: what is ordered, with which sequence, and that
+ * no fault of the engine or the network makes the adapters exceed the slots.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/fg_rand.h"
+#include "slots/fg_loadgate.h"
+#include "slots/fg_slots.h"
+
+#define MODEL "m"
+#define SLOTS 3
+
+static struct fg_slots *make(void)
+{
+	struct fg_slots_conf conf = {
+		.model = MODEL,
+		.slots = SLOTS,
+		.load_ms = 250,
+		.coming_max = 4,
+		.queue_max = 6,
+		.want_max_ms = 1500,
+	};
+
+	return fg_slots_new(&conf);
+}
+
+static void list(struct fg_ep_resident *r, const char *adapter,
+		 uint64_t version)
+{
+	memset(r, 0, sizeof(*r));
+	g_strlcpy(r->model, MODEL, sizeof(r->model));
+	g_strlcpy(r->adapter, adapter, sizeof(r->adapter));
+	r->version = version;
+}
+
+static struct fg_report base_report(uint64_t sequence)
+{
+	struct fg_report report = { .sequence = sequence, .n_resident = 1 };
+
+	list(&report.resident[0], "", 1);
+	return report;
+}
+
+static void sync_empty(struct fg_slots *s, fg_ms now, uint64_t sequence)
+{
+	struct fg_report report = base_report(sequence);
+	struct fg_slots_step step = fg_slots_next(s, now, true);
+
+	g_assert_cmpint(step.act, ==, FG_SLOTS_REPORT);
+	fg_slots_reported(s, now, &report);
+}
+
+static uint64_t key(const char *adapter)
+{
+	return fg_adapter_key(MODEL, adapter);
+}
+
+static void test_load_and_confirm(void)
+{
+	struct fg_slots *s = make();
+	struct fg_slots_step step;
+
+	sync_empty(s, 1000, 7);
+	g_assert_cmpint(fg_slots_want(s, 1000, MODEL, "a1", 0), ==,
+			FG_SLOT_COMING);
+	step = fg_slots_next(s, 1000, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_LOAD);
+	g_assert_cmpstr(step.adapter, ==, "a1");
+	g_assert_cmpuint(step.expected_sequence, ==, 7);
+	fg_slots_ordered(s, 1002, FG_ORDER_ACCEPTED);
+	step = fg_slots_next(s, 1100, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_NOTHING);
+	g_assert_cmpint(step.wake, ==, 1252);
+	step = fg_slots_next(s, 1252, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_LOAD);
+	fg_slots_ordered(s, 1253, FG_ORDER_HOLDS);
+	g_assert_cmpint(fg_slots_state(s, key("a1")), ==, FG_SLOT_RESIDENT);
+	g_assert_cmpuint(fg_slots_take_fetched_ms(s), ==, 253);
+	g_assert_cmpuint(fg_slots_take_fetched_ms(s), ==, 0);
+	fg_slots_free(s);
+}
+
+/* An engine takes the repeat of an order that it carries out, and does not
+ * count it: counting it here gave 409 to every later order. */
+static void test_repeat_is_not_counted(void)
+{
+	struct fg_slots *s = make();
+	struct fg_slots_step step;
+
+	sync_empty(s, 1000, 7);
+	fg_slots_want(s, 1000, MODEL, "a1", 0);
+	fg_slots_next(s, 1000, true);
+	fg_slots_ordered(s, 1000, FG_ORDER_ACCEPTED);
+	for (fg_ms now = 1250; now < 1500; now += 50) {
+		step = fg_slots_next(s, now, true);
+		g_assert_cmpint(step.act, ==, FG_SLOTS_LOAD);
+		fg_slots_ordered(s, now, FG_ORDER_ACCEPTED);
+	}
+	fg_slots_want(s, 1500, MODEL, "a2", 0);
+	step = fg_slots_next(s, 1500, true);
+	if (strcmp(step.adapter, "a1") == 0) {
+		fg_slots_ordered(s, 1500, FG_ORDER_HOLDS);
+		step = fg_slots_next(s, 1500, true);
+	}
+	g_assert_cmpstr(step.adapter, ==, "a2");
+	g_assert_cmpuint(step.expected_sequence, ==, 8);
+	fg_slots_free(s);
+}
+
+/* A want that waited for a report may be met by it: taken up once more, the
+ * adapter had two slots, and the second was ordered without end. */
+static void test_want_met_by_report(void)
+{
+	struct fg_slots *s = make();
+	struct fg_report report = base_report(9);
+	struct fg_slots_step step;
+
+	fg_slots_want(s, 1000, MODEL, "a1", 0);
+	step = fg_slots_next(s, 1000, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_REPORT);
+	list(&report.coming[0], "a1", 1);
+	report.n_coming = 1;
+	fg_slots_reported(s, 1000, &report);
+	for (fg_ms now = 1001; now < 1030; now++) {
+		step = fg_slots_next(s, now, true);
+		g_assert_cmpint(step.act, ==, FG_SLOTS_NOTHING);
+	}
+	g_assert_cmpint(fg_slots_state(s, key("a1")), ==, FG_SLOT_COMING);
+	fg_slots_free(s);
+}
+
+/* An engine that restarted holds nothing, its base model neither. */
+static void test_base_model_first(void)
+{
+	struct fg_slots *s = make();
+	struct fg_report report = { .sequence = 0 };
+	struct fg_slots_step step;
+
+	fg_slots_want(s, 1000, MODEL, "a1", 0);
+	fg_slots_next(s, 1000, true);
+	fg_slots_reported(s, 1000, &report);
+	g_assert_cmpuint(fg_slots_spare_age(s, 1000), ==, 0);
+	step = fg_slots_next(s, 1000, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_LOAD);
+	g_assert_cmpstr(step.adapter, ==, "");
+	fg_slots_ordered(s, 1000, FG_ORDER_ACCEPTED);
+	step = fg_slots_next(s, 1001, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_NOTHING);
+	step = fg_slots_next(s, 4000, true);
+	g_assert_cmpstr(step.adapter, ==, "");
+	fg_slots_ordered(s, 4000, FG_ORDER_HOLDS);
+	fg_slots_want(s, 4000, MODEL, "a1", 0);
+	step = fg_slots_next(s, 4000, true);
+	g_assert_cmpstr(step.adapter, ==, "a1");
+	g_assert_cmpuint(step.expected_sequence, ==, 1);
+	fg_slots_free(s);
+}
+
+static void fill(struct fg_slots *s, fg_ms now)
+{
+	static const char *const names[SLOTS] = { "a1", "a2", "a3" };
+
+	for (uint32_t i = 0; i < SLOTS; i++) {
+		fg_slots_want(s, now + i, MODEL, names[i], 0);
+		g_assert_cmpint(fg_slots_next(s, now + i, true).act, ==,
+				FG_SLOTS_LOAD);
+		fg_slots_ordered(s, now + i, FG_ORDER_HOLDS);
+	}
+}
+
+static void test_victim_is_idle(void)
+{
+	struct fg_slots *s = make();
+	struct fg_slots_step step;
+
+	sync_empty(s, 1000, 0);
+	fill(s, 1000);
+	fg_slots_used(s, 5000, key("a1"));
+	fg_slots_used(s, 4950, key("a3"));
+	fg_slots_want(s, 5000, MODEL, "a4", 0);
+	step = fg_slots_next(s, 5000, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_UNLOAD);
+	g_assert_cmpstr(step.adapter, ==, "a2");
+	/* While it waits for its runs, no load begins. */
+	fg_slots_ordered(s, 5000, FG_ORDER_ACCEPTED);
+	step = fg_slots_next(s, 5001, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_NOTHING);
+	step = fg_slots_next(s, 5100, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_UNLOAD);
+	fg_slots_ordered(s, 5100, FG_ORDER_HOLDS);
+	step = fg_slots_next(s, 5100, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_LOAD);
+	g_assert_cmpstr(step.adapter, ==, "a4");
+	fg_slots_free(s);
+}
+
+static void test_none_idle(void)
+{
+	struct fg_slots *s = make();
+
+	sync_empty(s, 1000, 0);
+	fill(s, 1000);
+	for (uint32_t i = 1; i <= SLOTS; i++) {
+		char name[8];
+
+		g_snprintf(name, sizeof(name), "a%u", i);
+		fg_slots_used(s, 2000, key(name));
+	}
+	g_assert_cmpuint(fg_slots_spare_age(s, 2000), ==, 0);
+	fg_slots_want(s, 2000, MODEL, "a4", 0);
+	g_assert_cmpint(fg_slots_next(s, 2000, true).act, ==, FG_SLOTS_NOTHING);
+	fg_slots_free(s);
+}
+
+static void test_version_replaced(void)
+{
+	struct fg_slots *s = make();
+	struct fg_fleet_held held[FG_SLOTS_MAX + 1];
+	struct fg_slots_step step;
+
+	sync_empty(s, 1000, 0);
+	fill(s, 1000);
+	g_assert_cmpuint(fg_slots_held(s, held), ==, SLOTS + 1);
+	fg_slots_announced(s, key("a2"), 5);
+	g_assert_cmpuint(fg_slots_held(s, held), ==, SLOTS);
+	step = fg_slots_next(s, 1100, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_LOAD);
+	g_assert_cmpstr(step.adapter, ==, "a2");
+	g_assert_cmpuint(step.version, ==, 5);
+	fg_slots_ordered(s, 1100, FG_ORDER_HOLDS);
+	g_assert_cmpuint(fg_slots_held(s, held), ==, SLOTS + 1);
+	g_assert_cmpint(fg_slots_next(s, 1101, true).act, ==, FG_SLOTS_NOTHING);
+	fg_slots_free(s);
+}
+
+/* A report may be older than the refusal that asked for it. */
+static void test_old_report(void)
+{
+	struct fg_slots *s = make();
+	struct fg_report report = base_report(0);
+	struct fg_slots_step step;
+
+	sync_empty(s, 1000, 0);
+	fg_slots_want(s, 1000, MODEL, "a1", 0);
+	fg_slots_next(s, 1000, true);
+	fg_slots_ordered(s, 1000, FG_ORDER_CONFLICT);
+	g_assert_cmpint(fg_slots_next(s, 1000, true).act, ==, FG_SLOTS_REPORT);
+	fg_slots_reported(s, 1001, &report);
+	step = fg_slots_next(s, 1002, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_NOTHING);
+	step = fg_slots_next(s, step.wake, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_REPORT);
+	report.sequence = 1;
+	fg_slots_reported(s, 1200, &report);
+	fg_slots_want(s, 1200, MODEL, "a1", 0);
+	step = fg_slots_next(s, 1200, true);
+	g_assert_cmpuint(step.expected_sequence, ==, 1);
+	fg_slots_free(s);
+}
+
+static void test_young_wants_first(void)
+{
+	struct fg_slots *s = make();
+	struct fg_slots_step step;
+
+	sync_empty(s, 1000, 0);
+	fg_slots_want(s, 1000, MODEL, "old", 0);
+	for (fg_ms now = 1100; now < 2000; now += 100)
+		fg_slots_want(s, now, MODEL, "old", 0);
+	fg_slots_want(s, 2000, MODEL, "young", 0);
+	g_assert_cmpint(fg_slots_next(s, 2000, false).act, ==,
+			FG_SLOTS_NOTHING);
+	step = fg_slots_next(s, 2000, true);
+	g_assert_cmpstr(step.adapter, ==, "young");
+	fg_slots_free(s);
+}
+
+/* ---- Seeded interleavings ---- */
+
+/* An engine as the platform describes it: it checks the sequence, takes orders
+ * late or loses their answers, and reports with a lag. */
+struct engine {
+	char held[64][FG_FLEET_NAME_BYTES];
+	uint32_t n;
+	uint64_t sequence;
+	struct fg_report old;
+	struct {
+		bool load;
+		char adapter[FG_FLEET_NAME_BYTES];
+		uint64_t expected;
+		fg_ms at;
+	} late[8];
+	uint32_t n_late;
+};
+
+static int held_at(const struct engine *e, const char *adapter)
+{
+	for (uint32_t i = 0; i < e->n; i++) {
+		if (strcmp(e->held[i], adapter) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+static enum fg_order_result order(struct engine *e, bool load,
+				  const char *adapter, uint64_t expected)
+{
+	int at = held_at(e, adapter);
+
+	if (load == (at >= 0))
+		return FG_ORDER_HOLDS;
+	if (expected != e->sequence)
+		return FG_ORDER_CONFLICT;
+	e->sequence++;
+	if (load)
+		g_strlcpy(e->held[e->n++], adapter, FG_FLEET_NAME_BYTES);
+	else
+		g_strlcpy(e->held[at], e->held[--e->n], FG_FLEET_NAME_BYTES);
+	/* More than the slots crashes a replica. */
+	g_assert_cmpuint(e->n, <=, SLOTS);
+	return load ? FG_ORDER_ACCEPTED : FG_ORDER_HOLDS;
+}
+
+static struct fg_report look(const struct engine *e)
+{
+	struct fg_report report = base_report(e->sequence);
+
+	for (uint32_t i = 0; i < e->n; i++)
+		list(&report.resident[report.n_resident++], e->held[i], 1);
+	return report;
+}
+
+static void act_late(struct engine *e, fg_ms now)
+{
+	for (uint32_t i = e->n_late; i > 0; i--) {
+		if (e->late[i - 1].at > now)
+			continue;
+		order(e, e->late[i - 1].load, e->late[i - 1].adapter,
+		      e->late[i - 1].expected);
+		e->late[i - 1] = e->late[--e->n_late];
+	}
+}
+
+static void carry_out(struct engine *e, struct fg_slots *s, fg_ms now,
+		      const struct fg_slots_step *step, struct fg_rand *rand)
+{
+	bool load = step->act == FG_SLOTS_LOAD;
+	char adapter[FG_FLEET_NAME_BYTES];
+	enum fg_order_result result;
+
+	g_strlcpy(adapter, step->adapter, sizeof(adapter));
+	switch (fg_rand_below(rand, 6)) {
+	case 0: /* lost, acts later */
+		if (e->n_late < G_N_ELEMENTS(e->late)) {
+			e->late[e->n_late].load = load;
+			e->late[e->n_late].expected = step->expected_sequence;
+			e->late[e->n_late].at =
+				now + (fg_ms)fg_rand_below(rand, 5000);
+			g_strlcpy(e->late[e->n_late++].adapter, adapter,
+				  sizeof(e->late[0].adapter));
+		}
+		fg_slots_ordered(s, now, FG_ORDER_UNKNOWN);
+		break;
+	case 1: /* done, answer lost */
+		order(e, load, adapter, step->expected_sequence);
+		fg_slots_ordered(s, now, FG_ORDER_UNKNOWN);
+		break;
+	default:
+		result = order(e, load, adapter, step->expected_sequence);
+		fg_slots_ordered(s, now, result);
+	}
+}
+
+static void run_seed(uint64_t seed)
+{
+	struct fg_slots *s = make();
+	struct engine e = { 0 };
+	struct fg_rand rand;
+	uint32_t residents = 0;
+
+	fg_rand_seed(&rand, seed);
+	e.old = look(&e);
+	for (fg_ms now = 1000; now < 60000; now += 10) {
+		struct fg_slots_step step;
+		char name[8];
+
+		act_late(&e, now);
+		if (now % 200 == 0)
+			e.old = look(&e);
+		g_snprintf(name, sizeof(name), "a%u",
+			   (unsigned int)fg_rand_below(&rand, 8));
+		if (now % 100 == 0)
+			residents += fg_slots_want(s, now, MODEL, name, 0) ==
+						     FG_SLOT_RESIDENT
+					     ? 1
+					     : 0;
+		step = fg_slots_next(s, now, true);
+		if (step.act == FG_SLOTS_REPORT)
+			fg_slots_reported(
+				s, now,
+				fg_rand_below(&rand, 5) == 0 ? NULL : &e.old);
+		else if (step.act != FG_SLOTS_NOTHING)
+			carry_out(&e, s, now, &step, &rand);
+	}
+	/* Wants are met for much of the time in spite of the faults. */
+	g_assert_cmpuint(residents, >, 20);
+	fg_slots_free(s);
+}
+
+static void test_seeds(void)
+{
+	for (uint64_t seed = 1; seed <= 200; seed++)
+		run_seed(seed);
+}
+
+/* ---- Window of loads ---- */
+
+static void test_loadgate(void)
+{
+	struct fg_loadgate g;
+
+	fg_loadgate_init(&g, 250);
+	g_assert_true(fg_loadgate_open(&g, 1));
+	g_assert_false(fg_loadgate_open(&g, 2));
+	for (int i = 0; i < 40; i++)
+		fg_loadgate_ended(&g, 260, 8);
+	g_assert_true(fg_loadgate_open(&g, 4));
+	for (int i = 0; i < 20; i++)
+		fg_loadgate_ended(&g, 900, 8);
+	g_assert_true(fg_loadgate_open(&g, 0));
+	g_assert_false(fg_loadgate_open(&g, 1));
+	g_assert_cmpuint(fg_loadgate_wait_ms(&g, 0, 0), ==, 0);
+	g_assert_cmpuint(fg_loadgate_wait_ms(&g, 1, 2), >, 1500);
+	/* Loads that were few do not widen it. */
+	fg_loadgate_init(&g, 250);
+	for (int i = 0; i < 20; i++)
+		fg_loadgate_ended(&g, 250, 0);
+	g_assert_false(fg_loadgate_open(&g, 2));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/slots/load", test_load_and_confirm);
+	g_test_add_func("/slots/repeat", test_repeat_is_not_counted);
+	g_test_add_func("/slots/want_met", test_want_met_by_report);
+	g_test_add_func("/slots/base_model", test_base_model_first);
+	g_test_add_func("/slots/victim", test_victim_is_idle);
+	g_test_add_func("/slots/none_idle", test_none_idle);
+	g_test_add_func("/slots/version", test_version_replaced);
+	g_test_add_func("/slots/old_report", test_old_report);
+	g_test_add_func("/slots/young_first", test_young_wants_first);
+	g_test_add_func("/slots/seeds", test_seeds);
+	g_test_add_func("/slots/loadgate", test_loadgate);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_wire.c
@@ -0,0 +1,553 @@
+/*
+ * What arrives from outside: HTTP messages, events, rows, entries, packets and
+ * settings, proper and not.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/fg_rand.h"
+#include "fgp_wire.h"
+#include "gateway/fg_events.h"
+#include "gateway/fg_gwconf.h"
+#include "h1/fg_h1.h"
+#include "mesh/fg_mesh.h"
+#include "mesh/fg_peers.h"
+
+/* ---- HTTP messages ---- */
+
+struct seen {
+	GString *body;
+	uint32_t heads;
+	uint32_t ends;
+};
+
+static bool on_head(void *ctx, const struct fg_h1_head *head)
+{
+	struct seen *s = ctx;
+
+	(void)head;
+	s->heads++;
+	return true;
+}
+
+static void on_body(void *ctx, const char *data, size_t len)
+{
+	struct seen *s = ctx;
+
+	g_string_append_len(s->body, data, (gssize)len);
+}
+
+static void on_end(void *ctx)
+{
+	struct seen *s = ctx;
+
+	s->ends++;
+}
+
+static const struct fg_h1_ops ops = { on_head, on_body, on_end };
+
+static void init(struct fg_h1 *h, struct seen *s, bool requests)
+{
+	memset(s, 0, sizeof(*s));
+	s->body = g_string_new(NULL);
+	fg_h1_init(h, requests, &ops, s, 1024, 1000);
+}
+
+static void done(struct fg_h1 *h, struct seen *s)
+{
+	fg_h1_clear(h);
+	g_string_free(s->body, TRUE);
+}
+
+static void test_pipelined(void)
+{
+	static const char text[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+				   "Content-Length: 3\r\n\r\nabcGET /b";
+	struct fg_h1 h;
+	struct seen s;
+
+	init(&h, &s, true);
+	/* Byte by byte, as a slow caller sends. */
+	for (size_t i = 0; i < sizeof(text) - 1 && !h.ended; i++)
+		g_assert_cmpuint(fg_h1_feed(&h, text + i, 1), ==, 1);
+	g_assert_true(h.ended);
+	g_assert_cmpstr(s.body->str, ==, "abc");
+	g_assert_cmpstr(fg_h1_get(&h.head, "HOST"), ==, "h");
+	g_assert_cmpuint(fg_h1_feed(&h, "G", 1), ==, 0);
+	fg_h1_next(&h);
+	g_assert_cmpuint(fg_h1_feed(&h, text, sizeof(text) - 1), ==,
+			 sizeof(text) - 1 - strlen("GET /b"));
+	g_assert_cmpuint(s.ends, ==, 2);
+	done(&h, &s);
+}
+
+static void check_fault(const char *text, enum fg_h1_fault fault)
+{
+	struct fg_h1 h;
+	struct seen s;
+
+	init(&h, &s, true);
+	fg_h1_feed(&h, text, strlen(text));
+	g_assert_cmpint(h.fault, ==, fault);
+	g_assert_cmpuint(s.ends, ==, 0);
+	done(&h, &s);
+}
+
+static void test_bad_requests(void)
+{
+	char *big = g_strnfill(4000, 'x');
+	char *text;
+
+	check_fault("nonsense\r\n\r\n", FG_H1_MALFORMED);
+	check_fault("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		    FG_H1_MALFORMED);
+	check_fault("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		    "Content-Length: 4\r\n\r\nabcd",
+		    FG_H1_MALFORMED);
+	check_fault("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz",
+		    FG_H1_MALFORMED);
+	check_fault("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n",
+		    FG_H1_BODY_TOO_LARGE);
+	text = g_strdup_printf("GET / HTTP/1.1\r\nA: %s\r\n\r\n", big);
+	check_fault(text, FG_H1_HEAD_TOO_LARGE);
+	g_free(text);
+	text = g_strdup_printf("POST / HTTP/1.1\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n3e9\r\n%s",
+			       big);
+	check_fault(text, FG_H1_BODY_TOO_LARGE);
+	g_free(text);
+	g_free(big);
+}
+
+static void test_answer_without_length(void)
+{
+	static const char text[] = "HTTP/1.1 200 OK\r\n\r\nall of it";
+	struct fg_h1 h;
+	struct seen s;
+
+	init(&h, &s, false);
+	fg_h1_feed(&h, text, sizeof(text) - 1);
+	g_assert_false(h.ended);
+	g_assert_true(fg_h1_eof(&h));
+	g_assert_cmpstr(s.body->str, ==, "all of it");
+	done(&h, &s);
+	/* With a length, the end of the connection completes nothing. */
+	init(&h, &s, false);
+	fg_h1_feed(&h, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall", 43);
+	g_assert_false(fg_h1_eof(&h));
+	done(&h, &s);
+}
+
+static void test_hop_fields(void)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"
+				   "Connection: keep-alive, x-one\r\n"
+				   "X-Two: 2\r\n\r\n";
+	struct fg_h1 h;
+	struct seen s;
+
+	init(&h, &s, true);
+	fg_h1_feed(&h, text, sizeof(text) - 1);
+	g_assert_true(h.ended);
+	g_assert_false(fg_h1_is_hop_field(&h.head, 0));
+	g_assert_true(fg_h1_is_hop_field(&h.head, 1));
+	g_assert_true(fg_h1_is_hop_field(&h.head, 2));
+	g_assert_false(fg_h1_is_hop_field(&h.head, 3));
+	done(&h, &s);
+}
+
+/* ---- Requests on the platform ---- */
+
+/* What only the system sets is never taken from a caller. */
+static void test_system_fields(void)
+{
+	static const char text[] =
+		"POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+		"Deadline-Ms: 4000\r\nModel: m/a7\r\nToken-Count: 900,80\r\n"
+		"Prompt-Prefix: 5c:800,91:100\r\nHold: h1\r\nKv-From: x\r\n"
+		"Pin-Ms: 4\r\nKv-Backup: y\r\nExpect-Instance: z\r\n"
+		"Request-Urgency: 0\r\nLast-Event-Id: 12\r\n"
+		"Content-Length: 0\r\n\r\n";
+	struct fg_send send = { .endpoint_id = "i-1",
+				.deadline_ms = 3900,
+				.urgency = 5,
+				.resumes = true,
+				.resume_after = 14,
+				.has_body = true };
+	struct fg_call call;
+	struct fg_h1 h;
+	struct seen s;
+	GString *out = g_string_new(NULL);
+
+	init(&h, &s, true);
+	fg_h1_feed(&h, text, sizeof(text) - 1);
+	g_assert_true(h.ended);
+	g_assert_true(fgp_wire.call_read(&h.head, &call));
+	g_assert_cmpstr(call.id, ==, "r1");
+	g_assert_cmpstr(call.model, ==, "m");
+	g_assert_cmpstr(call.adapter, ==, "a7");
+	g_assert_cmpuint(call.prompt_tokens, ==, 900);
+	g_assert_cmpuint(call.output_tokens, ==, 80);
+	g_assert_cmpuint(call.deadline_ms, ==, 4000);
+	g_assert_true(call.resumes);
+	g_assert_cmpuint(call.resume_after, ==, 12);
+	fgp_wire.call_write(out, &h.head, &send);
+	g_assert_nonnull(strstr(out->str, "\r\nRequest-Id: r1\r\n"));
+	g_assert_nonnull(strstr(out->str, "\r\nDeadline-Ms: 3900\r\n"));
+	g_assert_nonnull(strstr(out->str, "\r\nExpect-Instance: i-1\r\n"));
+	g_assert_nonnull(strstr(out->str, "\r\nRequest-Urgency: 5\r\n"));
+	g_assert_nonnull(strstr(out->str, "\r\nLast-Event-Id: 14\r\n"));
+	g_assert_nonnull(strstr(out->str, "\r\nPrompt-Prefix: 5c:800,91:100"));
+	g_assert_null(strstr(out->str, "Hold"));
+	g_assert_null(strstr(out->str, "Kv-"));
+	g_assert_null(strstr(out->str, "Pin-Ms"));
+	g_assert_null(strstr(out->str, "Expect-Instance: z"));
+	fg_call_clear(&call);
+	g_string_free(out, TRUE);
+	done(&h, &s);
+}
+
+/* ---- Configuration, entries, rows ---- */
+
+static const char config[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"H.example\",\"prefix\":\"/a/\",\"kind\":"
+	"\"streaming\",\"timeoutMs\":12000.0,\"targetLatencyMs\":1000,"
+	"\"priority\":1,\"service\":\"s1\",\"maxAttempts\":2,"
+	"\"resumable\":true},"
+	"{\"name\":\"r2\",\"host\":\"h.example\",\"prefix\":\"/a/b/\",\"kind\":"
+	"\"safe\",\"timeoutMs\":800,\"split\":[{\"service\":\"s1\",\"weight\":"
+	"90},{\"service\":\"s2\",\"weight\":10}]}],"
+	"\"services\":[{\"name\":\"s1\",\"engine\":{\"slots\":64,"
+	"\"adapterSlots\":6,\"models\":[{\"name\":\"m\",\"adapters\":3000}]}},"
+	"{\"name\":\"s2\",\"healthPath\":\"/health\"}],"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"idleTimeoutMs\":15000}}";
+
+static void test_config(void)
+{
+	GError *why = NULL;
+	struct fg_routes *t =
+		fgp_wire.config_read(config, strlen(config), &why);
+	const struct fg_route *r;
+	uint32_t to_second = 0;
+
+	g_assert_no_error(why);
+	g_assert_cmpuint(t->version, ==, 7);
+	g_assert_cmpuint(t->limits.head_max_bytes, ==, 16384);
+	r = fg_routes_find(t, "h.EXAMPLE:80", "/a/x?q=/a/b/");
+	g_assert_cmpstr(r->name, ==, "r1");
+	g_assert_true(r->resumable);
+	g_assert_false(r->repeatable);
+	g_assert_cmpuint(r->timeout_ms, ==, 12000);
+	r = fg_routes_find(t, "h.example", "/a/b/c");
+	g_assert_cmpstr(r->name, ==, "r2");
+	g_assert_true(r->repeatable);
+	for (uint64_t draw = 0; draw < 100; draw++)
+		to_second += fg_route_service(r, draw);
+	g_assert_cmpuint(to_second, ==, 10);
+	g_assert_null(fg_routes_find(t, "h.example", "/a"));
+	g_assert_null(fg_routes_find(t, "other", "/a/"));
+	g_assert_null(fg_routes_find(t, "h.example", "/x?/a/"));
+	g_assert_nonnull(fg_routes_find(t, "h.example", "http://h/a/y"));
+	g_assert_true(((struct fg_svc *)t->services->pdata[0])->engine);
+	fg_routes_unref(t);
+}
+
+static void test_bad_config(void)
+{
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"{\"routes\":[{\"name\":\"r\"}]}",
+		"{\"services\":[{}]}",
+		"{\"routes\":[{\"host\":\"h\",\"prefix\":\"/\",\"kind\":"
+		"\"safe\",\"service\":\"none\"}]}",
+		"{\"services\":[{\"name\":\"s\"}],\"routes\":[{\"host\":\"h\","
+		"\"prefix\":\"x\",\"kind\":\"safe\",\"service\":\"s\"}]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *why = NULL;
+
+		g_assert_null(
+			fgp_wire.config_read(bad[i], strlen(bad[i]), &why));
+		g_assert_nonnull(why);
+		g_error_free(why);
+	}
+}
+
+static void test_entry(void)
+{
+	static const char text[] =
+		"{\"service\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"slots\":64,\"state\":\"ready\",\"born\":123,\"models\":[{"
+		"\"name\":\"m\",\"version\":2,\"adapters\":[\"a1@3\",\"a2\"]}]"
+		"}";
+	static const char *const bad[] = {
+		"no",
+		"{}",
+		"{\"service\":7,\"addr\":\"a\",\"zone\":\"z\",\"state\":"
+		"\"ready\"}",
+		"{\"service\":\"s\",\"addr\":\"a\",\"zone\":\"z\",\"state\":"
+		"\"odd\"}",
+	};
+	struct fg_ep_facts facts;
+	GError *why = NULL;
+
+	g_assert_true(
+		fgp_wire.entry_read("i-1", text, strlen(text), &facts, &why));
+	g_assert_cmpuint(facts.born, ==, 123);
+	g_assert_cmpuint(facts.n_resident, ==, 3);
+	g_assert_cmpstr(facts.resident[1].adapter, ==, "a1");
+	g_assert_cmpuint(facts.resident[1].version, ==, 3);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_assert_false(fgp_wire.entry_read(
+			"i-1", bad[i], strlen(bad[i]), &facts, &why));
+		g_assert_nonnull(why);
+		g_clear_error(&why);
+	}
+}
+
+static void test_rows(void)
+{
+	static const char text[] =
+		"{\"rows\":[{\"table\":\"t\",\"key\":\"k\",\"value\":"
+		"\"bm9kZS0x\",\"ver\":4},{\"table\":\"t\",\"key\":\"gone\","
+		"\"ver\":5,\"removed\":true},{\"odd\":1}],\"ver\":9,"
+		"\"hasMore\":true}";
+	struct fg_store_rows rows;
+	GError *why = NULL;
+	const struct fg_store_row *row;
+
+	g_assert_true(fgp_wire.rows_read(text, strlen(text), &rows, &why));
+	g_assert_cmpuint(rows.rows->len, ==, 2);
+	row = rows.rows->pdata[0];
+	g_assert_cmpstr(row->value, ==, "node-1");
+	row = rows.rows->pdata[1];
+	g_assert_true(row->removed);
+	g_assert_true(rows.more);
+	g_assert_cmpuint(rows.version, ==, 9);
+	fg_store_rows_clear(&rows);
+	g_assert_false(fgp_wire.rows_read("{}", 2, &rows, &why));
+	g_clear_error(&why);
+	g_assert_false(fgp_wire.rows_read("x", 1, &rows, &why));
+	g_clear_error(&why);
+}
+
+static void test_order(void)
+{
+	struct fg_wire_order order = { .load = true,
+				       .endpoint_id = "i-1",
+				       .model = "m",
+				       .adapter = "",
+				       .expected_sequence = 4,
+				       .holder = "n",
+				       .fence = 41 };
+	struct fg_http_call call = fgp_wire.order_write("h", &order);
+
+	/* An order for the model itself names no adapter. */
+	g_assert_null(strstr(call.head_and_body, "adapter"));
+	g_assert_nonnull(strstr(call.head_and_body, "\"fenceToken\":41"));
+	g_assert_nonnull(strstr(call.head_and_body, "\"expected\":4"));
+	g_free(call.head_and_body);
+	order.adapter = "a1";
+	order.version = 3;
+	call = fgp_wire.order_write("h", &order);
+	g_assert_nonnull(strstr(call.head_and_body, "\"adapter\":\"a1\""));
+	g_assert_nonnull(strstr(call.head_and_body, "\"version\":3"));
+	g_free(call.head_and_body);
+	g_assert_cmpint(fgp_wire.order_result(412), ==, FG_ORDER_FENCED);
+	g_assert_cmpint(fgp_wire.order_result(400), ==, FG_ORDER_REFUSED);
+}
+
+static void test_report(void)
+{
+	static const char text[] =
+		"{\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":["
+		"\"a1@1\"]}],\"busy\":true,\"sequence\":11,\"coming\":["
+		"\"m/a2@2\"],\"born\":5}";
+	struct fg_report report;
+	GError *why = NULL;
+
+	g_assert_true(fgp_wire.report_read(text, strlen(text), &report, &why));
+	g_assert_true(report.busy);
+	g_assert_cmpuint(report.n_coming, ==, 1);
+	g_assert_cmpstr(report.coming[0].adapter, ==, "a2");
+	g_assert_cmpuint(report.coming[0].version, ==, 2);
+	g_assert_false(fgp_wire.report_read("{}", 2, &report, &why));
+	g_clear_error(&why);
+}
+
+/* ---- Events ---- */
+
+static void test_events(void)
+{
+	struct fg_events e;
+	gssize n;
+
+	fg_events_init(&e);
+	n = fg_events_feed(&e, "id: 4\ndata: x\n\nid: 5\nda", 23);
+	g_assert_cmpint(n, ==, 15);
+	g_assert_cmpuint(e.last_id, ==, 4);
+	fg_events_took(&e, (size_t)n);
+	n = fg_events_feed(&e, "ta: y\r\n\r\n", 9);
+	g_assert_cmpuint(e.last_id, ==, 5);
+	fg_events_took(&e, (size_t)n);
+	g_assert_cmpuint(e.rest->len, ==, 0);
+	g_assert_cmpuint(e.whole, ==, 2);
+	/* A begun event is forgotten when another endpoint goes on. */
+	fg_events_feed(&e, "id: 6\n", 6);
+	fg_events_restart(&e);
+	g_assert_cmpuint(e.last_id, ==, 5);
+	fg_events_clear(&e);
+}
+
+static void test_event_too_large(void)
+{
+	struct fg_events e;
+	char *big = g_strnfill(FG_EVENT_MAX_BYTES + 1, 'x');
+
+	fg_events_init(&e);
+	g_assert_cmpint(fg_events_feed(&e, big, strlen(big)), ==, -1);
+	fg_events_clear(&e);
+	g_free(big);
+}
+
+/* ---- Packets between instances ---- */
+
+static void test_packets(void)
+{
+	fg_mesh_packet packet = { .format = FG_MESH_FORMAT,
+				  .incarnation = 77,
+				  .body.kind = FG_MESH_ASK };
+	fg_mesh_packet back;
+	char buf[FG_MESH_PACKET_BYTES];
+	struct fg_rand rand;
+	size_t len;
+
+	packet.body.fg_mesh_body_u.ask.model = (char *)"m";
+	packet.body.fg_mesh_body_u.ask.adapter = (char *)"a1";
+	g_assert_true(fg_mesh_encode(&packet, buf, sizeof(buf), &len));
+	g_assert_true(fg_mesh_decode(buf, len, &back));
+	g_assert_cmpstr(back.body.fg_mesh_body_u.ask.adapter, ==, "a1");
+	fg_mesh_clear(&back);
+	g_assert_false(fg_mesh_decode(buf, len - 1, &back));
+	g_assert_false(fg_mesh_encode(&packet, buf, 10, &len));
+	fg_rand_seed(&rand, 1);
+	for (int i = 0; i < 2000; i++) {
+		for (size_t k = 0; k < 64; k++)
+			buf[k] = (char)fg_rand_next(&rand);
+		if (fg_mesh_decode(buf, 64, &back))
+			fg_mesh_clear(&back);
+	}
+}
+
+static void test_peers(void)
+{
+	struct fg_peer_row self = { .incarnation = 1 };
+	struct fg_peer_row row;
+	struct fg_peers *p;
+	fg_mesh_beat beat = { .state = FG_MESH_READY };
+	char *text;
+
+	g_strlcpy(self.name, "a", sizeof(self.name));
+	g_strlcpy(self.region, "r", sizeof(self.region));
+	p = fg_peers_new(&self);
+	g_assert_true(
+		fg_peer_row_read("b", "0a r d 10.0.0.1:1 10.0.0.1:2", &row));
+	text = fg_peer_row_write(&row);
+	g_assert_cmpstr(text, ==, "000000000000000a r d 10.0.0.1:1 10.0.0.1:2");
+	g_free(text);
+	g_assert_false(fg_peer_row_read("b", "0a r d", &row));
+	g_assert_true(fg_peer_row_read("b", "0a r d x y", &row));
+	fg_peers_put(p, 1000, &row);
+	/* A row alone does not make an instance serve. */
+	g_assert_false(fg_peer_serves(fg_peers_find(p, 10), 1000));
+	fg_peers_beat(p, 1100, 10, 1, &beat);
+	g_assert_true(fg_peer_serves(fg_peers_find(p, 10), 1200));
+	g_assert_false(
+		fg_peer_serves(fg_peers_find(p, 10), 1100 + FG_PEER_SILENT_MS));
+	/* A beat that was overtaken does not undo a newer one. */
+	beat.state = FG_MESH_LEAVING;
+	fg_peers_beat(p, 1300, 10, 3, &beat);
+	beat.state = FG_MESH_READY;
+	fg_peers_beat(p, 1300, 10, 2, &beat);
+	g_assert_false(fg_peer_serves(fg_peers_find(p, 10), 1300));
+	/* A new incarnation starts unheard. */
+	row.incarnation = 11;
+	fg_peers_put(p, 1400, &row);
+	g_assert_null(fg_peers_find(p, 10));
+	g_assert_false(fg_peer_alive(fg_peers_find(p, 11), 1400));
+	fg_peers_free(p);
+}
+
+/* ---- Settings ---- */
+
+#define GOOD                                                                   \
+	"name: n\nregion: r\ndc: d\nfront: 10.0.0.1:1\nready: 10.0.0.1:2\n"    \
+	"directory: 10.0.0.1:3\nmesh: 10.0.0.1:4\nstore: 10.0.0.2:5\n"         \
+	"retry_ratio: 0.2\nretry_slack: 58\nstop_grace_s: 8\n"                 \
+	"data_centres:\n  - name: d\n    region: r\n"
+
+static void test_settings(void)
+{
+	GError *why = NULL;
+	struct fg_gwconf *c = fg_gwconf_parse("f", GOOD, &why);
+
+	g_assert_no_error(why);
+	g_assert_cmpuint(c->retry_percent, ==, 20);
+	g_assert_cmpuint(c->stop_grace_ms, ==, 8000);
+	g_assert_cmpstr(fg_gwconf_region(c, "d"), ==, "r");
+	g_assert_cmpstr(fg_gwconf_region(c, "unknown"), ==, "unknown");
+	fg_gwconf_free(c);
+}
+
+static void check_bad_settings(const char *extra, const char *word)
+{
+	char *text = g_strconcat(GOOD, extra, NULL);
+	GError *why = NULL;
+
+	g_assert_null(fg_gwconf_parse("f", text, &why));
+	g_assert_nonnull(strstr(why->message, word));
+	g_error_free(why);
+	g_free(text);
+}
+
+static void test_bad_settings(void)
+{
+	GError *why = NULL;
+
+	check_bad_settings("retri: 1\n", "retri");
+	check_bad_settings("metrics: host:1\n", "metrics");
+	check_bad_settings("lookup_ttl_s: soon\n", "lookup_ttl_s");
+	check_bad_settings("log_level: loud\n", "log_level");
+	check_bad_settings("version_ms: -4\n", "version_ms");
+	g_assert_null(fg_gwconf_parse("f", "name: n\n", &why));
+	g_clear_error(&why);
+	g_assert_null(fg_gwconf_load("/nonexistent/file", &why));
+	g_clear_error(&why);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/h1/pipelined", test_pipelined);
+	g_test_add_func("/h1/bad", test_bad_requests);
+	g_test_add_func("/h1/no_length", test_answer_without_length);
+	g_test_add_func("/h1/hop", test_hop_fields);
+	g_test_add_func("/platform/system_fields", test_system_fields);
+	g_test_add_func("/platform/config", test_config);
+	g_test_add_func("/platform/bad_config", test_bad_config);
+	g_test_add_func("/platform/entry", test_entry);
+	g_test_add_func("/platform/rows", test_rows);
+	g_test_add_func("/platform/order", test_order);
+	g_test_add_func("/platform/report", test_report);
+	g_test_add_func("/events/split", test_events);
+	g_test_add_func("/events/too_large", test_event_too_large);
+	g_test_add_func("/mesh/packets", test_packets);
+	g_test_add_func("/mesh/peers", test_peers);
+	g_test_add_func("/gwconf/good", test_settings);
+	g_test_add_func("/gwconf/bad", test_bad_settings);
+	return g_test_run();
+}
