--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -138,6 +138,8 @@
 	struct fg_gwconf *conf;
 	GError *why = NULL;
 	char *text;
+	bool first;
+	bool same;
 
 	if (!g_file_get_contents(gw->conf_path, &text, NULL, &why)) {
 		fg_log(FG_LOG_WARN, "settings", "not_read", "reason",
@@ -145,12 +147,12 @@
 		g_error_free(why);
 		return;
 	}
-	if (g_strcmp0(text, gw->conf_text) == 0) {
-		g_free(text);
-		return;
-	}
+	first = gw->conf_text == NULL;
+	same = g_strcmp0(text, gw->conf_text) == 0;
 	g_free(gw->conf_text);
 	gw->conf_text = text;
+	if (first || same)
+		return;
 	conf = fg_gwconf_parse(gw->conf_path, text, &why);
 	if (conf == NULL) {
 		fg_log(FG_LOG_ERROR, "settings", "refused", "reason",
--- /dev/null
+++ b/standin/hosted/si_store.py
@@ -0,0 +1,136 @@
+"""Stand-in of the users' store: rows, transactions and change feeds."""
+
+import base64
+import json
+import threading
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from si_http import Server, reset
+
+
+class Store:
+    def __init__(self):
+        self.cond = threading.Condition()
+        self.rows = {}     # (table, key) -> (value bytes, version)
+        self.history = []  # (version, table, key, value or None)
+        self.version = 0
+        self.mode = "up"   # up, busy, reset, silent
+        self.calls = 0
+        self.server = Server(self.handle)
+        self.addr = self.server.addr
+
+    # What operators and replicas write.
+
+    def put(self, table, key, value):
+        with self.cond:
+            self._write(table, key, json.dumps(value).encode())
+            self.cond.notify_all()
+
+    def put_raw(self, table, key, raw):
+        with self.cond:
+            self._write(table, key, raw)
+            self.cond.notify_all()
+
+    def remove(self, table, key):
+        with self.cond:
+            self._write(table, key, None)
+            self.cond.notify_all()
+
+    def drop_history(self):
+        with self.cond:
+            self.history.clear()
+
+    def keys(self, table, prefix=""):
+        with self.cond:
+            return {k: v[0].decode() for (t, k), v in self.rows.items()
+                    if t == table and k.startswith(prefix)}
+
+    def _write(self, table, key, raw):
+        self.version += 1
+        if raw is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[(table, key)] = (raw, self.version)
+        self.history.append((self.version, table, key, raw))
+
+    # Calls.
+
+    def handle(self, req):
+        self.calls += 1
+        if self.mode == "busy":
+            req.answer(503)
+            return True
+        if self.mode == "reset":
+            reset(req.sock)
+            return False
+        if self.mode == "silent":
+            time.sleep(30)
+            return False
+        url = urlsplit(req.target)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        calls = {"/api/rows-get": self.get, "/api/rows-feed": self.feed}
+        if url.path == "/api/rows-tx":
+            status, body = self.transact(json.loads(req.body))
+        elif url.path in calls:
+            status, body = calls[url.path](query)
+        else:
+            status, body = 404, {}
+        req.answer(status, json.dumps(body).encode())
+        return True
+
+    def _row(self, table, key, raw, version):
+        row = {"table": table, "part": "", "key": key, "ver": version}
+        if raw is None:
+            row["removed"] = True
+        else:
+            row["value"] = base64.b64encode(raw).decode()
+        return row
+
+    def get(self, query):
+        with self.cond:
+            keys = sorted(k for t, k in self.rows if t == query["table"]
+                          and k >= query.get("from", ""))
+            limit = int(query.get("limit", "500"))
+            rows = [self._row(query["table"], k,
+                              *self.rows[(query["table"], k)])
+                    for k in keys[:limit]]
+            return 200, {"rows": rows, "hasMore": len(keys) > limit,
+                         "ver": self.version}
+
+    def feed(self, query):
+        after = int(query["after"])
+        until = time.monotonic() + int(query["waitMs"]) / 1000
+        with self.cond:
+            while True:
+                if after < self.version and (
+                        not self.history or self.history[0][0] > after + 1):
+                    return 410, {}
+                newest = {}
+                for version, table, key, raw in self.history:
+                    if version > after and table == query["table"]:
+                        newest[key] = (raw, version)
+                left = until - time.monotonic()
+                if newest or left <= 0 or self.mode != "up":
+                    rows = [self._row(query["table"], k, *v)
+                            for k, v in newest.items()]
+                    return 200, {"rows": rows, "ver": self.version}
+                self.cond.wait(left)
+
+    def transact(self, tx):
+        with self.cond:
+            for row in tx.get("expected", []):
+                at = self.rows.get((row["table"], row["key"]))
+                if (at[1] if at else 0) != row["ver"]:
+                    return 412, {"ver": self.version}
+            version = self.version + 1
+            for row in tx.get("writes", []):
+                raw = base64.b64decode(row["value"])
+                self.rows[(row["table"], row["key"])] = (raw, version)
+                self.history.append((version, row["table"], row["key"], raw))
+            for row in tx.get("remove", []):
+                self.rows.pop((row["table"], row["key"]), None)
+                self.history.append((version, row["table"], row["key"], None))
+            self.version = version
+            self.cond.notify_all()
+            return 200, {"ver": version}
--- /dev/null
+++ b/tests/gateway.py
@@ -0,0 +1,621 @@
+#!/usr/bin/env python3
+"""Scenarios of fg-gateway with real processes, against stand-ins of the users'
+store and replicas.
+
+Usage: tests/gateway.py [NAME ...]     all scenarios when none is named
+Prints "ok NAME" or "not ok NAME" with the reason; exits 0 when all hold.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import traceback
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standin", "hosted"))
+
+from si_replica import EVENTS, MODEL, Replica  # noqa: E402
+from si_store import Store  # noqa: E402
+
+BIN = os.path.join(os.environ.get("BUILD", "build"), "bin", "fg-gateway")
+HOST = "kitchen.example"
+WAIT_S = 15
+
+
+def wait_for(what, check, limit_s=WAIT_S):
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        value = check()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"not seen within {limit_s} s: {what}")
+
+
+def expect(ok, what):
+    if not ok:
+        raise AssertionError(what)
+
+
+def free_ports(n):
+    socks = [socket.socket() for _ in range(n)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def config(version, timeout_ms=4000, idle_ms=15000, extra_routes=()):
+    routes = [
+        {"name": "draft", "host": HOST, "prefix": "/draft/",
+         "kind": "streaming", "timeoutMs": timeout_ms, "service": "models",
+         "targetLatencyMs": 800, "priority": 1, "maxAttempts": 2,
+         "resumable": True},
+        {"name": "brief", "host": HOST, "prefix": "/brief/",
+         "kind": "streaming", "timeoutMs": timeout_ms, "service": "models",
+         "targetLatencyMs": 800, "priority": 1, "maxAttempts": 1,
+         "resumable": False},
+        {"name": "order", "host": HOST, "prefix": "/order/", "kind": "unsafe",
+         "timeoutMs": 1500, "service": "orders", "targetLatencyMs": 150,
+         "priority": 2, "maxAttempts": 1},
+        {"name": "lookup", "host": HOST, "prefix": "/lookup/", "kind": "safe",
+         "timeoutMs": 1500, "service": "orders", "targetLatencyMs": 150,
+         "priority": 2, "maxAttempts": 2},
+        *extra_routes,
+    ]
+    engine = {"slots": 64, "kvCapacity": 150000, "adapterSlots": 6,
+              "models": [{"name": MODEL, "adapters": 100}]}
+    return {"version": version, "routes": routes,
+            "services": [{"name": "models", "engine": engine},
+                         {"name": "orders", "healthPath": "/health"}],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
+                       "headerTimeoutMs": 600, "idleTimeoutMs": idle_ms}}
+
+
+class Gateway:
+    def __init__(self, store, name, folder):
+        ports = free_ports(5)
+        self.front, self.ready, self.directory, self.mesh, self.pages = (
+            "127.0.0.1:%d" % p for p in ports)
+        self.name = name
+        self.settings = os.path.join(folder, name + ".yaml")
+        self.log_path = os.path.join(folder, name + ".log")
+        self.write_settings(store.addr)
+        self.popen = None
+        self.start()
+
+    def write_settings(self, store, extra="lookup_ttl_s: 2\n"):
+        with open(self.settings, "w", encoding="utf-8") as f:
+            f.write(f"name: {self.name}\nregion: r1\ndc: dc1\n"
+                    f"front: {self.front}\nready: {self.ready}\n"
+                    f"directory: {self.directory}\nmesh: {self.mesh}\n"
+                    f"metrics: {self.pages}\nstore: {store}\n"
+                    "retry_ratio: 0.2\nretry_slack: 58\nstop_grace_s: 8\n"
+                    f"version_ms: 3000\n{extra}"
+                    "data_centres:\n  - name: dc1\n    region: r1\n")
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen([BIN, "--config", self.settings],
+                                          stdout=log, stderr=log)
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as f:
+            return f.read()
+
+    def is_ready(self):
+        return get(self.ready, "/api/readiness")[0] == 200
+
+    def state(self):
+        return get(self.pages, "/state")[1]
+
+    def owned(self):
+        return [line for line in self.state().splitlines()
+                if line.startswith("endpoint") and " fence=0 " not in line]
+
+    def end(self):
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+
+
+class System:
+    def __init__(self, engines=2, plains=2, gateways=1):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = Store()
+        self.store.put("op", "config", config(1))
+        self.engines = [Replica(self.store, f"e{i}", "models", True)
+                        for i in range(engines)]
+        self.plains = [Replica(self.store, f"p{i}", "orders", False)
+                       for i in range(plains)]
+        self.gateways = [Gateway(self.store, f"g{i}", self.folder.name)
+                         for i in range(gateways)]
+        self.gw = self.gateways[0]
+        for gateway in self.gateways:
+            wait_for("ready", gateway.is_ready)
+        if engines > 0:
+            wait_for("engines have an owner", lambda: sum(
+                len(g.owned()) for g in self.gateways) == engines)
+
+    def ran(self, rid):
+        return sum(r.ran.count(rid) for r in self.engines + self.plains)
+
+    def end(self):
+        for gateway in self.gateways:
+            gateway.end()
+        self.folder.cleanup()
+
+
+def get(addr, path):
+    host, port = addr.split(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=5)
+    try:
+        conn.request("GET", path)
+        res = conn.getresponse()
+        return res.status, res.read().decode()
+    except (OSError, http.client.HTTPException):
+        return 0, ""
+    finally:
+        conn.close()
+
+
+class Answer:
+    def __init__(self, status, body, headers, whole):
+        self.status = status
+        self.body = body
+        self.headers = headers
+        self.whole = whole
+
+
+N = [0]
+
+
+def next_id():
+    N[0] += 1
+    return f"req{N[0]}"
+
+
+def call(addr, path, rid=None, method="POST", body=b"x", headers=None,
+         timeout_s=8):
+    host, port = addr.split(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    fields = {"Host": HOST, "Request-Id": rid or next_id(),
+              "Deadline-Ms": "4000", **(headers or {})}
+    try:
+        conn.request(method, path, body, fields)
+        res = conn.getresponse()
+    except (OSError, http.client.HTTPException):
+        conn.close()
+        return Answer(0, "", {}, False)
+    try:
+        text = res.read().decode()
+        return Answer(res.status, text, dict(res.getheaders()), True)
+    except (OSError, http.client.HTTPException):
+        return Answer(res.status, "", dict(res.getheaders()), False)
+    finally:
+        conn.close()
+
+
+def draft(gw, adapter="a1", path="/draft/1", rid=None, headers=None):
+    return call(gw.front, path, rid, headers={
+        "Model": f"{MODEL}/{adapter}", "Token-Count": "100,20",
+        **(headers or {})})
+
+
+def pieces(answer):
+    return [int(line[4:]) for line in answer.body.splitlines()
+            if line.startswith("id: ")]
+
+
+def all_pieces(answer):
+    return answer.whole and pieces(answer) == list(range(1, EVENTS + 1))
+
+
+# ---- Scenarios ----
+
+
+def serves(s):
+    """The whole path, once."""
+    a = draft(s.gw)
+    expect(a.status == 200 and all_pieces(a), f"stream: {a.status} {a.body}")
+    expect("Response-Stamp" in a.headers, "no signature")
+    a = call(s.gw.front, "/order/1")
+    expect(a.status == 200 and a.body.startswith("done by"), "order")
+    a = call(s.gw.front, "/lookup/1", method="GET", body=None)
+    expect(a.status == 200, "lookup")
+    expect(call(s.gw.front, "/none/1").status == 404, "unknown route")
+    status, text = get(s.gw.directory,
+                       f"/api/resolve?name={HOST}&region=r1&zone=dc1")
+    expect(status == 200 and json.loads(text)["addresses"] == [s.gw.front],
+           f"lookup of addresses: {status} {text}")
+    status, text = get(s.gw.pages, "/metrics")
+    expect(status == 200 and "fg_gw_requests_total" in text, "metrics")
+
+
+def adapter_slots(s):
+    """More adapters than slots, one engine: each is served, none too many."""
+    for i in range(10):
+        a = draft(s.gw, f"a{i}")
+        expect(all_pieces(a), f"a{i}: {a.status}")
+    expect(not [o for o in s.engines[0].orders if o[2] == "overfull"],
+           "more adapters than slots")
+    expect({o[0] for o in s.engines[0].orders} == {"g0"}, "one holder")
+
+
+adapter_slots.system = {"engines": 1}
+
+
+def resumes(s):
+    """A stream that is cut inside an event goes on elsewhere, whole."""
+    shared = {"cut": 1}
+    for engine in s.engines:
+        engine.faults = shared
+    rid = next_id()
+    a = draft(s.gw, rid=rid)
+    expect(all_pieces(a), f"{a.status} {pieces(a)}")
+    expect(s.ran(rid) == 2, f"ran {s.ran(rid)} times")
+
+
+def not_resumable(s):
+    """A stream that may not be resumed ends broken, never as whole."""
+    for engine in s.engines:
+        engine.faults["cut"] = 1
+    rid = next_id()
+    a = draft(s.gw, path="/brief/1", rid=rid)
+    expect(not a.whole, "the part counts as whole")
+    expect(s.ran(rid) == 1, f"ran {s.ran(rid)} times")
+
+
+def runs_once(s):
+    """A filing whose answer is lost is neither repeated nor called not run."""
+    for plain in s.plains:
+        plain.faults["lost"] = 1
+    rid = next_id()
+    a = call(s.gw.front, "/order/1", rid)
+    expect(a.status == 502, f"status {a.status}")
+    expect(s.ran(rid) == 1, f"ran {s.ran(rid)} times")
+
+
+def not_run_elsewhere(s):
+    """What a replica did not run, another one runs."""
+    for plain in s.plains:
+        plain.faults["not_run"] = 1
+    rid = next_id()
+    a = call(s.gw.front, "/order/1", rid)
+    expect(a.status == 200 and s.ran(rid) == 1, f"{a.status} {s.ran(rid)}")
+    for plain in s.plains:
+        plain.faults["not_run"] = 50
+    rid = next_id()
+    a = call(s.gw.front, "/order/1", rid)
+    expect(a.status == 503 and "Retry-After" in a.headers, f"{a.status}")
+    expect(s.ran(rid) == 0, "ran after it was refused")
+
+
+def safe_repeats(s):
+    """A lookup that fails on one replica is answered by another."""
+    for fault in ("lost", "error", "reset_body"):
+        for plain in s.plains:
+            plain.faults = {}
+        s.plains[0].faults[fault] = 1
+        s.plains[1].faults[fault] = 0
+        for _ in range(4):
+            a = call(s.gw.front, "/lookup/1", method="GET", body=None)
+            expect(a.status == 200 and a.body.startswith("done by"),
+                   f"{fault}: {a.status} {a.body!r}")
+
+
+def body_without_length(s):
+    """A body that ends with its connection is whole, one that is reset is
+    not."""
+    for plain in s.plains:
+        plain.faults["cut_end"] = 1
+    a = call(s.gw.front, "/order/1")
+    expect(a.status == 200 and a.whole and a.body.startswith("done by"),
+           f"ended: {a.status}")
+    for plain in s.plains:
+        plain.faults = {"reset_body": 1}
+    a = call(s.gw.front, "/order/1")
+    expect(a.status == 502, f"reset: {a.status} {a.body!r}")
+
+
+def stray_answer(s):
+    """An answer to another request is dropped."""
+    for plain in s.plains:
+        plain.faults["stray"] = 2
+    for _ in range(4):
+        a = call(s.gw.front, "/order/1")
+        expect(a.status == 200 and a.body.startswith("done by"),
+               f"{a.status} {a.body!r}")
+
+
+def silent_replica(s):
+    """A lookup leaves a replica that says nothing."""
+    s.plains[0].faults["silent"] = 20
+    for _ in range(4):
+        a = call(s.gw.front, "/lookup/1", method="GET", body=None)
+        expect(a.status == 200, f"{a.status}")
+
+
+def caller_leaves(s):
+    """The replica's work ends soon after its caller left."""
+    for engine in s.engines:
+        engine.event_s = 0.2
+    host, port = s.gw.front.split(":")
+    sock = socket.create_connection((host, int(port)))
+    rid = next_id()
+    sock.sendall((f"POST /draft/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+                  f"Request-Id: {rid}\r\nModel: {MODEL}/a1\r\n"
+                  "Token-Count: 9,9\r\nContent-Length: 0\r\n\r\n").encode())
+    wait_for("it runs", lambda: s.ran(rid) == 1)
+    sock.recv(1)
+    sock.close()
+    wait_for("the replica sees it", lambda: any(
+        r == rid for e in s.engines for r, _ in e.left), 1.0)
+
+
+def planned_stop(s):
+    """A stop finishes what runs, refuses what comes late, and exits with 0."""
+    for engine in s.engines:
+        engine.event_s = 0.4
+    host, port = s.gw.front.split(":")
+    running = http.client.HTTPConnection(host, int(port), timeout=10)
+    rid = next_id()
+    running.request("POST", "/draft/1", b"x",
+                    {"Host": HOST, "Request-Id": rid,
+                     "Model": f"{MODEL}/a1", "Token-Count": "9,9"})
+    wait_for("it runs", lambda: s.ran(rid) == 1)
+    begin = time.monotonic()
+    s.gw.popen.send_signal(signal.SIGTERM)
+    wait_for("not ready", lambda: not s.gw.is_ready(), 2)
+    expect(call(s.gw.front, "/order/1").status == 200, "still answers")
+    res = running.getresponse()
+    a = Answer(res.status, res.read().decode(), {}, True)
+    expect(all_pieces(a), f"cut off: {pieces(a)}")
+    expect(time.monotonic() - begin > 1.5, "the stream was too short to tell")
+    late = draft(s.gw, rid="late")
+    expect(late.status in (0, 503), f"late stream: {late.status}")
+    expect(s.ran("late") == 0, "a late stream ran")
+    expect(s.gw.popen.wait(10) == 0, "exit code")
+
+
+def store_away(s):
+    """The store's outages stop no service; afterwards all is read."""
+    for mode in ("reset", "busy"):
+        s.store.mode = mode
+        wait_for("loss noticed", lambda: "store_lost" in s.gw.log())
+        expect(all_pieces(draft(s.gw)), f"{mode}: no service")
+        expect(draft(s.gw, "fresh-" + mode).status == 200,
+               f"{mode}: no loads")
+        s.store.put("op", "config", config(s.store.version + 10, extra_routes=[
+            {"name": mode, "host": HOST, "prefix": f"/{mode}/",
+             "kind": "safe", "timeoutMs": 900, "service": "orders",
+             "maxAttempts": 1}]))
+        s.store.drop_history()
+        s.store.mode = "up"
+        wait_for("new route", lambda: call(
+            s.gw.front, f"/{mode}/1").status == 200, 5)
+
+
+def before_configuration(s):
+    """Without a configuration: not ready, and 503 rather than 404."""
+    store = Store()
+    gateway = Gateway(store, "g9", s.folder.name)
+    try:
+        wait_for("it answers", lambda: call(
+            gateway.front, "/order/1").status == 503)
+        expect(not gateway.is_ready(), "ready without a configuration")
+    finally:
+        gateway.end()
+
+
+def rows_of_others(s):
+    """Entries and configurations that cannot be read change nothing."""
+    s.store.put_raw("servers", "odd1", b"\xff\xfe")
+    s.store.put("servers", "odd2", {"service": 4})
+    s.store.put_raw("op", "config", b"{")
+    s.store.put_raw("op", "version/x", b"[]")
+    s.store.put_raw("fulmargauge", "instance/odd", b"zz")
+    wait_for("told", lambda: all(w in s.gw.log() for w in (
+        "entry_refused", "configuration_refused", "announcement_refused",
+        "instance_row_refused")))
+    expect(all_pieces(draft(s.gw)), "no service")
+
+
+def draining_replica(s):
+    """A replica that leaves gets no new request."""
+    s.plains[0].drain()
+    wait_for("seen", lambda: "event=leaving" in s.gw.log(), 3)
+    before = len(s.plains[0].seen)
+    for _ in range(6):
+        expect(call(s.gw.front, "/order/1").status == 200, "no service")
+    expect(len(s.plains[0].seen) == before, "a draining replica was used")
+
+
+def address_reused(s):
+    """Another replica at a known address is not taken for the one before."""
+    s.plains[0].name = "p9"
+    for _ in range(6):
+        a = call(s.gw.front, "/order/1")
+        expect(a.status == 200, f"{a.status}")
+    expect("address_reused" in s.gw.log(), "not noticed")
+
+
+def engine_restarts_empty(s):
+    """An engine that comes back with nothing gets its model and adapters."""
+    expect(all_pieces(draft(s.gw)), "before")
+    s.engines[0].restart_empty()
+    wait_for("base model ordered", lambda: s.engines[0].has_base, 5)
+    wait_for("serves again", lambda: all_pieces(draft(s.gw)), 5)
+
+
+engine_restarts_empty.system = {"engines": 1}
+
+
+def version_announced(s):
+    """A new version replaces the old one and is asked for."""
+    expect(all_pieces(draft(s.gw)), "before")
+    for engine in s.engines:
+        engine.versions["a1"] = 2
+    s.store.put("op", f"version/{MODEL}.a1",
+                {"model": MODEL, "adapter": "a1", "version": 2})
+    wait_for("replaced", lambda: any(
+        e.adapters.get("a1") == 2 for e in s.engines), 3)
+    time.sleep(2)
+    rid = next_id()
+    expect(all_pieces(draft(s.gw, rid=rid)), "after")
+    versions = {h.get("expect-version") for e in s.engines
+                for r, h in e.seen if r == rid}
+    expect("2" in versions, f"asked for {versions}")
+
+
+def two_instances(s):
+    """Either instance serves every adapter; one dies, the other takes over."""
+    for i, gateway in enumerate(s.gateways):
+        for k in range(4):
+            a = draft(gateway, f"a{i}{k}")
+            expect(all_pieces(a), f"{gateway.name}: {a.status}")
+    for engine in s.engines:
+        expect(len({o[0] for o in engine.orders}) <= 1,
+               f"holders of {engine.name}: {engine.orders}")
+    s.gateways[0].popen.kill()
+    wait_for("taken over", lambda: len(s.gateways[1].owned()) == 2, 8)
+    for k in range(4):
+        expect(all_pieces(draft(s.gateways[1], f"b{k}")), "after the loss")
+    status, text = get(s.gateways[1].directory,
+                       f"/api/resolve?name={HOST}&region=r1&zone=dc1")
+    expect(json.loads(text)["addresses"] == [s.gateways[1].front],
+           f"addresses: {text}")
+
+
+two_instances.system = {"gateways": 2}
+
+
+def paused_holder(s):
+    """A holder that was paused gives no order under an old number."""
+    paused = next(g for g in s.gateways if g.owned())
+    other = next(g for g in s.gateways if g is not paused)
+    paused.popen.send_signal(signal.SIGSTOP)
+    wait_for("taken over", lambda: len(other.owned()) == 2, 8)
+    for k in range(3):
+        expect(all_pieces(draft(other, f"c{k}")), "during the pause")
+    paused.popen.send_signal(signal.SIGCONT)
+    for k in range(3):
+        expect(all_pieces(draft(paused, f"d{k}")), "after the pause")
+    for engine in s.engines:
+        late = [o for o in engine.orders if o[4] == 412]
+        expect(len(late) <= 1, f"orders under an old number: {late}")
+
+
+paused_holder.system = {"gateways": 2}
+
+
+def crashing_request(s):
+    """A request that crashes each replica it runs on is refused after three,
+    at the other instance too."""
+    extra = [Replica(s.store, f"x{i}", "orders", False) for i in range(4)]
+    for replica in s.plains + extra:
+        replica.faults["crash"] = 1
+    seen = wait_for("entries read", lambda: s.gw.state().count(
+        "service=orders") == 6 and s.gateways[1].state().count(
+        "service=orders") == 6)
+    expect(seen, "entries")
+    for _ in range(3):
+        a = call(s.gw.front, "/order/poison")
+        expect(a.status == 502, f"crash: {a.status}")
+        time.sleep(1.5)
+    for gateway in s.gateways:
+        a = call(gateway.front, "/order/poison")
+        expect(a.status == 503, f"{gateway.name}: {a.status}")
+    alive = [r for r in s.plains + extra if r.faults["crash"] == 1]
+    expect(len(alive) == 3, f"{len(alive)} replicas live")
+
+
+crashing_request.system = {"gateways": 2}
+
+
+def bad_input(s):
+    """Bad requests get a clear status, and the instance goes on."""
+    host, port = s.gw.front.split(":")
+
+    def raw(data, limit_s=5):
+        sock = socket.create_connection((host, int(port)), limit_s)
+        with sock:
+            sock.sendall(data)
+            try:
+                return sock.recv(4096)[9:12]
+            except OSError:
+                return b""
+
+    expect(raw(b"hello\r\n\r\n") == b"400", "malformed")
+    expect(raw(b"GET / HTTP/1.1\r\n\r\n") == b"400", "no host")
+    expect(raw(b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"y" * 9000 +
+               b"\r\n\r\n") == b"431", "large head")
+    expect(raw(b"POST /order/1 HTTP/1.1\r\nHost: kitchen.example\r\n"
+               b"Content-Length: 70000\r\n\r\n") == b"413", "large body")
+    expect(raw(b"POST /order/1 HTTP/1.1\r\nHost: kitchen.example\r\n"
+               b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+               b"0\r\n\r\n") == b"400", "two lengths")
+    expect(raw(b"GET /order/1 HTT") == b"408", "slow head")
+    half = [socket.create_connection((host, int(port))) for _ in range(30)]
+    expect(call(s.gw.front, "/order/1").status == 200, "no service")
+    for sock in half:
+        sock.close()
+
+
+def settings_change(s):
+    """Changed settings are taken or refused, with a line that says which."""
+    s.gw.write_settings(s.store.addr, "lookup_ttl_s: 4\n")
+    wait_for("reloaded", lambda: s.gw.log().count("event=reloaded") == 1, 6)
+    text = get(s.gw.directory, f"/api/resolve?name={HOST}&region=r1")[1]
+    expect(json.loads(text)["ttlS"] == 4, f"not in force: {text}")
+    s.gw.write_settings(s.store.addr, "lookup_ttl_s: soon\n")
+    s.gw.popen.send_signal(signal.SIGHUP)
+    wait_for("refused", lambda: "event=refused" in s.gw.log(), 6)
+    expect(call(s.gw.front, "/order/1").status == 200, "no service")
+
+
+SCENARIOS = [serves, adapter_slots, resumes, not_resumable, runs_once,
+             not_run_elsewhere, safe_repeats, body_without_length,
+             stray_answer, silent_replica, caller_leaves, planned_stop,
+             store_away, before_configuration, rows_of_others,
+             draining_replica, address_reused, engine_restarts_empty,
+             version_announced, two_instances, paused_holder,
+             crashing_request, bad_input, settings_change]
+
+
+def run(scenario):
+    system = None
+    try:
+        system = System(**getattr(scenario, "system", {}))
+        scenario(system)
+        print(f"ok {scenario.__name__}", flush=True)
+        return True
+    except (AssertionError, StopIteration) as why:
+        print(f"not ok {scenario.__name__}: {why}")
+        traceback.print_exc(limit=2)
+        if system is not None:
+            for gateway in system.gateways:
+                print(f"--- {gateway.name}\n{gateway.log()[-3000:]}")
+        return False
+    finally:
+        if system is not None:
+            system.end()
+
+
+def main():
+    names = sys.argv[1:]
+    chosen = [s for s in SCENARIOS if not names or s.__name__ in names]
+    results = [run(s) for s in chosen]
+    return 0 if all(results) and results else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -76,7 +76,27 @@
 	record "seeded-$1-$2" $status
 }
 
+# run_lines PROGRAM: counts its "ok NAME" and "not ok NAME" lines.
+run_lines() {
+	name=$(basename "$1" .py)
+	"$1" >"$log" 2>&1
+	status=$?
+	seen=0
+	for line in $(sed -n 's/^ok \([a-z_0-9]*\)$/ok:\1/p;s/^not ok \([a-z_0-9]*\).*/bad:\1/p' "$log"); do
+		seen=$((seen + 1))
+		case "$line" in
+		ok:*) record "$name-${line#ok:}" 0 ;;
+		bad:*) record "$name-${line#bad:}" 1 ;;
+		esac
+	done
+	if [ $status -ne 0 ]; then
+		cat "$log"
+		[ $seen -gt 0 ] || record "$name" $status
+	fi
+}
+
 if [ "$what" = all ]; then
+	run_lines tests/gateway.py
 	tests/bad_input.py >"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || cat "$log"
