--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -149,9 +149,12 @@
 /* Its first token came: its prompt waits no longer at the endpoint. */
 void fg_gwreq_no_longer_pending(struct fg_gwreq *r);
 
-/* One log line about the request: what decided it and how long it took. */
-void fg_gwreq_log(const struct fg_gwreq *r, enum fg_log_level level,
-		  const char *event, const char *reason);
+/* One log line about the request: the outcome, its reason, and what led to it.
+ * Times count from its arrival; -1: not yet. */
+void fg_gwreq_log(const struct fg_gwreq *r, const char *event,
+		  const char *reason);
+void fg_gwreq_log_routine(const struct fg_gwreq *r, const char *event,
+			  const char *reason);
 
 /* Ends the request; with `give_back` the caller's connection goes on. */
 void fg_gwreq_end(struct fg_gwreq *r);
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -168,7 +168,7 @@
 
 	g_snprintf(code, sizeof(code), "%u", status);
 	fg_gw_count(r->gw, "requests", "outcome=\"answered\"");
-	fg_gwreq_log(r, FG_LOG_INFO, "answered", code);
+	fg_gwreq_log_routine(r, "answered", code);
 }
 
 static void end_stream(struct fg_gwreq *r)
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -48,32 +48,52 @@
 	return buf;
 }
 
-void fg_gwreq_log(const struct fg_gwreq *r, enum fg_log_level level,
-		  const char *event, const char *reason)
-{
+/* What the lines about a request have in common. */
+struct line_fields {
 	char took[24];
 	char sent[24];
 	char first[24];
 	char sends[12];
+};
+
+static void fill_fields(const struct fg_gwreq *r, struct line_fields *f)
+{
+	ms_text(f->took, sizeof(f->took), fg_clock_now() - r->arrived);
+	ms_text(f->sent, sizeof(f->sent),
+		r->sent_at == 0 ? -1 : r->sent_at - r->arrived);
+	ms_text(f->first, sizeof(f->first),
+		r->first_at == 0 ? -1 : r->first_at - r->arrived);
+	g_snprintf(f->sends, sizeof(f->sends), "%u", r->sends);
+}
+
+#define LINE_FIELDS(r, f, reason)                                              \
+	"id", (r)->call.id, "route",                                           \
+		(r)->route == NULL ? NULL : (r)->route->name, "reason",        \
+		reason, "took_ms", (f).took, "sent_ms", (f).sent, "first_ms",  \
+		(f).first, "sends", (f).sends, "endpoint",                     \
+		(r)->ep == NULL ? NULL : (r)->ep->facts.id, "adapter",         \
+		(r)->call.adapter, NULL
+
+void fg_gwreq_log(const struct fg_gwreq *r, const char *event,
+		  const char *reason)
+{
+	struct line_fields f;
+
+	if (!fg_log_enabled(FG_LOG_WARN))
+		return;
+	fill_fields(r, &f);
+	fg_log(FG_LOG_WARN, "request", event, LINE_FIELDS(r, f, reason));
+}
+
+void fg_gwreq_log_routine(const struct fg_gwreq *r, const char *event,
+			  const char *reason)
+{
+	struct line_fields f;
 
-	if (!fg_log_enabled(level))
+	if (!fg_log_enabled(FG_LOG_INFO))
 		return;
-	g_snprintf(sends, sizeof(sends), "%u", r->sends);
-	fg_log(level, "request", event, "id", r->call.id, "route",
-	       r->route == NULL ? NULL : r->route->name, "reason", reason,
-	       "took_ms",
-	       ms_text(took, sizeof(took), fg_clock_now() - r->arrived),
-	       "sent_ms",
-	       r->sent_at == 0
-		       ? NULL
-		       : ms_text(sent, sizeof(sent), r->sent_at - r->arrived),
-	       "first_ms",
-	       r->first_at == 0 ? NULL
-				: ms_text(first, sizeof(first),
-					  r->first_at - r->arrived),
-	       "sends", sends, "endpoint",
-	       r->ep == NULL ? NULL : r->ep->facts.id, "adapter",
-	       r->call.adapter, NULL);
+	fill_fields(r, &f);
+	fg_log_routine("request", event, LINE_FIELDS(r, f, reason));
 }
 
 /* ---- Where it runs ---- */
@@ -203,7 +223,7 @@
 
 void fg_gwreq_cancel(struct fg_gwreq *r)
 {
-	fg_gwreq_log(r, FG_LOG_INFO, "caller_left", NULL);
+	fg_gwreq_log_routine(r, "caller_left", NULL);
 	fg_gw_count(r->gw, "requests", "outcome=\"caller_left\"");
 	r->caller = NULL;
 	req_remove(r);
@@ -211,7 +231,7 @@
 
 void fg_gwreq_fail(struct fg_gwreq *r, unsigned int status, const char *reason)
 {
-	fg_gwreq_log(r, FG_LOG_WARN, "failed", reason);
+	fg_gwreq_log(r, "failed", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"failed\"");
 	if (r->head_sent) {
 		struct fg_caller *c = r->caller;
@@ -233,7 +253,7 @@
 		fg_gwreq_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
 		return;
 	}
-	fg_gwreq_log(r, FG_LOG_WARN, "refused", reason);
+	fg_gwreq_log(r, "refused", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"refused\"");
 	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE, r->call.id,
 			 CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS), NULL, "",
@@ -485,7 +505,7 @@
 			      (r->gw->incarnation ^ r->number) << 8 | r->sends);
 	if (end == FG_SEND_ABSENT && r->use != NULL)
 		r->use->version = 0;
-	fg_gwreq_log(r, FG_LOG_INFO, "send_ended", why);
+	fg_gwreq_log(r, "send_ended", why);
 	note_tried(r);
 	if (end == FG_SEND_ABSENT)
 		r->n_tried = 0; /* a load there is as good as elsewhere */
--- a/lib/log/fg_log.c
+++ b/lib/log/fg_log.c
@@ -1,6 +1,6 @@
 /*
- * Lines of key=value fields through log4c: one category, one appender to
- * standard error, one layout that puts the time in front.
+ * Lines of key=value fields through log4c: one category, one appender, one
+ * layout that puts the time in front.
  *
  * log4c_init() is not called: it would read rc files from the working
  * directory and the home directory. log4c's own tables are not safe for use
@@ -9,6 +9,7 @@
  */
 #include "log/fg_log.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <log4c/appender.h>
 #include <log4c/category.h>
@@ -33,6 +34,42 @@
 static char *self;
 static int enabled; /* highest level written; read without the lock */
 
+/* ---- Bounds; all under the lock ---- */
+
+#define KINDS_MAX 24
+#define KIND_BYTES 48
+
+struct dropped {
+	char kind[KIND_BYTES]; /* "module.event" */
+	uint32_t lines;
+};
+
+static struct fg_log_bounds bounds; /* lines_per_s 0: not bounded */
+static int output = STDERR_FILENO;
+static int64_t second;	 /* to which the counts belong */
+static uint32_t lines;	 /* written in it */
+static uint32_t routine; /* ... of these */
+static struct dropped dropped[KINDS_MAX];
+static size_t n_dropped;
+
+static void count_dropped(const char *module, const char *event)
+{
+	char kind[KIND_BYTES];
+	size_t i;
+
+	g_snprintf(kind, sizeof(kind), "%s.%s", module, event);
+	for (i = 0; i < n_dropped && strcmp(dropped[i].kind, kind) != 0; i++)
+		;
+	if (i == KINDS_MAX)
+		i = KINDS_MAX - 1; /* the last one stands for the rest */
+	if (i == n_dropped) {
+		g_strlcpy(dropped[i].kind, kind, sizeof(dropped[i].kind));
+		dropped[i].lines = 0;
+		n_dropped++;
+	}
+	dropped[i].lines++;
+}
+
 static int priority_of(enum fg_log_level level)
 {
 	switch (level) {
@@ -66,14 +103,17 @@
 	return line->str;
 }
 
+static bool write_failed;
+
 /* One write for a line, so that lines of several processes do not mix. */
 static int appender_append(log4c_appender_t *appender,
 			   const log4c_logging_event_t *event)
 {
 	const char *text = event->evt_rendered_msg;
-	ssize_t n = write(STDERR_FILENO, text, strlen(text));
+	ssize_t n = write(output, text, strlen(text));
 
 	(void)appender;
+	write_failed = n < 0;
 	return n < 0 ? -1 : 0;
 }
 
@@ -217,20 +257,99 @@
 	return text;
 }
 
-void fg_log(enum fg_log_level level, const char *module, const char *event, ...)
+/* Writes the counts of dropped lines when a new second begins. */
+static void begin_second(void)
+{
+	GString *text;
+	int64_t now = fg_clock_now() / FG_MS_PER_S;
+
+	if (now == second)
+		return;
+	second = now;
+	lines = 0;
+	routine = 0;
+	if (n_dropped == 0)
+		return;
+	text = g_string_new("level=warn module=log event=dropped");
+	put_field(text, "who", self);
+	for (size_t i = 0; i < n_dropped; i++)
+		g_string_append_printf(text, " %s=%u", dropped[i].kind,
+				       dropped[i].lines);
+	log4c_category_log(category, LOG4C_PRIORITY_WARN, "%s", text->str);
+	if (!write_failed)
+		n_dropped = 0;
+	g_string_free(text, TRUE);
+}
+
+/* May one more line be written in this second? */
+static bool within_bounds(bool is_routine)
+{
+	if (bounds.lines_per_s == 0)
+		return true;
+	begin_second();
+	if (is_routine && routine >= bounds.routine_per_s)
+		return false;
+	if (!is_routine && lines >= bounds.lines_per_s)
+		return false;
+	if (is_routine)
+		routine++;
+	else
+		lines++;
+	return true;
+}
+
+static void write_line(enum fg_log_level level, bool is_routine,
+		       const char *module, const char *event, va_list ap)
 {
-	va_list ap;
 	char *text;
 
 	if (!fg_log_enabled(level))
 		return;
 	pthread_mutex_lock(&lock);
-	if (line != NULL) {
-		va_start(ap, event);
+	if (line == NULL) {
+		pthread_mutex_unlock(&lock);
+		return;
+	}
+	if (within_bounds(is_routine)) {
 		text = format_fields(level, module, event, self, ap);
-		va_end(ap);
 		log4c_category_log(category, priority_of(level), "%s", text);
 		g_free(text);
+		if (write_failed && bounds.lines_per_s > 0)
+			count_dropped(module, event);
+	} else {
+		count_dropped(module, event);
 	}
 	pthread_mutex_unlock(&lock);
 }
+
+void fg_log(enum fg_log_level level, const char *module, const char *event, ...)
+{
+	va_list ap;
+
+	va_start(ap, event);
+	write_line(level, false, module, event, ap);
+	va_end(ap);
+}
+
+void fg_log_routine(const char *module, const char *event, ...)
+{
+	va_list ap;
+
+	va_start(ap, event);
+	write_line(FG_LOG_INFO, true, module, event, ap);
+	va_end(ap);
+}
+
+void fg_log_bound(const struct fg_log_bounds *wanted)
+{
+	int flags;
+
+	pthread_mutex_lock(&lock);
+	bounds = *wanted;
+	output = STDOUT_FILENO;
+	flags = fcntl(output, F_GETFL);
+	/* Where this fails, a full pipe blocks; lines stay bounded. */
+	if (flags >= 0)
+		(void)fcntl(output, F_SETFL, flags | O_NONBLOCK);
+	pthread_mutex_unlock(&lock);
+}
--- a/lib/log/fg_log.h
+++ b/lib/log/fg_log.h
@@ -1,5 +1,6 @@
 /*
- * fg_log - log lines of key=value fields on standard error, through log4c.
+ * fg_log - log lines of key=value fields, through log4c, on standard error or,
+ * bounded, on standard output.
  *
  * Every line has the same layout:
  *   time=2026-01-31T07:15:02.123Z level=info module=owner event=gained ep=...
@@ -14,6 +15,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 enum fg_log_level {
 	FG_LOG_ERROR = 1, /* an operator has to act */
@@ -33,6 +35,20 @@
  * written. */
 void fg_log_open(const char *who, enum fg_log_level level);
 
+/* Bounds of the lines a second. */
+struct fg_log_bounds {
+	uint32_t lines_per_s;	/* all but routine ones */
+	uint32_t routine_per_s; /* of fg_log_routine() */
+};
+
+/*
+ * From now on lines go to standard output, which is made non-blocking: a line
+ * that cannot be written at once, or that exceeds the bounds, is dropped. The
+ * first line of a later second is preceded by one that counts what was dropped
+ * by module and event.
+ */
+void fg_log_bound(const struct fg_log_bounds *bounds);
+
 /* Closes the log; later lines are dropped. */
 void fg_log_close(void);
 
@@ -46,6 +62,11 @@
 void fg_log(enum fg_log_level level, const char *module, const char *event, ...)
 	__attribute__((sentinel));
 
+/* A line of level info that says that nothing out of the ordinary happened:
+ * the first to be dropped. */
+void fg_log_routine(const char *module, const char *event, ...)
+	__attribute__((sentinel));
+
 /* The line that fg_log() would write after time=, without line end;
  * g_malloc'ed. For tests. */
 char *fg_log_format(enum fg_log_level level, const char *module,
