Fewer calls to the store

Change: feeds wait longer, the registry is read at half of the drain time, the own table less often where instances are many. A send checks that its endpoint is still in use.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -166,6 +166,7 @@
 	gw->conf->stop_grace_ms = conf->stop_grace_ms;
 	gw->conf->lookup_ttl_s = conf->lookup_ttl_s;
 	gw->conf->version_ms = conf->version_ms;
+	gw->conf->drain_ms = conf->drain_ms;
 	gw->conf->connections_max = conf->connections_max;
 	gw->conf->log_level = conf->log_level;
 	fg_log_open(gw->conf->name, conf->log_level);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -286,6 +286,11 @@
 
 static void send_now(struct fg_gwreq *r)
 {
+	if (!fg_ep_usable(r->ep, fg_clock_now())) {
+		note_tried(r);
+		wait_state(r, FG_GWREQ_WAIT_RETRY, fg_clock_now());
+		return;
+	}
 	r->step_at = FG_MS_NEVER;
 	r->state = FG_GWREQ_SENT;
 	fg_gwreq_arm(r);
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -12,15 +12,19 @@
 #define READ_TIMEOUT_MS 1500
 /* How long a feed waits for a change. A connection that fell silent is noticed
  * after this and FEED_GRACE_MS, within the four seconds after which a change
- * must be in force at a machine that can be reached again. */
-#define FEED_WAIT_MS 2400
-#define OWN_WAIT_MS 4000
+ * must be in force at a machine that can be reached again. The own table tells
+ * nothing that must be known so soon. */
+#define FEED_WAIT_MS 2900
+#define OWN_WAIT_MS 15000
 #define FEED_GRACE_MS 900
 /* Least time between two answers of a feed: each call has its price, and
- * changes come in bursts. */
-#define CONFIG_GAP_MS 250
-#define REGISTRY_GAP_MS 900
-#define OWN_GAP_MS 200
+ * changes come in bursts; the own table's with the number of instances. Of the
+ * registry, this part of the time in which a
+ * leaving endpoint must be left alone; the rest is for the answer's way. */
+#define CONFIG_GAP_MS 400
+#define OWN_GAP_MS 300
+#define OWN_GAP_MS_PER_PEER 10
+#define REGISTRY_GAP_PERCENT 50
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 800
 #define TX_TIMEOUT_MS 1500
@@ -296,13 +300,17 @@
 
 static fg_ms gap_of(const struct fg_feed *f)
 {
-	static const fg_ms gaps[FG_FEED_COUNT] = {
-		[FG_FEED_CONFIG] = CONFIG_GAP_MS,
-		[FG_FEED_REGISTRY] = REGISTRY_GAP_MS,
-		[FG_FEED_OWN] = OWN_GAP_MS,
-	};
-
-	return gaps[f->id];
+	switch (f->id) {
+	case FG_FEED_CONFIG:
+		return CONFIG_GAP_MS;
+	case FG_FEED_REGISTRY:
+		return (fg_ms)f->gw->conf->drain_ms * REGISTRY_GAP_PERCENT /
+		       100;
+	default:
+		return MAX(OWN_GAP_MS,
+			   OWN_GAP_MS_PER_PEER *
+				   (fg_ms)fg_peers_all(f->gw->peers)->len);
+	}
 }
 
 static void after_rows(struct fg_feed *f, fg_ms now)
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -21,7 +21,7 @@
 	char *front, *ready, *directory, *mesh, *metrics, *store;
 	char *log_level;
 	char *retry_ratio, *retry_slack, *stop_grace_s, *lookup_ttl_s;
-	char *version_ms, *connections_max;
+	char *version_ms, *drain_ms, *connections_max;
 	struct fg_gwconf_dc *dcs;
 	unsigned int dcs_count;
 };
@@ -61,6 +61,7 @@
 	TEXT_OPT(stop_grace_s),
 	TEXT_OPT(lookup_ttl_s),
 	TEXT_OPT(version_ms),
+	TEXT_OPT(drain_ms),
 	TEXT_OPT(connections_max),
 	CYAML_FIELD_SEQUENCE("data_centres", CYAML_FLAG_POINTER, struct raw,
 			     dcs, &dc_schema, 0, DCS_MAX),
@@ -160,6 +161,8 @@
 				       raw->lookup_ttl_s, 1, 3600, 2);
 	c->version_ms = check_number(faults, path, "version_ms",
 				     raw->version_ms, 1, 3600000, 5000);
+	c->drain_ms = check_number(faults, path, "drain_ms", raw->drain_ms, 1,
+				   3600000, 2500);
 	c->connections_max =
 		check_number(faults, path, "connections_max",
 			     raw->connections_max, 1, 100000, 1024);
--- a/lib/gateway/fg_gwconf.h
+++ b/lib/gateway/fg_gwconf.h
@@ -41,11 +41,12 @@
 	enum fg_log_level log_level;
 	struct fg_gwconf_dc *dcs;
 	unsigned int n_dcs;
-	uint32_t retry_percent;	  /* repeats per 100 requests of a service */
-	uint32_t retry_slack;	  /* ... and so many more in a window */
-	uint32_t stop_grace_ms;	  /* from the stop signal to the kill */
-	uint32_t lookup_ttl_s;	  /* callers keep an address so long */
-	uint32_t version_ms;	  /* an announced version is in use by then */
+	uint32_t retry_percent; /* repeats per 100 requests of a service */
+	uint32_t retry_slack;	/* ... and so many more in a window */
+	uint32_t stop_grace_ms; /* from the stop signal to the kill */
+	uint32_t lookup_ttl_s;	/* callers keep an address so long */
+	uint32_t version_ms;	/* an announced version is in use by then */
+	uint32_t drain_ms; /* a leaving endpoint gets no request after that */
 	uint32_t connections_max; /* from callers */
 };
 
