Beats name the configuration read; far beats follow the number of instances

Change: a beat names the newest row of the configuration that its sender has read; who stays behind for 0.7 s asks anew, so that the feed may wait 10 s. Beats to other regions come each 16 ms for each instance, at least 400 ms.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -279,6 +279,9 @@
 void fg_sync_stop(struct fg_gateway *gw);
 void fg_sync_tick(struct fg_gateway *gw, fg_ms now);
 
+/* Another instance has read a newer row of the configuration. */
+void fg_sync_config_behind(struct fg_gateway *gw, fg_ms now);
+
 /* ---- Orders ---- */
 
 void fg_orders_check(struct fg_gateway *gw, fg_ms now);
@@ -350,6 +353,8 @@
 	fg_ms tx_at;	     /* no transaction before */
 
 	struct fg_routes *routes; /* NULL before the first configuration */
+	uint64_t config_version;  /* of the newest row of its table read */
+	fg_ms config_behind;	  /* another instance has read more; 0: none */
 	GHashTable *versions;	  /* key -> struct fg_wanted_version * */
 	struct fg_fleet *fleet;
 	struct fg_balance_conf balance;
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -9,7 +9,8 @@
 #define NEAR_MIN_MS 100
 #define NEAR_MS_PER_PEER 8
 #define NEAR_MAX_MS 250
-#define FAR_MS 400
+#define FAR_MIN_MS 400
+#define FAR_MS_PER_PEER 16
 /* Entries of one datagram, so that it fits FG_MESH_PACKET_BYTES. */
 #define OWNS_MAX 4
 #define HELD_MAX 12
@@ -140,6 +141,7 @@
 
 	init_packet(gw, &packet, FG_MESH_BEAT);
 	beat->state = state_of(gw);
+	beat->config = gw->config_version;
 	beat->owns.owns_val = b.owns;
 	beat->crashes.crashes_val = b.crashes;
 	beat->crashes.crashes_len = put_crashes(gw, &b);
@@ -339,6 +341,8 @@
 	if (peer == NULL)
 		return;
 	fg_peers_beat(gw->peers, now, packet->incarnation, packet->seq, beat);
+	if (beat->config > gw->config_version)
+		fg_sync_config_behind(gw, now);
 	for (u_int i = 0; i < beat->owns.owns_len; i++)
 		take_own(gw, packet->incarnation, &beat->owns.owns_val[i], now);
 	for (u_int i = 0; i < beat->crashes.crashes_len; i++)
@@ -444,15 +448,15 @@
 
 void fg_mesh_tick(struct fg_gateway *gw, fg_ms now)
 {
-	fg_ms least_ms =
-		MAX(NEAR_MIN_MS,
-		    NEAR_MS_PER_PEER * (fg_ms)fg_peers_all(gw->peers)->len);
+	fg_ms peers = fg_peers_all(gw->peers)->len;
+	fg_ms least_ms = MAX(NEAR_MIN_MS, NEAR_MS_PER_PEER * peers);
+	fg_ms far_ms = MAX(FAR_MIN_MS, FAR_MS_PER_PEER * peers);
 
 	repeat_all_uses(gw, now);
 	if (now - gw->near_beat_at >= NEAR_MAX_MS ||
 	    (gw->beat_dirty && now - gw->near_beat_at >= least_ms))
 		near_beat(gw, now);
-	if (now - gw->far_beat_at >= FAR_MS) {
+	if (now - gw->far_beat_at >= far_ms) {
 		send_beat(gw, false);
 		gw->far_beat_at = now;
 		age_crashes(gw);
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -10,13 +10,17 @@
 /* Rows of one answer of a full read; the store gives at most 500. */
 #define PAGE_ROWS 500
 #define READ_TIMEOUT_MS 1500
-/* How long a feed waits for a change. A connection that fell silent is noticed
- * after this and FEED_GRACE_MS, within the four seconds after which a change
- * must be in force at a machine that can be reached again. The own table tells
- * nothing that must be known so soon. */
-#define FEED_WAIT_MS 2900
+/* How long a feed waits for a change; a connection that fell silent is noticed
+ * after FEED_GRACE_MS more. Keep-alive notices sooner, and for the
+ * configuration the beats of others, which name the newest row that they have
+ * read. */
+#define CONFIG_WAIT_MS 10000
+#define REGISTRY_WAIT_MS 2900
 #define OWN_WAIT_MS 15000
 #define FEED_GRACE_MS 900
+/* A feed that is behind another instance's for this long is asked anew; it is
+ * longer than the pause between two calls. */
+#define BEHIND_MS 700
 /* Least time between two answers of a feed: each call has its price, and
  * changes come in bursts; the own table's with the number of instances. Of the
  * registry, this part of the time in which a
@@ -108,6 +112,8 @@
 static void take_config_row(struct fg_gateway *gw,
 			    const struct fg_store_row *row, fg_ms now)
 {
+	gw->config_version = MAX(gw->config_version, row->version);
+	gw->config_behind = 0;
 	if (row->removed || row->value == NULL)
 		return;
 	if (gw->wire->is_config(row->key))
@@ -367,7 +373,12 @@
 static void send_next(struct fg_feed *f)
 {
 	const struct fg_gateway *gw = f->gw;
-	uint32_t wait_ms = f->id == FG_FEED_OWN ? OWN_WAIT_MS : FEED_WAIT_MS;
+	static const uint32_t waits[FG_FEED_COUNT] = {
+		[FG_FEED_CONFIG] = CONFIG_WAIT_MS,
+		[FG_FEED_REGISTRY] = REGISTRY_WAIT_MS,
+		[FG_FEED_OWN] = OWN_WAIT_MS,
+	};
+	uint32_t wait_ms = waits[f->id];
 
 	if (fg_channel_busy(f->channel))
 		return;
@@ -385,6 +396,19 @@
 				wait_ms + FEED_GRACE_MS, on_rows, f);
 }
 
+void fg_sync_config_behind(struct fg_gateway *gw, fg_ms now)
+{
+	struct fg_feed *f = &gw->feeds[FG_FEED_CONFIG];
+
+	if (gw->config_behind == 0)
+		gw->config_behind = now;
+	if (now - gw->config_behind < BEHIND_MS || !fg_channel_busy(f->channel))
+		return;
+	fg_log(FG_LOG_WARN, "sync", "configuration_behind", NULL);
+	gw->config_behind = now;
+	fg_channel_break(f->channel);
+}
+
 /* ---- Own rows ---- */
 
 static void on_self_written(void *ctx, unsigned int status, const char *body,
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -47,6 +47,7 @@
 
 struct fg_mesh_beat {
 	fg_mesh_state state;
+	unsigned hyper config;  /* newest row of the configuration read */
 	fg_mesh_own owns<FG_MESH_LIST_MAX>;
 	fg_mesh_crash crashes<FG_MESH_LIST_MAX>;
 };
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -63,6 +63,7 @@
 
 struct fg_mesh_beat {
 	fg_mesh_state state;
+	u_quad_t config;
 	struct {
 		u_int owns_len;
 		fg_mesh_own *owns_val;
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -144,6 +144,8 @@
 
 	 if (!xdr_fg_mesh_state (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->owns.owns_val, (u_int *) &objp->owns.owns_len, FG_MESH_LIST_MAX,
 		sizeof (fg_mesh_own), (xdrproc_t) xdr_fg_mesh_own))
 		 return FALSE;
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -17,6 +17,7 @@
         self.version = 0
         self.mode = "up"   # up, busy, reset, silent
         self.calls = 0
+        self.mute = {}     # table -> how many feed calls get no answer
         self.server = Server(self.handle)
         self.addr = self.server.addr
 
@@ -70,6 +71,10 @@
         url = urlsplit(req.target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         calls = {"/api/rows-get": self.get, "/api/rows-feed": self.feed}
+        if url.path == "/api/rows-feed" and self.mute.get(query["table"], 0):
+            self.mute[query["table"]] -= 1
+            req.sock.recv(1)  # until the caller gives the connection up
+            return False
         if url.path == "/api/rows-tx":
             status, body = self.transact(json.loads(req.body))
         elif url.path in calls:
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -404,6 +404,25 @@
             s.gw.front, f"/{mode}/1").status == 200, 5)
 
 
+def silent_feed(s):
+    """An instance whose feed fell silent learns from the other that it is
+    behind."""
+    s.store.mute["op"] = 1
+    s.store.put("op", "config", config(50))
+    wait_for("one feed is silent", lambda: s.store.mute["op"] == 0, 12)
+    s.store.put("op", "config", config(60, extra_routes=[
+        {"name": "new", "host": HOST, "prefix": "/new/", "kind": "safe",
+         "timeoutMs": 900, "service": "orders", "maxAttempts": 1}]))
+    for gateway in s.gateways:
+        wait_for(f"new route at {gateway.name}", lambda g=gateway: call(
+            g.front, "/new/1").status == 200, 3)
+    expect(any("configuration_behind" in g.log() for g in s.gateways),
+           "nobody was behind")
+
+
+silent_feed.system = {"gateways": 2}
+
+
 def before_configuration(s):
     """Without a configuration: not ready, and 503 rather than 404."""
     store = Store()
@@ -585,7 +604,7 @@
 SCENARIOS = [serves, adapter_slots, resumes, not_resumable, runs_once,
              not_run_elsewhere, safe_repeats, body_without_length,
              stray_answer, silent_replica, caller_leaves, planned_stop,
-             store_away, before_configuration, rows_of_others,
+             store_away, silent_feed, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
              version_announced, two_instances, paused_holder,
              crashing_request, bad_input, settings_change]
