--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -17,7 +17,7 @@
  * not work: many steps of an engine's batch, and many times the work of a
  * plain request. */
 #define SILENT_ENGINE_MS 1000
-#define SILENT_PLAIN_MS 300
+#define SILENT_PLAIN_MS 500
 
 /* ---- Endpoints ---- */
 
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -34,7 +34,7 @@
 #define TX_TIMEOUT_MS 1500
 #define TX_GAP_MS 250
 /* Time for the other instances to be heard of before engines are claimed. */
-#define CLAIM_AFTER_MS 1500
+#define CLAIM_AFTER_MS 700
 
 static void send_next(struct fg_feed *f);
 
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -8,7 +8,7 @@
 SEED=${2:-1}
 OUT=build/fuzz
 PKGS="glib-2.0 gio-2.0 jansson libcurl libmicrohttpd libtirpc libxxhash
-log4c libcyaml ck"
+log4c libcyaml ck libuv"
 SAN="-fno-sanitize-recover=undefined -fsanitize=address,undefined"
 
 make --no-print-directory -s -j4 BUILD=$OUT CC=clang OPT=-O1 HARDEN= \
@@ -23,10 +23,10 @@
 	mkdir -p "$corpus"
 	[ -d "$seeds" ] || seeds=
 	# shellcheck disable=SC2046,SC2086
-	clang -std=gnu11 -g -O1 -Wall -Wextra -Werror -D_GNU_SOURCE -Ilib \
+	clang -std=gnu11 -g -O1 -Wall -Wextra -Werror -D_GNU_SOURCE -Ilib -Iplatform \
 		$(pkg-config --cflags $PKGS) $SAN,fuzzer -o "$OUT/bin/$name" \
 		"$source" $OUT/libfulmargauge.a $(pkg-config --libs $PKGS) \
-		-lpthread -lm
+		-lhttp_parser -lpthread -lm
 	# shellcheck disable=SC2086
 	if "$OUT/bin/$name" -runs="$RUNS" -seed="$SEED" -max_len=4096 \
 		-timeout=10 -rss_limit_mb=1024 -artifact_prefix="$OUT/$name-" \
--- a/tests/unit/test_log_metrics.c
+++ b/tests/unit/test_log_metrics.c
@@ -1,10 +1,12 @@
 /* Unit tests of lib/log and lib/metrics. */
+#include <fcntl.h>
 #include <glib.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "base/fg_clock.h"
 #include "base/fg_rand.h"
 #include "log/fg_log.h"
 #include "metrics/fg_metrics.h"
@@ -92,6 +94,87 @@
 	g_test_trap_assert_stderr_unmatched("*from=ttime*");
 }
 
+/* ---- Bounds ---- */
+
+#define BOUND 10
+#define ROUTINE_BOUND 5
+#define MANY 2000
+
+static uint32_t count_of(const char *text, const char *word)
+{
+	uint32_t n = 0;
+
+	while ((text = strstr(text, word)) != NULL) {
+		text += strlen(word);
+		n++;
+	}
+	return n;
+}
+
+/* In the child standard output is a pipe that is not read before the end, so
+ * that a writer that blocks would never come back. */
+static void write_bounded(int out)
+{
+	struct fg_log_bounds bounds = { BOUND, ROUTINE_BOUND };
+
+	dup2(out, STDOUT_FILENO);
+	fg_log_open("me", FG_LOG_INFO);
+	fg_log_bound(&bounds);
+	/* At the start of a second, so that all lines fall into one. */
+	while (fg_clock_now() % FG_MS_PER_S > 100)
+		g_usleep(10000);
+	for (int i = 0; i < MANY; i++)
+		fg_log_routine("test", "usual", NULL);
+	for (int i = 0; i < MANY; i++)
+		fg_log(FG_LOG_WARN, "test", "odd", NULL);
+	while (fg_clock_now() % FG_MS_PER_S < 900)
+		g_usleep(10000);
+	g_usleep(300000);
+	fg_log(FG_LOG_WARN, "test", "later", NULL);
+	fg_log_close();
+}
+
+static void test_bounded(void)
+{
+	char text[65536] = "";
+	int fds[2];
+
+	if (g_test_subprocess()) {
+		g_assert_cmpint(pipe(fds), ==, 0);
+		write_bounded(fds[1]);
+		g_assert_cmpint(read(fds[0], text, sizeof(text) - 1), >, 0);
+		g_assert_cmpuint(count_of(text, "event=usual"), ==,
+				 ROUTINE_BOUND);
+		g_assert_cmpuint(count_of(text, "event=odd"), ==, BOUND);
+		g_assert_cmpuint(count_of(text, "event=later"), ==, 1);
+		g_assert_nonnull(strstr(text, "event=dropped who=me "
+					      "test.usual=1995 test.odd=1990"));
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+	g_test_trap_assert_passed();
+}
+
+static void test_full_pipe(void)
+{
+	struct fg_log_bounds bounds = { 1000000, 1000000 };
+	int fds[2];
+
+	if (g_test_subprocess()) {
+		g_assert_cmpint(pipe(fds), ==, 0);
+		dup2(fds[1], STDOUT_FILENO);
+		fg_log_open("me", FG_LOG_INFO);
+		fg_log_bound(&bounds);
+		for (int i = 0; i < 20 * MANY; i++)
+			fg_log(FG_LOG_WARN, "test", "odd", NULL);
+		fg_log_close();
+		return;
+	}
+	g_test_trap_subprocess(NULL, 20 * G_USEC_PER_SEC,
+			       G_TEST_SUBPROCESS_DEFAULT);
+	g_test_trap_assert_passed();
+}
+
 /* ---- Metrics ---- */
 
 static void test_render(void)
@@ -233,6 +316,8 @@
 	g_test_add_func("/log/fields", test_fields);
 	g_test_add_func("/log/levels", test_levels);
 	g_test_add_func("/log/written", test_written);
+	g_test_add_func("/log/bounded", test_bounded);
+	g_test_add_func("/log/full_pipe", test_full_pipe);
 	g_test_add_func("/metrics/render", test_render);
 	g_test_add_func("/metrics/quantiles", test_quantiles);
 	g_test_add_func("/metrics/bounds", test_bounds);
