After a failure a feed asks without waiting

Change: the first call after a failure does not wait. The scenario unknown_after_outage failed before.

--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -378,7 +378,8 @@
 		[FG_FEED_REGISTRY] = REGISTRY_WAIT_MS,
 		[FG_FEED_OWN] = OWN_WAIT_MS,
 	};
-	uint32_t wait_ms = waits[f->id];
+	/* After a failure the first answer only has to tell what was missed. */
+	uint32_t wait_ms = f->failures > 0 ? 0 : waits[f->id];
 
 	if (fg_channel_busy(f->channel))
 		return;
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -423,6 +423,20 @@
 silent_feed.system = {"gateways": 2}
 
 
+def unknown_after_outage(s):
+    """An outage of the store makes an unknown route uncertain, its end makes
+    it unknown again, without waiting for a change."""
+    expect(call(s.gw.front, "/none/1").status == 404, "before")
+    s.store.mode = "reset"
+    s.store.put("servers", "wake", {"odd": 1})
+    s.store.put("op", "version/wake", {"odd": 1})
+    wait_for("uncertain", lambda: call(
+        s.gw.front, "/none/1").status == 503, 8)
+    s.store.mode = "up"
+    wait_for("known again", lambda: call(
+        s.gw.front, "/none/1").status == 404, 3)
+
+
 def before_configuration(s):
     """Without a configuration: not ready, and 503 rather than 404."""
     store = Store()
@@ -604,7 +618,7 @@
 SCENARIOS = [serves, adapter_slots, resumes, not_resumable, runs_once,
              not_run_elsewhere, safe_repeats, body_without_length,
              stray_answer, silent_replica, caller_leaves, planned_stop,
-             store_away, silent_feed, before_configuration, rows_of_others,
+             store_away, silent_feed, unknown_after_outage, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
              version_announced, two_instances, paused_holder,
              crashing_request, bad_input, settings_change]
