--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -4,9 +4,12 @@
  *   fg_gateway.c     start, clock tick, planned stop, settings
  *   fg_gw_caller.c   connections of callers
  *   fg_gw_request.c  a request from its head to its final answer
+ *   fg_gw_place.c    where it runs, and its wait for a load
  *   fg_gw_send.c     one sending of a request to an endpoint
  *   fg_gw_answer.c   an endpoint's answer on its way to the caller
- *   fg_gw_sync.c     what is read from the store, and the own rows
+ *   fg_gw_sync.c     change feeds of the store's tables
+ *   fg_gw_rows.c     what their rows mean
+ *   fg_gw_own.c      the rows that this instance writes
  *   fg_gw_orders.c   adapter loads of the engines that this instance orders
  *   fg_gw_mesh.c     beats and asks between instances
  *   fg_gw_pages.c    address lookup, readiness, metrics, state
@@ -98,6 +101,10 @@
 };
 
 #define FG_GWREQ_TRIED_MAX 4
+/* Without this much time left no endpoint can answer. */
+#define FG_GWREQ_LEFT_MIN_MS 10
+/* A refused caller is asked back within this. */
+#define FG_GWREQ_RETRY_MAX_MS 2000
 
 struct fg_gwreq {
 	struct fg_gateway *gw;
@@ -143,6 +150,21 @@
 /* The caller left. */
 void fg_gwreq_cancel(struct fg_gwreq *r);
 
+/* Counts the request as in flight at an endpoint, in place of the one before.
+ */
+void fg_gwreq_attach(struct fg_gwreq *r, struct fg_fleet_ep *ep);
+
+/* Its endpoint is avoided from now on. */
+void fg_gwreq_note_tried(struct fg_gwreq *r);
+
+/* Enters a state; its step is due at step_at. */
+void fg_gwreq_wait(struct fg_gwreq *r, enum fg_gwreq_state state,
+		   fg_ms step_at);
+void fg_gwreq_on_timer(uv_timer_t *timer);
+
+/* Its time is over. */
+void fg_gwreq_time_out(struct fg_gwreq *r);
+
 /* Sets the timer to the next of r->step_at and r->end_at. */
 void fg_gwreq_arm(struct fg_gwreq *r);
 
@@ -178,6 +200,9 @@
 /* The version that the request's adapter must have by now; 0: any. */
 uint64_t fg_gwreq_version(const struct fg_gwreq *r, fg_ms now);
 
+/* Name of its adapter; the bare model is one without a name. */
+const char *fg_gwreq_adapter_name(const struct fg_gwreq *r);
+
 /* Urgency of the request at an engine. */
 uint32_t fg_gwreq_urgency(const struct fg_gwreq *r);
 
@@ -275,9 +300,19 @@
 	uint32_t failures;
 };
 
+/* The table of the instances' own rows, and its keys. */
+#define FG_SYNC_TABLE_OWN "fulmargauge"
+#define FG_SYNC_KEY_INSTANCE "instance/"
+#define FG_SYNC_KEY_OWNER "owner/"
+
 void fg_sync_start(struct fg_gateway *gw);
 void fg_sync_stop(struct fg_gateway *gw);
 void fg_sync_tick(struct fg_gateway *gw, fg_ms now);
+void fg_sync_write_self(struct fg_gateway *gw);
+
+/* A row was read from the feed's table. */
+void fg_sync_take_row(struct fg_feed *f, const struct fg_store_row *row,
+		      fg_ms now);
 
 /* Another instance has read a newer row of the configuration. */
 void fg_sync_config_behind(struct fg_gateway *gw, fg_ms now);
--- /dev/null
+++ b/lib/gateway/fg_gw_own.c
@@ -0,0 +1,172 @@
+/* The rows that this instance writes: itself, and the engines it orders. */
+#include "gateway/fg_gateway_internal.h"
+
+/* A transaction takes 5 ms; longer means that its end is unknown. */
+#define TX_TIMEOUT_MS 1500
+/* Between two transactions, so that claims gather. */
+#define TX_GAP_MS 250
+/* Time for the other instances to be heard of before engines are claimed. */
+#define CLAIM_AFTER_MS 700
+
+static void on_self_written(void *ctx, unsigned int status, const char *body,
+			    size_t len)
+{
+	struct fg_gateway *gw = ctx;
+
+	(void)body;
+	(void)len;
+	gw->tx_at = fg_clock_now() + TX_GAP_MS;
+	gw->announced_self = status == HTTP_STATUS_OK;
+	if (!gw->announced_self)
+		fg_log(FG_LOG_WARN, "sync", "own_row_not_written", NULL);
+}
+
+static void send_tx(struct fg_gateway *gw, const struct fg_tx_row *rows,
+		    uint32_t n, fg_channel_done done)
+{
+	fg_gw_count(gw, "store_calls", NULL);
+	fg_channel_send(gw->tx, gw->wire->rows_tx(gw->conf->store, rows, n),
+			TX_TIMEOUT_MS, done, gw);
+}
+
+void fg_sync_write_self(struct fg_gateway *gw)
+{
+	struct fg_peer_row self = { .incarnation = gw->incarnation };
+	struct fg_tx_row row = { .table = FG_SYNC_TABLE_OWN };
+	char *key = g_strconcat(FG_SYNC_KEY_INSTANCE, gw->conf->name, NULL);
+	char *value;
+
+	g_strlcpy(self.region, gw->conf->region, sizeof(self.region));
+	g_strlcpy(self.dc, gw->conf->dc, sizeof(self.dc));
+	g_strlcpy(self.mesh, gw->conf->mesh, sizeof(self.mesh));
+	g_strlcpy(self.front, gw->conf->front, sizeof(self.front));
+	value = fg_peer_row_write(&self);
+	row.key = key;
+	row.value = value;
+	send_tx(gw, &row, 1, on_self_written);
+	g_free(key);
+	g_free(value);
+}
+
+static void on_claims_written(void *ctx, unsigned int status, const char *body,
+			      size_t len)
+{
+	struct fg_gateway *gw = ctx;
+	fg_ms now = fg_clock_now();
+	struct fg_store_rows rows = { 0 };
+	char count[12];
+	char code[12];
+
+	gw->tx_at = now + TX_GAP_MS;
+	if (status == HTTP_STATUS_OK &&
+	    gw->wire->rows_read(body, len, &rows, NULL))
+		fg_claims_written(gw->claims, now, gw->claiming, gw->n_claiming,
+				  rows.version);
+	fg_store_rows_clear(&rows);
+	g_snprintf(count, sizeof(count), "%u", gw->n_claiming);
+	g_snprintf(code, sizeof(code), "%u", status);
+	fg_log(FG_LOG_INFO, "orders", "claimed", "engines", count, "status",
+	       code, NULL);
+	fg_orders_check(gw, now);
+}
+
+static uint32_t live_claimants(struct fg_gateway *gw, fg_ms now,
+			       struct fg_claimant *out, uint32_t max)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+	uint32_t n = 0;
+
+	if (!gw->stopping) {
+		out[n++] = (struct fg_claimant){
+			.incarnation = gw->incarnation,
+			.hash = fg_hash_str(gw->conf->name),
+			.dc = gw->conf->dc,
+			.region = gw->conf->region,
+			.self = true,
+		};
+	}
+	for (guint i = 0; i < peers->len && n < max; i++) {
+		const struct fg_mesh_peer *p = peers->pdata[i];
+
+		if (!fg_peer_alive(p, now) || p->state == FG_MESH_LEAVING)
+			continue;
+		out[n++] = (struct fg_claimant){
+			.incarnation = p->row.incarnation,
+			.hash = p->hash,
+			.dc = p->row.dc,
+			.region = p->row.region,
+		};
+	}
+	return n;
+}
+
+/* Engines that may be given orders. */
+static GPtrArray *engines(struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < all->len; i++) {
+		struct fg_fleet_ep *ep = all->pdata[i];
+		int service = gw->routes == NULL
+				      ? -1
+				      : fg_routes_service(gw->routes,
+							  ep->facts.service);
+		const struct fg_svc *s =
+			service < 0 ? NULL
+				    : gw->routes->services->pdata[service];
+
+		if (s != NULL && s->engine && fg_ep_usable(ep, now))
+			g_ptr_array_add(out, ep);
+	}
+	return out;
+}
+
+/* More instances than any deployment in view has. */
+#define CLAIMANTS_MAX 1024
+
+static void claim(struct fg_gateway *gw, fg_ms now)
+{
+	struct fg_claimant *live = g_new(struct fg_claimant, CLAIMANTS_MAX);
+	uint32_t n_live = live_claimants(gw, now, live, CLAIMANTS_MAX);
+	GPtrArray *eps = engines(gw, now);
+	struct fg_tx_row rows[FG_CLAIM_BATCH_MAX];
+	char *value = fg_claims_value(gw->claims, gw->conf->name);
+
+	gw->n_claiming = fg_claims_wanted(
+		gw->claims, now, (struct fg_fleet_ep *const *)eps->pdata,
+		eps->len, live, n_live, gw->claiming, FG_CLAIM_BATCH_MAX);
+	for (uint32_t i = 0; i < gw->n_claiming; i++) {
+		rows[i] = (struct fg_tx_row){
+			.table = FG_SYNC_TABLE_OWN,
+			.key = g_strconcat(FG_SYNC_KEY_OWNER,
+					   gw->claiming[i].endpoint_id, NULL),
+			.value = value,
+			.conditional = true,
+			.expected = gw->claiming[i].expected,
+		};
+	}
+	if (gw->n_claiming > 0)
+		send_tx(gw, rows, gw->n_claiming, on_claims_written);
+	for (uint32_t i = 0; i < gw->n_claiming; i++)
+		g_free((char *)rows[i].key);
+	g_free(value);
+	g_ptr_array_unref(eps);
+	g_free(live);
+}
+
+void fg_sync_tick(struct fg_gateway *gw, fg_ms now)
+{
+	const struct fg_feed *own = &gw->feeds[FG_FEED_OWN];
+
+	if (fg_channel_busy(gw->tx) || now < gw->tx_at)
+		return;
+	if (!gw->announced_self) {
+		fg_sync_write_self(gw);
+		return;
+	}
+	if (gw->own_since == 0 || now - gw->own_since < CLAIM_AFTER_MS ||
+	    !gw->claims_checked || own->failures > 0 || gw->stopping)
+		return;
+	claim(gw, now);
+}
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -8,24 +8,11 @@
 /* A caller that is refused comes back after this; loads and short queues
  * change within it. */
 #define RETRY_MIN_MS 50
-#define RETRY_MAX_MS 2000
 /* Sends of one request, those that never ran included. */
 #define SENDS_MAX 6
-/* A request whose load is not told within this goes elsewhere. */
-#define LOAD_WAIT_MS 2200
-#define RETRY_LOAD_MS 400
-#define ASK_AGAIN_MS 120
-#define PLACE_AGAIN_MS 40
-/* Endpoints looked at before waiting for one that can load. */
-#define PLACE_TRIES 3
-/* Without this much time left no endpoint can answer. */
-#define LEFT_MIN_MS 10
 /* Urgency 5 is the engines' default; routes rank around it. */
 #define URGENCY_BASE 4
 #define URGENCY_MAX 9
-/* From this long after an announcement on, only the new version is used; the
- * rest of the time allowed covers what waits in an engine's queue. */
-#define VERSION_MARGIN_MS 1500
 /* The configuration counts as confirmed for this long after the last answer
  * of the store when calls to it fail. */
 #define CONFIG_STALE_MS 3000
@@ -135,7 +122,7 @@
 	r->ep = NULL;
 }
 
-static void attach(struct fg_gwreq *r, struct fg_fleet_ep *ep)
+void fg_gwreq_attach(struct fg_gwreq *r, struct fg_fleet_ep *ep)
 {
 	detach(r);
 	r->ep = fg_ep_ref(ep);
@@ -150,7 +137,7 @@
 	fg_orders_used(r->gw, ep, r->use);
 }
 
-static void note_tried(struct fg_gwreq *r)
+void fg_gwreq_note_tried(struct fg_gwreq *r)
 {
 	if (r->ep == NULL)
 		return;
@@ -164,20 +151,17 @@
 
 /* ---- Timer ---- */
 
-static void on_timer(uv_timer_t *timer);
-
 void fg_gwreq_arm(struct fg_gwreq *r)
 {
 	fg_ms now = fg_clock_now();
 	fg_ms at = MIN(r->end_at, r->step_at);
 
 	uv_update_time(&r->gw->loop);
-	uv_timer_start(r->timer, on_timer, at <= now ? 0 : (uint64_t)(at - now),
-		       0);
+	uv_timer_start(r->timer, fg_gwreq_on_timer,
+		       at <= now ? 0 : (uint64_t)(at - now), 0);
 }
 
-static void wait_state(struct fg_gwreq *r, enum fg_gwreq_state state,
-		       fg_ms step_at)
+void fg_gwreq_wait(struct fg_gwreq *r, enum fg_gwreq_state state, fg_ms step_at)
 {
 	r->state = state;
 	r->step_at = step_at;
@@ -256,12 +240,12 @@
 	fg_gwreq_log(r, "refused", reason);
 	fg_gw_count(r->gw, "requests", "outcome=\"refused\"");
 	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE, r->call.id,
-			 CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS), NULL, "",
-			 0);
+			 CLAMP(retry_ms, RETRY_MIN_MS, FG_GWREQ_RETRY_MAX_MS),
+			 NULL, "", 0);
 	fg_gwreq_end(r);
 }
 
-static void time_out(struct fg_gwreq *r)
+void fg_gwreq_time_out(struct fg_gwreq *r)
 {
 	if (r->state == FG_GWREQ_SENT || r->unsure || r->head_sent)
 		fg_gwreq_fail(r, HTTP_STATUS_GATEWAY_TIMEOUT, "time_limit");
@@ -269,199 +253,6 @@
 		fg_gwreq_refuse(r, "time_limit", RETRY_MIN_MS);
 }
 
-/* ---- Placing ---- */
-
-uint64_t fg_gwreq_version(const struct fg_gwreq *r, fg_ms now)
-{
-	fg_ms age_ms = 0;
-	uint64_t version;
-
-	if (r->adapter == 0 || r->call.adapter == NULL)
-		return 0;
-	version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
-	if (age_ms + VERSION_MARGIN_MS < (fg_ms)r->gw->conf->version_ms)
-		return 0;
-	return version;
-}
-
-static void send_now(struct fg_gwreq *r)
-{
-	if (!fg_ep_usable(r->ep, fg_clock_now())) {
-		note_tried(r);
-		wait_state(r, FG_GWREQ_WAIT_RETRY, fg_clock_now());
-		return;
-	}
-	r->step_at = FG_MS_NEVER;
-	r->state = FG_GWREQ_SENT;
-	fg_gwreq_arm(r);
-	fg_send_start(r);
-}
-
-/* The bare model is an adapter without a name. */
-static const char *adapter_name(const struct fg_gwreq *r)
-{
-	return r->call.adapter == NULL ? "" : r->call.adapter;
-}
-
-/* Asks for the load; true when it is resident already. */
-static enum fg_slot_state ask_load(struct fg_gwreq *r, fg_ms now)
-{
-	fg_ms age_ms;
-	uint64_t version = fg_gw_version(r->gw, r->adapter, now, &age_ms);
-
-	return fg_orders_want(r->gw, r->ep, r->call.model, adapter_name(r),
-			      version);
-}
-
-static struct fg_balance_pick pick(struct fg_gwreq *r, fg_ms now,
-				   bool resident_only)
-{
-	struct fg_balance_ask ask = {
-		.service = r->service->name,
-		.terms = r->service,
-		.region = r->gw->conf->region,
-		.adapter = r->adapter,
-		.model =
-			r->adapter == 0 ? 0 : fg_adapter_key(r->call.model, ""),
-		.tokens = r->call.prompt_tokens,
-		.tokens_per_s = r->adapter == 0
-					? 0
-					: fg_gw_heat(r->gw, now, r->adapter, 0),
-		.n_avoid = r->n_tried,
-		.resident_only = resident_only,
-	};
-
-	memcpy(ask.avoid, r->tried, sizeof(ask.avoid));
-	return fg_balance_pick(&r->gw->balance, r->gw->fleet, now, &ask,
-			       &r->gw->rand);
-}
-
-void fg_gwreq_place(struct fg_gwreq *r)
-{
-	fg_ms now = fg_clock_now();
-	uint32_t left_ms = fg_gwreq_left_ms(r, now);
-	struct fg_balance_pick p;
-
-	if (left_ms < LEFT_MIN_MS) {
-		time_out(r);
-		return;
-	}
-	for (int i = 0; i < PLACE_TRIES; i++) {
-		p = pick(r, now, false);
-		if (p.ep == NULL) {
-			fg_gwreq_refuse(r, "no_endpoint", RETRY_MAX_MS / 2);
-			return;
-		}
-		if (p.wait_ms >= left_ms && !r->head_sent) {
-			fg_gwreq_refuse(r, "no_time", p.wait_ms - left_ms);
-			return;
-		}
-		attach(r, p.ep);
-		r->expected_ms = p.wait_ms;
-		if (p.resident) {
-			send_now(r);
-			return;
-		}
-		switch (ask_load(r, now)) {
-		case FG_SLOT_RESIDENT:
-			send_now(r);
-			return;
-		case FG_SLOT_COMING:
-			r->load_since = now;
-			wait_state(r, FG_GWREQ_WAIT_LOAD, now + ASK_AGAIN_MS);
-			return;
-		default:
-			note_tried(r);
-		}
-	}
-	wait_state(r, FG_GWREQ_WAIT_RETRY, now + PLACE_AGAIN_MS);
-}
-
-/* Waiting for a load: resident now, ask again, or give it up there. */
-static void step_load(struct fg_gwreq *r)
-{
-	fg_ms now = fg_clock_now();
-	const struct fg_ep_adapter *a = fg_ep_adapter(r->ep, r->adapter);
-
-	if (now - r->load_since > LOAD_WAIT_MS) {
-		fg_gwreq_refuse(r, "load_too_slow", RETRY_LOAD_MS);
-		return;
-	}
-	if (!fg_ep_usable(r->ep, now)) {
-		note_tried(r);
-		fg_gwreq_place(r);
-		return;
-	}
-	if (a != NULL && a->version != 0) {
-		send_now(r);
-		return;
-	}
-	switch (ask_load(r, now)) {
-	case FG_SLOT_RESIDENT:
-		send_now(r);
-		break;
-	case FG_SLOT_COMING:
-		wait_state(r, FG_GWREQ_WAIT_LOAD, now + ASK_AGAIN_MS);
-		break;
-	default:
-		note_tried(r);
-		fg_gwreq_place(r);
-	}
-}
-
-static void on_timer(uv_timer_t *timer)
-{
-	struct fg_gwreq *r = timer->data;
-	fg_ms now = fg_clock_now();
-
-	if (now >= r->end_at) {
-		time_out(r);
-	} else if (now < r->step_at) {
-		fg_gwreq_arm(r);
-	} else if (r->state == FG_GWREQ_WAIT_LOAD) {
-		step_load(r);
-	} else if (r->state == FG_GWREQ_WAIT_RETRY) {
-		r->n_tried = 0;
-		fg_gwreq_place(r);
-	} else {
-		fg_send_overdue(r, now);
-	}
-}
-
-void fg_gwreq_resident(struct fg_gateway *gw, struct fg_fleet_ep *ep)
-{
-	for (guint i = gw->reqs->len; i > 0; i--) {
-		struct fg_gwreq *r;
-		const struct fg_ep_adapter *a;
-
-		if (i > gw->reqs->len)
-			continue;
-		r = gw->reqs->pdata[i - 1];
-		if (r->state != FG_GWREQ_WAIT_LOAD || r->ep != ep)
-			continue;
-		a = fg_ep_adapter(ep, r->adapter);
-		if (a != NULL && a->version != 0)
-			send_now(r);
-	}
-}
-
-void fg_gwreq_no_load(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-		      uint64_t adapter)
-{
-	for (guint i = gw->reqs->len; i > 0; i--) {
-		struct fg_gwreq *r;
-
-		if (i > gw->reqs->len)
-			continue;
-		r = gw->reqs->pdata[i - 1];
-		if (r->state != FG_GWREQ_WAIT_LOAD || r->ep != ep ||
-		    r->adapter != adapter)
-			continue;
-		note_tried(r);
-		fg_gwreq_place(r);
-	}
-}
-
 /* ---- After a send ---- */
 
 static bool may_repeat(const struct fg_gwreq *r)
@@ -484,7 +275,8 @@
 
 static bool may_send_again(struct fg_gwreq *r, enum fg_send_end end, fg_ms now)
 {
-	if (r->sends >= SENDS_MAX || fg_gwreq_left_ms(r, now) < LEFT_MIN_MS)
+	if (r->sends >= SENDS_MAX ||
+	    fg_gwreq_left_ms(r, now) < FG_GWREQ_LEFT_MIN_MS)
 		return false;
 	if (end == FG_SEND_NOT_SENT)
 		return true;
@@ -511,7 +303,7 @@
 	if (end == FG_SEND_ABSENT && r->use != NULL)
 		r->use->version = 0;
 	fg_gwreq_log(r, "send_ended", why);
-	note_tried(r);
+	fg_gwreq_note_tried(r);
 	if (end == FG_SEND_ABSENT)
 		r->n_tried = 0; /* a load there is as good as elsewhere */
 	if (may_send_again(r, end, now)) {
@@ -579,7 +371,8 @@
 	struct fg_gateway *gw = r->gw;
 
 	if (gw->routes == NULL) {
-		fg_gwreq_refuse(r, "no_configuration", RETRY_MAX_MS / 2);
+		fg_gwreq_refuse(r, "no_configuration",
+				FG_GWREQ_RETRY_MAX_MS / 2);
 		return false;
 	}
 	r->routes = fg_routes_ref(gw->routes);
@@ -588,7 +381,8 @@
 	if (r->route != NULL)
 		return true;
 	if (config_is_stale(gw, r->arrived)) {
-		fg_gwreq_refuse(r, "configuration_stale", RETRY_MAX_MS / 2);
+		fg_gwreq_refuse(r, "configuration_stale",
+				FG_GWREQ_RETRY_MAX_MS / 2);
 		return false;
 	}
 	fg_gwreq_fail(r, HTTP_STATUS_NOT_FOUND, "no_route");
@@ -608,7 +402,8 @@
 		limit_ms = MIN(limit_ms, r->call.deadline_ms);
 	r->end_at = r->arrived + limit_ms;
 	if (r->service->engine && r->call.model != NULL)
-		r->adapter = fg_adapter_key(r->call.model, adapter_name(r));
+		r->adapter =
+			fg_adapter_key(r->call.model, fg_gwreq_adapter_name(r));
 }
 
 void fg_gwreq_start(struct fg_caller *c)
@@ -631,7 +426,7 @@
 	r->fingerprint = fingerprint_of(r);
 	if (fg_suspects_check(gw->suspects, r->arrived, r->fingerprint,
 			      &retry_ms) == FG_SUSPECT_REFUSE) {
-		fg_gwreq_refuse(r, "crashes_endpoints", RETRY_MAX_MS);
+		fg_gwreq_refuse(r, "crashes_endpoints", FG_GWREQ_RETRY_MAX_MS);
 		return;
 	}
 	if (r->adapter != 0)
--- /dev/null
+++ b/lib/gateway/fg_gw_rows.c
@@ -0,0 +1,169 @@
+/* What the rows of the store's tables mean here. */
+#include "gateway/fg_gateway_internal.h"
+
+#include <string.h>
+
+static void log_row(const char *event, const struct fg_store_row *row,
+		    const GError *why)
+{
+	fg_log(FG_LOG_WARN, "sync", event, "table", row->table, "key", row->key,
+	       "reason", why == NULL ? NULL : why->message, NULL);
+}
+
+static void take_config(struct fg_gateway *gw, const struct fg_store_row *row)
+{
+	GError *why = NULL;
+	struct fg_routes *t =
+		gw->wire->config_read(row->value, row->value_bytes, &why);
+	char version[24];
+
+	if (t == NULL) {
+		log_row("configuration_refused", row, why);
+		g_error_free(why);
+		return;
+	}
+	if (gw->routes != NULL && t->version <= gw->routes->version) {
+		fg_routes_unref(t);
+		return;
+	}
+	g_snprintf(version, sizeof(version), "%llu",
+		   (unsigned long long)t->version);
+	fg_log(FG_LOG_INFO, "sync", "configuration", "version", version, NULL);
+	fg_routes_unref(gw->routes);
+	gw->routes = t;
+	fg_gw_count(gw, "configurations", NULL);
+}
+
+static void take_announcement(struct fg_gateway *gw,
+			      const struct fg_store_row *row, fg_ms now)
+{
+	struct fg_announcement a;
+	struct fg_wanted_version *w;
+	GError *why = NULL;
+	uint64_t key;
+	char version[24];
+
+	if (!gw->wire->announcement_read(row->value, row->value_bytes, &a,
+					 &why)) {
+		log_row("announcement_refused", row, why);
+		g_error_free(why);
+		return;
+	}
+	if (a.adapter == NULL) {
+		fg_announcement_clear(&a);
+		return; /* of a base model: loads fetch the newest */
+	}
+	key = fg_adapter_key(a.model, a.adapter);
+	w = g_hash_table_lookup(gw->versions, &key);
+	if (w == NULL) {
+		w = g_new0(struct fg_wanted_version, 1);
+		w->key = key;
+		g_hash_table_insert(gw->versions, &w->key, w);
+	}
+	if (a.version > w->version) {
+		w->version = a.version;
+		w->since = now;
+		g_snprintf(version, sizeof(version), "%llu",
+			   (unsigned long long)a.version);
+		fg_log(FG_LOG_INFO, "sync", "version_announced", "adapter",
+		       a.adapter, "version", version, NULL);
+		fg_orders_announced(gw, key, a.version);
+	}
+	fg_announcement_clear(&a);
+}
+
+static void take_config_row(struct fg_gateway *gw,
+			    const struct fg_store_row *row, fg_ms now)
+{
+	gw->config_version = MAX(gw->config_version, row->version);
+	gw->config_behind = 0;
+	if (row->removed || row->value == NULL)
+		return;
+	if (gw->wire->is_config(row->key))
+		take_config(gw, row);
+	else if (gw->wire->is_announcement(row->key))
+		take_announcement(gw, row, now);
+}
+
+/* What the endpoint itself lists counts while no owner tells. */
+#define TOLD_FRESH_MS 3000
+
+static void take_listed(struct fg_fleet_ep *ep, fg_ms now)
+{
+	struct fg_fleet_held held[FG_FLEET_RESIDENT_MAX];
+	uint32_t n = 0;
+
+	if (ep->told != 0 && now - ep->told < TOLD_FRESH_MS)
+		return;
+	for (uint32_t i = 0; i < ep->facts.n_resident; i++) {
+		const struct fg_ep_resident *r = &ep->facts.resident[i];
+
+		held[n].key = fg_adapter_key(r->model, r->adapter);
+		held[n++].version = MAX(r->version, 1);
+	}
+	fg_ep_set_resident(ep, now, held, n);
+}
+
+static void take_entry_row(struct fg_gateway *gw,
+			   const struct fg_store_row *row, fg_ms now)
+{
+	struct fg_ep_facts facts;
+	GError *why = NULL;
+	struct fg_fleet_ep *ep = fg_fleet_find(gw->fleet, row->key);
+	bool was_usable = ep != NULL && fg_ep_usable(ep, now);
+
+	if (row->removed || row->value == NULL) {
+		fg_fleet_remove(gw->fleet, now, row->key);
+	} else if (!gw->wire->entry_read(row->key, row->value, row->value_bytes,
+					 &facts, &why)) {
+		log_row("entry_refused", row, why);
+		g_error_free(why);
+		fg_fleet_remove(gw->fleet, now, row->key);
+	} else {
+		ep = fg_fleet_put(gw->fleet, now, &facts);
+		take_listed(ep, now);
+	}
+	if (ep == NULL || was_usable == fg_ep_usable(ep, now))
+		return;
+	fg_log(FG_LOG_INFO, "endpoint", was_usable ? "leaving" : "usable",
+	       "endpoint", row->key, "address", ep->facts.address, "service",
+	       ep->facts.service, NULL);
+}
+
+static void take_own_row(struct fg_gateway *gw, const struct fg_store_row *row,
+			 fg_ms now)
+{
+	struct fg_peer_row peer;
+
+	if (g_str_has_prefix(row->key, FG_SYNC_KEY_OWNER)) {
+		fg_claims_row(gw->claims, now,
+			      row->key + strlen(FG_SYNC_KEY_OWNER),
+			      row->removed ? NULL : row->value, row->version);
+		return;
+	}
+	if (!g_str_has_prefix(row->key, FG_SYNC_KEY_INSTANCE))
+		return;
+	if (row->removed || row->value == NULL)
+		fg_peers_remove(gw->peers,
+				row->key + strlen(FG_SYNC_KEY_INSTANCE));
+	else if (fg_peer_row_read(row->key + strlen(FG_SYNC_KEY_INSTANCE),
+				  row->value, &peer))
+		fg_peers_put(gw->peers, now, &peer);
+	else
+		log_row("instance_row_refused", row, NULL);
+}
+
+void fg_sync_take_row(struct fg_feed *f, const struct fg_store_row *row,
+		      fg_ms now)
+{
+	switch (f->id) {
+	case FG_FEED_CONFIG:
+		take_config_row(f->gw, row, now);
+		break;
+	case FG_FEED_REGISTRY:
+		take_entry_row(f->gw, row, now);
+		break;
+	default:
+		take_own_row(f->gw, row, now);
+	}
+}
