A feed that is behind is left to answer

Its instances learnt from others that they were behind, and broke their feed off every 0.7 s; the pauses after each failure counted in that time, so that the call that followed was broken off at once. Some were not up to date after 17 s.

--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -222,7 +222,9 @@
 		fg_channel_send(f->channel,
 				gw->wire->rows_feed(gw->conf->store, f->table,
 						    f->after, wait_ms),
-				wait_ms + FEED_GRACE_MS, on_rows, f);
+				wait_ms == 0 ? READ_TIMEOUT_MS
+					     : wait_ms + FEED_GRACE_MS,
+				on_rows, f);
 }
 
 void fg_sync_config_behind(struct fg_gateway *gw, fg_ms now)
@@ -231,7 +233,10 @@
 
 	if (gw->config_behind == 0)
 		gw->config_behind = now;
-	if (now - gw->config_behind < BEHIND_MS || !fg_channel_busy(f->channel))
+	/* A feed that failed is asked anew in any case, and must be let answer:
+	 * broken off each time, a slow store would never be heard. */
+	if (f->failures > 0 || !fg_channel_busy(f->channel) ||
+	    now - MAX(gw->config_behind, f->sent_at) < BEHIND_MS)
 		return;
 	fg_log(FG_LOG_WARN, "sync", "configuration_behind", NULL);
 	gw->config_behind = now;
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -17,6 +17,7 @@
         self.version = 0
         self.mode = "up"   # up, busy, reset, silent
         self.calls = 0
+        self.slow_feed_s = 0  # before each answer of a feed
         self.mute = {}     # table -> how many feed calls get no answer
         self.server = Server(self.handle)
         self.addr = self.server.addr
@@ -70,6 +71,8 @@
             return False
         url = urlsplit(req.target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/api/rows-feed":
+            time.sleep(self.slow_feed_s)
         calls = {"/api/rows-get": self.get, "/api/rows-feed": self.feed}
         if url.path == "/api/rows-feed" and self.mute.get(query["table"], 0):
             self.mute[query["table"]] -= 1
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -423,6 +423,23 @@
 silent_feed.system = {"gateways": 2}
 
 
+def behind_a_slow_store(s):
+    """Knowing that it is behind, an instance still waits for a slow store."""
+    s.store.mute["op"] = 1
+    s.store.put("op", "config", config(50))
+    wait_for("one feed is silent", lambda: s.store.mute["op"] == 0, 12)
+    s.store.put("op", "config", config(60, extra_routes=[
+        {"name": "new", "host": HOST, "prefix": "/new/", "kind": "safe",
+         "timeoutMs": 900, "service": "orders", "maxAttempts": 1}]))
+    s.store.slow_feed_s = 0.85
+    for gateway in s.gateways:
+        wait_for(f"new route at {gateway.name}", lambda g=gateway: call(
+            g.front, "/new/1").status == 200, 6)
+
+
+behind_a_slow_store.system = {"gateways": 2}
+
+
 def unknown_after_outage(s):
     """An outage of the store makes an unknown route uncertain, its end makes
     it unknown again, without waiting for a change."""
@@ -618,7 +635,7 @@
 SCENARIOS = [serves, adapter_slots, resumes, not_resumable, runs_once,
              not_run_elsewhere, safe_repeats, body_without_length,
              stray_answer, silent_replica, caller_leaves, planned_stop,
-             store_away, silent_feed, unknown_after_outage, before_configuration, rows_of_others,
+             store_away, silent_feed, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
              version_announced, two_instances, paused_holder,
              crashing_request, bad_input, settings_change]
@@ -636,7 +653,7 @@
         traceback.print_exc(limit=2)
         if system is not None:
             for gateway in system.gateways:
-                print(f"--- {gateway.name}\n{gateway.log()[-3000:]}")
+                print(f"--- {gateway.name}\n{gateway.log()[-6000:]}")
         return False
     finally:
         if system is not None:
