--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -232,21 +232,3 @@
 	}
 	return best;
 }
-
-double fg_balance_fill(struct fg_fleet *f, fg_ms now, const char *service)
-{
-	const GPtrArray *all = fg_fleet_all(f);
-	uint64_t used = 0;
-	uint64_t slots = 0;
-
-	for (guint i = 0; i < all->len; i++) {
-		const struct fg_fleet_ep *ep = all->pdata[i];
-
-		if (strcmp(ep->facts.service, service) != 0 ||
-		    !fg_ep_usable(ep, now))
-			continue;
-		used += running(ep);
-		slots += MAX(ep->facts.slots, 1);
-	}
-	return slots == 0 ? 1.0 : (double)used / (double)slots;
-}
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -62,9 +62,4 @@
 				       const struct fg_balance_ask *ask,
 				       struct fg_rand *rand);
 
-/* Share of the service's slots that are in use, 0..1 and more, and whether
- * requests wait, over all usable endpoints: an instance refuses only when
- * little is free. */
-double fg_balance_fill(struct fg_fleet *f, fg_ms now, const char *service);
-
 #endif
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -320,7 +320,6 @@
 /* ---- Orders ---- */
 
 void fg_orders_check(struct fg_gateway *gw, fg_ms now);
-void fg_orders_kick(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
 /* Have the adapter loaded at the endpoint, here or by its owner. */
 enum fg_slot_state fg_orders_want(struct fg_gateway *gw, struct fg_fleet_ep *ep,
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -241,14 +241,6 @@
 	}
 }
 
-void fg_orders_kick(struct fg_gateway *gw, struct fg_fleet_ep *ep)
-{
-	struct fg_ep_user *u = fg_ep_user_of(gw, ep);
-
-	if (u->slots != NULL)
-		kick(u);
-}
-
 /* ---- Which engines ---- */
 
 /* Adapters with requests in flight count as used. */
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -35,18 +35,6 @@
 	g_free(s);
 }
 
-void fg_slots_reset(struct fg_slots *s)
-{
-	s->n = 0;
-	fg_slots_clear_base(s);
-	s->synced = false;
-	s->known = false;
-	s->stale = false;
-	s->report_at = 0;
-	s->sent = FG_SLOTS_NOTHING;
-	g_hash_table_remove_all(s->held_once);
-}
-
 struct fg_slot *fg_slot_of(const struct fg_slots *s, uint64_t key)
 {
 	if (s->base.key == key)
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -49,10 +49,6 @@
 struct fg_slots *fg_slots_new(const struct fg_slots_conf *conf);
 void fg_slots_free(struct fg_slots *s);
 
-/* Everything known of the engine is void: it restarted, or another instance
- * gave orders. Wants are kept. */
-void fg_slots_reset(struct fg_slots *s);
-
 enum fg_slot_state {
 	FG_SLOT_ABSENT = 0,
 	FG_SLOT_COMING = 1,
--- a/programs/fg-entry.c
+++ b/programs/fg-entry.c
@@ -8,13 +8,10 @@
 #include <stdio.h>
 #include <time.h>
 
-#include "base/fg_version.h"
+#include "base/fg_daemon.h"
 #include "log/fg_log.h"
 #include "run/fg_run.h"
 
-#define EXIT_START 1
-#define EXIT_USAGE 2
-
 static volatile sig_atomic_t stop_asked;
 
 static void on_signal(int signo)
@@ -66,7 +63,7 @@
 	if (run == NULL) {
 		fprintf(stderr, "fg-entry: %s\n", error->message);
 		g_error_free(error);
-		return EXIT_START;
+		return FG_EXIT_START;
 	}
 	fg_log(FG_LOG_INFO, "entry", "started", "http", settings->http, "rpc",
 	       settings->rpc, NULL);
@@ -86,7 +83,7 @@
 	if (settings == NULL) {
 		fprintf(stderr, "%s\n", error->message);
 		g_error_free(error);
-		return EXIT_USAGE;
+		return FG_EXIT_USAGE;
 	}
 	if (check_only)
 		printf("%s: settings are valid\n", path);
@@ -98,38 +95,7 @@
 
 int main(int argc, char **argv)
 {
-	gchar *path = NULL;
-	gboolean check_only = FALSE;
-	gboolean version = FALSE;
-	GOptionEntry options[] = {
-		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
-		  "settings of this instance (YAML)", "FILE" },
-		{ "check-config", 0, 0, G_OPTION_ARG_NONE, &check_only,
-		  "check the settings and exit", NULL },
-		{ "version", 0, 0, G_OPTION_ARG_NONE, &version,
-		  "print the version and exit", NULL },
-		{ 0 },
-	};
-	GOptionContext *ctx = g_option_context_new("- serves callers");
-	GError *error = NULL;
-	int rc = EXIT_USAGE;
+	static const struct fg_daemon daemon = { "fg-entry", load_and_start };
 
-	g_option_context_add_main_entries(ctx, options, NULL);
-	g_option_context_set_description(
-		ctx, "Exit codes: 0 after a planned stop (SIGTERM or SIGINT), "
-		     "1 could not start,\n2 wrong usage or settings.\n");
-	if (!g_option_context_parse(ctx, &argc, &argv, &error)) {
-		fprintf(stderr, "fg-entry: %s\n", error->message);
-		g_error_free(error);
-	} else if (version) {
-		printf("fg-entry %s\n", FG_VERSION);
-		rc = 0;
-	} else if (path == NULL) {
-		fprintf(stderr, "fg-entry: --config FILE is required\n");
-	} else {
-		rc = load_and_start(path, check_only);
-	}
-	g_option_context_free(ctx);
-	g_free(path);
-	return rc;
+	return fg_daemon_main(&daemon, argc, argv);
 }
