Suspects in the gateway's state; scenarios wait for them

crashing_request slept 1.5 s after each crash, little more than the registry's feed takes to tell the end of a replica, and version_announced 2 s; both now wait for what they need to see.

--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -126,6 +126,21 @@
 	}
 }
 
+#define SUSPECTS_SHOWN_MAX 32
+
+static void put_suspects(GString *out, const struct fg_gateway *gw, fg_ms now)
+{
+	struct fg_suspect_view views[SUSPECTS_SHOWN_MAX];
+	size_t n =
+		fg_suspects_list(gw->suspects, now, views, SUSPECTS_SHOWN_MAX);
+
+	for (size_t i = 0; i < MIN(n, SUSPECTS_SHOWN_MAX); i++)
+		g_string_append_printf(
+			out, "suspect %016llx crashes=%u refused=%d\n",
+			(unsigned long long)views[i].fingerprint,
+			views[i].crashes, views[i].refused);
+}
+
 static char *state_text(struct fg_gateway *gw)
 {
 	fg_ms now = fg_clock_now();
@@ -149,6 +164,7 @@
 			(long long)(now - gw->feeds[i].confirmed));
 	put_endpoints(out, gw, now);
 	put_peers(out, gw, now);
+	put_suspects(out, gw, now);
 	return g_string_free(out, FALSE);
 }
 
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -518,12 +518,14 @@
                 {"model": MODEL, "adapter": "a1", "version": 2})
     wait_for("replaced", lambda: any(
         e.adapters.get("a1") == 2 for e in s.engines), 3)
-    time.sleep(2)
-    rid = next_id()
-    expect(all_pieces(draft(s.gw, rid=rid)), "after")
-    versions = {h.get("expect-version") for e in s.engines
-                for r, h in e.seen if r == rid}
-    expect("2" in versions, f"asked for {versions}")
+
+    def named():
+        rid = next_id()
+        whole = all_pieces(draft(s.gw, rid=rid))
+        return whole and "2" in {h.get("expect-version") for e in s.engines
+                                 for r, h in e.seen if r == rid}
+
+    wait_for("requests name the version", named, 6)
 
 
 def two_instances(s):
@@ -577,10 +579,12 @@
         "service=orders") == 6 and s.gateways[1].state().count(
         "service=orders") == 6)
     expect(seen, "entries")
-    for _ in range(3):
+    for n in range(1, 4):
         a = call(s.gw.front, "/order/poison")
         expect(a.status == 502, f"crash: {a.status}")
-        time.sleep(1.5)
+        for gateway in s.gateways:
+            wait_for(f"crash {n} told to {gateway.name}", lambda g=gateway, k=n:
+                     f"crashes={k} refused={int(k == 3)}" in g.state())
     for gateway in s.gateways:
         a = call(gateway.front, "/order/poison")
         expect(a.status == 503, f"{gateway.name}: {a.status}")
