--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -4,8 +4,8 @@
 
 #include "fleet/fg_health.h"
 
-/* What other instances told of their requests counts for this long by default
- * at the caller; here costs only add. */
+/* Costs of endpoints that are out of order, or were tried before: above every
+ * wait that a request could have elsewhere, and below that of none. */
 #define EJECTED_COST_MS 3000
 #define AVOIDED_COST_MS 6000
 /* An endpoint that fails as many as half of its requests costs this much. */
@@ -21,7 +21,8 @@
 #define NO_LOAD_COST_MS 5000
 /* What was on its way this long ago still is, or has arrived. */
 #define COMING_FRESH_MS 1500
-/* Costs closer than this are drawn by lot, lest all choose the same one. */
+/* Costs closer than this are chosen from at random, so that instances spread.
+ */
 #define TIE_MS 2.0
 
 static uint32_t running(const struct fg_fleet_ep *ep)
@@ -54,7 +55,7 @@
 	return n == 0 ? 0 : sum / n;
 }
 
-static bool avoided(const struct fg_balance_ask *ask,
+static bool avoided(const struct fg_balance_query *ask,
 		    const struct fg_fleet_ep *ep)
 {
 	for (uint32_t i = 0; i < ask->n_avoid; i++) {
@@ -66,7 +67,7 @@
 
 /* How many endpoints the adapter's requests are spread over. */
 static uint32_t homes_wanted(const struct fg_balance_conf *conf,
-			     const struct fg_balance_ask *ask)
+			     const struct fg_balance_query *ask)
 {
 	double busy =
 		ask->tokens_per_s / FG_MS_PER_S / conf->prefill_tokens_per_ms;
@@ -75,9 +76,9 @@
 }
 
 /* Place of the endpoint in the adapter's order of rendezvous hashing, from 0;
- * places from `enough` on are not told apart. */
+ * places from `enough` on are not distinguished. */
 static uint32_t rank_of(struct fg_fleet *f, fg_ms now,
-			const struct fg_balance_ask *ask,
+			const struct fg_balance_query *ask,
 			const struct fg_fleet_ep *ep, uint32_t enough)
 {
 	const GPtrArray *all = fg_fleet_all(f);
@@ -97,7 +98,7 @@
 
 /* Part of the stray penalty: none at a home, half at the next one. */
 static double stray_share(struct fg_fleet *f, fg_ms now,
-			  const struct fg_balance_ask *ask,
+			  const struct fg_balance_query *ask,
 			  const struct fg_fleet_ep *ep, uint32_t homes)
 {
 	uint32_t rank = rank_of(f, now, ask, ep, homes + 1);
@@ -116,7 +117,7 @@
 
 /* What it costs to have the adapter there: the load itself in *load_ms. */
 static double adapter_cost(const struct fg_balance_conf *conf,
-			   const struct fg_balance_ask *ask,
+			   const struct fg_balance_query *ask,
 			   struct fg_fleet_ep *ep, double stray, uint32_t homes,
 			   fg_ms now, bool *resident, double *load_ms)
 {
@@ -161,7 +162,7 @@
 };
 
 static struct cost cost_of(const struct fg_balance_conf *conf,
-			   const struct fg_balance_ask *ask,
+			   const struct fg_balance_query *ask,
 			   struct fg_fleet_ep *ep, double stray, uint32_t homes,
 			   fg_ms now, double errors)
 {
@@ -195,7 +196,7 @@
 
 struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
 				       struct fg_fleet *f, fg_ms now,
-				       const struct fg_balance_ask *ask,
+				       const struct fg_balance_query *ask,
 				       struct fg_rand *rand)
 {
 	struct fg_balance_pick best = { 0 };
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -8,7 +8,7 @@
  * from its own memory, a load from the weight store). For a plain request it
  * is the work waiting for a slot. Other regions, errors and ejections add to
  * the cost. Own requests in flight are known at once; those of other instances
- * as they last told.
+ * as last reported.
  *
  * Loads from the weight store are scarce, and an endpoint reloads what it held
  * before in a tenth of the time. So each adapter has homes among all endpoints
@@ -38,7 +38,7 @@
 	uint32_t work_ms;	    /* of a plain request */
 };
 
-struct fg_balance_ask {
+struct fg_balance_query {
 	const char *service;
 	const struct fg_svc *terms;
 	const char *region; /* of this instance */
@@ -59,7 +59,7 @@
 
 struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
 				       struct fg_fleet *f, fg_ms now,
-				       const struct fg_balance_ask *ask,
+				       const struct fg_balance_query *ask,
 				       struct fg_rand *rand);
 
 #endif
--- a/lib/claim/fg_claim.h
+++ b/lib/claim/fg_claim.h
@@ -6,7 +6,7 @@
  * number of its orders, so it grows with each holder. A holder stays one
  * without renewing anything, through outages of the table too, until another
  * instance takes over: when it is no longer heard of, when it stops, or when
- * it lies in another region than the engine while an instance of that region
+ * it is in another region than the engine while an instance of that region
  * is there. Candidates are ranked by rendezvous hashing, nearest first, and
  * only the first one claims.
  *
--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -114,7 +114,7 @@
 static void forget_start(struct fg_fleet_ep *ep)
 {
 	ep->n_adapters = 0;
-	ep->told = 0;
+	ep->resident_at = 0;
 	ep->failures_in_row = 0;
 	ep->ejected_until = 0;
 	ep->error_rate = 0;
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -10,7 +10,7 @@
  * gone.
  *
  * What this instance measures of an endpoint (requests in flight, failures,
- * speed) lies in the same record; see fg_balance.h for its use.
+ * speed) is in the same record; see fg_balance.h for its use.
  *
  * Pure: events and the time in, no I/O.
  */
@@ -60,7 +60,7 @@
 	fg_ms coming;		 /* last time it was on its way; 0: never */
 	uint32_t running;	 /* own requests in flight */
 	uint32_t pending_tokens; /* of these, to be read before a first token */
-	fg_ms told;		 /* last time the owner was told of them */
+	fg_ms notified_at;	 /* last report of them to the owner */
 };
 
 #define FG_EP_ADAPTERS_MAX 48
@@ -77,7 +77,7 @@
 	/* In flight from this instance. */
 	uint32_t running;
 	uint32_t pending_tokens; /* to be read before the first token */
-	/* The same from other instances, as they last told. */
+	/* The same from other instances, as last reported. */
 	uint32_t peers_running;
 	uint32_t peers_pending_tokens;
 
@@ -89,9 +89,9 @@
 
 	struct fg_ep_adapter adapters[FG_EP_ADAPTERS_MAX];
 	uint32_t n_adapters;
-	/* Told by the instance that orders its loads. */
+	/* Reported by the instance that orders its loads. */
 	uint64_t owner;		/* 0: none known */
-	fg_ms told;		/* when its resident adapters were last told */
+	fg_ms resident_at;	/* last report of its resident adapters */
 	uint32_t spare_age_ms;	/* idle time of the slot that would be freed */
 	uint32_t queue;		/* adapters that wait for a slot or a load */
 	uint32_t fetch_wait_ms; /* until a load from the weight store begins */
@@ -106,7 +106,7 @@
 typedef void (*fg_ep_dropped)(void *ctx, struct fg_fleet_ep *ep);
 
 /* `region_of` maps a data centre to its region (never NULL); `dropped` is
- * told when an endpoint leaves the fleet for good. */
+ * called when an endpoint leaves the fleet for good. */
 struct fg_fleet *fg_fleet_new(fg_region_of region_of, fg_ep_dropped dropped,
 			      void *ctx);
 void fg_fleet_free(struct fg_fleet *f);
@@ -146,7 +146,7 @@
 /* The record of an adapter at the endpoint; NULL when it never was there. */
 struct fg_ep_adapter *fg_ep_adapter(struct fg_fleet_ep *ep, uint64_t key);
 
-/* The same, made when missing: the one unused for longest makes way. */
+/* The same, created when missing; evicts the one unused for longest. */
 struct fg_ep_adapter *fg_ep_adapter_get(struct fg_fleet_ep *ep, fg_ms now,
 					uint64_t key);
 
--- a/lib/fleet/fg_uses.h
+++ b/lib/fleet/fg_uses.h
@@ -2,10 +2,10 @@
  * fg_uses - what all instances have in flight at one engine, as its owner
  * keeps it.
  *
- * Each instance tells the owner what it has in flight there, by adapter; the
- * newest word of an instance about an adapter replaces the one before. A word
- * that is not repeated within FG_USES_KEEP_MS is forgotten, so that a lost
- * datagram or a dead instance does not keep an adapter in use.
+ * Each instance reports to the owner what it has in flight there, by adapter;
+ * its newest report about an adapter replaces the one before. A report that is
+ * not repeated within FG_USES_KEEP_MS expires, so that a lost datagram or a
+ * dead instance does not keep an adapter in use.
  *
  * Pure.
  */
@@ -26,7 +26,7 @@
 	uint64_t adapter;
 	uint32_t running;
 	uint32_t pending_tokens;
-	fg_ms told;
+	fg_ms reported_at;
 };
 
 struct fg_uses {
@@ -36,7 +36,7 @@
 void fg_uses_init(struct fg_uses *u);
 void fg_uses_clear(struct fg_uses *u);
 
-/* An instance told; running 0 removes its entry. */
+/* A report of an instance; running 0 removes its entry. */
 void fg_uses_put(struct fg_uses *u, const struct fg_use *use);
 
 /* Forgets what was not repeated. */
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -6,10 +6,10 @@
 #include <string.h>
 
 #define TICK_MS 100
-/* A tick this late means that the process or its machine stood still. */
+/* A tick this late means that the process or its machine was suspended. */
 #define PAUSE_MS 1000
 /* A planned stop ends when no request came for this long: callers keep the
- * addresses they were told for a few seconds. */
+ * addresses that they looked up for a few seconds. */
 #define STOP_QUIET_MS 1500
 /* The end of a stop leaves this much of the time until the kill. */
 #define STOP_MARGIN_MS 300
@@ -188,8 +188,8 @@
 	gw->stop_at = now + gw->conf->stop_grace_ms - STOP_MARGIN_MS;
 	gw->quiet_since = now;
 	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
-	fg_mesh_beat_now(gw);
-	gw->far_beat_at = 0;
+	fg_mesh_heartbeat_now(gw);
+	gw->far_heartbeat_at = 0;
 }
 
 static void step_stop(struct fg_gateway *gw, fg_ms now)
@@ -392,7 +392,7 @@
 		uv_close(handle, NULL);
 }
 
-/* Nothing fires or arrives any more, but for what a close leaves behind. */
+/* Stops timers, signals and listeners; closing connections remain. */
 static void close_sources(struct fg_gateway *gw)
 {
 	close_left((uv_handle_t *)&gw->tick, NULL);
--- a/lib/gateway/fg_gateway.h
+++ b/lib/gateway/fg_gateway.h
@@ -3,8 +3,8 @@
  *
  * It learns configuration and endpoints from the platform's store, tells
  * callers which addresses to use, forwards their requests to endpoints, has
- * adapters loaded, and exchanges beats with the other instances. Everything
- * that lasts is in the store; an instance keeps nothing.
+ * adapters loaded, and exchanges heartbeats with the other instances.
+ * Everything that lasts is in the store; an instance keeps nothing.
  *
  * One thread runs all of it. No function is safe for use by several threads.
  */
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -11,7 +11,7 @@
  *   fg_gw_rows.c     what their rows mean
  *   fg_gw_own.c      the rows that this instance writes
  *   fg_gw_orders.c   adapter loads of the engines that this instance orders
- *   fg_gw_mesh.c     beats and asks between instances
+ *   fg_gw_mesh.c     heartbeats and messages between instances
  *   fg_gw_pages.c    address lookup, readiness, metrics, state
  */
 #ifndef FG_GATEWAY_INTERNAL_H
@@ -247,7 +247,7 @@
 	bool reporting;
 	struct fg_gateway *gw;
 	struct fg_fleet_ep *ep;
-	struct fg_ep_facts told; /* as of the last reset */
+	struct fg_ep_facts facts_seen; /* as of the last reset */
 };
 
 struct fg_ep_user *fg_ep_user_of(struct fg_gateway *gw, struct fg_fleet_ep *ep);
@@ -330,7 +330,7 @@
 void fg_orders_used(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		    struct fg_ep_adapter *a);
 
-/* Another instance told what it has in flight at an engine ordered here. */
+/* Another instance reported what it has in flight at an engine ordered here. */
 void fg_orders_take_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 			const struct fg_use *use);
 void fg_orders_announced(struct fg_gateway *gw, uint64_t key, uint64_t version);
@@ -339,14 +339,14 @@
 /* ---- Mesh ---- */
 
 int fg_mesh_open(struct fg_gateway *gw);
-void fg_mesh_tell_crash(struct fg_gateway *gw, const fg_mesh_crash *crash);
+void fg_mesh_report_crash(struct fg_gateway *gw, const fg_mesh_crash *crash);
 void fg_mesh_tick(struct fg_gateway *gw, fg_ms now);
-void fg_mesh_beat_now(struct fg_gateway *gw);
+void fg_mesh_heartbeat_now(struct fg_gateway *gw);
 void fg_mesh_send_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		      struct fg_ep_adapter *a);
-void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner,
-		      struct fg_fleet_ep *ep, const char *model,
-		      const char *adapter, uint64_t version);
+void fg_mesh_send_load_req(struct fg_gateway *gw, uint64_t owner,
+			   struct fg_fleet_ep *ep, const char *model,
+			   const char *adapter, uint64_t version);
 
 /* ---- Pages ---- */
 
@@ -400,11 +400,11 @@
 	GHashTable *budgets; /* service name -> struct fg_retry * */
 
 	uv_udp_t mesh;
-	uint32_t beat_seq;
-	fg_ms near_beat_at;
-	fg_ms far_beat_at;
-	bool beat_dirty;
-	GArray *crashes; /* struct fg_told_crash */
+	uint32_t heartbeat_seq;
+	fg_ms near_heartbeat_at;
+	fg_ms far_heartbeat_at;
+	bool heartbeat_due;
+	GArray *crashes; /* struct crash_notice of fg_gw_mesh.c */
 
 	uv_timer_t tick;
 	uv_signal_t signals[3];
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -1,11 +1,11 @@
-/* Beats and asks between instances. */
+/* Heartbeats, load requests and usage reports between instances. */
 #include "gateway/fg_gateway_internal.h"
 
 #include <string.h>
 
-/* Beats inside a region: soon after something changed, at the latest each
- * NEAR_MAX_MS. With many neighbours the least interval grows, so that beats
- * stay a small part of an instance's processor time. */
+/* Heartbeats inside a region: soon after something changed, at the latest each
+ * NEAR_MAX_MS. With many neighbours the least interval grows, so that
+ * heartbeats stay a small part of an instance's processor time. */
 #define NEAR_MIN_MS 100
 #define NEAR_MS_PER_PEER 8
 #define NEAR_MAX_MS 250
@@ -16,10 +16,10 @@
 #define HELD_MAX 12
 #define CRASHES_MAX 16
 #define USES_MAX 40
-/* A crash is told in this many beats, since each may be lost. */
+/* A crash is reported in this many heartbeats, since each may be lost. */
 #define CRASH_REPEATS 3
 
-struct told_crash {
+struct crash_notice {
 	fg_mesh_crash crash;
 	uint32_t left;
 };
@@ -52,19 +52,20 @@
 	return fg_gateway_ready(gw) ? FG_MESH_READY : FG_MESH_STARTING;
 }
 
-struct beat {
+struct heartbeat_lists {
 	fg_mesh_own owns[OWNS_MAX];
 	fg_mesh_held held[OWNS_MAX][HELD_MAX];
 	fg_mesh_crash crashes[CRASHES_MAX];
 };
 
-static uint32_t put_crashes(struct fg_gateway *gw, struct beat *b)
+static uint32_t put_crashes(struct fg_gateway *gw, struct heartbeat_lists *b)
 {
 	uint32_t n = 0;
 
 	for (guint i = 0; i < gw->crashes->len && n < CRASHES_MAX; i++)
 		b->crashes[n++] =
-			g_array_index(gw->crashes, struct told_crash, i).crash;
+			g_array_index(gw->crashes, struct crash_notice, i)
+				.crash;
 	return n;
 }
 
@@ -76,7 +77,7 @@
 	for (uint32_t i = 0; i < ep->n_adapters && n < HELD_MAX; i++) {
 		if (ep->adapters[i].version == 0 &&
 		    (ep->adapters[i].coming == 0 ||
-		     ep->adapters[i].coming != ep->told))
+		     ep->adapters[i].coming != ep->resident_at))
 			continue;
 		held[n].adapter = ep->adapters[i].key;
 		held[n++].ver = ep->adapters[i].version;
@@ -92,7 +93,8 @@
 }
 
 /* Engines ordered here from *at on; returns how many were put. */
-static uint32_t put_owns(const struct fg_gateway *gw, struct beat *b, guint *at)
+static uint32_t put_owns(const struct fg_gateway *gw, struct heartbeat_lists *b,
+			 guint *at)
 {
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
 	uint32_t n = 0;
@@ -109,8 +111,8 @@
 	return n;
 }
 
-static void beat_peers(struct fg_gateway *gw, const fg_mesh_packet *packet,
-		       bool near)
+static void send_to_peers(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			  bool near)
 {
 	const GPtrArray *peers = fg_peers_all(gw->peers);
 
@@ -131,26 +133,26 @@
 	packet->body.kind = kind;
 }
 
-/* Sends one beat, in several datagrams when it has many parts. */
-static void send_beat(struct fg_gateway *gw, bool near)
+/* Sends one hb, in several datagrams when it has many parts. */
+static void send_heartbeat(struct fg_gateway *gw, bool near)
 {
-	struct beat b;
+	struct heartbeat_lists b;
 	fg_mesh_packet packet;
-	fg_mesh_beat *beat = &packet.body.fg_mesh_body_u.beat;
+	fg_mesh_heartbeat *hb = &packet.body.fg_mesh_body_u.hb;
 	guint at = 0;
 
-	init_packet(gw, &packet, FG_MESH_BEAT);
-	beat->state = state_of(gw);
-	beat->config = gw->config_version;
-	beat->owns.owns_val = b.owns;
-	beat->crashes.crashes_val = b.crashes;
-	beat->crashes.crashes_len = put_crashes(gw, &b);
+	init_packet(gw, &packet, FG_MESH_HEARTBEAT);
+	hb->state = state_of(gw);
+	hb->config = gw->config_version;
+	hb->owns.owns_val = b.owns;
+	hb->crashes.crashes_val = b.crashes;
+	hb->crashes.crashes_len = put_crashes(gw, &b);
 	do {
-		packet.seq = ++gw->beat_seq;
-		beat->owns.owns_len = put_owns(gw, &b, &at);
-		beat_peers(gw, &packet, near);
-		beat->crashes.crashes_len = 0;
-	} while (beat->owns.owns_len == OWNS_MAX);
+		packet.seq = ++gw->heartbeat_seq;
+		hb->owns.owns_len = put_owns(gw, &b, &at);
+		send_to_peers(gw, &packet, near);
+		hb->crashes.crashes_len = 0;
+	} while (hb->owns.owns_len == OWNS_MAX);
 }
 
 static void put_use(fg_mesh_use *use, const struct fg_fleet_ep *ep,
@@ -171,7 +173,7 @@
 
 	if (peer == NULL)
 		return;
-	a->told = fg_clock_now();
+	a->notified_at = fg_clock_now();
 	put_use(&use, ep, a);
 	init_packet(gw, &packet, FG_MESH_USES);
 	packet.body.fg_mesh_body_u.uses.list.list_len = 1;
@@ -179,7 +181,7 @@
 	send_packet(gw, peer->row.mesh, &packet);
 }
 
-/* Repeats to one owner what is in flight at its engines. */
+/* Repeats to one owner the requests in flight at its engines. */
 static void repeat_uses(struct fg_gateway *gw, const struct fg_mesh_peer *peer,
 			fg_ms now)
 {
@@ -197,9 +199,9 @@
 			struct fg_ep_adapter *a = &ep->adapters[k];
 
 			if (a->running == 0 ||
-			    now - a->told < FG_USES_REPEAT_MS)
+			    now - a->notified_at < FG_USES_REPEAT_MS)
 				continue;
-			a->told = now;
+			a->notified_at = now;
 			put_use(&list[n++], ep, a);
 		}
 	}
@@ -222,41 +224,41 @@
 static void age_crashes(struct fg_gateway *gw)
 {
 	for (guint i = gw->crashes->len; i > 0; i--) {
-		struct told_crash *t =
-			&g_array_index(gw->crashes, struct told_crash, i - 1);
+		struct crash_notice *t =
+			&g_array_index(gw->crashes, struct crash_notice, i - 1);
 
 		if (--t->left == 0)
 			g_array_remove_index_fast(gw->crashes, i - 1);
 	}
 }
 
-static void near_beat(struct fg_gateway *gw, fg_ms now)
+static void near_heartbeat(struct fg_gateway *gw, fg_ms now)
 {
-	send_beat(gw, true);
-	gw->near_beat_at = now;
-	gw->beat_dirty = false;
+	send_heartbeat(gw, true);
+	gw->near_heartbeat_at = now;
+	gw->heartbeat_due = false;
 }
 
-void fg_mesh_beat_now(struct fg_gateway *gw)
+void fg_mesh_heartbeat_now(struct fg_gateway *gw)
 {
-	near_beat(gw, fg_clock_now());
+	near_heartbeat(gw, fg_clock_now());
 }
 
-void fg_mesh_send_ask(struct fg_gateway *gw, uint64_t owner,
-		      struct fg_fleet_ep *ep, const char *model,
-		      const char *adapter, uint64_t version)
+void fg_mesh_send_load_req(struct fg_gateway *gw, uint64_t owner,
+			   struct fg_fleet_ep *ep, const char *model,
+			   const char *adapter, uint64_t version)
 {
 	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, owner);
 	fg_mesh_packet packet;
-	fg_mesh_ask *ask = &packet.body.fg_mesh_body_u.ask;
+	fg_mesh_load_req *req = &packet.body.fg_mesh_body_u.load_req;
 
 	if (peer == NULL)
 		return;
-	init_packet(gw, &packet, FG_MESH_ASK);
-	ask->ep = ep->hash;
-	ask->model = (char *)model;
-	ask->adapter = (char *)adapter;
-	ask->ver = version;
+	init_packet(gw, &packet, FG_MESH_LOAD_REQ);
+	req->ep = ep->hash;
+	req->model = (char *)model;
+	req->adapter = (char *)adapter;
+	req->ver = version;
 	send_packet(gw, peer->row.mesh, &packet);
 }
 
@@ -275,7 +277,7 @@
 			.adapter = m->adapter,
 			.running = m->running,
 			.pending_tokens = m->pending_tokens,
-			.told = now,
+			.reported_at = now,
 		};
 
 		if (ep != NULL)
@@ -306,12 +308,12 @@
 			a->coming = now;
 	}
 	fg_ep_set_resident(ep, now, held, n);
-	ep->told = now;
+	ep->resident_at = now;
 	ep->owner = sender;
 	ep->spare_age_ms = own->spare_age_ms;
 	ep->queue = own->queue;
 	ep->fetch_wait_ms = own->fetch_wait_ms;
-	/* The totals hold what this instance told the owner. */
+	/* The totals include what this instance reported to the owner. */
 	ep->peers_running = own->running - MIN(own->running, ep->running);
 	ep->peers_pending_tokens = own->pending_tokens -
 				   MIN(own->pending_tokens, ep->pending_tokens);
@@ -331,72 +333,73 @@
 	fg_suspects_event(gw->suspects, now, by, &ev);
 }
 
-static void take_beat(struct fg_gateway *gw, const fg_mesh_packet *packet,
-		      fg_ms now)
+static void take_heartbeat(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			   fg_ms now)
 {
-	const fg_mesh_beat *beat = &packet->body.fg_mesh_body_u.beat;
+	const fg_mesh_heartbeat *hb = &packet->body.fg_mesh_body_u.hb;
 	struct fg_mesh_peer *peer =
 		fg_peers_find(gw->peers, packet->incarnation);
 
 	if (peer == NULL)
 		return;
-	fg_peers_beat(gw->peers, now, packet->incarnation, packet->seq, beat);
-	if (beat->config > gw->config_version)
+	fg_peers_heartbeat(gw->peers, now, packet->incarnation, packet->seq,
+			   hb);
+	if (hb->config > gw->config_version)
 		fg_sync_config_behind(gw, now);
-	for (u_int i = 0; i < beat->owns.owns_len; i++)
-		take_own(gw, packet->incarnation, &beat->owns.owns_val[i], now);
-	for (u_int i = 0; i < beat->crashes.crashes_len; i++)
-		take_crash(gw, packet->incarnation,
-			   &beat->crashes.crashes_val[i], now);
+	for (u_int i = 0; i < hb->owns.owns_len; i++)
+		take_own(gw, packet->incarnation, &hb->owns.owns_val[i], now);
+	for (u_int i = 0; i < hb->crashes.crashes_len; i++)
+		take_crash(gw, packet->incarnation, &hb->crashes.crashes_val[i],
+			   now);
 }
 
-static void take_ask(struct fg_gateway *gw, const fg_mesh_packet *packet,
-		     const char *from)
+static void take_load_req(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			  const char *from)
 {
-	const fg_mesh_ask *ask = &packet->body.fg_mesh_body_u.ask;
-	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, ask->ep);
+	const fg_mesh_load_req *req = &packet->body.fg_mesh_body_u.load_req;
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, req->ep);
 	struct fg_ep_user *u = ep == NULL ? NULL : ep->user;
 	fg_mesh_packet reply;
-	fg_mesh_told *told = &reply.body.fg_mesh_body_u.told;
+	fg_mesh_load_rep *rep = &reply.body.fg_mesh_body_u.load_rep;
 
-	init_packet(gw, &reply, FG_MESH_TOLD);
-	told->ep = ask->ep;
-	told->adapter = fg_adapter_key(ask->model, ask->adapter);
-	told->answer = FG_MESH_NOT_OWNER;
+	init_packet(gw, &reply, FG_MESH_LOAD_REP);
+	rep->ep = req->ep;
+	rep->adapter = fg_adapter_key(req->model, req->adapter);
+	rep->answer = FG_MESH_NOT_OWNER;
 	if (u != NULL && u->slots != NULL) {
-		switch (fg_orders_want(gw, ep, ask->model, ask->adapter,
-				       ask->ver)) {
+		switch (fg_orders_want(gw, ep, req->model, req->adapter,
+				       req->ver)) {
 		case FG_SLOT_RESIDENT:
-			told->answer = FG_MESH_RESIDENT;
+			rep->answer = FG_MESH_RESIDENT;
 			break;
 		case FG_SLOT_COMING:
-			told->answer = FG_MESH_COMING;
+			rep->answer = FG_MESH_COMING;
 			break;
 		default:
-			told->answer = FG_MESH_FULL;
+			rep->answer = FG_MESH_FULL;
 		}
 	}
 	send_packet(gw, from, &reply);
 }
 
-static void take_told(struct fg_gateway *gw, const fg_mesh_packet *packet,
-		      fg_ms now)
+static void take_load_rep(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			  fg_ms now)
 {
-	const fg_mesh_told *told = &packet->body.fg_mesh_body_u.told;
-	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, told->ep);
+	const fg_mesh_load_rep *rep = &packet->body.fg_mesh_body_u.load_rep;
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, rep->ep);
 	struct fg_ep_adapter *a;
 
 	if (ep == NULL)
 		return;
-	if (told->answer == FG_MESH_RESIDENT) {
-		a = fg_ep_adapter_get(ep, now, told->adapter);
+	if (rep->answer == FG_MESH_RESIDENT) {
+		a = fg_ep_adapter_get(ep, now, rep->adapter);
 		if (a == NULL)
 			return;
 		a->version = MAX(a->version, 1);
 		a->seen = now;
 		fg_gwreq_resident(gw, ep);
-	} else if (told->answer != FG_MESH_COMING) {
-		fg_gwreq_no_load(gw, ep, told->adapter);
+	} else if (rep->answer != FG_MESH_COMING) {
+		fg_gwreq_no_load(gw, ep, rep->adapter);
 	}
 }
 
@@ -428,14 +431,14 @@
 	g_snprintf(address, sizeof(address), "%s:%u", ip,
 		   ntohs(((const struct sockaddr_in *)from)->sin_port));
 	switch (packet.body.kind) {
-	case FG_MESH_BEAT:
-		take_beat(gw, &packet, fg_clock_now());
+	case FG_MESH_HEARTBEAT:
+		take_heartbeat(gw, &packet, fg_clock_now());
 		break;
-	case FG_MESH_ASK:
-		take_ask(gw, &packet, address);
+	case FG_MESH_LOAD_REQ:
+		take_load_req(gw, &packet, address);
 		break;
-	case FG_MESH_TOLD:
-		take_told(gw, &packet, fg_clock_now());
+	case FG_MESH_LOAD_REP:
+		take_load_rep(gw, &packet, fg_clock_now());
 		break;
 	case FG_MESH_USES:
 		take_uses(gw, &packet, fg_clock_now());
@@ -453,23 +456,23 @@
 	fg_ms far_ms = MAX(FAR_MIN_MS, FAR_MS_PER_PEER * peers);
 
 	repeat_all_uses(gw, now);
-	if (now - gw->near_beat_at >= NEAR_MAX_MS ||
-	    (gw->beat_dirty && now - gw->near_beat_at >= least_ms))
-		near_beat(gw, now);
-	if (now - gw->far_beat_at >= far_ms) {
-		send_beat(gw, false);
-		gw->far_beat_at = now;
+	if (now - gw->near_heartbeat_at >= NEAR_MAX_MS ||
+	    (gw->heartbeat_due && now - gw->near_heartbeat_at >= least_ms))
+		near_heartbeat(gw, now);
+	if (now - gw->far_heartbeat_at >= far_ms) {
+		send_heartbeat(gw, false);
+		gw->far_heartbeat_at = now;
 		age_crashes(gw);
 	}
 }
 
-void fg_mesh_tell_crash(struct fg_gateway *gw, const fg_mesh_crash *crash)
+void fg_mesh_report_crash(struct fg_gateway *gw, const fg_mesh_crash *crash)
 {
-	struct told_crash t = { .crash = *crash, .left = CRASH_REPEATS };
+	struct crash_notice t = { .crash = *crash, .left = CRASH_REPEATS };
 
 	take_crash(gw, gw->incarnation, crash, fg_clock_now());
 	g_array_append_val(gw->crashes, t);
-	gw->beat_dirty = true;
+	gw->heartbeat_due = true;
 }
 
 int fg_mesh_open(struct fg_gateway *gw)
@@ -477,7 +480,7 @@
 	struct sockaddr_in at;
 	int rc;
 
-	gw->crashes = g_array_new(FALSE, FALSE, sizeof(struct told_crash));
+	gw->crashes = g_array_new(FALSE, FALSE, sizeof(struct crash_notice));
 	if (!fg_link_parse(gw->conf->mesh, &at))
 		return UV_EINVAL;
 	uv_udp_init(&gw->loop, &gw->mesh);
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -71,7 +71,7 @@
 	for (uint32_t i = 0; i < ep->n_adapters; i++)
 		before += ep->adapters[i].version != 0 ? 1 : 0;
 	mark_coming(u, now);
-	ep->told = now;
+	ep->resident_at = now;
 	ep->spare_age_ms = fg_slots_spare_age(u->slots, now);
 	ep->queue = fg_slots_queue(u->slots);
 	running = fetching(u->gw, &waiting);
@@ -90,7 +90,7 @@
 
 	if (!publish(u, fg_clock_now()))
 		return;
-	fg_mesh_beat_now(gw);
+	fg_mesh_heartbeat_now(gw);
 	fg_gwreq_resident(gw, ep);
 }
 
@@ -273,7 +273,7 @@
 	u->fence = 0;
 }
 
-static void tell_versions(struct fg_gateway *gw, struct fg_slots *slots)
+static void apply_versions(struct fg_gateway *gw, struct fg_slots *slots)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -306,15 +306,15 @@
 	u->channel = fg_channel_new(&gw->loop, u->ep->facts.address);
 	u->timer = fg_gw_timer_new(gw, u);
 	u->fence = fence;
-	u->told = u->ep->facts;
-	tell_versions(gw, u->slots);
+	u->facts_seen = u->ep->facts;
+	apply_versions(gw, u->slots);
 	log_order(u, "holds_orders", 0);
 }
 
 static bool restarted(const struct fg_ep_user *u)
 {
-	return u->told.born != u->ep->facts.born ||
-	       strcmp(u->told.address, u->ep->facts.address) != 0;
+	return u->facts_seen.born != u->ep->facts.born ||
+	       strcmp(u->facts_seen.address, u->ep->facts.address) != 0;
 }
 
 static const struct fg_svc *engine_of(const struct fg_gateway *gw,
@@ -391,7 +391,7 @@
 	}
 	if (ep->owner == 0 || ep->owner == gw->incarnation)
 		return FG_SLOT_FULL;
-	fg_mesh_send_ask(gw, ep->owner, ep, model, adapter, version);
+	fg_mesh_send_load_req(gw, ep->owner, ep, model, adapter, version);
 	return FG_SLOT_COMING;
 }
 
@@ -417,7 +417,7 @@
 	if (u == NULL || u->slots == NULL)
 		return;
 	fg_uses_put(&u->uses, use);
-	fg_slots_used(u->slots, use->told, use->adapter);
+	fg_slots_used(u->slots, use->reported_at, use->adapter);
 	ep->peers_running = fg_uses_running(&u->uses);
 	ep->peers_pending_tokens = fg_uses_pending_tokens(&u->uses);
 }
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -63,7 +63,7 @@
 static struct fg_balance_pick pick(struct fg_gwreq *r, fg_ms now,
 				   bool resident_only)
 {
-	struct fg_balance_ask ask = {
+	struct fg_balance_query ask = {
 		.service = r->service->name,
 		.terms = r->service,
 		.region = r->gw->conf->region,
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -86,14 +86,14 @@
 }
 
 /* What the endpoint itself lists counts while no owner tells. */
-#define TOLD_FRESH_MS 3000
+#define RESIDENT_FRESH_MS 3000
 
 static void take_listed(struct fg_fleet_ep *ep, fg_ms now)
 {
 	struct fg_fleet_held held[FG_FLEET_RESIDENT_MAX];
 	uint32_t n = 0;
 
-	if (ep->told != 0 && now - ep->told < TOLD_FRESH_MS)
+	if (ep->resident_at != 0 && now - ep->resident_at < RESIDENT_FRESH_MS)
 		return;
 	for (uint32_t i = 0; i < ep->facts.n_resident; i++) {
 		const struct fg_ep_resident *r = &ep->facts.resident[i];
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -79,7 +79,7 @@
 			.req = lost[i].request,
 		};
 
-		fg_mesh_tell_crash(u->gw, &crash);
+		fg_mesh_report_crash(u->gw, &crash);
 	}
 }
 
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -9,8 +9,8 @@
 #define READ_TIMEOUT_MS 1500
 /* How long a feed waits for a change; a connection that fell silent is noticed
  * after FEED_GRACE_MS more. Keep-alive notices sooner, and for the
- * configuration the beats of others, which name the newest row that they have
- * read. */
+ * configuration the heartbeats of others, which name the newest row that they
+ * have read. */
 #define CONFIG_WAIT_MS 10000
 #define REGISTRY_WAIT_MS 2900
 #define OWN_WAIT_MS 15000
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -2,7 +2,7 @@
  * fg_mesh - datagrams between the instances of a gateway.
  *
  * One datagram is one fg_mesh_packet in XDR. Every datagram may be lost,
- * doubled or overtaken: beats and uses carry state, not changes, and asks are
+ * doubled or overtaken: heartbeats and uses carry state, not changes, and asks are
  * repeated until they are answered.
  */
 
@@ -45,14 +45,14 @@
 	unsigned hyper req;
 };
 
-struct fg_mesh_beat {
+struct fg_mesh_heartbeat {
 	fg_mesh_state state;
 	unsigned hyper config;  /* newest row of the configuration read */
 	fg_mesh_own owns<FG_MESH_LIST_MAX>;
 	fg_mesh_crash crashes<FG_MESH_LIST_MAX>;
 };
 
-struct fg_mesh_ask {            /* have the adapter loaded there */
+struct fg_mesh_load_req {            /* have the adapter loaded there */
 	unsigned hyper ep;
 	string model<FG_MESH_NAME_MAX>;
 	string adapter<FG_MESH_NAME_MAX>;
@@ -66,7 +66,7 @@
 	FG_MESH_FULL = 3
 };
 
-struct fg_mesh_told {
+struct fg_mesh_load_rep {
 	unsigned hyper ep;
 	unsigned hyper adapter;
 	unsigned hyper ver;
@@ -78,19 +78,19 @@
 };
 
 enum fg_mesh_kind {
-	FG_MESH_BEAT = 1,
-	FG_MESH_ASK = 2,
-	FG_MESH_TOLD = 3,
+	FG_MESH_HEARTBEAT = 1,
+	FG_MESH_LOAD_REQ = 2,
+	FG_MESH_LOAD_REP = 3,
 	FG_MESH_USES = 4
 };
 
 union fg_mesh_body switch (fg_mesh_kind kind) {
-case FG_MESH_BEAT:
-	fg_mesh_beat beat;
-case FG_MESH_ASK:
-	fg_mesh_ask ask;
-case FG_MESH_TOLD:
-	fg_mesh_told told;
+case FG_MESH_HEARTBEAT:
+	fg_mesh_heartbeat hb;
+case FG_MESH_LOAD_REQ:
+	fg_mesh_load_req load_req;
+case FG_MESH_LOAD_REP:
+	fg_mesh_load_rep load_rep;
 case FG_MESH_USES:
 	fg_mesh_uses uses;
 };
@@ -98,6 +98,6 @@
 struct fg_mesh_packet {
 	unsigned int format;
 	unsigned hyper incarnation; /* of the sender */
-	unsigned int seq;           /* grows with each beat */
+	unsigned int seq;           /* grows with each heartbeat */
 	fg_mesh_body body;
 };
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -61,7 +61,7 @@
 };
 typedef struct fg_mesh_crash fg_mesh_crash;
 
-struct fg_mesh_beat {
+struct fg_mesh_heartbeat {
 	fg_mesh_state state;
 	u_quad_t config;
 	struct {
@@ -73,15 +73,15 @@
 		fg_mesh_crash *crashes_val;
 	} crashes;
 };
-typedef struct fg_mesh_beat fg_mesh_beat;
+typedef struct fg_mesh_heartbeat fg_mesh_heartbeat;
 
-struct fg_mesh_ask {
+struct fg_mesh_load_req {
 	u_quad_t ep;
 	char *model;
 	char *adapter;
 	u_quad_t ver;
 };
-typedef struct fg_mesh_ask fg_mesh_ask;
+typedef struct fg_mesh_load_req fg_mesh_load_req;
 
 enum fg_mesh_answer {
 	FG_MESH_NOT_OWNER = 0,
@@ -91,13 +91,13 @@
 };
 typedef enum fg_mesh_answer fg_mesh_answer;
 
-struct fg_mesh_told {
+struct fg_mesh_load_rep {
 	u_quad_t ep;
 	u_quad_t adapter;
 	u_quad_t ver;
 	fg_mesh_answer answer;
 };
-typedef struct fg_mesh_told fg_mesh_told;
+typedef struct fg_mesh_load_rep fg_mesh_load_rep;
 
 struct fg_mesh_uses {
 	struct {
@@ -108,9 +108,9 @@
 typedef struct fg_mesh_uses fg_mesh_uses;
 
 enum fg_mesh_kind {
-	FG_MESH_BEAT = 1,
-	FG_MESH_ASK = 2,
-	FG_MESH_TOLD = 3,
+	FG_MESH_HEARTBEAT = 1,
+	FG_MESH_LOAD_REQ = 2,
+	FG_MESH_LOAD_REP = 3,
 	FG_MESH_USES = 4,
 };
 typedef enum fg_mesh_kind fg_mesh_kind;
@@ -118,9 +118,9 @@
 struct fg_mesh_body {
 	fg_mesh_kind kind;
 	union {
-		fg_mesh_beat beat;
-		fg_mesh_ask ask;
-		fg_mesh_told told;
+		fg_mesh_heartbeat hb;
+		fg_mesh_load_req load_req;
+		fg_mesh_load_rep load_rep;
 		fg_mesh_uses uses;
 	} fg_mesh_body_u;
 };
@@ -142,10 +142,10 @@
 extern  bool_t xdr_fg_mesh_held (XDR *, fg_mesh_held*);
 extern  bool_t xdr_fg_mesh_own (XDR *, fg_mesh_own*);
 extern  bool_t xdr_fg_mesh_crash (XDR *, fg_mesh_crash*);
-extern  bool_t xdr_fg_mesh_beat (XDR *, fg_mesh_beat*);
-extern  bool_t xdr_fg_mesh_ask (XDR *, fg_mesh_ask*);
+extern  bool_t xdr_fg_mesh_heartbeat (XDR *, fg_mesh_heartbeat*);
+extern  bool_t xdr_fg_mesh_load_req (XDR *, fg_mesh_load_req*);
 extern  bool_t xdr_fg_mesh_answer (XDR *, fg_mesh_answer*);
-extern  bool_t xdr_fg_mesh_told (XDR *, fg_mesh_told*);
+extern  bool_t xdr_fg_mesh_load_rep (XDR *, fg_mesh_load_rep*);
 extern  bool_t xdr_fg_mesh_uses (XDR *, fg_mesh_uses*);
 extern  bool_t xdr_fg_mesh_kind (XDR *, fg_mesh_kind*);
 extern  bool_t xdr_fg_mesh_body (XDR *, fg_mesh_body*);
@@ -157,10 +157,10 @@
 extern bool_t xdr_fg_mesh_held ();
 extern bool_t xdr_fg_mesh_own ();
 extern bool_t xdr_fg_mesh_crash ();
-extern bool_t xdr_fg_mesh_beat ();
-extern bool_t xdr_fg_mesh_ask ();
+extern bool_t xdr_fg_mesh_heartbeat ();
+extern bool_t xdr_fg_mesh_load_req ();
 extern bool_t xdr_fg_mesh_answer ();
-extern bool_t xdr_fg_mesh_told ();
+extern bool_t xdr_fg_mesh_load_rep ();
 extern bool_t xdr_fg_mesh_uses ();
 extern bool_t xdr_fg_mesh_kind ();
 extern bool_t xdr_fg_mesh_body ();
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -138,7 +138,7 @@
 }
 
 bool_t
-xdr_fg_mesh_beat (XDR *xdrs, fg_mesh_beat *objp)
+xdr_fg_mesh_heartbeat (XDR *xdrs, fg_mesh_heartbeat *objp)
 {
 	register int32_t *buf;
 
@@ -156,7 +156,7 @@
 }
 
 bool_t
-xdr_fg_mesh_ask (XDR *xdrs, fg_mesh_ask *objp)
+xdr_fg_mesh_load_req (XDR *xdrs, fg_mesh_load_req *objp)
 {
 	register int32_t *buf;
 
@@ -182,7 +182,7 @@
 }
 
 bool_t
-xdr_fg_mesh_told (XDR *xdrs, fg_mesh_told *objp)
+xdr_fg_mesh_load_rep (XDR *xdrs, fg_mesh_load_rep *objp)
 {
 	register int32_t *buf;
 
@@ -226,16 +226,16 @@
 	 if (!xdr_fg_mesh_kind (xdrs, &objp->kind))
 		 return FALSE;
 	switch (objp->kind) {
-	case FG_MESH_BEAT:
-		 if (!xdr_fg_mesh_beat (xdrs, &objp->fg_mesh_body_u.beat))
+	case FG_MESH_HEARTBEAT:
+		 if (!xdr_fg_mesh_heartbeat (xdrs, &objp->fg_mesh_body_u.hb))
 			 return FALSE;
 		break;
-	case FG_MESH_ASK:
-		 if (!xdr_fg_mesh_ask (xdrs, &objp->fg_mesh_body_u.ask))
+	case FG_MESH_LOAD_REQ:
+		 if (!xdr_fg_mesh_load_req (xdrs, &objp->fg_mesh_body_u.load_req))
 			 return FALSE;
 		break;
-	case FG_MESH_TOLD:
-		 if (!xdr_fg_mesh_told (xdrs, &objp->fg_mesh_body_u.told))
+	case FG_MESH_LOAD_REP:
+		 if (!xdr_fg_mesh_load_rep (xdrs, &objp->fg_mesh_body_u.load_rep))
 			 return FALSE;
 		break;
 	case FG_MESH_USES:
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -110,9 +110,9 @@
 	return NULL;
 }
 
-struct fg_mesh_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
-				   uint64_t incarnation, uint32_t seq,
-				   const fg_mesh_beat *beat)
+struct fg_mesh_peer *fg_peers_heartbeat(struct fg_peers *p, fg_ms now,
+					uint64_t incarnation, uint32_t seq,
+					const fg_mesh_heartbeat *hb)
 {
 	struct fg_mesh_peer *peer = fg_peers_find(p, incarnation);
 
@@ -122,7 +122,7 @@
 	if ((int32_t)(seq - peer->seq) <= 0)
 		return peer; /* overtaken by a newer one */
 	peer->seq = seq;
-	peer->state = beat->state;
+	peer->state = hb->state;
 	return peer;
 }
 
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -2,7 +2,7 @@
  * fg_peers - the other instances: where they are and whether they live.
  *
  * Each instance writes one row when it starts; from these rows the others
- * learn its addresses. Whether it lives is learnt from its beats: nobody
+ * learn its addresses. Whether it lives is learnt from its heartbeats: nobody
  * writes to the platform for that. An instance that was heard once and falls
  * silent is down; one that was never heard since its row appeared is unknown
  * and gets no callers.
@@ -21,7 +21,7 @@
 
 #define FG_PEER_TEXT_BYTES 96
 
-/* Beats come at least each 250 ms inside a region and each second between
+/* Heartbeats come at least each 250 ms inside a region and each second between
  * regions; these allow a few to be lost. */
 #define FG_PEER_SILENT_MS 1500
 #define FG_PEER_SILENT_FAR_MS 3500
@@ -39,7 +39,7 @@
 	struct fg_peer_row row;
 	uint64_t hash; /* of the name */
 	bool near;     /* same region */
-	fg_ms heard;   /* last beat of this incarnation; 0: none */
+	fg_ms heard;   /* last heartbeat of this incarnation; 0: none */
 	fg_ms since;   /* when the row appeared */
 	uint32_t seq;
 	fg_mesh_state state;
@@ -59,10 +59,10 @@
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row);
 void fg_peers_remove(struct fg_peers *p, const char *name);
 
-/* A beat came; NULL when its sender has no row here yet. */
-struct fg_mesh_peer *fg_peers_beat(struct fg_peers *p, fg_ms now,
-				   uint64_t incarnation, uint32_t seq,
-				   const fg_mesh_beat *beat);
+/* A heartbeat came; NULL when its sender has no row here yet. */
+struct fg_mesh_peer *fg_peers_heartbeat(struct fg_peers *p, fg_ms now,
+					uint64_t incarnation, uint32_t seq,
+					const fg_mesh_heartbeat *hb);
 
 struct fg_mesh_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation);
 
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -86,7 +86,7 @@
 	fg_ms wake; /* with NOTHING: when to ask again; FG_MS_NEVER */
 };
 
-/* The next message; the state counts it as sent until its result is told.
+/* The next message; the state counts it as sent until its result is passed in.
  * Loads from the weight store begin only with `store_open`. */
 struct fg_slots_step fg_slots_next(struct fg_slots *s, fg_ms now,
 				   bool store_open);
@@ -118,7 +118,7 @@
 /* Adapters that wait for a slot or for the weight store. */
 uint32_t fg_slots_queue(const struct fg_slots *s);
 
-/* How long the adapter that would make way has been unused; UINT32_MAX when a
+/* How long the adapter that would be evicted has been unused; UINT32_MAX when a
  * slot is free, 0 when none can be freed. */
 uint32_t fg_slots_spare_age(const struct fg_slots *s, fg_ms now);
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -170,12 +170,12 @@
 			      .adapter = 5,
 			      .running = 2,
 			      .pending_tokens = 300,
-			      .told = 1000 };
+			      .reported_at = 1000 };
 
 	fg_uses_init(&u);
 	fg_uses_put(&u, &use);
 	use.instance = 2;
-	use.told = 1500;
+	use.reported_at = 1500;
 	fg_uses_put(&u, &use);
 	g_assert_cmpuint(fg_uses_running(&u), ==, 4);
 	use.running = 1;
@@ -247,7 +247,7 @@
 static struct fg_balance_pick pick(struct fg_fleet *f, double tokens_per_s)
 {
 	struct fg_rand rand;
-	struct fg_balance_ask ask = {
+	struct fg_balance_query ask = {
 		.service = "s",
 		.terms = &engine,
 		.region = "r1",
@@ -331,9 +331,9 @@
 	struct fg_fleet_ep *near = put(f, 1000, "e1", false);
 	struct fg_fleet_ep *far = put(f, 1000, "w1", false);
 	struct fg_rand rand;
-	struct fg_balance_ask ask = { .service = "s",
-				      .terms = &plain,
-				      .region = "r1" };
+	struct fg_balance_query ask = { .service = "s",
+					.terms = &plain,
+					.region = "r1" };
 
 	fg_rand_seed(&rand, 1);
 	g_assert_true(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep == near);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -422,17 +422,17 @@
 {
 	fg_mesh_packet packet = { .format = FG_MESH_FORMAT,
 				  .incarnation = 77,
-				  .body.kind = FG_MESH_ASK };
+				  .body.kind = FG_MESH_LOAD_REQ };
 	fg_mesh_packet back;
 	char buf[FG_MESH_PACKET_BYTES];
 	struct fg_rand rand;
 	size_t len;
 
-	packet.body.fg_mesh_body_u.ask.model = (char *)"m";
-	packet.body.fg_mesh_body_u.ask.adapter = (char *)"a1";
+	packet.body.fg_mesh_body_u.load_req.model = (char *)"m";
+	packet.body.fg_mesh_body_u.load_req.adapter = (char *)"a1";
 	g_assert_true(fg_mesh_encode(&packet, buf, sizeof(buf), &len));
 	g_assert_true(fg_mesh_decode(buf, len, &back));
-	g_assert_cmpstr(back.body.fg_mesh_body_u.ask.adapter, ==, "a1");
+	g_assert_cmpstr(back.body.fg_mesh_body_u.load_req.adapter, ==, "a1");
 	fg_mesh_clear(&back);
 	g_assert_false(fg_mesh_decode(buf, len - 1, &back));
 	g_assert_false(fg_mesh_encode(&packet, buf, 10, &len));
@@ -450,7 +450,7 @@
 	struct fg_peer_row self = { .incarnation = 1 };
 	struct fg_peer_row row;
 	struct fg_peers *p;
-	fg_mesh_beat beat = { .state = FG_MESH_READY };
+	fg_mesh_heartbeat hb = { .state = FG_MESH_READY };
 	char *text;
 
 	g_strlcpy(self.name, "a", sizeof(self.name));
@@ -466,15 +466,15 @@
 	fg_peers_put(p, 1000, &row);
 	/* A row alone does not make an instance serve. */
 	g_assert_false(fg_peer_serves(fg_peers_find(p, 10), 1000));
-	fg_peers_beat(p, 1100, 10, 1, &beat);
+	fg_peers_heartbeat(p, 1100, 10, 1, &hb);
 	g_assert_true(fg_peer_serves(fg_peers_find(p, 10), 1200));
 	g_assert_false(
 		fg_peer_serves(fg_peers_find(p, 10), 1100 + FG_PEER_SILENT_MS));
-	/* A beat that was overtaken does not undo a newer one. */
-	beat.state = FG_MESH_LEAVING;
-	fg_peers_beat(p, 1300, 10, 3, &beat);
-	beat.state = FG_MESH_READY;
-	fg_peers_beat(p, 1300, 10, 2, &beat);
+	/* A heartbeat that was overtaken does not undo a newer one. */
+	hb.state = FG_MESH_LEAVING;
+	fg_peers_heartbeat(p, 1300, 10, 3, &hb);
+	hb.state = FG_MESH_READY;
+	fg_peers_heartbeat(p, 1300, 10, 2, &hb);
 	g_assert_false(fg_peer_serves(fg_peers_find(p, 10), 1300));
 	/* A new incarnation starts unheard. */
 	row.incarnation = 11;
