--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -168,6 +168,10 @@
 /* Sets the timer to the next of r->step_at and r->end_at. */
 void fg_gwreq_arm(struct fg_gwreq *r);
 
+/* Counts the end of a request, by kind of route, and by reason unless NULL. */
+void fg_gwreq_count(const struct fg_gwreq *r, const char *outcome,
+		    const char *reason);
+
 /* Its first token came: its prompt waits no longer at the endpoint. */
 void fg_gwreq_no_longer_pending(struct fg_gwreq *r);
 
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -167,7 +167,7 @@
 	char code[12];
 
 	g_snprintf(code, sizeof(code), "%u", status);
-	fg_gw_count(r->gw, "requests", "outcome=\"answered\"");
+	fg_gwreq_count(r, "answered", NULL);
 	fg_gwreq_log_routine(r, "answered", code);
 }
 
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -3,8 +3,9 @@
 
 #include <string.h>
 
-/* An order without an answer for this long may act later. */
-#define ORDER_TIMEOUT_MS 1000
+/* An order without an answer for this long may act later. Engines answer at
+ * once, a region's round trip is 24 ms, and everything else waits meanwhile. */
+#define ORDER_TIMEOUT_MS 300
 #define REPORT_TIMEOUT_MS 800
 /* Loads on their way to one engine at once: the engines' own bound. */
 #define COMING_MAX 4
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -170,6 +170,30 @@
 
 /* ---- Ends ---- */
 
+static const char *kind_of(const struct fg_gwreq *r)
+{
+	if (r->route == NULL)
+		return "none";
+	if (r->route->streaming)
+		return "streaming";
+	return r->route->repeatable ? "safe" : "unsafe";
+}
+
+void fg_gwreq_count(const struct fg_gwreq *r, const char *outcome,
+		    const char *reason)
+{
+	char labels[96];
+
+	g_snprintf(labels, sizeof(labels), "kind=\"%s\",outcome=\"%s\"",
+		   kind_of(r), outcome);
+	fg_gw_count(r->gw, "requests", labels);
+	if (reason == NULL)
+		return;
+	g_snprintf(labels, sizeof(labels), "outcome=\"%s\",reason=\"%s\"",
+		   outcome, reason);
+	fg_gw_count(r->gw, "reasons", labels);
+}
+
 static void req_free(struct fg_gwreq *r)
 {
 	fg_gw_timer_free(r->timer);
@@ -208,7 +232,7 @@
 void fg_gwreq_cancel(struct fg_gwreq *r)
 {
 	fg_gwreq_log_routine(r, "caller_left", NULL);
-	fg_gw_count(r->gw, "requests", "outcome=\"caller_left\"");
+	fg_gwreq_count(r, "caller_left", NULL);
 	r->caller = NULL;
 	req_remove(r);
 }
@@ -216,7 +240,7 @@
 void fg_gwreq_fail(struct fg_gwreq *r, unsigned int status, const char *reason)
 {
 	fg_gwreq_log(r, "failed", reason);
-	fg_gw_count(r->gw, "requests", "outcome=\"failed\"");
+	fg_gwreq_count(r, "failed", reason);
 	if (r->head_sent) {
 		struct fg_caller *c = r->caller;
 
@@ -238,7 +262,7 @@
 		return;
 	}
 	fg_gwreq_log(r, "refused", reason);
-	fg_gw_count(r->gw, "requests", "outcome=\"refused\"");
+	fg_gwreq_count(r, "refused", reason);
 	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE, r->call.id,
 			 CLAMP(retry_ms, RETRY_MIN_MS, FG_GWREQ_RETRY_MAX_MS),
 			 NULL, "", 0);
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -6,6 +6,7 @@
   reset_body  the same, reset midway                   that ends as it should
   stray       another answer comes first    error      500 of the application
   silent      nothing is said               crash      the replica dies
+  order_lost  an order is carried out and not answered
 """
 
 import json
@@ -104,6 +105,9 @@
             status = self._order(body)
             self.orders.append((body["holder"], body["fenceToken"],
                                 body["opcode"], body.get("adapter"), status))
+        if self.take("order_lost"):
+            self.wait_closed(req, None, 10)
+            return False
         req.answer(status)
         return True
 
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -509,6 +509,20 @@
 engine_restarts_empty.system = {"engines": 1}
 
 
+def order_without_answer(s):
+    """The answer to an order is lost: the engine's state is read anew, in time
+    for a request that may take 0.9 s."""
+    s.store.put("op", "config", config(40, timeout_ms=900))
+    wait_for("configuration", lambda: "version=40" in s.gw.log())
+    s.engines[0].faults["order_lost"] = 1
+    a = draft(s.gw, "a7")
+    expect(all_pieces(a), f"{a.status}")
+    expect("order_failed" in s.gw.log(), "no order was lost")
+
+
+order_without_answer.system = {"engines": 1}
+
+
 def version_announced(s):
     """A new version replaces the old one and is asked for."""
     expect(all_pieces(draft(s.gw)), "before")
@@ -595,6 +609,46 @@
 crashing_request.system = {"gateways": 2}
 
 
+def line_of(s, rid, event):
+    lines = [dict(f.split("=", 1) for f in line.split() if "=" in f)
+             for line in s.gw.log().splitlines()
+             if f" id={rid} " in line and f"event={event} " in line]
+    return lines[0] if lines else None
+
+
+def request_lines(s):
+    """A request's id leads to a line with the fields that the operators' page
+    names, and the metrics count its end."""
+    page = os.path.join(HERE, "..", "docs", "OPERATIONS-gateway.md")
+    with open(page, encoding="utf-8") as f:
+        text = f.read()
+    begin = text.index("Fields of `request` lines:")
+    words = text[begin:text.index("-1 means", begin)].split("`")[3::2]
+    served, lost, refused = next_id(), next_id(), next_id()
+    expect(draft(s.gw, rid=served).status == 200, "served")
+    for plain in s.plains:
+        plain.faults = {"lost": 1}
+    expect(call(s.gw.front, "/order/1", lost).status == 502, "lost")
+    for plain in s.plains:
+        plain.faults = {"not_run": 50}
+    expect(call(s.gw.front, "/order/1", refused).status == 503, "refused")
+    for rid, event, reason, absent in (
+            (served, "answered", "200", set()),
+            (lost, "failed", "connection_lost", {"adapter"}),
+            (refused, "refused", "endpoint_full", {"adapter"})):
+        line = wait_for(f"line of {event}",
+                        lambda r=rid, e=event: line_of(s, r, e))
+        expect(line["reason"] == reason, f"{event}: {line}")
+        missing = set(words) - set(line) - absent
+        expect(not missing, f"{event} lacks {missing}")
+    metrics = get(s.gw.pages, "/metrics")[1]
+    for text in ('fg_gw_requests_total{kind="streaming",outcome="answered"} 1',
+                 'fg_gw_requests_total{kind="unsafe",outcome="failed"} 1',
+                 'fg_gw_reasons_total{outcome="refused",'
+                 'reason="endpoint_full"} 1'):
+        expect(text in metrics, f"metrics lack {text}")
+
+
 def bad_input(s):
     """Bad requests get a clear status, and the instance goes on."""
     host, port = s.gw.front.split(":")
@@ -641,8 +695,8 @@
              stray_answer, silent_replica, caller_leaves, planned_stop,
              store_away, silent_feed, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
-             version_announced, two_instances, paused_holder,
-             crashing_request, bad_input, settings_change]
+             order_without_answer, version_announced, two_instances, paused_holder,
+             crashing_request, request_lines, bad_input, settings_change]
 
 
 def run(scenario):
