--- a/tests/run.sh
+++ b/tests/run.sh
@@ -62,7 +62,10 @@
 		fi
 		tests/scenario.py "$script" >"$log" 2>&1
 		status=$?
-		[ $status -eq 0 ] || tail -n 30 "$log"
+		if [ $status -ne 0 ]; then
+			head -n 20 "$log" # what differed
+			tail -n 30 "$log"
+		fi
 		record "$(basename "$script" .fgs)" $status
 	done
 fi
