A request that arrives as a stop ends is not read

Change: the stop first closes the listening sockets and the connections without a request, and ends the loop at the next tick.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -192,12 +192,38 @@
 	gw->far_heartbeat_at = 0;
 }
 
+static void close_listeners(struct fg_gateway *gw)
+{
+	for (int i = 0; i < FG_PORT_COUNT; i++) {
+		uv_handle_t *handle = (uv_handle_t *)&gw->ports[i].listener;
+
+		if (gw->ports[i].open && !uv_is_closing(handle))
+			uv_close(handle, NULL);
+	}
+}
+
+/* Takes no further request. The loop goes on for one more tick: it may read
+ * from connections in the very turn in which it is stopped. */
+static void close_idle(struct fg_gateway *gw)
+{
+	gw->closing = true;
+	close_listeners(gw);
+	for (guint i = 0; i < gw->callers->len; i++) {
+		struct fg_caller *c = gw->callers->pdata[i];
+
+		if (c->req == NULL)
+			fg_caller_close(c, true);
+	}
+}
+
 static void step_stop(struct fg_gateway *gw, fg_ms now)
 {
 	if (gw->reqs->len > 0)
 		gw->quiet_since = now;
-	if (now - gw->quiet_since >= STOP_QUIET_MS || now >= gw->stop_at)
+	if (gw->closing && (gw->reqs->len == 0 || now >= gw->stop_at))
 		uv_stop(&gw->loop);
+	else if (now - gw->quiet_since >= STOP_QUIET_MS || now >= gw->stop_at)
+		close_idle(gw);
 }
 
 /* ---- Clock ---- */
@@ -402,10 +428,7 @@
 		if (gw->signals[i].data != NULL)
 			close_left((uv_handle_t *)&gw->signals[i], NULL);
 	}
-	for (int i = 0; i < FG_PORT_COUNT; i++) {
-		if (gw->ports[i].open)
-			close_left((uv_handle_t *)&gw->ports[i].listener, NULL);
-	}
+	close_listeners(gw);
 }
 
 void fg_gateway_free(struct fg_gateway *gw)
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -414,6 +414,7 @@
 	uv_signal_t signals[3];
 	fg_ms ticked;
 	bool stopping;
+	bool closing; /* no caller is left, or will be */
 	fg_ms stopping_since;
 	fg_ms stop_at;	   /* exits at the latest */
 	fg_ms quiet_since; /* no request since, while stopping */
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -228,7 +228,8 @@
             req.sock.sendall(self.head(rid).encode() + b"\r\n" + body)
             return False
         req.answer(200, body, [("Request-Id", rid),
-                               ("Response-Stamp", self.name)])
+                               ("Response-Stamp", self.name),
+                               ("Keep-Alive", "timeout=9")])
         return True
 
     def stream(self, req, rid):
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -386,6 +386,30 @@
     expect(s.gw.popen.wait(10) == 0, "exit code")
 
 
+def stop_meets_request(s):
+    """A request that arrives as a planned stop ends is answered, or is not
+    passed on: the process is paused so that both meet in one turn."""
+    host, port = s.gw.front.split(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=5)
+    conn.connect()
+    for _ in range(8):  # leaves idle connections to the replicas
+        expect(call(s.gw.front, "/order/1").status == 200, "before")
+    s.gw.popen.send_signal(signal.SIGTERM)
+    wait_for("stopping", lambda: "event=stopping" in s.gw.log())
+    time.sleep(1.2)
+    s.gw.popen.send_signal(signal.SIGSTOP)
+    rid = next_id()
+    conn.request("POST", "/order/1", b"x", {"Host": HOST, "Request-Id": rid})
+    time.sleep(0.6)
+    s.gw.popen.send_signal(signal.SIGCONT)
+    try:
+        answered = conn.getresponse().status == 200
+    except (OSError, http.client.HTTPException):
+        answered = False
+    s.gw.popen.wait(10)
+    expect(answered or s.ran(rid) == 0, "passed on and cut off")
+
+
 def store_away(s):
     """The store's outages stop no service; afterwards all is read."""
     for mode in ("reset", "busy"):
@@ -692,7 +716,7 @@
 
 SCENARIOS = [serves, adapter_slots, resumes, not_resumable, runs_once,
              not_run_elsewhere, safe_repeats, body_without_length,
-             stray_answer, silent_replica, caller_leaves, planned_stop,
+             stray_answer, silent_replica, caller_leaves, planned_stop, stop_meets_request,
              store_away, silent_feed, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
              order_without_answer, version_announced, two_instances, paused_holder,
