Fields that nothing reads are gone

Found on reading the change: resident_only of a balance query was always false; no_length, opened, reporting and a caller's index were written or declared and never read.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -219,8 +219,6 @@
 				    ? 0
 				    : stray_share(f, now, ask, ep, homes),
 			    homes, now, errors);
-		if (ask->resident_only && !c.resident)
-			continue;
 		rank = fg_rand_next(rand);
 		if (best.ep != NULL && c.total_ms > best_ms - TIE_MS &&
 		    (c.total_ms > best_ms + TIE_MS || rank <= best_rank))
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -48,7 +48,6 @@
 	double tokens_per_s; /* prompts of this adapter, all instances */
 	struct fg_fleet_ep *avoid[4]; /* tried before */
 	uint32_t n_avoid;
-	bool resident_only; /* no load may be asked for */
 };
 
 struct fg_balance_pick {
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -72,7 +72,6 @@
 	GByteArray *body;
 	struct fg_gwreq *req; /* in progress */
 	fg_ms since;	      /* begin of the current wait: head or idle */
-	guint index;	      /* in gw->callers */
 	bool bad;	      /* its last message was refused as malformed */
 	bool last;	      /* no further request on this connection */
 };
@@ -136,7 +135,6 @@
 	fg_ms first_at;	 /* first part of the answer; 0: none came */
 	bool unsure;	 /* a send may have run, or may run still */
 	bool head_sent;	 /* the answer's head went to the caller */
-	bool no_length;	 /* ... in chunks */
 	bool first_seen; /* the first event or the head of a plain answer came
 			  */
 	struct fg_events events;
@@ -227,7 +225,6 @@
 	struct fg_h1 h1;
 	struct fg_gwreq *req; /* NULL while idle */
 	fg_ms idle_until;
-	fg_ms opened;
 	uint64_t unread_body; /* of the request, when the answer began */
 	bool connected;
 	bool reused;
@@ -248,7 +245,6 @@
 	struct fg_channel *channel;
 	uv_timer_t *timer;
 	uint64_t fence;
-	bool reporting;
 	struct fg_gateway *gw;
 	struct fg_fleet_ep *ep;
 	struct fg_ep_facts facts_seen; /* as of the last reset */
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -60,8 +60,7 @@
 			      fg_gwreq_adapter_name(r), version);
 }
 
-static struct fg_balance_pick pick(struct fg_gwreq *r, fg_ms now,
-				   bool resident_only)
+static struct fg_balance_pick pick(struct fg_gwreq *r, fg_ms now)
 {
 	struct fg_balance_query ask = {
 		.service = r->service->name,
@@ -75,7 +74,6 @@
 					? 0
 					: fg_gw_heat(r->gw, now, r->adapter, 0),
 		.n_avoid = r->n_tried,
-		.resident_only = resident_only,
 	};
 
 	memcpy(ask.avoid, r->tried, sizeof(ask.avoid));
@@ -94,7 +92,7 @@
 		return;
 	}
 	for (int i = 0; i < PLACE_TRIES; i++) {
-		p = pick(r, now, false);
+		p = pick(r, now);
 		if (p.ep == NULL) {
 			fg_gwreq_refuse(r, "no_endpoint",
 					FG_GWREQ_RETRY_MAX_MS / 2);
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -332,7 +332,6 @@
 
 	u->gw = gw;
 	u->ep = fg_ep_ref(ep);
-	u->opened = fg_clock_now();
 	fg_h1_init(&u->h1, false, &h1_ops, u, HEAD_MAX_BYTES, ANSWER_MAX_BYTES);
 	u->link = fg_link_connect(&gw->loop, ep->facts.address, &link_ops, u);
 	if (u->link == NULL) {
