Lease rows tell the true size of a small region at once

Cause of the two entries in KNOWN-RED.txt (20-frozen-holder, 53-file-entry-killed): a lease row that counts three of four instances, or two, was not corrected before the next renewal, and never within 300 ms of the last one.

Ruled out: the scan and the pings (both see the killed instance at once).

Change: in a region of up to 16 a row is renewed as soon as the quorum it implies is too small, without a pause unless the table failed; total sizes of small regions likewise.

--- a/lib/member/fg_member.h
+++ b/lib/member/fg_member.h
@@ -193,6 +193,10 @@
 /* Grows whenever an instance is added, changes its state or is forgotten. */
 uint64_t fg_member_generation(const struct fg_member *m);
 
+/* Instances of the region that our lease row tells of, this one included; 0
+ * without a lease. */
+uint32_t fg_member_said_size(const struct fg_member *m);
+
 /* Our id and region. */
 uint64_t fg_member_self(const struct fg_member *m);
 const char *fg_member_region(const struct fg_member *m);
--- a/lib/member/fg_member_internal.h
+++ b/lib/member/fg_member_internal.h
@@ -90,10 +90,10 @@
 	fg_ms sent_at;	    /* when the newest renewal that holds was sent */
 	fg_ms lost_sent_at; /* when a write without answer was sent; 0 none */
 	fg_ms next_at;	    /* next renewal or read */
+	fg_ms early_at;	    /* none before next_at until then */
 	uint64_t epoch;
 	/* What our row says of the sizes of the region and of all; a range
 	 * while a write has no answer yet. */
-	fg_ms early_at; /* no renewal before its time until then */
 	uint32_t region_least;
 	uint32_t region_most;
 	uint32_t total_most;
--- a/lib/member/fg_member_lease.c
+++ b/lib/member/fg_member_lease.c
@@ -9,6 +9,11 @@
 
 #define LOST_RETRY_MS 300 /* before reading back */
 
+uint32_t fg_member_said_size(const struct fg_member *m)
+{
+	return m->lease.held ? m->lease.region_least : 0;
+}
+
 fg_ms fg_member_lease_end(const struct fg_member *m)
 {
 	return m->lease.sent_at + (fg_ms)m->conf.own_lease_ms;
@@ -70,17 +75,33 @@
 	submit_own(m, now, op, &mop);
 }
 
+/* In a region this small, each instance that a row leaves out may be the one
+ * that those left lack for a quorum; renewing more often costs few writes. */
+#define EXACT_SIZE_MAX 16
+
+static bool says_too_few(uint32_t said, uint32_t size)
+{
+	if (size <= EXACT_SIZE_MAX)
+		return fg_member_hold_quorum(said) <
+		       fg_member_hold_quorum(size);
+	return 3 * said < 2 * size;
+}
+
 /*
- * The row says that we know far fewer than there are, as it does just after
- * the start. If we died now, those that are left could not tell whether they
- * meet the quorum that we would have held on with.
+ * The row says that we know fewer than there are, as it does just after the
+ * start. If we died now, those that are left could not tell whether they meet
+ * the quorum that we would have held on with.
  */
 static bool row_understates(const struct fg_member *m, fg_ms now)
 {
 	const struct fg_own_lease *l = &m->lease;
-	uint32_t size = fg_member_region_tally(m, now).size;
 
-	return l->held && now >= l->early_at && 3 * l->region_most < 2 * size;
+	if (!l->held || now < l->early_at)
+		return false;
+	if (says_too_few(l->region_most, fg_member_region_tally(m, now).size))
+		return true;
+	return fg_member_is_small(l->region_least) &&
+	       says_too_few(l->total_most, fg_member_total_tally(m, now).size);
 }
 
 void fg_member_lease_tick(struct fg_member *m, fg_ms now)
@@ -96,7 +117,6 @@
 		return;
 	if (now < l->next_at && !row_understates(m, now))
 		return;
-	l->early_at = now + LOST_RETRY_MS;
 	l->next_at = now + (fg_ms)m->conf.renew_ms;
 	if (l->unsure)
 		send_read(m, now);
@@ -212,6 +232,8 @@
 	if (res->id != m->lease.busy_op || !m->lease.busy)
 		return; /* given up before */
 	m->lease.busy = false;
+	if (res->result != FG_PF_OK)
+		m->lease.early_at = now + LOST_RETRY_MS;
 	if (mop->kind == FG_MOP_RENEW)
 		renewal_result(m, now, mop, res);
 	else if (mop->kind == FG_MOP_READ_OWN)
--- a/lib/node/fg_node_dump.c
+++ b/lib/node/fg_node_dump.c
@@ -208,7 +208,7 @@
 
 	n->now = now;
 	out = json_pack(
-		"{s:s,s:s,s:s,s:s,s:s,s:b,s:b,s:I,s:i,s:s,s:i}", "name",
+		"{s:s,s:s,s:s,s:s,s:s,s:b,s:b,s:I,s:i,s:s,s:i,s:i}", "name",
 		self->name, "region", self->region, "dc", self->dc, "addr",
 		self->addr, "standing",
 		fg_standing_name(fg_member_standing(n->member, now)), "serving",
@@ -217,7 +217,8 @@
 		"confirm_age_ms",
 		(int)MIN(fg_confsync_confirm_age(n->confsync, now), INT32_MAX),
 		"preset", fg_config_preset(n->config)->name, "ledger_pending",
-		(int)fg_ledger_pending(n->ledger));
+		(int)fg_ledger_pending(n->ledger), "said_region_size",
+		(int)fg_member_said_size(n->member));
 	json_object_set_new(out, "members", dump_members(n));
 	if (fg_confsync_fault(n->confsync) != NULL)
 		json_object_set_new(
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -103,6 +103,49 @@
 	cluster_free(c);
 }
 
+/*
+ * Two of four instances end while the last ones have just joined. Those left
+ * meet the quorums of both only if each row tells the true size of the region.
+ */
+static void test_two_of_four_killed(void)
+{
+	fg_ms worst_ms = 0;
+	uint64_t worst_seed = 0;
+	fg_ms lease_ms = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct cluster *c = cluster_new(seed, 4, 1);
+		struct fg_rand rand;
+		struct node *n[4];
+		fg_ms killed;
+
+		fg_rand_seed(&rand, seed);
+		fg_member_conf_defaults(&c->conf);
+		lease_ms = c->conf.lease_ms;
+		for (int i = 0; i < 4; i++) {
+			n[i] = cluster_join(c, "coast");
+			cluster_run(c, c->now + (fg_ms)fg_rand_below(
+							&rand, 2000));
+		}
+		cluster_run(c, c->now + c->conf.scan_ms);
+		cluster_kill(c, n[1]);
+		cluster_run(c, c->now + (fg_ms)fg_rand_below(&rand, 15000));
+		cluster_kill(c, n[0]);
+		killed = c->now;
+		while (cluster_dead_rows(c, "coast") > 0 &&
+		       c->now < killed + 20 * lease_ms)
+			cluster_run(c, c->now + 100);
+		if (c->now - killed > worst_ms) {
+			worst_ms = c->now - killed;
+			worst_seed = seed;
+		}
+		cluster_free(c);
+	}
+	g_test_message("rows gone after at most %d ms, seed %d", (int)worst_ms,
+		       (int)worst_seed);
+	g_assert_cmpint(worst_ms, <, 4 * lease_ms);
+}
+
 static void test_hand_over(void)
 {
 	struct cluster *c = start(3, 4, 6);
@@ -580,6 +623,7 @@
 	g_test_add_func("/owner/takeover", test_takeover);
 	g_test_add_func("/owner/takeover_defaults", test_takeover_defaults);
 	g_test_add_func("/owner/killed_early", test_killed_early);
+	g_test_add_func("/owner/two_of_four_killed", test_two_of_four_killed);
 	g_test_add_func("/owner/hand_over", test_hand_over);
 	g_test_add_func("/owner/intents", test_intents);
 	g_test_add_func("/owner/intents_with_faults", test_intents_with_faults);
