Tests: processes and calls of the gateway's scenarios in a module of their own

The stand-ins can register under another address, report what they begin to run, and lose answers to transactions.

--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -20,8 +20,13 @@
 
 
 class Replica:
-    def __init__(self, store, name, service, engine, dc="dc1", slots=6):
+    """`public` maps the address it listens on to the one it registers; `on_run`
+    hears (replica, request id, headers) when a request begins to run."""
+
+    def __init__(self, store, name, service, engine, dc="dc1", slots=6,
+                 public=None, on_run=None):
         self.store = store
+        self.on_run = on_run
         self.name = name
         self.service = service
         self.engine = engine
@@ -44,7 +49,7 @@
         self.load_s = 0.03
         self.coming = {}
         self.server = Server(self.handle)
-        self.addr = self.server.addr
+        self.addr = public(self.server.addr) if public else self.server.addr
         self.register()
 
     def register(self):
@@ -68,10 +73,11 @@
 
     def restart_empty(self):
         """The same id and address; holds nothing."""
-        port = int(self.addr.split(":")[1])
+        port = int(self.server.addr.split(":")[1])
         self.server.stop()
         time.sleep(0.05)
         self.born = int(time.time() * 1000) + 1
+        self.coming = {}
         self.has_base = False
         self.adapters = {}
         self.sequence = 0
@@ -182,6 +188,8 @@
             req.answer(503, headers=[("Not-Run", "1")])
             return True
         self.ran.append(rid)
+        if self.on_run is not None:
+            self.on_run(self, rid, req.headers)
         if self.take("crash"):
             self.die()
             self.store.remove("servers", self.name)
@@ -211,7 +219,7 @@
                 f"Response-Stamp: {self.name}\r\n{extra}")
 
     def plain(self, req, rid):
-        body = f"done by {self.name}".encode()
+        body = f"done by {self.name} for {rid}".encode()
         if self.take("error"):
             req.answer(500, b"no", [("Request-Id", rid),
                                     ("Response-Stamp", self.name)])
@@ -234,12 +242,13 @@
 
     def stream(self, req, rid):
         first = int(req.get("Last-Event-Id", "0")) + 1
+        adapter = req.get("Model", "")
         head = self.head(rid, "Content-Type: text/event-stream\r\n"
                               "Transfer-Encoding: chunked\r\n\r\n")
         req.sock.sendall(head.encode())
         cut = self.take("cut")
         for i in range(first, EVENTS + 1):
-            event = f"id: {i}\ndata: piece {i}\n\n".encode()
+            event = f"id: {i}\ndata: piece {i} {rid} {adapter}\n\n".encode()
             if cut and i == first + 2:
                 half = event[:9]
                 req.sock.sendall(b"%x\r\n%s\r\n" % (len(half), half))
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -19,6 +19,8 @@
         self.calls = 0
         self.slow_feed_s = 0  # before each answer of a feed
         self.mute = {}     # table -> how many feed calls get no answer
+        self.lost_tx = 0   # transactions that are done and not answered
+        self.late_tx_s = 0  # ... and done only after this time
         self.server = Server(self.handle)
         self.addr = self.server.addr
 
@@ -79,6 +81,12 @@
             req.sock.recv(1)  # until the caller gives the connection up
             return False
         if url.path == "/api/rows-tx":
+            if self.lost_tx > 0:
+                self.lost_tx -= 1
+                time.sleep(self.late_tx_s)
+                self.transact(json.loads(req.body))
+                reset(req.sock)
+                return False
             status, body = self.transact(json.loads(req.body))
         elif url.path in calls:
             status, body = calls[url.path](query)
--- /dev/null
+++ b/tests/hosted.py
@@ -0,0 +1,214 @@
+"""fg-gateway processes before stand-ins of the users' store and replicas, and
+calls to them, for tests."""
+
+import http.client
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standin", "hosted"))
+
+from si_replica import EVENTS, MODEL, Replica  # noqa: E402
+from si_store import Store  # noqa: E402
+
+BIN = os.path.join(os.environ.get("BUILD", "build"), "bin", "fg-gateway")
+HOST = "kitchen.example"
+WAIT_S = 15
+
+
+def wait_for(what, check, limit_s=WAIT_S):
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        value = check()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"not seen within {limit_s} s: {what}")
+
+
+def expect(ok, what):
+    if not ok:
+        raise AssertionError(what)
+
+
+def free_ports(n):
+    socks = [socket.socket() for _ in range(n)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def config(version, timeout_ms=4000, idle_ms=15000, extra_routes=()):
+    routes = [
+        {"name": "draft", "host": HOST, "prefix": "/draft/",
+         "kind": "streaming", "timeoutMs": timeout_ms, "service": "models",
+         "targetLatencyMs": 800, "priority": 1, "maxAttempts": 2,
+         "resumable": True},
+        {"name": "brief", "host": HOST, "prefix": "/brief/",
+         "kind": "streaming", "timeoutMs": timeout_ms, "service": "models",
+         "targetLatencyMs": 800, "priority": 1, "maxAttempts": 1,
+         "resumable": False},
+        {"name": "order", "host": HOST, "prefix": "/order/", "kind": "unsafe",
+         "timeoutMs": 1500, "service": "orders", "targetLatencyMs": 150,
+         "priority": 2, "maxAttempts": 1},
+        {"name": "lookup", "host": HOST, "prefix": "/lookup/", "kind": "safe",
+         "timeoutMs": 1500, "service": "orders", "targetLatencyMs": 150,
+         "priority": 2, "maxAttempts": 2},
+        *extra_routes,
+    ]
+    engine = {"slots": 64, "kvCapacity": 150000, "adapterSlots": 6,
+              "models": [{"name": MODEL, "adapters": 100}]}
+    return {"version": version, "routes": routes,
+            "services": [{"name": "models", "engine": engine},
+                         {"name": "orders", "healthPath": "/health"}],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
+                       "headerTimeoutMs": 600, "idleTimeoutMs": idle_ms}}
+
+
+class Gateway:
+    """`store` is the address of the store as this instance sees it."""
+
+    def __init__(self, store, name, folder):
+        ports = free_ports(5)
+        self.front, self.ready, self.directory, self.mesh, self.pages = (
+            "127.0.0.1:%d" % p for p in ports)
+        self.name = name
+        self.settings = os.path.join(folder, name + ".yaml")
+        self.log_path = os.path.join(folder, name + ".log")
+        self.write_settings(store)
+        self.popen = None
+        self.start()
+
+    def write_settings(self, store, extra="lookup_ttl_s: 2\n"):
+        with open(self.settings, "w", encoding="utf-8") as f:
+            f.write(f"name: {self.name}\nregion: r1\ndc: dc1\n"
+                    f"front: {self.front}\nready: {self.ready}\n"
+                    f"directory: {self.directory}\nmesh: {self.mesh}\n"
+                    f"metrics: {self.pages}\nstore: {store}\n"
+                    "retry_ratio: 0.2\nretry_slack: 58\nstop_grace_s: 8\n"
+                    f"version_ms: 3000\n{extra}"
+                    "data_centres:\n  - name: dc1\n    region: r1\n")
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen([BIN, "--config", self.settings],
+                                          stdout=log, stderr=log)
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as f:
+            return f.read()
+
+    def is_ready(self):
+        return get(self.ready, "/api/readiness")[0] == 200
+
+    def state(self):
+        return get(self.pages, "/state")[1]
+
+    def owned(self):
+        return [line for line in self.state().splitlines()
+                if line.startswith("endpoint") and " fence=0 " not in line]
+
+    def end(self):
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+
+
+class System:
+    def __init__(self, engines=2, plains=2, gateways=1):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = Store()
+        self.store.put("op", "config", config(1))
+        self.engines = [Replica(self.store, f"e{i}", "models", True)
+                        for i in range(engines)]
+        self.plains = [Replica(self.store, f"p{i}", "orders", False)
+                       for i in range(plains)]
+        self.gateways = [Gateway(self.store.addr, f"g{i}", self.folder.name)
+                         for i in range(gateways)]
+        self.gw = self.gateways[0]
+        for gateway in self.gateways:
+            wait_for("ready", gateway.is_ready)
+        if engines > 0:
+            wait_for("engines have an owner", lambda: sum(
+                len(g.owned()) for g in self.gateways) == engines)
+
+    def ran(self, rid):
+        return sum(r.ran.count(rid) for r in self.engines + self.plains)
+
+    def end(self):
+        for gateway in self.gateways:
+            gateway.end()
+        self.folder.cleanup()
+
+
+def get(addr, path):
+    host, port = addr.split(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=5)
+    try:
+        conn.request("GET", path)
+        res = conn.getresponse()
+        return res.status, res.read().decode()
+    except (OSError, http.client.HTTPException):
+        return 0, ""
+    finally:
+        conn.close()
+
+
+class Answer:
+    def __init__(self, status, body, headers, whole):
+        self.status = status
+        self.body = body
+        self.headers = headers
+        self.whole = whole
+
+
+N = [0]
+
+
+def next_id():
+    N[0] += 1
+    return f"req{N[0]}"
+
+
+def call(addr, path, rid=None, method="POST", body=b"x", headers=None,
+         timeout_s=8):
+    host, port = addr.split(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    fields = {"Host": HOST, "Request-Id": rid or next_id(),
+              "Deadline-Ms": "4000", **(headers or {})}
+    try:
+        conn.request(method, path, body, fields)
+        res = conn.getresponse()
+    except (OSError, http.client.HTTPException):
+        conn.close()
+        return Answer(0, "", {}, False)
+    try:
+        text = res.read().decode()
+        return Answer(res.status, text, dict(res.getheaders()), True)
+    except (OSError, http.client.HTTPException):
+        return Answer(res.status, "", dict(res.getheaders()), False)
+    finally:
+        conn.close()
+
+
+def draft(gw, adapter="a1", path="/draft/1", rid=None, headers=None):
+    return call(gw.front, path, rid, headers={
+        "Model": f"{MODEL}/{adapter}", "Token-Count": "100,20",
+        **(headers or {})})
+
+
+def pieces(answer):
+    return [int(line[4:]) for line in answer.body.splitlines()
+            if line.startswith("id: ")]
+
+
+def all_pieces(answer):
+    return answer.whole and pieces(answer) == list(range(1, EVENTS + 1))
