One instance of each data centre reads the store for its neighbours

Heartbeats between regions were the third largest: each instance sent them to all others.

Ruled out: longer waits alone (an entry that leaves must be seen within the drain time, and the registry's feed was already asked once in half of it); passing on raw answers (engines' adapter lists would go to every machine).

Change: lib/relay keeps the rows that matter; heartbeats tell the newest such row and how long ago the registry answered; the first by hash among those that read is followed by the others of its data centre (fg_peers_reader), which take rows from it when they lack some. Whoever has no reader with an answer younger than three quarters of the drain time asks the store itself. A registry entry that only tells of other adapters is not passed on. Heartbeats to other regions go to those that read, which pass them on.

Tests: /relay/*, /peers/*, one_reader, reader_paused, reader_cut, fuzz_relay.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -238,6 +238,7 @@
 	fg_log(FG_LOG_WARN, "gateway", "paused", "ms", ms, NULL);
 	/* Another instance may give the orders by now. */
 	gw->claims_checked = false;
+	fg_relay_distrust(gw, now);
 	for (int i = 0; i < FG_FEED_COUNT; i++)
 		fg_channel_break(gw->feeds[i].channel);
 }
@@ -317,7 +318,8 @@
 	if (!open_port(gw, FG_PORT_FRONT, conf->front, error) ||
 	    !open_port(gw, FG_PORT_READY, conf->ready, error) ||
 	    !open_port(gw, FG_PORT_DIRECTORY, conf->directory, error) ||
-	    !open_port(gw, FG_PORT_METRICS, conf->metrics, error))
+	    !open_port(gw, FG_PORT_METRICS, conf->metrics, error) ||
+	    !open_port(gw, FG_PORT_RELAY, conf->mesh, error))
 		return false;
 	rc = fg_mesh_open(gw);
 	if (rc == 0)
@@ -345,6 +347,7 @@
 
 	g_strlcpy(self.name, gw->conf->name, sizeof(self.name));
 	g_strlcpy(self.region, gw->conf->region, sizeof(self.region));
+	g_strlcpy(self.dc, gw->conf->dc, sizeof(self.dc));
 	gw->balance = balance_defaults;
 	fg_loadgate_init(&gw->loadgate, gw->balance.load_ms);
 	gw->callers = g_ptr_array_new();
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -9,6 +9,7 @@
  *   fg_gw_answer.c   an endpoint's answer on its way to the caller
  *   fg_gw_sync.c     change feeds of the store's tables
  *   fg_gw_rows.c     what their rows mean
+ *   fg_gw_relay.c    taking rows from a neighbour, and giving them
  *   fg_gw_own.c      the rows that this instance writes
  *   fg_gw_orders.c   adapter loads of the engines that this instance orders
  *   fg_gw_mesh.c     heartbeats and messages between instances
@@ -36,6 +37,7 @@
 #include "mesh/fg_peers.h"
 #include "metrics/fg_metrics.h"
 #include "place/fg_heat.h"
+#include "relay/fg_relay.h"
 #include "route/fg_route.h"
 #include "slots/fg_loadgate.h"
 #include "slots/fg_slots.h"
@@ -51,7 +53,8 @@
 	FG_PORT_READY = 1,
 	FG_PORT_DIRECTORY = 2,
 	FG_PORT_METRICS = 3,
-	FG_PORT_COUNT = 4,
+	FG_PORT_RELAY = 4, /* for other instances */
+	FG_PORT_COUNT = 5,
 };
 
 struct fg_port {
@@ -290,7 +293,11 @@
 	const char *table;
 	struct fg_channel *channel;
 	uv_timer_t *timer;
-	uint64_t after;	       /* version read so far */
+	uint64_t after;			/* version read so far */
+	uint64_t newest;		/* of the newest row that matters */
+	struct fg_relay *relay;		/* such rows, for neighbours */
+	struct fg_channel *from_reader; /* NULL: this instance reads itself */
+	bool ask_once;	       /* ask the store although a neighbour reads it */
 	uint64_t read_version; /* of the first page of a full read */
 	char *from;	       /* next key of a full read */
 	bool reading;	       /* full read, else feed */
@@ -298,6 +305,7 @@
 	fg_ms sent_at;
 	fg_ms confirmed; /* last answer */
 	uint32_t failures;
+	uint32_t calls; /* to the store */
 };
 
 /* The table of the instances' own rows, and its keys. */
@@ -310,13 +318,43 @@
 void fg_sync_tick(struct fg_gateway *gw, fg_ms now);
 void fg_sync_write_self(struct fg_gateway *gw);
 
-/* A row was read from the feed's table. */
-void fg_sync_take_row(struct fg_feed *f, const struct fg_store_row *row,
+/* Asks the store for what the feed lacks, unless a call is in flight. */
+void fg_sync_ask(struct fg_feed *f);
+
+/* Rows that a neighbour passed on. */
+void fg_sync_take_relayed(struct fg_feed *f, const struct fg_store_rows *rows,
+			  fg_ms now);
+
+/* The feed has read all that there was at `when`. */
+void fg_sync_confirmed(struct fg_feed *f, fg_ms when);
+
+/* A row was read from the feed's table. True when it matters to others: a
+ * registry entry that tells only of loaded adapters does not. */
+bool fg_sync_take_row(struct fg_feed *f, const struct fg_store_row *row,
 		      fg_ms now);
 
 /* Another instance has read a newer row of the configuration. */
 void fg_sync_config_behind(struct fg_gateway *gw, fg_ms now);
 
+/* ---- Rows from a neighbour ---- */
+
+/* Chooses who reads the store, and takes rows from that neighbour. */
+void fg_relay_follow(struct fg_gateway *gw, fg_ms now);
+
+/* A heartbeat of this peer told of its feeds. */
+void fg_relay_heard(struct fg_gateway *gw, const struct fg_mesh_peer *peer,
+		    fg_ms now);
+
+/* What was heard of the neighbours may be old: asks the store for a while. */
+void fg_relay_distrust(struct fg_gateway *gw, fg_ms now);
+
+/* What heartbeats tell of the feeds here. */
+void fg_relay_status(const struct fg_gateway *gw, fg_ms now,
+		     fg_mesh_store *out);
+
+/* A neighbour's call for rows. */
+void fg_relay_answer(struct fg_caller *c);
+
 /* ---- Orders ---- */
 
 void fg_orders_check(struct fg_gateway *gw, fg_ms now);
@@ -378,6 +416,9 @@
 	uint64_t requests;
 
 	struct fg_feed feeds[FG_FEED_COUNT];
+	uint64_t reader; /* neighbour that reads the store for us; 0: none */
+	char reader_address[FG_PEER_TEXT_BYTES];
+	fg_ms follow_at; /* takes no rows from neighbours before */
 	struct fg_channel *tx;
 	bool announced_self;
 	struct fg_claim_write claiming[FG_CLAIM_BATCH_MAX];
@@ -387,7 +428,6 @@
 	fg_ms tx_at;	     /* no transaction before */
 
 	struct fg_routes *routes; /* NULL before the first configuration */
-	uint64_t config_version;  /* of the newest row of its table read */
 	fg_ms config_behind;	  /* another instance has read more; 0: none */
 	GHashTable *versions;	  /* key -> struct fg_wanted_version * */
 	struct fg_fleet *fleet;
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -26,23 +26,29 @@
 
 /* ---- Sending ---- */
 
+static void send_bytes(struct fg_gateway *gw, const char *address,
+		       const char *bytes, size_t len)
+{
+	struct sockaddr_in to;
+	uv_buf_t out = uv_buf_init((char *)bytes, (unsigned int)len);
+
+	if (!fg_link_parse(address, &to))
+		return;
+	/* A datagram that cannot be sent now counts as lost. */
+	(void)uv_udp_try_send(&gw->mesh, &out, 1, (struct sockaddr *)&to);
+}
+
 static void send_packet(struct fg_gateway *gw, const char *address,
 			const fg_mesh_packet *packet)
 {
 	char buf[FG_MESH_PACKET_BYTES];
-	struct sockaddr_in to;
-	uv_buf_t out;
 	size_t len;
 
-	if (!fg_link_parse(address, &to))
-		return;
 	if (!fg_mesh_encode(packet, buf, sizeof(buf), &len)) {
 		fg_log(FG_LOG_ERROR, "mesh", "packet_too_large", NULL);
 		return;
 	}
-	out = uv_buf_init(buf, (unsigned int)len);
-	/* A datagram that cannot be sent now counts as lost. */
-	(void)uv_udp_try_send(&gw->mesh, &out, 1, (struct sockaddr *)&to);
+	send_bytes(gw, address, buf, len);
 }
 
 static fg_mesh_state state_of(const struct fg_gateway *gw)
@@ -115,15 +121,31 @@
 			  bool near)
 {
 	const GPtrArray *peers = fg_peers_all(gw->peers);
+	fg_ms now = fg_clock_now();
 
 	for (guint i = 0; i < peers->len; i++) {
 		const struct fg_mesh_peer *p = peers->pdata[i];
 
-		if (p->near == near)
+		if (p->near == near &&
+		    (near || fg_peers_far_target(gw->peers, now, p)))
 			send_packet(gw, p->row.mesh, packet);
 	}
 }
 
+/* Passes a heartbeat of another region on to those of this data centre that
+ * the sender left out. */
+static void pass_on(struct fg_gateway *gw, const char *bytes, size_t len)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct fg_mesh_peer *p = peers->pdata[i];
+
+		if (!p->store.reads && strcmp(p->row.dc, gw->conf->dc) == 0)
+			send_bytes(gw, p->row.mesh, bytes, len);
+	}
+}
+
 static void init_packet(struct fg_gateway *gw, fg_mesh_packet *packet,
 			fg_mesh_kind kind)
 {
@@ -143,7 +165,7 @@
 
 	init_packet(gw, &packet, FG_MESH_HEARTBEAT);
 	hb->state = state_of(gw);
-	hb->config = gw->config_version;
+	fg_relay_status(gw, fg_clock_now(), &hb->store);
 	hb->owns.owns_val = b.owns;
 	hb->crashes.crashes_val = b.crashes;
 	hb->crashes.crashes_len = put_crashes(gw, &b);
@@ -334,7 +356,7 @@
 }
 
 static void take_heartbeat(struct fg_gateway *gw, const fg_mesh_packet *packet,
-			   fg_ms now)
+			   const uv_buf_t *bytes, fg_ms now)
 {
 	const fg_mesh_heartbeat *hb = &packet->body.fg_mesh_body_u.hb;
 	struct fg_mesh_peer *peer =
@@ -342,9 +364,15 @@
 
 	if (peer == NULL)
 		return;
+	/* Once only: two that read would send it to each other for ever. */
+	if (!peer->near && gw->reader == 0 &&
+	    (int32_t)(packet->seq - peer->seq) > 0)
+		pass_on(gw, bytes->base, bytes->len);
 	fg_peers_heartbeat(gw->peers, now, packet->incarnation, packet->seq,
 			   hb);
-	if (hb->config > gw->config_version)
+	fg_relay_heard(gw, peer, now);
+	if (hb->store.feeds[FG_FEED_CONFIG].newest >
+	    gw->feeds[FG_FEED_CONFIG].newest)
 		fg_sync_config_behind(gw, now);
 	for (u_int i = 0; i < hb->owns.owns_len; i++)
 		take_own(gw, packet->incarnation, &hb->owns.owns_val[i], now);
@@ -417,6 +445,7 @@
 		      const struct sockaddr *from, unsigned int flags)
 {
 	struct fg_gateway *gw = udp->data;
+	uv_buf_t bytes = uv_buf_init(buf->base, (unsigned int)MAX(n, 0));
 	fg_mesh_packet packet;
 	char ip[INET_ADDRSTRLEN];
 	char address[FG_PEER_TEXT_BYTES];
@@ -432,7 +461,7 @@
 		   ntohs(((const struct sockaddr_in *)from)->sin_port));
 	switch (packet.body.kind) {
 	case FG_MESH_HEARTBEAT:
-		take_heartbeat(gw, &packet, fg_clock_now());
+		take_heartbeat(gw, &packet, &bytes, fg_clock_now());
 		break;
 	case FG_MESH_LOAD_REQ:
 		take_load_req(gw, &packet, address);
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -159,6 +159,7 @@
 {
 	const struct fg_feed *own = &gw->feeds[FG_FEED_OWN];
 
+	fg_relay_follow(gw, now);
 	if (fg_channel_busy(gw->tx) || now < gw->tx_at)
 		return;
 	if (!gw->announced_self) {
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -148,20 +148,23 @@
 
 	g_string_append_printf(
 		out,
-		"instance %s region=%s ready=%d stopping=%d "
+		"instance %s region=%s ready=%d stopping=%d reads_store=%d "
 		"configuration=%llu requests=%u callers=%u\n",
 		gw->conf->name, gw->conf->region, fg_gateway_ready(gw),
-		gw->stopping,
+		gw->stopping, gw->reader == 0,
 		(unsigned long long)(gw->routes == NULL ? 0
 							: gw->routes->version),
 		gw->reqs->len, gw->callers->len);
 	for (int i = 0; i < FG_FEED_COUNT; i++)
 		g_string_append_printf(
-			out, "feed %s version=%llu failures=%u age_ms=%lld\n",
+			out,
+			"feed %s version=%llu failures=%u age_ms=%lld "
+			"calls=%u\n",
 			gw->feeds[i].table,
 			(unsigned long long)gw->feeds[i].after,
 			gw->feeds[i].failures,
-			(long long)(now - gw->feeds[i].confirmed));
+			(long long)(now - gw->feeds[i].confirmed),
+			gw->feeds[i].calls);
 	put_endpoints(out, gw, now);
 	put_peers(out, gw, now);
 	put_suspects(out, gw, now);
@@ -216,6 +219,8 @@
 
 	if (c->kind == FG_PORT_METRICS) {
 		answer_metrics(c);
+	} else if (c->kind == FG_PORT_RELAY) {
+		fg_relay_answer(c);
 	} else if (wire->is_ready_check(&c->h1.head)) {
 		answer(c,
 		       fg_gateway_ready(c->gw)
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -75,7 +75,6 @@
 static void take_config_row(struct fg_gateway *gw,
 			    const struct fg_store_row *row, fg_ms now)
 {
-	gw->config_version = MAX(gw->config_version, row->version);
 	gw->config_behind = 0;
 	if (row->removed || row->value == NULL)
 		return;
@@ -104,13 +103,26 @@
 	fg_ep_set_resident(ep, now, held, n);
 }
 
-static void take_entry_row(struct fg_gateway *gw,
+/* Does the entry only tell of other adapters than before? */
+static bool same_but_resident(const struct fg_fleet_ep *ep,
+			      const struct fg_ep_facts *facts)
+{
+	const struct fg_ep_facts *old = &ep->facts;
+
+	return ep->listed && strcmp(old->service, facts->service) == 0 &&
+	       strcmp(old->address, facts->address) == 0 &&
+	       strcmp(old->dc, facts->dc) == 0 && old->slots == facts->slots &&
+	       old->draining == facts->draining && old->born == facts->born;
+}
+
+static bool take_entry_row(struct fg_gateway *gw,
 			   const struct fg_store_row *row, fg_ms now)
 {
 	struct fg_ep_facts facts;
 	GError *why = NULL;
 	struct fg_fleet_ep *ep = fg_fleet_find(gw->fleet, row->key);
 	bool was_usable = ep != NULL && fg_ep_usable(ep, now);
+	bool matters = true;
 
 	if (row->removed || row->value == NULL) {
 		fg_fleet_remove(gw->fleet, now, row->key);
@@ -120,14 +132,16 @@
 		g_error_free(why);
 		fg_fleet_remove(gw->fleet, now, row->key);
 	} else {
+		matters = ep == NULL || !same_but_resident(ep, &facts);
 		ep = fg_fleet_put(gw->fleet, now, &facts);
 		take_listed(ep, now);
 	}
 	if (ep == NULL || was_usable == fg_ep_usable(ep, now))
-		return;
+		return matters;
 	fg_log(FG_LOG_INFO, "endpoint", was_usable ? "leaving" : "usable",
 	       "endpoint", row->key, "address", ep->facts.address, "service",
 	       ep->facts.service, NULL);
+	return matters;
 }
 
 static void take_own_row(struct fg_gateway *gw, const struct fg_store_row *row,
@@ -153,17 +167,17 @@
 		log_row("instance_row_refused", row, NULL);
 }
 
-void fg_sync_take_row(struct fg_feed *f, const struct fg_store_row *row,
+bool fg_sync_take_row(struct fg_feed *f, const struct fg_store_row *row,
 		      fg_ms now)
 {
 	switch (f->id) {
 	case FG_FEED_CONFIG:
 		take_config_row(f->gw, row, now);
-		break;
+		return true;
 	case FG_FEED_REGISTRY:
-		take_entry_row(f->gw, row, now);
-		break;
+		return take_entry_row(f->gw, row, now);
 	default:
 		take_own_row(f->gw, row, now);
+		return true;
 	}
 }
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -12,7 +12,6 @@
  * configuration the heartbeats of others, which name the newest row that they
  * have read. */
 #define CONFIG_WAIT_MS 10000
-#define REGISTRY_WAIT_MS 2900
 #define OWN_WAIT_MS 15000
 #define FEED_GRACE_MS 900
 /* A feed that is behind another instance's for this long is asked anew; it is
@@ -21,11 +20,15 @@
 /* Least time between two answers of a feed: each call has its price, and
  * changes come in bursts, the own table's with the number of instances. The
  * registry's is a part of the time in which a leaving endpoint must be left
- * alone; the rest is for the answer's way. */
+ * alone; the rest is for the answer's way. Its answers show neighbours that the
+ * store can be reached, so that none comes later than another such part after
+ * the one before, changes or not. */
 #define CONFIG_GAP_MS 400
 #define OWN_GAP_MS 300
 #define OWN_GAP_MS_PER_PEER 10
 #define REGISTRY_GAP_PERCENT 50
+#define REGISTRY_WAIT_PERCENT 40
+#define REGISTRY_AGE_PERCENT 60
 /* After failures; the last is well below the time in which entries must be
  * back after an outage. */
 #define BACKOFF_MIN_MS 100
@@ -46,6 +49,11 @@
 	f->reading = false;
 	f->complete = true;
 	f->after = f->read_version;
+	/* What was removed before is not told by a full read. Instances compare
+	 * the configuration's rows, none of which is missed when removed. */
+	if (f->id != FG_FEED_CONFIG)
+		f->newest = f->read_version;
+	fg_relay_reset(f->relay, f->read_version);
 	if (f->id == FG_FEED_REGISTRY)
 		fg_fleet_read_end(f->gw->fleet, now);
 	else if (f->id == FG_FEED_OWN)
@@ -61,8 +69,12 @@
 		f->read_version = rows->version;
 		read_begins(f);
 	}
-	for (guint i = 0; i < rows->rows->len; i++)
-		fg_sync_take_row(f, rows->rows->pdata[i], now);
+	for (guint i = 0; i < rows->rows->len; i++) {
+		const struct fg_store_row *row = rows->rows->pdata[i];
+
+		fg_sync_take_row(f, row, now);
+		f->newest = MAX(f->newest, row->version);
+	}
 	if (!rows->more || rows->rows->len == 0) {
 		g_free(f->from);
 		f->from = NULL;
@@ -78,8 +90,15 @@
 static void take_changes(struct fg_feed *f, const struct fg_store_rows *rows,
 			 fg_ms now)
 {
-	for (guint i = 0; i < rows->rows->len; i++)
-		fg_sync_take_row(f, rows->rows->pdata[i], now);
+	for (guint i = 0; i < rows->rows->len; i++) {
+		const struct fg_store_row *row = rows->rows->pdata[i];
+
+		if (!fg_sync_take_row(f, row, now))
+			continue;
+		f->newest = MAX(f->newest, row->version);
+		if (f->from_reader == NULL)
+			fg_relay_put(f->relay, row);
+	}
 	f->after = MAX(f->after, rows->version);
 }
 
@@ -121,15 +140,22 @@
 							   (uint64_t)delay_ms));
 }
 
-static void answered(struct fg_feed *f, fg_ms now)
+void fg_sync_confirmed(struct fg_feed *f, fg_ms when)
 {
+	struct fg_gateway *gw = f->gw;
+
 	if (f->failures > 0)
 		fg_log(FG_LOG_INFO, "sync", "store_regained", "table", f->table,
 		       NULL);
 	f->failures = 0;
-	f->confirmed = now;
+	f->confirmed = when;
 	if (f->id == FG_FEED_REGISTRY)
-		fg_fleet_registry_up(f->gw->fleet, now);
+		fg_fleet_registry_up(gw->fleet, when);
+	if (f->id == FG_FEED_OWN && f->complete) {
+		if (gw->own_since == 0)
+			gw->own_since = when;
+		gw->claims_checked = true;
+	}
 }
 
 static fg_ms gap_of(const struct fg_feed *f)
@@ -149,14 +175,8 @@
 
 static void after_rows(struct fg_feed *f, fg_ms now)
 {
-	struct fg_gateway *gw = f->gw;
-
-	if (f->id == FG_FEED_OWN && f->complete) {
-		if (gw->own_since == 0)
-			gw->own_since = now;
-		gw->claims_checked = true;
-	}
-	fg_orders_check(gw, now);
+	fg_sync_confirmed(f, now);
+	fg_orders_check(f->gw, now);
 	if (f->reading)
 		send_next(f);
 	else
@@ -189,7 +209,8 @@
 		failed(f, status, now);
 		return;
 	}
-	answered(f, now);
+	if (f->id == FG_FEED_REGISTRY)
+		fg_fleet_registry_up(f->gw->fleet, now);
 	if (f->reading)
 		take_page(f, &rows, now);
 	else
@@ -198,20 +219,43 @@
 	after_rows(f, now);
 }
 
+static uint32_t registry_wait(const struct fg_feed *f, fg_ms now)
+{
+	fg_ms drain_ms = f->gw->conf->drain_ms;
+	fg_ms left_ms =
+		drain_ms * REGISTRY_AGE_PERCENT / 100 - (now - f->confirmed);
+
+	return (uint32_t)CLAMP(left_ms, 0,
+			       drain_ms * REGISTRY_WAIT_PERCENT / 100);
+}
+
+/* How long the store may wait for a change. */
+static uint32_t wait_of(const struct fg_feed *f)
+{
+	/* After a failure the first answer only has to tell what was missed. */
+	if (f->failures > 0 || f->ask_once)
+		return 0;
+	switch (f->id) {
+	case FG_FEED_CONFIG:
+		return CONFIG_WAIT_MS;
+	case FG_FEED_REGISTRY:
+		return registry_wait(f, fg_clock_now());
+	default:
+		return OWN_WAIT_MS;
+	}
+}
+
 static void send_next(struct fg_feed *f)
 {
 	const struct fg_gateway *gw = f->gw;
-	static const uint32_t waits[FG_FEED_COUNT] = {
-		[FG_FEED_CONFIG] = CONFIG_WAIT_MS,
-		[FG_FEED_REGISTRY] = REGISTRY_WAIT_MS,
-		[FG_FEED_OWN] = OWN_WAIT_MS,
-	};
-	/* After a failure the first answer only has to tell what was missed. */
-	uint32_t wait_ms = f->failures > 0 ? 0 : waits[f->id];
+	uint32_t wait_ms = wait_of(f);
 
-	if (fg_channel_busy(f->channel))
+	if (fg_channel_busy(f->channel) ||
+	    (f->from_reader != NULL && !f->reading && !f->ask_once))
 		return;
+	f->ask_once = false;
 	f->sent_at = fg_clock_now();
+	f->calls++;
 	fg_gw_count(f->gw, "store_calls", NULL);
 	if (f->reading)
 		fg_channel_send(f->channel,
@@ -227,6 +271,19 @@
 				on_rows, f);
 }
 
+void fg_sync_ask(struct fg_feed *f)
+{
+	f->ask_once = true;
+	send_next(f);
+}
+
+void fg_sync_take_relayed(struct fg_feed *f, const struct fg_store_rows *rows,
+			  fg_ms now)
+{
+	take_changes(f, rows, now);
+	fg_orders_check(f->gw, now);
+}
+
 void fg_sync_config_behind(struct fg_gateway *gw, fg_ms now)
 {
 	struct fg_feed *f = &gw->feeds[FG_FEED_CONFIG];
@@ -235,12 +292,15 @@
 		gw->config_behind = now;
 	/* A feed that failed is asked anew in any case, and must be let answer:
 	 * broken off each time, a slow store would never be heard. */
-	if (f->failures > 0 || !fg_channel_busy(f->channel) ||
+	if (f->failures > 0 ||
 	    now - MAX(gw->config_behind, f->sent_at) < BEHIND_MS)
 		return;
 	fg_log(FG_LOG_WARN, "sync", "configuration_behind", NULL);
 	gw->config_behind = now;
-	fg_channel_break(f->channel);
+	if (fg_channel_busy(f->channel))
+		fg_channel_break(f->channel);
+	else
+		fg_sync_ask(f);
 }
 
 void fg_sync_start(struct fg_gateway *gw)
@@ -259,6 +319,7 @@
 		f->id = (enum fg_feed_id)i;
 		f->table = tables[i];
 		f->channel = fg_channel_new(&gw->loop, gw->conf->store);
+		f->relay = fg_relay_new();
 		f->timer = fg_gw_timer_new(gw, f);
 		start_full_read(f);
 		send_next(f);
@@ -272,6 +333,8 @@
 		struct fg_feed *f = &gw->feeds[i];
 
 		fg_channel_free(f->channel);
+		fg_channel_free(f->from_reader);
+		fg_relay_free(f->relay);
 		fg_gw_timer_free(f->timer);
 		g_free(f->from);
 	}
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -6,7 +6,7 @@
  * repeated until they are answered.
  */
 
-const FG_MESH_FORMAT = 1;       /* first field of every packet */
+const FG_MESH_FORMAT = 2;       /* first field of every packet */
 const FG_MESH_NAME_MAX = 95;
 const FG_MESH_LIST_MAX = 64;
 const FG_MESH_HELD_MAX = 32;
@@ -45,9 +45,23 @@
 	unsigned hyper req;
 };
 
+struct fg_mesh_feed {           /* a table of the platform's store */
+	unsigned hyper newest;  /* version of the newest row that matters */
+	unsigned hyper read;    /* all rows up to this version were read */
+};
+
+const FG_MESH_FEEDS = 3;        /* configuration, registry, own table */
+const FG_MESH_STORE_LOST = 4294967295;
+
+struct fg_mesh_store {          /* what the sender knows of the store */
+	bool reads;             /* others may take rows from it */
+	unsigned int age_ms;    /* since the registry answered it */
+	fg_mesh_feed feeds[FG_MESH_FEEDS];
+};
+
 struct fg_mesh_heartbeat {
 	fg_mesh_state state;
-	unsigned hyper config;  /* newest row of the configuration read */
+	fg_mesh_store store;
 	fg_mesh_own owns<FG_MESH_LIST_MAX>;
 	fg_mesh_crash crashes<FG_MESH_LIST_MAX>;
 };
@@ -95,6 +109,22 @@
 	fg_mesh_uses uses;
 };
 
+/* Rows that one instance takes from another; not a datagram. */
+const FG_MESH_ROW_BYTES = 131072;
+const FG_MESH_ROWS_MAX = 4096;
+
+struct fg_mesh_row {
+	string key<255>;
+	opaque value<FG_MESH_ROW_BYTES>;
+	unsigned hyper ver;
+	bool removed;
+};
+
+struct fg_mesh_rows {
+	unsigned hyper read;    /* all rows up to this version are here */
+	fg_mesh_row rows<FG_MESH_ROWS_MAX>;
+};
+
 struct fg_mesh_packet {
 	unsigned int format;
 	unsigned hyper incarnation; /* of the sender */
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -14,7 +14,7 @@
 extern "C" {
 #endif
 
-#define FG_MESH_FORMAT 1
+#define FG_MESH_FORMAT 2
 #define FG_MESH_NAME_MAX 95
 #define FG_MESH_LIST_MAX 64
 #define FG_MESH_HELD_MAX 32
@@ -61,9 +61,24 @@
 };
 typedef struct fg_mesh_crash fg_mesh_crash;
 
+struct fg_mesh_feed {
+	u_quad_t newest;
+	u_quad_t read;
+};
+typedef struct fg_mesh_feed fg_mesh_feed;
+#define FG_MESH_FEEDS 3
+#define FG_MESH_STORE_LOST 4294967295
+
+struct fg_mesh_store {
+	bool_t reads;
+	u_int age_ms;
+	fg_mesh_feed feeds[FG_MESH_FEEDS];
+};
+typedef struct fg_mesh_store fg_mesh_store;
+
 struct fg_mesh_heartbeat {
 	fg_mesh_state state;
-	u_quad_t config;
+	fg_mesh_store store;
 	struct {
 		u_int owns_len;
 		fg_mesh_own *owns_val;
@@ -125,6 +140,28 @@
 	} fg_mesh_body_u;
 };
 typedef struct fg_mesh_body fg_mesh_body;
+#define FG_MESH_ROW_BYTES 131072
+#define FG_MESH_ROWS_MAX 4096
+
+struct fg_mesh_row {
+	char *key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+	u_quad_t ver;
+	bool_t removed;
+};
+typedef struct fg_mesh_row fg_mesh_row;
+
+struct fg_mesh_rows {
+	u_quad_t read;
+	struct {
+		u_int rows_len;
+		fg_mesh_row *rows_val;
+	} rows;
+};
+typedef struct fg_mesh_rows fg_mesh_rows;
 
 struct fg_mesh_packet {
 	u_int format;
@@ -142,6 +179,8 @@
 extern  bool_t xdr_fg_mesh_held (XDR *, fg_mesh_held*);
 extern  bool_t xdr_fg_mesh_own (XDR *, fg_mesh_own*);
 extern  bool_t xdr_fg_mesh_crash (XDR *, fg_mesh_crash*);
+extern  bool_t xdr_fg_mesh_feed (XDR *, fg_mesh_feed*);
+extern  bool_t xdr_fg_mesh_store (XDR *, fg_mesh_store*);
 extern  bool_t xdr_fg_mesh_heartbeat (XDR *, fg_mesh_heartbeat*);
 extern  bool_t xdr_fg_mesh_load_req (XDR *, fg_mesh_load_req*);
 extern  bool_t xdr_fg_mesh_answer (XDR *, fg_mesh_answer*);
@@ -149,6 +188,8 @@
 extern  bool_t xdr_fg_mesh_uses (XDR *, fg_mesh_uses*);
 extern  bool_t xdr_fg_mesh_kind (XDR *, fg_mesh_kind*);
 extern  bool_t xdr_fg_mesh_body (XDR *, fg_mesh_body*);
+extern  bool_t xdr_fg_mesh_row (XDR *, fg_mesh_row*);
+extern  bool_t xdr_fg_mesh_rows (XDR *, fg_mesh_rows*);
 extern  bool_t xdr_fg_mesh_packet (XDR *, fg_mesh_packet*);
 
 #else /* K&R C */
@@ -157,6 +198,8 @@
 extern bool_t xdr_fg_mesh_held ();
 extern bool_t xdr_fg_mesh_own ();
 extern bool_t xdr_fg_mesh_crash ();
+extern bool_t xdr_fg_mesh_feed ();
+extern bool_t xdr_fg_mesh_store ();
 extern bool_t xdr_fg_mesh_heartbeat ();
 extern bool_t xdr_fg_mesh_load_req ();
 extern bool_t xdr_fg_mesh_answer ();
@@ -164,6 +207,8 @@
 extern bool_t xdr_fg_mesh_uses ();
 extern bool_t xdr_fg_mesh_kind ();
 extern bool_t xdr_fg_mesh_body ();
+extern bool_t xdr_fg_mesh_row ();
+extern bool_t xdr_fg_mesh_rows ();
 extern bool_t xdr_fg_mesh_packet ();
 
 #endif /* K&R C */
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -137,6 +137,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_mesh_feed (XDR *xdrs, fg_mesh_feed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->read))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_store (XDR *xdrs, fg_mesh_store *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_bool (xdrs, &objp->reads))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
+		sizeof (fg_mesh_feed), (xdrproc_t) xdr_fg_mesh_feed))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_mesh_heartbeat (XDR *xdrs, fg_mesh_heartbeat *objp)
 {
@@ -144,7 +172,7 @@
 
 	 if (!xdr_fg_mesh_state (xdrs, &objp->state))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->config))
+	 if (!xdr_fg_mesh_store (xdrs, &objp->store))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->owns.owns_val, (u_int *) &objp->owns.owns_len, FG_MESH_LIST_MAX,
 		sizeof (fg_mesh_own), (xdrproc_t) xdr_fg_mesh_own))
@@ -248,6 +276,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_mesh_row (XDR *xdrs, fg_mesh_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, 255))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, FG_MESH_ROW_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->removed))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_rows (XDR *xdrs, fg_mesh_rows *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->read))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, FG_MESH_ROWS_MAX,
+		sizeof (fg_mesh_row), (xdrproc_t) xdr_fg_mesh_row))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_mesh_packet (XDR *xdrs, fg_mesh_packet *objp)
 {
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -69,6 +69,7 @@
 	peer->heard = 0;
 	peer->seq = 0;
 	peer->state = FG_MESH_STARTING;
+	peer->store.reads = false;
 }
 
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row)
@@ -123,6 +124,8 @@
 		return peer; /* overtaken by a newer one */
 	peer->seq = seq;
 	peer->state = hb->state;
+	peer->store = hb->store;
+	peer->store_at = now;
 	return peer;
 }
 
@@ -139,6 +142,54 @@
 	return peer->heard != 0 && now - peer->heard < silent_ms;
 }
 
+static bool reads_freshly(const struct fg_mesh_peer *peer, fg_ms now,
+			  uint32_t fresh_ms)
+{
+	fg_ms since = now - peer->store_at;
+
+	return peer->store.reads && since < FG_PEER_READER_SILENT_MS &&
+	       (fg_ms)peer->store.age_ms + since <= (fg_ms)fresh_ms;
+}
+
+const struct fg_mesh_peer *fg_peers_reader(const struct fg_peers *p, fg_ms now,
+					   uint32_t fresh_ms)
+{
+	const struct fg_mesh_peer *best = NULL;
+	uint64_t own = fg_hash_str(p->self.name);
+
+	for (guint i = 0; i < p->all->len; i++) {
+		const struct fg_mesh_peer *peer = p->all->pdata[i];
+
+		if (peer->hash >= own || !peer->near ||
+		    strcmp(peer->row.dc, p->self.dc) != 0 ||
+		    !reads_freshly(peer, now, fresh_ms))
+			continue;
+		if (best == NULL || peer->hash < best->hash)
+			best = peer;
+	}
+	return best;
+}
+
+static bool passes_on(const struct fg_mesh_peer *peer, fg_ms now)
+{
+	return peer->store.reads && fg_peer_alive(peer, now);
+}
+
+bool fg_peers_far_target(const struct fg_peers *p, fg_ms now,
+			 const struct fg_mesh_peer *peer)
+{
+	if (passes_on(peer, now))
+		return true;
+	for (guint i = 0; i < p->all->len; i++) {
+		const struct fg_mesh_peer *other = p->all->pdata[i];
+
+		if (passes_on(other, now) &&
+		    strcmp(other->row.dc, peer->row.dc) == 0)
+			return false;
+	}
+	return true;
+}
+
 bool fg_peer_serves(const struct fg_mesh_peer *peer, fg_ms now)
 {
 	return fg_peer_alive(peer, now) && peer->state == FG_MESH_READY;
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -25,6 +25,9 @@
  * regions; these allow a few to be lost. */
 #define FG_PEER_SILENT_MS 1500
 #define FG_PEER_SILENT_FAR_MS 3500
+/* Rows are taken from a neighbour only while it is heard this lately: two
+ * heartbeats may be lost. */
+#define FG_PEER_READER_SILENT_MS 700
 
 struct fg_peer_row {
 	char name[FG_PEER_TEXT_BYTES];
@@ -43,6 +46,8 @@
 	fg_ms since;   /* when the row appeared */
 	uint32_t seq;
 	fg_mesh_state state;
+	fg_mesh_store store; /* as of store_at */
+	fg_ms store_at;
 };
 
 struct fg_peers;
@@ -75,6 +80,23 @@
 /* Heard of lately; a leaving one lives until it falls silent. */
 bool fg_peer_alive(const struct fg_mesh_peer *peer, fg_ms now);
 
+/*
+ * The neighbour that reads the platform's store for this instance: of the same
+ * data centre, reading itself, with an answer of the registry no older than
+ * fresh_ms, and the first by hash. NULL when this instance comes before all of
+ * them and reads for itself.
+ */
+const struct fg_mesh_peer *fg_peers_reader(const struct fg_peers *p, fg_ms now,
+					   uint32_t fresh_ms);
+
+/*
+ * Should a heartbeat for another region be sent to this peer? Traffic between
+ * regions is paid by volume, so that in each data centre those that read the
+ * store get it and pass it on; all, while none there is known to.
+ */
+bool fg_peers_far_target(const struct fg_peers *p, fg_ms now,
+			 const struct fg_mesh_peer *peer);
+
 /* May callers be sent to it? */
 bool fg_peer_serves(const struct fg_mesh_peer *peer, fg_ms now);
 
--- /dev/null
+++ b/tests/fuzz/fuzz_relay.c
@@ -0,0 +1,45 @@
+/*
+ * Fuzzes rows that one instance takes from another. What decodes can be kept
+ * and passed on again without loss.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/fg_mesh.h"
+#include "relay/fg_relay.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void check_again(const struct fg_store_rows *rows)
+{
+	struct fg_relay *r = fg_relay_new();
+	struct fg_store_rows again;
+	GString *body = g_string_new(NULL);
+
+	fg_relay_reset(r, 0);
+	for (guint i = 0; i < rows->rows->len; i++)
+		fg_relay_put(r, rows->rows->pdata[i]);
+	if (fg_relay_encode(r, 0, rows->version, body)) {
+		if (!fg_relay_decode(body->str, body->len, "t", &again) ||
+		    again.rows->len > rows->rows->len ||
+		    again.version != rows->version)
+			abort();
+		fg_store_rows_clear(&again);
+	}
+	g_string_free(body, TRUE);
+	fg_relay_free(r);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct fg_store_rows rows;
+	fg_mesh_packet packet;
+
+	if (fg_relay_decode((const char *)data, size, "t", &rows)) {
+		check_again(&rows);
+		fg_store_rows_clear(&rows);
+	}
+	if (fg_mesh_decode((const char *)data, size, &packet))
+		fg_mesh_clear(&packet);
+	return 0;
+}
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -404,6 +404,84 @@
 paused_holder.system = {"gateways": 2}
 
 
+def reader_and_follower(s):
+    """The one that does not read the store, and the number of the other."""
+    return wait_for("one of two reads the store", lambda: next(
+        ((1 - i, g) for i, g in enumerate(s.gateways)
+         if g.reads_store(False) and s.gateways[1 - i].reads_store()), None))
+
+
+def with_route(version, name):
+    return config(version, extra_routes=[
+        {"name": name, "host": HOST, "prefix": f"/{name}/", "kind": "safe",
+         "timeoutMs": 900, "service": "orders", "maxAttempts": 1}])
+
+
+def learns_changes(s, gateway, version, name):
+    """A route and the leaving of a replica are known within 2.5 s."""
+    leaving = next(p for p in s.plains if not p.draining)
+    s.store.put("op", "config", with_route(version, name))
+    leaving.drain()
+    wait_for(f"route {name}", lambda: call(
+        gateway.front, f"/{name}/1").status == 200, 2.5)
+    wait_for("leaving", lambda: gateway.log().count("event=leaving")
+             >= sum(p.draining for p in s.plains), 2.5)
+
+
+def one_reader(s):
+    """One of two instances reads the store, the other learns from it, also
+    when it starts later than a change."""
+    _, follower = reader_and_follower(s)
+    calls = follower.store_calls()
+    learns_changes(s, follower, 50, "early")
+    time.sleep(2)
+    expect(follower.store_calls() - calls <= 1,
+           f"{follower.store_calls() - calls} calls")
+    follower.end()
+    s.store.put("servers", "other", {"odd": 1})
+    follower.start()
+    reader_and_follower(s)
+    calls = follower.store_calls()
+    learns_changes(s, follower, 60, "late")
+    time.sleep(2)
+    expect(follower.store_calls() - calls <= 1,
+           f"{follower.store_calls() - calls} calls after a start")
+
+
+one_reader.system = {"gateways": 2, "plains": 4}
+
+
+def reader_paused(s):
+    """An instance whose reader stands still reads the store itself."""
+    i, follower = reader_and_follower(s)
+    s.gateways[i].popen.send_signal(signal.SIGSTOP)
+    learns_changes(s, follower, 50, "paused")
+    s.gateways[i].popen.send_signal(signal.SIGCONT)
+    reader_and_follower(s)
+    learns_changes(s, follower, 60, "resumed")
+
+
+reader_paused.system = {"gateways": 2, "plains": 4}
+
+
+def reader_cut(s):
+    """... and one whose reader cannot reach the store, or is refused; then
+    the one cut off learns from its neighbour."""
+    for n, fault in enumerate(("silence", "refuse")):
+        i, follower = reader_and_follower(s)
+        if fault == "silence":
+            s.store_proxies[i].silence()
+        else:
+            s.store_proxies[i].refuse = True
+            s.store_proxies[i].reset()
+        learns_changes(s, follower, 50 + 20 * n, fault)
+        s.store_proxies[i].heal()
+        reader_and_follower(s)
+
+
+reader_cut.system = {"gateways": 2, "plains": 4, "proxied": True}
+
+
 def crashing_request(s):
     """A request that crashes each replica it runs on is refused after three,
     at the other instance too."""
@@ -517,6 +595,7 @@
              store_away, silent_feed, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
              order_without_answer, version_announced, two_instances, paused_holder,
+             one_reader, reader_paused, reader_cut,
              crashing_request, request_lines, bad_input, settings_change]
 
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -16,6 +16,8 @@
 from si_replica import EVENTS, MODEL, Replica  # noqa: E402
 from si_store import Store  # noqa: E402
 
+from soak_proxy import Proxy  # noqa: E402
+
 BIN = os.path.join(os.environ.get("BUILD", "build"), "bin", "fg-gateway")
 HOST = "kitchen.example"
 WAIT_S = 15
@@ -112,6 +114,13 @@
     def state(self):
         return get(self.pages, "/state")[1]
 
+    def reads_store(self, does=True):
+        return f" reads_store={int(does)} " in self.state()
+
+    def store_calls(self):
+        return sum(int(w[6:]) for w in self.state().split()
+                   if w.startswith("calls="))
+
     def owned(self):
         return [line for line in self.state().splitlines()
                 if line.startswith("endpoint") and " fence=0 " not in line]
@@ -123,7 +132,10 @@
 
 
 class System:
-    def __init__(self, engines=2, plains=2, gateways=1):
+    """With `proxied`, each gateway sees the store through a proxy of its own,
+    in `store_proxies`."""
+
+    def __init__(self, engines=2, plains=2, gateways=1, proxied=False):
         self.folder = tempfile.TemporaryDirectory()
         self.store = Store()
         self.store.put("op", "config", config(1))
@@ -131,8 +143,11 @@
                         for i in range(engines)]
         self.plains = [Replica(self.store, f"p{i}", "orders", False)
                        for i in range(plains)]
-        self.gateways = [Gateway(self.store.addr, f"g{i}", self.folder.name)
-                         for i in range(gateways)]
+        self.store_proxies = [Proxy(self.store.addr)
+                              for _ in range(gateways if proxied else 0)]
+        stores = [p.addr for p in self.store_proxies] or [self.store.addr]
+        self.gateways = [Gateway(stores[i % len(stores)], f"g{i}",
+                                 self.folder.name) for i in range(gateways)]
         self.gw = self.gateways[0]
         for gateway in self.gateways:
             wait_for("ready", gateway.is_ready)
