Metrics of waiting requests and of the budget left; fgctl asks fg-gateway

fg_gw_waiting, fg_gw_waiting_ms (by what requests wait for) and fg_gw_repeats_left were missing from the metrics, and fgctl had no command for instances of fg-gateway: gateway state, gateway metrics.

--- a/lib/admit/fg_admit.h
+++ b/lib/admit/fg_admit.h
@@ -78,6 +78,9 @@
 		    uint32_t attempts, uint32_t left_ms, bool ran,
 		    uint32_t *backoff_ms);
 
+/* Repeats of the class that the budget still allows. */
+uint32_t fg_retry_left(struct fg_retry *r, fg_ms now, enum fg_class cls);
+
 /* ---- Suspects: requests that crash endpoints ---- */
 
 /*
--- a/lib/admit/fg_retry.c
+++ b/lib/admit/fg_retry.c
@@ -87,21 +87,31 @@
 	return base_ms / 2 + fg_rand_below(&r->rand, base_ms + 1);
 }
 
+uint32_t fg_retry_left(struct fg_retry *r, fg_ms now, enum fg_class cls)
+{
+	struct window *w = &r->window[cls];
+	uint64_t allowed = r->conf.min_per_10s;
+	uint64_t used;
+
+	advance(w, now);
+	allowed += sum(w->first) * r->conf.percent / 100;
+	used = sum(w->again);
+	return used >= allowed ? 0 : (uint32_t)MIN(allowed - used, UINT32_MAX);
+}
+
 bool fg_retry_again(struct fg_retry *r, fg_ms now, enum fg_class cls,
 		    uint32_t attempts, uint32_t left_ms, bool ran,
 		    uint32_t *backoff_ms)
 {
 	struct window *w = &r->window[cls];
 	uint32_t slot = advance(w, now);
-	uint64_t allowed = r->conf.min_per_10s;
 
 	*backoff_ms = 0;
 	if (attempts >= r->conf.attempts_max)
 		return false;
 	if (cls == FG_CLASS_FILING && ran)
 		return false;
-	allowed += sum(w->first) * r->conf.percent / 100;
-	if (sum(w->again) >= allowed)
+	if (fg_retry_left(r, now, cls) == 0)
 		return false;
 	*backoff_ms = backoff(r, attempts);
 	if (*backoff_ms >= left_ms)
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -173,6 +173,65 @@
 
 /* ---- Dispatch ---- */
 
+static const char *state_name(enum fg_gwreq_state state)
+{
+	switch (state) {
+	case FG_GWREQ_WAIT_LOAD:
+		return "load";
+	case FG_GWREQ_WAIT_RETRY:
+		return "place";
+	default:
+		return "endpoint";
+	}
+}
+
+/* How many requests wait for what, and the age of the oldest. */
+static void set_waits(struct fg_gateway *gw, fg_ms now)
+{
+	for (int state = FG_GWREQ_WAIT_LOAD; state <= FG_GWREQ_SENT; state++) {
+		char *labels = g_strdup_printf(
+			"for=\"%s\"", state_name((enum fg_gwreq_state)state));
+		fg_ms oldest_ms = 0;
+		int64_t n = 0;
+
+		for (guint i = 0; i < gw->reqs->len; i++) {
+			const struct fg_gwreq *r = gw->reqs->pdata[i];
+
+			if ((int)r->state != state || r->first_at != 0)
+				continue;
+			n++;
+			oldest_ms = MAX(oldest_ms, now - r->arrived);
+		}
+		fg_gauge_set(fg_metrics_gauge(gw->metrics, "fg_gw_waiting",
+					      labels,
+					      "requests without an answer"),
+			     n);
+		fg_gauge_set(fg_metrics_gauge(gw->metrics, "fg_gw_waiting_ms",
+					      labels, "age of the oldest"),
+			     oldest_ms);
+		g_free(labels);
+	}
+}
+
+static void set_budgets(struct fg_gateway *gw, fg_ms now)
+{
+	GHashTableIter it;
+	gpointer service;
+	gpointer budget;
+
+	g_hash_table_iter_init(&it, gw->budgets);
+	while (g_hash_table_iter_next(&it, &service, &budget)) {
+		char *labels = g_strdup_printf("service=\"%s\"",
+					       (const char *)service);
+
+		fg_gauge_set(fg_metrics_gauge(gw->metrics, "fg_gw_repeats_left",
+					      labels,
+					      "repeats left in the budget"),
+			     fg_retry_left(budget, now, FG_CLASS_STATUS));
+		g_free(labels);
+	}
+}
+
 static void set_gauges(struct fg_gateway *gw)
 {
 	fg_ms now = fg_clock_now();
@@ -196,6 +255,8 @@
 			     (int64_t)gw->feeds[i].after);
 		g_free(labels);
 	}
+	set_waits(gw, now);
+	set_budgets(gw, now);
 }
 
 static void answer_metrics(struct fg_caller *c)
--- a/programs/fgctl/commands.c
+++ b/programs/fgctl/commands.c
@@ -31,6 +31,9 @@
 	"  suspects                         requests that crashed endpoints\n"
 	"  suspects clear FINGERPRINT\n"
 	"  change FILE                      a change as JSON; '-' reads stdin\n"
+	"  gateway state                    state of each fg-gateway, by its\n"
+	"      metrics address\n"
+	"  gateway metrics                  its counters and histograms\n"
 	"\n"
 	"Exit status:\n"
 	"  0  done; a change is in force everywhere\n"
@@ -372,6 +375,33 @@
 	return state != NULL ? CTL_OK : CTL_UNREACHABLE;
 }
 
+/* ---- Instances of fg-gateway, at their metrics addresses ---- */
+
+static int gateway_text(struct ctl *c, const char *path)
+{
+	int status = CTL_OK;
+
+	for (char **a = c->addresses; *a != NULL; a++) {
+		g_autofree char *text = ctl_get_text(c, *a, path);
+
+		if (text == NULL)
+			status = CTL_UNREACHABLE;
+		else
+			fputs(text, stdout);
+	}
+	return status;
+}
+
+static int gateway_state(struct ctl *c)
+{
+	return gateway_text(c, "/state");
+}
+
+static int gateway_metrics(struct ctl *c)
+{
+	return gateway_text(c, "/metrics");
+}
+
 /* ---- Choosing the command ---- */
 
 #define ANY 99
@@ -402,6 +432,8 @@
 	{ "revision", NULL, 0, 0, false, revision },
 	{ "dump", NULL, 1, 1, true, dump },
 	{ "change", NULL, 1, 1, false, change_file },
+	{ "gateway", "state", 0, 0, false, gateway_state },
+	{ "gateway", "metrics", 0, 0, false, gateway_metrics },
 };
 
 static bool matches(const struct command *cmd, char **words, int n_words)
--- a/programs/fgctl/fgctl.h
+++ b/programs/fgctl/fgctl.h
@@ -60,6 +60,9 @@
 /* GET from the first address that answers 200; NULL after a message. */
 json_t *ctl_get(const struct ctl *c, const char *path);
 
+/* GET of a text; NULL after a message. g_free() it. */
+char *ctl_get_text(const struct ctl *c, const char *address, const char *path);
+
 /* change.c: sends the change, tells the answer, returns the exit status.
  * Takes the reference to change. */
 int ctl_change(const struct ctl *c, json_t *change);
--- a/programs/fgctl/http.c
+++ b/programs/fgctl/http.c
@@ -52,20 +52,18 @@
 	}
 }
 
-enum ctl_http_result ctl_call(const struct ctl *c, const char *address,
-			      const char *path, const char *post,
-			      struct ctl_answer *out)
+static enum ctl_http_result call(const struct ctl *c, const char *address,
+				 const char *path, const char *post,
+				 GString *text, long *status)
 {
 	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
-	g_autoptr(GString) text = g_string_new(NULL);
 	struct curl_slist *headers = NULL;
 	CURL *curl = curl_easy_init();
 	CURLcode code;
 	long sent_bytes = 0;
 	enum ctl_http_result result;
 
-	out->status = 0;
-	out->body = NULL;
+	*status = 0;
 	if (curl == NULL)
 		return CTL_HTTP_NOT_SENT;
 	headers = curl_slist_append(headers, "Content-Type: application/json");
@@ -73,18 +71,45 @@
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	set_options(curl, c, url, post, text);
 	code = curl_easy_perform(curl);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &out->status);
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
 	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	result = result_of(code);
 	if (result == CTL_HTTP_LOST && sent_bytes == 0)
 		result = CTL_HTTP_NOT_SENT;
-	if (result == CTL_HTTP_OK)
-		out->body = json_loads(text->str, 0, NULL);
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(curl);
 	return result;
 }
 
+enum ctl_http_result ctl_call(const struct ctl *c, const char *address,
+			      const char *path, const char *post,
+			      struct ctl_answer *out)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	enum ctl_http_result result;
+
+	out->body = NULL;
+	result = call(c, address, path, post, text, &out->status);
+	if (result == CTL_HTTP_OK)
+		out->body = json_loads(text->str, 0, NULL);
+	return result;
+}
+
+char *ctl_get_text(const struct ctl *c, const char *address, const char *path)
+{
+	GString *text = g_string_new(NULL);
+	long status;
+
+	if (call(c, address, path, NULL, text, &status) != CTL_HTTP_OK)
+		ctl_error("%s does not answer", address);
+	else if (status != 200)
+		ctl_error("%s answered %ld to %s", address, status, path);
+	else
+		return g_string_free(text, FALSE);
+	g_string_free(text, TRUE);
+	return NULL;
+}
+
 json_t *ctl_get(const struct ctl *c, const char *path)
 {
 	for (char **a = c->addresses; *a != NULL; a++) {
--- a/tests/unit/test_admit.c
+++ b/tests/unit/test_admit.c
@@ -112,7 +112,10 @@
 	g_assert_cmpint(again, ==, 100 + 3);
 	g_assert_true(fg_retry_again(r, 5000, FG_CLASS_DRAFT, 1, 9999, true,
 				     &backoff_ms));
+	g_assert_cmpuint(fg_retry_left(r, 5000, cls), ==, 0);
+	g_assert_cmpuint(fg_retry_left(r, 5000, FG_CLASS_DRAFT), ==, 2);
 	/* All of it is out of the window 20 s later. */
+	g_assert_cmpuint(fg_retry_left(r, 25000, cls), ==, 3);
 	again = 0;
 	while (fg_retry_again(r, 25000, cls, 1, 9999, true, &backoff_ms))
 		again++;
--- a/tests/unit/test_fgctl.c
+++ b/tests/unit/test_fgctl.c
@@ -165,6 +165,24 @@
 	expect("dump nonsense", 2, NULL, "IP number");
 }
 
+static void test_gateway(void)
+{
+	g_autofree char *state =
+		g_strdup_printf("-a %s gateway state", server.address);
+	g_autofree char *metrics =
+		g_strdup_printf("-a %s gateway metrics", server.address);
+
+	answers(200, "instance g1 region=r1\nendpoint e1 usable=1\n");
+	expect(state, 0, "endpoint e1 usable=1", NULL);
+	g_assert_cmpstr(server.path, ==, "/state");
+	answers(200, "fg_gw_requests_total 3\n");
+	expect(metrics, 0, "fg_gw_requests_total 3", NULL);
+	g_assert_cmpstr(server.path, ==, "/metrics");
+	answers(404, "");
+	expect(state, 5, NULL, "answered 404 to /state");
+	expect("-a 127.0.0.1:1 gateway state", 5, NULL, "does not answer");
+}
+
 static void test_answers(void)
 {
 	g_autofree char *line = g_strdup_printf(
@@ -312,6 +330,7 @@
 	g_unsetenv("FGCTL_ADDRESS");
 	server_start();
 	g_test_add_func("/fgctl/usage", test_usage);
+	g_test_add_func("/fgctl/gateway", test_gateway);
 	g_test_add_func("/fgctl/answers", test_answers);
 	g_test_add_func("/fgctl/addresses", test_addresses);
 	g_test_add_func("/fgctl/put", test_put);
