--- a/lib/settings/fg_settings.c
+++ b/lib/settings/fg_settings.c
@@ -13,7 +13,6 @@
 
 #include "settings/fg_settings_keys.h"
 
-#define SEEDS_MAX 64
 #define FILE_MAX_BYTES (1024 * 1024)
 
 GQuark fg_settings_error_quark(void)
@@ -24,15 +23,12 @@
 /* The file as libcyaml fills it: one text per key, NULL when absent. */
 struct raw {
 	char *text[FG_SECTION_COUNT][FG_SECTION_KEYS_MAX];
-	char **seeds;
-	unsigned int seeds_count;
 };
 
 /* A schema built from the key tables. */
 struct schema {
 	cyaml_schema_field_t fields[FG_SECTION_COUNT]
-				   [FG_SECTION_KEYS_MAX + FG_SECTION_COUNT + 2];
-	cyaml_schema_value_t seed;
+				   [FG_SECTION_KEYS_MAX + FG_SECTION_COUNT + 1];
 	cyaml_schema_value_t top;
 };
 
@@ -81,21 +77,6 @@
 	f->value.mapping.fields = sc->fields[section];
 }
 
-static void schema_seeds(struct schema *sc, cyaml_schema_field_t *f)
-{
-	sc->seed = string_value(0);
-	f->key = "seeds";
-	f->data_offset = offsetof(struct raw, seeds);
-	f->count_offset = offsetof(struct raw, seeds_count);
-	f->count_size = sizeof(unsigned int);
-	f->value.type = CYAML_SEQUENCE;
-	f->value.flags =
-		(enum cyaml_flag)(CYAML_FLAG_OPTIONAL | CYAML_FLAG_POINTER);
-	f->value.data_size = sizeof(char *);
-	f->value.sequence.entry = &sc->seed;
-	f->value.sequence.max = SEEDS_MAX;
-}
-
 /* Zeroed fields end each table, since their key is NULL. */
 static void schema_build(struct schema *sc)
 {
@@ -107,7 +88,6 @@
 		schema_keys(sc, i);
 		schema_mapping(sc, i, &sc->fields[FG_SECTION_TOP][n++]);
 	}
-	schema_seeds(sc, &sc->fields[FG_SECTION_TOP][n]);
 	sc->top.type = CYAML_MAPPING;
 	sc->top.flags = CYAML_FLAG_POINTER;
 	sc->top.data_size = sizeof(struct raw);
@@ -279,19 +259,6 @@
 	}
 }
 
-static void take_seeds(struct fg_settings *s, struct check *c,
-		       const struct raw *raw)
-{
-	s->n_seeds = raw->seeds_count;
-	s->seeds = g_malloc0((s->n_seeds + 1) * sizeof(*s->seeds));
-	for (size_t i = 0; i < s->n_seeds; i++) {
-		if (!fg_settings_address_ok(raw->seeds[i]))
-			fault(c, NULL, "seeds", raw->seeds[i],
-			      "IP numbers and ports such as 192.0.2.1:7000");
-		g_strlcpy(s->seeds[i], raw->seeds[i], FG_ADDR_BYTES);
-	}
-}
-
 /* ---- Rules that span keys ---- */
 
 static void at_least(struct check *c, const char *section, const char *key,
@@ -380,7 +347,7 @@
 		for (size_t k = 0; k < s->n_keys; k++)
 			g_string_append_printf(out, " %s", s->keys[k].name);
 		if (i == FG_SECTION_TOP)
-			g_string_append(out, " seeds limits timing");
+			g_string_append(out, " limits timing");
 	}
 	return g_string_free(out, FALSE);
 }
@@ -419,7 +386,6 @@
 
 	for (int i = 0; i < FG_SECTION_COUNT; i++)
 		take_section(s, &c, i, raw->text[i]);
-	take_seeds(s, &c, raw);
 	check_switches(raw, &c);
 	if (faults->len == 0)
 		check_spanning(s, &c);
@@ -479,6 +445,5 @@
 	if (s == NULL)
 		return;
 	g_free(s->history);
-	g_free(s->seeds);
 	g_free(s);
 }
--- a/lib/settings/fg_settings.h
+++ b/lib/settings/fg_settings.h
@@ -97,8 +97,6 @@
 	char *history;		     /* path; NULL when not set */
 	enum fg_log_level log_level;
 	uint32_t workers; /* threads serving callers */
-	char (*seeds)[FG_ADDR_BYTES];
-	size_t n_seeds;
 	struct fg_limits_settings limits;
 	struct fg_timing_settings timing;
 	struct fg_switches_settings switches;
