--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -391,6 +391,8 @@
 	uv_timer_init(&gw->loop, &gw->tick);
 	gw->tick.data = gw;
 	make_parts(gw);
+	/* A stop that comes early must not cut off what a socket let in. */
+	start_signals(gw);
 	if (!open_sockets(gw, error)) {
 		fg_gateway_free(gw);
 		return NULL;
@@ -403,7 +405,6 @@
 	uv_timer_t *settings = fg_gw_timer_new(gw, gw);
 
 	check_settings(gw);
-	start_signals(gw);
 	fg_sync_start(gw);
 	uv_timer_start(&gw->tick, on_tick, TICK_MS, TICK_MS);
 	uv_timer_start(settings, on_settings_tick, SETTINGS_MS, SETTINGS_MS);
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -100,10 +100,18 @@
                     "data_centres:\n  - name: dc1\n    region: r1\n")
 
     def start(self):
+        self.log_from = (os.path.getsize(self.log_path)
+                         if os.path.exists(self.log_path) else 0)
         with open(self.log_path, "ab") as log:
             self.popen = subprocess.Popen([BIN, "--config", self.settings],
                                           stdout=log, stderr=log)
 
+    def started(self):
+        """Did the process of the last start get as far as to serve?"""
+        with open(self.log_path, "rb") as f:
+            f.seek(self.log_from)
+            return b"event=started" in f.read()
+
     def log(self):
         with open(self.log_path, encoding="utf-8") as f:
             return f.read()
