Entries that lapse in an outage stay usable for those who follow a reader

Cause: rows from a neighbour were taken before the registry counted as back, so that entries removed during an outage were gone at once for an instance that learnt of them from its reader (lapsed_entries: 503 no_endpoint). Found by reading; ruled out: the reader's own feed, which marks the registry first.

Change: relayed registry rows mark the registry as answering before they are taken.

--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -92,13 +92,13 @@
 
 		g_string_append_printf(
 			out,
-			"endpoint %s service=%s address=%s usable=%d "
+			"endpoint %s service=%s address=%s usable=%d listed=%d "
 			"running=%u+%u pending_tokens=%u+%u errors=%.2f "
 			"slowness=%.2f fence=%llu spare_age_ms=%u adapters=",
 			ep->facts.id, ep->facts.service, ep->facts.address,
-			fg_ep_usable(ep, now), ep->running, ep->peers_running,
-			ep->pending_tokens, ep->peers_pending_tokens,
-			ep->error_rate, ep->slowness,
+			fg_ep_usable(ep, now), ep->listed, ep->running,
+			ep->peers_running, ep->pending_tokens,
+			ep->peers_pending_tokens, ep->error_rate, ep->slowness,
 			(unsigned long long)(u == NULL ? 0 : u->fence),
 			ep->spare_age_ms);
 		for (uint32_t k = 0; k < ep->n_adapters; k++) {
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -33,6 +33,10 @@
  * back after an outage. */
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 800
+/* ... for all but the first instance of a data centre, which the others follow
+ * once it is answered; and for all feeds but the registry's, whose answer has
+ * the others asked at once. Refused calls have their price as well. */
+#define BACKOFF_OTHERS_MS 2400
 
 static void send_next(struct fg_feed *f);
 
@@ -119,13 +123,25 @@
 	f->from = NULL;
 }
 
+static fg_ms backoff_max(const struct fg_feed *f, fg_ms now)
+{
+	const struct fg_gateway *gw = f->gw;
+
+	if (f->id != FG_FEED_REGISTRY &&
+	    gw->feeds[FG_FEED_REGISTRY].failures > 0)
+		return BACKOFF_OTHERS_MS;
+	return fg_peers_first_in_dc(gw->peers, now) ? BACKOFF_MAX_MS
+						    : BACKOFF_OTHERS_MS;
+}
+
 static void failed(struct fg_feed *f, unsigned int status, fg_ms now)
 {
 	fg_ms delay_ms = BACKOFF_MIN_MS;
+	fg_ms max_ms = backoff_max(f, now);
 	char code[12];
 
 	f->failures++;
-	for (uint32_t i = 1; i < f->failures && delay_ms < BACKOFF_MAX_MS; i++)
+	for (uint32_t i = 1; i < f->failures && delay_ms < max_ms; i++)
 		delay_ms *= 2;
 	if (f->failures == 1) {
 		g_snprintf(code, sizeof(code), "%u", status);
@@ -135,11 +151,21 @@
 	fg_gw_count(f->gw, "store_failures", NULL);
 	if (f->id == FG_FEED_REGISTRY)
 		fg_fleet_registry_down(f->gw->fleet, now);
-	delay_ms = MIN(delay_ms, BACKOFF_MAX_MS);
+	delay_ms = MIN(delay_ms, max_ms);
 	again_after(f, delay_ms / 2 + (fg_ms)fg_rand_below(&f->gw->rand,
 							   (uint64_t)delay_ms));
 }
 
+/* The store answers again: feeds that wait after a failure ask at once. */
+static void ask_failed(struct fg_gateway *gw)
+{
+	for (int i = 0; i < FG_FEED_COUNT; i++) {
+		if (gw->feeds[i].failures > 0 &&
+		    gw->feeds[i].from_reader == NULL)
+			fg_sync_ask(&gw->feeds[i]);
+	}
+}
+
 void fg_sync_confirmed(struct fg_feed *f, fg_ms when)
 {
 	struct fg_gateway *gw = f->gw;
@@ -149,8 +175,10 @@
 		       NULL);
 	f->failures = 0;
 	f->confirmed = when;
-	if (f->id == FG_FEED_REGISTRY)
-		fg_fleet_registry_up(gw->fleet, when);
+	if (f->id == FG_FEED_REGISTRY) {
+		fg_fleet_registry_up(gw->fleet, fg_clock_now());
+		ask_failed(gw);
+	}
 	if (f->id == FG_FEED_OWN && f->complete) {
 		if (gw->own_since == 0)
 			gw->own_since = when;
@@ -280,6 +308,9 @@
 void fg_sync_take_relayed(struct fg_feed *f, const struct fg_store_rows *rows,
 			  fg_ms now)
 {
+	/* Removals that an outage brought are lapses. */
+	if (f->id == FG_FEED_REGISTRY)
+		fg_fleet_registry_up(f->gw->fleet, now);
 	take_changes(f, rows, now);
 	fg_orders_check(f->gw, now);
 }
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -170,6 +170,20 @@
 	return best;
 }
 
+bool fg_peers_first_in_dc(const struct fg_peers *p, fg_ms now)
+{
+	uint64_t own = fg_hash_str(p->self.name);
+
+	for (guint i = 0; i < p->all->len; i++) {
+		const struct fg_mesh_peer *peer = p->all->pdata[i];
+
+		if (peer->hash < own && fg_peer_alive(peer, now) &&
+		    strcmp(peer->row.dc, p->self.dc) == 0)
+			return false;
+	}
+	return true;
+}
+
 static bool passes_on(const struct fg_mesh_peer *peer, fg_ms now)
 {
 	return peer->store.reads && fg_peer_alive(peer, now);
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -89,6 +89,9 @@
 const struct fg_mesh_peer *fg_peers_reader(const struct fg_peers *p, fg_ms now,
 					   uint32_t fresh_ms);
 
+/* Is this instance the first by hash among the live ones of its data centre? */
+bool fg_peers_first_in_dc(const struct fg_peers *p, fg_ms now);
+
 /*
  * Should a heartbeat for another region be sent to this peer? Traffic between
  * regions is paid by volume, so that in each data centre those that read the
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -482,6 +482,37 @@
 reader_cut.system = {"gateways": 2, "plains": 4, "proxied": True}
 
 
+def lapsed_entries(s):
+    """Entries that an outage of the store made lapse are missed for no moment
+    if they are back soon, at the instance that reads the store and at the one
+    that follows it."""
+    reader_and_follower(s)
+    for _ in range(2):
+        s.store.mode = "busy"
+        for gateway in s.gateways:
+            wait_for("loss noticed", lambda g=gateway: g.log().count(
+                "event=store_lost") > g.log().count("event=store_regained"))
+        time.sleep(1.0)
+        for plain in s.plains:
+            s.store.remove("servers", plain.name)
+        s.store.mode = "up"
+        end = time.monotonic() + 1.5
+        while time.monotonic() < end:
+            for gateway in s.gateways:
+                status = call(gateway.front, "/order/1").status
+                expect(status == 200, f"{gateway.name}: {status}")
+            time.sleep(0.02)
+        for plain in s.plains:
+            plain.register()
+        for gateway in s.gateways:
+            wait_for("entries are back", lambda g=gateway: g.state().count(
+                "listed=1") == 4)
+        reader_and_follower(s)
+
+
+lapsed_entries.system = {"gateways": 2}
+
+
 def crashing_request(s):
     """A request that crashes each replica it runs on is refused after three,
     at the other instance too."""
@@ -598,7 +629,7 @@
              store_away, silent_feed, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
              order_without_answer, version_announced, two_instances, paused_holder,
-             one_reader, reader_paused, reader_cut,
+             one_reader, reader_paused, reader_cut, lapsed_entries,
              crashing_request, request_lines, bad_input, settings_change]
 
 
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -215,6 +215,8 @@
 			beat(p, 1000, 100 + k, true, 0);
 		}
 		followed[i] = reader(p, 1000);
+		g_assert_true(fg_peers_first_in_dc(p, 1000) ==
+			      (followed[i] == 0));
 		own += followed[i] == 0 ? 1 : 0;
 		fg_peers_free(p);
 	}
