Owners are asked what is in flight before a request is placed

What an instance knows of other instances' requests there is 0.25 s to 1 s old, several times the 90 ms that a prompt takes, so that instances send to the same engines.

Change: before a model request is placed, the owners of the three cheapest engines (within 400 ms of the cheapest) are asked for what is in flight there, by datagram; it goes on when all have answered, or after 8 ms (32 ms with another region). fg_balance_top gives the cheapest few.

Also: with few instances reading the configuration for all, its feed waits 1.5 s instead of 10, so that a silent connection is noticed in 2.4 s (silent_feed failed with one reader; it has two data centres now, and silent_reader is new).

Tests: /balance/top, asks_owners, silent_reader.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -21,9 +21,8 @@
 #define NO_LOAD_COST_MS 5000
 /* What was on its way this long ago still is, or has arrived. */
 #define COMING_FRESH_MS 1500
-/* Costs closer than this are chosen from at random, so that instances spread.
- */
-#define TIE_MS 2.0
+/* Costs differ by up to this at random, so that instances spread. */
+#define TIE_MS 4.0
 
 static uint32_t running(const struct fg_fleet_ep *ep)
 {
@@ -194,22 +193,36 @@
 	return c;
 }
 
-struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
-				       struct fg_fleet *f, fg_ms now,
-				       const struct fg_balance_query *ask,
-				       struct fg_rand *rand)
+/* Inserts into a list of at most max entries, cheapest first. */
+static uint32_t insert(struct fg_balance_pick *out, uint32_t n, uint32_t max,
+		       const struct fg_balance_pick *p)
+{
+	uint32_t at = n < max ? n : max;
+
+	while (at > 0 && out[at - 1].cost_ms > p->cost_ms) {
+		if (at < max)
+			out[at] = out[at - 1];
+		at--;
+	}
+	if (at < max)
+		out[at] = *p;
+	return MIN(n + 1, max);
+}
+
+uint32_t fg_balance_top(const struct fg_balance_conf *conf, struct fg_fleet *f,
+			fg_ms now, const struct fg_balance_query *ask,
+			struct fg_rand *rand, struct fg_balance_pick *out,
+			uint32_t max)
 {
-	struct fg_balance_pick best = { 0 };
 	const GPtrArray *all = fg_fleet_all(f);
 	double errors = mean_errors(f, now, ask->service);
 	uint32_t homes = homes_wanted(conf, ask);
-	double best_ms = 0;
-	uint64_t best_rank = 0;
+	uint32_t n = 0;
 
 	for (guint i = 0; i < all->len; i++) {
 		struct fg_fleet_ep *ep = all->pdata[i];
+		struct fg_balance_pick p = { .ep = ep };
 		struct cost c;
-		uint64_t rank;
 
 		if (strcmp(ep->facts.service, ask->service) != 0 ||
 		    !fg_ep_usable(ep, now))
@@ -219,15 +232,21 @@
 				    ? 0
 				    : stray_share(f, now, ask, ep, homes),
 			    homes, now, errors);
-		rank = fg_rand_next(rand);
-		if (best.ep != NULL && c.total_ms > best_ms - TIE_MS &&
-		    (c.total_ms > best_ms + TIE_MS || rank <= best_rank))
-			continue;
-		best.ep = ep;
-		best.wait_ms = (uint32_t)c.wait_ms;
-		best.resident = c.resident;
-		best_ms = c.total_ms;
-		best_rank = rank;
+		p.wait_ms = (uint32_t)c.wait_ms;
+		p.resident = c.resident;
+		p.cost_ms = c.total_ms + TIE_MS * fg_rand_unit(rand);
+		n = insert(out, n, max, &p);
 	}
+	return n;
+}
+
+struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
+				       struct fg_fleet *f, fg_ms now,
+				       const struct fg_balance_query *ask,
+				       struct fg_rand *rand)
+{
+	struct fg_balance_pick best = { 0 };
+
+	(void)fg_balance_top(conf, f, now, ask, rand, &best, 1);
 	return best;
 }
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -54,8 +54,16 @@
 	struct fg_fleet_ep *ep; /* NULL: none is usable */
 	uint32_t wait_ms;	/* until it begins to answer */
 	bool resident;		/* it holds the adapter */
+	double cost_ms;
 };
 
+/* The cheapest endpoints, cheapest first; returns how many, at most max. */
+uint32_t fg_balance_top(const struct fg_balance_conf *conf, struct fg_fleet *f,
+			fg_ms now, const struct fg_balance_query *ask,
+			struct fg_rand *rand, struct fg_balance_pick *out,
+			uint32_t max);
+
+/* The cheapest one. */
 struct fg_balance_pick fg_balance_pick(const struct fg_balance_conf *conf,
 				       struct fg_fleet *f, fg_ms now,
 				       const struct fg_balance_query *ask,
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -97,9 +97,10 @@
 /* ---- Requests ---- */
 
 enum fg_gwreq_state {
-	FG_GWREQ_WAIT_LOAD = 1, /* for an adapter at `ep` */
-	FG_GWREQ_WAIT_RETRY = 2,
-	FG_GWREQ_SENT = 3,
+	FG_GWREQ_WAIT_TOTALS = 1, /* for what is in flight at engines */
+	FG_GWREQ_WAIT_LOAD = 2,	  /* for an adapter at `ep` */
+	FG_GWREQ_WAIT_RETRY = 3,
+	FG_GWREQ_SENT = 4,
 };
 
 #define FG_GWREQ_TRIED_MAX 4
@@ -130,6 +131,7 @@
 	struct fg_up *up;	   /* of the send */
 	struct fg_fleet_ep *tried[FG_GWREQ_TRIED_MAX];
 	uint32_t n_tried;
+	uint32_t asked;		 /* engines whose totals are awaited */
 	uint32_t sends;		 /* to endpoints */
 	uint32_t runs;		 /* sends that may have run */
 	uint32_t expected_ms;	 /* until the first token, at the send */
@@ -193,6 +195,9 @@
 /* Chooses an endpoint and goes on: sends, or waits for a load. */
 void fg_gwreq_place(struct fg_gwreq *r);
 
+/* The totals that a request asked for came. */
+void fg_gwreq_totals(struct fg_gateway *gw, uint32_t number);
+
 /* The adapters at `ep` changed: requests that wait for them go on. */
 void fg_gwreq_resident(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
@@ -382,6 +387,8 @@
 void fg_mesh_heartbeat_now(struct fg_gateway *gw);
 void fg_mesh_send_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		      struct fg_ep_adapter *a);
+void fg_mesh_ask_totals(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+			uint32_t number);
 void fg_mesh_send_load_req(struct fg_gateway *gw, uint64_t owner,
 			   struct fg_fleet_ep *ep, const char *model,
 			   const char *adapter, uint64_t version);
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -266,6 +266,20 @@
 	near_heartbeat(gw, fg_clock_now());
 }
 
+void fg_mesh_ask_totals(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+			uint32_t number)
+{
+	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, ep->owner);
+	fg_mesh_packet packet;
+
+	if (peer == NULL)
+		return;
+	init_packet(gw, &packet, FG_MESH_TOTALS_ASK);
+	packet.body.fg_mesh_body_u.totals_ask.request = number;
+	packet.body.fg_mesh_body_u.totals_ask.ep = ep->hash;
+	send_packet(gw, peer->row.mesh, &packet);
+}
+
 void fg_mesh_send_load_req(struct fg_gateway *gw, uint64_t owner,
 			   struct fg_fleet_ep *ep, const char *model,
 			   const char *adapter, uint64_t version)
@@ -307,6 +321,15 @@
 	}
 }
 
+/* Totals that an owner tells include what this instance reported to it. */
+static void take_totals(struct fg_fleet_ep *ep, uint32_t running,
+			uint32_t pending_tokens)
+{
+	ep->peers_running = running - MIN(running, ep->running);
+	ep->peers_pending_tokens =
+		pending_tokens - MIN(pending_tokens, ep->pending_tokens);
+}
+
 static void take_own(struct fg_gateway *gw, uint64_t sender,
 		     const fg_mesh_own *own, fg_ms now)
 {
@@ -335,13 +358,39 @@
 	ep->spare_age_ms = own->spare_age_ms;
 	ep->queue = own->queue;
 	ep->fetch_wait_ms = own->fetch_wait_ms;
-	/* The totals include what this instance reported to the owner. */
-	ep->peers_running = own->running - MIN(own->running, ep->running);
-	ep->peers_pending_tokens = own->pending_tokens -
-				   MIN(own->pending_tokens, ep->pending_tokens);
+	take_totals(ep, own->running, own->pending_tokens);
 	fg_gwreq_resident(gw, ep);
 }
 
+static void take_totals_ask(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			    const char *from)
+{
+	const fg_mesh_totals_ask *ask = &packet->body.fg_mesh_body_u.totals_ask;
+	const struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, ask->ep);
+	fg_mesh_packet reply;
+	fg_mesh_totals *totals = &reply.body.fg_mesh_body_u.totals;
+
+	if (ep == NULL)
+		return;
+	init_packet(gw, &reply, FG_MESH_TOTALS);
+	totals->request = ask->request;
+	totals->ep = ask->ep;
+	totals->running = ep->running + ep->peers_running;
+	totals->pending_tokens = ep->pending_tokens + ep->peers_pending_tokens;
+	send_packet(gw, from, &reply);
+}
+
+static void take_totals_reply(struct fg_gateway *gw,
+			      const fg_mesh_packet *packet)
+{
+	const fg_mesh_totals *totals = &packet->body.fg_mesh_body_u.totals;
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, totals->ep);
+
+	if (ep != NULL && ep->owner == packet->incarnation)
+		take_totals(ep, totals->running, totals->pending_tokens);
+	fg_gwreq_totals(gw, totals->request);
+}
+
 static void take_crash(struct fg_gateway *gw, uint64_t by,
 		       const fg_mesh_crash *crash, fg_ms now)
 {
@@ -472,6 +521,12 @@
 	case FG_MESH_USES:
 		take_uses(gw, &packet, fg_clock_now());
 		break;
+	case FG_MESH_TOTALS_ASK:
+		take_totals_ask(gw, &packet, address);
+		break;
+	case FG_MESH_TOTALS:
+		take_totals_reply(gw, &packet);
+		break;
 	}
 	fg_mesh_clear(&packet);
 }
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -176,6 +176,8 @@
 static const char *state_name(enum fg_gwreq_state state)
 {
 	switch (state) {
+	case FG_GWREQ_WAIT_TOTALS:
+		return "totals";
 	case FG_GWREQ_WAIT_LOAD:
 		return "load";
 	case FG_GWREQ_WAIT_RETRY:
@@ -188,7 +190,8 @@
 /* How many requests wait for what, and the age of the oldest. */
 static void set_waits(struct fg_gateway *gw, fg_ms now)
 {
-	for (int state = FG_GWREQ_WAIT_LOAD; state <= FG_GWREQ_SENT; state++) {
+	for (int state = FG_GWREQ_WAIT_TOTALS; state <= FG_GWREQ_SENT;
+	     state++) {
 		char *labels = g_strdup_printf(
 			"for=\"%s\"", state_name((enum fg_gwreq_state)state));
 		fg_ms oldest_ms = 0;
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -13,6 +13,13 @@
 #define ASK_AGAIN_MS 120
 /* When no engine can load, slots free within some tens of ms. */
 #define PLACE_AGAIN_MS 40
+/* Engines whose totals are asked for before one is chosen, the cheapest ones by
+ * what is known; those that cost this much more would not be chosen anyway. */
+#define ASK_MAX 3
+#define ASK_RANGE_MS 400
+/* An answer takes a round trip: a few ms, or 24 ms to another region. */
+#define ASK_NEAR_MS 8
+#define ASK_FAR_MS 32
 /* Endpoints looked at before waiting for one that can load. */
 #define PLACE_TRIES 3
 /* From this long after an announcement on, only the new version is used; the
@@ -60,7 +67,7 @@
 			      fg_gwreq_adapter_name(r), version);
 }
 
-static struct fg_balance_pick pick(struct fg_gwreq *r, fg_ms now)
+static struct fg_balance_query query(struct fg_gwreq *r, fg_ms now)
 {
 	struct fg_balance_query ask = {
 		.service = r->service->name,
@@ -77,11 +84,75 @@
 	};
 
 	memcpy(ask.avoid, r->tried, sizeof(ask.avoid));
+	return ask;
+}
+
+static struct fg_balance_pick pick(struct fg_gwreq *r, fg_ms now)
+{
+	struct fg_balance_query ask = query(r, now);
+
 	return fg_balance_pick(&r->gw->balance, r->gw->fleet, now, &ask,
 			       &r->gw->rand);
 }
 
+/* Asks the owners of the engines that come into question what is in flight
+ * there: heartbeats are older than most waits. False when there is nothing to
+ * ask. */
+static bool ask_totals(struct fg_gwreq *r, fg_ms now)
+{
+	struct fg_gateway *gw = r->gw;
+	struct fg_balance_query ask = query(r, now);
+	struct fg_balance_pick top[ASK_MAX];
+	uint32_t n = fg_balance_top(&gw->balance, gw->fleet, now, &ask,
+				    &gw->rand, top, ASK_MAX);
+	fg_ms wait_ms = ASK_NEAR_MS;
+
+	r->asked = 0;
+	if (n < 2 || top[1].cost_ms - top[0].cost_ms > ASK_RANGE_MS)
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		struct fg_fleet_ep *ep = top[i].ep;
+
+		if (top[i].cost_ms - top[0].cost_ms > ASK_RANGE_MS ||
+		    ep->owner == 0 || ep->owner == gw->incarnation)
+			continue;
+		fg_mesh_ask_totals(gw, ep, (uint32_t)r->number);
+		fg_gw_count(gw, "totals_asked", NULL);
+		r->asked++;
+		if (strcmp(ep->region, gw->conf->region) != 0)
+			wait_ms = ASK_FAR_MS;
+	}
+	if (r->asked == 0)
+		return false;
+	fg_gwreq_wait(r, FG_GWREQ_WAIT_TOTALS, now + wait_ms);
+	return true;
+}
+
+static void choose(struct fg_gwreq *r);
+
 void fg_gwreq_place(struct fg_gwreq *r)
+{
+	if (r->service->engine && r->adapter != 0 &&
+	    ask_totals(r, fg_clock_now()))
+		return;
+	choose(r);
+}
+
+void fg_gwreq_totals(struct fg_gateway *gw, uint32_t number)
+{
+	for (guint i = 0; i < gw->reqs->len; i++) {
+		struct fg_gwreq *r = gw->reqs->pdata[i];
+
+		if ((uint32_t)r->number != number ||
+		    r->state != FG_GWREQ_WAIT_TOTALS)
+			continue;
+		if (--r->asked == 0)
+			choose(r);
+		return;
+	}
+}
+
+static void choose(struct fg_gwreq *r)
 {
 	fg_ms now = fg_clock_now();
 	uint32_t left_ms = fg_gwreq_left_ms(r, now);
@@ -165,11 +236,14 @@
 		fg_gwreq_time_out(r);
 	} else if (now < r->step_at) {
 		fg_gwreq_arm(r);
+	} else if (r->state == FG_GWREQ_WAIT_TOTALS) {
+		fg_gw_count(r->gw, "totals_late", NULL);
+		choose(r);
 	} else if (r->state == FG_GWREQ_WAIT_LOAD) {
 		step_load(r);
 	} else if (r->state == FG_GWREQ_WAIT_RETRY) {
 		r->n_tried = 0;
-		fg_gwreq_place(r);
+		choose(r);
 	} else {
 		fg_send_overdue(r, now);
 	}
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -8,11 +8,10 @@
 /* The store answers a read in 4 ms, and under load in tens of them. */
 #define READ_TIMEOUT_MS 1500
 /* How long a feed waits for a change; a connection that fell silent is noticed
- * after FEED_GRACE_MS more. Keep-alive notices sooner, and for the
- * configuration the heartbeats of others, which name the newest row that they
- * have read. */
-#define CONFIG_WAIT_MS 10000
-#define OWN_WAIT_MS 15000
+ * after FEED_GRACE_MS more. The configuration must be in force 2.5 s after its
+ * change, and few instances read it for all. */
+#define CONFIG_WAIT_MS 1500
+#define OWN_WAIT_MS 8000
 #define FEED_GRACE_MS 900
 /* A feed that is behind another instance's for this long is asked anew; it is
  * longer than the pause between two calls. */
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -91,11 +91,26 @@
 	fg_mesh_use list<FG_MESH_LIST_MAX>;
 };
 
+/* What is in flight at an engine, asked of the one that orders it. */
+struct fg_mesh_totals_ask {
+	unsigned int request;   /* of the asker, comes back */
+	unsigned hyper ep;
+};
+
+struct fg_mesh_totals {
+	unsigned int request;
+	unsigned hyper ep;
+	unsigned int running;           /* from all instances */
+	unsigned int pending_tokens;
+};
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
 	FG_MESH_LOAD_REP = 3,
-	FG_MESH_USES = 4
+	FG_MESH_USES = 4,
+	FG_MESH_TOTALS_ASK = 5,
+	FG_MESH_TOTALS = 6
 };
 
 union fg_mesh_body switch (fg_mesh_kind kind) {
@@ -107,6 +122,10 @@
 	fg_mesh_load_rep load_rep;
 case FG_MESH_USES:
 	fg_mesh_uses uses;
+case FG_MESH_TOTALS_ASK:
+	fg_mesh_totals_ask totals_ask;
+case FG_MESH_TOTALS:
+	fg_mesh_totals totals;
 };
 
 /* Rows that one instance takes from another; not a datagram. */
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -122,11 +122,27 @@
 };
 typedef struct fg_mesh_uses fg_mesh_uses;
 
+struct fg_mesh_totals_ask {
+	u_int request;
+	u_quad_t ep;
+};
+typedef struct fg_mesh_totals_ask fg_mesh_totals_ask;
+
+struct fg_mesh_totals {
+	u_int request;
+	u_quad_t ep;
+	u_int running;
+	u_int pending_tokens;
+};
+typedef struct fg_mesh_totals fg_mesh_totals;
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
 	FG_MESH_LOAD_REP = 3,
 	FG_MESH_USES = 4,
+	FG_MESH_TOTALS_ASK = 5,
+	FG_MESH_TOTALS = 6,
 };
 typedef enum fg_mesh_kind fg_mesh_kind;
 
@@ -137,6 +153,8 @@
 		fg_mesh_load_req load_req;
 		fg_mesh_load_rep load_rep;
 		fg_mesh_uses uses;
+		fg_mesh_totals_ask totals_ask;
+		fg_mesh_totals totals;
 	} fg_mesh_body_u;
 };
 typedef struct fg_mesh_body fg_mesh_body;
@@ -186,6 +204,8 @@
 extern  bool_t xdr_fg_mesh_answer (XDR *, fg_mesh_answer*);
 extern  bool_t xdr_fg_mesh_load_rep (XDR *, fg_mesh_load_rep*);
 extern  bool_t xdr_fg_mesh_uses (XDR *, fg_mesh_uses*);
+extern  bool_t xdr_fg_mesh_totals_ask (XDR *, fg_mesh_totals_ask*);
+extern  bool_t xdr_fg_mesh_totals (XDR *, fg_mesh_totals*);
 extern  bool_t xdr_fg_mesh_kind (XDR *, fg_mesh_kind*);
 extern  bool_t xdr_fg_mesh_body (XDR *, fg_mesh_body*);
 extern  bool_t xdr_fg_mesh_row (XDR *, fg_mesh_row*);
@@ -205,6 +225,8 @@
 extern bool_t xdr_fg_mesh_answer ();
 extern bool_t xdr_fg_mesh_load_rep ();
 extern bool_t xdr_fg_mesh_uses ();
+extern bool_t xdr_fg_mesh_totals_ask ();
+extern bool_t xdr_fg_mesh_totals ();
 extern bool_t xdr_fg_mesh_kind ();
 extern bool_t xdr_fg_mesh_body ();
 extern bool_t xdr_fg_mesh_row ();
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -236,6 +236,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_mesh_totals_ask (XDR *xdrs, fg_mesh_totals_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_totals (XDR *xdrs, fg_mesh_totals *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_mesh_kind (XDR *xdrs, fg_mesh_kind *objp)
 {
@@ -270,6 +298,14 @@
 		 if (!xdr_fg_mesh_uses (xdrs, &objp->fg_mesh_body_u.uses))
 			 return FALSE;
 		break;
+	case FG_MESH_TOTALS_ASK:
+		 if (!xdr_fg_mesh_totals_ask (xdrs, &objp->fg_mesh_body_u.totals_ask))
+			 return FALSE;
+		break;
+	case FG_MESH_TOTALS:
+		 if (!xdr_fg_mesh_totals (xdrs, &objp->fg_mesh_body_u.totals))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -241,7 +241,22 @@
            "nobody was behind")
 
 
-silent_feed.system = {"gateways": 2}
+silent_feed.system = {"gateways": 2, "dcs": 2}
+
+
+def silent_reader(s):
+    """The feed of the instance that reads for both fell silent."""
+    reader_and_follower(s)
+    s.store.mute["op"] = 1
+    s.store.put("op", "config", config(50))
+    wait_for("the feed is silent", lambda: s.store.mute["op"] == 0, 12)
+    s.store.put("op", "config", with_route(60, "new"))
+    for gateway in s.gateways:
+        wait_for(f"new route at {gateway.name}", lambda g=gateway: call(
+            g.front, "/new/1").status == 200, 3)
+
+
+silent_reader.system = {"gateways": 2}
 
 
 def behind_a_slow_store(s):
@@ -404,6 +419,33 @@
 paused_holder.system = {"gateways": 2}
 
 
+def counter(gateway, name):
+    lines = get(gateway.pages, "/metrics")[1].splitlines()
+    return sum(int(line.split()[-1]) for line in lines
+               if line.split(" ")[0] == name)
+
+
+def asks_owners(s):
+    """Owners are asked what is in flight at engines; one that does not answer
+    holds up a request for some ms only."""
+    bare = {"Model": MODEL}  # is at both engines
+    for _ in range(12):
+        for gateway in s.gateways:
+            expect(all_pieces(draft(gateway, headers=bare)), "before")
+    for gateway in s.gateways:
+        expect(counter(gateway, "fg_gw_totals_asked_total") > 0,
+               f"{gateway.name} never asked")
+    s.gateways[1].popen.send_signal(signal.SIGSTOP)
+    for _ in range(12):
+        begin = time.monotonic()
+        expect(all_pieces(draft(s.gw, headers=bare)), "owner paused")
+        expect(time.monotonic() - begin < 0.5, "held up")
+    expect(counter(s.gw, "fg_gw_totals_late_total") > 0, "none was late")
+
+
+asks_owners.system = {"gateways": 2}
+
+
 def reader_and_follower(s):
     """The one that does not read the store, and the number of the other."""
     return wait_for("one of two reads the store", lambda: next(
@@ -626,10 +668,10 @@
 SCENARIOS = [serves, adapter_slots, resumes, not_resumable, runs_once,
              not_run_elsewhere, safe_repeats, body_without_length,
              stray_answer, silent_replica, caller_leaves, planned_stop, stop_meets_request,
-             store_away, silent_feed, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
+             store_away, silent_feed, silent_reader, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
              draining_replica, address_reused, engine_restarts_empty,
              order_without_answer, version_announced, two_instances, paused_holder,
-             one_reader, reader_paused, reader_cut, lapsed_entries,
+             asks_owners, one_reader, reader_paused, reader_cut, lapsed_entries,
              crashing_request, request_lines, bad_input, settings_change]
 
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -78,11 +78,12 @@
 class Gateway:
     """`store` is the address of the store as this instance sees it."""
 
-    def __init__(self, store, name, folder):
+    def __init__(self, store, name, folder, dc="dc1"):
         ports = free_ports(5)
         self.front, self.ready, self.directory, self.mesh, self.pages = (
             "127.0.0.1:%d" % p for p in ports)
         self.name = name
+        self.dc = dc
         self.settings = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
         self.write_settings(store)
@@ -91,13 +92,14 @@
 
     def write_settings(self, store, extra="lookup_ttl_s: 2\n"):
         with open(self.settings, "w", encoding="utf-8") as f:
-            f.write(f"name: {self.name}\nregion: r1\ndc: dc1\n"
+            f.write(f"name: {self.name}\nregion: r1\ndc: {self.dc}\n"
                     f"front: {self.front}\nready: {self.ready}\n"
                     f"directory: {self.directory}\nmesh: {self.mesh}\n"
                     f"metrics: {self.pages}\nstore: {store}\n"
                     "retry_ratio: 0.2\nretry_slack: 58\nstop_grace_s: 8\n"
                     f"version_ms: 3000\n{extra}"
-                    "data_centres:\n  - name: dc1\n    region: r1\n")
+                    "data_centres:\n  - name: dc1\n    region: r1\n"
+                    "  - name: dc2\n    region: r1\n")
 
     def start(self):
         self.log_from = (os.path.getsize(self.log_path)
@@ -143,7 +145,7 @@
     """With `proxied`, each gateway sees the store through a proxy of its own,
     in `store_proxies`."""
 
-    def __init__(self, engines=2, plains=2, gateways=1, proxied=False):
+    def __init__(self, engines=2, plains=2, gateways=1, proxied=False, dcs=1):
         self.folder = tempfile.TemporaryDirectory()
         self.store = Store()
         self.store.put("op", "config", config(1))
@@ -155,7 +157,8 @@
                               for _ in range(gateways if proxied else 0)]
         stores = [p.addr for p in self.store_proxies] or [self.store.addr]
         self.gateways = [Gateway(stores[i % len(stores)], f"g{i}",
-                                 self.folder.name) for i in range(gateways)]
+                                 self.folder.name, f"dc{1 + i % dcs}")
+                         for i in range(gateways)]
         self.gw = self.gateways[0]
         for gateway in self.gateways:
             wait_for("ready", gateway.is_ready)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -353,6 +353,43 @@
 	fg_fleet_free(f);
 }
 
+static void test_top(void)
+{
+	struct fg_fleet *f = make();
+	struct fg_balance_query ask = {
+		.service = "s",
+		.terms = &engine,
+		.region = "r1",
+		.adapter = ADAPTER_KEY,
+	};
+	struct fg_balance_pick out[3];
+	struct fg_rand rand;
+	char id[8];
+
+	for (int i = 0; i < 6; i++) {
+		struct fg_fleet_ep *ep;
+
+		g_snprintf(id, sizeof(id), "e%d", i);
+		ep = put_engine(f, id);
+		hold(ep);
+		ep->pending_tokens = 25 * 100 * (uint32_t)((i * 5) % 6);
+	}
+	fg_rand_seed(&rand, 1);
+	g_assert_cmpuint(fg_balance_top(&conf, f, 2000, &ask, &rand, out, 3),
+			 ==, 3);
+	/* Waits of 0, 100 and 200 ms. */
+	g_assert_cmpstr(out[0].ep->facts.id, ==, "e0");
+	g_assert_cmpstr(out[1].ep->facts.id, ==, "e5");
+	g_assert_cmpstr(out[2].ep->facts.id, ==, "e4");
+	g_assert_true(out[0].cost_ms < out[1].cost_ms);
+	g_assert_true(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep ==
+		      out[0].ep);
+	ask.service = "none";
+	g_assert_cmpuint(fg_balance_top(&conf, f, 2000, &ask, &rand, out, 3),
+			 ==, 0);
+	fg_fleet_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -369,5 +406,6 @@
 	g_test_add_func("/balance/home", test_pick_home);
 	g_test_add_func("/balance/popular", test_popular_spreads);
 	g_test_add_func("/balance/plain", test_pick_plain);
+	g_test_add_func("/balance/top", test_top);
 	return g_test_run();
 }
