--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -124,8 +124,8 @@
 		lease_ms = c->conf.lease_ms;
 		for (int i = 0; i < 4; i++) {
 			n[i] = cluster_join(c, "coast");
-			cluster_run(c, c->now + (fg_ms)fg_rand_below(
-							&rand, 2000));
+			cluster_run(c,
+				    c->now + (fg_ms)fg_rand_below(&rand, 2000));
 		}
 		cluster_run(c, c->now + c->conf.scan_ms);
 		cluster_kill(c, n[1]);
