--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -12,7 +12,8 @@
  *   fg_gw_relay.c    taking rows from a neighbour, and giving them
  *   fg_gw_own.c      the rows that this instance writes
  *   fg_gw_orders.c   adapter loads of the engines that this instance orders
- *   fg_gw_mesh.c     heartbeats and messages between instances
+ *   fg_gw_mesh.c     heartbeats and messages to other instances
+ *   fg_gw_hear.c     ... and from them
  *   fg_gw_pages.c    address lookup, readiness, metrics, state
  */
 #ifndef FG_GATEWAY_INTERNAL_H
@@ -381,7 +382,21 @@
 
 /* ---- Mesh ---- */
 
+/* A crash that heartbeats still tell. */
+struct fg_crash_notice {
+	fg_mesh_crash crash;
+	uint32_t left; /* heartbeats */
+};
+
 int fg_mesh_open(struct fg_gateway *gw);
+void fg_mesh_init_packet(struct fg_gateway *gw, fg_mesh_packet *packet,
+			 fg_mesh_kind kind);
+void fg_mesh_send(struct fg_gateway *gw, const char *address,
+		  const fg_mesh_packet *packet);
+void fg_mesh_send_bytes(struct fg_gateway *gw, const char *address,
+			const char *bytes, size_t len);
+void fg_mesh_take_crash(struct fg_gateway *gw, uint64_t by,
+			const fg_mesh_crash *crash, fg_ms now);
 void fg_mesh_report_crash(struct fg_gateway *gw, const fg_mesh_crash *crash);
 void fg_mesh_tick(struct fg_gateway *gw, fg_ms now);
 void fg_mesh_heartbeat_now(struct fg_gateway *gw);
@@ -451,7 +466,7 @@
 	fg_ms near_heartbeat_at;
 	fg_ms far_heartbeat_at;
 	bool heartbeat_due;
-	GArray *crashes; /* struct crash_notice of fg_gw_mesh.c */
+	GArray *crashes; /* struct fg_crash_notice */
 
 	uv_timer_t tick;
 	uv_signal_t signals[3];
--- /dev/null
+++ b/lib/gateway/fg_gw_hear.c
@@ -0,0 +1,265 @@
+/* What other instances sent: heartbeats, questions, reports. */
+#include "gateway/fg_gateway_internal.h"
+
+#include <string.h>
+
+/* Passes a heartbeat of another region on to those of this data centre that
+ * the sender left out. */
+static void pass_on(struct fg_gateway *gw, const char *bytes, size_t len)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct fg_mesh_peer *p = peers->pdata[i];
+
+		if (!p->store.reads && strcmp(p->row.dc, gw->conf->dc) == 0)
+			fg_mesh_send_bytes(gw, p->row.mesh, bytes, len);
+	}
+}
+
+static void take_uses(struct fg_gateway *gw, const fg_mesh_packet *packet,
+		      fg_ms now)
+{
+	const fg_mesh_uses *uses = &packet->body.fg_mesh_body_u.uses;
+
+	for (u_int i = 0; i < uses->list.list_len; i++) {
+		const fg_mesh_use *m = &uses->list.list_val[i];
+		struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, m->ep);
+		struct fg_use use = {
+			.instance = packet->incarnation,
+			.adapter = m->adapter,
+			.running = m->running,
+			.pending_tokens = m->pending_tokens,
+			.reported_at = now,
+		};
+
+		if (ep != NULL)
+			fg_orders_take_use(gw, ep, &use);
+	}
+}
+
+/* Totals that an owner tells include what this instance reported to it. */
+static void take_totals(struct fg_fleet_ep *ep, uint32_t running,
+			uint32_t pending_tokens)
+{
+	ep->peers_running = running - MIN(running, ep->running);
+	ep->peers_pending_tokens =
+		pending_tokens - MIN(pending_tokens, ep->pending_tokens);
+}
+
+static void take_own(struct fg_gateway *gw, uint64_t sender,
+		     const fg_mesh_own *own, fg_ms now)
+{
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, own->ep);
+	struct fg_fleet_held held[FG_MESH_HELD_MAX];
+	uint32_t n = 0;
+
+	if (ep == NULL || fg_claims_holder(gw->claims, ep->facts.id) != sender)
+		return;
+	for (u_int i = 0; i < own->held.held_len; i++) {
+		const fg_mesh_held *h = &own->held.held_val[i];
+		struct fg_ep_adapter *a;
+
+		if (h->ver != 0) {
+			held[n].key = h->adapter;
+			held[n++].version = h->ver;
+			continue;
+		}
+		a = fg_ep_adapter_get(ep, now, h->adapter);
+		if (a != NULL)
+			a->coming = now;
+	}
+	fg_ep_set_resident(ep, now, held, n);
+	ep->resident_at = now;
+	ep->owner = sender;
+	ep->spare_age_ms = own->spare_age_ms;
+	ep->queue = own->queue;
+	ep->fetch_wait_ms = own->fetch_wait_ms;
+	take_totals(ep, own->running, own->pending_tokens);
+	fg_gwreq_resident(gw, ep);
+}
+
+static void take_totals_ask(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			    const char *from)
+{
+	const fg_mesh_totals_ask *ask = &packet->body.fg_mesh_body_u.totals_ask;
+	const struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, ask->ep);
+	fg_mesh_packet reply;
+	fg_mesh_totals *totals = &reply.body.fg_mesh_body_u.totals;
+
+	if (ep == NULL)
+		return;
+	fg_mesh_init_packet(gw, &reply, FG_MESH_TOTALS);
+	totals->request = ask->request;
+	totals->ep = ask->ep;
+	totals->running = ep->running + ep->peers_running;
+	totals->pending_tokens = ep->pending_tokens + ep->peers_pending_tokens;
+	fg_mesh_send(gw, from, &reply);
+}
+
+static void take_totals_reply(struct fg_gateway *gw,
+			      const fg_mesh_packet *packet)
+{
+	const fg_mesh_totals *totals = &packet->body.fg_mesh_body_u.totals;
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, totals->ep);
+
+	if (ep != NULL && ep->owner == packet->incarnation)
+		take_totals(ep, totals->running, totals->pending_tokens);
+	fg_gwreq_totals(gw, totals->request);
+}
+
+void fg_mesh_take_crash(struct fg_gateway *gw, uint64_t by,
+			const fg_mesh_crash *crash, fg_ms now)
+{
+	fg_suspect ev = {
+		.fingerprint = crash->fingerprint,
+		.ep = crash->ep,
+		.event = FG_SUSPECT_CRASH,
+		.req = crash->req,
+	};
+
+	fg_suspects_event(gw->suspects, now, by, &ev);
+}
+
+static void take_heartbeat(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			   const uv_buf_t *bytes, fg_ms now)
+{
+	const fg_mesh_heartbeat *hb = &packet->body.fg_mesh_body_u.hb;
+	struct fg_mesh_peer *peer =
+		fg_peers_find(gw->peers, packet->incarnation);
+
+	if (peer == NULL)
+		return;
+	/* Once only: two that read would send it to each other for ever. */
+	if (!peer->near && gw->reader == 0 &&
+	    (int32_t)(packet->seq - peer->seq) > 0)
+		pass_on(gw, bytes->base, bytes->len);
+	fg_peers_heartbeat(gw->peers, now, packet->incarnation, packet->seq,
+			   hb);
+	fg_relay_heard(gw, peer, now);
+	if (hb->store.feeds[FG_FEED_CONFIG].newest >
+	    gw->feeds[FG_FEED_CONFIG].newest)
+		fg_sync_config_behind(gw, now);
+	for (u_int i = 0; i < hb->owns.owns_len; i++)
+		take_own(gw, packet->incarnation, &hb->owns.owns_val[i], now);
+	for (u_int i = 0; i < hb->crashes.crashes_len; i++)
+		fg_mesh_take_crash(gw, packet->incarnation,
+				   &hb->crashes.crashes_val[i], now);
+}
+
+static void take_load_req(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			  const char *from)
+{
+	const fg_mesh_load_req *req = &packet->body.fg_mesh_body_u.load_req;
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, req->ep);
+	struct fg_ep_user *u = ep == NULL ? NULL : ep->user;
+	fg_mesh_packet reply;
+	fg_mesh_load_rep *rep = &reply.body.fg_mesh_body_u.load_rep;
+
+	fg_mesh_init_packet(gw, &reply, FG_MESH_LOAD_REP);
+	rep->ep = req->ep;
+	rep->adapter = fg_adapter_key(req->model, req->adapter);
+	rep->answer = FG_MESH_NOT_OWNER;
+	if (u != NULL && u->slots != NULL) {
+		switch (fg_orders_want(gw, ep, req->model, req->adapter,
+				       req->ver)) {
+		case FG_SLOT_RESIDENT:
+			rep->answer = FG_MESH_RESIDENT;
+			break;
+		case FG_SLOT_COMING:
+			rep->answer = FG_MESH_COMING;
+			break;
+		default:
+			rep->answer = FG_MESH_FULL;
+		}
+	}
+	fg_mesh_send(gw, from, &reply);
+}
+
+static void take_load_rep(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			  fg_ms now)
+{
+	const fg_mesh_load_rep *rep = &packet->body.fg_mesh_body_u.load_rep;
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, rep->ep);
+	struct fg_ep_adapter *a;
+
+	if (ep == NULL)
+		return;
+	if (rep->answer == FG_MESH_RESIDENT) {
+		a = fg_ep_adapter_get(ep, now, rep->adapter);
+		if (a == NULL)
+			return;
+		a->version = MAX(a->version, 1);
+		a->seen = now;
+		fg_gwreq_resident(gw, ep);
+	} else if (rep->answer != FG_MESH_COMING) {
+		fg_gwreq_no_load(gw, ep, rep->adapter);
+	}
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char bytes[4096];
+
+	(void)handle;
+	(void)suggested;
+	buf->base = bytes;
+	buf->len = sizeof(bytes);
+}
+
+static void on_packet(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+		      const struct sockaddr *from, unsigned int flags)
+{
+	struct fg_gateway *gw = udp->data;
+	uv_buf_t bytes = uv_buf_init(buf->base, (unsigned int)MAX(n, 0));
+	fg_mesh_packet packet;
+	char ip[INET_ADDRSTRLEN];
+	char address[FG_PEER_TEXT_BYTES];
+
+	if (n <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
+		return;
+	if (!fg_mesh_decode(buf->base, (size_t)n, &packet)) {
+		fg_gw_count(gw, "mesh_refused", NULL);
+		return;
+	}
+	uv_ip4_name((const struct sockaddr_in *)from, ip, sizeof(ip));
+	g_snprintf(address, sizeof(address), "%s:%u", ip,
+		   ntohs(((const struct sockaddr_in *)from)->sin_port));
+	switch (packet.body.kind) {
+	case FG_MESH_HEARTBEAT:
+		take_heartbeat(gw, &packet, &bytes, fg_clock_now());
+		break;
+	case FG_MESH_LOAD_REQ:
+		take_load_req(gw, &packet, address);
+		break;
+	case FG_MESH_LOAD_REP:
+		take_load_rep(gw, &packet, fg_clock_now());
+		break;
+	case FG_MESH_USES:
+		take_uses(gw, &packet, fg_clock_now());
+		break;
+	case FG_MESH_TOTALS_ASK:
+		take_totals_ask(gw, &packet, address);
+		break;
+	case FG_MESH_TOTALS:
+		take_totals_reply(gw, &packet);
+		break;
+	}
+	fg_mesh_clear(&packet);
+}
+
+int fg_mesh_open(struct fg_gateway *gw)
+{
+	struct sockaddr_in at;
+	int rc;
+
+	gw->crashes = g_array_new(FALSE, FALSE, sizeof(struct fg_crash_notice));
+	if (!fg_link_parse(gw->conf->mesh, &at))
+		return UV_EINVAL;
+	uv_udp_init(&gw->loop, &gw->mesh);
+	gw->mesh.data = gw;
+	rc = uv_udp_bind(&gw->mesh, (struct sockaddr *)&at, 0);
+	if (rc == 0)
+		rc = uv_udp_recv_start(&gw->mesh, on_alloc, on_packet);
+	return rc;
+}
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -95,6 +95,50 @@
 			       &r->gw->rand);
 }
 
+/* Takes the cheapest endpoint: sends there, or waits for a load. */
+static void choose(struct fg_gwreq *r)
+{
+	fg_ms now = fg_clock_now();
+	uint32_t left_ms = fg_gwreq_left_ms(r, now);
+	struct fg_balance_pick p;
+
+	if (left_ms < FG_GWREQ_LEFT_MIN_MS) {
+		fg_gwreq_time_out(r);
+		return;
+	}
+	for (int i = 0; i < PLACE_TRIES; i++) {
+		p = pick(r, now);
+		if (p.ep == NULL) {
+			fg_gwreq_refuse(r, "no_endpoint",
+					FG_GWREQ_RETRY_MAX_MS / 2);
+			return;
+		}
+		if (p.wait_ms >= left_ms && !r->head_sent) {
+			fg_gwreq_refuse(r, "no_time", p.wait_ms - left_ms);
+			return;
+		}
+		fg_gwreq_attach(r, p.ep);
+		r->expected_ms = p.wait_ms;
+		if (p.resident) {
+			send_now(r);
+			return;
+		}
+		switch (ask_load(r, now)) {
+		case FG_SLOT_RESIDENT:
+			send_now(r);
+			return;
+		case FG_SLOT_COMING:
+			r->load_since = now;
+			fg_gwreq_wait(r, FG_GWREQ_WAIT_LOAD,
+				      now + ASK_AGAIN_MS);
+			return;
+		default:
+			fg_gwreq_note_tried(r);
+		}
+	}
+	fg_gwreq_wait(r, FG_GWREQ_WAIT_RETRY, now + PLACE_AGAIN_MS);
+}
+
 /* Asks the owners of the engines that come into question what is in flight
  * there: heartbeats are older than most waits. False when there is nothing to
  * ask. */
@@ -128,8 +172,6 @@
 	return true;
 }
 
-static void choose(struct fg_gwreq *r);
-
 void fg_gwreq_place(struct fg_gwreq *r)
 {
 	if (r->service->engine && r->adapter != 0 &&
@@ -152,49 +194,6 @@
 	}
 }
 
-static void choose(struct fg_gwreq *r)
-{
-	fg_ms now = fg_clock_now();
-	uint32_t left_ms = fg_gwreq_left_ms(r, now);
-	struct fg_balance_pick p;
-
-	if (left_ms < FG_GWREQ_LEFT_MIN_MS) {
-		fg_gwreq_time_out(r);
-		return;
-	}
-	for (int i = 0; i < PLACE_TRIES; i++) {
-		p = pick(r, now);
-		if (p.ep == NULL) {
-			fg_gwreq_refuse(r, "no_endpoint",
-					FG_GWREQ_RETRY_MAX_MS / 2);
-			return;
-		}
-		if (p.wait_ms >= left_ms && !r->head_sent) {
-			fg_gwreq_refuse(r, "no_time", p.wait_ms - left_ms);
-			return;
-		}
-		fg_gwreq_attach(r, p.ep);
-		r->expected_ms = p.wait_ms;
-		if (p.resident) {
-			send_now(r);
-			return;
-		}
-		switch (ask_load(r, now)) {
-		case FG_SLOT_RESIDENT:
-			send_now(r);
-			return;
-		case FG_SLOT_COMING:
-			r->load_since = now;
-			fg_gwreq_wait(r, FG_GWREQ_WAIT_LOAD,
-				      now + ASK_AGAIN_MS);
-			return;
-		default:
-			fg_gwreq_note_tried(r);
-		}
-	}
-	fg_gwreq_wait(r, FG_GWREQ_WAIT_RETRY, now + PLACE_AGAIN_MS);
-}
-
 /* Waiting for a load: resident now, ask again, or give it up there. */
 static void step_load(struct fg_gwreq *r)
 {
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -13,10 +13,11 @@
 #define IDLE_MAX_MS 30000
 /* Time to establish a connection, beside a round trip. */
 #define CONNECT_MS 400
-/* Silence of an endpoint, over all connections to it, that shows that it does
- * not work: many steps of an engine's batch, and many times the work of a
- * plain request. */
-#define SILENT_ENGINE_MS 1000
+/* Silence of an endpoint, over all connections of this instance to it, that
+ * shows that it does not work: many times the work of a plain request, and
+ * longer than prompts wait at a busy engine, which one of many instances hears
+ * from rarely. */
+#define SILENT_ENGINE_MS 2000
 #define SILENT_PLAIN_MS 500
 
 /* ---- Endpoints ---- */
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -665,14 +665,18 @@
     expect(call(s.gw.front, "/order/1").status == 200, "no service")
 
 
-SCENARIOS = [serves, adapter_slots, resumes, not_resumable, runs_once,
-             not_run_elsewhere, safe_repeats, body_without_length,
-             stray_answer, silent_replica, caller_leaves, planned_stop, stop_meets_request,
-             store_away, silent_feed, silent_reader, unknown_after_outage, behind_a_slow_store, before_configuration, rows_of_others,
-             draining_replica, address_reused, engine_restarts_empty,
-             order_without_answer, version_announced, two_instances, paused_holder,
-             asks_owners, one_reader, reader_paused, reader_cut, lapsed_entries,
-             crashing_request, request_lines, bad_input, settings_change]
+SCENARIOS = [
+    serves, adapter_slots, resumes, not_resumable, runs_once,
+    not_run_elsewhere, safe_repeats, body_without_length,
+    stray_answer, silent_replica, caller_leaves, planned_stop,
+    stop_meets_request, store_away, silent_feed, silent_reader,
+    unknown_after_outage, behind_a_slow_store, before_configuration,
+    rows_of_others, draining_replica, address_reused,
+    engine_restarts_empty, order_without_answer, version_announced,
+    two_instances, paused_holder, asks_owners, one_reader,
+    reader_paused, reader_cut, lapsed_entries, crashing_request,
+    request_lines, bad_input, settings_change,
+]
 
 
 def run(scenario):
