--- a/lib/base/fg_version.h
+++ b/lib/base/fg_version.h
@@ -2,6 +2,6 @@
 #ifndef FG_VERSION_H
 #define FG_VERSION_H
 
-#define FG_VERSION "0.2.0"
+#define FG_VERSION "0.3.0"
 
 #endif
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -6,6 +6,7 @@
  * find dead peers by keep-alive probes and a limit on unacknowledged data, so
  * that a peer that falls silent ends the link in a few seconds.
  *
+ * All links of a process belong to one loop: they share a buffer for reading.
  * Callbacks run on the loop's thread. After fg_link_close() no callback comes;
  * the memory is released once the loop has closed the socket.
  */
