--- a/tests/soak.py
+++ b/tests/soak.py
@@ -253,8 +253,9 @@
                           soak.lives[gateway.name], limit_s, runs, version)
 
     def one(self):
+        """One request; its Call, or None when there is nowhere to send it."""
         if not self.connect():
-            return
+            return None
         kind, call = self.choose()
         method = KINDS.get(kind, (0, "GET"))[1]
         adapter = f"{MODEL}/a{min(int(self.rand.expovariate(0.25)), ADAPTERS)}"
@@ -277,6 +278,7 @@
             self.drop()
         self.soak.judge.answered(call, status, whole,
                                  is_right(kind, call.rid, adapter, body))
+        return call
 
 
 def is_right(kind, rid, adapter, body):
@@ -458,20 +460,17 @@
     caller = Caller(soak, 1)
     caller.addresses = [gateway.front]
     caller.asked = time.monotonic()
-    done = len([c for c in soak.judge.calls.values() if c.status == 200])
     try:
         caller.connect()
         _, method, limit_s, runs = KINDS[kind]
         caller.choose = lambda: (kind, Call(
             soak.next_id(), kind, gateway.name, soak.lives[gateway.name],
             limit_s, runs, 0))
-        caller.one()
+        return caller.one().status == 200
     except (OSError, http.client.HTTPException):
         return False
     finally:
         caller.drop()
-    return done < len([c for c in soak.judge.calls.values()
-                       if c.status == 200])
 
 
 def planned(soak):
