--- a/lib/relay/fg_relay.c
+++ b/lib/relay/fg_relay.c
@@ -60,11 +60,6 @@
 	g_hash_table_replace(r->rows, copy->key, copy);
 }
 
-uint64_t fg_relay_newest(const struct fg_relay *r)
-{
-	return r->newest;
-}
-
 /* ---- Answers ---- */
 
 static gint by_version(gconstpointer a, gconstpointer b)
--- a/lib/relay/fg_relay.h
+++ b/lib/relay/fg_relay.h
@@ -33,9 +33,6 @@
 /* Copies a row. */
 void fg_relay_put(struct fg_relay *r, const struct fg_store_row *row);
 
-/* Version of the newest row that was put, or the floor. */
-uint64_t fg_relay_newest(const struct fg_relay *r);
-
 /*
  * Appends the rows newer than `after` to out, with `read`, the version up to
  * which the reader has read. False when rows that old are not kept.
