Soak and scenarios: what was written twice, and what nothing used

On reading the whole change: three scenarios spelled out the configuration with one more route that with_route() makes; the soak's check of a new route opened a connection of its own where hosted.call() does the same; it built a System that nothing used; its wait for a planned stop caught every exception where only the time limit is meant; and the proxy's page named an attribute that does not exist.

--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -22,6 +22,16 @@
 
 PASS_S = 0.25  # passMs of the users' platform
 
+
+def with_route(version, name):
+    return config(version, extra_routes=[
+        {"name": name, "host": HOST, "prefix": f"/{name}/", "kind": "safe",
+         "timeoutMs": 900, "service": "orders", "maxAttempts": 1}])
+
+
+# ---- Scenarios ----
+
+
 def serves(s):
     """The whole path, once."""
     a = draft(s.gw)
@@ -259,10 +269,7 @@
         expect(all_pieces(draft(s.gw)), f"{mode}: no service")
         expect(draft(s.gw, "fresh-" + mode).status == 200,
                f"{mode}: no loads")
-        s.store.put("op", "config", config(s.store.version + 10, extra_routes=[
-            {"name": mode, "host": HOST, "prefix": f"/{mode}/",
-             "kind": "safe", "timeoutMs": 900, "service": "orders",
-             "maxAttempts": 1}]))
+        s.store.put("op", "config", with_route(s.store.version + 10, mode))
         s.store.drop_history()
         s.store.mode = "up"
         wait_for("new route", lambda: call(
@@ -275,9 +282,7 @@
     s.store.mute["op"] = 1
     s.store.put("op", "config", config(50))
     wait_for("one feed is silent", lambda: s.store.mute["op"] == 0, 12)
-    s.store.put("op", "config", config(60, extra_routes=[
-        {"name": "new", "host": HOST, "prefix": "/new/", "kind": "safe",
-         "timeoutMs": 900, "service": "orders", "maxAttempts": 1}]))
+    s.store.put("op", "config", with_route(60, "new"))
     for gateway in s.gateways:
         wait_for(f"new route at {gateway.name}", lambda g=gateway: call(
             g.front, "/new/1").status == 200, 3)
@@ -308,9 +313,7 @@
     s.store.mute["op"] = 1
     s.store.put("op", "config", config(50))
     wait_for("one feed is silent", lambda: s.store.mute["op"] == 0, 12)
-    s.store.put("op", "config", config(60, extra_routes=[
-        {"name": "new", "host": HOST, "prefix": "/new/", "kind": "safe",
-         "timeoutMs": 900, "service": "orders", "maxAttempts": 1}]))
+    s.store.put("op", "config", with_route(60, "new"))
     s.store.slow_feed_s = 0.85
     for gateway in s.gateways:
         wait_for(f"new route at {gateway.name}", lambda g=gateway: call(
@@ -497,12 +500,6 @@
          if g.reads_store(False) and s.gateways[1 - i].reads_store()), None))
 
 
-def with_route(version, name):
-    return config(version, extra_routes=[
-        {"name": name, "host": HOST, "prefix": f"/{name}/", "kind": "safe",
-         "timeoutMs": 900, "service": "orders", "maxAttempts": 1}])
-
-
 def learns_changes(s, gateway, version, name):
     """A route and the leaving of a replica are known within 2.5 s."""
     leaving = next(p for p in s.plains if not p.draining)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,13 +18,14 @@
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import threading
 import time
 
 from hosted import (
-    EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, System, config, get,
-    wait_for)
+    EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, call as request,
+    config, get, wait_for)
 from soak_judge import Call, Judge
 from soak_proxy import DOWN, Proxy, UP
 
@@ -49,10 +50,8 @@
         self.seed = seed
         self.judge = Judge()
         self.judge.begin("store")  # until all is up
-        self.system = None
         self.version = 1
         self.routes = []  # (name, version)
-        self.lives = {}
         self.running = True
         self.ids = 0
         self.lock = threading.Lock()
@@ -63,8 +62,6 @@
             for _ in range(clients)]
 
     def _start(self, gateways):
-        s = System.__new__(System)  # with proxies before every part
-        self.system = s
         self.store = Store()
         self.store.put("op", "config", config(1))
         self.replicas = []
@@ -149,7 +146,7 @@
                 code = g.popen.wait(GRACE_S)
                 if code != 0 and g.started():
                     self.judge.blame("STOP", f"{g.name}: exit {code}")
-            except Exception:
+            except subprocess.TimeoutExpired:
                 self.judge.blame("STOP", f"{g.name} still runs after "
                                  f"{GRACE_S} s")
                 g.popen.kill()
@@ -493,18 +490,10 @@
     call = Call(soak.next_id(), name, gateway.name,
                 soak.lives[gateway.name], 1.5, 2, soak.version)
     soak.judge.sent(call)
-    host, port = gateway.front.split(":")
-    conn = http.client.HTTPConnection(host, int(port), timeout=3)
-    try:
-        conn.request("GET", f"/{name}/x", None,
-                     {"Host": HOST, "Request-Id": call.rid,
-                      "Deadline-Ms": "1500"})
-        status = conn.getresponse().status
-    except (OSError, http.client.HTTPException):
-        return False
-    finally:
-        conn.close()
-    return status not in (404, 503)
+    status = request(gateway.front, f"/{name}/x", call.rid, method="GET",
+                     body=None, headers={"Deadline-Ms": "1500"},
+                     timeout_s=3).status
+    return status not in (0, 404, 503)
 
 
 def check_orders(soak):
--- a/tests/soak_proxy.py
+++ b/tests/soak_proxy.py
@@ -1,9 +1,9 @@
 """A loopback TCP proxy that spoils connections, for tests/soak.py.
 
-One thread runs all proxies. What a proxy does to its connections is in
-`faults`: delay_s (each part of data waits so long), refuse (new connections
-are reset). reset() ends all connections at once; silence() makes the open ones
-pass nothing more, in both or one direction, without telling either side.
+One thread runs all proxies. Each part of data waits delay_s; with refuse new
+connections are reset. reset() ends all connections at once; silence() makes the
+open ones pass nothing more, in both or one direction, without telling either
+side. tests/hosted.py puts proxies before the store for scenarios, too.
 """
 
 import asyncio
