lib/fleet: an outage of the registry counts from its last answer

Cause of gateway-lapsed_entries (known red): an instance whose long poll was open when the registry went down noticed the outage when that call failed, up to a second later, and counted it from then. An outage of 1.2 s counted as 0.37 s, less than OUTAGE_MIN_MS, so that entries which lapsed in it were taken for removed ones. The same happened at a follower, which hears of the outage in a heartbeat.

Ruled out: a late or lost removal (the log shows `leaving` in the second of the return), an outage that was really shorter (the other instance counted 1.2 s).

The fleet now keeps the time of the registry's last answer, which for a follower is that of its reader, and counts an outage from there.

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -12,8 +12,8 @@
 	GHashTable *by_id;	/* id -> struct fg_fleet_ep * */
 	GHashTable *reread_ids; /* put since read_begin; NULL outside a read */
 	bool up;
-	fg_ms up_since; /* end of the last outage; FG_MS_NEVER: none yet */
-	fg_ms down_since;
+	fg_ms up_since;	   /* end of the last outage; FG_MS_NEVER: none yet */
+	fg_ms answered_at; /* last answer of the registry; FG_MS_NEVER: none */
 };
 
 /* A shorter outage cannot have made entries lapse: they lapse after three
@@ -32,6 +32,7 @@
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	f->up = true;
 	f->up_since = FG_MS_NEVER;
+	f->answered_at = FG_MS_NEVER;
 	return f;
 }
 
@@ -70,21 +71,23 @@
 
 /* ---- Availability of the registry ---- */
 
-void fg_fleet_registry_up(struct fg_fleet *f, fg_ms now)
+void fg_fleet_registry_up(struct fg_fleet *f, fg_ms now, fg_ms answered_at)
 {
-	if (f->up)
-		return;
-	f->up = true;
-	if (now - f->down_since >= OUTAGE_MIN_MS)
+	/* A call in flight can end long after the outage began, so the outage
+	 * counts from the answer before it. */
+	if (!f->up && f->answered_at != FG_MS_NEVER &&
+	    now - f->answered_at >= OUTAGE_MIN_MS)
 		f->up_since = now;
+	f->up = true;
+	if (f->answered_at == FG_MS_NEVER || answered_at > f->answered_at)
+		f->answered_at = answered_at;
 }
 
 void fg_fleet_registry_down(struct fg_fleet *f, fg_ms now)
 {
-	if (!f->up)
-		return;
+	if (f->answered_at == FG_MS_NEVER)
+		f->answered_at = now;
 	f->up = false;
-	f->down_since = now;
 }
 
 /* Returns whether a removal may be a lapse caused by a recent outage. */
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -113,8 +113,11 @@
 			      void *ctx);
 void fg_fleet_free(struct fg_fleet *f);
 
-/* The registry answered, or a call to it failed. */
-void fg_fleet_registry_up(struct fg_fleet *f, fg_ms now);
+/* The registry answered at `answered_at`, which may be earlier than `now` when
+ * another instance got the answer. */
+void fg_fleet_registry_up(struct fg_fleet *f, fg_ms now, fg_ms answered_at);
+
+/* A call to the registry failed. The outage began after its last answer. */
 void fg_fleet_registry_down(struct fg_fleet *f, fg_ms now);
 
 /* An entry was written or removed. A change of `born` or of the address means a
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -181,7 +181,7 @@
 	f->failures = 0;
 	f->confirmed_at = when;
 	if (f->id == FG_FEED_REGISTRY) {
-		fg_fleet_registry_up(gw->fleet, fg_clock_now());
+		fg_fleet_registry_up(gw->fleet, fg_clock_now(), when);
 		read_failed_feeds(gw);
 	}
 	if (f->id == FG_FEED_OWN && f->full_read_done) {
@@ -243,7 +243,7 @@
 		return;
 	}
 	if (f->id == FG_FEED_REGISTRY)
-		fg_fleet_registry_up(f->gw->fleet, now);
+		fg_fleet_registry_up(f->gw->fleet, now, now);
 	if (f->in_full_read)
 		apply_page(f, &rows, now);
 	else
@@ -317,7 +317,7 @@
 	/* The fleet must know that the registry is back before it sees
 	 * removals: those that an outage caused count as lapsed entries. */
 	if (f->id == FG_FEED_REGISTRY)
-		fg_fleet_registry_up(f->gw->fleet, now);
+		fg_fleet_registry_up(f->gw->fleet, now, f->confirmed_at);
 	apply_changes(f, rows, now);
 	fg_orders_refresh(f->gw, now);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -68,7 +68,7 @@
 
 	put_ep(f, 1000, "e2", false);
 	fg_fleet_registry_down(f, 2000);
-	fg_fleet_registry_up(f, 8000);
+	fg_fleet_registry_up(f, 8000, 8000);
 	fg_fleet_remove(f, 8100, "e1");
 	fg_fleet_remove(f, 8100, "e2");
 	g_assert_true(fg_ep_is_usable(ep, 8200));
@@ -82,13 +82,57 @@
 	fg_fleet_free(f);
 }
 
+/* A call that was open when the outage began fails late. The outage counts from
+ * the answer before it. */
+static void test_outage_noticed_late(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_ep(f, 1000, "e1", false);
+
+	fg_fleet_registry_up(f, 2000, 2000);
+	fg_fleet_registry_down(f, 3100);
+	fg_fleet_registry_up(f, 3470, 3470);
+	fg_fleet_remove(f, 3500, "e1");
+	g_assert_true(fg_ep_is_usable(ep, 3500));
+	g_assert_false(fg_ep_is_usable(ep, 3470 + FG_FLEET_LAPSE_GRACE_MS));
+	fg_fleet_free(f);
+}
+
+/* An answer that another instance got is as old as it says. */
+static void test_outage_after_relayed_answer(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_ep(f, 1000, "e1", false);
+
+	fg_fleet_registry_up(f, 3000, 2000);
+	fg_fleet_registry_down(f, 3100);
+	fg_fleet_registry_up(f, 3200, 3200);
+	fg_fleet_remove(f, 3300, "e1");
+	g_assert_true(fg_ep_is_usable(ep, 3300));
+	fg_fleet_free(f);
+}
+
+/* A failed call between two answers is no outage. */
+static void test_short_failure_is_no_outage(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_ep(f, 1000, "e1", false);
+
+	fg_fleet_registry_up(f, 2000, 2000);
+	fg_fleet_registry_down(f, 2100);
+	fg_fleet_registry_up(f, 2300, 2300);
+	fg_fleet_remove(f, 2400, "e1");
+	g_assert_false(fg_ep_is_usable(ep, 2400));
+	fg_fleet_free(f);
+}
+
 static void test_draining_does_not_lapse(void)
 {
 	struct fg_fleet *f = fleet_new();
 	struct fg_fleet_ep *ep = put_ep(f, 1000, "e1", true);
 
 	fg_fleet_registry_down(f, 2000);
-	fg_fleet_registry_up(f, 8000);
+	fg_fleet_registry_up(f, 8000, 8000);
 	fg_fleet_remove(f, 8100, "e1");
 	g_assert_false(fg_ep_is_usable(ep, 8200));
 	fg_fleet_free(f);
@@ -400,6 +444,11 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fleet/outage_noticed_late", test_outage_noticed_late);
+	g_test_add_func("/fleet/outage_after_relayed_answer",
+			test_outage_after_relayed_answer);
+	g_test_add_func("/fleet/short_failure_is_no_outage",
+			test_short_failure_is_no_outage);
 	g_test_add_func("/fleet/leaving", test_leaving_is_not_usable);
 	g_test_add_func("/fleet/lapse", test_lapse_in_outage);
 	g_test_add_func("/fleet/lapse_of_draining",
