fg-gateway: endpoints that say that they leave or ask for a pause

lib/fleet: leaving is final for the life (`born`) of an endpoint, whether an answer or the entry said so, and an entry of the same life without it, as in a registry restored from an older copy, does not bring it back. A pause is kept apart from leaving: the endpoint stays a member and keeps its adapters, but gets no request; later ends win, an hour is cut to a minute, both go with a restart. Every answer counts: to requests, also of a stream's head or with another id, to orders and to reports, but not one that names another endpoint. Placement, waiting for a load, the moment before a send and the opening of a connection ask fg_ep_accepts(); orders and reports wait for the end of a pause. When all endpoints of a service pause, callers are refused at once with the shortest pause left and up to 0.5 s more, so that they do not return together.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -237,7 +237,7 @@
 		struct cost c;
 
 		if (strcmp(ep->facts.service, query->service) != 0 ||
-		    !fg_ep_is_usable(ep, now))
+		    !fg_ep_accepts(ep, now))
 			continue;
 		c = estimate_cost(
 			conf, query, ep,
--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -90,6 +90,11 @@
 	f->up = false;
 }
 
+void fg_fleet_registry_restored(struct fg_fleet *f, fg_ms now)
+{
+	f->up_since = now;
+}
+
 /* Returns whether a removal may be a lapse caused by a recent outage. */
 static bool is_lapse_expected(const struct fg_fleet *f, fg_ms now)
 {
@@ -123,6 +128,8 @@
 	ep->error_rate = 0;
 	ep->slowness = 1.0;
 	ep->addr_taken = false;
+	ep->leaving = false;
+	ep->paused_until = 0;
 }
 
 struct fg_fleet_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
@@ -137,6 +144,9 @@
 		reset_state(ep);
 	}
 	ep->facts = *facts;
+	/* Without a start time, a restart would look the same. */
+	if (facts->draining && facts->born != 0)
+		ep->leaving = true;
 	ep->listed = true;
 	ep->lapsed_until = 0;
 	g_strlcpy(ep->region, f->region_of(f->ctx, facts->dc),
@@ -151,7 +161,7 @@
 	if (!ep->listed)
 		return;
 	ep->listed = false;
-	if (is_lapse_expected(f, now) && !ep->facts.draining)
+	if (is_lapse_expected(f, now) && !ep->facts.draining && !ep->leaving)
 		ep->lapsed_until = f->up_since + FG_FLEET_LAPSE_GRACE_MS;
 }
 
@@ -217,11 +227,49 @@
 
 bool fg_ep_is_usable(const struct fg_fleet_ep *ep, fg_ms now)
 {
-	if (ep->facts.draining || ep->addr_taken)
+	if (ep->facts.draining || ep->leaving || ep->addr_taken)
 		return false;
 	return ep->listed || now < ep->lapsed_until;
 }
 
+bool fg_ep_accepts(const struct fg_fleet_ep *ep, fg_ms now)
+{
+	return fg_ep_is_usable(ep, now) && now >= ep->paused_until;
+}
+
+bool fg_ep_mark_leaving(struct fg_fleet_ep *ep)
+{
+	bool known = ep->leaving || ep->facts.draining;
+
+	ep->leaving = true;
+	return !known;
+}
+
+bool fg_ep_pause(struct fg_fleet_ep *ep, fg_ms now, uint32_t pause_ms)
+{
+	fg_ms until = now + MIN(pause_ms, FG_EP_PAUSE_MAX_MS);
+
+	if (until <= ep->paused_until)
+		return false;
+	ep->paused_until = until;
+	return true;
+}
+
+uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
+				const char *service)
+{
+	fg_ms left_ms = UINT32_MAX;
+
+	for (guint i = 0; i < f->eps->len; i++) {
+		const struct fg_fleet_ep *ep = f->eps->pdata[i];
+
+		if (strcmp(ep->facts.service, service) == 0 &&
+		    fg_ep_is_usable(ep, now))
+			left_ms = MIN(left_ms, MAX(ep->paused_until - now, 0));
+	}
+	return (uint32_t)left_ms;
+}
+
 /* ---- Adapters ---- */
 
 uint64_t fg_adapter_key(const char *model, const char *adapter)
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -10,6 +10,10 @@
  * and the endpoint stays usable. An endpoint that has not written its entry
  * again by then is dropped.
  *
+ * Leaving is final for the life of an endpoint: an entry of the same start that
+ * no longer says so, as in a registry restored from an older copy, does not
+ * make it usable again.
+ *
  * The record of an endpoint also holds what this instance measures: requests
  * in flight, failures and speed. fg_balance.h describes how they are used.
  *
@@ -73,6 +77,8 @@
 	bool listed;	    /* its entry exists */
 	fg_ms lapsed_until; /* usable until, after a lapse of its entry */
 	bool addr_taken;    /* another endpoint answers at its address */
+	bool leaving;	    /* said so in an answer or in its entry */
+	fg_ms paused_until; /* it asked for no request until then; 0: never */
 	fg_ms known_since;
 
 	/* In flight from this instance. */
@@ -120,6 +126,10 @@
 /* A call to the registry failed. The outage began after its last answer. */
 void fg_fleet_registry_down(struct fg_fleet *f, fg_ms now);
 
+/* The registry came back from an older copy. Entries that it lost count as
+ * lapsed. */
+void fg_fleet_registry_restored(struct fg_fleet *f, fg_ms now);
+
 /* An entry was written or removed. A change of `born` or of the address means a
  * restart and resets what was measured. The record returned is borrowed. */
 struct fg_fleet_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
@@ -143,9 +153,32 @@
  * the fleet. */
 const GPtrArray *fg_fleet_all(const struct fg_fleet *f);
 
-/* Returns whether a new request may be sent to the endpoint. */
+/* Returns whether the endpoint is a member of its service: neither leaving nor
+ * removed, and alone at its address. */
 bool fg_ep_is_usable(const struct fg_fleet_ep *ep, fg_ms now);
 
+/* Returns whether a new request may be sent to the endpoint: it is usable and
+ * has not asked for a pause. */
+bool fg_ep_accepts(const struct fg_fleet_ep *ep, fg_ms now);
+
+/* The endpoint said in an answer that it is leaving. It gets no further
+ * request, also when its registry entry does not say so, until it restarts.
+ * Returns false when this was known. */
+bool fg_ep_mark_leaving(struct fg_fleet_ep *ep);
+
+/* Longest pause that an endpoint may ask for. */
+#define FG_EP_PAUSE_MAX_MS 60000
+
+/* The endpoint asked, in a refusal, for no request within `pause_ms`, which is
+ * cut to FG_EP_PAUSE_MAX_MS. A later end replaces an earlier one. Returns false
+ * when the pause does not extend the known one. */
+bool fg_ep_pause(struct fg_fleet_ep *ep, fg_ms now, uint32_t pause_ms);
+
+/* Returns the time until an endpoint of the service accepts requests again, 0
+ * when one does now, UINT32_MAX when none is usable. */
+uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
+				const char *service);
+
 /* A reference keeps the record alive after the fleet has dropped it. */
 struct fg_fleet_ep *fg_ep_ref(struct fg_fleet_ep *ep);
 void fg_ep_unref(struct fg_fleet_ep *ep);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -207,10 +207,14 @@
  * the next request. */
 void fg_gwreq_finish(struct fg_gwreq *r);
 
-/* Gives the final answer 503 with a Retry-After, or fails the request when it
- * may have run. */
+/* Gives the final answer 503 with a Retry-After of at most
+ * FG_GWREQ_RETRY_MAX_MS, or fails the request when it may have run. */
 void fg_gwreq_refuse(struct fg_gwreq *r, const char *reason, uint32_t retry_ms);
 
+/* As fg_gwreq_refuse(), with a Retry-After that is not bounded. */
+void fg_gwreq_refuse_until(struct fg_gwreq *r, const char *reason,
+			   uint32_t retry_ms);
+
 /* Gives the final answer `status`, or resets the connection when the head of
  * an answer was sent already. */
 void fg_gwreq_fail(struct fg_gwreq *r, unsigned int status, const char *reason);
@@ -292,6 +296,11 @@
 struct fg_ep_local *fg_ep_local_get(struct fg_gateway *gw,
 				    struct fg_fleet_ep *ep);
 
+/* Applies what an endpoint's answer of any kind says of the endpoint itself:
+ * that it is leaving, or for how long it wants no request. */
+void fg_ep_apply_reply(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+		       const struct fg_wire_reply *reply);
+
 /* The endpoint is known to have ended: reports a crash for each request that
  * was lost there recently. */
 void fg_ep_local_report_losses(struct fg_ep_local *local);
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -225,7 +225,7 @@
 	uint32_t waiting;
 
 	if (local->slots == NULL || fg_channel_is_busy(local->channel) ||
-	    !local->gw->claims_current)
+	    !local->gw->claims_current || now < local->ep->paused_until)
 		return;
 	step = fg_slots_next(
 		local->slots, now,
@@ -301,6 +301,17 @@
 	}
 }
 
+/* Answers to orders and reports say as well that the engine is leaving. */
+static uint64_t on_answer_head(void *ctx, const struct fg_h1_head *head)
+{
+	struct fg_ep_local *local = ctx;
+	struct fg_wire_reply reply;
+
+	local->gw->wire->reply_read(head, &reply);
+	fg_ep_apply_reply(local->gw, local->ep, &reply);
+	return 0;
+}
+
 static void take_over_engine(struct fg_ep_local *local,
 			     const struct fg_svc *service, uint64_t fence)
 {
@@ -322,6 +333,7 @@
 	local->timer = fg_gw_timer_new(gw, local);
 	local->fence = fence;
 	local->facts_seen = local->ep->facts;
+	fg_channel_set_head_hook(local->channel, on_answer_head, local);
 	apply_versions(gw, local->slots);
 	log_order(local, "holds_orders", 0);
 }
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -23,6 +23,9 @@
  * another region. */
 #define TOTALS_NEAR_TIMEOUT_MS 8
 #define TOTALS_FAR_TIMEOUT_MS 32
+/* Callers that were refused because of a pause come back within this time after
+ * its end. */
+#define PAUSE_SPREAD_MS 500
 /* Endpoints tried in one go before waiting PLACE_RETRY_MS. */
 #define PLACE_TRIES 3
 /* A new version is required this long before version_ms ends; the margin covers
@@ -44,7 +47,7 @@
 
 static void send_to_endpoint(struct fg_gwreq *r)
 {
-	if (!fg_ep_is_usable(r->ep, fg_clock_now())) {
+	if (!fg_ep_accepts(r->ep, fg_clock_now())) {
 		fg_gwreq_mark_tried(r);
 		fg_gwreq_enter_state(r, FG_GWREQ_WAIT_RETRY, fg_clock_now());
 		return;
@@ -100,6 +103,24 @@
 			       &r->gw->rand);
 }
 
+/* Refuses a request for which no endpoint accepts requests. When they all asked
+ * for a pause, the caller is told to come back after the shortest of the
+ * pauses, at a random time so that callers do not come back together. */
+static void refuse_without_endpoint(struct fg_gwreq *r, fg_ms now)
+{
+	uint32_t pause_ms =
+		fg_fleet_pause_left_ms(r->gw->fleet, now, r->service->name);
+
+	if (pause_ms == 0 || pause_ms == UINT32_MAX) {
+		fg_gwreq_refuse(r, "no_endpoint", FG_GWREQ_RETRY_MAX_MS / 2);
+		return;
+	}
+	fg_gwreq_refuse_until(
+		r, "endpoints_paused",
+		pause_ms +
+			(uint32_t)fg_rand_below(&r->gw->rand, PAUSE_SPREAD_MS));
+}
+
 /* Assigns the cheapest endpoint, and sends the request or waits for a load. */
 static void choose_endpoint(struct fg_gwreq *r)
 {
@@ -114,8 +135,7 @@
 	for (int i = 0; i < PLACE_TRIES; i++) {
 		p = pick_endpoint(r, now);
 		if (p.ep == NULL) {
-			fg_gwreq_refuse(r, "no_endpoint",
-					FG_GWREQ_RETRY_MAX_MS / 2);
+			refuse_without_endpoint(r, now);
 			return;
 		}
 		if (p.wait_ms >= left_ms && !r->head_sent) {
@@ -210,7 +230,7 @@
 		fg_gwreq_refuse(r, "load_too_slow", LOAD_RETRY_AFTER_MS);
 		return;
 	}
-	if (!fg_ep_is_usable(r->ep, now)) {
+	if (!fg_ep_accepts(r->ep, now)) {
 		fg_gwreq_mark_tried(r);
 		fg_gwreq_place(r);
 		return;
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -260,7 +260,8 @@
 	fg_gwreq_finish(r);
 }
 
-void fg_gwreq_refuse(struct fg_gwreq *r, const char *reason, uint32_t retry_ms)
+void fg_gwreq_refuse_until(struct fg_gwreq *r, const char *reason,
+			   uint32_t retry_ms)
 {
 	if (r->may_have_run || r->head_sent) {
 		fg_gwreq_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
@@ -269,11 +270,17 @@
 	fg_gwreq_log(r, "refused", reason);
 	fg_gwreq_count_outcome(r, "refused", reason);
 	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE, r->call.id,
-			 CLAMP(retry_ms, RETRY_MIN_MS, FG_GWREQ_RETRY_MAX_MS),
-			 NULL, "", 0);
+			 retry_ms, NULL, "", 0);
 	fg_gwreq_finish(r);
 }
 
+void fg_gwreq_refuse(struct fg_gwreq *r, const char *reason, uint32_t retry_ms)
+{
+	fg_gwreq_refuse_until(
+		r, reason,
+		CLAMP(retry_ms, RETRY_MIN_MS, FG_GWREQ_RETRY_MAX_MS));
+}
+
 void fg_gwreq_time_out(struct fg_gwreq *r)
 {
 	if (r->state == FG_GWREQ_SENT || r->may_have_run || r->head_sent)
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -124,6 +124,48 @@
 	fg_gwreq_on_send_end(r, end, why);
 }
 
+/* An answer for another endpoint id comes from a process that took over the
+ * address. */
+static bool is_from_endpoint(const struct fg_wire_reply *reply,
+			     const struct fg_fleet_ep *ep)
+{
+	return reply->endpoint == NULL ||
+	       strcmp(reply->endpoint, ep->facts.id) == 0;
+}
+
+static void log_pause(const struct fg_fleet_ep *ep, const char *event,
+		      uint32_t pause_ms)
+{
+	char ms[12];
+
+	g_snprintf(ms, sizeof(ms), "%u", pause_ms);
+	fg_log(FG_LOG_INFO, "endpoint", event, "endpoint", ep->facts.id,
+	       "pause_ms", ms, NULL);
+}
+
+void fg_ep_apply_reply(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+		       const struct fg_wire_reply *reply)
+{
+	if (!is_from_endpoint(reply, ep))
+		return;
+	if (reply->leaving && fg_ep_mark_leaving(ep)) {
+		fg_log(FG_LOG_INFO, "endpoint", "said_leaving", "endpoint",
+		       ep->facts.id, "address", ep->facts.address, NULL);
+		fg_gw_count_event(gw, "endpoints_said_leaving", NULL);
+	}
+	if (reply->bad_pause)
+		fg_log(FG_LOG_WARN, "endpoint", "pause_refused", "endpoint",
+		       ep->facts.id, "reason",
+		       "Retry-After is not a number of seconds", NULL);
+	if (reply->pause_ms == 0 ||
+	    !fg_ep_pause(ep, fg_clock_now(), reply->pause_ms))
+		return;
+	log_pause(ep,
+		  reply->pause_ms > FG_EP_PAUSE_MAX_MS ? "pause_cut" : "paused",
+		  reply->pause_ms);
+	fg_gw_count_event(gw, "endpoint_pauses", NULL);
+}
+
 static bool is_informational(unsigned int status)
 {
 	return status < 200;
@@ -138,6 +180,7 @@
 	if (r == NULL)
 		return has_body;
 	conn->gw->wire->reply_read(head, &conn->reply);
+	fg_ep_apply_reply(conn->gw, conn->ep, &conn->reply);
 	conn->status = head->status;
 	conn->skip_message = is_informational(head->status) ||
 			     (conn->reply.id != NULL && r->call.id != NULL &&
@@ -314,6 +357,11 @@
 	conn->connected = true;
 	if (conn->req == NULL)
 		return;
+	/* It may have said that it leaves while the connection was opened. */
+	if (!fg_ep_accepts(conn->ep, fg_clock_now())) {
+		fail_send(conn, FG_SEND_NOT_SENT, "endpoint_closed");
+		return;
+	}
 	write_request(conn);
 	arm_silence_timeout(conn->req, fg_clock_now());
 }
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -16,6 +16,9 @@
 	uv_timer_t *timer;
 	fg_channel_done_fn done; /* NULL: idle */
 	void *ctx;
+	fg_channel_head_fn hook;
+	void *hook_ctx;
+	uint64_t head_result; /* of the hook */
 	struct fg_wire_request request;
 	bool open; /* link is connected */
 };
@@ -55,8 +58,9 @@
 {
 	struct fg_channel *c = ctx;
 
-	(void)head;
 	g_string_truncate(c->body, 0);
+	if (c->hook != NULL && c->done != NULL)
+		c->head_result = c->hook(c->hook_ctx, head);
 	return true;
 }
 
@@ -168,6 +172,18 @@
 	g_free(c);
 }
 
+void fg_channel_set_head_hook(struct fg_channel *c, fg_channel_head_fn hook,
+			      void *ctx)
+{
+	c->hook = hook;
+	c->hook_ctx = ctx;
+}
+
+uint64_t fg_channel_head_result(const struct fg_channel *c)
+{
+	return c->head_result;
+}
+
 void fg_channel_abort(struct fg_channel *c)
 {
 	fail_request(c);
--- a/lib/link/fg_channel.h
+++ b/lib/link/fg_channel.h
@@ -27,6 +27,17 @@
  * outlive the channel. */
 struct fg_channel *fg_channel_new(uv_loop_t *loop, const char *address);
 
+/* Called with the head of each answer, before its body is read. */
+typedef uint64_t (*fg_channel_head_fn)(void *ctx,
+				       const struct fg_h1_head *head);
+
+/* Sets the function that gets the heads of answers; NULL: none. */
+void fg_channel_set_head_hook(struct fg_channel *c, fg_channel_head_fn hook,
+			      void *ctx);
+
+/* Returns what the function returned for the head of the last answer. */
+uint64_t fg_channel_head_result(const struct fg_channel *c);
+
 /* Drops a request in flight without a callback, closes the connection and frees
  * the channel; NULL is allowed. */
 void fg_channel_free(struct fg_channel *c);
--- a/lib/wire/fg_wire.c
+++ b/lib/wire/fg_wire.c
@@ -28,6 +28,16 @@
 	g_free(row);
 }
 
+void fg_store_rows_set_era(struct fg_store_rows *rows, uint64_t era)
+{
+	rows->version = fg_store_version(era, rows->version);
+	for (guint i = 0; rows->rows != NULL && i < rows->rows->len; i++) {
+		struct fg_store_row *row = rows->rows->pdata[i];
+
+		row->version = fg_store_version(era, row->version);
+	}
+}
+
 void fg_store_rows_clear(struct fg_store_rows *rows)
 {
 	if (rows->rows != NULL)
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -71,10 +71,40 @@
 	const char *id;	  /* of the answered request; NULL: absent */
 	uint64_t version; /* of the weights; 0: absent */
 	uint32_t idle_timeout_s; /* of an idle connection; 0: not stated */
+	bool leaving;		 /* the endpoint ends soon */
+	/* With a refusal: time in which the endpoint wants no request from this
+	 * instance; 0: not stated. */
+	uint32_t pause_ms;
+	bool bad_pause; /* a pause is stated, but not as a number */
 };
 
 /* ---- Rows of the platform's store ---- */
 
+/*
+ * Versions of rows. When the store returns from an older copy, its counter goes
+ * back and gives numbers out again, and its era rises. A version as the gateway
+ * keeps and compares it holds the era above the store's number, so that any
+ * version of a later era is newer. Orders carry it as their fencing number,
+ * which stays below 2^53, the largest number that all JSON readers keep exact.
+ */
+#define FG_STORE_NUMBER_BITS 40
+#define FG_STORE_ERA_MAX 8191
+
+static inline uint64_t fg_store_version(uint64_t era, uint64_t number)
+{
+	return era << FG_STORE_NUMBER_BITS | number;
+}
+
+static inline uint64_t fg_store_era(uint64_t version)
+{
+	return version >> FG_STORE_NUMBER_BITS;
+}
+
+static inline uint64_t fg_store_number(uint64_t version)
+{
+	return version & ((UINT64_C(1) << FG_STORE_NUMBER_BITS) - 1);
+}
+
 struct fg_store_row {
 	char *table;
 	char *key;
@@ -93,6 +123,9 @@
 /* Frees a row; NULL is allowed. */
 void fg_store_row_free(gpointer row);
 
+/* Turns the store's numbers in the answer into versions of that era. */
+void fg_store_rows_set_era(struct fg_store_rows *rows, uint64_t era);
+
 /* Frees the rows and zeroes the structure. */
 void fg_store_rows_clear(struct fg_store_rows *rows);
 
@@ -208,7 +241,8 @@
 	 * from the first row. */
 	struct fg_wire_request (*rows_get)(const char *host, const char *table,
 					   const char *from, uint32_t limit);
-	/* Encodes a long poll for rows newer than version `after`, which the
+	/* Encodes a long poll for rows newer than the store's number `after`,
+	 * which the
 	 * store answers after wait_ms at the latest. */
 	struct fg_wire_request (*rows_feed)(const char *host, const char *table,
 					    uint64_t after, uint32_t wait_ms);
@@ -216,7 +250,11 @@
 	struct fg_wire_request (*rows_tx)(const char *host,
 					  const struct fg_tx_row *rows,
 					  uint32_t n);
-	/* Decodes an answer of the store. Rows without a table or a key are
+	/* Reads the era from the head of an answer of any status. Returns 0,
+	 * ENOENT when it is absent or EINVAL when it is not a number. */
+	int (*era_read)(const struct fg_h1_head *head, uint64_t *out);
+	/* Decodes an answer of the store, with the store's own version numbers.
+	 * Rows without a table or a key are
 	 * skipped. */
 	bool (*rows_read)(const char *body, size_t len,
 			  struct fg_store_rows *out, GError **error);
--- a/standin/hosted/si_http.py
+++ b/standin/hosted/si_http.py
@@ -22,13 +22,15 @@
         self.headers = headers  # lower-case names
         self.body = body
         self.sock = sock
+        self.extra_headers = []  # of each answer
 
     def get(self, name, default=None):
         return self.headers.get(name.lower(), default)
 
     def answer(self, status, body=b"", headers=()):
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
-        head += "".join(f"{k}: {v}\r\n" for k, v in headers)
+        head += "".join(f"{k}: {v}\r\n"
+                        for k, v in [*headers, *self.extra_headers])
         self.sock.sendall(head.encode() + b"\r\n" + body)
 
 
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -11,6 +11,7 @@
   stray       an answer to another request is sent first
   error       the application answers with status 500
   order_lost  an order is carried out, but not answered
+  pause       503 with Not-Run and the Retry-After in `pause_text`
 """
 
 import json
@@ -44,9 +45,14 @@
         self.disconnects = []  # (id, seconds waited or event number)
         self.sent_at = {}  # (id, event) -> time.monotonic()
         self.orders = []  # (holder, fence, opcode, adapter, status)
+        self.path_faults = []  # (begin, end) in time.monotonic()
+        self.order_times = []  # time.monotonic(), for each of `orders`
         self.event_interval_s = 0.01
         self.draining = False
         self.boot_ms = int(time.time() * 1000)
+        self.checks_fences = True
+        self.leaving = False  # says so in all answers
+        self.pause_text = "1"
         self.has_base = True
         self.adapters = {}  # name -> version
         self.versions = {}  # adapter -> newest version
@@ -90,6 +96,7 @@
         self.adapters = {}
         self.sequence = 0
         self.fence = 0
+        self.leaving = False
         self.server.start(port)
         self.register()
 
@@ -101,6 +108,8 @@
             return left > 0
 
     def handle(self, req):
+        if self.leaving:
+            req.extra_headers = [("Server-Leaving", "1")]
         expect = req.get("Expect-Instance")
         if expect is not None and expect != self.name:
             req.answer(421, headers=[("Instance-Id", self.name)])
@@ -119,6 +128,7 @@
             status = self._apply_order(body)
             self.orders.append((body["holder"], body["fenceToken"],
                                 body["opcode"], body.get("adapter"), status))
+            self.order_times.append(time.monotonic())
         if self.consume_fault("order_lost"):
             self.wait_for_disconnect(req, None, 10)
             return False
@@ -127,7 +137,7 @@
 
     def _apply_order(self, body):
         name = body.get("adapter")
-        if body["fenceToken"] < self.fence:
+        if body["fenceToken"] < self.fence and self.checks_fences:
             return 412
         self.fence = body["fenceToken"]
         self._finish_loads()
@@ -192,6 +202,10 @@
             if absent:
                 req.answer(421, headers=[("Instance-Id", self.name)])
                 return True
+        if self.consume_fault("pause"):
+            req.answer(503, headers=[("Not-Run", "1"),
+                                     ("Retry-After", self.pause_text)])
+            return True
         if self.consume_fault("not_run"):
             req.answer(503, headers=[("Not-Run", "1")])
             return True
@@ -223,8 +237,9 @@
             self.disconnects.append((rid, time.monotonic() - begin))
 
     def response_head(self, rid, extra=""):
+        leaving = "Server-Leaving: 1\r\n" if self.leaving else ""
         return (f"HTTP/1.1 200 OK\r\nRequest-Id: {rid}\r\n"
-                f"Response-Stamp: {self.name}\r\n{extra}")
+                f"Response-Stamp: {self.name}\r\n{leaving}{extra}")
 
     def answer_plain(self, req, rid):
         body = f"done by {self.name} for {rid}".encode()
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -618,6 +618,108 @@
 lapsed_entries.system_options = {"gateways": 2}
 
 
+def runs_elsewhere(s, leaver, path, count=8):
+    """Sends requests; returns how many the leaver received."""
+    before = len(leaver.received)
+    for _ in range(count):
+        check(send(s.gw.front, path).status == 200, "served elsewhere")
+    return len(leaver.received) - before
+
+
+def said_leaving(s):
+    """A replica that says in an answer that it leaves gets no more requests,
+    before the registry says so: said in an answer, on a refusal, and on the
+    head of a stream. After a restart under its id it is used again."""
+    plain = s.plains[0]
+    plain.leaving = True
+    while plain.received == []:
+        check(send(s.gw.front, "/order/1").status == 200, "order")
+    check(runs_elsewhere(s, plain, "/order/1") == 0, "after an answer")
+    plain.restart_empty()
+    wait_for("used again",
+             lambda: send(s.gw.front, "/order/1").status == 200 and
+             s.gw.state().count("usable=0") == 0)
+    wait_for("requests", lambda: runs_elsewhere(s, plain, "/lookup/1") > 0)
+    plain.leaving = True
+    plain.faults["not_run"] = 1
+    wait_for("a refusal", lambda: runs_elsewhere(s, plain, "/lookup/1") >= 1)
+    check(runs_elsewhere(s, plain, "/order/1") == 0, "after a refusal")
+    engine = s.engines[0]
+    engine.leaving = True
+    engine.event_interval_s = 0.1
+    drafts = [threading.Thread(target=send_draft, args=(s.gw, f"a{i}"))
+              for i in range(8)]
+    for draft in drafts:
+        draft.start()
+    wait_for("said", lambda: s.gw.log().count("event=said_leaving") >= 3)
+    before = len(engine.received)
+    for i in range(8):
+        a = send_draft(s.gw, f"a{i}")
+        check(has_all_events(a), f"draft: {a.status}")
+    check(len(engine.received) == before, "after a stream's head")
+    for draft in drafts:
+        draft.join()
+
+
+def asked_pause(s):
+    """A replica whose refusal asks for a pause gets no request for that long.
+    When all ask for one, callers are refused at once, with the time after
+    which to come back."""
+    one, two = s.plains
+    one.pause_text = "1.2"
+    one.faults["pause"] = 1
+    while one.faults["pause"] == 1:
+        check(send(s.gw.front, "/order/1").status == 200, "elsewhere")
+    begin = time.monotonic()
+    before = len(one.received)
+    while time.monotonic() - begin < 1.0:
+        check(send(s.gw.front, "/lookup/1").status == 200, "elsewhere")
+    check(len(one.received) == before, "request in the pause")
+    time.sleep(0.3)
+    two.pause_text = "1"
+    two.faults["pause"] = 1
+    while two.faults["pause"] == 1:
+        check(send(s.gw.front, "/order/1").status == 200, "elsewhere")
+    check(len(one.received) > before, "not used after the pause")
+    time.sleep(1.1)
+    for plain in (one, two):
+        plain.pause_text = "3"
+        plain.faults["pause"] = 1
+    wait_for("both ask", lambda: (send(s.gw.front, "/order/1"),
+                                  s.gw.log().count("event=paused") >= 4)[1])
+    begin = time.monotonic()
+    a = send(s.gw.front, "/order/1")
+    took = time.monotonic() - begin
+    check(a.status == 503 and took < 0.5, f"{a.status} after {took:.2f} s")
+    check(2 < float(a.headers["Retry-After"]) < 3.6, f"{a.headers}")
+    time.sleep(float(a.headers["Retry-After"]))
+    check(send(s.gw.front, "/order/1").status == 200, "after the pause")
+
+
+def bad_pause(s):
+    """A Retry-After that is no number of seconds has no effect; zero is no
+    pause; an hour is cut to a minute."""
+    one = s.plains[0]
+    for text in ("soon", "-3", "1e9x", "", "0", "0.0"):
+        one.pause_text = text
+        one.faults["pause"] = 1
+        while one.faults["pause"] == 1:
+            send(s.gw.front, "/order/1")
+        check(send(s.gw.front, "/order/1").status == 200, f"{text!r} pauses")
+    check(s.gw.log().count("event=pause_refused") == 4, "logged")
+    one.pause_text = "3600"
+    one.faults["pause"] = 1
+    while one.faults["pause"] == 1:
+        send(s.gw.front, "/order/1")
+    check("event=pause_cut" in s.gw.log(), "not cut")
+    a = send(s.gw.front, "/order/1")
+    check(a.status == 503, f"in the pause: {a.status}")
+    check(50 < float(a.headers["Retry-After"]) < 61, f"{a.headers}")
+
+
+bad_pause.system_options = {"plains": 1}
+
+
 def crashing_request(s):
     """A request that crashes every replica is refused after three crashes, at
     both instances."""
@@ -738,7 +840,8 @@
     rows_of_others, draining_replica, address_reused,
     engine_restarts_empty, order_without_answer, version_announced,
     two_instances, paused_holder, asks_owners, one_reader,
-    reader_paused, reader_cut, lapsed_entries, crashing_request,
+    reader_paused, reader_cut, lapsed_entries, said_leaving, asked_pause,
+    bad_pause, crashing_request,
     request_lines, bad_input, settings_change,
 ]
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -126,6 +126,96 @@
 	fg_fleet_free(f);
 }
 
+/* Entries that a restored registry has lost count as lapsed. */
+static void test_registry_restored(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_ep(f, 1000, "e1", false);
+
+	fg_fleet_registry_restored(f, 2000);
+	fg_fleet_read_begin(f);
+	fg_fleet_read_end(f, 2100);
+	g_assert_true(fg_ep_is_usable(ep, 2100));
+	g_assert_false(fg_ep_is_usable(ep, 2000 + FG_FLEET_LAPSE_GRACE_MS));
+	fg_fleet_free(f);
+}
+
+static struct fg_fleet_ep *put_born(struct fg_fleet *f, fg_ms now,
+				    uint64_t born, bool draining)
+{
+	struct fg_ep_facts facts = { .draining = draining,
+				     .slots = 6,
+				     .born = born };
+
+	g_strlcpy(facts.id, "e1", sizeof(facts.id));
+	g_strlcpy(facts.service, "s", sizeof(facts.service));
+	g_strlcpy(facts.address, "10.0.0.1:80", sizeof(facts.address));
+	g_strlcpy(facts.dc, "east", sizeof(facts.dc));
+	return fg_fleet_put(f, now, &facts);
+}
+
+/* An entry from an older copy of the registry does not bring an endpoint back
+ * that was leaving; a restart under the same id does. */
+static void test_leaving_is_final(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_born(f, 1000, 7, true);
+
+	put_born(f, 1100, 7, false);
+	g_assert_false(fg_ep_is_usable(ep, 1100));
+	put_born(f, 1200, 8, false);
+	g_assert_true(fg_ep_is_usable(ep, 1200));
+	fg_fleet_free(f);
+}
+
+/* Leaving said in an answer counts before the registry says so. */
+static void test_said_leaving(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_born(f, 1000, 7, false);
+
+	g_assert_true(fg_ep_mark_leaving(ep));
+	g_assert_false(fg_ep_mark_leaving(ep));
+	g_assert_false(fg_ep_accepts(ep, 1000));
+	put_born(f, 1100, 7, false);
+	g_assert_false(fg_ep_accepts(ep, 1100));
+	/* Its removal in an outage is no lapse. */
+	fg_fleet_registry_restored(f, 1200);
+	fg_fleet_remove(f, 1300, "e1");
+	g_assert_false(fg_ep_accepts(ep, 1300));
+	put_born(f, 1400, 9, false);
+	g_assert_true(fg_ep_accepts(ep, 1400));
+	fg_fleet_free(f);
+}
+
+static void test_pause(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_born(f, 1000, 7, false);
+
+	g_assert_cmpuint(fg_fleet_pause_left_ms(f, 1000, "s"), ==, 0);
+	g_assert_cmpuint(fg_fleet_pause_left_ms(f, 1000, "t"), ==, UINT32_MAX);
+	g_assert_true(fg_ep_pause(ep, 1000, 1500));
+	g_assert_true(fg_ep_is_usable(ep, 1000));
+	g_assert_false(fg_ep_accepts(ep, 2499));
+	g_assert_true(fg_ep_accepts(ep, 2500));
+	g_assert_cmpuint(fg_fleet_pause_left_ms(f, 2000, "s"), ==, 500);
+	/* A shorter pause does not end an earlier one, zero is none, and an
+	 * hour is cut. */
+	g_assert_false(fg_ep_pause(ep, 1100, 100));
+	g_assert_false(fg_ep_pause(ep, 1000, 0));
+	g_assert_true(fg_ep_pause(ep, 3000, 3600 * 1000));
+	g_assert_false(fg_ep_accepts(ep, 3000 + FG_EP_PAUSE_MAX_MS - 1));
+	g_assert_true(fg_ep_accepts(ep, 3000 + FG_EP_PAUSE_MAX_MS));
+	/* The shortest pause of the service counts. */
+	put_ep(f, 4000, "e2", false);
+	g_assert_cmpuint(fg_fleet_pause_left_ms(f, 4000, "s"), ==, 0);
+	/* A restarted endpoint has asked for nothing. */
+	put_born(f, 5000, 8, false);
+	g_assert_true(fg_ep_accepts(ep, 5000));
+	fg_fleet_free(f);
+}
+
 static void test_draining_does_not_lapse(void)
 {
 	struct fg_fleet *f = fleet_new();
@@ -449,6 +539,10 @@
 			test_outage_after_relayed_answer);
 	g_test_add_func("/fleet/short_failure_is_no_outage",
 			test_short_failure_is_no_outage);
+	g_test_add_func("/fleet/registry_restored", test_registry_restored);
+	g_test_add_func("/fleet/leaving_is_final", test_leaving_is_final);
+	g_test_add_func("/fleet/said_leaving", test_said_leaving);
+	g_test_add_func("/fleet/pause", test_pause);
 	g_test_add_func("/fleet/leaving", test_leaving_is_not_usable);
 	g_test_add_func("/fleet/lapse", test_lapse_in_outage);
 	g_test_add_func("/fleet/lapse_of_draining",
