--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -63,6 +63,14 @@
 	fg_counter_add(fg_metrics_counter(gw->metrics, full, labels, name), 1);
 }
 
+void fg_gw_add_counter(struct fg_gateway *gw, const char *name, uint64_t n)
+{
+	char full[64];
+
+	g_snprintf(full, sizeof(full), "fg_gw_%s_total", name);
+	fg_counter_add(fg_metrics_counter(gw->metrics, full, NULL, name), n);
+}
+
 uint64_t fg_gw_announced_version(const struct fg_gateway *gw, uint64_t key,
 				 fg_ms now, fg_ms *age_ms)
 {
@@ -194,6 +202,9 @@
 	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
 	fg_gw_mesh_send_heartbeat(gw);
 	gw->far_heartbeat_at = 0;
+	/* Releases engines at once. */
+	gw->next_tx_at = now;
+	fg_sync_tick(gw, now);
 }
 
 static void close_listeners(struct fg_gateway *gw)
@@ -255,6 +266,7 @@
 	fg_ms now = fg_clock_now();
 
 	check_pause(gw, now);
+	fg_orders_count_waits(gw, now, now - gw->last_tick_at);
 	gw->last_tick_at = now;
 	fg_fleet_tick(gw->fleet, now);
 	fg_caller_sweep(gw, now);
@@ -350,6 +362,13 @@
 static void init_members(struct fg_gateway *gw)
 {
 	struct fg_peer_row self = { .incarnation = gw->incarnation };
+	struct fg_claims_conf claims = {
+		.incarnation = gw->incarnation,
+		.name = gw->conf->name,
+		.started_at = gw->started_at,
+		.fences_checked = gw->conf->fences_checked,
+		.turn_ms = gw->conf->turn_ms,
+	};
 
 	g_strlcpy(self.name, gw->conf->name, sizeof(self.name));
 	g_strlcpy(self.region, gw->conf->region, sizeof(self.region));
@@ -361,7 +380,7 @@
 	gw->announced_versions = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, NULL, g_free);
 	gw->fleet = fg_fleet_new(dc_region, on_endpoint_dropped, gw);
-	gw->claims = fg_claims_new(gw->incarnation);
+	gw->claims = fg_claims_new(&claims);
 	gw->peers = fg_peers_new(&self);
 	gw->popularity = fg_popularity_new(POPULARITY_HALF_LIFE_MS);
 	gw->suspects = fg_suspects_new(&suspects_conf);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -8,6 +8,7 @@
  *   fg_gw_send.c     one send of a request to an endpoint
  *   fg_gw_answer.c   forwarding of an endpoint's answer to the caller
  *   fg_gw_sync.c     change feeds of the store's tables
+ *   fg_gw_era.c      eras of the store, proofs of ownership
  *   fg_gw_rows.c     decoding and applying rows of these tables
  *   fg_gw_relay.c    rows taken from and served to neighbours
  *   fg_gw_own.c      rows that this instance writes
@@ -22,6 +23,7 @@
 #ifndef FG_GATEWAY_INTERNAL_H
 #define FG_GATEWAY_INTERNAL_H
 
+#include <errno.h>
 #include <uv.h>
 
 #include "admit/fg_admit.h"
@@ -30,6 +32,7 @@
 #include "base/fg_clock.h"
 #include "base/fg_rand.h"
 #include "claim/fg_claim.h"
+#include "era/fg_era.h"
 #include "fleet/fg_fleet.h"
 #include "fleet/fg_health.h"
 #include "fleet/fg_uses.h"
@@ -354,10 +357,12 @@
 	uint64_t full_read_version; /* of the first page of a full read */
 	char *next_key;		    /* of a full read */
 	bool in_full_read;
-	bool full_read_done; /* at least one is complete */
-	fg_ms sent_at;	     /* last call to the store */
-	fg_ms confirmed_at;  /* last answer of the store, here or at a reader */
-	uint32_t failures;   /* calls that failed in a row */
+	bool restart_full_read; /* the call in flight is not part of it */
+	bool full_read_done;	/* at least one is complete */
+	fg_ms sent_at;		/* last call to the store */
+	fg_ms read_since;	/* the same, or the first call of a full read */
+	fg_ms confirmed_at; /* last answer of the store, here or at a reader */
+	uint32_t failures;  /* calls that failed in a row */
 	uint32_t store_calls;
 };
 
@@ -379,6 +384,41 @@
 /* Reads from the store what the feed lacks, after any call in flight. */
 void fg_sync_read_store(struct fg_feed *f);
 
+/* Reads the whole table again with the next call. */
+void fg_sync_start_full_read(struct fg_feed *f);
+
+/* Applies changes of the own table that the store returned for a call sent at
+ * `sent_at`. */
+void fg_sync_apply_own(struct fg_gateway *gw, const struct fg_store_rows *rows,
+		       fg_ms sent_at);
+
+/* ---- Eras and proofs ---- */
+
+/* Results of the head hook of store channels. */
+enum fg_store_answer {
+	FG_STORE_ANSWER_USABLE = 0,
+	FG_STORE_ANSWER_REFUSED = 1,
+};
+
+/* Creates a channel to the store, whose answers are checked for their era. */
+struct fg_channel *fg_gw_store_channel_new(struct fg_gateway *gw);
+
+/* Returns whether the answer with this status may be used. */
+bool fg_gw_store_answer_usable(const struct fg_channel *c, unsigned int status);
+
+/* Another instance knows a row of this version. */
+void fg_gw_era_on_version(struct fg_gateway *gw, uint64_t version);
+
+/* All rows that the own table held at `when`, by a call of this instance, have
+ * been applied. */
+void fg_gw_prove(struct fg_gateway *gw, fg_ms when);
+
+/* Returns the time since the last such call; UINT32_MAX: none in this era. */
+uint32_t fg_gw_own_read_age_ms(const struct fg_gateway *gw, fg_ms now);
+
+/* Asks the store for a proof when the last one is getting old. */
+void fg_gw_proof_tick(struct fg_gateway *gw, fg_ms now);
+
 /* Applies rows that a neighbour served. */
 void fg_sync_apply_relayed(struct fg_feed *f, const struct fg_store_rows *rows,
 			   fg_ms now);
@@ -421,6 +461,10 @@
  * say, and refreshes what is known of the engines ordered here. */
 void fg_orders_refresh(struct fg_gateway *gw, fg_ms now);
 
+/* Adds elapsed_ms for each engine that has no live owner, and for each engine
+ * owned here that may get no order now, to the metrics. */
+void fg_orders_count_waits(struct fg_gateway *gw, fg_ms now, fg_ms elapsed_ms);
+
 /* Requests a load of the adapter at `ep`, here or from its owner. Returns the
  * state of the adapter there: FG_SLOT_PENDING also when another instance is the
  * owner and was asked, FG_SLOT_FULL also when no owner is known. */
@@ -540,6 +584,14 @@
 	bool claims_current; /* the instances' table was read since the process
 				was last paused; orders and claims require it */
 	fg_ms next_tx_at;    /* earliest time of the next transaction */
+	fg_ms tx_sent_at;    /* last transaction */
+	uint64_t tx_era;     /* when it was sent */
+	struct fg_era era;
+	GPtrArray *era_sources;		  /* of the store channels, owned */
+	struct fg_channel *proof_channel; /* to the store */
+	fg_ms proof_sent_at;		  /* last call for a proof */
+	fg_ms proving_since; /* there has been a valid proof since; 0: none */
+	fg_ms own_read_at;   /* last answered read of the own table; 0: none */
 
 	struct fg_routes *routes;  /* NULL before the first configuration */
 	fg_ms config_behind_since; /* another instance read more; 0: none */
@@ -581,6 +633,9 @@
 void fg_gw_count_event(struct fg_gateway *gw, const char *name,
 		       const char *labels);
 
+/* Adds to the counter fg_gw_NAME_total. */
+void fg_gw_add_counter(struct fg_gateway *gw, const char *name, uint64_t n);
+
 /* Newest announced version of an adapter, 0 when there is none. *age_ms is the
  * time since it was read. */
 uint64_t fg_gw_announced_version(const struct fg_gateway *gw, uint64_t key,
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -17,6 +17,11 @@
 /* A requested load is dropped when it was not requested again for this long. */
 #define LOAD_REQUEST_TTL_MS 1500
 
+/* No order is sent when the periodic tick is this late. */
+#define TICK_LATE_MS 400
+/* Loads are refused while the engine gets no order for longer than this. */
+#define ORDER_WAIT_MAX_MS 500
+
 static void send_next_message(struct fg_ep_local *local);
 
 /* ---- Resident adapters ---- */
@@ -55,6 +60,14 @@
 	return n;
 }
 
+/* Time until orders may be sent to the engine, at most FG_CLAIM_TAKEOVER_MS. */
+static uint32_t order_wait_ms(const struct fg_ep_local *local, fg_ms now)
+{
+	return MIN(fg_claims_order_wait_ms(local->gw->claims, now,
+					   local->ep->facts.id),
+		   FG_CLAIM_TAKEOVER_MS);
+}
+
 /* Copies the state of the slots into the endpoint's record. Returns true when
  * the resident adapters changed. */
 static bool update_resident(struct fg_ep_local *local, fg_ms now)
@@ -81,7 +94,8 @@
 	ep->queue = fg_slots_queue_len(local->slots);
 	running = count_fetches(local->gw, &waiting);
 	ep->fetch_wait_ms =
-		fg_loadgate_wait_ms(&local->gw->loadgate, running, waiting);
+		MAX(fg_loadgate_wait_ms(&local->gw->loadgate, running, waiting),
+		    order_wait_ms(local, now));
 	if (same == n && before == n)
 		return false;
 	fg_ep_set_resident(ep, now, held, n);
@@ -206,6 +220,7 @@
 
 	fg_gw_count_event(local->gw, "orders",
 			  order.load ? "kind=\"load\"" : "kind=\"unload\"");
+	fg_claims_note_order(gw->claims, fg_clock_now(), local->ep->facts.id);
 	fg_log(FG_LOG_DEBUG, "orders", order.load ? "load" : "unload",
 	       "endpoint", local->ep->facts.id, "adapter", step->adapter, NULL);
 	fg_channel_send(local->channel,
@@ -213,6 +228,18 @@
 			ORDER_TIMEOUT_MS, on_order, local);
 }
 
+/* The first check covers a pause of this process that no tick has noticed yet:
+ * another instance may have taken the engine over meanwhile. */
+static bool may_order(const struct fg_ep_local *local, fg_ms now)
+{
+	const struct fg_gateway *gw = local->gw;
+
+	return now - gw->last_tick_at < TICK_LATE_MS && gw->claims_current &&
+	       now >= local->ep->paused_until &&
+	       fg_claims_order_wait_ms(gw->claims, now, local->ep->facts.id) ==
+		       0;
+}
+
 static void on_wake_timer(uv_timer_t *timer)
 {
 	send_next_message(timer->data);
@@ -225,7 +252,7 @@
 	uint32_t waiting;
 
 	if (local->slots == NULL || fg_channel_is_busy(local->channel) ||
-	    !local->gw->claims_current || now < local->ep->paused_until)
+	    !may_order(local, now))
 		return;
 	step = fg_slots_next(
 		local->slots, now,
@@ -372,6 +399,57 @@
 		ep->owner = 0;
 }
 
+/* Returns whether this instance no longer orders at the engine with the fencing
+ * number that it used, or at another start of the engine. */
+static bool has_ended(const struct fg_ep_local *local, uint64_t fence,
+		      fg_ms now)
+{
+	const char *reason = NULL;
+	char owner[20];
+	char proof[12];
+
+	if (has_restarted(local))
+		reason = "endpoint_restarted";
+	else if (fence == 0)
+		reason = "not_owner";
+	else if (fence != local->fence)
+		reason = "fence_changed";
+	if (reason == NULL)
+		return false;
+	g_snprintf(owner, sizeof(owner), "%016llx",
+		   (unsigned long long)fg_claims_owner(local->gw->claims,
+						       local->ep->facts.id));
+	g_snprintf(proof, sizeof(proof), "%d",
+		   (int)fg_claims_proof_age_ms(local->gw->claims, now));
+	fg_log(FG_LOG_INFO, "orders", "orders_end", "endpoint",
+	       local->ep->facts.id, "reason", reason, "owner", owner,
+	       "proof_age_ms", proof, NULL);
+	return true;
+}
+
+void fg_orders_count_waits(struct fg_gateway *gw, fg_ms now, fg_ms elapsed_ms)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	uint64_t unowned_ms = 0;
+	uint64_t held_ms = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_fleet_ep *ep = all->pdata[i];
+		const struct fg_ep_local *local = ep->user;
+
+		if (!fg_ep_is_usable(ep, now) || engine_service(gw, ep) == NULL)
+			continue;
+		if (ep->owner == 0)
+			unowned_ms += (uint64_t)elapsed_ms;
+		else if (local != NULL && local->slots != NULL &&
+			 fg_claims_order_wait_ms(gw->claims, now,
+						 ep->facts.id) != 0)
+			held_ms += (uint64_t)elapsed_ms;
+	}
+	fg_gw_add_counter(gw, "engine_unowned_ms", unowned_ms);
+	fg_gw_add_counter(gw, "engine_held_ms", held_ms);
+}
+
 void fg_orders_refresh(struct fg_gateway *gw, fg_ms now)
 {
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
@@ -386,7 +464,7 @@
 			continue;
 		update_owner(gw, ep, now);
 		if (local != NULL && local->slots != NULL &&
-		    (fence != local->fence || has_restarted(local)))
+		    has_ended(local, fence, now))
 			fg_orders_release(local);
 		if (fence == 0 || !fg_ep_is_usable(ep, now)) {
 			if (local != NULL)
@@ -413,8 +491,15 @@
 	enum fg_slot_state state;
 
 	if (local->slots != NULL) {
-		state = fg_slots_request_load(local->slots, fg_clock_now(),
-					      model, adapter, version);
+		fg_ms now = fg_clock_now();
+
+		if (order_wait_ms(local, now) > ORDER_WAIT_MAX_MS &&
+		    fg_slots_state(local->slots,
+				   fg_adapter_key(model, adapter)) ==
+			    FG_SLOT_ABSENT)
+			return FG_SLOT_FULL;
+		state = fg_slots_request_load(local->slots, now, model, adapter,
+					      version);
 		send_next_message(local);
 		return state;
 	}
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -1,4 +1,5 @@
-/* Rows that this instance writes: its own row, and its claims of engines. */
+/* Rows that this instance writes: its own row, and its claims and releases of
+ * engines. */
 #include "gateway/fg_gateway_internal.h"
 
 /* A transaction takes 5 ms; after this timeout its result counts as
@@ -9,6 +10,8 @@
 /* Wait before the first claim, in which heartbeats of the other instances
  * arrive. */
 #define CLAIM_AFTER_MS 700
+/* Time without a proof after which an instance loses its engines. */
+#define UNPROVEN_MAX_MS 2000
 
 static void on_own_row_written(void *ctx, unsigned int status, const char *body,
 			       size_t len)
@@ -18,7 +21,10 @@
 	(void)body;
 	(void)len;
 	gw->next_tx_at = fg_clock_now() + TX_GAP_MS;
-	gw->own_row_written = status == HTTP_STATUS_OK;
+	/* A row written in an earlier era may be lost. */
+	gw->own_row_written = status == HTTP_STATUS_OK &&
+			      gw->tx_era == gw->era.known &&
+			      fg_gw_store_answer_usable(gw->tx_channel, status);
 	if (!gw->own_row_written)
 		fg_log(FG_LOG_WARN, "sync", "own_row_not_written", NULL);
 }
@@ -27,6 +33,8 @@
 		    uint32_t n, fg_channel_done_fn done)
 {
 	fg_gw_count_event(gw, "store_calls", NULL);
+	gw->tx_sent_at = fg_clock_now();
+	gw->tx_era = gw->era.known;
 	fg_channel_send(gw->tx_channel,
 			gw->wire->rows_tx(gw->conf->store, rows, n),
 			TX_TIMEOUT_MS, done, gw);
@@ -51,28 +59,84 @@
 	g_free(value);
 }
 
+static const char *claim_event(const struct fg_claim_write *w)
+{
+	if (w->release)
+		return "released";
+	return w->settle ? "settled" : "claimed";
+}
+
+static void log_claim(const struct fg_gateway *gw,
+		      const struct fg_claim_write *w, unsigned int status,
+		      fg_ms now)
+{
+	char code[12];
+	char wait[12];
+	char proof[12];
+	char took[24];
+
+	g_snprintf(code, sizeof(code), "%u", status);
+	g_snprintf(wait, sizeof(wait), "%u", w->wait_ms);
+	g_snprintf(proof, sizeof(proof), "%u",
+		   fg_claims_proof_age_ms(gw->claims, now));
+	g_snprintf(took, sizeof(took), "%lld",
+		   (long long)(now - gw->tx_sent_at));
+	fg_log(FG_LOG_INFO, "orders", claim_event(w), "endpoint",
+	       w->endpoint_id, "status", code, "row", w->value, "wait_ms", wait,
+	       "proof_age_ms", proof, "took_ms", took, NULL);
+}
+
+static void count_claim(struct fg_gateway *gw, const struct fg_claim_write *w,
+			unsigned int status)
+{
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "event=\"%s\",outcome=\"%s\"",
+		   claim_event(w),
+		   status == HTTP_STATUS_OK		       ? "written"
+		   : status == HTTP_STATUS_PRECONDITION_FAILED ? "conflict"
+							       : "unknown");
+	fg_gw_count_event(gw, "claims", labels);
+}
+
 static void on_claims_written(void *ctx, unsigned int status, const char *body,
 			      size_t len)
 {
 	struct fg_gateway *gw = ctx;
 	fg_ms now = fg_clock_now();
 	struct fg_store_rows rows = { 0 };
-	char count[12];
-	char code[12];
 
 	gw->next_tx_at = now + TX_GAP_MS;
-	if (status == HTTP_STATUS_OK &&
-	    gw->wire->rows_read(body, len, &rows, NULL))
+	/* What was written in an earlier era may be lost. */
+	if (status == HTTP_STATUS_OK && gw->tx_era == gw->era.known &&
+	    fg_gw_store_answer_usable(gw->tx_channel, status) &&
+	    gw->wire->rows_read(body, len, &rows, NULL)) {
+		fg_store_rows_set_era(&rows, gw->era.known);
 		fg_claims_handle_result(gw->claims, now, gw->claiming,
-					gw->n_claiming, rows.version);
+					gw->n_claiming, rows.version,
+					gw->tx_sent_at);
+	}
 	fg_store_rows_clear(&rows);
-	g_snprintf(count, sizeof(count), "%u", gw->n_claiming);
-	g_snprintf(code, sizeof(code), "%u", status);
-	fg_log(FG_LOG_INFO, "orders", "claimed", "engines", count, "status",
-	       code, NULL);
+	for (uint32_t i = 0; i < gw->n_claiming; i++) {
+		log_claim(gw, &gw->claiming[i], status, now);
+		count_claim(gw, &gw->claiming[i], status);
+	}
 	fg_orders_refresh(gw, now);
 }
 
+/* Where fencing numbers are not checked, an instance without proofs may not
+ * order. It no longer counts as the owner of its engines when it stays without
+ * proofs while this instance has them. */
+static bool can_order(const struct fg_gateway *gw, const struct fg_mesh_peer *p,
+		      fg_ms now)
+{
+	if (gw->conf->fences_checked || p->unproven_since == 0 ||
+	    gw->proving_since == 0)
+		return true;
+	return now - MAX(p->unproven_since, gw->proving_since) <
+	       UNPROVEN_MAX_MS;
+}
+
 static uint32_t list_candidates(struct fg_gateway *gw, fg_ms now,
 				struct fg_claim_candidate *out, uint32_t max)
 {
@@ -83,6 +147,7 @@
 		out[n++] = (struct fg_claim_candidate){
 			.incarnation = gw->incarnation,
 			.hash = fg_hash_str(gw->conf->name),
+			.name = gw->conf->name,
 			.dc = gw->conf->dc,
 			.region = gw->conf->region,
 			.self = true,
@@ -91,13 +156,16 @@
 	for (guint i = 0; i < peers->len && n < max; i++) {
 		const struct fg_mesh_peer *p = peers->pdata[i];
 
-		if (!fg_peer_is_alive(p, now) || p->state == FG_MESH_LEAVING)
+		if (!fg_peer_is_alive(p, now) || !can_order(gw, p, now))
 			continue;
 		out[n++] = (struct fg_claim_candidate){
 			.incarnation = p->row.incarnation,
 			.hash = p->hash,
+			.name = p->row.name,
 			.dc = p->row.dc,
 			.region = p->row.region,
+			.row_version = p->row.version,
+			.leaving = p->state == FG_MESH_LEAVING,
 		};
 	}
 	return n;
@@ -135,7 +203,6 @@
 	uint32_t n_live = list_candidates(gw, now, live, CANDIDATES_MAX);
 	GPtrArray *eps = usable_engines(gw, now);
 	struct fg_tx_row rows[FG_CLAIM_BATCH_MAX];
-	char *value = fg_claims_format_value(gw->claims, gw->conf->name);
 
 	gw->n_claiming = fg_claims_select(
 		gw->claims, now, (struct fg_fleet_ep *const *)eps->pdata,
@@ -145,16 +212,15 @@
 			.table = FG_SYNC_TABLE_OWN,
 			.key = g_strconcat(FG_SYNC_KEY_OWNER,
 					   gw->claiming[i].endpoint_id, NULL),
-			.value = value,
+			.value = gw->claiming[i].value,
 			.conditional = true,
-			.expected = gw->claiming[i].expected,
+			.expected = fg_store_number(gw->claiming[i].expected),
 		};
 	}
 	if (gw->n_claiming > 0)
 		send_tx(gw, rows, gw->n_claiming, on_claims_written);
 	for (uint32_t i = 0; i < gw->n_claiming; i++)
 		g_free((char *)rows[i].key);
-	g_free(value);
 	g_ptr_array_unref(eps);
 	g_free(live);
 }
@@ -164,15 +230,16 @@
 	const struct fg_feed *own = &gw->feeds[FG_FEED_OWN];
 
 	fg_gw_relay_follow(gw, now);
+	fg_gw_proof_tick(gw, now);
 	if (fg_channel_is_busy(gw->tx_channel) || now < gw->next_tx_at)
 		return;
-	if (!gw->own_row_written) {
+	if (!gw->own_row_written && !gw->stopping) {
 		fg_sync_write_own_row(gw);
 		return;
 	}
 	if (gw->own_table_known_at == 0 ||
 	    now - gw->own_table_known_at < CLAIM_AFTER_MS ||
-	    !gw->claims_current || own->failures > 0 || gw->stopping)
+	    !gw->claims_current || own->failures > 0 || own->in_full_read)
 		return;
 	claim_engines(gw, now);
 }
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -97,13 +97,17 @@
 			out,
 			"endpoint %s service=%s address=%s usable=%d listed=%d "
 			"running=%u+%u pending_tokens=%u+%u errors=%.2f "
-			"slowness=%.2f fence=%llu spare_age_ms=%u adapters=",
+			"slowness=%.2f fence=%llu spare_age_ms=%u "
+			"paused_ms=%lld order_wait_ms=%lld adapters=",
 			ep->facts.id, ep->facts.service, ep->facts.address,
 			fg_ep_is_usable(ep, now), ep->listed, ep->running,
 			ep->peers_running, ep->pending_tokens,
 			ep->peers_pending_tokens, ep->error_rate, ep->slowness,
 			(unsigned long long)(local == NULL ? 0 : local->fence),
-			ep->spare_age_ms);
+			ep->spare_age_ms,
+			(long long)MAX(ep->paused_until - now, 0),
+			(long long)(int32_t)fg_claims_order_wait_ms(
+				gw->claims, now, ep->facts.id));
 		for (uint32_t k = 0; k < ep->n_adapters; k++) {
 			if (ep->adapters[k].version != 0)
 				g_string_append_printf(
@@ -153,12 +157,15 @@
 	g_string_append_printf(
 		out,
 		"instance %s region=%s ready=%d stopping=%d reads_store=%d "
-		"configuration=%llu requests=%u callers=%u\n",
+		"configuration=%llu requests=%u callers=%u era=%llu "
+		"proof_age_ms=%lld\n",
 		gw->conf->name, gw->conf->region, fg_gateway_ready(gw),
 		gw->stopping, gw->reader == 0,
 		(unsigned long long)(gw->routes == NULL ? 0
 							: gw->routes->version),
-		gw->reqs->len, gw->callers->len);
+		gw->reqs->len, gw->callers->len,
+		(unsigned long long)gw->era.known,
+		(long long)(int32_t)fg_claims_proof_age_ms(gw->claims, now));
 	for (int i = 0; i < FG_FEED_COUNT; i++)
 		g_string_append_printf(
 			out,
--- a/lib/gateway/fg_gw_relay.c
+++ b/lib/gateway/fg_gw_relay.c
@@ -142,9 +142,28 @@
 		follow_reader(&gw->feeds[i], peer);
 }
 
+/* A read of the own table by the sender proves the claims known here when all
+ * rows that it returned are known here too. */
+static void take_proof(struct fg_gateway *gw, const struct fg_mesh_peer *peer,
+		       fg_ms now)
+{
+	const struct fg_feed *own = &gw->feeds[FG_FEED_OWN];
+
+	if (!own->full_read_done || own->in_full_read ||
+	    peer->store_at != now ||
+	    peer->store.own_age_ms >= FG_CLAIM_PROOF_MAX_MS ||
+	    peer->store.feeds[FG_FEED_OWN].newest > own->synced_version)
+		return;
+	fg_claims_prove(gw->claims, now - (fg_ms)peer->store.own_age_ms -
+					    peer->excess_delay_ms);
+}
+
 void fg_gw_relay_on_heartbeat(struct fg_gateway *gw,
 			      const struct fg_mesh_peer *peer, fg_ms now)
 {
+	for (int i = 0; i < FG_FEED_COUNT; i++)
+		fg_gw_era_on_version(gw, peer->store.feeds[i].read);
+	take_proof(gw, peer, now);
 	if (peer->row.incarnation != gw->reader)
 		return;
 	if (peer->store.age_ms == FG_MESH_STORE_LOST)
@@ -181,6 +200,10 @@
 	out->age_ms = registry->failures > 0
 			      ? FG_MESH_STORE_LOST
 			      : (uint32_t)(now - registry->confirmed_at);
+	out->own_age_ms = fg_gw_own_read_age_ms(gw, now);
+	out->proves =
+		fg_claims_proof_age_ms(gw->claims, now) < FG_CLAIM_PROOF_MAX_MS;
+	out->sent_at = (uint64_t)now;
 	for (int i = 0; i < FG_FEED_COUNT; i++) {
 		out->feeds[i].newest = gw->feeds[i].newest_version;
 		out->feeds[i].read = gw->feeds[i].synced_version;
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -160,14 +160,16 @@
 	}
 	if (!g_str_has_prefix(row->key, FG_SYNC_KEY_INSTANCE))
 		return;
-	if (row->removed || row->value == NULL)
+	if (row->removed || row->value == NULL) {
 		fg_peers_remove(gw->peers,
 				row->key + strlen(FG_SYNC_KEY_INSTANCE));
-	else if (fg_peer_row_parse(row->key + strlen(FG_SYNC_KEY_INSTANCE),
-				   row->value, &peer))
+	} else if (fg_peer_row_parse(row->key + strlen(FG_SYNC_KEY_INSTANCE),
+				     row->value, &peer)) {
+		peer.version = row->version;
 		fg_peers_put(gw->peers, now, &peer);
-	else
+	} else {
 		log_refused_row("instance_row_refused", row, NULL);
+	}
 }
 
 bool fg_sync_apply_row(struct fg_feed *f, const struct fg_store_row *row,
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -120,9 +120,10 @@
 	uv_timer_start(f->timer, on_timer, (uint64_t)MAX(delay_ms, 0), 0);
 }
 
-static void start_full_read(struct fg_feed *f)
+void fg_sync_start_full_read(struct fg_feed *f)
 {
 	f->in_full_read = true;
+	f->restart_full_read = true;
 	g_free(f->next_key);
 	f->next_key = NULL;
 }
@@ -209,6 +210,8 @@
 static void finish_read(struct fg_feed *f, fg_ms now)
 {
 	fg_sync_mark_confirmed(f, now);
+	if (f->id == FG_FEED_OWN && !f->in_full_read)
+		fg_gw_prove(f->gw, f->read_since);
 	fg_orders_refresh(f->gw, now);
 	if (f->in_full_read)
 		send_next(f);
@@ -224,10 +227,14 @@
 	struct fg_store_rows rows;
 	GError *why = NULL;
 
+	if (!fg_gw_store_answer_usable(f->channel, status)) {
+		handle_failure(f, 0, now);
+		return;
+	}
 	if (status == HTTP_STATUS_GONE) {
 		fg_log(FG_LOG_INFO, "sync", "history_dropped", "table",
 		       f->table, NULL);
-		start_full_read(f);
+		fg_sync_start_full_read(f);
 		send_next(f);
 		return;
 	}
@@ -244,6 +251,12 @@
 	}
 	if (f->id == FG_FEED_REGISTRY)
 		fg_fleet_registry_up(f->gw->fleet, now, now);
+	fg_store_rows_set_era(&rows, f->gw->era.known);
+	if (f->restart_full_read) {
+		fg_store_rows_clear(&rows);
+		send_next(f);
+		return;
+	}
 	if (f->in_full_read)
 		apply_page(f, &rows, now);
 	else
@@ -288,7 +301,10 @@
 	     !f->read_store_once))
 		return;
 	f->read_store_once = false;
+	f->restart_full_read = false;
 	f->sent_at = fg_clock_now();
+	if (!f->in_full_read || f->next_key == NULL)
+		f->read_since = f->sent_at;
 	f->store_calls++;
 	fg_gw_count_event(f->gw, "store_calls", NULL);
 	if (f->in_full_read)
@@ -297,12 +313,24 @@
 						   f->next_key, PAGE_ROWS),
 				READ_TIMEOUT_MS, on_rows, f);
 	else
-		fg_channel_send(f->channel,
-				gw->wire->rows_feed(gw->conf->store, f->table,
-						    f->synced_version, wait_ms),
-				wait_ms == 0 ? READ_TIMEOUT_MS
-					     : wait_ms + FEED_GRACE_MS,
-				on_rows, f);
+		fg_channel_send(
+			f->channel,
+			gw->wire->rows_feed(gw->conf->store, f->table,
+					    fg_store_number(f->synced_version),
+					    wait_ms),
+			wait_ms == 0 ? READ_TIMEOUT_MS
+				     : wait_ms + FEED_GRACE_MS,
+			on_rows, f);
+}
+
+void fg_sync_apply_own(struct fg_gateway *gw, const struct fg_store_rows *rows,
+		       fg_ms sent_at)
+{
+	fg_ms now = fg_clock_now();
+
+	apply_changes(&gw->feeds[FG_FEED_OWN], rows, now);
+	fg_gw_prove(gw, sent_at);
+	fg_orders_refresh(gw, now);
 }
 
 void fg_sync_read_store(struct fg_feed *f)
@@ -349,17 +377,19 @@
 		[FG_FEED_OWN] = FG_SYNC_TABLE_OWN,
 	};
 
-	gw->tx_channel = fg_channel_new(&gw->loop, gw->conf->store);
+	gw->era_sources = g_ptr_array_new_with_free_func(g_free);
+	gw->tx_channel = fg_gw_store_channel_new(gw);
+	gw->proof_channel = fg_gw_store_channel_new(gw);
 	for (int i = 0; i < FG_FEED_COUNT; i++) {
 		struct fg_feed *f = &gw->feeds[i];
 
 		f->gw = gw;
 		f->id = (enum fg_feed_id)i;
 		f->table = tables[i];
-		f->channel = fg_channel_new(&gw->loop, gw->conf->store);
+		f->channel = fg_gw_store_channel_new(gw);
 		f->relay = fg_relay_new();
 		f->timer = fg_gw_timer_new(gw, f);
-		start_full_read(f);
+		fg_sync_start_full_read(f);
 		send_next(f);
 	}
 	fg_sync_write_own_row(gw);
@@ -377,4 +407,6 @@
 		g_free(f->next_key);
 	}
 	fg_channel_free(gw->tx_channel);
+	fg_channel_free(gw->proof_channel);
+	g_ptr_array_unref(gw->era_sources);
 }
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -22,6 +22,7 @@
 	char *log_level;
 	char *retry_ratio, *retry_slack, *stop_grace_s, *lookup_ttl_s;
 	char *version_ms, *drain_ms, *connections_max;
+	char *turn_ms, *fences_checked;
 	struct fg_gwconf_dc *dcs;
 	unsigned int dcs_count;
 };
@@ -63,6 +64,8 @@
 	TEXT_OPT(version_ms),
 	TEXT_OPT(drain_ms),
 	TEXT_OPT(connections_max),
+	TEXT_OPT(turn_ms),
+	TEXT_OPT(fences_checked),
 	CYAML_FIELD_SEQUENCE("data_centres", CYAML_FLAG_POINTER,
 			     struct raw_settings, dcs, &dc_schema, 0, DCS_MAX),
 	CYAML_FIELD_END,
@@ -140,6 +143,17 @@
 			  "error, warn, info or debug");
 }
 
+/* Reads "true" or "false"; absent or empty text counts as false. */
+static bool check_bool(GString *errors, const char *path, const char *key,
+		       const char *text)
+{
+	if (text == NULL || text[0] == '\0' || strcmp(text, "false") == 0)
+		return false;
+	if (strcmp(text, "true") != 0)
+		add_error(errors, path, key, text, "true or false");
+	return true;
+}
+
 static void check_dcs(const struct raw_settings *raw, struct fg_gwconf *c)
 {
 	c->dcs = g_new0(struct fg_gwconf_dc, raw->dcs_count);
@@ -165,6 +179,10 @@
 				     raw->version_ms, 1, 3600000, 5000);
 	c->drain_ms = check_number(errors, path, "drain_ms", raw->drain_ms, 1,
 				   3600000, 2500);
+	c->turn_ms = check_number(errors, path, "turn_ms", raw->turn_ms, 1,
+				  3600000, 3000);
+	c->fences_checked =
+		check_bool(errors, path, "fences_checked", raw->fences_checked);
 	c->connections_max =
 		check_number(errors, path, "connections_max",
 			     raw->connections_max, 1, 100000, 1024);
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -6,7 +6,7 @@
  * changes, and a request is repeated until it is answered.
  */
 
-const FG_MESH_FORMAT = 2;       /* first field of every packet */
+const FG_MESH_FORMAT = 3;       /* first field of every packet */
 const FG_MESH_NAME_MAX = 95;
 const FG_MESH_LIST_MAX = 64;
 const FG_MESH_ADAPTERS_MAX = 32;
@@ -59,6 +59,10 @@
 struct fg_mesh_store {          /* the sender's view of the store */
 	bool reads;             /* reads the store and relays rows to others */
 	unsigned int age_ms;    /* since the last answered registry read */
+	bool proves;            /* may order at the engines that it owns */
+	unsigned int own_age_ms; /* since the sending of the last answered read
+	                          * of the own table; UINT_MAX: none */
+	unsigned hyper sent_at;  /* by the sender's steady clock, in ms */
 	fg_mesh_feed feeds[FG_MESH_FEEDS];
 };
 
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -14,7 +14,7 @@
 extern "C" {
 #endif
 
-#define FG_MESH_FORMAT 2
+#define FG_MESH_FORMAT 3
 #define FG_MESH_NAME_MAX 95
 #define FG_MESH_LIST_MAX 64
 #define FG_MESH_ADAPTERS_MAX 32
@@ -72,6 +72,9 @@
 struct fg_mesh_store {
 	bool_t reads;
 	u_int age_ms;
+	bool_t proves;
+	u_int own_age_ms;
+	u_quad_t sent_at;
 	fg_mesh_feed feeds[FG_MESH_FEEDS];
 };
 typedef struct fg_mesh_store fg_mesh_store;
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -155,10 +155,67 @@
 	register int32_t *buf;
 
 	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->reads))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->proves))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->own_age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->reads);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_BOOL(buf, objp->proves);
+		IXDR_PUT_U_LONG(buf, objp->own_age_ms);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->sent_at))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
+			sizeof (fg_mesh_feed), (xdrproc_t) xdr_fg_mesh_feed))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->reads))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->proves))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->own_age_ms))
+				 return FALSE;
+
+		} else {
+		objp->reads = IXDR_GET_BOOL(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->proves = IXDR_GET_BOOL(buf);
+		objp->own_age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->sent_at))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
+			sizeof (fg_mesh_feed), (xdrproc_t) xdr_fg_mesh_feed))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_bool (xdrs, &objp->reads))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->proves))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->own_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sent_at))
+		 return FALSE;
 	 if (!xdr_vector (xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
 		sizeof (fg_mesh_feed), (xdrproc_t) xdr_fg_mesh_feed))
 		 return FALSE;
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -70,6 +70,8 @@
 	peer->seq = 0;
 	peer->state = FG_MESH_STARTING;
 	peer->store.reads = false;
+	peer->has_delta = false;
+	peer->unproven_since = 0;
 }
 
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row)
@@ -111,6 +113,14 @@
 	return NULL;
 }
 
+static void note_delay(struct fg_mesh_peer *peer, fg_ms delta_ms)
+{
+	if (!peer->has_delta || delta_ms < peer->min_delta_ms)
+		peer->min_delta_ms = delta_ms;
+	peer->has_delta = true;
+	peer->excess_delay_ms = delta_ms - peer->min_delta_ms;
+}
+
 struct fg_mesh_peer *fg_peers_on_heartbeat(struct fg_peers *p, fg_ms now,
 					   uint64_t incarnation, uint32_t seq,
 					   const fg_mesh_heartbeat *hb)
@@ -126,6 +136,11 @@
 	peer->state = hb->state;
 	peer->store = hb->store;
 	peer->store_at = now;
+	if (hb->store.proves)
+		peer->unproven_since = 0;
+	else if (peer->unproven_since == 0)
+		peer->unproven_since = now;
+	note_delay(peer, now - (fg_ms)hb->store.sent_at);
 	return peer;
 }
 
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -36,6 +36,7 @@
 	char mesh[FG_PEER_TEXT_BYTES];	/* address for datagrams */
 	char front[FG_PEER_TEXT_BYTES]; /* address for callers */
 	uint64_t incarnation;		/* new for each start; never 0 */
+	uint64_t version; /* of the row in the store; not part of its text */
 };
 
 struct fg_mesh_peer {
@@ -48,6 +49,14 @@
 	fg_mesh_state state;
 	fg_mesh_store store; /* as of store_at */
 	fg_ms store_at;
+	/* Difference between the clocks here and there plus the shortest time
+	 * that a heartbeat was under way, and by how much the newest one took
+	 * longer. */
+	fg_ms min_delta_ms;
+	fg_ms excess_delay_ms;
+	bool has_delta;
+	fg_ms unproven_since; /* heartbeats state no proof since then; 0: some
+			       */
 };
 
 struct fg_peers;
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -21,6 +21,8 @@
         self.unanswered_feeds = {}  # table -> feed calls not to answer
         self.lost_tx_answers = 0  # transactions to carry out but not answer
         self.tx_delay_s = 0  # before a transaction with a lost answer
+        self.era = 0         # stated in all answers; None: not stated
+        self.copies = []     # (time, rows, version), oldest first
         self.server = Server(self.handle)
         self.addr = self.server.addr
 
@@ -41,6 +43,34 @@
             self._write(table, key, None)
             self.cond.notify_all()
 
+    def keep_copy(self):
+        """Copies the rows, for a later restore()."""
+        with self.cond:
+            self.copies.append((time.monotonic(), dict(self.rows),
+                                self.version))
+            del self.copies[:-100]
+
+    def restore(self, age_s=0.0, away_s=0.2):
+        """The store is away for a moment and returns from its newest copy of
+        at least that age, in the next era. Returns False when there is none.
+        """
+        until = time.monotonic() - age_s
+        old = [c for c in self.copies if c[0] <= until]
+        if not old:
+            return False
+        mode, self.mode = self.mode, "busy"
+        with self.cond:
+            self.cond.notify_all()
+        time.sleep(away_s)
+        with self.cond:
+            _, rows, self.version = old[-1]
+            self.rows = dict(rows)
+            self.history = []
+            self.copies = []
+            self.era += 1
+        self.mode = mode
+        return True
+
     def drop_history(self):
         with self.cond:
             self.history.clear()
@@ -63,7 +93,7 @@
     def handle(self, req):
         self.calls += 1
         if self.mode == "busy":
-            req.answer(503)
+            req.answer(503, headers=self._headers())
             return True
         if self.mode == "reset":
             reset_connection(req.sock)
@@ -93,9 +123,12 @@
             status, body = calls[url.path](query)
         else:
             status, body = 404, {}
-        req.answer(status, json.dumps(body).encode())
+        req.answer(status, json.dumps(body).encode(), self._headers())
         return True
 
+    def _headers(self):
+        return [] if self.era is None else [("Store-Era", str(self.era))]
+
     def _row(self, table, key, raw, version):
         row = {"table": table, "part": "", "key": key, "ver": version}
         if raw is None:
@@ -120,6 +153,8 @@
         until = time.monotonic() + int(query["waitMs"]) / 1000
         with self.cond:
             while True:
+                if after > self.version:
+                    return 410, {}
                 if after < self.version and (
                         not self.history or self.history[0][0] > after + 1):
                     return 410, {}
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -18,8 +18,8 @@
 
 from hosted import (
     Answer, EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, System,
-    check, event_ids, has_all_events, http_get, make_config, next_id, send,
-    send_draft, wait_for)
+    broken_orders, check, event_ids, has_all_events, http_get, make_config,
+    next_id, send, send_draft, wait_for)
 
 EVENT_DELAY_MAX_S = 0.25  # setting passMs of the users' platform
 
@@ -618,6 +618,142 @@
 lapsed_entries.system_options = {"gateways": 2}
 
 
+def instances_known(s):
+    """True when the rows of all running instances and of the owners of all
+    engines are in the store, and each engine has one owner."""
+    rows = s.store.keys("fulmargauge")
+    owners = [v for k, v in rows.items() if k.startswith("owner/")]
+    return (all(f"instance/{g.name}" in rows for g in s.gateways) and
+            len(owners) == len(s.engines) and
+            not any(v.startswith("0" * 16) for v in owners) and
+            sum(len(g.owned_endpoints()) for g in s.gateways) ==
+            len(s.engines))
+
+
+def check_store_restored(s):
+    """The store returns from an older copy. What was in force stays in force:
+    the configuration, the announced version, the leaving of a replica. What
+    the instances wrote is written again, and no fencing number falls."""
+    wait_for("rows written", lambda: instances_known(s))
+    s.store.keep_copy()
+    s.store.put("op", "config", config_with_route(9, "new"))
+    s.store.put("op", f"version/{MODEL}.a1",
+                {"model": MODEL, "adapter": "a1", "version": 2})
+    for engine in s.engines:
+        engine.versions["a1"] = 2
+    s.plains[0].drain()
+    late = Gateway(s.store.addr, "g9", s.folder.name,
+                   fences_checked=s.gw.fences_checked)
+    s.gateways.append(late)
+    for gateway in s.gateways:
+        wait_for("new route", lambda g=gateway: send(
+            g.front, "/new/1").status == 200)
+        wait_for("leaving", lambda g=gateway: g.state().count("usable=0"))
+        wait_for("version", lambda g=gateway: "version_announced" in g.log())
+    wait_for("g9 written", lambda: instances_known(s))
+    for gateway in s.gateways:
+        check(send_draft(gateway).status == 200, "before the return")
+    s.plains[0].received.clear()
+    before = time.monotonic()
+    check(s.store.restore(), "no copy")
+    rids = []
+    while time.monotonic() - before < 5:
+        for gateway in s.gateways:
+            rids.append(next_id())
+            a = send(gateway.front, "/new/1", rids[-1])
+            check(a.status == 200, f"{gateway.name}, new route: {a.status}")
+            rids.append(next_id())
+            send_draft(gateway, f"a{len(rids) % 9}", rid=rids[-1])
+        time.sleep(0.05)
+    check(instances_known(s), f"rows: {s.store.keys('fulmargauge')}")
+    for gateway in s.gateways:
+        check("event=store_restored" in gateway.log(), "no log line")
+        a = send_draft(gateway)
+        check(a.status == 200, f"after the return: {a.status}")
+    check(not s.plains[0].received, "a leaving replica got requests")
+    check(all(s.run_count(rid) <= 1 for rid in rids), "run twice")
+    for engine in s.engines:
+        check(engine.adapters.get("a1", 2) == 2, "older adapter version")
+        check(not broken_orders(engine), f"{broken_orders(engine)}")
+        fences = [o[1] for o in engine.orders]
+        check(fences == sorted(fences), "a fencing number fell")
+        check(fences[-1] >> 40 == s.store.era, "fencing number of this era")
+
+
+def store_restored(s):
+    check_store_restored(s)
+
+
+store_restored.system_options = {"gateways": 2}
+
+
+def store_restored_unfenced(s):
+    check_store_restored(s)
+
+
+store_restored_unfenced.system_options = {"gateways": 2,
+                                          "fences_checked": False}
+
+
+def era_not_usable(s):
+    """Answers without an era, or with a bad one, are not used once the store
+    has stated its era. Requests go on."""
+    s.store.era = "x"
+    wait_for("logged", lambda: "era_not_a_number" in s.gw.log())
+    check(send(s.gw.front, "/order/1").status == 200, "order")
+    s.store.era = None
+    check(send(s.gw.front, "/order/1").status == 200, "order")
+    s.store.era = 5
+    wait_for("era known", lambda: " era=5 " in s.gw.state())
+    check(s.gw.log().count("event=store_restored") == 1, "one return")
+    s.store.era = 4
+    wait_for("refused", lambda: s.gw.log().count("event=era_refused") > 1)
+    check(send(s.gw.front, "/order/1").status == 200, "order")
+    s.store.era = 5
+    s.store.put("op", "config", config_with_route(9, "new"))
+    wait_for("read again",
+             lambda: send(s.gw.front, "/new/1").status == 200)
+    check(s.gw.log().count("event=store_restored") == 1, "one return")
+
+
+def owner_killed_unfenced(s):
+    """The engines check no fencing numbers. Owners that are killed, paused
+    and stopped are followed by others, without a turn and in order."""
+    wait_for("rows written", lambda: instances_known(s))
+    end = time.monotonic() + 14
+    killed = paused = False
+    stopped = None
+    n = 0
+    while time.monotonic() < end:
+        left = end - time.monotonic()
+        for i, gateway in enumerate(s.gateways):
+            n += 1
+            if i == 1 and paused and stopped is None:
+                continue
+            send_draft(gateway, f"a{n % 30}", headers={"Deadline-Ms": "600"})
+        if left < 12.5 and not killed:
+            killed = True
+            s.gateways[0].kill()
+            s.gateways[0].start()
+        if left < 9 and not paused:
+            paused = True
+            s.gateways[1].popen.send_signal(signal.SIGSTOP)
+        if left < 5 and paused and stopped is None:
+            s.gateways[1].popen.send_signal(signal.SIGCONT)
+            stopped = max(s.gateways[0], s.gateways[2],
+                          key=lambda g: len(g.owned_endpoints()))
+            stopped.popen.send_signal(signal.SIGTERM)
+    for engine in s.engines:
+        check(not broken_orders(engine), f"{broken_orders(engine)}")
+        holders = {o[0] for o in engine.orders}
+        check(holders, "no orders")
+    check("event=released" in stopped.log(), "no release")
+
+
+owner_killed_unfenced.system_options = {"gateways": 3, "engines": 4,
+                                        "fences_checked": False}
+
+
 def runs_elsewhere(s, leaver, path, count=8):
     """Sends requests; returns how many the leaver received."""
     before = len(leaver.received)
@@ -840,8 +976,9 @@
     rows_of_others, draining_replica, address_reused,
     engine_restarts_empty, order_without_answer, version_announced,
     two_instances, paused_holder, asks_owners, one_reader,
-    reader_paused, reader_cut, lapsed_entries, said_leaving, asked_pause,
-    bad_pause, crashing_request,
+    reader_paused, reader_cut, lapsed_entries, store_restored,
+    store_restored_unfenced, era_not_usable, owner_killed_unfenced,
+    said_leaving, asked_pause, bad_pause, crashing_request,
     request_lines, bad_input, settings_change,
 ]
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -38,7 +38,34 @@
         raise AssertionError(what)
 
 
+PORTS_OFFSET = 1000  # of FG_PORT_BASE
+PORTS_COUNT = 1000
+next_port = [0]
+
+
 def free_ports(n):
+    """Returns ports of the block from FG_PORT_BASE. Without it, the kernel
+    draws them, and another process may get them before they are used."""
+    base = int(os.environ.get("FG_PORT_BASE", "0"))
+    if base == 0:
+        return kernel_ports(n)
+    ports = []
+    for _ in range(PORTS_COUNT):
+        port = base + PORTS_OFFSET + next_port[0] % PORTS_COUNT
+        next_port[0] += 1
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+                ports.append(port)
+            except OSError:
+                continue
+        if len(ports) == n:
+            return ports
+    raise RuntimeError("no free port")
+
+
+def kernel_ports(n):
     socks = [socket.socket() for _ in range(n)]
     for sock in socks:
         sock.bind(("127.0.0.1", 0))
@@ -48,6 +75,35 @@
     return ports
 
 
+LEASE_MS = 3000  # an engine does not return to an earlier owner within it
+
+
+def broken_orders(replica):
+    """Orders that break the rule for owners: a fencing number that is lower
+    than, or the same as, that of another owner before, or an owner that comes
+    back within the lease after another one ordered. (index, order) of each.
+    Orders that arrived while connections to the replica were disturbed, or
+    soon after, do not count."""
+    broken = []
+    for i, (holder, fence, *_) in enumerate(replica.orders):
+        other = False
+        if any(begin <= replica.order_times[i] < end
+               for begin, end in replica.path_faults):
+            continue
+        for k in range(i - 1, -1, -1):
+            if replica.orders[k][0] != holder:
+                other = True
+                if replica.orders[k][1] >= fence:
+                    broken.append((i, replica.orders[i]))
+                    break
+            elif other:
+                passed = replica.order_times[i] - replica.order_times[k]
+                if passed * 1000 < LEASE_MS:
+                    broken.append((i, replica.orders[i]))
+                break
+    return broken
+
+
 def make_config(version, timeout_ms=4000, idle_ms=15000, extra_routes=()):
     routes = [
         {"name": "draft", "host": HOST, "prefix": "/draft/",
@@ -78,12 +134,13 @@
 class Gateway:
     """A gateway process; `store` is the address that it uses for the store."""
 
-    def __init__(self, store, name, folder, dc="dc1"):
+    def __init__(self, store, name, folder, dc="dc1", fences_checked=True):
         ports = free_ports(5)
         self.front, self.ready, self.directory, self.mesh, self.metrics = (
             "127.0.0.1:%d" % p for p in ports)
         self.name = name
         self.dc = dc
+        self.fences_checked = fences_checked
         self.settings_path = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
         self.write_settings(store)
@@ -97,7 +154,9 @@
                     f"directory: {self.directory}\nmesh: {self.mesh}\n"
                     f"metrics: {self.metrics}\nstore: {store}\n"
                     "retry_ratio: 0.2\nretry_slack: 58\nstop_grace_s: 8\n"
-                    f"version_ms: 3000\n{extra}"
+                    f"version_ms: 3000\nturn_ms: {LEASE_MS}\n"
+                    f"fences_checked: {str(self.fences_checked).lower()}\n"
+                    f"{extra}"
                     "data_centres:\n  - name: dc1\n    region: r1\n"
                     "  - name: dc2\n    region: r1\n")
 
@@ -145,7 +204,8 @@
     """Store, replicas and gateways. With `proxied`, each gateway reaches the
     store through a proxy of its own, in `store_proxies`."""
 
-    def __init__(self, engines=2, plains=2, gateways=1, proxied=False, dcs=1):
+    def __init__(self, engines=2, plains=2, gateways=1, proxied=False, dcs=1,
+                 fences_checked=True):
         self.folder = tempfile.TemporaryDirectory()
         self.store = Store()
         self.store.put("op", "config", make_config(1))
@@ -157,8 +217,11 @@
                               for _ in range(gateways if proxied else 0)]
         stores = [p.addr for p in self.store_proxies] or [self.store.addr]
         self.gateways = [Gateway(stores[i % len(stores)], f"g{i}",
-                                 self.folder.name, f"dc{1 + i % dcs}")
+                                 self.folder.name, f"dc{1 + i % dcs}",
+                                 fences_checked)
                          for i in range(gateways)]
+        for engine in self.engines:
+            engine.checks_fences = fences_checked
         self.gw = self.gateways[0]
         for gateway in self.gateways:
             wait_for("ready", gateway.is_ready)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,8 +25,8 @@
 import time
 
 from hosted import (
-    EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, http_get, make_config,
-    send, wait_for)
+    EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, broken_orders, http_get,
+    make_config, send, wait_for)
 from soak_judge import Call, Checker
 from soak_proxy import DOWN, Proxy, UP
 
@@ -46,7 +46,11 @@
 
 
 class Soak:
-    def __init__(self, seed, gateways, clients):
+    def __init__(self, seed, gateways, clients, restores):
+        self.restores = restores  # the store may return from a copy, and
+        # engines check no fencing numbers
+        self.n_restored = 0
+        self.announced = {}  # adapter -> version
         self.rand = random.Random(seed)
         self.seed = seed
         self.checker = Checker()
@@ -73,7 +77,8 @@
         self.folder = os.path.join("/tmp", f"soak-{os.getpid()}-{self.seed}")
         os.makedirs(self.folder, exist_ok=True)
         self.store_proxies = [Proxy(self.store.addr) for _ in range(gateways)]
-        self.gateways = [Gateway(p.addr, f"g{i}", self.folder)
+        self.gateways = [Gateway(p.addr, f"g{i}", self.folder,
+                                 fences_checked=not self.restores)
                          for i, p in enumerate(self.store_proxies)]
         self.incarnations = {g.name: 0 for g in self.gateways}
 
@@ -87,6 +92,7 @@
         replica = Replica(self.store, name, service, engine, map_addr=map_addr,
                           on_run=lambda r, rid, _: self.checker.on_run(r, rid))
         replica.proxy = proxies[0]
+        replica.checks_fences = not self.restores
         self.replicas.append(replica)
 
     # Observed state.
@@ -118,6 +124,9 @@
         self.config_version += 1
         name = f"v{self.config_version}"
         self.routes = (self.routes + [(name, self.config_version)])[-6:]
+        self.write_config()
+
+    def write_config(self):
         extra = [{"name": n, "host": HOST, "prefix": f"/{n}/", "kind": "safe",
                   "timeoutMs": 1500, "service": "orders", "maxAttempts": 2}
                  for n, _ in self.routes]
@@ -130,8 +139,31 @@
             if r.engine:
                 r.versions[adapter] = r.versions.get(adapter, 1) + 1
                 version = r.versions[adapter]
+        self.announced[adapter] = version
+        self.write_announcement(adapter)
+
+    def write_announcement(self, adapter):
         self.store.put("op", f"version/{MODEL}.{adapter}", {
-            "model": MODEL, "adapter": adapter, "version": version})
+            "model": MODEL, "adapter": adapter,
+            "version": self.announced[adapter]})
+
+    def write_again(self):
+        """Writes what a restored store may have lost."""
+        self.write_config()
+        for adapter in list(self.announced):
+            self.write_announcement(adapter)
+        names = {r.name for r in self.replicas}
+        for replica in list(self.replicas):
+            replica.register()
+        for key in self.store.keys("servers"):
+            if key not in names:
+                self.store.remove("servers", key)
+
+    def keep_copies(self):
+        while self.running:
+            if self.store.mode == "up":
+                self.store.keep_copy()
+            time.sleep(0.25)
 
     def start_gateway(self, g):
         self.incarnations[g.name] += 1
@@ -358,9 +390,11 @@
 
 def spoil_replica_path(soak, rand):
     replica = rand.choice(soak.replicas)
+    begin = time.monotonic()
     for g in soak.gateways:
         soak.checker.begin_fault(g.name)
     break_connections(soak, rand, replica.proxy)
+    replica.path_faults.append((begin, time.monotonic() + 1.0))
     for g in soak.gateways:
         soak.checker.end_fault(g.name)
 
@@ -414,12 +448,27 @@
     soak.replace_replica(rand.random() < 0.5)
 
 
+def restore_store(soak, rand):
+    """The store returns from a copy some seconds old. Operators and replicas
+    write again what it has lost."""
+    soak.checker.begin_fault("store")
+    if soak.store.restore(rand.uniform(0.2, 5.0), rand.uniform(0.1, 1.5)):
+        soak.n_restored += 1
+        time.sleep(rand.uniform(0.1, 1.0))
+        soak.write_again()
+    time.sleep(1.0)
+    soak.checker.end_fault("store")
+
+
 DISTURBANCES = (
     pause_gateway, kill_gateway, stop_gateway, spoil_store_path, spoil_front,
     spoil_replica_path, spoil_store, spoil_answers, restart_replica, change,
     replace)
 
 
+DISTURBANCES_WITH_RESTORES = DISTURBANCES + (restore_store, restore_store)
+
+
 def disturb(soak):
     """Applies overlapping faults for DISTURB_S, chosen by the seed."""
     end = time.monotonic() + DISTURB_S
@@ -427,7 +476,9 @@
     locks = {name: threading.Lock() for name in (
         "gateway", "path", "store", "replica")}
     kinds = {pause_gateway: "gateway", kill_gateway: "gateway",
-             stop_gateway: "gateway", spoil_store: "store"}
+             stop_gateway: "gateway", spoil_store: "store",
+             restore_store: "store"}
+    choices = DISTURBANCES_WITH_RESTORES if soak.restores else DISTURBANCES
 
     def run(action, rand):
         with locks[kinds.get(action, "replica" if action in (
@@ -436,7 +487,7 @@
 
     applied = []
     while time.monotonic() < end:
-        action = soak.rand.choice(DISTURBANCES)
+        action = soak.rand.choice(choices)
         rand = random.Random(soak.rand.random())
         applied.append(action.__name__)
         threads.append(threading.Thread(target=run, args=(action, rand)))
@@ -509,6 +560,9 @@
 def check_orders(soak):
     for replica in soak.replicas:
         holders = {}
+        for i, order in broken_orders(replica) if soak.restores else []:
+            soak.checker.add_violation(
+                "ONE", f"{replica.name}: order {i}, {order}")
         for holder, fence, _, _, status in replica.orders:
             if status == 412:
                 continue
@@ -521,14 +575,16 @@
                     f"{fence}")
 
 
-def run(seed, rounds, gateways, clients):
-    soak = Soak(seed, gateways, clients)
+def run(seed, rounds, gateways, clients, restores):
+    soak = Soak(seed, gateways, clients, restores)
     applied = []
     try:
         wait_for("all instances are ready", soak.all_ready)
         soak.checker.end_fault("store")
         for thread in soak.threads:
             thread.start()
+        if restores:
+            threading.Thread(target=soak.keep_copies, daemon=True).start()
         for _ in range(rounds):
             applied += disturb(soak)
             soak.check_exits()
@@ -552,7 +608,8 @@
     words = ", ".join(f"{k} {v}"
                       for k, v in sorted(soak.checker.counts.items()))
     print(f"{'not ok' if bad else 'ok'} soak-{soak.seed}: "
-          f"{len(soak.checker.calls)} requests, {len(applied)} disturbances")
+          f"{len(soak.checker.calls)} requests, {len(applied)} disturbances, "
+          f"{soak.n_restored} returns of the store")
     print(f"  {words}")
     if not bad:
         shutil.rmtree(soak.folder, ignore_errors=True)
@@ -577,9 +634,13 @@
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--clients", type=int, default=12)
     parser.add_argument("--regressions", action="store_true")
+    parser.add_argument("--restores", action="store_true",
+                        help="the store returns from older copies; engines "
+                        "check no fencing numbers")
     args = parser.parse_args()
     seeds = read_regression_seeds() if args.regressions else [args.seed]
-    results = [run(seed, args.rounds, args.gateways, args.clients)
+    results = [run(seed, args.rounds, args.gateways, args.clients,
+                   args.restores)
                for seed in seeds]
     return 0 if all(results) else 1
 
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -3,6 +3,7 @@
  * HTTP messages, event streams, store rows, registry entries, datagrams of
  * other instances and the settings file.
  */
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
 
@@ -211,6 +212,83 @@
 	clear_parser(&h, &s);
 }
 
+/* Reads the head of an answer with these fields. */
+static void read_reply(unsigned int status, const char *fields,
+		       struct fg_wire_reply *out, int *era_error, uint64_t *era)
+{
+	char *text = g_strdup_printf("HTTP/1.1 %u X\r\nContent-Length: 0\r\n"
+				     "%s\r\n",
+				     status, fields);
+	struct fg_h1 h;
+	struct message_log s;
+
+	init_parser(&h, &s, false);
+	fg_h1_feed(&h, text, strlen(text));
+	g_assert_true(h.ended);
+	fgp_wire.reply_read(&h.head, out);
+	*era_error = fgp_wire.era_read(&h.head, era);
+	clear_parser(&h, &s);
+	g_free(text);
+}
+
+static void test_leaving_and_pause(void)
+{
+	static const struct {
+		unsigned int status;
+		const char *fields;
+		bool leaving;
+		uint32_t pause_ms;
+		bool bad_pause;
+	} cases[] = {
+		{ 200, "", false, 0, false },
+		{ 200, "Server-Leaving: 1\r\n", true, 0, false },
+		{ 421, "server-leaving: 1\r\n", true, 0, false },
+		{ 200, "Server-Leaving: 0\r\n", false, 0, false },
+		{ 503, "Retry-After: 2\r\n", false, 2000, false },
+		{ 503, "Retry-After: 0.25\r\nNot-Run: 1\r\n", false, 250,
+		  false },
+		{ 503, "Retry-After: 0\r\n", false, 0, false },
+		{ 503, "Retry-After: 1e300\r\n", false, UINT32_MAX, false },
+		{ 503, "Retry-After: -1\r\n", false, 0, true },
+		{ 503, "Retry-After: soon\r\n", false, 0, true },
+		{ 503, "Retry-After: 2 s\r\n", false, 0, true },
+		{ 503, "Retry-After: nan\r\n", false, 0, true },
+		{ 503, "Retry-After:\r\n", false, 0, true },
+		/* Only a refusal asks for a pause. */
+		{ 200, "Retry-After: 2\r\n", false, 0, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fg_wire_reply reply;
+		uint64_t era;
+		int error;
+
+		read_reply(cases[i].status, cases[i].fields, &reply, &error,
+			   &era);
+		g_assert_cmpint(reply.leaving, ==, cases[i].leaving);
+		g_assert_cmpuint(reply.pause_ms, ==, cases[i].pause_ms);
+		g_assert_cmpint(reply.bad_pause, ==, cases[i].bad_pause);
+		g_assert_cmpint(error, ==, ENOENT);
+	}
+}
+
+static void test_era(void)
+{
+	struct fg_wire_reply reply;
+	uint64_t era = 0;
+	int error;
+
+	read_reply(503, "Store-Era: 3\r\n", &reply, &error, &era);
+	g_assert_cmpint(error, ==, 0);
+	g_assert_cmpuint(era, ==, 3);
+	read_reply(200, "store-era: x\r\n", &reply, &error, &era);
+	g_assert_cmpint(error, ==, EINVAL);
+	read_reply(200, "store-era: -1\r\n", &reply, &error, &era);
+	g_assert_cmpint(error, ==, EINVAL);
+	read_reply(200, "store-era: 3.5\r\n", &reply, &error, &era);
+	g_assert_cmpint(error, ==, EINVAL);
+}
+
 /* ---- Configuration, entries, rows ---- */
 
 static const char config[] =
@@ -486,6 +564,32 @@
 	fg_peers_free(p);
 }
 
+/* A heartbeat that took longer than others makes its contents older. */
+static void test_heartbeat_delay(void)
+{
+	struct fg_peer_row self = { .name = "me", .incarnation = 1 };
+	struct fg_peer_row row = { .name = "other", .incarnation = 10 };
+	fg_mesh_heartbeat hb = { .state = FG_MESH_READY };
+	struct fg_peers *p = fg_peers_new(&self);
+	struct fg_mesh_peer *peer;
+
+	fg_peers_put(p, 1000, &row);
+	/* The other clock is far behind. */
+	hb.store.sent_at = 40;
+	peer = fg_peers_on_heartbeat(p, 1100, 10, 1, &hb);
+	g_assert_cmpint(peer->excess_delay_ms, ==, 0);
+	g_assert_cmpint(peer->unproven_since, ==, 1100);
+	hb.store.sent_at = 290;
+	hb.store.proves = true;
+	fg_peers_on_heartbeat(p, 2050, 10, 2, &hb);
+	g_assert_cmpint(peer->excess_delay_ms, ==, 700);
+	g_assert_cmpint(peer->unproven_since, ==, 0);
+	hb.store.sent_at = 2000;
+	fg_peers_on_heartbeat(p, 3050, 10, 3, &hb);
+	g_assert_cmpint(peer->excess_delay_ms, ==, 0);
+	fg_peers_free(p);
+}
+
 /* ---- Settings ---- */
 
 #define VALID_SETTINGS                                                         \
@@ -502,9 +606,19 @@
 	g_assert_no_error(error);
 	g_assert_cmpuint(c->retry_percent, ==, 20);
 	g_assert_cmpuint(c->stop_grace_ms, ==, 8000);
+	g_assert_cmpuint(c->turn_ms, ==, 3000);
+	g_assert_false(c->fences_checked);
 	g_assert_cmpstr(fg_gwconf_region(c, "d"), ==, "r");
 	g_assert_cmpstr(fg_gwconf_region(c, "unknown"), ==, "unknown");
 	fg_gwconf_free(c);
+	c = fg_gwconf_parse("f",
+			    VALID_SETTINGS "turn_ms: 5000\n"
+					   "fences_checked: true\n",
+			    &error);
+	g_assert_no_error(error);
+	g_assert_cmpuint(c->turn_ms, ==, 5000);
+	g_assert_true(c->fences_checked);
+	fg_gwconf_free(c);
 }
 
 static void check_bad_settings(const char *extra, const char *word)
@@ -527,6 +641,8 @@
 	check_bad_settings("lookup_ttl_s: soon\n", "lookup_ttl_s");
 	check_bad_settings("log_level: loud\n", "log_level");
 	check_bad_settings("version_ms: -4\n", "version_ms");
+	check_bad_settings("turn_ms: long\n", "turn_ms");
+	check_bad_settings("fences_checked: maybe\n", "fences_checked");
 	g_assert_null(fg_gwconf_parse("f", "name: n\n", &error));
 	g_clear_error(&error);
 	g_assert_null(fg_gwconf_load("/nonexistent/file", &error));
@@ -541,6 +657,8 @@
 	g_test_add_func("/h1/no_length", test_answer_without_length);
 	g_test_add_func("/h1/hop", test_hop_by_hop_fields);
 	g_test_add_func("/platform/system_fields", test_system_fields);
+	g_test_add_func("/platform/leaving_and_pause", test_leaving_and_pause);
+	g_test_add_func("/platform/era", test_era);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
 	g_test_add_func("/platform/entry", test_entry);
@@ -551,6 +669,7 @@
 	g_test_add_func("/events/too_large", test_event_too_large);
 	g_test_add_func("/mesh/packets", test_packets);
 	g_test_add_func("/mesh/peers", test_peers);
+	g_test_add_func("/mesh/heartbeat_delay", test_heartbeat_delay);
 	g_test_add_func("/gwconf/good", test_settings);
 	g_test_add_func("/gwconf/bad", test_bad_settings);
 	return g_test_run();
