scripts/port-base.sh: a block of ports that one run holds

A demo failed once in four with "Address already in use" at 20033 and 20035: demo, unit tests, scenarios and seeded runs took fixed ports, so that two runs on one machine met, and a run also met what an earlier one had left over. Gateway scenarios and the soak took ports that the kernel had drawn and that it could give to an outgoing connection before they were used.

A given FG_PORT_BASE is used as before.

The soak also runs with returns of the store.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,11 +1,13 @@
 #!/bin/sh
 # Runs a whole system on loopback, sends requests to it, and checks the answers
 # against the execution logs of the endpoints.
-# Environment: BUILD (build), FG_PORT_BASE (20000; 40 ports from there are used).
+# Environment: BUILD (build), FG_PORT_BASE (40 ports from there are used; by
+# default a block that no other run holds).
 set -eu
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
-base=${FG_PORT_BASE:-20000}
+. scripts/port-base.sh
+base=$FG_PORT_BASE
 bin=$BUILD/bin
 dir=$(mktemp -d)
 pids=
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -11,6 +11,7 @@
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
 export BUILD
+. scripts/port-base.sh
 what=${1:-all}
 passed=0
 failed=0
@@ -114,6 +115,7 @@
 	run_lines tests/gateway.py
 	run_soak soak-short --seed 1 --rounds 1
 	run_soak soak-regressions --regressions
+	run_soak soak-restores --seed 1 --rounds 1 --restores
 	tests/bad_input.py >"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || cat "$log"
