lib/claim: settling does not restart the ordering at an engine

An ownership now has a number (fg_claims_tenure) that stays while the owner stays, and only its change ends the ordering; the fencing number follows the row. In a new era an ownership begins anew, since another owner may be among what the store lost.

--- a/lib/claim/fg_claim.c
+++ b/lib/claim/fg_claim.c
@@ -31,6 +31,7 @@
 struct claim {
 	struct owner owner;
 	uint64_t version;	 /* of the row; 0: no row */
+	uint64_t tenure;	 /* version with which the ownership began */
 	uint64_t fenced_version; /* its fence was refused by the engine */
 	fg_ms since;		 /* when this version was first known here */
 	fg_ms lost_at;		 /* when this instance lost it; 0: never */
@@ -38,6 +39,7 @@
 	fg_ms order_at;		 /* last order of this instance; NEVER */
 	fg_ms turn_from;	 /* end of the turns of others; NEVER: none */
 	fg_ms order_from;	 /* first order that the owner may send */
+	uint64_t era;		 /* in which the row was read */
 	bool releasing;		 /* by this instance, the owner */
 	bool seen;		 /* applied since the full read began */
 };
@@ -188,6 +190,9 @@
 	if (old.incarnation == c->conf.incarnation &&
 	    owner->incarnation != c->conf.incarnation)
 		claim->lost_at = now;
+	if (old.incarnation != owner->incarnation || c->era != claim->era)
+		claim->tenure = version;
+	claim->era = c->era;
 	claim->owner = *owner;
 	claim->version = version;
 	claim->since = now;
@@ -586,6 +591,13 @@
 	return claim->version;
 }
 
+uint64_t fg_claims_tenure(const struct fg_claims *c, const char *endpoint_id)
+{
+	const struct claim *claim = g_hash_table_lookup(c->by_ep, endpoint_id);
+
+	return fg_claims_fence(c, endpoint_id) == 0 ? 0 : claim->tenure;
+}
+
 uint32_t fg_claims_order_wait_ms(const struct fg_claims *c, fg_ms now,
 				 const char *endpoint_id)
 {
--- a/lib/claim/fg_claim.h
+++ b/lib/claim/fg_claim.h
@@ -148,6 +148,10 @@
  * this instance is not its owner. */
 uint64_t fg_claims_fence(const struct fg_claims *c, const char *endpoint_id);
 
+/* Returns a number that stays the same while this instance is the owner without
+ * a break, also when its fencing number changes; 0 when it is not. */
+uint64_t fg_claims_tenure(const struct fg_claims *c, const char *endpoint_id);
+
 /* Returns the time until the owner may send an order: 0 when it may now,
  * UINT32_MAX when it needs a proof first or is not the owner. */
 uint32_t fg_claims_order_wait_ms(const struct fg_claims *c, fg_ms now,
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -290,6 +290,7 @@
 	struct fg_channel *channel;
 	uv_timer_t *timer;
 	uint64_t fence;
+	uint64_t tenure; /* fg_claims_tenure() when ordering began */
 	struct fg_gateway *gw;
 	struct fg_fleet_ep *ep;
 	struct fg_ep_facts facts_seen; /* when ordering began */
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -340,7 +340,7 @@
 }
 
 static void take_over_engine(struct fg_ep_local *local,
-			     const struct fg_svc *service, uint64_t fence)
+			     const struct fg_svc *service)
 {
 	struct fg_gateway *gw = local->gw;
 	struct fg_slots_conf conf = {
@@ -358,7 +358,8 @@
 	fg_uses_init(&local->uses);
 	local->channel = fg_channel_new(&gw->loop, local->ep->facts.address);
 	local->timer = fg_gw_timer_new(gw, local);
-	local->fence = fence;
+	local->fence = fg_claims_fence(gw->claims, local->ep->facts.id);
+	local->tenure = fg_claims_tenure(gw->claims, local->ep->facts.id);
 	local->facts_seen = local->ep->facts;
 	fg_channel_set_head_hook(local->channel, on_answer_head, local);
 	apply_versions(gw, local->slots);
@@ -399,9 +400,9 @@
 		ep->owner = 0;
 }
 
-/* Returns whether this instance no longer orders at the engine with the fencing
- * number that it used, or at another start of the engine. */
-static bool has_ended(const struct fg_ep_local *local, uint64_t fence,
+/* Returns whether the ownership in which this instance ordered at the engine
+ * has ended, or the engine has started again. */
+static bool has_ended(const struct fg_ep_local *local, uint64_t tenure,
 		      fg_ms now)
 {
 	const char *reason = NULL;
@@ -410,10 +411,10 @@
 
 	if (has_restarted(local))
 		reason = "endpoint_restarted";
-	else if (fence == 0)
+	else if (tenure == 0)
 		reason = "not_owner";
-	else if (fence != local->fence)
-		reason = "fence_changed";
+	else if (tenure != local->tenure)
+		reason = "owner_changed";
 	if (reason == NULL)
 		return false;
 	g_snprintf(owner, sizeof(owner), "%016llx",
@@ -464,7 +465,8 @@
 			continue;
 		update_owner(gw, ep, now);
 		if (local != NULL && local->slots != NULL &&
-		    has_ended(local, fence, now))
+		    has_ended(local, fg_claims_tenure(gw->claims, ep->facts.id),
+			      now))
 			fg_orders_release(local);
 		if (fence == 0 || !fg_ep_is_usable(ep, now)) {
 			if (local != NULL)
@@ -473,7 +475,8 @@
 		}
 		local = fg_ep_local_get(gw, ep);
 		if (local->slots == NULL)
-			take_over_engine(local, service, fence);
+			take_over_engine(local, service);
+		local->fence = fence;
 		update_uses(local, now);
 		update_resident(local, now);
 		send_next_message(local);
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -466,7 +466,7 @@
     replace)
 
 
-DISTURBANCES_WITH_RESTORES = DISTURBANCES + (restore_store, restore_store)
+DISTURBANCES_WITH_RESTORES = DISTURBANCES + 5 * (restore_store,)
 
 
 def disturb(soak):
--- a/tests/unit/test_claim.c
+++ b/tests/unit/test_claim.c
@@ -317,6 +317,40 @@
 	g_free(ep);
 }
 
+/* Settling raises the fencing number within one ownership. */
+static void test_tenure(void)
+{
+	struct fg_claims *c = new_claims(1, "a", false);
+	struct fg_fleet_ep *ep = new_endpoint("e", "r1");
+	struct fg_claim_candidate live[] = { new_candidate(1, "a", "r1",
+							   true) };
+	struct fg_claim_write w;
+	uint64_t tenure;
+
+	claim_from(c, ep, "0000000000000002 b", live, 1);
+	tenure = fg_claims_tenure(c, "e");
+	g_assert_cmpuint(tenure, !=, 0);
+	g_assert_cmpuint(select_one(c, 10100, ep, live, 1, &w), ==, 0);
+	fg_claims_prove(c, 13000);
+	g_assert_cmpuint(select_one(c, 13100, ep, live, 1, &w), ==, 1);
+	g_assert_true(w.settle);
+	g_assert_cmpstr(w.value, ==, "0000000000000001+0 a b");
+	fg_claims_handle_result(c, 13110, &w, 1, 60, 13100);
+	g_assert_cmpuint(fg_claims_fence(c, "e"), ==, 60);
+	g_assert_cmpuint(fg_claims_tenure(c, "e"), ==, tenure);
+	g_assert_cmpuint(fg_claims_order_wait_ms(c, 13110, "e"), ==, 0);
+	/* Another owner may have been lost with what a restored table lost. */
+	fg_claims_start_era(c, 14000, 1);
+	fg_claims_apply_row(c, 14100, "e", "0000000000000001+0 a b",
+			    UINT64_C(1) << 40 | 60);
+	g_assert_cmpuint(fg_claims_tenure(c, "e"), !=, tenure);
+	fg_claims_apply_row(c, 15000, "e", "0000000000000002 b a",
+			    UINT64_C(1) << 40 | 70);
+	g_assert_cmpuint(fg_claims_tenure(c, "e"), ==, 0);
+	fg_claims_free(c);
+	g_free(ep);
+}
+
 /* Where engines check fencing numbers, others need no release. */
 static void test_takeover_without_release(void)
 {
@@ -434,6 +468,7 @@
 	g_test_add_func("/claim/turns", test_turns);
 	g_test_add_func("/claim/formers_come_last", test_formers_come_last);
 	g_test_add_func("/claim/release", test_release);
+	g_test_add_func("/claim/tenure", test_tenure);
 	g_test_add_func("/claim/takeover_without_release",
 			test_takeover_without_release);
 	g_test_add_func("/claim/seeds", test_random_races);
