lib/gateway: an answer without an id is not used on a connection in use again

From what went wrong for operators of similar systems: a second copy of an answer came late, on a connection that was in use again, and the next caller got it. It could happen here: an answer with another request's id was dropped, one without an id was taken for the answer to the current request.

tests/gateway.py late_copy (the stand-in sends such a copy): before, a caller got "of another"; now a request that may be repeated runs elsewhere and the others get 502. A refusal without an id is still taken: the connection is closed after each refusal, so that no second copy can come.

--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -102,6 +102,13 @@
 		handle_not_run(r, reply, now);
 		return true;
 	}
+	/* A second copy of an earlier answer can arrive late on a connection
+	 * that is in use again. Without an id it cannot be told from the answer
+	 * to this request. */
+	if (r->conn->reused && r->call.id != NULL && reply->id == NULL) {
+		abandon_send(r, FG_SEND_BROKEN, "answer_without_id");
+		return true;
+	}
 	fg_health_record_answer(
 		r->ep, now, head->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	if (is_success(head->status) &&
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -9,6 +9,7 @@
   cut_end     a complete body without a length; the connection is closed
   reset_body  a body without a length, reset in its middle
   stray       an answer to another request is sent first
+  late_copy   the same, without an id
   error       the application answers with status 500
   order_lost  an order is carried out, but not answered
   pause       503 with Not-Run and the Retry-After in `pause_text`
@@ -250,6 +251,8 @@
         if self.consume_fault("stray"):
             req.answer(200, b"of another", [("Request-Id", "someone-else"),
                                             ("Response-Stamp", self.name)])
+        if self.consume_fault("late_copy"):
+            req.answer(200, b"of another", [("Response-Stamp", self.name)])
         if self.consume_fault("reset_body"):
             req.sock.sendall(self.response_head(rid).encode() + b"\r\n" +
                              body[:4])
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -192,6 +192,26 @@
               f"{a.status} {a.body!r}")
 
 
+def late_copy(s):
+    """A second copy of an earlier answer that arrives late, without an id, on
+    a connection in use again, reaches no caller."""
+    spoiled = s.plains[0]
+    for path, method in (("/lookup/1", "GET"), ("/order/1", "POST")):
+        before = len(spoiled.received)
+        wait_for("a connection in use", lambda p=path, m=method: (
+            send(s.gw.front, p, method=m), len(spoiled.received) > before)[1])
+        spoiled.faults["late_copy"] = 1
+        while spoiled.faults["late_copy"] == 1:
+            rid = next_id()
+            a = send(s.gw.front, path, rid, method=method)
+            if method == "GET":
+                check(a.status == 200 and rid in a.body, f"{a.body}")
+            else:
+                check(a.status == 502 or rid in a.body, f"{a.body}")
+                check(s.run_count(rid) == 1, "run again")
+    check(s.gw.log().count("reason=answer_without_id") >= 2, "not noticed")
+
+
 def silent_replica(s):
     """A lookup is retried when a replica does not answer."""
     s.plains[0].faults["silent"] = 20
@@ -970,7 +990,7 @@
 SCENARIOS = [
     serves, events_pass_at_once, adapter_slots, resumes, not_resumable,
     runs_once, not_run_elsewhere, safe_repeats, body_without_length,
-    stray_answer, silent_replica, caller_leaves, planned_stop,
+    stray_answer, late_copy, silent_replica, caller_leaves, planned_stop,
     stop_meets_request, store_away, silent_feed, silent_reader,
     unknown_after_outage, behind_a_slow_store, before_configuration,
     rows_of_others, draining_replica, address_reused,
