lib/gateway: a claim that conflicts takes the rows from the answer

The answer to a conflict names these rows.

Older rows are ignored as before; the feed reads the same rows again for the neighbours. two_instances and store_restored_unfenced pass.

--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -116,6 +116,16 @@
 					gw->n_claiming, rows.version,
 					gw->tx_sent_at);
 	}
+	/* The answer to a conflict has the rows as they are now. */
+	if (status == HTTP_STATUS_PRECONDITION_FAILED &&
+	    gw->tx_era == gw->era.known &&
+	    fg_gw_store_answer_usable(gw->tx_channel, status) &&
+	    gw->wire->rows_read(body, len, &rows, NULL)) {
+		fg_store_rows_set_era(&rows, gw->era.known);
+		for (guint i = 0; i < rows.rows->len; i++)
+			fg_sync_apply_row(&gw->feeds[FG_FEED_OWN],
+					  rows.rows->pdata[i], now);
+	}
 	fg_store_rows_clear(&rows);
 	for (uint32_t i = 0; i < gw->n_claiming; i++) {
 		log_claim(gw, &gw->claiming[i], status, now);
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -174,7 +174,11 @@
             for row in tx.get("expected", []):
                 at = self.rows.get((row["table"], row["key"]))
                 if (at[1] if at else 0) != row["ver"]:
-                    return 412, {"ver": self.version}
+                    return 412, {"ver": self.version, "rows": [
+                        self._row(r["table"], r["key"],
+                                  *self.rows[(r["table"], r["key"])])
+                        for r in tx["expected"]
+                        if (r["table"], r["key"]) in self.rows]}
             version = self.version + 1
             for row in tx.get("writes", []):
                 raw = base64.b64decode(row["value"])
