fg-gateway: answers that overtake each other, clocks that drift

The own table is now read by two calls at once, the long poll and the call for a proof. The answer of the first can be older and arrive later. The relay then kept the older version of a row for the neighbours, which count as having read the newer one, and an instance's row could go back to its former process. Both keep the newer version (/relay/older_row, /mesh/older_instance_row fail without).

The delay of a heartbeat was taken against the shortest ever seen of its sender. The shortest delay now rises by 1 ms a second (/mesh/heartbeat_delay fails without).

--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -86,6 +86,8 @@
 		peer->hash = fg_hash_str(row->name);
 		g_ptr_array_add(p->peers, peer);
 	}
+	if (row->version < peer->row.version)
+		return;
 	if (peer->row.incarnation != row->incarnation) {
 		reset_heartbeat_state(peer);
 		peer->row_seen_at = now;
@@ -113,10 +115,22 @@
 	return NULL;
 }
 
-static void note_delay(struct fg_mesh_peer *peer, fg_ms delta_ms)
+/* The clocks of two machines drift apart by less than this, in ms a second. */
+#define DRIFT_MAX_MS_PER_S 1
+
+static void note_delay(struct fg_mesh_peer *peer, fg_ms now, fg_ms sent_at)
 {
-	if (!peer->has_delta || delta_ms < peer->min_delta_ms)
+	fg_ms delta_ms = now - sent_at;
+	fg_ms passed_s = (now - peer->delta_at) / FG_MS_PER_S;
+
+	if (peer->has_delta && passed_s > 0) {
+		peer->min_delta_ms += passed_s * DRIFT_MAX_MS_PER_S;
+		peer->delta_at += passed_s * FG_MS_PER_S;
+	}
+	if (!peer->has_delta || delta_ms < peer->min_delta_ms) {
 		peer->min_delta_ms = delta_ms;
+		peer->delta_at = now;
+	}
 	peer->has_delta = true;
 	peer->excess_delay_ms = delta_ms - peer->min_delta_ms;
 }
@@ -140,7 +154,7 @@
 		peer->unproven_since = 0;
 	else if (peer->unproven_since == 0)
 		peer->unproven_since = now;
-	note_delay(peer, now - (fg_ms)hb->store.sent_at);
+	note_delay(peer, now, (fg_ms)hb->store.sent_at);
 	return peer;
 }
 
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -53,6 +53,7 @@
 	 * that a heartbeat was under way, and by how much the newest one took
 	 * longer. */
 	fg_ms min_delta_ms;
+	fg_ms delta_at; /* min_delta_ms allows for drift since then */
 	fg_ms excess_delay_ms;
 	bool has_delta;
 	fg_ms unproven_since; /* heartbeats state no proof since then; 0: some
@@ -75,7 +76,8 @@
 		       struct fg_peer_row *out);
 
 /* Adds or updates the instance of a row that was read from the store. The row
- * of this instance is ignored. A new incarnation starts without a heartbeat. */
+ * of this instance and rows older than the known one are ignored. A new
+ * incarnation starts without a heartbeat. */
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row);
 
 /* Removes and frees an instance whose row was removed. */
--- a/lib/relay/fg_relay.c
+++ b/lib/relay/fg_relay.c
@@ -37,9 +37,13 @@
 
 void fg_relay_put(struct fg_relay *r, const struct fg_store_row *row)
 {
+	const struct fg_store_row *known =
+		g_hash_table_lookup(r->rows, row->key);
 	struct fg_store_row *copy;
 
-	if (row->version <= r->floor)
+	/* Answers to two calls for the same rows may overtake each other. */
+	if (row->version <= r->floor ||
+	    (known != NULL && known->version > row->version))
 		return;
 	r->newest = MAX(r->newest, row->version);
 	if (g_hash_table_size(r->rows) >= FG_RELAY_ROWS_MAX) {
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -69,6 +69,22 @@
 	fg_relay_free(r);
 }
 
+/* An answer with an older version of a row can arrive after a newer one. */
+static void test_older_row_is_ignored(void)
+{
+	struct fg_relay *r = fg_relay_new();
+	struct fg_store_rows rows;
+
+	fg_relay_reset(r, 10);
+	put_row(r, "a", 13, "three");
+	put_row(r, "a", 11, "one");
+	rows = encode_and_decode(r, 10);
+	g_assert_cmpuint(rows.rows->len, ==, 1);
+	g_assert_cmpstr(row_at(&rows, 0)->value, ==, "three");
+	fg_store_rows_clear(&rows);
+	fg_relay_free(r);
+}
+
 /* An instance that has read less than the floor must get no answer: an empty
  * answer would tell it that it has all rows. */
 static void test_floor(void)
@@ -271,6 +287,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/relay/older_row", test_older_row_is_ignored);
 	g_test_add_func("/relay/newest_of_each_key", test_newest_of_each_key);
 	g_test_add_func("/relay/floor", test_floor);
 	g_test_add_func("/relay/many_rows", test_many_rows_raise_floor);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -564,6 +564,24 @@
 	fg_peers_free(p);
 }
 
+/* Answers of the store can overtake each other. */
+static void test_older_instance_row(void)
+{
+	struct fg_peer_row self = { .name = "me", .incarnation = 1 };
+	struct fg_peer_row row = { .name = "other",
+				   .incarnation = 11,
+				   .version = 20 };
+	struct fg_peers *p = fg_peers_new(&self);
+
+	fg_peers_put(p, 1000, &row);
+	row.incarnation = 10;
+	row.version = 19;
+	fg_peers_put(p, 1100, &row);
+	g_assert_nonnull(fg_peers_find(p, 11));
+	g_assert_null(fg_peers_find(p, 10));
+	fg_peers_free(p);
+}
+
 /* A heartbeat that took longer than others makes its contents older. */
 static void test_heartbeat_delay(void)
 {
@@ -587,6 +605,15 @@
 	hb.store.sent_at = 2000;
 	fg_peers_on_heartbeat(p, 3050, 10, 3, &hb);
 	g_assert_cmpint(peer->excess_delay_ms, ==, 0);
+	/* Over days, clocks that drift apart do not look like delays. */
+	for (uint32_t i = 1; i <= 300; i++) {
+		fg_ms passed_ms = (fg_ms)i * 1000000;
+
+		hb.store.sent_at = 2000 + (uint64_t)passed_ms;
+		fg_peers_on_heartbeat(p, 3050 + passed_ms + passed_ms / 10000,
+				      10, 3 + i, &hb);
+		g_assert_cmpint(peer->excess_delay_ms, ==, 0);
+	}
 	fg_peers_free(p);
 }
 
@@ -669,6 +696,7 @@
 	g_test_add_func("/events/too_large", test_event_too_large);
 	g_test_add_func("/mesh/packets", test_packets);
 	g_test_add_func("/mesh/peers", test_peers);
+	g_test_add_func("/mesh/older_instance_row", test_older_instance_row);
 	g_test_add_func("/mesh/heartbeat_delay", test_heartbeat_delay);
 	g_test_add_func("/gwconf/good", test_settings);
 	g_test_add_func("/gwconf/bad", test_bad_settings);
