--- a/lib/relay/fg_relay.c
+++ b/lib/relay/fg_relay.c
@@ -138,7 +138,8 @@
 		return row;
 	row->value_bytes = m->value.value_len;
 	row->value = g_malloc(row->value_bytes + 1);
-	memcpy(row->value, m->value.value_val, row->value_bytes);
+	if (row->value_bytes > 0) /* an empty value has no bytes to copy from */
+		memcpy(row->value, m->value.value_val, row->value_bytes);
 	row->value[row->value_bytes] = '\0';
 	return row;
 }
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -85,6 +85,23 @@
 	fg_relay_free(r);
 }
 
+/* A neighbour's row with an empty value, as a fuzzer found it. */
+static void test_empty_value(void)
+{
+	struct fg_relay *r = fg_relay_new();
+	struct fg_store_rows rows;
+
+	fg_relay_reset(r, 10);
+	put_row(r, "a", 13, "");
+	rows = encode_and_decode(r, 10);
+	g_assert_cmpuint(rows.rows->len, ==, 1);
+	g_assert_false(row_at(&rows, 0)->removed);
+	g_assert_cmpstr(row_at(&rows, 0)->value, ==, "");
+	g_assert_cmpuint(row_at(&rows, 0)->value_bytes, ==, 0);
+	fg_store_rows_clear(&rows);
+	fg_relay_free(r);
+}
+
 /* An instance that has read less than the floor must get no answer: an empty
  * answer would tell it that it has all rows. */
 static void test_floor(void)
@@ -287,6 +304,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/relay/empty_value", test_empty_value);
 	g_test_add_func("/relay/older_row", test_older_row_is_ignored);
 	g_test_add_func("/relay/newest_of_each_key", test_newest_of_each_key);
 	g_test_add_func("/relay/floor", test_floor);
