--- a/lib/claim/fg_claim.c
+++ b/lib/claim/fg_claim.c
@@ -168,6 +168,15 @@
 	return owner->settled && owner->settled_era == c->era;
 }
 
+/* The time of the last order stays known. */
+static void forget_row(struct fg_claim *claim)
+{
+	memset(&claim->owner, 0, sizeof(claim->owner));
+	claim->version = 0; /* the condition for creating the row */
+	claim->releasing = false;
+	claim->proved_at = NEVER;
+}
+
 void fg_claims_apply_row(struct fg_claims *c, fg_ms now,
 			 const char *endpoint_id, const char *value,
 			 uint64_t version)
@@ -177,10 +186,7 @@
 
 	claim->seen = true;
 	if (value == NULL) {
-		/* The condition for creating an absent row is version 0. */
-		memset(&claim->owner, 0, sizeof(claim->owner));
-		claim->version = 0;
-		claim->releasing = false;
+		forget_row(claim);
 		return;
 	}
 	parse_owner(value, &owner);
@@ -203,22 +209,15 @@
 		((struct fg_claim *)claim)->seen = false;
 }
 
-/* An engine whose row is gone keeps the time of the last order. */
 void fg_claims_end_full_read(struct fg_claims *c)
 {
 	GHashTableIter iter;
-	gpointer value;
+	gpointer claim;
 
 	g_hash_table_iter_init(&iter, c->by_ep);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct fg_claim *claim = value;
-
-		if (claim->seen)
-			continue;
-		memset(&claim->owner, 0, sizeof(claim->owner));
-		claim->version = 0;
-		claim->releasing = false;
-		claim->proved_at = NEVER;
+	while (g_hash_table_iter_next(&iter, NULL, &claim)) {
+		if (!((struct fg_claim *)claim)->seen)
+			forget_row(claim);
 	}
 }
 
@@ -253,7 +252,6 @@
 	gpointer claim;
 
 	c->era = era;
-
 	c->proved_at = NEVER;
 	c->revoked_at = now;
 	g_hash_table_iter_init(&iter, c->by_ep);
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -54,21 +54,19 @@
 
 /* ---- Helpers ---- */
 
-void fg_gw_count_event(struct fg_gateway *gw, const char *name,
-		       const char *labels)
+void fg_gw_add_counter(struct fg_gateway *gw, const char *name,
+		       const char *labels, uint64_t n)
 {
 	char full[64];
 
 	g_snprintf(full, sizeof(full), "fg_gw_%s_total", name);
-	fg_counter_add(fg_metrics_counter(gw->metrics, full, labels, name), 1);
+	fg_counter_add(fg_metrics_counter(gw->metrics, full, labels, name), n);
 }
 
-void fg_gw_add_counter(struct fg_gateway *gw, const char *name, uint64_t n)
+void fg_gw_count_event(struct fg_gateway *gw, const char *name,
+		       const char *labels)
 {
-	char full[64];
-
-	g_snprintf(full, sizeof(full), "fg_gw_%s_total", name);
-	fg_counter_add(fg_metrics_counter(gw->metrics, full, NULL, name), n);
+	fg_gw_add_counter(gw, name, labels, 1);
 }
 
 uint64_t fg_gw_announced_version(const struct fg_gateway *gw, uint64_t key,
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -300,6 +300,11 @@
 struct fg_ep_local *fg_ep_local_get(struct fg_gateway *gw,
 				    struct fg_fleet_ep *ep);
 
+/* Returns whether the endpoint itself sent the answer. One that states another
+ * id comes from a process that took over the address. */
+bool fg_ep_sent_reply(const struct fg_fleet_ep *ep,
+		      const struct fg_wire_reply *reply);
+
 /* Applies what an endpoint's answer of any kind says of the endpoint itself:
  * that it is leaving, or for how long it wants no request. */
 void fg_ep_apply_reply(struct fg_gateway *gw, struct fg_fleet_ep *ep,
@@ -588,7 +593,6 @@
 	fg_ms tx_sent_at;    /* last transaction */
 	uint64_t tx_era;     /* when it was sent */
 	struct fg_era era;
-	GPtrArray *era_sources;		  /* of the store channels, owned */
 	struct fg_channel *proof_channel; /* to the store */
 	fg_ms proof_sent_at;		  /* last call for a proof */
 	fg_ms proving_since; /* there has been a valid proof since; 0: none */
@@ -634,8 +638,9 @@
 void fg_gw_count_event(struct fg_gateway *gw, const char *name,
 		       const char *labels);
 
-/* Adds to the counter fg_gw_NAME_total. */
-void fg_gw_add_counter(struct fg_gateway *gw, const char *name, uint64_t n);
+/* Adds n to the same counter; `labels` may be NULL. */
+void fg_gw_add_counter(struct fg_gateway *gw, const char *name,
+		       const char *labels, uint64_t n);
 
 /* Newest announced version of an adapter, 0 when there is none. *age_ms is the
  * time since it was read. */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -82,8 +82,7 @@
 		abandon_send(r, FG_SEND_NOT_RUN, "endpoint_full");
 		return;
 	}
-	if (reply->endpoint != NULL &&
-	    strcmp(reply->endpoint, ep->facts.id) != 0) {
+	if (!fg_ep_sent_reply(ep, reply)) {
 		ep->addr_taken = true;
 		fg_log(FG_LOG_WARN, "endpoint", "address_reused", "endpoint",
 		       ep->facts.id, "address", ep->facts.address, NULL);
--- a/lib/gateway/fg_gw_era.c
+++ b/lib/gateway/fg_gw_era.c
@@ -54,15 +54,10 @@
 	}
 }
 
-struct era_source {
-	struct fg_gateway *gw;
-	struct fg_channel *channel;
-};
-
-static uint64_t on_store_head(void *ctx, const struct fg_h1_head *head)
+static uint64_t on_store_head(void *ctx, const struct fg_channel *c,
+			      const struct fg_h1_head *head)
 {
-	const struct era_source *source = ctx;
-	struct fg_gateway *gw = source->gw;
+	struct fg_gateway *gw = ctx;
 	const char *reason;
 	uint64_t era = 0;
 	int error = gw->wire->era_read(head, &era);
@@ -72,7 +67,7 @@
 	switch (fg_era_observe(&gw->era, error, era, FG_STORE_ERA_MAX,
 			       &reason)) {
 	case FG_ERA_ADVANCED:
-		start_era(gw, source->channel, "store");
+		start_era(gw, c, "store");
 		return FG_STORE_ANSWER_USABLE;
 	case FG_ERA_REFUSED:
 		if (reason != NULL)
@@ -88,13 +83,10 @@
 
 struct fg_channel *fg_gw_store_channel_new(struct fg_gateway *gw)
 {
-	struct era_source *source = g_new0(struct era_source, 1);
+	struct fg_channel *c = fg_channel_new(&gw->loop, gw->conf->store);
 
-	source->gw = gw;
-	source->channel = fg_channel_new(&gw->loop, gw->conf->store);
-	fg_channel_set_head_hook(source->channel, on_store_head, source);
-	g_ptr_array_add(gw->era_sources, source);
-	return source->channel;
+	fg_channel_set_head_hook(c, on_store_head, gw);
+	return c;
 }
 
 bool fg_gw_store_answer_usable(const struct fg_channel *c, unsigned int status)
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -329,11 +329,13 @@
 }
 
 /* Answers to orders and reports say as well that the engine is leaving. */
-static uint64_t on_answer_head(void *ctx, const struct fg_h1_head *head)
+static uint64_t on_answer_head(void *ctx, const struct fg_channel *c,
+			       const struct fg_h1_head *head)
 {
 	struct fg_ep_local *local = ctx;
 	struct fg_wire_reply reply;
 
+	(void)c;
 	local->gw->wire->reply_read(head, &reply);
 	fg_ep_apply_reply(local->gw, local->ep, &reply);
 	return 0;
@@ -447,8 +449,8 @@
 						 ep->facts.id) != 0)
 			held_ms += (uint64_t)elapsed_ms;
 	}
-	fg_gw_add_counter(gw, "engine_unowned_ms", unowned_ms);
-	fg_gw_add_counter(gw, "engine_held_ms", held_ms);
+	fg_gw_add_counter(gw, "engine_unowned_ms", NULL, unowned_ms);
+	fg_gw_add_counter(gw, "engine_held_ms", NULL, held_ms);
 }
 
 void fg_orders_refresh(struct fg_gateway *gw, fg_ms now)
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -13,6 +13,15 @@
 /* Time without a proof after which an instance loses its engines. */
 #define UNPROVEN_MAX_MS 2000
 
+/* Returns whether the answer to the last transaction counts. What was written
+ * in an earlier era may be lost. */
+static bool is_tx_answer_usable(const struct fg_gateway *gw,
+				unsigned int status)
+{
+	return gw->tx_era == gw->era.known &&
+	       fg_gw_store_answer_usable(gw->tx_channel, status);
+}
+
 static void on_own_row_written(void *ctx, unsigned int status, const char *body,
 			       size_t len)
 {
@@ -21,10 +30,8 @@
 	(void)body;
 	(void)len;
 	gw->next_tx_at = fg_clock_now() + TX_GAP_MS;
-	/* A row written in an earlier era may be lost. */
-	gw->own_row_written = status == HTTP_STATUS_OK &&
-			      gw->tx_era == gw->era.known &&
-			      fg_gw_store_answer_usable(gw->tx_channel, status);
+	gw->own_row_written =
+		status == HTTP_STATUS_OK && is_tx_answer_usable(gw, status);
 	if (!gw->own_row_written)
 		fg_log(FG_LOG_WARN, "sync", "own_row_not_written", NULL);
 }
@@ -105,24 +112,19 @@
 	struct fg_gateway *gw = ctx;
 	fg_ms now = fg_clock_now();
 	struct fg_store_rows rows = { 0 };
+	bool written = status == HTTP_STATUS_OK;
+	bool conflict = status == HTTP_STATUS_PRECONDITION_FAILED;
 
 	gw->next_tx_at = now + TX_GAP_MS;
-	/* What was written in an earlier era may be lost. */
-	if (status == HTTP_STATUS_OK && gw->tx_era == gw->era.known &&
-	    fg_gw_store_answer_usable(gw->tx_channel, status) &&
-	    gw->wire->rows_read(body, len, &rows, NULL)) {
-		fg_store_rows_set_era(&rows, gw->era.known);
-		fg_claims_handle_result(gw->claims, now, gw->claiming,
-					gw->n_claiming, rows.version,
-					gw->tx_sent_at);
-	}
-	/* The answer to a conflict has the rows as they are now. */
-	if (status == HTTP_STATUS_PRECONDITION_FAILED &&
-	    gw->tx_era == gw->era.known &&
-	    fg_gw_store_answer_usable(gw->tx_channel, status) &&
+	if ((written || conflict) && is_tx_answer_usable(gw, status) &&
 	    gw->wire->rows_read(body, len, &rows, NULL)) {
 		fg_store_rows_set_era(&rows, gw->era.known);
-		for (guint i = 0; i < rows.rows->len; i++)
+		if (written)
+			fg_claims_handle_result(gw->claims, now, gw->claiming,
+						gw->n_claiming, rows.version,
+						gw->tx_sent_at);
+		/* The answer to a conflict has the rows as they are now. */
+		for (guint i = 0; conflict && i < rows.rows->len; i++)
 			fg_sync_apply_row(&gw->feeds[FG_FEED_OWN],
 					  rows.rows->pdata[i], now);
 	}
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -124,10 +124,8 @@
 	fg_gwreq_on_send_end(r, end, why);
 }
 
-/* An answer for another endpoint id comes from a process that took over the
- * address. */
-static bool is_from_endpoint(const struct fg_wire_reply *reply,
-			     const struct fg_fleet_ep *ep)
+bool fg_ep_sent_reply(const struct fg_fleet_ep *ep,
+		      const struct fg_wire_reply *reply)
 {
 	return reply->endpoint == NULL ||
 	       strcmp(reply->endpoint, ep->facts.id) == 0;
@@ -146,7 +144,7 @@
 void fg_ep_apply_reply(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		       const struct fg_wire_reply *reply)
 {
-	if (!is_from_endpoint(reply, ep))
+	if (!fg_ep_sent_reply(ep, reply))
 		return;
 	if (reply->leaving && fg_ep_mark_leaving(ep)) {
 		fg_log(FG_LOG_INFO, "endpoint", "said_leaving", "endpoint",
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -377,7 +377,6 @@
 		[FG_FEED_OWN] = FG_SYNC_TABLE_OWN,
 	};
 
-	gw->era_sources = g_ptr_array_new_with_free_func(g_free);
 	gw->tx_channel = fg_gw_store_channel_new(gw);
 	gw->proof_channel = fg_gw_store_channel_new(gw);
 	for (int i = 0; i < FG_FEED_COUNT; i++) {
@@ -408,5 +407,4 @@
 	}
 	fg_channel_free(gw->tx_channel);
 	fg_channel_free(gw->proof_channel);
-	g_ptr_array_unref(gw->era_sources);
 }
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -60,7 +60,7 @@
 
 	g_string_truncate(c->body, 0);
 	if (c->hook != NULL && c->done != NULL)
-		c->head_result = c->hook(c->hook_ctx, head);
+		c->head_result = c->hook(c->hook_ctx, c, head);
 	return true;
 }
 
--- a/lib/link/fg_channel.h
+++ b/lib/link/fg_channel.h
@@ -27,8 +27,9 @@
  * outlive the channel. */
 struct fg_channel *fg_channel_new(uv_loop_t *loop, const char *address);
 
-/* Called with the head of each answer, before its body is read. */
-typedef uint64_t (*fg_channel_head_fn)(void *ctx,
+/* Called with the head of each answer on the channel, before its body is read.
+ */
+typedef uint64_t (*fg_channel_head_fn)(void *ctx, const struct fg_channel *c,
 				       const struct fg_h1_head *head);
 
 /* Sets the function that gets the heads of answers; NULL: none. */
