fg-gateway: log lines and a counter for requests lost in crashes

request event=lost_in_crash tells, for each request lost at an endpoint that crashed, its key, the shared parts of its prompt and how far its answer was; suspects event=crash_counted that an instance knows of it, and from whom; fg_gw_crash_reports_total counts them by origin.

Test: gateway crash_lines sends three requests that share a part which crashes the stand-in's engines.

--- a/lib/admit/fg_loss.h
+++ b/lib/admit/fg_loss.h
@@ -12,6 +12,7 @@
 #ifndef FG_LOSS_H
 #define FG_LOSS_H
 
+#include <glib.h>
 #include <stdint.h>
 
 #include "base/fg_clock.h"
@@ -20,10 +21,23 @@
  * after three missed heartbeats. */
 #define FG_LOSS_KEEP_MS 6000
 #define FG_LOSS_MAX 32
+#define FG_LOSS_ID_BYTES 40
+
+/* How far the answer was when the connection broke. */
+enum fg_loss_phase {
+	FG_LOSS_WAITING = 0, /* no byte of an answer */
+	FG_LOSS_BEGUN = 1,   /* its head */
+};
+
+/* Returns "waiting" or "begun". */
+const char *fg_loss_phase_name(enum fg_loss_phase phase);
 
 struct fg_loss {
+	char id[FG_LOSS_ID_BYTES]; /* of the request; cut when longer */
 	uint64_t fingerprint;
 	uint64_t request;
+	GBytes *shared_parts; /* as in struct fg_call; NULL: none */
+	enum fg_loss_phase phase;
 	fg_ms at;
 };
 
@@ -34,13 +48,16 @@
 	uint32_t next;
 };
 
-/* A request was lost before the first part of its answer arrived. A full ring
- * drops its oldest entry. */
-void fg_losses_add(struct fg_losses *l, fg_ms now, uint64_t fingerprint,
-		   uint64_t request);
+/* A request was lost at loss->at, before the first part of its answer arrived.
+ * The record is copied, with a reference to its parts. A full ring drops its
+ * oldest entry. */
+void fg_losses_add(struct fg_losses *l, const struct fg_loss *loss);
 
 /* The endpoint crashed: moves the losses of the last FG_LOSS_KEEP_MS to `out`
- * (room for FG_LOSS_MAX), empties the ring and returns their number. */
+ * (room for FG_LOSS_MAX), empties the ring and returns their number. The caller
+ * releases each with fg_loss_clear(). */
 uint32_t fg_losses_take(struct fg_losses *l, fg_ms now, struct fg_loss *out);
 
+void fg_loss_clear(struct fg_loss *loss);
+
 #endif
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -69,6 +69,28 @@
 	fg_gw_add_counter(gw, name, labels, 1);
 }
 
+void fg_gw_format_key(char *out, uint64_t key)
+{
+	g_snprintf(out, FG_KEY_TEXT_BYTES, "%" G_GINT64_MODIFIER "x",
+		   (guint64)key);
+}
+
+char *fg_gw_format_parts(GBytes *shared_parts)
+{
+	GString *text;
+	const uint64_t *keys;
+	gsize len;
+
+	if (shared_parts == NULL)
+		return NULL;
+	text = g_string_new(NULL);
+	keys = g_bytes_get_data(shared_parts, &len);
+	for (gsize i = 0; i < len / sizeof(*keys); i++)
+		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
+				       i == 0 ? "" : ",", (guint64)keys[i]);
+	return g_string_free(text, FALSE);
+}
+
 uint64_t fg_gw_announced_version(const struct fg_gateway *gw, uint64_t key,
 				 fg_ms now, fg_ms *age_ms)
 {
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -158,6 +158,7 @@
 	fg_ms first_at;	   /* first part of the answer; 0: none yet */
 	bool may_have_run; /* some send may have run, or may still run */
 	bool head_sent;	   /* the answer's head was sent to the caller */
+	bool head_seen;	   /* this send brought a head that was not refused */
 	bool answer_begun; /* this send brought an event or a plain head */
 	struct fg_events events;
 	GString *answer_body; /* of a plain answer */
@@ -642,6 +643,14 @@
 void fg_gw_add_counter(struct fg_gateway *gw, const char *name,
 		       const char *labels, uint64_t n);
 
+/* Text of a key of 64 bits, in hexadecimal digits. */
+#define FG_KEY_TEXT_BYTES 17
+void fg_gw_format_key(char *out, uint64_t key);
+
+/* Returns the keys of the parts as text, separated by commas, which the caller
+ * g_free()s; NULL for NULL. */
+char *fg_gw_format_parts(GBytes *shared_parts);
+
 /* Newest announced version of an adapter, 0 when there is none. *age_ms is the
  * time since it was read. */
 uint64_t fg_gw_announced_version(const struct fg_gateway *gw, uint64_t key,
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -125,6 +125,7 @@
 		abandon_send(r, FG_SEND_BROKEN, "not_resumed");
 		return true;
 	}
+	r->head_seen = true;
 	if (!is_streamed(r, head)) {
 		note_answer_start(r);
 		if (r->answer_body == NULL)
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -111,6 +111,19 @@
 	fg_gwreq_on_totals(gw, totals->request);
 }
 
+static void log_crash(const struct fg_gateway *gw, uint64_t by,
+		      const fg_mesh_crash *crash)
+{
+	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, by);
+	const struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, crash->ep);
+	char key[FG_KEY_TEXT_BYTES];
+
+	fg_gw_format_key(key, crash->fingerprint);
+	fg_log_routine("suspects", "crash_counted", "request_key", key,
+		       "endpoint", ep == NULL ? NULL : ep->facts.id, "by",
+		       peer == NULL ? gw->conf->name : peer->row.name, NULL);
+}
+
 void fg_gw_mesh_apply_crash(struct fg_gateway *gw, uint64_t by,
 			    const fg_mesh_crash *crash, fg_ms now)
 {
@@ -121,7 +134,12 @@
 		.req = crash->req,
 	};
 
-	fg_suspects_handle_event(gw->suspects, now, by, &ev);
+	if (!fg_suspects_handle_event(gw->suspects, now, by, &ev))
+		return;
+	fg_gw_count_event(gw, "crash_reports",
+			  by == gw->incarnation ? "from=\"here\""
+						: "from=\"peer\"");
+	log_crash(gw, by, crash);
 }
 
 static void apply_heartbeat(struct fg_gateway *gw, const fg_mesh_packet *packet,
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -324,6 +324,22 @@
 	return take_retry_budget(r, now);
 }
 
+/* Keeps the request that was lost at r->ep, in case the endpoint crashed. */
+static void record_loss(struct fg_gwreq *r, fg_ms now)
+{
+	struct fg_loss loss = {
+		.fingerprint = r->fingerprint,
+		.request = (r->gw->incarnation ^ r->local_id) << 8 | r->sends,
+		.shared_parts = r->call.shared_parts,
+		.phase = r->head_seen ? FG_LOSS_BEGUN : FG_LOSS_WAITING,
+		.at = now,
+	};
+
+	if (r->call.id != NULL)
+		g_strlcpy(loss.id, r->call.id, sizeof(loss.id));
+	fg_losses_add(&fg_ep_local_get(r->gw, r->ep)->losses, &loss);
+}
+
 void fg_gwreq_on_send_end(struct fg_gwreq *r, enum fg_send_end end,
 			  const char *why)
 {
@@ -334,10 +350,7 @@
 		r->may_have_run = true;
 	}
 	if (end == FG_SEND_BROKEN && !r->answer_begun && r->ep != NULL)
-		fg_losses_add(&fg_ep_local_get(r->gw, r->ep)->losses, now,
-			      r->fingerprint,
-			      (r->gw->incarnation ^ r->local_id) << 8 |
-				      r->sends);
+		record_loss(r, now);
 	if (end == FG_SEND_ABSENT && r->ep_adapter != NULL)
 		r->ep_adapter->version = 0;
 	fg_gwreq_log(r, "send_ended", why);
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -72,6 +72,19 @@
 		g_ptr_array_remove(local->idle, conn);
 }
 
+static void log_loss(const struct fg_ep_local *local,
+		     const struct fg_loss *loss)
+{
+	char key[FG_KEY_TEXT_BYTES];
+	g_autofree char *parts = fg_gw_format_parts(loss->shared_parts);
+
+	fg_gw_format_key(key, loss->fingerprint);
+	fg_log(FG_LOG_WARN, "request", "lost_in_crash", "id", loss->id,
+	       "endpoint", local->ep->facts.id, "phase",
+	       fg_loss_phase_name(loss->phase), "request_key", key, "parts",
+	       parts, NULL);
+}
+
 void fg_ep_local_report_losses(struct fg_ep_local *local)
 {
 	struct fg_loss lost[FG_LOSS_MAX];
@@ -84,7 +97,9 @@
 			.req = lost[i].request,
 		};
 
+		log_loss(local, &lost[i]);
 		fg_gw_mesh_report_crash(local->gw, &crash);
+		fg_loss_clear(&lost[i]);
 	}
 }
 
@@ -410,6 +425,7 @@
 
 	g_assert(r->conn == NULL);
 	r->sends++;
+	r->head_seen = false;
 	r->answer_begun = false;
 	r->sent_at = now;
 	if (r->answer_body != NULL)
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -40,10 +40,12 @@
 	char *model;	      /* NULL: the request is not for a model */
 	char *adapter;	      /* of the model; NULL: the base model */
 	uint32_t prompt_tokens;
-	uint32_t output_tokens;	     /* upper bound */
-	uint64_t prompt_prefix_hash; /* of the first shared part; 0: none */
-	bool resumes;		     /* the caller resumes a stream */
-	uint64_t resume_after;	     /* last event id that it has received */
+	uint32_t output_tokens; /* upper bound */
+	/* Keys of the prompt's parts that other requests may have too, in the
+	 * order of the prompt (uint64_t[]); NULL: none. */
+	GBytes *shared_parts;
+	bool resumes;	       /* the caller resumes a stream */
+	uint64_t resume_after; /* last event id that it has received */
 };
 
 /* Frees the strings and zeroes the structure. */
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -35,6 +35,7 @@
         self.store = store
         self.on_run = on_run
         self.name = name
+        self.first_name = name
         self.service = service
         self.engine = engine
         self.dc = dc
@@ -43,6 +44,12 @@
         self.faults = {}
         self.run_ids = []  # ids of the requests that began to run
         self.received = []  # (id, headers) of every request
+        self.received_at = []  # time.monotonic(), for each of `received`
+        self.bad_parts = set()  # ids of prompt parts that crash the replica
+        self.crash_delay_s = 0.03  # from the answer's head to the crash
+        self.back_s = 0.5  # from a crash by a part to the next start
+        self.crashed_at = []  # time.monotonic() of the crashes by a part
+        self.lifetime = 0
         self.disconnects = []  # (id, seconds waited or event number)
         self.sent_at = {}  # (id, event) -> time.monotonic()
         self.orders = []  # (holder, fence, opcode, adapter, status)
@@ -101,6 +108,36 @@
         self.server.start(port)
         self.register()
 
+    def has_bad_part(self, req):
+        parts = req.get("Prompt-Prefix", "").split(",")[:-1]
+        return any(p.split(":")[0] in self.bad_parts for p in parts)
+
+    def crash_by_part(self, req, rid):
+        """Begins to answer, crashes, and starts again under another id."""
+        req.sock.sendall(self.response_head(
+            rid, "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n").encode())
+        lifetime = self.lifetime
+        time.sleep(self.crash_delay_s)
+        with self.lock:
+            if lifetime != self.lifetime:
+                return
+            self.lifetime += 1
+            self.crashed_at.append(time.monotonic())
+        port = int(self.server.addr.split(":")[1])
+        self.server.stop()
+        time.sleep(self.back_s)
+        old_name = self.name
+        self.name = f"{self.first_name}.{self.lifetime}"
+        self.boot_ms = int(time.time() * 1000)
+        self.adapters = {}
+        self.loading = {}
+        self.sequence = 0
+        self.fence = 0
+        self.server.start(port)
+        self.store.remove("servers", old_name)
+        self.register()
+
     def consume_fault(self, fault):
         with self.lock:
             left = self.faults.get(fault, 0)
@@ -192,6 +229,7 @@
 
     def handle_request(self, req):
         rid = req.get("Request-Id")
+        self.received_at.append(time.monotonic())
         self.received.append((rid, dict(req.headers)))
         model = req.get("Model", "")
         if self.engine and "/" in model:
@@ -213,6 +251,9 @@
         self.run_ids.append(rid)
         if self.on_run is not None:
             self.on_run(self, rid, req.headers)
+        if self.has_bad_part(req):
+            self.crash_by_part(req, rid)
+            return False
         if self.consume_fault("crash"):
             self.crash()
             self.store.remove("servers", self.name)
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -903,13 +903,56 @@
 crashing_request.system_options = {"gateways": 2}
 
 
+def find_log_lines(gateway, event):
+    return [dict(f.split("=", 1) for f in line.split() if "=" in f)
+            for line in gateway.log().splitlines()
+            if f"event={event} " in line]
+
+
 def find_log_line(s, rid, event):
-    lines = [dict(f.split("=", 1) for f in line.split() if "=" in f)
-             for line in s.gw.log().splitlines()
-             if f" id={rid} " in line and f"event={event} " in line]
+    lines = [line for line in find_log_lines(s.gw, event)
+             if line.get("id") == rid]
     return lines[0] if lines else None
 
 
+FIRST_PART = "f1"
+BAD_PART = "bad"
+
+
+def send_with_parts(gateway, parts, adapter="a1"):
+    """Sends a request with these prompt parts and one of its own."""
+    rid = next_id()
+    prefix = ",".join(f"{p}:10" for p in [*parts, f"e{rid[3:]}"])
+    return send(gateway.front, "/draft/1", rid, body=rid.encode(), headers={
+        "Model": f"{MODEL}/{adapter}", "Token-Count": "100,20",
+        "Prompt-Prefix": prefix})
+
+
+def crash_lines(s):
+    """The log tells which requests were lost at each crash, with which keys
+    and prompt parts, and that each instance knows of the crash."""
+    for engine in s.engines:
+        engine.bad_parts = {BAD_PART}
+    for i in range(3):
+        send_with_parts(s.gateways[i % 2], [FIRST_PART, BAD_PART], f"a{i}")
+        wait_for("a line for the request", lambda n=i: len(
+            {line["id"] for g in s.gateways
+             for line in find_log_lines(g, "lost_in_crash")}) > n)
+    lost = [line for g in s.gateways
+            for line in find_log_lines(g, "lost_in_crash")]
+    keys = {line["request_key"] for line in lost}
+    check(all(line["phase"] == "begun" for line in lost), f"phases: {lost}")
+    check(all(line["parts"] == "f1,bad" for line in lost), f"parts: {lost}")
+    check(len(keys) == 3, f"keys: {lost}")
+    for gateway in s.gateways:
+        wait_for(f"reports known at {gateway.name}", lambda g=gateway: keys <= {
+            line["request_key"]
+            for line in find_log_lines(g, "crash_counted")}, 2)
+
+
+crash_lines.system_options = {"engines": 4, "gateways": 2}
+
+
 def request_lines(s):
     """The log line of a request has the fields that the operations page names,
     and the metrics count its outcome."""
@@ -998,7 +1041,7 @@
     two_instances, paused_holder, asks_owners, one_reader,
     reader_paused, reader_cut, lapsed_entries, store_restored,
     store_restored_unfenced, era_not_usable, owner_killed_unfenced,
-    said_leaving, asked_pause, bad_pause, crashing_request,
+    said_leaving, asked_pause, bad_pause, crashing_request, crash_lines,
     request_lines, bad_input, settings_change,
 ]
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -332,12 +332,23 @@
 {
 	struct fg_losses l = { 0 };
 	struct fg_loss out[FG_LOSS_MAX];
+	struct fg_loss loss = { .at = 1000,
+				.shared_parts = g_bytes_new("12345678", 8) };
 
-	for (uint64_t i = 1; i <= 40; i++)
-		fg_losses_add(&l, 1000, i, i);
+	for (uint64_t i = 1; i <= 40; i++) {
+		loss.fingerprint = i;
+		fg_losses_add(&l, &loss);
+	}
 	g_assert_cmpuint(fg_losses_take(&l, 2000, out), ==, FG_LOSS_MAX);
+	for (uint32_t i = 0; i < FG_LOSS_MAX; i++) {
+		g_assert_cmpuint(out[i].fingerprint, >, 40 - FG_LOSS_MAX);
+		g_assert_cmpuint(g_bytes_get_size(out[i].shared_parts), ==, 8);
+		fg_loss_clear(&out[i]);
+	}
+	g_bytes_unref(loss.shared_parts);
+	loss.shared_parts = NULL;
 	g_assert_cmpuint(fg_losses_take(&l, 2000, out), ==, 0);
-	fg_losses_add(&l, 1000, 1, 1);
+	fg_losses_add(&l, &loss);
 	g_assert_cmpuint(fg_losses_take(&l, 1001 + FG_LOSS_KEEP_MS, out), ==,
 			 0);
 }
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -192,6 +192,11 @@
 	g_assert_cmpstr(call.model, ==, "m");
 	g_assert_cmpstr(call.adapter, ==, "a7");
 	g_assert_cmpuint(call.prompt_tokens, ==, 900);
+	g_assert_cmpuint(g_bytes_get_size(call.shared_parts), ==,
+			 sizeof(uint64_t));
+	g_assert_cmpuint(
+		*(const uint64_t *)g_bytes_get_data(call.shared_parts, NULL),
+		==, 0x5c);
 	g_assert_cmpuint(call.output_tokens, ==, 80);
 	g_assert_cmpuint(call.deadline_ms, ==, 4000);
 	g_assert_true(call.resumes);
