Known red: gateway crashing_part, requests that share a part which crashes engines

The test counts what arrives at the engines: from contactMs after the fifth crash at most three requests with the part (BUDGET), and from twice that time on, sound requests with the same first part served at least half as often as before (LOST).

--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -909,6 +910,97 @@
             if f"event={event} " in line]
 
 
+CONTACT_S = 4.0  # contactMs of the users' deployments
+ARRIVALS_MAX = 3  # at endpoints, once an instance must know a bad part
+
+
+class PartTraffic:
+    """Callers that send requests until stop(): sound ones that share the first
+    part and others, and from start_bad() on also ones with a bad part."""
+
+    def __init__(self, gateways):
+        self.gateways = gateways
+        self.running = True
+        self.sound = []  # (time, id, answer)
+        self.bad = []
+        self.threads = [self.start(i, self.sound, 0.08) for i in range(4)]
+
+    def start(self, seed, sent, interval_s):
+        thread = threading.Thread(target=self.send_all,
+                                  args=(random.Random(seed), sent, interval_s))
+        thread.start()
+        return thread
+
+    def start_bad(self):
+        self.threads += [self.start(i, self.bad, 0.4) for i in range(10, 12)]
+
+    def send_all(self, rand, sent, interval_s):
+        while self.running:
+            begin = time.monotonic()
+            middle = f"{rand.randrange(6):x}"
+            parts = [FIRST_PART, middle]
+            if sent is self.bad:
+                parts.insert(rand.randrange(3), BAD_PART)
+            answer = send_with_parts(rand.choice(self.gateways), parts,
+                                     f"a{rand.randrange(4)}")
+            sent.append((begin, answer))
+            time.sleep(interval_s)
+
+    def stop(self):
+        self.running = False
+        for thread in self.threads:
+            thread.join()
+
+
+def served_share(sent, begin, end):
+    """Share of the requests of that time that were served at once, and their
+    number."""
+    served = [a.status == 200 and has_all_events(a)
+              for at, a in sent if begin <= at < end]
+    return sum(served) / max(len(served), 1), len(served)
+
+
+def crashing_part(s):
+    """Requests that share a part which crashes engines, no two alike: from
+    CONTACT_S after the fifth crash, no more than ARRIVALS_MAX reach an engine
+    (BUDGET). From twice that time on, sound requests with the same first part
+    are served at least half as often as before (LOST)."""
+    for engine in s.engines:
+        engine.bad_parts = {BAD_PART}
+        engine.back_s = 1.0
+    traffic = PartTraffic(s.gateways)
+    try:
+        time.sleep(1)  # adapters are loaded
+        begin = time.monotonic()
+        time.sleep(3)
+        traffic.start_bad()
+        crashed = lambda: sorted(t for e in s.engines for t in e.crashed_at)
+        wait_for("five crashes, or none more for 6 s", lambda: len(
+            crashed()) >= 5 or crashed() and
+            time.monotonic() > crashed()[-1] + 6)
+        bad_since = crashed()[0]
+        last = crashed()[min(len(crashed()), 5) - 1]
+        time.sleep(max(last + 3 * CONTACT_S - time.monotonic(), 0))
+    finally:
+        traffic.stop()
+    late = sum(at > last + CONTACT_S
+               for e in s.engines
+               for at, (_, head) in zip(e.received_at, e.received)
+               if BAD_PART in head.get("prompt-prefix", ""))
+    before, n_before = served_share(traffic.sound, begin, bad_since)
+    after, n_after = served_share(traffic.sound, last + 2 * CONTACT_S,
+                                  last + 3 * CONTACT_S)
+    print(f"{len(crashed())} crashes, {late} late arrivals; sound requests "
+          f"served: {before:.2f} of {n_before}, {after:.2f} of {n_after}")
+    check(len(crashed()) < 5 or late <= ARRIVALS_MAX,
+          f"{late} requests with the bad part arrived late")
+    check(min(n_before, n_after) >= 20, "too few sound requests")
+    check(after >= before / 2, "sound requests refused")
+
+
+crashing_part.system_options = {"engines": 6, "gateways": 3, "dcs": 2}
+
+
 def find_log_line(s, rid, event):
     lines = [line for line in find_log_lines(s.gw, event)
              if line.get("id") == rid]
@@ -1042,6 +1134,7 @@
     reader_paused, reader_cut, lapsed_entries, store_restored,
     store_restored_unfenced, era_not_usable, owner_killed_unfenced,
     said_leaving, asked_pause, bad_pause, crashing_request, crash_lines,
+    crashing_part,
     request_lines, bad_input, settings_change,
 ]
 
