fg-gateway: a crash counts for a request that had begun to answer

What callers would see: a request, or a prompt part, whose endpoints crash after the first event of the answer crashes one endpoint after the other without end.

Cause: a request lost after the first part of its answer was not kept as lost, so that the crash was never attributed to it.

Change: a request counts until 1.5 s after its answer's head.

--- a/lib/admit/fg_loss.h
+++ b/lib/admit/fg_loss.h
@@ -26,7 +26,7 @@
 /* How far the answer was when the connection broke. */
 enum fg_loss_phase {
 	FG_LOSS_WAITING = 0, /* no byte of an answer */
-	FG_LOSS_BEGUN = 1,   /* its head */
+	FG_LOSS_BEGUN = 1,   /* its head came, shortly before */
 };
 
 /* Returns "waiting" or "begun". */
@@ -48,8 +48,8 @@
 	uint32_t next;
 };
 
-/* A request was lost at loss->at, before the first part of its answer arrived.
- * The record is copied, with a reference to its parts. A full ring drops its
+/* A request was lost at loss->at, before its answer was under way for long. The
+ * record is copied, with a reference to its parts. A full ring drops its
  * oldest entry. */
 void fg_losses_add(struct fg_losses *l, const struct fg_loss *loss);
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -324,6 +324,14 @@
 	return take_retry_budget(r, now);
 }
 
+/* A request that crashes endpoints does so soon after its answer begins. */
+#define BEGUN_MAX_MS 1500
+
+static bool is_long_answered(const struct fg_gwreq *r, fg_ms now)
+{
+	return r->head_at != 0 && now - r->head_at > BEGUN_MAX_MS;
+}
+
 /* Keeps the request that was lost at r->ep, in case the endpoint crashed. */
 static void record_loss(struct fg_gwreq *r, fg_ms now)
 {
@@ -349,7 +357,7 @@
 		r->possible_runs++;
 		r->may_have_run = true;
 	}
-	if (end == FG_SEND_BROKEN && !r->answer_begun && r->ep != NULL)
+	if (end == FG_SEND_BROKEN && r->ep != NULL && !is_long_answered(r, now))
 		record_loss(r, now);
 	if (end == FG_SEND_ABSENT && r->ep_adapter != NULL)
 		r->ep_adapter->version = 0;
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -47,6 +47,7 @@
         self.received_at = []  # time.monotonic(), for each of `received`
         self.bad_parts = set()  # ids of prompt parts that crash the replica
         self.crash_delay_s = 0.03  # from the answer's head to the crash
+        self.crash_events = 0  # events sent before it
         self.back_s = 0.5  # from a crash by a part to the next start
         self.crashed_at = []  # time.monotonic() of the crashes by a part
         self.lifetime = 0
@@ -117,6 +118,9 @@
         req.sock.sendall(self.response_head(
             rid, "Content-Type: text/event-stream\r\n"
                  "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for i in range(1, self.crash_events + 1):
+            event = f"id: {i}\ndata: piece {i}\n\n".encode()
+            req.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
         lifetime = self.lifetime
         time.sleep(self.crash_delay_s)
         with self.lock:
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -910,6 +910,25 @@
             if f"event={event} " in line]
 
 
+def crash_after_first_event(s):
+    """A request during which an endpoint crashes counts for the crash also if
+    an event of its answer came: its key and its part are blocked."""
+    for engine in s.engines:
+        engine.bad_parts = {BAD_PART}
+        engine.crash_events = 1
+    for i in range(3):
+        a = send_with_parts(s.gw, [FIRST_PART, BAD_PART], f"a{i}", "/brief/1")
+        check(a.status == 200 and not a.whole, f"crash: {a.status}")
+        wait_for("a line for the request", lambda n=i: len(
+            {line["id"] for line in find_log_lines(s.gw, "lost_in_crash")}) > n)
+    wait_for("blocked", lambda: "blocked_part bad " in s.gw.state(), 3)
+    a = send_with_parts(s.gw, [FIRST_PART, BAD_PART], "a4")
+    check(a.status == 503, f"bad part: {a.status}")
+
+
+crash_after_first_event.system_options = {"engines": 4}
+
+
 CONTACT_S = 4.0  # contactMs of the users' deployments
 ARRIVALS_MAX = 3  # at endpoints, once an instance must know a bad part
 
@@ -1135,7 +1154,7 @@
     reader_paused, reader_cut, lapsed_entries, store_restored,
     store_restored_unfenced, era_not_usable, owner_killed_unfenced,
     said_leaving, asked_pause, bad_pause, crashing_request, crash_lines,
-    crashing_part,
+    crash_after_first_event, crashing_part,
     request_lines, bad_input, settings_change,
 ]
 
