fg-gateway: a crash is looked for when an answer breaks off at its start

What callers would see: a crash counts only seconds later, or not at all, when no other request goes to the endpoint before it is back; further endpoints crash meanwhile.

Cause: a lost request counts as lost in a crash once a connection to the endpoint is refused or its registry entry goes; nobody opens one on purpose, and the entry stays for three heartbeats.

Change: after a request that was lost soon after its answer had begun, the instance opens one connection to the endpoint. Refused: a crash. Established: kept as an idle connection, so that the channel is not wasted.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -290,6 +290,8 @@
 	GPtrArray *idle;    /* struct fg_ep_conn *, most recently used last */
 	fg_ms last_byte_at; /* last byte from the endpoint, on any connection */
 	struct fg_losses losses;
+	struct fg_ep_conn *check; /* of whether it still listens, or NULL */
+	fg_ms check_until;
 	struct fg_slots *slots;
 	struct fg_uses uses; /* in flight from the other instances */
 	struct fg_channel *channel;
@@ -319,6 +321,14 @@
  * was lost there recently. */
 void fg_ep_local_report_losses(struct fg_ep_local *local);
 
+/* A request was lost there after its answer had begun: connects, unless this is
+ * in progress, to learn whether the endpoint crashed. A connection that is
+ * established is kept as an idle one. */
+void fg_ep_check_alive(struct fg_gateway *gw, struct fg_fleet_ep *ep);
+
+/* Closes the connections of checks that take too long. */
+void fg_ep_check_tick(struct fg_gateway *gw, fg_ms now);
+
 /* Frees the local state of `ep` and closes its idle connections. */
 void fg_ep_local_free(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
--- a/lib/gateway/fg_gw_blame.c
+++ b/lib/gateway/fg_gw_blame.c
@@ -226,6 +226,7 @@
 
 void fg_gw_blame_tick(struct fg_gateway *gw, fg_ms now)
 {
+	fg_ep_check_tick(gw, now);
 	fg_blame_tick(gw->blame, now);
 	flush_notes(gw);
 	repair_one_peer(gw, now);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -346,6 +346,8 @@
 	if (r->call.id != NULL)
 		g_strlcpy(loss.id, r->call.id, sizeof(loss.id));
 	fg_losses_add(&fg_ep_local_get(r->gw, r->ep)->losses, &loss);
+	if (loss.phase == FG_LOSS_BEGUN)
+		fg_ep_check_alive(r->gw, r->ep);
 }
 
 void fg_gwreq_on_send_end(struct fg_gwreq *r, enum fg_send_end end,
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -72,6 +72,14 @@
 		g_ptr_array_remove(local->idle, conn);
 }
 
+static void end_check(struct fg_ep_local *local)
+{
+	if (local->check == NULL)
+		return;
+	conn_close(local->check);
+	local->check = NULL;
+}
+
 static void log_loss(const struct fg_ep_local *local,
 		     const struct fg_loss *loss)
 {
@@ -120,6 +128,7 @@
 
 		conn_close(conn);
 	}
+	end_check(local);
 	fg_ep_local_report_losses(local);
 	fg_orders_release(local);
 	g_ptr_array_unref(local->idle);
@@ -295,14 +304,27 @@
 	feed_parser(conn, data, len);
 }
 
+/* The end of a connection that carries no request. */
+static void end_unused(struct fg_ep_conn *conn, enum fg_link_end end)
+{
+	struct fg_ep_local *local = conn->ep->user;
+
+	remove_idle(conn);
+	conn_close(conn);
+	if (local == NULL || local->check != conn)
+		return;
+	local->check = NULL;
+	if (end == FG_LINK_REFUSED)
+		fg_ep_local_report_losses(local);
+}
+
 static void on_end(void *ctx, enum fg_link_end end)
 {
 	struct fg_ep_conn *conn = ctx;
 	bool connected = conn->connected;
 
 	if (conn->req == NULL) {
-		remove_idle(conn);
-		conn_close(conn);
+		end_unused(conn, end);
 		return;
 	}
 	if (end == FG_LINK_EOF && fg_h1_eof(&conn->h1) && !conn->skip_message) {
@@ -367,13 +389,29 @@
 	fg_gwreq_arm_timer(r);
 }
 
+static void keep_checked(struct fg_ep_conn *conn)
+{
+	struct fg_ep_local *local = fg_ep_local_get(conn->gw, conn->ep);
+	fg_ms now = fg_clock_now();
+
+	if (local->check != conn)
+		return;
+	local->check = NULL;
+	if (fg_ep_is_usable(conn->ep, now))
+		keep_idle(conn, now);
+	else
+		conn_close(conn);
+}
+
 static void on_open(void *ctx)
 {
 	struct fg_ep_conn *conn = ctx;
 
 	conn->connected = true;
-	if (conn->req == NULL)
+	if (conn->req == NULL) {
+		keep_checked(conn);
 		return;
+	}
 	/* It may have said that it leaves while the connection was opened. */
 	if (!fg_ep_accepts(conn->ep, fg_clock_now())) {
 		fail_send(conn, FG_SEND_NOT_SENT, "endpoint_closed");
@@ -421,6 +459,34 @@
 	return conn;
 }
 
+static fg_ms connect_timeout_ms(const struct fg_gateway *gw)
+{
+	return CONNECT_TIMEOUT_MS + 2 * gw->balance.cross_region_rtt_ms;
+}
+
+void fg_ep_check_alive(struct fg_gateway *gw, struct fg_fleet_ep *ep)
+{
+	struct fg_ep_local *local = fg_ep_local_get(gw, ep);
+
+	if (local->check != NULL)
+		return;
+	local->check = conn_new(gw, ep);
+	local->check_until = fg_clock_now() + connect_timeout_ms(gw);
+}
+
+void fg_ep_check_tick(struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_fleet_ep *ep = all->pdata[i];
+		struct fg_ep_local *local = ep->user;
+
+		if (local != NULL && now >= local->check_until)
+			end_check(local);
+	}
+}
+
 void fg_send_start(struct fg_gwreq *r)
 {
 	struct fg_gateway *gw = r->gw;
@@ -451,8 +517,7 @@
 	}
 	conn->req = r;
 	r->conn = conn;
-	r->due_at =
-		now + CONNECT_TIMEOUT_MS + 2 * gw->balance.cross_region_rtt_ms;
+	r->due_at = now + connect_timeout_ms(gw);
 	fg_gwreq_arm_timer(r);
 }
 
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -929,6 +929,19 @@
 crash_after_first_event.system_options = {"engines": 4}
 
 
+def crash_known_at_once(s):
+    """A crash is known soon after it, though no other request needs the
+    endpoint and its registry entry stays."""
+    for engine in s.engines:
+        engine.bad_parts = {BAD_PART}
+        engine.back_s = 5
+    begin = time.monotonic()
+    send_with_parts(s.gw, [FIRST_PART, BAD_PART], "a1", "/brief/1")
+    wait_for("the crash is known",
+             lambda: find_log_lines(s.gw, "lost_in_crash"), 2)
+    print(f"known {time.monotonic() - begin:.2f} s after the request")
+
+
 CONTACT_S = 4.0  # contactMs of the users' deployments
 ARRIVALS_MAX = 3  # at endpoints, once an instance must know a bad part
 
@@ -1154,7 +1167,7 @@
     reader_paused, reader_cut, lapsed_entries, store_restored,
     store_restored_unfenced, era_not_usable, owner_killed_unfenced,
     said_leaving, asked_pause, bad_pause, crashing_request, crash_lines,
-    crash_after_first_event, crashing_part,
+    crash_after_first_event, crash_known_at_once, crashing_part,
     request_lines, bad_input, settings_change,
 ]
 
