fg-gateway: log lines and counters for limits that endpoints name

Server-Limit is decoded (decimal digits; anything else is refused with a line) and kept with the endpoint; nothing is decided from it yet. endpoint event=limit_named, limit_gone and limit_refused, fg_gw_endpoint_limits_total, and in /state the limit and the requests sent. A final answer of the service without the field ends the limit; answers to orders and reports and refusals do not.

Test: gateway limit_lines.

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -130,6 +130,7 @@
 	ep->addr_taken = false;
 	ep->leaving = false;
 	ep->paused_until = 0;
+	ep->limited = false;
 }
 
 struct fg_fleet_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
@@ -255,6 +256,23 @@
 	return true;
 }
 
+bool fg_ep_set_limit(struct fg_fleet_ep *ep, double per_s)
+{
+	if (ep->limited && ep->limit_per_s == per_s)
+		return false;
+	ep->limited = true;
+	ep->limit_per_s = per_s;
+	return true;
+}
+
+bool fg_ep_clear_limit(struct fg_fleet_ep *ep)
+{
+	bool was_limited = ep->limited;
+
+	ep->limited = false;
+	return was_limited;
+}
+
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
 				const char *service)
 {
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -79,6 +79,9 @@
 	bool addr_taken;    /* another endpoint answers at its address */
 	bool leaving;	    /* said so in an answer or in its entry */
 	fg_ms paused_until; /* it asked for no request until then; 0: never */
+	bool limited;	    /* it named a limit */
+	double limit_per_s; /* requests from all instances together */
+	uint64_t sends;	    /* requests sent there from here */
 	fg_ms known_since;
 
 	/* In flight from this instance. */
@@ -174,6 +177,13 @@
  * when the pause does not extend the known one. */
 bool fg_ep_pause(struct fg_fleet_ep *ep, fg_ms now, uint32_t pause_ms);
 
+/* The endpoint named a limit of requests a second, from all instances together.
+ * Returns false when it is the known one. */
+bool fg_ep_set_limit(struct fg_fleet_ep *ep, double per_s);
+
+/* The endpoint no longer names a limit. Returns false when none was known. */
+bool fg_ep_clear_limit(struct fg_fleet_ep *ep);
+
 /* Returns the time until an endpoint of the service accepts requests again, 0
  * when one does now, UINT32_MAX when none is usable. */
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -317,6 +317,12 @@
 void fg_ep_apply_reply(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		       const struct fg_wire_reply *reply);
 
+/* Applies the limit that a final answer names. One of the endpoint's service
+ * that names none ends the limit; answers to orders and reports and refusals do
+ * not. */
+void fg_ep_apply_limit(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+		       const struct fg_wire_reply *reply);
+
 /* The endpoint is known to have ended: reports a crash for each request that
  * was lost there recently. */
 void fg_ep_local_report_losses(struct fg_ep_local *local);
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -328,7 +328,8 @@
 	}
 }
 
-/* Answers to orders and reports say as well that the engine is leaving. */
+/* Answers to orders and reports say as well that the engine is leaving, or its
+ * limit. */
 static uint64_t on_answer_head(void *ctx, const struct fg_channel *c,
 			       const struct fg_h1_head *head)
 {
@@ -338,6 +339,7 @@
 	(void)c;
 	local->gw->wire->reply_read(head, &reply);
 	fg_ep_apply_reply(local->gw, local->ep, &reply);
+	fg_ep_apply_limit(local->gw, local->ep, &reply);
 	return 0;
 }
 
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -98,7 +98,8 @@
 			"endpoint %s service=%s address=%s usable=%d listed=%d "
 			"running=%u+%u pending_tokens=%u+%u errors=%.2f "
 			"slowness=%.2f fence=%llu spare_age_ms=%u "
-			"paused_ms=%lld order_wait_ms=%lld adapters=",
+			"paused_ms=%lld order_wait_ms=%lld sends=%llu "
+			"limit_per_s=%g adapters=",
 			ep->facts.id, ep->facts.service, ep->facts.address,
 			fg_ep_is_usable(ep, now), ep->listed, ep->running,
 			ep->peers_running, ep->pending_tokens,
@@ -107,7 +108,9 @@
 			ep->spare_age_ms,
 			(long long)MAX(ep->paused_until - now, 0),
 			(long long)(int32_t)fg_claims_order_wait_ms(
-				gw->claims, now, ep->facts.id));
+				gw->claims, now, ep->facts.id),
+			(unsigned long long)ep->sends,
+			ep->limited ? ep->limit_per_s : -1.0);
 		for (uint32_t k = 0; k < ep->n_adapters; k++) {
 			if (ep->adapters[k].version != 0)
 				g_string_append_printf(
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -192,6 +192,31 @@
 	fg_gw_count_event(gw, "endpoint_pauses", NULL);
 }
 
+void fg_ep_apply_limit(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+		       const struct fg_wire_reply *reply)
+{
+	char text[G_ASCII_DTOSTR_BUF_SIZE];
+
+	if (!fg_ep_sent_reply(ep, reply))
+		return;
+	if (reply->bad_limit)
+		fg_log(FG_LOG_WARN, "endpoint", "limit_refused", "endpoint",
+		       ep->facts.id, "reason", "the limit is not a number",
+		       NULL);
+	if (reply->has_limit && fg_ep_set_limit(ep, reply->limit_per_s)) {
+		g_ascii_dtostr(text, sizeof(text), reply->limit_per_s);
+		fg_log(FG_LOG_INFO, "endpoint", "limit_named", "endpoint",
+		       ep->facts.id, "per_s", text, NULL);
+		fg_gw_count_event(gw, "endpoint_limits", "event=\"named\"");
+	}
+	if (reply->has_limit || reply->bad_limit || !reply->from_service ||
+	    !fg_ep_clear_limit(ep))
+		return;
+	fg_log(FG_LOG_INFO, "endpoint", "limit_gone", "endpoint", ep->facts.id,
+	       NULL);
+	fg_gw_count_event(gw, "endpoint_limits", "event=\"gone\"");
+}
+
 static bool is_informational(unsigned int status)
 {
 	return status < 200;
@@ -213,6 +238,7 @@
 			      strcmp(conn->reply.id, r->call.id) != 0);
 	if (conn->skip_message)
 		return has_body;
+	fg_ep_apply_limit(conn->gw, conn->ep, &conn->reply);
 	conn->head_seen = true;
 	conn->unread_body = fg_link_pending_bytes(conn->link);
 	return fg_answer_head(r, head) && has_body;
@@ -366,6 +392,7 @@
 	conn->gw->wire->call_write(out, r->head, &send);
 	g_string_append_len(out, (const char *)body->data, body->len);
 	r->sent_at = now;
+	conn->ep->sends++;
 	fg_link_write(conn->link, out->str, out->len);
 	g_string_free(out, TRUE);
 }
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -63,6 +63,9 @@
 	bool has_body; /* writes Content-Length, even for 0 bytes */
 };
 
+/* Larger limits are cut to this. */
+#define FG_WIRE_LIMIT_MAX 1e9
+
 /* Header fields of an endpoint's answer. Strings belong to the decoded head. */
 struct fg_wire_reply {
 	bool not_run;	      /* states that the request did not run */
@@ -78,6 +81,11 @@
 	 * instance; 0: not stated. */
 	uint32_t pause_ms;
 	bool bad_pause; /* a pause is stated, but not as a number */
+	/* Requests a second that the endpoint takes from all instances
+	 * together. */
+	double limit_per_s;
+	bool has_limit;
+	bool bad_limit; /* a limit is stated, but not as a number */
 };
 
 /* ---- Rows of the platform's store ---- */
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -61,6 +61,7 @@
         self.boot_ms = int(time.time() * 1000)
         self.checks_fences = True
         self.leaving = False  # says so in all answers
+        self.limit_text = None  # Server-Limit of all answers
         self.pause_text = "1"
         self.has_base = True
         self.adapters = {}  # name -> version
@@ -152,6 +153,8 @@
     def handle(self, req):
         if self.leaving:
             req.extra_headers = [("Server-Leaving", "1")]
+        if self.limit_text is not None:
+            req.extra_headers.append(("Server-Limit", self.limit_text))
         expect = req.get("Expect-Instance")
         if expect is not None and expect != self.name:
             req.answer(421, headers=[("Instance-Id", self.name)])
@@ -284,8 +287,10 @@
 
     def response_head(self, rid, extra=""):
         leaving = "Server-Leaving: 1\r\n" if self.leaving else ""
+        limit = ("" if self.limit_text is None
+                 else f"Server-Limit: {self.limit_text}\r\n")
         return (f"HTTP/1.1 200 OK\r\nRequest-Id: {rid}\r\n"
-                f"Response-Stamp: {self.name}\r\n{leaving}{extra}")
+                f"Response-Stamp: {self.name}\r\n{leaving}{limit}{extra}")
 
     def answer_plain(self, req, rid):
         body = f"done by {self.name} for {rid}".encode()
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -904,6 +904,32 @@
 crashing_request.system_options = {"gateways": 2}
 
 
+def limit_lines(s):
+    """The log tells which limit an endpoint named, that it named none any more,
+    and that it named none that is a number; /state counts the requests."""
+    plain = s.plains[0]
+    for text, line in (("1", "per_s=1"), ("0", "per_s=0"), ("0.25", "per_s=0.25"),
+                       ("7e9999", "limit_refused"), ("nan", "limit_refused"),
+                       ("-1", "limit_refused"), ("0x10", "limit_refused"),
+                       ("1.2.3", "limit_refused"), ("", "limit_refused"),
+                       ("9" * 400, "per_s=1000000000")):
+        s.gw.log_offset = os.path.getsize(s.gw.log_path)
+        plain.limit_text = text
+        wait_for(f"a line for {text!r}", lambda want=line: (
+            send(s.gw.front, "/order/1"),
+            want in s.gw.log()[s.gw.log_offset:])[1], 15)
+    plain.limit_text = None
+    wait_for("a line for its end", lambda: (
+        send(s.gw.front, "/order/1"),
+        "event=limit_gone" in s.gw.log())[1], 15)
+    counts = [int(line.split(" sends=")[1].split()[0])
+              for line in s.gw.state().splitlines() if "service=orders" in line]
+    check(counts == [len(plain.received)], f"{counts}")
+
+
+limit_lines.system_options = {"plains": 1, "engines": 0}
+
+
 def find_log_lines(gateway, event):
     return [dict(f.split("=", 1) for f in line.split() if "=" in f)
             for line in gateway.log().splitlines()
@@ -1166,7 +1192,7 @@
     two_instances, paused_holder, asks_owners, one_reader,
     reader_paused, reader_cut, lapsed_entries, store_restored,
     store_restored_unfenced, era_not_usable, owner_killed_unfenced,
-    said_leaving, asked_pause, bad_pause, crashing_request, crash_lines,
+    said_leaving, asked_pause, bad_pause, limit_lines, crashing_request, crash_lines,
     crash_after_first_event, crash_known_at_once, crashing_part,
     request_lines, bad_input, settings_change,
 ]
