Known red: gateway limited_endpoint, more requests than an endpoint's limit

Three instances under steady load, one plain endpoint that names a limit of 1 a second and one engine that names 0.5. The test counts what arrives at the endpoints: from contactMs after the naming, no 4 s with more than 1.5 times the limit and five (LIMIT); callers are served by the others.

--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -930,6 +930,67 @@
 limit_lines.system_options = {"plains": 1, "engines": 0}
 
 
+def send_for(gateways, path, interval_s, length_s, adapters=1):
+    """Each gateway gets requests at that interval; returns (time, answer)."""
+    sent = []
+    end = time.monotonic() + length_s
+
+    def run(gateway, seed):
+        rand = random.Random(seed)
+        while time.monotonic() < end:
+            begin = time.monotonic()
+            if path.startswith("/draft"):
+                a = send_draft(gateway, f"a{rand.randrange(adapters)}", path)
+            else:
+                a = send(gateway.front, path)
+            sent.append((begin, a))
+            time.sleep(interval_s)
+
+    threads = [threading.Thread(target=run, args=(g, 2 * i + k))
+               for i, g in enumerate(gateways) for k in range(2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sent
+
+
+def check_limit(replica, since, limit_per_s):
+    """The rule LIMIT: in no WINDOW_S more than one and a half times what the
+    limit allows, and five."""
+    window_s = 4.0
+    allowed = 1.5 * limit_per_s * window_s + 5
+    times = [t for t in replica.received_at if t >= since]
+    worst = max((sum(t <= u < t + window_s for u in times) for t in times),
+                default=0)
+    print(f"{replica.name}: {len(times)} requests, {worst} in {window_s:.0f} s, "
+          f"{allowed:g} allowed")
+    check(worst <= allowed, f"{replica.name}: {worst} in {window_s} s")
+
+
+def limited_endpoint(s):
+    """Endpoints that name a limit get no more from all instances together, from
+    CONTACT_S after they named it; the others serve what they do not take."""
+    plain, engine = s.plains[0], s.engines[0]
+    plain.limit_text = "1"
+    engine.limit_text = "0.5"
+    begin = time.monotonic()
+    drafts = []
+    thread = threading.Thread(target=lambda: drafts.extend(
+        send_for(s.gateways, "/draft/1", 0.1, 13, 4)))
+    thread.start()
+    orders = send_for(s.gateways, "/order/1", 0.1, 13)
+    thread.join()
+    check_limit(plain, begin + CONTACT_S, 1)
+    check_limit(engine, begin + CONTACT_S, 0.5)
+    late = [a.status for at, a in orders + drafts if at > begin + 2]
+    served = sum(status == 200 for status in late)
+    check(served >= 0.95 * len(late), f"served {served} of {len(late)}")
+
+
+limited_endpoint.system_options = {"gateways": 3, "engines": 3}
+
+
 def find_log_lines(gateway, event):
     return [dict(f.split("=", 1) for f in line.split() if "=" in f)
             for line in gateway.log().splitlines()
@@ -1192,7 +1253,8 @@
     two_instances, paused_holder, asks_owners, one_reader,
     reader_paused, reader_cut, lapsed_entries, store_restored,
     store_restored_unfenced, era_not_usable, owner_killed_unfenced,
-    said_leaving, asked_pause, bad_pause, limit_lines, crashing_request, crash_lines,
+    said_leaving, asked_pause, bad_pause, limit_lines,
+    limited_endpoint, crashing_request, crash_lines,
     crash_after_first_event, crash_known_at_once, crashing_part,
     request_lines, bad_input, settings_change,
 ]
