lib/fleet: each instance keeps its share of a limit that an endpoint named

Cause: the field was not read. The class: a field of the endpoints' answers without effect.

Change: lib/fleet/fg_limit, pure code: for each such endpoint a few senders, chosen by hash among the live instances, send one request an interval each; the others seldom. Nothing is saved up. Endpoints whose share is used up are not chosen; when all of a service are, the request is refused at once with the shortest wait.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet/fg_health.h"
+#include "fleet/fg_limit.h"
 
 /* Costs of ejected endpoints and of those that the request was tried at before:
  * higher than any wait at another endpoint, so that such an endpoint is chosen
@@ -237,7 +238,7 @@
 		struct cost c;
 
 		if (strcmp(ep->facts.service, query->service) != 0 ||
-		    !fg_ep_accepts(ep, now))
+		    !fg_ep_accepts(ep, now) || !fg_limit_allows(ep, now))
 			continue;
 		c = estimate_cost(
 			conf, query, ep,
--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -130,7 +130,7 @@
 	ep->addr_taken = false;
 	ep->leaving = false;
 	ep->paused_until = 0;
-	ep->limited = false;
+	fg_ep_clear_limit(ep);
 }
 
 struct fg_fleet_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
@@ -270,9 +270,16 @@
 	bool was_limited = ep->limited;
 
 	ep->limited = false;
+	ep->limit_shared = false;
+	ep->limit_next_at = 0;
 	return was_limited;
 }
 
+static fg_ms wait_ms(const struct fg_fleet_ep *ep, fg_ms now)
+{
+	return MAX(MAX(ep->paused_until, ep->limit_next_at) - now, 0);
+}
+
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
 				const char *service)
 {
@@ -283,7 +290,7 @@
 
 		if (strcmp(ep->facts.service, service) == 0 &&
 		    fg_ep_is_usable(ep, now))
-			left_ms = MIN(left_ms, MAX(ep->paused_until - now, 0));
+			left_ms = MIN(left_ms, wait_ms(ep, now));
 	}
 	return (uint32_t)left_ms;
 }
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -81,7 +81,11 @@
 	fg_ms paused_until; /* it asked for no request until then; 0: never */
 	bool limited;	    /* it named a limit */
 	double limit_per_s; /* requests from all instances together */
-	uint64_t sends;	    /* requests sent there from here */
+	/* This instance's share; fg_limit.h updates it. */
+	bool limit_shared; /* the rest is set */
+	fg_ms limit_interval_ms;
+	fg_ms limit_next_at; /* earliest next request */
+	uint64_t sends;	     /* requests sent there from here */
 	fg_ms known_since;
 
 	/* In flight from this instance. */
@@ -184,8 +188,9 @@
 /* The endpoint no longer names a limit. Returns false when none was known. */
 bool fg_ep_clear_limit(struct fg_fleet_ep *ep);
 
-/* Returns the time until an endpoint of the service accepts requests again, 0
- * when one does now, UINT32_MAX when none is usable. */
+/* Returns the time until an endpoint of the service accepts requests again and
+ * this instance's share of its limit allows one; 0 when one does now,
+ * UINT32_MAX when none is usable. */
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
 				const char *service);
 
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -280,6 +280,26 @@
 		fg_channel_abort(gw->feeds[i].channel);
 }
 
+/* Updates this instance's shares of the limits that endpoints named. */
+static void update_limits(struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+	uint64_t *live = g_new(uint64_t, peers->len + 1);
+	uint32_t n = 0;
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct fg_mesh_peer *peer = peers->pdata[i];
+
+		if (fg_peer_is_alive(peer, now))
+			live[n++] = peer->row.incarnation;
+	}
+	for (guint i = 0; i < all->len; i++)
+		fg_limit_update(all->pdata[i], now, gw->incarnation, live, n,
+				&gw->rand);
+	g_free(live);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct fg_gateway *gw = timer->data;
@@ -289,6 +309,7 @@
 	fg_orders_count_waits(gw, now, now - gw->last_tick_at);
 	gw->last_tick_at = now;
 	fg_fleet_tick(gw->fleet, now);
+	update_limits(gw, now);
 	fg_caller_sweep(gw, now);
 	fg_orders_refresh(gw, now);
 	fg_sync_tick(gw, now);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -37,6 +37,7 @@
 #include "era/fg_era.h"
 #include "fleet/fg_fleet.h"
 #include "fleet/fg_health.h"
+#include "fleet/fg_limit.h"
 #include "fleet/fg_uses.h"
 #include "gateway/fg_events.h"
 #include "gateway/fg_gateway.h"
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -106,8 +106,8 @@
 }
 
 /* Refuses a request for which no endpoint accepts requests. When they all asked
- * for a pause, the caller is told to come back after the shortest of the
- * pauses, at a random time so that callers do not come back together. */
+ * for a pause or named limits, the caller is told to come back after the
+ * shortest wait, at a random time so that callers do not come back together. */
 static void refuse_without_endpoint(struct fg_gwreq *r, fg_ms now)
 {
 	uint32_t pause_ms =
@@ -145,6 +145,7 @@
 			return;
 		}
 		fg_gwreq_attach(r, p.ep);
+		fg_limit_take(p.ep, now);
 		r->expected_ms = p.wait_ms;
 		if (p.resident) {
 			send_to_endpoint(r);
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -913,18 +913,24 @@
                        ("-1", "limit_refused"), ("0x10", "limit_refused"),
                        ("1.2.3", "limit_refused"), ("", "limit_refused"),
                        ("9" * 400, "per_s=1000000000")):
+        plain.restart_empty()  # forgets the limit before
+        wait_for("restarted", lambda: "limit_per_s=-1" in s.gw.state())
         s.gw.log_offset = os.path.getsize(s.gw.log_path)
         plain.limit_text = text
         wait_for(f"a line for {text!r}", lambda want=line: (
             send(s.gw.front, "/order/1"),
             want in s.gw.log()[s.gw.log_offset:])[1], 15)
+    plain.limit_text = "50"
+    wait_for("a limit", lambda: (send(s.gw.front, "/order/1"),
+                                 "per_s=50" in s.gw.log())[1])
     plain.limit_text = None
     wait_for("a line for its end", lambda: (
         send(s.gw.front, "/order/1"),
         "event=limit_gone" in s.gw.log())[1], 15)
+    before = len(plain.received)
     counts = [int(line.split(" sends=")[1].split()[0])
               for line in s.gw.state().splitlines() if "service=orders" in line]
-    check(counts == [len(plain.received)], f"{counts}")
+    check(counts == [before], f"{counts} of {before}")
 
 
 limit_lines.system_options = {"plains": 1, "engines": 0}
@@ -991,6 +997,35 @@
 limited_endpoint.system_options = {"gateways": 3, "engines": 3}
 
 
+def limited_service(s):
+    """When all endpoints of a service name a limit, what is beyond it is refused
+    at once with a time to come back; when they name none any more, all is served
+    again."""
+    for plain in s.plains:
+        plain.limit_text = "2"
+    send_for(s.gateways, "/order/1", 0.05, 1)
+    sent = send_for(s.gateways, "/order/1", 0.05, 4)
+    refused = [a for _, a in sent if a.status == 503]
+    served = [a for _, a in sent if a.status == 200]
+    print(f"{len(served)} served, {len(refused)} refused")
+    check(refused and len(served) >= 2 and
+          len(served) + len(refused) == len(sent), "other answers")
+    check(all(float(a.headers["Retry-After"]) > 0 for a in refused), "no time")
+    begin = time.monotonic()
+    send(s.gw.front, "/order/1")
+    check(time.monotonic() - begin < 0.3, "held")
+    for plain in s.plains:
+        plain.limit_text = None
+    wait_for("limits gone", lambda: (
+        send(s.gw.front, "/order/1"),
+        s.gw.state().count("limit_per_s=-1") >= 2)[1])
+    sent = send_for([s.gw], "/order/1", 0.05, 1)
+    check(all(a.status == 200 for _, a in sent), "not all served")
+
+
+limited_service.system_options = {"engines": 0}
+
+
 def find_log_lines(gateway, event):
     return [dict(f.split("=", 1) for f in line.split() if "=" in f)
             for line in gateway.log().splitlines()
@@ -1254,7 +1289,7 @@
     reader_paused, reader_cut, lapsed_entries, store_restored,
     store_restored_unfenced, era_not_usable, owner_killed_unfenced,
     said_leaving, asked_pause, bad_pause, limit_lines,
-    limited_endpoint, crashing_request, crash_lines,
+    limited_endpoint, limited_service, crashing_request, crash_lines,
     crash_after_first_event, crash_known_at_once, crashing_part,
     request_lines, bad_input, settings_change,
 ]
