fg-gateway: memory of incomplete plain answers is bounded for all together

What callers would see: endpoints that send bodies without end take a process over its memory limit, and with it all requests there.

Change: 24 MB for all incomplete plain answers together; an answer beyond them is broken off, and its connection closed.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -190,6 +190,9 @@
 /* libuv callback: runs the step that is due. */
 void fg_gwreq_on_timer(uv_timer_t *timer);
 
+/* Frees what was kept of a plain answer. */
+void fg_gwreq_drop_answer_body(struct fg_gwreq *r);
+
 /* Ends a request whose deadline passed. */
 void fg_gwreq_time_out(struct fg_gwreq *r);
 
@@ -621,6 +624,7 @@
 	GPtrArray *callers; /* struct fg_caller * */
 	GPtrArray *reqs;    /* struct fg_gwreq * */
 	uint64_t n_requests;
+	uint64_t answer_bytes; /* of all plain answers that are not complete */
 
 	struct fg_feed feeds[FG_FEED_COUNT];
 	uint64_t reader; /* neighbour that reads the store for us; 0: none */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -7,6 +7,9 @@
  * caller. */
 #define PENDING_MAX_BYTES (256 * 1024)
 
+/* Plain answers are kept until they are complete: bytes of all of them. */
+#define ANSWERS_MAX_BYTES (24 * 1024 * 1024)
+
 /* Ends the send because its answer is unusable, and closes the connection. */
 static void abandon_send(struct fg_gwreq *r, enum fg_send_end end,
 			 const char *why)
@@ -155,12 +158,23 @@
 		fg_link_pause(r->conn->link);
 }
 
+static void append_answer_body(struct fg_gwreq *r, const char *data,
+			       size_t len_bytes)
+{
+	if (r->gw->answer_bytes + len_bytes > ANSWERS_MAX_BYTES) {
+		abandon_send(r, FG_SEND_BROKEN, "answers_too_large");
+		return;
+	}
+	r->gw->answer_bytes += len_bytes;
+	g_string_append_len(r->answer_body, data, (gssize)len_bytes);
+}
+
 void fg_answer_body(struct fg_gwreq *r, const char *data, size_t len_bytes)
 {
 	gssize complete_bytes;
 
 	if (!is_streamed(r, &r->conn->h1.head)) {
-		g_string_append_len(r->answer_body, data, (gssize)len_bytes);
+		append_answer_body(r, data, len_bytes);
 		return;
 	}
 	complete_bytes = fg_events_feed(&r->events, data, len_bytes);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -198,13 +198,21 @@
 	fg_gw_count_event(r->gw, "reasons", labels);
 }
 
+void fg_gwreq_drop_answer_body(struct fg_gwreq *r)
+{
+	if (r->answer_body == NULL)
+		return;
+	r->gw->answer_bytes -= r->answer_body->len;
+	g_string_free(r->answer_body, TRUE);
+	r->answer_body = NULL;
+}
+
 static void req_free(struct fg_gwreq *r)
 {
 	fg_gw_timer_free(r->timer);
 	fg_call_clear(&r->call);
 	fg_events_clear(&r->events);
-	if (r->answer_body != NULL)
-		g_string_free(r->answer_body, TRUE);
+	fg_gwreq_drop_answer_body(r);
 	fg_routes_unref(r->routes);
 	g_free(r);
 }
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -525,8 +525,7 @@
 	r->head_at = 0;
 	r->answer_begun = false;
 	r->sent_at = now;
-	if (r->answer_body != NULL)
-		g_string_truncate(r->answer_body, 0);
+	fg_gwreq_drop_answer_body(r);
 	if (conn != NULL) {
 		conn->reused = true;
 		conn->head_seen = false;
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -12,6 +12,11 @@
   late_copy   the same, without an id
   error       the application answers with status 500
   order_lost  an order is carried out, but not answered
+  endless_junk, endless_head, endless_body, endless_event
+              bytes without end, until the caller closes: no answer at all,
+              fields of its head, a body without a length, one event
+  closed      a stream without length or chunks, ended with its connection
+  closed_cut  the same, ended inside an event
   pause       503 with Not-Run and the Retry-After in `pause_text`
 """
 
@@ -61,6 +66,8 @@
         self.boot_ms = int(time.time() * 1000)
         self.checks_fences = True
         self.leaving = False  # says so in all answers
+        self.endless_bytes = 0  # sent by the endless faults
+        self.endless_closed = 0  # endless answers that the caller closed
         self.limit_text = None  # Server-Limit of all answers
         self.pause_text = "1"
         self.has_base = True
@@ -271,10 +278,32 @@
         if self.consume_fault("lost"):
             reset_connection(req.sock)
             return False
+        for fault in ("junk", "head", "body", "event"):
+            if self.consume_fault("endless_" + fault):
+                self.send_endlessly(req, rid, fault)
+                return False
         if self.engine:
             return self.answer_stream(req, rid)
         return self.answer_plain(req, rid)
 
+    def send_endlessly(self, req, rid, what):
+        if what == "junk":
+            piece = b"\x00junk" * 1000
+        elif what == "head":
+            req.sock.sendall(self.response_head(rid).encode())
+            piece = b"X-Filler: 123456789\r\n" * 200
+        else:
+            kind = "text/event-stream" if what == "event" else "text/plain"
+            req.sock.sendall(self.response_head(
+                rid, f"Content-Type: {kind}\r\n\r\n").encode())
+            piece = b"data: x" + b"y" * 60000
+        try:
+            while True:
+                req.sock.sendall(piece)
+                self.endless_bytes += len(piece)
+        except OSError:
+            self.endless_closed += 1
+
     def wait_for_disconnect(self, req, rid, limit_s):
         begin = time.monotonic()
         req.sock.settimeout(limit_s)
@@ -317,8 +346,19 @@
                                ("Keep-Alive", "timeout=9")])
         return True
 
+    def send_closed_stream(self, req, rid, first, cut):
+        text = self.response_head(
+            rid, "Content-Type: text/event-stream\r\n\r\n")
+        for i in range(first, EVENTS + 1):
+            text += f"id: {i}\ndata: piece {i} {rid} {req.get('Model')}\n\n"
+        req.sock.sendall(text.encode()[:-9] if cut else text.encode())
+
     def answer_stream(self, req, rid):
         first = int(req.get("Last-Event-Id", "0")) + 1
+        for fault in ("closed", "closed_cut"):
+            if self.consume_fault(fault):
+                self.send_closed_stream(req, rid, first, fault == "closed_cut")
+                return False
         adapter = req.get("Model", "")
         head = self.response_head(rid, "Content-Type: text/event-stream\r\n"
                                        "Transfer-Encoding: chunked\r\n\r\n")
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -129,6 +129,70 @@
     check(s.run_count(rid) == 1, f"ran {s.run_count(rid)} times")
 
 
+def closed_streams(s):
+    """A stream with neither length nor chunks ends with its connection. One that
+    ends inside an event is resumed or does not count as complete."""
+    for fault, path, whole, runs in (("closed", "/draft/1", True, 1),
+                                     ("closed", "/brief/1", True, 1),
+                                     ("closed_cut", "/draft/1", True, 2),
+                                     ("closed_cut", "/brief/1", False, 1)):
+        shared = {fault: 1}
+        for engine in s.engines:
+            engine.faults = shared
+        rid = next_id()
+        a = send_draft(s.gw, path=path, rid=rid)
+        check(a.whole == whole, f"{fault} {path}: whole {a.whole}")
+        check(not whole or has_all_events(a), f"{fault} {path}: {a.body}")
+        check(s.run_count(rid) == runs, f"{fault} {path}: {s.run_count(rid)}")
+
+
+def peak_memory_mb(gateway):
+    with open(f"/proc/{gateway.popen.pid}/status", encoding="utf-8") as f:
+        line = next(line for line in f if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1024
+
+
+PEAK_MB = 120  # the smallest machine of the users has 160 MB
+
+
+def endless_answers(s):
+    """Bytes without end that are no answer, in a head or in a body, end with the
+    time limit or before, take bounded memory, and the connection is closed."""
+    replicas = s.plains + s.engines
+    for fault in ("endless_junk", "endless_head", "endless_body",
+                  "endless_event"):
+        for replica in replicas:
+            replica.faults = {fault: 100}
+        paths = ["/order/1", "/lookup/1"] * 4
+        if fault != "endless_body":
+            paths += ["/brief/1", "/draft/1"] * 2
+        answers = []
+        threads = [threading.Thread(target=lambda p=path: answers.append(
+            send_draft(s.gw, path=p) if p[1] in "bd" else
+            send(s.gw.front, p))) for path in paths]
+        begin = time.monotonic()
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        took = time.monotonic() - begin
+        for replica in replicas:
+            replica.faults = {}
+        peak = peak_memory_mb(s.gw)
+        print(f"{fault}: {took:.1f} s, peak {peak:.0f} MB")
+        check(took < 6, f"{fault}: {took:.1f} s")
+        check(not [a for a in answers if a.status == 200 and a.whole], fault)
+        check(peak < PEAK_MB, f"{fault}: {peak:.0f} MB")
+        wait_for("all closed", lambda: all(
+            "endless" not in t.name for t in threading.enumerate()) and
+            sum(r.endless_closed for r in replicas) >= len(paths) - 2)
+        for replica in replicas:
+            replica.endless_closed = 0
+        check(s.gw.popen.poll() is None, "the process ended")
+    wait_for("served again", lambda: send(s.gw.front, "/lookup/1",
+                                          method="GET").status == 200)
+
+
 def runs_once(s):
     """A filing without an answer is neither repeated nor reported as not
     run."""
@@ -1279,6 +1343,7 @@
 
 SCENARIOS = [
     serves, events_pass_at_once, adapter_slots, resumes, not_resumable,
+    closed_streams, endless_answers,
     runs_once, not_run_elsewhere, safe_repeats, body_without_length,
     stray_answer, late_copy, silent_replica, caller_leaves, planned_stop,
     stop_meets_request, store_away, silent_feed, silent_reader,
