--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -15,7 +15,8 @@
         self.rows = {}     # (table, key) -> (value bytes, version)
         self.history = []  # (version, table, key, value or None)
         self.version = 0
-        self.mode = "up"   # up, busy, reset, silent
+        self.mode = "up"   # up, busy, reset, silent, endless_head,
+                           # endless_body: bytes until the caller closes
         self.calls = 0
         self.feed_delay_s = 0  # before each answer to a feed call
         self.unanswered_feeds = {}  # table -> feed calls not to answer
@@ -101,6 +102,11 @@
         if self.mode == "silent":
             time.sleep(30)
             return False
+        if self.mode.startswith("endless"):
+            req.sock.sendall(b"HTTP/1.1 200 OK\r\n" + (
+                b"" if self.mode == "endless_head" else b"\r\n"))
+            while True:
+                req.sock.sendall(b"X: " + b"1" * 60 + b"\r\n")
         url = urlsplit(req.target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         if url.path == "/api/rows-feed":
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -193,6 +193,25 @@
                                           method="GET").status == 200)
 
 
+def endless_store(s):
+    """Answers of the store without end take bounded memory; the instance serves
+    meanwhile and reads the store again afterwards."""
+    for mode in ("endless_head", "endless_body"):
+        s.store.mode = mode
+        s.store.put("op", "config", make_config(2, extra_routes=[]))
+        wait_for("calls fail", lambda: "failures=0" not in
+                 s.gw.state().split("feed op ")[1].split("\n")[0])
+        for _ in range(20):
+            check(send(s.gw.front, "/order/1").status == 200, mode)
+            time.sleep(0.05)
+        peak = peak_memory_mb(s.gw)
+        print(f"{mode}: peak {peak:.0f} MB")
+        check(peak < PEAK_MB, f"{mode}: {peak:.0f} MB")
+        s.store.mode = "up"
+        wait_for("reads again", lambda: "failures=0" in
+                 s.gw.state().split("feed op ")[1].split("\n")[0])
+
+
 def runs_once(s):
     """A filing without an answer is neither repeated nor reported as not
     run."""
@@ -1343,7 +1362,7 @@
 
 SCENARIOS = [
     serves, events_pass_at_once, adapter_slots, resumes, not_resumable,
-    closed_streams, endless_answers,
+    closed_streams, endless_answers, endless_store,
     runs_once, not_run_elsewhere, safe_repeats, body_without_length,
     stray_answer, late_copy, silent_replica, caller_leaves, planned_stop,
     stop_meets_request, store_away, silent_feed, silent_reader,
