--- a/tests/unit/test_blame_sim.c
+++ b/tests/unit/test_blame_sim.c
@@ -11,7 +11,9 @@
  * attempt at least half as often as before.
  *
  * Environment: FG_BLAME_SCHEDULES (100) is the number of schedules,
- * FG_BLAME_SEED (1) the first seed.
+ * FG_BLAME_SEED (1) the first seed. With FG_BLAME_ALL_RESTART=1, all instances
+ * may end together, after which none knows what any of them knew
+ * (KNOWN-RED.txt).
  */
 #include <glib.h>
 #include <stdio.h>
@@ -138,6 +140,7 @@
 	fg_ms next_fault_at;
 	fg_ms fault_gap_ms;
 	uint32_t broken;
+	bool all_restart;
 };
 
 static fg_ms below(struct sim *s, fg_ms n)
@@ -718,7 +721,8 @@
 {
 	struct node *n = &s->nodes[i];
 
-	if (n->life == 0 || (now < LENGTH_MS && !has_other_node(s, now, i)))
+	if (n->life == 0 ||
+	    (now < LENGTH_MS && !s->all_restart && !has_other_node(s, now, i)))
 		return;
 	s->policy->free(n->decision);
 	n->decision = NULL;
@@ -775,6 +779,8 @@
 		stop_node(s, now, node);
 		break;
 	case 7:
+		for (uint32_t i = 0; s->all_restart && i < s->n_nodes; i++)
+			stop_node(s, now, i);
 		s->nodes[node].cut_until = now + 500 + below(s, 3000);
 		s->nodes[node].troubled_at = s->nodes[node].cut_until;
 		break;
@@ -836,11 +842,19 @@
 	}
 }
 
+static uint64_t env_number(const char *name, uint64_t fallback)
+{
+	const char *text = g_getenv(name);
+
+	return text == NULL ? fallback : g_ascii_strtoull(text, NULL, 10);
+}
+
 static uint32_t run_day(const struct policy *policy, uint64_t seed)
 {
 	struct sim s = { .policy = policy };
 
 	fg_rand_seed(&s.rand, seed);
+	s.all_restart = env_number("FG_BLAME_ALL_RESTART", 0) != 0;
 	s.n_nodes = 2 + (uint32_t)below(&s, NODES_MAX - 1);
 	s.n_eps = 6 + (uint32_t)below(&s, EPS_MAX - 5);
 	s.n_bad = 1 + (uint32_t)below(&s, BAD_PARTS_MAX);
@@ -878,13 +892,6 @@
 	return s.broken;
 }
 
-static uint64_t env_number(const char *name, uint64_t fallback)
-{
-	const char *text = g_getenv(name);
-
-	return text == NULL ? fallback : g_ascii_strtoull(text, NULL, 10);
-}
-
 static uint32_t count_broken(const struct policy *policy, uint64_t schedules)
 {
 	uint64_t seed = env_number("FG_BLAME_SEED", 1);
