lib/blame: blocked parts are stored on the platform

What callers would see: after all instances ended together, requests with a part that had been blocked crash endpoint after endpoint again.

Cause: what was found lived only in the memory of the instances.

Change: a blocked part is a row of the instances' own table.

Gateway scenario bad_part_outlives_all: without rows it waits for one in vain.

--- a/lib/blame/fg_blame.c
+++ b/lib/blame/fg_blame.c
@@ -13,6 +13,9 @@
 /* Instances that know of a whole run tell it at a random time within this, and
  * not at all once another one did. */
 #define WHOLE_SPREAD_MS 150
+/* A block is saved this long after it began, since it may soon be lifted, and
+ * again after as long unless it is read back. */
+#define SAVE_AFTER_MS 1000
 /* Verdicts can change for this long after a report, as others arrive. */
 #define JUDGE_FOR_MS 3000
 
@@ -142,14 +145,15 @@
 }
 
 /* Returns whether a whole run speaks against a block. */
-static bool is_acquitted(const struct fg_blame *b, uint64_t part,
+static bool is_acquitted(const struct fg_blame *b, fg_ms now, uint64_t part,
 			 fg_ms first_death_at, uint32_t proven)
 {
 	fg_ms whole_at = fg_blame_whole_at(b, part);
 
 	if (whole_at == INT64_MIN)
 		return false;
-	return whole_at > first_death_at || proven < b->conf.block_run_deaths;
+	return whole_at > first_death_at || proven < b->conf.block_run_deaths ||
+	       now - whole_at < (fg_ms)b->conf.run_quiet_ms;
 }
 
 static void evict_block(struct fg_blame *b)
@@ -189,6 +193,7 @@
 		e->first_death_at = v->first_death_at;
 		e->requested_at = now;
 		e->trial_at = draw_trial_time(b, now);
+		e->save_at = now + SAVE_AFTER_MS;
 		g_hash_table_insert(b->blocked, &e->part, e);
 		b->ops->changed(b->ctx, v->part, true, v->deaths);
 	}
@@ -199,14 +204,18 @@
 	queue_note(b, &note, e->first_death_at, now);
 }
 
-static void lift_block_if_acquitted(struct fg_blame *b, uint64_t part)
+static void lift_block_if_acquitted(struct fg_blame *b, fg_ms now,
+				    uint64_t part)
 {
 	const struct fg_blame_block *e = g_hash_table_lookup(b->blocked, &part);
 	uint32_t deaths;
 
-	if (e == NULL || !is_acquitted(b, part, e->first_death_at, e->proven))
+	if (e == NULL ||
+	    !is_acquitted(b, now, part, e->first_death_at, e->proven))
 		return;
 	deaths = e->deaths;
+	if (e->saved_deaths > 0)
+		b->ops->unsave(b->ctx, part);
 	g_hash_table_remove(b->blocked, &part);
 	b->ops->changed(b->ctx, part, false, deaths);
 }
@@ -410,7 +419,7 @@
 	} else if (g_hash_table_contains(b->blocked, &part)) {
 		queue_whole(b, now, part, at);
 	}
-	lift_block_if_acquitted(b, part);
+	lift_block_if_acquitted(b, now, part);
 }
 
 static void settle_answers(struct fg_blame *b, fg_ms now)
@@ -441,7 +450,7 @@
 	drop_whole_notes(b, note->part, at);
 	if (n != NULL)
 		n->told = true;
-	lift_block_if_acquitted(b, note->part);
+	lift_block_if_acquitted(b, now, note->part);
 }
 
 static void count_trials(struct fg_blame *b, fg_ms now, uint64_t part,
@@ -462,7 +471,7 @@
 	struct fg_blame_verdict v = { note->part, note->deaths, note->proven,
 				      now - (fg_ms)note->age_ms };
 
-	if (is_acquitted(b, v.part, v.first_death_at, v.proven))
+	if (is_acquitted(b, now, v.part, v.first_death_at, v.proven))
 		rebut(b, now, v.part);
 	else
 		block_part(b, now, &v);
@@ -492,6 +501,66 @@
 	}
 }
 
+/* ---- Stored blocks ---- */
+
+void fg_blame_on_stored(struct fg_blame *b, fg_ms now,
+			const struct fg_blame_note *note)
+{
+	struct fg_blame_block *e;
+
+	apply_blocked(b, now, note);
+	e = g_hash_table_lookup(b->blocked, &note->part);
+	if (e == NULL) {
+		b->ops->unsave(b->ctx, note->part);
+		return;
+	}
+	e->saved_deaths = note->deaths;
+	e->saved_trials = note->trials;
+}
+
+void fg_blame_save_again(struct fg_blame *b)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->blocked);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct fg_blame_block *)value)->saved_deaths = 0;
+}
+
+static void fill_blocked(const struct fg_blame_block *e, fg_ms now,
+			 struct fg_blame_note *out)
+{
+	*out = (struct fg_blame_note){
+		.kind = FG_BLAME_BLOCKED,
+		.part = e->part,
+		.deaths = e->deaths,
+		.proven = e->proven,
+		.trials = e->trials,
+		.age_ms =
+			(uint32_t)CLAMP(now - e->first_death_at, 0, UINT32_MAX),
+	};
+}
+
+static void save_blocks(struct fg_blame *b, fg_ms now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->blocked);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fg_blame_block *e = value;
+		struct fg_blame_note note;
+
+		if (now < e->save_at || (e->saved_deaths >= e->deaths &&
+					 e->saved_trials >= e->trials))
+			continue;
+		e->save_at = now + SAVE_AFTER_MS;
+		fill_blocked(e, now, &note);
+		b->ops->save(b->ctx, &note);
+	}
+}
+
 /* ---- Requests ---- */
 
 static struct fg_blame_block *find_block(const struct fg_blame *b,
@@ -595,6 +664,7 @@
 	settle_answers(b, now);
 	if (now < b->judge_until)
 		judge(b, now);
+	save_blocks(b, now);
 	send_due_notes(b, now);
 }
 
@@ -622,19 +692,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(all, value);
 	g_ptr_array_sort(all, compare_requested);
-	for (; n < all->len && n < max; n++) {
-		const struct fg_blame_block *e = all->pdata[n];
-
-		out[n] = (struct fg_blame_note){
-			.kind = FG_BLAME_BLOCKED,
-			.part = e->part,
-			.deaths = e->deaths,
-			.proven = e->proven,
-			.trials = e->trials,
-			.age_ms = (uint32_t)CLAMP(now - e->first_death_at, 0,
-						  UINT32_MAX),
-		};
-	}
+	for (; n < all->len && n < max; n++)
+		fill_blocked(all->pdata[n], now, &out[n]);
 	g_ptr_array_unref(all);
 	return n;
 }
--- a/lib/blame/fg_blame.h
+++ b/lib/blame/fg_blame.h
@@ -28,6 +28,9 @@
  * trial, or with final_deaths deaths, the part stays blocked for as long as an
  * instance remembers it.
  *
+ * Blocks are also stored, some time after the verdict, since all instances may
+ * end together.
+ *
  * Memory is bounded by the maxima of the configuration. Does no I/O, reads no
  * clock, and draws random numbers only from its seed. Calls emit through
  * struct fg_blame_ops, which must not call back into the same object.
@@ -85,6 +88,11 @@
 struct fg_blame_ops {
 	/* Sends a note to all other instances. */
 	void (*send)(void *ctx, const struct fg_blame_note *note);
+	/* A BLOCKED note is to be stored, in place of an earlier one about the
+	 * part. Repeated until fg_blame_on_stored(). */
+	void (*save)(void *ctx, const struct fg_blame_note *note);
+	/* The stored note about the part is to be removed. */
+	void (*unsave)(void *ctx, uint64_t part);
 	/* A part was blocked or let through again. */
 	void (*changed)(void *ctx, uint64_t part, bool blocked,
 			uint32_t deaths);
@@ -112,6 +120,13 @@
 void fg_blame_on_note(struct fg_blame *b, fg_ms now,
 		      const struct fg_blame_note *note);
 
+/* A note that ops->save() got was read from the store. */
+void fg_blame_on_stored(struct fg_blame *b, fg_ms now,
+			const struct fg_blame_note *note);
+
+/* The stored notes may be gone: all are saved again. */
+void fg_blame_save_again(struct fg_blame *b);
+
 /* Returns whether a new request with these parts may be sent to an endpoint.
  * True for a request with a blocked part begins a trial. */
 bool fg_blame_admit(struct fg_blame *b, fg_ms now, GBytes *parts);
--- a/lib/blame/fg_blame_priv.h
+++ b/lib/blame/fg_blame_priv.h
@@ -44,6 +44,10 @@
 	fg_ms requested_at;
 	fg_ms trial_at; /* earliest next trial */
 	uint32_t trials;
+	/* As in the store; 0 deaths: not there. */
+	uint32_t saved_deaths;
+	uint32_t saved_trials;
+	fg_ms save_at;		  /* next time to save, if it is not */
 	uint32_t deaths_at_trial; /* the last one */
 };
 
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -401,6 +401,7 @@
 #define FG_SYNC_TABLE_OWN "fulmargauge"
 #define FG_SYNC_KEY_INSTANCE "instance/"
 #define FG_SYNC_KEY_OWNER "owner/"
+#define FG_SYNC_KEY_BLOCKED "blocked/"
 
 void fg_sync_start(struct fg_gateway *gw);
 void fg_sync_stop(struct fg_gateway *gw);
@@ -586,6 +587,10 @@
 void fg_gw_blame_send_blocked(struct fg_gateway *gw,
 			      const struct fg_mesh_peer *peer, fg_ms now);
 
+/* Applies a row of a blocked part. */
+void fg_gw_blame_apply_row(struct fg_gateway *gw,
+			   const struct fg_store_row *row, fg_ms now);
+
 void fg_gw_blame_apply_notes(struct fg_gateway *gw,
 			     const fg_mesh_packet *packet, fg_ms now);
 
@@ -659,6 +664,7 @@
 	struct fg_popularity_table *popularity;
 	struct fg_suspects *suspects;
 	struct fg_blame *blame;
+	struct fg_channel *blame_channel; /* to the store */
 	GArray *notes;	     /* struct fg_blame_note, to be sent to all */
 	bool blocks_changed; /* a part was blocked since the last step */
 	fg_ms repair_at;     /* blocked parts were last sent to one instance */
--- a/lib/gateway/fg_gw_blame.c
+++ b/lib/gateway/fg_gw_blame.c
@@ -2,6 +2,7 @@
  * between the instances. */
 #include "gateway/fg_gateway_internal.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* Retry-After of a refusal. The part is not tried again much earlier. */
@@ -11,6 +12,7 @@
 /* Interval at which the blocked parts are sent to one instance, chosen at
  * random, in case it missed the notes about them. */
 #define REPAIR_MS 1000
+#define ROW_TIMEOUT_MS 1500
 
 static const struct fg_blame_conf blame_conf = {
 	.block_deaths = 3,
@@ -47,7 +49,76 @@
 	gw->blocks_changed = gw->blocks_changed || blocked;
 }
 
-static const struct fg_blame_ops blame_ops = { on_send, on_changed };
+/* ---- Rows of the store: key KEY_BLOCKED PART, value "DEATHS PROVEN TRIALS" */
+
+static void on_row_written(void *ctx, unsigned int status, const char *body,
+			   size_t len)
+{
+	(void)ctx;
+	(void)body;
+	(void)len;
+	if (status != HTTP_STATUS_OK)
+		fg_log(FG_LOG_WARN, "blame", "row_not_written", NULL);
+}
+
+/* Writes or removes the row of a part; one instance of each data centre does.
+ * What cannot be written now is written later, since saves are repeated. */
+static void write_row(struct fg_gateway *gw, uint64_t part, const char *value)
+{
+	struct fg_tx_row row = { .table = FG_SYNC_TABLE_OWN, .value = value };
+	char key[sizeof(FG_SYNC_KEY_BLOCKED) + FG_KEY_TEXT_BYTES] =
+		FG_SYNC_KEY_BLOCKED;
+
+	if (fg_channel_is_busy(gw->blame_channel) ||
+	    !fg_peers_is_first_in_dc(gw->peers, fg_clock_now()))
+		return;
+	fg_gw_format_key(key + strlen(FG_SYNC_KEY_BLOCKED), part);
+	row.key = key;
+	fg_gw_count_event(gw, "store_calls", NULL);
+	fg_channel_send(gw->blame_channel,
+			gw->wire->rows_tx(gw->conf->store, &row, 1),
+			ROW_TIMEOUT_MS, on_row_written, gw);
+}
+
+static void on_save(void *ctx, const struct fg_blame_note *note)
+{
+	char value[40];
+
+	g_snprintf(value, sizeof(value), "%u %u %u", note->deaths, note->proven,
+		   note->trials);
+	write_row(ctx, note->part, value);
+}
+
+static void on_unsave(void *ctx, uint64_t part)
+{
+	write_row(ctx, part, NULL);
+}
+
+void fg_gw_blame_apply_row(struct fg_gateway *gw,
+			   const struct fg_store_row *row, fg_ms now)
+{
+	struct fg_blame_note note = { .kind = FG_BLAME_BLOCKED };
+	char *end;
+
+	if (row->removed || row->value == NULL)
+		return;
+	note.part = g_ascii_strtoull(row->key + strlen(FG_SYNC_KEY_BLOCKED),
+				     &end, 16);
+	if (*end != '\0' || sscanf(row->value, "%u %u %u", &note.deaths,
+				   &note.proven, &note.trials) != 3) {
+		fg_log(FG_LOG_WARN, "blame", "row_refused", "key", row->key,
+		       NULL);
+		return;
+	}
+	fg_blame_on_stored(gw->blame, now, &note);
+}
+
+static const struct fg_blame_ops blame_ops = {
+	.send = on_send,
+	.save = on_save,
+	.unsave = on_unsave,
+	.changed = on_changed,
+};
 
 void fg_gw_blame_init(struct fg_gateway *gw)
 {
@@ -56,12 +127,14 @@
 	conf.seed = fg_rand_next(&gw->rand);
 	gw->blame = fg_blame_new(&conf, &blame_ops, gw);
 	gw->notes = g_array_new(FALSE, FALSE, sizeof(struct fg_blame_note));
+	gw->blame_channel = fg_gw_store_channel_new(gw);
 }
 
 void fg_gw_blame_free(struct fg_gateway *gw)
 {
 	fg_blame_free(gw->blame);
 	g_array_unref(gw->notes);
+	fg_channel_free(gw->blame_channel);
 }
 
 /* ---- Requests ---- */
--- a/lib/gateway/fg_gw_era.c
+++ b/lib/gateway/fg_gw_era.c
@@ -42,6 +42,7 @@
 	fg_claims_start_era(gw->claims, now, gw->era.known);
 	fg_fleet_registry_restored(gw->fleet, now);
 	gw->own_row_written = false;
+	fg_blame_save_again(gw->blame);
 	/* Claims wait until the others have heard of the era as well. */
 	gw->own_table_known_at = 0;
 	gw->proving_since = 0;
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -158,6 +158,10 @@
 			row->removed ? NULL : row->value, row->version);
 		return;
 	}
+	if (g_str_has_prefix(row->key, FG_SYNC_KEY_BLOCKED)) {
+		fg_gw_blame_apply_row(gw, row, now);
+		return;
+	}
 	if (!g_str_has_prefix(row->key, FG_SYNC_KEY_INSTANCE))
 		return;
 	if (row->removed || row->value == NULL) {
