fg-gateway: callers are not sent away for an instance's own share of a limit

What callers would see: when all endpoints of a service name limits, an instance that is not among their senders tells callers to come back after its own next turn, which can be minutes, although another instance could serve them within a second.

Cause: the wait of the share was treated as the endpoint's pause.

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -275,11 +275,6 @@
 	return was_limited;
 }
 
-static fg_ms wait_ms(const struct fg_fleet_ep *ep, fg_ms now)
-{
-	return MAX(MAX(ep->paused_until, ep->limit_next_at) - now, 0);
-}
-
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
 				const char *service)
 {
@@ -290,7 +285,7 @@
 
 		if (strcmp(ep->facts.service, service) == 0 &&
 		    fg_ep_is_usable(ep, now))
-			left_ms = MIN(left_ms, wait_ms(ep, now));
+			left_ms = MIN(left_ms, MAX(ep->paused_until - now, 0));
 	}
 	return (uint32_t)left_ms;
 }
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -188,9 +188,8 @@
 /* The endpoint no longer names a limit. Returns false when none was known. */
 bool fg_ep_clear_limit(struct fg_fleet_ep *ep);
 
-/* Returns the time until an endpoint of the service accepts requests again and
- * this instance's share of its limit allows one; 0 when one does now,
- * UINT32_MAX when none is usable. */
+/* Returns the time until an endpoint of the service accepts requests again, 0
+ * when one does now, UINT32_MAX when none is usable. */
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
 				const char *service);
 
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -105,22 +105,26 @@
 			       &r->gw->rand);
 }
 
-/* Refuses a request for which no endpoint accepts requests. When they all asked
- * for a pause or named limits, the caller is told to come back after the
- * shortest wait, at a random time so that callers do not come back together. */
+/* Refuses a request that no endpoint can get now. When they all asked for a
+ * pause, the caller is told to come back after the shortest of the pauses. When
+ * this instance's shares of the limits of those without a pause are used up,
+ * another instance may serve the caller soon. The time is random so that
+ * callers do not come back together. */
 static void refuse_without_endpoint(struct fg_gwreq *r, fg_ms now)
 {
 	uint32_t pause_ms =
 		fg_fleet_pause_left_ms(r->gw->fleet, now, r->service->name);
+	uint32_t spread_ms =
+		(uint32_t)fg_rand_below(&r->gw->rand, PAUSE_SPREAD_MS);
 
-	if (pause_ms == 0 || pause_ms == UINT32_MAX) {
+	if (pause_ms == UINT32_MAX)
 		fg_gwreq_refuse(r, "no_endpoint", FG_GWREQ_RETRY_MAX_MS / 2);
-		return;
-	}
-	fg_gwreq_refuse_until(
-		r, "endpoints_paused",
-		pause_ms +
-			(uint32_t)fg_rand_below(&r->gw->rand, PAUSE_SPREAD_MS));
+	else if (pause_ms == 0)
+		fg_gwreq_refuse(r, "endpoints_limited",
+				FG_GWREQ_RETRY_MAX_MS / 2 + spread_ms);
+	else
+		fg_gwreq_refuse_until(r, "endpoints_paused",
+				      pause_ms + spread_ms);
 }
 
 /* Assigns the cheapest endpoint, and sends the request or waits for a load. */
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -1093,7 +1093,10 @@
     print(f"{len(served)} served, {len(refused)} refused")
     check(refused and len(served) >= 2 and
           len(served) + len(refused) == len(sent), "other answers")
-    check(all(float(a.headers["Retry-After"]) > 0 for a in refused), "no time")
+    times = [float(a.headers["Retry-After"]) for a in refused]
+    check(all(0 < t <= 2 for t in times), f"times to come back: {times}")
+    check(find_log_lines(s.gw, "refused")[-1]["reason"] == "endpoints_limited",
+          "reason")
     begin = time.monotonic()
     send(s.gw.front, "/order/1")
     check(time.monotonic() - begin < 0.3, "held")
