--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -591,6 +591,8 @@
 void fg_gw_blame_apply_row(struct fg_gateway *gw,
 			   const struct fg_store_row *row, fg_ms now);
 
+/* Applies the notes of another instance; what was lost here at an endpoint that
+ * they say died is reported as well. */
 void fg_gw_blame_apply_notes(struct fg_gateway *gw,
 			     const fg_mesh_packet *packet, fg_ms now);
 
--- a/lib/gateway/fg_gw_blame.c
+++ b/lib/gateway/fg_gw_blame.c
@@ -49,7 +49,7 @@
 	gw->blocks_changed = gw->blocks_changed || blocked;
 }
 
-/* ---- Rows of the store: key KEY_BLOCKED PART, value "DEATHS PROVEN TRIALS" */
+/* ---- Rows of the store ---- */
 
 static void on_row_written(void *ctx, unsigned int status, const char *body,
 			   size_t len)
@@ -61,8 +61,9 @@
 		fg_log(FG_LOG_WARN, "blame", "row_not_written", NULL);
 }
 
-/* Writes or removes the row of a part; one instance of each data centre does.
- * What cannot be written now is written later, since saves are repeated. */
+/* Writes the row of a part, "DEATHS PROVEN TRIALS", or removes it; one instance
+ * of each data centre does. What cannot be written now is written later, since
+ * saves are repeated. */
 static void write_row(struct fg_gateway *gw, uint64_t part, const char *value)
 {
 	struct fg_tx_row row = { .table = FG_SYNC_TABLE_OWN, .value = value };
