lib/blame: whether an endpoint outlived an answer is looked up once

It was looked up again for each part of the prompt, over all kept deaths; whole runs do not change these, so that the result is the same. Two includes without use are gone.

--- a/lib/blame/fg_blame.c
+++ b/lib/blame/fg_blame.c
@@ -1,7 +1,5 @@
 #include "blame/fg_blame_priv.h"
 
-#include <string.h>
-
 #define OUTBOX_MAX 512
 #define ANSWERS_MAX 4096
 /* Each note is sent this often, since datagrams may be lost. */
@@ -430,9 +428,9 @@
 	       now - a->at >= FG_BLAME_SETTLE_MS) {
 		gsize size;
 		const uint64_t *keys = g_bytes_get_data(a->parts, &size);
+		bool whole = !died_after(b, a);
 
-		for (gsize i = 0; !died_after(b, a) && i < size / sizeof(*keys);
-		     i++)
+		for (gsize i = 0; whole && i < size / sizeof(*keys); i++)
 			note_whole_run(b, now, keys[i], a->at);
 		answer_free(g_queue_pop_head(b->answers));
 	}
--- a/lib/blame/fg_blame_judge.c
+++ b/lib/blame/fg_blame_judge.c
@@ -1,8 +1,6 @@
 /* Which parts the known deaths are to be blamed on. */
 #include "blame/fg_blame_priv.h"
 
-#include <string.h>
-
 /* A death counts once other instances have had the time to tell of whole runs
  * of the parts. */
 #define DEATH_COUNTS_AFTER_MS 300
