fg-gateway: log lines for the software version of endpoints and for resumed streams

The lines could not tell whether the version of an endpoint's software is unknown, lost between the tries of a caller, or out of date. Request lines and endpoint lines now have it, each send that resumes a stream names the attempt that began it, and a restart under a known id is logged. No decision uses them.

The stand-in's engines put their version into each event; the soak also checks that an answer has events of one version only.

--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -30,6 +30,7 @@
 
 #define FG_FLEET_NAME_BYTES 96
 #define FG_FLEET_ADDR_BYTES 24
+#define FG_FLEET_SOFTWARE_BYTES 64
 #define FG_FLEET_RESIDENT_MAX 32
 
 /* Time that endpoints have to write their entries again after an outage of the
@@ -49,7 +50,8 @@
 	char service[FG_FLEET_NAME_BYTES];
 	char address[FG_FLEET_ADDR_BYTES];
 	char dc[FG_FLEET_NAME_BYTES];
-	uint32_t slots; /* concurrent requests */
+	char software[FG_FLEET_SOFTWARE_BYTES]; /* its version; "": unknown */
+	uint32_t slots;				/* concurrent requests */
 	bool draining;
 	uint64_t born; /* start time by its own clock; 0: unknown */
 	struct fg_ep_resident resident[FG_FLEET_RESIDENT_MAX];
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -60,7 +60,8 @@
 		(r)->route == NULL ? NULL : (r)->route->name, "reason",        \
 		reason, "took_ms", (f).took, "sent_ms", (f).sent, "first_ms",  \
 		(f).first, "sends", (f).sends, "endpoint",                     \
-		(r)->ep == NULL ? NULL : (r)->ep->facts.id, "adapter",         \
+		(r)->ep == NULL ? NULL : (r)->ep->facts.id, "software",        \
+		(r)->ep == NULL ? NULL : (r)->ep->facts.software, "adapter",   \
 		(r)->call.adapter, NULL
 
 void fg_gwreq_log(const struct fg_gwreq *r, const char *event,
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -118,6 +118,14 @@
 	       old->draining == facts->draining && old->born == facts->born;
 }
 
+static void log_restart(const struct fg_fleet_ep *ep,
+			const struct fg_ep_facts *facts)
+{
+	fg_log(FG_LOG_INFO, "endpoint", "restarted", "endpoint", ep->facts.id,
+	       "address", facts->address, "software", facts->software,
+	       "software_before", ep->facts.software, NULL);
+}
+
 static bool apply_entry_row(struct fg_gateway *gw,
 			    const struct fg_store_row *row, fg_ms now)
 {
@@ -136,6 +144,8 @@
 		fg_fleet_remove(gw->fleet, now, row->key);
 	} else {
 		matters = ep == NULL || !differs_in_resident_only(ep, &facts);
+		if (ep != NULL && ep->facts.born != facts.born)
+			log_restart(ep, &facts);
 		ep = fg_fleet_put(gw->fleet, now, &facts);
 		apply_listed_resident(ep, now);
 	}
@@ -143,7 +153,7 @@
 		return matters;
 	fg_log(FG_LOG_INFO, "endpoint", was_usable ? "leaving" : "usable",
 	       "endpoint", row->key, "address", ep->facts.address, "service",
-	       ep->facts.service, NULL);
+	       ep->facts.service, "software", ep->facts.software, NULL);
 	return matters;
 }
 
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -369,6 +369,22 @@
 
 /* ---- Sending ---- */
 
+/* `continues`: this answer brought events before, from another send. */
+static void log_resume(const struct fg_ep_conn *conn,
+		       const struct fg_send_params *send)
+{
+	const struct fg_gwreq *r = conn->req;
+	char after[24];
+
+	g_snprintf(after, sizeof(after), "%" G_GUINT64_FORMAT,
+		   (guint64)send->resume_after);
+	fg_log_routine("request", "resume_sent", "id", r->call.id, "begun_by",
+		       r->call.resumes_id, "continues",
+		       r->events.has_id ? "yes" : "no", "after", after,
+		       "endpoint", conn->ep->facts.id, "software",
+		       conn->ep->facts.software, NULL);
+}
+
 static void write_request(struct fg_ep_conn *conn)
 {
 	struct fg_gwreq *r = conn->req;
@@ -389,6 +405,8 @@
 			    r->head->chunked,
 	};
 
+	if (send.resumes)
+		log_resume(conn, &send);
 	conn->gw->wire->call_write(out, r->head, &send);
 	g_string_append_len(out, (const char *)body->data, body->len);
 	r->sent_at = now;
--- a/lib/wire/fg_wire.c
+++ b/lib/wire/fg_wire.c
@@ -13,6 +13,7 @@
 	g_free(c->host);
 	g_free(c->model);
 	g_free(c->adapter);
+	g_free(c->resumes_id);
 	g_clear_pointer(&c->shared_parts, g_bytes_unref);
 	memset(c, 0, sizeof(*c));
 }
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -46,6 +46,8 @@
 	GBytes *shared_parts;
 	bool resumes;	       /* the caller resumes a stream */
 	uint64_t resume_after; /* last event id that it has received */
+	char *resumes_id; /* id of the attempt that brought the stream's first
+			     event; NULL: not stated */
 };
 
 /* Frees the strings and zeroes the structure. */
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -36,7 +36,7 @@
     run."""
 
     def __init__(self, store, name, service, engine, dc="dc1", slots=6,
-                 map_addr=None, on_run=None):
+                 map_addr=None, on_run=None, software="v1"):
         self.store = store
         self.on_run = on_run
         self.name = name
@@ -64,6 +64,7 @@
         self.event_interval_s = 0.01
         self.draining = False
         self.boot_ms = int(time.time() * 1000)
+        self.software = software
         self.checks_fences = True
         self.leaving = False  # says so in all answers
         self.endless_bytes = 0  # sent by the endless faults
@@ -91,6 +92,7 @@
         self.store.put("servers", self.name, {
             "service": self.service, "addr": self.addr, "zone": self.dc,
             "slots": self.slots, "born": self.boot_ms, "models": models,
+            "version": self.software,
             "state": "draining" if self.draining else "ready",
             "sequence": self.sequence})
 
@@ -350,7 +352,8 @@
         text = self.response_head(
             rid, "Content-Type: text/event-stream\r\n\r\n")
         for i in range(first, EVENTS + 1):
-            text += f"id: {i}\ndata: piece {i} {rid} {req.get('Model')}\n\n"
+            text += (f"id: {i}\ndata: piece {i} {rid} {req.get('Model')} "
+                     f"{self.software}\n\n")
         req.sock.sendall(text.encode()[:-9] if cut else text.encode())
 
     def answer_stream(self, req, rid):
@@ -365,7 +368,8 @@
         req.sock.sendall(head.encode())
         cut = self.consume_fault("cut")
         for i in range(first, EVENTS + 1):
-            event = f"id: {i}\ndata: piece {i} {rid} {adapter}\n\n".encode()
+            event = (f"id: {i}\ndata: piece {i} {rid} {adapter} "
+                     f"{self.software}\n\n").encode()
             if cut and i == first + 2:
                 half = event[:9]
                 req.sock.sendall(b"%x\r\n%s\r\n" % (len(half), half))
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -216,11 +216,12 @@
     store through a proxy of its own, in `store_proxies`."""
 
     def __init__(self, engines=2, plains=2, gateways=1, proxied=False, dcs=1,
-                 fences_checked=True):
+                 fences_checked=True, software=("v1",)):
         self.folder = tempfile.TemporaryDirectory()
         self.store = Store()
         self.store.put("op", "config", make_config(1))
-        self.engines = [Replica(self.store, f"e{i}", "models", True)
+        self.engines = [Replica(self.store, f"e{i}", "models", True,
+                                software=software[i % len(software)])
                         for i in range(engines)]
         self.plains = [Replica(self.store, f"p{i}", "orders", False)
                        for i in range(plains)]
@@ -316,5 +317,11 @@
             if line.startswith("id: ")]
 
 
+def software_versions(answer):
+    """The versions of the engines that made the answer's events."""
+    return {line.split()[-1] for line in answer.body.splitlines()
+            if line.startswith("data: ")}
+
+
 def has_all_events(answer):
     return answer.whole and event_ids(answer) == list(range(1, EVENTS + 1))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -321,9 +321,12 @@
 def is_expected_body(kind, rid, adapter, body):
     text = body.decode("latin-1")
     if kind in ("draft", "brief"):
+        got = [x.rsplit(" ", 1) for x in text.split("\n")
+               if x.startswith("data:")]
         want = [f"data: piece {i} {rid} {adapter}"
                 for i in range(1, EVENTS + 1)]
-        return [x for x in text.split("\n") if x.startswith("data:")] == want
+        one_software = len({software for _, software in got}) == 1
+        return [piece for piece, _ in got] == want and one_software
     return text.startswith("done by ") and text.endswith(f" for {rid}")
 
 
