fg-gateway: a stream goes on, inside one answer, only at the version that began it

Callers got streams with events of two software versions of a service, which do not fit together.

The version of the endpoint that brought the first event is required of all later sends of the request. An entry that changed between the send and the event leaves the version unknown, and then the stream does not go on. Without an endpoint of the version it is broken off at once.

Ruled out: checking the version only when the endpoint is chosen; its entry can change while a connection is opened.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -238,7 +238,8 @@
 		struct cost c;
 
 		if (strcmp(ep->facts.service, query->service) != 0 ||
-		    !fg_ep_accepts(ep, now) || !fg_limit_allows(ep, now))
+		    !fg_ep_accepts(ep, now) || !fg_limit_allows(ep, now) ||
+		    (query->software != 0 && ep->software != query->software))
 			continue;
 		c = estimate_cost(
 			conf, query, ep,
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -55,6 +55,7 @@
 	uint64_t model;	    /* key of its base model, which must be resident */
 	uint32_t prompt_tokens; /* 0 for plain requests */
 	double tokens_per_s;	/* prompts of the adapter, at all instances */
+	uint64_t software;	/* only endpoints of this version; 0: any */
 	struct fg_fleet_ep *avoid[4]; /* endpoints tried before */
 	uint32_t n_avoid;
 };
--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -145,6 +145,8 @@
 		reset_state(ep);
 	}
 	ep->facts = *facts;
+	ep->software =
+		facts->software[0] == '\0' ? 0 : fg_hash_str(facts->software);
 	/* Without a start time, a restart would look the same. */
 	if (facts->draining && facts->born != 0)
 		ep->leaving = true;
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -31,6 +31,8 @@
 #define FG_FLEET_NAME_BYTES 96
 #define FG_FLEET_ADDR_BYTES 24
 #define FG_FLEET_SOFTWARE_BYTES 64
+/* As the required software version of a request: no endpoint has it. */
+#define FG_SOFTWARE_NONE UINT64_MAX
 #define FG_FLEET_RESIDENT_MAX 32
 
 /* Time that endpoints have to write their entries again after an outage of the
@@ -74,7 +76,8 @@
 
 struct fg_fleet_ep {
 	struct fg_ep_facts facts;
-	uint64_t hash; /* of the id; identifies it between instances */
+	uint64_t hash;	   /* of the id; identifies it between instances */
+	uint64_t software; /* key of facts.software; 0: unknown */
 	char region[FG_FLEET_NAME_BYTES];
 	bool listed;	    /* its entry exists */
 	fg_ms lapsed_until; /* usable until, after a lapse of its entry */
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -166,8 +166,13 @@
 	bool trial;	   /* may be sent although a part is blocked */
 	bool answer_begun; /* this send brought an event or a plain head */
 	struct fg_events events;
-	GString *answer_body; /* of a plain answer */
-	guint index;	      /* in gw->reqs */
+	/* Software version of the endpoint that brought the stream's first
+	 * event: only such endpoints may go on. 0: no event yet;
+	 * FG_SOFTWARE_NONE: unknown. */
+	uint64_t software;
+	uint64_t sent_software; /* of the endpoint of this send */
+	GString *answer_body;	/* of a plain answer */
+	guint index;		/* in gw->reqs */
 };
 
 /* Starts serving the request that was read from the connection. */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -137,6 +137,18 @@
 	return true;
 }
 
+/* The first event of the stream came. An entry that changed since the request
+ * was sent leaves open which version it came from. */
+static void note_software(struct fg_gwreq *r)
+{
+	if (r->software != 0)
+		return;
+	r->software =
+		r->sent_software != 0 && r->sent_software == r->ep->software
+			? r->sent_software
+			: FG_SOFTWARE_NONE;
+}
+
 /* Forwards complete events, and the answer's head before the first of them. */
 static void forward_events(struct fg_gwreq *r, size_t len)
 {
@@ -182,6 +194,7 @@
 		abandon_send(r, FG_SEND_BROKEN, "event_too_large");
 	} else if (complete_bytes > 0) {
 		note_answer_start(r);
+		note_software(r);
 		forward_events(r, (size_t)complete_bytes);
 	}
 }
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -49,7 +49,8 @@
 {
 	if (fg_gw_blame_refuse_blocked(r))
 		return;
-	if (!fg_ep_accepts(r->ep, fg_clock_now())) {
+	if (!fg_ep_accepts(r->ep, fg_clock_now()) ||
+	    (r->software != 0 && r->software != r->ep->software)) {
 		fg_gwreq_mark_tried(r);
 		fg_gwreq_enter_state(r, FG_GWREQ_WAIT_RETRY, fg_clock_now());
 		return;
@@ -90,6 +91,7 @@
 					? 0
 					: fg_gw_update_token_rate(
 						  r->gw, now, r->adapter, 0),
+		.software = r->software,
 		.n_avoid = r->n_tried,
 	};
 
@@ -105,6 +107,22 @@
 			       &r->gw->rand);
 }
 
+/* Returns whether an endpoint of the version that began the stream is usable.
+ */
+static bool has_software(const struct fg_gwreq *r, fg_ms now)
+{
+	const GPtrArray *all = fg_fleet_all(r->gw->fleet);
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fg_fleet_ep *ep = all->pdata[i];
+
+		if (ep->software == r->software && fg_ep_is_usable(ep, now) &&
+		    strcmp(ep->facts.service, r->service->name) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Refuses a request that no endpoint can get now. When they all asked for a
  * pause, the caller is told to come back after the shortest of the pauses. When
  * this instance's shares of the limits of those without a pause are used up,
@@ -117,7 +135,10 @@
 	uint32_t spread_ms =
 		(uint32_t)fg_rand_below(&r->gw->rand, PAUSE_SPREAD_MS);
 
-	if (pause_ms == UINT32_MAX)
+	if (r->software != 0 && !has_software(r, now))
+		fg_gwreq_refuse(r, "software_gone",
+				FG_GWREQ_RETRY_MAX_MS / 2 + spread_ms);
+	else if (pause_ms == UINT32_MAX)
 		fg_gwreq_refuse(r, "no_endpoint", FG_GWREQ_RETRY_MAX_MS / 2);
 	else if (pause_ms == 0)
 		fg_gwreq_refuse(r, "endpoints_limited",
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -115,7 +115,8 @@
 	return ep->listed && strcmp(old->service, facts->service) == 0 &&
 	       strcmp(old->address, facts->address) == 0 &&
 	       strcmp(old->dc, facts->dc) == 0 && old->slots == facts->slots &&
-	       old->draining == facts->draining && old->born == facts->born;
+	       old->draining == facts->draining && old->born == facts->born &&
+	       strcmp(old->software, facts->software) == 0;
 }
 
 static void log_restart(const struct fg_fleet_ep *ep,
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -410,6 +410,7 @@
 	conn->gw->wire->call_write(out, r->head, &send);
 	g_string_append_len(out, (const char *)body->data, body->len);
 	r->sent_at = now;
+	r->sent_software = conn->ep->software;
 	conn->ep->sends++;
 	fg_link_write(conn->link, out->str, out->len);
 	g_string_free(out, TRUE);
@@ -462,6 +463,12 @@
 		fail_send(conn, FG_SEND_NOT_SENT, "endpoint_closed");
 		return;
 	}
+	/* Its entry may have changed since it was chosen. */
+	if (conn->req->software != 0 &&
+	    conn->req->software != conn->ep->software) {
+		fail_send(conn, FG_SEND_NOT_SENT, "other_software");
+		return;
+	}
 	write_request(conn);
 	arm_silence_timeout(conn->req, fg_clock_now());
 }
--- a/tests/gateway_versions.py
+++ b/tests/gateway_versions.py
@@ -142,44 +142,58 @@
                                        "software": ("v1", "v2")}
 
 
-def last_of_version(s):
-    """A stream whose version has no endpoint left ends at once: broken off
-    inside an answer, refused with a time to come back when it is taken up."""
-    wait_for_versions(s, ("v1", "v2"))
-    rest = [e for e in s.engines if e.software == "v1"]
-    last = [e for e in s.engines if e.software == "v2"][0]
-    for engine in s.engines:
-        engine.event_interval_s = 0.1
+def begin_at(s, engine):
+    """Begins a stream at that engine; returns (id, adapter, answer so far)."""
     for i in range(20):
         rid = next_id()
         a = begin_stream(s.gw, rid, f"a{i}")
-        if software_versions(a) == {"v2"}:
-            break
-    check(software_versions(a) == {"v2"}, "no stream at v2")
-    last.faults = {"cut": 1}
-    begin = time.monotonic()
+        if rid in engine.run_ids:
+            return rid, f"a{i}", a
+    raise AssertionError(f"no stream at {engine.name}")
+
+
+def last_of_version(s):
+    """A stream that breaks off, and whose version has no other endpoint, is
+    broken off for the caller: it does not go on elsewhere."""
+    wait_for_versions(s, ("v1", "v2"))
+    last = s.engines[1]
+    last.faults = {"cut": 100}
     for i in range(20):
-        other = next_id()
-        b = send_draft(s.gw, f"a{i}", rid=other)
-        check(len(software_versions(b)) <= 1, "mixed")
-        if last.faults["cut"] == 0:
+        rid = next_id()
+        a = send_draft(s.gw, f"a{i}", rid=rid)
+        check(len(software_versions(a)) <= 1, "mixed")
+        if rid in last.run_ids:
             break
-    check(not b.whole, "ended as if complete")
+    check(not a.whole and s.run_count(rid) == last.run_ids.count(rid),
+          f"whole {a.whole}, ran {s.run_count(rid)} times")
+
+
+last_of_version.system_options = {"engines": 3,
+                                  "software": ("v1", "v2", "v1")}
+
+
+def last_of_version_taken_up(s):
+    """A stream whose version has no endpoint left is refused at once when it is
+    taken up, with a time to come back."""
+    wait_for_versions(s, ("v1", "v2"))
+    last = s.engines[1]
+    for engine in s.engines:
+        engine.event_interval_s = 0.1
+    rid, adapter, a = begin_at(s, last)
     last.crash()
     s.store.remove("servers", last.name)
-    wait_for("gone", lambda: "endpoint e1 " not in s.gw.state()
-             or "e1 service=models" in s.gw.state() and
-             "usable=0" in s.gw.state().split("endpoint e1 ")[1][:90])
+    wait_for("gone", lambda: "endpoint=e1" in "".join(
+        line for line in s.gw.log().splitlines()
+        if "event=leaving" in line or "event=gone" in line))
     begin = time.monotonic()
-    c = resume_stream(s.gw, rid, event_ids(a)[-1], f"a{i}")
+    b = resume_stream(s.gw, rid, event_ids(a)[-1], adapter)
     took = time.monotonic() - begin
-    check(c.status == 503 and "Retry-After" in c.headers, f"{c.status}")
+    check(b.status == 503 and "Retry-After" in b.headers, f"{b.status}")
     check(took < 0.5, f"refused after {took:.2f} s")
-    check(all(e.software == "v1" for e in rest), "setup")
 
 
-last_of_version.system_options = {"engines": 3,
-                                  "software": ("v1", "v2", "v1")}
+last_of_version_taken_up.system_options = {"engines": 3,
+                                           "software": ("v1", "v2", "v1")}
 
 
 def resume_keeps_version(s):
@@ -385,7 +399,8 @@
 
 
 SCENARIOS = [
-    stream_lines, stream_keeps_version, last_of_version, resume_keeps_version,
+    stream_lines, stream_keeps_version, last_of_version, last_of_version_taken_up,
+    resume_keeps_version,
     resume_without_first_instance, unknown_stream, resume_out_of_touch,
     one_version, rolling_change, restarted_as_other_version,
 ]
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -542,6 +542,51 @@
 	fg_fleet_free(f);
 }
 
+static struct fg_fleet_ep *put_software(struct fg_fleet *f, const char *id,
+					const char *software, uint64_t born)
+{
+	struct fg_ep_facts facts = { .slots = 6, .born = born };
+
+	g_strlcpy(facts.id, id, sizeof(facts.id));
+	g_strlcpy(facts.service, "s", sizeof(facts.service));
+	g_strlcpy(facts.address, "10.0.0.1:80", sizeof(facts.address));
+	g_strlcpy(facts.dc, "east", sizeof(facts.dc));
+	g_strlcpy(facts.software, software, sizeof(facts.software));
+	return fg_fleet_put(f, 1000, &facts);
+}
+
+/* A stream goes on at another version when the required one is ignored, also
+ * because the endpoints that have it are tried, slow or gone. */
+static void test_required_software(void)
+{
+	struct fg_svc svc = { .engine = true };
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *a = put_software(f, "e1", "v1", 1);
+	struct fg_fleet_ep *b = put_software(f, "e2", "v2", 1);
+	struct fg_fleet_ep *unknown = put_software(f, "e3", "", 1);
+	struct fg_rand rand;
+	struct fg_balance_query ask = { .service = "s",
+					.svc = &svc,
+					.region = "r",
+					.avoid = { a },
+					.n_avoid = 1,
+					.software = a->software };
+
+	fg_rand_seed(&rand, 5);
+	g_assert_cmpuint(a->software, !=, 0);
+	g_assert_cmpuint(a->software, !=, b->software);
+	g_assert_cmpuint(unknown->software, ==, 0);
+	a->pending_tokens = 100000;
+	g_assert_true(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep == a);
+	put_software(f, "e1", "v2", 2);
+	g_assert_null(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep);
+	ask.software = FG_SOFTWARE_NONE;
+	g_assert_null(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep);
+	ask.software = 0;
+	g_assert_nonnull(fg_balance_pick(&conf, f, 2000, &ask, &rand).ep);
+	fg_fleet_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -569,5 +614,6 @@
 	g_test_add_func("/balance/popular", test_popular_adapter_spreads);
 	g_test_add_func("/balance/plain", test_pick_plain_service);
 	g_test_add_func("/balance/top", test_rank_order);
+	g_test_add_func("/balance/required_software", test_required_software);
 	return g_test_run();
 }
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -378,6 +378,13 @@
 		"{\"service\":\"s\",\"addr\":\"a\",\"zone\":\"z\",\"state\":"
 		"\"odd\"}",
 	};
+	static const struct {
+		const char *json;
+		const char *software;
+	} versions[] = {
+		{ "\"v1.1\"", "v1.1" }, { "\"\"", "" },	    { "7", "" },
+		{ "null", "" },		{ "[\"v1\"]", "" },
+	};
 	struct fg_ep_facts facts;
 	GError *error = NULL;
 
@@ -387,6 +394,17 @@
 	g_assert_cmpuint(facts.n_resident, ==, 3);
 	g_assert_cmpstr(facts.resident[1].adapter, ==, "a1");
 	g_assert_cmpuint(facts.resident[1].version, ==, 3);
+	g_assert_cmpstr(facts.software, ==, "");
+	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
+		g_autofree char *entry = g_strdup_printf(
+			"{\"service\":\"s\",\"addr\":\"a\",\"zone\":\"z\","
+			"\"state\":\"ready\",\"version\":%s}",
+			versions[i].json);
+
+		g_assert_true(fgp_wire.entry_read("i-1", entry, strlen(entry),
+						  &facts, &error));
+		g_assert_cmpstr(facts.software, ==, versions[i].software);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
 		g_assert_false(fgp_wire.entry_read(
 			"i-1", bad[i], strlen(bad[i]), &facts, &error));
