fg-gateway: streams that callers take up go on only at the version that began them

Cause: the attempt that the caller names had no reader, and what an instance knew of a stream ended with its answer.

lib/origin keeps the version of streams by their first attempt. While one version serves, instances tell each other nothing. Otherwise the record goes to two instances that follow from the stream's key, and one that does not know a stream asks up to 16. No stream begins at a version that is new to a service within 3 s, so that an instance with a recent view of the registry knows each version that can have begun one. What no one knows is refused at once (503, not run) and never begun anew.

Ruled out: choosing the version by the request's id, which binds new streams to endpoints that do not hold their adapter; records in the store, 400 writes a second.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -239,7 +239,8 @@
 
 		if (strcmp(ep->facts.service, query->service) != 0 ||
 		    !fg_ep_accepts(ep, now) || !fg_limit_allows(ep, now) ||
-		    (query->software != 0 && ep->software != query->software))
+		    (query->software != 0 && ep->software != query->software) ||
+		    (query->begins_stream && now < ep->streams_after))
 			continue;
 		c = estimate_cost(
 			conf, query, ep,
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -56,6 +56,7 @@
 	uint32_t prompt_tokens; /* 0 for plain requests */
 	double tokens_per_s;	/* prompts of the adapter, at all instances */
 	uint64_t software;	/* only endpoints of this version; 0: any */
+	bool begins_stream;	/* respects fg_fleet_ep.streams_after */
 	struct fg_fleet_ep *avoid[4]; /* endpoints tried before */
 	uint32_t n_avoid;
 };
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -76,8 +76,9 @@
 
 struct fg_fleet_ep {
 	struct fg_ep_facts facts;
-	uint64_t hash;	   /* of the id; identifies it between instances */
-	uint64_t software; /* key of facts.software; 0: unknown */
+	uint64_t hash;	     /* of the id; identifies it between instances */
+	uint64_t software;   /* key of facts.software; 0: unknown */
+	fg_ms streams_after; /* resumable streams may begin from then on */
 	char region[FG_FLEET_NAME_BYTES];
 	bool listed;	    /* its entry exists */
 	fg_ms lapsed_until; /* usable until, after a lapse of its entry */
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -275,6 +275,7 @@
 	fg_log(FG_LOG_WARN, "gateway", "paused", "ms", ms, NULL);
 	/* Another instance may have taken over engines during the pause. */
 	gw->claims_current = false;
+	gw->woke_at = now;
 	fg_gw_relay_suspend(gw, now);
 	for (int i = 0; i < FG_FEED_COUNT; i++)
 		fg_channel_abort(gw->feeds[i].channel);
@@ -315,6 +316,8 @@
 	fg_sync_tick(gw, now);
 	fg_gw_mesh_tick(gw, now);
 	fg_gw_blame_tick(gw, now);
+	fg_gw_origin_refresh(gw, now);
+	fg_gw_origin_tick(gw, now);
 	if (gw->stopping)
 		advance_stop(gw, now);
 }
@@ -427,6 +430,7 @@
 	gw->popularity = fg_popularity_new(POPULARITY_HALF_LIFE_MS);
 	gw->suspects = fg_suspects_new(&suspects_conf);
 	fg_gw_blame_init(gw);
+	fg_gw_origin_init(gw);
 	gw->retry_budgets = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)fg_retry_free);
 	gw->metrics = fg_metrics_new();
@@ -524,6 +528,7 @@
 	fg_popularity_free(gw->popularity);
 	fg_suspects_free(gw->suspects);
 	fg_gw_blame_free(gw);
+	fg_gw_origin_free(gw);
 	fg_routes_unref(gw->routes);
 	g_hash_table_unref(gw->announced_versions);
 	g_hash_table_unref(gw->retry_budgets);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -16,6 +16,7 @@
  *   fg_gw_mesh.c     messages sent to other instances
  *   fg_gw_receive.c  messages received from other instances
  *   fg_gw_blame.c    prompt parts that crash endpoints
+ *   fg_gw_origin.c   software versions that began streams
  *   fg_gw_pages.c    address lookup, readiness, metrics, state dump
  *
  * A neighbour is another instance in the same data centre. Times of type fg_ms
@@ -46,6 +47,7 @@
 #include "mesh/fg_mesh.h"
 #include "mesh/fg_peers.h"
 #include "metrics/fg_metrics.h"
+#include "origin/fg_origin.h"
 #include "place/fg_popularity.h"
 #include "relay/fg_relay.h"
 #include "route/fg_route.h"
@@ -121,6 +123,7 @@
 	FG_GWREQ_WAIT_LOAD = 2,	  /* for an adapter to be loaded at `ep` */
 	FG_GWREQ_WAIT_RETRY = 3,  /* for the next choice of an endpoint */
 	FG_GWREQ_SENT = 4,
+	FG_GWREQ_WAIT_ORIGIN = 5, /* for the version that began its stream */
 };
 
 #define FG_GWREQ_TRIED_MAX 4
@@ -170,9 +173,10 @@
 	 * event: only such endpoints may go on. 0: no event yet;
 	 * FG_SOFTWARE_NONE: unknown. */
 	uint64_t software;
-	uint64_t sent_software; /* of the endpoint of this send */
-	GString *answer_body;	/* of a plain answer */
-	guint index;		/* in gw->reqs */
+	uint64_t sent_software;	  /* of the endpoint of this send */
+	uint32_t origins_pending; /* instances that were asked for it */
+	GString *answer_body;	  /* of a plain answer */
+	guint index;		  /* in gw->reqs */
 };
 
 /* Starts serving the request that was read from the connection. */
@@ -604,6 +608,35 @@
 /* Sends the notes that are due, and ends requests with blocked parts. */
 void fg_gw_blame_tick(struct fg_gateway *gw, fg_ms now);
 
+/* ---- Software versions that began streams ---- */
+
+void fg_gw_origin_init(struct fg_gateway *gw);
+void fg_gw_origin_free(struct fg_gateway *gw);
+
+/* Notes the versions of all endpoints. Call it after changes of the registry
+ * and a few times a second. */
+void fg_gw_origin_refresh(struct fg_gateway *gw, fg_ms now);
+
+/* Tells other instances of streams begun here, and drops old records. */
+void fg_gw_origin_tick(struct fg_gateway *gw, fg_ms now);
+
+/* The request takes up a stream: sets r->software. Returns false when other
+ * instances are asked first, or the request was refused. */
+bool fg_gw_origin_resolve(struct fg_gwreq *r);
+
+/* No instance that was asked told the version in time: refuses the request. */
+void fg_gw_origin_time_out(struct fg_gwreq *r);
+
+/* The first event of a stream came, from an endpoint of version r->software. */
+void fg_gw_origin_record(struct fg_gwreq *r);
+
+/* Messages of other instances. */
+void fg_gw_origin_apply(struct fg_gateway *gw, const fg_mesh_packet *packet);
+void fg_gw_origin_answer_ask(struct fg_gateway *gw,
+			     const fg_mesh_packet *packet, const char *from);
+void fg_gw_origin_apply_reply(struct fg_gateway *gw,
+			      const fg_mesh_packet *packet);
+
 /* ---- Pages ---- */
 
 /* Answers a request on any port but the front: address lookup, readiness,
@@ -675,6 +708,9 @@
 	GArray *notes;	     /* struct fg_blame_note, to be sent to all */
 	bool blocks_changed; /* a part was blocked since the last step */
 	fg_ms repair_at;     /* blocked parts were last sent to one instance */
+	struct fg_origins *origins;
+	bool origins_started; /* the registry's first full read was noted */
+	fg_ms woke_at; /* end of the last pause of this process; 0: none */
 	GHashTable *retry_budgets; /* service name -> struct fg_retry * */
 
 	uv_udp_t mesh;
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -137,16 +137,19 @@
 	return true;
 }
 
-/* The first event of the stream came. An entry that changed since the request
- * was sent leaves open which version it came from. */
+/* Before the first event of this answer: notes the version that it came from.
+ * An entry that changed since the request was sent leaves the version open. */
 static void note_software(struct fg_gwreq *r)
 {
-	if (r->software != 0)
+	if (r->head_sent)
 		return;
-	r->software =
-		r->sent_software != 0 && r->sent_software == r->ep->software
-			? r->sent_software
-			: FG_SOFTWARE_NONE;
+	if (r->software == 0) {
+		bool unchanged = r->sent_software != 0 &&
+				 r->sent_software == r->ep->software;
+
+		r->software = unchanged ? r->sent_software : FG_SOFTWARE_NONE;
+	}
+	fg_gw_origin_record(r);
 }
 
 /* Forwards complete events, and the answer's head before the first of them. */
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -211,6 +211,8 @@
 		return "load";
 	case FG_GWREQ_WAIT_RETRY:
 		return "place";
+	case FG_GWREQ_WAIT_ORIGIN:
+		return "origin";
 	default:
 		return "endpoint";
 	}
@@ -220,7 +222,7 @@
  * oldest one. */
 static void set_wait_gauges(struct fg_gateway *gw, fg_ms now)
 {
-	for (int state = FG_GWREQ_WAIT_TOTALS; state <= FG_GWREQ_SENT;
+	for (int state = FG_GWREQ_WAIT_TOTALS; state <= FG_GWREQ_WAIT_ORIGIN;
 	     state++) {
 		char *labels = g_strdup_printf(
 			"for=\"%s\"", wait_label((enum fg_gwreq_state)state));
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -92,6 +92,7 @@
 					: fg_gw_update_token_rate(
 						  r->gw, now, r->adapter, 0),
 		.software = r->software,
+		.begins_stream = r->software == 0 && r->route->resumable,
 		.n_avoid = r->n_tried,
 	};
 
@@ -102,7 +103,14 @@
 static struct fg_balance_pick pick_endpoint(struct fg_gwreq *r, fg_ms now)
 {
 	struct fg_balance_query query = build_query(r, now);
+	struct fg_balance_pick pick;
 
+	pick = fg_balance_pick(&r->gw->balance, r->gw->fleet, now, &query,
+			       &r->gw->rand);
+	if (pick.ep != NULL || !query.begins_stream)
+		return pick;
+	/* No endpoint has a version that other instances are sure to know. */
+	query.begins_stream = false;
 	return fg_balance_pick(&r->gw->balance, r->gw->fleet, now, &query,
 			       &r->gw->rand);
 }
@@ -295,6 +303,8 @@
 	} else if (r->state == FG_GWREQ_WAIT_TOTALS) {
 		fg_gw_count_event(r->gw, "totals_late", NULL);
 		choose_endpoint(r);
+	} else if (r->state == FG_GWREQ_WAIT_ORIGIN) {
+		fg_gw_origin_time_out(r);
 	} else if (r->state == FG_GWREQ_WAIT_LOAD) {
 		check_load(r);
 	} else if (r->state == FG_GWREQ_WAIT_RETRY) {
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -272,6 +272,15 @@
 	case FG_MESH_NOTES:
 		fg_gw_blame_apply_notes(gw, &packet, fg_clock_now());
 		break;
+	case FG_MESH_ORIGINS:
+		fg_gw_origin_apply(gw, &packet);
+		break;
+	case FG_MESH_ORIGIN_ASK:
+		fg_gw_origin_answer_ask(gw, &packet, address);
+		break;
+	case FG_MESH_ORIGIN_REP:
+		fg_gw_origin_apply_reply(gw, &packet);
+		break;
 	}
 	fg_mesh_clear(&packet);
 }
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -512,5 +512,6 @@
 					r->call.prompt_tokens);
 	fg_retry_count_first(fg_gw_retry_budget(gw, r->service->name),
 			     r->arrived_at, FG_CLASS_STATUS);
-	fg_gwreq_place(r);
+	if (fg_gw_origin_resolve(r))
+		fg_gwreq_place(r);
 }
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -213,6 +213,8 @@
 	if (f->id == FG_FEED_OWN && !f->in_full_read)
 		fg_gw_prove(f->gw, f->read_since);
 	fg_orders_refresh(f->gw, now);
+	if (f->id == FG_FEED_REGISTRY)
+		fg_gw_origin_refresh(f->gw, now);
 	if (f->in_full_read)
 		send_next(f);
 	else
@@ -348,6 +350,8 @@
 		fg_fleet_registry_up(f->gw->fleet, now, f->confirmed_at);
 	apply_changes(f, rows, now);
 	fg_orders_refresh(f->gw, now);
+	if (f->id == FG_FEED_REGISTRY)
+		fg_gw_origin_refresh(f->gw, now);
 }
 
 void fg_sync_on_config_behind(struct fg_gateway *gw, fg_ms now)
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -22,7 +22,7 @@
 	char *log_level;
 	char *retry_ratio, *retry_slack, *stop_grace_s, *lookup_ttl_s;
 	char *version_ms, *drain_ms, *connections_max;
-	char *turn_ms, *fences_checked;
+	char *turn_ms, *fences_checked, *first_start;
 	struct fg_gwconf_dc *dcs;
 	unsigned int dcs_count;
 };
@@ -66,6 +66,7 @@
 	TEXT_OPT(connections_max),
 	TEXT_OPT(turn_ms),
 	TEXT_OPT(fences_checked),
+	TEXT_OPT(first_start),
 	CYAML_FIELD_SEQUENCE("data_centres", CYAML_FLAG_POINTER,
 			     struct raw_settings, dcs, &dc_schema, 0, DCS_MAX),
 	CYAML_FIELD_END,
@@ -183,6 +184,8 @@
 				  3600000, 3000);
 	c->fences_checked =
 		check_bool(errors, path, "fences_checked", raw->fences_checked);
+	c->first_start =
+		check_bool(errors, path, "first_start", raw->first_start);
 	c->connections_max =
 		check_number(errors, path, "connections_max",
 			     raw->connections_max, 1, 100000, 1024);
--- a/lib/gateway/fg_gwconf.h
+++ b/lib/gateway/fg_gwconf.h
@@ -48,6 +48,7 @@
 	uint32_t version_ms; /* from an announcement until it must be in use */
 	uint32_t drain_ms; /* from a leaving notice until no request is sent */
 	uint32_t turn_ms;  /* until an engine may return to an earlier owner */
+	bool first_start;  /* no instance ran before */
 	bool fences_checked;	  /* engines refuse lower fencing numbers */
 	uint32_t connections_max; /* open ones from callers, at most */
 };
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -129,6 +129,28 @@
 	fg_mesh_note list<FG_MESH_LIST_MAX>;
 };
 
+struct fg_mesh_origin {         /* the software version that began a stream */
+	unsigned hyper stream;
+	unsigned hyper service;
+	unsigned hyper software;
+};
+
+struct fg_mesh_origins {
+	fg_mesh_origin list<FG_MESH_LIST_MAX>;
+};
+
+/* Asks which software version began a stream that a caller takes up. */
+struct fg_mesh_origin_ask {
+	unsigned int request;   /* chosen by the sender, echoed in the reply */
+	unsigned hyper stream;  /* 0: the caller names none */
+	unsigned hyper service;
+};
+
+struct fg_mesh_origin_rep {
+	unsigned int request;
+	unsigned hyper software; /* 0: not known */
+};
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
@@ -136,7 +158,10 @@
 	FG_MESH_USES = 4,
 	FG_MESH_TOTALS_ASK = 5,
 	FG_MESH_TOTALS = 6,
-	FG_MESH_NOTES = 7
+	FG_MESH_NOTES = 7,
+	FG_MESH_ORIGINS = 8,
+	FG_MESH_ORIGIN_ASK = 9,
+	FG_MESH_ORIGIN_REP = 10
 };
 
 union fg_mesh_body switch (fg_mesh_kind kind) {
@@ -154,6 +179,12 @@
 	fg_mesh_totals totals;
 case FG_MESH_NOTES:
 	fg_mesh_notes notes;
+case FG_MESH_ORIGINS:
+	fg_mesh_origins origins;
+case FG_MESH_ORIGIN_ASK:
+	fg_mesh_origin_ask origin_ask;
+case FG_MESH_ORIGIN_REP:
+	fg_mesh_origin_rep origin_rep;
 };
 
 /* Rows that one instance reads from another, over HTTP instead of datagrams. */
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -160,6 +160,34 @@
 };
 typedef struct fg_mesh_notes fg_mesh_notes;
 
+struct fg_mesh_origin {
+	u_quad_t stream;
+	u_quad_t service;
+	u_quad_t software;
+};
+typedef struct fg_mesh_origin fg_mesh_origin;
+
+struct fg_mesh_origins {
+	struct {
+		u_int list_len;
+		fg_mesh_origin *list_val;
+	} list;
+};
+typedef struct fg_mesh_origins fg_mesh_origins;
+
+struct fg_mesh_origin_ask {
+	u_int request;
+	u_quad_t stream;
+	u_quad_t service;
+};
+typedef struct fg_mesh_origin_ask fg_mesh_origin_ask;
+
+struct fg_mesh_origin_rep {
+	u_int request;
+	u_quad_t software;
+};
+typedef struct fg_mesh_origin_rep fg_mesh_origin_rep;
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
@@ -168,6 +196,9 @@
 	FG_MESH_TOTALS_ASK = 5,
 	FG_MESH_TOTALS = 6,
 	FG_MESH_NOTES = 7,
+	FG_MESH_ORIGINS = 8,
+	FG_MESH_ORIGIN_ASK = 9,
+	FG_MESH_ORIGIN_REP = 10,
 };
 typedef enum fg_mesh_kind fg_mesh_kind;
 
@@ -181,6 +212,9 @@
 		fg_mesh_totals_ask totals_ask;
 		fg_mesh_totals totals;
 		fg_mesh_notes notes;
+		fg_mesh_origins origins;
+		fg_mesh_origin_ask origin_ask;
+		fg_mesh_origin_rep origin_rep;
 	} fg_mesh_body_u;
 };
 typedef struct fg_mesh_body fg_mesh_body;
@@ -234,6 +268,10 @@
 extern  bool_t xdr_fg_mesh_totals (XDR *, fg_mesh_totals*);
 extern  bool_t xdr_fg_mesh_note (XDR *, fg_mesh_note*);
 extern  bool_t xdr_fg_mesh_notes (XDR *, fg_mesh_notes*);
+extern  bool_t xdr_fg_mesh_origin (XDR *, fg_mesh_origin*);
+extern  bool_t xdr_fg_mesh_origins (XDR *, fg_mesh_origins*);
+extern  bool_t xdr_fg_mesh_origin_ask (XDR *, fg_mesh_origin_ask*);
+extern  bool_t xdr_fg_mesh_origin_rep (XDR *, fg_mesh_origin_rep*);
 extern  bool_t xdr_fg_mesh_kind (XDR *, fg_mesh_kind*);
 extern  bool_t xdr_fg_mesh_body (XDR *, fg_mesh_body*);
 extern  bool_t xdr_fg_mesh_row (XDR *, fg_mesh_row*);
@@ -257,6 +295,10 @@
 extern bool_t xdr_fg_mesh_totals ();
 extern bool_t xdr_fg_mesh_note ();
 extern bool_t xdr_fg_mesh_notes ();
+extern bool_t xdr_fg_mesh_origin ();
+extern bool_t xdr_fg_mesh_origins ();
+extern bool_t xdr_fg_mesh_origin_ask ();
+extern bool_t xdr_fg_mesh_origin_rep ();
 extern bool_t xdr_fg_mesh_kind ();
 extern bool_t xdr_fg_mesh_body ();
 extern bool_t xdr_fg_mesh_row ();
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -419,6 +419,57 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_mesh_origin (XDR *xdrs, fg_mesh_origin *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_origins (XDR *xdrs, fg_mesh_origins *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FG_MESH_LIST_MAX,
+		sizeof (fg_mesh_origin), (xdrproc_t) xdr_fg_mesh_origin))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_origin_ask (XDR *xdrs, fg_mesh_origin_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_origin_rep (XDR *xdrs, fg_mesh_origin_rep *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_mesh_kind (XDR *xdrs, fg_mesh_kind *objp)
 {
@@ -465,6 +516,18 @@
 		 if (!xdr_fg_mesh_notes (xdrs, &objp->fg_mesh_body_u.notes))
 			 return FALSE;
 		break;
+	case FG_MESH_ORIGINS:
+		 if (!xdr_fg_mesh_origins (xdrs, &objp->fg_mesh_body_u.origins))
+			 return FALSE;
+		break;
+	case FG_MESH_ORIGIN_ASK:
+		 if (!xdr_fg_mesh_origin_ask (xdrs, &objp->fg_mesh_body_u.origin_ask))
+			 return FALSE;
+		break;
+	case FG_MESH_ORIGIN_REP:
+		 if (!xdr_fg_mesh_origin_rep (xdrs, &objp->fg_mesh_body_u.origin_rep))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/gateway_versions.py
+++ b/tests/gateway_versions.py
@@ -101,7 +101,7 @@
     begun = []
     for i in range(n):
         rid = next_id()
-        adapter = f"a{i % 12}"
+        adapter = f"{rid}-a" if i % 2 else f"a{i % 12}"
         a = begin_stream(gateways[i % len(gateways)], rid, adapter, events)
         if event_ids(a):
             begun.append((rid, adapter, a))
@@ -112,12 +112,13 @@
 
 
 def wait_for_versions(s, versions):
-    """Waits until each version has begun a stream."""
+    """Waits until each version has begun a stream, by adapters that no endpoint
+    holds yet."""
     seen = set()
 
     def try_all():
-        for i in range(8):
-            seen.update(software_versions(send_draft(s.gw, f"w{i}")))
+        for _ in range(8):
+            seen.update(software_versions(send_draft(s.gw, next_id())))
         return seen >= set(versions)
     wait_for(f"streams at {versions}", try_all)
 
@@ -248,7 +249,7 @@
     """While two versions serve, a stream is not taken up when nothing tells its
     version: it is refused at once, without a run, with a time to come back."""
     wait_for_versions(s, ("v1", "v2"))
-    for name in (None, "", "never-seen", "x" * 4000, "\xff\x01;=,"):
+    for name in (None, "", "never-seen", "x" * 4000, "\xff;=,%00"):
         rid = next_id()
         begin = time.monotonic()
         a = resume_stream(s.gw, name, rid=rid)
@@ -257,6 +258,9 @@
               f"{str(name)[:12]!r}: {a.status}")
         check(s.run_count(rid) == 0, "it ran")
         check(took < 0.5, f"refused after {took:.2f} s")
+    rid = next_id()
+    a = resume_stream(s.gw, "control \x01 character", rid=rid)
+    check(a.status == 400 and s.run_count(rid) == 0, f"malformed: {a.status}")
     check(send_draft(s.gw).status == 200, "no service")
 
 
@@ -276,9 +280,7 @@
         version = f"new {how}".replace(" ", "-")
         s.engines.append(Replica(s.store, f"n{len(s.engines)}", "models", True,
                                  software=version))
-        wait_for("a stream at the new version", lambda: any(
-            version in software_versions(send_draft(s.gw, f"n{i}"))
-            for i in range(8)))
+        wait_for_versions(s, (version,))
         begun = begin_some([s.gw], 36)
         if how == "from all":
             s.gw.popen.send_signal(signal.SIGSTOP)
