lib/fleet: an entry of a former start, from a restored registry, is not believed

When the registry comes back from an older copy, the entry of an endpoint that had restarted states its former start, and maybe its former version, until the endpoint writes again.

Within the time that endpoints have to write again, an entry with an earlier start than the known one only shows that the endpoint is listed.

Test: test_fleet restored_entry_of_former_start, which failed before.

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -133,6 +133,24 @@
 	fg_ep_clear_limit(ep);
 }
 
+/* Returns whether the entry comes from an older copy of the registry: it states
+ * an earlier start than the known one, soon after the registry's return. */
+static bool is_of_former_start(const struct fg_fleet *f, fg_ms now,
+			       const struct fg_fleet_ep *ep,
+			       const struct fg_ep_facts *facts)
+{
+	return facts->born != 0 && facts->born < ep->facts.born &&
+	       is_lapse_expected(f, now);
+}
+
+static void list_ep(struct fg_fleet *f, struct fg_fleet_ep *ep)
+{
+	ep->listed = true;
+	ep->lapsed_until = 0;
+	if (f->reread_ids != NULL)
+		g_hash_table_add(f->reread_ids, g_strdup(ep->facts.id));
+}
+
 struct fg_fleet_ep *fg_fleet_put(struct fg_fleet *f, fg_ms now,
 				 const struct fg_ep_facts *facts)
 {
@@ -140,6 +158,9 @@
 
 	if (ep == NULL) {
 		ep = add_ep(f, now, facts->id);
+	} else if (is_of_former_start(f, now, ep, facts)) {
+		list_ep(f, ep);
+		return ep;
 	} else if (ep->facts.born != facts->born ||
 		   strcmp(ep->facts.address, facts->address) != 0) {
 		reset_state(ep);
@@ -150,12 +171,9 @@
 	/* Without a start time, a restart would look the same. */
 	if (facts->draining && facts->born != 0)
 		ep->leaving = true;
-	ep->listed = true;
-	ep->lapsed_until = 0;
+	list_ep(f, ep);
 	g_strlcpy(ep->region, f->region_of(f->ctx, facts->dc),
 		  sizeof(ep->region));
-	if (f->reread_ids != NULL)
-		g_hash_table_add(f->reread_ids, g_strdup(facts->id));
 	return ep;
 }
 
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -120,11 +120,25 @@
 }
 
 static void log_restart(const struct fg_fleet_ep *ep,
-			const struct fg_ep_facts *facts)
+			const char *software_before)
 {
 	fg_log(FG_LOG_INFO, "endpoint", "restarted", "endpoint", ep->facts.id,
-	       "address", facts->address, "software", facts->software,
-	       "software_before", ep->facts.software, NULL);
+	       "address", ep->facts.address, "software", ep->facts.software,
+	       "software_before", software_before, NULL);
+}
+
+static struct fg_fleet_ep *put_entry(struct fg_gateway *gw, fg_ms now,
+				     const struct fg_ep_facts *facts)
+{
+	struct fg_fleet_ep *ep = fg_fleet_find(gw->fleet, facts->id);
+	uint64_t born = ep == NULL ? facts->born : ep->facts.born;
+	g_autofree char *software =
+		ep == NULL ? NULL : g_strdup(ep->facts.software);
+
+	ep = fg_fleet_put(gw->fleet, now, facts);
+	if (ep->facts.born != born)
+		log_restart(ep, software);
+	return ep;
 }
 
 static bool apply_entry_row(struct fg_gateway *gw,
@@ -145,9 +159,7 @@
 		fg_fleet_remove(gw->fleet, now, row->key);
 	} else {
 		matters = ep == NULL || !differs_in_resident_only(ep, &facts);
-		if (ep != NULL && ep->facts.born != facts.born)
-			log_restart(ep, &facts);
-		ep = fg_fleet_put(gw->fleet, now, &facts);
+		ep = put_entry(gw, now, &facts);
 		apply_listed_resident(ep, now);
 	}
 	if (ep == NULL || was_usable == fg_ep_is_usable(ep, now))
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -555,6 +555,33 @@
 	return fg_fleet_put(f, 1000, &facts);
 }
 
+/* A registry that comes back from an older copy shows the former start of an
+ * endpoint, with its former version, until the endpoint writes again. */
+static void test_restored_entry_of_former_start(void)
+{
+	struct fg_fleet *f = fleet_new();
+	struct fg_fleet_ep *ep = put_software(f, "e1", "v1", 5);
+	uint64_t v1 = ep->software;
+	uint64_t v2;
+
+	put_software(f, "e1", "v2", 7);
+	v2 = ep->software;
+	ep->error_rate = 0.5;
+	fg_fleet_registry_restored(f, 1000);
+	put_software(f, "e1", "v1", 5);
+	g_assert_cmpuint(ep->software, ==, v2);
+	g_assert_cmpuint(ep->facts.born, ==, 7);
+	g_assert_cmpfloat(ep->error_rate, ==, 0.5);
+	g_assert_true(fg_ep_is_usable(ep, 1000));
+	/* Later, an earlier start is that of an endpoint whose clock was set.
+	 */
+	ep->facts.born = 7;
+	fg_fleet_registry_restored(f, 1000 - FG_FLEET_LAPSE_GRACE_MS);
+	put_software(f, "e1", "v1", 5);
+	g_assert_cmpuint(ep->software, ==, v1);
+	fg_fleet_free(f);
+}
+
 /* A stream goes on at another version when the required one is ignored, also
  * because the endpoints that have it are tried, slow or gone. */
 static void test_required_software(void)
@@ -615,5 +642,7 @@
 	g_test_add_func("/balance/plain", test_pick_plain_service);
 	g_test_add_func("/balance/top", test_rank_order);
 	g_test_add_func("/balance/required_software", test_required_software);
+	g_test_add_func("/fleet/restored_entry_of_former_start",
+			test_restored_entry_of_former_start);
 	return g_test_run();
 }
