Test: gateway stream_lines takes up a stream that began

A stream that no one knows is refused while two versions serve, so that the scenario's send of such a stream no longer takes place. It now begins the stream first, and also checks the line that tells how its version was learned.

--- a/tests/gateway_versions.py
+++ b/tests/gateway_versions.py
@@ -58,11 +58,14 @@
               line["software"] in ("v1", "v2"), f"in one answer: {line}")
     for engine in s.engines:
         engine.faults = {}
-    rid = next_id()
-    resume_stream(s.gw, "first", rid=rid)
+    first, rid = next_id(), next_id()
+    begin_stream(s.gw, first)
+    resume_stream(s.gw, first, rid=rid)
     line = find_log_line(s, rid, "resume_sent")
-    check(line["begun_by"] == "first" and line["continues"] == "no" and
+    check(line["begun_by"] == first and line["continues"] == "no" and
           line["after"] == "1", line)
+    line = find_log_line(s, rid, "stream_taken_up")
+    check(line["begun_by"] == first and line["version_by"] == "record", line)
     s.engines[0].software = "v3"
     s.engines[0].restart_empty()
     wait_for("restart logged", lambda: [
