fg-gateway: log lines for endpoints that an instance does not reach

Nothing told an instance that is cut from all endpoints from endpoints that are slow or have crashed. lib/fleet/fg_reach keeps, for each endpoint, whether the last connection to it failed or it fell silent; the lines have how many of the usable endpoints are not reached. No decision uses it.

Test: gateway cut_lines.

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -130,6 +130,7 @@
 	ep->addr_taken = false;
 	ep->leaving = false;
 	ep->paused_until = 0;
+	ep->unreached_since = 0;
 	fg_ep_clear_limit(ep);
 }
 
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -101,6 +101,8 @@
 	uint32_t peers_running;
 	uint32_t peers_pending_tokens;
 
+	fg_ms unreached_since; /* fg_reach.h updates it; 0: reached */
+
 	/* Failures and speed as measured here; fg_health.h updates them. */
 	uint32_t failures_in_row;
 	fg_ms ejected_until;
--- /dev/null
+++ b/lib/fleet/fg_reach.h
@@ -0,0 +1,31 @@
+/*
+ * fg_reach - which endpoints this instance reaches itself.
+ *
+ * An endpoint to which the last connection failed, or which fell silent, is in
+ * doubt: it may have ended, or the network between it and this instance may be
+ * cut. A connection to it through another instance (a relayed one) tells the
+ * two apart.
+ *
+ * Does no I/O and reads no clock.
+ */
+#ifndef FG_REACH_H
+#define FG_REACH_H
+
+#include "fleet/fg_fleet.h"
+
+/* A connection was established. Returns true when the endpoint was in doubt. */
+bool fg_reach_note_ok(struct fg_fleet_ep *ep, fg_ms now);
+
+/* A connection was refused or not established in time, or the endpoint fell
+ * silent. Returns true when the endpoint was not in doubt. */
+bool fg_reach_note_failed(struct fg_fleet_ep *ep, fg_ms now);
+
+/* Returns whether the endpoint is in doubt. */
+bool fg_reach_is_doubtful(const struct fg_fleet_ep *ep);
+
+/* Returns how many usable endpoints are in doubt; *usable is the number of all
+ * usable ones. */
+uint32_t fg_reach_count_doubtful(const struct fg_fleet *f, fg_ms now,
+				 uint32_t *usable);
+
+#endif
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -39,6 +39,7 @@
 #include "fleet/fg_fleet.h"
 #include "fleet/fg_health.h"
 #include "fleet/fg_limit.h"
+#include "fleet/fg_reach.h"
 #include "fleet/fg_uses.h"
 #include "gateway/fg_events.h"
 #include "gateway/fg_gateway.h"
@@ -345,6 +346,10 @@
 void fg_ep_apply_limit(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		       const struct fg_wire_reply *reply);
 
+/* A connection to the endpoint failed, or it fell silent. */
+void fg_ep_note_unreached(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+			  const char *why);
+
 /* The endpoint is known to have ended: reports a crash for each request that
  * was lost there recently. */
 void fg_ep_local_report_losses(struct fg_ep_local *local);
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -198,6 +198,8 @@
 	} else {
 		log_order(local, "report_failed", status);
 	}
+	if (status == 0)
+		fg_ep_note_unreached(local->gw, local->ep, "no_report");
 	fg_slots_handle_report(local->slots, now, ok ? &report : NULL);
 	announce_change(local);
 	send_next_message(local);
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -149,6 +149,35 @@
 	ep->user = NULL;
 }
 
+static void log_reach(const struct fg_gateway *gw, const struct fg_fleet_ep *ep,
+		      const char *event, const char *why)
+{
+	uint32_t usable;
+	uint32_t doubtful =
+		fg_reach_count_doubtful(gw->fleet, fg_clock_now(), &usable);
+	char n[12];
+	char of[12];
+
+	g_snprintf(n, sizeof(n), "%u", doubtful);
+	g_snprintf(of, sizeof(of), "%u", usable);
+	fg_log(FG_LOG_WARN, "endpoint", event, "endpoint", ep->facts.id,
+	       "service", ep->facts.service, "reason", why, "unreached", n,
+	       "of", of, NULL);
+}
+
+static void note_reached(struct fg_ep_conn *conn)
+{
+	if (fg_reach_note_ok(conn->ep, fg_clock_now()))
+		log_reach(conn->gw, conn->ep, "reached_again", NULL);
+}
+
+void fg_ep_note_unreached(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+			  const char *why)
+{
+	if (fg_reach_note_failed(ep, fg_clock_now()))
+		log_reach(gw, ep, "unreached", why);
+}
+
 /* ---- Reading answers ---- */
 
 static void write_request(struct fg_ep_conn *conn);
@@ -444,8 +473,10 @@
 	if (!conn->reused)
 		fg_health_record_failure(conn->ep, fg_clock_now());
 	fg_ep_local_get(conn->gw, conn->ep)->doubts++;
-	if (end == FG_LINK_REFUSED)
+	if (end == FG_LINK_REFUSED) {
+		fg_ep_note_unreached(conn->gw, conn->ep, "refused");
 		fg_ep_local_report_losses(fg_ep_local_get(conn->gw, conn->ep));
+	}
 	if (conn->report != NULL) {
 		fail_send(conn, FG_SEND_NOT_SENT, "connection_lost");
 		return;
@@ -575,6 +606,7 @@
 	struct fg_ep_conn *conn = ctx;
 
 	conn->connected = true;
+	note_reached(conn);
 	fg_ep_local_get(conn->gw, conn->ep)->open_conns++;
 	if (conn->req == NULL) {
 		keep_checked(conn);
@@ -705,6 +737,7 @@
 
 	if (!r->conn->connected || r->conn->report != NULL) {
 		fg_health_record_failure(r->ep, now);
+		fg_ep_note_unreached(r->gw, r->ep, "connect_timeout");
 		fg_send_cancel(r);
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "connect_timeout");
 		return;
@@ -714,6 +747,7 @@
 		return;
 	}
 	fg_health_record_failure(r->ep, now);
+	fg_ep_note_unreached(r->gw, r->ep, "silent");
 	fg_send_cancel(r);
 	fg_gwreq_on_send_end(r, FG_SEND_BROKEN, "endpoint_silent");
 }
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -24,9 +24,20 @@
         self.tx_delay_s = 0  # before a transaction with a lost answer
         self.era = 0         # stated in all answers; None: not stated
         self.copies = []     # (time, rows, version), oldest first
+        self.views = []
         self.server = Server(self.handle)
         self.addr = self.server.addr
 
+    def add_view(self, addresses):
+        """Returns an address at which the store shows other addresses of
+        replicas: {registered address: address shown}. More may be added to the
+        dict later."""
+        def handle(req):
+            req.shown = addresses
+            return self.handle(req)
+        self.views.append(Server(handle))
+        return self.views[-1].addr
+
     # Changes made by operators and replicas.
 
     def put(self, table, key, value):
@@ -129,9 +140,19 @@
             status, body = calls[url.path](query)
         else:
             status, body = 404, {}
+        self._show_addresses(body, getattr(req, "shown", None))
         req.answer(status, json.dumps(body).encode(), self._headers())
         return True
 
+    def _show_addresses(self, body, shown):
+        for row in body.get("rows", []) if shown is not None else []:
+            if row["table"] != "servers" or "value" not in row:
+                continue
+            entry = json.loads(base64.b64decode(row["value"]))
+            entry["addr"] = shown.get(entry["addr"], entry["addr"])
+            row["value"] = base64.b64encode(
+                json.dumps(entry).encode()).decode()
+
     def _headers(self):
         return [] if self.era is None else [("Store-Era", str(self.era))]
 
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -17,6 +17,7 @@
 import time
 import traceback
 
+from gateway_cuts import SCENARIOS as CUT_SCENARIOS
 from gateway_versions import SCENARIOS as VERSION_SCENARIOS
 from hosted import (
     Answer, EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, System,
@@ -1391,13 +1392,15 @@
     limited_endpoint, limited_service, crashing_request, crash_lines,
     crash_after_first_event, crash_known_at_once, bad_part_outlives_all,
     crashing_part, request_lines, bad_input, settings_change, *VERSION_SCENARIOS,
+    *CUT_SCENARIOS,
 ]
 
 
 def run(scenario):
     system = None
     try:
-        system = System(**getattr(scenario, "system_options", {}))
+        system_class = getattr(scenario, "system_class", System)
+        system = system_class(**getattr(scenario, "system_options", {}))
         scenario(system)
         print(f"ok {scenario.__name__}", flush=True)
         return True
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -228,7 +228,8 @@
         self.store_proxies = [Proxy(self.store.addr)
                               for _ in range(gateways if proxied else 0)]
         stores = [p.addr for p in self.store_proxies] or [self.store.addr]
-        self.gateways = [Gateway(stores[i % len(stores)], f"g{i}",
+        self.gateways = [Gateway(self.gateway_store(stores[i % len(stores)]),
+                                 f"g{i}",
                                  self.folder.name, f"dc{1 + i % dcs}",
                                  fences_checked)
                          for i in range(gateways)]
@@ -247,6 +248,10 @@
             wait_for("engines have an owner", lambda: sum(
                 len(g.owned_endpoints()) for g in self.gateways) == engines)
 
+    def gateway_store(self, store):
+        """Address of the store for the next gateway."""
+        return store
+
     def run_count(self, rid):
         return sum(r.run_ids.count(rid) for r in self.engines + self.plains)
 
