fg-gateway: endpoints are reached through another instance when the direct path is cut

Cause: each request tried endpoint after endpoint for itself; nothing knew that the instance was cut, no second path existed, and address lookups still named it.

An endpoint whose connection failed or hung is in doubt. The next connection to it goes through another instance: a tunnel of bytes, opened on the port for rows, by instances only, to registered endpoints only, one hop, 200 at most, each with bounded memory. The instance that has the request keeps all decisions, so that all promises hold as on a direct connection; a reset on one side is a reset on the other. What the endpoint says of itself (leaving, pause) is told to the instance in the middle, which is bound by it too. When two instances do not reach the endpoint, it counts as ended for a second. Endpoints in doubt are probed each second.

An instance for which most endpoints are in doubt while others reach one of them says that it is cut: it gives its engines up, and lookups leave it out unless most instances are cut. It stays ready, since it serves.

Ruled out: only sending callers away. They keep an address up to three times its time to live and hold connections, and with all but one instance cut there is no other address for them.

--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -101,7 +101,11 @@
 	uint32_t peers_running;
 	uint32_t peers_pending_tokens;
 
-	fg_ms unreached_since; /* fg_reach.h updates it; 0: reached */
+	/* fg_reach.h updates these; 0: never, or not. */
+	fg_ms unreached_since;
+	fg_ms tunneled_at;	 /* last connection through another instance */
+	fg_ms tunnel_failed_at;	 /* another instance did not reach it */
+	uint32_t tunnels_failed; /* in a row */
 
 	/* Failures and speed as measured here; fg_health.h updates them. */
 	uint32_t failures_in_row;
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -247,16 +247,18 @@
 	for (guint i = 0; i < gw->callers->len; i++) {
 		struct fg_caller *c = gw->callers->pdata[i];
 
-		if (c->req == NULL)
+		if (c->req == NULL && c->tunnel == NULL)
 			fg_caller_close(c, true);
 	}
 }
 
 static void advance_stop(struct fg_gateway *gw, fg_ms now)
 {
-	if (gw->reqs->len > 0)
+	guint busy = gw->reqs->len + gw->tunnels->len;
+
+	if (busy > 0)
 		gw->quiet_since = now;
-	if (gw->closing && (gw->reqs->len == 0 || now >= gw->stop_deadline))
+	if (gw->closing && (busy == 0 || now >= gw->stop_deadline))
 		uv_stop(&gw->loop);
 	else if (now - gw->quiet_since >= STOP_QUIET_MS ||
 		 now >= gw->stop_deadline)
@@ -318,6 +320,7 @@
 	fg_gw_blame_tick(gw, now);
 	fg_gw_origin_refresh(gw, now);
 	fg_gw_origin_tick(gw, now);
+	fg_gw_tunnel_tick(gw, now);
 	if (gw->stopping)
 		advance_stop(gw, now);
 }
@@ -422,6 +425,7 @@
 	fg_loadgate_init(&gw->loadgate, gw->balance.load_ms);
 	gw->callers = g_ptr_array_new();
 	gw->reqs = g_ptr_array_new();
+	gw->tunnels = g_ptr_array_new();
 	gw->announced_versions = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, NULL, g_free);
 	gw->fleet = fg_fleet_new(dc_region, on_endpoint_dropped, gw);
@@ -534,6 +538,7 @@
 	g_hash_table_unref(gw->retry_budgets);
 	g_ptr_array_unref(gw->callers);
 	g_ptr_array_unref(gw->reqs);
+	g_ptr_array_unref(gw->tunnels);
 	if (gw->crashes != NULL)
 		g_array_unref(gw->crashes);
 	fg_metrics_free(gw->metrics);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -17,6 +17,7 @@
  *   fg_gw_receive.c  messages received from other instances
  *   fg_gw_blame.c    prompt parts that crash endpoints
  *   fg_gw_origin.c   software versions that began streams
+ *   fg_gw_tunnel.c   connections of other instances to endpoints
  *   fg_gw_pages.c    address lookup, readiness, metrics, state dump
  *
  * A neighbour is another instance in the same data centre. Times of type fg_ms
@@ -59,6 +60,7 @@
 struct fg_caller;
 struct fg_gwreq;
 struct fg_ep_conn;
+struct fg_tunnel;
 
 /* What a listening socket serves. */
 enum fg_port_kind {
@@ -85,12 +87,13 @@
 	enum fg_port_kind kind;
 	struct fg_link *link; /* NULL once closed */
 	struct fg_h1 h1;
-	GByteArray *pipelined; /* bytes received after the current request */
-	GByteArray *body;      /* of the current request */
-	struct fg_gwreq *req;  /* in progress, or NULL */
-	fg_ms wait_since;      /* start of the current head or idle timeout */
-	bool malformed;	       /* its last message was refused */
-	bool close_after;      /* close the connection after the answer */
+	GByteArray *pipelined;	  /* bytes received after the current request */
+	GByteArray *body;	  /* of the current request */
+	struct fg_gwreq *req;	  /* in progress, or NULL */
+	struct fg_tunnel *tunnel; /* its bytes go to an endpoint, or NULL */
+	fg_ms wait_since; /* start of the current head or idle timeout */
+	bool malformed;	  /* its last message was refused */
+	bool close_after; /* close the connection after the answer */
 };
 
 /* libuv callback: accepts a connection of the port in listener->data. */
@@ -167,6 +170,7 @@
 	bool head_sent;	   /* the answer's head was sent to the caller */
 	fg_ms head_at;	   /* when this send brought a head that is no
 			      refusal; 0: not yet */
+	bool tunneled;	   /* this send goes through another instance */
 	bool trial;	   /* may be sent although a part is blocked */
 	bool answer_begun; /* this send brought an event or a plain head */
 	struct fg_events events;
@@ -295,6 +299,8 @@
 	bool skip_message; /* informational, or the answer to another request */
 	uint32_t doubts;   /* of fg_ep_local when this connection was opened */
 	GString *report;   /* of a check in progress, or NULL */
+	uint64_t via; /* instance that the connection goes through; 0: none */
+	bool tunnel_pending; /* that instance has not answered yet */
 	struct fg_wire_reply reply;
 	unsigned int status;
 };
@@ -312,6 +318,7 @@
 	uint32_t doubts_cleared;
 	uint32_t open_conns;
 	fg_ms last_open_at; /* a connection was open until then */
+	fg_ms probed_at;    /* last attempt to reach an endpoint in doubt */
 	struct fg_losses losses;
 	struct fg_ep_conn *check; /* of whether it still listens, or NULL */
 	fg_ms check_until;
@@ -359,7 +366,8 @@
  * established is kept as an idle one. */
 void fg_ep_check_alive(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
-/* Closes the connections of checks that take too long. */
+/* Closes the connections of checks that take too long, probes endpoints in
+ * doubt, and sets gw->cut. */
 void fg_ep_check_tick(struct fg_gateway *gw, fg_ms now);
 
 /* Frees the local state of `ep` and closes its idle connections. */
@@ -651,6 +659,42 @@
 void fg_gw_origin_apply_reply(struct fg_gateway *gw,
 			      const fg_mesh_packet *packet);
 
+/* ---- Tunnels ----
+ *
+ * An instance that does not reach an endpoint connects to it through another
+ * one: it sends "POST /tunnel/ENDPOINT" to the other's port for rows and, after
+ * the answer 200, the bytes pass in both directions until either side ends. The
+ * other instance decides nothing about requests and connects to the endpoint
+ * itself, never through a third instance.
+ */
+#define FG_GW_TUNNEL_PATH "/tunnel/"
+
+/* Opens the tunnel that the call asks for, or refuses it. */
+void fg_gw_tunnel_open(struct fg_caller *c, const char *endpoint_id);
+
+/* The connection of the other instance brought bytes, or accepts more. */
+void fg_gw_tunnel_on_data(struct fg_tunnel *t, const char *data, size_t len);
+void fg_gw_tunnel_on_drained(struct fg_tunnel *t);
+
+/* The connection of the other instance was closed: frees the tunnel. */
+void fg_gw_tunnel_free(struct fg_tunnel *t);
+
+/* Closes tunnels that are not established in time. */
+void fg_gw_tunnel_tick(struct fg_gateway *gw, fg_ms now);
+
+/* Chooses an instance to go through; NULL when none can be asked now. */
+struct fg_mesh_peer *fg_gw_tunnel_choose_peer(struct fg_gateway *gw, fg_ms now);
+
+/* Tells the instance that the answer came through what the endpoint said of
+ * itself, since it is bound by that as well. */
+void fg_gw_tunnel_tell(struct fg_gateway *gw, uint64_t via,
+		       const struct fg_fleet_ep *ep,
+		       const struct fg_wire_reply *reply);
+
+/* Another instance told what an endpoint said. */
+void fg_gw_tunnel_apply_said(struct fg_gateway *gw,
+			     const fg_mesh_packet *packet);
+
 /* ---- Pages ---- */
 
 /* Answers a request on any port but the front: address lookup, readiness,
@@ -722,6 +766,8 @@
 	GArray *notes;	     /* struct fg_blame_note, to be sent to all */
 	bool blocks_changed; /* a part was blocked since the last step */
 	fg_ms repair_at;     /* blocked parts were last sent to one instance */
+	GPtrArray *tunnels;  /* struct fg_tunnel *, of other instances */
+	bool cut;	     /* reaches endpoints only through others */
 	struct fg_origins *origins;
 	bool origins_started; /* the registry's first full read was noted */
 	fg_ms woke_at; /* end of the last pause of this process; 0: none */
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -35,6 +35,9 @@
 
 	c->link = NULL;
 	c->req = NULL;
+	if (c->tunnel != NULL)
+		fg_gw_tunnel_free(c->tunnel);
+	c->tunnel = NULL;
 	if (r != NULL)
 		fg_gwreq_cancel(r);
 }
@@ -192,6 +195,10 @@
 {
 	struct fg_caller *c = ctx;
 
+	if (c->tunnel != NULL) {
+		fg_gw_tunnel_on_data(c->tunnel, data, len);
+		return;
+	}
 	if (c->close_after && c->req == NULL)
 		return; /* the last answer is being sent */
 	if (c->req == NULL && c->pipelined->len == 0) {
@@ -228,6 +235,8 @@
 {
 	struct fg_caller *c = ctx;
 
+	if (c->tunnel != NULL)
+		fg_gw_tunnel_on_drained(c->tunnel);
 	if (c->req != NULL && c->req->conn != NULL &&
 	    c->req->conn->link != NULL)
 		fg_link_resume(c->req->conn->link);
@@ -294,7 +303,7 @@
 	const struct fg_caller_limits *l = current_limits(c->gw);
 	fg_ms waited_ms = now - c->wait_since;
 
-	if (c->req != NULL || c->h1.ended)
+	if (c->req != NULL || c->tunnel != NULL || c->h1.ended)
 		return;
 	if (c->h1.started && l->head_timeout_ms > 0 &&
 	    waited_ms > (fg_ms)l->head_timeout_ms) {
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -51,7 +51,9 @@
 {
 	if (gw->stopping)
 		return FG_MESH_LEAVING;
-	return fg_gateway_ready(gw) ? FG_MESH_READY : FG_MESH_STARTING;
+	if (!fg_gateway_ready(gw))
+		return FG_MESH_STARTING;
+	return gw->cut ? FG_MESH_CUT : FG_MESH_READY;
 }
 
 struct heartbeat_lists {
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -155,7 +155,8 @@
 	const GPtrArray *peers = fg_peers_all(gw->peers);
 	uint32_t n = 0;
 
-	if (!gw->stopping) {
+	/* An instance that is cut cannot order. */
+	if (!gw->stopping && !gw->cut) {
 		out[n++] = (struct fg_claim_candidate){
 			.incarnation = gw->incarnation,
 			.hash = fg_hash_str(gw->conf->name),
@@ -177,7 +178,8 @@
 			.dc = p->row.dc,
 			.region = p->row.region,
 			.row_version = p->row.version,
-			.leaving = p->state == FG_MESH_LEAVING,
+			.leaving = p->state == FG_MESH_LEAVING ||
+				   p->state == FG_MESH_CUT,
 		};
 	}
 	return n;
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -24,23 +24,32 @@
 /* ---- Address lookup ---- */
 
 /* Addresses of the instances that serve callers, in `region` or, when that is
- * NULL, in all regions. The caller frees the array. */
+ * NULL, in all regions. Instances that are cut from the endpoints are left out
+ * unless they are the most: the others could not take their callers too. The
+ * caller frees the array. */
 static GPtrArray *serving_addresses(struct fg_gateway *gw, const char *region,
 				    fg_ms now)
 {
 	const GPtrArray *peers = fg_peers_all(gw->peers);
 	GPtrArray *out = g_ptr_array_new();
+	GPtrArray *cut = g_ptr_array_new();
 
 	if (fg_gateway_ready(gw) &&
 	    (region == NULL || strcmp(region, gw->conf->region) == 0))
-		g_ptr_array_add(out, gw->conf->front);
+		g_ptr_array_add(gw->cut ? cut : out, gw->conf->front);
 	for (guint i = 0; i < peers->len; i++) {
 		struct fg_mesh_peer *p = peers->pdata[i];
 
-		if (fg_peer_is_ready(p, now) &&
-		    (region == NULL || strcmp(region, p->row.region) == 0))
+		if (region != NULL && strcmp(region, p->row.region) != 0)
+			continue;
+		if (fg_peer_is_ready(p, now))
 			g_ptr_array_add(out, p->row.front);
+		else if (fg_peer_is_alive(p, now) && p->state == FG_MESH_CUT)
+			g_ptr_array_add(cut, p->row.front);
 	}
+	if (cut->len > out->len)
+		g_ptr_array_extend(out, cut, NULL, NULL);
+	g_ptr_array_unref(cut);
 	return out;
 }
 
@@ -174,10 +183,11 @@
 	g_string_append_printf(
 		out,
 		"instance %s region=%s ready=%d stopping=%d reads_store=%d "
+		"cut=%d tunnels=%u "
 		"configuration=%llu requests=%u callers=%u era=%llu "
 		"proof_age_ms=%lld\n",
 		gw->conf->name, gw->conf->region, fg_gateway_ready(gw),
-		gw->stopping, gw->reader == 0,
+		gw->stopping, gw->reader == 0, gw->cut, gw->tunnels->len,
 		(unsigned long long)(gw->routes == NULL ? 0
 							: gw->routes->version),
 		gw->reqs->len, gw->callers->len,
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -278,6 +278,9 @@
 	case FG_MESH_ORIGIN_ASK:
 		fg_gw_origin_answer_ask(gw, &packet, address);
 		break;
+	case FG_MESH_EP_SAID:
+		fg_gw_tunnel_apply_said(gw, &packet);
+		break;
 	case FG_MESH_ORIGIN_REP:
 		fg_gw_origin_apply_reply(gw, &packet);
 		break;
--- a/lib/gateway/fg_gw_relay.c
+++ b/lib/gateway/fg_gw_relay.c
@@ -216,8 +216,13 @@
 	unsigned long long after;
 	unsigned int status = HTTP_STATUS_GONE;
 	int id;
-	GString *body = g_string_new(NULL);
+	GString *body;
 
+	if (g_str_has_prefix(target, FG_GW_TUNNEL_PATH)) {
+		fg_gw_tunnel_open(c, target + strlen(FG_GW_TUNNEL_PATH));
+		return;
+	}
+	body = g_string_new(NULL);
 	if (sscanf(target, "/rows/%d/%llu", &id, &after) != 2 || id < 0 ||
 	    id >= FG_FEED_COUNT) {
 		status = HTTP_STATUS_NOT_FOUND;
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -373,7 +373,11 @@
 	if (end == FG_SEND_ABSENT && r->ep_adapter != NULL)
 		r->ep_adapter->version = 0;
 	fg_gwreq_log(r, "send_ended", why);
-	fg_gwreq_mark_tried(r);
+	/* The endpoint may be reached through another instance. */
+	if (end != FG_SEND_NOT_SENT || r->ep == NULL ||
+	    !fg_reach_needs_tunnel(r->ep, now, r->gw->cut) ||
+	    fg_gw_tunnel_choose_peer(r->gw, now) == NULL)
+		fg_gwreq_mark_tried(r);
 	r->trial =
 		r->trial && (end == FG_SEND_NOT_SENT ||
 			     end == FG_SEND_NOT_RUN || end == FG_SEND_ABSENT);
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -85,6 +85,8 @@
 		g_ptr_array_remove(local->idle, conn);
 }
 
+static void close_idle(struct fg_ep_local *local);
+
 static void end_check(struct fg_ep_local *local)
 {
 	if (local->check == NULL)
@@ -135,12 +137,7 @@
 	(void)gw;
 	if (local == NULL)
 		return;
-	while (local->idle->len > 0) {
-		struct fg_ep_conn *conn =
-			g_ptr_array_steal_index_fast(local->idle, 0);
-
-		conn_close(conn);
-	}
+	close_idle(local);
 	end_check(local);
 	fg_ep_local_report_losses(local);
 	fg_orders_release(local);
@@ -178,9 +175,24 @@
 		log_reach(gw, ep, "unreached", why);
 }
 
+static void close_idle(struct fg_ep_local *local)
+{
+	while (local->idle->len > 0)
+		conn_close(g_ptr_array_steal_index_fast(local->idle, 0));
+}
+
+/* The endpoint, or the network to it, is silent: so are idle connections. */
+static void note_silent(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+			const char *why)
+{
+	fg_ep_note_unreached(gw, ep, why);
+	close_idle(fg_ep_local_get(gw, ep));
+}
+
 /* ---- Reading answers ---- */
 
 static void write_request(struct fg_ep_conn *conn);
+static void start_request(struct fg_ep_conn *conn);
 static void arm_silence_timeout(struct fg_gwreq *r, fg_ms now);
 
 /* Closes the connection and ends the send of its request, if there is one. */
@@ -285,12 +297,14 @@
 
 	if (r == NULL)
 		return has_body;
-	if (conn->report != NULL) {
+	if (conn->report != NULL || conn->tunnel_pending) {
 		conn->status = head->status;
 		return true;
 	}
 	conn->gw->wire->reply_read(head, &conn->reply);
 	fg_ep_apply_reply(conn->gw, conn->ep, &conn->reply);
+	if (conn->via != 0)
+		fg_gw_tunnel_tell(conn->gw, conn->via, conn->ep, &conn->reply);
 	conn->status = head->status;
 	conn->skip_message = is_informational(head->status) ||
 			     (conn->reply.id != NULL && r->call.id != NULL &&
@@ -309,7 +323,8 @@
 
 	if (conn->report != NULL)
 		append_report(conn, data, len);
-	else if (conn->req != NULL && !conn->skip_message)
+	else if (!conn->tunnel_pending && conn->req != NULL &&
+		 !conn->skip_message)
 		fg_answer_body(conn->req, data, len);
 }
 
@@ -382,6 +397,36 @@
 	arm_silence_timeout(r, fg_clock_now());
 }
 
+/* The instance in the middle did not open the tunnel; `by_endpoint`: because it
+ * does not reach the endpoint either. */
+static void fail_tunnel(struct fg_ep_conn *conn, bool by_endpoint)
+{
+	struct fg_mesh_peer *peer = fg_peers_find(conn->gw->peers, conn->via);
+	fg_ms now = fg_clock_now();
+
+	if (peer != NULL)
+		peer->tunnel_failed_at = now;
+	if (by_endpoint) {
+		fg_reach_note_tunnel(conn->ep, now, false);
+		fg_health_record_failure(conn->ep, now);
+	}
+	fail_send(conn, FG_SEND_NOT_SENT,
+		  by_endpoint ? "not_reached_by_others" : "tunnel_refused");
+}
+
+/* The instance in the middle has answered. */
+static void end_tunnel_call(struct fg_ep_conn *conn, bool reusable)
+{
+	if (conn->status != HTTP_STATUS_OK || !reusable) {
+		fail_tunnel(conn, conn->status == HTTP_STATUS_BAD_GATEWAY);
+		return;
+	}
+	conn->tunnel_pending = false;
+	fg_h1_reset(&conn->h1);
+	fg_reach_note_tunnel(conn->ep, fg_clock_now(), true);
+	start_request(conn);
+}
+
 /* Handles the end of a complete message. `clean`: no bytes follow it. */
 static void finish_message(struct fg_ep_conn *conn, bool clean)
 {
@@ -395,6 +440,10 @@
 		fg_h1_reset(&conn->h1);
 		return;
 	}
+	if (conn->tunnel_pending) {
+		end_tunnel_call(conn, reusable);
+		return;
+	}
 	if (conn->report != NULL) {
 		end_report(conn, reusable);
 		return;
@@ -402,7 +451,9 @@
 	conn->req = NULL;
 	r->conn = NULL;
 	fg_answer_end(r, &conn->h1.head);
-	if (reusable && fg_ep_is_usable(conn->ep, fg_clock_now()))
+	/* A tunnel would occupy the other instance while it is idle. */
+	if (reusable && conn->via == 0 &&
+	    fg_ep_is_usable(conn->ep, fg_clock_now()))
 		keep_idle(conn, fg_clock_now());
 	else
 		conn_close(conn);
@@ -470,6 +521,10 @@
 		finish_message(conn, false);
 		return;
 	}
+	if (conn->tunnel_pending) {
+		fail_tunnel(conn, false);
+		return;
+	}
 	if (!conn->reused)
 		fg_health_record_failure(conn->ep, fg_clock_now());
 	fg_ep_local_get(conn->gw, conn->ep)->doubts++;
@@ -601,12 +656,33 @@
 		conn_close(conn);
 }
 
+static void ask_for_tunnel(struct fg_ep_conn *conn)
+{
+	g_autofree char *call = g_strdup_printf(
+		"POST " FG_GW_TUNNEL_PATH "%s HTTP/1.1\r\nHost: tunnel\r\n"
+		"Content-Length: 0\r\n\r\n",
+		conn->ep->facts.id);
+
+	fg_link_write(conn->link, call, strlen(call));
+}
+
 static void on_open(void *ctx)
 {
 	struct fg_ep_conn *conn = ctx;
 
+	if (conn->tunnel_pending) {
+		ask_for_tunnel(conn);
+		return;
+	}
+	if (conn->via == 0)
+		note_reached(conn);
+	start_request(conn);
+}
+
+/* The endpoint is connected. */
+static void start_request(struct fg_ep_conn *conn)
+{
 	conn->connected = true;
-	note_reached(conn);
 	fg_ep_local_get(conn->gw, conn->ep)->open_conns++;
 	if (conn->req == NULL) {
 		keep_checked(conn);
@@ -656,8 +732,10 @@
 	return local->doubts;
 }
 
+/* `peer` is the instance to go through, or NULL. */
 static struct fg_ep_conn *conn_new(struct fg_gateway *gw,
-				   struct fg_fleet_ep *ep)
+				   struct fg_fleet_ep *ep,
+				   const struct fg_mesh_peer *peer)
 {
 	struct fg_ep_conn *conn = g_new0(struct fg_ep_conn, 1);
 
@@ -665,8 +743,11 @@
 	conn->ep = fg_ep_ref(ep);
 	fg_h1_init(&conn->h1, false, &h1_ops, conn, HEAD_MAX_BYTES,
 		   ANSWER_MAX_BYTES);
-	conn->link =
-		fg_link_connect(&gw->loop, ep->facts.address, &link_ops, conn);
+	conn->via = peer == NULL ? 0 : peer->row.incarnation;
+	conn->tunnel_pending = peer != NULL;
+	conn->link = fg_link_connect(
+		&gw->loop, peer == NULL ? ep->facts.address : peer->row.mesh,
+		&link_ops, conn);
 	if (conn->link == NULL) {
 		conn_free(conn);
 		return NULL;
@@ -682,21 +763,61 @@
 
 	if (local->check != NULL)
 		return;
-	local->check = conn_new(gw, ep);
+	local->check = conn_new(gw, ep, NULL);
 	local->check_until = fg_clock_now() + connect_timeout_ms(gw);
 }
 
+/* An endpoint in doubt is probed this often, and so many are in one tick. */
+#define PROBE_MS 1000
+#define PROBES_PER_TICK 8
+
+static bool probe(struct fg_gateway *gw, struct fg_fleet_ep *ep, fg_ms now)
+{
+	struct fg_ep_local *local = fg_ep_local_get(gw, ep);
+
+	if (!fg_reach_is_doubtful(ep) || !fg_ep_accepts(ep, now) ||
+	    now - local->probed_at < PROBE_MS || local->check != NULL)
+		return false;
+	local->probed_at = now;
+	fg_ep_check_alive(gw, ep);
+	return true;
+}
+
+static void update_cut(struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	bool cut = fg_reach_is_cut(gw->fleet, now, gw->cut);
+
+	if (cut == gw->cut)
+		return;
+	gw->cut = cut;
+	gw->heartbeat_due = true;
+	for (guint i = 0; cut && i < all->len; i++) {
+		const struct fg_fleet_ep *ep = all->pdata[i];
+
+		if (ep->user != NULL)
+			close_idle(ep->user);
+	}
+	fg_log(FG_LOG_WARN, "gateway", cut ? "endpoints_cut" : "endpoints_back",
+	       NULL);
+	fg_gw_count_event(gw, "cuts", cut ? "event=\"cut\"" : "event=\"back\"");
+}
+
 void fg_ep_check_tick(struct fg_gateway *gw, fg_ms now)
 {
 	const GPtrArray *all = fg_fleet_all(gw->fleet);
+	uint32_t n = 0;
 
 	for (guint i = 0; i < all->len; i++) {
-		const struct fg_fleet_ep *ep = all->pdata[i];
+		struct fg_fleet_ep *ep = all->pdata[i];
 		struct fg_ep_local *local = ep->user;
 
 		if (local != NULL && now >= local->check_until)
 			end_check(local);
+		if (n < PROBES_PER_TICK)
+			n += probe(gw, ep, now);
 	}
+	update_cut(gw, now);
 }
 
 void fg_send_start(struct fg_gwreq *r)
@@ -704,6 +825,7 @@
 	struct fg_gateway *gw = r->gw;
 	fg_ms now = fg_clock_now();
 	struct fg_ep_conn *conn = take_idle(fg_ep_local_get(gw, r->ep), now);
+	struct fg_mesh_peer *peer = NULL;
 
 	g_assert(r->conn == NULL);
 	r->sends++;
@@ -713,6 +835,7 @@
 	fg_gwreq_drop_answer_body(r);
 	if (conn != NULL) {
 		conn->reused = true;
+		r->tunneled = false;
 		conn->head_seen = false;
 		conn->skip_message = false;
 		conn->req = r;
@@ -720,7 +843,10 @@
 		send_request(conn);
 		return;
 	}
-	conn = conn_new(gw, r->ep);
+	if (fg_reach_needs_tunnel(r->ep, now, gw->cut))
+		peer = fg_gw_tunnel_choose_peer(gw, now);
+	r->tunneled = peer != NULL;
+	conn = conn_new(gw, r->ep, peer);
 	if (conn == NULL) {
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "no_connection");
 		return;
@@ -735,9 +861,13 @@
 {
 	const struct fg_ep_local *local = fg_ep_local_get(r->gw, r->ep);
 
+	if (r->conn->tunnel_pending) {
+		fail_tunnel(r->conn, false);
+		return;
+	}
 	if (!r->conn->connected || r->conn->report != NULL) {
 		fg_health_record_failure(r->ep, now);
-		fg_ep_note_unreached(r->gw, r->ep, "connect_timeout");
+		note_silent(r->gw, r->ep, "connect_timeout");
 		fg_send_cancel(r);
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "connect_timeout");
 		return;
@@ -747,7 +877,7 @@
 		return;
 	}
 	fg_health_record_failure(r->ep, now);
-	fg_ep_note_unreached(r->gw, r->ep, "silent");
+	note_silent(r->gw, r->ep, "silent");
 	fg_send_cancel(r);
 	fg_gwreq_on_send_end(r, FG_SEND_BROKEN, "endpoint_silent");
 }
--- /dev/null
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -0,0 +1,241 @@
+/* Connections of other instances to endpoints, through this one. */
+#include "gateway/fg_gateway_internal.h"
+
+#include <string.h>
+
+/* Each tunnel holds at most twice PENDING_MAX_BYTES. */
+#define TUNNELS_MAX 200
+#define PENDING_MAX_BYTES (32 * 1024)
+#define CONNECT_TIMEOUT_MS 400
+/* Time without tunnels through an instance that refused one. */
+#define PEER_RETRY_MS 500
+/* A datagram may be lost. */
+#define TELL_COPIES 2
+
+struct fg_tunnel {
+	struct fg_gateway *gw;
+	struct fg_caller *near; /* the other instance; borrowed */
+	struct fg_link *far;	/* the endpoint */
+	struct fg_fleet_ep *ep; /* reference */
+	fg_ms connect_until;
+	bool open;
+};
+
+/* ---- The instance in the middle ---- */
+
+static void refuse(struct fg_caller *c, unsigned int status, const char *reason,
+		   const char *endpoint_id)
+{
+	char labels[48];
+
+	g_snprintf(labels, sizeof(labels), "outcome=\"%s\"", reason);
+	fg_gw_count_event(c->gw, "tunnels", labels);
+	fg_log_routine("tunnel", "refused", "endpoint", endpoint_id, "reason",
+		       reason, NULL);
+	c->close_after = true;
+	fg_caller_answer(c, status, NULL, 0, NULL, "", 0);
+	fg_caller_finish_answer(c);
+}
+
+/* Ends the tunnel because of its far side. */
+static void end_far(struct fg_tunnel *t, enum fg_link_end end)
+{
+	struct fg_caller *near = t->near;
+
+	if (!t->open) {
+		near->tunnel = NULL;
+		refuse(near, HTTP_STATUS_BAD_GATEWAY, "not_reached",
+		       t->ep->facts.id);
+		fg_gw_tunnel_free(t);
+	} else if (end == FG_LINK_EOF) {
+		fg_caller_close(near, true);
+	} else {
+		/* The other instance must not take a part for the whole. */
+		fg_caller_abort(near);
+	}
+}
+
+static void on_open(void *ctx)
+{
+	static const char answer[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	struct fg_tunnel *t = ctx;
+
+	t->open = true;
+	(void)fg_reach_note_ok(t->ep, fg_clock_now());
+	fg_gw_count_event(t->gw, "tunnels", "outcome=\"open\"");
+	fg_link_write(t->near->link, answer, sizeof(answer) - 1);
+}
+
+static void on_data(void *ctx, const char *data, size_t len)
+{
+	struct fg_tunnel *t = ctx;
+
+	fg_link_write(t->near->link, data, len);
+	if (fg_link_pending_bytes(t->near->link) > PENDING_MAX_BYTES)
+		fg_link_pause(t->far);
+}
+
+static void on_end(void *ctx, enum fg_link_end end)
+{
+	struct fg_tunnel *t = ctx;
+
+	if (end == FG_LINK_REFUSED)
+		fg_ep_note_unreached(t->gw, t->ep, "refused");
+	end_far(t, end);
+}
+
+static void on_drained(void *ctx)
+{
+	struct fg_tunnel *t = ctx;
+
+	fg_link_resume(t->near->link);
+}
+
+static const struct fg_link_ops far_ops = {
+	.on_open = on_open,
+	.on_data = on_data,
+	.on_end = on_end,
+	.on_drained = on_drained,
+};
+
+/* Only instances may use a tunnel. */
+static bool is_from_instance(struct fg_caller *c)
+{
+	const GPtrArray *peers = fg_peers_all(c->gw->peers);
+	char ip[INET_ADDRSTRLEN];
+	size_t len;
+
+	fg_link_peer_ip(c->link, ip, sizeof(ip));
+	len = strlen(ip);
+	for (guint i = 0; len > 0 && i < peers->len; i++) {
+		const struct fg_mesh_peer *p = peers->pdata[i];
+
+		if (strncmp(p->row.mesh, ip, len) == 0 &&
+		    p->row.mesh[len] == ':')
+			return true;
+	}
+	return false;
+}
+
+void fg_gw_tunnel_open(struct fg_caller *c, const char *endpoint_id)
+{
+	struct fg_gateway *gw = c->gw;
+	struct fg_fleet_ep *ep = fg_fleet_find(gw->fleet, endpoint_id);
+	fg_ms now = fg_clock_now();
+	struct fg_tunnel *t;
+
+	if (!is_from_instance(c)) {
+		refuse(c, HTTP_STATUS_FORBIDDEN, "not_an_instance",
+		       endpoint_id);
+		return;
+	}
+	if (gw->stopping || gw->tunnels->len >= TUNNELS_MAX ||
+	    c->pipelined->len > 0) {
+		refuse(c, HTTP_STATUS_SERVICE_UNAVAILABLE, "busy", endpoint_id);
+		return;
+	}
+	/* What the endpoint told this instance binds its tunnels too. */
+	if (ep == NULL || !fg_ep_accepts(ep, now)) {
+		refuse(c, HTTP_STATUS_SERVICE_UNAVAILABLE, "not_accepted",
+		       endpoint_id);
+		return;
+	}
+	t = g_new0(struct fg_tunnel, 1);
+	t->gw = gw;
+	t->near = c;
+	t->ep = fg_ep_ref(ep);
+	t->connect_until =
+		now + CONNECT_TIMEOUT_MS + 2 * gw->balance.cross_region_rtt_ms;
+	c->tunnel = t;
+	g_ptr_array_add(gw->tunnels, t);
+	t->far = fg_link_connect(&gw->loop, ep->facts.address, &far_ops, t);
+	if (t->far == NULL)
+		end_far(t, FG_LINK_REFUSED);
+}
+
+void fg_gw_tunnel_on_data(struct fg_tunnel *t, const char *data, size_t len)
+{
+	fg_link_write(t->far, data, len);
+	if (fg_link_pending_bytes(t->far) > PENDING_MAX_BYTES)
+		fg_link_pause(t->near->link);
+}
+
+void fg_gw_tunnel_on_drained(struct fg_tunnel *t)
+{
+	if (t->open)
+		fg_link_resume(t->far);
+}
+
+void fg_gw_tunnel_free(struct fg_tunnel *t)
+{
+	if (t->far != NULL)
+		fg_link_close(t->far, false);
+	g_ptr_array_remove_fast(t->gw->tunnels, t);
+	fg_ep_unref(t->ep);
+	g_free(t);
+}
+
+void fg_gw_tunnel_tick(struct fg_gateway *gw, fg_ms now)
+{
+	for (guint i = gw->tunnels->len; i > 0; i--) {
+		struct fg_tunnel *t = gw->tunnels->pdata[i - 1];
+
+		if (!t->open && now >= t->connect_until) {
+			fg_ep_note_unreached(gw, t->ep, "connect_timeout");
+			end_far(t, FG_LINK_REFUSED);
+		}
+	}
+}
+
+void fg_gw_tunnel_apply_said(struct fg_gateway *gw,
+			     const fg_mesh_packet *packet)
+{
+	const fg_mesh_ep_said *said = &packet->body.fg_mesh_body_u.ep_said;
+	struct fg_fleet_ep *ep = fg_fleet_find_hash(gw->fleet, said->ep);
+	struct fg_wire_reply reply = { .leaving = said->leaving != 0,
+				       .pause_ms = said->pause_ms };
+
+	if (ep != NULL && fg_peers_find(gw->peers, packet->incarnation) != NULL)
+		fg_ep_apply_reply(gw, ep, &reply);
+}
+
+/* ---- The instance that does not reach the endpoint ---- */
+
+struct fg_mesh_peer *fg_gw_tunnel_choose_peer(struct fg_gateway *gw, fg_ms now)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+	struct fg_mesh_peer *chosen = NULL;
+	uint32_t n = 0;
+
+	for (guint i = 0; i < peers->len; i++) {
+		struct fg_mesh_peer *p = peers->pdata[i];
+
+		if (!fg_peer_is_ready(p, now) ||
+		    (p->tunnel_failed_at != 0 &&
+		     now - p->tunnel_failed_at < PEER_RETRY_MS))
+			continue;
+		if (fg_rand_below(&gw->rand, ++n) == 0)
+			chosen = p;
+	}
+	return chosen;
+}
+
+void fg_gw_tunnel_tell(struct fg_gateway *gw, uint64_t via,
+		       const struct fg_fleet_ep *ep,
+		       const struct fg_wire_reply *reply)
+{
+	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, via);
+	fg_mesh_packet packet;
+	fg_mesh_ep_said *said = &packet.body.fg_mesh_body_u.ep_said;
+
+	if (peer == NULL || (!reply->leaving && reply->pause_ms == 0) ||
+	    !fg_ep_sent_reply(ep, reply))
+		return;
+	fg_gw_mesh_init_packet(gw, &packet, FG_MESH_EP_SAID);
+	said->ep = ep->hash;
+	said->leaving = reply->leaving;
+	said->pause_ms = reply->pause_ms;
+	for (int i = 0; i < TELL_COPIES; i++)
+		fg_gw_mesh_send(gw, peer->row.mesh, &packet);
+}
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -205,6 +205,16 @@
 	return l;
 }
 
+void fg_link_peer_ip(const struct fg_link *l, char *out, size_t size)
+{
+	struct sockaddr_in remote;
+	int len = sizeof(remote);
+
+	out[0] = '\0';
+	if (uv_tcp_getpeername(&l->tcp, (struct sockaddr *)&remote, &len) == 0)
+		(void)uv_ip4_name(&remote, out, size);
+}
+
 void fg_link_set_ctx(struct fg_link *l, void *ctx)
 {
 	l->ctx = ctx;
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -50,6 +50,9 @@
 struct fg_link *fg_link_accept(uv_stream_t *listener,
 			       const struct fg_link_ops *ops, void *ctx);
 
+/* Writes the IPv4 address of the other side without its port; "" if unknown. */
+void fg_link_peer_ip(const struct fg_link *l, char *out, size_t size);
+
 /* Replaces the argument of the callbacks. */
 void fg_link_set_ctx(struct fg_link *l, void *ctx);
 
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -14,7 +14,9 @@
 enum fg_mesh_state {
 	FG_MESH_STARTING = 0,   /* does not accept callers yet */
 	FG_MESH_READY = 1,
-	FG_MESH_LEAVING = 2     /* planned stop */
+	FG_MESH_LEAVING = 2,    /* planned stop */
+	FG_MESH_CUT = 3         /* ready, but reaches endpoints only through
+	                         * other instances */
 };
 
 struct fg_mesh_use {            /* in-flight requests of the sender */
@@ -151,6 +153,13 @@
 	unsigned hyper software; /* 0: not known */
 };
 
+/* What an endpoint said in an answer that came through the receiver. */
+struct fg_mesh_ep_said {
+	unsigned hyper ep;
+	bool leaving;
+	unsigned int pause_ms;
+};
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
@@ -161,7 +170,8 @@
 	FG_MESH_NOTES = 7,
 	FG_MESH_ORIGINS = 8,
 	FG_MESH_ORIGIN_ASK = 9,
-	FG_MESH_ORIGIN_REP = 10
+	FG_MESH_ORIGIN_REP = 10,
+	FG_MESH_EP_SAID = 11
 };
 
 union fg_mesh_body switch (fg_mesh_kind kind) {
@@ -185,6 +195,8 @@
 	fg_mesh_origin_ask origin_ask;
 case FG_MESH_ORIGIN_REP:
 	fg_mesh_origin_rep origin_rep;
+case FG_MESH_EP_SAID:
+	fg_mesh_ep_said ep_said;
 };
 
 /* Rows that one instance reads from another, over HTTP instead of datagrams. */
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -23,6 +23,7 @@
 	FG_MESH_STARTING = 0,
 	FG_MESH_READY = 1,
 	FG_MESH_LEAVING = 2,
+	FG_MESH_CUT = 3,
 };
 typedef enum fg_mesh_state fg_mesh_state;
 
@@ -188,6 +189,13 @@
 };
 typedef struct fg_mesh_origin_rep fg_mesh_origin_rep;
 
+struct fg_mesh_ep_said {
+	u_quad_t ep;
+	bool_t leaving;
+	u_int pause_ms;
+};
+typedef struct fg_mesh_ep_said fg_mesh_ep_said;
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
@@ -199,6 +207,7 @@
 	FG_MESH_ORIGINS = 8,
 	FG_MESH_ORIGIN_ASK = 9,
 	FG_MESH_ORIGIN_REP = 10,
+	FG_MESH_EP_SAID = 11,
 };
 typedef enum fg_mesh_kind fg_mesh_kind;
 
@@ -215,6 +224,7 @@
 		fg_mesh_origins origins;
 		fg_mesh_origin_ask origin_ask;
 		fg_mesh_origin_rep origin_rep;
+		fg_mesh_ep_said ep_said;
 	} fg_mesh_body_u;
 };
 typedef struct fg_mesh_body fg_mesh_body;
@@ -272,6 +282,7 @@
 extern  bool_t xdr_fg_mesh_origins (XDR *, fg_mesh_origins*);
 extern  bool_t xdr_fg_mesh_origin_ask (XDR *, fg_mesh_origin_ask*);
 extern  bool_t xdr_fg_mesh_origin_rep (XDR *, fg_mesh_origin_rep*);
+extern  bool_t xdr_fg_mesh_ep_said (XDR *, fg_mesh_ep_said*);
 extern  bool_t xdr_fg_mesh_kind (XDR *, fg_mesh_kind*);
 extern  bool_t xdr_fg_mesh_body (XDR *, fg_mesh_body*);
 extern  bool_t xdr_fg_mesh_row (XDR *, fg_mesh_row*);
@@ -299,6 +310,7 @@
 extern bool_t xdr_fg_mesh_origins ();
 extern bool_t xdr_fg_mesh_origin_ask ();
 extern bool_t xdr_fg_mesh_origin_rep ();
+extern bool_t xdr_fg_mesh_ep_said ();
 extern bool_t xdr_fg_mesh_kind ();
 extern bool_t xdr_fg_mesh_body ();
 extern bool_t xdr_fg_mesh_row ();
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -470,6 +470,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_mesh_ep_said (XDR *xdrs, fg_mesh_ep_said *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pause_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_mesh_kind (XDR *xdrs, fg_mesh_kind *objp)
 {
@@ -528,6 +542,10 @@
 		 if (!xdr_fg_mesh_origin_rep (xdrs, &objp->fg_mesh_body_u.origin_rep))
 			 return FALSE;
 		break;
+	case FG_MESH_EP_SAID:
+		 if (!xdr_fg_mesh_ep_said (xdrs, &objp->fg_mesh_body_u.ep_said))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -56,6 +56,7 @@
 	fg_ms delta_at; /* min_delta_ms allows for drift since then */
 	fg_ms excess_delay_ms;
 	bool has_delta;
+	fg_ms tunnel_failed_at; /* last tunnel through it; 0: none failed */
 	fg_ms unproven_since; /* heartbeats state no proof since then; 0: some
 			       */
 };
