--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -72,6 +72,13 @@
         self.endless_closed = 0  # endless answers that the caller closed
         self.limit_text = None  # Server-Limit of all answers
         self.pause_text = "1"
+        self.brittle_text = None  # Server-Brittle of all answers
+        self.brittle_max = None  # rejections a second that it survives
+        self.room = None  # requests at a time; None: any number
+        self.work_s = 0.0  # of a plain request
+        self.active = 0
+        self.rejected_at = []  # time.monotonic() of the last rejections
+        self.fell_at = []  # time.monotonic() of each fall
         self.has_base = True
         self.adapters = {}  # name -> version
         self.versions = {}  # adapter -> newest version
@@ -165,6 +172,8 @@
     def handle(self, req):
         if self.leaving:
             req.extra_headers = [("Server-Leaving", "1")]
+        if self.brittle_text is not None:
+            req.extra_headers.append(("Server-Brittle", self.brittle_text))
         if self.limit_text is not None:
             req.extra_headers.append(("Server-Limit", self.limit_text))
         expect = req.get("Expect-Instance")
@@ -247,6 +256,40 @@
     # Requests.
 
     def handle_request(self, req):
+        """Runs the request if there is room."""
+        with self.lock:
+            full = self.room is not None and self.active >= self.room
+            self.active += not full
+        if full:
+            self.reject(req)
+            return True
+        try:
+            return self.run_request(req)
+        finally:
+            with self.lock:
+                self.active -= 1
+
+    def reject(self, req):
+        """Turns a request away for want of room; a brittle replica that does so
+        too often within a second falls over and is back a second later."""
+        now = time.monotonic()
+        with self.lock:
+            self.rejected_at = [t for t in self.rejected_at if t > now - 1]
+            self.rejected_at.append(now)
+            falls = (self.brittle_max is not None and
+                     len(self.rejected_at) > self.brittle_max)
+            if falls:
+                self.fell_at.append(now)
+                self.rejected_at = []
+        if falls:
+            port = int(self.server.addr.split(":")[1])
+            self.server.stop()
+            time.sleep(1.0)
+            self.server.start(port)
+            return
+        req.answer(503, headers=[("Not-Run", "1")])
+
+    def run_request(self, req):
         rid = req.get("Request-Id")
         self.received_at.append(time.monotonic())
         self.received.append((rid, dict(req.headers)))
@@ -323,11 +366,15 @@
         leaving = "Server-Leaving: 1\r\n" if self.leaving else ""
         limit = ("" if self.limit_text is None
                  else f"Server-Limit: {self.limit_text}\r\n")
+        brittle = ("" if self.brittle_text is None
+                   else f"Server-Brittle: {self.brittle_text}\r\n")
         return (f"HTTP/1.1 200 OK\r\nRequest-Id: {rid}\r\n"
-                f"Response-Stamp: {self.name}\r\n{leaving}{limit}{extra}")
+                f"Response-Stamp: {self.name}\r\n{leaving}{limit}{brittle}"
+                f"{extra}")
 
     def answer_plain(self, req, rid):
         body = f"done by {self.name} for {rid}".encode()
+        time.sleep(self.work_s)
         if self.consume_fault("error"):
             req.answer(500, b"no", [("Request-Id", rid),
                                     ("Response-Stamp", self.name)])
--- a/tests/gateway_cuts.py
+++ b/tests/gateway_cuts.py
@@ -241,5 +241,76 @@
 silent_for_a_second.system_class = CuttableSystem
 
 
-SCENARIOS = [cut_lines, cut_from_all, cut_all_but_one, cut_from_service,
+def press(s, gateways, length_s, callers, path="/lookup/1"):
+    """Callers that each send the next request when the last one is answered.
+    Returns [(gateway index, id, answer, seconds)]."""
+    end = time.monotonic() + length_s
+    results = []
+
+    def run(g):
+        while time.monotonic() < end:
+            rid = next_id()
+            begin = time.monotonic()
+            a = send(s.gateways[g].front, path, rid,
+                     method="GET" if "lookup" in path else "POST")
+            results.append((g, rid, a, time.monotonic() - begin))
+            if a.status != 200:
+                time.sleep(0.05)  # comes back sooner than it is asked to
+
+    threads = [threading.Thread(target=run, args=(g,))
+               for g in gateways for _ in range(callers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def check_brittle(s, text, survives, gateways, callers, path="/lookup/1"):
+    """The users' rule: in one time in which a service's endpoints are brittle,
+    they fall over no more often than 2 + a tenth of their number; and they are
+    used meanwhile."""
+    for plain in s.plains:
+        plain.fell_at = []
+        plain.brittle_text = text
+    press(s, gateways, CONTACT_S, 2, path)
+    for plain in s.plains:
+        plain.brittle_max = survives
+    results = press(s, gateways, 4.0, callers, path)
+    falls = sum(len(p.fell_at) for p in s.plains)
+    served = len([r for r in results if r[2].status == 200])
+    for plain in s.plains:
+        plain.brittle_max = None
+        plain.brittle_text = None
+    print(f"{text} {path}: {falls} falls, {served} of {len(results)} served")
+    check(falls <= 2 + len(s.plains) / 10, f"{text}: {falls} falls")
+    for g, rid, a, took in results:
+        if a.status == 503:
+            check("Retry-After" in a.headers and s.run_count(rid) == 0,
+                  f"{rid}: refused and ran {s.run_count(rid)} times")
+            check(took < 1.0, f"{rid}: refused after {took:.2f} s")
+    capacity = 4.0 * sum(p.room / p.work_s for p in s.plains)
+    check(served > 0.3 * capacity, f"{text}: {served} of {capacity:.0f}")
+
+
+def brittle_service(s):
+    """Brittle endpoints are not pressed until they fall over, by callers of all
+    instances or of one, whatever number they name."""
+    for plain in s.plains:
+        plain.room = plain.slots = 6
+        plain.work_s = 0.06
+        plain.register()
+    for text, survives in (("0", 0), ("1", 1), ("soon", 0)):
+        check_brittle(s, text, survives, [0, 1, 2], 12)
+    check_brittle(s, "2", 2, [0], 30)
+    check_brittle(s, "1", 1, [0, 1, 2], 12, "/order/1")
+    results = press(s, [0, 1, 2], 1.0, 12)
+    served = len([r for r in results if r[2].status == 200])
+    check(served > 60, f"still limited afterwards: {served}")
+
+
+brittle_service.system_options = {"gateways": 3, "plains": 3, "engines": 0}
+
+
+SCENARIOS = [brittle_service, cut_lines, cut_from_all, cut_all_but_one, cut_from_service,
              silent_for_a_second]
