fg-gateway: a refused connection counts as a crash once another instance is refused too

Cause: a refused connection was taken for the end of the endpoint. Now another instance is asked first: the losses are reported when it does not reach the endpoint either, and dropped when it does. An instance that is cut says so instead of answering. After three that cannot tell, or without other instances, the losses are reported as before.

The paths of the scenarios use poll(): select() refuses descriptors from 1024 on, which looked like lost connections after some minutes.

--- a/lib/admit/fg_loss.c
+++ b/lib/admit/fg_loss.c
@@ -25,6 +25,13 @@
 		l->n++;
 }
 
+void fg_losses_drop(struct fg_losses *l)
+{
+	for (uint32_t i = 0; i < l->n; i++)
+		fg_loss_clear(&l->list[i]);
+	memset(l, 0, sizeof(*l));
+}
+
 uint32_t fg_losses_take(struct fg_losses *l, fg_ms now, struct fg_loss *out)
 {
 	uint32_t n = 0;
--- a/lib/admit/fg_loss.h
+++ b/lib/admit/fg_loss.h
@@ -53,6 +53,9 @@
  * oldest entry. */
 void fg_losses_add(struct fg_losses *l, const struct fg_loss *loss);
 
+/* The endpoint lives on: what was lost there was not lost in a crash. */
+void fg_losses_drop(struct fg_losses *l);
+
 /* The endpoint crashed: moves the losses of the last FG_LOSS_KEEP_MS to `out`
  * (room for FG_LOSS_MAX), empties the ring and returns their number. The caller
  * releases each with fg_loss_clear(). */
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -323,6 +323,9 @@
 	struct fg_losses losses;
 	struct fg_ep_conn *check; /* of whether it still listens, or NULL */
 	fg_ms check_until;
+	struct fg_ep_conn *confirm; /* of a crash, through another instance */
+	fg_ms confirm_until;
+	uint32_t confirms; /* instances asked since the first refusal */
 	struct fg_slots *slots;
 	struct fg_uses uses; /* in flight from the other instances */
 	struct fg_channel *channel;
@@ -362,6 +365,10 @@
 void fg_ep_note_unreached(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 			  const char *why);
 
+/* The endpoint refused a connection: has another instance confirm that it ended
+ * before requests that were lost there are reported as lost in a crash. */
+void fg_ep_confirm_crash(struct fg_gateway *gw, struct fg_fleet_ep *ep);
+
 /* The endpoint is known to have ended: reports a crash for each request that
  * was lost there recently. */
 void fg_ep_local_report_losses(struct fg_ep_local *local);
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -89,12 +89,18 @@
 
 static void end_check(struct fg_ep_local *local)
 {
-	if (local->check == NULL)
-		return;
-	conn_close(local->check);
+	if (local->check != NULL)
+		conn_close(local->check);
 	local->check = NULL;
 }
 
+static void end_confirm(struct fg_ep_local *local)
+{
+	if (local->confirm != NULL)
+		conn_close(local->confirm);
+	local->confirm = NULL;
+}
+
 static void log_loss(const struct fg_ep_local *local,
 		     const struct fg_loss *loss)
 {
@@ -139,6 +145,7 @@
 		return;
 	close_idle(local);
 	end_check(local);
+	end_confirm(local);
 	fg_ep_local_report_losses(local);
 	fg_orders_release(local);
 	g_ptr_array_unref(local->idle);
@@ -321,12 +328,12 @@
 	struct fg_gwreq *r = conn->req;
 	bool has_body = r == NULL || r->head->method != HTTP_HEAD;
 
-	if (r == NULL)
-		return has_body;
 	if (conn->report != NULL || conn->tunnel_pending) {
 		conn->status = head->status;
 		return true;
 	}
+	if (r == NULL)
+		return has_body;
 	conn->gw->wire->reply_read(head, &conn->reply);
 	fg_ep_apply_reply(conn->gw, conn->ep, &conn->reply);
 	if (conn->via != 0)
@@ -424,6 +431,36 @@
 	arm_silence_timeout(r, fg_clock_now());
 }
 
+/* Others that are asked whether an endpoint has ended, when the first do not
+ * know. */
+#define CONFIRMS_MAX 3
+
+/* Another instance did not reach the endpoint, or could not tell. */
+static void on_confirm_failed(struct fg_ep_conn *conn, bool ended)
+{
+	struct fg_ep_local *local = fg_ep_local_get(conn->gw, conn->ep);
+
+	end_confirm(local);
+	if (ended || local->confirms >= CONFIRMS_MAX) {
+		local->confirms = 0;
+		fg_ep_local_report_losses(local);
+	} else {
+		fg_ep_confirm_crash(conn->gw, conn->ep);
+	}
+}
+
+/* Another instance reaches the endpoint. */
+static void on_confirm_denied(struct fg_ep_conn *conn)
+{
+	struct fg_ep_local *local = fg_ep_local_get(conn->gw, conn->ep);
+
+	end_confirm(local);
+	local->confirms = 0;
+	fg_losses_drop(&local->losses);
+	fg_log(FG_LOG_INFO, "endpoint", "not_crashed", "endpoint",
+	       conn->ep->facts.id, NULL);
+}
+
 /* The instance in the middle did not open the tunnel; `by_endpoint`: because it
  * does not reach the endpoint either. */
 static void fail_tunnel(struct fg_ep_conn *conn, bool by_endpoint)
@@ -433,6 +470,10 @@
 
 	if (peer != NULL)
 		peer->tunnel_failed_at = now;
+	if (conn->req == NULL) {
+		on_confirm_failed(conn, by_endpoint);
+		return;
+	}
 	if (by_endpoint) {
 		fg_reach_note_tunnel(conn->ep, now, false);
 		fg_health_record_failure(conn->ep, now);
@@ -451,7 +492,10 @@
 	conn->tunnel_pending = false;
 	fg_h1_reset(&conn->h1);
 	fg_reach_note_tunnel(conn->ep, fg_clock_now(), true);
-	start_request(conn);
+	if (conn->req == NULL)
+		on_confirm_denied(conn);
+	else
+		start_request(conn);
 }
 
 /* Handles the end of a complete message. `clean`: no bytes follow it. */
@@ -488,10 +532,12 @@
 
 static void feed_parser(struct fg_ep_conn *conn, const char *data, size_t len)
 {
-	while (len > 0 && conn->req != NULL && conn->link != NULL) {
+	while (len > 0 && conn->link != NULL &&
+	       (conn->req != NULL || conn->tunnel_pending)) {
 		size_t used = fg_h1_feed(&conn->h1, data, len);
 
-		if (conn->req == NULL || conn->link == NULL)
+		if (conn->link == NULL ||
+		    (conn->req == NULL && !conn->tunnel_pending))
 			return;
 		if (conn->h1.fault != FG_H1_OK) {
 			fg_health_record_failure(conn->ep, fg_clock_now());
@@ -510,7 +556,7 @@
 	struct fg_ep_conn *conn = ctx;
 
 	fg_ep_local_get(conn->gw, conn->ep)->last_byte_at = fg_clock_now();
-	if (conn->req == NULL) {
+	if (conn->req == NULL && !conn->tunnel_pending) {
 		/* An idle connection must not receive anything. */
 		remove_idle(conn);
 		conn_close(conn);
@@ -532,7 +578,7 @@
 		return;
 	local->check = NULL;
 	if (end == FG_LINK_REFUSED)
-		fg_ep_local_report_losses(local);
+		fg_ep_confirm_crash(conn->gw, conn->ep);
 }
 
 static void on_end(void *ctx, enum fg_link_end end)
@@ -540,6 +586,10 @@
 	struct fg_ep_conn *conn = ctx;
 	bool connected = conn->connected;
 
+	if (conn->tunnel_pending) {
+		fail_tunnel(conn, false);
+		return;
+	}
 	if (conn->req == NULL) {
 		end_unused(conn, end);
 		return;
@@ -548,16 +598,12 @@
 		finish_message(conn, false);
 		return;
 	}
-	if (conn->tunnel_pending) {
-		fail_tunnel(conn, false);
-		return;
-	}
 	if (!conn->reused)
 		fg_health_record_failure(conn->ep, fg_clock_now());
 	fg_ep_local_get(conn->gw, conn->ep)->doubts++;
 	if (end == FG_LINK_REFUSED) {
 		fg_ep_note_unreached(conn->gw, conn->ep, "refused");
-		fg_ep_local_report_losses(fg_ep_local_get(conn->gw, conn->ep));
+		fg_ep_confirm_crash(conn->gw, conn->ep);
 	}
 	if (conn->report != NULL) {
 		fail_send(conn, FG_SEND_NOT_SENT, "connection_lost");
@@ -794,6 +840,26 @@
 	local->check_until = fg_clock_now() + connect_timeout_ms(gw);
 }
 
+void fg_ep_confirm_crash(struct fg_gateway *gw, struct fg_fleet_ep *ep)
+{
+	struct fg_ep_local *local = fg_ep_local_get(gw, ep);
+	fg_ms now = fg_clock_now();
+	struct fg_mesh_peer *peer;
+
+	if (local->confirm != NULL || local->losses.n == 0)
+		return;
+	peer = fg_gw_tunnel_choose_peer(gw, now);
+	if (peer != NULL)
+		local->confirm = conn_new(gw, ep, peer);
+	if (local->confirm == NULL) {
+		local->confirms = 0;
+		fg_ep_local_report_losses(local);
+		return;
+	}
+	local->confirms++;
+	local->confirm_until = now + connect_timeout_ms(gw);
+}
+
 /* An endpoint in doubt is probed this often, and so many are in one tick. */
 #define PROBE_MS 1000
 #define PROBES_PER_TICK 8
@@ -841,6 +907,9 @@
 
 		if (local != NULL && now >= local->check_until)
 			end_check(local);
+		if (local != NULL && local->confirm != NULL &&
+		    now >= local->confirm_until)
+			fail_tunnel(local->confirm, false);
 		if (n < PROBES_PER_TICK)
 			n += probe(gw, ep, now);
 	}
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -44,8 +44,12 @@
 
 	if (!t->open) {
 		near->tunnel = NULL;
-		refuse(near, HTTP_STATUS_BAD_GATEWAY, "not_reached",
-		       t->ep->facts.id);
+		if (t->gw->cut)
+			refuse(near, HTTP_STATUS_SERVICE_UNAVAILABLE, "cut",
+			       t->ep->facts.id);
+		else
+			refuse(near, HTTP_STATUS_BAD_GATEWAY, "not_reached",
+			       t->ep->facts.id);
 		fg_gw_tunnel_free(t);
 	} else if (end == FG_LINK_EOF) {
 		fg_caller_close(near, true);
--- a/tests/cut_path.py
+++ b/tests/cut_path.py
@@ -69,19 +69,32 @@
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.lock:
                 self.pairs.append((near, far))
-            for a, b, up in ((near, far, True), (far, near, False)):
-                threading.Thread(target=self._forward, args=(a, b, up),
-                                 daemon=True).start()
+            threading.Thread(target=self._serve, args=(near, far),
+                             daemon=True).start()
 
     def pause(self, seconds):
         """Holds all data back for so long, as a frozen replica does."""
         self.paused_until = time.monotonic() + seconds
 
+    def _serve(self, near, far):
+        down = threading.Thread(target=self._forward, args=(far, near, False),
+                                daemon=True)
+        down.start()
+        self._forward(near, far, True)
+        down.join()
+        with self.lock:
+            if (near, far) in self.pairs:
+                self.pairs.remove((near, far))
+        near.close()
+        far.close()
+
     def _forward(self, source, sink, up):
         while True:
             try:
                 # A close does not end another thread's recv().
-                while not select.select([source], [], [], 0.02)[0]:
+                poll = select.poll()
+                poll.register(source, select.POLLIN)
+                while not poll.poll(20) and source.fileno() >= 0:
                     pass
                 data = source.recv(65536)
                 while time.monotonic() < self.paused_until:
