Test: gateway tunnel_promises and tunnel_is_for_instances

Through another instance: answers that break off, lost answers, refusals, pauses, callers that leave and the end of the instance in the middle; and that only instances may open tunnels, to registered endpoints.

--- a/tests/gateway_cuts.py
+++ b/tests/gateway_cuts.py
@@ -1,12 +1,13 @@
 """Scenarios of tests/gateway.py with instances that are cut from endpoints, and
 with brittle endpoints."""
 
+import http.client
 import threading
 import time
 
 from cut_path import HANG, ONE_WAY, REFUSE, RESET_NEW, Path
 from hosted import (
-    System, check, find_log_lines, has_all_events, next_id, send, send_draft,
+    HOST, MODEL, System, check, find_log_lines, has_all_events, next_id, send, send_draft,
     wait_for)
 
 CONTACT_S = 4.0  # setting contactMs of the users' platform
@@ -275,6 +276,90 @@
 cut_is_no_crash.system_class = CuttableSystem
 
 
+def tunnel_promises(s):
+    """Through another instance the promises are those of a direct connection:
+    an answer that breaks off is not complete, work that may have run is not run
+    again, a caller that leaves ends the work, and a pause binds both."""
+    s.cuts.cut(0, REFUSE)
+    wait_for("cut", lambda: (send_draft(s.gateways[0], next_id()), send(
+        s.gateways[0].front, "/lookup/1", method="GET"),
+        find_log_lines(s.gateways[0], "endpoints_cut"))[2])
+    check(send(s.gateways[0].front, "/order/1").status == 200, "no tunnel")
+    for plain in s.plains:
+        plain.faults = {"lost": 1}
+    rid = next_id()
+    a = send(s.gateways[0].front, "/order/1", rid)
+    check(a.status == 502 and s.run_count(rid) == 1,
+          f"{a.status}, ran {s.run_count(rid)} times")
+    for plain in s.plains:
+        plain.faults = {"reset_body": 1}
+    a = send(s.gateways[0].front, "/order/1")
+    check(a.status == 502, f"broken off: {a.status} {a.body!r}")
+    for plain in s.plains:
+        plain.faults = {"cut_end": 1}
+    a = send(s.gateways[0].front, "/order/1")
+    check(a.status == 200 and a.body.startswith("done by"), f"{a.body!r}")
+    for plain in s.plains:
+        plain.faults = {"not_run": 9}
+    rid = next_id()
+    a = send(s.gateways[0].front, "/order/1", rid)
+    check(a.status == 503 and s.run_count(rid) == 0, f"{a.status}")
+    for plain in s.plains:
+        plain.faults = {"pause": 1}
+        plain.pause_text = "3"
+    while any(p.faults["pause"] for p in s.plains):
+        send(s.gateways[0].front, "/order/1")
+    time.sleep(0.5)
+    before = [len(p.received) for p in s.plains]
+    for _ in range(10):
+        for gateway in s.gateways:
+            send(gateway.front, "/order/1")
+    after = [len(p.received) for p in s.plains]
+    check(before == after, f"requests in the pause: {before} {after}")
+    for engine in s.engines:
+        engine.event_interval_s = 0.3
+    rid = next_id()
+    host, port = s.gateways[0].front.split(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=8)
+    conn.request("POST", "/draft/1", b"x", {
+        "Host": HOST, "Request-Id": rid, "Model": f"{MODEL}/a1",
+        "Token-Count": "9,9"})
+    conn.getresponse().readline()
+    conn.sock.close()
+    conn.close()
+    wait_for("the endpoint sees it", lambda: any(
+        r == rid for e in s.engines for r, _ in e.disconnects), 1.5)
+    rid = next_id()
+    results = []
+    thread = threading.Thread(target=lambda: results.append(
+        send_draft(s.gateways[0], rid=rid)))
+    thread.start()
+    wait_for("it runs", lambda: s.run_count(rid) == 1)
+    time.sleep(0.4)
+    s.gateways[1].kill()
+    thread.join()
+    a = results[0]
+    check(not a.whole or has_all_events(a), f"{a.status} {a.body!r}")
+
+
+tunnel_promises.system_options = {"gateways": 2}
+tunnel_promises.system_class = CuttableSystem
+
+
+def tunnel_is_for_instances(s):
+    """Callers cannot use the port for tunnels to reach an address, and an
+    endpoint that is not registered is not connected to."""
+    status = send(s.gw.mesh, "/tunnel/none").status
+    check(status in (403, 503), f"{status}")
+    status = send(s.gw.mesh, "/tunnel/127.0.0.1:1").status
+    check(status in (403, 503), f"{status}")
+    a = send(s.gw.mesh, "/tunnel/p0")
+    check(a.status != 200, f"without other instances: {a.status}")
+
+
+tunnel_is_for_instances.system_options = {"engines": 0}
+
+
 def press(s, gateways, length_s, callers, path="/lookup/1"):
     """Callers that each send the next request when the last one is answered.
     Returns [(gateway index, id, answer, seconds)]."""
@@ -347,5 +432,6 @@
 brittle_service.system_options = {"gateways": 3, "plains": 3, "engines": 0}
 
 
-SCENARIOS = [brittle_service, cut_lines, cut_is_no_crash, cut_from_all, cut_all_but_one, cut_from_service,
+SCENARIOS = [brittle_service, cut_lines, cut_is_no_crash, tunnel_promises,
+             tunnel_is_for_instances, cut_from_all, cut_all_but_one, cut_from_service,
              silent_for_a_second]
