lib/peer: a second of silence does not end an idle connection between entries

With TCP_USER_TIMEOUT (5 s) set, the kernel ends an idle connection at the first keep-alive probe that is due after that time, whatever the number of probes: with probes each 10 s, one that was lost in a silent second ended a sound connection. The three unanswered probes that the setting promised were never waited for.

Probes now come after 2 s and each second. Static assertions in lib/peer and lib/link keep the user timeout longer than the time of two probes; the one in lib/peer fails with the old values.

--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -7,7 +7,9 @@
 #include <sys/socket.h>
 
 /* A dead peer is detected within about 3 s. That is less than the 4 s after
- * which the platform counts an instance as reachable again. */
+ * which the platform counts an instance as reachable again. With
+ * TCP_USER_TIMEOUT set, the kernel ends an idle connection at the first probe
+ * that is due after that time, whatever the number of probes. */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
@@ -83,6 +85,9 @@
 	int probes = KEEPALIVE_PROBES;
 	unsigned int timeout = USER_TIMEOUT_MS;
 
+	/* A peer that is silent for a second gets another probe. */
+	G_STATIC_ASSERT((KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S) * 1000 <
+			USER_TIMEOUT_MS);
 	if (uv_fileno((uv_handle_t *)&l->tcp, &fd) != 0)
 		return;
 	/* The link also works with the defaults, so errors are ignored. */
--- a/lib/peer/fg_peer_server.c
+++ b/lib/peer/fg_peer_server.c
@@ -21,10 +21,14 @@
 
 #define BACKLOG 512
 #define RPC_SEND_BYTES 8192
-#define KEEPALIVE_S 10	     /* idle time before a probe, and between probes */
-#define KEEPALIVE_PROBES 3   /* unanswered probes that end a connection */
-#define USER_TIMEOUT_MS 5000 /* an unacknowledged reply ends a connection */
-#define POLL_RETRY_MS 20     /* pause after poll() failed */
+/* An idle or unacknowledged connection ends after 5 s of silence. With
+ * TCP_USER_TIMEOUT set, the kernel ends an idle connection at the first probe
+ * that is due after that time, whatever the number of probes. */
+#define KEEPALIVE_IDLE_S 2
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 3
+#define USER_TIMEOUT_MS 5000
+#define POLL_RETRY_MS 20 /* pause after poll() failed */
 
 struct fg_listener {
 	struct fg_peer *p;
@@ -261,16 +265,21 @@
 static void set_options(int fd)
 {
 	int one = 1;
-	int idle_s = KEEPALIVE_S;
+	int idle_s = KEEPALIVE_IDLE_S;
+	int interval_s = KEEPALIVE_INTERVAL_S;
 	int probes = KEEPALIVE_PROBES;
 	unsigned int user_ms = USER_TIMEOUT_MS;
 
+	/* A peer that is silent for a second gets another probe. */
+	G_STATIC_ASSERT((KEEPALIVE_IDLE_S + 2 * KEEPALIVE_INTERVAL_S) * 1000 <
+			USER_TIMEOUT_MS);
 	/* Accepted connections inherit these options. */
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+		   sizeof(interval_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms,
 		   sizeof(user_ms));
