--- a/tests/soak.py
+++ b/tests/soak.py
@@ -90,7 +90,8 @@
             return proxies[0].addr
 
         replica = Replica(self.store, name, service, engine, map_addr=map_addr,
-                          on_run=lambda r, rid, _: self.checker.on_run(r, rid))
+                          on_run=lambda r, rid, _: self.checker.on_run(r, rid),
+                          software=f"v{1 + len(self.replicas) % 2}")
         replica.proxy = proxies[0]
         replica.checks_fences = not self.restores
         self.replicas.append(replica)
