lib/gateway: what is kept of an endpoint has a file of its own

The rank of an instance in an endpoint's hashing order is one function of fg_fleet in place of two.

Also a malformed answer to a call for a tunnel, or to the report before a stream, ends the send as not sent, and the record of a connection that asked about a crash is no longer kept after such an answer.

--- a/lib/fleet/fg_brittle.c
+++ b/lib/fleet/fg_brittle.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#include "base/fg_rand.h"
-
 /* An endpoint that has not been heard of for this long counts as sound. */
 #define FORGET_MS 10000
 /* Slots of an endpoint that states none. */
@@ -25,23 +23,13 @@
 	return was_brittle;
 }
 
-static uint32_t count_before(const struct fg_fleet_ep *ep, uint64_t self,
-			     const uint64_t *others, uint32_t n_others)
-{
-	uint64_t own_hash = fg_hash_mix(ep->hash, self);
-	uint32_t before = 0;
-
-	for (uint32_t i = 0; i < n_others; i++)
-		before += fg_hash_mix(ep->hash, others[i]) > own_hash;
-	return before;
-}
-
 static uint32_t share_of(const struct fg_fleet_ep *ep, uint64_t self,
 			 const uint64_t *others, uint32_t n_others)
 {
 	uint32_t slots = ep->facts.slots == 0 ? SLOTS_DEFAULT : ep->facts.slots;
 	uint32_t n = n_others + 1;
-	bool extra = count_before(ep, self, others, n_others) < slots % n;
+	bool extra =
+		fg_ep_instance_rank(ep, self, others, n_others) < slots % n;
 
 	return slots / n + extra;
 }
--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -297,6 +297,17 @@
 	return was_limited;
 }
 
+uint32_t fg_ep_instance_rank(const struct fg_fleet_ep *ep, uint64_t self,
+			     const uint64_t *others, uint32_t n_others)
+{
+	uint64_t own_hash = fg_hash_mix(ep->hash, self);
+	uint32_t before = 0;
+
+	for (uint32_t i = 0; i < n_others; i++)
+		before += fg_hash_mix(ep->hash, others[i]) > own_hash;
+	return before;
+}
+
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
 				const char *service)
 {
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -205,6 +205,11 @@
 /* The endpoint no longer names a limit. Returns false when none was known. */
 bool fg_ep_clear_limit(struct fg_fleet_ep *ep);
 
+/* Returns the rank of the instance `self` in the endpoint's rendezvous hashing
+ * order of the instances, from 0. */
+uint32_t fg_ep_instance_rank(const struct fg_fleet_ep *ep, uint64_t self,
+			     const uint64_t *others, uint32_t n_others);
+
 /* Returns the time until an endpoint of the service accepts requests again, 0
  * when one does now, UINT32_MAX when none is usable. */
 uint32_t fg_fleet_pause_left_ms(const struct fg_fleet *f, fg_ms now,
--- a/lib/fleet/fg_limit.c
+++ b/lib/fleet/fg_limit.c
@@ -8,17 +8,6 @@
 #define SENDERS_PER_LIMIT 1.6
 #define TURN_VALID_MS 2000
 
-static uint32_t count_before(const struct fg_fleet_ep *ep, uint64_t self,
-			     const uint64_t *others, uint32_t n_others)
-{
-	uint64_t own_hash = fg_hash_mix(ep->hash, self);
-	uint32_t before = 0;
-
-	for (uint32_t i = 0; i < n_others; i++)
-		before += fg_hash_mix(ep->hash, others[i]) > own_hash;
-	return before;
-}
-
 static uint32_t count_senders(double per_s, uint32_t n)
 {
 	double senders = SENDERS_MIN + floor(per_s * SENDERS_PER_LIMIT);
@@ -48,7 +37,7 @@
 
 	if (!ep->limited)
 		return;
-	is_sender = count_before(ep, self, others, n_others) < n_senders;
+	is_sender = fg_ep_instance_rank(ep, self, others, n_others) < n_senders;
 	interval_ms = (fg_ms)(FG_MS_PER_S *
 			      (is_sender ? n_senders / FG_LIMIT_USED
 					 : (n_others + 1 - n_senders) /
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -5,7 +5,8 @@
  *   fg_gw_caller.c   connections of callers
  *   fg_gw_request.c  a request from its head to its final answer
  *   fg_gw_place.c    choice of an endpoint, and the wait for a load
- *   fg_gw_send.c     one send of a request to an endpoint
+ *   fg_gw_send.c     connections to endpoints, one send of a request
+ *   fg_gw_endpoint.c what is kept of an endpoint
  *   fg_gw_answer.c   forwarding of an endpoint's answer to the caller
  *   fg_gw_sync.c     change feeds of the store's tables
  *   fg_gw_era.c      eras of the store, proofs of ownership
@@ -385,6 +386,36 @@
 /* Frees the local state of `ep` and closes its idle connections. */
 void fg_ep_local_free(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
+/* A direct connection to the endpoint was established. */
+void fg_ep_note_reached(struct fg_ep_conn *conn);
+
+/* As fg_ep_note_unreached(), when there was no answer: idle connections are
+ * closed, since they are likely to be as silent. */
+void fg_ep_note_silent(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+		       const char *why);
+
+/* Results of a connection that fg_ep_confirm_crash() asked for: the instance in
+ * the middle did not open it (`ended`: it does not reach the endpoint), or it
+ * did. */
+void fg_ep_on_confirm_failed(struct fg_ep_conn *conn, bool ended);
+void fg_ep_on_confirm_denied(struct fg_ep_conn *conn);
+
+/* Opens a connection to the endpoint, through `peer` unless that is NULL.
+ * Returns NULL when it cannot be opened. */
+struct fg_ep_conn *fg_ep_conn_new(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+				  const struct fg_mesh_peer *peer);
+
+/* Closes the connection; its record is freed in the next iteration of the event
+ * loop. */
+void fg_ep_conn_close(struct fg_ep_conn *conn);
+
+/* The instance in the middle did not open the tunnel; `by_endpoint`: because it
+ * does not reach the endpoint either. */
+void fg_ep_fail_tunnel(struct fg_ep_conn *conn, bool by_endpoint);
+
+/* Time limit for a connection to be established. */
+fg_ms fg_ep_connect_timeout_ms(const struct fg_gateway *gw);
+
 /* Sends the request to r->ep. */
 void fg_send_start(struct fg_gwreq *r);
 
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -23,27 +23,12 @@
 #define SILENCE_ENGINE_MS 2000
 #define SILENCE_PLAIN_MS 500
 
-static fg_ms connect_timeout_ms(const struct fg_gateway *gw)
+fg_ms fg_ep_connect_timeout_ms(const struct fg_gateway *gw)
 {
 	return CONNECT_TIMEOUT_MS + 2 * gw->balance.cross_region_rtt_ms;
 }
 
-/* ---- Endpoints ---- */
-
-struct fg_ep_local *fg_ep_local_get(struct fg_gateway *gw,
-				    struct fg_fleet_ep *ep)
-{
-	struct fg_ep_local *local = ep->user;
-
-	if (local == NULL) {
-		local = g_new0(struct fg_ep_local, 1);
-		local->gw = gw;
-		local->ep = ep;
-		local->idle = g_ptr_array_new();
-		ep->user = local;
-	}
-	return local;
-}
+/* ---- Connections ---- */
 
 static void conn_free(struct fg_ep_conn *conn)
 {
@@ -55,14 +40,14 @@
 }
 
 /* Frees a closed connection in the next iteration of the event loop, since
- * functions that called conn_close() may still read the record. */
+ * functions that called fg_ep_conn_close() may still read the record. */
 static void on_free_timer(uv_timer_t *timer)
 {
 	conn_free(timer->data);
 	fg_gw_timer_free(timer);
 }
 
-static void conn_close(struct fg_ep_conn *conn)
+void fg_ep_conn_close(struct fg_ep_conn *conn)
 {
 	struct fg_ep_local *local = conn->ep->user;
 
@@ -85,117 +70,6 @@
 		g_ptr_array_remove(local->idle, conn);
 }
 
-static void close_idle(struct fg_ep_local *local);
-
-static void end_check(struct fg_ep_local *local)
-{
-	if (local->check != NULL)
-		conn_close(local->check);
-	local->check = NULL;
-}
-
-static void end_confirm(struct fg_ep_local *local)
-{
-	if (local->confirm != NULL)
-		conn_close(local->confirm);
-	local->confirm = NULL;
-}
-
-static void log_loss(const struct fg_ep_local *local,
-		     const struct fg_loss *loss)
-{
-	char key[FG_KEY_TEXT_BYTES];
-	g_autofree char *parts = fg_gw_format_parts(loss->shared_parts);
-
-	fg_gw_format_key(key, loss->fingerprint);
-	fg_log(FG_LOG_WARN, "request", "lost_in_crash", "id", loss->id,
-	       "endpoint", local->ep->facts.id, "phase",
-	       fg_loss_phase_name(loss->phase), "request_key", key, "parts",
-	       parts, NULL);
-}
-
-void fg_ep_local_report_losses(struct fg_ep_local *local)
-{
-	struct fg_loss lost[FG_LOSS_MAX];
-	uint32_t n = fg_losses_take(&local->losses, fg_clock_now(), lost);
-
-	for (uint32_t i = 0; i < n; i++) {
-		fg_mesh_crash crash = {
-			.fingerprint = lost[i].fingerprint,
-			.ep = local->ep->hash,
-			.req = lost[i].request,
-		};
-
-		log_loss(local, &lost[i]);
-		fg_gw_mesh_report_crash(local->gw, &crash);
-		fg_blame_on_loss(local->gw->blame, fg_clock_now(),
-				 local->ep->hash, lost[i].at,
-				 lost[i].phase == FG_LOSS_BEGUN,
-				 lost[i].shared_parts);
-		fg_loss_clear(&lost[i]);
-	}
-}
-
-void fg_ep_local_free(struct fg_gateway *gw, struct fg_fleet_ep *ep)
-{
-	struct fg_ep_local *local = ep->user;
-
-	(void)gw;
-	if (local == NULL)
-		return;
-	close_idle(local);
-	end_check(local);
-	end_confirm(local);
-	fg_ep_local_report_losses(local);
-	fg_orders_release(local);
-	g_ptr_array_unref(local->idle);
-	g_free(local);
-	ep->user = NULL;
-}
-
-static void log_reach(const struct fg_gateway *gw, const struct fg_fleet_ep *ep,
-		      const char *event, const char *why)
-{
-	uint32_t usable;
-	uint32_t doubtful =
-		fg_reach_count_doubtful(gw->fleet, fg_clock_now(), &usable);
-	char n[12];
-	char of[12];
-
-	g_snprintf(n, sizeof(n), "%u", doubtful);
-	g_snprintf(of, sizeof(of), "%u", usable);
-	fg_log(FG_LOG_WARN, "endpoint", event, "endpoint", ep->facts.id,
-	       "service", ep->facts.service, "reason", why, "unreached", n,
-	       "of", of, NULL);
-}
-
-static void note_reached(struct fg_ep_conn *conn)
-{
-	if (fg_reach_note_ok(conn->ep, fg_clock_now()))
-		log_reach(conn->gw, conn->ep, "reached_again", NULL);
-}
-
-void fg_ep_note_unreached(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-			  const char *why)
-{
-	if (fg_reach_note_failed(ep, fg_clock_now()))
-		log_reach(gw, ep, "unreached", why);
-}
-
-static void close_idle(struct fg_ep_local *local)
-{
-	while (local->idle->len > 0)
-		conn_close(g_ptr_array_steal_index_fast(local->idle, 0));
-}
-
-/* The endpoint, or the network to it, is silent: so are idle connections. */
-static void note_silent(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-			const char *why)
-{
-	fg_ep_note_unreached(gw, ep, why);
-	close_idle(fg_ep_local_get(gw, ep));
-}
-
 /* ---- Reading answers ---- */
 
 static void write_request(struct fg_ep_conn *conn);
@@ -209,104 +83,13 @@
 	struct fg_gwreq *r = conn->req;
 
 	conn->req = NULL;
-	conn_close(conn);
+	fg_ep_conn_close(conn);
 	if (r == NULL)
 		return;
 	r->conn = NULL;
 	fg_gwreq_on_send_end(r, end, why);
 }
 
-bool fg_ep_sent_reply(const struct fg_fleet_ep *ep,
-		      const struct fg_wire_reply *reply)
-{
-	return reply->endpoint == NULL ||
-	       strcmp(reply->endpoint, ep->facts.id) == 0;
-}
-
-static void log_pause(const struct fg_fleet_ep *ep, const char *event,
-		      uint32_t pause_ms)
-{
-	char ms[12];
-
-	g_snprintf(ms, sizeof(ms), "%u", pause_ms);
-	fg_log(FG_LOG_INFO, "endpoint", event, "endpoint", ep->facts.id,
-	       "pause_ms", ms, NULL);
-}
-
-void fg_ep_apply_reply(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-		       const struct fg_wire_reply *reply)
-{
-	if (!fg_ep_sent_reply(ep, reply))
-		return;
-	if (reply->leaving && fg_ep_mark_leaving(ep)) {
-		fg_log(FG_LOG_INFO, "endpoint", "said_leaving", "endpoint",
-		       ep->facts.id, "address", ep->facts.address, NULL);
-		fg_gw_count_event(gw, "endpoints_said_leaving", NULL);
-	}
-	if (reply->bad_pause)
-		fg_log(FG_LOG_WARN, "endpoint", "pause_refused", "endpoint",
-		       ep->facts.id, "reason",
-		       "Retry-After is not a number of seconds", NULL);
-	if (reply->pause_ms == 0 ||
-	    !fg_ep_pause(ep, fg_clock_now(), reply->pause_ms))
-		return;
-	log_pause(ep,
-		  reply->pause_ms > FG_EP_PAUSE_MAX_MS ? "pause_cut" : "paused",
-		  reply->pause_ms);
-	fg_gw_count_event(gw, "endpoint_pauses", NULL);
-}
-
-void fg_ep_apply_limit(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-		       const struct fg_wire_reply *reply)
-{
-	char text[G_ASCII_DTOSTR_BUF_SIZE];
-
-	if (!fg_ep_sent_reply(ep, reply))
-		return;
-	if (reply->bad_limit)
-		fg_log(FG_LOG_WARN, "endpoint", "limit_refused", "endpoint",
-		       ep->facts.id, "reason", "the limit is not a number",
-		       NULL);
-	if (reply->has_limit && fg_ep_set_limit(ep, reply->limit_per_s)) {
-		g_ascii_dtostr(text, sizeof(text), reply->limit_per_s);
-		fg_log(FG_LOG_INFO, "endpoint", "limit_named", "endpoint",
-		       ep->facts.id, "per_s", text, NULL);
-		fg_gw_count_event(gw, "endpoint_limits", "event=\"named\"");
-	}
-	if (reply->has_limit || reply->bad_limit || !reply->from_service ||
-	    !fg_ep_clear_limit(ep))
-		return;
-	fg_log(FG_LOG_INFO, "endpoint", "limit_gone", "endpoint", ep->facts.id,
-	       NULL);
-	fg_gw_count_event(gw, "endpoint_limits", "event=\"gone\"");
-}
-
-void fg_ep_apply_brittle(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-			 const struct fg_wire_reply *reply)
-{
-	fg_ms now = fg_clock_now();
-	char n[12];
-
-	if (!fg_ep_sent_reply(ep, reply))
-		return;
-	if (!reply->brittle) {
-		if (!reply->from_service || !fg_brittle_clear(ep))
-			return;
-		fg_log(FG_LOG_INFO, "endpoint", "brittle_no_more", "endpoint",
-		       ep->facts.id, NULL);
-		fg_gw_count_event(gw, "brittle", "event=\"gone\"");
-		fg_gw_update_shares(gw, now);
-		return;
-	}
-	if (!fg_brittle_set(ep, now))
-		return;
-	g_snprintf(n, sizeof(n), "%u", reply->brittle_rejections);
-	fg_log(FG_LOG_WARN, "endpoint", "brittle", "endpoint", ep->facts.id,
-	       "rejections", reply->bad_brittle ? "unreadable" : n, NULL);
-	fg_gw_count_event(gw, "brittle", "event=\"said\"");
-	fg_gw_update_shares(gw, now);
-}
-
 static bool is_informational(unsigned int status)
 {
 	return status < 200;
@@ -421,7 +204,9 @@
 	} else {
 		fg_gwreq_log(r, "start_not_confirmed", NULL);
 	}
-	if (!reusable || (!same && r->software != 0)) {
+	/* On a connection in use again, it may have been a late second copy of
+	 * an earlier answer. */
+	if (!reusable || (!same && (r->software != 0 || conn->reused))) {
 		fail_send(conn, FG_SEND_NOT_SENT, "start_not_confirmed");
 		return;
 	}
@@ -431,39 +216,9 @@
 	arm_silence_timeout(r, fg_clock_now());
 }
 
-/* Others that are asked whether an endpoint has ended, when the first do not
- * know. */
-#define CONFIRMS_MAX 3
-
-/* Another instance did not reach the endpoint, or could not tell. */
-static void on_confirm_failed(struct fg_ep_conn *conn, bool ended)
-{
-	struct fg_ep_local *local = fg_ep_local_get(conn->gw, conn->ep);
-
-	end_confirm(local);
-	if (ended || local->confirms >= CONFIRMS_MAX) {
-		local->confirms = 0;
-		fg_ep_local_report_losses(local);
-	} else {
-		fg_ep_confirm_crash(conn->gw, conn->ep);
-	}
-}
-
-/* Another instance reaches the endpoint. */
-static void on_confirm_denied(struct fg_ep_conn *conn)
-{
-	struct fg_ep_local *local = fg_ep_local_get(conn->gw, conn->ep);
-
-	end_confirm(local);
-	local->confirms = 0;
-	fg_losses_drop(&local->losses);
-	fg_log(FG_LOG_INFO, "endpoint", "not_crashed", "endpoint",
-	       conn->ep->facts.id, NULL);
-}
-
 /* The instance in the middle did not open the tunnel; `by_endpoint`: because it
  * does not reach the endpoint either. */
-static void fail_tunnel(struct fg_ep_conn *conn, bool by_endpoint)
+void fg_ep_fail_tunnel(struct fg_ep_conn *conn, bool by_endpoint)
 {
 	struct fg_mesh_peer *peer = fg_peers_find(conn->gw->peers, conn->via);
 	fg_ms now = fg_clock_now();
@@ -471,7 +226,7 @@
 	if (peer != NULL)
 		peer->tunnel_failed_at = now;
 	if (conn->req == NULL) {
-		on_confirm_failed(conn, by_endpoint);
+		fg_ep_on_confirm_failed(conn, by_endpoint);
 		return;
 	}
 	if (by_endpoint) {
@@ -486,14 +241,15 @@
 static void end_tunnel_call(struct fg_ep_conn *conn, bool reusable)
 {
 	if (conn->status != HTTP_STATUS_OK || !reusable) {
-		fail_tunnel(conn, conn->status == HTTP_STATUS_BAD_GATEWAY);
+		fg_ep_fail_tunnel(conn,
+				  conn->status == HTTP_STATUS_BAD_GATEWAY);
 		return;
 	}
 	conn->tunnel_pending = false;
 	fg_h1_reset(&conn->h1);
 	fg_reach_note_tunnel(conn->ep, fg_clock_now(), true);
 	if (conn->req == NULL)
-		on_confirm_denied(conn);
+		fg_ep_on_confirm_denied(conn);
 	else
 		start_request(conn);
 }
@@ -527,7 +283,7 @@
 	    fg_ep_is_usable(conn->ep, fg_clock_now()))
 		keep_idle(conn, fg_clock_now());
 	else
-		conn_close(conn);
+		fg_ep_conn_close(conn);
 }
 
 static void feed_parser(struct fg_ep_conn *conn, const char *data, size_t len)
@@ -539,9 +295,16 @@
 		if (conn->link == NULL ||
 		    (conn->req == NULL && !conn->tunnel_pending))
 			return;
+		if (conn->h1.fault != FG_H1_OK && conn->tunnel_pending) {
+			fg_ep_fail_tunnel(conn, false);
+			return;
+		}
 		if (conn->h1.fault != FG_H1_OK) {
 			fg_health_record_failure(conn->ep, fg_clock_now());
-			fail_send(conn, FG_SEND_BROKEN, "malformed_answer");
+			fail_send(conn,
+				  conn->report == NULL ? FG_SEND_BROKEN
+						       : FG_SEND_NOT_SENT,
+				  "malformed_answer");
 			return;
 		}
 		data += used;
@@ -559,7 +322,7 @@
 	if (conn->req == NULL && !conn->tunnel_pending) {
 		/* An idle connection must not receive anything. */
 		remove_idle(conn);
-		conn_close(conn);
+		fg_ep_conn_close(conn);
 		return;
 	}
 	feed_parser(conn, data, len);
@@ -571,7 +334,7 @@
 	struct fg_ep_local *local = conn->ep->user;
 
 	remove_idle(conn);
-	conn_close(conn);
+	fg_ep_conn_close(conn);
 	if (local != NULL)
 		local->doubts++;
 	if (local == NULL || local->check != conn)
@@ -587,7 +350,7 @@
 	bool connected = conn->connected;
 
 	if (conn->tunnel_pending) {
-		fail_tunnel(conn, false);
+		fg_ep_fail_tunnel(conn, false);
 		return;
 	}
 	if (conn->req == NULL) {
@@ -711,7 +474,7 @@
 				    conn->ep->facts.id);
 	fg_link_write(conn->link, call.head_and_body, call.len_bytes);
 	g_free(call.head_and_body);
-	conn->req->due_at = fg_clock_now() + connect_timeout_ms(gw);
+	conn->req->due_at = fg_clock_now() + fg_ep_connect_timeout_ms(gw);
 	fg_gwreq_arm_timer(conn->req);
 }
 
@@ -726,7 +489,7 @@
 	if (fg_ep_is_usable(conn->ep, now))
 		keep_idle(conn, now);
 	else
-		conn_close(conn);
+		fg_ep_conn_close(conn);
 }
 
 static void ask_for_tunnel(struct fg_ep_conn *conn)
@@ -748,7 +511,7 @@
 		return;
 	}
 	if (conn->via == 0)
-		note_reached(conn);
+		fg_ep_note_reached(conn);
 	start_request(conn);
 }
 
@@ -789,7 +552,7 @@
 
 		if (now < conn->idle_until)
 			return conn;
-		conn_close(conn);
+		fg_ep_conn_close(conn);
 	}
 	return NULL;
 }
@@ -806,9 +569,8 @@
 }
 
 /* `peer` is the instance to go through, or NULL. */
-static struct fg_ep_conn *conn_new(struct fg_gateway *gw,
-				   struct fg_fleet_ep *ep,
-				   const struct fg_mesh_peer *peer)
+struct fg_ep_conn *fg_ep_conn_new(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+				  const struct fg_mesh_peer *peer)
 {
 	struct fg_ep_conn *conn = g_new0(struct fg_ep_conn, 1);
 
@@ -830,92 +592,6 @@
 	return conn;
 }
 
-void fg_ep_check_alive(struct fg_gateway *gw, struct fg_fleet_ep *ep)
-{
-	struct fg_ep_local *local = fg_ep_local_get(gw, ep);
-
-	if (local->check != NULL)
-		return;
-	local->check = conn_new(gw, ep, NULL);
-	local->check_until = fg_clock_now() + connect_timeout_ms(gw);
-}
-
-void fg_ep_confirm_crash(struct fg_gateway *gw, struct fg_fleet_ep *ep)
-{
-	struct fg_ep_local *local = fg_ep_local_get(gw, ep);
-	fg_ms now = fg_clock_now();
-	struct fg_mesh_peer *peer;
-
-	if (local->confirm != NULL || local->losses.n == 0)
-		return;
-	peer = fg_gw_tunnel_choose_peer(gw, now);
-	if (peer != NULL)
-		local->confirm = conn_new(gw, ep, peer);
-	if (local->confirm == NULL) {
-		local->confirms = 0;
-		fg_ep_local_report_losses(local);
-		return;
-	}
-	local->confirms++;
-	local->confirm_until = now + connect_timeout_ms(gw);
-}
-
-/* An endpoint in doubt is probed this often, and so many are in one tick. */
-#define PROBE_MS 1000
-#define PROBES_PER_TICK 8
-
-static bool probe(struct fg_gateway *gw, struct fg_fleet_ep *ep, fg_ms now)
-{
-	struct fg_ep_local *local = fg_ep_local_get(gw, ep);
-
-	if (!fg_reach_is_doubtful(ep) || !fg_ep_accepts(ep, now) ||
-	    now - local->probed_at < PROBE_MS || local->check != NULL)
-		return false;
-	local->probed_at = now;
-	fg_ep_check_alive(gw, ep);
-	return true;
-}
-
-static void update_cut(struct fg_gateway *gw, fg_ms now)
-{
-	const GPtrArray *all = fg_fleet_all(gw->fleet);
-	bool cut = fg_reach_is_cut(gw->fleet, now, gw->cut);
-
-	if (cut == gw->cut)
-		return;
-	gw->cut = cut;
-	gw->heartbeat_due = true;
-	for (guint i = 0; cut && i < all->len; i++) {
-		const struct fg_fleet_ep *ep = all->pdata[i];
-
-		if (ep->user != NULL)
-			close_idle(ep->user);
-	}
-	fg_log(FG_LOG_WARN, "gateway", cut ? "endpoints_cut" : "endpoints_back",
-	       NULL);
-	fg_gw_count_event(gw, "cuts", cut ? "event=\"cut\"" : "event=\"back\"");
-}
-
-void fg_ep_check_tick(struct fg_gateway *gw, fg_ms now)
-{
-	const GPtrArray *all = fg_fleet_all(gw->fleet);
-	uint32_t n = 0;
-
-	for (guint i = 0; i < all->len; i++) {
-		struct fg_fleet_ep *ep = all->pdata[i];
-		struct fg_ep_local *local = ep->user;
-
-		if (local != NULL && now >= local->check_until)
-			end_check(local);
-		if (local != NULL && local->confirm != NULL &&
-		    now >= local->confirm_until)
-			fail_tunnel(local->confirm, false);
-		if (n < PROBES_PER_TICK)
-			n += probe(gw, ep, now);
-	}
-	update_cut(gw, now);
-}
-
 void fg_send_start(struct fg_gwreq *r)
 {
 	struct fg_gateway *gw = r->gw;
@@ -942,14 +618,14 @@
 	if (fg_reach_needs_tunnel(r->ep, now, gw->cut))
 		peer = fg_gw_tunnel_choose_peer(gw, now);
 	r->tunneled = peer != NULL;
-	conn = conn_new(gw, r->ep, peer);
+	conn = fg_ep_conn_new(gw, r->ep, peer);
 	if (conn == NULL) {
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "no_connection");
 		return;
 	}
 	conn->req = r;
 	r->conn = conn;
-	r->due_at = now + connect_timeout_ms(gw);
+	r->due_at = now + fg_ep_connect_timeout_ms(gw);
 	fg_gwreq_arm_timer(r);
 }
 
@@ -958,12 +634,12 @@
 	const struct fg_ep_local *local = fg_ep_local_get(r->gw, r->ep);
 
 	if (r->conn->tunnel_pending) {
-		fail_tunnel(r->conn, false);
+		fg_ep_fail_tunnel(r->conn, false);
 		return;
 	}
 	if (!r->conn->connected || r->conn->report != NULL) {
 		fg_health_record_failure(r->ep, now);
-		note_silent(r->gw, r->ep, "connect_timeout");
+		fg_ep_note_silent(r->gw, r->ep, "connect_timeout");
 		fg_send_cancel(r);
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "connect_timeout");
 		return;
@@ -973,7 +649,7 @@
 		return;
 	}
 	fg_health_record_failure(r->ep, now);
-	note_silent(r->gw, r->ep, "silent");
+	fg_ep_note_silent(r->gw, r->ep, "silent");
 	fg_send_cancel(r);
 	fg_gwreq_on_send_end(r, FG_SEND_BROKEN, "endpoint_silent");
 }
@@ -986,5 +662,5 @@
 		return;
 	r->conn = NULL;
 	conn->req = NULL;
-	conn_close(conn);
+	fg_ep_conn_close(conn);
 }
