lib/gateway: the probe of endpoints in doubt keeps no state for the others

It created the local record of every endpoint (about 5 KB) at each instance, which is 15 MB at the aim's 2,900 endpoints. Endpoints in doubt have one already.

--- a/lib/gateway/fg_gw_endpoint.c
+++ b/lib/gateway/fg_gw_endpoint.c
@@ -243,10 +243,12 @@
 
 static bool probe(struct fg_gateway *gw, struct fg_fleet_ep *ep, fg_ms now)
 {
-	struct fg_ep_local *local = fg_ep_local_get(gw, ep);
+	struct fg_ep_local *local;
 
-	if (!fg_reach_is_doubtful(ep) || !fg_ep_accepts(ep, now) ||
-	    now - local->probed_at < PROBE_MS || local->check != NULL)
+	if (!fg_reach_is_doubtful(ep) || !fg_ep_accepts(ep, now))
+		return false;
+	local = fg_ep_local_get(gw, ep);
+	if (now - local->probed_at < PROBE_MS || local->check != NULL)
 		return false;
 	local->probed_at = now;
 	fg_ep_check_alive(gw, ep);
