Test: gateway cut_lines ends an endpoint behind its paths too

The path to an endpoint that had ended accepted connections and reset them, so that the endpoint never refused one, and the line that the scenario waits for came only by chance. The paths now stop listening with the endpoint.

--- a/tests/gateway_cuts.py
+++ b/tests/gateway_cuts.py
@@ -80,13 +80,13 @@
     wait_for("no longer cut", lambda: find_log_lines(
         s.gateways[0], "endpoints_back"))
     s.plains[0].crash()
-    for _ in range(12):
-        for gateway in s.gateways:
-            send(gateway.front, "/lookup/1", method="GET", body=None)
+    for paths in s.cuts.paths:  # a path itself would still accept
+        paths["p0"].cut(REFUSE)
     for gateway in s.gateways:
-        wait_for("one endpoint", lambda g=gateway: [
-            line for line in find_log_lines(g, "unreached")
-            if line["endpoint"] == "p0"])
+        wait_for("one endpoint", lambda g=gateway: (
+            send(g.front, "/lookup/1", method="GET", body=None), [
+                line for line in find_log_lines(g, "unreached")
+                if line["endpoint"] == "p0"])[1])
     line = find_log_lines(s.gateways[1], "unreached")[-1]
     check((line["unreached"], line["of"]) == ("1", "4"), f"{line}")
 
