lib/gateway: dead state, a second timeout and a copy on each row are gone

- fg_gwreq.tunneled was set and never read, since a send that failed before it reached the endpoint is judged by fg_reach_needs_tunnel().
- fg_gw_tunnel.c had a connect timeout of its own with the value of fg_ep_connect_timeout_ms(), which it now calls.
- Whether a connection awaits an answer was written out in three places.
- Each registry entry that was applied looked its endpoint up twice and copied its version to the heap, also without a restart.
- fg_reach_note_ok() had an unused parameter.

--- a/lib/fleet/fg_brittle.h
+++ b/lib/fleet/fg_brittle.h
@@ -7,7 +7,7 @@
  * runs, so that it has nothing to turn away: its slots are divided among the
  * live instances, and those that are left over go to the first ones in a
  * rendezvous hashing order. Instances do not ask each other. A rejection that
- * comes all the same pauses the endpoint here for PAUSE_MS.
+ * comes all the same pauses the endpoint here for FG_BRITTLE_PAUSE_MS.
  *
  * Does no I/O and reads no clock.
  */
--- a/lib/fleet/fg_reach.c
+++ b/lib/fleet/fg_reach.c
@@ -8,11 +8,10 @@
 /* One endpoint in doubt tells nothing of the network. */
 #define CUT_ENDPOINTS_MIN 2
 
-bool fg_reach_note_ok(struct fg_fleet_ep *ep, fg_ms now)
+bool fg_reach_note_ok(struct fg_fleet_ep *ep)
 {
 	bool was_doubtful = fg_reach_is_doubtful(ep);
 
-	(void)now;
 	ep->unreached_since = 0;
 	return was_doubtful;
 }
--- a/lib/fleet/fg_reach.h
+++ b/lib/fleet/fg_reach.h
@@ -14,7 +14,7 @@
 #include "fleet/fg_fleet.h"
 
 /* A connection was established. Returns true when the endpoint was in doubt. */
-bool fg_reach_note_ok(struct fg_fleet_ep *ep, fg_ms now);
+bool fg_reach_note_ok(struct fg_fleet_ep *ep);
 
 /* A connection was refused or not established in time, or the endpoint fell
  * silent. Returns true when the endpoint was not in doubt. */
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -172,7 +172,6 @@
 	bool head_sent;	   /* the answer's head was sent to the caller */
 	fg_ms head_at;	   /* when this send brought a head that is no
 			      refusal; 0: not yet */
-	bool tunneled;	   /* this send goes through another instance */
 	bool trial;	   /* may be sent although a part is blocked */
 	bool answer_begun; /* this send brought an event or a plain head */
 	struct fg_events events;
--- a/lib/gateway/fg_gw_endpoint.c
+++ b/lib/gateway/fg_gw_endpoint.c
@@ -212,7 +212,7 @@
 
 void fg_ep_note_reached(struct fg_ep_conn *conn)
 {
-	if (fg_reach_note_ok(conn->ep, fg_clock_now()))
+	if (fg_reach_note_ok(conn->ep))
 		log_reach(conn->gw, conn->ep, "reached_again", NULL);
 }
 
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -127,16 +127,19 @@
 	       "software_before", software_before, NULL);
 }
 
+/* `known` is the endpoint's record, NULL when there is none. */
 static struct fg_fleet_ep *put_entry(struct fg_gateway *gw, fg_ms now,
+				     const struct fg_fleet_ep *known,
 				     const struct fg_ep_facts *facts)
 {
-	struct fg_fleet_ep *ep = fg_fleet_find(gw->fleet, facts->id);
-	uint64_t born = ep == NULL ? facts->born : ep->facts.born;
-	g_autofree char *software =
-		ep == NULL ? NULL : g_strdup(ep->facts.software);
+	bool other_start = known != NULL && known->facts.born != facts->born;
+	char software[FG_FLEET_SOFTWARE_BYTES];
+	struct fg_fleet_ep *ep;
 
+	if (other_start)
+		g_strlcpy(software, known->facts.software, sizeof(software));
 	ep = fg_fleet_put(gw->fleet, now, facts);
-	if (ep->facts.born != born)
+	if (other_start && ep->facts.born == facts->born)
 		log_restart(ep, software);
 	return ep;
 }
@@ -159,7 +162,7 @@
 		fg_fleet_remove(gw->fleet, now, row->key);
 	} else {
 		matters = ep == NULL || !differs_in_resident_only(ep, &facts);
-		ep = put_entry(gw, now, &facts);
+		ep = put_entry(gw, now, ep, &facts);
 		apply_listed_resident(ep, now);
 	}
 	if (ep == NULL || was_usable == fg_ep_is_usable(ep, now))
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -286,14 +286,20 @@
 		fg_ep_conn_close(conn);
 }
 
+/* Returns whether an answer is expected: to a request, or to the call for a
+ * tunnel. */
+static bool awaits_answer(const struct fg_ep_conn *conn)
+{
+	return conn->link != NULL &&
+	       (conn->req != NULL || conn->tunnel_pending);
+}
+
 static void feed_parser(struct fg_ep_conn *conn, const char *data, size_t len)
 {
-	while (len > 0 && conn->link != NULL &&
-	       (conn->req != NULL || conn->tunnel_pending)) {
+	while (len > 0 && awaits_answer(conn)) {
 		size_t used = fg_h1_feed(&conn->h1, data, len);
 
-		if (conn->link == NULL ||
-		    (conn->req == NULL && !conn->tunnel_pending))
+		if (!awaits_answer(conn))
 			return;
 		if (conn->h1.fault != FG_H1_OK && conn->tunnel_pending) {
 			fg_ep_fail_tunnel(conn, false);
@@ -319,7 +325,7 @@
 	struct fg_ep_conn *conn = ctx;
 
 	fg_ep_local_get(conn->gw, conn->ep)->last_byte_at = fg_clock_now();
-	if (conn->req == NULL && !conn->tunnel_pending) {
+	if (!awaits_answer(conn)) {
 		/* An idle connection must not receive anything. */
 		remove_idle(conn);
 		fg_ep_conn_close(conn);
@@ -607,7 +613,6 @@
 	fg_gwreq_drop_answer_body(r);
 	if (conn != NULL) {
 		conn->reused = true;
-		r->tunneled = false;
 		conn->head_seen = false;
 		conn->skip_message = false;
 		conn->req = r;
@@ -617,7 +622,6 @@
 	}
 	if (fg_reach_needs_tunnel(r->ep, now, gw->cut))
 		peer = fg_gw_tunnel_choose_peer(gw, now);
-	r->tunneled = peer != NULL;
 	conn = fg_ep_conn_new(gw, r->ep, peer);
 	if (conn == NULL) {
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "no_connection");
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -6,7 +6,6 @@
 /* Each tunnel holds at most twice PENDING_MAX_BYTES. */
 #define TUNNELS_MAX 200
 #define PENDING_MAX_BYTES (32 * 1024)
-#define CONNECT_TIMEOUT_MS 400
 /* Time without tunnels through an instance that refused one. */
 #define PEER_RETRY_MS 500
 /* A datagram may be lost. */
@@ -66,7 +65,7 @@
 	struct fg_tunnel *t = ctx;
 
 	t->open = true;
-	(void)fg_reach_note_ok(t->ep, fg_clock_now());
+	(void)fg_reach_note_ok(t->ep);
 	fg_gw_count_event(t->gw, "tunnels", "outcome=\"open\"");
 	fg_link_write(t->near->link, answer, sizeof(answer) - 1);
 }
@@ -149,8 +148,7 @@
 	t->gw = gw;
 	t->near = c;
 	t->ep = fg_ep_ref(ep);
-	t->connect_until =
-		now + CONNECT_TIMEOUT_MS + 2 * gw->balance.cross_region_rtt_ms;
+	t->connect_until = now + fg_ep_connect_timeout_ms(gw);
 	c->tunnel = t;
 	g_ptr_array_add(gw->tunnels, t);
 	t->far = fg_link_connect(&gw->loop, ep->facts.address, &far_ops, t);
