lib/fleet: brittle services are found once per update

For each endpoint, all endpoints were searched for one of its service that is brittle, ten times a second while any was: with 2,900 endpoints, most of them of services that are not, 8 million comparisons each time. The services are now collected in one pass. The result is the same; test_limit brittle/room and brittle/service and gateway brittle_service pass.

--- a/lib/fleet/fg_brittle.c
+++ b/lib/fleet/fg_brittle.c
@@ -1,7 +1,5 @@
 #include "fleet/fg_brittle.h"
 
-#include <string.h>
-
 /* An endpoint that has not been heard of for this long counts as sound. */
 #define FORGET_MS 10000
 /* Slots of an endpoint that states none. */
@@ -34,40 +32,38 @@
 	return slots / n + extra;
 }
 
-/* An endpoint that has restarted has not said anything yet. */
-static bool is_service_brittle(const GPtrArray *all, const char *service)
+/* Returns the set of services of which an endpoint says that it is brittle. */
+static GHashTable *find_brittle_services(const GPtrArray *all, fg_ms now)
 {
+	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
+
 	for (guint i = 0; i < all->len; i++) {
-		const struct fg_fleet_ep *ep = all->pdata[i];
+		struct fg_fleet_ep *ep = all->pdata[i];
 
-		if (ep->brittle_at != 0 &&
-		    strcmp(ep->facts.service, service) == 0)
-			return true;
+		if (now - ep->brittle_at > FORGET_MS)
+			ep->brittle_at = 0;
+		if (ep->brittle_at != 0)
+			g_hash_table_add(services, ep->facts.service);
 	}
-	return false;
+	return services;
 }
 
 void fg_brittle_update(struct fg_fleet *f, fg_ms now, uint64_t self,
 		       const uint64_t *others, uint32_t n_others)
 {
 	const GPtrArray *all = fg_fleet_all(f);
-	bool any = false;
+	GHashTable *services = find_brittle_services(all, now);
 
 	for (guint i = 0; i < all->len; i++) {
 		struct fg_fleet_ep *ep = all->pdata[i];
 
-		if (now - ep->brittle_at > FORGET_MS)
-			ep->brittle_at = 0;
-		any = any || ep->brittle_at != 0;
-	}
-	for (guint i = 0; i < all->len; i++) {
-		struct fg_fleet_ep *ep = all->pdata[i];
-
+		/* Also one that has restarted and has not said it yet. */
 		ep->shared_room =
-			any && is_service_brittle(all, ep->facts.service);
+			g_hash_table_contains(services, ep->facts.service);
 		if (ep->shared_room)
 			ep->room = share_of(ep, self, others, n_others);
 	}
+	g_hash_table_unref(services);
 }
 
 bool fg_brittle_allows(const struct fg_fleet_ep *ep)
