lib/origin: decides itself which versions are known to others at a start

That the version of most endpoints counts as known was decided in lib/gateway, by a hash table and two passes over all endpoints, although lib/origin is the pure part that decides. It now counts the endpoints of the first read itself. Each endpoint's version was searched three times at each tick; it is twice now.

--- a/lib/gateway/fg_gw_origin.c
+++ b/lib/gateway/fg_gw_origin.c
@@ -64,81 +64,33 @@
 	return fg_hash_str(ep->facts.service);
 }
 
-static void note_endpoint(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-			  fg_ms now, bool settled)
-{
-	uint64_t service = service_key(ep);
-
-	if (fg_origins_begin_after(gw->origins, service, ep->software) ==
-	    FG_MS_NEVER)
-		fg_log(FG_LOG_INFO, "origin", "version_seen", "service",
-		       ep->facts.service, "software", ep->facts.software,
-		       "endpoint", ep->facts.id, "settled",
-		       settled ? "yes" : "no", NULL);
-	fg_origins_note_version(gw->origins, now, service, ep->software,
-				settled);
-	ep->streams_after =
-		fg_origins_begin_after(gw->origins, service, ep->software);
-}
-
-/* Number of endpoints by key of service and version. */
-static GHashTable *count_versions(const GPtrArray *all)
+static void count_at_start(struct fg_gateway *gw, fg_ms now)
 {
-	GHashTable *counts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						   g_free, NULL);
+	const GPtrArray *all = fg_fleet_all(gw->fleet);
 
 	for (guint i = 0; i < all->len; i++) {
 		const struct fg_fleet_ep *ep = all->pdata[i];
-		uint64_t key = fg_hash_mix(service_key(ep), ep->software);
-		gpointer n = g_hash_table_lookup(counts, &key);
 
-		g_hash_table_insert(counts, g_memdup2(&key, sizeof(key)),
-				    GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
+		fg_origins_count_at_start(gw->origins, now, service_key(ep),
+					  ep->software);
 	}
-	return counts;
+	fg_origins_end_start(gw->origins, now);
 }
 
-static guint count_of(GHashTable *counts, const struct fg_fleet_ep *ep)
-{
-	uint64_t key = fg_hash_mix(service_key(ep), ep->software);
-
-	return GPOINTER_TO_UINT(g_hash_table_lookup(counts, &key));
-}
-
-/* Returns whether all other versions of the endpoint's service have fewer
- * endpoints. */
-static bool is_most_frequent(GHashTable *counts, const GPtrArray *all,
-			     const struct fg_fleet_ep *ep)
-{
-	guint own = count_of(counts, ep);
-
-	for (guint i = 0; i < all->len; i++) {
-		const struct fg_fleet_ep *other = all->pdata[i];
-
-		if (other->software != ep->software &&
-		    strcmp(other->facts.service, ep->facts.service) == 0 &&
-		    count_of(counts, other) >= own)
-			return false;
-	}
-	return true;
-}
-
-/* The versions that most endpoints of a service had at the start were known to
- * the instances that were running then. */
-static void note_first_versions(struct fg_gateway *gw, fg_ms now)
+static void note_endpoint(struct fg_gateway *gw, struct fg_fleet_ep *ep,
+			  fg_ms now)
 {
-	const GPtrArray *all = fg_fleet_all(gw->fleet);
-	GHashTable *counts = count_versions(all);
-
-	for (guint i = 0; i < all->len; i++) {
-		struct fg_fleet_ep *ep = all->pdata[i];
+	uint64_t service = service_key(ep);
+	bool first = fg_origins_note_version(gw->origins, now, service,
+					     ep->software);
 
-		if (fg_origins_begin_after(gw->origins, service_key(ep),
-					   ep->software) == FG_MS_NEVER)
-			note_endpoint(gw, ep, now,
-				      is_most_frequent(counts, all, ep));
-	}
-	g_hash_table_unref(counts);
+	ep->streams_after =
+		fg_origins_begin_after(gw->origins, service, ep->software);
+	if (first)
+		fg_log(FG_LOG_INFO, "origin", "version_seen", "service",
+		       ep->facts.service, "software", ep->facts.software,
+		       "endpoint", ep->facts.id, "settled",
+		       ep->streams_after <= now ? "yes" : "no", NULL);
 }
 
 void fg_gw_origin_refresh(struct fg_gateway *gw, fg_ms now)
@@ -148,14 +100,14 @@
 	if (!gw->feeds[FG_FEED_REGISTRY].full_read_done)
 		return;
 	if (!gw->origins_started)
-		note_first_versions(gw, now);
+		count_at_start(gw, now);
 	gw->origins_started = true;
 	note_view(gw, now);
 	for (guint i = 0; i < all->len; i++) {
 		struct fg_fleet_ep *ep = all->pdata[i];
 
 		if (ep->listed || now < ep->lapsed_until)
-			note_endpoint(gw, ep, now, false);
+			note_endpoint(gw, ep, now);
 	}
 }
 
--- a/lib/origin/fg_origin.c
+++ b/lib/origin/fg_origin.c
@@ -9,6 +9,8 @@
 	uint64_t software;
 	fg_ms begin_after; /* streams may begin at it from then on */
 	fg_ms listed_at;   /* an endpoint had it, last time */
+	uint32_t at_start; /* endpoints that had it at the start */
+	bool noted;
 };
 
 /* A stream that began, or was taken up, at this version. */
@@ -78,22 +80,65 @@
 	o->view_at = MAX(o->view_at, view_at);
 }
 
-void fg_origins_note_version(struct fg_origins *o, fg_ms now, uint64_t service,
-			     uint64_t software, bool settled)
+static struct version *find_or_add_version(struct fg_origins *o, fg_ms now,
+					   uint64_t service, uint64_t software)
 {
 	struct version *v = find_version(o, service, software);
 	struct version first = {
 		.service = service,
 		.software = software,
-		.begin_after = settled ? now : now + (fg_ms)o->conf.settle_ms,
+		.begin_after = now + (fg_ms)o->conf.settle_ms,
+		.listed_at = now,
 	};
 
-	if (v == NULL) {
-		g_array_append_val(o->versions, first);
-		v = &g_array_index(o->versions, struct version,
-				   o->versions->len - 1);
+	if (v != NULL)
+		return v;
+	g_array_append_val(o->versions, first);
+	return &g_array_index(o->versions, struct version,
+			      o->versions->len - 1);
+}
+
+void fg_origins_count_at_start(struct fg_origins *o, fg_ms now,
+			       uint64_t service, uint64_t software)
+{
+	find_or_add_version(o, now, service, software)->at_start++;
+}
+
+/* Returns whether all other versions of the service had fewer endpoints. */
+static bool had_most_endpoints(const struct fg_origins *o,
+			       const struct version *v)
+{
+	for (guint i = 0; i < o->versions->len; i++) {
+		const struct version *other =
+			&g_array_index(o->versions, struct version, i);
+
+		if (other != v && other->service == v->service &&
+		    other->at_start >= v->at_start)
+			return false;
+	}
+	return true;
+}
+
+void fg_origins_end_start(struct fg_origins *o, fg_ms now)
+{
+	for (guint i = 0; i < o->versions->len; i++) {
+		struct version *v =
+			&g_array_index(o->versions, struct version, i);
+
+		if (had_most_endpoints(o, v))
+			v->begin_after = now;
 	}
+}
+
+bool fg_origins_note_version(struct fg_origins *o, fg_ms now, uint64_t service,
+			     uint64_t software)
+{
+	struct version *v = find_or_add_version(o, now, service, software);
+	bool first = !v->noted;
+
 	v->listed_at = now;
+	v->noted = true;
+	return first;
 }
 
 fg_ms fg_origins_begin_after(const struct fg_origins *o, uint64_t service,
--- a/lib/origin/fg_origin.h
+++ b/lib/origin/fg_origin.h
@@ -59,11 +59,19 @@
  * fg_origins_note_version(). */
 void fg_origins_note_view(struct fg_origins *o, fg_ms view_at);
 
+/* The first complete read of the registry lists an endpoint of that version.
+ * fg_origins_end_start() follows the last one: streams may begin at once at the
+ * version that most endpoints of a service have, since the instances that were
+ * running then knew it. */
+void fg_origins_count_at_start(struct fg_origins *o, fg_ms now,
+			       uint64_t service, uint64_t software);
+void fg_origins_end_start(struct fg_origins *o, fg_ms now);
+
 /* An endpoint of the service is listed with that version, 0 when its entry
- * states none. `settled`: the version was in use before this instance started.
- * Call it for all endpoints a few times a second. */
-void fg_origins_note_version(struct fg_origins *o, fg_ms now, uint64_t service,
-			     uint64_t software, bool settled);
+ * states none. Call it for all endpoints a few times a second. Returns whether
+ * it is the first call for the version. */
+bool fg_origins_note_version(struct fg_origins *o, fg_ms now, uint64_t service,
+			     uint64_t software);
 
 /* Returns the time from which streams may begin at the version; FG_MS_NEVER
  * while it is not known. */
--- a/tests/unit/test_origin.c
+++ b/tests/unit/test_origin.c
@@ -44,7 +44,7 @@
 static void note(struct fg_origins *o, fg_ms now, uint64_t software)
 {
 	fg_origins_note_view(o, now);
-	fg_origins_note_version(o, now, SERVICE, software, false);
+	fg_origins_note_version(o, now, SERVICE, software);
 }
 
 static void note_until(struct fg_origins *o, fg_ms from, fg_ms to,
@@ -58,7 +58,10 @@
 {
 	struct fg_origins *o = fg_origins_new(&conf, 0, 0);
 
-	fg_origins_note_version(o, 0, SERVICE, 1, true);
+	fg_origins_count_at_start(o, 0, SERVICE, 1);
+	fg_origins_end_start(o, 0);
+	g_assert_true(fg_origins_note_version(o, 0, SERVICE, 1));
+	g_assert_false(fg_origins_note_version(o, 0, SERVICE, 1));
 	g_assert_cmpint(fg_origins_begin_after(o, SERVICE, 1), ==, 0);
 	/* What was listed before it started is not known to it. */
 	note_until(o, 1000, 59000, 1);
@@ -102,6 +105,24 @@
 	fg_origins_free(o);
 }
 
+/* Without a version that most endpoints have, none counts as known to others.
+ */
+static void test_start(void)
+{
+	struct fg_origins *o = fg_origins_new(&conf, 0, 0);
+
+	for (int i = 0; i < 5; i++)
+		fg_origins_count_at_start(o, 100, SERVICE, i < 3 ? 1 : 2);
+	fg_origins_count_at_start(o, 100, SERVICE + 1, 1);
+	fg_origins_count_at_start(o, 100, SERVICE + 1, 2);
+	fg_origins_end_start(o, 100);
+	g_assert_cmpint(fg_origins_begin_after(o, SERVICE, 1), ==, 100);
+	g_assert_cmpint(fg_origins_begin_after(o, SERVICE, 2), ==, 3100);
+	g_assert_cmpint(fg_origins_begin_after(o, SERVICE + 1, 1), ==, 3100);
+	g_assert_cmpint(fg_origins_begin_after(o, SERVICE + 1, 2), ==, 3100);
+	fg_origins_free(o);
+}
+
 static void test_records(void)
 {
 	struct fg_origins *o = fg_origins_new(&conf, 0, 0);
@@ -199,15 +220,21 @@
 	in->view_at = INT64_MIN / 2;
 }
 
-/* The version that was listed first has most endpoints. */
-static bool has_most_endpoints(const struct world *w, int version, fg_ms at)
+/* The version that was listed first has most endpoints: each has one endpoint
+ * more than those that came later. */
+static void count_at_start(const struct world *w, struct instance *in,
+			   fg_ms now)
 {
 	for (int v = 0; v < VERSIONS; v++) {
-		if (is_listed(w, v, at) &&
-		    w->listed_from[v] < w->listed_from[version])
-			return false;
+		for (int other = 0; other < VERSIONS; other++) {
+			if (is_listed(w, v, in->view_at) &&
+			    w->listed_from[v] <= w->listed_from[other])
+				fg_origins_count_at_start(in->origins, now,
+							  SERVICE,
+							  (uint64_t)v + 1);
+		}
 	}
-	return true;
+	fg_origins_end_start(in->origins, now);
 }
 
 static void read_registry(struct world *w, struct instance *in, fg_ms now)
@@ -217,13 +244,15 @@
 	if (!in->store_cut && (first || now - in->view_at >= 500 ||
 			       fg_rand_below(&w->rand, 3) == 0))
 		in->view_at = now;
-	if (in->view_at >= 0)
-		fg_origins_note_view(in->origins, in->view_at);
+	if (in->view_at < 0)
+		return;
+	if (first)
+		count_at_start(w, in, now);
+	fg_origins_note_view(in->origins, in->view_at);
 	for (int v = 0; v < VERSIONS; v++) {
 		if (is_listed(w, v, in->view_at))
-			fg_origins_note_version(
-				in->origins, now, SERVICE, (uint64_t)v + 1,
-				first && has_most_endpoints(w, v, in->view_at));
+			fg_origins_note_version(in->origins, now, SERVICE,
+						(uint64_t)v + 1);
 	}
 }
 
@@ -412,6 +441,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/origin/uniform", test_uniform);
 	g_test_add_func("/origin/gap_in_view", test_gap_in_view);
+	g_test_add_func("/origin/start", test_start);
 	g_test_add_func("/origin/records", test_records);
 	g_test_add_func("/origin/untold_while_uniform",
 			test_untold_while_uniform);
