Tests: one reader of simulation parameters, one reset of a connection

Found on reading the change once more; no test checks less.

- test_origin had the fourth copy of a function that reads a number from the environment; all four use tests/unit/sim_env now.
- tests/cut_path.py wrote reset_connection() of the stand-ins again.
- Cuts had a second way to add paths that nothing used, and a table of addresses that could be derived from the paths.

--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -30,8 +30,7 @@
 
     def add_view(self, addresses):
         """Returns an address at which the store shows other addresses of
-        replicas: {registered address: address shown}. More may be added to the
-        dict later."""
+        replicas: {registered address: address shown}."""
         def handle(req):
             req.shown = addresses
             return self.handle(req)
--- a/tests/cut_path.py
+++ b/tests/cut_path.py
@@ -3,23 +3,12 @@
 
 import select
 import socket
-import struct
 import threading
 import time
 
-REFUSE, HANG, RESET_NEW, ONE_WAY = "refuse", "hang", "reset_new", "one_way"
-
+from hosted import reset_connection
 
-def _abort(sock):
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                        struct.pack("ii", 1, 0))
-    except OSError:
-        pass
-    try:
-        sock.close()
-    except OSError:
-        pass
+REFUSE, HANG, RESET_NEW, ONE_WAY = "refuse", "hang", "reset_new", "one_way"
 
 
 class Path:
@@ -63,7 +52,7 @@
             try:
                 far = socket.create_connection((host, int(port)))
             except OSError:
-                _abort(near)
+                reset_connection(near)
                 continue
             for sock in (near, far):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -108,8 +97,8 @@
                     return
                 sink.sendall(data)
             except (OSError, ValueError):  # ValueError: closed meanwhile
-                _abort(source)
-                _abort(sink)
+                reset_connection(source)
+                reset_connection(sink)
                 return
 
     def _stop_listening(self):
@@ -124,8 +113,8 @@
         if mode == REFUSE:
             with self.lock:
                 for pair in self.pairs:
-                    _abort(pair[0])
-                    _abort(pair[1])
+                    reset_connection(pair[0])
+                    reset_connection(pair[1])
                 self.pairs.clear()
         if mode in (HANG, ONE_WAY):
             self.silent_up = mode == HANG
@@ -144,8 +133,8 @@
             silent, self.pairs = (self.pairs, []) if self.silent_down else (
                 [], self.pairs)
         for pair in silent:
-            _abort(pair[0])
-            _abort(pair[1])
+            reset_connection(pair[0])
+            reset_connection(pair[1])
         for filler in self.fillers:
             filler.close()
         self.fillers.clear()
--- a/tests/gateway_cuts.py
+++ b/tests/gateway_cuts.py
@@ -14,22 +14,16 @@
 
 
 class Cuts:
-    """Paths from each gateway to each replica: paths[gateway][replica]."""
+    """Paths from each gateway to each replica: paths[gateway][name]."""
 
-    def __init__(self, system_views):
-        self.views = system_views
+    def __init__(self):
         self.paths = []
 
-    def add_gateway(self, store):
-        self.paths.append({})
-        self.views.append({})
-        return store.add_view(self.views[-1])
-
-    def add_replica(self, replica):
-        for shown, paths in zip(self.views, self.paths):
-            path = Path(replica.addr)
-            shown[replica.addr] = path.addr
-            paths[replica.name] = path
+    def add_gateway(self, store, replicas):
+        """Returns the address at which the store shows the paths."""
+        paths = {r.name: Path(r.addr) for r in replicas}
+        self.paths.append(paths)
+        return store.add_view({r.addr: paths[r.name].addr for r in replicas})
 
     def cut(self, gateway, mode, names=None):
         for name, path in self.paths[gateway].items():
@@ -45,16 +39,11 @@
     """As System, with s.cuts between the gateways and the replicas."""
 
     def __init__(self, **options):
-        self.cuts = Cuts([])
+        self.cuts = Cuts()
         super().__init__(**options)
 
     def gateway_store(self, store):
-        addr = self.cuts.add_gateway(self.store)
-        for replica in self.engines + self.plains:
-            path = Path(replica.addr)
-            self.cuts.views[-1][replica.addr] = path.addr
-            self.cuts.paths[-1][replica.name] = path
-        return addr
+        return self.cuts.add_gateway(self.store, self.engines + self.plains)
 
 
 def cut_lines(s):
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -14,6 +14,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin", "hosted"))
 
+from si_http import reset_connection  # noqa: E402, F401
 from si_replica import EVENTS, MODEL, Replica  # noqa: E402
 from si_store import Store  # noqa: E402
 
--- a/tests/unit/test_blame_sim.c
+++ b/tests/unit/test_blame_sim.c
@@ -22,6 +22,7 @@
 #include "admit/fg_admit.h"
 #include "base/fg_rand.h"
 #include "blame/fg_blame.h"
+#include "sim_env.h"
 
 #define STEP_MS 10
 #define LENGTH_MS 60000
@@ -901,19 +902,12 @@
 	}
 }
 
-static uint64_t env_number(const char *name, uint64_t fallback)
-{
-	const char *text = g_getenv(name);
-
-	return text == NULL ? fallback : g_ascii_strtoull(text, NULL, 10);
-}
-
 static uint32_t run_day(const struct policy *policy, uint64_t seed)
 {
 	struct sim s = { .policy = policy };
 
 	fg_rand_seed(&s.rand, seed);
-	s.all_restart = env_number("FG_BLAME_ALL_RESTART", 0) != 0;
+	s.all_restart = sim_env_number("FG_BLAME_ALL_RESTART", 0) != 0;
 	s.n_nodes = 2 + (uint32_t)below(&s, NODES_MAX - 1);
 	s.n_eps = 6 + (uint32_t)below(&s, EPS_MAX - 5);
 	s.n_bad = 1 + (uint32_t)below(&s, BAD_PARTS_MAX);
@@ -955,7 +949,7 @@
 
 static uint32_t count_broken(const struct policy *policy, uint64_t schedules)
 {
-	uint64_t seed = env_number("FG_BLAME_SEED", 1);
+	uint64_t seed = sim_env_number("FG_BLAME_SEED", 1);
 	uint32_t broken = 0;
 
 	for (uint64_t i = 0; i < schedules; i++)
@@ -967,9 +961,10 @@
 
 static void test_parts(void)
 {
-	g_assert_cmpuint(count_broken(&parts_policy,
-				      env_number("FG_BLAME_SCHEDULES", 100)),
-			 ==, 0);
+	g_assert_cmpuint(
+		count_broken(&parts_policy,
+			     sim_env_number("FG_BLAME_SCHEDULES", 100)),
+		==, 0);
 }
 
 /* The judge finds what blocking whole requests leaves. */
--- a/tests/unit/test_claim_sim.c
+++ b/tests/unit/test_claim_sim.c
@@ -16,6 +16,7 @@
 
 #include "base/fg_rand.h"
 #include "claim/fg_claim.h"
+#include "sim_env.h"
 
 #define MACHINES 4
 #define STEP_MS 20
@@ -575,17 +576,10 @@
 	return n_broken;
 }
 
-static uint64_t env_number(const char *name, uint64_t fallback)
-{
-	const char *text = getenv(name);
-
-	return text == NULL ? fallback : g_ascii_strtoull(text, NULL, 10);
-}
-
 static void test_rule_holds(void)
 {
-	uint64_t n = env_number("FG_CLAIM_SCHEDULES", 1000);
-	uint64_t first = env_number("FG_CLAIM_SEED", 1);
+	uint64_t n = sim_env_number("FG_CLAIM_SCHEDULES", 1000);
+	uint64_t first = sim_env_number("FG_CLAIM_SEED", 1);
 	uint32_t n_schedules_broken = 0;
 	uint64_t total = 0;
 
--- a/tests/unit/test_origin.c
+++ b/tests/unit/test_origin.c
@@ -10,6 +10,7 @@
 #include "base/fg_rand.h"
 #include "fleet/fg_fleet.h"
 #include "origin/fg_origin.h"
+#include "sim_env.h"
 
 static const struct fg_origin_conf conf = {
 	.keep_ms = 60000,
@@ -412,17 +413,10 @@
 	total->wrong += w.wrong;
 }
 
-static uint64_t env_number(const char *name, uint64_t fallback)
-{
-	const char *text = g_getenv(name);
-
-	return text == NULL ? fallback : strtoull(text, NULL, 10);
-}
-
 static void test_simulation(void)
 {
-	uint64_t seed = env_number("FG_ORIGIN_SEED", 1);
-	uint64_t n = env_number("FG_ORIGIN_SCHEDULES", 100);
+	uint64_t seed = sim_env_number("FG_ORIGIN_SEED", 1);
+	uint64_t n = sim_env_number("FG_ORIGIN_SCHEDULES", 100);
 	struct world total = { .taken_up = 0 };
 
 	for (uint64_t i = 0; i < n; i++)
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -7,6 +7,7 @@
 
 #include "cluster.h"
 #include "owner/fg_owner_internal.h"
+#include "sim_env.h"
 
 #define SEEDS 400
 
@@ -601,18 +602,11 @@
 	cluster_free(c);
 }
 
-static uint64_t env_number(const char *name, uint64_t fallback)
-{
-	const char *text = g_getenv(name);
-
-	return text != NULL ? (uint64_t)atoll(text) : fallback;
-}
-
 /* FG_TEST_FIRST and FG_TEST_SEEDS select other seeds, for longer runs. */
 static void test_seeds(void)
 {
-	uint64_t first = env_number("FG_TEST_FIRST", 1);
-	uint64_t n = env_number("FG_TEST_SEEDS", SEEDS);
+	uint64_t first = sim_env_number("FG_TEST_FIRST", 1);
+	uint64_t n = sim_env_number("FG_TEST_SEEDS", SEEDS);
 
 	for (uint64_t seed = first; seed < first + n; seed++) {
 		current_seed = seed;
