fg-gateway: requests carry the keys of workspaces

Cause: on deployments whose configuration names workspaces, the gateway forwarded the caller's key to endpoints, served requests without a valid key and sent no workspace name.

Change: lib/workspace keeps keys by digest; the platform's folder decodes them; a request without a valid key gets 401, or 503 while a newer configuration may be in force; the key is checked again before each send when the configuration changed. Places for limits over all instances (lib/gateway/fg_gw_quota.c, mesh messages 12 and 13, settings) admit everything so far.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -321,6 +321,7 @@
 	fg_gw_origin_refresh(gw, now);
 	fg_gw_origin_tick(gw, now);
 	fg_gw_tunnel_tick(gw, now);
+	fg_gw_quota_tick(gw, now);
 	if (gw->stopping)
 		advance_stop(gw, now);
 }
@@ -435,6 +436,7 @@
 	gw->suspects = fg_suspects_new(&suspects_conf);
 	fg_gw_blame_init(gw);
 	fg_gw_origin_init(gw);
+	fg_gw_quota_init(gw);
 	gw->retry_budgets = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)fg_retry_free);
 	gw->metrics = fg_metrics_new();
@@ -533,6 +535,7 @@
 	fg_suspects_free(gw->suspects);
 	fg_gw_blame_free(gw);
 	fg_gw_origin_free(gw);
+	fg_gw_quota_free(gw);
 	fg_routes_unref(gw->routes);
 	g_hash_table_unref(gw->announced_versions);
 	g_hash_table_unref(gw->retry_budgets);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -4,6 +4,8 @@
  *   fg_gateway.c     start, periodic tick, planned stop, settings
  *   fg_gw_caller.c   connections of callers
  *   fg_gw_request.c  a request from its head to its final answer
+ *   fg_gw_workspace.c whose key a request carries
+ *   fg_gw_quota.c    limits of workspaces, shared with other instances
  *   fg_gw_place.c    choice of an endpoint, and the wait for a load
  *   fg_gw_send.c     connections to endpoints, one send of a request
  *   fg_gw_endpoint.c what is kept of an endpoint
@@ -130,6 +132,7 @@
 	FG_GWREQ_WAIT_RETRY = 3,  /* for the next choice of an endpoint */
 	FG_GWREQ_SENT = 4,
 	FG_GWREQ_WAIT_ORIGIN = 5, /* for the version that began its stream */
+	FG_GWREQ_WAIT_QUOTA = 6,  /* for tokens of its workspace's limit */
 };
 
 #define FG_GWREQ_TRIED_MAX 4
@@ -146,7 +149,11 @@
 	struct fg_routes *routes; /* reference */
 	const struct fg_route *route;
 	const struct fg_svc *service;
-	uint64_t adapter; /* key; 0: none */
+	/* Of `routes`; NULL: none. */
+	const struct fg_workspace *workspace;
+	struct fg_ws_digest key; /* of the caller; zero without a workspace */
+	uint32_t quota_taken;	 /* tokens that can be given back */
+	uint64_t adapter;	 /* key; 0: none */
 	uint64_t fingerprint;
 	uint64_t local_id; /* counts requests of this process */
 	fg_ms arrived_at;
@@ -246,6 +253,10 @@
  * an answer was sent already. */
 void fg_gwreq_fail(struct fg_gwreq *r, unsigned int status, const char *reason);
 
+/* The request may run: continues after the checks of its key and of its
+ * workspace's limit. */
+void fg_gwreq_place_admitted(struct fg_gwreq *r);
+
 /* Chooses an endpoint; sends the request there or waits for a load. */
 void fg_gwreq_place(struct fg_gwreq *r);
 
@@ -644,6 +655,44 @@
 			      struct fg_fleet_ep *ep, const char *model,
 			      const char *adapter, uint64_t version);
 
+/* ---- Workspaces ---- */
+
+/* Returns whether the store's answers have failed for so long that a newer
+ * configuration may be in force elsewhere. */
+bool fg_gw_is_config_stale(const struct fg_gateway *gw, fg_ms now);
+
+/* Sets r->workspace by the caller's key. Returns false when the request must
+ * not run; it is answered then. */
+bool fg_gw_workspace_admit(struct fg_gwreq *r);
+
+/* Returns whether the request's key still holds; call it before each send. The
+ * request is answered otherwise. */
+bool fg_gw_workspace_recheck(struct fg_gwreq *r);
+
+/* ---- Limits of workspaces ---- */
+
+void fg_gw_quota_init(struct fg_gateway *gw);
+void fg_gw_quota_free(struct fg_gateway *gw);
+
+/* Takes the request's tokens from its workspace's limit. Returns false when it
+ * waits for tokens (FG_GWREQ_WAIT_QUOTA) or was refused;
+ * fg_gwreq_place_admitted() is called once they are granted. */
+bool fg_gw_quota_admit(struct fg_gwreq *r);
+
+/* The step of a request in FG_GWREQ_WAIT_QUOTA is due. */
+void fg_gw_quota_time_out(struct fg_gwreq *r);
+
+/* The request ends without having run: gives its tokens back. */
+void fg_gw_quota_give_back(struct fg_gwreq *r);
+
+void fg_gw_quota_tick(struct fg_gateway *gw, fg_ms now);
+
+/* Messages of other instances. */
+void fg_gw_quota_answer_ask(struct fg_gateway *gw, const fg_mesh_packet *packet,
+			    const char *from);
+void fg_gw_quota_apply_reply(struct fg_gateway *gw,
+			     const fg_mesh_packet *packet);
+
 /* ---- Prompt parts that crash endpoints ---- */
 
 void fg_gw_blame_init(struct fg_gateway *gw);
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -76,6 +76,8 @@
 		g_string_append_printf(out, "Retry-After: %u.%03u\r\n",
 				       retry_ms / FG_MS_PER_S,
 				       retry_ms % FG_MS_PER_S);
+	if (status == HTTP_STATUS_UNAUTHORIZED)
+		g_string_append(out, "WWW-Authenticate: Bearer\r\n");
 	if (type != NULL)
 		g_string_append_printf(out, "Content-Type: %s\r\n", type);
 	if (c->close_after)
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -50,7 +50,7 @@
 
 static void send_to_endpoint(struct fg_gwreq *r)
 {
-	if (fg_gw_blame_refuse_blocked(r))
+	if (fg_gw_blame_refuse_blocked(r) || !fg_gw_workspace_recheck(r))
 		return;
 	if (!fg_ep_accepts(r->ep, fg_clock_now()) ||
 	    (r->software != 0 && r->software != r->ep->software)) {
@@ -325,6 +325,8 @@
 		choose_endpoint(r);
 	} else if (r->state == FG_GWREQ_WAIT_ORIGIN) {
 		fg_gw_origin_time_out(r);
+	} else if (r->state == FG_GWREQ_WAIT_QUOTA) {
+		fg_gw_quota_time_out(r);
 	} else if (r->state == FG_GWREQ_WAIT_LOAD) {
 		check_load(r);
 	} else if (r->state == FG_GWREQ_WAIT_RETRY) {
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -284,6 +284,12 @@
 	case FG_MESH_ORIGIN_REP:
 		fg_gw_origin_apply_reply(gw, &packet);
 		break;
+	case FG_MESH_QUOTA_ASK:
+		fg_gw_quota_answer_ask(gw, &packet, address);
+		break;
+	case FG_MESH_QUOTA_REP:
+		fg_gw_quota_apply_reply(gw, &packet);
+		break;
 	}
 	fg_mesh_clear(&packet);
 }
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -15,6 +15,9 @@
  * priority 1. */
 #define URGENCY_BASE 4
 #define URGENCY_MAX 9
+/* Priorities of workspaces are this far apart, so that those of routes order
+ * the requests of one workspace. A workspace of priority 1 counts like none. */
+#define URGENCY_PER_WORKSPACE_PRIORITY 3
 /* While calls to the store fail, the configuration counts as current for this
  * long after the store's last answer. */
 #define CONFIG_STALE_MS 3000
@@ -26,7 +29,14 @@
 
 uint32_t fg_gwreq_urgency(const struct fg_gwreq *r)
 {
-	return MIN(URGENCY_BASE + r->route->priority, URGENCY_MAX);
+	const uint32_t step = URGENCY_PER_WORKSPACE_PRIORITY;
+
+	if (r->workspace == NULL || !r->workspace->has_priority)
+		return MIN(URGENCY_BASE + r->route->priority, URGENCY_MAX);
+	return MIN(URGENCY_BASE - step +
+			   step * MIN(r->workspace->priority, step) +
+			   MIN(r->route->priority, step - 1),
+		   URGENCY_MAX);
 }
 
 /* ---- Log ---- */
@@ -409,7 +419,7 @@
 	       r->arrived_at - r->gw->stopping_since > STOP_ACCEPT_MS;
 }
 
-static bool is_config_stale(const struct fg_gateway *gw, fg_ms now)
+bool fg_gw_is_config_stale(const struct fg_gateway *gw, fg_ms now)
 {
 	const struct fg_feed *f = &gw->feeds[FG_FEED_CONFIG];
 
@@ -460,7 +470,7 @@
 		fg_routes_find(r->routes, r->call.host, fg_h1_target(r->head));
 	if (r->route != NULL)
 		return true;
-	if (is_config_stale(gw, r->arrived_at)) {
+	if (fg_gw_is_config_stale(gw, r->arrived_at)) {
 		fg_gwreq_refuse(r, "configuration_stale",
 				FG_GWREQ_RETRY_MAX_MS / 2);
 		return false;
@@ -486,6 +496,19 @@
 			fg_adapter_key(r->call.model, fg_gwreq_adapter_name(r));
 }
 
+void fg_gwreq_place_admitted(struct fg_gwreq *r)
+{
+	struct fg_gateway *gw = r->gw;
+
+	if (r->adapter != 0)
+		fg_gw_update_token_rate(gw, r->arrived_at, r->adapter,
+					r->call.prompt_tokens);
+	fg_retry_count_first(fg_gw_retry_budget(gw, r->service->name),
+			     r->arrived_at, FG_CLASS_STATUS);
+	if (fg_gw_origin_resolve(r))
+		fg_gwreq_place(r);
+}
+
 void fg_gwreq_start(struct fg_caller *c)
 {
 	struct fg_gwreq *r = req_new(c);
@@ -496,7 +519,7 @@
 		fg_gwreq_fail(r, HTTP_STATUS_BAD_REQUEST, "no_host");
 		return;
 	}
-	if (!find_route_or_answer(r))
+	if (!find_route_or_answer(r) || !fg_gw_workspace_admit(r))
 		return;
 	set_service_and_limits(r);
 	if (is_too_late_to_start(r)) {
@@ -511,11 +534,6 @@
 	}
 	if (!fg_gw_blame_admit(r))
 		return;
-	if (r->adapter != 0)
-		fg_gw_update_token_rate(gw, r->arrived_at, r->adapter,
-					r->call.prompt_tokens);
-	fg_retry_count_first(fg_gw_retry_budget(gw, r->service->name),
-			     r->arrived_at, FG_CLASS_STATUS);
-	if (fg_gw_origin_resolve(r))
-		fg_gwreq_place(r);
+	if (fg_gw_quota_admit(r))
+		fg_gwreq_place_admitted(r);
 }
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -10,6 +10,15 @@
 	       "reason", why == NULL ? NULL : why->message, NULL);
 }
 
+static void log_problems(const struct fg_ws_set *set)
+{
+	const GPtrArray *problems = fg_ws_set_problems(set);
+
+	for (guint i = 0; i < problems->len; i++)
+		fg_log(FG_LOG_ERROR, "workspaces", "bad_entry", "reason",
+		       (const char *)problems->pdata[i], NULL);
+}
+
 static void apply_config(struct fg_gateway *gw, const struct fg_store_row *row)
 {
 	GError *why = NULL;
@@ -31,6 +40,8 @@
 	fg_log(FG_LOG_INFO, "sync", "configuration", "version", version, NULL);
 	fg_routes_unref(gw->routes);
 	gw->routes = t;
+	if (t->workspaces != NULL)
+		log_problems(t->workspaces);
 	fg_gw_count_event(gw, "configurations", NULL);
 }
 
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -23,6 +23,8 @@
 	char *retry_ratio, *retry_slack, *stop_grace_s, *lookup_ttl_s;
 	char *version_ms, *drain_ms, *connections_max;
 	char *turn_ms, *fences_checked, *first_start;
+	char *revoke_ms, *revoke_strict;
+	char *quota_window_s, *quota_excess, *quota_slack, *overload;
 	struct fg_gwconf_dc *dcs;
 	unsigned int dcs_count;
 };
@@ -67,6 +69,12 @@
 	TEXT_OPT(turn_ms),
 	TEXT_OPT(fences_checked),
 	TEXT_OPT(first_start),
+	TEXT_OPT(revoke_ms),
+	TEXT_OPT(revoke_strict),
+	TEXT_OPT(quota_window_s),
+	TEXT_OPT(quota_excess),
+	TEXT_OPT(quota_slack),
+	TEXT_OPT(overload),
 	CYAML_FIELD_SEQUENCE("data_centres", CYAML_FLAG_POINTER,
 			     struct raw_settings, dcs, &dc_schema, 0, DCS_MAX),
 	CYAML_FIELD_END,
@@ -189,6 +197,17 @@
 	c->connections_max =
 		check_number(errors, path, "connections_max",
 			     raw->connections_max, 1, 100000, 1024);
+	c->revoke_ms = check_number(errors, path, "revoke_ms", raw->revoke_ms,
+				    1, 3600000, 5000);
+	c->revoke_strict =
+		check_bool(errors, path, "revoke_strict", raw->revoke_strict);
+	c->quota_window_ms = check_number(errors, path, "quota_window_s",
+					  raw->quota_window_s, 1000, 3600, 0);
+	c->quota_excess_permille = check_number(errors, path, "quota_excess",
+						raw->quota_excess, 1000, 1, 0);
+	c->quota_slack = check_number(errors, path, "quota_slack",
+				      raw->quota_slack, 1, 1e9, 0);
+	c->overload = check_bool(errors, path, "overload", raw->overload);
 }
 
 static struct fg_gwconf *check_settings(const struct raw_settings *raw,
--- a/lib/gateway/fg_gwconf.h
+++ b/lib/gateway/fg_gwconf.h
@@ -51,6 +51,17 @@
 	bool first_start;  /* no instance ran before */
 	bool fences_checked;	  /* engines refuse lower fencing numbers */
 	uint32_t connections_max; /* open ones from callers, at most */
+	/* Time limit for a withdrawn key to lose its effect, and whether an
+	 * instance that hears from no one refuses all keys after it. */
+	uint32_t revoke_ms;
+	bool revoke_strict;
+	/* Tolerance of the workspaces' limits: in any window, `quota_excess`
+	 * in 1000 of the limit and `quota_slack` tokens. A window of 0: limits
+	 * are not enforced. */
+	uint32_t quota_window_ms;
+	uint32_t quota_excess_permille;
+	uint32_t quota_slack;
+	bool overload; /* rank decides who gives way when room is short */
 };
 
 /* Read settings from a file, or from `text` with `path` as its name in errors.
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -160,6 +160,30 @@
 	unsigned int pause_ms;
 };
 
+/* Asks the holder of a workspace's account for tokens of its limit. */
+struct fg_mesh_quota_ask {
+	unsigned int request;   /* chosen by the sender, echoed in the reply */
+	unsigned hyper workspace;       /* hash of the name */
+	unsigned int tokens;            /* wanted; 0: only returns some */
+	unsigned int returned;          /* of earlier leases, not spent */
+	unsigned int asked;             /* by callers in the last second */
+};
+
+enum fg_mesh_quota_answer {
+	FG_MESH_QUOTA_GRANTED = 0,
+	FG_MESH_QUOTA_REFUSED = 1,      /* the limit is used up */
+	FG_MESH_QUOTA_NOT_HOLDER = 2    /* does not keep the account */
+};
+
+struct fg_mesh_quota_rep {
+	unsigned int request;
+	unsigned hyper workspace;
+	fg_mesh_quota_answer answer;
+	unsigned int tokens;            /* granted */
+	unsigned int valid_ms;          /* of the grant */
+	unsigned int retry_ms;          /* until tokens can be granted */
+};
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
@@ -171,7 +195,9 @@
 	FG_MESH_ORIGINS = 8,
 	FG_MESH_ORIGIN_ASK = 9,
 	FG_MESH_ORIGIN_REP = 10,
-	FG_MESH_EP_SAID = 11
+	FG_MESH_EP_SAID = 11,
+	FG_MESH_QUOTA_ASK = 12,
+	FG_MESH_QUOTA_REP = 13
 };
 
 union fg_mesh_body switch (fg_mesh_kind kind) {
@@ -197,6 +223,10 @@
 	fg_mesh_origin_rep origin_rep;
 case FG_MESH_EP_SAID:
 	fg_mesh_ep_said ep_said;
+case FG_MESH_QUOTA_ASK:
+	fg_mesh_quota_ask quota_ask;
+case FG_MESH_QUOTA_REP:
+	fg_mesh_quota_rep quota_rep;
 };
 
 /* Rows that one instance reads from another, over HTTP instead of datagrams. */
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -196,6 +196,32 @@
 };
 typedef struct fg_mesh_ep_said fg_mesh_ep_said;
 
+struct fg_mesh_quota_ask {
+	u_int request;
+	u_quad_t workspace;
+	u_int tokens;
+	u_int returned;
+	u_int asked;
+};
+typedef struct fg_mesh_quota_ask fg_mesh_quota_ask;
+
+enum fg_mesh_quota_answer {
+	FG_MESH_QUOTA_GRANTED = 0,
+	FG_MESH_QUOTA_REFUSED = 1,
+	FG_MESH_QUOTA_NOT_HOLDER = 2,
+};
+typedef enum fg_mesh_quota_answer fg_mesh_quota_answer;
+
+struct fg_mesh_quota_rep {
+	u_int request;
+	u_quad_t workspace;
+	fg_mesh_quota_answer answer;
+	u_int tokens;
+	u_int valid_ms;
+	u_int retry_ms;
+};
+typedef struct fg_mesh_quota_rep fg_mesh_quota_rep;
+
 enum fg_mesh_kind {
 	FG_MESH_HEARTBEAT = 1,
 	FG_MESH_LOAD_REQ = 2,
@@ -208,6 +234,8 @@
 	FG_MESH_ORIGIN_ASK = 9,
 	FG_MESH_ORIGIN_REP = 10,
 	FG_MESH_EP_SAID = 11,
+	FG_MESH_QUOTA_ASK = 12,
+	FG_MESH_QUOTA_REP = 13,
 };
 typedef enum fg_mesh_kind fg_mesh_kind;
 
@@ -225,6 +253,8 @@
 		fg_mesh_origin_ask origin_ask;
 		fg_mesh_origin_rep origin_rep;
 		fg_mesh_ep_said ep_said;
+		fg_mesh_quota_ask quota_ask;
+		fg_mesh_quota_rep quota_rep;
 	} fg_mesh_body_u;
 };
 typedef struct fg_mesh_body fg_mesh_body;
@@ -283,6 +313,9 @@
 extern  bool_t xdr_fg_mesh_origin_ask (XDR *, fg_mesh_origin_ask*);
 extern  bool_t xdr_fg_mesh_origin_rep (XDR *, fg_mesh_origin_rep*);
 extern  bool_t xdr_fg_mesh_ep_said (XDR *, fg_mesh_ep_said*);
+extern  bool_t xdr_fg_mesh_quota_ask (XDR *, fg_mesh_quota_ask*);
+extern  bool_t xdr_fg_mesh_quota_answer (XDR *, fg_mesh_quota_answer*);
+extern  bool_t xdr_fg_mesh_quota_rep (XDR *, fg_mesh_quota_rep*);
 extern  bool_t xdr_fg_mesh_kind (XDR *, fg_mesh_kind*);
 extern  bool_t xdr_fg_mesh_body (XDR *, fg_mesh_body*);
 extern  bool_t xdr_fg_mesh_row (XDR *, fg_mesh_row*);
@@ -311,6 +344,9 @@
 extern bool_t xdr_fg_mesh_origin_ask ();
 extern bool_t xdr_fg_mesh_origin_rep ();
 extern bool_t xdr_fg_mesh_ep_said ();
+extern bool_t xdr_fg_mesh_quota_ask ();
+extern bool_t xdr_fg_mesh_quota_answer ();
+extern bool_t xdr_fg_mesh_quota_rep ();
 extern bool_t xdr_fg_mesh_kind ();
 extern bool_t xdr_fg_mesh_body ();
 extern bool_t xdr_fg_mesh_row ();
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -484,6 +484,54 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fg_mesh_quota_ask (XDR *xdrs, fg_mesh_quota_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->returned))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->asked))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_quota_answer (XDR *xdrs, fg_mesh_quota_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fg_mesh_quota_rep (XDR *xdrs, fg_mesh_quota_rep *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_fg_mesh_quota_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fg_mesh_kind (XDR *xdrs, fg_mesh_kind *objp)
 {
@@ -546,6 +594,14 @@
 		 if (!xdr_fg_mesh_ep_said (xdrs, &objp->fg_mesh_body_u.ep_said))
 			 return FALSE;
 		break;
+	case FG_MESH_QUOTA_ASK:
+		 if (!xdr_fg_mesh_quota_ask (xdrs, &objp->fg_mesh_body_u.quota_ask))
+			 return FALSE;
+		break;
+	case FG_MESH_QUOTA_REP:
+		 if (!xdr_fg_mesh_quota_rep (xdrs, &objp->fg_mesh_body_u.quota_rep))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/lib/route/fg_route.c
+++ b/lib/route/fg_route.c
@@ -51,6 +51,7 @@
 	g_hash_table_unref(t->by_host);
 	g_ptr_array_unref(t->routes);
 	g_ptr_array_unref(t->services);
+	fg_ws_set_free(t->workspaces);
 	g_free(t);
 }
 
--- a/lib/route/fg_route.h
+++ b/lib/route/fg_route.h
@@ -16,6 +16,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "workspace/fg_workspace.h"
+
 /* A model that the engines of a service run. */
 struct fg_svc_model {
 	char *name;
@@ -49,6 +51,7 @@
 	bool idempotent; /* a request may run more than once */
 	bool streaming;
 	bool resumable; /* another endpoint may continue a stream */
+	bool anonymous; /* serves requests without a key */
 	uint32_t timeout_ms;
 	uint32_t target_latency_ms; /* an answer within it has its full value */
 	uint32_t priority;	    /* 0 is the most urgent */
@@ -72,6 +75,7 @@
 	GPtrArray *services; /* struct fg_svc * */
 	GPtrArray *routes;   /* struct fg_route * */
 	GHashTable *by_host; /* lower-case host -> GPtrArray of routes */
+	struct fg_ws_set *workspaces; /* NULL: requests carry no keys */
 	int refs;
 };
 
--- a/lib/wire/fg_wire.c
+++ b/lib/wire/fg_wire.c
@@ -14,6 +14,9 @@
 	g_free(c->model);
 	g_free(c->adapter);
 	g_free(c->resumes_id);
+	if (c->credential != NULL)
+		explicit_bzero(c->credential, strlen(c->credential));
+	g_free(c->credential);
 	g_clear_pointer(&c->shared_parts, g_bytes_unref);
 	memset(c, 0, sizeof(*c));
 }
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -46,6 +46,11 @@
 	GBytes *shared_parts;
 	bool resumes;	       /* the caller resumes a stream */
 	uint64_t resume_after; /* last event id that it has received */
+	/* The key that the caller sent, NULL when there is none; bad_credential
+	 * when it sent several or one of another form. */
+	char *credential;
+	bool bad_credential;
+	bool has_tokens;  /* prompt_tokens and output_tokens were stated */
 	char *resumes_id; /* id of the attempt that brought the stream's first
 			     event; NULL: not stated */
 };
@@ -63,6 +68,9 @@
 	uint64_t resume_after;
 	uint64_t body_bytes;
 	bool has_body; /* writes Content-Length, even for 0 bytes */
+	/* Replaces the caller's key and workspace by that of the request. */
+	bool identified;
+	const char *workspace; /* NULL: the request belongs to none */
 };
 
 /* Larger limits are cut to this. */
