fg-gateway: limits of workspaces over all instances; spread heartbeats

Ruled out: failed sends (none), a stale view of who reads. The interval is now random around its mean.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -217,11 +217,12 @@
 		return;
 	gw->stopping = true;
 	gw->stopping_since = now;
+	fg_quota_leave(gw->quota);
 	gw->stop_deadline = now + gw->conf->stop_grace_ms - STOP_MARGIN_MS;
 	gw->quiet_since = now;
 	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
 	fg_gw_mesh_send_heartbeat(gw);
-	gw->far_heartbeat_at = 0;
+	gw->far_heartbeat_due_at = now;
 	/* Releases engines at once. */
 	gw->next_tx_at = now;
 	fg_sync_tick(gw, now);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -55,6 +55,7 @@
 #include "metrics/fg_metrics.h"
 #include "origin/fg_origin.h"
 #include "place/fg_popularity.h"
+#include "quota/fg_quota.h"
 #include "relay/fg_relay.h"
 #include "route/fg_route.h"
 #include "slots/fg_loadgate.h"
@@ -249,6 +250,10 @@
 void fg_gwreq_refuse_until(struct fg_gwreq *r, const char *reason,
 			   uint32_t retry_ms);
 
+/* As fg_gwreq_refuse_until(), with the final answer 429. */
+void fg_gwreq_refuse_limit(struct fg_gwreq *r, const char *reason,
+			   uint32_t retry_ms);
+
 /* Gives the final answer `status`, or resets the connection when the head of
  * an answer was sent already. */
 void fg_gwreq_fail(struct fg_gwreq *r, unsigned int status, const char *reason);
@@ -679,12 +684,14 @@
  * fg_gwreq_place_admitted() is called once they are granted. */
 bool fg_gw_quota_admit(struct fg_gwreq *r);
 
-/* The step of a request in FG_GWREQ_WAIT_QUOTA is due. */
-void fg_gw_quota_time_out(struct fg_gwreq *r);
-
-/* The request ends without having run: gives its tokens back. */
+/* The request ends without having run: gives its tokens back, or no longer
+ * waits for them. */
 void fg_gw_quota_give_back(struct fg_gwreq *r);
 
+/* Appends a line for each workspace with a limit, for the state dump. */
+void fg_gw_quota_append_state(GString *out, const struct fg_gateway *gw,
+			      fg_ms now);
+
 void fg_gw_quota_tick(struct fg_gateway *gw, fg_ms now);
 
 /* Messages of other instances. */
@@ -867,13 +874,16 @@
 	bool origins_started; /* the registry's first full read was noted */
 	fg_ms woke_at; /* end of the last pause of this process; 0: none */
 	GHashTable *retry_budgets; /* service name -> struct fg_retry * */
+	struct fg_quota *quota;
+	uv_timer_t *quota_timer;
+	struct fg_routes *quota_routes; /* whose limits are in force */
 
 	uv_udp_t mesh;
 	uint32_t heartbeat_seq;
-	fg_ms near_heartbeat_at; /* last one to this region */
-	fg_ms far_heartbeat_at;	 /* last one to other regions */
-	bool heartbeat_due;	 /* something changed since the last one */
-	GArray *crashes;	 /* struct fg_crash_notice */
+	fg_ms near_heartbeat_at;    /* last one to this region */
+	fg_ms far_heartbeat_due_at; /* next one to other regions */
+	bool heartbeat_due;	    /* something changed since the last one */
+	GArray *crashes;	    /* struct fg_crash_notice */
 
 	uv_timer_t tick;
 	uv_signal_t signals[3];
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -286,6 +286,13 @@
 
 /* ---- Periodic tick ---- */
 
+/* Instances that start together would send together forever, and what one of
+ * them forwards of all the others would exceed a narrow link. */
+static fg_ms random_around(struct fg_gateway *gw, fg_ms mean_ms)
+{
+	return mean_ms / 2 + (fg_ms)fg_rand_below(&gw->rand, (uint64_t)mean_ms);
+}
+
 void fg_gw_mesh_tick(struct fg_gateway *gw, fg_ms now)
 {
 	fg_ms peers = fg_peers_all(gw->peers)->len;
@@ -297,9 +304,10 @@
 	    (gw->heartbeat_due &&
 	     now - gw->near_heartbeat_at >= near_interval_ms))
 		send_near_heartbeat(gw, now);
-	if (now - gw->far_heartbeat_at >= far_interval_ms) {
+	if (now >= gw->far_heartbeat_due_at) {
 		send_heartbeat(gw, false);
-		gw->far_heartbeat_at = now;
+		gw->far_heartbeat_due_at =
+			now + random_around(gw, far_interval_ms);
 		expire_crashes(gw);
 	}
 }
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -258,6 +258,8 @@
 	fg_gwreq_log_routine(r, "caller_left", NULL);
 	fg_gwreq_count_outcome(r, "caller_left", NULL);
 	r->caller = NULL;
+	if (r->state != FG_GWREQ_SENT && !r->may_have_run)
+		fg_gw_quota_give_back(r);
 	req_remove(r);
 }
 
@@ -279,20 +281,33 @@
 	fg_gwreq_finish(r);
 }
 
-void fg_gwreq_refuse_until(struct fg_gwreq *r, const char *reason,
-			   uint32_t retry_ms)
+static void refuse_with_status(struct fg_gwreq *r, unsigned int status,
+			       const char *reason, uint32_t retry_ms)
 {
 	if (r->may_have_run || r->head_sent) {
 		fg_gwreq_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
 		return;
 	}
+	fg_gw_quota_give_back(r);
 	fg_gwreq_log(r, "refused", reason);
 	fg_gwreq_count_outcome(r, "refused", reason);
-	fg_caller_answer(r->caller, HTTP_STATUS_SERVICE_UNAVAILABLE, r->call.id,
-			 retry_ms, NULL, "", 0);
+	fg_caller_answer(r->caller, status, r->call.id, retry_ms, NULL, "", 0);
 	fg_gwreq_finish(r);
 }
 
+void fg_gwreq_refuse_until(struct fg_gwreq *r, const char *reason,
+			   uint32_t retry_ms)
+{
+	refuse_with_status(r, HTTP_STATUS_SERVICE_UNAVAILABLE, reason,
+			   retry_ms);
+}
+
+void fg_gwreq_refuse_limit(struct fg_gwreq *r, const char *reason,
+			   uint32_t retry_ms)
+{
+	refuse_with_status(r, HTTP_STATUS_TOO_MANY_REQUESTS, reason, retry_ms);
+}
+
 void fg_gwreq_refuse(struct fg_gwreq *r, const char *reason, uint32_t retry_ms)
 {
 	fg_gwreq_refuse_until(
--- a/lib/gateway/fg_gw_workspace.c
+++ b/lib/gateway/fg_gw_workspace.c
@@ -11,6 +11,8 @@
 {
 	static const char body[] = "no valid API key\n";
 
+	if (!r->may_have_run)
+		fg_gw_quota_give_back(r);
 	fg_gwreq_log(r, "denied", reason);
 	fg_gwreq_count_outcome(r, "denied", reason);
 	fg_caller_answer(r->caller, HTTP_STATUS_UNAUTHORIZED, r->call.id, 0,
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -166,7 +166,7 @@
 	unsigned hyper workspace;       /* hash of the name */
 	unsigned int tokens;            /* wanted; 0: only returns some */
 	unsigned int returned;          /* of earlier leases, not spent */
-	unsigned int asked;             /* by callers in the last second */
+	unsigned int need;              /* fewer are of no use */
 };
 
 enum fg_mesh_quota_answer {
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -201,7 +201,7 @@
 	u_quad_t workspace;
 	u_int tokens;
 	u_int returned;
-	u_int asked;
+	u_int need;
 };
 typedef struct fg_mesh_quota_ask fg_mesh_quota_ask;
 
--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -497,7 +497,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->returned))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->asked))
+	 if (!xdr_u_int (xdrs, &objp->need))
 		 return FALSE;
 	return TRUE;
 }
