lib/quota: shares and heartbeats right after a start of all instances

Cause: after all instances ended together, each refused every request of a limited workspace for 0.8 s, since it had heard from less than half of the others, and told callers to come back after 0.4 s, when they were refused again.

Change: an instance may use its share before it has first heard from the others, and holders keep that share back; a row of a new instance causes a heartbeat at once; the time to come back covers the start.

--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -130,6 +130,20 @@
 	       strcmp(old->software, facts->software) == 0;
 }
 
+/* Instances of other regions hear of this one at once instead of after the
+ * interval of heartbeats, spread over NEW_PEER_SPREAD_MS, since the rows of
+ * many instances that start together arrive together. */
+#define NEW_PEER_SPREAD_MS 200
+
+static void greet(struct fg_gateway *gw, fg_ms now)
+{
+	fg_ms due_at =
+		now + (fg_ms)fg_rand_below(&gw->rand, NEW_PEER_SPREAD_MS);
+
+	gw->heartbeat_due = true;
+	gw->far_heartbeat_due_at = MIN(gw->far_heartbeat_due_at, due_at);
+}
+
 static void log_restart(const struct fg_fleet_ep *ep,
 			const char *software_before)
 {
@@ -207,6 +221,8 @@
 	} else if (fg_peer_row_parse(row->key + strlen(FG_SYNC_KEY_INSTANCE),
 				     row->value, &peer)) {
 		peer.version = row->version;
+		if (fg_peers_find(gw->peers, peer.incarnation) == NULL)
+			greet(gw, now);
 		fg_peers_put(gw->peers, now, &peer);
 	} else {
 		log_refused_row("instance_row_refused", row, NULL);
--- a/lib/quota/fg_quota.c
+++ b/lib/quota/fg_quota.c
@@ -58,7 +58,7 @@
 	return q->complete && 2 * (q->n_alive + 1) > q->members->len + 1;
 }
 
-/* Part of each rate that instances which are not seen alive any more may be
+/* Part of each rate that instances which are not seen alive, or not yet, may be
  * admitting from their shares. */
 static double unseen_part(const struct fg_quota *q, fg_ms now)
 {
@@ -68,8 +68,9 @@
 		const struct member *m =
 			&g_array_index(q->members, struct member, i);
 
-		if (!m->pub.alive && m->alive_at != 0 &&
-		    now - m->alive_at < FG_QUOTA_SHARE_MS + FG_QUOTA_LEASE_MS)
+		if (!m->pub.alive &&
+		    now - MAX(m->alive_at, m->listed_at) <
+			    FG_QUOTA_SHARE_MS + FG_QUOTA_LEASE_MS)
 			n++;
 	}
 	return (double)n / (q->members->len + 1);
@@ -99,7 +100,7 @@
 	q->complete = complete;
 	for (uint32_t i = 0; i < n; i++) {
 		const struct member *known = find_in(old, i, members[i].id);
-		struct member m = { 0 };
+		struct member m = { .listed_at = now };
 
 		if (known != NULL)
 			m = *known;
@@ -112,6 +113,8 @@
 	}
 	g_array_unref(old);
 	q->kept_back = unseen_part(q, now);
+	if (complete && q->complete_at == 0)
+		q->complete_at = now;
 	if (fgq_has_majority(q))
 		q->majority_at = now;
 }
--- a/lib/quota/fg_quota_lease.c
+++ b/lib/quota/fg_quota_lease.c
@@ -21,6 +21,8 @@
 #define REFUSED_MS_PER_INSTANCE 0.5
 /* Retry-After while no holder answers: by then the next one has taken over. */
 #define UNKNOWN_RETRY_MS 400
+/* Time from the start of all instances until they have heard of each other. */
+#define START_MS 1200
 
 static void note_demand(struct workspace *w, fg_ms now, uint32_t tokens)
 {
@@ -91,13 +93,22 @@
 
 /* ---- Share of an instance that reaches no holder ---- */
 
+static uint32_t unknown_retry_ms(const struct fg_quota *q, fg_ms now)
+{
+	if (q->majority_at != 0)
+		return UNKNOWN_RETRY_MS;
+	if (q->complete_at == 0)
+		return START_MS;
+	return (uint32_t)MAX(q->complete_at + START_MS - now, UNKNOWN_RETRY_MS);
+}
+
 static bool take_share(struct fg_quota *q, struct workspace *w, fg_ms now,
 		       uint32_t tokens)
 {
 	double n = q->members->len + 1;
 
-	if (q->majority_at == 0 || now - q->majority_at >= FG_QUOTA_SHARE_MS ||
-	    fgq_has_majority(q))
+	if (q->complete_at == 0 || fgq_has_majority(q) ||
+	    now - MAX(q->majority_at, q->complete_at) >= FG_QUOTA_SHARE_MS)
 		return false;
 	fgq_refill(&w->share, now, w->limit.rate_per_s / n, w->limit.burst / n);
 	if (w->share.level < tokens)
@@ -304,7 +315,7 @@
 			q->stats.admitted++;
 			return FG_QUOTA_ADMITTED;
 		}
-		*retry_ms = UNKNOWN_RETRY_MS;
+		*retry_ms = unknown_retry_ms(q, now);
 		q->stats.unknown++;
 		return FG_QUOTA_UNKNOWN;
 	}
--- a/lib/quota/fg_quota_priv.h
+++ b/lib/quota/fg_quota_priv.h
@@ -10,6 +10,7 @@
 
 struct member {
 	struct fg_quota_member pub;
+	fg_ms listed_at;
 	fg_ms alive_at;	    /* last seen alive; 0: never */
 	fg_ms silent_until; /* answers no asks: not a holder until then */
 	fg_ms checked_at;   /* last check of whether it answers */
@@ -88,6 +89,7 @@
 	uint32_t n_alive;  /* other instances */
 	double kept_back;  /* part of each rate, for instances not seen */
 	fg_ms majority_at; /* more than half were last seen alive; 0: never */
+	fg_ms complete_at; /* all instances were first known; 0: not yet */
 	uint32_t n_asks;   /* numbers of asks given out */
 	struct fg_quota_stats stats;
 };
