fg-gateway: a restarted owner takes its engines back at once

Cause: after all instances ended together no engine had an owner, and so no adapter could be loaded, for 0.9 s: each instance waited 0.7 s for heartbeats of the others before its first claim, also for engines whose row names its own earlier start, which no other instance claims while it lives.

Change: such engines are claimed as soon as the own table was read. Test: /claim/restarted_owner, which needs the new decision.

--- a/lib/claim/fg_claim.h
+++ b/lib/claim/fg_claim.h
@@ -117,6 +117,10 @@
 /* The table came back from an older copy, in this era. */
 void fg_claims_start_era(struct fg_claims *c, fg_ms now, uint64_t era);
 
+/* Returns whether the row of the engine names an earlier start of this instance
+ * as the owner. It may claim such an engine before it has heard from others. */
+bool fg_claims_is_restarted_owner(struct fg_claims *c, const char *endpoint_id);
+
 struct fg_claim_write {
 	char endpoint_id[FG_FLEET_NAME_BYTES];
 	uint64_t expected; /* version that the row must have; 0: no row */
--- a/lib/claim/fg_claim_select.c
+++ b/lib/claim/fg_claim_select.c
@@ -256,6 +256,15 @@
 	return true;
 }
 
+bool fg_claims_is_restarted_owner(struct fg_claims *c, const char *endpoint_id)
+{
+	const struct fg_claim *claim = fg_claim_find_or_add(c, endpoint_id);
+
+	return claim->owner.incarnation != 0 &&
+	       claim->owner.incarnation != c->conf.incarnation &&
+	       fg_claim_is_self(c, claim->owner.name);
+}
+
 uint32_t fg_claims_select(struct fg_claims *c, fg_ms now,
 			  struct fg_fleet_ep *const *eps, uint32_t n_eps,
 			  const struct fg_claim_candidate *live,
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -8,7 +8,8 @@
 /* Pause between two transactions, which lets claims accumulate. */
 #define TX_GAP_MS 250
 /* Wait before the first claim, in which heartbeats of the other instances
- * arrive. */
+ * arrive. Only engines that an earlier start of this instance owned are claimed
+ * without it, since no other instance claims these while this one lives. */
 #define CLAIM_AFTER_MS 700
 /* Time without a proof after which an instance loses its engines. */
 #define UNPROVEN_MAX_MS 2000
@@ -210,6 +211,16 @@
 /* More instances than any planned deployment has. */
 #define CANDIDATES_MAX 1024
 
+static void keep_restarted(struct fg_gateway *gw, GPtrArray *eps)
+{
+	for (guint i = eps->len; i > 0; i--) {
+		const struct fg_fleet_ep *ep = eps->pdata[i - 1];
+
+		if (!fg_claims_is_restarted_owner(gw->claims, ep->facts.id))
+			g_ptr_array_remove_index(eps, i - 1);
+	}
+}
+
 static void claim_engines(struct fg_gateway *gw, fg_ms now)
 {
 	struct fg_claim_candidate *live =
@@ -218,6 +229,8 @@
 	GPtrArray *eps = usable_engines(gw, now);
 	struct fg_tx_row rows[FG_CLAIM_BATCH_MAX];
 
+	if (now - gw->own_table_known_at < CLAIM_AFTER_MS)
+		keep_restarted(gw, eps);
 	gw->n_claiming = fg_claims_select(
 		gw->claims, now, (struct fg_fleet_ep *const *)eps->pdata,
 		eps->len, live, n_live, gw->claiming, FG_CLAIM_BATCH_MAX);
@@ -251,9 +264,8 @@
 		fg_sync_write_own_row(gw);
 		return;
 	}
-	if (gw->own_table_known_at == 0 ||
-	    now - gw->own_table_known_at < CLAIM_AFTER_MS ||
-	    !gw->claims_current || own->failures > 0 || own->in_full_read)
+	if (gw->own_table_known_at == 0 || !gw->claims_current ||
+	    own->failures > 0 || own->in_full_read)
 		return;
 	claim_engines(gw, now);
 }
--- a/tests/unit/test_claim.c
+++ b/tests/unit/test_claim.c
@@ -114,6 +114,32 @@
 	g_free(ep);
 }
 
+/* After all instances ended together, none had an engine back for 0.9 s, since
+ * each waited for heartbeats of the others first. */
+static void test_restarted_owner(void)
+{
+	struct fg_claims *c = new_claims(9, "a", true);
+	struct fg_fleet_ep *ep = new_endpoint("e", "r1");
+	struct fg_claim_candidate live[] = { new_candidate(9, "a", "r2",
+							   true) };
+	struct fg_claim_write w;
+
+	g_assert_false(fg_claims_is_restarted_owner(c, "e"));
+	/* Another owner, and one that has released the engine. */
+	fg_claims_apply_row(c, 1000, "e", "0000000000000008 b a", 40);
+	g_assert_false(fg_claims_is_restarted_owner(c, "e"));
+	fg_claims_apply_row(c, 1000, "e", "0000000000000000 a b", 41);
+	g_assert_false(fg_claims_is_restarted_owner(c, "e"));
+	fg_claims_apply_row(c, 1000, "e", "0000000000000008 a b", 42);
+	g_assert_true(fg_claims_is_restarted_owner(c, "e"));
+	g_assert_cmpuint(select_one(c, 1000, ep, live, 1, &w), ==, 1);
+	g_assert_cmpuint(w.expected, ==, 42);
+	fg_claims_apply_row(c, 1100, "e", "0000000000000009 a b", 43);
+	g_assert_false(fg_claims_is_restarted_owner(c, "e"));
+	fg_claims_free(c);
+	g_free(ep);
+}
+
 static void test_fenced(void)
 {
 	struct fg_claims *c = new_claims(1, "a", true);
@@ -458,6 +484,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/claim/take_over", test_take_over);
 	g_test_add_func("/claim/incarnation", test_incarnation);
+	g_test_add_func("/claim/restarted_owner", test_restarted_owner);
 	g_test_add_func("/claim/fenced", test_fenced);
 	g_test_add_func("/claim/full_read", test_full_read);
 	g_test_add_func("/claim/takeover_waits", test_takeover_waits);
