fg-gateway: heartbeats inside a region pass through one instance a data centre

Ruled out: requests and loads, since the bytes hardly fell with the load.

Change: as between regions, the instance that reads the store in a data centre gets them and forwards them to its neighbours; when it is not heard for 0.7 s, all of them are sent to directly. Builds that do not forward these write no row of features and are sent to directly. The row goes out with the instance's own row, in the same call.

Test: /peers/region_targets. In /peers/far_targets the peers of "another region" bore the instance's own region, which the former function did not look at; they now bear another one, with the same assertions.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -489,6 +489,7 @@
 /* The table of the instances' own rows, and prefixes of its keys. */
 #define FG_SYNC_TABLE_OWN "fulmargauge"
 #define FG_SYNC_KEY_INSTANCE "instance/"
+#define FG_SYNC_KEY_FEATURES "instance_features/"
 #define FG_SYNC_KEY_OWNER "owner/"
 #define FG_SYNC_KEY_BLOCKED "blocked/"
 
@@ -885,10 +886,12 @@
 
 	uv_udp_t mesh;
 	uint32_t heartbeat_seq;
-	fg_ms near_heartbeat_at;    /* last one to this region */
-	fg_ms far_heartbeat_due_at; /* next one to other regions */
-	bool heartbeat_due;	    /* something changed since the last one */
-	GArray *crashes;	    /* struct fg_crash_notice */
+	fg_ms near_heartbeat_at;       /* last one to this region */
+	fg_ms region_heartbeat_due_at; /* next one to the region's other data
+					  centres */
+	fg_ms far_heartbeat_due_at;    /* next one to other regions */
+	bool heartbeat_due; /* something changed since the last one */
+	GArray *crashes;    /* struct fg_crash_notice */
 
 	uv_timer_t tick;
 	uv_signal_t signals[3];
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -3,12 +3,14 @@
 
 #include <string.h>
 
-/* Heartbeats inside a region are sent soon after a change, and at least every
- * NEAR_MAX_MS. The minimum intervals grow with the number of peers, so that
- * heartbeats take a small part of an instance's CPU time. */
+/* Heartbeats inside a data centre are sent soon after a change, and at least
+ * every NEAR_MAX_MS; those to other data centres of the region every REGION_MS.
+ * The minimum intervals grow with the number of peers, so that heartbeats take
+ * a small part of an instance's CPU time. */
 #define NEAR_MIN_MS 100
 #define NEAR_MS_PER_PEER 8
 #define NEAR_MAX_MS 250
+#define REGION_MS 300
 #define FAR_MIN_MS 400
 #define FAR_MS_PER_PEER 16
 /* List entries of one datagram, chosen to fit FG_MESH_PACKET_BYTES. */
@@ -116,8 +118,22 @@
 	return n;
 }
 
+/* Who gets a heartbeat. */
+enum reach {
+	REACH_DC,
+	REACH_REGION, /* the other data centres of the region */
+	REACH_FAR,    /* the other regions */
+};
+
+static enum reach reach_of(const struct fg_mesh_peer *p)
+{
+	if (p->same_dc)
+		return REACH_DC;
+	return p->same_region ? REACH_REGION : REACH_FAR;
+}
+
 static void send_to_peers(struct fg_gateway *gw, const fg_mesh_packet *packet,
-			  bool near)
+			  enum reach reach)
 {
 	const GPtrArray *peers = fg_peers_all(gw->peers);
 	fg_ms now = fg_clock_now();
@@ -125,9 +141,9 @@
 	for (guint i = 0; i < peers->len; i++) {
 		const struct fg_mesh_peer *p = peers->pdata[i];
 
-		if (p->same_region == near &&
-		    (near ||
-		     fg_peers_is_cross_region_target(gw->peers, now, p)))
+		if (reach_of(p) == reach &&
+		    (reach == REACH_DC ||
+		     fg_peers_is_target(gw->peers, now, p)))
 			fg_gw_mesh_send(gw, p->row.mesh, packet);
 	}
 }
@@ -142,7 +158,7 @@
 }
 
 /* Sends one heartbeat, in several datagrams when it lists many engines. */
-static void send_heartbeat(struct fg_gateway *gw, bool near)
+static void send_heartbeat(struct fg_gateway *gw, enum reach reach)
 {
 	struct heartbeat_lists b;
 	fg_mesh_packet packet;
@@ -158,7 +174,7 @@
 	do {
 		packet.seq = ++gw->heartbeat_seq;
 		hb->engines.engines_len = fill_owned_engines(gw, &b, &at);
-		send_to_peers(gw, &packet, near);
+		send_to_peers(gw, &packet, reach);
 		hb->crashes.crashes_len = 0;
 	} while (hb->engines.engines_len == OWNED_MAX);
 }
@@ -242,7 +258,7 @@
 
 static void send_near_heartbeat(struct fg_gateway *gw, fg_ms now)
 {
-	send_heartbeat(gw, true);
+	send_heartbeat(gw, REACH_DC);
 	gw->near_heartbeat_at = now;
 	gw->heartbeat_due = false;
 }
@@ -250,6 +266,7 @@
 void fg_gw_mesh_send_heartbeat(struct fg_gateway *gw)
 {
 	send_near_heartbeat(gw, fg_clock_now());
+	send_heartbeat(gw, REACH_REGION);
 }
 
 void fg_gw_mesh_request_totals(struct fg_gateway *gw, struct fg_fleet_ep *ep,
@@ -304,8 +321,13 @@
 	    (gw->heartbeat_due &&
 	     now - gw->near_heartbeat_at >= near_interval_ms))
 		send_near_heartbeat(gw, now);
+	if (now >= gw->region_heartbeat_due_at) {
+		send_heartbeat(gw, REACH_REGION);
+		gw->region_heartbeat_due_at =
+			now + random_around(gw, REGION_MS);
+	}
 	if (now >= gw->far_heartbeat_due_at) {
-		send_heartbeat(gw, false);
+		send_heartbeat(gw, REACH_FAR);
 		gw->far_heartbeat_due_at =
 			now + random_around(gw, far_interval_ms);
 		expire_crashes(gw);
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -51,8 +51,12 @@
 void fg_sync_write_own_row(struct fg_gateway *gw)
 {
 	struct fg_peer_row self = { .incarnation = gw->incarnation };
-	struct fg_tx_row row = { .table = FG_SYNC_TABLE_OWN };
+	struct fg_tx_row rows[2] = { { .table = FG_SYNC_TABLE_OWN },
+				     { .table = FG_SYNC_TABLE_OWN } };
 	char *key = g_strconcat(FG_SYNC_KEY_INSTANCE, gw->conf->name, NULL);
+	char *features_key =
+		g_strconcat(FG_SYNC_KEY_FEATURES, gw->conf->name, NULL);
+	char *features = fg_peer_features_format(gw->incarnation);
 	char *value;
 
 	g_strlcpy(self.region, gw->conf->region, sizeof(self.region));
@@ -60,11 +64,15 @@
 	g_strlcpy(self.mesh, gw->conf->mesh, sizeof(self.mesh));
 	g_strlcpy(self.front, gw->conf->front, sizeof(self.front));
 	value = fg_peer_row_format(&self);
-	row.key = key;
-	row.value = value;
-	send_tx(gw, &row, 1, on_own_row_written);
+	rows[0].key = key;
+	rows[0].value = value;
+	rows[1].key = features_key;
+	rows[1].value = features;
+	send_tx(gw, rows, G_N_ELEMENTS(rows), on_own_row_written);
 	g_free(key);
 	g_free(value);
+	g_free(features_key);
+	g_free(features);
 }
 
 static const char *claim_event(const struct fg_claim_write *w)
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-/* Forwards a heartbeat of another region to the neighbours that do not read the
- * store, to which the sender does not send it. */
+/* Forwards a heartbeat of another data centre to the neighbours that do not
+ * read the store, to which the sender does not send it. */
 static void forward_heartbeat(struct fg_gateway *gw, const char *bytes,
 			      size_t len)
 {
@@ -157,7 +157,7 @@
 		fg_gw_blame_send_blocked(gw, peer, now);
 	/* Only a newer heartbeat is forwarded: two instances that both read the
 	 * store would forward it to each other forever. */
-	if (!peer->same_region && gw->reader == 0 &&
+	if (!peer->same_dc && gw->reader == 0 &&
 	    (int32_t)(packet->seq - peer->seq) > 0)
 		forward_heartbeat(gw, bytes->base, bytes->len);
 	fg_peers_on_heartbeat(gw->peers, now, packet->incarnation, packet->seq,
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -213,6 +213,12 @@
 		fg_gw_blame_apply_row(gw, row, now);
 		return;
 	}
+	if (g_str_has_prefix(row->key, FG_SYNC_KEY_FEATURES)) {
+		fg_peers_put_features(gw->peers,
+				      row->key + strlen(FG_SYNC_KEY_FEATURES),
+				      row->removed ? NULL : row->value);
+		return;
+	}
 	if (!g_str_has_prefix(row->key, FG_SYNC_KEY_INSTANCE))
 		return;
 	if (row->removed || row->value == NULL) {
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -7,7 +7,9 @@
 
 struct fg_peers {
 	struct fg_peer_row self;
-	GPtrArray *peers; /* struct fg_mesh_peer *, owned */
+	GPtrArray *peers;     /* struct fg_mesh_peer *, owned */
+	GHashTable *features; /* name -> uint64_t *: incarnation that forwards;
+				 rows of an instance come in any order */
 };
 
 struct fg_peers *fg_peers_new(const struct fg_peer_row *self)
@@ -16,6 +18,8 @@
 
 	p->self = *self;
 	p->peers = g_ptr_array_new_with_free_func(g_free);
+	p->features =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return p;
 }
 
@@ -23,6 +27,7 @@
 {
 	if (p == NULL)
 		return;
+	g_hash_table_unref(p->features);
 	g_ptr_array_unref(p->peers);
 	g_free(p);
 }
@@ -74,6 +79,13 @@
 	peer->unproven_since = 0;
 }
 
+static uint64_t find_forwarding(const struct fg_peers *p, const char *name)
+{
+	const uint64_t *incarnation = g_hash_table_lookup(p->features, name);
+
+	return incarnation == NULL ? 0 : *incarnation;
+}
+
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row)
 {
 	struct fg_mesh_peer *peer;
@@ -84,6 +96,7 @@
 	if (peer == NULL) {
 		peer = g_new0(struct fg_mesh_peer, 1);
 		peer->hash = fg_hash_str(row->name);
+		peer->forwarding = find_forwarding(p, row->name);
 		g_ptr_array_add(p->peers, peer);
 	}
 	if (row->version < peer->row.version)
@@ -94,6 +107,7 @@
 	}
 	peer->row = *row;
 	peer->same_region = strcmp(row->region, p->self.region) == 0;
+	peer->same_dc = peer->same_region && strcmp(row->dc, p->self.dc) == 0;
 }
 
 void fg_peers_remove(struct fg_peers *p, const char *name)
@@ -215,11 +229,15 @@
 
 static bool forwards_heartbeats(const struct fg_mesh_peer *peer, fg_ms now)
 {
-	return peer->store.reads && fg_peer_is_alive(peer, now);
+	if (!peer->store.reads || !fg_peer_is_alive(peer, now))
+		return false;
+	return !peer->same_region ||
+	       (peer->forwarding == peer->row.incarnation &&
+		now - peer->heartbeat_at < FG_PEER_READER_TIMEOUT_MS);
 }
 
-bool fg_peers_is_cross_region_target(const struct fg_peers *p, fg_ms now,
-				     const struct fg_mesh_peer *peer)
+bool fg_peers_is_target(const struct fg_peers *p, fg_ms now,
+			const struct fg_mesh_peer *peer)
 {
 	if (forwards_heartbeats(peer, now))
 		return true;
@@ -233,6 +251,31 @@
 	return true;
 }
 
+/* ---- Features: "INCARNATION WORD..." ---- */
+
+#define FEATURE_FORWARDS "forwards"
+
+char *fg_peer_features_format(uint64_t incarnation)
+{
+	return g_strdup_printf("%016" G_GINT64_MODIFIER "x " FEATURE_FORWARDS,
+			       (guint64)incarnation);
+}
+
+void fg_peers_put_features(struct fg_peers *p, const char *name,
+			   const char *text)
+{
+	struct fg_mesh_peer *peer = find_by_name(p, name);
+	g_auto(GStrv) words = g_strsplit(text == NULL ? "" : text, " ", -1);
+	uint64_t incarnation = 0;
+
+	if (g_strv_contains((const gchar *const *)words, FEATURE_FORWARDS))
+		incarnation = g_ascii_strtoull(words[0], NULL, 16);
+	g_hash_table_replace(p->features, g_strdup(name),
+			     g_memdup2(&incarnation, sizeof(incarnation)));
+	if (peer != NULL)
+		peer->forwarding = incarnation;
+}
+
 bool fg_peer_is_ready(const struct fg_mesh_peer *peer, fg_ms now)
 {
 	return fg_peer_is_alive(peer, now) && peer->state == FG_MESH_READY;
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -43,6 +43,10 @@
 	struct fg_peer_row row;
 	uint64_t hash; /* of the name */
 	bool same_region;
+	bool same_dc;
+	/* Incarnation that forwards heartbeats between the data centres of a
+	 * region; 0: none is known to. */
+	uint64_t forwarding;
 	fg_ms heartbeat_at; /* last one of this incarnation; 0: none */
 	fg_ms row_seen_at;  /* when this incarnation's row was first read */
 	uint32_t seq;	    /* of the newest heartbeat */
@@ -118,13 +122,25 @@
 bool fg_peers_is_first_in_dc(const struct fg_peers *p, fg_ms now);
 
 /*
- * True when heartbeats for another region are sent to this peer. Traffic
- * between regions is billed by volume, so only the instances that read the
+ * True when heartbeats for another data centre are sent to this peer. Traffic
+ * between data centres is billed by volume, so only the instances that read the
  * store get them and forward them in their data centre. While no such instance
- * is known in a data centre, all its instances get them.
+ * is known in a data centre, all its instances get them. Inside a region this
+ * holds as well as between regions, but only for an instance that is known to
+ * forward heartbeats of its region and was heard within
+ * FG_PEER_READER_TIMEOUT_MS.
  */
-bool fg_peers_is_cross_region_target(const struct fg_peers *p, fg_ms now,
-				     const struct fg_mesh_peer *peer);
+bool fg_peers_is_target(const struct fg_peers *p, fg_ms now,
+			const struct fg_mesh_peer *peer);
+
+/* Text of a row that tells what this build can do, which the caller g_free()s.
+ * Builds without such a row forward no heartbeats inside their region. */
+char *fg_peer_features_format(uint64_t incarnation);
+
+/* Applies the text of such a row of the instance with this name; NULL: the row
+ * was removed. */
+void fg_peers_put_features(struct fg_peers *p, const char *name,
+			   const char *text);
 
 /* True when callers may be sent to the instance: it is alive and its state is
  * FG_MESH_READY. */
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -168,17 +168,23 @@
 	return fg_peers_new(&row);
 }
 
-static void add_peer(struct fg_peers *p, const char *name, const char *dc,
-		     uint64_t incarnation)
+static void add_peer_in(struct fg_peers *p, const char *region,
+			const char *name, const char *dc, uint64_t incarnation)
 {
 	struct fg_peer_row row = { .incarnation = incarnation };
 
 	g_strlcpy(row.name, name, sizeof(row.name));
-	g_strlcpy(row.region, "r1", sizeof(row.region));
+	g_strlcpy(row.region, region, sizeof(row.region));
 	g_strlcpy(row.dc, dc, sizeof(row.dc));
 	fg_peers_put(p, 0, &row);
 }
 
+static void add_peer(struct fg_peers *p, const char *name, const char *dc,
+		     uint64_t incarnation)
+{
+	add_peer_in(p, "r1", name, dc, incarnation);
+}
+
 static void send_heartbeat(struct fg_peers *p, fg_ms now, uint64_t incarnation,
 			   bool reads, uint32_t age_ms)
 {
@@ -276,31 +282,68 @@
 	const GPtrArray *all = fg_peers_all(p);
 	guint sent;
 
-	add_peer(p, "w1", "d5", 51);
-	add_peer(p, "w2", "d5", 52);
-	add_peer(p, "w3", "d5", 53);
+	add_peer_in(p, "r2", "w1", "d5", 51);
+	add_peer_in(p, "r2", "w2", "d5", 52);
+	add_peer_in(p, "r2", "w3", "d5", 53);
 	for (guint i = 0; i < all->len; i++)
-		g_assert_true(fg_peers_is_cross_region_target(p, 1000,
-							      all->pdata[i]));
+		g_assert_true(fg_peers_is_target(p, 1000, all->pdata[i]));
 	send_heartbeat(p, 1000, 51, false, 0);
 	send_heartbeat(p, 1000, 52, true, 0);
 	send_heartbeat(p, 1000, 53, false, 0);
 	sent = 0;
 	for (guint i = 0; i < all->len; i++)
-		sent += fg_peers_is_cross_region_target(p, 1100, all->pdata[i])
-				? 1
-				: 0;
+		sent += fg_peers_is_target(p, 1100, all->pdata[i]) ? 1 : 0;
 	g_assert_cmpuint(sent, ==, 1);
-	g_assert_true(
-		fg_peers_is_cross_region_target(p, 1100, fg_peers_find(p, 52)));
+	g_assert_true(fg_peers_is_target(p, 1100, fg_peers_find(p, 52)));
 	/* The reader sends no more heartbeats. */
 	for (guint i = 0; i < all->len; i++)
-		g_assert_true(fg_peers_is_cross_region_target(
+		g_assert_true(fg_peers_is_target(
 			p, 1000 + FG_PEER_CROSS_REGION_TIMEOUT_MS + 1,
 			all->pdata[i]));
 	fg_peers_free(p);
 }
 
+/* In another data centre of the region only the instance that reads the store
+ * and is known to forward gets heartbeats; a build that does not forward them,
+ * or one that is silent, must not cut its neighbours off. */
+static void test_region_targets(void)
+{
+	struct fg_peers *p = new_peers("n1");
+	const GPtrArray *all = fg_peers_all(p);
+	g_autofree char *features = fg_peer_features_format(52);
+	guint sent = 0;
+
+	/* The row of features may come before the instance's row. */
+	fg_peers_put_features(p, "w2", features);
+	add_peer(p, "w1", "d2", 51);
+	add_peer(p, "w2", "d2", 52);
+	add_peer(p, "w3", "d2", 53);
+	send_heartbeat(p, 1000, 51, false, 0);
+	send_heartbeat(p, 1000, 52, true, 0);
+	send_heartbeat(p, 1000, 53, false, 0);
+	for (guint i = 0; i < all->len; i++)
+		sent += fg_peers_is_target(p, 1100, all->pdata[i]) ? 1 : 0;
+	g_assert_cmpuint(sent, ==, 1);
+	g_assert_true(fg_peers_is_target(p, 1100, fg_peers_find(p, 52)));
+	for (guint i = 0; i < all->len; i++)
+		g_assert_true(fg_peers_is_target(
+			p, 1000 + FG_PEER_READER_TIMEOUT_MS, all->pdata[i]));
+	/* Replaced by a build without the feature, then without a row. */
+	send_heartbeat(p, 2000, 52, true, 0);
+	g_assert_false(fg_peers_is_target(p, 2000, fg_peers_find(p, 51)));
+	fg_peers_put_features(p, "w2", "0000000000000034");
+	g_assert_true(fg_peers_is_target(p, 2000, fg_peers_find(p, 51)));
+	fg_peers_put_features(p, "w2", features);
+	g_assert_false(fg_peers_is_target(p, 2000, fg_peers_find(p, 51)));
+	fg_peers_put_features(p, "w2", NULL);
+	g_assert_true(fg_peers_is_target(p, 2000, fg_peers_find(p, 51)));
+	add_peer(p, "w2", "d2", 54);
+	send_heartbeat(p, 2000, 54, true, 0);
+	fg_peers_put_features(p, "w2", features); /* of its earlier start */
+	g_assert_true(fg_peers_is_target(p, 2000, fg_peers_find(p, 51)));
+	fg_peers_free(p);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -314,5 +357,6 @@
 			test_reader_is_current_and_near);
 	g_test_add_func("/peers/one_reader_is_left", test_one_reader_remains);
 	g_test_add_func("/peers/far_targets", test_cross_region_targets);
+	g_test_add_func("/peers/region_targets", test_region_targets);
 	return g_test_run();
 }
