--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -200,6 +200,8 @@
 	gw->conf->version_ms = conf->version_ms;
 	gw->conf->drain_ms = conf->drain_ms;
 	gw->conf->connections_max = conf->connections_max;
+	gw->conf->revoke_ms = conf->revoke_ms;
+	gw->conf->revoke_strict = conf->revoke_strict;
 	gw->conf->log_level = conf->log_level;
 	fg_log_open(gw->conf->name, conf->log_level);
 	g_hash_table_remove_all(gw->retry_budgets);
