Tests: keys of callers and workspaces on the platform's wire

Cause: how platform/ reads and writes Authorization, Tenant and the configuration's tenants had no unit test.

Result: test_wire, the six new tests pass.

--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -328,6 +328,282 @@
 	g_assert_cmpint(error, ==, EINVAL);
 }
 
+/* ---- Keys of callers ---- */
+
+#define KEY "sk-5f1e/secret+key=="
+
+struct request_text {
+	struct fg_h1 h;
+	struct message_log log;
+	struct fg_call call;
+};
+
+/* Reads a request with these fields besides Host; the rest of the text follows
+ * its head. */
+static void read_request(struct request_text *q, const char *fields,
+			 const char *rest)
+{
+	g_autofree char *text = g_strconcat("POST /p HTTP/1.1\r\nHost: h\r\n",
+					    fields, "\r\n", rest, NULL);
+
+	init_parser(&q->h, &q->log, true);
+	fg_h1_feed(&q->h, text, strlen(text));
+	g_assert_true(q->h.ended);
+	g_assert_true(fgp_wire.call_read(&q->h.head, &q->call));
+}
+
+static void clear_request(struct request_text *q)
+{
+	fg_call_clear(&q->call);
+	clear_parser(&q->h, &q->log);
+}
+
+/* Returns what the endpoint gets; the caller frees it. */
+static char *forward(const struct request_text *q, bool identified,
+		     const char *workspace)
+{
+	const struct fg_send_params send = { .identified = identified,
+					     .workspace = workspace,
+					     .urgency = UINT32_MAX };
+	GString *out = g_string_new(NULL);
+
+	fgp_wire.call_write(out, &q->h.head, &send);
+	return g_string_free(out, FALSE);
+}
+
+/* Guards against a valid key that is not found because of its spelling on the
+ * wire, and against other texts that are taken for a key. */
+static void test_credential(void)
+{
+	static const struct {
+		const char *fields;
+		const char *key; /* NULL: none */
+		bool bad;
+	} cases[] = {
+		{ "", NULL, false },
+		{ "X-Authorization: Bearer k\r\n", NULL, false },
+		{ "Authorization: Bearer k1\r\n", "k1", false },
+		{ "authorization: bearer k1\r\n", "k1", false },
+		{ "AUTHORIZATION: BEARER k1\r\n", "k1", false },
+		{ "aUtHoRiZaTiOn:bEaReR k1\r\n", "k1", false },
+		{ "Authorization:   Bearer    k1  \r\n", "k1", false },
+		{ "Authorization: Bearer k1\t \r\n", "k1", false },
+		{ "Authorization: Bearer " KEY "\r\n", KEY, false },
+		{ "Authorization:\r\n", NULL, true },
+		{ "Authorization: \r\n", NULL, true },
+		{ "Authorization: Bearer\r\n", NULL, true },
+		{ "Authorization: Bearer \r\n", NULL, true },
+		{ "Authorization: Bearer k1 k2\r\n", NULL, true },
+		{ "Authorization: Bearer k1, Bearer k2\r\n", NULL, true },
+		{ "Authorization: Bearer\tk1\r\n", NULL, true },
+		{ "Authorization: Bearerk1\r\n", NULL, true },
+		{ "Authorization: Basic azE6azI=\r\n", NULL, true },
+		{ "Authorization: k1\r\n", NULL, true },
+		{ "Authorization: Bearer k1\r\nAuthorization: Bearer k2\r\n",
+		  "k1", true },
+		{ "Authorization: Bearer k1\r\nauthorization: Basic eA==\r\n",
+		  "k1", true },
+		{ "authorization: Basic eA==\r\nAuthorization: Bearer k1\r\n",
+		  "k1", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct request_text q;
+
+		read_request(&q, cases[i].fields, "");
+		g_test_message("%s", cases[i].fields);
+		g_assert_cmpint(q.call.bad_credential, ==, cases[i].bad);
+		if (!cases[i].bad)
+			g_assert_cmpstr(q.call.credential, ==, cases[i].key);
+		clear_request(&q);
+	}
+}
+
+static const char *const identity_spellings[] = {
+	"Authorization: Bearer " KEY "\r\n",
+	"authorization: bearer " KEY "\r\n",
+	"AUTHORIZATION: Bearer " KEY "\r\n",
+	"aUTHORIZATION:Bearer " KEY "\r\n",
+	"Authorization: Basic " KEY "\r\n",
+	"Authorization: " KEY "\r\nauthorization: Bearer " KEY "\r\n",
+	"Proxy-Authorization: Bearer " KEY "\r\n",
+	"PROXY-authorization: Bearer " KEY "\r\n",
+	"Tenant: " KEY "\r\n",
+	"tenant: " KEY "\r\nTENANT: " KEY "\r\n",
+	"Connection: X-Other\r\nAuthorization: Bearer " KEY "\r\n",
+	/* As the last field of a head, before the trailer. */
+	"X-Empty:\r\nAuthorization: Bearer " KEY "\r\n",
+};
+
+/* Guards against a key, or a workspace that the caller states, in what an
+ * endpoint gets where the system identifies callers. */
+static void test_key_not_forwarded(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(identity_spellings); i++) {
+		const char *fields = identity_spellings[i];
+		struct request_text q;
+		char *out;
+
+		g_test_message("%s", fields);
+		read_request(&q, fields, "");
+		out = forward(&q, true, "acme");
+		g_assert_null(strstr(out, KEY));
+		g_assert_nonnull(strstr(out, "\r\nTenant: acme\r\n"));
+		g_free(out);
+		out = forward(&q, true, NULL);
+		g_assert_null(strstr(out, KEY));
+		g_assert_null(strstr(out, "Tenant"));
+		g_free(out);
+		clear_request(&q);
+	}
+}
+
+/* The same for the trailer of a chunked body. */
+static void test_key_in_trailer(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(identity_spellings); i++) {
+		g_autofree char *rest =
+			g_strconcat("3\r\nabc\r\n0\r\n", identity_spellings[i],
+				    "\r\n", NULL);
+		struct request_text q;
+		char *out;
+
+		read_request(&q, "Transfer-Encoding: chunked\r\nX-Last:\r\n",
+			     rest);
+		out = forward(&q, true, "acme");
+		g_assert_null(strstr(out, KEY));
+		g_free(out);
+		clear_request(&q);
+	}
+}
+
+/* Guards against a deployment without workspaces whose endpoints no longer get
+ * what they check themselves. Proxy-Authorization is hop-by-hop everywhere. */
+static void test_identity_passes_unchanged(void)
+{
+	struct request_text q;
+	char *out;
+
+	read_request(&q,
+		     "authorization: Basic eDp5\r\nAuthorization: Bearer k\r\n"
+		     "TENANT: t1\r\nTenant: t2\r\n",
+		     "");
+	out = forward(&q, false, NULL);
+	g_assert_nonnull(strstr(out, "\r\nauthorization: Basic eDp5\r\n"
+				     "Authorization: Bearer k\r\n"
+				     "TENANT: t1\r\nTenant: t2\r\n"));
+	g_free(out);
+	out = forward(&q, false, "acme");
+	g_assert_null(strstr(out, "acme"));
+	g_free(out);
+	clear_request(&q);
+}
+
+/* Returns the configuration with this value of "tenants"; NULL: without. */
+static struct fg_routes *read_tenants(const char *value, GError **error)
+{
+	g_autofree char *text =
+		value == NULL
+			? g_strdup("{\"version\":1}")
+			: g_strdup_printf("{\"version\":1,\"tenants\":%s}",
+					  value);
+
+	return fgp_wire.config_read(text, strlen(text), error);
+}
+
+static const struct fg_workspace *find_key(const struct fg_routes *t,
+					   const char *key)
+{
+	struct fg_ws_digest digest;
+
+	g_assert_true(fg_ws_digest(key, &digest));
+	return fg_ws_set_find(t->workspaces, &digest);
+}
+
+static void test_tenants(void)
+{
+	static const char text[] =
+		"[{\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":2,"
+		"\"unit\":\"token_count\",\"plainTokens\":300,\"ratePerS\":"
+		"4200.5,\"burst\":9000},"
+		"{\"name\":\"b\",\"apiKeys\":[\"k3\"],\"unit\":\"requests\","
+		"\"ratePerS\":3,\"burst\":0}]";
+	struct fg_routes *t = read_tenants(text, NULL);
+	const struct fg_workspace *w = find_key(t, "k2");
+
+	g_assert_nonnull(w);
+	g_assert_cmpstr(w->name, ==, "a");
+	g_assert_true(w->has_priority);
+	g_assert_cmpuint(w->priority, ==, 2);
+	g_assert_true(w->in_tokens);
+	g_assert_cmpuint(w->plain_tokens, ==, 300);
+	g_assert_cmpfloat(w->rate_per_s, ==, 4200.5);
+	g_assert_cmpfloat(w->burst, ==, 9000);
+	w = find_key(t, "k3");
+	g_assert_cmpstr(w->name, ==, "b");
+	g_assert_false(w->has_priority);
+	g_assert_false(w->in_tokens);
+	g_assert_false(fg_ws_is_limited(w));
+	g_assert_cmpuint(fg_ws_set_problems(t->workspaces)->len, ==, 0);
+	fg_routes_unref(t);
+	/* An empty list still asks for a key; nobody has one. */
+	t = read_tenants("[]", NULL);
+	g_assert_nonnull(t->workspaces);
+	g_assert_null(find_key(t, "k1"));
+	fg_routes_unref(t);
+	t = read_tenants(NULL, NULL);
+	g_assert_null(t->workspaces);
+	fg_routes_unref(t);
+	t = read_tenants("null", NULL);
+	g_assert_null(t->workspaces);
+	fg_routes_unref(t);
+}
+
+/* Guards against a faulty entry that costs other workspaces their keys, or that
+ * no log line names. Each value comes between two sound ones. */
+static void test_bad_tenants(void)
+{
+	static const char *const bad[] = {
+		"7",
+		"null",
+		"[]",
+		"{}",
+		"{\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"\",\"apiKeys\":[\"k9\"]}",
+		"{\"name\":7,\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"x\\r\\nY: z\",\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"a\",\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"x\"}",
+		"{\"name\":\"x\",\"apiKeys\":[]}",
+		"{\"name\":\"x\",\"apiKeys\":\"k9\"}",
+		"{\"name\":\"x\",\"apiKeys\":[7]}",
+		"{\"name\":\"x\",\"apiKeys\":[\"\"]}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k 9\"]}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"ratePerS\":\"9\"}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"ratePerS\":-1}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"burst\":null}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"burst\":[1]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_autofree char *list = g_strdup_printf(
+			"[{\"name\":\"a\",\"apiKeys\":[\"k1\"]},%s,"
+			"{\"name\":\"b\",\"apiKeys\":[\"k2\"]}]",
+			bad[i]);
+		struct fg_routes *t = read_tenants(list, NULL);
+
+		g_test_message("%s", bad[i]);
+		g_assert_nonnull(t);
+		g_assert_cmpstr(find_key(t, "k1")->name, ==, "a");
+		g_assert_cmpstr(find_key(t, "k2")->name, ==, "b");
+		g_assert_null(find_key(t, "k9"));
+		g_assert_cmpuint(fg_ws_set_problems(t->workspaces)->len, ==, 1);
+		g_assert_null(strstr(
+			fg_ws_set_problems(t->workspaces)->pdata[0], "k9"));
+		fg_routes_unref(t);
+	}
+}
+
 /* ---- Configuration, entries, rows ---- */
 
 static const char config[] =
@@ -744,6 +1020,13 @@
 	g_test_add_func("/platform/leaving_and_pause", test_leaving_and_pause);
 	g_test_add_func("/platform/brittle", test_brittle);
 	g_test_add_func("/platform/era", test_era);
+	g_test_add_func("/platform/credential", test_credential);
+	g_test_add_func("/platform/key_not_forwarded", test_key_not_forwarded);
+	g_test_add_func("/platform/key_in_trailer", test_key_in_trailer);
+	g_test_add_func("/platform/identity_passes_unchanged",
+			test_identity_passes_unchanged);
+	g_test_add_func("/platform/tenants", test_tenants);
+	g_test_add_func("/platform/bad_tenants", test_bad_tenants);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
 	g_test_add_func("/platform/entry", test_entry);
