--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -419,6 +419,33 @@
 	}
 }
 
+/* Guards against 401 for a valid key: a field that a proxy repeated is not a
+ * second, different one. */
+static void test_credential_repeated(void)
+{
+	struct request_text q;
+
+	read_request(&q,
+		     "Authorization: Bearer k1\r\nauthorization: bearer  k1\r\n"
+		     "Authorization: Bearer k1\r\n",
+		     "");
+	g_assert_false(q.call.bad_credential);
+	g_assert_cmpstr(q.call.credential, ==, "k1");
+	clear_request(&q);
+	read_request(&q,
+		     "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n"
+		     "Authorization: Bearer K1\r\n",
+		     "");
+	g_assert_true(q.call.bad_credential);
+	clear_request(&q);
+	read_request(&q,
+		     "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n"
+		     "Authorization: Basic k1\r\n",
+		     "");
+	g_assert_true(q.call.bad_credential);
+	clear_request(&q);
+}
+
 static const char *const identity_spellings[] = {
 	"Authorization: Bearer " KEY "\r\n",
 	"authorization: bearer " KEY "\r\n",
@@ -1057,6 +1084,8 @@
 	g_test_add_func("/platform/brittle", test_brittle);
 	g_test_add_func("/platform/era", test_era);
 	g_test_add_func("/platform/credential", test_credential);
+	g_test_add_func("/platform/credential_repeated",
+			test_credential_repeated);
 	g_test_add_func("/platform/key_not_forwarded", test_key_not_forwarded);
 	g_test_add_func("/platform/spaces_in_names", test_spaces_in_names);
 	g_test_add_func("/platform/key_in_trailer", test_key_in_trailer);
