platform: keys with commas can be used

Cause: the configuration accepts a key with a comma, but a caller's field was cut off at it and got 401. Two keys in one field, separated by a comma, still are no key, or one that no configuration holds.

--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -389,6 +389,10 @@
 		{ "Authorization:   Bearer    k1  \r\n", "k1", false },
 		{ "Authorization: Bearer k1\t \r\n", "k1", false },
 		{ "Authorization: Bearer " KEY "\r\n", KEY, false },
+		/* A configuration may hold keys with commas. */
+		{ "Authorization: Bearer k,1\r\n", "k,1", false },
+		{ "Authorization: Bearer k1,\r\n", "k1,", false },
+		{ "Authorization: Bearer k1 ,\r\n", NULL, true },
 		{ "Authorization:\r\n", NULL, true },
 		{ "Authorization: \r\n", NULL, true },
 		{ "Authorization: Bearer\r\n", NULL, true },
