platform: a key in the trailer of a chunked body does not authenticate

Cause: fields of a trailer are appended to those of the head, and the request is decided after its body. A key in a trailer was accepted, and one beside a valid key in the head gave 401. RFC 9110 (6.5.1) excludes trailers from authentication.

Change: the head tells how many of its fields came before the body.

--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -149,6 +149,7 @@
 		head->value_at[head->n_fields - 1] = (uint32_t)head->text->len;
 	}
 	g_string_append_c(head->text, '\0');
+	head->n_head_fields = head->n_fields;
 	head->method = p->method;
 	head->status = p->status_code;
 	head->chunked = (p->flags & F_CHUNKED) != 0;
@@ -199,6 +200,7 @@
 {
 	g_string_truncate(h->head.text, 0);
 	h->head.n_fields = 0;
+	h->head.n_head_fields = 0;
 	h->head.target_at = 0;
 	h->body_bytes = 0;
 	h->head_bytes = 0;
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -544,6 +544,29 @@
 	}
 }
 
+/* Guards against a key that counts although the request was decided on its
+ * head: trailers do not authenticate, nor do they make a key of the head a
+ * second one.
+ */
+static void test_trailer_is_no_credential(void)
+{
+	static const char rest[] = "3\r\nabc\r\n0\r\n"
+				   "Authorization: Bearer k2\r\n\r\n";
+	struct request_text q;
+
+	read_request(&q, "Transfer-Encoding: chunked\r\n", rest);
+	g_assert_null(q.call.credential);
+	g_assert_false(q.call.bad_credential);
+	clear_request(&q);
+	read_request(&q,
+		     "Transfer-Encoding: chunked\r\n"
+		     "Authorization: Bearer k1\r\n",
+		     rest);
+	g_assert_cmpstr(q.call.credential, ==, "k1");
+	g_assert_false(q.call.bad_credential);
+	clear_request(&q);
+}
+
 /* Guards against a deployment without workspaces whose endpoints no longer get
  * what they check themselves. Proxy-Authorization is hop-by-hop everywhere. */
 static void test_identity_passes_unchanged(void)
@@ -1093,6 +1116,8 @@
 	g_test_add_func("/platform/key_not_forwarded", test_key_not_forwarded);
 	g_test_add_func("/platform/spaces_in_names", test_spaces_in_names);
 	g_test_add_func("/platform/key_in_trailer", test_key_in_trailer);
+	g_test_add_func("/platform/trailer_is_no_credential",
+			test_trailer_is_no_credential);
 	g_test_add_func("/platform/identity_passes_unchanged",
 			test_identity_passes_unchanged);
 	g_test_add_func("/platform/tenants", test_tenants);
