lib/workspace: names may contain spaces and UTF-8

Cause: a name such as "Acme Corp" was refused, and each of its keys got 401, though it is a valid value of a header field.

--- a/lib/workspace/fg_workspace.c
+++ b/lib/workspace/fg_workspace.c
@@ -82,12 +82,26 @@
 	return true;
 }
 
+/* Visible characters, bytes of UTF-8, and spaces between them: what RFC 9110
+ * (5.5) allows in a field's value, except for tabs. */
+static bool is_field_value(const char *text)
+{
+	size_t len = strlen(text);
+
+	if (len == 0 || text[0] == ' ' || text[len - 1] == ' ')
+		return false;
+	for (size_t i = 0; i < len; i++) {
+		if (g_ascii_iscntrl(text[i]))
+			return false;
+	}
+	return true;
+}
+
 struct fg_workspace *fg_ws_set_add(struct fg_ws_set *s, const char *name)
 {
 	struct fg_workspace *w;
 
-	if (name[0] == '\0' || !is_printable(name) ||
-	    fg_ws_set_find_name(s, name) != NULL)
+	if (!is_field_value(name) || fg_ws_set_find_name(s, name) != NULL)
 		return NULL;
 	w = g_new0(struct fg_workspace, 1);
 	w->name = g_strdup(name);
--- a/tests/unit/test_workspace.c
+++ b/tests/unit/test_workspace.c
@@ -166,6 +166,19 @@
 	fg_ws_set_free(s);
 }
 
+/* Guards against 401 for all keys of a workspace whose name is a valid field
+ * value. */
+static void test_good_names(void)
+{
+	static const char *const good[] = { "Acme Corp", "a b  c", "a/b,c:d=e",
+					    "M\xc3\xbcller", "x" };
+	struct fg_ws_set *s = fg_ws_set_new();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(good); i++)
+		g_assert_cmpstr(add(s, good[i])->name, ==, good[i]);
+	fg_ws_set_free(s);
+}
+
 /* Guards against a cost that wraps round: a request of nearly 2^32 tokens would
  * cost nothing. */
 static void test_cost(void)
@@ -207,6 +220,7 @@
 	g_test_add_func("/workspace/shared_key", test_shared_key);
 	g_test_add_func("/workspace/key_listed_twice", test_key_listed_twice);
 	g_test_add_func("/workspace/bad_names", test_bad_names);
+	g_test_add_func("/workspace/good_names", test_good_names);
 	g_test_add_func("/workspace/cost", test_cost);
 	g_test_add_func("/workspace/limited", test_limited);
 	return g_test_run();
