--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -649,6 +649,22 @@
 	fg_routes_unref(t);
 }
 
+/* Guards against a typing error that lets requests without a key through, and
+ * keys to endpoints: the configuration before stays in force instead. */
+static void test_tenants_not_a_list(void)
+{
+	static const char *const bad[] = { "{}", "\"a\"", "7", "true",
+					   "{\"name\":\"a\"}" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *error = NULL;
+
+		g_assert_null(read_tenants(bad[i], &error));
+		g_assert_nonnull(strstr(error->message, "tenants"));
+		g_error_free(error);
+	}
+}
+
 /* Guards against a faulty entry that costs other workspaces their keys, or that
  * no log line names. Each value comes between two sound ones. */
 static void test_bad_tenants(void)
@@ -1121,6 +1137,8 @@
 	g_test_add_func("/platform/identity_passes_unchanged",
 			test_identity_passes_unchanged);
 	g_test_add_func("/platform/tenants", test_tenants);
+	g_test_add_func("/platform/tenants_not_a_list",
+			test_tenants_not_a_list);
 	g_test_add_func("/platform/bad_tenants", test_bad_tenants);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
