--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -710,6 +710,31 @@
 	}
 }
 
+/* Guards against a bad number that counts as 0: the most urgent priority, and
+ * requests that cost nothing. */
+static void test_bad_tenant_numbers(void)
+{
+	static const char *const bad[] = { "-1",   "\"1\"",	 "null", "[]",
+					   "true", "4294967296", "1e30" };
+	static const char *const names[] = { "priority", "plainTokens" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad) * 2; i++) {
+		g_autofree char *list = g_strdup_printf(
+			"[{\"name\":\"a\",\"apiKeys\":[\"k1\"],\"unit\":"
+			"\"token_count\",\"%s\":%s}]",
+			names[i % 2], bad[i / 2]);
+		struct fg_routes *t = read_tenants(list, NULL);
+		const struct fg_workspace *w = find_key(t, "k1");
+		const GPtrArray *problems = fg_ws_set_problems(t->workspaces);
+
+		g_test_message("%s", list);
+		g_assert_false(w->has_priority);
+		g_assert_cmpuint(problems->len, ==, 1);
+		g_assert_nonnull(strstr(problems->pdata[0], names[i % 2]));
+		fg_routes_unref(t);
+	}
+}
+
 /* ---- Configuration, entries, rows ---- */
 
 static const char config[] =
@@ -1140,6 +1165,8 @@
 	g_test_add_func("/platform/tenants_not_a_list",
 			test_tenants_not_a_list);
 	g_test_add_func("/platform/bad_tenants", test_bad_tenants);
+	g_test_add_func("/platform/bad_tenant_numbers",
+			test_bad_tenant_numbers);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
 	g_test_add_func("/platform/entry", test_entry);
