--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -735,6 +735,30 @@
 	}
 }
 
+/* Guards against a key in the log: the message about a syntax error must not
+ * quote the text. */
+static void test_error_without_key(void)
+{
+	static const char *const bad[] = {
+		"[{\"name\":\"a\",\"apiKeys\":[\"k1\" \"secret\"]}]",
+		"[{\"name\":\"a\",\"apiKeys\":[secret]}]",
+		"[{\"name\":\"a\",\"apiKeys\":[\"secret]}]",
+		"[{\"name\":\"a\",\"apiKeys\":\"secret\"\"\"}]",
+		"[{\"name\":\"a\",\"apiKeys\":[\"secret\\q\"]}]",
+		"[{\"apiKeys\":[\"k\"],\"secret\" 7}]",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *error = NULL;
+
+		g_assert_null(read_tenants(bad[i], &error));
+		g_test_message("%s", error->message);
+		g_assert_null(strstr(error->message, "secret"));
+		g_assert_nonnull(strstr(error->message, "byte"));
+		g_error_free(error);
+	}
+}
+
 /* ---- Configuration, entries, rows ---- */
 
 static const char config[] =
@@ -1167,6 +1191,7 @@
 	g_test_add_func("/platform/bad_tenants", test_bad_tenants);
 	g_test_add_func("/platform/bad_tenant_numbers",
 			test_bad_tenant_numbers);
+	g_test_add_func("/platform/error_without_key", test_error_without_key);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
 	g_test_add_func("/platform/entry", test_entry);
