platform: an unreadable Token-Count counts like none

Cause: a field that does not begin with a digit was read as 0 tokens, so that the request cost nothing in a workspace with a limit in tokens.

--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -759,6 +759,40 @@
 	}
 }
 
+/* Guards against requests that cost nothing because of an unreadable
+ * Token-Count: they count as those without it. */
+static void test_token_counts(void)
+{
+	static const struct {
+		const char *fields;
+		uint32_t cost;
+	} cases[] = {
+		{ "", 30 },
+		{ "Token-Count: 900,80\r\n", 980 },
+		{ "Token-Count: 900, 80\r\n", 980 },
+		{ "token-count: 900\r\n", 900 },
+		{ "Token-Count: 0,0\r\n", 0 },
+		{ "Token-Count: 99999999999999999999,1\r\n", UINT32_MAX },
+		{ "Token-Count:\r\n", 30 },
+		{ "Token-Count: many\r\n", 30 },
+		{ "Token-Count: -900,-80\r\n", 30 },
+		{ "Token-Count: ,80\r\n", 30 },
+	};
+	const struct fg_workspace w = { .in_tokens = true, .plain_tokens = 30 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct request_text q;
+
+		read_request(&q, cases[i].fields, "");
+		g_test_message("%s", cases[i].fields);
+		g_assert_cmpuint(fg_ws_cost(&w, q.call.has_tokens,
+					    q.call.prompt_tokens,
+					    q.call.output_tokens),
+				 ==, cases[i].cost);
+		clear_request(&q);
+	}
+}
+
 /* ---- Configuration, entries, rows ---- */
 
 static const char config[] =
@@ -1192,6 +1226,7 @@
 	g_test_add_func("/platform/bad_tenant_numbers",
 			test_bad_tenant_numbers);
 	g_test_add_func("/platform/error_without_key", test_error_without_key);
+	g_test_add_func("/platform/token_counts", test_token_counts);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
 	g_test_add_func("/platform/entry", test_entry);
