--- a/tests/unit/test_workspace.c
+++ b/tests/unit/test_workspace.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "gateway/fg_gateway_internal.h"
 #include "workspace/fg_workspace.h"
 
 static const struct fg_workspace *find(const struct fg_ws_set *s,
@@ -211,6 +212,52 @@
 	g_assert_false(fg_ws_is_limited(&w));
 }
 
+static uint32_t urgency(const struct fg_workspace *w, uint32_t route_priority)
+{
+	struct fg_route route = { .priority = route_priority };
+	struct fg_gwreq r = { .route = &route, .workspace = w };
+
+	return fg_gwreq_urgency(&r);
+}
+
+/* Guards against a route's priority that outweighs the workspace's, and against
+ * numbers that engines do not know (above 9). */
+static void test_urgency(void)
+{
+	static const uint32_t priorities[] = { 0, 1, 2, 3, 7, UINT32_MAX };
+	struct fg_workspace urgent = { .has_priority = true };
+	struct fg_workspace less = { .has_priority = true };
+
+	for (uint32_t w = 0; w + 1 < G_N_ELEMENTS(priorities); w++) {
+		urgent.priority = priorities[w];
+		less.priority = priorities[w + 1];
+		for (uint32_t a = 0; a < G_N_ELEMENTS(priorities); a++) {
+			for (uint32_t b = 0; b < G_N_ELEMENTS(priorities); b++)
+				g_assert_cmpuint(
+					urgency(&urgent, priorities[a]), <=,
+					urgency(&less, priorities[b]));
+			g_assert_cmpuint(urgency(&less, priorities[a]), <=, 9);
+			if (a > 0)
+				g_assert_cmpuint(
+					urgency(&urgent, priorities[a - 1]), <=,
+					urgency(&urgent, priorities[a]));
+		}
+	}
+	/* The numbers that differ must differ: 0 before 1 before 2. */
+	for (uint32_t p = 0; p < 2; p++) {
+		urgent.priority = p;
+		less.priority = p + 1;
+		g_assert_cmpuint(urgency(&urgent, 2), <, urgency(&less, 0));
+		g_assert_cmpuint(urgency(&urgent, 0), <, urgency(&urgent, 1));
+	}
+	/* Without a priority of the workspace, that of the route applies. */
+	less.has_priority = false;
+	for (uint32_t p = 0; p < G_N_ELEMENTS(priorities); p++)
+		g_assert_cmpuint(urgency(&less, priorities[p]), ==,
+				 urgency(NULL, priorities[p]));
+	g_assert_cmpuint(urgency(NULL, 1), ==, 5);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -223,5 +270,6 @@
 	g_test_add_func("/workspace/good_names", test_good_names);
 	g_test_add_func("/workspace/cost", test_cost);
 	g_test_add_func("/workspace/limited", test_limited);
+	g_test_add_func("/workspace/urgency", test_urgency);
 	return g_test_run();
 }
