--- a/standin/hosted/si_http.py
+++ b/standin/hosted/si_http.py
@@ -22,6 +22,7 @@
         self.headers = headers  # lower-case names
         self.body = body
         self.sock = sock
+        self.raw = b""  # the request as it was received
         self.extra_headers = []  # of each answer
 
     def get(self, name, default=None):
@@ -54,8 +55,9 @@
         if not data:
             return None, b""
         buffered += data
-    return (Request(method, target, headers, buffered[:length], sock),
-            buffered[length:])
+    request = Request(method, target, headers, buffered[:length], sock)
+    request.raw = head + b"\r\n\r\n" + request.body
+    return request, buffered[length:]
 
 
 class Server:
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -49,6 +49,7 @@
         self.faults = {}
         self.run_ids = []  # ids of the requests that began to run
         self.received = []  # (id, headers) of every request
+        self.raw = []  # every call as it was received, also orders and reports
         self.received_at = []  # time.monotonic(), for each of `received`
         self.bad_parts = set()  # ids of prompt parts that crash the replica
         self.crash_delay_s = 0.03  # from the answer's head to the crash
@@ -170,6 +171,7 @@
             return left > 0
 
     def handle(self, req):
+        self.raw.append(req.raw)
         if self.leaving:
             req.extra_headers = [("Server-Leaving", "1")]
         if self.brittle_text is not None:
