fg-gateway: a waiting request follows the configuration in force

Cause, seen with requests that wait for a load while the configuration changes: - a key moved to another workspace gave 401 (key_moved); - a key withdrawn gave 401 on a route that needs none (anonymous_route); - with the first configuration that has workspaces, waiting requests were sent without a check, with the caller's key (workspaces_introduced).

Change: before each send the request's key is decided on again by the configuration in force when that says something else. The request then belongs to the workspace named there and is charged to it; what it was charged before goes back unless it may have run. The limit is asked with the present time instead of that of the arrival, which may be seconds ago by then.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -150,11 +150,12 @@
 	struct fg_routes *routes; /* reference */
 	const struct fg_route *route;
 	const struct fg_svc *service;
-	/* Of `routes`; NULL: none. */
-	const struct fg_workspace *workspace;
-	struct fg_ws_digest key; /* of the caller; zero without a workspace */
-	uint32_t quota_taken;	 /* tokens that can be given back */
-	uint64_t adapter;	 /* key; 0: none */
+	/* Reference to the configuration that decided on the caller's key: that
+	 * of the arrival, or a later one. NULL before. */
+	struct fg_routes *keyed_by;
+	const struct fg_workspace *workspace; /* of `keyed_by`; NULL: none */
+	uint32_t quota_taken; /* tokens that can be given back */
+	uint64_t adapter;     /* key; 0: none */
 	uint64_t fingerprint;
 	uint64_t local_id; /* counts requests of this process */
 	fg_ms arrived_at;
@@ -670,8 +671,14 @@
  * not run; it is answered then. */
 bool fg_gw_workspace_admit(struct fg_gwreq *r);
 
-/* Returns whether the request's key still holds; call it before each send. The
- * request is answered otherwise. */
+/* Returns whether the configuration in force says of the request what the one
+ * that decided on its key said. */
+bool fg_gw_workspace_is_current(const struct fg_gwreq *r);
+
+/* Decides again when the configuration in force says otherwise; call it before
+ * each send. A request whose key moved belongs to the new workspace then, and
+ * is charged to it. Returns false when the request must not be sent now: it was
+ * answered, or it waits for tokens and is placed again. */
 bool fg_gw_workspace_recheck(struct fg_gwreq *r);
 
 /* ---- Limits of workspaces ---- */
--- a/lib/gateway/fg_gw_quota.c
+++ b/lib/gateway/fg_gw_quota.c
@@ -157,7 +157,7 @@
 bool fg_gw_quota_admit(struct fg_gwreq *r)
 {
 	struct fg_gateway *gw = r->gw;
-	fg_ms now = r->arrived_at;
+	fg_ms now = fg_clock_now();
 	uint32_t retry_ms;
 	enum fg_quota_verdict verdict;
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -224,6 +224,7 @@
 	fg_call_clear(&r->call);
 	fg_events_clear(&r->events);
 	fg_gwreq_drop_answer_body(r);
+	fg_routes_unref(r->keyed_by);
 	fg_routes_unref(r->routes);
 	g_free(r);
 }
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -420,7 +420,8 @@
 		.body_bytes = body->len,
 		.has_body = body->len > 0 || r->head->length_bytes >= 0 ||
 			    r->head->chunked,
-		.identified = r->routes->workspaces != NULL,
+		.identified = r->keyed_by->workspaces != NULL ||
+			      conn->gw->routes->workspaces != NULL,
 		.workspace = r->workspace == NULL ? NULL : r->workspace->name,
 	};
 
--- a/lib/gateway/fg_gw_workspace.c
+++ b/lib/gateway/fg_gw_workspace.c
@@ -43,44 +43,97 @@
 		deny(r, reason);
 }
 
-bool fg_gw_workspace_admit(struct fg_gwreq *r)
+/* Finds the workspace of the caller's key in the configuration. Returns false
+ * when the caller sent nothing that can be a key. */
+static bool find_workspace(const struct fg_gwreq *r,
+			   const struct fg_routes *routes,
+			   const struct fg_workspace **out)
 {
-	const struct fg_ws_set *set = r->routes->workspaces;
+	struct fg_ws_digest key;
+
+	*out = NULL;
+	if (r->call.bad_credential || r->call.credential == NULL ||
+	    !fg_ws_digest(r->call.credential, &key))
+		return false;
+	*out = fg_ws_set_find(routes->workspaces, &key);
+	return true;
+}
+
+/* Returns whether the configuration that decides on the key asks for none. The
+ * request's route may be of an earlier one. */
+static bool is_anonymous(const struct fg_gwreq *r)
+{
+	const struct fg_route *route = r->route;
+
+	if (r->keyed_by != r->routes)
+		route = fg_routes_find(r->keyed_by, r->call.host,
+				       fg_h1_target(r->head));
+	return route == NULL ? r->route->anonymous : route->anonymous;
+}
+
+/* Sets r->workspace by r->keyed_by. Returns false when the request was
+ * answered, with `unknown` as the reason if no workspace has its key. */
+static bool admit(struct fg_gwreq *r, const char *unknown)
+{
+	bool too_old;
 	bool valid;
 
-	if (set == NULL)
+	r->workspace = NULL;
+	if (r->keyed_by->workspaces == NULL)
 		return true;
-	valid = !r->call.bad_credential && r->call.credential != NULL &&
-		fg_ws_digest(r->call.credential, &r->key);
-	if (valid)
-		r->workspace = fg_ws_set_find(set, &r->key);
-	if (r->workspace == NULL && r->route->anonymous)
+	valid = find_workspace(r, r->keyed_by, &r->workspace);
+	too_old = is_too_old(r->gw, fg_clock_now());
+	if ((r->workspace == NULL || too_old) && is_anonymous(r)) {
+		r->workspace = NULL;
 		return true;
-	if (is_too_old(r->gw, r->arrived_at)) {
+	}
+	if (too_old) {
 		fg_gwreq_refuse(r, "configuration_stale", UNKNOWN_RETRY_MS);
 		return false;
 	}
 	if (r->workspace != NULL)
 		return true;
 	if (valid)
-		deny_or_defer(r, "unknown_key");
+		deny_or_defer(r, unknown);
 	else
 		deny(r, r->call.bad_credential ? "bad_credential" : "no_key");
 	return false;
 }
 
-bool fg_gw_workspace_recheck(struct fg_gwreq *r)
+bool fg_gw_workspace_admit(struct fg_gwreq *r)
+{
+	r->keyed_by = fg_routes_ref(r->routes);
+	return admit(r, "unknown_key");
+}
+
+bool fg_gw_workspace_is_current(const struct fg_gwreq *r)
 {
 	const struct fg_routes *current = r->gw->routes;
 	const struct fg_workspace *w;
 
 	/* An answer that has begun is finished. */
-	if (r->workspace == NULL || r->head_sent || current == r->routes ||
+	if (r->head_sent || current == r->keyed_by ||
 	    current->workspaces == NULL)
 		return true;
-	w = fg_ws_set_find(current->workspaces, &r->key);
-	if (w != NULL && strcmp(w->name, r->workspace->name) == 0)
+	if (r->keyed_by->workspaces == NULL)
+		return false;
+	/* On a route without need for a key, one that became valid since does
+	 * not matter. */
+	if (r->workspace == NULL)
 		return true;
-	deny_or_defer(r, "key_withdrawn");
-	return false;
+	(void)find_workspace(r, current, &w);
+	return w != NULL && strcmp(w->name, r->workspace->name) == 0;
+}
+
+bool fg_gw_workspace_recheck(struct fg_gwreq *r)
+{
+	if (fg_gw_workspace_is_current(r))
+		return true;
+	/* What may have run stays charged to the former workspace. */
+	if (!r->may_have_run)
+		fg_gw_quota_give_back(r);
+	r->quota_taken = 0;
+	fg_routes_unref(r->keyed_by);
+	r->keyed_by = fg_routes_ref(r->gw->routes);
+	return admit(r, "key_withdrawn") && fg_gw_quota_admit(r);
 }
--- a/tests/gateway_keys.py
+++ b/tests/gateway_keys.py
@@ -467,6 +467,7 @@
 
 SCENARIOS = [
     key_replaced, bad_credentials, unknown_while_stale, key_withdrawn,
+    key_moved, key_moved_with_limit, anonymous_route, workspaces_introduced,
     key_on_detours, keys_not_logged,
 ]
 
