fg-gateway: a key is checked after the connection was opened

Cause: the key was checked when an endpoint was chosen. Opening the connection, through another instance too, and confirming the endpoint's start take up to 0.4 s each; a key withdrawn in that time was sent for.

Change: once the connection is open, and after the report, a request whose key has changed is placed again (send_ended, reason key_changed) and decided on there.

--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -204,6 +204,10 @@
 	} else {
 		fg_gwreq_log(r, "start_not_confirmed", NULL);
 	}
+	if (!fg_gw_workspace_is_current(r)) {
+		fail_send(conn, FG_SEND_NOT_SENT, "key_changed");
+		return;
+	}
 	/* On a connection in use again, it may have been a late second copy of
 	 * an earlier answer. */
 	if (!reusable || (!same && (r->software != 0 || conn->reused))) {
@@ -544,6 +548,11 @@
 		fail_send(conn, FG_SEND_NOT_SENT, "other_software");
 		return;
 	}
+	/* So may the key, which is decided on again at the next placement. */
+	if (!fg_gw_workspace_is_current(conn->req)) {
+		fail_send(conn, FG_SEND_NOT_SENT, "key_changed");
+		return;
+	}
 	send_request(conn);
 }
 
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -86,6 +86,7 @@
         self.sequence = 0
         self.fence = 0
         self.load_s = 0.03
+        self.report_s = 0.0  # until a report is answered
         self.loading = {}  # adapter -> time.monotonic() of the end of its load
         self.server = Server(self.handle)
         self.addr = (map_addr(self.server.addr) if map_addr
@@ -242,6 +243,7 @@
                 self.adapters[name] = self.versions.get(name, 1)
 
     def handle_report(self, req):
+        time.sleep(self.report_s)
         with self.lock:
             self._finish_loads()
             models = []
--- a/tests/gateway_keys.py
+++ b/tests/gateway_keys.py
@@ -2,12 +2,14 @@
 
 import socket
 import threading
+import time
 
 from cut_path import REFUSE
 from gateway_cuts import CuttableSystem
 from hosted import (
     HOST, System, check, find_log_line, find_log_lines, has_all_events,
-    http_get, make_config, next_id, send, send_draft, wait_for)
+    http_get, make_config, next_id, send, send_draft,
+    wait_for)
 
 SECRET = "sk-9f3c/secret+"  # part of each key
 K1, K2, K3, UNKNOWN = (SECRET + s for s in ("one==", "two,2", "three", "none"))
@@ -274,6 +276,36 @@
     s.check_no_key()
 
 
+def key_while_connecting(s):
+    """Guards against a request that is sent for a key which was withdrawn after
+    an endpoint was chosen, while the connection was opened and the endpoint's
+    start confirmed."""
+    engine = s.engines[0]
+    for _ in range(5):
+        put_tenants(s, tenant("acme", K1))
+        check(has_all_events(send_draft(s.gw, headers=bearer(K1))), "before")
+        for sock in list(engine.server.socks):
+            sock.shutdown(socket.SHUT_RDWR)
+        time.sleep(0.1)  # the gateway sees that its connection ended
+        engine.report_s = 0.3
+        results = []
+        rid, thread = start_draft(s, results, K1, "a1")
+        wait_for("its report is asked for", lambda: (
+            "starts_checked_total" in http_get(s.gw.metrics, "/metrics")[1]))
+        put_tenants(s, tenant("bolt", K2))
+        thread.join()
+        engine.report_s = 0.0
+        check(results[0].status == 401 and s.run_count(rid) == 0,
+              f"{results[0].status}, ran {s.run_count(rid)} times")
+        line = wait_for("line", lambda r=rid: find_log_line(s, r, "denied"))
+        if line["reason"] == "key_withdrawn" and line["sends"] != "0":
+            return
+    check(False, "never withdrawn while connecting")
+
+
+key_while_connecting.system_options = {"engines": 1}
+
+
 def key_moved(s):
     """Guards against 401 for a key that is in force, and against a request that
     is attributed to the former workspace of its key."""
@@ -467,7 +499,7 @@
 
 SCENARIOS = [
     key_replaced, bad_credentials, unknown_while_stale, key_withdrawn,
-    key_moved, key_moved_with_limit, anonymous_route, workspaces_introduced,
+    key_while_connecting, key_moved, key_moved_with_limit, anonymous_route, workspaces_introduced,
     key_on_detours, keys_not_logged,
 ]
 
