fg-gateway: an instance is behind when it lacks rows that another one read

Cause: an unknown key gave 503 instead of 401 while config_behind_since was set. It is set when another instance's newest row is newer than the newest row here, and ended by any row. After a row was removed, an instance that started later never saw the removal and answered 503 for good. A row that is older than the one reported ended it too early.

Change: the version up to which all rows were read here is compared with the newest rows that the other instances report, at each unknown key.

--- a/lib/gateway/fg_gw_workspace.c
+++ b/lib/gateway/fg_gw_workspace.c
@@ -20,10 +20,26 @@
 	fg_gwreq_finish(r);
 }
 
+/* Returns whether another instance has read rows of the configuration that are
+ * not known here. config_behind_since does not tell: any row ends it. */
+static bool is_behind_peer(const struct fg_gateway *gw)
+{
+	const GPtrArray *peers = fg_peers_all(gw->peers);
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct fg_mesh_peer *p = peers->pdata[i];
+
+		if (p->store.feeds[FG_FEED_CONFIG].newest >
+		    gw->feeds[FG_FEED_CONFIG].synced_version)
+			return true;
+	}
+	return false;
+}
+
 /* Returns whether a newer configuration than the one here may be in force. */
 static bool may_be_behind(const struct fg_gateway *gw, fg_ms now)
 {
-	return gw->config_behind_since != 0 || fg_gw_is_config_stale(gw, now);
+	return is_behind_peer(gw) || fg_gw_is_config_stale(gw, now);
 }
 
 /* Returns whether keys must not be accepted any more, since none of them could
--- a/tests/gateway_keys.py
+++ b/tests/gateway_keys.py
@@ -224,6 +224,55 @@
 unknown_while_stale.system_options = {"gateways": 2, "proxied": True, "dcs": 2}
 
 
+HEARTBEAT_MAX_S = 1.1  # to other regions; sooner within one
+
+
+def newer_reported(s):
+    """Guards against 401 for a new key from an instance whose feed seems well,
+    while another one has reported that it read a newer configuration."""
+    away = s.gateways[0]
+    s.store_proxies[0].silence()
+    put_tenants(s, tenant("acme", K1, K3), gateways=s.gateways[1:])
+    for n in range(3, 6):  # rows that are no configuration
+        s.store.put("op", f"version/{n}",
+                    {"model": "base", "adapter": "a1", "version": n})
+    time.sleep(HEARTBEAT_MAX_S + 0.2)
+    for key in (K3, UNKNOWN):
+        a = order(s, key, gateway=away)[0]
+        check(a.status == 503 or (key == K3 and a.status == 200),
+              f"{key}: {a.status}")
+    check(order(s, K1, gateway=away)[0].status == 200, "a known key")
+    s.store_proxies[0].heal()
+    s.store_proxies[0].reset()
+    wait_config([away], s.config_version)
+    check(order(s, K3, gateway=away)[0].status == 200, "the new key")
+    wait_for("current", lambda: order(
+        s, UNKNOWN, gateway=away)[0].status == 401, 6)
+
+
+newer_reported.system_options = {"gateways": 2, "proxied": True, "dcs": 2}
+
+
+def row_removed(s):
+    """Guards against 503 for good instead of 401: an instance that started after
+    a row was removed is not behind those that saw the removal."""
+    s.store.put("op", "version/9", {"model": "base", "adapter": "a9",
+                                    "version": 9})
+    put_tenants(s, tenant("acme", K1))
+    s.store.remove("op", "version/9")
+    time.sleep(HEARTBEAT_MAX_S)
+    s.gateways[0].kill()
+    s.gateways[0].start()
+    wait_for("ready", s.gateways[0].is_ready)
+    time.sleep(2 * HEARTBEAT_MAX_S)
+    for gateway in s.gateways:
+        a = order(s, UNKNOWN, gateway=gateway)[0]
+        check(a.status == 401, f"{gateway.name}: {a.status}")
+
+
+row_removed.system_options = {"gateways": 2, "dcs": 2}
+
+
 def start_draft(s, results, key, adapter, path="/draft/1", headers=None):
     rid = next_id()
     thread = threading.Thread(target=lambda: results.append(send_draft(
@@ -498,8 +547,9 @@
 
 
 SCENARIOS = [
-    key_replaced, bad_credentials, unknown_while_stale, key_withdrawn,
-    key_while_connecting, key_moved, key_moved_with_limit, anonymous_route, workspaces_introduced,
+    key_replaced, bad_credentials, unknown_while_stale, newer_reported,
+    row_removed, key_withdrawn, key_while_connecting, key_moved,
+    key_moved_with_limit, anonymous_route, workspaces_introduced,
     key_on_detours, keys_not_logged,
 ]
 
