Fuzz: no key or workspace of a caller is forwarded

fuzz_h1 writes each request as to an endpoint where the system identifies callers, with its trailer, and aborts when a line is an identity field.

--- a/tests/fuzz/fuzz_h1.c
+++ b/tests/fuzz/fuzz_h1.c
@@ -16,18 +16,72 @@
 
 struct parse_state {
 	struct fg_events events;
+	const struct fg_h1_head *head;
 	bool is_request;
 };
 
+#define WORKSPACE "w"
+
+/* Aborts when a line of a head, with this name, identifies a caller. */
+static void check_line(const char *line, size_t len)
+{
+	static const char own[] = "Tenant: " WORKSPACE;
+	static const char *const names[] = { "authorization",
+					     "proxy-authorization", "tenant" };
+
+	if (len == sizeof(own) - 1 && memcmp(line, own, len) == 0)
+		return;
+	while (len > 0 && (*line == ' ' || *line == '\t')) {
+		line++;
+		len--;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		size_t n = strlen(names[i]);
+
+		if (len <= n || g_ascii_strncasecmp(line, names[i], n) != 0)
+			continue;
+		while (n < len && (line[n] == ' ' || line[n] == '\t'))
+			n++;
+		g_assert(n == len || line[n] != ':');
+	}
+}
+
+/* No key, and no workspace that the caller states, may be forwarded from the
+ * head or the trailer of a request. */
+static void check_identified(const struct fg_h1_head *head)
+{
+	const struct fg_send_params send = { .identified = true,
+					     .workspace = WORKSPACE };
+	GString *out = g_string_new(NULL);
+	struct fg_ws_digest digest;
+	struct fg_call call;
+	size_t at;
+
+	fgp_wire.call_read(head, &call);
+	if (call.credential != NULL)
+		(void)fg_ws_digest(call.credential, &digest);
+	fg_call_clear(&call);
+	fgp_wire.call_write(out, head, &send);
+	/* The first line may hold any target. */
+	for (at = strcspn(out->str, "\n"); at < out->len;) {
+		size_t len = strcspn(out->str + at, "\r\n");
+
+		check_line(out->str + at, len);
+		at += len + 1;
+	}
+	g_string_free(out, TRUE);
+}
+
 static bool on_head(void *ctx, const struct fg_h1_head *head)
 {
-	const struct parse_state *s = ctx;
+	struct parse_state *s = ctx;
 	struct fg_send_params send = { .has_body = true };
 	struct fg_wire_reply reply;
 	struct fg_lookup lookup;
 	struct fg_call call;
 	GString *out;
 
+	s->head = head;
 	if (!s->is_request) {
 		fgp_wire.reply_read(head, &reply);
 		return true;
@@ -53,7 +107,10 @@
 
 static void on_end(void *ctx)
 {
-	(void)ctx;
+	const struct parse_state *s = ctx;
+
+	if (s->is_request)
+		check_identified(s->head);
 }
 
 static const struct fg_h1_ops ops = { on_head, on_body, on_end };
