--- a/lib/gateway/fg_gw_workspace.c
+++ b/lib/gateway/fg_gw_workspace.c
@@ -79,12 +79,14 @@
  * request's route may be of an earlier one. */
 static bool is_anonymous(const struct fg_gwreq *r)
 {
-	const struct fg_route *route = r->route;
+	const struct fg_route *route = NULL;
 
 	if (r->keyed_by != r->routes)
 		route = fg_routes_find(r->keyed_by, r->call.host,
 				       fg_h1_target(r->head));
-	return route == NULL ? r->route->anonymous : route->anonymous;
+	if (route == NULL)
+		route = r->route;
+	return route->anonymous;
 }
 
 /* Sets r->workspace by r->keyed_by. Returns false when the request was
--- a/tests/bench/bench_keys.c
+++ b/tests/bench/bench_keys.c
@@ -18,6 +18,10 @@
 #define RUNS 9
 #define LOOKUP_MAX_NS 1000.0
 
+/* SHA-256 takes a second block, and the digest twice the time, for keys above
+ * 55 bytes. The limit is judged for those of 48. */
+static const uint32_t lengths[] = { 48, 32, 64 };
+
 static char *keys[KEYS];
 static struct fg_ws_digest digests[KEYS];
 static uint32_t order[LOOKUPS];
@@ -30,15 +34,16 @@
 	return (int64_t)t.tv_sec * 1000000000 + t.tv_nsec;
 }
 
-/* Keys of 48 characters, as those of well-known services. */
-static void make_keys(struct fg_rand *rand)
+static void make_keys(struct fg_rand *rand, uint32_t length)
 {
 	for (uint32_t i = 0; i < KEYS; i++) {
-		keys[i] =
-			g_strdup_printf("%016llx%016llx%016llx",
-					(unsigned long long)fg_rand_next(rand),
-					(unsigned long long)fg_rand_next(rand),
-					(unsigned long long)fg_rand_next(rand));
+		GString *key = g_string_new(NULL);
+
+		while (key->len < length)
+			g_string_append_printf(
+				key, "%016llx",
+				(unsigned long long)fg_rand_next(rand));
+		keys[i] = g_string_free(key, FALSE);
 		fg_ws_digest(keys[i], &digests[i]);
 	}
 	for (uint32_t i = 0; i < LOOKUPS; i++)
@@ -98,25 +103,42 @@
 	return ns[0];
 }
 
-int main(void)
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 m = mallinfo2();
+
+	return m.uordblks + m.hblkhd;
+}
+
+/* Returns the time of a lookup with its digest. */
+static double run(struct fg_rand *rand, uint32_t length)
 {
-	struct fg_rand rand;
 	struct fg_ws_set *s;
 	size_t before;
-	double with;
+	double ns;
 
-	fg_rand_seed(&rand, 1);
-	make_keys(&rand);
-	before = mallinfo2().uordblks;
+	make_keys(rand, length);
+	before = heap_bytes();
 	s = make_set();
-	printf("%d keys of %zu characters: %.1f bytes a key\n", KEYS,
-	       strlen(keys[0]), (double)(mallinfo2().uordblks - before) / KEYS);
-	with = measure(s, "with digest", true);
+	printf("%d keys of %u characters: %.1f bytes a key\n", KEYS, length,
+	       (double)(heap_bytes() - before) / KEYS);
+	ns = measure(s, "with digest", true);
 	(void)measure(s, "without digest", false);
-	printf("limit %.0f ns: %s\n", LOOKUP_MAX_NS,
-	       with < LOOKUP_MAX_NS ? "kept" : "exceeded");
 	fg_ws_set_free(s);
 	for (uint32_t i = 0; i < KEYS; i++)
 		g_free(keys[i]);
-	return with < LOOKUP_MAX_NS ? 0 : 1;
+	return ns;
+}
+
+int main(void)
+{
+	double ns[G_N_ELEMENTS(lengths)];
+	struct fg_rand rand;
+
+	fg_rand_seed(&rand, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths); i++)
+		ns[i] = run(&rand, lengths[i]);
+	printf("limit %.0f ns: %s\n", LOOKUP_MAX_NS,
+	       ns[0] < LOOKUP_MAX_NS ? "kept" : "exceeded");
+	return ns[0] < LOOKUP_MAX_NS ? 0 : 1;
 }
