--- a/tests/gateway_keys.py
+++ b/tests/gateway_keys.py
@@ -248,6 +248,7 @@
     check(order(s, K3, gateway=away)[0].status == 200, "the new key")
     wait_for("current", lambda: order(
         s, UNKNOWN, gateway=away)[0].status == 401, 6)
+    s.check_no_key()
 
 
 newer_reported.system_options = {"gateways": 2, "proxied": True, "dcs": 2}
@@ -268,6 +269,7 @@
     for gateway in s.gateways:
         a = order(s, UNKNOWN, gateway=gateway)[0]
         check(a.status == 401, f"{gateway.name}: {a.status}")
+    s.check_no_key()
 
 
 row_removed.system_options = {"gateways": 2, "dcs": 2}
@@ -348,6 +350,7 @@
               f"{results[0].status}, ran {s.run_count(rid)} times")
         line = wait_for("line", lambda r=rid: find_log_line(s, r, "denied"))
         if line["reason"] == "key_withdrawn" and line["sends"] != "0":
+            s.check_no_key()
             return
     check(False, "never withdrawn while connecting")
 
