--- a/tests/gateway_keys.py
+++ b/tests/gateway_keys.py
@@ -275,6 +275,31 @@
 row_removed.system_options = {"gateways": 2, "dcs": 2}
 
 
+def hears_from_nobody(s):
+    """Guards against a key that works for good at an instance that cannot learn
+    of its end, with revoke_strict; and against refusals where no key is needed."""
+    s.gw.write_settings(s.store.addr, "lookup_ttl_s: 2\nrevoke_strict: true\n"
+                                      "revoke_ms: 4000\n")
+    s.gw.kill()
+    s.gw.start()
+    wait_for("ready", s.gw.is_ready)
+    check(order(s, K1)[0].status == 200, "before")
+    s.store.mode = "busy"
+    since = time.monotonic()
+    wait_for("no key accepted", lambda: order(s, K1)[0].status == 503, 8)
+    took = time.monotonic() - since
+    check(3 < took < 6, f"after {took:.1f} s")
+    a = order(s, K1)[0]
+    check(a.status == 503 and "Retry-After" in a.headers, f"{a.status}")
+    for key in (K1, UNKNOWN, None):
+        a, got = order(s, key, "/open/1")
+        check(a.status == 200 and "tenant" not in got[0], f"{key}: {a.status}")
+    s.store.mode = "up"
+    wait_for("accepted again", lambda: order(s, K1)[0].status == 200, 8)
+    check(order(s, UNKNOWN)[0].status == 401, "an unknown key")
+    s.check_no_key()
+
+
 def start_draft(s, results, key, adapter, path="/draft/1", headers=None):
     rid = next_id()
     thread = threading.Thread(target=lambda: results.append(send_draft(
@@ -551,8 +576,8 @@
 
 SCENARIOS = [
     key_replaced, bad_credentials, unknown_while_stale, newer_reported,
-    row_removed, key_withdrawn, key_while_connecting, key_moved,
-    key_moved_with_limit, anonymous_route, workspaces_introduced,
+    row_removed, hears_from_nobody, key_withdrawn, key_while_connecting,
+    key_moved, key_moved_with_limit, anonymous_route, workspaces_introduced,
     key_on_detours, keys_not_logged,
 ]
 
