--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -49,6 +49,7 @@
         self.faults = {}
         self.run_ids = []  # ids of the requests that began to run
         self.received = []  # (id, headers) of every request
+        self.raw = []  # every call as it was received, also orders and reports
         self.received_at = []  # time.monotonic(), for each of `received`
         self.bad_parts = set()  # ids of prompt parts that crash the replica
         self.crash_delay_s = 0.03  # from the answer's head to the crash
@@ -85,6 +86,7 @@
         self.sequence = 0
         self.fence = 0
         self.load_s = 0.03
+        self.report_s = 0.0  # until a report is answered
         self.loading = {}  # adapter -> time.monotonic() of the end of its load
         self.server = Server(self.handle)
         self.addr = (map_addr(self.server.addr) if map_addr
@@ -170,6 +172,7 @@
             return left > 0
 
     def handle(self, req):
+        self.raw.append(req.raw)
         if self.leaving:
             req.extra_headers = [("Server-Leaving", "1")]
         if self.brittle_text is not None:
@@ -240,6 +243,7 @@
                 self.adapters[name] = self.versions.get(name, 1)
 
     def handle_report(self, req):
+        time.sleep(self.report_s)
         with self.lock:
             self._finish_loads()
             models = []
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -328,6 +328,471 @@
 	g_assert_cmpint(error, ==, EINVAL);
 }
 
+/* ---- Keys of callers ---- */
+
+#define KEY "sk-5f1e/secret+key=="
+
+struct request_text {
+	struct fg_h1 h;
+	struct message_log log;
+	struct fg_call call;
+};
+
+/* Reads a request with these fields besides Host; the rest of the text follows
+ * its head. */
+static void read_request(struct request_text *q, const char *fields,
+			 const char *rest)
+{
+	g_autofree char *text = g_strconcat("POST /p HTTP/1.1\r\nHost: h\r\n",
+					    fields, "\r\n", rest, NULL);
+
+	init_parser(&q->h, &q->log, true);
+	fg_h1_feed(&q->h, text, strlen(text));
+	g_assert_true(q->h.ended);
+	g_assert_true(fgp_wire.call_read(&q->h.head, &q->call));
+}
+
+static void clear_request(struct request_text *q)
+{
+	fg_call_clear(&q->call);
+	clear_parser(&q->h, &q->log);
+}
+
+/* Returns what the endpoint gets; the caller frees it. */
+static char *forward(const struct request_text *q, bool identified,
+		     const char *workspace)
+{
+	const struct fg_send_params send = { .identified = identified,
+					     .workspace = workspace,
+					     .urgency = UINT32_MAX };
+	GString *out = g_string_new(NULL);
+
+	fgp_wire.call_write(out, &q->h.head, &send);
+	return g_string_free(out, FALSE);
+}
+
+/* Guards against a valid key that is not found because of its spelling on the
+ * wire, and against other texts that are taken for a key. */
+static void test_credential(void)
+{
+	static const struct {
+		const char *fields;
+		const char *key; /* NULL: none */
+		bool bad;
+	} cases[] = {
+		{ "", NULL, false },
+		{ "X-Authorization: Bearer k\r\n", NULL, false },
+		{ "Authorization: Bearer k1\r\n", "k1", false },
+		{ "authorization: bearer k1\r\n", "k1", false },
+		{ "AUTHORIZATION: BEARER k1\r\n", "k1", false },
+		{ "aUtHoRiZaTiOn:bEaReR k1\r\n", "k1", false },
+		{ "Authorization:   Bearer    k1  \r\n", "k1", false },
+		{ "Authorization: Bearer k1\t \r\n", "k1", false },
+		{ "Authorization: Bearer " KEY "\r\n", KEY, false },
+		/* A configuration may hold keys with commas. */
+		{ "Authorization: Bearer k,1\r\n", "k,1", false },
+		{ "Authorization: Bearer k1,\r\n", "k1,", false },
+		{ "Authorization: Bearer k1 ,\r\n", NULL, true },
+		{ "Authorization:\r\n", NULL, true },
+		{ "Authorization: \r\n", NULL, true },
+		{ "Authorization: Bearer\r\n", NULL, true },
+		{ "Authorization: Bearer \r\n", NULL, true },
+		{ "Authorization: Bearer k1 k2\r\n", NULL, true },
+		{ "Authorization: Bearer k1, Bearer k2\r\n", NULL, true },
+		{ "Authorization: Bearer\tk1\r\n", NULL, true },
+		{ "Authorization: Bearerk1\r\n", NULL, true },
+		{ "Authorization: Basic azE6azI=\r\n", NULL, true },
+		{ "Authorization: k1\r\n", NULL, true },
+		{ "Authorization: Bearer k1\r\nAuthorization: Bearer k2\r\n",
+		  "k1", true },
+		{ "Authorization: Bearer k1\r\nauthorization: Basic eA==\r\n",
+		  "k1", true },
+		{ "authorization: Basic eA==\r\nAuthorization: Bearer k1\r\n",
+		  "k1", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct request_text q;
+
+		read_request(&q, cases[i].fields, "");
+		g_test_message("%s", cases[i].fields);
+		g_assert_cmpint(q.call.bad_credential, ==, cases[i].bad);
+		if (!cases[i].bad)
+			g_assert_cmpstr(q.call.credential, ==, cases[i].key);
+		clear_request(&q);
+	}
+}
+
+/* Guards against 401 for a valid key: a field that a proxy repeated is not a
+ * second, different one. */
+static void test_credential_repeated(void)
+{
+	struct request_text q;
+
+	read_request(&q,
+		     "Authorization: Bearer k1\r\nauthorization: bearer  k1\r\n"
+		     "Authorization: Bearer k1\r\n",
+		     "");
+	g_assert_false(q.call.bad_credential);
+	g_assert_cmpstr(q.call.credential, ==, "k1");
+	clear_request(&q);
+	read_request(&q,
+		     "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n"
+		     "Authorization: Bearer K1\r\n",
+		     "");
+	g_assert_true(q.call.bad_credential);
+	clear_request(&q);
+	read_request(&q,
+		     "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n"
+		     "Authorization: Basic k1\r\n",
+		     "");
+	g_assert_true(q.call.bad_credential);
+	clear_request(&q);
+}
+
+static const char *const identity_spellings[] = {
+	"Authorization: Bearer " KEY "\r\n",
+	"authorization: bearer " KEY "\r\n",
+	"AUTHORIZATION: Bearer " KEY "\r\n",
+	"aUTHORIZATION:Bearer " KEY "\r\n",
+	"Authorization: Basic " KEY "\r\n",
+	"Authorization: " KEY "\r\nauthorization: Bearer " KEY "\r\n",
+	"Proxy-Authorization: Bearer " KEY "\r\n",
+	"PROXY-authorization: Bearer " KEY "\r\n",
+	"Tenant: " KEY "\r\n",
+	"tenant: " KEY "\r\nTENANT: " KEY "\r\n",
+	"Connection: X-Other\r\nAuthorization: Bearer " KEY "\r\n",
+	/* As the last field of a head, before the trailer. */
+	"X-Empty:\r\nAuthorization: Bearer " KEY "\r\n",
+};
+
+/* Guards against a key, or a workspace that the caller states, in what an
+ * endpoint gets where the system identifies callers. */
+static void test_key_not_forwarded(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(identity_spellings); i++) {
+		const char *fields = identity_spellings[i];
+		struct request_text q;
+		char *out;
+
+		g_test_message("%s", fields);
+		read_request(&q, fields, "");
+		out = forward(&q, true, "acme");
+		g_assert_null(strstr(out, KEY));
+		g_assert_nonnull(strstr(out, "\r\nTenant: acme\r\n"));
+		g_free(out);
+		out = forward(&q, true, NULL);
+		g_assert_null(strstr(out, KEY));
+		g_assert_null(strstr(out, "Tenant"));
+		g_free(out);
+		clear_request(&q);
+	}
+}
+
+/* Guards against http-parser, which lets names contain spaces: endpoints that
+ * trim them would get the key. */
+static void test_spaces_in_names(void)
+{
+	static const char *const spellings[] = {
+		"Authorization : Bearer " KEY "\r\n",
+		"authorization  : Bearer " KEY "\r\n",
+		"Proxy-Authorization : Bearer " KEY "\r\n",
+		"Tenant : " KEY "\r\n",
+	};
+	static const char first[] =
+		"POST /p HTTP/1.1\r\n Authorization: Bearer " KEY
+		"\r\nHost: h\r\n";
+	struct request_text q;
+	char *out;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(spellings); i++) {
+		read_request(&q, spellings[i], "");
+		g_assert_null(q.call.credential);
+		out = forward(&q, true, "acme");
+		g_assert_null(strstr(out, KEY));
+		g_free(out);
+		clear_request(&q);
+	}
+	init_parser(&q.h, &q.log, true);
+	fg_h1_feed(&q.h, first, sizeof(first) - 1);
+	fg_h1_feed(&q.h, "\r\n", 2);
+	g_assert_true(q.h.ended);
+	g_assert_true(fgp_wire.call_read(&q.h.head, &q.call));
+	g_assert_null(q.call.credential);
+	out = forward(&q, true, "acme");
+	g_assert_null(strstr(out, KEY));
+	g_free(out);
+	clear_request(&q);
+}
+
+/* The same for the trailer of a chunked body. */
+static void test_key_in_trailer(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(identity_spellings); i++) {
+		g_autofree char *rest =
+			g_strconcat("3\r\nabc\r\n0\r\n", identity_spellings[i],
+				    "\r\n", NULL);
+		struct request_text q;
+		char *out;
+
+		read_request(&q, "Transfer-Encoding: chunked\r\nX-Last:\r\n",
+			     rest);
+		out = forward(&q, true, "acme");
+		g_assert_null(strstr(out, KEY));
+		g_free(out);
+		clear_request(&q);
+	}
+}
+
+/* Guards against a key that counts although the request was decided on its
+ * head: trailers do not authenticate, nor do they make a key of the head a
+ * second one.
+ */
+static void test_trailer_is_no_credential(void)
+{
+	static const char rest[] = "3\r\nabc\r\n0\r\n"
+				   "Authorization: Bearer k2\r\n\r\n";
+	struct request_text q;
+
+	read_request(&q, "Transfer-Encoding: chunked\r\n", rest);
+	g_assert_null(q.call.credential);
+	g_assert_false(q.call.bad_credential);
+	clear_request(&q);
+	read_request(&q,
+		     "Transfer-Encoding: chunked\r\n"
+		     "Authorization: Bearer k1\r\n",
+		     rest);
+	g_assert_cmpstr(q.call.credential, ==, "k1");
+	g_assert_false(q.call.bad_credential);
+	clear_request(&q);
+}
+
+/* Guards against a deployment without workspaces whose endpoints no longer get
+ * what they check themselves. Proxy-Authorization is hop-by-hop everywhere. */
+static void test_identity_passes_unchanged(void)
+{
+	struct request_text q;
+	char *out;
+
+	read_request(&q,
+		     "authorization: Basic eDp5\r\nAuthorization: Bearer k\r\n"
+		     "TENANT: t1\r\nTenant: t2\r\n",
+		     "");
+	out = forward(&q, false, NULL);
+	g_assert_nonnull(strstr(out, "\r\nauthorization: Basic eDp5\r\n"
+				     "Authorization: Bearer k\r\n"
+				     "TENANT: t1\r\nTenant: t2\r\n"));
+	g_free(out);
+	out = forward(&q, false, "acme");
+	g_assert_null(strstr(out, "acme"));
+	g_free(out);
+	clear_request(&q);
+}
+
+/* Returns the configuration with this value of "tenants"; NULL: without. */
+static struct fg_routes *read_tenants(const char *value, GError **error)
+{
+	g_autofree char *text =
+		value == NULL
+			? g_strdup("{\"version\":1}")
+			: g_strdup_printf("{\"version\":1,\"tenants\":%s}",
+					  value);
+
+	return fgp_wire.config_read(text, strlen(text), error);
+}
+
+static const struct fg_workspace *find_key(const struct fg_routes *t,
+					   const char *key)
+{
+	struct fg_ws_digest digest;
+
+	g_assert_true(fg_ws_digest(key, &digest));
+	return fg_ws_set_find(t->workspaces, &digest);
+}
+
+static void test_tenants(void)
+{
+	static const char text[] =
+		"[{\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":2,"
+		"\"unit\":\"token_count\",\"plainTokens\":300,\"ratePerS\":"
+		"4200.5,\"burst\":9000},"
+		"{\"name\":\"b\",\"apiKeys\":[\"k3\"],\"unit\":\"requests\","
+		"\"ratePerS\":3,\"burst\":0}]";
+	struct fg_routes *t = read_tenants(text, NULL);
+	const struct fg_workspace *w = find_key(t, "k2");
+
+	g_assert_nonnull(w);
+	g_assert_cmpstr(w->name, ==, "a");
+	g_assert_true(w->has_priority);
+	g_assert_cmpuint(w->priority, ==, 2);
+	g_assert_true(w->in_tokens);
+	g_assert_cmpuint(w->plain_tokens, ==, 300);
+	g_assert_cmpfloat(w->rate_per_s, ==, 4200.5);
+	g_assert_cmpfloat(w->burst, ==, 9000);
+	w = find_key(t, "k3");
+	g_assert_cmpstr(w->name, ==, "b");
+	g_assert_false(w->has_priority);
+	g_assert_false(w->in_tokens);
+	g_assert_false(fg_ws_is_limited(w));
+	g_assert_cmpuint(fg_ws_set_problems(t->workspaces)->len, ==, 0);
+	fg_routes_unref(t);
+	/* An empty list still asks for a key; nobody has one. */
+	t = read_tenants("[]", NULL);
+	g_assert_nonnull(t->workspaces);
+	g_assert_null(find_key(t, "k1"));
+	fg_routes_unref(t);
+	t = read_tenants(NULL, NULL);
+	g_assert_null(t->workspaces);
+	fg_routes_unref(t);
+	t = read_tenants("null", NULL);
+	g_assert_null(t->workspaces);
+	fg_routes_unref(t);
+}
+
+/* Guards against a typing error that lets requests without a key through, and
+ * keys to endpoints: the configuration before stays in force instead. */
+static void test_tenants_not_a_list(void)
+{
+	static const char *const bad[] = { "{}", "\"a\"", "7", "true",
+					   "{\"name\":\"a\"}" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *error = NULL;
+
+		g_assert_null(read_tenants(bad[i], &error));
+		g_assert_nonnull(strstr(error->message, "tenants"));
+		g_error_free(error);
+	}
+}
+
+/* Guards against a faulty entry that costs other workspaces their keys, or that
+ * no log line names. Each value comes between two sound ones. */
+static void test_bad_tenants(void)
+{
+	static const char *const bad[] = {
+		"7",
+		"null",
+		"[]",
+		"{}",
+		"{\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"\",\"apiKeys\":[\"k9\"]}",
+		"{\"name\":7,\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"x\\r\\nY: z\",\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"a\",\"apiKeys\":[\"k9\"]}",
+		"{\"name\":\"x\"}",
+		"{\"name\":\"x\",\"apiKeys\":[]}",
+		"{\"name\":\"x\",\"apiKeys\":\"k9\"}",
+		"{\"name\":\"x\",\"apiKeys\":[7]}",
+		"{\"name\":\"x\",\"apiKeys\":[\"\"]}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k 9\"]}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"ratePerS\":\"9\"}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"ratePerS\":-1}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"burst\":null}",
+		"{\"name\":\"x\",\"apiKeys\":[\"k8\"],\"burst\":[1]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_autofree char *list = g_strdup_printf(
+			"[{\"name\":\"a\",\"apiKeys\":[\"k1\"]},%s,"
+			"{\"name\":\"b\",\"apiKeys\":[\"k2\"]}]",
+			bad[i]);
+		struct fg_routes *t = read_tenants(list, NULL);
+
+		g_test_message("%s", bad[i]);
+		g_assert_nonnull(t);
+		g_assert_cmpstr(find_key(t, "k1")->name, ==, "a");
+		g_assert_cmpstr(find_key(t, "k2")->name, ==, "b");
+		g_assert_null(find_key(t, "k9"));
+		g_assert_cmpuint(fg_ws_set_problems(t->workspaces)->len, ==, 1);
+		g_assert_null(strstr(
+			fg_ws_set_problems(t->workspaces)->pdata[0], "k9"));
+		fg_routes_unref(t);
+	}
+}
+
+/* Guards against a bad number that counts as 0: the most urgent priority, and
+ * requests that cost nothing. */
+static void test_bad_tenant_numbers(void)
+{
+	static const char *const bad[] = { "-1",   "\"1\"",	 "null", "[]",
+					   "true", "4294967296", "1e30" };
+	static const char *const names[] = { "priority", "plainTokens" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad) * 2; i++) {
+		g_autofree char *list = g_strdup_printf(
+			"[{\"name\":\"a\",\"apiKeys\":[\"k1\"],\"unit\":"
+			"\"token_count\",\"%s\":%s}]",
+			names[i % 2], bad[i / 2]);
+		struct fg_routes *t = read_tenants(list, NULL);
+		const struct fg_workspace *w = find_key(t, "k1");
+		const GPtrArray *problems = fg_ws_set_problems(t->workspaces);
+
+		g_test_message("%s", list);
+		g_assert_false(w->has_priority);
+		g_assert_cmpuint(problems->len, ==, 1);
+		g_assert_nonnull(strstr(problems->pdata[0], names[i % 2]));
+		fg_routes_unref(t);
+	}
+}
+
+/* Guards against a key in the log: the message about a syntax error must not
+ * quote the text. */
+static void test_error_without_key(void)
+{
+	static const char *const bad[] = {
+		"[{\"name\":\"a\",\"apiKeys\":[\"k1\" \"secret\"]}]",
+		"[{\"name\":\"a\",\"apiKeys\":[secret]}]",
+		"[{\"name\":\"a\",\"apiKeys\":[\"secret]}]",
+		"[{\"name\":\"a\",\"apiKeys\":\"secret\"\"\"}]",
+		"[{\"name\":\"a\",\"apiKeys\":[\"secret\\q\"]}]",
+		"[{\"apiKeys\":[\"k\"],\"secret\" 7}]",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *error = NULL;
+
+		g_assert_null(read_tenants(bad[i], &error));
+		g_test_message("%s", error->message);
+		g_assert_null(strstr(error->message, "secret"));
+		g_assert_nonnull(strstr(error->message, "byte"));
+		g_error_free(error);
+	}
+}
+
+/* Guards against requests that cost nothing because of an unreadable
+ * Token-Count: they count as those without it. */
+static void test_token_counts(void)
+{
+	static const struct {
+		const char *fields;
+		uint32_t cost;
+	} cases[] = {
+		{ "", 30 },
+		{ "Token-Count: 900,80\r\n", 980 },
+		{ "Token-Count: 900, 80\r\n", 980 },
+		{ "token-count: 900\r\n", 900 },
+		{ "Token-Count: 0,0\r\n", 0 },
+		{ "Token-Count: 99999999999999999999,1\r\n", UINT32_MAX },
+		{ "Token-Count:\r\n", 30 },
+		{ "Token-Count: many\r\n", 30 },
+		{ "Token-Count: -900,-80\r\n", 30 },
+		{ "Token-Count: ,80\r\n", 30 },
+	};
+	const struct fg_workspace w = { .in_tokens = true, .plain_tokens = 30 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct request_text q;
+
+		read_request(&q, cases[i].fields, "");
+		g_test_message("%s", cases[i].fields);
+		g_assert_cmpuint(fg_ws_cost(&w, q.call.has_tokens,
+					    q.call.prompt_tokens,
+					    q.call.output_tokens),
+				 ==, cases[i].cost);
+		clear_request(&q);
+	}
+}
+
 /* ---- Configuration, entries, rows ---- */
 
 static const char config[] =
@@ -744,6 +1209,24 @@
 	g_test_add_func("/platform/leaving_and_pause", test_leaving_and_pause);
 	g_test_add_func("/platform/brittle", test_brittle);
 	g_test_add_func("/platform/era", test_era);
+	g_test_add_func("/platform/credential", test_credential);
+	g_test_add_func("/platform/credential_repeated",
+			test_credential_repeated);
+	g_test_add_func("/platform/key_not_forwarded", test_key_not_forwarded);
+	g_test_add_func("/platform/spaces_in_names", test_spaces_in_names);
+	g_test_add_func("/platform/key_in_trailer", test_key_in_trailer);
+	g_test_add_func("/platform/trailer_is_no_credential",
+			test_trailer_is_no_credential);
+	g_test_add_func("/platform/identity_passes_unchanged",
+			test_identity_passes_unchanged);
+	g_test_add_func("/platform/tenants", test_tenants);
+	g_test_add_func("/platform/tenants_not_a_list",
+			test_tenants_not_a_list);
+	g_test_add_func("/platform/bad_tenants", test_bad_tenants);
+	g_test_add_func("/platform/bad_tenant_numbers",
+			test_bad_tenant_numbers);
+	g_test_add_func("/platform/error_without_key", test_error_without_key);
+	g_test_add_func("/platform/token_counts", test_token_counts);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
 	g_test_add_func("/platform/entry", test_entry);
