fg-gateway: configuration from any instance that knows a newer one

Cause: an instance that the store turns away kept an old configuration if it was the reader of its data centre or if no neighbour read the store, so that a withdrawn key went on working there.

Change: lib/catchup decides from heartbeats when to ask and whom; fg_gw_catchup carries it out with the calls for rows and serves the rows known, also where the store is not read. Rows from others do not advance the feed. Heartbeats of a sender that reads the store confirm the configuration of one that it turns away. With workspaces, readers send heartbeats to other regions every 0.4 to 1.1 s and at once after a change. Rows of more than 128 KB (a configuration of 10,000 keys) could not be relayed; the limit is 3 MB now.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -317,6 +317,7 @@
 	fg_caller_sweep(gw, now);
 	fg_orders_refresh(gw, now);
 	fg_sync_tick(gw, now);
+	fg_gw_catchup_tick(gw, now);
 	fg_gw_mesh_tick(gw, now);
 	fg_gw_blame_tick(gw, now);
 	fg_gw_origin_refresh(gw, now);
@@ -433,6 +434,7 @@
 	gw->fleet = fg_fleet_new(dc_region, on_endpoint_dropped, gw);
 	gw->claims = fg_claims_new(&claims);
 	gw->peers = fg_peers_new(&self);
+	fg_gw_catchup_init(gw);
 	gw->popularity = fg_popularity_new(POPULARITY_HALF_LIFE_MS);
 	gw->suspects = fg_suspects_new(&suspects_conf);
 	fg_gw_blame_init(gw);
@@ -528,6 +530,7 @@
 	}
 	if (gw->tx_channel != NULL)
 		fg_sync_stop(gw);
+	fg_gw_catchup_free(gw);
 	fg_fleet_free(gw->fleet);
 	uv_run(&gw->loop, UV_RUN_NOWAIT); /* frees closed connections */
 	fg_claims_free(gw->claims);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -14,6 +14,7 @@
  *   fg_gw_era.c      eras of the store, proofs of ownership
  *   fg_gw_rows.c     decoding and applying rows of these tables
  *   fg_gw_relay.c    rows taken from and served to neighbours
+ *   fg_gw_catchup.c  configuration rows taken from any other instance
  *   fg_gw_own.c      rows that this instance writes
  *   fg_gw_orders.c   adapter loads of the engines that this instance orders
  *   fg_gw_mesh.c     messages sent to other instances
@@ -38,6 +39,7 @@
 #include "base/fg_clock.h"
 #include "base/fg_rand.h"
 #include "blame/fg_blame.h"
+#include "catchup/fg_catchup.h"
 #include "claim/fg_claim.h"
 #include "era/fg_era.h"
 #include "fleet/fg_brittle.h"
@@ -576,6 +578,57 @@
 /* Answers a neighbour's call for rows. */
 void fg_gw_relay_answer_call(struct fg_caller *c);
 
+/* Returns whether rows are read from the store here and none of its feeds
+ * fails. */
+bool fg_gw_relay_reads_store(const struct fg_gateway *gw);
+
+/* ---- Configuration rows from any other instance ---- */
+
+/* What is kept here for fg_catchup.h. */
+struct fg_catchup_here {
+	struct fg_catchup *decision;
+	struct fg_relay *known[2];  /* rows of the configuration feed, from any
+				     * source, for others */
+	struct fg_channel *channel; /* to the instance asked last, or NULL */
+	char address[FG_PEER_TEXT_BYTES]; /* of `channel` */
+	uint64_t asked;			  /* incarnation of that instance */
+	uint64_t version; /* newest row that another instance gave */
+};
+
+void fg_gw_catchup_init(struct fg_gateway *gw);
+void fg_gw_catchup_free(struct fg_gateway *gw);
+
+/* Gives up calls that take too long and asks the next instance. */
+void fg_gw_catchup_tick(struct fg_gateway *gw, fg_ms now);
+
+/* A heartbeat of this peer reported the state of its feeds. */
+void fg_gw_catchup_on_heartbeat(struct fg_gateway *gw,
+				const struct fg_mesh_peer *peer, fg_ms now);
+
+/* A row of the configuration feed was applied: keeps it for others. */
+void fg_gw_catchup_on_row(struct fg_gateway *gw,
+			  const struct fg_store_row *row);
+
+/* The whole configuration table was read from the store. */
+void fg_gw_catchup_on_full_read(struct fg_gateway *gw);
+
+/* The store's era rose: drops the rows of earlier ones. */
+void fg_gw_catchup_on_era(struct fg_gateway *gw);
+
+/* Appends the configuration rows known here with a version above `after` to
+ * `body`. Returns false when the call `target` does not ask for them. */
+bool fg_gw_catchup_answer(const struct fg_gateway *gw, const char *target,
+			  int feed, uint64_t after, GString *body);
+
+/* Version of the newest configuration row known here, from any source. */
+uint64_t fg_gw_catchup_known(const struct fg_gateway *gw);
+
+/* Returns whether another instance reported a newer row. */
+bool fg_gw_catchup_is_behind(const struct fg_gateway *gw);
+
+/* Appends a line for the state dump. */
+void fg_gw_catchup_append_state(GString *out, const struct fg_gateway *gw);
+
 /* ---- Orders ---- */
 
 /* Starts or stops ordering loads at each engine, as claims and the registry
@@ -662,6 +715,9 @@
 
 /* ---- Workspaces ---- */
 
+/* Returns whether the configuration in effect has workspaces. */
+bool fg_gw_has_workspaces(const struct fg_gateway *gw);
+
 /* Returns whether the store's answers have failed for so long that a newer
  * configuration may be in force elsewhere. */
 bool fg_gw_is_config_stale(const struct fg_gateway *gw, fg_ms now);
@@ -853,6 +909,7 @@
 
 	struct fg_routes *routes;  /* NULL before the first configuration */
 	fg_ms config_behind_since; /* another instance read more; 0: none */
+	struct fg_catchup_here catchup;
 	GHashTable
 		*announced_versions; /* key -> struct fg_announced_version * */
 	struct fg_fleet *fleet;
--- a/lib/gateway/fg_gw_era.c
+++ b/lib/gateway/fg_gw_era.c
@@ -41,6 +41,7 @@
 	fg_gw_count_event(gw, "eras", NULL);
 	fg_claims_start_era(gw->claims, now, gw->era.known);
 	fg_fleet_registry_restored(gw->fleet, now);
+	fg_gw_catchup_on_era(gw);
 	gw->own_row_written = false;
 	fg_blame_save_again(gw->blame);
 	/* Claims wait until the others have heard of the era as well. */
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -11,6 +11,10 @@
 #define NEAR_MAX_MS 250
 #define FAR_MIN_MS 400
 #define FAR_MS_PER_PEER 16
+/* Longest interval of those that read the store, when there are workspaces:
+ * from these heartbeats other regions learn within 5 s that a key was
+ * withdrawn. There is one such instance in each data centre. */
+#define FAR_READER_MAX_MS 1100
 /* List entries of one datagram, chosen to fit FG_MESH_PACKET_BYTES. */
 #define OWNED_MAX 4
 #define HELD_MAX 12
@@ -293,11 +297,21 @@
 	return mean_ms / 2 + (fg_ms)fg_rand_below(&gw->rand, (uint64_t)mean_ms);
 }
 
+static fg_ms random_far_interval_ms(struct fg_gateway *gw)
+{
+	fg_ms peers = fg_peers_all(gw->peers)->len;
+
+	if (fg_gw_has_workspaces(gw) && fg_gw_relay_reads_store(gw))
+		return FAR_MIN_MS +
+		       (fg_ms)fg_rand_below(&gw->rand,
+					    FAR_READER_MAX_MS - FAR_MIN_MS);
+	return random_around(gw, MAX(FAR_MIN_MS, FAR_MS_PER_PEER * peers));
+}
+
 void fg_gw_mesh_tick(struct fg_gateway *gw, fg_ms now)
 {
 	fg_ms peers = fg_peers_all(gw->peers)->len;
 	fg_ms near_interval_ms = MAX(NEAR_MIN_MS, NEAR_MS_PER_PEER * peers);
-	fg_ms far_interval_ms = MAX(FAR_MIN_MS, FAR_MS_PER_PEER * peers);
 
 	resend_all_uses(gw, now);
 	if (now - gw->near_heartbeat_at >= NEAR_MAX_MS ||
@@ -306,8 +320,7 @@
 		send_near_heartbeat(gw, now);
 	if (now >= gw->far_heartbeat_due_at) {
 		send_heartbeat(gw, false);
-		gw->far_heartbeat_due_at =
-			now + random_around(gw, far_interval_ms);
+		gw->far_heartbeat_due_at = now + random_far_interval_ms(gw);
 		expire_crashes(gw);
 	}
 }
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -203,6 +203,7 @@
 			gw->feeds[i].failures,
 			(long long)(now - gw->feeds[i].confirmed_at),
 			gw->feeds[i].store_calls);
+	fg_gw_catchup_append_state(out, gw);
 	append_endpoints(out, gw, now);
 	append_peers(out, gw, now);
 	fg_gw_quota_append_state(out, gw, now);
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -161,6 +161,7 @@
 	fg_peers_on_heartbeat(gw->peers, now, packet->incarnation, packet->seq,
 			      hb);
 	fg_gw_relay_on_heartbeat(gw, peer, now);
+	fg_gw_catchup_on_heartbeat(gw, peer, now);
 	if (hb->store.feeds[FG_FEED_CONFIG].newest >
 	    gw->feeds[FG_FEED_CONFIG].newest_version)
 		fg_sync_on_config_behind(gw, now);
--- a/lib/gateway/fg_gw_relay.c
+++ b/lib/gateway/fg_gw_relay.c
@@ -190,13 +190,18 @@
 
 G_STATIC_ASSERT((int)FG_FEED_COUNT == FG_MESH_FEEDS);
 
+bool fg_gw_relay_reads_store(const struct fg_gateway *gw)
+{
+	return gw->reader == 0 && !gw->stopping && are_full_reads_done(gw) &&
+	       !has_failed_feed(gw);
+}
+
 void fg_gw_relay_fill_status(const struct fg_gateway *gw, fg_ms now,
 			     fg_mesh_store *out)
 {
 	const struct fg_feed *registry = &gw->feeds[FG_FEED_REGISTRY];
 
-	out->reads = gw->reader == 0 && !gw->stopping &&
-		     are_full_reads_done(gw) && !has_failed_feed(gw);
+	out->reads = fg_gw_relay_reads_store(gw);
 	out->age_ms = registry->failures > 0
 			      ? FG_MESH_STORE_LOST
 			      : (uint32_t)(now - registry->confirmed_at);
@@ -208,6 +213,11 @@
 		out->feeds[i].newest = gw->feeds[i].newest_version;
 		out->feeds[i].read = gw->feeds[i].synced_version;
 	}
+	/* Neighbours fetch up to the newest row from a reader, so it must not
+	 * name one that it has not read from the store. */
+	if (!out->reads)
+		out->feeds[FG_FEED_CONFIG].newest = MAX(
+			out->feeds[FG_FEED_CONFIG].newest, gw->catchup.version);
 }
 
 void fg_gw_relay_answer_call(struct fg_caller *c)
@@ -229,8 +239,9 @@
 	} else {
 		const struct fg_feed *f = &c->gw->feeds[id];
 
-		if (c->gw->reader == 0 &&
-		    fg_relay_encode(f->relay, after, f->synced_version, body))
+		if (fg_gw_catchup_answer(c->gw, target, id, after, body) ||
+		    (c->gw->reader == 0 &&
+		     fg_relay_encode(f->relay, after, f->synced_version, body)))
 			status = HTTP_STATUS_OK;
 	}
 	fg_caller_answer(c, status, NULL, 0, NULL, body->str, body->len);
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -87,7 +87,7 @@
 static void apply_config_row(struct fg_gateway *gw,
 			     const struct fg_store_row *row, fg_ms now)
 {
-	gw->config_behind_since = 0;
+	fg_gw_catchup_on_row(gw, row);
 	if (row->removed || row->value == NULL)
 		return;
 	if (gw->wire->is_config(row->key))
@@ -130,15 +130,15 @@
 	       strcmp(old->software, facts->software) == 0;
 }
 
-/* Instances of other regions hear of this one at once instead of after the
- * interval of heartbeats, spread over NEW_PEER_SPREAD_MS, since the rows of
- * many instances that start together arrive together. */
-#define NEW_PEER_SPREAD_MS 200
+/* The next heartbeats are sent at once instead of after their interval, those
+ * to other regions spread over HEARTBEAT_SPREAD_MS, since the rows of many
+ * instances that start together arrive together. */
+#define HEARTBEAT_SPREAD_MS 200
 
-static void greet(struct fg_gateway *gw, fg_ms now)
+static void hasten_heartbeats(struct fg_gateway *gw, fg_ms now)
 {
 	fg_ms due_at =
-		now + (fg_ms)fg_rand_below(&gw->rand, NEW_PEER_SPREAD_MS);
+		now + (fg_ms)fg_rand_below(&gw->rand, HEARTBEAT_SPREAD_MS);
 
 	gw->heartbeat_due = true;
 	gw->far_heartbeat_due_at = MIN(gw->far_heartbeat_due_at, due_at);
@@ -222,7 +222,7 @@
 				     row->value, &peer)) {
 		peer.version = row->version;
 		if (fg_peers_find(gw->peers, peer.incarnation) == NULL)
-			greet(gw, now);
+			hasten_heartbeats(gw, now);
 		fg_peers_put(gw->peers, now, &peer);
 	} else {
 		log_refused_row("instance_row_refused", row, NULL);
@@ -235,6 +235,11 @@
 	switch (f->id) {
 	case FG_FEED_CONFIG:
 		apply_config_row(f->gw, row, now);
+		/* Instances that the store turns away learn from heartbeats
+		 * that a key was withdrawn. */
+		if (fg_gw_has_workspaces(f->gw) &&
+		    fg_gw_relay_reads_store(f->gw))
+			hasten_heartbeats(f->gw, now);
 		return true;
 	case FG_FEED_REGISTRY:
 		return apply_entry_row(f->gw, row, now);
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -61,6 +61,8 @@
 	 * and no one needs its removals. */
 	if (f->id != FG_FEED_CONFIG)
 		f->newest_version = f->full_read_version;
+	else
+		fg_gw_catchup_on_full_read(f->gw);
 	fg_relay_reset(f->relay, f->full_read_version);
 	if (f->id == FG_FEED_REGISTRY)
 		fg_fleet_read_end(f->gw->fleet, now);
@@ -68,6 +70,15 @@
 		fg_claims_end_full_read(f->gw->claims);
 }
 
+/* Applies a row that the store or the reader returned. */
+static bool apply_row(struct fg_feed *f, const struct fg_store_row *row,
+		      fg_ms now)
+{
+	if (f->id == FG_FEED_CONFIG)
+		f->gw->config_behind_since = 0;
+	return fg_sync_apply_row(f, row, now);
+}
+
 static void apply_page(struct fg_feed *f, const struct fg_store_rows *rows,
 		       fg_ms now)
 {
@@ -80,7 +91,7 @@
 	for (guint i = 0; i < rows->rows->len; i++) {
 		const struct fg_store_row *row = rows->rows->pdata[i];
 
-		fg_sync_apply_row(f, row, now);
+		apply_row(f, row, now);
 		f->newest_version = MAX(f->newest_version, row->version);
 	}
 	if (!rows->more || rows->rows->len == 0) {
@@ -101,7 +112,7 @@
 	for (guint i = 0; i < rows->rows->len; i++) {
 		const struct fg_store_row *row = rows->rows->pdata[i];
 
-		if (!fg_sync_apply_row(f, row, now))
+		if (!apply_row(f, row, now))
 			continue;
 		f->newest_version = MAX(f->newest_version, row->version);
 		if (f->reader_channel == NULL)
--- a/lib/gateway/fg_gw_workspace.c
+++ b/lib/gateway/fg_gw_workspace.c
@@ -6,6 +6,11 @@
 /* Retry-After while it is not known whether a key was added. */
 #define UNKNOWN_RETRY_MS 300
 
+bool fg_gw_has_workspaces(const struct fg_gateway *gw)
+{
+	return gw->routes != NULL && gw->routes->workspaces != NULL;
+}
+
 /* 401 is final for the caller. */
 static void deny(struct fg_gwreq *r, const char *reason)
 {
@@ -23,7 +28,7 @@
 /* Returns whether a newer configuration than the one here may be in force. */
 static bool may_be_behind(const struct fg_gateway *gw, fg_ms now)
 {
-	return gw->config_behind_since != 0 || fg_gw_is_config_stale(gw, now);
+	return fg_gw_catchup_is_behind(gw) || fg_gw_is_config_stale(gw, now);
 }
 
 /* Returns whether keys must not be accepted any more, since none of them could
--- a/lib/mesh/fg_mesh.x
+++ b/lib/mesh/fg_mesh.x
@@ -230,7 +230,9 @@
 };
 
 /* Rows that one instance reads from another, over HTTP instead of datagrams. */
-const FG_MESH_ROW_BYTES = 131072;
+/* A configuration of 10,000 keys takes 0.4 to 1 MB; an answer to a call takes at
+ * most 4 MB. */
+const FG_MESH_ROW_BYTES = 3145728;
 const FG_MESH_ROWS_MAX = 4096;
 
 struct fg_mesh_row {
--- a/lib/mesh/fg_mesh_proto.h
+++ b/lib/mesh/fg_mesh_proto.h
@@ -258,7 +258,7 @@
 	} fg_mesh_body_u;
 };
 typedef struct fg_mesh_body fg_mesh_body;
-#define FG_MESH_ROW_BYTES 131072
+#define FG_MESH_ROW_BYTES 3145728
 #define FG_MESH_ROWS_MAX 4096
 
 struct fg_mesh_row {
--- a/lib/relay/fg_relay.c
+++ b/lib/relay/fg_relay.c
@@ -74,9 +74,9 @@
 	return x->ver < y->ver ? -1 : x->ver > y->ver;
 }
 
-static GArray *list_rows_after(const struct fg_relay *r, uint64_t after)
+static void append_rows_after(const struct fg_relay *r, uint64_t after,
+			      GArray *out)
 {
-	GArray *out = g_array_new(FALSE, TRUE, sizeof(fg_mesh_row));
 	GHashTableIter iter;
 	gpointer value;
 
@@ -95,23 +95,18 @@
 		m.value.value_len = (u_int)row->value_bytes;
 		g_array_append_val(out, m);
 	}
-	g_array_sort(out, compare_versions);
-	return out;
 }
 
-bool fg_relay_encode(const struct fg_relay *r, uint64_t after,
-		     uint64_t read_version, GString *out)
+/* Frees `rows`. */
+static bool encode_rows(GArray *rows, uint64_t read_version, GString *out)
 {
-	GArray *rows;
 	fg_mesh_rows m = { .read = read_version };
 	XDR xdr;
 	gsize old_len = out->len;
 	gsize size;
 	bool ok;
 
-	if (after < r->floor)
-		return false;
-	rows = list_rows_after(r, after);
+	g_array_sort(rows, compare_versions);
 	m.rows.rows_len = rows->len;
 	m.rows.rows_val = (fg_mesh_row *)(void *)rows->data;
 	size = xdr_sizeof((xdrproc_t)xdr_fg_mesh_rows, &m);
@@ -125,6 +120,28 @@
 	return ok;
 }
 
+bool fg_relay_encode(const struct fg_relay *r, uint64_t after,
+		     uint64_t read_version, GString *out)
+{
+	GArray *rows;
+
+	if (after < r->floor)
+		return false;
+	rows = g_array_new(FALSE, TRUE, sizeof(fg_mesh_row));
+	append_rows_after(r, after, rows);
+	return encode_rows(rows, read_version, out);
+}
+
+bool fg_relay_encode_known(const struct fg_relay *const *caches, size_t n,
+			   uint64_t after, GString *out)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(fg_mesh_row));
+
+	for (size_t i = 0; i < n; i++)
+		append_rows_after(caches[i], after, rows);
+	return encode_rows(rows, after, out);
+}
+
 static struct fg_store_row *row_from_mesh(const char *table,
 					  const fg_mesh_row *m)
 {
--- a/lib/relay/fg_relay.h
+++ b/lib/relay/fg_relay.h
@@ -47,6 +47,15 @@
 bool fg_relay_encode(const struct fg_relay *r, uint64_t after,
 		     uint64_t read_version, GString *out);
 
+/*
+ * Appends an answer with the rows above `after` that the `n` caches hold,
+ * whatever their floors are. Rows may be missing from it, so it claims that the
+ * rows were read up to `after` only. No key may be in two of the caches.
+ * Returns false and leaves `out` unchanged when the answer cannot be encoded.
+ */
+bool fg_relay_encode_known(const struct fg_relay *const *caches, size_t n,
+			   uint64_t after, GString *out);
+
 /*
  * Decodes such an answer into `out`, which the caller clears with
  * fg_store_rows_clear(). The rows get the name `table`. Returns false, with
