--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -15,8 +15,9 @@
         self.rows = {}     # (table, key) -> (value bytes, version)
         self.history = []  # (version, table, key, value or None)
         self.version = 0
-        self.mode = "up"   # up, busy, reset, silent, endless_head,
+        self.mode = "up"   # up, busy, limited, reset, silent, endless_head,
                            # endless_body: bytes until the caller closes
+        self.turned_away = {}  # address of a view -> (mode, table or None)
         self.calls = 0
         self.feed_delay_s = 0  # before each answer to a feed call
         self.unanswered_feeds = {}  # table -> feed calls not to answer
@@ -28,14 +29,37 @@
         self.server = Server(self.handle)
         self.addr = self.server.addr
 
-    def add_view(self, addresses):
+    def add_view(self, addresses=None):
         """Returns an address at which the store shows other addresses of
-        replicas: {registered address: address shown}."""
+        replicas: {registered address: address shown}; None: the same. Its
+        callers can be turned away."""
         def handle(req):
             req.shown = addresses
+            req.view = view.addr
             return self.handle(req)
-        self.views.append(Server(handle))
-        return self.views[-1].addr
+        view = Server(handle)
+        self.views.append(view)
+        return view.addr
+
+    def turn_away(self, view, mode, table=None):
+        """From now on the callers of this view get no other answers than those
+        of `mode`, also to reads in progress: busy (503), limited (429), reset,
+        silent, or up to end this. With `table`, only reads of that table are
+        turned away."""
+        with self.cond:
+            self.turned_away[view] = (mode, table)
+            self.cond.notify_all()
+
+    def _mode_for_view(self, req):
+        mode, table = self.turned_away.get(getattr(req, "view", None),
+                                           ("up", None))
+        if table is not None and f"table={table}" not in req.target:
+            return "up"
+        return mode
+
+    def _mode_for(self, req):
+        mode = self._mode_for_view(req)
+        return self.mode if mode == "up" else mode
 
     # Changes made by operators and replicas.
 
@@ -103,25 +127,16 @@
 
     def handle(self, req):
         self.calls += 1
-        if self.mode == "busy":
-            req.answer(503, headers=self._headers())
-            return True
-        if self.mode == "reset":
-            reset_connection(req.sock)
-            return False
-        if self.mode == "silent":
-            time.sleep(30)
-            return False
-        if self.mode.startswith("endless"):
-            req.sock.sendall(b"HTTP/1.1 200 OK\r\n" + (
-                b"" if self.mode == "endless_head" else b"\r\n"))
-            while True:
-                req.sock.sendall(b"X: " + b"1" * 60 + b"\r\n")
+        mode = self._mode_for(req)
+        if mode != "up":
+            return self._handle_unserved(req, mode)
         url = urlsplit(req.target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         if url.path == "/api/rows-feed":
             time.sleep(self.feed_delay_s)
-        calls = {"/api/rows-get": self.get, "/api/rows-feed": self.feed}
+        calls = {"/api/rows-get": self.get,
+                 "/api/rows-feed": lambda q: self.feed(
+                     q, lambda: self._mode_for(req))}
         if (url.path == "/api/rows-feed" and
                 self.unanswered_feeds.get(query["table"], 0)):
             self.unanswered_feeds[query["table"]] -= 1
@@ -139,10 +154,29 @@
             status, body = calls[url.path](query)
         else:
             status, body = 404, {}
+        mode = self._mode_for_view(req)
+        if mode != "up" and url.path != "/api/rows-tx":
+            return self._handle_unserved(req, mode)
         self._show_addresses(body, getattr(req, "shown", None))
         req.answer(status, json.dumps(body).encode(), self._headers())
         return True
 
+    def _handle_unserved(self, req, mode):
+        if mode in ("busy", "limited"):
+            req.answer(503 if mode == "busy" else 429,
+                       headers=self._headers())
+            return True
+        if mode == "reset":
+            reset_connection(req.sock)
+            return False
+        if mode == "silent":
+            time.sleep(30)
+            return False
+        req.sock.sendall(b"HTTP/1.1 200 OK\r\n" + (
+            b"" if mode == "endless_head" else b"\r\n"))
+        while True:
+            req.sock.sendall(b"X: " + b"1" * 60 + b"\r\n")
+
     def _show_addresses(self, body, shown):
         for row in body.get("rows", []) if shown is not None else []:
             if row["table"] != "servers" or "value" not in row:
@@ -174,7 +208,7 @@
             return 200, {"rows": rows, "hasMore": len(keys) > limit,
                          "ver": self.version}
 
-    def feed(self, query):
+    def feed(self, query, mode=lambda: "up"):
         after = int(query["after"])
         until = time.monotonic() + int(query["waitMs"]) / 1000
         with self.cond:
@@ -189,7 +223,7 @@
                     if version > after and table == query["table"]:
                         newest[key] = (raw, version)
                 left = until - time.monotonic()
-                if newest or left <= 0 or self.mode != "up":
+                if newest or left <= 0 or mode() != "up":
                     rows = [self._row(query["table"], k, *v)
                             for k, v in newest.items()]
                     return 200, {"rows": rows, "ver": self.version}
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -146,6 +146,8 @@
 class Gateway:
     """A gateway process; `store` is the address that it uses for the store."""
 
+    regions = {"dc1": "r1", "dc2": "r1"}
+
     def __init__(self, store, name, folder, dc="dc1", fences_checked=True):
         ports = free_ports(5)
         self.front, self.ready, self.directory, self.mesh, self.metrics = (
@@ -161,7 +163,8 @@
 
     def write_settings(self, store, extra="lookup_ttl_s: 2\n"):
         with open(self.settings_path, "w", encoding="utf-8") as f:
-            f.write(f"name: {self.name}\nregion: r1\ndc: {self.dc}\n"
+            f.write(f"name: {self.name}\nregion: {self.regions[self.dc]}\n"
+                    f"dc: {self.dc}\n"
                     f"front: {self.front}\nready: {self.ready}\n"
                     f"directory: {self.directory}\nmesh: {self.mesh}\n"
                     f"metrics: {self.metrics}\nstore: {store}\n"
@@ -169,8 +172,9 @@
                     f"version_ms: 3000\nturn_ms: {LEASE_MS}\n"
                     f"fences_checked: {str(self.fences_checked).lower()}\n"
                     f"{extra}"
-                    "data_centres:\n  - name: dc1\n    region: r1\n"
-                    "  - name: dc2\n    region: r1\n")
+                    "data_centres:\n" + "".join(
+                        f"  - name: {dc}\n    region: {region}\n"
+                        for dc, region in self.regions.items()))
 
     def start(self):
         self.log_offset = (os.path.getsize(self.log_path)
@@ -216,6 +220,8 @@
     """Store, replicas and gateways. With `proxied`, each gateway reaches the
     store through a proxy of its own, in `store_proxies`."""
 
+    gateway_class = Gateway
+
     def __init__(self, engines=2, plains=2, gateways=1, proxied=False, dcs=1,
                  fences_checked=True, software=("v1",)):
         self.folder = tempfile.TemporaryDirectory()
@@ -229,11 +235,10 @@
         self.store_proxies = [Proxy(self.store.addr)
                               for _ in range(gateways if proxied else 0)]
         stores = [p.addr for p in self.store_proxies] or [self.store.addr]
-        self.gateways = [Gateway(self.gateway_store(stores[i % len(stores)]),
-                                 f"g{i}",
-                                 self.folder.name, f"dc{1 + i % dcs}",
-                                 fences_checked)
-                         for i in range(gateways)]
+        self.gateways = [self.gateway_class(
+            self.gateway_store(stores[i % len(stores)]), f"g{i}",
+            self.folder.name, f"dc{1 + i % dcs}", fences_checked)
+            for i in range(gateways)]
         for engine in self.engines:
             engine.checks_fences = fences_checked
         self.gw = self.gateways[0]
