lib/catchup: longer calls after those that were given up; large rows

Cause: a configuration that takes more than 1 s over a busy link would never arrive, as each call was given up after 1 s.

Change: each call in a row that was given up doubles the time of the next, up to 4 s. Tests of rows known in part, of a row of 1 MB and of a configuration with 10,000 keys.

--- a/lib/catchup/fg_catchup.c
+++ b/lib/catchup/fg_catchup.c
@@ -21,6 +21,7 @@
 	bool behind;
 	uint64_t asked; /* instance of the call in progress; 0: none */
 	fg_ms asked_at;
+	fg_ms call_ms; /* until the call is given up */
 	bool active;
 };
 
@@ -29,6 +30,7 @@
 	struct fg_catchup *c = g_new0(struct fg_catchup, 1);
 
 	c->self = self;
+	c->call_ms = FG_CATCHUP_CALL_MS;
 	c->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
 	return c;
@@ -86,8 +88,10 @@
 void fg_catchup_on_answer(struct fg_catchup *c, fg_ms now, uint64_t known,
 			  bool ok)
 {
-	if (c->asked != 0)
-		end_call(c, now, known, ok);
+	if (c->asked == 0)
+		return;
+	end_call(c, now, known, ok);
+	c->call_ms = FG_CATCHUP_CALL_MS;
 }
 
 void fg_catchup_on_full_read(struct fg_catchup *c)
@@ -153,8 +157,9 @@
 	const struct peer *next;
 
 	update_behind(c, now, view->known);
-	if (c->asked != 0 && now - c->asked_at >= FG_CATCHUP_CALL_MS) {
+	if (c->asked != 0 && now - c->asked_at >= c->call_ms) {
 		end_call(c, now, view->known, false);
+		c->call_ms = MIN(2 * c->call_ms, FG_CATCHUP_CALL_MAX_MS);
 		step.gave_up = true;
 	}
 	g_hash_table_foreach_remove(c->peers, is_silent, &now);
--- a/lib/catchup/fg_catchup.h
+++ b/lib/catchup/fg_catchup.h
@@ -27,9 +27,11 @@
  * from the store or from its reader, which usually take 0.1 to 0.4 s. */
 #define FG_CATCHUP_BEHIND_MS 400
 /* An instance that has not answered for this long is given up and the next one
- * is asked. A configuration of 10,000 keys takes about 0.4 s at 10 Mbit/s;
- * three instances can be asked within the 5 s in which a key is withdrawn. */
+ * is asked. A configuration of 10,000 keys takes about 0.4 s at 10 Mbit/s.
+ * After each call in a row that was given up the time is doubled, up to
+ * FG_CATCHUP_CALL_MAX_MS, so that a larger one arrives over a busy link. */
 #define FG_CATCHUP_CALL_MS 1000
+#define FG_CATCHUP_CALL_MAX_MS 4000
 /* An instance whose call failed, or brought nothing newer, is not asked again
  * for this long. */
 #define FG_CATCHUP_RETRY_MS 1500
--- a/lib/gateway/fg_gw_catchup.c
+++ b/lib/gateway/fg_gw_catchup.c
@@ -176,7 +176,8 @@
 		KNOWN_SUFFIX, h->address);
 	call.len_bytes = strlen(call.head_and_body);
 	fg_channel_send(h->channel, call,
-			FG_CATCHUP_CALL_MS + CHANNEL_MARGIN_MS, on_answer, gw);
+			FG_CATCHUP_CALL_MAX_MS + CHANNEL_MARGIN_MS, on_answer,
+			gw);
 }
 
 static void log_begin(const struct fg_gateway *gw,
--- a/tests/gateway_revoke.py
+++ b/tests/gateway_revoke.py
@@ -21,6 +21,7 @@
         self.views = []
         self.version = 1
         self.key = None
+        self.more_keys = []
         super().__init__(**{"engines": 0, **options})
         for gateway in self.gateways:
             wait_for("hears all", lambda g=gateway: g.state().count(
@@ -46,7 +47,8 @@
         self.key = f"key-{self.version}"
         self.store.put("op", "config", {
             **make_config(self.version),
-            "tenants": [{"name": "green", "apiKeys": [self.key]}]})
+            "tenants": [{"name": "green", "apiKeys": [
+                self.key, *self.more_keys]}]})
         return former, self.key, time.monotonic()
 
     def check_key_changes(self, gateways, what):
@@ -86,11 +88,16 @@
     return None
 
 
-def fetches(gateway):
-    """Calls to other instances for configuration rows."""
+def count(gateway, name):
+    """Sum of a counter over its labels."""
     text = http_get(gateway.metrics, "/metrics")[1]
     return sum(int(line.split()[-1]) for line in text.splitlines()
-               if line.startswith("fg_gw_config_fetches_total"))
+               if line.startswith(f"fg_gw_{name}_total"))
+
+
+def fetches(gateway):
+    """Calls to other instances for configuration rows."""
+    return count(gateway, "config_fetches")
 
 
 def restart_strict(s, g, revoke_ms):
@@ -160,6 +167,27 @@
 data_centre_turned_away.system_class = TurnedAwaySystem
 
 
+def large_configuration(s):
+    """Fails if a configuration with 10,000 keys does not get from one instance to
+    another, whether the other follows it or the store turns the other away."""
+    s.more_keys = [f"{n:05d}" + "k" * 43 for n in range(10000)]
+    s.check_key_changes(range(3), "large")
+    failures = [count(g, "relay_failures") for g in s.gateways]
+    s.check_key_changes(range(3), "large, relayed")
+    s.turn_away([1], "busy")
+    s.check_key_changes(range(3), "large, turned away")
+    check(key_status(s.gateways[1], s.more_keys[-1]) == 200, "last key")
+    check(not find_log_lines(s.gateways[1], "answer_refused"), "refused")
+    check(s.gateways[0].reads_store() != s.gateways[2].reads_store(),
+          "no follower")
+    check([count(g, "relay_failures") for g in s.gateways] == failures,
+          "not relayed to the follower")
+
+
+large_configuration.system_options = {"gateways": 3, "dcs": 2}
+large_configuration.system_class = TurnedAwaySystem
+
+
 class TwoRegionsGateway(Gateway):
     regions = {"dc1": "r1", "dc2": "r2"}
 
@@ -355,7 +383,7 @@
 
 SCENARIOS = [
     one_turned_away, data_centre_turned_away, region_turned_away,
-    reader_turned_away, healing_skips_no_row, restored_while_away,
+    reader_turned_away, large_configuration, healing_skips_no_row, restored_while_away,
     others_confirm, hears_nobody, starts_turned_away,
     no_fetch_without_workspaces,
 ]
--- a/tests/unit/test_catchup.c
+++ b/tests/unit/test_catchup.c
@@ -161,6 +161,42 @@
 	fg_catchup_free(c);
 }
 
+/* Fails if a configuration that takes longer than the first call allows can
+ * never arrive over a busy link, or if one silent instance makes later calls
+ * slow. */
+static void test_slow_answers(void)
+{
+	struct fg_catchup *c = fg_catchup_new(SELF);
+	struct fg_catchup_view view = served;
+	fg_ms limits_ms[4] = { 0 };
+	fg_ms begun = 0;
+	guint n = 0;
+
+	view.reads_fail = true;
+	for (fg_ms now = 0; n < G_N_ELEMENTS(limits_ms); now += 100) {
+		struct fg_catchup_step step;
+
+		for (uint64_t peer = 2; peer < 10; peer++)
+			report(c, now, peer, 11, FG_CATCHUP_SAME_DC);
+		step = fg_catchup_step(c, now, &view);
+		if (step.gave_up)
+			limits_ms[n++] = now - begun;
+		if (step.ask != 0)
+			begun = now;
+	}
+	g_assert_cmpint(limits_ms[0], ==, FG_CATCHUP_CALL_MS);
+	g_assert_cmpint(limits_ms[1], ==, 2 * FG_CATCHUP_CALL_MS);
+	g_assert_cmpint(limits_ms[3], ==, FG_CATCHUP_CALL_MAX_MS);
+	view.known = 11;
+	fg_catchup_on_answer(c, begun + 3000, 11, true);
+	report(c, begun + 3000, 2, 12, FG_CATCHUP_SAME_DC);
+	g_assert_cmpuint(next_asked(c, begun + 3000, &view), ==, 2);
+	g_assert_true(
+		fg_catchup_step(c, begun + 3000 + FG_CATCHUP_CALL_MS, &view)
+			.gave_up);
+	fg_catchup_free(c);
+}
+
 /* Fails if instances that are down are asked. That a newer row exists stays
  * known, so that its keys get no 401. */
 static void test_silent_instance(void)
@@ -331,6 +367,7 @@
 			test_behind_since_first_report);
 	g_test_add_func("/catchup/nearest_first", test_nearest_first);
 	g_test_add_func("/catchup/next_after_failure", test_next_after_failure);
+	g_test_add_func("/catchup/slow_answers", test_slow_answers);
 	g_test_add_func("/catchup/silent_instance", test_silent_instance);
 	g_test_add_func("/catchup/begin_and_end", test_begin_and_end);
 	g_test_add_func("/catchup/disabled", test_disabled);
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -301,6 +301,57 @@
 	fg_peers_free(p);
 }
 
+/* Rows known without being complete: fails if the answer claims more than the
+ * asker has read, or leaves out rows below a floor. */
+static void test_known_rows(void)
+{
+	struct fg_relay *caches[2] = { fg_relay_new(), fg_relay_new() };
+	GString *body = g_string_new(NULL);
+	struct fg_store_rows rows;
+
+	fg_relay_reset(caches[0], 0);
+	fg_relay_reset(caches[1], 10);
+	put_row(caches[0], "a", 15, "one");
+	put_row(caches[1], "b", 14, "two");
+	put_row(caches[1], "c", 16, "three");
+	g_assert_true(fg_relay_encode_known(
+		(const struct fg_relay *const *)caches, 2, 5, body));
+	g_assert_true(fg_relay_decode(body->str, body->len, "t", &rows));
+	g_assert_cmpuint(rows.version, ==, 5);
+	g_assert_cmpuint(rows.rows->len, ==, 3);
+	g_assert_cmpstr(row_at(&rows, 0)->key, ==, "b");
+	g_assert_cmpstr(row_at(&rows, 1)->key, ==, "a");
+	g_assert_cmpstr(row_at(&rows, 2)->key, ==, "c");
+	fg_store_rows_clear(&rows);
+	g_string_truncate(body, 0);
+	g_assert_true(fg_relay_encode_known(
+		(const struct fg_relay *const *)caches, 2, 15, body));
+	g_assert_true(fg_relay_decode(body->str, body->len, "t", &rows));
+	g_assert_cmpuint(rows.rows->len, ==, 1);
+	fg_store_rows_clear(&rows);
+	g_string_free(body, TRUE);
+	fg_relay_free(caches[0]);
+	fg_relay_free(caches[1]);
+}
+
+/* Fails if a configuration with 10,000 keys cannot be relayed: the limit of a
+ * row was 128 KB. */
+static void test_large_row(void)
+{
+	struct fg_relay *r = fg_relay_new();
+	char *text = g_strnfill(1000000, 'k');
+	struct fg_store_rows rows;
+
+	fg_relay_reset(r, 10);
+	put_row(r, "a", 11, text);
+	rows = encode_and_decode(r, 10);
+	g_assert_cmpuint(row_at(&rows, 0)->value_bytes, ==, 1000000);
+	g_assert_cmpstr(row_at(&rows, 0)->value, ==, text);
+	fg_store_rows_clear(&rows);
+	g_free(text);
+	fg_relay_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -309,6 +360,8 @@
 	g_test_add_func("/relay/newest_of_each_key", test_newest_of_each_key);
 	g_test_add_func("/relay/floor", test_floor);
 	g_test_add_func("/relay/many_rows", test_many_rows_raise_floor);
+	g_test_add_func("/relay/known_rows", test_known_rows);
+	g_test_add_func("/relay/large_row", test_large_row);
 	g_test_add_func("/relay/malformed", test_malformed);
 	g_test_add_func("/peers/reader_is_fresh_and_near",
 			test_reader_is_current_and_near);
