--- a/lib/gateway/fg_gw_workspace.c
+++ b/lib/gateway/fg_gw_workspace.c
@@ -6,6 +6,11 @@
 /* Retry-After while it is not known whether a key was added. */
 #define UNKNOWN_RETRY_MS 300
 
+bool fg_gw_has_workspaces(const struct fg_gateway *gw)
+{
+	return gw->routes != NULL && gw->routes->workspaces != NULL;
+}
+
 /* 401 is final for the caller. */
 static void deny(struct fg_gwreq *r, const char *reason)
 {
@@ -20,26 +25,10 @@
 	fg_gwreq_finish(r);
 }
 
-/* Returns whether another instance has read rows of the configuration that are
- * not known here. config_behind_since does not tell: any row ends it. */
-static bool is_behind_peer(const struct fg_gateway *gw)
-{
-	const GPtrArray *peers = fg_peers_all(gw->peers);
-
-	for (guint i = 0; i < peers->len; i++) {
-		const struct fg_mesh_peer *p = peers->pdata[i];
-
-		if (p->store.feeds[FG_FEED_CONFIG].newest >
-		    gw->feeds[FG_FEED_CONFIG].synced_version)
-			return true;
-	}
-	return false;
-}
-
 /* Returns whether a newer configuration than the one here may be in force. */
 static bool may_be_behind(const struct fg_gateway *gw, fg_ms now)
 {
-	return is_behind_peer(gw) || fg_gw_is_config_stale(gw, now);
+	return fg_gw_catchup_is_behind(gw) || fg_gw_is_config_stale(gw, now);
 }
 
 /* Returns whether keys must not be accepted any more, since none of them could
