--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -168,6 +168,9 @@
 	double wait_ms;
 	double total_ms;
 	bool resident;
+	double load_ms; /* part of wait_ms */
+	double own_wait_ms;
+	double own_load_ms;
 };
 
 static struct cost estimate_cost(const struct fg_balance_conf *conf,
@@ -176,7 +179,7 @@
 				 uint32_t n_homes, fg_ms now,
 				 double mean_error_rate)
 {
-	struct cost c = { 0, 0, true };
+	struct cost c = { .resident = true };
 	double load_ms = 0;
 	double excess = MAX(ep->error_rate - mean_error_rate, 0.0);
 
@@ -186,14 +189,20 @@
 		c.total_ms = adapter_cost(conf, query, ep, non_home_part,
 					  n_homes, now, &c.resident, &load_ms);
 		c.wait_ms += load_ms;
+		c.load_ms = load_ms;
+		c.own_wait_ms =
+			query->prompt_tokens / conf->prefill_tokens_per_ms;
+		c.own_load_ms = MIN(load_ms, conf->load_ms);
 		c.total_ms +=
 			c.wait_ms - load_ms +
 			RUNNING_COST_MS * total_running(ep) * ep->slowness;
 	} else {
 		c.wait_ms = plain_wait_ms(conf, ep) * ep->slowness;
 		c.total_ms = c.wait_ms;
+		c.own_wait_ms = conf->plain_request_ms;
 	}
 	if (strcmp(ep->region, query->region) != 0) {
+		c.own_wait_ms += conf->cross_region_rtt_ms;
 		c.wait_ms += conf->cross_region_rtt_ms;
 		c.total_ms += conf->cross_region_rtt_ms +
 			      conf->cross_region_penalty_ms;
@@ -251,6 +260,9 @@
 				: non_home_share(f, now, query, ep, n_homes),
 			n_homes, now, mean_error_rate);
 		p.wait_ms = (uint32_t)c.wait_ms;
+		p.load_ms = (uint32_t)c.load_ms;
+		p.own_wait_ms = (uint32_t)c.own_wait_ms;
+		p.own_load_ms = (uint32_t)c.own_load_ms;
 		p.resident = c.resident;
 		p.cost_ms = c.total_ms + JITTER_MS * fg_rand_unit(rand);
 		n = insert_pick(out, n, max, &p);
--- a/lib/balance/fg_balance.h
+++ b/lib/balance/fg_balance.h
@@ -64,7 +64,12 @@
 struct fg_balance_pick {
 	struct fg_fleet_ep *ep; /* NULL: none is usable */
 	uint32_t wait_ms;	/* estimated, until the answer begins */
-	bool resident;		/* the adapter is resident, or none is needed */
+	/* Part of wait_ms that makes the adapter resident, and the parts of
+	 * both that no other request causes. */
+	uint32_t load_ms;
+	uint32_t own_wait_ms;
+	uint32_t own_load_ms;
+	bool resident; /* the adapter is resident, or none is needed */
 	double cost_ms;
 };
 
--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -438,6 +438,7 @@
 	fg_gw_blame_init(gw);
 	fg_gw_origin_init(gw);
 	fg_gw_quota_init(gw);
+	fg_gw_overload_init(gw);
 	gw->retry_budgets = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)fg_retry_free);
 	gw->metrics = fg_metrics_new();
@@ -537,6 +538,7 @@
 	fg_gw_blame_free(gw);
 	fg_gw_origin_free(gw);
 	fg_gw_quota_free(gw);
+	fg_gw_overload_free(gw);
 	fg_routes_unref(gw->routes);
 	g_hash_table_unref(gw->announced_versions);
 	g_hash_table_unref(gw->retry_budgets);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -6,6 +6,7 @@
  *   fg_gw_request.c  a request from its head to its final answer
  *   fg_gw_workspace.c whose key a request carries
  *   fg_gw_quota.c    limits of workspaces, shared with other instances
+ *   fg_gw_overload.c which requests give way when room is short
  *   fg_gw_place.c    choice of an endpoint, and the wait for a load
  *   fg_gw_send.c     connections to endpoints, one send of a request
  *   fg_gw_endpoint.c what is kept of an endpoint
@@ -54,6 +55,7 @@
 #include "mesh/fg_peers.h"
 #include "metrics/fg_metrics.h"
 #include "origin/fg_origin.h"
+#include "overload/fg_overload.h"
 #include "place/fg_popularity.h"
 #include "quota/fg_quota.h"
 #include "relay/fg_relay.h"
@@ -161,6 +163,13 @@
 	fg_ms deadline; /* for the final answer */
 	fg_ms due_at;	/* next step of the current state; FG_MS_NEVER */
 	fg_ms load_wait_since;
+	/* Only with the setting `overload`: */
+	bool admitted;	  /* later choices refuse it by its deadline only */
+	fg_ms wait_since; /* for a load or a slot; 0: does not wait */
+	uint32_t load_expected_ms;   /* when that wait began */
+	uint32_t load_skips;	     /* repeats of the load request left out */
+	struct fg_balance_pick pick; /* last choice */
+	struct fg_overload_verdict shed; /* why it was refused */
 	uv_timer_t *timer;
 	enum fg_gwreq_state state;
 	struct fg_fleet_ep *ep; /* reference; of the load or the send */
@@ -674,6 +683,38 @@
  * request is answered otherwise. */
 bool fg_gw_workspace_recheck(struct fg_gwreq *r);
 
+/* ---- Overload ----
+ *
+ * Without the setting `overload` these calls do nothing and return false. */
+
+void fg_gw_overload_init(struct fg_gateway *gw);
+void fg_gw_overload_free(struct fg_gateway *gw);
+
+/* Refuses the request unless it may go on to the endpoint `p`. Returns whether
+ * it did. A request that may have run is never refused. */
+bool fg_gw_overload_refuse(struct fg_gwreq *r, const struct fg_balance_pick *p,
+			   fg_ms now);
+
+/* The request begins to wait for a load or a slot, unless it does already. */
+void fg_gw_overload_begin_wait(struct fg_gwreq *r, fg_ms now);
+
+/* Refuses a request whose load cannot be there in time any more. Returns
+ * whether it did. */
+bool fg_gw_overload_refuse_waiting(struct fg_gwreq *r, fg_ms now);
+
+/* Returns whether the request leaves out this repeat of its load request, since
+ * a more urgent one waits here for another load of the same engine. */
+bool fg_gw_overload_yields(struct fg_gwreq *r);
+
+/* The request is sent, or its answer begins, or its endpoint is full. */
+void fg_gw_overload_note_send(struct fg_gwreq *r, fg_ms now);
+void fg_gw_overload_note_answer(struct fg_gwreq *r, fg_ms now);
+void fg_gw_overload_note_full(struct fg_gwreq *r, fg_ms now);
+
+/* Appends a line for each service and rank, for the state dump. */
+void fg_gw_overload_append_state(GString *out, const struct fg_gateway *gw,
+				 fg_ms now);
+
 /* ---- Limits of workspaces ---- */
 
 void fg_gw_quota_init(struct fg_gateway *gw);
@@ -873,7 +914,8 @@
 	struct fg_origins *origins;
 	bool origins_started; /* the registry's first full read was noted */
 	fg_ms woke_at; /* end of the last pause of this process; 0: none */
-	GHashTable *retry_budgets; /* service name -> struct fg_retry * */
+	GHashTable *retry_budgets;    /* service name -> struct fg_retry * */
+	struct fg_overload *overload; /* NULL without the setting */
 	struct fg_quota *quota;
 	uv_timer_t *quota_timer;
 	struct fg_routes *quota_routes; /* whose limits are in force */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -28,6 +28,7 @@
 	if (r->first_at == 0)
 		r->first_at = now;
 	fg_gwreq_clear_pending(r);
+	fg_gw_overload_note_answer(r, now);
 	fg_hist_add(r->gw->hist_first, (uint64_t)(now - r->arrived_at));
 	if (r->service->engine)
 		fg_health_record_first_token(
@@ -84,6 +85,7 @@
 		if (ep->shared_room)
 			fg_ep_pause(ep, now, FG_BRITTLE_PAUSE_MS);
 		fg_health_record_answer(ep, now, true);
+		fg_gw_overload_note_full(r, now);
 		abandon_send(r, FG_SEND_NOT_RUN, "endpoint_full");
 		return;
 	}
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -206,6 +206,7 @@
 	append_endpoints(out, gw, now);
 	append_peers(out, gw, now);
 	fg_gw_quota_append_state(out, gw, now);
+	fg_gw_overload_append_state(out, gw, now);
 	append_suspects(out, gw, now);
 	append_blocked_parts(out, gw, now);
 	return g_string_free(out, FALSE);
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -58,6 +58,7 @@
 		fg_gwreq_enter_state(r, FG_GWREQ_WAIT_RETRY, fg_clock_now());
 		return;
 	}
+	fg_gw_overload_note_send(r, fg_clock_now());
 	r->due_at = FG_MS_NEVER;
 	r->state = FG_GWREQ_SENT;
 	fg_gwreq_arm_timer(r);
@@ -193,7 +194,10 @@
 			refuse_without_endpoint(r, now);
 			return;
 		}
-		if (p.wait_ms >= left_ms && !r->head_sent) {
+		if (fg_gw_overload_refuse(r, &p, now))
+			return;
+		if (r->gw->overload == NULL && p.wait_ms >= left_ms &&
+		    !r->head_sent) {
 			fg_gwreq_refuse(r, "no_time", p.wait_ms - left_ms);
 			return;
 		}
@@ -210,6 +214,7 @@
 			return;
 		case FG_SLOT_PENDING:
 			r->load_wait_since = now;
+			fg_gw_overload_begin_wait(r, now);
 			fg_gwreq_enter_state(r, FG_GWREQ_WAIT_LOAD,
 					     now + LOAD_REQUEST_REPEAT_MS);
 			return;
@@ -217,6 +222,7 @@
 			fg_gwreq_mark_tried(r);
 		}
 	}
+	fg_gw_overload_begin_wait(r, now);
 	fg_gwreq_enter_state(r, FG_GWREQ_WAIT_RETRY, now + PLACE_RETRY_MS);
 }
 
@@ -284,7 +290,10 @@
 	fg_ms now = fg_clock_now();
 	const struct fg_ep_adapter *a = fg_ep_adapter_find(r->ep, r->adapter);
 
-	if (now - r->load_wait_since > LOAD_WAIT_MAX_MS) {
+	if (fg_gw_overload_refuse_waiting(r, now))
+		return;
+	if (r->gw->overload == NULL &&
+	    now - r->load_wait_since > LOAD_WAIT_MAX_MS) {
 		fg_gwreq_refuse(r, "load_too_slow", LOAD_RETRY_AFTER_MS);
 		return;
 	}
@@ -297,6 +306,11 @@
 		send_to_endpoint(r);
 		return;
 	}
+	if (fg_gw_overload_yields(r)) {
+		fg_gwreq_enter_state(r, FG_GWREQ_WAIT_LOAD,
+				     now + LOAD_REQUEST_REPEAT_MS);
+		return;
+	}
 	switch (request_load(r, now)) {
 	case FG_SLOT_RESIDENT:
 		send_to_endpoint(r);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -53,6 +53,10 @@
 	char sent[24];
 	char first[24];
 	char sends[12];
+	/* Of a refusal by lib/overload; else empty. */
+	char gave_way_to[12];
+	char estimate[12];
+	char objective[12];
 };
 
 static void fill_log_fields(const struct fg_gwreq *r, struct log_fields *f)
@@ -63,8 +67,18 @@
 	format_ms(f->first, sizeof(f->first),
 		  r->first_at == 0 ? -1 : r->first_at - r->arrived_at);
 	g_snprintf(f->sends, sizeof(f->sends), "%u", r->sends);
+	f->gave_way_to[0] = '\0';
+	if (r->shed.why == FG_OVERLOAD_SEND)
+		return;
+	g_snprintf(f->gave_way_to, sizeof(f->gave_way_to), "%u",
+		   r->shed.gave_way_to);
+	g_snprintf(f->estimate, sizeof(f->estimate), "%u", r->shed.estimate_ms);
+	g_snprintf(f->objective, sizeof(f->objective), "%u",
+		   r->shed.objective_ms);
 }
 
+#define OVERLOAD_FIELD(f, name) ((f).gave_way_to[0] == '\0' ? NULL : (f).name)
+
 #define LOG_FIELDS(r, f, reason)                                               \
 	"id", (r)->call.id, "route",                                           \
 		(r)->route == NULL ? NULL : (r)->route->name, "reason",        \
@@ -72,7 +86,10 @@
 		(f).first, "sends", (f).sends, "endpoint",                     \
 		(r)->ep == NULL ? NULL : (r)->ep->facts.id, "software",        \
 		(r)->ep == NULL ? NULL : (r)->ep->facts.software, "adapter",   \
-		(r)->call.adapter, NULL
+		(r)->call.adapter, "gave_way_to",                              \
+		OVERLOAD_FIELD(f, gave_way_to), "estimate_ms",                 \
+		OVERLOAD_FIELD(f, estimate), "objective_ms",                   \
+		OVERLOAD_FIELD(f, objective), NULL
 
 void fg_gwreq_log(const struct fg_gwreq *r, const char *event,
 		  const char *reason)
--- /dev/null
+++ b/lib/overload/fg_overload_gate.c
@@ -0,0 +1,222 @@
+/* Room of a gate, and the parts of it that ranks and workspaces get. */
+#include <glib.h>
+#include <math.h>
+
+#include "overload/fg_overload_priv.h"
+
+/* Time constant of pressure and of measured times. An instance gets some five
+ * requests a second; a shorter one would follow single requests. */
+#define MEAN_TAU_MS 2000.0
+/* Weight of a sample of 0 in each mean: one late request is no pressure. */
+#define PRIOR_WEIGHT 0.5
+/* Pressure lasts no longer than this without a request that sees it. */
+#define CONFIRM_MS 500
+#define CONFIRM_MIN 0.7
+#define SAMPLE_MAX 4.0
+#define STEP_MS 250
+#define STEPS_MAX 8
+#define SHRINK 0.85
+#define GROW_PART 0.05
+/* First room under pressure, as part of what is asked. */
+#define FIRST_ROOM 0.65
+/* Least room, as part of what ranks ask that are late or less urgent. */
+#define LEAST_ROOM 0.15
+/* A gate with this much more room than is asked opens. */
+#define OPEN_PART 1.4
+/* Part of a rank that is sent at least, relative to the part of all. The page
+ * demands a quarter of the answers; the rest is for answers that fail. */
+#define FLOOR_PART 0.4
+
+static double decay(fg_ms elapsed, double tau_ms)
+{
+	return elapsed <= 0 ? 1 : exp(-(double)elapsed / tau_ms);
+}
+
+void fg_ov_mean_add(struct fg_ov_mean *m, fg_ms now, double x)
+{
+	double d = decay(now - m->at, MEAN_TAU_MS);
+
+	m->sum = m->sum * d + x;
+	m->n = m->n * d + 1;
+	m->at = now;
+}
+
+double fg_ov_mean_get(const struct fg_ov_mean *m, fg_ms now)
+{
+	double d = decay(now - m->at, MEAN_TAU_MS);
+
+	return m->sum * d / (m->n * d + PRIOR_WEIGHT);
+}
+
+static double rank_demand(const struct fg_ov_gate *g, uint32_t rank)
+{
+	return g->asked[rank][ON_TIME] + g->asked[rank][LATE];
+}
+
+double fg_ov_gate_demand(const struct fg_ov_gate *g)
+{
+	double sum = 0;
+
+	for (uint32_t r = 0; r < RANKS; r++)
+		sum += rank_demand(g, r);
+	return sum;
+}
+
+uint32_t fg_ov_gate_late_rank(const struct fg_ov_gate *g, fg_ms now)
+{
+	for (uint32_t r = 0; r < RANKS; r++) {
+		if (fg_ov_mean_get(&g->pressure[r], now) >= 1)
+			return r;
+	}
+	return RANKS;
+}
+
+void fg_ov_gate_sample(struct fg_ov_gate *g, fg_ms now, uint32_t rank, double x)
+{
+	if (x >= CONFIRM_MIN)
+		g->confirmed_at = now;
+	fg_ov_mean_add(&g->pressure[rank], now, fmin(fmax(x, 0), SAMPLE_MAX));
+}
+
+static bool is_confirmed(const struct fg_ov_gate *g, fg_ms now)
+{
+	return g->confirmed_at > 0 && now - g->confirmed_at <= CONFIRM_MS;
+}
+
+/* Shedding for a late rank does not take room from more urgent ones. */
+static double least_room(const struct fg_ov_gate *g, uint32_t late_rank)
+{
+	double room = 0;
+
+	for (uint32_t r = 0; r < RANKS; r++)
+		room += rank_demand(g, r) * (r < late_rank ? 1 : LEAST_ROOM);
+	return room;
+}
+
+static void shrink(struct fg_ov_gate *g, uint32_t late_rank)
+{
+	double demand = fg_ov_gate_demand(g);
+	double least = least_room(g, late_rank);
+
+	/* An instance that asks less than its share sheds later than others. */
+	if (g->room == 0)
+		g->room = CLAMP(g->share, demand * FIRST_ROOM,
+				demand * OPEN_PART);
+	else
+		g->room *= SHRINK;
+	g->room = fmax(g->room, least);
+}
+
+void fg_ov_gate_step(struct fg_ov_gate *g, fg_ms now)
+{
+	uint32_t late_rank = fg_ov_gate_late_rank(g, now);
+	bool late = late_rank < RANKS && is_confirmed(g, now);
+
+	if (now - g->stepped_at > (fg_ms)STEPS_MAX * STEP_MS)
+		g->stepped_at = now - (fg_ms)STEPS_MAX * STEP_MS;
+	if (late && now - g->stepped_at >= STEP_MS) {
+		/* What was not sampled for several steps is one sample. */
+		shrink(g, late_rank);
+		g->stepped_at = now;
+	}
+	for (; now - g->stepped_at >= STEP_MS; g->stepped_at += STEP_MS) {
+		if (g->room > 0)
+			g->room += fmax(g->share,
+					fg_ov_gate_demand(g) * LEAST_ROOM) *
+				   GROW_PART;
+	}
+	if (!late && g->room >= fg_ov_gate_demand(g) * OPEN_PART)
+		g->room = 0;
+}
+
+bool fg_ov_gate_sheds(const struct fg_ov_gate *g, fg_ms now)
+{
+	return g->room > 0 && is_confirmed(g, now);
+}
+
+double fg_ov_gate_parts(const struct fg_ov_gate *g, double parts[RANKS])
+{
+	double demand = fg_ov_gate_demand(g);
+	double room = fmax(g->room - g->returned, g->room / 2);
+	double all = demand > 0 ? fmin(room / demand, 1) : 1;
+	double floor_part = all * FLOOR_PART;
+	double rest = (all - floor_part) * demand;
+
+	for (uint32_t r = 0; r < RANKS; r++) {
+		double d = rank_demand(g, r);
+		double more = d > 0 ? fmin(rest / d, 1 - floor_part) : 0;
+
+		parts[r] = floor_part + more;
+		rest -= more * d;
+	}
+	return floor_part;
+}
+
+/* Level up to which the rank's workspaces get what they ask, so that together
+ * they get `budget`. */
+static double share_level(const struct fg_ov_svc *s, int gate, uint32_t rank,
+			  double budget)
+{
+	double level = 0;
+	double below = 0;
+
+	for (int round = 0; round < SHARES_MAX; round++) {
+		double asked_below = 0;
+		uint32_t above = 0;
+
+		for (uint32_t i = 0; i < SHARES_MAX; i++) {
+			const struct fg_ov_share *w = &s->shares[i];
+
+			if (w->used_at == 0 || w->rank != rank ||
+			    w->asked[gate] <= 0)
+				continue;
+			if (round > 0 && w->asked[gate] <= level)
+				asked_below += w->asked[gate];
+			else
+				above++;
+		}
+		if (above == 0)
+			return INFINITY;
+		if (round > 0 && asked_below <= below)
+			return level;
+		below = asked_below;
+		level = fmax(budget - asked_below, 0) / above;
+	}
+	return level;
+}
+
+double fg_ov_part(const struct fg_ov_svc *s, int gate, uint32_t rank,
+		  uint64_t workspace, int class, bool *by_share)
+{
+	const struct fg_ov_gate *g = &s->gates[gate];
+	double parts[RANKS];
+	double floor_part = fg_ov_gate_parts(g, parts);
+	double on_time = g->asked[rank][ON_TIME];
+	double late = g->asked[rank][LATE];
+	double demand = on_time + late;
+	double above = (parts[rank] - floor_part) * demand;
+	double part = parts[rank];
+	double more;
+
+	*by_share = false;
+	if (parts[rank] >= 1 || demand <= 0)
+		return 1;
+	for (uint32_t i = 0; i < SHARES_MAX; i++) {
+		const struct fg_ov_share *w = &s->shares[i];
+		double level;
+
+		if (w->used_at == 0 || w->rank != rank ||
+		    w->workspace != workspace || w->asked[gate] <= 0)
+			continue;
+		level = share_level(s, gate, rank, parts[rank] * demand);
+		part = fmin(level / w->asked[gate], 1);
+		*by_share = part < parts[rank] * 0.99;
+		break;
+	}
+	/* Those in time first; together the rank gets what it would get. */
+	more = on_time > 0 ? fmin(above / on_time, 1 - floor_part) : 0;
+	if (class == LATE)
+		more = late > 0 ? (above - more * on_time) / late : 0;
+	part *= (floor_part + more) / parts[rank];
+	return fmin(fmax(part, floor_part), 1);
+}
--- /dev/null
+++ b/lib/overload/fg_overload_priv.h
@@ -0,0 +1,101 @@
+/* State of fg_overload; shared by its files. */
+#ifndef FG_OVERLOAD_PRIV_H
+#define FG_OVERLOAD_PRIV_H
+
+#include "overload/fg_overload.h"
+
+#define RANKS FG_OVERLOAD_RANKS
+#define SERVICES_MAX 16
+#define SHARES_MAX 64
+#define PROMISES_MAX 256
+#define BUCKETS 10
+
+/* A mean that forgets, and returns to 0 when nothing is added. */
+struct fg_ov_mean {
+	double sum;
+	double n;
+	fg_ms at;
+};
+
+enum {
+	ON_TIME = 0,
+	LATE = 1,
+	CLASSES = 2
+};
+enum {
+	RUN = 0,
+	LOAD = 1,
+	GATES = 2
+};
+
+struct fg_ov_gate {
+	struct fg_ov_mean pressure[RANKS];
+	fg_ms confirmed_at;	      /* last sample that shows pressure */
+	double asked[RANKS][CLASSES]; /* decayed work */
+	double returned;	      /* decayed work of promised requests */
+	double room;		      /* decayed work; 0: open */
+	double share;		      /* as `room`, of this instance */
+	fg_ms stepped_at;
+	double next_place; /* time of the next retry to promise */
+};
+
+/* Work that a workspace asked in one rank. */
+struct fg_ov_share {
+	uint64_t workspace;
+	uint32_t rank;
+	fg_ms used_at; /* 0: free */
+	double asked[GATES];
+};
+
+struct fg_ov_svc {
+	uint64_t service;
+	fg_ms used_at;
+	fg_ms decayed_at;
+	struct fg_ov_gate gates[GATES];
+	struct fg_ov_share shares[SHARES_MAX];
+	struct fg_ov_mean excess[RANKS]; /* measured beyond estimated time */
+	double load_took;		 /* decayed sums */
+	double load_expected;
+	struct fg_overload_counts counts[BUCKETS][RANKS];
+	int64_t bucket; /* number of the newest */
+};
+
+struct fg_ov_promise {
+	uint64_t fingerprint;
+	fg_ms at; /* 0: free */
+};
+
+struct fg_overload {
+	struct fg_ov_svc *svcs[SERVICES_MAX];
+	uint32_t n_svcs;
+	struct fg_ov_promise promises[PROMISES_MAX];
+};
+
+void fg_ov_mean_add(struct fg_ov_mean *m, fg_ms now, double x);
+double fg_ov_mean_get(const struct fg_ov_mean *m, fg_ms now);
+
+/* Decayed work asked, of all ranks. */
+double fg_ov_gate_demand(const struct fg_ov_gate *g);
+
+/* Most urgent rank that is late; RANKS when none is. */
+uint32_t fg_ov_gate_late_rank(const struct fg_ov_gate *g, fg_ms now);
+
+/* Adds how long requests of a rank wait, relative to the time they can. */
+void fg_ov_gate_sample(struct fg_ov_gate *g, fg_ms now, uint32_t rank,
+		       double x);
+
+/* Adjusts the room; call it before each use. */
+void fg_ov_gate_step(struct fg_ov_gate *g, fg_ms now);
+
+/* Whether requests are shed now. */
+bool fg_ov_gate_sheds(const struct fg_ov_gate *g, fg_ms now);
+
+/* Parts of each rank that are sent. Returns the floor, which all get. */
+double fg_ov_gate_parts(const struct fg_ov_gate *g, double parts[RANKS]);
+
+/* Part of the requests like this one that is sent; *by_share tells that its
+ * workspace gets less than its rank. */
+double fg_ov_part(const struct fg_ov_svc *s, int gate, uint32_t rank,
+		  uint64_t workspace, int class, bool *by_share);
+
+#endif
