--- a/lib/gateway/fg_gw_overload.c
+++ b/lib/gateway/fg_gw_overload.c
@@ -50,8 +50,10 @@
 		if (strcmp(ep->facts.service, r->service->name) != 0 ||
 		    !fg_ep_accepts(ep, now))
 			continue;
-		if (!r->service->engine)
+		if (!r->service->engine) {
+			ask->own_running += ep->running;
 			running = ep->running * instances;
+		}
 		ask->slots += slots;
 		ask->slots_taken += MIN(running, slots);
 		ask->waiting += running - MIN(running, slots) + ep->queue;
@@ -61,6 +63,7 @@
 				 : (double)slots * FG_MS_PER_S /
 					   gw->balance.plain_request_ms;
 	}
+	ask->instances = r->service->engine ? 0 : instances;
 	ask->share_per_s = per_s / instances;
 	ask->loads_per_s = gw->loadgate.window * FG_MS_PER_S /
 			   MAX(gw->loadgate.mean_ms, 1.0);
@@ -225,7 +228,6 @@
 			r->pick.wait_ms - MIN(r->pick.load_ms, r->pick.wait_ms),
 		.took_ms = (uint32_t)(now - r->sent_at),
 		.whole_ms = (uint32_t)(now - r->arrived_at),
-		.own_wait_ms = r->pick.own_wait_ms,
 		.objective_ms = r->route->target_latency_ms,
 	};
 	fg_overload_note_answer(r->gw->overload, now, &answer);
--- a/lib/overload/fg_overload.c
+++ b/lib/overload/fg_overload.c
@@ -23,6 +23,13 @@
 /* A caller is back at its time if it comes this much earlier or later. */
 #define RETURN_EARLY_MS 20
 #define RETURN_LATE_MS 1500
+/* Measured waits may have grown by this much since. */
+#define GUESS_TRUST 2
+/* Time after which the least duration of an answer is forgotten by half. */
+#define LEAST_GROW_MS 20000.0
+/* Requests are not shed below this part of the service's slots. The page says
+ * half; the rest covers what ends while the numbers are on their way. */
+#define ROOM_PART 0.62
 /* A measured wait of this part of the objective is none, when slots are free.
  */
 #define WAIT_FREE_PART 4
@@ -73,6 +80,7 @@
 		for (uint32_t r = 0; r < RANKS; r++) {
 			g->asked[r][ON_TIME] *= d;
 			g->asked[r][LATE] *= d;
+			g->sent[r] *= d;
 		}
 		g->returned *= d;
 	}
@@ -233,12 +241,28 @@
 	double objective_ms;
 };
 
+/* Time to the answer, without a load. What was measured is as old as the answer
+ * took; the number of requests in flight is of now, but says little about other
+ * instances. The lesser of both neither sheds for a wait that has ended nor for
+ * requests that came here alone. */
+static double run_estimate_ms(const struct fg_ov_svc *s, fg_ms now,
+			      const struct fg_overload_ask *ask)
+{
+	double ms = ask->wait_ms - MIN(ask->load_ms, ask->wait_ms);
+	double excess = excess_ms(s, now, ask->rank);
+	double guess;
+
+	if (ask->instances == 0 || ask->slots == 0)
+		return ms + excess;
+	guess = s->least_ms * ask->own_running * ask->instances / ask->slots;
+	return fmax(ms, fmin(guess, ms + GUESS_TRUST * excess));
+}
+
 static struct estimate make_estimate(const struct fg_ov_svc *s, fg_ms now,
 				     const struct fg_overload_ask *ask)
 {
 	struct estimate e = {
-		.run_ms = ask->wait_ms - MIN(ask->load_ms, ask->wait_ms) +
-			  excess_ms(s, now, ask->rank),
+		.run_ms = run_estimate_ms(s, now, ask),
 		.load_ms = load_estimate_ms(s, ask),
 		.objective_ms = ask->objective_ms,
 	};
@@ -274,7 +298,7 @@
 		     const struct fg_overload_ask *ask,
 		     const struct estimate *e)
 {
-	return ask->slots > 0 && ask->slots_taken < ask->slots / 2 &&
+	return ask->slots > 0 && ask->slots_taken < ask->slots * ROOM_PART &&
 	       ask->waiting == 0 &&
 	       excess_ms(s, now, ask->rank) < e->objective_ms / WAIT_FREE_PART;
 }
@@ -298,6 +322,13 @@
 	s->gates[LOAD].share = ask->loads_per_s * DEMAND_TAU_MS / FG_MS_PER_S;
 }
 
+static void count_sent(struct fg_ov_svc *s, const struct fg_overload_ask *ask)
+{
+	s->gates[RUN].sent[ask->rank] += ask->work;
+	s->gates[LOAD].sent[ask->rank] += ask->needs_load ? 1 : 0;
+	counts_now(s, ask->rank)->sent++;
+}
+
 static uint32_t rank_before(const struct fg_ov_gate *g, uint32_t rank)
 {
 	for (uint32_t r = 0; r < rank; r++) {
@@ -382,7 +413,7 @@
 	if (v.why != FG_OVERLOAD_SEND)
 		counts_now(s, ask->rank)->refused++;
 	else if (!ask->again)
-		counts_now(s, ask->rank)->sent++;
+		count_sent(s, ask);
 	return v;
 }
 
@@ -392,16 +423,15 @@
 			     const struct fg_overload_answer *answer)
 {
 	struct fg_ov_svc *s = get_svc(o, now, answer->service);
-	double objective = answer->objective_ms;
+	double age_ms = (double)(now - s->least_at);
 
 	fg_ov_mean_add(&s->excess[answer->rank], now,
 		       (double)answer->took_ms - answer->expected_ms);
-	if (objective == 0)
-		return;
-	fg_ov_gate_sample(
-		&s->gates[RUN], now, answer->rank,
-		wait_ratio(answer->took_ms, answer->own_wait_ms, objective));
-	if (answer->whole_ms > answer->objective_ms)
+	s->least_ms *= 1 + age_ms / LEAST_GROW_MS;
+	if (s->least_ms == 0 || answer->took_ms < s->least_ms)
+		s->least_ms = answer->took_ms;
+	s->least_at = now;
+	if (answer->objective_ms > 0 && answer->whole_ms > answer->objective_ms)
 		counts_now(s, answer->rank)->late++;
 }
 
--- a/lib/overload/fg_overload.h
+++ b/lib/overload/fg_overload.h
@@ -51,7 +51,12 @@
 	uint32_t load_waited_ms; /* time waited so far for a load or a slot */
 	uint32_t slots;		 /* of the service; 0: unknown */
 	uint32_t slots_taken;
-	uint32_t waiting;   /* requests or loads that wait at the service */
+	uint32_t waiting; /* requests or loads that wait at the service */
+	/* At a service of which this instance knows only its own requests:
+	 * their number and that of instances, which are taken to have as many
+	 * each. 0 instances: wait_ms counts those of all. */
+	uint32_t own_running;
+	uint32_t instances;
 	double share_per_s; /* work a second that is this instance's equal
 			       share of the service */
 	double loads_per_s; /* the same of loads */
@@ -88,7 +93,6 @@
 	uint32_t expected_ms; /* from the send, without a load */
 	uint32_t took_ms;     /* from the send */
 	uint32_t whole_ms;    /* from the arrival */
-	uint32_t own_wait_ms;
 	uint32_t objective_ms;
 };
 void fg_overload_note_answer(struct fg_overload *o, fg_ms now,
--- a/lib/overload/fg_overload_gate.c
+++ b/lib/overload/fg_overload_gate.c
@@ -8,11 +8,13 @@
  * requests a second; a shorter one would follow single requests. */
 #define MEAN_TAU_MS 2000.0
 /* Weight of a sample of 0 in each mean: one late request is no pressure. */
-#define PRIOR_WEIGHT 0.5
+#define PRIOR_WEIGHT 1.0
 /* Pressure lasts no longer than this without a request that sees it. */
 #define CONFIRM_MS 500
 #define CONFIRM_MIN 0.7
-#define SAMPLE_MAX 4.0
+#define SAMPLE_MAX 2.0
+/* Part of the samples that still counts after a step that followed them. */
+#define ACTED_PART 0.7
 #define STEP_MS 250
 #define STEPS_MAX 8
 #define SHRINK 0.85
@@ -26,6 +28,9 @@
 /* Part of a rank that is sent at least, relative to the part of all. The page
  * demands a quarter of the answers; the rest is for answers that fail. */
 #define FLOOR_PART 0.4
+/* A rank with a smaller part of the work says too little of how often it is
+ * sent. */
+#define RANK_DEMAND_MIN 0.05
 
 static double decay(fg_ms elapsed, double tau_ms)
 {
@@ -83,14 +88,19 @@
 	return g->confirmed_at > 0 && now - g->confirmed_at <= CONFIRM_MS;
 }
 
-/* Shedding for a late rank does not take room from more urgent ones. */
+/* Shedding for a late rank takes no room from more urgent ones: with this room,
+ * fg_ov_gate_parts() sends these entirely and the others at the floor. */
 static double least_room(const struct fg_ov_gate *g, uint32_t late_rank)
 {
-	double room = 0;
-
-	for (uint32_t r = 0; r < RANKS; r++)
-		room += rank_demand(g, r) * (r < late_rank ? 1 : LEAST_ROOM);
-	return room;
+	double all = fg_ov_gate_demand(g);
+	double urgent = 0;
+
+	for (uint32_t r = 0; r < late_rank; r++)
+		urgent += rank_demand(g, r);
+	if (all <= 0)
+		return 0;
+	return fmax(urgent / (1 - FLOOR_PART * (all - urgent) / all),
+		    all * LEAST_ROOM);
 }
 
 static void shrink(struct fg_ov_gate *g, uint32_t late_rank)
@@ -100,11 +110,14 @@
 
 	/* An instance that asks less than its share sheds later than others. */
 	if (g->room == 0)
-		g->room = CLAMP(g->share, demand * FIRST_ROOM,
-				demand * OPEN_PART);
+		g->room = fmax(g->share, demand * FIRST_ROOM);
 	else
 		g->room *= SHRINK;
 	g->room = fmax(g->room, least);
+	for (uint32_t r = 0; r < RANKS; r++) {
+		g->pressure[r].sum *= ACTED_PART;
+		g->pressure[r].n *= ACTED_PART;
+	}
 }
 
 void fg_ov_gate_step(struct fg_ov_gate *g, fg_ms now)
@@ -134,6 +147,22 @@
 	return g->room > 0 && is_confirmed(g, now);
 }
 
+/* A rank is not sent more often than a more urgent one is, also when that one
+ * is refused by its deadlines. */
+static void limit_parts(const struct fg_ov_gate *g, double parts[RANKS],
+			double floor_part)
+{
+	double least = 1;
+
+	for (uint32_t r = 0; r < RANKS; r++) {
+		double d = rank_demand(g, r);
+
+		parts[r] = fmin(parts[r], fmax(least, floor_part));
+		if (d > RANK_DEMAND_MIN * fg_ov_gate_demand(g))
+			least = fmin(least, g->sent[r] / d);
+	}
+}
+
 double fg_ov_gate_parts(const struct fg_ov_gate *g, double parts[RANKS])
 {
 	double demand = fg_ov_gate_demand(g);
@@ -149,6 +178,7 @@
 		parts[r] = floor_part + more;
 		rest -= more * d;
 	}
+	limit_parts(g, parts, floor_part);
 	return floor_part;
 }
 
@@ -211,6 +241,8 @@
 		level = share_level(s, gate, rank, parts[rank] * demand);
 		part = fmin(level / w->asked[gate], 1);
 		*by_share = part < parts[rank] * 0.99;
+		if (part >= 1)
+			return 1;
 		break;
 	}
 	/* Those in time first; together the rank gets what it would get. */
--- a/lib/overload/fg_overload_priv.h
+++ b/lib/overload/fg_overload_priv.h
@@ -32,6 +32,7 @@
 	struct fg_ov_mean pressure[RANKS];
 	fg_ms confirmed_at;	      /* last sample that shows pressure */
 	double asked[RANKS][CLASSES]; /* decayed work */
+	double sent[RANKS];	      /* decayed work */
 	double returned;	      /* decayed work of promised requests */
 	double room;		      /* decayed work; 0: open */
 	double share;		      /* as `room`, of this instance */
@@ -54,7 +55,9 @@
 	struct fg_ov_gate gates[GATES];
 	struct fg_ov_share shares[SHARES_MAX];
 	struct fg_ov_mean excess[RANKS]; /* measured beyond estimated time */
-	double load_took;		 /* decayed sums */
+	double least_ms; /* a recent answer at least took; 0: unknown */
+	fg_ms least_at;
+	double load_took; /* decayed sums */
 	double load_expected;
 	struct fg_overload_counts counts[BUCKETS][RANKS];
 	int64_t bucket; /* number of the newest */
