lib/overload: pressure from estimates that follow urgency, sooner and smaller steps

Change: measured excess may be negative; a step waits for the waits it causes; a rank counts as late from 0.6 of its objective.

--- a/lib/overload/fg_overload.c
+++ b/lib/overload/fg_overload.c
@@ -33,6 +33,7 @@
 /* A measured wait of this part of the objective is none, when slots are free.
  */
 #define WAIT_FREE_PART 4
+#define GUESS_FREE_PART 2
 
 struct fg_overload *fg_overload_new(void)
 {
@@ -211,10 +212,14 @@
 
 /* ---- Estimates ---- */
 
-/* Less urgent requests wait at least as long as more urgent ones. */
+/* Measured beyond the estimate. Less than 0 for ranks that pass those whose
+ * prompts the estimate counts; otherwise at least that of more urgent ones. */
 static double excess_ms(const struct fg_ov_svc *s, fg_ms now, uint32_t rank)
 {
-	double most = 0;
+	double most = fg_ov_mean_get(&s->excess[rank], now);
+
+	if (most < 0)
+		return most;
 
 	for (uint32_t r = 0; r <= rank; r++)
 		most = fmax(most, fg_ov_mean_get(&s->excess[r], now));
@@ -241,6 +246,12 @@
 	double objective_ms;
 };
 
+static double guess_ms(const struct fg_ov_svc *s,
+		       const struct fg_overload_ask *ask)
+{
+	return s->least_ms * ask->own_running * ask->instances / ask->slots;
+}
+
 /* Time to the answer, without a load. What was measured is as old as the answer
  * took; the number of requests in flight is of now, but says little about other
  * instances. The lesser of both neither sheds for a wait that has ended nor for
@@ -250,12 +261,9 @@
 {
 	double ms = ask->wait_ms - MIN(ask->load_ms, ask->wait_ms);
 	double excess = excess_ms(s, now, ask->rank);
-	double guess;
-
 	if (ask->instances == 0 || ask->slots == 0)
-		return ms + excess;
-	guess = s->least_ms * ask->own_running * ask->instances / ask->slots;
-	return fmax(ms, fmin(guess, ms + GUESS_TRUST * excess));
+		return fmax(ms + excess, ask->own_wait_ms);
+	return fmax(ms, fmin(guess_ms(s, ask), ms + GUESS_TRUST * excess));
 }
 
 static struct estimate make_estimate(const struct fg_ov_svc *s, fg_ms now,
@@ -284,22 +292,39 @@
 {
 	fg_ov_gate_sample(
 		&s->gates[RUN], now, ask->rank,
-		wait_ratio(e->run_ms, ask->own_wait_ms, e->objective_ms));
+		wait_ratio(e->run_ms, ask->own_wait_ms, e->objective_ms),
+		e->run_ms);
 	if (ask->needs_load)
 		fg_ov_gate_sample(&s->gates[LOAD], now, ask->rank,
 				  wait_ratio(e->load_ms, ask->own_load_ms,
 					     fmax(e->objective_ms - e->run_ms,
-						  e->objective_ms / 4)));
+						  e->objective_ms / 4)),
+				  e->load_ms);
 }
 
 /* ---- Decision ---- */
 
+/* An admitted request is refused after all. */
+static void take_back_sent(struct fg_ov_svc *s,
+			   const struct fg_overload_ask *ask)
+{
+	double *run = &s->gates[RUN].sent[ask->rank];
+	double *load = &s->gates[LOAD].sent[ask->rank];
+
+	*run = fmax(*run - ask->work, 0);
+	if (ask->load_waited_ms > 0)
+		*load = fmax(*load - 1, 0);
+}
+
 static bool has_room(const struct fg_ov_svc *s, fg_ms now,
 		     const struct fg_overload_ask *ask,
 		     const struct estimate *e)
 {
-	return ask->slots > 0 && ask->slots_taken < ask->slots * ROOM_PART &&
-	       ask->waiting == 0 &&
+	if (ask->slots == 0 || ask->waiting > 0)
+		return false;
+	if (ask->instances > 0)
+		return guess_ms(s, ask) < e->objective_ms / GUESS_FREE_PART;
+	return ask->slots_taken < ask->slots * ROOM_PART &&
 	       excess_ms(s, now, ask->rank) < e->objective_ms / WAIT_FREE_PART;
 }
 
@@ -410,6 +435,8 @@
 		refuse_deadline(o, now, ask, ms, rand, &v);
 	else if (!ask->again && !returned && !room)
 		shed(o, s, now, ask, class, rand, &v);
+	if (v.why != FG_OVERLOAD_SEND && ask->again)
+		take_back_sent(s, ask);
 	if (v.why != FG_OVERLOAD_SEND)
 		counts_now(s, ask->rank)->refused++;
 	else if (!ask->again)
@@ -440,7 +467,7 @@
 {
 	struct fg_ov_svc *s = get_svc(o, now, service);
 
-	fg_ov_gate_sample(&s->gates[RUN], now, rank, 2);
+	fg_ov_gate_sample(&s->gates[RUN], now, rank, 2, 0);
 }
 
 void fg_overload_note_load(struct fg_overload *o, fg_ms now, uint64_t service,
--- a/lib/overload/fg_overload_gate.c
+++ b/lib/overload/fg_overload_gate.c
@@ -11,12 +11,18 @@
 #define PRIOR_WEIGHT 1.0
 /* Pressure lasts no longer than this without a request that sees it. */
 #define CONFIRM_MS 500
-#define CONFIRM_MIN 0.7
+#define CONFIRM_MIN 0.4
+/* Mean wait, relative to the objective, from which a rank counts as late: many
+ * of its requests wait longer than the mean. */
+#define PRESSURE_MAX 0.6
 #define SAMPLE_MAX 2.0
 /* Part of the samples that still counts after a step that followed them. */
 #define ACTED_PART 0.7
 #define STEP_MS 250
 #define STEPS_MAX 8
+/* A step shows in the waits only when what was sent before has been answered.
+ * Longer waits than this are not of a single step. */
+#define WAIT_MAX_MS 300
 #define SHRINK 0.85
 #define GROW_PART 0.05
 /* First room under pressure, as part of what is asked. */
@@ -28,6 +34,9 @@
 /* Part of a rank that is sent at least, relative to the part of all. The page
  * demands a quarter of the answers; the rest is for answers that fail. */
 #define FLOOR_PART 0.4
+/* A rank is sent this much less often than a more urgent one that is refused by
+ * its deadlines: of kinds with longer deadlines more retries succeed. */
+#define LIMIT_PART 0.85
 /* A rank with a smaller part of the work says too little of how often it is
  * sent. */
 #define RANK_DEMAND_MIN 0.05
@@ -70,16 +79,19 @@
 uint32_t fg_ov_gate_late_rank(const struct fg_ov_gate *g, fg_ms now)
 {
 	for (uint32_t r = 0; r < RANKS; r++) {
-		if (fg_ov_mean_get(&g->pressure[r], now) >= 1)
+		if (fg_ov_mean_get(&g->pressure[r], now) >= PRESSURE_MAX)
 			return r;
 	}
 	return RANKS;
 }
 
-void fg_ov_gate_sample(struct fg_ov_gate *g, fg_ms now, uint32_t rank, double x)
+void fg_ov_gate_sample(struct fg_ov_gate *g, fg_ms now, uint32_t rank, double x,
+		       double wait_ms)
 {
-	if (x >= CONFIRM_MIN)
+	if (x >= CONFIRM_MIN) {
 		g->confirmed_at = now;
+		g->wait_ms = fmin(wait_ms, WAIT_MAX_MS);
+	}
 	fg_ov_mean_add(&g->pressure[rank], now, fmin(fmax(x, 0), SAMPLE_MAX));
 }
 
@@ -127,11 +139,12 @@
 
 	if (now - g->stepped_at > (fg_ms)STEPS_MAX * STEP_MS)
 		g->stepped_at = now - (fg_ms)STEPS_MAX * STEP_MS;
-	if (late && now - g->stepped_at >= STEP_MS) {
-		/* What was not sampled for several steps is one sample. */
+	if (late && now - g->shrunk_at >= STEP_MS + (fg_ms)g->wait_ms) {
 		shrink(g, late_rank);
-		g->stepped_at = now;
+		g->shrunk_at = now;
 	}
+	if (late)
+		g->stepped_at = now;
 	for (; now - g->stepped_at >= STEP_MS; g->stepped_at += STEP_MS) {
 		if (g->room > 0)
 			g->room += fmax(g->share,
@@ -159,7 +172,7 @@
 
 		parts[r] = fmin(parts[r], fmax(least, floor_part));
 		if (d > RANK_DEMAND_MIN * fg_ov_gate_demand(g))
-			least = fmin(least, g->sent[r] / d);
+			least = fmin(least, g->sent[r] / d * LIMIT_PART);
 	}
 }
 
--- a/lib/overload/fg_overload_priv.h
+++ b/lib/overload/fg_overload_priv.h
@@ -37,6 +37,8 @@
 	double room;		      /* decayed work; 0: open */
 	double share;		      /* as `room`, of this instance */
 	fg_ms stepped_at;
+	fg_ms shrunk_at;
+	double wait_ms;	   /* of the last sample that shows pressure */
 	double next_place; /* time of the next retry to promise */
 };
 
@@ -83,9 +85,10 @@
 /* Most urgent rank that is late; RANKS when none is. */
 uint32_t fg_ov_gate_late_rank(const struct fg_ov_gate *g, fg_ms now);
 
-/* Adds how long requests of a rank wait, relative to the time they can. */
-void fg_ov_gate_sample(struct fg_ov_gate *g, fg_ms now, uint32_t rank,
-		       double x);
+/* Adds how long a request of a rank waits, in ms and relative to the time it
+ * can. */
+void fg_ov_gate_sample(struct fg_ov_gate *g, fg_ms now, uint32_t rank, double x,
+		       double wait_ms);
 
 /* Adjusts the room; call it before each use. */
 void fg_ov_gate_step(struct fg_ov_gate *g, fg_ms now);
