lib/overload: room follows what is answered; floors lower for less urgent ranks

Change: room at least 0.6 of the work answered recently; a rank is limited by a more urgent one only when that one is refused.

--- a/lib/gateway/fg_gw_overload.c
+++ b/lib/gateway/fg_gw_overload.c
@@ -224,6 +224,7 @@
 	answer = (struct fg_overload_answer){
 		.service = fg_hash_str(r->service->name),
 		.rank = fg_gwreq_urgency(r),
+		.work = work_of(r),
 		.expected_ms =
 			r->pick.wait_ms - MIN(r->pick.load_ms, r->pick.wait_ms),
 		.took_ms = (uint32_t)(now - r->sent_at),
--- a/lib/overload/fg_overload.c
+++ b/lib/overload/fg_overload.c
@@ -84,6 +84,7 @@
 			g->sent[r] *= d;
 		}
 		g->returned *= d;
+		g->served *= d;
 	}
 	for (uint32_t i = 0; i < SHARES_MAX; i++) {
 		for (int k = 0; k < GATES; k++)
@@ -454,6 +455,7 @@
 
 	fg_ov_mean_add(&s->excess[answer->rank], now,
 		       (double)answer->took_ms - answer->expected_ms);
+	s->gates[RUN].served += answer->work;
 	s->least_ms *= 1 + age_ms / LEAST_GROW_MS;
 	if (s->least_ms == 0 || answer->took_ms < s->least_ms)
 		s->least_ms = answer->took_ms;
@@ -477,6 +479,7 @@
 
 	if (!loaded && took_ms <= expected_ms)
 		return;
+	s->gates[LOAD].served += loaded ? 1 : 0;
 	s->load_took += took_ms;
 	s->load_expected += expected_ms;
 }
--- a/lib/overload/fg_overload.h
+++ b/lib/overload/fg_overload.h
@@ -90,6 +90,7 @@
 struct fg_overload_answer {
 	uint64_t service;
 	uint32_t rank;
+	uint32_t work;
 	uint32_t expected_ms; /* from the send, without a load */
 	uint32_t took_ms;     /* from the send */
 	uint32_t whole_ms;    /* from the arrival */
--- a/lib/overload/fg_overload_gate.c
+++ b/lib/overload/fg_overload_gate.c
@@ -34,6 +34,13 @@
 /* Part of a rank that is sent at least, relative to the part of all. The page
  * demands a quarter of the answers; the rest is for answers that fail. */
 #define FLOOR_PART 0.4
+/* The floor of each less urgent rank is lower by this, since of kinds with long
+ * deadlines, which are mostly less urgent, more retries succeed. */
+#define FLOOR_STEP 0.88
+#define FLOOR_LEAST 0.28
+/* Least room, as part of what was answered recently: an endpoint that works off
+ * its queue answers as much as it can. */
+#define SERVED_PART 0.6
 /* A rank is sent this much less often than a more urgent one that is refused by
  * its deadlines: of kinds with longer deadlines more retries succeed. */
 #define LIMIT_PART 0.85
@@ -125,7 +132,7 @@
 		g->room = fmax(g->share, demand * FIRST_ROOM);
 	else
 		g->room *= SHRINK;
-	g->room = fmax(g->room, least);
+	g->room = fmax(g->room, fmax(least, g->served * SERVED_PART));
 	for (uint32_t r = 0; r < RANKS; r++) {
 		g->pressure[r].sum *= ACTED_PART;
 		g->pressure[r].n *= ACTED_PART;
@@ -160,39 +167,51 @@
 	return g->room > 0 && is_confirmed(g, now);
 }
 
+static double sent_limit(double sent_part)
+{
+	return sent_part > LIMIT_PART ? 1 : sent_part * LIMIT_PART;
+}
+
 /* A rank is not sent more often than a more urgent one is, also when that one
  * is refused by its deadlines. */
 static void limit_parts(const struct fg_ov_gate *g, double parts[RANKS],
-			double floor_part)
+			const double floors[RANKS])
 {
 	double least = 1;
 
 	for (uint32_t r = 0; r < RANKS; r++) {
 		double d = rank_demand(g, r);
 
-		parts[r] = fmin(parts[r], fmax(least, floor_part));
+		parts[r] = fmin(parts[r], fmax(least, floors[r]));
 		if (d > RANK_DEMAND_MIN * fg_ov_gate_demand(g))
-			least = fmin(least, g->sent[r] / d * LIMIT_PART);
+			least = fmin(least, sent_limit(g->sent[r] / d));
 	}
 }
 
-double fg_ov_gate_parts(const struct fg_ov_gate *g, double parts[RANKS])
+void fg_ov_gate_parts(const struct fg_ov_gate *g, double parts[RANKS],
+		      double floors[RANKS])
 {
 	double demand = fg_ov_gate_demand(g);
 	double room = fmax(g->room - g->returned, g->room / 2);
 	double all = demand > 0 ? fmin(room / demand, 1) : 1;
-	double floor_part = all * FLOOR_PART;
-	double rest = (all - floor_part) * demand;
+	double floor_part = FLOOR_PART;
+	double rest = all * demand;
+
+	for (uint32_t r = 0; r < RANKS; r++) {
+		floors[r] = all * floor_part;
+		rest -= floors[r] * rank_demand(g, r);
+		if (rank_demand(g, r) > RANK_DEMAND_MIN * demand)
+			floor_part = fmax(floor_part * FLOOR_STEP, FLOOR_LEAST);
+	}
 
 	for (uint32_t r = 0; r < RANKS; r++) {
 		double d = rank_demand(g, r);
-		double more = d > 0 ? fmin(rest / d, 1 - floor_part) : 0;
+		double more = d > 0 ? fmin(rest / d, 1 - floors[r]) : 0;
 
-		parts[r] = floor_part + more;
+		parts[r] = floors[r] + more;
 		rest -= more * d;
 	}
-	limit_parts(g, parts, floor_part);
-	return floor_part;
+	limit_parts(g, parts, floors);
 }
 
 /* Level up to which the rank's workspaces get what they ask, so that together
@@ -233,14 +252,19 @@
 {
 	const struct fg_ov_gate *g = &s->gates[gate];
 	double parts[RANKS];
-	double floor_part = fg_ov_gate_parts(g, parts);
+	double floors[RANKS];
+	double floor_part;
 	double on_time = g->asked[rank][ON_TIME];
 	double late = g->asked[rank][LATE];
 	double demand = on_time + late;
-	double above = (parts[rank] - floor_part) * demand;
-	double part = parts[rank];
+	double above;
+	double part;
 	double more;
 
+	fg_ov_gate_parts(g, parts, floors);
+	floor_part = floors[rank];
+	part = parts[rank];
+	above = (part - floor_part) * demand;
 	*by_share = false;
 	if (parts[rank] >= 1 || demand <= 0)
 		return 1;
--- a/lib/overload/fg_overload_priv.h
+++ b/lib/overload/fg_overload_priv.h
@@ -33,6 +33,7 @@
 	fg_ms confirmed_at;	      /* last sample that shows pressure */
 	double asked[RANKS][CLASSES]; /* decayed work */
 	double sent[RANKS];	      /* decayed work */
+	double served;		      /* decayed work */
 	double returned;	      /* decayed work of promised requests */
 	double room;		      /* decayed work; 0: open */
 	double share;		      /* as `room`, of this instance */
@@ -96,8 +97,9 @@
 /* Whether requests are shed now. */
 bool fg_ov_gate_sheds(const struct fg_ov_gate *g, fg_ms now);
 
-/* Parts of each rank that are sent. Returns the floor, which all get. */
-double fg_ov_gate_parts(const struct fg_ov_gate *g, double parts[RANKS]);
+/* Parts of each rank that are sent, and those that are sent at least. */
+void fg_ov_gate_parts(const struct fg_ov_gate *g, double parts[RANKS],
+		      double floors[RANKS]);
 
 /* Part of the requests like this one that is sent; *by_share tells that its
  * workspace gets less than its rank. */
--- a/tests/unit/overload_replay.c
+++ b/tests/unit/overload_replay.c
@@ -421,6 +421,7 @@
 	struct fg_overload_answer a = {
 		.service = r->ask.service,
 		.rank = r->ask.rank,
+		.work = r->ask.work,
 		.expected_ms =
 			r->ask.wait_ms - MIN(r->ask.load_ms, r->ask.wait_ms),
 		.took_ms = (uint32_t)(s->now - r->sent),
