--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -1376,6 +1376,42 @@
     check(send(s.gw.front, "/order/1").status == 200, "no service")
 
 
+def overload_reasons(s):
+    """A request that cannot be answered in its time is refused as no_time, and
+    with the setting `overload` as overload_deadline, with what it gave way to,
+    estimate and objective; counters and /state tell of it. Guards against
+    refusals that an operator cannot explain."""
+    store = s.store.addr
+
+    def refuse():
+        rid = next_id()
+        a = send_draft(s.gw, rid=rid, headers={
+            "Token-Count": "100000,20", "Deadline-Ms": "2000"})
+        check(a.status == 503 and "Retry-After" in a.headers,
+              f"{a.status} {a.headers}")
+        check(s.run_count(rid) == 0, "it ran")
+        return find_log_line(s, rid, "refused")
+
+    line = refuse()
+    check(line["reason"] == "no_time" and "estimate_ms" not in line, f"{line}")
+    check("overload service" not in s.gw.state(), "state with it off")
+    s.gw.kill()
+    s.gw.write_settings(store, "lookup_ttl_s: 2\noverload: true\n")
+    s.gw.start()
+    wait_for("ready", s.gw.is_ready)
+    wait_for("served", lambda: has_all_events(send_draft(s.gw)), 15)
+    line = refuse()
+    check(line["reason"] == "overload_deadline", f"{line}")
+    check(line["gave_way_to"] == "5" and line["objective_ms"] == "800" and
+          int(line["estimate_ms"]) > 2000, f"{line}")
+    state = s.gw.state()
+    check("overload service=models run_pressure=" in state, state)
+    check("overload_rank service=models rank=5 " in state, state)
+    metrics = http_get(s.gw.metrics, "/metrics")[1]
+    check('fg_gw_overload_total{reason="overload_deadline",rank="5",'
+          'gave_way_to="5"} 1' in metrics, "counter")
+
+
 SCENARIOS = [
     serves, events_pass_at_once, adapter_slots, resumes, not_resumable,
     closed_streams, endless_answers, endless_store,
@@ -1391,7 +1427,8 @@
     said_leaving, asked_pause, bad_pause, limit_lines,
     limited_endpoint, limited_service, crashing_request, crash_lines,
     crash_after_first_event, crash_known_at_once, bad_part_outlives_all,
-    crashing_part, request_lines, bad_input, settings_change, *VERSION_SCENARIOS,
+    crashing_part, request_lines, bad_input, settings_change, overload_reasons,
+    *VERSION_SCENARIOS,
     *CUT_SCENARIOS,
 ]
 
