--- a/lib/overload/fg_overload.c
+++ b/lib/overload/fg_overload.c
@@ -7,8 +7,6 @@
 
 #include "overload/fg_overload_priv.h"
 
-/* Time constant of the work asked. */
-#define DEMAND_TAU_MS 4000.0
 /* Measured load waits count from this much on; less is the estimate's. */
 #define LOAD_PRIOR_MS 500.0
 #define LOAD_RATIO_MIN 0.5
@@ -60,109 +58,6 @@
 	return names[why];
 }
 
-/* ---- State of a service ---- */
-
-static struct fg_ov_svc *find_svc(const struct fg_overload *o, uint64_t service)
-{
-	for (uint32_t i = 0; i < o->n_svcs; i++) {
-		if (o->svcs[i]->service == service)
-			return o->svcs[i];
-	}
-	return NULL;
-}
-
-static void decay_svc(struct fg_ov_svc *s, fg_ms now)
-{
-	double d = exp(-(double)(now - s->decayed_at) / DEMAND_TAU_MS);
-
-	for (int k = 0; k < GATES; k++) {
-		struct fg_ov_gate *g = &s->gates[k];
-
-		for (uint32_t r = 0; r < RANKS; r++) {
-			g->asked[r][ON_TIME] *= d;
-			g->asked[r][LATE] *= d;
-			g->sent[r] *= d;
-		}
-		g->returned *= d;
-		g->served *= d;
-	}
-	for (uint32_t i = 0; i < SHARES_MAX; i++) {
-		for (int k = 0; k < GATES; k++)
-			s->shares[i].asked[k] *= d;
-	}
-	s->load_took *= d;
-	s->load_expected *= d;
-	s->decayed_at = now;
-}
-
-static void turn_buckets(struct fg_ov_svc *s, fg_ms now)
-{
-	int64_t bucket = now * BUCKETS / FG_MS_PER_S;
-
-	if (bucket - s->bucket > BUCKETS)
-		s->bucket = bucket - BUCKETS;
-	while (s->bucket < bucket) {
-		s->bucket++;
-		memset(s->counts[s->bucket % BUCKETS], 0, sizeof(s->counts[0]));
-	}
-}
-
-/* The least recently used service is dropped when there are too many. */
-static struct fg_ov_svc *get_svc(struct fg_overload *o, fg_ms now,
-				 uint64_t service)
-{
-	struct fg_ov_svc *s = find_svc(o, service);
-
-	if (s == NULL) {
-		uint32_t at = 0;
-
-		if (o->n_svcs < SERVICES_MAX) {
-			at = o->n_svcs++;
-			o->svcs[at] = NULL;
-		}
-		for (uint32_t i = 1; o->svcs[at] != NULL && i < SERVICES_MAX;
-		     i++) {
-			if (o->svcs[i]->used_at < o->svcs[at]->used_at)
-				at = i;
-		}
-		g_free(o->svcs[at]);
-		s = o->svcs[at] = g_new0(struct fg_ov_svc, 1);
-		s->service = service;
-		s->decayed_at = now;
-	}
-	s->used_at = now;
-	decay_svc(s, now);
-	turn_buckets(s, now);
-	return s;
-}
-
-static struct fg_overload_counts *counts_now(struct fg_ov_svc *s, uint32_t rank)
-{
-	return &s->counts[s->bucket % BUCKETS][rank];
-}
-
-static struct fg_ov_share *get_share(struct fg_ov_svc *s, fg_ms now,
-				     uint64_t workspace, uint32_t rank)
-{
-	struct fg_ov_share *oldest = &s->shares[0];
-
-	for (uint32_t i = 0; i < SHARES_MAX; i++) {
-		struct fg_ov_share *w = &s->shares[i];
-
-		if (w->used_at > 0 && w->workspace == workspace &&
-		    w->rank == rank) {
-			w->used_at = now;
-			return w;
-		}
-		if (w->used_at < oldest->used_at)
-			oldest = w;
-	}
-	*oldest = (struct fg_ov_share){ .workspace = workspace,
-					.rank = rank,
-					.used_at = now };
-	return oldest;
-}
-
 /* ---- Promises ---- */
 
 static void promise(struct fg_overload *o, fg_ms at, uint64_t fingerprint)
@@ -333,7 +228,8 @@
 			const struct fg_overload_ask *ask, int class,
 			bool returned)
 {
-	struct fg_ov_share *w = get_share(s, now, ask->workspace, ask->rank);
+	struct fg_ov_share *w =
+		fg_ov_share_get(s, now, ask->workspace, ask->rank);
 	double work[GATES] = { ask->work, ask->needs_load ? 1 : 0 };
 
 	for (int k = 0; k < GATES; k++) {
@@ -352,7 +248,7 @@
 {
 	s->gates[RUN].sent[ask->rank] += ask->work;
 	s->gates[LOAD].sent[ask->rank] += ask->needs_load ? 1 : 0;
-	counts_now(s, ask->rank)->sent++;
+	fg_ov_counts_now(s, ask->rank)->sent++;
 }
 
 static uint32_t rank_before(const struct fg_ov_gate *g, uint32_t rank)
@@ -411,7 +307,7 @@
 					      const struct fg_overload_ask *ask,
 					      struct fg_rand *rand)
 {
-	struct fg_ov_svc *s = get_svc(o, now, ask->service);
+	struct fg_ov_svc *s = fg_ov_svc_get(o, now, ask->service);
 	struct estimate e = make_estimate(s, now, ask);
 	double ms = e.run_ms + e.load_ms;
 	bool room = has_room(s, now, ask, &e);
@@ -426,7 +322,7 @@
 	if (!ask->again) {
 		sample_estimate(s, now, ask, &e);
 		count_asked(s, now, ask, class, returned);
-		counts_now(s, ask->rank)->asked++;
+		fg_ov_counts_now(s, ask->rank)->asked++;
 	}
 	for (int k = 0; k < GATES; k++)
 		fg_ov_gate_step(&s->gates[k], now);
@@ -439,7 +335,7 @@
 	if (v.why != FG_OVERLOAD_SEND && ask->again)
 		take_back_sent(s, ask);
 	if (v.why != FG_OVERLOAD_SEND)
-		counts_now(s, ask->rank)->refused++;
+		fg_ov_counts_now(s, ask->rank)->refused++;
 	else if (!ask->again)
 		count_sent(s, ask);
 	return v;
@@ -450,7 +346,7 @@
 void fg_overload_note_answer(struct fg_overload *o, fg_ms now,
 			     const struct fg_overload_answer *answer)
 {
-	struct fg_ov_svc *s = get_svc(o, now, answer->service);
+	struct fg_ov_svc *s = fg_ov_svc_get(o, now, answer->service);
 	double age_ms = (double)(now - s->least_at);
 
 	fg_ov_mean_add(&s->excess[answer->rank], now,
@@ -461,13 +357,13 @@
 		s->least_ms = answer->took_ms;
 	s->least_at = now;
 	if (answer->objective_ms > 0 && answer->whole_ms > answer->objective_ms)
-		counts_now(s, answer->rank)->late++;
+		fg_ov_counts_now(s, answer->rank)->late++;
 }
 
 void fg_overload_note_full(struct fg_overload *o, fg_ms now, uint64_t service,
 			   uint32_t rank)
 {
-	struct fg_ov_svc *s = get_svc(o, now, service);
+	struct fg_ov_svc *s = fg_ov_svc_get(o, now, service);
 
 	fg_ov_gate_sample(&s->gates[RUN], now, rank, 2, 0);
 }
@@ -475,7 +371,7 @@
 void fg_overload_note_load(struct fg_overload *o, fg_ms now, uint64_t service,
 			   uint32_t expected_ms, uint32_t took_ms, bool loaded)
 {
-	struct fg_ov_svc *s = get_svc(o, now, service);
+	struct fg_ov_svc *s = fg_ov_svc_get(o, now, service);
 
 	if (!loaded && took_ms <= expected_ms)
 		return;
@@ -507,12 +403,11 @@
 bool fg_overload_view(struct fg_overload *o, fg_ms now, uint64_t service,
 		      struct fg_overload_view *out)
 {
-	struct fg_ov_svc *s = find_svc(o, service);
+	struct fg_ov_svc *s = fg_ov_svc_find(o, service);
 
 	if (s == NULL)
 		return false;
-	decay_svc(s, now);
-	turn_buckets(s, now);
+	fg_ov_svc_refresh(s, now);
 	*out = (struct fg_overload_view){
 		.service = service,
 		.run_pressure = most_pressure(&s->gates[RUN], now),
--- a/lib/overload/fg_overload_priv.h
+++ b/lib/overload/fg_overload_priv.h
@@ -9,6 +9,8 @@
 #define SHARES_MAX 64
 #define PROMISES_MAX 256
 #define BUCKETS 10
+/* Time constant of the work asked. */
+#define DEMAND_TAU_MS 4000.0
 
 /* A mean that forgets, and returns to 0 when nothing is added. */
 struct fg_ov_mean {
@@ -77,6 +79,22 @@
 	struct fg_ov_promise promises[PROMISES_MAX];
 };
 
+/* Returns the state of a service or NULL; fg_ov_svc_get() creates it and drops
+ * the least recently used one when there are too many. */
+struct fg_ov_svc *fg_ov_svc_find(const struct fg_overload *o, uint64_t service);
+struct fg_ov_svc *fg_ov_svc_get(struct fg_overload *o, fg_ms now,
+				uint64_t service);
+
+/* Brings decayed sums and the counts of the last second up to `now`. */
+void fg_ov_svc_refresh(struct fg_ov_svc *s, fg_ms now);
+
+/* Counts of the current tenth of a second. */
+struct fg_overload_counts *fg_ov_counts_now(struct fg_ov_svc *s, uint32_t rank);
+
+/* Entry of a workspace in a rank; replaces the least recently used one. */
+struct fg_ov_share *fg_ov_share_get(struct fg_ov_svc *s, fg_ms now,
+				    uint64_t workspace, uint32_t rank);
+
 void fg_ov_mean_add(struct fg_ov_mean *m, fg_ms now, double x);
 double fg_ov_mean_get(const struct fg_ov_mean *m, fg_ms now);
 
