--- a/tests/gateway_limits.py
+++ b/tests/gateway_limits.py
@@ -163,8 +163,28 @@
     return http_get(gateway.metrics, "/metrics")[1]
 
 
-for scenario in (limit_of_workspace, limit_outlives_holder, limit_lowered):
+def limit_returns_tokens(s):
+    """Tokens of requests that no endpoint ran are there for the next ones: more
+    than the rate alone gives."""
+    calls = prepare(s)
+    time.sleep(1)
+    for plain in s.plains:
+        plain.faults["not_run"] = 1 << 30
+    sent = calls.press([account_holder(s)], 1)
+    check(calls.tokens_run(sent) == 0, "ran")
+    for plain in s.plains:
+        plain.faults["not_run"] = 0
+    tokens = calls.tokens_run(calls.press(s.gateways, 1))
+    print(f"after {len(sent)} that did not run: {tokens} tokens in 1 s")
+    check(tokens > 1.3 * RATE, f"only {tokens} tokens in 1 s")
+    calls.check_refused(calls.sent)
+    calls.judge(calls.sent, RATE)
+
+
+for scenario in (limit_of_workspace, limit_outlives_holder, limit_lowered,
+                 limit_returns_tokens):
     scenario.system_class = LimitSystem
     scenario.system_options = {"gateways": 3, "plains": 3, "engines": 0}
 
-SCENARIOS = [limit_of_workspace, limit_outlives_holder, limit_lowered]
+SCENARIOS = [limit_of_workspace, limit_outlives_holder, limit_lowered,
+             limit_returns_tokens]
