--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -21,6 +21,7 @@
 from gateway_regions import SCENARIOS as REGION_SCENARIOS
 from gateway_keys import SCENARIOS as KEY_SCENARIOS
 from gateway_revoke import SCENARIOS as REVOKE_SCENARIOS
+from gateway_limits import SCENARIOS as LIMIT_SCENARIOS
 from gateway_versions import SCENARIOS as VERSION_SCENARIOS
 from hosted import (
     Answer, EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, System,
@@ -1471,7 +1472,7 @@
     evidence_outlives_all,
     crashing_part, request_lines, bad_input, settings_change, overload_reasons,
     *VERSION_SCENARIOS, *CUT_SCENARIOS, *REGION_SCENARIOS, *KEY_SCENARIOS,
-    *REVOKE_SCENARIOS,
+    *REVOKE_SCENARIOS, *LIMIT_SCENARIOS,
 ]
 
 
