fg-gateway: rows go to known instances only; removed rows make no one behind

Cause: GET /rows/0/N at the port for other instances answered anyone with the configuration's row, API keys in clear text included; and an instance that started after a row of the configuration was removed took itself to be behind at each heartbeat, and read the store again each 0.7 s, since a full read does not show removals.

Change: only connections from the address of a known instance get rows, as for tunnels; what a full read covered counts as known.

Tests: gateway rows_are_for_instances (200 with the keys before), and row_removed, which now also looks for configuration_behind.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -117,6 +117,10 @@
 		      const char *request_id, uint32_t retry_ms,
 		      const char *type, const char *body, size_t len_bytes);
 
+/* Returns whether the connection comes from the address of a known instance:
+ * only these get rows, which hold API keys, and tunnels. */
+bool fg_caller_is_instance(const struct fg_caller *c);
+
 /* Call after the last byte of an answer was queued: closes the connection or
  * reads the next request from it. */
 void fg_caller_finish_answer(struct fg_caller *c);
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -89,6 +89,24 @@
 	g_string_free(out, TRUE);
 }
 
+bool fg_caller_is_instance(const struct fg_caller *c)
+{
+	const GPtrArray *peers = fg_peers_all(c->gw->peers);
+	char ip[INET_ADDRSTRLEN];
+	size_t len;
+
+	fg_link_peer_ip(c->link, ip, sizeof(ip));
+	len = strlen(ip);
+	for (guint i = 0; len > 0 && i < peers->len; i++) {
+		const struct fg_mesh_peer *p = peers->pdata[i];
+
+		if (strncmp(p->row.mesh, ip, len) == 0 &&
+		    p->row.mesh[len] == ':')
+			return true;
+	}
+	return false;
+}
+
 /* ---- Reading ---- */
 
 static void feed_pipelined(struct fg_caller *c);
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -164,8 +164,10 @@
 			      hb);
 	fg_gw_relay_on_heartbeat(gw, peer, now);
 	fg_gw_catchup_on_heartbeat(gw, peer, now);
+	/* A full read does not show a row that was removed before it. */
 	if (hb->store.feeds[FG_FEED_CONFIG].newest >
-	    gw->feeds[FG_FEED_CONFIG].newest_version)
+	    MAX(gw->feeds[FG_FEED_CONFIG].newest_version,
+		gw->feeds[FG_FEED_CONFIG].synced_version))
 		fg_sync_on_config_behind(gw, now);
 	for (u_int i = 0; i < hb->engines.engines_len; i++)
 		apply_owned_engine(gw, packet->incarnation,
--- a/lib/gateway/fg_gw_relay.c
+++ b/lib/gateway/fg_gw_relay.c
@@ -236,6 +236,8 @@
 	if (sscanf(target, "/rows/%d/%llu", &id, &after) != 2 || id < 0 ||
 	    id >= FG_FEED_COUNT) {
 		status = HTTP_STATUS_NOT_FOUND;
+	} else if (!fg_caller_is_instance(c)) {
+		status = HTTP_STATUS_FORBIDDEN;
 	} else {
 		const struct fg_feed *f = &c->gw->feeds[id];
 
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -102,25 +102,6 @@
 	.on_drained = on_drained,
 };
 
-/* Only instances may use a tunnel. */
-static bool is_from_instance(struct fg_caller *c)
-{
-	const GPtrArray *peers = fg_peers_all(c->gw->peers);
-	char ip[INET_ADDRSTRLEN];
-	size_t len;
-
-	fg_link_peer_ip(c->link, ip, sizeof(ip));
-	len = strlen(ip);
-	for (guint i = 0; len > 0 && i < peers->len; i++) {
-		const struct fg_mesh_peer *p = peers->pdata[i];
-
-		if (strncmp(p->row.mesh, ip, len) == 0 &&
-		    p->row.mesh[len] == ':')
-			return true;
-	}
-	return false;
-}
-
 void fg_gw_tunnel_open(struct fg_caller *c, const char *endpoint_id)
 {
 	struct fg_gateway *gw = c->gw;
@@ -128,7 +109,7 @@
 	fg_ms now = fg_clock_now();
 	struct fg_tunnel *t;
 
-	if (!is_from_instance(c)) {
+	if (!fg_caller_is_instance(c)) {
 		refuse(c, HTTP_STATUS_FORBIDDEN, "not_an_instance",
 		       endpoint_id);
 		return;
--- a/tests/gateway_keys.py
+++ b/tests/gateway_keys.py
@@ -265,6 +265,15 @@
 newer_reported.system_options = {"gateways": 2, "proxied": True, "dcs": 2}
 
 
+def rows_are_for_instances(s):
+    """Guards against keys in clear text at the port for other instances, which
+    answered anyone who asked for the configuration's row."""
+    put_tenants(s, tenant("acme", K1))
+    for path in ("/rows/0/0", "/rows/0/0?known", "/rows/2/0"):
+        a = send(s.gw.mesh, path, method="GET", body=None)
+        check(a.status == 403 and SECRET not in a.body, f"{path}: {a.status}")
+
+
 def row_removed(s):
     """Guards against 503 for good instead of 401: an instance that started after
     a row was removed is not behind those that saw the removal."""
@@ -277,6 +286,8 @@
     s.gateways[0].start()
     wait_for("ready", s.gateways[0].is_ready)
     time.sleep(2 * HEARTBEAT_MAX_S)
+    check("event=configuration_behind" not in s.gateways[0].log(),
+          "takes itself to be behind")
     for gateway in s.gateways:
         a = order(s, UNKNOWN, gateway=gateway)[0]
         check(a.status == 401, f"{gateway.name}: {a.status}")
@@ -585,7 +596,7 @@
     s.check_no_key()
 
 
-SCENARIOS = [
+SCENARIOS = [rows_are_for_instances, 
     key_replaced, bad_credentials, unknown_while_stale, newer_reported,
     row_removed, hears_from_nobody, key_withdrawn, key_while_connecting,
     key_moved, key_moved_with_limit, anonymous_route, workspaces_introduced,
