--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -339,7 +339,6 @@
 		choose_endpoint(r);
 	} else if (r->state == FG_GWREQ_WAIT_ORIGIN) {
 		fg_gw_origin_time_out(r);
-
 	} else if (r->state == FG_GWREQ_WAIT_LOAD) {
 		check_load(r);
 	} else if (r->state == FG_GWREQ_WAIT_RETRY) {
