fg-gateway: no limits, no view of the instances for them

Cause: the step of limits copied the list of all instances ten times a second also where limits are not enforced (quota_window_s left out or 0), as on the earlier deployments.

Change: the step ends at once there. Requests asked nothing of it before either, and the setting changes only at a start.

--- a/lib/gateway/fg_gw_quota.c
+++ b/lib/gateway/fg_gw_quota.c
@@ -149,6 +149,8 @@
 
 void fg_gw_quota_tick(struct fg_gateway *gw, fg_ms now)
 {
+	if (gw->conf->quota_window_ms == 0)
+		return;
 	update_limits(gw, now);
 	update_members(gw, now);
 	fg_quota_tick(gw->quota, now);
