--- a/review/common/system.py
+++ b/review/common/system.py
@@ -3,6 +3,7 @@
 platform's store, and stand-ins of replicas, network paths and requesters."""
 
 import asyncio
+import fcntl
 import json
 import os
 import random
@@ -61,21 +62,42 @@
 
 # ---- Gateways ----
 
-taken_ports = set()
+PORTS = range(20000, 32000)
+BLOCK_PORTS = 100
+block = []  # the ports that are left of the block that this run holds
 
 
-def free_port():
-    while True:
-        port = random.randrange(20000, 32000)
-        if port in taken_ports:
+def hold_block():
+    """Takes a block of ports that no other run holds; the lock lasts as long as
+    this process."""
+    folder = os.path.join(tempfile.gettempdir(), "fulmargauge-review-ports")
+    os.makedirs(folder, exist_ok=True)
+    for first in random.sample(PORTS[::BLOCK_PORTS],
+                               len(PORTS) // BLOCK_PORTS):
+        lock = os.open(os.path.join(folder, str(first)),
+                       os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(lock)
             continue
+        block.extend(range(first, first + BLOCK_PORTS))
+        return
+    raise CannotRun("no block of ports is free")
+
+
+def free_port():
+    if not block:
+        hold_block()
+    while block:
+        port = block.pop()
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        taken_ports.add(port)
         return port
+    raise CannotRun("no port is free")
 
 
 def look_up(fields, path):
