--- a/review/common/system.py
+++ b/review/common/system.py
@@ -318,8 +318,15 @@
         self.writers = set()
         self.runs = []      # (time, request id)
 
+    receive_buffer = None  # of its connections, in bytes
+
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        listener = socket.socket()
+        if self.receive_buffer:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                self.receive_buffer)
+        listener.bind(("127.0.0.1", 0))
+        self.server = await asyncio.start_server(self.serve, sock=listener)
         self.addr = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         self.shown = self.addr
         self.beat_task = asyncio.create_task(self.beat())
