fg-gateway: log lines of the ends of tunnels

An answer that comes through another instance may end with the tunnel.

The instance that has the request logs tunnel/ended with the kind of end and the framing of the answer, the one in the middle logs tunnel/ended_by_endpoint.

--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -354,6 +354,28 @@
 		fg_ep_confirm_crash(conn->gw, conn->ep);
 }
 
+static const char *describe_framing(const struct fg_ep_conn *conn)
+{
+	if (!conn->head_seen)
+		return "no_head";
+	if (conn->h1.head.chunked)
+		return "chunked";
+	return conn->h1.head.length_bytes >= 0 ? "length" : "connection_end";
+}
+
+/* The tunnel of a request ended, which its answer did not end before. */
+static void log_tunnel_end(const struct fg_ep_conn *conn, enum fg_link_end end)
+{
+	const struct fg_mesh_peer *peer =
+		fg_peers_find(conn->gw->peers, conn->via);
+
+	fg_log(FG_LOG_WARN, "tunnel", "ended", "id", conn->req->call.id,
+	       "endpoint", conn->ep->facts.id, "via",
+	       peer == NULL ? NULL : peer->row.name, "end",
+	       end == FG_LINK_EOF ? "eof" : "reset", "framing",
+	       describe_framing(conn), NULL);
+}
+
 static void on_end(void *ctx, enum fg_link_end end)
 {
 	struct fg_ep_conn *conn = ctx;
@@ -367,6 +389,8 @@
 		end_unused(conn, end);
 		return;
 	}
+	if (conn->via != 0)
+		log_tunnel_end(conn, end);
 	if (end == FG_LINK_EOF && fg_h1_eof(&conn->h1) && !conn->skip_message) {
 		finish_message(conn, false);
 		return;
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -50,7 +50,12 @@
 			refuse(near, HTTP_STATUS_BAD_GATEWAY, "not_reached",
 			       t->ep->facts.id);
 		fg_gw_tunnel_free(t);
-	} else if (end == FG_LINK_EOF) {
+		return;
+	}
+	fg_log_routine("tunnel", "ended_by_endpoint", "endpoint",
+		       t->ep->facts.id, "end",
+		       end == FG_LINK_EOF ? "eof" : "reset", NULL);
+	if (end == FG_LINK_EOF) {
 		fg_caller_close(near, true);
 	} else {
 		/* The other instance must not take a part for the whole. */
