fg-gateway: the end of another instance is not the end of an answer

A plain answer would have been given a Content-Length for the part.

Cause: a tunnel has two connections, and an orderly end of the nearer one was taken for the end of the endpoint's. The kernel closes the connections of a killed process in an orderly way, and a planned stop closed its tunnels so at the end of its grace.

Change: the tunnel states the end. The call carries Tunnel-Framing: chunked, the endpoint's bytes come as chunks, and the last chunk is the endpoint's end. Without it an answer that ends with its connection is not complete: a stream goes on elsewhere or breaks off, a plain answer is 502.

Ruled out: a reset in place of an orderly end (a killed process sends none), no answers without a length over tunnels (sound ones are lost).

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -23,6 +23,7 @@
  *   fg_gw_blame.c    prompt parts that crash endpoints
  *   fg_gw_origin.c   software versions that began streams
  *   fg_gw_tunnel.c   connections of other instances to endpoints
+ *   fg_gw_hop.c      connections to endpoints through another instance
  *   fg_gw_pages.c    address lookup, readiness, metrics, state dump
  *
  * A neighbour is another instance in the same data centre. Times of type fg_ms
@@ -333,6 +334,7 @@
 	uint32_t doubts;   /* of fg_ep_local when this connection was opened */
 	GString *report;   /* of a check in progress, or NULL */
 	uint64_t via; /* instance that the connection goes through; 0: none */
+	struct fg_h1 *hop;   /* reads what that instance sends; NULL: none */
 	bool tunnel_pending; /* that instance has not answered yet */
 	struct fg_wire_reply reply;
 	unsigned int status;
@@ -440,9 +442,18 @@
  * loop. */
 void fg_ep_conn_close(struct fg_ep_conn *conn);
 
-/* The instance in the middle did not open the tunnel; `by_endpoint`: because it
- * does not reach the endpoint either. */
-void fg_ep_fail_tunnel(struct fg_ep_conn *conn, bool by_endpoint);
+/* Closes the connection and ends the send of its request, if there is one. */
+void fg_ep_conn_fail(struct fg_ep_conn *conn, enum fg_send_end end,
+		     const char *why);
+
+/* The endpoint is connected: sends the connection's request. */
+void fg_ep_conn_start(struct fg_ep_conn *conn);
+
+/* Reads bytes that the endpoint sent. */
+void fg_ep_conn_feed(struct fg_ep_conn *conn, const char *data, size_t len);
+
+/* The endpoint ended the connection, or the connection failed. */
+void fg_ep_conn_end(struct fg_ep_conn *conn, enum fg_link_end end);
 
 /* Time limit for a connection to be established. */
 fg_ms fg_ep_connect_timeout_ms(const struct fg_gateway *gw);
@@ -884,8 +895,19 @@
  * the answer 200, the bytes pass in both directions until either side ends. The
  * other instance decides nothing about requests and connects to the endpoint
  * itself, never through a third instance.
+ *
+ * An end of the connection between the instances says nothing about the
+ * endpoint, since the kernel closes the connections of a killed process in an
+ * orderly way. With "Tunnel-Framing: chunked" in the call, the endpoint's bytes
+ * are the chunks of the answer, and its last chunk states that the endpoint
+ * ended its side. Builds without that field send the bytes as they are: an
+ * answer that ends with its connection is never complete through them.
  */
 #define FG_GW_TUNNEL_PATH "/tunnel/"
+#define FG_GW_TUNNEL_FRAMING "Tunnel-Framing"
+#define FG_GW_TUNNEL_FRAMING_CHUNKED "chunked"
+
+/* -- The instance in the middle -- */
 
 /* Opens the tunnel that the call asks for, or refuses it. */
 void fg_gw_tunnel_open(struct fg_caller *c, const char *endpoint_id);
@@ -900,6 +922,12 @@
 /* Closes tunnels that are not established in time. */
 void fg_gw_tunnel_tick(struct fg_gateway *gw, fg_ms now);
 
+/* Another instance told what an endpoint said. */
+void fg_gw_tunnel_apply_said(struct fg_gateway *gw,
+			     const fg_mesh_packet *packet);
+
+/* -- The instance that does not reach the endpoint -- */
+
 /* Chooses an instance to go through; NULL when none can be asked now. */
 struct fg_mesh_peer *fg_gw_tunnel_choose_peer(struct fg_gateway *gw, fg_ms now);
 
@@ -909,9 +937,23 @@
 		       const struct fg_fleet_ep *ep,
 		       const struct fg_wire_reply *reply);
 
-/* Another instance told what an endpoint said. */
-void fg_gw_tunnel_apply_said(struct fg_gateway *gw,
-			     const fg_mesh_packet *packet);
+/* Makes a connection that is not yet established one through conn->via;
+ * fg_hop_clear() frees what it keeps. */
+void fg_hop_init(struct fg_ep_conn *conn);
+void fg_hop_clear(struct fg_ep_conn *conn);
+
+/* The other instance is connected: asks it for the tunnel. */
+void fg_hop_ask(struct fg_ep_conn *conn);
+
+/* The other instance sent bytes. */
+void fg_hop_feed(struct fg_ep_conn *conn, const char *data, size_t len);
+
+/* The connection to the other instance ended. */
+void fg_hop_on_end(struct fg_ep_conn *conn, enum fg_link_end end);
+
+/* The other instance did not open the tunnel; `by_endpoint`: because it does
+ * not reach the endpoint either. */
+void fg_hop_fail(struct fg_ep_conn *conn, bool by_endpoint);
 
 /* ---- Pages ---- */
 
--- a/lib/gateway/fg_gw_endpoint.c
+++ b/lib/gateway/fg_gw_endpoint.c
@@ -336,7 +336,7 @@
 			end_check(local);
 		if (local != NULL && local->confirm != NULL &&
 		    now >= local->confirm_until)
-			fg_ep_fail_tunnel(local->confirm, false);
+			fg_hop_fail(local->confirm, false);
 		if (n < PROBES_PER_TICK)
 			n += probe(gw, ep, now);
 	}
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -34,6 +34,7 @@
 {
 	if (conn->report != NULL)
 		g_string_free(conn->report, TRUE);
+	fg_hop_clear(conn);
 	fg_h1_clear(&conn->h1);
 	fg_ep_unref(conn->ep);
 	g_free(conn);
@@ -73,12 +74,10 @@
 /* ---- Reading answers ---- */
 
 static void write_request(struct fg_ep_conn *conn);
-static void start_request(struct fg_ep_conn *conn);
 static void arm_silence_timeout(struct fg_gwreq *r, fg_ms now);
 
-/* Closes the connection and ends the send of its request, if there is one. */
-static void fail_send(struct fg_ep_conn *conn, enum fg_send_end end,
-		      const char *why)
+void fg_ep_conn_fail(struct fg_ep_conn *conn, enum fg_send_end end,
+		     const char *why)
 {
 	struct fg_gwreq *r = conn->req;
 
@@ -111,7 +110,7 @@
 	struct fg_gwreq *r = conn->req;
 	bool has_body = r == NULL || r->head->method != HTTP_HEAD;
 
-	if (conn->report != NULL || conn->tunnel_pending) {
+	if (conn->report != NULL) {
 		conn->status = head->status;
 		return true;
 	}
@@ -140,8 +139,7 @@
 
 	if (conn->report != NULL)
 		append_report(conn, data, len);
-	else if (!conn->tunnel_pending && conn->req != NULL &&
-		 !conn->skip_message)
+	else if (conn->req != NULL && !conn->skip_message)
 		fg_answer_body(conn->req, data, len);
 }
 
@@ -205,13 +203,13 @@
 		fg_gwreq_log(r, "start_not_confirmed", NULL);
 	}
 	if (!fg_gw_workspace_is_current(r)) {
-		fail_send(conn, FG_SEND_NOT_SENT, "key_changed");
+		fg_ep_conn_fail(conn, FG_SEND_NOT_SENT, "key_changed");
 		return;
 	}
 	/* On a connection in use again, it may have been a late second copy of
 	 * an earlier answer. */
 	if (!reusable || (!same && (r->software != 0 || conn->reused))) {
-		fail_send(conn, FG_SEND_NOT_SENT, "start_not_confirmed");
+		fg_ep_conn_fail(conn, FG_SEND_NOT_SENT, "start_not_confirmed");
 		return;
 	}
 	write_request(conn);
@@ -220,44 +218,6 @@
 	arm_silence_timeout(r, fg_clock_now());
 }
 
-/* The instance in the middle did not open the tunnel; `by_endpoint`: because it
- * does not reach the endpoint either. */
-void fg_ep_fail_tunnel(struct fg_ep_conn *conn, bool by_endpoint)
-{
-	struct fg_mesh_peer *peer = fg_peers_find(conn->gw->peers, conn->via);
-	fg_ms now = fg_clock_now();
-
-	if (peer != NULL)
-		peer->tunnel_failed_at = now;
-	if (conn->req == NULL) {
-		fg_ep_on_confirm_failed(conn, by_endpoint);
-		return;
-	}
-	if (by_endpoint) {
-		fg_reach_note_tunnel(conn->ep, now, false);
-		fg_health_record_failure(conn->ep, now);
-	}
-	fail_send(conn, FG_SEND_NOT_SENT,
-		  by_endpoint ? "not_reached_by_others" : "tunnel_refused");
-}
-
-/* The instance in the middle has answered. */
-static void end_tunnel_call(struct fg_ep_conn *conn, bool reusable)
-{
-	if (conn->status != HTTP_STATUS_OK || !reusable) {
-		fg_ep_fail_tunnel(conn,
-				  conn->status == HTTP_STATUS_BAD_GATEWAY);
-		return;
-	}
-	conn->tunnel_pending = false;
-	fg_h1_reset(&conn->h1);
-	fg_reach_note_tunnel(conn->ep, fg_clock_now(), true);
-	if (conn->req == NULL)
-		fg_ep_on_confirm_denied(conn);
-	else
-		start_request(conn);
-}
-
 /* Handles the end of a complete message. `clean`: no bytes follow it. */
 static void finish_message(struct fg_ep_conn *conn, bool clean)
 {
@@ -271,10 +231,6 @@
 		fg_h1_reset(&conn->h1);
 		return;
 	}
-	if (conn->tunnel_pending) {
-		end_tunnel_call(conn, reusable);
-		return;
-	}
 	if (conn->report != NULL) {
 		end_report(conn, reusable);
 		return;
@@ -298,23 +254,19 @@
 	       (conn->req != NULL || conn->tunnel_pending);
 }
 
-static void feed_parser(struct fg_ep_conn *conn, const char *data, size_t len)
+void fg_ep_conn_feed(struct fg_ep_conn *conn, const char *data, size_t len)
 {
 	while (len > 0 && awaits_answer(conn)) {
 		size_t used = fg_h1_feed(&conn->h1, data, len);
 
 		if (!awaits_answer(conn))
 			return;
-		if (conn->h1.fault != FG_H1_OK && conn->tunnel_pending) {
-			fg_ep_fail_tunnel(conn, false);
-			return;
-		}
 		if (conn->h1.fault != FG_H1_OK) {
 			fg_health_record_failure(conn->ep, fg_clock_now());
-			fail_send(conn,
-				  conn->report == NULL ? FG_SEND_BROKEN
-						       : FG_SEND_NOT_SENT,
-				  "malformed_answer");
+			fg_ep_conn_fail(conn,
+					conn->report == NULL ? FG_SEND_BROKEN
+							     : FG_SEND_NOT_SENT,
+					"malformed_answer");
 			return;
 		}
 		data += used;
@@ -335,7 +287,10 @@
 		fg_ep_conn_close(conn);
 		return;
 	}
-	feed_parser(conn, data, len);
+	if (conn->hop != NULL)
+		fg_hop_feed(conn, data, len);
+	else
+		fg_ep_conn_feed(conn, data, len);
 }
 
 /* The end of a connection that carries no request. */
@@ -354,43 +309,14 @@
 		fg_ep_confirm_crash(conn->gw, conn->ep);
 }
 
-static const char *describe_framing(const struct fg_ep_conn *conn)
+void fg_ep_conn_end(struct fg_ep_conn *conn, enum fg_link_end end)
 {
-	if (!conn->head_seen)
-		return "no_head";
-	if (conn->h1.head.chunked)
-		return "chunked";
-	return conn->h1.head.length_bytes >= 0 ? "length" : "connection_end";
-}
-
-/* The tunnel of a request ended, which its answer did not end before. */
-static void log_tunnel_end(const struct fg_ep_conn *conn, enum fg_link_end end)
-{
-	const struct fg_mesh_peer *peer =
-		fg_peers_find(conn->gw->peers, conn->via);
-
-	fg_log(FG_LOG_WARN, "tunnel", "ended", "id", conn->req->call.id,
-	       "endpoint", conn->ep->facts.id, "via",
-	       peer == NULL ? NULL : peer->row.name, "end",
-	       end == FG_LINK_EOF ? "eof" : "reset", "framing",
-	       describe_framing(conn), NULL);
-}
-
-static void on_end(void *ctx, enum fg_link_end end)
-{
-	struct fg_ep_conn *conn = ctx;
 	bool connected = conn->connected;
 
-	if (conn->tunnel_pending) {
-		fg_ep_fail_tunnel(conn, false);
-		return;
-	}
 	if (conn->req == NULL) {
 		end_unused(conn, end);
 		return;
 	}
-	if (conn->via != 0)
-		log_tunnel_end(conn, end);
 	if (end == FG_LINK_EOF && fg_h1_eof(&conn->h1) && !conn->skip_message) {
 		finish_message(conn, false);
 		return;
@@ -403,15 +329,25 @@
 		fg_ep_confirm_crash(conn->gw, conn->ep);
 	}
 	if (conn->report != NULL) {
-		fail_send(conn, FG_SEND_NOT_SENT, "connection_lost");
+		fg_ep_conn_fail(conn, FG_SEND_NOT_SENT, "connection_lost");
 		return;
 	}
-	fail_send(conn, connected ? FG_SEND_BROKEN : FG_SEND_NOT_SENT,
-		  connected
-			  ? (conn->head_seen ? "answer_cut" : "connection_lost")
+	fg_ep_conn_fail(
+		conn, connected ? FG_SEND_BROKEN : FG_SEND_NOT_SENT,
+		connected ? (conn->head_seen ? "answer_cut" : "connection_lost")
 			  : "connect_failed");
 }
 
+static void on_end(void *ctx, enum fg_link_end end)
+{
+	struct fg_ep_conn *conn = ctx;
+
+	if (conn->hop != NULL)
+		fg_hop_on_end(conn, end);
+	else
+		fg_ep_conn_end(conn, end);
+}
+
 /* ---- Sending ---- */
 
 /* `continues`: this answer brought events before, from another send. */
@@ -529,31 +465,19 @@
 		fg_ep_conn_close(conn);
 }
 
-static void ask_for_tunnel(struct fg_ep_conn *conn)
-{
-	g_autofree char *call = g_strdup_printf(
-		"POST " FG_GW_TUNNEL_PATH "%s HTTP/1.1\r\nHost: tunnel\r\n"
-		"Content-Length: 0\r\n\r\n",
-		conn->ep->facts.id);
-
-	fg_link_write(conn->link, call, strlen(call));
-}
-
 static void on_open(void *ctx)
 {
 	struct fg_ep_conn *conn = ctx;
 
-	if (conn->tunnel_pending) {
-		ask_for_tunnel(conn);
+	if (conn->hop != NULL) {
+		fg_hop_ask(conn);
 		return;
 	}
-	if (conn->via == 0)
-		fg_ep_note_reached(conn);
-	start_request(conn);
+	fg_ep_note_reached(conn);
+	fg_ep_conn_start(conn);
 }
 
-/* The endpoint is connected. */
-static void start_request(struct fg_ep_conn *conn)
+void fg_ep_conn_start(struct fg_ep_conn *conn)
 {
 	conn->connected = true;
 	fg_ep_local_get(conn->gw, conn->ep)->open_conns++;
@@ -563,18 +487,18 @@
 	}
 	/* It may have said that it leaves while the connection was opened. */
 	if (!fg_ep_accepts(conn->ep, fg_clock_now())) {
-		fail_send(conn, FG_SEND_NOT_SENT, "endpoint_closed");
+		fg_ep_conn_fail(conn, FG_SEND_NOT_SENT, "endpoint_closed");
 		return;
 	}
 	/* Its entry may have changed since it was chosen. */
 	if (conn->req->software != 0 &&
 	    conn->req->software != conn->ep->software) {
-		fail_send(conn, FG_SEND_NOT_SENT, "other_software");
+		fg_ep_conn_fail(conn, FG_SEND_NOT_SENT, "other_software");
 		return;
 	}
 	/* So may the key, which is decided on again at the next placement. */
 	if (!fg_gw_workspace_is_current(conn->req)) {
-		fail_send(conn, FG_SEND_NOT_SENT, "key_changed");
+		fg_ep_conn_fail(conn, FG_SEND_NOT_SENT, "key_changed");
 		return;
 	}
 	send_request(conn);
@@ -621,7 +545,8 @@
 	fg_h1_init(&conn->h1, false, &h1_ops, conn, HEAD_MAX_BYTES,
 		   ANSWER_MAX_BYTES);
 	conn->via = peer == NULL ? 0 : peer->row.incarnation;
-	conn->tunnel_pending = peer != NULL;
+	if (peer != NULL)
+		fg_hop_init(conn);
 	conn->link = fg_link_connect(
 		&gw->loop, peer == NULL ? ep->facts.address : peer->row.mesh,
 		&link_ops, conn);
@@ -674,7 +599,7 @@
 	const struct fg_ep_local *local = fg_ep_local_get(r->gw, r->ep);
 
 	if (r->conn->tunnel_pending) {
-		fg_ep_fail_tunnel(r->conn, false);
+		fg_hop_fail(r->conn, false);
 		return;
 	}
 	if (!r->conn->connected || r->conn->report != NULL) {
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -1,4 +1,5 @@
-/* Connections of other instances to endpoints, through this one. */
+/* Connections of other instances to endpoints, through this one. Each end of
+ * such a tunnel is in fg_gw_hop.c. */
 #include "gateway/fg_gateway_internal.h"
 
 #include <string.h>
@@ -6,10 +7,7 @@
 /* Each tunnel holds at most twice PENDING_MAX_BYTES. */
 #define TUNNELS_MAX 200
 #define PENDING_MAX_BYTES (32 * 1024)
-/* Time without tunnels through an instance that refused one. */
-#define PEER_RETRY_MS 500
-/* A datagram may be lost. */
-#define TELL_COPIES 2
+#define LAST_CHUNK "0\r\n\r\n"
 
 struct fg_tunnel {
 	struct fg_gateway *gw;
@@ -18,10 +16,10 @@
 	struct fg_fleet_ep *ep; /* reference */
 	fg_ms connect_until;
 	bool open;
+	bool framed; /* bytes go to `near` in chunks, with a last one at the
+		      * endpoint's end */
 };
 
-/* ---- The instance in the middle ---- */
-
 static void refuse(struct fg_caller *c, unsigned int status, const char *reason,
 		   const char *endpoint_id)
 {
@@ -36,6 +34,11 @@
 	fg_caller_finish_answer(c);
 }
 
+static void write_text(struct fg_caller *near, const char *text)
+{
+	fg_link_write(near->link, text, strlen(text));
+}
+
 /* Ends the tunnel because of its far side. */
 static void end_far(struct fg_tunnel *t, enum fg_link_end end)
 {
@@ -56,6 +59,10 @@
 		       t->ep->facts.id, "end",
 		       end == FG_LINK_EOF ? "eof" : "reset", NULL);
 	if (end == FG_LINK_EOF) {
+		if (t->framed)
+			write_text(near, LAST_CHUNK);
+		else
+			fg_link_set_reset_on_exit(near->link, false);
 		fg_caller_close(near, true);
 	} else {
 		/* The other instance must not take a part for the whole. */
@@ -65,21 +72,41 @@
 
 static void on_open(void *ctx)
 {
-	static const char answer[] =
-		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 	struct fg_tunnel *t = ctx;
 
 	t->open = true;
 	(void)fg_reach_note_ok(t->ep);
 	fg_gw_count_event(t->gw, "tunnels", "outcome=\"open\"");
-	fg_link_write(t->near->link, answer, sizeof(answer) - 1);
+	if (t->framed) {
+		write_text(t->near, "HTTP/1.1 200 OK\r\n"
+				    "Transfer-Encoding: chunked\r\n\r\n");
+		return;
+	}
+	write_text(t->near, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	/* A build that does not know the framing takes an orderly end for the
+	 * endpoint's. */
+	fg_link_set_reset_on_exit(t->near->link, true);
+}
+
+static void write_chunk(struct fg_caller *near, const char *data, size_t len)
+{
+	GString *chunk = g_string_sized_new(len + 16);
+
+	g_string_append_printf(chunk, "%zx\r\n", len);
+	g_string_append_len(chunk, data, (gssize)len);
+	g_string_append(chunk, "\r\n");
+	fg_link_write(near->link, chunk->str, chunk->len);
+	g_string_free(chunk, TRUE);
 }
 
 static void on_data(void *ctx, const char *data, size_t len)
 {
 	struct fg_tunnel *t = ctx;
 
-	fg_link_write(t->near->link, data, len);
+	if (t->framed)
+		write_chunk(t->near, data, len);
+	else
+		fg_link_write(t->near->link, data, len);
 	if (fg_link_pending_bytes(t->near->link) > PENDING_MAX_BYTES)
 		fg_link_pause(t->far);
 }
@@ -107,6 +134,15 @@
 	.on_drained = on_drained,
 };
 
+static bool wants_framing(const struct fg_caller *c)
+{
+	const char *framing =
+		fg_h1_get_field(&c->h1.head, FG_GW_TUNNEL_FRAMING);
+
+	return framing != NULL &&
+	       strcmp(framing, FG_GW_TUNNEL_FRAMING_CHUNKED) == 0;
+}
+
 void fg_gw_tunnel_open(struct fg_caller *c, const char *endpoint_id)
 {
 	struct fg_gateway *gw = c->gw;
@@ -133,6 +169,7 @@
 	t = g_new0(struct fg_tunnel, 1);
 	t->gw = gw;
 	t->near = c;
+	t->framed = wants_framing(c);
 	t->ep = fg_ep_ref(ep);
 	t->connect_until = now + fg_ep_connect_timeout_ms(gw);
 	c->tunnel = t;
@@ -187,43 +224,3 @@
 	if (ep != NULL && fg_peers_find(gw->peers, packet->incarnation) != NULL)
 		fg_ep_apply_reply(gw, ep, &reply);
 }
-
-/* ---- The instance that does not reach the endpoint ---- */
-
-struct fg_mesh_peer *fg_gw_tunnel_choose_peer(struct fg_gateway *gw, fg_ms now)
-{
-	const GPtrArray *peers = fg_peers_all(gw->peers);
-	struct fg_mesh_peer *chosen = NULL;
-	uint32_t n = 0;
-
-	for (guint i = 0; i < peers->len; i++) {
-		struct fg_mesh_peer *p = peers->pdata[i];
-
-		if (!fg_peer_is_ready(p, now) ||
-		    (p->tunnel_failed_at != 0 &&
-		     now - p->tunnel_failed_at < PEER_RETRY_MS))
-			continue;
-		if (fg_rand_below(&gw->rand, ++n) == 0)
-			chosen = p;
-	}
-	return chosen;
-}
-
-void fg_gw_tunnel_tell(struct fg_gateway *gw, uint64_t via,
-		       const struct fg_fleet_ep *ep,
-		       const struct fg_wire_reply *reply)
-{
-	const struct fg_mesh_peer *peer = fg_peers_find(gw->peers, via);
-	fg_mesh_packet packet;
-	fg_mesh_ep_said *said = &packet.body.fg_mesh_body_u.ep_said;
-
-	if (peer == NULL || (!reply->leaving && reply->pause_ms == 0) ||
-	    !fg_ep_sent_reply(ep, reply))
-		return;
-	fg_gw_mesh_init_packet(gw, &packet, FG_MESH_EP_SAID);
-	said->ep = ep->hash;
-	said->leaving = reply->leaving;
-	said->pause_ms = reply->pause_ms;
-	for (int i = 0; i < TELL_COPIES; i++)
-		fg_gw_mesh_send(gw, peer->row.mesh, &packet);
-}
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -220,6 +220,17 @@
 		(void)uv_ip4_name(&remote, out, size);
 }
 
+void fg_link_set_reset_on_exit(const struct fg_link *l, bool on)
+{
+	struct linger linger = { .l_onoff = on };
+	uv_os_fd_t fd;
+
+	/* On failure, the end is an orderly one, as without the option. */
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0)
+		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+				 sizeof(linger));
+}
+
 void fg_link_set_ctx(struct fg_link *l, void *ctx)
 {
 	l->ctx = ctx;
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -33,12 +33,15 @@
 class Replica:
     """map_addr(listen address) returns the address to register;
     on_run(replica, request id, headers) is called when a request begins to
-    run."""
+    run. `answer_with`, when set, answers requests that run instead of this
+    class: answer_with(replica, request, request id) returns False to close the
+    connection."""
 
     def __init__(self, store, name, service, engine, dc="dc1", slots=6,
                  map_addr=None, on_run=None, software="v1"):
         self.store = store
         self.on_run = on_run
+        self.answer_with = None
         self.name = name
         self.first_name = name
         self.service = service
@@ -334,6 +337,8 @@
             if self.consume_fault("endless_" + fault):
                 self.send_endlessly(req, rid, fault)
                 return False
+        if self.answer_with is not None:
+            return self.answer_with(self, req, rid)
         if self.engine:
             return self.answer_stream(req, rid)
         return self.answer_plain(req, rid)
--- a/tests/upgrade.py
+++ b/tests/upgrade.py
@@ -11,6 +11,7 @@
 callers and endpoints saw: nothing that may run once ran twice, nothing that was
 refused ran, streams that ended whole have all events, engines got no orders of
 two owners at a time, all instances hear each other, and callers were served.
+Then each build reaches endpoints through the other one, which is killed.
 """
 
 import os
@@ -25,6 +26,9 @@
 
 from gateway import config_with_route
 from gateway_regions import peers_alive
+from gateway_tunnels import (
+    TunnelSystem, all_cases, cut_from_endpoints, finish_cases, judge_cases,
+    start_cases)
 from hosted import (
     BIN, System, broken_orders, check, has_all_events, send, send_draft, wait_for)
 
@@ -173,22 +177,68 @@
         system.close()
 
 
-def run(commit):
+def play_tunnels(near, middle, unframed_whole):
+    """One build reaches the endpoints through another: the sound end of an
+    answer without a length arrives as complete if `unframed_whole`, and the end
+    of the instance in the middle never does."""
+    system = TunnelSystem(gateways=2, binary=middle)
     try:
-        play(build_former(commit))
-        print(f"ok upgrade_{commit}", flush=True)
+        system.gateways[0].kill()
+        system.gateways[0].binary = near
+        system.gateways[0].start()
+        wait_for("ready", system.gateways[0].is_ready)
+        check_hear_each_other(system)
+        cut_from_endpoints(system)
+        cases = all_cases()
+        for case in cases:
+            case.go_on.set()
+        start_cases(system, cases)
+        finish_cases(system, cases)
+        judge_cases(system, cases)
+        for case in cases:
+            whole = case.is_whole(system.engines + system.plains)
+            check(whole == (case.framed or unframed_whole),
+                  f"{case}: {'whole' if whole else 'not whole'}")
+        cases = all_cases()
+        start_cases(system, cases)
+        system.gateways[1].kill()
+        time.sleep(0.1)
+        finish_cases(system, cases)
+        judge_cases(system, cases)
+    except AssertionError:
+        for gateway in system.gateways:
+            print(f"--- {gateway.name}\n{gateway.log()[-4000:]}")
+        raise
+    finally:
+        system.close()
+
+
+def run(commit, name, parts):
+    try:
+        former = build_former(commit)
+        for part in parts:
+            part(former)
+        print(f"ok {name}_{commit}", flush=True)
         return True
     except NoHistory as why:
-        print(f"skipped upgrade_{commit}: {why}")
+        print(f"skipped {name}_{commit}: {why}")
         return True
     except AssertionError as why:
-        print(f"not ok upgrade_{commit}: {why}")
+        print(f"not ok {name}_{commit}: {why}")
         traceback.print_exc(limit=3)
         return False
 
 
+TESTS = {
+    "upgrade": [play],
+    "upgrade_tunnels": [lambda former: play_tunnels(BIN, former, False),
+                        lambda former: play_tunnels(former, BIN, True)],
+}
+
+
 def main():
-    results = [run(commit) for commit in sys.argv[1:] or DEFAULT_COMMITS]
+    results = [run(commit, name, parts) for name, parts in TESTS.items()
+               for commit in sys.argv[1:] or DEFAULT_COMMITS]
     return 0 if all(results) else 1
 
 
