An answer without a list of rows is no empty list

What callers would see: an answer of the store that is an object with a version and no list of rows counted as a read of an empty table; every endpoint of the registry would have left at once.

Cause: a missing list and an empty one were read alike, in the gateway's reads and in fg-entry's scans. Both are refused now, with a log line, and read again.

Test: /cut/store_rows failed before ('reads_rows(no_list, ...) should be FALSE').

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -513,6 +513,13 @@
 	uint32_t store_calls;
 };
 
+/* Reads the store's answer to a read of rows. Returns false, with a log line,
+ * when it cannot be read or has no list: an empty list means that there are no
+ * rows. The caller clears *rows after true. */
+bool fg_sync_read_list(const struct fg_gateway *gw, const char *table,
+		       const char *body, size_t len,
+		       struct fg_store_rows *rows);
+
 /* The table of the instances' own rows, and prefixes of its keys. */
 #define FG_SYNC_TABLE_OWN "fulmargauge"
 #define FG_SYNC_KEY_INSTANCE "instance/"
--- a/lib/gateway/fg_gw_era.c
+++ b/lib/gateway/fg_gw_era.c
@@ -126,7 +126,6 @@
 	struct fg_gateway *gw = ctx;
 	struct fg_feed *own = &gw->feeds[FG_FEED_OWN];
 	struct fg_store_rows rows;
-	GError *why = NULL;
 
 	/* The feed itself reads the history again when it is lost. */
 	if (status != HTTP_STATUS_OK ||
@@ -135,12 +134,8 @@
 		fg_gw_count_event(gw, "proof_failures", NULL);
 		return;
 	}
-	if (!gw->wire->rows_read(body, len, &rows, &why)) {
-		fg_log(FG_LOG_WARN, "sync", "answer_refused", "table",
-		       own->table, "reason", why->message, NULL);
-		g_error_free(why);
+	if (!fg_sync_read_list(gw, own->table, body, len, &rows))
 		return;
-	}
 	fg_store_rows_set_era(&rows, gw->era.known);
 	fg_sync_apply_own(gw, &rows, gw->proof_sent_at);
 	fg_store_rows_clear(&rows);
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -238,13 +238,26 @@
 		schedule_next(f, f->sent_at + min_gap_ms(f) - now);
 }
 
+bool fg_sync_read_list(const struct fg_gateway *gw, const char *table,
+		       const char *body, size_t len, struct fg_store_rows *rows)
+{
+	GError *why = NULL;
+
+	if (gw->wire->rows_read(body, len, rows, &why) && rows->listed)
+		return true;
+	fg_log(FG_LOG_WARN, "sync", "answer_refused", "table", table, "reason",
+	       why == NULL ? "it has no list of rows" : why->message, NULL);
+	g_clear_error(&why);
+	fg_store_rows_clear(rows);
+	return false;
+}
+
 static void on_rows(void *ctx, unsigned int status, const char *body,
 		    size_t len)
 {
 	struct fg_feed *f = ctx;
 	fg_ms now = fg_clock_now();
 	struct fg_store_rows rows;
-	GError *why = NULL;
 
 	if (!fg_gw_store_answer_usable(f->channel, status)) {
 		handle_failure(f, 0, now);
@@ -261,10 +274,7 @@
 		handle_failure(f, status, now);
 		return;
 	}
-	if (!f->gw->wire->rows_read(body, len, &rows, &why)) {
-		fg_log(FG_LOG_WARN, "sync", "answer_refused", "table", f->table,
-		       "reason", why->message, NULL);
-		g_error_free(why);
+	if (!fg_sync_read_list(f->gw, f->table, body, len, &rows)) {
 		handle_failure(f, status, now);
 		return;
 	}
--- a/lib/platform/fg_platform_http.c
+++ b/lib/platform/fg_platform_http.c
@@ -115,7 +115,7 @@
 		json_array_foreach(json_object_get(page, "rows"), i,
 				   row) if (!add_row(res, row)) res->result =
 			FG_PF_BAD_ANSWER;
-		if (page == NULL)
+		if (!json_is_array(json_object_get(page, "rows")))
 			res->result = FG_PF_BAD_ANSWER;
 		more = json_is_true(json_object_get(page, "more"));
 	}
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -143,6 +143,7 @@
 	GPtrArray *rows;  /* struct fg_store_row *, owned */
 	uint64_t version; /* newest version that the answer reflects */
 	bool more;	  /* further rows follow the last key */
+	bool listed;	  /* the answer has a list of rows, even an empty one */
 };
 
 /* Frees a row; NULL is allowed. */
--- a/tests/unit/test_cut_answers.c
+++ b/tests/unit/test_cut_answers.c
@@ -78,8 +78,10 @@
 	GError *error = NULL;
 	bool ok = fgp_wire.rows_read(text, len, &rows, &error);
 
-	if (ok)
+	if (ok) {
+		ok = rows.listed;
 		fg_store_rows_clear(&rows);
+	}
 	g_clear_error(&error);
 	return ok;
 }
@@ -135,8 +137,10 @@
 		"{\"rows\":[{\"table\":\"t\",\"key\":\"k\",\"value\":"
 		"\"bm9kZS0x\",\"ver\":4},{\"table\":\"t\",\"key\":\"l\","
 		"\"value\":\"bm9kZS0y\",\"ver\":5}],\"ver\":9}";
+	static const char no_list[] = "{\"ver\":9}";
 
 	check_list(text, strlen(text), reads_rows);
+	g_assert_false(reads_rows(no_list, strlen(no_list)));
 }
 
 static void test_report(void)
