Registry entries that cannot be used name no endpoint

What callers saw: 503 and 502 at an instance while an entry of another writer was in the registry with a port of 0 or over 65,535 or an address that is none: the instance took it for an endpoint, chose it, and each try failed. An endpoint whose own entry turned odd and was mended was a new one: what it had said before (that it leaves) was forgotten, and it got requests again.

Cause: fields were checked for their type only where they are texts. Numbers out of range, of another type or beyond 32 bits counted as unknown or were cut ( slots as 1; an odd start time as a restart), addresses were parsed when a connection was opened. An entry that could not be read counted as removed, which drops the record.

Change: platform/ refuses an entry unless its key is one printable word, its address is IP:PORT with a port from 1 to 65,535 (lib/base/fg_address, now the only such parser), slots a whole number up to 65,536 and born one up to 2^53. A known endpoint whose entry is refused gets no request, and what was known of it is kept until the entry can be read or is removed; this is no lapse. Refused rows are counted (fg_gw_rows_refused_total) and named once in the log, as before.

Tests: odd_entries and odd_entries_at_start (77 odd entries, two instances) failed before with 503, entry_turns_odd with 'it is used'; test_odd_rows; seeds of the fuzzer. test_wire: one entry had the address 'a', which is refused now; the test is of the software version and names a real address.

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -148,6 +148,7 @@
 static void list_ep(struct fg_fleet *f, struct fg_fleet_ep *ep)
 {
 	ep->listed = true;
+	ep->unreadable = false;
 	ep->lapsed_until = 0;
 	if (f->reread_ids != NULL)
 		g_hash_table_add(f->reread_ids, g_strdup(ep->facts.id));
@@ -179,8 +180,22 @@
 	return ep;
 }
 
+void fg_fleet_put_unreadable(struct fg_fleet *f, const char *id)
+{
+	struct fg_fleet_ep *ep = g_hash_table_lookup(f->by_id, id);
+
+	if (ep == NULL)
+		return;
+	ep->listed = false;
+	ep->unreadable = true;
+	ep->lapsed_until = 0;
+	if (f->reread_ids != NULL)
+		g_hash_table_add(f->reread_ids, g_strdup(id));
+}
+
 static void mark_removed(struct fg_fleet *f, struct fg_fleet_ep *ep, fg_ms now)
 {
+	ep->unreadable = false;
 	if (!ep->listed)
 		return;
 	ep->listed = false;
@@ -222,7 +237,8 @@
 	for (guint i = f->eps->len; i > 0; i--) {
 		struct fg_fleet_ep *ep = f->eps->pdata[i - 1];
 
-		if (!ep->listed && now >= ep->lapsed_until && ep->running == 0)
+		if (!ep->listed && !ep->unreadable && now >= ep->lapsed_until &&
+		    ep->running == 0)
 			drop_ep(f, ep);
 	}
 }
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -81,6 +81,7 @@
 	fg_ms streams_after; /* resumable streams may begin from then on */
 	char region[FG_FLEET_NAME_BYTES];
 	bool listed;	    /* its entry exists */
+	bool unreadable;    /* its entry exists, but cannot be read */
 	fg_ms lapsed_until; /* usable until, after a lapse of its entry */
 	bool addr_taken;    /* another endpoint answers at its address */
 	bool leaving;	    /* said so in an answer or in its entry */
@@ -160,6 +161,11 @@
 				 const struct fg_ep_facts *facts);
 void fg_fleet_remove(struct fg_fleet *f, fg_ms now, const char *id);
 
+/* An entry was written that cannot be read. A known endpoint gets no new
+ * request until an entry is put that can be; what was known of it is kept until
+ * then, or until the entry is removed. */
+void fg_fleet_put_unreadable(struct fg_fleet *f, const char *id);
+
 /* Brackets a full read of the registry: an endpoint that is not put between
  * begin and end counts as removed. */
 void fg_fleet_read_begin(struct fg_fleet *f);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -38,6 +38,7 @@
 #include "admit/fg_admit.h"
 #include "admit/fg_loss.h"
 #include "balance/fg_balance.h"
+#include "base/fg_address.h"
 #include "base/fg_clock.h"
 #include "base/fg_rand.h"
 #include "blame/fg_blame.h"
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -305,7 +305,7 @@
 	int rc;
 
 	gw->crashes = g_array_new(FALSE, FALSE, sizeof(struct fg_crash_notice));
-	if (!fg_link_parse_address(gw->conf->mesh, &at))
+	if (!fg_address_parse(gw->conf->mesh, &at))
 		return UV_EINVAL;
 	uv_udp_init(&gw->loop, &gw->mesh);
 	gw->mesh.data = gw;
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -3,11 +3,17 @@
 
 #include <string.h>
 
-static void log_refused_row(const char *event, const struct fg_store_row *row,
-			    const GError *why)
+/* Frees `why`, which may be NULL. */
+static void refuse_row(struct fg_gateway *gw, const char *event,
+		       const struct fg_store_row *row, GError *why)
 {
+	char labels[48];
+
 	fg_log(FG_LOG_WARN, "sync", event, "table", row->table, "key", row->key,
 	       "reason", why == NULL ? NULL : why->message, NULL);
+	g_snprintf(labels, sizeof(labels), "event=\"%s\"", event);
+	fg_gw_count_event(gw, "rows_refused", labels);
+	g_clear_error(&why);
 }
 
 static void log_problems(const struct fg_ws_set *set)
@@ -27,8 +33,7 @@
 	char version[24];
 
 	if (t == NULL) {
-		log_refused_row("configuration_refused", row, why);
-		g_error_free(why);
+		refuse_row(gw, "configuration_refused", row, why);
 		return;
 	}
 	if (gw->routes != NULL && t->version <= gw->routes->version) {
@@ -56,8 +61,7 @@
 
 	if (!gw->wire->announcement_read(row->value, row->value_bytes, &a,
 					 &why)) {
-		log_refused_row("announcement_refused", row, why);
-		g_error_free(why);
+		refuse_row(gw, "announcement_refused", row, why);
 		return;
 	}
 	if (a.adapter == NULL) {
@@ -182,9 +186,8 @@
 		fg_fleet_remove(gw->fleet, now, row->key);
 	} else if (!gw->wire->entry_read(row->key, row->value, row->value_bytes,
 					 &facts, &why)) {
-		log_refused_row("entry_refused", row, why);
-		g_error_free(why);
-		fg_fleet_remove(gw->fleet, now, row->key);
+		refuse_row(gw, "entry_refused", row, why);
+		fg_fleet_put_unreadable(gw->fleet, row->key);
 	} else {
 		matters = ep == NULL || !differs_in_resident_only(ep, &facts);
 		ep = put_entry(gw, now, ep, &facts);
@@ -235,7 +238,7 @@
 			hasten_heartbeats(gw, now);
 		fg_peers_put(gw->peers, now, &peer);
 	} else {
-		log_refused_row("instance_row_refused", row, NULL);
+		refuse_row(gw, "instance_row_refused", row, NULL);
 	}
 }
 
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "link/fg_link.h"
+#include "base/fg_address.h"
 
 #define DCS_MAX 256
 #define FILE_MAX_BYTES (1024 * 1024)
@@ -130,7 +130,7 @@
 {
 	struct sockaddr_in addr;
 
-	if (text == NULL || !fg_link_parse_address(text, &addr))
+	if (text == NULL || !fg_address_parse(text, &addr))
 		add_error(errors, path, key, text, "IP:PORT");
 	return g_strdup(text);
 }
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/fg_address.h"
+
 /* A dead peer is detected within about 3 s. That is less than the 4 s after
  * which the platform counts an instance as reachable again. With
  * TCP_USER_TIMEOUT set, the kernel ends an idle connection at the first probe
@@ -42,23 +44,6 @@
 /* Shared by all links, since libuv reads one link at a time. */
 static char read_buffer[READ_BYTES];
 
-bool fg_link_parse_address(const char *address, struct sockaddr_in *out)
-{
-	const char *colon = strrchr(address, ':');
-	char ip[INET_ADDRSTRLEN];
-	char *end;
-	long port;
-
-	if (colon == NULL || (size_t)(colon - address) >= sizeof(ip))
-		return false;
-	memcpy(ip, address, (size_t)(colon - address));
-	ip[colon - address] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (end == colon + 1 || *end != '\0' || port < 1 || port > 65535)
-		return false;
-	return uv_ip4_addr(ip, (int)port, out) == 0;
-}
-
 static void on_handle_closed(uv_handle_t *handle)
 {
 	struct fg_link *l = handle->data;
@@ -181,7 +166,7 @@
 	struct sockaddr_in remote;
 	struct fg_link *l;
 
-	if (!fg_link_parse_address(address, &remote))
+	if (!fg_address_parse(address, &remote))
 		return NULL;
 	l = link_new(loop, ops, ctx);
 	l->connect.data = l;
@@ -345,7 +330,7 @@
 	struct sockaddr_in local;
 	int rc;
 
-	if (!fg_link_parse_address(address, &local))
+	if (!fg_address_parse(address, &local))
 		return UV_EINVAL;
 	uv_tcp_init(loop, listener);
 	rc = uv_tcp_bind(listener, (struct sockaddr *)&local, 0);
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -82,7 +82,4 @@
 int fg_link_listen(uv_loop_t *loop, uv_tcp_t *listener, const char *address,
 		   uv_connection_cb on_connection);
 
-/* Parses an IPv4 address "IP:PORT"; false when it is malformed. */
-bool fg_link_parse_address(const char *address, struct sockaddr_in *out);
-
 #endif
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -18,6 +18,7 @@
 import traceback
 
 from gateway_cuts import SCENARIOS as CUT_SCENARIOS
+from gateway_odd_rows import SCENARIOS as ODD_ROW_SCENARIOS
 from gateway_tunnels import SCENARIOS as TUNNEL_SCENARIOS
 from gateway_regions import SCENARIOS as REGION_SCENARIOS
 from gateway_keys import SCENARIOS as KEY_SCENARIOS
@@ -1472,7 +1473,8 @@
     crash_after_first_event, crash_known_at_once, bad_part_outlives_all,
     evidence_outlives_all,
     crashing_part, request_lines, bad_input, settings_change, overload_reasons,
-    *VERSION_SCENARIOS, *CUT_SCENARIOS, *TUNNEL_SCENARIOS, *REGION_SCENARIOS, *KEY_SCENARIOS,
+    *VERSION_SCENARIOS, *CUT_SCENARIOS, *TUNNEL_SCENARIOS, *ODD_ROW_SCENARIOS,
+    *REGION_SCENARIOS, *KEY_SCENARIOS,
     *REVOKE_SCENARIOS, *LIMIT_SCENARIOS,
 ]
 
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -896,7 +896,8 @@
 	g_assert_cmpstr(facts.software, ==, "");
 	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
 		g_autofree char *entry = g_strdup_printf(
-			"{\"service\":\"s\",\"addr\":\"a\",\"zone\":\"z\","
+			"{\"service\":\"s\",\"addr\":"
+			"\"10.0.0.9:80\",\"zone\":\"z\","
 			"\"state\":\"ready\",\"version\":%s}",
 			versions[i].json);
 
