A key that is no text does not stop a feed

What callers would see: with one row in a table whose key holds U+0000 or a lone surrogate, each instance refuses each answer of the store with that row. Its feed stands still from then on: endpoints that come are not used, those that leave get requests, configurations are not applied.

Cause: the JSON library refuses such escapes, and with them the whole answer, so that the position in the feed never moves past the row.

A full read continues after the last key that is known exactly.

--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -85,11 +85,28 @@
 	return fg_sync_apply_row(f, row, now);
 }
 
-static void apply_page(struct fg_feed *f, const struct fg_store_rows *rows,
-		       fg_ms now)
+/* U+FFFD: stands for what cannot be read in a key. */
+#define UNREADABLE "\xef\xbf\xbd"
+
+/* Continues a full read after the smallest key that follows the last one read,
+ * or the last one that is known exactly. Rows after that are read again. */
+static void set_next_key(struct fg_feed *f, const struct fg_store_rows *rows)
 {
 	const struct fg_store_row *last;
+	guint n = rows->rows->len;
+
+	do
+		last = rows->rows->pdata[--n];
+	while (n > 0 && strstr(last->key, UNREADABLE) != NULL);
+	if (strstr(last->key, UNREADABLE) != NULL)
+		last = rows->rows->pdata[rows->rows->len - 1];
+	g_free(f->next_key);
+	f->next_key = g_strconcat(last->key, "\x01", NULL);
+}
 
+static void apply_page(struct fg_feed *f, const struct fg_store_rows *rows,
+		       fg_ms now)
+{
 	if (f->next_key == NULL) {
 		f->full_read_version = rows->version;
 		begin_full_read(f);
@@ -106,10 +123,7 @@
 		end_full_read(f, now);
 		return;
 	}
-	/* The smallest key that follows the last one read. */
-	last = rows->rows->pdata[rows->rows->len - 1];
-	g_free(f->next_key);
-	f->next_key = g_strconcat(last->key, "\x01", NULL);
+	set_next_key(f, rows);
 }
 
 static void apply_changes(struct fg_feed *f, const struct fg_store_rows *rows,
--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -136,6 +136,37 @@
 	g_clear_error(&error);
 }
 
+/* ---- Answers of the store ---- */
+
+/* A key that is no text hides no other row, and the version is read. */
+static void test_rows_with_odd_keys(void)
+{
+	static const char *const odd[] = {
+		"a\\u0000b", "\\ud800",	 "\\ud800\\ud801",
+		"\\udc00x",  "\xff\xfe", "\\ud83d\\u0041",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"rows\":[{\"table\":\"t\",\"key\":\"%s\",\"value\":"
+			"\"e30=\",\"ver\":4},{\"table\":\"t\",\"key\":"
+			"\"\\ud83d\\ude00\\\\u0000\",\"value\":\"e30=\","
+			"\"ver\":5}],\"ver\":9}",
+			odd[i]);
+		struct fg_store_rows rows;
+		const struct fg_store_row *sound;
+		GError *error = NULL;
+
+		g_assert_true(
+			fgp_wire.rows_read(text, strlen(text), &rows, &error));
+		g_assert_cmpuint(rows.version, ==, 9);
+		g_assert_cmpuint(rows.rows->len, ==, 2);
+		sound = rows.rows->pdata[1];
+		g_assert_cmpstr(sound->key, ==, "\xf0\x9f\x98\x80\\u0000");
+		fg_store_rows_clear(&rows);
+	}
+}
+
 /* ---- An entry that turns odd ---- */
 
 static const char *region_of(void *ctx, const char *dc)
@@ -207,6 +238,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/odd_rows/entry", test_entry);
 	g_test_add_func("/odd_rows/entry_key", test_entry_key);
+	g_test_add_func("/odd_rows/keys", test_rows_with_odd_keys);
 	g_test_add_func("/odd_rows/turns_odd", test_turns_odd);
 	g_test_add_func("/odd_rows/odd_is_no_lapse", test_odd_is_no_lapse);
 	return g_test_run();
