--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -32,7 +32,8 @@
 	const uint32_t step = URGENCY_PER_WORKSPACE_PRIORITY;
 
 	if (r->workspace == NULL || !r->workspace->has_priority)
-		return MIN(URGENCY_BASE + r->route->priority, URGENCY_MAX);
+		return URGENCY_BASE +
+		       MIN(r->route->priority, URGENCY_MAX - URGENCY_BASE);
 	return MIN(URGENCY_BASE - step +
 			   step * MIN(r->workspace->priority, step) +
 			   MIN(r->route->priority, step - 1),
--- a/tests/gateway_odd_rows.py
+++ b/tests/gateway_odd_rows.py
@@ -226,5 +226,5 @@
 
 
 SCENARIOS = [
-    odd_entries, odd_entries_at_start, odd_keys, entry_turns_odd,
+    odd_entries, odd_entries_at_start, odd_keys, entry_turns_odd, odd_announcements,
 ]
--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -167,6 +167,111 @@
 	}
 }
 
+/* ---- Configuration and announcements ---- */
+
+static const struct odd_field sound_config[] = {
+	{ "version", "3", true },
+	{ "services",
+	  "[{\"name\":\"s\",\"engine\":{\"models\":[{\"name\":\"m\"}]}}]",
+	  true },
+	{ "routes",
+	  "[{\"host\":\"h\",\"prefix\":\"/\",\"kind\":\"safe\",\"service\":"
+	  "\"s\"}]",
+	  true },
+};
+
+static const struct odd_field odd_config[] = {
+	{ "version", "9007199254740992", true },
+	{ "version", "9223372036854775807", false },
+	{ "version", "-1", false },
+	{ "version", "1.5", false },
+	{ "version", "\"3\"", false },
+	{ "version", NULL, false },
+	{ "routes", "[]", true },
+	{ "routes", "null", false },
+	{ "routes", "{}", false },
+	{ "routes", "[7]", false },
+	{ "services", "{}", false },
+	{ "services", "[{\"name\":\"s\",\"engine\":{\"models\":[{}]}}]",
+	  false },
+	{ "limits", "{\"maxHeaderBytes\":1e300}", true },
+	{ "limits", NULL, false },
+};
+
+static void test_config(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_config); i++) {
+		g_autofree char *text =
+			make_row(sound_config, G_N_ELEMENTS(sound_config),
+				 &odd_config[i]);
+		GError *error = NULL;
+		struct fg_routes *t =
+			fgp_wire.config_read(text, strlen(text), &error);
+
+		if ((t != NULL) != odd_config[i].usable)
+			g_error("%s %.60s", odd_config[i].name,
+				odd_config[i].value);
+		fg_routes_unref(t);
+		g_clear_error(&error);
+	}
+}
+
+/* Numbers beyond 32 bits count as the largest one instead of a small one. */
+static void test_large_config_numbers(void)
+{
+	static const char text[] =
+		"{\"version\":3,\"services\":[{\"name\":\"s\"}],\"routes\":"
+		"[{\"host\":\"h\",\"prefix\":\"/\",\"kind\":\"safe\","
+		"\"timeoutMs\":4294967297,\"priority\":4294967296,"
+		"\"split\":[{\"service\":\"s\",\"weight\":4294967296}]}]}";
+	struct fg_routes *t = fgp_wire.config_read(text, strlen(text), NULL);
+	const struct fg_route *r;
+
+	g_assert_nonnull(t);
+	r = fg_routes_find(t, "h", "/");
+	g_assert_cmpuint(r->timeout_ms, ==, UINT32_MAX);
+	g_assert_cmpuint(r->priority, ==, UINT32_MAX);
+	g_assert_cmpuint(r->shares[0].weight, ==, UINT32_MAX);
+	fg_routes_unref(t);
+}
+
+static const struct odd_field sound_announcement[] = {
+	{ "model", "\"m\"", true },
+	{ "adapter", "\"a\"", true },
+	{ "version", "3", true },
+};
+
+static const struct odd_field odd_announcement[] = {
+	{ "version", "9007199254740992", true },
+	{ "version", "9007199254740993", false },
+	{ "version", "0", false },
+	{ "version", "-3", false },
+	{ "version", "\"3\"", false },
+	{ "version", NULL, false },
+	{ "model", "7", false },
+	{ "adapter", "[\"a\"]", false },
+};
+
+static void test_announcement(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_announcement); i++) {
+		g_autofree char *text = make_row(
+			sound_announcement, G_N_ELEMENTS(sound_announcement),
+			&odd_announcement[i]);
+		struct fg_announcement a;
+		GError *error = NULL;
+		bool usable = fgp_wire.announcement_read(text, strlen(text), &a,
+							 &error);
+
+		if (usable != odd_announcement[i].usable)
+			g_error("%s %.60s", odd_announcement[i].name,
+				odd_announcement[i].value);
+		if (usable)
+			fg_announcement_clear(&a);
+		g_clear_error(&error);
+	}
+}
+
 /* ---- An entry that turns odd ---- */
 
 static const char *region_of(void *ctx, const char *dc)
@@ -239,6 +344,10 @@
 	g_test_add_func("/odd_rows/entry", test_entry);
 	g_test_add_func("/odd_rows/entry_key", test_entry_key);
 	g_test_add_func("/odd_rows/keys", test_rows_with_odd_keys);
+	g_test_add_func("/odd_rows/config", test_config);
+	g_test_add_func("/odd_rows/large_config_numbers",
+			test_large_config_numbers);
+	g_test_add_func("/odd_rows/announcement", test_announcement);
 	g_test_add_func("/odd_rows/turns_odd", test_turns_odd);
 	g_test_add_func("/odd_rows/odd_is_no_lapse", test_odd_is_no_lapse);
 	return g_test_run();
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -594,8 +594,10 @@
 {
 	g_autofree char *text =
 		value == NULL
-			? g_strdup("{\"version\":1}")
-			: g_strdup_printf("{\"version\":1,\"tenants\":%s}",
+			? g_strdup("{\"version\":1,\"services\":[],"
+				   "\"routes\":[]}")
+			: g_strdup_printf("{\"version\":1,\"services\":[],"
+					  "\"routes\":[],\"tenants\":%s}",
 					  value);
 
 	return fgp_wire.config_read(text, strlen(text), error);
@@ -844,10 +846,12 @@
 	static const char *const bad[] = {
 		"",
 		"[]",
-		"{\"routes\":[{\"name\":\"r\"}]}",
-		"{\"services\":[{}]}",
-		"{\"routes\":[{\"host\":\"h\",\"prefix\":\"/\",\"kind\":"
-		"\"safe\",\"service\":\"none\"}]}",
+		"{\"version\":1}",
+		"{\"version\":1,\"services\":[]}",
+		"{\"services\":[],\"routes\":[{\"name\":\"r\"}]}",
+		"{\"services\":[{}],\"routes\":[]}",
+		"{\"services\":[],\"routes\":[{\"host\":\"h\",\"prefix\":"
+		"\"/\",\"kind\":\"safe\",\"service\":\"none\"}]}",
 		"{\"services\":[{\"name\":\"s\"}],\"routes\":[{\"host\":\"h\","
 		"\"prefix\":\"x\",\"kind\":\"safe\",\"service\":\"s\"}]}",
 	};
@@ -895,11 +899,11 @@
 	g_assert_cmpuint(facts.resident[1].version, ==, 3);
 	g_assert_cmpstr(facts.software, ==, "");
 	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
-		g_autofree char *entry = g_strdup_printf(
-			"{\"service\":\"s\",\"addr\":"
-			"\"10.0.0.9:80\",\"zone\":\"z\","
-			"\"state\":\"ready\",\"version\":%s}",
-			versions[i].json);
+		g_autofree char *entry =
+			g_strdup_printf("{\"service\":\"s\",\"addr\":"
+					"\"10.0.0.9:80\",\"zone\":\"z\","
+					"\"state\":\"ready\",\"version\":%s}",
+					versions[i].json);
 
 		g_assert_true(fgp_wire.entry_read("i-1", entry, strlen(entry),
 						  &facts, &error));
