An engine's refusal that comes again is no answer to the next order

What callers would see: streams that wait in vain, since the instance takes an order for refused that the engine carries out, or the other way round; the instance and the engine disagree about the adapters.

A refusal that is written once more takes the place of the next answer.

Change: that connection is closed after each answer but 2xx (lib/link, fg_channel_close_after_refusals()).

Test: refused_orders_again failed before (8 refusals written on connections that were used again).

--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -21,6 +21,7 @@
 	uint64_t head_result; /* of the hook */
 	struct fg_wire_request request;
 	bool open; /* link is connected */
+	bool close_after_refusals;
 };
 
 static void close_link(struct fg_channel *c)
@@ -96,7 +97,8 @@
 {
 	unsigned int status = c->h1.head.status;
 
-	if (!reusable || !c->h1.head.keep_alive)
+	if (!reusable || !c->h1.head.keep_alive ||
+	    (c->close_after_refusals && (status < 200 || status > 299)))
 		close_link(c);
 	else
 		fg_h1_reset(&c->h1);
@@ -179,6 +181,11 @@
 	c->hook_ctx = ctx;
 }
 
+void fg_channel_close_after_refusals(struct fg_channel *c)
+{
+	c->close_after_refusals = true;
+}
+
 uint64_t fg_channel_head_result(const struct fg_channel *c)
 {
 	return c->head_result;
--- a/lib/link/fg_channel.h
+++ b/lib/link/fg_channel.h
@@ -39,6 +39,11 @@
 /* Returns what the function returned for the head of the last answer. */
 uint64_t fg_channel_head_result(const struct fg_channel *c);
 
+/* From now on the connection is closed after each answer but those of 2xx: a
+ * second copy of a refusal cannot be taken for the answer to a later request,
+ * which nothing else tells apart. */
+void fg_channel_close_after_refusals(struct fg_channel *c);
+
 /* Drops a request in flight without a callback, closes the connection and frees
  * the channel; NULL is allowed. */
 void fg_channel_free(struct fg_channel *c);
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -12,6 +12,9 @@
   late_copy   the same, without an id
   error       the application answers with status 500
   order_lost  an order is carried out, but not answered
+  order_refused, report_refused
+              refused, and the refusal is written again when the next call has
+              come on the same connection
   endless_junk, endless_head, endless_body, endless_event
               bytes without end, until the caller closes: no answer at all,
               fields of its head, a body without a length, one event
@@ -42,6 +45,8 @@
         self.store = store
         self.on_run = on_run
         self.answer_with = None
+        self.refused_on = {}  # socket -> status to write again
+        self.refusals_again = 0
         self.name = name
         self.first_name = name
         self.service = service
@@ -184,17 +189,39 @@
             req.extra_headers.append(("Server-Limit", self.limit_text))
         expect = req.get("Expect-Instance")
         if expect is not None and expect != self.name:
-            req.answer(421, headers=[("Instance-Id", self.name)])
+            req.answer(421, headers=[("Instance-Id", self.name), *self.echo(req)])
             return True
+        self.write_refusal_again(req)
         if req.target == "/api/order":
             return self.handle_order(req)
         if req.target == "/api/report":
             return self.handle_report(req)
         return self.handle_request(req)
 
+    # Refusals.
+
+    def echo(self, req):
+        rid = req.get("Request-Id")
+        return [] if rid is None else [("Request-Id", rid)]
+
+    def refuse_and_repeat(self, req, status):
+        """Refuses a call; the refusal comes again with the next call on the same
+        connection."""
+        req.answer(status)
+        self.refused_on[req.sock] = status
+
+    def write_refusal_again(self, req):
+        status = self.refused_on.pop(req.sock, None)
+        if status is not None:
+            self.refusals_again += 1
+            req.answer(status, headers=[("Not-Run", "1")] if status == 503 else [])
+
     # Orders.
 
     def handle_order(self, req):
+        if self.consume_fault("order_refused"):
+            self.refuse_and_repeat(req, 409)
+            return True
         body = json.loads(req.body)
         with self.lock:
             status = self._apply_order(body)
@@ -246,6 +273,9 @@
                 self.adapters[name] = self.versions.get(name, 1)
 
     def handle_report(self, req):
+        if self.consume_fault("report_refused"):
+            self.refuse_and_repeat(req, 503)
+            return True
         time.sleep(self.report_s)
         with self.lock:
             self._finish_loads()
@@ -294,7 +324,7 @@
             time.sleep(1.0)
             self.server.start(port)
             return
-        req.answer(503, headers=[("Not-Run", "1")])
+        req.answer(503, headers=[("Not-Run", "1"), *self.echo(req)])
 
     def run_request(self, req):
         rid = req.get("Request-Id")
@@ -308,14 +338,14 @@
                 want = int(req.get("Expect-Version", "0"))
                 absent = self.adapters.get(name, 0) < max(want, 1)
             if absent:
-                req.answer(421, headers=[("Instance-Id", self.name)])
+                req.answer(421, headers=[("Instance-Id", self.name), *self.echo(req)])
                 return True
         if self.consume_fault("pause"):
-            req.answer(503, headers=[("Not-Run", "1"),
+            req.answer(503, headers=[("Not-Run", "1"), *self.echo(req),
                                      ("Retry-After", self.pause_text)])
             return True
         if self.consume_fault("not_run"):
-            req.answer(503, headers=[("Not-Run", "1")])
+            req.answer(503, headers=[("Not-Run", "1"), *self.echo(req)])
             return True
         self.run_ids.append(rid)
         if self.on_run is not None:
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -20,6 +20,7 @@
 from gateway_cuts import SCENARIOS as CUT_SCENARIOS
 from gateway_odd_rows import SCENARIOS as ODD_ROW_SCENARIOS
 from gateway_tunnels import SCENARIOS as TUNNEL_SCENARIOS
+from gateway_refusals import SCENARIOS as REFUSAL_SCENARIOS
 from gateway_regions import SCENARIOS as REGION_SCENARIOS
 from gateway_keys import SCENARIOS as KEY_SCENARIOS
 from gateway_revoke import SCENARIOS as REVOKE_SCENARIOS
@@ -1473,7 +1474,7 @@
     crash_after_first_event, crash_known_at_once, bad_part_outlives_all,
     evidence_outlives_all,
     crashing_part, request_lines, bad_input, settings_change, overload_reasons,
-    *VERSION_SCENARIOS, *CUT_SCENARIOS, *TUNNEL_SCENARIOS, *ODD_ROW_SCENARIOS,
+    *VERSION_SCENARIOS, *CUT_SCENARIOS, *TUNNEL_SCENARIOS, *ODD_ROW_SCENARIOS, *REFUSAL_SCENARIOS,
     *REGION_SCENARIOS, *KEY_SCENARIOS,
     *REVOKE_SCENARIOS, *LIMIT_SCENARIOS,
 ]
--- /dev/null
+++ b/tests/gateway_refusals.py
@@ -0,0 +1,223 @@
+"""Scenarios of tests/gateway.py: a refusal that an endpoint writes once more on a kept
+connection, where the answer to another request is due."""
+
+import http.client
+import itertools
+import threading
+import time
+
+from gateway_tunnels import TunnelSystem, cut_from_endpoints
+from hosted import (
+    HOST, check, event_ids, find_log_lines, has_all_events, next_id, send, send_draft, wait_for)
+
+STATUSES = (408, 421, 429, 503)
+IDS = ("none", "earlier")
+# While the connection is idle, before the answer that is due, and in the middle of the
+# work on the request.
+MOMENTS = ("idle", "at_once", "amid_work")
+
+
+class Copy:
+    """A refusal that is written again: `rid` is the earlier request that it had
+    refused."""
+
+    def __init__(self, status, not_run, stamped, with_id, moment):
+        self.status = status
+        self.not_run = not_run
+        self.stamped = stamped
+        self.with_id = with_id
+        self.moment = moment
+        self.second = None  # id of the request that meets the copy
+        self.written = 0
+        self.reused = False
+        self.sock = None
+
+    def __str__(self):
+        return (f"{self.status}{' Not-Run' if self.not_run else ''}"
+                f"{' stamped' if self.stamped else ''} id={self.with_id} {self.moment}")
+
+    def headers(self, replica, first):
+        out = []
+        if self.not_run:
+            out.append(("Not-Run", "1"))
+        if self.stamped:
+            out.append(("Response-Stamp", replica.name))
+        if self.with_id == "earlier":
+            out.append(("Request-Id", first))
+        return out
+
+    def serve(self, replica, req, rid):
+        body = f"done by {replica.name} for {rid}".encode()
+        fields = [("Request-Id", rid), ("Response-Stamp", replica.name),
+                  ("Keep-Alive", "timeout=9")]
+        if rid != self.second:
+            self.sock = req.sock
+            self.first = rid
+            req.answer(200, body, fields)
+            if self.moment == "idle" and self.second is None:
+                time.sleep(0.02)
+                self.write(replica, req)
+            return True
+        self.reused = self.reused or req.sock is self.sock
+        if self.moment == "amid_work":
+            time.sleep(0.03)
+        if self.moment != "idle":
+            self.write(replica, req)
+        time.sleep(0.03)
+        req.answer(200, body, fields)
+        return True
+
+    def write(self, replica, req):
+        self.written += 1
+        req.answer(self.status, headers=self.headers(replica, self.first))
+
+
+COPIES = [Copy(*c) for c in itertools.product(
+    STATUSES, (True, False), (True, False), IDS, MOMENTS)]
+
+
+def meet_copy(s, copy, path):
+    """Sends one request and then the one that meets the copy; returns its answer."""
+    method = "GET" if "lookup" in path else "POST"
+    copy.second = None
+    for replica in s.plains:
+        replica.answer_with = copy.serve
+    check(send(s.gw.front, path, method=method).status == 200, "not served")
+    if copy.moment == "idle":
+        time.sleep(0.05)
+    copy.second = next_id()
+    return send(s.gw.front, path, copy.second, method=method)
+
+
+def judge(s, copy, path, answer):
+    runs = s.run_count(copy.second)
+    check(answer.status in (200, 502), f"{path} {copy}: {answer.status}, ran {runs} times")
+    if answer.status == 200:
+        check(answer.body == f"done by p0 for {copy.second}", f"{path} {copy}: {answer.body}")
+    if path == "/order/1":
+        check(runs == 1, f"{path} {copy}: ran {runs} times")
+    if copy.with_id == "earlier" or copy.moment == "idle":
+        check(answer.status == 200, f"{path} {copy}: {answer.status}")
+
+
+def refusal_written_again(s):
+    """A refusal that the endpoint writes once more where the answer to another request
+    is due says nothing about that request: it ran, once."""
+    reused = 0
+    for copy in COPIES:
+        for path in ("/order/1", "/lookup/1"):
+            judge(s, copy, path, meet_copy(s, copy, path))
+        reused += copy.reused
+    check(all(c.written > 0 for c in COPIES), "no copy was written")
+    check(reused >= len(COPIES) / 2, f"{reused} of {len(COPIES)} on kept connections")
+
+
+refusal_written_again.system_options = {"engines": 0, "plains": 1}
+
+
+def refusal_again_through_tunnel(s):
+    """The same through another instance, where each connection carries one request."""
+    cut_from_endpoints(s)
+    for copy in COPIES[::5]:
+        for path in ("/order/1", "/lookup/1"):
+            judge(s, copy, path, meet_copy(s, copy, path))
+
+
+refusal_again_through_tunnel.system_options = {"gateways": 2, "plains": 1}
+refusal_again_through_tunnel.system_class = TunnelSystem
+
+
+def refusal_without_id(s):
+    """Requests that name no id share no connection, since nothing would tell their
+    answers apart."""
+    socks = []
+
+    def serve(replica, req, rid):
+        socks.append(req.sock)
+        req.answer(200, b"done", [("Response-Stamp", replica.name),
+                                  ("Keep-Alive", "timeout=9")])
+        return True
+
+    s.plains[0].answer_with = serve
+    host, port = s.gw.front.split(":")
+    for _ in range(4):
+        conn = http.client.HTTPConnection(host, int(port), timeout=5)
+        conn.request("POST", "/order/1", b"x", {"Host": HOST})
+        status = conn.getresponse().status
+        conn.close()
+        check(status == 200, f"{status}")
+    check(len(set(socks)) == 4, "a connection was used again")
+
+
+refusal_without_id.system_options = {"engines": 0, "plains": 1}
+
+
+def unproven_refusals(s):
+    """An answer 408, 429 or 503 in which the endpoint does not say that it has not run
+    the request does not reach a caller as a promise that it has not."""
+    for status, stamped in itertools.product((408, 429, 503), (True, False)):
+        def serve(replica, req, rid, status=status, stamped=stamped):
+            req.answer(status, b"", [("Request-Id", rid)] + (
+                [("Response-Stamp", replica.name)] if stamped else []))
+            return True
+        for replica in s.engines + s.plains:
+            replica.answer_with = serve
+        for path in ("/order/1", "/brief/1"):
+            rid = next_id()
+            a = (send(s.gw.front, path, rid) if "order" in path
+                 else send_draft(s.gw, path=path, rid=rid))
+            check(a.status == 502 and s.run_count(rid) == 1,
+                  f"{path} {status}: {a.status}, ran {s.run_count(rid)} times")
+            check("Response-Stamp" not in a.headers, "another status is stamped")
+
+
+unproven_refusals.system_options = {"engines": 1, "plains": 1}
+
+
+def refused_orders_again(s):
+    """A refusal of an order that the engine writes once more is not the answer to the
+    next order: no engine gets more loads than it has room for, and streams are served.
+    """
+    for _ in range(4):
+        for engine in s.engines:
+            engine.faults = {"order_refused": 2, "report_refused": 1}
+        threads = [threading.Thread(target=send_draft, args=(s.gw, f"a{i}"))
+                   for i in range(9)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    for engine in s.engines:
+        engine.faults = {}
+        check(not any(o[2] == "overfull" for o in engine.orders), "too many loads")
+        check(engine.refusals_again == 0,
+              f"{engine.refusals_again} refusals on connections that were used again")
+    wait_for("served", lambda: all(has_all_events(send_draft(s.gw, f"a{i}"))
+                                   for i in range(3)))
+
+
+refused_orders_again.system_options = {"engines": 2, "plains": 0}
+
+
+def refused_report_again(s):
+    """The same for the report that is asked for before a stream: the stream that
+    follows on the connection is not refused by it."""
+    wait_for("served", lambda: has_all_events(send_draft(s.gw)))
+    for _ in range(5):
+        for engine in s.engines:
+            port = int(engine.server.addr.split(":")[1])
+            engine.server.stop()
+            engine.server.start(port)
+            engine.faults = {"report_refused": 1}
+        rid = next_id()
+        a = send_draft(s.gw, rid=rid)
+        check(a.status != 503 or s.run_count(rid) == 0,
+              f"{a.status}, ran {s.run_count(rid)} times")
+        check(not a.whole or a.status != 200 or has_all_events(a), f"{event_ids(a)}")
+    check(find_log_lines(s.gw, "start_not_confirmed"), "no report was asked for")
+
+
+refused_report_again.system_options = {"engines": 1, "plains": 0}
+
+
+SCENARIOS = [refused_orders_again]
