A refusal without the request's id is not the request's

What callers saw: an order that may run once ran six times and was answered 503 (not run), where an endpoint wrote an earlier refusal once more, without an id, in the place of the answer (TWICE, REFUSED).

Cause: Not-Run and the status 421 were believed before the id was looked at. Only whether the connection had carried a request counted, not a report.

Change: an answer without an id is the request's only if it is the first one of its connection and no refusal, or the caller sent no id. Otherwise the send is broken: the request may have run. Requests without an id share no connection.

Ruled out: closing connections after answers that are no success; the copy may be of any earlier answer, and refusals with Not-Run close it already.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -296,6 +296,9 @@
 void fg_gwreq_on_load_refused(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 			      uint64_t adapter);
 
+/* Returns whether the request may be run more than once. */
+bool fg_gwreq_may_run_again(const struct fg_gwreq *r);
+
 /* Time until the deadline; 0 after it. */
 uint32_t fg_gwreq_time_left_ms(const struct fg_gwreq *r, fg_ms now);
 
@@ -330,6 +333,7 @@
 				 when the answer began */
 	bool connected;
 	bool reused;
+	uint32_t n_answers; /* complete ones that it brought, of any kind */
 	bool head_seen;
 	bool skip_message; /* informational, or the answer to another request */
 	uint32_t doubts;   /* of fg_ep_local when this connection was opened */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -99,20 +99,45 @@
 	abandon_send(r, FG_SEND_ABSENT, "adapter_absent");
 }
 
+/* Callers take these to mean that the request has not run. */
+static bool promises_no_run(unsigned int status)
+{
+	return status == HTTP_STATUS_REQUEST_TIMEOUT ||
+	       status == HTTP_STATUS_MISDIRECTED_REQUEST ||
+	       status == HTTP_STATUS_TOO_MANY_REQUESTS ||
+	       status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
+/*
+ * Returns whether the answer is known to be of this request. A second copy of
+ * an earlier answer, which may be a refusal, can arrive late, and only the id
+ * tells it from the answer that is due. Answers with another id do not get
+ * here.
+ */
+static bool is_of_request(const struct fg_gwreq *r,
+			  const struct fg_h1_head *head)
+{
+	const struct fg_wire_reply *reply = &r->conn->reply;
+
+	if (reply->id != NULL)
+		return true;
+	if (r->conn->n_answers > 0)
+		return false;
+	return r->call.id == NULL ||
+	       !(reply->not_run || promises_no_run(head->status));
+}
+
 bool fg_answer_head(struct fg_gwreq *r, const struct fg_h1_head *head)
 {
 	const struct fg_wire_reply *reply = &r->conn->reply;
 	fg_ms now = fg_clock_now();
 
-	if (reply->not_run || reply->misdirected) {
-		handle_not_run(r, reply, now);
+	if (!is_of_request(r, head)) {
+		abandon_send(r, FG_SEND_BROKEN, "answer_without_id");
 		return true;
 	}
-	/* A second copy of an earlier answer can arrive late on a connection
-	 * that is in use again. Without an id it cannot be told from the answer
-	 * to this request. */
-	if (r->conn->reused && r->call.id != NULL && reply->id == NULL) {
-		abandon_send(r, FG_SEND_BROKEN, "answer_without_id");
+	if (reply->not_run || reply->misdirected) {
+		handle_not_run(r, reply, now);
 		return true;
 	}
 	fg_health_record_answer(
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -344,7 +344,7 @@
 
 /* ---- Retries ---- */
 
-static bool may_run_again(const struct fg_gwreq *r)
+bool fg_gwreq_may_run_again(const struct fg_gwreq *r)
 {
 	return r->route->idempotent || r->route->resumable;
 }
@@ -370,7 +370,7 @@
 	if (end == FG_SEND_NOT_SENT)
 		return true;
 	if (end == FG_SEND_ERROR || end == FG_SEND_BROKEN) {
-		if (!may_run_again(r) ||
+		if (!fg_gwreq_may_run_again(r) ||
 		    r->possible_runs >= r->route->attempts_max)
 			return false;
 	}
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -207,8 +207,10 @@
 		return;
 	}
 	/* On a connection in use again, it may have been a late second copy of
-	 * an earlier answer. */
-	if (!reusable || (!same && (r->software != 0 || conn->reused))) {
+	 * an earlier answer. Without an id, the answer to the request could not
+	 * be told from a copy of the report. */
+	if (!reusable || r->call.id == NULL ||
+	    (!same && (r->software != 0 || conn->reused))) {
 		fg_ep_conn_fail(conn, FG_SEND_NOT_SENT, "start_not_confirmed");
 		return;
 	}
@@ -226,6 +228,8 @@
 			fg_link_pending_bytes(conn->link) == 0 &&
 			conn->unread_body == 0;
 
+	if (!is_informational(conn->h1.head.status))
+		conn->n_answers++;
 	if (conn->skip_message) {
 		conn->skip_message = false;
 		fg_h1_reset(&conn->h1);
@@ -412,7 +416,7 @@
 
 static void arm_silence_timeout(struct fg_gwreq *r, fg_ms now)
 {
-	if (r->answer_begun || !(r->route->idempotent || r->route->resumable))
+	if (r->answer_begun || !fg_gwreq_may_run_again(r))
 		r->due_at = FG_MS_NEVER;
 	else
 		r->due_at = now + silence_timeout_ms(r);
@@ -563,7 +567,7 @@
 {
 	struct fg_gateway *gw = r->gw;
 	fg_ms now = fg_clock_now();
-	struct fg_ep_conn *conn = take_idle(fg_ep_local_get(gw, r->ep), now);
+	struct fg_ep_conn *conn = NULL;
 	struct fg_mesh_peer *peer = NULL;
 
 	g_assert(r->conn == NULL);
@@ -572,6 +576,9 @@
 	r->answer_begun = false;
 	r->sent_at = now;
 	fg_gwreq_drop_answer_body(r);
+	/* Only an id tells the answer from a late copy of an earlier one. */
+	if (r->call.id != NULL)
+		conn = take_idle(fg_ep_local_get(gw, r->ep), now);
 	if (conn != NULL) {
 		conn->reused = true;
 		conn->head_seen = false;
--- a/tests/gateway_refusals.py
+++ b/tests/gateway_refusals.py
@@ -220,4 +220,7 @@
 refused_report_again.system_options = {"engines": 1, "plains": 0}
 
 
-SCENARIOS = [refused_orders_again]
+SCENARIOS = [
+    refusal_written_again, refusal_again_through_tunnel, refusal_without_id,
+    refused_orders_again, refused_report_again,
+]
