A refusal that proves nothing is not passed on as a promise

What callers saw: 408, 429 or 503 for an order that an endpoint had begun to run and then answered so without Not-Run. Callers take these for 'not run' and send the order again (TWICE).

Cause: a final answer of an endpoint was passed on with its status, whatever it was. Only Not-Run states that a request has not run.

Change: such an answer to a request that may run once ends with 502, without the endpoint's stamp. Requests that may be repeated get it as before.

Test: unproven_refusals failed before ('/order/1 408: 408, ran 1 times').

--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -147,6 +147,10 @@
 		abandon_send(r, FG_SEND_BROKEN, "unsigned_answer");
 		return true;
 	}
+	if (promises_no_run(head->status) && !fg_gwreq_may_run_again(r)) {
+		abandon_send(r, FG_SEND_ERROR, "refusal_unproven");
+		return true;
+	}
 	if (head->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR &&
 	    (r->head_sent || (r->route->idempotent &&
 			      r->possible_runs + 1 < r->route->attempts_max))) {
--- a/tests/gateway_refusals.py
+++ b/tests/gateway_refusals.py
@@ -222,5 +222,5 @@
 
 SCENARIOS = [
     refusal_written_again, refusal_again_through_tunnel, refusal_without_id,
-    refused_orders_again, refused_report_again,
+    unproven_refusals, refused_orders_again, refused_report_again,
 ]
