What continues a stream is checked, not believed

A stream without ids came a second time behind its beginning. A caller that took up a stream got events that it had.

Cause: the head of the next answer was checked (status class, content type, stamp, coding), what followed was not.

Change: where a stream continues, each event needs a higher id than the one before, the first that has not ends the send; the status must be the one that the caller has; without ids, nothing is sent again after the first event.

--- a/lib/gateway/fg_events.c
+++ b/lib/gateway/fg_events.c
@@ -18,24 +18,32 @@
 void fg_events_drop_partial(struct fg_events *e)
 {
 	g_string_truncate(e->partial, 0);
+	e->continues = e->continues || e->n_complete > 0;
+	e->broken = false;
 }
 
-/* Parses a line "id: N"; ignores all other lines. */
-static void parse_id(struct fg_events *e, const char *line, size_t len)
+void fg_events_continue_after(struct fg_events *e, uint64_t last_id)
+{
+	e->continues = true;
+	e->last_id = last_id;
+}
+
+/* Parses a line "id: N"; returns false for all other lines. */
+static bool parse_id(const char *line, size_t len, uint64_t *id)
 {
 	char text[24];
 
 	if (len < 4 || strncmp(line, "id:", 3) != 0 || len >= sizeof(text))
-		return;
+		return false;
 	line += 3;
 	len -= 3;
 	memcpy(text, line, len);
 	text[len] = '\0';
 	g_strstrip(text);
 	if (!g_ascii_isdigit(text[0]))
-		return;
-	e->has_id = true;
-	e->last_id = g_ascii_strtoull(text, NULL, 10);
+		return false;
+	*id = g_ascii_strtoull(text, NULL, 10);
+	return true;
 }
 
 /* Length of the event at the start of `text`, including the empty line that
@@ -58,17 +66,47 @@
 	return 0;
 }
 
-static void parse_lines(struct fg_events *e, const char *text, size_t len)
+struct event_lines {
+	bool has_id;
+	uint64_t id;
+	bool only_comments;
+};
+
+static struct event_lines parse_lines(const char *text, size_t len)
 {
+	struct event_lines out = { .only_comments = true };
 	size_t at = 0;
 
 	while (at < len) {
 		const char *lf = memchr(text + at, '\n', len - at);
 		size_t line = (size_t)(lf - text) - at;
 
-		parse_id(e, text + at, line);
+		if (parse_id(text + at, line, &out.id))
+			out.has_id = true;
+		if (line > 0 && text[at] != ':' && text[at] != '\r')
+			out.only_comments = false;
 		at += line + 1;
 	}
+	return out;
+}
+
+/* Counts a complete event; returns false when it does not continue the stream.
+ */
+static bool count_event(struct fg_events *e, const char *text, size_t len)
+{
+	struct event_lines lines = parse_lines(text, len);
+
+	if (e->continues && !lines.only_comments &&
+	    (!lines.has_id || lines.id <= e->last_id)) {
+		e->broken = true;
+		return false;
+	}
+	if (lines.has_id) {
+		e->has_id = true;
+		e->last_id = lines.id;
+	}
+	e->n_complete++;
+	return true;
 }
 
 gssize fg_events_feed(struct fg_events *e, const char *data, size_t len_bytes)
@@ -77,13 +115,13 @@
 	size_t n;
 
 	g_string_append_len(e->partial, data, (gssize)len_bytes);
-	while ((n = event_length(e->partial->str + complete_bytes,
+	while (!e->broken &&
+	       (n = event_length(e->partial->str + complete_bytes,
 				 e->partial->len - complete_bytes)) > 0) {
-		parse_lines(e, e->partial->str + complete_bytes, n);
-		e->n_complete++;
-		complete_bytes += n;
+		if (count_event(e, e->partial->str + complete_bytes, n))
+			complete_bytes += n;
 	}
-	if (e->partial->len - complete_bytes > FG_EVENT_MAX_BYTES)
+	if (!e->broken && e->partial->len - complete_bytes > FG_EVENT_MAX_BYTES)
 		return -1;
 	return (gssize)complete_bytes;
 }
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -193,12 +193,13 @@
 	uint32_t pending_tokens; /* prompt tokens counted at `ep` until the
 				    first token */
 	fg_ms sent_at;
-	fg_ms first_at;	   /* first part of the answer; 0: none yet */
-	bool may_have_run; /* some send may have run, or may still run */
-	bool head_sent;	   /* the answer's head was sent to the caller */
-	fg_ms head_at;	   /* when this send brought a head that is no
-			      refusal; 0: not yet */
-	bool trial;	   /* may be sent although a part is blocked */
+	fg_ms first_at;		  /* first part of the answer; 0: none yet */
+	bool may_have_run;	  /* some send may have run, or may still run */
+	bool head_sent;		  /* the answer's head was sent to the caller */
+	unsigned int status_sent; /* its status */
+	fg_ms head_at;		  /* when this send brought a head that is no
+				     refusal; 0: not yet */
+	bool trial;		  /* may be sent although a part is blocked */
 	bool answer_begun; /* this send brought an event or a plain head */
 	struct fg_events events;
 	/* Software version of the endpoint that brought the stream's first
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -157,7 +157,8 @@
 		abandon_send(r, FG_SEND_ERROR, "endpoint_error");
 		return true;
 	}
-	if (r->head_sent && !is_streamed(r, head)) {
+	if (r->head_sent &&
+	    (!is_streamed(r, head) || head->status != r->status_sent)) {
 		abandon_send(r, FG_SEND_BROKEN, "not_resumed");
 		return true;
 	}
@@ -195,6 +196,7 @@
 		write_head(r, &r->conn->h1.head, out);
 		g_string_append(out, "Transfer-Encoding: chunked\r\n\r\n");
 		r->head_sent = true;
+		r->status_sent = r->conn->h1.head.status;
 	}
 	g_string_append_printf(out, "%zx\r\n", len);
 	g_string_append_len(out, r->events.partial->str, (gssize)len);
@@ -226,13 +228,15 @@
 		return;
 	}
 	complete_bytes = fg_events_feed(&r->events, data, len_bytes);
-	if (complete_bytes < 0) {
-		abandon_send(r, FG_SEND_BROKEN, "event_too_large");
-	} else if (complete_bytes > 0) {
+	if (complete_bytes > 0) {
 		note_answer_start(r);
 		note_software(r);
 		forward_events(r, (size_t)complete_bytes);
 	}
+	if (r->events.broken)
+		abandon_send(r, FG_SEND_BROKEN, "not_continued");
+	else if (complete_bytes < 0)
+		abandon_send(r, FG_SEND_BROKEN, "event_too_large");
 }
 
 static void report_answered(const struct fg_gwreq *r, unsigned int status)
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -367,6 +367,9 @@
 	if (r->sends >= SENDS_MAX ||
 	    fg_gwreq_time_left_ms(r, now) < FG_GWREQ_TIME_LEFT_MIN_MS)
 		return false;
+	/* Without ids, another endpoint would send the same events again. */
+	if (r->head_sent && !r->events.has_id)
+		return false;
 	if (end == FG_SEND_NOT_SENT)
 		return true;
 	if (end == FG_SEND_ERROR || end == FG_SEND_BROKEN) {
@@ -556,6 +559,8 @@
 	if (!find_route_or_answer(r) || !fg_gw_workspace_admit(r))
 		return;
 	set_service_and_limits(r);
+	if (r->call.resumes && r->route->resumable)
+		fg_events_continue_after(&r->events, r->call.resume_after);
 	if (is_too_late_to_start(r)) {
 		fg_gwreq_refuse(r, "stopping", STOP_RETRY_MS);
 		return;
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -1012,6 +1012,63 @@
 	fg_events_clear(&e);
 }
 
+/* Text that is no event of the stream, or of an earlier part of it, does not
+ * get into a stream that another endpoint continues. */
+static void test_events_continued(void)
+{
+	static const struct {
+		const char *text;
+		const char *passes;
+	} next[] = {
+		{ "id: 3\ndata: c\n\nid: 4\ndata: d\n\n",
+		  "id: 3\ndata: c\n\nid: 4\ndata: d\n\n" },
+		{ "id: 5\ndata: e\n\n", "id: 5\ndata: e\n\n" },
+		{ ": alive\n\nid: 3\ndata: c\n\n",
+		  ": alive\n\nid: 3\ndata: c\n\n" },
+		{ "id: 1\ndata: a\n\nid: 3\ndata: c\n\n", "" },
+		{ "id: 2\ndata: b\n\n", "" },
+		{ "id: 3\ndata: c\n\nid: 3\ndata: c\n\n",
+		  "id: 3\ndata: c\n\n" },
+		{ "id: 3\ndata: c\n\nan error\n\nid: 4\n\n",
+		  "id: 3\ndata: c\n\n" },
+		{ "an error\n\n", "" },
+		{ "id: -3\ndata: c\n\n", "" },
+		{ "id: x\ndata: c\n\n", "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(next); i++) {
+		size_t len = strlen(next[i].passes);
+		struct fg_events e;
+
+		fg_events_init(&e);
+		g_assert_cmpint(fg_events_feed(&e, "id: 1\n\nid: 2\n\nid:", 17),
+				==, 14);
+		fg_events_consume(&e, 14);
+		fg_events_drop_partial(&e);
+		g_assert_cmpint(
+			fg_events_feed(&e, next[i].text, strlen(next[i].text)),
+			==, (gssize)len);
+		g_assert_cmpmem(e.partial->str, len, next[i].passes, len);
+		g_assert_true(e.broken == (len < strlen(next[i].text)));
+		fg_events_clear(&e);
+	}
+}
+
+/* The same where the caller has the earlier part. */
+static void test_events_continue_after(void)
+{
+	struct fg_events e;
+
+	fg_events_init(&e);
+	fg_events_continue_after(&e, 12);
+	g_assert_cmpint(fg_events_feed(&e, "id: 13\n\n", 8), ==, 8);
+	fg_events_consume(&e, 8);
+	g_assert_false(e.broken);
+	g_assert_cmpint(fg_events_feed(&e, "id: 13\n\n", 8), ==, 0);
+	g_assert_true(e.broken);
+	fg_events_clear(&e);
+}
+
 static void test_event_too_large(void)
 {
 	struct fg_events e;
@@ -1241,6 +1298,8 @@
 	g_test_add_func("/platform/order", test_order);
 	g_test_add_func("/platform/report", test_report);
 	g_test_add_func("/events/split", test_events);
+	g_test_add_func("/events/continued", test_events_continued);
+	g_test_add_func("/events/continue_after", test_events_continue_after);
 	g_test_add_func("/events/too_large", test_event_too_large);
 	g_test_add_func("/mesh/packets", test_packets);
 	g_test_add_func("/mesh/peers", test_peers);
