A number in a request does not end an instance

Cause: prompt tokens pending at an engine were summed in 32 bits. The sum wrapped, so that the engine looked idle and the assertion in adjust_pending() failed later.

--- a/lib/balance/fg_balance.c
+++ b/lib/balance/fg_balance.c
@@ -33,7 +33,7 @@
 	return ep->running + ep->peers_running;
 }
 
-static uint32_t total_pending_tokens(const struct fg_fleet_ep *ep)
+static uint64_t total_pending_tokens(const struct fg_fleet_ep *ep)
 {
 	return ep->pending_tokens + ep->peers_pending_tokens;
 }
@@ -184,7 +184,8 @@
 	double excess = MAX(ep->error_rate - mean_error_rate, 0.0);
 
 	if (query->svc->engine) {
-		c.wait_ms = (total_pending_tokens(ep) + query->prompt_tokens) /
+		c.wait_ms = (double)(total_pending_tokens(ep) +
+				     query->prompt_tokens) /
 			    conf->prefill_tokens_per_ms * ep->slowness;
 		c.total_ms = adapter_cost(conf, query, ep, non_home_part,
 					  n_homes, now, &c.resident, &load_ms);
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -68,7 +68,7 @@
 	fg_ms resident_at; /* last time it was resident; 0: never */
 	fg_ms pending_at;  /* last time it was queued or loading; 0: never */
 	uint32_t running;  /* requests in flight from this instance */
-	uint32_t pending_tokens; /* their prompt tokens not yet processed */
+	uint64_t pending_tokens; /* their prompt tokens not yet processed */
 	fg_ms notified_at;	 /* last report to the owner */
 };
 
@@ -97,10 +97,10 @@
 
 	/* In flight from this instance. */
 	uint32_t running;
-	uint32_t pending_tokens; /* prompt tokens not yet processed */
+	uint64_t pending_tokens; /* prompt tokens not yet processed */
 	/* In flight from other instances, as last reported. */
 	uint32_t peers_running;
-	uint32_t peers_pending_tokens;
+	uint64_t peers_pending_tokens;
 
 	/* fg_brittle.h updates these. */
 	fg_ms brittle_at; /* it last said that it is brittle; 0: it does not */
--- a/lib/fleet/fg_uses.c
+++ b/lib/fleet/fg_uses.c
@@ -52,9 +52,9 @@
 	return sum;
 }
 
-uint32_t fg_uses_pending_tokens(const struct fg_uses *u)
+uint64_t fg_uses_pending_tokens(const struct fg_uses *u)
 {
-	uint32_t sum = 0;
+	uint64_t sum = 0;
 
 	for (guint i = 0; i < u->list->len; i++)
 		sum += entry_at(u, i)->pending_tokens;
--- a/lib/fleet/fg_uses.h
+++ b/lib/fleet/fg_uses.h
@@ -46,6 +46,6 @@
 
 /* Return the totals over all instances. */
 uint32_t fg_uses_running(const struct fg_uses *u);
-uint32_t fg_uses_pending_tokens(const struct fg_uses *u);
+uint64_t fg_uses_pending_tokens(const struct fg_uses *u);
 
 #endif
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -742,6 +742,12 @@
 /* Sends a heartbeat to the instances of this region at once. */
 void fg_gw_mesh_send_heartbeat(struct fg_gateway *gw);
 
+/* Number of tokens as a datagram carries it; a larger one is cut. */
+static inline uint32_t fg_gw_pack_tokens(uint64_t tokens)
+{
+	return (uint32_t)MIN(tokens, UINT32_MAX);
+}
+
 /* Reports this instance's use of an adapter to the owner of `ep`. */
 void fg_gw_mesh_send_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 			 struct fg_ep_adapter *a);
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -94,7 +94,8 @@
 	}
 	own->ep = ep->hash;
 	own->running = ep->running + ep->peers_running;
-	own->pending_tokens = ep->pending_tokens + ep->peers_pending_tokens;
+	own->pending_tokens = fg_gw_pack_tokens(ep->pending_tokens +
+						ep->peers_pending_tokens);
 	own->spare_age_ms = ep->spare_age_ms;
 	own->queue = ep->queue;
 	own->fetch_wait_ms = ep->fetch_wait_ms;
@@ -189,7 +190,7 @@
 	use->ep = ep->hash;
 	use->adapter = a->key;
 	use->running = a->running;
-	use->pending_tokens = a->pending_tokens;
+	use->pending_tokens = fg_gw_pack_tokens(a->pending_tokens);
 }
 
 void fg_gw_mesh_send_use(struct fg_gateway *gw, struct fg_fleet_ep *ep,
--- a/lib/gateway/fg_gw_overload.c
+++ b/lib/gateway/fg_gw_overload.c
@@ -27,7 +27,8 @@
 {
 	if (!r->service->engine)
 		return 1;
-	return MAX(r->call.prompt_tokens + r->call.output_tokens, 1);
+	return fg_gw_pack_tokens(MAX(
+		(uint64_t)r->call.prompt_tokens + r->call.output_tokens, 1));
 }
 
 /* Slots of the service, and requests that run or wait there. Of plain endpoints
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -105,14 +105,16 @@
 		g_string_append_printf(
 			out,
 			"endpoint %s service=%s address=%s usable=%d listed=%d "
-			"running=%u+%u pending_tokens=%u+%u errors=%.2f "
+			"running=%u+%u pending_tokens=%llu+%llu errors=%.2f "
 			"slowness=%.2f fence=%llu spare_age_ms=%u "
 			"paused_ms=%lld order_wait_ms=%lld sends=%llu "
 			"limit_per_s=%g adapters=",
 			ep->facts.id, ep->facts.service, ep->facts.address,
 			fg_ep_is_usable(ep, now), ep->listed, ep->running,
-			ep->peers_running, ep->pending_tokens,
-			ep->peers_pending_tokens, ep->error_rate, ep->slowness,
+			ep->peers_running,
+			(unsigned long long)ep->pending_tokens,
+			(unsigned long long)ep->peers_pending_tokens,
+			ep->error_rate, ep->slowness,
 			(unsigned long long)(local == NULL ? 0 : local->fence),
 			ep->spare_age_ms,
 			(long long)MAX(ep->paused_until - now, 0),
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -96,7 +96,8 @@
 	totals->request = ask->request;
 	totals->ep = ask->ep;
 	totals->running = ep->running + ep->peers_running;
-	totals->pending_tokens = ep->pending_tokens + ep->peers_pending_tokens;
+	totals->pending_tokens = fg_gw_pack_tokens(ep->pending_tokens +
+						   ep->peers_pending_tokens);
 	fg_gw_mesh_send(gw, from, &reply);
 }
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -463,6 +463,19 @@
 	return f->failures > 0 && now - f->confirmed_at > CONFIG_STALE_MS;
 }
 
+/* More than any engine holds. */
+#define TOKENS_MAX 1000000000
+
+/* No engine of the service can ever hold the prompt. */
+static bool is_larger_than_engine(const struct fg_gwreq *r)
+{
+	uint32_t capacity = r->service->kv_capacity_tokens;
+
+	return r->service->engine &&
+	       r->call.prompt_tokens >
+		       (capacity == 0 ? TOKENS_MAX : MIN(capacity, TOKENS_MAX));
+}
+
 static struct fg_gwreq *req_new(struct fg_caller *c)
 {
 	struct fg_gateway *gw = c->gw;
@@ -565,6 +578,10 @@
 		fg_gwreq_refuse(r, "stopping", STOP_RETRY_MS);
 		return;
 	}
+	if (is_larger_than_engine(r)) {
+		fg_gwreq_refuse(r, "larger_than_engine", FG_GWREQ_RETRY_MAX_MS);
+		return;
+	}
 	r->fingerprint = request_fingerprint(r);
 	if (fg_suspects_check(gw->suspects, r->arrived_at, r->fingerprint,
 			      &retry_ms) == FG_SUSPECT_REFUSE) {
