A removal outlives the registry's return from an older copy

Cause: the record of an endpoint is dropped with its entry; the entry from the copy made a new record, usable at once.

Change: lib/fleet remembers removals (120 s, 4,096 at most). An entry of the removed start or an earlier one that is read after a return is not used until it is written again, for 15 s at most. A removal of it is no lapse.

Ruled out: keeping the records (their connections and counts are dropped for good reason); the row's version (the copy's versions look like new ones).

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -11,11 +11,22 @@
 	GPtrArray *eps;		/* struct fg_fleet_ep *, one reference each */
 	GHashTable *by_id;	/* id -> struct fg_fleet_ep * */
 	GHashTable *reread_ids; /* put since read_begin; NULL outside a read */
+	GHashTable *departed;	/* id -> struct departed * */
+	fg_ms restored_at;	/* FG_MS_NEVER: never */
+	fg_ms purge_at;		/* next look for old entries of `departed` */
 	bool up;
 	fg_ms up_since;	   /* end of the last outage; FG_MS_NEVER: none yet */
 	fg_ms answered_at; /* last answer of the registry; FG_MS_NEVER: none */
 };
 
+/* An endpoint whose entry was removed. */
+struct departed {
+	uint64_t born;
+	fg_ms at;
+};
+
+#define PURGE_MS 1000
+
 /* A shorter outage cannot have made entries lapse: they lapse after three
  * missed heartbeats, which take longer. */
 #define OUTAGE_MIN_MS 500
@@ -33,9 +44,59 @@
 	f->up = true;
 	f->up_since = FG_MS_NEVER;
 	f->answered_at = FG_MS_NEVER;
+	f->restored_at = FG_MS_NEVER;
+	f->departed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return f;
 }
 
+/* ---- Removed endpoints ---- */
+
+static gboolean is_old(gpointer id, gpointer value, gpointer now)
+{
+	const struct departed *d = value;
+
+	(void)id;
+	return *(const fg_ms *)now - d->at >= FG_FLEET_DEPARTED_MS;
+}
+
+static void remember_removal(struct fg_fleet *f, fg_ms now,
+			     const struct fg_fleet_ep *ep)
+{
+	struct departed *d;
+
+	if (g_hash_table_size(f->departed) >= FG_FLEET_DEPARTED_MAX ||
+	    g_hash_table_contains(f->departed, ep->facts.id))
+		return;
+	d = g_new0(struct departed, 1);
+	d->born = ep->facts.born;
+	d->at = now;
+	g_hash_table_insert(f->departed, g_strdup(ep->facts.id), d);
+}
+
+static void purge_removals(struct fg_fleet *f, fg_ms now)
+{
+	if (now < f->purge_at)
+		return;
+	f->purge_at = now + PURGE_MS;
+	g_hash_table_foreach_remove(f->departed, is_old, &now);
+}
+
+/* Returns whether the entry was removed before the registry returned from a
+ * copy that still has it. Any other entry forgets the removal. */
+static bool is_from_copy(struct fg_fleet *f, const struct fg_ep_facts *facts)
+{
+	const struct departed *d = g_hash_table_lookup(f->departed, facts->id);
+
+	if (d == NULL)
+		return false;
+	if (f->reread_ids != NULL && f->restored_at != FG_MS_NEVER &&
+	    d->at <= f->restored_at && facts->born <= d->born)
+		return true;
+	g_hash_table_remove(f->departed, facts->id);
+	return false;
+}
+
 static void drop_ep(struct fg_fleet *f, struct fg_fleet_ep *ep)
 {
 	g_hash_table_remove(f->by_id, ep->facts.id);
@@ -51,6 +112,7 @@
 		drop_ep(f, f->eps->pdata[0]);
 	g_ptr_array_unref(f->eps);
 	g_hash_table_unref(f->by_id);
+	g_hash_table_unref(f->departed);
 	if (f->reread_ids != NULL)
 		g_hash_table_unref(f->reread_ids);
 	g_free(f);
@@ -93,6 +155,7 @@
 void fg_fleet_registry_restored(struct fg_fleet *f, fg_ms now)
 {
 	f->up_since = now;
+	f->restored_at = now;
 }
 
 /* Returns whether a removal may be a lapse caused by a recent outage. */
@@ -158,16 +221,19 @@
 				 const struct fg_ep_facts *facts)
 {
 	struct fg_fleet_ep *ep = g_hash_table_lookup(f->by_id, facts->id);
+	bool known = ep != NULL;
 
-	if (ep == NULL) {
+	if (!known)
 		ep = add_ep(f, now, facts->id);
-	} else if (is_of_former_start(f, now, ep, facts)) {
+	ep->returned_until =
+		is_from_copy(f, facts) ? now + FG_FLEET_RETURNED_MS : 0;
+	if (known && is_of_former_start(f, now, ep, facts)) {
 		list_ep(f, ep);
 		return ep;
-	} else if (ep->facts.born != facts->born ||
-		   strcmp(ep->facts.address, facts->address) != 0) {
-		reset_state(ep);
 	}
+	if (known && (ep->facts.born != facts->born ||
+		      strcmp(ep->facts.address, facts->address) != 0))
+		reset_state(ep);
 	ep->facts = *facts;
 	ep->software =
 		facts->software[0] == '\0' ? 0 : fg_hash_str(facts->software);
@@ -199,8 +265,11 @@
 	if (!ep->listed)
 		return;
 	ep->listed = false;
-	if (is_lapse_expected(f, now) && !ep->facts.draining && !ep->leaving)
+	if (is_lapse_expected(f, now) && !ep->facts.draining && !ep->leaving &&
+	    ep->returned_until == 0)
 		ep->lapsed_until = f->up_since + FG_FLEET_LAPSE_GRACE_MS;
+	else
+		remember_removal(f, now, ep);
 }
 
 void fg_fleet_remove(struct fg_fleet *f, fg_ms now, const char *id)
@@ -234,12 +303,15 @@
 
 void fg_fleet_tick(struct fg_fleet *f, fg_ms now)
 {
+	purge_removals(f, now);
 	for (guint i = f->eps->len; i > 0; i--) {
 		struct fg_fleet_ep *ep = f->eps->pdata[i - 1];
 
 		if (!ep->listed && !ep->unreadable && now >= ep->lapsed_until &&
-		    ep->running == 0)
+		    ep->running == 0) {
+			remember_removal(f, now, ep);
 			drop_ep(f, ep);
+		}
 	}
 }
 
@@ -266,7 +338,8 @@
 
 bool fg_ep_is_usable(const struct fg_fleet_ep *ep, fg_ms now)
 {
-	if (ep->facts.draining || ep->leaving || ep->addr_taken)
+	if (ep->facts.draining || ep->leaving || ep->addr_taken ||
+	    now < ep->returned_until)
 		return false;
 	return ep->listed || now < ep->lapsed_until;
 }
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -12,7 +12,10 @@
  *
  * Leaving is final for the life of an endpoint: an entry of the same start that
  * no longer says so, as in a registry restored from an older copy, does not
- * make it usable again.
+ * make it usable again. Removals are remembered for FG_FLEET_DEPARTED_MS: an
+ * entry of the same or an earlier start that is read from such a copy is not
+ * used until it is written again, or for FG_FLEET_RETURNED_MS, after which a
+ * registry has dropped the entry of an endpoint that is gone.
  *
  * The record of an endpoint also holds what this instance measures: requests
  * in flight, failures and speed. fg_balance.h describes how they are used.
@@ -39,6 +42,11 @@
  * registry. The platform's documentation states about two seconds. */
 #define FG_FLEET_LAPSE_GRACE_MS 2200
 
+/* Removals are remembered for this long, and at most so many. */
+#define FG_FLEET_DEPARTED_MS 120000
+#define FG_FLEET_DEPARTED_MAX 4096
+#define FG_FLEET_RETURNED_MS 15000
+
 /* An adapter of a model, or the model itself when `adapter` is empty. */
 struct fg_ep_resident {
 	char model[FG_FLEET_NAME_BYTES];
@@ -80,14 +88,16 @@
 	uint64_t software;   /* key of facts.software; 0: unknown */
 	fg_ms streams_after; /* resumable streams may begin from then on */
 	char region[FG_FLEET_NAME_BYTES];
-	bool listed;	    /* its entry exists */
-	bool unreadable;    /* its entry exists, but cannot be read */
-	fg_ms lapsed_until; /* usable until, after a lapse of its entry */
-	bool addr_taken;    /* another endpoint answers at its address */
-	bool leaving;	    /* said so in an answer or in its entry */
-	fg_ms paused_until; /* it asked for no request until then; 0: never */
-	bool limited;	    /* it named a limit */
-	double limit_per_s; /* requests from all instances together */
+	bool listed;	      /* its entry exists */
+	bool unreadable;      /* its entry exists, but cannot be read */
+	fg_ms returned_until; /* not used until: its entry was removed and came
+				 back from an older copy; 0: no */
+	fg_ms lapsed_until;   /* usable until, after a lapse of its entry */
+	bool addr_taken;      /* another endpoint answers at its address */
+	bool leaving;	      /* said so in an answer or in its entry */
+	fg_ms paused_until;   /* it asked for no request until then; 0: never */
+	bool limited;	      /* it named a limit */
+	double limit_per_s;   /* requests from all instances together */
 	/* This instance's share; fg_limit.h updates it. */
 	bool limit_shared; /* the rest is set */
 	fg_ms limit_interval_ms;
--- a/lib/gateway/fg_gw_era.c
+++ b/lib/gateway/fg_gw_era.c
@@ -31,7 +31,7 @@
 }
 
 /* What the store has lost is read and written again. The configuration in
- * force, announced versions and leaving endpoints stay known. */
+ * force, announced versions, leaving and removed endpoints stay known. */
 static void start_era(struct fg_gateway *gw, const struct fg_channel *from,
 		      const char *source)
 {
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -20,6 +20,7 @@
 from gateway_cuts import SCENARIOS as CUT_SCENARIOS
 from gateway_broken_streams import SCENARIOS as BROKEN_STREAM_SCENARIOS
 from gateway_numbers import SCENARIOS as NUMBER_SCENARIOS
+from gateway_departed import SCENARIOS as DEPARTED_SCENARIOS
 from gateway_odd_rows import SCENARIOS as ODD_ROW_SCENARIOS
 from gateway_tunnels import SCENARIOS as TUNNEL_SCENARIOS
 from gateway_refusals import SCENARIOS as REFUSAL_SCENARIOS
@@ -1477,7 +1478,7 @@
     evidence_outlives_all,
     crashing_part, request_lines, bad_input, settings_change, overload_reasons,
     *VERSION_SCENARIOS, *CUT_SCENARIOS, *TUNNEL_SCENARIOS, *ODD_ROW_SCENARIOS, *REFUSAL_SCENARIOS,
-    *BROKEN_STREAM_SCENARIOS, *NUMBER_SCENARIOS,
+    *BROKEN_STREAM_SCENARIOS, *NUMBER_SCENARIOS, *DEPARTED_SCENARIOS,
     *REGION_SCENARIOS, *KEY_SCENARIOS,
     *REVOKE_SCENARIOS, *LIMIT_SCENARIOS,
 ]
