tests: refusals written again within a body and on a checked connection

Two more places for a copy of an earlier refusal: while the body of the next request is being sent, and on a connection that was opened to look whether the endpoint lives. Both passed at once: the first by the id, or as broken; the second since bytes on a connection without a request end it.

--- a/tests/gateway_refusals.py
+++ b/tests/gateway_refusals.py
@@ -3,12 +3,14 @@
 
 import http.client
 import itertools
+import socket
 import threading
 import time
 
 from gateway_tunnels import TunnelSystem, cut_from_endpoints
 from hosted import (
-    HOST, check, event_ids, find_log_lines, has_all_events, next_id, send, send_draft, wait_for)
+    HOST, check, event_ids, find_log_lines, has_all_events, make_config, next_id,
+    reset_connection, send, send_draft, wait_for)
 
 STATUSES = (408, 421, 429, 503)
 IDS = ("none", "earlier")
@@ -127,6 +129,152 @@
 refusal_again_through_tunnel.system_class = TunnelSystem
 
 
+class RawEndpoint:
+    """A plain service that decides about each byte: `serve(self, sock)` gets each
+    connection. It writes refusals of the kind in `status` and `with_id`."""
+
+    def __init__(self, s, serve):
+        self.status = None
+        self.with_id = None
+        self.runs = []
+        self.serve = serve
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(64)
+        threading.Thread(target=self.accept, daemon=True).start()
+        s.plains[0].crash()  # ends the connections to the former address
+        s.plains[0].addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        s.plains[0].register()
+        wait_for("it is used", lambda: (send(s.gw.front, "/order/1"), self.runs)[1])
+
+    def accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self.guard, args=(sock,), daemon=True).start()
+
+    def guard(self, sock):
+        try:
+            self.serve(self, sock)
+        except (OSError, ValueError):
+            pass
+        sock.close()
+
+    def write_refusal(self, sock, earlier):
+        if self.status is not None:
+            sock.sendall(answer_bytes(
+                self.status, earlier if self.with_id == "earlier" else None,
+                extra="Not-Run: 1\r\n"))
+
+    def write_answer(self, sock, rid):
+        sock.sendall(answer_bytes(200, rid, rid.encode()))
+
+
+def read_head(sock):
+    """Returns (fields with lower-case names, bytes of the body that came with them)."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(4096)
+        if not more:
+            raise ValueError
+        data += more
+    head, body = data.split(b"\r\n\r\n", 1)
+    lines = head.decode("latin-1").split("\r\n")[1:]
+    return {k.lower(): v.strip() for k, v in (x.split(":", 1) for x in lines)}, body
+
+
+def answer_bytes(status, rid, body=b"", extra=""):
+    echo = "" if rid is None else f"Request-Id: {rid}\r\n"
+    return (f"HTTP/1.1 {status} X\r\n{echo}Response-Stamp: p0\r\n{extra}"
+            f"Content-Length: {len(body)}\r\nKeep-Alive: timeout=9\r\n\r\n").encode() + body
+
+
+BODY_BYTES = 4 * 1024 * 1024  # more than the buffers of a connection hold
+
+
+def serve_slowly(endpoint, sock):
+    """Writes the refusal when the head of a later request has come, and reads on."""
+    earlier = None
+    while True:
+        fields, body = read_head(sock)
+        if earlier is not None:
+            endpoint.write_refusal(sock, earlier)
+        left = int(fields.get("content-length", "0")) - len(body)
+        while left > 0:
+            data = sock.recv(65536)
+            if not data:
+                return
+            left -= len(data)
+            time.sleep(0.0005)
+        earlier = fields["request-id"]
+        endpoint.runs.append(earlier)
+        endpoint.write_answer(sock, earlier)
+
+
+def refusal_again_in_body(s):
+    """The same while the body of the request is being sent: the endpoint reads on."""
+    s.store.put("op", "config", {**make_config(2), "limits": {
+        "maxBodyBytes": 2 * BODY_BYTES, "headerTimeoutMs": 2000, "idleTimeoutMs": 15000}})
+    wait_for("in force", lambda: " configuration=2 " in s.gw.state())
+    endpoint = RawEndpoint(s, serve_slowly)
+    for endpoint.status, endpoint.with_id in itertools.product(STATUSES, IDS):
+        case = f"{endpoint.status} {endpoint.with_id}"
+        send(s.gw.front, "/order/1")  # leaves a connection that is kept
+        rid = next_id()
+        a = send(s.gw.front, "/order/1", rid, body=b"x" * BODY_BYTES)
+        runs = endpoint.runs.count(rid)
+        check(a.status in (200, 502) and runs <= 1, f"{case}: {a.status}, ran {runs} times")
+        check(a.status != 200 or a.body == rid, f"{case}: {a.body!r}")
+        check(endpoint.with_id == "none" or a.status == 200, f"{case}: {a.status}")
+
+
+refusal_again_in_body.system_options = {"engines": 0, "plains": 1}
+
+
+def serve_and_refuse_unasked(endpoint, sock):
+    """Writes the refusal when no request comes; breaks requests "lost-..." off."""
+    sock.settimeout(0.05)
+    try:
+        fields, _ = read_head(sock)
+    except TimeoutError:
+        endpoint.n_unasked += 1
+        endpoint.write_refusal(sock, "earlier-one")
+        sock.settimeout(None)
+        fields, _ = read_head(sock)
+    sock.settimeout(None)
+    while True:
+        rid = fields["request-id"]
+        endpoint.runs.append(rid)
+        if rid.startswith("lost-"):
+            sock.sendall(answer_bytes(200, rid, b"all of it")[:-4])
+            time.sleep(0.05)
+            reset_connection(sock)
+            return
+        endpoint.write_answer(sock, rid)
+        fields, _ = read_head(sock)
+
+
+def refusal_on_checked_connection(s):
+    """A refusal on a connection that was opened to look whether the endpoint lives, and
+    that carries no request, is none of the request that comes next."""
+    endpoint = RawEndpoint(s, serve_and_refuse_unasked)
+    for endpoint.status, endpoint.with_id in itertools.product(STATUSES, IDS):
+        case = f"{endpoint.status} {endpoint.with_id}"
+        endpoint.n_unasked = 0
+        a = send(s.gw.front, "/order/1", "lost-" + next_id())
+        check(a.status == 502, f"{case}: broken off: {a.status}")
+        wait_for("it looks whether the endpoint lives", lambda: endpoint.n_unasked, 3)
+        for _ in range(3):
+            rid = next_id()
+            a = send(s.gw.front, "/order/1", rid)
+            runs = endpoint.runs.count(rid)
+            check(a.status == 200 and a.body == rid and runs == 1,
+                  f"{case}: {a.status}, ran {runs} times")
+
+
+refusal_on_checked_connection.system_options = {"engines": 0, "plains": 1}
+
+
 def refusal_without_id(s):
     """Requests that name no id share no connection, since nothing would tell their
     answers apart."""
@@ -221,6 +369,7 @@
 
 
 SCENARIOS = [
-    refusal_written_again, refusal_again_through_tunnel, refusal_without_id,
+    refusal_written_again, refusal_again_through_tunnel, refusal_again_in_body,
+    refusal_on_checked_connection, refusal_without_id,
     unproven_refusals, refused_orders_again, refused_report_again,
 ]
