tests: one piece for answers of endpoints that do not halt, and for logs

gateway_tunnels.py and upgrade.py played such answers with the same lines, and upgrade.py printed the logs of a failed play in two places: play_undisturbed() and print_logs() serve both. The assertions are the same.

--- a/tests/gateway_tunnels.py
+++ b/tests/gateway_tunnels.py
@@ -155,15 +155,20 @@
             check(runs == 1, f"{case}: ran {runs} times")
 
 
-def tunnel_whole_answers(s):
-    """Answers of each framing arrive as complete through another instance."""
-    cut_from_endpoints(s)
+def play_undisturbed(s):
+    """Returns all cases, after answers in which no endpoint halts."""
     cases = all_cases()
     for case in cases:
         case.go_on.set()
     start_cases(s, cases)
     finish_cases(s, cases)
-    for case in cases:
+    return cases
+
+
+def tunnel_whole_answers(s):
+    """Answers of each framing arrive as complete through another instance."""
+    cut_from_endpoints(s)
+    for case in play_undisturbed(s):
         check(case.is_whole(s.engines + s.plains),
               f"{case}: {case.answer.status} {case.answer.body!r}")
 
--- a/tests/upgrade.py
+++ b/tests/upgrade.py
@@ -28,7 +28,7 @@
 from gateway_regions import peers_alive
 from gateway_tunnels import (
     TunnelSystem, all_cases, cut_from_endpoints, finish_cases, judge_cases,
-    start_cases)
+    play_undisturbed, start_cases)
 from hosted import (
     BIN, System, broken_orders, check, has_all_events, send, send_draft, wait_for)
 
@@ -153,6 +153,11 @@
     check(served >= SERVED_MIN * len(load.sent), "too few served")
 
 
+def print_logs(system):
+    for gateway in system.gateways:
+        print(f"--- {gateway.name}\n{gateway.log()[-4000:]}")
+
+
 def play(former):
     system = System(engines=3, plains=2, gateways=4, dcs=2, proxied=True, binary=former)
     load = Load(system)
@@ -169,8 +174,7 @@
         load.stop()
         judge(system, load)
     except AssertionError:
-        for gateway in system.gateways:
-            print(f"--- {gateway.name}\n{gateway.log()[-4000:]}")
+        print_logs(system)
         raise
     finally:
         load.stop()
@@ -189,11 +193,7 @@
         wait_for("ready", system.gateways[0].is_ready)
         check_hear_each_other(system)
         cut_from_endpoints(system)
-        cases = all_cases()
-        for case in cases:
-            case.go_on.set()
-        start_cases(system, cases)
-        finish_cases(system, cases)
+        cases = play_undisturbed(system)
         judge_cases(system, cases)
         for case in cases:
             whole = case.is_whole(system.engines + system.plains)
@@ -206,8 +206,7 @@
         finish_cases(system, cases)
         judge_cases(system, cases)
     except AssertionError:
-        for gateway in system.gateways:
-            print(f"--- {gateway.name}\n{gateway.log()[-4000:]}")
+        print_logs(system)
         raise
     finally:
         system.close()
