Log what the end of a process cuts, and whose send goes through whom

Until now a request that the process ended itself was logged as caller_left, like one whose caller had gone, and nothing told what was unanswered or unsent at the end of a planned stop.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -215,9 +215,12 @@
 /* Starts serving the request that was read from the connection. */
 void fg_gwreq_start(struct fg_caller *c);
 
-/* Drops the request: the caller closed its connection. */
+/* Drops the request: the caller closed its connection, or the process ends. */
 void fg_gwreq_cancel(struct fg_gwreq *r);
 
+/* Returns whether a byte of the request may have reached an endpoint. */
+bool fg_gwreq_is_passed_on(const struct fg_gwreq *r);
+
 /* Assigns the request to `ep` and counts it there as in flight, instead of at
  * the endpoint that it was assigned to before. */
 void fg_gwreq_attach(struct fg_gwreq *r, struct fg_fleet_ep *ep);
@@ -1077,6 +1080,7 @@
 	fg_ms last_tick_at;
 	bool stopping;
 	bool closing; /* no further request is taken */
+	bool ending;  /* the event loop has ended; connections are closed */
 	fg_ms stopping_since;
 	fg_ms stop_deadline;
 	fg_ms quiet_since; /* while stopping: no request since then */
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -54,12 +54,23 @@
 	char sent[24];
 	char first[24];
 	char sends[12];
+	const char *via; /* instance that the send goes through, or NULL */
 	/* Of a refusal by lib/overload; else empty. */
 	char gave_way_to[12];
 	char estimate[12];
 	char objective[12];
 };
 
+static const char *name_via(const struct fg_gwreq *r)
+{
+	const struct fg_mesh_peer *peer;
+
+	if (r->conn == NULL || r->conn->via == 0)
+		return NULL;
+	peer = fg_peers_find(r->gw->peers, r->conn->via);
+	return peer == NULL ? "unknown" : peer->row.name;
+}
+
 static void fill_log_fields(const struct fg_gwreq *r, struct log_fields *f)
 {
 	format_ms(f->took, sizeof(f->took), fg_clock_now() - r->arrived_at);
@@ -68,6 +79,7 @@
 	format_ms(f->first, sizeof(f->first),
 		  r->first_at == 0 ? -1 : r->first_at - r->arrived_at);
 	g_snprintf(f->sends, sizeof(f->sends), "%u", r->sends);
+	f->via = name_via(r);
 	f->gave_way_to[0] = '\0';
 	if (r->shed.why == FG_OVERLOAD_SEND)
 		return;
@@ -87,7 +99,7 @@
 		(f).first, "sends", (f).sends, "endpoint",                     \
 		(r)->ep == NULL ? NULL : (r)->ep->facts.id, "software",        \
 		(r)->ep == NULL ? NULL : (r)->ep->facts.software, "adapter",   \
-		(r)->call.adapter, "gave_way_to",                              \
+		(r)->call.adapter, "via", (f).via, "gave_way_to",              \
 		OVERLOAD_FIELD(f, gave_way_to), "estimate_ms",                 \
 		OVERLOAD_FIELD(f, estimate), "objective_ms",                   \
 		OVERLOAD_FIELD(f, objective), NULL
@@ -272,10 +284,29 @@
 		fg_caller_finish_answer(c);
 }
 
+bool fg_gwreq_is_passed_on(const struct fg_gwreq *r)
+{
+	return r->may_have_run ||
+	       (r->conn != NULL && r->conn->connected && r->sent_at != 0);
+}
+
+/* How far the request had got when this process ended it. */
+static const char *stop_phase(const struct fg_gwreq *r)
+{
+	if (r->head_sent)
+		return "answer_begun";
+	return fg_gwreq_is_passed_on(r) ? "passed_on" : "not_passed_on";
+}
+
 void fg_gwreq_cancel(struct fg_gwreq *r)
 {
-	fg_gwreq_log_routine(r, "caller_left", NULL);
-	fg_gwreq_count_outcome(r, "caller_left", NULL);
+	if (r->gw->ending) {
+		fg_gwreq_log(r, "cut_by_stop", stop_phase(r));
+		fg_gwreq_count_outcome(r, "cut_by_stop", stop_phase(r));
+	} else {
+		fg_gwreq_log_routine(r, "caller_left", NULL);
+		fg_gwreq_count_outcome(r, "caller_left", NULL);
+	}
 	r->caller = NULL;
 	if (r->state != FG_GWREQ_SENT && !r->may_have_run)
 		fg_gw_quota_give_back(r);
