No datagram is sent on a closed socket at the end of a planned stop

Callers saw streams and answers that ended with the process instead of with an answer: an instance that stopped while requests were in progress ended by an assertion of libuv (uv__udp_finish_close).

Cause: teardown closed the socket for datagrams first. The requests that it ended afterwards report the end of their use to the engines' owner, and libuv binds a new socket to the handle that is being closed.

The requests end first now, and a closed socket sends nothing, whoever asks.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -508,13 +508,10 @@
 		uv_close(handle, NULL);
 }
 
-/* Closes the tick, signals, mesh socket and listeners; connections stay open.
- */
+/* Closes the tick, signals and listeners; connections stay open. */
 static void close_event_sources(struct fg_gateway *gw)
 {
 	close_handle((uv_handle_t *)&gw->tick, NULL);
-	if (gw->mesh.data != NULL)
-		close_handle((uv_handle_t *)&gw->mesh, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(gw->signals); i++) {
 		if (gw->signals[i].data != NULL)
 			close_handle((uv_handle_t *)&gw->signals[i], NULL);
@@ -565,6 +562,8 @@
 		fg_caller_close(c, false);
 		fg_caller_sweep(gw, fg_clock_now());
 	}
+	/* The ends of requests were reported to owners until here. */
+	fg_gw_mesh_close(gw);
 	if (gw->tx_channel != NULL)
 		fg_sync_stop(gw);
 	fg_gw_catchup_free(gw);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -722,6 +722,9 @@
 /* Opens the UDP socket; returns 0 or a libuv error. */
 int fg_gw_mesh_open(struct fg_gateway *gw);
 
+/* Closes it, if it is open; later datagrams are dropped. */
+void fg_gw_mesh_close(struct fg_gateway *gw);
+
 /* Fills the header of a packet and clears the rest. */
 void fg_gw_mesh_init_packet(struct fg_gateway *gw, fg_mesh_packet *packet,
 			    fg_mesh_kind kind);
@@ -1067,6 +1070,7 @@
 	struct fg_routes *quota_routes; /* whose limits are in force */
 
 	uv_udp_t mesh;
+	bool mesh_open;
 	uint32_t heartbeat_seq;
 	fg_ms near_heartbeat_at;       /* last one to this region */
 	fg_ms region_heartbeat_due_at; /* next one to the region's other data
