A planned stop takes only what it can finish, and answers what is left

Callers saw requests that were read late in the grace, passed on, and closed without an answer, among them orders, which may not be repeated.

Cause: a stopping instance took requests of plain routes until the end of the grace, and then closed every connection, whatever was in progress there. A connection on which a request was being read counted as idle.

lib/stop holds the phases of a stop (clock in, phase out): serving, finishing, answering, flushing. A request is taken, and sent again, only if the longest recent duration of its route (lib/took) leaves it time; else it is refused as not run, also one that waits for its load, its limit or a place. Before the grace ends, what is left gets an answer that is true: 503 if it was not passed on, 504 if it was, a reset where an answer has begun. Answers are sent before the process leaves. A signal that came during a pause of the process counts from the beginning of the pause.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -1,4 +1,4 @@
-/* Start, periodic tick, planned stop and settings of an instance. */
+/* Start, periodic tick, settings and end of an instance. */
 #include "gateway/fg_gateway_internal.h"
 
 #include <math.h>
@@ -8,11 +8,6 @@
 #define TICK_MS 100
 /* A tick this late means that the process or its machine was suspended. */
 #define PAUSE_MIN_MS 1000
-/* A planned stop waits until no request came for this long, since callers keep
- * using the addresses that they looked up for a few seconds. */
-#define STOP_QUIET_MS 1500
-/* A planned stop ends this long before the process would be killed. */
-#define STOP_MARGIN_MS 300
 /* Interval at which the settings file is checked for changes, since it may
  * change without a SIGHUP. */
 #define SETTINGS_CHECK_MS 2000
@@ -209,65 +204,6 @@
 	fg_gwconf_free(conf);
 }
 
-/* ---- Planned stop ---- */
-
-static void begin_stop(struct fg_gateway *gw)
-{
-	fg_ms now = fg_clock_now();
-
-	if (gw->stopping)
-		return;
-	gw->stopping = true;
-	gw->stopping_since = now;
-	fg_quota_leave(gw->quota);
-	gw->stop_deadline = now + gw->conf->stop_grace_ms - STOP_MARGIN_MS;
-	gw->quiet_since = now;
-	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
-	fg_gw_mesh_send_heartbeat(gw);
-	gw->far_heartbeat_due_at = now;
-	/* Releases engines at once. */
-	gw->next_tx_at = now;
-	fg_sync_tick(gw, now);
-}
-
-static void close_listeners(struct fg_gateway *gw)
-{
-	for (int i = 0; i < FG_PORT_COUNT; i++) {
-		uv_handle_t *handle = (uv_handle_t *)&gw->ports[i].listener;
-
-		if (gw->ports[i].open && !uv_is_closing(handle))
-			uv_close(handle, NULL);
-	}
-}
-
-/* Takes no further requests and closes the connections that carry none. The
- * event loop runs for one more tick, since it may still read from connections
- * in the iteration in which uv_stop() is called. */
-static void close_idle_callers(struct fg_gateway *gw)
-{
-	gw->closing = true;
-	close_listeners(gw);
-	for (guint i = 0; i < gw->callers->len; i++) {
-		struct fg_caller *c = gw->callers->pdata[i];
-
-		if (c->req == NULL && c->tunnel == NULL)
-			fg_caller_close(c, true);
-	}
-}
-
-static void advance_stop(struct fg_gateway *gw, fg_ms now)
-{
-	guint busy = gw->reqs->len + gw->tunnels->len;
-
-	if (busy > 0)
-		gw->quiet_since = now;
-	if (gw->closing && (busy == 0 || now >= gw->stop_deadline))
-		uv_stop(&gw->loop);
-	else if (now - gw->quiet_since >= STOP_QUIET_MS ||
-		 now >= gw->stop_deadline)
-		close_idle_callers(gw);
-}
-
 /* ---- Periodic tick ---- */
 
 static void check_pause(struct fg_gateway *gw, fg_ms now)
@@ -326,8 +262,7 @@
 	fg_gw_origin_tick(gw, now);
 	fg_gw_tunnel_tick(gw, now);
 	fg_gw_quota_tick(gw, now);
-	if (gw->stopping)
-		advance_stop(gw, now);
+	fg_gw_stop_tick(gw, now);
 }
 
 static void on_settings_tick(uv_timer_t *timer)
@@ -342,7 +277,7 @@
 	if (signo == SIGHUP)
 		reload_settings(gw);
 	else
-		begin_stop(gw);
+		fg_gw_stop_begin(gw);
 }
 
 /* ---- Start ---- */
@@ -443,6 +378,8 @@
 	fg_gw_origin_init(gw);
 	fg_gw_quota_init(gw);
 	fg_gw_overload_init(gw);
+	gw->took =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gw->retry_budgets = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)fg_retry_free);
 	gw->metrics = fg_metrics_new();
@@ -501,6 +438,16 @@
 	fg_gw_timer_free(settings);
 }
 
+void fg_gw_close_listeners(struct fg_gateway *gw)
+{
+	for (int i = 0; i < FG_PORT_COUNT; i++) {
+		uv_handle_t *handle = (uv_handle_t *)&gw->ports[i].listener;
+
+		if (gw->ports[i].open && !uv_is_closing(handle))
+			uv_close(handle, NULL);
+	}
+}
+
 static void close_handle(uv_handle_t *handle, void *ctx)
 {
 	(void)ctx;
@@ -516,11 +463,10 @@
 		if (gw->signals[i].data != NULL)
 			close_handle((uv_handle_t *)&gw->signals[i], NULL);
 	}
-	close_listeners(gw);
+	fg_gw_close_listeners(gw);
 }
 
-/* What the process leaves unfinished. */
-static void log_unfinished(const struct fg_gateway *gw)
+void fg_gw_log_unfinished(const struct fg_gateway *gw)
 {
 	char text[5][24];
 	uint64_t unsent = 0;
@@ -554,7 +500,7 @@
 void fg_gateway_free(struct fg_gateway *gw)
 {
 	gw->ending = true;
-	log_unfinished(gw);
+	fg_gw_log_unfinished(gw);
 	close_event_sources(gw);
 	while (gw->callers->len > 0) {
 		struct fg_caller *c = gw->callers->pdata[gw->callers->len - 1];
@@ -580,6 +526,7 @@
 	fg_routes_unref(gw->routes);
 	g_hash_table_unref(gw->announced_versions);
 	g_hash_table_unref(gw->retry_budgets);
+	g_hash_table_unref(gw->took);
 	g_ptr_array_unref(gw->callers);
 	g_ptr_array_unref(gw->reqs);
 	g_ptr_array_unref(gw->tunnels);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1,7 +1,8 @@
 /*
  * fg_gateway_internal - declarations shared by the files of lib/gateway.
  *
- *   fg_gateway.c     start, periodic tick, planned stop, settings
+ *   fg_gateway.c     start, periodic tick, settings, end
+ *   fg_gw_stop.c     planned stop
  *   fg_gw_caller.c   connections of callers
  *   fg_gw_request.c  a request from its head to its final answer
  *   fg_gw_workspace.c whose key a request carries
@@ -66,6 +67,8 @@
 #include "route/fg_route.h"
 #include "slots/fg_loadgate.h"
 #include "slots/fg_slots.h"
+#include "stop/fg_stop.h"
+#include "took/fg_took.h"
 
 struct fg_gateway;
 struct fg_caller;
@@ -1082,12 +1085,9 @@
 	uv_timer_t tick;
 	uv_signal_t signals[3];
 	fg_ms last_tick_at;
-	bool stopping;
-	bool closing; /* no further request is taken */
-	bool ending;  /* the event loop has ended; connections are closed */
-	fg_ms stopping_since;
-	fg_ms stop_deadline;
-	fg_ms quiet_since; /* while stopping: no request since then */
+	struct fg_stop stop;
+	bool ending;	  /* the event loop has ended; connections are closed */
+	GHashTable *took; /* name of a route -> struct fg_took * */
 
 	struct fg_metrics *metrics;
 	struct fg_hist *hist_first;
@@ -1095,6 +1095,31 @@
 	struct fg_hist *hist_load;
 };
 
+/* ---- Planned stop ---- */
+
+static inline bool fg_gw_is_stopping(const struct fg_gateway *gw)
+{
+	return gw->stop.phase != FG_STOP_NONE;
+}
+
+/* The signal to stop came. */
+void fg_gw_stop_begin(struct fg_gateway *gw);
+
+/* Ends requests that cannot end in time, and moves the stop on. */
+void fg_gw_stop_tick(struct fg_gateway *gw, fg_ms now);
+
+/* During a stop: ends a request that would not end in time if it were sent to
+ * an endpoint now, and returns whether it did. Call it before each send. */
+bool fg_gw_stop_refuse_late(struct fg_gwreq *r);
+
+/* An endpoint answered the request to its end. */
+void fg_gw_stop_note_answered(const struct fg_gwreq *r);
+
+void fg_gw_close_listeners(struct fg_gateway *gw);
+
+/* Logs what would be cut if all connections were closed now. */
+void fg_gw_log_unfinished(const struct fg_gateway *gw);
+
 /* Adds one to the counter fg_gw_NAME_total{LABELS}. */
 void fg_gw_count_event(struct fg_gateway *gw, const char *name,
 		       const char *labels);
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -40,7 +40,7 @@
 {
 	struct fg_caller *c = r->caller;
 
-	if (r->gw->stopping || !c->h1.head.keep_alive)
+	if (fg_gw_is_stopping(r->gw) || !c->h1.head.keep_alive)
 		c->close_after = true;
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", head->status,
 			       http_status_str((enum http_status)head->status));
@@ -246,6 +246,7 @@
 	g_snprintf(code, sizeof(code), "%u", status);
 	fg_gwreq_count_outcome(r, "answered", NULL);
 	fg_gwreq_log_routine(r, "answered", code);
+	fg_gw_stop_note_answered(r);
 	if (is_success(status))
 		fg_blame_on_answer(r->gw->blame, fg_clock_now(), r->ep->hash,
 				   r->call.shared_parts);
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -66,7 +66,7 @@
 
 	if (c->link == NULL)
 		return;
-	if (c->gw->stopping || c->malformed || !c->h1.head.keep_alive)
+	if (fg_gw_is_stopping(c->gw) || c->malformed || !c->h1.head.keep_alive)
 		c->close_after = true;
 	out = g_string_sized_new(256 + len_bytes);
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -56,7 +56,7 @@
 
 static fg_mesh_state heartbeat_state(const struct fg_gateway *gw)
 {
-	if (gw->stopping)
+	if (fg_gw_is_stopping(gw))
 		return FG_MESH_LEAVING;
 	if (!fg_gateway_ready(gw))
 		return FG_MESH_STARTING;
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -165,7 +165,7 @@
 	uint32_t n = 0;
 
 	/* An instance that is cut cannot order. */
-	if (!gw->stopping && !gw->cut) {
+	if (!fg_gw_is_stopping(gw) && !gw->cut) {
 		out[n++] = (struct fg_claim_candidate){
 			.incarnation = gw->incarnation,
 			.hash = fg_hash_str(gw->conf->name),
@@ -268,7 +268,7 @@
 	fg_gw_proof_tick(gw, now);
 	if (fg_channel_is_busy(gw->tx_channel) || now < gw->next_tx_at)
 		return;
-	if (!gw->own_row_written && !gw->stopping) {
+	if (!gw->own_row_written && !fg_gw_is_stopping(gw)) {
 		fg_sync_write_own_row(gw);
 		return;
 	}
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -11,7 +11,8 @@
 bool fg_gateway_ready(const struct fg_gateway *gw)
 {
 	return gw->routes != NULL &&
-	       gw->feeds[FG_FEED_REGISTRY].full_read_done && !gw->stopping;
+	       gw->feeds[FG_FEED_REGISTRY].full_read_done &&
+	       !fg_gw_is_stopping(gw);
 }
 
 static void send_page(struct fg_caller *c, unsigned int status,
@@ -189,7 +190,8 @@
 		"configuration=%llu requests=%u callers=%u era=%llu "
 		"proof_age_ms=%lld\n",
 		gw->conf->name, gw->conf->region, fg_gateway_ready(gw),
-		gw->stopping, gw->reader == 0, gw->cut, gw->tunnels->len,
+		fg_gw_is_stopping(gw), gw->reader == 0, gw->cut,
+		gw->tunnels->len,
 		(unsigned long long)(gw->routes == NULL ? 0
 							: gw->routes->version),
 		gw->reqs->len, gw->callers->len,
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -50,7 +50,8 @@
 
 static void send_to_endpoint(struct fg_gwreq *r)
 {
-	if (fg_gw_blame_refuse_blocked(r) || !fg_gw_workspace_recheck(r))
+	if (fg_gw_blame_refuse_blocked(r) || !fg_gw_workspace_recheck(r) ||
+	    fg_gw_stop_refuse_late(r))
 		return;
 	if (!fg_ep_accepts(r->ep, fg_clock_now()) ||
 	    (r->software != 0 && r->software != r->ep->software)) {
--- a/lib/gateway/fg_gw_relay.c
+++ b/lib/gateway/fg_gw_relay.c
@@ -192,8 +192,8 @@
 
 bool fg_gw_relay_reads_store(const struct fg_gateway *gw)
 {
-	return gw->reader == 0 && !gw->stopping && are_full_reads_done(gw) &&
-	       !has_failed_feed(gw);
+	return gw->reader == 0 && !fg_gw_is_stopping(gw) &&
+	       are_full_reads_done(gw) && !has_failed_feed(gw);
 }
 
 void fg_gw_relay_fill_status(const struct fg_gateway *gw, fg_ms now,
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -474,19 +474,6 @@
 
 /* ---- Start ---- */
 
-/* Streams that start later than this into a planned stop are refused: they
- * might not end in time. */
-#define STOP_ACCEPT_MS 2000
-/* Retry-After during a planned stop; other instances can serve the caller at
- * once. */
-#define STOP_RETRY_MS 50
-
-static bool is_too_late_to_start(const struct fg_gwreq *r)
-{
-	return r->gw->stopping && r->route->streaming &&
-	       r->arrived_at - r->gw->stopping_since > STOP_ACCEPT_MS;
-}
-
 bool fg_gw_is_config_stale(const struct fg_gateway *gw, fg_ms now)
 {
 	const struct fg_feed *f = &gw->feeds[FG_FEED_CONFIG];
@@ -605,10 +592,8 @@
 	set_service_and_limits(r);
 	if (r->call.resumes && r->route->resumable)
 		fg_events_continue_after(&r->events, r->call.resume_after);
-	if (is_too_late_to_start(r)) {
-		fg_gwreq_refuse(r, "stopping", STOP_RETRY_MS);
+	if (fg_gw_stop_refuse_late(r))
 		return;
-	}
 	if (is_larger_than_engine(r)) {
 		fg_gwreq_refuse(r, "larger_than_engine", FG_GWREQ_RETRY_MAX_MS);
 		return;
--- /dev/null
+++ b/lib/gateway/fg_gw_stop.c
@@ -0,0 +1,194 @@
+/* Planned stop: which requests are still taken, and what ends what is left. */
+#include "gateway/fg_gateway_internal.h"
+
+/* A stop that is noticed after a pause of the process began at an unknown time
+ * of it. */
+#define PAUSE_MIN_MS 1000
+/* Assumed duration of requests of a route of which none was answered lately,
+ * unless the route's time limit is shorter. */
+#define UNKNOWN_MS 3000
+/* Other instances can serve the caller at once. */
+#define RETRY_MS 50
+/* Routes whose durations are kept. */
+#define ROUTES_MAX 8192
+
+/* ---- Durations ---- */
+
+static struct fg_took *find_took(struct fg_gateway *gw,
+				 const struct fg_route *route)
+{
+	return g_hash_table_lookup(gw->took, route->name);
+}
+
+static void note_took(const struct fg_gwreq *r, fg_ms now)
+{
+	struct fg_gateway *gw = r->gw;
+	struct fg_took *took = find_took(gw, r->route);
+
+	if (took == NULL) {
+		if (g_hash_table_size(gw->took) >= ROUTES_MAX)
+			g_hash_table_remove_all(gw->took);
+		took = g_new0(struct fg_took, 1);
+		g_hash_table_insert(gw->took, g_strdup(r->route->name), took);
+	}
+	fg_took_note(took, now, (uint32_t)(now - r->arrived_at));
+}
+
+void fg_gw_stop_note_answered(const struct fg_gwreq *r)
+{
+	note_took(r, fg_clock_now());
+}
+
+static bool has_time(const struct fg_gwreq *r, fg_ms now)
+{
+	const struct fg_took *took = find_took(r->gw, r->route);
+	uint32_t unknown_ms = r->route->timeout_ms == 0
+				      ? UNKNOWN_MS
+				      : MIN(UNKNOWN_MS, r->route->timeout_ms);
+	uint32_t longest_ms =
+		took == NULL ? unknown_ms
+			     : fg_took_longest_ms(took, now, unknown_ms);
+
+	return fg_stop_has_time(&r->gw->stop, now, longest_ms);
+}
+
+/* ---- Requests ---- */
+
+/* Ends the request with what is known of it: it has not run, or it may have. */
+static void end_request(struct fg_gwreq *r)
+{
+	if (fg_gwreq_is_passed_on(r) || r->head_sent)
+		fg_gwreq_fail(r, HTTP_STATUS_GATEWAY_TIMEOUT, "stopping");
+	else
+		fg_gwreq_refuse(r, "stopping", RETRY_MS);
+}
+
+bool fg_gw_stop_refuse_late(struct fg_gwreq *r)
+{
+	if (has_time(r, fg_clock_now()))
+		return false;
+	end_request(r);
+	return true;
+}
+
+/* Calls `f` for each request, which may end it and others. */
+static void for_each_request(struct fg_gateway *gw,
+			     void (*f)(struct fg_gwreq *r, fg_ms now),
+			     fg_ms now)
+{
+	for (guint i = gw->reqs->len; i > 0; i--) {
+		if (i <= gw->reqs->len)
+			f(gw->reqs->pdata[i - 1], now);
+	}
+}
+
+/* Requests that wait and cannot end in time any more are refused, so that their
+ * callers still have time to go elsewhere. */
+static void check_request(struct fg_gwreq *r, fg_ms now)
+{
+	if (r->route == NULL)
+		return;
+	if (fg_gwreq_is_passed_on(r))
+		note_took(r, now);
+	else if (!has_time(r, now))
+		end_request(r);
+}
+
+static void answer_request(struct fg_gwreq *r, fg_ms now)
+{
+	(void)now;
+	end_request(r);
+}
+
+/* ---- Connections ---- */
+
+static bool is_reading(const struct fg_caller *c)
+{
+	return c->kind == FG_PORT_FRONT && c->link != NULL && c->req == NULL &&
+	       c->h1.started && !c->close_after;
+}
+
+static void close_idle_callers(struct fg_gateway *gw)
+{
+	for (guint i = 0; i < gw->callers->len; i++) {
+		struct fg_caller *c = gw->callers->pdata[i];
+
+		if (c->req == NULL && c->tunnel == NULL && !is_reading(c))
+			fg_caller_close(c, true);
+	}
+}
+
+/* Answers what is in progress; no connection is left open. */
+static void answer_all(struct fg_gateway *gw, fg_ms now)
+{
+	for_each_request(gw, answer_request, now);
+	for (guint i = 0; i < gw->callers->len; i++) {
+		struct fg_caller *c = gw->callers->pdata[i];
+
+		if (is_reading(c)) {
+			fg_log_routine("caller", "refused_half_read", NULL);
+			fg_caller_answer(c, HTTP_STATUS_SERVICE_UNAVAILABLE,
+					 NULL, RETRY_MS, NULL, "", 0);
+		}
+		if (c->tunnel != NULL)
+			fg_caller_abort(c);
+		else
+			fg_caller_close(c, true);
+	}
+}
+
+/* ---- Phases ---- */
+
+void fg_gw_stop_begin(struct fg_gateway *gw)
+{
+	fg_ms now = fg_clock_now();
+	bool paused = now - gw->last_tick_at >= PAUSE_MIN_MS;
+
+	if (fg_gw_is_stopping(gw))
+		return;
+	fg_stop_begin(&gw->stop, paused ? gw->last_tick_at : now, now,
+		      gw->conf->stop_grace_ms);
+	fg_quota_leave(gw->quota);
+	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
+	fg_gw_mesh_send_heartbeat(gw);
+	gw->far_heartbeat_due_at = now;
+	/* Releases engines at once. */
+	gw->next_tx_at = now;
+	fg_sync_tick(gw, now);
+}
+
+static struct fg_stop_work count_work(const struct fg_gateway *gw)
+{
+	struct fg_stop_work work = {
+		.requests = gw->reqs->len,
+		.tunnels = gw->tunnels->len,
+		.unsent = fg_link_flushing_count(),
+	};
+
+	for (guint i = 0; i < gw->callers->len; i++)
+		work.reading += is_reading(gw->callers->pdata[i]);
+	return work;
+}
+
+void fg_gw_stop_tick(struct fg_gateway *gw, fg_ms now)
+{
+	struct fg_stop_work work;
+
+	if (!fg_gw_is_stopping(gw))
+		return;
+	for_each_request(gw, check_request, now);
+	work = count_work(gw);
+	/* One phase a tick: the event loop may still read from connections in
+	 * the iteration in which they are closed. */
+	if (!fg_stop_step(&gw->stop, now, &work))
+		return;
+	if (gw->stop.phase == FG_STOP_FINISHING) {
+		fg_gw_close_listeners(gw);
+		close_idle_callers(gw);
+	} else if (gw->stop.phase == FG_STOP_ANSWERING) {
+		fg_gw_log_unfinished(gw);
+		answer_all(gw, now);
+	} else if (gw->stop.phase == FG_STOP_OVER) {
+		uv_stop(&gw->loop);
+	}
+}
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -155,7 +155,7 @@
 		       endpoint_id);
 		return;
 	}
-	if (gw->stopping || gw->tunnels->len >= TUNNELS_MAX ||
+	if (fg_gw_is_stopping(gw) || gw->tunnels->len >= TUNNELS_MAX ||
 	    c->pipelined->len > 0) {
 		refuse(c, HTTP_STATUS_SERVICE_UNAVAILABLE, "busy", endpoint_id);
 		return;
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -33,6 +33,7 @@
 	bool closed;	  /* by the user: no further callbacks */
 	bool closing;	  /* the handles are being closed */
 	bool connected;
+	bool flushing; /* closed, queued bytes are being sent */
 };
 
 struct write_req {
@@ -44,6 +45,9 @@
 /* Shared by all links, since libuv reads one link at a time. */
 static char read_buffer[READ_BYTES];
 
+/* Number of links that are being flushed. */
+static uint32_t n_flushing;
+
 static void on_handle_closed(uv_handle_t *handle)
 {
 	struct fg_link *l = handle->data;
@@ -57,6 +61,8 @@
 	if (l->closing)
 		return;
 	l->closing = true;
+	if (l->flushing)
+		n_flushing--;
 	uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
 	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
 }
@@ -307,9 +313,16 @@
 		close_handles(l);
 		return;
 	}
+	l->flushing = true;
+	n_flushing++;
 	uv_timer_start(&l->timer, on_flush_timeout, FLUSH_MAX_MS, 0);
 }
 
+uint32_t fg_link_flushing_count(void)
+{
+	return n_flushing;
+}
+
 void fg_link_abort(struct fg_link *l)
 {
 	if (l->closed)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -74,6 +74,9 @@
 /* Closes the link. With `flush`, queued bytes are sent first, within 5 s. */
 void fg_link_close(struct fg_link *l, bool flush);
 
+/* Returns how many closed links still have queued bytes to send. */
+uint32_t fg_link_flushing_count(void);
+
 /* Closes the link by a reset, so that the peer cannot take the end of the
  * stream for the end of a message. */
 void fg_link_abort(struct fg_link *l);
--- /dev/null
+++ b/lib/stop/fg_stop.c
@@ -0,0 +1,76 @@
+#include "stop/fg_stop.h"
+
+#include <glib.h>
+
+/* Callers keep using the addresses that they looked up for a few seconds. */
+#define QUIET_MS 1500
+/* Parts of the grace that are kept, at least: for the last answers and their
+ * flush, and for the end of the process. */
+#define ANSWER_MARGIN_MS 700
+#define LEAVE_MARGIN_MS 200
+/* A short grace is divided in proportion. */
+#define SHORT_GRACE_MS 4000
+/* An endpoint may fall silent for this long while the request is there. */
+#define RESERVE_MS 1500
+
+void fg_stop_begin(struct fg_stop *s, fg_ms signalled_at, fg_ms now,
+		   uint32_t grace_ms)
+{
+	fg_ms part = MIN(grace_ms, SHORT_GRACE_MS);
+
+	if (s->phase != FG_STOP_NONE)
+		return;
+	s->phase = FG_STOP_SERVING;
+	s->began_at = signalled_at;
+	s->quiet_since = now;
+	s->answer_at = signalled_at + grace_ms -
+		       part * ANSWER_MARGIN_MS / SHORT_GRACE_MS;
+	s->leave_at = signalled_at + grace_ms -
+		      part * LEAVE_MARGIN_MS / SHORT_GRACE_MS;
+	s->reserve_ms = part * RESERVE_MS / SHORT_GRACE_MS;
+}
+
+bool fg_stop_has_time(const struct fg_stop *s, fg_ms now, uint32_t longest_ms)
+{
+	if (s->phase == FG_STOP_NONE)
+		return true;
+	return s->phase < FG_STOP_ANSWERING &&
+	       now + longest_ms + s->reserve_ms <= s->answer_at;
+}
+
+static enum fg_stop_phase next_phase(const struct fg_stop *s, fg_ms now,
+				     const struct fg_stop_work *work)
+{
+	uint32_t busy = work->requests + work->tunnels + work->reading;
+
+	switch (s->phase) {
+	case FG_STOP_SERVING:
+		return now >= s->answer_at || now - s->quiet_since >= QUIET_MS
+			       ? FG_STOP_FINISHING
+			       : FG_STOP_SERVING;
+	case FG_STOP_FINISHING:
+		return now >= s->answer_at || busy == 0 ? FG_STOP_ANSWERING
+							: FG_STOP_FINISHING;
+	case FG_STOP_ANSWERING:
+		return FG_STOP_FLUSHING;
+	case FG_STOP_FLUSHING:
+		return now >= s->leave_at || work->unsent == 0
+			       ? FG_STOP_OVER
+			       : FG_STOP_FLUSHING;
+	default:
+		return s->phase;
+	}
+}
+
+bool fg_stop_step(struct fg_stop *s, fg_ms now, const struct fg_stop_work *work)
+{
+	enum fg_stop_phase next;
+
+	if (work->requests + work->tunnels + work->reading > 0)
+		s->quiet_since = now;
+	next = next_phase(s, now, work);
+	if (next == s->phase)
+		return false;
+	s->phase = next;
+	return true;
+}
--- /dev/null
+++ b/tests/unit/test_stop.c
@@ -0,0 +1,161 @@
+/* Unit tests of the phases of a planned stop, and of the durations of requests
+ * that it follows. */
+#include <glib.h>
+
+#include "stop/fg_stop.h"
+#include "took/fg_took.h"
+
+#define GRACE_MS 8000
+#define START 100000
+
+static const struct fg_stop_work none;
+static const struct fg_stop_work one_request = { .requests = 1 };
+static const struct fg_stop_work one_reading = { .reading = 1 };
+static const struct fg_stop_work one_unsent = { .unsent = 1 };
+
+static struct fg_stop begun(void)
+{
+	struct fg_stop s = { 0 };
+
+	fg_stop_begin(&s, START, START, GRACE_MS);
+	return s;
+}
+
+/* Steps every 100 ms from `from` on until the phase changes; returns when. */
+static fg_ms next_change(struct fg_stop *s, fg_ms from,
+			 const struct fg_stop_work *work)
+{
+	fg_ms now = from;
+
+	while (!fg_stop_step(s, now, work))
+		now += 100;
+	return now;
+}
+
+static void test_quiet(void)
+{
+	struct fg_stop s = begun();
+	fg_ms now = next_change(&s, START, &none);
+
+	g_assert_cmpint(s.phase, ==, FG_STOP_FINISHING);
+	g_assert_cmpint(now - START, ==, 1500);
+	for (int i = 0; i < 3; i++)
+		now = next_change(&s, now + 100, &none);
+	g_assert_cmpint(s.phase, ==, FG_STOP_OVER);
+	g_assert_cmpint(now - START, ==, 1800);
+}
+
+/* Work restarts the wait for quiet, also a request that is read in part. */
+static void test_busy(void)
+{
+	const struct fg_stop_work *kinds[] = { &one_request, &one_reading };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		struct fg_stop s = begun();
+
+		g_assert_false(fg_stop_step(&s, START + 1400, kinds[i]));
+		g_assert_false(fg_stop_step(&s, START + 2800, &none));
+		g_assert_true(fg_stop_step(&s, START + 2900, &none));
+	}
+}
+
+/* What never ends is answered before the grace ends, with time to send the
+ * answers. */
+static void test_deadline(void)
+{
+	const struct fg_stop_work *kinds[] = { &one_request, &one_reading };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		struct fg_stop s = begun();
+		fg_ms now = next_change(&s, START, kinds[i]);
+
+		g_assert_cmpint(s.phase, ==, FG_STOP_FINISHING);
+		now = next_change(&s, now + 100, kinds[i]);
+		g_assert_cmpint(s.phase, ==, FG_STOP_ANSWERING);
+		g_assert_cmpint(now - START, <=, GRACE_MS - 500);
+		now = next_change(&s, now + 100, &one_unsent);
+		g_assert_cmpint(s.phase, ==, FG_STOP_FLUSHING);
+		now = next_change(&s, now + 100, &one_unsent);
+		g_assert_cmpint(s.phase, ==, FG_STOP_OVER);
+		g_assert_cmpint(now - START, <, GRACE_MS);
+	}
+}
+
+/* An instance that was paused when the signal came has less time left. */
+static void test_paused(void)
+{
+	struct fg_stop s = { 0 };
+
+	fg_stop_begin(&s, START, START + GRACE_MS, GRACE_MS);
+	g_assert_false(fg_stop_has_time(&s, START + GRACE_MS, 0));
+	for (int i = 0; i < 4; i++)
+		g_assert_true(fg_stop_step(&s, START + GRACE_MS, &one_request));
+	g_assert_cmpint(s.phase, ==, FG_STOP_OVER);
+}
+
+static void test_again(void)
+{
+	struct fg_stop s = begun();
+
+	fg_stop_begin(&s, START + 5000, START + 5000, GRACE_MS);
+	g_assert_cmpint(s.began_at, ==, START);
+}
+
+/* A request is taken only if it can end before the last answers. */
+static void test_has_time(void)
+{
+	struct fg_stop s = { 0 };
+
+	g_assert_true(fg_stop_has_time(&s, START, 1000000));
+	s = begun();
+	g_assert_true(fg_stop_has_time(&s, START, 3000));
+	g_assert_true(fg_stop_has_time(&s, START + 4000, 100));
+	g_assert_false(fg_stop_has_time(&s, START + 4000, 2500));
+	g_assert_false(fg_stop_has_time(&s, START, GRACE_MS));
+	g_assert_false(fg_stop_has_time(&s, START + 7000, 0));
+}
+
+static void test_short_grace(void)
+{
+	struct fg_stop s = { 0 };
+
+	fg_stop_begin(&s, START, START, 1000);
+	g_assert_cmpint(s.answer_at, >, START + 700);
+	g_assert_cmpint(s.leave_at, <, START + 1000);
+	g_assert_true(fg_stop_has_time(&s, START, 100));
+}
+
+static void test_took(void)
+{
+	struct fg_took t = { 0 };
+
+	g_assert_cmpuint(fg_took_longest_ms(&t, START, 77), ==, 77);
+	fg_took_note(&t, START, 900);
+	fg_took_note(&t, START + 10, 20);
+	g_assert_cmpuint(fg_took_longest_ms(&t, START + 20, 77), ==, 900);
+	/* It is forgotten after one to two spans, unless it comes again. */
+	fg_took_note(&t, START + FG_TOOK_KEEP_MS, 30);
+	g_assert_cmpuint(fg_took_longest_ms(&t, START + FG_TOOK_KEEP_MS, 77),
+			 ==, 900);
+	fg_took_note(&t, START + 2 * FG_TOOK_KEEP_MS, 40);
+	g_assert_cmpuint(
+		fg_took_longest_ms(&t, START + 2 * FG_TOOK_KEEP_MS, 77), ==,
+		40);
+	g_assert_cmpuint(
+		fg_took_longest_ms(&t, START + 4 * FG_TOOK_KEEP_MS, 77), ==,
+		77);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stop/quiet", test_quiet);
+	g_test_add_func("/stop/busy", test_busy);
+	g_test_add_func("/stop/deadline", test_deadline);
+	g_test_add_func("/stop/paused", test_paused);
+	g_test_add_func("/stop/again", test_again);
+	g_test_add_func("/stop/has_time", test_has_time);
+	g_test_add_func("/stop/short_grace", test_short_grace);
+	g_test_add_func("/took/longest", test_took);
+	return g_test_run();
+}
