Silence of an endpoint does not end a request that cannot go elsewhere

Callers got 502 for lookups at a service that was sound and silent for a second, though their route allowed 12 s: endpoint_silent after two sends of 500 ms each.

Cause: a fixed limit ended a send, whether or not another one could follow.

lib/silence decides now: a request is withdrawn only if it can be sent to another endpoint at once (kind, attempts, budget, an endpoint, time); else it waits until its deadline, and only new requests avoid the endpoint. The limit follows from the time in which answers of the service lately began.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -380,6 +380,8 @@
 	fg_gw_overload_init(gw);
 	gw->took =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gw->first_took =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gw->retry_budgets = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)fg_retry_free);
 	gw->metrics = fg_metrics_new();
@@ -527,6 +529,7 @@
 	g_hash_table_unref(gw->announced_versions);
 	g_hash_table_unref(gw->retry_budgets);
 	g_hash_table_unref(gw->took);
+	g_hash_table_unref(gw->first_took);
 	g_ptr_array_unref(gw->callers);
 	g_ptr_array_unref(gw->reqs);
 	g_ptr_array_unref(gw->tunnels);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -65,6 +65,7 @@
 #include "quota/fg_quota.h"
 #include "relay/fg_relay.h"
 #include "route/fg_route.h"
+#include "silence/fg_silence.h"
 #include "slots/fg_loadgate.h"
 #include "slots/fg_slots.h"
 #include "stop/fg_stop.h"
@@ -203,6 +204,7 @@
 	fg_ms head_at;		  /* when this send brought a head that is no
 				     refusal; 0: not yet */
 	bool trial;		  /* may be sent although a part is blocked */
+	bool silence_noted;	  /* of the endpoint of this send */
 	bool answer_begun; /* this send brought an event or a plain head */
 	struct fg_events events;
 	/* Software version of the endpoint that brought the stream's first
@@ -306,6 +308,14 @@
 /* Returns whether the request may be run more than once. */
 bool fg_gwreq_may_run_again(const struct fg_gwreq *r);
 
+/* Returns whether the request may be sent once more by its time, its number of
+ * sends and the service's budget, from which nothing is taken. */
+bool fg_gwreq_has_retry_budget(const struct fg_gwreq *r, fg_ms now);
+
+/* Returns whether an endpoint that the request has not been sent to can take it
+ * now. */
+bool fg_gwreq_has_other_endpoint(struct fg_gwreq *r, fg_ms now);
+
 /* Time until the deadline; 0 after it. */
 uint32_t fg_gwreq_time_left_ms(const struct fg_gwreq *r, fg_ms now);
 
@@ -473,6 +483,9 @@
 /* Sends the request to r->ep. */
 void fg_send_start(struct fg_gwreq *r);
 
+/* The answer to the current send begins. */
+void fg_send_note_first(const struct fg_gwreq *r, fg_ms now);
+
 /* r->due_at passed during a send: the connection was not established, or no
  * part of an answer came. */
 void fg_send_on_timeout(struct fg_gwreq *r, fg_ms now);
@@ -1088,6 +1101,8 @@
 	struct fg_stop stop;
 	bool ending;	  /* the event loop has ended; connections are closed */
 	GHashTable *took; /* name of a route -> struct fg_took * */
+	GHashTable *first_took; /* name of a service -> the same, until the
+				   first byte of an answer */
 
 	struct fg_metrics *metrics;
 	struct fg_hist *hist_first;
@@ -1108,6 +1123,10 @@
 /* Ends requests that cannot end in time, and moves the stop on. */
 void fg_gw_stop_tick(struct fg_gateway *gw, fg_ms now);
 
+/* Returns whether a request of this route could still end in time if it were
+ * sent now; true unless a stop has begun. */
+bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now);
+
 /* During a stop: ends a request that would not end in time if it were sent to
  * an endpoint now, and returns whether it did. Call it before each send. */
 bool fg_gw_stop_refuse_late(struct fg_gwreq *r);
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -29,6 +29,7 @@
 		r->first_at = now;
 	fg_gwreq_clear_pending(r);
 	fg_gw_overload_note_answer(r, now);
+	fg_send_note_first(r, now);
 	fg_hist_add(r->gw->hist_first, (uint64_t)(now - r->arrived_at));
 	if (r->service->engine)
 		fg_health_record_first_token(
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -120,6 +120,21 @@
 			       &r->gw->rand);
 }
 
+bool fg_gwreq_has_other_endpoint(struct fg_gwreq *r, fg_ms now)
+{
+	struct fg_balance_query query = build_query(r, now);
+	struct fg_balance_pick pick;
+
+	if (query.n_avoid < G_N_ELEMENTS(query.avoid))
+		query.avoid[query.n_avoid++] = r->ep;
+	query.begins_stream = false;
+	pick = fg_balance_pick(&r->gw->balance, r->gw->fleet, now, &query,
+			       &r->gw->rand);
+	return pick.ep != NULL && pick.ep != r->ep &&
+	       pick.wait_ms < fg_gwreq_time_left_ms(r, now) &&
+	       fg_gw_stop_has_time(r, now);
+}
+
 /* Returns whether an endpoint of the version that began the stream is usable.
  */
 static bool has_software(const struct fg_gwreq *r, fg_ms now)
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -380,6 +380,14 @@
 	return r->route->idempotent || r->route->resumable;
 }
 
+bool fg_gwreq_has_retry_budget(const struct fg_gwreq *r, fg_ms now)
+{
+	return r->sends < SENDS_MAX &&
+	       fg_gwreq_time_left_ms(r, now) >= FG_GWREQ_TIME_LEFT_MIN_MS &&
+	       fg_retry_budget_left(fg_gw_retry_budget(r->gw, r->service->name),
+				    now, FG_CLASS_STATUS) > 0;
+}
+
 /* Takes one retry from the service's budget; false when it is used up. */
 static bool take_retry_budget(struct fg_gwreq *r, fg_ms now)
 {
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -16,10 +16,10 @@
 /* Time limit for a connection to be established, in addition to two round trips
  * between regions. */
 #define CONNECT_TIMEOUT_MS 400
-/* An endpoint counts as hung when it sends nothing for this long on any
- * connection of this instance. For a plain service this is many times the
- * duration of a request. For an engine it exceeds the wait of a prompt at a
- * busy engine, from which one of many instances rarely receives anything. */
+/* Shortest silence on all connections of this instance at which an endpoint is
+ * suspected. For a plain service this is many times the duration of a request.
+ * For an engine it exceeds the wait of a prompt at a busy engine, from which
+ * one of many instances rarely receives anything. */
 #define SILENCE_ENGINE_MS 2000
 #define SILENCE_PLAIN_MS 500
 
@@ -398,14 +398,34 @@
 	g_string_free(out, TRUE);
 }
 
-/* Silence after which a request that may run again is withdrawn from an
- * endpoint. A working endpoint sends something to some caller of this instance
- * long before. */
-static fg_ms silence_timeout_ms(const struct fg_gwreq *r)
+static struct fg_took *first_took(struct fg_gateway *gw, const char *service)
 {
+	struct fg_took *took = g_hash_table_lookup(gw->first_took, service);
+
+	if (took == NULL) {
+		took = g_new0(struct fg_took, 1);
+		g_hash_table_insert(gw->first_took, g_strdup(service), took);
+	}
+	return took;
+}
+
+void fg_send_note_first(const struct fg_gwreq *r, fg_ms now)
+{
+	fg_took_note(first_took(r->gw, r->service->name), now,
+		     (uint32_t)(now - r->sent_at));
+}
+
+static uint32_t silence_limit_ms(const struct fg_gwreq *r, fg_ms now)
+{
+	uint32_t longest_ms =
+		fg_took_longest_ms(first_took(r->gw, r->service->name), now, 0);
+	uint32_t expected_ms = MIN(r->expected_ms, UINT32_MAX / 4);
+
 	if (r->service->engine)
-		return MAX(SILENCE_ENGINE_MS, 2 * (fg_ms)r->expected_ms);
-	return MAX(SILENCE_PLAIN_MS, 4 * (fg_ms)r->expected_ms);
+		return fg_silence_limit_ms(SILENCE_ENGINE_MS, 2 * expected_ms,
+					   longest_ms);
+	return fg_silence_limit_ms(SILENCE_PLAIN_MS, 4 * expected_ms,
+				   longest_ms);
 }
 
 static void arm_silence_timeout(struct fg_gwreq *r, fg_ms now)
@@ -413,7 +433,7 @@
 	if (r->answer_begun || !fg_gwreq_may_run_again(r))
 		r->due_at = FG_MS_NEVER;
 	else
-		r->due_at = now + silence_timeout_ms(r);
+		r->due_at = now + silence_limit_ms(r, now);
 	fg_gwreq_arm_timer(r);
 }
 
@@ -568,6 +588,7 @@
 	r->sends++;
 	r->head_at = 0;
 	r->answer_begun = false;
+	r->silence_noted = false;
 	r->sent_at = now;
 	fg_gwreq_drop_answer_body(r);
 	/* Only an id tells the answer from a late copy of an earlier one. */
@@ -595,9 +616,35 @@
 	fg_gwreq_arm_timer(r);
 }
 
-void fg_send_on_timeout(struct fg_gwreq *r, fg_ms now)
+static enum fg_silence_verdict judge_silence(struct fg_gwreq *r, fg_ms now)
 {
 	const struct fg_ep_local *local = fg_ep_local_get(r->gw, r->ep);
+	struct fg_silence_view view = {
+		.limit_ms = silence_limit_ms(r, now),
+		.silent_ms = now - MAX(local->last_byte_at, r->sent_at),
+		.may_run_again = fg_gwreq_may_run_again(r),
+		.has_budget = fg_gwreq_has_retry_budget(r, now),
+		.other_endpoint = fg_gwreq_has_other_endpoint(r, now),
+	};
+
+	if (r->possible_runs + 1 < r->route->attempts_max)
+		view.runs_left = r->route->attempts_max - r->possible_runs - 1;
+	return fg_silence_judge(&view);
+}
+
+/* New requests avoid the endpoint until it sends something again. */
+static void suspect_endpoint(struct fg_gwreq *r, fg_ms now)
+{
+	if (r->silence_noted)
+		return;
+	r->silence_noted = true;
+	fg_health_record_failure(r->ep, now);
+	fg_ep_note_silent(r->gw, r->ep, "silent");
+}
+
+void fg_send_on_timeout(struct fg_gwreq *r, fg_ms now)
+{
+	enum fg_silence_verdict verdict;
 
 	if (r->conn->tunnel_pending) {
 		fg_hop_fail(r->conn, false);
@@ -610,12 +657,13 @@
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "connect_timeout");
 		return;
 	}
-	if (r->answer_begun || local->last_byte_at > r->sent_at) {
+	verdict = r->answer_begun ? FG_SILENCE_WAIT : judge_silence(r, now);
+	if (verdict != FG_SILENCE_WAIT)
+		suspect_endpoint(r, now);
+	if (verdict != FG_SILENCE_WITHDRAW) {
 		arm_silence_timeout(r, now);
 		return;
 	}
-	fg_health_record_failure(r->ep, now);
-	fg_ep_note_silent(r->gw, r->ep, "silent");
 	fg_send_cancel(r);
 	fg_gwreq_on_send_end(r, FG_SEND_BROKEN, "endpoint_silent");
 }
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -39,7 +39,7 @@
 	note_took(r, fg_clock_now());
 }
 
-static bool has_time(const struct fg_gwreq *r, fg_ms now)
+bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
 {
 	const struct fg_took *took = find_took(r->gw, r->route);
 	uint32_t unknown_ms = r->route->timeout_ms == 0
@@ -65,7 +65,7 @@
 
 bool fg_gw_stop_refuse_late(struct fg_gwreq *r)
 {
-	if (has_time(r, fg_clock_now()))
+	if (fg_gw_stop_has_time(r, fg_clock_now()))
 		return false;
 	end_request(r);
 	return true;
@@ -90,7 +90,7 @@
 		return;
 	if (fg_gwreq_is_passed_on(r))
 		note_took(r, now);
-	else if (!has_time(r, now))
+	else if (!fg_gw_stop_has_time(r, now))
 		end_request(r);
 }
 
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -25,6 +25,7 @@
 from gateway_tunnels import SCENARIOS as TUNNEL_SCENARIOS
 from gateway_refusals import SCENARIOS as REFUSAL_SCENARIOS
 from gateway_regions import SCENARIOS as REGION_SCENARIOS
+from gateway_silence import SCENARIOS as SILENCE_SCENARIOS
 from gateway_stops import SCENARIOS as STOP_SCENARIOS
 from gateway_keys import SCENARIOS as KEY_SCENARIOS
 from gateway_revoke import SCENARIOS as REVOKE_SCENARIOS
@@ -1482,7 +1483,7 @@
     crashing_part, request_lines, bad_input, settings_change, overload_reasons,
     *VERSION_SCENARIOS, *CUT_SCENARIOS, *TUNNEL_SCENARIOS, *ODD_ROW_SCENARIOS, *REFUSAL_SCENARIOS,
     *BROKEN_STREAM_SCENARIOS, *NUMBER_SCENARIOS, *DEPARTED_SCENARIOS,
-    *REGION_SCENARIOS, *STOP_SCENARIOS, *KEY_SCENARIOS,
+    *REGION_SCENARIOS, *STOP_SCENARIOS, *SILENCE_SCENARIOS, *KEY_SCENARIOS,
     *REVOKE_SCENARIOS, *LIMIT_SCENARIOS,
 ]
 
--- /dev/null
+++ b/tests/gateway_silence.py
@@ -0,0 +1,87 @@
+"""Scenarios of tests/gateway.py with sound endpoints that fall silent."""
+
+import threading
+import time
+
+from gateway_stops import (
+    KINDS, KeptCaller, add_long_routes, show, write_long_routes)
+from hosted import check, has_all_events, send, send_draft
+
+
+def pause(replicas, for_s):
+    """None of the replicas reads or answers anything for a while."""
+    locks = [r.pause_lock for r in replicas]
+    for lock in locks:
+        lock.acquire()
+    time.sleep(for_s)
+    for lock in locks:
+        lock.release()
+
+
+def add_pauses(replicas):
+    for r in replicas:
+        r.pause_lock = threading.Lock()
+        handle = r.server.handle
+
+        def paused_handle(req, handle=handle, lock=r.pause_lock):
+            with lock:
+                pass
+            return handle(req)
+
+        r.server.handle = paused_handle
+
+
+def silent_sound_endpoints(s):
+    """All endpoints are silent for 0.6, 1.3 and 3 s while the configuration
+    changes: each request is answered by one of them, in time. Guards against
+    requests that are given up because a sound endpoint is silent."""
+    add_long_routes(s)
+    replicas = s.plains + s.engines
+    add_pauses(replicas)
+    check(has_all_events(send_draft(s.gw)), "the adapter is not loaded")
+    callers = []
+    threads = []
+    for version, for_s in enumerate((0.6, 1.3, 3.0), 3):
+        pausing = threading.Thread(target=pause, args=(replicas, for_s))
+        pausing.start()
+        some = [KeptCaller(s.gw.front) for _ in range(5 * len(KINDS))]
+        for i, caller in enumerate(some):
+            caller.at_s = for_s
+            threads.append(threading.Thread(
+                target=caller.send, args=(list(KINDS)[i % len(KINDS)],)))
+            threads[-1].start()
+        write_long_routes(s, version, idle_ms=15000 + version)
+        callers += some
+        pausing.join()
+        time.sleep(0.3)
+    for thread in threads:
+        thread.join()
+    show(callers, s)
+    for c in callers:
+        whole = (has_all_events(c) if c.kind in ("brief", "draft")
+                 else c.rid in c.body)
+        check(c.status == 200 and c.whole and whole, f"{c.kind}: {c.status}")
+        check(c.kind in ("safe", "draft") or s.run_count(c.rid) == 1,
+              f"{c.kind} ran {s.run_count(c.rid)} times")
+
+
+def send_timed(s, path, deadline_ms):
+    begin = time.monotonic()
+    a = send(s.gw.front, path, method="GET", body=None,
+             headers={"Deadline-Ms": str(deadline_ms)})
+    return a, time.monotonic() - begin
+
+
+def hung_endpoints(s):
+    """Lookups leave one hung endpoint soon; where both hang, the caller gets its
+    answer at its deadline and not before."""
+    s.plains[0].faults["silent"] = 1000
+    for _ in range(8):
+        a, took_s = send_timed(s, "/lookup/1", 1500)
+        check(a.status == 200 and took_s < 1.2, f"{a.status} {took_s:.2f} s")
+    s.plains[1].faults["silent"] = 1000
+    a, took_s = send_timed(s, "/lookup/1", 1500)
+    check(a.status == 504 and 1.4 < took_s < 2.0, f"{a.status} {took_s:.2f} s")
+
+
+SCENARIOS = [silent_sound_endpoints, hung_endpoints]
