A silent endpoint that accepts connections is not out of reach

Callers' requests to a sound endpoint that was silent went through another instance, and so depended on a second process: on the users' landing this is where streams ended as complete with that process (ORDER), today they are broken off and go on elsewhere.

Cause: silence on established connections counted as not reached, until a probe told otherwise, 0.1 s later or more (unreached reason=silent, then reached_again, in the users' record and in every run of gateway_order).

Silence now makes the instance connect; only a connection that is not established puts the endpoint in doubt.

silence_is_not_out_of_reach fails before and passes now.

--- a/lib/fleet/fg_reach.h
+++ b/lib/fleet/fg_reach.h
@@ -1,10 +1,10 @@
 /*
  * fg_reach - which endpoints this instance reaches itself.
  *
- * An endpoint to which the last connection failed, or which fell silent, is in
- * doubt: it may have ended, or the network between it and this instance may be
- * cut. A connection to it through another instance (a relayed one) tells the
- * two apart.
+ * An endpoint to which the last connection failed is in doubt: it may have
+ * ended, or the network between it and this instance may be cut. Silence on
+ * connections that are established does not put it in doubt. A connection to it
+ * through another instance (a relayed one) tells the two apart.
  *
  * Does no I/O and reads no clock.
  */
@@ -16,8 +16,8 @@
 /* A connection was established. Returns true when the endpoint was in doubt. */
 bool fg_reach_note_ok(struct fg_fleet_ep *ep);
 
-/* A connection was refused or not established in time, or the endpoint fell
- * silent. Returns true when the endpoint was not in doubt. */
+/* A connection was refused or not established in time. Returns true when the
+ * endpoint was not in doubt. */
 bool fg_reach_note_failed(struct fg_fleet_ep *ep, fg_ms now);
 
 /* Returns whether the endpoint is in doubt. */
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -417,7 +417,7 @@
 void fg_ep_apply_limit(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 		       const struct fg_wire_reply *reply);
 
-/* A connection to the endpoint failed, or it fell silent. */
+/* A connection to the endpoint failed. */
 void fg_ep_note_unreached(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 			  const char *why);
 
@@ -444,10 +444,13 @@
 /* A direct connection to the endpoint was established. */
 void fg_ep_note_reached(struct fg_ep_conn *conn);
 
-/* As fg_ep_note_unreached(), when there was no answer: idle connections are
- * closed, since they are likely to be as silent. */
-void fg_ep_note_silent(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-		       const char *why);
+/* The endpoint does not answer a request: closes idle connections, which are
+ * likely to be as silent, and connects to learn whether it is still reached. */
+void fg_ep_note_silent(struct fg_gateway *gw, struct fg_fleet_ep *ep);
+
+/* A connection was not established in time: as fg_ep_note_unreached(), and
+ * closes idle connections. */
+void fg_ep_note_no_connection(struct fg_gateway *gw, struct fg_fleet_ep *ep);
 
 /* Results of a connection that fg_ep_confirm_crash() asked for: the instance in
  * the middle did not open it (`ended`: it does not reach the endpoint), or it
--- a/lib/gateway/fg_gw_endpoint.c
+++ b/lib/gateway/fg_gw_endpoint.c
@@ -223,11 +223,15 @@
 		log_reach(gw, ep, "unreached", why);
 }
 
-/* The endpoint, or the network to it, is silent: so are idle connections. */
-void fg_ep_note_silent(struct fg_gateway *gw, struct fg_fleet_ep *ep,
-		       const char *why)
+void fg_ep_note_silent(struct fg_gateway *gw, struct fg_fleet_ep *ep)
 {
-	fg_ep_note_unreached(gw, ep, why);
+	close_idle(fg_ep_local_get(gw, ep));
+	fg_ep_check_alive(gw, ep);
+}
+
+void fg_ep_note_no_connection(struct fg_gateway *gw, struct fg_fleet_ep *ep)
+{
+	fg_ep_note_unreached(gw, ep, "connect_timeout");
 	close_idle(fg_ep_local_get(gw, ep));
 }
 
@@ -332,8 +336,11 @@
 		struct fg_fleet_ep *ep = all->pdata[i];
 		struct fg_ep_local *local = ep->user;
 
-		if (local != NULL && now >= local->check_until)
+		if (local != NULL && local->check != NULL &&
+		    now >= local->check_until) {
 			end_check(local);
+			fg_ep_note_no_connection(gw, ep);
+		}
 		if (local != NULL && local->confirm != NULL &&
 		    now >= local->confirm_until)
 			fg_hop_fail(local->confirm, false);
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -639,7 +639,7 @@
 		return;
 	r->silence_noted = true;
 	fg_health_record_failure(r->ep, now);
-	fg_ep_note_silent(r->gw, r->ep, "silent");
+	fg_ep_note_silent(r->gw, r->ep);
 }
 
 void fg_send_on_timeout(struct fg_gwreq *r, fg_ms now)
@@ -652,7 +652,7 @@
 	}
 	if (!r->conn->connected || r->conn->report != NULL) {
 		fg_health_record_failure(r->ep, now);
-		fg_ep_note_silent(r->gw, r->ep, "connect_timeout");
+		fg_ep_note_no_connection(r->gw, r->ep);
 		fg_send_cancel(r);
 		fg_gwreq_on_send_end(r, FG_SEND_NOT_SENT, "connect_timeout");
 		return;
--- a/tests/gateway_silence.py
+++ b/tests/gateway_silence.py
@@ -5,7 +5,8 @@
 
 from gateway_stops import (
     KINDS, KeptCaller, add_long_routes, show, write_long_routes)
-from hosted import check, has_all_events, send, send_draft
+from hosted import (
+    check, find_log_lines, has_all_events, http_get, send, send_draft)
 
 
 def pause(replicas, for_s):
@@ -84,4 +85,34 @@
     check(a.status == 504 and 1.4 < took_s < 2.0, f"{a.status} {took_s:.2f} s")
 
 
-SCENARIOS = [silent_sound_endpoints, hung_endpoints]
+def silence_is_not_out_of_reach(s):
+    """Requests to endpoints that are silent and accept connections do not go
+    through another instance."""
+    write_long_routes(s)
+    replicas = s.plains + s.engines
+    add_pauses(replicas)
+    for _ in range(4):
+        check(has_all_events(send_draft(s.gateways[0])), "not served")
+    pausing = threading.Thread(target=pause, args=(replicas, 2.5))
+    pausing.start()
+    callers = []
+    threads = []
+    while pausing.is_alive():
+        callers.append(KeptCaller(s.gateways[0].front))
+        threads.append(threading.Thread(
+            target=callers[-1].send, args=(list(KINDS)[len(callers) % 4],)))
+        threads[-1].start()
+        time.sleep(0.02)
+    pausing.join()
+    for thread in threads:
+        thread.join()
+    check(not [c for c in callers if c.status != 200], "not answered")
+    check(not find_log_lines(s.gateways[0], "unreached"), "not reached")
+    metrics = http_get(s.gateways[1].metrics, "/metrics")[1]
+    check('fg_gw_tunnels_total{outcome="open"}' not in metrics, "a tunnel")
+
+
+silence_is_not_out_of_reach.system_options = {"gateways": 2}
+
+SCENARIOS = [silent_sound_endpoints, hung_endpoints,
+             silence_is_not_out_of_reach]
