--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -286,8 +286,8 @@
 
 bool fg_gwreq_is_passed_on(const struct fg_gwreq *r)
 {
-	return r->may_have_run ||
-	       (r->conn != NULL && r->conn->connected && r->sent_at != 0);
+	return r->may_have_run || (r->conn != NULL && r->conn->connected &&
+				   r->conn->report == NULL);
 }
 
 /* How far the request had got when this process ended it. */
