tests/run.sh: gateway scenarios in three processes; a lost rest is a failure

Each of the three holds a block of ports of its own, of which there are twelve now.

A scenario program that ended by an unexpected error after its first ok lines counted as passed, with the rest not run. It fails now (seen with a stand-in program that prints one ok line and exits with 1).

--- a/scripts/port-base.sh
+++ b/scripts/port-base.sh
@@ -6,7 +6,8 @@
 if [ -z "${FG_PORT_BASE:-}" ]; then
 	port_locks=${TMPDIR:-/tmp}/fulmargauge-ports
 	mkdir -p "$port_locks"
-	for port_block in 20000 22000 24000 26000 28000 30000 18000 16000; do
+	for port_block in 20000 22000 24000 26000 28000 30000 18000 16000 \
+		14000 12000 10000 8000; do
 		exec 9>"$port_locks/$port_block"
 		if flock -n 9; then
 			FG_PORT_BASE=$port_block
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -3,6 +3,7 @@
 replicas.
 
 Usage: tests/gateway.py [NAME ...]     all scenarios when none is named
+       tests/gateway.py --lane I/N     each N-th of them, from the I-th on
 Prints "ok NAME" or "not ok NAME" with the reason; exits with 0 when all pass.
 """
 
@@ -1512,7 +1513,11 @@
 
 def main():
     names = sys.argv[1:]
-    chosen = [s for s in SCENARIOS if not names or s.__name__ in names]
+    if names and names[0] == "--lane":
+        lane, lanes = map(int, names[1].split("/"))
+        chosen = SCENARIOS[lane - 1::lanes]
+    else:
+        chosen = [s for s in SCENARIOS if not names or s.__name__ in names]
     results = [run(s) for s in chosen]
     return 0 if all(results) and results else 1
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -42,7 +42,8 @@
 
 PORTS_OFFSET = 1000  # of FG_PORT_BASE
 PORTS_COUNT = 1000
-BLOCKS = (20000, 22000, 24000, 26000, 28000, 30000, 18000, 16000)
+BLOCKS = (20000, 22000, 24000, 26000, 28000, 30000, 18000, 16000, 14000, 12000,
+          10000, 8000)
 next_port = [0]
 block_lock = []  # the open file whose lock holds the block of ports
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -106,29 +106,53 @@
 	record "seeded-$1-$2" $status
 }
 
-# run_lines PROGRAM: runs it and counts its "ok NAME" and "not ok NAME" lines.
-run_lines() {
+# record_lines PROGRAM STATUS LOG: counts the "ok NAME" and "not ok NAME" lines of
+# a run that has ended.
+record_lines() {
 	name=$(basename "$1" .py)
-	"$1" >"$log" 2>&1
-	status=$?
-	seen=0
-	for line in $(sed -n 's/^ok \([a-z_0-9]*\)$/ok:\1/p;s/^not ok \([a-z_0-9]*\).*/bad:\1/p;s/^skipped \([a-z_0-9]*\).*/skip:\1/p' "$log"); do
-		seen=$((seen + 1))
+	bad=0
+	for line in $(sed -n 's/^ok \([a-z_0-9]*\)$/ok:\1/p;s/^not ok \([a-z_0-9]*\).*/bad:\1/p;s/^skipped \([a-z_0-9]*\).*/skip:\1/p' "$3"); do
 		case "$line" in
 		skip:*)
 			skipped=$((skipped + 1))
-			grep "^skipped ${line#skip:}" "$log"
+			grep "^skipped ${line#skip:}" "$3"
 			;;
 		ok:*) record "$name-${line#ok:}" 0 ;;
-		bad:*) record "$name-${line#bad:}" 1 ;;
+		bad:*)
+			bad=$((bad + 1))
+			record "$name-${line#bad:}" 1
+			;;
 		esac
 	done
-	if [ $status -ne 0 ]; then
-		cat "$log"
-		[ $seen -gt 0 ] || record "$name" $status
+	# A program that ended before its last scenario names no failed one.
+	if [ "$2" -ne 0 ]; then
+		cat "$3"
+		[ $bad -gt 0 ] || record "$name" "$2"
 	fi
 }
 
+run_lines() {
+	"$1" >"$log" 2>&1
+	record_lines "$1" $? "$log"
+}
+
+# run_lanes PROGRAM N: runs the program's scenarios in N processes at a time,
+# each of which holds ports of its own.
+run_lanes() {
+	pids=
+	for lane in $(seq "$2"); do
+		env -u FG_PORT_BASE "$1" --lane "$lane/$2" >"$log.$lane" 2>&1 &
+		pids="$pids $!"
+	done
+	lane=0
+	for pid in $pids; do
+		lane=$((lane + 1))
+		wait "$pid"
+		record_lines "$1" $? "$log.$lane"
+		rm -f "$log.$lane"
+	done
+}
+
 # run_soak NAME OPTIONS...: real processes under external faults.
 run_soak() {
 	name=$1
@@ -140,7 +164,7 @@
 }
 
 if [ "$what" = all ]; then
-	run_lines tests/gateway.py
+	run_lanes tests/gateway.py 3
 	run_lines tests/upgrade.py
 	run_soak soak-short --seed 1 --rounds 1
 	run_soak soak-regressions --regressions
