One slow answer does not hold lookups at a hung endpoint

After one answer that took 1.35 s, lookups with 1.5 s of time got 504 at a hung endpoint, though another one answered at once.

Cause: the limit of silence followed the longest answer of the service in the last 30 to 60 s. Beyond the deadline it neither withdraws the request nor puts the endpoint in suspicion, so that later requests went there too. Each pause of an endpoint raises it in the same way.

Where the deadline leaves time for two usual answers (a moving average, not below the floor), the limit leaves the next endpoint time for one of them. Where answers are usually slow, nothing changes. What it costs: a rare answer in the last 0.5 s before the deadline of a usually quick service is given up for another send.

--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -417,15 +417,18 @@
 
 static uint32_t silence_limit_ms(const struct fg_gwreq *r, fg_ms now)
 {
-	uint32_t longest_ms =
-		fg_took_longest_ms(first_took(r->gw, r->service->name), now, 0);
+	const struct fg_took *took = first_took(r->gw, r->service->name);
 	uint32_t expected_ms = MIN(r->expected_ms, UINT32_MAX / 4);
+	struct fg_silence_times times = {
+		.floor_ms = r->service->engine ? SILENCE_ENGINE_MS
+					       : SILENCE_PLAIN_MS,
+		.expected_ms = (r->service->engine ? 2 : 4) * expected_ms,
+		.longest_ms = fg_took_longest_ms(took, now, 0),
+		.usual_ms = took->usual_ms,
+		.time_ms = (uint32_t)MAX(r->deadline - r->sent_at, 0),
+	};
 
-	if (r->service->engine)
-		return fg_silence_limit_ms(SILENCE_ENGINE_MS, 2 * expected_ms,
-					   longest_ms);
-	return fg_silence_limit_ms(SILENCE_PLAIN_MS, 4 * expected_ms,
-				   longest_ms);
+	return fg_silence_limit_ms(&times);
 }
 
 static void arm_silence_timeout(struct fg_gwreq *r, fg_ms now)
--- a/lib/silence/fg_silence.c
+++ b/lib/silence/fg_silence.c
@@ -5,15 +5,21 @@
 /* Part of the longest duration by which the next answer may exceed it. */
 #define MARGIN_DIVISOR 4
 
-uint32_t fg_silence_limit_ms(uint32_t floor_ms, uint32_t expected_ms,
-			     uint32_t longest_ms)
+/* A wait of this many times the usual one is enough for most answers. */
+#define USUAL_FACTOR 2
+
+uint32_t fg_silence_limit_ms(const struct fg_silence_times *t)
 {
-	uint32_t margin_ms = longest_ms / MARGIN_DIVISOR;
-	uint32_t limit_ms = MAX(floor_ms, expected_ms);
+	uint64_t longest_ms =
+		(uint64_t)t->longest_ms + t->longest_ms / MARGIN_DIVISOR;
+	uint64_t least_ms = MAX(t->floor_ms, t->expected_ms);
+	uint64_t limit_ms = MAX(least_ms, longest_ms);
+	/* What most answers take, here or at the next endpoint. */
+	uint64_t once_ms = MAX(least_ms, (uint64_t)USUAL_FACTOR * t->usual_ms);
 
-	if (longest_ms > UINT32_MAX - margin_ms)
-		return UINT32_MAX;
-	return MAX(limit_ms, longest_ms + margin_ms);
+	if (t->time_ms >= 2 * once_ms)
+		limit_ms = MIN(limit_ms, t->time_ms - once_ms);
+	return (uint32_t)MIN(limit_ms, UINT32_MAX);
 }
 
 enum fg_silence_verdict fg_silence_judge(const struct fg_silence_view *v)
--- a/lib/silence/fg_silence.h
+++ b/lib/silence/fg_silence.h
@@ -32,11 +32,19 @@
 	FG_SILENCE_WITHDRAW = 2, /* the same, and send it elsewhere */
 };
 
-/* Returns the silence that is not unusual yet: answers take `expected_ms` by
- * estimate and lately began after `longest_ms` at most; not below `floor_ms`.
- */
-uint32_t fg_silence_limit_ms(uint32_t floor_ms, uint32_t expected_ms,
-			     uint32_t longest_ms);
+/* When answers begin, as far as it is known. */
+struct fg_silence_times {
+	uint32_t floor_ms;    /* of the limit */
+	uint32_t expected_ms; /* estimate */
+	uint32_t longest_ms;  /* lately */
+	uint32_t usual_ms;    /* lately, on average */
+	uint32_t time_ms;     /* from the send until the deadline */
+};
+
+/* Returns the silence at which the endpoint is suspected: longer than is usual,
+ * but early enough that another endpoint can usually still answer in time,
+ * where the deadline leaves time for both. */
+uint32_t fg_silence_limit_ms(const struct fg_silence_times *t);
 
 enum fg_silence_verdict fg_silence_judge(const struct fg_silence_view *v);
 
--- a/lib/took/fg_took.c
+++ b/lib/took/fg_took.c
@@ -2,6 +2,9 @@
 
 #include <glib.h>
 
+/* Part of the newest duration in the moving average. */
+#define USUAL_DIVISOR 4
+
 /* Number of spans that have ended since the current one began. */
 static fg_ms spans_ended(const struct fg_took *t, fg_ms now)
 {
@@ -19,6 +22,9 @@
 		t->longest_ms[0] = 0;
 		t->since = now;
 	}
+	if (!t->known[0] && !t->known[1])
+		t->usual_ms = took_ms;
+	t->usual_ms += took_ms / USUAL_DIVISOR - t->usual_ms / USUAL_DIVISOR;
 	t->longest_ms[0] = MAX(t->longest_ms[0], took_ms);
 	t->known[0] = true;
 }
--- a/lib/took/fg_took.h
+++ b/lib/took/fg_took.h
@@ -22,6 +22,7 @@
 	fg_ms since;		/* beginning of the current span */
 	uint32_t longest_ms[2]; /* in the current span and the one before */
 	bool known[2];
+	uint32_t usual_ms; /* moving average of what was noted */
 };
 
 /* A request took `took_ms`, or runs for that long by now. */
--- a/tests/gateway_silence.py
+++ b/tests/gateway_silence.py
@@ -85,6 +85,23 @@
     check(a.status == 504 and 1.4 < took_s < 2.0, f"{a.status} {took_s:.2f} s")
 
 
+def hung_after_slow_answer(s):
+    """One answer that took almost the time of a lookup does not hold lookups at
+    a hung endpoint until their deadline."""
+    s.plains[0].work_s = s.plains[1].work_s = 1.35
+    check(send(s.gw.front, "/order/1").status == 200, "slow, but answered")
+    s.plains[0].work_s = s.plains[1].work_s = 0
+    for _ in range(8):
+        check(send(s.gw.front, "/order/1").status == 200, "quick")
+    s.plains[0].faults["silent"] = 1000
+    took = []
+    for _ in range(8):
+        a, took_s = send_timed(s, "/lookup/1", 1500)
+        took.append((a.status, round(took_s, 2)))
+    print(took)
+    check(not [t for t in took if t[0] != 200], f"{took}")
+
+
 def silence_is_not_out_of_reach(s):
     """Requests to endpoints that are silent and accept connections do not go
     through another instance."""
@@ -114,5 +131,5 @@
 
 silence_is_not_out_of_reach.system_options = {"gateways": 2}
 
-SCENARIOS = [silent_sound_endpoints, hung_endpoints,
+SCENARIOS = [silent_sound_endpoints, hung_endpoints, hung_after_slow_answer,
              silence_is_not_out_of_reach]
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -40,12 +40,41 @@
 
 static void test_limit(void)
 {
-	g_assert_cmpuint(fg_silence_limit_ms(500, 0, 0), ==, 500);
-	g_assert_cmpuint(fg_silence_limit_ms(500, 900, 100), ==, 900);
+	struct fg_silence_times t = { .floor_ms = 500, .time_ms = 12000 };
+
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 500);
+	t.expected_ms = 900;
+	t.longest_ms = 100;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 900);
 	/* Answers that took longer raise it. */
-	g_assert_cmpuint(fg_silence_limit_ms(500, 900, 2000), >, 2000);
-	g_assert_cmpuint(fg_silence_limit_ms(500, 900, UINT32_MAX), ==,
-			 UINT32_MAX);
+	t.longest_ms = 2000;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), >, 2000);
+	t.time_ms = 0;
+	t.longest_ms = UINT32_MAX;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, UINT32_MAX);
+}
+
+/* One answer that took long does not hold others at a hung endpoint until their
+ * deadline; where answers usually take long, none is given up early. */
+static void test_limit_by_deadline(void)
+{
+	struct fg_silence_times t = { .floor_ms = 500,
+				      .longest_ms = 1400,
+				      .usual_ms = 100,
+				      .time_ms = 1500 };
+
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 1000);
+	t.usual_ms = 350;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 800);
+	t.usual_ms = 400;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 1750);
+	t.usual_ms = 100;
+	t.time_ms = 900;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 1750);
+	t.time_ms = 4000;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 1750);
+	t.usual_ms = UINT32_MAX;
+	g_assert_cmpuint(fg_silence_limit_ms(&t), ==, 1750);
 }
 
 int main(int argc, char **argv)
@@ -54,5 +83,6 @@
 	g_test_add_func("/silence/withdraw", test_withdraw);
 	g_test_add_func("/silence/last_send", test_last_send);
 	g_test_add_func("/silence/limit", test_limit);
+	g_test_add_func("/silence/limit_by_deadline", test_limit_by_deadline);
 	return g_test_run();
 }
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -150,6 +150,20 @@
 		77);
 }
 
+static void test_usual(void)
+{
+	struct fg_took t = { 0 };
+
+	fg_took_note(&t, START, 1400);
+	g_assert_cmpuint(t.usual_ms, ==, 1400);
+	for (int i = 0; i < 8; i++)
+		fg_took_note(&t, START + i, 20);
+	g_assert_cmpuint(t.usual_ms, <, 200);
+	/* It begins anew when all else is forgotten. */
+	fg_took_note(&t, START + 4 * FG_TOOK_KEEP_MS, 900);
+	g_assert_cmpuint(t.usual_ms, ==, 900);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -161,5 +175,6 @@
 	g_test_add_func("/stop/has_time", test_has_time);
 	g_test_add_func("/stop/short_grace", test_short_grace);
 	g_test_add_func("/took/longest", test_took);
+	g_test_add_func("/took/usual", test_usual);
 	return g_test_run();
 }
