tests: shapes of callers at the end of a planned stop

HEAD, HTTP/1.0, a pipeline, heads and bodies that were read in part, a caller that waits for 100, a new request and an idle connection: each gets one whole answer that says that the connection closes, 504 where the request ran and 503 with Retry-After where it did not; what follows in the pipeline does not run.

--- a/tests/gateway_stops.py
+++ b/tests/gateway_stops.py
@@ -239,7 +239,80 @@
 
 short_grace.system_class = ShortGraceSystem
 
+
+def raw_request(rid, method="POST", version="1.1", kind="unsafe", fields=""):
+    return (f"{method} /long-{kind}/{rid} HTTP/{version}\r\nHost: {HOST}\r\n"
+            f"Request-Id: {rid}\r\nDeadline-Ms: {LONG_MS}\r\n{fields}\r\n")
+
+
+def read_to_end(sock):
+    """Returns what arrives until the connection ends, and how it ends."""
+    out = b""
+    try:
+        while data := sock.recv(65536):
+            out += data
+        return out.decode(), "closed"
+    except OSError as why:
+        return out.decode(), repr(why)
+
+
+def answers_at_end_of_stop(s):
+    """Callers of each shape get one whole answer, which says that the connection
+    closes, at the end of a planned stop; what follows in a pipeline does not
+    run."""
+    add_long_routes(s)
+    for plain in s.plains:
+        plain.work_s = 3
+    host, port = s.gw.front.split(":")
+    one = "Content-Length: 1\r\n"
+    early = {  # name: (status, text, run count)
+        "head": (504, raw_request("r1", "HEAD", kind="safe"), 1),
+        "1.0": (504, raw_request("r2", version="1.0", fields=one) + "x", 1),
+        "pipelined": (504, raw_request("r3", fields=one) + "x" +
+                      raw_request("r4", fields=one) + "x", 1),
+    }
+    late = {
+        "half head": (503, raw_request("r5")[:30], 0),
+        "half body": (503, raw_request("r6", fields="Content-Length: 9\r\n") +
+                      "x", 0),
+        "continue": (503, raw_request("r7", fields=one + "Expect: 100-continue"
+                                      "\r\n"), 0),
+        "half head, 1.0": (503, raw_request("r8", version="1.0")[:-2], 0),
+        "new": (503, raw_request("r9", fields=one) + "x", 0),
+    }
+    socks = {name: socket.create_connection((host, int(port)), 5)
+             for name in [*early, *late, "idle"]}
+    for name, (_, text, _) in early.items():
+        socks[name].sendall(text.encode())
+    wait_for("they run", lambda: all(
+        s.run_count(f"r{i}") == 1 for i in (1, 2, 3)))
+    began = stop(s.gw)
+    time.sleep(0.45)
+    for name, (_, text, _) in late.items():
+        socks[name].sendall(text.encode())
+    answers = {name: read_to_end(sock) for name, sock in socks.items()}
+    check(s.gw.popen.wait(began + 1.0 - time.monotonic()) == 0, "exit")
+    check(answers.pop("idle") == ("", "closed"), "the idle one")
+    wrong = []
+    for name, (status, text, runs) in {**early, **late}.items():
+        got, end = answers[name]
+        got = got.removeprefix("HTTP/1.1 100 Continue\r\n\r\n")
+        print(f"{name}: {got.splitlines()[:1]} {end}")
+        rid = text.split("Request-Id: ")[-1].split("\r\n")[0]
+        if not (got.startswith(f"HTTP/1.1 {status} ") and end == "closed" and
+                got.endswith("\r\n\r\n") and "Connection: close" in got and
+                got.count("HTTP/1.1") == 1 and
+                ("Retry-After" in got) == (status == 503)):
+            wrong.append((name, got, end))
+        if name != "pipelined" and s.run_count(rid) != runs:
+            wrong.append((name, "ran", s.run_count(rid)))
+    check(s.run_count("r4") == 0, "the second of the pipeline ran")
+    check(not wrong, f"{wrong}")
+
+
+answers_at_end_of_stop.system_class = ShortGraceSystem
+
 SCENARIOS = [
-    short_grace, stop_with_streams, late_orders_of_stop, late_quick_orders_of_stop,
+    short_grace, answers_at_end_of_stop, stop_with_streams, late_orders_of_stop, late_quick_orders_of_stop,
     late_lookups_of_stop, late_briefs_of_stop, late_drafts_of_stop,
 ]
