--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -122,6 +122,10 @@
 	fg_stop_begin(&s, START, START, 1000);
 	g_assert_cmpint(s.answer_at, >, START + 700);
 	g_assert_cmpint(s.leave_at, <, START + 1000);
+	/* The answers, and then the end, may come a tick late. */
+	g_assert_cmpint(s.answer_at + 200, <, START + 1000);
+	g_assert_cmpint(s.leave_at + 50, <, START + 1000);
+	g_assert_cmpint(s.answer_at, <, s.leave_at);
 	g_assert_true(fg_stop_has_time(&s, START, 100));
 }
 
@@ -146,6 +150,20 @@
 		77);
 }
 
+static void test_usual(void)
+{
+	struct fg_took t = { 0 };
+
+	fg_took_note(&t, START, 1400);
+	g_assert_cmpuint(t.usual_ms, ==, 1400);
+	for (int i = 0; i < 8; i++)
+		fg_took_note(&t, START + i, 20);
+	g_assert_cmpuint(t.usual_ms, <, 200);
+	/* It begins anew when all else is forgotten. */
+	fg_took_note(&t, START + 4 * FG_TOOK_KEEP_MS, 900);
+	g_assert_cmpuint(t.usual_ms, ==, 900);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -157,5 +175,6 @@
 	g_test_add_func("/stop/has_time", test_has_time);
 	g_test_add_func("/stop/short_grace", test_short_grace);
 	g_test_add_func("/took/longest", test_took);
+	g_test_add_func("/took/usual", test_usual);
 	return g_test_run();
 }
