A stop signalled in a pause of the process keeps its grace

What callers saw: an instance that is told to stop while its process is frozen counted its grace from the end of the freeze. It still ran when the grace had passed since the signal; the process would be killed then, with requests in progress.

Cause: the time of the last tick was used to notice the pause, but the event loop plays the tick first when the process wakes, and reads the signal after it (log: paused at .516, stopping at .517). So no pause was seen.

Now the begin of the last pause is kept. A signal that is read within 200 ms of its end came at an unknown time of it, and counts from its begin.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -216,6 +216,7 @@
 	fg_log(FG_LOG_WARN, "gateway", "paused", "ms", ms, NULL);
 	/* Another instance may have taken over engines during the pause. */
 	gw->claims_current = false;
+	gw->pause_began_at = gw->last_tick_at;
 	gw->woke_at = now;
 	fg_gw_relay_suspend(gw, now);
 	for (int i = 0; i < FG_FEED_COUNT; i++)
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1081,7 +1081,8 @@
 	bool cut;	     /* reaches endpoints only through others */
 	struct fg_origins *origins;
 	bool origins_started; /* the registry's first full read was noted */
-	fg_ms woke_at; /* end of the last pause of this process; 0: none */
+	fg_ms pause_began_at; /* last pause of this process */
+	fg_ms woke_at;	      /* end of that pause; 0: none */
 	GHashTable *retry_budgets;    /* service name -> struct fg_retry * */
 	struct fg_overload *overload; /* NULL without the setting */
 	struct fg_quota *quota;
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -1,9 +1,9 @@
 /* Planned stop: which requests are still taken, and what ends what is left. */
 #include "gateway/fg_gateway_internal.h"
 
-/* A stop that is noticed after a pause of the process began at an unknown time
- * of it. */
 #define PAUSE_MIN_MS 1000
+/* A signal that came during a pause is seen this soon after it. */
+#define SIGNAL_LAG_MS 200
 /* Assumed duration of requests of a route of which none was answered lately,
  * unless the route's time limit is shorter. */
 #define UNKNOWN_MS 3000
@@ -139,14 +139,24 @@
 
 /* ---- Phases ---- */
 
+/* A stop that is noticed after a pause of the process began at an unknown time
+ * of it. The tick may have noticed the pause before the signal is read. */
+static fg_ms find_signal_time(const struct fg_gateway *gw, fg_ms now)
+{
+	if (now - gw->last_tick_at >= PAUSE_MIN_MS)
+		return gw->last_tick_at;
+	if (gw->woke_at != 0 && now - gw->woke_at < SIGNAL_LAG_MS)
+		return gw->pause_began_at;
+	return now;
+}
+
 void fg_gw_stop_begin(struct fg_gateway *gw)
 {
 	fg_ms now = fg_clock_now();
-	bool paused = now - gw->last_tick_at >= PAUSE_MIN_MS;
 
 	if (fg_gw_is_stopping(gw))
 		return;
-	fg_stop_begin(&gw->stop, paused ? gw->last_tick_at : now, now,
+	fg_stop_begin(&gw->stop, find_signal_time(gw, now), now,
 		      gw->conf->stop_grace_ms);
 	fg_quota_leave(gw->quota);
 	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
