Answers to slow readers at the end of a stop: no abort, sent while in time

What callers saw: when a planned stop ended while an answer was still being sent to a slow reader, the process ended by an assertion of libuv (uv_close of a handle that is closing, SIGABRT). And such an answer was cut 5 s after its connection was closed, although the grace left more time.

Cause: the teardown closes all handles of the loop; the end of the shutdown of a link that is being flushed then closed its handle again. The time for the flush was fixed. A flush that ran out of time ended in an orderly way, which ends an answer without a length (a tunnel to an older build).

Now links that are being flushed are listed, and reset before the teardown, except those of which all was sent. A flush goes on while the peer takes bytes every 5 s, for 60 s, and is reset then; a planned stop ends it earlier.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -511,6 +511,7 @@
 		fg_caller_close(c, false);
 		fg_caller_sweep(gw, fg_clock_now());
 	}
+	fg_link_abort_flushing();
 	/* The ends of requests were reported to owners until here. */
 	fg_gw_mesh_close(gw);
 	if (gw->tx_channel != NULL)
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -18,20 +18,25 @@
 #define USER_TIMEOUT_MS 3000
 #define BACKLOG 512
 #define READ_BYTES 16384
-/* Time that fg_link_close() leaves for sending queued bytes. */
-#define FLUSH_MAX_MS 5000
+/* After fg_link_close(), a peer that takes no queued bytes for this long, or
+ * not all of them in this time, gets no more. */
+#define FLUSH_STALL_MS 5000
+#define FLUSH_MAX_MS 60000
 
 struct fg_link {
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_shutdown_t shutdown;
-	uv_timer_t timer; /* limits a close with flush */
+	uv_timer_t timer; /* checks a close with flush */
 	const struct fg_link_ops *ops;
 	void *ctx; /* NULL after fg_link_close() */
 	size_t pending_bytes;
-	int open_handles; /* tcp and timer; at 0 the link is freed */
-	bool closed;	  /* by the user: no further callbacks */
-	bool closing;	  /* the handles are being closed */
+	GList flushing_node;	 /* in `flushing` */
+	size_t unsent_bytes;	 /* at the last check of the flush */
+	uint64_t flush_until_ms; /* in the loop's time */
+	int open_handles;	 /* tcp and timer; at 0 the link is freed */
+	bool closed;		 /* by the user: no further callbacks */
+	bool closing;		 /* the handles are being closed */
 	bool connected;
 	bool flushing; /* closed, queued bytes are being sent */
 };
@@ -45,8 +50,7 @@
 /* Shared by all links, since libuv reads one link at a time. */
 static char read_buffer[READ_BYTES];
 
-/* Number of links that are being flushed. */
-static uint32_t n_flushing;
+static GQueue flushing = G_QUEUE_INIT;
 
 static void on_handle_closed(uv_handle_t *handle)
 {
@@ -56,15 +60,36 @@
 		g_free(l);
 }
 
-static void close_handles(struct fg_link *l)
+/* Returns false if the handles are being closed already. */
+static bool begin_closing(struct fg_link *l)
 {
 	if (l->closing)
-		return;
+		return false;
 	l->closing = true;
 	if (l->flushing)
-		n_flushing--;
-	uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+		g_queue_unlink(&flushing, &l->flushing_node);
 	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
+	return true;
+}
+
+static void close_handles(struct fg_link *l)
+{
+	if (begin_closing(l))
+		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+}
+
+static void reset_handles(struct fg_link *l)
+{
+	if (!begin_closing(l))
+		return;
+	/* libuv refuses to reset after a shutdown. */
+	if (l->flushing) {
+		fg_link_set_reset_on_exit(l, true);
+		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+	} else if (!l->connected ||
+		   uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0) {
+		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+	}
 }
 
 static void set_options(struct fg_link *l)
@@ -295,9 +320,16 @@
 	close_handles(req->data);
 }
 
-static void on_flush_timeout(uv_timer_t *timer)
+/* The peer must not take a part for the whole. */
+static void on_flush_timer(uv_timer_t *timer)
 {
-	close_handles(timer->data);
+	struct fg_link *l = timer->data;
+	size_t unsent = uv_stream_get_write_queue_size((uv_stream_t *)&l->tcp);
+
+	if (unsent < l->unsent_bytes && uv_now(timer->loop) < l->flush_until_ms)
+		l->unsent_bytes = unsent;
+	else
+		reset_handles(l);
 }
 
 void fg_link_close(struct fg_link *l, bool flush)
@@ -314,13 +346,30 @@
 		return;
 	}
 	l->flushing = true;
-	n_flushing++;
-	uv_timer_start(&l->timer, on_flush_timeout, FLUSH_MAX_MS, 0);
+	l->flushing_node.data = l;
+	g_queue_push_tail_link(&flushing, &l->flushing_node);
+	l->unsent_bytes =
+		uv_stream_get_write_queue_size((uv_stream_t *)&l->tcp);
+	l->flush_until_ms = uv_now(l->timer.loop) + FLUSH_MAX_MS;
+	uv_timer_start(&l->timer, on_flush_timer, FLUSH_STALL_MS,
+		       FLUSH_STALL_MS);
 }
 
 uint32_t fg_link_flushing_count(void)
 {
-	return n_flushing;
+	return flushing.length;
+}
+
+void fg_link_abort_flushing(void)
+{
+	while (flushing.head != NULL) {
+		struct fg_link *l = flushing.head->data;
+
+		if (uv_stream_get_write_queue_size((uv_stream_t *)&l->tcp) > 0)
+			reset_handles(l);
+		else
+			close_handles(l);
+	}
 }
 
 void fg_link_abort(struct fg_link *l)
@@ -329,12 +378,7 @@
 		return;
 	l->closed = true;
 	l->ctx = NULL;
-	if (l->closing)
-		return;
-	l->closing = true;
-	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
-	if (!l->connected || uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0)
-		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+	reset_handles(l);
 }
 
 int fg_link_listen(uv_loop_t *loop, uv_tcp_t *listener, const char *address,
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -71,12 +71,17 @@
 void fg_link_pause(struct fg_link *l);
 void fg_link_resume(struct fg_link *l);
 
-/* Closes the link. With `flush`, queued bytes are sent first, within 5 s. */
+/* Closes the link. With `flush`, queued bytes are sent first, within 60 s, as
+ * long as the peer takes some of them every 5 s. Otherwise it is reset. */
 void fg_link_close(struct fg_link *l, bool flush);
 
 /* Returns how many closed links still have queued bytes to send. */
 uint32_t fg_link_flushing_count(void);
 
+/* Resets these links, except those of which all was sent. To be called before
+ * their event loop is torn down. */
+void fg_link_abort_flushing(void);
+
 /* Closes the link by a reset, so that the peer cannot take the end of the
  * stream for the end of a message. */
 void fg_link_abort(struct fg_link *l);
--- a/tests/gateway_stop_signals.py
+++ b/tests/gateway_stop_signals.py
@@ -3,6 +3,7 @@
 read slowly."""
 
 import signal
+import socket
 import threading
 import time
 
@@ -11,7 +12,7 @@
     GRACE_S, KINDS, KeptCaller, add_long_routes, is_true_answer, show,
     stop)
 from hosted import (
-    EVENTS, Gateway, check, send, send_draft, wait_for)
+    EVENTS, HOST, MODEL, Gateway, check, next_id, send, send_draft, wait_for)
 from si_store import Store
 
 
@@ -186,6 +187,167 @@
             gateway.kill()
 
 
+LARGE_BYTES = 14 * 1024 * 1024
+EVENT_BYTES = 16 * 1024
+
+
+def answer_large(replica, req, rid):
+    """A large answer, or a stream of as many bytes."""
+    head = replica.response_head(rid)
+    if not replica.engine:
+        head += f"Content-Length: {LARGE_BYTES}\r\n\r\n"
+        req.sock.sendall(head.encode() + b"x" * LARGE_BYTES)
+        return True
+    head += ("Content-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n")
+    req.sock.sendall(head.encode())
+    for i in range(1, LARGE_BYTES // EVENT_BYTES + 1):
+        event = b"id: %d\ndata: %s\n\n" % (i, b"x" * EVENT_BYTES)
+        req.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+    req.sock.sendall(b"0\r\n\r\n")
+    return True
+
+
+def open_raw(address, receive_bytes=None):
+    host, port = address.split(":")
+    sock = socket.socket()
+    if receive_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    sock.settimeout(15)
+    sock.connect((host, int(port)))
+    return sock
+
+
+def raw_request(kind, rid, fields=""):
+    return (f"{KINDS[kind]} /long-{kind}/{rid} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Request-Id: {rid}\r\nDeadline-Ms: 12000\r\n"
+            f"Model: {MODEL}/a1\r\nToken-Count: 100,20\r\n{fields}"
+            "Content-Length: 0\r\n\r\n").encode()
+
+
+class SlowReader(threading.Thread):
+    """Sends a request at a time, and reads its answer over `read_s`."""
+
+    def __init__(self, front, kind, at, read_s):
+        super().__init__()
+        self.sock = open_raw(front, 65536)
+        self.kind, self.at, self.read_s = kind, at, read_s
+        self.rid = next_id()
+        self.size, self.whole, self.end = 0, False, b""
+        self.start()
+
+    def run(self):
+        time.sleep(max(0, self.at - time.monotonic()))
+        begin = time.monotonic()
+        self.sock.sendall(raw_request(self.kind, self.rid))
+        try:
+            while data := self.sock.recv(65536):
+                self.size += len(data)
+                self.end = (self.end + data)[-5:]
+                if self.kind == "safe":
+                    self.whole = self.size > LARGE_BYTES
+                else:
+                    self.whole = self.end == b"0\r\n\r\n"
+                if self.whole:
+                    break
+                due = begin + self.size / LARGE_BYTES * self.read_s
+                time.sleep(max(0, due - time.monotonic()))
+        except OSError:
+            pass
+        self.took_s = time.monotonic() - begin
+        self.sock.close()
+
+
+def slow_readers_of_stop(s):
+    """Large answers to slow readers over a planned stop are sent to their end if
+    there is time, and visibly broken off if not. Guards against an answer that
+    is cut at a fixed time after its connection was closed."""
+    prepare(s, 0)
+    for replica in s.plains + s.engines:
+        replica.answer_with = answer_large
+    begin = time.monotonic() + 0.2
+    cells = [(kind, at_s, read_s) for kind in ("safe", "brief", "draft")
+             for at_s, read_s in ((0, 6.5), (0.9, 6.8), (0.3, 30))]
+    readers = [SlowReader(s.gw.front, kind, begin + at_s, read_s)
+               for kind, at_s, read_s in cells]
+    time.sleep(begin + 0.7 - time.monotonic())
+    gone = Exit(s.gw)
+    gone.check()
+    for (kind, at_s, read_s), r in zip(cells, readers):
+        r.join()
+        print(f"{kind} from {at_s} s, over {read_s} s: {r.size} bytes, "
+              f"{'whole' if r.whole else 'cut'} after {r.took_s:.1f} s")
+    for (kind, at_s, read_s), r in zip(cells, readers):
+        check(r.whole == (read_s < GRACE_S), f"{kind} from {at_s} s over "
+              f"{read_s} s: {'whole' if r.whole else 'cut'}")
+
+
+def read_answers(sock):
+    """Returns [(status, body)] of the whole answers until the connection ends."""
+    data = b""
+    try:
+        while piece := sock.recv(65536):
+            data += piece
+    except OSError:
+        pass
+    sock.close()
+    out = []
+    while b"\r\n\r\n" in data:
+        head, rest = data.split(b"\r\n\r\n", 1)
+        size = [int(line[15:]) for line in head.split(b"\r\n")
+                if line.lower().startswith(b"content-length:")]
+        if not size or len(rest) < size[0]:
+            break
+        out.append((int(head[9:12]), rest[:size[0]].decode()))
+        data = rest[size[0]:]
+    return out
+
+
+def pipelined_in_stop(s):
+    """A second request on a connection, sent together with the first one, while
+    it runs, or as its answer comes, is answered or not run."""
+    prepare(s, 0.6)
+    cells = []
+
+    def run(cell):
+        at, gap_s, ids, sock = cell
+        time.sleep(max(0, at - time.monotonic()))
+        first, second = (raw_request("unsafe", rid) for rid in ids)
+        try:
+            if gap_s == 0:
+                sock.sendall(first + second)
+            else:
+                sock.sendall(first)
+                time.sleep(gap_s)
+                sock.sendall(second)
+        except OSError:
+            pass
+        cell.append(read_answers(sock))
+
+    begin = time.monotonic() + 0.3
+    for i in range(16):
+        for gap_s in (0, 0.3, 0.6):
+            cells.append([begin + i * 0.5, gap_s, (next_id(), next_id()),
+                          open_raw(s.gw.front)])
+    threads = [threading.Thread(target=run, args=(c,)) for c in cells]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.8)
+    gone = Exit(s.gw)
+    for thread in threads:
+        thread.join()
+    gone.check()
+    for at, gap_s, ids, _, answers in cells:
+        what = f"at {at - begin:.1f} s, gap {gap_s}: {answers}"
+        print(what, [s.run_count(rid) for rid in ids])
+        for i, rid in enumerate(ids):
+            status = answers[i][0] if i < len(answers) else 0
+            ran = s.run_count(rid)
+            check(ran == 0 if status in (0, 503) else
+                  status == 200 and rid in answers[i][1], what)
+
+
 SCENARIOS = [
     stop_signalled_again, stop_in_outage, stop_while_frozen, stop_at_start,
+    slow_readers_of_stop, pipelined_in_stop,
 ]
