Half-read calls on all ports get their answer in a planned stop

What callers saw: a call for readiness, metrics, an address or rows that was half sent when idle connections are closed ended without an answer.

Cause: only connections of the callers' port counted as being read.

--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -104,7 +104,7 @@
 
 static bool is_reading(const struct fg_caller *c)
 {
-	return c->kind == FG_PORT_FRONT && c->link != NULL && c->req == NULL &&
+	return c->link != NULL && c->req == NULL && c->tunnel == NULL &&
 	       c->h1.started && !c->close_after;
 }
 
--- a/tests/gateway_stop_signals.py
+++ b/tests/gateway_stop_signals.py
@@ -347,7 +347,45 @@
                   status == 200 and rid in answers[i][1], what)
 
 
+def calls_of_others_in_stop(s):
+    """Calls to the other ports that are half sent when idle connections are
+    closed in a planned stop get their answer."""
+    gw = s.gw
+    calls = [(gw.ready, "/api/readiness"), (gw.metrics, "/metrics"),
+             (gw.metrics, "/state"),
+             (gw.directory, f"/api/resolve?name={HOST}&region=r1"),
+             (gw.mesh, "/rows")]
+    socks = [[open_raw(address) for address, _ in calls] for _ in range(12)]
+    answers = {}
+
+    def run(i, k):
+        time.sleep(0.15 * i)
+        half = f"GET {calls[k][1]} HTTP/1.1\r\nHost: x\r\n".encode()
+        try:
+            socks[i][k].sendall(half[:-5])
+            time.sleep(0.4)
+            socks[i][k].sendall(half[-5:] + b"\r\n")
+        except OSError:
+            return
+        answers[i, k] = read_answers(socks[i][k])
+
+    gone = Exit(gw)
+    threads = [threading.Thread(target=run, args=(i, k))
+               for i in range(len(socks)) for k in range(len(calls))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    gone.check()
+    for k, (_, path) in enumerate(calls):
+        print(path, [[status for status, _ in answers.get((i, k), [])]
+                     for i in range(len(socks))])
+    missing = [(i, calls[k][1]) for i in range(len(socks))
+               for k in range(len(calls)) if not answers.get((i, k))]
+    check(not missing, f"{len(missing)} without an answer: {missing[0:1]}")
+
+
 SCENARIOS = [
     stop_signalled_again, stop_in_outage, stop_while_frozen, stop_at_start,
-    slow_readers_of_stop, pipelined_in_stop,
+    slow_readers_of_stop, pipelined_in_stop, calls_of_others_in_stop,
 ]
