--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -216,6 +216,7 @@
 	fg_log(FG_LOG_WARN, "gateway", "paused", "ms", ms, NULL);
 	/* Another instance may have taken over engines during the pause. */
 	gw->claims_current = false;
+	gw->pause_began_at = gw->last_tick_at;
 	gw->woke_at = now;
 	fg_gw_relay_suspend(gw, now);
 	for (int i = 0; i < FG_FEED_COUNT; i++)
@@ -510,6 +511,7 @@
 		fg_caller_close(c, false);
 		fg_caller_sweep(gw, fg_clock_now());
 	}
+	fg_link_abort_flushing();
 	/* The ends of requests were reported to owners until here. */
 	fg_gw_mesh_close(gw);
 	if (gw->tx_channel != NULL)
