The end of a process reports no endpoint as gone

Seen: an instance that ended after a planned stop logged "endpoint event=gone" for each endpoint, and "lost_in_crash" with a count against the request's key for each request whose connection had broken there in the last six seconds, though all endpoints were sound.

Cause: teardown drops the fleet by the path that also serves removed registry entries.

While the process ends, losses are dropped and nothing is logged. No message about them could be sent any more, so other instances lose nothing.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -291,8 +291,12 @@
 
 static void on_endpoint_dropped(void *ctx, struct fg_fleet_ep *ep)
 {
-	fg_log(FG_LOG_INFO, "endpoint", "gone", "endpoint", ep->facts.id, NULL);
-	fg_ep_local_free(ctx, ep);
+	struct fg_gateway *gw = ctx;
+
+	if (!gw->ending)
+		fg_log(FG_LOG_INFO, "endpoint", "gone", "endpoint",
+		       ep->facts.id, NULL);
+	fg_ep_local_free(gw, ep);
 }
 
 static bool open_port(struct fg_gateway *gw, enum fg_port_kind kind,
--- a/lib/gateway/fg_gw_endpoint.c
+++ b/lib/gateway/fg_gw_endpoint.c
@@ -86,13 +86,16 @@
 {
 	struct fg_ep_local *local = ep->user;
 
-	(void)gw;
 	if (local == NULL)
 		return;
 	close_idle(local);
 	end_check(local);
 	end_confirm(local);
-	fg_ep_local_report_losses(local);
+	/* The end of this process says nothing about the endpoint. */
+	if (gw->ending)
+		fg_losses_drop(&local->losses);
+	else
+		fg_ep_local_report_losses(local);
 	fg_orders_release(local);
 	g_ptr_array_unref(local->idle);
 	g_free(local);
--- a/tests/gateway_stops.py
+++ b/tests/gateway_stops.py
@@ -200,7 +200,20 @@
     check_late_requests(s, "draft", 2.5)
 
 
+def stop_is_no_crash(s):
+    """The end of the process says nothing about endpoints: sound ones are not
+    reported as gone, nor requests there as lost in a crash."""
+    for plain in s.plains:
+        plain.faults["lost"] = 1
+    for _ in s.plains:
+        check(send(s.gw.front, "/order/1").status == 502, "not lost")
+    check_exit(s.gw, stop(s.gw))
+    for event in ("gone", "lost_in_crash"):
+        lines = find_log_lines(s.gw, event)
+        check(not lines, f"{event}: {lines}")
+
+
 SCENARIOS = [
-    stop_with_streams, late_orders_of_stop, late_quick_orders_of_stop,
+    stop_with_streams, stop_is_no_crash, late_orders_of_stop, late_quick_orders_of_stop,
     late_lookups_of_stop, late_briefs_of_stop, late_drafts_of_stop,
 ]
