soak: planned stops while endpoints are held up, with long requests

The last round now ends with a part of two planned stops, at a time or one after the other: SIGTERM once, twice, while the process is frozen, or just after its start. Meanwhile all or some endpoints fall silent for 0.3 to 3 s or work at a fifth of their speed, the configuration changes, a fifth of the requests are streams and orders of 3 to 6 s, and some bodies come in slow chunks. The grace of all planned stops is 4 s instead of 8, and a process that needs longer fails as before.

Judged: the exit status of every process that was stopped, killed or ended, also in the rounds of faults; an order that runs is answered; a stream that runs is broken off only in the last second of the grace or at its time limit, and only if it is long or an endpoint was held up while it ran; a stopped process leaves no unsent bytes.

--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -38,7 +38,7 @@
     on_run(replica, request id, headers) is called when a request begins to
     run. `answer_with`, when set, answers requests that run instead of this
     class: answer_with(replica, request, request id) returns False to close the
-    connection."""
+    connection. A request whose target ends with work_ms=N takes that long."""
 
     def __init__(self, store, name, service, engine, dc="dc1", slots=6,
                  map_addr=None, on_run=None, software="v1"):
@@ -85,6 +85,8 @@
         self.brittle_max = None  # rejections a second that it survives
         self.room = None  # requests at a time; None: any number
         self.work_s = 0.0  # of a plain request
+        self.silent_until = 0.0  # time.monotonic(); nothing is answered before
+        self.slowness = 1.0  # factor of the time that requests take
         self.active = 0
         self.rejected_at = []  # time.monotonic() of the last rejections
         self.fell_at = []  # time.monotonic() of each fall
@@ -179,8 +181,18 @@
                 self.faults[fault] = left - 1
             return left > 0
 
+    def stay_silent(self):
+        while time.monotonic() < self.silent_until:
+            time.sleep(0.02)
+
+    def duration_s(self, req, usual_s):
+        """What the request takes, unless the replica falls silent."""
+        _, asked, work_ms = req.target.rpartition("work_ms=")
+        return int(work_ms) / 1000 if asked else self.slowness * usual_s
+
     def handle(self, req):
         self.raw.append(req.raw)
+        self.stay_silent()
         if self.leaving:
             req.extra_headers = [("Server-Leaving", "1")]
         if self.brittle_text is not None:
@@ -413,7 +425,8 @@
 
     def answer_plain(self, req, rid):
         body = f"done by {self.name} for {rid}".encode()
-        time.sleep(self.work_s)
+        time.sleep(self.duration_s(req, self.work_s))
+        self.stay_silent()
         if self.consume_fault("error"):
             req.answer(500, b"no", [("Request-Id", rid),
                                     ("Response-Stamp", self.name)])
@@ -456,7 +469,10 @@
                                        "Transfer-Encoding: chunked\r\n\r\n")
         req.sock.sendall(head.encode())
         cut = self.consume_fault("cut")
+        interval_s = self.duration_s(
+            req, self.event_interval_s * EVENTS) / EVENTS
         for i in range(first, EVENTS + 1):
+            self.stay_silent()
             event = (f"id: {i}\ndata: piece {i} {rid} {adapter} "
                      f"{self.software}\n\n").encode()
             if cut and i == first + 2:
@@ -467,7 +483,7 @@
                 return False
             self.sent_at[(rid, i)] = time.monotonic()
             req.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-            req.sock.settimeout(self.event_interval_s)
+            req.sock.settimeout(interval_s)
             try:
                 if req.sock.recv(1) == b"":
                     self.disconnects.append((rid, i))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,11 +5,13 @@
 Usage: tests/soak.py [--seed N] [--rounds N] [--gateways N] [--clients N]
        tests/soak.py --regressions     the seeds of soak_seeds.txt
 Prints "ok soak-SEED" or "not ok soak-SEED" with the violations, and keeps the
-logs of a failed run. Each round has three parts:
+logs of a failed run. Each round has four parts:
   faults    signals to instances, broken connections, failures of the store and
             of replicas, and changes overlap
   recovery  all instances must serve again within RECOVER_MAX_S
-  planned   planned stops, changes and leaving replicas, without faults
+  planned   a planned stop, a change and a leaving replica, without faults
+  stops     (last round) planned stops of several kinds while endpoints are
+            silent or slow, with requests that outlast the grace
 """
 
 import argparse
@@ -33,16 +35,35 @@
 RECOVER_MAX_S = 12
 CONFIG_MAX_S = 2.5
 DRAIN_MAX_S = 2.5
-STOP_MAX_S = 8
+STOP_MAX_S = 4  # the grace; then the process would be killed
 ADAPTERS = 24
 DISTURB_S = 5.0
-SOCKET_TIMEOUT_S = 6.0
+SOCKET_TIMEOUT_S = 10.0
+LONG_S = 6.0  # time limit and work of requests that outlast the grace
 KINDS = {  # kind: (weight, method, time limit s, replicas at most)
     "draft": (5, "POST", 4.0, 2),
     "brief": (2, "POST", 4.0, 1),
     "order": (3, "POST", 1.5, 1),
     "lookup": (2, "GET", 1.5, 2),
 }
+LONG_KINDS = {  # kind: (method, replicas at most, kind of route, service)
+    "long-brief": ("POST", 1, "streaming", "models"),
+    "long-order": ("POST", 1, "unsafe", "orders"),
+}
+
+
+class SoakGateway(Gateway):
+    stop_grace_s = STOP_MAX_S
+
+
+def make_soak_config(version, routes=()):
+    names = [(k, f"/{k}/", *LONG_KINDS[k][2:], 1) for k in LONG_KINDS]
+    names += [(n, f"/{n}/", "safe", "orders", 2) for n, _ in routes]
+    return make_config(version, extra_routes=[
+        {"name": name, "host": HOST, "prefix": prefix, "kind": kind,
+         "timeoutMs": int(LONG_S * 1000) if name in LONG_KINDS else 1500,
+         "service": service, "maxAttempts": attempts}
+        for name, prefix, kind, service, attempts in names])
 
 
 class Soak:
@@ -58,6 +79,7 @@
         self.config_version = 1
         self.routes = []  # (name, configuration version)
         self.running = True
+        self.long_share = 0.0  # of requests that outlast the grace
         self.last_id = 0
         self.lock = threading.Lock()
         self._start(gateways)
@@ -68,7 +90,7 @@
 
     def _start(self, gateways):
         self.store = Store()
-        self.store.put("op", "config", make_config(1))
+        self.store.put("op", "config", make_soak_config(1))
         self.replicas = []
         for i in range(4):
             self._add_replica(f"e{i}", "models", True)
@@ -77,8 +99,8 @@
         self.folder = os.path.join("/tmp", f"soak-{os.getpid()}-{self.seed}")
         os.makedirs(self.folder, exist_ok=True)
         self.store_proxies = [Proxy(self.store.addr) for _ in range(gateways)]
-        self.gateways = [Gateway(p.addr, f"g{i}", self.folder,
-                                 fences_checked=not self.restores)
+        self.gateways = [SoakGateway(p.addr, f"g{i}", self.folder,
+                                     fences_checked=not self.restores)
                          for i, p in enumerate(self.store_proxies)]
         self.incarnations = {g.name: 0 for g in self.gateways}
 
@@ -115,8 +137,7 @@
         for g in self.gateways:
             code = g.popen.poll()
             if code is not None and not getattr(g, "end_expected", False):
-                self.checker.add_violation("CRASH",
-                                           f"{g.name} ended with {code}")
+                self.checker.on_exit(g.name, code, ())
                 g.end_expected = True
 
     # Changes of operators and signals.
@@ -128,11 +149,8 @@
         self.write_config()
 
     def write_config(self):
-        extra = [{"name": n, "host": HOST, "prefix": f"/{n}/", "kind": "safe",
-                  "timeoutMs": 1500, "service": "orders", "maxAttempts": 2}
-                 for n, _ in self.routes]
-        self.store.put("op", "config", make_config(self.config_version,
-                                                   extra_routes=extra))
+        self.store.put("op", "config", make_soak_config(self.config_version,
+                                                        self.routes))
 
     def announce_version(self):
         adapter = f"a{self.rand.randrange(4)}"
@@ -171,24 +189,52 @@
         g.end_expected = False
         g.start()
 
+    def stop(self, g, how="once"):
+        """Ends the instance with a planned stop. how: "once"; "twice", another
+        SIGTERM follows; "frozen", the signal comes while it is paused."""
+        began = time.monotonic()
+        self.checker.stops[g.name, self.incarnations[g.name]] = (
+            began, STOP_MAX_S)
+        if how == "frozen":
+            self.checker.begin_fault(f"{g.name} frozen")
+            g.popen.send_signal(signal.SIGSTOP)
+            time.sleep(0.3)
+        g.end_expected = True
+        started = g.has_started()
+        g.popen.send_signal(signal.SIGTERM)
+        if how != "once":
+            time.sleep(1.0)
+            g.popen.send_signal(
+                signal.SIGTERM if how == "twice" else signal.SIGCONT)
+        try:
+            code = g.popen.wait(STOP_MAX_S)
+            # The signal may come before the process handles it.
+            self.checker.on_exit(g.name, code,
+                                 (0,) if started else (0, -signal.SIGTERM))
+        except subprocess.TimeoutExpired:
+            self.checker.add_violation("STOP", f"{g.name} still runs "
+                                       f"after {STOP_MAX_S} s")
+            g.popen.kill()
+            g.popen.wait()
+        self.checker.end_fault(f"{g.name} frozen")
+
+    def check_sent(self, g):
+        """The last start of the instance sent all that it had for callers."""
+        with open(g.log_path, encoding="utf-8") as f:
+            f.seek(g.log_offset)
+            for line in f:
+                if "event=unfinished" in line and " unsent_bytes=0 " not in line:
+                    self.checker.add_violation("UNSENT", f"{g.name}: {line}")
+
     def restart(self, g, how):
         """Ends the instance with the signal `how` and starts it again."""
-        g.end_expected = True
         if how == signal.SIGTERM:
-            self.checker.planned_stops.add((g.name, self.incarnations[g.name]))
-            g.popen.send_signal(how)
-            try:
-                code = g.popen.wait(STOP_MAX_S)
-                if code != 0 and g.has_started():
-                    self.checker.add_violation("STOP",
-                                               f"{g.name}: exit {code}")
-            except subprocess.TimeoutExpired:
-                self.checker.add_violation("STOP", f"{g.name} still runs "
-                                           f"after {STOP_MAX_S} s")
-                g.popen.kill()
+            self.stop(g)
         else:
+            self.check_exits()
+            g.end_expected = True
             g.popen.send_signal(how)
-        g.popen.wait()
+            self.checker.on_exit(g.name, g.popen.wait(), (-how,))
         time.sleep(0.3)
         self.start_gateway(g)
 
@@ -276,18 +322,23 @@
     def choose_request(self):
         """Returns (kind, Call)."""
         soak = self.soak
+        long = self.rand.random() < soak.long_share
         gateway = next(g for g in soak.gateways if g.front == self.front)
         version = 0
-        if soak.routes and self.rand.random() < 0.15:
+        if long:
+            kind = self.rand.choice(list(LONG_KINDS))
+            limit_s, runs = LONG_S, LONG_KINDS[kind][1]
+        elif soak.routes and self.rand.random() < 0.15:
             kind, version = self.rand.choice(soak.routes)
             limit_s, runs = 1.5, 2
         else:
             kind = self.rand.choices(list(KINDS),
                                      [k[0] for k in KINDS.values()])[0]
             _, _, limit_s, runs = KINDS[kind]
-        return kind, Call(soak.next_id(), kind, gateway.name,
-                          soak.incarnations[gateway.name], limit_s, runs,
-                          version)
+        call = Call(soak.next_id(), kind, gateway.name,
+                    soak.incarnations[gateway.name], limit_s, runs, version)
+        call.outlasts_grace = long
+        return kind, call
 
     def send_one(self):
         """Sends one request. Returns its Call, or None without an address."""
@@ -295,16 +346,20 @@
             return None
         kind, call = self.choose_request()
         method = KINDS.get(kind, (0, "GET"))[1]
+        target = f"/{kind}/{call.rid}"
+        if call.outlasts_grace:
+            method = LONG_KINDS[kind][0]
+            work_s = LONG_S * self.rand.choice((0.5, 0.8, 1.0))
+            target += f"?work_ms={int(work_s * 1000)}"
         adapter = f"{MODEL}/a{min(int(self.rand.expovariate(0.25)), ADAPTERS)}"
         fields = {"Host": HOST, "Request-Id": call.rid,
                   "Deadline-Ms": str(int(call.limit_s * 1000))}
-        if kind in ("draft", "brief"):
+        if is_stream(kind):
             fields.update({"Model": adapter, "Token-Count": "100,20"})
         self.soak.checker.on_sent(call)
         status, body, whole = 0, b"", False
         try:
-            self.conn.request(method, f"/{kind}/{call.rid}",
-                              b"x" if method == "POST" else None, fields)
+            self.conn.request(method, target, self.make_body(method), fields)
             res = self.conn.getresponse()
             status = res.status
             body = res.read()
@@ -319,9 +374,25 @@
         return call
 
 
+    def make_body(self, method):
+        """Some bodies come in chunks that take their time."""
+        if method != "POST" or self.rand.random() >= self.soak.long_share / 2:
+            return b"x" if method == "POST" else None
+
+        def chunks():
+            for _ in range(3):
+                yield b"x"
+                time.sleep(self.rand.choice((0.0, 0.05, 0.2)))
+        return chunks()
+
+
+def is_stream(kind):
+    return kind in ("draft", "brief", "long-brief")
+
+
 def is_expected_body(kind, rid, adapter, body):
     text = body.decode("latin-1")
-    if kind in ("draft", "brief"):
+    if is_stream(kind):
         got = [x.rsplit(" ", 1) for x in text.split("\n")
                if x.startswith("data:")]
         want = [f"data: piece {i} {rid} {adapter}"
@@ -551,6 +622,68 @@
     wait_for("all instances are ready", soak.all_ready, RECOVER_MAX_S)
 
 
+# ---- Planned stops while endpoints are silent or slow ----
+
+
+def hold_up_endpoints(soak, rand, done):
+    """Again and again, all or some endpoints of a service, or of both, fall
+    silent or work at a fifth of their speed."""
+    while not done.wait(rand.uniform(0.2, 1.0)):
+        service = rand.choice(("models", "orders", ""))
+        some = [r for r in soak.replicas if service in ("", r.service)]
+        if rand.random() < 0.5:
+            some = rand.sample(some, max(1, len(some) // 2))
+        length_s = rand.uniform(0.3, 3.0)
+        begin = time.monotonic()
+        soak.checker.pauses.append((begin, begin + length_s))
+        slow = rand.random() < 0.4
+        for replica in some:
+            if slow:
+                replica.slowness = 5.0
+            else:
+                replica.silent_until = begin + length_s
+        done.wait(length_s)
+        for replica in some:
+            replica.slowness = 1.0
+            replica.silent_until = 0.0
+        soak.checker.pauses.append((begin, time.monotonic()))
+
+
+def stop_and_start(soak, g, how, soon_s):
+    soak.stop(g, how)
+    soak.check_sent(g)
+    time.sleep(0.3)
+    soak.start_gateway(g)
+    if soon_s is not None:
+        time.sleep(soon_s)
+        soak.stop(g)
+        soak.start_gateway(g)
+
+
+def run_stops_part(soak, rand):
+    done = threading.Event()
+    holder = threading.Thread(target=hold_up_endpoints, args=(
+        soak, random.Random(rand.random()), done))
+    soak.long_share = 0.2
+    time.sleep(1.0)  # such requests are in progress
+    holder.start()
+    stops = [threading.Thread(target=stop_and_start, args=(
+        soak, g, rand.choice(("once", "once", "twice", "frozen")),
+        rand.choice((None, None, 0.0, 0.02, 0.3))))
+             for g in rand.sample(soak.gateways, 2)]
+    between_s = rand.choice((0.0, 2.0, STOP_MAX_S + 0.5))
+    for thread in stops:
+        thread.start()
+        soak.change_config()
+        time.sleep(between_s)
+    for thread in stops:
+        thread.join()
+    soak.long_share = 0.0
+    done.set()
+    holder.join()
+    wait_for("all instances are ready", soak.all_ready, RECOVER_MAX_S)
+
+
 def is_route_served(soak, gateway, name):
     call = Call(soak.next_id(), name, gateway.name,
                 soak.incarnations[gateway.name], 1.5, 2, soak.config_version)
@@ -589,12 +722,15 @@
             thread.start()
         if restores:
             threading.Thread(target=soak.keep_copies, daemon=True).start()
-        for _ in range(rounds):
+        for i in range(rounds):
             applied += disturb(soak)
             soak.check_exits()
             recover(soak)
             run_planned_part(soak)
             soak.check_exits()
+            if i == rounds - 1:
+                run_stops_part(soak, random.Random(seed))
+                soak.check_exits()
     except AssertionError as why:
         soak.checker.add_violation("RECOVER", str(why))
     finally:
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -30,6 +30,7 @@
         self.sent_at = time.monotonic()
         self.runs = []  # (replica, time)
         self.status = None
+        self.outlasts_grace = False  # by the work that it asks for
 
 
 class Checker:
@@ -40,7 +41,8 @@
         self.leaving = {}  # replica -> (time, drain limit in s)
         # (gateway, incarnation) -> newest configuration version seen in force
         self.newest_version = {}
-        self.planned_stops = set()  # (gateway, incarnation) told to stop
+        self.stops = {}  # (gateway, incarnation) -> (time, grace in s)
+        self.pauses = []  # (from, to) of endpoints that are silent or slow
         self.last_fault = {}  # replica -> end of its last own fault
         self.violations = []
         self.counts = {}
@@ -124,7 +126,7 @@
                 self.newest_version[key] = max(
                     call.version, self.newest_version.get(key, 0))
             if took_s > call.limit_s + LIMIT_SLACK_S and self.is_undisturbed(
-                    [call.gateway], call.sent_at):
+                    [call.gateway, f"{call.gateway} frozen"], call.sent_at):
                 self.add_violation("LATE", f"{where}: {took_s:.2f} s")
             if not whole or status == 0:
                 self._check_lost(call, where)
@@ -140,9 +142,10 @@
             self.add_violation("DENIED", f"{where}: 404")
 
     def _check_lost(self, call, where):
-        """A planned stop must not cut off a request that runs at a replica."""
-        if not call.runs or (call.gateway,
-                             call.incarnation) not in self.planned_stops:
+        """A planned stop must not cut off a request that runs at a replica. Only
+        a stream may be broken off, if it outlasts the grace."""
+        stop = self.stops.get((call.gateway, call.incarnation))
+        if not call.runs or stop is None:
             return
         if not self.is_undisturbed([call.gateway], call.sent_at):
             return
@@ -150,5 +153,20 @@
                for n, t in self.last_fault.items()
                if n in {name for name, _ in call.runs}):
             return
+        if call.status == 200 and self._may_outlast(call, *stop):
+            return
         self.add_violation("LOST", f"{where}: cut off by a planned stop, "
-                           f"ran {call.runs}")
+                           f"status {call.status}, ran {call.runs}")
+
+    def _may_outlast(self, call, began, grace_s):
+        """The work lasts, or an endpoint was held up, until the last second of
+        the grace or the time limit."""
+        end = min(began + grace_s - 1, call.sent_at + call.limit_s - 0.1)
+        return time.monotonic() >= end and (
+            call.outlasts_grace or any(
+                to > call.sent_at for _, to in self.pauses))
+
+    def on_exit(self, name, code, allowed):
+        """A process ended; a negative code is that of a signal."""
+        if code not in allowed:
+            self.add_violation("EXIT", f"{name}: exit {code}, not {allowed}")
