--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -78,13 +78,24 @@
 		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
 }
 
+static void set_linger(const struct fg_link *l, bool on)
+{
+	struct linger linger = { .l_onoff = on };
+	uv_os_fd_t fd;
+
+	/* On failure, the end is an orderly one, as without the option. */
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0)
+		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+				 sizeof(linger));
+}
+
 static void reset_handles(struct fg_link *l)
 {
 	if (!begin_closing(l))
 		return;
 	/* libuv refuses to reset after a shutdown. */
 	if (l->flushing) {
-		fg_link_set_reset_on_exit(l, true);
+		set_linger(l, true);
 		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
 	} else if (!l->connected ||
 		   uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0) {
@@ -236,15 +247,9 @@
 		(void)uv_ip4_name(&remote, out, size);
 }
 
-void fg_link_set_reset_on_exit(const struct fg_link *l, bool on)
+void fg_link_reset_on_exit(const struct fg_link *l)
 {
-	struct linger linger = { .l_onoff = on };
-	uv_os_fd_t fd;
-
-	/* On failure, the end is an orderly one, as without the option. */
-	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0)
-		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
-				 sizeof(linger));
+	set_linger(l, true);
 }
 
 void fg_link_set_ctx(struct fg_link *l, void *ctx)
@@ -316,8 +321,11 @@
 
 static void on_shutdown(uv_shutdown_t *req, int status)
 {
-	(void)status;
-	close_handles(req->data);
+	struct fg_link *l = req->data;
+
+	if (status == 0)
+		set_linger(l, false);
+	close_handles(l);
 }
 
 /* The peer must not take a part for the whole. */
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -18,6 +18,7 @@
 import time
 import traceback
 
+from gateway_cut_heads import SCENARIOS as CUT_HEAD_SCENARIOS
 from gateway_cuts import SCENARIOS as CUT_SCENARIOS
 from gateway_broken_streams import SCENARIOS as BROKEN_STREAM_SCENARIOS
 from gateway_numbers import SCENARIOS as NUMBER_SCENARIOS
@@ -25,6 +26,7 @@
 from gateway_odd_rows import SCENARIOS as ODD_ROW_SCENARIOS
 from gateway_tunnels import SCENARIOS as TUNNEL_SCENARIOS
 from gateway_refusals import SCENARIOS as REFUSAL_SCENARIOS
+from gateway_old_callers import SCENARIOS as OLD_CALLER_SCENARIOS
 from gateway_order import SCENARIOS as ORDER_SCENARIOS
 from gateway_regions import SCENARIOS as REGION_SCENARIOS
 from gateway_silence import SCENARIOS as SILENCE_SCENARIOS
@@ -1489,7 +1491,8 @@
     *BROKEN_STREAM_SCENARIOS, *NUMBER_SCENARIOS, *DEPARTED_SCENARIOS,
     *REGION_SCENARIOS, *ORDER_SCENARIOS, *STOP_SCENARIOS, *STOP_BODY_SCENARIOS,
     *STOP_SIGNAL_SCENARIOS, *SILENCE_SCENARIOS, *KEY_SCENARIOS,
-    *REVOKE_SCENARIOS, *LIMIT_SCENARIOS,
+    *REVOKE_SCENARIOS, *LIMIT_SCENARIOS, *CUT_HEAD_SCENARIOS,
+    *OLD_CALLER_SCENARIOS,
 ]
 
 
