A request stays at a silent engine while the other one loads

Streams at a sound engine that was silent for 3 s ended 502 load_too_slow, with 12 s of time: withdrawn after 2 s of silence, they waited for a load at the other engine, which took longer than such waits may.

Cause: an engine that lacks the adapter counted as one that can take the request now, contrary to what fg_silence_view says.

Now its load is requested, and the request is withdrawn when the adapter is resident there; it is looked for every 250 ms. If the silent engine answers first, nothing is run again.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -313,8 +313,8 @@
 bool fg_gwreq_has_retry_budget(const struct fg_gwreq *r, fg_ms now);
 
 /* Returns whether an endpoint that the request has not been sent to can take it
- * now. */
-bool fg_gwreq_has_other_endpoint(struct fg_gwreq *r, fg_ms now);
+ * now. Where the best one lacks the adapter, requests its load there. */
+bool fg_gwreq_prepare_other_endpoint(struct fg_gwreq *r, fg_ms now);
 
 /* Time until the deadline; 0 after it. */
 uint32_t fg_gwreq_time_left_ms(const struct fg_gwreq *r, fg_ms now);
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -71,14 +71,15 @@
 	return r->call.adapter == NULL ? "" : r->call.adapter;
 }
 
-/* Requests the load of the adapter at r->ep; returns its state there. */
-static enum fg_slot_state request_load(struct fg_gwreq *r, fg_ms now)
+/* Requests the load of the adapter at `ep`; returns its state there. */
+static enum fg_slot_state request_load(struct fg_gwreq *r,
+				       struct fg_fleet_ep *ep, fg_ms now)
 {
 	fg_ms age_ms;
 	uint64_t version =
 		fg_gw_announced_version(r->gw, r->adapter, now, &age_ms);
 
-	return fg_orders_request_load(r->gw, r->ep, r->call.model,
+	return fg_orders_request_load(r->gw, ep, r->call.model,
 				      fg_gwreq_adapter_name(r), version);
 }
 
@@ -120,7 +121,7 @@
 			       &r->gw->rand);
 }
 
-bool fg_gwreq_has_other_endpoint(struct fg_gwreq *r, fg_ms now)
+bool fg_gwreq_prepare_other_endpoint(struct fg_gwreq *r, fg_ms now)
 {
 	struct fg_balance_query query = build_query(r, now);
 	struct fg_balance_pick pick;
@@ -130,9 +131,12 @@
 	query.begins_stream = false;
 	pick = fg_balance_pick(&r->gw->balance, r->gw->fleet, now, &query,
 			       &r->gw->rand);
-	return pick.ep != NULL && pick.ep != r->ep &&
-	       pick.wait_ms < fg_gwreq_time_left_ms(r, now) &&
-	       fg_gw_stop_has_time(r, now);
+	if (pick.ep == NULL || pick.ep == r->ep ||
+	    pick.wait_ms >= fg_gwreq_time_left_ms(r, now) ||
+	    !fg_gw_stop_has_time(r, now))
+		return false;
+	return pick.resident ||
+	       request_load(r, pick.ep, now) == FG_SLOT_RESIDENT;
 }
 
 /* Returns whether an endpoint of the version that began the stream is usable.
@@ -224,7 +228,7 @@
 			send_to_endpoint(r);
 			return;
 		}
-		switch (request_load(r, now)) {
+		switch (request_load(r, r->ep, now)) {
 		case FG_SLOT_RESIDENT:
 			send_to_endpoint(r);
 			return;
@@ -327,7 +331,7 @@
 				     now + LOAD_REQUEST_REPEAT_MS);
 		return;
 	}
-	switch (request_load(r, now)) {
+	switch (request_load(r, r->ep, now)) {
 	case FG_SLOT_RESIDENT:
 		send_to_endpoint(r);
 		break;
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -22,6 +22,8 @@
  * one of many instances rarely receives anything. */
 #define SILENCE_ENGINE_MS 2000
 #define SILENCE_PLAIN_MS 500
+/* Interval at which another endpoint is looked for after that. */
+#define OTHER_CHECK_MS 250
 
 fg_ms fg_ep_connect_timeout_ms(const struct fg_gateway *gw)
 {
@@ -627,11 +629,13 @@
 		.silent_ms = now - MAX(local->last_byte_at, r->sent_at),
 		.may_run_again = fg_gwreq_may_run_again(r),
 		.has_budget = fg_gwreq_has_retry_budget(r, now),
-		.other_endpoint = fg_gwreq_has_other_endpoint(r, now),
+		.other_endpoint = true,
 	};
 
 	if (r->possible_runs + 1 < r->route->attempts_max)
 		view.runs_left = r->route->attempts_max - r->possible_runs - 1;
+	if (fg_silence_judge(&view) == FG_SILENCE_WITHDRAW)
+		view.other_endpoint = fg_gwreq_prepare_other_endpoint(r, now);
 	return fg_silence_judge(&view);
 }
 
@@ -665,6 +669,10 @@
 		suspect_endpoint(r, now);
 	if (verdict != FG_SILENCE_WITHDRAW) {
 		arm_silence_timeout(r, now);
+		if (verdict == FG_SILENCE_SUSPECT) {
+			r->due_at = MIN(r->due_at, now + OTHER_CHECK_MS);
+			fg_gwreq_arm_timer(r);
+		}
 		return;
 	}
 	fg_send_cancel(r);
--- a/tests/gateway_silence.py
+++ b/tests/gateway_silence.py
@@ -102,6 +102,44 @@
     check(not [t for t in took if t[0] != 200], f"{took}")
 
 
+def silent_engine_beside_slow_loads(s):
+    """Streams stay at a silent engine that has their adapter, while the other one
+    would have to load it, slowly."""
+    add_long_routes(s)
+    check(has_all_events(send_draft(s.gw)), "the adapter is not loaded")
+    has = [e for e in s.engines if e.run_ids]
+    others = [e for e in s.engines if not e.run_ids]
+    check(len(has) == 1 and others, "one engine has the adapter")
+    for other in others:
+        other.load_s = 8
+    add_pauses(has)
+    pausing = threading.Thread(target=pause, args=(has, 3))
+    pausing.start()
+    callers = [KeptCaller(s.gw.front) for _ in range(4)]
+    threads = [threading.Thread(target=c.send, args=("draft",))
+               for c in callers]
+    for thread in threads:
+        thread.start()
+    for thread in [pausing, *threads]:
+        thread.join()
+    for c in callers:
+        c.at_s = 0.0
+    show(callers, s)
+    check(not [c for c in callers if not has_all_events(c)], "not served")
+
+
+def hung_engine_alone_with_adapter(s):
+    """A stream at a hung engine goes on at another one, which first loads the
+    adapter."""
+    add_long_routes(s)
+    check(has_all_events(send_draft(s.gw)), "the adapter is not loaded")
+    next(e for e in s.engines if e.run_ids).faults["silent"] = 1000
+    began = time.monotonic()
+    c = KeptCaller(s.gw.front).send("draft")
+    took_s = time.monotonic() - began
+    check(has_all_events(c) and took_s < 4, f"{c.status} {took_s:.2f} s")
+
+
 def silence_is_not_out_of_reach(s):
     """Requests to endpoints that are silent and accept connections do not go
     through another instance."""
@@ -132,4 +170,5 @@
 silence_is_not_out_of_reach.system_options = {"gateways": 2}
 
 SCENARIOS = [silent_sound_endpoints, hung_endpoints, hung_after_slow_answer,
+             silent_engine_beside_slow_loads, hung_engine_alone_with_adapter,
              silence_is_not_out_of_reach]
