A stop that is signalled during a pause ends within its grace

An instance that was frozen when SIGTERM came counted the whole grace from its wakening, so that it would have been killed with requests unanswered.

Cause: the event loop runs the first tick after a pause before it reads the signal, so that the last tick was always recent. Pauses under a second were not considered at all.

The beginning of the pause follows from the tick before the last one, too, and ticks 250 ms apart tell of a pause.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -249,6 +249,7 @@
 
 	check_pause(gw, now);
 	fg_orders_count_waits(gw, now, now - gw->last_tick_at);
+	gw->tick_before_at = gw->last_tick_at;
 	gw->last_tick_at = now;
 	fg_fleet_tick(gw->fleet, now);
 	fg_gw_update_shares(gw, now);
@@ -406,6 +407,7 @@
 	gw->wire = wire;
 	gw->started_at = fg_clock_now();
 	gw->last_tick_at = gw->started_at;
+	gw->tick_before_at = gw->started_at;
 	if (uv_random(NULL, NULL, &seed, sizeof(seed), 0, NULL) != 0)
 		seed = (uint64_t)fg_clock_wall() ^ fg_hash_str(conf->name);
 	fg_rand_seed(&gw->rand, seed);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1101,6 +1101,7 @@
 	uv_timer_t tick;
 	uv_signal_t signals[3];
 	fg_ms last_tick_at;
+	fg_ms tick_before_at; /* the one before the last */
 	struct fg_stop stop;
 	bool ending;	  /* the event loop has ended; connections are closed */
 	GHashTable *took; /* name of a route -> struct fg_took * */
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -2,8 +2,10 @@
 #include "gateway/fg_gateway_internal.h"
 
 /* A stop that is noticed after a pause of the process began at an unknown time
- * of it. */
-#define PAUSE_MIN_MS 1000
+ * of it. Ticks this far apart tell of one. */
+#define PAUSE_MIN_MS 250
+/* After a pause, a tick can come this long before the signal is noticed. */
+#define SIGNAL_LATE_MS 100
 /* Assumed duration of requests of a route of which none was answered lately,
  * unless the route's time limit is shorter. */
 #define UNKNOWN_MS 3000
@@ -141,14 +143,24 @@
 
 /* ---- Phases ---- */
 
+/* Returns the earliest time at which a signal that is noticed now can have
+ * come. */
+static fg_ms signalled_since(const struct fg_gateway *gw, fg_ms now)
+{
+	fg_ms since = now - gw->last_tick_at < SIGNAL_LATE_MS
+			      ? gw->tick_before_at
+			      : gw->last_tick_at;
+
+	return now - since >= PAUSE_MIN_MS ? since : now;
+}
+
 void fg_gw_stop_begin(struct fg_gateway *gw)
 {
 	fg_ms now = fg_clock_now();
-	bool paused = now - gw->last_tick_at >= PAUSE_MIN_MS;
 
 	if (fg_gw_is_stopping(gw))
 		return;
-	fg_stop_begin(&gw->stop, paused ? gw->last_tick_at : now, now,
+	fg_stop_begin(&gw->stop, signalled_since(gw, now), now,
 		      gw->conf->stop_grace_ms);
 	fg_quota_leave(gw->quota);
 	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
--- a/tests/gateway_stops.py
+++ b/tests/gateway_stops.py
@@ -240,6 +240,44 @@
 short_grace.system_class = ShortGraceSystem
 
 
+class MediumGraceGateway(Gateway):
+    stop_grace_s = 3
+
+
+class MediumGraceSystem(System):
+    gateway_class = MediumGraceGateway
+
+
+def stop_of_frozen(s):
+    """A signal that comes while the process is frozen begins the grace: an order
+    in progress is answered and the process ends before it would be killed."""
+    add_long_routes(s)
+    for plain in s.plains:
+        plain.work_s = 6
+    problems = []
+    for frozen_s in (1.5, 1.5, 0.8, 0.8):
+        caller = KeptCaller(s.gw.front)
+        thread = threading.Thread(target=caller.send, args=("unsafe",))
+        thread.start()
+        wait_for("it runs", lambda c=caller: s.run_count(c.rid) == 1)
+        s.gw.popen.send_signal(signal.SIGSTOP)
+        began = stop(s.gw)
+        time.sleep(frozen_s)
+        s.gw.popen.send_signal(signal.SIGCONT)
+        code = s.gw.popen.wait(5)
+        ended_s = time.monotonic() - began
+        thread.join()
+        print(f"exit {code} after {ended_s:.2f} s, order {caller.status}")
+        if code != 0 or caller.status != 504 or ended_s >= 3:
+            problems.append((code, caller.status, ended_s))
+        s.gw.start()
+        wait_for("ready", s.gw.is_ready)
+    check(not problems, f"{len(problems)} of 4: {problems}")
+
+
+stop_of_frozen.system_class = MediumGraceSystem
+
+
 def raw_request(rid, method="POST", version="1.1", kind="unsafe", fields=""):
     return (f"{method} /long-{kind}/{rid} HTTP/{version}\r\nHost: {HOST}\r\n"
             f"Request-Id: {rid}\r\nDeadline-Ms: {LONG_MS}\r\n{fields}\r\n")
@@ -313,6 +351,6 @@
 answers_at_end_of_stop.system_class = ShortGraceSystem
 
 SCENARIOS = [
-    short_grace, answers_at_end_of_stop, stop_with_streams, late_orders_of_stop, late_quick_orders_of_stop,
+    short_grace, stop_of_frozen, answers_at_end_of_stop, stop_with_streams, late_orders_of_stop, late_quick_orders_of_stop,
     late_lookups_of_stop, late_briefs_of_stop, late_drafts_of_stop,
 ]
