--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -313,8 +313,8 @@
 bool fg_gwreq_has_retry_budget(const struct fg_gwreq *r, fg_ms now);
 
 /* Returns whether an endpoint that the request has not been sent to can take it
- * now. */
-bool fg_gwreq_has_other_endpoint(struct fg_gwreq *r, fg_ms now);
+ * now. Where the best one lacks the adapter, requests its load there. */
+bool fg_gwreq_prepare_other_endpoint(struct fg_gwreq *r, fg_ms now);
 
 /* Time until the deadline; 0 after it. */
 uint32_t fg_gwreq_time_left_ms(const struct fg_gwreq *r, fg_ms now);
@@ -1081,8 +1081,7 @@
 	bool cut;	     /* reaches endpoints only through others */
 	struct fg_origins *origins;
 	bool origins_started; /* the registry's first full read was noted */
-	fg_ms pause_began_at; /* last pause of this process */
-	fg_ms woke_at;	      /* end of that pause; 0: none */
+	fg_ms woke_at; /* end of the last pause of this process; 0: none */
 	GHashTable *retry_budgets;    /* service name -> struct fg_retry * */
 	struct fg_overload *overload; /* NULL without the setting */
 	struct fg_quota *quota;
@@ -1102,6 +1101,7 @@
 	uv_timer_t tick;
 	uv_signal_t signals[3];
 	fg_ms last_tick_at;
+	fg_ms tick_before_at; /* the one before the last */
 	struct fg_stop stop;
 	bool ending;	  /* the event loop has ended; connections are closed */
 	GHashTable *took; /* name of a route -> struct fg_took * */
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -1,9 +1,11 @@
 /* Planned stop: which requests are still taken, and what ends what is left. */
 #include "gateway/fg_gateway_internal.h"
 
-#define PAUSE_MIN_MS 1000
-/* A signal that came during a pause is seen this soon after it. */
-#define SIGNAL_LAG_MS 200
+/* A stop that is noticed after a pause of the process began at an unknown time
+ * of it. Ticks this far apart tell of one. */
+#define PAUSE_MIN_MS 250
+/* After a pause, a tick can come this long before the signal is noticed. */
+#define SIGNAL_LATE_MS 100
 /* Assumed duration of requests of a route of which none was answered lately,
  * unless the route's time limit is shorter. */
 #define UNKNOWN_MS 3000
@@ -141,15 +143,15 @@
 
 /* ---- Phases ---- */
 
-/* A stop that is noticed after a pause of the process began at an unknown time
- * of it. The tick may have noticed the pause before the signal is read. */
-static fg_ms find_signal_time(const struct fg_gateway *gw, fg_ms now)
+/* Returns the earliest time at which a signal that is noticed now can have
+ * come. */
+static fg_ms signalled_since(const struct fg_gateway *gw, fg_ms now)
 {
-	if (now - gw->last_tick_at >= PAUSE_MIN_MS)
-		return gw->last_tick_at;
-	if (gw->woke_at != 0 && now - gw->woke_at < SIGNAL_LAG_MS)
-		return gw->pause_began_at;
-	return now;
+	fg_ms since = now - gw->last_tick_at < SIGNAL_LATE_MS
+			      ? gw->tick_before_at
+			      : gw->last_tick_at;
+
+	return now - since >= PAUSE_MIN_MS ? since : now;
 }
 
 void fg_gw_stop_begin(struct fg_gateway *gw)
@@ -158,7 +160,7 @@
 
 	if (fg_gw_is_stopping(gw))
 		return;
-	fg_stop_begin(&gw->stop, find_signal_time(gw, now), now,
+	fg_stop_begin(&gw->stop, signalled_since(gw, now), now,
 		      gw->conf->stop_grace_ms);
 	fg_quota_leave(gw->quota);
 	fg_log(FG_LOG_INFO, "gateway", "stopping", NULL);
