fg-entry: answers at the time limit of a stop reach their callers

Seen, with a planned stop whose time limit comes while two streams, a draft and a filing are in progress: some callers, or all of them, found their connection closed without an answer, and the process went on until its attempts at engines ended, 7.6 s after SIGTERM with a limit of 1.5 s.

Cause: teardown queues the answer "unknown, stopping" and ends the HTTP threads at once, which closes connections whose answer is not sent yet. Attempts are cancelled for callers that leave only; those that were answered have not left.

Teardown waits, at most 0.7 s, until each answer is sent, and cancels the attempts. A filing that was sent is waited for as before: it is not cancelled by design.

--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -9,6 +9,9 @@
 
 #define CONNECTION_MEMORY_BYTES (32 * 1024) /* mainly for request headers */
 #define HTTP_STACK_BYTES (256 * 1024)
+/* Longest wait for callers that read their last answer. */
+#define FLUSH_MAX_MS 700
+#define FLUSH_POLL_US 5000
 
 static enum MHD_Result send_response(struct MHD_Connection *c, uint32_t status,
 				     char *text)
@@ -225,9 +228,21 @@
 	(void)key;
 	(void)arg;
 	fg_exchange_finish(x, 504, 0, text);
+	x->cancel = 1; /* the process does not wait for its attempt */
 	g_free(text);
 }
 
+/* MHD_stop_daemon() closes connections whose answer is not sent yet. A caller
+ * that does not read is waited for until the limit. */
+static void wait_until_sent(const struct fg_run *run)
+{
+	fg_ms until = fg_clock_now() + FLUSH_MAX_MS;
+
+	while (__atomic_load_n(&run->http_in_flight, __ATOMIC_ACQUIRE) > 0 &&
+	       fg_clock_now() < until)
+		g_usleep(FLUSH_POLL_US);
+}
+
 void fg_web_quiesce(struct fg_run *run)
 {
 	MHD_socket fd = MHD_quiesce_daemon(run->daemon);
@@ -244,6 +259,7 @@
 	pthread_mutex_lock(&run->exchanges_lock);
 	g_hash_table_foreach(run->exchanges, finish_as_unknown, NULL);
 	pthread_mutex_unlock(&run->exchanges_lock);
+	wait_until_sent(run);
 	MHD_stop_daemon(run->daemon);
 	run->daemon = NULL;
 	if (run->control_daemon != NULL)
