fg-entry: no job is queued in a pool that was freed

Teardown freed the pool of attempts first, then waited for the pools of engines and of the platform, and stopped the peers last. Until then an answer of the platform, the end of an order, or a message of a peer could let the node begin an attempt, in memory that was freed. This was found by reading; no run has shown it.

Pools are stopped first and freed when nothing can reach the node any more. A stopped pool refuses jobs, and their memory is freed; jobs that another one queues while a pool stops are still run, so that answers of filings are kept as before.

--- a/lib/run/fg_pool.c
+++ b/lib/run/fg_pool.c
@@ -88,22 +88,28 @@
 	pthread_attr_destroy(&attr);
 }
 
-void fg_pool_submit(struct fg_pool *p, void (*fn)(void *arg), void *arg)
+bool fg_pool_submit(struct fg_pool *p, void (*fn)(void *arg), void *arg)
 {
-	struct job *job = g_new0(struct job, 1);
+	struct job *job;
 
+	pthread_mutex_lock(&p->lock);
+	if (p->stopping && p->threads == 0) {
+		pthread_mutex_unlock(&p->lock);
+		return false;
+	}
+	job = g_new0(struct job, 1);
 	job->fn = fn;
 	job->arg = arg;
-	pthread_mutex_lock(&p->lock);
 	g_queue_push_tail(&p->jobs, job);
 	if (g_queue_get_length(&p->jobs) > p->idle &&
 	    p->threads < p->threads_max)
 		start_thread(p);
 	pthread_cond_signal(&p->job_ready);
 	pthread_mutex_unlock(&p->lock);
+	return true;
 }
 
-void fg_pool_free(struct fg_pool *p)
+void fg_pool_stop(struct fg_pool *p)
 {
 	if (p == NULL)
 		return;
@@ -113,6 +119,13 @@
 	while (p->threads > 0)
 		pthread_cond_wait(&p->thread_ended, &p->lock);
 	pthread_mutex_unlock(&p->lock);
+}
+
+void fg_pool_free(struct fg_pool *p)
+{
+	if (p == NULL)
+		return;
+	fg_pool_stop(p);
 	pthread_mutex_destroy(&p->lock);
 	pthread_cond_destroy(&p->job_ready);
 	pthread_cond_destroy(&p->thread_ended);
--- a/lib/run/fg_pool.h
+++ b/lib/run/fg_pool.h
@@ -7,6 +7,7 @@
 #ifndef FG_POOL_H
 #define FG_POOL_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct fg_pool;
@@ -15,11 +16,15 @@
 struct fg_pool *fg_pool_new(uint32_t threads_max, uint32_t stack_bytes);
 
 /* Queues fn(arg) to run on one of the threads. Jobs start in the order in which
- * they were queued. Does not wait for a thread. */
-void fg_pool_submit(struct fg_pool *p, void (*fn)(void *arg), void *arg);
+ * they were queued. Does not wait for a thread. Returns false, and does
+ * nothing, once fg_pool_stop() was called and no job is left. */
+bool fg_pool_submit(struct fg_pool *p, void (*fn)(void *arg), void *arg);
 
-/* Waits for all queued jobs, ends all threads and frees the pool. NULL is
- * allowed. */
+/* Waits for all queued jobs, also those that they queue, and ends all threads.
+ * NULL is allowed. */
+void fg_pool_stop(struct fg_pool *p);
+
+/* Stops the pool and frees it. Nothing may use it any more. NULL is allowed. */
 void fg_pool_free(struct fg_pool *p);
 
 #endif
--- a/lib/run/fg_run.c
+++ b/lib/run/fg_run.c
@@ -262,7 +262,9 @@
 	return is_web_drained(run);
 }
 
-/* The pools end before the node is freed, since their jobs report to it. */
+/* The pools end before the node is freed, since their jobs report to it. They
+ * are freed when no peer can send the node a message any more, which may queue
+ * a job. */
 void fg_run_free(struct fg_run *run)
 {
 	uint32_t in_progress;
@@ -271,11 +273,14 @@
 		return;
 	in_progress = __atomic_load_n(&run->http_in_flight, __ATOMIC_ACQUIRE);
 	fg_web_stop(run);
+	fg_pool_stop(run->run_pool);
+	fg_pool_stop(run->engine_pool);
+	fg_pool_stop(run->platform_pool);
+	if (run->peer != NULL)
+		fg_peer_stop(run->peer);
 	fg_pool_free(run->run_pool);
 	fg_pool_free(run->engine_pool);
 	fg_pool_free(run->platform_pool);
-	if (run->peer != NULL)
-		fg_peer_stop(run->peer);
 	fg_history_add(run->history, "stop_end",
 		       json_pack("{s:i}", "in_progress", (int)in_progress));
 	fg_node_free(run->node);
--- a/lib/run/fg_run_io.c
+++ b/lib/run/fg_run_io.c
@@ -41,6 +41,12 @@
 	return true;
 }
 
+static void free_run_job(struct run_job *job)
+{
+	fg_exchange_unref(job->exchange);
+	g_free(job);
+}
+
 static void execute_run(void *arg)
 {
 	struct run_job *job = arg;
@@ -59,8 +65,7 @@
 			    job->cmd.attempt, &res);
 	fg_run_unlock(run);
 	g_free(res.text);
-	fg_exchange_unref(x);
-	g_free(job);
+	free_run_job(job);
 }
 
 static void io_start_run(void *arg, const struct fg_run_cmd *cmd)
@@ -72,7 +77,8 @@
 	job->cmd = *cmd;
 	job->queued_at = fg_clock_now();
 	job->exchange = fg_run_find_exchange(run, cmd->req);
-	fg_pool_submit(run->run_pool, execute_run, job);
+	if (!fg_pool_submit(run->run_pool, execute_run, job))
+		free_run_job(job);
 }
 
 static void io_reply(void *arg, uint64_t id, const struct fg_reply *reply)
@@ -109,6 +115,13 @@
 	char *version;
 };
 
+static void free_order_job(struct order_job *job)
+{
+	g_free(job->adapter);
+	g_free(job->version);
+	g_free(job);
+}
+
 static void execute_order(void *arg)
 {
 	struct order_job *job = arg;
@@ -124,9 +137,7 @@
 	fg_node_on_order_done(job->run->node, fg_clock_now(), job->ep.id,
 			      job->order.id, status);
 	fg_run_unlock(job->run);
-	g_free(job->adapter);
-	g_free(job->version);
-	g_free(job);
+	free_order_job(job);
 }
 
 static void io_send_order(void *arg, const struct fg_order_cmd *cmd)
@@ -144,7 +155,8 @@
 	job->order.version = job->version;
 	if (run->settings->switches.no_fence)
 		job->order.fence = 0;
-	fg_pool_submit(run->engine_pool, execute_order, job);
+	if (!fg_pool_submit(run->engine_pool, execute_order, job))
+		free_order_job(job);
 }
 
 struct state_job {
@@ -176,7 +188,8 @@
 
 	job->run = run;
 	job->ep = *ep;
-	fg_pool_submit(run->engine_pool, execute_state_read, job);
+	if (!fg_pool_submit(run->engine_pool, execute_state_read, job))
+		g_free(job);
 }
 
 /* ---- Platform ---- */
@@ -186,6 +199,12 @@
 	struct fg_table_op *op;
 };
 
+static void free_table_job(struct table_job *job)
+{
+	fg_table_op_free(job->op);
+	g_free(job);
+}
+
 static void execute_table_op(void *arg)
 {
 	struct table_job *job = arg;
@@ -196,8 +215,7 @@
 	fg_node_on_table_done(job->run->node, fg_clock_now(), res);
 	fg_run_unlock(job->run);
 	fg_table_result_free(res);
-	fg_table_op_free(job->op);
-	g_free(job);
+	free_table_job(job);
 }
 
 static void io_run_table_op(void *arg, struct fg_table_op *op)
@@ -207,7 +225,8 @@
 
 	job->run = run;
 	job->op = op;
-	fg_pool_submit(run->platform_pool, execute_table_op, job);
+	if (!fg_pool_submit(run->platform_pool, execute_table_op, job))
+		free_table_job(job);
 }
 
 static void execute_list_read(void *arg)
@@ -253,7 +272,8 @@
 
 	job->run = run;
 	job->leaving = leaving;
-	fg_pool_submit(run->platform_pool, execute_announce, job);
+	if (!fg_pool_submit(run->platform_pool, execute_announce, job))
+		g_free(job);
 }
 
 /* ---- Messages, answers to operators, events ---- */
