An answer that is still being sent at the end of a stop is no abort

Seen: a caller that does not read its answer, 16 MiB that come 1.5 s before the end of the grace. At the end the process ends by SIGABRT: "uv_close: Assertion `!uv__is_closing(handle)' failed".

Cause: the link is closed with a flush, which belongs to no caller any more. Teardown closes all handles that are left without the knowledge of their owners; libuv then cancels the shutdown of the link, whose callback closes the handle again.

Links that are being flushed are kept in a list. Teardown resets them by the same path as the time limit of a flush, which marks them as closing. The reset tells the caller that the answer is incomplete. Their bytes now count as unsent in "event=unfinished", which was not logged in this case.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -475,8 +475,8 @@
 void fg_gw_log_unfinished(const struct fg_gateway *gw)
 {
 	char text[5][24];
-	uint64_t unsent = 0;
-	guint n_unsent = 0;
+	uint64_t unsent = fg_link_flushing_bytes();
+	guint n_unsent = unsent > 0;
 	guint n_reading = 0;
 	guint n_passed_on = 0;
 
@@ -520,6 +520,7 @@
 		fg_sync_stop(gw);
 	fg_gw_catchup_free(gw);
 	fg_fleet_free(gw->fleet);
+	fg_link_abort_flushing();
 	uv_run(&gw->loop, UV_RUN_NOWAIT); /* frees closed connections */
 	fg_claims_free(gw->claims);
 	fg_peers_free(gw->peers);
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -33,7 +33,7 @@
 	bool closed;	  /* by the user: no further callbacks */
 	bool closing;	  /* the handles are being closed */
 	bool connected;
-	bool flushing; /* closed, queued bytes are being sent */
+	GList *flushing; /* its place in `flushing`, or NULL */
 };
 
 struct write_req {
@@ -45,8 +45,8 @@
 /* Shared by all links, since libuv reads one link at a time. */
 static char read_buffer[READ_BYTES];
 
-/* Number of links that are being flushed. */
-static uint32_t n_flushing;
+/* Links that are being flushed, struct fg_link *. */
+static GQueue flushing = G_QUEUE_INIT;
 
 static void on_handle_closed(uv_handle_t *handle)
 {
@@ -61,8 +61,8 @@
 	if (l->closing)
 		return;
 	l->closing = true;
-	if (l->flushing)
-		n_flushing--;
+	if (l->flushing != NULL)
+		g_queue_delete_link(&flushing, l->flushing);
 	uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
 	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
 }
@@ -313,14 +313,33 @@
 		close_handles(l);
 		return;
 	}
-	l->flushing = true;
-	n_flushing++;
+	g_queue_push_tail(&flushing, l);
+	l->flushing = flushing.tail;
 	uv_timer_start(&l->timer, on_flush_timeout, FLUSH_MAX_MS, 0);
 }
 
 uint32_t fg_link_flushing_count(void)
 {
-	return n_flushing;
+	return flushing.length;
+}
+
+uint64_t fg_link_flushing_bytes(void)
+{
+	uint64_t bytes = 0;
+
+	for (const GList *it = flushing.head; it != NULL; it = it->next)
+		bytes += fg_link_pending_bytes(it->data);
+	return bytes;
+}
+
+void fg_link_abort_flushing(void)
+{
+	while (flushing.head != NULL) {
+		struct fg_link *l = flushing.head->data;
+
+		fg_link_set_reset_on_exit(l, true);
+		close_handles(l);
+	}
 }
 
 void fg_link_abort(struct fg_link *l)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -77,6 +77,13 @@
 /* Returns how many closed links still have queued bytes to send. */
 uint32_t fg_link_flushing_count(void);
 
+/* Bytes that these links have not sent yet. */
+uint64_t fg_link_flushing_bytes(void);
+
+/* Ends these links with a reset. Must be called before the end of the event
+ * loop: nothing else closes them. */
+void fg_link_abort_flushing(void);
+
 /* Closes the link by a reset, so that the peer cannot take the end of the
  * stream for the end of a message. */
 void fg_link_abort(struct fg_link *l);
--- a/tests/gateway_stops.py
+++ b/tests/gateway_stops.py
@@ -14,6 +14,7 @@
     next_id, send, send_draft, wait_for)
 
 GRACE_S = 8  # Gateway.stop_grace_s; then the process would be killed
+UNREAD_BYTES = 16 << 20  # more than the sockets take
 LONG_MS = 12000  # time limit of the routes added here
 
 
@@ -213,7 +214,39 @@
         check(not lines, f"{event}: {lines}")
 
 
+def stop_with_unread_answer(s):
+    """A caller that does not read its answer, which comes just before the end
+    of the grace, finds it broken off. Guards against an abort while an answer is
+    still sent."""
+    add_long_routes(s)
+
+    def answer(replica, req, rid):
+        time.sleep(GRACE_S - 1.5)
+        req.answer(200, bytes(UNREAD_BYTES),
+                   [("Request-Id", rid), ("Response-Stamp", replica.name)])
+        return True
+
+    for plain in s.plains:
+        plain.answer_with = answer
+    host, port = s.gw.front.split(":")
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(f"POST /long-unsafe/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+                       "Request-Id: unread\r\nContent-Length: 0\r\n"
+                       f"Deadline-Ms: {LONG_MS}\r\n\r\n".encode())
+        wait_for("it runs", lambda: s.run_count("unread"))
+        check_exit(s.gw, stop(s.gw))
+        n_bytes = 0
+        try:
+            while data := caller.recv(1 << 20):
+                n_bytes += len(data)
+            check(False, f"{n_bytes} bytes and an orderly end")
+        except ConnectionResetError:
+            check(n_bytes < UNREAD_BYTES, "all was sent")
+    line = find_log_lines(s.gw, "unfinished")[-1]
+    check(int(line["unsent_bytes"]) > 0, f"unfinished: {line}")
+
+
 SCENARIOS = [
-    stop_with_streams, stop_is_no_crash, late_orders_of_stop, late_quick_orders_of_stop,
+    stop_with_streams, stop_is_no_crash, stop_with_unread_answer, late_orders_of_stop, late_quick_orders_of_stop,
     late_lookups_of_stop, late_briefs_of_stop, late_drafts_of_stop,
 ]
