--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -477,8 +477,8 @@
 void fg_gw_log_unfinished(const struct fg_gateway *gw)
 {
 	char text[5][24];
-	uint64_t unsent = 0;
-	guint n_unsent = 0;
+	uint64_t unsent = fg_link_flushing_bytes();
+	guint n_unsent = unsent > 0;
 	guint n_reading = 0;
 	guint n_passed_on = 0;
 
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -368,6 +368,15 @@
 	return flushing.length;
 }
 
+uint64_t fg_link_flushing_bytes(void)
+{
+	uint64_t bytes = 0;
+
+	for (const GList *it = flushing.head; it != NULL; it = it->next)
+		bytes += fg_link_pending_bytes(it->data);
+	return bytes;
+}
+
 void fg_link_abort_flushing(void)
 {
 	while (flushing.head != NULL) {
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -79,6 +79,9 @@
 /* Returns how many closed links still have queued bytes to send. */
 uint32_t fg_link_flushing_count(void);
 
+/* Bytes that these links have not sent yet. */
+uint64_t fg_link_flushing_bytes(void);
+
 /* Resets these links, except those of which all was sent. To be called before
  * their event loop is torn down. */
 void fg_link_abort_flushing(void);
