A tunnel that opens is not a sign of the endpoint behind it

What callers saw: at an instance that reaches the endpoints through another one, lookups that were sent to a hung endpoint got 504 at their time limit, while another endpoint was sound and two sends were allowed.

Cause: silence is counted from the last byte of any connection to the endpoint. Of a connection through another instance, the other instance's answer to the call for the tunnel counted as well, so each new request to the hung endpoint made it look alive.

The time is now noted where bytes are given to the parser of the endpoint's answers, which the other instance's own bytes do not reach.

--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -254,6 +254,9 @@
 
 void fg_ep_conn_feed(struct fg_ep_conn *conn, const char *data, size_t len)
 {
+	/* Here and not where bytes of the connection arrive: through another
+	 * instance, some of these are not from the endpoint. */
+	fg_ep_local_get(conn->gw, conn->ep)->last_byte_at = fg_clock_now();
 	while (len > 0 && awaits_answer(conn)) {
 		size_t used = fg_h1_feed(&conn->h1, data, len);
 
@@ -278,7 +281,6 @@
 {
 	struct fg_ep_conn *conn = ctx;
 
-	fg_ep_local_get(conn->gw, conn->ep)->last_byte_at = fg_clock_now();
 	if (!awaits_answer(conn)) {
 		/* An idle connection must not receive anything. */
 		remove_idle(conn);
--- a/tests/gateway_silence.py
+++ b/tests/gateway_silence.py
@@ -3,8 +3,10 @@
 import threading
 import time
 
+from gateway_cuts import CuttableSystem
 from gateway_stops import (
     KINDS, KeptCaller, add_long_routes, show, write_long_routes)
+from gateway_tunnels import cut_from_endpoints
 from hosted import (
     check, find_log_lines, has_all_events, http_get, send, send_draft)
 
@@ -114,5 +116,37 @@
 
 silence_is_not_out_of_reach.system_options = {"gateways": 2}
 
+
+def hung_endpoint_behind_hop(s):
+    """Lookups leave a hung endpoint that is reached through another instance, also
+    while others are sent to it. Guards against a tunnel's opening that is taken for
+    a sign of the endpoint."""
+    cut_from_endpoints(s)
+    used = send(s.gateways[0].front, "/lookup/1", method="GET", body=None).body
+    for plain in s.plains:
+        if f" {plain.name} " in used:
+            plain.faults["silent"] = 1000
+    callers = []
+
+    def run():
+        begin = time.monotonic()
+        a = send(s.gateways[0].front, "/lookup/1", method="GET", body=None)
+        callers.append((a.status, time.monotonic() - begin))
+
+    threads = [threading.Thread(target=run) for _ in range(30)]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.05)
+    for thread in threads:
+        thread.join()
+    lost = [c for c in callers if c[0] != 200]
+    print(f"{len(callers)} lookups, {len(lost)} not answered, the longest took "
+          f"{max(took_s for _, took_s in callers):.2f} s")
+    check(not lost, f"{len(lost)} of {len(callers)} not answered: {lost[:3]}")
+
+
+hung_endpoint_behind_hop.system_options = {"gateways": 3}
+hung_endpoint_behind_hop.system_class = CuttableSystem
+
 SCENARIOS = [silent_sound_endpoints, hung_endpoints,
-             silence_is_not_out_of_reach]
+             silence_is_not_out_of_reach, hung_endpoint_behind_hop]
