tests: answers that halt while their callers' instance ends

The scenarios of tests/gateway_tunnels.py halt in a chunk's head and in the last chunk too.

Seen: all pass here.

--- a/tests/gateway_tunnels.py
+++ b/tests/gateway_tunnels.py
@@ -13,6 +13,7 @@
     wait_for)
 
 STREAM_POINTS = ("before_head", "in_head", "between_events", "in_event", "last_event")
+CHUNK_POINTS = ("in_chunk_head", "in_last_chunk")
 PLAIN_POINTS = ("before_head", "in_head", "in_body", "whole_body")
 
 
@@ -68,10 +69,13 @@
                 parts = [b"%x\r\n%s\r\n" % (len(p), p) for p in parts]
             middle = i == EVENTS // 2
             out.append(("in_event" if middle else None, parts[0]))
+            if middle and self.framed:
+                out.append(("in_chunk_head", parts[1][:1]))
+                parts[1] = parts[1][1:]
             out.append(("between_events" if middle else
                         "last_event" if i == EVENTS else None, parts[1]))
         if self.framed:
-            out.append((None, b"0\r\n\r\n"))
+            out += [("in_last_chunk", b"0\r"), (None, b"\n\r\n")]
         return out
 
     def serve(self, replica, req):
@@ -101,12 +105,18 @@
         return self.answer.body in [self.expected_body(r) for r in replicas]
 
 
-def all_cases():
-    return [Case(path, framed, point)
-            for path, points in (("/draft/1", STREAM_POINTS),
-                                 ("/order/1", PLAIN_POINTS),
-                                 ("/lookup/1", PLAIN_POINTS))
-            for framed in (True, False) for point in points]
+def stream_points():
+    """(framed, point) of each place where a stream can halt."""
+    return [(framed, point) for framed in (True, False)
+            for point in STREAM_POINTS + (CHUNK_POINTS if framed else ())]
+
+
+def all_cases(case_class=Case):
+    plain = [(framed, point) for framed in (True, False) for point in PLAIN_POINTS]
+    return [case_class(path, framed, point)
+            for path, places in (("/draft/1", stream_points()),
+                                 ("/order/1", plain), ("/lookup/1", plain))
+            for framed, point in places]
 
 
 def cut_from_endpoints(s):
@@ -230,8 +240,8 @@
     """Streams that the end of the instance in the middle breaks go on through
     another one."""
     cut_from_endpoints(s)
-    cases = [Case("/draft/1", framed, point) for framed in (True, False)
-             for point in STREAM_POINTS for _ in range(2)]
+    cases = [Case("/draft/1", framed, point)
+             for framed, point in stream_points() for _ in range(2)]
     start_cases(s, cases)
     used = {line["via"] for line in find_log_lines(s.gateways[0], "ended")}
     check(not used, f"ended before: {used}")
