tests: the instance in the middle stops, in mixed builds

tests/upgrade.py killed the instance in the middle only. It now also stops it as planned, with a grace that ends within answers that halt at each point.

--- a/tests/upgrade.py
+++ b/tests/upgrade.py
@@ -11,7 +11,8 @@
 callers and endpoints saw: nothing that may run once ran twice, nothing that was
 refused ran, streams that ended whole have all events, engines got no orders of
 two owners at a time, all instances hear each other, and callers were served.
-Then each build reaches endpoints through the other one, which is killed.
+Then each build reaches endpoints through the other one, which is stopped at the
+end of its grace within answers, and killed.
 """
 
 import os
@@ -181,6 +182,17 @@
         system.close()
 
 
+def end_middle(system, sig):
+    """The instance in the middle ends within answers that halt at each point."""
+    cases = all_cases()
+    start_cases(system, cases)
+    system.gateways[1].popen.send_signal(sig)
+    system.gateways[1].popen.wait(10)
+    time.sleep(0.1)
+    finish_cases(system, cases)
+    judge_cases(system, cases)
+
+
 def play_tunnels(near, middle, unframed_whole):
     """One build reaches the endpoints through another: the sound end of an
     answer without a length arrives as complete if `unframed_whole`, and the end
@@ -199,12 +211,14 @@
             whole = case.is_whole(system.engines + system.plains)
             check(whole == (case.framed or unframed_whole),
                   f"{case}: {'whole' if whole else 'not whole'}")
-        cases = all_cases()
-        start_cases(system, cases)
-        system.gateways[1].kill()
-        time.sleep(0.1)
-        finish_cases(system, cases)
-        judge_cases(system, cases)
+        end_middle(system, signal.SIGTERM)
+        system.gateways[1].start()
+        wait_for("the middle is back", system.gateways[1].is_ready)
+        check_hear_each_other(system)
+        wait_for("served again", lambda: all(a.status == 200 and a.whole for a in (
+            send_draft(system.gateways[0]),
+            send(system.gateways[0].front, "/lookup/1", method="GET"))))
+        end_middle(system, signal.SIGKILL)
     except AssertionError:
         print_logs(system)
         raise
