Callers of HTTP/1.0 get streams that they can read

A caller of HTTP/1.0 got its stream in chunks, which that version does not have: it read chunk sizes as a part of the events, and the end of any connection as the end of the stream.

Such a caller now gets the events as they are, with Connection: close. The end of the connection is the end of the stream, so a break must be something else: it is a reset, also when the process stops or is killed (fg_link_reset_on_exit()). The reset stays armed until all bytes have been handed to the kernel.

Before: old_callers and old_callers_cut failed, with Transfer-Encoding: chunked in the answer.

--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -187,21 +187,42 @@
 	fg_gw_origin_record(r);
 }
 
+/* Callers of HTTP/1.0 cannot read chunks: for them, a stream ends with its
+ * connection, which is reset when the stream breaks or this process ends. */
+static bool takes_chunks(const struct fg_caller *c)
+{
+	return c->h1.head.http_minor > 0;
+}
+
+static void write_stream_head(struct fg_gwreq *r, GString *out)
+{
+	struct fg_caller *c = r->caller;
+
+	if (!takes_chunks(c)) {
+		c->close_after = true;
+		fg_link_reset_on_exit(c->link);
+	}
+	write_head(r, &r->conn->h1.head, out);
+	if (takes_chunks(c))
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	g_string_append(out, "\r\n");
+	r->head_sent = true;
+	r->status_sent = r->conn->h1.head.status;
+}
+
 /* Forwards complete events, and the answer's head before the first of them. */
 static void forward_events(struct fg_gwreq *r, size_t len)
 {
 	GString *out = g_string_sized_new(len + 512);
 	struct fg_caller *c = r->caller;
 
-	if (!r->head_sent) {
-		write_head(r, &r->conn->h1.head, out);
-		g_string_append(out, "Transfer-Encoding: chunked\r\n\r\n");
-		r->head_sent = true;
-		r->status_sent = r->conn->h1.head.status;
-	}
-	g_string_append_printf(out, "%zx\r\n", len);
+	if (!r->head_sent)
+		write_stream_head(r, out);
+	if (takes_chunks(c))
+		g_string_append_printf(out, "%zx\r\n", len);
 	g_string_append_len(out, r->events.partial->str, (gssize)len);
-	g_string_append(out, "\r\n");
+	if (takes_chunks(c))
+		g_string_append(out, "\r\n");
 	fg_events_consume(&r->events, len);
 	fg_link_write(c->link, out->str, out->len);
 	g_string_free(out, TRUE);
@@ -261,7 +282,9 @@
 		fg_gwreq_on_send_end(r, FG_SEND_BROKEN, "stream_cut");
 		return;
 	}
-	fg_link_write(r->caller->link, last_chunk, sizeof(last_chunk) - 1);
+	if (takes_chunks(r->caller))
+		fg_link_write(r->caller->link, last_chunk,
+			      sizeof(last_chunk) - 1);
 	report_answered(r, HTTP_STATUS_OK);
 	fg_gwreq_finish(r);
 }
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -61,8 +61,6 @@
 	if (end == FG_LINK_EOF) {
 		if (t->framed)
 			write_text(near, LAST_CHUNK);
-		else
-			fg_link_set_reset_on_exit(near->link, false);
 		fg_caller_close(near, true);
 	} else {
 		/* The other instance must not take a part for the whole. */
@@ -85,7 +83,7 @@
 	write_text(t->near, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
 	/* A build that does not know the framing takes an orderly end for the
 	 * endpoint's. */
-	fg_link_set_reset_on_exit(t->near->link, true);
+	fg_link_reset_on_exit(t->near->link);
 }
 
 static void write_chunk(struct fg_caller *near, const char *data, size_t len)
--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -152,6 +152,7 @@
 	head->n_head_fields = head->n_fields;
 	head->method = p->method;
 	head->status = p->status_code;
+	head->http_minor = p->http_minor;
 	head->chunked = (p->flags & F_CHUNKED) != 0;
 	head->length_bytes = (p->flags & F_CONTENTLENGTH) != 0
 				     ? (int64_t)p->content_length
--- a/lib/h1/fg_h1.h
+++ b/lib/h1/fg_h1.h
@@ -26,10 +26,11 @@
 	uint32_t name_at[FG_H1_FIELDS_MAX];
 	uint32_t value_at[FG_H1_FIELDS_MAX];
 	uint32_t n_fields; /* with those of the trailer, once it was read */
-	uint32_t n_head_fields; /* without the trailer */
-	unsigned int method;	/* enum http_method; requests only */
-	unsigned int status;	/* answers only */
-	bool keep_alive;	/* the connection may be reused */
+	uint32_t n_head_fields;	 /* without the trailer */
+	unsigned int method;	 /* enum http_method; requests only */
+	unsigned int status;	 /* answers only */
+	unsigned int http_minor; /* 0 for HTTP/1.0 */
+	bool keep_alive;	 /* the connection may be reused */
 	bool chunked;
 	int64_t length_bytes; /* Content-Length; -1 when absent */
 };
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -211,7 +211,7 @@
 		(void)uv_ip4_name(&remote, out, size);
 }
 
-void fg_link_set_reset_on_exit(const struct fg_link *l, bool on)
+static void set_linger(const struct fg_link *l, bool on)
 {
 	struct linger linger = { .l_onoff = on };
 	uv_os_fd_t fd;
@@ -222,6 +222,11 @@
 				 sizeof(linger));
 }
 
+void fg_link_reset_on_exit(const struct fg_link *l)
+{
+	set_linger(l, true);
+}
+
 void fg_link_set_ctx(struct fg_link *l, void *ctx)
 {
 	l->ctx = ctx;
@@ -291,8 +296,11 @@
 
 static void on_shutdown(uv_shutdown_t *req, int status)
 {
-	(void)status;
-	close_handles(req->data);
+	struct fg_link *l = req->data;
+
+	if (status == 0)
+		set_linger(l, false);
+	close_handles(l);
 }
 
 static void on_flush_timeout(uv_timer_t *timer)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -53,9 +53,10 @@
 /* Writes the IPv4 address of the other side without its port; "" if unknown. */
 void fg_link_peer_ip(const struct fg_link *l, char *out, size_t size);
 
-/* While set, the kernel resets the connection when the process ends or the link
- * is closed, instead of ending it in an orderly way. */
-void fg_link_set_reset_on_exit(const struct fg_link *l, bool on);
+/* From now on the kernel resets the connection when the process ends or the
+ * link is closed, instead of ending it in an orderly way, unless
+ * fg_link_close() with `flush` has sent all bytes. */
+void fg_link_reset_on_exit(const struct fg_link *l);
 
 /* Replaces the argument of the callbacks. */
 void fg_link_set_ctx(struct fg_link *l, void *ctx);
