Copies of other answers on connections in use again

Endpoints may send an answer twice, the copy late. Orders on a connection in use again ended 502 though they ran when a copy came in the middle of their answer's head, and callers got a piece of another answer (MIXED):

- a copy within a body with a length: its first bytes completed the body;
- a copy within the value of a field: the copy's fields and body became those of the answer, with the right id before them.

An answer with a length on a connection that brought others before is not taken when what follows it at once begins no head: that is the rest of the copy. A head with two different ids is none. A service that was seen to send bytes that belong to no request (on an idle connection, an answer to another request, before, within or after an answer) is noted for 60 s (fg_stutter); meanwhile requests that may run once get a connection of their own, which no earlier answer can hit. The first sighting is logged (event stutters) and counted (fg_gw_stutters_total).

Not covered: a copy whose first part completes a body and whose rest comes later, on the first sighting or for lookups: nothing tells it.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -382,6 +382,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gw->first_took =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gw->stutters =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gw->retry_budgets = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)fg_retry_free);
 	gw->metrics = fg_metrics_new();
@@ -530,6 +532,7 @@
 	g_hash_table_unref(gw->retry_budgets);
 	g_hash_table_unref(gw->took);
 	g_hash_table_unref(gw->first_took);
+	g_hash_table_unref(gw->stutters);
 	g_ptr_array_unref(gw->callers);
 	g_ptr_array_unref(gw->reqs);
 	g_ptr_array_unref(gw->tunnels);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -51,6 +51,7 @@
 #include "fleet/fg_health.h"
 #include "fleet/fg_limit.h"
 #include "fleet/fg_reach.h"
+#include "fleet/fg_stutter.h"
 #include "fleet/fg_uses.h"
 #include "gateway/fg_events.h"
 #include "gateway/fg_gateway.h"
@@ -1106,6 +1107,7 @@
 	GHashTable *took; /* name of a route -> struct fg_took * */
 	GHashTable *first_took; /* name of a service -> the same, until the
 				   first byte of an answer */
+	GHashTable *stutters;	/* name of a service -> struct fg_stutter * */
 
 	struct fg_metrics *metrics;
 	struct fg_hist *hist_first;
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -71,6 +71,54 @@
 		g_ptr_array_remove(local->idle, conn);
 }
 
+/* ---- Bytes that belong to no request ---- */
+
+/* Notes that the endpoint sent such bytes; `where` says when. */
+static void note_stutter(const struct fg_ep_conn *conn, const char *where)
+{
+	const char *service = conn->ep->facts.service;
+	GHashTable *all = conn->gw->stutters;
+	struct fg_stutter *s = g_hash_table_lookup(all, service);
+
+	if (s == NULL) {
+		s = g_new0(struct fg_stutter, 1);
+		g_hash_table_insert(all, g_strdup(service), s);
+	}
+	if (!fg_stutter_note(s, fg_clock_now()))
+		return;
+	fg_gw_count_event(conn->gw, "stutters", NULL);
+	fg_log(FG_LOG_WARN, "endpoint", "stutters", "endpoint",
+	       conn->ep->facts.id, "service", service, "where", where, NULL);
+}
+
+/* Returns whether the request may share a connection with others. */
+static bool allows_reuse(const struct fg_gwreq *r, fg_ms now)
+{
+	const struct fg_stutter *s =
+		g_hash_table_lookup(r->gw->stutters, r->service->name);
+
+	return fg_stutter_allows_reuse(s, now, fg_gwreq_may_run_again(r));
+}
+
+/* Returns whether the bytes are the beginning of an answer's head. */
+static bool begins_head(const char *data, size_t len)
+{
+	static const char begin[] = "HTTP/1.";
+
+	return strncmp(data, begin, MIN(len, sizeof(begin) - 1)) == 0;
+}
+
+/* Returns whether an answer that `len` bytes follow may have a piece of a copy
+ * within its body: the copy's rest is then left over, which begins no head. A
+ * copy is one of an earlier answer on the connection. */
+static bool may_be_mixed(const struct fg_ep_conn *conn, const char *data,
+			 size_t len)
+{
+	return !conn->skip_message && conn->report == NULL &&
+	       conn->n_answers > 0 && conn->h1.head.length_bytes >= 0 &&
+	       len > 0 && !begins_head(data, len);
+}
+
 /* ---- Reading answers ---- */
 
 static void write_request(struct fg_ep_conn *conn);
@@ -117,6 +165,11 @@
 	if (r == NULL)
 		return has_body;
 	conn->gw->wire->reply_read(head, &conn->reply);
+	if (conn->reply.has_two_ids) {
+		note_stutter(conn, "in_head");
+		fg_ep_conn_fail(conn, FG_SEND_BROKEN, "answer_mixed");
+		return true;
+	}
 	fg_ep_apply_reply(conn->gw, conn->ep, &conn->reply);
 	if (conn->via != 0)
 		fg_gw_tunnel_tell(conn->gw, conn->via, conn->ep, &conn->reply);
@@ -124,8 +177,11 @@
 	conn->skip_message = is_informational(head->status) ||
 			     (conn->reply.id != NULL && r->call.id != NULL &&
 			      strcmp(conn->reply.id, r->call.id) != 0);
-	if (conn->skip_message)
+	if (conn->skip_message) {
+		if (!is_informational(head->status))
+			note_stutter(conn, "before_answer");
 		return has_body;
+	}
 	fg_ep_apply_limit(conn->gw, conn->ep, &conn->reply);
 	fg_ep_apply_brittle(conn->gw, conn->ep, &conn->reply);
 	conn->head_seen = true;
@@ -233,12 +289,13 @@
 		end_report(conn, reusable);
 		return;
 	}
+	/* A tunnel would occupy the other instance while it is idle. */
+	reusable =
+		reusable && conn->via == 0 && allows_reuse(r, fg_clock_now());
 	conn->req = NULL;
 	r->conn = NULL;
 	fg_answer_end(r, &conn->h1.head);
-	/* A tunnel would occupy the other instance while it is idle. */
-	if (reusable && conn->via == 0 &&
-	    fg_ep_is_usable(conn->ep, fg_clock_now()))
+	if (reusable && fg_ep_is_usable(conn->ep, fg_clock_now()))
 		keep_idle(conn, fg_clock_now());
 	else
 		fg_ep_conn_close(conn);
@@ -260,6 +317,8 @@
 		if (!awaits_answer(conn))
 			return;
 		if (conn->h1.fault != FG_H1_OK) {
+			if (conn->reused)
+				note_stutter(conn, "in_answer");
 			fg_health_record_failure(conn->ep, fg_clock_now());
 			fg_ep_conn_fail(conn,
 					conn->report == NULL ? FG_SEND_BROKEN
@@ -269,8 +328,15 @@
 		}
 		data += used;
 		len -= used;
-		if (conn->h1.ended)
-			finish_message(conn, len == 0);
+		if (!conn->h1.ended)
+			continue;
+		if (len > 0 && !conn->skip_message)
+			note_stutter(conn, "after_answer");
+		if (may_be_mixed(conn, data, len)) {
+			fg_ep_conn_fail(conn, FG_SEND_BROKEN, "answer_mixed");
+			return;
+		}
+		finish_message(conn, len == 0);
 	}
 }
 
@@ -281,6 +347,7 @@
 	fg_ep_local_get(conn->gw, conn->ep)->last_byte_at = fg_clock_now();
 	if (!awaits_answer(conn)) {
 		/* An idle connection must not receive anything. */
+		note_stutter(conn, "idle");
 		remove_idle(conn);
 		fg_ep_conn_close(conn);
 		return;
@@ -592,7 +659,7 @@
 	r->sent_at = now;
 	fg_gwreq_drop_answer_body(r);
 	/* Only an id tells the answer from a late copy of an earlier one. */
-	if (r->call.id != NULL)
+	if (r->call.id != NULL && allows_reuse(r, now))
 		conn = take_idle(fg_ep_local_get(gw, r->ep), now);
 	if (conn != NULL) {
 		conn->reused = true;
--- a/lib/wire/fg_wire.h
+++ b/lib/wire/fg_wire.h
@@ -84,6 +84,7 @@
 	bool from_service;    /* the application itself produced the answer */
 	bool encoded;	  /* has a content coding, which is never requested */
 	const char *id;	  /* of the answered request; NULL: absent */
+	bool has_two_ids; /* it has heads of two answers in one */
 	uint64_t version; /* of the weights; 0: absent */
 	uint32_t idle_timeout_s; /* of an idle connection; 0: not stated */
 	bool leaving;		 /* the endpoint ends soon */
