A copy of another answer in an event stream is not passed on

Ids were checked only in streams that another endpoint continues.

Ids must rise within each stream, as the protocol says, and no event may have a line of an answer's head: HTTP/1., Content-Type, Content-Length or Transfer-Encoding. One of these comes with each copy, also where the copy begins within a line. The stream then counts as broken: one that can be resumed goes on at another endpoint, and others break off. Streams without ids, and events without them, are left alone.

--- a/lib/gateway/fg_events.c
+++ b/lib/gateway/fg_events.c
@@ -66,7 +66,27 @@
 	return 0;
 }
 
+/* Returns whether the line is one of an answer's head: of its beginning, or a
+ * field that says what its body is. One of them comes with each copy of another
+ * answer, also where that begins within a line of the stream. */
+static bool is_head_line(const char *line, size_t len)
+{
+	static const char *const begins[] = {
+		"HTTP/1.",
+		"Content-Type:", "Content-Length:", "Transfer-Encoding:"
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(begins); i++) {
+		size_t n = strlen(begins[i]);
+
+		if (len >= n && g_ascii_strncasecmp(line, begins[i], n) == 0)
+			return true;
+	}
+	return false;
+}
+
 struct event_lines {
+	bool has_head_line;
 	bool has_id;
 	uint64_t id;
 	bool only_comments;
@@ -83,6 +103,8 @@
 
 		if (parse_id(text + at, line, &out.id))
 			out.has_id = true;
+		if (is_head_line(text + at, line))
+			out.has_head_line = true;
 		if (line > 0 && text[at] != ':' && text[at] != '\r')
 			out.only_comments = false;
 		at += line + 1;
@@ -90,14 +112,26 @@
 	return out;
 }
 
+/* Returns whether the event may follow those before it. */
+static bool is_next_event(const struct fg_events *e,
+			  const struct event_lines *lines)
+{
+	if (lines->has_head_line)
+		return false;
+	if (lines->only_comments)
+		return true;
+	if (e->continues)
+		return lines->has_id && lines->id > e->last_id;
+	return !e->has_id || !lines->has_id || lines->id > e->last_id;
+}
+
 /* Counts a complete event; returns false when it does not continue the stream.
  */
 static bool count_event(struct fg_events *e, const char *text, size_t len)
 {
 	struct event_lines lines = parse_lines(text, len);
 
-	if (e->continues && !lines.only_comments &&
-	    (!lines.has_id || lines.id <= e->last_id)) {
+	if (!is_next_event(e, &lines)) {
 		e->broken = true;
 		return false;
 	}
--- a/lib/gateway/fg_events.h
+++ b/lib/gateway/fg_events.h
@@ -47,9 +47,11 @@
  * forwards the complete events and then passes their size to
  * fg_events_consume(), which removes them.
  *
- * In a stream that has to continue an earlier one, each event must have a
- * higher id than the one before. The first that has not, and all behind it, are
- * not counted, and e->broken is set. Blocks of comments alone are no events.
+ * An id must be higher than the one before it, and no line may be one of an
+ * answer's head: a copy of another answer may lie within the stream. In a
+ * stream that has to continue an earlier one, each event must also have an id.
+ * The first event that breaks these rules, and all behind it, are not counted,
+ * and e->broken is set. Blocks of comments alone are no events.
  */
 gssize fg_events_feed(struct fg_events *e, const char *data, size_t len_bytes);
 void fg_events_consume(struct fg_events *e, size_t len_bytes);
--- a/tests/gateway_stutter.py
+++ b/tests/gateway_stutter.py
@@ -6,9 +6,11 @@
 import threading
 import time
 
-from gateway_cut_heads import make_answer, places_in_head
+from gateway_broken_streams import GenerousSystem
+from gateway_cut_heads import body_pieces, make_answer, places_in_head
 from hosted import (
-    HOST, Replica, check, find_log_lines, make_config, next_id, send, wait_for)
+    EVENTS, HOST, Replica, check, find_log_lines, has_all_events, make_config,
+    next_id, send, send_draft, wait_for)
 
 CALLERS = 8
 LATEST_S = 0.15  # of a copy
@@ -190,4 +192,83 @@
     check(not wrong, "; ".join(wrong[:6]))
 
 
-SCENARIOS = [stutter_between, stutter_within, stutter_places]
+class SpoiltStream:
+    """A stream with the bytes `spoil` after `part` bytes of its events, at the
+    first endpoint that it comes from."""
+
+    def __init__(self, path, framing, part, what):
+        self.path, self.framing = path, framing
+        self.part, self.what = part, what
+        self.rid = f"cut{int(next_id()[3:]):05d}"
+        self.spoilt = False
+
+    def __str__(self):
+        return f"{self.path} {self.framing} {self.what} at {self.part}"
+
+    def serve(self, replica, req):
+        first = int(req.get("Last-Event-Id", "0"))
+        head, _ = make_answer("draft", "", "unframed", replica.name, self.rid)
+        events = b"".join(body_pieces("draft", replica.name, self.rid)[first:])
+        if self.framing == "length":
+            head = head[:-2] + b"Content-Length: %d\r\n\r\n" % len(events)
+        if not self.spoilt:
+            self.spoilt = True
+            copy = (b"id: 1\ndata: again\n\n" if self.what == "id" else
+                    b"".join(make_answer("draft", "", self.what, replica.name,
+                                         "cutother")))
+            events = events[:self.part] + copy + events[self.part:]
+        req.sock.sendall(head + events)
+        return False
+
+    def judge(self, a):
+        """Returns what is wrong, or None."""
+        body = a.body.encode()
+        if a.status == 200 and a.whole:
+            expected = b"".join(body_pieces("draft", "", self.rid))
+            return None if body == expected else f"{self}: {a.body!r}"
+        return f"{self}: {a.status}" if self.path == "draft" else None
+
+
+def stutter_in_streams(s):
+    """A stream in which another answer or an earlier event is inserted is not
+    passed on with that: one that can be resumed goes on at another endpoint,
+    and others break off."""
+    pieces = body_pieces("draft", "", "cut00000")
+    ends = [sum(map(len, pieces[:n])) for n in range(1, EVENTS + 1)]
+    parts = [*ends, 0, 3, ends[1] + 9, ends[2] - 1]
+    streams = [SpoiltStream(path, framing, part, what)
+               for path in ("draft", "brief")
+               for framing in ("unframed", "length")
+               for what in ("unframed", "length", "chunks", "id")
+               for part in (ends[:-1] if what == "id" else parts)
+               if framing == "unframed" or part < ends[-1]]
+    by_id = {c.rid: c for c in streams}
+    wait_for("a stream", lambda: has_all_events(send_draft(s.gw)))
+    for engine in s.engines:
+        engine.answer_with = lambda r, req, rid: by_id[rid].serve(r, req)
+    wrong = [w for w in [c.judge(send_draft(
+        s.gw, path=f"/{c.path}/1", rid=c.rid)) for c in streams] if w]
+    print(f"{len(streams)} streams, {len(wrong)} wrong")
+    check(not wrong, "; ".join(wrong[:4]))
+
+
+stutter_in_streams.system_class = GenerousSystem
+
+
+def streams_without_ids(s):
+    """Streams without ids, and events without them, are passed on as they
+    are."""
+    texts = ("data: a\n\ndata: a\n\n", ": hello\n\nid: 0\ndata: a\n\nid: 7\n"
+             "data: b\n\n: still here\n\nevent: end\ndata: HTTP/1.1 200 OK\n\n")
+    for text in texts:
+        for engine in s.engines:
+            engine.answer_with = lambda r, req, rid, t=text: req.sock.sendall(
+                (r.response_head(rid, "Content-Type: text/event-stream\r\n\r\n")
+                 + t).encode()) is not None
+        a = send_draft(s.gw)
+        check(a.status == 200 and a.whole and a.body == text,
+              f"{a.status} {a.body!r}")
+
+
+SCENARIOS = [stutter_between, stutter_within, stutter_places,
+             stutter_in_streams, streams_without_ids]
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -1054,6 +1054,39 @@
 	}
 }
 
+/* Nor does text of another answer get into a stream that breaks nowhere. */
+static void test_events_mixed(void)
+{
+	static const struct {
+		const char *text;
+		size_t passes; /* bytes */
+	} cases[] = {
+		{ "id: 1\n\nid: 1\n\n", 7 },
+		{ "id: 5\n\nid: 4\n\n", 7 },
+		{ "id: 0\n\nid: 1\n\n", 14 },
+		{ "id: 1\n\ndata: no id\n\nid: 2\n\n", 27 },
+		{ "data: a\n\ndata: a\n\n", 18 },
+		{ "id: 1\n\nHTTP/1.1 200 OK\r\nA: b\r\n\r\nid: 2\n\n", 7 },
+		{ "HTTP/1.1 200 OK\r\n\r\n", 0 },
+		{ "data: HTTP/1.1 200 OK\n\n", 23 },
+		{ "id: 1\ndata: pieHTTP/1.1 200 OK\r\ncontent-type: t\r\n\r\n",
+		  0 },
+		{ "id: 1\ndaHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 0 },
+		{ "weight-versions: 3\nid: 1\n\n", 26 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fg_events e;
+		size_t len = strlen(cases[i].text);
+
+		fg_events_init(&e);
+		g_assert_cmpint(fg_events_feed(&e, cases[i].text, len), ==,
+				(gssize)cases[i].passes);
+		g_assert_true(e.broken == (cases[i].passes < len));
+		fg_events_clear(&e);
+	}
+}
+
 /* The same where the caller has the earlier part. */
 static void test_events_continue_after(void)
 {
@@ -1299,6 +1332,7 @@
 	g_test_add_func("/platform/report", test_report);
 	g_test_add_func("/events/split", test_events);
 	g_test_add_func("/events/continued", test_events_continued);
+	g_test_add_func("/events/mixed", test_events_mixed);
 	g_test_add_func("/events/continue_after", test_events_continue_after);
 	g_test_add_func("/events/too_large", test_event_too_large);
 	g_test_add_func("/mesh/packets", test_packets);
