No interim answer to callers of HTTP/1.0

A caller of HTTP/1.0 that sent Expect: 100-continue got 100 Continue, which that version does not have, and took it for the answer.

Before: old_callers failed with status 100 and the true answer as its body.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -140,7 +140,9 @@
 	struct fg_caller *c = ctx;
 	const char *expect = fg_h1_get_field(head, "Expect");
 
-	if (expect != NULL && g_ascii_strcasecmp(expect, "100-continue") == 0)
+	/* HTTP/1.0 has no interim answers. */
+	if (head->http_minor > 0 && expect != NULL &&
+	    g_ascii_strcasecmp(expect, "100-continue") == 0)
 		fg_link_write(c->link, continue_head,
 			      sizeof(continue_head) - 1);
 	return true;
--- a/tests/gateway_old_callers.py
+++ b/tests/gateway_old_callers.py
@@ -58,7 +58,7 @@
 
 def old_callers(s):
     """A caller of HTTP/1.0 gets streams without chunks that end with the
-    connection, and plain answers as before."""
+    connection, plain answers as before, and no interim answer."""
     for path in ("/draft/1", "/brief/1"):
         for fields in ("", "Connection: keep-alive\r\n"):
             a, end = send_old(s.gw.front, path, fields)
@@ -71,6 +71,9 @@
         a, end = send_old(s.gw.front, path, "", method)
         check_readable(a, path)
         check(a.whole and a.body.startswith("done by"), f"{path}: {a.body!r}")
+    a, end = send_old(s.gw.front, "/order/1", "Expect: 100-continue\r\n")
+    check(a.status == 200 and a.body.startswith("done by"),
+          f"an interim answer: {a.status} {a.body!r}")
 
 
 def old_callers_cut(s):
