tests: answers to transactions that end within their head

The store has carried the transaction out or not; the instance cannot know. Eight of the 32 places and ends, one for each new engine, which then gets an owner and only orders that are right.

--- a/tests/gateway_cut_heads.py
+++ b/tests/gateway_cut_heads.py
@@ -7,7 +7,7 @@
 
 from gateway_tunnels import TunnelSystem, cut_from_endpoints
 from hosted import (
-    EVENTS, HOST, broken_orders, check, has_all_events, make_config, next_id,
+    EVENTS, HOST, Replica, broken_orders, check, has_all_events, make_config, next_id,
     reset_connection, send, send_draft, wait_for)
 
 THREADS = 12
@@ -257,4 +257,22 @@
     check(has_all_events(send_draft(s.gw)), "no streams")
 
 
-SCENARIOS = [cut_heads, cut_heads_hop, cut_engine_answers, cut_store_answers]
+def cut_store_writes(s):
+    """The same for transactions, whose outcome is then open: each new engine
+    gets an owner, and orders stay right."""
+    left = cut_control_answers([s.store.server], "/api/rows-tx",
+                               b"HTTP/1.1 200 X\r\nContent-Length: 90\r\n\r\n")
+    left[:] = left[::4]  # each takes about a second
+    planned = len(left)
+    for i in range(planned):
+        s.engines.append(Replica(s.store, f"n{i}", "models", True))
+        wait_for("an owner", lambda: len(
+            s.gw.owned_endpoints()) == len(s.engines))
+        check(has_all_events(send_draft(s.gw, f"w{i}")), "no stream")
+    check(not left, f"{len(left)} of {planned} not played")
+    for engine in s.engines:
+        check(not broken_orders(engine), f"{broken_orders(engine)}")
+
+
+SCENARIOS = [cut_heads, cut_heads_hop, cut_engine_answers, cut_store_answers,
+             cut_store_writes]
