--- a/tests/gateway_stop_signals.py
+++ b/tests/gateway_stop_signals.py
@@ -7,12 +7,15 @@
 import threading
 import time
 
+from gateway_limits import KEY, LimitGateway, LimitSystem, account_holder
 from gateway_silence import add_pauses, pause
 from gateway_stops import (
     GRACE_S, KINDS, KeptCaller, add_long_routes, is_true_answer, show,
-    stop)
+    stop, write_long_routes)
+from gateway_tunnels import TunnelSystem, cut_from_endpoints
 from hosted import (
-    EVENTS, HOST, MODEL, Gateway, check, next_id, send, send_draft, wait_for)
+    EVENTS, HOST, MODEL, Gateway, System, check, http_get, next_id,
+    reset_connection, send, send_draft, wait_for)
 from si_store import Store
 
 
@@ -385,7 +388,188 @@
     check(not missing, f"{len(missing)} without an answer: {missing[0:1]}")
 
 
+class OverloadGateway(LimitGateway):
+    def write_settings(self, store, extra=""):
+        super().write_settings(store, "overload: true\n" + extra)
+
+
+class WaitSystem(LimitSystem):
+    gateway_class = OverloadGateway
+
+
+def put_long_limits(s, version, rate, burst):
+    write_long_routes(s, version, tenants=[{
+        "name": "w1", "apiKeys": [KEY], "unit": "token_count",
+        "plainTokens": 400, "ratePerS": rate, "burst": burst}])
+    for gateway in s.gateways:
+        wait_for("limit", lambda g=gateway: "limit workspace=" in g.state())
+
+
+def level(gateway):
+    """Tokens left in the workspace's account, at its holder."""
+    return max([float(field[6:]) for line in gateway.state().splitlines()
+                if line.startswith("limit ") and " here=1 " in line
+                for field in line.split() if field.startswith("level=")],
+               default=-1.0)
+
+
+def call(s, gateway, kind, tokens, fields, out):
+    rid = next_id()
+    a = send(gateway.front, f"/long-{kind}/{rid}", rid, method=KINDS[kind],
+             headers={"Authorization": f"Bearer {KEY}", "Deadline-Ms": "9000",
+                      "Model": f"{MODEL}/a1", "Token-Count": tokens, **fields})
+    a.rid, a.kind = rid, kind
+    out.append(a)
+
+
+def send_waiting(s, gateway, for_s, stop_at_s, begin_stop):
+    """Sends requests that wait, every 0.2 s; begin_stop() is called after
+    `stop_at_s`. Judges the answers and returns how many requests ran."""
+    answers, threads = [], []
+    begin = time.monotonic()
+    for i in range(int(for_s / 0.2)):
+        if i == int(stop_at_s / 0.2):
+            begin_stop()
+        for kind, tokens, fields in (
+                ("draft", "90,10", {"Model": f"{MODEL}/b{i}"}),
+                ("brief", "90,10", {"Model": f"{MODEL}/c{i}"}),
+                ("draft", "9,9", {"Resumes": f"none{i}", "Last-Event-Id": "2"}),
+                ("safe", "9,9", {})):
+            threads.append(threading.Thread(target=call, args=(
+                s, gateway, kind, tokens, fields, answers)))
+            threads[-1].start()
+        time.sleep(max(0, begin + 0.2 * (i + 1) - time.monotonic()))
+    for thread in threads:
+        thread.join()
+    counts = {}
+    for a in answers:
+        what = (a.kind, a.status, "whole" if a.whole else "cut",
+                s.run_count(a.rid))
+        counts[what] = counts.get(what, 0) + 1
+    print(f"{gateway.name}: {counts}")
+    for a in answers:
+        runs = s.run_count(a.rid)
+        check(runs == 0 and "Retry-After" in a.headers
+              if a.status in (429, 503) else is_true_answer(s, a),
+              f"{a.kind} {a.rid}: {a.status} ran {runs}")
+    return sum(s.run_count(a.rid) for a in answers)
+
+
+def waits_in_stop(s):
+    """Requests that wait for an adapter load, for the account of their
+    workspace, whose holder is frozen, or for the version of their stream, are
+    refused as not run or served, and their tokens are given back."""
+    put_long_limits(s, 3, 6000, 12000)
+    for gateway in s.gateways:
+        wait_for("served", lambda g=gateway: send_draft(g, headers={
+            "Authorization": f"Bearer {KEY}"}).status == 200)
+    holder = wait_for("holder", lambda: account_holder(s))
+    leaver, other = [g for g in s.gateways if g is not holder]
+    for engine in s.engines:
+        engine.load_s = 30
+    wait_for("a full account", lambda: level(holder) > 11000, 20)
+    put_long_limits(s, 4, 10, 12000)
+    wait_for("a low rate", lambda: all(
+        " rate_per_s=10 " in g.state() for g in s.gateways))
+    before = level(holder)
+    exits = []
+    ran = send_waiting(s, leaver, 5, 1, lambda: exits.append(Exit(leaver)))
+    exits[0].check()
+    time.sleep(1)
+    after = level(holder)
+    print(f"account: {before:.0f} before, {after:.0f} after, {ran} ran")
+    check(after > before - 300 - 20 * ran, "tokens are not given back")
+
+    def freeze_holder():
+        holder.popen.send_signal(signal.SIGSTOP)
+        exits.append(Exit(other))
+
+    send_waiting(s, other, 3, 1, freeze_holder)
+    exits[1].check()
+    holder.popen.send_signal(signal.SIGCONT)
+
+
+waits_in_stop.system_class = WaitSystem
+waits_in_stop.system_options = {"gateways": 3}
+
+
+class ShortGraceGateway(Gateway):
+    stop_grace_s = 4
+
+
+class CutSystem(TunnelSystem):
+    gateway_class = ShortGraceGateway
+
+
+def stop_around_tunnels(s):
+    """The instance in the middle of tunnels stops, then the one of the callers:
+    each request is answered truthfully, and orders do not go into a tunnel that
+    is about to end."""
+    near, middle = s.gateways[:2]
+    prepare(s, 0.8)
+    cut_from_endpoints(s)
+    for engine in s.engines:
+        engine.event_interval_s = 1
+    load = Load(near, 5, 0.1)
+    wait_for("tunnels", lambda: [
+        line for line in http_get(middle.metrics, "/state")[1].split()
+        if line.startswith("tunnels=") and int(line[8:]) > 3])
+    time.sleep(0.5)
+    gone = Exit(middle)
+    gone.check(4)
+    load.judge(s, 8)
+    for engine in s.engines:
+        engine.event_interval_s = 0.1
+    lost = [c for c in load.callers if c.kind == "unsafe" and c.status != 200]
+    check(not lost, f"{len(lost)} orders without their answer")
+    load = Load(near, 4, 0.1)
+    time.sleep(0.5)
+    gone = Exit(near)
+    gone.check(4)
+    load.judge(s, 4)
+
+
+stop_around_tunnels.system_class = CutSystem
+stop_around_tunnels.system_options = {"gateways": 3}
+
+
+class ShortGraceSystem(System):
+    gateway_class = ShortGraceGateway
+
+
+def lost_in_stop(s):
+    """Requests that their endpoint loses during a stop are sent again if there
+    is time and they may run twice, else answered truthfully."""
+    prepare(s, 0.4)
+    load = Load(s.gw, 4, 0.1)
+    time.sleep(0.3)
+    gone = Exit(s.gw)
+    seen = set()
+
+    def lose_first(replica, req, rid):
+        if rid in seen or int(rid[3:]) % 8 > 3:
+            answer = (replica.answer_stream if replica.engine
+                      else replica.answer_plain)
+            return answer(req, rid)
+        seen.add(rid)
+        time.sleep(0.2)
+        reset_connection(req.sock)
+        return False
+
+    for replica in s.plains + s.engines:
+        replica.answer_with = lose_first
+    gone.check(4)
+    load.judge(s, 4)
+    again = [c for c in load.callers
+             if c.status == 200 and s.run_count(c.rid) > 1]
+    check(again, "none was sent again")
+
+
+lost_in_stop.system_class = ShortGraceSystem
+
+
 SCENARIOS = [
     stop_signalled_again, stop_in_outage, stop_while_frozen, stop_at_start,
     slow_readers_of_stop, pipelined_in_stop, calls_of_others_in_stop,
+    waits_in_stop, stop_around_tunnels, lost_in_stop,
 ]
--- a/tests/gateway_stops.py
+++ b/tests/gateway_stops.py
@@ -17,7 +17,7 @@
 LONG_MS = 12000  # time limit of the routes added here
 
 
-def write_long_routes(s, version=2, idle_ms=15000):
+def write_long_routes(s, version=2, idle_ms=15000, **fields):
     """Routes of each kind whose time limit is longer than the grace."""
     routes = [{"name": f"long-{kind}", "host": HOST, "prefix": f"/long-{kind}/",
                "kind": kind, "timeoutMs": LONG_MS, "service": "orders",
@@ -28,8 +28,9 @@
                 "timeoutMs": LONG_MS, "service": "models",
                 "maxAttempts": 1 + resumable, "resumable": resumable}
                for name, resumable in (("brief", False), ("draft", True))]
-    s.store.put("op", "config", make_config(
-        version, timeout_ms=LONG_MS, idle_ms=idle_ms, extra_routes=routes))
+    s.store.put("op", "config", {**make_config(
+        version, timeout_ms=LONG_MS, idle_ms=idle_ms, extra_routes=routes),
+        **fields})
 
 
 def add_long_routes(s):
