A stopping instance returns unspent tokens of workspaces' accounts

What callers saw: an instance that is told to stop refuses the requests that wait (for a load) as not run, and gives their tokens back to itself only. They were lost with its end: the workspace was refused with 429 elsewhere for tokens that were never spent.

Cause: tokens go back to the holder with the next ask. After the last request of a stopping instance no ask follows.

Now its tick asks the holder for one token while it returns what is unspent; existing holders credit that. The one token is not returned again.

--- a/lib/quota/fg_quota.h
+++ b/lib/quota/fg_quota.h
@@ -124,7 +124,8 @@
 			  bool complete);
 
 /* This instance stops: it no longer holds accounts, which others take over, and
- * asks them. */
+ * asks them. From now on fg_quota_tick() returns unspent tokens, which no later
+ * ask would. */
 void fg_quota_leave(struct fg_quota *q);
 
 /* Sets or changes the limit of a workspace. Its level stays, but is at most the
--- a/lib/quota/fg_quota_lease.c
+++ b/lib/quota/fg_quota_lease.c
@@ -245,6 +245,40 @@
 	send_ask(q, w, now);
 }
 
+/* Returns unspent tokens to the holder, which credits them only with an ask for
+ * one token or more. That one is not worth another ask. */
+static void return_unspent(struct fg_quota *q, struct workspace *w, fg_ms now)
+{
+	uint64_t to;
+
+	drop_lapsed(q, w, now);
+	if (w->unspent <= 1 || w->ask.to != 0 || w->waiters->len > 0)
+		return;
+	to = fgq_holder(q, w, now, true);
+	if (to == 0)
+		return;
+	w->ask = (struct ask){
+		.to = to,
+		.request = ++q->n_asks,
+		.returned = w->unspent,
+		.wanted = 1,
+	};
+	w->unspent = 0;
+	q->stats.asks++;
+	note_busy(q, w);
+	send_ask(q, w, now);
+}
+
+static void return_all_unspent(struct fg_quota *q, fg_ms now)
+{
+	GHashTableIter it;
+	gpointer w;
+
+	g_hash_table_iter_init(&it, q->workspaces);
+	while (g_hash_table_iter_next(&it, NULL, &w))
+		return_unspent(q, w, now);
+}
+
 static void refill_ahead(struct fg_quota *q, struct workspace *w, fg_ms now,
 			 uint32_t tokens)
 {
@@ -469,6 +503,8 @@
 	uint64_t *ids = g_new(uint64_t, n);
 
 	fgq_step_checks(q, now);
+	if (q->leaving)
+		return_all_unspent(q, now);
 	for (guint i = 0; i < n; i++)
 		ids[i] = ((const struct workspace *)q->busy->pdata[i])->id;
 	for (guint i = 0; i < n; i++)
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -472,6 +472,30 @@
 	fg_quota_free(f.q);
 }
 
+/* Tokens given back after the last request return to the holder. */
+static void test_leave_returns_tokens(void)
+{
+	struct fixture f;
+
+	setup(&f, 2);
+	g_assert_cmpint(take(&f, 300, 1), ==, FG_QUOTA_WAITING);
+	grant(&f, 300, 0);
+	fg_quota_leave(f.q);
+	fg_quota_tick(f.q, f.now);
+	g_assert_cmpuint(f.n_asks, ==, 1);
+	fg_quota_give_back(f.q, f.now, f.workspace, 300);
+	fg_quota_tick(f.q, f.now);
+	g_assert_cmpuint(f.n_asks, ==, 2);
+	g_assert_cmpuint(f.ask.returned, ==, 300);
+	g_assert_cmpuint(f.ask.need, ==, 0);
+	grant(&f, 1, 0);
+	f.now += FG_QUOTA_LEASE_MS;
+	set_members(&f);
+	fg_quota_tick(f.q, f.now);
+	g_assert_cmpuint(f.n_asks, ==, 2);
+	fg_quota_free(f.q);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -494,5 +518,7 @@
 	g_test_add_func("/quota/limit_removed_while_waiting",
 			test_limit_removed_while_waiting);
 	g_test_add_func("/quota/leave", test_leave);
+	g_test_add_func("/quota/leave_returns_tokens",
+			test_leave_returns_tokens);
 	return g_test_run();
 }
