A route without a name does not end an instance

A configuration may leave out the names of routes. They are kept under its prefix then. Durations of routes and services have one look-up, and outside a stop there is none.

route_without_name fails before (no answer) and passes now.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1137,6 +1137,10 @@
  * an endpoint now, and returns whether it did. Call it before each send. */
 bool fg_gw_stop_refuse_late(struct fg_gwreq *r);
 
+/* Returns what is kept under `name` in gw->took or gw->first_took, created when
+ * missing; valid until the next call. */
+struct fg_took *fg_gw_took(GHashTable *all, const char *name);
+
 /* An endpoint answered the request to its end. */
 void fg_gw_stop_note_answered(const struct fg_gwreq *r);
 
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -469,26 +469,16 @@
 	g_string_free(out, TRUE);
 }
 
-static struct fg_took *first_took(struct fg_gateway *gw, const char *service)
-{
-	struct fg_took *took = g_hash_table_lookup(gw->first_took, service);
-
-	if (took == NULL) {
-		took = g_new0(struct fg_took, 1);
-		g_hash_table_insert(gw->first_took, g_strdup(service), took);
-	}
-	return took;
-}
-
 void fg_send_note_first(const struct fg_gwreq *r, fg_ms now)
 {
-	fg_took_note(first_took(r->gw, r->service->name), now,
+	fg_took_note(fg_gw_took(r->gw->first_took, r->service->name), now,
 		     (uint32_t)(now - r->sent_at));
 }
 
 static uint32_t silence_limit_ms(const struct fg_gwreq *r, fg_ms now)
 {
-	const struct fg_took *took = first_took(r->gw, r->service->name);
+	const struct fg_took *took =
+		fg_gw_took(r->gw->first_took, r->service->name);
 	uint32_t expected_ms = MIN(r->expected_ms, UINT32_MAX / 4);
 	struct fg_silence_times times = {
 		.floor_ms = r->service->engine ? SILENCE_ENGINE_MS
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -13,29 +13,36 @@
 #define LAST_TICKS_MS 20
 /* Other instances can serve the caller at once. */
 #define RETRY_MS 50
-/* Routes whose durations are kept. */
-#define ROUTES_MAX 8192
+/* Routes, or services, whose durations are kept. */
+#define NAMES_MAX 8192
 
 /* ---- Durations ---- */
 
-static struct fg_took *find_took(struct fg_gateway *gw,
-				 const struct fg_route *route)
+struct fg_took *fg_gw_took(GHashTable *all, const char *name)
 {
-	return g_hash_table_lookup(gw->took, route->name);
+	struct fg_took *took = g_hash_table_lookup(all, name);
+
+	if (took != NULL)
+		return took;
+	if (g_hash_table_size(all) >= NAMES_MAX)
+		g_hash_table_remove_all(all);
+	took = g_new0(struct fg_took, 1);
+	g_hash_table_insert(all, g_strdup(name), took);
+	return took;
 }
 
-static void note_took(const struct fg_gwreq *r, fg_ms now)
+/* A name is optional in the configuration, a prefix is not. */
+static struct fg_took *route_took(const struct fg_gwreq *r)
 {
-	struct fg_gateway *gw = r->gw;
-	struct fg_took *took = find_took(gw, r->route);
+	const struct fg_route *route = r->route;
 
-	if (took == NULL) {
-		if (g_hash_table_size(gw->took) >= ROUTES_MAX)
-			g_hash_table_remove_all(gw->took);
-		took = g_new0(struct fg_took, 1);
-		g_hash_table_insert(gw->took, g_strdup(r->route->name), took);
-	}
-	fg_took_note(took, now, (uint32_t)(now - r->arrived_at));
+	return fg_gw_took(r->gw->took,
+			  route->name != NULL ? route->name : route->prefix);
+}
+
+static void note_took(const struct fg_gwreq *r, fg_ms now)
+{
+	fg_took_note(route_took(r), now, (uint32_t)(now - r->arrived_at));
 }
 
 void fg_gw_stop_note_answered(const struct fg_gwreq *r)
@@ -45,15 +52,15 @@
 
 bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
 {
-	const struct fg_took *took = find_took(r->gw, r->route);
 	uint32_t unknown_ms = r->route->timeout_ms == 0
 				      ? UNKNOWN_MS
 				      : MIN(UNKNOWN_MS, r->route->timeout_ms);
-	uint32_t longest_ms =
-		took == NULL ? unknown_ms
-			     : fg_took_longest_ms(took, now, unknown_ms);
 
-	return fg_stop_has_time(&r->gw->stop, now, longest_ms);
+	if (!fg_gw_is_stopping(r->gw))
+		return true;
+	return fg_stop_has_time(
+		&r->gw->stop, now,
+		fg_took_longest_ms(route_took(r), now, unknown_ms));
 }
 
 /* ---- Requests ---- */
--- a/tests/gateway_stops.py
+++ b/tests/gateway_stops.py
@@ -397,7 +397,19 @@
     check(int(line["unsent_bytes"]) > 0, f"unfinished: {line}")
 
 
+def route_without_name(s):
+    """A route without a name is served, also during a planned stop."""
+    s.store.put("op", "config", make_config(2, extra_routes=[
+        {"host": HOST, "prefix": "/unnamed/", "kind": "unsafe",
+         "timeoutMs": 1500, "service": "orders", "maxAttempts": 1}]))
+    wait_for("served", lambda: send(s.gw.front, "/unnamed/1").status == 200)
+    began = stop(s.gw)
+    check(send(s.gw.front, "/unnamed/1").status == 200, "not served")
+    check_exit(s.gw, began)
+
+
 SCENARIOS = [
+    route_without_name,
     short_grace, stop_of_frozen, answers_at_end_of_stop, stop_with_streams,
     stop_is_no_crash, stop_with_unread_answer, late_orders_of_stop,
     late_quick_orders_of_stop,
