--- a/tests/gateway_stop_signals.py
+++ b/tests/gateway_stop_signals.py
@@ -272,8 +272,8 @@
 
 def slow_readers_of_stop(s):
     """Large answers to slow readers over a planned stop are sent to their end
-    if there is time, and visibly broken off if not. Guards against an answer that
-    is cut at a fixed time after its connection was closed."""
+    if there is time, and visibly broken off if not. Guards against an answer
+    that is cut at a fixed time after its connection was closed."""
     prepare(s, 0)
     for replica in s.plains + s.engines:
         replica.answer_with = answer_large
@@ -514,8 +514,10 @@
     each request is answered truthfully, and orders do not go into a tunnel that
     is about to end."""
     near, middle = s.gateways[:2]
-    prepare(s, 0.8)
+    prepare(s, 0.01)
     cut_from_endpoints(s)
+    for plain in s.plains:
+        plain.work_s = 0.8
     for engine in s.engines:
         engine.event_interval_s = 0.8
     load = Load(near, 4, 0.1)
