soak: callers that keep to the instances that are stopped

Each instance that the last part stops now has four more callers, which keep their connection.

The judge took a plain answer that was cut within its body for a stream that outlasts the grace; only streams may be broken off.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,7 +29,7 @@
 from hosted import (
     EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, broken_orders, http_get,
     make_config, send, wait_for)
-from soak_judge import Call, Checker
+from soak_judge import Call, Checker, STREAMS
 from soak_proxy import DOWN, Proxy, UP
 
 RECOVER_MAX_S = 12
@@ -279,8 +279,8 @@
         self.conn = None
         self.front = None
 
-    def run(self):
-        while self.soak.running:
+    def run(self, ended=None):
+        while self.soak.running and (ended is None or not ended.is_set()):
             try:
                 self.send_one()
             except (OSError, http.client.HTTPException, ValueError):
@@ -354,7 +354,7 @@
         adapter = f"{MODEL}/a{min(int(self.rand.expovariate(0.25)), ADAPTERS)}"
         fields = {"Host": HOST, "Request-Id": call.rid,
                   "Deadline-Ms": str(int(call.limit_s * 1000))}
-        if is_stream(kind):
+        if kind in STREAMS:
             fields.update({"Model": adapter, "Token-Count": "100,20"})
         self.soak.checker.on_sent(call)
         status, body, whole = 0, b"", False
@@ -386,13 +386,9 @@
         return chunks()
 
 
-def is_stream(kind):
-    return kind in ("draft", "brief", "long-brief")
-
-
 def is_expected_body(kind, rid, adapter, body):
     text = body.decode("latin-1")
-    if is_stream(kind):
+    if kind in STREAMS:
         got = [x.rsplit(" ", 1) for x in text.split("\n")
                if x.startswith("data:")]
         want = [f"data: piece {i} {rid} {adapter}"
@@ -660,17 +656,31 @@
         soak.start_gateway(g)
 
 
+def start_kept_callers(soak, rand, g, n, ended):
+    """Starts callers that keep a connection to the instance."""
+    for _ in range(n):
+        caller = Caller(soak, rand.random())
+        caller.keeps_connection = True
+        caller.addresses = [g.front]
+        caller.looked_up_at = time.monotonic()
+        soak.threads.append(threading.Thread(target=caller.run, args=(ended,),
+                                             daemon=True))
+        soak.threads[-1].start()
+
+
 def run_stops_part(soak, rand):
     done = threading.Event()
     holder = threading.Thread(target=hold_up_endpoints, args=(
         soak, random.Random(rand.random()), done))
+    some = rand.sample(soak.gateways, 2)
     soak.long_share = 0.2
-    time.sleep(1.0)  # such requests are in progress
+    for g in some:
+        start_kept_callers(soak, rand, g, 4, done)
+    time.sleep(1.0)  # long requests are in progress
     holder.start()
     stops = [threading.Thread(target=stop_and_start, args=(
         soak, g, rand.choice(("once", "once", "twice", "frozen")),
-        rand.choice((None, None, 0.0, 0.02, 0.3))))
-             for g in rand.sample(soak.gateways, 2)]
+        rand.choice((None, None, 0.0, 0.02, 0.3)))) for g in some]
     between_s = rand.choice((0.0, 2.0, STOP_MAX_S + 0.5))
     for thread in stops:
         thread.start()
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -10,6 +10,7 @@
 import time
 
 NOT_RUN = (408, 421, 429, 503)
+STREAMS = ("draft", "brief", "long-brief")  # kinds of requests
 REJECTED = (400, 401, 403, 404, 413, 431)
 # A final answer may come this long after the time limit of its route.
 LIMIT_SLACK_S = 0.5
@@ -153,7 +154,8 @@
                for n, t in self.last_fault.items()
                if n in {name for name, _ in call.runs}):
             return
-        if call.status == 200 and self._may_outlast(call, *stop):
+        if call.status == 200 and call.kind in STREAMS and \
+                self._may_outlast(call, *stop):
             return
         self.add_violation("LOST", f"{where}: cut off by a planned stop, "
                            f"status {call.status}, ran {call.runs}")
