lib/stop, lib/link: one piece each for margins, work left and unsent bytes

The table in the header of fg_stop had been reflowed into running text. The reserve is scaled by the same function as the margins, the test for work left stands once, and a reset of a link has one path to uv_close().

--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -94,13 +94,11 @@
 	if (!begin_closing(l))
 		return;
 	/* libuv refuses to reset after a shutdown. */
-	if (l->flushing) {
+	if (l->flushing)
 		set_linger(l, true);
+	if (l->flushing || !l->connected ||
+	    uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0)
 		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
-	} else if (!l->connected ||
-		   uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0) {
-		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
-	}
 }
 
 static void set_options(struct fg_link *l)
@@ -328,11 +326,17 @@
 	close_handles(l);
 }
 
+/* Unlike pending_bytes, this also falls within the write of one long answer. */
+static size_t unsent_bytes(const struct fg_link *l)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&l->tcp);
+}
+
 /* The peer must not take a part for the whole. */
 static void on_flush_timer(uv_timer_t *timer)
 {
 	struct fg_link *l = timer->data;
-	size_t unsent = uv_stream_get_write_queue_size((uv_stream_t *)&l->tcp);
+	size_t unsent = unsent_bytes(l);
 
 	if (unsent < l->unsent_bytes && uv_now(timer->loop) < l->flush_until_ms)
 		l->unsent_bytes = unsent;
@@ -356,8 +360,7 @@
 	l->flushing = true;
 	l->flushing_node.data = l;
 	g_queue_push_tail_link(&flushing, &l->flushing_node);
-	l->unsent_bytes =
-		uv_stream_get_write_queue_size((uv_stream_t *)&l->tcp);
+	l->unsent_bytes = unsent_bytes(l);
 	l->flush_until_ms = uv_now(l->timer.loop) + FLUSH_MAX_MS;
 	uv_timer_start(&l->timer, on_flush_timer, FLUSH_STALL_MS,
 		       FLUSH_STALL_MS);
@@ -382,7 +385,7 @@
 	while (flushing.head != NULL) {
 		struct fg_link *l = flushing.head->data;
 
-		if (uv_stream_get_write_queue_size((uv_stream_t *)&l->tcp) > 0)
+		if (unsent_bytes(l) > 0)
 			reset_handles(l);
 		else
 			close_handles(l);
--- a/lib/stop/fg_stop.c
+++ b/lib/stop/fg_stop.c
@@ -16,6 +16,7 @@
 /* An endpoint may fall silent for this long while the request is there. */
 #define RESERVE_MS 1500
 
+/* Scales a margin to the grace, which it does not exceed. */
 static fg_ms scale_margin(fg_ms grace_ms, fg_ms margin_ms, fg_ms least_ms)
 {
 	fg_ms part = MIN(grace_ms, SHORT_GRACE_MS);
@@ -26,8 +27,6 @@
 void fg_stop_begin(struct fg_stop *s, fg_ms signalled_at, fg_ms now,
 		   uint32_t grace_ms)
 {
-	fg_ms part = MIN(grace_ms, SHORT_GRACE_MS);
-
 	if (s->phase != FG_STOP_NONE)
 		return;
 	s->phase = FG_STOP_SERVING;
@@ -39,7 +38,7 @@
 	s->leave_at =
 		signalled_at + grace_ms -
 		scale_margin(grace_ms, LEAVE_MARGIN_MS, LEAVE_MARGIN_MIN_MS);
-	s->reserve_ms = part * RESERVE_MS / SHORT_GRACE_MS;
+	s->reserve_ms = scale_margin(grace_ms, RESERVE_MS, 0);
 }
 
 bool fg_stop_has_time(const struct fg_stop *s, fg_ms now, uint32_t longest_ms)
@@ -50,19 +49,23 @@
 	       now + longest_ms + s->reserve_ms <= s->answer_at;
 }
 
+static bool is_busy(const struct fg_stop_work *work)
+{
+	return work->requests + work->tunnels + work->reading > 0;
+}
+
 static enum fg_stop_phase next_phase(const struct fg_stop *s, fg_ms now,
 				     const struct fg_stop_work *work)
 {
-	uint32_t busy = work->requests + work->tunnels + work->reading;
-
 	switch (s->phase) {
 	case FG_STOP_SERVING:
 		return now >= s->answer_at || now - s->quiet_since >= QUIET_MS
 			       ? FG_STOP_FINISHING
 			       : FG_STOP_SERVING;
 	case FG_STOP_FINISHING:
-		return now >= s->answer_at || busy == 0 ? FG_STOP_ANSWERING
-							: FG_STOP_FINISHING;
+		return now >= s->answer_at || !is_busy(work)
+			       ? FG_STOP_ANSWERING
+			       : FG_STOP_FINISHING;
 	case FG_STOP_ANSWERING:
 		return FG_STOP_FLUSHING;
 	case FG_STOP_FLUSHING:
@@ -78,7 +81,7 @@
 {
 	enum fg_stop_phase next;
 
-	if (work->requests + work->tunnels + work->reading > 0)
+	if (is_busy(work))
 		s->quiet_since = now;
 	next = next_phase(s, now, work);
 	if (next == s->phase)
--- a/lib/stop/fg_stop.h
+++ b/lib/stop/fg_stop.h
@@ -1,11 +1,11 @@
 /*
  * fg_stop - the phases of a planned stop.
  *
- *   serving    callers that have not learned of the stop yet are served, as
- * long as their requests can end in time finishing  no connection is accepted
- * and idle ones are closed; what is in progress goes on answering  what is
- * still in progress is answered now, truthfully flushing   answers are sent to
- * callers that read slowly over       the process leaves
+ *   serving    requests are taken as long as they can end in time
+ *   finishing  no connection is accepted, and idle ones are closed
+ *   answering  what is still in progress is answered now, truthfully
+ *   flushing   answers are sent to callers that read slowly
+ *   over       the process leaves
  *
  * The phases follow from the time of the signal and the grace, after which the
  * process would be killed. Each phase begins early when nothing is left to do
