--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -476,37 +476,6 @@
 	fg_gw_close_listeners(gw);
 }
 
-void fg_gw_log_unfinished(const struct fg_gateway *gw)
-{
-	char text[5][24];
-	uint64_t unsent = fg_link_flushing_bytes();
-	guint n_unsent = unsent > 0;
-	guint n_reading = 0;
-	guint n_passed_on = 0;
-
-	for (guint i = 0; i < gw->callers->len; i++) {
-		const struct fg_caller *c = gw->callers->pdata[i];
-		size_t n = c->link == NULL ? 0 : fg_link_pending_bytes(c->link);
-
-		unsent += n;
-		n_unsent += n > 0;
-		n_reading += c->link != NULL && c->req == NULL && c->h1.started;
-	}
-	for (guint i = 0; i < gw->reqs->len; i++)
-		n_passed_on += fg_gwreq_is_passed_on(gw->reqs->pdata[i]);
-	if (gw->reqs->len + gw->tunnels->len + n_unsent + n_reading == 0)
-		return;
-	g_snprintf(text[0], sizeof(text[0]), "%u", gw->reqs->len);
-	g_snprintf(text[1], sizeof(text[1]), "%u", n_passed_on);
-	g_snprintf(text[2], sizeof(text[2]), "%u", gw->tunnels->len);
-	g_snprintf(text[3], sizeof(text[3]), "%llu",
-		   (unsigned long long)unsent);
-	g_snprintf(text[4], sizeof(text[4]), "%u", n_reading);
-	fg_log(FG_LOG_WARN, "gateway", "unfinished", "requests", text[0],
-	       "passed_on", text[1], "tunnels", text[2], "unsent_bytes",
-	       text[3], "half_read", text[4], NULL);
-}
-
 void fg_gateway_free(struct fg_gateway *gw)
 {
 	gw->ending = true;
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1089,8 +1089,7 @@
 	uv_timer_t *quota_timer;
 	struct fg_routes *quota_routes; /* whose limits are in force */
 
-	uv_udp_t mesh;
-	bool mesh_open;
+	uv_udp_t mesh; /* its data is NULL while it is not open */
 	uint32_t heartbeat_seq;
 	fg_ms near_heartbeat_at;       /* last one to this region */
 	fg_ms region_heartbeat_due_at; /* next one to the region's other data
@@ -1137,9 +1136,9 @@
  * an endpoint now, and returns whether it did. Call it before each send. */
 bool fg_gw_stop_refuse_late(struct fg_gwreq *r);
 
-/* Returns what is kept under `name` in gw->took or gw->first_took, created when
- * missing; valid until the next call. */
-struct fg_took *fg_gw_took(GHashTable *all, const char *name);
+/* Returns the record of that size under `name` in gw->took, gw->first_took or
+ * gw->stutters, created as zeroes when missing; valid until the next call. */
+void *fg_gw_get_named(GHashTable *all, const char *name, size_t size);
 
 /* An endpoint answered the request to its end. */
 void fg_gw_stop_note_answered(const struct fg_gwreq *r);
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -35,7 +35,7 @@
 	uv_buf_t out = uv_buf_init((char *)bytes, (unsigned int)len);
 
 	/* libuv binds a new socket to a handle that is being closed. */
-	if (!gw->mesh_open || !fg_address_parse(address, &to))
+	if (gw->mesh.data == NULL || !fg_address_parse(address, &to))
 		return;
 	/* A datagram that cannot be sent now is dropped. */
 	(void)uv_udp_try_send(&gw->mesh, &out, 1, (struct sockaddr *)&to);
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -313,13 +313,11 @@
 	rc = uv_udp_bind(&gw->mesh, (struct sockaddr *)&at, 0);
 	if (rc == 0)
 		rc = uv_udp_recv_start(&gw->mesh, on_alloc, on_packet);
-	gw->mesh_open = rc == 0;
 	return rc;
 }
 
 void fg_gw_mesh_close(struct fg_gateway *gw)
 {
-	gw->mesh_open = false;
 	if (gw->mesh.data != NULL)
 		uv_close((uv_handle_t *)&gw->mesh, NULL);
 	gw->mesh.data = NULL;
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -380,10 +380,16 @@
 	return r->route->idempotent || r->route->resumable;
 }
 
-bool fg_gwreq_has_retry_budget(const struct fg_gwreq *r, fg_ms now)
+/* Returns whether the request's time and its number of sends allow another. */
+static bool has_send_left(const struct fg_gwreq *r, fg_ms now)
 {
 	return r->sends < SENDS_MAX &&
-	       fg_gwreq_time_left_ms(r, now) >= FG_GWREQ_TIME_LEFT_MIN_MS &&
+	       fg_gwreq_time_left_ms(r, now) >= FG_GWREQ_TIME_LEFT_MIN_MS;
+}
+
+bool fg_gwreq_has_retry_budget(const struct fg_gwreq *r, fg_ms now)
+{
+	return has_send_left(r, now) &&
 	       fg_retry_budget_left(fg_gw_retry_budget(r->gw, r->service->name),
 				    now, FG_CLASS_STATUS) > 0;
 }
@@ -403,8 +409,7 @@
 
 static bool may_send_again(struct fg_gwreq *r, enum fg_send_end end, fg_ms now)
 {
-	if (r->sends >= SENDS_MAX ||
-	    fg_gwreq_time_left_ms(r, now) < FG_GWREQ_TIME_LEFT_MIN_MS)
+	if (!has_send_left(r, now))
 		return false;
 	/* Without ids, another endpoint would send the same events again. */
 	if (r->head_sent && !r->events.has_id)
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -79,13 +79,9 @@
 static void note_stutter(const struct fg_ep_conn *conn, const char *where)
 {
 	const char *service = conn->ep->facts.service;
-	GHashTable *all = conn->gw->stutters;
-	struct fg_stutter *s = g_hash_table_lookup(all, service);
+	struct fg_stutter *s = fg_gw_get_named(conn->gw->stutters, service,
+					       sizeof(struct fg_stutter));
 
-	if (s == NULL) {
-		s = g_new0(struct fg_stutter, 1);
-		g_hash_table_insert(all, g_strdup(service), s);
-	}
 	if (!fg_stutter_note(s, fg_clock_now()))
 		return;
 	fg_gw_count_event(conn->gw, "stutters", NULL);
@@ -469,16 +465,20 @@
 	g_string_free(out, TRUE);
 }
 
+static struct fg_took *first_took(const struct fg_gwreq *r)
+{
+	return fg_gw_get_named(r->gw->first_took, r->service->name,
+			       sizeof(struct fg_took));
+}
+
 void fg_send_note_first(const struct fg_gwreq *r, fg_ms now)
 {
-	fg_took_note(fg_gw_took(r->gw->first_took, r->service->name), now,
-		     (uint32_t)(now - r->sent_at));
+	fg_took_note(first_took(r), now, (uint32_t)(now - r->sent_at));
 }
 
 static uint32_t silence_limit_ms(const struct fg_gwreq *r, fg_ms now)
 {
-	const struct fg_took *took =
-		fg_gw_took(r->gw->first_took, r->service->name);
+	const struct fg_took *took = first_took(r);
 	uint32_t expected_ms = MIN(r->expected_ms, UINT32_MAX / 4);
 	struct fg_silence_times times = {
 		.floor_ms = r->service->engine ? SILENCE_ENGINE_MS
@@ -726,16 +726,15 @@
 	verdict = r->answer_begun ? FG_SILENCE_WAIT : judge_silence(r, now);
 	if (verdict != FG_SILENCE_WAIT)
 		suspect_endpoint(r, now);
-	if (verdict != FG_SILENCE_WITHDRAW) {
+	if (verdict == FG_SILENCE_WAIT) {
 		arm_silence_timeout(r, now);
-		if (verdict == FG_SILENCE_SUSPECT) {
-			r->due_at = MIN(r->due_at, now + OTHER_CHECK_MS);
-			fg_gwreq_arm_timer(r);
-		}
-		return;
+	} else if (verdict == FG_SILENCE_SUSPECT) {
+		r->due_at = now + OTHER_CHECK_MS;
+		fg_gwreq_arm_timer(r);
+	} else {
+		fg_send_cancel(r);
+		fg_gwreq_on_send_end(r, FG_SEND_BROKEN, "endpoint_silent");
 	}
-	fg_send_cancel(r);
-	fg_gwreq_on_send_end(r, FG_SEND_BROKEN, "endpoint_silent");
 }
 
 void fg_send_cancel(struct fg_gwreq *r)
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -13,22 +13,22 @@
 #define LAST_TICKS_MS 20
 /* Other instances can serve the caller at once. */
 #define RETRY_MS 50
-/* Routes, or services, whose durations are kept. */
+/* Routes, or services, of which something is kept. */
 #define NAMES_MAX 8192
 
 /* ---- Durations ---- */
 
-struct fg_took *fg_gw_took(GHashTable *all, const char *name)
+void *fg_gw_get_named(GHashTable *all, const char *name, size_t size)
 {
-	struct fg_took *took = g_hash_table_lookup(all, name);
+	void *record = g_hash_table_lookup(all, name);
 
-	if (took != NULL)
-		return took;
+	if (record != NULL)
+		return record;
 	if (g_hash_table_size(all) >= NAMES_MAX)
 		g_hash_table_remove_all(all);
-	took = g_new0(struct fg_took, 1);
-	g_hash_table_insert(all, g_strdup(name), took);
-	return took;
+	record = g_malloc0(size);
+	g_hash_table_insert(all, g_strdup(name), record);
+	return record;
 }
 
 /* A name is optional in the configuration, a prefix is not. */
@@ -36,8 +36,9 @@
 {
 	const struct fg_route *route = r->route;
 
-	return fg_gw_took(r->gw->took,
-			  route->name != NULL ? route->name : route->prefix);
+	return fg_gw_get_named(
+		r->gw->took, route->name != NULL ? route->name : route->prefix,
+		sizeof(struct fg_took));
 }
 
 static void note_took(const struct fg_gwreq *r, fg_ms now)
@@ -52,12 +53,12 @@
 
 bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
 {
-	uint32_t unknown_ms = r->route->timeout_ms == 0
-				      ? UNKNOWN_MS
-				      : MIN(UNKNOWN_MS, r->route->timeout_ms);
+	uint32_t unknown_ms = UNKNOWN_MS;
 
 	if (!fg_gw_is_stopping(r->gw))
 		return true;
+	if (r->route->timeout_ms > 0)
+		unknown_ms = MIN(unknown_ms, r->route->timeout_ms);
 	return fg_stop_has_time(
 		&r->gw->stop, now,
 		fg_took_longest_ms(route_took(r), now, unknown_ms));
@@ -148,6 +149,49 @@
 	}
 }
 
+/* ---- What is in progress ---- */
+
+static struct fg_stop_work count_work(const struct fg_gateway *gw)
+{
+	struct fg_stop_work work = {
+		.requests = gw->reqs->len,
+		.tunnels = gw->tunnels->len,
+		.unsent = fg_link_flushing_count(),
+	};
+
+	for (guint i = 0; i < gw->callers->len; i++)
+		work.reading += is_reading(gw->callers->pdata[i]);
+	return work;
+}
+
+void fg_gw_log_unfinished(const struct fg_gateway *gw)
+{
+	struct fg_stop_work work = count_work(gw);
+	uint64_t unsent = fg_link_flushing_bytes();
+	guint n_passed_on = 0;
+	char text[5][24];
+
+	for (guint i = 0; i < gw->callers->len; i++) {
+		const struct fg_caller *c = gw->callers->pdata[i];
+
+		if (c->link != NULL)
+			unsent += fg_link_pending_bytes(c->link);
+	}
+	for (guint i = 0; i < gw->reqs->len; i++)
+		n_passed_on += fg_gwreq_is_passed_on(gw->reqs->pdata[i]);
+	if (work.requests + work.tunnels + work.reading + unsent == 0)
+		return;
+	g_snprintf(text[0], sizeof(text[0]), "%u", work.requests);
+	g_snprintf(text[1], sizeof(text[1]), "%u", n_passed_on);
+	g_snprintf(text[2], sizeof(text[2]), "%u", work.tunnels);
+	g_snprintf(text[3], sizeof(text[3]), "%llu",
+		   (unsigned long long)unsent);
+	g_snprintf(text[4], sizeof(text[4]), "%u", work.reading);
+	fg_log(FG_LOG_WARN, "gateway", "unfinished", "requests", text[0],
+	       "passed_on", text[1], "tunnels", text[2], "unsent_bytes",
+	       text[3], "half_read", text[4], NULL);
+}
+
 /* ---- Phases ---- */
 
 /* Returns the earliest time at which a signal that is noticed now can have
@@ -178,19 +222,6 @@
 	fg_sync_tick(gw, now);
 }
 
-static struct fg_stop_work count_work(const struct fg_gateway *gw)
-{
-	struct fg_stop_work work = {
-		.requests = gw->reqs->len,
-		.tunnels = gw->tunnels->len,
-		.unsent = fg_link_flushing_count(),
-	};
-
-	for (guint i = 0; i < gw->callers->len; i++)
-		work.reading += is_reading(gw->callers->pdata[i]);
-	return work;
-}
-
 /* Moves on by one phase, if it is due, and returns true when it has. */
 static bool advance(struct fg_gateway *gw, fg_ms now)
 {
