tests: one read_to_end(), one with_grace(), one begin of halting answers

Reading a connection to its end stood five times, a system with a short grace four times, and the begin of answers that halt twice.

--- a/tests/gateway_broken_streams.py
+++ b/tests/gateway_broken_streams.py
@@ -6,7 +6,8 @@
 from gateway_cuts import CuttableSystem
 from gateway_tunnels import cut_from_endpoints
 from hosted import (
-    EVENTS, Gateway, HOST, MODEL, check, find_log_lines, next_id, reset_connection, wait_for)
+    EVENTS, Gateway, HOST, MODEL, check, find_log_lines, next_id, read_to_end,
+    reset_connection, wait_for)
 
 BROKEN_AFTER = 3  # whole events, and half of the next one
 CHUNKED = "Transfer-Encoding: chunked\r\n"
@@ -139,12 +140,7 @@
     sock.sendall((f"POST /draft/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {rid}\r\n"
                   f"Deadline-Ms: 4000\r\nModel: {MODEL}/a1\r\nToken-Count: 9,9\r\n{fields}"
                   "Connection: close\r\nContent-Length: 1\r\n\r\nx").encode())
-    out = b""
-    try:
-        while data := sock.recv(65536):
-            out += data
-    except OSError:
-        pass
+    out, _ = read_to_end(sock)
     sock.close()
     return out.decode()
 
--- a/tests/gateway_old_callers.py
+++ b/tests/gateway_old_callers.py
@@ -7,8 +7,8 @@
 import time
 
 from hosted import (
-    EVENTS, HOST, MODEL, Answer, Gateway, System, check, event_ids,
-    has_all_events, next_id, wait_for)
+    EVENTS, HOST, MODEL, Answer, check, event_ids, has_all_events, next_id, wait_for,
+    with_grace)
 
 
 def send_old(front, path, fields="", method="POST", slow_s=0):
@@ -155,15 +155,7 @@
     check(not parts, f"parts look whole: {parts}")
 
 
-class ShortGrace(Gateway):
-    stop_grace_s = 1
-
-
-class ShortGraceSystem(System):
-    gateway_class = ShortGrace
-
-
-old_callers_end.system_class = ShortGraceSystem
+old_callers_end.system_class = with_grace(1)
 
 
 SCENARIOS = [old_callers, old_callers_cut, old_callers_end, old_callers_slow]
--- a/tests/gateway_order_ends.py
+++ b/tests/gateway_order_ends.py
@@ -9,11 +9,11 @@
 
 from gateway_cuts import CuttableSystem
 from gateway_tunnels import (
-    Case, TunnelSystem, all_cases, cut_from_endpoints, finish_cases, judge_cases,
+    Case, TunnelSystem, all_cases, begin_cases, cut_from_endpoints, finish_cases, judge_cases,
     start_cases)
 from hosted import (
     EVENTS, HOST, MODEL, Answer, check, event_ids, has_all_events, make_config, next_id,
-    send_draft, wait_for)
+    read_to_end, send_draft, wait_for)
 from si_http import Server, read_request
 
 STREAM_FIELDS = {"Model": f"{MODEL}/a1", "Token-Count": "100,20"}
@@ -24,12 +24,7 @@
 def read_answer(sock):
     """Returns the answer with as much of its body as came; whole only if its framing
     says so."""
-    data = b""
-    try:
-        while piece := sock.recv(65536):
-            data += piece
-    except OSError:
-        pass
+    data, _ = read_to_end(sock)
     head, end, body = data.partition(b"\r\n\r\n")
     if not end:
         return Answer(0, "", {}, False)
@@ -211,13 +206,7 @@
         case.pause_s = 0.5
         if case.is_stream and case.point not in ("before_head", "in_head"):
             case.pause_s = (0.5, 0.7, longest_s)[i % 3]
-    by_id = {c.rid: c for c in cases}
-    for replica in s.engines + s.plains:
-        replica.answer_with = lambda r, req, rid: by_id[rid].serve(r, req)
-    for case in cases:
-        case.start(s.gateways[0])
-    for case in cases:
-        check(case.at_point.wait(3), f"{case}: not begun")
+    begin_cases(s, cases)
     for gateway in stopping:
         gateway.popen.send_signal(signal.SIGTERM)
     for case in cases:
--- a/tests/gateway_stop_bodies.py
+++ b/tests/gateway_stop_bodies.py
@@ -6,7 +6,7 @@
 import time
 
 from gateway_stops import check_exit, stop
-from hosted import HOST, check, next_id
+from hosted import HOST, check, next_id, read_to_end
 
 CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
 
@@ -34,12 +34,7 @@
 
     def read(self):
         """Returns the bytes of the answer until the connection ends."""
-        out = b""
-        try:
-            while data := self.sock.recv(65536):
-                out += data
-        except OSError:
-            pass
+        out, _ = read_to_end(self.sock)
         self.sock.close()
         return out
 
--- a/tests/gateway_stop_signals.py
+++ b/tests/gateway_stop_signals.py
@@ -14,17 +14,12 @@
     stop, write_long_routes)
 from gateway_tunnels import TunnelSystem, cut_from_endpoints
 from hosted import (
-    EVENTS, HOST, MODEL, Gateway, System, check, http_get, next_id,
-    reset_connection, send, send_draft, wait_for)
+    EVENTS, HOST, MODEL, Gateway, check, http_get, next_id,
+    read_to_end, reset_connection, send, send_draft, wait_for, with_grace)
 from si_store import Store
 
 
-class ShortGraceGateway(Gateway):
-    stop_grace_s = 4
-
-
-class ShortGraceSystem(System):
-    gateway_class = ShortGraceGateway
+ShortGraceSystem = with_grace(4)
 
 
 class Load:
@@ -296,12 +291,7 @@
 
 def read_answers(sock):
     """Returns [(status, body)] of the whole answers on a connection."""
-    data = b""
-    try:
-        while piece := sock.recv(65536):
-            data += piece
-    except OSError:
-        pass
+    data, _ = read_to_end(sock)
     sock.close()
     out = []
     while b"\r\n\r\n" in data:
@@ -505,8 +495,7 @@
 waits_in_stop.system_options = {"gateways": 3}
 
 
-class CutSystem(TunnelSystem):
-    gateway_class = ShortGraceGateway
+CutSystem = with_grace(4, TunnelSystem)
 
 
 def stop_around_tunnels(s):
--- a/tests/gateway_stops.py
+++ b/tests/gateway_stops.py
@@ -10,8 +10,8 @@
 import time
 
 from hosted import (
-    EVENTS, HOST, MODEL, Gateway, System, check, find_log_lines,
-    has_all_events, make_config, next_id, send, send_draft, wait_for)
+    EVENTS, HOST, MODEL, check, find_log_lines, has_all_events, make_config,
+    next_id, read_to_end, send, wait_for, with_grace)
 
 GRACE_S = 8  # Gateway.stop_grace_s; then the process would be killed
 UNREAD_BYTES = 16 << 20  # more than the sockets take
@@ -202,12 +202,7 @@
     check_late_requests(s, "draft", 2.5)
 
 
-class ShortGraceGateway(Gateway):
-    stop_grace_s = 1
-
-
-class ShortGraceSystem(System):
-    gateway_class = ShortGraceGateway
+ShortGraceSystem = with_grace(1)
 
 
 def short_grace(s):
@@ -242,14 +237,6 @@
 short_grace.system_class = ShortGraceSystem
 
 
-class MediumGraceGateway(Gateway):
-    stop_grace_s = 3
-
-
-class MediumGraceSystem(System):
-    gateway_class = MediumGraceGateway
-
-
 def stop_of_frozen(s):
     """A signal that comes while the process is frozen begins the grace: an order
     in progress is answered and the process ends before it would be killed."""
@@ -277,7 +264,7 @@
     check(not problems, f"{len(problems)} of 4: {problems}")
 
 
-stop_of_frozen.system_class = MediumGraceSystem
+stop_of_frozen.system_class = with_grace(3)
 
 
 def raw_request(rid, method="POST", version="1.1", kind="unsafe", fields=""):
@@ -285,17 +272,6 @@
             f"Request-Id: {rid}\r\nDeadline-Ms: {LONG_MS}\r\n{fields}\r\n")
 
 
-def read_to_end(sock):
-    """Returns what arrives until the connection ends, and how it ends."""
-    out = b""
-    try:
-        while data := sock.recv(65536):
-            out += data
-        return out.decode(), "closed"
-    except OSError as why:
-        return out.decode(), repr(why)
-
-
 def answers_at_end_of_stop(s):
     """Callers of each shape get one whole answer, which says that the connection
     closes, at the end of a planned stop; what follows in a pipeline does not
@@ -332,14 +308,14 @@
         socks[name].sendall(text.encode())
     answers = {name: read_to_end(sock) for name, sock in socks.items()}
     check(s.gw.popen.wait(began + 1.0 - time.monotonic()) == 0, "exit")
-    check(answers.pop("idle") == ("", "closed"), "the idle one")
+    check(answers.pop("idle") == (b"", None), "the idle one")
     wrong = []
     for name, (status, text, runs) in {**early, **late}.items():
         got, end = answers[name]
-        got = got.removeprefix("HTTP/1.1 100 Continue\r\n\r\n")
+        got = got.decode().removeprefix("HTTP/1.1 100 Continue\r\n\r\n")
         print(f"{name}: {got.splitlines()[:1]} {end}")
         rid = text.split("Request-Id: ")[-1].split("\r\n")[0]
-        if not (got.startswith(f"HTTP/1.1 {status} ") and end == "closed" and
+        if not (got.startswith(f"HTTP/1.1 {status} ") and end is None and
                 got.endswith("\r\n\r\n") and "Connection: close" in got and
                 got.count("HTTP/1.1") == 1 and
                 ("Retry-After" in got) == (status == 503)):
--- a/tests/gateway_tunnels.py
+++ b/tests/gateway_tunnels.py
@@ -129,8 +129,8 @@
         send_draft(s.gateways[0])) for _ in range(4)))
 
 
-def start_cases(s, cases):
-    """Returns when each answer is at its point and its bytes have arrived."""
+def begin_cases(s, cases):
+    """Returns when each answer is at its point."""
     by_id = {c.rid: c for c in cases}
     for replica in s.engines + s.plains:
         replica.answer_with = lambda r, req, rid: by_id[rid].serve(r, req)
@@ -138,6 +138,11 @@
         case.start(s.gateways[0])
     for case in cases:
         check(case.at_point.wait(3), f"{case}: not begun")
+
+
+def start_cases(s, cases):
+    """Returns when each answer is at its point and its bytes have arrived."""
+    begin_cases(s, cases)
     time.sleep(0.1)
 
 
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -287,6 +287,25 @@
         conn.close()
 
 
+def read_to_end(sock):
+    """Returns what arrives until the connection ends, and the error that ended it,
+    or None."""
+    out = b""
+    try:
+        while data := sock.recv(65536):
+            out += data
+    except OSError as why:
+        return out, why
+    return out, None
+
+
+def with_grace(grace_s, base=System):
+    """Returns a kind of `base` whose planned stops have that grace."""
+    gateway = type("GraceGateway", (base.gateway_class,),
+                   {"stop_grace_s": grace_s})
+    return type("GraceSystem", (base,), {"gateway_class": gateway})
+
+
 class Answer:
     def __init__(self, status, body, headers, whole):
         self.status = status
