tests: crowds of callers that keep to no limit

Real processes on loopback, one scenario at a time, apart from the other tests. Judged are lives, memory (the peak of resident memory against the 160 MB of the users' smallest machine, 48 MB on ports that take no body), descriptors, and an ordinary request and a lookup afterwards; no times and no share of served requests. Crowds: 64 callers with bodies of 4 MiB, which is the limit of the users' deployments; 40 callers before 16 places; 192 before 96 descriptors.

The others show what holds: heads, chunk extensions and trailers without end, bytes behind a request in progress, callers that end in the middle, many small requests, a planned stop beside a crowd, announced bodies beyond the limit, and what must not change: a slow but honest body, the largest body in calm, reuse near the idle limit.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -2,7 +2,7 @@
 # Runs the tests; the last line is "N passed, N failed".
 # Usage: tests/run.sh [all|unit|sanitized]
 #   all        unit tests, scenarios, gateway scenarios, a replacement of
-#              builds, soak, invalid input, seeded runs
+#              builds, crowds of callers, soak, invalid input, seeded runs
 #   unit       unit tests only
 #   sanitized  unit tests and one scenario, for the sanitizer builds
 # Tests listed in KNOWN-RED.txt run as well; their failures are printed, but do
@@ -166,6 +166,8 @@
 if [ "$what" = all ]; then
 	run_lanes tests/gateway.py 3
 	run_lines tests/upgrade.py
+	run_lines tests/crowds.py
+	run_lines tests/entry_crowds.py
 	run_soak soak-short --seed 1 --rounds 1
 	run_soak soak-regressions --regressions
 	run_soak soak-restores --seed 1 --rounds 1 --restores
