lib/gateway: an idle connection keeps no buffer of its last body

Callers saw nothing until the process ran out of memory: 64 connections that each had sent one whole body of 4 MiB and waited for their next request held 275 MB. The array of the body was emptied, but not freed.

The buffers of a request are freed with its answer, and that of a long head with it. A body is also in memory once only: a send takes it from the request's buffer and holds a reference to it, instead of a copy in the request written out and another in the queue of the connection; an answer is sent from the buffer that collected it.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -104,7 +104,8 @@
 	struct fg_link *link; /* NULL once closed */
 	struct fg_h1 h1;
 	GByteArray *pipelined;	  /* bytes received after the current request */
-	GByteArray *body;	  /* of the current request */
+	GByteArray *body;	  /* of the request that is being read */
+	GBytes *whole_body;	  /* of the request in progress, or NULL */
 	struct fg_gwreq *req;	  /* in progress, or NULL */
 	struct fg_tunnel *tunnel; /* its bytes go to an endpoint, or NULL */
 	fg_ms wait_since; /* start of the current head or idle timeout */
@@ -214,7 +215,7 @@
 	uint64_t software;
 	uint64_t sent_software;	  /* of the endpoint of this send */
 	uint32_t origins_pending; /* instances that were asked for it */
-	GString *answer_body;	  /* of a plain answer */
+	GByteArray *answer_body;  /* of a plain answer */
 	guint index;		  /* in gw->reqs */
 };
 
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -167,7 +167,7 @@
 	if (!is_streamed(r, head)) {
 		note_answer_start(r);
 		if (r->answer_body == NULL)
-			r->answer_body = g_string_new(NULL);
+			r->answer_body = g_byte_array_new();
 	}
 	return true;
 }
@@ -238,7 +238,8 @@
 		return;
 	}
 	r->gw->answer_bytes += len_bytes;
-	g_string_append_len(r->answer_body, data, (gssize)len_bytes);
+	g_byte_array_append(r->answer_body, (const guint8 *)data,
+			    (guint)len_bytes);
 }
 
 void fg_answer_body(struct fg_gwreq *r, const char *data, size_t len_bytes)
@@ -291,7 +292,9 @@
 
 static void finish_plain(struct fg_gwreq *r, const struct fg_h1_head *head)
 {
-	GString *out = g_string_sized_new(r->answer_body->len + 512);
+	GString *out = g_string_sized_new(512);
+	size_t len_bytes = r->answer_body->len;
+	GBytes *body;
 
 	write_head(r, head, out);
 	if (r->head->method == HTTP_HEAD && head->length_bytes >= 0)
@@ -301,11 +304,13 @@
 	else if (head->status != HTTP_STATUS_NO_CONTENT &&
 		 head->status != HTTP_STATUS_NOT_MODIFIED)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
-				       r->answer_body->len);
+				       len_bytes);
 	g_string_append(out, "\r\n");
-	g_string_append_len(out, r->answer_body->str,
-			    (gssize)r->answer_body->len);
-	fg_link_write(r->caller->link, out->str, out->len);
+	body = g_byte_array_free_to_bytes(r->answer_body);
+	r->answer_body = NULL;
+	r->gw->answer_bytes -= len_bytes;
+	fg_link_write_with_body(r->caller->link, out->str, out->len, body);
+	g_bytes_unref(body);
 	g_string_free(out, TRUE);
 	report_answered(r, head->status);
 	fg_gwreq_finish(r);
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -17,11 +17,36 @@
 	return http_status_str((enum http_status)status);
 }
 
+static void empty_array(GByteArray **array)
+{
+	if ((*array)->data == NULL)
+		return;
+	g_byte_array_unref(*array);
+	*array = g_byte_array_new();
+}
+
+/* Frees what was kept of the request, and not only its contents: an idle
+ * connection must not hold the memory of its last body. */
+static void release_request(struct fg_caller *c)
+{
+	empty_array(&c->body);
+	if (c->whole_body != NULL)
+		g_bytes_unref(c->whole_body);
+	c->whole_body = NULL;
+}
+
+static void release_bytes(struct fg_caller *c)
+{
+	release_request(c);
+	empty_array(&c->pipelined);
+}
+
 static void caller_free(gpointer p)
 {
 	struct fg_caller *c = p;
 
 	fg_h1_clear(&c->h1);
+	release_bytes(c);
 	g_byte_array_unref(c->pipelined);
 	g_byte_array_unref(c->body);
 	g_free(c);
@@ -40,6 +65,7 @@
 	c->tunnel = NULL;
 	if (r != NULL)
 		fg_gwreq_cancel(r);
+	release_bytes(c);
 }
 
 void fg_caller_close(struct fg_caller *c, bool flush)
@@ -159,6 +185,8 @@
 {
 	struct fg_caller *c = ctx;
 
+	c->whole_body = g_byte_array_free_to_bytes(c->body);
+	c->body = g_byte_array_new();
 	if (c->kind == FG_PORT_FRONT)
 		fg_gwreq_start(c);
 	else
@@ -280,7 +308,7 @@
 		return;
 	}
 	fg_h1_reset(&c->h1);
-	g_byte_array_set_size(c->body, 0);
+	release_request(c);
 	c->wait_since = fg_clock_now();
 	fg_link_resume(c->link);
 	feed_pipelined(c);
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -244,7 +244,7 @@
 	if (r->answer_body == NULL)
 		return;
 	r->gw->answer_bytes -= r->answer_body->len;
-	g_string_free(r->answer_body, TRUE);
+	g_byte_array_unref(r->answer_body);
 	r->answer_body = NULL;
 }
 
@@ -529,8 +529,9 @@
 
 static uint64_t request_fingerprint(const struct fg_gwreq *r)
 {
-	const struct fg_caller *c = r->caller;
-	uint64_t body = fg_hash_bytes(c->body->data, c->body->len);
+	gsize len;
+	const void *data = g_bytes_get_data(r->caller->whole_body, &len);
+	uint64_t body = fg_hash_bytes(data, len);
 
 	return fg_hash_mix(fg_hash_str(fg_h1_target(r->head)), body);
 }
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -435,8 +435,8 @@
 {
 	struct fg_gwreq *r = conn->req;
 	fg_ms now = fg_clock_now();
-	const GByteArray *body = r->caller->body;
-	GString *out = g_string_sized_new(1024 + body->len);
+	GBytes *body = r->caller->whole_body;
+	GString *out = g_string_sized_new(1024);
 	struct fg_send_params send = {
 		.endpoint_id = conn->ep->facts.id,
 		.deadline_ms = MAX(fg_gwreq_time_left_ms(r, now), 1),
@@ -446,8 +446,8 @@
 		.resumes = r->call.resumes || r->events.has_id,
 		.resume_after = r->events.has_id ? r->events.last_id
 						 : r->call.resume_after,
-		.body_bytes = body->len,
-		.has_body = body->len > 0 || r->head->length_bytes >= 0 ||
+		.body_bytes = g_bytes_get_size(body),
+		.has_body = g_bytes_get_size(body) > 0 || r->head->length_bytes >= 0 ||
 			    r->head->chunked,
 		.identified = r->keyed_by->workspaces != NULL ||
 			      conn->gw->routes->workspaces != NULL,
@@ -457,11 +457,10 @@
 	if (send.resumes)
 		log_resume(conn, &send);
 	conn->gw->wire->call_write(out, r->head, &send);
-	g_string_append_len(out, (const char *)body->data, body->len);
 	r->sent_at = now;
 	r->sent_software = conn->ep->software;
 	conn->ep->sends++;
-	fg_link_write(conn->link, out->str, out->len);
+	fg_link_write_with_body(conn->link, out->str, out->len, body);
 	g_string_free(out, TRUE);
 }
 
--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -197,8 +197,15 @@
 
 /* ---- Parser ---- */
 
+/* An idle connection keeps no more than this of its last head. */
+#define KEPT_HEAD_BYTES 4096
+
 static void reset_head(struct fg_h1 *h)
 {
+	if (h->head.text->allocated_len > KEPT_HEAD_BYTES) {
+		g_string_free(h->head.text, TRUE);
+		h->head.text = g_string_new(NULL);
+	}
 	g_string_truncate(h->head.text, 0);
 	h->head.n_fields = 0;
 	h->head.n_head_fields = 0;
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -44,6 +44,7 @@
 struct write_req {
 	uv_write_t req;
 	size_t len_bytes;
+	GBytes *body; /* reference; NULL: none */
 	char data[];
 };
 
@@ -255,13 +256,20 @@
 	l->ctx = ctx;
 }
 
+static void write_req_free(struct write_req *w)
+{
+	if (w->body != NULL)
+		g_bytes_unref(w->body);
+	g_free(w);
+}
+
 static void on_written(uv_write_t *req, int status)
 {
 	struct write_req *w = (struct write_req *)req;
 	struct fg_link *l = req->data;
 
 	l->pending_bytes -= w->len_bytes;
-	g_free(w);
+	write_req_free(w);
 	if (l->closed)
 		return;
 	if (status != 0 && status != UV_ECANCELED) {
@@ -272,33 +280,68 @@
 		l->ops->on_drained(l->ctx);
 }
 
-/* Copies only the bytes that the kernel does not accept at once. */
-void fg_link_write(struct fg_link *l, const char *data, size_t len_bytes)
+/* Sends what the kernel accepts at once. Returns how many bytes that is. */
+static size_t write_at_once(struct fg_link *l, const uv_buf_t *bufs,
+			    unsigned int n)
+{
+	int sent;
+
+	if (l->pending_bytes > 0 || !l->connected)
+		return 0;
+	sent = uv_try_write((uv_stream_t *)&l->tcp, bufs, n);
+	/* uv_write() reports the same error. */
+	return sent < 0 ? 0 : (size_t)sent;
+}
+
+/* Takes over `w`, of which bufs[0] points into its data. */
+static void queue_write(struct fg_link *l, struct write_req *w,
+			const uv_buf_t *bufs, unsigned int n)
+{
+	w->req.data = l;
+	l->pending_bytes += w->len_bytes;
+	if (uv_write(&w->req, (uv_stream_t *)&l->tcp, bufs, n, on_written) ==
+	    0)
+		return;
+	l->pending_bytes -= w->len_bytes;
+	write_req_free(w);
+}
+
+void fg_link_write_with_body(struct fg_link *l, const char *data,
+			     size_t len_bytes, GBytes *body)
 {
-	uv_buf_t buf = uv_buf_init((char *)data, (unsigned int)len_bytes);
+	size_t body_bytes = 0;
+	const char *body_data =
+		body == NULL ? NULL : g_bytes_get_data(body, &body_bytes);
+	uv_buf_t bufs[] = {
+		uv_buf_init((char *)data, (unsigned int)len_bytes),
+		uv_buf_init((char *)body_data, (unsigned int)body_bytes),
+	};
 	struct write_req *w;
-	int sent = 0;
+	size_t sent;
+	size_t head_sent;
 
-	if (l->closed || l->closing || len_bytes == 0)
+	if (l->closed || l->closing || len_bytes + body_bytes == 0)
 		return;
-	if (l->pending_bytes == 0 && l->connected)
-		sent = uv_try_write((uv_stream_t *)&l->tcp, &buf, 1);
-	if (sent < 0)
-		sent = 0; /* uv_write() below reports the same error */
-	if ((size_t)sent == len_bytes)
+	sent = write_at_once(l, bufs, body_bytes > 0 ? 2 : 1);
+	if (sent == len_bytes + body_bytes)
 		return;
-	len_bytes -= (size_t)sent;
+	head_sent = MIN(sent, len_bytes);
+	len_bytes -= head_sent;
+	body_bytes -= sent - head_sent;
 	w = g_malloc(sizeof(*w) + len_bytes);
-	w->len_bytes = len_bytes;
-	memcpy(w->data, data + sent, len_bytes);
-	w->req.data = l;
-	buf = uv_buf_init(w->data, (unsigned int)len_bytes);
-	l->pending_bytes += len_bytes;
-	if (uv_write(&w->req, (uv_stream_t *)&l->tcp, &buf, 1, on_written) !=
-	    0) {
-		l->pending_bytes -= len_bytes;
-		g_free(w);
-	}
+	w->len_bytes = len_bytes + body_bytes;
+	w->body = body_bytes > 0 ? g_bytes_ref(body) : NULL;
+	memcpy(w->data, data + head_sent, len_bytes);
+	bufs[0] = uv_buf_init(w->data, (unsigned int)len_bytes);
+	if (body_bytes > 0)
+		bufs[1] = uv_buf_init((char *)body_data + sent - head_sent,
+				      (unsigned int)body_bytes);
+	queue_write(l, w, bufs, body_bytes > 0 ? 2 : 1);
+}
+
+void fg_link_write(struct fg_link *l, const char *data, size_t len_bytes)
+{
+	fg_link_write_with_body(l, data, len_bytes, NULL);
 }
 
 size_t fg_link_pending_bytes(const struct fg_link *l)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -65,6 +65,11 @@
  * Does not block. */
 void fg_link_write(struct fg_link *l, const char *data, size_t len_bytes);
 
+/* As fg_link_write(), followed by the bytes of `body`, which are not copied: the
+ * link holds a reference until they were sent. NULL: none. */
+void fg_link_write_with_body(struct fg_link *l, const char *data,
+			     size_t len_bytes, GBytes *body);
+
 /* Returns the number of queued bytes that the kernel has not accepted. */
 size_t fg_link_pending_bytes(const struct fg_link *l);
 
