lib/memory: one bound for what all callers hold

Seen by the users: a process ended because it ran out of memory. 64 callers with bodies of 4 MiB, finished or not, chunked or with a length, held 181 to 284 MB on machines of 160 to 512 MB; 100 of them 400 MB.

Cause: each limit is for one caller, and nothing bounds the sum. lib/memory is one ledger of what is held for callers, charged by every holder before it grows, with its decision as pure code: above its bounds the body that holds most and advances least gives way and is answered 503 with a time to come back, as it has not run. Complete requests keep their place, and a part of the ledger is open to small requests only. Bytes behind a request in progress are dropped instead; what the kernel keeps of a connection that is not read is counted. Answers that are not read are in it too, and replace the separate constant of 24 MB, of which they keep the size. Freed blocks go back to the system: after a crowd that did not read its answers, more than 32 MB stayed.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -195,11 +195,13 @@
 	gw->conf->version_ms = conf->version_ms;
 	gw->conf->drain_ms = conf->drain_ms;
 	gw->conf->connections_max = conf->connections_max;
+	gw->conf->caller_memory_bytes = conf->caller_memory_bytes;
 	gw->conf->revoke_ms = conf->revoke_ms;
 	gw->conf->revoke_strict = conf->revoke_strict;
 	gw->conf->log_level = conf->log_level;
 	fg_log_open(gw->conf->name, conf->log_level);
 	g_hash_table_remove_all(gw->retry_budgets);
+	fg_gw_memory_apply_limits(gw);
 	fg_log(FG_LOG_INFO, "settings", "reloaded", NULL);
 	fg_gwconf_free(conf);
 }
@@ -254,6 +256,7 @@
 	fg_fleet_tick(gw->fleet, now);
 	fg_gw_update_shares(gw, now);
 	fg_caller_sweep(gw, now);
+	fg_gw_memory_tick(gw, now);
 	fg_orders_refresh(gw, now);
 	fg_sync_tick(gw, now);
 	fg_gw_catchup_tick(gw, now);
@@ -369,6 +372,7 @@
 	gw->balance = balance_defaults;
 	fg_loadgate_init(&gw->loadgate, gw->balance.load_ms);
 	gw->callers = g_ptr_array_new();
+	fg_memory_init(&gw->memory, gw->conf->caller_memory_bytes);
 	gw->reqs = g_ptr_array_new();
 	gw->tunnels = g_ptr_array_new();
 	gw->announced_versions = g_hash_table_new_full(
@@ -510,6 +514,7 @@
 	g_hash_table_unref(gw->first_took);
 	g_hash_table_unref(gw->stutters);
 	g_ptr_array_unref(gw->callers);
+	fg_memory_clear(&gw->memory);
 	g_ptr_array_unref(gw->reqs);
 	g_ptr_array_unref(gw->tunnels);
 	if (gw->crashes != NULL)
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -4,6 +4,7 @@
  *   fg_gateway.c     start, periodic tick, settings, end
  *   fg_gw_stop.c     planned stop
  *   fg_gw_caller.c   connections of callers
+ *   fg_gw_memory.c   memory held for callers
  *   fg_gw_request.c  a request from its head to its final answer
  *   fg_gw_workspace.c whose key a request carries
  *   fg_gw_quota.c    limits of workspaces, shared with other instances
@@ -57,6 +58,7 @@
 #include "gateway/fg_gateway.h"
 #include "link/fg_channel.h"
 #include "link/fg_link.h"
+#include "memory/fg_memory.h"
 #include "mesh/fg_mesh.h"
 #include "mesh/fg_peers.h"
 #include "metrics/fg_metrics.h"
@@ -106,13 +108,22 @@
 	GByteArray *pipelined;	  /* bytes received after the current request */
 	GByteArray *body;	  /* of the request that is being read */
 	GBytes *whole_body;	  /* of the request in progress, or NULL */
+	struct fg_memory_holder memory;
 	struct fg_gwreq *req;	  /* in progress, or NULL */
 	struct fg_tunnel *tunnel; /* its bytes go to an endpoint, or NULL */
 	fg_ms wait_since; /* start of the current head or idle timeout */
 	bool malformed;	  /* its last message was refused */
+	bool head_done;	  /* the head of the current request is complete */
+	bool no_room;	  /* what it reads cannot be held */
+	bool drop_input;  /* no more requests are read from it */
+	bool paused;	  /* is not read */
 	bool close_after; /* close the connection after the answer */
 };
 
+/* Limits of the configuration, or those that hold while none is known; sizes are
+ * never 0. */
+struct fg_caller_limits fg_caller_limits(const struct fg_gateway *gw);
+
 /* libuv callback: accepts a connection of the port in listener->data. */
 void fg_caller_accept(uv_stream_t *listener, int status);
 
@@ -141,6 +152,37 @@
  * complete one. */
 void fg_caller_abort(struct fg_caller *c);
 
+/* Refuses the request that is being read, as not run. */
+void fg_caller_refuse_reading(struct fg_caller *c, const char *reason);
+
+/* ---- Memory held for callers ---- */
+
+/* Returns whether the connection may hold `more` bytes in addition to what it
+ * holds; others may be refused for that. `more` 0 only updates its charge. */
+bool fg_gw_memory_ask(struct fg_caller *c, uint64_t more);
+
+/* Returns the bytes that an array takes when it grows to `len` bytes. */
+uint64_t fg_gw_memory_array_bytes(uint64_t len);
+
+/* Bytes were written to the connection. */
+void fg_gw_memory_note_written(struct fg_caller *c);
+
+/* The connection is about to be closed once its queued bytes are sent. */
+void fg_gw_memory_note_flushing(struct fg_caller *c);
+
+/* Returns whether `more` bytes of an answer to the caller can be held. Others
+ * that do not read theirs are closed for that. */
+bool fg_gw_memory_answer_fits(struct fg_caller *c, uint64_t more);
+
+/* Updates what callers have not read, and closes connections while too much is
+ * held. */
+void fg_gw_memory_tick(struct fg_gateway *gw, fg_ms now);
+
+void fg_gw_memory_set_gauges(struct fg_gateway *gw);
+
+/* Takes over the setting, and the limits of the configuration. */
+void fg_gw_memory_apply_limits(struct fg_gateway *gw);
+
 /* ---- Requests ---- */
 
 enum fg_gwreq_state {
@@ -1037,7 +1079,8 @@
 	GPtrArray *callers; /* struct fg_caller * */
 	GPtrArray *reqs;    /* struct fg_gwreq * */
 	uint64_t n_requests;
-	uint64_t answer_bytes; /* of all plain answers that are not complete */
+	struct fg_memory memory; /* held for callers */
+	bool trim_memory;	 /* much was held since the last trim */
 
 	struct fg_feed feeds[FG_FEED_COUNT];
 	uint64_t reader; /* neighbour that reads the store for us; 0: none */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -7,9 +7,6 @@
  * caller. */
 #define PENDING_MAX_BYTES (256 * 1024)
 
-/* Plain answers are kept until they are complete: bytes of all of them. */
-#define ANSWERS_MAX_BYTES (24 * 1024 * 1024)
-
 /* Ends the send because its answer is unusable, and closes the connection. */
 static void abandon_send(struct fg_gwreq *r, enum fg_send_end end,
 			 const char *why)
@@ -226,18 +223,25 @@
 	fg_events_consume(&r->events, len);
 	fg_link_write(c->link, out->str, out->len);
 	g_string_free(out, TRUE);
-	if (fg_link_pending_bytes(c->link) > PENDING_MAX_BYTES)
+	fg_gw_memory_note_written(c);
+	if (fg_link_pending_bytes(c->link) > PENDING_MAX_BYTES ||
+	    (fg_link_pending_bytes(c->link) > 0 &&
+	     !fg_memory_answers_fit(&r->gw->memory, 0)))
 		fg_link_pause(r->conn->link);
 }
 
 static void append_answer_body(struct fg_gwreq *r, const char *data,
 			       size_t len_bytes)
 {
-	if (r->gw->answer_bytes + len_bytes > ANSWERS_MAX_BYTES) {
+	uint64_t bytes =
+		fg_gw_memory_array_bytes(r->answer_body->len + len_bytes);
+	uint64_t held = r->caller->memory.collected_bytes;
+
+	if (bytes > held && !fg_gw_memory_answer_fits(r->caller, bytes - held)) {
 		abandon_send(r, FG_SEND_BROKEN, "answers_too_large");
 		return;
 	}
-	r->gw->answer_bytes += len_bytes;
+	fg_memory_set_collected(&r->gw->memory, &r->caller->memory, bytes);
 	g_byte_array_append(r->answer_body, (const guint8 *)data,
 			    (guint)len_bytes);
 }
@@ -308,10 +312,11 @@
 	g_string_append(out, "\r\n");
 	body = g_byte_array_free_to_bytes(r->answer_body);
 	r->answer_body = NULL;
-	r->gw->answer_bytes -= len_bytes;
+	fg_memory_set_collected(&r->gw->memory, &r->caller->memory, 0);
 	fg_link_write_with_body(r->caller->link, out->str, out->len, body);
 	g_bytes_unref(body);
 	g_string_free(out, TRUE);
+	fg_gw_memory_note_written(r->caller);
 	report_answered(r, head->status);
 	fg_gwreq_finish(r);
 }
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -11,6 +11,8 @@
 /* Reading pauses when a caller has sent more than this beyond the request in
  * progress. */
 #define PIPELINED_MAX_BYTES 65536
+/* Bodies that hold memory end, or give way, within this time. */
+#define REFUSED_RETRY_MS 500
 
 static const char *http_reason(unsigned int status)
 {
@@ -66,12 +68,15 @@
 	if (r != NULL)
 		fg_gwreq_cancel(r);
 	release_bytes(c);
+	fg_memory_close(&c->gw->memory, &c->memory);
 }
 
 void fg_caller_close(struct fg_caller *c, bool flush)
 {
 	if (c->link == NULL)
 		return;
+	if (flush)
+		fg_gw_memory_note_flushing(c);
 	fg_link_close(c->link, flush);
 	mark_closed(c);
 }
@@ -113,6 +118,7 @@
 		g_string_append_len(out, body, (gssize)len_bytes);
 	fg_link_write(c->link, out->str, out->len);
 	g_string_free(out, TRUE);
+	fg_gw_memory_note_written(c);
 }
 
 bool fg_caller_is_instance(const struct fg_caller *c)
@@ -137,27 +143,28 @@
 
 static void feed_pipelined(struct fg_caller *c);
 
-static const struct fg_caller_limits *
-current_limits(const struct fg_gateway *gw)
+struct fg_caller_limits fg_caller_limits(const struct fg_gateway *gw)
 {
-	static const struct fg_caller_limits fallback = {
-		.head_max_bytes = HEAD_MAX_BYTES,
-		.body_max_bytes = BODY_MAX_BYTES,
+	struct fg_caller_limits l = {
 		.head_timeout_ms = HEAD_TIMEOUT_MS,
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 	};
 
-	return gw->routes == NULL ? &fallback : &gw->routes->limits;
+	if (gw->routes != NULL)
+		l = gw->routes->limits;
+	if (l.head_max_bytes == 0)
+		l.head_max_bytes = HEAD_MAX_BYTES;
+	if (l.body_max_bytes == 0)
+		l.body_max_bytes = BODY_MAX_BYTES;
+	return l;
 }
 
 static void apply_limits(struct fg_caller *c)
 {
-	const struct fg_caller_limits *l = current_limits(c->gw);
+	struct fg_caller_limits l = fg_caller_limits(c->gw);
 
-	c->h1.head_max_bytes =
-		l->head_max_bytes == 0 ? HEAD_MAX_BYTES : l->head_max_bytes;
-	c->h1.body_max_bytes =
-		l->body_max_bytes == 0 ? BODY_MAX_BYTES : l->body_max_bytes;
+	c->h1.head_max_bytes = l.head_max_bytes;
+	c->h1.body_max_bytes = l.body_max_bytes;
 }
 
 static bool on_head(void *ctx, const struct fg_h1_head *head)
@@ -166,6 +173,7 @@
 	struct fg_caller *c = ctx;
 	const char *expect = fg_h1_get_field(head, "Expect");
 
+	c->head_done = true;
 	/* HTTP/1.0 has no interim answers. */
 	if (head->http_minor > 0 && expect != NULL &&
 	    g_ascii_strcasecmp(expect, "100-continue") == 0)
@@ -177,14 +185,24 @@
 static void on_body(void *ctx, const char *data, size_t len)
 {
 	struct fg_caller *c = ctx;
+	uint64_t more = fg_gw_memory_array_bytes(c->body->len + len) -
+			fg_gw_memory_array_bytes(c->body->len);
 
+	if (c->no_room || !fg_gw_memory_ask(c, more)) {
+		c->no_room = true;
+		return;
+	}
 	g_byte_array_append(c->body, (const guint8 *)data, (guint)len);
+	fg_memory_note_body(&c->memory, len, fg_clock_now());
 }
 
 static void on_request(void *ctx)
 {
 	struct fg_caller *c = ctx;
 
+	if (c->no_room)
+		return;
+	c->memory.reading = false;
 	c->whole_body = g_byte_array_free_to_bytes(c->body);
 	c->body = g_byte_array_new();
 	if (c->kind == FG_PORT_FRONT)
@@ -199,6 +217,32 @@
 	.on_end = on_request,
 };
 
+/* No request behind the one in progress is read: the connection closes after
+ * the answer, and what still arrives is dropped. */
+static void drop_input(struct fg_caller *c)
+{
+	fg_log_routine("caller", "input_dropped", NULL);
+	fg_gw_count_event(c->gw, "gave_way", "what=\"input\"");
+	empty_array(&c->pipelined);
+	if (c->req == NULL) {
+		fg_caller_close(c, true);
+		return;
+	}
+	c->drop_input = true;
+	c->close_after = true;
+	c->paused = false;
+	fg_link_resume(c->link);
+	(void)fg_gw_memory_ask(c, 0);
+}
+
+static void pause_reading(struct fg_caller *c)
+{
+	c->paused = true;
+	fg_link_pause(c->link);
+	if (!fg_gw_memory_ask(c, 0))
+		drop_input(c);
+}
+
 static void refuse_faulty_request(struct fg_caller *c)
 {
 	unsigned int status = HTTP_STATUS_BAD_REQUEST;
@@ -218,6 +262,39 @@
 	fg_caller_close(c, true);
 }
 
+void fg_caller_refuse_reading(struct fg_caller *c, const char *reason)
+{
+	fg_log_routine("caller", "refused", "reason", reason, NULL);
+	c->malformed = true;
+	fg_caller_answer(c, HTTP_STATUS_SERVICE_UNAVAILABLE, NULL,
+			 REFUSED_RETRY_MS, NULL, "", 0);
+	fg_caller_close(c, true);
+}
+
+/* Returns the most by which `len` bytes can grow the head. */
+static uint64_t head_growth_bytes(const struct fg_caller *c, size_t len)
+{
+	const GString *text = c->h1.head.text;
+	uint64_t most = MIN(text->len + len, (uint64_t)c->h1.head_max_bytes);
+	uint64_t grown = fg_gw_memory_array_bytes(most + 2);
+
+	return c->head_done ? 0 : grown - MIN(grown, text->allocated_len);
+}
+
+static void keep_pipelined(struct fg_caller *c, const char *data, size_t len)
+{
+	uint64_t more = fg_gw_memory_array_bytes(c->pipelined->len + len) -
+			fg_gw_memory_array_bytes(c->pipelined->len);
+
+	if (!fg_gw_memory_ask(c, more)) {
+		drop_input(c);
+		return;
+	}
+	g_byte_array_append(c->pipelined, (const guint8 *)data, (guint)len);
+	if (c->pipelined->len > PIPELINED_MAX_BYTES)
+		pause_reading(c);
+}
+
 /* Feeds the parser; keeps bytes that follow a complete request. */
 static void feed_parser(struct fg_caller *c, const char *data, size_t len)
 {
@@ -229,16 +306,26 @@
 	} else if (c->body->len > 0) {
 		c->wait_since = fg_clock_now(); /* the body is arriving */
 	}
+	if (!fg_gw_memory_ask(c, head_growth_bytes(c, len))) {
+		fg_caller_refuse_reading(c, "memory");
+		return;
+	}
 	used = fg_h1_feed(&c->h1, data, len);
 	if (c->link == NULL)
 		return;
+	/* Fields of a trailer are counted only now. */
+	if (!fg_gw_memory_ask(c, 0) && c->req == NULL)
+		c->no_room = true;
 	if (c->h1.fault != FG_H1_OK) {
 		refuse_faulty_request(c);
 		return;
 	}
+	if (c->no_room) {
+		fg_caller_refuse_reading(c, "memory");
+		return;
+	}
 	if (used < len)
-		g_byte_array_append(c->pipelined, (const guint8 *)data + used,
-				    (guint)(len - used));
+		keep_pipelined(c, data + used, len - used);
 }
 
 static void on_data(void *ctx, const char *data, size_t len)
@@ -249,7 +336,7 @@
 		fg_gw_tunnel_on_data(c->tunnel, data, len);
 		return;
 	}
-	if (c->close_after && c->req == NULL)
+	if (c->drop_input || (c->close_after && c->req == NULL))
 		return; /* the last answer is being sent */
 	if (c->req == NULL && c->pipelined->len == 0) {
 		feed_parser(c, data, len);
@@ -257,9 +344,7 @@
 			feed_pipelined(c);
 		return;
 	}
-	g_byte_array_append(c->pipelined, (const guint8 *)data, (guint)len);
-	if (c->pipelined->len > PIPELINED_MAX_BYTES)
-		fg_link_pause(c->link);
+	keep_pipelined(c, data, len);
 }
 
 /* Reads pipelined requests, after the one before them was answered. */
@@ -309,6 +394,10 @@
 	}
 	fg_h1_reset(&c->h1);
 	release_request(c);
+	c->head_done = false;
+	c->paused = false;
+	c->memory.reading = true;
+	(void)fg_gw_memory_ask(c, 0);
 	c->wait_since = fg_clock_now();
 	fg_link_resume(c->link);
 	feed_pipelined(c);
@@ -342,6 +431,7 @@
 	c->body = g_byte_array_new();
 	c->wait_since = fg_clock_now();
 	fg_link_set_ctx(link, c);
+	fg_memory_open(&gw->memory, &c->memory, c);
 	fg_h1_init(&c->h1, true, &h1_ops, c, HEAD_MAX_BYTES, BODY_MAX_BYTES);
 	g_ptr_array_add(gw->callers, c);
 }
@@ -350,20 +440,20 @@
 
 static void check_time_limits(struct fg_caller *c, fg_ms now)
 {
-	const struct fg_caller_limits *l = current_limits(c->gw);
+	struct fg_caller_limits l = fg_caller_limits(c->gw);
 	fg_ms waited_ms = now - c->wait_since;
 
 	if (c->req != NULL || c->tunnel != NULL || c->h1.ended)
 		return;
-	if (c->h1.started && l->head_timeout_ms > 0 &&
-	    waited_ms > (fg_ms)l->head_timeout_ms) {
+	if (c->h1.started && l.head_timeout_ms > 0 &&
+	    waited_ms > (fg_ms)l.head_timeout_ms) {
 		c->malformed = true;
 		fg_log(FG_LOG_INFO, "caller", "request_timed_out", NULL);
 		fg_caller_answer(c, HTTP_STATUS_REQUEST_TIMEOUT, NULL, 0, NULL,
 				 "", 0);
 		fg_caller_close(c, true);
-	} else if (!c->h1.started && l->idle_timeout_ms > 0 &&
-		   waited_ms > (fg_ms)l->idle_timeout_ms) {
+	} else if (!c->h1.started && l.idle_timeout_ms > 0 &&
+		   waited_ms > (fg_ms)l.idle_timeout_ms) {
 		fg_caller_close(c, true);
 	}
 }
--- a/lib/gateway/fg_gw_pages.c
+++ b/lib/gateway/fg_gw_pages.c
@@ -311,6 +311,7 @@
 		g_free(labels);
 	}
 	fg_gw_quota_set_gauges(gw);
+	fg_gw_memory_set_gauges(gw);
 	set_wait_gauges(gw, now);
 	set_budget_gauges(gw, now);
 }
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -243,7 +243,8 @@
 {
 	if (r->answer_body == NULL)
 		return;
-	r->gw->answer_bytes -= r->answer_body->len;
+	if (r->caller != NULL)
+		fg_memory_set_collected(&r->gw->memory, &r->caller->memory, 0);
 	g_byte_array_unref(r->answer_body);
 	r->answer_body = NULL;
 }
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -45,6 +45,7 @@
 	fg_log(FG_LOG_INFO, "sync", "configuration", "version", version, NULL);
 	fg_routes_unref(gw->routes);
 	gw->routes = t;
+	fg_gw_memory_apply_limits(gw);
 	if (t->workspaces != NULL)
 		log_problems(t->workspaces);
 	fg_gw_count_event(gw, "configurations", NULL);
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -7,7 +7,10 @@
 #include "base/fg_address.h"
 
 #define DCS_MAX 256
-#define FILE_MAX_BYTES (1024 * 1024)
+#define MIB (1024 * 1024)
+#define FILE_MAX_BYTES MIB
+#define CALLER_MEMORY_MAX_MB 4095
+#define CALLER_MEMORY_DEFAULT_MB 64
 
 GQuark fg_gwconf_error_quark(void)
 {
@@ -21,7 +24,7 @@
 	char *front, *ready, *directory, *mesh, *metrics, *store;
 	char *log_level;
 	char *retry_ratio, *retry_slack, *stop_grace_s, *lookup_ttl_s;
-	char *version_ms, *drain_ms, *connections_max;
+	char *version_ms, *drain_ms, *connections_max, *caller_memory_mb;
 	char *turn_ms, *fences_checked, *first_start;
 	char *revoke_ms, *revoke_strict;
 	char *quota_window_s, *quota_excess, *quota_slack, *overload;
@@ -66,6 +69,7 @@
 	TEXT_OPT(version_ms),
 	TEXT_OPT(drain_ms),
 	TEXT_OPT(connections_max),
+	TEXT_OPT(caller_memory_mb),
 	TEXT_OPT(turn_ms),
 	TEXT_OPT(fences_checked),
 	TEXT_OPT(first_start),
@@ -197,6 +201,12 @@
 	c->connections_max =
 		check_number(errors, path, "connections_max",
 			     raw->connections_max, 1, 100000, 1024);
+	c->caller_memory_bytes = check_number(
+		errors, path, "caller_memory_mb", raw->caller_memory_mb, MIB,
+		CALLER_MEMORY_MAX_MB, CALLER_MEMORY_DEFAULT_MB * MIB);
+	if (c->caller_memory_bytes < MIB)
+		add_error(errors, path, "caller_memory_mb",
+			  raw->caller_memory_mb, "1 or more");
 	c->revoke_ms = check_number(errors, path, "revoke_ms", raw->revoke_ms,
 				    1, 3600000, 5000);
 	c->revoke_strict =
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -349,9 +349,21 @@
 	return l->pending_bytes;
 }
 
+size_t fg_link_unsent_bytes(const struct fg_link *l)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&l->tcp);
+}
+
 void fg_link_pause(struct fg_link *l)
 {
+	/* The kernel counts twice the size, for its own records. */
+	int size = FG_LINK_PAUSED_MAX_BYTES / 2;
+	uv_os_fd_t fd;
+
 	uv_read_stop((uv_stream_t *)&l->tcp);
+	if (uv_fileno((uv_handle_t *)&l->tcp, &fd) == 0)
+		(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size,
+				 sizeof(size));
 }
 
 void fg_link_resume(struct fg_link *l)
@@ -369,17 +381,11 @@
 	close_handles(l);
 }
 
-/* Unlike pending_bytes, this also falls within the write of one long answer. */
-static size_t unsent_bytes(const struct fg_link *l)
-{
-	return uv_stream_get_write_queue_size((const uv_stream_t *)&l->tcp);
-}
-
 /* The peer must not take a part for the whole. */
 static void on_flush_timer(uv_timer_t *timer)
 {
 	struct fg_link *l = timer->data;
-	size_t unsent = unsent_bytes(l);
+	size_t unsent = fg_link_unsent_bytes(l);
 
 	if (unsent < l->unsent_bytes && uv_now(timer->loop) < l->flush_until_ms)
 		l->unsent_bytes = unsent;
@@ -403,7 +409,7 @@
 	l->flushing = true;
 	l->flushing_node.data = l;
 	g_queue_push_tail_link(&flushing, &l->flushing_node);
-	l->unsent_bytes = unsent_bytes(l);
+	l->unsent_bytes = fg_link_unsent_bytes(l);
 	l->flush_until_ms = uv_now(l->timer.loop) + FLUSH_MAX_MS;
 	uv_timer_start(&l->timer, on_flush_timer, FLUSH_STALL_MS,
 		       FLUSH_STALL_MS);
@@ -419,16 +425,33 @@
 	uint64_t bytes = 0;
 
 	for (const GList *it = flushing.head; it != NULL; it = it->next)
-		bytes += fg_link_pending_bytes(it->data);
+		bytes += fg_link_unsent_bytes(it->data);
 	return bytes;
 }
 
+bool fg_link_abort_largest_flushing(void)
+{
+	struct fg_link *largest = NULL;
+
+	for (const GList *it = flushing.head; it != NULL; it = it->next) {
+		struct fg_link *l = it->data;
+
+		if (largest == NULL ||
+		    fg_link_unsent_bytes(l) > fg_link_unsent_bytes(largest))
+			largest = l;
+	}
+	if (largest == NULL || fg_link_unsent_bytes(largest) == 0)
+		return false;
+	reset_handles(largest);
+	return true;
+}
+
 void fg_link_abort_flushing(void)
 {
 	while (flushing.head != NULL) {
 		struct fg_link *l = flushing.head->data;
 
-		if (unsent_bytes(l) > 0)
+		if (fg_link_unsent_bytes(l) > 0)
 			reset_handles(l);
 		else
 			close_handles(l);
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -73,6 +73,14 @@
 /* Returns the number of queued bytes that the kernel has not accepted. */
 size_t fg_link_pending_bytes(const struct fg_link *l);
 
+/* Returns the number of bytes that the kernel has not accepted. Unlike
+ * fg_link_pending_bytes(), this also falls within a write. */
+size_t fg_link_unsent_bytes(const struct fg_link *l);
+
+/* What the kernel keeps at most of a link that is not read, besides what it had
+ * received by then. */
+#define FG_LINK_PAUSED_MAX_BYTES (64 * 1024)
+
 /* Stop and resume reading. */
 void fg_link_pause(struct fg_link *l);
 void fg_link_resume(struct fg_link *l);
@@ -87,6 +95,10 @@
 /* Bytes that these links have not sent yet. */
 uint64_t fg_link_flushing_bytes(void);
 
+/* Resets the one of these links that has the most bytes left to send. Returns
+ * false when none has any. */
+bool fg_link_abort_largest_flushing(void);
+
 /* Resets these links, except those of which all was sent. To be called before
  * their event loop is torn down. */
 void fg_link_abort_flushing(void);
