lib/gateway: ports whose pages have no body refuse each one

64 callers with bodies of 4 MiB on the ports of the directory, of readiness, of metrics or of the rows for other instances made the process hold 257 MB: bodies that no page reads were parsed with the limits of the front, and kept whole. A caller who asked first (100-continue) was invited to send them, or waited until its time limit.

They are refused with 413 now, a body with a length at its head.

tests/crowds.py bodies_on_directory, bodies_on_readiness, bodies_on_metrics, bodies_on_relay (257 MB of 48 before) and no_invitation_to_a_refused_body (the directory answered 408) failed before and pass.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -164,7 +164,8 @@
 	struct fg_caller_limits l = fg_caller_limits(c->gw);
 
 	c->h1.head_max_bytes = l.head_max_bytes;
-	c->h1.body_max_bytes = l.body_max_bytes;
+	/* No page of another port has a body. */
+	c->h1.body_max_bytes = c->kind == FG_PORT_FRONT ? l.body_max_bytes : 0;
 }
 
 static bool on_head(void *ctx, const struct fg_h1_head *head)
