lib/places: each port has places, and a new connection gets one

40 callers before 16 places that sent one byte each 0.2 s, or nothing, on any of the five ports: every other caller was refused, on the front and on the directory, for as long as the crowd stayed; metrics and readiness with them.

Cause: all ports shared one count, and at its bound the newest connection was turned away, whoever the others were. Each port has places of its own now, and at the bound the new connection takes the place of one without a request in progress: first of those that never had an answer, then of the others; among these, of the one that waits longest. One whose request is half read is told that it has not run (503).

Limits: connections_max as before for callers, lookup_connections_max (256) for address lookups, 1,024 for other instances, 32 for readiness and for metrics.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -195,6 +195,7 @@
 	gw->conf->version_ms = conf->version_ms;
 	gw->conf->drain_ms = conf->drain_ms;
 	gw->conf->connections_max = conf->connections_max;
+	gw->conf->lookup_connections_max = conf->lookup_connections_max;
 	gw->conf->caller_memory_bytes = conf->caller_memory_bytes;
 	gw->conf->revoke_ms = conf->revoke_ms;
 	gw->conf->revoke_strict = conf->revoke_strict;
@@ -413,6 +414,7 @@
 	uint64_t seed;
 
 	gw->conf = conf;
+	gw->descriptors = UINT16_MAX;
 	gw->conf_path = g_strdup(path);
 	gw->wire = wire;
 	gw->started_at = fg_clock_now();
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -65,6 +65,7 @@
 #include "origin/fg_origin.h"
 #include "overload/fg_overload.h"
 #include "place/fg_popularity.h"
+#include "places/fg_places.h"
 #include "quota/fg_quota.h"
 #include "relay/fg_relay.h"
 #include "route/fg_route.h"
@@ -94,6 +95,7 @@
 	struct fg_gateway *gw;
 	enum fg_port_kind kind;
 	uv_tcp_t listener;
+	uint32_t n_callers; /* open connections */
 	bool open;
 };
 
@@ -112,6 +114,8 @@
 	struct fg_gwreq *req;	  /* in progress, or NULL */
 	struct fg_tunnel *tunnel; /* its bytes go to an endpoint, or NULL */
 	fg_ms wait_since; /* start of the current head or idle timeout */
+	fg_ms free_since; /* no request has been in progress */
+	bool answered;	  /* it had an answer */
 	bool malformed;	  /* its last message was refused */
 	bool head_done;	  /* the head of the current request is complete */
 	bool no_room;	  /* what it reads cannot be held */
@@ -1079,6 +1083,7 @@
 	GPtrArray *callers; /* struct fg_caller * */
 	GPtrArray *reqs;    /* struct fg_gwreq * */
 	uint64_t n_requests;
+	uint32_t descriptors;	 /* limit of the process */
 	struct fg_memory memory; /* held for callers */
 	bool trim_memory;	 /* much was held since the last trim */
 
@@ -1192,6 +1197,10 @@
 /* Logs what would be cut if all connections were closed now. */
 void fg_gw_log_unfinished(const struct fg_gateway *gw);
 
+/* Returns whether a connection to an endpoint may be opened: some descriptors
+ * are kept for the store and for other instances. */
+bool fg_gw_has_descriptor(const struct fg_gateway *gw);
+
 /* Adds one to the counter fg_gw_NAME_total{LABELS}. */
 void fg_gw_count_event(struct fg_gateway *gw, const char *name,
 		       const char *labels);
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -11,6 +11,10 @@
 /* Reading pauses when a caller has sent more than this beyond the request in
  * progress. */
 #define PIPELINED_MAX_BYTES 65536
+/* Places of the port for other instances, and of those for readiness checks and
+ * for metrics. */
+#define RELAY_CONNECTIONS_MAX 1024
+#define TOOL_CONNECTIONS_MAX 32
 /* Bodies that hold memory end, or give way, within this time. */
 #define REFUSED_RETRY_MS 500
 
@@ -69,6 +73,7 @@
 		fg_gwreq_cancel(r);
 	release_bytes(c);
 	fg_memory_close(&c->gw->memory, &c->memory);
+	c->gw->ports[c->kind].n_callers--;
 }
 
 void fg_caller_close(struct fg_caller *c, bool flush)
@@ -387,6 +392,8 @@
 void fg_caller_finish_answer(struct fg_caller *c)
 {
 	c->req = NULL;
+	c->answered = true;
+	c->free_since = fg_clock_now();
 	if (c->link == NULL)
 		return;
 	if (c->close_after) {
@@ -399,11 +406,100 @@
 	c->paused = false;
 	c->memory.reading = true;
 	(void)fg_gw_memory_ask(c, 0);
-	c->wait_since = fg_clock_now();
+	c->wait_since = c->free_since;
 	fg_link_resume(c->link);
 	feed_pipelined(c);
 }
 
+/* ---- Places ---- */
+
+static struct fg_places_view place_view(const struct fg_caller *c)
+{
+	struct fg_places_view view = {
+		.busy = c->req != NULL || c->tunnel != NULL,
+		.answered = c->answered,
+		.waits_since = c->free_since,
+	};
+
+	return view;
+}
+
+/* Returns the connection of the port that gives its place, or NULL. */
+static struct fg_caller *choose_yielding(const struct fg_port *port)
+{
+	const GPtrArray *callers = port->gw->callers;
+	struct fg_caller *chosen = NULL;
+	struct fg_places_view chosen_view;
+
+	for (guint i = 0; i < callers->len; i++) {
+		struct fg_caller *c = callers->pdata[i];
+		struct fg_places_view view = place_view(c);
+
+		if (c->kind != port->kind || c->link == NULL || view.busy)
+			continue;
+		if (chosen == NULL ||
+		    fg_places_yields_before(&view, &chosen_view)) {
+			chosen = c;
+			chosen_view = view;
+		}
+	}
+	return chosen;
+}
+
+static void yield_place(struct fg_caller *c)
+{
+	fg_gw_count_event(c->gw, "gave_way", "what=\"place\"");
+	if (c->h1.started) {
+		fg_caller_refuse_reading(c, "place");
+		return;
+	}
+	fg_log_routine("caller", "place_given_up", NULL);
+	fg_caller_close(c, false);
+}
+
+static struct fg_places_bound port_bound(const struct fg_port *port)
+{
+	const struct fg_gateway *gw = port->gw;
+
+	switch (port->kind) {
+	case FG_PORT_FRONT:
+		return fg_places_for_callers(gw->descriptors,
+					     gw->conf->connections_max);
+	case FG_PORT_DIRECTORY:
+		return fg_places_for_other(gw->descriptors,
+					   gw->conf->lookup_connections_max);
+	case FG_PORT_RELAY:
+		return fg_places_for_other(gw->descriptors,
+					   RELAY_CONNECTIONS_MAX);
+	default:
+		return fg_places_for_other(gw->descriptors,
+					   TOOL_CONNECTIONS_MAX);
+	}
+}
+
+/* Makes a place for a new connection, which is open already. Returns false when
+ * none gives way. */
+static bool make_place(const struct fg_port *port)
+{
+	struct fg_places_bound bound = port_bound(port);
+	struct fg_caller *c;
+
+	for (;;) {
+		bool descriptors_left =
+			fg_link_open_count() <= bound.descriptors_max;
+
+		if (descriptors_left &&
+		    port->n_callers < bound.connections_max)
+			return true;
+		if (!descriptors_left && fg_link_abort_oldest_flushing())
+			continue;
+		c = choose_yielding(port);
+		if (c == NULL)
+			return false;
+		yield_place(c);
+	}
+}
+
 void fg_caller_accept(uv_stream_t *listener, int status)
 {
 	struct fg_port *port = listener->data;
@@ -412,15 +508,16 @@
 	struct fg_link *link;
 
 	if (status != 0) {
-		fg_log(FG_LOG_WARN, "caller", "accept_failed", "reason",
-		       uv_strerror(status), NULL);
+		fg_log_routine("caller", "accept_failed", "reason",
+			       uv_strerror(status), NULL);
 		return;
 	}
 	link = fg_link_accept(listener, &link_ops, NULL);
 	if (link == NULL)
 		return;
-	if (gw->callers->len >= gw->conf->connections_max) {
-		fg_log(FG_LOG_WARN, "caller", "too_many_connections", NULL);
+	if (!make_place(port)) {
+		fg_log_routine("caller", "too_many_connections", NULL);
+		fg_gw_count_event(gw, "connections_refused", NULL);
 		fg_link_abort(link);
 		return;
 	}
@@ -431,6 +528,8 @@
 	c->pipelined = g_byte_array_new();
 	c->body = g_byte_array_new();
 	c->wait_since = fg_clock_now();
+	c->free_since = c->wait_since;
+	port->n_callers++;
 	fg_link_set_ctx(link, c);
 	fg_memory_open(&gw->memory, &c->memory, c);
 	fg_h1_init(&c->h1, true, &h1_ops, c, HEAD_MAX_BYTES, BODY_MAX_BYTES);
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -25,6 +25,7 @@
 	char *log_level;
 	char *retry_ratio, *retry_slack, *stop_grace_s, *lookup_ttl_s;
 	char *version_ms, *drain_ms, *connections_max, *caller_memory_mb;
+	char *lookup_connections_max;
 	char *turn_ms, *fences_checked, *first_start;
 	char *revoke_ms, *revoke_strict;
 	char *quota_window_s, *quota_excess, *quota_slack, *overload;
@@ -69,6 +70,7 @@
 	TEXT_OPT(version_ms),
 	TEXT_OPT(drain_ms),
 	TEXT_OPT(connections_max),
+	TEXT_OPT(lookup_connections_max),
 	TEXT_OPT(caller_memory_mb),
 	TEXT_OPT(turn_ms),
 	TEXT_OPT(fences_checked),
@@ -201,6 +203,9 @@
 	c->connections_max =
 		check_number(errors, path, "connections_max",
 			     raw->connections_max, 1, 100000, 1024);
+	c->lookup_connections_max = check_number(
+		errors, path, "lookup_connections_max",
+		raw->lookup_connections_max, 1, 100000, 256);
 	c->caller_memory_bytes = check_number(
 		errors, path, "caller_memory_mb", raw->caller_memory_mb, MIB,
 		CALLER_MEMORY_MAX_MB, CALLER_MEMORY_DEFAULT_MB * MIB);
--- a/lib/gateway/fg_gwconf.h
+++ b/lib/gateway/fg_gwconf.h
@@ -51,7 +51,8 @@
 	bool first_start;  /* no instance ran before */
 	bool fences_checked;	  /* engines refuse lower fencing numbers */
 	uint32_t connections_max; /* open ones from callers, at most */
-	uint32_t caller_memory_bytes; /* held for callers, at most */
+	uint32_t lookup_connections_max; /* the same, for address lookups */
+	uint32_t caller_memory_bytes;	 /* held for callers, at most */
 	/* Time limit for a withdrawn key to lose its effect, and whether an
 	 * instance that hears from no one refuses all keys after it. */
 	uint32_t revoke_ms;
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -52,6 +52,7 @@
 static char read_buffer[READ_BYTES];
 
 static GQueue flushing = G_QUEUE_INIT;
+static uint32_t n_open; /* links that hold a descriptor */
 
 static void on_handle_closed(uv_handle_t *handle)
 {
@@ -67,6 +68,7 @@
 	if (l->closing)
 		return false;
 	l->closing = true;
+	n_open--;
 	if (l->flushing)
 		g_queue_unlink(&flushing, &l->flushing_node);
 	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
@@ -182,6 +184,7 @@
 	l->tcp.data = l;
 	l->timer.data = l;
 	l->open_handles = 2;
+	n_open++;
 	return l;
 }
 
@@ -415,6 +418,11 @@
 		       FLUSH_STALL_MS);
 }
 
+uint32_t fg_link_open_count(void)
+{
+	return n_open;
+}
+
 uint32_t fg_link_flushing_count(void)
 {
 	return flushing.length;
@@ -446,16 +454,24 @@
 	return true;
 }
 
-void fg_link_abort_flushing(void)
+bool fg_link_abort_oldest_flushing(void)
 {
-	while (flushing.head != NULL) {
-		struct fg_link *l = flushing.head->data;
+	struct fg_link *oldest;
 
-		if (fg_link_unsent_bytes(l) > 0)
-			reset_handles(l);
-		else
-			close_handles(l);
-	}
+	if (flushing.head == NULL)
+		return false;
+	oldest = flushing.head->data;
+	if (fg_link_unsent_bytes(oldest) > 0)
+		reset_handles(oldest);
+	else
+		close_handles(oldest);
+	return true;
+}
+
+void fg_link_abort_flushing(void)
+{
+	while (fg_link_abort_oldest_flushing())
+		;
 }
 
 void fg_link_abort(struct fg_link *l)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -89,6 +89,10 @@
  * long as the peer takes some of them every 5 s. Otherwise it is reset. */
 void fg_link_close(struct fg_link *l, bool flush);
 
+/* Returns how many links there are that hold a descriptor, also closed ones that
+ * are not freed yet. */
+uint32_t fg_link_open_count(void);
+
 /* Returns how many closed links still have queued bytes to send. */
 uint32_t fg_link_flushing_count(void);
 
@@ -99,6 +103,10 @@
  * false when none has any. */
 bool fg_link_abort_largest_flushing(void);
 
+/* Ends the one of these links that was closed first: by a reset, unless all was
+ * sent. Returns false when there is none. */
+bool fg_link_abort_oldest_flushing(void);
+
 /* Resets these links, except those of which all was sent. To be called before
  * their event loop is torn down. */
 void fg_link_abort_flushing(void);
