lib/places: callers leave descriptors to endpoints and the store

192 silent connections before a process with 96 descriptors and the usual connections_max: no ordinary request and no lookup was answered any more, since connections to endpoints and to the store found no descriptor.

Cause: connections_max knows nothing of RLIMIT_NOFILE. Callers may use half of the descriptors, each other port an eighth, and an eighth is kept for the store and for other instances; connections to endpoints and tunnels are refused before that, the request as not run. A process that may open fewer than 64 says so and does not start.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define TICK_MS 100
 /* A tick this late means that the process or its machine was suspended. */
@@ -138,6 +139,11 @@
 	return r;
 }
 
+bool fg_gw_has_descriptor(const struct fg_gateway *gw)
+{
+	return fg_link_open_count() < fg_places_for_endpoints(gw->descriptors);
+}
+
 uv_timer_t *fg_gw_timer_new(struct fg_gateway *gw, void *data)
 {
 	uv_timer_t *timer = g_new0(uv_timer_t, 1);
@@ -406,6 +412,23 @@
 					"time of a load from the weight store");
 }
 
+/* Returns false when the process may open too few descriptors. */
+static bool read_descriptor_limit(struct fg_gateway *gw, GError **error)
+{
+	struct rlimit limit = { .rlim_cur = FG_PLACES_DESCRIPTORS_MIN };
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		fg_log(FG_LOG_WARN, "gateway", "descriptors_unknown", "reason",
+		       g_strerror(errno), NULL);
+	gw->descriptors = (uint32_t)MIN(limit.rlim_cur, UINT32_MAX);
+	if (gw->descriptors >= FG_PLACES_DESCRIPTORS_MIN)
+		return true;
+	g_set_error(error, FG_GWCONF_ERROR, FG_GWCONF_ERR_INVALID,
+		    "%u descriptors are too few, %u are needed",
+		    gw->descriptors, FG_PLACES_DESCRIPTORS_MIN);
+	return false;
+}
+
 struct fg_gateway *fg_gateway_new(struct fg_gwconf *conf, const char *path,
 				  const struct fg_wire_ops *wire,
 				  GError **error)
@@ -414,7 +437,6 @@
 	uint64_t seed;
 
 	gw->conf = conf;
-	gw->descriptors = UINT16_MAX;
 	gw->conf_path = g_strdup(path);
 	gw->wire = wire;
 	gw->started_at = fg_clock_now();
@@ -431,7 +453,7 @@
 	/* Signals come before sockets: a stop right after the start must not
 	 * cut off a request that a socket already accepted. */
 	start_signals(gw);
-	if (!open_sockets(gw, error)) {
+	if (!read_descriptor_limit(gw, error) || !open_sockets(gw, error)) {
 		fg_gateway_free(gw);
 		return NULL;
 	}
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -619,8 +619,11 @@
 struct fg_ep_conn *fg_ep_conn_new(struct fg_gateway *gw, struct fg_fleet_ep *ep,
 				  const struct fg_mesh_peer *peer)
 {
-	struct fg_ep_conn *conn = g_new0(struct fg_ep_conn, 1);
+	struct fg_ep_conn *conn;
 
+	if (!fg_gw_has_descriptor(gw))
+		return NULL;
+	conn = g_new0(struct fg_ep_conn, 1);
 	conn->gw = gw;
 	conn->ep = fg_ep_ref(ep);
 	fg_h1_init(&conn->h1, false, &h1_ops, conn, HEAD_MAX_BYTES,
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -154,7 +154,7 @@
 		return;
 	}
 	if (fg_gw_is_stopping(gw) || gw->tunnels->len >= TUNNELS_MAX ||
-	    c->pipelined->len > 0) {
+	    !fg_gw_has_descriptor(gw) || c->pipelined->len > 0) {
 		refuse(c, HTTP_STATUS_SERVICE_UNAVAILABLE, "busy", endpoint_id);
 		return;
 	}
