lib/gateway: a request that is read ends with its caller's deadline

A body of one byte each 0.2 s was read for as long as its caller sent, and so were a chunk extension and a trailer without end: none of 8 was ended within 40 s, though the callers had stated that they wait for 4 s.

Cause: each byte that arrived restarted the time limit once the body had begun. The limit between bytes counts bytes of the body now, and no framing. As a whole, a request has to be complete when its caller's Deadline-Ms or the time limit of its route is over, counted from its first byte (30 s where neither is known): after that, nobody waits for it, or the operator wants no answer any more. It gets 408: it has not run. The limit is looked up only for requests that are still incomplete at a tick.

tests/crowds.py dripping_body_ends, dripping_body_without_deadline_ends, dripping_chunk_extension_ends and dripping_trailer_ends failed before and pass. slow_but_honest_body (4 MiB over 16 of 20 s, with pauses of 2 s) and reuse_near_the_idle_limit pass before and after.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -113,7 +113,10 @@
 	struct fg_memory_holder memory;
 	struct fg_gwreq *req;	  /* in progress, or NULL */
 	struct fg_tunnel *tunnel; /* its bytes go to an endpoint, or NULL */
-	fg_ms wait_since; /* start of the current head or idle timeout */
+	fg_ms wait_since; /* start of the head, last byte of the body, or
+			     start of the idle timeout */
+	fg_ms read_since; /* first byte of the request */
+	fg_ms read_until; /* it has to be complete; 0: not computed */
 	fg_ms free_since; /* no request has been in progress */
 	bool answered;	  /* it had an answer */
 	bool malformed;	  /* its last message was refused */
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -8,6 +8,8 @@
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
 #define HEAD_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
+/* For a whole request, when neither its caller nor its route limits it. */
+#define READ_TIMEOUT_MS 30000
 /* Reading pauses when a caller has sent more than this beyond the request in
  * progress. */
 #define PIPELINED_MAX_BYTES 65536
@@ -306,11 +308,13 @@
 {
 	size_t used;
 
+	guint body_bytes = c->body->len;
+
 	if (!c->h1.started) {
 		c->wait_since = fg_clock_now();
+		c->read_since = c->wait_since;
+		c->read_until = 0;
 		apply_limits(c);
-	} else if (c->body->len > 0) {
-		c->wait_since = fg_clock_now(); /* the body is arriving */
 	}
 	if (!fg_gw_memory_ask(c, head_growth_bytes(c, len))) {
 		fg_caller_refuse_reading(c, "memory");
@@ -319,6 +323,8 @@
 	used = fg_h1_feed(&c->h1, data, len);
 	if (c->link == NULL)
 		return;
+	if (c->body->len > body_bytes)
+		c->wait_since = fg_clock_now();
 	/* Fields of a trailer are counted only now. */
 	if (!fg_gw_memory_ask(c, 0) && c->req == NULL)
 		c->no_room = true;
@@ -538,6 +544,41 @@
 
 /* ---- Time limits ---- */
 
+/* Returns when the request that is being read has to be complete: its caller
+ * waits no longer, or its route takes no longer. */
+static fg_ms request_read_until(const struct fg_caller *c)
+{
+	const struct fg_gateway *gw = c->gw;
+	const struct fg_route *route = NULL;
+	uint32_t limit_ms = 0;
+	struct fg_call call = { 0 };
+
+	if (gw->wire->call_read(&c->h1.head, &call)) {
+		limit_ms = call.deadline_ms;
+		if (gw->routes != NULL)
+			route = fg_routes_find(gw->routes, call.host,
+					       fg_h1_target(&c->h1.head));
+	}
+	if (route != NULL && route->timeout_ms > 0)
+		limit_ms = limit_ms == 0 ? route->timeout_ms
+					 : MIN(limit_ms, route->timeout_ms);
+	fg_call_clear(&call);
+	return c->read_since + (limit_ms == 0 ? READ_TIMEOUT_MS : limit_ms);
+}
+
+/* Returns whether the request that is being read takes too long. */
+static bool is_read_too_slowly(struct fg_caller *c, uint32_t pause_max_ms,
+			       fg_ms now)
+{
+	if (pause_max_ms > 0 && now - c->wait_since > (fg_ms)pause_max_ms)
+		return true;
+	if (!c->head_done)
+		return false;
+	if (c->read_until == 0)
+		c->read_until = request_read_until(c);
+	return now >= c->read_until;
+}
+
 static void check_time_limits(struct fg_caller *c, fg_ms now)
 {
 	struct fg_caller_limits l = fg_caller_limits(c->gw);
@@ -545,10 +586,9 @@
 
 	if (c->req != NULL || c->tunnel != NULL || c->h1.ended)
 		return;
-	if (c->h1.started && l.head_timeout_ms > 0 &&
-	    waited_ms > (fg_ms)l.head_timeout_ms) {
+	if (c->h1.started && is_read_too_slowly(c, l.head_timeout_ms, now)) {
 		c->malformed = true;
-		fg_log(FG_LOG_INFO, "caller", "request_timed_out", NULL);
+		fg_log_routine("caller", "request_timed_out", NULL);
 		fg_caller_answer(c, HTTP_STATUS_REQUEST_TIMEOUT, NULL, 0, NULL,
 				 "", 0);
 		fg_caller_close(c, true);
