lib/link: a client that is refused while it sends reads its answer

An ordinary client library that sends a body of 8 MiB, twice the limit, before it reads: 0 of 20 learnt that the body is too large; all saw a failed connection, on the front and on the directory.

Cause: the connection was closed once the answer was sent. What the client still sent arrived at a closed socket, the kernel answered with a reset, and the client's write failed before it read. A connection that is closed before its request was read to its end (400, 408, 413, 431, 503) reads on and drops what comes until the client closes its side, for at most 2 s and 16 MiB.

100-continue is answered with 503 at once where the announced body has no room.

tests/crowds.py ordinary_client_over_the_limit: failed before (0 of 20), passes.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -183,8 +183,15 @@
 
 	c->head_done = true;
 	/* HTTP/1.0 has no interim answers. */
-	if (head->http_minor > 0 && expect != NULL &&
-	    g_ascii_strcasecmp(expect, "100-continue") == 0)
+	if (head->http_minor == 0 || expect == NULL ||
+	    g_ascii_strcasecmp(expect, "100-continue") != 0)
+		return true;
+	if (head->length_bytes > 0 &&
+	    !fg_memory_has_room(&c->gw->memory,
+				fg_gw_memory_array_bytes(
+					(uint64_t)head->length_bytes)))
+		c->no_room = true;
+	else
 		fg_link_write(c->link, continue_head,
 			      sizeof(continue_head) - 1);
 	return true;
@@ -251,6 +258,17 @@
 		drop_input(c);
 }
 
+/* Answers a request that is not read to its end. */
+static void refuse_and_close(struct fg_caller *c, unsigned int status,
+			     uint32_t retry_ms)
+{
+	c->malformed = true;
+	fg_caller_answer(c, status, NULL, retry_ms, NULL, "", 0);
+	fg_gw_memory_note_flushing(c);
+	fg_link_close_draining(c->link);
+	mark_closed(c);
+}
+
 static void refuse_faulty_request(struct fg_caller *c)
 {
 	unsigned int status = HTTP_STATUS_BAD_REQUEST;
@@ -263,20 +281,15 @@
 		status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
 		reason = "body_too_large";
 	}
-	c->malformed = true;
 	fg_log(FG_LOG_WARN, "caller", "bad_request", "reason", reason, NULL);
 	fg_gw_count_event(c->gw, "bad_requests", NULL);
-	fg_caller_answer(c, status, NULL, 0, NULL, "", 0);
-	fg_caller_close(c, true);
+	refuse_and_close(c, status, 0);
 }
 
 void fg_caller_refuse_reading(struct fg_caller *c, const char *reason)
 {
 	fg_log_routine("caller", "refused", "reason", reason, NULL);
-	c->malformed = true;
-	fg_caller_answer(c, HTTP_STATUS_SERVICE_UNAVAILABLE, NULL,
-			 REFUSED_RETRY_MS, NULL, "", 0);
-	fg_caller_close(c, true);
+	refuse_and_close(c, HTTP_STATUS_SERVICE_UNAVAILABLE, REFUSED_RETRY_MS);
 }
 
 /* Returns the most by which `len` bytes can grow the head. */
@@ -587,11 +600,8 @@
 	if (c->req != NULL || c->tunnel != NULL || c->h1.ended)
 		return;
 	if (c->h1.started && is_read_too_slowly(c, l.head_timeout_ms, now)) {
-		c->malformed = true;
 		fg_log_routine("caller", "request_timed_out", NULL);
-		fg_caller_answer(c, HTTP_STATUS_REQUEST_TIMEOUT, NULL, 0, NULL,
-				 "", 0);
-		fg_caller_close(c, true);
+		refuse_and_close(c, HTTP_STATUS_REQUEST_TIMEOUT, 0);
 	} else if (!c->h1.started && l.idle_timeout_ms > 0 &&
 		   waited_ms > (fg_ms)l.idle_timeout_ms) {
 		fg_caller_close(c, true);
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -22,6 +22,10 @@
  * not all of them in this time, gets no more. */
 #define FLUSH_STALL_MS 5000
 #define FLUSH_MAX_MS 60000
+/* After fg_link_close_draining(), what the peer still sends is dropped for this
+ * long after the last byte was sent, and up to this amount. */
+#define DRAIN_MAX_MS 2000
+#define DRAIN_MAX_BYTES (16 * 1024 * 1024)
 
 struct fg_link {
 	uv_tcp_t tcp;
@@ -34,11 +38,13 @@
 	GList flushing_node;	 /* in `flushing` */
 	size_t unsent_bytes;	 /* at the last check of the flush */
 	uint64_t flush_until_ms; /* in the loop's time */
+	uint64_t dropped_bytes;	 /* received after the close */
 	int open_handles;	 /* tcp and timer; at 0 the link is freed */
 	bool closed;		 /* by the user: no further callbacks */
 	bool closing;		 /* the handles are being closed */
 	bool connected;
 	bool flushing; /* closed, queued bytes are being sent */
+	bool drains;   /* then reads on until the peer closes its side */
 };
 
 struct write_req {
@@ -157,12 +163,28 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
 }
 
+/* The link is closed, and n bytes came; below 0: the peer's end. */
+static void drop_read(struct fg_link *l, ssize_t n)
+{
+	if (!l->drains || l->closing)
+		return;
+	l->dropped_bytes += (uint64_t)MAX(n, 0);
+	if (n < 0)
+		uv_read_stop((uv_stream_t *)&l->tcp);
+	/* While bytes are queued, the timer of the flush decides. */
+	if ((n < 0 || l->dropped_bytes > DRAIN_MAX_BYTES) &&
+	    fg_link_unsent_bytes(l) == 0)
+		close_handles(l);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct fg_link *l = stream->data;
 
-	if (l->closed)
+	if (l->closed) {
+		drop_read(l, n);
 		return;
+	}
 	if (n > 0) {
 		l->ops->on_data(l->ctx, buf->base, (size_t)n);
 	} else if (n < 0) {
@@ -375,13 +397,21 @@
 		uv_read_start((uv_stream_t *)&l->tcp, on_alloc, on_read);
 }
 
+static void on_drain_timer(uv_timer_t *timer)
+{
+	close_handles(timer->data);
+}
+
 static void on_shutdown(uv_shutdown_t *req, int status)
 {
 	struct fg_link *l = req->data;
 
 	if (status == 0)
 		set_linger(l, false);
-	close_handles(l);
+	if (status == 0 && l->drains && l->dropped_bytes <= DRAIN_MAX_BYTES)
+		uv_timer_start(&l->timer, on_drain_timer, DRAIN_MAX_MS, 0);
+	else
+		close_handles(l);
 }
 
 /* The peer must not take a part for the whole. */
@@ -418,6 +448,13 @@
 		       FLUSH_STALL_MS);
 }
 
+void fg_link_close_draining(struct fg_link *l)
+{
+	l->drains = l->connected;
+	fg_link_resume(l);
+	fg_link_close(l, true);
+}
+
 uint32_t fg_link_open_count(void)
 {
 	return n_open;
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -89,6 +89,11 @@
  * long as the peer takes some of them every 5 s. Otherwise it is reset. */
 void fg_link_close(struct fg_link *l, bool flush);
 
+/* As fg_link_close() with `flush`, for a peer that may still be sending: what it
+ * sends is read and dropped for 2 s, and up to 16 MiB, since a reset for unread
+ * bytes would destroy the answer that it has not read yet. */
+void fg_link_close_draining(struct fg_link *l);
+
 /* Returns how many links there are that hold a descriptor, also closed ones that
  * are not freed yet. */
 uint32_t fg_link_open_count(void);
