lib/gateway: lines about refused callers are routine ones

4,000 malformed requests wrote 597 lines of level warn in a few seconds: up to 200 a second, which is all that the log takes of anything, so that a flood of clients hid the lines about endpoints and the store.

These lines count as routine ones: at most 50 a second, with their own limit; the rest is counted (module=log event=dropped, fg_gw_bad_requests_total).

tests/crowds.py refused_crowd_logs_little failed before and passes.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -281,7 +281,7 @@
 		status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
 		reason = "body_too_large";
 	}
-	fg_log(FG_LOG_WARN, "caller", "bad_request", "reason", reason, NULL);
+	fg_log_routine("caller", "bad_request", "reason", reason, NULL);
 	fg_gw_count_event(c->gw, "bad_requests", NULL);
 	refuse_and_close(c, status, 0);
 }
