--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -107,9 +107,9 @@
 	enum fg_port_kind kind;
 	struct fg_link *link; /* NULL once closed */
 	struct fg_h1 h1;
-	GByteArray *pipelined;	  /* bytes received after the current request */
-	GByteArray *body;	  /* of the request that is being read */
-	GBytes *whole_body;	  /* of the request in progress, or NULL */
+	GByteArray *pipelined; /* bytes received after the current request */
+	GByteArray *body;      /* of the request that is being read */
+	GBytes *whole_body;    /* of the request in progress, or NULL */
 	struct fg_memory_holder memory;
 	struct fg_gwreq *req;	  /* in progress, or NULL */
 	struct fg_tunnel *tunnel; /* its bytes go to an endpoint, or NULL */
@@ -127,8 +127,8 @@
 	bool close_after; /* close the connection after the answer */
 };
 
-/* Limits of the configuration, or those that hold while none is known; sizes are
- * never 0. */
+/* Limits of the configuration, or those that hold while none is known; sizes
+ * are never 0. */
 struct fg_caller_limits fg_caller_limits(const struct fg_gateway *gw);
 
 /* libuv callback: accepts a connection of the port in listener->data. */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -237,7 +237,8 @@
 		fg_gw_memory_array_bytes(r->answer_body->len + len_bytes);
 	uint64_t held = r->caller->memory.collected_bytes;
 
-	if (bytes > held && !fg_gw_memory_answer_fits(r->caller, bytes - held)) {
+	if (bytes > held &&
+	    !fg_gw_memory_answer_fits(r->caller, bytes - held)) {
 		abandon_send(r, FG_SEND_BROKEN, "answers_too_large");
 		return;
 	}
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -187,9 +187,9 @@
 	    g_ascii_strcasecmp(expect, "100-continue") != 0)
 		return true;
 	if (head->length_bytes > 0 &&
-	    !fg_memory_has_room(&c->gw->memory,
-				fg_gw_memory_array_bytes(
-					(uint64_t)head->length_bytes)))
+	    !fg_memory_has_room(
+		    &c->gw->memory,
+		    fg_gw_memory_array_bytes((uint64_t)head->length_bytes)))
 		c->no_room = true;
 	else
 		fg_link_write(c->link, continue_head,
@@ -507,8 +507,7 @@
 		bool descriptors_left =
 			fg_link_open_count() <= bound.descriptors_max;
 
-		if (descriptors_left &&
-		    port->n_callers < bound.connections_max)
+		if (descriptors_left && port->n_callers < bound.connections_max)
 			return true;
 		if (!descriptors_left && fg_link_abort_oldest_flushing())
 			continue;
--- a/lib/gateway/fg_gw_memory.c
+++ b/lib/gateway/fg_gw_memory.c
@@ -9,8 +9,8 @@
 /* GLib allocates no less for an array. */
 #define ARRAY_MIN_BYTES 16
 #define ARRAY_MAX_BYTES ((uint64_t)1 << 62)
-/* Memory is returned to the system after more than this was held, once less than
- * a part of it is. */
+/* Memory is returned to the system after more than this was held, once less
+ * than a part of it is. */
 #define TRIM_MIN_BYTES (4 * 1024 * 1024)
 #define TRIM_DIVISOR 4
 
@@ -93,8 +93,8 @@
 	fg_caller_abort(c);
 }
 
-/* Resets one closed connection whose last answer is not read. Returns false when
- * there is none. */
+/* Resets one closed connection whose last answer is not read. Returns false
+ * when there is none. */
 static bool drop_flushing(struct fg_memory *m)
 {
 	if (!fg_link_abort_largest_flushing())
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -447,8 +447,8 @@
 		.resume_after = r->events.has_id ? r->events.last_id
 						 : r->call.resume_after,
 		.body_bytes = g_bytes_get_size(body),
-		.has_body = g_bytes_get_size(body) > 0 || r->head->length_bytes >= 0 ||
-			    r->head->chunked,
+		.has_body = g_bytes_get_size(body) > 0 ||
+			    r->head->length_bytes >= 0 || r->head->chunked,
 		.identified = r->keyed_by->workspaces != NULL ||
 			      conn->gw->routes->workspaces != NULL,
 		.workspace = r->workspace == NULL ? NULL : r->workspace->name,
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -203,9 +203,9 @@
 	c->connections_max =
 		check_number(errors, path, "connections_max",
 			     raw->connections_max, 1, 100000, 1024);
-	c->lookup_connections_max = check_number(
-		errors, path, "lookup_connections_max",
-		raw->lookup_connections_max, 1, 100000, 256);
+	c->lookup_connections_max =
+		check_number(errors, path, "lookup_connections_max",
+			     raw->lookup_connections_max, 1, 100000, 256);
 	c->caller_memory_bytes = check_number(
 		errors, path, "caller_memory_mb", raw->caller_memory_mb, MIB,
 		CALLER_MEMORY_MAX_MB, CALLER_MEMORY_DEFAULT_MB * MIB);
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -324,8 +324,7 @@
 {
 	w->req.data = l;
 	l->pending_bytes += w->len_bytes;
-	if (uv_write(&w->req, (uv_stream_t *)&l->tcp, bufs, n, on_written) ==
-	    0)
+	if (uv_write(&w->req, (uv_stream_t *)&l->tcp, bufs, n, on_written) == 0)
 		return;
 	l->pending_bytes -= w->len_bytes;
 	write_req_free(w);
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -65,8 +65,8 @@
  * Does not block. */
 void fg_link_write(struct fg_link *l, const char *data, size_t len_bytes);
 
-/* As fg_link_write(), followed by the bytes of `body`, which are not copied: the
- * link holds a reference until they were sent. NULL: none. */
+/* As fg_link_write(), followed by the bytes of `body`, which are not copied:
+ * the link holds a reference until they were sent. NULL: none. */
 void fg_link_write_with_body(struct fg_link *l, const char *data,
 			     size_t len_bytes, GBytes *body);
 
@@ -89,13 +89,13 @@
  * long as the peer takes some of them every 5 s. Otherwise it is reset. */
 void fg_link_close(struct fg_link *l, bool flush);
 
-/* As fg_link_close() with `flush`, for a peer that may still be sending: what it
- * sends is read and dropped for 2 s, and up to 16 MiB, since a reset for unread
- * bytes would destroy the answer that it has not read yet. */
+/* As fg_link_close() with `flush`, for a peer that may still be sending: what
+ * it sends is read and dropped for 2 s, and up to 16 MiB, since a reset for
+ * unread bytes would destroy the answer that it has not read yet. */
 void fg_link_close_draining(struct fg_link *l);
 
-/* Returns how many links there are that hold a descriptor, also closed ones that
- * are not freed yet. */
+/* Returns how many links there are that hold a descriptor, also closed ones
+ * that are not freed yet. */
 uint32_t fg_link_open_count(void);
 
 /* Returns how many closed links still have queued bytes to send. */
--- a/lib/memory/fg_memory.c
+++ b/lib/memory/fg_memory.c
@@ -44,8 +44,8 @@
 	p->at = halvings > HALVINGS_MAX ? now : p->at + halvings * HALF_LIFE_MS;
 }
 
-/* Returns whether a holder of `a` bytes at that pace gives way before one of `b`
- * bytes. */
+/* Returns whether a holder of `a` bytes at that pace gives way before one of
+ * `b` bytes. */
 static bool gives_way_before(uint64_t a, const struct fg_memory_pace *a_pace,
 			     uint64_t b, const struct fg_memory_pace *b_pace,
 			     fg_ms now)
@@ -58,8 +58,7 @@
 
 static void update_peak(struct fg_memory *m)
 {
-	m->peak_bytes =
-		MAX(m->peak_bytes, m->request_bytes + m->answer_bytes);
+	m->peak_bytes = MAX(m->peak_bytes, m->request_bytes + m->answer_bytes);
 }
 
 void fg_memory_init(struct fg_memory *m, uint64_t limit_bytes)
@@ -107,9 +106,9 @@
 /* ---- Requests ---- */
 
 /* Returns the holder that gives way for `asker`, at first `asker` itself. */
-static struct fg_memory_holder *
-choose_reading(const struct fg_memory *m, struct fg_memory_holder *asker,
-	       uint64_t asked_bytes, fg_ms now)
+static struct fg_memory_holder *choose_reading(const struct fg_memory *m,
+					       struct fg_memory_holder *asker,
+					       uint64_t asked_bytes, fg_ms now)
 {
 	struct fg_memory_holder *chosen = asker;
 	uint64_t chosen_bytes = asked_bytes;
--- a/lib/memory/fg_memory.h
+++ b/lib/memory/fg_memory.h
@@ -4,8 +4,9 @@
  *
  * Each connection of a caller is a holder. It is charged for requests (heads,
  * bodies, bytes that follow a request in progress) and for answers (collected
- * ones, and bytes that the caller has not read yet). Both parts of the limit are
- * kept apart, so that requests cannot leave the answers to them without room:
+ * ones, and bytes that the caller has not read yet). Both parts of the limit
+ * are kept apart, so that requests cannot leave the answers to them without
+ * room:
  *
  *   requests  5/8, of which holders of more than FG_MEMORY_LARGE_BYTES may take
  *             3/8 together, and those of more than FG_MEMORY_SMALL_BYTES 1/2:
@@ -15,8 +16,8 @@
  * Below these bounds every charge is granted. Above them, the holder gives way
  * that holds most and advances least. For room for requests, only holders whose
  * request is still being read give way: a complete request keeps its place, and
- * so one that was passed on keeps its promise. For room for answers, only callers
- * give way that do not read theirs.
+ * so one that was passed on keeps its promise. For room for answers, only
+ * callers give way that do not read theirs.
  *
  * Does no I/O and reads no clock. Times are readings of fg_clock_now().
  */
@@ -53,8 +54,8 @@
 struct fg_memory {
 	GPtrArray *holders; /* struct fg_memory_holder * */
 	uint64_t limit_bytes;
-	uint64_t request_bytes; /* of all holders */
-	uint64_t answer_bytes;	/* of all holders, and `flushing_bytes` */
+	uint64_t request_bytes;	 /* of all holders */
+	uint64_t answer_bytes;	 /* of all holders, and `flushing_bytes` */
 	uint64_t flushing_bytes; /* of closed connections */
 	uint64_t peak_bytes;	 /* since fg_memory_take_peak() */
 };
--- a/lib/places/fg_places.c
+++ b/lib/places/fg_places.c
@@ -27,10 +27,9 @@
 					     uint32_t connections_max)
 {
 	struct fg_places_bound bound = {
-		.connections_max =
-			MIN(connections_max,
-			    connection_descriptors(descriptors) /
-				    CALLERS_DIVISOR),
+		.connections_max = MIN(connections_max,
+				       connection_descriptors(descriptors) /
+					       CALLERS_DIVISOR),
 		.descriptors_max = fg_places_for_endpoints(descriptors),
 	};
 
@@ -41,10 +40,9 @@
 					   uint32_t connections_max)
 {
 	struct fg_places_bound bound = {
-		.connections_max =
-			MIN(connections_max,
-			    connection_descriptors(descriptors) /
-				    OTHER_PORT_DIVISOR),
+		.connections_max = MIN(connections_max,
+				       connection_descriptors(descriptors) /
+					       OTHER_PORT_DIVISOR),
 		.descriptors_max = fg_places_for_endpoints(descriptors),
 	};
 
--- a/lib/places/fg_places.h
+++ b/lib/places/fg_places.h
@@ -6,12 +6,12 @@
  * those of another. A new connection takes the place of the one that keeps it
  * with the least use: first those that never had an answer, then those that had
  * one; among these, the one that has waited longest without a complete request.
- * Connections with a request in progress keep their place; their time limits end
- * them.
+ * Connections with a request in progress keep their place; their time limits
+ * end them.
  *
  * Descriptors bound all connections together: callers may use half of them, and
- * callers and endpoints leave an eighth to connections to the store and to other
- * instances.
+ * callers and endpoints leave an eighth to connections to the store and to
+ * other instances.
  *
  * Does no I/O and reads no clock.
  */
@@ -29,8 +29,8 @@
 
 /* A connection, as far as it matters for its place. */
 struct fg_places_view {
-	bool busy;     /* a request is in progress, or it is a tunnel */
-	bool answered; /* it had an answer before */
+	bool busy;	   /* a request is in progress, or it is a tunnel */
+	bool answered;	   /* it had an answer before */
 	fg_ms waits_since; /* without a complete request */
 };
 
