lib/run: one bound for the bodies that fg-entry holds

64 callers with bodies of 4 MiB (body_max_bytes raised to it) that never ended made fg-entry hold 270 to 274 MB, at the address of callers and at that of operators.

Cause: as in fg-gateway, each limit is for one caller. Bodies are charged to the same ledger (lib/memory) under a lock; above its bound the body that holds most and advances least is dropped, and its request answered 503 as NOT_RUN with a Retry-After. A body beyond its own limit is dropped at once, not kept until its end. limits.caller_memory_bytes, 64 MiB by default, at least six times body_max_bytes. The mapping of large blocks moves to fg_daemon, for both programs.

tests/entry_crowds.py unfinished_bodies, unfinished_bodies_of_operators, unfinished_chunked_bodies and bodies_beyond_the_limit failed before (270 to 274 MB of 160) and pass (37 to 41 MB).

--- a/lib/base/fg_daemon.c
+++ b/lib/base/fg_daemon.c
@@ -1,10 +1,15 @@
 #include "base/fg_daemon.h"
 
 #include <glib.h>
+#include <malloc.h>
 #include <stdio.h>
 
 #include "base/fg_version.h"
 
+/* Larger blocks are mapped one by one: they grow without a copy, and go back to
+ * the system when they are freed. */
+#define MAPPED_BLOCK_BYTES (128 * 1024)
+
 int fg_daemon_main(const struct fg_daemon *d, int argc, char **argv)
 {
 	gchar *path = NULL;
@@ -23,6 +28,8 @@
 	GError *error = NULL;
 	int rc = FG_EXIT_USAGE;
 
+	/* Without the option, freed blocks stay with the process longer. */
+	(void)mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
 	g_option_context_add_main_entries(ctx, options, NULL);
 	g_option_context_set_description(
 		ctx, "Exit codes: 0 after a planned stop (SIGTERM or SIGINT), "
--- a/lib/run/fg_exchange.h
+++ b/lib/run/fg_exchange.h
@@ -15,6 +15,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "memory/fg_memory.h"
+
 struct fg_exchange {
 	int refs; /* atomic */
 	uint64_t id;
@@ -26,7 +28,10 @@
 	bool stream;
 	bool answered;	     /* a response was queued; HTTP thread only */
 	volatile int cancel; /* set when the caller closes the connection */
-	GString *body;	     /* of the request; HTTP thread only */
+	GString *body;	     /* of the request; HTTP thread only, and guarded
+				by fg_run.memory_lock while it is read */
+	struct fg_memory_holder memory; /* guarded by the same */
+	bool gave_way;			/* the same: its body was dropped */
 	bool too_large;
 	bool submitted;
 	pthread_mutex_t lock; /* guards all members below */
--- a/lib/run/fg_metrics_text.c
+++ b/lib/run/fg_metrics_text.c
@@ -18,6 +18,9 @@
 			fg_metrics_hist(run->metrics, PREFIX "latency_ms",
 					labels, "Time from request to answer");
 	}
+	run->gave_way = fg_metrics_counter(
+		run->metrics, PREFIX "callers_gave_way_total",
+		"what=\"request\"", "dropped for room for others");
 }
 
 /* The node and its peers keep their own counters. Each is copied into the
--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include "history/fg_history.h"
+#include "memory/fg_memory.h"
 #include "metrics/fg_metrics.h"
 #include "peer/fg_peer.h"
 #include "run/fg_exchange.h"
@@ -29,8 +30,12 @@
 	struct MHD_Daemon *control_daemon; /* NULL without an address */
 	pthread_mutex_t exchanges_lock;	   /* guards exchanges; taken after
 					    * node_lock */
-	GHashTable *exchanges;	 /* id -> struct fg_exchange, not answered */
-	uint64_t last_id;	 /* atomic */
+	GHashTable *exchanges; /* id -> struct fg_exchange, not answered */
+	pthread_mutex_t memory_lock; /* guards memory, and bodies that are
+				      * read; taken last */
+	struct fg_memory memory;     /* of requests */
+	struct fg_counter *gave_way; /* requests whose body was dropped */
+	uint64_t last_id;	     /* atomic */
 	uint32_t http_in_flight; /* atomic; POST requests whose answer is not
 				  * sent yet */
 	fg_ms stop_begun_at;	 /* 0: not stopping */
@@ -68,6 +73,27 @@
 /* Answers open exchanges with UNKNOWN and ends the HTTP threads. */
 void fg_web_stop(struct fg_run *run);
 
+/* ---- fg_web_memory.c ---- */
+
+/* Create and free the ledger. All requests must have ended before the latter.
+ */
+void fg_web_memory_init(struct fg_run *run);
+void fg_web_memory_clear(struct fg_run *run);
+
+/* A request begins, and has ended: charges its body, and gives the charge
+ * back. */
+void fg_web_open_exchange(struct fg_run *run, struct fg_exchange *x);
+void fg_web_close_exchange(struct fg_run *run, struct fg_exchange *x);
+
+/* Appends to the body, unless that is too large or the request gives way
+ * (x->too_large, x->gave_way). Others may give way for it. */
+void fg_web_append_body(struct fg_run *run, struct fg_exchange *x,
+			const char *data, size_t len_bytes);
+
+/* The body is complete. Returns false when the request gave way; else it no
+ * longer does. */
+bool fg_web_complete_body(struct fg_run *run, struct fg_exchange *x);
+
 /* ---- fg_web_calls.c ---- */
 
 /* Handles a POST. Returns true if the exchange will be answered later.
--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -12,9 +12,12 @@
 /* Longest wait for callers that read their last answer. */
 #define FLUSH_MAX_MS 700
 #define FLUSH_POLL_US 5000
+/* Retry-After of a request that gave way to others. */
+#define ROOM_RETRY_S "1"
 
+/* `retry_after`: seconds, or NULL. */
 static enum MHD_Result send_response(struct MHD_Connection *c, uint32_t status,
-				     char *text)
+				     const char *retry_after, char *text)
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 		strlen(text), text, MHD_RESPMEM_MUST_COPY);
@@ -23,6 +26,9 @@
 	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				text[0] == '{' ? "application/json"
 					       : "text/plain");
+	if (retry_after != NULL)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER,
+					retry_after);
 	rc = MHD_queue_response(c, status, response);
 	MHD_destroy_response(response);
 	g_free(text);
@@ -68,16 +74,17 @@
 
 	g_free(message);
 	x->answered = true;
-	return send_response(x->connection, 413, text);
+	return send_response(x->connection, 413, NULL, text);
 }
 
-static void append_body(struct fg_run *run, struct fg_exchange *x,
-			const char *data, size_t len_bytes)
+static enum MHD_Result reject_without_room(struct fg_exchange *x)
 {
-	if (x->body->len + len_bytes > run->settings->limits.body_max_bytes)
-		x->too_large = true;
-	else
-		g_string_append_len(x->body, data, (gssize)len_bytes);
+	char *text = fg_web_error_json(x->tag, FG_R_OVERLOAD,
+				       "requests hold too much memory");
+
+	x->answered = true;
+	return send_response(x->connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+			     ROOM_RETRY_S, text);
 }
 
 static enum MHD_Result on_post(struct fg_run *run, struct MHD_Connection *c,
@@ -91,11 +98,12 @@
 			__atomic_add_fetch(&run->last_id, 1, __ATOMIC_RELAXED),
 			c);
 		__atomic_add_fetch(&run->http_in_flight, 1, __ATOMIC_RELAXED);
+		fg_web_open_exchange(run, x);
 		*state = x;
 		return MHD_YES;
 	}
 	if (*len_bytes > 0) {
-		append_body(run, x, data, *len_bytes);
+		fg_web_append_body(run, x, data, *len_bytes);
 		*len_bytes = 0;
 		return MHD_YES;
 	}
@@ -105,6 +113,8 @@
 		return send_exchange_response(x);
 	if (x->too_large)
 		return reject_too_large(run, x);
+	if (!fg_web_complete_body(run, x))
+		return reject_without_room(x);
 	return submit_exchange(run, x, path);
 }
 
@@ -123,7 +133,8 @@
 	if (strcmp(method, MHD_HTTP_METHOD_GET) != 0) {
 		text = fg_web_error_json(NULL, FG_R_BAD_REQUEST,
 					 "only GET and POST are served");
-		return send_response(c, MHD_HTTP_METHOD_NOT_ALLOWED, text);
+		return send_response(c, MHD_HTTP_METHOD_NOT_ALLOWED, NULL,
+				     text);
 	}
 	text = fg_web_get(run, c, path, &status);
 	if (text == NULL) {
@@ -131,7 +142,7 @@
 					 "no such path");
 		status = MHD_HTTP_NOT_FOUND;
 	}
-	return send_response(c, status, text);
+	return send_response(c, status, NULL, text);
 }
 
 static void on_completed(void *arg, struct MHD_Connection *c, void **state,
@@ -143,6 +154,7 @@
 	(void)c;
 	if (x == NULL)
 		return;
+	fg_web_close_exchange(run, x);
 	fg_exchange_close(x);
 	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && x->submitted) {
 		x->cancel = 1;
--- a/lib/settings/fg_settings.c
+++ b/lib/settings/fg_settings.c
@@ -297,6 +297,9 @@
 		      "twice ping_ms");
 	check_minimum(v, "timing", "confirm_ms", t->confirm_ms, 2 * t->poll_ms,
 		      "twice poll_ms");
+	check_minimum(v, "limits", "caller_memory_bytes",
+		      s->limits.caller_memory_bytes,
+		      6 * s->limits.body_max_bytes, "six times body_max_bytes");
 	check_minimum(v, "limits", "deadline_max_ms", s->limits.deadline_max_ms,
 		      s->limits.deadline_default_ms, "as deadline_default_ms");
 	if (s->http[0] != '\0' && strcmp(s->http, s->rpc) == 0)
--- a/lib/settings/fg_settings.h
+++ b/lib/settings/fg_settings.h
@@ -36,7 +36,8 @@
 	uint32_t body_max_bytes;	/* size of a request body */
 	uint32_t deadline_max_ms;	/* longest deadline of a request */
 	uint32_t deadline_default_ms;	/* when the request gives none */
-	uint32_t connections_max;	/* open connections from callers */
+	uint32_t caller_memory_bytes;	/* held for requests of callers */
+	uint32_t connections_max;	/* open connections of each address */
 	uint32_t requests_max;		/* requests in progress */
 	uint32_t caller_rate_per_s;	/* per caller; 0: from the preset */
 	uint32_t callers_max;		/* callers whose rate is tracked */
--- a/lib/settings/fg_settings_keys.c
+++ b/lib/settings/fg_settings_keys.c
@@ -43,6 +43,7 @@
 	LIMIT(body_max_bytes, KIB, 16 * MIB, 256 * KIB),
 	LIMIT(deadline_max_ms, SECOND_MS, 10 * MINUTE_MS, 10 * MINUTE_MS),
 	LIMIT(deadline_default_ms, SECOND_MS, 10 * MINUTE_MS, 30 * SECOND_MS),
+	LIMIT(caller_memory_bytes, MIB, 4095 * MIB, 64 * MIB),
 	LIMIT(connections_max, 8, 65536, 1024),
 	LIMIT(requests_max, 1, 65536, 1024),
 	LIMIT(caller_rate_per_s, 0, 1000000, 0),
--- a/programs/fg-gateway.c
+++ b/programs/fg-gateway.c
@@ -6,7 +6,6 @@
  * wrong usage or invalid settings.
  */
 #include <glib.h>
-#include <malloc.h>
 #include <stdio.h>
 
 #include "base/fg_daemon.h"
@@ -57,15 +56,9 @@
 	return 0;
 }
 
-/* Larger blocks are mapped one by one: they grow without a copy, and go back to
- * the system when they are freed. */
-#define MAPPED_BLOCK_BYTES (128 * 1024)
-
 int main(int argc, char **argv)
 {
 	static const struct fg_daemon daemon = { "fg-gateway", load_and_run };
 
-	/* Without the option, freed blocks stay with the process longer. */
-	(void)mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
 	return fg_daemon_main(&daemon, argc, argv);
 }
