lib/run: large bodies are parsed one at a time

64 whole bodies of 1 MiB with a JSON text of empty lists: fg-entry held 344 MB at the most (810 MB with bodies of 4 MiB).

Cause: a parsed text takes up to 50 times its size, and each of the 8 HTTP threads parsed one at the same time. Bodies of more than 64 KiB are parsed one after the other, and the freed blocks go back to the system.

tests/entry_crowds.py large_json_trees failed before (344 MB of 160) and passes (84 MB).

--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -30,7 +30,9 @@
 	struct MHD_Daemon *control_daemon; /* NULL without an address */
 	pthread_mutex_t exchanges_lock;	   /* guards exchanges; taken after
 					    * node_lock */
-	GHashTable *exchanges; /* id -> struct fg_exchange, not answered */
+	GHashTable *exchanges;	    /* id -> struct fg_exchange, not answered */
+	pthread_mutex_t parse_lock; /* held while a large body is parsed;
+				     * taken first */
 	pthread_mutex_t memory_lock; /* guards memory, and bodies that are
 				      * read; taken last */
 	struct fg_memory memory;     /* of requests */
@@ -94,6 +96,10 @@
  * longer does. */
 bool fg_web_complete_body(struct fg_run *run, struct fg_exchange *x);
 
+/* As fg_web_submit(), with one large body at a time. */
+bool fg_web_submit_alone(struct fg_run *run, struct fg_exchange *x,
+			 const char *path, uint32_t *status, char **text);
+
 /* ---- fg_web_calls.c ---- */
 
 /* Handles a POST. Returns true if the exchange will be answered later.
--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -59,7 +59,7 @@
 	/* The answer may arrive before fg_web_submit() returns, so the
 	 * connection is suspended first. */
 	fg_exchange_suspend(x);
-	if (!fg_web_submit(run, x, path, &status, &text))
+	if (!fg_web_submit_alone(run, x, path, &status, &text))
 		fg_exchange_finish(x, status, 0, text);
 	g_free(text);
 	return MHD_YES;
--- a/lib/run/fg_web_memory.c
+++ b/lib/run/fg_web_memory.c
@@ -1,8 +1,14 @@
-/* Memory that requests of callers hold. */
+/* Memory that requests of callers hold, and the order in which large ones are
+ * parsed. */
+#include <malloc.h>
 #include <string.h>
 
 #include "run/fg_run_internal.h"
 
+/* Parsed bodies take up to 50 times their size. Larger ones than this are
+ * parsed one at a time. */
+#define PARSED_ALONE_BYTES (64 * 1024)
+
 /* Returns what GLib allocates for a string of that length. */
 static uint64_t string_bytes(uint64_t len)
 {
@@ -76,14 +82,30 @@
 	return whole;
 }
 
+bool fg_web_submit_alone(struct fg_run *run, struct fg_exchange *x,
+			 const char *path, uint32_t *status, char **text)
+{
+	bool pending;
+
+	if (x->body->len <= PARSED_ALONE_BYTES)
+		return fg_web_submit(run, x, path, status, text);
+	pthread_mutex_lock(&run->parse_lock);
+	pending = fg_web_submit(run, x, path, status, text);
+	(void)malloc_trim(0);
+	pthread_mutex_unlock(&run->parse_lock);
+	return pending;
+}
+
 void fg_web_memory_init(struct fg_run *run)
 {
 	pthread_mutex_init(&run->memory_lock, NULL);
+	pthread_mutex_init(&run->parse_lock, NULL);
 	fg_memory_init(&run->memory, run->settings->limits.caller_memory_bytes);
 }
 
 void fg_web_memory_clear(struct fg_run *run)
 {
 	fg_memory_clear(&run->memory);
+	pthread_mutex_destroy(&run->parse_lock);
 	pthread_mutex_destroy(&run->memory_lock);
 }
