lib/run: a new connection to fg-entry gets a place

40 connections before 16 places that sent one byte of a head or of a body each 0.2 s: no ordinary request was answered within 10 s, five times in a row, on the address of callers and on that of operators.

Cause: libmicrohttpd accepts no connection above its limit, and its time limit is one of inactivity, which a byte now and then restarts. Connections are listed by its notifications; before the limit is reached, the one that gives its place (lib/places) is shut down. A connection without a complete request for header_timeout_ms and deadline_default_ms is ended too; once a planned stop has finished its requests, for header_timeout_ms, so that a crowd does not hold the stop until stop_max_ms.

tests/entry_crowds.py places_taken_by_dripping_heads, places_taken_by_dripping_bodies and places_of_operators_taken failed before and pass. places_taken_by_silence and stop_beside_a_crowd pass before and after.

--- a/lib/run/fg_metrics_text.c
+++ b/lib/run/fg_metrics_text.c
@@ -21,6 +21,9 @@
 	run->gave_way = fg_metrics_counter(
 		run->metrics, PREFIX "callers_gave_way_total",
 		"what=\"request\"", "dropped for room for others");
+	run->places_taken = fg_metrics_counter(
+		run->metrics, PREFIX "callers_gave_way_total", "what=\"place\"",
+		"dropped for room for others");
 }
 
 /* The node and its peers keep their own counters. Each is copied into the
--- a/lib/run/fg_run.c
+++ b/lib/run/fg_run.c
@@ -192,6 +192,7 @@
 	run->exchanges = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, free_exchange);
 	fg_web_memory_init(run);
+	fg_web_conns_init(run);
 	run->endpoints = &fg_endpoint_http_ops;
 	fg_run_create_metrics(run);
 	run->platform = fg_platform_http_new(s->platform, s->name,
@@ -226,6 +227,7 @@
 	fg_run_lock(run);
 	fg_node_tick(run->node, fg_clock_now());
 	fg_run_unlock(run);
+	fg_web_tick(run, fg_clock_now());
 }
 
 void fg_run_stop(struct fg_run *run)
@@ -289,6 +291,7 @@
 	run->platform->ops->free(run->platform);
 	g_hash_table_destroy(run->exchanges);
 	fg_history_close(run->history);
+	fg_web_conns_clear(run);
 	fg_web_memory_clear(run);
 	pthread_mutex_destroy(&run->node_lock);
 	pthread_mutex_destroy(&run->exchanges_lock);
--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -8,10 +8,24 @@
 #include "memory/fg_memory.h"
 #include "metrics/fg_metrics.h"
 #include "peer/fg_peer.h"
+#include "places/fg_places.h"
 #include "run/fg_exchange.h"
 #include "run/fg_pool.h"
 #include "run/fg_run.h"
 
+/* An address of the HTTP interface. */
+struct fg_web_port {
+	struct fg_run *run;
+	GPtrArray *conns; /* open connections */
+	uint32_t connections_max;
+};
+
+enum fg_web_port_id {
+	FG_WEB_CALLERS = 0,
+	FG_WEB_OPERATORS = 1,
+	FG_WEB_PORT_COUNT = 2,
+};
+
 struct fg_run {
 	const struct fg_settings *settings;
 	pthread_mutex_t node_lock; /* guards node */
@@ -37,7 +51,13 @@
 				      * read; taken last */
 	struct fg_memory memory;     /* of requests */
 	struct fg_counter *gave_way; /* requests whose body was dropped */
-	uint64_t last_id;	     /* atomic */
+	pthread_mutex_t conns_lock;  /* guards the ports; taken last */
+	struct fg_web_port ports[FG_WEB_PORT_COUNT];
+	fg_ms ports_checked_at;
+	struct fg_counter *places_taken; /* connections ended for others, or
+					  * because they were slow */
+	uint64_t logged_gave_way;	 /* with requests, when last logged */
+	uint64_t last_id;		 /* atomic */
 	uint32_t http_in_flight; /* atomic; POST requests whose answer is not
 				  * sent yet */
 	fg_ms stop_begun_at;	 /* 0: not stopping */
@@ -69,6 +89,9 @@
 /* Listens for callers and, if configured, for operators. */
 bool fg_web_start(struct fg_run *run, GError **error);
 
+/* Ends requests that take too long to be read. */
+void fg_web_tick(struct fg_run *run, fg_ms now);
+
 /* Accepts no more connections of callers. Open connections continue. */
 void fg_web_quiesce(struct fg_run *run);
 
@@ -100,6 +123,28 @@
 bool fg_web_submit_alone(struct fg_run *run, struct fg_exchange *x,
 			 const char *path, uint32_t *status, char **text);
 
+/* ---- fg_web_conns.c ---- */
+
+/* Create and free the lists of connections. All must have ended before the
+ * latter. */
+void fg_web_conns_init(struct fg_run *run);
+void fg_web_conns_clear(struct fg_run *run);
+
+/* MHD callback, for the port in `arg`: keeps one place free for the next
+ * connection. */
+void fg_web_on_connection(void *arg, struct MHD_Connection *c, void **context,
+			  enum MHD_ConnectionNotificationCode code);
+
+/* A complete request is in progress on the connection; it was answered. */
+void fg_web_note_busy(struct fg_run *run, struct MHD_Connection *c);
+void fg_web_note_answered(struct fg_run *run, struct MHD_Connection *c);
+
+/* Ends connections without a complete request for longer than that. */
+void fg_web_end_slow_requests(struct fg_web_port *port, uint32_t limit_ms);
+
+/* Logs how many gave way so far, if there were more. */
+void fg_web_log_gave_way(struct fg_run *run);
+
 /* ---- fg_web_calls.c ---- */
 
 /* Handles a POST. Returns true if the exchange will be answered later.
--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -12,6 +12,7 @@
 /* Longest wait for callers that read their last answer. */
 #define FLUSH_MAX_MS 700
 #define FLUSH_POLL_US 5000
+#define PORTS_CHECK_MS 500
 /* Retry-After of a request that gave way to others. */
 #define ROOM_RETRY_S "1"
 
@@ -111,6 +112,7 @@
 		return MHD_YES;
 	if (x->submitted)
 		return send_exchange_response(x);
+	fg_web_note_busy(run, c);
 	if (x->too_large)
 		return reject_too_large(run, x);
 	if (!fg_web_complete_body(run, x))
@@ -151,7 +153,7 @@
 	struct fg_run *run = arg;
 	struct fg_exchange *x = *state;
 
-	(void)c;
+	fg_web_note_answered(run, c);
 	if (x == NULL)
 		return;
 	fg_web_close_exchange(run, x);
@@ -186,6 +188,7 @@
 }
 
 static struct MHD_Daemon *start_daemon(struct fg_run *run, const char *text,
+				       struct fg_web_port *port,
 				       uint32_t threads)
 {
 	const struct fg_settings *s = run->settings;
@@ -198,6 +201,7 @@
 			MHD_USE_ITC,
 		0, NULL, NULL, on_request, run, MHD_OPTION_SOCK_ADDR, &addr,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, run,
+		MHD_OPTION_NOTIFY_CONNECTION, fg_web_on_connection, port,
 		MHD_OPTION_CONNECTION_LIMIT, s->limits.connections_max,
 		MHD_OPTION_CONNECTION_TIMEOUT,
 		MAX(s->limits.header_timeout_ms / 1000, 1),
@@ -214,11 +218,13 @@
 	const struct fg_settings *s = run->settings;
 	const char *failed = NULL;
 
-	run->daemon = start_daemon(run, s->http, MAX(s->workers, 2));
+	run->daemon = start_daemon(run, s->http, &run->ports[FG_WEB_CALLERS],
+				   MAX(s->workers, 2));
 	if (run->daemon == NULL)
 		failed = s->http;
 	if (s->control[0] != '\0' && failed == NULL) {
-		run->control_daemon = start_daemon(run, s->control, 2);
+		run->control_daemon = start_daemon(
+			run, s->control, &run->ports[FG_WEB_OPERATORS], 2);
 		if (run->control_daemon == NULL)
 			failed = s->control;
 	}
@@ -255,6 +261,22 @@
 		g_usleep(FLUSH_POLL_US);
 }
 
+void fg_web_tick(struct fg_run *run, fg_ms now)
+{
+	const struct fg_limits_settings *l = &run->settings->limits;
+	uint32_t limit_ms = l->header_timeout_ms + l->deadline_default_ms;
+
+	if (now - run->ports_checked_at < PORTS_CHECK_MS)
+		return;
+	run->ports_checked_at = now;
+	/* Requests that are read only now could not be served any more. */
+	if (run->quiesced)
+		limit_ms = l->header_timeout_ms;
+	for (size_t i = 0; i < G_N_ELEMENTS(run->ports); i++)
+		fg_web_end_slow_requests(&run->ports[i], limit_ms);
+	fg_web_log_gave_way(run);
+}
+
 void fg_web_quiesce(struct fg_run *run)
 {
 	MHD_socket fd = MHD_quiesce_daemon(run->daemon);
