--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -43,7 +43,8 @@
 def put_limits(s, version=2, **limits):
     """Puts the routes of this file into force, and limits of the pages."""
     config = make_config(version, extra_routes=[
-        add_route("slow", "unsafe"), add_route("big", "safe")])
+        add_route("slow", "unsafe"), add_route("big", "safe"),
+        add_route("flow", "streaming")])
     config["services"].append({"name": "crowded", "healthPath": "/health"})
     config["limits"] = {"maxHeaderBytes": 8192, "maxBodyBytes": BODY_MAX,
                         "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
@@ -386,6 +387,49 @@
     check_rest(s.gw)
 
 
+def push_streams(s):
+    """Callers that do not read streams of large events."""
+    event = b"data: " + b"z" * 60000 + b"\n\n"
+
+    def stream(replica, req, rid):
+        req.sock.sendall(replica.response_head(
+            rid, "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n").encode())
+        try:
+            for i in range(1, 2000):
+                text = b"id: %d\n%s" % (i, event)
+                req.sock.sendall(b"%x\r\n%s\r\n" % (len(text), text))
+        except OSError:
+            pass
+        return False
+
+    s.crowded.answer_with = stream
+    data = request_head("/flow/1", fields=("Content-Length: 1",),
+                        deadline_ms=SLOW_MS)[0] + b"x"
+    with Crowd(s.gw.front, 200, data, reads=False) as crowd:
+        crowd.push()
+        time.sleep(2)  # the streams come to a stand
+        check_all(s)
+    for gateway in s.gateways:
+        check_rest(gateway)
+
+
+def streams_not_read(s):
+    push_streams(s)
+
+
+def streams_not_read_through_instance(s):
+    """The instance in the middle does not hold what the first one cannot pass
+    on."""
+    s.cuts.cut(0, REFUSE)
+    wait_for("through the other", lambda: send(
+        s.gateways[0].front, "/order/1").status == 200)
+    push_streams(s)
+
+
+streams_not_read_through_instance.system_class = TunnelCrowdSystem
+
+
 def heads_without_end(s):
     """Heads of 8 KB that never end, on as many connections as there are places."""
     data = (b"POST /order/1 HTTP/1.1\r\nHost: " + HOST.encode() +
@@ -693,7 +737,8 @@
     bodies_on_directory, bodies_on_readiness, bodies_on_metrics,
     bodies_on_relay, whole_bodies_to_slow_service,
     whole_bodies_through_instance, idle_connections_after_bodies,
-    requests_behind_a_request, answers_not_read, heads_without_end,
+    requests_behind_a_request, answers_not_read, streams_not_read,
+    streams_not_read_through_instance, heads_without_end,
     chunk_extension_without_end, trailer_without_end,
     places_taken_by_dripping_bodies, places_taken_by_dripping_heads,
     places_taken_by_silence, places_taken_after_an_answer,
