soak: crowds of callers that keep to no limit

In each part with faults, one to three crowds send unfinished bodies, heads, many requests or nothing to a port of an instance with few places and little memory, and stay for a while. The peak of each instance's memory is checked after the part.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,7 +7,8 @@
 Prints "ok soak-SEED" or "not ok soak-SEED" with the violations, and keeps the
 logs of a failed run. Each round has four parts:
   faults    signals to instances, broken connections, failures of the store and
-            of replicas, and changes overlap
+            of replicas, changes, and crowds of callers that keep to no limit
+            overlap
   recovery  all instances must serve again within RECOVER_MAX_S
   planned   a planned stop, a change and a leaving replica, without faults
   stops     (last round) planned stops of several kinds while endpoints are
@@ -26,6 +27,7 @@
 import threading
 import time
 
+from crowd import Crowd, chunked_head, chunks, request_head
 from hosted import (
     EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, broken_orders, http_get,
     make_config, send, wait_for)
@@ -35,6 +37,9 @@
 RECOVER_MAX_S = 12
 CONFIG_MAX_S = 2.5
 DRAIN_MAX_S = 2.5
+PLACES = 64
+CALLER_MEMORY_MB = 4
+MEMORY_MAX_MB = 32 + CALLER_MEMORY_MB  # of an instance
 STOP_MAX_S = 4  # the grace; then the process would be killed
 ADAPTERS = 24
 DISTURB_S = 5.0
@@ -65,9 +70,23 @@
         return True
 
 
+def peak_memory_mb(pid):
+    """The most resident memory of the process; 0 when it has ended."""
+    try:
+        with open(f"/proc/{pid}/status", encoding="ascii") as f:
+            return max([int(line.split()[1]) / 1024 for line in f
+                        if line.startswith("VmHWM:")], default=0)
+    except FileNotFoundError:
+        return 0
+
+
 class SoakGateway(Gateway):
     stop_grace_s = STOP_MAX_S
 
+    def write_settings(self, store, extra=f"connections_max: {PLACES}\n"
+                       f"caller_memory_mb: {CALLER_MEMORY_MB}\n"):
+        super().write_settings(store, extra)
+
 
 def make_soak_config(version, routes=()):
     names = [(k, f"/{k}/", *LONG_KINDS[k][2:], 1) for k in LONG_KINDS]
@@ -153,6 +172,13 @@
                 self.checker.on_exit(g.name, code, ())
                 g.end_expected = True
 
+    def check_memory(self):
+        for g in self.gateways:
+            mb = peak_memory_mb(g.popen.pid)
+            if mb > MEMORY_MAX_MB:
+                self.checker.add_violation(
+                    "MEMORY", f"{g.name} took {mb:.0f} MB")
+
     # Changes of operators and signals.
 
     def change_config(self):
@@ -554,6 +580,30 @@
 DISTURBANCES_WITH_RESTORES = DISTURBANCES + 5 * (restore_store,)
 
 
+def crowd_callers(soak, rand):
+    """Callers that send bodies, heads or nothing, and stay for a while."""
+    g = rand.choice(soak.gateways)
+    address = rand.choice((g.front, g.front, g.directory, g.ready, g.mesh))
+    data, piece = rand.choice((
+        (chunked_head(deadline_ms=0) + chunks(60000, 1000), b"1\r\nx\r\n"),
+        (chunked_head() + chunks(200000, 5000), b"1\r\nx\r\n"),
+        (b"POST /order/1 HTTP/1.1\r\nX: " + b"y" * 6000, b"y"),
+        (request_head("/none/1", "GET")[0] * 50, b""), (b"", b"")))
+    soak.checker.begin_fault(g.name)
+    with Crowd(address, rand.choice((20, PLACES + 20)), data,
+               reads=rand.random() < 0.5) as crowd:
+        crowd.push()
+        crowd.drip(piece)
+        time.sleep(rand.uniform(0.2, 2.0))
+    soak.checker.end_fault(g.name)
+
+
+def run_crowds(soak, rand):
+    """Besides the other faults, whose choices do not depend on these."""
+    for _ in range(rand.choice((1, 2, 3))):
+        crowd_callers(soak, rand)
+
+
 def disturb(soak):
     """Applies overlapping faults for DISTURB_S, chosen by the seed."""
     end = time.monotonic() + DISTURB_S
@@ -747,8 +797,13 @@
         if restores:
             threading.Thread(target=soak.keep_copies, daemon=True).start()
         for i in range(rounds):
+            crowds = threading.Thread(target=run_crowds, args=(
+                soak, random.Random(f"{seed} {i}")))
+            crowds.start()
             applied += disturb(soak)
+            crowds.join()
             soak.check_exits()
+            soak.check_memory()
             recover(soak)
             run_planned_part(soak)
             soak.check_exits()
