lib/gateway: reading pauses only behind a request in progress

Three requests sent at once on one connection, of which the last has a body of 300 KB: the third got 408. Bytes that follow a request were kept, and reading paused above 64 KiB, also where that request had been answered at once; nothing resumed it then.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -312,7 +312,7 @@
 		return;
 	}
 	g_byte_array_append(c->pipelined, (const guint8 *)data, (guint)len);
-	if (c->pipelined->len > PIPELINED_MAX_BYTES)
+	if (c->req != NULL && c->pipelined->len > PIPELINED_MAX_BYTES)
 		pause_reading(c);
 }
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -699,6 +699,26 @@
         check(a.status == 200, f"{path}: {a.status}")
 
 
+def large_body_behind_requests(s):
+    """Requests sent at once on one connection are answered in turn, also where a
+    large body is among the bytes behind the first."""
+    sock = connect(s.gw.front)
+    sock.settimeout(10)
+    sock.sendall(b"".join((
+        request_head("/slow/1?work_ms=400", fields=("Content-Length: 1",))[0],
+        b"x", request_head("/none/1", "GET")[0],
+        request_head("/big/1", fields=("Content-Length: 300000",))[0],
+        b"y" * 300000)))
+    answers = b""
+    while answers.count(b"HTTP/1.1 ") < 3:
+        data = sock.recv(65536)
+        check(data, f"{answers}")
+        answers += data
+    sock.close()
+    statuses = [part[:3] for part in answers.split(b"HTTP/1.1 ")[1:]]
+    check(statuses == [b"200", b"404", b"200"], f"{statuses}")
+
+
 def reuse_near_the_idle_limit(s):
     """A connection is used again after four fifths of the idle limit."""
     put_limits(s, 3, idleTimeoutMs=3000)
@@ -750,7 +770,8 @@
     old_callers, many_small_requests_on_one_connection,
     refused_crowd_logs_little, stop_beside_a_crowd,
     lower_limit_during_a_crowd, slow_but_honest_body, largest_body_in_calm,
-    reuse_near_the_idle_limit, honest_callers_beside_a_crowd,
+    large_body_behind_requests, reuse_near_the_idle_limit,
+    honest_callers_beside_a_crowd,
 ]
 
 
