lib/gateway: no invitation to a body without a route; a place is given up whole

A connection that gives its place sends the rest of its last answer first. A request that gives way is logged and counted in one place.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -121,10 +121,10 @@
 	bool answered;	  /* it had an answer */
 	bool malformed;	  /* its last message was refused */
 	bool head_done;	  /* the head of the current request is complete */
-	bool no_room;	  /* what it reads cannot be held */
-	bool drop_input;  /* no more requests are read from it */
-	bool paused;	  /* is not read */
-	bool close_after; /* close the connection after the answer */
+	unsigned int refuse_status; /* what it reads is refused; 0: not */
+	bool drop_input;	    /* no more requests are read from it */
+	bool paused;		    /* is not read */
+	bool close_after;	    /* close the connection after the answer */
 };
 
 /* Limits of the configuration, or those that hold while none is known; sizes
@@ -168,6 +168,9 @@
  * holds; others may be refused for that. `more` 0 only updates its charge. */
 bool fg_gw_memory_ask(struct fg_caller *c, uint64_t more);
 
+/* The request that is being read gives way: refuses it. */
+void fg_gw_memory_refuse(struct fg_caller *c);
+
 /* Returns the bytes that an array takes when it grows to `len` bytes. */
 uint64_t fg_gw_memory_array_bytes(uint64_t len);
 
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -175,6 +175,36 @@
 	c->h1.body_max_bytes = c->kind == FG_PORT_FRONT ? l.body_max_bytes : 0;
 }
 
+/* Returns the route of the request that is being read, or NULL, and how long
+ * its caller waits; 0: not stated. */
+static const struct fg_route *find_route(const struct fg_caller *c,
+					 uint32_t *deadline_ms)
+{
+	const struct fg_gateway *gw = c->gw;
+	const struct fg_route *route = NULL;
+	struct fg_call call = { 0 };
+
+	*deadline_ms = 0;
+	if (gw->wire->call_read(&c->h1.head, &call)) {
+		*deadline_ms = call.deadline_ms;
+		if (gw->routes != NULL)
+			route = fg_routes_find(gw->routes, call.host,
+					       fg_h1_target(&c->h1.head));
+	}
+	fg_call_clear(&call);
+	return route;
+}
+
+/* Returns whether the request that is being read will be answered 404. */
+static bool has_no_route(const struct fg_caller *c)
+{
+	uint32_t deadline_ms;
+
+	return c->gw->routes != NULL &&
+	       !fg_gw_is_config_stale(c->gw, fg_clock_now()) &&
+	       find_route(c, &deadline_ms) == NULL;
+}
+
 static bool on_head(void *ctx, const struct fg_h1_head *head)
 {
 	static const char continue_head[] = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -190,7 +220,9 @@
 	    !fg_memory_has_room(
 		    &c->gw->memory,
 		    fg_gw_memory_array_bytes((uint64_t)head->length_bytes)))
-		c->no_room = true;
+		c->refuse_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+	else if (has_no_route(c))
+		c->refuse_status = HTTP_STATUS_NOT_FOUND;
 	else
 		fg_link_write(c->link, continue_head,
 			      sizeof(continue_head) - 1);
@@ -203,10 +235,10 @@
 	uint64_t more = fg_gw_memory_array_bytes(c->body->len + len) -
 			fg_gw_memory_array_bytes(c->body->len);
 
-	if (c->no_room || !fg_gw_memory_ask(c, more)) {
-		c->no_room = true;
+	if (c->refuse_status == 0 && !fg_gw_memory_ask(c, more))
+		c->refuse_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+	if (c->refuse_status != 0)
 		return;
-	}
 	g_byte_array_append(c->body, (const guint8 *)data, (guint)len);
 	fg_memory_note_body(&c->memory, len, fg_clock_now());
 }
@@ -215,7 +247,7 @@
 {
 	struct fg_caller *c = ctx;
 
-	if (c->no_room)
+	if (c->refuse_status != 0)
 		return;
 	c->memory.reading = false;
 	c->whole_body = g_byte_array_free_to_bytes(c->body);
@@ -330,7 +362,7 @@
 		apply_limits(c);
 	}
 	if (!fg_gw_memory_ask(c, head_growth_bytes(c, len))) {
-		fg_caller_refuse_reading(c, "memory");
+		fg_gw_memory_refuse(c);
 		return;
 	}
 	used = fg_h1_feed(&c->h1, data, len);
@@ -340,13 +372,17 @@
 		c->wait_since = fg_clock_now();
 	/* Fields of a trailer are counted only now. */
 	if (!fg_gw_memory_ask(c, 0) && c->req == NULL)
-		c->no_room = true;
+		c->refuse_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
 	if (c->h1.fault != FG_H1_OK) {
 		refuse_faulty_request(c);
 		return;
 	}
-	if (c->no_room) {
-		fg_caller_refuse_reading(c, "memory");
+	if (c->refuse_status == HTTP_STATUS_SERVICE_UNAVAILABLE) {
+		fg_gw_memory_refuse(c);
+		return;
+	}
+	if (c->refuse_status != 0) {
+		refuse_and_close(c, c->refuse_status, 0);
 		return;
 	}
 	if (used < len)
@@ -473,7 +509,7 @@
 		return;
 	}
 	fg_log_routine("caller", "place_given_up", NULL);
-	fg_caller_close(c, false);
+	fg_caller_close(c, fg_link_unsent_bytes(c->link) > 0);
 }
 
 static struct fg_places_bound port_bound(const struct fg_port *port)
@@ -560,21 +596,12 @@
  * waits no longer, or its route takes no longer. */
 static fg_ms request_read_until(const struct fg_caller *c)
 {
-	const struct fg_gateway *gw = c->gw;
-	const struct fg_route *route = NULL;
-	uint32_t limit_ms = 0;
-	struct fg_call call = { 0 };
+	uint32_t limit_ms;
+	const struct fg_route *route = find_route(c, &limit_ms);
 
-	if (gw->wire->call_read(&c->h1.head, &call)) {
-		limit_ms = call.deadline_ms;
-		if (gw->routes != NULL)
-			route = fg_routes_find(gw->routes, call.host,
-					       fg_h1_target(&c->h1.head));
-	}
 	if (route != NULL && route->timeout_ms > 0)
 		limit_ms = limit_ms == 0 ? route->timeout_ms
 					 : MIN(limit_ms, route->timeout_ms);
-	fg_call_clear(&call);
 	return c->read_since + (limit_ms == 0 ? READ_TIMEOUT_MS : limit_ms);
 }
 
--- a/lib/gateway/fg_gw_memory.c
+++ b/lib/gateway/fg_gw_memory.c
@@ -55,7 +55,7 @@
 		       "held_bytes", held, "all_bytes", all, NULL);
 }
 
-static void refuse_reader(struct fg_caller *c)
+void fg_gw_memory_refuse(struct fg_caller *c)
 {
 	log_gave_way(c->gw, "request", c, c->memory.request_bytes);
 	fg_gw_count_event(c->gw, "gave_way", "what=\"request\"");
@@ -73,14 +73,9 @@
 				      now);
 		if (loser == NULL)
 			return true;
-		if (loser == &c->memory) {
-			log_gave_way(c->gw, "request", c,
-				     c->memory.request_bytes);
-			fg_gw_count_event(c->gw, "gave_way",
-					  "what=\"request\"");
+		if (loser == &c->memory)
 			return false;
-		}
-		refuse_reader(loser->owner);
+		fg_gw_memory_refuse(loser->owner);
 	}
 }
 
@@ -174,7 +169,7 @@
 		drop_answer(loser);
 	}
 	while ((loser = fg_memory_choose_over(m, now)) != NULL)
-		refuse_reader(loser->owner);
+		fg_gw_memory_refuse(loser->owner);
 	trim(gw);
 }
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -578,6 +578,12 @@
             check(statuses == [status] * 4, f"{address}: {statuses}")
             check(not [m for m in crowd.members if b" 100 " in m.answer],
                   "invited")
+    head = request_head("/none/1", fields=("Content-Length: 9",
+                                           "Expect: 100-continue"))[0]
+    with Crowd(s.gw.front, 1, head) as crowd:
+        crowd.push()
+        check(crowd.read_answers() == [404] and
+              b" 100 " not in crowd.members[0].answer, "invited to nothing")
     head = request_head(fields=("Content-Length: 1", "Expect: 100-continue"))[0]
     with Crowd(s.gw.front, 1, head) as crowd:
         crowd.push()
