lib/gateway: a body's time is its caller's, not its route's

What bounds a body is its caller's Deadline-Ms, and read_timeout_s (60) where it states none or a far one: three times the longest wait of the users' requesters.

A connection whose peer has ended, or that dropped all it may, no longer waits for the end of the time to drain.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -203,6 +203,7 @@
 	gw->conf->connections_max = conf->connections_max;
 	gw->conf->lookup_connections_max = conf->lookup_connections_max;
 	gw->conf->caller_memory_bytes = conf->caller_memory_bytes;
+	gw->conf->read_timeout_ms = conf->read_timeout_ms;
 	gw->conf->revoke_ms = conf->revoke_ms;
 	gw->conf->revoke_strict = conf->revoke_strict;
 	gw->conf->log_level = conf->log_level;
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -8,8 +8,6 @@
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
 #define HEAD_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
-/* For a whole request, when neither its caller nor its route limits it. */
-#define READ_TIMEOUT_MS 30000
 /* Reading pauses when a caller has sent more than this beyond the request in
  * progress. */
 #define PIPELINED_MAX_BYTES 65536
@@ -175,34 +173,20 @@
 	c->h1.body_max_bytes = c->kind == FG_PORT_FRONT ? l.body_max_bytes : 0;
 }
 
-/* Returns the route of the request that is being read, or NULL, and how long
- * its caller waits; 0: not stated. */
-static const struct fg_route *find_route(const struct fg_caller *c,
-					 uint32_t *deadline_ms)
+/* Returns whether the request that is being read will be answered 404. */
+static bool has_no_route(const struct fg_caller *c)
 {
 	const struct fg_gateway *gw = c->gw;
-	const struct fg_route *route = NULL;
 	struct fg_call call = { 0 };
+	bool none;
 
-	*deadline_ms = 0;
-	if (gw->wire->call_read(&c->h1.head, &call)) {
-		*deadline_ms = call.deadline_ms;
-		if (gw->routes != NULL)
-			route = fg_routes_find(gw->routes, call.host,
-					       fg_h1_target(&c->h1.head));
-	}
+	if (gw->routes == NULL || fg_gw_is_config_stale(gw, fg_clock_now()))
+		return false;
+	none = gw->wire->call_read(&c->h1.head, &call) &&
+	       fg_routes_find(gw->routes, call.host,
+			      fg_h1_target(&c->h1.head)) == NULL;
 	fg_call_clear(&call);
-	return route;
-}
-
-/* Returns whether the request that is being read will be answered 404. */
-static bool has_no_route(const struct fg_caller *c)
-{
-	uint32_t deadline_ms;
-
-	return c->gw->routes != NULL &&
-	       !fg_gw_is_config_stale(c->gw, fg_clock_now()) &&
-	       find_route(c, &deadline_ms) == NULL;
+	return none;
 }
 
 static bool on_head(void *ctx, const struct fg_h1_head *head)
@@ -351,9 +335,8 @@
 /* Feeds the parser; keeps bytes that follow a complete request. */
 static void feed_parser(struct fg_caller *c, const char *data, size_t len)
 {
-	size_t used;
-
 	guint body_bytes = c->body->len;
+	size_t used;
 
 	if (!c->h1.started) {
 		c->wait_since = fg_clock_now();
@@ -593,16 +576,16 @@
 /* ---- Time limits ---- */
 
 /* Returns when the request that is being read has to be complete: its caller
- * waits no longer, or its route takes no longer. */
+ * waits no longer, or no caller waits that long. */
 static fg_ms request_read_until(const struct fg_caller *c)
 {
-	uint32_t limit_ms;
-	const struct fg_route *route = find_route(c, &limit_ms);
+	fg_ms limit_ms = (fg_ms)c->gw->conf->read_timeout_ms;
+	struct fg_call call = { 0 };
 
-	if (route != NULL && route->timeout_ms > 0)
-		limit_ms = limit_ms == 0 ? route->timeout_ms
-					 : MIN(limit_ms, route->timeout_ms);
-	return c->read_since + (limit_ms == 0 ? READ_TIMEOUT_MS : limit_ms);
+	if (c->gw->wire->call_read(&c->h1.head, &call) && call.deadline_ms > 0)
+		limit_ms = MIN(limit_ms, (fg_ms)call.deadline_ms);
+	fg_call_clear(&call);
+	return c->read_since + limit_ms;
 }
 
 /* Returns whether the request that is being read takes too long. */
--- a/lib/gateway/fg_gwconf.c
+++ b/lib/gateway/fg_gwconf.c
@@ -11,6 +11,7 @@
 #define FILE_MAX_BYTES MIB
 #define CALLER_MEMORY_MAX_MB 4095
 #define CALLER_MEMORY_DEFAULT_MB 64
+#define READ_TIMEOUT_DEFAULT_MS 60000
 
 GQuark fg_gwconf_error_quark(void)
 {
@@ -25,7 +26,7 @@
 	char *log_level;
 	char *retry_ratio, *retry_slack, *stop_grace_s, *lookup_ttl_s;
 	char *version_ms, *drain_ms, *connections_max, *caller_memory_mb;
-	char *lookup_connections_max;
+	char *lookup_connections_max, *read_timeout_s;
 	char *turn_ms, *fences_checked, *first_start;
 	char *revoke_ms, *revoke_strict;
 	char *quota_window_s, *quota_excess, *quota_slack, *overload;
@@ -72,6 +73,7 @@
 	TEXT_OPT(connections_max),
 	TEXT_OPT(lookup_connections_max),
 	TEXT_OPT(caller_memory_mb),
+	TEXT_OPT(read_timeout_s),
 	TEXT_OPT(turn_ms),
 	TEXT_OPT(fences_checked),
 	TEXT_OPT(first_start),
@@ -131,6 +133,15 @@
 	return (uint32_t)(value * scale + 0.5);
 }
 
+/* Refuses a number, as check_number() returned it, that is below 1 as written.
+ */
+static void check_least(GString *errors, const char *path, const char *key,
+			const char *text, uint32_t value, uint32_t least)
+{
+	if (value < least)
+		add_error(errors, path, key, text, "1 or more");
+}
+
 static char *check_address(GString *errors, const char *path, const char *key,
 			   const char *text)
 {
@@ -209,9 +220,13 @@
 	c->caller_memory_bytes = check_number(
 		errors, path, "caller_memory_mb", raw->caller_memory_mb, MIB,
 		CALLER_MEMORY_MAX_MB, CALLER_MEMORY_DEFAULT_MB * MIB);
-	if (c->caller_memory_bytes < MIB)
-		add_error(errors, path, "caller_memory_mb",
-			  raw->caller_memory_mb, "1 or more");
+	check_least(errors, path, "caller_memory_mb", raw->caller_memory_mb,
+		    c->caller_memory_bytes, MIB);
+	c->read_timeout_ms = check_number(errors, path, "read_timeout_s",
+					  raw->read_timeout_s, 1000, 3600,
+					  READ_TIMEOUT_DEFAULT_MS);
+	check_least(errors, path, "read_timeout_s", raw->read_timeout_s,
+		    c->read_timeout_ms, 1000);
 	c->revoke_ms = check_number(errors, path, "revoke_ms", raw->revoke_ms,
 				    1, 3600000, 5000);
 	c->revoke_strict =
--- a/lib/gateway/fg_gwconf.h
+++ b/lib/gateway/fg_gwconf.h
@@ -53,6 +53,7 @@
 	uint32_t connections_max; /* open ones from callers, at most */
 	uint32_t lookup_connections_max; /* the same, for address lookups */
 	uint32_t caller_memory_bytes;	 /* held for callers, at most */
+	uint32_t read_timeout_ms;	 /* for a request to be read whole */
 	/* Time limit for a withdrawn key to lose its effect, and whether an
 	 * instance that hears from no one refuses all keys after it. */
 	uint32_t revoke_ms;
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -169,11 +169,12 @@
 	if (!l->drains || l->closing)
 		return;
 	l->dropped_bytes += (uint64_t)MAX(n, 0);
-	if (n < 0)
-		uv_read_stop((uv_stream_t *)&l->tcp);
-	/* While bytes are queued, the timer of the flush decides. */
-	if ((n < 0 || l->dropped_bytes > DRAIN_MAX_BYTES) &&
-	    fg_link_unsent_bytes(l) == 0)
+	if (n >= 0 && l->dropped_bytes <= DRAIN_MAX_BYTES)
+		return;
+	l->drains = false;
+	uv_read_stop((uv_stream_t *)&l->tcp);
+	/* Else the flush ends it. */
+	if (fg_link_unsent_bytes(l) == 0)
 		close_handles(l);
 }
 
@@ -407,7 +408,7 @@
 
 	if (status == 0)
 		set_linger(l, false);
-	if (status == 0 && l->drains && l->dropped_bytes <= DRAIN_MAX_BYTES)
+	if (status == 0 && l->drains)
 		uv_timer_start(&l->timer, on_drain_timer, DRAIN_MAX_MS, 0);
 	else
 		close_handles(l);
