--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -1254,6 +1254,8 @@
 	g_assert_cmpuint(c->stop_grace_ms, ==, 8000);
 	g_assert_cmpuint(c->turn_ms, ==, 3000);
 	g_assert_false(c->fences_checked);
+	g_assert_cmpuint(c->caller_memory_bytes, ==, 64 * 1024 * 1024);
+	g_assert_cmpuint(c->read_timeout_ms, ==, 60000);
 	g_assert_cmpstr(fg_gwconf_region(c, "d"), ==, "r");
 	g_assert_cmpstr(fg_gwconf_region(c, "unknown"), ==, "unknown");
 	fg_gwconf_free(c);
@@ -1289,6 +1291,11 @@
 	check_bad_settings("version_ms: -4\n", "version_ms");
 	check_bad_settings("turn_ms: long\n", "turn_ms");
 	check_bad_settings("fences_checked: maybe\n", "fences_checked");
+	check_bad_settings("caller_memory_mb: 0.5\n", "caller_memory_mb");
+	check_bad_settings("caller_memory_mb: 4096\n", "caller_memory_mb");
+	check_bad_settings("read_timeout_s: 0\n", "read_timeout_s");
+	check_bad_settings("lookup_connections_max: many\n",
+			   "lookup_connections_max");
 	g_assert_null(fg_gwconf_parse("f", "name: n\n", &error));
 	g_clear_error(&error);
 	g_assert_null(fg_gwconf_load("/nonexistent/file", &error));
