--- a/lib/gateway/fg_gw_memory.c
+++ b/lib/gateway/fg_gw_memory.c
@@ -90,10 +90,13 @@
 
 /* Resets one closed connection whose last answer is not read. Returns false
  * when there is none. */
-static bool drop_flushing(struct fg_memory *m)
+static bool drop_flushing(struct fg_gateway *gw)
 {
+	struct fg_memory *m = &gw->memory;
+
 	if (!fg_link_abort_largest_flushing())
 		return false;
+	fg_gw_count_event(gw, "gave_way", "what=\"answer\"");
 	fg_memory_set_flushing(m, fg_link_flushing_bytes());
 	return true;
 }
@@ -112,7 +115,7 @@
 	struct fg_memory_holder *loser;
 
 	while (!fg_memory_answers_fit(m, more)) {
-		if (drop_flushing(m))
+		if (drop_flushing(c->gw))
 			continue;
 		loser = fg_memory_choose_unread(m, fg_clock_now());
 		if (loser == NULL || loser == &c->memory)
@@ -161,7 +164,7 @@
 	}
 	fg_memory_set_flushing(m, fg_link_flushing_bytes());
 	while (!fg_memory_answers_fit(m, 0)) {
-		if (drop_flushing(m))
+		if (drop_flushing(gw))
 			continue;
 		loser = fg_memory_choose_unread(m, now);
 		if (loser == NULL)
--- a/lib/run/fg_web_memory.c
+++ b/lib/run/fg_web_memory.c
@@ -52,9 +52,10 @@
 	uint64_t bytes;
 
 	pthread_mutex_lock(&run->memory_lock);
-	x->too_large =
-		x->too_large ||
-		x->body->len + len_bytes > run->settings->limits.body_max_bytes;
+	if (x->body->len + len_bytes > run->settings->limits.body_max_bytes) {
+		x->too_large = true;
+		drop_body(run, x);
+	}
 	bytes = string_bytes(x->body->len + len_bytes);
 	while (!x->gave_way && !x->too_large) {
 		struct fg_memory_holder *loser =
