lib/gateway: small bodies on the ports of pages are read and ignored again

tests/gateway.py tunnel_is_for_instances: a call for a tunnel from a stranger, with a body of one byte, got 413 instead of the refusal of the tunnel. Up to 4 KiB are read and ignored.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -11,6 +11,8 @@
 /* Reading pauses when a caller has sent more than this beyond the request in
  * progress. */
 #define PIPELINED_MAX_BYTES 65536
+/* No page reads a body. */
+#define PAGE_BODY_MAX_BYTES 4096
 /* Places of the port for other instances, and of those for readiness checks and
  * for metrics. */
 #define RELAY_CONNECTIONS_MAX 1024
@@ -169,8 +171,8 @@
 	struct fg_caller_limits l = fg_caller_limits(c->gw);
 
 	c->h1.head_max_bytes = l.head_max_bytes;
-	/* No page of another port has a body. */
-	c->h1.body_max_bytes = c->kind == FG_PORT_FRONT ? l.body_max_bytes : 0;
+	c->h1.body_max_bytes = c->kind == FG_PORT_FRONT ? l.body_max_bytes
+							: PAGE_BODY_MAX_BYTES;
 }
 
 /* Returns whether the request that is being read will be answered 404. */
