lib/memory: answers that are not read may take the room that nobody needs

tests/gateway.py slow_readers_of_stop: of three callers that read answers of 14 MB over 6.5 s, one was reset, and streams of 14 MB to slow readers did not come in time. Both are clients inside the limits.

- Answers that are not read were bounded by the 3/8 for answers that are collected (24 MiB).
They may take what requests and collected answers leave of the limit, and give way when that is needed.
- A connection that is paused got a small receive buffer for good, in which a segment on loopback does not fit.
It gets a larger one when it is resumed.
What the kernel keeps of a paused connection is asked for and charged, also that of an endpoint whose stream the caller does not read, and of the two sides of a tunnel: before, 2,000 such streams were not bounded.

What arrives is noted before its room is asked for, heads too, so that a newcomer does not count as one that stands still.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -123,7 +123,6 @@
 	bool head_done;	  /* the head of the current request is complete */
 	unsigned int refuse_status; /* what it reads is refused; 0: not */
 	bool drop_input;	    /* no more requests are read from it */
-	bool paused;		    /* is not read */
 	bool close_after;	    /* close the connection after the answer */
 };
 
@@ -180,9 +179,9 @@
 /* The connection is about to be closed once its queued bytes are sent. */
 void fg_gw_memory_note_flushing(struct fg_caller *c);
 
-/* Returns whether `more` bytes of an answer to the caller can be held. Others
- * that do not read theirs are closed for that. */
-bool fg_gw_memory_answer_fits(struct fg_caller *c, uint64_t more);
+/* Returns whether `more` bytes of an answer to the caller can be collected.
+ * Others that do not read theirs are closed for that. */
+bool fg_gw_memory_may_collect(struct fg_caller *c, uint64_t more);
 
 /* Updates what callers have not read, and closes connections while too much is
  * held. */
@@ -1014,6 +1013,10 @@
 void fg_gw_tunnel_on_data(struct fg_tunnel *t, const char *data, size_t len);
 void fg_gw_tunnel_on_drained(struct fg_tunnel *t);
 
+/* Returns what the kernel keeps of the endpoint's connection while it is not
+ * read. */
+uint64_t fg_gw_tunnel_unread_bytes(const struct fg_tunnel *t);
+
 /* The connection of the other instance was closed: frees the tunnel. */
 void fg_gw_tunnel_free(struct fg_tunnel *t);
 
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -223,11 +223,11 @@
 	fg_events_consume(&r->events, len);
 	fg_link_write(c->link, out->str, out->len);
 	g_string_free(out, TRUE);
-	fg_gw_memory_note_written(c);
 	if (fg_link_pending_bytes(c->link) > PENDING_MAX_BYTES ||
 	    (fg_link_pending_bytes(c->link) > 0 &&
-	     !fg_memory_answers_fit(&r->gw->memory, 0)))
+	     fg_memory_answers_crowd(&r->gw->memory)))
 		fg_link_pause(r->conn->link);
+	fg_gw_memory_note_written(c);
 }
 
 static void append_answer_body(struct fg_gwreq *r, const char *data,
@@ -238,7 +238,7 @@
 	uint64_t held = r->caller->memory.collected_bytes;
 
 	if (bytes > held &&
-	    !fg_gw_memory_answer_fits(r->caller, bytes - held)) {
+	    !fg_gw_memory_may_collect(r->caller, bytes - held)) {
 		abandon_send(r, FG_SEND_BROKEN, "answers_too_large");
 		return;
 	}
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -221,12 +221,11 @@
 	uint64_t more = fg_gw_memory_array_bytes(c->body->len + len) -
 			fg_gw_memory_array_bytes(c->body->len);
 
+	fg_memory_note_received(&c->memory, len, fg_clock_now());
 	if (c->refuse_status == 0 && !fg_gw_memory_ask(c, more))
 		c->refuse_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
-	if (c->refuse_status != 0)
-		return;
-	g_byte_array_append(c->body, (const guint8 *)data, (guint)len);
-	fg_memory_note_body(&c->memory, len, fg_clock_now());
+	if (c->refuse_status == 0)
+		g_byte_array_append(c->body, (const guint8 *)data, (guint)len);
 }
 
 static void on_request(void *ctx)
@@ -263,14 +262,12 @@
 	}
 	c->drop_input = true;
 	c->close_after = true;
-	c->paused = false;
 	fg_link_resume(c->link);
 	(void)fg_gw_memory_ask(c, 0);
 }
 
 static void pause_reading(struct fg_caller *c)
 {
-	c->paused = true;
 	fg_link_pause(c->link);
 	if (!fg_gw_memory_ask(c, 0))
 		drop_input(c);
@@ -346,6 +343,8 @@
 		c->read_until = 0;
 		apply_limits(c);
 	}
+	if (!c->head_done)
+		fg_memory_note_received(&c->memory, len, fg_clock_now());
 	if (!fg_gw_memory_ask(c, head_growth_bytes(c, len))) {
 		fg_gw_memory_refuse(c);
 		return;
@@ -443,11 +442,10 @@
 	fg_h1_reset(&c->h1);
 	release_request(c);
 	c->head_done = false;
-	c->paused = false;
 	c->memory.reading = true;
-	(void)fg_gw_memory_ask(c, 0);
 	c->wait_since = c->free_since;
 	fg_link_resume(c->link);
+	(void)fg_gw_memory_ask(c, 0);
 	feed_pipelined(c);
 }
 
--- a/lib/gateway/fg_gw_memory.c
+++ b/lib/gateway/fg_gw_memory.c
@@ -4,8 +4,6 @@
 
 #include <malloc.h>
 
-/* What the kernel may keep of a connection that is not read. */
-#define PAUSED_BYTES FG_LINK_PAUSED_MAX_BYTES
 /* GLib allocates no less for an array. */
 #define ARRAY_MIN_BYTES 16
 #define ARRAY_MAX_BYTES ((uint64_t)1 << 62)
@@ -34,8 +32,21 @@
 	if (c->whole_body != NULL)
 		bytes += fg_gw_memory_array_bytes(
 			g_bytes_get_size(c->whole_body));
-	if (c->paused)
-		bytes += PAUSED_BYTES;
+	return bytes + fg_link_unread_bytes(c->link);
+}
+
+/* What is held of answers that the caller has not read, also by the kernel, of
+ * the connection that they come from. */
+static uint64_t unread_bytes(const struct fg_caller *c)
+{
+	uint64_t bytes = fg_link_unsent_bytes(c->link);
+
+	if (c->req != NULL && c->req->conn != NULL &&
+	    c->req->conn->link != NULL)
+		bytes += fg_link_unread_bytes(c->req->conn->link);
+	if (c->tunnel != NULL)
+		bytes += fg_link_unread_bytes(c->link) +
+			 fg_gw_tunnel_unread_bytes(c->tunnel);
 	return bytes;
 }
 
@@ -49,8 +60,7 @@
 	fg_link_peer_ip(c->link, ip, sizeof(ip));
 	g_snprintf(held, sizeof(held), "%llu", (unsigned long long)bytes);
 	g_snprintf(all, sizeof(all), "%llu",
-		   (unsigned long long)(gw->memory.request_bytes +
-					gw->memory.answer_bytes));
+		   (unsigned long long)fg_memory_held_bytes(&gw->memory));
 	fg_log_routine("memory", "gave_way", "what", what, "from", ip,
 		       "held_bytes", held, "all_bytes", all, NULL);
 }
@@ -62,23 +72,6 @@
 	fg_caller_refuse_reading(c, "memory");
 }
 
-bool fg_gw_memory_ask(struct fg_caller *c, uint64_t more)
-{
-	struct fg_memory *m = &c->gw->memory;
-	fg_ms now = fg_clock_now();
-	struct fg_memory_holder *loser;
-
-	for (;;) {
-		loser = fg_memory_ask(m, &c->memory, request_bytes(c) + more,
-				      now);
-		if (loser == NULL)
-			return true;
-		if (loser == &c->memory)
-			return false;
-		fg_gw_memory_refuse(loser->owner);
-	}
-}
-
 static void drop_answer(struct fg_memory_holder *h)
 {
 	struct fg_caller *c = h->owner;
@@ -109,25 +102,54 @@
 					  fg_link_unsent_bytes(c->link));
 }
 
-bool fg_gw_memory_answer_fits(struct fg_caller *c, uint64_t more)
+/* Makes room within the limit for `more` bytes of `c`, or of any caller if that
+ * is NULL: callers give way that do not read their answers. Returns false when
+ * only `c` is left, or none. */
+static bool make_room(struct fg_gateway *gw, const struct fg_caller *c,
+		      uint64_t more)
 {
-	struct fg_memory *m = &c->gw->memory;
+	struct fg_memory *m = &gw->memory;
 	struct fg_memory_holder *loser;
 
-	while (!fg_memory_answers_fit(m, more)) {
-		if (drop_flushing(c->gw))
+	while (fg_memory_exceeds(m, more)) {
+		if (drop_flushing(gw))
 			continue;
 		loser = fg_memory_choose_unread(m, fg_clock_now());
-		if (loser == NULL || loser == &c->memory)
+		if (loser == NULL || loser->owner == c)
 			return false;
 		drop_answer(loser);
 	}
 	return true;
 }
 
+bool fg_gw_memory_ask(struct fg_caller *c, uint64_t more)
+{
+	struct fg_memory *m = &c->gw->memory;
+	uint64_t bytes = request_bytes(c) + more;
+	uint64_t held = c->memory.request_bytes;
+	struct fg_memory_holder *loser;
+
+	if (bytes > held && !make_room(c->gw, c, bytes - held))
+		return false;
+	for (;;) {
+		loser = fg_memory_ask(m, &c->memory, bytes, fg_clock_now());
+		if (loser == NULL)
+			return true;
+		if (loser == &c->memory)
+			return false;
+		fg_gw_memory_refuse(loser->owner);
+	}
+}
+
+bool fg_gw_memory_may_collect(struct fg_caller *c, uint64_t more)
+{
+	return fg_memory_may_collect(&c->gw->memory, more) &&
+	       make_room(c->gw, c, more);
+}
+
 static void update_unread(struct fg_caller *c, fg_ms now)
 {
-	uint64_t bytes = fg_link_unsent_bytes(c->link);
+	uint64_t bytes = unread_bytes(c);
 
 	if (bytes != c->memory.unread_bytes)
 		fg_memory_set_unread(&c->gw->memory, &c->memory, bytes, now);
@@ -141,7 +163,7 @@
 /* Returns the free blocks of the heap to the system after much was held. */
 static void trim(struct fg_gateway *gw)
 {
-	uint64_t held = gw->memory.request_bytes + gw->memory.answer_bytes;
+	uint64_t held = fg_memory_held_bytes(&gw->memory);
 
 	if (fg_memory_take_peak(&gw->memory) >= TRIM_MIN_BYTES)
 		gw->trim_memory = true;
@@ -163,14 +185,7 @@
 			update_unread(c, now);
 	}
 	fg_memory_set_flushing(m, fg_link_flushing_bytes());
-	while (!fg_memory_answers_fit(m, 0)) {
-		if (drop_flushing(gw))
-			continue;
-		loser = fg_memory_choose_unread(m, now);
-		if (loser == NULL)
-			break;
-		drop_answer(loser);
-	}
+	(void)make_room(gw, NULL, 0);
 	while ((loser = fg_memory_choose_over(m, now)) != NULL)
 		fg_gw_memory_refuse(loser->owner);
 	trim(gw);
@@ -186,7 +201,8 @@
 void fg_gw_memory_set_gauges(struct fg_gateway *gw)
 {
 	set_gauge(gw, "part=\"requests\"", gw->memory.request_bytes);
-	set_gauge(gw, "part=\"answers\"", gw->memory.answer_bytes);
+	set_gauge(gw, "part=\"collected\"", gw->memory.collected_bytes);
+	set_gauge(gw, "part=\"unread\"", gw->memory.unread_bytes);
 	set_gauge(gw, "part=\"limit\"", gw->memory.limit_bytes);
 }
 
--- a/lib/gateway/fg_gw_tunnel.c
+++ b/lib/gateway/fg_gw_tunnel.c
@@ -184,6 +184,11 @@
 		fg_link_pause(t->near->link);
 }
 
+uint64_t fg_gw_tunnel_unread_bytes(const struct fg_tunnel *t)
+{
+	return t->far == NULL ? 0 : fg_link_unread_bytes(t->far);
+}
+
 void fg_gw_tunnel_on_drained(struct fg_tunnel *t)
 {
 	if (t->open)
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/fg_address.h"
@@ -18,6 +19,10 @@
 #define USER_TIMEOUT_MS 3000
 #define BACKLOG 512
 #define READ_BYTES 16384
+/* Receive buffers of a link that is paused, and of one that was paused before:
+ * the kernel no longer chooses its size. */
+#define PAUSED_BUFFER_BYTES (128 * 1024)
+#define RESUMED_BUFFER_BYTES (256 * 1024)
 /* After fg_link_close(), a peer that takes no queued bytes for this long, or
  * not all of them in this time, gets no more. */
 #define FLUSH_STALL_MS 5000
@@ -43,6 +48,7 @@
 	bool closed;		 /* by the user: no further callbacks */
 	bool closing;		 /* the handles are being closed */
 	bool connected;
+	bool paused;   /* is not read */
 	bool flushing; /* closed, queued bytes are being sent */
 	bool drains;   /* then reads on until the peer closes its side */
 };
@@ -379,22 +385,46 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&l->tcp);
 }
 
-void fg_link_pause(struct fg_link *l)
+/* The kernel counts twice the size, for its own records. */
+static void set_receive_buffer(const struct fg_link *l, int size)
 {
-	/* The kernel counts twice the size, for its own records. */
-	int size = FG_LINK_PAUSED_MAX_BYTES / 2;
 	uv_os_fd_t fd;
 
-	uv_read_stop((uv_stream_t *)&l->tcp);
-	if (uv_fileno((uv_handle_t *)&l->tcp, &fd) == 0)
+	size /= 2;
+	/* On failure, the kernel keeps more of a paused link. */
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0)
 		(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size,
 				 sizeof(size));
 }
 
+void fg_link_pause(struct fg_link *l)
+{
+	uv_read_stop((uv_stream_t *)&l->tcp);
+	if (!l->paused)
+		set_receive_buffer(l, PAUSED_BUFFER_BYTES);
+	l->paused = true;
+}
+
 void fg_link_resume(struct fg_link *l)
 {
-	if (!l->closed && l->connected)
-		uv_read_start((uv_stream_t *)&l->tcp, on_alloc, on_read);
+	if (l->closed || !l->connected)
+		return;
+	if (l->paused)
+		set_receive_buffer(l, RESUMED_BUFFER_BYTES);
+	l->paused = false;
+	uv_read_start((uv_stream_t *)&l->tcp, on_alloc, on_read);
+}
+
+size_t fg_link_unread_bytes(const struct fg_link *l)
+{
+	uv_os_fd_t fd;
+	int n = 0;
+
+	if (!l->paused || l->closed ||
+	    uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0 ||
+	    ioctl(fd, FIONREAD, &n) != 0)
+		return 0;
+	return MAX((size_t)MAX(n, 0), PAUSED_BUFFER_BYTES / 2);
 }
 
 static void on_drain_timer(uv_timer_t *timer)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -77,14 +77,15 @@
  * fg_link_pending_bytes(), this also falls within a write. */
 size_t fg_link_unsent_bytes(const struct fg_link *l);
 
-/* What the kernel keeps at most of a link that is not read, besides what it had
- * received by then. */
-#define FG_LINK_PAUSED_MAX_BYTES (64 * 1024)
-
-/* Stop and resume reading. */
+/* Stop and resume reading. The kernel keeps little of a link that is not read,
+ * besides what it had received by then. */
 void fg_link_pause(struct fg_link *l);
 void fg_link_resume(struct fg_link *l);
 
+/* Returns what the kernel keeps of a link that is not read, or may soon; 0 for
+ * one that is. */
+size_t fg_link_unread_bytes(const struct fg_link *l);
+
 /* Closes the link. With `flush`, queued bytes are sent first, within 60 s, as
  * long as the peer takes some of them every 5 s. Otherwise it is reset. */
 void fg_link_close(struct fg_link *l, bool flush);
--- a/lib/memory/fg_memory.c
+++ b/lib/memory/fg_memory.c
@@ -5,14 +5,13 @@
 #define REQUESTS_EIGHTHS 5
 #define MEDIUM_EIGHTHS 4
 #define LARGE_EIGHTHS 3
-#define ANSWERS_EIGHTHS 3
+#define COLLECTED_EIGHTHS 3
 
 #define HALF_LIFE_MS 1000
 #define HALVINGS_MAX 63
 /* A transfer counts as at least this fast, so that among those that stand still
  * the largest gives way. */
-#define PACE_FLOOR_BYTES 4096
-
+#define PACE_FLOOR_BYTES 64
 static uint64_t part_of(const struct fg_memory *m, uint64_t eighths)
 {
 	return m->limit_bytes / EIGHTHS * eighths;
@@ -44,21 +43,18 @@
 	p->at = halvings > HALVINGS_MAX ? now : p->at + halvings * HALF_LIFE_MS;
 }
 
-/* Returns whether a holder of `a` bytes at that pace gives way before one of
- * `b` bytes. */
-static bool gives_way_before(uint64_t a, const struct fg_memory_pace *a_pace,
-			     uint64_t b, const struct fg_memory_pace *b_pace,
-			     fg_ms now)
+/* Returns how long a holder takes for as many bytes as it holds, in units of
+ * the half-life. */
+static double hold_time(uint64_t bytes, const struct fg_memory_pace *pace,
+			fg_ms now)
 {
-	double a_speed = (double)recent_bytes(a_pace, now) + PACE_FLOOR_BYTES;
-	double b_speed = (double)recent_bytes(b_pace, now) + PACE_FLOOR_BYTES;
-
-	return (double)a * b_speed > (double)b * a_speed;
+	return (double)bytes /
+	       ((double)recent_bytes(pace, now) + PACE_FLOOR_BYTES);
 }
 
 static void update_peak(struct fg_memory *m)
 {
-	m->peak_bytes = MAX(m->peak_bytes, m->request_bytes + m->answer_bytes);
+	m->peak_bytes = MAX(m->peak_bytes, fg_memory_held_bytes(m));
 }
 
 void fg_memory_init(struct fg_memory *m, uint64_t limit_bytes)
@@ -87,7 +83,8 @@
 	struct fg_memory_holder *moved;
 
 	m->request_bytes -= h->request_bytes;
-	m->answer_bytes -= h->collected_bytes + h->unread_bytes;
+	m->collected_bytes -= h->collected_bytes;
+	m->unread_bytes -= h->unread_bytes;
 	h->request_bytes = 0;
 	h->collected_bytes = 0;
 	h->unread_bytes = 0;
@@ -105,25 +102,25 @@
 
 /* ---- Requests ---- */
 
-/* Returns the holder that gives way for `asker`, at first `asker` itself. */
+/* Returns the holder that gives way for `asker`, which may be itself; of those
+ * whose request is being read, if `asker` is NULL. */
 static struct fg_memory_holder *choose_reading(const struct fg_memory *m,
 					       struct fg_memory_holder *asker,
 					       uint64_t asked_bytes, fg_ms now)
 {
 	struct fg_memory_holder *chosen = asker;
-	uint64_t chosen_bytes = asked_bytes;
+	double longest = 0;
 
+	if (asker != NULL)
+		longest = hold_time(asked_bytes, &asker->request_pace, now);
 	for (guint i = 0; i < m->holders->len; i++) {
 		struct fg_memory_holder *h = m->holders->pdata[i];
+		double time =
+			hold_time(h->request_bytes, &h->request_pace, now);
 
-		if (h == asker || !h->reading || h->request_bytes == 0)
-			continue;
-		if (chosen == NULL ||
-		    gives_way_before(h->request_bytes, &h->request_pace,
-				     chosen_bytes, &chosen->request_pace,
-				     now)) {
+		if (h != asker && h->reading && time > longest) {
 			chosen = h;
-			chosen_bytes = h->request_bytes;
+			longest = time;
 		}
 	}
 	return chosen;
@@ -148,7 +145,8 @@
 	return m->request_bytes + bytes <= request_bound(m, bytes);
 }
 
-void fg_memory_note_body(struct fg_memory_holder *h, uint64_t bytes, fg_ms now)
+void fg_memory_note_received(struct fg_memory_holder *h, uint64_t bytes,
+			     fg_ms now)
 {
 	add_to_pace(&h->request_pace, bytes, now);
 }
@@ -168,15 +166,31 @@
 
 /* ---- Answers ---- */
 
-bool fg_memory_answers_fit(const struct fg_memory *m, uint64_t bytes)
+uint64_t fg_memory_held_bytes(const struct fg_memory *m)
 {
-	return m->answer_bytes + bytes <= part_of(m, ANSWERS_EIGHTHS);
+	return m->request_bytes + m->collected_bytes + m->unread_bytes;
+}
+
+bool fg_memory_may_collect(const struct fg_memory *m, uint64_t bytes)
+{
+	return m->collected_bytes + bytes <= part_of(m, COLLECTED_EIGHTHS);
+}
+
+bool fg_memory_exceeds(const struct fg_memory *m, uint64_t bytes)
+{
+	return fg_memory_held_bytes(m) + bytes > m->limit_bytes;
+}
+
+bool fg_memory_answers_crowd(const struct fg_memory *m)
+{
+	return m->collected_bytes + m->unread_bytes >
+	       part_of(m, COLLECTED_EIGHTHS);
 }
 
 void fg_memory_set_collected(struct fg_memory *m, struct fg_memory_holder *h,
 			     uint64_t bytes)
 {
-	m->answer_bytes += bytes - h->collected_bytes;
+	m->collected_bytes += bytes - h->collected_bytes;
 	h->collected_bytes = bytes;
 	update_peak(m);
 }
@@ -186,14 +200,14 @@
 {
 	if (bytes < h->unread_bytes)
 		add_to_pace(&h->answer_pace, h->unread_bytes - bytes, now);
-	m->answer_bytes += bytes - h->unread_bytes;
+	m->unread_bytes += bytes - h->unread_bytes;
 	h->unread_bytes = bytes;
 	update_peak(m);
 }
 
 void fg_memory_set_flushing(struct fg_memory *m, uint64_t bytes)
 {
-	m->answer_bytes += bytes - m->flushing_bytes;
+	m->unread_bytes += bytes - m->flushing_bytes;
 	m->flushing_bytes = bytes;
 	update_peak(m);
 }
@@ -202,16 +216,17 @@
 						 fg_ms now)
 {
 	struct fg_memory_holder *chosen = NULL;
+	double longest = 0;
 
 	for (guint i = 0; i < m->holders->len; i++) {
 		struct fg_memory_holder *h = m->holders->pdata[i];
 
-		if (h->unread_bytes > 0 &&
-		    (chosen == NULL ||
-		     gives_way_before(h->unread_bytes, &h->answer_pace,
-				      chosen->unread_bytes,
-				      &chosen->answer_pace, now)))
+		double time = hold_time(h->unread_bytes, &h->answer_pace, now);
+
+		if (h->unread_bytes > 0 && (chosen == NULL || time > longest)) {
 			chosen = h;
+			longest = time;
+		}
 	}
 	return chosen;
 }
@@ -220,6 +235,6 @@
 {
 	uint64_t peak_bytes = m->peak_bytes;
 
-	m->peak_bytes = m->request_bytes + m->answer_bytes;
+	m->peak_bytes = fg_memory_held_bytes(m);
 	return peak_bytes;
 }
--- a/lib/memory/fg_memory.h
+++ b/lib/memory/fg_memory.h
@@ -3,21 +3,22 @@
  * them gives way when it runs out.
  *
  * Each connection of a caller is a holder. It is charged for requests (heads,
- * bodies, bytes that follow a request in progress) and for answers (collected
- * ones, and bytes that the caller has not read yet). Both parts of the limit
- * are kept apart, so that requests cannot leave the answers to them without
- * room:
+ * bodies, bytes that follow a request in progress), for an answer that is being
+ * collected, and for answers that the caller has not read. Of the limit,
  *
- *   requests  5/8, of which holders of more than FG_MEMORY_LARGE_BYTES may take
- *             3/8 together, and those of more than FG_MEMORY_SMALL_BYTES 1/2:
- *             large bodies leave room for ordinary requests
- *   answers   3/8
+ *   requests           may take 5/8: holders of more than FG_MEMORY_LARGE_BYTES
+ *                      3/8 together, those of more than FG_MEMORY_SMALL_BYTES
+ *                      1/2, so that large bodies leave room for ordinary
+ *                      requests
+ *   collected answers  may take 3/8, so that requests cannot leave the answers
+ *                      to them without room
+ *   unread answers     may take what both leave
  *
- * Below these bounds every charge is granted. Above them, the holder gives way
- * that holds most and advances least. For room for requests, only holders whose
- * request is still being read give way: a complete request keeps its place, and
- * so one that was passed on keeps its promise. For room for answers, only
- * callers give way that do not read theirs.
+ * Within these bounds every charge is granted. Beyond them, the holder gives
+ * way that holds most and advances least. For room for requests, only holders
+ * whose request is still being read give way: a complete request keeps its
+ * place, and so one that was passed on keeps its promise. For room within the
+ * limit, callers give way that do not read their answers.
  *
  * Does no I/O and reads no clock. Times are readings of fg_clock_now().
  */
@@ -54,10 +55,11 @@
 struct fg_memory {
 	GPtrArray *holders; /* struct fg_memory_holder * */
 	uint64_t limit_bytes;
-	uint64_t request_bytes;	 /* of all holders */
-	uint64_t answer_bytes;	 /* of all holders, and `flushing_bytes` */
-	uint64_t flushing_bytes; /* of closed connections */
-	uint64_t peak_bytes;	 /* since fg_memory_take_peak() */
+	uint64_t request_bytes;	  /* of all holders */
+	uint64_t collected_bytes; /* the same */
+	uint64_t unread_bytes;	  /* the same, and `flushing_bytes` */
+	uint64_t flushing_bytes;  /* of closed connections */
+	uint64_t peak_bytes;	  /* since fg_memory_take_peak() */
 };
 
 void fg_memory_init(struct fg_memory *m, uint64_t limit_bytes);
@@ -90,24 +92,35 @@
 bool fg_memory_has_room(const struct fg_memory *m, uint64_t bytes);
 
 /* Bytes of the holder's body arrived. */
-void fg_memory_note_body(struct fg_memory_holder *h, uint64_t bytes, fg_ms now);
+void fg_memory_note_received(struct fg_memory_holder *h, uint64_t bytes,
+			     fg_ms now);
 
-/* Returns whether `bytes` more of answers can be held. */
-bool fg_memory_answers_fit(const struct fg_memory *m, uint64_t bytes);
+/* Returns whether `bytes` more of an answer may be collected, once there is
+ * room within the limit. */
+bool fg_memory_may_collect(const struct fg_memory *m, uint64_t bytes);
 
-/* Set what is held of answers. These charges are never refused: see
- * fg_memory_answers_fit() and fg_memory_choose_unread(). */
+/* Returns whether `bytes` more, of any kind, would exceed the limit: then
+ * callers give way first that do not read their answers. */
+bool fg_memory_exceeds(const struct fg_memory *m, uint64_t bytes);
+
+/* Returns whether answers hold more than the part that requests cannot take. */
+bool fg_memory_answers_crowd(const struct fg_memory *m);
+
+/* Set what is held of answers. These charges are never refused. */
 void fg_memory_set_collected(struct fg_memory *m, struct fg_memory_holder *h,
 			     uint64_t bytes);
 void fg_memory_set_unread(struct fg_memory *m, struct fg_memory_holder *h,
 			  uint64_t bytes, fg_ms now);
 void fg_memory_set_flushing(struct fg_memory *m, uint64_t bytes);
 
-/* Returns the holder that is to be dropped first for room for answers: it has
- * unread bytes, and takes them slowest. NULL: none has. */
+/* Returns the holder that is to be dropped first for room within the limit: it
+ * has unread bytes, and takes them slowest. NULL: none has. */
 struct fg_memory_holder *fg_memory_choose_unread(const struct fg_memory *m,
 						 fg_ms now);
 
+/* Returns what is held in all. */
+uint64_t fg_memory_held_bytes(const struct fg_memory *m);
+
 /* Changes the limit. Returns through repeated calls of fg_memory_choose_over()
  * who gives way when more is held. */
 void fg_memory_set_limit(struct fg_memory *m, uint64_t limit_bytes);
--- a/lib/run/fg_web_memory.c
+++ b/lib/run/fg_web_memory.c
@@ -56,6 +56,7 @@
 		x->too_large = true;
 		drop_body(run, x);
 	}
+	fg_memory_note_received(&x->memory, len_bytes, now);
 	bytes = string_bytes(x->body->len + len_bytes);
 	while (!x->gave_way && !x->too_large) {
 		struct fg_memory_holder *loser =
@@ -65,10 +66,8 @@
 			break;
 		give_way(run, loser->owner);
 	}
-	if (!x->gave_way && !x->too_large) {
+	if (!x->gave_way && !x->too_large)
 		g_string_append_len(x->body, data, (gssize)len_bytes);
-		fg_memory_note_body(&x->memory, len_bytes, now);
-	}
 	pthread_mutex_unlock(&run->memory_lock);
 }
 
