--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -5,6 +5,7 @@
  *   fg_gw_stop.c     planned stop
  *   fg_gw_caller.c   connections of callers
  *   fg_gw_memory.c   memory held for callers
+ *   fg_gw_places.c   places of connections
  *   fg_gw_request.c  a request from its head to its final answer
  *   fg_gw_workspace.c whose key a request carries
  *   fg_gw_quota.c    limits of workspaces, shared with other instances
@@ -161,6 +162,10 @@
 /* Refuses the request that is being read, as not run. */
 void fg_caller_refuse_reading(struct fg_caller *c, const char *reason);
 
+/* Makes a place for a new connection of the port, which is open already.
+ * Returns false when none gives way. */
+bool fg_gw_make_place(const struct fg_port *port);
+
 /* ---- Memory held for callers ---- */
 
 /* Returns whether the connection may hold `more` bytes in addition to what it
--- a/lib/memory/fg_memory.c
+++ b/lib/memory/fg_memory.c
@@ -115,12 +115,14 @@
 		longest = hold_time(asked_bytes, &asker->request_pace, now);
 	for (guint i = 0; i < m->holders->len; i++) {
 		struct fg_memory_holder *h = m->holders->pdata[i];
-		double time =
-			hold_time(h->request_bytes, &h->request_pace, now);
+		double held_for;
 
-		if (h != asker && h->reading && time > longest) {
+		if (h == asker || !h->reading)
+			continue;
+		held_for = hold_time(h->request_bytes, &h->request_pace, now);
+		if (held_for > longest) {
 			chosen = h;
-			longest = time;
+			longest = held_for;
 		}
 	}
 	return chosen;
@@ -221,11 +223,13 @@
 	for (guint i = 0; i < m->holders->len; i++) {
 		struct fg_memory_holder *h = m->holders->pdata[i];
 
-		double time = hold_time(h->unread_bytes, &h->answer_pace, now);
+		double held_for =
+			hold_time(h->unread_bytes, &h->answer_pace, now);
 
-		if (h->unread_bytes > 0 && (chosen == NULL || time > longest)) {
+		if (h->unread_bytes > 0 &&
+		    (chosen == NULL || held_for > longest)) {
 			chosen = h;
-			longest = time;
+			longest = held_for;
 		}
 	}
 	return chosen;
--- a/lib/places/fg_places.c
+++ b/lib/places/fg_places.c
@@ -23,30 +23,28 @@
 	return a->waits_since < b->waits_since;
 }
 
-struct fg_places_bound fg_places_for_callers(uint32_t descriptors,
-					     uint32_t connections_max)
+static struct fg_places_bound bound_of(uint32_t descriptors, uint32_t divisor,
+				       uint32_t connections_max)
 {
+	uint32_t part = connection_descriptors(descriptors) / divisor;
 	struct fg_places_bound bound = {
-		.connections_max = MIN(connections_max,
-				       connection_descriptors(descriptors) /
-					       CALLERS_DIVISOR),
+		.connections_max = MIN(connections_max, part),
 		.descriptors_max = fg_places_for_endpoints(descriptors),
 	};
 
 	return bound;
 }
 
+struct fg_places_bound fg_places_for_callers(uint32_t descriptors,
+					     uint32_t connections_max)
+{
+	return bound_of(descriptors, CALLERS_DIVISOR, connections_max);
+}
+
 struct fg_places_bound fg_places_for_other(uint32_t descriptors,
 					   uint32_t connections_max)
 {
-	struct fg_places_bound bound = {
-		.connections_max = MIN(connections_max,
-				       connection_descriptors(descriptors) /
-					       OTHER_PORT_DIVISOR),
-		.descriptors_max = fg_places_for_endpoints(descriptors),
-	};
-
-	return bound;
+	return bound_of(descriptors, OTHER_PORT_DIVISOR, connections_max);
 }
 
 uint32_t fg_places_for_endpoints(uint32_t descriptors)
