--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -178,7 +178,8 @@
 	struct fg_call call = { 0 };
 	bool none;
 
-	if (gw->routes == NULL || fg_gw_is_config_stale(gw, fg_clock_now()))
+	if (c->kind != FG_PORT_FRONT || gw->routes == NULL ||
+	    fg_gw_is_config_stale(gw, fg_clock_now()))
 		return false;
 	none = gw->wire->call_read(&c->h1.head, &call) &&
 	       fg_routes_find(gw->routes, call.host,
--- a/lib/memory/fg_memory.h
+++ b/lib/memory/fg_memory.h
@@ -91,7 +91,8 @@
  * none giving way. */
 bool fg_memory_has_room(const struct fg_memory *m, uint64_t bytes);
 
-/* Bytes of the holder's body arrived. */
+/* Bytes of the holder's request arrived, without framing. To be called before
+ * fg_memory_ask() for them. */
 void fg_memory_note_received(struct fg_memory_holder *h, uint64_t bytes,
 			     fg_ms now);
 
@@ -121,8 +122,8 @@
 /* Returns what is held in all. */
 uint64_t fg_memory_held_bytes(const struct fg_memory *m);
 
-/* Changes the limit. Returns through repeated calls of fg_memory_choose_over()
- * who gives way when more is held. */
+/* Changes the limit. If more is held, fg_memory_choose_over() and
+ * fg_memory_choose_unread() say who gives way. */
 void fg_memory_set_limit(struct fg_memory *m, uint64_t limit_bytes);
 
 /* Returns the holder that gives way because more is held for requests than the
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -581,6 +581,11 @@
             check(statuses == [status] * 4, f"{address}: {statuses}")
             check(not [m for m in crowd.members if b" 100 " in m.answer],
                   "invited")
+    head = request_head(f"/api/resolve?name={HOST}&region=r1&zone=dc1", "GET",
+                        fields=("Content-Length: 1", "Expect: 100-continue"))[0]
+    with Crowd(s.gw.directory, 1, head + b"x") as crowd:
+        crowd.push()
+        check(crowd.read_answers() == [200], "a page with a body")
     head = request_head("/none/1", fields=("Content-Length: 9",
                                            "Expect: 100-continue"))[0]
     with Crowd(s.gw.front, 1, head) as crowd:
