--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -138,7 +138,7 @@
         begin = moved_at = time.monotonic()
         with selectors.DefaultSelector() as selector:
             for m in self.members:
-                if m.open:
+                if m.open and self._events(m):
                     selector.register(m.sock, self._events(m), m)
             while any(m.open and m.data for m in self.members):
                 now = time.monotonic()
