lib/quota: decisions are taken out by the caller, not called back

Cause: fg_quota_take() could decide its own request before it returned FG_QUOTA_WAITING: when this instance had become the account's holder since others began to wait, all of them were decided at once through `decided`. If the request was refused, fg_gw_quota_admit() used it after it was freed; if it was admitted, it was marked as waiting for its limit after it had been sent.

Ruled out: the timer of the request, which is freed with it.

Change: decisions are kept until fg_quota_next_decision() takes them out, and the gateway applies them from a timer, with no frame above that uses a request; so the class of the fault is gone from this module. The states of a request are a table: `sent` is left only by the end of the send, and a step that the table does not allow is not made, logged and counted, and ends a sanitizer build.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,8 @@
 CFLAGS   += -std=gnu11 -g $(OPT) $(WARN) $(HARDEN) $(SAN)
 LDLIBS   += $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lpthread -lm
 LDFLAGS  += $(SAN)
+# Sanitizer builds end at faults that other builds log and count.
+CPPFLAGS += $(if $(SAN),-DFG_DEBUG_CHECKS)
 
 GEN      := lib/peer/fg_proto.h lib/peer/fg_proto_xdr.c \
             lib/mesh/fg_mesh_proto.h lib/mesh/fg_mesh_proto_xdr.c
@@ -106,7 +108,7 @@
 
 .PHONY: check
 check: deps
-	@$(MAKE) --no-print-directory tests
+	@$(MAKE) --no-print-directory tests asan-gateway
 	@BUILD=$(BUILD) tests/run.sh
 
 .PHONY: unit
@@ -126,11 +128,18 @@
 slopes: $(BUILD)/bin/bench_slopes
 	@$(BUILD)/bin/bench_slopes $(PART)
 
+ASAN := BUILD=build/asan OPT=-O1 SAN="-fsanitize=address,undefined -fno-omit-frame-pointer" HARDEN=-fstack-protector-strong
+
 .PHONY: check-asan
 check-asan:
-	@$(MAKE) --no-print-directory BUILD=build/asan OPT=-O1 SAN="-fsanitize=address,undefined -fno-omit-frame-pointer" HARDEN=-fstack-protector-strong tests
+	@$(MAKE) --no-print-directory $(ASAN) tests
 	@BUILD=build/asan tests/run.sh sanitized
 
+# The gateway alone, for the scenario that tests/run.sh plays with it.
+.PHONY: asan-gateway
+asan-gateway:
+	@$(MAKE) --no-print-directory $(ASAN) build/asan/bin/fg-gateway
+
 .PHONY: check-tsan
 check-tsan:
 	@$(MAKE) --no-print-directory BUILD=build/tsan OPT=-O1 SAN=-fsanitize=thread HARDEN=-fstack-protector-strong tests
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -7,6 +7,7 @@
  *   fg_gw_memory.c   memory held for callers
  *   fg_gw_places.c   places of connections
  *   fg_gw_request.c  a request from its head to its final answer
+ *   fg_gw_state.c    states of a request
  *   fg_gw_workspace.c whose key a request carries
  *   fg_gw_quota.c    limits of workspaces, shared with other instances
  *   fg_gw_overload.c which requests give way when room is short
@@ -56,6 +57,7 @@
 #include "fleet/fg_stutter.h"
 #include "fleet/fg_uses.h"
 #include "gateway/fg_events.h"
+#include "gateway/fg_gw_state.h"
 #include "gateway/fg_gateway.h"
 #include "link/fg_channel.h"
 #include "link/fg_link.h"
@@ -199,15 +201,6 @@
 
 /* ---- Requests ---- */
 
-enum fg_gwreq_state {
-	FG_GWREQ_WAIT_TOTALS = 1, /* for totals in flight, from owners */
-	FG_GWREQ_WAIT_LOAD = 2,	  /* for an adapter to be loaded at `ep` */
-	FG_GWREQ_WAIT_RETRY = 3,  /* for the next choice of an endpoint */
-	FG_GWREQ_SENT = 4,
-	FG_GWREQ_WAIT_ORIGIN = 5, /* for the version that began its stream */
-	FG_GWREQ_WAIT_QUOTA = 6,  /* for tokens of its workspace's limit */
-};
-
 #define FG_GWREQ_TRIED_MAX 4
 /* No endpoint can answer in less time than this. */
 #define FG_GWREQ_TIME_LEFT_MIN_MS 10
@@ -291,10 +284,15 @@
 /* Records r->ep as tried; later choices of this request avoid it. */
 void fg_gwreq_mark_tried(struct fg_gwreq *r);
 
-/* Enters a state whose next step is due at `due_at`. */
+/* Enters a state whose next step is due at `due_at`. Where
+ * fg_gwreq_may_enter() does not allow it, the request stays in its state, and
+ * the fault is logged and counted; a sanitizer build ends. */
 void fg_gwreq_enter_state(struct fg_gwreq *r, enum fg_gwreq_state state,
 			  fg_ms due_at);
 
+/* A wait has ended, and the next step is decided on. */
+void fg_gwreq_leave_state(struct fg_gwreq *r);
+
 /* libuv callback: runs the step that is due. */
 void fg_gwreq_on_timer(uv_timer_t *timer);
 
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -60,10 +60,9 @@
 		return;
 	}
 	fg_gw_overload_note_send(r, fg_clock_now());
-	r->due_at = FG_MS_NEVER;
-	r->state = FG_GWREQ_SENT;
-	fg_gwreq_arm_timer(r);
-	fg_send_start(r);
+	fg_gwreq_enter_state(r, FG_GWREQ_SENT, FG_MS_NEVER);
+	if (r->conn == NULL)
+		fg_send_start(r);
 }
 
 const char *fg_gwreq_adapter_name(const struct fg_gwreq *r)
--- a/lib/gateway/fg_gw_quota.c
+++ b/lib/gateway/fg_gw_quota.c
@@ -15,26 +15,37 @@
 #define SPREAD_MIN_MS 20
 #define VIEWS_MAX 64
 
+static void apply_decision(struct fg_gateway *gw,
+			   const struct fg_quota_decision *decision);
 static void arm_timer(struct fg_gateway *gw, fg_ms now);
 
+/* Decisions are applied here only, with no frame above that uses a request. */
 static void on_timer(uv_timer_t *timer)
 {
 	struct fg_gateway *gw = timer->data;
 	fg_ms now = fg_clock_now();
+	struct fg_quota_decision decision;
 
-	fg_quota_tick(gw->quota, now);
+	if (now >= fg_quota_next_due(gw->quota))
+		fg_quota_tick(gw->quota, now);
+	while (fg_quota_next_decision(gw->quota, &decision))
+		apply_decision(gw, &decision);
 	arm_timer(gw, now);
 }
 
+/* The next step is due, or a decision is to be applied. */
 static void arm_timer(struct fg_gateway *gw, fg_ms now)
 {
 	fg_ms due = fg_quota_next_due(gw->quota);
+	uint64_t wait_ms = 0;
 
-	if (due == FG_MS_NEVER)
-		return;
+	if (!fg_quota_has_decisions(gw->quota)) {
+		if (due == FG_MS_NEVER)
+			return;
+		wait_ms = (uint64_t)MAX(due - now, 1);
+	}
 	uv_update_time(&gw->loop);
-	uv_timer_start(gw->quota_timer, on_timer, (uint64_t)MAX(due - now, 1),
-		       0);
+	uv_timer_start(gw->quota_timer, on_timer, wait_ms, 0);
 }
 
 /* ---- Actions ---- */
@@ -80,25 +91,37 @@
 			  r->call.prompt_tokens, r->call.output_tokens);
 }
 
-static void on_decided(void *ctx, uint64_t request,
-		       enum fg_quota_verdict verdict, uint32_t retry_ms)
+static struct fg_gwreq *find_waiting(const struct fg_gateway *gw,
+				     const struct fg_quota_decision *d)
 {
-	struct fg_gateway *gw = ctx;
-
 	for (guint i = 0; i < gw->reqs->len; i++) {
 		struct fg_gwreq *r = gw->reqs->pdata[i];
 
-		if (r->local_id != request || r->state != FG_GWREQ_WAIT_QUOTA)
-			continue;
-		r->state = 0;
-		if (verdict != FG_QUOTA_ADMITTED) {
-			refuse(r, verdict, retry_ms);
-			return;
-		}
-		r->quota_taken = cost(r);
-		fg_gwreq_place_admitted(r);
+		if (r->local_id == d->request &&
+		    r->state == FG_GWREQ_WAIT_QUOTA)
+			return r;
+	}
+	return NULL;
+}
+
+static void apply_decision(struct fg_gateway *gw,
+			   const struct fg_quota_decision *d)
+{
+	struct fg_gwreq *r = find_waiting(gw, d);
+
+	if (r == NULL) {
+		if (d->verdict == FG_QUOTA_ADMITTED)
+			fg_quota_give_back(gw->quota, fg_clock_now(),
+					   d->workspace, d->tokens);
+		return;
+	}
+	fg_gwreq_leave_state(r);
+	if (d->verdict != FG_QUOTA_ADMITTED) {
+		refuse(r, d->verdict, d->retry_ms);
 		return;
 	}
+	r->quota_taken = d->tokens;
+	fg_gwreq_place_admitted(r);
 }
 
 /* ---- Limits and instances ---- */
@@ -169,16 +192,14 @@
 	if (r->workspace == NULL || gw->conf->quota_window_ms == 0)
 		return true;
 	update_limits(gw, now);
-	/* The request may be decided before fg_quota_take() returns. */
-	r->state = FG_GWREQ_WAIT_QUOTA;
 	verdict = fg_quota_take(gw->quota, now, r->workspace->hash, cost(r),
 				r->local_id, &retry_ms);
-	if (verdict == FG_QUOTA_WAITING) {
+	if (verdict == FG_QUOTA_WAITING)
 		fg_gwreq_enter_state(r, FG_GWREQ_WAIT_QUOTA, FG_MS_NEVER);
+	if (verdict == FG_QUOTA_WAITING || fg_quota_has_decisions(gw->quota))
 		arm_timer(gw, now);
+	if (verdict == FG_QUOTA_WAITING)
 		return false;
-	}
-	r->state = 0;
 	if (verdict == FG_QUOTA_ADMITTED) {
 		r->quota_taken = cost(r);
 		return true;
@@ -190,7 +211,8 @@
 void fg_gw_quota_give_back(struct fg_gwreq *r)
 {
 	if (r->state == FG_GWREQ_WAIT_QUOTA)
-		fg_quota_cancel(r->gw->quota, r->workspace->hash, r->local_id);
+		fg_quota_cancel(r->gw->quota, fg_clock_now(),
+				r->workspace->hash, r->local_id);
 	if (r->quota_taken > 0)
 		fg_quota_give_back(r->gw->quota, fg_clock_now(),
 				   r->workspace->hash, r->quota_taken);
@@ -307,7 +329,7 @@
 
 void fg_gw_quota_init(struct fg_gateway *gw)
 {
-	const struct fg_quota_ops ops = { send_ask, on_decided };
+	const struct fg_quota_ops ops = { send_ask };
 	struct fg_quota_conf conf = {
 		.self = gw->incarnation,
 		.self_hash = fg_hash_str(gw->conf->name),
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -205,14 +205,38 @@
 		       at <= now ? 0 : (uint64_t)(at - now), 0);
 }
 
+/* Returns whether the request may enter the state. */
+static bool check_state(struct fg_gwreq *r, enum fg_gwreq_state state)
+{
+	if (fg_gwreq_may_enter(r->state, state))
+		return true;
+#ifdef FG_DEBUG_CHECKS
+	g_error("request in %s enters %s", fg_gwreq_state_name(r->state),
+		fg_gwreq_state_name(state));
+#endif
+	fg_gw_count_event(r->gw, "state_faults", NULL);
+	fg_log(FG_LOG_ERROR, "request", "state_fault", "id", r->call.id, "from",
+	       fg_gwreq_state_name(r->state), "to", fg_gwreq_state_name(state),
+	       NULL);
+	return false;
+}
+
 void fg_gwreq_enter_state(struct fg_gwreq *r, enum fg_gwreq_state state,
 			  fg_ms due_at)
 {
+	if (!check_state(r, state))
+		return;
 	r->state = state;
 	r->due_at = due_at;
 	fg_gwreq_arm_timer(r);
 }
 
+void fg_gwreq_leave_state(struct fg_gwreq *r)
+{
+	if (check_state(r, FG_GWREQ_DECIDING))
+		r->state = FG_GWREQ_DECIDING;
+}
+
 /* ---- Final answers ---- */
 
 static const char *route_kind(const struct fg_gwreq *r)
@@ -335,7 +359,7 @@
 static void refuse_with_status(struct fg_gwreq *r, unsigned int status,
 			       const char *reason, uint32_t retry_ms)
 {
-	if (r->may_have_run || r->head_sent) {
+	if (r->may_have_run || r->head_sent || fg_gwreq_is_passed_on(r)) {
 		fg_gwreq_fail(r, HTTP_STATUS_BAD_GATEWAY, reason);
 		return;
 	}
@@ -456,6 +480,7 @@
 {
 	fg_ms now = fg_clock_now();
 
+	r->state = FG_GWREQ_DECIDING;
 	if (end == FG_SEND_BROKEN || end == FG_SEND_ERROR) {
 		r->possible_runs++;
 		r->may_have_run = true;
--- a/lib/quota/fg_quota.c
+++ b/lib/quota/fg_quota.c
@@ -23,6 +23,8 @@
 	q->workspaces = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      workspace_free);
 	q->members = g_array_new(FALSE, TRUE, sizeof(struct member));
+	q->decisions =
+		g_array_new(FALSE, FALSE, sizeof(struct fg_quota_decision));
 	q->held = g_ptr_array_new();
 	q->busy = g_ptr_array_new();
 	q->view = 1;
@@ -37,6 +39,7 @@
 		return;
 	g_hash_table_unref(q->workspaces);
 	g_array_unref(q->members);
+	g_array_unref(q->decisions);
 	g_ptr_array_unref(q->held);
 	g_ptr_array_unref(q->busy);
 	g_free(q);
@@ -255,7 +258,6 @@
 {
 	GHashTableIter iter;
 	gpointer value;
-	GArray *freed = g_array_new(FALSE, FALSE, sizeof(struct waiter));
 
 	(void)now;
 	g_hash_table_iter_init(&iter, q->workspaces);
@@ -263,8 +265,11 @@
 		struct workspace *w = value;
 
 		if (!w->seen) {
-			g_array_append_vals(freed, w->waiters->data,
-					    w->waiters->len);
+			for (guint i = 0; i < w->waiters->len; i++)
+				fgq_decide(q, w->id,
+					   &g_array_index(w->waiters,
+							  struct waiter, i),
+					   FG_QUOTA_ADMITTED, 0);
 			g_ptr_array_remove_fast(q->held, w);
 			g_ptr_array_remove_fast(q->busy, w);
 			g_hash_table_iter_remove(&iter);
@@ -272,11 +277,43 @@
 		}
 		w->seen = false;
 	}
-	for (guint i = 0; i < freed->len; i++)
-		q->ops.decided(q->ctx,
-			       g_array_index(freed, struct waiter, i).request,
-			       FG_QUOTA_ADMITTED, 0);
-	g_array_unref(freed);
+}
+
+/* ---- Decisions ---- */
+
+void fgq_decide(struct fg_quota *q, uint64_t workspace,
+		const struct waiter *waiter, enum fg_quota_verdict verdict,
+		uint32_t retry_ms)
+{
+	struct fg_quota_decision decision = {
+		.workspace = workspace,
+		.request = waiter->request,
+		.tokens = waiter->tokens,
+		.verdict = verdict,
+		.retry_ms = retry_ms,
+	};
+
+	if (verdict == FG_QUOTA_ADMITTED)
+		q->stats.admitted++;
+	else if (verdict == FG_QUOTA_REFUSED)
+		q->stats.refused++;
+	else
+		q->stats.unknown++;
+	g_array_append_val(q->decisions, decision);
+}
+
+bool fg_quota_has_decisions(const struct fg_quota *q)
+{
+	return q->decisions->len > 0;
+}
+
+bool fg_quota_next_decision(struct fg_quota *q, struct fg_quota_decision *out)
+{
+	if (q->decisions->len == 0)
+		return false;
+	*out = g_array_index(q->decisions, struct fg_quota_decision, 0);
+	g_array_remove_index(q->decisions, 0);
+	return true;
 }
 
 /* ---- Time ---- */
--- a/lib/quota/fg_quota.h
+++ b/lib/quota/fg_quota.h
@@ -17,9 +17,9 @@
  * alive. Both end FG_QUOTA_SHARE_MS after the instance was last seen.
  *
  * Does no I/O and reads no clock. The caller passes events and the time, and
- * carries out the actions that it is given through fg_quota_ops. Only
- * fg_quota_give_back() and fg_quota_cancel() may be called from `decided`, and
- * nothing from `send_ask`.
+ * sends the asks that it is given through fg_quota_ops, from which it must call
+ * nothing here. Decisions on waiting requests are kept until the caller takes
+ * them with fg_quota_next_decision(): no call here ends a request of its caller.
  */
 #ifndef FG_QUOTA_H
 #define FG_QUOTA_H
@@ -46,7 +46,7 @@
 	FG_QUOTA_ADMITTED = 1,
 	FG_QUOTA_REFUSED = 2, /* the limit is used up */
 	FG_QUOTA_UNKNOWN = 3, /* no holder answers, and the share is used up */
-	FG_QUOTA_WAITING = 4, /* decided later by fg_quota_ops.decided */
+	FG_QUOTA_WAITING = 4, /* decided later: fg_quota_next_decision() */
 };
 
 struct fg_quota_limit {
@@ -88,10 +88,15 @@
 struct fg_quota_ops {
 	void (*send_ask)(void *ctx, uint64_t to,
 			 const struct fg_quota_ask *ask);
-	/* The request of fg_quota_take() is decided; retry_ms as there. It is
-	 * no longer known when this is called. */
-	void (*decided)(void *ctx, uint64_t request,
-			enum fg_quota_verdict verdict, uint32_t retry_ms);
+};
+
+/* How a request that waited is decided. */
+struct fg_quota_decision {
+	uint64_t workspace;
+	uint64_t request; /* as passed to fg_quota_take() */
+	uint32_t tokens;
+	enum fg_quota_verdict verdict; /* all but FG_QUOTA_WAITING */
+	uint32_t retry_ms;	       /* as by fg_quota_take() */
 };
 
 /* Totals of all workspaces since the start. */
@@ -134,19 +139,24 @@
 			const struct fg_quota_limit *limit);
 
 /* Removes the workspaces whose limit was not set since the last call. Requests
- * that wait for their tokens are admitted. */
+ * that wait for their tokens are decided: admitted. */
 void fg_quota_end_limits(struct fg_quota *q, fg_ms now);
 
-/* Takes the tokens of a request. `request` names it in fg_quota_ops.decided
- * when the result is FG_QUOTA_WAITING. With FG_QUOTA_REFUSED and
+/* Takes the tokens of a request. `request` names it in its decision when the
+ * result is FG_QUOTA_WAITING. With FG_QUOTA_REFUSED and
  * FG_QUOTA_UNKNOWN, *retry_ms is when the tokens will be there. A workspace
  * without a limit admits everything. */
 enum fg_quota_verdict fg_quota_take(struct fg_quota *q, fg_ms now,
 				    uint64_t workspace, uint32_t tokens,
 				    uint64_t request, uint32_t *retry_ms);
 
-/* A request that waits has ended. */
-void fg_quota_cancel(struct fg_quota *q, uint64_t workspace, uint64_t request);
+/* Takes the oldest decision out. Returns false when there is none. */
+bool fg_quota_next_decision(struct fg_quota *q, struct fg_quota_decision *out);
+
+/* A request that waits has ended. If it is decided, and its decision was not
+ * taken out, the decision is dropped and its tokens are given back. */
+void fg_quota_cancel(struct fg_quota *q, fg_ms now, uint64_t workspace,
+		     uint64_t request);
 
 /* An admitted request ended without having run. */
 void fg_quota_give_back(struct fg_quota *q, fg_ms now, uint64_t workspace,
@@ -168,6 +178,9 @@
 /* Returns when the next step is due; FG_MS_NEVER: none. */
 fg_ms fg_quota_next_due(const struct fg_quota *q);
 
+/* Returns whether fg_quota_next_decision() has one. */
+bool fg_quota_has_decisions(const struct fg_quota *q);
+
 void fg_quota_get_stats(const struct fg_quota *q, struct fg_quota_stats *out);
 
 /* What this instance knows of one workspace, for operators. */
--- a/lib/quota/fg_quota_lease.c
+++ b/lib/quota/fg_quota_lease.c
@@ -104,6 +104,11 @@
 
 /* ---- Asks ---- */
 
+static const struct waiter *first_waiter(const struct workspace *w)
+{
+	return &g_array_index(w->waiters, struct waiter, 0);
+}
+
 static void send_ask(struct fg_quota *q, struct workspace *w, fg_ms now)
 {
 	struct fg_quota_ask ask = {
@@ -114,7 +119,7 @@
 	};
 
 	if (w->waiters->len > 0)
-		ask.need = g_array_index(w->waiters, struct waiter, 0).tokens;
+		ask.need = first_waiter(w)->tokens;
 	w->ask.sent_at = now;
 	w->ask.tries++;
 	q->ops.send_ask(q->ctx, w->ask.to, &ask);
@@ -140,41 +145,18 @@
 	return sum;
 }
 
-/* Tells the first `n` waiting requests how they are decided. */
-static void decide(struct fg_quota *q, struct workspace *w, guint n,
-		   enum fg_quota_verdict verdict, uint32_t retry_ms)
+static void decide_first(struct fg_quota *q, struct workspace *w,
+			 enum fg_quota_verdict verdict, uint32_t retry_ms)
 {
-	uint64_t id = w->id;
-
-	for (guint i = 0; i < n; i++) {
-		struct waiter first;
-
-		/* The callback may end the workspace or other requests. */
-		w = fgq_find(q, id);
-		if (w == NULL || w->waiters->len == 0)
-			return;
-		first = g_array_index(w->waiters, struct waiter, 0);
-		g_array_remove_index(w->waiters, 0);
-		if (verdict == FG_QUOTA_ADMITTED)
-			q->stats.admitted++;
-		else if (verdict == FG_QUOTA_REFUSED)
-			q->stats.refused++;
-		else
-			q->stats.unknown++;
-		q->ops.decided(q->ctx, first.request, verdict, retry_ms);
-	}
+	fgq_decide(q, w->id, first_waiter(w), verdict, retry_ms);
+	g_array_remove_index(w->waiters, 0);
 }
 
 /* Admits waiting requests, oldest first, while leases cover them. */
 static void serve_waiters(struct fg_quota *q, struct workspace *w)
 {
-	uint64_t id = w->id;
-
-	while (w != NULL && w->waiters->len > 0 &&
-	       spend(w, g_array_index(w->waiters, struct waiter, 0).tokens)) {
-		decide(q, w, 1, FG_QUOTA_ADMITTED, 0);
-		w = fgq_find(q, id);
-	}
+	while (w->waiters->len > 0 && spend(w, first_waiter(w)->tokens))
+		decide_first(q, w, FG_QUOTA_ADMITTED, 0);
 }
 
 static void hold_off(struct fg_quota *q, struct workspace *w, fg_ms now,
@@ -191,20 +173,16 @@
 static void serve_from_account(struct fg_quota *q, struct workspace *w,
 			       fg_ms now)
 {
-	uint64_t id = w->id;
-
-	while (w != NULL && w->waiters->len > 0) {
-		uint32_t tokens =
-			g_array_index(w->waiters, struct waiter, 0).tokens;
+	while (w->waiters->len > 0) {
+		uint32_t tokens = first_waiter(w)->tokens;
 		uint32_t retry;
 
 		fgq_credit(w, w->unspent);
 		w->unspent = 0;
 		if (fgq_grant(q, w, now, tokens, tokens, &retry) == tokens)
-			decide(q, w, 1, FG_QUOTA_ADMITTED, 0);
+			decide_first(q, w, FG_QUOTA_ADMITTED, 0);
 		else
-			decide(q, w, 1, FG_QUOTA_REFUSED, retry);
-		w = fgq_find(q, id);
+			decide_first(q, w, FG_QUOTA_REFUSED, retry);
 	}
 }
 
@@ -351,10 +329,22 @@
 	return FG_QUOTA_WAITING;
 }
 
-void fg_quota_cancel(struct fg_quota *q, uint64_t id, uint64_t request)
+void fg_quota_cancel(struct fg_quota *q, fg_ms now, uint64_t id,
+		     uint64_t request)
 {
 	struct workspace *w = fgq_find(q, id);
 
+	for (guint i = 0; i < q->decisions->len; i++) {
+		struct fg_quota_decision d = g_array_index(
+			q->decisions, struct fg_quota_decision, i);
+
+		if (d.workspace != id || d.request != request)
+			continue;
+		g_array_remove_index(q->decisions, i);
+		if (d.verdict == FG_QUOTA_ADMITTED)
+			fg_quota_give_back(q, now, id, d.tokens);
+		return;
+	}
 	for (guint i = 0; w != NULL && i < w->waiters->len; i++) {
 		if (g_array_index(w->waiters, struct waiter, i).request ==
 		    request) {
@@ -403,7 +393,6 @@
 {
 	struct workspace *w = fgq_find(q, reply->workspace);
 	struct member *m = fgq_find_member(q, from);
-	uint64_t id = reply->workspace;
 
 	if (m != NULL) {
 		q->view += m->silent_until != 0 ? 1 : 0;
@@ -431,13 +420,9 @@
 	if (reply->retry_ms > 0)
 		hold_off(q, w, now, reply->retry_ms);
 	serve_waiters(q, w);
-	w = fgq_find(q, id);
-	if (w == NULL || w->waiters->len == 0)
-		return;
-	if (reply->retry_ms > 0)
-		decide(q, w, w->waiters->len, FG_QUOTA_REFUSED,
-		       reply->retry_ms);
-	else
+	while (reply->retry_ms > 0 && w->waiters->len > 0)
+		decide_first(q, w, FG_QUOTA_REFUSED, reply->retry_ms);
+	if (w->waiters->len > 0)
 		start_ask(q, w, now);
 }
 
@@ -463,53 +448,35 @@
 /* Decides the requests that have waited too long. */
 static void end_waits(struct fg_quota *q, struct workspace *w, fg_ms now)
 {
-	uint64_t id = w->id;
-
-	while (w != NULL && w->waiters->len > 0) {
-		const struct waiter *first =
-			&g_array_index(w->waiters, struct waiter, 0);
-
-		if (now - first->since < FG_QUOTA_WAIT_MAX_MS)
-			return;
-		decide(q, w, 1,
-		       fgq_take_share(q, w, now, first->tokens)
-			       ? FG_QUOTA_ADMITTED
-			       : FG_QUOTA_UNKNOWN,
-		       UNKNOWN_RETRY_MS);
-		w = fgq_find(q, id);
-	}
+	while (w->waiters->len > 0 &&
+	       now - first_waiter(w)->since >= FG_QUOTA_WAIT_MAX_MS)
+		decide_first(q, w,
+			     fgq_take_share(q, w, now, first_waiter(w)->tokens)
+				     ? FG_QUOTA_ADMITTED
+				     : FG_QUOTA_UNKNOWN,
+			     UNKNOWN_RETRY_MS);
 }
 
-static void tick_workspace(struct fg_quota *q, uint64_t id, fg_ms now)
+static void tick_workspace(struct fg_quota *q, struct workspace *w, fg_ms now)
 {
-	struct workspace *w = fgq_find(q, id);
-
-	if (w == NULL)
-		return;
 	drop_lapsed(q, w, now);
 	if (w->ask.to != 0 && now - w->ask.sent_at >= FG_QUOTA_ASK_TIMEOUT_MS)
 		repeat_ask(q, w, now);
-	w = fgq_find(q, id);
-	if (w != NULL && w->waiters->len > 0 && now >= w->ask_again_at)
+	if (w->waiters->len > 0 && now >= w->ask_again_at)
 		start_ask(q, w, now);
-	w = fgq_find(q, id);
-	if (w != NULL)
-		end_waits(q, w, now);
+	end_waits(q, w, now);
 }
 
 void fg_quota_tick(struct fg_quota *q, fg_ms now)
 {
-	guint n = q->busy->len;
-	uint64_t *ids = g_new(uint64_t, n);
+	guint n;
 
 	fgq_step_checks(q, now);
 	if (q->leaving)
 		return_all_unspent(q, now);
+	n = q->busy->len;
 	for (guint i = 0; i < n; i++)
-		ids[i] = ((const struct workspace *)q->busy->pdata[i])->id;
-	for (guint i = 0; i < n; i++)
-		tick_workspace(q, ids[i], now);
-	g_free(ids);
+		tick_workspace(q, q->busy->pdata[i], now);
 	for (guint i = q->busy->len; i > 0; i--) {
 		struct workspace *w = q->busy->pdata[i - 1];
 
--- a/lib/quota/fg_quota_priv.h
+++ b/lib/quota/fg_quota_priv.h
@@ -96,6 +96,7 @@
 	GHashTable *workspaces; /* id -> struct workspace * */
 	GPtrArray *held;	/* struct workspace *, kept here */
 	GPtrArray *busy;  /* those with an ask or waiters, and some more */
+	GArray *decisions; /* struct fg_quota_decision, oldest first */
 	GArray *members;  /* struct member */
 	fg_ms members_at; /* of the view */
 	uint64_t view;	  /* grows with each change that may move an account */
@@ -146,6 +147,11 @@
 
 void fgq_credit(struct workspace *w, uint32_t tokens);
 
+/* Keeps a decision for fg_quota_next_decision(), and counts it. */
+void fgq_decide(struct fg_quota *q, uint64_t workspace,
+		const struct waiter *waiter, enum fg_quota_verdict verdict,
+		uint32_t retry_ms);
+
 /* Repeats the checks that were not answered, and notes the instances that did
  * not answer several. An instance passed over for an account kept here is
  * checked again all the time, so that two accounts of a workspace are in use
--- a/tests/bench/bench_quota.c
+++ b/tests/bench/bench_quota.c
@@ -24,15 +24,6 @@
 	(void)ask;
 }
 
-static void drop_decision(void *ctx, uint64_t request,
-			  enum fg_quota_verdict verdict, uint32_t retry_ms)
-{
-	(void)ctx;
-	(void)request;
-	(void)verdict;
-	(void)retry_ms;
-}
-
 enum {
 	Q_HEAP,
 	Q_TAKE,
@@ -45,7 +36,7 @@
 
 static void measure(struct series *s, int idx, int n_workspaces)
 {
-	const struct fg_quota_ops ops = { drop_ask, drop_decision };
+	const struct fg_quota_ops ops = { drop_ask };
 	struct fg_quota_conf conf = { 1, 1, 100, 2125 };
 	struct fg_quota_limit limit = { 1e9, 1e9 };
 	struct fg_quota_member *members =
@@ -73,7 +64,7 @@
 
 			if (fg_quota_take(q, now, w, 1000, 1, &retry_ms) ==
 			    FG_QUOTA_WAITING)
-				fg_quota_cancel(q, w, 1);
+				fg_quota_cancel(q, now, w, 1);
 		}
 		s[Q_TAKE].y[idx] =
 			(slopes_cpu_us(CLOCK_THREAD_CPUTIME_ID) - start) /
@@ -210,15 +201,14 @@
 				      .ask = *ask });
 }
 
-static void on_decided(void *ctx, uint64_t request,
-		       enum fg_quota_verdict verdict, uint32_t retry_ms)
+static void apply_decisions(struct node *m)
 {
-	struct node *m = ctx;
+	struct fg_quota_decision d;
 
-	(void)request;
-	(void)retry_ms;
-	if (verdict == FG_QUOTA_ADMITTED)
-		m->c->admitted += TOKENS;
+	while (fg_quota_next_decision(m->quota, &d)) {
+		if (d.verdict == FG_QUOTA_ADMITTED)
+			m->c->admitted += TOKENS;
+	}
 }
 
 static void deliver(struct compare *c)
@@ -231,6 +221,7 @@
 		g_queue_pop_head(&c->mail);
 		if (e->is_reply) {
 			fg_quota_on_reply(q, c->now, e->from + 1, &e->reply);
+			apply_decisions(&c->nodes[e->to]);
 		} else {
 			struct envelope out = { .from = e->to,
 						.to = e->from,
@@ -269,6 +260,8 @@
 					 &retry_ms) == FG_QUOTA_ADMITTED;
 	if (admitted)
 		c->admitted += TOKENS;
+	if (m->quota != NULL)
+		apply_decisions(m);
 }
 
 static void step_node(struct compare *c, enum way way, struct node *m,
@@ -286,13 +279,16 @@
 	m->demand_per_s *= exp2(-STEP_MS / HALF_LIFE_MS);
 	if ((c->now / STEP_MS + m->index) % (ANNOUNCE_MS / STEP_MS) == 0)
 		m->announced_per_s = m->demand_per_s;
-	if (m->quota != NULL && fg_quota_next_due(m->quota) <= c->now)
+	if (m->quota == NULL)
+		return;
+	if (fg_quota_next_due(m->quota) <= c->now)
 		fg_quota_tick(m->quota, c->now);
+	apply_decisions(m);
 }
 
 static void set_up(struct compare *c, enum way way, uint32_t n)
 {
-	const struct fg_quota_ops ops = { on_ask, on_decided };
+	const struct fg_quota_ops ops = { on_ask };
 	double rate = way == MIXED ? RATE / 2 : RATE;
 	struct fg_quota_limit limit = { rate, rate };
 
--- a/tests/gateway_limits.py
+++ b/tests/gateway_limits.py
@@ -1,5 +1,6 @@
 """Scenarios of tests/gateway.py with limits of workspaces over all instances."""
 
+import http.client
 import signal
 import threading
 import time
@@ -181,10 +182,118 @@
     calls.judge(calls.sent, RATE)
 
 
+TENANTS = 6
+TENANT_RATE = 800  # tokens a second, far below what is asked
+TENANT_CALLERS = 24
+HOLDER_STOPS = 8
+ORDER_WORK_S = 0.6
+
+
+def put_tenant_limits(s):
+    config = make_config(2)
+    limits = {"calm": 10_000_000,
+              **{f"hot{i}": TENANT_RATE for i in range(TENANTS)}}
+    config["tenants"] = [
+        {"name": name, "apiKeys": [f"key-of-{name}"], "unit": "token_count",
+         "plainTokens": TOKENS, "ratePerS": rate, "burst": rate}
+        for name, rate in limits.items()]
+    s.store.put("op", "config", config)
+    wait_for("limits", lambda: all(
+        g.state().count("limit workspace=") == 1 + TENANTS for g in s.gateways))
+
+
+class Crowd:
+    """Callers beyond their limits, and orders of one that is far below its own,
+    at whichever instances serve."""
+
+    def __init__(self, s):
+        self.s = s
+        self.serving = list(s.gateways)
+        self.over = threading.Event()
+        self.statuses = {}
+        self.orders = []  # (id, status, the process that took it)
+        self.threads = [
+            threading.Thread(target=self.press, args=(f"hot{i}", k))
+            for i in range(TENANTS) for k in range(TENANT_CALLERS)]
+        self.threads += [threading.Thread(target=self.order, args=(k,))
+                         for k in range(6)]
+        for thread in self.threads:
+            thread.start()
+
+    def gateway(self, seed):
+        serving = self.serving
+        return serving[seed % len(serving)]
+
+    def press(self, tenant, seed):
+        while not self.over.wait(0.02 + 0.01 * (seed % 8)):
+            seed += 1
+            try:
+                a = send(self.gateway(seed).front, "/lookup/1", headers={
+                    "Authorization": f"Bearer key-of-{tenant}"})
+            except (OSError, http.client.HTTPException):
+                continue
+            self.statuses[a.status] = self.statuses.get(a.status, 0) + 1
+
+    def order(self, seed):
+        while not self.over.wait(0.02):
+            seed += 1
+            rid = next_id()
+            gateway = self.gateway(seed)
+            process = gateway.popen
+            try:
+                status = send(gateway.front, "/order/1", rid, headers={
+                    "Authorization": "Bearer key-of-calm",
+                    "Deadline-Ms": "300"}).status
+            except (OSError, http.client.HTTPException):
+                status = 0
+            self.orders.append((rid, status, process))
+
+    def end(self):
+        self.over.set()
+        for thread in self.threads:
+            thread.join()
+
+
+def holders_stop_above_limits(s):
+    """Instances that hold accounts stop one after the other while their
+    workspaces are above the limits. No other process ends, and no order that ran
+    is answered as one that did not."""
+    put_tenant_limits(s)
+    for plain in s.plains:
+        plain.duration_s = lambda req, usual_s: (
+            ORDER_WORK_S if req.target.startswith("/order/") else 0.0)
+    crowd = Crowd(s)
+    ends = []
+    for n in range(HOLDER_STOPS):
+        time.sleep(0.5)
+        gateway = s.gateways[n % len(s.gateways)]
+        crowd.serving = [g for g in s.gateways if g is not gateway]
+        gateway.popen.send_signal(signal.SIGTERM)
+        ends.append(gateway.popen.wait(15))
+        for other in crowd.serving:
+            if other.popen.poll() is not None:
+                ends.append(other.popen.returncode)
+                other.start()
+        gateway.start()
+        wait_for("ready", gateway.is_ready)
+        crowd.serving = list(s.gateways)
+    crowd.end()
+    refused = [rid for rid, status, _ in crowd.orders if status in (429, 503)]
+    print(f"answers {crowd.statuses}; {len(crowd.orders)} orders, "
+          f"{len(refused)} refused; processes ended with {ends}")
+    check(not any(ends) and len(ends) == HOLDER_STOPS,
+          f"processes ended with {ends}")
+    check(crowd.statuses.get(429, 0) > 0, "nothing was above its limit")
+    ran = [rid for rid in refused if s.run_count(rid) > 0]
+    check(not ran, f"ran and were refused: {ran}")
+    for g in s.gateways:
+        check("state_fault" not in g.log(), f"{g.name}: state_fault")
+
+
 for scenario in (limit_of_workspace, limit_outlives_holder, limit_lowered,
-                 limit_returns_tokens):
+                 limit_returns_tokens, holders_stop_above_limits):
     scenario.system_class = LimitSystem
     scenario.system_options = {"gateways": 3, "plains": 3, "engines": 0}
 
 SCENARIOS = [limit_of_workspace, limit_outlives_holder, limit_lowered,
-             limit_returns_tokens]
+             limit_returns_tokens, holders_stop_above_limits]
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -4,7 +4,8 @@
 #   all        unit tests, scenarios, gateway scenarios, a replacement of
 #              builds, crowds of callers, soak, invalid input, seeded runs
 #   unit       unit tests only
-#   sanitized  unit tests and one scenario, for the sanitizer builds
+#   sanitized  unit tests, one scenario, and the gateway scenarios of limits and
+#              stops, for the sanitizer builds
 # Tests listed in KNOWN-RED.txt run as well; their failures are printed, but do
 # not fail the run.
 set -u
@@ -136,6 +137,25 @@
 	record_lines "$1" $? "$log"
 }
 
+# run_named PREFIX BUILD NAMES...: scenarios of tests/gateway.py with another build.
+run_named() {
+	prefix=$1
+	build=$2
+	shift 2
+	for scenario in "$@"; do
+		BUILD=$build tests/gateway.py "$scenario" >"$log" 2>&1
+		status=$?
+		[ $status -eq 0 ] || cat "$log"
+		record "$prefix-$scenario" $status
+	done
+}
+
+# Scenarios that end requests from within many callbacks.
+ENDING_SCENARIOS="holders_stop_above_limits limit_of_workspace limit_outlives_holder
+	limit_lowered limit_returns_tokens stop_with_streams stop_is_no_crash
+	answers_at_end_of_stop late_orders_of_stop late_lookups_of_stop
+	late_drafts_of_stop"
+
 # run_lanes PROGRAM N: runs the program's scenarios in N processes at a time,
 # each of which holds ports of its own.
 run_lanes() {
@@ -163,8 +183,13 @@
 	record "$name" $status
 }
 
+if [ "$what" = sanitized ]; then
+	run_named sanitized "$BUILD" $ENDING_SCENARIOS
+fi
+
 if [ "$what" = all ]; then
 	run_lanes tests/gateway.py 3
+	run_named asan build/asan holders_stop_above_limits
 	run_lines tests/upgrade.py
 	run_lines tests/crowds.py
 	run_lines tests/entry_crowds.py
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -34,15 +34,17 @@
 	f->ask = *ask;
 }
 
-static void on_decided(void *ctx, uint64_t request,
-		       enum fg_quota_verdict verdict, uint32_t retry_ms)
+/* Takes out all decisions. */
+static void drain(struct fixture *f)
 {
-	struct fixture *f = ctx;
+	struct fg_quota_decision d;
 
-	f->n_decided++;
-	f->decided = request;
-	f->verdict = verdict;
-	f->retry_ms = retry_ms;
+	while (fg_quota_next_decision(f->q, &d)) {
+		f->n_decided++;
+		f->decided = d.request;
+		f->verdict = d.verdict;
+		f->retry_ms = d.retry_ms;
+	}
 }
 
 static void set_limit(struct fixture *f, double rate, double burst)
@@ -51,6 +53,7 @@
 
 	fg_quota_set_limit(f->q, f->now, f->workspace, &limit);
 	fg_quota_end_limits(f->q, f->now);
+	drain(f);
 }
 
 static void set_members(struct fixture *f)
@@ -66,13 +69,14 @@
 		set_members(f);
 		if (fg_quota_next_due(f->q) <= f->now)
 			fg_quota_tick(f->q, f->now);
+		drain(f);
 	}
 }
 
 /* `place` is the number of instances that precede this one. */
 static void setup(struct fixture *f, uint32_t place)
 {
-	static const struct fg_quota_ops ops = { on_send, on_decided };
+	static const struct fg_quota_ops ops = { on_send };
 	struct fg_quota_conf conf = { SELF, SELF_HASH, 100, 0 };
 	uint32_t n;
 
@@ -124,6 +128,7 @@
 	};
 
 	fg_quota_on_reply(f->q, f->now, f->asked, &reply);
+	drain(f);
 }
 
 static void say_not_holder(struct fixture *f, uint64_t from, uint32_t retry_ms)
@@ -133,6 +138,7 @@
 					.retry_ms = retry_ms };
 
 	fg_quota_on_reply(f->q, f->now, from, &reply);
+	drain(f);
 }
 
 /* ---- At the holder ---- */
@@ -282,6 +288,59 @@
 	fg_quota_free(f.q);
 }
 
+/* Guards against a request that is decided, and freed by its owner, while the
+ * owner's call still uses it: others wait for the account when this instance
+ * becomes its holder. */
+static void test_take_decides_after_return(void)
+{
+	struct fixture f;
+	uint32_t level = INITIAL;
+
+	setup(&f, 1);
+	g_assert_cmpint(take(&f, 300, 1), ==, FG_QUOTA_WAITING);
+	say_not_holder(&f, f.asked, 0);
+	g_assert_cmpuint(f.n_decided, ==, 0);
+	for (guint i = 0; i < 2; i++)
+		if (f.others[i].id == f.asked)
+			f.others[i].alive = false;
+	set_members(&f);
+	g_assert_false(fg_quota_has_decisions(f.q));
+	g_assert_cmpint(take(&f, 300, 2), ==, FG_QUOTA_WAITING);
+	g_assert_cmpuint(f.n_decided, ==, 0);
+	g_assert_true(fg_quota_has_decisions(f.q));
+	drain(&f);
+	g_assert_cmpuint(f.n_decided, ==, 2);
+	g_assert_cmpuint(f.decided, ==, 2);
+	g_assert_cmpint(f.verdict, ==, FG_QUOTA_ADMITTED);
+	level -= 600;
+	g_assert_cmpint(take(&f, level, 3), ==, FG_QUOTA_ADMITTED);
+	g_assert_cmpint(take(&f, 100, 4), ==, FG_QUOTA_REFUSED);
+	fg_quota_free(f.q);
+}
+
+/* Guards against tokens that are lost with a request that ends between its
+ * decision and the time at which its owner learns of it. */
+static void test_cancel_decided(void)
+{
+	struct fixture f;
+	struct fg_quota_decision d;
+	struct fg_quota_reply reply = { .holder = true,
+					.tokens = 300,
+					.valid_ms = FG_QUOTA_LEASE_MS };
+
+	setup(&f, 1);
+	g_assert_cmpint(take(&f, 300, 1), ==, FG_QUOTA_WAITING);
+	reply.request = f.ask.request;
+	reply.workspace = f.workspace;
+	fg_quota_on_reply(f.q, f.now, f.asked, &reply);
+	g_assert_true(fg_quota_has_decisions(f.q));
+	fg_quota_cancel(f.q, f.now, f.workspace, 1);
+	g_assert_false(fg_quota_next_decision(f.q, &d));
+	g_assert_cmpint(take(&f, 200, 2), ==, FG_QUOTA_WAITING);
+	g_assert_cmpuint(f.ask.returned, ==, 300);
+	fg_quota_free(f.q);
+}
+
 /* ---- At another instance ---- */
 
 static void test_lease_validity(void)
@@ -323,7 +382,7 @@
 	setup(&f, 1);
 	take(&f, 300, 1);
 	take(&f, 200, 2);
-	fg_quota_cancel(f.q, f.workspace, 1);
+	fg_quota_cancel(f.q, f.now, f.workspace, 1);
 	grant(&f, 300, 0);
 	g_assert_cmpuint(f.n_decided, ==, 1);
 	g_assert_cmpuint(f.decided, ==, 2);
@@ -453,6 +512,7 @@
 	setup(&f, 1);
 	take(&f, 300, 1);
 	fg_quota_end_limits(f.q, f.now);
+	drain(&f);
 	g_assert_cmpuint(f.n_decided, ==, 1);
 	g_assert_cmpint(f.verdict, ==, FG_QUOTA_ADMITTED);
 	grant(&f, 300, 0);
@@ -507,6 +567,9 @@
 	g_test_add_func("/quota/limit_changes", test_limit_changes);
 	g_test_add_func("/quota/kept_back_share", test_kept_back_share);
 	g_test_add_func("/quota/account_lost_unseen", test_account_lost_unseen);
+	g_test_add_func("/quota/take_decides_after_return",
+			test_take_decides_after_return);
+	g_test_add_func("/quota/cancel_decided", test_cancel_decided);
 	g_test_add_func("/quota/lease_validity", test_lease_validity);
 	g_test_add_func("/quota/give_back", test_give_back);
 	g_test_add_func("/quota/cancel", test_cancel);
--- a/tests/unit/test_quota_sim.c
+++ b/tests/unit/test_quota_sim.c
@@ -180,15 +180,16 @@
 	}
 }
 
-static void on_decided(void *ctx, uint64_t id, enum fg_quota_verdict verdict,
-		       uint32_t retry_ms)
+static void apply_decisions(struct machine *m)
 {
-	struct machine *m = ctx;
-	struct request *r =
-		&g_array_index(m->sim->requests, struct request, id - 1);
+	struct fg_quota_decision d;
+
+	while (fg_quota_next_decision(m->quota, &d)) {
+		struct request *r = &g_array_index(
+			m->sim->requests, struct request, d.request - 1);
 
-	(void)retry_ms;
-	r->admitted = verdict == FG_QUOTA_ADMITTED;
+		r->admitted = d.verdict == FG_QUOTA_ADMITTED;
+	}
 }
 
 static void deliver(struct sim *s, const struct message *msg)
@@ -205,6 +206,7 @@
 	}
 	if (msg->is_reply) {
 		fg_quota_on_reply(m->quota, s->now, msg->from_id, &msg->reply);
+		apply_decisions(m);
 		return;
 	}
 	fg_quota_answer(m->quota, s->now, msg->from_id, &msg->ask, &out.reply);
@@ -227,7 +229,7 @@
 
 static void start(struct sim *s, uint32_t i, fg_ms at)
 {
-	static const struct fg_quota_ops ops = { on_send, on_decided };
+	static const struct fg_quota_ops ops = { on_send };
 	struct fg_quota_conf conf = {
 		.self_hash = name_hash(i),
 		.initial_permille = s->full_start ? 1000 : 100,
@@ -326,6 +328,7 @@
 		tick(s, m);
 	else if (fg_quota_next_due(m->quota) <= s->now)
 		fg_quota_tick(m->quota, s->now);
+	apply_decisions(m);
 }
 
 /* ---- Callers ---- */
@@ -387,6 +390,7 @@
 	added = &g_array_index(s->requests, struct request, id - 1);
 	if (verdict == FG_QUOTA_ADMITTED)
 		added->admitted = true;
+	apply_decisions(m);
 }
 
 static void load_step(struct sim *s, uint32_t w)
