lib/slots: engines are not ordered to load more than their memory holds

Cause: `weightsMb` and `adapterMb` of the configuration were not read, and lib/slots counted adapters against `adapterSlots` only. The owner also kept the limits of the configuration with which it began to order.

Change: fg_slots_fits() answers whether a load fits, by slots and memory, with what is loading, what may still be unloading and other base models. Limits follow each configuration. An adapter that no engine can hold is refused at once. Sizes are read in platform/, with a log line for those that make no sense.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -444,6 +444,7 @@
 	uv_timer_t *timer;
 	uint64_t fence;
 	uint64_t tenure; /* fg_claims_tenure() when ordering began */
+	uint64_t limits_version; /* of the configuration that `slots` follows */
 	struct fg_gateway *gw;
 	struct fg_fleet_ep *ep;
 	struct fg_ep_facts facts_seen; /* when ordering began */
@@ -760,6 +761,10 @@
  * owned here that may get no order now, to the metrics. */
 void fg_orders_count_waits(struct fg_gateway *gw, fg_ms now, fg_ms elapsed_ms);
 
+/* Returns whether an engine of the service can ever hold an adapter of the
+ * model; true also for a model that the service does not list. */
+bool fg_orders_could_hold(const struct fg_svc *service, const char *model);
+
 /* Requests a load of the adapter at `ep`, here or from its owner. Returns the
  * state of the adapter there: FG_SLOT_PENDING also when another instance is the
  * owner and was asked, FG_SLOT_FULL also when no owner is known. */
--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -345,22 +345,72 @@
 	return 0;
 }
 
+static struct fg_slots_model describe_model(const struct fg_svc_model *m)
+{
+	return (struct fg_slots_model){
+		.name = m->name,
+		.weights_kb = m->weights_kb,
+		.adapter_kb = m->adapter_kb,
+	};
+}
+
+bool fg_orders_could_hold(const struct fg_svc *service, const char *model)
+{
+	struct fg_slots_limits limits = { .memory_kb = service->memory_kb,
+					  .n_models = 1 };
+	struct fg_slots_model described;
+
+	for (uint32_t i = 0; i < service->n_models; i++) {
+		if (strcmp(service->models[i].name, model) != 0)
+			continue;
+		described = describe_model(&service->models[i]);
+		limits.models = &described;
+		return fg_slots_could_hold(&limits, model);
+	}
+	return true;
+}
+
+/* Takes over what the configuration says that the engine can hold. */
+static void apply_limits(struct fg_ep_local *local,
+			 const struct fg_svc *service)
+{
+	struct fg_slots_model *models =
+		g_new(struct fg_slots_model, service->n_models);
+	struct fg_slots_limits limits = {
+		.slots = service->adapter_slots,
+		.memory_kb = service->memory_kb,
+		.models = models,
+		.n_models = service->n_models,
+	};
+	bool fits = service->n_models == 0;
+
+	for (uint32_t i = 0; i < service->n_models; i++) {
+		models[i] = describe_model(&service->models[i]);
+		fits = fits || limits.memory_kb == 0 ||
+		       models[i].weights_kb <= limits.memory_kb;
+	}
+	fg_slots_set_limits(local->slots, &limits);
+	g_free(models);
+	local->limits_version = local->gw->routes->version;
+	if (!fits)
+		fg_log(FG_LOG_ERROR, "orders", "models_larger_than_engine",
+		       "endpoint", local->ep->facts.id, "service",
+		       service->name, NULL);
+}
+
 static void take_over_engine(struct fg_ep_local *local,
 			     const struct fg_svc *service)
 {
 	struct fg_gateway *gw = local->gw;
 	struct fg_slots_conf conf = {
-		.slots = service->adapter_slots,
 		.load_ms = gw->balance.load_ms,
 		.loads_max = LOADS_MAX,
 		.queue_max = QUEUE_MAX,
 		.request_ttl_ms = LOAD_REQUEST_TTL_MS,
 	};
 
-	if (service->n_models > 0)
-		g_strlcpy(conf.model, service->models[0].name,
-			  sizeof(conf.model));
 	local->slots = fg_slots_new(&conf);
+	apply_limits(local, service);
 	fg_uses_init(&local->uses);
 	local->channel = fg_channel_new(&gw->loop, local->ep->facts.address);
 	local->timer = fg_gw_timer_new(gw, local);
@@ -483,6 +533,8 @@
 		local = fg_ep_local_get(gw, ep);
 		if (local->slots == NULL)
 			take_over_engine(local, service);
+		else if (local->limits_version != gw->routes->version)
+			apply_limits(local, service);
 		local->fence = fence;
 		update_uses(local, now);
 		update_resident(local, now);
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -213,6 +213,12 @@
 			refuse_without_endpoint(r, now);
 			return;
 		}
+		if (!p.resident && r->call.adapter != NULL &&
+		    !fg_orders_could_hold(r->service, r->call.model)) {
+			fg_gwreq_refuse(r, "adapter_larger_than_engine",
+					FG_GWREQ_RETRY_MAX_MS);
+			return;
+		}
 		if (fg_gw_overload_refuse(r, &p, now))
 			return;
 		if (r->gw->overload == NULL && p.wait_ms >= left_ms &&
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -25,6 +25,21 @@
 		       (const char *)problems->pdata[i], NULL);
 }
 
+static void log_bad_sizes(const struct fg_routes *t)
+{
+	for (guint i = 0; i < t->services->len; i++) {
+		const struct fg_svc *svc = t->services->pdata[i];
+
+		if (svc->bad_memory)
+			fg_log(FG_LOG_ERROR, "sync", "bad_sizes", "service",
+			       svc->name, "reason",
+			       "a size of memory, model or adapter is no "
+			       "number, "
+			       "negative or too large",
+			       NULL);
+	}
+}
+
 static void apply_config(struct fg_gateway *gw, const struct fg_store_row *row)
 {
 	GError *why = NULL;
@@ -48,6 +63,7 @@
 	fg_gw_memory_apply_limits(gw);
 	if (t->workspaces != NULL)
 		log_problems(t->workspaces);
+	log_bad_sizes(t);
 	fg_gw_count_event(gw, "configurations", NULL);
 }
 
--- a/lib/gateway/fg_gw_state.c
+++ b/lib/gateway/fg_gw_state.c
@@ -16,9 +16,9 @@
 /* A key that was withdrawn is decided on again before a send, so that a request
  * that is being placed may wait for the limit of another workspace. */
 static const struct state states[FG_GWREQ_STATES] = {
-	[FG_GWREQ_DECIDING] = { "deciding",
-				PLACING | BIT(FG_GWREQ_WAIT_ORIGIN) |
-					BIT(FG_GWREQ_WAIT_QUOTA) },
+	[FG_GWREQ_DECIDING] = { "deciding", PLACING |
+						    BIT(FG_GWREQ_WAIT_ORIGIN) |
+						    BIT(FG_GWREQ_WAIT_QUOTA) },
 	[FG_GWREQ_WAIT_TOTALS] = { "wait_totals",
 				   PLACING | BIT(FG_GWREQ_WAIT_ORIGIN) },
 	[FG_GWREQ_WAIT_LOAD] = { "wait_load",
--- a/lib/quota/fg_quota.h
+++ b/lib/quota/fg_quota.h
@@ -19,7 +19,8 @@
  * Does no I/O and reads no clock. The caller passes events and the time, and
  * sends the asks that it is given through fg_quota_ops, from which it must call
  * nothing here. Decisions on waiting requests are kept until the caller takes
- * them with fg_quota_next_decision(): no call here ends a request of its caller.
+ * them with fg_quota_next_decision(): no call here ends a request of its
+ * caller.
  */
 #ifndef FG_QUOTA_H
 #define FG_QUOTA_H
--- a/lib/quota/fg_quota_priv.h
+++ b/lib/quota/fg_quota_priv.h
@@ -95,12 +95,12 @@
 	void *ctx;
 	GHashTable *workspaces; /* id -> struct workspace * */
 	GPtrArray *held;	/* struct workspace *, kept here */
-	GPtrArray *busy;  /* those with an ask or waiters, and some more */
+	GPtrArray *busy;   /* those with an ask or waiters, and some more */
 	GArray *decisions; /* struct fg_quota_decision, oldest first */
-	GArray *members;  /* struct member */
-	fg_ms members_at; /* of the view */
-	uint64_t view;	  /* grows with each change that may move an account */
-	fg_ms view_until; /* an instance is passed over until then */
+	GArray *members;   /* struct member */
+	fg_ms members_at;  /* of the view */
+	uint64_t view;	   /* grows with each change that may move an account */
+	fg_ms view_until;  /* an instance is passed over until then */
 	bool complete;
 	bool leaving;
 	uint32_t n_alive;  /* other instances */
--- a/lib/route/fg_route.h
+++ b/lib/route/fg_route.h
@@ -22,6 +22,8 @@
 struct fg_svc_model {
 	char *name;
 	uint32_t adapters_max;
+	uint64_t weights_kb; /* units of 1000 bytes; 0: not stated */
+	uint64_t adapter_kb; /* of each adapter; 0: not stated */
 };
 
 /* A service. Strings and arrays belong to the table; the reader of the
@@ -34,6 +36,9 @@
 	uint32_t slots;		  /* concurrent requests of an endpoint */
 	uint32_t kv_capacity_tokens; /* KV cache of an endpoint */
 	uint32_t adapter_slots;
+	uint64_t memory_kb; /* of an endpoint for models and adapters; 0: not
+			       stated, and not a limit */
+	bool bad_memory;    /* a size is no number, negative or too large */
 	struct fg_svc_model *models;
 	uint32_t n_models;
 };
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -15,7 +15,7 @@
 	struct fg_slots *s = g_new0(struct fg_slots, 1);
 
 	s->conf = *conf;
-	s->conf.slots = MIN(conf->slots, FG_SLOTS_MAX);
+	fg_slots_set_limits(s, &conf->limits);
 	fg_slots_reset_base(s);
 	s->queue = g_array_new(FALSE, TRUE, sizeof(struct fg_load_request));
 	s->newest_versions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -29,6 +29,7 @@
 {
 	if (s == NULL)
 		return;
+	fg_slots_set_limits(s, &(struct fg_slots_limits){ 0 });
 	g_array_unref(s->queue);
 	g_hash_table_unref(s->newest_versions);
 	g_hash_table_unref(s->loaded_before);
@@ -83,6 +84,12 @@
 
 /* ---- Eviction ---- */
 
+bool fg_slots_is_evictable(const struct fg_slot *slot, fg_ms now)
+{
+	return slot->phase == RESIDENT &&
+	       now - slot->used_at >= FG_SLOTS_MIN_IDLE_MS;
+}
+
 struct fg_slot *fg_slots_find_victim(const struct fg_slots *s, fg_ms now)
 {
 	struct fg_slot *best = NULL;
@@ -90,8 +97,7 @@
 	for (uint32_t i = 0; i < s->n; i++) {
 		struct fg_slot *slot = (struct fg_slot *)&s->slots[i];
 
-		if (slot->phase != RESIDENT ||
-		    now - slot->used_at < FG_SLOTS_MIN_IDLE_MS)
+		if (!fg_slots_is_evictable(slot, now))
 			continue;
 		if (best == NULL || slot->used_at < best->used_at)
 			best = slot;
@@ -105,7 +111,7 @@
 
 	if (!s->synced || s->base.phase != RESIDENT)
 		return 0;
-	if (s->n + s->queue->len < s->conf.slots)
+	if (s->queue->len < fg_slots_count_free(s))
 		return UINT32_MAX;
 	victim = fg_slots_find_victim(s, now);
 	return victim == NULL
@@ -173,6 +179,8 @@
 	}
 	if (adapter[0] == '\0' || strcmp(model, s->base.model) != 0)
 		return FG_SLOT_FULL; /* the engine serves another model */
+	if (!fg_slots_could_hold(&s->conf.limits, model))
+		return FG_SLOT_FULL;
 	if (s->queue->len >= s->conf.queue_max)
 		return FG_SLOT_FULL;
 	g_strlcpy(r.model, model, sizeof(r.model));
--- a/lib/slots/fg_slots.h
+++ b/lib/slots/fg_slots.h
@@ -14,10 +14,11 @@
  * ordered until the model is resident. The base model is written as an adapter
  * with an empty name and takes no slot.
  *
- * The adapters that are resident or loading never exceed the slots: a load
- * into a full engine waits until the engine has confirmed an unload. The least
- * recently used adapter is evicted, but none that was used within the last
- * FG_SLOTS_MIN_IDLE_MS.
+ * The adapters that are resident or loading never exceed the slots, nor, with
+ * the base models, the engine's memory: a load into a full engine waits until
+ * the engine has confirmed an unload. The least recently used adapter is
+ * evicted, but none that was used within the last FG_SLOTS_MIN_IDLE_MS. A
+ * replacement by a newer version takes the room of the older one.
  *
  * Does no I/O and reads no clock: the caller passes events and the time, and
  * sends the messages.
@@ -38,9 +39,27 @@
 #define FG_SLOTS_MIN_IDLE_MS 200
 #define FG_SLOTS_MAX FG_FLEET_RESIDENT_MAX
 
+/* Memory that a base model and each of its adapters take, in units of 1000
+ * bytes. */
+struct fg_slots_model {
+	const char *name;
+	uint64_t weights_kb;
+	uint64_t adapter_kb;
+};
+
+/* What an engine can hold. */
+struct fg_slots_limits {
+	uint32_t slots;	    /* adapters */
+	uint64_t memory_kb; /* of base models and adapters; 0: not limited */
+	const struct fg_slots_model *models;
+	uint32_t n_models;
+};
+
 struct fg_slots_conf {
-	char model[FG_FLEET_NAME_BYTES]; /* loaded when the engine has none */
-	uint32_t slots;			 /* adapters that the engine can hold */
+	char model[FG_FLEET_NAME_BYTES]; /* loaded when the engine has none;
+					    set by limits that list models: the
+					    first that fits */
+	struct fg_slots_limits limits;
 	uint32_t load_ms;	 /* usual time of a load from the store */
 	uint32_t loads_max;	 /* concurrent loads */
 	uint32_t queue_max;	 /* queued load requests */
@@ -49,10 +68,22 @@
 
 struct fg_slots;
 
-/* Copies `conf`. The caller frees the result with fg_slots_free(). */
+/* Copies `conf` and its models. The caller frees the result with
+ * fg_slots_free(). */
 struct fg_slots *fg_slots_new(const struct fg_slots_conf *conf);
 void fg_slots_free(struct fg_slots *s);
 
+/* Changes what the engine can hold, of which copies are made. What it holds
+ * beyond that stays until it is evicted for another adapter. */
+void fg_slots_set_limits(struct fg_slots *s,
+			 const struct fg_slots_limits *limits);
+
+/* Returns whether an engine with these limits could hold an adapter of the
+ * model, if it held nothing but the model. A model that the limits do not list
+ * fits only if the memory is not limited. */
+bool fg_slots_could_hold(const struct fg_slots_limits *limits,
+			 const char *model);
+
 enum fg_slot_state {
 	FG_SLOT_ABSENT = 0,
 	FG_SLOT_PENDING = 1, /* queued or loading */
@@ -64,7 +95,8 @@
  * Requests that an adapter be loaded in this version or a newer one (0: any).
  * An empty `adapter` stands for the base model. Returns the adapter's state:
  * PENDING also when the request was queued by this call, FULL when the queue
- * is full or the engine serves another model. Call it again while a request
+ * is full, the engine serves another model or can never hold the adapter. Call
+ * it again while a request
  * waits for the adapter: the repeats raise its priority and keep it queued.
  */
 enum fg_slot_state fg_slots_request_load(struct fg_slots *s, fg_ms now,
--- a/lib/slots/fg_slots_internal.h
+++ b/lib/slots/fg_slots_internal.h
@@ -44,6 +44,8 @@
 
 struct fg_slots {
 	struct fg_slots_conf conf;
+	struct fg_slots_model *models; /* of conf.limits; names are owned */
+	uint64_t extra_kb;	       /* base models reported beside `base` */
 	struct fg_slot slots[FG_SLOTS_MAX];
 	uint32_t n;
 	GArray *queue;		     /* struct fg_load_request, oldest first */
@@ -86,6 +88,26 @@
 /* Resets the base model to the configured one, not yet loaded. */
 void fg_slots_reset_base(struct fg_slots *s);
 
+/* Returns whether the engine can take a further adapter of the model, beside
+ * all that it holds, loads or may still be unloading. */
+bool fg_slots_fits(const struct fg_slots *s, const char *model);
+
+/* As fg_slots_fits(), once all adapters were evicted that may be. */
+bool fg_slots_fits_after_evictions(const struct fg_slots *s, fg_ms now,
+				   const char *model);
+
+/* Returns how many further adapters of the base model fit. */
+uint32_t fg_slots_count_free(const struct fg_slots *s);
+
+/* Returns whether the engine can hold the base model that it lacks. */
+bool fg_slots_base_fits(const struct fg_slots *s);
+
+/* Returns the memory of a base model; UINT64_MAX: not known. */
+uint64_t fg_slots_weights_kb(const struct fg_slots *s, const char *model);
+
+/* Returns whether the adapter is resident and idle for long enough. */
+bool fg_slots_is_evictable(const struct fg_slot *slot, fg_ms now);
+
 /* Returns whether a load of the adapter would use the weight store. */
 bool fg_slots_is_fetch(const struct fg_slots *s, uint64_t key);
 
--- a/lib/slots/fg_slots_result.c
+++ b/lib/slots/fg_slots_result.c
@@ -106,8 +106,12 @@
 			      const struct fg_ep_resident *r,
 			      enum fg_slot_phase phase)
 {
-	if (s->base.phase == RESIDENT)
+	/* Others beside the one that is served take memory as well. */
+	if (s->base.phase == RESIDENT || s->base.accepted) {
+		if (strcmp(s->base.model, r->model) != 0)
+			s->extra_kb += fg_slots_weights_kb(s, r->model);
 		return;
+	}
 	g_strlcpy(s->base.model, r->model, sizeof(s->base.model));
 	s->base.key = fg_adapter_key(r->model, "");
 	s->base.phase = phase;
@@ -166,6 +170,7 @@
 	}
 	memcpy(old, s->slots, sizeof(old));
 	s->n = 0;
+	s->extra_kb = 0;
 	fg_slots_reset_base(s);
 	for (uint32_t i = 0; i < report->n_resident; i++)
 		set_reported_slot(s, now, &report->resident[i], RESIDENT, old,
--- a/lib/slots/fg_slots_step.c
+++ b/lib/slots/fg_slots_step.c
@@ -107,15 +107,18 @@
 {
 	guint index = pick_request(s, now, store_open);
 	struct fg_slot *slot;
+	const char *model;
 
 	if (index == s->queue->len ||
 	    fg_slots_count(s, LOADING) >= s->conf.loads_max)
 		return false;
-	if (s->n < s->conf.slots) {
+	model = g_array_index(s->queue, struct fg_load_request, index).model;
+	if (fg_slots_fits(s, model)) {
 		start_load(s, now, index, step);
 		return true;
 	}
-	if (fg_slots_count(s, UNLOADING) > 0)
+	if (fg_slots_count(s, UNLOADING) > 0 ||
+	    !fg_slots_fits_after_evictions(s, now, model))
 		return false;
 	slot = fg_slots_find_victim(s, now);
 	if (slot == NULL)
@@ -144,6 +147,8 @@
 		return step;
 	}
 	if (s->base.phase != RESIDENT) {
+		if (!fg_slots_base_fits(s))
+			return step;
 		if (now >= s->base.check_at)
 			issue_step(s, FG_SLOTS_LOAD, &s->base, &step);
 		else
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -92,6 +92,7 @@
         self.fell_at = []  # time.monotonic() of each fall
         self.has_base = True
         self.adapters = {}  # name -> version
+        self.adapters_max = 6  # more are noted in `orders` as "overfull"
         self.versions = {}  # adapter -> newest version
         self.sequence = 0
         self.fence = 0
@@ -274,7 +275,7 @@
             del self.adapters[name]
             return 200
         self.loading[name] = time.monotonic() + self.load_s
-        if len(set(self.adapters) | set(self.loading)) > 6:
+        if len(set(self.adapters) | set(self.loading)) > self.adapters_max:
             self.orders.append(("", 0, "overfull", name, 0))
         return 202
 
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -17,7 +17,7 @@
 {
 	struct fg_slots_conf conf = {
 		.model = MODEL,
-		.slots = SLOTS,
+		.limits = { .slots = SLOTS },
 		.load_ms = 250,
 		.loads_max = 4,
 		.queue_max = 6,
@@ -299,6 +299,7 @@
 		fg_ms at;
 	} delayed[8];
 	uint32_t n_delayed;
+	uint32_t most; /* adapters that it holds without a crash */
 };
 
 static int index_of(const struct engine *e, const char *adapter)
@@ -326,8 +327,8 @@
 	else
 		g_strlcpy(e->resident[at], e->resident[--e->n],
 			  FG_FLEET_NAME_BYTES);
-	/* An engine with more adapters than slots crashes. */
-	g_assert_cmpuint(e->n, <=, SLOTS);
+	/* An engine that is overfilled crashes. */
+	g_assert_cmpuint(e->n, <=, e->most);
 	return load ? FG_WIRE_ORDER_ACCEPTED : FG_WIRE_ORDER_ALREADY_DONE;
 }
 
@@ -385,10 +386,11 @@
 	}
 }
 
-static void run_seed(uint64_t seed)
+/* Plays an engine that answers late, loses answers and carries orders out late;
+ * it holds `most` adapters. Frees `s`. */
+static void run_seed(struct fg_slots *s, uint32_t most, uint64_t seed)
 {
-	struct fg_slots *s = slots_new();
-	struct engine e = { 0 };
+	struct engine e = { .most = most };
 	struct fg_rand rand;
 	uint32_t resident_answers = 0;
 
@@ -426,7 +428,239 @@
 static void test_seeds(void)
 {
 	for (uint64_t seed = 1; seed <= 200; seed++)
-		run_seed(seed);
+		run_seed(slots_new(), SLOTS, seed);
+}
+
+/* ---- Memory ---- */
+
+#define MODEL_KB 65500
+#define ADAPTER_KB 150
+
+static struct fg_slots *slots_with_memory(uint32_t slots, uint64_t memory_kb)
+{
+	const struct fg_slots_model models[] = {
+		{ MODEL, MODEL_KB, ADAPTER_KB },
+		{ "small", 1000, 10 },
+	};
+	struct fg_slots_conf conf = {
+		.limits = { .slots = slots,
+			    .memory_kb = memory_kb,
+			    .models = models,
+			    .n_models = G_N_ELEMENTS(models) },
+		.load_ms = 250,
+		.loads_max = 4,
+		.queue_max = 6,
+		.request_ttl_ms = 100000,
+	};
+
+	return fg_slots_new(&conf);
+}
+
+/* Requests a1 to aN at `now` and returns how many loads are ordered, of which
+ * the engine accepts each. */
+static uint32_t order_loads(struct fg_slots *s, fg_ms now, uint32_t n)
+{
+	uint32_t loads = 0;
+
+	for (uint32_t i = 1; i <= n; i++) {
+		char name[8];
+
+		g_snprintf(name, sizeof(name), "a%u", i);
+		fg_slots_request_load(s, now, MODEL, name, 0);
+	}
+	while (fg_slots_next(s, now, true).act == FG_SLOTS_LOAD) {
+		fg_slots_handle_result(s, now, FG_WIRE_ORDER_ACCEPTED);
+		loads++;
+	}
+	return loads;
+}
+
+/* Guards against an engine that crashes because its memory holds fewer adapters
+ * than it has slots. */
+static void test_memory_binds(void)
+{
+	const struct {
+		uint64_t memory_kb;
+		uint32_t loads;
+	} cases[] = {
+		{ 0, 4 }, /* not stated: loads_max binds */
+		{ MODEL_KB + 3 * ADAPTER_KB, 3 },
+		{ MODEL_KB + 3 * ADAPTER_KB - 1, 2 },
+		{ MODEL_KB + ADAPTER_KB, 1 },
+		{ MODEL_KB + ADAPTER_KB - 1, 0 },
+		{ MODEL_KB, 0 },
+		{ UINT64_MAX, 4 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fg_slots *s = slots_with_memory(6, cases[i].memory_kb);
+
+		sync_without_adapters(s, 1000, 0);
+		g_assert_cmpuint(order_loads(s, 1000, 6), ==, cases[i].loads);
+		fg_slots_free(s);
+	}
+}
+
+/* An unload frees room when the engine has confirmed it, not when it is
+ * ordered. */
+static void test_unload_frees_room_when_confirmed(void)
+{
+	struct fg_slots *s = slots_with_memory(6, MODEL_KB + ADAPTER_KB);
+	struct fg_engine_report report = base_report(0);
+	struct fg_slots_step step;
+
+	set_resident(&report.resident[report.n_resident++], "old", 1);
+	fg_slots_next(s, 1000, true);
+	fg_slots_handle_report(s, 1000, &report);
+	fg_slots_request_load(s, 1000, MODEL, "a1", 0);
+	g_assert_cmpint(fg_slots_next(s, 1000, true).act, ==, FG_SLOTS_NOTHING);
+	step = fg_slots_next(s, 1000 + FG_SLOTS_MIN_IDLE_MS, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_UNLOAD);
+	fg_slots_handle_result(s, 1201, FG_WIRE_ORDER_ACCEPTED);
+	g_assert_cmpint(fg_slots_next(s, 1202, true).act, ==, FG_SLOTS_NOTHING);
+	step = fg_slots_next(s, 1300, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_UNLOAD);
+	fg_slots_handle_result(s, 1300, FG_WIRE_ORDER_ALREADY_DONE);
+	g_assert_cmpint(fg_slots_next(s, 1301, true).act, ==, FG_SLOTS_LOAD);
+	fg_slots_free(s);
+}
+
+/* What a report calls loading takes room, and so do other base models. */
+static void test_reported_takes_room(void)
+{
+	struct fg_slots *s =
+		slots_with_memory(6, MODEL_KB + 1000 + 2 * ADAPTER_KB);
+	struct fg_engine_report report = base_report(0);
+
+	set_resident(&report.loading[report.n_loading++], "coming", 1);
+	set_resident(&report.resident[report.n_resident], "", 1);
+	g_strlcpy(report.resident[report.n_resident++].model, "small",
+		  FG_FLEET_NAME_BYTES);
+	fg_slots_next(s, 1000, true);
+	fg_slots_handle_report(s, 1000, &report);
+	g_assert_cmpuint(order_loads(s, 1000, 3), ==, 1);
+	fg_slots_free(s);
+}
+
+/* A lower limit, or larger adapters, while all slots are resident: nothing is
+ * loaded until there is room again, and nothing in use is unloaded. */
+static void test_limits_shrink(void)
+{
+	const struct fg_slots_model larger = { MODEL, MODEL_KB,
+					       4 * ADAPTER_KB };
+	struct fg_slots_limits limits = {
+		.slots = 6,
+		.memory_kb = MODEL_KB + 4 * ADAPTER_KB,
+		.models = &larger,
+		.n_models = 1,
+	};
+	struct fg_slots *s = slots_with_memory(6, MODEL_KB + 4 * ADAPTER_KB);
+	struct fg_engine_report report = base_report(0);
+	uint32_t unloads = 0;
+
+	for (uint32_t i = 0; i < 4; i++) {
+		char name[8];
+
+		g_snprintf(name, sizeof(name), "b%u", i);
+		set_resident(&report.resident[report.n_resident++], name, 1);
+	}
+	fg_slots_next(s, 1000, true);
+	fg_slots_handle_report(s, 1000, &report);
+	fg_slots_set_limits(s, &limits);
+	for (fg_ms now = 1000; now < 3000; now += 10) {
+		struct fg_slots_step step;
+
+		fg_slots_mark_used(s, now, key_of("b0"));
+		fg_slots_request_load(s, now, MODEL, "a1", 0);
+		step = fg_slots_next(s, now, true);
+		g_assert_cmpint(step.act, !=, FG_SLOTS_LOAD);
+		if (step.act == FG_SLOTS_UNLOAD) {
+			fg_slots_handle_result(s, now,
+					       FG_WIRE_ORDER_ALREADY_DONE);
+			unloads++;
+		}
+	}
+	/* With b0 in use, no number of unloads makes room. */
+	g_assert_cmpuint(unloads, ==, 0);
+	for (fg_ms now = 3000; now < 4000; now += 10) {
+		struct fg_slots_step step;
+
+		fg_slots_request_load(s, now, MODEL, "a1", 0);
+		step = fg_slots_next(s, now, true);
+		if (step.act == FG_SLOTS_LOAD)
+			break;
+		if (step.act == FG_SLOTS_UNLOAD) {
+			fg_slots_handle_result(s, now,
+					       FG_WIRE_ORDER_ALREADY_DONE);
+			unloads++;
+		}
+	}
+	g_assert_cmpuint(unloads, ==, 4);
+	fg_slots_free(s);
+}
+
+/* Random sizes, of which sometimes the slots and sometimes the memory binds. */
+static void test_memory_seeds(void)
+{
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		struct fg_rand rand;
+		uint32_t slots;
+		uint64_t model_kb;
+		uint64_t adapter_kb;
+		uint32_t fit;
+		struct fg_slots_model model = { .name = MODEL };
+		struct fg_slots_conf conf = { .load_ms = 250,
+					      .loads_max = 4,
+					      .queue_max = 6,
+					      .request_ttl_ms = 1500 };
+
+		fg_rand_seed(&rand, seed);
+		slots = 2 + (uint32_t)fg_rand_below(&rand, 5);
+		fit = 2 + (uint32_t)fg_rand_below(&rand, 5);
+		model_kb = fg_rand_below(&rand, 100000);
+		adapter_kb = 1 + fg_rand_below(&rand, 1000);
+		model.weights_kb = model_kb;
+		model.adapter_kb = adapter_kb;
+		conf.limits = (struct fg_slots_limits){
+			.slots = slots,
+			.memory_kb = model_kb + fit * adapter_kb +
+				     fg_rand_below(&rand, adapter_kb),
+			.models = &model,
+			.n_models = 1,
+		};
+		run_seed(fg_slots_new(&conf), MIN(slots, fit), seed);
+	}
+}
+
+/* An adapter or a base model that is larger than the engine is never ordered.
+ */
+static void test_larger_than_engine(void)
+{
+	struct fg_slots *s = slots_with_memory(6, MODEL_KB);
+	struct fg_engine_report empty = { .sequence = 0 };
+	struct fg_slots_limits none = { .slots = 6, .memory_kb = 500 };
+	struct fg_slots_step step;
+
+	sync_without_adapters(s, 1000, 0);
+	g_assert_cmpint(fg_slots_request_load(s, 1000, MODEL, "a1", 0), ==,
+			FG_SLOT_FULL);
+	fg_slots_free(s);
+	/* Of two models, an empty engine loads the one that fits. */
+	s = slots_with_memory(6, 2000);
+	fg_slots_next(s, 1000, true);
+	fg_slots_handle_report(s, 1000, &empty);
+	step = fg_slots_next(s, 1000, true);
+	g_assert_cmpint(step.act, ==, FG_SLOTS_LOAD);
+	g_assert_cmpstr(step.model, ==, "small");
+	fg_slots_free(s);
+	s = slots_with_memory(6, 500);
+	fg_slots_next(s, 1000, true);
+	fg_slots_handle_report(s, 1000, &empty);
+	g_assert_cmpint(fg_slots_next(s, 1000, true).act, ==, FG_SLOTS_NOTHING);
+	/* A model that is no longer configured leaves no room that is known. */
+	fg_slots_set_limits(s, &none);
+	g_assert_cmpint(fg_slots_next(s, 1000, true).act, ==, FG_SLOTS_NOTHING);
+	fg_slots_free(s);
 }
 
 /* ---- Load window ---- */
@@ -467,6 +701,13 @@
 	g_test_add_func("/slots/old_report", test_outdated_report_is_ignored);
 	g_test_add_func("/slots/young_first", test_recent_request_first);
 	g_test_add_func("/slots/seeds", test_seeds);
+	g_test_add_func("/slots/memory_binds", test_memory_binds);
+	g_test_add_func("/slots/unload_frees_room_when_confirmed",
+			test_unload_frees_room_when_confirmed);
+	g_test_add_func("/slots/reported_takes_room", test_reported_takes_room);
+	g_test_add_func("/slots/limits_shrink", test_limits_shrink);
+	g_test_add_func("/slots/larger_than_engine", test_larger_than_engine);
+	g_test_add_func("/slots/memory_seeds", test_memory_seeds);
 	g_test_add_func("/slots/loadgate", test_loadgate);
 	return g_test_run();
 }
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/fg_rand.h"
+#include "fgp_json.h"
 #include "fgp_wire.h"
 #include "gateway/fg_events.h"
 #include "gateway/fg_gwconf.h"
@@ -841,6 +842,52 @@
 	fg_routes_unref(t);
 }
 
+/* Sizes of engines and models: fractions, and values that make no sense. */
+static void test_config_sizes(void)
+{
+	const struct {
+		const char *memory;
+		const char *weights;
+		const char *adapter;
+		uint64_t memory_kb;
+		uint64_t weights_kb;
+		uint64_t adapter_kb;
+		bool bad;
+	} cases[] = {
+		{ "66000", "65500", "150", 66000000, 65500000, 150000, false },
+		{ "66000.0009", "65099.99999999999", "12.0001", 66000000,
+		  65100000, 12001, false },
+		{ "0", "0", "0", 0, 0, 0, false },
+		{ "0.0001", "1e-9", "1e-9", 1, 1, 1, false },
+		{ "-1", "-0.5", "-1e300", 0, 0, 0, true },
+		{ "\"66000\"", "null", "{}", 0, 0, 0, true },
+		{ "1e300", "1", "2", FGP_JSON_KB_MAX, 1000, 2000, true },
+		{ "10", "1e300", "2", 10000, FGP_JSON_KB_MAX, 2000, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"version\":1,\"routes\":[],\"services\":[{\"name\":"
+			"\"s\",\"engine\":{\"weightsMb\":%s,\"models\":[{"
+			"\"name\":\"m\",\"weightsMb\":%s,\"adapterMb\":%s}]}}"
+			"]}",
+			cases[i].memory, cases[i].weights, cases[i].adapter);
+		struct fg_routes *t =
+			fgp_wire.config_read(text, strlen(text), NULL);
+		const struct fg_svc *svc;
+
+		g_assert_nonnull(t);
+		svc = t->services->pdata[0];
+		g_assert_cmpuint(svc->memory_kb, ==, cases[i].memory_kb);
+		g_assert_cmpuint(svc->models[0].weights_kb, ==,
+				 cases[i].weights_kb);
+		g_assert_cmpuint(svc->models[0].adapter_kb, ==,
+				 cases[i].adapter_kb);
+		g_assert_cmpint(svc->bad_memory, ==, cases[i].bad);
+		fg_routes_unref(t);
+	}
+}
+
 static void test_bad_config(void)
 {
 	static const char *const bad[] = {
@@ -1333,6 +1380,7 @@
 	g_test_add_func("/platform/token_counts", test_token_counts);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/bad_config", test_bad_config);
+	g_test_add_func("/platform/config_sizes", test_config_sizes);
 	g_test_add_func("/platform/entry", test_entry);
 	g_test_add_func("/platform/rows", test_rows);
 	g_test_add_func("/platform/order", test_order);
