lib/h1: an answer with a status that is none is no answer

Cause: the digits of a status were read as a number of any size, and its form was not checked. Ruled out: 000 as an answer to a caller, which did not occur.

Change: fg_h1_check_status_line(), three digits from 100 to 599 and not 101, for answers to requests, through another instance, to orders, reports and calls to the store, and in lib/http. A send that gets another one ends at once as one that may have run; a call counts as without an answer. The status is logged as it came. Calls to engines and the store skip informational answers, which they took for the answer.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -443,7 +443,7 @@
 	struct fg_channel *channel;
 	uv_timer_t *timer;
 	uint64_t fence;
-	uint64_t tenure; /* fg_claims_tenure() when ordering began */
+	uint64_t tenure;	 /* fg_claims_tenure() when ordering began */
 	uint64_t limits_version; /* of the configuration that `slots` follows */
 	struct fg_gateway *gw;
 	struct fg_fleet_ep *ep;
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -137,7 +137,7 @@
 
 static bool is_informational(unsigned int status)
 {
-	return status < 200;
+	return status < HTTP_STATUS_OK;
 }
 
 /* A longer report is cut off and cannot be read. */
@@ -158,6 +158,7 @@
 
 	if (conn->report != NULL) {
 		conn->status = head->status;
+		conn->skip_message = is_informational(head->status);
 		return true;
 	}
 	if (r == NULL)
@@ -191,7 +192,7 @@
 {
 	struct fg_ep_conn *conn = ctx;
 
-	if (conn->report != NULL)
+	if (conn->report != NULL && !conn->skip_message)
 		append_report(conn, data, len);
 	else if (conn->req != NULL && !conn->skip_message)
 		fg_answer_body(conn->req, data, len);
@@ -307,6 +308,34 @@
 	       (conn->req != NULL || conn->tunnel_pending);
 }
 
+static void log_bad_status(const struct fg_ep_conn *conn)
+{
+	char status[FG_H1_STATUS_TEXT_BYTES];
+
+	fg_h1_bad_status(&conn->h1, status);
+	fg_gw_count_event(conn->gw, "bad_statuses", NULL);
+	fg_log(FG_LOG_WARN, "endpoint", "bad_status", "endpoint",
+	       conn->ep->facts.id, "service", conn->ep->facts.service, "status",
+	       status, NULL);
+}
+
+static const char *fault_reason(const struct fg_h1 *h1)
+{
+	return h1->fault == FG_H1_BAD_STATUS ? "bad_status"
+					     : "malformed_answer";
+}
+
+/* The endpoint sends something that is no answer. */
+static void fail_answer(struct fg_ep_conn *conn, const char *why)
+{
+	if (conn->reused)
+		note_stutter(conn, "in_answer");
+	fg_health_record_failure(conn->ep, fg_clock_now());
+	fg_ep_conn_fail(
+		conn, conn->report == NULL ? FG_SEND_BROKEN : FG_SEND_NOT_SENT,
+		why);
+}
+
 void fg_ep_conn_feed(struct fg_ep_conn *conn, const char *data, size_t len)
 {
 	/* Here and not where bytes of the connection arrive: through another
@@ -317,14 +346,10 @@
 
 		if (!awaits_answer(conn))
 			return;
+		if (conn->h1.fault == FG_H1_BAD_STATUS)
+			log_bad_status(conn);
 		if (conn->h1.fault != FG_H1_OK) {
-			if (conn->reused)
-				note_stutter(conn, "in_answer");
-			fg_health_record_failure(conn->ep, fg_clock_now());
-			fg_ep_conn_fail(conn,
-					conn->report == NULL ? FG_SEND_BROKEN
-							     : FG_SEND_NOT_SENT,
-					"malformed_answer");
+			fail_answer(conn, fault_reason(&conn->h1));
 			return;
 		}
 		data += used;
--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -195,6 +195,76 @@
 	.on_message_complete = on_complete,
 };
 
+/* ---- Status lines ---- */
+
+#define STATUS_AT 9
+#define STATUS_SWITCHING "101"
+
+static bool is_expected(char c, size_t at)
+{
+	/* d: a digit, f: the first one of a status, e: after the status */
+	static const char form[] = "HTTP/d.d fdde";
+
+	switch (form[at]) {
+	case 'd':
+		return g_ascii_isdigit(c);
+	case 'f':
+		return c >= '1' && c <= '5';
+	case 'e':
+		return c == ' ' || c == '\r' || c == '\n';
+	default:
+		return c == form[at];
+	}
+}
+
+enum fg_h1_line fg_h1_check_status_line(const char *line, size_t len_bytes)
+{
+	for (size_t i = 0; i < MIN(len_bytes, FG_H1_STATUS_LINE_BYTES); i++) {
+		if (!is_expected(line[i], i))
+			return i < STATUS_AT ? FG_H1_LINE_MALFORMED
+					     : FG_H1_LINE_BAD_STATUS;
+	}
+	if (len_bytes < FG_H1_STATUS_LINE_BYTES)
+		return FG_H1_LINE_PARTIAL;
+	if (strncmp(line + STATUS_AT, STATUS_SWITCHING,
+		    strlen(STATUS_SWITCHING)) == 0)
+		return FG_H1_LINE_BAD_STATUS;
+	return FG_H1_LINE_OK;
+}
+
+void fg_h1_bad_status(const struct fg_h1 *h, char out[FG_H1_STATUS_TEXT_BYTES])
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = STATUS_AT; i < h->line_len; i++) {
+		if (h->line[i] == ' ' || h->line[i] == '\r')
+			break;
+		out[n++] = g_ascii_isgraph(h->line[i]) ? h->line[i] : '?';
+	}
+	out[n] = '\0';
+}
+
+/* Checks the beginning of an answer as it arrives. Returns false on a fault. */
+static bool check_line(struct fg_h1 *h, const char *data, size_t len)
+{
+	enum fg_h1_line line;
+
+	if (h->line_len == FG_H1_STATUS_LINE_BYTES)
+		return true;
+	for (size_t i = 0; i < len && h->line_len < FG_H1_STATUS_LINE_BYTES;
+	     i++) {
+		/* Empty lines before an answer are skipped. */
+		if (h->line_len > 0 || (data[i] != '\r' && data[i] != '\n'))
+			h->line[h->line_len++] = data[i];
+	}
+	line = fg_h1_check_status_line(h->line, h->line_len);
+	if (line == FG_H1_LINE_MALFORMED)
+		h->fault = FG_H1_MALFORMED;
+	else if (line == FG_H1_LINE_BAD_STATUS)
+		h->fault = FG_H1_BAD_STATUS;
+	return h->fault == FG_H1_OK;
+}
+
 /* ---- Parser ---- */
 
 /* An idle connection keeps no more than this of its last head. */
@@ -211,7 +281,7 @@
 	h->head.n_head_fields = 0;
 	h->head.target_at = 0;
 	h->body_bytes = 0;
-	h->head_bytes = 0;
+	h->line_len = 0;
 	h->in_value = false;
 	h->ended = false;
 	h->started = false;
@@ -252,6 +322,8 @@
 	if (h->ended || h->fault != FG_H1_OK || len_bytes == 0)
 		return 0;
 	h->started = true;
+	if (h->parser.type == HTTP_RESPONSE && !check_line(h, data, len_bytes))
+		return 0;
 	n_consumed = http_parser_execute(&h->parser, &parser_settings, data,
 					 len_bytes);
 	if (h->ended) {
--- a/lib/h1/fg_h1.h
+++ b/lib/h1/fg_h1.h
@@ -53,8 +53,26 @@
 	FG_H1_MALFORMED = 1,
 	FG_H1_HEAD_TOO_LARGE = 2,
 	FG_H1_BODY_TOO_LARGE = 3,
+	FG_H1_BAD_STATUS = 4, /* see fg_h1_check_status_line() */
 };
 
+enum fg_h1_line {
+	FG_H1_LINE_PARTIAL = 0, /* right so far, more bytes are needed */
+	FG_H1_LINE_OK = 1,
+	FG_H1_LINE_MALFORMED = 2,
+	FG_H1_LINE_BAD_STATUS = 3,
+};
+
+/*
+ * Checks the beginning of an answer (RFC 9112 section 4): a version and a
+ * status of exactly three digits, from 100 to 599. 101 counts as bad, since no
+ * request asks for another protocol.
+ */
+enum fg_h1_line fg_h1_check_status_line(const char *line, size_t len_bytes);
+
+/* Bytes after which fg_h1_check_status_line() knows. */
+#define FG_H1_STATUS_LINE_BYTES 13
+
 struct fg_h1;
 
 /* Callbacks of fg_h1_feed() and fg_h1_eof(). */
@@ -76,8 +94,9 @@
 	uint32_t head_max_bytes;
 	uint64_t body_max_bytes;
 	uint64_t body_bytes;
-	uint32_t head_bytes;
 	enum fg_h1_fault fault;
+	char line[FG_H1_STATUS_LINE_BYTES]; /* beginning of an answer */
+	uint32_t line_len;
 	bool in_value; /* the last header bytes were of a field's value */
 	bool ended;    /* the message is complete */
 	bool started;  /* a byte of the current message was read */
@@ -100,6 +119,11 @@
  * message, as it does for an answer without a length. */
 bool fg_h1_eof(struct fg_h1 *h);
 
+/* Writes the status as it came in an answer with the fault FG_H1_BAD_STATUS,
+ * cut off, to `out`: of other bytes than printable ones '?'. */
+#define FG_H1_STATUS_TEXT_BYTES 8
+void fg_h1_bad_status(const struct fg_h1 *h, char out[FG_H1_STATUS_TEXT_BYTES]);
+
 /* Prepares the parser for the next message of the connection. */
 void fg_h1_reset(struct fg_h1 *h);
 
--- a/lib/http/fg_http.c
+++ b/lib/http/fg_http.c
@@ -5,6 +5,8 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "h1/fg_h1.h"
+
 #define ANSWER_MAX_BYTES ((size_t)16 << 20)
 #define CONNECT_TIMEOUT_MS 1000
 #define URL_BYTES 512
@@ -39,6 +41,7 @@
 
 struct transfer {
 	const struct fg_http_call *call;
+	bool bad_head;
 	GString *text;
 	size_t received_bytes;
 	size_t max_bytes;
@@ -62,6 +65,20 @@
 	return t->call->on_data(t->call->arg, data, len_bytes) ? len_bytes : 0;
 }
 
+/* Gets each line of a head, the first one included. */
+static size_t on_header(char *line, size_t size, size_t n, void *arg)
+{
+	static const char begin[] = "HTTP/";
+	struct transfer *t = arg;
+	size_t len_bytes = size * n;
+
+	if (len_bytes >= strlen(begin) &&
+	    strncmp(line, begin, strlen(begin)) == 0)
+		t->bad_head = fg_h1_check_status_line(line, len_bytes) !=
+			      FG_H1_LINE_OK;
+	return t->bad_head ? 0 : len_bytes;
+}
+
 static int on_progress(void *arg, curl_off_t dltotal, curl_off_t dlnow,
 		       curl_off_t ultotal, curl_off_t ulnow)
 {
@@ -103,6 +120,8 @@
 	curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
 	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, on_write);
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, t);
 	if (call->cancel != NULL) {
 		curl_easy_setopt(h, CURLOPT_NOPROGRESS, 0L);
 		curl_easy_setopt(h, CURLOPT_XFERINFOFUNCTION, on_progress);
@@ -129,6 +148,8 @@
 		return FG_HTTP_OK;
 	if (t->too_large)
 		return FG_HTTP_TOO_LARGE;
+	if (t->bad_head)
+		return FG_HTTP_LOST;
 	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	if (sent_bytes == 0)
 		return FG_HTTP_NOT_SENT;
@@ -158,7 +179,7 @@
 	code = curl_easy_perform(h);
 	answer->error = classify_error(h, code, &t);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
-	answer->status = (uint32_t)status;
+	answer->status = t.bad_head ? 0 : (uint32_t)status;
 	answer->len_bytes = t.received_bytes;
 	if (t.text != NULL)
 		answer->text = g_string_free(t.text, FALSE);
--- a/lib/http/fg_http.h
+++ b/lib/http/fg_http.h
@@ -14,7 +14,8 @@
 enum fg_http_error {
 	FG_HTTP_OK = 0,	       /* a complete answer with a status arrived */
 	FG_HTTP_NOT_SENT = 1,  /* no byte was sent */
-	FG_HTTP_LOST = 2,      /* sent; no complete answer, or on_data failed */
+	FG_HTTP_LOST = 2,      /* sent; no complete answer, one that cannot be
+				  read, or on_data failed */
 	FG_HTTP_TIMEOUT = 3,   /* sent; no complete answer within timeout_ms */
 	FG_HTTP_CANCELLED = 4, /* sent; cancelled by the caller */
 	FG_HTTP_TOO_LARGE = 5, /* the answer exceeds answer_max_bytes */
@@ -40,8 +41,8 @@
 
 struct fg_http_answer {
 	enum fg_http_error error;
-	uint32_t status;
-	char *text; /* body, NUL-terminated; NULL with on_data */
+	uint32_t status; /* 200 to 599; 0: none that can be read */
+	char *text;	 /* body, NUL-terminated; NULL with on_data */
 	size_t len_bytes;
 };
 
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -1,6 +1,7 @@
 #include "link/fg_channel.h"
 
 #include "link/fg_link.h"
+#include "log/fg_log.h"
 
 #define HEAD_MAX_BYTES 16384
 /* The store limits an answer to 1 MB, so that 500 rows of 64 KiB in base64
@@ -55,12 +56,17 @@
 	end_request(c, 0);
 }
 
+static bool is_informational(const struct fg_h1_head *head)
+{
+	return head->status < HTTP_STATUS_OK;
+}
+
 static bool on_head(void *ctx, const struct fg_h1_head *head)
 {
 	struct fg_channel *c = ctx;
 
 	g_string_truncate(c->body, 0);
-	if (c->hook != NULL && c->done != NULL)
+	if (c->hook != NULL && c->done != NULL && !is_informational(head))
 		c->head_result = c->hook(c->hook_ctx, c, head);
 	return true;
 }
@@ -99,20 +105,45 @@
 	end_request(c, status);
 }
 
+/* What the server sends is no answer. */
+static void fail_answer(struct fg_channel *c)
+{
+	char status[FG_H1_STATUS_TEXT_BYTES];
+
+	fg_h1_bad_status(&c->h1, status);
+	fg_log(FG_LOG_WARN, "channel", "unreadable_answer", "address",
+	       c->address, "reason",
+	       c->h1.fault == FG_H1_BAD_STATUS ? "bad_status"
+					       : "malformed_answer",
+	       "status", c->h1.fault == FG_H1_BAD_STATUS ? status : NULL, NULL);
+	fail_request(c);
+}
+
 static void on_data(void *ctx, const char *data, size_t len)
 {
 	struct fg_channel *c = ctx;
-	size_t used;
 
 	if (c->done == NULL) {
 		close_link(c);
 		return;
 	}
-	used = fg_h1_feed(&c->h1, data, len);
-	if (c->h1.fault != FG_H1_OK)
-		fail_request(c);
-	else if (c->h1.ended)
-		handle_answer(c, used == len);
+	while (len > 0 && c->link != NULL) {
+		size_t used = fg_h1_feed(&c->h1, data, len);
+
+		if (c->h1.fault != FG_H1_OK) {
+			fail_answer(c);
+			return;
+		}
+		len -= used;
+		data += used;
+		if (!c->h1.ended)
+			return;
+		if (!is_informational(&c->h1.head)) {
+			handle_answer(c, len == 0);
+			return;
+		}
+		fg_h1_reset(&c->h1);
+	}
 }
 
 static void on_end(void *ctx, enum fg_link_end end)
--- a/lib/link/fg_channel.h
+++ b/lib/link/fg_channel.h
@@ -15,10 +15,10 @@
 struct fg_channel;
 
 /*
- * Called once for each request, with the status and body of the complete
- * answer. The body is followed by a NUL byte and valid during the call. Status
- * 0 with a NULL body: no complete answer arrived in time; the server may have
- * executed the request, or may still do so.
+ * Called once for each request, with the status, from 200 to 599, and body of
+ * the complete answer. The body is followed by a NUL byte and valid during the
+ * call. Status 0 with a NULL body: no complete answer that can be read arrived
+ * in time; the server may have executed the request, or may still do so.
  */
 typedef void (*fg_channel_done_fn)(void *ctx, unsigned int status,
 				   const char *body, size_t len_bytes);
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -96,6 +96,7 @@
         self.versions = {}  # adapter -> newest version
         self.sequence = 0
         self.fence = 0
+        self.order_answers = None  # bad ones to orders and reports
         self.load_s = 0.03
         self.report_s = 0.0  # until a report is answered
         self.loading = {}  # adapter -> time.monotonic() of the end of its load
@@ -205,6 +206,9 @@
             req.answer(421, headers=[("Instance-Id", self.name), *self.echo(req)])
             return True
         self.write_refusal_again(req)
+        if self.order_answers is not None and req.target in (
+                "/api/order", "/api/report"):
+            return self.answer_badly(req)
         if req.target == "/api/order":
             return self.handle_order(req)
         if req.target == "/api/report":
@@ -231,6 +235,19 @@
 
     # Orders.
 
+    def answer_badly(self, req):
+        """Answers an order or a report with the status in `order_answers`, or
+        with informational answers without end."""
+        if self.order_answers != "flood":
+            req.sock.sendall(f"HTTP/1.1 {self.order_answers} X\r\n"
+                             "Content-Length: 2\r\n\r\n{}".encode())
+            return True
+        try:
+            while True:
+                req.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+        except OSError:
+            return False
+
     def handle_order(self, req):
         if self.consume_fault("order_refused"):
             self.refuse_and_repeat(req, 409)
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -16,7 +16,9 @@
         self.history = []  # (version, table, key, value or None)
         self.version = 0
         self.mode = "up"   # up, busy, limited, reset, silent, endless_head,
-                           # endless_body: bytes until the caller closes
+                           # endless_body, endless_informational: bytes
+                           # until the caller closes; status_000: an answer
+                           # with that status
         self.turned_away = {}  # address of a view -> (mode, table or None)
         self.calls = 0
         self.feed_delay_s = 0  # before each answer to a feed call
@@ -172,6 +174,12 @@
         if mode == "silent":
             time.sleep(30)
             return False
+        if mode.startswith("status_"):
+            req.sock.sendall(f"HTTP/1.1 {mode[7:]} X\r\nContent-Length: 11\r\n\r\n"
+                             '{"rows":[]}'.encode())
+            return True
+        while mode == "endless_informational":
+            req.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
         req.sock.sendall(b"HTTP/1.1 200 OK\r\n" + (
             b"" if mode == "endless_head" else b"\r\n"))
         while True:
--- /dev/null
+++ b/tests/unit/test_http.c
@@ -0,0 +1,117 @@
+/* Unit tests of fg_http against a server that sends what it is given. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/fg_http.h"
+
+#define TIMEOUT_MS 3000
+struct server {
+	int listener;
+	char addr[32];
+	const char *text;
+	size_t sent_bytes;
+	pthread_t thread;
+};
+
+static bool send_text(struct server *s, int fd)
+{
+	ssize_t n = send(fd, s->text, strlen(s->text), MSG_NOSIGNAL);
+
+	s->sent_bytes += n > 0 ? (size_t)n : 0;
+	return n > 0;
+}
+
+static void *serve(void *arg)
+{
+	struct server *s = arg;
+	char request[4096];
+	int fd = accept(s->listener, NULL, NULL);
+
+	if (recv(fd, request, sizeof(request), 0) > 0)
+		send_text(s, fd);
+	close(fd);
+	return NULL;
+}
+
+static void start(struct server *s)
+{
+	struct sockaddr_in local = { .sin_family = AF_INET };
+	socklen_t len = sizeof(local);
+
+	local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	s->listener = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(bind(s->listener, (struct sockaddr *)&local, len), ==,
+			0);
+	g_assert_cmpint(listen(s->listener, 1), ==, 0);
+	getsockname(s->listener, (struct sockaddr *)&local, &len);
+	g_snprintf(s->addr, sizeof(s->addr), "127.0.0.1:%u",
+		   ntohs(local.sin_port));
+	pthread_create(&s->thread, NULL, serve, s);
+}
+
+static struct fg_http_answer call(struct server *s)
+{
+	const struct fg_http_call c = { .method = "GET",
+					.path = "/",
+					.timeout_ms = TIMEOUT_MS,
+					.new_connection = true,
+					.addr = s->addr };
+	struct fg_http_answer answer;
+
+	start(s);
+	fg_http_perform(&c, &answer);
+	pthread_join(s->thread, NULL);
+	close(s->listener);
+	g_free(answer.text);
+	return answer;
+}
+
+/* Guards against an answer with a status that is none which counts as one, or
+ * as an informational answer before another. */
+static void test_bad_status(void)
+{
+	static const char *const bad[] = { "000",  "0",	   "001",   "020",
+					   "099",  "101",  "600",   "999",
+					   "0200", "1000", "65736", "-200",
+					   "2x0",  "+200" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\n{}", bad[i]);
+		struct server s = { .text = text };
+		gint64 begin = g_get_monotonic_time();
+		struct fg_http_answer a = call(&s);
+
+		g_test_message("%s", bad[i]);
+		g_assert_cmpint(a.error, ==, FG_HTTP_LOST);
+		g_assert_cmpuint(a.status, ==, 0);
+		g_assert_cmpint(g_get_monotonic_time() - begin, <,
+				TIMEOUT_MS * 1000 / 2);
+	}
+}
+
+static void test_informational(void)
+{
+	struct server some = {
+		.text = "HTTP/1.1 100 Continue\r\n\r\n"
+			"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	};
+	struct fg_http_answer a = call(&some);
+
+	g_assert_cmpint(a.error, ==, FG_HTTP_OK);
+	g_assert_cmpuint(a.status, ==, 200);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	fg_http_init();
+	g_test_add_func("/http/bad_status", test_bad_status);
+	g_test_add_func("/http/informational", test_informational);
+	return g_test_run();
+}
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -123,6 +123,81 @@
 	g_free(big);
 }
 
+static enum fg_h1_fault feed_answer(const char *text, size_t piece,
+				    unsigned int *status, char *bad)
+{
+	struct fg_h1 h;
+	struct message_log s;
+	enum fg_h1_fault fault;
+	size_t len = strlen(text);
+
+	init_parser(&h, &s, false);
+	for (size_t i = 0; i < len && h.fault == FG_H1_OK && !h.ended;
+	     i += piece)
+		fg_h1_feed(&h, text + i, MIN(piece, len - i));
+	fault = h.fault;
+	*status = h.head.status;
+	fg_h1_bad_status(&h, bad);
+	clear_parser(&h, &s);
+	return fault;
+}
+
+/* Guards against an answer with a status that is none: it reached the caller,
+ * or was skipped like an informational one. */
+static void test_bad_status(void)
+{
+	static const struct {
+		const char *status;
+		enum fg_h1_fault fault;
+	} cases[] = {
+		{ "200 OK", FG_H1_OK },
+		{ "200", FG_H1_OK },
+		{ "204 ", FG_H1_OK },
+		{ "599 x", FG_H1_OK },
+		{ "100 Continue", FG_H1_OK },
+		{ "199 x", FG_H1_OK },
+		{ "101 x", FG_H1_BAD_STATUS },
+		{ "000 x", FG_H1_BAD_STATUS },
+		{ "0 x", FG_H1_BAD_STATUS },
+		{ "001 x", FG_H1_BAD_STATUS },
+		{ "020 x", FG_H1_BAD_STATUS },
+		{ "099 x", FG_H1_BAD_STATUS },
+		{ "600 x", FG_H1_BAD_STATUS },
+		{ "999 x", FG_H1_BAD_STATUS },
+		{ "0200 x", FG_H1_BAD_STATUS },
+		{ "1000 x", FG_H1_BAD_STATUS },
+		{ "65736 x", FG_H1_BAD_STATUS },
+		{ "-200 x", FG_H1_BAD_STATUS },
+		{ "+200 x", FG_H1_BAD_STATUS },
+		{ "2x0 x", FG_H1_BAD_STATUS },
+		{ " 200 x", FG_H1_BAD_STATUS },
+		{ "", FG_H1_BAD_STATUS },
+	};
+	static const size_t pieces[] = { 1, 7, 1000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n",
+			cases[i].status);
+
+		for (size_t k = 0; k < G_N_ELEMENTS(pieces); k++) {
+			char bad[FG_H1_STATUS_TEXT_BYTES];
+			unsigned int status;
+
+			g_assert_cmpint(
+				feed_answer(text, pieces[k], &status, bad), ==,
+				cases[i].fault);
+			if (cases[i].fault == FG_H1_OK)
+				g_assert_cmpuint(
+					status, ==,
+					(unsigned int)atoi(cases[i].status));
+			else if (pieces[k] == 1000 && cases[i].status[0] == '0')
+				g_assert_true(
+					g_str_has_prefix(cases[i].status, bad));
+		}
+	}
+}
+
 static void test_answer_without_length(void)
 {
 	static const char text[] = "HTTP/1.1 200 OK\r\n\r\nall of it";
@@ -1354,6 +1429,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/h1/pipelined", test_pipelined);
 	g_test_add_func("/h1/bad", test_bad_requests);
+	g_test_add_func("/h1/bad_status", test_bad_status);
 	g_test_add_func("/h1/no_length", test_answer_without_length);
 	g_test_add_func("/h1/hop", test_hop_by_hop_fields);
 	g_test_add_func("/platform/system_fields", test_system_fields);
