lib/gateway: informational answers without end are cut off

Callers of an endpoint that sends 100 Continue again and again waited until their deadline, and their instance read 0.8 GB for 40 requests in 4 s, 1.2 GB through another instance: processor time and link that others lose.

Cause: an informational answer is a message of its own, which began with fresh limits of head and body. Memory, heads, bodies and events were bounded before.

Change: before the answer of a send at most 32 messages, 64 KiB of informational ones and 16 MiB of answers to other requests are skipped; then the send ends as one that may have run, and counts against the endpoint's health. Calls to engines, the store and other instances skip 32 or 16 KiB, and lib/http reads 256 KiB of heads for a call.

Evidence: informational_answers, informational_flood_through_instance and /http/endless_heads failed on the former code.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -409,8 +409,12 @@
 	uint32_t n_answers; /* complete ones that it brought, of any kind */
 	bool head_seen;
 	bool skip_message; /* informational, or the answer to another request */
-	uint32_t doubts;   /* of fg_ep_local when this connection was opened */
-	GString *report;   /* of a check in progress, or NULL */
+	uint32_t n_skipped;	/* such messages of the current send */
+	uint64_t message_bytes; /* of the message that is read */
+	uint64_t skipped_bytes; /* of answers to other requests */
+	uint64_t informational_bytes;
+	uint32_t doubts; /* of fg_ep_local when this connection was opened */
+	GString *report; /* of a check in progress, or NULL */
 	uint64_t via; /* instance that the connection goes through; 0: none */
 	struct fg_h1 *hop;   /* reads what that instance sends; NULL: none */
 	bool tunnel_pending; /* that instance has not answered yet */
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -121,6 +121,7 @@
 
 static void write_request(struct fg_ep_conn *conn);
 static void arm_silence_timeout(struct fg_gwreq *r, fg_ms now);
+static void fail_answer(struct fg_ep_conn *conn, const char *why);
 
 void fg_ep_conn_fail(struct fg_ep_conn *conn, enum fg_send_end end,
 		     const char *why)
@@ -140,6 +141,36 @@
 	return status < HTTP_STATUS_OK;
 }
 
+/* An endpoint that sends more than this before its answer sends without end.
+ * An informational answer is a head; an answer to another request may be as
+ * large as any. */
+#define SKIPPED_MAX 32
+#define INFORMATIONAL_MAX_BYTES HEAD_MAX_BYTES
+#define SKIPPED_MAX_BYTES ANSWER_MAX_BYTES
+
+/* Counts a message that was skipped. Returns false when there were too many. */
+static bool count_skipped(struct fg_ep_conn *conn)
+{
+	if (is_informational(conn->h1.head.status))
+		conn->informational_bytes += conn->message_bytes;
+	else
+		conn->skipped_bytes += conn->message_bytes;
+	conn->message_bytes = 0;
+	return ++conn->n_skipped <= SKIPPED_MAX &&
+	       conn->informational_bytes <= INFORMATIONAL_MAX_BYTES &&
+	       conn->skipped_bytes <= SKIPPED_MAX_BYTES;
+}
+
+/* A send begins on the connection. */
+static void reset_skipped(struct fg_ep_conn *conn)
+{
+	conn->skip_message = false;
+	conn->n_skipped = 0;
+	conn->message_bytes = 0;
+	conn->skipped_bytes = 0;
+	conn->informational_bytes = 0;
+}
+
 /* A longer report is cut off and cannot be read. */
 #define REPORT_MAX_BYTES (256 * 1024)
 
@@ -243,6 +274,7 @@
 	g_string_free(conn->report, TRUE);
 	conn->report = NULL;
 	fg_h1_reset(&conn->h1);
+	reset_skipped(conn);
 	if (same) {
 		struct fg_ep_local *local = conn->ep->user;
 
@@ -281,7 +313,10 @@
 		conn->n_answers++;
 	if (conn->skip_message) {
 		conn->skip_message = false;
-		fg_h1_reset(&conn->h1);
+		if (count_skipped(conn))
+			fg_h1_reset(&conn->h1);
+		else
+			fail_answer(conn, "endless_answers");
 		return;
 	}
 	if (conn->report != NULL) {
@@ -352,6 +387,7 @@
 			fail_answer(conn, fault_reason(&conn->h1));
 			return;
 		}
+		conn->message_bytes += used;
 		data += used;
 		len -= used;
 		if (!conn->h1.ended)
@@ -688,7 +724,7 @@
 	if (conn != NULL) {
 		conn->reused = true;
 		conn->head_seen = false;
-		conn->skip_message = false;
+		reset_skipped(conn);
 		conn->req = r;
 		r->conn = conn;
 		send_request(conn);
--- a/lib/http/fg_http.c
+++ b/lib/http/fg_http.c
@@ -39,8 +39,12 @@
 	return handle;
 }
 
+/* Heads of an answer, with those of informational answers before it. */
+#define HEADS_MAX_BYTES ((size_t)256 << 10)
+
 struct transfer {
 	const struct fg_http_call *call;
+	size_t heads_bytes;
 	bool bad_head;
 	GString *text;
 	size_t received_bytes;
@@ -72,8 +76,11 @@
 	struct transfer *t = arg;
 	size_t len_bytes = size * n;
 
-	if (len_bytes >= strlen(begin) &&
-	    strncmp(line, begin, strlen(begin)) == 0)
+	t->heads_bytes += len_bytes;
+	if (t->heads_bytes > HEADS_MAX_BYTES)
+		t->bad_head = true;
+	else if (len_bytes >= strlen(begin) &&
+		 strncmp(line, begin, strlen(begin)) == 0)
 		t->bad_head = fg_h1_check_status_line(line, len_bytes) !=
 			      FG_H1_LINE_OK;
 	return t->bad_head ? 0 : len_bytes;
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -7,6 +7,9 @@
 /* The store limits an answer to 1 MB, so that 500 rows of 64 KiB in base64
  * cannot occur. */
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
+/* A server that sends more informational answers sends without end. */
+#define INFORMATIONAL_MAX 32
+#define INFORMATIONAL_MAX_BYTES HEAD_MAX_BYTES
 
 struct fg_channel {
 	uv_loop_t *loop;
@@ -21,6 +24,8 @@
 	void *hook_ctx;
 	uint64_t head_result; /* of the hook */
 	struct fg_wire_request request;
+	uint32_t n_informational; /* before the answer to the request */
+	size_t informational_bytes;
 	bool open; /* link is connected */
 	bool close_after_refusals;
 };
@@ -114,6 +119,7 @@
 	fg_log(FG_LOG_WARN, "channel", "unreadable_answer", "address",
 	       c->address, "reason",
 	       c->h1.fault == FG_H1_BAD_STATUS ? "bad_status"
+	       : c->h1.fault == FG_H1_OK       ? "endless_answers"
 					       : "malformed_answer",
 	       "status", c->h1.fault == FG_H1_BAD_STATUS ? status : NULL, NULL);
 	fail_request(c);
@@ -142,6 +148,12 @@
 			handle_answer(c, len == 0);
 			return;
 		}
+		c->informational_bytes += used;
+		if (++c->n_informational > INFORMATIONAL_MAX ||
+		    c->informational_bytes > INFORMATIONAL_MAX_BYTES) {
+			fail_answer(c);
+			return;
+		}
 		fg_h1_reset(&c->h1);
 	}
 }
@@ -239,6 +251,8 @@
 	c->done = done;
 	c->ctx = ctx;
 	c->request = request;
+	c->n_informational = 0;
+	c->informational_bytes = 0;
 	uv_timer_start(c->timer, on_timeout, timeout_ms, 0);
 	if (c->link != NULL) {
 		fg_link_write(c->link, request.head_and_body,
--- a/tests/gateway_bad_answers.py
+++ b/tests/gateway_bad_answers.py
@@ -1,7 +1,9 @@
-"""Scenarios of tests/gateway.py: answers with a status that is none."""
+"""Scenarios of tests/gateway.py: answers with a status that is none, and
+informational answers without end."""
 
 import socket
 import re
+import threading
 import time
 
 from gateway_cuts import CuttableSystem
@@ -15,7 +17,12 @@
 FRAMINGS = ("length", "chunks", "end", "none")
 PATHS = ("/order/1", "/lookup/1", "/draft/1", "/brief/1")
 AT_ONCE_S = 1.5  # far less than Deadline-Ms
+FLOOD_CALLERS = 40
+FLOOD_DEADLINE_MS = 6000
 PEAK_MB = 120  # as for other answers without end
+# What an instance reads of informational answers, and what the buffers of two
+# sockets take on top of it.
+FLOOD_MAX_BYTES = 64 * 1024 + 8 * 1024 * 1024
 
 
 class GenerousGateway(Gateway):
@@ -49,6 +56,18 @@
     return answer
 
 
+def flood(replica, req, rid):
+    """An answer_with that writes informational answers until the caller closes."""
+    piece = b"HTTP/1.1 100 Continue\r\n\r\n" * 400
+    try:
+        while True:
+            req.sock.sendall(piece)
+            replica.endless_bytes += len(piece)
+    except OSError:
+        replica.endless_closed += 1
+    return False
+
+
 def call(gateway, path, rid, deadline_ms=4000):
     if path[1] in "db":
         return send_draft(gateway, path=path, rid=rid,
@@ -110,12 +129,79 @@
                        for framing in ("length", "end")])
 
 
+def informational_answers(s):
+    """Some informational answers precede the answer; those without end are cut
+    off, and their endpoint's requests are served elsewhere."""
+
+    def hint(replica, req, rid):
+        for status in ("100 Continue", "102 Processing", "103 Early Hints"):
+            req.sock.sendall(f"HTTP/1.1 {status}\r\nLink: </a>\r\n\r\n".encode())
+        return (replica.answer_stream if replica.engine
+                else replica.answer_plain)(req, rid)
+
+    for replica in s.plains + s.engines:
+        replica.answer_with = hint
+    for path in PATHS:
+        a = call(s.gateways[0], path, next_id())
+        check(a.status == 200 and a.whole, f"{path}: {a.status}")
+    for replica in s.plains + s.engines:
+        replica.answer_with = None
+    judge_flood(s)
+
+
+def judge_flood(s):
+    """All endpoints answer so, and then all but one of each service."""
+    play_flood(s, s.plains + s.engines, lambda status: status in (502, 503))
+    for replica in (s.plains[0], s.engines[0]):
+        replica.answer_with = None
+    play_flood(s, s.plains[1:] + s.engines[1:], lambda status: status == 200)
+    for replica in s.plains + s.engines:
+        replica.answer_with = None
+    check(send(s.gateways[0].front, "/lookup/1").status == 200, "not served")
+
+
+def play_flood(s, replicas, expected):
+    for replica in replicas:
+        replica.answer_with = flood
+        replica.endless_bytes = replica.endless_closed = 0
+    answers = []
+
+    def run(path):
+        begin = time.monotonic()
+        a = call(s.gateways[0], path, next_id(), FLOOD_DEADLINE_MS)
+        answers.append((path, a.status, time.monotonic() - begin))
+
+    threads = [threading.Thread(target=run, args=(PATHS[i % 2 * 2 + 1 - i % 2],))
+               for i in range(FLOOD_CALLERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    sent = sum(r.endless_bytes for r in s.plains + s.engines)
+    floods = sum(r.endless_closed for r in s.plains + s.engines)
+    slowest = max(took for _, _, took in answers)
+    with open(f"/proc/{s.gateways[0].popen.pid}/status", encoding="utf-8") as f:
+        peak = next(int(x.split()[1]) / 1024 for x in f if x.startswith("VmHWM"))
+    print(f"{floods} floods, {sent / 1e6:.1f} MB, slowest {slowest:.2f} s, peak "
+          f"{peak:.0f} MB, {sorted({status for _, status, _ in answers})}")
+    check(sent <= max(floods, 1) * FLOOD_MAX_BYTES, f"{sent} bytes of {floods} floods")
+    check(peak < PEAK_MB, f"peak {peak:.0f} MB")
+    check(slowest < FLOOD_DEADLINE_MS / 2000, f"{slowest:.1f} s")
+    check(all(expected(status) for _, status, _ in answers), f"{answers}")
+    check(floods > 0 or expected(200), "no flood")
+
+
+def informational_flood_through_instance(s):
+    cut_from_endpoints(s)
+    judge_flood(s)
+
+
 def bad_answers_to_orders(s):
     """The answers to orders and reports are none: bounded memory, no load counts
     as done, and the engine is used again when it answers."""
     for engine in s.engines:
         engine.order_answers = "000"
-    for mode in ("000", "600"):
+    for mode in ("000", "600", "flood"):
         for engine in s.engines:
             engine.order_answers = mode
         for n in range(6):
@@ -137,7 +223,7 @@
 def bad_answers_of_store(s):
     """An answer of the store with a status that is none is no answer: what was
     read stays in force."""
-    for n, mode in enumerate(("status_000", "status_0200"), 2):
+    for n, mode in enumerate(("status_000", "status_0200", "endless_informational"), 2):
         s.store.mode = mode
         s.store.put("op", "config", make_config(n, extra_routes=[]))
         wait_for("calls fail", lambda: "failures=0" not in
@@ -153,9 +239,13 @@
                  s.gw.state().split("feed op ")[1].split("\n")[0])
 
 
-status_that_is_none.system_class = GenerousSystem
-status_that_is_none_through_instance.system_class = GenerousCuttableSystem
-status_that_is_none_through_instance.system_options = {"gateways": 3}
+for scenario in (status_that_is_none, informational_answers):
+    scenario.system_class = GenerousSystem
+for scenario in (status_that_is_none_through_instance,
+                 informational_flood_through_instance):
+    scenario.system_class = GenerousCuttableSystem
+    scenario.system_options = {"gateways": 3}
 
 SCENARIOS = [status_that_is_none, status_that_is_none_through_instance,
+             informational_answers, informational_flood_through_instance,
              bad_answers_to_orders, bad_answers_of_store]
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -9,10 +9,16 @@
 #include "http/fg_http.h"
 
 #define TIMEOUT_MS 3000
+/* What fg_http reads of heads, and what the buffers of two sockets take. */
+#define FLOOD_MAX_BYTES ((size_t)10 << 20)
+/* The server gives up after this much. */
+#define FLOOD_END_BYTES ((size_t)200 << 20)
+
 struct server {
 	int listener;
 	char addr[32];
 	const char *text;
+	bool endless; /* sends `text` until the client closes */
 	size_t sent_bytes;
 	pthread_t thread;
 };
@@ -31,8 +37,11 @@
 	char request[4096];
 	int fd = accept(s->listener, NULL, NULL);
 
-	if (recv(fd, request, sizeof(request), 0) > 0)
-		send_text(s, fd);
+	if (recv(fd, request, sizeof(request), 0) > 0) {
+		while (send_text(s, fd) && s->endless &&
+		       s->sent_bytes < FLOOD_END_BYTES)
+			;
+	}
 	close(fd);
 	return NULL;
 }
@@ -107,11 +116,31 @@
 	g_assert_cmpuint(a.status, ==, 200);
 }
 
+/* Guards against informational answers, or fields, without end that are read
+ * until the time limit. */
+static void test_endless_heads(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nX-Filler: 123456789\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct server s = { .text = texts[i], .endless = true };
+		struct fg_http_answer a = call(&s);
+
+		g_assert_cmpint(a.error, ==, FG_HTTP_LOST);
+		g_assert_cmpuint(a.status, ==, 0);
+		g_assert_cmpuint(s.sent_bytes, <, FLOOD_MAX_BYTES);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	fg_http_init();
 	g_test_add_func("/http/bad_status", test_bad_status);
 	g_test_add_func("/http/informational", test_informational);
+	g_test_add_func("/http/endless_heads", test_endless_heads);
 	return g_test_run();
 }
