lib/h1: framing of chunks without end is malformed

Extensions of chunks count towards neither head nor body: an endpoint that sends one byte of body with 4 KB of extension again and again is read until 16 MiB of body have come, some 64 GB, or until the deadline.

Cause: http-parser limits one extension, and nothing limited their sum. Found by searching the class of informational answers without end.

Change: a message may have 256 KiB beside its body, and 16 bytes for each byte of it, more than chunks of one byte with sizes of eight digits take.

--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -267,6 +267,19 @@
 
 /* ---- Parser ---- */
 
+/* Bytes beside the body of a message: those of its head, its trailer and one
+ * extension of a chunk, each of which http-parser limits to 80 KiB, and for
+ * each byte of the body those of a chunk of its own, its size written with
+ * leading zeros. */
+#define FRAMING_MAX_BYTES (256 * 1024)
+#define FRAMING_PER_BODY_BYTE 16
+
+static bool has_endless_framing(const struct fg_h1 *h)
+{
+	return h->message_bytes - h->body_bytes >
+	       FRAMING_MAX_BYTES + FRAMING_PER_BODY_BYTE * h->body_bytes;
+}
+
 /* An idle connection keeps no more than this of its last head. */
 #define KEPT_HEAD_BYTES 4096
 
@@ -281,6 +294,7 @@
 	h->head.n_head_fields = 0;
 	h->head.target_at = 0;
 	h->body_bytes = 0;
+	h->message_bytes = 0;
 	h->line_len = 0;
 	h->in_value = false;
 	h->ended = false;
@@ -326,10 +340,13 @@
 		return 0;
 	n_consumed = http_parser_execute(&h->parser, &parser_settings, data,
 					 len_bytes);
+	h->message_bytes += n_consumed;
 	if (h->ended) {
 		notify_end(h);
 		return n_consumed;
 	}
+	if (h->fault == FG_H1_OK && has_endless_framing(h))
+		h->fault = FG_H1_MALFORMED;
 	if (HTTP_PARSER_ERRNO(&h->parser) != HPE_OK && h->fault == FG_H1_OK) {
 		h->fault = HTTP_PARSER_ERRNO(&h->parser) == HPE_HEADER_OVERFLOW
 				   ? FG_H1_HEAD_TOO_LARGE
--- a/lib/h1/fg_h1.h
+++ b/lib/h1/fg_h1.h
@@ -94,6 +94,7 @@
 	uint32_t head_max_bytes;
 	uint64_t body_max_bytes;
 	uint64_t body_bytes;
+	uint64_t message_bytes; /* of head, body and framing */
 	enum fg_h1_fault fault;
 	char line[FG_H1_STATUS_LINE_BYTES]; /* beginning of an answer */
 	uint32_t line_len;
@@ -103,7 +104,8 @@
 };
 
 /* Initializes a parser of requests, or of answers. `ops` is borrowed. A head or
- * body over its limit is a fault. */
+ * body over its limit is a fault, and so is more framing of chunks than a body
+ * in the smallest of chunks has. */
 void fg_h1_init(struct fg_h1 *h, bool requests, const struct fg_h1_ops *ops,
 		void *ctx, uint32_t head_max_bytes, uint64_t body_max_bytes);
 
--- a/tests/gateway_bad_answers.py
+++ b/tests/gateway_bad_answers.py
@@ -1,5 +1,5 @@
 """Scenarios of tests/gateway.py: answers with a status that is none, and
-informational answers without end."""
+answers without end."""
 
 import socket
 import re
@@ -56,16 +56,33 @@
     return answer
 
 
-def flood(replica, req, rid):
-    """An answer_with that writes informational answers until the caller closes."""
-    piece = b"HTTP/1.1 100 Continue\r\n\r\n" * 400
-    try:
-        while True:
-            req.sock.sendall(piece)
-            replica.endless_bytes += len(piece)
-    except OSError:
-        replica.endless_closed += 1
-    return False
+def flood(begin, piece):
+    """An answer_with that writes without end, until the caller closes."""
+
+    def answer(replica, req, rid):
+        try:
+            req.sock.sendall(begin(replica, rid))
+            while True:
+                req.sock.sendall(piece)
+                replica.endless_bytes += len(piece)
+        except OSError:
+            replica.endless_closed += 1
+        return False
+
+    return answer
+
+
+def own_head(replica, rid):
+    return (f"HTTP/1.1 200 OK\r\nRequest-Id: {rid}\r\nResponse-Stamp: "
+            f"{replica.name}\r\nTransfer-Encoding: chunked\r\n\r\n").encode()
+
+
+FLOODS = {
+    "informational": flood(lambda *_: b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 400),
+    "others": flood(lambda *_: b"", b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                                    b"Content-Length: 2\r\n\r\nno" * 400),
+    "extensions": flood(own_head, (b"1;e=" + b"x" * 4000 + b"\r\na\r\n") * 4),
+}
 
 
 def call(gateway, path, rid, deadline_ms=4000):
@@ -151,18 +168,22 @@
 
 def judge_flood(s):
     """All endpoints answer so, and then all but one of each service."""
-    play_flood(s, s.plains + s.engines, lambda status: status in (502, 503))
-    for replica in (s.plains[0], s.engines[0]):
-        replica.answer_with = None
-    play_flood(s, s.plains[1:] + s.engines[1:], lambda status: status == 200)
-    for replica in s.plains + s.engines:
-        replica.answer_with = None
-    check(send(s.gateways[0].front, "/lookup/1").status == 200, "not served")
-
-
-def play_flood(s, replicas, expected):
+    for what, answer in FLOODS.items():
+        print(what)
+        play_flood(s, s.plains + s.engines, answer,
+                   lambda status: status in (502, 503))
+        for replica in (s.plains[0], s.engines[0]):
+            replica.answer_with = None
+        play_flood(s, s.plains[1:] + s.engines[1:], answer,
+                   lambda status: status == 200)
+        for replica in s.plains + s.engines:
+            replica.answer_with = None
+        check(send(s.gateways[0].front, "/lookup/1").status == 200, "not served")
+
+
+def play_flood(s, replicas, answer, expected):
     for replica in replicas:
-        replica.answer_with = flood
+        replica.answer_with = answer
         replica.endless_bytes = replica.endless_closed = 0
     answers = []
 
@@ -191,7 +212,7 @@
     check(floods > 0 or expected(200), "no flood")
 
 
-def informational_flood_through_instance(s):
+def floods_through_instance(s):
     cut_from_endpoints(s)
     judge_flood(s)
 
@@ -242,10 +263,10 @@
 for scenario in (status_that_is_none, informational_answers):
     scenario.system_class = GenerousSystem
 for scenario in (status_that_is_none_through_instance,
-                 informational_flood_through_instance):
+                 floods_through_instance):
     scenario.system_class = GenerousCuttableSystem
     scenario.system_options = {"gateways": 3}
 
 SCENARIOS = [status_that_is_none, status_that_is_none_through_instance,
-             informational_answers, informational_flood_through_instance,
+             informational_answers, floods_through_instance,
              bad_answers_to_orders, bad_answers_of_store]
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -123,6 +123,8 @@
 	g_free(big);
 }
 
+#define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 static enum fg_h1_fault feed_answer(const char *text, size_t piece,
 				    unsigned int *status, char *bad)
 {
@@ -198,6 +200,36 @@
 	}
 }
 
+/* Guards against a body in chunks whose framing has no end: extensions count
+ * towards neither the head nor the body. */
+static void test_endless_framing(void)
+{
+	g_autofree char *filler = g_strnfill(4000, 'x');
+	g_autofree char *chunk = g_strdup_printf("1;e=%s\r\na\r\n", filler);
+	size_t fed = 0;
+	struct fg_h1 h;
+	struct message_log s;
+
+	init_parser(&h, &s, false);
+	fg_h1_feed(&h, CHUNKED_HEAD, strlen(CHUNKED_HEAD));
+	while (h.fault == FG_H1_OK && fed < (size_t)4 << 20) {
+		fg_h1_feed(&h, chunk, strlen(chunk));
+		fed += strlen(chunk);
+	}
+	g_assert_cmpint(h.fault, ==, FG_H1_MALFORMED);
+	g_assert_cmpuint(fed, <, (size_t)1 << 20);
+	clear_parser(&h, &s);
+	/* The smallest chunks there are do not exceed it. */
+	init_parser(&h, &s, false);
+	fg_h1_feed(&h, CHUNKED_HEAD, strlen(CHUNKED_HEAD));
+	for (int i = 0; i < 1000; i++)
+		fg_h1_feed(&h, "00000001\r\na\r\n", 13);
+	fg_h1_feed(&h, "0\r\n\r\n", 5);
+	g_assert_true(h.ended);
+	g_assert_cmpuint(s.body->len, ==, 1000);
+	clear_parser(&h, &s);
+}
+
 static void test_answer_without_length(void)
 {
 	static const char text[] = "HTTP/1.1 200 OK\r\n\r\nall of it";
@@ -1430,6 +1462,7 @@
 	g_test_add_func("/h1/pipelined", test_pipelined);
 	g_test_add_func("/h1/bad", test_bad_requests);
 	g_test_add_func("/h1/bad_status", test_bad_status);
+	g_test_add_func("/h1/endless_framing", test_endless_framing);
 	g_test_add_func("/h1/no_length", test_answer_without_length);
 	g_test_add_func("/h1/hop", test_hop_by_hop_fields);
 	g_test_add_func("/platform/system_fields", test_system_fields);
