lib/gateway: names that no order can spell are refused with 400

Cause: lib/slots cut the name off and kept the key of the whole one, so that the load was queued again while it was under way, and its second start met an assertion.

Change: models and adapters of requests to engines have 1 to 95 bytes of valid UTF-8, as rows, reports and datagrams; others get 400 at once. lib/slots refuses such a load, and start_load() drops a request whose adapter has a slot.

--- a/lib/fleet/fg_fleet.c
+++ b/lib/fleet/fg_fleet.c
@@ -417,6 +417,14 @@
 
 /* ---- Adapters ---- */
 
+bool fg_name_is_usable(const char *name)
+{
+	size_t len = strnlen(name, FG_FLEET_NAME_BYTES);
+
+	return len > 0 && len < FG_FLEET_NAME_BYTES &&
+	       g_utf8_validate(name, (gssize)len, NULL);
+}
+
 uint64_t fg_adapter_key(const char *model, const char *adapter)
 {
 	return fg_hash_mix(fg_hash_str(model), fg_hash_str(adapter));
--- a/lib/fleet/fg_fleet.h
+++ b/lib/fleet/fg_fleet.h
@@ -235,6 +235,10 @@
 struct fg_fleet_ep *fg_ep_ref(struct fg_fleet_ep *ep);
 void fg_ep_unref(struct fg_fleet_ep *ep);
 
+/* Returns whether the name of a model or an adapter can be kept and put into an
+ * order: valid UTF-8 of 1 to FG_FLEET_NAME_BYTES - 1 bytes. */
+bool fg_name_is_usable(const char *name);
+
 /* Returns the key of an adapter, or of the model when `adapter` is empty. */
 uint64_t fg_adapter_key(const char *model, const char *adapter);
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -604,6 +604,18 @@
 			fg_adapter_key(r->call.model, fg_gwreq_adapter_name(r));
 }
 
+/* Refuses a request for a model or an adapter that no order could name. Returns
+ * false if it was answered. */
+static bool check_names(struct fg_gwreq *r)
+{
+	if (!r->service->engine || r->call.model == NULL ||
+	    (fg_name_is_usable(r->call.model) &&
+	     (r->call.adapter == NULL || fg_name_is_usable(r->call.adapter))))
+		return true;
+	fg_gwreq_fail(r, HTTP_STATUS_BAD_REQUEST, "unusable_name");
+	return false;
+}
+
 void fg_gwreq_place_admitted(struct fg_gwreq *r)
 {
 	struct fg_gateway *gw = r->gw;
@@ -630,6 +642,8 @@
 	if (!find_route_or_answer(r) || !fg_gw_workspace_admit(r))
 		return;
 	set_service_and_limits(r);
+	if (!check_names(r))
+		return;
 	if (r->call.resumes && r->route->resumable)
 		fg_events_continue_after(&r->events, r->call.resume_after);
 	if (fg_gw_stop_refuse_late(r))
--- a/lib/slots/fg_slots.c
+++ b/lib/slots/fg_slots.c
@@ -64,9 +64,9 @@
 {
 	struct fg_slot *slot;
 
-	if (s->n == FG_SLOTS_MAX)
+	if (s->n == FG_SLOTS_MAX ||
+	    fg_slot_find(s, fg_adapter_key(model, adapter)) != NULL)
 		return NULL;
-	g_assert(fg_slot_find(s, fg_adapter_key(model, adapter)) == NULL);
 	slot = &s->slots[s->n++];
 	memset(slot, 0, sizeof(*slot));
 	g_strlcpy(slot->model, model, sizeof(slot->model));
@@ -179,7 +179,8 @@
 	}
 	if (adapter[0] == '\0' || strcmp(model, s->base.model) != 0)
 		return FG_SLOT_FULL; /* the engine serves another model */
-	if (!fg_slots_could_hold(&s->conf.limits, model))
+	if (!fg_name_is_usable(adapter) ||
+	    !fg_slots_could_hold(&s->conf.limits, model))
 		return FG_SLOT_FULL;
 	if (s->queue->len >= s->conf.queue_max)
 		return FG_SLOT_FULL;
--- a/lib/slots/fg_slots_internal.h
+++ b/lib/slots/fg_slots_internal.h
@@ -74,7 +74,8 @@
 /* Returns whether the slot is resident in the newest announced version. */
 bool fg_slot_is_current(const struct fg_slot *slot);
 
-/* Adds a slot for an adapter that has none; NULL if the table is full. */
+/* Adds a slot for an adapter. Returns NULL if it has one, or the table is full.
+ */
 struct fg_slot *fg_slots_add(struct fg_slots *s, fg_ms now, const char *model,
 			     const char *adapter);
 void fg_slots_drop(struct fg_slots *s, struct fg_slot *slot);
--- a/lib/slots/fg_slots_step.c
+++ b/lib/slots/fg_slots_step.c
@@ -85,20 +85,24 @@
 	return best;
 }
 
-static void start_load(struct fg_slots *s, fg_ms now, guint index,
+static bool start_load(struct fg_slots *s, fg_ms now, guint index,
 		       struct fg_slots_step *step)
 {
 	const struct fg_load_request *r =
 		&g_array_index(s->queue, struct fg_load_request, index);
 	struct fg_slot *slot = fg_slots_add(s, now, r->model, r->adapter);
 
-	g_assert(slot != NULL);
+	if (slot == NULL) {
+		g_array_remove_index(s->queue, index);
+		return false;
+	}
 	slot->phase = LOADING;
 	slot->check_at = now;
 	slot->started_at = now;
 	slot->fetch = fg_slots_is_fetch(s, slot->key);
 	g_array_remove_index(s->queue, index);
 	issue_step(s, FG_SLOTS_LOAD, slot, step);
+	return true;
 }
 
 /* Starts the load of a queued request, or the unload that it needs first. */
@@ -113,10 +117,8 @@
 	    fg_slots_count(s, LOADING) >= s->conf.loads_max)
 		return false;
 	model = g_array_index(s->queue, struct fg_load_request, index).model;
-	if (fg_slots_fits(s, model)) {
-		start_load(s, now, index, step);
-		return true;
-	}
+	if (fg_slots_fits(s, model))
+		return start_load(s, now, index, step);
 	if (fg_slots_count(s, UNLOADING) > 0 ||
 	    !fg_slots_fits_after_evictions(s, now, model))
 		return false;
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -663,6 +663,48 @@
 	fg_slots_free(s);
 }
 
+/* ---- Names ---- */
+
+/* Guards against a name that is cut off in a slot and not in its key: the
+ * adapter was never found to be there, and was loaded twice. */
+static void test_names(void)
+{
+	static const size_t lens[] = { 1,
+				       FG_FLEET_NAME_BYTES - 2,
+				       FG_FLEET_NAME_BYTES - 1,
+				       FG_FLEET_NAME_BYTES,
+				       FG_FLEET_NAME_BYTES + 1,
+				       8000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lens); i++) {
+		struct fg_slots *s = slots_new();
+		g_autofree char *name = g_strnfill(lens[i], 'n');
+		bool usable = lens[i] < FG_FLEET_NAME_BYTES;
+		uint32_t loads = 0;
+
+		g_assert_cmpint(fg_name_is_usable(name), ==, usable);
+		sync_without_adapters(s, 1000, 0);
+		for (fg_ms now = 1000; now < 2000; now += 10) {
+			struct fg_slots_step step;
+
+			g_assert_cmpint(
+				fg_slots_request_load(s, now, MODEL, name, 0),
+				==, usable ? FG_SLOT_PENDING : FG_SLOT_FULL);
+			step = fg_slots_next(s, now, true);
+			if (step.act == FG_SLOTS_NOTHING)
+				continue;
+			loads++;
+			fg_slots_handle_result(s, now, FG_WIRE_ORDER_ACCEPTED);
+		}
+		g_assert_cmpint(loads > 0, ==, usable);
+		fg_slots_free(s);
+	}
+	g_assert_false(fg_name_is_usable(""));
+	g_assert_false(fg_name_is_usable("\xff\xfe"));
+	g_assert_false(fg_name_is_usable("\xc3"));
+	g_assert_true(fg_name_is_usable("\xc3\xa9"));
+}
+
 /* ---- Load window ---- */
 
 static void test_loadgate(void)
@@ -708,6 +750,7 @@
 	g_test_add_func("/slots/limits_shrink", test_limits_shrink);
 	g_test_add_func("/slots/larger_than_engine", test_larger_than_engine);
 	g_test_add_func("/slots/memory_seeds", test_memory_seeds);
+	g_test_add_func("/slots/names", test_names);
 	g_test_add_func("/slots/loadgate", test_loadgate);
 	return g_test_run();
 }
