platform: rows of other parts are not this system's

Cause: the feed of a table covers all parts, and the part of a row was not read. Entries of endpoints and rows of instances were affected as well, written or removed.

--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -75,6 +75,14 @@
             self._write(table, key, raw)
             self.cond.notify_all()
 
+    def put_in_part(self, table, part, key, raw):
+        """Writes, or with raw None removes, a row of another part: only the feed
+        of a table covers all of its parts."""
+        with self.cond:
+            self.version += 1
+            self.history.append((self.version, table, (part, key), raw))
+            self.cond.notify_all()
+
     def remove(self, table, key):
         with self.cond:
             self._write(table, key, None)
@@ -198,7 +206,8 @@
         return [] if self.era is None else [("Store-Era", str(self.era))]
 
     def _row(self, table, key, raw, version):
-        row = {"table": table, "part": "", "key": key, "ver": version}
+        part, key = key if isinstance(key, tuple) else ("", key)
+        row = {"table": table, "part": part, "key": key, "ver": version}
         if raw is None:
             row["removed"] = True
         else:
--- a/tests/gateway_odd_rows.py
+++ b/tests/gateway_odd_rows.py
@@ -5,7 +5,8 @@
 import re
 
 from hosted import (
-    check, find_log_lines, has_all_events, http_get, next_id, send, send_draft, wait_for)
+    check, find_log_lines, has_all_events, http_get, make_config, next_id, send,
+    send_draft, wait_for)
 
 DEEP = 10000
 TABLE = "fulmargauge"  # of the instances' own rows
@@ -49,6 +50,32 @@
             "a\tb", "\x7f"]
 
 
+def rows_of_other_parts(s):
+    """Guards against a row of another part that is taken for the configuration,
+    an endpoint, or a row of the instances, or for its removal."""
+    draft = make_config(40)
+    for route in draft["routes"]:
+        route["service"] = "models"
+    for table, key in (("op", "config"), ("servers", s.plains[0].name),
+                       ("servers", "foreign"), (TABLE, "instance/foreign")):
+        value = draft if table == "op" else json.loads(entry())
+        s.store.put_in_part(table, "draft", key, json.dumps(value).encode())
+    s.store.put_in_part("servers", "draft", s.plains[1].name, None)
+    s.store.put("op", "config", make_config(3))
+    for gateway in s.gateways:
+        wait_for("in force", lambda g=gateway: any(
+            line.get("version") == "3" for line in find_log_lines(g, "configuration")))
+        check(not any(line.get("version") == "40" for line in find_log_lines(
+            gateway, "configuration")), "the draft is in force")
+        check("endpoint=foreign" not in gateway.log(), "an entry of another part")
+        for _ in range(6):
+            rid = next_id()
+            check(send(gateway.front, "/order/1", rid).status == 200, "order")
+            check(sum(p.run_ids.count(rid) for p in s.plains) == 1, "ran elsewhere")
+    for plain in s.plains:
+        check(plain.run_ids, f"{plain.name} got no order")
+
+
 def refused_count(gateway):
     return sum(int(n) for n in re.findall(
         r"^fg_gw_rows_refused_total\S* (\d+)$", http_get(gateway.metrics, "/metrics")[1],
@@ -223,8 +250,10 @@
 
 
 odd_announcements.system_options = {"gateways": 2}
+rows_of_other_parts.system_options = {"gateways": 3}
 
 
 SCENARIOS = [
     odd_entries, odd_entries_at_start, odd_keys, entry_turns_odd, odd_own_rows, odd_announcements,
+    rows_of_other_parts,
 ]
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -1097,6 +1097,28 @@
 	g_clear_error(&error);
 }
 
+/* Guards against a row of another part that stands for the one with its key. */
+static void test_rows_of_other_parts(void)
+{
+	static const char text[] =
+		"{\"rows\":[{\"table\":\"op\",\"part\":\"draft\",\"key\":"
+		"\"config\",\"value\":\"bm9kZS0x\",\"ver\":4},"
+		"{\"table\":\"op\",\"part\":\"draft\",\"key\":\"config\","
+		"\"ver\":5,\"removed\":true},"
+		"{\"table\":\"op\",\"part\":7,\"key\":\"config\",\"ver\":6},"
+		"{\"table\":\"op\",\"part\":\"\",\"key\":\"config\","
+		"\"value\":\"bm9kZS0x\",\"ver\":7}],\"ver\":9}";
+	struct fg_store_rows rows;
+	const struct fg_store_row *row;
+
+	g_assert_true(fgp_wire.rows_read(text, strlen(text), &rows, NULL));
+	g_assert_cmpuint(rows.rows->len, ==, 1);
+	row = rows.rows->pdata[0];
+	g_assert_cmpuint(row->version, ==, 7);
+	g_assert_cmpuint(rows.version, ==, 9);
+	fg_store_rows_clear(&rows);
+}
+
 static void test_order(void)
 {
 	struct fg_wire_order order = { .load = true,
@@ -1492,6 +1514,8 @@
 	g_test_add_func("/platform/config_sizes", test_config_sizes);
 	g_test_add_func("/platform/entry", test_entry);
 	g_test_add_func("/platform/rows", test_rows);
+	g_test_add_func("/platform/rows_of_other_parts",
+			test_rows_of_other_parts);
 	g_test_add_func("/platform/order", test_order);
 	g_test_add_func("/platform/report", test_report);
 	g_test_add_func("/events/split", test_events);
