--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -61,7 +61,7 @@
 	}
 	fg_gw_overload_note_send(r, fg_clock_now());
 	fg_gwreq_enter_state(r, FG_GWREQ_SENT, FG_MS_NEVER);
-	if (r->conn == NULL)
+	if (r->state == FG_GWREQ_SENT && r->conn == NULL)
 		fg_send_start(r);
 }
 
--- a/lib/slots/fg_slots_internal.h
+++ b/lib/slots/fg_slots_internal.h
@@ -103,7 +103,8 @@
 /* Returns whether the engine can hold the base model that it lacks. */
 bool fg_slots_base_fits(const struct fg_slots *s);
 
-/* Returns the memory of a base model; UINT64_MAX: not known. */
+/* Returns the memory of a base model; more than any engine has for one that the
+ * limits do not list. */
 uint64_t fg_slots_weights_kb(const struct fg_slots *s, const char *model);
 
 /* Returns whether the adapter is resident and idle for long enough. */
