--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -43,9 +43,10 @@
 from gateway_stutter import SCENARIOS as STUTTER_SCENARIOS
 from gateway_versions import SCENARIOS as VERSION_SCENARIOS
 from hosted import (
-    Answer, EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, System,
+    Answer, EVENTS, Gateway, HERE, HOST, MODEL, PEAK_MB, Replica, Store, System,
     broken_orders, check, event_ids, find_log_line, find_log_lines,
-    has_all_events, http_get, make_config, next_id, send, send_draft, wait_for)
+    has_all_events, http_get, make_config, next_id, peak_memory_mb, send,
+    send_draft, wait_for)
 
 EVENT_DELAY_MAX_S = 0.25  # setting passMs of the users' platform
 
@@ -171,15 +172,6 @@
         check(s.run_count(rid) == runs, f"{fault} {path}: {s.run_count(rid)}")
 
 
-def peak_memory_mb(gateway):
-    with open(f"/proc/{gateway.popen.pid}/status", encoding="utf-8") as f:
-        line = next(line for line in f if line.startswith("VmHWM"))
-    return int(line.split()[1]) / 1024
-
-
-PEAK_MB = 120  # the smallest machine of the users has 160 MB
-
-
 def endless_answers(s):
     """Bytes without end that are no answer, in a head or in a body, end with the
     time limit or before, take bounded memory, and the connection is closed."""
--- a/tests/gateway_bad_answers.py
+++ b/tests/gateway_bad_answers.py
@@ -1,7 +1,6 @@
 """Scenarios of tests/gateway.py: answers with a status that is none, and
 answers without end."""
 
-import socket
 import re
 import threading
 import time
@@ -9,8 +8,8 @@
 from gateway_cuts import CuttableSystem
 from gateway_tunnels import cut_from_endpoints
 from hosted import (
-    http_get, Gateway, MODEL, System, check, find_log_lines, has_all_events, make_config, next_id, send,
-    send_draft, wait_for)
+    PEAK_MB, Gateway, System, check, find_log_lines, has_all_events, http_get, make_config,
+    next_id, peak_memory_mb, send, send_draft, wait_for)
 
 BAD_STATUSES = ("000", "0", "001", "020", "099", "101", "600", "999", "0200", "1000",
                 "65736", "-200", "2x0", "+200", "")
@@ -19,7 +18,6 @@
 AT_ONCE_S = 1.5  # far less than Deadline-Ms
 FLOOD_CALLERS = 40
 FLOOD_DEADLINE_MS = 6000
-PEAK_MB = 120  # as for other answers without end
 # What an instance reads of informational answers, and what the buffers of two
 # sockets take on top of it.
 FLOOD_MAX_BYTES = 64 * 1024 + 8 * 1024 * 1024
@@ -192,7 +190,7 @@
         a = call(s.gateways[0], path, next_id(), FLOOD_DEADLINE_MS)
         answers.append((path, a.status, time.monotonic() - begin))
 
-    threads = [threading.Thread(target=run, args=(PATHS[i % 2 * 2 + 1 - i % 2],))
+    threads = [threading.Thread(target=run, args=(("/lookup/1", "/draft/1")[i % 2],))
                for i in range(FLOOD_CALLERS)]
     for thread in threads:
         thread.start()
@@ -201,8 +199,7 @@
     sent = sum(r.endless_bytes for r in s.plains + s.engines)
     floods = sum(r.endless_closed for r in s.plains + s.engines)
     slowest = max(took for _, _, took in answers)
-    with open(f"/proc/{s.gateways[0].popen.pid}/status", encoding="utf-8") as f:
-        peak = next(int(x.split()[1]) / 1024 for x in f if x.startswith("VmHWM"))
+    peak = peak_memory_mb(s.gateways[0])
     print(f"{floods} floods, {sent / 1e6:.1f} MB, slowest {slowest:.2f} s, peak "
           f"{peak:.0f} MB, {sorted({status for _, status, _ in answers})}")
     check(sent <= max(floods, 1) * FLOOD_MAX_BYTES, f"{sent} bytes of {floods} floods")
@@ -220,8 +217,6 @@
 def bad_answers_to_orders(s):
     """The answers to orders and reports are none: bounded memory, no load counts
     as done, and the engine is used again when it answers."""
-    for engine in s.engines:
-        engine.order_answers = "000"
     for mode in ("000", "600", "flood"):
         for engine in s.engines:
             engine.order_answers = mode
@@ -229,9 +224,7 @@
             a = send_draft(s.gw, f"{mode}{n}", headers={"Deadline-Ms": "1000"})
             check(a.status in (200, 502, 503, 504), f"{mode}: {a.status}")
         check(s.gw.popen.poll() is None, "the process ended")
-        with open(f"/proc/{s.gw.popen.pid}/status", encoding="utf-8") as f:
-            peak = next(int(x.split()[1]) / 1024 for x in f
-                        if x.startswith("VmHWM"))
+        peak = peak_memory_mb(s.gw)
         check(peak < PEAK_MB, f"{mode}: {peak:.0f} MB")
         check(not any(o[2] == "overfull" for e in s.engines for o in e.orders),
               f"{mode}: overfull")
@@ -251,9 +244,7 @@
                  s.gw.state().split("feed op ")[1].split("\n")[0])
         for _ in range(10):
             check(send(s.gw.front, "/order/1").status == 200, mode)
-        with open(f"/proc/{s.gw.popen.pid}/status", encoding="utf-8") as f:
-            peak = next(int(x.split()[1]) / 1024 for x in f
-                        if x.startswith("VmHWM"))
+        peak = peak_memory_mb(s.gw)
         check(peak < PEAK_MB, f"{mode}: {peak:.0f} MB")
         s.store.mode = "up"
         wait_for("reads again", lambda: "failures=0" in
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -274,6 +274,15 @@
         self.folder.cleanup()
 
 
+PEAK_MB = 120  # the smallest machine of the users has 160 MB
+
+
+def peak_memory_mb(gateway):
+    with open(f"/proc/{gateway.popen.pid}/status", encoding="utf-8") as f:
+        line = next(line for line in f if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1024
+
+
 def http_get(addr, path):
     host, port = addr.split(":")
     conn = http.client.HTTPConnection(host, int(port), timeout=5)
