--- a/review/12/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Shows the case of claim.txt. Exits with 1 if the rule was broken, 0 if it held,
-# 2 if the case could not run. TROUBLE=0: all requesters read at once.
-exec python3 -B "$(dirname "$0")/slow_readers.py"
