--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -1,4 +1,4 @@
-"""What the cases 11 to 15 share: gateway processes with the command of the
+"""What the cases 11 to 14 share: gateway processes with the command of the
 deploy file, requesters on plain sockets, and the record of a case.
 
 The stand-ins of the store and of replicas are the project's own
