--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "base/fg_address.h"
+#include "link/fg_link_priv.h"
 
 /* A dead peer is detected within about 3 s. That is less than the 4 s after
  * which the platform counts an instance as reachable again. With
@@ -23,35 +24,6 @@
  * the kernel no longer chooses its size. */
 #define PAUSED_BUFFER_BYTES (128 * 1024)
 #define RESUMED_BUFFER_BYTES (256 * 1024)
-/* After fg_link_close(), a peer that takes no queued bytes for this long, or
- * not all of them in this time, gets no more. */
-#define FLUSH_STALL_MS 5000
-#define FLUSH_MAX_MS 60000
-/* After fg_link_close_draining(), what the peer still sends is dropped for this
- * long after the last byte was sent, and up to this amount. */
-#define DRAIN_MAX_MS 2000
-#define DRAIN_MAX_BYTES (16 * 1024 * 1024)
-
-struct fg_link {
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uv_shutdown_t shutdown;
-	uv_timer_t timer; /* checks a close with flush */
-	const struct fg_link_ops *ops;
-	void *ctx; /* NULL after fg_link_close() */
-	size_t pending_bytes;
-	GList flushing_node;	 /* in `flushing` */
-	size_t unsent_bytes;	 /* at the last check of the flush */
-	uint64_t flush_until_ms; /* in the loop's time */
-	uint64_t dropped_bytes;	 /* received after the close */
-	int open_handles;	 /* tcp and timer; at 0 the link is freed */
-	bool closed;		 /* by the user: no further callbacks */
-	bool closing;		 /* the handles are being closed */
-	bool connected;
-	bool paused;   /* is not read */
-	bool flushing; /* closed, queued bytes are being sent */
-	bool drains;   /* then reads on until the peer closes its side */
-};
 
 struct write_req {
 	uv_write_t req;
@@ -63,59 +35,6 @@
 /* Shared by all links, since libuv reads one link at a time. */
 static char read_buffer[READ_BYTES];
 
-static GQueue flushing = G_QUEUE_INIT;
-static uint32_t n_open; /* links that hold a descriptor */
-
-static void on_handle_closed(uv_handle_t *handle)
-{
-	struct fg_link *l = handle->data;
-
-	if (--l->open_handles == 0)
-		g_free(l);
-}
-
-/* Returns false if the handles are being closed already. */
-static bool begin_closing(struct fg_link *l)
-{
-	if (l->closing)
-		return false;
-	l->closing = true;
-	n_open--;
-	if (l->flushing)
-		g_queue_unlink(&flushing, &l->flushing_node);
-	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
-	return true;
-}
-
-static void close_handles(struct fg_link *l)
-{
-	if (begin_closing(l))
-		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
-}
-
-static void set_linger(const struct fg_link *l, bool on)
-{
-	struct linger linger = { .l_onoff = on };
-	uv_os_fd_t fd;
-
-	/* On failure, the end is an orderly one, as without the option. */
-	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0)
-		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
-				 sizeof(linger));
-}
-
-static void reset_handles(struct fg_link *l)
-{
-	if (!begin_closing(l))
-		return;
-	/* libuv refuses to reset after a shutdown. */
-	if (l->flushing)
-		set_linger(l, true);
-	if (l->flushing || !l->connected ||
-	    uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0)
-		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
-}
-
 static void set_options(struct fg_link *l)
 {
 	uv_os_fd_t fd;
@@ -169,27 +88,12 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
 }
 
-/* The link is closed, and n bytes came; below 0: the peer's end. */
-static void drop_read(struct fg_link *l, ssize_t n)
-{
-	if (!l->drains || l->closing)
-		return;
-	l->dropped_bytes += (uint64_t)MAX(n, 0);
-	if (n >= 0 && l->dropped_bytes <= DRAIN_MAX_BYTES)
-		return;
-	l->drains = false;
-	uv_read_stop((uv_stream_t *)&l->tcp);
-	/* Else the flush ends it. */
-	if (fg_link_unsent_bytes(l) == 0)
-		close_handles(l);
-}
-
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct fg_link *l = stream->data;
 
 	if (l->closed) {
-		drop_read(l, n);
+		fg_link_drop_read(l, n);
 		return;
 	}
 	if (n > 0) {
@@ -213,7 +117,7 @@
 	l->tcp.data = l;
 	l->timer.data = l;
 	l->open_handles = 2;
-	n_open++;
+	fg_link_count_open();
 	return l;
 }
 
@@ -246,7 +150,7 @@
 	if (uv_tcp_connect(&l->connect, &l->tcp, (struct sockaddr *)&remote,
 			   on_connect) != 0) {
 		l->closed = true;
-		close_handles(l);
+		fg_link_close_handles(l);
 		return NULL;
 	}
 	return l;
@@ -259,7 +163,7 @@
 
 	if (uv_accept(listener, (uv_stream_t *)&l->tcp) != 0) {
 		l->closed = true;
-		close_handles(l);
+		fg_link_close_handles(l);
 		return NULL;
 	}
 	l->connected = true;
@@ -280,7 +184,7 @@
 
 void fg_link_reset_on_exit(const struct fg_link *l)
 {
-	set_linger(l, true);
+	fg_link_set_linger(l, true);
 }
 
 void fg_link_set_ctx(struct fg_link *l, void *ctx)
@@ -427,129 +331,6 @@
 	return MAX((size_t)MAX(n, 0), PAUSED_BUFFER_BYTES / 2);
 }
 
-static void on_drain_timer(uv_timer_t *timer)
-{
-	close_handles(timer->data);
-}
-
-static void on_shutdown(uv_shutdown_t *req, int status)
-{
-	struct fg_link *l = req->data;
-
-	if (status == 0)
-		set_linger(l, false);
-	if (status == 0 && l->drains)
-		uv_timer_start(&l->timer, on_drain_timer, DRAIN_MAX_MS, 0);
-	else
-		close_handles(l);
-}
-
-/* The peer must not take a part for the whole. */
-static void on_flush_timer(uv_timer_t *timer)
-{
-	struct fg_link *l = timer->data;
-	size_t unsent = fg_link_unsent_bytes(l);
-
-	if (unsent < l->unsent_bytes && uv_now(timer->loop) < l->flush_until_ms)
-		l->unsent_bytes = unsent;
-	else
-		reset_handles(l);
-}
-
-void fg_link_close(struct fg_link *l, bool flush)
-{
-	if (l->closed)
-		return;
-	l->closed = true;
-	l->ctx = NULL;
-	l->shutdown.data = l;
-	if (!flush || !l->connected ||
-	    uv_shutdown(&l->shutdown, (uv_stream_t *)&l->tcp, on_shutdown) !=
-		    0) {
-		close_handles(l);
-		return;
-	}
-	l->flushing = true;
-	l->flushing_node.data = l;
-	g_queue_push_tail_link(&flushing, &l->flushing_node);
-	l->unsent_bytes = fg_link_unsent_bytes(l);
-	l->flush_until_ms = uv_now(l->timer.loop) + FLUSH_MAX_MS;
-	uv_timer_start(&l->timer, on_flush_timer, FLUSH_STALL_MS,
-		       FLUSH_STALL_MS);
-}
-
-void fg_link_close_draining(struct fg_link *l)
-{
-	l->drains = l->connected;
-	fg_link_resume(l);
-	fg_link_close(l, true);
-}
-
-uint32_t fg_link_open_count(void)
-{
-	return n_open;
-}
-
-uint32_t fg_link_flushing_count(void)
-{
-	return flushing.length;
-}
-
-uint64_t fg_link_flushing_bytes(void)
-{
-	uint64_t bytes = 0;
-
-	for (const GList *it = flushing.head; it != NULL; it = it->next)
-		bytes += fg_link_unsent_bytes(it->data);
-	return bytes;
-}
-
-bool fg_link_abort_largest_flushing(void)
-{
-	struct fg_link *largest = NULL;
-
-	for (const GList *it = flushing.head; it != NULL; it = it->next) {
-		struct fg_link *l = it->data;
-
-		if (largest == NULL ||
-		    fg_link_unsent_bytes(l) > fg_link_unsent_bytes(largest))
-			largest = l;
-	}
-	if (largest == NULL || fg_link_unsent_bytes(largest) == 0)
-		return false;
-	reset_handles(largest);
-	return true;
-}
-
-bool fg_link_abort_oldest_flushing(void)
-{
-	struct fg_link *oldest;
-
-	if (flushing.head == NULL)
-		return false;
-	oldest = flushing.head->data;
-	if (fg_link_unsent_bytes(oldest) > 0)
-		reset_handles(oldest);
-	else
-		close_handles(oldest);
-	return true;
-}
-
-void fg_link_abort_flushing(void)
-{
-	while (fg_link_abort_oldest_flushing())
-		;
-}
-
-void fg_link_abort(struct fg_link *l)
-{
-	if (l->closed)
-		return;
-	l->closed = true;
-	l->ctx = NULL;
-	reset_handles(l);
-}
-
 int fg_link_listen(uv_loop_t *loop, uv_tcp_t *listener, const char *address,
 		   uv_connection_cb on_connection)
 {
--- /dev/null
+++ b/lib/link/fg_link_close.c
@@ -0,0 +1,208 @@
+/* The end of a link: flush, drain, reset. */
+#include <sys/socket.h>
+
+#include "link/fg_link_priv.h"
+
+/* After fg_link_close(), a peer that takes no queued bytes for this long, or
+ * not all of them in this time, gets no more. */
+#define FLUSH_STALL_MS 5000
+#define FLUSH_MAX_MS 60000
+/* After fg_link_close_draining(), what the peer still sends is dropped for this
+ * long after the last byte was sent, and up to this amount. */
+#define DRAIN_MAX_MS 2000
+#define DRAIN_MAX_BYTES (16 * 1024 * 1024)
+
+static GQueue flushing = G_QUEUE_INIT;
+static uint32_t n_open; /* links that hold a descriptor */
+
+void fg_link_count_open(void)
+{
+	n_open++;
+}
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	struct fg_link *l = handle->data;
+
+	if (--l->open_handles == 0)
+		g_free(l);
+}
+
+/* Returns false if the handles are being closed already. */
+static bool begin_closing(struct fg_link *l)
+{
+	if (l->closing)
+		return false;
+	l->closing = true;
+	n_open--;
+	if (l->flushing)
+		g_queue_unlink(&flushing, &l->flushing_node);
+	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
+	return true;
+}
+
+void fg_link_close_handles(struct fg_link *l)
+{
+	if (begin_closing(l))
+		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+}
+
+void fg_link_set_linger(const struct fg_link *l, bool on)
+{
+	struct linger linger = { .l_onoff = on };
+	uv_os_fd_t fd;
+
+	/* On failure, the end is an orderly one, as without the option. */
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0)
+		(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+				 sizeof(linger));
+}
+
+static void reset_handles(struct fg_link *l)
+{
+	if (!begin_closing(l))
+		return;
+	/* libuv refuses to reset after a shutdown. */
+	if (l->flushing)
+		fg_link_set_linger(l, true);
+	if (l->flushing || !l->connected ||
+	    uv_tcp_close_reset(&l->tcp, on_handle_closed) != 0)
+		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
+}
+
+void fg_link_drop_read(struct fg_link *l, ssize_t n)
+{
+	if (!l->drains || l->closing)
+		return;
+	l->dropped_bytes += (uint64_t)MAX(n, 0);
+	if (n >= 0 && l->dropped_bytes <= DRAIN_MAX_BYTES)
+		return;
+	l->drains = false;
+	uv_read_stop((uv_stream_t *)&l->tcp);
+	/* Else the flush ends it. */
+	if (fg_link_unsent_bytes(l) == 0)
+		fg_link_close_handles(l);
+}
+
+static void on_drain_timer(uv_timer_t *timer)
+{
+	fg_link_close_handles(timer->data);
+}
+
+static void on_shutdown(uv_shutdown_t *req, int status)
+{
+	struct fg_link *l = req->data;
+
+	if (status == 0)
+		fg_link_set_linger(l, false);
+	if (status == 0 && l->drains)
+		uv_timer_start(&l->timer, on_drain_timer, DRAIN_MAX_MS, 0);
+	else
+		fg_link_close_handles(l);
+}
+
+/* The peer must not take a part for the whole. */
+static void on_flush_timer(uv_timer_t *timer)
+{
+	struct fg_link *l = timer->data;
+	size_t unsent = fg_link_unsent_bytes(l);
+
+	if (unsent < l->unsent_bytes && uv_now(timer->loop) < l->flush_until_ms)
+		l->unsent_bytes = unsent;
+	else
+		reset_handles(l);
+}
+
+void fg_link_close(struct fg_link *l, bool flush)
+{
+	if (l->closed)
+		return;
+	l->closed = true;
+	l->ctx = NULL;
+	l->shutdown.data = l;
+	if (!flush || !l->connected ||
+	    uv_shutdown(&l->shutdown, (uv_stream_t *)&l->tcp, on_shutdown) !=
+		    0) {
+		fg_link_close_handles(l);
+		return;
+	}
+	l->flushing = true;
+	l->flushing_node.data = l;
+	g_queue_push_tail_link(&flushing, &l->flushing_node);
+	l->unsent_bytes = fg_link_unsent_bytes(l);
+	l->flush_until_ms = uv_now(l->timer.loop) + FLUSH_MAX_MS;
+	uv_timer_start(&l->timer, on_flush_timer, FLUSH_STALL_MS,
+		       FLUSH_STALL_MS);
+}
+
+void fg_link_close_draining(struct fg_link *l)
+{
+	l->drains = l->connected;
+	fg_link_resume(l);
+	fg_link_close(l, true);
+}
+
+uint32_t fg_link_open_count(void)
+{
+	return n_open;
+}
+
+uint32_t fg_link_flushing_count(void)
+{
+	return flushing.length;
+}
+
+uint64_t fg_link_flushing_bytes(void)
+{
+	uint64_t bytes = 0;
+
+	for (const GList *it = flushing.head; it != NULL; it = it->next)
+		bytes += fg_link_unsent_bytes(it->data);
+	return bytes;
+}
+
+bool fg_link_abort_largest_flushing(void)
+{
+	struct fg_link *largest = NULL;
+
+	for (const GList *it = flushing.head; it != NULL; it = it->next) {
+		struct fg_link *l = it->data;
+
+		if (largest == NULL ||
+		    fg_link_unsent_bytes(l) > fg_link_unsent_bytes(largest))
+			largest = l;
+	}
+	if (largest == NULL || fg_link_unsent_bytes(largest) == 0)
+		return false;
+	reset_handles(largest);
+	return true;
+}
+
+bool fg_link_abort_oldest_flushing(void)
+{
+	struct fg_link *oldest;
+
+	if (flushing.head == NULL)
+		return false;
+	oldest = flushing.head->data;
+	if (fg_link_unsent_bytes(oldest) > 0)
+		reset_handles(oldest);
+	else
+		fg_link_close_handles(oldest);
+	return true;
+}
+
+void fg_link_abort_flushing(void)
+{
+	while (fg_link_abort_oldest_flushing())
+		;
+}
+
+void fg_link_abort(struct fg_link *l)
+{
+	if (l->closed)
+		return;
+	l->closed = true;
+	l->ctx = NULL;
+	reset_handles(l);
+}
--- /dev/null
+++ b/lib/link/fg_link_priv.h
@@ -0,0 +1,40 @@
+/* Parts of a link that the files of lib/link share. */
+#ifndef FG_LINK_PRIV_H
+#define FG_LINK_PRIV_H
+
+#include "link/fg_link.h"
+
+struct fg_link {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_shutdown_t shutdown;
+	uv_timer_t timer; /* checks a close with flush */
+	const struct fg_link_ops *ops;
+	void *ctx; /* NULL after fg_link_close() */
+	size_t pending_bytes;
+	GList flushing_node;	 /* in `flushing` */
+	size_t unsent_bytes;	 /* at the last check of the flush */
+	uint64_t flush_until_ms; /* in the loop's time */
+	uint64_t dropped_bytes;	 /* received after the close */
+	int open_handles;	 /* tcp and timer; at 0 the link is freed */
+	bool closed;		 /* by the user: no further callbacks */
+	bool closing;		 /* the handles are being closed */
+	bool connected;
+	bool paused;   /* is not read */
+	bool flushing; /* closed, queued bytes are being sent */
+	bool drains;   /* then reads on until the peer closes its side */
+};
+
+/* The link holds a descriptor from now on. */
+void fg_link_count_open(void);
+
+/* Releases the descriptor, without another callback. */
+void fg_link_close_handles(struct fg_link *l);
+
+/* A closed link received n bytes; below 0: its peer's end. */
+void fg_link_drop_read(struct fg_link *l, ssize_t n);
+
+/* With `on`, closing the descriptor resets the connection. */
+void fg_link_set_linger(const struct fg_link *l, bool on);
+
+#endif
