Logs tell what a stop took, and what was on its way when a connection ended

A request could be logged as answered while its caller got a part of the answer: what the kernel had not delivered was not known, and nothing said why a caller had left, when in a stop a request was taken, or on what estimate.

lib/link names the answer that it carries and logs answer_cut with the bytes unsent and unacknowledged, at warn when this side ends the link. caller_left has a reason. In a stop, ends of requests are no longer routine lines, and taken_in_stop, stop_phase and stopped tell the time since the signal. The log counts dropped lines also when it is closed.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -464,6 +464,7 @@
 void fg_gateway_run(struct fg_gateway *gw)
 {
 	uv_timer_t *settings = fg_gw_timer_new(gw, gw);
+	char *age;
 
 	reload_settings(gw);
 	fg_sync_start(gw);
@@ -473,7 +474,9 @@
 	fg_log(FG_LOG_INFO, "gateway", "started", "front", gw->conf->front,
 	       NULL);
 	uv_run(&gw->loop, UV_RUN_DEFAULT);
-	fg_log(FG_LOG_INFO, "gateway", "stopped", NULL);
+	age = fg_gw_stop_format_age(gw);
+	fg_log(FG_LOG_INFO, "gateway", "stopped", "after_ms", age, NULL);
+	g_free(age);
 	fg_gw_timer_free(settings);
 }
 
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -127,6 +127,7 @@
 	unsigned int refuse_status; /* what it reads is refused; 0: not */
 	bool drop_input;	    /* no more requests are read from it */
 	bool close_after;	    /* close the connection after the answer */
+	const char *end_reason;	    /* why it ended, or NULL */
 };
 
 /* Limits of the configuration, or those that hold while none is known; sizes
@@ -1195,6 +1196,10 @@
 /* The signal to stop came. */
 void fg_gw_stop_begin(struct fg_gateway *gw);
 
+/* Returns the time since the signal as text, which the caller g_free()s; NULL
+ * unless a stop has begun. */
+char *fg_gw_stop_format_age(const struct fg_gateway *gw);
+
 /* Ends requests that cannot end in time, and moves the stop on. */
 void fg_gw_stop_tick(struct fg_gateway *gw, fg_ms now);
 
@@ -1215,6 +1220,9 @@
 
 void fg_gw_close_listeners(struct fg_gateway *gw);
 
+/* During a stop: logs that the request is taken, and on what estimate. */
+void fg_gw_stop_log_taken(const struct fg_gwreq *r);
+
 /* Logs what would be cut if all connections were closed now. */
 void fg_gw_log_unfinished(const struct fg_gateway *gw);
 
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -38,6 +38,7 @@
 {
 	struct fg_caller *c = r->caller;
 
+	fg_link_set_label(c->link, r->call.id);
 	if (fg_gw_is_stopping(r->gw) || !c->h1.head.keep_alive)
 		c->close_after = true;
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", head->status,
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -119,6 +119,7 @@
 	g_string_append_printf(out, "Content-Length: %zu\r\n\r\n", len_bytes);
 	if (c->h1.head.method != HTTP_HEAD)
 		g_string_append_len(out, body, (gssize)len_bytes);
+	fg_link_set_label(c->link, request_id);
 	fg_link_write(c->link, out->str, out->len);
 	g_string_free(out, TRUE);
 	fg_gw_memory_note_written(c);
@@ -404,8 +405,12 @@
 
 static void on_end(void *ctx, enum fg_link_end end)
 {
-	(void)end;
-	fg_caller_close(ctx, false);
+	struct fg_caller *c = ctx;
+
+	c->end_reason = fg_link_end_name(c->link);
+	if (end != FG_LINK_EOF && c->req == NULL && c->tunnel == NULL)
+		fg_link_log_cut(c->link, c->end_reason);
+	fg_caller_close(c, false);
 }
 
 static void on_drained(void *ctx)
--- a/lib/gateway/fg_gw_memory.c
+++ b/lib/gateway/fg_gw_memory.c
@@ -78,6 +78,7 @@
 
 	log_gave_way(c->gw, "answer", c, h->unread_bytes);
 	fg_gw_count_event(c->gw, "gave_way", "what=\"answer\"");
+	c->end_reason = "memory";
 	fg_caller_abort(c);
 }
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -123,7 +123,10 @@
 	if (!fg_log_enabled(FG_LOG_INFO))
 		return;
 	fill_log_fields(r, &f);
-	fg_log_routine("request", event, LOG_FIELDS(r, f, reason));
+	if (fg_gw_is_stopping(r->gw))
+		fg_log(FG_LOG_INFO, "request", event, LOG_FIELDS(r, f, reason));
+	else
+		fg_log_routine("request", event, LOG_FIELDS(r, f, reason));
 }
 
 /* ---- Assignment to an endpoint ---- */
@@ -329,7 +332,7 @@
 		fg_gwreq_log(r, "cut_by_stop", stop_phase(r));
 		fg_gwreq_count_outcome(r, "cut_by_stop", stop_phase(r));
 	} else {
-		fg_gwreq_log_routine(r, "caller_left", NULL);
+		fg_gwreq_log_routine(r, "caller_left", r->caller->end_reason);
 		fg_gwreq_count_outcome(r, "caller_left", NULL);
 	}
 	r->caller = NULL;
@@ -648,6 +651,7 @@
 		fg_events_continue_after(&r->events, r->call.resume_after);
 	if (fg_gw_stop_refuse_late(r))
 		return;
+	fg_gw_stop_log_taken(r);
 	if (is_larger_than_engine(r)) {
 		fg_gwreq_refuse(r, "larger_than_engine", FG_GWREQ_RETRY_MAX_MS);
 		return;
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -9,6 +9,7 @@
 /* Assumed duration of requests of a route of which none was answered lately,
  * unless the route's time limit is shorter. */
 #define UNKNOWN_MS 3000
+#define UNKNOWN_TOOK UINT32_MAX
 /* Period of ticks from the answers on, so that the process leaves soon. */
 #define LAST_TICKS_MS 20
 /* Other instances can serve the caller at once. */
@@ -51,17 +52,63 @@
 	note_took(r, fg_clock_now());
 }
 
-bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
+/* How long a request is going to take, and from what that follows. */
+struct estimate {
+	uint32_t ms;
+	const char *evidence;
+};
+
+static struct estimate estimate_took(const struct fg_gwreq *r, fg_ms now)
 {
-	uint32_t unknown_ms = UNKNOWN_MS;
+	uint32_t longest_ms =
+		fg_took_longest_ms(route_took(r), now, UNKNOWN_TOOK);
+	struct estimate e = { longest_ms, "history" };
+
+	if (longest_ms != UNKNOWN_TOOK)
+		return e;
+	e.ms = UNKNOWN_MS;
+	e.evidence = "none";
+	if (r->route->timeout_ms > 0 && r->route->timeout_ms < UNKNOWN_MS) {
+		e.ms = r->route->timeout_ms;
+		e.evidence = "limit";
+	}
+	return e;
+}
 
+bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
+{
 	if (!fg_gw_is_stopping(r->gw))
 		return true;
-	if (r->route->timeout_ms > 0)
-		unknown_ms = MIN(unknown_ms, r->route->timeout_ms);
-	return fg_stop_has_time(
-		&r->gw->stop, now,
-		fg_took_longest_ms(route_took(r), now, unknown_ms));
+	return fg_stop_has_time(&r->gw->stop, now, estimate_took(r, now).ms);
+}
+
+char *fg_gw_stop_format_age(const struct fg_gateway *gw)
+{
+	if (!fg_gw_is_stopping(gw))
+		return NULL;
+	return g_strdup_printf("%lld",
+			       (long long)(fg_clock_now() - gw->stop.began_at));
+}
+
+void fg_gw_stop_log_taken(const struct fg_gwreq *r)
+{
+	const struct fg_stop *s = &r->gw->stop;
+	fg_ms now = fg_clock_now();
+	struct estimate e;
+	char *age;
+	char text[2][24];
+
+	if (!fg_gw_is_stopping(r->gw))
+		return;
+	e = estimate_took(r, now);
+	age = fg_gw_stop_format_age(r->gw);
+	g_snprintf(text[0], sizeof(text[0]), "%u", e.ms);
+	g_snprintf(text[1], sizeof(text[1]), "%lld",
+		   (long long)(s->answer_at - now));
+	fg_log(FG_LOG_INFO, "request", "taken_in_stop", "id", r->call.id,
+	       "route", r->route->name, "after_ms", age, "assumed_ms", text[0],
+	       "evidence", e.evidence, "left_ms", text[1], NULL);
+	g_free(age);
 }
 
 /* ---- Requests ---- */
@@ -169,17 +216,20 @@
 	struct fg_stop_work work = count_work(gw);
 	uint64_t unsent = fg_link_flushing_bytes();
 	guint n_passed_on = 0;
-	char text[5][24];
+	uint64_t unacked = 0;
+	char text[6][24];
 
 	for (guint i = 0; i < gw->callers->len; i++) {
 		const struct fg_caller *c = gw->callers->pdata[i];
 
-		if (c->link != NULL)
-			unsent += fg_link_pending_bytes(c->link);
+		if (c->link == NULL)
+			continue;
+		unsent += fg_link_pending_bytes(c->link);
+		unacked += fg_link_unacked_bytes(c->link);
 	}
 	for (guint i = 0; i < gw->reqs->len; i++)
 		n_passed_on += fg_gwreq_is_passed_on(gw->reqs->pdata[i]);
-	if (work.requests + work.tunnels + work.reading + unsent == 0)
+	if (work.requests + work.tunnels + work.reading + unsent + unacked == 0)
 		return;
 	g_snprintf(text[0], sizeof(text[0]), "%u", work.requests);
 	g_snprintf(text[1], sizeof(text[1]), "%u", n_passed_on);
@@ -187,9 +237,11 @@
 	g_snprintf(text[3], sizeof(text[3]), "%llu",
 		   (unsigned long long)unsent);
 	g_snprintf(text[4], sizeof(text[4]), "%u", work.reading);
+	g_snprintf(text[5], sizeof(text[5]), "%llu",
+		   (unsigned long long)unacked);
 	fg_log(FG_LOG_WARN, "gateway", "unfinished", "requests", text[0],
 	       "passed_on", text[1], "tunnels", text[2], "unsent_bytes",
-	       text[3], "half_read", text[4], NULL);
+	       text[3], "unacked_bytes", text[5], "half_read", text[4], NULL);
 }
 
 /* ---- Phases ---- */
@@ -222,6 +274,23 @@
 	fg_sync_tick(gw, now);
 }
 
+static void log_phase(const struct fg_gateway *gw,
+		      const struct fg_stop_work *work)
+{
+	char *age = fg_gw_stop_format_age(gw);
+	char text[4][12];
+
+	g_snprintf(text[0], sizeof(text[0]), "%u", work->requests);
+	g_snprintf(text[1], sizeof(text[1]), "%u", work->tunnels);
+	g_snprintf(text[2], sizeof(text[2]), "%u", work->reading);
+	g_snprintf(text[3], sizeof(text[3]), "%u", work->unsent);
+	fg_log(FG_LOG_INFO, "gateway", "stop_phase", "phase",
+	       fg_stop_phase_name(gw->stop.phase), "after_ms", age, "requests",
+	       text[0], "tunnels", text[1], "half_read", text[2], "being_sent",
+	       text[3], NULL);
+	g_free(age);
+}
+
 /* Moves on by one phase, if it is due, and returns true when it has. */
 static bool advance(struct fg_gateway *gw, fg_ms now)
 {
@@ -229,6 +298,7 @@
 
 	if (!fg_stop_step(&gw->stop, now, &work))
 		return false;
+	log_phase(gw, &work);
 	if (gw->stop.phase == FG_STOP_FINISHING) {
 		fg_gw_close_listeners(gw);
 		close_idle_callers(gw);
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -1,5 +1,6 @@
 #include "link/fg_link.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -100,8 +101,10 @@
 		l->ops->on_data(l->ctx, buf->base, (size_t)n);
 	} else if (n < 0) {
 		uv_read_stop(stream);
-		notify_end(l, n == UV_EOF && !was_reset(l) ? FG_LINK_EOF
-							   : FG_LINK_RESET);
+		l->error = (int)n;
+		if (n == UV_EOF && was_reset(l))
+			l->error = UV_ECONNRESET;
+		notify_end(l, l->error == UV_EOF ? FG_LINK_EOF : FG_LINK_RESET);
 	}
 }
 
@@ -187,6 +190,26 @@
 	fg_link_set_linger(l, true);
 }
 
+void fg_link_set_label(struct fg_link *l, const char *label)
+{
+	g_strlcpy(l->label, label == NULL ? "" : label, sizeof(l->label));
+}
+
+const char *fg_link_end_name(const struct fg_link *l)
+{
+	switch (l->error) {
+	case UV_EOF:
+		return "closed";
+	case UV_ECONNRESET:
+	case UV_EPIPE:
+		return "reset";
+	case UV_ETIMEDOUT:
+		return "timed_out";
+	default:
+		return "failed";
+	}
+}
+
 void fg_link_set_ctx(struct fg_link *l, void *ctx)
 {
 	l->ctx = ctx;
@@ -209,6 +232,7 @@
 	if (l->closed)
 		return;
 	if (status != 0 && status != UV_ECANCELED) {
+		l->error = status;
 		notify_end(l, FG_LINK_RESET);
 		return;
 	}
@@ -289,6 +313,17 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&l->tcp);
 }
 
+size_t fg_link_unacked_bytes(const struct fg_link *l)
+{
+	uv_os_fd_t fd;
+	int n = 0;
+
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0 ||
+	    ioctl(fd, SIOCOUTQ, &n) != 0)
+		return 0;
+	return (size_t)MAX(n, 0);
+}
+
 /* The kernel counts twice the size, for its own records. */
 static void set_receive_buffer(const struct fg_link *l, int size)
 {
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -23,6 +23,8 @@
 
 struct fg_link;
 
+#define FG_LINK_LABEL_BYTES 72
+
 enum fg_link_end {
 	FG_LINK_EOF = 1,     /* the peer closed its side in an orderly way */
 	FG_LINK_RESET = 2,   /* reset, timeout or another error */
@@ -58,6 +60,18 @@
  * fg_link_close() with `flush` has sent all bytes. */
 void fg_link_reset_on_exit(const struct fg_link *l);
 
+/* Names the answer that is written from now on, for log lines about the end of
+ * the link. The text is copied, up to FG_LINK_LABEL_BYTES - 1; NULL: none. */
+void fg_link_set_label(struct fg_link *l, const char *label);
+
+/* Returns how the link ended, after on_end(): "closed" by the peer, "reset",
+ * "timed_out" because the peer did not answer, or "failed". */
+const char *fg_link_end_name(const struct fg_link *l);
+
+/* Logs that the link ends with bytes that its peer has not received, if there
+ * are any: at level info when the peer ended it, else at warn. */
+void fg_link_log_cut(const struct fg_link *l, const char *reason);
+
 /* Replaces the argument of the callbacks. */
 void fg_link_set_ctx(struct fg_link *l, void *ctx);
 
@@ -77,6 +91,10 @@
  * fg_link_pending_bytes(), this also falls within a write. */
 size_t fg_link_unsent_bytes(const struct fg_link *l);
 
+/* Returns the number of bytes that the kernel has accepted and the peer has not
+ * acknowledged; 0 where the kernel does not tell. */
+size_t fg_link_unacked_bytes(const struct fg_link *l);
+
 /* Stop and resume reading. The kernel keeps little of a link that is not read,
  * besides what it had received by then. */
 void fg_link_pause(struct fg_link *l);
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 
 #include "link/fg_link_priv.h"
+#include "log/fg_log.h"
 
 /* After fg_link_close(), a peer that takes no queued bytes for this long, or
  * not all of them in this time, gets no more. */
@@ -28,6 +29,26 @@
 		g_free(l);
 }
 
+#define CUT_FIELDS                                                             \
+	"id", l->label[0] == '\0' ? NULL : l->label, "reason", reason,         \
+		"unsent_bytes", text[0], "unacked_bytes", text[1], NULL
+
+void fg_link_log_cut(const struct fg_link *l, const char *reason)
+{
+	size_t unsent = fg_link_unsent_bytes(l);
+	size_t unacked = fg_link_unacked_bytes(l);
+	char text[2][24];
+
+	if (unsent + unacked == 0)
+		return;
+	g_snprintf(text[0], sizeof(text[0]), "%zu", unsent);
+	g_snprintf(text[1], sizeof(text[1]), "%zu", unacked);
+	if (l->error != 0 && l->error != UV_ETIMEDOUT)
+		fg_log_routine("link", "answer_cut", CUT_FIELDS);
+	else
+		fg_log(FG_LOG_WARN, "link", "answer_cut", CUT_FIELDS);
+}
+
 /* Returns false if the handles are being closed already. */
 static bool begin_closing(struct fg_link *l)
 {
@@ -79,6 +100,10 @@
 		return;
 	l->drains = false;
 	uv_read_stop((uv_stream_t *)&l->tcp);
+	if (n < 0 && n != UV_EOF) {
+		l->error = (int)n;
+		fg_link_log_cut(l, fg_link_end_name(l));
+	}
 	/* Else the flush ends it. */
 	if (fg_link_unsent_bytes(l) == 0)
 		fg_link_close_handles(l);
@@ -86,9 +111,17 @@
 
 static void on_drain_timer(uv_timer_t *timer)
 {
+	fg_link_log_cut(timer->data, "closed_early");
 	fg_link_close_handles(timer->data);
 }
 
+static void end_flush(struct fg_link *l, int status)
+{
+	l->error = status;
+	fg_link_log_cut(l, status == 0 ? "closed_early" : fg_link_end_name(l));
+	fg_link_close_handles(l);
+}
+
 static void on_shutdown(uv_shutdown_t *req, int status)
 {
 	struct fg_link *l = req->data;
@@ -97,8 +130,8 @@
 		fg_link_set_linger(l, false);
 	if (status == 0 && l->drains)
 		uv_timer_start(&l->timer, on_drain_timer, DRAIN_MAX_MS, 0);
-	else
-		fg_link_close_handles(l);
+	else if (status != UV_ECANCELED)
+		end_flush(l, status);
 }
 
 /* The peer must not take a part for the whole. */
@@ -107,10 +140,13 @@
 	struct fg_link *l = timer->data;
 	size_t unsent = fg_link_unsent_bytes(l);
 
-	if (unsent < l->unsent_bytes && uv_now(timer->loop) < l->flush_until_ms)
+	if (unsent < l->unsent_bytes &&
+	    uv_now(timer->loop) < l->flush_until_ms) {
 		l->unsent_bytes = unsent;
-	else
-		reset_handles(l);
+		return;
+	}
+	fg_link_log_cut(l, unsent < l->unsent_bytes ? "too_slow" : "stalled");
+	reset_handles(l);
 }
 
 void fg_link_close(struct fg_link *l, bool flush)
@@ -174,17 +210,19 @@
 	}
 	if (largest == NULL || fg_link_unsent_bytes(largest) == 0)
 		return false;
+	fg_link_log_cut(largest, "memory");
 	reset_handles(largest);
 	return true;
 }
 
-bool fg_link_abort_oldest_flushing(void)
+static bool abort_oldest(const char *reason)
 {
 	struct fg_link *oldest;
 
 	if (flushing.head == NULL)
 		return false;
 	oldest = flushing.head->data;
+	fg_link_log_cut(oldest, reason);
 	if (fg_link_unsent_bytes(oldest) > 0)
 		reset_handles(oldest);
 	else
@@ -192,9 +230,14 @@
 	return true;
 }
 
+bool fg_link_abort_oldest_flushing(void)
+{
+	return abort_oldest("descriptors");
+}
+
 void fg_link_abort_flushing(void)
 {
-	while (fg_link_abort_oldest_flushing())
+	while (abort_oldest("process_ends"))
 		;
 }
 
--- a/lib/link/fg_link_priv.h
+++ b/lib/link/fg_link_priv.h
@@ -23,6 +23,8 @@
 	bool paused;   /* is not read */
 	bool flushing; /* closed, queued bytes are being sent */
 	bool drains;   /* then reads on until the peer closes its side */
+	int error;     /* libuv's, that ended the link; 0: none */
+	char label[FG_LINK_LABEL_BYTES];
 };
 
 /* The link holds a descriptor from now on. */
--- a/lib/log/fg_log.c
+++ b/lib/log/fg_log.c
@@ -13,6 +13,7 @@
 #include <log4c/appender.h>
 #include <log4c/category.h>
 #include <log4c/layout.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdint.h>
@@ -26,6 +27,7 @@
 #define CATEGORY "fulmargauge"
 #define VALUE_MAX_BYTES 1024 /* longer values are truncated */
 #define TIME_BYTES 40
+#define CLOSE_WAIT_MS 200
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static log4c_category_t *category; /* NULL until opened */
@@ -167,18 +169,6 @@
 	pthread_mutex_unlock(&lock);
 }
 
-void fg_log_close(void)
-{
-	pthread_mutex_lock(&lock);
-	__atomic_store_n(&enabled, 0, __ATOMIC_RELEASE);
-	g_free(self);
-	self = NULL;
-	if (line_buf != NULL)
-		g_string_free(line_buf, TRUE);
-	line_buf = NULL;
-	pthread_mutex_unlock(&lock);
-}
-
 bool fg_log_enabled(enum fg_log_level level)
 {
 	return (int)level <= __atomic_load_n(&enabled, __ATOMIC_ACQUIRE);
@@ -258,19 +248,12 @@
 	return text;
 }
 
-/* In a new second, resets the counts and logs how many lines were dropped. If
- * that line cannot be written either, the numbers are kept for the next second.
- */
-static void start_new_second(void)
+/* Writes how many lines were dropped. If that line cannot be written either,
+ * the numbers are kept. */
+static void write_dropped(void)
 {
 	GString *text;
-	int64_t now = fg_clock_now() / FG_MS_PER_S;
 
-	if (now == current_s)
-		return;
-	current_s = now;
-	n_lines = 0;
-	n_routine = 0;
 	if (n_dropped == 0)
 		return;
 	text = g_string_new("level=warn module=log event=dropped");
@@ -284,6 +267,19 @@
 	g_string_free(text, TRUE);
 }
 
+/* In a new second, resets the counts and logs how many lines were dropped. */
+static void start_new_second(void)
+{
+	int64_t now = fg_clock_now() / FG_MS_PER_S;
+
+	if (now == current_s)
+		return;
+	current_s = now;
+	n_lines = 0;
+	n_routine = 0;
+	write_dropped();
+}
+
 /* Counts one more line and returns true if the limits allow it. */
 static bool allow_line(bool is_routine)
 {
@@ -301,6 +297,30 @@
 	return true;
 }
 
+/* A reader that has fallen behind gets a moment to take the last line. */
+static void wait_for_output(void)
+{
+	struct pollfd fd = { .fd = output, .events = POLLOUT };
+
+	(void)poll(&fd, 1, CLOSE_WAIT_MS);
+}
+
+void fg_log_close(void)
+{
+	pthread_mutex_lock(&lock);
+	if (line_buf != NULL && n_dropped > 0) {
+		wait_for_output();
+		write_dropped();
+	}
+	__atomic_store_n(&enabled, 0, __ATOMIC_RELEASE);
+	g_free(self);
+	self = NULL;
+	if (line_buf != NULL)
+		g_string_free(line_buf, TRUE);
+	line_buf = NULL;
+	pthread_mutex_unlock(&lock);
+}
+
 static void write_line(enum fg_log_level level, bool is_routine,
 		       const char *module, const char *event, va_list ap)
 {
--- a/lib/stop/fg_stop.c
+++ b/lib/stop/fg_stop.c
@@ -16,6 +16,20 @@
 /* An endpoint may fall silent for this long while the request is there. */
 #define RESERVE_MS 1500
 
+const char *fg_stop_phase_name(enum fg_stop_phase phase)
+{
+	static const char *const names[] = {
+		[FG_STOP_NONE] = "none",
+		[FG_STOP_SERVING] = "serving",
+		[FG_STOP_FINISHING] = "finishing",
+		[FG_STOP_ANSWERING] = "answering",
+		[FG_STOP_FLUSHING] = "flushing",
+		[FG_STOP_OVER] = "over",
+	};
+
+	return names[phase];
+}
+
 /* Scales a margin to the grace, which it does not exceed. */
 static fg_ms scale_margin(fg_ms grace_ms, fg_ms margin_ms, fg_ms least_ms)
 {
--- a/lib/stop/fg_stop.h
+++ b/lib/stop/fg_stop.h
@@ -48,6 +48,9 @@
 	uint32_t unsent;  /* connections with queued bytes of an answer */
 };
 
+/* Returns the name of the phase for log lines. */
+const char *fg_stop_phase_name(enum fg_stop_phase phase);
+
 /* The signal to stop came at `signalled_at`, not after `now`. Further signals
  * change nothing. */
 void fg_stop_begin(struct fg_stop *s, fg_ms signalled_at, fg_ms now,
