An answer is delivered before its connection is closed

Callers got a part of an answer, and then a reset, although the process had logged it as answered: in a planned stop when they sent their next request on a connection that was closed as idle, and at any time when they sent more after they had asked for the end of the connection.

Cause: a connection counted as idle, and a stop as over, once the kernel had accepted all bytes of the answer. The kernel still held them, and it drops them and resets the connection when bytes of the peer are unread at the close, or arrive after it. Only the refusal of a half-read request read on before its end.

Ruled out: the flush (nothing was queued in libuv, unsent_bytes=0), the clock of the connection (no timed_out), the stop's estimate (the requests had ended 1.4 s before the process left).

Every close with flush now closes its side only, and reads and drops what comes until the peer has closed as well, or until it has acknowledged all and 2 s have passed (RFC 9112, section 9.6). A peer that takes nothing for 5 s is reset, as before. In a stop, a connection with bytes in transit is not idle: it stays open until they are delivered, and what is sent on it meanwhile is served or refused as not run. At the end of the process, arrived bytes are read before the close.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -516,7 +516,7 @@
 	while (gw->callers->len > 0) {
 		struct fg_caller *c = gw->callers->pdata[gw->callers->len - 1];
 
-		fg_caller_close(c, false);
+		fg_caller_close(c, c->req == NULL && c->tunnel == NULL);
 		fg_caller_sweep(gw, fg_clock_now());
 	}
 	fg_link_abort_flushing();
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -277,9 +277,7 @@
 {
 	c->malformed = true;
 	fg_caller_answer(c, status, NULL, retry_ms, NULL, "", 0);
-	fg_gw_memory_note_flushing(c);
-	fg_link_close_draining(c->link);
-	mark_closed(c);
+	fg_caller_close(c, true);
 }
 
 static void refuse_faulty_request(struct fg_caller *c)
--- a/lib/gateway/fg_gw_places.c
+++ b/lib/gateway/fg_gw_places.c
@@ -47,7 +47,7 @@
 		return;
 	}
 	fg_log_routine("caller", "place_given_up", NULL);
-	fg_caller_close(c, fg_link_unsent_bytes(c->link) > 0);
+	fg_caller_close(c, true);
 }
 
 static struct fg_places_bound port_bound(const struct fg_port *port)
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -167,33 +167,56 @@
 	       c->h1.started && !c->close_after;
 }
 
+static bool has_work(const struct fg_caller *c)
+{
+	return c->req != NULL || c->tunnel != NULL || is_reading(c);
+}
+
+/* Returns whether closing the connection could lose an answer that its caller
+ * has not received, or a request that was not read. */
+static bool is_in_transit(const struct fg_caller *c)
+{
+	return c->link != NULL && !has_work(c) &&
+	       fg_link_is_in_transit(c->link);
+}
+
 static void close_idle_callers(struct fg_gateway *gw)
 {
 	for (guint i = 0; i < gw->callers->len; i++) {
 		struct fg_caller *c = gw->callers->pdata[i];
 
-		if (c->req == NULL && c->tunnel == NULL && !is_reading(c))
+		if (!has_work(c) && !is_in_transit(c))
 			fg_caller_close(c, true);
 	}
 }
 
-/* Answers what is in progress; no connection is left open. */
+static void refuse_half_read(struct fg_gateway *gw)
+{
+	for (guint i = 0; i < gw->callers->len; i++) {
+		struct fg_caller *c = gw->callers->pdata[i];
+
+		if (!is_reading(c))
+			continue;
+		fg_log_routine("caller", "refused_half_read", NULL);
+		fg_caller_answer(c, HTTP_STATUS_SERVICE_UNAVAILABLE, NULL,
+				 RETRY_MS, NULL, "", 0);
+		fg_caller_close(c, true);
+	}
+}
+
+/* Answers what is in progress. A connection with bytes in transit stays open:
+ * what its caller sends next is refused. */
 static void answer_all(struct fg_gateway *gw, fg_ms now)
 {
 	for_each_request(gw, answer_request, now);
+	refuse_half_read(gw);
 	for (guint i = 0; i < gw->callers->len; i++) {
 		struct fg_caller *c = gw->callers->pdata[i];
 
-		if (is_reading(c)) {
-			fg_log_routine("caller", "refused_half_read", NULL);
-			fg_caller_answer(c, HTTP_STATUS_SERVICE_UNAVAILABLE,
-					 NULL, RETRY_MS, NULL, "", 0);
-		}
 		if (c->tunnel != NULL)
 			fg_caller_abort(c);
-		else
-			fg_caller_close(c, true);
 	}
+	close_idle_callers(gw);
 }
 
 /* ---- What is in progress ---- */
@@ -206,8 +229,10 @@
 		.unsent = fg_link_flushing_count(),
 	};
 
-	for (guint i = 0; i < gw->callers->len; i++)
+	for (guint i = 0; i < gw->callers->len; i++) {
 		work.reading += is_reading(gw->callers->pdata[i]);
+		work.in_transit += is_in_transit(gw->callers->pdata[i]);
+	}
 	return work;
 }
 
@@ -278,16 +303,17 @@
 		      const struct fg_stop_work *work)
 {
 	char *age = fg_gw_stop_format_age(gw);
-	char text[4][12];
+	char text[5][12];
 
 	g_snprintf(text[0], sizeof(text[0]), "%u", work->requests);
 	g_snprintf(text[1], sizeof(text[1]), "%u", work->tunnels);
 	g_snprintf(text[2], sizeof(text[2]), "%u", work->reading);
 	g_snprintf(text[3], sizeof(text[3]), "%u", work->unsent);
+	g_snprintf(text[4], sizeof(text[4]), "%u", work->in_transit);
 	fg_log(FG_LOG_INFO, "gateway", "stop_phase", "phase",
 	       fg_stop_phase_name(gw->stop.phase), "after_ms", age, "requests",
-	       text[0], "tunnels", text[1], "half_read", text[2], "being_sent",
-	       text[3], NULL);
+	       text[0], "tunnels", text[1], "half_read", text[2], "in_transit",
+	       text[4], "being_sent", text[3], NULL);
 	g_free(age);
 }
 
@@ -308,6 +334,7 @@
 		uv_timer_set_repeat(&gw->tick, LAST_TICKS_MS);
 		uv_timer_again(&gw->tick);
 	} else if (gw->stop.phase == FG_STOP_OVER) {
+		refuse_half_read(gw);
 		uv_stop(&gw->loop);
 	}
 	return true;
@@ -318,6 +345,8 @@
 	if (!fg_gw_is_stopping(gw))
 		return;
 	for_each_request(gw, check_request, now);
+	if (gw->stop.phase >= FG_STOP_FINISHING)
+		close_idle_callers(gw);
 	/* The process leaves in a later tick than the one of the answers: the
 	 * event loop may still read from connections in the iteration in which
 	 * they are closed. */
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -281,6 +281,7 @@
 
 	if (l->closed || l->closing || len_bytes + body_bytes == 0)
 		return;
+	l->written_at_ms = uv_now(l->timer.loop);
 	sent = write_at_once(l, bufs, body_bytes > 0 ? 2 : 1);
 	if (sent == len_bytes + body_bytes)
 		return;
@@ -321,6 +322,9 @@
 	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0 ||
 	    ioctl(fd, SIOCOUTQ, &n) != 0)
 		return 0;
+	/* The end of the stream counts as a byte. */
+	if (l->sent)
+		n--;
 	return (size_t)MAX(n, 0);
 }
 
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -95,6 +95,10 @@
  * acknowledged; 0 where the kernel does not tell. */
 size_t fg_link_unacked_bytes(const struct fg_link *l);
 
+/* Returns whether there are bytes that the peer has not acknowledged, or that
+ * it has sent and that were not read. */
+bool fg_link_is_in_transit(const struct fg_link *l);
+
 /* Stop and resume reading. The kernel keeps little of a link that is not read,
  * besides what it had received by then. */
 void fg_link_pause(struct fg_link *l);
@@ -104,20 +108,22 @@
  * one that is. */
 size_t fg_link_unread_bytes(const struct fg_link *l);
 
-/* Closes the link. With `flush`, queued bytes are sent first, within 60 s, as
- * long as the peer takes some of them every 5 s. Otherwise it is reset. */
+/*
+ * Closes the link. With `flush`, what was written is delivered first, within
+ * 60 s, as long as the peer takes some of it every 5 s; otherwise the link is
+ * reset. Meanwhile, and for 2 s after the peer has acknowledged all, what it
+ * sends is read and dropped, up to 16 MiB, until it closes its side: bytes that
+ * are unread, or come later, would reset the connection and destroy what the
+ * peer has not read yet (RFC 9112, section 9.6).
+ */
 void fg_link_close(struct fg_link *l, bool flush);
 
-/* As fg_link_close() with `flush`, for a peer that may still be sending: what
- * it sends is read and dropped for 2 s, and up to 16 MiB, since a reset for
- * unread bytes would destroy the answer that it has not read yet. */
-void fg_link_close_draining(struct fg_link *l);
-
 /* Returns how many links there are that hold a descriptor, also closed ones
  * that are not freed yet. */
 uint32_t fg_link_open_count(void);
 
-/* Returns how many closed links still have queued bytes to send. */
+/* Returns how many closed links wait for their peers to receive all, or to
+ * close their side. */
 uint32_t fg_link_flushing_count(void);
 
 /* Bytes that these links have not sent yet. */
@@ -127,11 +133,12 @@
  * false when none has any. */
 bool fg_link_abort_largest_flushing(void);
 
-/* Ends the one of these links that was closed first: by a reset, unless all was
- * sent. Returns false when there is none. */
+/* Ends the one of these links that was closed first: by a reset, unless the
+ * kernel has accepted all. Returns false when there is none. */
 bool fg_link_abort_oldest_flushing(void);
 
-/* Resets these links, except those of which all was sent. To be called before
+/* Ends these links: resets those with queued bytes, and drops what the others
+ * have not read, so that the kernel delivers the rest. To be called before
  * their event loop is torn down. */
 void fg_link_abort_flushing(void);
 
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -1,15 +1,17 @@
 /* The end of a link: flush, drain, reset. */
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "link/fg_link_priv.h"
 #include "log/fg_log.h"
 
-/* After fg_link_close(), a peer that takes no queued bytes for this long, or
- * not all of them in this time, gets no more. */
+/* After fg_link_close(), a peer that takes no bytes for this long, or not all
+ * of them in this time, gets no more. */
 #define FLUSH_STALL_MS 5000
 #define FLUSH_MAX_MS 60000
-/* After fg_link_close_draining(), what the peer still sends is dropped for this
- * long after the last byte was sent, and up to this amount. */
+#define FLUSH_CHECK_MS 250
+/* What the peer still sends is dropped for this long after it took the last
+ * byte, and up to this amount. */
 #define DRAIN_MAX_MS 2000
 #define DRAIN_MAX_BYTES (16 * 1024 * 1024)
 
@@ -91,91 +93,143 @@
 		uv_close((uv_handle_t *)&l->tcp, on_handle_closed);
 }
 
+/* What the peer has not received. */
+static size_t undelivered_bytes(const struct fg_link *l)
+{
+	return fg_link_unsent_bytes(l) + fg_link_unacked_bytes(l);
+}
+
+static void end_early(struct fg_link *l, const char *reason)
+{
+	fg_link_log_cut(l, reason);
+	fg_link_close_handles(l);
+}
+
 void fg_link_drop_read(struct fg_link *l, ssize_t n)
 {
-	if (!l->drains || l->closing)
+	if (!l->flushing || l->closing)
 		return;
 	l->dropped_bytes += (uint64_t)MAX(n, 0);
 	if (n >= 0 && l->dropped_bytes <= DRAIN_MAX_BYTES)
 		return;
-	l->drains = false;
 	uv_read_stop((uv_stream_t *)&l->tcp);
+	l->peer_closed = n == UV_EOF;
 	if (n < 0 && n != UV_EOF) {
 		l->error = (int)n;
-		fg_link_log_cut(l, fg_link_end_name(l));
+		end_early(l, fg_link_end_name(l));
+	} else if (n >= 0) {
+		end_early(l, "peer_sends_on");
+	} else if (l->sent) {
+		/* The peer sends nothing more that could reset the connection:
+		 * the kernel delivers the rest. */
+		fg_link_close_handles(l);
 	}
-	/* Else the flush ends it. */
-	if (fg_link_unsent_bytes(l) == 0)
+}
+
+static void on_shutdown(uv_shutdown_t *req, int status)
+{
+	struct fg_link *l = req->data;
+
+	if (status == UV_ECANCELED)
+		return;
+	if (status != 0) {
+		l->error = status;
+		end_early(l, fg_link_end_name(l));
+		return;
+	}
+	l->sent = true;
+	fg_link_set_linger(l, false);
+	if (l->peer_closed)
 		fg_link_close_handles(l);
 }
 
-static void on_drain_timer(uv_timer_t *timer)
+/* Ends a flush that is over, or makes no progress. */
+static void check_flush(struct fg_link *l)
 {
-	fg_link_log_cut(timer->data, "closed_early");
-	fg_link_close_handles(timer->data);
+	uint64_t now = uv_now(l->timer.loop);
+	size_t undelivered = undelivered_bytes(l);
+
+	if (undelivered < l->undelivered_bytes)
+		l->progress_at_ms = now;
+	l->undelivered_bytes = undelivered;
+	if (undelivered == 0) {
+		if (l->sent && now - l->progress_at_ms >= DRAIN_MAX_MS)
+			fg_link_close_handles(l);
+		return;
+	}
+	if (now - l->progress_at_ms >= FLUSH_STALL_MS)
+		fg_link_log_cut(l, "stalled");
+	else if (now >= l->flush_until_ms)
+		fg_link_log_cut(l, "too_slow");
+	else
+		return;
+	/* The peer must not take a part for the whole. */
+	reset_handles(l);
 }
 
-static void end_flush(struct fg_link *l, int status)
+static void on_flush_timer(uv_timer_t *timer)
 {
-	l->error = status;
-	fg_link_log_cut(l, status == 0 ? "closed_early" : fg_link_end_name(l));
-	fg_link_close_handles(l);
+	check_flush(timer->data);
 }
 
-static void on_shutdown(uv_shutdown_t *req, int status)
+bool fg_link_is_in_transit(const struct fg_link *l)
 {
-	struct fg_link *l = req->data;
+	uv_os_fd_t fd;
+	int unread = 0;
 
-	if (status == 0)
-		fg_link_set_linger(l, false);
-	if (status == 0 && l->drains)
-		uv_timer_start(&l->timer, on_drain_timer, DRAIN_MAX_MS, 0);
-	else if (status != UV_ECANCELED)
-		end_flush(l, status);
+	if (undelivered_bytes(l) > 0)
+		return true;
+	return uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0 &&
+	       ioctl(fd, FIONREAD, &unread) == 0 && unread > 0;
 }
 
-/* The peer must not take a part for the whole. */
-static void on_flush_timer(uv_timer_t *timer)
+/* Returns whether closing the descriptor now could reset the connection before
+ * the peer has read the last answer. */
+static bool must_wait(const struct fg_link *l)
 {
-	struct fg_link *l = timer->data;
-	size_t unsent = fg_link_unsent_bytes(l);
+	return uv_now(l->timer.loop) - l->written_at_ms < DRAIN_MAX_MS ||
+	       fg_link_is_in_transit(l);
+}
+
+/* Reads what has arrived, since closing with unread bytes resets the
+ * connection. */
+static void drop_unread(struct fg_link *l)
+{
+	char buf[4096];
+	uv_os_fd_t fd;
+	ssize_t n;
 
-	if (unsent < l->unsent_bytes &&
-	    uv_now(timer->loop) < l->flush_until_ms) {
-		l->unsent_bytes = unsent;
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0)
 		return;
-	}
-	fg_link_log_cut(l, unsent < l->unsent_bytes ? "too_slow" : "stalled");
-	reset_handles(l);
+	while (l->dropped_bytes <= DRAIN_MAX_BYTES &&
+	       (n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+		l->dropped_bytes += (uint64_t)n;
 }
 
 void fg_link_close(struct fg_link *l, bool flush)
 {
 	if (l->closed)
 		return;
+	if (flush && l->connected && must_wait(l)) {
+		l->flushing = true;
+		fg_link_resume(l);
+	}
 	l->closed = true;
 	l->ctx = NULL;
 	l->shutdown.data = l;
-	if (!flush || !l->connected ||
-	    uv_shutdown(&l->shutdown, (uv_stream_t *)&l->tcp, on_shutdown) !=
-		    0) {
+	if (!l->flushing || uv_shutdown(&l->shutdown, (uv_stream_t *)&l->tcp,
+					on_shutdown) != 0) {
+		l->flushing = false;
 		fg_link_close_handles(l);
 		return;
 	}
-	l->flushing = true;
 	l->flushing_node.data = l;
 	g_queue_push_tail_link(&flushing, &l->flushing_node);
-	l->unsent_bytes = fg_link_unsent_bytes(l);
-	l->flush_until_ms = uv_now(l->timer.loop) + FLUSH_MAX_MS;
-	uv_timer_start(&l->timer, on_flush_timer, FLUSH_STALL_MS,
-		       FLUSH_STALL_MS);
-}
-
-void fg_link_close_draining(struct fg_link *l)
-{
-	l->drains = l->connected;
-	fg_link_resume(l);
-	fg_link_close(l, true);
+	l->undelivered_bytes = undelivered_bytes(l);
+	l->progress_at_ms = uv_now(l->timer.loop);
+	l->flush_until_ms = l->progress_at_ms + FLUSH_MAX_MS;
+	uv_timer_start(&l->timer, on_flush_timer, FLUSH_CHECK_MS,
+		       FLUSH_CHECK_MS);
 }
 
 uint32_t fg_link_open_count(void)
@@ -223,10 +277,12 @@
 		return false;
 	oldest = flushing.head->data;
 	fg_link_log_cut(oldest, reason);
-	if (fg_link_unsent_bytes(oldest) > 0)
+	if (fg_link_unsent_bytes(oldest) > 0) {
 		reset_handles(oldest);
-	else
-		fg_link_close_handles(oldest);
+		return true;
+	}
+	drop_unread(oldest);
+	fg_link_close_handles(oldest);
 	return true;
 }
 
--- a/lib/link/fg_link_priv.h
+++ b/lib/link/fg_link_priv.h
@@ -12,18 +12,21 @@
 	const struct fg_link_ops *ops;
 	void *ctx; /* NULL after fg_link_close() */
 	size_t pending_bytes;
-	GList flushing_node;	 /* in `flushing` */
-	size_t unsent_bytes;	 /* at the last check of the flush */
-	uint64_t flush_until_ms; /* in the loop's time */
-	uint64_t dropped_bytes;	 /* received after the close */
-	int open_handles;	 /* tcp and timer; at 0 the link is freed */
-	bool closed;		 /* by the user: no further callbacks */
-	bool closing;		 /* the handles are being closed */
+	GList flushing_node;	  /* in `flushing` */
+	size_t undelivered_bytes; /* at the last check of the flush */
+	uint64_t progress_at_ms;  /* the peer took some of them */
+	uint64_t written_at_ms;	  /* last write; both in the loop's time */
+	uint64_t flush_until_ms;  /* in the loop's time */
+	uint64_t dropped_bytes;	  /* received after the close */
+	int open_handles;	  /* tcp and timer; at 0 the link is freed */
+	bool closed;		  /* by the user: no further callbacks */
+	bool closing;		  /* the handles are being closed */
 	bool connected;
-	bool paused;   /* is not read */
-	bool flushing; /* closed, queued bytes are being sent */
-	bool drains;   /* then reads on until the peer closes its side */
-	int error;     /* libuv's, that ended the link; 0: none */
+	bool paused;	  /* is not read */
+	bool flushing;	  /* closed, waits until the peer has all bytes */
+	bool sent;	  /* the kernel has accepted all of them */
+	bool peer_closed; /* its side, since then */
+	int error;	  /* libuv's, that ended the link; 0: none */
 	char label[FG_LINK_LABEL_BYTES];
 };
 
--- a/lib/stop/fg_stop.c
+++ b/lib/stop/fg_stop.c
@@ -77,13 +77,15 @@
 			       ? FG_STOP_FINISHING
 			       : FG_STOP_SERVING;
 	case FG_STOP_FINISHING:
-		return now >= s->answer_at || !is_busy(work)
+		return now >= s->answer_at ||
+				       (!is_busy(work) && work->in_transit == 0)
 			       ? FG_STOP_ANSWERING
 			       : FG_STOP_FINISHING;
 	case FG_STOP_ANSWERING:
 		return FG_STOP_FLUSHING;
 	case FG_STOP_FLUSHING:
-		return now >= s->leave_at || work->unsent == 0
+		return now >= s->leave_at ||
+				       work->unsent + work->in_transit == 0
 			       ? FG_STOP_OVER
 			       : FG_STOP_FLUSHING;
 	default:
--- a/lib/stop/fg_stop.h
+++ b/lib/stop/fg_stop.h
@@ -2,9 +2,10 @@
  * fg_stop - the phases of a planned stop.
  *
  *   serving    requests are taken as long as they can end in time
- *   finishing  no connection is accepted, and idle ones are closed
+ *   finishing  no connection is accepted, and idle ones are closed as they
+ *              become idle
  *   answering  what is still in progress is answered now, truthfully
- *   flushing   answers are sent to callers that read slowly
+ *   flushing   answers are delivered to callers that read slowly
  *   over       the process leaves
  *
  * The phases follow from the time of the signal and the grace, after which the
@@ -36,7 +37,7 @@
 	fg_ms began_at;
 	fg_ms quiet_since; /* no caller has used the instance since then */
 	fg_ms answer_at;   /* what is in progress then is answered */
-	fg_ms leave_at;	   /* the process leaves, whatever is unsent */
+	fg_ms leave_at;	   /* the process leaves, whatever is in transit */
 	fg_ms reserve_ms;  /* kept for an endpoint that falls silent */
 };
 
@@ -45,7 +46,8 @@
 	uint32_t requests; /* read, and not yet answered */
 	uint32_t tunnels;
 	uint32_t reading; /* connections with a part of a request */
-	uint32_t unsent;  /* connections with queued bytes of an answer */
+	uint32_t unsent;  /* closed connections whose answer is not delivered */
+	uint32_t in_transit; /* open ones with bytes on their way */
 };
 
 /* Returns the name of the phase for log lines. */
--- a/tests/gateway_stop_tails.py
+++ b/tests/gateway_stop_tails.py
@@ -41,10 +41,10 @@
 
 
 class SlowCaller:
-    """Reads an answer at READ_BYTES_PER_S. Sends `following` on the same
-    connection at NEXT_AT_EVENT."""
+    """Reads an answer at READ_BYTES_PER_S. With `following`, sends another
+    request on the same connection at NEXT_AT_EVENT."""
 
-    def __init__(self, front, kind, following=b"", close=False):
+    def __init__(self, front, kind, following=False, close=False):
         host, port = front.split(":")
         self.sock = connect_slow_reader(host, int(port), 15)
         self.kind = kind
@@ -83,9 +83,10 @@
             self.sock.sendall(self.request())
             while self.read_on():
                 if not sent and self.events() >= NEXT_AT_EVENT:
-                    self.sock.sendall(self.following)
+                    self.sock.sendall(next_request())
                     sent = True
-                if self.is_whole() and self.kept_answer():
+                if self.is_whole() and (not self.following or
+                                        self.has_next_answer()):
                     break
                 time.sleep(READ_EVERY_S)
         except OSError as why:
@@ -93,9 +94,8 @@
         self.end_at = time.monotonic()
         self.sock.close()
 
-    def kept_answer(self):
-        """Whether the answer to the following request has come as well."""
-        return not self.following or self.received.count(b"HTTP/1.1 ") > 1
+    def has_next_answer(self):
+        return self.received.count(b"HTTP/1.1 ") > 1
 
 
 def next_request():
@@ -128,17 +128,21 @@
               f"{c.end_at - began:.1f} s, {c.error!r}")
     cut = [c for c in callers if not c.is_whole()]
     check(not cut, f"{len(cut)} of {len(callers)} answers are cut")
+    # After "Connection: close", no answer to a further request is due.
+    unanswered = [c for c in callers if c.following and not c.has_next_answer()
+                  and b"Connection: close" not in c.received]
+    check(not unanswered, f"{len(unanswered)} next requests have no answer")
 
 
 def tails_of_streams_in_stop(s):
     """A stream that the replica has finished is not reset while its last bytes
     are on their way to a caller that sends its next request."""
-    read_slowly(s, "brief", following=next_request())
+    read_slowly(s, "brief", following=True)
 
 
 def tails_of_orders_in_stop(s):
     """The same of a plain answer."""
-    read_slowly(s, "unsafe", following=next_request())
+    read_slowly(s, "unsafe", following=True)
 
 
 def tails_without_next_request(s):
@@ -149,7 +153,7 @@
 def tails_of_closed_connections(s):
     """A caller that asks for the end of the connection and sends more
     nevertheless gets the whole answer; no stop."""
-    read_slowly(s, "brief", stopped=False, following=next_request(),
+    read_slowly(s, "brief", stopped=False, following=True,
                 close=True)
 
 
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -12,6 +12,7 @@
 static const struct fg_stop_work one_request = { .requests = 1 };
 static const struct fg_stop_work one_reading = { .reading = 1 };
 static const struct fg_stop_work one_unsent = { .unsent = 1 };
+static const struct fg_stop_work one_in_transit = { .in_transit = 1 };
 
 static struct fg_stop begun(void)
 {
@@ -81,6 +82,23 @@
 	}
 }
 
+/* Answers that are still being received do not restart the wait for quiet, but
+ * their connections are not closed before the end of the grace. */
+static void test_in_transit(void)
+{
+	struct fg_stop s = begun();
+	fg_ms now = next_change(&s, START, &one_in_transit);
+
+	g_assert_cmpint(now - START, ==, 1500);
+	now = next_change(&s, now + 100, &one_in_transit);
+	g_assert_cmpint(s.phase, ==, FG_STOP_ANSWERING);
+	g_assert_cmpint(now, >=, s.answer_at);
+	now = next_change(&s, now + 100, &one_in_transit);
+	now = next_change(&s, now + 100, &one_in_transit);
+	g_assert_cmpint(s.phase, ==, FG_STOP_OVER);
+	g_assert_cmpint(now, >=, s.leave_at);
+}
+
 /* An instance that was paused when the signal came has less time left. */
 static void test_paused(void)
 {
@@ -170,6 +188,7 @@
 	g_test_add_func("/stop/quiet", test_quiet);
 	g_test_add_func("/stop/busy", test_busy);
 	g_test_add_func("/stop/deadline", test_deadline);
+	g_test_add_func("/stop/in_transit", test_in_transit);
 	g_test_add_func("/stop/paused", test_paused);
 	g_test_add_func("/stop/again", test_again);
 	g_test_add_func("/stop/has_time", test_has_time);
