A planned stop takes a stream by its own length, not by those before it

Callers that sent a long stream 3.2 to 3.6 s after SIGTERM had it begun and reset 7.4 s after the signal, at work at its endpoint: nothing excuses that, and another instance was ready.

Cause: whether a request can still end in time followed from the longest duration of its route in the last 30 to 60 s, which says nothing of one that is longer, and nothing at all at an instance that saw none. The same figure refused short streams after a single long one.

A stream that states its length (Token-Count) is now bounded by it: lib/pace keeps the longest time to a first event, between events, and the most events a token brought, of streams that ended or still run. While no pace is known, the time limit counts. Plain requests, and streams without a length, are estimated as before.

Ruled out: a larger reserve (the streams exceed any that leaves time for short ones), the time limit for all (streams of 0.6 s would be refused from the signal on).

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -3,6 +3,7 @@
  *
  *   fg_gateway.c     start, periodic tick, settings, end
  *   fg_gw_stop.c     planned stop
+ *   fg_gw_took.c     how long requests take
  *   fg_gw_caller.c   connections of callers
  *   fg_gw_memory.c   memory held for callers
  *   fg_gw_places.c   places of connections
@@ -67,7 +68,9 @@
 #include "metrics/fg_metrics.h"
 #include "origin/fg_origin.h"
 #include "overload/fg_overload.h"
+#include "pace/fg_pace.h"
 #include "place/fg_popularity.h"
+
 #include "places/fg_places.h"
 #include "quota/fg_quota.h"
 #include "relay/fg_relay.h"
@@ -1178,6 +1181,7 @@
 	GHashTable *took; /* name of a route -> struct fg_took * */
 	GHashTable *first_took; /* name of a service -> the same, until the
 				   first byte of an answer */
+	GHashTable *paces;	/* name of a service -> struct fg_pace * */
 	GHashTable *stutters;	/* name of a service -> struct fg_stutter * */
 
 	struct fg_metrics *metrics;
@@ -1186,6 +1190,24 @@
 	struct fg_hist *hist_load;
 };
 
+/* ---- Durations ---- */
+
+/* Returns the record of that size under `name` in gw->took, gw->first_took,
+ * gw->paces or gw->stutters, created as zeroes when missing; valid until the
+ * next call. */
+void *fg_gw_get_named(GHashTable *all, const char *name, size_t size);
+
+/* An endpoint answered the request to its end, or works on it still. */
+void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now);
+
+struct fg_gw_estimate {
+	uint32_t longest_ms;
+	const char *evidence; /* for log lines */
+};
+
+/* Returns how long the request takes at most if it is sent now. */
+struct fg_gw_estimate fg_gw_took_estimate(const struct fg_gwreq *r, fg_ms now);
+
 /* ---- Planned stop ---- */
 
 static inline bool fg_gw_is_stopping(const struct fg_gateway *gw)
@@ -1211,13 +1233,6 @@
  * an endpoint now, and returns whether it did. Call it before each send. */
 bool fg_gw_stop_refuse_late(struct fg_gwreq *r);
 
-/* Returns the record of that size under `name` in gw->took, gw->first_took or
- * gw->stutters, created as zeroes when missing; valid until the next call. */
-void *fg_gw_get_named(GHashTable *all, const char *name, size_t size);
-
-/* An endpoint answered the request to its end. */
-void fg_gw_stop_note_answered(const struct fg_gwreq *r);
-
 void fg_gw_close_listeners(struct fg_gateway *gw);
 
 /* During a stop: logs that the request is taken, and on what estimate. */
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -6,80 +6,19 @@
 #define PAUSE_MIN_MS 250
 /* After a pause, a tick can come this long before the signal is noticed. */
 #define SIGNAL_LATE_MS 100
-/* Assumed duration of requests of a route of which none was answered lately,
- * unless the route's time limit is shorter. */
-#define UNKNOWN_MS 3000
-#define UNKNOWN_TOOK UINT32_MAX
 /* Period of ticks from the answers on, so that the process leaves soon. */
 #define LAST_TICKS_MS 20
 /* Other instances can serve the caller at once. */
 #define RETRY_MS 50
-/* Routes, or services, of which something is kept. */
-#define NAMES_MAX 8192
 
-/* ---- Durations ---- */
-
-void *fg_gw_get_named(GHashTable *all, const char *name, size_t size)
-{
-	void *record = g_hash_table_lookup(all, name);
-
-	if (record != NULL)
-		return record;
-	if (g_hash_table_size(all) >= NAMES_MAX)
-		g_hash_table_remove_all(all);
-	record = g_malloc0(size);
-	g_hash_table_insert(all, g_strdup(name), record);
-	return record;
-}
-
-/* A name is optional in the configuration, a prefix is not. */
-static struct fg_took *route_took(const struct fg_gwreq *r)
-{
-	const struct fg_route *route = r->route;
-
-	return fg_gw_get_named(
-		r->gw->took, route->name != NULL ? route->name : route->prefix,
-		sizeof(struct fg_took));
-}
-
-static void note_took(const struct fg_gwreq *r, fg_ms now)
-{
-	fg_took_note(route_took(r), now, (uint32_t)(now - r->arrived_at));
-}
-
-void fg_gw_stop_note_answered(const struct fg_gwreq *r)
-{
-	note_took(r, fg_clock_now());
-}
-
-/* How long a request is going to take, and from what that follows. */
-struct estimate {
-	uint32_t ms;
-	const char *evidence;
-};
-
-static struct estimate estimate_took(const struct fg_gwreq *r, fg_ms now)
-{
-	uint32_t longest_ms =
-		fg_took_longest_ms(route_took(r), now, UNKNOWN_TOOK);
-	struct estimate e = { longest_ms, "history" };
-
-	if (longest_ms != UNKNOWN_TOOK)
-		return e;
-	e.ms = UNKNOWN_MS;
-	e.evidence = "none";
-	if (r->route->timeout_ms > 0 && r->route->timeout_ms < UNKNOWN_MS) {
-		e.ms = r->route->timeout_ms;
-		e.evidence = "limit";
-	}
-	return e;
-}
+/* ---- Requests ---- */
 
 bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
 {
 	if (!fg_gw_is_stopping(r->gw))
 		return true;
-	return fg_stop_has_time(&r->gw->stop, now, estimate_took(r, now).ms);
+	return fg_stop_has_time(&r->gw->stop, now,
+				fg_gw_took_estimate(r, now).longest_ms);
 }
 
 char *fg_gw_stop_format_age(const struct fg_gateway *gw)
@@ -94,15 +33,15 @@
 {
 	const struct fg_stop *s = &r->gw->stop;
 	fg_ms now = fg_clock_now();
-	struct estimate e;
+	struct fg_gw_estimate e;
 	char *age;
 	char text[2][24];
 
 	if (!fg_gw_is_stopping(r->gw))
 		return;
-	e = estimate_took(r, now);
+	e = fg_gw_took_estimate(r, now);
 	age = fg_gw_stop_format_age(r->gw);
-	g_snprintf(text[0], sizeof(text[0]), "%u", e.ms);
+	g_snprintf(text[0], sizeof(text[0]), "%u", e.longest_ms);
 	g_snprintf(text[1], sizeof(text[1]), "%lld",
 		   (long long)(s->answer_at - now));
 	fg_log(FG_LOG_INFO, "request", "taken_in_stop", "id", r->call.id,
@@ -111,8 +50,6 @@
 	g_free(age);
 }
 
-/* ---- Requests ---- */
-
 /* Ends the request with what is known of it: it has not run, or it may have. */
 static void end_request(struct fg_gwreq *r)
 {
@@ -148,7 +85,7 @@
 	if (r->route == NULL)
 		return;
 	if (fg_gwreq_is_passed_on(r))
-		note_took(r, now);
+		fg_gw_took_note(r, now);
 	else if (!fg_gw_stop_has_time(r, now))
 		end_request(r);
 }
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -2,6 +2,7 @@
  * that it follows. */
 #include <glib.h>
 
+#include "pace/fg_pace.h"
 #include "stop/fg_stop.h"
 #include "took/fg_took.h"
 
@@ -182,6 +183,55 @@
 	g_assert_cmpuint(t.usual_ms, ==, 900);
 }
 
+/* The bound of a stream follows from its length, not from the length of those
+ * before it. */
+static void test_pace(void)
+{
+	struct fg_pace p = { 0 };
+
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 60), ==,
+			 FG_PACE_UNKNOWN);
+	/* 20 events of 60 tokens, 30 ms apart, after 100 ms. */
+	fg_pace_note(&p, START, 100, 20, 19 * 30, 60);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 60), >=, 100 + 19 * 30);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), >=,
+			 100 + 189 * 30);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), <, 6000);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 6), <, 300);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, UINT32_MAX), <,
+			 FG_PACE_UNKNOWN);
+	g_assert_cmpuint(
+		fg_pace_longest_ms(&p, START + 4 * FG_TOOK_KEEP_MS, 60), ==,
+		FG_PACE_UNKNOWN);
+}
+
+/* A stream that slows down while it runs changes the bound of others. */
+static void test_pace_of_running(void)
+{
+	struct fg_pace p = { 0 };
+	uint32_t before_ms;
+
+	fg_pace_note(&p, START, 100, 20, 19 * 30, 60);
+	before_ms = fg_pace_longest_ms(&p, START, 570);
+	fg_pace_note(&p, START, 100, 20, 19 * 90, 60);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), >, 2 * before_ms);
+	/* One that waits for its first event tells no pace, but a delay. */
+	before_ms = fg_pace_longest_ms(&p, START, 570);
+	fg_pace_note(&p, START, 1100, 0, 0, 60);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), ==,
+			 before_ms + 1000);
+}
+
+/* A single pause in a short stream does not make long ones look endless. */
+static void test_pace_of_short(void)
+{
+	struct fg_pace p = { 0 };
+
+	fg_pace_note(&p, START, 100, 20, 19 * 30, 60);
+	fg_pace_note(&p, START, 100, 2, 700, 60);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 60), <, 3000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -195,5 +245,8 @@
 	g_test_add_func("/stop/short_grace", test_short_grace);
 	g_test_add_func("/took/longest", test_took);
 	g_test_add_func("/took/usual", test_usual);
+	g_test_add_func("/pace/bound", test_pace);
+	g_test_add_func("/pace/running", test_pace_of_running);
+	g_test_add_func("/pace/short", test_pace_of_short);
 	return g_test_run();
 }
