A slow reader's connection is not ended by the kernel's timeout

Callers that read all the while, at 16,000 bytes a second, had their answers cut off after some 4 s.

Cause: TCP_USER_TIMEOUT of 3 s. On Linux it also ends a connection whose peer lives and acknowledges the probes, once its window has been closed for that long; the times of lib/memory and of the flush, which are meant to decide on slow callers, were never reached.

Accepted connections no longer have it, where the kernel tells of the peer (TCP_INFO): while bytes are on their way, each second, a peer counts as lost when 3 s have passed since its last acknowledgement and probes or packets sent again are unanswered. An idle one is probed by keep-alive as before. Elsewhere, and on connections that this side opens, the timeout stays.

Ruled out: a longer timeout, which delays the detection of lost callers and still cuts those that pause longer.

--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -14,11 +14,13 @@
 /* A dead peer is detected within about 3 s. That is less than the 4 s after
  * which the platform counts an instance as reachable again. With
  * TCP_USER_TIMEOUT set, the kernel ends an idle connection at the first probe
- * that is due after that time, whatever the number of probes. */
+ * that is due after that time, whatever the number of probes, and one whose
+ * peer acknowledges all probes but keeps its window closed. */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 #define USER_TIMEOUT_MS 3000
+#define PEER_CHECK_MS 1000
 #define BACKLOG 512
 #define READ_BYTES 16384
 /* Receive buffers of a link that is paused, and of one that was paused before:
@@ -36,6 +38,54 @@
 /* Shared by all links, since libuv reads one link at a time. */
 static char read_buffer[READ_BYTES];
 
+/* Returns false where the kernel does not tell what fg_link_is_peer_gone()
+ * needs. */
+static bool read_signs(const struct fg_link *l, struct fg_link_signs *signs)
+{
+	struct tcp_info info = { 0 };
+	socklen_t size = sizeof(info);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0 ||
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+	    info.tcpi_state == 0)
+		return false;
+	signs->since_ack_ms = info.tcpi_last_ack_recv;
+	signs->probes = info.tcpi_probes;
+	signs->unacked = info.tcpi_unacked;
+	signs->retransmits = info.tcpi_retransmits;
+	return true;
+}
+
+bool fg_link_is_peer_gone(const struct fg_link_signs *signs)
+{
+	return signs->since_ack_ms >= USER_TIMEOUT_MS &&
+	       (signs->probes >= KEEPALIVE_PROBES ||
+		(signs->unacked > 0 && signs->retransmits > 0));
+}
+
+bool fg_link_has_lost_peer(const struct fg_link *l)
+{
+	struct fg_link_signs signs;
+
+	return l->watched && read_signs(l, &signs) &&
+	       fg_link_is_peer_gone(&signs);
+}
+
+/* A connection to a slow reader must not end by TCP_USER_TIMEOUT. */
+static void watch_peer(struct fg_link *l)
+{
+	struct fg_link_signs signs;
+	unsigned int none = 0;
+	uv_os_fd_t fd;
+
+	if (!read_signs(l, &signs) ||
+	    uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0)
+		return;
+	l->watched = setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &none,
+				sizeof(none)) == 0;
+}
+
 static void set_options(struct fg_link *l)
 {
 	uv_os_fd_t fd;
@@ -108,6 +158,23 @@
 	}
 }
 
+static void on_peer_check(uv_timer_t *timer)
+{
+	struct fg_link *l = timer->data;
+
+	if (l->closed ||
+	    fg_link_unsent_bytes(l) + fg_link_unacked_bytes(l) == 0)
+		return;
+	if (!fg_link_has_lost_peer(l)) {
+		uv_timer_start(&l->timer, on_peer_check, PEER_CHECK_MS, 0);
+		return;
+	}
+	/* The kernel would go on to send for minutes. */
+	fg_link_set_linger(l, true);
+	l->error = UV_ETIMEDOUT;
+	notify_end(l, FG_LINK_RESET);
+}
+
 static struct fg_link *link_new(uv_loop_t *loop, const struct fg_link_ops *ops,
 				void *ctx)
 {
@@ -171,6 +238,7 @@
 	}
 	l->connected = true;
 	set_options(l);
+	watch_peer(l);
 	uv_read_start((uv_stream_t *)&l->tcp, on_alloc, on_read);
 	return l;
 }
@@ -282,6 +350,8 @@
 	if (l->closed || l->closing || len_bytes + body_bytes == 0)
 		return;
 	l->written_at_ms = uv_now(l->timer.loop);
+	if (l->watched && !uv_is_active((uv_handle_t *)&l->timer))
+		uv_timer_start(&l->timer, on_peer_check, PEER_CHECK_MS, 0);
 	sent = write_at_once(l, bufs, body_bytes > 0 ? 2 : 1);
 	if (sent == len_bytes + body_bytes)
 		return;
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -4,7 +4,8 @@
  * A link is a connected or connecting stream. Writes never block; what the
  * kernel does not accept at once is queued, and fg_link_pending_bytes() returns
  * how much that is. Keep-alive probes and a time limit for unacknowledged data
- * end a link in a few seconds when its peer no longer answers.
+ * end a link in a few seconds when its peer no longer answers; one that was
+ * accepted outlasts a peer that answers and reads slowly.
  *
  * All links of a process must belong to one loop, since they share a buffer for
  * reading. Callbacks run on the thread of the loop. The user releases each link
@@ -99,6 +100,18 @@
  * it has sent and that were not read. */
 bool fg_link_is_in_transit(const struct fg_link *l);
 
+/* What the kernel knows of a connection's peer. */
+struct fg_link_signs {
+	uint32_t since_ack_ms; /* since its last acknowledgement */
+	uint32_t probes;      /* unanswered, of a closed window or keep-alive */
+	uint32_t unacked;     /* packets */
+	uint32_t retransmits; /* of the oldest of them, unanswered */
+};
+
+/* Returns whether the peer no longer answers. One that reads slowly does: it
+ * acknowledges packets, and probes while its window is closed. */
+bool fg_link_is_peer_gone(const struct fg_link_signs *signs);
+
 /* Stop and resume reading. The kernel keeps little of a link that is not read,
  * besides what it had received by then. */
 void fg_link_pause(struct fg_link *l);
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -152,6 +152,12 @@
 	if (undelivered < l->undelivered_bytes)
 		l->progress_at_ms = now;
 	l->undelivered_bytes = undelivered;
+	if (fg_link_has_lost_peer(l)) {
+		l->error = UV_ETIMEDOUT;
+		fg_link_log_cut(l, fg_link_end_name(l));
+		reset_handles(l);
+		return;
+	}
 	if (undelivered == 0) {
 		if (l->sent && now - l->progress_at_ms >= DRAIN_MAX_MS)
 			fg_link_close_handles(l);
--- a/lib/link/fg_link_priv.h
+++ b/lib/link/fg_link_priv.h
@@ -8,7 +8,7 @@
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_shutdown_t shutdown;
-	uv_timer_t timer; /* checks a close with flush */
+	uv_timer_t timer; /* checks the peer, or a close with flush */
 	const struct fg_link_ops *ops;
 	void *ctx; /* NULL after fg_link_close() */
 	size_t pending_bytes;
@@ -22,6 +22,7 @@
 	bool closed;		  /* by the user: no further callbacks */
 	bool closing;		  /* the handles are being closed */
 	bool connected;
+	bool watched;	  /* see fg_link_has_lost_peer() */
 	bool paused;	  /* is not read */
 	bool flushing;	  /* closed, waits until the peer has all bytes */
 	bool sent;	  /* the kernel has accepted all of them */
@@ -33,6 +34,10 @@
 /* The link holds a descriptor from now on. */
 void fg_link_count_open(void);
 
+/* Returns whether a peer to which bytes are on their way has not answered for
+ * too long. A closed window alone is no sign of that. */
+bool fg_link_has_lost_peer(const struct fg_link *l);
+
 /* Releases the descriptor, without another callback. */
 void fg_link_close_handles(struct fg_link *l);
 
--- a/tests/gateway_stop_tails.py
+++ b/tests/gateway_stop_tails.py
@@ -16,6 +16,7 @@
 READ_BYTES_PER_S = 14000
 READ_EVERY_S = 0.05
 SIGNAL_AFTER_S = 0.3
+READER_PAUSE_S = 4.5
 NEXT_AT_EVENT = 150  # the caller sends its next request then
 
 
@@ -157,5 +158,33 @@
                 close=True)
 
 
-SCENARIOS = [tails_of_streams_in_stop, tails_of_orders_in_stop,
+def answer_at_length(replica, req, rid):
+    body = PIECE * 8000
+    req.sock.sendall(replica.response_head(
+        rid, f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+    return True
+
+
+def reader_that_pauses(s):
+    """A caller whose window stays closed for longer than a lost peer is waited
+    for, and that acknowledges the probes, gets the whole answer."""
+    add_long_routes(s)
+    for replica in s.plains:
+        replica.answer_with = answer_at_length
+    caller = SlowCaller(s.gw.front, "unsafe")
+    caller.sock.sendall(caller.request())
+    time.sleep(READER_PAUSE_S)
+    size = len(PIECE) * 8000
+    try:
+        while len(caller.received) <= size and (
+                data := caller.sock.recv(65536)):
+            caller.received += data
+    except OSError as why:
+        caller.error = why
+    caller.sock.close()
+    print(f"{len(caller.received)} bytes, {caller.error!r}")
+    check(len(caller.received) > size, "the answer is cut")
+
+
+SCENARIOS = [reader_that_pauses, tails_of_streams_in_stop, tails_of_orders_in_stop,
              tails_without_next_request, tails_of_closed_connections]
