lib/pace: few events do not make long streams look quick

test_stop_sim shows streams that are taken in a stop and cut at its answers, with a steady pace and lengths as stated.

As long as no stream of 8 events tells the pace, the mean of the short ones counts as it is; one event tells no gap. The number of events per token is taken from streams that ended.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1197,8 +1197,9 @@
  * next call. */
 void *fg_gw_get_named(GHashTable *all, const char *name, size_t size);
 
-/* An endpoint answered the request to its end, or works on it still. */
-void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now);
+/* An endpoint answered the request to its end, or works on it still
+ * (`ended` false). */
+void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now, bool ended);
 
 struct fg_gw_estimate {
 	uint32_t longest_ms;
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -275,7 +275,7 @@
 	g_snprintf(code, sizeof(code), "%u", status);
 	fg_gwreq_count_outcome(r, "answered", NULL);
 	fg_gwreq_log_routine(r, "answered", code);
-	fg_gw_took_note(r, fg_clock_now());
+	fg_gw_took_note(r, fg_clock_now(), true);
 	if (is_success(status))
 		fg_blame_on_answer(r->gw->blame, fg_clock_now(), r->ep->hash,
 				   r->call.shared_parts);
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -85,7 +85,7 @@
 	if (r->route == NULL)
 		return;
 	if (fg_gwreq_is_passed_on(r))
-		fg_gw_took_note(r, now);
+		fg_gw_took_note(r, now, false);
 	else if (!fg_gw_stop_has_time(r, now))
 		end_request(r);
 }
--- a/lib/gateway/fg_gw_took.c
+++ b/lib/gateway/fg_gw_took.c
@@ -44,24 +44,27 @@
 	       r->call.output_tokens > 0;
 }
 
-static void note_pace(const struct fg_gwreq *r, fg_ms now)
+static void note_pace(const struct fg_gwreq *r, fg_ms now, bool ended)
 {
 	fg_ms first_at = r->first_at == 0 ? now : r->first_at;
-
-	if (r->sent_at == 0)
-		return;
 	/* The first event of a stream that was sent again came before. */
-	fg_pace_note(service_pace(r), now,
-		     (uint32_t)MAX(first_at - r->sent_at, 0),
-		     r->events.n_complete, (uint32_t)(now - first_at),
-		     r->call.output_tokens);
+	struct fg_pace_run run = {
+		.first_ms = (uint32_t)MAX(first_at - r->sent_at, 0),
+		.events_ms = (uint32_t)(now - first_at),
+		.n_events = r->events.n_complete,
+		.tokens = r->call.output_tokens,
+		.ended = ended,
+	};
+
+	if (r->sent_at != 0)
+		fg_pace_note(service_pace(r), now, &run);
 }
 
-void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now)
+void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now, bool ended)
 {
 	fg_took_note(route_took(r), now, (uint32_t)(now - r->arrived_at));
 	if (has_length(r))
-		note_pace(r, now);
+		note_pace(r, now, ended);
 }
 
 /* A stream lasts as long as its length and the pace allow. While no pace is
--- a/lib/pace/fg_pace.c
+++ b/lib/pace/fg_pace.c
@@ -13,25 +13,51 @@
 	return (uint32_t)MIN(n, UINT32_MAX - 1);
 }
 
-void fg_pace_note(struct fg_pace *p, fg_ms now, uint32_t first_ms,
-		  uint64_t n_events, uint32_t events_ms, uint32_t tokens)
+static uint32_t mean_us(uint32_t events_ms, uint64_t n_gaps)
 {
-	fg_took_note(&p->first, now, first_ms);
+	return clamp_u32((uint64_t)events_ms * US_PER_MS / n_gaps);
+}
+
+static void note_gaps(struct fg_pace *p, fg_ms now, uint64_t n_gaps,
+		      uint32_t events_ms)
+{
+	fg_took_note(&p->gap, now, mean_us(events_ms, MAX(n_gaps, GAPS_MIN)));
+	if (n_gaps >= GAPS_MIN)
+		fg_took_note(&p->long_gap, now, mean_us(events_ms, n_gaps));
+	else if (n_gaps > 0)
+		fg_took_note(&p->short_gap, now, mean_us(events_ms, n_gaps));
+}
+
+void fg_pace_note(struct fg_pace *p, fg_ms now, const struct fg_pace_run *run)
+{
+	uint64_t n_events = run->n_events;
+
+	fg_took_note(&p->first, now, run->first_ms);
 	if (n_events == 0)
 		return;
-	fg_took_note(&p->gap, now,
-		     clamp_u32((uint64_t)events_ms * US_PER_MS /
-			       MAX(n_events - 1, GAPS_MIN)));
-	if (tokens > 0)
-		fg_took_note(&p->density, now,
-			     clamp_u32((n_events * DENSITY_SCALE + tokens - 1) /
-				       tokens));
+	note_gaps(p, now, n_events - 1, run->events_ms);
+	/* Until its end, a stream tells only that there are no fewer. */
+	if (run->ended && run->tokens > 0)
+		fg_took_note(
+			&p->density, now,
+			clamp_u32((n_events * DENSITY_SCALE + run->tokens - 1) /
+				  run->tokens));
+}
+
+/* As long as no stream has told the pace of long ones, a pause in a short one
+ * may be its pace. */
+static uint64_t longest_gap_us(const struct fg_pace *p, fg_ms now)
+{
+	if (fg_took_longest_ms(&p->long_gap, now, FG_PACE_UNKNOWN) ==
+	    FG_PACE_UNKNOWN)
+		return fg_took_longest_ms(&p->short_gap, now, FG_PACE_UNKNOWN);
+	return fg_took_longest_ms(&p->gap, now, FG_PACE_UNKNOWN);
 }
 
 uint32_t fg_pace_longest_ms(const struct fg_pace *p, fg_ms now, uint32_t tokens)
 {
 	uint64_t first_ms = fg_took_longest_ms(&p->first, now, FG_PACE_UNKNOWN);
-	uint64_t gap_us = fg_took_longest_ms(&p->gap, now, FG_PACE_UNKNOWN);
+	uint64_t gap_us = longest_gap_us(p, now);
 	uint64_t density =
 		fg_took_longest_ms(&p->density, now, FG_PACE_UNKNOWN);
 	uint64_t events;
--- a/lib/pace/fg_pace.h
+++ b/lib/pace/fg_pace.h
@@ -4,15 +4,16 @@
  *
  * Keeps, for FG_TOOK_KEEP_MS to 2 * FG_TOOK_KEEP_MS, the longest time to a
  * first event, the longest time between events and the most events that a token
- * of the allowed length brought. Streams that still run count as well. Unlike
- * the durations of earlier streams, this also bounds one that is longer than
- * all of them.
+ * of the allowed length brought. Streams that still run count as well, but for
+ * the last. Unlike the durations of earlier streams, this also bounds one that
+ * is longer than all of them.
  *
  * Does no I/O and reads no clock.
  */
 #ifndef FG_PACE_H
 #define FG_PACE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "took/fg_took.h"
@@ -21,17 +22,24 @@
 
 /* Zeroed memory is a valid initial state, in which nothing is known. */
 struct fg_pace {
-	struct fg_took first;	/* ms until the first event */
-	struct fg_took gap;	/* us between events, the mean of a stream */
-	struct fg_took density; /* events per 1,000 tokens */
+	struct fg_took first;	  /* ms until the first event */
+	struct fg_took gap;	  /* us between events, the mean of a stream */
+	struct fg_took long_gap;  /* the same of streams that tell the pace */
+	struct fg_took short_gap; /* and of those that are too short to */
+	struct fg_took density;	  /* events per 1,000 tokens */
 };
 
-/* A stream of up to `tokens` has been running since it was sent: its first
- * event came after `first_ms`, and `n_events` in `events_ms` from then on.
- * `n_events` 0: none yet, for `first_ms`. To be called at its end, and also
- * before. */
-void fg_pace_note(struct fg_pace *p, fg_ms now, uint32_t first_ms,
-		  uint64_t n_events, uint32_t events_ms, uint32_t tokens);
+/* What was seen of a stream since it was sent. */
+struct fg_pace_run {
+	uint32_t first_ms;  /* until its first event, or none so far */
+	uint32_t events_ms; /* from then on */
+	uint64_t n_events;
+	uint32_t tokens; /* its stated length */
+	bool ended;
+};
+
+/* To be called at the end of a stream, and also before. */
+void fg_pace_note(struct fg_pace *p, fg_ms now, const struct fg_pace_run *run);
 
 /* Returns the longest time in ms that a stream of up to `tokens` takes, or
  * FG_PACE_UNKNOWN. */
