Orders and reports to engines each have a connection of their own

An engine was ordered to load a seventh adapter into six places and crashed with the requests that it ran, after a takeover by another instance.

Cause: the answer to an order is tied to it only by its place on the connection. A late second copy of the answer to a report (200) was taken for that to an unload, which the engine had answered with 202 and still carried out; the place counted as free. The connection was closed after refusals only.

Ruled out: a connection for reports alone, on which copies of answers to orders still meet other orders.

--- a/lib/gateway/fg_gw_orders.c
+++ b/lib/gateway/fg_gw_orders.c
@@ -418,7 +418,7 @@
 	local->tenure = fg_claims_tenure(gw->claims, local->ep->facts.id);
 	local->facts_seen = local->ep->facts;
 	fg_channel_set_head_hook(local->channel, on_answer_head, local);
-	fg_channel_close_after_refusals(local->channel);
+	fg_channel_use_once(local->channel);
 	apply_versions(gw, local->slots);
 	log_order(local, "holds_orders", 0);
 }
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -27,7 +27,7 @@
 	uint32_t n_informational; /* before the answer to the request */
 	size_t informational_bytes;
 	bool open; /* link is connected */
-	bool close_after_refusals;
+	bool use_once; /* a connection for each request */
 };
 
 static void close_link(struct fg_channel *c)
@@ -102,8 +102,7 @@
 {
 	unsigned int status = c->h1.head.status;
 
-	if (!reusable || !c->h1.head.keep_alive ||
-	    (c->close_after_refusals && (status < 200 || status > 299)))
+	if (!reusable || !c->h1.head.keep_alive || c->use_once)
 		close_link(c);
 	else
 		fg_h1_reset(&c->h1);
@@ -218,9 +217,9 @@
 	c->hook_ctx = ctx;
 }
 
-void fg_channel_close_after_refusals(struct fg_channel *c)
+void fg_channel_use_once(struct fg_channel *c)
 {
-	c->close_after_refusals = true;
+	c->use_once = true;
 }
 
 uint64_t fg_channel_head_result(const struct fg_channel *c)
--- a/lib/link/fg_channel.h
+++ b/lib/link/fg_channel.h
@@ -39,10 +39,10 @@
 /* Returns what the function returned for the head of the last answer. */
 uint64_t fg_channel_head_result(const struct fg_channel *c);
 
-/* From now on the connection is closed after each answer but those of 2xx: a
- * second copy of a refusal cannot be taken for the answer to a later request,
- * which nothing else tells apart. */
-void fg_channel_close_after_refusals(struct fg_channel *c);
+/* From now on each request has a connection of its own: a second copy of an
+ * answer that comes late cannot be taken for the answer to a later request, where
+ * nothing else tells them apart. */
+void fg_channel_use_once(struct fg_channel *c);
 
 /* Drops a request in flight without a callback, closes the connection and frees
  * the channel; NULL is allowed. */
--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -15,6 +15,9 @@
   order_refused, report_refused
               refused, and the refusal is written again when the next call has
               come on the same connection
+  report_copied
+              answered, and the answer is written again when the next call has
+              come on the same connection
   endless_junk, endless_head, endless_body, endless_event
               bytes without end, until the caller closes: no answer at all,
               fields of its head, a body without a length, one event
@@ -47,6 +50,10 @@
         self.answer_with = None
         self.refused_on = {}  # socket -> status to write again
         self.refusals_again = 0
+        self.report_copies = {}  # socket -> body of a report to write again
+        self.reports_again = 0
+        self.unload_wait_s = 0.0  # an unload waits for runs, this long
+        self.unload_ends = {}  # adapter -> time.monotonic() of its end
         self.name = name
         self.first_name = name
         self.service = service
@@ -206,6 +213,7 @@
             req.answer(421, headers=[("Instance-Id", self.name), *self.echo(req)])
             return True
         self.write_refusal_again(req)
+        self.write_report_again(req)
         if self.order_answers is not None and req.target in (
                 "/api/order", "/api/report"):
             return self.answer_badly(req)
@@ -233,6 +241,12 @@
             self.refusals_again += 1
             req.answer(status, headers=[("Not-Run", "1")] if status == 503 else [])
 
+    def write_report_again(self, req):
+        body = self.report_copies.pop(req.sock, None)
+        if body is not None:
+            self.reports_again += 1
+            req.answer(200, body)
+
     # Orders.
 
     def answer_badly(self, req):
@@ -279,6 +293,8 @@
         if not self.has_base:
             return 409
         if body["opcode"] == "unload":
+            if name in self.unload_ends:
+                return 202
             if name not in self.adapters:
                 return 200
         elif name in self.loading:
@@ -289,6 +305,9 @@
             return 409
         self.sequence += 1
         if body["opcode"] == "unload":
+            if self.unload_wait_s > 0:
+                self.unload_ends[name] = time.monotonic() + self.unload_wait_s
+                return 202
             del self.adapters[name]
             return 200
         self.loading[name] = time.monotonic() + self.load_s
@@ -301,6 +320,10 @@
             if time.monotonic() >= done_at:
                 del self.loading[name]
                 self.adapters[name] = self.versions.get(name, 1)
+        for name, done_at in list(self.unload_ends.items()):
+            if time.monotonic() >= done_at:
+                del self.unload_ends[name]
+                self.adapters.pop(name, None)
 
     def handle_report(self, req):
         if self.consume_fault("report_refused"):
@@ -317,7 +340,10 @@
             body = {"models": models, "busy": False,
                     "sequence": self.sequence, "born": self.boot_ms,
                     "coming": [f"{MODEL}/{a}@1" for a in self.loading]}
-        req.answer(200, json.dumps(body).encode())
+        answer = json.dumps(body).encode()
+        req.answer(200, answer)
+        if self.consume_fault("report_copied"):
+            self.report_copies[req.sock] = answer
         return True
 
     # Requests.
--- a/tests/gateway_refusals.py
+++ b/tests/gateway_refusals.py
@@ -368,7 +368,30 @@
 refused_report_again.system_options = {"engines": 1, "plains": 0}
 
 
+def report_copied_before_unload(s):
+    """A late copy of the answer to a report is not taken for the answer to an
+    unload, which the engine still carries out: it is not ordered to load more
+    than it holds."""
+    engine = s.engines[0]
+    for i in range(6):
+        check(has_all_events(send_draft(s.gw, f"a{i}")), f"a{i} is not served")
+    engine.unload_wait_s = 1.0
+    engine.faults["report_copied"] = 1000
+    for i in range(6, 10):
+        engine.faults["order_refused"] = 1  # makes it ask for a report
+        a = send_draft(s.gw, f"a{i}")
+        print(f"a{i}: {a.status}")
+    overfull = [o for o in engine.orders if o[2] == "overfull"]
+    print(f"{engine.reports_again} reports again, {len(overfull)} overfull")
+    check(not overfull, f"{len(overfull)} loads beyond the engine's places")
+    engine.faults["report_copied"] = 0
+    wait_for("a9 is served", lambda: has_all_events(send_draft(s.gw, "a9")))
+
+
+report_copied_before_unload.system_options = {"engines": 1}
+
 SCENARIOS = [
+    report_copied_before_unload,
     refusal_written_again, refusal_again_through_tunnel, refusal_again_in_body,
     refusal_on_checked_connection, refusal_without_id,
     unproven_refusals, refused_orders_again, refused_report_again,
