A late write of an ended process does not replace an instance's row

Tenants got up to 1.4 times their allotment for good: two instances kept their accounts, since one of them was taken for dead by the others while it lived.

Cause: an instance's own row was written without a condition and never read again. The store performed the write of an ended process after that of its successor; the row then named an incarnation that sends no heartbeats, and those of the live one were dropped.

The write now requires the version that was read last, and so follows the first read of the table. An instance that finds the process before it in its row, or no row, writes it again; an unknown one is a successor and stays.

Ruled out: taking heartbeats of incarnations that no row names, which lets a process act that was replaced.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -631,6 +631,12 @@
 /* Writes the row that announces this instance. */
 void fg_sync_write_own_row(struct fg_gateway *gw);
 
+/* The row of this instance's name was read, with the incarnation in it; 0: it
+ * was removed. Another one than this process's is replaced, unless it is that
+ * of a process that was started later. */
+void fg_sync_note_own_row(struct fg_gateway *gw, uint64_t version,
+			  uint64_t incarnation);
+
 /* Reads from the store what the feed lacks, after any call in flight. */
 void fg_sync_read_store(struct fg_feed *f);
 
@@ -1118,6 +1124,10 @@
 	fg_ms follow_after; /* the store is read here until then */
 	struct fg_channel *tx_channel;
 	bool own_row_written;
+	bool own_row_exists; /* by the last version seen of it: */
+	uint64_t own_row_version;
+	uint64_t own_row_before; /* incarnation in it before the first write of
+				    this process; 0: none */
 	struct fg_claim_write claiming[FG_CLAIM_BATCH_MAX]; /* last claims */
 	uint32_t n_claiming;
 	fg_ms own_table_known_at; /* first complete read; 0: none */
--- a/lib/gateway/fg_gw_era.c
+++ b/lib/gateway/fg_gw_era.c
@@ -43,6 +43,8 @@
 	fg_fleet_registry_restored(gw->fleet, now);
 	fg_gw_catchup_on_era(gw);
 	gw->own_row_written = false;
+	gw->own_row_exists = false;
+	gw->own_row_version = 0;
 	fg_blame_save_again(gw->blame);
 	/* Claims wait until the others have heard of the era as well. */
 	gw->own_table_known_at = 0;
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -27,14 +27,53 @@
 			       size_t len)
 {
 	struct fg_gateway *gw = ctx;
+	fg_ms now = fg_clock_now();
+	struct fg_store_rows rows = { 0 };
+	bool conflict = status == HTTP_STATUS_PRECONDITION_FAILED;
 
-	(void)body;
-	(void)len;
-	gw->next_tx_at = fg_clock_now() + TX_GAP_MS;
-	gw->own_row_written =
-		status == HTTP_STATUS_OK && is_tx_answer_usable(gw, status);
+	gw->next_tx_at = now + TX_GAP_MS;
+	if ((status == HTTP_STATUS_OK || conflict) &&
+	    is_tx_answer_usable(gw, status) &&
+	    gw->wire->rows_read(body, len, &rows, NULL)) {
+		fg_store_rows_set_era(&rows, gw->era.known);
+		gw->own_row_exists = !conflict;
+		gw->own_row_version = conflict ? 0 : rows.version;
+		gw->own_row_written = !conflict;
+		/* The answer to a conflict has the row as it is now. */
+		for (guint i = 0; conflict && i < rows.rows->len; i++)
+			fg_sync_apply_row(&gw->feeds[FG_FEED_OWN],
+					  rows.rows->pdata[i], now);
+	}
+	fg_store_rows_clear(&rows);
 	if (!gw->own_row_written)
-		fg_log(FG_LOG_WARN, "sync", "own_row_not_written", NULL);
+		fg_log(FG_LOG_WARN, "sync", "own_row_not_written", "reason",
+		       conflict ? "conflict" : "no_answer", NULL);
+}
+
+void fg_sync_note_own_row(struct fg_gateway *gw, uint64_t version,
+			  uint64_t incarnation)
+{
+	char found[FG_KEY_TEXT_BYTES];
+
+	if (version < gw->own_row_version)
+		return;
+	gw->own_row_version = version;
+	gw->own_row_exists = incarnation != 0;
+	if (incarnation == gw->incarnation) {
+		gw->own_row_written = true;
+		return;
+	}
+	if (!gw->own_row_written) {
+		gw->own_row_before = incarnation;
+		return;
+	}
+	fg_gw_format_key(found, incarnation);
+	/* An unknown incarnation is a process that was started after this one:
+	 * the row is its own. */
+	gw->own_row_written =
+		incarnation != 0 && incarnation != gw->own_row_before;
+	fg_log(FG_LOG_WARN, "sync", "own_row_replaced", "incarnation", found,
+	       "by", gw->own_row_written ? "successor" : "late_write", NULL);
 }
 
 static void send_tx(struct fg_gateway *gw, const struct fg_tx_row *rows,
@@ -66,6 +105,11 @@
 	value = fg_peer_row_format(&self);
 	rows[0].key = key;
 	rows[0].value = value;
+	/* A write of an earlier process, or an earlier one of this process, can
+	 * be performed late. */
+	rows[0].conditional = true;
+	rows[0].expected =
+		gw->own_row_exists ? fg_store_number(gw->own_row_version) : 0;
 	rows[1].key = features_key;
 	rows[1].value = features;
 	send_tx(gw, rows, G_N_ELEMENTS(rows), on_own_row_written);
@@ -269,7 +313,8 @@
 	if (fg_channel_is_busy(gw->tx_channel) || now < gw->next_tx_at)
 		return;
 	if (!gw->own_row_written && !fg_gw_is_stopping(gw)) {
-		fg_sync_write_own_row(gw);
+		if (gw->own_table_known_at != 0)
+			fg_sync_write_own_row(gw);
 		return;
 	}
 	if (gw->own_table_known_at == 0 || !gw->claims_current ||
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -222,6 +222,7 @@
 			  fg_ms now)
 {
 	struct fg_peer_row peer;
+	const char *name;
 
 	if (g_str_has_prefix(row->key, FG_SYNC_KEY_OWNER)) {
 		fg_claims_apply_row(
@@ -245,12 +246,16 @@
 	}
 	if (!g_str_has_prefix(row->key, FG_SYNC_KEY_INSTANCE))
 		return;
+	name = row->key + strlen(FG_SYNC_KEY_INSTANCE);
 	if (row->removed || row->value == NULL) {
-		fg_peers_remove(gw->peers,
-				row->key + strlen(FG_SYNC_KEY_INSTANCE));
-	} else if (fg_peer_row_parse(row->key + strlen(FG_SYNC_KEY_INSTANCE),
-				     row->value, &peer)) {
+		if (strcmp(name, gw->conf->name) == 0)
+			fg_sync_note_own_row(gw, row->version, 0);
+		fg_peers_remove(gw->peers, name);
+	} else if (fg_peer_row_parse(name, row->value, &peer)) {
 		peer.version = row->version;
+		if (strcmp(name, gw->conf->name) == 0)
+			fg_sync_note_own_row(gw, row->version,
+					     peer.incarnation);
 		if (fg_peers_find(gw->peers, peer.incarnation) == NULL)
 			hasten_heartbeats(gw, now);
 		fg_peers_put(gw->peers, now, &peer);
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -453,7 +453,6 @@
 		fg_sync_start_full_read(f);
 		send_next(f);
 	}
-	fg_sync_write_own_row(gw);
 }
 
 void fg_sync_stop(struct fg_gateway *gw)
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -25,6 +25,9 @@
         self.unanswered_feeds = {}  # table -> feed calls not to answer
         self.lost_tx_answers = 0  # transactions to carry out but not answer
         self.tx_delay_s = 0  # before a transaction with a lost answer
+        self.late_key = None  # the next transaction that writes it is not
+        self.late_s = 0       # answered, and carried out this much later
+        self.late_statuses = []
         self.era = 0         # stated in all answers; None: not stated
         self.copies = []     # (time, rows, version), oldest first
         self.views = []
@@ -153,6 +156,13 @@
             req.sock.recv(1)  # until the caller closes the connection
             return False
         if url.path == "/api/rows-tx":
+            if self.late_key is not None and self.late_key in [
+                    w["key"] for w in json.loads(req.body)["writes"]]:
+                self.late_key = None
+                threading.Timer(self.late_s, self._transact_late,
+                                [json.loads(req.body)]).start()
+                req.sock.recv(1)  # until the caller closes the connection
+                return False
             if self.lost_tx_answers > 0:
                 self.lost_tx_answers -= 1
                 time.sleep(self.tx_delay_s)
@@ -171,6 +181,9 @@
         req.answer(status, json.dumps(body).encode(), self._headers())
         return True
 
+    def _transact_late(self, body):
+        self.late_statuses.append(self.transact(body)[0])
+
     def _handle_unserved(self, req, mode):
         if mode in ("busy", "limited"):
             req.answer(503 if mode == "busy" else 429,
--- a/tests/gateway_odd_rows.py
+++ b/tests/gateway_odd_rows.py
@@ -3,6 +3,7 @@
 
 import json
 import re
+import time
 
 from hosted import (
     check, find_log_lines, has_all_events, http_get, make_config, next_id, send,
@@ -253,7 +254,61 @@
 rows_of_other_parts.system_options = {"gateways": 3}
 
 
+def own_row(s):
+    return s.store.keys(TABLE, "instance/g1").get("instance/g1")
+
+
+def knows_g1(s):
+    lines = [line for line in s.gw.state().splitlines()
+             if line.startswith("peer") and "g1" in line]
+    return any(" alive=1" in line for line in lines)
+
+
+def restart_g1(s, changed_from):
+    """Returns the row of the new process, once g0 knows it."""
+    s.gateways[1].kill()
+    s.gateways[1].start()
+    wait_for("a new row", lambda: own_row(s) not in (None, changed_from))
+    wait_for("g0 knows g1", lambda: knows_g1(s))
+    return own_row(s)
+
+
+def late_row_of_ended_process(s):
+    """The row of an ended process, which the store writes seconds later, does
+    not replace that of its successor."""
+    g1 = s.gateways[1]
+    g1.kill()
+    s.store.remove(TABLE, "instance/g1")
+    s.store.late_s = 3.0
+    s.store.late_key = "instance/g1"
+    g1.start()
+    wait_for("its write", lambda: s.store.late_key is None)
+    row = restart_g1(s, None)
+    wait_for("the late write", lambda: s.store.late_statuses, 6)
+    time.sleep(0.5)
+    print(f"late write: {s.store.late_statuses}")
+    check(own_row(s) == row, "the row of the ended process is back")
+    wait_for("g0 knows g1", lambda: knows_g1(s), 3)
+
+
+late_row_of_ended_process.system_options = {"gateways": 2}
+
+
+def row_of_ended_process_is_back(s):
+    """An instance that finds the row of the process before it in place of its own
+    writes its own again."""
+    old = own_row(s)
+    row = restart_g1(s, old)
+    s.store.put_raw(TABLE, "instance/g1", old.encode())
+    wait_for("its own row", lambda: own_row(s) == row, 3)
+    wait_for("g0 knows g1", lambda: knows_g1(s), 3)
+    check(find_log_lines(s.gateways[1], "own_row_replaced"), "no log line")
+
+
+row_of_ended_process_is_back.system_options = {"gateways": 2}
+
 SCENARIOS = [
+    late_row_of_ended_process, row_of_ended_process_is_back,
     odd_entries, odd_entries_at_start, odd_keys, entry_turns_odd, odd_own_rows, odd_announcements,
     rows_of_other_parts,
 ]
