--- /dev/null
+++ b/tests/gateway_stop_ends.py
@@ -0,0 +1,246 @@
+"""Scenarios of tests/gateway.py with ends of connections: by an instance after
+a pause, by a caller that closes its side, and in a stop under a next request."""
+
+import os
+import socket
+import threading
+import time
+
+from gateway_old_callers import check_readable, send_old
+from gateway_stop_lengths import (
+    LONG_EVENTS, SHORT_EVENTS, LengthCaller, prepare, send_lengths)
+from gateway_stop_tails import (
+    CALLERS, EVENTS as TAIL_EVENTS, PIECE, READ_EVERY_S, SIGNAL_AFTER_S,
+    SlowCaller, answer_at_length, answer_with_events)
+from gateway_stops import add_long_routes, check_exit, stop
+from hosted import (
+    EVENTS, Gateway, HOST, System, check, event_ids, next_id, send, wait_for)
+
+PAUSE_S = 3  # longer than a close waits for its peer
+UNREAD_S = 0.5
+JUDGED_S = 0.2  # a request without an answer is lost later than this
+
+
+def answer_with_late_end(replica, req, rid):
+    """Pauses between the last event and the end of the stream."""
+    req.sock.sendall(replica.response_head(
+        rid, "Content-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n").encode())
+    for i in range(1, EVENTS + 1):
+        event = b"id: %d\ndata: piece %d\n\n" % (i, i)
+        req.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+    time.sleep(PAUSE_S)
+    req.sock.sendall(b"0\r\n\r\n")
+    return True
+
+
+def old_callers_late_end(s):
+    """A whole stream without chunks ends in an orderly way, also long after its
+    last event."""
+    for engine in s.engines:
+        engine.answer_with = answer_with_late_end
+    a, end = send_old(s.gw.front, "/brief/1")
+    check_readable(a, "late end")
+    check(len(event_ids(a)) == EVENTS, f"{a.body!r}")
+    check(end == "closed", f"ended by: {end}")
+
+
+def half_closed_callers(s):
+    """A caller that closes its side after its whole answer was given out
+    receives all of it."""
+    add_long_routes(s)
+    for replica in s.plains:
+        replica.answer_with = answer_at_length
+    caller = SlowCaller(s.gw.front, "unsafe")
+    caller.sock.sendall(caller.request())
+    wait_for("answered", lambda: s.run_count(caller.rid) == 1)
+    time.sleep(UNREAD_S)
+    caller.sock.shutdown(socket.SHUT_WR)
+    try:
+        while data := caller.sock.recv(65536):
+            caller.received += data
+    except OSError as why:
+        caller.error = why
+    caller.sock.close()
+    print(f"{len(caller.received)} bytes, {caller.error!r}")
+    check(len(caller.received) > len(PIECE) * 8000, "the answer is cut")
+
+
+class BufferedCaller(SlowCaller):
+    """Reads as slowly, but its kernel takes the whole answer at once. Sends a
+    next request."""
+
+    def __init__(self, front, kind):
+        super().__init__(front, kind, following=True)
+        self.sock.close()
+        host, port = front.split(":")
+        self.sock = socket.create_connection((host, int(port)), 15)
+
+    def run(self):
+        self.sent_at = None
+        try:
+            self.sock.sendall(self.request())
+            while self.read_on() and not self.has_next_answer():
+                if self.sent_at is None and self.events() >= 150:
+                    self.sock.sendall(self.next_request())
+                    self.sent_at = time.monotonic()
+                time.sleep(READ_EVERY_S)
+        except OSError as why:
+            self.error = why
+        self.end_at = time.monotonic()
+        self.sock.close()
+
+    def next_request(self):
+        return (f"POST /order/next-{self.rid} HTTP/1.1\r\nHost: kitchen.example"
+                f"\r\nRequest-Id: n{self.rid[1:]}\r\nContent-Length: 1\r\n\r\nx"
+                ).encode()
+
+
+def next_request_in_stop(s):
+    """A request that comes while the caller still reads an answer that did not
+    announce the end of its connection is answered, or not read."""
+    add_long_routes(s)
+    for replica in s.engines:
+        replica.answer_with = answer_with_events
+    callers = [BufferedCaller(s.gw.front, "brief") for _ in range(CALLERS)]
+    threads = [threading.Thread(target=c.run) for c in callers]
+    for thread in threads:
+        thread.start()
+    time.sleep(SIGNAL_AFTER_S)
+    began = stop(s.gw)
+    check_exit(s.gw, began)
+    print(f"left after {time.monotonic() - began:.1f} s")
+    for thread in threads:
+        thread.join()
+    lost = 0
+    for c in callers:
+        sent = -1 if c.sent_at is None else c.sent_at - began
+        lost += (not c.has_next_answer() and c.sent_at is not None and
+                 c.error is None and c.end_at - c.sent_at > JUDGED_S)
+        print(f"{c.rid}: {c.events()} events, next sent at {sent:.2f} s, "
+              f"{'answered' if c.has_next_answer() else 'not answered'}, ended "
+              f"at {c.end_at - began:.2f} s, {c.error!r}")
+    check(all(c.events() == TAIL_EVENTS for c in callers), "answers are cut")
+    check(lost == 0, f"{lost} next requests were read and got no answer")
+
+
+def long_streams_after_early_ends(s):
+    """Streams that use their length are not begun late in a stop when those
+    before them ended early."""
+    prepare(s)
+    begin = time.monotonic()
+    by_length = s.engines[0].answer_with
+
+    def end_early(replica, req, rid):
+        req.sock.sendall(replica.response_head(
+            rid, "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for i in range(1, SHORT_EVENTS + 1):
+            event = b"id: %d\ndata: x\n\n" % i
+            req.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(0.028)
+        req.sock.sendall(b"0\r\n\r\n")
+        return True
+
+    for engine in s.engines:
+        engine.answer_with = end_early
+    for c in [LengthCaller(s, begin, i * 0.1, LONG_EVENTS) for i in range(10)]:
+        c.thread.join()
+        check(len(event_ids(c.answer)) == SHORT_EVENTS, f"{c.answer.status}")
+    for engine in s.engines:
+        engine.answer_with = by_length
+    send_late(s)
+
+
+def long_streams_after_brief_ones(s):
+    """Nor when those before them had few events."""
+    prepare(s)
+    begin = time.monotonic()
+    for c in [LengthCaller(s, begin, i * 0.1, 2) for i in range(10)]:
+        c.thread.join()
+        check(c.is_served(), f"before the stop: {c.answer.status}")
+    send_late(s)
+
+
+def send_late(s):
+    for replica in s.plains:
+        replica.work_s = 0.3
+    others = threading.Thread(target=send_orders, args=(s.gw.front, 3.6))
+    others.start()
+    send_lengths(s, [(at_s, LONG_EVENTS) for at_s in (3.2, 3.4, 3.6)])
+    others.join()
+
+
+def send_orders(front, for_s):
+    """Keeps an instance that stops in use."""
+    end = time.monotonic() + for_s
+    while time.monotonic() < end:
+        send(front, "/order/1")
+        time.sleep(0.25)
+
+
+class FewDescriptorsGateway(Gateway):
+    descriptors = 96
+
+    def __init__(self, store, name, folder, dc, fences_checked, binary):
+        script = os.path.join(folder, name + ".sh")
+        with open(script, "w", encoding="utf-8") as f:
+            f.write(f"#!/bin/sh\nulimit -n {self.descriptors}\n"
+                    f"exec {os.path.abspath(binary)} \"$@\"\n")
+        os.chmod(script, 0o755)
+        super().__init__(store, name, folder, dc, fences_checked, script)
+
+
+class FewDescriptorsSystem(System):
+    gateway_class = FewDescriptorsGateway
+
+
+def send_and_stay(front):
+    """Returns the connection of a caller that asked for its end, has its whole
+    answer and does not close its side."""
+    host, port = front.split(":")
+    sock = socket.create_connection((host, int(port)), 5)
+    sock.sendall((f"POST /order/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: "
+                  f"{next_id()}\r\nConnection: close\r\nContent-Length: 1\r\n"
+                  "\r\nx").encode())
+    data = b""
+    try:
+        while piece := sock.recv(4096):
+            data += piece
+    except OSError:
+        pass
+    return sock, data.split(b" ", 2)[1:2] == [b"200"]
+
+
+def slow_reader_beside_closed_connections(s):
+    """Closed connections whose callers have their whole answers give way before
+    one whose caller still reads."""
+    add_long_routes(s)
+    for replica in s.plains:
+        replica.answer_with = answer_at_length
+    caller = SlowCaller(s.gw.front, "unsafe", close=True)
+    caller.sock.sendall(caller.request())
+    wait_for("answered", lambda: s.run_count(caller.rid) == 1)
+    time.sleep(UNREAD_S)
+    for replica in s.plains:
+        replica.answer_with = None
+    others = [send_and_stay(s.gw.front) for _ in range(90)]
+    print(f"{sum(ok for _, ok in others)} of {len(others)} others served")
+    try:
+        while data := caller.sock.recv(65536):
+            caller.received += data
+    except OSError as why:
+        caller.error = why
+    for sock, _ in others:
+        sock.close()
+    caller.sock.close()
+    print(f"{len(caller.received)} bytes, {caller.error!r}")
+    check(len(caller.received) > len(PIECE) * 8000, "the answer is cut")
+
+
+slow_reader_beside_closed_connections.system_class = FewDescriptorsSystem
+
+
+SCENARIOS = [old_callers_late_end, half_closed_callers, next_request_in_stop,
+             long_streams_after_early_ends, long_streams_after_brief_ones,
+             slow_reader_beside_closed_connections]
