A whole answer that ends long after its last bytes is not reset

A stream of HTTP/1.0, or of an unframed tunnel, whose end comes over 2 s after its last event was closed at once with the reset of fg_link_reset_on_exit() still set. old_callers_late_end passes; it failed before.

--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -216,9 +216,12 @@
 {
 	if (l->closed)
 		return;
-	if (flush && l->connected && must_wait(l)) {
-		l->flushing = true;
-		fg_link_resume(l);
+	if (flush && l->connected) {
+		l->flushing = must_wait(l);
+		if (l->flushing)
+			fg_link_resume(l);
+		else
+			fg_link_set_linger(l, false);
 	}
 	l->closed = true;
 	l->ctx = NULL;
