--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -408,7 +408,9 @@
 	c->end_reason = fg_link_end_name(c->link);
 	if (end != FG_LINK_EOF && c->req == NULL && c->tunnel == NULL)
 		fg_link_log_cut(c->link, c->end_reason);
-	fg_caller_close(c, false);
+	/* A peer that only closed its side still reads the last answer. */
+	fg_caller_close(c, end == FG_LINK_EOF && c->req == NULL &&
+				   c->tunnel == NULL);
 }
 
 static void on_drained(void *ctx)
