A stop answers the next request of a caller that still reads

Idle connections were closed as soon as their last answer was acknowledged, and what came in the 2 s after that was read and dropped.

--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -110,11 +110,11 @@
 }
 
 /* Returns whether closing the connection could lose an answer that its caller
- * has not received, or a request that was not read. */
+ * has not read, or a request that its caller sends before it sees the end. */
 static bool is_in_transit(const struct fg_caller *c)
 {
 	return c->link != NULL && !has_work(c) &&
-	       fg_link_is_in_transit(c->link);
+	       fg_link_may_be_read(c->link);
 }
 
 static void close_idle_callers(struct fg_gateway *gw)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -100,6 +100,11 @@
  * it has sent and that were not read. */
 bool fg_link_is_in_transit(const struct fg_link *l);
 
+/* Returns whether the peer may still be reading: bytes are in transit, or were
+ * written less than 2 s ago. Closing the descriptor now could reset the
+ * connection before it has read all. */
+bool fg_link_may_be_read(const struct fg_link *l);
+
 /* What the kernel knows of a connection's peer. */
 struct fg_link_signs {
 	uint32_t since_ack_ms; /* since its last acknowledgement */
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -189,9 +189,7 @@
 	       ioctl(fd, FIONREAD, &unread) == 0 && unread > 0;
 }
 
-/* Returns whether closing the descriptor now could reset the connection before
- * the peer has read the last answer. */
-static bool must_wait(const struct fg_link *l)
+bool fg_link_may_be_read(const struct fg_link *l)
 {
 	return uv_now(l->timer.loop) - l->written_at_ms < DRAIN_MAX_MS ||
 	       fg_link_is_in_transit(l);
@@ -217,7 +215,7 @@
 	if (l->closed)
 		return;
 	if (flush && l->connected) {
-		l->flushing = must_wait(l);
+		l->flushing = fg_link_may_be_read(l);
 		if (l->flushing)
 			fg_link_resume(l);
 		else
