--- a/tests/gateway_stop_ends.py
+++ b/tests/gateway_stop_ends.py
@@ -3,6 +3,7 @@
 
 import os
 import socket
+import subprocess
 import threading
 import time
 
@@ -12,7 +13,7 @@
 from gateway_stop_tails import (
     CALLERS, EVENTS as TAIL_EVENTS, PIECE, READ_EVERY_S, SIGNAL_AFTER_S,
     SlowCaller, answer_at_length, answer_with_events)
-from gateway_stops import add_long_routes, check_exit, stop
+from gateway_stops import GRACE_S, add_long_routes, check_exit, stop
 from hosted import (
     EVENTS, Gateway, HOST, System, check, event_ids, next_id, send, wait_for)
 
@@ -241,6 +242,52 @@
 slow_reader_beside_closed_connections.system_class = FewDescriptorsSystem
 
 
+class StuckLogGateway(Gateway):
+    """Nobody reads what it logs."""
+
+    def start(self):
+        self.log_end, self.log_begin = os.pipe()
+        os.set_blocking(self.log_begin, False)
+        try:
+            while True:
+                os.write(self.log_begin, b"x")
+        except BlockingIOError:
+            pass
+        os.set_blocking(self.log_begin, True)
+        self.popen = subprocess.Popen(
+            [self.binary, "--config", self.settings_path],
+            stdout=self.log_begin, stderr=self.log_begin)
+
+    def log(self):
+        return ""
+
+
+class StuckLogSystem(System):
+    gateway_class = StuckLogGateway
+
+
+def stuck_log_in_stop(s):
+    """Nor is a stop longer than its grace for a caller that does not read while
+    nobody reads the log."""
+    add_long_routes(s)
+    for replica in s.plains:
+        replica.answer_with = answer_at_length
+    caller = SlowCaller(s.gw.front, "unsafe")
+    caller.sock.sendall(caller.request())
+    wait_for("answered", lambda: s.run_count(caller.rid) == 1)
+    began = stop(s.gw)
+    s.gw.popen.wait(2 * GRACE_S)
+    left_s = time.monotonic() - began
+    print(f"left after {left_s:.2f} s")
+    caller.sock.close()
+    os.close(s.gw.log_begin)
+    os.close(s.gw.log_end)
+    check(left_s < GRACE_S, "still runs at the end of the grace")
+
+
+stuck_log_in_stop.system_class = StuckLogSystem
+
+
 SCENARIOS = [old_callers_late_end, half_closed_callers, next_request_in_stop,
              long_streams_after_early_ends, long_streams_after_brief_ones,
-             slow_reader_beside_closed_connections]
+             slow_reader_beside_closed_connections, stuck_log_in_stop]
