--- a/lib/log/fg_log.c
+++ b/lib/log/fg_log.c
@@ -27,7 +27,7 @@
 #define CATEGORY "fulmargauge"
 #define VALUE_MAX_BYTES 1024 /* longer values are truncated */
 #define TIME_BYTES 40
-#define CLOSE_WAIT_MS 200
+#define CLOSE_WAIT_MS 50
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static log4c_category_t *category; /* NULL until opened */
--- a/lib/log/fg_log.h
+++ b/lib/log/fg_log.h
@@ -53,7 +53,7 @@
 void fg_log_limit_rate(const struct fg_log_rate_limits *limits);
 
 /* Closes the log; later lines are dropped until fg_log_open(). Writes how many
- * lines were dropped since that was last said, and waits up to 200 ms for room
+ * lines were dropped since that was last said, and waits up to 50 ms for room
  * to do so. */
 void fg_log_close(void);
 
