--- a/lib/gateway/fg_gw_took.c
+++ b/lib/gateway/fg_gw_took.c
@@ -4,6 +4,8 @@
 /* Assumed duration of a plain request of a route of which none was answered
  * lately, unless the route's time limit is shorter. */
 #define UNKNOWN_MS 3000
+/* Of a stream of a service without any, for each token; UNKNOWN_MS at least. */
+#define UNKNOWN_TOKEN_MS 50
 #define UNKNOWN_TOOK UINT32_MAX
 /* Routes, or services, of which something is kept. */
 #define NAMES_MAX 8192
@@ -64,18 +66,21 @@
 		note_pace(r, now);
 }
 
-/* A stream lasts as long as its length and the pace allow. While no pace is
- * known, nothing but its time limit bounds it. */
+/* A stream lasts as long as its length and the pace allow. */
 static struct fg_gw_estimate estimate_stream(const struct fg_gwreq *r,
 					     fg_ms now)
 {
 	struct fg_gw_estimate e = { fg_gwreq_time_left_ms(r, now), "limit" };
-	uint32_t longest_ms =
+	uint64_t longest_ms =
 		fg_pace_longest_ms(service_pace(r), now, r->call.output_tokens);
+	bool known = longest_ms != FG_PACE_UNKNOWN;
 
+	if (!known)
+		longest_ms = MAX(UNKNOWN_MS, (uint64_t)r->call.output_tokens *
+						     UNKNOWN_TOKEN_MS);
 	if (longest_ms < e.longest_ms) {
-		e.longest_ms = longest_ms;
-		e.evidence = "pace";
+		e.longest_ms = (uint32_t)longest_ms;
+		e.evidence = known ? "pace" : "none";
 	}
 	return e;
 }
