--- a/tests/gateway_stop_ends.py
+++ b/tests/gateway_stop_ends.py
@@ -242,6 +242,29 @@
 slow_reader_beside_closed_connections.system_class = FewDescriptorsSystem
 
 
+def endpoints_beside_closed_connections(s):
+    """Nor do they keep requests from reaching an endpoint."""
+    add_long_routes(s)
+    others = [send_and_stay(s.gw.front) for _ in range(90)]
+    for replica in s.plains:
+        replica.work_s = 0.3
+    answers = []
+    threads = [threading.Thread(target=lambda: answers.append(
+        send(s.gw.front, "/order/1"))) for _ in range(12)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    for sock, _ in others:
+        sock.close()
+    served = sum(a.status == 200 for a in answers)
+    print(f"{served} of {len(answers)} served, {[a.status for a in answers]}")
+    check(served == len(answers), f"{len(answers) - served} are not served")
+
+
+endpoints_beside_closed_connections.system_class = FewDescriptorsSystem
+
+
 class StuckLogGateway(Gateway):
     """Nobody reads what it logs."""
 
@@ -290,4 +313,5 @@
 
 SCENARIOS = [old_callers_late_end, half_closed_callers, next_request_in_stop,
              long_streams_after_early_ends, long_streams_after_brief_ones,
-             slow_reader_beside_closed_connections, stuck_log_in_stop]
+             slow_reader_beside_closed_connections,
+             endpoints_beside_closed_connections, stuck_log_in_stop]
