--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -189,9 +189,7 @@
 	       ioctl(fd, FIONREAD, &unread) == 0 && unread > 0;
 }
 
-/* Returns whether closing the descriptor now could reset the connection before
- * the peer has read the last answer. */
-static bool must_wait(const struct fg_link *l)
+bool fg_link_may_be_read(const struct fg_link *l)
 {
 	return uv_now(l->timer.loop) - l->written_at_ms < DRAIN_MAX_MS ||
 	       fg_link_is_in_transit(l);
@@ -216,9 +214,12 @@
 {
 	if (l->closed)
 		return;
-	if (flush && l->connected && must_wait(l)) {
-		l->flushing = true;
-		fg_link_resume(l);
+	if (flush && l->connected) {
+		l->flushing = fg_link_may_be_read(l);
+		if (l->flushing)
+			fg_link_resume(l);
+		else
+			fg_link_set_linger(l, false);
 	}
 	l->closed = true;
 	l->ctx = NULL;
@@ -275,32 +276,41 @@
 	return true;
 }
 
-static bool abort_oldest(const char *reason)
+static void abort_flushing(struct fg_link *l, const char *reason)
 {
-	struct fg_link *oldest;
+	fg_link_log_cut(l, reason);
+	if (fg_link_unsent_bytes(l) > 0) {
+		reset_handles(l);
+		return;
+	}
+	drop_unread(l);
+	fg_link_close_handles(l);
+}
 
-	if (flushing.head == NULL)
-		return false;
-	oldest = flushing.head->data;
-	fg_link_log_cut(oldest, reason);
-	if (fg_link_unsent_bytes(oldest) > 0) {
-		reset_handles(oldest);
-		return true;
+/* Returns the oldest of those whose peer has acknowledged all, else of all. */
+static struct fg_link *choose_flushing(void)
+{
+	for (const GList *it = flushing.head; it != NULL; it = it->next) {
+		if (undelivered_bytes(it->data) == 0)
+			return it->data;
 	}
-	drop_unread(oldest);
-	fg_link_close_handles(oldest);
-	return true;
+	return flushing.head == NULL ? NULL : flushing.head->data;
 }
 
 bool fg_link_abort_oldest_flushing(void)
 {
-	return abort_oldest("descriptors");
+	struct fg_link *l = choose_flushing();
+
+	if (l == NULL)
+		return false;
+	abort_flushing(l, "descriptors");
+	return true;
 }
 
 void fg_link_abort_flushing(void)
 {
-	while (abort_oldest("process_ends"))
-		;
+	while (flushing.head != NULL)
+		abort_flushing(flushing.head->data, "process_ends");
 }
 
 void fg_link_abort(struct fg_link *l)
