--- a/lib/gateway/fg_gw_took.c
+++ b/lib/gateway/fg_gw_took.c
@@ -5,7 +5,7 @@
  * lately, unless the route's time limit is shorter. */
 #define UNKNOWN_MS 3000
 /* Of a stream of a service without any, for each token; UNKNOWN_MS at least. */
-#define UNKNOWN_TOKEN_MS 50
+#define UNKNOWN_TOKEN_MS 150
 #define UNKNOWN_TOOK UINT32_MAX
 /* Routes, or services, of which something is kept. */
 #define NAMES_MAX 8192
