--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -141,7 +141,12 @@
 
 bool fg_gw_has_descriptor(const struct fg_gateway *gw)
 {
-	return fg_link_open_count() < fg_places_for_endpoints(gw->descriptors);
+	while (fg_link_open_count() >=
+	       fg_places_for_endpoints(gw->descriptors)) {
+		if (!fg_link_end_delivered())
+			return false;
+	}
+	return true;
 }
 
 uv_timer_t *fg_gw_timer_new(struct fg_gateway *gw, void *data)
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -151,6 +151,10 @@
  * false when none has any. */
 bool fg_link_abort_largest_flushing(void);
 
+/* Ends the one of these links that was closed first, of those whose peer has
+ * acknowledged all. Returns false when there is none. */
+bool fg_link_end_delivered(void);
+
 /* Ends the one of these links that was closed first, of those whose peer has
  * acknowledged all, if there are any: by a reset, unless the kernel has accepted
  * all. Returns false when there is none. */
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -287,23 +287,24 @@
 	fg_link_close_handles(l);
 }
 
-/* Returns the oldest of those whose peer has acknowledged all, else of all. */
-static struct fg_link *choose_flushing(void)
+bool fg_link_end_delivered(void)
 {
 	for (const GList *it = flushing.head; it != NULL; it = it->next) {
-		if (undelivered_bytes(it->data) == 0)
-			return it->data;
+		if (undelivered_bytes(it->data) > 0)
+			continue;
+		abort_flushing(it->data, "descriptors");
+		return true;
 	}
-	return flushing.head == NULL ? NULL : flushing.head->data;
+	return false;
 }
 
 bool fg_link_abort_oldest_flushing(void)
 {
-	struct fg_link *l = choose_flushing();
-
-	if (l == NULL)
+	if (fg_link_end_delivered())
+		return true;
+	if (flushing.head == NULL)
 		return false;
-	abort_flushing(l, "descriptors");
+	abort_flushing(flushing.head->data, "descriptors");
 	return true;
 }
 
