--- a/tests/stop_rig.py
+++ b/tests/stop_rig.py
@@ -18,6 +18,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 
 from gateway_stops import stop, write_long_routes
 from hosted import reset_connection, send, wait_for, with_grace
@@ -51,6 +52,7 @@
         self.few_long = rand.sample(s.gateways, rand.choice((0, 1, 2)))
         self.stops_at = self.draw_stops(rand)
         self.load_s = self.stops_at[-1][1] + self.grace_s
+        self.speed = rand.choice((1, 1, 5))  # of streams
         self.disturbed = rand.random() < 0.7
         self.restarted = [g for g in s.gateways if rand.random() < 0.7]
         self.stops = []  # (gateway, time of SIGTERM, time of exit)
@@ -157,7 +159,7 @@
         if r.first_at is None:
             return "unsent"
         if not_due or r.end_at is None:
-            return "not_due"
+            return "not_due_ran" if ran else "not_due"
         if not ran:
             if behind:
                 return "behind"
@@ -182,24 +184,26 @@
         return False
 
     def judge_all(self):
-        """Returns the counts of all requests and of those sent in a stop."""
-        counts, in_stops = {}, {}
+        """Returns the counts of all requests, of those sent in a stop, and of those
+        sent early in it."""
+        counts, in_stops, early = Counter(), Counter(), Counter()
         for caller in self.callers:
             not_due = behind = False
             for r in caller.requests:
                 word = self.judge(r, not_due, behind)
-                counts[word] = counts.get(word, 0) + 1
-                if r.first_at is not None and any(
-                        g is r.gateway and began <= r.first_at <= exit_at
-                        for g, began, exit_at in self.stops):
-                    in_stops[word] = in_stops.get(word, 0) + 1
+                counts[word] += 1
+                ages = [r.first_at - began for g, began, exit_at in self.stops
+                        if g is r.gateway and r.first_at is not None and
+                        began <= r.first_at <= exit_at]
+                in_stops[word] += len(ages)
+                early[word] += sum(age <= EARLY_S for age in ages)
                 if word.isupper():
                     self.faults.append(f"{word}: {r.facts(self.begin)}, reads "
                                        f"{caller.read_rate:.0f} B/s, "
                                        f"{caller.mode}{self.log_of(r)}")
                 not_due |= r.last_answer
                 behind |= not r.whole
-        return counts, in_stops
+        return counts, in_stops, early
 
     def log_of(self, r):
         return "".join(f"\n    {g.name}: {line}" for g in self.system.gateways
@@ -220,33 +224,35 @@
         return self.judge_all()
 
 
-def share(counts, words):
-    return sum(counts.get(w, 0) for w in words) / max(1, sum(
-        counts.get(w, 0) for w in ("LOST", "served", "refused", "failed",
-                                   "excused")))
+def format_shares(counts):
+    due = sum(counts[w] for w in ("LOST", "served", "refused", "failed",
+                                  "excused"))
+    return ", ".join(f"{name} {counts[word] / max(1, due):.3f}"
+                     for name, word in (("cut unexcused", "LOST"),
+                                        ("refused", "refused"),
+                                        ("served", "served"))) + f" of {due}"
 
 
 def run(seed):
     rig = Rig(seed)
     try:
-        counts, in_stops = rig.run()
+        counts, in_stops, early = rig.run()
     finally:
         rig.system.close()
-    began = {g.name: f"{t - rig.begin:.2f}" for g, t, _ in rig.stops}
-    ok = "not ok" if rig.faults else "ok"
-    print(f"{ok} seed {seed}: " + (f"{len(rig.faults)} faults, " if rig.faults
-                                   else "") +
-          ", ".join(f"{n} {w}" for w, n in sorted(counts.items())) +
-          "; sent in a stop: " + ", ".join(
-              f"{name} {share(in_stops, (word,)):.3f}" for name, word in (
-                  ("cut unexcused", "LOST"), ("refused", "refused"),
-                  ("served", "served"))))
-    if rig.faults:
-        print(f"  grace {rig.grace_s} s, SIGTERM at {began}")
-    for fault in rig.faults:
+    bad = rig.faults
+    kinds = ", ".join(sorted({fault.split(":")[0] for fault in bad}))
+    print(f"not ok seed {seed}: {len(bad)} faults ({kinds})" if bad else
+          f"ok seed {seed}")
+    print("  " + ", ".join(f"{word} {n}" for word, n in sorted(counts.items())))
+    print(f"  sent in a stop: {format_shares(in_stops)}; in its first "
+          f"{EARLY_S:.0f} s: {format_shares(early)}")
+    if bad:
+        print(f"  grace {rig.grace_s} s, SIGTERM at " + ", ".join(
+            f"{began - rig.begin:.3f} ({g.name})" for g, began, _ in rig.stops))
+    for fault in bad:
         print(f"  {fault}")
     sys.stdout.flush()
-    return not rig.faults
+    return not bad
 
 
 def main():
--- a/tests/stop_rig_callers.py
+++ b/tests/stop_rig_callers.py
@@ -26,12 +26,12 @@
 class Request:
     """One request, what its replica does with it, and what its caller saw."""
 
-    def __init__(self, rand, rid, gateway, few_long, slow):
+    def __init__(self, rand, rid, gateway, rig, slow):
         self.rid = rid
         self.gateway = gateway
         self.kind = rand.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
-        self.events = draw_events(rand, few_long)
-        self.interval_s = 1 / rand.uniform(20, 45)
+        self.events = draw_events(rand, gateway in rig.few_long)
+        self.interval_s = 1 / rand.uniform(20, 45) / rig.speed
         self.work_s = min(rand.lognormvariate(-1.5, 1.2), 3.0)  # plain ones
         self.body_size = rand.choice((200, 40000 if slow else 2000))
         self.break_at = rand.random() if rand.random() < 0.03 else None
@@ -125,16 +125,19 @@
         self.idle_s = rand.choice((0, 0, rand.uniform(0, 6)))
         arrival = self.at_s + self.idle_s
         stopping = [g for g, at in rig.stops_at
-                    if at - 1 < arrival < at + rig.grace_s + 0.5]
+                    if at - 1 < arrival < at + rig.grace_s]
+        serving = [g for g, at in rig.stops_at
+                   if arrival < at or g in rig.restarted]
+        share = rand.random()
         self.gateway = rand.choice(
-            stopping if stopping and rand.random() < 0.7 else
-            rig.system.gateways)
+            (stopping if share < 0.6 else serving if share < 0.95 else None)
+            or rig.system.gateways)
         self.read_rate = rand.choice((0, 0, 0, rand.uniform(6000, 20000)))
         self.mode = rand.choice(("pipelined", "early", "early", "after"))
         self.early_share = rand.uniform(0.1, 1.0)
         self.requests = [
             Request(rand, f"s{rig.seed}-{number}-{i}", self.gateway,
-                    self.gateway in rig.few_long, self.read_rate > 0)
+                    rig, self.read_rate > 0)
             for i in range(rand.choice((1, 1, 2, 3)))]
         for r in self.requests:
             rig.requests[r.rid] = r
