--- a/tests/run.sh
+++ b/tests/run.sh
@@ -2,7 +2,8 @@
 # Runs the tests; the last line is "N passed, N failed".
 # Usage: tests/run.sh [all|unit|sanitized]
 #   all        unit tests, scenarios, gateway scenarios, a replacement of
-#              builds, crowds of callers, soak, invalid input, seeded runs
+#              builds, crowds of callers, soak, stops in series, invalid input,
+#              seeded runs
 #   unit       unit tests only
 #   sanitized  unit tests, one scenario, and the gateway scenarios of limits and
 #              stops, for the sanitizer builds
@@ -183,6 +184,14 @@
 	record "$name" $status
 }
 
+# run_stop_rig SEED: planned stops in series under a drawn load.
+run_stop_rig() {
+	tests/stop_rig.py --seed "$1" >"$log" 2>&1
+	status=$?
+	[ $status -eq 0 ] || cat "$log"
+	record "stop-rig-$1" $status
+}
+
 if [ "$what" = sanitized ]; then
 	run_named sanitized "$BUILD" $ENDING_SCENARIOS
 fi
@@ -196,6 +205,8 @@
 	run_soak soak-short --seed 1 --rounds 1
 	run_soak soak-regressions --regressions
 	run_soak soak-restores --seed 1 --rounds 1 --restores
+	run_stop_rig 2
+	run_stop_rig 24
 	tests/bad_input.py >"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || cat "$log"
