--- a/tests/stop_rig.py
+++ b/tests/stop_rig.py
@@ -169,19 +169,21 @@
             if r.sent_at is None or \
                     min([r.end_at, *exits]) <= r.sent_at + LOSS_SLACK_S:
                 return "unread"
-        return "excused" if self.is_excused(r) else "LOST"
+        return self.find_excuse(r) or "LOST"
 
-    def is_excused(self, r):
-        if r.broken_off or r.end_at >= r.first_at + r.limit_s - LIMIT_SLACK_S:
-            return True
+    def find_excuse(self, r):
+        if r.broken_off:
+            return "replica_broke_off"
+        if r.end_at >= r.first_at + r.limit_s - LIMIT_SLACK_S:
+            return "time_limit"
         for _, began, exit_at in self.stops:
             last_sixth = began + self.grace_s * 5 / 6
             if began <= r.end_at <= exit_at + 1 and \
                     r.first_at <= began + EARLY_S and any(
                         a <= began + self.grace_s and b >= last_sixth
                         for a, b in r.worked):
-                return True
-        return False
+                return "at_work_at_end"
+        return None
 
     def judge_all(self):
         """Returns the counts of all requests, of those sent in a stop, and of those
@@ -225,8 +227,9 @@
 
 
 def format_shares(counts):
-    due = sum(counts[w] for w in ("LOST", "served", "refused", "failed",
-                                  "excused"))
+    due = sum(counts[w] for w in (
+        "LOST", "served", "refused", "failed", "replica_broke_off",
+        "time_limit", "at_work_at_end"))
     return ", ".join(f"{name} {counts[word] / max(1, due):.3f}"
                      for name, word in (("cut unexcused", "LOST"),
                                         ("refused", "refused"),
