--- a/tests/soak.py
+++ b/tests/soak.py
@@ -31,6 +31,7 @@
 from hosted import (
     EVENTS, Gateway, HERE, HOST, MODEL, Replica, Store, broken_orders, http_get,
     make_config, send, wait_for)
+from soak_callers import EagerCaller
 from soak_judge import Call, Checker, STREAMS
 from soak_proxy import DOWN, Proxy, UP
 
@@ -721,15 +722,19 @@
 
 
 def start_kept_callers(soak, rand, g, n, ended):
-    """Starts callers that keep a connection to the instance."""
+    """Starts callers that keep a connection to the instance: n that send one
+    request at a time, and n that send in advance."""
     for _ in range(n):
-        caller = Caller(soak, rand.random())
+        seed = rand.random()
+        caller = Caller(soak, seed)
         caller.keeps_connection = True
         caller.addresses = [g.front]
         caller.looked_up_at = time.monotonic()
-        soak.threads.append(threading.Thread(target=caller.run, args=(ended,),
-                                             daemon=True))
-        soak.threads[-1].start()
+        eager = EagerCaller(soak, g, KINDS, is_expected_body, seed)
+        for target in (caller.run, eager.run):
+            soak.threads.append(threading.Thread(target=target, args=(ended,),
+                                                 daemon=True))
+            soak.threads[-1].start()
 
 
 def run_stops_part(soak, rand):
--- a/tests/stop_rig_callers.py
+++ b/tests/stop_rig_callers.py
@@ -85,8 +85,8 @@
             return "none" if t is None else f"{t - begin:.3f}"
         worked = ", ".join(f"{at(a)} to {at(b)}" for a, b in self.worked)
         return (f"{self.rid} {self.kind} at {self.gateway.name}, {self.events} "
-                f"events, limit {self.limit_s:.0f} s: first byte {at(self.first_at)}, "
-                f"last byte {at(self.sent_at)}, end {at(self.end_at)}, status "
+                f"events, limit {self.limit_s:.0f} s: first byte "
+                f"{at(self.first_at)}, last byte {at(self.sent_at)}, end {at(self.end_at)}, status "
                 f"{self.status}, {'whole' if self.whole else 'not whole'}, "
                 f"{self.body.count(b'id: ')} events received, error "
                 f"{self.error!r}, replica at work {worked or 'never'}")
@@ -100,7 +100,10 @@
     fields = head.lower()
     status = int(head[9:12])
     if b"transfer-encoding: chunked" not in fields:
-        length = int(re.search(rb"content-length: (\d+)", fields).group(1))
+        stated = re.search(rb"content-length: (\d+)", fields)
+        if stated is None:
+            return status, fields, rest, 0  # as long as its connection
+        length = int(stated.group(1))
         return status, fields, rest[:length], (
             len(head) + 4 + length if len(rest) >= length else 0)
     body, at = b"", 0
