--- a/tests/stop_rig_callers.py
+++ b/tests/stop_rig_callers.py
@@ -17,20 +17,24 @@
 STREAMS = ("brief", "draft")
 
 
-def draw_events(rand, few_long):
-    """Mean 57, a heavy tail up to 190; without the tail, at most 60."""
-    n = int(rand.lognormvariate(3.75, 0.9))
-    return max(1, min(n, 60 if few_long and rand.random() < 0.97 else 190))
+def draw_events(rand, few_long, in_stop):
+    """Mean 57, a heavy tail up to 190. An instance that sees few long ones sees
+    them in its stop."""
+    n = max(1, min(int(rand.lognormvariate(3.75, 0.9)), 190))
+    if not few_long:
+        return n
+    return rand.randint(120, 190) if in_stop and rand.random() < 0.25 else \
+        min(n, 60)
 
 
 class Request:
     """One request, what its replica does with it, and what its caller saw."""
 
-    def __init__(self, rand, rid, gateway, rig, slow):
+    def __init__(self, rand, rid, gateway, rig, slow, in_stop):
         self.rid = rid
         self.gateway = gateway
         self.kind = rand.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
-        self.events = draw_events(rand, gateway in rig.few_long)
+        self.events = draw_events(rand, gateway in rig.few_long, in_stop)
         self.interval_s = 1 / rand.uniform(20, 45) / rig.speed
         self.work_s = min(rand.lognormvariate(-1.5, 1.2), 3.0)  # plain ones
         self.body_size = rand.choice((200, 40000 if slow else 2000))
@@ -86,8 +90,9 @@
         worked = ", ".join(f"{at(a)} to {at(b)}" for a, b in self.worked)
         return (f"{self.rid} {self.kind} at {self.gateway.name}, {self.events} "
                 f"events, limit {self.limit_s:.0f} s: first byte "
-                f"{at(self.first_at)}, last byte {at(self.sent_at)}, end {at(self.end_at)}, status "
-                f"{self.status}, {'whole' if self.whole else 'not whole'}, "
+                f"{at(self.first_at)}, last byte {at(self.sent_at)}, end "
+                f"{at(self.end_at)}, status {self.status}, "
+                f"{'whole' if self.whole else 'not whole'}, "
                 f"{self.body.count(b'id: ')} events received, error "
                 f"{self.error!r}, replica at work {worked or 'never'}")
 
@@ -128,7 +133,7 @@
         self.idle_s = rand.choice((0, 0, rand.uniform(0, 6)))
         arrival = self.at_s + self.idle_s
         stopping = [g for g, at in rig.stops_at
-                    if at - 1 < arrival < at + rig.grace_s]
+                    if at < arrival < at + rig.grace_s]
         serving = [g for g, at in rig.stops_at
                    if arrival < at or g in rig.restarted]
         share = rand.random()
@@ -140,7 +145,7 @@
         self.early_share = rand.uniform(0.1, 1.0)
         self.requests = [
             Request(rand, f"s{rig.seed}-{number}-{i}", self.gateway,
-                    rig, self.read_rate > 0)
+                    rig, self.read_rate > 0, self.gateway in stopping)
             for i in range(rand.choice((1, 1, 2, 3)))]
         for r in self.requests:
             rig.requests[r.rid] = r
