A planned stop accepts the connections that wait at its listeners

Callers whose connection was established by the kernel, and not yet accepted when the listeners were closed, had it reset after they had sent their request. It had not run, but they could not know.

Cause: closing a listening socket resets what lies in its queue. The step that closes it runs on a timer, before the loop has seen the connections that came while the process was busy or paused.

The queue of each port is now accepted right before the listener is closed. A connection with unread bytes is no idle one, so its request is served, or refused as not run; one without is closed in an orderly way.

What remains: connections that are established between the last accept() and the close.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -140,6 +140,10 @@
 /* libuv callback: accepts a connection of the port in listener->data. */
 void fg_caller_accept(uv_stream_t *listener, int status);
 
+/* Accepts the connections that wait at all ports, whose callers take them for
+ * open: closing the listeners would reset them. */
+void fg_caller_accept_queued(struct fg_gateway *gw);
+
 /* Closes connections that exceed a time limit and frees closed ones. */
 void fg_caller_sweep(struct fg_gateway *gw, fg_ms now);
 
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -11,6 +11,8 @@
 /* Reading pauses when a caller has sent more than this beyond the request in
  * progress. */
 #define PIPELINED_MAX_BYTES 65536
+/* Connections that are accepted from a port's queue at once. */
+#define QUEUED_MAX 1024
 /* No page reads a body. */
 #define PAGE_BODY_MAX_BYTES 4096
 /* Bodies that hold memory end, or give way, within this time. */
@@ -451,21 +453,11 @@
 
 /* ---- Accepting ---- */
 
-void fg_caller_accept(uv_stream_t *listener, int status)
+static void take_link(struct fg_port *port, struct fg_link *link)
 {
-	struct fg_port *port = listener->data;
 	struct fg_gateway *gw = port->gw;
 	struct fg_caller *c;
-	struct fg_link *link;
 
-	if (status != 0) {
-		fg_log_routine("caller", "accept_failed", "reason",
-			       uv_strerror(status), NULL);
-		return;
-	}
-	link = fg_link_accept(listener, &link_ops, NULL);
-	if (link == NULL)
-		return;
 	if (!fg_gw_make_place(port)) {
 		fg_log_routine("caller", "too_many_connections", NULL);
 		fg_gw_count_event(gw, "connections_refused", NULL);
@@ -487,6 +479,34 @@
 	g_ptr_array_add(gw->callers, c);
 }
 
+void fg_caller_accept(uv_stream_t *listener, int status)
+{
+	struct fg_link *link;
+
+	if (status != 0) {
+		fg_log_routine("caller", "accept_failed", "reason",
+			       uv_strerror(status), NULL);
+		return;
+	}
+	link = fg_link_accept(listener, &link_ops, NULL);
+	if (link != NULL)
+		take_link(listener->data, link);
+}
+
+void fg_caller_accept_queued(struct fg_gateway *gw)
+{
+	for (int i = 0; i < FG_PORT_COUNT; i++) {
+		struct fg_port *port = &gw->ports[i];
+		struct fg_link *link;
+		int n = 0;
+
+		while (port->open && n++ < QUEUED_MAX &&
+		       (link = fg_link_accept_queued(&port->listener, &link_ops,
+						     NULL)) != NULL)
+			take_link(port, link);
+	}
+}
+
 /* ---- Time limits ---- */
 
 /* Returns when the request that is being read has to be complete: its caller
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -263,6 +263,7 @@
 		return false;
 	log_phase(gw, &work);
 	if (gw->stop.phase == FG_STOP_FINISHING) {
+		fg_caller_accept_queued(gw);
 		fg_gw_close_listeners(gw);
 		close_idle_callers(gw);
 	} else if (gw->stop.phase == FG_STOP_ANSWERING) {
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -1,5 +1,6 @@
 #include "link/fg_link.h"
 
+#include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -7,6 +8,7 @@
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/fg_address.h"
 #include "link/fg_link_priv.h"
@@ -226,12 +228,9 @@
 	return l;
 }
 
-struct fg_link *fg_link_accept(uv_stream_t *listener,
-			       const struct fg_link_ops *ops, void *ctx)
+static struct fg_link *begin_accepted(struct fg_link *l, bool accepted)
 {
-	struct fg_link *l = link_new(listener->loop, ops, ctx);
-
-	if (uv_accept(listener, (uv_stream_t *)&l->tcp) != 0) {
+	if (!accepted) {
 		l->closed = true;
 		fg_link_close_handles(l);
 		return NULL;
@@ -243,6 +242,36 @@
 	return l;
 }
 
+struct fg_link *fg_link_accept(uv_stream_t *listener,
+			       const struct fg_link_ops *ops, void *ctx)
+{
+	struct fg_link *l = link_new(listener->loop, ops, ctx);
+
+	return begin_accepted(l,
+			      uv_accept(listener, (uv_stream_t *)&l->tcp) == 0);
+}
+
+struct fg_link *fg_link_accept_queued(uv_tcp_t *listener,
+				      const struct fg_link_ops *ops, void *ctx)
+{
+	struct fg_link *l;
+	uv_os_fd_t queue;
+	int fd;
+
+	if (uv_fileno((uv_handle_t *)listener, &queue) != 0)
+		return NULL;
+	do
+		fd = accept4(queue, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	while (fd < 0 && (errno == EINTR || errno == ECONNABORTED));
+	if (fd < 0)
+		return NULL;
+	l = link_new(listener->loop, ops, ctx);
+	if (uv_tcp_open(&l->tcp, fd) == 0)
+		return begin_accepted(l, true);
+	(void)close(fd);
+	return begin_accepted(l, false);
+}
+
 void fg_link_peer_ip(const struct fg_link *l, char *out, size_t size)
 {
 	struct sockaddr_in remote;
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -53,6 +53,11 @@
 struct fg_link *fg_link_accept(uv_stream_t *listener,
 			       const struct fg_link_ops *ops, void *ctx);
 
+/* Accepts a connection that waits in the listening socket's queue, before the
+ * loop tells of it; NULL if there is none, or on failure. */
+struct fg_link *fg_link_accept_queued(uv_tcp_t *listener,
+				      const struct fg_link_ops *ops, void *ctx);
+
 /* Writes the IPv4 address of the other side without its port; "" if unknown. */
 void fg_link_peer_ip(const struct fg_link *l, char *out, size_t size);
 
--- /dev/null
+++ b/tests/gateway_stop_arrivals.py
@@ -0,0 +1,242 @@
+"""Scenarios of tests/gateway.py with requests that arrive in pieces, or lie
+unread in the kernel, in each phase of a planned stop."""
+
+import random
+import select
+import signal
+import socket
+import threading
+import time
+
+from gateway_stops import LONG_MS, add_long_routes, check_exit, stop
+from hosted import EVENTS, HOST, MODEL, check, next_id, wait_for, with_grace
+
+ROUNDS = 4
+CALLERS = 40
+ALIVE_S = 0.3  # a connection that took bytes for this long was read from
+
+
+class PieceCaller:
+    """Sends one request in pieces from `at_s` on, and reads all the time. `end`
+    is "not sent", "answered", "closed" or "reset"."""
+
+    def __init__(self, front, kind, chunked, kept, at_s, gaps_s):
+        host, port = front.split(":")
+        self.addr = (host, int(port))
+        self.kind, self.chunked, self.kept = kind, chunked, kept
+        self.at_s, self.gaps_s = at_s, gaps_s
+        self.rid = next_id()
+        self.got = b""
+        self.sent_all = False
+        self.first_s = self.end_s = 0.0
+        self.end = "not sent"
+        self.sock = socket.create_connection(self.addr, 15) if kept else None
+
+    def pieces(self):
+        """The head with the first bytes of the body, then the rest."""
+        n = len(self.gaps_s) + 1
+        length = ("Transfer-Encoding: chunked" if self.chunked
+                  else f"Content-Length: {100 * n}")
+        fields = [f"POST /long-{self.kind}/{self.rid} HTTP/1.1",
+                  f"Host: {HOST}", f"Request-Id: {self.rid}",
+                  f"Deadline-Ms: {LONG_MS}", length]
+        if self.kind != "unsafe":
+            fields += [f"Model: {MODEL}/a1", "Token-Count: 100,6"]
+        body = [b"x" * 100] * n
+        if self.chunked:
+            body = [b"64\r\n" + b + b"\r\n" for b in body]
+            body[-1] += b"0\r\n\r\n"
+        body[0] = ("\r\n".join(fields) + "\r\n\r\n").encode() + body[0]
+        return body
+
+    def read_for(self, for_s):
+        """Returns False at the end of the connection."""
+        until = time.monotonic() + for_s
+        while (left := until - time.monotonic()) > 0 and not self.is_answered():
+            if not select.select([self.sock], [], [], left)[0]:
+                break
+            data = self.sock.recv(65536)
+            if not data:
+                self.end = "closed"
+                return False
+            self.got += data
+        return not self.is_answered()
+
+    def is_answered(self):
+        if self.status() == 200 and b"chunked" in self.got:
+            return self.got.endswith(b"0\r\n\r\n")
+        head, gap, body = self.got.partition(b"\r\n\r\n")
+        if not gap or b"Content-Length: " not in head:
+            return False
+        length = head.split(b"Content-Length: ")[1].split(b"\r\n")[0]
+        return len(body) >= int(length)
+
+    def status(self):
+        return int(self.got[9:12] or 0)
+
+    def run(self, began):
+        try:
+            if self.kept and not self.read_for(
+                    began + self.at_s - time.monotonic()):
+                self.end = "not sent"
+                return
+            time.sleep(max(0, began + self.at_s - time.monotonic()))
+            if not self.kept:
+                self.sock = socket.create_connection(self.addr, 15)
+            self.first_s = time.monotonic() - began
+            for piece, gap_s in zip(self.pieces(), [*self.gaps_s, None]):
+                self.sock.sendall(piece)
+                self.sent_all = gap_s is None
+                if not self.read_for(15 if gap_s is None else gap_s):
+                    break
+        except ConnectionRefusedError:
+            return
+        except OSError:
+            self.end = "reset"
+        finally:
+            self.end_s = time.monotonic() - began
+            if self.sock is not None:
+                self.sock.close()
+        if self.is_answered():
+            self.end = "answered"
+
+    def is_wrong(self, s):
+        """It ran without a whole answer, was refused although it ran, or was cut
+        after it was read in part."""
+        runs = s.run_count(self.rid)
+        if self.end == "answered":
+            return runs != (self.status() == 200)
+        return self.end != "not sent" and (
+            runs > 0 or self.end_s - self.first_s > ALIVE_S)
+
+    def __str__(self):
+        return (f"{self.rid} {self.kind} {'chunks' if self.chunked else 'length'}"
+                f" {'kept' if self.kept else 'new'} {len(self.gaps_s) + 1} pieces"
+                f" from {self.first_s:.3f} to {self.end_s:.3f} s: {self.end}"
+                f" {self.status()}")
+
+
+def draw_gaps(rand):
+    pieces = rand.choice((1, 2, 3, 6))
+    whole_s = rand.uniform(0, 0.6)
+    return [whole_s / pieces] * (pieces - 1)
+
+
+def draw_callers(front, rand, times, last):
+    """Callers that send their first or last piece at these times."""
+    callers = []
+    for at_s in times:
+        gaps = draw_gaps(rand)
+        callers.append(PieceCaller(
+            front, rand.choice(("unsafe", "brief", "draft")),
+            rand.random() < 0.6, rand.random() < 0.6,
+            max(0.0, at_s - last * sum(gaps)), gaps))
+    return callers
+
+
+def run_callers(callers, began):
+    threads = [threading.Thread(target=c.run, args=(began,)) for c in callers]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def show(callers, s):
+    """Prints how often each end was seen; returns the wrong ones."""
+    counts = {}
+    for c in callers:
+        what = (c.end, c.status(), s.run_count(c.rid))
+        counts[what] = counts.get(what, 0) + 1
+    for (end, status, runs), n in sorted(counts.items()):
+        print(f"  {n} {end} {status or ''} ran {runs}")
+    wrong = [c for c in callers if c.is_wrong(s)]
+    for c in wrong:
+        print(f"  wrong: {c}")
+    return wrong
+
+
+def restart(s):
+    s.gw.start()
+    wait_for("ready", s.gw.is_ready)
+    wait_for("the engines", lambda: len(s.gw.owned_endpoints()) == 2)
+
+
+def warm_up(s):
+    """The instance learns how long requests take."""
+    callers = [PieceCaller(s.gw.front, kind, False, False, 0, [])
+               for kind in ("unsafe", "brief", "draft")]
+    for thread in run_callers(callers, time.monotonic()):
+        thread.join()
+    check(all(c.status() == 200 for c in callers), "not served before the stop")
+
+
+def set_work(s, work_s):
+    add_long_routes(s)
+    for replica in s.plains + s.engines:
+        replica.work_s = work_s
+        replica.event_interval_s = work_s / EVENTS
+
+
+def play_round(s, callers, freeze=None):
+    """Stops the instance with these callers; `freeze` is the time during which
+    it does not run. Returns the wrong ones."""
+    began = stop(s.gw)
+    threads = run_callers(callers, began)
+    if freeze is not None:
+        time.sleep(began + freeze[0] - time.monotonic())
+        s.gw.popen.send_signal(signal.SIGSTOP)
+        time.sleep(began + freeze[1] - time.monotonic())
+        s.gw.popen.send_signal(signal.SIGCONT)
+    check_exit(s.gw, began)
+    for thread in threads:
+        thread.join()
+    return show(callers, s)
+
+
+def pieces_over_stop(s):
+    """Requests in pieces over the whole of the grace, most of them around the
+    last answers and the end of the process."""
+    set_work(s, 0.3)
+    wrong = []
+    for seed in range(2):
+        rand = random.Random(seed)
+        times = [rand.choice((rand.uniform(0, 8.3), rand.uniform(7.1, 7.5),
+                              rand.uniform(7.6, 7.9)))
+                 for _ in range(2 * CALLERS)]
+        warm_up(s)
+        wrong += play_round(s, draw_callers(s.gw.front, rand, times, last=True))
+        restart(s)
+    check(not wrong, f"{len(wrong)} requests cut or answered untruly")
+
+
+def begin_unread(s, freeze):
+    """Requests whose first piece lies in the kernel, of some also the connection,
+    when listeners and idle connections are closed. Each gets an answer."""
+    set_work(s, 0.03)
+    bad = []
+    for seed in range(ROUNDS):
+        rand = random.Random(seed)
+        times = [rand.uniform(freeze[0] + 0.02, freeze[1] - 0.02)
+                 for _ in range(CALLERS)]
+        warm_up(s)
+        callers = draw_callers(s.gw.front, rand, times, last=False)
+        bad += play_round(s, callers, freeze)
+        bad += [c for c in callers if c.end != "answered"]
+        restart(s)
+    check(not bad, f"{len(bad)} of {ROUNDS * CALLERS} without a true answer")
+
+
+def unread_at_quiet_end(s):
+    """At the end of 1.5 s without a request."""
+    begin_unread(s, (1.45, 1.63))
+
+
+def unread_at_last_answers(s):
+    """At the time of the last answers."""
+    begin_unread(s, (0.7, 0.8))
+
+
+unread_at_last_answers.system_class = with_grace(1)
+
+
+SCENARIOS = [pieces_over_stop, unread_at_quiet_end, unread_at_last_answers]
