A request that was read in part is logged with its id when it ends

Who looked for the id of a request whose body was still coming when it ended found no line: those that were refused at the end of a stop, timed out, gave way to others or were malformed were logged without id, and nothing was logged when the caller closed or reset the connection.

These lines name the id now if the head was read, and left_half_read is new, with the reason.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -169,6 +169,14 @@
  * complete one. */
 void fg_caller_abort(struct fg_caller *c);
 
+/* Returns whether a request has been read in part. */
+bool fg_caller_is_reading(const struct fg_caller *c);
+
+/* Logs how a request that was read in part ended; `reason` may be NULL. It
+ * names the request's id if the head was read. */
+void fg_caller_log_half_read(const struct fg_caller *c, const char *event,
+			     const char *reason);
+
 /* Refuses the request that is being read, as not run. */
 void fg_caller_refuse_reading(struct fg_caller *c, const char *reason);
 
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -127,6 +127,23 @@
 	fg_gw_memory_note_written(c);
 }
 
+bool fg_caller_is_reading(const struct fg_caller *c)
+{
+	return c->link != NULL && c->req == NULL && c->tunnel == NULL &&
+	       c->h1.started && !c->close_after;
+}
+
+void fg_caller_log_half_read(const struct fg_caller *c, const char *event,
+			     const char *reason)
+{
+	struct fg_call call = { 0 };
+
+	if (c->head_done)
+		(void)c->gw->wire->call_read(&c->h1.head, &call);
+	fg_log_routine("caller", event, "id", call.id, "reason", reason, NULL);
+	fg_call_clear(&call);
+}
+
 bool fg_caller_is_instance(const struct fg_caller *c)
 {
 	const GPtrArray *peers = fg_peers_all(c->gw->peers);
@@ -294,14 +311,14 @@
 		status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
 		reason = "body_too_large";
 	}
-	fg_log_routine("caller", "bad_request", "reason", reason, NULL);
+	fg_caller_log_half_read(c, "bad_request", reason);
 	fg_gw_count_event(c->gw, "bad_requests", NULL);
 	refuse_and_close(c, status, 0);
 }
 
 void fg_caller_refuse_reading(struct fg_caller *c, const char *reason)
 {
-	fg_log_routine("caller", "refused", "reason", reason, NULL);
+	fg_caller_log_half_read(c, "refused", reason);
 	refuse_and_close(c, HTTP_STATUS_SERVICE_UNAVAILABLE, REFUSED_RETRY_MS);
 }
 
@@ -410,6 +427,8 @@
 	c->end_reason = fg_link_end_name(c->link);
 	if (end != FG_LINK_EOF && c->req == NULL && c->tunnel == NULL)
 		fg_link_log_cut(c->link, c->end_reason);
+	if (fg_caller_is_reading(c))
+		fg_caller_log_half_read(c, "left_half_read", c->end_reason);
 	fg_caller_close(c, false);
 }
 
@@ -543,7 +562,7 @@
 	if (c->req != NULL || c->tunnel != NULL || c->h1.ended)
 		return;
 	if (c->h1.started && is_read_too_slowly(c, l.head_timeout_ms, now)) {
-		fg_log_routine("caller", "request_timed_out", NULL);
+		fg_caller_log_half_read(c, "request_timed_out", NULL);
 		refuse_and_close(c, HTTP_STATUS_REQUEST_TIMEOUT, 0);
 	} else if (!c->h1.started && l.idle_timeout_ms > 0 &&
 		   waited_ms > (fg_ms)l.idle_timeout_ms) {
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -98,15 +98,9 @@
 
 /* ---- Connections ---- */
 
-static bool is_reading(const struct fg_caller *c)
-{
-	return c->link != NULL && c->req == NULL && c->tunnel == NULL &&
-	       c->h1.started && !c->close_after;
-}
-
 static bool has_work(const struct fg_caller *c)
 {
-	return c->req != NULL || c->tunnel != NULL || is_reading(c);
+	return c->req != NULL || c->tunnel != NULL || fg_caller_is_reading(c);
 }
 
 /* Returns whether closing the connection could lose an answer that its caller
@@ -132,9 +126,9 @@
 	for (guint i = 0; i < gw->callers->len; i++) {
 		struct fg_caller *c = gw->callers->pdata[i];
 
-		if (!is_reading(c))
+		if (!fg_caller_is_reading(c))
 			continue;
-		fg_log_routine("caller", "refused_half_read", NULL);
+		fg_caller_log_half_read(c, "refused_half_read", NULL);
 		fg_caller_answer(c, HTTP_STATUS_SERVICE_UNAVAILABLE, NULL,
 				 RETRY_MS, NULL, "", 0);
 		fg_caller_close(c, true);
@@ -167,7 +161,7 @@
 	};
 
 	for (guint i = 0; i < gw->callers->len; i++) {
-		work.reading += is_reading(gw->callers->pdata[i]);
+		work.reading += fg_caller_is_reading(gw->callers->pdata[i]);
 		work.in_transit += is_in_transit(gw->callers->pdata[i]);
 	}
 	return work;
--- a/tests/gateway_stop_arrivals.py
+++ b/tests/gateway_stop_arrivals.py
@@ -8,8 +8,11 @@
 import threading
 import time
 
-from gateway_stops import LONG_MS, add_long_routes, check_exit, stop
-from hosted import EVENTS, HOST, MODEL, check, next_id, wait_for, with_grace
+from gateway_stops import (
+    LONG_MS, UNREAD_BYTES, add_long_routes, check_exit, stop)
+from hosted import (
+    EVENTS, HOST, MODEL, check, find_log_lines, next_id, reset_connection,
+    wait_for, with_grace)
 
 ROUNDS = 4
 CALLERS = 40
@@ -239,4 +242,95 @@
 unread_at_last_answers.system_class = with_grace(1)
 
 
-SCENARIOS = [pieces_over_stop, unread_at_quiet_end, unread_at_last_answers]
+ENDS = ("answered", "refused", "failed", "caller_left", "cut_by_stop",
+        "refused_half_read", "left_half_read", "request_timed_out")
+ENDS_GRACE_S = 3
+LARGE = bytes(UNREAD_BYTES)
+
+
+def answer_by_id(replica, req, rid):
+    """The request's id says how it ends."""
+    if rid == "quick" or not replica.engine and rid != "unread":
+        return replica.answer_plain(req, rid)
+    if rid == "silent":
+        time.sleep(2 * ENDS_GRACE_S)
+        return False
+    if rid == "unread":
+        req.answer(200, LARGE, [("Request-Id", rid),
+                                ("Response-Stamp", replica.name)])
+        return True
+    req.sock.sendall(replica.response_head(
+        rid, "Content-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n").encode())
+    for i in range(1, 1000):
+        piece = b"x" * (60000 if rid == "stalled" else 10)
+        event = b"id: %d\ndata: %s\n\n" % (i, piece)
+        req.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        time.sleep(0.02)
+        if rid == "broken" and i == 3:
+            reset_connection(req.sock)
+            return False
+    return True
+
+
+def ends_are_logged(s):
+    """Each request that was read, also in part, has one line in the log of the
+    stopped instance that names its id and its end."""
+    add_long_routes(s)
+    for replica in s.engines + s.plains:
+        replica.answer_with = answer_by_id
+    kinds = {"quick": ("unsafe", "answered"), "broken": ("brief", "failed"),
+             "silent": ("brief", "failed"), "long": ("brief", "failed"),
+             "stalled": ("brief", "failed"), "unread": ("unsafe", "answered"),
+             "closed": ("brief", "caller_left"),
+             "reset": ("brief", "caller_left"),
+             "late": ("brief", "refused"),
+             "half": ("unsafe", "refused_half_read"),
+             "half-closed": ("unsafe", "left_half_read"),
+             "half-reset": ("unsafe", "left_half_read"),
+             "half-slow": ("unsafe", "request_timed_out")}
+    kinds_at_once = [rid for rid in kinds
+                     if rid != "late" and not rid.startswith("half")]
+    callers = {}
+    for rid, (kind, _) in kinds.items():
+        c = PieceCaller(s.gw.front, kind, True, True, 0,
+                        [0] if rid.startswith("half") else [])
+        c.rid = rid
+        callers[rid] = c
+        if rid in kinds_at_once:
+            c.sock.sendall(c.pieces()[0])
+    wait_for("they run", lambda: all(
+        s.run_count(rid) for rid in kinds
+        if rid in kinds_at_once))
+    time.sleep(0.1)
+    began = stop(s.gw)
+    for rid in ("half-closed", "half-reset", "half-slow"):
+        callers[rid].sock.sendall(callers[rid].pieces()[0])
+    time.sleep(0.3)
+    for rid in ("closed", "half-closed"):
+        callers[rid].sock.close()
+    for rid in ("reset", "half-reset"):
+        reset_connection(callers[rid].sock)
+    time.sleep(began + 2 - time.monotonic())
+    for rid in ("late", "half"):
+        callers[rid].sock.sendall(callers[rid].pieces()[0])
+    check_exit(s.gw, began)
+    wrong = []
+    for rid, (_, expected) in kinds.items():
+        lines = [line for end in ENDS for line in find_log_lines(s.gw, end)
+                 if line.get("id") == rid]
+        ends = [(line["event"], line.get("reason")) for line in lines]
+        cuts = [line["reason"] for line in find_log_lines(s.gw, "answer_cut")
+                if line.get("id") == rid]
+        print(f"{rid}: {ends} answer_cut {cuts}")
+        if [end for end, _ in ends] != [expected]:
+            wrong.append(rid)
+        callers[rid].sock.close()
+    check(not wrong, f"no line, or others: {wrong}")
+
+
+ends_are_logged.system_class = with_grace(ENDS_GRACE_S)
+
+
+SCENARIOS = [pieces_over_stop, unread_at_quiet_end, unread_at_last_answers,
+             ends_are_logged]
