A connection whose last bytes were just acknowledged is not closed at once

A caller that reads slowly, and sends its next request or anything else while the end of an answer lies in its receive buffer, found its connection reset when a planned stop closed it as idle: one that gives up at the failed send loses the end of the answer, and some kernels drop what was not read.

Cause: a close skips the flush when the last bytes were acknowledged over 2 s ago (docs/design/planned-stop.md), but the code took the time of the last write for that. A slow reader acknowledges them seconds later.

The time is now that of the last write or of the last check, in a stop each tick and else each second, that saw bytes on their way.

Ruled out: tcpi_last_ack_recv, which keep-alive probes renew each second, so that idle connections would delay the end of a stop.

--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -168,6 +168,7 @@
 	    fg_link_unsent_bytes(l) + fg_link_unacked_bytes(l) == 0)
 		return;
 	if (!fg_link_has_lost_peer(l)) {
+		l->in_transit_at_ms = uv_now(l->timer.loop);
 		uv_timer_start(&l->timer, on_peer_check, PEER_CHECK_MS, 0);
 		return;
 	}
@@ -378,7 +379,7 @@
 
 	if (l->closed || l->closing || len_bytes + body_bytes == 0)
 		return;
-	l->written_at_ms = uv_now(l->timer.loop);
+	l->in_transit_at_ms = uv_now(l->timer.loop);
 	if (l->watched && !uv_is_active((uv_handle_t *)&l->timer))
 		uv_timer_start(&l->timer, on_peer_check, PEER_CHECK_MS, 0);
 	sent = write_at_once(l, bufs, body_bytes > 0 ? 2 : 1);
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -103,7 +103,7 @@
 
 /* Returns whether there are bytes that the peer has not acknowledged, or that
  * it has sent and that were not read. */
-bool fg_link_is_in_transit(const struct fg_link *l);
+bool fg_link_is_in_transit(struct fg_link *l);
 
 /* What the kernel knows of a connection's peer. */
 struct fg_link_signs {
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -178,23 +178,25 @@
 	check_flush(timer->data);
 }
 
-bool fg_link_is_in_transit(const struct fg_link *l)
+bool fg_link_is_in_transit(struct fg_link *l)
 {
 	uv_os_fd_t fd;
 	int unread = 0;
 
-	if (undelivered_bytes(l) > 0)
+	if (undelivered_bytes(l) > 0) {
+		l->in_transit_at_ms = uv_now(l->timer.loop);
 		return true;
+	}
 	return uv_fileno((const uv_handle_t *)&l->tcp, &fd) == 0 &&
 	       ioctl(fd, FIONREAD, &unread) == 0 && unread > 0;
 }
 
 /* Returns whether closing the descriptor now could reset the connection before
  * the peer has read the last answer. */
-static bool must_wait(const struct fg_link *l)
+static bool must_wait(struct fg_link *l)
 {
-	return uv_now(l->timer.loop) - l->written_at_ms < DRAIN_MAX_MS ||
-	       fg_link_is_in_transit(l);
+	return fg_link_is_in_transit(l) ||
+	       uv_now(l->timer.loop) - l->in_transit_at_ms < DRAIN_MAX_MS;
 }
 
 /* Reads what has arrived, since closing with unread bytes resets the
--- a/lib/link/fg_link_priv.h
+++ b/lib/link/fg_link_priv.h
@@ -12,15 +12,16 @@
 	const struct fg_link_ops *ops;
 	void *ctx; /* NULL after fg_link_close() */
 	size_t pending_bytes;
-	GList flushing_node;	  /* in `flushing` */
-	size_t undelivered_bytes; /* at the last check of the flush */
-	uint64_t progress_at_ms;  /* the peer took some of them */
-	uint64_t written_at_ms;	  /* last write; both in the loop's time */
-	uint64_t flush_until_ms;  /* in the loop's time */
-	uint64_t dropped_bytes;	  /* received after the close */
-	int open_handles;	  /* tcp and timer; at 0 the link is freed */
-	bool closed;		  /* by the user: no further callbacks */
-	bool closing;		  /* the handles are being closed */
+	GList flushing_node;	   /* in `flushing` */
+	size_t undelivered_bytes;  /* at the last check of the flush */
+	uint64_t progress_at_ms;   /* the peer took some of them */
+	uint64_t in_transit_at_ms; /* last write, or check that saw bytes on
+				      their way; both in the loop's time */
+	uint64_t flush_until_ms;   /* in the loop's time */
+	uint64_t dropped_bytes;	   /* received after the close */
+	int open_handles;	   /* tcp and timer; at 0 the link is freed */
+	bool closed;		   /* by the user: no further callbacks */
+	bool closing;		   /* the handles are being closed */
 	bool connected;
 	bool watched;	  /* see fg_link_has_lost_peer() */
 	bool paused;	  /* is not read */
--- a/tests/gateway_stop_arrivals.py
+++ b/tests/gateway_stop_arrivals.py
@@ -8,6 +8,7 @@
 import threading
 import time
 
+from gateway_stop_tails import READ_EVERY_S, SlowCaller, answer_with_events
 from gateway_stops import (
     LONG_MS, UNREAD_BYTES, add_long_routes, check_exit, stop)
 from hosted import (
@@ -332,5 +333,132 @@
 ends_are_logged.system_class = with_grace(ENDS_GRACE_S)
 
 
+class NextCaller(SlowCaller):
+    """Reads a stream, and meanwhile sends more on the same connection, a piece at
+    a time from event `next_at` on."""
+
+    def __init__(self, front, next_at, pieces, portion_bytes):
+        super().__init__(front, "brief")
+        self.next_at = next_at
+        self.next_id = next_id()
+        self.pieces = [p.replace(b"RID", self.next_id.encode()) for p in pieces]
+        self.portion_bytes = portion_bytes
+
+    def read_on(self):
+        data = self.sock.recv(self.portion_bytes)
+        self.received += data
+        return bool(data)
+
+    def read_if_any(self):
+        return (not select.select([self.sock], [], [], 0)[0] or
+                self.read_on())
+
+    def next_status(self):
+        return int((self.received.split(b"HTTP/1.1 ")[2:] or [b"0"])[0][:3])
+
+    def run(self):
+        pieces = list(self.pieces)
+        try:
+            self.sock.sendall(self.request())
+            while self.read_on() if not pieces else self.read_if_any():
+                if pieces and self.events() >= self.next_at:
+                    self.sock.sendall(pieces.pop(0))
+                if self.is_whole() and self.next_status() > 0:
+                    break
+                time.sleep(READ_EVERY_S)
+        except OSError as why:
+            self.error = why
+        self.sock.close()
+
+
+NEXT_HEAD = (f"POST /long-unsafe/RID HTTP/1.1\r\nHost: {HOST}\r\n"
+             f"Request-Id: RID\r\nDeadline-Ms: {LONG_MS}\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n").encode()
+CHUNKS = [b"64\r\n" + b"x" * 100 + b"\r\n"] * 6
+LAST_CHUNK = b"0\r\n\r\n"
+FOLLOWING = {  # what arrives during and after an answer
+    "whole": [NEXT_HEAD, *CHUNKS, LAST_CHUNK],
+    "half": [NEXT_HEAD, *CHUNKS],
+    "stray": [*CHUNKS, LAST_CHUNK],  # the rest of no request
+}
+
+
+def check_next(s, c):
+    """Returns whether the answer to what followed the stream is a true one."""
+    runs = s.run_count(c.next_id)
+    last = b"Connection: close" in c.received.split(b"HTTP/1.1 ")[1]
+    if c.what == "whole":
+        return runs == (c.next_status() == 200) and (
+            last or c.next_status() in (0, 200, 503))
+    return runs == 0 and (last or c.next_status() in (0, 400, 408, 503))
+
+
+def stream_with_following(s, portion_bytes, at_events):
+    """Streams in a planned stop, during which and after which more arrives in
+    pieces: each is whole."""
+    add_long_routes(s)
+    for engine in s.engines:
+        engine.answer_with = answer_with_events
+    callers = []
+    for what, pieces in FOLLOWING.items():
+        for at_event in at_events:
+            c = NextCaller(s.gw.front, at_event, pieces, portion_bytes)
+            c.what = what
+            callers.append(c)
+    threads = [threading.Thread(target=c.run) for c in callers]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    began = stop(s.gw)
+    check_exit(s.gw, began)
+    for thread in threads:
+        thread.join()
+    wrong = []
+    print(*[f"{line['phase']} from {line['after_ms']} ms"
+            for line in find_log_lines(s.gw, "stop_phase")], sep=", ")
+    for c in callers:
+        print(f"{c.what} from event {c.next_at}: {c.events()} events, next "
+              f"{c.next_status()} ran {s.run_count(c.next_id)}, {c.error!r}")
+        if not c.is_whole() or not check_next(s, c):
+            wrong.append(c.rid)
+    check(not wrong, f"{len(wrong)} of {len(callers)} cut or untrue")
+
+
+def chunks_during_streams(s):
+    """The callers read at once."""
+    stream_with_following(s, 65536, (1, 100, 150, 180, 190))
+
+
+def chunks_behind_slow_streams(s):
+    """The callers read slowly: the rest arrives when nothing but the end of the
+    answer, on its way, keeps the connection open."""
+    stream_with_following(s, 700, (160, 170, 180, 190))
+
+
+def chunks_at_last_answers(s):
+    """The callers read so slowly that the rest arrives around the last answers."""
+    stream_with_following(s, 380, (182, 186, 190))
+
+
+def stream_waits_for_body(s):
+    """A stream does not begin before its body in chunks is complete, also in a
+    planned stop."""
+    add_long_routes(s)
+    warm_up(s)
+    callers = [PieceCaller(s.gw.front, kind, True, kept, 0.2, [0.4])
+               for kind in ("brief", "draft") for kept in (True, False)]
+    began = stop(s.gw)
+    threads = run_callers(callers, began)
+    time.sleep(0.5)
+    check(not [c for c in callers if s.run_count(c.rid)], "ran before its end")
+    for thread in threads:
+        thread.join()
+    check_exit(s.gw, began)
+    check(not show(callers, s), "cut or answered untruly")
+    check(all(c.status() == 200 for c in callers), "not served")
+
+
 SCENARIOS = [pieces_over_stop, unread_at_quiet_end, unread_at_last_answers,
-             ends_are_logged]
+             ends_are_logged, chunks_during_streams,
+             chunks_behind_slow_streams,
+             chunks_at_last_answers, stream_waits_for_body]
