--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -140,6 +140,10 @@
 /* libuv callback: accepts a connection of the port in listener->data. */
 void fg_caller_accept(uv_stream_t *listener, int status);
 
+/* Accepts the connections that wait at all ports, whose callers take them for
+ * open: closing the listeners would reset them. */
+void fg_caller_accept_queued(struct fg_gateway *gw);
+
 /* Closes connections that exceed a time limit and frees closed ones. */
 void fg_caller_sweep(struct fg_gateway *gw, fg_ms now);
 
@@ -165,6 +169,14 @@
  * complete one. */
 void fg_caller_abort(struct fg_caller *c);
 
+/* Returns whether a request has been read in part. */
+bool fg_caller_is_reading(const struct fg_caller *c);
+
+/* Logs how a request that was read in part ended; `reason` may be NULL. It
+ * names the request's id if the head was read. */
+void fg_caller_log_half_read(const struct fg_caller *c, const char *event,
+			     const char *reason);
+
 /* Refuses the request that is being read, as not run. */
 void fg_caller_refuse_reading(struct fg_caller *c, const char *reason);
 
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -11,6 +11,8 @@
 /* Reading pauses when a caller has sent more than this beyond the request in
  * progress. */
 #define PIPELINED_MAX_BYTES 65536
+/* Connections that are accepted from a port's queue at once. */
+#define QUEUED_MAX 1024
 /* No page reads a body. */
 #define PAGE_BODY_MAX_BYTES 4096
 /* Bodies that hold memory end, or give way, within this time. */
@@ -125,6 +127,23 @@
 	fg_gw_memory_note_written(c);
 }
 
+bool fg_caller_is_reading(const struct fg_caller *c)
+{
+	return c->link != NULL && c->req == NULL && c->tunnel == NULL &&
+	       c->h1.started && !c->close_after;
+}
+
+void fg_caller_log_half_read(const struct fg_caller *c, const char *event,
+			     const char *reason)
+{
+	struct fg_call call = { 0 };
+
+	if (c->head_done)
+		(void)c->gw->wire->call_read(&c->h1.head, &call);
+	fg_log_routine("caller", event, "id", call.id, "reason", reason, NULL);
+	fg_call_clear(&call);
+}
+
 bool fg_caller_is_instance(const struct fg_caller *c)
 {
 	const GPtrArray *peers = fg_peers_all(c->gw->peers);
@@ -292,14 +311,14 @@
 		status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
 		reason = "body_too_large";
 	}
-	fg_log_routine("caller", "bad_request", "reason", reason, NULL);
+	fg_caller_log_half_read(c, "bad_request", reason);
 	fg_gw_count_event(c->gw, "bad_requests", NULL);
 	refuse_and_close(c, status, 0);
 }
 
 void fg_caller_refuse_reading(struct fg_caller *c, const char *reason)
 {
-	fg_log_routine("caller", "refused", "reason", reason, NULL);
+	fg_caller_log_half_read(c, "refused", reason);
 	refuse_and_close(c, HTTP_STATUS_SERVICE_UNAVAILABLE, REFUSED_RETRY_MS);
 }
 
@@ -408,6 +427,8 @@
 	c->end_reason = fg_link_end_name(c->link);
 	if (end != FG_LINK_EOF && c->req == NULL && c->tunnel == NULL)
 		fg_link_log_cut(c->link, c->end_reason);
+	if (fg_caller_is_reading(c))
+		fg_caller_log_half_read(c, "left_half_read", c->end_reason);
 	/* A peer that only closed its side still reads the last answer. */
 	fg_caller_close(c, end == FG_LINK_EOF && c->req == NULL &&
 				   c->tunnel == NULL);
@@ -453,21 +474,11 @@
 
 /* ---- Accepting ---- */
 
-void fg_caller_accept(uv_stream_t *listener, int status)
+static void take_link(struct fg_port *port, struct fg_link *link)
 {
-	struct fg_port *port = listener->data;
 	struct fg_gateway *gw = port->gw;
 	struct fg_caller *c;
-	struct fg_link *link;
 
-	if (status != 0) {
-		fg_log_routine("caller", "accept_failed", "reason",
-			       uv_strerror(status), NULL);
-		return;
-	}
-	link = fg_link_accept(listener, &link_ops, NULL);
-	if (link == NULL)
-		return;
 	if (!fg_gw_make_place(port)) {
 		fg_log_routine("caller", "too_many_connections", NULL);
 		fg_gw_count_event(gw, "connections_refused", NULL);
@@ -489,6 +500,34 @@
 	g_ptr_array_add(gw->callers, c);
 }
 
+void fg_caller_accept(uv_stream_t *listener, int status)
+{
+	struct fg_link *link;
+
+	if (status != 0) {
+		fg_log_routine("caller", "accept_failed", "reason",
+			       uv_strerror(status), NULL);
+		return;
+	}
+	link = fg_link_accept(listener, &link_ops, NULL);
+	if (link != NULL)
+		take_link(listener->data, link);
+}
+
+void fg_caller_accept_queued(struct fg_gateway *gw)
+{
+	for (int i = 0; i < FG_PORT_COUNT; i++) {
+		struct fg_port *port = &gw->ports[i];
+		struct fg_link *link;
+		int n = 0;
+
+		while (port->open && n++ < QUEUED_MAX &&
+		       (link = fg_link_accept_queued(&port->listener, &link_ops,
+						     NULL)) != NULL)
+			take_link(port, link);
+	}
+}
+
 /* ---- Time limits ---- */
 
 /* Returns when the request that is being read has to be complete: its caller
@@ -525,7 +564,7 @@
 	if (c->req != NULL || c->tunnel != NULL || c->h1.ended)
 		return;
 	if (c->h1.started && is_read_too_slowly(c, l.head_timeout_ms, now)) {
-		fg_log_routine("caller", "request_timed_out", NULL);
+		fg_caller_log_half_read(c, "request_timed_out", NULL);
 		refuse_and_close(c, HTTP_STATUS_REQUEST_TIMEOUT, 0);
 	} else if (!c->h1.started && l.idle_timeout_ms > 0 &&
 		   waited_ms > (fg_ms)l.idle_timeout_ms) {
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -26,7 +26,7 @@
 	struct fg_wire_request request;
 	uint32_t n_informational; /* before the answer to the request */
 	size_t informational_bytes;
-	bool open; /* link is connected */
+	bool open;     /* link is connected */
 	bool use_once; /* a connection for each request */
 };
 
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -1,5 +1,6 @@
 #include "link/fg_link.h"
 
+#include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -7,6 +8,7 @@
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/fg_address.h"
 #include "link/fg_link_priv.h"
@@ -166,6 +168,7 @@
 	    fg_link_unsent_bytes(l) + fg_link_unacked_bytes(l) == 0)
 		return;
 	if (!fg_link_has_lost_peer(l)) {
+		l->in_transit_at_ms = uv_now(l->timer.loop);
 		uv_timer_start(&l->timer, on_peer_check, PEER_CHECK_MS, 0);
 		return;
 	}
@@ -226,12 +229,9 @@
 	return l;
 }
 
-struct fg_link *fg_link_accept(uv_stream_t *listener,
-			       const struct fg_link_ops *ops, void *ctx)
+static struct fg_link *begin_accepted(struct fg_link *l, bool accepted)
 {
-	struct fg_link *l = link_new(listener->loop, ops, ctx);
-
-	if (uv_accept(listener, (uv_stream_t *)&l->tcp) != 0) {
+	if (!accepted) {
 		l->closed = true;
 		fg_link_close_handles(l);
 		return NULL;
@@ -243,6 +243,36 @@
 	return l;
 }
 
+struct fg_link *fg_link_accept(uv_stream_t *listener,
+			       const struct fg_link_ops *ops, void *ctx)
+{
+	struct fg_link *l = link_new(listener->loop, ops, ctx);
+
+	return begin_accepted(l,
+			      uv_accept(listener, (uv_stream_t *)&l->tcp) == 0);
+}
+
+struct fg_link *fg_link_accept_queued(uv_tcp_t *listener,
+				      const struct fg_link_ops *ops, void *ctx)
+{
+	struct fg_link *l;
+	uv_os_fd_t queue;
+	int fd;
+
+	if (uv_fileno((uv_handle_t *)listener, &queue) != 0)
+		return NULL;
+	do
+		fd = accept4(queue, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	while (fd < 0 && (errno == EINTR || errno == ECONNABORTED));
+	if (fd < 0)
+		return NULL;
+	l = link_new(listener->loop, ops, ctx);
+	if (uv_tcp_open(&l->tcp, fd) == 0)
+		return begin_accepted(l, true);
+	(void)close(fd);
+	return begin_accepted(l, false);
+}
+
 void fg_link_peer_ip(const struct fg_link *l, char *out, size_t size)
 {
 	struct sockaddr_in remote;
@@ -349,7 +379,7 @@
 
 	if (l->closed || l->closing || len_bytes + body_bytes == 0)
 		return;
-	l->written_at_ms = uv_now(l->timer.loop);
+	l->in_transit_at_ms = uv_now(l->timer.loop);
 	if (l->watched && !uv_is_active((uv_handle_t *)&l->timer))
 		uv_timer_start(&l->timer, on_peer_check, PEER_CHECK_MS, 0);
 	sent = write_at_once(l, bufs, body_bytes > 0 ? 2 : 1);
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -53,6 +53,11 @@
 struct fg_link *fg_link_accept(uv_stream_t *listener,
 			       const struct fg_link_ops *ops, void *ctx);
 
+/* Accepts a connection that waits in the listening socket's queue, before the
+ * loop tells of it; NULL if there is none, or on failure. */
+struct fg_link *fg_link_accept_queued(uv_tcp_t *listener,
+				      const struct fg_link_ops *ops, void *ctx);
+
 /* Writes the IPv4 address of the other side without its port; "" if unknown. */
 void fg_link_peer_ip(const struct fg_link *l, char *out, size_t size);
 
@@ -98,12 +103,12 @@
 
 /* Returns whether there are bytes that the peer has not acknowledged, or that
  * it has sent and that were not read. */
-bool fg_link_is_in_transit(const struct fg_link *l);
+bool fg_link_is_in_transit(struct fg_link *l);
 
 /* Returns whether the peer may still be reading: bytes are in transit, or were
- * written less than 2 s ago. Closing the descriptor now could reset the
+ * less than 2 s ago. Closing the descriptor now could reset the
  * connection before it has read all. */
-bool fg_link_may_be_read(const struct fg_link *l);
+bool fg_link_may_be_read(struct fg_link *l);
 
 /* What the kernel knows of a connection's peer. */
 struct fg_link_signs {
@@ -156,8 +161,8 @@
 bool fg_link_end_delivered(void);
 
 /* Ends the one of these links that was closed first, of those whose peer has
- * acknowledged all, if there are any: by a reset, unless the kernel has accepted
- * all. Returns false when there is none. */
+ * acknowledged all, if there are any: by a reset, unless the kernel has
+ * accepted all. Returns false when there is none. */
 bool fg_link_abort_oldest_flushing(void);
 
 /* Ends these links: resets those with queued bytes, and drops what the others
