--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -284,6 +284,8 @@
 		return;
 	}
 	drop_unread(l);
+	/* The shutdown that turns it off may not have run yet. */
+	fg_link_set_linger(l, false);
 	fg_link_close_handles(l);
 }
 
