--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -70,7 +70,6 @@
 #include "overload/fg_overload.h"
 #include "pace/fg_pace.h"
 #include "place/fg_popularity.h"
-
 #include "places/fg_places.h"
 #include "quota/fg_quota.h"
 #include "relay/fg_relay.h"
--- a/lib/pace/fg_pace.h
+++ b/lib/pace/fg_pace.h
@@ -1,12 +1,13 @@
 /*
- * fg_pace - an upper bound of how long a stream takes, by the length that its
- * request allows and the pace of the streams before it.
+ * fg_pace - how long a stream takes at most, by the length that its request
+ * allows and the pace of the streams before it.
  *
  * Keeps, for FG_TOOK_KEEP_MS to 2 * FG_TOOK_KEEP_MS, the longest time to a
  * first event, the longest time between events and the most events that a token
  * of the allowed length brought. Streams that still run count as well, but for
- * the last. Unlike the durations of earlier streams, this also bounds one that
- * is longer than all of them.
+ * the last. Unlike the durations of earlier streams, this also tells of one
+ * that is longer than all of them. It is no bound where streams begin to use
+ * more of their allowed length, or endpoints change their pace.
  *
  * Does no I/O and reads no clock.
  */
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -202,6 +202,7 @@
 	run_lines tests/upgrade.py
 	run_lines tests/crowds.py
 	run_lines tests/entry_crowds.py
+	run_lines tests/entry_ends.py
 	run_soak soak-short --seed 1 --rounds 1
 	run_soak soak-regressions --regressions
 	run_soak soak-restores --seed 1 --rounds 1 --restores
