--- a/lib/mesh/fg_mesh_proto_xdr.c
+++ b/lib/mesh/fg_mesh_proto_xdr.c
@@ -5,343 +5,349 @@
 
 #include "fg_mesh_proto.h"
 
-bool_t xdr_fg_mesh_state(XDR *xdrs, fg_mesh_state *objp)
+bool_t
+xdr_fg_mesh_state (XDR *xdrs, fg_mesh_state *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_use(XDR *xdrs, fg_mesh_use *objp)
+bool_t
+xdr_fg_mesh_use (XDR *xdrs, fg_mesh_use *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->adapter))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->running))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->pending_tokens))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_adapter(XDR *xdrs, fg_mesh_adapter *objp)
+bool_t
+xdr_fg_mesh_adapter (XDR *xdrs, fg_mesh_adapter *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->adapter))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ver))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_engine(XDR *xdrs, fg_mesh_engine *objp)
+bool_t
+xdr_fg_mesh_engine (XDR *xdrs, fg_mesh_engine *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->running))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->pending_tokens))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->spare_age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->queue))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->fetch_wait_ms))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queue))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fetch_wait_ms))
+				 return FALSE;
 
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->running);
-			IXDR_PUT_U_LONG(buf, objp->pending_tokens);
-			IXDR_PUT_U_LONG(buf, objp->spare_age_ms);
-			IXDR_PUT_U_LONG(buf, objp->queue);
-			IXDR_PUT_U_LONG(buf, objp->fetch_wait_ms);
+		IXDR_PUT_U_LONG(buf, objp->running);
+		IXDR_PUT_U_LONG(buf, objp->pending_tokens);
+		IXDR_PUT_U_LONG(buf, objp->spare_age_ms);
+		IXDR_PUT_U_LONG(buf, objp->queue);
+		IXDR_PUT_U_LONG(buf, objp->fetch_wait_ms);
 		}
-		if (!xdr_array(xdrs, (char **)&objp->adapters.adapters_val,
-			       (u_int *)&objp->adapters.adapters_len,
-			       FG_MESH_ADAPTERS_MAX, sizeof(fg_mesh_adapter),
-			       (xdrproc_t)xdr_fg_mesh_adapter))
-			return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, FG_MESH_ADAPTERS_MAX,
+			sizeof (fg_mesh_adapter), (xdrproc_t) xdr_fg_mesh_adapter))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->running))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->pending_tokens))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->spare_age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->queue))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->fetch_wait_ms))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queue))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fetch_wait_ms))
+				 return FALSE;
 
 		} else {
-			objp->running = IXDR_GET_U_LONG(buf);
-			objp->pending_tokens = IXDR_GET_U_LONG(buf);
-			objp->spare_age_ms = IXDR_GET_U_LONG(buf);
-			objp->queue = IXDR_GET_U_LONG(buf);
-			objp->fetch_wait_ms = IXDR_GET_U_LONG(buf);
+		objp->running = IXDR_GET_U_LONG(buf);
+		objp->pending_tokens = IXDR_GET_U_LONG(buf);
+		objp->spare_age_ms = IXDR_GET_U_LONG(buf);
+		objp->queue = IXDR_GET_U_LONG(buf);
+		objp->fetch_wait_ms = IXDR_GET_U_LONG(buf);
 		}
-		if (!xdr_array(xdrs, (char **)&objp->adapters.adapters_val,
-			       (u_int *)&objp->adapters.adapters_len,
-			       FG_MESH_ADAPTERS_MAX, sizeof(fg_mesh_adapter),
-			       (xdrproc_t)xdr_fg_mesh_adapter))
-			return FALSE;
-		return TRUE;
+		 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, FG_MESH_ADAPTERS_MAX,
+			sizeof (fg_mesh_adapter), (xdrproc_t) xdr_fg_mesh_adapter))
+			 return FALSE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->running))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->pending_tokens))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->spare_age_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->queue))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->fetch_wait_ms))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->adapters.adapters_val,
-		       (u_int *)&objp->adapters.adapters_len,
-		       FG_MESH_ADAPTERS_MAX, sizeof(fg_mesh_adapter),
-		       (xdrproc_t)xdr_fg_mesh_adapter))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spare_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->fetch_wait_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->adapters.adapters_val, (u_int *) &objp->adapters.adapters_len, FG_MESH_ADAPTERS_MAX,
+		sizeof (fg_mesh_adapter), (xdrproc_t) xdr_fg_mesh_adapter))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_crash(XDR *xdrs, fg_mesh_crash *objp)
+bool_t
+xdr_fg_mesh_crash (XDR *xdrs, fg_mesh_crash *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->fingerprint))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->req))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->req))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_feed(XDR *xdrs, fg_mesh_feed *objp)
+bool_t
+xdr_fg_mesh_feed (XDR *xdrs, fg_mesh_feed *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->newest))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->read))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->read))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_store(XDR *xdrs, fg_mesh_store *objp)
+bool_t
+xdr_fg_mesh_store (XDR *xdrs, fg_mesh_store *objp)
 {
 	register int32_t *buf;
 
 	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_bool(xdrs, &objp->reads))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->age_ms))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->proves))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->own_age_ms))
-				return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reads))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->proves))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->own_age_ms))
+				 return FALSE;
 
 		} else {
-			IXDR_PUT_BOOL(buf, objp->reads);
-			IXDR_PUT_U_LONG(buf, objp->age_ms);
-			IXDR_PUT_BOOL(buf, objp->proves);
-			IXDR_PUT_U_LONG(buf, objp->own_age_ms);
+		IXDR_PUT_BOOL(buf, objp->reads);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_BOOL(buf, objp->proves);
+		IXDR_PUT_U_LONG(buf, objp->own_age_ms);
 		}
-		if (!xdr_u_quad_t(xdrs, &objp->sent_at))
-			return FALSE;
-		if (!xdr_vector(xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
-				sizeof(fg_mesh_feed),
-				(xdrproc_t)xdr_fg_mesh_feed))
-			return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sent_at))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
+			sizeof (fg_mesh_feed), (xdrproc_t) xdr_fg_mesh_feed))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_bool(xdrs, &objp->reads))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->age_ms))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->proves))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->own_age_ms))
-				return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reads))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->proves))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->own_age_ms))
+				 return FALSE;
 
 		} else {
-			objp->reads = IXDR_GET_BOOL(buf);
-			objp->age_ms = IXDR_GET_U_LONG(buf);
-			objp->proves = IXDR_GET_BOOL(buf);
-			objp->own_age_ms = IXDR_GET_U_LONG(buf);
+		objp->reads = IXDR_GET_BOOL(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->proves = IXDR_GET_BOOL(buf);
+		objp->own_age_ms = IXDR_GET_U_LONG(buf);
 		}
-		if (!xdr_u_quad_t(xdrs, &objp->sent_at))
-			return FALSE;
-		if (!xdr_vector(xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
-				sizeof(fg_mesh_feed),
-				(xdrproc_t)xdr_fg_mesh_feed))
-			return FALSE;
-		return TRUE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sent_at))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
+			sizeof (fg_mesh_feed), (xdrproc_t) xdr_fg_mesh_feed))
+			 return FALSE;
+	 return TRUE;
 	}
 
-	if (!xdr_bool(xdrs, &objp->reads))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->age_ms))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->proves))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->own_age_ms))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->sent_at))
-		return FALSE;
-	if (!xdr_vector(xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
-			sizeof(fg_mesh_feed), (xdrproc_t)xdr_fg_mesh_feed))
-		return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reads))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->proves))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->own_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sent_at))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->feeds, FG_MESH_FEEDS,
+		sizeof (fg_mesh_feed), (xdrproc_t) xdr_fg_mesh_feed))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_heartbeat(XDR *xdrs, fg_mesh_heartbeat *objp)
+bool_t
+xdr_fg_mesh_heartbeat (XDR *xdrs, fg_mesh_heartbeat *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_fg_mesh_state(xdrs, &objp->state))
-		return FALSE;
-	if (!xdr_fg_mesh_store(xdrs, &objp->store))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->engines.engines_val,
-		       (u_int *)&objp->engines.engines_len, FG_MESH_LIST_MAX,
-		       sizeof(fg_mesh_engine), (xdrproc_t)xdr_fg_mesh_engine))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->crashes.crashes_val,
-		       (u_int *)&objp->crashes.crashes_len, FG_MESH_LIST_MAX,
-		       sizeof(fg_mesh_crash), (xdrproc_t)xdr_fg_mesh_crash))
-		return FALSE;
+	 if (!xdr_fg_mesh_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_fg_mesh_store (xdrs, &objp->store))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->engines.engines_val, (u_int *) &objp->engines.engines_len, FG_MESH_LIST_MAX,
+		sizeof (fg_mesh_engine), (xdrproc_t) xdr_fg_mesh_engine))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, FG_MESH_LIST_MAX,
+		sizeof (fg_mesh_crash), (xdrproc_t) xdr_fg_mesh_crash))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_load_req(XDR *xdrs, fg_mesh_load_req *objp)
+bool_t
+xdr_fg_mesh_load_req (XDR *xdrs, fg_mesh_load_req *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->model, FG_MESH_NAME_MAX))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->adapter, FG_MESH_NAME_MAX))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ver))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->model, FG_MESH_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->adapter, FG_MESH_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_answer(XDR *xdrs, fg_mesh_answer *objp)
+bool_t
+xdr_fg_mesh_answer (XDR *xdrs, fg_mesh_answer *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_load_rep(XDR *xdrs, fg_mesh_load_rep *objp)
+bool_t
+xdr_fg_mesh_load_rep (XDR *xdrs, fg_mesh_load_rep *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->adapter))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ver))
-		return FALSE;
-	if (!xdr_fg_mesh_answer(xdrs, &objp->answer))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
+	 if (!xdr_fg_mesh_answer (xdrs, &objp->answer))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_uses(XDR *xdrs, fg_mesh_uses *objp)
+bool_t
+xdr_fg_mesh_uses (XDR *xdrs, fg_mesh_uses *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_array(xdrs, (char **)&objp->list.list_val,
-		       (u_int *)&objp->list.list_len, FG_MESH_LIST_MAX,
-		       sizeof(fg_mesh_use), (xdrproc_t)xdr_fg_mesh_use))
-		return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FG_MESH_LIST_MAX,
+		sizeof (fg_mesh_use), (xdrproc_t) xdr_fg_mesh_use))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_totals_ask(XDR *xdrs, fg_mesh_totals_ask *objp)
+bool_t
+xdr_fg_mesh_totals_ask (XDR *xdrs, fg_mesh_totals_ask *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->request))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_totals(XDR *xdrs, fg_mesh_totals *objp)
+bool_t
+xdr_fg_mesh_totals (XDR *xdrs, fg_mesh_totals *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->request))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->running))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->pending_tokens))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pending_tokens))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_note(XDR *xdrs, fg_mesh_note *objp)
+bool_t
+xdr_fg_mesh_note (XDR *xdrs, fg_mesh_note *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		if (!xdr_u_int(xdrs, &objp->kind))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->part))
-			return FALSE;
-		if (!xdr_u_int(xdrs, &objp->age_ms))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->kind))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->part))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->age_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->depth))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->begun))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->deaths))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->proven))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->trials))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->depth))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deaths))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->proven))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trials))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->depth);
 			IXDR_PUT_BOOL(buf, objp->begun);
@@ -351,26 +357,26 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		if (!xdr_u_int(xdrs, &objp->kind))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->part))
-			return FALSE;
-		if (!xdr_u_int(xdrs, &objp->age_ms))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_int (xdrs, &objp->kind))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->part))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->age_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->depth))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->begun))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->deaths))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->proven))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->trials))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->depth))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deaths))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->proven))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trials))
+				 return FALSE;
 		} else {
 			objp->depth = IXDR_GET_U_LONG(buf);
 			objp->begun = IXDR_GET_BOOL(buf);
@@ -378,219 +384,223 @@
 			objp->proven = IXDR_GET_U_LONG(buf);
 			objp->trials = IXDR_GET_U_LONG(buf);
 		}
-		return TRUE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_int(xdrs, &objp->kind))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->part))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->age_ms))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->depth))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->begun))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->deaths))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->proven))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->trials))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->depth))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deaths))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->proven))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->trials))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_notes(XDR *xdrs, fg_mesh_notes *objp)
+bool_t
+xdr_fg_mesh_notes (XDR *xdrs, fg_mesh_notes *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_array(xdrs, (char **)&objp->list.list_val,
-		       (u_int *)&objp->list.list_len, FG_MESH_LIST_MAX,
-		       sizeof(fg_mesh_note), (xdrproc_t)xdr_fg_mesh_note))
-		return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FG_MESH_LIST_MAX,
+		sizeof (fg_mesh_note), (xdrproc_t) xdr_fg_mesh_note))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_origin(XDR *xdrs, fg_mesh_origin *objp)
+bool_t
+xdr_fg_mesh_origin (XDR *xdrs, fg_mesh_origin *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->stream))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->service))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->software))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_origins(XDR *xdrs, fg_mesh_origins *objp)
+bool_t
+xdr_fg_mesh_origins (XDR *xdrs, fg_mesh_origins *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_array(xdrs, (char **)&objp->list.list_val,
-		       (u_int *)&objp->list.list_len, FG_MESH_LIST_MAX,
-		       sizeof(fg_mesh_origin), (xdrproc_t)xdr_fg_mesh_origin))
-		return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FG_MESH_LIST_MAX,
+		sizeof (fg_mesh_origin), (xdrproc_t) xdr_fg_mesh_origin))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_origin_ask(XDR *xdrs, fg_mesh_origin_ask *objp)
+bool_t
+xdr_fg_mesh_origin_ask (XDR *xdrs, fg_mesh_origin_ask *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->request))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->stream))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->service))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_origin_rep(XDR *xdrs, fg_mesh_origin_rep *objp)
+bool_t
+xdr_fg_mesh_origin_rep (XDR *xdrs, fg_mesh_origin_rep *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->request))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->software))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_ep_said(XDR *xdrs, fg_mesh_ep_said *objp)
+bool_t
+xdr_fg_mesh_ep_said (XDR *xdrs, fg_mesh_ep_said *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->leaving))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->pause_ms))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pause_ms))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_quota_ask(XDR *xdrs, fg_mesh_quota_ask *objp)
+bool_t
+xdr_fg_mesh_quota_ask (XDR *xdrs, fg_mesh_quota_ask *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->request))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->workspace))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->tokens))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->returned))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->need))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->returned))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->need))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_quota_answer(XDR *xdrs, fg_mesh_quota_answer *objp)
+bool_t
+xdr_fg_mesh_quota_answer (XDR *xdrs, fg_mesh_quota_answer *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_quota_rep(XDR *xdrs, fg_mesh_quota_rep *objp)
+bool_t
+xdr_fg_mesh_quota_rep (XDR *xdrs, fg_mesh_quota_rep *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->request))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->workspace))
-		return FALSE;
-	if (!xdr_fg_mesh_quota_answer(xdrs, &objp->answer))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->tokens))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->valid_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->retry_ms))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_fg_mesh_quota_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_ms))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_kind(XDR *xdrs, fg_mesh_kind *objp)
+bool_t
+xdr_fg_mesh_kind (XDR *xdrs, fg_mesh_kind *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_body(XDR *xdrs, fg_mesh_body *objp)
+bool_t
+xdr_fg_mesh_body (XDR *xdrs, fg_mesh_body *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_fg_mesh_kind(xdrs, &objp->kind))
-		return FALSE;
+	 if (!xdr_fg_mesh_kind (xdrs, &objp->kind))
+		 return FALSE;
 	switch (objp->kind) {
 	case FG_MESH_HEARTBEAT:
-		if (!xdr_fg_mesh_heartbeat(xdrs, &objp->fg_mesh_body_u.hb))
-			return FALSE;
+		 if (!xdr_fg_mesh_heartbeat (xdrs, &objp->fg_mesh_body_u.hb))
+			 return FALSE;
 		break;
 	case FG_MESH_LOAD_REQ:
-		if (!xdr_fg_mesh_load_req(xdrs, &objp->fg_mesh_body_u.load_req))
-			return FALSE;
+		 if (!xdr_fg_mesh_load_req (xdrs, &objp->fg_mesh_body_u.load_req))
+			 return FALSE;
 		break;
 	case FG_MESH_LOAD_REP:
-		if (!xdr_fg_mesh_load_rep(xdrs, &objp->fg_mesh_body_u.load_rep))
-			return FALSE;
+		 if (!xdr_fg_mesh_load_rep (xdrs, &objp->fg_mesh_body_u.load_rep))
+			 return FALSE;
 		break;
 	case FG_MESH_USES:
-		if (!xdr_fg_mesh_uses(xdrs, &objp->fg_mesh_body_u.uses))
-			return FALSE;
+		 if (!xdr_fg_mesh_uses (xdrs, &objp->fg_mesh_body_u.uses))
+			 return FALSE;
 		break;
 	case FG_MESH_TOTALS_ASK:
-		if (!xdr_fg_mesh_totals_ask(xdrs,
-					    &objp->fg_mesh_body_u.totals_ask))
-			return FALSE;
+		 if (!xdr_fg_mesh_totals_ask (xdrs, &objp->fg_mesh_body_u.totals_ask))
+			 return FALSE;
 		break;
 	case FG_MESH_TOTALS:
-		if (!xdr_fg_mesh_totals(xdrs, &objp->fg_mesh_body_u.totals))
-			return FALSE;
+		 if (!xdr_fg_mesh_totals (xdrs, &objp->fg_mesh_body_u.totals))
+			 return FALSE;
 		break;
 	case FG_MESH_NOTES:
-		if (!xdr_fg_mesh_notes(xdrs, &objp->fg_mesh_body_u.notes))
-			return FALSE;
+		 if (!xdr_fg_mesh_notes (xdrs, &objp->fg_mesh_body_u.notes))
+			 return FALSE;
 		break;
 	case FG_MESH_ORIGINS:
-		if (!xdr_fg_mesh_origins(xdrs, &objp->fg_mesh_body_u.origins))
-			return FALSE;
+		 if (!xdr_fg_mesh_origins (xdrs, &objp->fg_mesh_body_u.origins))
+			 return FALSE;
 		break;
 	case FG_MESH_ORIGIN_ASK:
-		if (!xdr_fg_mesh_origin_ask(xdrs,
-					    &objp->fg_mesh_body_u.origin_ask))
-			return FALSE;
+		 if (!xdr_fg_mesh_origin_ask (xdrs, &objp->fg_mesh_body_u.origin_ask))
+			 return FALSE;
 		break;
 	case FG_MESH_ORIGIN_REP:
-		if (!xdr_fg_mesh_origin_rep(xdrs,
-					    &objp->fg_mesh_body_u.origin_rep))
-			return FALSE;
+		 if (!xdr_fg_mesh_origin_rep (xdrs, &objp->fg_mesh_body_u.origin_rep))
+			 return FALSE;
 		break;
 	case FG_MESH_EP_SAID:
-		if (!xdr_fg_mesh_ep_said(xdrs, &objp->fg_mesh_body_u.ep_said))
-			return FALSE;
+		 if (!xdr_fg_mesh_ep_said (xdrs, &objp->fg_mesh_body_u.ep_said))
+			 return FALSE;
 		break;
 	case FG_MESH_QUOTA_ASK:
-		if (!xdr_fg_mesh_quota_ask(xdrs,
-					   &objp->fg_mesh_body_u.quota_ask))
-			return FALSE;
+		 if (!xdr_fg_mesh_quota_ask (xdrs, &objp->fg_mesh_body_u.quota_ask))
+			 return FALSE;
 		break;
 	case FG_MESH_QUOTA_REP:
-		if (!xdr_fg_mesh_quota_rep(xdrs,
-					   &objp->fg_mesh_body_u.quota_rep))
-			return FALSE;
+		 if (!xdr_fg_mesh_quota_rep (xdrs, &objp->fg_mesh_body_u.quota_rep))
+			 return FALSE;
 		break;
 	default:
 		return FALSE;
@@ -598,46 +608,47 @@
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_row(XDR *xdrs, fg_mesh_row *objp)
+bool_t
+xdr_fg_mesh_row (XDR *xdrs, fg_mesh_row *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->key, 255))
-		return FALSE;
-	if (!xdr_bytes(xdrs, (char **)&objp->value.value_val,
-		       (u_int *)&objp->value.value_len, FG_MESH_ROW_BYTES))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ver))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->removed))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, 255))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, FG_MESH_ROW_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ver))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->removed))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_rows(XDR *xdrs, fg_mesh_rows *objp)
+bool_t
+xdr_fg_mesh_rows (XDR *xdrs, fg_mesh_rows *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->read))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->rows.rows_val,
-		       (u_int *)&objp->rows.rows_len, FG_MESH_ROWS_MAX,
-		       sizeof(fg_mesh_row), (xdrproc_t)xdr_fg_mesh_row))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->read))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, FG_MESH_ROWS_MAX,
+		sizeof (fg_mesh_row), (xdrproc_t) xdr_fg_mesh_row))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_mesh_packet(XDR *xdrs, fg_mesh_packet *objp)
+bool_t
+xdr_fg_mesh_packet (XDR *xdrs, fg_mesh_packet *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->format))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->incarnation))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->seq))
-		return FALSE;
-	if (!xdr_fg_mesh_body(xdrs, &objp->body))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_fg_mesh_body (xdrs, &objp->body))
+		 return FALSE;
 	return TRUE;
 }
--- a/lib/peer/fg_proto.h
+++ b/lib/peer/fg_proto.h
@@ -268,72 +268,72 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define FG_EXCHANGE 1
-extern enum clnt_stat fg_exchange_1(fg_batch, fg_batch *, CLIENT *);
-extern bool_t fg_exchange_1_svc(fg_batch, fg_batch *, struct svc_req *);
-extern int fg_peer_prog_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat fg_exchange_1(fg_batch , fg_batch *, CLIENT *);
+extern  bool_t fg_exchange_1_svc(fg_batch , fg_batch *, struct svc_req *);
+extern int fg_peer_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define FG_EXCHANGE 1
-extern enum clnt_stat fg_exchange_1();
-extern bool_t fg_exchange_1_svc();
-extern int fg_peer_prog_1_freeresult();
+extern  enum clnt_stat fg_exchange_1();
+extern  bool_t fg_exchange_1_svc();
+extern int fg_peer_prog_1_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_fg_av(XDR *, fg_av *);
-extern bool_t xdr_fg_msg_type(XDR *, fg_msg_type *);
-extern bool_t xdr_fg_ping(XDR *, fg_ping *);
-extern bool_t xdr_fg_grant_status(XDR *, fg_grant_status *);
-extern bool_t xdr_fg_grant_req(XDR *, fg_grant_req *);
-extern bool_t xdr_fg_grant_rep(XDR *, fg_grant_rep *);
-extern bool_t xdr_fg_release(XDR *, fg_release *);
-extern bool_t xdr_fg_need(XDR *, fg_need *);
-extern bool_t xdr_fg_place(XDR *, fg_place *);
-extern bool_t xdr_fg_place_status(XDR *, fg_place_status *);
-extern bool_t xdr_fg_place_rep(XDR *, fg_place_rep *);
-extern bool_t xdr_fg_resident(XDR *, fg_resident *);
-extern bool_t xdr_fg_grant_info(XDR *, fg_grant_info *);
-extern bool_t xdr_fg_grants_ask(XDR *, fg_grants_ask *);
-extern bool_t xdr_fg_grants_tell(XDR *, fg_grants_tell *);
-extern bool_t xdr_fg_popularity_item(XDR *, fg_popularity_item *);
-extern bool_t xdr_fg_popularity(XDR *, fg_popularity *);
-extern bool_t xdr_fg_config_ask(XDR *, fg_config_ask *);
-extern bool_t xdr_fg_config_tell(XDR *, fg_config_tell *);
-extern bool_t xdr_fg_suspect(XDR *, fg_suspect *);
-extern bool_t xdr_fg_leaving(XDR *, fg_leaving *);
-extern bool_t xdr_fg_owned(XDR *, fg_owned *);
-extern bool_t xdr_fg_body(XDR *, fg_body *);
-extern bool_t xdr_fg_msg(XDR *, fg_msg *);
-extern bool_t xdr_fg_batch(XDR *, fg_batch *);
+extern  bool_t xdr_fg_av (XDR *, fg_av*);
+extern  bool_t xdr_fg_msg_type (XDR *, fg_msg_type*);
+extern  bool_t xdr_fg_ping (XDR *, fg_ping*);
+extern  bool_t xdr_fg_grant_status (XDR *, fg_grant_status*);
+extern  bool_t xdr_fg_grant_req (XDR *, fg_grant_req*);
+extern  bool_t xdr_fg_grant_rep (XDR *, fg_grant_rep*);
+extern  bool_t xdr_fg_release (XDR *, fg_release*);
+extern  bool_t xdr_fg_need (XDR *, fg_need*);
+extern  bool_t xdr_fg_place (XDR *, fg_place*);
+extern  bool_t xdr_fg_place_status (XDR *, fg_place_status*);
+extern  bool_t xdr_fg_place_rep (XDR *, fg_place_rep*);
+extern  bool_t xdr_fg_resident (XDR *, fg_resident*);
+extern  bool_t xdr_fg_grant_info (XDR *, fg_grant_info*);
+extern  bool_t xdr_fg_grants_ask (XDR *, fg_grants_ask*);
+extern  bool_t xdr_fg_grants_tell (XDR *, fg_grants_tell*);
+extern  bool_t xdr_fg_popularity_item (XDR *, fg_popularity_item*);
+extern  bool_t xdr_fg_popularity (XDR *, fg_popularity*);
+extern  bool_t xdr_fg_config_ask (XDR *, fg_config_ask*);
+extern  bool_t xdr_fg_config_tell (XDR *, fg_config_tell*);
+extern  bool_t xdr_fg_suspect (XDR *, fg_suspect*);
+extern  bool_t xdr_fg_leaving (XDR *, fg_leaving*);
+extern  bool_t xdr_fg_owned (XDR *, fg_owned*);
+extern  bool_t xdr_fg_body (XDR *, fg_body*);
+extern  bool_t xdr_fg_msg (XDR *, fg_msg*);
+extern  bool_t xdr_fg_batch (XDR *, fg_batch*);
 
 #else /* K&R C */
-extern bool_t xdr_fg_av();
-extern bool_t xdr_fg_msg_type();
-extern bool_t xdr_fg_ping();
-extern bool_t xdr_fg_grant_status();
-extern bool_t xdr_fg_grant_req();
-extern bool_t xdr_fg_grant_rep();
-extern bool_t xdr_fg_release();
-extern bool_t xdr_fg_need();
-extern bool_t xdr_fg_place();
-extern bool_t xdr_fg_place_status();
-extern bool_t xdr_fg_place_rep();
-extern bool_t xdr_fg_resident();
-extern bool_t xdr_fg_grant_info();
-extern bool_t xdr_fg_grants_ask();
-extern bool_t xdr_fg_grants_tell();
-extern bool_t xdr_fg_popularity_item();
-extern bool_t xdr_fg_popularity();
-extern bool_t xdr_fg_config_ask();
-extern bool_t xdr_fg_config_tell();
-extern bool_t xdr_fg_suspect();
-extern bool_t xdr_fg_leaving();
-extern bool_t xdr_fg_owned();
-extern bool_t xdr_fg_body();
-extern bool_t xdr_fg_msg();
-extern bool_t xdr_fg_batch();
+extern bool_t xdr_fg_av ();
+extern bool_t xdr_fg_msg_type ();
+extern bool_t xdr_fg_ping ();
+extern bool_t xdr_fg_grant_status ();
+extern bool_t xdr_fg_grant_req ();
+extern bool_t xdr_fg_grant_rep ();
+extern bool_t xdr_fg_release ();
+extern bool_t xdr_fg_need ();
+extern bool_t xdr_fg_place ();
+extern bool_t xdr_fg_place_status ();
+extern bool_t xdr_fg_place_rep ();
+extern bool_t xdr_fg_resident ();
+extern bool_t xdr_fg_grant_info ();
+extern bool_t xdr_fg_grants_ask ();
+extern bool_t xdr_fg_grants_tell ();
+extern bool_t xdr_fg_popularity_item ();
+extern bool_t xdr_fg_popularity ();
+extern bool_t xdr_fg_config_ask ();
+extern bool_t xdr_fg_config_tell ();
+extern bool_t xdr_fg_suspect ();
+extern bool_t xdr_fg_leaving ();
+extern bool_t xdr_fg_owned ();
+extern bool_t xdr_fg_body ();
+extern bool_t xdr_fg_msg ();
+extern bool_t xdr_fg_batch ();
 
 #endif /* K&R C */
 
--- a/lib/peer/fg_proto_xdr.c
+++ b/lib/peer/fg_proto_xdr.c
@@ -5,47 +5,51 @@
 
 #include "fg_proto.h"
 
-bool_t xdr_fg_av(XDR *xdrs, fg_av *objp)
+bool_t
+xdr_fg_av (XDR *xdrs, fg_av *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->adapter))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->ver))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->adapter))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ver))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_msg_type(XDR *xdrs, fg_msg_type *objp)
+bool_t
+xdr_fg_msg_type (XDR *xdrs, fg_msg_type *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_ping(XDR *xdrs, fg_ping *objp)
+bool_t
+xdr_fg_ping (XDR *xdrs, fg_ping *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->seq))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->revision))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->confirm_age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->platform_age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->peer_platform_age_ms))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->stopping))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->may_act))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->confirm_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->platform_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->peer_platform_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->stopping))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_act))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->confirm_age_ms);
 			IXDR_PUT_U_LONG(buf, objp->platform_age_ms);
@@ -55,22 +59,22 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->seq))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->revision))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->confirm_age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->platform_age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->peer_platform_age_ms))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->stopping))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->may_act))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->confirm_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->platform_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->peer_platform_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->stopping))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_act))
+				 return FALSE;
 		} else {
 			objp->confirm_age_ms = IXDR_GET_U_LONG(buf);
 			objp->platform_age_ms = IXDR_GET_U_LONG(buf);
@@ -78,56 +82,59 @@
 			objp->stopping = IXDR_GET_BOOL(buf);
 			objp->may_act = IXDR_GET_BOOL(buf);
 		}
-		return TRUE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_quad_t(xdrs, &objp->seq))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->revision))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->confirm_age_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->platform_age_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->peer_platform_age_ms))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->stopping))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->may_act))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->confirm_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->platform_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->peer_platform_age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->stopping))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->may_act))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_grant_status(XDR *xdrs, fg_grant_status *objp)
+bool_t
+xdr_fg_grant_status (XDR *xdrs, fg_grant_status *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_grant_req(XDR *xdrs, fg_grant_req *objp)
+bool_t
+xdr_fg_grant_req (XDR *xdrs, fg_grant_req *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->req))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		if (!xdr_fg_av(xdrs, &objp->av))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->req))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		 if (!xdr_fg_av (xdrs, &objp->av))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->cls))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->budget_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->hold_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->hop))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cls))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->budget_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hop))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->cls);
 			IXDR_PUT_U_LONG(buf, objp->budget_ms);
@@ -136,430 +143,443 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->req))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		if (!xdr_fg_av(xdrs, &objp->av))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->req))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		 if (!xdr_fg_av (xdrs, &objp->av))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->cls))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->budget_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->hold_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->hop))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cls))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->budget_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hop))
+				 return FALSE;
 		} else {
 			objp->cls = IXDR_GET_U_LONG(buf);
 			objp->budget_ms = IXDR_GET_U_LONG(buf);
 			objp->hold_ms = IXDR_GET_U_LONG(buf);
 			objp->hop = IXDR_GET_U_LONG(buf);
 		}
-		return TRUE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_quad_t(xdrs, &objp->req))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_fg_av(xdrs, &objp->av))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->cls))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->budget_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->hold_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->hop))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->req))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cls))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->budget_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hop))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_grant_rep(XDR *xdrs, fg_grant_rep *objp)
+bool_t
+xdr_fg_grant_rep (XDR *xdrs, fg_grant_rep *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->req))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_fg_grant_status(xdrs, &objp->status))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->grant))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->fence))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->owner))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->retry_after_ms))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->req))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_fg_grant_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->grant))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_release(XDR *xdrs, fg_release *objp)
+bool_t
+xdr_fg_release (XDR *xdrs, fg_release *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->grant))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->req))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->service_ms))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->crashed))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->grant))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->req))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->crashed))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_need(XDR *xdrs, fg_need *objp)
+bool_t
+xdr_fg_need (XDR *xdrs, fg_need *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_fg_av(xdrs, &objp->av))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->waiting))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->slack_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->cls))
-		return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slack_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cls))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_place(XDR *xdrs, fg_place *objp)
+bool_t
+xdr_fg_place (XDR *xdrs, fg_place *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->order))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_fg_av(xdrs, &objp->av))
-		return FALSE;
-	if (!xdr_fg_av(xdrs, &objp->victim))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->broker_fence))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->order))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->victim))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->broker_fence))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_place_status(XDR *xdrs, fg_place_status *objp)
+bool_t
+xdr_fg_place_status (XDR *xdrs, fg_place_status *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_enum(xdrs, (enum_t *)objp))
-		return FALSE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_place_rep(XDR *xdrs, fg_place_rep *objp)
+bool_t
+xdr_fg_place_rep (XDR *xdrs, fg_place_rep *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->order))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_fg_av(xdrs, &objp->av))
-		return FALSE;
-	if (!xdr_fg_place_status(xdrs, &objp->status))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->order))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_fg_place_status (xdrs, &objp->status))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_resident(XDR *xdrs, fg_resident *objp)
+bool_t
+xdr_fg_resident (XDR *xdrs, fg_resident *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->fence))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->seq))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->slots))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->in_use))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->batch))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->leaving))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_use))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->batch))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
 
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->slots);
-			IXDR_PUT_U_LONG(buf, objp->in_use);
-			IXDR_PUT_U_LONG(buf, objp->batch);
-			IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_U_LONG(buf, objp->slots);
+		IXDR_PUT_U_LONG(buf, objp->in_use);
+		IXDR_PUT_U_LONG(buf, objp->batch);
+		IXDR_PUT_BOOL(buf, objp->leaving);
 		}
-		if (!xdr_array(xdrs, (char **)&objp->av.av_val,
-			       (u_int *)&objp->av.av_len, FG_LIST_MAX,
-			       sizeof(fg_av), (xdrproc_t)xdr_fg_av))
-			return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->av.av_val, (u_int *) &objp->av.av_len, FG_LIST_MAX,
+			sizeof (fg_av), (xdrproc_t) xdr_fg_av))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->ep))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->fence))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->seq))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->ep))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->fence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->seq))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->slots))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->in_use))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->batch))
-				return FALSE;
-			if (!xdr_bool(xdrs, &objp->leaving))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_use))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->batch))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
 
 		} else {
-			objp->slots = IXDR_GET_U_LONG(buf);
-			objp->in_use = IXDR_GET_U_LONG(buf);
-			objp->batch = IXDR_GET_U_LONG(buf);
-			objp->leaving = IXDR_GET_BOOL(buf);
+		objp->slots = IXDR_GET_U_LONG(buf);
+		objp->in_use = IXDR_GET_U_LONG(buf);
+		objp->batch = IXDR_GET_U_LONG(buf);
+		objp->leaving = IXDR_GET_BOOL(buf);
 		}
-		if (!xdr_array(xdrs, (char **)&objp->av.av_val,
-			       (u_int *)&objp->av.av_len, FG_LIST_MAX,
-			       sizeof(fg_av), (xdrproc_t)xdr_fg_av))
-			return FALSE;
-		return TRUE;
+		 if (!xdr_array (xdrs, (char **)&objp->av.av_val, (u_int *) &objp->av.av_len, FG_LIST_MAX,
+			sizeof (fg_av), (xdrproc_t) xdr_fg_av))
+			 return FALSE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->fence))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->seq))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->slots))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->in_use))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->batch))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->leaving))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->av.av_val,
-		       (u_int *)&objp->av.av_len, FG_LIST_MAX, sizeof(fg_av),
-		       (xdrproc_t)xdr_fg_av))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_use))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->batch))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->av.av_val, (u_int *) &objp->av.av_len, FG_LIST_MAX,
+		sizeof (fg_av), (xdrproc_t) xdr_fg_av))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_grant_info(XDR *xdrs, fg_grant_info *objp)
+bool_t
+xdr_fg_grant_info (XDR *xdrs, fg_grant_info *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->grant))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->req))
-		return FALSE;
-	if (!xdr_fg_av(xdrs, &objp->av))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->left_ms))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->grant))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->req))
+		 return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_grants_ask(XDR *xdrs, fg_grants_ask *objp)
+bool_t
+xdr_fg_grants_ask (XDR *xdrs, fg_grants_ask *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->fence))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_grants_tell(XDR *xdrs, fg_grants_tell *objp)
+bool_t
+xdr_fg_grants_tell (XDR *xdrs, fg_grants_tell *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->fence))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->grants.grants_val,
-		       (u_int *)&objp->grants.grants_len, FG_LIST_MAX,
-		       sizeof(fg_grant_info), (xdrproc_t)xdr_fg_grant_info))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, FG_LIST_MAX,
+		sizeof (fg_grant_info), (xdrproc_t) xdr_fg_grant_info))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_popularity_item(XDR *xdrs, fg_popularity_item *objp)
+bool_t
+xdr_fg_popularity_item (XDR *xdrs, fg_popularity_item *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_fg_av(xdrs, &objp->av))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->count))
-		return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_popularity(XDR *xdrs, fg_popularity *objp)
+bool_t
+xdr_fg_popularity (XDR *xdrs, fg_popularity *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->seq))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->items.items_val,
-		       (u_int *)&objp->items.items_len, FG_LIST_MAX,
-		       sizeof(fg_popularity_item),
-		       (xdrproc_t)xdr_fg_popularity_item))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FG_LIST_MAX,
+		sizeof (fg_popularity_item), (xdrproc_t) xdr_fg_popularity_item))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_config_ask(XDR *xdrs, fg_config_ask *objp)
+bool_t
+xdr_fg_config_ask (XDR *xdrs, fg_config_ask *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->from_revision))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from_revision))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_config_tell(XDR *xdrs, fg_config_tell *objp)
+bool_t
+xdr_fg_config_tell (XDR *xdrs, fg_config_tell *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->base))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->revision))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->text, FG_TEXT_MAX))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->more))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->text, FG_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_suspect(XDR *xdrs, fg_suspect *objp)
+bool_t
+xdr_fg_suspect (XDR *xdrs, fg_suspect *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->fingerprint))
-		return FALSE;
-	if (!xdr_fg_av(xdrs, &objp->av))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->event))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->req))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_fg_av (xdrs, &objp->av))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->event))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->req))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_leaving(XDR *xdrs, fg_leaving *objp)
+bool_t
+xdr_fg_leaving (XDR *xdrs, fg_leaving *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->id))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_owned(XDR *xdrs, fg_owned *objp)
+bool_t
+xdr_fg_owned (XDR *xdrs, fg_owned *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->ep))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->fence))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->owner))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ep))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->owner))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_body(XDR *xdrs, fg_body *objp)
+bool_t
+xdr_fg_body (XDR *xdrs, fg_body *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_fg_msg_type(xdrs, &objp->type))
-		return FALSE;
+	 if (!xdr_fg_msg_type (xdrs, &objp->type))
+		 return FALSE;
 	switch (objp->type) {
 	case FG_MSG_PING:
-		if (!xdr_fg_ping(xdrs, &objp->fg_body_u.ping))
-			return FALSE;
+		 if (!xdr_fg_ping (xdrs, &objp->fg_body_u.ping))
+			 return FALSE;
 		break;
 	case FG_MSG_PONG:
-		if (!xdr_fg_ping(xdrs, &objp->fg_body_u.pong))
-			return FALSE;
+		 if (!xdr_fg_ping (xdrs, &objp->fg_body_u.pong))
+			 return FALSE;
 		break;
 	case FG_MSG_GRANT_REQ:
-		if (!xdr_fg_grant_req(xdrs, &objp->fg_body_u.grant_req))
-			return FALSE;
+		 if (!xdr_fg_grant_req (xdrs, &objp->fg_body_u.grant_req))
+			 return FALSE;
 		break;
 	case FG_MSG_GRANT_REP:
-		if (!xdr_fg_grant_rep(xdrs, &objp->fg_body_u.grant_rep))
-			return FALSE;
+		 if (!xdr_fg_grant_rep (xdrs, &objp->fg_body_u.grant_rep))
+			 return FALSE;
 		break;
 	case FG_MSG_RELEASE:
-		if (!xdr_fg_release(xdrs, &objp->fg_body_u.release))
-			return FALSE;
+		 if (!xdr_fg_release (xdrs, &objp->fg_body_u.release))
+			 return FALSE;
 		break;
 	case FG_MSG_NEED:
-		if (!xdr_fg_need(xdrs, &objp->fg_body_u.need))
-			return FALSE;
+		 if (!xdr_fg_need (xdrs, &objp->fg_body_u.need))
+			 return FALSE;
 		break;
 	case FG_MSG_PLACE:
-		if (!xdr_fg_place(xdrs, &objp->fg_body_u.place))
-			return FALSE;
+		 if (!xdr_fg_place (xdrs, &objp->fg_body_u.place))
+			 return FALSE;
 		break;
 	case FG_MSG_PLACE_REP:
-		if (!xdr_fg_place_rep(xdrs, &objp->fg_body_u.place_rep))
-			return FALSE;
+		 if (!xdr_fg_place_rep (xdrs, &objp->fg_body_u.place_rep))
+			 return FALSE;
 		break;
 	case FG_MSG_RESIDENT:
-		if (!xdr_fg_resident(xdrs, &objp->fg_body_u.resident))
-			return FALSE;
+		 if (!xdr_fg_resident (xdrs, &objp->fg_body_u.resident))
+			 return FALSE;
 		break;
 	case FG_MSG_GRANTS_ASK:
-		if (!xdr_fg_grants_ask(xdrs, &objp->fg_body_u.grants_ask))
-			return FALSE;
+		 if (!xdr_fg_grants_ask (xdrs, &objp->fg_body_u.grants_ask))
+			 return FALSE;
 		break;
 	case FG_MSG_GRANTS_TELL:
-		if (!xdr_fg_grants_tell(xdrs, &objp->fg_body_u.grants_tell))
-			return FALSE;
+		 if (!xdr_fg_grants_tell (xdrs, &objp->fg_body_u.grants_tell))
+			 return FALSE;
 		break;
 	case FG_MSG_POPULARITY:
-		if (!xdr_fg_popularity(xdrs, &objp->fg_body_u.popularity))
-			return FALSE;
+		 if (!xdr_fg_popularity (xdrs, &objp->fg_body_u.popularity))
+			 return FALSE;
 		break;
 	case FG_MSG_CONFIG_ASK:
-		if (!xdr_fg_config_ask(xdrs, &objp->fg_body_u.config_ask))
-			return FALSE;
+		 if (!xdr_fg_config_ask (xdrs, &objp->fg_body_u.config_ask))
+			 return FALSE;
 		break;
 	case FG_MSG_CONFIG_TELL:
-		if (!xdr_fg_config_tell(xdrs, &objp->fg_body_u.config_tell))
-			return FALSE;
+		 if (!xdr_fg_config_tell (xdrs, &objp->fg_body_u.config_tell))
+			 return FALSE;
 		break;
 	case FG_MSG_SUSPECT:
-		if (!xdr_fg_suspect(xdrs, &objp->fg_body_u.suspect))
-			return FALSE;
+		 if (!xdr_fg_suspect (xdrs, &objp->fg_body_u.suspect))
+			 return FALSE;
 		break;
 	case FG_MSG_LEAVING:
-		if (!xdr_fg_leaving(xdrs, &objp->fg_body_u.leaving))
-			return FALSE;
+		 if (!xdr_fg_leaving (xdrs, &objp->fg_body_u.leaving))
+			 return FALSE;
 		break;
 	case FG_MSG_OWNED:
-		if (!xdr_fg_owned(xdrs, &objp->fg_body_u.owned))
-			return FALSE;
+		 if (!xdr_fg_owned (xdrs, &objp->fg_body_u.owned))
+			 return FALSE;
 		break;
 	default:
 		return FALSE;
@@ -567,28 +587,29 @@
 	return TRUE;
 }
 
-bool_t xdr_fg_msg(XDR *xdrs, fg_msg *objp)
+bool_t
+xdr_fg_msg (XDR *xdrs, fg_msg *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_fg_body(xdrs, &objp->body))
-		return FALSE;
+	 if (!xdr_fg_body (xdrs, &objp->body))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_fg_batch(XDR *xdrs, fg_batch *objp)
+bool_t
+xdr_fg_batch (XDR *xdrs, fg_batch *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->format))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->from))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->to))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->msgs.msgs_val,
-		       (u_int *)&objp->msgs.msgs_len, FG_BATCH_MAX,
-		       sizeof(fg_msg), (xdrproc_t)xdr_fg_msg))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->msgs.msgs_val, (u_int *) &objp->msgs.msgs_len, FG_BATCH_MAX,
+		sizeof (fg_msg), (xdrproc_t) xdr_fg_msg))
+		 return FALSE;
 	return TRUE;
 }
