tests: one gateway with few descriptors, and one reader to the end

gateway_stop_ends.py had a copy of the class of crowds.py, and read to the end of a connection in three places beside read_to_end() of hosted.py. The class moves to hosted.py; the checks are the same.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -22,8 +22,8 @@
 from gateway_cuts import CuttableSystem
 from cut_path import REFUSE
 from hosted import (
-    Gateway, HOST, Replica, System, check, http_get, make_config, send,
-    wait_for)
+    FewDescriptorsGateway, Gateway, HOST, Replica, System, check, http_get,
+    make_config, send, wait_for)
 
 MIB = 1 << 20
 BODY_MAX = 4 * MIB  # maxBodyBytes of the users' deployments
@@ -89,20 +89,6 @@
     gateway_class = FewPlacesGateway
 
 
-class FewDescriptorsGateway(Gateway):
-    """Its limit of descriptors is below connections_max."""
-
-    descriptors = 96
-
-    def __init__(self, store, name, folder, dc, fences_checked, binary):
-        script = os.path.join(folder, name + ".sh")
-        with open(script, "w", encoding="utf-8") as f:
-            f.write(f"#!/bin/sh\nulimit -n {self.descriptors}\n"
-                    f"exec {os.path.abspath(binary)} \"$@\"\n")
-        os.chmod(script, 0o755)
-        super().__init__(store, name, folder, dc, fences_checked, script)
-
-
 class FewDescriptorsSystem(CrowdSystem):
     gateway_class = FewDescriptorsGateway
 
--- a/tests/gateway_stop_ends.py
+++ b/tests/gateway_stop_ends.py
@@ -15,7 +15,8 @@
     SlowCaller, answer_at_length, answer_with_events)
 from gateway_stops import GRACE_S, add_long_routes, check_exit, stop
 from hosted import (
-    EVENTS, Gateway, HOST, System, check, event_ids, next_id, send, wait_for)
+    EVENTS, FewDescriptorsGateway, Gateway, HOST, System, check, event_ids,
+    next_id, read_to_end, send, wait_for)
 
 PAUSE_S = 3  # longer than a close waits for its peer
 UNREAD_S = 0.5
@@ -46,6 +47,14 @@
     check(end == "closed", f"ended by: {end}")
 
 
+def check_whole(caller):
+    """Reads the rest of an answer of answer_at_length() and checks it."""
+    received, error = read_to_end(caller.sock)
+    caller.sock.close()
+    print(f"{len(received)} bytes, {error!r}")
+    check(len(received) > len(PIECE) * 8000, "the answer is cut")
+
+
 def half_closed_callers(s):
     """A caller that closes its side after its whole answer was given out
     receives all of it."""
@@ -57,14 +66,7 @@
     wait_for("answered", lambda: s.run_count(caller.rid) == 1)
     time.sleep(UNREAD_S)
     caller.sock.shutdown(socket.SHUT_WR)
-    try:
-        while data := caller.sock.recv(65536):
-            caller.received += data
-    except OSError as why:
-        caller.error = why
-    caller.sock.close()
-    print(f"{len(caller.received)} bytes, {caller.error!r}")
-    check(len(caller.received) > len(PIECE) * 8000, "the answer is cut")
+    check_whole(caller)
 
 
 class BufferedCaller(SlowCaller):
@@ -180,18 +182,6 @@
         time.sleep(0.25)
 
 
-class FewDescriptorsGateway(Gateway):
-    descriptors = 96
-
-    def __init__(self, store, name, folder, dc, fences_checked, binary):
-        script = os.path.join(folder, name + ".sh")
-        with open(script, "w", encoding="utf-8") as f:
-            f.write(f"#!/bin/sh\nulimit -n {self.descriptors}\n"
-                    f"exec {os.path.abspath(binary)} \"$@\"\n")
-        os.chmod(script, 0o755)
-        super().__init__(store, name, folder, dc, fences_checked, script)
-
-
 class FewDescriptorsSystem(System):
     gateway_class = FewDescriptorsGateway
 
@@ -204,12 +194,7 @@
     sock.sendall((f"POST /order/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: "
                   f"{next_id()}\r\nConnection: close\r\nContent-Length: 1\r\n"
                   "\r\nx").encode())
-    data = b""
-    try:
-        while piece := sock.recv(4096):
-            data += piece
-    except OSError:
-        pass
+    data, _ = read_to_end(sock)
     return sock, data.split(b" ", 2)[1:2] == [b"200"]
 
 
@@ -227,16 +212,9 @@
         replica.answer_with = None
     others = [send_and_stay(s.gw.front) for _ in range(90)]
     print(f"{sum(ok for _, ok in others)} of {len(others)} others served")
-    try:
-        while data := caller.sock.recv(65536):
-            caller.received += data
-    except OSError as why:
-        caller.error = why
+    check_whole(caller)
     for sock, _ in others:
         sock.close()
-    caller.sock.close()
-    print(f"{len(caller.received)} bytes, {caller.error!r}")
-    check(len(caller.received) > len(PIECE) * 8000, "the answer is cut")
 
 
 slow_reader_beside_closed_connections.system_class = FewDescriptorsSystem
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -223,6 +223,20 @@
         self.popen.wait()
 
 
+class FewDescriptorsGateway(Gateway):
+    """Its limit of descriptors is below connections_max."""
+
+    descriptors = 96
+
+    def __init__(self, store, name, folder, dc, fences_checked, binary):
+        script = os.path.join(folder, name + ".sh")
+        with open(script, "w", encoding="utf-8") as f:
+            f.write(f"#!/bin/sh\nulimit -n {self.descriptors}\n"
+                    f"exec {os.path.abspath(binary)} \"$@\"\n")
+        os.chmod(script, 0o755)
+        super().__init__(store, name, folder, dc, fences_checked, script)
+
+
 class System:
     """Store, replicas and gateways. With `proxied`, each gateway reaches the
     store through a proxy of its own, in `store_proxies`."""
