lib/link: the check for bytes in transit is the module's own

Nothing outside called fg_link_is_in_transit() any more, and it also noted the time, which its name did not say. The timer of a flush does its check itself. No behaviour changes.

--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -101,13 +101,9 @@
  * acknowledged; 0 where the kernel does not tell. */
 size_t fg_link_unacked_bytes(const struct fg_link *l);
 
-/* Returns whether there are bytes that the peer has not acknowledged, or that
- * it has sent and that were not read. */
-bool fg_link_is_in_transit(struct fg_link *l);
-
-/* Returns whether the peer may still be reading: bytes are in transit, or were
- * less than 2 s ago. Closing the descriptor now could reset the
- * connection before it has read all. */
+/* Returns whether the peer may still be reading: bytes are on their way in
+ * either direction, or were less than 2 s ago. Closing the descriptor now could
+ * reset the connection before it has read all. */
 bool fg_link_may_be_read(struct fg_link *l);
 
 /* What the kernel knows of a connection's peer. */
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -144,8 +144,9 @@
 }
 
 /* Ends a flush that is over, or makes no progress. */
-static void check_flush(struct fg_link *l)
+static void on_flush_timer(uv_timer_t *timer)
 {
+	struct fg_link *l = timer->data;
 	uint64_t now = uv_now(l->timer.loop);
 	size_t undelivered = undelivered_bytes(l);
 
@@ -173,12 +174,9 @@
 	reset_handles(l);
 }
 
-static void on_flush_timer(uv_timer_t *timer)
-{
-	check_flush(timer->data);
-}
-
-bool fg_link_is_in_transit(struct fg_link *l)
+/* Returns whether there are bytes that the peer has not acknowledged, or that
+ * it has sent and that were not read. */
+static bool note_in_transit(struct fg_link *l)
 {
 	uv_os_fd_t fd;
 	int unread = 0;
@@ -193,7 +191,7 @@
 
 bool fg_link_may_be_read(struct fg_link *l)
 {
-	return fg_link_is_in_transit(l) ||
+	return note_in_transit(l) ||
 	       uv_now(l->timer.loop) - l->in_transit_at_ms < DRAIN_MAX_MS;
 }
 
