lib/drain: how long a connection is kept after its last answer

The decision of lib/link, without a clock or a socket, so that fg-entry can use the same. No change of behaviour.

--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -5,15 +5,7 @@
 #include "link/fg_link_priv.h"
 #include "log/fg_log.h"
 
-/* After fg_link_close(), a peer that takes no bytes for this long, or not all
- * of them in this time, gets no more. */
-#define FLUSH_STALL_MS 5000
-#define FLUSH_MAX_MS 60000
 #define FLUSH_CHECK_MS 250
-/* What the peer still sends is dropped for this long after it took the last
- * byte, and up to this amount. */
-#define DRAIN_MAX_MS 2000
-#define DRAIN_MAX_BYTES (16 * 1024 * 1024)
 
 static GQueue flushing = G_QUEUE_INIT;
 static uint32_t n_open; /* links that hold a descriptor */
@@ -107,18 +99,22 @@
 
 void fg_link_drop_read(struct fg_link *l, ssize_t n)
 {
+	enum fg_drain_state state;
+
 	if (!l->flushing || l->closing)
 		return;
-	l->dropped_bytes += (uint64_t)MAX(n, 0);
-	if (n >= 0 && l->dropped_bytes <= DRAIN_MAX_BYTES)
-		return;
+	if (n >= 0) {
+		state = fg_drain_drop(&l->drain, (uint64_t)n);
+		if (state == FG_DRAIN_WAITING)
+			return;
+	}
 	uv_read_stop((uv_stream_t *)&l->tcp);
 	l->peer_closed = n == UV_EOF;
 	if (n < 0 && n != UV_EOF) {
 		l->error = (int)n;
 		end_early(l, fg_link_end_name(l));
 	} else if (n >= 0) {
-		end_early(l, "peer_sends_on");
+		end_early(l, fg_drain_state_name(state));
 	} else if (l->sent) {
 		/* The peer sends nothing more that could reset the connection:
 		 * the kernel delivers the rest. */
@@ -147,29 +143,23 @@
 static void on_flush_timer(uv_timer_t *timer)
 {
 	struct fg_link *l = timer->data;
-	uint64_t now = uv_now(l->timer.loop);
-	size_t undelivered = undelivered_bytes(l);
+	enum fg_drain_state state = fg_drain_check(
+		&l->drain, (fg_ms)uv_now(l->timer.loop), undelivered_bytes(l));
 
-	if (undelivered < l->undelivered_bytes)
-		l->progress_at_ms = now;
-	l->undelivered_bytes = undelivered;
 	if (fg_link_has_lost_peer(l)) {
 		l->error = UV_ETIMEDOUT;
 		fg_link_log_cut(l, fg_link_end_name(l));
 		reset_handles(l);
 		return;
 	}
-	if (undelivered == 0) {
-		if (l->sent && now - l->progress_at_ms >= DRAIN_MAX_MS)
+	if (state == FG_DRAIN_WAITING)
+		return;
+	if (state == FG_DRAIN_DONE) {
+		if (l->sent)
 			fg_link_close_handles(l);
 		return;
 	}
-	if (now - l->progress_at_ms >= FLUSH_STALL_MS)
-		fg_link_log_cut(l, "stalled");
-	else if (now >= l->flush_until_ms)
-		fg_link_log_cut(l, "too_slow");
-	else
-		return;
+	fg_link_log_cut(l, fg_drain_state_name(state));
 	/* The peer must not take a part for the whole. */
 	reset_handles(l);
 }
@@ -192,7 +182,7 @@
 bool fg_link_may_be_read(struct fg_link *l)
 {
 	return note_in_transit(l) ||
-	       uv_now(l->timer.loop) - l->in_transit_at_ms < DRAIN_MAX_MS;
+	       uv_now(l->timer.loop) - l->in_transit_at_ms < FG_DRAIN_KEEP_MS;
 }
 
 /* Reads what has arrived, since closing with unread bytes resets the
@@ -205,9 +195,9 @@
 
 	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0)
 		return;
-	while (l->dropped_bytes <= DRAIN_MAX_BYTES &&
-	       (n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
-		l->dropped_bytes += (uint64_t)n;
+	while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0 &&
+	       fg_drain_drop(&l->drain, (uint64_t)n) == FG_DRAIN_WAITING)
+		;
 }
 
 void fg_link_close(struct fg_link *l, bool flush)
@@ -232,9 +222,8 @@
 	}
 	l->flushing_node.data = l;
 	g_queue_push_tail_link(&flushing, &l->flushing_node);
-	l->undelivered_bytes = undelivered_bytes(l);
-	l->progress_at_ms = uv_now(l->timer.loop);
-	l->flush_until_ms = l->progress_at_ms + FLUSH_MAX_MS;
+	fg_drain_begin(&l->drain, (fg_ms)uv_now(l->timer.loop),
+		       undelivered_bytes(l));
 	uv_timer_start(&l->timer, on_flush_timer, FLUSH_CHECK_MS,
 		       FLUSH_CHECK_MS);
 }
--- a/lib/link/fg_link_priv.h
+++ b/lib/link/fg_link_priv.h
@@ -2,6 +2,7 @@
 #ifndef FG_LINK_PRIV_H
 #define FG_LINK_PRIV_H
 
+#include "drain/fg_drain.h"
 #include "link/fg_link.h"
 
 struct fg_link {
@@ -13,12 +14,9 @@
 	void *ctx; /* NULL after fg_link_close() */
 	size_t pending_bytes;
 	GList flushing_node;	   /* in `flushing` */
-	size_t undelivered_bytes;  /* at the last check of the flush */
-	uint64_t progress_at_ms;   /* the peer took some of them */
+	struct fg_drain drain;	   /* while flushing; in the loop's time */
 	uint64_t in_transit_at_ms; /* last write, or check that saw bytes on
 				      their way; both in the loop's time */
-	uint64_t flush_until_ms;   /* in the loop's time */
-	uint64_t dropped_bytes;	   /* received after the close */
 	int open_handles;	   /* tcp and timer; at 0 the link is freed */
 	bool closed;		   /* by the user: no further callbacks */
 	bool closing;		   /* the handles are being closed */
