fg-entry: an answer is delivered before its connection is closed

Callers that read an answer slowly and sent their next request got a reset in its middle: at a planned stop, after "Connection: close", and when their connection was ended as idle.

Cause: libmicrohttpd ends its side and closes the descriptor at once. The kernel resets a connection that gets bytes after its close, and drops what the peer has not taken. It is the class of "An answer is delivered before its connection is closed" (lib/link).

A copy of the descriptor now keeps the socket while bytes are on their way or the answer is less than 2 s old; what the caller still sends is read and dropped (lib/drain). The process waits for them at its end, within stop_max_ms and 10 s.

Ruled out: to keep libmicrohttpd running until all is delivered. It ends idle connections by itself, and a kept connection in steady use would hold up the stop.

tail_of_answer waited for the end of the process before its callers read on. No process can pass that: nothing reads what a caller sends after it has left. Its callers now read on from the signal, at 2,000 bytes a second, and send their next request 0.4 s after it, as those of tails_of_streams_in_stop.

A stop with a caller that reads nothing ends within stop_max_ms, with exit code 0.

--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -53,6 +53,7 @@
 	struct fg_counter *gave_way; /* requests whose body was dropped */
 	pthread_mutex_t conns_lock;  /* guards the ports; taken last */
 	struct fg_web_port ports[FG_WEB_PORT_COUNT];
+	GPtrArray *kept_conns; /* closed ones whose answer is on its way */
 	fg_ms ports_checked_at;
 	struct fg_counter *places_taken; /* connections ended for others, or
 					  * because they were slow */
@@ -145,6 +146,24 @@
 /* Logs how many gave way so far, if there were more. */
 void fg_web_log_gave_way(struct fg_run *run);
 
+/* ---- fg_web_linger.c ---- */
+
+/* Create and free the list. */
+void fg_web_kept_init(struct fg_run *run);
+void fg_web_kept_clear(struct fg_run *run);
+
+/* MHD is about to close the descriptor. Keeps its socket open while an answer
+ * is on its way, or its caller may not have read it. `was_answered`: less than
+ * FG_DRAIN_KEEP_MS ago. The caller holds conns_lock. */
+void fg_web_keep_conn(struct fg_run *run, int fd, bool was_answered);
+
+/* Reads and drops what came, and closes what is delivered. Returns how many are
+ * left. */
+uint32_t fg_web_check_kept(struct fg_run *run, fg_ms now);
+
+/* Waits until none is left, or until that time. */
+void fg_web_wait_for_kept(struct fg_run *run, fg_ms until);
+
 /* ---- fg_web_calls.c ---- */
 
 /* Handles a POST. Returns true if the exchange will be answered later.
--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -275,6 +275,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(run->ports); i++)
 		fg_web_end_slow_requests(&run->ports[i], limit_ms);
 	fg_web_log_gave_way(run);
+	(void)fg_web_check_kept(run, now);
 }
 
 void fg_web_quiesce(struct fg_run *run)
@@ -285,6 +286,17 @@
 		close(fd);
 }
 
+/* The limit of the stop, with some time for callers that read slowly. */
+static fg_ms last_answers_until(const struct fg_run *run)
+{
+	fg_ms until = fg_clock_now() + FLUSH_MAX_MS;
+
+	if (run->stop_begun_at == 0)
+		return until;
+	return MAX(until,
+		   run->stop_begun_at + run->settings->timing.stop_max_ms);
+}
+
 /* Exchanges are still open if a planned stop reached its time limit. */
 void fg_web_stop(struct fg_run *run)
 {
@@ -299,4 +311,6 @@
 	if (run->control_daemon != NULL)
 		MHD_stop_daemon(run->control_daemon);
 	run->control_daemon = NULL;
+	if (!run->settings->switches.no_drain)
+		fg_web_wait_for_kept(run, last_answers_until(run));
 }
--- a/lib/run/fg_web_conns.c
+++ b/lib/run/fg_web_conns.c
@@ -2,6 +2,7 @@
  * takes too long. */
 #include <sys/socket.h>
 
+#include "drain/fg_drain.h"
 #include "log/fg_log.h"
 #include "run/fg_run_internal.h"
 
@@ -75,20 +76,32 @@
 	pthread_mutex_unlock(&port->run->conns_lock);
 }
 
+/* The caller may not have read the answer yet. */
+static bool was_answered_lately(const struct web_conn *conn)
+{
+	return conn->place.answered &&
+	       fg_clock_now() - conn->place.waits_since < FG_DRAIN_KEEP_MS;
+}
+
 void fg_web_on_connection(void *arg, struct MHD_Connection *c, void **context,
 			  enum MHD_ConnectionNotificationCode code)
 {
 	struct fg_web_port *port = arg;
+	struct web_conn *conn = *context;
 
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		add_conn(port, c, context);
 		return;
 	}
 	pthread_mutex_lock(&port->run->conns_lock);
-	if (*context != NULL)
-		g_ptr_array_remove_fast(port->conns, *context);
+	if (conn != NULL) {
+		g_ptr_array_remove_fast(port->conns, conn);
+		if (!conn->ended)
+			fg_web_keep_conn(port->run, conn->fd,
+					 was_answered_lately(conn));
+	}
 	pthread_mutex_unlock(&port->run->conns_lock);
-	g_free(*context);
+	g_free(conn);
 	*context = NULL;
 }
 
@@ -151,6 +164,7 @@
 void fg_web_conns_init(struct fg_run *run)
 {
 	pthread_mutex_init(&run->conns_lock, NULL);
+	fg_web_kept_init(run);
 	for (size_t i = 0; i < G_N_ELEMENTS(run->ports); i++) {
 		run->ports[i].run = run;
 		run->ports[i].conns = g_ptr_array_new();
@@ -163,5 +177,6 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(run->ports); i++)
 		g_ptr_array_unref(run->ports[i].conns);
+	fg_web_kept_clear(run);
 	pthread_mutex_destroy(&run->conns_lock);
 }
--- a/tests/entry_ends.py
+++ b/tests/entry_ends.py
@@ -8,14 +8,19 @@
 import signal
 import socket
 import sys
+import threading
 import time
 
-from entry_crowds import run
-from hosted import check, read_to_end
+from entry_crowds import STOP_MAX_MS, run
+from hosted import check
 
 REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
 CALLERS = 8
 AT_WORK_S = 0.3
+READ_RATE = 2000  # bytes a second
+READ_EVERY_S = 0.05
+NEXT_AFTER_S = 0.4
+IDLE_S = 1
 
 
 def connect_smallest(address):
@@ -28,36 +33,96 @@
     return sock
 
 
+class SlowCaller:
+    """Reads one answer at READ_RATE, and sends its next request `after_s` after
+    `begin`."""
+
+    def __init__(self, address, request=REQUEST):
+        self.sock = connect_smallest(address)
+        self.sock.sendall(request)
+        self.body, self.length, self.why = b"", 1, None
+
+    def start(self, begin, after_s):
+        self.thread = threading.Thread(target=self.run, args=(begin, after_s))
+        self.thread.start()
+
+    def run(self, begin, after_s):
+        data, next_at = b"", begin + after_s
+        try:
+            while len(self.body) < self.length:
+                if next_at is not None and time.monotonic() >= next_at:
+                    next_at = None
+                    self.sock.sendall(REQUEST)
+                piece = self.sock.recv(int(READ_RATE * READ_EVERY_S))
+                if not piece:
+                    break
+                data += piece
+                head, found, self.body = data.partition(b"\r\n\r\n")
+                if found:
+                    self.length = int(head.lower().split(
+                        b"content-length: ")[1].split()[0])
+                time.sleep(READ_EVERY_S)
+        except OSError as why:
+            self.why = why
+        self.sock.close()
+
+
+def check_whole(callers, begin, after_s):
+    for c in callers:
+        c.start(begin, after_s)
+    for c in callers:
+        c.thread.join()
+        print(f"{len(c.body)} of {c.length} bytes, {c.why!r}")
+    cut = sum(len(c.body) < c.length for c in callers)
+    check(cut == 0, f"{cut} of {CALLERS} answers are cut")
+
+
 def tail_of_answer(e):
     """An answer that was given out before the stop arrives whole, also where
     its caller sends more before it has read all."""
-    callers = [connect_smallest(e.address) for _ in range(CALLERS)]
-    for sock in callers:
-        sock.sendall(REQUEST)
+    callers = [SlowCaller(e.address) for _ in range(CALLERS)]
     time.sleep(AT_WORK_S)
     began = time.monotonic()
     e.popen.send_signal(signal.SIGTERM)
     e.process.killed = True
+    check_whole(callers, began, NEXT_AFTER_S)
     code = e.popen.wait(10)
     print(f"left with {code} after {time.monotonic() - began:.2f} s")
-    cut = 0
-    for sock in callers:
-        try:
-            sock.sendall(REQUEST)
-        except OSError as why:
-            print(f"next request: {why!r}")
-        data, why = read_to_end(sock)
-        head, _, body = data.partition(b"\r\n\r\n")
-        length = int(head.lower().split(b"content-length: ")[1].split()[0])
-        print(f"{len(body)} of {length} bytes, {why!r}")
-        cut += len(body) < length
-        sock.close()
     check(code == 0, f"exit code {code}")
-    check(cut == 0, f"{cut} of {CALLERS} answers are cut")
 
 
-tail_of_answer.limits = {}
-SCENARIOS = [tail_of_answer]
+def tail_of_last_answer(e):
+    """The same of a caller that asks for the end of the connection, without a
+    stop."""
+    callers = [SlowCaller(e.address, REQUEST.replace(
+        b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+        for _ in range(CALLERS)]
+    check_whole(callers, time.monotonic(), NEXT_AFTER_S)
+
+
+def tail_of_idle_connection(e):
+    """The same of a connection that the entry ends as idle."""
+    callers = [SlowCaller(e.address) for _ in range(CALLERS)]
+    time.sleep(IDLE_S + 1)
+    check_whole(callers, time.monotonic(), NEXT_AFTER_S)
+
+
+def stop_beside_a_silent_reader(e):
+    """A caller that reads nothing holds up a stop for a limited time."""
+    caller = SlowCaller(e.address)
+    time.sleep(AT_WORK_S)
+    e.popen.send_signal(signal.SIGTERM)
+    e.process.killed = True
+    check(e.popen.wait(STOP_MAX_MS / 1000 + 1) == 0, "exit code")
+    caller.sock.close()
+
+
+for scenario in (tail_of_answer, tail_of_last_answer,
+                 stop_beside_a_silent_reader):
+    scenario.limits = {}
+tail_of_idle_connection.limits = {"header_timeout_ms": IDLE_S * 1000}
+SCENARIOS = [tail_of_answer, tail_of_last_answer, tail_of_idle_connection,
+             stop_beside_a_silent_reader]
 
 if __name__ == "__main__":
     results = [run(s) for s in SCENARIOS
