A stop bounds a stream by the pace of the endpoint that gets it

A stream that came late in a stop was sent to a slow endpoint, which had not been used lately, and cut at the answers.

Cause: lib/pace kept one pace of a service, so that such an endpoint counted as fast as the others. It now keeps the gaps between events of each endpoint also. Before a send the longer of the two counts, and an endpoint that sent no stream lately counts as unknown (150 ms a token). When a request arrives, no endpoint is chosen yet, and the service alone counts, as before.

takes_short now asks that the endpoint's own pace was seen.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -406,6 +406,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gw->paces =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gw->endpoint_gaps =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gw->stutters =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gw->retry_budgets = g_hash_table_new_full(
@@ -548,6 +550,7 @@
 	g_hash_table_unref(gw->took);
 	g_hash_table_unref(gw->first_took);
 	g_hash_table_unref(gw->paces);
+	g_hash_table_unref(gw->endpoint_gaps);
 	g_hash_table_unref(gw->stutters);
 	g_ptr_array_unref(gw->callers);
 	fg_memory_clear(&gw->memory);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1200,10 +1200,12 @@
 	struct fg_stop stop;
 	bool ending;	  /* the event loop has ended; connections are closed */
 	GHashTable *took; /* name of a route -> struct fg_took * */
-	GHashTable *first_took; /* name of a service -> the same, until the
-				   first byte of an answer */
-	GHashTable *paces;	/* name of a service -> struct fg_pace * */
-	GHashTable *stutters;	/* name of a service -> struct fg_stutter * */
+	GHashTable *first_took;	   /* name of a service -> the same, until the
+				      first byte of an answer */
+	GHashTable *paces;	   /* name of a service -> struct fg_pace * */
+	GHashTable *endpoint_gaps; /* id of an endpoint -> struct
+				      fg_pace_gaps * */
+	GHashTable *stutters; /* name of a service -> struct fg_stutter * */
 
 	struct fg_metrics *metrics;
 	struct fg_hist *hist_first;
@@ -1214,8 +1216,8 @@
 /* ---- Durations ---- */
 
 /* Returns the record of that size under `name` in gw->took, gw->first_took,
- * gw->paces or gw->stutters, created as zeroes when missing; valid until the
- * next call. */
+ * gw->paces, gw->endpoint_gaps or gw->stutters, created as zeroes when missing;
+ * valid until the next call. */
 void *fg_gw_get_named(GHashTable *all, const char *name, size_t size);
 
 /* An endpoint answered the request to its end, or works on it still
--- a/lib/gateway/fg_gw_took.c
+++ b/lib/gateway/fg_gw_took.c
@@ -39,6 +39,12 @@
 			       sizeof(struct fg_pace));
 }
 
+static struct fg_pace_gaps *endpoint_gaps(const struct fg_gwreq *r)
+{
+	return fg_gw_get_named(r->gw->endpoint_gaps, r->ep->facts.id,
+			       sizeof(struct fg_pace_gaps));
+}
+
 /* Returns whether the request states how long its answer may get. */
 static bool has_length(const struct fg_gwreq *r)
 {
@@ -58,8 +64,8 @@
 		.ended = ended,
 	};
 
-	if (r->sent_at != 0)
-		fg_pace_note(service_pace(r), now, &run);
+	if (r->sent_at != 0 && r->ep != NULL)
+		fg_pace_note(service_pace(r), endpoint_gaps(r), now, &run);
 }
 
 void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now, bool ended)
@@ -69,18 +75,22 @@
 		note_pace(r, now, ended);
 }
 
-/* A stream lasts as long as its length and the pace allow. */
+/* A stream lasts as long as its length and the pace allow. One that came late
+ * in a stop must end in time also if it uses all of its length. */
 static struct fg_gw_estimate estimate_stream(const struct fg_gwreq *r,
 					     fg_ms now)
 {
 	struct fg_gw_estimate e = { fg_gwreq_time_left_ms(r, now), "limit" };
-	uint64_t longest_ms =
-		fg_pace_longest_ms(service_pace(r), now, r->call.output_tokens);
+	struct fg_pace_ask ask = {
+		.tokens = r->call.output_tokens,
+		.endpoint = r->ep == NULL ? NULL : endpoint_gaps(r),
+	};
+	uint64_t longest_ms = fg_pace_longest_ms(service_pace(r), now, &ask);
 	bool known = longest_ms != FG_PACE_UNKNOWN;
 
 	if (!known)
-		longest_ms = MAX(UNKNOWN_MS, (uint64_t)r->call.output_tokens *
-						     UNKNOWN_TOKEN_MS);
+		longest_ms = MAX(UNKNOWN_MS,
+				 (uint64_t)ask.tokens * UNKNOWN_TOKEN_MS);
 	if (longest_ms < e.longest_ms) {
 		e.longest_ms = (uint32_t)longest_ms;
 		e.evidence = known ? "pace" : "none";
--- a/lib/pace/fg_pace.h
+++ b/lib/pace/fg_pace.h
@@ -3,11 +3,13 @@
  * allows and the pace of the streams before it.
  *
  * Keeps, for FG_TOOK_KEEP_MS to 2 * FG_TOOK_KEEP_MS, the longest time to a
- * first event, the longest time between events and the most events that a token
- * of the allowed length brought. Streams that still run count as well, but for
- * the last. Unlike the durations of earlier streams, this also tells of one
- * that is longer than all of them. It is no bound where streams begin to use
- * more of their allowed length, or endpoints change their pace.
+ * first event, the longest time between events, of a service and of each of its
+ * endpoints, and the most events that a token of the allowed length brought.
+ * Streams that still run count as well, but for the last. Unlike the durations
+ * of earlier streams, this also tells of one that is longer than all of them.
+ *
+ * It is no bound where streams begin to use more of their allowed length, or
+ * endpoints change their pace.
  *
  * Does no I/O and reads no clock.
  */
@@ -21,13 +23,17 @@
 
 #define FG_PACE_UNKNOWN UINT32_MAX
 
-/* Zeroed memory is a valid initial state, in which nothing is known. */
+/* Zeroed memory is a valid initial state of both, in which nothing is known. */
+struct fg_pace_gaps {
+	struct fg_took all;    /* us between events, the mean of a stream */
+	struct fg_took longs;  /* the same of streams that tell the pace */
+	struct fg_took shorts; /* and of those that are too short to */
+};
+
 struct fg_pace {
-	struct fg_took first;	  /* ms until the first event */
-	struct fg_took gap;	  /* us between events, the mean of a stream */
-	struct fg_took long_gap;  /* the same of streams that tell the pace */
-	struct fg_took short_gap; /* and of those that are too short to */
-	struct fg_took density;	  /* events per 1,000 tokens */
+	struct fg_took first; /* ms until the first event */
+	struct fg_pace_gaps gaps;
+	struct fg_took density; /* events per 1,000 tokens */
 };
 
 /* What was seen of a stream since it was sent. */
@@ -39,12 +45,20 @@
 	bool ended;
 };
 
-/* To be called at the end of a stream, and also before. */
-void fg_pace_note(struct fg_pace *p, fg_ms now, const struct fg_pace_run *run);
+/* A stream that is to be sent. */
+struct fg_pace_ask {
+	uint32_t tokens; /* its stated length */
+	/* Of the endpoint that gets it; NULL: not chosen yet. */
+	const struct fg_pace_gaps *endpoint;
+};
+
+/* To be called at the end of a stream, and also before. `endpoint` sent it. */
+void fg_pace_note(struct fg_pace *p, struct fg_pace_gaps *endpoint, fg_ms now,
+		  const struct fg_pace_run *run);
 
-/* Returns the longest time in ms that a stream of up to `tokens` takes, or
- * FG_PACE_UNKNOWN. */
+/* Returns the longest time in ms that the stream takes, or FG_PACE_UNKNOWN,
+ * also if nothing is known of its endpoint. */
 uint32_t fg_pace_longest_ms(const struct fg_pace *p, fg_ms now,
-			    uint32_t tokens);
+			    const struct fg_pace_ask *ask);
 
 #endif
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -187,10 +187,19 @@
 static void note_pace(struct fg_pace *p, fg_ms now, uint32_t first_ms,
 		      uint64_t n_events, uint32_t events_ms, uint32_t tokens)
 {
+	struct fg_pace_gaps gaps = { 0 };
 	struct fg_pace_run run = { first_ms, events_ms, n_events, tokens,
 				   true };
 
-	fg_pace_note(p, now, &run);
+	fg_pace_note(p, &gaps, now, &run);
+}
+
+/* Of a stream whose endpoint is not chosen yet. */
+static uint32_t longest_ms(const struct fg_pace *p, fg_ms now, uint32_t tokens)
+{
+	struct fg_pace_ask ask = { .tokens = tokens };
+
+	return fg_pace_longest_ms(p, now, &ask);
 }
 
 /* The bound of a stream follows from its length, not from the length of those
@@ -199,20 +208,16 @@
 {
 	struct fg_pace p = { 0 };
 
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 60), ==,
-			 FG_PACE_UNKNOWN);
+	g_assert_cmpuint(longest_ms(&p, START, 60), ==, FG_PACE_UNKNOWN);
 	/* 20 events of 60 tokens, 30 ms apart, after 100 ms. */
 	note_pace(&p, START, 100, 20, 19 * 30, 60);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 60), >=, 100 + 19 * 30);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), >=,
-			 100 + 189 * 30);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), <, 6000);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 6), <, 300);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, UINT32_MAX), <,
+	g_assert_cmpuint(longest_ms(&p, START, 60), >=, 100 + 19 * 30);
+	g_assert_cmpuint(longest_ms(&p, START, 570), >=, 100 + 189 * 30);
+	g_assert_cmpuint(longest_ms(&p, START, 570), <, 6000);
+	g_assert_cmpuint(longest_ms(&p, START, 6), <, 300);
+	g_assert_cmpuint(longest_ms(&p, START, UINT32_MAX), <, FG_PACE_UNKNOWN);
+	g_assert_cmpuint(longest_ms(&p, START + 4 * FG_TOOK_KEEP_MS, 60), ==,
 			 FG_PACE_UNKNOWN);
-	g_assert_cmpuint(
-		fg_pace_longest_ms(&p, START + 4 * FG_TOOK_KEEP_MS, 60), ==,
-		FG_PACE_UNKNOWN);
 }
 
 /* A stream that slows down while it runs changes the bound of others. */
@@ -222,14 +227,13 @@
 	uint32_t before_ms;
 
 	note_pace(&p, START, 100, 20, 19 * 30, 60);
-	before_ms = fg_pace_longest_ms(&p, START, 570);
+	before_ms = longest_ms(&p, START, 570);
 	note_pace(&p, START, 100, 20, 19 * 90, 60);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), >, 2 * before_ms);
+	g_assert_cmpuint(longest_ms(&p, START, 570), >, 2 * before_ms);
 	/* One that waits for its first event tells no pace, but a delay. */
-	before_ms = fg_pace_longest_ms(&p, START, 570);
+	before_ms = longest_ms(&p, START, 570);
 	note_pace(&p, START, 1100, 0, 0, 60);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 570), ==,
-			 before_ms + 1000);
+	g_assert_cmpuint(longest_ms(&p, START, 570), ==, before_ms + 1000);
 }
 
 /* A single pause in a short stream does not make long ones look endless. */
@@ -239,7 +243,7 @@
 
 	note_pace(&p, START, 100, 20, 19 * 30, 60);
 	note_pace(&p, START, 100, 2, 700, 60);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 60), <, 3000);
+	g_assert_cmpuint(longest_ms(&p, START, 60), <, 3000);
 }
 
 /* A few events do not make long streams look quick, nor do those that a stream
@@ -247,23 +251,51 @@
 static void test_pace_of_few(void)
 {
 	struct fg_pace p = { 0 };
+	struct fg_pace_gaps gaps = { 0 };
 	struct fg_pace_run run = { .first_ms = 100,
 				   .n_events = 1,
 				   .tokens = 12 };
 
-	fg_pace_note(&p, START, &run);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 12), ==,
-			 FG_PACE_UNKNOWN);
+	fg_pace_note(&p, &gaps, START, &run);
+	g_assert_cmpuint(longest_ms(&p, START, 12), ==, FG_PACE_UNKNOWN);
 	run.n_events = 3;
 	run.events_ms = 2 * 250;
-	fg_pace_note(&p, START, &run);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 12), ==,
-			 FG_PACE_UNKNOWN);
+	fg_pace_note(&p, &gaps, START, &run);
+	g_assert_cmpuint(longest_ms(&p, START, 12), ==, FG_PACE_UNKNOWN);
 	run.n_events = 4;
 	run.events_ms = 3 * 250;
 	run.ended = true;
-	fg_pace_note(&p, START, &run);
-	g_assert_cmpuint(fg_pace_longest_ms(&p, START, 45), >=, 100 + 14 * 250);
+	fg_pace_note(&p, &gaps, START, &run);
+	g_assert_cmpuint(longest_ms(&p, START, 45), >=, 100 + 14 * 250);
+}
+
+/* A slow endpoint is known by its own streams, and one that sent none is not
+ * known by those of others. */
+static void test_pace_of_endpoint(void)
+{
+	struct fg_pace p = { 0 };
+	struct fg_pace_gaps quick = { 0 }, slow = { 0 }, unused = { 0 };
+	struct fg_pace_run run = { .first_ms = 100,
+				   .events_ms = 19 * 30,
+				   .n_events = 20,
+				   .tokens = 60,
+				   .ended = true };
+	struct fg_pace_ask ask = { .tokens = 60, .endpoint = &quick };
+
+	fg_pace_note(&p, &quick, START, &run);
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, &ask), <, 800);
+	ask.endpoint = &unused;
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, &ask), ==,
+			 FG_PACE_UNKNOWN);
+	run.events_ms = 19 * 150;
+	fg_pace_note(&p, &slow, START, &run);
+	ask.endpoint = &slow;
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, &ask), >=,
+			 100 + 19 * 150);
+	/* The quick one may become as slow. */
+	ask.endpoint = &quick;
+	g_assert_cmpuint(fg_pace_longest_ms(&p, START, &ask), >=,
+			 100 + 19 * 150);
 }
 
 int main(int argc, char **argv)
@@ -283,5 +315,6 @@
 	g_test_add_func("/pace/running", test_pace_of_running);
 	g_test_add_func("/pace/short", test_pace_of_short);
 	g_test_add_func("/pace/few", test_pace_of_few);
+	g_test_add_func("/pace/endpoint", test_pace_of_endpoint);
 	return g_test_run();
 }
--- a/tests/unit/test_stop_sim.c
+++ b/tests/unit/test_stop_sim.c
@@ -91,14 +91,17 @@
 	struct fg_stop stop;
 	struct fg_took took;
 	struct fg_pace pace;
+	struct fg_pace_gaps gaps[ENGINES_MAX];
 	uint32_t route_ms;
 	GArray *waiting; /* const struct stream * */
 	GArray *running; /* struct run */
 };
 
-/* Returns how long a stream takes at most if it is sent now. */
+/* Returns how long a stream takes at most if it is sent now. `placed`: its
+ * engine is chosen. */
 typedef uint32_t (*estimate_fn)(const struct instance *in,
-				const struct stream *st, fg_ms now);
+				const struct stream *st, fg_ms now,
+				bool placed);
 
 struct policy {
 	const char *name;
@@ -285,44 +288,67 @@
 /* ---- Policies ---- */
 
 static uint32_t by_history(const struct instance *in, const struct stream *st,
-			   fg_ms now)
+			   fg_ms now, bool placed)
 {
 	uint32_t longest_ms = fg_took_longest_ms(&in->took, now, UNKNOWN_TOOK);
 
 	(void)st;
+	(void)placed;
 	return longest_ms != UNKNOWN_TOOK ? longest_ms
 					  : MIN(in->route_ms, UNKNOWN_MS);
 }
 
-static uint32_t by_pace(const struct instance *in, const struct stream *st,
-			fg_ms now)
+static uint32_t by_ask(const struct instance *in, const struct stream *st,
+		       fg_ms now, const struct fg_pace_ask *ask)
 {
 	uint32_t left_ms = (uint32_t)MAX(deadline(st) - now, 0);
-	uint32_t longest_ms = fg_pace_longest_ms(&in->pace, now, st->tokens);
+	uint32_t longest_ms = fg_pace_longest_ms(&in->pace, now, ask);
 
 	if (longest_ms == FG_PACE_UNKNOWN)
 		longest_ms = MAX(UNKNOWN_MS, st->tokens * UNKNOWN_TOKEN_MS);
 	return MIN(left_ms, longest_ms);
 }
 
+static uint32_t by_service(const struct instance *in, const struct stream *st,
+			   fg_ms now, bool placed)
+{
+	(void)placed;
+	return by_ask(in, st, now,
+		      &(struct fg_pace_ask){ .tokens = st->tokens });
+}
+
+/* As lib/gateway asks. */
+static uint32_t by_pace(const struct instance *in, const struct stream *st,
+			fg_ms now, bool placed)
+{
+	return by_ask(in, st, now,
+		      &(struct fg_pace_ask){
+			      .tokens = st->tokens,
+			      .endpoint = placed ? &in->gaps[st->engine] : NULL,
+		      });
+}
+
 static uint32_t by_both(const struct instance *in, const struct stream *st,
-			fg_ms now)
+			fg_ms now, bool placed)
 {
-	return MAX(by_pace(in, st, now), fg_took_longest_ms(&in->took, now, 0));
+	return MAX(by_service(in, st, now, placed),
+		   fg_took_longest_ms(&in->took, now, 0));
 }
 
 static uint32_t never(const struct instance *in, const struct stream *st,
-		      fg_ms now)
+		      fg_ms now, bool placed)
 {
 	(void)in;
 	(void)st;
 	(void)now;
+	(void)placed;
 	return NEVER_MS;
 }
 
 enum {
 	HISTORY,
 	PACE,
+	SERVICE,
 	FLOOR,
 	NONE,
 	N_POLICIES
@@ -330,8 +356,9 @@
 
 static const struct policy policies[N_POLICIES] = {
 	[HISTORY] = { "history", by_history },
+	[SERVICE] = { "pace of the service", by_service },
 	[PACE] = { "pace", by_pace },
-	[FLOOR] = { "pace, history as floor", by_both },
+	[FLOOR] = { "pace of the service, history as floor", by_both },
 	[NONE] = { "refuse all", never },
 };
 
@@ -344,7 +371,7 @@
 	fg_ms first_at = n_events == 0 ? now : r->first_at;
 
 	fg_took_note(&in->took, now, (uint32_t)(now - r->stream->arrives_at));
-	fg_pace_note(&in->pace, now,
+	fg_pace_note(&in->pace, &in->gaps[r->stream->engine], now,
 		     &(struct fg_pace_run){
 			     .first_ms = (uint32_t)(first_at - r->sent_at),
 			     .events_ms = (uint32_t)(now - first_at),
@@ -397,7 +424,7 @@
 	const struct policy *policy;
 	struct instance in;
 	struct result *result;
-	bool tells; /* an engine's pace has been seen in full */
+	bool tells[ENGINES_MAX]; /* the engine's pace has been seen in full */
 	bool print;
 };
 
@@ -415,10 +442,10 @@
 }
 
 static bool has_time(const struct stopping *x, const struct stream *st,
-		     fg_ms now)
+		     fg_ms now, bool placed)
 {
 	return fg_stop_has_time(&x->in.stop, now,
-				x->policy->longest_ms(&x->in, st, now));
+				x->policy->longest_ms(&x->in, st, now, placed));
 }
 
 /* With steady engines of one pace, whose longest time to a first event is
@@ -428,7 +455,7 @@
 {
 	const struct engine *e = &x->s->engines[st->engine];
 
-	return x->tells &&
+	return x->tells[st->engine] &&
 	       (double)now + 300 + (st->n_events + 1) * e->gap_ms * SPARE +
 			       RESERVE_MS <=
 		       (double)x->in.stop.answer_at;
@@ -439,13 +466,14 @@
 {
 	if (!x->print)
 		return;
-	g_test_message(
-		"  %s %s at %d: came %d, waits %d, %u events of %u "
-		"tokens, %.0f ms apart, estimate %u, streams before %u",
-		x->policy->name, what, (int)(now - x->s->signalled_at),
-		(int)(st->arrives_at - x->s->signalled_at), (int)st->wait_ms,
-		st->n_events, st->tokens, x->s->engines[st->engine].gap_ms,
-		x->policy->longest_ms(&x->in, st, now), x->s->streams->len);
+	g_test_message("  %s %s at %d: came %d, waits %d, %u events of %u "
+		       "tokens, %.0f ms apart, estimate %u, streams before %u",
+		       x->policy->name, what, (int)(now - x->s->signalled_at),
+		       (int)(st->arrives_at - x->s->signalled_at),
+		       (int)st->wait_ms, st->n_events, st->tokens,
+		       x->s->engines[st->engine].gap_ms,
+		       x->policy->longest_ms(&x->in, st, now, true),
+		       x->s->streams->len);
 }
 
 static void refuse(struct stopping *x, const struct stream *st, fg_ms now)
@@ -474,7 +502,8 @@
 		return;
 	x->result->arrived++;
 	x->result->servable += is_servable(x, st);
-	if (x->in.stop.phase != FG_STOP_SERVING || !has_time(x, st, now)) {
+	if (x->in.stop.phase != FG_STOP_SERVING ||
+	    !has_time(x, st, now, false)) {
 		refuse(x, st, now);
 		return;
 	}
@@ -493,7 +522,7 @@
 
 		if (now >= deadline(st)) {
 			x->result->overdue += is_counted(x, st);
-		} else if ((is_due || tick) && !has_time(x, st, now)) {
+		} else if ((is_due || tick) && !has_time(x, st, now, is_due)) {
 			refuse(x, st, now);
 		} else if (is_due) {
 			struct run r = run_from(x->s, st, now);
@@ -522,7 +551,8 @@
 		}
 		note(x->s, &x->in, &r, r.ends_at);
 		x->result->served += is_counted(x, r.stream);
-		x->tells |= r.stream->n_events >= EVENTS_TELLING;
+		x->tells[r.stream->engine] |=
+			r.stream->n_events >= EVENTS_TELLING;
 	}
 }
 
@@ -559,10 +589,12 @@
 	}
 }
 
-/* Returns whether a stream that tells the pace ended in the last time that
- * lib/took surely keeps. */
-static bool is_pace_told(const struct schedule *s)
+/* Notes the engines of which a stream that tells the pace ended in the last
+ * time that lib/took surely keeps. */
+static void find_telling(struct stopping *x)
 {
+	const struct schedule *s = x->s;
+
 	for (guint i = 0; i < s->streams->len; i++) {
 		const struct stream *st =
 			&g_array_index(s->streams, struct stream, i);
@@ -571,25 +603,23 @@
 		if (st->n_events >= EVENTS_TELLING &&
 		    r.ends_at < MIN(s->signalled_at, deadline(st)) &&
 		    r.ends_at + FG_TOOK_KEEP_MS > s->signalled_at + s->grace_ms)
-			return true;
+			x->tells[st->engine] = true;
 	}
-	return false;
 }
 
 static void run_policy(const struct schedule *s, const struct policy *policy,
 		       bool print, struct result *result)
 {
-	struct stopping x = { .s = s,
-			      .policy = policy,
-			      .result = result,
-			      .tells = is_pace_told(s),
-			      .print = print };
+	struct stopping x = {
+		.s = s, .policy = policy, .result = result, .print = print
+	};
 	fg_ms now = s->signalled_at;
 	guint next = 0;
 
 	x.in.route_ms = s->route_ms;
 	x.in.waiting = g_array_new(FALSE, FALSE, sizeof(struct stream *));
 	x.in.running = g_array_new(FALSE, FALSE, sizeof(struct run));
+	find_telling(&x);
 	serve_before(s, &x.in);
 	fg_stop_begin(&x.in.stop, now, now, s->grace_ms);
 	for (; x.in.stop.phase < FG_STOP_ANSWERING; now += STEP_MS) {
