Streams that ended early do not make long ones look short

After streams that ended early, one that used all of its stated length was taken 3.2 to 3.6 s after SIGTERM and cut at the answers.

Cause: the events that a token brings were taken from streams before it; those that ended early brought few. An endpoint puts a few tokens into an event, so that fewer than one event for four tokens is now the sign of an early end, and no bound.

Ruled out: one event for each token.

--- a/lib/pace/fg_pace.c
+++ b/lib/pace/fg_pace.c
@@ -82,6 +82,7 @@
 
 	if (gap_us == FG_PACE_UNKNOWN || density == FG_PACE_UNKNOWN)
 		return FG_PACE_UNKNOWN;
+	density = MAX(density, DENSITY_SCALE / FG_PACE_EVENT_TOKENS_MAX);
 	events = (ask->tokens * density + DENSITY_SCALE - 1) / DENSITY_SCALE;
 	if (events > UINT32_MAX)
 		return FG_PACE_UNKNOWN - 1;
--- a/lib/pace/fg_pace.h
+++ b/lib/pace/fg_pace.h
@@ -8,8 +8,9 @@
  * Streams that still run count as well, but for the last. Unlike the durations
  * of earlier streams, this also tells of one that is longer than all of them.
  *
- * It is no bound where streams begin to use more of their allowed length, or
- * endpoints change their pace.
+ * A stream that brings fewer events than one for FG_PACE_EVENT_TOKENS_MAX
+ * tokens has ended before its allowed length, and tells nothing of one that
+ * uses all of it. Nothing here bounds a stream whose endpoint changes its pace.
  *
  * Does no I/O and reads no clock.
  */
@@ -22,6 +23,8 @@
 #include "took/fg_took.h"
 
 #define FG_PACE_UNKNOWN UINT32_MAX
+/* Endpoints send at most this many tokens in an event. */
+#define FG_PACE_EVENT_TOKENS_MAX 4
 
 /* Zeroed memory is a valid initial state of both, in which nothing is known. */
 struct fg_pace_gaps {
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -298,6 +298,15 @@
 			 100 + 19 * 150);
 }
 
+/* Streams that ended early do not make one that uses its length look short. */
+static void test_pace_of_early_ends(void)
+{
+	struct fg_pace p = { 0 };
+
+	note_pace(&p, START, 100, 20, 19 * 30, 570);
+	g_assert_cmpuint(longest_ms(&p, START, 570), >=, 100 + 141 * 30);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -316,5 +325,6 @@
 	g_test_add_func("/pace/short", test_pace_of_short);
 	g_test_add_func("/pace/few", test_pace_of_few);
 	g_test_add_func("/pace/endpoint", test_pace_of_endpoint);
+	g_test_add_func("/pace/early_ends", test_pace_of_early_ends);
 	return g_test_run();
 }
