--- a/tests/stop_rig.py
+++ b/tests/stop_rig.py
@@ -2,7 +2,7 @@
 """Planned stops in series under a drawn load: real gateways, stand-ins of
 engines and plain services, and callers of many kinds, judged by rule LOST.
 
-Usage: tests/stop_rig.py [--seed N] [--count M]
+Usage: tests/stop_rig.py [--seed N] [--count M] [--faults]
 Prints "ok seed N: FIGURES" or "not ok seed N: REASON" with the caller's facts and
 the log lines that name the request. A request is lost if its connection ends
 without a complete answer once it ran, or later than LOSS_SLACK_S after its last
@@ -24,6 +24,7 @@
 from hosted import reset_connection, send, wait_for, with_grace
 from soak import is_exiting
 from stop_rig_callers import Caller
+from stop_rig_faults import Faults
 
 LOSS_SLACK_S = 0.2
 EARLY_S = 3.0
@@ -34,7 +35,7 @@
 
 
 class Rig:
-    def __init__(self, seed):
+    def __init__(self, seed, with_faults):
         rand = random.Random(seed)
         self.seed = seed
         self.grace_s = rand.choice((8, 8, 5))
@@ -60,6 +61,7 @@
         self.requests = {}
         self.callers = [Caller(self, rand, i)
                         for i in range(rand.choice((100, 250, 400)))]
+        self.others = Faults(self) if with_faults else None
 
     def draw_stops(self, rand):
         at_s, stops = WARM_UP_S, []
@@ -176,6 +178,8 @@
             return "replica_broke_off"
         if r.end_at >= r.first_at + r.limit_s - LIMIT_SLACK_S:
             return "time_limit"
+        if self.others is not None and self.others.is_excused(r):
+            return "paused"
         for _, began, exit_at in self.stops:
             last_sixth = began + self.grace_s * 5 / 6
             if began <= r.end_at <= exit_at + 1 and \
@@ -219,6 +223,8 @@
         if self.disturbed:
             threads.append(threading.Thread(target=self.hold_up_replicas))
         threads += [c.thread for c in self.callers]
+        if self.others is not None:
+            threads += self.others.threads()
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -229,15 +235,15 @@
 def format_shares(counts):
     due = sum(counts[w] for w in (
         "LOST", "served", "refused", "failed", "replica_broke_off",
-        "time_limit", "at_work_at_end"))
+        "time_limit", "at_work_at_end", "paused"))
     return ", ".join(f"{name} {counts[word] / max(1, due):.3f}"
                      for name, word in (("cut unexcused", "LOST"),
                                         ("refused", "refused"),
                                         ("served", "served"))) + f" of {due}"
 
 
-def run(seed):
-    rig = Rig(seed)
+def run(seed, with_faults):
+    rig = Rig(seed, with_faults)
     try:
         counts, in_stops, early = rig.run()
     finally:
@@ -249,6 +255,8 @@
     print("  " + ", ".join(f"{word} {n}" for word, n in sorted(counts.items())))
     print(f"  sent in a stop: {format_shares(in_stops)}; in its first "
           f"{EARLY_S:.0f} s: {format_shares(early)}")
+    if with_faults:
+        print(f"  {rig.others.names()}")
     if bad:
         print(f"  grace {rig.grace_s} s, SIGTERM at " + ", ".join(
             f"{began - rig.begin:.3f} ({g.name})" for g, began, _ in rig.stops))
@@ -262,8 +270,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--faults", action="store_true")
     args = parser.parse_args()
-    results = [run(args.seed + i) for i in range(args.count)]
+    results = [run(args.seed + i, args.faults) for i in range(args.count)]
     return 0 if all(results) else 1
 
 
