tests: stutter_in_streams ends connections that may be used again no more

Trace: its endpoint had sent another stream whole, by its stated length, so that the gateway kept the connection; the endpoint's stand-in then closed it, sometimes only when the next request had been sent on it. That request lost its connection (connection_lost, first_ms=-1), went to the other endpoint, got the spoilt answer of the scenario there, and had no third attempt. Two endpoints failed it, one of them without intent. The streams that failed are of the framing `length`.

The stand-in now keeps the connection after a whole answer with a length, as real endpoints do, so that it is also used again. What is spoilt, and what is asked of the gateway, is as before.

--- a/tests/gateway_stutter.py
+++ b/tests/gateway_stutter.py
@@ -211,14 +211,16 @@
         events = b"".join(body_pieces("draft", replica.name, self.rid)[first:])
         if self.framing == "length":
             head = head[:-2] + b"Content-Length: %d\r\n\r\n" % len(events)
-        if not self.spoilt:
+        is_first = not self.spoilt
+        if is_first:
             self.spoilt = True
             copy = (b"id: 1\ndata: again\n\n" if self.what == "id" else
                     b"".join(make_answer("draft", "", self.what, replica.name,
                                          "cutother")))
             events = events[:self.part] + copy + events[self.part:]
         req.sock.sendall(head + events)
-        return False
+        # A caller may use the connection again, which must not end then.
+        return self.framing == "length" and not is_first
 
     def judge(self, a):
         """Returns what is wrong, or None."""
