tests: stand-ins listen at ports that the kernel gives to nobody else

Some scenarios of cut paths failed or ended their lane, one in some dozens while other runs went on: "not seen within 15 s: cut" with 421 to every report, since the instance reached an endpoint of another run.

Cause: paths and stand-ins listened at ports that the kernel chose. While a path is cut or a stand-in is down, nothing holds its port, and the kernel gives it to a listener or an outgoing connection of any process; the path cannot listen again then (OSError). They now take theirs from the first half of the block that the run holds.

--- a/standin/hosted/si_http.py
+++ b/standin/hosted/si_http.py
@@ -4,6 +4,8 @@
 import struct
 import threading
 
+from si_ports import STANDINS, free_ports
+
 
 def reset_connection(sock):
     """Closes the socket so that the peer sees a reset."""
@@ -64,13 +66,13 @@
     """Serves each connection in a thread until stop(). `handle` takes a
     Request and returns False to close the connection."""
 
-    def __init__(self, handle, port=0):
+    def __init__(self, handle, port=None):
         self.handle = handle
         self.lock = threading.Lock()
         self.socks = set()
         self.listener = None
         self.addr = None
-        self.start(port)
+        self.start(port or free_ports(1, STANDINS)[0])
 
     def start(self, port):
         self.listener = socket.socket()
--- /dev/null
+++ b/standin/hosted/si_ports.py
@@ -0,0 +1,53 @@
+"""Ports of a block that no other run holds. The kernel gives none of them to
+other sockets, so that an address stays free while nothing listens there."""
+
+import fcntl
+import os
+import socket
+
+BLOCKS = (20000, 22000, 24000, 26000, 28000, 30000, 18000, 16000, 14000, 12000,
+          10000, 8000)
+HALF = 1000  # ports of a block's first half, and of its second one
+STANDINS, INSTANCES = 0, HALF  # first port within the block
+next_port = {STANDINS: 0, INSTANCES: 0}
+block_lock = []  # the open file whose lock holds the block of ports
+
+
+def hold_port_block():
+    """Returns the first port of a block that no other run holds, as
+    scripts/port-base.sh does."""
+    folder = os.path.join(os.environ.get("TMPDIR", "/tmp"),
+                          "fulmargauge-ports")
+    os.makedirs(folder, exist_ok=True)
+    for block in BLOCKS:
+        lock = open(os.path.join(folder, str(block)), "w", encoding="utf-8")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        block_lock.append(lock)
+        return block
+    raise RuntimeError("all blocks of ports are in use")
+
+
+def free_ports(n, half=INSTANCES):
+    """Returns ports of the block from FG_PORT_BASE, or of one that this run
+    holds from now on."""
+    if "FG_PORT_BASE" not in os.environ:
+        os.environ["FG_PORT_BASE"] = str(hold_port_block())
+    base = int(os.environ["FG_PORT_BASE"])
+    ports = []
+    for _ in range(HALF):
+        port = base + half + next_port[half] % HALF
+        next_port[half] += 1
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+                ports.append(port)
+            except OSError:
+                continue
+        if len(ports) == n:
+            return ports
+    raise RuntimeError("no free port")
--- a/tests/cut_path.py
+++ b/tests/cut_path.py
@@ -7,6 +7,7 @@
 import time
 
 from hosted import reset_connection
+from si_ports import STANDINS, free_ports
 
 REFUSE, HANG, RESET_NEW, ONE_WAY = "refuse", "hang", "reset_new", "one_way"
 
@@ -28,7 +29,7 @@
         self.fillers = []
         self.paused_until = 0.0
         self.listener = None
-        self.port = 0
+        self.port = free_ports(1, STANDINS)[0]
         self._listen()
         self.addr = "127.0.0.1:%d" % self.port
 
@@ -37,7 +38,6 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(backlog)
-        self.port = self.listener.getsockname()[1]
         if backlog > 0:
             threading.Thread(target=self._accept, args=(self.listener,),
                              daemon=True).start()
--- a/tests/hosted.py
+++ b/tests/hosted.py
@@ -1,7 +1,6 @@
 """Runs fg-gateway processes with stand-ins of the users' store and replicas,
 and sends requests to them."""
 
-import fcntl
 import http.client
 import json
 import os
@@ -15,6 +14,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standin", "hosted"))
 
 from si_http import reset_connection  # noqa: E402, F401
+from si_ports import free_ports  # noqa: E402
 from si_replica import EVENTS, MODEL, Replica  # noqa: E402
 from si_store import Store  # noqa: E402
 
@@ -40,54 +40,6 @@
         raise AssertionError(what)
 
 
-PORTS_OFFSET = 1000  # of FG_PORT_BASE
-PORTS_COUNT = 1000
-BLOCKS = (20000, 22000, 24000, 26000, 28000, 30000, 18000, 16000, 14000, 12000,
-          10000, 8000)
-next_port = [0]
-block_lock = []  # the open file whose lock holds the block of ports
-
-
-def hold_port_block():
-    """Returns the first port of a block that no other run holds, as
-    scripts/port-base.sh does."""
-    folder = os.path.join(os.environ.get("TMPDIR", "/tmp"),
-                          "fulmargauge-ports")
-    os.makedirs(folder, exist_ok=True)
-    for block in BLOCKS:
-        lock = open(os.path.join(folder, str(block)), "w", encoding="utf-8")
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            lock.close()
-            continue
-        block_lock.append(lock)
-        return block
-    raise RuntimeError("all blocks of ports are in use")
-
-
-def free_ports(n):
-    """Returns ports of the block from FG_PORT_BASE, or of one that this run
-    holds from now on."""
-    if "FG_PORT_BASE" not in os.environ:
-        os.environ["FG_PORT_BASE"] = str(hold_port_block())
-    base = int(os.environ["FG_PORT_BASE"])
-    ports = []
-    for _ in range(PORTS_COUNT):
-        port = base + PORTS_OFFSET + next_port[0] % PORTS_COUNT
-        next_port[0] += 1
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-                ports.append(port)
-            except OSError:
-                continue
-        if len(ports) == n:
-            return ports
-    raise RuntimeError("no free port")
-
-
 LEASE_MS = 3000  # an engine does not return to an earlier owner within it
 
 
