A caller's time limit counts from its request's first byte

A stream or an order whose body came in pieces over 0.6 s was answered 0.6 s after its caller's Deadline-Ms, and the endpoint got that much more time than was left.

Cause: the deadline was set when the request had been read. Deadline-Ms says how long the caller waits, and it begins with the first byte. The route's own limit still counts from the whole request.

--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -599,9 +599,11 @@
 	r->service = r->routes->services->pdata[service];
 	if (limit_ms == 0)
 		limit_ms = DEFAULT_TIMEOUT_MS;
-	if (r->call.deadline_ms > 0)
-		limit_ms = MIN(limit_ms, r->call.deadline_ms);
 	r->deadline = r->arrived_at + limit_ms;
+	/* The caller waits since it began to send. */
+	if (r->call.deadline_ms > 0)
+		r->deadline = MIN(r->deadline,
+				  r->caller->read_since + r->call.deadline_ms);
 	if (r->service->engine && r->call.model != NULL)
 		r->adapter =
 			fg_adapter_key(r->call.model, fg_gwreq_adapter_name(r));
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -325,6 +325,29 @@
         check(a.status == 200, f"{a.status}")
 
 
+def limit_from_first_byte(s):
+    """A caller whose body comes slowly is answered at its time limit, which
+    counts from the request's first byte; the endpoint gets what is left."""
+    s.plains[0].work_s = s.plains[1].work_s = 3.0
+    host, port = s.gw.front.split(":")
+    rid = next_id()
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        begin = time.monotonic()
+        sock.sendall((f"POST /order/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+                      f"Request-Id: {rid}\r\nDeadline-Ms: 1200\r\n"
+                      "Content-Length: 4\r\n\r\n").encode())
+        for _ in range(4):
+            time.sleep(0.2)
+            sock.sendall(b"x")
+        answer = sock.recv(65536)
+        took_s = time.monotonic() - begin
+    check(answer.split()[1:2] == [b"504"], f"{answer}")
+    check(took_s < 1.45, f"answered after {took_s:.2f} s")
+    limits = [int(h["deadline-ms"]) for p in s.plains for r, h in p.received
+              if r == rid]
+    check(len(limits) == 1 and limits[0] <= 400, f"sent with {limits} ms")
+
+
 def caller_leaves(s):
     """The request at the replica is cancelled soon after the caller leaves."""
     for engine in s.engines:
@@ -1475,7 +1498,8 @@
     serves, events_pass_at_once, adapter_slots, resumes, not_resumable,
     closed_streams, endless_answers, endless_store,
     runs_once, not_run_elsewhere, safe_repeats, body_without_length,
-    stray_answer, late_copy, silent_replica, caller_leaves, planned_stop,
+    stray_answer, late_copy, silent_replica, limit_from_first_byte,
+    caller_leaves, planned_stop,
     stop_meets_request, store_away, silent_feed, silent_reader,
     unknown_after_outage, behind_a_slow_store, before_configuration,
     rows_of_others, draining_replica, address_reused,
