--- a/tests/run.sh
+++ b/tests/run.sh
@@ -184,12 +184,14 @@
 	record "$name" $status
 }
 
-# run_stop_rig SEED: planned stops in series under a drawn load.
+# run_stop_rig NAME OPTIONS...: planned stops in series under a drawn load.
 run_stop_rig() {
-	tests/stop_rig.py --seed "$1" >"$log" 2>&1
+	name=$1
+	shift
+	tests/stop_rig.py "$@" >"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || cat "$log"
-	record "stop-rig-$1" $status
+	record "$name" $status
 }
 
 if [ "$what" = sanitized ]; then
@@ -206,8 +208,9 @@
 	run_soak soak-short --seed 1 --rounds 1
 	run_soak soak-regressions --regressions
 	run_soak soak-restores --seed 1 --rounds 1 --restores
-	run_stop_rig 2
-	run_stop_rig 24
+	run_stop_rig stop-rig-2 --seed 2
+	run_stop_rig stop-rig-24 --seed 24
+	run_stop_rig stop-rig-faults-3 --seed 3 --faults
 	tests/bad_input.py >"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || cat "$log"
