fg-entry: closed connections with whole answers give way before one that is read

A caller that still read its last answer got a reset when it sent more, while others with whole answers kept their closed connections open.

Cause: once a quarter of connections_max closed connections are kept, the oldest one was closed for the next.

--- a/lib/run/fg_web_linger.c
+++ b/lib/run/fg_web_linger.c
@@ -68,6 +68,25 @@
 	       "unacked_bytes", text, NULL);
 }
 
+/* A caller that has its whole answer loses nothing. The caller holds the
+ * lock. */
+static void give_up_one(struct fg_run *run)
+{
+	GPtrArray *all = run->kept_conns;
+	guint chosen = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct kept_conn *kept = all->pdata[i];
+
+		if (unacked_bytes(kept->fd) == 0) {
+			chosen = i;
+			break;
+		}
+	}
+	log_cut(all->pdata[chosen], "descriptors");
+	g_ptr_array_remove_index(all, chosen);
+}
+
 void fg_web_keep_conn(struct fg_run *run, int fd, bool was_answered)
 {
 	struct kept_conn *kept;
@@ -87,10 +106,8 @@
 	kept = g_new0(struct kept_conn, 1);
 	kept->fd = copy;
 	fg_drain_begin(&kept->drain, fg_clock_now(), unacked);
-	if (run->kept_conns->len >= kept_max(run)) {
-		log_cut(run->kept_conns->pdata[0], "descriptors");
-		g_ptr_array_remove_index(run->kept_conns, 0);
-	}
+	if (run->kept_conns->len >= kept_max(run))
+		give_up_one(run);
 	g_ptr_array_add(run->kept_conns, kept);
 }
 
--- a/tests/entry_ends.py
+++ b/tests/entry_ends.py
@@ -11,10 +11,12 @@
 import threading
 import time
 
-from entry_crowds import STOP_MAX_MS, run
-from hosted import check
+from entry_crowds import PLACES, STOP_MAX_MS, run
+from hosted import check, read_to_end
 
 REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+LAST_REQUEST = REQUEST.replace(b"\r\n\r\n",
+                               b"\r\nConnection: close\r\n\r\n")
 CALLERS = 8
 AT_WORK_S = 0.3
 READ_RATE = 2000  # bytes a second
@@ -74,7 +76,7 @@
         c.thread.join()
         print(f"{len(c.body)} of {c.length} bytes, {c.why!r}")
     cut = sum(len(c.body) < c.length for c in callers)
-    check(cut == 0, f"{cut} of {CALLERS} answers are cut")
+    check(cut == 0, f"{cut} of {len(callers)} answers are cut")
 
 
 def tail_of_answer(e):
@@ -94,9 +96,7 @@
 def tail_of_last_answer(e):
     """The same of a caller that asks for the end of the connection, without a
     stop."""
-    callers = [SlowCaller(e.address, REQUEST.replace(
-        b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
-        for _ in range(CALLERS)]
+    callers = [SlowCaller(e.address, LAST_REQUEST) for _ in range(CALLERS)]
     check_whole(callers, time.monotonic(), NEXT_AFTER_S)
 
 
@@ -107,6 +107,27 @@
     check_whole(callers, time.monotonic(), NEXT_AFTER_S)
 
 
+def send_and_stay(address):
+    """Sends a request that ends its connection, and reads the whole answer.
+    Returns the socket, which stays open."""
+    host, port = address.split(":")
+    sock = socket.create_connection((host, int(port)), timeout=5)
+    sock.sendall(LAST_REQUEST)
+    read_to_end(sock)
+    return sock
+
+
+def slow_reader_beside_closed_connections(e):
+    """Closed connections whose callers have their whole answers give way before
+    one whose caller still reads."""
+    caller = SlowCaller(e.address, LAST_REQUEST)
+    time.sleep(AT_WORK_S)
+    others = [send_and_stay(e.address) for _ in range(2 * PLACES)]
+    check_whole([caller], time.monotonic(), NEXT_AFTER_S)
+    for sock in others:
+        sock.close()
+
+
 def stop_beside_a_silent_reader(e):
     """A caller that reads nothing holds up a stop for a limited time."""
     caller = SlowCaller(e.address)
@@ -120,8 +141,10 @@
 for scenario in (tail_of_answer, tail_of_last_answer,
                  stop_beside_a_silent_reader):
     scenario.limits = {}
+slow_reader_beside_closed_connections.limits = {"connections_max": PLACES}
 tail_of_idle_connection.limits = {"header_timeout_ms": IDLE_S * 1000}
 SCENARIOS = [tail_of_answer, tail_of_last_answer, tail_of_idle_connection,
+             slow_reader_beside_closed_connections,
              stop_beside_a_silent_reader]
 
 if __name__ == "__main__":
