Events from other endpoints do not make a stream's last endpoint look quick

A stream that came 3.2 s after SIGTERM was sent and reset at the answers, though its endpoint needed 19 s for it. Before, streams had moved to that endpoint when another one broke them off.

Cause: the pace of a stream was taken over all its events and the time since the first of them, also those of other endpoints, and noted for the endpoint that sent the end. 180 events 4 ms apart and 10 events 100 ms apart count as 9 ms between events. What a send brings now counts from its own first part; events of earlier sends count only for the events that a token brings.

Ruled out: the time limit and the assumption for endpoints without a pace; the log of the cut stream says assumed_ms=2008 evidence=pace.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -263,6 +263,10 @@
 	uint32_t pending_tokens; /* prompt tokens counted at `ep` until the
 				    first token */
 	fg_ms sent_at;
+	fg_ms begun_at;		  /* first part that this send brought; 0: none
+				     yet */
+	uint64_t n_events_before; /* complete events that earlier sends brought
+				   */
 	fg_ms first_at;		  /* first part of the answer; 0: none yet */
 	bool may_have_run;	  /* some send may have run, or may still run */
 	bool head_sent;		  /* the answer's head was sent to the caller */
--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -22,6 +22,7 @@
 	if (r->answer_begun)
 		return;
 	r->answer_begun = true;
+	r->begun_at = now;
 	if (r->first_at == 0)
 		r->first_at = now;
 	fg_gwreq_clear_pending(r);
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -715,6 +715,8 @@
 	r->sends++;
 	r->head_at = 0;
 	r->answer_begun = false;
+	r->begun_at = 0;
+	r->n_events_before = r->events.n_complete;
 	r->silence_noted = false;
 	r->sent_at = now;
 	fg_gwreq_drop_answer_body(r);
--- a/lib/gateway/fg_gw_took.c
+++ b/lib/gateway/fg_gw_took.c
@@ -54,12 +54,12 @@
 
 static void note_pace(const struct fg_gwreq *r, fg_ms now, bool ended)
 {
-	fg_ms first_at = r->first_at == 0 ? now : r->first_at;
-	/* The first event of a stream that was sent again came before. */
+	fg_ms begun_at = r->begun_at == 0 ? now : r->begun_at;
 	struct fg_pace_run run = {
-		.first_ms = (uint32_t)MAX(first_at - r->sent_at, 0),
-		.events_ms = (uint32_t)(now - first_at),
-		.n_events = r->events.n_complete,
+		.first_ms = (uint32_t)MAX(begun_at - r->sent_at, 0),
+		.events_ms = (uint32_t)(now - begun_at),
+		.n_events = r->events.n_complete - r->n_events_before,
+		.n_events_before = r->n_events_before,
 		.tokens = r->call.output_tokens,
 		.ended = ended,
 	};
--- a/lib/pace/fg_pace.c
+++ b/lib/pace/fg_pace.c
@@ -44,10 +44,11 @@
 	note_gaps(endpoint, now, run);
 	/* Until its end, a stream tells only that there are no fewer. */
 	if (run->ended && run->tokens > 0)
-		fg_took_note(
-			&p->density, now,
-			clamp_u32((n_events * DENSITY_SCALE + run->tokens - 1) /
-				  run->tokens));
+		fg_took_note(&p->density, now,
+			     clamp_u32(((n_events + run->n_events_before) *
+						DENSITY_SCALE +
+					run->tokens - 1) /
+				       run->tokens));
 }
 
 /* As long as no stream has told the pace of long ones, a pause in a short one
--- a/lib/pace/fg_pace.h
+++ b/lib/pace/fg_pace.h
@@ -39,13 +39,14 @@
 	struct fg_took density; /* events per 1,000 tokens */
 };
 
-/* What was seen of a stream since it was sent. */
+/* What was seen of a stream since it was sent to its endpoint. */
 struct fg_pace_run {
 	uint32_t first_ms;  /* until its first event, or none so far */
 	uint32_t events_ms; /* from then on */
 	uint64_t n_events;
 	uint32_t tokens; /* its stated length */
 	bool ended;
+	uint64_t n_events_before; /* from other endpoints */
 };
 
 /* A stream that is to be sent. */
--- a/tests/gateway_stop_ends.py
+++ b/tests/gateway_stop_ends.py
@@ -9,17 +9,20 @@
 
 from gateway_old_callers import check_readable, send_old
 from gateway_stop_lengths import (
-    LONG_EVENTS, SHORT_EVENTS, LengthCaller, prepare, send_lengths)
+    EVENT_INTERVAL_S, LONG_EVENTS, SHORT_EVENTS, LengthCaller, prepare,
+    send_lengths)
 from gateway_stop_tails import (
     CALLERS, EVENTS as TAIL_EVENTS, PIECE, READ_EVERY_S, SIGNAL_AFTER_S,
     SlowCaller, answer_at_length, answer_with_events)
 from gateway_stops import GRACE_S, add_long_routes, check_exit, stop
 from hosted import (
     EVENTS, FewDescriptorsGateway, Gateway, HOST, System, check, event_ids,
-    next_id, read_to_end, send, wait_for)
+    next_id, read_to_end, reset_connection, send, wait_for)
 
 PAUSE_S = 3  # longer than a close waits for its peer
 UNREAD_S = 0.5
+QUICK_EVENTS, QUICK_S = 180, 0.004  # before a stream moves to another engine
+SLOW_EVENTS, SLOW_S = 10, 0.1  # and after it
 JUDGED_S = 0.2  # a request without an answer is lost later than this
 
 
@@ -165,6 +168,53 @@
     send_late(s)
 
 
+class MovedStreams:
+    """Engines that break off each stream after quick events, and whose other
+    engine goes on slowly."""
+
+    def __init__(self):
+        self.begun = set()
+
+    def answer(self, replica, req, rid):
+        first = rid not in self.begun
+        self.begun.add(rid)
+        last = int(req.get("Last-Event-Id") or 0)
+        n = QUICK_EVENTS if first else SLOW_EVENTS
+        req.sock.sendall(replica.response_head(
+            rid, "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for i in range(last + 1, last + 1 + n):
+            event = b"id: %d\ndata: x\n\n" % i
+            req.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(QUICK_S if first else SLOW_S)
+        if first:
+            reset_connection(req.sock)
+            return False
+        req.sock.sendall(b"0\r\n\r\n")
+        return True
+
+
+def long_streams_after_moved_ones(s):
+    """Events that a stream had from another engine before do not make the one
+    that goes on with it look quick."""
+    prepare(s, slowness=SLOW_S / EVENT_INTERVAL_S)
+    by_length = s.engines[0].answer_with
+    moved = MovedStreams()
+    for engine in s.engines:
+        engine.answer_with = moved.answer
+    begin = time.monotonic()
+    events = QUICK_EVENTS + SLOW_EVENTS
+    callers = [LengthCaller(s, begin, i * 0.1, events, "draft")
+               for i in range(8)]
+    for c in callers:
+        c.thread.join()
+    served = sum(c.is_served() for c in callers)
+    check(served >= 6, f"{served} of {len(callers)} went on")
+    for engine in s.engines:
+        engine.answer_with = by_length
+    send_late(s)
+
+
 def send_late(s):
     for replica in s.plains:
         replica.work_s = 0.3
@@ -291,5 +341,6 @@
 
 SCENARIOS = [old_callers_late_end, half_closed_callers, next_request_in_stop,
              long_streams_after_early_ends, long_streams_after_brief_ones,
+             long_streams_after_moved_ones,
              slow_reader_beside_closed_connections,
              endpoints_beside_closed_connections, stuck_log_in_stop]
--- a/tests/gateway_stop_lengths.py
+++ b/tests/gateway_stop_lengths.py
@@ -32,8 +32,9 @@
     """Sends one request for a stream of that many events, `at_s` after
     `begin`."""
 
-    def __init__(self, s, begin, at_s, events):
+    def __init__(self, s, begin, at_s, events, kind="brief"):
         self.s = s
+        self.kind = kind
         self.at_s = at_s
         self.events = events
         self.rid = next_id()
@@ -44,7 +45,7 @@
     def run(self, begin):
         time.sleep(max(0, begin + self.at_s - time.monotonic()))
         self.answer = send(
-            self.s.gw.front, f"/long-brief/{self.rid}", self.rid, timeout_s=15,
+            self.s.gw.front, f"/long-{self.kind}/{self.rid}", self.rid, timeout_s=15,
             headers={"Model": f"{MODEL}/a1", "Deadline-Ms": str(LONG_MS),
                      "Token-Count": f"100,{self.events * TOKENS_PER_EVENT}"})
 
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -188,8 +188,11 @@
 		      uint64_t n_events, uint32_t events_ms, uint32_t tokens)
 {
 	struct fg_pace_gaps gaps = { 0 };
-	struct fg_pace_run run = { first_ms, events_ms, n_events, tokens,
-				   true };
+	struct fg_pace_run run = { .first_ms = first_ms,
+				   .events_ms = events_ms,
+				   .n_events = n_events,
+				   .tokens = tokens,
+				   .ended = true };
 
 	fg_pace_note(p, &gaps, now, &run);
 }
