fg-entry: a stop waits for answers on connections that stay open

Callers that read answers slowly on a kept connection, and sent their next request after SIGTERM, got a reset in the middle.

Cause: MHD_stop_daemon() ends both sides of each open connection before it tells of the end. The kernel resets a connection that gets bytes after that, and the end looks as if the peer had closed, so that no copy of the descriptor is kept. tail_of_answer does not meet it: answers to GET end with "Connection: close".

The process now waits until callers have acknowledged what was sent on open connections, before libmicrohttpd ends; what they send meanwhile is answered. Both waits together have the limit that the second one had, counted from their begin.

Ruled out: a copy of the descriptor, since the end of both sides acts on the socket.

--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -143,6 +143,10 @@
 /* Ends connections without a complete request for longer than that. */
 void fg_web_end_slow_requests(struct fg_web_port *port, uint32_t limit_ms);
 
+/* Waits until callers have what was sent on their open connections, or until
+ * that time. */
+void fg_web_wait_for_open(struct fg_run *run, fg_ms until);
+
 /* Logs how many gave way so far, if there were more. */
 void fg_web_log_gave_way(struct fg_run *run);
 
@@ -152,6 +156,9 @@
 void fg_web_kept_init(struct fg_run *run);
 void fg_web_kept_clear(struct fg_run *run);
 
+/* Returns what the peer has not acknowledged, but for the end of the stream. */
+uint64_t fg_web_unacked_bytes(int fd);
+
 /* MHD is about to close the descriptor. Keeps its socket open while an answer
  * is on its way, or its caller may not have read it. `was_answered`: less than
  * FG_DRAIN_KEEP_MS ago. The caller holds conns_lock. */
--- a/lib/run/fg_web.c
+++ b/lib/run/fg_web.c
@@ -12,6 +12,8 @@
 /* Longest wait for callers that read their last answer. */
 #define FLUSH_MAX_MS 700
 #define FLUSH_POLL_US 5000
+/* Longest wait for callers that read slowly, at the end of the process. */
+#define DELIVERY_MAX_MS 10000
 #define PORTS_CHECK_MS 500
 /* Retry-After of a request that gave way to others. */
 #define ROOM_RETRY_S "1"
@@ -289,28 +291,37 @@
 /* The limit of the stop, with some time for callers that read slowly. */
 static fg_ms last_answers_until(const struct fg_run *run)
 {
-	fg_ms until = fg_clock_now() + FLUSH_MAX_MS;
+	fg_ms now = fg_clock_now();
+	fg_ms until = now + FLUSH_MAX_MS;
 
 	if (run->stop_begun_at == 0)
 		return until;
-	return MAX(until,
-		   run->stop_begun_at + run->settings->timing.stop_max_ms);
+	until = MAX(until,
+		    run->stop_begun_at + run->settings->timing.stop_max_ms);
+	return MIN(until, now + DELIVERY_MAX_MS);
 }
 
 /* Exchanges are still open if a planned stop reached its time limit. */
 void fg_web_stop(struct fg_run *run)
 {
+	bool waits = !run->settings->switches.no_drain;
+	fg_ms until = last_answers_until(run);
+
 	if (run->daemon == NULL)
 		return;
 	pthread_mutex_lock(&run->exchanges_lock);
 	g_hash_table_foreach(run->exchanges, finish_as_unknown, NULL);
 	pthread_mutex_unlock(&run->exchanges_lock);
 	wait_until_sent(run);
+	/* MHD_stop_daemon() ends both sides of open connections: a caller that
+	 * sends more then is reset. */
+	if (waits)
+		fg_web_wait_for_open(run, until);
 	MHD_stop_daemon(run->daemon);
 	run->daemon = NULL;
 	if (run->control_daemon != NULL)
 		MHD_stop_daemon(run->control_daemon);
 	run->control_daemon = NULL;
-	if (!run->settings->switches.no_drain)
-		fg_web_wait_for_kept(run, last_answers_until(run));
+	if (waits)
+		fg_web_wait_for_kept(run, until);
 }
--- a/lib/run/fg_web_conns.c
+++ b/lib/run/fg_web_conns.c
@@ -6,6 +6,8 @@
 #include "log/fg_log.h"
 #include "run/fg_run_internal.h"
 
+#define DELIVERY_POLL_US 20000
+
 /* A connection, from its notification of MHD until the next one. */
 struct web_conn {
 	int fd;
@@ -144,6 +146,30 @@
 	pthread_mutex_unlock(&port->run->conns_lock);
 }
 
+static bool is_any_in_transit(struct fg_run *run)
+{
+	bool found = false;
+
+	pthread_mutex_lock(&run->conns_lock);
+	for (size_t i = 0; i < G_N_ELEMENTS(run->ports); i++) {
+		const GPtrArray *conns = run->ports[i].conns;
+
+		for (guint j = 0; j < conns->len && !found; j++) {
+			const struct web_conn *conn = conns->pdata[j];
+
+			found = fg_web_unacked_bytes(conn->fd) > 0;
+		}
+	}
+	pthread_mutex_unlock(&run->conns_lock);
+	return found;
+}
+
+void fg_web_wait_for_open(struct fg_run *run, fg_ms until)
+{
+	while (is_any_in_transit(run) && fg_clock_now() < until)
+		g_usleep(DELIVERY_POLL_US);
+}
+
 void fg_web_log_gave_way(struct fg_run *run)
 {
 	uint64_t requests = fg_counter_get(run->gave_way);
--- a/lib/run/fg_web_linger.c
+++ b/lib/run/fg_web_linger.c
@@ -14,16 +14,13 @@
 #define KEPT_DIVISOR 4
 #define KEPT_MIN 16
 #define WAIT_POLL_US 20000
-/* Longest wait at the end of the process. */
-#define WAIT_MAX_MS 10000
 
 struct kept_conn {
 	int fd;
 	struct fg_drain drain;
 };
 
-/* What the peer has not acknowledged, but for the end of the stream. */
-static uint64_t unacked_bytes(int fd)
+uint64_t fg_web_unacked_bytes(int fd)
 {
 	int n = 0;
 
@@ -58,7 +55,7 @@
 
 static void log_cut(const struct kept_conn *kept, const char *reason)
 {
-	uint64_t unacked = unacked_bytes(kept->fd);
+	uint64_t unacked = fg_web_unacked_bytes(kept->fd);
 	char text[24];
 
 	if (unacked == 0)
@@ -78,7 +75,7 @@
 	for (guint i = 0; i < all->len; i++) {
 		const struct kept_conn *kept = all->pdata[i];
 
-		if (unacked_bytes(kept->fd) == 0) {
+		if (fg_web_unacked_bytes(kept->fd) == 0) {
 			chosen = i;
 			break;
 		}
@@ -94,7 +91,7 @@
 	int copy;
 
 	(void)shutdown(fd, SHUT_WR);
-	unacked = unacked_bytes(fd);
+	unacked = fg_web_unacked_bytes(fd);
 	if ((unacked == 0 && !was_answered) || !is_peer_open(fd))
 		return;
 	copy = dup(fd);
@@ -130,7 +127,7 @@
 			return false;
 		}
 		state = fg_drain_check(&kept->drain, now,
-				       unacked_bytes(kept->fd));
+				       fg_web_unacked_bytes(kept->fd));
 	}
 	if (state == FG_DRAIN_WAITING)
 		return true;
@@ -158,7 +155,6 @@
 
 void fg_web_wait_for_kept(struct fg_run *run, fg_ms until)
 {
-	until = MIN(until, fg_clock_now() + WAIT_MAX_MS);
 	while (fg_web_check_kept(run, fg_clock_now()) > 0 &&
 	       fg_clock_now() < until)
 		g_usleep(WAIT_POLL_US);
--- a/tests/entry_ends.py
+++ b/tests/entry_ends.py
@@ -10,9 +10,11 @@
 import sys
 import threading
 import time
+import urllib.request
 
+from bad_input import CALLER, VALID_BODY
 from entry_crowds import PLACES, STOP_MAX_MS, run
-from hosted import check, read_to_end
+from hosted import check, read_to_end, wait_for
 
 REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
 LAST_REQUEST = REQUEST.replace(b"\r\n\r\n",
@@ -23,6 +25,7 @@
 READ_EVERY_S = 0.05
 NEXT_AFTER_S = 0.4
 IDLE_S = 1
+ORDERS = 16
 
 
 def connect_smallest(address):
@@ -93,6 +96,61 @@
     check(code == 0, f"exit code {code}")
 
 
+def read_page(address, path):
+    with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as answer:
+        return answer.read().decode()
+
+
+def post(key):
+    body = VALID_BODY.encode()
+    return (f"POST /v1/filings HTTP/1.1\r\nHost: x\r\n{CALLER}"
+            f"Idempotency-Key: {key}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def count_whole(data):
+    """Returns how many whole answers there are."""
+    n = 0
+    while True:
+        head, found, data = data.partition(b"\r\n\r\n")
+        if not found:
+            return n
+        length = int(head.lower().split(b"content-length: ")[1].split()[0])
+        if len(data) < length:
+            return n
+        n, data = n + 1, data[length:]
+
+
+def tails_of_kept_connection(e):
+    """Answers that were given out on a connection that stays open arrive whole
+    in a stop, also where the caller sends more before it has read all."""
+    sock = connect_smallest(e.address)
+    for i in range(ORDERS):
+        sock.sendall(post(f"kept{i}"))
+    wait_for("answered", lambda: f"fulmargauge_done_total {ORDERS}\n" in
+             read_page(e.control, "/metrics"))
+    time.sleep(AT_WORK_S)
+    began, sent, data, why = time.monotonic(), False, b"", None
+    e.popen.send_signal(signal.SIGTERM)
+    e.process.killed = True
+    try:
+        while piece := sock.recv(int(READ_RATE * READ_EVERY_S)):
+            data += piece
+            time.sleep(READ_EVERY_S)
+            if not sent and time.monotonic() - began > NEXT_AFTER_S:
+                sent = True
+                sock.sendall(post("next"))
+    except OSError as error:
+        why = error
+    sock.close()
+    n = count_whole(data)
+    code = e.popen.wait(10)
+    print(f"{n} of {ORDERS} answers, {why!r}, left with {code} after "
+          f"{time.monotonic() - began:.2f} s")
+    check(n >= ORDERS, f"{ORDERS - n} of {ORDERS} answers are cut")
+    check(code == 0, f"exit code {code}")
+
+
 def tail_of_last_answer(e):
     """The same of a caller that asks for the end of the connection, without a
     stop."""
@@ -138,12 +196,12 @@
     caller.sock.close()
 
 
-for scenario in (tail_of_answer, tail_of_last_answer,
+for scenario in (tail_of_answer, tails_of_kept_connection, tail_of_last_answer,
                  stop_beside_a_silent_reader):
     scenario.limits = {}
 slow_reader_beside_closed_connections.limits = {"connections_max": PLACES}
 tail_of_idle_connection.limits = {"header_timeout_ms": IDLE_S * 1000}
-SCENARIOS = [tail_of_answer, tail_of_last_answer, tail_of_idle_connection,
+SCENARIOS = [tail_of_answer, tails_of_kept_connection, tail_of_last_answer, tail_of_idle_connection,
              slow_reader_beside_closed_connections,
              stop_beside_a_silent_reader]
 
