A stop tries another endpoint before it refuses a stream

Streams of 0.6 s were refused with 7 s left in a stop, while an idle endpoint that could have served them in time had the adapter loaded.

Cause: an endpoint is chosen by its load. Since the pace of each endpoint counts, one that sent no stream lately counts as unknown, and the whole request was refused when it was the chosen one. Such an endpoint is now passed over, and the request is refused when no other one is left.

Ruled out: the estimate at the arrival, which was taken (assumed_ms=621 evidence=pace in the log, left_ms=7000).

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1234,7 +1234,9 @@
 };
 
 /* Returns how long the request takes at most if it is sent now. */
-struct fg_gw_estimate fg_gw_took_estimate(const struct fg_gwreq *r, fg_ms now);
+struct fg_gw_estimate fg_gw_took_estimate(const struct fg_gwreq *r,
+					  const struct fg_fleet_ep *ep,
+					  fg_ms now);
 
 /* ---- Planned stop ---- */
 
@@ -1256,6 +1258,9 @@
 /* Returns whether a request of this route could still end in time if it were
  * sent now; true unless a stop has begun. */
 bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now);
+/* The same at this endpoint; NULL: not chosen yet. */
+bool fg_gw_stop_has_time_at(const struct fg_gwreq *r,
+			    const struct fg_fleet_ep *ep, fg_ms now);
 
 /* During a stop: ends a request that would not end in time if it were sent to
  * an endpoint now, and returns whether it did. Call it before each send. */
--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -202,6 +202,7 @@
 	fg_ms now = fg_clock_now();
 	uint32_t left_ms = fg_gwreq_time_left_ms(r, now);
 	struct fg_balance_pick p;
+	bool is_late = false;
 
 	if (left_ms < FG_GWREQ_TIME_LEFT_MIN_MS) {
 		fg_gwreq_time_out(r);
@@ -210,9 +211,16 @@
 	for (int i = 0; i < PLACE_TRIES; i++) {
 		p = pick_endpoint(r, now);
 		if (p.ep == NULL) {
-			refuse_without_endpoint(r, now);
+			if (!is_late || !fg_gw_stop_refuse_late(r))
+				refuse_without_endpoint(r, now);
 			return;
 		}
+		if (!fg_gw_stop_has_time_at(r, p.ep, now)) {
+			is_late = true;
+			fg_gwreq_attach(r, p.ep);
+			fg_gwreq_mark_tried(r);
+			continue;
+		}
 		if (!p.resident && r->call.adapter != NULL &&
 		    !fg_orders_could_hold(r->service, r->call.model)) {
 			fg_gwreq_refuse(r, "adapter_larger_than_engine",
@@ -247,6 +255,8 @@
 			fg_gwreq_mark_tried(r);
 		}
 	}
+	if (is_late && fg_gw_stop_refuse_late(r))
+		return;
 	fg_gw_overload_begin_wait(r, now);
 	fg_gwreq_enter_state(r, FG_GWREQ_WAIT_RETRY, now + PLACE_RETRY_MS);
 }
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -13,12 +13,18 @@
 
 /* ---- Requests ---- */
 
-bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
+bool fg_gw_stop_has_time_at(const struct fg_gwreq *r,
+			    const struct fg_fleet_ep *ep, fg_ms now)
 {
 	if (!fg_gw_is_stopping(r->gw))
 		return true;
 	return fg_stop_has_time(&r->gw->stop, now,
-				fg_gw_took_estimate(r, now).longest_ms);
+				fg_gw_took_estimate(r, ep, now).longest_ms);
+}
+
+bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
+{
+	return fg_gw_stop_has_time_at(r, r->ep, now);
 }
 
 char *fg_gw_stop_format_age(const struct fg_gateway *gw)
@@ -39,7 +45,7 @@
 
 	if (!fg_gw_is_stopping(r->gw))
 		return;
-	e = fg_gw_took_estimate(r, now);
+	e = fg_gw_took_estimate(r, r->ep, now);
 	age = fg_gw_stop_format_age(r->gw);
 	g_snprintf(text[0], sizeof(text[0]), "%u", e.longest_ms);
 	g_snprintf(text[1], sizeof(text[1]), "%lld",
--- a/lib/gateway/fg_gw_took.c
+++ b/lib/gateway/fg_gw_took.c
@@ -39,9 +39,10 @@
 			       sizeof(struct fg_pace));
 }
 
-static struct fg_pace_gaps *endpoint_gaps(const struct fg_gwreq *r)
+static struct fg_pace_gaps *endpoint_gaps(const struct fg_gwreq *r,
+					  const struct fg_fleet_ep *ep)
 {
-	return fg_gw_get_named(r->gw->endpoint_gaps, r->ep->facts.id,
+	return fg_gw_get_named(r->gw->endpoint_gaps, ep->facts.id,
 			       sizeof(struct fg_pace_gaps));
 }
 
@@ -65,7 +66,8 @@
 	};
 
 	if (r->sent_at != 0 && r->ep != NULL)
-		fg_pace_note(service_pace(r), endpoint_gaps(r), now, &run);
+		fg_pace_note(service_pace(r), endpoint_gaps(r, r->ep), now,
+			     &run);
 }
 
 void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now, bool ended)
@@ -78,12 +80,13 @@
 /* A stream lasts as long as its length and the pace allow. One that came late
  * in a stop must end in time also if it uses all of its length. */
 static struct fg_gw_estimate estimate_stream(const struct fg_gwreq *r,
+					     const struct fg_fleet_ep *ep,
 					     fg_ms now)
 {
 	struct fg_gw_estimate e = { fg_gwreq_time_left_ms(r, now), "limit" };
 	struct fg_pace_ask ask = {
 		.tokens = r->call.output_tokens,
-		.endpoint = r->ep == NULL ? NULL : endpoint_gaps(r),
+		.endpoint = ep == NULL ? NULL : endpoint_gaps(r, ep),
 	};
 	uint64_t longest_ms = fg_pace_longest_ms(service_pace(r), now, &ask);
 	bool known = longest_ms != FG_PACE_UNKNOWN;
@@ -98,12 +101,14 @@
 	return e;
 }
 
-struct fg_gw_estimate fg_gw_took_estimate(const struct fg_gwreq *r, fg_ms now)
+struct fg_gw_estimate fg_gw_took_estimate(const struct fg_gwreq *r,
+					  const struct fg_fleet_ep *ep,
+					  fg_ms now)
 {
 	struct fg_gw_estimate e = { 0, "history" };
 
 	if (has_length(r))
-		return estimate_stream(r, now);
+		return estimate_stream(r, ep, now);
 	e.longest_ms = fg_took_longest_ms(route_took(r), now, UNKNOWN_TOOK);
 	if (e.longest_ms != UNKNOWN_TOOK)
 		return e;
--- a/tests/gateway_stop_ends.py
+++ b/tests/gateway_stop_ends.py
@@ -9,19 +9,20 @@
 
 from gateway_old_callers import check_readable, send_old
 from gateway_stop_lengths import (
-    EVENT_INTERVAL_S, LONG_EVENTS, SHORT_EVENTS, LengthCaller, prepare,
-    send_lengths)
+    EVENT_INTERVAL_S, LONG_EVENTS, SHORT_EVENTS, LengthCaller,
+    answer_by_length, prepare, send_lengths)
 from gateway_stop_tails import (
     CALLERS, EVENTS as TAIL_EVENTS, PIECE, READ_EVERY_S, SIGNAL_AFTER_S,
     SlowCaller, answer_at_length, answer_with_events)
 from gateway_stops import GRACE_S, add_long_routes, check_exit, stop
 from hosted import (
-    EVENTS, FewDescriptorsGateway, Gateway, HOST, System, check, event_ids,
-    next_id, read_to_end, reset_connection, send, wait_for)
+    EVENTS, FewDescriptorsGateway, Gateway, HOST, Replica, System, check,
+    event_ids, next_id, read_to_end, reset_connection, send, wait_for)
 
 PAUSE_S = 3  # longer than a close waits for its peer
 UNREAD_S = 0.5
 QUICK_EVENTS, QUICK_S = 180, 0.004  # before a stream moves to another engine
+REPORTED_S = 0.5  # until instances know what an engine holds
 SLOW_EVENTS, SLOW_S = 10, 0.1  # and after it
 JUDGED_S = 0.2  # a request without an answer is lost later than this
 
@@ -215,6 +216,30 @@
     send_late(s)
 
 
+def unknown_engine_beside_a_quick_one(s):
+    """A stream in a stop is not refused because of an engine whose pace is not
+    known, as long as another one is quick enough."""
+    prepare(s)
+    begin = time.monotonic()
+    for c in [LengthCaller(s, begin, i * 0.1, SHORT_EVENTS)
+              for i in range(6)]:
+        c.thread.join()
+        check(c.is_served(), f"before the stop: {c.answer.status}")
+    unused = Replica(s.store, "e9", "models", engine=True)
+    s.engines.append(unused)
+    unused.answer_with = answer_by_length
+    unused.adapters["a1"] = 1
+    unused.register()
+    wait_for("usable", lambda: "endpoint=e9" in s.gw.log())
+    time.sleep(REPORTED_S)
+    callers = send_lengths(s, [(0.3 + i * 0.2, SHORT_EVENTS) for i in range(4)])
+    served = sum(c.is_served() for c in callers)
+    check(served == len(callers), f"{served} of {len(callers)} served")
+
+
+unknown_engine_beside_a_quick_one.system_options = {"engines": 1}
+
+
 def send_late(s):
     for replica in s.plains:
         replica.work_s = 0.3
@@ -342,5 +367,6 @@
 SCENARIOS = [old_callers_late_end, half_closed_callers, next_request_in_stop,
              long_streams_after_early_ends, long_streams_after_brief_ones,
              long_streams_after_moved_ones,
+             unknown_engine_beside_a_quick_one,
              slow_reader_beside_closed_connections,
              endpoints_beside_closed_connections, stuck_log_in_stop]
