gateway: ends of requests in a stop tell its age

An operator who has the id of a request that came before the signal found its end (answered, refused, failed, caller_left, send_ended) without a sign that a stop was under way. Only taken_in_stop had the age of the stop.

These lines now have after_ms while the instance stops. The time stamps of the lines also tell it, but only beside the line of the signal.

tests/gateway_stop_logs.py brings about the ends of a stop and looks up their lines by id: answered, waiting for a load, cut by the endpoint, cut at the last answers with and without an answer begun, left by a close and a reset, read in part. each_end_in_stop_is_logged fails before: "no answered ('sent_ms', 'after_ms')". killed_after_answers (SIGKILL 0.2 s after the last answers) and slow_log_in_stop (a pipe that is read late) passed before, too.

--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -54,6 +54,7 @@
 	char sent[24];
 	char first[24];
 	char sends[12];
+	char after[24];	 /* since the signal to stop; else empty */
 	const char *via; /* instance that the send goes through, or NULL */
 	/* Of a refusal by lib/overload; else empty. */
 	char gave_way_to[12];
@@ -79,6 +80,10 @@
 	format_ms(f->first, sizeof(f->first),
 		  r->first_at == 0 ? -1 : r->first_at - r->arrived_at);
 	g_snprintf(f->sends, sizeof(f->sends), "%u", r->sends);
+	f->after[0] = '\0';
+	if (fg_gw_is_stopping(r->gw))
+		format_ms(f->after, sizeof(f->after),
+			  fg_clock_now() - r->gw->stop.began_at);
 	f->via = name_via(r);
 	f->gave_way_to[0] = '\0';
 	if (r->shed.why == FG_OVERLOAD_SEND)
@@ -96,7 +101,8 @@
 	"id", (r)->call.id, "route",                                           \
 		(r)->route == NULL ? NULL : (r)->route->name, "reason",        \
 		reason, "took_ms", (f).took, "sent_ms", (f).sent, "first_ms",  \
-		(f).first, "sends", (f).sends, "endpoint",                     \
+		(f).first, "sends", (f).sends, "after_ms",                     \
+		(f).after[0] == '\0' ? NULL : (f).after, "endpoint",           \
 		(r)->ep == NULL ? NULL : (r)->ep->facts.id, "software",        \
 		(r)->ep == NULL ? NULL : (r)->ep->facts.software, "adapter",   \
 		(r)->call.adapter, "via", (f).via, "gave_way_to",              \
