gateway: refusals in a stop tell what was assumed

A request refused with reason=stopping at its arrival had no line but "refused", without the duration that was assumed; one that was taken and then refused before its send, since the chosen endpoint's pace is unknown, had the shorter estimate of its arrival only. Whether a refusal was right could not be told from the log.

The estimate that ends a request is kept with it, and its lines have assumed_ms, evidence and left_ms as taken_in_stop does. The estimate is computed as often as before, and the decision is the same.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -222,6 +222,12 @@
 /* Upper bound of the Retry-After of a refusal. */
 #define FG_GWREQ_RETRY_MAX_MS 2000
 
+/* How long a request takes at most. */
+struct fg_gw_estimate {
+	uint32_t longest_ms;
+	const char *evidence; /* for log lines */
+};
+
 struct fg_gwreq {
 	struct fg_gateway *gw;
 	struct fg_caller *caller;
@@ -249,6 +255,8 @@
 	uint32_t load_skips;	     /* repeats of the load request left out */
 	struct fg_balance_pick pick; /* last choice */
 	struct fg_overload_verdict shed; /* why it was refused */
+	/* For which it cannot end in time in a stop; without evidence: none. */
+	struct fg_gw_estimate too_long;
 	uv_timer_t *timer;
 	enum fg_gwreq_state state;
 	struct fg_fleet_ep *ep; /* reference; of the load or the send */
@@ -1224,11 +1232,6 @@
  * (`ended` false). */
 void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now, bool ended);
 
-struct fg_gw_estimate {
-	uint32_t longest_ms;
-	const char *evidence; /* for log lines */
-};
-
 /* Returns how long the request takes at most if it is sent now. */
 struct fg_gw_estimate fg_gw_took_estimate(const struct fg_gwreq *r, fg_ms now);
 
@@ -1246,6 +1249,9 @@
  * unless a stop has begun. */
 char *fg_gw_stop_format_age(const struct fg_gateway *gw);
 
+/* Returns the time until the last answers of the stop that has begun. */
+fg_ms fg_gw_stop_left_ms(const struct fg_gateway *gw, fg_ms now);
+
 /* Ends requests that cannot end in time, and moves the stop on. */
 void fg_gw_stop_tick(struct fg_gateway *gw, fg_ms now);
 
--- a/lib/gateway/fg_gw_request.c
+++ b/lib/gateway/fg_gw_request.c
@@ -60,6 +60,9 @@
 	char gave_way_to[12];
 	char estimate[12];
 	char objective[12];
+	/* Of a request that cannot end in time in a stop; else empty. */
+	char assumed[12];
+	char left[24];
 };
 
 static const char *name_via(const struct fg_gwreq *r)
@@ -72,6 +75,17 @@
 	return peer == NULL ? "unknown" : peer->row.name;
 }
 
+static void fill_estimate(const struct fg_gwreq *r, struct log_fields *f)
+{
+	f->assumed[0] = '\0';
+	if (r->too_long.evidence == NULL)
+		return;
+	g_snprintf(f->assumed, sizeof(f->assumed), "%u",
+		   r->too_long.longest_ms);
+	format_ms(f->left, sizeof(f->left),
+		  fg_gw_stop_left_ms(r->gw, fg_clock_now()));
+}
+
 static void fill_log_fields(const struct fg_gwreq *r, struct log_fields *f)
 {
 	format_ms(f->took, sizeof(f->took), fg_clock_now() - r->arrived_at);
@@ -85,6 +99,7 @@
 		format_ms(f->after, sizeof(f->after),
 			  fg_clock_now() - r->gw->stop.began_at);
 	f->via = name_via(r);
+	fill_estimate(r, f);
 	f->gave_way_to[0] = '\0';
 	if (r->shed.why == FG_OVERLOAD_SEND)
 		return;
@@ -97,6 +112,8 @@
 
 #define OVERLOAD_FIELD(f, name) ((f).gave_way_to[0] == '\0' ? NULL : (f).name)
 
+#define ESTIMATE_FIELD(f, value) ((f).assumed[0] == '\0' ? NULL : (value))
+
 #define LOG_FIELDS(r, f, reason)                                               \
 	"id", (r)->call.id, "route",                                           \
 		(r)->route == NULL ? NULL : (r)->route->name, "reason",        \
@@ -108,7 +125,10 @@
 		(r)->call.adapter, "via", (f).via, "gave_way_to",              \
 		OVERLOAD_FIELD(f, gave_way_to), "estimate_ms",                 \
 		OVERLOAD_FIELD(f, estimate), "objective_ms",                   \
-		OVERLOAD_FIELD(f, objective), NULL
+		OVERLOAD_FIELD(f, objective), "assumed_ms",                    \
+		ESTIMATE_FIELD(f, (f).assumed), "evidence",                    \
+		(r)->too_long.evidence, "left_ms",                             \
+		ESTIMATE_FIELD(f, (f).left), NULL
 
 void fg_gwreq_log(const struct fg_gwreq *r, const char *event,
 		  const char *reason)
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -21,6 +21,11 @@
 				fg_gw_took_estimate(r, now).longest_ms);
 }
 
+fg_ms fg_gw_stop_left_ms(const struct fg_gateway *gw, fg_ms now)
+{
+	return gw->stop.answer_at - now;
+}
+
 char *fg_gw_stop_format_age(const struct fg_gateway *gw)
 {
 	if (!fg_gw_is_stopping(gw))
@@ -31,7 +36,6 @@
 
 void fg_gw_stop_log_taken(const struct fg_gwreq *r)
 {
-	const struct fg_stop *s = &r->gw->stop;
 	fg_ms now = fg_clock_now();
 	struct fg_gw_estimate e;
 	char *age;
@@ -43,7 +47,7 @@
 	age = fg_gw_stop_format_age(r->gw);
 	g_snprintf(text[0], sizeof(text[0]), "%u", e.longest_ms);
 	g_snprintf(text[1], sizeof(text[1]), "%lld",
-		   (long long)(s->answer_at - now));
+		   (long long)fg_gw_stop_left_ms(r->gw, now));
 	fg_log(FG_LOG_INFO, "request", "taken_in_stop", "id", r->call.id,
 	       "route", r->route->name, "after_ms", age, "assumed_ms", text[0],
 	       "evidence", e.evidence, "left_ms", text[1], NULL);
@@ -59,14 +63,25 @@
 		fg_gwreq_refuse(r, "stopping", RETRY_MS);
 }
 
-bool fg_gw_stop_refuse_late(struct fg_gwreq *r)
+static bool end_if_late(struct fg_gwreq *r, fg_ms now)
 {
-	if (fg_gw_stop_has_time(r, fg_clock_now()))
+	struct fg_gw_estimate e;
+
+	if (!fg_gw_is_stopping(r->gw))
 		return false;
+	e = fg_gw_took_estimate(r, now);
+	if (fg_stop_has_time(&r->gw->stop, now, e.longest_ms))
+		return false;
+	r->too_long = e;
 	end_request(r);
 	return true;
 }
 
+bool fg_gw_stop_refuse_late(struct fg_gwreq *r)
+{
+	return end_if_late(r, fg_clock_now());
+}
+
 /* Calls `f` for each request, which may end it and others. */
 static void for_each_request(struct fg_gateway *gw,
 			     void (*f)(struct fg_gwreq *r, fg_ms now),
@@ -86,8 +101,8 @@
 		return;
 	if (fg_gwreq_is_passed_on(r))
 		fg_gw_took_note(r, now, false);
-	else if (!fg_gw_stop_has_time(r, now))
-		end_request(r);
+	else
+		(void)end_if_late(r, now);
 }
 
 static void answer_request(struct fg_gwreq *r, fg_ms now)
--- a/tests/gateway_stop_logs.py
+++ b/tests/gateway_stop_logs.py
@@ -16,8 +16,10 @@
     wait_for)
 
 SHORT_TOKENS = 60
+LONG_TOKENS = 3000
 EVENT_EVERY_S = 0.3
 COME_AT_S = 0.5  # after the signal
+WAITS_AT_S = 4.2  # a load is still waited for when no time is left
 HALF_EVERY_S = 0.2
 ANSWERS_AT_S = 7.3  # last answers of a stop with a grace of 8 s
 KILLED_AFTER_S = 0.2  # after the answers
@@ -177,6 +179,30 @@
     check(int(line["after_ms"]) >= COME_AT_S * 900, f"{line}")
 
 
+def refusals_tell_estimate(s):
+    """A request that cannot end in time is refused with the assumed duration, at
+    its arrival, before its send, and while it waits."""
+    other = prepare(s)
+    holding = order(s, "hang")
+    wait_for("it runs", lambda: s.run_count(holding))
+    began = stop(s.gw)
+    time.sleep(COME_AT_S)
+    too_long = stream(s, "quick", tokens=LONG_TOKENS)
+    unknown_pace = stream(s, "quick", other)
+    time.sleep(began + WAITS_AT_S - time.monotonic())
+    no_load = stream(s, "quick", "a9", 5)
+    check_exit(s.gw, began)
+    show_lines(s.gw)
+    expect(s.gw, too_long, "refused", ESTIMATE, reason="stopping", sends="0")
+    check(not lines_of(s.gw, too_long, ("taken_in_stop",)), "taken")
+    expect_taken(s.gw, unknown_pace)
+    expect(s.gw, unknown_pace, "refused", ESTIMATE, reason="stopping",
+           evidence="none", sends="0")
+    expect_taken(s.gw, no_load)
+    line = expect(s.gw, no_load, "refused", ESTIMATE, reason="stopping", sends="0")
+    check(int(line["took_ms"]) > 0, f"did not wait: {line}")
+
+
 def each_end_in_stop_is_logged(s):
     """Each way in which a request ends in a stop is told by lines with its id."""
     prepare(s)
@@ -285,4 +311,5 @@
 
 slow_log_in_stop.system_class = SlowLogSystem
 
-SCENARIOS = [each_end_in_stop_is_logged, killed_after_answers, slow_log_in_stop]
+SCENARIOS = [refusals_tell_estimate, each_end_in_stop_is_logged,
+             killed_after_answers, slow_log_in_stop]
