gateway: requests read in part at the end of a stop are not routine

Of many callers whose requests were read in part when a stop answered what was left, some had no line with their id: refused_half_read and left_half_read were written as routine lines, of which there are 50 a second at most, while other ends of requests in a stop are not.

They are no longer routine during a stop.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -140,7 +140,12 @@
 
 	if (c->head_done)
 		(void)c->gw->wire->call_read(&c->h1.head, &call);
-	fg_log_routine("caller", event, "id", call.id, "reason", reason, NULL);
+	if (fg_gw_is_stopping(c->gw))
+		fg_log(FG_LOG_INFO, "caller", event, "id", call.id, "reason",
+		       reason, NULL);
+	else
+		fg_log_routine("caller", event, "id", call.id, "reason", reason,
+			       NULL);
 	fg_call_clear(&call);
 }
 
--- a/tests/gateway_stop_logs.py
+++ b/tests/gateway_stop_logs.py
@@ -21,6 +21,7 @@
 COME_AT_S = 0.5  # after the signal
 WAITS_AT_S = 4.2  # a load is still waited for when no time is left
 HALF_EVERY_S = 0.2
+HALF_READ = 80  # more than the routine lines that a second may have
 ANSWERS_AT_S = 7.3  # last answers of a stop with a grace of 8 s
 KILLED_AFTER_S = 0.2  # after the answers
 
@@ -243,6 +244,25 @@
     expect(s.gw, half_left.rid, "left_half_read", reason="closed")
 
 
+def many_half_read_are_logged(s):
+    """All requests that were read in part at the end of a stop are named, also
+    when they are more than the routine lines of a second."""
+    prepare(s)
+    holding = order(s, "hang")
+    wait_for("it runs", lambda: s.run_count(holding))
+    began = stop(s.gw)
+    time.sleep(began + ANSWERS_AT_S - HALF_EVERY_S - time.monotonic())
+    callers = [RawCaller(s.gw.front, "/long-unsafe/quick", fields=(
+        "Transfer-Encoding: chunked",)) for _ in range(HALF_READ)]
+    check_exit(s.gw, began)
+    named = sum(bool(lines_of(s.gw, c.rid, ("refused_half_read",)))
+                for c in callers)
+    print(f"{named} of {len(callers)} named")
+    check(named == len(callers), f"{named} of {len(callers)} are named")
+    for c in callers:
+        c.leave()
+
+
 def killed_after_answers(s):
     """What ended before the process is killed is in its log."""
     prepare(s)
@@ -312,4 +332,4 @@
 slow_log_in_stop.system_class = SlowLogSystem
 
 SCENARIOS = [refusals_tell_estimate, each_end_in_stop_is_logged,
-             killed_after_answers, slow_log_in_stop]
+             many_half_read_are_logged, killed_after_answers, slow_log_in_stop]
