gateway: sends in a stop are logged when they begin

Of a process that is killed in a stop, the log named the requests that were taken after the signal, but not which of them had been passed on, and to which endpoint: sent_ms and endpoint are in the line of the end alone. Whether such a request may have run could not be told.

Each send in a stop writes sent_in_stop at info, before its bytes are given out. A line for each send outside a stop was ruled out, since it would double the log. Requests sent before the signal still have their line at the end only.

sends_are_logged (an order and a stream are sent, then SIGKILL) fails before: "no sent_in_stop ('after_ms', 'endpoint')", with taken_in_stop as the only line.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1268,6 +1268,10 @@
 /* During a stop: logs that the request is taken, and on what estimate. */
 void fg_gw_stop_log_taken(const struct fg_gwreq *r);
 
+/* During a stop: logs that the request is passed on to its endpoint. Its end
+ * is not logged if the process is killed. */
+void fg_gw_stop_log_sent(const struct fg_gwreq *r);
+
 /* Logs what would be cut if all connections were closed now. */
 void fg_gw_log_unfinished(const struct fg_gateway *gw);
 
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -521,6 +521,7 @@
 	r->sent_at = now;
 	r->sent_software = conn->ep->software;
 	conn->ep->sends++;
+	fg_gw_stop_log_sent(r);
 	fg_link_write_with_body(conn->link, out->str, out->len, body);
 	g_string_free(out, TRUE);
 }
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -54,6 +54,12 @@
 	g_free(age);
 }
 
+void fg_gw_stop_log_sent(const struct fg_gwreq *r)
+{
+	if (fg_gw_is_stopping(r->gw))
+		fg_gwreq_log_routine(r, "sent_in_stop", NULL);
+}
+
 /* Ends the request with what is known of it: it has not run, or it may have. */
 static void end_request(struct fg_gwreq *r)
 {
--- a/tests/gateway_stop_logs.py
+++ b/tests/gateway_stop_logs.py
@@ -263,6 +263,20 @@
         c.leave()
 
 
+def sends_are_logged(s):
+    """A send in a stop is logged when it begins: its request may still be in
+    progress when the process is killed."""
+    prepare(s)
+    stop(s.gw)
+    time.sleep(COME_AT_S)
+    rids = [order(s, "hang"), stream(s, "slow")]
+    wait_for("they run", lambda: all(s.run_count(rid) for rid in rids))
+    s.gw.kill()
+    for rid in rids:
+        expect_taken(s.gw, rid)
+        expect(s.gw, rid, "sent_in_stop", ("after_ms", "endpoint"))
+
+
 def killed_after_answers(s):
     """What ended before the process is killed is in its log."""
     prepare(s)
@@ -332,4 +346,5 @@
 slow_log_in_stop.system_class = SlowLogSystem
 
 SCENARIOS = [refusals_tell_estimate, each_end_in_stop_is_logged,
-             many_half_read_are_logged, killed_after_answers, slow_log_in_stop]
+             many_half_read_are_logged, sends_are_logged,
+             killed_after_answers, slow_log_in_stop]
