link: the line of a cut names the answer before the last one, too

A caller that had not read an answer sent its next request in a stop, which was answered. When its connection ended with both answers in transit, answer_cut named the second one alone: the label of a connection is that of its newest answer. By its lines, the first request was answered and arrived.

A connection keeps the label and the end of the oldest answer that has not arrived when the next one begins; answer_cut has it as "before" while bytes of it are missing. A list of all labels was ruled out: what is in transit behind the oldest one lies between the two ids in the log of the connection's answers, and connections end after the first answer in a stop.

unread_answers_are_logged fails before ("req97: []", no line for the first answer).

--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -288,8 +288,23 @@
 	fg_link_set_linger(l, true);
 }
 
+const char *fg_link_earlier_label(const struct fg_link *l)
+{
+	uint64_t undelivered =
+		fg_link_unsent_bytes(l) + fg_link_unacked_bytes(l);
+
+	if (l->earlier_label[0] == '\0' ||
+	    l->written_bytes - undelivered >= l->earlier_end_bytes)
+		return NULL;
+	return l->earlier_label;
+}
+
 void fg_link_set_label(struct fg_link *l, const char *label)
 {
+	if (fg_link_earlier_label(l) == NULL) {
+		g_strlcpy(l->earlier_label, l->label, sizeof(l->earlier_label));
+		l->earlier_end_bytes = l->written_bytes;
+	}
 	g_strlcpy(l->label, label == NULL ? "" : label, sizeof(l->label));
 }
 
@@ -380,6 +395,7 @@
 	if (l->closed || l->closing || len_bytes + body_bytes == 0)
 		return;
 	l->in_transit_at_ms = uv_now(l->timer.loop);
+	l->written_bytes += len_bytes + body_bytes;
 	if (l->watched && !uv_is_active((uv_handle_t *)&l->timer))
 		uv_timer_start(&l->timer, on_peer_check, PEER_CHECK_MS, 0);
 	sent = write_at_once(l, bufs, body_bytes > 0 ? 2 : 1);
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -24,8 +24,9 @@
 }
 
 #define CUT_FIELDS                                                             \
-	"id", l->label[0] == '\0' ? NULL : l->label, "reason", reason,         \
-		"unsent_bytes", text[0], "unacked_bytes", text[1], NULL
+	"id", l->label[0] == '\0' ? NULL : l->label, "before",                 \
+		fg_link_earlier_label(l), "reason", reason, "unsent_bytes",    \
+		text[0], "unacked_bytes", text[1], NULL
 
 void fg_link_log_cut(const struct fg_link *l, const char *reason)
 {
--- a/lib/link/fg_link_priv.h
+++ b/lib/link/fg_link_priv.h
@@ -28,6 +28,11 @@
 	bool peer_closed; /* its side, since then */
 	int error;	  /* libuv's, that ended the link; 0: none */
 	char label[FG_LINK_LABEL_BYTES];
+	/* Of an answer before it that had not arrived when it was set, and its
+	 * end in the bytes written. */
+	char earlier_label[FG_LINK_LABEL_BYTES];
+	uint64_t earlier_end_bytes;
+	uint64_t written_bytes;
 };
 
 /* The link holds a descriptor from now on. */
@@ -37,6 +42,10 @@
  * too long. A closed window alone is no sign of that. */
 bool fg_link_has_lost_peer(const struct fg_link *l);
 
+/* Returns the label of the oldest answer that has not arrived and is followed
+ * by another one; NULL: there is none. */
+const char *fg_link_earlier_label(const struct fg_link *l);
+
 /* Releases the descriptor, without another callback. */
 void fg_link_close_handles(struct fg_link *l);
 
--- a/tests/gateway_stop_logs.py
+++ b/tests/gateway_stop_logs.py
@@ -277,6 +277,30 @@
         expect(s.gw, rid, "sent_in_stop", ("after_ms", "endpoint"))
 
 
+def unread_answers_are_logged(s):
+    """Answers that their callers have not read when the process leaves are named,
+    also one that another one follows on its connection."""
+    prepare(s)
+    callers = [RawCaller(s.gw.front, "/long-unsafe/large", slow=True)
+               for _ in range(2)]
+    for c in callers:
+        wait_for_end(s, c.rid)
+    began = stop(s.gw)
+    time.sleep(COME_AT_S)
+    following = callers[1].send_next("/long-unsafe/quick")
+    check_exit(s.gw, began)
+    show_lines(s.gw)
+    expect_taken(s.gw, following)
+    expect(s.gw, following, "answered")
+    for rid in (*(c.rid for c in callers), following):
+        cut = [line for line in find_log_lines(s.gw, "answer_cut")
+               if rid in (line["id"], line.get("before"))]
+        check(len(cut) == 1 and cut[0]["reason"] in ("process_ends", "stalled"),
+              f"{rid}: {cut}")
+    for c in callers:
+        c.leave()
+
+
 def killed_after_answers(s):
     """What ended before the process is killed is in its log."""
     prepare(s)
@@ -347,4 +371,4 @@
 
 SCENARIOS = [refusals_tell_estimate, each_end_in_stop_is_logged,
              many_half_read_are_logged, sends_are_logged,
-             killed_after_answers, slow_log_in_stop]
+             unread_answers_are_logged, killed_after_answers, slow_log_in_stop]
