gateway: the last answers of a stop may exceed the log's limit

When a stop answered more than some 200 requests at once, the rest of them had no line of their end: the log writes 200 lines a second, and log.dropped gave their number only. Their ids were in no line if they came before the signal.

At the last answers the log may exceed its limit by one line for each request and each connection that is open then, once. A higher limit for the whole stop was ruled out, since refusals would use it up before the answers. A pipe that nobody reads still drops and counts lines; writes do not block.

--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -159,6 +159,8 @@
  * what its caller sends next is refused. */
 static void answer_all(struct fg_gateway *gw, fg_ms now)
 {
+	/* Each end has a line, and so has each answer that is cut later. */
+	fg_log_allow_burst(gw->reqs->len + gw->callers->len);
 	for_each_request(gw, answer_request, now);
 	refuse_half_read(gw);
 	for (guint i = 0; i < gw->callers->len; i++) {
--- a/lib/log/fg_log.c
+++ b/lib/log/fg_log.c
@@ -50,6 +50,7 @@
 static int64_t current_s;  /* current second of the monotonic clock */
 static uint32_t n_lines;   /* from fg_log() in this second */
 static uint32_t n_routine; /* from fg_log_routine() in this second */
+static uint32_t n_burst;   /* allowed beyond the limit of fg_log() */
 static struct dropped dropped[KINDS_MAX];
 static size_t n_dropped;
 
@@ -288,8 +289,12 @@
 	start_new_second();
 	if (is_routine && n_routine >= limits.routine_per_s)
 		return false;
-	if (!is_routine && n_lines >= limits.lines_per_s)
-		return false;
+	if (!is_routine && n_lines >= limits.lines_per_s) {
+		if (n_burst == 0)
+			return false;
+		n_burst--;
+		return true;
+	}
 	if (is_routine)
 		n_routine++;
 	else
@@ -363,6 +368,13 @@
 	va_end(ap);
 }
 
+void fg_log_allow_burst(uint32_t n)
+{
+	pthread_mutex_lock(&lock);
+	n_burst = n;
+	pthread_mutex_unlock(&lock);
+}
+
 void fg_log_limit_rate(const struct fg_log_rate_limits *new_limits)
 {
 	int flags;
--- a/lib/log/fg_log.h
+++ b/lib/log/fg_log.h
@@ -52,6 +52,9 @@
  */
 void fg_log_limit_rate(const struct fg_log_rate_limits *limits);
 
+/* Allows n lines of fg_log() beyond the limit, at any time from now on. */
+void fg_log_allow_burst(uint32_t n);
+
 /* Closes the log; later lines are dropped until fg_log_open(). Writes how many
  * lines were dropped since that was last said, and waits up to 50 ms for room
  * to do so. */
--- a/tests/gateway_stop_logs.py
+++ b/tests/gateway_stop_logs.py
@@ -21,6 +21,7 @@
 COME_AT_S = 0.5  # after the signal
 WAITS_AT_S = 4.2  # a load is still waited for when no time is left
 HALF_EVERY_S = 0.2
+IN_PROGRESS = 300  # more than the lines that a second may have
 HALF_READ = 80  # more than the routine lines that a second may have
 ANSWERS_AT_S = 7.3  # last answers of a stop with a grace of 8 s
 KILLED_AFTER_S = 0.2  # after the answers
@@ -263,6 +264,23 @@
         c.leave()
 
 
+def many_ends_are_logged(s):
+    """So are all requests in progress, also when they are more than the lines of
+    a second."""
+    add_long_routes(s)
+    for replica in s.plains:
+        replica.answer_with = answer_by_path
+    callers = [RawCaller(s.gw.front, "/long-unsafe/hang")
+               for _ in range(IN_PROGRESS)]
+    wait_for("they run", lambda: all(s.run_count(c.rid) for c in callers))
+    check_exit(s.gw, stop(s.gw))
+    named = sum(bool(lines_of(s.gw, c.rid, ("failed",))) for c in callers)
+    print(f"{named} of {len(callers)} named")
+    check(named == len(callers), f"{named} of {len(callers)} are named")
+    for c in callers:
+        c.leave()
+
+
 def sends_are_logged(s):
     """A send in a stop is logged when it begins: its request may still be in
     progress when the process is killed."""
@@ -370,5 +388,5 @@
 slow_log_in_stop.system_class = SlowLogSystem
 
 SCENARIOS = [refusals_tell_estimate, each_end_in_stop_is_logged,
-             many_half_read_are_logged, sends_are_logged,
+             many_half_read_are_logged, many_ends_are_logged, sends_are_logged,
              unread_answers_are_logged, killed_after_answers, slow_log_in_stop]
