tests: the burst of a log

fg_log_allow_burst() was played by many_ends_are_logged alone. /log/burst checks that lines of fg_log() exceed their limit by the burst and no more, and that routine lines do not use it.

--- a/tests/unit/test_log_metrics.c
+++ b/tests/unit/test_log_metrics.c
@@ -158,6 +158,38 @@
 	g_test_trap_assert_passed();
 }
 
+static void test_burst(void)
+{
+	struct fg_log_rate_limits limits = { LINES_PER_S, ROUTINE_PER_S };
+	char text[65536] = "";
+	int fds[2];
+
+	if (g_test_subprocess()) {
+		g_assert_cmpint(pipe(fds), ==, 0);
+		dup2(fds[1], STDOUT_FILENO);
+		fg_log_open("me", FG_LOG_INFO);
+		fg_log_limit_rate(&limits);
+		while (fg_clock_now() % FG_MS_PER_S > 100)
+			g_usleep(10000);
+		fg_log_allow_burst(2 * LINES_PER_S);
+		for (int i = 0; i < N_LINES; i++)
+			fg_log_routine("test", "usual", NULL);
+		for (int i = 0; i < N_LINES; i++)
+			fg_log(FG_LOG_WARN, "test", "odd", NULL);
+		fg_log_close();
+		g_assert_cmpint(read(fds[0], text, sizeof(text) - 1), >, 0);
+		g_assert_cmpuint(count_matches(text, "event=usual"), ==,
+				 ROUTINE_PER_S);
+		g_assert_cmpuint(count_matches(text, "event=odd"), ==,
+				 3 * LINES_PER_S);
+		g_assert_nonnull(strstr(text, "event=dropped who=me "
+					      "test.usual=1995 test.odd=1970"));
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+	g_test_trap_assert_passed();
+}
+
 static void test_full_pipe_does_not_block(void)
 {
 	struct fg_log_rate_limits limits = { 1000000, 1000000 };
@@ -320,6 +352,7 @@
 	g_test_add_func("/log/levels", test_levels);
 	g_test_add_func("/log/written", test_written_lines);
 	g_test_add_func("/log/bounded", test_rate_limits);
+	g_test_add_func("/log/burst", test_burst);
 	g_test_add_func("/log/full_pipe", test_full_pipe_does_not_block);
 	g_test_add_func("/metrics/render", test_render);
 	g_test_add_func("/metrics/quantiles", test_quantiles);
