--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -27,6 +27,11 @@
 	return fg_gw_stop_has_time_at(r, r->ep, now);
 }
 
+fg_ms fg_gw_stop_left_ms(const struct fg_gateway *gw, fg_ms now)
+{
+	return gw->stop.answer_at - now;
+}
+
 char *fg_gw_stop_format_age(const struct fg_gateway *gw)
 {
 	if (!fg_gw_is_stopping(gw))
@@ -37,7 +42,6 @@
 
 void fg_gw_stop_log_taken(const struct fg_gwreq *r)
 {
-	const struct fg_stop *s = &r->gw->stop;
 	fg_ms now = fg_clock_now();
 	struct fg_gw_estimate e;
 	char *age;
@@ -49,13 +53,19 @@
 	age = fg_gw_stop_format_age(r->gw);
 	g_snprintf(text[0], sizeof(text[0]), "%u", e.longest_ms);
 	g_snprintf(text[1], sizeof(text[1]), "%lld",
-		   (long long)(s->answer_at - now));
+		   (long long)fg_gw_stop_left_ms(r->gw, now));
 	fg_log(FG_LOG_INFO, "request", "taken_in_stop", "id", r->call.id,
 	       "route", r->route->name, "after_ms", age, "assumed_ms", text[0],
 	       "evidence", e.evidence, "left_ms", text[1], NULL);
 	g_free(age);
 }
 
+void fg_gw_stop_log_sent(const struct fg_gwreq *r)
+{
+	if (fg_gw_is_stopping(r->gw))
+		fg_gwreq_log_routine(r, "sent_in_stop", NULL);
+}
+
 /* Ends the request with what is known of it: it has not run, or it may have. */
 static void end_request(struct fg_gwreq *r)
 {
@@ -65,14 +75,25 @@
 		fg_gwreq_refuse(r, "stopping", RETRY_MS);
 }
 
-bool fg_gw_stop_refuse_late(struct fg_gwreq *r)
+static bool end_if_late(struct fg_gwreq *r, fg_ms now)
 {
-	if (fg_gw_stop_has_time(r, fg_clock_now()))
+	struct fg_gw_estimate e;
+
+	if (!fg_gw_is_stopping(r->gw))
+		return false;
+	e = fg_gw_took_estimate(r, r->ep, now);
+	if (fg_stop_has_time(&r->gw->stop, now, e.longest_ms))
 		return false;
+	r->too_long = e;
 	end_request(r);
 	return true;
 }
 
+bool fg_gw_stop_refuse_late(struct fg_gwreq *r)
+{
+	return end_if_late(r, fg_clock_now());
+}
+
 /* Calls `f` for each request, which may end it and others. */
 static void for_each_request(struct fg_gateway *gw,
 			     void (*f)(struct fg_gwreq *r, fg_ms now),
@@ -92,8 +113,8 @@
 		return;
 	if (fg_gwreq_is_passed_on(r))
 		fg_gw_took_note(r, now, false);
-	else if (!fg_gw_stop_has_time(r, now))
-		end_request(r);
+	else
+		(void)end_if_late(r, now);
 }
 
 static void answer_request(struct fg_gwreq *r, fg_ms now)
@@ -144,6 +165,8 @@
  * what its caller sends next is refused. */
 static void answer_all(struct fg_gateway *gw, fg_ms now)
 {
+	/* Each end has a line, and so has each answer that is cut later. */
+	fg_log_allow_burst(gw->reqs->len + gw->callers->len);
 	for_each_request(gw, answer_request, now);
 	refuse_half_read(gw);
 	for (guint i = 0; i < gw->callers->len; i++) {
--- a/lib/gateway/fg_gw_took.c
+++ b/lib/gateway/fg_gw_took.c
@@ -77,8 +77,7 @@
 		note_pace(r, now, ended);
 }
 
-/* A stream lasts as long as its length and the pace allow. One that came late
- * in a stop must end in time also if it uses all of its length. */
+/* A stream lasts as long as its length and the pace allow. */
 static struct fg_gw_estimate estimate_stream(const struct fg_gwreq *r,
 					     const struct fg_fleet_ep *ep,
 					     fg_ms now)
