tests: no run uses ports of a block that it does not hold

A soak failed once (seed 7038, "all instances are ready" not seen within 12 s) while entry_ends.py ran beside it: its instance could not listen again after a planned stop, since its port was taken. entry_crowds.py, entry_ends.py, scenario.py, bad_input.py and seeded.py used fixed ports when FG_PORT_BASE was not set, in the block that the first other run holds. They now hold one too.

Measured: the soak of that seed passes in two runs; with an entry started at its ports it fails in the same way. Scenarios 40 and 43, bad_input.py and entry_ends.py pass, one run each.

--- a/standin/hosted/si_ports.py
+++ b/standin/hosted/si_ports.py
@@ -4,12 +4,14 @@
 import fcntl
 import os
 import socket
+import threading
 
 BLOCKS = (20000, 22000, 24000, 26000, 28000, 30000, 18000, 16000, 14000, 12000,
           10000, 8000)
 HALF = 1000  # ports of a block's first half, and of its second one
 STANDINS, INSTANCES = 0, HALF  # first port within the block
 next_port = {STANDINS: 0, INSTANCES: 0}
+port_lock = threading.Lock()  # of next_port
 block_lock = []  # the open file whose lock holds the block of ports
 
 
@@ -31,16 +33,22 @@
     raise RuntimeError("all blocks of ports are in use")
 
 
-def free_ports(n, half=INSTANCES):
-    """Returns ports of the block from FG_PORT_BASE, or of one that this run
-    holds from now on."""
+def port_base():
+    """Returns the first port of the block from FG_PORT_BASE, or of one that
+    this run holds from now on."""
     if "FG_PORT_BASE" not in os.environ:
         os.environ["FG_PORT_BASE"] = str(hold_port_block())
-    base = int(os.environ["FG_PORT_BASE"])
+    return int(os.environ["FG_PORT_BASE"])
+
+
+def free_ports(n, half=INSTANCES):
+    """Returns ports of the block that this run holds."""
+    base = port_base()
     ports = []
     for _ in range(HALF):
-        port = base + half + next_port[half] % HALF
-        next_port[half] += 1
+        with port_lock:
+            port = base + half + next_port[half] % HALF
+            next_port[half] += 1
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- a/tests/bad_input.py
+++ b/tests/bad_input.py
@@ -13,7 +13,7 @@
 import time
 
 import fghttp
-from fgsystem import System
+from fgsystem import System, port_base
 
 HALF_OPEN_CONNECTIONS = 50
 LARGE_BODY_BYTES = 1 << 20
@@ -129,7 +129,7 @@
 
 def main():
     system = System(os.environ.get("BUILD", "build"),
-                    int(os.environ.get("FG_PORT_BASE", "21000")),
+                    port_base(),
                     lambda *args, **fields: None)
     try:
         system.start_standin("platform", "platform", [])
--- a/tests/entry_crowds.py
+++ b/tests/entry_crowds.py
@@ -20,7 +20,7 @@
 from bad_input import CALLER, VALID_BODY, send_raw, wait_serving
 from crowd import Crowd
 from crowds import MACHINE_MB, REST_MB, count_descriptors, memory_mb
-from fgsystem import STOP_TIMEOUT_S, System
+from fgsystem import STOP_TIMEOUT_S, System, port_base
 from hosted import check, wait_for
 
 KIB = 1024
@@ -39,7 +39,7 @@
 
     def __init__(self, limits):
         self.system = System(os.environ.get("BUILD", "build"),
-                             int(os.environ.get("FG_PORT_BASE", "21000")),
+                             port_base(),
                              lambda *args, **fields: None)
         self.system.start_standin("platform", "platform", [])
         self.system.start_standin("plain", "p1", [])
--- a/tests/fgsystem.py
+++ b/tests/fgsystem.py
@@ -6,11 +6,17 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
 import fghttp
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "standin", "hosted"))
+
+from si_ports import port_base  # noqa: E402, F401
+
 READY_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 30
 POLL_INTERVAL_S = 0.02
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,7 +5,7 @@
   --print   print the output without comparing it
   --keep    keep the directory of histories and logs, and print its path
   --switch  disable mechanisms in every entry (docs/TESTING.md)
-Environment: BUILD (build), FG_PORT_BASE (21000).
+Environment: BUILD (build), FG_PORT_BASE (a block that no other run holds).
 Exits with 0 when the output equals FILE.out.
 """
 
@@ -23,7 +23,7 @@
 from demo_verdict import AnswerChecker
 import fghttp
 from fgcaller import Change, History, Request
-from fgsystem import System
+from fgsystem import System, port_base
 
 WAIT_DEFAULT_MS = 15000
 CHANGE_WAIT_MS = 10000
@@ -446,11 +446,10 @@
 
 def run_script(path, switches):
     build = os.environ.get("BUILD", "build")
-    port_base = int(os.environ.get("FG_PORT_BASE", "21000"))
     lines = read_lines(path)
     if not re.fullmatch(r"# promise: [1-8](, [1-8])*", lines[0]):
         raise SystemExit(f"{path}: the first line must name the promise")
-    scenario = Scenario(build, port_base, os.path.dirname(path))
+    scenario = Scenario(build, port_base(), os.path.dirname(path))
     if switches:
         scenario.settings["switches"] = "{%s}" % ", ".join(
             f"{name}: true" for name in switches)
--- a/tests/seeded.py
+++ b/tests/seeded.py
@@ -21,7 +21,7 @@
 
 import fghttp
 from fgcaller import History, Request
-from fgsystem import System
+from fgsystem import System, port_base
 
 ADAPTERS = 40
 HEAL_TIMEOUT_S = 40
@@ -365,7 +365,7 @@
         return 0
     os.environ["FG_TEST"] = "1"
     run = SeededRun(os.environ.get("BUILD", "build"),
-                    int(os.environ.get("FG_PORT_BASE", "20000")),
+                    port_base(),
                     args.seed, size)
     print(f"seeded: seed {args.seed}, {args.deployment}, {len(script)} faults")
     try:
