A stop does not withdraw a stream for an endpoint that would not get it

Streams in a stop ended with 504 after 2 s, while the endpoint at work on them was silent for 2.5 s and another one was there.

Cause: whether another endpoint can still end the stream in time was asked with the pace of the silent one. The stream was withdrawn, and the other endpoint, whose pace is not known, did not get it either. The pace of the other one now counts.

Ruled out: the silence itself, which the endpoint ends in time (send_ended reason=endpoint_silent, then failed reason=stopping in the same ms).

--- a/lib/gateway/fg_gw_place.c
+++ b/lib/gateway/fg_gw_place.c
@@ -132,7 +132,7 @@
 			       &r->gw->rand);
 	if (pick.ep == NULL || pick.ep == r->ep ||
 	    pick.wait_ms >= fg_gwreq_time_left_ms(r, now) ||
-	    !fg_gw_stop_has_time(r, now))
+	    !fg_gw_stop_has_time_at(r, pick.ep, now))
 		return false;
 	return pick.resident ||
 	       request_load(r, pick.ep, now) == FG_SLOT_RESIDENT;
--- a/tests/gateway_stop_ends.py
+++ b/tests/gateway_stop_ends.py
@@ -22,8 +22,9 @@
 PAUSE_S = 3  # longer than a close waits for its peer
 UNREAD_S = 0.5
 QUICK_EVENTS, QUICK_S = 180, 0.004  # before a stream moves to another engine
-REPORTED_S = 0.5  # until instances know what an engine holds
 SLOW_EVENTS, SLOW_S = 10, 0.1  # and after it
+SILENT_S = 2.5  # longer than an instance waits for a first event
+REPORTED_S = 0.5  # until instances know what an engine holds
 JUDGED_S = 0.2  # a request without an answer is lost later than this
 
 
@@ -216,13 +217,11 @@
     send_late(s)
 
 
-def unknown_engine_beside_a_quick_one(s):
-    """A stream in a stop is not refused because of an engine whose pace is not
-    known, as long as another one is quick enough."""
+def add_unknown_engine(s):
+    """Streams have told the pace of the first engine, not of this one."""
     prepare(s)
     begin = time.monotonic()
-    for c in [LengthCaller(s, begin, i * 0.1, SHORT_EVENTS)
-              for i in range(6)]:
+    for c in [LengthCaller(s, begin, i * 0.1, SHORT_EVENTS) for i in range(6)]:
         c.thread.join()
         check(c.is_served(), f"before the stop: {c.answer.status}")
     unused = Replica(s.store, "e9", "models", engine=True)
@@ -232,12 +231,36 @@
     unused.register()
     wait_for("usable", lambda: "endpoint=e9" in s.gw.log())
     time.sleep(REPORTED_S)
+
+
+def unknown_engine_beside_a_quick_one(s):
+    """A stream in a stop is not refused because of an engine whose pace is not
+    known, as long as another one is quick enough."""
+    add_unknown_engine(s)
     callers = send_lengths(s, [(0.3 + i * 0.2, SHORT_EVENTS) for i in range(4)])
     served = sum(c.is_served() for c in callers)
     check(served == len(callers), f"{served} of {len(callers)} served")
 
 
-unknown_engine_beside_a_quick_one.system_options = {"engines": 1}
+def unknown_engine_beside_a_silent_one(s):
+    """Nor is one withdrawn from a silent engine for such an engine, which would
+    not get it."""
+    add_unknown_engine(s)
+
+    def answer_late(replica, req, rid):
+        time.sleep(SILENT_S)
+        return answer_by_length(replica, req, rid)
+
+    s.engines[0].answer_with = answer_late
+    callers = send_lengths(
+        s, [(0.3 + i * 0.1, SHORT_EVENTS) for i in range(4)], "draft")
+    served = sum(c.is_served() for c in callers)
+    check(served == len(callers), f"{served} of {len(callers)} served")
+
+
+for scenario in (unknown_engine_beside_a_quick_one,
+                 unknown_engine_beside_a_silent_one):
+    scenario.system_options = {"engines": 1}
 
 
 def send_late(s):
@@ -368,5 +391,6 @@
              long_streams_after_early_ends, long_streams_after_brief_ones,
              long_streams_after_moved_ones,
              unknown_engine_beside_a_quick_one,
+             unknown_engine_beside_a_silent_one,
              slow_reader_beside_closed_connections,
              endpoints_beside_closed_connections, stuck_log_in_stop]
--- a/tests/gateway_stop_lengths.py
+++ b/tests/gateway_stop_lengths.py
@@ -62,10 +62,10 @@
             "Retry-After" in self.answer.headers)
 
 
-def send_lengths(s, wanted):
+def send_lengths(s, wanted, kind="brief"):
     """Sends streams over a stop, by (seconds after the signal, events), and
     checks that each is whole or refused. Returns the callers."""
-    callers = [LengthCaller(s, time.monotonic(), at_s, events)
+    callers = [LengthCaller(s, time.monotonic(), at_s, events, kind)
                for at_s, events in wanted]
     began = stop(s.gw)
     for c in callers:
