A stream that breaks during its instance's stop goes on until the last answers

What callers saw: resumable streams were reset in a planned stop, seconds before its end and with a few events missing, after their endpoint's connection broke. On a hop: the instance in the middle stopped 2 s before their own one and reset the tunnels after 7.3 s; their own instance had 2 s left, the streams 0.75 s.

Cause: before each send a request must be able to end in time, with a reserve of 1.5 s, at the pace of its whole length; for a stream of 190 events of which 181 have come that was over 8 s. One that could not was ended, `send_ended reason=answer_cut`, then `failed reason=stopping`. That is right for a request that can still be refused as not run. A stream of which the caller has a part can only be cut, so that giving up gains nothing.

Now such a stream has time until the last answers. Ruled out: counting only the events that are missing (a reserve would still cut what can end), and the middle's tunnels (they live until 7.3 s, and end sooner only with their stream).

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1250,7 +1250,8 @@
 void fg_gw_stop_tick(struct fg_gateway *gw, fg_ms now);
 
 /* Returns whether a request of this route could still end in time if it were
- * sent now; true unless a stop has begun. */
+ * sent now; true unless a stop has begun. One whose answer has begun has time
+ * until the last answers. */
 bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now);
 
 /* During a stop: ends a request that would not end in time if it were sent to
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -17,6 +17,9 @@
 {
 	if (!fg_gw_is_stopping(r->gw))
 		return true;
+	/* An answer that has begun cannot be refused any more, only cut. */
+	if (r->head_sent)
+		return r->gw->stop.phase < FG_STOP_ANSWERING;
 	return fg_stop_has_time(&r->gw->stop, now,
 				fg_gw_took_estimate(r, now).longest_ms);
 }
--- a/tests/gateway_stop_hops.py
+++ b/tests/gateway_stop_hops.py
@@ -248,13 +248,20 @@
     check(find_log_lines(s.gateways[0], "ended"), "no tunnel was broken")
 
 
+def streams_go_on_in_own_stop(s):
+    """Resumable streams that the end of the instance in the middle breaks go on
+    through another one while their own instance stops, until its last answers."""
+    check_broken_in_own_stop(s, "draft")
+
+
 def streams_of_one_run_in_own_stop(s):
     """On a route that is not resumable they are whole."""
     check_broken_in_own_stop(s, "brief")
 
 
 SCENARIOS = [middle_stops, cut_instance_stops, middle_stops_then_cut,
-             cut_stops_then_middle, streams_of_one_run_in_own_stop]
+             cut_stops_then_middle, streams_go_on_in_own_stop,
+             streams_of_one_run_in_own_stop]
 
 for scenario in SCENARIOS:
     scenario.system_options = {"gateways": 3}
