--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1275,7 +1275,8 @@
 void fg_gw_stop_tick(struct fg_gateway *gw, fg_ms now);
 
 /* Returns whether a request of this route could still end in time if it were
- * sent now; true unless a stop has begun. */
+ * sent now; true unless a stop has begun. One whose answer has begun has time
+ * until the last answers. */
 bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now);
 /* The same at this endpoint; NULL: not chosen yet. */
 bool fg_gw_stop_has_time_at(const struct fg_gwreq *r,
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -13,13 +13,26 @@
 
 /* ---- Requests ---- */
 
+static bool has_time_for(const struct fg_gwreq *r,
+			 const struct fg_gw_estimate *e, fg_ms now)
+{
+	const struct fg_stop *stop = &r->gw->stop;
+
+	/* An answer that has begun cannot be refused any more, only cut. */
+	if (r->head_sent)
+		return stop->phase < FG_STOP_ANSWERING;
+	return fg_stop_has_time(stop, now, e->longest_ms);
+}
+
 bool fg_gw_stop_has_time_at(const struct fg_gwreq *r,
 			    const struct fg_fleet_ep *ep, fg_ms now)
 {
+	struct fg_gw_estimate e;
+
 	if (!fg_gw_is_stopping(r->gw))
 		return true;
-	return fg_stop_has_time(&r->gw->stop, now,
-				fg_gw_took_estimate(r, ep, now).longest_ms);
+	e = fg_gw_took_estimate(r, ep, now);
+	return has_time_for(r, &e, now);
 }
 
 bool fg_gw_stop_has_time(const struct fg_gwreq *r, fg_ms now)
@@ -82,7 +95,7 @@
 	if (!fg_gw_is_stopping(r->gw))
 		return false;
 	e = fg_gw_took_estimate(r, r->ep, now);
-	if (fg_stop_has_time(&r->gw->stop, now, e.longest_ms))
+	if (has_time_for(r, &e, now))
 		return false;
 	r->too_long = e;
 	end_request(r);
--- a/tests/gateway_stop_logs.py
+++ b/tests/gateway_stop_logs.py
@@ -190,7 +190,16 @@
     began = stop(s.gw)
     time.sleep(COME_AT_S)
     too_long = stream(s, "quick", tokens=LONG_TOKENS)
+    # No other engine is left for the one whose engine's pace is unknown.
+    known = next(e for e in s.engines if "a1" in e.adapters)
+    known.drain()
+    wait_for("it leaves", lambda: any(
+        line["endpoint"] == known.name
+        for line in find_log_lines(s.gw, "leaving")))
     unknown_pace = stream(s, "quick", other)
+    wait_for_end(s, unknown_pace)
+    known.draining = False
+    known.register()
     time.sleep(began + WAITS_AT_S - time.monotonic())
     no_load = stream(s, "quick", "a9", 5)
     check_exit(s.gw, began)
