tests: the refusal for an engine of unknown pace has a scenario of its own

A stream goes to another engine now before it is refused, so that no other one may be left; an engine that leaves does not come back in one run.

--- a/tests/gateway_stop_logs.py
+++ b/tests/gateway_stop_logs.py
@@ -183,35 +183,42 @@
 
 def refusals_tell_estimate(s):
     """A request that cannot end in time is refused with the assumed duration, at
-    its arrival, before its send, and while it waits."""
-    other = prepare(s)
+    its arrival and while it waits."""
+    prepare(s)
     holding = order(s, "hang")
     wait_for("it runs", lambda: s.run_count(holding))
     began = stop(s.gw)
     time.sleep(COME_AT_S)
     too_long = stream(s, "quick", tokens=LONG_TOKENS)
-    # No other engine is left for the one whose engine's pace is unknown.
+    time.sleep(began + WAITS_AT_S - time.monotonic())
+    no_load = stream(s, "quick", "a9", 5)
+    check_exit(s.gw, began)
+    show_lines(s.gw)
+    expect(s.gw, too_long, "refused", ESTIMATE, reason="stopping", sends="0")
+    check(not lines_of(s.gw, too_long, ("taken_in_stop",)), "taken")
+    expect_taken(s.gw, no_load)
+    line = expect(s.gw, no_load, "refused", ESTIMATE, reason="stopping", sends="0")
+    check(int(line["took_ms"]) > 0, f"did not wait: {line}")
+
+
+def late_refusal_tells_estimate(s):
+    """The same before its send, when the only engine left has an unknown pace."""
+    other = prepare(s)
     known = next(e for e in s.engines if "a1" in e.adapters)
     known.drain()
     wait_for("it leaves", lambda: any(
         line["endpoint"] == known.name
         for line in find_log_lines(s.gw, "leaving")))
+    holding = order(s, "hang")
+    wait_for("it runs", lambda: s.run_count(holding))
+    began = stop(s.gw)
+    time.sleep(COME_AT_S)
     unknown_pace = stream(s, "quick", other)
-    wait_for_end(s, unknown_pace)
-    known.draining = False
-    known.register()
-    time.sleep(began + WAITS_AT_S - time.monotonic())
-    no_load = stream(s, "quick", "a9", 5)
     check_exit(s.gw, began)
     show_lines(s.gw)
-    expect(s.gw, too_long, "refused", ESTIMATE, reason="stopping", sends="0")
-    check(not lines_of(s.gw, too_long, ("taken_in_stop",)), "taken")
     expect_taken(s.gw, unknown_pace)
     expect(s.gw, unknown_pace, "refused", ESTIMATE, reason="stopping",
            evidence="none", sends="0")
-    expect_taken(s.gw, no_load)
-    line = expect(s.gw, no_load, "refused", ESTIMATE, reason="stopping", sends="0")
-    check(int(line["took_ms"]) > 0, f"did not wait: {line}")
 
 
 def each_end_in_stop_is_logged(s):
@@ -396,6 +403,7 @@
 
 slow_log_in_stop.system_class = SlowLogSystem
 
-SCENARIOS = [refusals_tell_estimate, each_end_in_stop_is_logged,
+SCENARIOS = [refusals_tell_estimate,
+             late_refusal_tells_estimate, each_end_in_stop_is_logged,
              many_half_read_are_logged, many_ends_are_logged, sends_are_logged,
              unread_answers_are_logged, killed_after_answers, slow_log_in_stop]
