--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1249,7 +1249,8 @@
  * (`ended` false). */
 void fg_gw_took_note(const struct fg_gwreq *r, fg_ms now, bool ended);
 
-/* Returns how long the request takes at most if it is sent now. */
+/* Returns how long the request takes at most if it is sent to `ep` now; NULL:
+ * to an endpoint that is not chosen yet. */
 struct fg_gw_estimate fg_gw_took_estimate(const struct fg_gwreq *r,
 					  const struct fg_fleet_ep *ep,
 					  fg_ms now);
--- a/lib/run/fg_run_internal.h
+++ b/lib/run/fg_run_internal.h
@@ -150,7 +150,7 @@
 /* Logs how many gave way so far, if there were more. */
 void fg_web_log_gave_way(struct fg_run *run);
 
-/* ---- fg_web_linger.c ---- */
+/* ---- fg_web_kept.c ---- */
 
 /* Create and free the list. */
 void fg_web_kept_init(struct fg_run *run);
--- a/tests/entry_ends.py
+++ b/tests/entry_ends.py
@@ -201,7 +201,8 @@
     scenario.limits = {}
 slow_reader_beside_closed_connections.limits = {"connections_max": PLACES}
 tail_of_idle_connection.limits = {"header_timeout_ms": IDLE_S * 1000}
-SCENARIOS = [tail_of_answer, tails_of_kept_connection, tail_of_last_answer, tail_of_idle_connection,
+SCENARIOS = [tail_of_answer, tails_of_kept_connection, tail_of_last_answer,
+             tail_of_idle_connection,
              slow_reader_beside_closed_connections,
              stop_beside_a_silent_reader]
 
