lib/gateway: the removal of the own row returns nothing

Its result was read nowhere: the stop asks gw->own_row_end. One branch a state instead of nested ones. No change of behaviour.

Checked: lint; limit_after_replacements, planned_stop and stop_with_streams pass, one run each.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -652,9 +652,9 @@
 void fg_sync_tick(struct fg_gateway *gw, fg_ms now);
 
 /* In a planned stop, once all requests are answered: removes the instance's
- * row, so that it no longer counts in a majority. To be called until it returns
- * true: it is removed, or cannot be. */
-bool fg_sync_withdraw_own_row(struct fg_gateway *gw);
+ * row, so that it no longer counts in a majority. To be called until
+ * gw->own_row_end is FG_OWN_ROW_ENDED: it is removed, or cannot be. */
+void fg_sync_withdraw_own_row(struct fg_gateway *gw);
 
 /* Writes the row that announces this instance. */
 void fg_sync_write_own_row(struct fg_gateway *gw);
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -149,15 +149,14 @@
 	g_free(key);
 }
 
-bool fg_sync_withdraw_own_row(struct fg_gateway *gw)
+void fg_sync_withdraw_own_row(struct fg_gateway *gw)
 {
-	if (gw->own_row_end == FG_OWN_ROW_KEPT) {
-		if (!gw->own_row_written || gw->feeds[FG_FEED_OWN].failures > 0)
-			gw->own_row_end = FG_OWN_ROW_ENDED;
-		else if (!fg_channel_is_busy(gw->tx_channel))
-			remove_own_row(gw);
-	}
-	return gw->own_row_end == FG_OWN_ROW_ENDED;
+	if (gw->own_row_end != FG_OWN_ROW_KEPT)
+		return;
+	if (!gw->own_row_written || gw->feeds[FG_FEED_OWN].failures > 0)
+		gw->own_row_end = FG_OWN_ROW_ENDED;
+	else if (!fg_channel_is_busy(gw->tx_channel))
+		remove_own_row(gw);
 }
 
 static const char *claim_event(const struct fg_claim_write *w)
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -322,7 +322,7 @@
 	if (gw->stop.phase >= FG_STOP_FINISHING)
 		close_idle_callers(gw);
 	if (gw->stop.phase >= FG_STOP_FLUSHING)
-		(void)fg_sync_withdraw_own_row(gw);
+		fg_sync_withdraw_own_row(gw);
 	/* The process leaves in a later tick than the one of the answers: the
 	 * event loop may still read from connections in the iteration in which
 	 * they are closed. */
