tests: one way to run a program that is one test, and one slow order

run_soak, run_stop_rig and the lines for bad_input.py were the same but for the program. Three scenarios of stop ends began with the same slow order, and two log tests filled a second in the same way. No check, bound or option changes.

--- a/tests/gateway_stop_ends.py
+++ b/tests/gateway_stop_ends.py
@@ -60,15 +60,21 @@
     check(len(received) > len(PIECE) * 8000, "the answer is cut")
 
 
-def half_closed_callers(s):
-    """A caller that closes its side after its whole answer was given out
-    receives all of it."""
+def send_slow_order(s, **options):
+    """Returns a caller that reads slowly, whose long answer was given out."""
     add_long_routes(s)
     for replica in s.plains:
         replica.answer_with = answer_at_length
-    caller = SlowCaller(s.gw.front, "unsafe")
+    caller = SlowCaller(s.gw.front, "unsafe", **options)
     caller.sock.sendall(caller.request())
     wait_for("answered", lambda: s.run_count(caller.rid) == 1)
+    return caller
+
+
+def half_closed_callers(s):
+    """A caller that closes its side after its whole answer was given out
+    receives all of it."""
+    caller = send_slow_order(s)
     time.sleep(UNREAD_S)
     caller.sock.shutdown(socket.SHUT_WR)
     check_whole(caller)
@@ -299,12 +305,7 @@
 def slow_reader_beside_closed_connections(s):
     """Closed connections whose callers have their whole answers give way before
     one whose caller still reads."""
-    add_long_routes(s)
-    for replica in s.plains:
-        replica.answer_with = answer_at_length
-    caller = SlowCaller(s.gw.front, "unsafe", close=True)
-    caller.sock.sendall(caller.request())
-    wait_for("answered", lambda: s.run_count(caller.rid) == 1)
+    caller = send_slow_order(s, close=True)
     time.sleep(UNREAD_S)
     for replica in s.plains:
         replica.answer_with = None
@@ -368,12 +369,7 @@
 def stuck_log_in_stop(s):
     """Nor is a stop longer than its grace for a caller that does not read while
     nobody reads the log."""
-    add_long_routes(s)
-    for replica in s.plains:
-        replica.answer_with = answer_at_length
-    caller = SlowCaller(s.gw.front, "unsafe")
-    caller.sock.sendall(caller.request())
-    wait_for("answered", lambda: s.run_count(caller.rid) == 1)
+    caller = send_slow_order(s)
     began = stop(s.gw)
     s.gw.popen.wait(2 * GRACE_S)
     left_s = time.monotonic() - began
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -174,21 +174,11 @@
 	done
 }
 
-# run_soak NAME OPTIONS...: real processes under external faults.
-run_soak() {
+# run_one NAME PROGRAM OPTIONS...: a program that is one test.
+run_one() {
 	name=$1
 	shift
-	tests/soak.py "$@" >"$log" 2>&1
-	status=$?
-	[ $status -eq 0 ] || cat "$log"
-	record "$name" $status
-}
-
-# run_stop_rig NAME OPTIONS...: planned stops in series under a drawn load.
-run_stop_rig() {
-	name=$1
-	shift
-	tests/stop_rig.py "$@" >"$log" 2>&1
+	"$@" >"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || cat "$log"
 	record "$name" $status
@@ -205,16 +195,13 @@
 	run_lines tests/crowds.py
 	run_lines tests/entry_crowds.py
 	run_lines tests/entry_ends.py
-	run_soak soak-short --seed 1 --rounds 1
-	run_soak soak-regressions --regressions
-	run_soak soak-restores --seed 1 --rounds 1 --restores
-	run_stop_rig stop-rig-2 --seed 2
-	run_stop_rig stop-rig-24 --seed 24
-	run_stop_rig stop-rig-faults-3 --seed 3 --faults
-	tests/bad_input.py >"$log" 2>&1
-	status=$?
-	[ $status -eq 0 ] || cat "$log"
-	record bad_input $status
+	run_one soak-short tests/soak.py --seed 1 --rounds 1
+	run_one soak-regressions tests/soak.py --regressions
+	run_one soak-restores tests/soak.py --seed 1 --rounds 1 --restores
+	run_one stop-rig-2 tests/stop_rig.py --seed 2
+	run_one stop-rig-24 tests/stop_rig.py --seed 24
+	run_one stop-rig-faults-3 tests/stop_rig.py --seed 3 --faults
+	run_one bad_input tests/bad_input.py
 	run_seeded huerta 4
 	run_seeded association 5
 fi
--- a/tests/unit/test_log_metrics.c
+++ b/tests/unit/test_log_metrics.c
@@ -112,23 +112,34 @@
 	return n;
 }
 
-/* Runs in the child process. Its standard output is a pipe that is read only
- * after all lines are written: a blocking write to the full pipe would hang
- * the test. */
-static void log_over_limits(int out)
+/* With limits, into a pipe; early in a second, so that all lines fall into the
+ * same one. */
+static void open_limited(int out)
 {
 	struct fg_log_rate_limits limits = { LINES_PER_S, ROUTINE_PER_S };
 
 	dup2(out, STDOUT_FILENO);
 	fg_log_open("me", FG_LOG_INFO);
 	fg_log_limit_rate(&limits);
-	/* Start early in a second, so that all lines fall into the same one. */
 	while (fg_clock_now() % FG_MS_PER_S > 100)
 		g_usleep(10000);
+}
+
+static void log_many(void)
+{
 	for (int i = 0; i < N_LINES; i++)
 		fg_log_routine("test", "usual", NULL);
 	for (int i = 0; i < N_LINES; i++)
 		fg_log(FG_LOG_WARN, "test", "odd", NULL);
+}
+
+/* Runs in the child process. Its standard output is a pipe that is read only
+ * after all lines are written: a blocking write to the full pipe would hang
+ * the test. */
+static void log_over_limits(int out)
+{
+	open_limited(out);
+	log_many();
 	while (fg_clock_now() % FG_MS_PER_S < 900)
 		g_usleep(10000);
 	g_usleep(300000);
@@ -160,22 +171,14 @@
 
 static void test_burst(void)
 {
-	struct fg_log_rate_limits limits = { LINES_PER_S, ROUTINE_PER_S };
 	char text[65536] = "";
 	int fds[2];
 
 	if (g_test_subprocess()) {
 		g_assert_cmpint(pipe(fds), ==, 0);
-		dup2(fds[1], STDOUT_FILENO);
-		fg_log_open("me", FG_LOG_INFO);
-		fg_log_limit_rate(&limits);
-		while (fg_clock_now() % FG_MS_PER_S > 100)
-			g_usleep(10000);
+		open_limited(fds[1]);
 		fg_log_allow_burst(2 * LINES_PER_S);
-		for (int i = 0; i < N_LINES; i++)
-			fg_log_routine("test", "usual", NULL);
-		for (int i = 0; i < N_LINES; i++)
-			fg_log(FG_LOG_WARN, "test", "odd", NULL);
+		log_many();
 		fg_log_close();
 		g_assert_cmpint(read(fds[0], text, sizeof(text) - 1), >, 0);
 		g_assert_cmpuint(count_matches(text, "event=usual"), ==,
