lib/h1: an answer in a coding that cannot be read is no answer

Callers got the frames of chunks as the body (`chunke`, `xchunked`, `chunked, gzip`), or a body that is still coded (`gzip, chunked`), as a complete answer; while the connection stayed open they waited until their deadline.

Cause: http-parser knows a coding by comparing it with `chunked`. Whatever else it finds, it takes the message for one without a length, or drops the codings before the last.

Change: when a head is complete, it has at most one `Transfer-Encoding`, which is `chunked`, or at most one `Content-Length` of digits, and http-parser has to have read the same. All else has no length that is known here (RFC 9112, 6.3).

--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -156,6 +156,53 @@
 	return h->parser.type == HTTP_RESPONSE;
 }
 
+static void break_rule(struct fg_h1 *h, enum fg_h1_rule rule)
+{
+	h->fault = FG_H1_MALFORMED;
+	h->rule = rule;
+}
+
+/* Returns how many fields have that name, and the value of the last one. */
+static uint32_t find_fields(const struct fg_h1_head *head, const char *name,
+			    const char **value)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < head->n_fields; i++) {
+		if (g_ascii_strcasecmp(fg_h1_field_name(head, i), name) != 0)
+			continue;
+		*value = fg_h1_field_value(head, i);
+		n++;
+	}
+	return n;
+}
+
+/*
+ * Returns the rule that the fields break which say how long the body is. A
+ * coding other than chunked cannot be read here, and its length is not known
+ * (RFC 9112 section 6.3). Where http-parser understood these fields in another
+ * way, the message has no one meaning either.
+ */
+static enum fg_h1_rule check_framing(const struct fg_h1 *h)
+{
+	const struct fg_h1_head *head = &h->head;
+	const char *coding = "";
+	const char *length = "";
+	uint32_t n_codings = find_fields(head, "Transfer-Encoding", &coding);
+	uint32_t n_lengths = find_fields(head, "Content-Length", &length);
+	size_t digits = strspn(length, "0123456789");
+
+	if (n_codings > 1 ||
+	    (n_codings == 1 && g_ascii_strcasecmp(coding, "chunked") != 0) ||
+	    head->chunked != (n_codings == 1))
+		return FG_H1_RULE_CODING;
+	if (n_lengths + n_codings > 1 ||
+	    (n_lengths == 1 && (digits == 0 || length[digits] != '\0')) ||
+	    (head->length_bytes >= 0) != (n_lengths == 1))
+		return FG_H1_RULE_LENGTH;
+	return FG_H1_RULE_NONE;
+}
+
 /* Results of on_headers(), as http-parser defines them. */
 enum {
 	HAS_BODY = 0,
@@ -166,6 +213,7 @@
 {
 	struct fg_h1 *h = get_h1(p);
 	struct fg_h1_head *head = &h->head;
+	enum fg_h1_rule rule;
 
 	/* Without a call of on_value(), value_at of the last field still points
 	 * at its name; the value is empty. */
@@ -185,6 +233,11 @@
 				     ? (int64_t)p->content_length
 				     : -1;
 	head->keep_alive = http_should_keep_alive(p) != 0;
+	rule = is_checked(h) ? check_framing(h) : FG_H1_RULE_NONE;
+	if (rule != FG_H1_RULE_NONE) {
+		break_rule(h, rule);
+		return -1;
+	}
 	if (head->length_bytes > 0 &&
 	    (uint64_t)head->length_bytes > h->body_max_bytes)
 		return fail_parse(h, FG_H1_BODY_TOO_LARGE);
@@ -271,12 +324,6 @@
 	out[n] = '\0';
 }
 
-static void break_rule(struct fg_h1 *h, enum fg_h1_rule rule)
-{
-	h->fault = FG_H1_MALFORMED;
-	h->rule = rule;
-}
-
 /* Checks the beginning of an answer as it arrives. Returns false on a fault. */
 static bool check_line(struct fg_h1 *h, const char *data, size_t len)
 {
--- a/lib/h1/fg_h1_check.c
+++ b/lib/h1/fg_h1_check.c
@@ -13,6 +13,8 @@
 		[FG_H1_RULE_VALUE] = "value",
 		[FG_H1_RULE_FOLDING] = "folding",
 		[FG_H1_RULE_LINE_END] = "line_end",
+		[FG_H1_RULE_LENGTH] = "length",
+		[FG_H1_RULE_CODING] = "coding",
 	};
 
 	return names[rule];
--- a/lib/h1/fg_h1_check.h
+++ b/lib/h1/fg_h1_check.h
@@ -24,7 +24,9 @@
 	FG_H1_RULE_VALUE = 4,	   /* no control bytes in a field's value */
 	FG_H1_RULE_FOLDING = 5,	   /* no line begins with a blank */
 	FG_H1_RULE_LINE_END = 6,   /* LF follows CR */
-	FG_H1_RULE_COUNT = 7,
+	FG_H1_RULE_LENGTH = 7,	   /* one length of digits, or a coding */
+	FG_H1_RULE_CODING = 8,	   /* no coding but chunked, once */
+	FG_H1_RULE_COUNT = 9,
 };
 
 /* Returns the name of a rule for log lines and metrics, such as "name". */
--- a/tests/gateway_spoilt_answers.py
+++ b/tests/gateway_spoilt_answers.py
@@ -69,6 +69,11 @@
 SPOILT_FOLDS = [
     Form([b"X: a\r\n Content-Length: 4"]), Form([b" Content-Length: 4"]),
     *[with_length(line) for line in FOLDED]]
+SPOILT_CODINGS = [Form([b"Transfer-Encoding: " + value], CHUNKS) for value in (
+    b"chunke", b"xchunked", b"chunkedchunked", b"chunked, gzip", b"\x0bchunked",
+    b"gzip, chunked", b"identity", b"chunked, chunked", b"chunked;q=1", b"",
+    b"\"chunked\"", b"chun ked", b"chunked\r\nTransfer-Encoding: chunked",
+    b"gzip\r\nTransfer-Encoding: chunked")]
 # Refused also before there was a check of our own.
 SPOILT_BEFORE = [
     *[Form([b"Content-Length: " + value]) for value in (
@@ -203,6 +208,13 @@
     check_told(s, "folding")
 
 
+def unknown_coding(s):
+    """Guards against an answer in a coding that cannot be read here, which a
+    caller gets with frames of chunks, or coded, as its body."""
+    judge_spoilt(s, SPOILT_CODINGS)
+    check_told(s, "coding")
+
+
 def copy_after_answer(s):
     """The second copy of an answer right behind it is dropped, and the first one
     delivered."""
@@ -242,7 +254,7 @@
     set_answers(s, None)
 
 
-SCENARIOS = [blank_in_name, folded_line, copy_after_answer, spoilt_already_refused,
-             sound_unusual_answers]
+SCENARIOS = [blank_in_name, folded_line, unknown_coding, copy_after_answer,
+             spoilt_already_refused, sound_unusual_answers]
 for scenario in SCENARIOS:
     scenario.system_class = GenerousSystem
--- a/tests/unit/test_h1.c
+++ b/tests/unit/test_h1.c
@@ -198,6 +198,68 @@
 	}
 }
 
+static void test_codings(void)
+{
+	static const char *const spoilt[] = {
+		"chunke",
+		"xchunked",
+		"chunkedchunked",
+		"",
+		"gzip, chunked",
+		"chunked, gzip",
+		"identity",
+		"chunked, chunked",
+		"chunked;q=1",
+		"chun ked",
+		"chunked\r\nTransfer-Encoding: chunked",
+		"gzip\r\nTransfer-Encoding: chunked",
+		"chunked\r\nTransfer-Encoding: gzip",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(spoilt); i++) {
+		g_autofree char *text =
+			g_strconcat(ANSWER "Transfer-Encoding: ", spoilt[i],
+				    "\r\n\r\n4\r\nbody\r\n0\r\n\r\n", NULL);
+
+		check_broken(text, false, FG_H1_RULE_CODING);
+	}
+}
+
+/* Refused by http-parser, or by the check where that lets them through. */
+static void test_lengths(void)
+{
+	static const char *const spoilt[] = {
+		"4x",
+		"+4",
+		"4 4",
+		"4,4x",
+		"",
+		"-4",
+		"0x4",
+		"4,4",
+		"99999999999999999999999999",
+		"4\r\nContent-Length: 5",
+		"4\r\nContent-Length: 4",
+		"4\t4",
+		"\t",
+		"4\tx",
+		"4\r\nTransfer-Encoding: chunked",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(spoilt); i++) {
+		g_autofree char *text =
+			g_strconcat(ANSWER "Content-Length: ", spoilt[i],
+				    "\r\n\r\nbody", NULL);
+		struct verdict v;
+
+		g_test_message("%s", text);
+		judge(&v, text, strlen(text), false);
+		g_assert_cmpint(v.fault, ==, FG_H1_MALFORMED);
+		g_assert_cmpuint(v.heads, ==, 0);
+		clear_verdict(&v);
+	}
+}
+
 /* Guards against a check that is stricter than the protocol. */
 static void test_unusual(void)
 {
@@ -252,6 +314,8 @@
 	g_test_add_func("/h1/folding", test_folding);
 	g_test_add_func("/h1/values", test_values);
 	g_test_add_func("/h1/nul", test_nul);
+	g_test_add_func("/h1/codings", test_codings);
+	g_test_add_func("/h1/lengths", test_lengths);
 	g_test_add_func("/h1/unusual", test_unusual);
 	return g_test_run();
 }
