lib/h1: fields of a trailer are none of the head

Callers got the fields of an answer's trailer as fields of its head, also a second `Response-Stamp` and `Request-Id`; a trailer with `Content-Type: text/event-stream` changed how the end of a plain answer was read.

Cause: http-parser reports both alike, and all readers of a head walked all fields that were read so far.

Change: fg_h1_get_field() and those who pass fields on see those of the head only (RFC 9110, 6.5.1). Trailers are checked, and dropped.

Evidence: trailer_stays_trailer failed on (`X-Late: 1` in the head) and passes.

--- a/lib/gateway/fg_gw_answer.c
+++ b/lib/gateway/fg_gw_answer.c
@@ -44,7 +44,7 @@
 		c->close_after = true;
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", head->status,
 			       http_status_str((enum http_status)head->status));
-	for (uint32_t i = 0; i < head->n_fields; i++) {
+	for (uint32_t i = 0; i < head->n_head_fields; i++) {
 		if (fg_h1_is_hop_by_hop(head, i))
 			continue;
 		g_string_append(out, fg_h1_field_name(head, i));
--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -21,7 +21,7 @@
 
 const char *fg_h1_get_field(const struct fg_h1_head *head, const char *name)
 {
-	for (uint32_t i = 0; i < head->n_fields; i++) {
+	for (uint32_t i = 0; i < head->n_head_fields; i++) {
 		if (g_ascii_strcasecmp(fg_h1_field_name(head, i), name) == 0)
 			return fg_h1_field_value(head, i);
 	}
@@ -66,7 +66,7 @@
 		if (g_ascii_strcasecmp(name, hop_fields[k]) == 0)
 			return true;
 	}
-	for (uint32_t k = 0; k < head->n_fields; k++) {
+	for (uint32_t k = 0; k < head->n_head_fields; k++) {
 		if (g_ascii_strcasecmp(fg_h1_field_name(head, k),
 				       "Connection") == 0 &&
 		    list_contains(fg_h1_field_value(head, k), name))
--- a/lib/h1/fg_h1.h
+++ b/lib/h1/fg_h1.h
@@ -29,7 +29,8 @@
 	uint32_t name_at[FG_H1_FIELDS_MAX];
 	uint32_t value_at[FG_H1_FIELDS_MAX];
 	uint32_t n_fields; /* with those of the trailer, once it was read */
-	uint32_t n_head_fields;	 /* without the trailer */
+	uint32_t n_head_fields;	 /* without the trailer; 0 before the head's end
+				  */
 	unsigned int method;	 /* enum http_method; requests only */
 	unsigned int status;	 /* answers only */
 	unsigned int http_minor; /* 0 for HTTP/1.0 */
@@ -40,7 +41,9 @@
 
 /* Strings returned belong to the head and are valid until fg_h1_reset(). */
 
-/* Returns the value of the first field with that name, in any case, or NULL. */
+/* Returns the value of the first field of the head with that name, in any case,
+ * or NULL. Fields of the trailer are none of the head (RFC 9110 section 6.5.1).
+ */
 const char *fg_h1_get_field(const struct fg_h1_head *head, const char *name);
 
 const char *fg_h1_target(const struct fg_h1_head *head);
--- a/tests/gateway_spoilt_answers.py
+++ b/tests/gateway_spoilt_answers.py
@@ -240,6 +240,21 @@
     check_told(s, "name", "folding", "value")
 
 
+def trailer_stays_trailer(s):
+    """Guards against fields of a trailer that reach a caller as fields of the
+    head, or that change what the head says."""
+    trailer = (b"X-Late: 1\r\nResponse-Stamp: other\r\nRequest-Id: other\r\n"
+               b"Content-Type: text/event-stream\r\nServer-Leaving: 1")
+    set_answers(s, sends(with_trailer(trailer), False, True))
+    for path in ("/order/1", "/lookup/1", "/draft/1"):
+        raw = call_raw(s.gateways[0], path, next_id())
+        check(raw.startswith(b"HTTP/1.1 200 ") and raw.endswith(b"\r\n\r\nbody"),
+              f"{path}: {raw!r}")
+        for part in (b"X-Late", b"other", b"event-stream", b"Leaving"):
+            check(part not in raw, f"{path}: {part} in {raw!r}")
+    set_answers(s, None)
+
+
 def copy_after_answer(s):
     """The second copy of an answer right behind it is dropped, and the first one
     delivered."""
@@ -280,6 +295,7 @@
 
 
 SCENARIOS = [blank_in_name, folded_line, unknown_coding, spoilt_frames, spoilt_trailers,
-             copy_after_answer, spoilt_already_refused, sound_unusual_answers]
+             trailer_stays_trailer, copy_after_answer, spoilt_already_refused,
+             sound_unusual_answers]
 for scenario in SCENARIOS:
     scenario.system_class = GenerousSystem
