An answer that other bytes follow than a further answer is broken

Callers got a part of an answer's body as the whole: `Content-Length: 2` before `body`, or a last chunk too early. The rest, in the same read, was noticed (`stutters`), dropped with the connection, and the answer delivered all the same.

Cause: bytes behind a complete answer counted as a second copy, which says nothing against the first one. A copy begins with a status line, though; other bytes mean that the length was wrong.

Change: an answer that is followed by bytes that cannot begin one is malformed (rule `rest`): 502, or another attempt where the route allows that. Answers to orders, of the store and of other instances count as none. Before an answer is passed on, a look at the socket (recv with MSG_PEEK, one call) finds a rest that has arrived behind the last read.

Not known: a rest that arrives later, one whose first bytes look like an answer, and, through another instance, one behind the end of a piece. An answer without a length that ends with its connection is as valid as before, and so is the first of two copies (copy_after_answer, stutter_*).

--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -98,14 +98,6 @@
 	return fg_stutter_allows_reuse(s, now, fg_gwreq_may_run_again(r));
 }
 
-/* Returns whether the bytes are the beginning of an answer's head. */
-static bool begins_head(const char *data, size_t len)
-{
-	static const char begin[] = "HTTP/1.";
-
-	return strncmp(data, begin, MIN(len, sizeof(begin) - 1)) == 0;
-}
-
 /* Returns whether an answer that `len` bytes follow may have a piece of a copy
  * within its body: the copy's rest is then left over, which begins no head. A
  * copy is one of an earlier answer on the connection. */
@@ -114,7 +106,26 @@
 {
 	return !conn->skip_message && conn->report == NULL &&
 	       conn->n_answers > 0 && conn->h1.head.length_bytes >= 0 &&
-	       len > 0 && !begins_head(data, len);
+	       !fg_h1_may_begin_answer(data, len);
+}
+
+/*
+ * Returns whether other bytes than those of a further answer follow a complete
+ * one: its length, or its last chunk, was wrong, and the body is a part of what
+ * the endpoint sent. Where no byte came with the answer, some may have arrived
+ * since; through another instance, the socket does not show them.
+ */
+static bool has_rest(const struct fg_ep_conn *conn, const char *data,
+		     size_t len)
+{
+	char next[FG_H1_STATUS_LINE_BYTES];
+
+	if (conn->skip_message || conn->report != NULL)
+		return false;
+	if (len > 0 || conn->hop != NULL)
+		return !fg_h1_may_begin_answer(data, len);
+	len = fg_link_peek(conn->link, next, sizeof(next));
+	return !fg_h1_may_begin_answer(next, len);
 }
 
 /* ---- Reading answers ---- */
@@ -416,6 +427,12 @@
 			fg_ep_conn_fail(conn, FG_SEND_BROKEN, "answer_mixed");
 			return;
 		}
+		if (has_rest(conn, data, len)) {
+			log_malformed(conn, FG_H1_RULE_REST,
+				      conn->h1.message_bytes);
+			fail_answer(conn, "malformed_answer");
+			return;
+		}
 		finish_message(conn, len == 0);
 	}
 }
--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -312,6 +312,11 @@
 	return FG_H1_LINE_OK;
 }
 
+bool fg_h1_may_begin_answer(const char *data, size_t len_bytes)
+{
+	return fg_h1_check_status_line(data, len_bytes) != FG_H1_LINE_MALFORMED;
+}
+
 void fg_h1_bad_status(const struct fg_h1 *h, char out[FG_H1_STATUS_TEXT_BYTES])
 {
 	uint32_t n = 0;
--- a/lib/h1/fg_h1.h
+++ b/lib/h1/fg_h1.h
@@ -79,6 +79,10 @@
 /* Bytes after which fg_h1_check_status_line() knows. */
 #define FG_H1_STATUS_LINE_BYTES 13
 
+/* Returns whether the bytes can be the beginning of an answer. Others that
+ * follow an answer show that its length was wrong. */
+bool fg_h1_may_begin_answer(const char *data, size_t len_bytes);
+
 struct fg_h1;
 
 /* Callbacks of fg_h1_feed() and fg_h1_eof(). */
--- a/lib/h1/fg_h1_check.c
+++ b/lib/h1/fg_h1_check.c
@@ -17,6 +17,7 @@
 		[FG_H1_RULE_CODING] = "coding",
 		[FG_H1_RULE_CHUNK_SIZE] = "chunk_size",
 		[FG_H1_RULE_CHUNK_END] = "chunk_end",
+		[FG_H1_RULE_REST] = "rest",
 	};
 
 	return names[rule];
--- a/lib/h1/fg_h1_check.h
+++ b/lib/h1/fg_h1_check.h
@@ -28,7 +28,8 @@
 	FG_H1_RULE_CODING = 8,	   /* no coding but chunked, once */
 	FG_H1_RULE_CHUNK_SIZE = 9, /* digits, extensions, CR LF */
 	FG_H1_RULE_CHUNK_END = 10, /* CR LF behind the data of a chunk */
-	FG_H1_RULE_COUNT = 11,
+	FG_H1_RULE_REST = 11,	   /* only another answer follows an answer */
+	FG_H1_RULE_COUNT = 12,
 };
 
 /* Returns the name of a rule for log lines and metrics, such as "name". */
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -109,20 +109,21 @@
 	end_request(c, status);
 }
 
-/* What the server sends is no answer. */
-static void fail_answer(struct fg_channel *c, const char *reason)
+/* What the server sends is no answer. `rule`: that it breaks, if it does. */
+static void fail_answer(struct fg_channel *c, const char *reason,
+			enum fg_h1_rule rule)
 {
 	char status[FG_H1_STATUS_TEXT_BYTES];
 	char at[24];
-	bool malformed = c->h1.fault == FG_H1_MALFORMED;
+	bool malformed = rule != FG_H1_RULE_NONE;
 
 	fg_h1_bad_status(&c->h1, status);
 	g_snprintf(at, sizeof(at), "%" G_GUINT64_FORMAT,
-		   (guint64)c->h1.fault_at);
+		   (guint64)c->h1.message_bytes);
 	fg_log(FG_LOG_WARN, "channel", "unreadable_answer", "address",
 	       c->address, "reason", reason, "status",
 	       c->h1.fault == FG_H1_BAD_STATUS ? status : NULL, "rule",
-	       malformed ? fg_h1_rule_name(c->h1.rule) : NULL, "at_byte",
+	       malformed ? fg_h1_rule_name(rule) : NULL, "at_byte",
 	       malformed ? at : NULL, NULL);
 	fail_request(c);
 }
@@ -139,9 +140,11 @@
 		size_t used = fg_h1_feed(&c->h1, data, len);
 
 		if (c->h1.fault != FG_H1_OK) {
-			fail_answer(c, c->h1.fault == FG_H1_BAD_STATUS
-					       ? "bad_status"
-					       : "malformed_answer");
+			fail_answer(c,
+				    c->h1.fault == FG_H1_BAD_STATUS
+					    ? "bad_status"
+					    : "malformed_answer",
+				    c->h1.rule);
 			return;
 		}
 		len -= used;
@@ -149,13 +152,18 @@
 		if (!c->h1.ended)
 			return;
 		if (!is_informational(&c->h1.head)) {
+			if (!fg_h1_may_begin_answer(data, len)) {
+				fail_answer(c, "malformed_answer",
+					    FG_H1_RULE_REST);
+				return;
+			}
 			handle_answer(c, len == 0);
 			return;
 		}
 		c->informational_bytes += used;
 		if (++c->n_informational > INFORMATIONAL_MAX ||
 		    c->informational_bytes > INFORMATIONAL_MAX_BYTES) {
-			fail_answer(c, "endless_answers");
+			fail_answer(c, "endless_answers", FG_H1_RULE_NONE);
 			return;
 		}
 		fg_h1_reset(&c->h1);
--- a/lib/link/fg_link.c
+++ b/lib/link/fg_link.c
@@ -141,6 +141,17 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
 }
 
+size_t fg_link_peek(const struct fg_link *l, char *out, size_t size)
+{
+	uv_os_fd_t fd;
+	ssize_t n;
+
+	if (uv_fileno((const uv_handle_t *)&l->tcp, &fd) != 0)
+		return 0;
+	n = recv(fd, out, size, MSG_PEEK | MSG_DONTWAIT);
+	return n > 0 ? (size_t)n : 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct fg_link *l = stream->data;
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -78,6 +78,10 @@
  * are any: at level info when the peer ended it, else at warn. */
 void fg_link_log_cut(const struct fg_link *l, const char *reason);
 
+/* Copies bytes that have arrived and were not read yet, without reading them.
+ * Returns how many, at most `size`. */
+size_t fg_link_peek(const struct fg_link *l, char *out, size_t size);
+
 /* Replaces the argument of the callbacks. */
 void fg_link_set_ctx(struct fg_link *l, void *ctx);
 
--- a/tests/gateway_spoilt_answers.py
+++ b/tests/gateway_spoilt_answers.py
@@ -2,18 +2,22 @@
 length is spoilt. The caller reads raw bytes, since a client library that forgives
 such faults would hide them."""
 
+import os
 import re
+import signal
 import socket
 import time
 
 from gateway_bad_answers import AT_ONCE_S, GenerousSystem
 from hosted import (
-    HOST, MODEL, check, find_log_lines, http_get, next_id, read_to_end, send, wait_for)
+    HOST, MODEL, check, find_log_lines, has_all_events, http_get, next_id, read_to_end,
+    send, send_draft, wait_for)
 
 BODY = b"body"
 LENGTH = b"Content-Length: 4"
 CODING = b"Transfer-Encoding: chunked"
 CHUNKS = b"4\r\nbody\r\n0\r\n\r\n"
+READ_BYTES = 16384  # of one read of an instance
 MARK = b"X-Endpoint: marked"  # a field that only an endpoint's answer has
 
 
@@ -86,6 +90,12 @@
     b"4\r\nbody\n0\r\n\r\n", b"4\r\nbody\r\n0\rX\r\n")]
 SPOILT_TRAILERS = [with_trailer(line) for line in (
     *BLANK_NAMES, *FOLDED, b"X: a\x01b", b"X", b": v", b"X: a\rb")]
+# The length is a number, but not that of this body.
+SPOILT_LENGTHS = [
+    Form([b"Content-Length: 2"]), Form([b"Content-Length: 3"]),
+    Form([b"Content-Length: 0"]), Form([b"Content-Length: 2"], b"body\r\n"),
+    chunked(b"2\r\nbo\r\n0\r\n\r\n2\r\ndy\r\n0\r\n\r\n"),
+    chunked(b"4\r\nbody\r\n0\r\n\r\nX-Y: v\r\n\r\n"), chunked(b"0\r\n\r\nbody")]
 # Refused also before there was a check of our own.
 SPOILT_BEFORE = [
     *[Form([b"Content-Length: " + value]) for value in (
@@ -255,6 +265,36 @@
     set_answers(s, None)
 
 
+def wrong_length(s):
+    """Guards against a part of an answer's body that counts as the whole because
+    the stated length is smaller."""
+    judge_spoilt(s, SPOILT_LENGTHS)
+    check_told(s, "rest")
+
+
+def wrong_length_at_end_of_read(s):
+    """As wrong_length, where one read ends with the answer, and the rest has
+    arrived behind it."""
+    pid = s.gw.popen.pid
+
+    def answer(replica, req, rid):
+        for body_bytes in (10000, None):
+            form = Form([b"Content-Length: %d" % (body_bytes or spare)],
+                        b"x" * (body_bytes or spare) + b"the rest")
+            whole = form.answer(replica, rid, False)
+            spare = READ_BYTES - len(whole) + 10000 + len(b"the rest")
+        os.kill(pid, signal.SIGSTOP)
+        req.sock.sendall(whole)
+        time.sleep(0.05)
+        os.kill(pid, signal.SIGCONT)
+        return False
+
+    set_answers(s, answer)
+    raw = call_raw(s.gw, "/order/1", next_id())
+    check(raw[9:12] == b"502", f"{raw[:60]!r}")
+    set_answers(s, None)
+
+
 def copy_after_answer(s):
     """The second copy of an answer right behind it is dropped, and the first one
     delivered."""
@@ -294,8 +334,31 @@
     set_answers(s, None)
 
 
+def spoilt_streams(s):
+    """A stream with a spoilt head is not begun, and one whose framing is spoilt
+    is not ended as if it were whole."""
+    kind = b"Content-Type: text/event-stream"
+    event = b"id: 1\ndata: a\n\n"
+    chunk = b"%x\r\n%s\r\n" % (len(event), event)
+    heads = [Form([kind, *form.lines], event + form.after)
+             for form in SPOILT_NAMES + SPOILT_FOLDS]
+    heads += [Form([kind, b"Transfer-Encoding: " + value], chunk + b"0\r\n\r\n")
+              for value in (b"chunke", b"gzip, chunked", b"chunked, gzip")]
+    judge_spoilt(s, heads, ("/draft/1", "/brief/1"))
+    for after in (chunk[:-2] + b"XX0\r\n\r\n", chunk + b"0 4\r\n\r\n",
+                  chunk + b"0\r\nX Y: v\r\n\r\n", chunk + b"0\r\n X: v\r\n\r\n",
+                  chunk + b"0\r\n\r\nrest"):
+        for path in ("/draft/1", "/brief/1"):
+            set_answers(s, sends(Form([kind, CODING], after), False, True))
+            raw = call_raw(s.gateways[0], path, next_id())
+            check(not raw.endswith(b"0\r\n\r\n"), f"{path} {after!r}: {raw!r}")
+    set_answers(s, None)
+    wait_for("served again", lambda: has_all_events(send_draft(s.gateways[0])))
+
+
 SCENARIOS = [blank_in_name, folded_line, unknown_coding, spoilt_frames, spoilt_trailers,
-             trailer_stays_trailer, copy_after_answer, spoilt_already_refused,
-             sound_unusual_answers]
+             trailer_stays_trailer, wrong_length, wrong_length_at_end_of_read,
+             copy_after_answer, spoilt_already_refused, sound_unusual_answers,
+             spoilt_streams]
 for scenario in SCENARIOS:
     scenario.system_class = GenerousSystem
