tests: spoilt answers through another instance, to orders, of the store

The mended readers share one parser; these scenarios hold that for the hop, for orders and reports to engines, and for the store's rows, where an answer that is spoilt counts as none.

--- a/standin/hosted/si_replica.py
+++ b/standin/hosted/si_replica.py
@@ -250,8 +250,11 @@
     # Orders.
 
     def answer_badly(self, req):
-        """Answers an order or a report with the status in `order_answers`, or
-        with informational answers without end."""
+        """Answers an order or a report with the status or the bytes in
+        `order_answers`, or with informational answers without end."""
+        if isinstance(self.order_answers, bytes):
+            req.sock.sendall(self.order_answers)
+            return True
         if self.order_answers != "flood":
             req.sock.sendall(f"HTTP/1.1 {self.order_answers} X\r\n"
                              "Content-Length: 2\r\n\r\n{}".encode())
--- a/standin/hosted/si_store.py
+++ b/standin/hosted/si_store.py
@@ -18,7 +18,8 @@
         self.mode = "up"   # up, busy, limited, reset, silent, endless_head,
                            # endless_body, endless_informational: bytes
                            # until the caller closes; status_000: an answer
-                           # with that status
+                           # with that status; raw: `raw_answer`
+        self.raw_answer = b""
         self.turned_away = {}  # address of a view -> (mode, table or None)
         self.calls = 0
         self.feed_delay_s = 0  # before each answer to a feed call
@@ -195,6 +196,9 @@
         if mode == "silent":
             time.sleep(30)
             return False
+        if mode == "raw":
+            req.sock.sendall(self.raw_answer)
+            return True
         if mode.startswith("status_"):
             req.sock.sendall(f"HTTP/1.1 {mode[7:]} X\r\nContent-Length: 11\r\n\r\n"
                              '{"rows":[]}'.encode())
--- a/tests/gateway_spoilt_answers.py
+++ b/tests/gateway_spoilt_answers.py
@@ -8,10 +8,12 @@
 import socket
 import time
 
-from gateway_bad_answers import AT_ONCE_S, GenerousSystem
+from gateway_bad_answers import (
+    AT_ONCE_S, GenerousCuttableSystem, GenerousSystem)
+from gateway_tunnels import cut_from_endpoints
 from hosted import (
-    HOST, MODEL, check, find_log_lines, has_all_events, http_get, next_id, read_to_end,
-    send, send_draft, wait_for)
+    HOST, MODEL, check, find_log_lines, has_all_events, http_get, make_config, next_id,
+    read_to_end, send, send_draft, wait_for)
 
 BODY = b"body"
 LENGTH = b"Content-Length: 4"
@@ -356,9 +358,72 @@
     wait_for("served again", lambda: has_all_events(send_draft(s.gateways[0])))
 
 
-SCENARIOS = [blank_in_name, folded_line, unknown_coding, spoilt_frames, spoilt_trailers,
-             trailer_stays_trailer, wrong_length, wrong_length_at_end_of_read,
-             copy_after_answer, spoilt_already_refused, sound_unusual_answers,
-             spoilt_streams]
+def spoilt_through_instance(s):
+    """As the other scenarios of this file, through another instance."""
+    cut_from_endpoints(s)
+    judge_spoilt(s, [*SPOILT_NAMES, *SPOILT_FOLDS, *SPOILT_CODINGS], places=(False,))
+    judge_spoilt(s, [*SPOILT_FRAMES, *SPOILT_TRAILERS, *SPOILT_LENGTHS],
+                 places=(False,))
+    sound_unusual_answers(s)
+
+
+SPOILT_JSON = [
+    b"Content-Length : 2\r\n\r\n{}", b"X: a\r\n Content-Length: 2\r\n\r\n{}",
+    b"X Y: v\r\nContent-Length: 2\r\n\r\n{}",
+    b"Transfer-Encoding: chunke\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n2 2\r\n{}\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Y: v\r\n\r\n",
+    b"Content-Length: 2\r\n\r\n{}rest"]
+
+
+def spoilt_answers_to_orders(s):
+    """Guards against an order that counts as carried out, or a report as read,
+    by an answer that is spoilt."""
+    head = b"HTTP/1.1 200 OK\r\n"
+    for n, text in enumerate(SPOILT_JSON):
+        for engine in s.engines:
+            engine.order_answers = head + text
+        before = len(find_log_lines(s.gw, "unreadable_answer"))
+        a = send_draft(s.gw, f"spoilt{n}", headers={"Deadline-Ms": "1000"})
+        check(a.status in (502, 503, 504), f"{text}: {a.status}")
+        lines = wait_for("a log line", lambda n=before: find_log_lines(
+            s.gw, "unreadable_answer")[n:])
+        check(all(line["reason"] == "malformed_answer" and "rule" in line
+                  for line in lines), f"{text}: {lines}")
+    for engine in s.engines:
+        engine.order_answers = None
+    wait_for("loads again", lambda: has_all_events(send_draft(s.gw, "later")))
+
+
+def spoilt_answers_of_store(s):
+    """Guards against rows that are read from an answer of the store that is
+    spoilt: what was read before stays in force."""
+    for n, text in enumerate(SPOILT_JSON, 2):
+        s.store.raw_answer = b"HTTP/1.1 200 OK\r\n" + text.replace(
+            b"{}", b'{"rows":[],"version":9999}').replace(b": 2", b": 26").replace(
+            b"2\r\n{", b"1a\r\n{").replace(b"2 2", b"1a 1a")
+        s.store.mode = "raw"
+        before = len(find_log_lines(s.gw, "unreadable_answer"))
+        wait_for("calls fail", lambda n=before: find_log_lines(
+            s.gw, "unreadable_answer")[n:])
+        check(send(s.gw.front, "/order/1").status == 200, f"{text}")
+        s.store.mode = "up"
+        wait_for("reads again", lambda: "failures=0" in
+                 s.gw.state().split("feed op ")[1].split("\n")[0])
+    s.store.put("op", "config", make_config(9, extra_routes=[]))
+    wait_for("a configuration", lambda: [
+        line for line in find_log_lines(s.gw, "configuration")
+        if line["version"] == "9"])
+
+
+spoilt_through_instance.system_class = GenerousCuttableSystem
+spoilt_through_instance.system_options = {"gateways": 3}
+
+SCENARIOS = [blank_in_name, folded_line, unknown_coding, spoilt_frames,
+             spoilt_trailers, trailer_stays_trailer, wrong_length,
+             wrong_length_at_end_of_read, copy_after_answer, spoilt_already_refused,
+             sound_unusual_answers, spoilt_streams, spoilt_through_instance,
+             spoilt_answers_to_orders, spoilt_answers_of_store]
 for scenario in SCENARIOS:
-    scenario.system_class = GenerousSystem
+    if scenario is not spoilt_through_instance:
+        scenario.system_class = GenerousSystem
