lib/http: a folded first line of an answer no longer ends the process

A process of fg-entry ended by a fault of its memory when an engine, a service or the platform began the head of an answer with a line that begins with a blank, and the same thread had read a sound answer before.

Cause, found while the check of answers was tested: libcurl 7.88 joins a folded line to the last field that the handle received. When a handle is used again, that field is one of the answer before, and its memory is free.

Change: a handle makes one transfer. The handles of a thread share its connections, so that these are reused as before (/http/reuse).

--- a/lib/http/fg_http.c
+++ b/lib/http/fg_http.c
@@ -11,31 +11,35 @@
 #define CONNECT_TIMEOUT_MS 1000
 #define URL_BYTES 512
 
-static pthread_key_t handle_key;
+static pthread_key_t share_key;
 
-static void free_handle(void *handle)
+static void free_share(void *share)
 {
-	curl_easy_cleanup(handle);
+	curl_share_cleanup(share);
 }
 
 void fg_http_init(void)
 {
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	pthread_key_create(&handle_key, free_handle);
+	pthread_key_create(&share_key, free_share);
 }
 
-/* Returns the handle of the calling thread, which keeps its connections for
- * later requests. */
-static CURL *get_thread_handle(void)
+/* Returns a new handle. Those of a thread keep their connections for its later
+ * requests. A handle is used once: libcurl 7.88 joins a folded first line of an
+ * answer to the last field of the handle's answer before, which it has freed.
+ */
+static CURL *new_handle(void)
 {
-	CURL *handle = pthread_getspecific(handle_key);
-
-	if (handle == NULL) {
-		handle = curl_easy_init();
-		pthread_setspecific(handle_key, handle);
-	} else {
-		curl_easy_reset(handle);
+	CURLSH *share = pthread_getspecific(share_key);
+	CURL *handle = curl_easy_init();
+
+	if (share == NULL) {
+		share = curl_share_init();
+		curl_share_setopt(share, CURLSHOPT_SHARE,
+				  CURL_LOCK_DATA_CONNECT);
+		pthread_setspecific(share_key, share);
 	}
+	curl_easy_setopt(handle, CURLOPT_SHARE, share);
 	return handle;
 }
 
@@ -171,7 +175,7 @@
 		     struct fg_http_answer *answer)
 {
 	struct transfer t = { .call = call };
-	CURL *h = get_thread_handle();
+	CURL *h = new_handle();
 	struct curl_slist *headers;
 	CURLcode code;
 	long status = 0;
@@ -191,4 +195,5 @@
 	if (t.text != NULL)
 		answer->text = g_string_free(t.text, FALSE);
 	curl_slist_free_all(headers);
+	curl_easy_cleanup(h);
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -19,6 +19,7 @@
 	char addr[32];
 	const char *text;
 	bool endless; /* sends `text` until the client closes */
+	int n_more;   /* requests on the same connection, after the first */
 	size_t sent_bytes;
 	pthread_t thread;
 };
@@ -42,6 +43,10 @@
 		       s->sent_bytes < FLOOD_END_BYTES)
 			;
 	}
+	for (int i = 0; i < s->n_more; i++) {
+		if (recv(fd, request, sizeof(request), 0) > 0)
+			send_text(s, fd);
+	}
 	close(fd);
 	return NULL;
 }
@@ -103,6 +108,45 @@
 	}
 }
 
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+
+/* Guards against a folded first line that is written to a field of the answer
+ * before, whose memory is free. */
+static void test_folded_first_line(void)
+{
+	for (int i = 0; i < 100; i++) {
+		struct server sound = { .text = OK_LINE
+					"Content-Length: 2\r\n\r\n{}" };
+		struct server folded = { .text = OK_LINE
+					 " X: v\r\nContent-Length: 2\r\n"
+					 "\r\n{}" };
+
+		g_assert_cmpint(call(&sound).error, ==, FG_HTTP_OK);
+		g_assert_cmpint(call(&folded).error, ==, FG_HTTP_LOST);
+	}
+}
+
+static void test_reuse(void)
+{
+	struct server s = { .text = OK_LINE "Content-Length: 2\r\n\r\n{}",
+			    .n_more = 2 };
+	const struct fg_http_call c = { .method = "GET",
+					.path = "/",
+					.timeout_ms = TIMEOUT_MS,
+					.addr = s.addr };
+
+	start(&s);
+	for (int i = 0; i < 1 + s.n_more; i++) {
+		struct fg_http_answer a;
+
+		fg_http_perform(&c, &a);
+		g_assert_cmpint(a.error, ==, FG_HTTP_OK);
+		g_free(a.text);
+	}
+	pthread_join(s.thread, NULL);
+	close(s.listener);
+}
+
 static void test_informational(void)
 {
 	struct server some = {
@@ -140,6 +184,8 @@
 	g_test_init(&argc, &argv, NULL);
 	fg_http_init();
 	g_test_add_func("/http/bad_status", test_bad_status);
+	g_test_add_func("/http/folded_first_line", test_folded_first_line);
+	g_test_add_func("/http/reuse", test_reuse);
 	g_test_add_func("/http/informational", test_informational);
 	g_test_add_func("/http/endless_heads", test_endless_heads);
 	return g_test_run();
