lib/http: answers that libcurl reads are checked like those of fg_h1

fg-entry, fgctl and fg-load took answers for sound that are none: with a blank in a name, folded lines, control bytes in a value, lengths that are no number (`2x`) or stated twice, a length beside a coding, `2 2` as a chunk's size, bytes behind the last chunk or behind the length.

Cause: libcurl forgives these, and only the status line was checked. It refuses other codings, a line without a colon, and data of chunks that does not end with CR LF; of `Content-Length: 2x` it makes 2.

Change: fg_http_check sees what libcurl reads (its debug callback shows heads and frames as they came) before libcurl passes on what it made of it, and reads it with fg_h1. A broken answer is FG_HTTP_LOST without a status: the request may have run. libcurl shows no byte behind a body of length 0, but says that there are some. fgctl and fg-load count such an answer as lost.

--- a/lib/http/fg_http.c
+++ b/lib/http/fg_http.c
@@ -5,7 +5,8 @@
 #include <pthread.h>
 #include <string.h>
 
-#include "h1/fg_h1.h"
+#include "http/fg_http_check.h"
+#include "log/fg_log.h"
 
 #define ANSWER_MAX_BYTES ((size_t)16 << 20)
 #define CONNECT_TIMEOUT_MS 1000
@@ -48,8 +49,9 @@
 
 struct transfer {
 	const struct fg_http_call *call;
+	struct fg_http_check check;
 	size_t heads_bytes;
-	bool bad_head;
+	bool broken; /* what arrives is no answer */
 	GString *text;
 	size_t received_bytes;
 	size_t max_bytes;
@@ -61,6 +63,9 @@
 	struct transfer *t = arg;
 	size_t len_bytes = size * n;
 
+	t->broken = t->broken || t->check.broken;
+	if (t->broken)
+		return 0;
 	t->received_bytes += len_bytes;
 	if (t->received_bytes > t->max_bytes) {
 		t->too_large = true;
@@ -76,18 +81,14 @@
 /* Gets each line of a head, the first one included. */
 static size_t on_header(char *line, size_t size, size_t n, void *arg)
 {
-	static const char begin[] = "HTTP/";
 	struct transfer *t = arg;
 	size_t len_bytes = size * n;
 
+	(void)line;
 	t->heads_bytes += len_bytes;
-	if (t->heads_bytes > HEADS_MAX_BYTES)
-		t->bad_head = true;
-	else if (len_bytes >= strlen(begin) &&
-		 strncmp(line, begin, strlen(begin)) == 0)
-		t->bad_head = fg_h1_check_status_line(line, len_bytes) !=
-			      FG_H1_LINE_OK;
-	return t->bad_head ? 0 : len_bytes;
+	t->broken = t->broken || t->check.broken ||
+		    t->heads_bytes > HEADS_MAX_BYTES;
+	return t->broken ? 0 : len_bytes;
 }
 
 static int on_progress(void *arg, curl_off_t dltotal, curl_off_t dlnow,
@@ -155,12 +156,12 @@
 {
 	long sent_bytes = 0;
 
-	if (code == CURLE_OK)
-		return FG_HTTP_OK;
 	if (t->too_large)
 		return FG_HTTP_TOO_LARGE;
-	if (t->bad_head)
+	if (t->broken)
 		return FG_HTTP_LOST;
+	if (code == CURLE_OK)
+		return FG_HTTP_OK;
 	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	if (sent_bytes == 0)
 		return FG_HTTP_NOT_SENT;
@@ -171,6 +172,27 @@
 	return FG_HTTP_LOST;
 }
 
+/* Returns whether libcurl itself found that what arrived is no answer. */
+static bool is_unreadable(CURLcode code)
+{
+	return code == CURLE_WEIRD_SERVER_REPLY ||
+	       code == CURLE_BAD_FUNCTION_ARGUMENT ||
+	       code == CURLE_BAD_CONTENT_ENCODING;
+}
+
+static void log_broken(const struct transfer *t)
+{
+	enum fg_h1_rule rule = fg_http_check_rule(&t->check);
+	char at[24];
+
+	g_snprintf(at, sizeof(at), "%" G_GUINT64_FORMAT,
+		   (guint64)t->check.h1.message_bytes);
+	fg_log(FG_LOG_WARN, "http", "unreadable_answer", "address",
+	       t->call->addr, "rule",
+	       rule == FG_H1_RULE_NONE ? NULL : fg_h1_rule_name(rule),
+	       "at_byte", at, NULL);
+}
+
 void fg_http_perform(const struct fg_http_call *call,
 		     struct fg_http_answer *answer)
 {
@@ -186,14 +208,20 @@
 	if (call->on_data == NULL)
 		t.text = g_string_new(NULL);
 	set_options(h, &t);
+	fg_http_check_begin(&t.check, h);
 	headers = set_headers(h, call);
 	code = curl_easy_perform(h);
+	t.broken = t.broken || t.check.broken || is_unreadable(code) ||
+		   (code == CURLE_OK && !fg_http_check_end(&t.check));
+	if (t.broken)
+		log_broken(&t);
 	answer->error = classify_error(h, code, &t);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
-	answer->status = t.bad_head ? 0 : (uint32_t)status;
+	answer->status = t.broken ? 0 : (uint32_t)status;
 	answer->len_bytes = t.received_bytes;
 	if (t.text != NULL)
 		answer->text = g_string_free(t.text, FALSE);
+	fg_http_check_clear(&t.check);
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(h);
 }
--- a/programs/fg-load/fl_http.c
+++ b/programs/fg-load/fl_http.c
@@ -1,5 +1,7 @@
 #include "fl_http.h"
 
+#include "http/fg_http_check.h"
+
 #define CONNECT_TIMEOUT_MS 1000
 
 static size_t append_data(char *data, size_t size, size_t n, void *arg)
@@ -25,6 +27,7 @@
 		    uint32_t timeout_ms, struct fl_http_result *res)
 {
 	char *url = g_strconcat("http://", addr, path, NULL);
+	struct fg_http_check check;
 	long status = 0;
 	CURLcode code;
 
@@ -35,11 +38,13 @@
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_data);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, res->body);
+	fg_http_check_begin(&check, curl);
 	code = curl_easy_perform(curl);
-	if (code == CURLE_OK)
+	if (code == CURLE_OK && fg_http_check_end(&check))
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
 	res->status = (uint32_t)status;
 	res->not_sent = code == CURLE_COULDNT_CONNECT;
+	fg_http_check_clear(&check);
 	g_free(url);
 }
 
--- a/programs/fgctl/http.c
+++ b/programs/fgctl/http.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fgctl.h"
+#include "http/fg_http_check.h"
 
 #define CONNECT_TIMEOUT_MS 2000L
 #define ANSWER_MAX_BYTES (64 * 1024 * 1024)
@@ -59,6 +60,7 @@
 	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
 	struct curl_slist *headers = NULL;
 	CURL *curl = curl_easy_init();
+	struct fg_http_check check;
 	CURLcode code;
 	long sent_bytes = 0;
 	enum ctl_http_result result;
@@ -70,13 +72,17 @@
 	headers = curl_slist_append(headers, "X-Caller: fgctl");
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	set_options(curl, c, url, post, text);
+	fg_http_check_begin(&check, curl);
 	code = curl_easy_perform(curl);
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, status);
 	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	result = classify_result(code);
+	if (result == CTL_HTTP_OK && !fg_http_check_end(&check))
+		result = CTL_HTTP_LOST;
 	if (result == CTL_HTTP_LOST && sent_bytes == 0)
 		result = CTL_HTTP_NOT_SENT;
 	curl_slist_free_all(headers);
+	fg_http_check_clear(&check);
 	curl_easy_cleanup(curl);
 	return result;
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -109,6 +109,69 @@
 }
 
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKED OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
+
+/* Guards against answers that libcurl reads, and that are none. */
+static void test_spoilt(void)
+{
+	static const char *const texts[] = {
+		OK_LINE "Content-Length : 2\r\n\r\n{}",
+		OK_LINE "Content Length: 2\r\n\r\n{}",
+		OK_LINE "X Y: v\r\nContent-Length: 2\r\n\r\n{}",
+		OK_LINE " X: v\r\nContent-Length: 2\r\n\r\n{}",
+		OK_LINE "X: a\r\n Content-Length: 2\r\n\r\n{}",
+		OK_LINE "X: a\x01\r\nContent-Length: 2\r\n\r\n{}",
+		OK_LINE "X\r\nContent-Length: 2\r\n\r\n{}",
+		OK_LINE "Content-Length: 2x\r\n\r\n{}",
+		OK_LINE "Content-Length: 2\r\nContent-Length: 1\r\n\r\n{}",
+		OK_LINE "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+			"\r\n2\r\n{}\r\n0\r\n\r\n",
+		OK_LINE "Transfer-Encoding: chunke\r\n\r\n{}",
+		OK_LINE "Transfer-Encoding: gzip, chunked\r\n\r\n"
+			"2\r\n{}\r\n0\r\n\r\n",
+		OK_LINE "Transfer-Encoding: identity\r\n\r\n{}",
+		CHUNKED "2 2\r\n{}\r\n0\r\n\r\n",
+		CHUNKED "2;\x01\r\n{}\r\n0\r\n\r\n",
+		CHUNKED "2\r\n{}XX0\r\n\r\n",
+		CHUNKED "2\r\n{}\r\n0\r\nX Y: v\r\n\r\n",
+		CHUNKED "2\r\n{}\r\n0\r\n X: v\r\n\r\n",
+		CHUNKED "1\r\n{\r\n0\r\n\r\n1\r\n}\r\n0\r\n\r\n",
+		OK_LINE "Content-Length: 1\r\n\r\n{}",
+		OK_LINE "Content-Length: 0\r\n\r\n{}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct server s = { .text = texts[i] };
+		struct fg_http_answer a = call(&s);
+
+		g_test_message("%s", texts[i]);
+		g_assert_cmpint(a.error, ==, FG_HTTP_LOST);
+		g_assert_cmpuint(a.status, ==, 0);
+	}
+}
+
+/* Guards against a check that is stricter than the protocol. */
+static void test_unusual(void)
+{
+	static const char *const texts[] = {
+		OK_LINE "Content-Length: \t02\t \r\n\r\n{}",
+		OK_LINE "X:\r\nY: \xe4\r\ncontent-length:2\r\n\r\n{}",
+		OK_LINE "\r\n{}",
+		OK_LINE "Transfer-Encoding: CHUNKED\r\n\r\n"
+			"2;a=b\r\n{}\r\n0\r\nX: v\r\n\r\n",
+		OK_LINE "Content-Length: 2\r\n\r\n{}" OK_LINE,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct server s = { .text = texts[i] };
+		struct fg_http_answer a = call(&s);
+
+		g_test_message("%s", texts[i]);
+		g_assert_cmpint(a.error, ==, FG_HTTP_OK);
+		g_assert_cmpuint(a.status, ==, 200);
+		g_assert_cmpuint(a.len_bytes, ==, 2);
+	}
+}
 
 /* Guards against a folded first line that is written to a field of the answer
  * before, whose memory is free. */
@@ -184,7 +247,9 @@
 	g_test_init(&argc, &argv, NULL);
 	fg_http_init();
 	g_test_add_func("/http/bad_status", test_bad_status);
+	g_test_add_func("/http/spoilt", test_spoilt);
 	g_test_add_func("/http/folded_first_line", test_folded_first_line);
+	g_test_add_func("/http/unusual", test_unusual);
 	g_test_add_func("/http/reuse", test_reuse);
 	g_test_add_func("/http/informational", test_informational);
 	g_test_add_func("/http/endless_heads", test_endless_heads);
