--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -412,20 +412,12 @@
 		h->ops->on_end(h->ctx);
 }
 
-/* Parses bytes that the check allowed. Returns the number of bytes consumed. */
-static size_t parse_bytes(struct fg_h1 *h, const char *data, size_t len)
+/* Finds out whether the bytes that were parsed last end the message by a fault.
+ * That of a callback, or of http-parser, lies before that of the check. */
+static void note_fault(struct fg_h1 *h)
 {
-	size_t n_consumed = 0;
-	enum http_errno error;
+	enum http_errno error = HTTP_PARSER_ERRNO(&h->parser);
 
-	/* http-parser takes 0 bytes for the end of the connection. */
-	if (len > 0)
-		n_consumed = http_parser_execute(&h->parser, &parser_settings,
-						 data, len);
-	h->message_bytes += n_consumed;
-	error = HTTP_PARSER_ERRNO(&h->parser);
-	if (h->ended)
-		return n_consumed;
 	if (h->fault == FG_H1_OK && error == HPE_HEADER_OVERFLOW)
 		h->fault = FG_H1_HEAD_TOO_LARGE;
 	else if (h->fault == FG_H1_OK &&
@@ -436,6 +428,20 @@
 		break_rule(h, h->check.broken);
 	if (h->fault == FG_H1_MALFORMED)
 		h->fault_at = h->message_bytes;
+}
+
+/* Parses bytes that the check allowed. Returns the number of bytes consumed. */
+static size_t parse_bytes(struct fg_h1 *h, const char *data, size_t len)
+{
+	size_t n_consumed = 0;
+
+	/* http-parser takes 0 bytes for the end of the connection. */
+	if (len > 0)
+		n_consumed = http_parser_execute(&h->parser, &parser_settings,
+						 data, len);
+	h->message_bytes += n_consumed;
+	if (!h->ended)
+		note_fault(h);
 	return n_consumed;
 }
 
--- a/lib/h1/fg_h1.h
+++ b/lib/h1/fg_h1.h
@@ -29,8 +29,7 @@
 	uint32_t name_at[FG_H1_FIELDS_MAX];
 	uint32_t value_at[FG_H1_FIELDS_MAX];
 	uint32_t n_fields; /* with those of the trailer, once it was read */
-	uint32_t n_head_fields;	 /* without the trailer; 0 before the head's end
-				  */
+	uint32_t n_head_fields;	 /* without the trailer; 0 within the head */
 	unsigned int method;	 /* enum http_method; requests only */
 	unsigned int status;	 /* answers only */
 	unsigned int http_minor; /* 0 for HTTP/1.0 */
--- a/lib/h1/fg_h1_check.h
+++ b/lib/h1/fg_h1_check.h
@@ -39,8 +39,7 @@
 enum fg_h1_check_state {
 	FG_H1_CHECK_START = 0, /* empty lines before a message are skipped */
 	FG_H1_CHECK_START_LINE = 1,
-	FG_H1_CHECK_LINE =
-		2, /* at the beginning of a field or the empty line */
+	FG_H1_CHECK_LINE = 2, /* at the beginning of a line behind it */
 	FG_H1_CHECK_NAME = 3,
 	FG_H1_CHECK_VALUE = 4,
 	FG_H1_CHECK_LINE_LF = 5, /* behind the CR of a line */
@@ -71,7 +70,7 @@
  * Checks bytes of the message. Returns how many of them may be parsed: those
  * before the first one that breaks a rule (c->broken), those of the head, or
  * of the trailer, up to its end (c->state is FG_H1_CHECK_HEAD_END), or all. A
- * tab in a value is returned alone.
+ * tab in a value, or behind the size of a chunk, is returned alone.
  */
 size_t fg_h1_check_feed(struct fg_h1_check *c, const char *data,
 			size_t len_bytes);
--- a/tests/gateway_spoilt_answers.py
+++ b/tests/gateway_spoilt_answers.py
@@ -8,8 +8,7 @@
 import socket
 import time
 
-from gateway_bad_answers import (
-    AT_ONCE_S, GenerousCuttableSystem, GenerousSystem)
+from gateway_bad_answers import GenerousCuttableSystem, GenerousSystem
 from gateway_tunnels import cut_from_endpoints
 from hosted import (
     HOST, MODEL, check, find_log_lines, has_all_events, http_get, make_config, next_id,
@@ -19,6 +18,7 @@
 LENGTH = b"Content-Length: 4"
 CODING = b"Transfer-Encoding: chunked"
 CHUNKS = b"4\r\nbody\r\n0\r\n\r\n"
+AT_ONCE_S = 0.75  # half of what the routes allow
 READ_BYTES = 16384  # of one read of an instance
 MARK = b"X-Endpoint: marked"  # a field that only an endpoint's answer has
 
@@ -172,7 +172,7 @@
     what = f"{path} {form} {'first' if first else 'last'}" + (
         " closes" if closes else "")
     status = raw[9:12]
-    if status not in (b"502", b"503", b"504") or MARK in raw or b"Stamp" in raw:
+    if status not in (b"502", b"503") or MARK in raw or b"Stamp" in raw:
         return f"{what}: {raw!r}"
     if took_s > AT_ONCE_S:
         return f"{what}: {took_s:.1f} s"
