tests: sound_unusual_answers waits for the end of a connection

The scenario failed at times: an order got 502 instead of a sound answer. Trace (g0): the endpoint had answered the request before, by its length and without "Connection: close", and then closed the connection; the next order was sent on it within the same ms and lost with it (connection_lost, first_ms=-1, sends=1). An order may run once, so that 502 is the right answer: nobody can tell whether it ran. Each of the failures followed such an end, none a fault of the form.

The stand-in still ends connections without notice. It now ends its own side and waits until the instance has closed its side, and the scenario sends the next request then; an instance that does not close fails it. What is asked of the answers is as before. trailer_stays_trailer does the same.

--- a/tests/gateway_spoilt_answers.py
+++ b/tests/gateway_spoilt_answers.py
@@ -6,6 +6,7 @@
 import re
 import signal
 import socket
+import threading
 import time
 
 from gateway_bad_answers import GenerousCuttableSystem, GenerousSystem
@@ -132,14 +133,42 @@
         b"4\r\nbody\r\n0\r\nX-Sum:\r\nX-A:\t b \r\n\r\n")]]
 
 
-def sends(form, first, closes):
-    """An answer_with of a replica."""
+class FormAnswer:
+    """An answer_with of a replica, that may end its connection behind the answer.
 
-    def answer(replica, req, rid):
-        req.sock.sendall(form.answer(replica, rid, first))
-        return not closes
+    The end is not announced. A request that is sent before the instance has seen
+    it is lost with the connection, which is no fault of the answer: who expects
+    the next request to be served calls wait_for_end() first."""
+
+    def __init__(self, form, first, closes):
+        self.form = form
+        self.first = first
+        self.closes = closes
+        self.ended = threading.Event()
+
+    def __call__(self, replica, req, rid):
+        req.sock.sendall(self.form.answer(replica, rid, self.first))
+        if self.closes:
+            end_connection(req.sock)
+            self.ended.set()
+        return not self.closes
 
-    return answer
+    def wait_for_end(self):
+        check(not self.closes or self.ended.wait(8), f"{self.form}: not closed")
+        self.ended.clear()
+
+
+def end_connection(sock):
+    """Sends the end of a connection and returns when the peer has closed it."""
+    sock.settimeout(8)
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while sock.recv(4096):
+            pass
+    except TimeoutError:
+        raise
+    except OSError:
+        pass  # reset, as it had bytes that the peer did not read
 
 
 def connect(gateway):
@@ -163,7 +192,7 @@
 
 def find_spoilt(s, path, form, first, closes):
     """Returns what is wrong when all endpoints answer so, or None."""
-    set_answers(s, sends(form, first, closes))
+    set_answers(s, FormAnswer(form, first, closes))
     rid = next_id()
     begin = time.monotonic()
     raw = call_raw(s.gateways[0], path, rid)
@@ -257,9 +286,11 @@
     head, or that change what the head says."""
     trailer = (b"X-Late: 1\r\nResponse-Stamp: other\r\nRequest-Id: other\r\n"
                b"Content-Type: text/event-stream\r\nServer-Leaving: 1")
-    set_answers(s, sends(with_trailer(trailer), False, True))
+    answer = FormAnswer(with_trailer(trailer), False, True)
+    set_answers(s, answer)
     for path in ("/order/1", "/lookup/1", "/draft/1"):
         raw = call_raw(s.gateways[0], path, next_id())
+        answer.wait_for_end()
         check(raw.startswith(b"HTTP/1.1 200 ") and raw.endswith(b"\r\n\r\nbody"),
               f"{path}: {raw!r}")
         for part in (b"X-Late", b"other", b"event-stream", b"Leaving"):
@@ -326,9 +357,11 @@
     for form in SOUND:
         for first in (False, True):
             for closes in (True, False) if form.lines else (True,):
-                set_answers(s, sends(form, first, closes))
+                answer = FormAnswer(form, first, closes)
+                set_answers(s, answer)
                 for path in ("/order/1", "/lookup/1"):
                     raw = call_raw(s.gateways[0], path, next_id())
+                    answer.wait_for_end()
                     head, _, body = raw.partition(b"\r\n\r\n")
                     check(head.startswith(b"HTTP/1.1 200 ") and body == BODY and
                           b"\r\n" + LENGTH in head and MARK in head,
@@ -351,7 +384,7 @@
                   chunk + b"0\r\nX Y: v\r\n\r\n", chunk + b"0\r\n X: v\r\n\r\n",
                   chunk + b"0\r\n\r\nrest"):
         for path in ("/draft/1", "/brief/1"):
-            set_answers(s, sends(Form([kind, CODING], after), False, True))
+            set_answers(s, FormAnswer(Form([kind, CODING], after), False, True))
             raw = call_raw(s.gateways[0], path, next_id())
             check(not raw.endswith(b"0\r\n\r\n"), f"{path} {after!r}: {raw!r}")
     set_answers(s, None)
