tests/run.sh: names what failed, with the reason, behind the last test

A log of which only the beginning and the end were kept told that one of 947 tests had failed, and not which one: its name stood in the middle, before thousands of lines of a scenario that is listed in KNOWN-RED.txt.

The failed tests, each with the first reason of its output, and the known red ones are printed once more before the last lines. What counts as a failure is as before.

Measured: a test program that fails an assertion and aborts is listed with both; "1 passed, 2 failed", as before.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -8,7 +8,8 @@
 #   sanitized  unit tests, one scenario, and the gateway scenarios of limits and
 #              stops, for the sanitizer builds
 # Tests listed in KNOWN-RED.txt run as well; their failures are printed, but do
-# not fail the run.
+# not fail the run. The failures are listed once more before the last line, each
+# with the first reason that its output gives.
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
@@ -20,22 +21,32 @@
 skipped=0
 known=0
 log=$(mktemp)
-trap 'rm -f "$log"' EXIT
+summary=$(mktemp)
+trap 'rm -f "$log" "$summary"' EXIT
 
 is_known_red() {
 	[ -f KNOWN-RED.txt ] && grep -q "^$1 " KNOWN-RED.txt
 }
 
-# record NAME STATUS: counts one test.
+# first_reason FILE [PATTERN]: the first line of a test's output that says why it
+# failed, cut to a readable length; its last line where no line matches.
+first_reason() {
+	reason=$(grep -m 1 -e "${2:-^not ok \|ERROR:\|Error: }" "$1") ||
+		reason=$(tail -n 1 "$1")
+	printf '%.300s' "$reason"
+}
+
+# record NAME STATUS [REASON]: counts one test.
 record() {
 	if [ "$2" -eq 0 ]; then
 		passed=$((passed + 1))
 	elif is_known_red "$1"; then
 		known=$((known + 1))
-		echo "KNOWN RED: $1"
+		echo "KNOWN RED: $1" | tee -a "$summary"
 	else
 		failed=$((failed + 1))
 		echo "FAILED: $1"
+		echo "FAILED: $1: ${3:-}" >>"$summary"
 	fi
 }
 
@@ -55,12 +66,13 @@
 	bad=$(sed -n 's/^not ok [0-9]* \([^ ]*\).*/\1/p' "$log")
 	before=$failed
 	for path in $bad; do
-		record "$name:$path" 1
+		record "$name:$path" 1 "$(first_reason "$log" 'ERROR:')"
 	done
 	# An aborted program did not run its remaining tests.
 	if [ "$status" -ne 0 ] &&
 		{ [ -z "$bad" ] || grep -q '^Bail out!' "$log"; }; then
 		failed=$((failed + 1))
+		echo "FAILED: $name: ended with $status" >>"$summary"
 	fi
 	if [ "$failed" -gt "$before" ]; then
 		echo "FAILED: $name (exit $status)"
@@ -75,7 +87,7 @@
 		"$1" -p "$path" >"$log" 2>&1
 		status=$?
 		[ $status -eq 0 ] || tail -n 20 "$log"
-		record "$(basename "$1"):$path" $status
+		record "$(basename "$1"):$path" $status "$(first_reason "$log")"
 	done
 }
 
@@ -95,7 +107,8 @@
 			head -n 20 "$log" # the diff
 			tail -n 30 "$log"
 		fi
-		record "$(basename "$script" .fgs)" $status
+		record "$(basename "$script" .fgs)" $status \
+			"$(first_reason "$log" '^[-+][^-+]')"
 	done
 fi
 
@@ -105,7 +118,7 @@
 		>"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || tail -n 60 "$log"
-	record "seeded-$1-$2" $status
+	record "seeded-$1-$2" $status "$(first_reason "$log")"
 }
 
 # record_lines PROGRAM STATUS LOG: counts the "ok NAME" and "not ok NAME" lines of
@@ -122,14 +135,15 @@
 		ok:*) record "$name-${line#ok:}" 0 ;;
 		bad:*)
 			bad=$((bad + 1))
-			record "$name-${line#bad:}" 1
+			record "$name-${line#bad:}" 1 \
+				"$(first_reason "$3" "^not ok ${line#bad:}\b")"
 			;;
 		esac
 	done
 	# A program that ended before its last scenario names no failed one.
 	if [ "$2" -ne 0 ]; then
 		cat "$3"
-		[ $bad -gt 0 ] || record "$name" "$2"
+		[ $bad -gt 0 ] || record "$name" "$2" "$(first_reason "$3")"
 	fi
 }
 
@@ -147,7 +161,7 @@
 		BUILD=$build tests/gateway.py "$scenario" >"$log" 2>&1
 		status=$?
 		[ $status -eq 0 ] || cat "$log"
-		record "$prefix-$scenario" $status
+		record "$prefix-$scenario" $status "$(first_reason "$log")"
 	done
 }
 
@@ -181,7 +195,7 @@
 	"$@" >"$log" 2>&1
 	status=$?
 	[ $status -eq 0 ] || cat "$log"
-	record "$name" $status
+	record "$name" $status "$(first_reason "$log")"
 }
 
 if [ "$what" = sanitized ]; then
@@ -206,6 +220,7 @@
 	run_seeded association 5
 fi
 
+cat "$summary"
 [ "$known" -eq 0 ] || echo "known red: $known (see KNOWN-RED.txt)"
 if [ "$skipped" -eq 0 ]; then
 	echo "$passed passed, $failed failed"
