lib/h1: the byte at which the first line of an answer is malformed

An answer whose first line is none was logged with at_byte 0 by fg-gateway, and with the bytes that had been read before that piece by lib/link and lib/http. The check of the first line broke off before any byte of its piece was counted.

It now notes the first byte that no answer has there.

Measured: the new case /h1/first_line fails before (0 instead of 3) and passes now, whole, in two pieces at each offset and byte by byte.

--- a/lib/h1/fg_h1.c
+++ b/lib/h1/fg_h1.c
@@ -1,5 +1,6 @@
 #include "h1/fg_h1.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* ---- Heads ---- */
@@ -307,6 +308,11 @@
 	return FG_H1_LINE_OK;
 }
 
+bool fg_h1_is_informational(unsigned int status)
+{
+	return status < HTTP_STATUS_OK;
+}
+
 bool fg_h1_may_begin_answer(const char *data, size_t len_bytes)
 {
 	return fg_h1_check_status_line(data, len_bytes) != FG_H1_LINE_MALFORMED;
@@ -324,23 +330,33 @@
 	out[n] = '\0';
 }
 
+void fg_h1_format_fault_at(const struct fg_h1 *h, char out[FG_H1_AT_TEXT_BYTES])
+{
+	uint64_t at =
+		h->fault == FG_H1_MALFORMED ? h->fault_at : h->message_bytes;
+
+	g_snprintf(out, FG_H1_AT_TEXT_BYTES, "%" PRIu64, at);
+}
+
 /* Checks the beginning of an answer as it arrives. Returns false on a fault. */
 static bool check_line(struct fg_h1 *h, const char *data, size_t len)
 {
-	enum fg_h1_line line;
+	enum fg_h1_line line = FG_H1_LINE_PARTIAL;
 
-	if (h->line_len == FG_H1_STATUS_LINE_BYTES)
-		return true;
 	for (size_t i = 0; i < len && h->line_len < FG_H1_STATUS_LINE_BYTES;
 	     i++) {
 		/* Empty lines before an answer are skipped. */
-		if (h->line_len > 0 || (data[i] != '\r' && data[i] != '\n'))
-			h->line[h->line_len++] = data[i];
+		if (h->line_len == 0 && (data[i] == '\r' || data[i] == '\n'))
+			continue;
+		h->line[h->line_len++] = data[i];
+		line = fg_h1_check_status_line(h->line, h->line_len);
+		if (line == FG_H1_LINE_MALFORMED) {
+			break_rule(h, FG_H1_RULE_START_LINE);
+			h->fault_at = h->message_bytes + i;
+			return false;
+		}
 	}
-	line = fg_h1_check_status_line(h->line, h->line_len);
-	if (line == FG_H1_LINE_MALFORMED)
-		break_rule(h, FG_H1_RULE_START_LINE);
-	else if (line == FG_H1_LINE_BAD_STATUS)
+	if (line == FG_H1_LINE_BAD_STATUS)
 		h->fault = FG_H1_BAD_STATUS;
 	return h->fault == FG_H1_OK;
 }
--- a/lib/h1/fg_h1.h
+++ b/lib/h1/fg_h1.h
@@ -78,6 +78,10 @@
 /* Bytes after which fg_h1_check_status_line() knows. */
 #define FG_H1_STATUS_LINE_BYTES 13
 
+/* Returns whether an answer with that status comes before the one that answers
+ * the request (RFC 9110 section 15.2). */
+bool fg_h1_is_informational(unsigned int status);
+
 /* Returns whether the bytes can be the beginning of an answer. Others that
  * follow an answer show that its length was wrong. */
 bool fg_h1_may_begin_answer(const char *data, size_t len_bytes);
@@ -138,6 +142,12 @@
 #define FG_H1_STATUS_TEXT_BYTES 8
 void fg_h1_bad_status(const struct fg_h1 *h, char out[FG_H1_STATUS_TEXT_BYTES]);
 
+/* Writes, for log lines, how many bytes of the message came before its fault;
+ * all of them where the message itself has none. */
+#define FG_H1_AT_TEXT_BYTES 24
+void fg_h1_format_fault_at(const struct fg_h1 *h,
+			   char out[FG_H1_AT_TEXT_BYTES]);
+
 /* Prepares the parser for the next message of the connection. */
 void fg_h1_reset(struct fg_h1 *h);
 
--- a/tests/unit/test_h1.c
+++ b/tests/unit/test_h1.c
@@ -179,6 +179,32 @@
 	check_broken(ANSWER "A: b\r\n\rX", false, FG_H1_RULE_LINE_END);
 }
 
+/* The fault lies at the byte that no answer has there, in whatever pieces the
+ * first line arrives. */
+static void test_first_line(void)
+{
+	static const struct {
+		const char *text;
+		uint64_t fault_at;
+	} spoilt[] = {
+		{ "HTTQ/1.1 200 OK\r\n\r\n", 3 },
+		{ "HTTP/x.1 200 OK\r\n\r\n", 5 },
+		{ "\r\n\r\nHTTP 1.1 200 OK\r\n\r\n", 8 },
+		{ "body", 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(spoilt); i++) {
+		struct verdict v;
+
+		g_test_message("%s", spoilt[i].text);
+		judge(&v, spoilt[i].text, strlen(spoilt[i].text), false);
+		g_assert_cmpint(v.fault, ==, FG_H1_MALFORMED);
+		g_assert_cmpint(v.rule, ==, FG_H1_RULE_START_LINE);
+		g_assert_cmpuint(v.fault_at, ==, spoilt[i].fault_at);
+		clear_verdict(&v);
+	}
+}
+
 static void test_nul(void)
 {
 	static const char *const parts[] = { "X", "X: a" };
@@ -424,6 +450,7 @@
 	g_test_add_func("/h1/names", test_names);
 	g_test_add_func("/h1/folding", test_folding);
 	g_test_add_func("/h1/values", test_values);
+	g_test_add_func("/h1/first_line", test_first_line);
 	g_test_add_func("/h1/nul", test_nul);
 	g_test_add_func("/h1/codings", test_codings);
 	g_test_add_func("/h1/lengths", test_lengths);
