One place tells a rest, an informational status and the place of a fault

may_be_mixed() of the gateway's sends was a part of has_rest(), asked before it; the copies of is_informational() and of the text of `at_byte` stood beside their users; lib/http kept the verdict of its check in a flag of its own.

One decision tells that a rest follows an answer, and then whose it may be. What is accepted, and which endpoint it counts against, is as before; lib/link and lib/http now log the same place as fg-gateway for a malformed first line.

--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -138,14 +138,13 @@
 {
 	struct fg_call call = { 0 };
 	const char *rule = NULL;
-	char at[24];
+	char at[FG_H1_AT_TEXT_BYTES];
 
 	if (c->head_done)
 		(void)c->gw->wire->call_read(&c->h1.head, &call);
 	if (c->h1.fault == FG_H1_MALFORMED)
 		rule = fg_h1_rule_name(c->h1.rule);
-	g_snprintf(at, sizeof(at), "%" G_GUINT64_FORMAT,
-		   (guint64)c->h1.fault_at);
+	fg_h1_format_fault_at(&c->h1, at);
 	if (fg_gw_is_stopping(c->gw))
 		fg_log(FG_LOG_INFO, "caller", event, "id", call.id, "reason",
 		       reason, "rule", rule, "at_byte",
--- a/lib/gateway/fg_gw_send.c
+++ b/lib/gateway/fg_gw_send.c
@@ -98,17 +98,6 @@
 	return fg_stutter_allows_reuse(s, now, fg_gwreq_may_run_again(r));
 }
 
-/* Returns whether an answer that `len` bytes follow may have a piece of a copy
- * within its body: the copy's rest is then left over, which begins no head. A
- * copy is one of an earlier answer on the connection. */
-static bool may_be_mixed(const struct fg_ep_conn *conn, const char *data,
-			 size_t len)
-{
-	return !conn->skip_message && conn->report == NULL &&
-	       conn->n_answers > 0 && conn->h1.head.length_bytes >= 0 &&
-	       !fg_h1_may_begin_answer(data, len);
-}
-
 /*
  * Returns whether other bytes than those of a further answer follow a complete
  * one: its length, or its last chunk, was wrong, and the body is a part of what
@@ -128,6 +117,14 @@
 	return !fg_h1_may_begin_answer(next, len);
 }
 
+/* Returns whether the rest that came with an answer may be that of a copy of an
+ * earlier answer on the connection, a piece of which is within the body. */
+static bool may_be_rest_of_copy(const struct fg_ep_conn *conn, size_t len)
+{
+	return len > 0 && conn->n_answers > 0 &&
+	       conn->h1.head.length_bytes >= 0;
+}
+
 /* ---- Reading answers ---- */
 
 static void write_request(struct fg_ep_conn *conn);
@@ -147,11 +144,6 @@
 	fg_gwreq_on_send_end(r, end, why);
 }
 
-static bool is_informational(unsigned int status)
-{
-	return status < HTTP_STATUS_OK;
-}
-
 /* An endpoint that sends more than this before its answer sends without end.
  * An informational answer is a head; an answer to another request may be as
  * large as any. */
@@ -162,7 +154,7 @@
 /* Counts a message that was skipped. Returns false when there were too many. */
 static bool count_skipped(struct fg_ep_conn *conn)
 {
-	if (is_informational(conn->h1.head.status))
+	if (fg_h1_is_informational(conn->h1.head.status))
 		conn->informational_bytes += conn->message_bytes;
 	else
 		conn->skipped_bytes += conn->message_bytes;
@@ -200,7 +192,7 @@
 
 	if (conn->report != NULL) {
 		conn->status = head->status;
-		conn->skip_message = is_informational(head->status);
+		conn->skip_message = fg_h1_is_informational(head->status);
 		return true;
 	}
 	if (r == NULL)
@@ -215,11 +207,11 @@
 	if (conn->via != 0)
 		fg_gw_tunnel_tell(conn->gw, conn->via, conn->ep, &conn->reply);
 	conn->status = head->status;
-	conn->skip_message = is_informational(head->status) ||
+	conn->skip_message = fg_h1_is_informational(head->status) ||
 			     (conn->reply.id != NULL && r->call.id != NULL &&
 			      strcmp(conn->reply.id, r->call.id) != 0);
 	if (conn->skip_message) {
-		if (!is_informational(head->status))
+		if (!fg_h1_is_informational(head->status))
 			note_stutter(conn, "before_answer");
 		return has_body;
 	}
@@ -320,7 +312,7 @@
 			fg_link_pending_bytes(conn->link) == 0 &&
 			conn->unread_body == 0;
 
-	if (!is_informational(conn->h1.head.status))
+	if (!fg_h1_is_informational(conn->h1.head.status))
 		conn->n_answers++;
 	if (conn->skip_message) {
 		conn->skip_message = false;
@@ -367,16 +359,15 @@
 
 /* Counts and logs that the endpoint broke a rule of HTTP, at that byte of its
  * message. The bytes themselves may hold a caller's data. */
-static void log_malformed(const struct fg_ep_conn *conn, enum fg_h1_rule rule,
-			  uint64_t at)
+static void log_malformed(const struct fg_ep_conn *conn, enum fg_h1_rule rule)
 {
-	char at_text[24];
+	char at[FG_H1_AT_TEXT_BYTES];
 
-	g_snprintf(at_text, sizeof(at_text), "%" G_GUINT64_FORMAT, (guint64)at);
+	fg_h1_format_fault_at(&conn->h1, at);
 	fg_gw_count_malformed(conn->gw, "malformed_answers", rule);
 	fg_log(FG_LOG_WARN, "endpoint", "malformed_answer", "endpoint",
 	       conn->ep->facts.id, "service", conn->ep->facts.service, "rule",
-	       fg_h1_rule_name(rule), "at_byte", at_text, NULL);
+	       fg_h1_rule_name(rule), "at_byte", at, NULL);
 }
 
 static const char *fault_reason(const struct fg_h1 *h1)
@@ -409,7 +400,7 @@
 		if (conn->h1.fault == FG_H1_BAD_STATUS)
 			log_bad_status(conn);
 		if (conn->h1.fault == FG_H1_MALFORMED)
-			log_malformed(conn, conn->h1.rule, conn->h1.fault_at);
+			log_malformed(conn, conn->h1.rule);
 		if (conn->h1.fault != FG_H1_OK) {
 			fail_answer(conn, fault_reason(&conn->h1));
 			return;
@@ -421,17 +412,17 @@
 			continue;
 		if (len > 0 && !conn->skip_message)
 			note_stutter(conn, "after_answer");
-		if (may_be_mixed(conn, data, len)) {
-			fg_ep_conn_fail(conn, FG_SEND_BROKEN, "answer_mixed");
-			return;
+		if (!has_rest(conn, data, len)) {
+			finish_message(conn, len == 0);
+			continue;
 		}
-		if (has_rest(conn, data, len)) {
-			log_malformed(conn, FG_H1_RULE_REST,
-				      conn->h1.message_bytes);
-			fail_answer(conn, "malformed_answer");
+		if (may_be_rest_of_copy(conn, len)) {
+			fg_ep_conn_fail(conn, FG_SEND_BROKEN, "answer_mixed");
 			return;
 		}
-		finish_message(conn, len == 0);
+		log_malformed(conn, FG_H1_RULE_REST);
+		fail_answer(conn, "malformed_answer");
+		return;
 	}
 }
 
--- a/lib/http/fg_http.c
+++ b/lib/http/fg_http.c
@@ -51,20 +51,26 @@
 	const struct fg_http_call *call;
 	struct fg_http_check check;
 	size_t heads_bytes;
-	bool broken; /* what arrives is no answer */
+	bool unreadable; /* as found when the transfer had ended */
 	GString *text;
 	size_t received_bytes;
 	size_t max_bytes;
 	bool too_large;
 };
 
+/* Returns whether what arrives is no answer. */
+static bool is_broken(const struct transfer *t)
+{
+	return t->check.broken || t->unreadable ||
+	       t->heads_bytes > HEADS_MAX_BYTES;
+}
+
 static size_t on_write(char *data, size_t size, size_t n, void *arg)
 {
 	struct transfer *t = arg;
 	size_t len_bytes = size * n;
 
-	t->broken = t->broken || t->check.broken;
-	if (t->broken)
+	if (is_broken(t))
 		return 0;
 	t->received_bytes += len_bytes;
 	if (t->received_bytes > t->max_bytes) {
@@ -86,9 +92,7 @@
 
 	(void)line;
 	t->heads_bytes += len_bytes;
-	t->broken = t->broken || t->check.broken ||
-		    t->heads_bytes > HEADS_MAX_BYTES;
-	return t->broken ? 0 : len_bytes;
+	return is_broken(t) ? 0 : len_bytes;
 }
 
 static int on_progress(void *arg, curl_off_t dltotal, curl_off_t dlnow,
@@ -158,7 +162,7 @@
 
 	if (t->too_large)
 		return FG_HTTP_TOO_LARGE;
-	if (t->broken)
+	if (is_broken(t))
 		return FG_HTTP_LOST;
 	if (code == CURLE_OK)
 		return FG_HTTP_OK;
@@ -183,10 +187,9 @@
 static void log_broken(const struct transfer *t)
 {
 	enum fg_h1_rule rule = fg_http_check_rule(&t->check);
-	char at[24];
+	char at[FG_H1_AT_TEXT_BYTES];
 
-	g_snprintf(at, sizeof(at), "%" G_GUINT64_FORMAT,
-		   (guint64)t->check.h1.message_bytes);
+	fg_h1_format_fault_at(&t->check.h1, at);
 	fg_log(FG_LOG_WARN, "http", "unreadable_answer", "address",
 	       t->call->addr, "rule",
 	       rule == FG_H1_RULE_NONE ? NULL : fg_h1_rule_name(rule),
@@ -211,13 +214,13 @@
 	fg_http_check_begin(&t.check, h);
 	headers = set_headers(h, call);
 	code = curl_easy_perform(h);
-	t.broken = t.broken || t.check.broken || is_unreadable(code) ||
-		   (code == CURLE_OK && !fg_http_check_end(&t.check));
-	if (t.broken)
+	t.unreadable = is_unreadable(code) ||
+		       (code == CURLE_OK && !fg_http_check_end(&t.check));
+	if (is_broken(&t))
 		log_broken(&t);
 	answer->error = classify_error(h, code, &t);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
-	answer->status = t.broken ? 0 : (uint32_t)status;
+	answer->status = is_broken(&t) ? 0 : (uint32_t)status;
 	answer->len_bytes = t.received_bytes;
 	if (t.text != NULL)
 		answer->text = g_string_free(t.text, FALSE);
--- a/lib/http/fg_http_check.c
+++ b/lib/http/fg_http_check.c
@@ -27,7 +27,7 @@
 /* Returns whether the answer that is being read is informational. */
 static bool is_informational(const struct fg_http_check *c)
 {
-	return c->h1.parser.status_code < HTTP_STATUS_OK;
+	return fg_h1_is_informational(c->h1.parser.status_code);
 }
 
 static void check_bytes(struct fg_http_check *c, const char *data, size_t len)
--- a/lib/link/fg_channel.c
+++ b/lib/link/fg_channel.c
@@ -61,17 +61,13 @@
 	end_request(c, 0);
 }
 
-static bool is_informational(const struct fg_h1_head *head)
-{
-	return head->status < HTTP_STATUS_OK;
-}
-
 static bool on_head(void *ctx, const struct fg_h1_head *head)
 {
 	struct fg_channel *c = ctx;
 
 	g_string_truncate(c->body, 0);
-	if (c->hook != NULL && c->done != NULL && !is_informational(head))
+	if (c->hook != NULL && c->done != NULL &&
+	    !fg_h1_is_informational(head->status))
 		c->head_result = c->hook(c->hook_ctx, c, head);
 	return true;
 }
@@ -114,12 +110,11 @@
 			enum fg_h1_rule rule)
 {
 	char status[FG_H1_STATUS_TEXT_BYTES];
-	char at[24];
+	char at[FG_H1_AT_TEXT_BYTES];
 	bool malformed = rule != FG_H1_RULE_NONE;
 
 	fg_h1_bad_status(&c->h1, status);
-	g_snprintf(at, sizeof(at), "%" G_GUINT64_FORMAT,
-		   (guint64)c->h1.message_bytes);
+	fg_h1_format_fault_at(&c->h1, at);
 	fg_log(FG_LOG_WARN, "channel", "unreadable_answer", "address",
 	       c->address, "reason", reason, "status",
 	       c->h1.fault == FG_H1_BAD_STATUS ? status : NULL, "rule",
@@ -151,7 +146,7 @@
 		data += used;
 		if (!c->h1.ended)
 			return;
-		if (!is_informational(&c->h1.head)) {
+		if (!fg_h1_is_informational(c->h1.head.status)) {
 			if (!fg_h1_may_begin_answer(data, len)) {
 				fail_answer(c, "malformed_answer",
 					    FG_H1_RULE_REST);
