A request that crosses the close of an idle connection gets a word

Cause: a shorter limit closed connections at once whose callers did not know it yet; and a close within 2 s of an answer reads and drops what comes behind it, so that a caller that has read its answer and sends the next request learns nothing.

Change: a connection keeps the longest limit that its caller may know (lib/idle); an idle connection is closed when nothing is on its way, so that later bytes are not read; one with an unread request keeps its place, one that gives it is reset when more comes; input without room behind an answered request is refused. Bytes that are dropped have a line in the log.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -394,6 +394,7 @@
 	gw->balance = balance_defaults;
 	fg_loadgate_init(&gw->loadgate, gw->balance.load_ms);
 	gw->callers = g_ptr_array_new();
+	fg_idle_init(&gw->idle, fg_caller_limits(gw).idle_timeout_ms);
 	fg_memory_init(&gw->memory, gw->conf->caller_memory_bytes);
 	gw->reqs = g_ptr_array_new();
 	gw->tunnels = g_ptr_array_new();
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -60,6 +60,7 @@
 #include "gateway/fg_events.h"
 #include "gateway/fg_gw_state.h"
 #include "gateway/fg_gateway.h"
+#include "idle/fg_idle.h"
 #include "link/fg_channel.h"
 #include "link/fg_link.h"
 #include "memory/fg_memory.h"
@@ -164,6 +165,10 @@
  * are sent first. */
 void fg_caller_close(struct fg_caller *c, bool flush);
 
+/* Closes a connection on which no answer is due. A request that its caller has
+ * sent meanwhile is not run, and the connection is reset. */
+void fg_caller_close_idle(struct fg_caller *c);
+
 /* Resets the connection, so that the caller cannot take a partial answer for a
  * complete one. */
 void fg_caller_abort(struct fg_caller *c);
@@ -1181,6 +1186,7 @@
 	fg_ms own_read_at;   /* last answered read of the own table; 0: none */
 
 	struct fg_routes *routes;  /* NULL before the first configuration */
+	struct fg_idle idle;	   /* limit of idle connections */
 	fg_ms config_behind_since; /* another instance read more; 0: none */
 	struct fg_catchup_here catchup;
 	GHashTable
--- a/lib/gateway/fg_gw_caller.c
+++ b/lib/gateway/fg_gw_caller.c
@@ -86,6 +86,15 @@
 	mark_closed(c);
 }
 
+void fg_caller_close_idle(struct fg_caller *c)
+{
+	if (c->link == NULL)
+		return;
+	fg_gw_memory_note_flushing(c);
+	fg_link_close_idle(c->link);
+	mark_closed(c);
+}
+
 void fg_caller_abort(struct fg_caller *c)
 {
 	if (c->link == NULL)
@@ -286,7 +295,8 @@
 	fg_gw_count_event(c->gw, "gave_way", "what=\"input\"");
 	empty_array(&c->pipelined);
 	if (c->req == NULL) {
-		fg_caller_close(c, true);
+		/* They begin a further request. */
+		fg_gw_memory_refuse(c);
 		return;
 	}
 	c->drop_input = true;
@@ -570,19 +580,26 @@
 	return now >= c->read_until;
 }
 
+/* Returns whether an idle connection is to be closed. One on which bytes are on
+ * their way, or were a moment ago, is closed later: what its caller sends now
+ * would be read and dropped. */
+static bool is_idle_for_too_long(struct fg_caller *c, fg_ms now)
+{
+	return now > fg_idle_close_at(&c->gw->idle, c->wait_since) &&
+	       !fg_link_may_be_read(c->link);
+}
+
 static void check_time_limits(struct fg_caller *c, fg_ms now)
 {
 	struct fg_caller_limits l = fg_caller_limits(c->gw);
-	fg_ms waited_ms = now - c->wait_since;
 
 	if (c->req != NULL || c->tunnel != NULL || c->h1.ended)
 		return;
 	if (c->h1.started && is_read_too_slowly(c, l.head_timeout_ms, now)) {
 		fg_caller_log_half_read(c, "request_timed_out", NULL);
 		refuse_and_close(c, HTTP_STATUS_REQUEST_TIMEOUT, 0);
-	} else if (!c->h1.started && l.idle_timeout_ms > 0 &&
-		   waited_ms > (fg_ms)l.idle_timeout_ms) {
-		fg_caller_close(c, true);
+	} else if (!c->h1.started && is_idle_for_too_long(c, now)) {
+		fg_caller_close_idle(c);
 	}
 }
 
--- a/lib/gateway/fg_gw_places.c
+++ b/lib/gateway/fg_gw_places.c
@@ -17,6 +17,14 @@
 	return view;
 }
 
+/* Returns whether a request has arrived that was not read yet. */
+static bool has_request_unread(const struct fg_caller *c)
+{
+	char byte;
+
+	return !c->h1.started && fg_link_peek(c->link, &byte, 1) > 0;
+}
+
 /* Returns the connection of the port that gives its place, or NULL. */
 static struct fg_caller *choose_yielding(const struct fg_port *port)
 {
@@ -30,8 +38,9 @@
 
 		if (c->kind != port->kind || c->link == NULL || view.busy)
 			continue;
-		if (chosen == NULL ||
-		    fg_places_yields_before(&view, &chosen_view)) {
+		if ((chosen == NULL ||
+		     fg_places_yields_before(&view, &chosen_view)) &&
+		    !has_request_unread(c)) {
 			chosen = c;
 			chosen_view = view;
 		}
@@ -47,7 +56,7 @@
 		return;
 	}
 	fg_log_routine("caller", "place_given_up", NULL);
-	fg_caller_close(c, true);
+	fg_caller_close_idle(c);
 }
 
 static struct fg_places_bound port_bound(const struct fg_port *port)
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -61,6 +61,8 @@
 	fg_routes_unref(gw->routes);
 	gw->routes = t;
 	fg_gw_memory_apply_limits(gw);
+	fg_idle_set(&gw->idle, fg_clock_now(),
+		    fg_caller_limits(gw).idle_timeout_ms);
 	if (t->workspaces != NULL)
 		log_problems(t->workspaces);
 	log_bad_sizes(t);
--- a/lib/gateway/fg_gw_stop.c
+++ b/lib/gateway/fg_gw_stop.c
@@ -156,7 +156,7 @@
 		struct fg_caller *c = gw->callers->pdata[i];
 
 		if (!has_work(c) && !is_in_transit(c))
-			fg_caller_close(c, true);
+			fg_caller_close_idle(c);
 	}
 }
 
--- a/lib/link/fg_link.h
+++ b/lib/link/fg_link.h
@@ -141,6 +141,11 @@
  */
 void fg_link_close(struct fg_link *l, bool flush);
 
+/* As fg_link_close() with `flush`, for a link on which the peer has no answer
+ * to come. Once it has acknowledged all, bytes that it sends reset the link, so
+ * that it does not wait for an answer to them. */
+void fg_link_close_idle(struct fg_link *l);
+
 /* Returns how many links there are that hold a descriptor, also closed ones
  * that are not freed yet. */
 uint32_t fg_link_open_count(void);
--- a/lib/link/fg_link_close.c
+++ b/lib/link/fg_link_close.c
@@ -44,6 +44,16 @@
 		fg_log(FG_LOG_WARN, "link", "answer_cut", CUT_FIELDS);
 }
 
+/* A request may be among these bytes, which gets no answer. */
+static void log_dropped(const struct fg_link *l, uint64_t n_bytes)
+{
+	char bytes[24];
+
+	g_snprintf(bytes, sizeof(bytes), "%llu", (unsigned long long)n_bytes);
+	fg_log_routine("link", "dropped_after_close", "bytes", bytes, "after",
+		       l->label[0] == '\0' ? NULL : l->label, NULL);
+}
+
 /* Returns false if the handles are being closed already. */
 static bool begin_closing(struct fg_link *l)
 {
@@ -51,6 +61,8 @@
 		return false;
 	l->closing = true;
 	n_open--;
+	if (l->flushing && l->drain.dropped_bytes > 0)
+		log_dropped(l, l->drain.dropped_bytes);
 	if (l->flushing)
 		g_queue_unlink(&flushing, &l->flushing_node);
 	uv_close((uv_handle_t *)&l->timer, on_handle_closed);
@@ -104,6 +116,11 @@
 
 	if (!l->flushing || l->closing)
 		return;
+	if (n > 0 && l->idle && undelivered_bytes(l) == 0) {
+		log_dropped(l, (uint64_t)n);
+		reset_handles(l);
+		return;
+	}
 	if (n >= 0) {
 		state = fg_drain_drop(&l->drain, (uint64_t)n);
 		if (state == FG_DRAIN_WAITING)
@@ -229,6 +246,12 @@
 		       FLUSH_CHECK_MS);
 }
 
+void fg_link_close_idle(struct fg_link *l)
+{
+	l->idle = true;
+	fg_link_close(l, true);
+}
+
 uint32_t fg_link_open_count(void)
 {
 	return n_open;
--- a/lib/link/fg_link_priv.h
+++ b/lib/link/fg_link_priv.h
@@ -24,6 +24,7 @@
 	bool watched;	  /* see fg_link_has_lost_peer() */
 	bool paused;	  /* is not read */
 	bool flushing;	  /* closed, waits until the peer has all bytes */
+	bool idle;	  /* closed while the peer had no answer to come */
 	bool sent;	  /* the kernel has accepted all of them */
 	bool peer_closed; /* its side, since then */
 	int error;	  /* libuv's, that ended the link; 0: none */
