A full read of the instances' table drops those that it does not list

An instance that read the whole table again, since the store had dropped its history, went on counting instances whose removal it had missed, until its process ended; with as many of them as live ones, requests within limits of tenants are refused for good (RECOVER). One whose own row was removed meanwhile did not notice.

Cause: a read of all rows shows no removals, and lib/mesh only added what it listed. lib/fleet and lib/claim already drop what a full read does not list.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1167,6 +1167,7 @@
 	enum fg_own_row_end own_row_end;
 	bool own_row_exists; /* by the last version seen of it: */
 	uint64_t own_row_version;
+	bool own_row_listed; /* in the last full read, or the one in progress */
 	uint64_t own_row_before; /* incarnation in it before the first write of
 				    this process; 0: none */
 	struct fg_claim_write claiming[FG_CLAIM_BATCH_MAX]; /* last claims */
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -55,6 +55,7 @@
 {
 	char found[FG_KEY_TEXT_BYTES];
 
+	gw->own_row_listed = gw->own_row_listed || incarnation != 0;
 	if (version < gw->own_row_version)
 		return;
 	gw->own_row_version = version;
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -48,12 +48,27 @@
 
 static void send_next(struct fg_feed *f);
 
+static void begin_own_full_read(struct fg_gateway *gw)
+{
+	fg_claims_begin_full_read(gw->claims);
+	fg_peers_begin_full_read(gw->peers);
+	gw->own_row_listed = false;
+}
+
+static void end_own_full_read(struct fg_gateway *gw, uint64_t version)
+{
+	fg_claims_end_full_read(gw->claims);
+	fg_peers_end_full_read(gw->peers);
+	if (!gw->own_row_listed)
+		fg_sync_note_own_row(gw, version, 0);
+}
+
 static void begin_full_read(struct fg_feed *f)
 {
 	if (f->id == FG_FEED_REGISTRY)
 		fg_fleet_read_begin(f->gw->fleet);
 	else if (f->id == FG_FEED_OWN)
-		fg_claims_begin_full_read(f->gw->claims);
+		begin_own_full_read(f->gw);
 }
 
 static void end_full_read(struct fg_feed *f, fg_ms now)
@@ -73,7 +88,7 @@
 	if (f->id == FG_FEED_REGISTRY)
 		fg_fleet_read_end(f->gw->fleet, now);
 	else if (f->id == FG_FEED_OWN)
-		fg_claims_end_full_read(f->gw->claims);
+		end_own_full_read(f->gw, f->full_read_version);
 }
 
 /* Applies a row that the store or the reader returned. */
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -115,6 +115,7 @@
 		peer->forwarding = find_forwarding(p, row->name);
 		g_ptr_array_add(p->peers, peer);
 	}
+	peer->listed = true;
 	if (row->version < peer->row.version)
 		return;
 	if (peer->row.incarnation != row->incarnation) {
@@ -134,6 +135,25 @@
 		g_ptr_array_remove_fast(p->peers, peer);
 }
 
+void fg_peers_begin_full_read(struct fg_peers *p)
+{
+	for (guint i = 0; i < p->peers->len; i++) {
+		struct fg_mesh_peer *peer = p->peers->pdata[i];
+
+		peer->listed = false;
+	}
+}
+
+void fg_peers_end_full_read(struct fg_peers *p)
+{
+	for (guint i = p->peers->len; i > 0; i--) {
+		const struct fg_mesh_peer *peer = p->peers->pdata[i - 1];
+
+		if (!peer->listed)
+			g_ptr_array_remove_index_fast(p->peers, i - 1);
+	}
+}
+
 struct fg_mesh_peer *fg_peers_find(struct fg_peers *p, uint64_t incarnation)
 {
 	for (guint i = 0; i < p->peers->len; i++) {
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -49,7 +49,8 @@
 	uint64_t forwarding;
 	fg_ms heartbeat_at; /* last one of this incarnation; 0: none */
 	fg_ms row_seen_at;  /* when this incarnation's row was first read */
-	uint32_t seq;	    /* of the newest heartbeat */
+	bool listed; /* in the full read that is in progress, or the last one */
+	uint32_t seq; /* of the newest heartbeat */
 	fg_mesh_state state;
 	fg_mesh_store store; /* as of store_at */
 	fg_ms store_at;
@@ -88,6 +89,11 @@
 /* Removes and frees an instance whose row was removed. */
 void fg_peers_remove(struct fg_peers *p, const char *name);
 
+/* A read of all rows begins, and ends: instances whose rows were not put in
+ * between are removed, since the read does not show removals before it. */
+void fg_peers_begin_full_read(struct fg_peers *p);
+void fg_peers_end_full_read(struct fg_peers *p);
+
 /* Records a heartbeat; the state of one older than the newest is ignored.
  * Returns the sender, or NULL when no row of that incarnation is known. */
 struct fg_mesh_peer *fg_peers_on_heartbeat(struct fg_peers *p, fg_ms now,
--- a/tests/gateway_limits.py
+++ b/tests/gateway_limits.py
@@ -15,6 +15,7 @@
 TOKENS = 100  # of one request
 KEY = "key-of-w1"
 RECOVER_S = 15
+FORGOTTEN_S = 11  # of a removed row
 
 
 class LimitGateway(Gateway):
@@ -316,6 +317,31 @@
     check(len(rows) == len(live), f"rows of {sorted(rows)}")
 
 
+def instance_rows(s):
+    return {k.split("/")[1] for k in s.store.keys("fulmargauge", "instance/")}
+
+
+def removal_without_history(s):
+    """An instance whose row was removed while another one could not read, and
+    whose removal the store has forgotten, no longer counts there."""
+    calls = prepare(s)
+    left, right = s.gateways
+    left.popen.send_signal(signal.SIGSTOP)
+    right.popen.send_signal(signal.SIGTERM)
+    check(right.popen.wait(15) == 0, "exit code")
+    check(right.name not in instance_rows(s), "its row is still there")
+    s.store.drop_history()
+    s.store.put("servers", "other", {})  # a newer version than those dropped
+    s.store.drop_history()
+    left.popen.send_signal(signal.SIGCONT)
+    wait_for("forgotten", lambda: f"peer {right.name} " not in left.state())
+    time.sleep(FORGOTTEN_S)
+    check(calls.call(left).status == 200, "refused")
+
+
+removal_without_history.system_class = LimitSystem
+removal_without_history.system_options = {"gateways": 2, "engines": 0}
+
 for scenario in (limit_of_workspace, limit_outlives_holder, limit_lowered,
                  limit_returns_tokens, limit_after_replacements,
                  holders_stop_above_limits):
@@ -324,4 +350,4 @@
 
 SCENARIOS = [limit_of_workspace, limit_outlives_holder, limit_lowered,
              limit_returns_tokens, limit_after_replacements,
-             holders_stop_above_limits]
+             holders_stop_above_limits, removal_without_history]
