Blocks of ports: another user's run, and all in use

A run of the cases in review/ exits with 1, as if a rule were broken, where it never started: as another user than the one whose run made the folder of locks (PermissionError), or beside twelve other runs (RuntimeError).

Locks are opened for reading, which is enough for flock, and the folder is open to all. A run that finds all blocks in use waits up to 300 s for one, since runs of other checkouts end.

--- a/scripts/port-base.sh
+++ b/scripts/port-base.sh
@@ -6,9 +6,13 @@
 if [ -z "${FG_PORT_BASE:-}" ]; then
 	port_locks=${TMPDIR:-/tmp}/fulmargauge-ports
 	mkdir -p "$port_locks"
+	# Other users' runs use the same folder.
+	chmod 1777 "$port_locks" 2>/dev/null || true
 	for port_block in 20000 22000 24000 26000 28000 30000 18000 16000 \
 		14000 12000 10000 8000; do
-		exec 9>"$port_locks/$port_block"
+		[ -e "$port_locks/$port_block" ] ||
+			{ : >"$port_locks/$port_block"; } 2>/dev/null || continue
+		exec 9<"$port_locks/$port_block"
 		if flock -n 9; then
 			FG_PORT_BASE=$port_block
 			break
--- a/standin/hosted/si_ports.py
+++ b/standin/hosted/si_ports.py
@@ -5,9 +5,11 @@
 import os
 import socket
 import threading
+import time
 
 BLOCKS = (20000, 22000, 24000, 26000, 28000, 30000, 18000, 16000, 14000, 12000,
           10000, 8000)
+BLOCK_WAIT_S = 300
 HALF = 1000  # ports of a block's first half, and of its second one
 STANDINS, INSTANCES = 0, HALF  # first port within the block
 next_port = {STANDINS: 0, INSTANCES: 0}
@@ -15,14 +17,24 @@
 block_lock = []  # the open file whose lock holds the block of ports
 
 
-def hold_port_block():
-    """Returns the first port of a block that no other run holds, as
-    scripts/port-base.sh does."""
-    folder = os.path.join(os.environ.get("TMPDIR", "/tmp"),
-                          "fulmargauge-ports")
-    os.makedirs(folder, exist_ok=True)
+def open_lock(path):
+    """Opens the file of a block, which another user may own; None if it cannot be
+    created."""
+    try:
+        return open(path, encoding="utf-8")
+    except FileNotFoundError:
+        pass
+    try:
+        return open(path, "x", encoding="utf-8")
+    except OSError:
+        return None
+
+
+def try_blocks(folder):
     for block in BLOCKS:
-        lock = open(os.path.join(folder, str(block)), "w", encoding="utf-8")
+        lock = open_lock(os.path.join(folder, str(block)))
+        if lock is None:
+            continue
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
@@ -30,7 +42,27 @@
             continue
         block_lock.append(lock)
         return block
-    raise RuntimeError("all blocks of ports are in use")
+    return None
+
+
+def hold_port_block():
+    """Returns the first port of a block that no other run holds, as
+    scripts/port-base.sh does. Waits for one while all are in use."""
+    folder = os.path.join(os.environ.get("TMPDIR", "/tmp"),
+                          "fulmargauge-ports")
+    os.makedirs(folder, exist_ok=True)
+    try:
+        os.chmod(folder, 0o1777)
+    except PermissionError:
+        pass  # another user's
+    end = time.monotonic() + BLOCK_WAIT_S
+    while True:
+        block = try_blocks(folder)
+        if block is not None:
+            return block
+        if time.monotonic() >= end:
+            raise RuntimeError("all blocks of ports are in use")
+        time.sleep(0.2)
 
 
 def port_base():
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -209,6 +209,7 @@
 	run_lines tests/crowds.py
 	run_lines tests/entry_crowds.py
 	run_lines tests/entry_ends.py
+	run_lines tests/port_blocks.py
 	run_one soak-short tests/soak.py --seed 1 --rounds 1
 	run_one soak-regressions tests/soak.py --regressions
 	run_one soak-restores tests/soak.py --seed 1 --rounds 1 --restores
