Rows of instances that died are removed, bound by marks

Cause: the row of an instance counts in a majority until a planned stop removes it, and one that died, or whose store was away at its end, removes nothing.

--- a/lib/gateway/fg_gateway.c
+++ b/lib/gateway/fg_gateway.c
@@ -403,6 +403,7 @@
 	gw->fleet = fg_fleet_new(dc_region, on_endpoint_dropped, gw);
 	gw->claims = fg_claims_new(&claims);
 	gw->peers = fg_peers_new(&self);
+	gw->retire = fg_retire_new(fg_hash_str(gw->conf->name));
 	fg_gw_catchup_init(gw);
 	gw->popularity = fg_popularity_new(POPULARITY_HALF_LIFE_MS);
 	gw->suspects = fg_suspects_new(&suspects_conf);
@@ -547,6 +548,7 @@
 	fg_fleet_free(gw->fleet);
 	uv_run(&gw->loop, UV_RUN_NOWAIT); /* frees closed connections */
 	fg_claims_free(gw->claims);
+	fg_retire_free(gw->retire);
 	fg_peers_free(gw->peers);
 	fg_popularity_free(gw->popularity);
 	fg_suspects_free(gw->suspects);
--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -22,6 +22,7 @@
  *   fg_gw_relay.c    rows taken from and served to neighbours
  *   fg_gw_catchup.c  configuration rows taken from any other instance
  *   fg_gw_own.c      rows that this instance writes
+ *   fg_gw_retire.c   rows of instances that died
  *   fg_gw_orders.c   adapter loads of the engines that this instance orders
  *   fg_gw_mesh.c     messages sent to other instances
  *   fg_gw_receive.c  messages received from other instances
@@ -74,6 +75,7 @@
 #include "places/fg_places.h"
 #include "quota/fg_quota.h"
 #include "relay/fg_relay.h"
+#include "retire/fg_retire.h"
 #include "route/fg_route.h"
 #include "silence/fg_silence.h"
 #include "slots/fg_loadgate.h"
@@ -646,6 +648,7 @@
 #define FG_SYNC_KEY_INSTANCE "instance/"
 #define FG_SYNC_KEY_FEATURES "instance_features/"
 #define FG_SYNC_KEY_OWNER "owner/"
+#define FG_SYNC_KEY_MARK "retired/" /* of fg_retire */
 #define FG_SYNC_KEY_BLOCKED "blocked/"
 #define FG_SYNC_KEY_EVIDENCE "evidence/"
 
@@ -664,6 +667,34 @@
 /* Writes the row that announces this instance. */
 void fg_sync_write_own_row(struct fg_gateway *gw);
 
+/* ---- Rows of instances that died ---- */
+
+/* A mark was read, or its removal. */
+void fg_gw_retire_apply_mark(struct fg_gateway *gw,
+			     const struct fg_store_row *row, fg_ms now);
+
+/* Updates which instances this one takes for dead by a mark, and decides on the
+ * next transaction. */
+void fg_gw_retire_tick(struct fg_gateway *gw, fg_ms now);
+
+/* Sends the transaction that fg_gw_retire_tick() just decided on. Returns false
+ * if there is none. */
+bool fg_gw_retire_step(struct fg_gateway *gw);
+
+/* ---- Rows that this instance writes ---- */
+
+/* Pause between two transactions, which lets claims accumulate. */
+#define FG_SYNC_TX_GAP_MS 250
+
+/* Sends a transaction, as the only one at a time. */
+void fg_sync_send_tx(struct fg_gateway *gw, const struct fg_tx_row *rows,
+		     uint32_t n, fg_channel_done_fn done);
+
+/* Returns whether the answer to the last transaction counts. What was written
+ * in an earlier era may be lost. */
+bool fg_sync_is_tx_answer_usable(const struct fg_gateway *gw,
+				 unsigned int status);
+
 /* The row of this instance's name was read, with the incarnation in it; 0: it
  * was removed. Another one than this process's is replaced, unless it is that
  * of a process that was started later. */
@@ -1197,6 +1228,11 @@
 	struct fg_loadgate loadgate;
 	struct fg_claims *claims;
 	struct fg_peers *peers;
+	struct fg_retire *retire;
+	struct fg_retire_action retiring; /* its names are valid within a tick
+					   */
+	enum fg_retire_step retire_sent;  /* last transaction of it */
+	char retire_name[FG_PEER_TEXT_BYTES];
 	/* Of adapters, in prompt tokens. */
 	struct fg_popularity_table *popularity;
 	struct fg_suspects *suspects;
--- a/lib/gateway/fg_gw_mesh.c
+++ b/lib/gateway/fg_gw_mesh.c
@@ -147,7 +147,7 @@
 	for (guint i = 0; i < peers->len; i++) {
 		const struct fg_mesh_peer *p = peers->pdata[i];
 
-		if (reach_of(p) == reach &&
+		if (reach_of(p) == reach && !p->retired &&
 		    (reach == REACH_DC ||
 		     fg_peers_is_target(gw->peers, now, p)))
 			fg_gw_mesh_send(gw, p->row.mesh, packet);
--- a/lib/gateway/fg_gw_own.c
+++ b/lib/gateway/fg_gw_own.c
@@ -5,8 +5,6 @@
 /* A transaction takes 5 ms; after this timeout its result counts as
  * unknown. */
 #define TX_TIMEOUT_MS 1500
-/* Pause between two transactions, which lets claims accumulate. */
-#define TX_GAP_MS 250
 /* Wait before the first claim, in which heartbeats of the other instances
  * arrive. Only engines that an earlier start of this instance owned are claimed
  * without it, since no other instance claims these while this one lives. */
@@ -14,10 +12,8 @@
 /* Time without a proof after which an instance loses its engines. */
 #define UNPROVEN_MAX_MS 2000
 
-/* Returns whether the answer to the last transaction counts. What was written
- * in an earlier era may be lost. */
-static bool is_tx_answer_usable(const struct fg_gateway *gw,
-				unsigned int status)
+bool fg_sync_is_tx_answer_usable(const struct fg_gateway *gw,
+				 unsigned int status)
 {
 	return gw->tx_era == gw->era.known &&
 	       fg_gw_store_answer_usable(gw->tx_channel, status);
@@ -31,9 +27,9 @@
 	struct fg_store_rows rows = { 0 };
 	bool conflict = status == HTTP_STATUS_PRECONDITION_FAILED;
 
-	gw->next_tx_at = now + TX_GAP_MS;
+	gw->next_tx_at = now + FG_SYNC_TX_GAP_MS;
 	if ((status == HTTP_STATUS_OK || conflict) &&
-	    is_tx_answer_usable(gw, status) &&
+	    fg_sync_is_tx_answer_usable(gw, status) &&
 	    gw->wire->rows_read(body, len, &rows, NULL)) {
 		fg_store_rows_set_era(&rows, gw->era.known);
 		gw->own_row_exists = !conflict;
@@ -77,8 +73,8 @@
 	       "by", gw->own_row_written ? "successor" : "late_write", NULL);
 }
 
-static void send_tx(struct fg_gateway *gw, const struct fg_tx_row *rows,
-		    uint32_t n, fg_channel_done_fn done)
+void fg_sync_send_tx(struct fg_gateway *gw, const struct fg_tx_row *rows,
+		     uint32_t n, fg_channel_done_fn done)
 {
 	fg_gw_count_event(gw, "store_calls", NULL);
 	gw->tx_sent_at = fg_clock_now();
@@ -113,7 +109,7 @@
 		gw->own_row_exists ? fg_store_number(gw->own_row_version) : 0;
 	rows[1].key = features_key;
 	rows[1].value = features;
-	send_tx(gw, rows, G_N_ELEMENTS(rows), on_own_row_written);
+	fg_sync_send_tx(gw, rows, G_N_ELEMENTS(rows), on_own_row_written);
 	g_free(key);
 	g_free(value);
 	g_free(features_key);
@@ -146,7 +142,7 @@
 
 	gw->own_row_end = FG_OWN_ROW_REMOVING;
 	gw->own_row_written = false;
-	send_tx(gw, &row, 1, on_own_row_removed);
+	fg_sync_send_tx(gw, &row, 1, on_own_row_removed);
 	g_free(key);
 }
 
@@ -209,8 +205,8 @@
 	bool written = status == HTTP_STATUS_OK;
 	bool conflict = status == HTTP_STATUS_PRECONDITION_FAILED;
 
-	gw->next_tx_at = now + TX_GAP_MS;
-	if ((written || conflict) && is_tx_answer_usable(gw, status) &&
+	gw->next_tx_at = now + FG_SYNC_TX_GAP_MS;
+	if ((written || conflict) && fg_sync_is_tx_answer_usable(gw, status) &&
 	    gw->wire->rows_read(body, len, &rows, NULL)) {
 		fg_store_rows_set_era(&rows, gw->era.known);
 		if (written)
@@ -338,7 +334,7 @@
 		};
 	}
 	if (gw->n_claiming > 0)
-		send_tx(gw, rows, gw->n_claiming, on_claims_written);
+		fg_sync_send_tx(gw, rows, gw->n_claiming, on_claims_written);
 	for (uint32_t i = 0; i < gw->n_claiming; i++)
 		g_free((char *)rows[i].key);
 	g_ptr_array_unref(eps);
@@ -351,6 +347,7 @@
 
 	fg_gw_relay_follow(gw, now);
 	fg_gw_proof_tick(gw, now);
+	fg_gw_retire_tick(gw, now);
 	if (fg_channel_is_busy(gw->tx_channel) || now < gw->next_tx_at)
 		return;
 	if (!gw->own_row_written && !fg_gw_is_stopping(gw)) {
@@ -361,5 +358,6 @@
 	if (gw->own_table_known_at == 0 || !gw->claims_current ||
 	    own->failures > 0 || own->in_full_read)
 		return;
-	claim_engines(gw, now);
+	if (!fg_gw_retire_step(gw))
+		claim_engines(gw, now);
 }
--- a/lib/gateway/fg_gw_quota.c
+++ b/lib/gateway/fg_gw_quota.c
@@ -166,7 +166,8 @@
 			fg_peer_is_alive(p, now) && p->state != FG_MESH_LEAVING;
 	}
 	fg_quota_set_members(gw->quota, now, list, peers->len,
-			     own->full_read_done);
+			     own->full_read_done &&
+				     !fg_retire_is_contradicted(gw->retire));
 	g_free(list);
 }
 
--- a/lib/gateway/fg_gw_receive.c
+++ b/lib/gateway/fg_gw_receive.c
@@ -13,7 +13,8 @@
 	for (guint i = 0; i < peers->len; i++) {
 		const struct fg_mesh_peer *p = peers->pdata[i];
 
-		if (!p->store.reads && strcmp(p->row.dc, gw->conf->dc) == 0)
+		if (!p->store.reads && !p->retired &&
+		    strcmp(p->row.dc, gw->conf->dc) == 0)
 			fg_gw_mesh_send_bytes(gw, p->row.mesh, bytes, len);
 	}
 }
--- a/lib/gateway/fg_gw_rows.c
+++ b/lib/gateway/fg_gw_rows.c
@@ -232,6 +232,10 @@
 			row->removed ? NULL : row->value, row->version);
 		return;
 	}
+	if (g_str_has_prefix(row->key, FG_SYNC_KEY_MARK)) {
+		fg_gw_retire_apply_mark(gw, row, now);
+		return;
+	}
 	if (g_str_has_prefix(row->key, FG_SYNC_KEY_BLOCKED)) {
 		fg_gw_blame_apply_row(gw, row, now);
 		return;
@@ -253,6 +257,7 @@
 		if (strcmp(name, gw->conf->name) == 0)
 			fg_sync_note_own_row(gw, row->version, 0);
 		fg_peers_remove(gw->peers, name);
+		fg_retire_note_removal(gw->retire, row->version);
 	} else if (fg_peer_row_parse(name, row->value, &peer)) {
 		peer.version = row->version;
 		if (strcmp(name, gw->conf->name) == 0)
--- a/lib/gateway/fg_gw_sync.c
+++ b/lib/gateway/fg_gw_sync.c
@@ -52,6 +52,7 @@
 {
 	fg_claims_begin_full_read(gw->claims);
 	fg_peers_begin_full_read(gw->peers);
+	fg_retire_begin_full_read(gw->retire);
 	gw->own_row_listed = false;
 }
 
@@ -59,6 +60,9 @@
 {
 	fg_claims_end_full_read(gw->claims);
 	fg_peers_end_full_read(gw->peers);
+	fg_retire_end_full_read(gw->retire, fg_clock_now());
+	/* Which rows were removed before it is not known. */
+	fg_retire_note_removal(gw->retire, version);
 	if (!gw->own_row_listed)
 		fg_sync_note_own_row(gw, version, 0);
 }
--- a/lib/mesh/fg_peers.c
+++ b/lib/mesh/fg_peers.c
@@ -11,8 +11,14 @@
 struct fg_peers {
 	struct fg_peer_row self;
 	GPtrArray *peers;     /* struct fg_mesh_peer *, owned */
-	GHashTable *features; /* name -> uint64_t *: incarnation that forwards;
-				 rows of an instance come in any order */
+	GHashTable *features; /* name -> struct features *; rows of an instance
+				 come in any order */
+};
+
+/* What a build can do, by the incarnation that says so; 0: none. */
+struct features {
+	uint64_t forwarding;
+	uint64_t binding;
 };
 
 struct fg_peers *fg_peers_new(const struct fg_peer_row *self)
@@ -95,11 +101,13 @@
 	peer->unproven_since = 0;
 }
 
-static uint64_t find_forwarding(const struct fg_peers *p, const char *name)
+static void apply_features(const struct fg_peers *p, struct fg_mesh_peer *peer,
+			   const char *name)
 {
-	const uint64_t *incarnation = g_hash_table_lookup(p->features, name);
+	const struct features *f = g_hash_table_lookup(p->features, name);
 
-	return incarnation == NULL ? 0 : *incarnation;
+	peer->forwarding = f == NULL ? 0 : f->forwarding;
+	peer->binding = f == NULL ? 0 : f->binding;
 }
 
 void fg_peers_put(struct fg_peers *p, fg_ms now, const struct fg_peer_row *row)
@@ -112,16 +120,16 @@
 	if (peer == NULL) {
 		peer = g_new0(struct fg_mesh_peer, 1);
 		peer->hash = fg_hash_str(row->name);
-		peer->forwarding = find_forwarding(p, row->name);
+		apply_features(p, peer, row->name);
 		g_ptr_array_add(p->peers, peer);
 	}
 	peer->listed = true;
 	if (row->version < peer->row.version)
 		return;
-	if (peer->row.incarnation != row->incarnation) {
+	if (peer->row.incarnation != row->incarnation)
 		reset_heartbeat_state(peer);
+	if (peer->row.version != row->version)
 		peer->row_seen_at = now;
-	}
 	peer->row = *row;
 	peer->same_region = strcmp(row->region, p->self.region) == 0;
 	peer->same_dc = peer->same_region && strcmp(row->dc, p->self.dc) == 0;
@@ -213,7 +221,7 @@
 	return p->peers;
 }
 
-bool fg_peer_is_alive(const struct fg_mesh_peer *peer, fg_ms now)
+bool fg_peer_is_heard(const struct fg_mesh_peer *peer, fg_ms now)
 {
 	fg_ms timeout_ms = peer->same_region ? FG_PEER_TIMEOUT_MS
 					     : FG_PEER_CROSS_REGION_TIMEOUT_MS;
@@ -221,6 +229,11 @@
 	return peer->heartbeat_at != 0 && now - peer->heartbeat_at < timeout_ms;
 }
 
+bool fg_peer_is_alive(const struct fg_mesh_peer *peer, fg_ms now)
+{
+	return !peer->retired && fg_peer_is_heard(peer, now);
+}
+
 static bool has_fresh_rows(const struct fg_mesh_peer *peer, fg_ms now,
 			   uint32_t fresh_ms)
 {
@@ -290,10 +303,12 @@
 /* ---- Features: "INCARNATION WORD..." ---- */
 
 #define FEATURE_FORWARDS "forwards"
+#define FEATURE_BINDS "binds"
 
 char *fg_peer_features_format(uint64_t incarnation)
 {
-	return g_strdup_printf("%016" G_GINT64_MODIFIER "x " FEATURE_FORWARDS,
+	return g_strdup_printf("%016" G_GINT64_MODIFIER "x " FEATURE_FORWARDS
+			       " " FEATURE_BINDS,
 			       (guint64)incarnation);
 }
 
@@ -302,14 +317,16 @@
 {
 	struct fg_mesh_peer *peer = find_by_name(p, name);
 	g_auto(GStrv) words = g_strsplit(text == NULL ? "" : text, " ", -1);
-	uint64_t incarnation = 0;
+	struct features f = { 0 };
 
 	if (g_strv_contains((const gchar *const *)words, FEATURE_FORWARDS))
-		incarnation = parse_incarnation(words[0]);
+		f.forwarding = parse_incarnation(words[0]);
+	if (g_strv_contains((const gchar *const *)words, FEATURE_BINDS))
+		f.binding = parse_incarnation(words[0]);
 	g_hash_table_replace(p->features, g_strdup(name),
-			     g_memdup2(&incarnation, sizeof(incarnation)));
+			     g_memdup2(&f, sizeof(f)));
 	if (peer != NULL)
-		peer->forwarding = incarnation;
+		apply_features(p, peer, name);
 }
 
 bool fg_peer_is_ready(const struct fg_mesh_peer *peer, fg_ms now)
--- a/lib/mesh/fg_peers.h
+++ b/lib/mesh/fg_peers.h
@@ -48,7 +48,12 @@
 	 * region; 0: none is known to. */
 	uint64_t forwarding;
 	fg_ms heartbeat_at; /* last one of this incarnation; 0: none */
-	fg_ms row_seen_at;  /* when this incarnation's row was first read */
+	fg_ms row_seen_at;  /* when this version of its row was first read */
+	/* Incarnation whose build is bound by marks of fg_retire; 0: none. */
+	uint64_t binding;
+	/* This instance is bound by a mark: takes it for dead whatever is heard
+	 * of it, and sends it no heartbeats. */
+	bool retired;
 	bool listed; /* in the full read that is in progress, or the last one */
 	uint32_t seq; /* of the newest heartbeat */
 	fg_mesh_state state;
@@ -109,8 +114,12 @@
 /* Returns the number of other instances that are alive. */
 uint32_t fg_peers_count_alive(const struct fg_peers *p, fg_ms now);
 
-/* True when the last heartbeat is recent. An instance that is leaving is alive
- * until its heartbeats stop. */
+/* True when the last heartbeat is recent, also of an instance that is retired.
+ */
+bool fg_peer_is_heard(const struct fg_mesh_peer *peer, fg_ms now);
+
+/* True when the last heartbeat is recent and the instance is not retired. One
+ * that is leaving is alive until its heartbeats stop. */
 bool fg_peer_is_alive(const struct fg_mesh_peer *peer, fg_ms now);
 
 /*
@@ -140,7 +149,8 @@
 			const struct fg_mesh_peer *peer);
 
 /* Text of a row that tells what this build can do, which the caller g_free()s.
- * Builds without such a row forward no heartbeats inside their region. */
+ * Builds without such a row forward no heartbeats inside their region and are
+ * bound by no marks. */
 char *fg_peer_features_format(uint64_t incarnation);
 
 /* Applies the text of such a row of the instance with this name; NULL: the row
--- a/tests/gateway_limits.py
+++ b/tests/gateway_limits.py
@@ -15,6 +15,7 @@
 TOKENS = 100  # of one request
 KEY = "key-of-w1"
 RECOVER_S = 15
+RETIRED_S = 40  # silence, mark, removal
 FORGOTTEN_S = 11  # of a removed row
 
 
@@ -321,6 +322,58 @@
     return {k.split("/")[1] for k in s.store.keys("fulmargauge", "instance/")}
 
 
+def add_gateway(s, name):
+    new = type(s.gateways[0])(s.store.addr, name, s.folder.name)
+    s.gateways.append(new)
+    wait_for("ready", new.is_ready)
+    return new
+
+
+def kill_and_restart(gateways):
+    for gateway in gateways:
+        gateway.kill()
+    for gateway in gateways:
+        gateway.start()
+    for gateway in gateways:
+        wait_for("ready", gateway.is_ready)
+
+
+def limit_after_deaths(s):
+    """Requests within their limit are served after each instance was killed for
+    good and replaced by one of another name, and all of these were killed and
+    are back."""
+    calls = prepare(s)
+    old = list(s.gateways)
+    live = [add_gateway(s, f"h{i}") for i in range(2)]
+    for gateway in old[:2]:
+        gateway.kill()
+    wait_for("rows of the dead are removed", lambda: not instance_rows(s) & {
+        g.name for g in old[:2]}, RETIRED_S)
+    old[2].kill()
+    kill_and_restart(live)
+    time.sleep(RECOVER_S)
+    answers = [calls.call(g).status for g in live for _ in range(4)]
+    check(answers == [200] * len(answers), f"{answers}")
+
+
+def limit_after_pause(s):
+    """An instance that was paused until the others removed its row announces
+    itself again, and serves."""
+    calls = prepare(s)
+    paused = s.gateways[2]
+    paused.popen.send_signal(signal.SIGSTOP)
+    wait_for("its row is removed", lambda: paused.name not in instance_rows(s),
+             RETIRED_S)
+    paused.popen.send_signal(signal.SIGCONT)
+    wait_for("its row is back", lambda: paused.name in instance_rows(s))
+    wait_for("it is alive for the others", lambda: all(
+        any(line.startswith(f"peer {paused.name} ") and "alive=1" in line
+            for line in g.state().splitlines()) for g in s.gateways[:2]))
+    time.sleep(1)
+    answers = [calls.call(g).status for g in s.gateways for _ in range(4)]
+    check(answers == [200] * len(answers), f"{answers}")
+
+
 def removal_without_history(s):
     """An instance whose row was removed while another one could not read, and
     whose removal the store has forgotten, no longer counts there."""
@@ -339,6 +392,9 @@
     check(calls.call(left).status == 200, "refused")
 
 
+for scenario in (limit_after_deaths, limit_after_pause):
+    scenario.system_class = LimitSystem
+    scenario.system_options = {"gateways": 3, "plains": 3, "engines": 0}
 removal_without_history.system_class = LimitSystem
 removal_without_history.system_options = {"gateways": 2, "engines": 0}
 
@@ -350,4 +406,5 @@
 
 SCENARIOS = [limit_of_workspace, limit_outlives_holder, limit_lowered,
              limit_returns_tokens, limit_after_replacements,
-             holders_stop_above_limits, removal_without_history]
+             holders_stop_above_limits, limit_after_deaths, limit_after_pause,
+             removal_without_history]
