--- a/lib/gateway/fg_gw_retire.c
+++ b/lib/gateway/fg_gw_retire.c
@@ -32,7 +32,6 @@
 		struct fg_retire_member m = {
 			.name = p->row.name,
 			.hash = p->hash,
-			.incarnation = p->row.incarnation,
 			.row_version = p->row.version,
 			.read = p->store.feeds[FG_FEED_OWN].read,
 			.row_seen_at = p->row_seen_at,
@@ -131,8 +130,8 @@
 		rows[n] = make_row(FG_SYNC_KEY_MARK, a->names[i],
 				   a->mark_versions[i]);
 		if (a->step == FG_RETIRE_MARK)
-			rows[n].value = fg_retire_mark_format(
-				a->incarnations[i], a->row_versions[i]);
+			rows[n].value =
+				fg_retire_mark_format(a->row_versions[i]);
 		n++;
 		if (a->step != FG_RETIRE_REMOVE)
 			continue;
--- a/lib/retire/fg_retire.c
+++ b/lib/retire/fg_retire.c
@@ -1,10 +1,11 @@
 #include "retire/fg_retire.h"
 
 #include <glib.h>
-#include <stdio.h>
+
+#define UNMARK_MIN_MS 500
+#define UNMARK_SPREAD_MS 1000
 
 struct mark {
-	uint64_t incarnation;
 	uint64_t row_version; /* 0: the text cannot be read */
 	uint64_t version;
 	fg_ms seen_at;
@@ -42,26 +43,22 @@
 	g_free(r);
 }
 
-/* ---- Marks: "INCARNATION ROW_VERSION" ---- */
+/* ---- Marks: the text is the row's version ---- */
 
-char *fg_retire_mark_format(uint64_t incarnation, uint64_t row_version)
+char *fg_retire_mark_format(uint64_t row_version)
 {
-	return g_strdup_printf("%016" G_GINT64_MODIFIER "x %" G_GUINT64_FORMAT,
-			       (guint64)incarnation, (guint64)row_version);
+	return g_strdup_printf("%" G_GUINT64_FORMAT, (guint64)row_version);
 }
 
-static bool parse_mark(const char *text, struct mark *m)
+/* Returns 0 for a text that is no version. */
+static uint64_t parse_mark(const char *text)
 {
-	unsigned long long incarnation;
-	unsigned long long row_version;
-	char rest;
-
-	if (sscanf(text, "%16llx %20llu%c", &incarnation, &row_version,
-		   &rest) != 2)
-		return false;
-	m->incarnation = incarnation;
-	m->row_version = row_version;
-	return true;
+	guint64 row_version;
+
+	return g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT64,
+					  &row_version, NULL)
+		       ? row_version
+		       : 0;
 }
 
 void fg_retire_put_mark(struct fg_retire *r, fg_ms now, const char *name,
@@ -85,8 +82,7 @@
 	m->listed = true;
 	m->version = version;
 	m->seen_at = now;
-	if (!parse_mark(text, m))
-		m->row_version = 0;
+	m->row_version = parse_mark(text);
 	g_hash_table_replace(r->marks, g_strdup(name), m);
 }
 
@@ -137,8 +133,11 @@
 static const struct mark *find_mark(const struct fg_retire *r, const char *name,
 				    uint64_t row_version)
 {
-	const struct mark *m = g_hash_table_lookup(r->marks, name);
+	const struct mark *m;
 
+	if (g_hash_table_size(r->marks) == 0)
+		return NULL;
+	m = g_hash_table_lookup(r->marks, name);
 	return m != NULL && m->ended_at == 0 && row_version != 0 &&
 			       m->row_version == row_version
 		       ? m
@@ -177,18 +176,26 @@
 {
 	a->step = step;
 	a->names[a->n] = p->name;
-	a->incarnations[a->n] = p->incarnation;
 	a->row_versions[a->n] = p->row_version;
 	a->mark_versions[a->n] = m == NULL ? 0 : m->version;
 	a->n++;
 }
 
+/* Most marked instances that live end their mark themselves, and one of the
+ * others is enough. */
+static fg_ms unmark_after_ms(const struct fg_retire *r)
+{
+	return UNMARK_MIN_MS + (fg_ms)(r->self_hash % UNMARK_SPREAD_MS);
+}
+
 /* Binds this instance, and removes the mark of an instance that it hears. */
 static void follow_marks(struct fg_retire *r, fg_ms now,
 			 const struct fg_retire_member *members, uint32_t n,
 			 struct fg_retire_action *out)
 {
 	r->contradicted = false;
+	if (g_hash_table_size(r->marks) == 0)
+		return;
 	for (uint32_t i = 0; i < n; i++) {
 		const struct fg_retire_member *p = &members[i];
 		struct mark *m = g_hash_table_lookup(r->marks, p->name);
@@ -197,7 +204,8 @@
 			continue;
 		if (!p->heard || now - m->seen_at >= FG_RETIRE_OBJECT_MS)
 			m->bound = true;
-		if (p->heard && out->n == 0)
+		if (p->heard && out->n == 0 &&
+		    now - m->seen_at >= unmark_after_ms(r))
 			add(out, FG_RETIRE_UNMARK, p, m);
 		r->contradicted = r->contradicted || (p->heard && m->bound);
 	}
--- a/lib/retire/fg_retire.h
+++ b/lib/retire/fg_retire.h
@@ -52,7 +52,6 @@
 struct fg_retire_member {
 	const char *name;
 	uint64_t hash; /* of the name */
-	uint64_t incarnation;
 	uint64_t row_version;
 	uint64_t read;	   /* its last reported read of the table */
 	fg_ms row_seen_at; /* this version of the row was first read */
@@ -75,7 +74,6 @@
 	/* Borrowed from the members, or from the mark: valid until the next
 	 * call. */
 	const char *names[FG_RETIRE_BATCH_MAX];
-	uint64_t incarnations[FG_RETIRE_BATCH_MAX];
 	uint64_t row_versions[FG_RETIRE_BATCH_MAX];
 	/* Of the marks; 0: there is none. */
 	uint64_t mark_versions[FG_RETIRE_BATCH_MAX];
@@ -87,7 +85,7 @@
 void fg_retire_free(struct fg_retire *r);
 
 /* Returns the text of a mark, which the caller g_free()s. */
-char *fg_retire_mark_format(uint64_t incarnation, uint64_t row_version);
+char *fg_retire_mark_format(uint64_t row_version);
 
 /* A mark was read; `text` NULL: it was removed. One that cannot be read binds
  * nobody and is removed. */
