Marks: no transaction that is known to be in vain

40 instances, 15 killed at once: the deciding instance wrote 9 marks again before the feed told of them (412), and when a paused instance came back, 37 others sent the removal of its mark at once, since its age and not the time of hearing was waited for.

The result of an own transaction is applied at once, and the wait before a mark is removed begins when its instance is heard.

--- a/lib/gateway/fg_gateway_internal.h
+++ b/lib/gateway/fg_gateway_internal.h
@@ -1232,7 +1232,8 @@
 	struct fg_retire_action retiring; /* its names are valid within a tick
 					   */
 	enum fg_retire_step retire_sent;  /* last transaction of it */
-	char retire_name[FG_PEER_TEXT_BYTES];
+	char retire_name[FG_PEER_TEXT_BYTES]; /* first one of it */
+	uint64_t retire_row_version;
 	/* Of adapters, in prompt tokens. */
 	struct fg_popularity_table *popularity;
 	struct fg_suspects *suspects;
--- a/lib/gateway/fg_gw_retire.c
+++ b/lib/gateway/fg_gw_retire.c
@@ -84,6 +84,19 @@
 	}
 }
 
+/* The feed tells of the change only some time later. */
+static void apply_result(struct fg_gateway *gw, uint64_t version, fg_ms now)
+{
+	char *text = NULL;
+
+	if (gw->retire_sent == FG_RETIRE_REMOVE)
+		return;
+	if (gw->retire_sent == FG_RETIRE_MARK)
+		text = fg_retire_mark_format(gw->retire_row_version);
+	fg_retire_put_mark(gw->retire, now, gw->retire_name, text, version);
+	g_free(text);
+}
+
 static void on_written(void *ctx, unsigned int status, const char *body,
 		       size_t len)
 {
@@ -97,11 +110,14 @@
 	g_snprintf(code, sizeof(code), "%u", status);
 	fg_log(FG_LOG_INFO, "sync", step_event(gw->retire_sent), "status", code,
 	       "first", gw->retire_name, NULL);
-	/* The answer to a conflict has the rows as they are now. */
-	if (conflict && fg_sync_is_tx_answer_usable(gw, status) &&
+	if ((status == HTTP_STATUS_OK || conflict) &&
+	    fg_sync_is_tx_answer_usable(gw, status) &&
 	    gw->wire->rows_read(body, len, &rows, NULL)) {
 		fg_store_rows_set_era(&rows, gw->era.known);
-		for (guint i = 0; i < rows.rows->len; i++)
+		if (!conflict)
+			apply_result(gw, rows.version, now);
+		/* The answer to a conflict has the rows as they are now. */
+		for (guint i = 0; conflict && i < rows.rows->len; i++)
 			fg_sync_apply_row(&gw->feeds[FG_FEED_OWN],
 					  rows.rows->pdata[i], now);
 	}
@@ -150,6 +166,7 @@
 		return false;
 	n = fill_rows(&gw->retiring, rows);
 	gw->retire_sent = gw->retiring.step;
+	gw->retire_row_version = gw->retiring.row_versions[0];
 	g_strlcpy(gw->retire_name, gw->retiring.names[0],
 		  sizeof(gw->retire_name));
 	fg_sync_send_tx(gw, rows, n, on_written);
--- a/lib/retire/fg_retire.c
+++ b/lib/retire/fg_retire.c
@@ -9,7 +9,8 @@
 	uint64_t row_version; /* 0: the text cannot be read */
 	uint64_t version;
 	fg_ms seen_at;
-	fg_ms ended_at; /* it was removed; 0: it is in force */
+	fg_ms heard_since; /* its instance is heard since then; 0: it is not */
+	fg_ms ended_at;	   /* it was removed; 0: it is in force */
 	bool bound;
 	bool listed; /* in the full read that is in progress, or the last one */
 };
@@ -204,8 +205,12 @@
 			continue;
 		if (!p->heard || now - m->seen_at >= FG_RETIRE_OBJECT_MS)
 			m->bound = true;
+		if (!p->heard)
+			m->heard_since = 0;
+		else if (m->heard_since == 0)
+			m->heard_since = now;
 		if (p->heard && out->n == 0 &&
-		    now - m->seen_at >= unmark_after_ms(r))
+		    now - m->heard_since >= unmark_after_ms(r))
 			add(out, FG_RETIRE_UNMARK, p, m);
 		r->contradicted = r->contradicted || (p->heard && m->bound);
 	}
